--- /dev/null
+++ b/Makefile
@@ -0,0 +1,93 @@
+# cedarwinch: see README.md. Main targets: demo, check, bench, spec, soak, capacity, install.
+BUILD    ?= build
+CC       ?= cc
+CFLAGS   ?= -O2 -g
+PACKAGES := libuv libcrypto libssl yaml-0.1 jansson libxxhash libprotobuf-c
+STRICT   := -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -D_GNU_SOURCE
+CPPFLAGS += -Iinclude -Iproto -Isrc
+LIBS     := -lh2o -luv -lssl -lcrypto -lyaml -ljansson -lxxhash -lprotobuf-c -largtable2 -lm -lpthread
+PREFIX   ?= /usr/local
+DESTDIR  ?=
+
+objects = $(patsubst %.c,$(BUILD)/%.o,$(1))
+
+CORE     := $(wildcard src/base/*.c) $(wildcard src/core/*.c) proto/cedarwinch.pb-c.c
+CONFIG   := $(wildcard src/config/*.c)
+ADAPTERS := $(wildcard src/adapters/*.c)
+DAEMON   := $(wildcard src/daemon/*.c)
+CLI      := $(wildcard src/cli/*.c)
+SIM      := $(filter-out sim/main_%,$(wildcard sim/*.c))
+SIM_MAIN := $(wildcard sim/main_*.c)
+STANDIN_COMMON := $(wildcard standins/common/*.c)
+TOOLS_COMMON   := $(wildcard bench/common/*.c)
+# Each standins/NAME/ and bench/NAME/ folder but common is one program.
+STANDINS := $(filter-out common,$(notdir $(patsubst %/,%,$(wildcard standins/*/))))
+TOOLS    := $(filter-out common,$(notdir $(patsubst %/,%,$(wildcard bench/*/))))
+TESTS    := $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
+TEST_COMMON := $(wildcard tests/common/*.c)
+
+CORE_LIB := $(BUILD)/libcedarwinch-core.a
+PROGRAMS := $(if $(DAEMON),$(BUILD)/cedarwinchd) $(if $(CLI),$(BUILD)/cedarwinch) \
+            $(addprefix $(BUILD)/cw-,$(STANDINS)) $(addprefix $(BUILD)/cw-,$(TOOLS)) \
+            $(patsubst sim/main_%.c,$(BUILD)/cw-%,$(SIM_MAIN))
+TEST_PROGRAMS := $(addprefix $(BUILD)/tests/,$(TESTS))
+
+.PHONY: all test check demo bench spec soak capacity fuzz lint format install dependencies clean proto
+.SECONDARY:
+all: $(PROGRAMS) $(TEST_PROGRAMS)
+
+$(BUILD)/proto/%.o: proto/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(CPPFLAGS) -std=gnu11 -w -c $< -o $@
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(CPPFLAGS) $(STRICT) -MMD -MP -c $< -o $@
+
+$(CORE_LIB): $(call objects,$(CORE) $(CONFIG))
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(BUILD)/cedarwinchd: $(call objects,$(DAEMON) $(ADAPTERS)) $(CORE_LIB)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/cedarwinch: $(call objects,$(CLI)) $(CORE_LIB)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+define program
+$(BUILD)/cw-$(2): $(call objects,$(wildcard $(1)/$(2)/*.c) $(3)) $(CORE_LIB)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $$@ $$^ $(LIBS)
+endef
+$(foreach name,$(STANDINS),$(eval $(call program,standins,$(name),$(STANDIN_COMMON))))
+$(foreach name,$(TOOLS),$(eval $(call program,bench,$(name),$(TOOLS_COMMON))))
+
+$(BUILD)/cw-%: $(BUILD)/sim/main_%.o $(call objects,$(SIM)) $(CORE_LIB)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+# Tests may use everything but main files.
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(call objects,$(TEST_COMMON) $(ADAPTERS) $(SIM) $(filter-out %/main.c,$(DAEMON) $(CLI))) $(CORE_LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS) $$(pkg-config --libs check)
+
+test: all
+	@tests/run.sh $(TEST_PROGRAMS)
+
+SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v -E '\.pb-c\.')
+format:
+	clang-format -i $(SOURCES)
+
+lint:
+	@clang-format --dry-run -Werror $(SOURCES)
+	@scripts/lint.sh
+
+proto:
+	cd proto && protoc-c --c_out=. cedarwinch.proto
+
+dependencies:
+	@scripts/dependencies.sh
+
+clean:
+	rm -rf $(BUILD)
+
+-include make/*.mk
+-include $(shell test -d $(BUILD) && find $(BUILD) -name '*.d')
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Runs clang-tidy on every C source, several at a time; fails when any reports.
+set -u
+git ls-files '*.c' | grep -v -E '\.pb-c\.' |
+    xargs -P "$(( $(nproc) / 2 + 1 ))" -n 4 clang-tidy --quiet -- -std=gnu11 -D_GNU_SOURCE -Iinclude -Iproto -Isrc 2>/dev/null
