--- a/proto/cedarwinch.pb-c.c
+++ b/proto/cedarwinch.pb-c.c
@@ -6205,7 +6205,7 @@
   (ProtobufCMessageInit) cw__forward_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__journal_entry__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cw__journal_entry__field_descriptors[12] =
 {
   {
     "request_id",
@@ -6327,11 +6327,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "exchange",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalEntry, exchange),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer_omitted",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalEntry, answer_omitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__journal_entry__field_indices_by_name[] = {
+  11,   /* field[11] = answer_omitted */
   7,   /* field[7] = body */
   3,   /* field[3] = digest */
   4,   /* field[4] = epoch */
+  10,   /* field[10] = exchange */
   8,   /* field[8] = headers */
   2,   /* field[2] = key_hash */
   0,   /* field[0] = request_id */
@@ -6343,7 +6369,7 @@
 static const ProtobufCIntRange cw__journal_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cw__journal_entry__descriptor =
 {
@@ -6353,14 +6379,14 @@
   "Cw__JournalEntry",
   "cw",
   sizeof(Cw__JournalEntry),
-  10,
+  12,
   cw__journal_entry__field_descriptors,
   cw__journal_entry__field_indices_by_name,
   1,  cw__journal_entry__number_ranges,
   (ProtobufCMessageInit) cw__journal_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__journal_start__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cw__journal_start__field_descriptors[4] =
 {
   {
     "id",
@@ -6398,16 +6424,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "supersedes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalStart, supersedes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__journal_start__field_indices_by_name[] = {
   2,   /* field[2] = entry */
   0,   /* field[0] = id */
   1,   /* field[1] = replica_incarnation */
+  3,   /* field[3] = supersedes */
 };
 static const ProtobufCIntRange cw__journal_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cw__journal_start__descriptor =
 {
@@ -6417,7 +6456,7 @@
   "Cw__JournalStart",
   "cw",
   sizeof(Cw__JournalStart),
-  3,
+  4,
   cw__journal_start__field_descriptors,
   cw__journal_start__field_indices_by_name,
   1,  cw__journal_start__number_ranges,
@@ -6475,7 +6514,7 @@
   (ProtobufCMessageInit) cw__journal_finish__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__journal_seal__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cw__journal_seal__field_descriptors[10] =
 {
   {
     "id",
@@ -6561,20 +6600,59 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalSeal, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalSeal, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "without_entries",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalSeal, without_entries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__journal_seal__field_indices_by_name[] = {
+  8,   /* field[8] = after */
   5,   /* field[5] = epoch */
   0,   /* field[0] = id */
   4,   /* field[4] = last */
+  7,   /* field[7] = leaving */
   3,   /* field[3] = low */
   1,   /* field[1] = replica_incarnation */
   2,   /* field[2] = service */
   6,   /* field[6] = started_only */
+  9,   /* field[9] = without_entries */
 };
 static const ProtobufCIntRange cw__journal_seal__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cw__journal_seal__descriptor =
 {
@@ -6584,14 +6662,14 @@
   "Cw__JournalSeal",
   "cw",
   sizeof(Cw__JournalSeal),
-  7,
+  10,
   cw__journal_seal__field_descriptors,
   cw__journal_seal__field_indices_by_name,
   1,  cw__journal_seal__number_ranges,
   (ProtobufCMessageInit) cw__journal_seal__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__journal_copy__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cw__journal_copy__field_descriptors[10] =
 {
   {
     "id",
@@ -6641,17 +6719,95 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalCopy, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "low",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalCopy, low),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalCopy, last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalCopy, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replica_set",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalCopy, replica_set),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "valid_from_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalCopy, valid_from_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__journal_copy__field_indices_by_name[] = {
   3,   /* field[3] = entries */
   2,   /* field[2] = epoch */
   0,   /* field[0] = id */
+  6,   /* field[6] = last */
+  5,   /* field[5] = low */
+  7,   /* field[7] = open */
   1,   /* field[1] = replica_incarnation */
+  8,   /* field[8] = replica_set */
+  4,   /* field[4] = service */
+  9,   /* field[9] = valid_from_ms */
 };
 static const ProtobufCIntRange cw__journal_copy__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cw__journal_copy__descriptor =
 {
@@ -6661,14 +6817,14 @@
   "Cw__JournalCopy",
   "cw",
   sizeof(Cw__JournalCopy),
-  4,
+  10,
   cw__journal_copy__field_descriptors,
   cw__journal_copy__field_indices_by_name,
   1,  cw__journal_copy__number_ranges,
   (ProtobufCMessageInit) cw__journal_copy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__journal_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cw__journal_reply__field_descriptors[10] =
 {
   {
     "id",
@@ -6730,18 +6886,83 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "opened",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalReply, opened),
+    &cw__fence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "opened_set",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalReply, opened_set),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalReply, left),
+    &cw__fence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "valid_from_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalReply, valid_from_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalReply, next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__journal_reply__field_indices_by_name[] = {
   3,   /* field[3] = entries */
   0,   /* field[0] = id */
+  7,   /* field[7] = left */
+  9,   /* field[9] = next */
+  5,   /* field[5] = opened */
+  6,   /* field[6] = opened_set */
   1,   /* field[1] = replica_incarnation */
   2,   /* field[2] = result */
   4,   /* field[4] = sealed */
+  8,   /* field[8] = valid_from_ms */
 };
 static const ProtobufCIntRange cw__journal_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cw__journal_reply__descriptor =
 {
@@ -6751,7 +6972,7 @@
   "Cw__JournalReply",
   "cw",
   sizeof(Cw__JournalReply),
-  5,
+  10,
   cw__journal_reply__field_descriptors,
   cw__journal_reply__field_indices_by_name,
   1,  cw__journal_reply__number_ranges,
@@ -7210,17 +7431,19 @@
   cw__outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue cw__journal_state__enum_values_by_number[2] =
+static const ProtobufCEnumValue cw__journal_state__enum_values_by_number[3] =
 {
   { "JOURNAL_STARTED", "CW__JOURNAL_STATE__JOURNAL_STARTED", 0 },
   { "JOURNAL_FINISHED", "CW__JOURNAL_STATE__JOURNAL_FINISHED", 1 },
+  { "JOURNAL_RELEASED", "CW__JOURNAL_STATE__JOURNAL_RELEASED", 2 },
 };
 static const ProtobufCIntRange cw__journal_state__value_ranges[] = {
-{0, 0},{0, 2}
+{0, 0},{0, 3}
 };
-static const ProtobufCEnumValueIndex cw__journal_state__enum_values_by_name[2] =
+static const ProtobufCEnumValueIndex cw__journal_state__enum_values_by_name[3] =
 {
   { "JOURNAL_FINISHED", 1 },
+  { "JOURNAL_RELEASED", 2 },
   { "JOURNAL_STARTED", 0 },
 };
 const ProtobufCEnumDescriptor cw__journal_state__descriptor =
@@ -7230,31 +7453,33 @@
   "JournalState",
   "Cw__JournalState",
   "cw",
-  2,
+  3,
   cw__journal_state__enum_values_by_number,
-  2,
+  3,
   cw__journal_state__enum_values_by_name,
   1,
   cw__journal_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue cw__journal_result__enum_values_by_number[5] =
+static const ProtobufCEnumValue cw__journal_result__enum_values_by_number[6] =
 {
   { "JOURNAL_OK", "CW__JOURNAL_RESULT__JOURNAL_OK", 0 },
   { "JOURNAL_SEALED", "CW__JOURNAL_RESULT__JOURNAL_SEALED", 1 },
   { "JOURNAL_WRONG_REPLICA", "CW__JOURNAL_RESULT__JOURNAL_WRONG_REPLICA", 2 },
   { "JOURNAL_DUPLICATE", "CW__JOURNAL_RESULT__JOURNAL_DUPLICATE", 3 },
   { "JOURNAL_FULL", "CW__JOURNAL_RESULT__JOURNAL_FULL", 4 },
+  { "JOURNAL_TOO_OLD", "CW__JOURNAL_RESULT__JOURNAL_TOO_OLD", 5 },
 };
 static const ProtobufCIntRange cw__journal_result__value_ranges[] = {
-{0, 0},{0, 5}
+{0, 0},{0, 6}
 };
-static const ProtobufCEnumValueIndex cw__journal_result__enum_values_by_name[5] =
+static const ProtobufCEnumValueIndex cw__journal_result__enum_values_by_name[6] =
 {
   { "JOURNAL_DUPLICATE", 3 },
   { "JOURNAL_FULL", 4 },
   { "JOURNAL_OK", 0 },
   { "JOURNAL_SEALED", 1 },
+  { "JOURNAL_TOO_OLD", 5 },
   { "JOURNAL_WRONG_REPLICA", 2 },
 };
 const ProtobufCEnumDescriptor cw__journal_result__descriptor =
@@ -7264,9 +7489,9 @@
   "JournalResult",
   "Cw__JournalResult",
   "cw",
-  5,
+  6,
   cw__journal_result__enum_values_by_number,
-  5,
+  6,
   cw__journal_result__enum_values_by_name,
   1,
   cw__journal_result__value_ranges,
--- a/proto/cedarwinch.pb-c.h
+++ b/proto/cedarwinch.pb-c.h
@@ -107,7 +107,11 @@
 } Cw__Outcome;
 typedef enum _Cw__JournalState {
   CW__JOURNAL_STATE__JOURNAL_STARTED = 0,
-  CW__JOURNAL_STATE__JOURNAL_FINISHED = 1
+  CW__JOURNAL_STATE__JOURNAL_FINISHED = 1,
+  /*
+   * in JournalFinish only: provably not run, the entry is removed
+   */
+  CW__JOURNAL_STATE__JOURNAL_RELEASED = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CW__JOURNAL_STATE)
 } Cw__JournalState;
 typedef enum _Cw__JournalResult {
@@ -121,7 +125,11 @@
    * entry exists, see entry
    */
   CW__JOURNAL_RESULT__JOURNAL_DUPLICATE = 3,
-  CW__JOURNAL_RESULT__JOURNAL_FULL = 4
+  CW__JOURNAL_RESULT__JOURNAL_FULL = 4,
+  /*
+   * entries of that age are no longer kept
+   */
+  CW__JOURNAL_RESULT__JOURNAL_TOO_OLD = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CW__JOURNAL_RESULT)
 } Cw__JournalResult;
 
@@ -1023,10 +1031,18 @@
   size_t n_headers;
   Cw__Header **headers;
   int64_t started_wall_ms;
+  /*
+   * id of the JournalStart that made it
+   */
+  uint64_t exchange;
+  /*
+   * finished, but the answer is not stored or not sent here
+   */
+  protobuf_c_boolean answer_omitted;
 };
 #define CW__JOURNAL_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__journal_entry__descriptor) \
-    , {0,NULL}, 0, 0, 0, NULL, CW__JOURNAL_STATE__JOURNAL_STARTED, 0, {0,NULL}, 0,NULL, 0 }
+    , {0,NULL}, 0, 0, 0, NULL, CW__JOURNAL_STATE__JOURNAL_STARTED, 0, {0,NULL}, 0,NULL, 0, 0, 0 }
 
 
 struct  Cw__JournalStart
@@ -1041,10 +1057,14 @@
    */
   uint64_t replica_incarnation;
   Cw__JournalEntry *entry;
+  /*
+   * exchanges of this epoch up to this one were never sent to the server
+   */
+  uint64_t supersedes;
 };
 #define CW__JOURNAL_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__journal_start__descriptor) \
-    , 0, 0, NULL }
+    , 0, 0, NULL, 0 }
 
 
 struct  Cw__JournalFinish
@@ -1071,13 +1091,22 @@
   uint64_t last;
   Cw__Fence *epoch;
   /*
-   * unfinished entries first
+   * finished entries come without their stored answers
    */
   protobuf_c_boolean started_only;
+  /*
+   * the range moves to another replica set
+   */
+  protobuf_c_boolean leaving;
+  /*
+   * paging: entries behind this position
+   */
+  uint64_t after;
+  protobuf_c_boolean without_entries;
 };
 #define CW__JOURNAL_SEAL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__journal_seal__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, 0 }
+    , 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -1091,10 +1120,25 @@
   Cw__Fence *epoch;
   size_t n_entries;
   Cw__JournalEntry **entries;
+  uint64_t service;
+  uint64_t low;
+  uint64_t last;
+  /*
+   * last copy: this replica now holds all there is on [low, last]
+   */
+  protobuf_c_boolean open;
+  /*
+   * digest of the set that is opened
+   */
+  uint64_t replica_set;
+  /*
+   * older request ids are refused
+   */
+  int64_t valid_from_ms;
 };
 #define CW__JOURNAL_COPY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__journal_copy__descriptor) \
-    , 0, 0, NULL, 0,NULL }
+    , 0, 0, NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cw__JournalReply
@@ -1109,10 +1153,27 @@
   size_t n_entries;
   Cw__JournalEntry **entries;
   Cw__Fence *sealed;
+  /*
+   * epoch of the last opening of [low, last] here
+   */
+  Cw__Fence *opened;
+  /*
+   * replica set it was opened for
+   */
+  uint64_t opened_set;
+  /*
+   * last epoch that left this replica's set
+   */
+  Cw__Fence *left;
+  int64_t valid_from_ms;
+  /*
+   * paging: continue after this position; 0: complete
+   */
+  uint64_t next;
 };
 #define CW__JOURNAL_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__journal_reply__descriptor) \
-    , 0, 0, CW__JOURNAL_RESULT__JOURNAL_OK, 0,NULL, NULL }
+    , 0, 0, CW__JOURNAL_RESULT__JOURNAL_OK, 0,NULL, NULL, NULL, 0, NULL, 0, 0 }
 
 
 typedef enum {
