--- a/include/cedarwinch/outcome.h
+++ b/include/cedarwinch/outcome.h
@@ -39,7 +39,9 @@
     CW_REASON_COUNT
 } cw_reason_t;
 
-const char *cw_reason_text(cw_reason_t reason);
+const char *cw_reason_text(cw_reason_t reason); /**< "" for CW_REASON_NONE */
+/** Reason of a text form; CW_REASON_NONE for "" and for words not known. */
+cw_reason_t cw_reason_from_text(const char *text);
 uint32_t    cw_reason_status(cw_reason_t reason); /**< HTTP status */
 Cw__Outcome cw_reason_outcome(cw_reason_t reason);
 const char *cw_outcome_text(Cw__Outcome outcome); /**< "answered", "not-run", "unknown", "in-progress" */
@@ -49,7 +51,7 @@
 /** What is known when a request ends. */
 typedef struct cw_outcome_facts {
     bool               sent;   /**< a byte may have left for the server */
-    cw_server_result_t result; /**< meaningful when the server exchange ended */
+    cw_server_result_t result; /**< of the exchange; CW_SERVER_BROKEN while it has not ended; unused when not sent */
     bool               deadline_over;
 } cw_outcome_facts_t;
 
