proto: fields for leadership transfer and conflict hints

Cause: the replicated log needs a message that asks a voter to take over, a vote request that says so, and the term of a refused append's hint; without the term the leader probes one entry at a time. Ruled out: overloading pre_vote or the round field, which would make the messages mean two things. Change: TimeoutNow (RaftMessage field 13), VoteRequest.transfer, AppendResponse.hint_term; all optional and new. Conclusion: additive; no existing field changes.

--- a/proto/cedarwinch.pb-c.c
+++ b/proto/cedarwinch.pb-c.c
@@ -997,6 +997,51 @@
   assert(message->base.descriptor == &cw__snapshot_response__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cw__timeout_now__init
+                     (Cw__TimeoutNow         *message)
+{
+  static const Cw__TimeoutNow init_value = CW__TIMEOUT_NOW__INIT;
+  *message = init_value;
+}
+size_t cw__timeout_now__get_packed_size
+                     (const Cw__TimeoutNow *message)
+{
+  assert(message->base.descriptor == &cw__timeout_now__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cw__timeout_now__pack
+                     (const Cw__TimeoutNow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cw__timeout_now__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cw__timeout_now__pack_to_buffer
+                     (const Cw__TimeoutNow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cw__timeout_now__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cw__TimeoutNow *
+       cw__timeout_now__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cw__TimeoutNow *)
+     protobuf_c_message_unpack (&cw__timeout_now__descriptor,
+                                allocator, len, data);
+}
+void   cw__timeout_now__free_unpacked
+                     (Cw__TimeoutNow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cw__timeout_now__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cw__raft_message__init
                      (Cw__RaftMessage         *message)
 {
@@ -3710,7 +3755,7 @@
   (ProtobufCMessageInit) cw__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__vote_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cw__vote_request__field_descriptors[4] =
 {
   {
     "pre_vote",
@@ -3748,16 +3793,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "transfer",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cw__VoteRequest, transfer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__vote_request__field_indices_by_name[] = {
   1,   /* field[1] = last_index */
   2,   /* field[2] = last_term */
   0,   /* field[0] = pre_vote */
+  3,   /* field[3] = transfer */
 };
 static const ProtobufCIntRange cw__vote_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cw__vote_request__descriptor =
 {
@@ -3767,7 +3825,7 @@
   "Cw__VoteRequest",
   "cw",
   sizeof(Cw__VoteRequest),
-  3,
+  4,
   cw__vote_request__field_descriptors,
   cw__vote_request__field_indices_by_name,
   1,  cw__vote_request__number_ranges,
@@ -3915,7 +3973,7 @@
   (ProtobufCMessageInit) cw__append_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__append_response__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cw__append_response__field_descriptors[4] =
 {
   {
     "success",
@@ -3953,8 +4011,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hint_term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__AppendResponse, hint_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__append_response__field_indices_by_name[] = {
+  3,   /* field[3] = hint_term */
   1,   /* field[1] = match_index */
   2,   /* field[2] = round */
   0,   /* field[0] = success */
@@ -3962,7 +4033,7 @@
 static const ProtobufCIntRange cw__append_response__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cw__append_response__descriptor =
 {
@@ -3972,7 +4043,7 @@
   "Cw__AppendResponse",
   "cw",
   sizeof(Cw__AppendResponse),
-  3,
+  4,
   cw__append_response__field_descriptors,
   cw__append_response__field_indices_by_name,
   1,  cw__append_response__number_ranges,
@@ -4120,7 +4191,25 @@
   (ProtobufCMessageInit) cw__snapshot_response__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__raft_message__field_descriptors[12] =
+#define cw__timeout_now__field_descriptors NULL
+#define cw__timeout_now__field_indices_by_name NULL
+#define cw__timeout_now__number_ranges NULL
+const ProtobufCMessageDescriptor cw__timeout_now__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cw.TimeoutNow",
+  "TimeoutNow",
+  "Cw__TimeoutNow",
+  "cw",
+  sizeof(Cw__TimeoutNow),
+  0,
+  cw__timeout_now__field_descriptors,
+  cw__timeout_now__field_indices_by_name,
+  0,  cw__timeout_now__number_ranges,
+  (ProtobufCMessageInit) cw__timeout_now__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cw__raft_message__field_descriptors[13] =
 {
   {
     "group",
@@ -4266,6 +4355,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "timeout_now",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cw__RaftMessage, body_case),
+    offsetof(Cw__RaftMessage, timeout_now),
+    &cw__timeout_now__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__raft_message__field_indices_by_name[] = {
   7,   /* field[7] = append_request */
@@ -4277,6 +4378,7 @@
   9,   /* field[9] = snapshot_request */
   10,   /* field[10] = snapshot_response */
   4,   /* field[4] = term */
+  12,   /* field[12] = timeout_now */
   3,   /* field[3] = to */
   5,   /* field[5] = vote_request */
   6,   /* field[6] = vote_response */
@@ -4284,7 +4386,7 @@
 static const ProtobufCIntRange cw__raft_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cw__raft_message__descriptor =
 {
@@ -4294,7 +4396,7 @@
   "Cw__RaftMessage",
   "cw",
   sizeof(Cw__RaftMessage),
-  12,
+  13,
   cw__raft_message__field_descriptors,
   cw__raft_message__field_indices_by_name,
   1,  cw__raft_message__number_ranges,
--- a/proto/cedarwinch.pb-c.h
+++ b/proto/cedarwinch.pb-c.h
@@ -37,6 +37,7 @@
 typedef struct Cw__AppendResponse Cw__AppendResponse;
 typedef struct Cw__SnapshotRequest Cw__SnapshotRequest;
 typedef struct Cw__SnapshotResponse Cw__SnapshotResponse;
+typedef struct Cw__TimeoutNow Cw__TimeoutNow;
 typedef struct Cw__RaftMessage Cw__RaftMessage;
 typedef struct Cw__ServerReport Cw__ServerReport;
 typedef struct Cw__RangeLoad Cw__RangeLoad;
@@ -482,10 +483,14 @@
   protobuf_c_boolean pre_vote;
   uint64_t last_index;
   uint64_t last_term;
+  /*
+   * asked for by the leader: voters need not wait for its silence
+   */
+  protobuf_c_boolean transfer;
 };
 #define CW__VOTE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__vote_request__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Cw__VoteResponse
@@ -526,10 +531,14 @@
    */
   uint64_t match_index;
   uint64_t round;
+  /*
+   * on refusal: term of the entry at match_index
+   */
+  uint64_t hint_term;
 };
 #define CW__APPEND_RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__append_response__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Cw__SnapshotRequest
@@ -557,6 +566,18 @@
     , 0, 0 }
 
 
+/*
+ * Leader -> voter that is up to date: start an election at once.
+ */
+struct  Cw__TimeoutNow
+{
+  ProtobufCMessage base;
+};
+#define CW__TIMEOUT_NOW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cw__timeout_now__descriptor) \
+     }
+
+
 typedef enum {
   CW__RAFT_MESSAGE__BODY__NOT_SET = 0,
   CW__RAFT_MESSAGE__BODY_VOTE_REQUEST = 6,
@@ -564,7 +585,8 @@
   CW__RAFT_MESSAGE__BODY_APPEND_REQUEST = 8,
   CW__RAFT_MESSAGE__BODY_APPEND_RESPONSE = 9,
   CW__RAFT_MESSAGE__BODY_SNAPSHOT_REQUEST = 10,
-  CW__RAFT_MESSAGE__BODY_SNAPSHOT_RESPONSE = 11
+  CW__RAFT_MESSAGE__BODY_SNAPSHOT_RESPONSE = 11,
+  CW__RAFT_MESSAGE__BODY_TIMEOUT_NOW = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CW__RAFT_MESSAGE__BODY__CASE)
 } Cw__RaftMessage__BodyCase;
 
@@ -588,6 +610,7 @@
     Cw__AppendResponse *append_response;
     Cw__SnapshotRequest *snapshot_request;
     Cw__SnapshotResponse *snapshot_response;
+    Cw__TimeoutNow *timeout_now;
   };
 };
 #define CW__RAFT_MESSAGE__INIT \
@@ -1654,6 +1677,25 @@
 void   cw__snapshot_response__free_unpacked
                      (Cw__SnapshotResponse *message,
                       ProtobufCAllocator *allocator);
+/* Cw__TimeoutNow methods */
+void   cw__timeout_now__init
+                     (Cw__TimeoutNow         *message);
+size_t cw__timeout_now__get_packed_size
+                     (const Cw__TimeoutNow   *message);
+size_t cw__timeout_now__pack
+                     (const Cw__TimeoutNow   *message,
+                      uint8_t             *out);
+size_t cw__timeout_now__pack_to_buffer
+                     (const Cw__TimeoutNow   *message,
+                      ProtobufCBuffer     *buffer);
+Cw__TimeoutNow *
+       cw__timeout_now__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cw__timeout_now__free_unpacked
+                     (Cw__TimeoutNow *message,
+                      ProtobufCAllocator *allocator);
 /* Cw__RaftMessage methods */
 void   cw__raft_message__init
                      (Cw__RaftMessage         *message);
@@ -2254,6 +2296,9 @@
 typedef void (*Cw__SnapshotResponse_Closure)
                  (const Cw__SnapshotResponse *message,
                   void *closure_data);
+typedef void (*Cw__TimeoutNow_Closure)
+                 (const Cw__TimeoutNow *message,
+                  void *closure_data);
 typedef void (*Cw__RaftMessage_Closure)
                  (const Cw__RaftMessage *message,
                   void *closure_data);
@@ -2372,6 +2417,7 @@
 extern const ProtobufCMessageDescriptor cw__append_response__descriptor;
 extern const ProtobufCMessageDescriptor cw__snapshot_request__descriptor;
 extern const ProtobufCMessageDescriptor cw__snapshot_response__descriptor;
+extern const ProtobufCMessageDescriptor cw__timeout_now__descriptor;
 extern const ProtobufCMessageDescriptor cw__raft_message__descriptor;
 extern const ProtobufCMessageDescriptor cw__server_report__descriptor;
 extern const ProtobufCMessageDescriptor cw__range_load__descriptor;
