Seam: the request id travels in the answer to the caller

Cause: the gateway may make the request id, but the HTTP adapter had no way to learn it for the request-id header. Ruled out: a map from caller id to request id in the daemon, which would keep the same fact twice. Change: ForwardResponse.request_id, set by the gateway; cw_http_server_respond loses its extra argument. Conclusion: respond() alone carries all that the answer needs.

--- a/include/cedarwinch/adapters.h
+++ b/include/cedarwinch/adapters.h
@@ -29,9 +29,9 @@
 int      cw_http_server_create(cw_http_server_t **server, uv_loop_t *loop, const char *address, uint16_t port,
                                const cw_http_server_callbacks_t *callbacks);
 uint16_t cw_http_server_port(const cw_http_server_t *server);
-/** Final answer to a caller. Unknown ids (hung up) are ignored. */
-void cw_http_server_respond(cw_http_server_t *server, uint64_t caller_id, const Cw__ForwardResponse *response,
-                            const uint8_t *request_id);
+/** Final answer to a caller; response->request_id (16 bytes) becomes the request-id header. Unknown ids (hung up) are
+ *  ignored. */
+void cw_http_server_respond(cw_http_server_t *server, uint64_t caller_id, const Cw__ForwardResponse *response);
 void cw_http_server_operator_respond(cw_http_server_t *server, uint64_t caller_id,
                                      const Cw__OperatorResponse *response);
 /** Stops listening and closes idle connections; busy ones close after their answer. */
--- a/proto/cedarwinch.pb-c.c
+++ b/proto/cedarwinch.pb-c.c
@@ -6101,7 +6101,7 @@
   (ProtobufCMessageInit) cw__forward_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__forward_response__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cw__forward_response__field_descriptors[11] =
 {
   {
     "id",
@@ -6223,6 +6223,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request_id",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cw__ForwardResponse, request_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__forward_response__field_indices_by_name[] = {
   5,   /* field[5] = body */
@@ -6232,14 +6244,16 @@
   2,   /* field[2] = outcome */
   8,   /* field[8] = queue_us */
   6,   /* field[6] = reason */
+  10,   /* field[10] = request_id */
   7,   /* field[7] = retry_after_ms */
   9,   /* field[9] = stale_route */
   3,   /* field[3] = status */
 };
-static const ProtobufCIntRange cw__forward_response__number_ranges[1 + 1] =
+static const ProtobufCIntRange cw__forward_response__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 15, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cw__forward_response__descriptor =
 {
@@ -6249,10 +6263,10 @@
   "Cw__ForwardResponse",
   "cw",
   sizeof(Cw__ForwardResponse),
-  10,
+  11,
   cw__forward_response__field_descriptors,
   cw__forward_response__field_indices_by_name,
-  1,  cw__forward_response__number_ranges,
+  2,  cw__forward_response__number_ranges,
   (ProtobufCMessageInit) cw__forward_response__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/cedarwinch.pb-c.h
+++ b/proto/cedarwinch.pb-c.h
@@ -1017,10 +1017,14 @@
    * gateway should refresh before retrying
    */
   protobuf_c_boolean stale_route;
+  /*
+   * 16 bytes; set by the gateway before it answers the caller
+   */
+  ProtobufCBinaryData request_id;
 };
 #define CW__FORWARD_RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__forward_response__descriptor) \
-    , 0, 0, CW__OUTCOME__OUTCOME_UNSPECIFIED, 0, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, CW__OUTCOME__OUTCOME_UNSPECIFIED, 0, 0,NULL, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, {0,NULL} }
 
 
 struct  Cw__ForwardCancel
