--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 TEST_COMMON := $(wildcard tests/common/*.c)
 
 CORE_LIB := $(BUILD)/libcedarwinch-core.a
-PROGRAMS := $(if $(DAEMON),$(BUILD)/cedarwinchd) $(if $(CLI),$(BUILD)/cedarwinch) \
+PROGRAMS := $(if $(wildcard src/daemon/main.c),$(BUILD)/cedarwinchd) $(if $(wildcard src/cli/main.c),$(BUILD)/cedarwinch) \
             $(addprefix $(BUILD)/cw-,$(STANDINS)) $(addprefix $(BUILD)/cw-,$(TOOLS)) \
             $(patsubst sim/main_%.c,$(BUILD)/cw-%,$(SIM_MAIN))
 TEST_PROGRAMS := $(addprefix $(BUILD)/tests/,$(TESTS))
@@ -51,7 +51,7 @@
 $(BUILD)/cedarwinchd: $(call objects,$(DAEMON) $(ADAPTERS)) $(CORE_LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/cedarwinch: $(call objects,$(CLI)) $(CORE_LIB)
+$(BUILD)/cedarwinch: $(call objects,$(CLI) $(ADAPTERS)) $(CORE_LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 define program
--- /dev/null
+++ b/src/core/node_operator.c
@@ -0,0 +1,142 @@
+/**
+ * @file node_operator.c
+ * @brief Operators' requests: any node takes them, the leader answers them.
+ *
+ * Rules: the receiving node replaces the token by its digest at once and says whether the digest is an administrator's
+ * of its settings. With no leader known the request is refused at once. One that the leader does not answer in time
+ * ends as unknown: it may have taken effect, and the operator is told to look at the status.
+ */
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "node_internal.h"
+
+enum { OPERATOR_TIMEOUT_US = 12 * CW_US_PER_S, STATUS_UNAVAILABLE = 503, STATUS_TIMEOUT = 504, RETRY_AFTER_S = 1 };
+
+static bool is_administrator(const cw_node_t *node, const uint8_t digest[CW_TOKEN_DIGEST_BYTES])
+{
+    size_t position;
+    bool   found = false;
+
+    for (position = 0; position < node->options.administrator_token_count; position++) {
+        if (CRYPTO_memcmp(node->options.administrator_token_sha256[position], digest, CW_TOKEN_DIGEST_BYTES) == 0) {
+            found = true;
+        }
+    }
+    return found;
+}
+
+static void answer(cw_node_t *node, uint64_t caller_id, uint32_t status, char *json, uint32_t retry_after_s)
+{
+    Cw__OperatorResponse response = CW__OPERATOR_RESPONSE__INIT;
+
+    response.status = status;
+    response.json = json;
+    response.retry_after_s = retry_after_s;
+    node->outer.operator_respond(node->outer.context, caller_id, &response);
+}
+
+/* Appends: the list stays ordered by deadline, since every request waits equally long. */
+static void add_wait(cw_node_t *node, uint64_t id, uint64_t caller_id, cw_instant_t now)
+{
+    cw_operator_wait_t **end = &node->operator_waits;
+    cw_operator_wait_t  *wait = calloc(1, sizeof(*wait));
+
+    if (wait == NULL) {
+        return;
+    }
+    wait->id = id;
+    wait->caller_id = caller_id;
+    wait->deadline = now.monotonic_us + OPERATOR_TIMEOUT_US;
+    while (*end != NULL) {
+        end = &(*end)->next;
+    }
+    *end = wait;
+}
+
+void cw_node_operator_request(cw_node_t *node, uint64_t caller_id, const char *operation, const char *token,
+                              const char *file_name, const char *argument, cw_instant_t now)
+{
+    const Cw__NodeInfo *leader = cw_relay_leader(node->relay);
+    Cw__Envelope        envelope = CW__ENVELOPE__INIT;
+    Cw__OperatorRequest request = CW__OPERATOR_REQUEST__INIT;
+    uint8_t             digest[SHA256_DIGEST_LENGTH];
+
+    if (leader == NULL) {
+        answer(node, caller_id, STATUS_UNAVAILABLE, "{\"error\":\"no leader of the control group is known\"}",
+               RETRY_AFTER_S);
+        return;
+    }
+    token = token != NULL ? token : "";
+    SHA256((const unsigned char *)token, strlen(token), digest);
+    request.id = ++node->next_id;
+    request.origin = node->self->id;
+    request.operation = (char *)operation;
+    request.token_sha256.data = digest;
+    request.token_sha256.len = sizeof(digest);
+    request.argument = (char *)(argument != NULL ? argument : "");
+    request.file_name = (char *)(file_name != NULL ? file_name : "");
+    request.authorized_administrator = is_administrator(node, digest);
+    envelope.body_case = CW__ENVELOPE__BODY_OPERATOR_REQUEST;
+    envelope.operator_request = &request;
+    add_wait(node, request.id, caller_id, now);
+    cw_node_send(node, leader->id, &envelope);
+    cw_node_settle(node, now);
+}
+
+void cw_node_operator_refuse(cw_node_t *node, const Cw__OperatorRequest *request)
+{
+    Cw__Envelope         envelope = CW__ENVELOPE__INIT;
+    Cw__OperatorResponse response = CW__OPERATOR_RESPONSE__INIT;
+
+    response.id = request->id;
+    response.status = STATUS_UNAVAILABLE;
+    response.json = "{\"error\":\"this node does not lead the control group\"}";
+    response.retry_after_s = RETRY_AFTER_S;
+    envelope.body_case = CW__ENVELOPE__BODY_OPERATOR_RESPONSE;
+    envelope.operator_response = &response;
+    cw_node_send(node, request->origin, &envelope);
+}
+
+void cw_node_operator_response(cw_node_t *node, const Cw__OperatorResponse *response)
+{
+    cw_operator_wait_t **place = &node->operator_waits;
+    cw_operator_wait_t  *wait;
+
+    while (*place != NULL && (*place)->id != response->id) {
+        place = &(*place)->next;
+    }
+    wait = *place;
+    if (wait == NULL) {
+        return;
+    }
+    *place = wait->next;
+    node->outer.operator_respond(node->outer.context, wait->caller_id, response);
+    free(wait);
+}
+
+void cw_node_operator_tick(cw_node_t *node, cw_instant_t now)
+{
+    cw_operator_wait_t *wait;
+
+    while (node->operator_waits != NULL && now.monotonic_us >= node->operator_waits->deadline) {
+        wait = node->operator_waits;
+        node->operator_waits = wait->next;
+        answer(node, wait->caller_id, STATUS_TIMEOUT,
+               "{\"error\":\"the leader did not answer in time; the outcome is not known, see status\"}", 0);
+        free(wait);
+    }
+}
+
+void cw_node_operator_clear(cw_node_t *node)
+{
+    cw_operator_wait_t *wait;
+
+    while (node->operator_waits != NULL) {
+        wait = node->operator_waits;
+        node->operator_waits = wait->next;
+        free(wait);
+    }
+}
