Machine list of the platform stand-in: plain list

Cause: the hash table's macros set off the analyser on the release of the list. Ruled out: silencing it for that line. Change: a linked list; a stand-in's list holds some hundred machines.

--- a/standins/platform/machine_list.c
+++ b/standins/platform/machine_list.c
@@ -8,13 +8,13 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 #include <utlist.h>
 
 typedef struct machine {
     char              *name;
     cw_machine_state_t state;
-    UT_hash_handle     hh; /* iterates in insertion order */
+    struct machine    *prev;
+    struct machine    *next;
 } machine_t;
 
 typedef struct change {
@@ -54,9 +54,9 @@
     change_t  *change;
     change_t  *next_change;
 
-    HASH_ITER(hh, list->machines, machine, next_machine)
+    DL_FOREACH_SAFE(list->machines, machine, next_machine)
     {
-        HASH_DEL(list->machines, machine);
+        DL_DELETE(list->machines, machine);
         free(machine->name);
         free(machine);
     }
@@ -85,11 +85,16 @@
 {
     machine_t *machine;
 
-    HASH_FIND_STR(list->machines, change->name, machine);
+    DL_FOREACH(list->machines, machine)
+    {
+        if (strcmp(machine->name, change->name) == 0) {
+            break;
+        }
+    }
     if (machine == NULL) {
         machine = calloc(1, sizeof(*machine));
         machine->name = strdup(change->name);
-        HASH_ADD_KEYPTR(hh, list->machines, machine->name, strlen(machine->name), machine);
+        DL_APPEND(list->machines, machine);
     }
     machine->state = change->state;
 }
@@ -106,7 +111,8 @@
         DL_DELETE(list->changes, change);
         change_free(change);
     }
-    for (machine = list->machines; machine != NULL; machine = machine->hh.next) {
+    DL_FOREACH(list->machines, machine)
+    {
         if (machine->state != CW_MACHINE_GONE) {
             visit(context, machine->name, machine->state);
         }
