--- a/proto/cedarwinch.pb-c.c
+++ b/proto/cedarwinch.pb-c.c
@@ -3267,7 +3267,7 @@
   (ProtobufCMessageInit) cw__range_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__server_info__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cw__server_info__field_descriptors[7] =
 {
   {
     "server",
@@ -3341,19 +3341,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retired",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cw__ServerInfo, retired),
+    &cw__server_configuration__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__server_info__field_indices_by_name[] = {
   5,   /* field[5] = draining */
   4,   /* field[4] = fence */
   2,   /* field[2] = forwarder */
   3,   /* field[3] = forwarder_incarnation */
+  6,   /* field[6] = retired */
   0,   /* field[0] = server */
   1,   /* field[1] = service */
 };
 static const ProtobufCIntRange cw__server_info__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cw__server_info__descriptor =
 {
@@ -3363,7 +3376,7 @@
   "Cw__ServerInfo",
   "cw",
   sizeof(Cw__ServerInfo),
-  6,
+  7,
   cw__server_info__field_descriptors,
   cw__server_info__field_indices_by_name,
   1,  cw__server_info__number_ranges,
--- a/proto/cedarwinch.pb-c.h
+++ b/proto/cedarwinch.pb-c.h
@@ -372,10 +372,14 @@
    * by operator, list or the server's own word
    */
   protobuf_c_boolean draining;
+  /*
+   * Set when the configuration no longer names the server: how to reach it until its last range has left.
+   */
+  Cw__ServerConfiguration *retired;
 };
 #define CW__SERVER_INFO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__server_info__descriptor) \
-    , 0, 0, 0, 0, NULL, 0 }
+    , 0, 0, 0, 0, NULL, 0, NULL }
 
 
 /*
--- a/src/core/repeatable.c
+++ b/src/core/repeatable.c
@@ -4,8 +4,8 @@
  *
  * A server may decode a path before it acts on it, so the rules are matched against the decoded form: percent-encoding
  * undone, runs of slashes taken as one, letters compared without case. Where the decoded form is in doubt (a broken
- * escape, a segment that begins with a dot) the request counts as matched. Every doubt errs towards "not repeatable", which costs
- * a journal entry; the other direction could run a request twice.
+ * escape, a segment that begins with a dot) the request counts as matched. Every doubt errs towards "not repeatable",
+ * which costs a journal entry; the other direction could run a request twice.
  */
 #include <ctype.h>
 #include <string.h>
