--- a/proto/cedarwinch.pb-c.c
+++ b/proto/cedarwinch.pb-c.c
@@ -6515,7 +6515,7 @@
   (ProtobufCMessageInit) cw__journal_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__journal_start__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cw__journal_start__field_descriptors[5] =
 {
   {
     "id",
@@ -6565,17 +6565,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "supersedes_first",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__JournalStart, supersedes_first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__journal_start__field_indices_by_name[] = {
   2,   /* field[2] = entry */
   0,   /* field[0] = id */
   1,   /* field[1] = replica_incarnation */
   3,   /* field[3] = supersedes */
+  4,   /* field[4] = supersedes_first */
 };
 static const ProtobufCIntRange cw__journal_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cw__journal_start__descriptor =
 {
@@ -6585,7 +6598,7 @@
   "Cw__JournalStart",
   "cw",
   sizeof(Cw__JournalStart),
-  4,
+  5,
   cw__journal_start__field_descriptors,
   cw__journal_start__field_indices_by_name,
   1,  cw__journal_start__number_ranges,
--- a/proto/cedarwinch.pb-c.h
+++ b/proto/cedarwinch.pb-c.h
@@ -1089,13 +1089,14 @@
   uint64_t replica_incarnation;
   Cw__JournalEntry *entry;
   /*
-   * exchanges of this epoch up to this one were never sent to the server
+   * this epoch's exchanges from supersedes_first to this one were never sent
    */
   uint64_t supersedes;
+  uint64_t supersedes_first;
 };
 #define CW__JOURNAL_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__journal_start__descriptor) \
-    , 0, 0, NULL, 0 }
+    , 0, 0, NULL, 0, 0 }
 
 
 struct  Cw__JournalFinish
--- a/src/core/journal.c
+++ b/src/core/journal.c
@@ -89,7 +89,10 @@
     if (standing->digest != start->entry->digest || standing->key_hash != start->entry->key_hash) {
         return false;
     }
-    return standing->exchange == start->id || standing->exchange <= start->supersedes;
+    if (standing->exchange == start->id) {
+        return true;
+    }
+    return standing->exchange >= start->supersedes_first && standing->exchange <= start->supersedes;
 }
 
 static Cw__JournalResult start_over_entry(const cw_journal_t *journal, cw_journal_table_entry_t *entry,
--- a/tests/test_journal.c
+++ b/tests/test_journal.c
@@ -85,7 +85,7 @@
     cw_journal_receive(journal, &envelope, now);
 }
 
-static Cw__JournalResult start_with(Cw__JournalEntry *message, uint64_t replica, uint64_t supersedes)
+static Cw__JournalResult start_with(Cw__JournalEntry *message, uint64_t replica, uint64_t first, uint64_t supersedes)
 {
     Cw__JournalStart start = CW__JOURNAL_START__INIT;
 
@@ -93,6 +93,7 @@
     start.replica_incarnation = replica;
     start.entry = message;
     start.supersedes = supersedes;
+    start.supersedes_first = first;
     receive(CW__ENVELOPE__BODY_JOURNAL_START, &start);
     return reply->result;
 }
@@ -101,7 +102,7 @@
 {
     entry_t entry;
 
-    return start_with(make_entry(&entry, number, WALL_MS, epoch, exchange), REPLICA, 0);
+    return start_with(make_entry(&entry, number, WALL_MS, epoch, exchange), REPLICA, 0, 0);
 }
 
 static void finish(uint32_t number, uint64_t epoch, uint64_t exchange, Cw__JournalState state, size_t body_length)
@@ -173,7 +174,7 @@
 {
     entry_t entry;
 
-    ck_assert_int_eq(start_with(make_entry(&entry, 1, WALL_MS, 4, 1), REPLICA + 1, 0),
+    ck_assert_int_eq(start_with(make_entry(&entry, 1, WALL_MS, 4, 1), REPLICA + 1, 0, 0),
                      CW__JOURNAL_RESULT__JOURNAL_WRONG_REPLICA);
     ck_assert_uint_eq(cw_journal_entry_count(journal), 0);
 }
@@ -184,11 +185,14 @@
     entry_t entry;
 
     start(1, 4, 10);
-    ck_assert_int_eq(start_with(make_entry(&entry, 1, WALL_MS, 4, 12), REPLICA, 9),
+    ck_assert_int_eq(start_with(make_entry(&entry, 1, WALL_MS, 4, 12), REPLICA, 8, 9),
                      CW__JOURNAL_RESULT__JOURNAL_DUPLICATE);
-    ck_assert_int_eq(start_with(make_entry(&entry, 1, WALL_MS, 5, 12), REPLICA, 10),
+    ck_assert_int_eq(start_with(make_entry(&entry, 1, WALL_MS, 4, 12), REPLICA, 11, 11),
                      CW__JOURNAL_RESULT__JOURNAL_DUPLICATE);
-    ck_assert_int_eq(start_with(make_entry(&entry, 1, WALL_MS, 4, 12), REPLICA, 10), CW__JOURNAL_RESULT__JOURNAL_OK);
+    ck_assert_int_eq(start_with(make_entry(&entry, 1, WALL_MS, 5, 12), REPLICA, 10, 11),
+                     CW__JOURNAL_RESULT__JOURNAL_DUPLICATE);
+    ck_assert_int_eq(start_with(make_entry(&entry, 1, WALL_MS, 4, 12), REPLICA, 10, 11),
+                     CW__JOURNAL_RESULT__JOURNAL_OK);
     finish(1, 4, 10, CW__JOURNAL_STATE__JOURNAL_RELEASED, 0); /* late release of the superseded exchange */
     ck_assert_uint_eq(cw_journal_entry_count(journal), 1);
     finish(1, 4, 12, CW__JOURNAL_STATE__JOURNAL_RELEASED, 0);
