Placement planner: greedy, weighted, with few moves

Cause: ranges need an owner when servers come, go or carry uneven load, and tenants weigh imbalance and churn unlike. Ruled out: hashing of servers (cannot weigh load); solving for the optimum (moves far more than the gain is worth); the busiest server alone as measure (no gradient when two are equally busy), so the sum of squares is used. Conclusion: 6 servers joined by one more move 1/6 of the ranges or two fewer, and nothing else.

--- /dev/null
+++ b/tests/test_placement.c
@@ -0,0 +1,239 @@
+/**
+ * @file test_placement.c
+ * @brief Tests of the placement planner: even spread, minimal churn, bounds on moves, weights and hysteresis.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cedarwinch/placement.h"
+
+enum { SERVERS = 6, RANGES = 60 };
+
+static cw_placement_server_t    servers[SERVERS];
+static cw_placement_range_t     ranges[RANGES];
+static Cw__PlacementWeights     weights;
+static Cw__ServiceConfiguration service;
+static cw_placement_input_t     input;
+static cw_placement_result_t    result;
+
+static void reset(void)
+{
+    static const char *const zones[] = {"a", "b", "c"};
+    const uint64_t           width = UINT64_MAX / RANGES;
+    size_t                   position;
+
+    weights = (Cw__PlacementWeights)CW__PLACEMENT_WEIGHTS__INIT;
+    weights.imbalance = weights.churn = weights.unavailable = 1.0;
+    service = (Cw__ServiceConfiguration)CW__SERVICE_CONFIGURATION__INIT;
+    service.weights = &weights;
+    service.cold_start_ms = 1000;
+    for (position = 0; position < SERVERS; position++) {
+        servers[position].id = position + 1;
+        servers[position].zone = zones[position % 3];
+        servers[position].usable = true;
+    }
+    memset(ranges, 0, sizeof(ranges));
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].id = position + 1;
+        ranges[position].low = position * width;
+        ranges[position].last = position + 1 == RANGES ? UINT64_MAX : (position + 1) * width - 1;
+        ranges[position].load = 10;
+        ranges[position].server = position % SERVERS + 1;
+    }
+    input = (cw_placement_input_t){&service, servers, SERVERS, ranges, RANGES, RANGES};
+    memset(&result, 0, sizeof(result));
+}
+
+static void clear(void)
+{
+    cw_placement_result_clear(&result);
+}
+
+static void plan(void)
+{
+    cw_placement_result_clear(&result);
+    ck_assert_int_eq(cw_placement_plan(&input, &result), 0);
+}
+
+/* Plans, and takes the moves into the ranges. */
+static void plan_and_move(void)
+{
+    size_t position;
+
+    plan();
+    for (position = 0; position < result.move_count; position++) {
+        ranges[result.moves[position].range].server = result.moves[position].to;
+    }
+}
+
+static size_t ranges_of(cw_server_id_t server)
+{
+    size_t count = 0;
+    size_t position;
+
+    for (position = 0; position < RANGES; position++) {
+        count += ranges[position].server == server ? 1 : 0;
+    }
+    return count;
+}
+
+START_TEST(new_ranges_are_spread_evenly_over_servers)
+{
+    size_t position;
+
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].server = 0;
+        ranges[position].load = 0;
+    }
+    plan_and_move();
+    ck_assert_uint_eq(result.move_count, RANGES);
+    for (position = 1; position <= SERVERS; position++) {
+        ck_assert_uint_eq(ranges_of(position), RANGES / SERVERS);
+    }
+    ck_assert_double_eq(result.churn, 0);
+    ck_assert_double_eq(result.imbalance_after, 1.0);
+}
+END_TEST
+
+START_TEST(balanced_ranges_stay_in_spite_of_noise)
+{
+    size_t position;
+
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].load = position % 7 < 3 ? 9 : 11;
+    }
+    plan();
+    ck_assert_uint_eq(result.move_count, 0);
+    weights.churn = weights.unavailable = 0; /* even when moves cost nothing */
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].load =
+            10 + (ranges[position].server == 1 ? 1.0 : 0) - (ranges[position].server == 2 ? 0.5 : 0);
+    }
+    plan();
+    ck_assert_uint_eq(result.move_count, 0);
+}
+END_TEST
+
+START_TEST(ranges_of_a_leaving_server_move_and_no_others)
+{
+    size_t position;
+
+    servers[1].usable = false;
+    input.moves_allowed = 0;
+    plan_and_move();
+    ck_assert_uint_eq(result.move_count, RANGES / SERVERS);
+    for (position = 0; position < result.move_count; position++) {
+        ck_assert(result.moves[position].forced);
+        ck_assert_uint_eq(result.moves[position].range % SERVERS, 1);
+    }
+    ck_assert_double_eq_tol(result.churn, 1.0 / SERVERS, 0.001);
+    for (position = 1; position <= SERVERS; position++) {
+        ck_assert_uint_eq(ranges_of(position), position == 2 ? 0 : RANGES / (SERVERS - 1));
+    }
+}
+END_TEST
+
+START_TEST(a_joining_server_takes_its_share_and_nothing_else_moves)
+{
+    size_t position;
+
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].server = position % (SERVERS - 1) + 1;
+    }
+    plan_and_move();
+    ck_assert_uint_ge(result.move_count, RANGES / SERVERS - 2);
+    ck_assert_uint_le(result.move_count, RANGES / SERVERS);
+    for (position = 0; position < result.move_count; position++) {
+        ck_assert_uint_eq(result.moves[position].to, SERVERS);
+    }
+    plan();
+    ck_assert_uint_eq(result.move_count, 0);
+}
+END_TEST
+
+START_TEST(moves_of_healthy_ranges_are_bounded_and_forced_ones_are_not)
+{
+    size_t position;
+
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].server = position < RANGES / 2 ? 1 : 2;
+    }
+    servers[1].usable = false;
+    input.moves_allowed = 2;
+    plan();
+    ck_assert_uint_eq(result.move_count, RANGES / 2 + 2);
+    ck_assert_double_lt(result.imbalance_after, result.imbalance_before);
+}
+END_TEST
+
+/* Server 1 carries half as much again as the others. */
+static size_t moves_with_weights(double imbalance, double churn, double unavailable)
+{
+    size_t position;
+
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].load = ranges[position].server == 1 ? 15 : 10;
+    }
+    weights.imbalance = imbalance;
+    weights.churn = churn;
+    weights.unavailable = unavailable;
+    plan();
+    return result.move_count;
+}
+
+START_TEST(weights_decide_whether_a_move_is_worth_it)
+{
+    size_t for_balance = moves_with_weights(4, 0.5, 0.5);
+
+    ck_assert_uint_ge(for_balance, 2);
+    ck_assert_double_lt(result.imbalance_after, 1.25);
+    ck_assert_uint_eq(moves_with_weights(0.5, 4, 4), 0);
+    ck_assert_double_gt(result.imbalance_after, 1.35);
+}
+END_TEST
+
+START_TEST(a_single_hot_range_is_not_passed_around)
+{
+    ranges[0].load = 5000;
+    plan_and_move();
+    ck_assert_uint_eq(ranges[0].server, 1);
+    plan();
+    ck_assert_uint_eq(result.move_count, 0);
+}
+END_TEST
+
+START_TEST(nothing_moves_without_a_usable_server)
+{
+    size_t position;
+
+    for (position = 0; position < SERVERS; position++) {
+        servers[position].usable = false;
+    }
+    plan();
+    ck_assert_uint_eq(result.move_count, 0);
+}
+END_TEST
+
+int main(void)
+{
+    Suite   *suite = suite_create("placement");
+    TCase   *tests = tcase_create("placement");
+    SRunner *runner = srunner_create(suite);
+    int      failed;
+
+    tcase_add_checked_fixture(tests, reset, clear);
+    tcase_add_test(tests, new_ranges_are_spread_evenly_over_servers);
+    tcase_add_test(tests, balanced_ranges_stay_in_spite_of_noise);
+    tcase_add_test(tests, ranges_of_a_leaving_server_move_and_no_others);
+    tcase_add_test(tests, a_joining_server_takes_its_share_and_nothing_else_moves);
+    tcase_add_test(tests, moves_of_healthy_ranges_are_bounded_and_forced_ones_are_not);
+    tcase_add_test(tests, weights_decide_whether_a_move_is_worth_it);
+    tcase_add_test(tests, a_single_hot_range_is_not_passed_around);
+    tcase_add_test(tests, nothing_moves_without_a_usable_server);
+    suite_add_tcase(suite, tests);
+    srunner_run_all(runner, CK_NORMAL);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
