--- a/include/cedarwinch/adapters.h
+++ b/include/cedarwinch/adapters.h
@@ -37,7 +37,8 @@
 /** Stops listening and closes idle connections; busy ones close after their answer. */
 void   cw_http_server_stop(cw_http_server_t *server);
 size_t cw_http_server_open_connections(const cw_http_server_t *server);
-void   cw_http_server_free(cw_http_server_t *server);
+/** Cuts what is left. To be called outside uv_run: it runs the loop until its connections are closed. */
+void cw_http_server_free(cw_http_server_t *server);
 
 /* ---- back-end servers (src/adapters/backend_http.c) ---- */
 
