--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,9 @@
 TOOLS    := $(filter-out common,$(notdir $(patsubst %/,%,$(wildcard bench/*/))))
 TESTS    := $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
 TEST_COMMON := $(wildcard tests/common/*.c)
+# Modules of the stand-ins and tools that have unit tests.
+TEST_PARTS := $(filter-out %/main.c,$(wildcard $(addsuffix /*.c,standins/common standins/backend standins/platform \
+              bench/common bench/load bench/evidence bench/cutter)))
 
 CORE_LIB := $(BUILD)/libcedarwinch-core.a
 PROGRAMS := $(if $(wildcard src/daemon/main.c),$(BUILD)/cedarwinchd) $(if $(wildcard src/cli/main.c),$(BUILD)/cedarwinch) \
@@ -65,7 +68,7 @@
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 # Tests may use everything but main files.
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(call objects,$(TEST_COMMON) $(ADAPTERS) $(SIM) $(filter-out %/main.c,$(DAEMON) $(CLI))) $(CORE_LIB)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(call objects,$(TEST_COMMON) $(TEST_PARTS) $(ADAPTERS) $(SIM) $(filter-out %/main.c,$(DAEMON) $(CLI))) $(CORE_LIB)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS) $$(pkg-config --libs check)
 
