Gateway: checks, routes, retries and final answers

Cause: callers need one true answer to each request, however late, doubled or lost the messages behind it are. Additive: clock_skew_ms in the options (0: 5 s; the node now passes its own), late_responses in the counters.

--- a/include/cedarwinch/gateway.h
+++ b/include/cedarwinch/gateway.h
@@ -3,7 +3,8 @@
  * @brief Gateway: authenticates the caller, applies its tenant's limits, finds the owner, passes the request to the
  *        owner's forwarder, retries where that is safe, and gives the one final answer.
  *
- * Ports used: send, respond. A forwarder on the same node is reached through send as well.
+ * Ports used: send, respond. A forwarder on the same node is reached through send as well. Every answer to a request
+ * that has an id, given or made, names it in request_id.
  */
 #ifndef CEDARWINCH_GATEWAY_H
 #define CEDARWINCH_GATEWAY_H
@@ -11,6 +12,8 @@
 #include "cedarwinch/outcome.h"
 #include "cedarwinch/relay.h"
 
+enum { CW_CLOCK_SKEW_DEFAULT_MS = 5000 };
+
 typedef struct cw_gateway cw_gateway_t;
 
 /** A caller's request as the HTTP adapter read it. Strings are borrowed for the call. */
@@ -37,6 +40,7 @@
     uint64_t         seed;
     uint32_t         retry_budget_percent; /**< retries allowed per hundred requests, plus a small floor */
     uint32_t         request_limit;        /**< requests in flight at this gateway */
+    int64_t          clock_skew_ms;        /**< bound on how far ahead a request id's time may be; 0: the default */
 } cw_gateway_options_t;
 
 typedef struct cw_gateway_counters {
@@ -48,6 +52,7 @@
     uint64_t retries;
     uint64_t by_reason[CW_REASON_COUNT];
     uint64_t in_flight;
+    uint64_t late_responses; /**< dropped: late, foreign or of a former incarnation */
 } cw_gateway_counters_t;
 
 int  cw_gateway_create(cw_gateway_t **gateway, const cw_gateway_options_t *options, const cw_ports_t *ports,
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -84,7 +84,8 @@
                                         .incarnation = node->self->incarnation,
                                         .seed = cw_random_next(&node->random_state),
                                         .retry_budget_percent = options->retry_budget_percent,
-                                        .request_limit = options->request_limit};
+                                        .request_limit = options->request_limit,
+                                        .clock_skew_ms = options->clock_skew_ms};
     cw_forwarder_options_t   forwarder = {.node = node->self->id,
                                           .incarnation = node->self->incarnation,
                                           .journal_window_ms = options->journal_window_ms,
