Gateway: risk nothing non-repeatable on a lost forwarder

Cause: after the loss of a forwarder every unlock sent to it until the route moves would end unknown, though it could be refused as not run; the headers were filtered twice, here and in the HTTP adapter. Ruled out: refusing all requests to such a node (nothing would show that it is back); waiting for its outstanding answers (one slow one would block all). Change: a node lost with requests gets no non-repeatable request until it answers something; one each 100 ms probes it. A stale-route reason refreshes the routes like the flag. The header filter here is gone: the adapter passes only what may pass. Conclusion: at most ten unknown outcomes a second for each lost forwarder.

--- a/include/cedarwinch/gateway.h
+++ b/include/cedarwinch/gateway.h
@@ -28,7 +28,7 @@
     const char  *token;      /**< bearer token, NULL: none */
     const char  *request_id; /**< NULL: none */
     int64_t      timeout_us; /**< 0: the service's default */
-    Cw__Header **headers;
+    Cw__Header **headers;    /**< only those that pass to the server */
     size_t       header_count;
     const void  *body;
     size_t       body_length;
--- a/src/core/gateway.c
+++ b/src/core/gateway.c
@@ -20,6 +20,8 @@
  * - Once a try ended unknown, the request may have run: no later refusal makes the final answer "not run".
  * - A request in flight holds exactly one place of its tenant and has exactly one timer set; both end with it.
  */
+#include <string.h>
+
 #include "cedarwinch/error.h"
 #include "gateway_internal.h"
 
@@ -122,21 +124,26 @@
 {
     cw_reason_t reason = cw_reason_from_text(response->reason);
 
-    return response->stale_route || reason == CW_REASON_STALE_ROUTE || reason == CW_REASON_MOVING ||
-           reason == CW_REASON_STOPPING;
+    return reason == CW_REASON_STALE_ROUTE || reason == CW_REASON_MOVING || reason == CW_REASON_STOPPING ||
+           response->stale_route;
+}
+
+/* Losses that another try may not meet. What the journal answers stays as it is. */
+static bool loss_is_retried(cw_reason_t reason)
+{
+    return reason == CW_REASON_CONNECTION_LOST || reason == CW_REASON_FORWARDER_LOST || reason == CW_REASON_TIMEOUT;
 }
 
 static bool response_is_retried(cw_gateway_t *gateway, cw_gateway_request_t *request,
                                 const Cw__ForwardResponse *response, cw_instant_t now)
 {
+    cw_reason_t reason = cw_reason_from_text(response->reason);
+
     if (response->outcome == CW__OUTCOME__OUTCOME_NOT_RUN) {
         return refusal_is_retried(response) && cw_gateway_retry_later(gateway, request, now);
     }
-    if (response->outcome == CW__OUTCOME__OUTCOME_UNKNOWN && request->message.repeatable) {
-        request->uncertain = cw_reason_from_text(response->reason);
-        if (cw_reason_outcome(request->uncertain) != CW__OUTCOME__OUTCOME_UNKNOWN) {
-            request->uncertain = CW_REASON_CONNECTION_LOST;
-        }
+    if (response->outcome == CW__OUTCOME__OUTCOME_UNKNOWN && request->message.repeatable && loss_is_retried(reason)) {
+        request->uncertain = reason;
         return cw_gateway_retry_later(gateway, request, now);
     }
     return false;
@@ -157,7 +164,8 @@
         gateway->counters.late_responses++;
         return;
     }
-    if (response->stale_route) {
+    request->node->lost = 0;
+    if (response->stale_route || strcmp(response->reason, cw_reason_text(CW_REASON_STALE_ROUTE)) == 0) {
         cw_relay_refresh(gateway->relay, now);
     }
     cw_gateway_request_detach(gateway, request);
@@ -192,11 +200,12 @@
     if (lost == NULL) {
         return;
     }
+    if (lost->waiting != NULL) {
+        cw_gateway_distrust(lost, lost->waiting->forwarder, now);
+    }
     while (lost->waiting != NULL) {
         lose_forwarder(gateway, lost->waiting, now);
     }
-    HASH_DELETE(hh, gateway->nodes, lost);
-    free(lost);
 }
 
 void cw_gateway_tick(cw_gateway_t *gateway, cw_instant_t now)
--- a/src/core/gateway_internal.h
+++ b/src/core/gateway_internal.h
@@ -2,8 +2,7 @@
  * @file gateway_internal.h
  * @brief State of a gateway, shared by its modules:
  *        gateway.c (entry points), gateway_check.c (what is taken in), gateway_request.c (the requests in flight),
- *        gateway_route.c (hand-over and retry), gateway_answer.c (final answers), gateway_headers.c (headers passed
- * on).
+ *        gateway_route.c (hand-over and retry), gateway_answer.c (final answers).
  */
 #ifndef CEDARWINCH_GATEWAY_INTERNAL_H
 #define CEDARWINCH_GATEWAY_INTERNAL_H
@@ -29,9 +28,11 @@
 
 struct cw_gateway_request;
 
-/** Requests handed over to one node, in the order of hand-over. */
+/** Requests handed over to one node, in the order of hand-over, and whether the node was lost with some. */
 typedef struct cw_gateway_node {
     cw_node_id_t               id;
+    cw_incarnation_t           lost;     /**< incarnation lost and not heard from since; 0: none */
+    cw_time_us_t               probe_us; /**< before this time nothing non-repeatable goes to the lost incarnation */
     struct cw_gateway_request *waiting;
     UT_hash_handle             hh;
 } cw_gateway_node_t;
@@ -101,14 +102,18 @@
                                                 const cw_gateway_checked_t *checked, cw_instant_t now);
 /** Ends a request without an answer and gives its place back. */
 void cw_gateway_request_remove(cw_gateway_t *gateway, cw_gateway_request_t *request);
+/** The gateway's record of a node; NULL: no memory. */
+cw_gateway_node_t *cw_gateway_open_node(cw_gateway_t *gateway, cw_node_id_t id);
 /** Notes a hand-over under a new hop id, or its end. */
-int  cw_gateway_request_attach(cw_gateway_t *gateway, cw_gateway_request_t *request, cw_node_id_t node);
+void cw_gateway_request_attach(cw_gateway_t *gateway, cw_gateway_request_t *request, cw_gateway_node_t *node);
 void cw_gateway_request_detach(cw_gateway_t *gateway, cw_gateway_request_t *request);
 
 /* gateway_route.c */
 
 /** Tries to hand a request over by the present route; retries later or ends it where that cannot be done. */
 void cw_gateway_hand_over(cw_gateway_t *gateway, cw_gateway_request_t *request, cw_instant_t now);
+/** A node was lost: for a while, nothing non-repeatable is risked on that incarnation of it. */
+void cw_gateway_distrust(cw_gateway_node_t *node, cw_incarnation_t incarnation, cw_instant_t now);
 /** Sets the next try, if the deadline, the number of tries and the budget allow it. */
 bool cw_gateway_retry_later(cw_gateway_t *gateway, cw_gateway_request_t *request, cw_instant_t now);
 /** Tells the forwarder that the answer is no longer wanted. */
@@ -124,9 +129,4 @@
 /** Passes a forwarder's response on as the final answer and removes the request. */
 void cw_gateway_answer(cw_gateway_t *gateway, cw_gateway_request_t *request, const Cw__ForwardResponse *response);
 
-/* gateway_headers.c */
-
-/** Is a caller's header passed on to the server? */
-bool cw_gateway_request_header_passes(const char *name);
-
 #endif
--- a/src/core/gateway_request.c
+++ b/src/core/gateway_request.c
@@ -25,26 +25,13 @@
     return XXH3_64bits_withSeed(caller->body, caller->body_length, digest);
 }
 
-static size_t count_headers(const cw_caller_request_t *caller)
+static size_t content_size(const cw_caller_request_t *caller)
 {
-    size_t count = 0;
+    size_t size = caller->header_count * (sizeof(Cw__Header) + sizeof(Cw__Header *));
     size_t index;
 
     for (index = 0; index < caller->header_count; index++) {
-        count += cw_gateway_request_header_passes(caller->headers[index]->name) ? 1 : 0;
-    }
-    return count;
-}
-
-static size_t content_size(const cw_caller_request_t *caller, size_t header_count)
-{
-    size_t size = header_count * (sizeof(Cw__Header) + sizeof(Cw__Header *));
-    size_t index;
-
-    for (index = 0; index < caller->header_count; index++) {
-        if (cw_gateway_request_header_passes(caller->headers[index]->name)) {
-            size += strlen(caller->headers[index]->name) + strlen(caller->headers[index]->value) + 2;
-        }
+        size += strlen(caller->headers[index]->name) + strlen(caller->headers[index]->value) + 2;
     }
     return size + caller->key_length + strlen(caller->method) + strlen(caller->path) + 3 + caller->body_length;
 }
@@ -59,36 +46,32 @@
     return copy;
 }
 
-/* Copies the headers that pass: the header objects, then the pointers to them, then their texts. */
-static void copy_headers(cw_gateway_request_t *request, const cw_caller_request_t *caller, size_t count, char **place)
+/* Copies the headers: the header objects, then the pointers to them, then their texts. */
+static void copy_headers(cw_gateway_request_t *request, const cw_caller_request_t *caller, char **place)
 {
     Cw__Header  *objects = (Cw__Header *)(void *)request->content;
-    Cw__Header **pointers = (Cw__Header **)(void *)(objects + count);
-    size_t       copied = 0;
+    Cw__Header **pointers = (Cw__Header **)(void *)(objects + caller->header_count);
     size_t       index;
 
-    *place = (char *)(pointers + count);
+    *place = (char *)(pointers + caller->header_count);
     for (index = 0; index < caller->header_count; index++) {
         const Cw__Header *header = caller->headers[index];
 
-        if (cw_gateway_request_header_passes(header->name)) {
-            cw__header__init(&objects[copied]);
-            objects[copied].name = copy_text(place, header->name, strlen(header->name));
-            objects[copied].value = copy_text(place, header->value, strlen(header->value));
-            pointers[copied] = &objects[copied];
-            copied++;
-        }
+        cw__header__init(&objects[index]);
+        objects[index].name = copy_text(place, header->name, strlen(header->name));
+        objects[index].value = copy_text(place, header->value, strlen(header->value));
+        pointers[index] = &objects[index];
     }
     request->message.headers = pointers;
-    request->message.n_headers = count;
+    request->message.n_headers = caller->header_count;
 }
 
-static void copy_content(cw_gateway_request_t *request, const cw_caller_request_t *caller, size_t header_count)
+static void copy_content(cw_gateway_request_t *request, const cw_caller_request_t *caller)
 {
     Cw__ForwardRequest *message = &request->message;
     char               *place;
 
-    copy_headers(request, caller, header_count, &place);
+    copy_headers(request, caller, &place);
     message->key = copy_text(&place, caller->key, caller->key_length);
     message->method = copy_text(&place, caller->method, strlen(caller->method));
     message->path = copy_text(&place, caller->path, strlen(caller->path));
@@ -144,13 +127,12 @@
 cw_gateway_request_t *cw_gateway_request_create(cw_gateway_t *gateway, const cw_caller_request_t *caller,
                                                 const cw_gateway_checked_t *checked, cw_instant_t now)
 {
-    size_t                header_count = count_headers(caller);
     cw_gateway_request_t *request;
 
     if (reserve_timer(gateway) != CW_OK) {
         return NULL;
     }
-    request = malloc(sizeof(*request) + content_size(caller, header_count));
+    request = malloc(sizeof(*request) + content_size(caller));
     if (request == NULL) {
         return NULL;
     }
@@ -161,7 +143,7 @@
     request->deadline_us = deadline_of(caller, checked->service, now);
     request->uncertain = CW_REASON_NONE;
     memcpy(request->request_id, checked->request_id, CW_REQUEST_ID_BYTES);
-    copy_content(request, caller, header_count);
+    copy_content(request, caller);
     fill_message(gateway, request, caller, checked);
     HASH_ADD(by_caller, gateway->by_caller, caller_id, sizeof(request->caller_id), request);
     return request;
@@ -176,7 +158,7 @@
     free(request);
 }
 
-static cw_gateway_node_t *open_node(cw_gateway_t *gateway, cw_node_id_t id)
+cw_gateway_node_t *cw_gateway_open_node(cw_gateway_t *gateway, cw_node_id_t id)
 {
     cw_gateway_node_t *node;
 
@@ -192,16 +174,12 @@
     return node;
 }
 
-int cw_gateway_request_attach(cw_gateway_t *gateway, cw_gateway_request_t *request, cw_node_id_t node)
+void cw_gateway_request_attach(cw_gateway_t *gateway, cw_gateway_request_t *request, cw_gateway_node_t *node)
 {
-    request->node = open_node(gateway, node);
-    if (request->node == NULL) {
-        return CW_ERROR_NO_MEMORY;
-    }
+    request->node = node;
     request->message.id = ++gateway->last_hop_id;
-    DL_APPEND2(request->node->waiting, request, previous, next);
+    DL_APPEND2(node->waiting, request, previous, next);
     HASH_ADD(by_hop, gateway->by_hop, message.id, sizeof(request->message.id), request);
-    return CW_OK;
 }
 
 void cw_gateway_request_detach(cw_gateway_t *gateway, cw_gateway_request_t *request)
--- a/src/core/gateway_route.c
+++ b/src/core/gateway_route.c
@@ -4,8 +4,11 @@
  *
  * A try is a look at the route, followed by a hand-over where the route allows it. Retries are bounded by the caller's
  * deadline, by TRIES_MAX and by the tenant's retry budget.
+ *
+ * A non-repeatable request that is lost with its forwarder ends unknown, so after such a loss none goes to that
+ * incarnation of the node until it answers something again. Repeatable requests still go there and show whether it is
+ * back; in their absence one non-repeatable request each PROBE_INTERVAL_US does. The others are refused as not run.
  */
-#include "cedarwinch/error.h"
 #include "gateway_internal.h"
 
 enum {
@@ -13,13 +16,15 @@
     BACKOFF_MIN_US = 20 * CW_US_PER_MS,
     BACKOFF_SPREAD_US = 60 * CW_US_PER_MS,
     RETURN_MARGIN_MAX_US = 5 * CW_US_PER_MS,
-    RETURN_MARGIN_PART = 8
+    RETURN_MARGIN_PART = 8,
+    PROBE_INTERVAL_US = 100 * CW_US_PER_MS
 };
 
 /** Where a request has to go now. */
 typedef struct cw_gateway_route {
     const Cw__RangeInfo  *range;
     const Cw__ServerInfo *server;
+    cw_gateway_node_t    *node;
 } cw_gateway_route_t;
 
 static cw_reason_t find_route(const cw_control_state_t *routes, const cw_gateway_request_t *request,
@@ -39,6 +44,31 @@
     return CW_REASON_NONE;
 }
 
+void cw_gateway_distrust(cw_gateway_node_t *node, cw_incarnation_t incarnation, cw_instant_t now)
+{
+    node->lost = incarnation;
+    node->probe_us = now.monotonic_us + PROBE_INTERVAL_US;
+}
+
+/* May a request be risked on the node that its route names? */
+static cw_reason_t check_node(cw_gateway_t *gateway, const cw_gateway_request_t *request, cw_gateway_route_t *route,
+                              cw_instant_t now)
+{
+    route->node = cw_gateway_open_node(gateway, route->server->forwarder);
+    if (route->node == NULL) {
+        return CW_REASON_QUEUE_FULL;
+    }
+    if (request->message.repeatable || route->node->lost == 0 ||
+        route->node->lost != route->server->forwarder_incarnation) {
+        return CW_REASON_NONE;
+    }
+    if (now.monotonic_us < route->node->probe_us) {
+        return CW_REASON_SERVER_UNREACHABLE;
+    }
+    route->node->probe_us = now.monotonic_us + PROBE_INTERVAL_US;
+    return CW_REASON_NONE;
+}
+
 static cw_time_us_t backoff_end(cw_gateway_t *gateway, cw_instant_t now)
 {
     return now.monotonic_us + BACKOFF_MIN_US +
@@ -122,7 +152,7 @@
 
 void cw_gateway_hand_over(cw_gateway_t *gateway, cw_gateway_request_t *request, cw_instant_t now)
 {
-    cw_gateway_route_t route = {NULL, NULL};
+    cw_gateway_route_t route = {NULL, NULL, NULL};
     cw_reason_t        reason = check_try(gateway, request, now);
 
     if (reason != CW_REASON_NONE) {
@@ -134,6 +164,9 @@
         wait_for_route(gateway, request, now);
         return;
     }
+    if (reason == CW_REASON_NONE) {
+        reason = check_node(gateway, request, &route, now);
+    }
     request->tries++;
     if (reason != CW_REASON_NONE) {
         if (!cw_gateway_retry_later(gateway, request, now)) {
@@ -141,10 +174,7 @@
         }
         return;
     }
-    if (cw_gateway_request_attach(gateway, request, route.server->forwarder) != CW_OK) {
-        cw_gateway_end(gateway, request, CW_REASON_QUEUE_FULL);
-        return;
-    }
+    cw_gateway_request_attach(gateway, request, route.node);
     cw_timer_heap_set(&gateway->timers, &request->timer, request->deadline_us);
     send_request(gateway, request, &route, now);
 }
