Gateway waits for a new route while the range moves; bucket starts full

Cause: a repeatable request lost twice with a forwarder used up its last try on a look at the moving range and ended unknown just before the route changed. A tenant without a limit that got one started with an empty bucket. Ruled out: more tries (the bound is for hand-overs; a look costs nothing). Change: such a request waits by its backoff until another forwarder is named or its deadline ends; a bucket without limit is filled when it gets one; the retry counter counts hand-overs, as its metric says. Conclusion: failover of a forwarder is bridged for repeatable requests.

--- a/include/cedarwinch/token_bucket.h
+++ b/include/cedarwinch/token_bucket.h
@@ -16,7 +16,7 @@
 
 /** Starts full. */
 void cw_token_bucket_init(cw_token_bucket_t *bucket, uint64_t rate, uint64_t burst, cw_time_us_t now);
-/** Changes the limit; tokens beyond the new burst are lost. */
+/** Changes the limit; tokens beyond the new burst are lost. A bucket that had no limit starts full. */
 void cw_token_bucket_limit(cw_token_bucket_t *bucket, uint64_t rate, uint64_t burst, cw_time_us_t now);
 /** Takes one token if there is one. */
 bool cw_token_bucket_take(cw_token_bucket_t *bucket, cw_time_us_t now);
--- a/src/core/gateway_route.c
+++ b/src/core/gateway_route.c
@@ -145,7 +145,6 @@
     if (!cw_retry_budget_withdraw(&request->tenant->retries, now.monotonic_us)) {
         return false;
     }
-    gateway->counters.retries++;
     cw_timer_heap_set(&gateway->timers, &request->timer, next_try);
     return true;
 }
@@ -160,7 +159,8 @@
         return;
     }
     reason = find_route(cw_relay_routes(gateway->relay), request, &route);
-    if (reason == CW_REASON_NONE && request->avoided != 0 && route.server->forwarder_incarnation == request->avoided) {
+    if (request->avoided != 0 &&
+        (reason != CW_REASON_NONE || route.server->forwarder_incarnation == request->avoided)) {
         wait_for_route(gateway, request, now);
         return;
     }
@@ -174,6 +174,9 @@
         }
         return;
     }
+    if (request->tries > 1) {
+        gateway->counters.retries++;
+    }
     cw_gateway_request_attach(gateway, request, route.node);
     cw_timer_heap_set(&gateway->timers, &request->timer, request->deadline_us);
     send_request(gateway, request, &route, now);
--- a/src/core/token_bucket.c
+++ b/src/core/token_bucket.c
@@ -36,6 +36,10 @@
     if (bucket->rate == rate && bucket->burst == burst) {
         return;
     }
+    if (bucket->rate == 0) {
+        cw_token_bucket_init(bucket, rate, burst, now);
+        return;
+    }
     fill(bucket, now);
     bucket->rate = rate;
     bucket->burst = burst;
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -39,6 +39,8 @@
     ck_assert_uint_eq(take_all(&bucket, 0), 0);
     cw_token_bucket_limit(&bucket, 0, 0, INT64_MAX);
     ck_assert(cw_token_bucket_take(&bucket, INT64_MAX));
+    cw_token_bucket_limit(&bucket, 7, 4, INT64_MAX);
+    ck_assert_uint_eq(take_all(&bucket, INT64_MAX), 4);
 }
 END_TEST
 
