--- a/include/cedarwinch/adapters.h
+++ b/include/cedarwinch/adapters.h
@@ -54,6 +54,7 @@
 void cw_backend_call(cw_backend_t *backend, const cw_server_call_t *call);
 /** Sends an application request on a pooled connection. Exactly one response follows. */
 void cw_backend_request(cw_backend_t *backend, const cw_server_request_t *request);
+/** Ends a request that was not sent yet; asks the server to stop one that was. Its one response follows either way. */
 void cw_backend_cancel(cw_backend_t *backend, uint64_t request_id);
 void cw_backend_free(cw_backend_t *backend);
 
