--- a/include/cedarwinch/timer_heap.h
+++ b/include/cedarwinch/timer_heap.h
@@ -43,6 +43,8 @@
 cw_timer_t *cw_timer_heap_first(const cw_timer_heap_t *heap);
 /** Due time of the earliest timer, CW_TIME_NEVER: none. */
 cw_time_us_t cw_timer_heap_next(const cw_timer_heap_t *heap);
+/** Number of timers due at or before a time: O(n). */
+size_t cw_timer_heap_count_due(const cw_timer_heap_t *heap, cw_time_us_t due_us);
 /** Takes the earliest timer out if it is due; NULL: none is. */
 cw_timer_t *cw_timer_heap_take_due(cw_timer_heap_t *heap, cw_time_us_t now);
 
--- a/src/core/timer_heap.c
+++ b/src/core/timer_heap.c
@@ -127,6 +127,19 @@
     return heap->count == 0 ? CW_TIME_NEVER : heap->timers[ROOT]->due_us;
 }
 
+size_t cw_timer_heap_count_due(const cw_timer_heap_t *heap, cw_time_us_t due_us)
+{
+    size_t due = 0;
+    size_t position;
+
+    for (position = ROOT; position <= heap->count; position++) {
+        if (heap->timers[position]->due_us <= due_us) {
+            due++;
+        }
+    }
+    return due;
+}
+
 cw_timer_t *cw_timer_heap_take_due(cw_timer_heap_t *heap, cw_time_us_t now)
 {
     cw_timer_t *first = cw_timer_heap_first(heap);
