Test: a stale route makes the gateway ask for new routes

Ruled out: a fake relay. Change: the fixture's relay can come to follow another leader; the check counts its subscriptions around a stale-route refusal.

--- a/tests/common/gateway_fixture.c
+++ b/tests/common/gateway_fixture.c
@@ -30,6 +30,7 @@
     cw_gateway_fixture_t *fixture = context;
     cw_fixture_hop_t     *hop = &fixture->hops[fixture->hop_count];
 
+    fixture->subscribe_count += envelope->body_case == CW__ENVELOPE__BODY_ROUTE_SUBSCRIBE;
     if (envelope->body_case == CW__ENVELOPE__BODY_FORWARD_CANCEL) {
         fixture->cancel_count++;
         fixture->last_cancel = envelope->forward_cancel->id;
@@ -171,6 +172,26 @@
     publish(fixture);
 }
 
+void cw_fixture_follow(cw_gateway_fixture_t *fixture, cw_node_id_t leader)
+{
+    Cw__Envelope    envelope = CW__ENVELOPE__INIT;
+    Cw__RouteUpdate update = CW__ROUTE_UPDATE__INIT;
+    Cw__NodeInfo    node = CW__NODE_INFO__INIT;
+
+    node.id = envelope.from = leader;
+    node.incarnation = envelope.from_incarnation = leader;
+    node.state = CW__NODE_STATE__NODE_UP;
+    update.generation = GENERATION;
+    update.term = TERM + 1;
+    update.beat = ++fixture->beat;
+    update.base_version = update.version = fixture->index;
+    update.leader = &node;
+    envelope.body_case = CW__ENVELOPE__BODY_ROUTE_UPDATE;
+    envelope.route_update = &update;
+    cw_relay_set_source(fixture->relay, NULL, GENERATION, TERM, fixture->beat, NULL, fixture->now);
+    cw_relay_receive(fixture->relay, &envelope, fixture->now);
+}
+
 cw_gateway_fixture_t *cw_fixture_create(uint32_t request_limit, uint32_t retry_budget_percent)
 {
     cw_gateway_fixture_t *fixture = calloc(1, sizeof(*fixture));
--- a/tests/common/gateway_fixture.h
+++ b/tests/common/gateway_fixture.h
@@ -53,8 +53,9 @@
     cw_instant_t        now;
     uint64_t            beat;
     uint64_t            index;
-    Cw__TenantLimits    limits;       /**< of alpha */
-    Cw__ForwardRequest *last_request; /**< copy of the last one sent */
+    Cw__TenantLimits    limits;          /**< of alpha */
+    Cw__ForwardRequest *last_request;    /**< copy of the last one sent */
+    size_t              subscribe_count; /**< asked for new routes */
     size_t              hop_count;
     size_t              cancel_count;
     uint64_t            last_cancel;
@@ -71,6 +72,8 @@
                       cw_incarnation_t incarnation);
 /** Puts fixture->limits in force for tenant alpha. */
 void cw_fixture_limit(cw_gateway_fixture_t *fixture);
+/** Another node comes to lead the control group: the relay takes its routes from there. */
+void cw_fixture_follow(cw_gateway_fixture_t *fixture, cw_node_id_t leader);
 /** A request of tenant alpha with its token; change it, then give it to the gateway. */
 cw_caller_request_t cw_fixture_request(uint64_t caller_id, const char *method, const char *path);
 void                cw_fixture_send(cw_gateway_fixture_t *fixture, const cw_caller_request_t *request);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -302,6 +302,19 @@
 }
 END_TEST
 
+START_TEST(stale_route_asks_for_new_ones)
+{
+    size_t asked;
+
+    cw_fixture_follow(fixture, 9);
+    fixture->now.monotonic_us += BACKOFF_MAX_US * 2;
+    send_request(1, "GET", "/map");
+    asked = fixture->subscribe_count;
+    cw_fixture_respond(fixture, cw_fixture_last_hop(fixture), NOT_RUN, CW_REASON_STALE_ROUTE);
+    ck_assert_uint_eq(fixture->subscribe_count, asked + 1);
+}
+END_TEST
+
 START_TEST(unknown_outcome_is_retried_only_when_repeatable)
 {
     send_request(1, "POST", "/unlock");
@@ -507,6 +520,7 @@
     tcase_add_test(tests, moving_range_is_retried_then_refused);
     tcase_add_test(tests, refusal_that_cannot_be_retried_in_time_is_given_at_once);
     tcase_add_test(tests, transient_refusals_are_retried_for_every_request);
+    tcase_add_test(tests, stale_route_asks_for_new_ones);
     tcase_add_test(tests, unknown_outcome_is_retried_only_when_repeatable);
     tcase_add_test(tests, refusal_after_an_unknown_try_is_not_called_not_run);
     tcase_add_test(tests, nothing_non_repeatable_is_risked_on_a_lost_forwarder);
