--- a/proto/cedarwinch.pb-c.c
+++ b/proto/cedarwinch.pb-c.c
@@ -3986,7 +3986,7 @@
   (ProtobufCMessageInit) cw__append_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__append_response__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cw__append_response__field_descriptors[5] =
 {
   {
     "success",
@@ -4036,17 +4036,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused_index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__AppendResponse, refused_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__append_response__field_indices_by_name[] = {
   3,   /* field[3] = hint_term */
   1,   /* field[1] = match_index */
+  4,   /* field[4] = refused_index */
   2,   /* field[2] = round */
   0,   /* field[0] = success */
 };
 static const ProtobufCIntRange cw__append_response__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cw__append_response__descriptor =
 {
@@ -4056,7 +4069,7 @@
   "Cw__AppendResponse",
   "cw",
   sizeof(Cw__AppendResponse),
-  4,
+  5,
   cw__append_response__field_descriptors,
   cw__append_response__field_indices_by_name,
   1,  cw__append_response__number_ranges,
--- a/proto/cedarwinch.pb-c.h
+++ b/proto/cedarwinch.pb-c.h
@@ -539,10 +539,14 @@
    * on refusal: term of the entry at match_index
    */
   uint64_t hint_term;
+  /*
+   * on refusal: previous_index of the request
+   */
+  uint64_t refused_index;
 };
 #define CW__APPEND_RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__append_response__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Cw__SnapshotRequest
