--- a/tests/common/event_wait.c
+++ b/tests/common/event_wait.c
@@ -177,6 +177,9 @@
     uv_write_t      *request;
     uv_buf_t         buffer;
 
+    if (server->choose != NULL) {
+        server->answer = server->choose(server->last);
+    }
     if (server->answer == NULL && server->cut) {
         close_accepted((uv_handle_t *)&accepted->tcp);
     } else if (server->answer != NULL && server->cut) {
--- a/tests/common/event_wait.h
+++ b/tests/common/event_wait.h
@@ -33,12 +33,13 @@
 /** A server for tests that answers each connection's first complete request head by a script. */
 typedef struct cw_raw_server {
     uv_tcp_t    tcp;
-    const char *answer;   /**< written once the head arrived; NULL: no answer */
-    bool        cut;      /**< close the connection after the answer */
-    size_t      requests; /**< heads seen */
-    size_t      connections;
-    char        last[8192]; /**< latest bytes received on any connection */
-    size_t      open_connections;
+    const char *answer;                         /**< written once the head arrived; NULL: no answer */
+    bool        cut;                            /**< close the connection after the answer */
+    const char *(*choose)(const char *request); /**< when set: the answer by the request; NULL: none */
+    size_t requests;                            /**< heads seen */
+    size_t connections;
+    char   last[8192]; /**< latest bytes received on any connection */
+    size_t open_connections;
 } cw_raw_server_t;
 
 uint16_t cw_raw_server_start(cw_raw_server_t *server, uv_loop_t *loop);
