--- a/bench/load/client.c
+++ b/bench/load/client.c
@@ -42,17 +42,6 @@
     cw_call_t            *ended; /**< with ended() to be called */
 };
 
-static const char *const end_texts[CW_CALL_END_COUNT] = {
-    [CW_CALL_ANSWERED] = "answered",       [CW_CALL_NOT_RUN] = "not-run",   [CW_CALL_UNKNOWN] = "unknown",
-    [CW_CALL_IN_PROGRESS] = "in-progress", [CW_CALL_NOT_SENT] = "not-sent", [CW_CALL_LOST] = "lost",
-    [CW_CALL_TIMED_OUT] = "timed-out",     [CW_CALL_OTHER] = "other",
-};
-
-const char *cw_call_end_text(cw_call_end_t end)
-{
-    return end_texts[end];
-}
-
 static void on_call_closed(uv_handle_t *handle)
 {
     cw_call_t *call = handle->data;
@@ -80,16 +69,12 @@
     end_call(call, CW_CALL_TIMED_OUT);
 }
 
-static cw_call_end_t outcome_of(const char *text, size_t length)
+/* Only the gateway's own words count. */
+static cw_call_end_t outcome_of(h2o_iovec_t value)
 {
     cw_call_end_t end;
 
-    for (end = CW_CALL_ANSWERED; end <= CW_CALL_IN_PROGRESS; end++) {
-        if (strlen(end_texts[end]) == length && memcmp(end_texts[end], text, length) == 0) {
-            return end;
-        }
-    }
-    return CW_CALL_OTHER;
+    return cw_call_end_parse(value.base, value.len, &end) && end <= CW_CALL_IN_PROGRESS ? end : CW_CALL_OTHER;
 }
 
 static void copy_value(char *place, size_t size, h2o_iovec_t value)
@@ -104,7 +89,7 @@
     call->end = CW_CALL_OTHER;
     for (i = 0; i < count; i++) {
         if (h2o_memis(headers[i].name->base, headers[i].name->len, H2O_STRLIT("cw-outcome"))) {
-            call->end = outcome_of(headers[i].value.base, headers[i].value.len);
+            call->end = outcome_of(headers[i].value);
         } else if (h2o_memis(headers[i].name->base, headers[i].name->len, H2O_STRLIT("cw-reason"))) {
             copy_value(call->reason, sizeof(call->reason), headers[i].value);
         } else if (h2o_memis(headers[i].name->base, headers[i].name->len, H2O_STRLIT("request-id"))) {
--- a/bench/load/client.h
+++ b/bench/load/client.h
@@ -11,6 +11,7 @@
 
 #include <h2o/http1client.h>
 
+#include "../common/call_end.h"
 #include "cedarwinch/types.h"
 
 enum {
@@ -19,21 +20,6 @@
     CW_ANSWER_KEPT = 4096 /**< bytes of an answer's body that are kept */
 };
 
-/** How a call ended, from the caller's point of view. */
-typedef enum cw_call_end {
-    CW_CALL_ANSWERED, /**< the four outcomes that the gateway names */
-    CW_CALL_NOT_RUN,
-    CW_CALL_UNKNOWN,
-    CW_CALL_IN_PROGRESS,
-    CW_CALL_NOT_SENT,  /**< no connection to the gateway */
-    CW_CALL_LOST,      /**< connection broke, or the answer was cut short */
-    CW_CALL_TIMED_OUT, /**< the tool gave up waiting */
-    CW_CALL_OTHER,     /**< an answer without an outcome */
-    CW_CALL_END_COUNT
-} cw_call_end_t;
-
-const char *cw_call_end_text(cw_call_end_t end);
-
 typedef struct cw_client         cw_client_t;
 typedef struct cw_gateway_target cw_gateway_target_t;
 
--- a/standins/backend/backend.h
+++ b/standins/backend/backend.h
@@ -84,13 +84,16 @@
     bool                 draining;
     bool                 drain_over;
     int                  record_file; /**< -1: none */
+    int64_t              renewal_recorded_us;
     uint64_t             random_state;
     int64_t              load_read_us;
     uint32_t             load_active; /**< as the load endpoint reports it */
 } cw_backend_standin_t;
 
 /* ---- record.c: evidence lines ---- */
-int  cw_record_open(cw_backend_standin_t *backend);
+int cw_record_open(cw_backend_standin_t *backend);
+/** The lease was renewed: a sign of life, written once a second at most. */
+void cw_record_renewal(cw_backend_standin_t *backend);
 void cw_record_boot(cw_backend_standin_t *backend);
 /** event: "start", "effect" or "abandoned", at a real time. */
 void cw_record_job(cw_backend_standin_t *backend, const char *event, const cw_job_t *job, int64_t real_us);
--- a/standins/backend/control_api.c
+++ b/standins/backend/control_api.c
@@ -17,6 +17,9 @@
 {
     cw_ownership_renew(backend->ownership, cw_backend_clock(backend), call->lease_end_us);
     cw_backend_lease_changed(backend);
+    if (cw_ownership_holds_any(backend->ownership)) {
+        cw_record_renewal(backend);
+    }
     cw_standin_respond_json(exchange, 200, cw_control_state_json(backend));
 }
 
--- a/standins/backend/record.c
+++ b/standins/backend/record.c
@@ -84,6 +84,21 @@
     write_line(backend, line);
 }
 
+void cw_record_renewal(cw_backend_standin_t *backend)
+{
+    int64_t real_us = cw_real_us();
+    json_t *line;
+
+    if (backend->record_file < 0 || real_us - backend->renewal_recorded_us < CW_US_PER_S) {
+        return;
+    }
+    backend->renewal_recorded_us = real_us;
+    line = event_json(backend, "renew");
+    json_object_set_new(line, "lease_end_us", json_integer(cw_ownership_lease_end_us(backend->ownership)));
+    add_times(backend, line, real_us);
+    write_line(backend, line);
+}
+
 void cw_record_job(cw_backend_standin_t *backend, const char *event, const cw_job_t *job, int64_t real_us)
 {
     json_t *line;
