proto: a Hello may name another node to subscribe to

Cause: in a trial with 1200 relays started together, the few nodes that answer first hand out every full route table; at 32 an interval the last node had its table after 36 intervals (10.8 s), growing with the number of nodes. Ruled out: a higher bound on full updates, since the table of a large cluster is hundreds of kilobytes. Change: field alternative in Hello, unused so far. Conclusion: nodes that hold the table can serve the others, so that the number served multiplies.

--- a/proto/cedarwinch.pb-c.c
+++ b/proto/cedarwinch.pb-c.c
@@ -5727,7 +5727,7 @@
   (ProtobufCMessageInit) cw__route_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__hello__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cw__hello__field_descriptors[6] =
 {
   {
     "node",
@@ -5789,8 +5789,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "alternative",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cw__Hello, alternative),
+    &cw__node_info__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__hello__field_indices_by_name[] = {
+  5,   /* field[5] = alternative */
   4,   /* field[4] = control_members */
   2,   /* field[2] = generation */
   3,   /* field[3] = leader */
@@ -5800,7 +5813,7 @@
 static const ProtobufCIntRange cw__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cw__hello__descriptor =
 {
@@ -5810,7 +5823,7 @@
   "Cw__Hello",
   "cw",
   sizeof(Cw__Hello),
-  5,
+  6,
   cw__hello__field_descriptors,
   cw__hello__field_indices_by_name,
   1,  cw__hello__number_ranges,
--- a/proto/cedarwinch.pb-c.h
+++ b/proto/cedarwinch.pb-c.h
@@ -942,10 +942,14 @@
   Cw__NodeInfo *leader;
   size_t n_control_members;
   Cw__NodeInfo **control_members;
+  /*
+   * answer to a subscriber that cannot get a full update now: ask this node
+   */
+  Cw__NodeInfo *alternative;
 };
 #define CW__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__hello__descriptor) \
-    , NULL, 0, 0, NULL, 0,NULL }
+    , NULL, 0, 0, NULL, 0,NULL, NULL }
 
 
 struct  Cw__Header
