Agent: next tick is never 0

Cause: the node's timer takes 0 as "none", and a clock that starts near 0 (as in a simulation) made the first heartbeat due at 0 or before. Ruled out: starting the first heartbeat later, which would cost a new node an interval.

--- a/src/core/agent.c
+++ b/src/core/agent.c
@@ -121,7 +121,9 @@
 
 cw_time_us_t cw_agent_next_tick(const cw_agent_t *agent)
 {
-    return heartbeat_due(agent);
+    cw_time_us_t due = heartbeat_due(agent);
+
+    return due > 0 ? due : 1; /* 0 would mean: none */
 }
 
 void cw_agent_send(cw_agent_t *agent, Cw__Envelope *envelope)
