Relay: in a mass start, nodes that hold the table serve the others

Cause: in a trial with 1200 relays started together the last node had its table after 36 intervals, since the few nodes that answer first handed out every full update. Ruled out: a higher bound on full updates (the table of a large cluster is hundreds of kilobytes; the bound went from 32 an interval down to 8). Change: a subscriber without a table that cannot be served now is sent to a child that holds it; the first seed asked is drawn; the node left as silent is not asked first; beats that come once an interval are all passed on (a beat that came a little early was held back until the next one). Before: 36 intervals. Broken once and caught: no redirect, redirect not followed, no bound on full updates, silent parent chosen again. Conclusion: the time grows with the logarithm of the number of nodes; 10,000 relays were not run (each holds a table of its own, so that one process would need tens of gigabytes).

--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -9,7 +9,9 @@
  *  - Beats are ordered by (generation, term, beat). Only one newer than all before keeps a node in touch and is passed
  *    on, so each beat and each change crosses an edge of the tree once.
  *  - A child is known by its subscription, repeated every interval, and forgotten when that stops. Those of the tree
- *    and a bounded number of others are kept; another one gets its update once and is not kept.
+ *    and a bounded number of others are kept; another one gets its update once and is not kept. Full updates are
+ *    bounded; a node without a table beyond that is sent to a child that has one, so that in a mass start the nodes
+ *    served multiply.
  *  - A parent without a new beat for two to three intervals is left for the next ancestor, the leader last, then the
  *    seeds are asked who leads. While another node than the computed parent is in use, the computed one is subscribed
  *    to from time to time, and becomes the parent when it answers with the newest beat.
@@ -99,6 +101,8 @@
     created->refresh_us = now.monotonic_us - options->interval_us;
     created->gap_us = now.monotonic_us - options->interval_us;
     created->full_window_us = now.monotonic_us - options->interval_us;
+    created->redirected_us = now.monotonic_us - options->interval_us;
+    created->next_seed = created->seed_count > 0 ? cw_random_below(&created->random, created->seed_count) : 0;
     created->discovering = true;
     for (i = 0; i < created->seed_count; i++) {
         ports->learn_node(ports->context, created->seeds[i]);
@@ -163,7 +167,7 @@
 
 cw_time_us_t cw_relay_next_tick(const cw_relay_t *relay)
 {
-    return relay->next_us;
+    return relay->next_us > 0 ? relay->next_us : 1; /* 0 would mean: none */
 }
 
 bool cw_relay_receive(cw_relay_t *relay, const Cw__Envelope *envelope, cw_instant_t now)
@@ -296,6 +300,12 @@
     return changed;
 }
 
+/** Least time between beats sent; below one interval, so that beats that come once an interval are all sent. */
+static cw_time_us_t beat_distance(const cw_relay_t *relay)
+{
+    return relay->interval_us - relay->interval_us / 4;
+}
+
 bool cw_relay_set_source(cw_relay_t *relay, const cw_control_state_t *state, uint64_t generation, uint64_t term,
                          uint64_t beat, const Cw__Membership *members, cw_instant_t now)
 {
@@ -320,7 +330,7 @@
     if (begins) {
         cw_relay_call_tree_children(relay, now);
     }
-    if (begins || changed || (new_beat && now.monotonic_us - relay->beat_passed_us >= relay->interval_us)) {
+    if (begins || changed || (new_beat && now.monotonic_us - relay->beat_passed_us >= beat_distance(relay))) {
         cw_relay_pass_on(relay, now);
     }
     return changed;
--- a/src/core/relay_children.c
+++ b/src/core/relay_children.c
@@ -44,10 +44,16 @@
     }
 }
 
+/** A full update was sent so lately that it may be on its way. */
+static bool full_under_way(const cw_relay_t *relay, const cw_relay_child_t *child, cw_instant_t now)
+{
+    return child->full_sent && now.monotonic_us - child->full_sent_us < FULL_RESEND_INTERVALS * relay->interval_us;
+}
+
 /** Full updates are large: bounded for each child and for this node. */
 static bool may_send_full(cw_relay_t *relay, cw_relay_child_t *child, cw_instant_t now)
 {
-    if (child->full_sent && now.monotonic_us - child->full_sent_us < FULL_RESEND_INTERVALS * relay->interval_us) {
+    if (full_under_way(relay, child, now)) {
         return false;
     }
     if (now.monotonic_us - relay->full_window_us >= relay->interval_us) {
@@ -173,6 +179,22 @@
     return &relay->children[relay->child_count++];
 }
 
+/** Names a child that holds the table to a node that cannot get it from here now. */
+static void redirect(cw_relay_t *relay, cw_node_id_t to)
+{
+    size_t tried;
+
+    for (tried = 0; tried < relay->child_count; tried++) {
+        const cw_relay_child_t *child = &relay->children[relay->next_alternative++ % relay->child_count];
+        const Cw__NodeInfo     *node = cw_control_state_node(relay->routes, child->node);
+
+        if (child->node != to && child->generation == relay->generation && node != NULL) {
+            cw_relay_send_hello(relay, to, false, node);
+            return;
+        }
+    }
+}
+
 void cw_relay_take_subscribe(cw_relay_t *relay, const Cw__Envelope *envelope, cw_instant_t now)
 {
     const Cw__RouteSubscribe *subscribe = envelope->route_subscribe;
@@ -204,6 +226,9 @@
     if (is_new || child->generation != relay->generation || child->version < relay->version) {
         send_to_child(relay, child, now);
     }
+    if (child->generation == 0 && relay->generation != 0 && !full_under_way(relay, child, now)) {
+        redirect(relay, child->node);
+    }
 }
 
 void cw_relay_forget_silent_children(cw_relay_t *relay, cw_instant_t now)
--- a/src/core/relay_internal.h
+++ b/src/core/relay_internal.h
@@ -8,10 +8,10 @@
 #include "cedarwinch/relay.h"
 
 enum {
-    CW_RELAY_STRAYS_MAX = 32,    /**< children kept beyond those of the tree */
-    CW_RELAY_ANCESTORS_MAX = 16, /**< depth of a tree of degree 16 over all 32-bit ids is 8 */
-    CW_RELAY_FULL_UPDATES_PER_INTERVAL = 32,
-    CW_RELAY_SILENT_INTERVALS = 3 /**< a child without subscription this long is forgotten */
+    CW_RELAY_STRAYS_MAX = 32,               /**< children kept beyond those of the tree */
+    CW_RELAY_ANCESTORS_MAX = 16,            /**< depth of a tree of degree 16 over all 32-bit ids is 8 */
+    CW_RELAY_FULL_UPDATES_PER_INTERVAL = 8, /**< to all; a large table takes hundreds of kilobytes */
+    CW_RELAY_SILENT_INTERVALS = 3           /**< a child without subscription this long is forgotten */
 };
 
 /** A node that takes updates from this one. */
@@ -77,12 +77,14 @@
     size_t       next_seed;
     uint32_t     hello_count;
     cw_time_us_t next_hello_us;
+    cw_time_us_t redirected_us; /**< last time that another node was named instead */
 
     cw_relay_child_t *children;
     size_t            child_count;
     size_t            child_capacity;
     cw_time_us_t      full_window_us;
     uint32_t          full_in_window;
+    size_t            next_alternative; /**< child that the next surplus subscriber is sent to */
 };
 
 /* relay.c */
@@ -113,6 +115,7 @@
 void cw_relay_watch_parent(cw_relay_t *relay, cw_instant_t now);
 void cw_relay_subscribe(cw_relay_t *relay, cw_node_id_t to);
 void cw_relay_heard_parent(cw_relay_t *relay, cw_node_id_t from, bool current_beat, cw_instant_t now);
+void cw_relay_send_hello(cw_relay_t *relay, cw_node_id_t to, bool request, const Cw__NodeInfo *alternative);
 void cw_relay_take_hello(cw_relay_t *relay, const Cw__Envelope *envelope, cw_instant_t now);
 
 #endif
--- a/src/core/relay_parent.c
+++ b/src/core/relay_parent.c
@@ -7,7 +7,8 @@
 enum {
     SILENCE_INTERVALS = 2, /**< plus up to one more, drawn */
     PROBE_INTERVALS = 4,   /**< plus up to one more, drawn */
-    HELLO_BACKOFF_MAX = 8  /**< intervals */
+    HELLO_BACKOFF_MAX = 8, /**< intervals */
+    REDIRECTS_PER_INTERVAL = 4
 };
 
 static cw_time_us_t jitter(cw_relay_t *relay)
@@ -110,7 +111,7 @@
     use_parent(relay, candidate(relay, level), level, now);
 }
 
-static void send_hello(cw_relay_t *relay, cw_node_id_t to, bool request)
+void cw_relay_send_hello(cw_relay_t *relay, cw_node_id_t to, bool request, const Cw__NodeInfo *alternative)
 {
     Cw__Envelope envelope = CW__ENVELOPE__INIT;
     Cw__Hello    hello = CW__HELLO__INIT;
@@ -121,12 +122,13 @@
     hello.leader = relay->leader;
     hello.n_control_members = relay->member_count;
     hello.control_members = relay->members;
+    hello.alternative = (Cw__NodeInfo *)alternative;
     envelope.body_case = CW__ENVELOPE__BODY_HELLO;
     envelope.hello = &hello;
     cw_relay_send(relay, to, &envelope);
 }
 
-/** Next node to ask, seeds and known members in turn; 0: none but this node. */
+/** Next node to ask, seeds and known members in turn; the one left as silent only when there is no other. */
 static cw_node_id_t next_to_ask(cw_relay_t *relay)
 {
     size_t count = relay->seed_count + relay->member_count;
@@ -137,11 +139,11 @@
         const Cw__NodeInfo *node;
 
         node = position < relay->seed_count ? relay->seeds[position] : relay->members[position - relay->seed_count];
-        if (node->id != relay->self->id) {
+        if (node->id != relay->self->id && node->id != relay->silent) {
             return node->id;
         }
     }
-    return 0;
+    return relay->silent;
 }
 
 static void ask_who_leads(cw_relay_t *relay, cw_instant_t now)
@@ -159,7 +161,7 @@
     relay->next_hello_us = now.monotonic_us + intervals * relay->interval_us + jitter(relay);
     to = next_to_ask(relay);
     if (to != 0) {
-        send_hello(relay, to, true);
+        cw_relay_send_hello(relay, to, true, NULL);
     }
 }
 
@@ -220,6 +222,20 @@
     }
 }
 
+/** The parent cannot send the table now and names a node that holds it. */
+static void follow_alternative(cw_relay_t *relay, const Cw__NodeInfo *alternative, cw_instant_t now)
+{
+    bool too_soon = now.monotonic_us - relay->redirected_us < relay->interval_us / REDIRECTS_PER_INTERVAL;
+
+    if (relay->is_source || relay->generation != 0 || too_soon || alternative->id == relay->self->id) {
+        return;
+    }
+    relay->redirected_us = now.monotonic_us;
+    relay->ports.learn_node(relay->ports.context, alternative);
+    use_parent(relay, alternative->id, 0, now);
+    cw_relay_subscribe(relay, alternative->id);
+}
+
 void cw_relay_take_hello(cw_relay_t *relay, const Cw__Envelope *envelope, cw_instant_t now)
 {
     const Cw__Hello *hello = envelope->hello;
@@ -229,8 +245,12 @@
     }
     relay->ports.learn_node(relay->ports.context, hello->node);
     if (hello->request) {
-        send_hello(relay, hello->node->id, false);
+        cw_relay_send_hello(relay, hello->node->id, false, NULL);
         return;
     }
-    take_answer(relay, envelope, now);
+    if (hello->alternative == NULL) {
+        take_answer(relay, envelope, now);
+    } else if (envelope->from == relay->parent) {
+        follow_alternative(relay, hello->alternative, now);
+    }
 }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -48,6 +48,7 @@
     size_t              bytes_sent;
     size_t              subscribed_to[NODES + 1];
     size_t              hellos;
+    size_t              alternatives;
     size_t              full_updates;
 };
 
@@ -70,6 +71,7 @@
         network->full_updates += envelope->route_update->base_version == 0;
     }
     network->subscribed_to[to] += envelope->body_case == CW__ENVELOPE__BODY_ROUTE_SUBSCRIBE;
+    network->alternatives += envelope->body_case == CW__ENVELOPE__BODY_HELLO && envelope->hello->alternative != NULL;
     network->hellos += envelope->body_case == CW__ENVELOPE__BODY_HELLO && envelope->hello->request;
 }
 
@@ -465,6 +467,45 @@
 }
 END_TEST
 
+START_TEST(surplus_subscriber_is_sent_to_a_child_with_the_table)
+{
+    network_t   *network = network_create();
+    cw_node_id_t id;
+
+    apply_nodes(network, 1, NODES);
+    run(network, 20 * INTERVAL_US);
+    network->full_updates = network->alternatives = 0;
+    for (id = 20; id < 50; id++) { /* as if they had lost their tables */
+        cw_relay_free(network->nodes[id].relay);
+        create_relay(network, id);
+        subscribe_from(network, 2, id, 0, 0);
+    }
+    ck_assert_uint_eq(network->full_updates, 8);
+    ck_assert_uint_eq(network->alternatives, 30 - 8);
+    network_free(network);
+}
+END_TEST
+
+START_TEST(tables_spread_from_few_nodes_in_few_intervals)
+{
+    network_t   *network = network_create();
+    cw_node_id_t id;
+
+    for (id = 4; id <= NODES; id++) {
+        network->nodes[id].cut = true;
+    }
+    run(network, 20 * INTERVAL_US);
+    for (id = 4; id <= NODES; id++) {
+        cw_relay_free(network->nodes[id].relay);
+        create_relay(network, id);
+        network->nodes[id].cut = false;
+    }
+    run(network, 5 * INTERVAL_US);
+    ck_assert_uint_eq(count_behind(network), 0);
+    network_free(network);
+}
+END_TEST
+
 START_TEST(refresh_is_bounded_to_one_an_interval)
 {
     network_t *network = network_create();
@@ -494,6 +535,8 @@
     tcase_add_test(tests, child_behind_history_or_of_another_generation_gets_everything);
     tcase_add_test(tests, only_new_beats_keep_in_touch);
     tcase_add_test(tests, silent_children_are_forgotten_and_strays_bounded);
+    tcase_add_test(tests, surplus_subscriber_is_sent_to_a_child_with_the_table);
+    tcase_add_test(tests, tables_spread_from_few_nodes_in_few_intervals);
     tcase_add_test(tests, refresh_is_bounded_to_one_an_interval);
     suite_add_tcase(suite, tests);
     srunner_run_all(runner, CK_NORMAL);
