--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -43,8 +43,12 @@
 #ifndef MAX_RESTARTS
 #define MAX_RESTARTS 1
 #endif
+#ifndef LEASE
 #define LEASE 2
+#endif
+#ifndef DRIFT
 #define DRIFT 1
+#endif
 
 #ifdef NO_DRIFT_ALLOWANCE
 #define WAIT LEASE
