Forwarder: bounded stored answers and timeouts, baseline of journaling everything tested

Cause: answers of up to a megabyte went to three replicas that keep 4 KiB of them; headers were not counted; a caller's timeout near the largest integer overflowed the deadline. Ruled out: a bound at the replicas only, since the bytes would still travel. Before: timeout INT64_MAX was answered deadline (seen with the bound taken out). Conclusion: replicas hold small answers only, and a replica's restart does not let an id run twice.

--- a/src/core/forwarder_internal.h
+++ b/src/core/forwarder_internal.h
@@ -231,7 +231,9 @@
 
 /* ---- forwarder_admission.c ---- */
 
-bool cw_forwarder_needs_journal(const cw_forwarder_t *forwarder, const Cw__ForwardRequest *message);
+/** Time left of the caller's deadline, bounded so that sums with it cannot overflow. */
+int64_t cw_forwarder_timeout_us(const Cw__ForwardRequest *message);
+bool    cw_forwarder_needs_journal(const cw_forwarder_t *forwarder, const Cw__ForwardRequest *message);
 /** CW_REASON_NONE when the request's route is in force here: this node, this fence, granted. */
 cw_reason_t cw_forwarder_check_route(const cw_forwarder_t *forwarder, const Cw__ForwardRequest *message,
                                      cw_forwarder_range_t **range);
--- a/src/core/forwarder_opening.c
+++ b/src/core/forwarder_opening.c
@@ -41,6 +41,7 @@
 #include <string.h>
 
 #include "cedarwinch/error.h"
+#include "cedarwinch/journal.h"
 #include "core/forwarder_internal.h"
 
 enum {
@@ -97,7 +98,9 @@
     size_t bytes = 0;
 
     while (position < opening->copied_count && position - first < COPY_ENTRIES && bytes < COPY_BYTES) {
-        bytes += opening->copied[position]->body.len;
+        const Cw__JournalEntry *entry = opening->copied[position];
+
+        bytes += cw_journal_answer_size(entry->headers, entry->n_headers, entry->body.len);
         position++;
     }
     return position;
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -10,7 +10,7 @@
 
 static void setup(void)
 {
-    world_create(false);
+    world_create((world_options_t){0});
 }
 
 /* ------------------------------------------------------------------------------------------------ queue, route -- */
@@ -234,6 +234,44 @@
 }
 END_TEST
 
+START_TEST(large_answer_is_not_replayed_in_part)
+{
+    int64_t  time_ms;
+    uint64_t again;
+
+    world_open_range(0, 4, world_set_all, world_set_none);
+    time_ms = world.now.wall_ms;
+    world.answer_length = CW_JOURNAL_ANSWER_MAX + 1;
+    world_request(0, 4, (world_request_t){.number = 1});
+    world_deliver_all();
+    world_respond(0, CW_SERVER_ANSWERED);
+    world_deliver_all();
+    again = world_request(0, 4, (world_request_t){.number = 1, .time_ms = time_ms});
+    world_assert_reason(again, CW_REASON_STARTED_BEFORE);
+}
+END_TEST
+
+START_TEST(baseline_journals_repeatable_requests_too)
+{
+    int64_t time_ms;
+
+    world_destroy();
+    world_create((world_options_t){.journal_everything = true});
+    world_open_range(0, 4, world_set_all, world_set_none);
+    time_ms = world.now.wall_ms;
+    world_request(0, 4, (world_request_t){.number = 1, .repeatable = true, .timeout_us = INT64_MAX});
+    ck_assert_uint_eq(world.sent_count, 0);
+    world_deliver_all();
+    ck_assert_uint_eq(world.sent_count, 1);
+    world_respond(0, CW_SERVER_ANSWERED);
+    world_deliver_all();
+    ck_assert_uint_eq(cw_journal_entry_count(world.journals[0]), 1);
+    world_request(0, 4, (world_request_t){.number = 1, .time_ms = time_ms, .repeatable = true});
+    world_deliver_all();
+    ck_assert_uint_eq(world.sent_count, 2);
+}
+END_TEST
+
 START_TEST(refused_by_the_server_may_run_again)
 {
     int64_t  time_ms;
@@ -311,7 +349,7 @@
     uint64_t unknown;
 
     world_destroy();
-    world_create(_i == 1);
+    world_create((world_options_t){.unfinished_first = _i == 1});
     take_over_with_entries(world_set_other, world_set_all, &time_ms);
     moving = world_request(1, 5, (world_request_t){.number = 1, .time_ms = time_ms});
     world_assert_reason(moving, CW_REASON_MOVING);
@@ -512,6 +550,8 @@
     tcase_add_test(tests, nothing_is_sent_before_a_majority_and_the_id_stays_usable);
     tcase_add_test(tests, repeated_id_is_replayed_in_progress_reused_or_unknown);
     tcase_add_test(tests, deadline_after_a_duplicate_is_not_called_not_run);
+    tcase_add_test(tests, large_answer_is_not_replayed_in_part);
+    tcase_add_test(tests, baseline_journals_repeatable_requests_too);
     tcase_add_test(tests, refused_by_the_server_may_run_again);
     tcase_add_test(tests, id_time_is_bounded_on_both_sides);
     tcase_add_test(tests, deposed_forwarder_is_refused_by_the_seal);
--- a/tests/test_forwarder_race.c
+++ b/tests/test_forwarder_race.c
@@ -10,7 +10,7 @@
 
 static void setup(void)
 {
-    world_create(false);
+    world_create((world_options_t){0});
 }
 
 enum { RACE_IDS = 6, RACE_STEPS = 900, RACE_SEEDS = 400 };
@@ -129,6 +129,7 @@
     int64_t time_ms;
     int     first_change = 200;
     int     second_change = 201 + (int)cw_random_below(&race.random_state, 300);
+    int     restart = (int)cw_random_below(&race.random_state, 2 * RACE_STEPS);
     int     step;
     size_t  index;
 
@@ -140,6 +141,9 @@
         if (step == first_change || step == second_change) {
             race_route(&race, step == first_change ? 1 : 2);
         }
+        if (step == restart) {
+            world_restart_replica(2); /* the one that is in most sets; a majority of each stays */
+        }
         race_step(&race, time_ms);
     }
     world_deliver_all();
@@ -157,7 +161,7 @@
     memset(race_runs, 0, sizeof(race_runs));
     for (seed = 1; seed <= RACE_SEEDS; seed++) {
         world_destroy();
-        world_create(seed % 2 == 0);
+        world_create((world_options_t){.unfinished_first = seed % 2 == 0});
         race_run(seed);
     }
     ck_assert_uint_gt(race_runs[0], RACE_SEEDS);
