--- a/include/cedarwinch/placement.h
+++ b/include/cedarwinch/placement.h
@@ -19,6 +19,7 @@
     cw_key_hash_t  last;
     cw_server_id_t server; /**< present owner; 0: none */
     double         load;   /**< requests per second, decayed */
+    bool           pinned; /**< counts for its owner, but is not moved now */
 } cw_placement_range_t;
 
 typedef struct cw_placement_input {
--- /dev/null
+++ b/src/core/control_assign.c
@@ -0,0 +1,504 @@
+/**
+ * @file control_assign.c
+ * @brief Which server owns each range: one pass over a service whenever something about it changed.
+ *
+ * State machine of a range:
+ *
+ *     (none) --service is new--> GRANTED --move, drain, new journal replicas--> REVOKING --released--> GRANTED
+ * elsewhere GRANTED --server suspected and all its leases over--> GRANTED elsewhere GRANTED --service left the
+ * configuration--> REVOKING --released--> (removed)
+ *
+ * Rules:
+ * - A range leaves a server that answers only through REVOKING and the server's release, so nothing in flight is cut
+ *   off. It leaves a silent server without REVOKING, but only when every lease named to it is over; the server is
+ *   sealed until that command has ended.
+ * - Moves for balance are bounded and spaced; moves off a draining server are bounded; others are not.
+ * - A new service waits a little for all of its servers, so that the first to answer does not get everything.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cedarwinch/error.h"
+#include "cedarwinch/intent.h"
+#include "core/control_assign.h"
+
+enum {
+    BALANCE_MOVES = 8,
+    DRAIN_MOVES = 16,
+    BALANCE_PAUSE_US = 1 * CW_US_PER_S,
+    IDLE_PAUSE_US = 5 * CW_US_PER_S,
+    SPLIT_PAUSE_US = 5 * CW_US_PER_S,
+    FIRST_WAIT_US = 2 * CW_US_PER_S,
+    CREATED_MAX = 32768,
+    LOAD_KEEP_US = 15 * CW_US_PER_S
+};
+
+double cw_control_range_load(const cw_control_t *control, cw_range_id_t range)
+{
+    const cw_range_track_t *track = cw_control_range_track(control, range);
+
+    if (track == NULL || track->load_us == 0 || control->now.monotonic_us - track->load_us > LOAD_KEEP_US) {
+        return 0;
+    }
+    return track->load;
+}
+
+void cw_control_take_loads(cw_control_t *control, const Cw__Heartbeat *heartbeat)
+{
+    const Cw__RangeLoad *load;
+    const Cw__RangeInfo *range;
+    cw_range_track_t    *track;
+    cw_service_track_t  *service;
+    size_t               position;
+
+    for (position = 0; position < heartbeat->n_loads; position++) {
+        load = heartbeat->loads[position];
+        range = cw_control_state_range(control->state, load->range);
+        track = range == NULL ? NULL : cw_control_make_range_track(control, load->range);
+        service = range == NULL ? NULL : cw_control_make_service_track(control, range->service);
+        if (track == NULL || service == NULL) {
+            continue;
+        }
+        track->load = load->requests_per_second;
+        track->load_us = control->now.monotonic_us;
+        track->hot_load = load->n_hot_keys > 0 ? load->hot_keys[0]->requests_per_second : 0;
+        track->hot_key = load->n_hot_keys > 0 ? load->hot_keys[0]->key_hash : 0;
+        service->balance_wanted = true;
+    }
+}
+
+/* ---- what a pass looks at ---- */
+
+static cw_pass_server_t *find_server(cw_pass_t *pass, cw_server_id_t id)
+{
+    size_t position;
+
+    for (position = 0; position < pass->server_count; position++) {
+        if (pass->servers[position].id == id) {
+            return &pass->servers[position];
+        }
+    }
+    return NULL;
+}
+
+static void add_servers(cw_pass_t *pass)
+{
+    const Cw__ServerConfiguration *configuration;
+    cw_pass_server_t              *server;
+    size_t                         position;
+
+    for (position = 0; position < pass->service->n_servers; position++) {
+        configuration = pass->service->servers[position];
+        if (cw_control_state_server(pass->control->state, configuration->id) == NULL) {
+            cw_control_add_server(pass->control, pass->builder, pass->service->id, configuration);
+        }
+        server = &pass->servers[pass->server_count++];
+        server->id = configuration->id;
+        server->zone = configuration->zone;
+        server->track = cw_control_server_track(pass->control, configuration->id);
+        server->usable = server->track != NULL && cw_control_server_usable(pass->control, server->track);
+        pass->usable_count += server->usable ? 1 : 0;
+    }
+}
+
+static bool is_lost(const cw_control_t *control, const cw_server_track_t *server)
+{
+    if (server == NULL) {
+        return control->now.monotonic_us >= control->leading.predecessors_until_us;
+    }
+    return cw_control_server_suspected(control, server) && cw_control_leases_over(control, server);
+}
+
+/* A server that is neither usable nor draining keeps its ranges for now: it was not heard yet, or not lately. */
+static bool may_leave(const cw_control_t *control, const cw_server_track_t *server)
+{
+    const Cw__ServerInfo *info = cw_control_state_server(control->state, server->id);
+
+    return cw_control_server_usable(control, server) || server->says_draining || (info != NULL && info->draining);
+}
+
+/* Fills in what the planner may do with a range: nothing (pinned), place it (no server), or move it. */
+static void classify_range(cw_pass_t *pass, const Cw__RangeInfo *range, cw_placement_range_t *item)
+{
+    const cw_range_track_t  *track = cw_control_range_track(pass->control, range->id);
+    const cw_server_track_t *server = cw_control_server_track(pass->control, range->server);
+
+    item->server = range->server;
+    if (range->server == 0 || range->state == CW__RANGE_STATE__RANGE_UNASSIGNED) {
+        item->server = 0;
+    } else if (server != NULL && server->handover) {
+        item->pinned = true;
+    } else if (range->state == CW__RANGE_STATE__RANGE_REVOKING) {
+        pass->moving++;
+        item->pinned = !cw_control_range_released(pass->control, range);
+        if (!item->pinned) {
+            item->server = 0;
+        } else if (track != NULL && track->target != 0) {
+            item->server = track->target;
+        }
+    } else if (is_lost(pass->control, server)) {
+        item->server = 0;
+    } else {
+        item->pinned = server == NULL || cw_control_server_suspected(pass->control, server) ||
+                       !may_leave(pass->control, server) || (track != NULL && track->renew);
+    }
+}
+
+static bool add_range(void *context, const Cw__RangeInfo *range)
+{
+    cw_pass_t            *pass = context;
+    cw_placement_range_t *item = &pass->items[pass->range_count];
+
+    memset(item, 0, sizeof(*item));
+    pass->ranges[pass->range_count] = range;
+    item->id = range->id;
+    item->low = range->low;
+    item->last = range->last;
+    item->load = cw_control_range_load(pass->control, range->id);
+    classify_range(pass, range, item);
+    pass->load += item->load;
+    pass->range_count++;
+    return true;
+}
+
+static bool count_range(void *context, const Cw__RangeInfo *range)
+{
+    (void)range;
+    ++*(size_t *)context;
+    return true;
+}
+
+static int pass_init(cw_pass_t *pass, cw_control_t *control, cw_command_builder_t *builder, cw_service_id_t service)
+{
+    size_t range_count = 0;
+    size_t server_count;
+
+    memset(pass, 0, sizeof(*pass));
+    pass->control = control;
+    pass->builder = builder;
+    pass->service = cw_control_state_service(control->state, service);
+    pass->track = cw_control_make_service_track(control, service);
+    cw_control_state_each_service_range(control->state, service, count_range, &range_count);
+    server_count = pass->service == NULL ? 0 : pass->service->n_servers;
+    pass->servers = calloc(server_count + 1, sizeof(*pass->servers));
+    pass->items = calloc(range_count + 1, sizeof(*pass->items));
+    pass->ranges = calloc(range_count + 1, sizeof(const Cw__RangeInfo *));
+    if (pass->track == NULL || pass->servers == NULL || pass->items == NULL || pass->ranges == NULL) {
+        return CW_ERROR_NO_MEMORY;
+    }
+    if (pass->service != NULL) {
+        add_servers(pass);
+    }
+    cw_control_state_each_service_range(control->state, service, add_range, pass);
+    return cw_journal_pool_init(&pass->pool, control);
+}
+
+static void pass_clear(cw_pass_t *pass)
+{
+    cw_journal_pool_clear(&pass->pool);
+    free(pass->servers);
+    free(pass->items);
+    free(pass->ranges);
+}
+
+/* ---- changes of one range ---- */
+
+static void grant(cw_pass_t *pass, const Cw__RangeInfo *range, cw_server_id_t server, const char *reason)
+{
+    Cw__RangeInfo     *changed = (Cw__RangeInfo *)cw_message_copy(&range->base);
+    cw_server_track_t *former = cw_control_server_track(pass->control, range->server);
+    cw_range_track_t  *track = cw_control_range_track(pass->control, range->id);
+
+    if (changed == NULL) {
+        pass->builder->failed = true;
+        return;
+    }
+    cw_control_set_string(&changed->reason, reason);
+    changed->server = server;
+    changed->state = CW__RANGE_STATE__RANGE_GRANTED;
+    cw_control_choose_journal(pass->control, &pass->pool, changed);
+    cw_command_add_range(pass->builder, changed);
+    cw__range_info__free_unpacked(changed, NULL);
+    if (track != NULL) {
+        track->renew = false;
+    }
+    if (former != NULL && former->id != server && range->state == CW__RANGE_STATE__RANGE_GRANTED) {
+        former->sealed = true;
+    }
+}
+
+static void revoke(cw_pass_t *pass, const Cw__RangeInfo *range, cw_server_id_t target, const char *reason)
+{
+    Cw__RangeInfo     changed = *range;
+    cw_range_track_t *track = cw_control_make_range_track(pass->control, range->id);
+
+    if (track == NULL) {
+        pass->builder->failed = true;
+        return;
+    }
+    track->target = target;
+    snprintf(track->reason, sizeof(track->reason), "%s", reason);
+    changed.state = CW__RANGE_STATE__RANGE_REVOKING;
+    changed.reason = track->reason;
+    cw_command_add_range(pass->builder, &changed);
+    pass->moving++;
+}
+
+/* A released range goes to the server that it was revoked for, if that one can still take it. */
+static bool grant_to_target(cw_pass_t *pass, size_t position)
+{
+    const Cw__RangeInfo *range = pass->ranges[position];
+    cw_range_track_t    *track = cw_control_range_track(pass->control, range->id);
+    cw_pass_server_t    *target = track == NULL || track->target == 0 ? NULL : find_server(pass, track->target);
+
+    if (range->state != CW__RANGE_STATE__RANGE_REVOKING || target == NULL || !target->usable) {
+        return false;
+    }
+    pass->items[position].server = target->id;
+    pass->items[position].pinned = true;
+    grant(pass, range, target->id, track->reason);
+    return true;
+}
+
+/* Ranges whose fence was refused, and ranges whose journal replicas change. */
+static void renew_range(cw_pass_t *pass, size_t position)
+{
+    const Cw__RangeInfo *range = pass->ranges[position];
+    cw_range_track_t    *track = cw_control_range_track(pass->control, range->id);
+
+    if (track == NULL || range->state != CW__RANGE_STATE__RANGE_GRANTED || pass->items[position].server == 0) {
+        return;
+    }
+    if (track->refence) {
+        grant(pass, range, range->server, range->reason);
+        return;
+    }
+    if (track->renew && !cw_control_journal_outdated(pass->control, &pass->pool, range)) {
+        track->renew = false;
+    }
+    if (track->renew && pass->moving < DRAIN_MOVES) {
+        revoke(pass, range, range->server, "journal replicas changed");
+    }
+}
+
+static bool settle_ranges(cw_pass_t *pass)
+{
+    size_t position;
+
+    for (position = 0; position < pass->range_count; position++) {
+        if (cw_command_full(pass->builder)) {
+            return false;
+        }
+        if (cw_command_has_range(pass->builder, pass->ranges[position]->id)) {
+            pass->items[position].pinned = true;
+            continue;
+        }
+        if (pass->items[position].server == 0) {
+            (void)grant_to_target(pass, position);
+        } else {
+            renew_range(pass, position);
+        }
+    }
+    return true;
+}
+
+/* ---- planned moves ---- */
+
+static void make_move(cw_pass_t *pass, const cw_placement_move_t *move)
+{
+    const Cw__RangeInfo *range = pass->ranges[move->range];
+
+    if (cw_command_full(pass->builder) || cw_command_has_range(pass->builder, range->id)) {
+        return;
+    }
+    if (pass->items[move->range].server == 0) {
+        grant(pass, range, move->to, move->reason);
+    } else if (pass->moving < (move->forced ? DRAIN_MOVES : BALANCE_MOVES)) {
+        revoke(pass, range, move->to, move->reason);
+    }
+}
+
+static int plan_moves(cw_pass_t *pass, bool balance)
+{
+    cw_placement_server_t *servers = calloc(pass->server_count + 1, sizeof(*servers));
+    cw_placement_input_t   input = {0};
+    cw_placement_result_t  result = {0};
+    int                    error = CW_ERROR_NO_MEMORY;
+    size_t                 position;
+
+    for (position = 0; position < pass->server_count && servers != NULL; position++) {
+        servers[position].id = pass->servers[position].id;
+        servers[position].zone = pass->servers[position].zone;
+        servers[position].usable = pass->servers[position].usable;
+    }
+    input.service = pass->service;
+    input.servers = servers;
+    input.server_count = pass->server_count;
+    input.ranges = pass->items;
+    input.range_count = pass->range_count;
+    input.moves_allowed = balance && pass->moving < BALANCE_MOVES ? BALANCE_MOVES - pass->moving : 0;
+    if (servers != NULL) {
+        error = cw_placement_plan(&input, &result);
+    }
+    for (position = 0; position < result.move_count && error == CW_OK; position++) {
+        make_move(pass, &result.moves[position]);
+    }
+    if (balance) {
+        pass->track->balance_wanted = result.move_count > 0;
+        pass->track->rebalance_us =
+            pass->control->now.monotonic_us + (result.move_count > 0 ? BALANCE_PAUSE_US : IDLE_PAUSE_US);
+    }
+    cw_placement_result_clear(&result);
+    free(servers);
+    return error;
+}
+
+/* ---- creation and removal ---- */
+
+/* Range number position of count equal parts of the key space. */
+static void cut_range(Cw__RangeInfo *range, uint64_t position, uint64_t count)
+{
+    uint64_t width = UINT64_MAX / count;
+
+    range->low = position * width;
+    range->last = position + 1 == count ? UINT64_MAX : (position + 1) * width - 1;
+}
+
+static void create_ranges(cw_pass_t *pass, uint64_t count)
+{
+    const char    *tenant = cw_control_state_service_tenant(pass->control->state, pass->service->id);
+    Cw__RangeInfo *range;
+    uint64_t       position;
+
+    for (position = 0; position < count && !pass->builder->failed; position++) {
+        range = malloc(sizeof(*range));
+        if (range == NULL) {
+            pass->builder->failed = true;
+            return;
+        }
+        cw__range_info__init(range);
+        range->service = pass->service->id;
+        cw_control_set_string(&range->tenant, tenant);
+        cut_range(range, position, count);
+        cw_control_choose_journal(pass->control, &pass->pool, range);
+        cw_command_add_range(pass->builder, range);
+        cw__range_info__free_unpacked(range, NULL);
+    }
+}
+
+/* A service without ranges: creates them, unassigned; the next pass places them. Returns true when done. */
+static bool begin_service(cw_pass_t *pass)
+{
+    uint64_t count = (uint64_t)pass->service->ranges_per_server * pass->service->n_servers;
+    bool     waited = pass->control->now.monotonic_us - pass->track->seen_us >= FIRST_WAIT_US;
+
+    if (pass->usable_count == 0 || (pass->usable_count < pass->server_count && !waited)) {
+        return false;
+    }
+    if (pass->builder->object_count > 0) {
+        return false; /* a command of its own */
+    }
+    create_ranges(pass, count == 0 ? 1 : count > CREATED_MAX ? CREATED_MAX : count);
+    return true;
+}
+
+static bool end_service(cw_pass_t *pass)
+{
+    const Cw__RangeInfo *range;
+    bool                 done = true;
+    size_t               position;
+
+    for (position = 0; position < pass->range_count && !cw_command_full(pass->builder); position++) {
+        range = pass->ranges[position];
+        if (cw_command_has_range(pass->builder, range->id)) {
+            done = false;
+        } else if (pass->items[position].server == 0) {
+            cw_command_remove_range(pass->builder, range->id);
+        } else if (range->state == CW__RANGE_STATE__RANGE_GRANTED) {
+            revoke(pass, range, 0, "service left the configuration");
+        } else {
+            done = false;
+        }
+    }
+    return done && position == pass->range_count;
+}
+
+/* ---- passes ---- */
+
+static bool has_unplaced(const cw_pass_t *pass)
+{
+    size_t position;
+
+    for (position = 0; position < pass->range_count; position++) {
+        if (pass->items[position].server == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns true when nothing is left to do until something changes. */
+static bool place_service(cw_pass_t *pass)
+{
+    cw_time_us_t now_us = pass->control->now.monotonic_us;
+    bool         balance = now_us >= pass->track->rebalance_us;
+
+    if (!settle_ranges(pass) || pass->usable_count == 0) {
+        return pass->usable_count == 0 && !has_unplaced(pass);
+    }
+    if (balance && cw_control_split_hot(pass)) {
+        pass->track->rebalance_us = now_us + SPLIT_PAUSE_US;
+        return false;
+    }
+    (void)plan_moves(pass, balance);
+    return pass->moving == 0;
+}
+
+static bool decide_service(cw_control_t *control, cw_command_builder_t *builder, cw_service_id_t service)
+{
+    cw_pass_t pass;
+    bool      done = false;
+
+    if (pass_init(&pass, control, builder, service) == CW_OK) {
+        if (pass.service == NULL) {
+            done = end_service(&pass);
+        } else if (pass.range_count == 0) {
+            done = begin_service(&pass);
+        } else {
+            done = place_service(&pass);
+        }
+    }
+    pass_clear(&pass);
+    return done;
+}
+
+/* Services whose loads or servers changed are balanced again once their pause is over. */
+static void mark_loaded(cw_control_t *control)
+{
+    cw_service_track_t *track;
+    size_t              position;
+
+    for (position = 0; position < control->leading.services.count; position++) {
+        track = control->leading.services.slots[position].value;
+        if (track->balance_wanted && control->now.monotonic_us >= track->rebalance_us) {
+            (void)cw_ordered_table_put(&control->leading.dirty_services, track->id, track);
+        }
+    }
+}
+
+void cw_control_decide_ranges(cw_control_t *control, cw_command_builder_t *builder)
+{
+    cw_ordered_table_t *dirty = &control->leading.dirty_services;
+    cw_service_id_t     service;
+    size_t              position;
+
+    mark_loaded(control);
+    position = dirty->count;
+    while (position > 0 && !cw_command_full(builder)) {
+        position--;
+        service = dirty->slots[position].key;
+        if (decide_service(control, builder, service)) {
+            cw_ordered_table_remove(dirty, service);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/control_assign.h
@@ -0,0 +1,36 @@
+/**
+ * @file control_assign.h
+ * @brief One look at a service by the leader, shared by control_assign.c and control_split.c.
+ */
+#ifndef CEDARWINCH_CONTROL_ASSIGN_H
+#define CEDARWINCH_CONTROL_ASSIGN_H
+
+#include "core/control_internal.h"
+
+typedef struct cw_pass_server {
+    cw_server_id_t     id;
+    const char        *zone;
+    cw_server_track_t *track; /**< NULL: not known yet */
+    bool               usable;
+} cw_pass_server_t;
+
+typedef struct cw_pass {
+    cw_control_t                   *control;
+    cw_command_builder_t           *builder;
+    const Cw__ServiceConfiguration *service; /**< NULL: left the configuration */
+    cw_service_track_t             *track;
+    cw_journal_pool_t               pool;
+    cw_pass_server_t               *servers;
+    size_t                          server_count;
+    size_t                          usable_count;
+    const Cw__RangeInfo           **ranges; /**< parallel to items */
+    cw_placement_range_t           *items;  /**< server 0: free to be placed */
+    size_t                          range_count;
+    size_t                          moving; /**< ranges being revoked */
+    double                          load;   /**< of all ranges */
+} cw_pass_t;
+
+/** Splits off the hottest key of the service if it is too hot to be balanced. Returns true when it did. */
+bool cw_control_split_hot(cw_pass_t *pass);
+
+#endif
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -5,6 +5,8 @@
  * Weight of a range: its share of the load, smoothed by its share of the key space so that an idle service is balanced
  * by key space and a nearly idle one does not follow noise. Weights sum to one over the service.
  *
+ * Pinned ranges count for their owner and never move.
+ *
  * 1. Forced moves: ranges without a usable owner, heaviest first, each to the lightest usable server (at equal weight
  *    in the lightest zone, then the lowest id). They are not bounded.
  * 2. Voluntary moves, at most moves_allowed: from the heaviest server that has a worthwhile range to the lightest. The
@@ -228,7 +230,7 @@
         return CW_ERROR_NO_MEMORY;
     }
     for (position = 0; position < input->range_count; position++) {
-        if (planner->owners[position] == input->server_count) {
+        if (planner->owners[position] == input->server_count && !input->ranges[position].pinned) {
             forced[count++] = position;
         }
     }
@@ -284,7 +286,7 @@
     size_t position;
 
     for (position = 0; position < count; position++) {
-        if (planner->owners[position] != from) {
+        if (planner->owners[position] != from || planner->input->ranges[position].pinned) {
             continue;
         }
         gain = net_gain(planner, position, from, to);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -203,6 +203,21 @@
 }
 END_TEST
 
+START_TEST(pinned_ranges_count_but_do_not_move)
+{
+    size_t position;
+
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].server = position < RANGES / 2 ? 1 : 2;
+        ranges[position].pinned = position < RANGES / 2;
+    }
+    servers[1].usable = false;
+    plan_and_move();
+    ck_assert_uint_eq(result.move_count, RANGES / 2);
+    ck_assert_uint_eq(ranges_of(1), RANGES / 2);
+}
+END_TEST
+
 START_TEST(nothing_moves_without_a_usable_server)
 {
     size_t position;
@@ -230,6 +245,7 @@
     tcase_add_test(tests, moves_of_healthy_ranges_are_bounded_and_forced_ones_are_not);
     tcase_add_test(tests, weights_decide_whether_a_move_is_worth_it);
     tcase_add_test(tests, a_single_hot_range_is_not_passed_around);
+    tcase_add_test(tests, pinned_ranges_count_but_do_not_move);
     tcase_add_test(tests, nothing_moves_without_a_usable_server);
     suite_add_tcase(suite, tests);
     srunner_run_all(runner, CK_NORMAL);
