Relay: bursts of changes go out together, crossing subscriptions are not answered

Cause: each change at the leader became an update to every node at once, so a mass start (one change for each node that comes up) costs nodes squared; and a keep-alive that crossed an update on its way was answered with the same update. Ruled out: a fixed delay for every change, since a single move must not wait; acknowledgements, since the keep-alive already tells the version. Change: the leader sends changes at once, and then not sooner than an eighth of an interval later; a parent answers a subscription only when what it lacks was not sent in the last quarter of an interval, or one was lost. Before: a burst of 30 changes in one interval took more than 9 updates for each node (bound of the new test exceeded: 584 messages for 59 nodes with bursts joined only). After: at most 9, tests/test_relay 15 of 15, also with sanitizers. Broken once and caught: no joining, waiting changes never sent, crossing answered, gap not answered, no end of flight. Conclusion: the cost of a change is one message for each node, in bursts bounded by time.

--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -24,6 +24,9 @@
 #include "cedarwinch/intent.h"
 #include "core/relay_internal.h"
 
+/** A burst of changes at the source is sent in at most so many updates an interval. */
+enum { CHANGE_UPDATES_PER_INTERVAL = 8 };
+
 static Cw__NodeInfo *copy_node(const Cw__NodeInfo *node)
 {
     return (Cw__NodeInfo *)cw_message_copy(&node->base);
@@ -151,6 +154,9 @@
 
 void cw_relay_tick(cw_relay_t *relay, cw_instant_t now)
 {
+    if (relay->pass_due_us != 0 && now.monotonic_us >= relay->pass_due_us) {
+        cw_relay_pass_on(relay, now);
+    }
     if (now.monotonic_us < relay->next_us) {
         return;
     }
@@ -167,7 +173,12 @@
 
 cw_time_us_t cw_relay_next_tick(const cw_relay_t *relay)
 {
-    return relay->next_us > 0 ? relay->next_us : 1; /* 0 would mean: none */
+    cw_time_us_t next = relay->next_us;
+
+    if (relay->pass_due_us != 0 && relay->pass_due_us < next) {
+        next = relay->pass_due_us;
+    }
+    return next > 0 ? next : 1; /* 0 would mean: none */
 }
 
 bool cw_relay_receive(cw_relay_t *relay, const Cw__Envelope *envelope, cw_instant_t now)
@@ -265,6 +276,7 @@
         return;
     }
     relay->is_source = false;
+    relay->pass_due_us = 0;
     relay->parent = 0;
     relay->level = 0;
     relay->next_us = now.monotonic_us;
@@ -300,10 +312,19 @@
     return changed;
 }
 
-/** Least time between beats sent; below one interval, so that beats that come once an interval are all sent. */
-static cw_time_us_t beat_distance(const cw_relay_t *relay)
+/** Sends the source's news now, or later when the last were sent a short time ago. A beat alone may wait for the next:
+ *  its least distance is below one interval, so that beats that come once an interval are all sent. */
+static void pass_on_source(cw_relay_t *relay, bool changed, cw_instant_t now)
 {
-    return relay->interval_us - relay->interval_us / 4;
+    cw_time_us_t change_due = relay->beat_passed_us + relay->interval_us / CHANGE_UPDATES_PER_INTERVAL;
+    cw_time_us_t beat_due = relay->beat_passed_us + relay->interval_us - relay->interval_us / 4;
+
+    changed = changed || relay->pass_due_us != 0;
+    if (now.monotonic_us >= (changed ? change_due : beat_due)) {
+        cw_relay_pass_on(relay, now);
+    } else if (changed) {
+        relay->pass_due_us = change_due;
+    }
 }
 
 bool cw_relay_set_source(cw_relay_t *relay, const cw_control_state_t *state, uint64_t generation, uint64_t term,
@@ -329,9 +350,9 @@
     new_beat = cw_relay_note_beat(relay, term, beat, now);
     if (begins) {
         cw_relay_call_tree_children(relay, now);
-    }
-    if (begins || changed || (new_beat && now.monotonic_us - relay->beat_passed_us >= beat_distance(relay))) {
         cw_relay_pass_on(relay, now);
+    } else if (changed || new_beat) {
+        pass_on_source(relay, changed, now);
     }
     return changed;
 }
--- a/src/core/relay_children.c
+++ b/src/core/relay_children.c
@@ -9,7 +9,8 @@
 enum {
     LEADER_SENDS_AT_FIRST = 3, /**< updates that carry leader and members after these changed */
     LEADER_SENDS_EVERY = 16,   /**< and then one of so many */
-    FULL_RESEND_INTERVALS = 2
+    FULL_RESEND_INTERVALS = 2,
+    FLIGHTS_PER_INTERVAL = 4 /**< a message takes at most an interval divided by this, as a rule */
 };
 
 /** Changes since a version, kept while the next child needs the same. */
@@ -50,6 +51,40 @@
     return child->full_sent && now.monotonic_us - child->full_sent_us < FULL_RESEND_INTERVALS * relay->interval_us;
 }
 
+static cw_time_us_t flight_time(const cw_relay_t *relay)
+{
+    return relay->interval_us / FLIGHTS_PER_INTERVAL;
+}
+
+static void note_delta(const cw_relay_t *relay, cw_relay_child_t *child, uint64_t base, cw_instant_t now)
+{
+    cw_time_us_t age_us = now.monotonic_us - child->flight_us;
+
+    if (age_us < flight_time(relay)) {
+        return;
+    }
+    child->former_base = age_us < 2 * flight_time(relay) ? child->flight_base : base;
+    child->flight_us = now.monotonic_us;
+    child->flight_base = base;
+}
+
+/** Need a subscription no answer: it crossed a delta on its way, or changes are about to be sent. A version below what
+ *  the deltas on their way start from says that one was lost. */
+static bool delta_under_way(const cw_relay_t *relay, const cw_relay_child_t *child, const Cw__RouteSubscribe *subscribe,
+                            cw_instant_t now)
+{
+    bool sent_lately = now.monotonic_us - child->flight_us < flight_time(relay);
+
+    if (child->generation != relay->generation || subscribe->generation != relay->generation) {
+        return false;
+    }
+    if (relay->pass_due_us != 0 && subscribe->version == child->version) {
+        return true;
+    }
+    return sent_lately && child->former_base != 0 && subscribe->version >= child->former_base &&
+           (child->version == relay->version || relay->pass_due_us != 0);
+}
+
 /** Full updates are large: bounded for each child and for this node. */
 static bool may_send_full(cw_relay_t *relay, cw_relay_child_t *child, cw_instant_t now)
 {
@@ -100,6 +135,7 @@
         if (cache->changes.snapshot == NULL || (cache->since == 0 && !may_send_full(relay, child, now))) {
             return;
         }
+        note_delta(relay, child, cache->since, now);
         update.base_version = cache->since;
         update.changes = cache->changes.snapshot;
         update.n_removed_ranges = cache->changes.removed_count;
@@ -127,6 +163,7 @@
     size_t         i;
 
     relay->beat_passed_us = now.monotonic_us;
+    relay->pass_due_us = 0;
     for (i = 0; i < relay->child_count; i++) {
         send_update(relay, &relay->children[i], &cache, now);
     }
@@ -219,8 +256,12 @@
     }
     if (is_new) {
         *child = (cw_relay_child_t){.node = node->id, .incarnation = node->incarnation};
+        child->flight_us = now.monotonic_us - relay->interval_us;
     }
     child->heard_us = now.monotonic_us;
+    if (delta_under_way(relay, child, subscribe, now)) {
+        return;
+    }
     child->generation = subscribe->generation;
     child->version = subscribe->version;
     if (is_new || child->generation != relay->generation || child->version < relay->version) {
--- a/src/core/relay_internal.h
+++ b/src/core/relay_internal.h
@@ -20,6 +20,9 @@
     cw_incarnation_t incarnation;
     uint64_t         generation; /**< of the version it holds, as far as was sent or told */
     uint64_t         version;
+    uint64_t         flight_base; /**< version that the first of the deltas sent lately starts from */
+    cw_time_us_t     flight_us;   /**< when that one was sent */
+    uint64_t         former_base; /**< the same of the deltas sent shortly before those */
     cw_time_us_t     heard_us;
     bool             full_sent;
     cw_time_us_t     full_sent_us; /**< last full update */
@@ -47,6 +50,7 @@
     bool         beat_heard;
     cw_time_us_t beat_us;        /**< when it came */
     cw_time_us_t beat_passed_us; /**< when a beat was last sent to the children */
+    cw_time_us_t pass_due_us;    /**< when the source's waiting changes are sent; 0: none wait */
 
     Cw__NodeInfo  *leader; /**< NULL: not known */
     uint64_t       leader_term;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -247,6 +247,25 @@
 }
 END_TEST
 
+START_TEST(burst_of_changes_is_sent_together)
+{
+    network_t *network = network_create();
+    int        change;
+
+    run(network, 20 * INTERVAL_US);
+    network->changes_sent = 0;
+    for (change = 0; change < 30; change++) { /* one each 10 ms, told to the source at once */
+        apply_nodes(network, 5, 5);
+        set_source(network);
+        run(network, STEP_US);
+    }
+    run(network, INTERVAL_US / 2);
+    ck_assert_uint_eq(count_behind(network), 0);
+    ck_assert_uint_le(network->changes_sent, (8 + 1) * (NODES - 1));
+    network_free(network);
+}
+END_TEST
+
 START_TEST(control_traffic_stays_small)
 {
     network_t *network = network_create();
@@ -425,6 +444,30 @@
 }
 END_TEST
 
+START_TEST(subscription_that_crosses_a_delta_is_not_answered)
+{
+    network_t *network = network_create();
+
+    ck_assert(give(network, (update_t){1, 1, 1, 0, 40}, 2));
+    subscribe_from(network, 9, 20, 1, 40);
+    network->changes_sent = 0;
+    ck_assert(give(network, (update_t){1, 1, 2, 40, 41}, 2));
+    ck_assert(give(network, (update_t){1, 1, 3, 41, 42}, 2));
+    ck_assert_uint_eq(network->changes_sent, 2);
+    subscribe_from(network, 9, 20, 1, 40);
+    ck_assert_uint_eq(network->changes_sent, 2);
+    network->now.monotonic_us += INTERVAL_US; /* still there: lost */
+    subscribe_from(network, 9, 20, 1, 40);
+    ck_assert_uint_eq(network->changes_sent, 3);
+    ck_assert(give(network, (update_t){1, 1, 4, 42, 43}, 2));
+    network->now.monotonic_us += INTERVAL_US;
+    ck_assert(give(network, (update_t){1, 1, 5, 43, 44}, 2));
+    subscribe_from(network, 9, 20, 1, 42); /* below the base of the last one: a gap */
+    ck_assert_uint_eq(network->changes_sent, 6);
+    network_free(network);
+}
+END_TEST
+
 START_TEST(only_new_beats_keep_in_touch)
 {
     network_t        *network = network_create();
@@ -526,6 +569,7 @@
     int      failed;
 
     tcase_add_test(tests, change_reaches_all_once);
+    tcase_add_test(tests, burst_of_changes_is_sent_together);
     tcase_add_test(tests, control_traffic_stays_small);
     tcase_add_test(tests, subtree_of_a_cut_node_heals_and_returns);
     tcase_add_test(tests, new_leader_is_followed);
@@ -533,6 +577,7 @@
     tcase_add_test(tests, older_updates_never_replace_newer);
     tcase_add_test(tests, gap_is_not_merged_and_asked_for);
     tcase_add_test(tests, child_behind_history_or_of_another_generation_gets_everything);
+    tcase_add_test(tests, subscription_that_crosses_a_delta_is_not_answered);
     tcase_add_test(tests, only_new_beats_keep_in_touch);
     tcase_add_test(tests, silent_children_are_forgotten_and_strays_bounded);
     tcase_add_test(tests, surplus_subscriber_is_sent_to_a_child_with_the_table);
