Relay: test with losses, delays and cuts

Cause: the tests so far lost messages only by cutting a node off; the resend rules had one test by hand each. Change: 30 in 100 messages lost, 60 in 100 delayed behind others, a node cut in each round; versions never go down, and without another change all hold the last version within 10 intervals. Conclusion: lost updates are found by the next beat or subscription.

--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -15,7 +15,8 @@
     INTERVAL_US = 300000,
     OUT_OF_TOUCH_US = 2000000,
     STEP_US = 10000,
-    QUEUE_MAX = 100000
+    QUEUE_MAX = 100000,
+    DELAY_PERCENT = 60
 };
 
 typedef struct message {
@@ -49,6 +50,9 @@
     size_t              subscribed_to[NODES + 1];
     size_t              hellos;
     size_t              alternatives;
+    uint64_t            random;
+    uint64_t            loss_percent;
+    uint64_t            versions[NODES + 1]; /* seen last */
     size_t              full_updates;
 };
 
@@ -87,7 +91,7 @@
     cw__envelope__pack(envelope, message->data);
     network->bytes_sent += message->length;
     count_message(network, to, envelope);
-    if (from->cut || network->nodes[to].cut) {
+    if (from->cut || network->nodes[to].cut || cw_random_below(&network->random, 100) < network->loss_percent) {
         free(message->data);
         network->tail--;
     }
@@ -188,8 +192,13 @@
 
     for (; network->head < end; network->head++) {
         message_t    *message = &network->queue[network->head % QUEUE_MAX];
-        Cw__Envelope *envelope = cw__envelope__unpack(NULL, message->length, message->data);
+        Cw__Envelope *envelope;
 
+        if (network->loss_percent > 0 && cw_random_below(&network->random, 100) < DELAY_PERCENT) {
+            network->queue[network->tail++ % QUEUE_MAX] = *message; /* later, behind others */
+            continue;
+        }
+        envelope = cw__envelope__unpack(NULL, message->length, message->data);
         (void)cw_relay_receive(network->nodes[message->to].relay, envelope, network->now);
         cw__envelope__free_unpacked(envelope, NULL);
         free(message->data);
@@ -321,6 +330,46 @@
 }
 END_TEST
 
+/* Versions seen never go down, whatever order messages come in. */
+static void check_versions(network_t *network)
+{
+    cw_node_id_t id;
+
+    for (id = 1; id <= NODES; id++) {
+        uint64_t version = cw_relay_version(network->nodes[id].relay);
+
+        ck_assert_uint_ge(version, network->versions[id]);
+        ck_assert_uint_eq(version, cw_control_state_version(cw_relay_routes(network->nodes[id].relay)));
+        network->versions[id] = version;
+    }
+}
+
+START_TEST(nothing_reverts_under_losses_and_delays_and_all_catch_up)
+{
+    network_t *network = network_create();
+    uint64_t   seed;
+    int        round;
+
+    for (seed = 1; seed <= 20; seed++) {
+        network->random = seed;
+        network->loss_percent = 30;
+        for (round = 0; round < 5; round++) {
+            cw_node_id_t id = 2 + (cw_node_id_t)cw_random_below(&network->random, NODES - 1);
+
+            network->nodes[id].cut = true;
+            apply_nodes(network, id, id);
+            run(network, 2 * INTERVAL_US);
+            check_versions(network);
+            network->nodes[id].cut = false;
+        }
+        network->loss_percent = 0;
+        run(network, 10 * INTERVAL_US); /* no change that would hide a lost one */
+        ck_assert_uint_eq(count_behind(network), 0);
+    }
+    network_free(network);
+}
+END_TEST
+
 START_TEST(lost_node_asks_at_most_once_an_interval)
 {
     network_t   *network = network_create();
@@ -573,6 +622,7 @@
     tcase_add_test(tests, control_traffic_stays_small);
     tcase_add_test(tests, subtree_of_a_cut_node_heals_and_returns);
     tcase_add_test(tests, new_leader_is_followed);
+    tcase_add_test(tests, nothing_reverts_under_losses_and_delays_and_all_catch_up);
     tcase_add_test(tests, lost_node_asks_at_most_once_an_interval);
     tcase_add_test(tests, older_updates_never_replace_newer);
     tcase_add_test(tests, gap_is_not_merged_and_asked_for);
