Forwarder: each hop is taken in at most once

The forwarder knew only the requests that were still under way. Change: a sliding window of hop numbers for each gateway incarnation (as in RFC 4303); numbers behind it count as seen. Test: request_refused_as_not_run_does_not_run_when_delivered_again; with the former check it failed (1 sent).

--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -10,7 +10,7 @@
  * request with the same id). From SENT on only cw_outcome_decide() says what the outcome is.
  *
  * Invariants:
- * - Each (gateway incarnation, id) gets at most one answer.
+ * - Each (gateway incarnation, id) is taken in at most once, and gets at most one answer.
  * - A journaled request is SENT only after a majority of the range's journal replicas acknowledged its exchange, under
  *   the fence that the range had when the request was taken.
  * - A request is SENT at most once.
@@ -77,6 +77,7 @@
         cw_forwarder_server_remove(forwarder, forwarder->servers);
     }
     cw_forwarder_journal_clear(forwarder);
+    cw_replay_filter_clear(&forwarder->seen);
     cw_timer_heap_clear(&forwarder->deadline_timers);
     cw_timer_heap_clear(&forwarder->journal_timers);
     cw_timer_heap_clear(&forwarder->opening_timers);
@@ -252,8 +253,8 @@
     cw_request_key_t        key;
     cw_reason_t             reason;
 
-    if (find_by_origin(forwarder, message->gateway_incarnation, message->id) != NULL) {
-        return; /* delivered twice */
+    if (!cw_replay_filter_pass(&forwarder->seen, message->gateway_incarnation, message->id, now.monotonic_us)) {
+        return; /* delivered twice; the first copy may have been refused as not run, so this one must not run */
     }
     forwarder->counters.requests++;
     make_key(&key, message);
--- a/src/core/forwarder_internal.h
+++ b/src/core/forwarder_internal.h
@@ -9,6 +9,7 @@
 
 #include "cedarwinch/forwarder.h"
 #include "cedarwinch/timer_heap.h"
+#include "core/replay_filter.h"
 
 enum {
     CW_JOURNAL_REPLICAS_MAX = 7,
@@ -189,6 +190,7 @@
     const cw_control_state_t *routes;
     uint64_t                  routes_pass;
     uint64_t                  last_id; /**< of requests and journal exchanges */
+    cw_replay_filter_t        seen;    /**< hops taken in, by gateway incarnation */
     cw_forwarder_range_t     *ranges;
     cw_forwarder_server_t    *servers;
     cw_forwarder_request_t   *requests;
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -48,6 +48,24 @@
 }
 END_TEST
 
+/* The gateway took "not run" as final: the network's second copy must not run. */
+START_TEST(request_refused_as_not_run_does_not_run_when_delivered_again)
+{
+    uint64_t refused;
+
+    world_route(0, 0, 4, world_set_all, world_set_none);
+    world.readiness = CW_RANGE_PENDING;
+    refused = world_request(0, 4, (world_request_t){.repeatable = true});
+    world_assert_reason(refused, CW_REASON_MOVING);
+    world.readiness = CW_RANGE_READY;
+    world.last_gateway_id = refused - 1;
+    ck_assert_uint_eq(world_request(0, 4, (world_request_t){.repeatable = true}), refused);
+    ck_assert_uint_eq(world.sent_count, 0);
+    world_request(0, 4, (world_request_t){.repeatable = true});
+    ck_assert_uint_eq(world.sent_count, 1);
+}
+END_TEST
+
 START_TEST(earliest_deadline_is_sent_first_within_slots)
 {
     uint64_t late;
@@ -443,6 +461,7 @@
     tcase_add_checked_fixture(tests, setup, world_destroy);
     tcase_add_test(tests, repeatable_request_needs_no_journal);
     tcase_add_test(tests, wrong_route_is_refused_as_not_run);
+    tcase_add_test(tests, request_refused_as_not_run_does_not_run_when_delivered_again);
     tcase_add_test(tests, earliest_deadline_is_sent_first_within_slots);
     tcase_add_test(tests, request_that_cannot_be_answered_in_time_is_refused_at_once);
     tcase_add_test(tests, queued_request_ends_at_its_deadline);
