--- a/src/core/agent.c
+++ b/src/core/agent.c
@@ -8,6 +8,8 @@
  *    and are ignored.
  *  - One reading call (read or renewal) is under way for a server at a time. Its answer is the next reading. A
  *    renewal that arrives meanwhile waits for the end of that call.
+ *  - A reading that no renewal followed is not reported twice: the server is read again and the answer reported at
+ * once, since the leader renews for new readings only.
  *  - A reading counts from the local time at which its call was sent, so the lease left by this node's clock is never
  *    more than what the server has. Answers are ordered by the server's own clock.
  *  - A range is ready only after the server accepted it under exactly that fence, and while the lease is alive. Another
@@ -79,34 +81,30 @@
     return agent->next_us;
 }
 
-/** A server without a fresh reading is asked again; a renewal in the last interval brought one. */
-static void read_stale_servers(cw_agent_t *agent)
+/** Has this server nothing new to report, so that it must be read for the next heartbeat? */
+static bool is_stale(const cw_agent_t *agent, const cw_agent_server_t *server)
 {
-    cw_time_us_t       limit = agent->heartbeat_us + agent->heartbeat_us / 2;
-    cw_agent_server_t *server;
-
-    for (server = agent->servers; server != NULL; server = server->hh.next) {
-        bool stale = server->incarnation == 0 || !server->reachable || agent->now_us - server->reading_us >= limit;
+    cw_time_us_t pause = agent->heartbeat_us - agent->heartbeat_us / 4;
 
-        if (stale) {
-            cw_agent_read_state(agent, server);
-        }
-    }
+    return agent->now_us - server->call_us >= pause && server->reported_clock_us == server->clock_us;
 }
 
 static void beat(cw_agent_t *agent)
 {
-    bool regular = agent->now_us >= agent->next_us;
+    cw_agent_server_t *server;
 
-    if (!regular) {
+    if (agent->now_us < agent->next_us) {
         agent->last_urgent_us = agent->now_us;
     }
     agent->urgent = false;
     agent->next_us = agent->now_us + agent->heartbeat_us;
-    cw_agent_send_heartbeat(agent);
-    if (regular) {
-        read_stale_servers(agent);
+    for (server = agent->servers; server != NULL; server = server->hh.next) {
+        if (is_stale(agent, server)) {
+            cw_agent_read_state(agent, server);
+        }
+        server->reported_clock_us = server->clock_us;
     }
+    cw_agent_send_heartbeat(agent);
 }
 
 void cw_agent_tick(cw_agent_t *agent, cw_instant_t now)
@@ -233,10 +231,15 @@
 
 void cw_agent_set_leader(cw_agent_t *agent, cw_node_id_t leader)
 {
+    bool told_here = agent->leader == agent->told_leader;
+
     if (leader == agent->told_leader) {
         return;
     }
     agent->told_leader = leader;
+    if (leader == 0 && !told_here) {
+        return; /* a reply named a newer one */
+    }
     use_leader(agent, leader);
 }
 
--- a/src/core/agent_internal.h
+++ b/src/core/agent_internal.h
@@ -35,7 +35,8 @@
     int64_t                  clock_us;       /**< newest reading of the server's clock */
     int64_t                  lapse_clock_us; /**< newest reading that showed no live lease; -1: none */
     int64_t                  lease_end_us;
-    cw_time_us_t             reading_us;         /**< local time at which the call that brought the reading was sent */
+    int64_t                  reported_clock_us;  /**< reading in the last heartbeat */
+    cw_time_us_t             call_us;            /**< last read or renewal call sent */
     cw_time_us_t             local_lease_end_us; /**< lease end on this node's clock, never later than the real one */
     uint32_t                 active_requests;
     bool                     reachable;
--- a/src/core/agent_server.c
+++ b/src/core/agent_server.c
@@ -120,6 +120,7 @@
     record = cw_agent_start_call(agent, server, call);
     if (record != NULL) {
         server->reading_call = record->id;
+        server->call_us = agent->now_us;
     }
 }
 
@@ -169,6 +170,7 @@
     server->incarnation = incarnation;
     server->incarnation_since_us = agent->now_us;
     server->clock_us = 0;
+    server->reported_clock_us = -1;
     server->lapse_clock_us = -1;
     server->lease_end_us = 0;
     server->local_lease_end_us = agent->now_us;
@@ -192,7 +194,6 @@
     }
     server->clock_us = completion->clock_us;
     server->lease_end_us = completion->lease_end_us;
-    server->reading_us = call->sent_us;
     server->draining = completion->draining;
     server->active_requests = completion->active_requests;
     if (completion->lease_end_us <= completion->clock_us) {
@@ -230,6 +231,9 @@
         }
         use_incarnation(agent, server, completion->incarnation);
     }
+    if (call->kind == CW_SERVER_READ_STATE && completion->clock_us > server->clock_us) {
+        agent->urgent = true;
+    }
     if (completion->clock_us >= server->clock_us) {
         use_reading(agent, server, call, completion);
     }
