Capacity tool: slopes of relay tree, route table and gateway, with docs/CAPACITY.md

Cause: the size planned for (10,000 nodes) can only be judged from how each role grows; nothing measured that yet. Ruled out: one 10,000-node run of real relays alone (26 GB of route tables, over half of the machine), wall-clock time (shared machine), mallinfo2 (cached free pieces count as used). Change: bench/capacity runs the core's modules on modelled ports with packed messages, counts bytes by kind, reads user instructions and cycles, counts allocations, fits lines and renews the page's tables; `make capacity`. The test's three safeguards (R², kinds apart, marker order) were seen to fail with the mechanism broken.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 TEST_COMMON := $(wildcard tests/common/*.c)
 # Modules of the stand-ins and tools that have unit tests.
 TEST_PARTS := $(filter-out %/main.c,$(wildcard $(addsuffix /*.c,standins/common standins/backend standins/platform \
-              bench/common bench/load bench/evidence bench/cutter)))
+              bench/common bench/load bench/evidence bench/cutter))) \
+              $(addprefix bench/capacity/,fit.c page.c traffic.c)
 
 CORE_LIB := $(BUILD)/libcedarwinch-core.a
 PROGRAMS := $(if $(wildcard src/daemon/main.c),$(BUILD)/cedarwinchd) $(if $(wildcard src/cli/main.c),$(BUILD)/cedarwinch) \
