Replay filter and forwarder: clean under the linter

Cause: clang-tidy takes uthash's deletion in a loop for a use after free, and a struct look-up key for partly unset. Ruled out: switching the checks off. Change: one idle sender is forgotten for each new one; the table is cleared as a whole; the key is zeroed first.

--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -238,9 +238,12 @@
 static cw_forwarder_request_t *find_by_origin(const cw_forwarder_t *forwarder, cw_incarnation_t incarnation,
                                               uint64_t id)
 {
-    cw_origin_t             origin = {incarnation, id};
+    cw_origin_t             origin;
     cw_forwarder_request_t *found = NULL;
 
+    memset(&origin, 0, sizeof(origin));
+    origin.gateway_incarnation = incarnation;
+    origin.id = id;
     HASH_FIND(hh_origin, forwarder->requests_by_origin, &origin, sizeof(origin), found);
     return found;
 }
--- a/src/core/replay_filter.c
+++ b/src/core/replay_filter.c
@@ -21,17 +21,17 @@
     UT_hash_handle   hh;
 } cw_replay_sender_t;
 
+/* One at a time: as many go as come. */
 static void forget_idle(cw_replay_filter_t *filter, cw_time_us_t now)
 {
-    cw_replay_sender_t *sender;
-    cw_replay_sender_t *next;
+    cw_replay_sender_t *sender = filter->senders;
 
-    HASH_ITER(hh, filter->senders, sender, next)
-    {
-        if (now - sender->heard_us >= CW_REPLAY_IDLE_US) {
-            HASH_DEL(filter->senders, sender);
-            free(sender);
-        }
+    while (sender != NULL && now - sender->heard_us < CW_REPLAY_IDLE_US) {
+        sender = sender->hh.next;
+    }
+    if (sender != NULL) {
+        HASH_DEL(filter->senders, sender);
+        free(sender);
     }
 }
 
@@ -43,11 +43,12 @@
     if (sender != NULL) {
         return sender;
     }
-    forget_idle(filter, now);
     sender = calloc(1, sizeof(*sender));
     if (sender != NULL) {
         sender->incarnation = incarnation;
+        sender->heard_us = now;
         HASH_ADD(hh, filter->senders, incarnation, sizeof(sender->incarnation), sender);
+        forget_idle(filter, now);
     }
     return sender;
 }
@@ -90,12 +91,12 @@
 
 void cw_replay_filter_clear(cw_replay_filter_t *filter)
 {
-    cw_replay_sender_t *sender;
+    cw_replay_sender_t *sender = filter->senders;
     cw_replay_sender_t *next;
 
-    HASH_ITER(hh, filter->senders, sender, next)
-    {
-        HASH_DEL(filter->senders, sender);
+    HASH_CLEAR(hh, filter->senders);
+    for (; sender != NULL; sender = next) {
+        next = sender->hh.next;
         free(sender);
     }
 }
--- a/tests/test_replay_filter.c
+++ b/tests/test_replay_filter.c
@@ -57,6 +57,7 @@
     ck_assert(cw_replay_filter_pass(&filter, OTHER, 1, CW_REPLAY_IDLE_US - 1));
     ck_assert(!cw_replay_filter_pass(&filter, SENDER, 1, CW_REPLAY_IDLE_US - 1));
     ck_assert(cw_replay_filter_pass(&filter, OTHER + 1, 1, 3 * CW_REPLAY_IDLE_US));
+    ck_assert(cw_replay_filter_pass(&filter, OTHER + 2, 1, 3 * CW_REPLAY_IDLE_US));
     ck_assert(cw_replay_filter_pass(&filter, SENDER, 1, 3 * CW_REPLAY_IDLE_US));
     cw_replay_filter_clear(&filter);
 }
