Control: new ranges of every service in one command are looked at

Cause: one command may create ranges of several services (splits of several hot or uneven services in one decision). Only the first service's new ranges were marked for orders, so the grants of the others waited for the next decision: about 5 s without an owner (IDLE_PAUSE_US). Change: the services are marked at each change of service within the command.

--- a/src/core/control_lead.c
+++ b/src/core/control_lead.c
@@ -212,6 +212,12 @@
     }
 }
 
+/* Is the range before it in the command new too, and of the same service? Then the service was marked for it. */
+static bool created_like(const Cw__RangeInfo *former, const Cw__RangeInfo *range)
+{
+    return former->id == 0 && former->service == range->service;
+}
+
 void cw_control_note_applied(cw_control_t *control, const Cw__Command *command, uint64_t index)
 {
     const cw_fence_t fence = {control->options.generation, index};
@@ -231,11 +237,12 @@
         note_server(control, command->servers[position]->server, fence);
     }
     for (position = 0; position < command->n_ranges; position++) {
-        if (command->ranges[position]->id != 0) {
-            note_range(control, cw_control_state_range(control->state, command->ranges[position]->id));
-        } else if (position == 0 || command->ranges[position - 1]->id != 0) {
-            cw_control_state_each_service_range(control->state, command->ranges[position]->service, mark_created,
-                                                control);
+        const Cw__RangeInfo *range = command->ranges[position];
+
+        if (range->id != 0) {
+            note_range(control, cw_control_state_range(control->state, range->id));
+        } else if (position == 0 || !created_like(command->ranges[position - 1], range)) {
+            cw_control_state_each_service_range(control->state, range->service, mark_created, control);
         }
     }
     if (command->n_tenants > 0 || command->n_ranges > 0) {
