--- a/include/cedarwinch/raft.h
+++ b/include/cedarwinch/raft.h
@@ -67,6 +67,7 @@
 
 cw_raft_role_t        cw_raft_role(const cw_raft_t *raft);
 uint64_t              cw_raft_term(const cw_raft_t *raft);
+uint64_t              cw_raft_generation(const cw_raft_t *raft);
 uint64_t              cw_raft_commit_index(const cw_raft_t *raft);
 uint64_t              cw_raft_last_index(const cw_raft_t *raft);
 cw_incarnation_t      cw_raft_leader(const cw_raft_t *raft);     /**< 0: not known */
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -273,6 +273,11 @@
     return raft->term;
 }
 
+uint64_t cw_raft_generation(const cw_raft_t *raft)
+{
+    return raft->generation;
+}
+
 uint64_t cw_raft_commit_index(const cw_raft_t *raft)
 {
     return raft->commit_index;
