--- a/Makefile
+++ b/Makefile
@@ -63,8 +63,8 @@
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $$@ $$^ $(LIBS)
 endef
 $(foreach name,$(STANDINS),$(eval $(call program,standins,$(name),$(STANDIN_COMMON))))
-# Tools share the text forms of numbers with the stand-ins.
-$(foreach name,$(TOOLS),$(eval $(call program,bench,$(name),$(TOOLS_COMMON) standins/common/codec.c)))
+# Tools share the HTTP server and the text forms of numbers with the stand-ins.
+$(foreach name,$(TOOLS),$(eval $(call program,bench,$(name),$(TOOLS_COMMON) $(STANDIN_COMMON))))
 
 $(BUILD)/cw-%: $(BUILD)/sim/main_%.o $(call objects,$(SIM)) $(CORE_LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
--- a/bench/evidence/evidence.h
+++ b/bench/evidence/evidence.h
@@ -143,9 +143,10 @@
     int64_t  p50_us;
     int64_t  p99_us;
     int64_t  p999_us;
-    double   imbalance;      /**< effects of the busiest owner over the mean of all owners; 0: no effects */
-    uint64_t key_moves;      /**< changes of the server between successive effects of a key */
-    int64_t  unavailable_us; /**< sum over keys: from the first request that failed to the next answer */
+    double   imbalance;            /**< effects of the busiest owner over the mean of all owners; 0: no effects */
+    uint64_t key_moves;            /**< changes of the server between successive effects of a key */
+    int64_t  unavailable_us;       /**< sum over keys: from the first request that failed to the next answer */
+    int64_t  unavailable_least_us; /**< the same to the last failure: a rare key's next request may come much later */
     int64_t  longest_gap_us;
     uint64_t keys_with_gap;
 } cw_service_summary_t;
--- a/bench/evidence/summary.c
+++ b/bench/evidence/summary.c
@@ -21,6 +21,7 @@
     size_t         life; /**< that took the last effect */
     bool           has_life;
     int64_t        gap_us; /**< intended time of the first request that failed; 0: none */
+    int64_t        last_failure_us;
     bool           had_gap;
     UT_hash_handle hh;
 } key_state_t;
@@ -61,10 +62,11 @@
     if (key->gap_us == 0) {
         return;
     }
-    key->gap_us = 0;
     summary->unavailable_us += gap_us;
+    summary->unavailable_least_us += key->last_failure_us - key->gap_us;
     summary->keys_with_gap += key->had_gap ? 0 : 1;
     key->had_gap = true;
+    key->gap_us = 0;
     if (gap_us > summary->longest_gap_us) {
         summary->longest_gap_us = gap_us;
     }
@@ -95,8 +97,9 @@
         if (answer->end == CW_CALL_ANSWERED) {
             cw_histogram_add(latency, answer->answered_us - answer->intended_us);
             end_gap(summary, key, answer->answered_us);
-        } else if (is_failure(answer) && key->gap_us == 0) {
-            key->gap_us = answer->intended_us;
+        } else if (is_failure(answer)) {
+            key->gap_us = key->gap_us == 0 ? answer->intended_us : key->gap_us;
+            key->last_failure_us = answer->answered_us;
         }
     }
     for (key = *keys; key != NULL; key = key->hh.next) {
@@ -202,22 +205,23 @@
     cw_service_summary_t summary;
     size_t               i;
 
-    fprintf(stream, "%-28s %8s %8s %7s %7s %6s %6s %8s %8s %8s %9s %9s %9s %9s\n", "service", "requests", "answered",
-            "not-run", "unknown", "in-pr", "failed", "p50 ms", "p99 ms", "p99.9 ms", "imbalance", "key moves",
-            "unavail s", "longest s");
+    fprintf(stream, "%-28s %8s %8s %7s %7s %6s %6s %8s %8s %8s %9s %9s %9s %10s %9s\n", "service", "requests",
+            "answered", "not-run", "unknown", "in-pr", "failed", "p50 ms", "p99 ms", "p99.9 ms", "imbalance",
+            "key moves", "unavail s", "at least s", "longest s");
     for (i = 0; i < records->service_count; i++) {
         if (cw_summary_make(records, i, &summary) != CW_OK) {
             return;
         }
         fprintf(stream,
                 "%-28s %8" PRIu64 " %8" PRIu64 " %7" PRIu64 " %7" PRIu64 " %6" PRIu64 " %6" PRIu64
-                " %8.2f %8.2f %8.2f %9.2f %9" PRIu64 " %9.3f %9.3f\n",
+                " %8.2f %8.2f %8.2f %9.2f %9" PRIu64 " %9.3f %10.3f %9.3f\n",
                 records->services[i].text, summary.requests, summary.ends[CW_CALL_ANSWERED],
                 summary.ends[CW_CALL_NOT_RUN], summary.ends[CW_CALL_UNKNOWN], summary.ends[CW_CALL_IN_PROGRESS],
                 summary.ends[CW_CALL_NOT_SENT] + summary.ends[CW_CALL_LOST] + summary.ends[CW_CALL_TIMED_OUT] +
                     summary.ends[CW_CALL_OTHER],
                 to_ms(summary.p50_us), to_ms(summary.p99_us), to_ms(summary.p999_us), summary.imbalance,
-                summary.key_moves, to_s(summary.unavailable_us), to_s(summary.longest_gap_us));
+                summary.key_moves, to_s(summary.unavailable_us), to_s(summary.unavailable_least_us),
+                to_s(summary.longest_gap_us));
     }
 }
 
@@ -229,12 +233,13 @@
     for (i = 0; i < CW_CALL_END_COUNT; i++) {
         json_object_set_new(outcomes, cw_call_end_text((cw_call_end_t)i), json_integer((json_int_t)summary->ends[i]));
     }
-    return json_pack(
-        "{s:s,s:I,s:o,s:I,s:f,s:f,s:f,s:f,s:I,s:f,s:f,s:I}", "service", name->text, "requests",
-        (json_int_t)summary->requests, "outcomes", outcomes, "effects", (json_int_t)summary->effects, "p50_ms",
-        to_ms(summary->p50_us), "p99_ms", to_ms(summary->p99_us), "p999_ms", to_ms(summary->p999_us), "imbalance",
-        summary->imbalance, "key_moves", (json_int_t)summary->key_moves, "unavailable_s", to_s(summary->unavailable_us),
-        "longest_unavailable_s", to_s(summary->longest_gap_us), "keys_unavailable", (json_int_t)summary->keys_with_gap);
+    return json_pack("{s:s,s:I,s:o,s:I,s:f,s:f,s:f,s:f,s:I,s:f,s:f,s:f,s:I}", "service", name->text, "requests",
+                     (json_int_t)summary->requests, "outcomes", outcomes, "effects", (json_int_t)summary->effects,
+                     "p50_ms", to_ms(summary->p50_us), "p99_ms", to_ms(summary->p99_us), "p999_ms",
+                     to_ms(summary->p999_us), "imbalance", summary->imbalance, "key_moves",
+                     (json_int_t)summary->key_moves, "unavailable_s", to_s(summary->unavailable_us),
+                     "unavailable_least_s", to_s(summary->unavailable_least_us), "longest_unavailable_s",
+                     to_s(summary->longest_gap_us), "keys_unavailable", (json_int_t)summary->keys_with_gap);
 }
 
 int cw_summary_write_json(const cw_records_t *records, const cw_violations_t *violations, const char *file_name)
@@ -257,7 +262,7 @@
     }
     json = json_pack("{s:o,s:I,s:o}", "services", services, "violations", (json_int_t)violations->total,
                      "violations_by_kind", kinds);
-    error = json_dump_file(json, file_name, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
+    error = json_dump_file(json, file_name, JSON_INDENT(2) | JSON_PRESERVE_ORDER | JSON_REAL_PRECISION(9));
     json_decref(json);
     return error == 0 ? CW_OK : CW_ERROR_IO;
 }
--- a/bench/load/report.c
+++ b/bench/load/report.c
@@ -144,7 +144,7 @@
     json = json_pack("{s:f,s:f,s:I,s:i,s:o}", "duration_s", load->options.duration_s, "warmup_s",
                      load->options.warmup_s, "seed", (json_int_t)load->options.seed, "gateways",
                      (int)cw_client_gateways(load->client), "streams", streams);
-    error = json_dump_file(json, file_name, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
+    error = json_dump_file(json, file_name, JSON_INDENT(2) | JSON_PRESERVE_ORDER | JSON_REAL_PRECISION(9));
     json_decref(json);
     return error == 0 ? CW_OK : CW_ERROR_IO;
 }
--- a/include/cedarwinch/journal.h
+++ b/include/cedarwinch/journal.h
@@ -12,11 +12,16 @@
 
 typedef struct cw_journal cw_journal_t;
 
+enum { CW_JOURNAL_ANSWER_MAX = 4096 /**< bytes of headers and body; larger answers are not sent to replicas */ };
+
+/** Bytes of a stored answer: its headers and body. */
+size_t cw_journal_answer_size(Cw__Header *const *headers, size_t header_count, size_t body_length);
+
 typedef struct cw_journal_options {
     cw_incarnation_t incarnation;
     int64_t          window_ms;   /**< entries are kept at least this long; older ids are answered unknown */
     size_t           entry_limit; /**< JOURNAL_FULL beyond it */
-    size_t           body_limit;  /**< stored answers larger than this are kept as status only */
+    size_t           body_limit;  /**< stored answers (headers and body) larger than this are kept as status only */
 } cw_journal_options_t;
 
 int  cw_journal_create(cw_journal_t **journal, const cw_journal_options_t *options, const cw_ports_t *ports);
--- a/src/adapters/http_client_message.c
+++ b/src/adapters/http_client_message.c
@@ -13,7 +13,7 @@
 
 #include "adapters/http_client_internal.h"
 
-enum { HEAD_MAX = 64 * 1024, BODY_FIRST_CAPACITY = 4096, STATUS_NO_CONTENT = 204, STATUS_NOT_MODIFIED = 304 };
+enum { FIXED_HEAD_MAX = 128, HEADER_MARKS = 4, STATUS_NO_CONTENT = 204, STATUS_NOT_MODIFIED = 304 };
 
 /* ---- headers ---- */
 
@@ -78,47 +78,59 @@
     return true;
 }
 
-static size_t write_head(char *head, const cw_http_request_t *request)
+/* Room enough for the request line, the headers and what write_head adds to them. */
+static size_t head_bound(const cw_http_request_t *request)
 {
-    FILE  *stream = fmemopen(head, HEAD_MAX, "w");
+    size_t bound = FIXED_HEAD_MAX + strlen(request->method) + strlen(request->target) + strlen(request->address);
     size_t index;
-    long   length;
-    bool   is_ipv6 = strchr(request->address, ':') != NULL;
 
-    if (stream == NULL) {
-        return 0;
+    for (index = 0; index < request->header_count; index++) {
+        bound += strlen(request->headers[index]->name) + strlen(request->headers[index]->value) + HEADER_MARKS;
     }
-    fprintf(stream, "%s %s HTTP/1.1\r\nhost: %s%s%s:%u\r\n", request->method, request->target, is_ipv6 ? "[" : "",
-            request->address, is_ipv6 ? "]" : "", request->port);
+    return bound;
+}
+
+static char *write_header(char *cursor, const Cw__Header *header)
+{
+    cursor = stpcpy(cursor, header->name);
+    cursor = stpcpy(cursor, ": ");
+    cursor = stpcpy(cursor, header->value);
+    return stpcpy(cursor, "\r\n");
+}
+
+/* Writes the head; returns its end. */
+static char *write_head(char *cursor, const cw_http_request_t *request)
+{
+    bool   is_ipv6 = strchr(request->address, ':') != NULL;
+    size_t index;
+
+    cursor = stpcpy(cursor, request->method);
+    cursor = stpcpy(cursor, " ");
+    cursor = stpcpy(cursor, request->target);
+    cursor += sprintf(cursor, " HTTP/1.1\r\nhost: %s%s%s:%u\r\n", is_ipv6 ? "[" : "", request->address,
+                      is_ipv6 ? "]" : "", request->port);
     for (index = 0; index < request->header_count; index++) {
-        fprintf(stream, "%s: %s\r\n", request->headers[index]->name, request->headers[index]->value);
+        cursor = write_header(cursor, request->headers[index]);
     }
     if (request->body_length > 0 || strcmp(request->method, "GET") != 0) {
-        fprintf(stream, "content-length: %zu\r\n", request->body_length);
+        cursor += sprintf(cursor, "content-length: %zu\r\n", request->body_length);
     }
-    fprintf(stream, "\r\n");
-    length = fflush(stream) == 0 ? ftell(stream) : 0;
-    fclose(stream);
-    return length >= HEAD_MAX || length < 0 ? 0 : (size_t)length;
+    return stpcpy(cursor, "\r\n");
 }
 
 int cw_http_request_write(cw_http_call_t *call, const cw_http_request_t *request)
 {
-    size_t head_length;
+    char *end;
 
     if (!is_writable(request)) {
         return CW_ERROR_INVALID;
     }
-    call->request = h2o_mem_alloc(HEAD_MAX + request->body_length);
-    head_length = write_head(call->request, request);
-    if (head_length == 0) {
-        return CW_ERROR_INVALID;
-    }
+    call->request = h2o_mem_alloc(head_bound(request) + request->body_length);
+    end = write_head(call->request, request);
     if (request->body_length > 0) {
-        memcpy(call->request + head_length, request->body, request->body_length);
+        memcpy(end, request->body, request->body_length);
     }
-    call->request = h2o_mem_realloc(call->request, head_length + request->body_length);
-    call->request_bytes = h2o_iovec_init(call->request, head_length + request->body_length);
+    call->request_bytes = h2o_iovec_init(call->request, (size_t)(end - call->request) + request->body_length);
     call->is_head = strcmp(request->method, "HEAD") == 0;
     return CW_OK;
 }
--- a/src/adapters/http_exchange.c
+++ b/src/adapters/http_exchange.c
@@ -15,7 +15,15 @@
 
 #include "cedarwinch/outcome.h"
 
-enum { READ_AHEAD_MAX = 64 * 1024, JSON_MAX = 128, REASON_MAX = 64 };
+enum {
+    READ_AHEAD_MAX = 64 * 1024,
+    JSON_MAX = 128,
+    REASON_MAX = 64,
+    STATUS_NO_CONTENT = 204,
+    STATUS_NOT_MODIFIED = 304,
+    STATUS_FIRST_FINAL = 200,
+    STATUS_BAD_GATEWAY = 502
+};
 
 static void stop_waiting(cw_http_exchange_t *exchange)
 {
@@ -146,13 +154,13 @@
 
 static bool has_no_body(const h2o_req_t *request, int status)
 {
-    return h2o_memis(request->input.method.base, request->input.method.len, H2O_STRLIT("HEAD")) || status == 204 ||
-           status == 304;
+    return h2o_memis(request->input.method.base, request->input.method.len, H2O_STRLIT("HEAD")) ||
+           status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
 }
 
 void cw_http_answer_send(cw_http_server_t *server, h2o_req_t *request, int status, const void *body, size_t length)
 {
-    request->res.status = status;
+    request->res.status = status < STATUS_FIRST_FINAL ? STATUS_BAD_GATEWAY : status;
     request->res.reason = "";
     request->res.content_length = has_no_body(request, status) ? SIZE_MAX : length;
     if (server->stopping) {
--- a/src/core/forwarder.c
+++ b/src/core/forwarder.c
@@ -219,7 +219,7 @@
     request->origin.id = message->id;
     request->journaled = cw_forwarder_needs_journal(forwarder, message);
     request->arrived_us = now.monotonic_us;
-    request->deadline_us = now.monotonic_us + message->timeout_us;
+    request->deadline_us = now.monotonic_us + cw_forwarder_timeout_us(message);
     request->phase = CW_REQUEST_QUEUED;
     make_key(&request->key, message);
     if (cw_timer_heap_set(&forwarder->deadline_timers, &request->deadline_timer, request->deadline_us) != CW_OK) {
@@ -238,8 +238,8 @@
 static cw_forwarder_request_t *find_by_origin(const cw_forwarder_t *forwarder, cw_incarnation_t incarnation,
                                               uint64_t id)
 {
-    cw_origin_t             origin;
     cw_forwarder_request_t *found = NULL;
+    cw_origin_t             origin;
 
     memset(&origin, 0, sizeof(origin));
     origin.gateway_incarnation = incarnation;
--- a/src/core/forwarder_admission.c
+++ b/src/core/forwarder_admission.c
@@ -7,6 +7,8 @@
  */
 #include "core/forwarder_internal.h"
 
+#define TIMEOUT_MAX_US (INT64_C(3600) * CW_US_PER_S)
+
 cw_reason_t cw_forwarder_check_route(const cw_forwarder_t *forwarder, const Cw__ForwardRequest *message,
                                      cw_forwarder_range_t **range)
 {
@@ -27,6 +29,11 @@
     return readiness == CW_RANGE_READY ? CW_REASON_NONE : CW_REASON_MOVING;
 }
 
+int64_t cw_forwarder_timeout_us(const Cw__ForwardRequest *message)
+{
+    return message->timeout_us < TIMEOUT_MAX_US ? message->timeout_us : TIMEOUT_MAX_US;
+}
+
 bool cw_forwarder_needs_journal(const cw_forwarder_t *forwarder, const Cw__ForwardRequest *message)
 {
     return !message->repeatable || forwarder->options.journal_everything;
@@ -81,15 +88,16 @@
                                      const Cw__ForwardRequest *message, cw_instant_t now)
 {
     int64_t left_us = forwarder->view.lease_left_us(forwarder->view.context, server->id, now);
+    int64_t timeout_us = cw_forwarder_timeout_us(message);
     int64_t estimate_us;
 
     if (left_us <= 0) {
         return CW_REASON_MOVING;
     }
-    if (message->timeout_us < left_us) {
-        left_us = message->timeout_us;
+    if (timeout_us < left_us) {
+        left_us = timeout_us;
     }
-    estimate_us = cw_forwarder_estimate_us(forwarder, server, now.monotonic_us + message->timeout_us, now.monotonic_us);
+    estimate_us = cw_forwarder_estimate_us(forwarder, server, now.monotonic_us + timeout_us, now.monotonic_us);
     if (left_us <= 0 || estimate_us > left_us) {
         return CW_REASON_DEADLINE;
     }
--- a/src/core/forwarder_internal.h
+++ b/src/core/forwarder_internal.h
@@ -70,6 +70,7 @@
     CW_OPENING_SEAL_OWN,     /**< seals the range's own set: is it open already? */
     CW_OPENING_READ_OWN,     /**< it was opened at a minority: reads it, to copy to the rest */
     CW_OPENING_SEAL_FORMER,  /**< seals and reads the former set */
+    CW_OPENING_WAIT_READY,   /**< gives up the ids used so far once the grant is accepted */
     CW_OPENING_COPY,         /**< copies to the own set and opens it */
     CW_OPENING_READ_ANSWERS, /**< option unfinished_first, range is open: reads the stored answers */
     CW_OPENING_COPY_ANSWERS  /**< and copies them */
@@ -232,7 +233,9 @@
 
 /* ---- forwarder_admission.c ---- */
 
-bool cw_forwarder_needs_journal(const cw_forwarder_t *forwarder, const Cw__ForwardRequest *message);
+/** Time left of the caller's deadline, bounded so that sums with it cannot overflow. */
+int64_t cw_forwarder_timeout_us(const Cw__ForwardRequest *message);
+bool    cw_forwarder_needs_journal(const cw_forwarder_t *forwarder, const Cw__ForwardRequest *message);
 /** CW_REASON_NONE when the request's route is in force here: this node, this fence, granted. */
 cw_reason_t cw_forwarder_check_route(const cw_forwarder_t *forwarder, const Cw__ForwardRequest *message,
                                      cw_forwarder_range_t **range);
--- a/src/core/forwarder_journal.c
+++ b/src/core/forwarder_journal.c
@@ -20,6 +20,7 @@
 
 #include "cedarwinch/error.h"
 #include "cedarwinch/intent.h"
+#include "cedarwinch/journal.h"
 #include "core/forwarder_internal.h"
 
 size_t cw_replica_set_majority(const cw_replica_set_t *set)
@@ -93,12 +94,14 @@
     unsent->key = request->key;
     unsent->first = request->id;
     unsent->last = request->id;
+    // NOLINTNEXTLINE(clang-analyzer-unix.Malloc): the table forgets what is freed
     HASH_ADD(hh, forwarder->unsent, key, sizeof(unsent->key), unsent);
 }
 
 void cw_forwarder_journal_clear(cw_forwarder_t *forwarder)
 {
     while (forwarder->unsent != NULL) {
+        // NOLINTNEXTLINE(clang-analyzer-unix.Malloc): the table forgets what is freed
         forget_unsent(forwarder, forwarder->unsent);
     }
 }
@@ -350,9 +353,13 @@
     fill_entry(&entry, &epoch, request);
     entry.state = CW__JOURNAL_STATE__JOURNAL_FINISHED;
     entry.status = response->status;
-    entry.headers = response->headers;
-    entry.n_headers = response->header_count;
-    entry.body.data = (uint8_t *)response->body;
-    entry.body.len = response->body_length;
+    entry.answer_omitted = cw_journal_answer_size(response->headers, response->header_count, response->body_length) >
+                           CW_JOURNAL_ANSWER_MAX;
+    if (!entry.answer_omitted) {
+        entry.headers = response->headers;
+        entry.n_headers = response->header_count;
+        entry.body.data = (uint8_t *)response->body;
+        entry.body.len = response->body_length;
+    }
     send_finish(forwarder, request, &entry);
 }
--- a/src/core/forwarder_opening.c
+++ b/src/core/forwarder_opening.c
@@ -11,16 +11,24 @@
  *     SEAL_OWN -> open (a majority of the range's own set was opened: all entries are there already)
  *              -> READ_OWN -> COPY       (a minority was: its forwarder ended in between)
  *              -> SEAL_FORMER -> COPY    (the set is new: entries come from the former set)
- *              -> COPY                   (no former set that can be trusted)
+ *              -> COPY                   (the range never had another set, and nothing was ever opened: it is new)
+ *     any of these -> WAIT_READY -> COPY (what was started before cannot be told any more)
  *     COPY     -> open
  *
  * Rules:
  * - An opening counts only for the set that is asked, and only when no epoch left that set since. A majority of
  *   answers always includes one replica of any majority that opened or left before.
- * - A set that was named in the routes but never opened holds nothing: then the ids that may have been used so far are
- *   given up. They are answered unknown: valid_from = now + 2 x skew, because a former forwarder's clock may be one
- *   skew ahead of this one, and the ids that it took one skew ahead of that.
- * - While the seal finds no majority it is repeated for ever. The control group ends that by a new set.
+ * - The routes name a former set from the first change of a range's set on, and the parts of a split range inherit it.
+ *   So without a former set, and without any opening or leaving known to a majority of the own set, nothing was ever
+ *   started in the range.
+ * - A set that was named in the routes but never opened holds nothing, and a former set of which a majority is gone can
+ *   tell nothing. Then the ids that may have been used so far are given up: they are answered unknown. Since nothing
+ *   seals a former forwarder then, this is done only once the server has accepted the grant under the present fence
+ *   (readiness READY): from then on the server itself refuses lower fences, or its lease under them is over. Ids used
+ *   before that are not above now + 2 x skew, because a former forwarder's clock may be one skew ahead of this one, and
+ *   the ids that it took one skew ahead of that.
+ * - A replica is gone when another process answers in its place, or when the routes do not list it as up or leaving.
+ * - While a seal finds no majority it is repeated.
  * - Entries are the union of all answers. Started at any replica counts as started; finished beats started.
  * - After the majority the copying goes on to the remaining replicas, a bounded number of times.
  *
@@ -33,6 +41,7 @@
 #include <string.h>
 
 #include "cedarwinch/error.h"
+#include "cedarwinch/journal.h"
 #include "core/forwarder_internal.h"
 
 enum {
@@ -89,7 +98,9 @@
     size_t bytes = 0;
 
     while (position < opening->copied_count && position - first < COPY_ENTRIES && bytes < COPY_BYTES) {
-        bytes += opening->copied[position]->body.len;
+        const Cw__JournalEntry *entry = opening->copied[position];
+
+        bytes += cw_journal_answer_size(entry->headers, entry->n_headers, entry->body.len);
         position++;
     }
     return position;
@@ -139,6 +150,7 @@
 static void end_exchange(cw_forwarder_t *forwarder, cw_opening_replica_t *replica)
 {
     if (replica->exchange != 0) {
+        // NOLINTNEXTLINE(clang-analyzer-core.NullDereference): an exchange that is set is in the table
         HASH_DEL(forwarder->openings, replica);
         replica->exchange = 0;
     }
@@ -184,15 +196,16 @@
 
 /* What a majority of a sealed set says about its openings. */
 typedef struct opening_evidence {
-    bool   valid; /**< the set was opened, and no epoch left it since */
-    size_t count; /**< replicas that know of that opening */
+    bool   valid;   /**< the set was opened, and no epoch left it since */
+    bool   history; /**< something was opened or left, for whatever set */
+    size_t count;   /**< replicas that know of that opening */
 } opening_evidence_t;
 
 static opening_evidence_t weigh_evidence(const cw_forwarder_range_t *range)
 {
     const cw_opening_replica_t *replicas = range->opening.replicas;
     const cw_replica_set_t     *set = phase_set(range);
-    opening_evidence_t          evidence = {false, 0};
+    opening_evidence_t          evidence = {false, false, 0};
     cw_fence_t                  opened = {0, 0};
     cw_fence_t                  left = {0, 0};
     size_t                      index;
@@ -201,6 +214,7 @@
         if (!replicas[index].done) {
             continue;
         }
+        evidence.history |= replicas[index].opened.generation != 0 || replicas[index].left.generation != 0;
         if (replicas[index].opened_set == set->digest) {
             opened = cw_fence_max(opened, replicas[index].opened);
         }
@@ -243,13 +257,43 @@
     enter_phase(forwarder, range, phase, now);
 }
 
-static void give_up_former_ids(const cw_forwarder_t *forwarder, cw_forwarder_range_t *range, cw_instant_t now)
+/* Gives up the ids used so far, once the server refuses what a former forwarder may still send. */
+static void wait_ready(cw_forwarder_t *forwarder, cw_forwarder_range_t *range, cw_instant_t now)
 {
     int64_t valid_from_ms = now.wall_ms + SKEWS_BETWEEN_IDS * forwarder->options.clock_skew_ms;
 
+    if (forwarder->view.readiness(forwarder->view.context, range->id, range->fence) != CW_RANGE_READY) {
+        end_exchanges(forwarder, range);
+        range->opening.phase = CW_OPENING_WAIT_READY;
+        set_timer(forwarder, range, now);
+        return;
+    }
     if (valid_from_ms > range->valid_from_ms) {
         range->valid_from_ms = valid_from_ms;
     }
+    start_copy(forwarder, range, CW_OPENING_COPY, now);
+}
+
+static bool is_gone(const cw_forwarder_t *forwarder, const cw_replica_set_t *set, size_t index)
+{
+    const Cw__NodeInfo *node = cw_control_state_node(forwarder->routes, set->nodes[index]);
+
+    return node == NULL || node->incarnation != set->incarnations[index] ||
+           (node->state != CW__NODE_STATE__NODE_UP && node->state != CW__NODE_STATE__NODE_LEAVING);
+}
+
+/* Can the former set never again have a majority? */
+static bool is_former_lost(const cw_forwarder_t *forwarder, const cw_forwarder_range_t *range)
+{
+    size_t gone = 0;
+    size_t index;
+
+    for (index = 0; index < range->former.count; index++) {
+        if (range->opening.replicas[index].failed || is_gone(forwarder, &range->former, index)) {
+            gone++;
+        }
+    }
+    return range->former.count - gone < cw_replica_set_majority(&range->former);
 }
 
 static void decide_own(cw_forwarder_t *forwarder, cw_forwarder_range_t *range, cw_instant_t now)
@@ -264,8 +308,9 @@
         enter_phase(forwarder, range, CW_OPENING_READ_OWN, now);
     } else if (range->former.count > 0 && range->former.digest != range->own.digest) {
         enter_phase(forwarder, range, CW_OPENING_SEAL_FORMER, now);
+    } else if (range->former.count > 0 || evidence.history) {
+        wait_ready(forwarder, range, now);
     } else {
-        give_up_former_ids(forwarder, range, now);
         start_copy(forwarder, range, CW_OPENING_COPY, now);
     }
 }
@@ -276,10 +321,11 @@
     take_valid_from(range);
     range->opening.answers_missing =
         forwarder->options.unfinished_first && range->opening.phase == CW_OPENING_SEAL_FORMER;
-    if (!weigh_evidence(range).valid) {
-        give_up_former_ids(forwarder, range, now);
+    if (weigh_evidence(range).valid) {
+        start_copy(forwarder, range, CW_OPENING_COPY, now);
+    } else {
+        wait_ready(forwarder, range, now);
     }
-    start_copy(forwarder, range, CW_OPENING_COPY, now);
 }
 
 static void decide_phase(cw_forwarder_t *forwarder, cw_forwarder_range_t *range, cw_instant_t now)
@@ -415,6 +461,12 @@
             return;
         }
     }
+    if (range->opening.phase == CW_OPENING_WAIT_READY ||
+        (range->opening.phase == CW_OPENING_SEAL_FORMER && is_former_lost(forwarder, range))) {
+        take_valid_from(range);
+        wait_ready(forwarder, range, now);
+        return;
+    }
     set_timer(forwarder, range, now);
     for (index = 0; index < count; index++) {
         cw_opening_replica_t *replica = &range->opening.replicas[index];
--- a/src/core/forwarder_recovered.c
+++ b/src/core/forwarder_recovered.c
@@ -19,7 +19,7 @@
     opening->copied_count = 0;
     HASH_ITER(hh, opening->recovered, entry, next)
     {
-        HASH_DEL(opening->recovered, entry);
+        HASH_DEL(opening->recovered, entry); // NOLINT(clang-analyzer-unix.Malloc): the table forgets what is freed
         cw__journal_entry__free_unpacked(entry->message, NULL);
         free(entry);
     }
--- a/src/core/journal_entries.c
+++ b/src/core/journal_entries.c
@@ -35,12 +35,24 @@
     free(entry);
 }
 
+size_t cw_journal_answer_size(Cw__Header *const *headers, size_t header_count, size_t body_length)
+{
+    size_t size = body_length;
+    size_t position;
+
+    for (position = 0; position < header_count; position++) {
+        size += strlen(headers[position]->name) + strlen(headers[position]->value);
+    }
+    return size;
+}
+
 /* Removes the stored answer when it is larger than this replica keeps. */
 static void bound_answer(const cw_journal_t *journal, Cw__JournalEntry *message)
 {
+    size_t size = cw_journal_answer_size(message->headers, message->n_headers, message->body.len);
     size_t position;
 
-    if (message->body.len <= journal->options.body_limit) {
+    if (size <= journal->options.body_limit) {
         return;
     }
     free(message->body.data);
--- a/src/core/journal_seal.c
+++ b/src/core/journal_seal.c
@@ -53,7 +53,7 @@
         copy->n_headers = 0;
         copy->answer_omitted = true;
     }
-    page->bytes += copy->body.len;
+    page->bytes += cw_journal_answer_size(copy->headers, copy->n_headers, copy->body.len);
     page->entries[page->count] = copy;
     page->count++;
 }
--- a/src/daemon/peer_inbound.c
+++ b/src/daemon/peer_inbound.c
@@ -85,8 +85,10 @@
         error = deliver(inbound, inbound->received.data + position, (size_t)payload);
         position += (size_t)payload;
     }
-    inbound->received.length -= position;
-    memmove(inbound->received.data, inbound->received.data + position, inbound->received.length);
+    if (position > 0) {
+        inbound->received.length -= position;
+        memmove(inbound->received.data, inbound->received.data + position, inbound->received.length);
+    }
     if (inbound->received.length == 0 && inbound->received.capacity > KEEP_CAPACITY) {
         cw_bytes_clear(&inbound->received);
     }
--- a/src/daemon/peer_outbound.c
+++ b/src/daemon/peer_outbound.c
@@ -22,7 +22,7 @@
 
 #include "adapters/socket_address.h"
 
-enum { DISCARD_BYTES = 256 };
+enum { DISCARD_BYTES = 256, KEEP_CAPACITY = 256 * 1024 /* a larger written buffer is given back */ };
 
 static void on_connection_closed(uv_handle_t *handle)
 {
@@ -188,6 +188,9 @@
 
     connection->write_active = false;
     connection->writing.length = 0;
+    if (connection->writing.capacity > KEEP_CAPACITY) {
+        cw_bytes_clear(&connection->writing);
+    }
     if (connection->peer == NULL) {
         return;
     }
--- a/tests/common/forwarder_world.c
+++ b/tests/common/forwarder_world.c
@@ -12,6 +12,7 @@
 
 const int world_set_all[] = {0, 1, 2, -1};
 const int world_set_other[] = {2, 3, 4, -1};
+const int world_set_third[] = {0, 3, 4, -1};
 const int world_set_none[] = {-1};
 
 world_t world;
@@ -61,21 +62,33 @@
     return 10 * CW_US_PER_S;
 }
 
-void world_create(bool unfinished_first)
+static void start_replica(int index, cw_incarnation_t incarnation)
+{
+    cw_ports_t           ports = {.send = port_send};
+    cw_journal_options_t options = {incarnation, WINDOW_MS, 10000, 1024};
+
+    ck_assert_int_eq(cw_journal_create(&world.journals[index], &options, &ports), 0);
+}
+
+void world_restart_replica(int index)
+{
+    cw_journal_free(world.journals[index]);
+    start_replica(index, 500 + (uint64_t)index);
+}
+
+void world_create(world_options_t wanted)
 {
     int index;
 
     world.network_count = world.sent_count = world.answer_count = world.cancelled_count = 0;
     world.last_gateway_id = 0;
+    world.answer_length = 2;
     world.readiness = CW_RANGE_READY;
     world.now.monotonic_us = CW_US_PER_S;
     world.now.wall_ms = WALL_MS;
     memset(world.replica_cut, 0, sizeof(world.replica_cut));
     for (index = 0; index < REPLICAS; index++) {
-        cw_ports_t           ports = {.send = port_send};
-        cw_journal_options_t options = {100 + (uint64_t)index, WINDOW_MS, 10000, 1024};
-
-        ck_assert_int_eq(cw_journal_create(&world.journals[index], &options, &ports), 0);
+        start_replica(index, 100 + (uint64_t)index);
     }
     for (index = 0; index < FORWARDERS; index++) {
         cw_ports_t             ports = {(void *)(intptr_t)index, .send = port_send};
@@ -85,7 +98,8 @@
                                           .journal_window_ms = WINDOW_MS,
                                           .clock_skew_ms = SKEW_MS,
                                           .journal_timeout_us = JOURNAL_TIMEOUT_US,
-                                          .unfinished_first = unfinished_first};
+                                          .journal_everything = wanted.journal_everything,
+                                          .unfinished_first = wanted.unfinished_first};
 
         ports.server_request = port_server_request;
         ports.server_cancel = port_server_cancel;
@@ -191,6 +205,21 @@
 }
 
 /* Forwarder `viewer` learns that `owner` forwards under an epoch with these journal sets. */
+/* Replicas that are cut off count as down in the routes. */
+static size_t fill_nodes(Cw__NodeInfo *nodes, Cw__NodeInfo **pointers)
+{
+    size_t index;
+
+    for (index = 0; index < REPLICAS; index++) {
+        cw__node_info__init(&nodes[index]);
+        nodes[index].id = (uint32_t)index + 1;
+        nodes[index].incarnation = 100 + index;
+        nodes[index].state = world.replica_cut[index] ? CW__NODE_STATE__NODE_DOWN : CW__NODE_STATE__NODE_UP;
+        pointers[index] = &nodes[index];
+    }
+    return REPLICAS;
+}
+
 void world_route(int viewer, int owner, uint64_t epoch, const int *own, const int *former)
 {
     Cw__ControlSnapshot       snapshot = CW__CONTROL_SNAPSHOT__INIT;
@@ -203,6 +232,8 @@
     Cw__Fence                 server_fence = CW__FENCE__INIT;
     Cw__ReplicaReference      references[2 * REPLICAS];
     Cw__ReplicaReference     *pointers[2 * REPLICAS];
+    Cw__NodeInfo              nodes[REPLICAS];
+    Cw__NodeInfo             *node_pointers[REPLICAS];
     Cw__TenantConfiguration  *tenants[] = {&tenant};
     Cw__ServiceConfiguration *services[] = {&service};
     Cw__ServerConfiguration  *servers[] = {&server};
@@ -236,6 +267,8 @@
     snapshot.tenants = tenants;
     snapshot.servers = infos;
     snapshot.ranges = ranges;
+    snapshot.nodes = node_pointers;
+    snapshot.n_nodes = fill_nodes(nodes, node_pointers);
     snapshot.n_tenants = snapshot.n_servers = snapshot.n_ranges = 1;
     ck_assert_int_eq(cw_control_state_merge(world.routes[viewer], &snapshot, NULL, 0, true), 0);
     cw_forwarder_routes_changed(world.forwarders[viewer], world.routes[viewer], world.now);
@@ -287,9 +320,10 @@
 
 void world_respond(size_t index, cw_server_result_t result)
 {
-    cw_server_response_t response = {.id = world.sent[index].id, .result = result, .status = 200, .body = "ok"};
+    static char          body[2 * CW_JOURNAL_ANSWER_MAX];
+    cw_server_response_t response = {.id = world.sent[index].id, .result = result, .status = 200, .body = body};
 
-    response.body_length = 2;
+    response.body_length = world.answer_length;
     response.reason = result == CW_SERVER_REFUSED ? "fence" : NULL;
     world.sent[index].over = true;
     world.sent[index].may_have_run = result == CW_SERVER_ANSWERED || result == CW_SERVER_BROKEN;
--- a/tests/common/forwarder_world.h
+++ b/tests/common/forwarder_world.h
@@ -50,6 +50,7 @@
     Cw__ForwardResponse *answers[ANSWERS_MAX];
     size_t               answer_count;
     size_t               cancelled_count;
+    size_t               answer_length; /**< body bytes of the server's answers */
     cw_instant_t         now;
     cw_range_readiness_t readiness;
     bool                 replica_cut[REPLICAS]; /**< messages to it are lost */
@@ -59,6 +60,7 @@
 /* Sets of journal replicas, ended by -1. */
 extern const int world_set_all[];
 extern const int world_set_other[];
+extern const int world_set_third[];
 extern const int world_set_none[];
 
 extern world_t world;
@@ -72,7 +74,14 @@
     uint64_t key_hash;
 } world_request_t;
 
-void world_create(bool unfinished_first);
+typedef struct world_options {
+    bool unfinished_first;
+    bool journal_everything;
+} world_options_t;
+
+void world_create(world_options_t options);
+/** An empty replica of another incarnation takes its place. */
+void world_restart_replica(int index);
 void world_destroy(void);
 void world_deliver_first(void);
 void world_deliver_all(void);
--- a/tests/test_evidence.c
+++ b/tests/test_evidence.c
@@ -257,7 +257,8 @@
     ck_assert_uint_eq(summary.effects, 4);
     ck_assert_uint_eq(summary.key_moves, 1);
     ck_assert_double_eq_tol(summary.imbalance, 3.0 / 2, 0.001);
-    ck_assert_int_eq(summary.unavailable_us, 420 - 220); /* r3 was intended at 220, r2 answered at 420 */
+    ck_assert_int_eq(summary.unavailable_us, 420 - 220);       /* r3 was intended at 220, r2 answered at 420 */
+    ck_assert_int_eq(summary.unavailable_least_us, 320 - 220); /* r4 ended unknown at 320 */
     ck_assert_uint_eq(summary.keys_with_gap, 1);
     ck_assert_int_eq(summary.p50_us, 20);
 }
--- a/tests/test_forwarder.c
+++ b/tests/test_forwarder.c
@@ -10,7 +10,7 @@
 
 static void setup(void)
 {
-    world_create(false);
+    world_create((world_options_t){0});
 }
 
 /* ------------------------------------------------------------------------------------------------ queue, route -- */
@@ -252,6 +252,44 @@
 }
 END_TEST
 
+START_TEST(large_answer_is_not_replayed_in_part)
+{
+    int64_t  time_ms;
+    uint64_t again;
+
+    world_open_range(0, 4, world_set_all, world_set_none);
+    time_ms = world.now.wall_ms;
+    world.answer_length = CW_JOURNAL_ANSWER_MAX + 1;
+    world_request(0, 4, (world_request_t){.number = 1});
+    world_deliver_all();
+    world_respond(0, CW_SERVER_ANSWERED);
+    world_deliver_all();
+    again = world_request(0, 4, (world_request_t){.number = 1, .time_ms = time_ms});
+    world_assert_reason(again, CW_REASON_STARTED_BEFORE);
+}
+END_TEST
+
+START_TEST(baseline_journals_repeatable_requests_too)
+{
+    int64_t time_ms;
+
+    world_destroy();
+    world_create((world_options_t){.journal_everything = true});
+    world_open_range(0, 4, world_set_all, world_set_none);
+    time_ms = world.now.wall_ms;
+    world_request(0, 4, (world_request_t){.number = 1, .repeatable = true, .timeout_us = INT64_MAX});
+    ck_assert_uint_eq(world.sent_count, 0);
+    world_deliver_all();
+    ck_assert_uint_eq(world.sent_count, 1);
+    world_respond(0, CW_SERVER_ANSWERED);
+    world_deliver_all();
+    ck_assert_uint_eq(cw_journal_entry_count(world.journals[0]), 1);
+    world_request(0, 4, (world_request_t){.number = 1, .time_ms = time_ms, .repeatable = true});
+    world_deliver_all();
+    ck_assert_uint_eq(world.sent_count, 2);
+}
+END_TEST
+
 START_TEST(refused_by_the_server_may_run_again)
 {
     int64_t  time_ms;
@@ -329,7 +367,7 @@
     uint64_t unknown;
 
     world_destroy();
-    world_create(_i == 1);
+    world_create((world_options_t){.unfinished_first = _i == 1});
     take_over_with_entries(world_set_other, world_set_all, &time_ms);
     moving = world_request(1, 5, (world_request_t){.number = 1, .time_ms = time_ms});
     world_assert_reason(moving, CW_REASON_MOVING);
@@ -353,7 +391,8 @@
     while (world.network_count > 0) {
         cw__envelope__free_unpacked(world.network[--world.network_count], NULL);
     }
-    world_route(2, 2, 6, world_set_other, world_set_none); /* the routes name the new set as if it held the journal */
+    world_route(2, 2, 6, world_set_third,
+                world_set_other); /* the routes name the second set as if it held the journal */
     world_deliver_all();
     first = world_request(2, 6, (world_request_t){.number = 1, .time_ms = time_ms});
     world_assert_reason(first, CW_REASON_ID_TOO_OLD);
@@ -366,6 +405,65 @@
 }
 END_TEST
 
+START_TEST(ids_are_given_up_when_the_former_set_is_lost)
+{
+    int64_t  time_ms;
+    uint64_t moving;
+    uint64_t given_up;
+
+    take_over_with_entries(world_set_other, world_set_all, &time_ms);
+    while (world.network_count > 0) {
+        cw__envelope__free_unpacked(world.network[--world.network_count], NULL);
+    }
+    world.replica_cut[0] = world.replica_cut[1] = true;
+    world.readiness = CW_RANGE_PENDING;
+    world_route(2, 2, 6, world_set_other, world_set_all);
+    world_deliver_all();
+    world_advance(JOURNAL_TIMEOUT_US);
+    world_deliver_all();
+    ck_assert_uint_eq(cw_journal_entry_count(world.journals[3]), 0);
+    world.readiness = CW_RANGE_READY; /* only now is it sure that no former forwarder starts anything */
+    moving = world_request(2, 6, (world_request_t){.number = 8});
+    world_assert_reason(moving, CW_REASON_MOVING);
+    world_advance(JOURNAL_TIMEOUT_US);
+    world_deliver_all();
+    given_up = world_request(2, 6, (world_request_t){.number = 1, .time_ms = time_ms});
+    world_assert_reason(given_up, CW_REASON_ID_TOO_OLD);
+    world_advance(2 * SKEW_MS * CW_US_PER_MS);
+    world_request(2, 6, (world_request_t){.number = 9});
+    world_deliver_all();
+    ck_assert_uint_eq(world.sent_count, 3);
+}
+END_TEST
+
+START_TEST(routes_taken_back_to_an_older_set_are_not_trusted)
+{
+    int64_t  time_ms;
+    uint64_t given_up;
+
+    take_over_with_entries(world_set_other, world_set_all, &time_ms);
+    world_deliver_all();
+    world_request(1, 5, (world_request_t){.number = 3, .time_ms = time_ms});
+    world_deliver_all();
+    ck_assert_uint_eq(world.sent_count, 3);
+    world_route(2, 2, 6, world_set_all, world_set_none); /* from a snapshot made before the set changed */
+    world_deliver_all();
+    given_up = world_request(2, 6, (world_request_t){.number = 3, .time_ms = time_ms});
+    world_assert_reason(given_up, CW_REASON_ID_TOO_OLD);
+    ck_assert_uint_eq(world.sent_count, 3);
+}
+END_TEST
+
+START_TEST(new_range_opens_without_giving_up_ids)
+{
+    world_route(0, 0, 4, world_set_all, world_set_none);
+    world_deliver_all();
+    world_request(0, 4, (world_request_t){.number = 1});
+    world_deliver_all();
+    ck_assert_uint_eq(world.sent_count, 1);
+}
+END_TEST
+
 START_TEST(set_opened_at_a_minority_is_copied_to_the_rest)
 {
     int64_t  time_ms;
@@ -471,11 +569,16 @@
     tcase_add_test(tests, nothing_is_sent_before_a_majority_and_the_id_stays_usable);
     tcase_add_test(tests, repeated_id_is_replayed_in_progress_reused_or_unknown);
     tcase_add_test(tests, deadline_after_a_duplicate_is_not_called_not_run);
+    tcase_add_test(tests, large_answer_is_not_replayed_in_part);
+    tcase_add_test(tests, baseline_journals_repeatable_requests_too);
     tcase_add_test(tests, refused_by_the_server_may_run_again);
     tcase_add_test(tests, id_time_is_bounded_on_both_sides);
     tcase_add_test(tests, deposed_forwarder_is_refused_by_the_seal);
     tcase_add_loop_test(tests, entries_are_copied_before_the_range_opens, 0, 2);
     tcase_add_test(tests, set_that_was_never_opened_is_not_trusted);
+    tcase_add_test(tests, ids_are_given_up_when_the_former_set_is_lost);
+    tcase_add_test(tests, routes_taken_back_to_an_older_set_are_not_trusted);
+    tcase_add_test(tests, new_range_opens_without_giving_up_ids);
     tcase_add_test(tests, set_opened_at_a_minority_is_copied_to_the_rest);
     tcase_add_test(tests, opening_waits_for_a_majority_of_the_former_set);
     tcase_add_test(tests, hot_key_is_found_among_many);
--- a/tests/test_forwarder_race.c
+++ b/tests/test_forwarder_race.c
@@ -10,29 +10,33 @@
 
 static void setup(void)
 {
-    world_create(false);
+    world_create((world_options_t){0});
 }
 
 enum { RACE_IDS = 6, RACE_STEPS = 900, RACE_SEEDS = 400 };
 
 typedef struct race {
-    uint64_t random_state;
-    uint64_t epochs[FORWARDERS]; /**< 0: the forwarder has not heard of its epoch yet */
+    uint64_t   random_state;
+    uint64_t   variant;            /**< how the journal sets change */
+    const int *former;             /**< former journal set, as the routes name it */
+    uint64_t   epochs[FORWARDERS]; /**< 0: the forwarder has not heard of its epoch yet */
 } race_t;
 
 static void race_route(race_t *race, int forwarder)
 {
-    static const int *const  sets[2][FORWARDERS] = {{world_set_all, world_set_all, world_set_all},
-                                                    {world_set_all, world_set_other, world_set_all}};
-    const int *const        *own = sets[cw_random_below(&race->random_state, 2)];
-    static const int *const *chosen;
-
-    if (forwarder == 0) {
-        chosen = own;
+    static const int *const sets[][FORWARDERS] = {
+        {world_set_all, world_set_all, world_set_all},
+        {world_set_all, world_set_other, world_set_all},
+        {world_set_all, world_set_other, world_set_other},
+        {world_set_all, world_set_other, world_set_third},
+    };
+    const int *const *own = sets[race->variant];
+
+    if (forwarder > 0 && own[forwarder] != own[forwarder - 1]) {
+        race->former = own[forwarder - 1];
     }
     race->epochs[forwarder] = 4 + (uint64_t)forwarder;
-    world_route(forwarder, forwarder, race->epochs[forwarder], chosen[forwarder],
-                forwarder == 0 || chosen[forwarder] == chosen[forwarder - 1] ? world_set_none : chosen[forwarder - 1]);
+    world_route(forwarder, forwarder, race->epochs[forwarder], own[forwarder], race->former);
 }
 
 static void race_network(race_t *race)
@@ -121,8 +125,11 @@
 
 static void race_run(uint64_t seed)
 {
-    race_t  race = {.random_state = seed};
+    race_t  race = {.random_state = seed, .variant = seed / 2 % 4, .former = world_set_none};
     int64_t time_ms;
+    int     first_change = 200;
+    int     second_change = 201 + (int)cw_random_below(&race.random_state, 300);
+    int     restart = (int)cw_random_below(&race.random_state, 2 * RACE_STEPS);
     int     step;
     size_t  index;
 
@@ -131,8 +138,11 @@
     world_advance(2 * CW_US_PER_S);
     time_ms = world.now.wall_ms;
     for (step = 0; step < RACE_STEPS; step++) {
-        if (step == 200 || step == 500) {
-            race_route(&race, step == 200 ? 1 : 2);
+        if (step == first_change || step == second_change) {
+            race_route(&race, step == first_change ? 1 : 2);
+        }
+        if (step == restart) {
+            world_restart_replica(2); /* the one that is in most sets; a majority of each stays */
         }
         race_step(&race, time_ms);
     }
@@ -151,7 +161,7 @@
     memset(race_runs, 0, sizeof(race_runs));
     for (seed = 1; seed <= RACE_SEEDS; seed++) {
         world_destroy();
-        world_create(seed % 2 == 0);
+        world_create((world_options_t){.unfinished_first = seed % 2 == 0});
         race_run(seed);
     }
     ck_assert_uint_gt(race_runs[0], RACE_SEEDS);
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -98,7 +98,7 @@
     cw_raw_client_send(to, text, strlen(text));
 }
 
-static void answer(uint64_t caller_id, const char *body)
+static void answer_status(uint64_t caller_id, uint32_t status, const char *body)
 {
     Cw__ForwardResponse response = CW__FORWARD_RESPONSE__INIT;
     Cw__Header          header = CW__HEADER__INIT;
@@ -110,7 +110,7 @@
     forged.name = "cw-outcome";
     forged.value = "unknown";
     response.outcome = CW__OUTCOME__OUTCOME_ANSWERED;
-    response.status = 200;
+    response.status = status;
     response.headers = headers;
     response.n_headers = 2;
     response.body.data = (uint8_t *)body;
@@ -118,6 +118,11 @@
     cw_http_server_respond(server, caller_id, &response);
 }
 
+static void answer(uint64_t caller_id, const char *body)
+{
+    answer_status(caller_id, 200, body);
+}
+
 typedef struct wanted {
     const cw_raw_client_t *from;
     const char            *text;
@@ -232,6 +237,25 @@
 }
 END_TEST
 
+/* Answers that have no body by their method or status must not write one, or the next answer would be misread. */
+START_TEST(test_answers_without_body_keep_their_framing)
+{
+    static const uint32_t statuses[] = {200, 204, 304};
+
+    send_text(&client, _i == 0 ? "HEAD /v1/acme/docks/7 HTTP/1.1\r\nHost: h\r\n\r\n"
+                               : "GET /v1/acme/docks/7 HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_requests(1);
+    answer_status(seen[0].caller_id, statuses[_i], "must not be written");
+    send_text(&client, "GET /v1/acme/docks/8 HTTP/1.1\r\nHost: h\r\n\r\n");
+    wait_requests(2);
+    answer(seen[1].caller_id, "second");
+    wait_text(&client, "second", 1);
+    ck_assert_uint_eq(cw_raw_client_count(&client, "must not be written"), 0);
+    ck_assert_uint_eq(cw_raw_client_count(&client, "\r\n\r\nHTTP/1.1 200"), 1);
+    ck_assert_uint_eq(cw_raw_client_count(&client, "transfer-encoding"), 0);
+}
+END_TEST
+
 static bool no_connection(void *context)
 {
     (void)context;
@@ -331,6 +355,7 @@
     tcase_add_test(group, test_request_is_read_and_answered);
     tcase_add_test(group, test_refusal_says_outcome_reason_and_retry);
     tcase_add_test(group, test_answers_are_never_swapped);
+    tcase_add_loop_test(group, test_answers_without_body_keep_their_framing, 0, 3);
     tcase_add_test(group, test_hang_up_cancels_once);
     tcase_add_test(group, test_too_large_body_is_refused);
     tcase_add_loop_test(group, test_malformed_request_is_refused, 0, 5);
--- a/tests/test_peer_transport.c
+++ b/tests/test_peer_transport.c
@@ -8,6 +8,7 @@
 
 #include "cedarwinch/adapters.h"
 #include "common/event_wait.h"
+#include "daemon/peer_internal.h"
 
 enum { NODE_A = 1, NODE_B = 2, LARGE_BYTES = 20 * 1024 * 1024, MANY = 2000 };
 
@@ -114,6 +115,11 @@
     return ((end_t *)context)->last_sequence == 2;
 }
 
+static bool is_written(void *context)
+{
+    return !((cw_peer_t *)context)->connection->write_active;
+}
+
 static bool is_lost(void *context)
 {
     return ((end_t *)context)->lost >= 1;
@@ -192,6 +198,24 @@
 }
 END_TEST
 
+/* A connection that is not used is closed by its sender without a report, and opened again on demand. */
+START_TEST(test_idle_connection_is_closed)
+{
+    cw_peer_t *peer = end_a.transport->peers;
+
+    send_heartbeat(1);
+    ck_assert(cw_event_wait(&loop, one_received, &end_b));
+    ck_assert(cw_event_wait(&loop, is_written, peer));
+    cw_peer_outbound_close_idle(peer, peer->last_used_ms + CW_PEER_IDLE_MS - 1);
+    ck_assert_int_eq(peer->state, CW_PEER_CONNECTED);
+    cw_peer_outbound_close_idle(peer, peer->last_used_ms + CW_PEER_IDLE_MS);
+    ck_assert_int_eq(peer->state, CW_PEER_IDLE);
+    send_heartbeat(2);
+    ck_assert(cw_event_wait(&loop, second_heartbeat_received, &end_b));
+    ck_assert_uint_eq(end_a.lost, 0);
+}
+END_TEST
+
 /* Rows: too large a length, no length, bytes that are no envelope, an envelope that names no sender. */
 START_TEST(test_malformed_frame_closes_connection)
 {
@@ -239,6 +263,7 @@
     tcase_add_test(group, test_full_queue_drops);
     tcase_add_test(group, test_refused_connection_is_reported);
     tcase_add_test(group, test_restarted_peer_is_reached_again);
+    tcase_add_test(group, test_idle_connection_is_closed);
     tcase_add_loop_test(group, test_malformed_frame_closes_connection, 0, 4);
     tcase_add_test(group, test_second_sender_on_one_connection_is_refused);
     suite_add_tcase(suite, group);
