--- a/src/adapters/platform_internal.h
+++ b/src/adapters/platform_internal.h
@@ -19,7 +19,7 @@
 };
 
 /** Prefix of the names of cedarwinch's own objects. */
-#define CW_PLATFORM_PREFIX "cedarwinch/"
+#define CW_PLATFORM_PREFIX "config/"
 
 /** A store request under way. */
 typedef struct cw_platform_call {
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -294,6 +294,7 @@
 
     node->routes_changed = false;
     update_leader(node);
+    cw_node_operator_leader_lost(node, 0);
     cw_agent_routes_changed(node->agent, routes, now);
     cw_forwarder_routes_changed(node->forwarder, routes, now);
 }
@@ -414,6 +415,7 @@
 void cw_node_peer_lost(cw_node_t *node, cw_node_id_t peer, cw_instant_t now)
 {
     cw_gateway_node_lost(node->gateway, peer, now);
+    cw_node_operator_leader_lost(node, peer);
     cw_node_settle(node, now);
 }
 
--- a/src/core/node_bootstrap.c
+++ b/src/core/node_bootstrap.c
@@ -41,7 +41,7 @@
     if (bootstrap->seed_count > node->options.seed_count) {
         bootstrap->seed_count = node->options.seed_count;
     }
-    bootstrap->seed_info = calloc(bootstrap->seed_count, sizeof(*bootstrap->seed_info));
+    bootstrap->seed_info = calloc(bootstrap->seed_count, sizeof(void *));
     bootstrap->seed_heard = calloc(bootstrap->seed_count, sizeof(*bootstrap->seed_heard));
     bootstrap->next_attempt = 1;
     if (bootstrap->seed_info == NULL || bootstrap->seed_heard == NULL) {
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -18,6 +18,8 @@
     struct cw_operator_wait *next;
     uint64_t                 id;
     uint64_t                 caller_id;
+    cw_node_id_t             leader;  /**< whom it was sent to */
+    bool                     changes; /**< may take effect: its outcome is unknown when the leader is lost */
     cw_time_us_t             deadline;
 } cw_operator_wait_t;
 
@@ -81,6 +83,8 @@
 /* node_operator.c */
 void cw_node_operator_response(cw_node_t *node, const Cw__OperatorResponse *response);
 void cw_node_operator_tick(cw_node_t *node, cw_instant_t now);
+/** Ends the waits for a leader that is lost or leads no more; 0: for every one but the present leader. */
+void cw_node_operator_leader_lost(cw_node_t *node, cw_node_id_t lost);
 void cw_node_operator_clear(cw_node_t *node);
 /** Answers an operator's request that reached a node without a control replica. */
 void cw_node_operator_refuse(cw_node_t *node, const Cw__OperatorRequest *request);
--- a/src/core/node_operator.c
+++ b/src/core/node_operator.c
@@ -3,8 +3,9 @@
  * @brief Operators' requests: any node takes them, the leader answers them.
  *
  * Rules: the receiving node replaces the token by its digest at once and says whether the digest is an administrator's
- * of its settings. With no leader known the request is refused at once. One that the leader does not answer in time
- * ends as unknown: it may have taken effect, and the operator is told to look at the status.
+ * of its settings. With no leader known the request is refused at once. When the leader that it was sent to is lost,
+ * leads no more or does not answer in time, it ends at once: as unavailable if it only reads, else as unknown, since it
+ * may have taken effect, and the operator is told to look at the status.
  */
 #include <openssl/crypto.h>
 #include <openssl/sha.h>
@@ -39,7 +40,8 @@
 }
 
 /* Appends: the list stays ordered by deadline, since every request waits equally long. */
-static void add_wait(cw_node_t *node, uint64_t id, uint64_t caller_id, cw_instant_t now)
+static void add_wait(cw_node_t *node, const Cw__OperatorRequest *request, uint64_t caller_id, cw_node_id_t leader,
+                     cw_instant_t now)
 {
     cw_operator_wait_t **end = &node->operator_waits;
     cw_operator_wait_t  *wait = calloc(1, sizeof(*wait));
@@ -47,8 +49,10 @@
     if (wait == NULL) {
         return;
     }
-    wait->id = id;
+    wait->id = request->id;
     wait->caller_id = caller_id;
+    wait->leader = leader;
+    wait->changes = strcmp(request->operation, "confirm") == 0 || strcmp(request->operation, "drain") == 0;
     wait->deadline = now.monotonic_us + OPERATOR_TIMEOUT_US;
     while (*end != NULL) {
         end = &(*end)->next;
@@ -81,7 +85,7 @@
     request.authorized_administrator = is_administrator(node, digest);
     envelope.body_case = CW__ENVELOPE__BODY_OPERATOR_REQUEST;
     envelope.operator_request = &request;
-    add_wait(node, request.id, caller_id, now);
+    add_wait(node, &request, caller_id, leader->id, now);
     cw_node_send(node, leader->id, &envelope);
     cw_node_settle(node, now);
 }
@@ -117,6 +121,18 @@
     free(wait);
 }
 
+/* Gives the final answer to a wait whose leader will not answer, and frees it. */
+static void give_up(cw_node_t *node, cw_operator_wait_t *wait)
+{
+    if (wait->changes) {
+        answer(node, wait->caller_id, STATUS_TIMEOUT,
+               "{\"error\":\"the leader did not answer; the outcome is not known, see status\"}", 0);
+    } else {
+        answer(node, wait->caller_id, STATUS_UNAVAILABLE, "{\"error\":\"the leader did not answer\"}", RETRY_AFTER_S);
+    }
+    free(wait);
+}
+
 void cw_node_operator_tick(cw_node_t *node, cw_instant_t now)
 {
     cw_operator_wait_t *wait;
@@ -124,9 +140,26 @@
     while (node->operator_waits != NULL && now.monotonic_us >= node->operator_waits->deadline) {
         wait = node->operator_waits;
         node->operator_waits = wait->next;
-        answer(node, wait->caller_id, STATUS_TIMEOUT,
-               "{\"error\":\"the leader did not answer in time; the outcome is not known, see status\"}", 0);
-        free(wait);
+        give_up(node, wait);
+    }
+}
+
+void cw_node_operator_leader_lost(cw_node_t *node, cw_node_id_t lost)
+{
+    const Cw__NodeInfo  *leader = cw_relay_leader(node->relay);
+    cw_operator_wait_t **place = &node->operator_waits;
+    cw_operator_wait_t  *wait;
+    bool                 ended;
+
+    while (*place != NULL) {
+        wait = *place;
+        ended = lost != 0 ? wait->leader == lost : leader != NULL && wait->leader != leader->id;
+        if (!ended) {
+            place = &wait->next;
+            continue;
+        }
+        *place = wait->next;
+        give_up(node, wait);
     }
 }
 
