--- a/src/core/control.c
+++ b/src/core/control.c
@@ -194,7 +194,6 @@
     control->options.initial_snapshot = NULL;
     control->ports = *ports;
     control->now = now;
-    control->last_tick_us = now.monotonic_us;
     control->next_tick_us = now.monotonic_us;
     control->leader_heard_us = now.monotonic_us;
     control->random_state = options->seed;
@@ -279,32 +278,8 @@
     cw_control_tend_confirmations(control);
 }
 
-/* After a pause of this process, what others failed to tell meanwhile is no sign of their silence. Leases are not
- * touched by this: they are reckoned from when readings arrived. */
-static void forgive_own_pause(cw_control_t *control, cw_time_us_t pause_us)
-{
-    cw_leading_t      *leading = &control->leading;
-    cw_node_track_t   *node;
-    cw_server_track_t *server;
-    size_t             position;
-
-    for (position = 0; position < leading->nodes.count; position++) {
-        node = leading->nodes.slots[position].value;
-        node->heard_us += pause_us;
-    }
-    for (position = 0; position < leading->servers.count; position++) {
-        server = leading->servers.slots[position].value;
-        server->expected_us = control->now.monotonic_us;
-    }
-}
-
 static void tick_leader(cw_control_t *control)
 {
-    cw_time_us_t pause_us = control->now.monotonic_us - control->last_tick_us;
-
-    if (pause_us > control->options.node_silence_us / 2) {
-        forgive_own_pause(control, pause_us);
-    }
     (void)cw_raft_round_begin(control->raft, control->now.monotonic_us);
     cw_control_scan_nodes(control);
     cw_control_scan_servers(control);
@@ -323,7 +298,6 @@
         if (control->leading.active) {
             tick_leader(control);
         }
-        control->last_tick_us = now.monotonic_us;
         control->next_tick_us = now.monotonic_us + CW_CONTROL_TICK_US;
     }
     settle(control);
--- a/src/core/control_internal.h
+++ b/src/core/control_internal.h
@@ -235,7 +235,6 @@
     cw_raft_t           *raft;
     cw_control_state_t  *state;
     cw_instant_t         now; /**< of the event being handled */
-    cw_time_us_t         last_tick_us;
     cw_time_us_t         next_tick_us;
     cw_time_us_t         leader_heard_us; /**< last raft message from another member */
     cw_time_us_t         leaving_us;      /**< 0: not leaving */
@@ -292,6 +291,8 @@
 bool cw_control_node_live(const cw_control_t *control, cw_node_id_t node, cw_incarnation_t incarnation);
 /** May new roles be given to the node? */
 bool cw_control_node_usable(const cw_control_t *control, const Cw__NodeInfo *node);
+/** The servers that a node forwards for may need another forwarder. */
+void cw_control_mark_servers_of(cw_control_t *control, const cw_node_track_t *track);
 void cw_control_decide_nodes(cw_control_t *control, cw_command_builder_t *builder);
 
 /* ---- control_servers.c: forwarders, fences and draining of servers ---- */
--- a/src/core/control_lead.c
+++ b/src/core/control_lead.c
@@ -218,6 +218,17 @@
     return former->id == 0 && former->service == range->service;
 }
 
+/* What the node did for others may be over: its servers and the journals it keeps are looked at again. */
+static void note_node(cw_control_t *control, cw_node_id_t id)
+{
+    cw_node_track_t *track = cw_control_make_node_track(control, id);
+
+    control->leading.journals_changed = true;
+    if (track != NULL) {
+        cw_control_mark_servers_of(control, track);
+    }
+}
+
 void cw_control_note_applied(cw_control_t *control, const Cw__Command *command, uint64_t index)
 {
     const cw_fence_t fence = {control->options.generation, index};
@@ -227,8 +238,7 @@
         note_removed(control, command->removed_ranges[position]);
     }
     for (position = 0; position < command->n_nodes; position++) {
-        (void)cw_control_make_node_track(control, command->nodes[position]->id);
-        control->leading.journals_changed = true;
+        note_node(control, command->nodes[position]->id);
     }
     for (position = 0; position < command->n_tenants; position++) {
         note_tenant(control, command->tenants[position]);
--- a/src/core/control_lease.c
+++ b/src/core/control_lease.c
@@ -194,6 +194,9 @@
         free(leading->heartbeats[answered].readings);
         answered++;
     }
+    if (answered == 0) {
+        return;
+    }
     leading->heartbeat_count -= answered;
     memmove(leading->heartbeats, leading->heartbeats + answered,
             leading->heartbeat_count * sizeof(*leading->heartbeats));
--- a/src/core/control_nodes.c
+++ b/src/core/control_nodes.c
@@ -196,7 +196,7 @@
 
 /* ---- silence ---- */
 
-static void mark_servers_of(cw_control_t *control, const cw_node_track_t *track)
+void cw_control_mark_servers_of(cw_control_t *control, const cw_node_track_t *track)
 {
     size_t position;
 
@@ -221,7 +221,7 @@
             cw_control_mark(control, &control->leading.dirty_nodes, track->id);
         }
         if (info->state != CW__NODE_STATE__NODE_UP || !heard_lately(control, track)) {
-            mark_servers_of(control, track);
+            cw_control_mark_servers_of(control, track);
         }
     }
 }
@@ -236,7 +236,7 @@
             wanted = *recorded;
             wanted.state = CW__NODE_STATE__NODE_DOWN;
             cw_command_add_node(builder, &wanted);
-            mark_servers_of(control, track);
+            cw_control_mark_servers_of(control, track);
         }
         return;
     }
@@ -244,7 +244,7 @@
         wanted = *track->told;
         wanted.state = told_state(control, track);
         cw_command_add_node(builder, &wanted);
-        mark_servers_of(control, track);
+        cw_control_mark_servers_of(control, track);
     }
 }
 
--- a/tests/common/control_cluster.c
+++ b/tests/common/control_cluster.c
@@ -79,27 +79,60 @@
     return (size_t)((cluster_node_t *)context - cluster.nodes);
 }
 
+static void queue_message(cw_node_id_t to, const Cw__Envelope *envelope, cw_time_us_t delay_us)
+{
+    cluster_event_t *event = add_event(EVENT_MESSAGE, to - 1, delay_us);
+
+    event->length = cw__envelope__get_packed_size(envelope);
+    event->bytes = malloc(event->length);
+    cw__envelope__pack(envelope, event->bytes);
+}
+
+static bool chance(uint32_t percent)
+{
+    return percent > 0 && cw_random_below(&cluster.random_state, 100) < percent;
+}
+
+/* Only the latest request is waited for; it is answered once. */
+static void take_answer(const Cw__OperatorResponse *response)
+{
+    if (response->id != cluster.next_request) {
+        return;
+    }
+    ck_assert_uint_eq(cluster.answer_status, 0);
+    cluster.answer_status = response->status;
+    free(cluster.answer);
+    cluster.answer = strdup(response->json);
+}
+
+/* As if the request had been sent before there were entries. */
+static void strip_entries(Cw__Envelope *envelope)
+{
+    if (envelope->body_case == CW__ENVELOPE__BODY_RAFT &&
+        envelope->raft->body_case == CW__RAFT_MESSAGE__BODY_APPEND_REQUEST) {
+        envelope->raft->append_request->n_entries = 0;
+    }
+}
+
 static void port_send(void *context, cw_node_id_t to, Cw__Envelope *envelope)
 {
-    cluster_event_t *event;
+    const cluster_node_t *from = context;
 
     if (envelope->body_case == CW__ENVELOPE__BODY_OPERATOR_RESPONSE) {
-        ck_assert_uint_eq(envelope->operator_response->id, cluster.next_request);
-        ck_assert_uint_eq(cluster.answer_status, 0);
-        cluster.answer_status = envelope->operator_response->status;
-        free(cluster.answer);
-        cluster.answer = strdup(envelope->operator_response->json);
+        take_answer(envelope->operator_response);
         return;
     }
-    if (to == 0 || to > CLUSTER_NODES || ((cluster_node_t *)context)->cut ||
-        cw_random_below(&cluster.random_state, 100) < cluster.drop_percent) {
+    if (to == 0 || to > CLUSTER_NODES || from->cut || from->group != cluster.nodes[to - 1].group ||
+        chance(cluster.drop_percent)) {
         return;
     }
-    event =
-        add_event(EVENT_MESSAGE, to - 1, MESSAGE_DELAY_US + (cw_time_us_t)cw_random_below(&cluster.random_state, 500));
-    event->length = cw__envelope__get_packed_size(envelope);
-    event->bytes = malloc(event->length);
-    cw__envelope__pack(envelope, event->bytes);
+    if (cluster.drop_entries) {
+        strip_entries(envelope);
+    }
+    queue_message(to, envelope, MESSAGE_DELAY_US + (cw_time_us_t)cw_random_below(&cluster.random_state, 500));
+    if (chance(cluster.duplicate_percent)) {
+        queue_message(to, envelope, (cw_time_us_t)cw_random_below(&cluster.random_state, 2 * CW_US_PER_S));
+    }
 }
 
 static void port_learn_node(void *context, const Cw__NodeInfo *node)
@@ -131,7 +164,7 @@
     event->call = call->kind;
     event->incarnation = call->incarnation;
     event->lease_end_us = call->lease_end_us;
-    while (cluster.servers[event->server].configuration.id != call->server->id) {
+    while (event->server < CLUSTER_SERVERS && cluster.servers[event->server].configuration.id != call->server->id) {
         event->server++;
     }
     order.n_grants = call->grant_count;
@@ -164,7 +197,9 @@
 {
     cluster_grant_t *place;
 
-    ck_assert_uint_lt(server->grant_count, CLUSTER_GRANTS);
+    if (server->grant_count == CLUSTER_GRANTS) {
+        ck_abort_msg("too many grants");
+    }
     place = &server->grants[server->grant_count++];
     place->grant = *grant;
     place->fence = *grant->fence;
@@ -282,20 +317,23 @@
     event->draining = server->draining;
 }
 
+static bool can_reach(const cluster_node_t *node, size_t server)
+{
+    return server < CLUSTER_SERVERS && !cluster.servers[server].cut && !node->cut &&
+           cluster.servers[server].group == node->group;
+}
+
 /* The call reaches the server; its answer goes back as another event. */
 static void deliver_call(cluster_event_t *event)
 {
-    cluster_server_t *server = &cluster.servers[event->server];
-    cw_time_us_t      delay_us = CALL_DELAY_US;
-    cluster_event_t  *answer;
+    cw_time_us_t     delay_us = CALL_DELAY_US;
+    cluster_event_t *answer;
 
-    if (event->call == CW_SERVER_REVOKE) {
-        delay_us += server->drain_us;
-    }
-    if (server->cut || cluster.nodes[event->node].cut) {
+    if (!can_reach(&cluster.nodes[event->node], event->server)) {
         event->error = CW_ERROR_TIMEOUT;
         delay_us = HEARTBEAT_US;
     } else {
+        delay_us += event->call == CW_SERVER_REVOKE ? cluster.servers[event->server].drain_us : 0;
         run_call(event);
     }
     answer = add_event(EVENT_CALL_ANSWER, event->node, delay_us);
@@ -359,10 +397,11 @@
                 continue;
             }
             for (right = 0; right < CLUSTER_SERVERS; right++) {
-                ck_assert_msg(left == right || !cluster_holds(&cluster.servers[right],
-                                                              cluster.servers[left].grants[position].grant.low),
-                              "two owners of one key: servers %zu and %zu at %ld us", left, right,
-                              (long)cluster.now.monotonic_us);
+                if (left != right &&
+                    cluster_holds(&cluster.servers[right], cluster.servers[left].grants[position].grant.low)) {
+                    ck_abort_msg("two owners of one key: servers %zu and %zu at %ld us", left, right,
+                                 (long)cluster.now.monotonic_us);
+                }
             }
         }
     }
@@ -572,18 +611,35 @@
     }
 }
 
-cluster_node_t *cluster_leader(void)
+static bool is_newer_leader(const cluster_node_t *node, const cluster_node_t *leader)
+{
+    if (!node->running || node->paused || node->cut || node->control == NULL || !cw_control_is_leader(node->control)) {
+        return false;
+    }
+    return leader == NULL ||
+           cw_raft_term(cw_control_raft(node->control)) > cw_raft_term(cw_control_raft(leader->control));
+}
+
+cluster_node_t *cluster_leader_of(int group)
 {
     cluster_node_t *leader = NULL;
     cluster_node_t *node;
 
     for (node = cluster.nodes; node < cluster.nodes + CLUSTER_NODES; node++) {
-        if (!node->running || node->paused || node->cut || node->control == NULL ||
-            !cw_control_is_leader(node->control)) {
-            continue;
+        if (node->group == group && is_newer_leader(node, leader)) {
+            leader = node;
         }
-        if (leader == NULL ||
-            cw_raft_term(cw_control_raft(node->control)) > cw_raft_term(cw_control_raft(leader->control))) {
+    }
+    return leader;
+}
+
+cluster_node_t *cluster_leader(void)
+{
+    cluster_node_t *leader = NULL;
+    cluster_node_t *node;
+
+    for (node = cluster.nodes; node < cluster.nodes + CLUSTER_NODES; node++) {
+        if (is_newer_leader(node, leader)) {
             leader = node;
         }
     }
@@ -600,15 +656,16 @@
 /* In place of the relay: nodes that are not cut off see the leader's state at once. */
 static void tick_node(cluster_node_t *node)
 {
-    cluster_node_t           *leader = cluster_leader();
-    const cw_control_state_t *state = cluster_state();
+    cluster_node_t           *leader = cluster_leader_of(node->group);
+    const cw_control_state_t *state;
 
     if (!node->running || node->paused) {
         return;
     }
     if (leader != NULL && !node->cut) {
+        state = cw_control_state(leader->control);
         cw_agent_set_leader(node->agent, leader->info.id);
-        if (cw_control_state_version(state) != node->route_version) {
+        if (cw_control_state_version(state) > node->route_version) {
             node->route_version = cw_control_state_version(state);
             cw_agent_routes_changed(node->agent, state, cluster.now);
         }
@@ -679,7 +736,7 @@
         snprintf(server->name, sizeof(server->name), "s%zu", position);
         cw__server_configuration__init(&server->configuration);
         server->configuration.id = cw_hash_server("t", "s", server->name);
-        server->configuration.zone = zones[position % 3];
+        server->configuration.zone = zones[2 - position % 3]; /* not in step with the nodes' ids */
         cluster_restart_server(position);
         server->clock_offset_us = (int64_t)cw_random_below(&cluster.random_state, 1000) * CW_US_PER_S + 1;
         server->clock_drift_ppm = (int64_t)cw_random_below(&cluster.random_state, 1000) - 500;
--- a/tests/common/control_cluster.h
+++ b/tests/common/control_cluster.h
@@ -35,6 +35,7 @@
     cw_time_us_t            started_us;
     int64_t                 lease_end_us;
     bool                    cut;      /**< cannot be reached, but runs on */
+    int                     group;    /**< nodes of other groups cannot reach it */
     bool                    draining; /**< its own word */
     cw_time_us_t            drain_us; /**< time that a revocation takes */
     cluster_grant_t         grants[CLUSTER_GRANTS];
@@ -49,6 +50,7 @@
     bool          running;
     bool          paused; /**< messages pile up */
     bool          cut;    /**< sends and receives nothing */
+    int           group;  /**< nodes of different groups cannot reach each other */
     uint64_t      route_version;
     cw_ports_t    ports;
 } cluster_node_t;
@@ -73,6 +75,8 @@
     cluster_store_mode_t store_mode;
     uint64_t             random_state;
     uint32_t             drop_percent;
+    bool                 drop_entries;      /**< log entries do not reach other replicas, all else does */
+    uint32_t             duplicate_percent; /**< messages that arrive again, up to two seconds later */
     uint32_t             lease_ms;
     uint64_t             next_request;
     uint32_t             answer_status; /**< of the last operator answer; 0: none yet */
@@ -90,6 +94,8 @@
 bool cluster_run_until(bool (*condition)(void), cw_time_us_t limit_us);
 
 cluster_node_t *cluster_leader(void); /**< the newest leader that is neither paused nor cut; NULL: none */
+/** The newest one that a group of nodes can reach, as the relay would tell them. */
+cluster_node_t *cluster_leader_of(int group);
 /** State of the leader; NULL: none. */
 const cw_control_state_t *cluster_state(void);
 void                      cluster_stop_node(size_t node); /**< the process ends */
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -165,6 +165,97 @@
 }
 END_TEST
 
+/* While the leader is paused, a forwarder that only it can reach goes on sending it fresh readings. Resumed, it has
+ * them all before it learns that it was deposed: only the quorum round keeps it from renewing on them. */
+START_TEST(readings_that_pile_up_at_a_paused_leader_are_not_renewed_on)
+{
+    cluster_node_t *former;
+    cluster_node_t *forwarder;
+    size_t          server = 0;
+
+    begin_service();
+    former = cluster_leader();
+    while (server_info(server)->forwarder == former->info.id || server_info(server)->forwarder <= CLUSTER_CONTROLS) {
+        server++;
+    }
+    forwarder = &cluster.nodes[server_info(server)->forwarder - 1];
+    former->paused = true;
+    former->group = forwarder->group = cluster.servers[server].group = 1;
+    cluster_run(4 * SECOND);
+    ck_assert_ptr_nonnull(cluster_leader_of(0));
+    former->paused = false;
+    cluster_run(6 * SECOND);
+    ck_assert_ptr_nonnull(cluster_leader_of(0));
+    ck_assert(cluster_settled());
+}
+END_TEST
+
+static bool has_leader(void)
+{
+    return cluster_leader() != NULL;
+}
+
+/* A command that takes ranges from a silent server is under way for long, and the server comes back meanwhile. */
+START_TEST(a_server_is_granted_nothing_while_its_ranges_are_being_taken)
+{
+    begin_service();
+    cluster.servers[0].cut = true;
+    cluster_restart_server(0);
+    cluster_stop_node((size_t)(cluster_leader() - cluster.nodes));
+    ck_assert(cluster_run_until(has_leader, 3 * SECOND));
+    cluster_run((LONG_LEASE_MS - 500) * CW_US_PER_MS);
+    cluster.drop_entries = true;
+    cluster_run(SECOND);
+    ck_assert_uint_eq(cluster_ranges_of(0), RANGES / SERVERS);
+    cluster.servers[0].cut = false;
+    cluster_run(SECOND);
+    cluster.drop_entries = false;
+    ck_assert(cluster_run_until(cluster_settled, 3 * SECOND));
+    cluster_run(SECOND);
+}
+END_TEST
+
+START_TEST(reports_of_a_node_that_is_not_the_forwarder_do_not_count)
+{
+    Cw__ServerReport  report = CW__SERVER_REPORT__INIT;
+    Cw__ServerReport *reports[] = {&report};
+    Cw__Heartbeat     heartbeat = CW__HEARTBEAT__INIT;
+    Cw__Envelope      envelope = CW__ENVELOPE__INIT;
+    uint64_t          fence;
+
+    begin_service();
+    fence = server_info(0)->fence->index;
+    report.server = cluster.servers[0].configuration.id;
+    report.reachable = true;
+    report.incarnation = 999;
+    report.clock_us = 1;
+    heartbeat.node = &cluster.nodes[server_info(0)->forwarder % CLUSTER_NODES].info;
+    heartbeat.sequence = 1000;
+    heartbeat.n_servers = 1;
+    heartbeat.servers = reports;
+    envelope.body_case = CW__ENVELOPE__BODY_HEARTBEAT;
+    envelope.heartbeat = &heartbeat;
+    cw_control_receive(cluster_leader()->control, &envelope, cluster.now);
+    cluster_run(SECOND);
+    ck_assert_uint_eq(server_info(0)->fence->index, fence);
+}
+END_TEST
+
+START_TEST(a_new_service_waits_a_little_for_all_servers)
+{
+    size_t server;
+
+    cluster.servers[0].cut = true;
+    cluster_accept(SERVERS);
+    cluster_run(SECOND / 2);
+    cluster.servers[0].cut = false;
+    ck_assert(cluster_run_until(cluster_settled, 5 * SECOND));
+    for (server = 0; server < SERVERS; server++) {
+        ck_assert_uint_eq(cluster.servers[server].accepted, RANGES / SERVERS);
+    }
+}
+END_TEST
+
 START_TEST(a_restarted_server_is_granted_its_ranges_again)
 {
     uint64_t fence;
@@ -291,6 +382,23 @@
 }
 END_TEST
 
+START_TEST(a_forwarder_that_restarts_at_once_is_noticed)
+{
+    cw_node_id_t     forwarder;
+    cw_incarnation_t former;
+
+    begin_service();
+    forwarder =
+        server_info(0)->forwarder == cluster_leader()->info.id ? server_info(1)->forwarder : server_info(0)->forwarder;
+    former = cluster.nodes[forwarder - 1].info.incarnation;
+    cluster_restart_node(forwarder - 1);
+    cluster_run(3 * SECOND);
+    ck_assert(cluster_settled());
+    ck_assert_uint_ne(server_info(0)->forwarder_incarnation, former);
+    ck_assert_uint_ne(server_info(1)->forwarder_incarnation, former);
+}
+END_TEST
+
 static bool names_node(void *context, const Cw__RangeInfo *range)
 {
     const cw_incarnation_t *incarnation = context;
@@ -425,6 +533,67 @@
 }
 END_TEST
 
+static bool last_node_is_recorded_otherwise(void)
+{
+    const Cw__NodeInfo *last = &cluster.nodes[CLUSTER_NODES - 1].info;
+
+    return cw_control_state_node(cluster_state(), last->id)->incarnation != last->incarnation;
+}
+
+START_TEST(late_heartbeat_of_a_former_incarnation_is_ignored)
+{
+    Cw__Heartbeat heartbeat = CW__HEARTBEAT__INIT;
+    Cw__Envelope  envelope = CW__ENVELOPE__INIT;
+    Cw__NodeInfo  former;
+
+    begin_service();
+    former = cluster.nodes[CLUSTER_NODES - 1].info;
+    cluster_restart_node(CLUSTER_NODES - 1);
+    cluster_run(3 * SECOND);
+    heartbeat.node = &former;
+    heartbeat.sequence = 1000;
+    envelope.body_case = CW__ENVELOPE__BODY_HEARTBEAT;
+    envelope.heartbeat = &heartbeat;
+    cw_control_receive(cluster_leader()->control, &envelope, cluster.now);
+    ck_assert(!cluster_run_until(last_node_is_recorded_otherwise, SECOND));
+}
+END_TEST
+
+START_TEST(a_group_that_was_replaced_stops_leading)
+{
+    Cw__Bootstrap     record = CW__BOOTSTRAP__INIT;
+    cluster_object_t *object;
+
+    begin_service();
+    cluster_run(SECOND);
+    object = cluster_object("cedarwinch/bootstrap");
+    record.generation = 9;
+    object->length = cw__bootstrap__get_packed_size(&record);
+    cw__bootstrap__pack(&record, object->value);
+    object->version = ++cluster.store_revision;
+    cluster_stop_node((size_t)(cluster_leader() - cluster.nodes));
+    cluster_run(5 * SECOND);
+    ck_assert_ptr_null(cluster_leader());
+}
+END_TEST
+
+static bool fifth_node_is_down(void)
+{
+    return cw_control_state_node(cluster_state(), 5)->state != CW__NODE_STATE__NODE_UP;
+}
+
+START_TEST(the_machine_list_drains_but_never_condemns_alone)
+{
+    begin_service();
+    cw_control_machine_listed(cluster_leader()->control, "t/s/s1", "gone", cluster.now);
+    cw_control_machine_listed(cluster_leader()->control, "node/5", "gone", cluster.now);
+    cw_control_machine_listed(cluster_leader()->control, "t/s/s0", "leaving", cluster.now);
+    ck_assert(!cluster_run_until(fifth_node_is_down, 2 * SECOND));
+    ck_assert(first_server_is_empty());
+    ck_assert_uint_gt(cluster_ranges_of(1), 0);
+}
+END_TEST
+
 /* ---- operators ---- */
 
 static void confirm(const char *plan, const char *token, uint32_t status, cw_time_us_t limit_us)
@@ -524,6 +693,49 @@
 }
 END_TEST
 
+START_TEST(plans_of_one_tenant_are_not_confirmed_by_another)
+{
+    static const char intent[] = "tenant: u\noperator_tokens: [%s]\ncaller_tokens: [%s]\nservices:\n- name: s\n"
+                                 "  slots_per_server: 1\n  servers:\n"
+                                 "  - {name: s0, address: 127.0.0.1, port: 9100, zone: a}\n";
+    char              digest[] = "d9298a10d1b0735837dc4bd85dac641b0f3cef27a47e5d53a54f2f3f5b2fcffa"; /* of "other" */
+    char              text[2048];
+    char             *id;
+
+    begin_service();
+    snprintf(text, sizeof(text), intent, digest, digest);
+    cluster_ask("plan", text, NULL);
+    id = cluster_answer_text("plan");
+    confirm(id, "token", 404, SECOND);
+    confirm(id, NULL, 200, SECOND);
+    free(id);
+    id = plan(SERVERS + 1, "token");
+    confirm(id, "other", 404, SECOND);
+    cluster_ask("explain", "t/s key", "other");
+    ck_assert_uint_eq(cluster.answer_status, 404);
+    cluster_ask("status", "", "other");
+    ck_assert_ptr_null(strstr(cluster.answer, "\"name\":\"t\""));
+    confirm(id, "token", 200, SECOND);
+    free(id);
+}
+END_TEST
+
+START_TEST(changed_limits_need_an_administrator_at_confirmation_too)
+{
+    char  text[2048];
+    char *id;
+
+    begin_service();
+    cluster_intent(text, sizeof(text), SERVERS);
+    snprintf(text + strlen(text), sizeof(text) - strlen(text), "limits: {requests_per_second: 7}\n");
+    cluster_ask("plan", text, NULL);
+    id = cluster_answer_text("plan");
+    confirm(id, "token", 403, SECOND);
+    confirm(id, NULL, 200, SECOND);
+    free(id);
+}
+END_TEST
+
 START_TEST(findings_are_told_together)
 {
     begin_service();
@@ -580,6 +792,10 @@
     tcase_add_test(leases, new_leader_waits_for_leases_of_its_predecessor);
     tcase_add_test(leases, a_paused_leader_renews_nothing_afterwards);
     tcase_add_test(tests, a_deposed_leader_cannot_renew_without_a_quorum);
+    tcase_add_test(leases, readings_that_pile_up_at_a_paused_leader_are_not_renewed_on);
+    tcase_add_test(leases, a_server_is_granted_nothing_while_its_ranges_are_being_taken);
+    tcase_add_test(tests, reports_of_a_node_that_is_not_the_forwarder_do_not_count);
+    tcase_add_test(tests, a_new_service_waits_a_little_for_all_servers);
     tcase_add_test(tests, a_restarted_server_is_granted_its_ranges_again);
     tcase_add_test(tests, a_server_whose_lease_lapsed_is_granted_its_ranges_again);
     tcase_add_test(tests, a_drained_server_keeps_a_range_until_it_releases_it);
@@ -587,11 +803,17 @@
     tcase_add_test(tests, a_removed_server_is_emptied_and_forgotten);
     tcase_add_test(tests, a_hot_key_gets_a_range_of_its_own);
     tcase_add_test(tests, a_lost_forwarder_is_replaced_before_the_lease_is_over);
+    tcase_add_test(tests, a_forwarder_that_restarts_at_once_is_noticed);
     tcase_add_test(tests, lost_journal_replicas_are_replaced_and_the_old_set_named);
     tcase_add_test(tests, with_a_majority_of_replicas_lost_older_request_ids_are_given_up);
     tcase_add_test(tests, a_leaving_forwarder_hands_its_servers_over_drained);
     tcase_add_test(tests, a_dead_voter_is_replaced_and_the_record_says_so);
     tcase_add_test(tests, a_leaving_leader_hands_over_and_is_taken_out);
+    tcase_add_test(tests, late_heartbeat_of_a_former_incarnation_is_ignored);
+    tcase_add_test(tests, a_group_that_was_replaced_stops_leading);
+    tcase_add_test(tests, the_machine_list_drains_but_never_condemns_alone);
+    tcase_add_test(tests, plans_of_one_tenant_are_not_confirmed_by_another);
+    tcase_add_test(tests, changed_limits_need_an_administrator_at_confirmation_too);
     tcase_add_test(tests, of_two_racing_plans_one_is_stale);
     tcase_add_test(tests, a_lost_answer_of_the_store_is_settled_by_reading_back);
     tcase_add_test(tests, without_the_store_nothing_is_accepted_and_that_is_said);
