--- a/src/core/node.c
+++ b/src/core/node.c
@@ -293,7 +293,6 @@
     const cw_control_state_t *routes = cw_relay_routes(node->relay);
 
     node->routes_changed = false;
-    update_leader(node);
     cw_node_operator_leader_lost(node, 0);
     cw_agent_routes_changed(node->agent, routes, now);
     cw_forwarder_routes_changed(node->forwarder, routes, now);
@@ -319,6 +318,7 @@
     node->settling = true;
     do {
         update_source(node, now);
+        update_leader(node);
         if (node->routes_changed) {
             announce_routes(node, now);
         }
@@ -346,7 +346,6 @@
     cw_node_bootstrap_tick(node, now);
     cw_node_operator_tick(node, now);
     cw_relay_tick(node->relay, now);
-    update_leader(node);
     if (now.monotonic_us >= node->next_load_report) {
         node->next_load_report = now.monotonic_us + LOAD_REPORT_INTERVAL_US;
         cw_forwarder_each_load(node->forwarder, report_load, node, now);
