Benchmarks with regression bounds: make bench

Cause: nothing measured the router against the servers it fronts, so a change that made it slower or dearer went unseen. The load tool could only speak to gateways. Ruled out: absolute times as bounds (shared machines differ by more than any regression); runs one after the other (load of other programs changes in between): the direct and the routed run get the same seeded arrivals at the same time, against twin servers.

--- a/bench/load/client.c
+++ b/bench/load/client.c
@@ -86,10 +86,14 @@
 {
     size_t i;
 
-    call->end = CW_CALL_OTHER;
+    call->end = call->from_server ? CW_CALL_ANSWERED : CW_CALL_OTHER;
     for (i = 0; i < count; i++) {
         if (h2o_memis(headers[i].name->base, headers[i].name->len, H2O_STRLIT("cw-outcome"))) {
             call->end = outcome_of(headers[i].value);
+        } else if (call->from_server &&
+                   h2o_memis(headers[i].name->base, headers[i].name->len, H2O_STRLIT("cw-not-run"))) {
+            call->end = CW_CALL_NOT_RUN;
+            copy_value(call->reason, sizeof(call->reason), headers[i].value);
         } else if (h2o_memis(headers[i].name->base, headers[i].name->len, H2O_STRLIT("cw-reason"))) {
             copy_value(call->reason, sizeof(call->reason), headers[i].value);
         } else if (h2o_memis(headers[i].name->base, headers[i].name->len, H2O_STRLIT("request-id"))) {
--- a/bench/load/client.h
+++ b/bench/load/client.h
@@ -28,7 +28,8 @@
     /* set by the caller */
     char   *text; /**< head and body; malloc()ed, freed with the call */
     size_t  text_length;
-    int64_t wait_ms; /**< for the answer, from its sending */
+    int64_t wait_ms;     /**< for the answer, from its sending */
+    bool    from_server; /**< the answer comes from a back-end server, which says cw-not-run or nothing */
     void (*ended)(struct cw_call *call);
     /* set by the client */
     cw_call_end_t end;
--- a/bench/load/load.h
+++ b/bench/load/load.h
@@ -91,6 +91,11 @@
 void cw_report_print(const cw_load_t *load, FILE *stream);
 int  cw_report_write_json(const cw_load_t *load, const char *file_name);
 
+/* ---- request_text.c ---- */
+/** Head and body, malloc()ed; host: "IP:PORT" of the gateway or server. */
+char *cw_request_text(const cw_stream_options_t *options, const char *key, const char *request_id, const char *host,
+                      size_t *length);
+
 /* ---- request.c: one request from its time to its record ---- */
 /** key: text; intended_us: real time. */
 void cw_request_send(cw_load_t *load, size_t stream, const char *key, int64_t intended_us);
--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -33,9 +33,11 @@
 static void declare_flags(flags_t *flags)
 {
     flags->gateways = arg_strn(NULL, "gateway", "IP:PORT", 0, GATEWAYS_MAX, "a gateway; requests go round all of them");
-    flags->streams = arg_strn(NULL, "stream", "FIELDS", 0, STREAMS_MAX,
-                              "tenant=T,service=S,token=X[,rate=R][,keys=N][,zipf=Z][,method=M][,path=/P]"
-                              "[,timeout_ms=N][,non_repeatable=0|1][,repeat=SHARE]");
+    flags->streams =
+        arg_strn(NULL, "stream", "FIELDS", 0, STREAMS_MAX,
+                 "tenant=T,service=S,token=X[,rate=R][,keys=N][,zipf=Z][,method=M][,path=/P]"
+                 "[,timeout_ms=N][,non_repeatable=0|1][,repeat=SHARE][,fence=F]; with a fence, the gateways are "
+                 "back-end servers that hold the keys under it");
     flags->duration_s = arg_dbl0(NULL, "duration-s", "S", "length of the run (10)");
     flags->warmup_s = arg_dbl0(NULL, "warmup-s", "S", "first part that is not counted (0)");
     flags->seed = arg_int0(NULL, "seed", "N", "seed of arrivals and keys (1)");
--- a/bench/load/request.c
+++ b/bench/load/request.c
@@ -1,6 +1,6 @@
 /**
  * @file request.c
- * @brief One request of the load tool: its text, its repeat by an impatient caller, its answer's record.
+ * @brief One request of the load tool: its sending, its repeat by an impatient caller, its answer's record.
  */
 #include <inttypes.h>
 #include <jansson.h>
@@ -13,8 +13,6 @@
 #include "load.h"
 
 enum {
-    TEXT_SIZE = 2048,
-    BODY_SIZE = 64,
     GRACE_MS = 2000 /**< waited beyond the request's own timeout: the gateway should have answered by then */
 };
 
@@ -46,34 +44,6 @@
     return (int64_t)now.tv_sec * 1000 + now.tv_usec / 1000;
 }
 
-static char *make_text(const request_t *request, size_t *length)
-{
-    const cw_stream_options_t *options = cw_stream_options(request->load->streams[request->stream]);
-    const char                *path = strcmp(options->path, "/") == 0 ? "" : options->path;
-    bool                       has_body = strcmp(options->method, "GET") != 0 && strcmp(options->method, "HEAD") != 0;
-    char                       body[BODY_SIZE] = "";
-    char                      *text = malloc(TEXT_SIZE);
-    int                        written;
-
-    if (text == NULL) {
-        abort();
-    }
-    if (has_body) {
-        snprintf(body, sizeof(body), "{\"id\":\"%s\"}", request->request_id);
-    }
-    written = snprintf(text, TEXT_SIZE,
-                       "%s /v1/%s/%s/%s%s HTTP/1.1\r\nhost: %s\r\nauthorization: Bearer %s\r\nrequest-id: %s\r\n"
-                       "request-timeout-ms: %" PRIu32 "\r\ncontent-length: %zu\r\n\r\n%s",
-                       options->method, options->tenant, options->service, request->key, path,
-                       cw_client_gateway_name(request->load->client, request->gateway), options->token,
-                       request->request_id, options->timeout_ms, strlen(body), body);
-    if (written < 0 || written >= TEXT_SIZE) {
-        abort();
-    }
-    *length = (size_t)written;
-    return text;
-}
-
 /* Whose answer is it? Both the request-id header and the stand-in's echo in the body must name this request. */
 static echo_t find_echo(const request_t *request)
 {
@@ -180,7 +150,10 @@
     const cw_stream_options_t *options = cw_stream_options(load->streams[request->stream]);
 
     request->gateway = load->next_gateway++ % cw_client_gateways(load->client);
-    request->call.text = make_text(request, &request->call.text_length);
+    request->call.text =
+        cw_request_text(options, request->key, request->request_id,
+                        cw_client_gateway_name(load->client, request->gateway), &request->call.text_length);
+    request->call.from_server = options->fence != NULL;
     request->call.wait_ms = (int64_t)options->timeout_ms + GRACE_MS;
     request->call.ended = on_request_ended;
     cw_client_send(load->client, request->gateway, &request->call);
--- a/bench/load/stream.c
+++ b/bench/load/stream.c
@@ -36,6 +36,7 @@
     {"token", FIELD_TEXT, offsetof(cw_stream_options_t, token)},
     {"method", FIELD_TEXT, offsetof(cw_stream_options_t, method)},
     {"path", FIELD_TEXT, offsetof(cw_stream_options_t, path)},
+    {"fence", FIELD_TEXT, offsetof(cw_stream_options_t, fence)},
     {"rate", FIELD_NUMBER, offsetof(cw_stream_options_t, rate)},
     {"keys", FIELD_COUNT, offsetof(cw_stream_options_t, keys)},
     {"zipf", FIELD_NUMBER, offsetof(cw_stream_options_t, zipf)},
@@ -132,6 +133,7 @@
     free(options->token);
     free(options->method);
     free(options->path);
+    free(options->fence);
     *options = (cw_stream_options_t){0};
 }
 
--- a/bench/load/stream.h
+++ b/bench/load/stream.h
@@ -15,7 +15,8 @@
     char    *token;
     char    *method;
     char    *path;
-    double   rate; /**< requests a second; 0: only those of a trace */
+    char    *fence; /**< NULL: to gateways; else to back-end servers that hold the keys under this fence */
+    double   rate;  /**< requests a second; 0: only those of a trace */
     uint32_t keys;
     double   zipf; /**< exponent; 0: every key alike */
     uint32_t timeout_ms;
--- /dev/null
+++ b/make/bench.mk
@@ -0,0 +1,7 @@
+# Benchmarks with regression bounds: see docs/MEASUREMENTS.md. One scenario only: make bench SCENARIOS=latency
+.PHONY: bench
+SCENARIOS ?=
+bench:
+	@scripts/dependencies.sh bench
+	@$(MAKE) -s -j4 programs
+	@scripts/bench.sh $(SCENARIOS)
--- /dev/null
+++ b/scripts/bench/bounds.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Regression bounds. Each compares figures of one run; room is left for a busy machine, see docs/MEASUREMENTS.md.
+set -u
+
+bounds_latency() {
+    bound "median routed / direct at 50% of capacity" at-most 1.75
+    bound "p99 routed / direct at 50% of capacity" at-most 2.5
+    bound "median routed / direct at 80% of capacity" at-most 2
+    bound "p99 routed / direct at 80% of capacity" at-most 2.5
+    bound "answered at 50% of capacity" at-least 0.999
+    bound "answered at 80% of capacity" at-least 0.999
+    bound "answered at 95% of capacity" at-least 0.99
+    bound "goodput at 2x / at 1x" at-least 0.85
+    bound "refusal median / answered median at 2x" at-most 0.02
+}
+
+bounds_cost() {
+    bound "reads: answered" at-least 0.999
+    bound "writes: answered" at-least 0.999
+    bound "reads: nodes / servers, processor time" at-most 4
+    bound "writes: nodes / servers, processor time" at-most 5
+    bound "reads: journal messages" at-most 0.05
+    bound "writes: journal messages" at-most 6.05
+    bound "writes / reads, processor time of the nodes" at-most 2
+}
--- a/scripts/dependencies.sh
+++ b/scripts/dependencies.sh
@@ -3,7 +3,8 @@
 set -eu
 packages="gcc make pkg-config libuv1-dev libh2o-dev libargtable2-dev libprotobuf-c-dev libyaml-dev libjansson-dev
 libxxhash-dev uthash-dev check libssl-dev curl"
-[ "${1:-}" = check ] && packages="$packages clang clang-format clang-tidy libclang-rt-14-dev spin valgrind git"
+[ "${1:-}" = check ] && packages="$packages clang clang-format clang-tidy libclang-rt-14-dev spin valgrind git jq"
+[ "${1:-}" = bench ] && packages="$packages jq valgrind"
 missing=""
 for package in $packages; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing="$missing $package"
--- a/tests/test_load_tool.c
+++ b/tests/test_load_tool.c
@@ -158,6 +158,26 @@
 }
 END_TEST
 
+START_TEST(request_with_a_fence_speaks_the_servers_dialect)
+{
+    cw_stream_options_t options;
+    char                fault[FAULT_SIZE];
+    size_t              length;
+    char               *text;
+
+    ck_assert_int_eq(
+        cw_stream_options_parse(&options, "tenant=t,service=s,token=x,path=/pay,fence=1.2", fault, sizeof(fault)),
+        CW_OK);
+    text = cw_request_text(&options, "k", "id", "host", &length);
+    ck_assert_uint_eq(length, strlen(text));
+    ck_assert_ptr_eq(strstr(text, "GET /k/pay HTTP/1.1\r\n"), text);
+    ck_assert_ptr_nonnull(strstr(text, "\r\ncw-fence: 1.2\r\n"));
+    ck_assert_ptr_null(strstr(text, "authorization"));
+    free(text);
+    cw_stream_options_clear(&options);
+}
+END_TEST
+
 static int read_trace(const char *text, cw_trace_t *trace, unsigned *line)
 {
     char  name[] = "/tmp/cw-trace-XXXXXX";
@@ -201,6 +221,7 @@
     tcase_add_test(tests, arrivals_follow_rate_and_seed);
     tcase_add_test(tests, hot_key_takes_its_share_and_moves);
     tcase_add_test(tests, faulty_streams_are_refused);
+    tcase_add_test(tests, request_with_a_fence_speaks_the_servers_dialect);
     tcase_add_test(tests, trace_is_read_in_order);
     suite_add_tcase(suite, tests);
     srunner_run_all(runner, CK_NORMAL);
