--- a/src/core/control.c
+++ b/src/core/control.c
@@ -286,7 +286,7 @@
     cw_control_scan_journals(control);
     cw_control_tend_membership(control);
     cw_control_tend_store(control);
-    control->leading.decide_wanted = true;
+    cw_control_mark_waiting(control);
 }
 
 void cw_control_tick(cw_control_t *control, cw_instant_t now)
--- a/src/core/control_assign.c
+++ b/src/core/control_assign.c
@@ -190,12 +190,11 @@
         add_servers(pass);
     }
     cw_control_state_each_service_range(control->state, service, add_range, pass);
-    return cw_journal_pool_init(&pass->pool, control);
+    return CW_OK;
 }
 
 static void pass_clear(cw_pass_t *pass)
 {
-    cw_journal_pool_clear(&pass->pool);
     free(pass->servers);
     free(pass->items);
     free(pass->ranges);
@@ -216,7 +215,7 @@
     cw_control_set_string(&changed->reason, reason);
     changed->server = server;
     changed->state = CW__RANGE_STATE__RANGE_GRANTED;
-    cw_control_choose_journal(pass->control, &pass->pool, changed);
+    cw_control_choose_journal(pass->control, changed);
     cw_command_add_range(pass->builder, changed);
     cw__range_info__free_unpacked(changed, NULL);
     if (track != NULL) {
@@ -273,7 +272,7 @@
         grant(pass, range, range->server, range->reason);
         return;
     }
-    if (track->renew && !cw_control_journal_outdated(pass->control, &pass->pool, range)) {
+    if (track->renew && !cw_control_journal_outdated(pass->control, range)) {
         track->renew = false;
     }
     if (track->renew && pass->moving < DRAIN_MOVES) {
@@ -380,7 +379,7 @@
         range->service = pass->service->id;
         cw_control_set_string(&range->tenant, tenant);
         cut_range(range, position, count);
-        cw_control_choose_journal(pass->control, &pass->pool, range);
+        cw_control_choose_journal(pass->control, range);
         cw_command_add_range(pass->builder, range);
         cw__range_info__free_unpacked(range, NULL);
     }
@@ -497,8 +496,9 @@
     while (position > 0 && !cw_command_full(builder)) {
         position--;
         service = dirty->slots[position].key;
-        if (decide_service(control, builder, service)) {
-            cw_ordered_table_remove(dirty, service);
+        cw_ordered_table_remove(dirty, service);
+        if (!decide_service(control, builder, service)) {
+            (void)cw_ordered_table_put(&control->leading.waiting_services, service, dirty);
         }
     }
 }
--- a/src/core/control_assign.h
+++ b/src/core/control_assign.h
@@ -19,7 +19,6 @@
     cw_command_builder_t           *builder;
     const Cw__ServiceConfiguration *service; /**< NULL: left the configuration */
     cw_service_track_t             *track;
-    cw_journal_pool_t               pool;
     cw_pass_server_t               *servers;
     size_t                          server_count;
     size_t                          usable_count;
--- a/src/core/control_internal.h
+++ b/src/core/control_internal.h
@@ -114,7 +114,7 @@
     bool               failed;
 } cw_command_builder_t;
 
-/** Nodes that may take journal replicas, grouped by zone; valid for one round of decisions. */
+/** Nodes that may take journal replicas, grouped by zone; borrowed from the state until its nodes change. */
 typedef struct cw_journal_pool {
     const Cw__NodeInfo **nodes; /**< ordered by zone, then id */
     size_t               count;
@@ -195,16 +195,19 @@
     cw_ordered_table_t ranges;   /**< cw_range_track_t by id */
     cw_ordered_table_t services; /**< cw_service_track_t by id */
 
-    cw_ordered_table_t dirty_nodes;      /**< to be committed or given up */
-    cw_ordered_table_t dirty_servers;    /**< orders to send */
-    cw_ordered_table_t changed_servers;  /**< forwarder, fence or draining to decide on */
-    cw_ordered_table_t dirty_services;   /**< placement to look at */
-    cw_ordered_table_t short_journals;   /**< ranges with fewer replicas than wanted */
+    cw_ordered_table_t dirty_nodes;     /**< to be committed or given up */
+    cw_ordered_table_t dirty_servers;   /**< orders to send */
+    cw_ordered_table_t changed_servers; /**< forwarder, fence or draining to decide on */
+    cw_ordered_table_t dirty_services;  /**< placement to look at */
+    cw_ordered_table_t short_journals;  /**< ranges with fewer replicas than wanted */
+    cw_ordered_table_t waiting_servers; /**< could not be decided yet: marked again at the next tick */
+    cw_ordered_table_t waiting_services;
+    cw_journal_pool_t  journal_pool;     /**< zone_starts NULL: not made yet */
     bool               journals_changed; /**< a node came or went: look for replicas to change */
     cw_time_us_t       journals_us;      /**< not before */
 
     bool command_pending;
-    bool decide_wanted; /**< something was marked; what stays marked is looked at again at the next tick */
+    bool decide_wanted; /**< something was marked */
 
     cw_pending_heartbeat_t *heartbeats; /**< ordered by round */
     size_t                  heartbeat_count;
@@ -266,6 +269,8 @@
 /** Puts an id into one of the leader's sets, to be decided on soon. */
 void cw_control_mark(cw_control_t *control, cw_ordered_table_t *set, uint64_t id);
 void cw_control_mark_all(cw_control_t *control);
+/** Marks again what could not be decided before. */
+void cw_control_mark_waiting(cw_control_t *control);
 
 /* ---- control_command.c: one command at a time ---- */
 /** Replaces a string of a message that owns its strings. */
@@ -328,13 +333,12 @@
 void   cw_control_take_loads(cw_control_t *control, const Cw__Heartbeat *heartbeat);
 
 /* ---- control_journal.c: journal replicas of ranges ---- */
-int  cw_journal_pool_init(cw_journal_pool_t *pool, const cw_control_t *control);
-void cw_journal_pool_clear(cw_journal_pool_t *pool);
+/** To be called when the nodes of the state change. */
+void cw_control_forget_journal_pool(cw_control_t *control);
 /** Chooses the replicas of a range anew where some are gone. The range has to be a copy of the caller's own. */
-void cw_control_choose_journal(cw_control_t *control, const cw_journal_pool_t *pool, Cw__RangeInfo *range);
+void cw_control_choose_journal(cw_control_t *control, Cw__RangeInfo *range);
 /** Do the replicas of a range need a change? */
-bool cw_control_journal_outdated(const cw_control_t *control, const cw_journal_pool_t *pool,
-                                 const Cw__RangeInfo *range);
+bool cw_control_journal_outdated(cw_control_t *control, const Cw__RangeInfo *range);
 void cw_control_scan_journals(cw_control_t *control);
 
 /* ---- control_membership.c ---- */
--- a/src/core/control_journal.c
+++ b/src/core/control_journal.c
@@ -9,7 +9,7 @@
  *   gone nothing can be sealed: request ids from before the change are answered unknown, by journal_valid_from_ms.
  * - Two changes of a set are CHANGE_INTERVAL_US apart, so that the copying of the first is over before the second, but
  *   for a set that lost its majority.
- * - Nodes that come or go are the only cause to look at all ranges.
+ * - Nodes that come or go are the only cause to look at all ranges, and to group the nodes by zone anew.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -22,10 +22,9 @@
 /* ---- pool of nodes by zone ---- */
 
 typedef struct pool_filling {
-    const cw_control_t *control;
-    cw_journal_pool_t  *pool;
-    size_t              capacity;
-    bool                failed;
+    cw_journal_pool_t *pool;
+    size_t             capacity;
+    bool               failed;
 } pool_filling_t;
 
 static bool add_to_pool(void *context, const Cw__NodeInfo *node)
@@ -33,7 +32,7 @@
     pool_filling_t      *filling = context;
     const Cw__NodeInfo **grown;
 
-    if (!cw_control_node_usable(filling->control, node)) {
+    if (node->state != CW__NODE_STATE__NODE_UP) {
         return true;
     }
     if (filling->pool->count == filling->capacity) {
@@ -73,29 +72,35 @@
     pool->zone_starts[pool->zone_count] = pool->count;
 }
 
-int cw_journal_pool_init(cw_journal_pool_t *pool, const cw_control_t *control)
+void cw_control_forget_journal_pool(cw_control_t *control)
 {
-    pool_filling_t filling = {.control = control, .pool = pool};
+    cw_journal_pool_t *pool = &control->leading.journal_pool;
 
+    free(pool->nodes);
+    free(pool->zone_starts);
     memset(pool, 0, sizeof(*pool));
+}
+
+/* Nodes that are up, as the state has them now. */
+static const cw_journal_pool_t *obtain_pool(cw_control_t *control)
+{
+    cw_journal_pool_t *pool = &control->leading.journal_pool;
+    pool_filling_t     filling = {.pool = pool};
+
+    if (pool->zone_starts != NULL) {
+        return pool;
+    }
     cw_control_state_each_node(control->state, add_to_pool, &filling);
     pool->zone_starts = calloc(pool->count + 1, sizeof(*pool->zone_starts));
     if (filling.failed || pool->zone_starts == NULL) {
-        cw_journal_pool_clear(pool);
-        return CW_ERROR_NO_MEMORY;
+        cw_control_forget_journal_pool(control);
+        return pool; /* empty: nothing can be chosen now */
     }
     if (pool->count > 0) {
         qsort(pool->nodes, pool->count, sizeof(const Cw__NodeInfo *), compare_by_zone);
     }
     find_zones(pool);
-    return CW_OK;
-}
-
-void cw_journal_pool_clear(cw_journal_pool_t *pool)
-{
-    free(pool->nodes);
-    free(pool->zone_starts);
-    memset(pool, 0, sizeof(*pool));
+    return pool;
 }
 
 /* ---- sets ---- */
@@ -185,11 +190,11 @@
     return false;
 }
 
-static void choose(const cw_control_t *control, const cw_journal_pool_t *pool, const Cw__RangeInfo *range,
-                   replica_choice_t *choice)
+static void choose(cw_control_t *control, const Cw__RangeInfo *range, replica_choice_t *choice)
 {
-    uint64_t spread = range->service ^ range->low;
-    size_t   zone_members = 0;
+    const cw_journal_pool_t *pool = obtain_pool(control);
+    uint64_t                 spread = range->service ^ range->low;
+    size_t                   zone_members = 0;
 
     choice->count = 0;
     keep_members(control, pool, range, CW__NODE_STATE__NODE_UP, choice);
@@ -242,14 +247,14 @@
            control->now.monotonic_us - track->journal_us < CHANGE_INTERVAL_US;
 }
 
-bool cw_control_journal_outdated(const cw_control_t *control, const cw_journal_pool_t *pool, const Cw__RangeInfo *range)
+bool cw_control_journal_outdated(cw_control_t *control, const Cw__RangeInfo *range)
 {
     replica_choice_t choice;
 
     if (changed_lately(control, range) && !majority_lost(control, range)) {
         return false;
     }
-    choose(control, pool, range, &choice);
+    choose(control, range, &choice);
     return choice.count > 0 && !is_same_set(&choice, range);
 }
 
@@ -290,16 +295,16 @@
     return references;
 }
 
-void cw_control_choose_journal(cw_control_t *control, const cw_journal_pool_t *pool, Cw__RangeInfo *range)
+void cw_control_choose_journal(cw_control_t *control, Cw__RangeInfo *range)
 {
     replica_choice_t       choice;
     Cw__ReplicaReference **references;
     cw_range_track_t      *track;
 
-    if (!cw_control_journal_outdated(control, pool, range)) {
+    if (!cw_control_journal_outdated(control, range)) {
         return;
     }
-    choose(control, pool, range, &choice);
+    choose(control, range, &choice);
     references = create_references(&choice);
     if (references == NULL) {
         return;
@@ -321,9 +326,8 @@
 /* ---- looking for sets to change ---- */
 
 typedef struct journal_scan {
-    cw_control_t     *control;
-    cw_journal_pool_t pool;
-    bool              later; /**< some range has to be looked at again */
+    cw_control_t *control;
+    bool          later; /**< some range has to be looked at again */
 } journal_scan_t;
 
 static bool scan_range(void *context, const Cw__RangeInfo *range)
@@ -334,7 +338,7 @@
     if (changed_lately(scan->control, range)) {
         scan->later = true;
     }
-    if (!cw_control_journal_outdated(scan->control, &scan->pool, range)) {
+    if (!cw_control_journal_outdated(scan->control, range)) {
         return true;
     }
     track = cw_control_make_range_track(scan->control, range->id);
@@ -352,11 +356,7 @@
     if (!control->leading.journals_changed || control->now.monotonic_us < control->leading.journals_us) {
         return;
     }
-    if (cw_journal_pool_init(&scan.pool, control) != CW_OK) {
-        return;
-    }
     cw_control_state_each_range(control->state, scan_range, &scan);
-    cw_journal_pool_clear(&scan.pool);
     control->leading.journals_changed = scan.later;
     control->leading.journals_us = control->now.monotonic_us + CW_US_PER_S;
 }
--- a/src/core/control_lead.c
+++ b/src/core/control_lead.c
@@ -223,6 +223,7 @@
 {
     cw_node_track_t *track = cw_control_make_node_track(control, id);
 
+    cw_control_forget_journal_pool(control);
     control->leading.journals_changed = true;
     if (track != NULL) {
         cw_control_mark_servers_of(control, track);
@@ -296,6 +297,23 @@
     control->leading.journals_changed = true;
 }
 
+static void mark_again(cw_control_t *control, cw_ordered_table_t *waiting, cw_ordered_table_t *set)
+{
+    size_t position;
+
+    for (position = 0; position < waiting->count; position++) {
+        cw_control_mark(control, set, waiting->slots[position].key);
+    }
+    cw_ordered_table_clear(waiting);
+}
+
+void cw_control_mark_waiting(cw_control_t *control)
+{
+    mark_again(control, &control->leading.waiting_servers, &control->leading.changed_servers);
+    mark_again(control, &control->leading.waiting_services, &control->leading.dirty_services);
+    control->leading.decide_wanted = true;
+}
+
 static void begin_leading(cw_control_t *control)
 {
     cw_leading_t *leading = &control->leading;
@@ -369,6 +387,9 @@
     cw_ordered_table_clear(&leading->dirty_servers);
     cw_ordered_table_clear(&leading->changed_servers);
     cw_ordered_table_clear(&leading->dirty_services);
+    cw_ordered_table_clear(&leading->waiting_servers);
+    cw_ordered_table_clear(&leading->waiting_services);
+    cw_control_forget_journal_pool(control);
     free_waits(leading);
     *leading = (cw_leading_t){0};
 }
--- a/src/core/control_servers.c
+++ b/src/core/control_servers.c
@@ -106,7 +106,6 @@
 typedef struct handover {
     cw_control_t         *control;
     cw_command_builder_t *builder;
-    cw_journal_pool_t    *pool;
     bool                  drained;
 } handover_t;
 
@@ -140,7 +139,7 @@
         return false;
     }
     changed->state = CW__RANGE_STATE__RANGE_GRANTED;
-    cw_control_choose_journal(handover->control, handover->pool, changed);
+    cw_control_choose_journal(handover->control, changed);
     cw_command_add_range(handover->builder, changed);
     cw__range_info__free_unpacked(changed, NULL);
     return true;
@@ -150,8 +149,7 @@
 static bool hand_over(cw_control_t *control, cw_command_builder_t *builder, const Cw__ServerInfo *server,
                       cw_server_track_t *track)
 {
-    cw_journal_pool_t pool;
-    handover_t        handover = {control, builder, &pool, true};
+    handover_t handover = {control, builder, true};
 
     if (choose_forwarder(control, NULL) == NULL) {
         track->handover = false;
@@ -159,13 +157,12 @@
     }
     track->handover = true;
     cw_control_state_each_server_range(control->state, server->server, drain_range, &handover);
-    if (!handover.drained || cw_journal_pool_init(&pool, control) != CW_OK) {
+    if (!handover.drained) {
         return false;
     }
     if (change_forwarder(control, builder, server) && !server->draining && server->retired == NULL) {
         cw_control_state_each_server_range(control->state, server->server, grant_range, &handover);
     }
-    cw_journal_pool_clear(&pool);
     return true;
 }
 
@@ -219,8 +216,9 @@
         id = changed->slots[position].key;
         server = cw_control_state_server(control->state, id);
         track = cw_control_server_track(control, id);
-        if (server == NULL || track == NULL || decide_server(control, builder, server, track)) {
-            cw_ordered_table_remove(changed, id);
+        cw_ordered_table_remove(changed, id);
+        if (server != NULL && track != NULL && !decide_server(control, builder, server, track)) {
+            (void)cw_ordered_table_put(&control->leading.waiting_servers, id, track);
         }
     }
 }
