Placement: the choice of a split is part of the pure planner

Cause: the split decision and the pace of moves were inside the control replica, so a model could not use the same code. Ruled out: a copy in the model (would drift); driving a whole control replica from it (baselines could not take part). Conclusion: a refactoring only.

--- a/include/cedarwinch/placement.h
+++ b/include/cedarwinch/placement.h
@@ -7,6 +7,15 @@
 
 #include "cedarwinch/types.h"
 
+/** When and how much the leader moves. Here so that models of it use the same figures. */
+enum {
+    CW_PLACEMENT_BALANCE_MOVES = 8, /**< ranges moving at once for balance */
+    CW_PLACEMENT_DRAIN_MOVES = 16,  /**< ranges moving at once off draining servers */
+    CW_PLACEMENT_BALANCE_PAUSE_US = 1 * CW_US_PER_S,
+    CW_PLACEMENT_IDLE_PAUSE_US = 5 * CW_US_PER_S,
+    CW_PLACEMENT_SPLIT_PAUSE_US = 5 * CW_US_PER_S
+};
+
 typedef struct cw_placement_server {
     cw_server_id_t id;
     const char    *zone;
@@ -17,9 +26,11 @@
     cw_range_id_t  id; /**< 0: not created yet */
     cw_key_hash_t  low;
     cw_key_hash_t  last;
-    cw_server_id_t server; /**< present owner; 0: none */
-    double         load;   /**< requests per second, decayed */
-    bool           pinned; /**< counts for its owner, but is not moved now */
+    cw_server_id_t server;   /**< present owner; 0: none */
+    double         load;     /**< requests per second, decayed */
+    bool           pinned;   /**< counts for its owner, but is not moved now */
+    cw_key_hash_t  hot_key;  /**< its hottest key, if hot_load is above 0 */
+    double         hot_load; /**< requests per second of that key alone */
 } cw_placement_range_t;
 
 typedef struct cw_placement_input {
@@ -50,4 +61,7 @@
 int  cw_placement_plan(const cw_placement_input_t *input, cw_placement_result_t *result);
 void cw_placement_result_clear(cw_placement_result_t *result);
 
+/** Chooses the range whose hottest key is to get a range of its own. False: none is worth it. */
+bool cw_placement_choose_split(const cw_placement_input_t *input, size_t *range);
+
 #endif
--- a/src/core/control_assign.c
+++ b/src/core/control_assign.c
@@ -22,16 +22,7 @@
 #include "cedarwinch/intent.h"
 #include "core/control_assign.h"
 
-enum {
-    BALANCE_MOVES = 8,
-    DRAIN_MOVES = 16,
-    BALANCE_PAUSE_US = 1 * CW_US_PER_S,
-    IDLE_PAUSE_US = 5 * CW_US_PER_S,
-    SPLIT_PAUSE_US = 5 * CW_US_PER_S,
-    FIRST_WAIT_US = 2 * CW_US_PER_S,
-    CREATED_MAX = 32768,
-    LOAD_KEEP_US = 15 * CW_US_PER_S
-};
+enum { FIRST_WAIT_US = 2 * CW_US_PER_S, CREATED_MAX = 32768, LOAD_KEEP_US = 15 * CW_US_PER_S };
 
 double cw_control_range_load(const cw_control_t *control, cw_range_id_t range)
 {
@@ -146,8 +137,9 @@
 
 static bool add_range(void *context, const Cw__RangeInfo *range)
 {
-    cw_pass_t            *pass = context;
-    cw_placement_range_t *item = &pass->items[pass->range_count];
+    cw_pass_t              *pass = context;
+    cw_placement_range_t   *item = &pass->items[pass->range_count];
+    const cw_range_track_t *track = cw_control_range_track(pass->control, range->id);
 
     memset(item, 0, sizeof(*item));
     pass->ranges[pass->range_count] = range;
@@ -156,7 +148,10 @@
     item->last = range->last;
     item->load = cw_control_range_load(pass->control, range->id);
     classify_range(pass, range, item);
-    pass->load += item->load;
+    if (track != NULL) {
+        item->hot_key = track->hot_key;
+        item->hot_load = track->hot_load;
+    }
     pass->range_count++;
     return true;
 }
@@ -275,7 +270,7 @@
     if (track->renew && !cw_control_journal_outdated(pass->control, range)) {
         track->renew = false;
     }
-    if (track->renew && pass->moving < DRAIN_MOVES) {
+    if (track->renew && pass->moving < CW_PLACEMENT_DRAIN_MOVES) {
         revoke(pass, range, range->server, "journal replicas changed");
     }
 }
@@ -312,44 +307,51 @@
     }
     if (pass->items[move->range].server == 0) {
         grant(pass, range, move->to, move->reason);
-    } else if (pass->moving < (move->forced ? DRAIN_MOVES : BALANCE_MOVES)) {
+    } else if (pass->moving < (move->forced ? CW_PLACEMENT_DRAIN_MOVES : CW_PLACEMENT_BALANCE_MOVES)) {
         revoke(pass, range, move->to, move->reason);
     }
 }
 
-static int plan_moves(cw_pass_t *pass, bool balance)
+static int fill_input(const cw_pass_t *pass, cw_placement_input_t *input, bool balance)
 {
     cw_placement_server_t *servers = calloc(pass->server_count + 1, sizeof(*servers));
-    cw_placement_input_t   input = {0};
-    cw_placement_result_t  result = {0};
-    int                    error = CW_ERROR_NO_MEMORY;
     size_t                 position;
 
-    for (position = 0; position < pass->server_count && servers != NULL; position++) {
+    if (servers == NULL) {
+        return CW_ERROR_NO_MEMORY;
+    }
+    for (position = 0; position < pass->server_count; position++) {
         servers[position].id = pass->servers[position].id;
         servers[position].zone = pass->servers[position].zone;
         servers[position].usable = pass->servers[position].usable;
     }
-    input.service = pass->service;
-    input.servers = servers;
-    input.server_count = pass->server_count;
-    input.ranges = pass->items;
-    input.range_count = pass->range_count;
-    input.moves_allowed = balance && pass->moving < BALANCE_MOVES ? BALANCE_MOVES - pass->moving : 0;
-    if (servers != NULL) {
-        error = cw_placement_plan(&input, &result);
+    input->service = pass->service;
+    input->servers = servers;
+    input->server_count = pass->server_count;
+    input->ranges = pass->items;
+    input->range_count = pass->range_count;
+    if (balance && pass->moving < CW_PLACEMENT_BALANCE_MOVES) {
+        input->moves_allowed = CW_PLACEMENT_BALANCE_MOVES - pass->moving;
     }
+    return CW_OK;
+}
+
+static void plan_moves(cw_pass_t *pass, const cw_placement_input_t *input, bool balance)
+{
+    cw_placement_result_t result = {0};
+    int                   error = cw_placement_plan(input, &result);
+    size_t                position;
+
     for (position = 0; position < result.move_count && error == CW_OK; position++) {
         make_move(pass, &result.moves[position]);
     }
     if (balance) {
         pass->track->balance_wanted = result.move_count > 0;
         pass->track->rebalance_us =
-            pass->control->now.monotonic_us + (result.move_count > 0 ? BALANCE_PAUSE_US : IDLE_PAUSE_US);
+            pass->control->now.monotonic_us +
+            (result.move_count > 0 ? CW_PLACEMENT_BALANCE_PAUSE_US : CW_PLACEMENT_IDLE_PAUSE_US);
     }
     cw_placement_result_clear(&result);
-    free(servers);
-    return error;
 }
 
 /* ---- creation and removal ---- */
@@ -439,18 +441,25 @@
 /* Returns true when nothing is left to do until something changes. */
 static bool place_service(cw_pass_t *pass)
 {
-    cw_time_us_t now_us = pass->control->now.monotonic_us;
-    bool         balance = now_us >= pass->track->rebalance_us;
+    cw_time_us_t         now_us = pass->control->now.monotonic_us;
+    bool                 balance = now_us >= pass->track->rebalance_us;
+    cw_placement_input_t input = {0};
+    bool                 split;
 
     if (!settle_ranges(pass) || pass->usable_count == 0) {
         return pass->usable_count == 0 && !has_unplaced(pass);
     }
-    if (balance && cw_control_split_hot(pass)) {
-        pass->track->rebalance_us = now_us + SPLIT_PAUSE_US;
+    if (fill_input(pass, &input, balance) != CW_OK) {
         return false;
     }
-    (void)plan_moves(pass, balance);
-    return pass->moving == 0;
+    split = balance && cw_control_split_hot(pass, &input);
+    if (split) {
+        pass->track->rebalance_us = now_us + CW_PLACEMENT_SPLIT_PAUSE_US;
+    } else {
+        plan_moves(pass, &input, balance);
+    }
+    free((void *)input.servers);
+    return !split && pass->moving == 0;
 }
 
 static bool decide_service(cw_control_t *control, cw_command_builder_t *builder, cw_service_id_t service)
--- a/src/core/control_assign.h
+++ b/src/core/control_assign.h
@@ -26,10 +26,9 @@
     cw_placement_range_t           *items;  /**< server 0: free to be placed */
     size_t                          range_count;
     size_t                          moving; /**< ranges being revoked */
-    double                          load;   /**< of all ranges */
 } cw_pass_t;
 
 /** Splits off the hottest key of the service if it is too hot to be balanced. Returns true when it did. */
-bool cw_control_split_hot(cw_pass_t *pass);
+bool cw_control_split_hot(cw_pass_t *pass, const cw_placement_input_t *input);
 
 #endif
