--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
 # Modules of the stand-ins and tools that have unit tests.
 TEST_PARTS := $(filter-out %/main.c,$(wildcard $(addsuffix /*.c,standins/common standins/backend standins/platform \
               bench/common bench/load bench/evidence bench/cutter))) \
-              $(addprefix bench/capacity/,fit.c page.c traffic.c)
+              $(addprefix bench/capacity/,fit.c page.c traffic.c) \
+              $(filter-out %/main.c,$(wildcard bench/placement/*.c))
 
 CORE_LIB := $(BUILD)/libcedarwinch-core.a
 PROGRAMS := $(if $(wildcard src/daemon/main.c),$(BUILD)/cedarwinchd) $(if $(wildcard src/cli/main.c),$(BUILD)/cedarwinch) \
--- /dev/null
+++ b/bench/placement/baseline_first.c
@@ -0,0 +1,516 @@
+/**
+ * @file baseline_first.c
+ * @brief Baseline: the planner and the split decision as first landed, kept for
+ * comparison. Not used by the product.
+ *
+ * Planner from commit c6f15c1, split rule from the same commit (as a function
+ * of the planner's input).
+ */
+#include "baselines.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cedarwinch/error.h"
+
+static const double KEY_SPACE = 18446744073709551616.0; /* 2^64 */
+static const double SMOOTHING_PER_SERVER = 1.0;         /* requests per second spread by key space */
+static const double HYSTERESIS = 0.2;                   /* of the mean server's weight */
+static const double CHURN_SCALE = 0.25;
+static const double HORIZON_MS = 30000.0; /* over which a move has to pay off */
+static const double MOVE_MS = 50.0;       /* revoke, commit and grant of a range without requests in flight */
+static const double WEIGHT_EPSILON = 1e-9;
+
+typedef struct planner {
+    const cw_placement_input_t *input;
+    cw_placement_result_t      *result;
+    double                     *range_weights;
+    size_t                     *owners; /* position of the server each range ends at; server_count:
+                                           none */
+    double *server_weights;
+    size_t *server_ranges;
+    size_t *server_zones; /* position of the first server in the same zone */
+    double *zone_weights; /* by that position */
+    size_t  usable_count;
+    size_t  move_capacity;
+} planner_t;
+
+static double key_share(const cw_placement_range_t *range)
+{
+    return ((double)(range->last - range->low) + 1.0) / KEY_SPACE;
+}
+
+static double expected_outage_ms(const Cw__ServiceConfiguration *service)
+{
+    return MOVE_MS + (double)service->cold_start_ms;
+}
+
+static size_t find_usable(const cw_placement_input_t *input, cw_server_id_t server)
+{
+    size_t position;
+
+    for (position = 0; position < input->server_count; position++) {
+        if (input->servers[position].id == server && input->servers[position].usable) {
+            return position;
+        }
+    }
+    return input->server_count;
+}
+
+static void compute_weights(planner_t *planner)
+{
+    const cw_placement_input_t *input = planner->input;
+    double                      smoothing = SMOOTHING_PER_SERVER * (double)planner->usable_count;
+    double                      load = 0;
+    double                      share = 0;
+    size_t                      position;
+
+    for (position = 0; position < input->range_count; position++) {
+        load += input->ranges[position].load;
+        share += key_share(&input->ranges[position]);
+    }
+    for (position = 0; position < input->range_count; position++) {
+        planner->range_weights[position] =
+            (input->ranges[position].load + smoothing * key_share(&input->ranges[position]) / share) /
+            (load + smoothing);
+    }
+}
+
+static double zone_weight(const planner_t *planner, size_t server)
+{
+    return planner->zone_weights[planner->server_zones[server]];
+}
+
+static void add_weight(planner_t *planner, size_t server, double weight)
+{
+    planner->server_weights[server] += weight;
+    planner->zone_weights[planner->server_zones[server]] += weight;
+}
+
+static void compute_zones(planner_t *planner)
+{
+    const cw_placement_server_t *servers = planner->input->servers;
+    size_t                       position;
+    size_t                       first;
+
+    for (position = 0; position < planner->input->server_count; position++) {
+        first = 0;
+        while (strcmp(servers[first].zone, servers[position].zone) != 0) {
+            first++;
+        }
+        planner->server_zones[position] = first;
+    }
+}
+
+static void compute_owners(planner_t *planner)
+{
+    const cw_placement_input_t *input = planner->input;
+    size_t                      owner;
+    size_t                      position;
+
+    for (position = 0; position < input->range_count; position++) {
+        owner = find_usable(input, input->ranges[position].server);
+        planner->owners[position] = owner;
+        if (owner < input->server_count) {
+            add_weight(planner, owner, planner->range_weights[position]);
+            planner->server_ranges[owner]++;
+        }
+    }
+}
+
+static int compare_weights(double left, double right)
+{
+    if (left < right - WEIGHT_EPSILON) {
+        return -1;
+    }
+    return left > right + WEIGHT_EPSILON ? 1 : 0;
+}
+
+/* Order in which servers take ranges: by weight, number of ranges, weight of
+ * the zone, id. */
+static bool takes_before(const planner_t *planner, size_t left, size_t right)
+{
+    const cw_placement_server_t *servers = planner->input->servers;
+    int                          order = compare_weights(planner->server_weights[left], planner->server_weights[right]);
+
+    if (order == 0 && planner->server_ranges[left] != planner->server_ranges[right]) {
+        order = planner->server_ranges[left] < planner->server_ranges[right] ? -1 : 1;
+    }
+    if (order == 0) {
+        order = compare_weights(zone_weight(planner, left), zone_weight(planner, right));
+    }
+    if (order == 0) {
+        order = servers[left].id < servers[right].id ? -1 : 1;
+    }
+    return order < 0;
+}
+
+static size_t lightest_server(const planner_t *planner)
+{
+    size_t count = planner->input->server_count;
+    size_t lightest = count;
+    size_t position;
+
+    for (position = 0; position < count; position++) {
+        if (planner->input->servers[position].usable &&
+            (lightest == count || takes_before(planner, position, lightest))) {
+            lightest = position;
+        }
+    }
+    return lightest;
+}
+
+static cw_placement_move_t *add_move(planner_t *planner, size_t range, size_t server)
+{
+    cw_placement_result_t *result = planner->result;
+    cw_placement_move_t   *moves;
+    size_t                 capacity;
+
+    if (result->move_count == planner->move_capacity) {
+        capacity = planner->move_capacity == 0 ? 16 : 2 * planner->move_capacity;
+        moves = realloc(result->moves, capacity * sizeof(*moves));
+        if (moves == NULL) {
+            return NULL;
+        }
+        result->moves = moves;
+        planner->move_capacity = capacity;
+    }
+    memset(&result->moves[result->move_count], 0, sizeof(*result->moves));
+    result->moves[result->move_count].range = range;
+    result->moves[result->move_count].to = planner->input->servers[server].id;
+    return &result->moves[result->move_count++];
+}
+
+static void shift_range(planner_t *planner, size_t range, size_t server)
+{
+    size_t former = planner->owners[range];
+
+    if (former < planner->input->server_count) {
+        add_weight(planner, former, -planner->range_weights[range]);
+        planner->server_ranges[former]--;
+    }
+    planner->owners[range] = server;
+    add_weight(planner, server, planner->range_weights[range]);
+    planner->server_ranges[server]++;
+}
+
+/* Heaviest first, then in the order of the input. */
+static int compare_forced(const void *left, const void *right, void *context)
+{
+    const planner_t *planner = context;
+    size_t           left_range = *(const size_t *)left;
+    size_t           right_range = *(const size_t *)right;
+    int              order = compare_weights(planner->range_weights[right_range], planner->range_weights[left_range]);
+
+    if (order != 0) {
+        return order;
+    }
+    return left_range < right_range ? -1 : 1;
+}
+
+static int plan_forced(planner_t *planner)
+{
+    const cw_placement_input_t *input = planner->input;
+    size_t                     *forced = calloc(input->range_count + 1, sizeof(*forced));
+    size_t                      count = 0;
+    size_t                      server;
+    cw_placement_move_t        *move;
+    size_t                      position;
+    int                         error = CW_OK;
+
+    if (forced == NULL) {
+        return CW_ERROR_NO_MEMORY;
+    }
+    for (position = 0; position < input->range_count; position++) {
+        if (planner->owners[position] == input->server_count && !input->ranges[position].pinned) {
+            forced[count++] = position;
+        }
+    }
+    qsort_r(forced, count, sizeof(*forced), compare_forced, planner);
+    for (position = 0; position < count && error == CW_OK; position++) {
+        server = lightest_server(planner);
+        move = add_move(planner, forced[position], server);
+        if (move == NULL) {
+            error = CW_ERROR_NO_MEMORY;
+            break;
+        }
+        move->forced = true;
+        snprintf(move->reason, sizeof(move->reason), "%s: lightest usable server",
+                 input->ranges[forced[position]].server == 0 ? "no owner" : "owner left");
+        shift_range(planner, forced[position], server);
+    }
+    free(forced);
+    return error;
+}
+
+static double cost_per_weight(const Cw__ServiceConfiguration *service)
+{
+    const Cw__PlacementWeights *weights = service->weights;
+
+    if (weights == NULL) {
+        return 0;
+    }
+    return CHURN_SCALE * weights->churn + weights->unavailable * expected_outage_ms(service) / HORIZON_MS;
+}
+
+/* Net gain of moving a range from one server to another; not above zero: not
+ * worth it. */
+static double net_gain(const planner_t *planner, size_t range, size_t from, size_t to)
+{
+    const Cw__ServiceConfiguration *service = planner->input->service;
+    double                          imbalance_weight = service->weights == NULL ? 1.0 : service->weights->imbalance;
+    double                          weight = planner->range_weights[range];
+    double                          difference = planner->server_weights[from] - planner->server_weights[to] - weight;
+    double                          gain = 2.0 * (double)planner->usable_count * difference;
+
+    if (gain < HYSTERESIS) {
+        return 0;
+    }
+    return weight * (imbalance_weight * gain - cost_per_weight(service));
+}
+
+/* Best range to move from one server to another; range_count: none is worth it.
+ */
+static size_t best_range(const planner_t *planner, size_t from, size_t to)
+{
+    size_t count = planner->input->range_count;
+    size_t best = count;
+    double best_gain = 0;
+    double gain;
+    size_t position;
+
+    for (position = 0; position < count; position++) {
+        if (planner->owners[position] != from || planner->input->ranges[position].pinned) {
+            continue;
+        }
+        gain = net_gain(planner, position, from, to);
+        if (gain > best_gain + WEIGHT_EPSILON * WEIGHT_EPSILON) {
+            best = position;
+            best_gain = gain;
+        }
+    }
+    return best;
+}
+
+/* Heaviest usable server not tried yet; server_count: none. */
+static size_t next_heaviest(const planner_t *planner, const bool *tried)
+{
+    size_t count = planner->input->server_count;
+    size_t heaviest = count;
+    size_t position;
+
+    for (position = 0; position < count; position++) {
+        if (!planner->input->servers[position].usable || tried[position]) {
+            continue;
+        }
+        if (heaviest == count || planner->server_weights[position] > planner->server_weights[heaviest]) {
+            heaviest = position;
+        }
+    }
+    return heaviest;
+}
+
+/* Makes the best single move there is. Returns 1 when one was made, 0 when none
+ * is worth it. */
+static int plan_one(planner_t *planner, bool *tried)
+{
+    size_t               to = lightest_server(planner);
+    size_t               from;
+    size_t               range;
+    cw_placement_move_t *move;
+
+    memset(tried, 0, planner->input->server_count * sizeof(*tried));
+    for (;;) {
+        from = next_heaviest(planner, tried);
+        if (from == planner->input->server_count || from == to) {
+            return 0;
+        }
+        range = best_range(planner, from, to);
+        if (range < planner->input->range_count) {
+            break;
+        }
+        tried[from] = true;
+    }
+    move = add_move(planner, range, to);
+    if (move == NULL) {
+        return CW_ERROR_NO_MEMORY;
+    }
+    snprintf(move->reason, sizeof(move->reason), "balance: owner at %.2f of the mean, target at %.2f",
+             planner->server_weights[from] * (double)planner->usable_count,
+             planner->server_weights[to] * (double)planner->usable_count);
+    shift_range(planner, range, to);
+    return 1;
+}
+
+static int plan_voluntary(planner_t *planner)
+{
+    bool  *tried = calloc(planner->input->server_count + 1, sizeof(*tried));
+    size_t made = 0;
+    int    outcome = 1;
+
+    if (tried == NULL) {
+        return CW_ERROR_NO_MEMORY;
+    }
+    while (made < planner->input->moves_allowed && outcome == 1) {
+        outcome = plan_one(planner, tried);
+        made++;
+    }
+    free(tried);
+    return outcome < 0 ? outcome : CW_OK;
+}
+
+/* Load of the busiest usable server over the mean, with the owners as they are;
+ * 1 when idle. */
+static double compute_imbalance(const planner_t *planner, double *server_loads)
+{
+    const cw_placement_input_t *input = planner->input;
+    double                      total = 0;
+    double                      busiest = 0;
+    size_t                      position;
+    size_t                      owner;
+
+    memset(server_loads, 0, input->server_count * sizeof(*server_loads));
+    for (position = 0; position < input->range_count; position++) {
+        owner = planner->owners[position];
+        if (owner < input->server_count) {
+            server_loads[owner] += input->ranges[position].load;
+            total += input->ranges[position].load;
+        }
+    }
+    for (position = 0; position < input->server_count; position++) {
+        if (server_loads[position] > busiest) {
+            busiest = server_loads[position];
+        }
+    }
+    return total <= 0 ? 1.0 : busiest * (double)planner->usable_count / total;
+}
+
+static void compute_effects(const planner_t *planner)
+{
+    const cw_placement_input_t *input = planner->input;
+    const cw_placement_range_t *range;
+    size_t                      position;
+
+    for (position = 0; position < planner->result->move_count; position++) {
+        range = &input->ranges[planner->result->moves[position].range];
+        if (range->server != 0) {
+            planner->result->churn += key_share(range);
+            planner->result->unavailable_ms += expected_outage_ms(input->service);
+        }
+    }
+}
+
+static void planner_clear(planner_t *planner)
+{
+    free(planner->range_weights);
+    free(planner->owners);
+    free(planner->server_weights);
+    free(planner->server_ranges);
+    free(planner->server_zones);
+    free(planner->zone_weights);
+}
+
+static int planner_init(planner_t *planner, const cw_placement_input_t *input, cw_placement_result_t *result)
+{
+    size_t position;
+
+    memset(planner, 0, sizeof(*planner));
+    planner->input = input;
+    planner->result = result;
+    planner->range_weights = calloc(input->range_count + 1, sizeof(double));
+    planner->owners = calloc(input->range_count + 1, sizeof(size_t));
+    planner->server_weights = calloc(input->server_count + 1, sizeof(double));
+    planner->server_ranges = calloc(input->server_count + 1, sizeof(size_t));
+    planner->server_zones = calloc(input->server_count + 1, sizeof(size_t));
+    planner->zone_weights = calloc(input->server_count + 1, sizeof(double));
+    if (planner->range_weights == NULL || planner->owners == NULL || planner->server_weights == NULL ||
+        planner->server_ranges == NULL || planner->server_zones == NULL || planner->zone_weights == NULL) {
+        planner_clear(planner);
+        return CW_ERROR_NO_MEMORY;
+    }
+    for (position = 0; position < input->server_count; position++) {
+        planner->usable_count += input->servers[position].usable ? 1 : 0;
+    }
+    return CW_OK;
+}
+
+int bench_first_plan(const cw_placement_input_t *input, cw_placement_result_t *result)
+{
+    planner_t planner;
+    double   *server_loads;
+    int       error;
+
+    memset(result, 0, sizeof(*result));
+    result->imbalance_before = result->imbalance_after = 1.0;
+    error = planner_init(&planner, input, result);
+    if (error != CW_OK) {
+        return error;
+    }
+    server_loads = calloc(input->server_count + 1, sizeof(double));
+    if (server_loads == NULL) {
+        error = CW_ERROR_NO_MEMORY;
+    } else if (planner.usable_count > 0 && input->range_count > 0) {
+        compute_weights(&planner);
+        compute_zones(&planner);
+        compute_owners(&planner);
+        result->imbalance_before = compute_imbalance(&planner, server_loads);
+        error = plan_forced(&planner);
+        if (error == CW_OK) {
+            error = plan_voluntary(&planner);
+        }
+        result->imbalance_after = compute_imbalance(&planner, server_loads);
+        compute_effects(&planner);
+    }
+    free(server_loads);
+    planner_clear(&planner);
+    if (error != CW_OK) {
+        cw_placement_result_clear(result);
+    }
+    return error;
+}
+
+enum { RANGES_PER_CONFIGURED_MAX = 4 /**< bound on ranges made by splits */ };
+
+static const double HOT_SHARE = 0.5; /* of the mean load of a server */
+static const double HOT_LEAST = 5.0; /* requests per second */
+
+static bool can_split(const cw_placement_range_t *range)
+{
+    return range->low < range->last && !range->pinned && range->server != 0 && range->load > 0 &&
+           range->hot_key >= range->low && range->hot_key <= range->last;
+}
+
+/* Load of a key from which on it is too hot to share a range. */
+static double hot_bound(const cw_placement_input_t *input)
+{
+    double load = 0;
+    size_t usable = 0;
+    size_t position;
+
+    for (position = 0; position < input->range_count; position++) {
+        load += input->ranges[position].load;
+    }
+    for (position = 0; position < input->server_count; position++) {
+        usable += input->servers[position].usable ? 1 : 0;
+    }
+    load = usable == 0 ? load : HOT_SHARE * load / (double)usable;
+    return load > HOT_LEAST ? load : HOT_LEAST;
+}
+
+bool bench_first_split(const cw_placement_input_t *input, size_t *range)
+{
+    size_t ranges_max = RANGES_PER_CONFIGURED_MAX * input->service->ranges_per_server * input->server_count;
+    double bound = hot_bound(input);
+    bool   found = false;
+    size_t position;
+
+    for (position = 0; position < input->range_count; position++) {
+        if (can_split(&input->ranges[position]) && input->ranges[position].hot_load > bound) {
+            *range = position;
+            bound = input->ranges[position].hot_load;
+            found = true;
+        }
+    }
+    return found && input->range_count + 2 <= ranges_max;
+}
