Log lines: committed decisions with their reason, requests by id; make spec

Cause: the leader wrote no line of what it decided, and a request left no trace on the nodes it passed. Ruled out: a line for each answered request at INFO (a write a request; 3,100 a second at the size planned for). Change: control_log.c writes when a command is applied, so never of what was not committed; node_log.c writes the request id at gateway and forwarder: answers and transient refusals at DEBUG, callers' faults at INFO, unknown outcomes at NOTICE. Their fields are only made when the level is on. make spec runs the model checking.

--- a/make/product.mk
+++ b/make/product.mk
@@ -21,3 +21,7 @@
 	install -m 644 docs/man/cedarwinchd.8 $(DESTDIR)$(PREFIX)/share/man/man8
 	install -m 644 README.md LICENSE docs/*.md $(DESTDIR)$(PREFIX)/share/doc/cedarwinch
 	install -m 644 etc/cedarwinchd.service $(DESTDIR)$(PREFIX)/lib/systemd/system
+
+.PHONY: spec
+spec:
+	@spec/check.sh
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -25,6 +25,11 @@
     log_level = level;
 }
 
+bool cw_log_enabled(cw_log_level_t level)
+{
+    return level <= log_level;
+}
+
 void cw_log_set_identity(const char *identity)
 {
     snprintf(log_identity, sizeof(log_identity), "%s", identity);
--- a/src/core/control.c
+++ b/src/core/control.c
@@ -97,6 +97,7 @@
     }
     if (control->leading.active) {
         if (error == CW_OK) {
+            cw_control_log_applied(control, command, entry->index);
             cw_control_note_applied(control, command, entry->index);
         } else {
             cw_control_mark_all(control);
@@ -154,6 +155,11 @@
     options->control_size = DEFAULT_CONTROL_SIZE;
 }
 
+static void raft_role_changed(void *context, cw_raft_role_t role, uint64_t term)
+{
+    cw_control_log_role(context, role, term);
+}
+
 static int create_raft(cw_control_t *control, const cw_control_options_t *options)
 {
     cw_raft_options_t         raft_options = {0};
@@ -161,7 +167,8 @@
                                            .send = raft_send,
                                            .apply = raft_apply,
                                            .snapshot_save = raft_snapshot_save,
-                                           .snapshot_load = raft_snapshot_load};
+                                           .snapshot_load = raft_snapshot_load,
+                                           .role_changed = raft_role_changed};
 
     raft_options.group = options->group;
     raft_options.generation = options->generation;
--- a/src/core/control_internal.h
+++ b/src/core/control_internal.h
@@ -254,6 +254,12 @@
 /* ---- control.c ---- */
 void cw_control_send(cw_control_t *control, cw_node_id_t to, Cw__Envelope *envelope);
 
+/* ---- control_log.c ---- */
+/** Writes what a command changed, after it was applied. */
+void cw_control_log_applied(const cw_control_t *control, const Cw__Command *command, uint64_t index);
+/** Writes a change of the raft's role. */
+void cw_control_log_role(const cw_control_t *control, cw_raft_role_t role, uint64_t term);
+
 /* ---- control_lead.c: tracks ---- */
 /** Starts or ends leading as the raft says. */
 void cw_control_check_leading(cw_control_t *control);
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -410,6 +410,7 @@
 
 void cw_node_server_responded(cw_node_t *node, const cw_server_response_t *response, cw_instant_t now)
 {
+    cw_node_log_server_response(response);
     cw_forwarder_server_responded(node->forwarder, response, now);
     cw_node_settle(node, now);
 }
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -1,7 +1,6 @@
 /**
  * @file node_internal.h
- * @brief Parts of a node shared by node.c, node_ports.c, node_bootstrap.c, node_operator.c,
- *        node_recover.c and node_metrics.c.
+ * @brief Parts of a node shared by the node_*.c files.
  */
 #ifndef CEDARWINCH_NODE_INTERNAL_H
 #define CEDARWINCH_NODE_INTERNAL_H
@@ -119,6 +118,11 @@
 /** Answers an operator's request that reached a node without a control replica. */
 void cw_node_operator_refuse(cw_node_t *node, const Cw__OperatorRequest *request);
 
+/* node_log.c */
+void cw_node_log_answer(const Cw__ForwardResponse *response);
+void cw_node_log_sent(const cw_server_request_t *request);
+void cw_node_log_server_response(const cw_server_response_t *response);
+
 /** Runs what an event left to do; see node.c. */
 void cw_node_settle(cw_node_t *node, cw_instant_t now);
 /** Earlier of two times; 0 stands for never. */
--- a/src/core/node_ports.c
+++ b/src/core/node_ports.c
@@ -94,6 +94,7 @@
 {
     cw_node_t *node = context;
 
+    cw_node_log_sent(request);
     node->outer.server_request(node->outer.context, request);
 }
 
@@ -108,6 +109,7 @@
 {
     cw_node_t *node = context;
 
+    cw_node_log_answer(response);
     node->outer.respond(node->outer.context, caller_id, response);
 }
 
