Control: voters span all zones again after a lost zone is back; smaller files

Cause: a lost zone's voter was replaced by a second one of another zone, and stayed so: the loss of that zone would then have taken the majority, though a whole zone is agreed to be tolerated. Ruled out: refusing a second voter in a zone (the group would stay at two, and one more loss would end it). Change: a node of a zone without voters joins while two voters share a zone, and one of the two is removed; a group above its size shrinks. control_pass.c and control_state_tenant.c are split off, contents as before. Conclusion: the group follows the zones that are there.

--- a/src/core/control_assign.h
+++ b/src/core/control_assign.h
@@ -1,6 +1,6 @@
 /**
  * @file control_assign.h
- * @brief One look at a service by the leader, shared by control_assign.c and control_split.c.
+ * @brief One look at a service by the leader, shared by control_assign.c, control_pass.c and control_split.c.
  */
 #ifndef CEDARWINCH_CONTROL_ASSIGN_H
 #define CEDARWINCH_CONTROL_ASSIGN_H
@@ -28,6 +28,12 @@
     size_t                          moving; /**< ranges being revoked */
 } cw_pass_t;
 
+/** Fills a pass in; to be cleared also when it fails. */
+int  cw_pass_init(cw_pass_t *pass, cw_control_t *control, cw_command_builder_t *builder, cw_service_id_t service);
+void cw_pass_clear(cw_pass_t *pass);
+/** Server of the pass by id; NULL: not in the configuration. */
+cw_pass_server_t *cw_pass_find_server(cw_pass_t *pass, cw_server_id_t id);
+
 /** Splits off the hottest key of the service if it is too hot to be balanced. Returns true when it did. */
 bool cw_control_split_hot(cw_pass_t *pass, const cw_placement_input_t *input);
 
--- a/src/core/control_confirm.c
+++ b/src/core/control_confirm.c
@@ -11,7 +11,7 @@
  *     READ --object moved on without it--> answered 409: it can never take effect, its condition is gone
  *     READ --object as before--> PAUSE --> WRITE again, on the same condition
  *     READ --failed--> PAUSE --> READ again
- *     any --deadline, a write may have taken effect--> answered 504; else 503
+ *     any --deadline--> answered 504, since a write may have taken effect
  *
  * Rules: accepted is said only when the configuration is durable and committed. Writing again is harmless, since the
  * condition lets at most one write through. Leadership that ends answers 504 for what is not settled.
--- a/src/core/control_membership.c
+++ b/src/core/control_membership.c
@@ -8,8 +8,10 @@
  *    becomes a learner, which receives the state;
  * 3. a learner that has caught up is promoted;
  * 4. a voter that is gone or leaving is removed once the others are as many as wanted. One that leaves is also removed
- *    when there is nobody to replace it; one that is gone is not, since it may only be cut off.
- * The leader does not remove itself: it hands leadership over first.
+ *    when there is nobody to replace it; one that is gone is not, since it may only be cut off;
+ * 5. while two voters share a zone and there is a node in a zone without any, that node joins by the same steps, and
+ * one of the two is removed: after a lost zone has come back, the group spans all zones again. The leader does not
+ * remove itself: it hands leadership over first.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -58,13 +60,16 @@
     return !is_gone(control, member) && !is_leaving(control, member);
 }
 
-static size_t count_healthy(const cw_control_t *control, const Cw__Membership *membership)
+/* Healthy voters of a zone; NULL: of all. */
+static size_t count_healthy_in(const cw_control_t *control, const Cw__Membership *membership, const char *zone)
 {
-    size_t count = 0;
-    size_t position;
+    const Cw__NodeInfo *voter;
+    size_t              count = 0;
+    size_t              position;
 
     for (position = 0; position < membership->n_voters; position++) {
-        count += is_healthy(control, membership->voters[position]) ? 1 : 0;
+        voter = membership->voters[position];
+        count += is_healthy(control, voter) && (zone == NULL || strcmp(voter->zone, zone) == 0) ? 1 : 0;
     }
     return count;
 }
@@ -98,18 +103,12 @@
 static bool consider_candidate(void *context, const Cw__NodeInfo *node)
 {
     candidate_search_t *search = context;
-    size_t              neighbours = 0;
-    size_t              position;
+    size_t              neighbours;
 
     if (!cw_control_node_usable(search->control, node) || is_member(search->membership, node->incarnation)) {
         return true;
     }
-    for (position = 0; position < search->membership->n_voters; position++) {
-        if (is_healthy(search->control, search->membership->voters[position]) &&
-            strcmp(search->membership->voters[position]->zone, node->zone) == 0) {
-            neighbours++;
-        }
-    }
+    neighbours = count_healthy_in(search->control, search->membership, node->zone);
     if (search->best == NULL || neighbours < search->best_neighbours) {
         search->best = node;
         search->best_neighbours = neighbours;
@@ -117,14 +116,33 @@
     return true;
 }
 
-static const Cw__NodeInfo *find_candidate(const cw_control_t *control, const Cw__Membership *membership)
+/* The usable node with the fewest healthy voters in its zone, which are counted too; NULL: none. */
+static const Cw__NodeInfo *find_candidate(const cw_control_t *control, const Cw__Membership *membership,
+                                          size_t *neighbours)
 {
     candidate_search_t search = {.control = control, .membership = membership};
 
     cw_control_state_each_node(control->state, consider_candidate, &search);
+    *neighbours = search.best_neighbours;
     return search.best;
 }
 
+/* A healthy voter that shares its zone with another one, but not this replica itself; NULL: none. */
+static const Cw__NodeInfo *find_crowded(const cw_control_t *control, const Cw__Membership *present)
+{
+    const Cw__NodeInfo *voter;
+    size_t              position;
+
+    for (position = 0; position < present->n_voters; position++) {
+        voter = present->voters[position];
+        if (voter->incarnation != control->self->incarnation && is_healthy(control, voter) &&
+            count_healthy_in(control, present, voter->zone) > 1) {
+            return voter;
+        }
+    }
+    return NULL;
+}
+
 /* ---- changes ---- */
 
 /* The present members without one of them (NULL: all), with room for one more in each list. */
@@ -237,25 +255,55 @@
     return NULL;
 }
 
+/* Some voter that is not this replica itself. */
+static const Cw__NodeInfo *find_other(const cw_control_t *control, const Cw__Membership *present)
+{
+    const Cw__NodeInfo *last = present->voters[present->n_voters - 1];
+
+    return last->incarnation != control->self->incarnation ? last : present->voters[0];
+}
+
+/* There are healthy voters enough: the others go, and the zones are evened out. */
+static void tend_full_group(cw_control_t *control, const Cw__Membership *present, size_t healthy)
+{
+    const Cw__NodeInfo *removable = find_unhealthy(control, present, true);
+    const Cw__NodeInfo *crowded = find_crowded(control, present);
+    const Cw__NodeInfo *candidate;
+    size_t              neighbours;
+
+    if (removable == NULL) {
+        removable = find_unhealthy(control, present, false);
+    }
+    if (removable == NULL && healthy > control->options.control_size) {
+        removable = crowded != NULL ? crowded : find_other(control, present);
+    }
+    if (removable != NULL) {
+        remove_member(control, present, removable);
+        return;
+    }
+    candidate = crowded == NULL ? NULL : find_candidate(control, present, &neighbours);
+    if (candidate != NULL && neighbours == 0 && healthy == control->options.control_size) {
+        add_learner(control, present, candidate);
+    }
+}
+
 void cw_control_tend_membership(cw_control_t *control)
 {
     const Cw__Membership *present = cw_raft_membership(control->raft);
-    const Cw__NodeInfo   *gone = find_unhealthy(control, present, true);
     const Cw__NodeInfo   *leaving = find_unhealthy(control, present, false);
     const Cw__NodeInfo   *candidate;
-    size_t                healthy = count_healthy(control, present);
+    size_t                healthy = count_healthy_in(control, present, NULL);
+    size_t                neighbours;
 
     if (present->n_learners > 0) {
         tend_learner(control, present);
         return;
     }
     if (healthy >= control->options.control_size) {
-        if (gone != NULL || leaving != NULL) {
-            remove_member(control, present, gone != NULL ? gone : leaving);
-        }
+        tend_full_group(control, present, healthy);
         return;
     }
-    candidate = find_candidate(control, present);
+    candidate = find_candidate(control, present, &neighbours);
     if (candidate != NULL) {
         add_learner(control, present, candidate);
     } else if (leaving != NULL) {
--- a/src/core/control_state_internal.h
+++ b/src/core/control_state_internal.h
@@ -85,4 +85,15 @@
 /** Position of a tenant, or where it belongs; *found tells which. */
 size_t cw_state_tenant_position(const cw_control_state_t *state, const char *name, bool *found);
 
+/* Between control_state_store.c and control_state_tenant.c. */
+cw_object_t *cw_state_create_object(cw_object_kind_t kind);
+/** Marks an object as changed at a version. */
+void cw_state_touch(cw_control_state_t *state, cw_object_t *object, uint64_t version);
+/** Index entries, made when missing; NULL without memory. */
+cw_service_index_t *cw_state_obtain_service(cw_control_state_t *state, cw_service_id_t service);
+cw_server_index_t  *cw_state_obtain_server(cw_control_state_t *state, cw_server_id_t server);
+/** Drops an index entry that stands for nothing any more. */
+void cw_state_release_service(cw_control_state_t *state, cw_service_index_t *index);
+void cw_state_release_server(cw_control_state_t *state, cw_server_index_t *index);
+
 #endif
--- a/src/core/control_state_store.c
+++ b/src/core/control_state_store.c
@@ -14,9 +14,6 @@
 #include <string.h>
 
 #include "cedarwinch/error.h"
-#include "cedarwinch/intent.h"
-
-enum { FIRST_TENANTS = 8 };
 
 /* ---- list by last change ---- */
 
@@ -35,7 +32,7 @@
     object->older = object->newer = NULL;
 }
 
-static void touch_object(cw_control_state_t *state, cw_object_t *object, uint64_t version)
+void cw_state_touch(cw_control_state_t *state, cw_object_t *object, uint64_t version)
 {
     unlink_object(state, object);
     object->version = version;
@@ -48,7 +45,7 @@
     state->newest = object;
 }
 
-static cw_object_t *create_object(cw_object_kind_t kind)
+cw_object_t *cw_state_create_object(cw_object_kind_t kind)
 {
     cw_object_t *object = calloc(1, sizeof(*object));
 
@@ -74,7 +71,7 @@
     if (object != NULL) {
         return object;
     }
-    object = create_object(kind);
+    object = cw_state_create_object(kind);
     if (object != NULL && cw_ordered_table_put(table, key, object) != CW_OK) {
         free(object);
         return NULL;
@@ -88,12 +85,12 @@
         protobuf_c_message_free_unpacked(object->message, NULL);
     }
     object->message = message;
-    touch_object(state, object, version);
+    cw_state_touch(state, object, version);
 }
 
 /* ---- indexes ---- */
 
-static cw_service_index_t *obtain_service(cw_control_state_t *state, cw_service_id_t service)
+cw_service_index_t *cw_state_obtain_service(cw_control_state_t *state, cw_service_id_t service)
 {
     cw_service_index_t *index;
 
@@ -108,7 +105,7 @@
     return index;
 }
 
-static cw_server_index_t *obtain_server(cw_control_state_t *state, cw_server_id_t server)
+cw_server_index_t *cw_state_obtain_server(cw_control_state_t *state, cw_server_id_t server)
 {
     cw_server_index_t *index;
 
@@ -123,7 +120,7 @@
     return index;
 }
 
-static void release_service(cw_control_state_t *state, cw_service_index_t *index)
+void cw_state_release_service(cw_control_state_t *state, cw_service_index_t *index)
 {
     if (index->configuration == NULL && index->ranges.count == 0) {
         HASH_DEL(state->services_by_id, index);
@@ -132,7 +129,7 @@
     }
 }
 
-static void release_server(cw_control_state_t *state, cw_server_index_t *index)
+void cw_state_release_server(cw_control_state_t *state, cw_server_index_t *index)
 {
     if (index->configuration == NULL && index->ranges.count == 0) {
         HASH_DEL(state->servers_by_id, index);
@@ -144,7 +141,7 @@
 static int link_range(cw_control_state_t *state, cw_object_t *object)
 {
     const Cw__RangeInfo *range = object->range;
-    cw_service_index_t  *service = obtain_service(state, range->service);
+    cw_service_index_t  *service = cw_state_obtain_service(state, range->service);
     cw_server_index_t   *server;
 
     if (service == NULL || cw_ordered_table_put(&service->ranges, range->low, object) != CW_OK) {
@@ -153,7 +150,7 @@
     if (range->server == 0) {
         return CW_OK;
     }
-    server = obtain_server(state, range->server);
+    server = cw_state_obtain_server(state, range->server);
     if (server == NULL || cw_ordered_table_put(&server->ranges, range->id, object) != CW_OK) {
         return CW_ERROR_NO_MEMORY;
     }
@@ -163,19 +160,19 @@
 static void unlink_range(cw_control_state_t *state, cw_object_t *object)
 {
     const Cw__RangeInfo *range = object->range;
-    cw_service_index_t  *service = obtain_service(state, range->service);
+    cw_service_index_t  *service = cw_state_obtain_service(state, range->service);
     cw_server_index_t   *server;
 
     if (service != NULL) {
         if (cw_ordered_table_find(&service->ranges, range->low) == object) {
             cw_ordered_table_remove(&service->ranges, range->low);
         }
-        release_service(state, service);
+        cw_state_release_service(state, service);
     }
-    server = range->server == 0 ? NULL : obtain_server(state, range->server);
+    server = range->server == 0 ? NULL : cw_state_obtain_server(state, range->server);
     if (server != NULL) {
         cw_ordered_table_remove(&server->ranges, range->id);
-        release_server(state, server);
+        cw_state_release_server(state, server);
     }
 }
 
@@ -274,164 +271,6 @@
     }
 }
 
-/* ---- tenants ---- */
-
-size_t cw_state_tenant_position(const cw_control_state_t *state, const char *name, bool *found)
-{
-    size_t low = 0;
-    size_t high = state->tenant_count;
-    size_t middle;
-    int    order;
-
-    *found = false;
-    while (low < high) {
-        middle = low + (high - low) / 2;
-        order = strcmp(state->tenants[middle]->tenant->name, name);
-        if (order == 0) {
-            *found = true;
-            return middle;
-        }
-        if (order < 0) {
-            low = middle + 1;
-        } else {
-            high = middle;
-        }
-    }
-    return low;
-}
-
-/* Retires a server that left the configuration, keeping how to reach it; brings it back when it is named again. */
-static int set_retired(cw_control_state_t *state, cw_server_id_t server, const Cw__ServerConfiguration *retired,
-                       uint64_t version)
-{
-    const Cw__ServerInfo *present = cw_control_state_server(state, server);
-    Cw__ServerInfo       *changed;
-
-    if (present == NULL || (present->retired != NULL) == (retired != NULL)) {
-        return CW_OK;
-    }
-    changed = (Cw__ServerInfo *)cw_message_copy(&present->base);
-    if (changed == NULL) {
-        return CW_ERROR_NO_MEMORY;
-    }
-    if (changed->retired != NULL) {
-        cw__server_configuration__free_unpacked(changed->retired, NULL);
-        changed->retired = NULL;
-    }
-    if (retired != NULL) {
-        changed->retired = (Cw__ServerConfiguration *)cw_message_copy(&retired->base);
-    }
-    changed->draining = retired != NULL;
-    return cw_state_put_server(state, changed, version);
-}
-
-static int link_service(cw_control_state_t *state, const Cw__TenantConfiguration *tenant,
-                        const Cw__ServiceConfiguration *service, uint64_t version)
-{
-    cw_service_index_t *service_index = obtain_service(state, service->id);
-    cw_server_index_t  *server_index;
-    size_t              position;
-
-    if (service_index == NULL) {
-        return CW_ERROR_NO_MEMORY;
-    }
-    service_index->configuration = service;
-    service_index->tenant = tenant;
-    for (position = 0; position < service->n_servers; position++) {
-        server_index = obtain_server(state, service->servers[position]->id);
-        if (server_index == NULL || set_retired(state, server_index->id, NULL, version) != CW_OK) {
-            return CW_ERROR_NO_MEMORY;
-        }
-        server_index->configuration = service->servers[position];
-    }
-    return CW_OK;
-}
-
-/* Takes the former configuration out of the indexes; what the new one does not name any more is retired. */
-static int unlink_service(cw_control_state_t *state, const Cw__TenantConfiguration *former,
-                          const Cw__ServiceConfiguration *service, uint64_t version)
-{
-    cw_service_index_t *service_index = obtain_service(state, service->id);
-    cw_server_index_t  *server_index;
-    int                 error = CW_OK;
-    size_t              position;
-
-    if (service_index != NULL && service_index->tenant == former) {
-        service_index->configuration = NULL;
-        service_index->tenant = NULL;
-        release_service(state, service_index);
-    }
-    for (position = 0; position < service->n_servers; position++) {
-        server_index = obtain_server(state, service->servers[position]->id);
-        if (server_index == NULL || server_index->configuration != service->servers[position]) {
-            continue;
-        }
-        server_index->configuration = NULL;
-        if (set_retired(state, server_index->id, service->servers[position], version) != CW_OK) {
-            error = CW_ERROR_NO_MEMORY;
-        }
-        release_server(state, server_index);
-    }
-    return error;
-}
-
-static cw_object_t *obtain_tenant(cw_control_state_t *state, const char *name)
-{
-    bool          found;
-    size_t        position = cw_state_tenant_position(state, name, &found);
-    size_t        capacity;
-    cw_object_t **tenants;
-    cw_object_t  *object;
-
-    if (found) {
-        return state->tenants[position];
-    }
-    if (state->tenant_count == state->tenant_capacity) {
-        capacity = state->tenant_capacity == 0 ? FIRST_TENANTS : 2 * state->tenant_capacity;
-        tenants = realloc(state->tenants, capacity * sizeof(cw_object_t *));
-        if (tenants == NULL) {
-            return NULL;
-        }
-        state->tenants = tenants;
-        state->tenant_capacity = capacity;
-    }
-    object = create_object(CW_OBJECT_TENANT);
-    if (object == NULL) {
-        return NULL;
-    }
-    memmove(&state->tenants[position + 1], &state->tenants[position],
-            (state->tenant_count - position) * sizeof(cw_object_t *));
-    state->tenants[position] = object;
-    state->tenant_count++;
-    return object;
-}
-
-int cw_state_put_tenant(cw_control_state_t *state, Cw__TenantConfiguration *tenant, uint64_t version)
-{
-    cw_object_t             *object = obtain_tenant(state, tenant->name);
-    Cw__TenantConfiguration *former;
-    int                      error = CW_OK;
-    size_t                   position;
-
-    if (object == NULL) {
-        cw__tenant_configuration__free_unpacked(tenant, NULL);
-        return CW_ERROR_NO_MEMORY;
-    }
-    former = object->tenant;
-    object->tenant = tenant;
-    touch_object(state, object, version);
-    for (position = 0; position < tenant->n_services && error == CW_OK; position++) {
-        error = link_service(state, tenant, tenant->services[position], version);
-    }
-    for (position = 0; former != NULL && position < former->n_services && error == CW_OK; position++) {
-        error = unlink_service(state, former, former->services[position], version);
-    }
-    if (former != NULL) {
-        cw__tenant_configuration__free_unpacked(former, NULL);
-    }
-    return error;
-}
-
 /* ---- all ---- */
 
 static void clear_services(cw_control_state_t *state)
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -514,6 +514,26 @@
 }
 END_TEST
 
+START_TEST(voters_span_all_zones_again_after_a_lost_zone_is_back)
+{
+    const Cw__Membership *membership;
+
+    begin_service();
+    cluster_stop_node(2); /* both nodes of zone c */
+    cluster_stop_node(5);
+    cluster_run(6 * SECOND);
+    ck_assert_uint_eq(count_voters(0), 3);
+    cluster_restart_node(2);
+    cluster_run(6 * SECOND);
+    membership = cw_raft_membership(cw_control_raft(cluster_leader()->control));
+    ck_assert_uint_eq(membership->n_voters, 3);
+    ck_assert_str_ne(membership->voters[0]->zone, membership->voters[1]->zone);
+    ck_assert_str_ne(membership->voters[1]->zone, membership->voters[2]->zone);
+    ck_assert_str_ne(membership->voters[0]->zone, membership->voters[2]->zone);
+    ck_assert(cluster_settled());
+}
+END_TEST
+
 START_TEST(a_leaving_leader_hands_over_and_is_taken_out)
 {
     cluster_node_t *former;
@@ -808,6 +828,7 @@
     tcase_add_test(tests, with_a_majority_of_replicas_lost_older_request_ids_are_given_up);
     tcase_add_test(tests, a_leaving_forwarder_hands_its_servers_over_drained);
     tcase_add_test(tests, a_dead_voter_is_replaced_and_the_record_says_so);
+    tcase_add_test(tests, voters_span_all_zones_again_after_a_lost_zone_is_back);
     tcase_add_test(tests, a_leaving_leader_hands_over_and_is_taken_out);
     tcase_add_test(tests, late_heartbeat_of_a_former_incarnation_is_ignored);
     tcase_add_test(tests, a_group_that_was_replaced_stops_leading);
