--- a/bench/capacity/bench.h
+++ b/bench/capacity/bench.h
@@ -25,5 +25,8 @@
 void cw_capacity_measure_relay(cw_capacity_bench_t *bench);
 void cw_capacity_measure_state(cw_capacity_bench_t *bench);
 void cw_capacity_measure_gateway(cw_capacity_bench_t *bench);
+void cw_capacity_measure_forwarder(cw_capacity_bench_t *bench);
+void cw_capacity_measure_raft(cw_capacity_bench_t *bench);
+void cw_capacity_measure_control(cw_capacity_bench_t *bench);
 
 #endif
--- a/bench/capacity/main.c
+++ b/bench/capacity/main.c
@@ -21,9 +21,9 @@
 } measurement_t;
 
 static const measurement_t measurements[] = {
-    {"state", cw_capacity_measure_state},
-    {"relay", cw_capacity_measure_relay},
-    {"gateway", cw_capacity_measure_gateway},
+    {"state", cw_capacity_measure_state},     {"relay", cw_capacity_measure_relay},
+    {"gateway", cw_capacity_measure_gateway}, {"forwarder", cw_capacity_measure_forwarder},
+    {"raft", cw_capacity_measure_raft},       {"control", cw_capacity_measure_control},
 };
 
 typedef struct flags {
--- a/bench/capacity/population.c
+++ b/bench/capacity/population.c
@@ -19,7 +19,9 @@
     HTTP_PORT = 7200,
     SERVER_PORT = 9000,
     SLOTS = 4,
-    CONNECTIONS = 120
+    CONNECTIONS = 120,
+    ZONES = 10,
+    REGIONS = 4
 };
 
 #define SERVICE_NAME "transcripts"
@@ -49,8 +51,10 @@
     snprintf(node->address, sizeof(node->address), "10.%u.%u.%u", id >> 16 & 0xff, id >> 8 & 0xff, id & 0xff);
     node->info.id = id;
     node->info.incarnation = CW_CAPACITY_INCARNATIONS + id;
-    node->info.zone = (char *)"eu-west-1a";
-    node->info.region = (char *)"eu-west-1";
+    snprintf(node->zone, sizeof(node->zone), "eu-west-%uz%u", id % ZONES % REGIONS, id % ZONES);
+    snprintf(node->region, sizeof(node->region), "eu-west-%u", id % ZONES % REGIONS);
+    node->info.zone = node->zone;
+    node->info.region = node->region;
     node->info.address = node->address;
     node->info.peer_port = PEER_PORT;
     node->info.http_port = HTTP_PORT;
@@ -115,7 +119,7 @@
     server->name = parts->server_names[position];
     server->address = (char *)"10.200.100.50";
     server->port = SERVER_PORT;
-    server->zone = (char *)"eu-west-1a";
+    server->zone = (char *)"eu-west-1z1";
     parts->server_pointers[position] = server;
 }
 
@@ -185,7 +189,7 @@
 {
     size_t number = tenant * population->servers_per_tenant + server;
 
-    return population->nodes == 0 ? 0 : (cw_node_id_t)(number % population->nodes) + 1;
+    return (cw_node_id_t)(number % population->nodes) + 1;
 }
 
 static void apply_servers(cw_control_state_t *state, const tenant_parts_t *parts,
@@ -237,7 +241,7 @@
     range->info.journal_valid_from_ms = INT64_C(1790000000000);
     for (replica = 0; replica < JOURNAL_REPLICAS; replica++) {
         cw__replica_reference__init(&range->replicas[replica]);
-        range->replicas[replica].node = (uint32_t)((position + replica) % (population->nodes + 1));
+        range->replicas[replica].node = (uint32_t)((position * JOURNAL_REPLICAS + replica) % population->nodes) + 1;
         range->replicas[replica].incarnation = CW_CAPACITY_INCARNATIONS + range->replicas[replica].node;
         range->replica_pointers[replica] = &range->replicas[replica];
     }
--- a/bench/capacity/population.h
+++ b/bench/capacity/population.h
@@ -20,11 +20,14 @@
 typedef struct cw_capacity_node {
     Cw__NodeInfo info;
     char         address[16];
+    char         zone[24];
+    char         region[24];
 } cw_capacity_node_t;
 
 void cw_capacity_node_init(cw_capacity_node_t *node, cw_node_id_t id);
 
-/** NULL: no memory. Node ids are 1 to the number of nodes. */
+/** NULL: no memory. Node ids are 1 to the number of nodes, which is not 0, over ten zones in four regions. A journal
+ *  set is in three zones when there are ten nodes or more. */
 cw_control_state_t *cw_capacity_population_create(const cw_capacity_population_t *population);
 
 /** Names of a tenant's parts, as text. */
--- a/bench/capacity/target.c
+++ b/bench/capacity/target.c
@@ -4,6 +4,8 @@
  */
 #include "target_internal.h"
 
+#include <stdarg.h>
+
 enum { VALUE_ROOM = 64 };
 
 void cw_capacity_target_write_size(FILE *file)
@@ -102,12 +104,23 @@
     writer->missing = false;
 }
 
+void target_explain(target_line_t *line, const char *format, ...)
+{
+    va_list arguments;
+
+    va_start(arguments, format);
+    vsnprintf(line->arithmetic, sizeof(line->arithmetic), format, arguments);
+    va_end(arguments);
+}
+
 void cw_capacity_target_write(const cw_capacity_results_t *results, FILE *file)
 {
     target_writer_t writer = {results, file, false};
 
     fprintf(file, "| role | need | arithmetic | at the size planned for | bound | verdict |\n"
                   "| --- | --- | --- | --- | --- | --- |\n");
+    target_write_node(&writer);
     target_write_relay(&writer);
+    target_write_control(&writer);
     target_write_requests(&writer);
 }
--- a/bench/capacity/target_internal.h
+++ b/bench/capacity/target_internal.h
@@ -34,13 +34,19 @@
 #define ASSUMED_JOURNAL_REPLICAS  3.0
 #define ASSUMED_WINDOW_S          120.0 /* the journal's default window */
 #define ASSUMED_REGION_HOP_S      0.1   /* one way between regions, generous */
+#define ASSUMED_SERVICES          (3 * ASSUMED_TENANTS)
+#define ASSUMED_HOT_CHANGE_S      300.0 /* the hottest keys are other ones after so long */
+#define ASSUMED_BOOTSTRAP_S       60.0  /* the leader writes the state to the store this often */
 #define ASSUMED_BEAT_S            0.3   /* the default interval of heartbeats and of the tree */
 
-#define SERVERS_PER_NODE    (ASSUMED_SERVERS / TARGET_NODES)
-#define SERVERS_PER_TENANT  (ASSUMED_SERVERS / ASSUMED_TENANTS)
-#define RANGES_PER_NODE     (ASSUMED_RANGES / TARGET_NODES)
-#define REQUESTS_PER_NODE   (TARGET_REQUESTS / TARGET_NODES)
-#define CHANGES_PER_SECOND  (TARGET_CHANGES_PER_DAY / SECONDS_PER_DAY)
+#define SERVERS_PER_NODE   (ASSUMED_SERVERS / TARGET_NODES)
+#define SERVERS_PER_TENANT (ASSUMED_SERVERS / ASSUMED_TENANTS)
+#define RANGES_PER_NODE    (ASSUMED_RANGES / TARGET_NODES)
+#define REQUESTS_PER_NODE  (TARGET_REQUESTS / TARGET_NODES)
+#define CHANGES_PER_SECOND (TARGET_CHANGES_PER_DAY / SECONDS_PER_DAY)
+/* Versions of the table: configurations, four for each restart, and split, move and join of the hot keys. */
+#define TABLE_CHANGES_PER_SECOND                                                                                       \
+    (CHANGES_PER_SECOND + 4 * RESTARTS_PER_SECOND + 3 * TARGET_HOT_KEYS / ASSUMED_HOT_CHANGE_S)
 #define RESTARTS_PER_SECOND (TARGET_RESTARTS_PER_DAY / SECONDS_PER_DAY)
 
 enum { TARGET_ARITHMETIC_ROOM = 400 };
@@ -70,7 +76,12 @@
 double target_largest(target_writer_t *writer, const char *name);
 void   target_write_line(target_writer_t *writer, const target_line_t *line);
 
+/** Fills the arithmetic of a line. */
+void target_explain(target_line_t *line, const char *format, ...) __attribute__((format(printf, 2, 3)));
+
 void target_write_relay(target_writer_t *writer);
+void target_write_control(target_writer_t *writer);
+void target_write_node(target_writer_t *writer);
 void target_write_requests(target_writer_t *writer);
 
 #endif
