--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -10,9 +10,10 @@
 . scripts/bench/latency.sh
 . scripts/bench/cost.sh
 . scripts/bench/journal.sh
+. scripts/bench/recovery.sh
 . scripts/bench/bounds.sh
 
-SCENARIOS="latency cost journal"
+SCENARIOS="latency cost journal recovery"
 
 # shellcheck disable=SC2086
 [ $# -gt 0 ] || set -- $SCENARIOS
--- a/scripts/bench/bounds.sh
+++ b/scripts/bench/bounds.sh
@@ -35,3 +35,12 @@
     bound "journal needed: messages" at-most 0.7
     bound "processor time, journal all / needed" at-least 1.2
 }
+
+bounds_recovery() {
+    bound "journal wait / round trip at 0.5 ms one way" at-most 1.1
+    bound "journal wait / round trip at 1.5 ms one way" at-most 1.1
+    bound "journal traffic, both ways, at 0.5 ms one way" at-most 9
+    bound "first write served, 1000 entries, all at once / unfinished first" at-least 2
+    bound "violations, forwarder killed, unfinished first" at-most 0
+    bound "violations, forwarder killed, all at once" at-most 0
+}
