Loads are carried on when another forwarder counts a range

Cause: a forwarder counts a range from nothing, so a moved range looked idle and ever more was moved to its new server; a former forwarder repeated its last count for 15 s; parts of a split began at zero. Ruled out: scaling a young count up by its age (the first reports are then mostly noise). Change: the leader believes only the present forwarder of a range's server, and adds what was known before, decayed at the pace at which the new count grows; parts of a split begin with their share. control_load.c is split off.

--- a/bench/placement/leader.c
+++ b/bench/placement/leader.c
@@ -10,7 +10,7 @@
 #include "cedarwinch/error.h"
 #include "world.h"
 
-enum { LOAD_KEEP_US = 15 * CW_US_PER_S, LOAD_REPORT_US = 5 * CW_US_PER_S, TICK_WAIT_MS = 25 };
+enum { LOAD_REPORT_US = 5 * CW_US_PER_S, TICK_WAIT_MS = 25 };
 
 static const double LOAD_CHANGE_SHARE = 0.1;
 static const double LOAD_CHANGE_LEAST = 0.1;
@@ -24,8 +24,7 @@
     const cw_hot_key_t *key;
     size_t              position;
 
-    range->told_load = range->load.requests_per_second;
-    range->told_us = now;
+    cw_placement_load_tell(&range->known, range->load.requests_per_second, now);
     range->reported = true;
     range->hot_load = 0;
     for (position = 0; position < range->load.key_count; position++) {
@@ -49,9 +48,9 @@
             continue;
         }
         cw_range_load_decay(&range->load, world->now);
-        change = fabs(range->load.requests_per_second - range->told_load);
-        if (!range->reported || world->now - range->told_us >= LOAD_REPORT_US ||
-            (change > LOAD_CHANGE_LEAST && change > LOAD_CHANGE_SHARE * range->told_load)) {
+        change = fabs(range->load.requests_per_second - range->known.told);
+        if (!range->reported || world->now - range->known.told_us >= LOAD_REPORT_US ||
+            (change > LOAD_CHANGE_LEAST && change > LOAD_CHANGE_SHARE * range->known.told)) {
             tell(range, world->now);
         }
     }
@@ -70,9 +69,7 @@
 static void fill_item(const bench_world_t *world, const bench_range_t *range, cw_placement_range_t *item, pass_t *pass)
 {
     *item = (cw_placement_range_t){.id = range->id, .low = range->low, .last = range->last};
-    if (world->now - range->told_us <= LOAD_KEEP_US) {
-        item->load = range->told_load;
-    }
+    item->load = cw_placement_load_at(&range->known, world->now);
     item->hot_key = range->hot_key;
     item->hot_load = range->hot_load;
     if (range->owner == BENCH_NO_OWNER || bench_server_lost(world, range->owner)) {
--- a/bench/placement/model.h
+++ b/bench/placement/model.h
@@ -69,10 +69,11 @@
     int (*plan)(const cw_placement_input_t *input, cw_placement_result_t *result);
     bool (*split)(const cw_placement_input_t *input, size_t *range); /**< NULL: never splits */
     bool (*merge)(const cw_placement_input_t *input, size_t *range); /**< joins it with the next; NULL: never */
-    bool     asks_servers; /**< takes loads from the servers' own load endpoints */
-    bool     bounds_moves; /**< moves at most so many ranges at once */
-    uint32_t ranges;       /**< 0: as configured; else this many, so that each is about
-                              a key */
+    bool     asks_servers;  /**< takes loads from the servers' own load endpoints */
+    bool     forgets_loads; /**< believes a new forwarder's count from its first report on */
+    bool     bounds_moves;  /**< moves at most so many ranges at once */
+    uint32_t ranges;        /**< 0: as configured; else this many, so that each is about
+                               a key */
 } bench_planner_t;
 
 typedef struct bench_result {
--- a/bench/placement/planners.c
+++ b/bench/placement/planners.c
@@ -12,7 +12,11 @@
 const bench_planner_t bench_planners[] = {
     {.name = "ring", .plan = bench_ring_plan, .ranges = RING_RANGES},
     {.name = "bounded", .plan = bench_bounded_plan, .ranges = RING_RANGES, .asks_servers = true},
-    {.name = "first", .plan = bench_first_plan, .split = bench_first_split, .bounds_moves = true},
+    {.name = "first",
+     .plan = bench_first_plan,
+     .split = bench_first_split,
+     .forgets_loads = true,
+     .bounds_moves = true},
     {.name = "present", .plan = cw_placement_plan, .split = cw_placement_choose_split, .bounds_moves = true},
 };
 const size_t bench_planner_count = sizeof(bench_planners) / sizeof(bench_planners[0]);
--- a/bench/placement/world.c
+++ b/bench/placement/world.c
@@ -261,15 +261,24 @@
 
 /* ---- ranges ---- */
 
+/* Another forwarder counts from nothing. */
+static void restart_count(const bench_world_t *world, bench_range_t *range, double known_load)
+{
+    memset(&range->load, 0, sizeof(range->load));
+    range->load.updated_us = world->now;
+    range->reported = false;
+    if (!world->planner->forgets_loads) {
+        cw_placement_load_carry(&range->known, known_load, world->now);
+    }
+}
+
 void bench_give(bench_world_t *world, size_t range, size_t server, cw_time_us_t outage_us)
 {
     bench_range_t *moved = &world->ranges[range];
     cw_time_us_t   since_us = moved->lost_us >= 0 ? moved->lost_us : world->now;
 
     if (moved->owner != server) {
-        memset(&moved->load, 0, sizeof(moved->load));
-        moved->load.updated_us = world->now;
-        moved->reported = false;
+        restart_count(world, moved, cw_placement_load_at(&moved->known, world->now));
         if (world->now >= BENCH_WARM_UP_US) {
             world->keys_moved += moved->key_count;
             world->result->moves++;
@@ -291,23 +300,33 @@
     whole[1].low = last + 1;
 }
 
-static void renew(bench_world_t *world, size_t range)
+static void renew(bench_world_t *world, size_t range, double known_load)
 {
     bench_range_t *part = &world->ranges[range];
 
     part->id = world->next_range_id++;
-    memset(&part->load, 0, sizeof(part->load));
-    part->load.updated_us = world->now;
-    part->reported = false;
-    part->told_load = 0;
     part->hot_load = 0;
+    part->known = (cw_placement_load_t){0};
+    restart_count(world, part, known_load);
+}
+
+static double part_load(const bench_range_t *whole, const bench_range_t *part, cw_key_hash_t key, double load)
+{
+    double hot_load = whole->hot_load < load ? whole->hot_load : load;
+
+    if (part->low <= key && key <= part->last) {
+        return hot_load;
+    }
+    return (load - hot_load) * (double)(part->last - part->low) / (double)(whole->last - whole->low);
 }
 
 size_t bench_split(bench_world_t *world, size_t range, cw_key_hash_t key)
 {
-    size_t first = range;
-    size_t parts = 1;
-    size_t position;
+    const bench_range_t whole = world->ranges[range];
+    double              load = cw_placement_load_at(&whole.known, world->now);
+    size_t              first = range;
+    size_t              parts = 1;
+    size_t              position;
 
     if (key > world->ranges[range].low) {
         cut(world, range, key - 1);
@@ -320,7 +339,7 @@
     }
     index_keys(world);
     for (position = first; position < first + parts; position++) {
-        renew(world, position);
+        renew(world, position, part_load(&whole, &world->ranges[position], key, load));
     }
     return parts;
 }
@@ -328,10 +347,11 @@
 void bench_merge(bench_world_t *world, size_t range)
 {
     bench_range_t *left = &world->ranges[range];
+    double load = cw_placement_load_at(&left[0].known, world->now) + cw_placement_load_at(&left[1].known, world->now);
 
     left->last = left[1].last;
     memmove(left + 1, left + 2, (world->range_count - range - 2) * sizeof(*left));
     world->range_count--;
-    renew(world, range);
+    renew(world, range, load);
     index_keys(world);
 }
--- a/bench/placement/world.h
+++ b/bench/placement/world.h
@@ -31,20 +31,19 @@
 } bench_server_t;
 
 typedef struct bench_range {
-    cw_range_id_t   id;
-    cw_key_hash_t   low;
-    cw_key_hash_t   last;
-    size_t          owner; /**< or BENCH_NO_OWNER; the target while it moves */
-    cw_time_us_t    ready_us;
-    cw_time_us_t    lost_us; /**< without service since; -1: served */
-    size_t          first_key;
-    size_t          key_count;
-    cw_range_load_t load; /**< at its forwarder */
-    bool            reported;
-    double          told_load;
-    cw_time_us_t    told_us;
-    cw_key_hash_t   hot_key;
-    double          hot_load;
+    cw_range_id_t       id;
+    cw_key_hash_t       low;
+    cw_key_hash_t       last;
+    size_t              owner; /**< or BENCH_NO_OWNER; the target while it moves */
+    cw_time_us_t        ready_us;
+    cw_time_us_t        lost_us; /**< without service since; -1: served */
+    size_t              first_key;
+    size_t              key_count;
+    cw_range_load_t     load; /**< at its forwarder */
+    bool                reported;
+    cw_placement_load_t known; /**< to the leader */
+    cw_key_hash_t       hot_key;
+    double              hot_load;
 } bench_range_t;
 
 /** Keys are kept in the order of their hashes. */
--- a/include/cedarwinch/placement.h
+++ b/include/cedarwinch/placement.h
@@ -13,7 +13,9 @@
     CW_PLACEMENT_DRAIN_MOVES = 16,  /**< ranges moving at once off draining servers */
     CW_PLACEMENT_BALANCE_PAUSE_US = 1 * CW_US_PER_S,
     CW_PLACEMENT_IDLE_PAUSE_US = 5 * CW_US_PER_S,
-    CW_PLACEMENT_SPLIT_PAUSE_US = 5 * CW_US_PER_S
+    CW_PLACEMENT_SPLIT_PAUSE_US = 5 * CW_US_PER_S,
+    CW_PLACEMENT_LOAD_DECAY_US = 10 * CW_US_PER_S, /**< time constant of the rates that forwarders count */
+    CW_PLACEMENT_LOAD_KEEP_US = 15 * CW_US_PER_S   /**< a rate that is not told again is forgotten */
 };
 
 typedef struct cw_placement_server {
@@ -61,6 +63,22 @@
 int  cw_placement_plan(const cw_placement_input_t *input, cw_placement_result_t *result);
 void cw_placement_result_clear(cw_placement_result_t *result);
 
+/**
+ * Load of a range as told by one forwarder after the other. A new forwarder counts from nothing, so what the former
+ * one counted is carried on and decays at the pace at which the new count grows.
+ */
+typedef struct cw_placement_load {
+    double       told;
+    cw_time_us_t told_us;
+    double       carried;
+    cw_time_us_t carried_us;
+} cw_placement_load_t;
+
+double cw_placement_load_at(const cw_placement_load_t *load, cw_time_us_t now);
+void   cw_placement_load_tell(cw_placement_load_t *load, double requests_per_second, cw_time_us_t now);
+/** Starts a new count; requests_per_second is what is known from before. */
+void cw_placement_load_carry(cw_placement_load_t *load, double requests_per_second, cw_time_us_t now);
+
 /** Chooses the range whose hottest key is to get a range of its own. False: none is worth it. */
 bool cw_placement_choose_split(const cw_placement_input_t *input, size_t *range);
 
--- a/src/core/control_internal.h
+++ b/src/core/control_internal.h
@@ -66,19 +66,19 @@
 
 /** Leader's view of a range; made when there is something to remember. */
 typedef struct cw_range_track {
-    cw_range_id_t    id;
-    cw_fence_t       acked; /**< fence under which the server accepted it */
-    cw_incarnation_t acked_by;
-    cw_fence_t       released;   /**< fence of the revocation that the server confirmed */
-    cw_server_id_t   target;     /**< where it goes once released; 0: not decided */
-    bool             refence;    /**< refused for its fence: needs a new one */
-    bool             renew;      /**< its journal replicas change: drained and granted again */
-    cw_time_us_t     journal_us; /**< last change of its journal replicas; 0: none under this leader */
-    double           load;
-    cw_time_us_t     load_us;
-    cw_key_hash_t    hot_key;
-    double           hot_load;
-    char             reason[96];
+    cw_range_id_t       id;
+    cw_fence_t          acked; /**< fence under which the server accepted it */
+    cw_incarnation_t    acked_by;
+    cw_fence_t          released;   /**< fence of the revocation that the server confirmed */
+    cw_server_id_t      target;     /**< where it goes once released; 0: not decided */
+    bool                refence;    /**< refused for its fence: needs a new one */
+    bool                renew;      /**< its journal replicas change: drained and granted again */
+    cw_time_us_t        journal_us; /**< last change of its journal replicas; 0: none under this leader */
+    cw_incarnation_t    counted_by; /**< process of the forwarder that told the load */
+    cw_placement_load_t load;
+    cw_key_hash_t       hot_key;
+    double              hot_load;
+    char                reason[96];
 } cw_range_track_t;
 
 typedef struct cw_service_track {
@@ -86,6 +86,11 @@
     cw_time_us_t    seen_us;        /**< under this leader */
     cw_time_us_t    rebalance_us;   /**< not before */
     bool            balance_wanted; /**< loads or servers changed since it was last balanced */
+    cw_key_hash_t   split_low;      /**< the last range that was split, and its load then */
+    cw_key_hash_t   split_last;
+    cw_key_hash_t   split_key;
+    double          split_load;
+    double          split_hot_load;
 } cw_service_track_t;
 
 /** Reading that waits for its quorum round. */
@@ -333,10 +338,15 @@
 bool cw_control_range_released(const cw_control_t *control, const Cw__RangeInfo *range);
 
 /* ---- control_assign.c, control_split.c: placement of ranges ---- */
+void cw_control_decide_ranges(cw_control_t *control, cw_command_builder_t *builder);
+
+/* ---- control_load.c: loads of ranges ---- */
 /** Decayed load of a range, 0 when it was not told lately. */
 double cw_control_range_load(const cw_control_t *control, cw_range_id_t range);
-void   cw_control_decide_ranges(cw_control_t *control, cw_command_builder_t *builder);
 void   cw_control_take_loads(cw_control_t *control, const Cw__Heartbeat *heartbeat);
+/** A range is about to be split at a key: its parts begin with its load. */
+void cw_control_note_split(cw_control_t *control, const Cw__RangeInfo *whole, cw_key_hash_t key);
+void cw_control_note_created(cw_control_t *control, const Cw__RangeInfo *range);
 
 /* ---- control_journal.c: journal replicas of ranges ---- */
 /** To be called when the nodes of the state change. */
--- a/src/core/control_lead.c
+++ b/src/core/control_lead.c
@@ -172,6 +172,7 @@
 
 static bool mark_created(void *context, const Cw__RangeInfo *range)
 {
+    cw_control_note_created(context, range);
     note_range(context, range);
     return true;
 }
--- a/src/core/control_pass.c
+++ b/src/core/control_pass.c
@@ -10,42 +10,6 @@
 
 #include "cedarwinch/error.h"
 
-enum { LOAD_KEEP_US = 15 * CW_US_PER_S };
-
-double cw_control_range_load(const cw_control_t *control, cw_range_id_t range)
-{
-    const cw_range_track_t *track = cw_control_range_track(control, range);
-
-    if (track == NULL || track->load_us == 0 || control->now.monotonic_us - track->load_us > LOAD_KEEP_US) {
-        return 0;
-    }
-    return track->load;
-}
-
-void cw_control_take_loads(cw_control_t *control, const Cw__Heartbeat *heartbeat)
-{
-    const Cw__RangeLoad *load;
-    const Cw__RangeInfo *range;
-    cw_range_track_t    *track;
-    cw_service_track_t  *service;
-    size_t               position;
-
-    for (position = 0; position < heartbeat->n_loads; position++) {
-        load = heartbeat->loads[position];
-        range = cw_control_state_range(control->state, load->range);
-        track = range == NULL ? NULL : cw_control_make_range_track(control, load->range);
-        service = range == NULL ? NULL : cw_control_make_service_track(control, range->service);
-        if (track == NULL || service == NULL) {
-            continue;
-        }
-        track->load = load->requests_per_second;
-        track->load_us = control->now.monotonic_us;
-        track->hot_load = load->n_hot_keys > 0 ? load->hot_keys[0]->requests_per_second : 0;
-        track->hot_key = load->n_hot_keys > 0 ? load->hot_keys[0]->key_hash : 0;
-        service->balance_wanted = true;
-    }
-}
-
 cw_pass_server_t *cw_pass_find_server(cw_pass_t *pass, cw_server_id_t id)
 {
     size_t position;
--- a/src/core/control_split.c
+++ b/src/core/control_split.c
@@ -37,6 +37,7 @@
         return false;
     }
     key = input->ranges[position].hot_key;
+    cw_control_note_split(pass->control, whole, key);
     cw_command_remove_range(pass->builder, whole->id);
     if (key > whole->low) {
         add_part(pass, whole, whole->low, key - 1, "split: beside a hot key");
--- a/src/core/forwarder_load.c
+++ b/src/core/forwarder_load.c
@@ -8,9 +8,10 @@
  */
 #include <math.h>
 
+#include "cedarwinch/placement.h"
 #include "core/forwarder_internal.h"
 
-#define DECAY_S          10.0
+#define DECAY_S          ((double)CW_PLACEMENT_LOAD_DECAY_US / CW_US_PER_S)
 #define REPORTED_MINIMUM 0.1 /* requests per second */
 
 void cw_range_load_decay(cw_range_load_t *load, cw_time_us_t now)
