Planner: gain and cost in the tenant's units, differences within chance ignored

Cause: a move's cost was counted by load, not by the keys that move, and cheaply; a light load moved ranges on chance. Change: cost by share of the key space; gain for 120 s of uneven load and 1800 s of uneven key space; a difference counts above two standard deviations of the counts. Seen to fail: bound on chance at 0, the check for it fails.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -9,14 +9,18 @@
  *
  * 1. Forced moves: ranges without a usable owner, heaviest first, each to the lightest usable server (at equal weight
  *    in the lightest zone, then the lowest id). They are not bounded.
- * 2. Voluntary moves, at most moves_allowed: from the heaviest server that has a worthwhile range to the lightest. The
- *    imbalance is n * sum(server weight squared): moving x from a server of weight a to one of weight b lowers it by
- *    2 * n * x * (a - b - x). That gain, times the service's weight for imbalance, has to beat the cost of the move,
- *    which is x times (weight for churn + weight for unavailable time * expected outage / horizon). A gain below
- *    HYSTERESIS for each unit of x never counts, so that two servers do not trade ranges back and forth.
+ * 2. Voluntary moves, at most moves_allowed: from the heaviest server that has a worthwhile range to the lightest.
+ *    Imbalance is measured by n^2 * sum(server weight squared): moving x from a server of weight a to one of weight b
+ *    lowers it by 2 * n^2 * x * (a - b - x). Gain and cost are in the units that docs/PLACEMENT.md defines:
+ *    - gain: that figure over IMBALANCE_UNIT, for as long as it is expected to last: LOAD_HORIZON_S for the load, and
+ *      SHARE_HORIZON_S for the same with shares of the key space in place of weights, when that gets evener too;
+ *    - cost: the moved share of the key space, times the weight for churn + the weight for unavailable time * expected
+ *      outage in seconds.
+ *    Differences below HYSTERESIS, or within NOISE_DEVIATIONS of what chance makes of counted requests, never count.
  */
 #include "cedarwinch/placement.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,10 +29,14 @@
 
 static const double KEY_SPACE = 18446744073709551616.0; /* 2^64 */
 static const double SMOOTHING_PER_SERVER = 1.0;         /* requests per second spread by key space */
-static const double HYSTERESIS = 0.2;                   /* of the mean server's weight */
-static const double CHURN_SCALE = 0.25;
-static const double HORIZON_MS = 30000.0; /* over which a move has to pay off */
-static const double MOVE_MS = 50.0;       /* revoke, commit and grant of a range without requests in flight */
+static const double HYSTERESIS = 0.1;                   /* of the mean server's weight */
+static const double NOISE_DEVIATIONS = 2.0;
+static const double LOAD_HORIZON_S = 120.0;   /* an uneven load lasts that long */
+static const double SHARE_HORIZON_S = 1800.0; /* an uneven spread of the key space lasts that long */
+static const double IMBALANCE_UNIT = 0.25;    /* for an hour: weighs as much as one move of all keys */
+static const double SECONDS_PER_HOUR = 3600.0;
+static const double MS_PER_SECOND = 1000.0;
+static const double MOVE_MS = 50.0; /* revoke, commit and grant of a range without requests in flight */
 static const double WEIGHT_EPSILON = 1e-9;
 
 typedef struct planner {
@@ -37,10 +45,12 @@
     double                     *range_weights;
     size_t                     *owners; /* position of the server each range ends at; server_count: none */
     double                     *server_weights;
+    double                     *server_shares; /* of the key space */
     size_t                     *server_ranges;
     size_t                     *server_zones; /* position of the first server in the same zone */
     double                     *zone_weights; /* by that position */
     size_t                      usable_count;
+    double                      load; /* of all ranges */
     size_t                      move_capacity;
 } planner_t;
 
@@ -78,6 +88,7 @@
         load += input->ranges[position].load;
         share += key_share(&input->ranges[position]);
     }
+    planner->load = load;
     for (position = 0; position < input->range_count; position++) {
         planner->range_weights[position] =
             (input->ranges[position].load + smoothing * key_share(&input->ranges[position]) / share) /
@@ -90,10 +101,15 @@
     return planner->zone_weights[planner->server_zones[server]];
 }
 
-static void add_weight(planner_t *planner, size_t server, double weight)
+/* sign: 1 adds a range to a server, -1 takes it away. */
+static void count_range(planner_t *planner, size_t range, size_t server, int sign)
 {
+    double weight = sign * planner->range_weights[range];
+
     planner->server_weights[server] += weight;
     planner->zone_weights[planner->server_zones[server]] += weight;
+    planner->server_shares[server] += sign * key_share(&planner->input->ranges[range]);
+    planner->server_ranges[server] += (size_t)sign;
 }
 
 static void compute_zones(planner_t *planner)
@@ -121,8 +137,7 @@
         owner = find_usable(input, input->ranges[position].server);
         planner->owners[position] = owner;
         if (owner < input->server_count) {
-            add_weight(planner, owner, planner->range_weights[position]);
-            planner->server_ranges[owner]++;
+            count_range(planner, position, owner, 1);
         }
     }
 }
@@ -194,12 +209,10 @@
     size_t former = planner->owners[range];
 
     if (former < planner->input->server_count) {
-        add_weight(planner, former, -planner->range_weights[range]);
-        planner->server_ranges[former]--;
+        count_range(planner, range, former, -1);
     }
     planner->owners[range] = server;
-    add_weight(planner, server, planner->range_weights[range]);
-    planner->server_ranges[server]++;
+    count_range(planner, range, server, 1);
 }
 
 /* Heaviest first, then in the order of the input. */
@@ -251,14 +264,34 @@
     return error;
 }
 
-static double cost_per_weight(const Cw__ServiceConfiguration *service)
+/* What a move costs, in the score's units. */
+static double move_cost(const planner_t *planner, size_t range)
 {
-    const Cw__PlacementWeights *weights = service->weights;
+    const Cw__ServiceConfiguration *service = planner->input->service;
+    const Cw__PlacementWeights     *weights = service->weights;
+    double                          outage_s = expected_outage_ms(service) / MS_PER_SECOND;
 
     if (weights == NULL) {
         return 0;
     }
-    return CHURN_SCALE * weights->churn + weights->unavailable * expected_outage_ms(service) / HORIZON_MS;
+    return key_share(&planner->input->ranges[range]) * (weights->churn + weights->unavailable * outage_s);
+}
+
+/* Standard deviation of the difference of two servers' weights, which come from counts of requests. */
+static double noise_of(const planner_t *planner, size_t from, size_t to)
+{
+    double window_s = 2.0 * CW_PLACEMENT_LOAD_DECAY_US / CW_US_PER_S;
+    double requests = planner->load * window_s;
+
+    return requests <= 0 ? 0 : sqrt((planner->server_weights[from] + planner->server_weights[to]) / requests);
+}
+
+/* How much a move lowers n times the sum of squares of the servers' parts of the whole. */
+static double spread_gain(const planner_t *planner, double moved, double difference)
+{
+    double usable = (double)planner->usable_count;
+
+    return 2.0 * usable * usable * moved * difference;
 }
 
 /* Net gain of moving a range from one server to another; not above zero: not worth it. */
@@ -267,13 +300,20 @@
     const Cw__ServiceConfiguration *service = planner->input->service;
     double                          imbalance_weight = service->weights == NULL ? 1.0 : service->weights->imbalance;
     double                          weight = planner->range_weights[range];
+    double                          share = key_share(&planner->input->ranges[range]);
     double                          difference = planner->server_weights[from] - planner->server_weights[to] - weight;
-    double                          gain = 2.0 * (double)planner->usable_count * difference;
+    double share_difference = planner->server_shares[from] - planner->server_shares[to] - share;
+    double gain;
 
-    if (gain < HYSTERESIS) {
+    if ((double)planner->usable_count * difference < HYSTERESIS ||
+        difference < NOISE_DEVIATIONS * noise_of(planner, from, to)) {
         return 0;
     }
-    return weight * (imbalance_weight * gain - cost_per_weight(service));
+    gain = LOAD_HORIZON_S * spread_gain(planner, weight, difference);
+    if (share_difference > 0) {
+        gain += SHARE_HORIZON_S * spread_gain(planner, share, share_difference);
+    }
+    return imbalance_weight * gain / IMBALANCE_UNIT / SECONDS_PER_HOUR - move_cost(planner, range);
 }
 
 /* Best range to move from one server to another; range_count: none is worth it. */
@@ -409,6 +449,7 @@
     free(planner->range_weights);
     free(planner->owners);
     free(planner->server_weights);
+    free(planner->server_shares);
     free(planner->server_ranges);
     free(planner->server_zones);
     free(planner->zone_weights);
@@ -424,11 +465,13 @@
     planner->range_weights = calloc(input->range_count + 1, sizeof(double));
     planner->owners = calloc(input->range_count + 1, sizeof(size_t));
     planner->server_weights = calloc(input->server_count + 1, sizeof(double));
+    planner->server_shares = calloc(input->server_count + 1, sizeof(double));
     planner->server_ranges = calloc(input->server_count + 1, sizeof(size_t));
     planner->server_zones = calloc(input->server_count + 1, sizeof(size_t));
     planner->zone_weights = calloc(input->server_count + 1, sizeof(double));
     if (planner->range_weights == NULL || planner->owners == NULL || planner->server_weights == NULL ||
-        planner->server_ranges == NULL || planner->server_zones == NULL || planner->zone_weights == NULL) {
+        planner->server_shares == NULL || planner->server_ranges == NULL || planner->server_zones == NULL ||
+        planner->zone_weights == NULL) {
         planner_clear(planner);
         return CW_ERROR_NO_MEMORY;
     }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -115,6 +115,27 @@
 }
 END_TEST
 
+/* Server 1 at 1.4 of the mean: chance when few requests were counted, not when many were. */
+START_TEST(a_difference_that_chance_explains_moves_nothing)
+{
+    double scale;
+    size_t position;
+
+    weights.churn = weights.unavailable = 0;
+    for (scale = 0.01; scale < 5; scale *= 200) {
+        for (position = 0; position < RANGES; position++) {
+            ranges[position].load = scale * (ranges[position].server == 1 ? 15 : 10);
+        }
+        plan();
+        if (scale < 1) {
+            ck_assert_uint_eq(result.move_count, 0);
+        } else {
+            ck_assert_uint_gt(result.move_count, 0);
+        }
+    }
+}
+END_TEST
+
 START_TEST(ranges_of_a_leaving_server_move_and_no_others)
 {
     size_t position;
@@ -240,6 +261,7 @@
     tcase_add_checked_fixture(tests, reset, clear);
     tcase_add_test(tests, new_ranges_are_spread_evenly_over_servers);
     tcase_add_test(tests, balanced_ranges_stay_in_spite_of_noise);
+    tcase_add_test(tests, a_difference_that_chance_explains_moves_nothing);
     tcase_add_test(tests, ranges_of_a_leaving_server_move_and_no_others);
     tcase_add_test(tests, a_joining_server_takes_its_share_and_nothing_else_moves);
     tcase_add_test(tests, moves_of_healthy_ranges_are_bounded_and_forced_ones_are_not);
