Placement backs off from servers that are lost, and waits while servers come and go

Cause: a flapping server got its ranges back each time, and with each of a rolling restart the key space was evened out just before the next server drained. Ruled out: a fixed pause after any change of servers (delays a joining server too). Change: a server whose leases ran out takes ranges last for 30 s, doubled for each further loss up to 480 s; for 60 s after a server left, an uneven key space is no reason to move, an uneven load still is. An idle service is looked at again when such a time ends. Seen to fail: each condition taken out, a check fails. Conclusion: losses are forgotten with the leader; a new one learns them anew.

--- a/bench/placement/leader.c
+++ b/bench/placement/leader.c
@@ -100,11 +100,13 @@
         pass->servers[position].id = world->servers[position].id;
         pass->servers[position].zone = world->servers[position].zone;
         pass->servers[position].usable = bench_server_usable(world, position);
+        pass->servers[position].unsteady = cw_placement_is_unsteady(&world->servers[position].losses, world->now);
     }
     for (position = 0; position < world->range_count; position++) {
         fill_item(world, &world->ranges[position], &pass->items[position], pass);
     }
     pass->input.service = &world->service;
+    pass->input.unsettled = world->left_us > 0 && world->now - world->left_us < CW_PLACEMENT_SETTLE_US;
     pass->input.servers = pass->servers;
     pass->input.server_count = world->deployment->servers;
     pass->input.ranges = pass->items;
--- a/bench/placement/model.c
+++ b/bench/placement/model.c
@@ -29,6 +29,7 @@
     int error = CW_OK;
 
     bench_apply_events(world);
+    bench_note_losses(world);
     if (world->now % BENCH_REPORT_US == 0) {
         bench_report_loads(world);
     }
--- a/bench/placement/world.c
+++ b/bench/placement/world.c
@@ -250,15 +250,35 @@
         count_least(world, event);
         if (event->kind == BENCH_DRAIN) {
             world->servers[event->server].draining = true;
+            world->left_us = world->now;
         } else if (event->kind == BENCH_START || event->kind == BENCH_THAW) {
             return_server(world, event->server, event->kind == BENCH_START);
         } else {
             lose_server(world, event->server);
+            world->left_us = world->now;
         }
         world->changed = true;
     }
 }
 
+void bench_note_losses(bench_world_t *world)
+{
+    bench_server_t *state;
+    size_t          server;
+
+    for (server = 0; server < world->deployment->servers; server++) {
+        state = &world->servers[server];
+        if (bench_server_usable(world, server)) {
+            state->in_use = true;
+        } else if (state->in_use && bench_server_lost(world, server)) {
+            cw_placement_note_loss(&state->losses, world->now);
+            state->in_use = false;
+        } else if (state->draining) {
+            state->in_use = false;
+        }
+    }
+}
+
 /* ---- ranges ---- */
 
 /* Another forwarder counts from nothing. */
--- a/bench/placement/world.h
+++ b/bench/placement/world.h
@@ -20,14 +20,16 @@
 };
 
 typedef struct bench_server {
-    cw_server_id_t id;
-    char           zone[2];
-    bool           up;
-    bool           draining;
-    uint32_t       incarnation;
-    cw_time_us_t   changed_us; /**< came up or went down */
-    cw_time_us_t   slot_free_us[BENCH_SLOTS_MAX];
-    uint64_t       window_arrivals;
+    cw_server_id_t        id;
+    char                  zone[2];
+    bool                  up;
+    bool                  draining;
+    uint32_t              incarnation;
+    cw_time_us_t          changed_us; /**< came up or went down */
+    cw_time_us_t          slot_free_us[BENCH_SLOTS_MAX];
+    uint64_t              window_arrivals;
+    bool                  in_use; /**< usable since it was last lost */
+    cw_placement_losses_t losses;
 } bench_server_t;
 
 typedef struct bench_range {
@@ -73,6 +75,7 @@
     size_t                    event_count;
     size_t                    next_event;
     cw_time_us_t              rebalance_us;
+    cw_time_us_t              left_us; /**< a server was lost or drained last; 0: none */
     bool                      changed; /**< servers came or went: place at once */
     Cw__ServiceConfiguration  service;
     Cw__PlacementWeights      weights;
@@ -90,6 +93,7 @@
 /** No lease of it can be in force any more. */
 bool bench_server_lost(const bench_world_t *world, size_t server);
 void bench_apply_events(bench_world_t *world);
+void bench_note_losses(bench_world_t *world);
 /** The range goes to a server and is served again after outage_us. */
 void bench_give(bench_world_t *world, size_t range, size_t server, cw_time_us_t outage_us);
 /** Returns the number of parts. */
--- a/include/cedarwinch/placement.h
+++ b/include/cedarwinch/placement.h
@@ -14,6 +14,7 @@
     CW_PLACEMENT_BALANCE_PAUSE_US = 1 * CW_US_PER_S,
     CW_PLACEMENT_IDLE_PAUSE_US = 5 * CW_US_PER_S,
     CW_PLACEMENT_SPLIT_PAUSE_US = 5 * CW_US_PER_S,
+    CW_PLACEMENT_SETTLE_US = 60 * CW_US_PER_S,     /**< unsettled for so long after a server left */
     CW_PLACEMENT_LOAD_DECAY_US = 10 * CW_US_PER_S, /**< time constant of the rates that forwarders count */
     CW_PLACEMENT_LOAD_KEEP_US = 15 * CW_US_PER_S   /**< a rate that is not told again is forgotten */
 };
@@ -21,7 +22,8 @@
 typedef struct cw_placement_server {
     cw_server_id_t id;
     const char    *zone;
-    bool           usable; /**< alive and not draining */
+    bool           usable;   /**< alive and not draining */
+    bool           unsteady; /**< was lost lately: takes ranges only when no other server can */
 } cw_placement_server_t;
 
 typedef struct cw_placement_range {
@@ -41,6 +43,7 @@
     size_t                          server_count;
     const cw_placement_range_t     *ranges;
     size_t                          range_count;
+    bool                            unsettled;     /**< servers left lately: others may follow, or come back */
     size_t                          moves_allowed; /**< moves of healthy ranges; forced moves are not bounded */
 } cw_placement_input_t;
 
@@ -79,6 +82,15 @@
 /** Starts a new count; requests_per_second is what is known from before. */
 void cw_placement_load_carry(cw_placement_load_t *load, double requests_per_second, cw_time_us_t now);
 
+/** How often a server was lost: its leases ran out while it was silent. */
+typedef struct cw_placement_losses {
+    uint32_t     count;
+    cw_time_us_t last_us;
+} cw_placement_losses_t;
+
+void cw_placement_note_loss(cw_placement_losses_t *losses, cw_time_us_t now);
+bool cw_placement_is_unsteady(const cw_placement_losses_t *losses, cw_time_us_t now);
+
 /** Chooses the range whose hottest key is to get a range of its own. False: none is worth it. */
 bool cw_placement_choose_split(const cw_placement_input_t *input, size_t *range);
 
--- a/src/core/control_assign.c
+++ b/src/core/control_assign.c
@@ -154,12 +154,15 @@
         servers[position].id = pass->servers[position].id;
         servers[position].zone = pass->servers[position].zone;
         servers[position].usable = pass->servers[position].usable;
+        servers[position].unsteady = pass->servers[position].unsteady;
     }
     input->service = pass->service;
     input->servers = servers;
     input->server_count = pass->server_count;
     input->ranges = pass->items;
     input->range_count = pass->range_count;
+    input->unsettled =
+        pass->track->left_us > 0 && pass->control->now.monotonic_us - pass->track->left_us < CW_PLACEMENT_SETTLE_US;
     if (balance && pass->moving < CW_PLACEMENT_BALANCE_MOVES) {
         input->moves_allowed = CW_PLACEMENT_BALANCE_MOVES - pass->moving;
     }
@@ -176,7 +179,7 @@
         make_move(pass, &result.moves[position]);
     }
     if (balance) {
-        pass->track->balance_wanted = result.move_count > 0;
+        pass->track->balance_wanted = result.move_count > 0 || input->unsettled || pass->unsteady_count > 0;
         pass->track->rebalance_us =
             pass->control->now.monotonic_us +
             (result.move_count > 0 ? CW_PLACEMENT_BALANCE_PAUSE_US : CW_PLACEMENT_IDLE_PAUSE_US);
--- a/src/core/control_assign.h
+++ b/src/core/control_assign.h
@@ -12,6 +12,7 @@
     const char        *zone;
     cw_server_track_t *track; /**< NULL: not known yet */
     bool               usable;
+    bool               unsteady;
 } cw_pass_server_t;
 
 typedef struct cw_pass {
@@ -22,6 +23,7 @@
     cw_pass_server_t               *servers;
     size_t                          server_count;
     size_t                          usable_count;
+    size_t                          unsteady_count;
     const Cw__RangeInfo           **ranges; /**< parallel to items */
     cw_placement_range_t           *items;  /**< server 0: free to be placed */
     size_t                          range_count;
--- a/src/core/control_internal.h
+++ b/src/core/control_internal.h
@@ -39,29 +39,31 @@
 
 /** Leader's view of a server. Readings come only from its present forwarder. */
 typedef struct cw_server_track {
-    cw_server_id_t   id;
-    cw_service_id_t  service;
-    cw_node_id_t     forwarder; /**< as in the state */
-    cw_incarnation_t forwarder_incarnation;
-    cw_incarnation_t incarnation; /**< 0: no reading yet */
-    int64_t          clock_us;    /**< newest reading of its clock */
-    int64_t          lease_end_us;
-    cw_time_us_t     reading_us;         /**< local time at which that reading arrived */
-    cw_time_us_t     expected_us;        /**< readings are missed from this local time on */
-    int64_t          confirmed_clock_us; /**< newest reading followed by a quorum round; 0: none */
-    int64_t          issued_end_us;      /**< latest lease end named to this incarnation, in its clock */
-    cw_time_us_t     issued_until_us;    /**< local time by which all leases named by this leader are over */
-    cw_time_us_t     former_until_us;    /**< the same for its former incarnations */
-    cw_time_us_t     orders_us;          /**< when orders are to be sent again */
-    bool             orders_withheld;    /**< until a fresh reading is confirmed */
-    bool             reachable;
-    bool             says_draining;
-    bool             reincarnated; /**< its former life ended under this leader */
-    bool             holds;        /**< accepted grants in this incarnation */
-    bool             fence_wanted; /**< its grants were lost: a new fence is needed */
-    bool             was_usable;
-    bool             sealed;   /**< a command under way takes ranges from it: no leases, no grants */
-    bool             handover; /**< its forwarder is leaving: ranges are drained before the change */
+    cw_server_id_t        id;
+    cw_service_id_t       service;
+    cw_node_id_t          forwarder; /**< as in the state */
+    cw_incarnation_t      forwarder_incarnation;
+    cw_incarnation_t      incarnation; /**< 0: no reading yet */
+    int64_t               clock_us;    /**< newest reading of its clock */
+    int64_t               lease_end_us;
+    cw_time_us_t          reading_us;         /**< local time at which that reading arrived */
+    cw_time_us_t          expected_us;        /**< readings are missed from this local time on */
+    int64_t               confirmed_clock_us; /**< newest reading followed by a quorum round; 0: none */
+    int64_t               issued_end_us;      /**< latest lease end named to this incarnation, in its clock */
+    cw_time_us_t          issued_until_us;    /**< local time by which all leases named by this leader are over */
+    cw_time_us_t          former_until_us;    /**< the same for its former incarnations */
+    cw_time_us_t          orders_us;          /**< when orders are to be sent again */
+    bool                  orders_withheld;    /**< until a fresh reading is confirmed */
+    bool                  reachable;
+    bool                  says_draining;
+    bool                  reincarnated; /**< its former life ended under this leader */
+    bool                  holds;        /**< accepted grants in this incarnation */
+    bool                  fence_wanted; /**< its grants were lost: a new fence is needed */
+    bool                  was_usable;
+    bool                  in_use; /**< usable since it was last lost */
+    cw_placement_losses_t losses;
+    bool                  sealed;   /**< a command under way takes ranges from it: no leases, no grants */
+    bool                  handover; /**< its forwarder is leaving: ranges are drained before the change */
 } cw_server_track_t;
 
 /** Leader's view of a range; made when there is something to remember. */
@@ -85,6 +87,7 @@
     cw_service_id_t id;
     cw_time_us_t    seen_us;        /**< under this leader */
     cw_time_us_t    rebalance_us;   /**< not before */
+    cw_time_us_t    left_us;        /**< one of its servers left last; 0: none under this leader */
     bool            balance_wanted; /**< loads or servers changed since it was last balanced */
     cw_key_hash_t   split_low;      /**< the last range that was split, and its load then */
     cw_key_hash_t   split_last;
--- a/src/core/control_lease.c
+++ b/src/core/control_lease.c
@@ -231,15 +231,31 @@
            track->reachable && track->incarnation != 0 && age_us <= CW_SERVER_SILENCE_US;
 }
 
-static void note_usable(cw_control_t *control, cw_service_id_t service)
+static void note_usable(cw_control_t *control, cw_server_track_t *server, bool usable)
 {
-    cw_service_track_t *track = cw_control_make_service_track(control, service);
+    cw_service_track_t *track = cw_control_make_service_track(control, server->service);
 
+    if (usable) {
+        server->in_use = true;
+    }
     if (track != NULL) {
         track->balance_wanted = true;
         track->rebalance_us = control->now.monotonic_us;
+        track->left_us = usable ? track->left_us : control->now.monotonic_us;
+    }
+    cw_control_mark(control, &control->leading.dirty_services, server->service);
+}
+
+/* Its ranges may go elsewhere. A server that drains is expected to go: that is no loss. */
+static void note_lost(cw_control_t *control, cw_server_track_t *server)
+{
+    const Cw__ServerInfo *info = cw_control_state_server(control->state, server->id);
+
+    if (server->in_use && !server->says_draining && (info == NULL || !info->draining)) {
+        cw_placement_note_loss(&server->losses, control->now.monotonic_us);
     }
-    cw_control_mark(control, &control->leading.dirty_services, service);
+    server->in_use = false;
+    cw_control_mark(control, &control->leading.dirty_services, server->service);
 }
 
 /* A server whose use changed, or whose ranges may go elsewhere by now, has its service placed anew. */
@@ -253,9 +269,9 @@
         track = control->leading.servers.slots[position].value;
         usable = cw_control_server_usable(control, track);
         if (usable != track->was_usable) {
-            note_usable(control, track->service);
+            note_usable(control, track, usable);
         } else if (cw_control_server_suspected(control, track) && cw_control_leases_over(control, track)) {
-            cw_control_mark(control, &control->leading.dirty_services, track->service);
+            note_lost(control, track);
         }
         track->was_usable = usable;
     }
--- a/src/core/control_pass.c
+++ b/src/core/control_pass.c
@@ -38,7 +38,10 @@
         server->zone = configuration->zone;
         server->track = cw_control_server_track(pass->control, configuration->id);
         server->usable = server->track != NULL && cw_control_server_usable(pass->control, server->track);
+        server->unsteady =
+            server->track != NULL && cw_placement_is_unsteady(&server->track->losses, pass->control->now.monotonic_us);
         pass->usable_count += server->usable ? 1 : 0;
+        pass->unsteady_count += server->unsteady ? 1 : 0;
     }
 }
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -9,6 +9,7 @@
  *
  * 1. Forced moves: ranges without a usable owner, heaviest first, each to the lightest usable server (at equal weight
  *    in the lightest zone, then the lowest id). They are not bounded.
+ *    Servers that were lost lately come last here, and take nothing in the next step.
  * 2. Voluntary moves, at most moves_allowed: from the heaviest server that has a worthwhile range to the lightest.
  *    Imbalance is measured by n^2 * sum(server weight squared): moving x from a server of weight a to one of weight b
  *    lowers it by 2 * n^2 * x * (a - b - x). Gain and cost are in the units that docs/PLACEMENT.md defines:
@@ -16,6 +17,8 @@
  *      SHARE_HORIZON_S for the same with shares of the key space in place of weights, when that gets evener too;
  *    - cost: the moved share of the key space, times the weight for churn + the weight for unavailable time * expected
  *      outage in seconds.
+ *    While servers come and go, an uneven key space counts for nothing: a server that comes back finds its load soon
+ *    by those that leave.
  *    Differences below HYSTERESIS, or within NOISE_DEVIATIONS of what chance makes of counted requests, never count.
  */
 #include "cedarwinch/placement.h"
@@ -150,12 +153,15 @@
     return left > right + WEIGHT_EPSILON ? 1 : 0;
 }
 
-/* Order in which servers take ranges: by weight, number of ranges, weight of the zone, id. */
+/* Order in which servers take ranges: steady ones first, then by weight, number of ranges, weight of the zone, id. */
 static bool takes_before(const planner_t *planner, size_t left, size_t right)
 {
     const cw_placement_server_t *servers = planner->input->servers;
-    int                          order = compare_weights(planner->server_weights[left], planner->server_weights[right]);
+    int                          order = (int)servers[left].unsteady - (int)servers[right].unsteady;
 
+    if (order == 0) {
+        order = compare_weights(planner->server_weights[left], planner->server_weights[right]);
+    }
     if (order == 0 && planner->server_ranges[left] != planner->server_ranges[right]) {
         order = planner->server_ranges[left] < planner->server_ranges[right] ? -1 : 1;
     }
@@ -310,7 +316,7 @@
         return 0;
     }
     gain = LOAD_HORIZON_S * spread_gain(planner, weight, difference);
-    if (share_difference > 0) {
+    if (share_difference > 0 && !planner->input->unsettled) {
         gain += SHARE_HORIZON_S * spread_gain(planner, share, share_difference);
     }
     return imbalance_weight * gain / IMBALANCE_UNIT / SECONDS_PER_HOUR - move_cost(planner, range);
@@ -364,6 +370,9 @@
     size_t               range;
     cw_placement_move_t *move;
 
+    if (planner->input->servers[to].unsteady) {
+        return 0;
+    }
     memset(tried, 0, planner->input->server_count * sizeof(*tried));
     for (;;) {
         from = next_heaviest(planner, tried);
--- a/tests/test_control_load.c
+++ b/tests/test_control_load.c
@@ -80,6 +80,38 @@
 }
 END_TEST
 
+/* Lost until its leases are over; it comes back empty, and takes ranges again half a minute after the loss. */
+START_TEST(a_lost_server_takes_no_ranges_for_a_while)
+{
+    cluster.servers[0].cut = true;
+    cluster_run(5 * SECOND);
+    ck_assert_uint_eq(cluster_ranges_of(0), 0);
+    cluster.servers[0].cut = false;
+    cluster_run(15 * SECOND);
+    ck_assert_uint_eq(cluster_ranges_of(0), 0);
+    cluster_run(80 * SECOND);
+    ck_assert_uint_gt(cluster_ranges_of(0), 0);
+}
+END_TEST
+
+/* Expected to go, so it takes ranges at once when it is back. */
+START_TEST(a_server_that_drained_is_not_held_back)
+{
+    cluster.servers[0].draining = true;
+    cluster_run(5 * SECOND);
+    ck_assert_uint_eq(cluster_ranges_of(0), 0);
+    cluster.servers[0].cut = true;
+    cluster_run(5 * SECOND);
+    cluster.servers[0].cut = false;
+    cluster.servers[0].draining = false;
+    cluster_restart_server(0);
+    cluster_run(2 * SECOND);
+    cluster.servers[1].draining = true;
+    cluster_run(5 * SECOND);
+    ck_assert_uint_gt(cluster_ranges_of(0), 0);
+}
+END_TEST
+
 static bool split_done(void)
 {
     return range_at(12345)->low == range_at(12345)->last;
@@ -105,6 +137,8 @@
     tcase_add_checked_fixture(tests, begin, cluster_free);
     tcase_add_test(tests, only_the_forwarder_is_believed);
     tcase_add_test(tests, load_is_carried_on_when_the_forwarder_changes);
+    tcase_add_test(tests, a_lost_server_takes_no_ranges_for_a_while);
+    tcase_add_test(tests, a_server_that_drained_is_not_held_back);
     tcase_add_test(tests, parts_of_a_split_begin_with_the_load_of_the_whole);
     suite_add_tcase(suite, tests);
     srunner_run_all(runner, CK_NORMAL);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -41,7 +41,12 @@
         ranges[position].load = 10;
         ranges[position].server = position % SERVERS + 1;
     }
-    input = (cw_placement_input_t){&service, servers, SERVERS, ranges, RANGES, RANGES};
+    input = (cw_placement_input_t){.service = &service,
+                                   .servers = servers,
+                                   .server_count = SERVERS,
+                                   .ranges = ranges,
+                                   .range_count = RANGES,
+                                   .moves_allowed = RANGES};
     memset(&result, 0, sizeof(result));
 }
 
@@ -214,6 +219,63 @@
 }
 END_TEST
 
+START_TEST(unsteady_servers_take_ranges_only_when_no_other_can)
+{
+    size_t position;
+
+    servers[1].usable = false;
+    servers[2].unsteady = true;
+    plan_and_move();
+    ck_assert_uint_eq(result.move_count, RANGES / SERVERS);
+    ck_assert_uint_eq(ranges_of(3), RANGES / SERVERS);
+    for (position = 0; position < RANGES; position++) { /* lighter than the rest, yet nothing is moved there */
+        ranges[position].load = ranges[position].server == 3 ? 1 : 10;
+    }
+    plan();
+    ck_assert_uint_eq(result.move_count, 0);
+    for (position = 0; position < SERVERS; position++) {
+        servers[position].usable = position == 2;
+    }
+    plan_and_move();
+    ck_assert_uint_eq(ranges_of(3), RANGES);
+}
+END_TEST
+
+START_TEST(an_empty_server_is_not_filled_at_any_cost_while_servers_come_and_go)
+{
+    size_t position;
+
+    weights.churn = weights.unavailable = 4;
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].server = position % (SERVERS - 1) + 1;
+    }
+    input.unsettled = true;
+    plan();
+    ck_assert_uint_eq(result.move_count, 0);
+    input.unsettled = false;
+    plan();
+    ck_assert_uint_gt(result.move_count, 0);
+}
+END_TEST
+
+START_TEST(each_loss_makes_a_server_unsteady_for_longer)
+{
+    const cw_time_us_t    first = 1000 * (cw_time_us_t)CW_US_PER_S;
+    const cw_time_us_t    half_minute = 30 * CW_US_PER_S;
+    cw_placement_losses_t losses = {0};
+
+    ck_assert(!cw_placement_is_unsteady(&losses, first));
+    cw_placement_note_loss(&losses, first);
+    ck_assert(cw_placement_is_unsteady(&losses, first + half_minute - 1));
+    ck_assert(!cw_placement_is_unsteady(&losses, first + half_minute));
+    cw_placement_note_loss(&losses, first + half_minute);
+    ck_assert(cw_placement_is_unsteady(&losses, first + 3 * half_minute - 1));
+    ck_assert(!cw_placement_is_unsteady(&losses, first + 3 * half_minute));
+    cw_placement_note_loss(&losses, first + 100 * half_minute); /* long after: as if the first */
+    ck_assert(!cw_placement_is_unsteady(&losses, first + 101 * half_minute));
+}
+END_TEST
+
 START_TEST(a_single_hot_range_is_not_passed_around)
 {
     ranges[0].load = 5000;
@@ -266,6 +328,9 @@
     tcase_add_test(tests, a_joining_server_takes_its_share_and_nothing_else_moves);
     tcase_add_test(tests, moves_of_healthy_ranges_are_bounded_and_forced_ones_are_not);
     tcase_add_test(tests, weights_decide_whether_a_move_is_worth_it);
+    tcase_add_test(tests, unsteady_servers_take_ranges_only_when_no_other_can);
+    tcase_add_test(tests, an_empty_server_is_not_filled_at_any_cost_while_servers_come_and_go);
+    tcase_add_test(tests, each_loss_makes_a_server_unsteady_for_longer);
     tcase_add_test(tests, a_single_hot_range_is_not_passed_around);
     tcase_add_test(tests, pinned_ranges_count_but_do_not_move);
     tcase_add_test(tests, nothing_moves_without_a_usable_server);
