Cooled ranges are merged, and balancing waits for splits

Change: cw_placement_choose_merge; a single cooled key goes to its neighbour's server first; splits each 3 s, moves each 5 s and none while a split waits.

--- a/bench/placement/leader.c
+++ b/bench/placement/leader.c
@@ -180,31 +180,50 @@
     }
     if (balance) {
         world->rebalance_us =
-            world->now + (result.move_count > 0 ? CW_PLACEMENT_BALANCE_PAUSE_US : CW_PLACEMENT_IDLE_PAUSE_US);
+            world->now + (result.move_count > 0 ? world->planner->move_pause_us : CW_PLACEMENT_IDLE_PAUSE_US);
     }
     cw_placement_result_clear(&result);
     return CW_OK;
 }
 
-/* Splits or merges ranges; each part gets a new fence from the same server. */
-static bool reshape(bench_world_t *world, const pass_t *pass)
+/* Each part gets a new fence from the same server. */
+static void split(bench_world_t *world, const pass_t *pass, size_t range)
 {
-    size_t range;
-    size_t owner;
-    size_t parts;
+    size_t owner = world->ranges[range].owner;
+    size_t parts = bench_split(world, range, pass->items[range].hot_key);
     size_t position;
 
+    for (position = range; position < range + parts; position++) {
+        bench_give(world, position, owner, grant_us(world));
+    }
+}
+
+static void merge(bench_world_t *world, pass_t *pass, const cw_placement_merge_t *step)
+{
+    cw_placement_move_t move = {.range = step->moved, .to = step->to};
+
+    if (step->move_first) {
+        make_move(world, pass, &move);
+        return;
+    }
+    bench_merge(world, step->left);
+    bench_give(world, step->left, world->ranges[step->left].owner, grant_us(world));
+}
+
+static bool reshape(bench_world_t *world, pass_t *pass)
+{
+    cw_placement_merge_t step;
+    size_t               range;
+
     if (world->planner->split != NULL && world->planner->split(&pass->input, &range)) {
-        owner = world->ranges[range].owner;
-        parts = bench_split(world, range, pass->items[range].hot_key);
-        for (position = range; position < range + parts; position++) {
-            bench_give(world, position, owner, grant_us(world));
+        if (world->now >= world->split_us) {
+            split(world, pass, range);
+            world->split_us = world->now + world->planner->split_pause_us;
         }
         return true;
     }
-    if (world->planner->merge != NULL && world->planner->merge(&pass->input, &range)) {
-        bench_merge(world, range);
-        bench_give(world, range, world->ranges[range].owner, grant_us(world));
+    if (world->planner->merge != NULL && world->planner->merge(&pass->input, &step)) {
+        merge(world, pass, &step);
         return true;
     }
     return false;
@@ -220,7 +239,7 @@
         return CW_ERROR_NO_MEMORY;
     }
     if (balance && reshape(world, &pass)) {
-        world->rebalance_us = world->now + CW_PLACEMENT_SPLIT_PAUSE_US;
+        world->rebalance_us = world->now + world->planner->shape_pause_us;
         error = CW_OK;
     } else {
         error = make_moves(world, &pass, balance);
--- a/bench/placement/model.h
+++ b/bench/placement/model.h
@@ -68,12 +68,16 @@
     const char *name;
     int (*plan)(const cw_placement_input_t *input, cw_placement_result_t *result);
     bool (*split)(const cw_placement_input_t *input, size_t *range); /**< NULL: never splits */
-    bool (*merge)(const cw_placement_input_t *input, size_t *range); /**< joins it with the next; NULL: never */
-    bool     asks_servers;  /**< takes loads from the servers' own load endpoints */
-    bool     forgets_loads; /**< believes a new forwarder's count from its first report on */
-    bool     bounds_moves;  /**< moves at most so many ranges at once */
-    uint32_t ranges;        /**< 0: as configured; else this many, so that each is about
-                               a key */
+    bool (*merge)(const cw_placement_input_t *input,
+                  cw_placement_merge_t       *merge); /**< joins it with the next; NULL: never */
+    cw_time_us_t move_pause_us;                 /**< after a plan with moves */
+    cw_time_us_t split_pause_us;                /**< between splits */
+    cw_time_us_t shape_pause_us;                /**< after a split or merge */
+    bool         asks_servers;                  /**< takes loads from the servers' own load endpoints */
+    bool         forgets_loads;                 /**< believes a new forwarder's count from its first report on */
+    bool         bounds_moves;                  /**< moves at most so many ranges at once */
+    uint32_t     ranges;                        /**< 0: as configured; else this many, so that each is about
+                                                   a key */
 } bench_planner_t;
 
 typedef struct bench_result {
--- a/bench/placement/world.h
+++ b/bench/placement/world.h
@@ -75,8 +75,9 @@
     size_t                    event_count;
     size_t                    next_event;
     cw_time_us_t              rebalance_us;
-    cw_time_us_t              left_us; /**< a server was lost or drained last; 0: none */
-    bool                      changed; /**< servers came or went: place at once */
+    cw_time_us_t              split_us; /**< next split, not before */
+    cw_time_us_t              left_us;  /**< a server was lost or drained last; 0: none */
+    bool                      changed;  /**< servers came or went: place at once */
     Cw__ServiceConfiguration  service;
     Cw__PlacementWeights      weights;
     uint64_t                  keys_moved;
--- a/include/cedarwinch/placement.h
+++ b/include/cedarwinch/placement.h
@@ -11,9 +11,10 @@
 enum {
     CW_PLACEMENT_BALANCE_MOVES = 8, /**< ranges moving at once for balance */
     CW_PLACEMENT_DRAIN_MOVES = 16,  /**< ranges moving at once off draining servers */
-    CW_PLACEMENT_BALANCE_PAUSE_US = 1 * CW_US_PER_S,
+    CW_PLACEMENT_BALANCE_PAUSE_US = 5 * CW_US_PER_S,
     CW_PLACEMENT_IDLE_PAUSE_US = 5 * CW_US_PER_S,
-    CW_PLACEMENT_SPLIT_PAUSE_US = 5 * CW_US_PER_S,
+    CW_PLACEMENT_SPLIT_PAUSE_US = 3 * CW_US_PER_S, /**< between splits of a service */
+    CW_PLACEMENT_MERGE_PAUSE_US = 1 * CW_US_PER_S, /**< after a split or merge */
     CW_PLACEMENT_SETTLE_US = 60 * CW_US_PER_S,     /**< unsettled for so long after a server left */
     CW_PLACEMENT_LOAD_DECAY_US = 10 * CW_US_PER_S, /**< time constant of the rates that forwarders count */
     CW_PLACEMENT_LOAD_KEEP_US = 15 * CW_US_PER_S   /**< a rate that is not told again is forgotten */
@@ -94,4 +95,15 @@
 /** Chooses the range whose hottest key is to get a range of its own. False: none is worth it. */
 bool cw_placement_choose_split(const cw_placement_input_t *input, size_t *range);
 
+/** A step towards one range in place of two neighbours. */
+typedef struct cw_placement_merge {
+    size_t         left;       /**< to be merged with the next one */
+    bool           move_first; /**< their owners differ: move one of them */
+    size_t         moved;
+    cw_server_id_t to;
+} cw_placement_merge_t;
+
+/** Chooses ranges that cooled down and can be one again. Ranges are in order of keys. False: none. */
+bool cw_placement_choose_merge(const cw_placement_input_t *input, cw_placement_merge_t *merge);
+
 #endif
--- a/src/core/control_assign.c
+++ b/src/core/control_assign.c
@@ -51,7 +51,7 @@
     }
 }
 
-static void revoke(cw_pass_t *pass, const Cw__RangeInfo *range, cw_server_id_t target, const char *reason)
+void cw_control_revoke_range(cw_pass_t *pass, const Cw__RangeInfo *range, cw_server_id_t target, const char *reason)
 {
     Cw__RangeInfo     changed = *range;
     cw_range_track_t *track = cw_control_make_range_track(pass->control, range->id);
@@ -101,7 +101,7 @@
         track->renew = false;
     }
     if (track->renew && pass->moving < CW_PLACEMENT_DRAIN_MOVES) {
-        revoke(pass, range, range->server, "journal replicas changed");
+        cw_control_revoke_range(pass, range, range->server, "journal replicas changed");
     }
 }
 
@@ -138,7 +138,7 @@
     if (pass->items[move->range].server == 0) {
         grant(pass, range, move->to, move->reason);
     } else if (pass->moving < (move->forced ? CW_PLACEMENT_DRAIN_MOVES : CW_PLACEMENT_BALANCE_MOVES)) {
-        revoke(pass, range, move->to, move->reason);
+        cw_control_revoke_range(pass, range, move->to, move->reason);
     }
 }
 
@@ -249,7 +249,7 @@
         } else if (pass->items[position].server == 0) {
             cw_command_remove_range(pass->builder, range->id);
         } else if (range->state == CW__RANGE_STATE__RANGE_GRANTED) {
-            revoke(pass, range, 0, "service left the configuration");
+            cw_control_revoke_range(pass, range, 0, "service left the configuration");
         } else {
             done = false;
         }
@@ -277,7 +277,7 @@
     cw_time_us_t         now_us = pass->control->now.monotonic_us;
     bool                 balance = now_us >= pass->track->rebalance_us;
     cw_placement_input_t input = {0};
-    bool                 split;
+    bool                 reshaped;
 
     if (!settle_ranges(pass) || pass->usable_count == 0) {
         return pass->usable_count == 0 && !has_unplaced(pass);
@@ -285,14 +285,15 @@
     if (fill_input(pass, &input, balance) != CW_OK) {
         return false;
     }
-    split = balance && cw_control_split_hot(pass, &input);
-    if (split) {
-        pass->track->rebalance_us = now_us + CW_PLACEMENT_SPLIT_PAUSE_US;
+    reshaped = balance && (cw_control_split_hot(pass, &input) || cw_control_merge_cold(pass, &input));
+    if (reshaped) {
+        pass->track->balance_wanted = true;
+        pass->track->rebalance_us = now_us + CW_PLACEMENT_MERGE_PAUSE_US;
     } else {
         plan_moves(pass, &input, balance);
     }
     free((void *)input.servers);
-    return !split && pass->moving == 0;
+    return !reshaped && pass->moving == 0;
 }
 
 static bool decide_service(cw_control_t *control, cw_command_builder_t *builder, cw_service_id_t service)
--- a/src/core/control_assign.h
+++ b/src/core/control_assign.h
@@ -36,7 +36,12 @@
 /** Server of the pass by id; NULL: not in the configuration. */
 cw_pass_server_t *cw_pass_find_server(cw_pass_t *pass, cw_server_id_t id);
 
-/** Splits off the hottest key of the service if it is too hot to be balanced. Returns true when it did. */
+/** Takes a range away from the server that owns it, for another one. */
+void cw_control_revoke_range(cw_pass_t *pass, const Cw__RangeInfo *range, cw_server_id_t target, const char *reason);
+
+/** Splits off the hottest key of the service if it is too hot to be balanced. True when it did, or is about to. */
 bool cw_control_split_hot(cw_pass_t *pass, const cw_placement_input_t *input);
+/** Takes a step towards merging two neighbouring ranges that cooled down. Returns true when it did. */
+bool cw_control_merge_cold(cw_pass_t *pass, const cw_placement_input_t *input);
 
 #endif
--- a/src/core/control_internal.h
+++ b/src/core/control_internal.h
@@ -86,14 +86,15 @@
 typedef struct cw_service_track {
     cw_service_id_t id;
     cw_time_us_t    seen_us;        /**< under this leader */
+    cw_time_us_t    split_us;       /**< next split, not before */
     cw_time_us_t    rebalance_us;   /**< not before */
     cw_time_us_t    left_us;        /**< one of its servers left last; 0: none under this leader */
     bool            balance_wanted; /**< loads or servers changed since it was last balanced */
-    cw_key_hash_t   split_low;      /**< the last range that was split, and its load then */
-    cw_key_hash_t   split_last;
-    cw_key_hash_t   split_key;
-    double          split_load;
-    double          split_hot_load;
+    cw_key_hash_t   reshaped_low;   /**< of the last split or merge, and the load then */
+    cw_key_hash_t   reshaped_last;
+    cw_key_hash_t   reshaped_key;
+    double          reshaped_load;
+    double          reshaped_hot_load;
 } cw_service_track_t;
 
 /** Reading that waits for its quorum round. */
@@ -349,13 +350,16 @@
 void   cw_control_take_loads(cw_control_t *control, const Cw__Heartbeat *heartbeat);
 /** A range is about to be split at a key: its parts begin with its load. */
 void cw_control_note_split(cw_control_t *control, const Cw__RangeInfo *whole, cw_key_hash_t key);
+void cw_control_note_merge(cw_control_t *control, const Cw__RangeInfo *left, const Cw__RangeInfo *right);
 void cw_control_note_created(cw_control_t *control, const Cw__RangeInfo *range);
 
 /* ---- control_journal.c: journal replicas of ranges ---- */
 /** To be called when the nodes of the state change. */
 void cw_control_forget_journal_pool(cw_control_t *control);
 /** Chooses the replicas of a range anew where some are gone. The range has to be a copy of the caller's own. */
-void cw_control_choose_journal(cw_control_t *control, Cw__RangeInfo *range);
+/** Oldest request id that a range may run whose journal is given up now. */
+int64_t cw_control_journal_valid_from(const cw_control_t *control);
+void    cw_control_choose_journal(cw_control_t *control, Cw__RangeInfo *range);
 /** Do the replicas of a range need a change? */
 bool cw_control_journal_outdated(cw_control_t *control, const Cw__RangeInfo *range);
 void cw_control_scan_journals(cw_control_t *control);
--- a/src/core/control_journal.c
+++ b/src/core/control_journal.c
@@ -295,6 +295,11 @@
     return references;
 }
 
+int64_t cw_control_journal_valid_from(const cw_control_t *control)
+{
+    return control->now.wall_ms + CLOCK_SKEW_MS;
+}
+
 void cw_control_choose_journal(cw_control_t *control, Cw__RangeInfo *range)
 {
     replica_choice_t       choice;
@@ -310,7 +315,7 @@
         return;
     }
     if (majority_lost(control, range)) {
-        range->journal_valid_from_ms = control->now.wall_ms + CLOCK_SKEW_MS;
+        range->journal_valid_from_ms = cw_control_journal_valid_from(control);
     }
     free_references(range->former_journal, range->n_former_journal);
     range->former_journal = range->journal;
--- a/src/core/control_load.c
+++ b/src/core/control_load.c
@@ -5,7 +5,7 @@
  * Rules:
  * - Only the present forwarder of a range's server is believed: a former one repeats what it counted for a while.
  * - A forwarder counts from nothing, so what was known before is carried on when another one takes over, and by the
- *   parts of a split.
+ *   ranges that a split or merge makes.
  */
 #include "core/control_internal.h"
 
@@ -69,23 +69,37 @@
     if (track == NULL || service == NULL) {
         return;
     }
-    service->split_low = whole->low;
-    service->split_last = whole->last;
-    service->split_key = key;
-    service->split_load = cw_control_range_load(control, whole->id);
-    service->split_hot_load = track->hot_load < service->split_load ? track->hot_load : service->split_load;
+    service->reshaped_low = whole->low;
+    service->reshaped_last = whole->last;
+    service->reshaped_key = key;
+    service->reshaped_load = cw_control_range_load(control, whole->id);
+    service->reshaped_hot_load = track->hot_load < service->reshaped_load ? track->hot_load : service->reshaped_load;
 }
 
-/* Load that a part of the last split begins with. */
+void cw_control_note_merge(cw_control_t *control, const Cw__RangeInfo *left, const Cw__RangeInfo *right)
+{
+    cw_service_track_t *service = cw_control_make_service_track(control, left->service);
+
+    if (service == NULL) {
+        return;
+    }
+    service->reshaped_low = left->low;
+    service->reshaped_last = right->last;
+    service->reshaped_key = left->low; /* the whole load belongs to the one new range */
+    service->reshaped_load = cw_control_range_load(control, left->id) + cw_control_range_load(control, right->id);
+    service->reshaped_hot_load = service->reshaped_load;
+}
+
+/* Load that a range made by the last split or merge begins with. */
 static double part_load(const cw_service_track_t *service, const Cw__RangeInfo *part)
 {
-    double whole = (double)(service->split_last - service->split_low);
+    double whole = (double)(service->reshaped_last - service->reshaped_low);
     double width = (double)(part->last - part->low);
 
-    if (part->low <= service->split_key && service->split_key <= part->last) {
-        return service->split_hot_load;
+    if (part->low <= service->reshaped_key && service->reshaped_key <= part->last) {
+        return service->reshaped_hot_load;
     }
-    return (service->split_load - service->split_hot_load) * width / whole;
+    return (service->reshaped_load - service->reshaped_hot_load) * width / whole;
 }
 
 void cw_control_note_created(cw_control_t *control, const Cw__RangeInfo *range)
@@ -93,8 +107,8 @@
     const cw_service_track_t *service = cw_control_make_service_track(control, range->service);
     cw_range_track_t         *track;
 
-    if (service == NULL || service->split_load <= 0 || range->low < service->split_low ||
-        range->last > service->split_last || cw_control_range_track(control, range->id) != NULL) {
+    if (service == NULL || service->reshaped_load <= 0 || range->low < service->reshaped_low ||
+        range->last > service->reshaped_last || cw_control_range_track(control, range->id) != NULL) {
         return;
     }
     track = cw_control_make_range_track(control, range->id);
--- a/tests/test_control_load.c
+++ b/tests/test_control_load.c
@@ -127,6 +127,42 @@
 }
 END_TEST
 
+static bool merged(void)
+{
+    return range_at(12345)->low == 0 && range_at(12345)->last > 12345;
+}
+
+static void tell_load_of_key(double load)
+{
+    tell(forwarder_at(12344), 12344, 0, 0);
+    tell(forwarder_at(12345), 12345, load, load);
+    tell(forwarder_at(12346), 12346, 0, 0);
+}
+
+START_TEST(a_cooled_key_becomes_part_of_its_neighbours_again)
+{
+    const cw_key_hash_t last = range_at(12345)->last;
+    size_t              seconds;
+
+    tell(forwarder_at(12345), 12345, 100, 90);
+    ck_assert(cluster_run_until(split_done, 8 * SECOND));
+    for (seconds = 0; seconds < 20; seconds++) { /* hot: stays apart */
+        tell_load_of_key(90);
+        cluster_run(SECOND);
+    }
+    ck_assert(split_done());
+    for (seconds = 0; seconds < 120 && !merged(); seconds++) {
+        tell_load_of_key(0);
+        cluster_run(SECOND);
+    }
+    ck_assert(merged());
+    cluster_run(20 * SECOND);
+    ck_assert(cluster_settled());
+    ck_assert_uint_eq(range_at(12345)->last, last);
+    ck_assert_int_gt(range_at(12345)->journal_valid_from_ms, 0);
+}
+END_TEST
+
 int main(void)
 {
     Suite   *suite = suite_create("control_load");
@@ -140,6 +176,7 @@
     tcase_add_test(tests, a_lost_server_takes_no_ranges_for_a_while);
     tcase_add_test(tests, a_server_that_drained_is_not_held_back);
     tcase_add_test(tests, parts_of_a_split_begin_with_the_load_of_the_whole);
+    tcase_add_test(tests, a_cooled_key_becomes_part_of_its_neighbours_again);
     suite_add_tcase(suite, tests);
     srunner_run_all(runner, CK_NORMAL);
     failed = srunner_ntests_failed(runner);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -123,21 +123,19 @@
 /* Server 1 at 1.4 of the mean: chance when few requests were counted, not when many were. */
 START_TEST(a_difference_that_chance_explains_moves_nothing)
 {
-    double scale;
     size_t position;
 
     weights.churn = weights.unavailable = 0;
-    for (scale = 0.01; scale < 5; scale *= 200) {
-        for (position = 0; position < RANGES; position++) {
-            ranges[position].load = scale * (ranges[position].server == 1 ? 15 : 10);
-        }
-        plan();
-        if (scale < 1) {
-            ck_assert_uint_eq(result.move_count, 0);
-        } else {
-            ck_assert_uint_gt(result.move_count, 0);
-        }
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].load = ranges[position].server == 1 ? 0.15 : 0.1;
+    }
+    plan();
+    ck_assert_uint_eq(result.move_count, 0);
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].load *= 200;
     }
+    plan();
+    ck_assert_uint_gt(result.move_count, 0);
 }
 END_TEST
 
@@ -313,6 +311,57 @@
 }
 END_TEST
 
+/* Range 11 is a single key between two halves of one configured range. */
+static cw_placement_range_t *cut_out_a_key(void)
+{
+    cw_placement_range_t *parts = &ranges[10];
+
+    service.ranges_per_server = RANGES / SERVERS - 1;
+    parts[1].server = parts[2].server = parts[0].server;
+    parts[1].last = parts[1].low;
+    parts[2].low = parts[1].last + 1;
+    parts[0].load = parts[1].load = parts[2].load = 1;
+    return parts;
+}
+
+START_TEST(cold_neighbours_are_merged)
+{
+    cw_placement_range_t *parts = cut_out_a_key();
+    cw_placement_merge_t  merge;
+
+    ck_assert(cw_placement_choose_merge(&input, &merge));
+    ck_assert_uint_eq(merge.left, 10);
+    ck_assert(!merge.move_first);
+    parts[1].server = parts[0].server % SERVERS + 1;
+    ck_assert(cw_placement_choose_merge(&input, &merge));
+    ck_assert(merge.move_first);
+    ck_assert_uint_eq(merge.moved, 11);
+    ck_assert_uint_eq(merge.to, parts[0].server);
+}
+END_TEST
+
+START_TEST(warm_pinned_wide_and_non_repeatable_ranges_are_not_merged)
+{
+    cw_placement_range_t *parts = cut_out_a_key();
+    cw_placement_merge_t  merge;
+
+    parts[1].hot_load = 100;
+    ck_assert(!cw_placement_choose_merge(&input, &merge));
+    parts[1].hot_load = 0;
+    parts[1].load = 100;
+    ck_assert(!cw_placement_choose_merge(&input, &merge));
+    parts[1].load = 1;
+    parts[1].pinned = true;
+    ck_assert(!cw_placement_choose_merge(&input, &merge));
+    parts[1].pinned = false;
+    service.n_non_repeatable = 1;
+    ck_assert(!cw_placement_choose_merge(&input, &merge));
+    service.n_non_repeatable = 0;
+    service.ranges_per_server = RANGES / SERVERS; /* no more than configured */
+    ck_assert(!cw_placement_choose_merge(&input, &merge));
+}
+END_TEST
+
 int main(void)
 {
     Suite   *suite = suite_create("placement");
@@ -334,6 +383,8 @@
     tcase_add_test(tests, a_single_hot_range_is_not_passed_around);
     tcase_add_test(tests, pinned_ranges_count_but_do_not_move);
     tcase_add_test(tests, nothing_moves_without_a_usable_server);
+    tcase_add_test(tests, cold_neighbours_are_merged);
+    tcase_add_test(tests, warm_pinned_wide_and_non_repeatable_ranges_are_not_merged);
     suite_add_tcase(suite, tests);
     srunner_run_all(runner, CK_NORMAL);
     failed = srunner_ntests_failed(runner);
