Recovery: a former member makes no majority

Cause: recovery was refused for ever when replaced members of the lost group answered: node 1 still knew voters 1, 2, 3 and nodes 1 and 3 answered, but the group was 3, 4, 5 by then and 4 and 5 were gone. Ruled out: looking at the newest membership only (an uncommitted one may not count); the record's members (it lags). Change: probes tell the last term and index of the replica's log; recovery is refused while one of the replicas that answer could be elected, that is, has a majority of the voters it knows among those with no longer log. A replica that does not know yet that it became a voter counts as a vote too. Test: test_former_member_makes_no_majority; without the comparison of logs it failed (409). Conclusion: what cannot elect a leader no longer stands in the way of recovery. Additive change of ControlProbeReply.

--- a/include/cedarwinch/raft.h
+++ b/include/cedarwinch/raft.h
@@ -70,6 +70,7 @@
 uint64_t              cw_raft_generation(const cw_raft_t *raft);
 uint64_t              cw_raft_commit_index(const cw_raft_t *raft);
 uint64_t              cw_raft_last_index(const cw_raft_t *raft);
+uint64_t              cw_raft_last_term(const cw_raft_t *raft);
 cw_incarnation_t      cw_raft_leader(const cw_raft_t *raft);     /**< 0: not known */
 const Cw__Membership *cw_raft_membership(const cw_raft_t *raft); /**< latest in the log */
 /** Has the entry that opened this leader's term been committed and applied? Only then may it decide. */
--- a/proto/cedarwinch.pb-c.c
+++ b/proto/cedarwinch.pb-c.c
@@ -5958,7 +5958,7 @@
   (ProtobufCMessageInit) cw__control_probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cw__control_probe_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cw__control_probe_reply__field_descriptors[12] =
 {
   {
     "id",
@@ -6080,6 +6080,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "replica_last_term",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__ControlProbeReply, replica_last_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replica_last_index",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cw__ControlProbeReply, replica_last_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cw__control_probe_reply__field_indices_by_name[] = {
   5,   /* field[5] = beat_age_us */
@@ -6089,6 +6113,8 @@
   2,   /* field[2] = leaving */
   1,   /* field[1] = node */
   8,   /* field[8] = replica_generation */
+  11,   /* field[11] = replica_last_index */
+  10,   /* field[10] = replica_last_term */
   3,   /* field[3] = up_us */
   7,   /* field[7] = version */
   9,   /* field[9] = voters */
@@ -6096,7 +6122,7 @@
 static const ProtobufCIntRange cw__control_probe_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cw__control_probe_reply__descriptor =
 {
@@ -6106,7 +6132,7 @@
   "Cw__ControlProbeReply",
   "cw",
   sizeof(Cw__ControlProbeReply),
-  10,
+  12,
   cw__control_probe_reply__field_descriptors,
   cw__control_probe_reply__field_indices_by_name,
   1,  cw__control_probe_reply__number_ranges,
--- a/proto/cedarwinch.pb-c.h
+++ b/proto/cedarwinch.pb-c.h
@@ -988,7 +988,7 @@
   uint64_t generation;
   uint64_t version;
   /*
-   * of the group that this node is a voter of; 0: none
+   * of the group that this node has a replica of; 0: none
    */
   uint64_t replica_generation;
   /*
@@ -996,10 +996,15 @@
    */
   size_t n_voters;
   Cw__NodeInfo **voters;
+  /*
+   * of the last entry in its log
+   */
+  uint64_t replica_last_term;
+  uint64_t replica_last_index;
 };
 #define CW__CONTROL_PROBE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cw__control_probe_reply__descriptor) \
-    , 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Cw__Header
--- a/src/core/node_recover_plan.c
+++ b/src/core/node_recover_plan.c
@@ -3,8 +3,9 @@
  * @brief Decides from what was gathered whether the control group can be formed anew, of whom and from what state.
  *
  * Rules:
- * - Refused while a majority of the former members answers, by the record or by what one of them says of its group:
- *   such a group elects a leader by itself, or still has one.
+ * - Refused while a majority of the members answers, by what one of the replicas that answer says of its group, and
+ * none of that majority has a longer log: then that replica can be elected. Members in the record or known to a replica
+ *   that fell behind do not count as such, since they may have been replaced.
  * - State: the newest of the record's snapshot and what this node holds, by (generation, version). When another node
  *   that answers holds a newer one, the operator is sent there.
  * - Members: nodes that answer, this one first, then those of zones not used yet, in ascending order of their ids.
@@ -54,34 +55,42 @@
     return answer != NULL && answer->reply->node->incarnation == member->incarnation;
 }
 
-/* Voters of the record's generation that answer, out of a list of them. */
-static size_t count_replicas(const cw_recovery_t *recovery, Cw__NodeInfo *const *members, size_t count)
+/* Is the voter's log no more complete than the candidate's, so that it would vote for it? */
+static bool would_vote(const Cw__ControlProbeReply *voter, const Cw__ControlProbeReply *candidate)
 {
-    size_t found = 0;
+    if (voter->replica_last_term != candidate->replica_last_term) {
+        return voter->replica_last_term < candidate->replica_last_term;
+    }
+    return voter->replica_last_index <= candidate->replica_last_index;
+}
+
+/* Has the candidate, as far as it knows its group, the votes of a majority among those that answer? */
+static bool can_be_elected(const cw_recovery_t *recovery, const Cw__ControlProbeReply *candidate)
+{
+    size_t votes = 0;
     size_t position;
 
-    for (position = 0; position < count; position++) {
-        if (answers_as(recovery, members[position]) &&
-            answer_of(recovery, members[position]->id)->reply->replica_generation == recovery->record->generation) {
-            found++;
+    for (position = 0; position < candidate->n_voters; position++) {
+        const Cw__NodeInfo          *member = candidate->voters[position];
+        const Cw__ControlProbeReply *voter;
+
+        if (!answers_as(recovery, member)) {
+            continue;
         }
+        voter = answer_of(recovery, member->id)->reply;
+        votes += voter->replica_generation == candidate->replica_generation && would_vote(voter, candidate);
     }
-    return found;
+    return 2 * votes > candidate->n_voters;
 }
 
 static bool majority_answers(const cw_recovery_t *recovery)
 {
-    const Cw__Bootstrap         *record = recovery->record;
     const Cw__ControlProbeReply *reply;
     size_t                       position;
 
-    if (2 * count_replicas(recovery, record->members, record->n_members) > record->n_members) {
-        return true;
-    }
     for (position = 0; position < recovery->answers.count; position++) {
         reply = ((const cw_probe_answer_t *)recovery->answers.slots[position].value)->reply;
-        if (reply->replica_generation == record->generation &&
-            2 * count_replicas(recovery, reply->voters, reply->n_voters) > reply->n_voters) {
+        if (reply->replica_generation == recovery->record->generation && can_be_elected(recovery, reply)) {
             return true;
         }
     }
--- a/src/core/node_recover_probe.c
+++ b/src/core/node_recover_probe.c
@@ -15,16 +15,14 @@
 
 static void fill_replica(const cw_node_t *node, Cw__ControlProbeReply *reply)
 {
-    const Cw__Membership *membership = cw_raft_membership(cw_control_raft(node->control));
-    size_t                position;
-
-    for (position = 0; membership != NULL && position < membership->n_voters; position++) {
-        if (membership->voters[position]->incarnation == node->self->incarnation) {
-            reply->replica_generation = node->control_generation;
-            reply->n_voters = membership->n_voters;
-            reply->voters = membership->voters;
-        }
-    }
+    const cw_raft_t      *raft = cw_control_raft(node->control);
+    const Cw__Membership *membership = cw_raft_membership(raft);
+
+    reply->replica_generation = node->control_generation;
+    reply->n_voters = membership->n_voters;
+    reply->voters = membership->voters;
+    reply->replica_last_term = cw_raft_last_term(raft);
+    reply->replica_last_index = cw_raft_last_index(raft);
 }
 
 static void fill_reply(const cw_node_t *node, Cw__ControlProbeReply *reply, uint64_t id, cw_instant_t now)
--- a/src/core/raft.c
+++ b/src/core/raft.c
@@ -288,6 +288,11 @@
     return raft_log_last_index(&raft->log);
 }
 
+uint64_t cw_raft_last_term(const cw_raft_t *raft)
+{
+    return raft_log_last_term(&raft->log);
+}
+
 cw_incarnation_t cw_raft_leader(const cw_raft_t *raft)
 {
     return raft->leader;
--- a/tests/test_node_recover.c
+++ b/tests/test_node_recover.c
@@ -130,6 +130,53 @@
 }
 END_TEST
 
+static const Cw__Membership *members_at(cw_node_id_t id)
+{
+    return cw_raft_membership(cw_control_raft((cw_control_t *)cw_node_control(world.nodes[id].node)));
+}
+
+static bool is_replaced(cw_node_id_t former, cw_node_id_t at)
+{
+    const Cw__Membership *members = members_at(at);
+    size_t                position;
+
+    for (position = 0; position < members->n_voters; position++) {
+        if (members->voters[position]->id == former) {
+            return false;
+        }
+    }
+    return members->n_voters == 3;
+}
+
+/* A member that was replaced comes back. In its view it and one more make a majority, but the other has the longer
+ * log and knows better: nobody can be elected. */
+START_TEST(test_former_member_makes_no_majority)
+{
+    cw_node_id_t          former = node_world_leader(&world);
+    cw_node_id_t          kept = former % 3 + 1;
+    const Cw__Membership *members;
+    cw_node_id_t          others[2] = {0, 0};
+    size_t                count = 0;
+    size_t                position;
+
+    world.nodes[former].frozen = true;
+    node_world_run(&world, 20 * CW_US_PER_S);
+    ck_assert(is_replaced(former, kept));
+    members = members_at(kept);
+    for (position = 0; position < members->n_voters; position++) {
+        if (members->voters[position]->id != kept && count < 2) {
+            others[count++] = members->voters[position]->id;
+        }
+    }
+    node_world_stop(&world, others[0]);
+    node_world_stop(&world, others[1]);
+    world.nodes[former].frozen = false;
+    wait_out_leases();
+    node_world_run(&world, 5 * CW_US_PER_S);
+    ck_assert_uint_eq(recover(kept), OK);
+}
+END_TEST
+
 START_TEST(test_refused_before_leases_are_over)
 {
     char plan[64] = "";
@@ -336,6 +383,7 @@
     tcase_set_timeout(tests, 60);
     tcase_add_test(tests, test_refused_without_need);
     tcase_add_test(tests, test_refused_while_majority_answers);
+    tcase_add_test(tests, test_former_member_makes_no_majority);
     tcase_add_test(tests, test_refused_before_leases_are_over);
     tcase_add_test(tests, test_waits_for_beats_of_others);
     tcase_add_test(tests, test_new_group_keeps_configuration);
