Simulator: an administrator recovers the group; state of the replicas in the trace

Ruled out: recovery while links are cut or processes paused: by its contract the administrator must know that the majority is gone.

--- a/sim/host.c
+++ b/sim/host.c
@@ -94,7 +94,7 @@
     host->info.state = CW__NODE_STATE__NODE_UP;
     world->seed_infos[index] = host->info;
     world->seeds[index] = &world->seed_infos[index];
-    cw_token_digest("administrator", world->administrator[0]);
+    cw_token_digest("administrator", world->administrator_digest[0]);
 }
 
 static void create_node(sim_host_t *host)
@@ -123,7 +123,7 @@
     options.seed = cw_random_next(&world->random);
     options.clock_drift_ppm = SIM_DRIFT_PPM;
     options.clock_skew_ms = SIM_WALL_SKEW_MS;
-    options.administrator_token_sha256 = world->administrator;
+    options.administrator_token_sha256 = world->administrator_digest;
     options.administrator_token_count = 1;
     if (cw_node_create(&host->node, &options, &ports, sim_host_now(host)) != CW_OK) {
         sim_violation(world, "node %u cannot be created", host->info.id);
--- a/sim/invariants.c
+++ b/sim/invariants.c
@@ -10,6 +10,7 @@
  * - The configuration version in force at a node never goes down within its life. An acknowledged version is in the
  *   newest ready leader's state, and in force at every node once faults are healed.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -297,6 +298,23 @@
     }
 }
 
+static void trace_replica(const sim_host_t *host)
+{
+    const cw_raft_t      *raft = cw_control_raft((cw_control_t *)cw_node_control(host->node));
+    const Cw__Membership *membership = cw_raft_membership(raft);
+    char                  voters[128] = "";
+    size_t                index;
+
+    for (index = 0; index < membership->n_voters && index < 8; index++) {
+        snprintf(voters + strlen(voters), sizeof(voters) - strlen(voters), " %u/%lu", membership->voters[index]->id,
+                 (unsigned long)(membership->voters[index]->incarnation & UINT32_MAX));
+    }
+    sim_trace(host->world, "node %u life %lu: generation %lu, role %d, term %lu, last %lu, commit %lu, voters%s",
+              host->info.id, (unsigned long)host->process.life, (unsigned long)cw_raft_generation(raft),
+              (int)cw_raft_role(raft), (unsigned long)cw_raft_term(raft), (unsigned long)cw_raft_last_index(raft),
+              (unsigned long)cw_raft_commit_index(raft), voters);
+}
+
 void sim_checks_end(sim_world_t *world)
 {
     size_t index;
@@ -305,6 +323,9 @@
     for (index = 0; index < world->host_count; index++) {
         const sim_host_t *host = &world->hosts[index];
 
+        if (host->process.running && cw_node_control(host->node) != NULL) {
+            trace_replica(host);
+        }
         if (!host->process.running || !cw_node_ready(host->node, sim_host_now(host))) {
             continue;
         }
--- a/sim/main_simulate.c
+++ b/sim/main_simulate.c
@@ -62,12 +62,12 @@
     printf(
         "seed %lu: digest %016lx events %lu requests %lu answered %lu not-run %lu unknown %lu in-progress %lu lost %lu "
         "effects %lu (%lu non-repeatable) grants %lu lapses %lu refused %lu plans %lu confirmed %lu stale %lu "
-        "leaders %lu longest-gap %.3f s at %.3f s, %s at end%s%s\n",
+        "leaders %lu recoveries %lu longest-gap %.3f s at %.3f s, %s at end%s%s\n",
         seed, result->digest, result->events, result->requests, result->answered, result->not_run, result->unknown,
         result->in_progress, result->lost_with_gateway, result->effects, result->non_repeatable_effects, result->grants,
         result->lapses, result->fence_refusals, result->plans, result->confirmed, result->stale_plans, result->leaders,
-        (double)result->longest_gap_us / CW_US_PER_S, (double)result->longest_gap_end_us / CW_US_PER_S,
-        result->served_at_end ? "served" : "NOT SERVED",
+        result->recoveries, (double)result->longest_gap_us / CW_US_PER_S,
+        (double)result->longest_gap_end_us / CW_US_PER_S, result->served_at_end ? "served" : "NOT SERVED",
         result->violation[0] == '\0' ? "" : " VIOLATION: ", result->violation);
 }
 
--- a/sim/operators.c
+++ b/sim/operators.c
@@ -182,6 +182,9 @@
     size_t       index = 0;
     operator_t  *person;
 
+    if (sim_administrator_respond(host, caller_id, response)) {
+        return;
+    }
     while (index < OPERATORS && world->operators->operators[index].asked != caller_id) {
         index++;
     }
--- a/sim/simulation.h
+++ b/sim/simulation.h
@@ -76,6 +76,7 @@
     uint64_t     plans;
     uint64_t     confirmed;
     uint64_t     stale_plans;
+    uint64_t     recoveries;     /**< of the control group, by the administrator */
     uint64_t     leaders;        /**< times a node became ready to lead */
     cw_time_us_t longest_gap_us; /**< longest time in which a key was asked for and not served */
     cw_time_us_t longest_gap_end_us;
--- a/sim/world.c
+++ b/sim/world.c
@@ -176,6 +176,7 @@
         sim_host_start(&world->hosts[index]);
     }
     sim_operators_start(world);
+    sim_administrator_start(world);
     sim_callers_start(world);
     sim_faults_schedule(world);
 }
@@ -225,6 +226,7 @@
     }
     sim_callers_end(world);
     sim_operators_end(world);
+    sim_administrator_end(world);
     free_all(world);
     free(world);
     return CW_OK;
--- a/sim/world.h
+++ b/sim/world.h
@@ -19,7 +19,7 @@
     SIM_ENDPOINTS_MAX = SIM_NODES_MAX + SIM_SERVERS_MAX + 1,
     SIM_OBJECTS_MAX = 16,
     SIM_KEYS_PER_SERVICE = 4,
-    SIM_HEAL_US = 15 * CW_US_PER_S,
+    SIM_HEAL_US = 25 * CW_US_PER_S,
     SIM_DRIFT_PPM = 1000, /**< bound on the rate difference of any two clocks */
     SIM_WALL_SKEW_MS = 5000,
     SIM_TRUE_WALL_MS = 1700000000 /**< in seconds: Unix time of the simulation's begin */
@@ -126,9 +126,10 @@
     const char      *machine_states[SIM_NODES_MAX + SIM_SERVERS_MAX];
 } sim_platform_t;
 
-typedef struct sim_callers   sim_callers_t;
-typedef struct sim_operators sim_operators_t;
-typedef struct sim_checks    sim_checks_t;
+typedef struct sim_callers       sim_callers_t;
+typedef struct sim_operators     sim_operators_t;
+typedef struct sim_checks        sim_checks_t;
+typedef struct sim_administrator sim_administrator_t;
 
 struct sim_world {
     cw_simulation_options_t options;
@@ -140,7 +141,7 @@
     size_t                  host_count;
     Cw__NodeInfo            seed_infos[SIM_NODES_MAX]; /**< as in each node's settings; nodes borrow these */
     const Cw__NodeInfo     *seeds[SIM_NODES_MAX];
-    uint8_t                 administrator[1][CW_TOKEN_DIGEST_BYTES];
+    uint8_t                 administrator_digest[1][CW_TOKEN_DIGEST_BYTES];
     sim_server_t            servers[SIM_SERVERS_MAX];
     size_t                  server_count;
     cw_time_us_t            cut_until[SIM_ENDPOINTS_MAX][SIM_ENDPOINTS_MAX]; /**< from, to */
@@ -151,6 +152,7 @@
     sim_callers_t          *callers;
     sim_operators_t        *operators;
     sim_checks_t           *checks;
+    sim_administrator_t    *administrator;
     bool                    healing;
 };
 
@@ -244,6 +246,12 @@
 bool sim_operators_ready(const sim_world_t *world);
 void sim_operators_end(sim_world_t *world);
 
+/* administrator.c */
+void sim_administrator_start(sim_world_t *world);
+/** False: the answer is for an operator. */
+bool sim_administrator_respond(sim_host_t *host, uint64_t caller_id, const Cw__OperatorResponse *response);
+void sim_administrator_end(sim_world_t *world);
+
 /* invariants.c */
 void sim_checks_start(sim_world_t *world);
 void sim_checks_host(sim_host_t *host);
