Control: a lapse between two readings is noticed

Cause: in 2 of 1000 random walks a server did not hold ranges that the leader took as confirmed, for good. Its lease had lapsed and a grant of another range had begun a new one; the forwarder's report that the others were lost was dropped, and later readings showed a live lease. Ruled out: repeating that report (the forwarder may be lost too); asking for all grants again at each heartbeat (cost). Change: a reading that comes after the lease end which the reading before it showed counts as a lapse: the server gets a new fence and its ranges are granted again. Acknowledgements count from the first order sent since then. The new test fails without the rule (seen). Conclusion: the leader no longer depends on a report that is sent once.

--- a/src/core/control_grant.c
+++ b/src/core/control_grant.c
@@ -124,6 +124,9 @@
     if (track->orders_withheld) {
         return;
     }
+    if (track->ordered_end_us == 0) {
+        track->ordered_end_us = message.lease_end_us;
+    }
     envelope.body_case = CW__ENVELOPE__BODY_GRANT_ORDER;
     envelope.grant_order = &message;
     cw_control_send(control, track->forwarder, &envelope);
@@ -202,14 +205,18 @@
 {
     cw_range_track_t *track;
 
-    if (cw_control_state_range(control->state, range) == NULL) {
-        return;
+    if (cw_control_state_range(control->state, range) == NULL || server->ordered_end_us == 0) {
+        return; /* gone, or the answer to an order from before its grants were lost */
     }
     track = cw_control_make_range_track(control, range);
-    if (track != NULL) {
-        track->acked = cw_fence_from_message(fence);
-        track->acked_by = server->incarnation;
+    if (track == NULL) {
+        return;
+    }
+    track->acked = cw_fence_from_message(fence);
+    track->acked_by = server->incarnation;
+    if (!server->holds) {
         server->holds = true;
+        server->unbroken_until_us = server->ordered_end_us;
     }
 }
 
--- a/src/core/control_internal.h
+++ b/src/core/control_internal.h
@@ -39,24 +39,25 @@
 
 /** Leader's view of a server. Readings come only from its present forwarder. */
 typedef struct cw_server_track {
-    cw_server_id_t        id;
-    cw_service_id_t       service;
-    cw_node_id_t          forwarder; /**< as in the state */
-    cw_incarnation_t      forwarder_incarnation;
-    cw_incarnation_t      incarnation; /**< 0: no reading yet */
-    int64_t               clock_us;    /**< newest reading of its clock */
-    int64_t               lease_end_us;
-    cw_time_us_t          reading_us;         /**< local time at which that reading arrived */
-    cw_time_us_t          expected_us;        /**< readings are missed from this local time on */
-    int64_t               confirmed_clock_us; /**< newest reading followed by a quorum round; 0: none */
-    int64_t               issued_end_us;      /**< latest lease end named to this incarnation, in its clock */
-    cw_time_us_t          issued_until_us;    /**< local time by which all leases named by this leader are over */
-    cw_time_us_t          former_until_us;    /**< the same for its former incarnations */
-    cw_time_us_t          orders_us;          /**< when orders are to be sent again */
-    bool                  orders_withheld;    /**< until a fresh reading is confirmed */
+    cw_server_id_t   id;
+    cw_service_id_t  service;
+    cw_node_id_t     forwarder; /**< as in the state */
+    cw_incarnation_t forwarder_incarnation;
+    cw_incarnation_t incarnation; /**< 0: no reading yet */
+    int64_t          clock_us;    /**< newest reading of its clock */
+    int64_t          lease_end_us;
+    cw_time_us_t     reading_us;         /**< local time at which that reading arrived */
+    cw_time_us_t     expected_us;        /**< readings are missed from this local time on */
+    int64_t          confirmed_clock_us; /**< newest reading followed by a quorum round; 0: none */
+    int64_t          issued_end_us;      /**< latest lease end named to this incarnation, in its clock */
+    int64_t          ordered_end_us;     /**< lease end in the first grant order since it held nothing; 0: none sent */
+    int64_t unbroken_until_us; /**< while readings are below this, its lease has not lapsed since it accepted grants */
+    cw_time_us_t          issued_until_us; /**< local time by which all leases named by this leader are over */
+    cw_time_us_t          former_until_us; /**< the same for its former incarnations */
+    cw_time_us_t          orders_us;       /**< when orders are to be sent again */
+    bool                  orders_withheld; /**< until a fresh reading is confirmed */
     bool                  reachable;
     bool                  says_draining;
-    bool                  reincarnated; /**< its former life ended under this leader */
     bool                  holds;        /**< accepted grants in this incarnation */
     bool                  fence_wanted; /**< its grants were lost: a new fence is needed */
     bool                  was_usable;
--- a/src/core/control_lease.c
+++ b/src/core/control_lease.c
@@ -12,6 +12,8 @@
  *   leader could confirm had arrived there before that.
  * - A reading beyond every end named to that incarnation proves the same without waiting, once the leases of the
  *   server's former lives are over. A new incarnation alone proves nothing about them here: it only gets new fences.
+ * - A server that accepted grants lost them if a reading shows no live lease, or if it comes after the end of the lease
+ *   that the reading before it showed: the lease may have lapsed and a later grant begun a new one, without the others.
  * - While a command that takes ranges from a server without its consent is under way, the server is sealed: nothing is
  *   named to it.
  *
@@ -61,17 +63,26 @@
     track->incarnation = incarnation;
     track->confirmed_clock_us = 0;
     track->issued_end_us = 0;
+    track->ordered_end_us = 0;
     track->clock_us = -1;
     cw_control_mark(control, &control->leading.dirty_servers, track->id);
 }
 
 static void note_lapse(cw_control_t *control, cw_server_track_t *track)
 {
-    if (track->holds && track->lease_end_us <= track->clock_us) {
-        track->holds = false;
-        track->fence_wanted = true;
-        cw_control_mark(control, &control->leading.changed_servers, track->id);
+    bool lapsed = track->lease_end_us <= track->clock_us || track->clock_us >= track->unbroken_until_us;
+
+    if (!track->holds) {
+        return;
+    }
+    if (!lapsed) {
+        track->unbroken_until_us = track->lease_end_us;
+        return;
     }
+    track->holds = false;
+    track->ordered_end_us = 0;
+    track->fence_wanted = true;
+    cw_control_mark(control, &control->leading.changed_servers, track->id);
 }
 
 /* Returns true when the report brings a reading that is newer than the last one. */
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -279,6 +279,35 @@
 }
 END_TEST
 
+/* The lease lapsed and a grant began a new one; the forwarder's report that the other grants are lost went astray. */
+START_TEST(a_lapse_between_two_readings_is_noticed)
+{
+    Cw__ServerReport  report = CW__SERVER_REPORT__INIT;
+    Cw__ServerReport *reports[] = {&report};
+    Cw__Heartbeat     heartbeat = CW__HEARTBEAT__INIT;
+    Cw__Envelope      envelope = CW__ENVELOPE__INIT;
+    uint64_t          fence;
+
+    begin_service();
+    cluster_run(2 * SECOND);
+    fence = server_info(0)->fence->index;
+    report.server = cluster.servers[0].configuration.id;
+    report.reachable = true;
+    report.incarnation = cluster.servers[0].incarnation;
+    report.clock_us = cluster.servers[0].lease_end_us + CW_US_PER_MS;
+    report.lease_end_us = report.clock_us + SECOND;
+    heartbeat.node = &cluster.nodes[server_info(0)->forwarder - 1].info;
+    heartbeat.sequence = 1000;
+    heartbeat.n_servers = 1;
+    heartbeat.servers = reports;
+    envelope.body_case = CW__ENVELOPE__BODY_HEARTBEAT;
+    envelope.heartbeat = &heartbeat;
+    cw_control_receive(cluster_leader()->control, &envelope, cluster.now);
+    cluster_run(SECOND / 10);
+    ck_assert_uint_gt(server_info(0)->fence->index, fence);
+}
+END_TEST
+
 /* ---- moves ---- */
 
 static bool revocation_began(void)
@@ -818,6 +847,7 @@
     tcase_add_test(tests, a_new_service_waits_a_little_for_all_servers);
     tcase_add_test(tests, a_restarted_server_is_granted_its_ranges_again);
     tcase_add_test(tests, a_server_whose_lease_lapsed_is_granted_its_ranges_again);
+    tcase_add_test(tests, a_lapse_between_two_readings_is_noticed);
     tcase_add_test(tests, a_drained_server_keeps_a_range_until_it_releases_it);
     tcase_add_test(tests, a_joining_server_takes_its_share);
     tcase_add_test(tests, a_removed_server_is_emptied_and_forgotten);
