Planner: gain scaled by servers once, longer horizons

Cause: with n^2 the gains of many moves together came to n times the imbalance there is, so churn was bought too dearly where many servers are a little heavy. Change: gain in n * sum of squares, for 600 s of uneven load and 3600 s of uneven key space.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -11,8 +11,8 @@
  *    in the lightest zone, then the lowest id). They are not bounded.
  *    Servers that were lost lately come last here, and take nothing in the next step.
  * 2. Voluntary moves, at most moves_allowed: from the heaviest server that has a worthwhile range to the lightest.
- *    Imbalance is measured by n^2 * sum(server weight squared): moving x from a server of weight a to one of weight b
- *    lowers it by 2 * n^2 * x * (a - b - x). Gain and cost are in the units that docs/PLACEMENT.md defines:
+ *    Imbalance is measured by n * sum(server weight squared): moving x from a server of weight a to one of weight b
+ *    lowers it by 2 * n * x * (a - b - x). Gain and cost are in the units that docs/PLACEMENT.md defines:
  *    - gain: that figure over IMBALANCE_UNIT, for as long as it is expected to last: LOAD_HORIZON_S for the load, and
  *      SHARE_HORIZON_S for the same with shares of the key space in place of weights, when that gets evener too;
  *    - cost: the moved share of the key space, times the weight for churn + the weight for unavailable time * expected
@@ -34,8 +34,8 @@
 static const double SMOOTHING_PER_SERVER = 1.0;         /* requests per second spread by key space */
 static const double HYSTERESIS = 0.1;                   /* of the mean server's weight */
 static const double NOISE_DEVIATIONS = 2.0;
-static const double LOAD_HORIZON_S = 120.0;   /* an uneven load lasts that long */
-static const double SHARE_HORIZON_S = 1800.0; /* an uneven spread of the key space lasts that long */
+static const double LOAD_HORIZON_S = 600.0;   /* an uneven load lasts that long */
+static const double SHARE_HORIZON_S = 3600.0; /* an uneven spread of the key space lasts that long */
 static const double IMBALANCE_UNIT = 0.25;    /* for an hour: weighs as much as one move of all keys */
 static const double SECONDS_PER_HOUR = 3600.0;
 static const double MS_PER_SECOND = 1000.0;
@@ -297,7 +297,7 @@
 {
     double usable = (double)planner->usable_count;
 
-    return 2.0 * usable * usable * moved * difference;
+    return 2.0 * usable * moved * difference;
 }
 
 /* Net gain of moving a range from one server to another; not above zero: not worth it. */
