Simulator: planned stops cut nothing off, leaving servers get no new work

Cause: the users ask that a planned stop cuts off no request in flight and that a leaving server receives nothing new after a few seconds; no run of whole nodes checked either. Ruled out: checking it under random faults, where a lost leader may rightly delay both. Change: scenarios node-stop and server-leave, counts of stops that were not done in time and of requests begun at a server over 4 s after it said that it leaves; planned_ends_cut_nothing_off in tests/test_simulation.c. Test: with cw_node_stop saying done at once, a caller lost its gateway and the test failed.

--- a/sim/host.c
+++ b/sim/host.c
@@ -233,6 +233,7 @@
         next->numbers[1] = event->numbers[1];
         return;
     }
+    world->result->stops_cut += !done;
     sim_trace(world, "node %u stopped, %s", host->info.id, done ? "done" : "out of patience");
     next = sim_schedule(world, "restart", world->now + (cw_time_us_t)event->numbers[1], restart, NULL, 0);
     next->numbers[0] = host->process.endpoint;
--- a/sim/main_simulate.c
+++ b/sim/main_simulate.c
@@ -34,10 +34,9 @@
     static const struct {
         const char     *name;
         cw_fault_kind_t kind;
-    } scenarios[] = {{"leader-kill", CW_FAULT_LEADER_KILL},
-                     {"forwarder-kill", CW_FAULT_FORWARDER_KILL},
-                     {"server-kill", CW_FAULT_SERVER_KILL},
-                     {"server-pause", CW_FAULT_SERVER_PAUSE},
+    } scenarios[] = {{"leader-kill", CW_FAULT_LEADER_KILL},  {"forwarder-kill", CW_FAULT_FORWARDER_KILL},
+                     {"node-stop", CW_FAULT_NODE_STOP},      {"server-leave", CW_FAULT_SERVER_LEAVE},
+                     {"server-kill", CW_FAULT_SERVER_KILL},  {"server-pause", CW_FAULT_SERVER_PAUSE},
                      {"leader-pause", CW_FAULT_LEADER_PAUSE}};
     size_t index;
 
@@ -142,9 +141,10 @@
     struct arg_lit *trace = arg_lit0(NULL, "trace", "print each event of interest");
     struct arg_lit *quiet = arg_lit0("q", "quiet", "print failures only");
     struct arg_lit *stop = arg_lit0(NULL, "stop", "stop at the first failure and do not minimise its faults");
-    struct arg_str *scenario = arg_str0(NULL, "scenario", "NAME",
-                                        "one fault only: leader-kill, forwarder-kill, server-kill, server-pause, "
-                                        "leader-pause, deposed-leader, none");
+    struct arg_str *scenario =
+        arg_str0(NULL, "scenario", "NAME",
+                 "one fault only: leader-kill, forwarder-kill, node-stop, server-leave, server-kill, server-pause, "
+                 "leader-pause, deposed-leader, none");
     struct arg_lit *help = arg_lit0("h", "help", "print this help");
     struct arg_end *end = arg_end(8);
     void           *table[] = {first, count, seconds, nodes, lease, rough, trace, quiet, stop, scenario, help, end};
--- a/sim/servers.c
+++ b/sim/servers.c
@@ -15,6 +15,7 @@
     SLOW_MAX_US = 600000, /**< longer than some callers wait */
     COLD_US = 40000,
     LEAVE_POLL_US = 50 * CW_US_PER_MS,
+    LEAVING_WORK_US = 4 * CW_US_PER_S,
     LEAVE_PATIENCE_US = 10 * CW_US_PER_S
 };
 
@@ -43,6 +44,9 @@
     cw_time_us_t  service_us = sim_between(world, SERVICE_MIN_US, SERVICE_MAX_US) + (cold ? COLD_US : 0);
     sim_event_t  *event;
 
+    if (server->leaving && world->now > server->leaving_since + LEAVING_WORK_US) {
+        world->result->work_while_leaving++;
+    }
     if (sim_chance(world, SLOW_PER_THOUSAND)) {
         service_us += sim_between(world, 0, SLOW_MAX_US);
     }
@@ -144,6 +148,7 @@
         return;
     }
     server->leaving = true;
+    server->leaving_since = world->now;
     model_server_drain(server->model);
     sim_platform_machine(world, server->process.endpoint, "leaving");
     event = sim_schedule(world, "leave", world->now, poll_leave, &server->process, server->process.life);
--- a/sim/simulation.h
+++ b/sim/simulation.h
@@ -67,7 +67,9 @@
     uint64_t     not_run;
     uint64_t     unknown;
     uint64_t     in_progress;
-    uint64_t     lost_with_gateway; /**< their gateway process ended first */
+    uint64_t     lost_with_gateway;  /**< their gateway process ended first */
+    uint64_t     stops_cut;          /**< planned stops that were not done in time */
+    uint64_t     work_while_leaving; /**< requests that a server began over 4 s after it said that it leaves */
     uint64_t     effects;
     uint64_t     non_repeatable_effects;
     uint64_t     grants;
--- a/sim/world.h
+++ b/sim/world.h
@@ -99,6 +99,7 @@
     char            address[16];
     uint32_t        port;
     bool            leaving;
+    cw_time_us_t    leaving_since;
     cw_time_us_t    shed_until;
 } sim_server_t;
 
--- a/tests/test_simulation.c
+++ b/tests/test_simulation.c
@@ -13,6 +13,8 @@
     SEEDS = 12,
     ROUGH_SEEDS = 6,
     LOSS_SEEDS = 6,
+    PLANNED_STOPS = 5, /**< of each node */
+    PLANNED_ENDS = 13, /**< and of each server */
     DEPOSED_SEEDS = 15,
     DEPOSED_LEASE_MS = 4000,
     LOSS_AT_US = 20 * CW_US_PER_S,
@@ -97,6 +99,30 @@
 }
 END_TEST
 
+/* A planned stop ends in time with every caller answered; a server that leaves gets no new work after a few seconds. */
+START_TEST(planned_ends_cut_nothing_off)
+{
+    cw_simulation_options_t options;
+    cw_simulation_result_t  result;
+    cw_fault_t              fault = {LOSS_AT_US, CW_FAULT_NODE_STOP, (uint32_t)_i, 0, LOSS_FOR_US, 0};
+
+    if (_i >= PLANNED_STOPS) {
+        fault.kind = CW_FAULT_SERVER_LEAVE;
+    }
+    cw_simulation_options_default(&options);
+    options.seed = (uint64_t)_i + 1;
+    options.faults = &fault;
+    options.fault_count = 1;
+    ck_assert_int_eq(cw_simulation_run(&options, &result), 0);
+    ck_assert_str_eq(result.violation, "");
+    ck_assert_uint_eq(result.lost_with_gateway, 0);
+    ck_assert_uint_eq(result.stops_cut, 0);
+    ck_assert_uint_eq(result.work_while_leaving, 0);
+    ck_assert_int_lt(result.longest_gap_us, SERVED_AGAIN_US);
+    ck_assert(result.served_at_end);
+}
+END_TEST
+
 /* With leases of 4 s, a paused leader that wakes up with heartbeats waiting has the time to misuse them. */
 START_TEST(deposed_leader_lengthens_no_lease)
 {
@@ -128,6 +154,7 @@
     tcase_add_loop_test(tests, invariants_hold_when_much_is_lost_at_once, 1, ROUGH_SEEDS + 1);
     tcase_add_test(tests, seed_replays_exactly);
     tcase_add_loop_test(tests, keys_are_served_again_soon_after_a_loss, 0, 3 * LOSS_SEEDS);
+    tcase_add_loop_test(tests, planned_ends_cut_nothing_off, 0, PLANNED_ENDS);
     tcase_add_loop_test(tests, deposed_leader_lengthens_no_lease, 1, DEPOSED_SEEDS + 1);
     suite_add_tcase(suite, tests);
     srunner_run_all(runner, CK_NORMAL);
