Test: random walks of the control cluster split and merge ranges

Cause: merging replaces two grants by one that covers both; its safety under faults was not tested. Change: each step of a walk also tells the leader of a key that is hot or has cooled down.

--- a/tests/test_control_random.c
+++ b/tests/test_control_random.c
@@ -101,6 +101,29 @@
     free(plan);
 }
 
+/* One of a few keys becomes hot, or cools down: ranges are split and merged. */
+static void change_load(void)
+{
+    const cw_control_state_t *state = cluster_leader() == NULL ? NULL : cluster_state();
+    const cw_key_hash_t       key = (below(4) + 1) << 60;
+    const Cw__RangeInfo      *range = state == NULL ? NULL : cw_control_state_find_range(state, cluster_service(), key);
+    const Cw__ServerInfo     *server = range == NULL ? NULL : cw_control_state_server(state, range->server);
+    Cw__KeyLoad               hot = CW__KEY_LOAD__INIT;
+    Cw__KeyLoad              *hot_list[] = {&hot};
+    Cw__RangeLoad             load = CW__RANGE_LOAD__INIT;
+
+    if (server == NULL || server->forwarder == 0) {
+        return;
+    }
+    hot.key_hash = key;
+    hot.requests_per_second = below(2) == 0 ? 0 : 8;
+    load.range = range->id;
+    load.requests_per_second = hot.requests_per_second;
+    load.n_hot_keys = 1;
+    load.hot_keys = hot_list;
+    cw_agent_report_load(cluster.nodes[server->forwarder - 1].agent, &load);
+}
+
 static void heal(void)
 {
     size_t position;
@@ -133,6 +156,7 @@
     for (fault = 0; fault < FAULTS; fault++) {
         cluster.drop_percent = (uint32_t)below(10);
         cluster.duplicate_percent = (uint32_t)below(10);
+        change_load();
         switch (below(5)) {
         case 0:
         case 1:
