--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -55,14 +55,12 @@
     return $code
 }
 
-# wait_for WHAT SECONDS COMMAND...: polls until the command succeeds.
+# wait_for WHAT SECONDS COMMAND...: polls until the command succeeds, however long each try takes.
 wait_for() {
-    local what=$1 limit=$2 tries
+    local what=$1 end=$((SECONDS + $2))
     shift 2
-    tries=$((limit * 20))
     while ! "$@" >/dev/null 2>&1; do
-        tries=$((tries - 1))
-        if [ "$tries" -le 0 ]; then
+        if [ "$SECONDS" -ge "$end" ]; then
             echo "gave up waiting for: $what" >&2
             return 1
         fi
--- a/tests/process/requests.sh
+++ b/tests/process/requests.sh
@@ -118,18 +118,48 @@
     LOST_NODE=$former
 }
 
+# queued_at NODE COUNT: the node's forwarder holds at least so many requests that wait for a slot.
+queued_at() {
+    curl -sf "http://$CLUSTER_NET.$1:7200/metrics" |
+        awk -v least="$2" '$1 == "cedarwinch_forwarder_queued" { enough = $2 >= least } END { exit !enough }'
+}
+
+# freeze_with_queue KEY: the key's forwarder freezes with requests in its queue, another takes over, and the former
+# one wakes up while they are still in time. Their server has to refuse its fence; the records tell.
+freeze_with_queue() {
+    local key=$1 gateway number callers=()
+    LOST_NODE=$(forwarder_of_key "$key")
+    gateway=$(other_node "$LOST_NODE")
+    REFUND_TIMEOUT_MS=9000
+    for number in $(seq 1 12); do
+        refund "$gateway" "$key" "$(new_id)" money >"$CLUSTER_DIR/queued.$number" &
+        callers+=($!)
+    done
+    wait_for "requests to queue" 10 queued_at "$LOST_NODE" 1
+    REFUND_TIMEOUT_MS=4000
+    signal_process "node$LOST_NODE" STOP
+    check "a forwarder frozen with a queue: another node takes over" wait_for "a forwarder" 20 taken_over "$key" "$LOST_NODE"
+    signal_process "node$LOST_NODE" CONT
+    wait "${callers[@]}"
+    check "every caller of the queue is told an outcome" test "$(grep -li '^cw-outcome: ' "$CLUSTER_DIR"/queued.* | wc -l)" = 12
+}
+
 # no_id_twice: over all non-repeatable services no request id took effect twice, also of callers outside of the load.
 no_id_twice() {
     [ -z "$(cat "$CLUSTER_DIR"/record/liffeyspoke-{unlocks,refunds}-*.jsonl | grep '"event":"effect"' |
         grep -oE '"request":"[^"]+"' | sort | uniq -d)" ]
 }
 
-# every answer named its own request and was whole: the load tool could read the server's echo.
+# answers_are_whole: every answer named its own request and was whole, that is, the load tool could read the server's echo.
 answers_are_whole() {
     grep '"outcome":"answered"' "$CLUSTER_DIR/load.jsonl" >"$CLUSTER_DIR/answered.jsonl"
     [ -s "$CLUSTER_DIR/answered.jsonl" ] && ! grep -v '"echoed":true' "$CLUSTER_DIR/answered.jsonl"
 }
 
+unlock_fails() {
+    ! key_unlocked 1 silent
+}
+
 start_test_servers
 start_service liffeyspoke refunds 3 2 "$REFUND_MS" || exit 1
 intent_service liffeyspoke refunds 3 2 110 1 1 1 1
@@ -160,6 +190,8 @@
 lose_forwarder frozen STOP key-2
 signal_process "node$LOST_NODE" CONT
 check "the frozen node is ready again" wait_for "node" 20 node_ready "$LOST_NODE"
+freeze_with_queue key-4
+check "the frozen node is ready again" wait_for "node" 20 node_ready "$LOST_NODE"
 lose_forwarder killed-again KILL key-3
 wait "${CLUSTER_PIDS[node$LOST_NODE]}" 2>/dev/null
 start_node "$LOST_NODE"
@@ -168,7 +200,7 @@
 # Connections between forwarders and servers are reset, then fall silent, under load.
 for mode in "cut?mode=reset" cut; do
     cutter "$mode"
-    wait_for "a request that ends unanswered" 10 test "$(key_unlocked 1 silent; echo $?)" != 0
+    wait_for "a request that ends unanswered" 10 unlock_fails
     cutter heal
     check "unlocks answer after $mode" wait_for "unlocks" 20 key_unlocked 1 "after-cut"
 done
--- a/tests/process/tenants.sh
+++ b/tests/process/tenants.sh
@@ -105,7 +105,7 @@
 start_service liffeyspoke map 3 2 3 || exit 1
 start_service rimac transcripts 3 4 3 || exit 1
 intent_head liffeyspoke
-sed -i 's/^limits:.*/limits: {requests_per_second: 300, concurrent_requests: 60}/' "$CLUSTER_DIR/intent/liffeyspoke.yaml"
+sed -i 's/^limits:.*/limits: {requests_per_second: 100, concurrent_requests: 60}/' "$CLUSTER_DIR/intent/liffeyspoke.yaml"
 intent_service liffeyspoke map 3 2 110 0 4 1 2
 intent_head rimac
 intent_service rimac transcripts 3 4 130 0 1 4 4
@@ -164,7 +164,7 @@
 check "another's plan cannot be confirmed" refused command_line 1 liffeyspoke-operator confirm "$plan"
 check "a caller's token is no operator's" refused command_line 1 rimac-caller status
 
-# A flood of more than ten times the limits of one tenant.
+# A flood of more than ten times the limits of one tenant, which hold at each of the three gateways.
 rimac="tenant=rimac,service=transcripts,token=rimac-caller,rate=150,keys=200,zipf=0.6,method=GET,path=/,timeout_ms=1000"
 flood="tenant=liffeyspoke,service=map,token=liffeyspoke-caller,rate=4000,keys=200,zipf=0.6,method=GET,path=/,timeout_ms=1000"
 load_command quiet 5 "$rimac"
@@ -183,7 +183,7 @@
 check "the other tenant's p99 stays within $P99_RATIO times (at least $P99_FLOOR_MS ms) its own without the flood" \
     within_ratio "$quiet" "$flooded"
 check "the other tenant is answered under the flood" test "$(share_answered flooded rimac)" -ge 99
-check "the flood is held to its limits" test "$(share_answered flood liffeyspoke)" -le 50
+check "the flood is held to its limits" test "$(share_answered flood liffeyspoke)" -le 20
 check "and is answered up to them" test "$(share_answered flood liffeyspoke)" -ge 3
 cat "$CLUSTER_DIR"/{quiet,flooded,flood}.jsonl >"$CLUSTER_DIR/load.jsonl"
 check "the records show no violation" evidence
