--- a/src/core/raft_leader.c
+++ b/src/core/raft_leader.c
@@ -149,6 +149,9 @@
     } else {
         common = raft_log_find_term(&raft->log, response->match_index, response->hint_term);
     }
+    if (common == raft->log.base_index && raft->log.base_term > response->hint_term) {
+        common--; /* even the oldest entry here conflicts: only the snapshot helps */
+    }
     member->next_index = common + 1;
     if (member->next_index <= member->match_index) {
         member->next_index = member->match_index + 1;
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -240,6 +240,37 @@
 }
 END_TEST
 
+START_TEST(conflicting_entries_at_a_compacted_index_need_the_snapshot)
+{
+    raft_network_t *network = raft_network_create(9, 3);
+    size_t          old = raft_network_wait_leader(network);
+    size_t          leader;
+    int             count;
+
+    /* The former leader's log conflicts from the cut on, beyond where the others' logs will begin. */
+    raft_network_isolate(network, old);
+    for (count = 0; count < 10 * RAFT_NETWORK_COMPACT_AFTER; count++) {
+        ck_assert_int_eq(raft_network_propose(network, old), CW_OK);
+    }
+    raft_network_run(network, CW_US_PER_S);
+    leader = raft_network_wait_leader(network);
+    ck_assert_uint_ne(leader, old);
+    for (count = 0; count < 3 * RAFT_NETWORK_COMPACT_AFTER; count++) {
+        ck_assert_int_eq(raft_network_propose(network, leader), CW_OK);
+        raft_network_run(network, RAFT_NETWORK_STEP_US);
+    }
+    /* The next leader knows nothing of the former one's log and probes from its own end. */
+    raft_network_crash(network, leader);
+    raft_network_heal(network);
+    leader = raft_network_wait_leader(network);
+    ck_assert_uint_ne(leader, old);
+    raft_network_run(network, CW_US_PER_S);
+    ck_assert_uint_eq(network->replicas[old].snapshots_loaded, 1);
+    ck_assert_uint_eq(network->replicas[old].state, network->replicas[leader].state);
+    raft_network_free(network);
+}
+END_TEST
+
 START_TEST(leadership_is_handed_over_without_waiting_for_silence)
 {
     raft_network_t *network = raft_network_create(8, 3);
@@ -456,6 +487,7 @@
     tcase_add_test(tests, removed_replica_does_not_disturb);
     tcase_add_test(tests, follower_that_was_cut_off_does_not_disturb);
     tcase_add_test(tests, late_joiner_catches_up_by_snapshot_and_replaces_a_dead_voter);
+    tcase_add_test(tests, conflicting_entries_at_a_compacted_index_need_the_snapshot);
     tcase_add_test(tests, leadership_is_handed_over_without_waiting_for_silence);
     tcase_add_test(tests, removed_leader_hands_the_group_on);
     tcase_add_loop_test(tests, safety_holds_under_faults_and_progress_returns, 0, SEEDS);
