Simulator: time without service counts from the first unanswered wish

Ruled out: a longer allowance, which would hide real outages as well. Change: it counts from the first attempt sent after the key was last served, and so does the check at the end.

--- a/sim/callers.c
+++ b/sim/callers.c
@@ -27,7 +27,7 @@
     REPEAT_PAUSE_US = 50000,
     HANG_UP_PER_THOUSAND = 20,
     GRACE_US = 300000,
-    OUTAGE_IDLE_US = 1000000
+    SERVED_WITHIN_US = 1000000
 };
 
 typedef struct attempt {
@@ -54,8 +54,8 @@
 } logical_request_t;
 
 typedef struct key_service {
-    cw_time_us_t last_served_us; /**< 0: never */
-    cw_time_us_t last_asked_us;
+    bool         was_served;
+    cw_time_us_t waits_since_us; /**< first attempt sent after it was last served; 0: none */
 } key_service_t;
 
 struct sim_callers {
@@ -235,12 +235,16 @@
 {
     sim_host_t        *host = choose_host(world);
     logical_request_t *request = &world->callers->requests[request_index];
+    key_service_t     *key;
     size_t             index;
 
     if (host == NULL) {
         return;
     }
-    world->callers->keys[request->service][request->key].last_asked_us = world->now;
+    key = &world->callers->keys[request->service][request->key];
+    if (key->waits_since_us == 0) {
+        key->waits_since_us = world->now;
+    }
     index = add_attempt(world, request_index, host);
     sim_trace(world, "attempt %zu of %s key %zu through node %u", index, sim_services[request->service].name,
               request->key, host->info.id);
@@ -294,13 +298,14 @@
 static void note_served(sim_world_t *world, const logical_request_t *request)
 {
     key_service_t *key = &world->callers->keys[request->service][request->key];
-    cw_time_us_t   gap = world->now - key->last_served_us;
+    cw_time_us_t   gap = world->now - key->waits_since_us;
 
-    if (key->last_served_us != 0 && gap > world->result->longest_gap_us) {
+    if (key->was_served && key->waits_since_us != 0 && gap > world->result->longest_gap_us) {
         world->result->longest_gap_us = gap;
         world->result->longest_gap_end_us = world->now;
     }
-    key->last_served_us = world->now;
+    key->was_served = true;
+    key->waits_since_us = 0;
 }
 
 static void check_own_answer(sim_world_t *world, const logical_request_t *request, const Cw__ForwardResponse *response)
@@ -443,7 +448,10 @@
 
     for (service = 0; service < SIM_SERVICES; service++) {
         for (key = 0; key < SIM_KEYS_PER_SERVICE; key++) {
-            if (callers->keys[service][key].last_served_us + OUTAGE_IDLE_US < world->now) {
+            const key_service_t *served = &callers->keys[service][key];
+
+            if (!served->was_served ||
+                (served->waits_since_us != 0 && served->waits_since_us + SERVED_WITHIN_US < world->now)) {
                 return false;
             }
         }
