--- a/scripts/process_test.sh
+++ b/scripts/process_test.sh
@@ -175,3 +175,11 @@
     count=$(server_ranges "$1" "$2" "$3")
     [ -n "$count" ] && [ "$count" -gt 0 ]
 }
+
+# in_force_everywhere NODE: every node that is up reports the leader's version as the one in force.
+in_force_everywhere() {
+    command_line "$1" "$ADMINISTRATOR_TOKEN" status | awk '
+        $1 == "leader" { for (i = 1; i < NF; i++) if ($i == "version") newest = $(i + 1) + 0 }
+        $4 == "up" && $1 ~ /^[0-9]+$/ { nodes++; behind += $5 != newest }
+        END { exit !(newest > 0 && nodes > 0 && behind == 0) }'
+}
--- a/tests/process/configuration.sh
+++ b/tests/process/configuration.sh
@@ -78,4 +78,5 @@
 end_process "node$leader" KILL
 check "the accepted version is in force under the next leader" wait_for "version" 20 versions_agree
 check "it is the newest" test "$(version_at_store)" = "$((before + 3))"
+check "every node has it in force" wait_for "version in force" 20 in_force_everywhere 6
 finish_test
