Agent: the drain time of a revoke order is bounded

Cause: an order's drain_ms was multiplied unchecked; a wild number overflows (undefined) and gave a revoke call a negative timeout. Found by the fuzz target of peer messages. Ruled out: other users of the field; the configuration bounds it already. Change: clamped to the configuration's bound, 0 to 600 s, before use.

--- a/src/core/agent_orders.c
+++ b/src/core/agent_orders.c
@@ -10,7 +10,7 @@
 #include "cedarwinch/error.h"
 #include "core/agent_internal.h"
 
-enum { ORDER_TIMEOUT_HEARTBEATS = 4 };
+enum { ORDER_TIMEOUT_HEARTBEATS = 4, DRAIN_MAX_MS = 600000 /* bound of the configuration */ };
 
 /** Range ids with their fences, in the form that reports need. */
 typedef struct report_list {
@@ -305,6 +305,14 @@
            !cw_agent_range_in_call(agent, CW_SERVER_REVOKE, range->id, fence);
 }
 
+/* Time for the requests in flight, within bounds whatever the order says. */
+static cw_time_us_t drain_time(const Cw__RevokeOrder *order)
+{
+    int64_t drain_ms = order->drain_ms < DRAIN_MAX_MS ? order->drain_ms : DRAIN_MAX_MS;
+
+    return drain_ms < 0 ? 0 : drain_ms * CW_US_PER_MS;
+}
+
 static void call_revoke(cw_agent_t *agent, cw_agent_server_t *server, const Cw__RevokeOrder *order,
                         const Cw__Grant *const *grants, size_t count)
 {
@@ -313,7 +321,7 @@
     call.incarnation = order->incarnation;
     call.grants = grants;
     call.grant_count = count;
-    call.timeout_us = order->drain_ms * CW_US_PER_MS + ORDER_TIMEOUT_HEARTBEATS * agent->heartbeat_us;
+    call.timeout_us = drain_time(order) + ORDER_TIMEOUT_HEARTBEATS * agent->heartbeat_us;
     (void)cw_agent_start_call(agent, server, &call);
 }
 
--- a/tests/test_agent.c
+++ b/tests/test_agent.c
@@ -18,6 +18,7 @@
     cw_incarnation_t      incarnation;
     int64_t               lease_end_us;
     size_t                grant_count;
+    int64_t               timeout_us;
 } recorded_call_t;
 
 static cw_agent_t         *agent;
@@ -30,6 +31,7 @@
 static size_t              sent_bytes;
 static uint64_t            log_index;
 static int64_t             server_clock_offset;
+static int64_t             drain_ms; /* of the orders to revoke */
 static cw_server_id_t      server_id;
 static cw_service_id_t     service_id;
 
@@ -37,8 +39,8 @@
 {
     (void)context;
     ck_assert_uint_lt(call_count, RECORDS_MAX);
-    calls[call_count++] =
-        (recorded_call_t){call->id, call->kind, call->incarnation, call->lease_end_us, call->grant_count};
+    calls[call_count++] = (recorded_call_t){call->id,           call->kind,        call->incarnation,
+                                            call->lease_end_us, call->grant_count, call->timeout_us};
 }
 
 static void record_send(void *context, cw_node_id_t to, Cw__Envelope *envelope)
@@ -230,6 +232,7 @@
     grant_order.lease_end_us = server_clock() + LEASE_US;
     grant_order.n_grants = revoke_order.n_grants = 1;
     grant_order.grants = revoke_order.grants = grants;
+    revoke_order.drain_ms = drain_ms;
     envelope.from = LEADER;
     envelope.body_case = grant ? CW__ENVELOPE__BODY_GRANT_ORDER : CW__ENVELOPE__BODY_REVOKE_ORDER;
     if (grant) {
@@ -372,6 +375,22 @@
 }
 END_TEST
 
+/* Any number may stand in a message. */
+START_TEST(drain_time_of_an_order_is_bounded)
+{
+    static const int64_t wild_ms[] = {INT64_MAX, INT64_MAX / CW_US_PER_MS, INT64_MIN};
+
+    begin_forwarding();
+    grant_accepted(40, 7);
+    drain_ms = wild_ms[_i];
+    order(false, 40, 7);
+    drain_ms = 0;
+    ck_assert_int_eq(calls[call_count - 1].kind, CW_SERVER_REVOKE);
+    ck_assert_int_gt(calls[call_count - 1].timeout_us, 0);
+    ck_assert_int_le(calls[call_count - 1].timeout_us, INT64_C(3600) * CW_US_PER_S);
+}
+END_TEST
+
 START_TEST(revoke_call_waits_for_grant_call)
 {
     begin_forwarding();
@@ -621,6 +640,7 @@
     tcase_add_test(tests, lease_counts_from_before_the_reading);
     tcase_add_test(tests, ready_under_exactly_the_accepted_fence_while_lease_lives);
     tcase_add_test(tests, revoke_stops_at_once_and_delayed_grant_does_not_revive);
+    tcase_add_loop_test(tests, drain_time_of_an_order_is_bounded, 0, 3);
     tcase_add_test(tests, revoke_call_waits_for_grant_call);
     tcase_add_test(tests, restarted_server_holds_nothing);
     tcase_add_test(tests, grant_taken_by_another_incarnation_does_not_count);
