Planner: a server below 1.1 of the mean is not relieved for its load

Cause: beside a key that no move can help, servers below the mean traded ranges (seen on processes: 23 moves in 90 s at 400 requests/s with 30 % on one key, from servers at 0.9 of the mean among others). Change: the load part of the gain counts only above 1.1 of the mean; evening out the key space goes on as before. Seen to fail: with the bound at 0 its check fails.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -19,6 +19,7 @@
  *      outage in seconds.
  *    While servers come and go, an uneven key space counts for nothing: a server that comes back finds its load soon
  *    by those that leave.
+ *    A server below SOURCE_LEAST is not what makes the service uneven, so its load is no reason to move.
  *    Differences below HYSTERESIS, or within NOISE_DEVIATIONS of what chance makes of counted requests, never count.
  */
 #include "cedarwinch/placement.h"
@@ -33,6 +34,7 @@
 static const double KEY_SPACE = 18446744073709551616.0; /* 2^64 */
 static const double SMOOTHING_PER_SERVER = 1.0;         /* requests per second spread by key space */
 static const double HYSTERESIS = 0.1;                   /* of the mean server's weight */
+static const double SOURCE_LEAST = 1.1; /* of the mean: lighter servers are not relieved for their load */
 static const double NOISE_DEVIATIONS = 2.0;
 static const double LOAD_HORIZON_S = 600.0;   /* an uneven load lasts that long */
 static const double SHARE_HORIZON_S = 3600.0; /* an uneven spread of the key space lasts that long */
@@ -309,13 +311,15 @@
     double                          share = key_share(&planner->input->ranges[range]);
     double                          difference = planner->server_weights[from] - planner->server_weights[to] - weight;
     double share_difference = planner->server_shares[from] - planner->server_shares[to] - share;
-    double gain;
+    double gain = 0;
 
     if ((double)planner->usable_count * difference < HYSTERESIS ||
         difference < NOISE_DEVIATIONS * noise_of(planner, from, to)) {
         return 0;
     }
-    gain = LOAD_HORIZON_S * spread_gain(planner, weight, difference);
+    if ((double)planner->usable_count * planner->server_weights[from] > SOURCE_LEAST) {
+        gain = LOAD_HORIZON_S * spread_gain(planner, weight, difference);
+    }
     if (share_difference > 0 && !planner->input->unsettled) {
         gain += SHARE_HORIZON_S * spread_gain(planner, share, share_difference);
     }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -311,6 +311,25 @@
 }
 END_TEST
 
+/* Server 1 is far above the mean and cannot be relieved; servers 2 and 3 below it are at 120 and 80. */
+START_TEST(servers_below_the_mean_do_not_trade_ranges)
+{
+    size_t position;
+
+    weights.churn = weights.unavailable = 0;
+    for (position = 0; position < RANGES; position++) {
+        ranges[position].load = ranges[position].server == 2 ? 12 : ranges[position].server == 3 ? 8 : 10;
+        ranges[position].pinned = ranges[position].server == 1;
+    }
+    ranges[0].load = 200;
+    plan();
+    ck_assert_uint_eq(result.move_count, 0);
+    ranges[0].load = 10;
+    plan();
+    ck_assert_uint_gt(result.move_count, 0);
+}
+END_TEST
+
 /* Range 11 is a single key between two halves of one configured range. */
 static cw_placement_range_t *cut_out_a_key(void)
 {
@@ -383,6 +402,7 @@
     tcase_add_test(tests, a_single_hot_range_is_not_passed_around);
     tcase_add_test(tests, pinned_ranges_count_but_do_not_move);
     tcase_add_test(tests, nothing_moves_without_a_usable_server);
+    tcase_add_test(tests, servers_below_the_mean_do_not_trade_ranges);
     tcase_add_test(tests, cold_neighbours_are_merged);
     tcase_add_test(tests, warm_pinned_wide_and_non_repeatable_ranges_are_not_merged);
     suite_add_tcase(suite, tests);
