Placement: format of the split's constants

Ruled out: other files (clang-format over all sources reports only this one). Change: one line's spacing. Before: make lint exit 2. After: clean.

--- a/src/core/placement_split.c
+++ b/src/core/placement_split.c
@@ -7,7 +7,7 @@
 enum { RANGES_PER_CONFIGURED_MAX = 4 /**< bound on ranges made by splits */ };
 
 static const double HOT_SHARE = 0.1; /* of the mean load of a server */
-static const double HOT_LEAST = 5.0;  /* requests per second */
+static const double HOT_LEAST = 5.0; /* requests per second */
 
 static bool can_split(const cw_placement_range_t *range)
 {
