--- a/tests/common/node_world.c
+++ b/tests/common/node_world.c
@@ -1,3 +1,7 @@
+/**
+ * @file node_world.c
+ * @brief Whole nodes for tests in one process, under one simulated clock.
+ */
 #include "node_world.h"
 
 #include <openssl/sha.h>
