Headers: comments on what create functions copy, return and need

Cause: a reader of include/cedarwinch could not tell which options outlive a call, which errors a create function returns, or what the options of a node are for; the comment on the control replica's defaults named a heartbeat that its options do not have. Conclusion: no change of behaviour.

--- a/include/cedarwinch/agent.h
+++ b/include/cedarwinch/agent.h
@@ -27,6 +27,7 @@
     cw_time_us_t        heartbeat_us;
 } cw_agent_options_t;
 
+/** Copies self and the ports. CW_ERROR_INVALID: no self or no heartbeat interval; CW_ERROR_NO_MEMORY. */
 int  cw_agent_create(cw_agent_t **agent, const cw_agent_options_t *options, const cw_ports_t *ports, cw_instant_t now);
 void cw_agent_free(cw_agent_t *agent);
 void cw_agent_tick(cw_agent_t *agent, cw_instant_t now);
@@ -42,6 +43,7 @@
 /** Load for the next heartbeat; the agent sends it sparsely (changed by more than a tenth, or every few seconds). */
 void cw_agent_report_load(cw_agent_t *agent, const Cw__RangeLoad *load);
 
+/** May a request for this range be sent to the server under exactly this fence? */
 cw_range_readiness_t cw_agent_readiness(const cw_agent_t *agent, cw_range_id_t range, cw_fence_t fence);
 /** Time left of a server's lease, by this node's clock and counted from before the reading was taken; <= 0: none. */
 int64_t cw_agent_lease_left_us(const cw_agent_t *agent, cw_server_id_t server, cw_instant_t now);
--- a/include/cedarwinch/control.h
+++ b/include/cedarwinch/control.h
@@ -27,9 +27,11 @@
     uint64_t              seed;
 } cw_control_options_t;
 
-/** Defaults: heartbeat 300 ms, silence 1000 ms, drift 1000 ppm, 3 voters. */
+/** Defaults: generation 1, silence 1000 ms, drift 1000 ppm, 3 voters. */
 void cw_control_options_default(cw_control_options_t *options);
 
+/** Copies the options and the ports. CW_ERROR_INVALID: no self, or one without an incarnation; *control is NULL on any
+ *  error. */
 int          cw_control_create(cw_control_t **control, const cw_control_options_t *options, const cw_ports_t *ports,
                                cw_instant_t now);
 void         cw_control_free(cw_control_t *control);
--- a/include/cedarwinch/control_state.h
+++ b/include/cedarwinch/control_state.h
@@ -39,6 +39,7 @@
     bool                 complete;
 } cw_control_changes_t;
 
+/** See cw_control_changes_t. */
 void cw_control_state_changes_since(const cw_control_state_t *state, uint64_t version, cw_control_changes_t *changes);
 void cw_control_state_changes_free(cw_control_changes_t *changes);
 
--- a/include/cedarwinch/forwarder.h
+++ b/include/cedarwinch/forwarder.h
@@ -34,6 +34,7 @@
     uint64_t queued;
 } cw_forwarder_counters_t;
 
+/** Copies the options and the ports; the agent must outlive the forwarder. CW_ERROR_NO_MEMORY. */
 int  cw_forwarder_create(cw_forwarder_t **forwarder, const cw_forwarder_options_t *options, const cw_ports_t *ports,
                          cw_agent_t *agent);
 void cw_forwarder_free(cw_forwarder_t *forwarder);
--- a/include/cedarwinch/gateway.h
+++ b/include/cedarwinch/gateway.h
@@ -55,6 +55,7 @@
     uint64_t late_responses; /**< dropped: late, foreign or of a former incarnation */
 } cw_gateway_counters_t;
 
+/** Copies the options; the ports and the relay must outlive the gateway. CW_ERROR_NO_MEMORY. */
 int  cw_gateway_create(cw_gateway_t **gateway, const cw_gateway_options_t *options, const cw_ports_t *ports,
                        cw_relay_t *relay);
 void cw_gateway_free(cw_gateway_t *gateway);
--- a/include/cedarwinch/journal.h
+++ b/include/cedarwinch/journal.h
@@ -24,6 +24,7 @@
     size_t           body_limit;  /**< stored answers (headers and body) larger than this are kept as status only */
 } cw_journal_options_t;
 
+/** Copies the options and the ports. CW_ERROR_NO_MEMORY. */
 int  cw_journal_create(cw_journal_t **journal, const cw_journal_options_t *options, const cw_ports_t *ports);
 void cw_journal_free(cw_journal_t *journal);
 /** Takes journal start, finish, seal and copy messages; answers with journal replies through send. */
--- a/include/cedarwinch/raft.h
+++ b/include/cedarwinch/raft.h
@@ -42,6 +42,8 @@
     uint64_t              seed;
 } cw_raft_options_t;
 
+/** CW_ERROR_INVALID: no incarnation, or an election timeout that is not above the heartbeat; *raft is NULL on any
+ *  error. */
 int  cw_raft_create(cw_raft_t **raft, const cw_raft_options_t *options, const cw_raft_callbacks_t *callbacks,
                     cw_time_us_t now);
 void cw_raft_free(cw_raft_t *raft);
--- a/include/cedarwinch/relay.h
+++ b/include/cedarwinch/relay.h
@@ -25,6 +25,8 @@
     cw_time_us_t               out_of_touch_us; /**< no new beat this long: refuse new work */
 } cw_relay_options_t;
 
+/** Copies self, seeds and ports, and names the seeds through learn_node. CW_ERROR_INVALID: no self or a time that is
+ *  not positive; CW_ERROR_NO_MEMORY. */
 int  cw_relay_create(cw_relay_t **relay, const cw_relay_options_t *options, const cw_ports_t *ports, cw_instant_t now);
 void cw_relay_free(cw_relay_t *relay);
 void cw_relay_tick(cw_relay_t *relay, cw_instant_t now);
--- a/include/cedarwinch/retry_budget.h
+++ b/include/cedarwinch/retry_budget.h
@@ -24,6 +24,7 @@
 
 void cw_retry_budget_init(cw_retry_budget_t *budget, uint32_t percent, cw_time_us_t now);
 void cw_retry_budget_deposit(cw_retry_budget_t *budget); /**< for each request taken in */
+/** Takes out one retry; false: none is left, and nothing was taken. */
 bool cw_retry_budget_withdraw(cw_retry_budget_t *budget, cw_time_us_t now);
 
 #endif
