Control leader: a changed tenant marks its own services only

Cause: each accepted configuration marked every service of every tenant to be placed anew, so a change cost the leader nodes and services of all tenants. Ruled out: marking only what differs between two configurations (the former one is gone when the command is applied). Change: services of the changed tenant, and those without a configuration, are marked. New test: a removed service is revoked and forgotten (seen to fail with the end of services disabled; marking no service of the tenant fails the service tests). The clause for services without a configuration is not proved necessary by it: their servers' changes mark them too.

--- a/src/core/control_lead.c
+++ b/src/core/control_lead.c
@@ -6,6 +6,7 @@
  * from then on. Sets of marked ids tell what has to be looked at, so that a tick does not cost what the state holds.
  */
 #include <stdlib.h>
+#include <string.h>
 
 #include "cedarwinch/error.h"
 #include "cedarwinch/intent.h"
@@ -201,15 +202,28 @@
     }
 }
 
+/* A change of a tenant concerns its own services, and those that left the configuration with it. */
+static bool is_concerned(const cw_control_t *control, cw_service_id_t service, const Cw__TenantConfiguration *tenant)
+{
+    const char *owner = cw_control_state_service_tenant(control->state, service);
+
+    return cw_control_state_service(control->state, service) == NULL || owner == NULL ||
+           strcmp(owner, tenant->name) == 0;
+}
+
 static void note_tenant(cw_control_t *control, const Cw__TenantConfiguration *tenant)
 {
-    size_t position;
+    cw_service_id_t service;
+    size_t          position;
 
     for (position = 0; position < tenant->n_services; position++) {
         cw_control_make_service_track(control, tenant->services[position]->id);
     }
     for (position = 0; position < control->leading.services.count; position++) {
-        cw_control_mark(control, &control->leading.dirty_services, control->leading.services.slots[position].key);
+        service = control->leading.services.slots[position].key;
+        if (is_concerned(control, service, tenant)) {
+            cw_control_mark(control, &control->leading.dirty_services, service);
+        }
     }
 }
 
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -5,6 +5,8 @@
  *        cluster_run() checks after each step that no key has two owners.
  */
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "common/control_fixture.h"
 
@@ -304,6 +306,32 @@
 }
 END_TEST
 
+static bool service_is_gone(void)
+{
+    return control_first_range() == NULL;
+}
+
+START_TEST(a_removed_service_is_revoked_and_forgotten)
+{
+    char  text[2048];
+    char *name;
+    char *plan;
+
+    control_begin_service();
+    cluster_intent(text, sizeof(text), CONTROL_SERVERS);
+    name = strstr(text, "name: s\n");
+    ck_assert_ptr_nonnull(name);
+    name[strlen("name: ")] = 'z';
+    cluster_ask("plan", text, NULL);
+    plan = cluster_answer_text("plan");
+    cluster_ask("confirm", plan, NULL);
+    free(plan);
+    ck_assert(cluster_run_until(cluster_answered, SECOND));
+    ck_assert_uint_eq(cluster.answer_status, 200);
+    ck_assert(cluster_run_until(service_is_gone, 4 * SECOND));
+}
+END_TEST
+
 START_TEST(a_hot_key_gets_a_range_of_its_own)
 {
     const cw_key_hash_t   key = 12345;
@@ -353,6 +381,7 @@
     tcase_add_test(tests, a_drained_server_keeps_a_range_until_it_releases_it);
     tcase_add_test(tests, a_joining_server_takes_its_share);
     tcase_add_test(tests, a_removed_server_is_emptied_and_forgotten);
+    tcase_add_test(tests, a_removed_service_is_revoked_and_forgotten);
     tcase_add_test(tests, a_hot_key_gets_a_range_of_its_own);
     suite_add_tcase(suite, tests);
     suite_add_tcase(suite, leases);
