Planned stop: the HTTP server is closed right after the loop has read

The stop ran from a timer, so what had arrived since the last poll (requests on idle connections, connections not accepted yet) met a closed socket; 300 ms were also short for connections in rare use. Ruled out: resending by the load tool (it would also hide a node that cuts requests off). Change: the stop happens in a check handle, right after the poll that read and accepted everything; callers get 1 s instead of 300 ms in which each answer closes its connection. What is left is a request that crosses the close on the wire, which HTTP/1.1 cannot exclude.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -25,8 +25,8 @@
 enum {
     STOP_LIMIT_US = 30 * CW_US_PER_S, /* a planned stop gives up handing over after this */
     STOP_POLL_MS = 20,
-    LINGER_US = 300 * CW_US_PER_MS,     /* what callers have sent meanwhile is still refused with an answer */
-    LINGER_MAX_US = 1000 * CW_US_PER_MS /* answers still being written */
+    LINGER_US = 1000 * CW_US_PER_MS,    /* what callers have sent meanwhile is still refused with an answer */
+    LINGER_MAX_US = 2000 * CW_US_PER_MS /* answers still being written */
 };
 
 typedef struct cw_daemon {
@@ -37,6 +37,7 @@
     uv_signal_t          terminate_signal;
     uv_signal_t          interrupt_signal;
     uv_timer_t           stop_timer;
+    uv_check_t           after_poll; /* active while the HTTP server is to be stopped */
     cw_peer_transport_t *peers;
     cw_http_server_t    *http;
     cw_backend_t        *backend;
@@ -259,6 +260,16 @@
 
 /* Steps of a planned stop: roles are handed over while answers end callers' connections; then no new connections, but
  * what callers have sent is still answered; then the connections left are closed. */
+/* Runs right after the loop has read and accepted all there was: what a caller has sent by then is answered, and only a
+ * request that arrives within these microseconds can meet a connection that is being closed. */
+static void on_after_poll(uv_check_t *check)
+{
+    cw_daemon_t *daemon = check->data;
+
+    cw_http_server_stop(daemon->http);
+    uv_check_stop(check);
+}
+
 static void on_stop_poll(uv_timer_t *timer)
 {
     cw_daemon_t *daemon = timer->data;
@@ -272,7 +283,7 @@
     if (lingered < LINGER_US) {
         return;
     }
-    cw_http_server_stop(daemon->http);
+    uv_check_start(&daemon->after_poll, on_after_poll);
     if (cw_http_server_open_connections(daemon->http) == 0 || lingered >= LINGER_MAX_US) {
         uv_stop(&daemon->loop);
     }
@@ -428,11 +439,13 @@
 {
     uv_timer_init(&daemon->loop, &daemon->tick_timer);
     uv_timer_init(&daemon->loop, &daemon->stop_timer);
+    uv_check_init(&daemon->loop, &daemon->after_poll);
     uv_prepare_init(&daemon->loop, &daemon->prepare);
     uv_signal_init(&daemon->loop, &daemon->terminate_signal);
     uv_signal_init(&daemon->loop, &daemon->interrupt_signal);
     daemon->tick_timer.data = daemon;
     daemon->stop_timer.data = daemon;
+    daemon->after_poll.data = daemon;
     daemon->prepare.data = daemon;
     daemon->terminate_signal.data = daemon;
     daemon->interrupt_signal.data = daemon;
