--- a/make/bench.mk
+++ b/make/bench.mk
@@ -5,3 +5,4 @@
 	@scripts/dependencies.sh bench
 	@$(MAKE) -s -j4 programs
 	@scripts/bench.sh $(SCENARIOS)
+	@$(if $(SCENARIOS),true,$(MAKE) -s bench-placement)
