--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CFLAGS   ?= -O2 -g
 PACKAGES := libuv libcrypto libssl yaml-0.1 jansson libxxhash libprotobuf-c
 STRICT   := -std=gnu11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -D_GNU_SOURCE
-CPPFLAGS += -Iinclude -Iproto -Isrc
+CPPFLAGS += -Iinclude -Iproto -Isrc -Iplatform
 LIBS     := -lh2o -luv -lssl -lcrypto -lyaml -ljansson -lxxhash -lprotobuf-c -largtable2 -lm -lpthread
 PREFIX   ?= /usr/local
 DESTDIR  ?=
@@ -32,7 +32,15 @@
               $(filter-out %/main.c,$(wildcard bench/placement/*.c))
 
 CORE_LIB := $(BUILD)/libcedarwinch-core.a
-PROGRAMS := $(if $(wildcard src/daemon/main.c),$(BUILD)/cedarwinchd) $(if $(wildcard src/cli/main.c),$(BUILD)/cedarwinch) \
+# The router: the core without the former control group, and the adapter of the platform it runs on.
+ROUTER_CORE := src/base/error.c src/base/findings.c src/base/event_log.c src/base/metrics.c src/base/text.c src/config/router_settings.c \
+               src/config/yaml_tree.c $(wildcard $(addsuffix /*.c,src/net src/model src/lease src/assignment src/placement \
+               src/retry src/balance src/proxy src/peer)) proto/peer.pb-c.c
+ROUTER      := $(wildcard src/router/*.c)
+PLATFORM    := $(wildcard platform/*.c)
+ROUTER_LIBS := -luv -lhttp_parser -lyaml -ljansson -lxxhash -lprotobuf-c -largtable2 -lm
+
+PROGRAMS := $(BUILD)/cedarwinch-router $(if $(wildcard src/daemon/main.c),$(BUILD)/cedarwinchd) $(if $(wildcard src/cli/main.c),$(BUILD)/cedarwinch) \
             $(addprefix $(BUILD)/cw-,$(STANDINS)) $(addprefix $(BUILD)/cw-,$(TOOLS)) \
             $(patsubst sim/main_%.c,$(BUILD)/cw-%,$(SIM_MAIN))
 TEST_PROGRAMS := $(addprefix $(BUILD)/tests/,$(TESTS))
@@ -57,6 +65,9 @@
 $(BUILD)/cedarwinchd: $(call objects,$(DAEMON) $(ADAPTERS)) $(CORE_LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/cedarwinch-router: $(call objects,$(ROUTER_CORE) $(ROUTER) $(PLATFORM))
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(ROUTER_LIBS)
+
 $(BUILD)/cedarwinch: $(call objects,$(CLI) $(ADAPTERS)) $(CORE_LIB)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
--- /dev/null
+++ b/src/assignment/keeper_internal.h
@@ -0,0 +1,44 @@
+/**
+ * @file keeper_internal.h
+ * @brief State shared by the keeper's parts.
+ */
+#ifndef CEDARWINCH_ASSIGNMENT_KEEPER_INTERNAL_H
+#define CEDARWINCH_ASSIGNMENT_KEEPER_INTERNAL_H
+
+#include "assignment/keeper.h"
+
+/** Kind of the objects that hold the records; one object a service. */
+#define CW_ASSIGNMENTS_KIND "assignments"
+
+struct cw_keeper {
+    char                  *service;
+    uint64_t               term;
+    uint64_t               incarnation;
+    cw_keeper_settings_t   settings;
+    cw_keeper_ports_t      ports;
+    cw_keeper_state_t      state;
+    cw_assignment_record_t record;
+    uint64_t               revision; /**< of the record; 0: no object */
+    cw_assignment_record_t plan;     /**< being made or written; without ranges: none */
+    bool                   writing;  /**< the plan is handed in: it stays as it is until the store's outcome is known */
+    bool                   adopting;
+    bool                   calling; /**< a store call is under way */
+    bool                   write_due;
+    bool                   read_due;
+    bool                   freed;
+    bool                   long_hold;
+    uint64_t               last_write;
+    cw_time_us_t           retry_at;
+    cw_time_us_t           now;
+    cw_order_t            *orders; /**< under way */
+    size_t                 order_count;
+    size_t                 order_capacity;
+    uint64_t               last_order;
+};
+
+void         cw_keeper_send_orders(cw_keeper_t *keeper, const cw_server_list_t *servers, bool long_hold,
+                                   cw_time_us_t now);
+void         cw_keeper_plan_refence(cw_keeper_t *keeper, const cw_range_t *range);
+cw_time_us_t cw_keeper_hold_end(cw_time_us_t sent_at, cw_time_us_t hold);
+
+#endif
--- /dev/null
+++ b/src/assignment/keeper_orders.c
@@ -0,0 +1,277 @@
+/**
+ * @file keeper_orders.c
+ * @brief Grants, renewals and releases: when they are sent and what their answers mean.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "assignment/keeper_internal.h"
+
+enum { RESEND_MS = 150, RESEND_NOT_SENT_MS = 250, ORDERS_FIRST = 32, FAILING_MS = 1000 };
+
+/* ---- sending ---- */
+
+static cw_order_t *add_order(cw_keeper_t *keeper)
+{
+    if (keeper->order_count == keeper->order_capacity) {
+        keeper->order_capacity = keeper->order_capacity == 0 ? ORDERS_FIRST : 2 * keeper->order_capacity;
+        keeper->orders = realloc(keeper->orders, keeper->order_capacity * sizeof(*keeper->orders));
+        if (keeper->orders == NULL) {
+            abort();
+        }
+    }
+    memset(&keeper->orders[keeper->order_count], 0, sizeof(*keeper->orders));
+    return &keeper->orders[keeper->order_count++];
+}
+
+static void send_order(cw_keeper_t *keeper, cw_range_t *range, cw_order_kind_t kind, const cw_holder_t *holder,
+                       cw_time_us_t hold, cw_time_us_t until_before, cw_time_us_t now)
+{
+    cw_order_t *order = add_order(keeper);
+    cw_order_t  copy;
+
+    order->id = ++keeper->last_order;
+    order->kind = kind;
+    memcpy(order->address, holder->address, sizeof(order->address));
+    order->low = range->low;
+    order->last = range->last;
+    order->fence = range->owner.fence; /* also of a release: it outranks what the former holder was sent */
+    order->hold = hold;
+    order->sent_at = now;
+    order->until_before = until_before;
+    order->fresh = range->failing_since != 0;
+    order->timeout = kind == CW_ORDER_GRANT ? keeper->settings.order_timeout : keeper->settings.release_timeout;
+    if (kind == CW_ORDER_GRANT) {
+        memcpy(order->handover, range->handover, sizeof(order->handover));
+    }
+    range->orders++;
+    copy = *order; /* the port may answer before it returns, and so move the array */
+    keeper->ports.order(keeper->ports.context, &copy);
+}
+
+static void send_grant(cw_keeper_t *keeper, cw_range_t *range, bool long_hold, cw_time_us_t now)
+{
+    cw_time_us_t hold = long_hold ? keeper->settings.hold_long : keeper->settings.hold;
+    cw_time_us_t until = cw_keeper_hold_end(now, hold);
+    cw_time_us_t before = range->hold_until;
+
+    range->hold_until = until > before ? until : before;
+    range->next_order = now + keeper->settings.renew_every;
+    send_order(keeper, range, CW_ORDER_GRANT, &range->owner, hold, before, now);
+}
+
+/* ---- what is due for a range ---- */
+
+static void finish_release(cw_keeper_t *keeper, cw_range_t *range, const char *why, cw_time_us_t now)
+{
+    keeper->ports.note(keeper->ports.context, keeper->service, "former holder let go", range, why);
+    memset(&range->former, 0, sizeof(range->former));
+    range->phase = CW_RANGE_GRANTING;
+    range->failing_since = 0;
+    range->next_order = now;
+}
+
+static void step_releasing(cw_keeper_t *keeper, cw_range_t *range, const cw_server_list_t *servers, cw_time_us_t now)
+{
+    bool ended = cw_server_list_find(servers, range->former.id) == NULL &&
+                 cw_server_list_successor(servers, range->former.id, range->former.address) != NULL;
+
+    if (ended) {
+        finish_release(keeper, range, "its life ended", now);
+    } else if (now >= range->former_until) {
+        finish_release(keeper, range, "its hold ran out", now);
+    } else if (range->orders == 0 && now >= range->next_order) {
+        range->next_order = now + CW_MS(RESEND_MS);
+        send_order(keeper, range, CW_ORDER_RELEASE, &range->former, 0, 0, now);
+    }
+}
+
+/* A lost owner is not renewed, so that its hold can run out. */
+static bool is_wanted(const cw_server_list_t *servers, const cw_range_t *range)
+{
+    const cw_server_entry_t *entry = cw_server_list_find(servers, range->owner.id);
+
+    return entry != NULL || cw_server_list_successor(servers, range->owner.id, range->owner.address) == NULL;
+}
+
+/* A plan that is being written gives the range to another server. */
+static bool is_leaving(const cw_keeper_t *keeper, const cw_range_t *range)
+{
+    const cw_range_t *planned;
+
+    if (!keeper->writing || keeper->adopting) {
+        return false;
+    }
+    planned = cw_range_list_find(&keeper->plan.ranges, range->low);
+    return planned != NULL && strcmp(planned->owner.id, range->owner.id) != 0;
+}
+
+static void step(cw_keeper_t *keeper, cw_range_t *range, const cw_server_list_t *servers, bool long_hold,
+                 cw_time_us_t now)
+{
+    if (range->phase == CW_RANGE_RELEASING) {
+        step_releasing(keeper, range, servers, now);
+    }
+    if (range->phase == CW_RANGE_RELEASING || range->orders > 0 || now < range->next_order) {
+        return;
+    }
+    if (!is_wanted(servers, range) || is_leaving(keeper, range)) {
+        return;
+    }
+    send_grant(keeper, range, long_hold, now);
+}
+
+void cw_keeper_send_orders(cw_keeper_t *keeper, const cw_server_list_t *servers, bool long_hold, cw_time_us_t now)
+{
+    size_t index;
+
+    for (index = 0; index < keeper->record.ranges.count; index++) {
+        cw_range_t *range = &keeper->record.ranges.items[index];
+
+        if (long_hold && !keeper->long_hold && range->phase == CW_RANGE_HELD) {
+            range->next_order = now; /* longer holds, while there is authority to give them */
+        }
+        step(keeper, range, servers, long_hold, now);
+    }
+    keeper->long_hold = long_hold;
+}
+
+/* ---- answers ---- */
+
+static bool take_order(cw_keeper_t *keeper, uint64_t id, cw_order_t *order)
+{
+    size_t index;
+
+    for (index = 0; index < keeper->order_count; index++) {
+        if (keeper->orders[index].id == id) {
+            *order = keeper->orders[index];
+            keeper->orders[index] = keeper->orders[--keeper->order_count];
+            return true;
+        }
+    }
+    return false;
+}
+
+static void granted(cw_keeper_t *keeper, cw_range_t *range, const cw_order_t *order, cw_time_us_t now)
+{
+    bool first = range->phase == CW_RANGE_GRANTING;
+
+    range->failing_since = 0;
+    range->taken_at = order->sent_at;
+    range->phase = CW_RANGE_HELD;
+    range->next_order = order->sent_at + keeper->settings.renew_every;
+    if (first) {
+        keeper->ports.note(keeper->ports.context, keeper->service, "granted", range,
+                           range->handover[0] == '\0' ? "without handover" : "with handover");
+        keeper->ports.changed(keeper->ports.context);
+    }
+    (void)now;
+}
+
+static void grant_failed(cw_keeper_t *keeper, cw_range_t *range, const cw_order_t *order, cw_order_result_t result,
+                         cw_time_us_t now)
+{
+    if (result == CW_ORDER_UNANSWERED) {
+        range->unanswered_at = now;
+    } else if (result == CW_ORDER_NOT_SENT) {
+        range->hold_until = order->until_before;
+    }
+    if (range->failing_since == 0) {
+        range->failing_since = now;
+        keeper->ports.note(keeper->ports.context, keeper->service, "grant not confirmed", range,
+                           result == CW_ORDER_NOT_SENT ? "no connection" : "no answer");
+    }
+    range->next_order = now + CW_MS(result == CW_ORDER_NOT_SENT ? RESEND_NOT_SENT_MS : RESEND_MS);
+}
+
+static void answer_grant(cw_keeper_t *keeper, cw_range_t *range, const cw_order_t *order, cw_order_result_t result,
+                         cw_time_us_t now)
+{
+    if (range->phase == CW_RANGE_RELEASING) {
+        return;
+    }
+    switch (result) {
+    case CW_ORDER_DONE:
+        granted(keeper, range, order, now);
+        break;
+    case CW_ORDER_FENCED:
+        keeper->ports.note(keeper->ports.context, keeper->service, "grant fenced", range, "a higher fence was seen");
+        range->next_order = now + CW_MS(RESEND_NOT_SENT_MS);
+        if (!keeper->writing) {
+            cw_keeper_plan_refence(keeper, range);
+            cw_keeper_plan_write(keeper, now);
+        }
+        break;
+    case CW_ORDER_REFUSED:
+    case CW_ORDER_NOT_SENT:
+    case CW_ORDER_UNANSWERED:
+        grant_failed(keeper, range, order, result, now);
+        break;
+    }
+}
+
+static void answer_release(cw_keeper_t *keeper, cw_range_t *range, cw_order_result_t result, const char *handover,
+                           cw_time_us_t now)
+{
+    if (range->phase != CW_RANGE_RELEASING) {
+        return;
+    }
+    if (result != CW_ORDER_DONE) {
+        range->failing_since = now;
+        range->next_order = now + CW_MS(RESEND_MS);
+        return;
+    }
+    snprintf(range->handover, sizeof(range->handover), "%s", handover == NULL ? "" : handover);
+    finish_release(keeper, range, "released", now);
+}
+
+void cw_keeper_order_done(cw_keeper_t *keeper, uint64_t id, cw_order_result_t result, const char *handover,
+                          cw_time_us_t now)
+{
+    cw_order_t order;
+    size_t     index;
+
+    keeper->now = now;
+    if (!take_order(keeper, id, &order)) {
+        return;
+    }
+    for (index = 0; index < keeper->record.ranges.count; index++) {
+        cw_range_t *range = &keeper->record.ranges.items[index];
+
+        if (range->low < order.low || range->last > order.last || range->owner.fence != order.fence) {
+            continue;
+        }
+        if (range->orders > 0) {
+            range->orders--;
+        }
+        if (order.kind == CW_ORDER_GRANT) {
+            answer_grant(keeper, range, &order, result, now);
+        } else {
+            answer_release(keeper, range, result, handover, now);
+        }
+    }
+}
+
+/* ---- what planners ask ---- */
+
+bool cw_keeper_is_settled(const cw_keeper_t *keeper, const cw_range_t *range, cw_time_us_t now)
+{
+    return range->phase == CW_RANGE_HELD && range->failing_since == 0 &&
+           (range->unanswered_at == 0 || now - range->unanswered_at > keeper->settings.late_orders);
+}
+
+double cw_keeper_failing_share(const cw_keeper_t *keeper, cw_time_us_t now)
+{
+    size_t failing = 0;
+    size_t index;
+
+    for (index = 0; index < keeper->record.ranges.count; index++) {
+        const cw_range_t *range = &keeper->record.ranges.items[index];
+
+        if (range->failing_since != 0 && now - range->failing_since > CW_MS(FAILING_MS)) {
+            failing++;
+        }
+    }
+    return keeper->record.ranges.count == 0 ? 0 : (double)failing / (double)keeper->record.ranges.count;
+}
--- /dev/null
+++ b/src/balance/server_pool.h
@@ -0,0 +1,94 @@
+/**
+ * @file server_pool.h
+ * @brief What this node knows of each server: its list entry, the requests under way there from all nodes, its speed.
+ *
+ * Requests of other nodes are what they last reported (cw_server_pool_report); a silent node's count ends after
+ * CW_POOL_REPORT_LIFE. Choices are made by cw_server_pool_choose.
+ */
+#ifndef CEDARWINCH_BALANCE_SERVER_POOL_H
+#define CEDARWINCH_BALANCE_SERVER_POOL_H
+
+#include <stdbool.h>
+#include <uthash.h>
+
+#include "base/time.h"
+#include "model/server_list.h"
+
+/** One life of a server. Lives as long as it is listed or requests are under way. */
+typedef struct cw_server {
+    char          *id;
+    char          *service;
+    char          *address;
+    char          *zone;
+    uint32_t       hash; /**< short name of the id between nodes */
+    uint32_t       capacity;
+    bool           listed;
+    bool           draining;
+    uint32_t       own;           /**< requests of this node under way */
+    uint32_t       others;        /**< of the other nodes, as reported */
+    double         pace;          /**< time of its answers over what is usual on the route; 1 when nothing is known */
+    cw_time_us_t   pace_at;       /**< last measured */
+    uint32_t       served;        /**< answers since the start, and */
+    uint64_t       served_us;     /**< their time, divided by what is usual (for reports) */
+    uint32_t       faults;        /**< in a row */
+    cw_time_us_t   avoid_until;   /**< not chosen while another one can be */
+    cw_time_us_t   slow_until;    /**< just started */
+    void          *connections;   /**< the adapter's; freed by it when the server is dropped */
+    UT_hash_handle by_id;
+    UT_hash_handle by_hash;
+} cw_server_t;
+
+/** One server in another node's report. */
+typedef struct cw_server_report {
+    uint32_t hash;
+    uint32_t under_way;
+    uint32_t served;    /**< since that node's start */
+    uint64_t served_us;
+    bool     unreachable;
+} cw_server_report_t;
+
+typedef struct cw_server_pool cw_server_pool_t;
+
+enum { CW_POOL_REPORT_LIFE_MS = 1500 };
+
+typedef void (*cw_server_dropped_t)(void *context, cw_server_t *server);
+
+cw_server_pool_t *cw_server_pool_create(const char *zone, cw_server_dropped_t dropped, void *context);
+void              cw_server_pool_free(cw_server_pool_t *pool);
+/** Takes a new list over. */
+void         cw_server_pool_update(cw_server_pool_t *pool, const cw_server_list_t *list, cw_time_us_t now);
+cw_server_t *cw_server_pool_find(cw_server_pool_t *pool, const char *id);
+/** All servers, by the by_id handle. */
+cw_server_t *cw_server_pool_all(cw_server_pool_t *pool);
+
+/** A request goes there, and has come to its end. */
+void cw_server_pool_begin(cw_server_t *server);
+void cw_server_pool_end(cw_server_pool_t *pool, cw_server_t *server);
+/** A whole answer took `took` where `usual` is usual. */
+void cw_server_pool_served(cw_server_t *server, cw_time_us_t took, cw_time_us_t usual, cw_time_us_t now);
+/** No whole answer after `waited`: it takes at least that long. */
+void cw_server_pool_slow(cw_server_t *server, cw_time_us_t waited, cw_time_us_t usual, cw_time_us_t now);
+/** No connection, or no answer. */
+void cw_server_pool_fault(cw_server_t *server, cw_time_us_t now);
+
+/** Replaces what this node (0: expired) last reported. */
+void cw_server_pool_report(cw_server_pool_t *pool, uint64_t node, const cw_server_report_t *reports, size_t count,
+                           cw_time_us_t now);
+/** Forgets nodes that have been silent. */
+void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t now);
+
+typedef struct cw_choice_settings {
+    double zone_penalty; /**< what another zone costs, as a share of a usual request's time */
+    double extra_slots;  /**< requests a server may have beyond its capacity */
+} cw_choice_settings_t;
+
+/** Best server of a service with a free slot. full: there are servers, but none has a slot. */
+cw_server_t *cw_server_pool_choose(cw_server_pool_t *pool, const char *service, const cw_choice_settings_t *settings,
+                                   const cw_server_t *except, cw_time_us_t now, bool *full);
+bool         cw_server_has_slot(const cw_server_t *server, double extra_slots);
+/** Slots of a service that can be used, in units of a server of usual pace. */
+double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now);
+/** Requests under way at a service's servers. */
+uint32_t cw_server_pool_under_way(cw_server_pool_t *pool, const char *service);
+
+#endif
--- /dev/null
+++ b/src/base/event_names.h
@@ -0,0 +1,84 @@
+/**
+ * @file event_names.h
+ * @brief The one table of log events and fields. docs/OPERATIONS.md explains each; a test compares the two.
+ */
+#ifndef CEDARWINCH_BASE_EVENT_NAMES_H
+#define CEDARWINCH_BASE_EVENT_NAMES_H
+
+/* X(symbol, name in the log, level, lines a second) */
+#define CW_EVENT_TABLE(X)                                                                                              \
+    X(START, "start", NOTICE, 10)                                                                                      \
+    X(STOP, "stop", NOTICE, 10)                                                                                        \
+    X(END, "end", NOTICE, 10)                                                                                          \
+    X(RELOAD, "reload", NOTICE, 10)                                                                                    \
+    X(LINES_DROPPED, "lines dropped", WARNING, 10)                                                                     \
+    X(STORE_LOST, "store lost", WARNING, 10)                                                                           \
+    X(STORE_BACK, "store back", NOTICE, 10)                                                                            \
+    X(PEER_LOST, "peer lost", WARNING, 20)                                                                             \
+    X(PEER_BACK, "peer back", NOTICE, 20)                                                                              \
+    X(SERVER_LOST, "server lost", WARNING, 20)                                                                         \
+    X(SERVER_BACK, "server back", NOTICE, 20)                                                                          \
+    X(LEADER_TAKEN, "leadership taken", NOTICE, 10)                                                                    \
+    X(LEADER_LOST, "leadership lost", WARNING, 10)                                                                     \
+    X(LEADER_SEEN, "leader seen", NOTICE, 10)                                                                          \
+    X(LEADER_SILENT, "leader silent", WARNING, 10)                                                                     \
+    X(CONFIGURATION_ACCEPTED, "configuration accepted", NOTICE, 20)                                                    \
+    X(CONFIGURATION_REFUSED, "configuration refused", ERROR, 20)                                                       \
+    X(SERVERS_CHANGED, "servers changed", NOTICE, 20)                                                                  \
+    X(VIEW_TAKEN, "view taken", INFO, 20)                                                                              \
+    X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
+    X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
+    X(PLAN_WRITTEN, "plan written", NOTICE, 20)                                                                        \
+    X(REQUEST_SERVED, "served", INFO, 200)                                                                             \
+    X(REQUEST_RETRIED, "retried", NOTICE, 100)                                                                         \
+    X(REQUEST_REFUSED, "refused", NOTICE, 100)                                                                         \
+    X(REQUEST_FAILED, "failed", NOTICE, 100)                                                                           \
+    X(REQUEST_GONE, "caller left", INFO, 50)
+
+/* X(symbol, name in the log) */
+#define CW_EVENT_FIELD_TABLE(X)                                                                                        \
+    X(REQUEST, "request")                                                                                              \
+    X(ROUTE, "route")                                                                                                  \
+    X(SERVICE, "service")                                                                                              \
+    X(SERVER, "server")                                                                                                \
+    X(CONFIGURATION, "configuration")                                                                                  \
+    X(STATUS, "status")                                                                                                \
+    X(REASON, "reason")                                                                                                \
+    X(KEY, "key")                                                                                                      \
+    X(FENCE, "fence")                                                                                                  \
+    X(LOW, "low")                                                                                                      \
+    X(LAST, "last")                                                                                                    \
+    X(FORMER, "former")                                                                                                \
+    X(TERM, "term")                                                                                                    \
+    X(VIEW, "view")                                                                                                    \
+    X(VIEW_AGE_MS, "view_age_ms")                                                                                      \
+    X(ATTEMPT, "attempt")                                                                                              \
+    X(QUEUE_MS, "queue_ms")                                                                                            \
+    X(SERVER_MS, "server_ms")                                                                                          \
+    X(TOTAL_MS, "total_ms")                                                                                            \
+    X(LEFT_MS, "left_ms")                                                                                              \
+    X(ESTIMATE_MS, "estimate_ms")                                                                                      \
+    X(RETRY_AFTER_MS, "retry_after_ms")                                                                                \
+    X(BUDGET, "budget")                                                                                                \
+    X(UNDER_WAY, "under_way")                                                                                          \
+    X(QUEUED, "queued")                                                                                                \
+    X(SILENT_MS, "silent_ms")                                                                                          \
+    X(PEER, "peer")                                                                                                    \
+    X(LEADER, "leader")                                                                                                \
+    X(COUNT, "count")                                                                                                  \
+    X(ADDED, "added")                                                                                                  \
+    X(REMOVED, "removed")                                                                                              \
+    X(CHANGED, "changed")                                                                                              \
+    X(VERSION, "version")                                                                                              \
+    X(REVISION, "revision")                                                                                            \
+    X(DETAIL, "detail")
+
+#define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
+typedef enum cw_event_kind { CW_EVENT_TABLE(CW_EVENT_SYMBOL) CW_EVENT_KINDS } cw_event_kind_t;
+#undef CW_EVENT_SYMBOL
+
+#define CW_FIELD_SYMBOL(symbol, name) CW_FIELD_##symbol,
+typedef enum cw_event_field { CW_EVENT_FIELD_TABLE(CW_FIELD_SYMBOL) CW_EVENT_FIELDS } cw_event_field_t;
+#undef CW_FIELD_SYMBOL
+
+#endif
--- /dev/null
+++ b/src/base/metrics.h
@@ -0,0 +1,72 @@
+/**
+ * @file metrics.h
+ * @brief Counters, gauges and latency histograms of this process, as Prometheus text. One table names them all.
+ */
+#ifndef CEDARWINCH_BASE_METRICS_H
+#define CEDARWINCH_BASE_METRICS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/time.h"
+
+/* X(symbol, name, type, help) */
+#define CW_METRIC_TABLE(X)                                                                                             \
+    X(REQUESTS, "cedarwinch_requests_total", "counter", "requests read from callers")                                  \
+    X(SERVED, "cedarwinch_served_total", "counter", "answers of servers passed on")                                    \
+    X(REFUSED_LOAD, "cedarwinch_refused_load_total", "counter", "refused: no slot in time")                            \
+    X(REFUSED_OWNER, "cedarwinch_refused_owner_total", "counter", "refused: the key's owner is not known or moving")   \
+    X(REFUSED_SERVERS, "cedarwinch_refused_servers_total", "counter", "refused: the service has no server")            \
+    X(REFUSED_UNREADY, "cedarwinch_refused_unready_total", "counter", "refused: no configuration yet")                 \
+    X(NOT_FOUND, "cedarwinch_not_found_total", "counter", "no route for host and path")                                \
+    X(FAILED_UNKNOWN, "cedarwinch_failed_unknown_total", "counter", "502: sent, and the answer was broken or lost")    \
+    X(FAILED_LATE, "cedarwinch_failed_late_total", "counter", "504: no answer within the time limit")                  \
+    X(CALLERS_LEFT, "cedarwinch_callers_left_total", "counter", "callers that left before their answer")               \
+    X(SENT, "cedarwinch_sent_total", "counter", "requests sent to servers")                                            \
+    X(RETRIES, "cedarwinch_retries_total", "counter", "requests sent once more")                                       \
+    X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries for which the budget had no room")        \
+    X(NOT_RUN, "cedarwinch_server_not_run_total", "counter", "servers that said they did not run a request")           \
+    X(BROKEN, "cedarwinch_server_broken_total", "counter", "answers that broke off, were reset or were no answer")     \
+    X(UNREACHED, "cedarwinch_server_unreached_total", "counter", "servers to which no connection could be made")       \
+    X(CONNECTIONS_OPENED, "cedarwinch_server_connections_total", "counter", "connections opened to servers")           \
+    X(STORE_READS, "cedarwinch_store_reads_total", "counter", "reading calls to the store")                            \
+    X(STORE_WRITES, "cedarwinch_store_writes_total", "counter", "writing calls to the store")                          \
+    X(STORE_FAILURES, "cedarwinch_store_failures_total", "counter", "calls to the store refused or without an answer") \
+    X(GRANTS, "cedarwinch_grants_total", "counter", "grants and renewals sent")                                        \
+    X(RELEASES, "cedarwinch_releases_total", "counter", "releases sent")                                               \
+    X(ORDERS_FAILED, "cedarwinch_orders_failed_total", "counter", "grants and releases without a good answer")         \
+    X(MOVES, "cedarwinch_moves_total", "counter", "changes of ranges planned by this node")                            \
+    X(LOG_DROPPED, "cedarwinch_log_lines_dropped", "gauge", "log lines not written")                                   \
+    X(LEADING, "cedarwinch_leading", "gauge", "1 while this node leads with authority")                                \
+    X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
+    X(SERVERS, "cedarwinch_servers", "gauge", "servers listed")                                                        \
+    X(PEERS, "cedarwinch_peers", "gauge", "nodes heard lately")                                                        \
+    X(CONNECTIONS, "cedarwinch_connections", "gauge", "callers' connections")                                          \
+    X(QUEUED, "cedarwinch_queued", "gauge", "requests waiting for a slot")                                             \
+    X(MEMORY, "cedarwinch_memory_bytes", "gauge", "resident memory")
+
+/* X(symbol, name, help); all in seconds */
+#define CW_HISTOGRAM_TABLE(X)                                                                                          \
+    X(QUEUE, "cedarwinch_queue_seconds", "time from a request's arrival to its sending")                               \
+    X(SERVER, "cedarwinch_server_seconds", "time from sending to the whole answer")                                    \
+    X(TOTAL, "cedarwinch_total_seconds", "time from a request's arrival to its answer")
+
+#define CW_METRIC_SYMBOL(symbol, name, type, help) CW_METRIC_##symbol,
+typedef enum cw_metric { CW_METRIC_TABLE(CW_METRIC_SYMBOL) CW_METRICS } cw_metric_t;
+#undef CW_METRIC_SYMBOL
+
+#define CW_HISTOGRAM_SYMBOL(symbol, name, help) CW_HISTOGRAM_##symbol,
+typedef enum cw_histogram { CW_HISTOGRAM_TABLE(CW_HISTOGRAM_SYMBOL) CW_HISTOGRAMS } cw_histogram_t;
+#undef CW_HISTOGRAM_SYMBOL
+
+void     cw_metric_add(cw_metric_t metric, uint64_t amount);
+void     cw_metric_set(cw_metric_t metric, uint64_t value);
+uint64_t cw_metric_value(cw_metric_t metric);
+/** Counts one latency of a route. */
+void cw_histogram_add(cw_histogram_t histogram, const char *route, cw_time_us_t value);
+/** All metrics as text, to be freed. */
+char *cw_metrics_text(size_t *length);
+/** Forgets everything; for tests. */
+void cw_metrics_reset(void);
+
+#endif
--- /dev/null
+++ b/src/config/router_settings.c
@@ -0,0 +1,206 @@
+/**
+ * @file router_settings.c
+ * @brief Settings of one node.
+ */
+#include "config/router_settings.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cedarwinch/error.h"
+#include "config/yaml_tree.h"
+
+enum {
+    PORT_MAX = 65535,
+    FILE_MAX_BYTES = 1024 * 1024,
+    LEADER_HOLD_MS = 3000,
+    HOLD_MS = 5000,
+    HOLD_LONG_MS = 10000,
+    STOP_GRACE_MS = 6000,
+    RETRY_WINDOW_MS = 10000,
+    RETRY_EXTRA = 20
+};
+
+static void set_defaults(cw_router_settings_t *settings)
+{
+    memset(settings, 0, sizeof(*settings));
+    snprintf(settings->readiness_path, sizeof(settings->readiness_path), "/readyz");
+    snprintf(settings->metrics_path, sizeof(settings->metrics_path), "/metrics");
+    settings->log_level = CW_EVENT_INFO;
+    settings->leader_hold = CW_MS(LEADER_HOLD_MS);
+    settings->hold = CW_MS(HOLD_MS);
+    settings->hold_long = CW_MS(HOLD_LONG_MS);
+    settings->stop_grace = CW_MS(STOP_GRACE_MS);
+    settings->retry_window = CW_MS(RETRY_WINDOW_MS);
+    settings->retry_ratio = 0.1;
+    settings->retry_extra = RETRY_EXTRA;
+}
+
+static void copy_text(char *target, size_t size, const char *text)
+{
+    if (text != NULL) {
+        snprintf(target, size, "%s", text);
+    }
+}
+
+static bool endpoint_from_text(cw_endpoint_t *endpoint, const char *text)
+{
+    const char    *colon = strrchr(text, ':');
+    char          *end;
+    long           port;
+    struct in_addr number;
+
+    if (colon == NULL || (size_t)(colon - text) >= sizeof(endpoint->address)) {
+        return false;
+    }
+    snprintf(endpoint->address, sizeof(endpoint->address), "%.*s", (int)(colon - text), text);
+    port = strtol(colon + 1, &end, 10);
+    if (*end != '\0' || end == colon + 1 || port < 0 || port > PORT_MAX) {
+        return false;
+    }
+    endpoint->port = (uint16_t)port;
+    return inet_pton(AF_INET, endpoint->address, &number) == 1;
+}
+
+static void read_endpoint(cw_yaml_mapping_t *mapping, const char *key, bool required, cw_endpoint_t *endpoint)
+{
+    const char *text = cw_yaml_text(mapping, key, required);
+
+    if (text != NULL && !endpoint_from_text(endpoint, text)) {
+        cw_yaml_report(mapping->document, cw_yaml_get(mapping, key, false),
+                       "'%s' is '%s'; must be an IPv4 address and a port, as 10.0.0.1:8080", key, text);
+    }
+}
+
+static void read_path(cw_yaml_mapping_t *mapping, const char *key, char *target, size_t size)
+{
+    const char *text = cw_yaml_text(mapping, key, false);
+
+    if (text == NULL) {
+        return;
+    }
+    if (text[0] != '/' || strlen(text) >= size) {
+        cw_yaml_report(mapping->document, cw_yaml_get(mapping, key, false), "'%s' is '%s'; must begin with a slash", key,
+                       text);
+        return;
+    }
+    copy_text(target, size, text);
+}
+
+static void read_seeds(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    yaml_node_t *node = cw_yaml_get(mapping, "seeds", false);
+    size_t       count = node == NULL ? 0 : cw_yaml_count(mapping->document, node, "seeds");
+    size_t       position;
+
+    for (position = 0; position < count && position < CW_SEEDS_MAX; position++) {
+        yaml_node_t *item = cw_yaml_item(mapping->document, node, position);
+        const char  *text = item->type == YAML_SCALAR_NODE ? (const char *)item->data.scalar.value : "";
+
+        if (endpoint_from_text(&settings->seeds[settings->seed_count], text)) {
+            settings->seed_count++;
+        } else {
+            cw_yaml_report(mapping->document, item, "a seed is '%s'; must be an IPv4 address and a port", text);
+        }
+    }
+}
+
+static void read_level(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    const char *text = cw_yaml_text(mapping, "log_level", false);
+
+    if (text != NULL && !cw_event_level_from_text(text, &settings->log_level)) {
+        cw_yaml_report(mapping->document, cw_yaml_get(mapping, "log_level", false),
+                       "'log_level' is '%s'; must be error, warning, notice, info or debug", text);
+    }
+}
+
+static cw_time_us_t read_ms(cw_yaml_mapping_t *mapping, const char *key, uint64_t low, uint64_t high,
+                            cw_time_us_t present)
+{
+    return CW_MS(cw_yaml_number(mapping, key, low, high, (uint64_t)(present / 1000)));
+}
+
+static void read_identity(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    copy_text(settings->node, sizeof(settings->node), cw_yaml_name(mapping, "node", true));
+    copy_text(settings->zone, sizeof(settings->zone), cw_yaml_name(mapping, "zone", true));
+    copy_text(settings->address, sizeof(settings->address), cw_yaml_address(mapping, "address", true));
+    read_endpoint(mapping, "callers", true, &settings->callers);
+    read_endpoint(mapping, "readiness", true, &settings->readiness);
+    read_path(mapping, "readiness_path", settings->readiness_path, sizeof(settings->readiness_path));
+    settings->metrics_port = (uint16_t)cw_yaml_number(mapping, "metrics_port", 0, PORT_MAX, 0);
+    read_path(mapping, "metrics_path", settings->metrics_path, sizeof(settings->metrics_path));
+    settings->peer_port = (uint16_t)cw_yaml_required_number(mapping, "peer_port", 1, PORT_MAX);
+    read_endpoint(mapping, "store", true, &settings->store);
+}
+
+static void read_tuning(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    settings->leader_hold = read_ms(mapping, "leader_hold_ms", 500, 60000, settings->leader_hold);
+    settings->hold = read_ms(mapping, "hold_ms", 1000, 60000, settings->hold);
+    settings->hold_long = read_ms(mapping, "hold_long_ms", 1000, 60000, settings->hold_long);
+    settings->stop_grace = read_ms(mapping, "stop_grace_ms", 1000, 600000, settings->stop_grace);
+    settings->retry_window = read_ms(mapping, "retry_window_ms", 1000, 600000, settings->retry_window);
+    settings->retry_ratio = cw_yaml_real(mapping, "retry_ratio", 0, 1, settings->retry_ratio);
+    settings->retry_extra = cw_yaml_real(mapping, "retry_extra", 0, 1e9, settings->retry_extra);
+}
+
+/* Checks that span several keys. */
+static void check(const cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    if (settings->hold < settings->leader_hold + CW_MS(1000)) {
+        cw_yaml_report(mapping->document, mapping->node,
+                       "'hold_ms' must be at least 1000 above 'leader_hold_ms': else grants run out before another "
+                       "leader can renew them");
+    }
+    if (settings->hold_long < settings->hold) {
+        cw_yaml_report(mapping->document, mapping->node, "'hold_long_ms' must not be below 'hold_ms'");
+    }
+}
+
+int cw_router_settings_parse(cw_router_settings_t *settings, const char *text, size_t length, const char *file_name,
+                             cw_findings_t *findings)
+{
+    size_t             before = findings->count;
+    cw_yaml_document_t document;
+    cw_yaml_mapping_t  mapping;
+
+    set_defaults(settings);
+    if (cw_yaml_load(&document, text, length, file_name, findings) == CW_OK) {
+        cw_yaml_open(&mapping, &document, document.root, "the settings");
+        read_identity(settings, &mapping);
+        read_seeds(settings, &mapping);
+        read_level(settings, &mapping);
+        read_tuning(settings, &mapping);
+        check(settings, &mapping);
+        cw_yaml_finish(&mapping);
+    }
+    cw_yaml_unload(&document);
+    return findings->count == before ? CW_OK : CW_ERROR_PARSE;
+}
+
+int cw_router_settings_read(cw_router_settings_t *settings, const char *file_name, cw_findings_t *findings)
+{
+    FILE  *file = fopen(file_name, "rb");
+    char  *text;
+    size_t length;
+    int    error;
+
+    if (file == NULL) {
+        cw_findings_add(findings, file_name, 0, 0, "cannot be read");
+        return CW_ERROR_IO;
+    }
+    text = malloc(FILE_MAX_BYTES);
+    if (text == NULL) {
+        fclose(file);
+        return CW_ERROR_NO_MEMORY;
+    }
+    length = fread(text, 1, FILE_MAX_BYTES, file);
+    fclose(file);
+    error = cw_router_settings_parse(settings, text, length, file_name, findings);
+    free(text);
+    return error;
+}
--- /dev/null
+++ b/src/config/router_settings.h
@@ -0,0 +1,52 @@
+/**
+ * @file router_settings.h
+ * @brief Settings of one node of the router: a YAML file, checked as a whole. docs/CONFIGURATION.md tells each key.
+ */
+#ifndef CEDARWINCH_CONFIG_ROUTER_SETTINGS_H
+#define CEDARWINCH_CONFIG_ROUTER_SETTINGS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/event_log.h"
+#include "base/time.h"
+#include "cedarwinch/findings.h"
+
+/** IPv4 number and port. */
+typedef struct cw_endpoint {
+    char     address[16];
+    uint16_t port; /**< 0: chosen by the system */
+} cw_endpoint_t;
+
+enum { CW_SEEDS_MAX = 16 };
+
+typedef struct cw_router_settings {
+    char             node[64];
+    char             zone[64];
+    char             address[16]; /**< other nodes reach this one here */
+    cw_endpoint_t    callers;
+    cw_endpoint_t    readiness;
+    char             readiness_path[64];
+    uint16_t         metrics_port; /**< 0: metrics are served on the readiness endpoint only */
+    char             metrics_path[64];
+    uint16_t         peer_port;
+    cw_endpoint_t    seeds[CW_SEEDS_MAX];
+    size_t           seed_count;
+    cw_endpoint_t    store;
+    cw_event_level_t log_level;
+    cw_time_us_t     leader_hold;
+    cw_time_us_t     hold;
+    cw_time_us_t     hold_long;
+    cw_time_us_t     stop_grace;
+    cw_time_us_t     retry_window;
+    double           retry_ratio;
+    double           retry_extra;
+} cw_router_settings_t;
+
+/** Reads and checks a file; findings name the places of what is wrong. CW_ERROR_PARSE when there are any. */
+int cw_router_settings_read(cw_router_settings_t *settings, const char *file_name, cw_findings_t *findings);
+/** The same for a text. */
+int cw_router_settings_parse(cw_router_settings_t *settings, const char *text, size_t length, const char *file_name,
+                             cw_findings_t *findings);
+
+#endif
--- /dev/null
+++ b/src/lease/leadership.c
@@ -0,0 +1,268 @@
+/**
+ * @file leadership.c
+ * @brief Leadership by a lock object in the store. The rules are in the header.
+ */
+#include "lease/leadership.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    DRIFT_PERCENT = 2, /* largest difference in pace between two clocks */
+    TAKE_SLACK_MS = 50,
+    RETRY_MS = 250,
+    LONG_AGO_S = 3600
+};
+
+/* ---- the lock's value ---- */
+
+json_t *cw_lock_to_json(const cw_lock_t *lock)
+{
+    char incarnation[32];
+
+    snprintf(incarnation, sizeof(incarnation), "%016" PRIx64, lock->incarnation);
+    return json_pack("{s:s, s:s, s:s, s:I, s:I, s:b}", "node", lock->node, "address", lock->address, "incarnation",
+                     incarnation, "term", (json_int_t)lock->term, "beat", (json_int_t)lock->beat, "vacant",
+                     lock->vacant);
+}
+
+bool cw_lock_from_json(cw_lock_t *lock, const json_t *value)
+{
+    const char *node;
+    const char *address;
+    const char *incarnation;
+    json_int_t  term;
+    json_int_t  beat;
+    int         vacant;
+
+    if (value == NULL || json_unpack((json_t *)value, "{s:s, s:s, s:s, s:I, s:I, s:b}", "node", &node, "address",
+                                     &address, "incarnation", &incarnation, "term", &term, "beat", &beat, "vacant",
+                                     &vacant) != 0) {
+        return false;
+    }
+    snprintf(lock->node, sizeof(lock->node), "%s", node);
+    snprintf(lock->address, sizeof(lock->address), "%s", address);
+    lock->incarnation = strtoull(incarnation, NULL, 16);
+    lock->term = (uint64_t)term;
+    lock->beat = (uint64_t)beat;
+    lock->vacant = vacant != 0;
+    return true;
+}
+
+/* ---- state ---- */
+
+void cw_leadership_init(cw_leadership_t *leadership, const cw_leadership_settings_t *settings, cw_time_us_t now)
+{
+    memset(leadership, 0, sizeof(*leadership));
+    leadership->settings = *settings;
+    leadership->heard_at = now - CW_SECONDS(LONG_AGO_S);
+    leadership->next_at = now;
+    leadership->pending = CW_LEADERSHIP_WAIT;
+}
+
+bool cw_leadership_has_authority(const cw_leadership_t *leadership, cw_time_us_t now)
+{
+    return leadership->leading && !leadership->resigning && now < leadership->authority_end;
+}
+
+static bool is_mine(const cw_leadership_t *leadership, const cw_lock_t *lock)
+{
+    return lock->incarnation == leadership->settings.incarnation &&
+           strcmp(lock->node, leadership->settings.node) == 0;
+}
+
+static void note_seen(cw_leadership_t *leadership, uint64_t revision, cw_time_us_t now)
+{
+    leadership->absent = false;
+    if (leadership->revision != revision) {
+        leadership->revision = revision;
+        leadership->seen_at = now;
+    }
+}
+
+void cw_leadership_heard(cw_leadership_t *leadership, uint64_t term, uint64_t revision, bool able, cw_time_us_t now)
+{
+    if (leadership->leading || term < leadership->lock.term) {
+        return;
+    }
+    if (able) {
+        leadership->heard_at = now;
+    }
+    if (revision > leadership->revision) {
+        note_seen(leadership, revision, now);
+        leadership->must_read = true; /* whose it is, is not known yet */
+    }
+}
+
+void cw_leadership_heard_stop(cw_leadership_t *leadership, cw_time_us_t now)
+{
+    if (!leadership->leading) {
+        leadership->heard_at = now - CW_SECONDS(LONG_AGO_S);
+        leadership->next_at = now + CW_MS(RETRY_MS) / 5;
+    }
+}
+
+void cw_leadership_resign(cw_leadership_t *leadership, cw_time_us_t now)
+{
+    leadership->resigning = true;
+    leadership->next_at = now;
+}
+
+/* ---- what to do next ---- */
+
+static cw_leadership_action_t begin(cw_leadership_t *leadership, cw_leadership_action_t action, cw_time_us_t now)
+{
+    leadership->pending = action;
+    leadership->sent_at = now;
+    return action;
+}
+
+static void prepare_write(cw_leadership_t *leadership, uint64_t term)
+{
+    cw_lock_t *write = &leadership->write;
+
+    memset(write, 0, sizeof(*write));
+    memcpy(write->node, leadership->settings.node, sizeof(write->node));
+    memcpy(write->address, leadership->settings.address, sizeof(write->address));
+    write->incarnation = leadership->settings.incarnation;
+    write->term = term;
+    write->beat = ++leadership->last_beat;
+    write->vacant = leadership->resigning;
+}
+
+static bool may_take(const cw_leadership_t *leadership, cw_time_us_t now)
+{
+    cw_time_us_t wait = leadership->settings.hold * (100 + DRIFT_PERCENT) / 100 + CW_MS(TAKE_SLACK_MS);
+
+    if (leadership->lock.vacant || strcmp(leadership->lock.node, leadership->settings.node) == 0) {
+        return true;
+    }
+    return now - leadership->seen_at >= wait;
+}
+
+static cw_leadership_action_t follow(cw_leadership_t *leadership, cw_time_us_t now)
+{
+    if (leadership->resigning || now - leadership->heard_at < leadership->settings.silence) {
+        return CW_LEADERSHIP_WAIT;
+    }
+    if (leadership->absent) {
+        prepare_write(leadership, 1);
+        return begin(leadership, CW_LEADERSHIP_CREATE, now);
+    }
+    if (leadership->revision != 0 && !leadership->must_read && may_take(leadership, now)) {
+        prepare_write(leadership, leadership->lock.term + 1);
+        return begin(leadership, CW_LEADERSHIP_REPLACE, now);
+    }
+    return begin(leadership, CW_LEADERSHIP_READ, now);
+}
+
+static cw_leadership_action_t lead(cw_leadership_t *leadership, cw_time_us_t now)
+{
+    if (leadership->must_read) {
+        return begin(leadership, CW_LEADERSHIP_READ, now);
+    }
+    if (leadership->resigned) {
+        return CW_LEADERSHIP_WAIT;
+    }
+    prepare_write(leadership, leadership->lock.term);
+    return begin(leadership, CW_LEADERSHIP_REPLACE, now);
+}
+
+cw_leadership_action_t cw_leadership_tick(cw_leadership_t *leadership, cw_time_us_t now)
+{
+    if (leadership->pending != CW_LEADERSHIP_WAIT || now < leadership->next_at) {
+        return CW_LEADERSHIP_WAIT;
+    }
+    return leadership->leading ? lead(leadership, now) : follow(leadership, now);
+}
+
+/* ---- answers ---- */
+
+static void lose(cw_leadership_t *leadership)
+{
+    leadership->leading = false;
+    leadership->authority_end = 0;
+}
+
+static void written(cw_leadership_t *leadership, uint64_t revision, cw_time_us_t sent_at, cw_time_us_t now)
+{
+    leadership->lock = leadership->write;
+    note_seen(leadership, revision, now);
+    leadership->must_read = false;
+    leadership->failures = 0;
+    if (leadership->write.vacant) {
+        leadership->resigned = true;
+        lose(leadership);
+        return;
+    }
+    leadership->leading = true;
+    leadership->authority_end = sent_at + leadership->settings.hold;
+    leadership->next_at = sent_at + leadership->settings.renew_every;
+}
+
+/* The lock as the store tells it, by a read or with a conflict. */
+static void take_lock(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now)
+{
+    cw_lock_t lock;
+    bool      mine;
+
+    memset(&lock, 0, sizeof(lock));
+    if (!cw_lock_from_json(&lock, reply->value)) {
+        lock.vacant = true; /* nobody's: whatever stands there is replaced */
+    }
+    leadership->failures = 0;
+    note_seen(leadership, reply->revision, now);
+    leadership->must_read = false;
+    leadership->lock = lock;
+    mine = is_mine(leadership, &lock) && !lock.vacant;
+    if (mine) {
+        /* A write without an answer was done. It gives no authority: the next one does. */
+        leadership->leading = true;
+        leadership->next_at = now;
+    } else {
+        lose(leadership);
+        leadership->next_at = lock.vacant ? now : now + leadership->settings.read_every;
+    }
+}
+
+void cw_leadership_replied(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now)
+{
+    cw_leadership_action_t action = leadership->pending;
+    cw_time_us_t           write_sent_at = leadership->sent_at;
+
+    leadership->pending = CW_LEADERSHIP_WAIT;
+    switch (reply->result) {
+    case CW_STORE_DONE:
+        if (action == CW_LEADERSHIP_READ) {
+            take_lock(leadership, reply, now);
+        } else {
+            written(leadership, reply->revision, write_sent_at, now);
+        }
+        break;
+    case CW_STORE_NOT_FOUND:
+        leadership->absent = true;
+        leadership->must_read = false;
+        leadership->next_at = now;
+        lose(leadership);
+        break;
+    case CW_STORE_CONFLICT:
+        leadership->absent = false;
+        leadership->must_read = true;
+        leadership->next_at = now;
+        if (reply->value != NULL && reply->revision != 0) {
+            take_lock(leadership, reply, now);
+        }
+        break;
+    case CW_STORE_REFUSED:
+        leadership->failures++;
+        leadership->next_at = now + CW_MS(RETRY_MS);
+        break;
+    case CW_STORE_UNKNOWN:
+        leadership->failures++;
+        leadership->must_read = true;
+        leadership->next_at = now + CW_MS(RETRY_MS) / 5;
+        break;
+    }
+}
--- /dev/null
+++ b/src/model/configuration.c
@@ -0,0 +1,175 @@
+/**
+ * @file configuration.c
+ * @brief Routes, services and limits.
+ */
+#include "model/configuration.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+enum { DEFAULT_HEADER_BYTES = 16384, DEFAULT_BODY_BYTES = 1 << 20, DEFAULT_HEADER_S = 10, DEFAULT_IDLE_S = 60 };
+
+static void *grown(void *items, size_t count, size_t size)
+{
+    void *longer = realloc(items, (count + 1) * size);
+
+    if (longer == NULL) {
+        abort();
+    }
+    memset((char *)longer + count * size, 0, size);
+    return longer;
+}
+
+cw_configuration_t *cw_configuration_create(uint64_t version)
+{
+    cw_configuration_t *configuration = calloc(1, sizeof(*configuration));
+
+    if (configuration == NULL) {
+        abort();
+    }
+    configuration->version = version;
+    configuration->references = 1;
+    configuration->limits.header_bytes = DEFAULT_HEADER_BYTES;
+    configuration->limits.body_bytes = DEFAULT_BODY_BYTES;
+    configuration->limits.header_timeout = CW_SECONDS(DEFAULT_HEADER_S);
+    configuration->limits.idle_timeout = CW_SECONDS(DEFAULT_IDLE_S);
+    return configuration;
+}
+
+cw_route_t *cw_configuration_add_route(cw_configuration_t *configuration)
+{
+    configuration->routes = grown(configuration->routes, configuration->route_count, sizeof(cw_route_t));
+    return &configuration->routes[configuration->route_count++];
+}
+
+cw_service_t *cw_configuration_add_service(cw_configuration_t *configuration)
+{
+    configuration->services = grown(configuration->services, configuration->service_count, sizeof(cw_service_t));
+    return &configuration->services[configuration->service_count++];
+}
+
+void cw_route_add_part(cw_route_t *route, const char *service, double weight)
+{
+    route->parts = grown(route->parts, route->part_count, sizeof(cw_split_part_t));
+    route->parts[route->part_count].service = strdup(service);
+    route->parts[route->part_count].weight = weight;
+    route->part_count++;
+}
+
+static int compare_routes(const void *left, const void *right)
+{
+    const cw_route_t *a = left;
+    const cw_route_t *b = right;
+    int               order = strcasecmp(a->host, b->host);
+
+    if (order != 0) {
+        return order;
+    }
+    if (strlen(a->prefix) != strlen(b->prefix)) {
+        return strlen(a->prefix) > strlen(b->prefix) ? -1 : 1;
+    }
+    return strcmp(a->prefix, b->prefix);
+}
+
+void cw_configuration_seal(cw_configuration_t *configuration)
+{
+    if (configuration->route_count > 1) {
+        qsort(configuration->routes, configuration->route_count, sizeof(cw_route_t), compare_routes);
+    }
+}
+
+cw_configuration_t *cw_configuration_hold(cw_configuration_t *configuration)
+{
+    configuration->references++;
+    return configuration;
+}
+
+static void clear_route(cw_route_t *route)
+{
+    size_t index;
+
+    for (index = 0; index < route->part_count; index++) {
+        free(route->parts[index].service);
+    }
+    free(route->parts);
+    free(route->name);
+    free(route->host);
+    free(route->prefix);
+}
+
+void cw_configuration_release(cw_configuration_t *configuration)
+{
+    size_t index;
+
+    if (configuration == NULL || --configuration->references > 0) {
+        return;
+    }
+    for (index = 0; index < configuration->route_count; index++) {
+        clear_route(&configuration->routes[index]);
+    }
+    for (index = 0; index < configuration->service_count; index++) {
+        free(configuration->services[index].name);
+    }
+    free(configuration->routes);
+    free(configuration->services);
+    free(configuration);
+}
+
+const cw_service_t *cw_configuration_service(const cw_configuration_t *configuration, const char *name)
+{
+    size_t index;
+
+    for (index = 0; index < configuration->service_count; index++) {
+        if (strcmp(configuration->services[index].name, name) == 0) {
+            return &configuration->services[index];
+        }
+    }
+    return NULL;
+}
+
+static int compare_host(const char *host, size_t length, const char *route_host)
+{
+    int order = strncasecmp(host, route_host, length);
+
+    if (order == 0 && route_host[length] != '\0') {
+        return -1;
+    }
+    return order;
+}
+
+/* First route of a host, by bisection; route_count when there is none. */
+static size_t first_of_host(const cw_configuration_t *configuration, const char *host, size_t length)
+{
+    size_t low = 0;
+    size_t high = configuration->route_count;
+
+    while (low < high) {
+        size_t middle = low + (high - low) / 2;
+
+        if (compare_host(host, length, configuration->routes[middle].host) > 0) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+const cw_route_t *cw_configuration_match(const cw_configuration_t *configuration, const char *host, const char *path)
+{
+    size_t length = strcspn(host, ":");
+    size_t index = first_of_host(configuration, host, length);
+
+    for (; index < configuration->route_count; index++) {
+        const cw_route_t *route = &configuration->routes[index];
+
+        if (compare_host(host, length, route->host) != 0) {
+            return NULL;
+        }
+        if (strncmp(path, route->prefix, strlen(route->prefix)) == 0) {
+            return route;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/model/configuration.h
@@ -0,0 +1,70 @@
+/**
+ * @file configuration.h
+ * @brief The operators' accepted configuration: routes, services and limits, as one immutable, counted value.
+ *
+ * A configuration is built once by an adapter, checked with cw_configuration_check and then only read. Versions are
+ * ordered numbers; a process never goes back to a lower one.
+ */
+#ifndef CEDARWINCH_MODEL_CONFIGURATION_H
+#define CEDARWINCH_MODEL_CONFIGURATION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/time.h"
+#include "net/http_listener.h"
+
+/** One part of a traffic split. */
+typedef struct cw_split_part {
+    char  *service;
+    double weight; /**< share is weight over the sum of the weights */
+} cw_split_part_t;
+
+typedef struct cw_route {
+    char            *name;
+    char            *host;
+    char            *prefix;       /**< begins and ends with a slash */
+    bool             repeatable;   /**< requests may run more than once */
+    cw_time_us_t     timeout;      /**< longest time a request is held; 0: the caller's own */
+    cw_time_us_t     aim;          /**< an answer within it has its full worth; 0: not told */
+    uint32_t         max_attempts; /**< servers one request may be sent to; at least 1 */
+    uint32_t         priority;     /**< 0 is the most urgent */
+    cw_split_part_t *parts;
+    size_t           part_count;
+} cw_route_t;
+
+typedef struct cw_service {
+    char        *name;
+    bool         keyed; /**< divided by key: a server runs only requests for keys it was granted */
+    uint32_t     max_connections;
+    cw_time_us_t warm_time; /**< keys without their last holder's handover are slow for so long */
+} cw_service_t;
+
+typedef struct cw_configuration {
+    uint64_t         version;
+    cw_route_t      *routes; /**< sorted by host, then by longer prefix first */
+    size_t           route_count;
+    cw_service_t    *services;
+    size_t           service_count;
+    cw_http_limits_t limits;
+    int              references;
+} cw_configuration_t;
+
+/** One reference, held by the caller. Never NULL. */
+cw_configuration_t *cw_configuration_create(uint64_t version);
+/** Room for one more; the strings in it are to be allocated and become the configuration's. */
+cw_route_t   *cw_configuration_add_route(cw_configuration_t *configuration);
+cw_service_t *cw_configuration_add_service(cw_configuration_t *configuration);
+void          cw_route_add_part(cw_route_t *route, const char *service, double weight);
+/** Sorts routes for matching; to be called once after the last was added. */
+void cw_configuration_seal(cw_configuration_t *configuration);
+
+cw_configuration_t *cw_configuration_hold(cw_configuration_t *configuration);
+void                cw_configuration_release(cw_configuration_t *configuration); /**< NULL is allowed */
+
+const cw_service_t *cw_configuration_service(const cw_configuration_t *configuration, const char *name);
+/** Route of a host (a port behind it is ignored) and path: the longest prefix that begins the path; NULL: none. */
+const cw_route_t *cw_configuration_match(const cw_configuration_t *configuration, const char *host, const char *path);
+
+#endif
--- /dev/null
+++ b/src/model/server_list.h
@@ -0,0 +1,46 @@
+/**
+ * @file server_list.h
+ * @brief The servers as the platform's list tells them: one snapshot, immutable and counted.
+ *
+ * A server's id names one life of it: a restart brings another id. A missing entry proves nothing about a server's end;
+ * another id at its address does.
+ */
+#ifndef CEDARWINCH_MODEL_SERVER_LIST_H
+#define CEDARWINCH_MODEL_SERVER_LIST_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/time.h"
+
+typedef struct cw_server_entry {
+    char        *id;
+    char        *service;
+    char        *address; /**< "IPv4:PORT" */
+    char        *zone;
+    uint32_t     capacity; /**< requests it works on at once */
+    bool         draining;
+    uint64_t     sequence; /**< rises with each heartbeat */
+    cw_time_us_t cold_time; /**< still slow after its start for so long, when it wrote this */
+} cw_server_entry_t;
+
+typedef struct cw_server_list {
+    cw_server_entry_t *entries; /**< sorted by id */
+    size_t             count;
+    int                references;
+} cw_server_list_t;
+
+cw_server_list_t  *cw_server_list_create(void);
+cw_server_entry_t *cw_server_list_add(cw_server_list_t *list);
+void               cw_server_list_seal(cw_server_list_t *list); /**< sorts; once, after the last was added */
+cw_server_list_t  *cw_server_list_hold(cw_server_list_t *list);
+void               cw_server_list_release(cw_server_list_t *list); /**< NULL is allowed */
+
+const cw_server_entry_t *cw_server_list_find(const cw_server_list_t *list, const char *id);
+/** Entry with this address and another id; NULL: none. */
+const cw_server_entry_t *cw_server_list_successor(const cw_server_list_t *list, const char *id, const char *address);
+/** Same servers in the same states; sequences and times are not compared. */
+bool cw_server_list_same(const cw_server_list_t *left, const cw_server_list_t *right);
+
+#endif
--- /dev/null
+++ b/src/net/byte_buffer.c
@@ -0,0 +1,69 @@
+/**
+ * @file byte_buffer.c
+ * @brief Growable bytes.
+ */
+#include "net/byte_buffer.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { FIRST_CAPACITY = 256, FORMAT_MAX = 512 };
+
+void cw_bytes_append(cw_bytes_t *bytes, const void *data, size_t length)
+{
+    size_t needed = bytes->length + length;
+
+    if (needed > bytes->capacity) {
+        if (bytes->capacity == 0) {
+            bytes->capacity = FIRST_CAPACITY;
+        }
+        while (bytes->capacity < needed) {
+            bytes->capacity *= 2;
+        }
+        bytes->data = realloc(bytes->data, bytes->capacity);
+        if (bytes->data == NULL) {
+            abort();
+        }
+    }
+    if (length > 0) {
+        memcpy(bytes->data + bytes->length, data, length);
+        bytes->length = needed;
+    }
+}
+
+void cw_bytes_append_text(cw_bytes_t *bytes, const char *text)
+{
+    cw_bytes_append(bytes, text, strlen(text));
+}
+
+void cw_bytes_append_format(cw_bytes_t *bytes, const char *format, ...)
+{
+    char    text[FORMAT_MAX];
+    va_list arguments;
+    int     length;
+
+    va_start(arguments, format);
+    length = vsnprintf(text, sizeof(text), format, arguments);
+    va_end(arguments);
+    if (length > 0) {
+        cw_bytes_append(bytes, text, (size_t)length < sizeof(text) ? (size_t)length : sizeof(text) - 1);
+    }
+}
+
+void cw_bytes_consume(cw_bytes_t *bytes, size_t length)
+{
+    if (length >= bytes->length) {
+        bytes->length = 0;
+        return;
+    }
+    memmove(bytes->data, bytes->data + length, bytes->length - length);
+    bytes->length -= length;
+}
+
+void cw_bytes_clear(cw_bytes_t *bytes)
+{
+    free(bytes->data);
+    memset(bytes, 0, sizeof(*bytes));
+}
--- /dev/null
+++ b/src/net/http_header.c
@@ -0,0 +1,114 @@
+/**
+ * @file http_header.c
+ * @brief Header fields of one HTTP message.
+ */
+#include "net/http_header.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+enum { FIRST_CAPACITY = 8 };
+
+static char *append(char *text, const char *bytes, size_t length)
+{
+    size_t before = text == NULL ? 0 : strlen(text);
+    char  *longer = realloc(text, before + length + 1);
+
+    if (longer == NULL) {
+        abort();
+    }
+    memcpy(longer + before, bytes, length);
+    longer[before + length] = '\0';
+    return longer;
+}
+
+static cw_http_field_t *begin_field(cw_http_fields_t *fields)
+{
+    if (fields->count == fields->capacity) {
+        fields->capacity = fields->capacity == 0 ? FIRST_CAPACITY : 2 * fields->capacity;
+        fields->items = realloc(fields->items, fields->capacity * sizeof(*fields->items));
+        if (fields->items == NULL) {
+            abort();
+        }
+    }
+    memset(&fields->items[fields->count], 0, sizeof(fields->items[0]));
+    return &fields->items[fields->count++];
+}
+
+void cw_http_field_builder_name(cw_http_field_builder_t *builder, cw_http_fields_t *fields, const char *bytes,
+                                size_t length)
+{
+    cw_http_field_t *field;
+
+    if (fields->count == 0 || builder->in_value) {
+        begin_field(fields);
+        builder->in_value = false;
+    }
+    field = &fields->items[fields->count - 1];
+    field->name = append(field->name, bytes, length);
+}
+
+void cw_http_field_builder_value(cw_http_field_builder_t *builder, cw_http_fields_t *fields, const char *bytes,
+                                 size_t length)
+{
+    cw_http_field_t *field = &fields->items[fields->count - 1];
+
+    builder->in_value = true;
+    field->value = append(field->value, bytes, length);
+}
+
+const char *cw_http_fields_find(const cw_http_fields_t *fields, const char *name)
+{
+    size_t index;
+
+    for (index = 0; index < fields->count; index++) {
+        if (strcasecmp(fields->items[index].name, name) == 0) {
+            return fields->items[index].value == NULL ? "" : fields->items[index].value;
+        }
+    }
+    return NULL;
+}
+
+/* Is the token in a comma separated list? */
+static bool list_has(const char *list, const char *token)
+{
+    size_t length = strlen(token);
+    size_t item;
+
+    while (list != NULL && *list != '\0') {
+        list += strspn(list, " \t,");
+        item = strcspn(list, " \t,");
+        if (item == length && strncasecmp(list, token, length) == 0) {
+            return true;
+        }
+        list += item;
+    }
+    return false;
+}
+
+bool cw_http_field_is_hop_by_hop(const cw_http_fields_t *fields, const char *name)
+{
+    static const char *const names[] = {"connection",       "keep-alive", "proxy-connection", "te", "trailer",
+                                        "transfer-encoding", "upgrade",    "content-length",   "expect"};
+    size_t                   index;
+
+    for (index = 0; index < sizeof(names) / sizeof(names[0]); index++) {
+        if (strcasecmp(name, names[index]) == 0) {
+            return true;
+        }
+    }
+    return list_has(cw_http_fields_find(fields, "connection"), name);
+}
+
+void cw_http_fields_clear(cw_http_fields_t *fields)
+{
+    size_t index;
+
+    for (index = 0; index < fields->count; index++) {
+        free(fields->items[index].name);
+        free(fields->items[index].value);
+    }
+    free(fields->items);
+    memset(fields, 0, sizeof(*fields));
+}
--- /dev/null
+++ b/src/net/http_upstream.c
@@ -0,0 +1,641 @@
+/**
+ * @file http_upstream.c
+ * @brief Calls, connections and pools of idle connections.
+ *
+ * A call owns its connection from start to end. `sent` is set just before the first write, so a call that ends without
+ * it has proved that nothing left. Idle connections are read, so that a peer's close (or a stray byte, which poisons
+ * the connection) is seen before the next use.
+ */
+#include "net/http_upstream.h"
+
+#include <errno.h>
+#include <http_parser.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <utlist.h>
+
+#include "net/byte_buffer.h"
+
+enum { READ_CHUNK = 16 * 1024, ADDRESS_MAX = 64, INTERIM_LAST = 199, KEEP_ALIVE_SHARE_NUM = 3, KEEP_ALIVE_SHARE_DEN = 5 };
+
+typedef struct cw_upstream_connection {
+    uv_tcp_t                       tcp; /* first: libuv's callbacks get this pointer */
+    uv_timer_t                     timer;
+    uv_connect_t                   connect;
+    uv_write_t                     write;
+    cw_upstream_target_t          *target;
+    cw_upstream_call_t            *call; /* NULL: idle or closing */
+    bool                           connected;
+    bool                           used;
+    bool                           closing;
+    bool                           writing;
+    bool                           is_idle;
+    int                            handles;
+    struct cw_upstream_connection *prev; /* utlist's names */
+    struct cw_upstream_connection *next;
+} cw_upstream_connection_t;
+
+struct cw_upstream_call {
+    cw_upstream_connection_t *connection;
+    cw_upstream_answered_t    answered;
+    void                     *context;
+    char                     *bytes;
+    size_t                    length;
+    size_t                    answer_max;
+    cw_time_us_t              due_us; /* 0: none */
+    bool                      is_head;
+    bool                      sent;
+    bool                      reused;
+    bool                      any_byte;
+    bool                      too_long;
+    bool                      complete;
+    bool                      poisoned; /* bytes came that belong to no request: not to be used again */
+    char                     *match_name;
+    char                     *match_value;
+    http_parser               parser;
+    cw_http_fields_t          fields;
+    cw_http_field_builder_t   builder;
+    bool                      head_done;
+    cw_bytes_t                body;
+};
+
+struct cw_upstream_target {
+    cw_upstream_t            *upstream;
+    struct sockaddr_in        place;
+    cw_upstream_connection_t *idle; /* most recently used first */
+    size_t                    idle_count;
+    size_t                    connections; /* not yet freed */
+    bool                      released;
+    cw_upstream_target_t     *prev; /* utlist's names */
+    cw_upstream_target_t     *next;
+};
+
+struct cw_upstream {
+    uv_loop_t            *loop;
+    cw_upstream_options_t options;
+    cw_upstream_target_t *targets;
+    uint64_t              opened;
+    bool                  released;
+    char                  chunk[READ_CHUNK];
+};
+
+static cw_time_us_t now_us(const cw_upstream_t *upstream)
+{
+    return CW_MS(uv_now(upstream->loop));
+}
+
+/* ---- release of memory ---- */
+
+static void free_if_unused(cw_upstream_target_t *target)
+{
+    cw_upstream_t *upstream = target->upstream;
+
+    if (!target->released || target->connections > 0) {
+        return;
+    }
+    DL_DELETE(upstream->targets, target);
+    free(target);
+    if (upstream->released && upstream->targets == NULL) {
+        free(upstream);
+    }
+}
+
+static void free_call(cw_upstream_call_t *call)
+{
+    cw_http_fields_clear(&call->fields);
+    cw_bytes_clear(&call->body);
+    free(call->match_name);
+    free(call->match_value);
+    free(call->bytes);
+    free(call);
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+    cw_upstream_connection_t *connection = handle->data;
+    cw_upstream_target_t     *target = connection->target;
+
+    if (--connection->handles > 0) {
+        return;
+    }
+    free(connection);
+    target->connections--;
+    free_if_unused(target);
+}
+
+static void leave_pool(cw_upstream_connection_t *connection)
+{
+    if (connection->is_idle) {
+        DL_DELETE(connection->target->idle, connection);
+        connection->target->idle_count--;
+        connection->is_idle = false;
+    }
+}
+
+static void close_connection(cw_upstream_connection_t *connection, bool reset)
+{
+    if (connection->closing) {
+        return;
+    }
+    connection->closing = true;
+    leave_pool(connection);
+    uv_close((uv_handle_t *)&connection->timer, on_closed);
+    if (!reset || uv_tcp_close_reset(&connection->tcp, on_closed) != 0) {
+        uv_close((uv_handle_t *)&connection->tcp, on_closed);
+    }
+}
+
+/* ---- end of a call ---- */
+
+static void on_timer(uv_timer_t *timer);
+
+static void arm(cw_upstream_connection_t *connection, cw_time_us_t due_us)
+{
+    cw_time_us_t wait_us = due_us - now_us(connection->target->upstream);
+
+    uv_timer_start(&connection->timer, on_timer, wait_us <= 0 ? 0 : (uint64_t)(wait_us / 1000) + 1, 0);
+}
+
+static cw_time_us_t idle_time(const cw_upstream_t *upstream, const cw_http_fields_t *fields)
+{
+    const char  *keep_alive = cw_http_fields_find(fields, "keep-alive");
+    const char  *timeout = keep_alive == NULL ? NULL : strcasestr(keep_alive, "timeout=");
+    cw_time_us_t told;
+
+    if (timeout == NULL) {
+        return upstream->options.idle_max;
+    }
+    /* Well before the peer closes: a request must not cross the close. */
+    told = CW_SECONDS(atoi(timeout + strlen("timeout="))) * KEEP_ALIVE_SHARE_NUM / KEEP_ALIVE_SHARE_DEN;
+    return told < upstream->options.idle_max ? told : upstream->options.idle_max;
+}
+
+static void keep(cw_upstream_connection_t *connection, cw_time_us_t idle)
+{
+    connection->used = true;
+    connection->is_idle = true;
+    DL_PREPEND(connection->target->idle, connection);
+    connection->target->idle_count++;
+    arm(connection, now_us(connection->target->upstream) + idle);
+}
+
+static void end_call(cw_upstream_call_t *call, cw_upstream_result_t result, const char *fault, bool reset)
+{
+    cw_upstream_connection_t *connection = call->connection;
+    cw_upstream_target_t     *target = connection->target;
+    cw_upstream_answer_t      answer = {.result = result, .fault = fault, .reused = call->reused, .reset = reset,
+                                        .any_byte = call->any_byte};
+
+    if (result != CW_UPSTREAM_ANSWERED && !call->sent) {
+        answer.result = CW_UPSTREAM_NOT_SENT;
+    }
+    connection->call = NULL;
+    if (result == CW_UPSTREAM_ANSWERED) {
+        answer.status = (int)call->parser.status_code;
+        answer.fields = &call->fields;
+        answer.body = call->body.data;
+        answer.body_length = call->body.length;
+        answer.closing = http_should_keep_alive(&call->parser) == 0;
+    }
+    if (result == CW_UPSTREAM_ANSWERED && call->complete && !call->poisoned && !answer.closing && !connection->writing &&
+        !target->released && idle_time(target->upstream, &call->fields) > 0) {
+        keep(connection, idle_time(target->upstream, &call->fields));
+    } else {
+        close_connection(connection, result == CW_UPSTREAM_TIMED_OUT && target->upstream->options.reset_on_abandon);
+    }
+    call->answered(call->context, &answer);
+    free_call(call);
+}
+
+void cw_upstream_call_abandon(cw_upstream_call_t *call)
+{
+    cw_upstream_connection_t *connection = call->connection;
+
+    connection->call = NULL;
+    close_connection(connection, connection->target->upstream->options.reset_on_abandon);
+    free_call(call);
+}
+
+bool cw_upstream_call_sent(const cw_upstream_call_t *call)
+{
+    return call->sent;
+}
+
+uint64_t cw_upstream_opened(const cw_upstream_t *upstream)
+{
+    return upstream->opened;
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+    cw_upstream_connection_t *connection = timer->data;
+
+    if (connection->call == NULL) {
+        close_connection(connection, false);
+    } else if (!connection->connected) {
+        end_call(connection->call, CW_UPSTREAM_TIMED_OUT, "no connection in time", false);
+    } else {
+        end_call(connection->call, CW_UPSTREAM_TIMED_OUT, "no answer in time", false);
+    }
+}
+
+/* ---- the answer ---- */
+
+static bool is_interim(const cw_upstream_call_t *call)
+{
+    return call->parser.status_code <= INTERIM_LAST;
+}
+
+static int on_name(http_parser *parser, const char *bytes, size_t length)
+{
+    cw_upstream_call_t *call = parser->data;
+
+    if (!call->head_done) {
+        cw_http_field_builder_name(&call->builder, &call->fields, bytes, length);
+    }
+    return 0;
+}
+
+static int on_value(http_parser *parser, const char *bytes, size_t length)
+{
+    cw_upstream_call_t *call = parser->data;
+
+    if (!call->head_done) {
+        cw_http_field_builder_value(&call->builder, &call->fields, bytes, length);
+    }
+    return 0;
+}
+
+static int on_head(http_parser *parser)
+{
+    cw_upstream_call_t *call = parser->data;
+
+    if (is_interim(call)) {
+        cw_http_fields_clear(&call->fields);
+        call->builder.in_value = false;
+        return 1;
+    }
+    call->head_done = true;
+    return call->is_head ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *bytes, size_t length)
+{
+    cw_upstream_call_t *call = parser->data;
+
+    if (call->body.length + length > call->answer_max) {
+        call->too_long = true;
+        return -1;
+    }
+    cw_bytes_append(&call->body, bytes, length);
+    return 0;
+}
+
+static int on_message(http_parser *parser)
+{
+    cw_upstream_call_t *call = parser->data;
+
+    if (!is_interim(call)) {
+        call->complete = true;
+        http_parser_pause(parser, 1);
+    }
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {.on_header_field = on_name,
+                                                     .on_header_value = on_value,
+                                                     .on_headers_complete = on_head,
+                                                     .on_body = on_body,
+                                                     .on_message_complete = on_message};
+
+/* Does the answer name another request than this call's? */
+static bool is_foreign(const cw_upstream_call_t *call)
+{
+    const char *echoed = call->match_name == NULL ? NULL : cw_http_fields_find(&call->fields, call->match_name);
+
+    return echoed != NULL && strcmp(echoed, call->match_value) != 0;
+}
+
+/* Throws an answer away that belongs to another request; this call's own may follow. */
+static void skip_answer(cw_upstream_call_t *call)
+{
+    call->poisoned = true;
+    call->complete = false;
+    call->head_done = false;
+    call->builder.in_value = false;
+    cw_http_fields_clear(&call->fields);
+    call->body.length = 0;
+    http_parser_init(&call->parser, HTTP_RESPONSE);
+    call->parser.data = call;
+}
+
+static void take_bytes(cw_upstream_call_t *call, const char *bytes, size_t length)
+{
+    size_t parsed;
+
+    call->any_byte = true;
+    parsed = http_parser_execute(&call->parser, &parser_settings, bytes, length);
+    while (call->complete && is_foreign(call)) {
+        bytes += parsed;
+        length -= parsed;
+        skip_answer(call);
+        parsed = http_parser_execute(&call->parser, &parser_settings, bytes, length);
+    }
+    if (call->complete) {
+        if (parsed < length) { /* the answer stands, its connection does not */
+            call->poisoned = true;
+        }
+        end_call(call, CW_UPSTREAM_ANSWERED, NULL, false);
+        return;
+    }
+    if (HTTP_PARSER_ERRNO(&call->parser) != HPE_OK || call->parser.upgrade) {
+        end_call(call, CW_UPSTREAM_BROKEN, call->too_long ? "answer too long" : "not an answer", false);
+    }
+}
+
+static void take_end(cw_upstream_call_t *call, ssize_t error)
+{
+    bool reset = error != UV_EOF;
+
+    if (!reset && call->head_done) {
+        (void)http_parser_execute(&call->parser, &parser_settings, NULL, 0);
+        if (call->complete && !is_foreign(call)) {
+            call->poisoned = true; /* the connection is at its end */
+            end_call(call, CW_UPSTREAM_ANSWERED, NULL, false);
+            return;
+        }
+    }
+    end_call(call, CW_UPSTREAM_BROKEN, reset ? "connection reset" : "connection ended early", reset);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+    cw_upstream_connection_t *connection = stream->data;
+
+    if (connection->closing || length == 0) {
+        return;
+    }
+    if (connection->call == NULL) { /* closed by the peer, or bytes that belong to no request */
+        close_connection(connection, false);
+    } else if (length < 0) {
+        take_end(connection->call, length);
+    } else {
+        take_bytes(connection->call, buffer->base, (size_t)length);
+    }
+}
+
+static void on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    cw_upstream_connection_t *connection = handle->data;
+
+    (void)suggested;
+    *buffer = uv_buf_init(connection->target->upstream->chunk, READ_CHUNK);
+}
+
+/* ---- the request ---- */
+
+static void on_written(uv_write_t *write, int status)
+{
+    cw_upstream_connection_t *connection = write->data;
+
+    connection->writing = false;
+    if (connection->closing || status == 0) {
+        return;
+    }
+    if (connection->call != NULL) {
+        end_call(connection->call, CW_UPSTREAM_BROKEN, "connection lost while sending", true);
+    }
+}
+
+/* Runs from the loop: failures may call back. */
+static void send_request(cw_upstream_connection_t *connection)
+{
+    cw_upstream_call_t *call = connection->call;
+    uv_buf_t            buffer = uv_buf_init(call->bytes, (unsigned)call->length);
+    int                 sent;
+
+    call->sent = true;
+    sent = uv_try_write((uv_stream_t *)&connection->tcp, &buffer, 1);
+    if (sent == (int)call->length) {
+        return;
+    }
+    if (sent > 0) {
+        buffer.base += sent;
+        buffer.len -= (size_t)sent;
+    }
+    connection->writing = true;
+    connection->write.data = connection;
+    if (uv_write(&connection->write, (uv_stream_t *)&connection->tcp, &buffer, 1, on_written) != 0) {
+        connection->writing = false;
+        arm(connection, now_us(connection->target->upstream)); /* fails from the loop */
+    }
+}
+
+static void on_connected(uv_connect_t *connect, int status)
+{
+    cw_upstream_connection_t *connection = connect->data;
+    int                       fd;
+    int                       user_timeout_ms = (int)(connection->target->upstream->options.unacknowledged / 1000);
+
+    if (connection->closing || connection->call == NULL) {
+        return;
+    }
+    if (status != 0) {
+        end_call(connection->call, CW_UPSTREAM_NOT_SENT, "connection refused", true);
+        return;
+    }
+    connection->connected = true;
+    uv_tcp_nodelay(&connection->tcp, 1);
+    if (user_timeout_ms > 0 && uv_fileno((uv_handle_t *)&connection->tcp, &fd) == 0) {
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
+    }
+    uv_read_start((uv_stream_t *)&connection->tcp, on_allocate, on_read);
+    if (connection->call->due_us > 0) {
+        arm(connection, connection->call->due_us);
+    } else {
+        uv_timer_stop(&connection->timer);
+    }
+    send_request(connection);
+}
+
+static cw_upstream_connection_t *open_connection(cw_upstream_target_t *target)
+{
+    cw_upstream_connection_t *connection = calloc(1, sizeof(*connection));
+
+    if (connection == NULL) {
+        abort();
+    }
+    connection->target = target;
+    connection->tcp.data = connection;
+    connection->timer.data = connection;
+    connection->connect.data = connection;
+    connection->handles = 2;
+    target->connections++;
+    target->upstream->opened++;
+    uv_tcp_init(target->upstream->loop, &connection->tcp);
+    uv_timer_init(target->upstream->loop, &connection->timer);
+    return connection;
+}
+
+static void on_begin(uv_timer_t *timer)
+{
+    cw_upstream_connection_t *connection = timer->data;
+
+    if (connection->call->due_us > 0) {
+        arm(connection, connection->call->due_us);
+    }
+    send_request(connection);
+}
+
+/* Has the peer closed, or sent bytes that nobody asked for, since the loop last looked? */
+static bool is_spent(const cw_upstream_connection_t *connection)
+{
+    int  fd;
+    char byte;
+
+    if (uv_fileno((const uv_handle_t *)&connection->tcp, &fd) != 0) {
+        return true;
+    }
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+static cw_upstream_connection_t *take_idle(cw_upstream_target_t *target)
+{
+    cw_upstream_connection_t *connection;
+
+    while ((connection = target->idle) != NULL) {
+        leave_pool(connection);
+        if (!is_spent(connection)) {
+            return connection;
+        }
+        close_connection(connection, false);
+    }
+    return NULL;
+}
+
+static void start_connect(cw_upstream_connection_t *connection, cw_time_us_t timeout)
+{
+    cw_time_us_t now = now_us(connection->target->upstream);
+    cw_time_us_t due = now + timeout;
+
+    if (connection->call->due_us > 0 && connection->call->due_us < due) {
+        due = connection->call->due_us;
+    }
+    arm(connection, due);
+    if (uv_tcp_connect(&connection->connect, &connection->tcp, (const struct sockaddr *)&connection->target->place,
+                       on_connected) != 0) {
+        arm(connection, now); /* fails from the loop */
+    }
+}
+
+cw_upstream_call_t *cw_upstream_call(cw_upstream_target_t *target, const cw_upstream_request_t *request,
+                                     cw_upstream_answered_t answered, void *context)
+{
+    cw_upstream_call_t       *call = calloc(1, sizeof(*call));
+    cw_upstream_connection_t *connection = request->fresh ? NULL : take_idle(target);
+
+    if (call == NULL || (call->bytes = malloc(request->length + 1)) == NULL) {
+        abort();
+    }
+    memcpy(call->bytes, request->bytes, request->length);
+    call->length = request->length;
+    call->answered = answered;
+    call->context = context;
+    call->is_head = request->is_head;
+    call->match_name = request->match_name == NULL ? NULL : strdup(request->match_name);
+    call->match_value = request->match_value == NULL ? NULL : strdup(request->match_value);
+    call->answer_max = request->answer_max;
+    call->due_us = request->timeout > 0 ? now_us(target->upstream) + request->timeout : 0;
+    http_parser_init(&call->parser, HTTP_RESPONSE);
+    call->parser.data = call;
+    if (connection != NULL) {
+        call->connection = connection;
+        call->reused = true;
+        connection->call = call;
+        if (uv_is_active((uv_handle_t *)&connection->timer)) {
+            uv_timer_stop(&connection->timer);
+        }
+        on_begin(&connection->timer);
+        return call;
+    }
+    connection = open_connection(target);
+    call->connection = connection;
+    connection->call = call;
+    start_connect(connection, request->connect_timeout);
+    return call;
+}
+
+/* ---- targets ---- */
+
+cw_upstream_target_t *cw_upstream_target_create(cw_upstream_t *upstream, const char *address)
+{
+    cw_upstream_target_t *target;
+    char                  host[ADDRESS_MAX];
+    const char           *colon = strrchr(address, ':');
+    struct sockaddr_in    place;
+
+    if (colon == NULL || (size_t)(colon - address) >= sizeof(host)) {
+        return NULL;
+    }
+    snprintf(host, sizeof(host), "%.*s", (int)(colon - address), address);
+    if (uv_ip4_addr(host, atoi(colon + 1), &place) != 0) {
+        return NULL;
+    }
+    target = calloc(1, sizeof(*target));
+    if (target == NULL) {
+        abort();
+    }
+    target->upstream = upstream;
+    target->place = place;
+    DL_APPEND(upstream->targets, target);
+    return target;
+}
+
+void cw_upstream_target_release(cw_upstream_target_t *target)
+{
+    cw_upstream_connection_t *connection;
+    cw_upstream_connection_t *next;
+
+    target->released = true;
+    DL_FOREACH_SAFE(target->idle, connection, next)
+    {
+        close_connection(connection, false);
+    }
+    free_if_unused(target);
+}
+
+size_t cw_upstream_target_idle(const cw_upstream_target_t *target)
+{
+    return target->idle_count;
+}
+
+cw_upstream_t *cw_upstream_create(uv_loop_t *loop, const cw_upstream_options_t *options)
+{
+    cw_upstream_t *upstream = calloc(1, sizeof(*upstream));
+
+    if (upstream == NULL) {
+        abort();
+    }
+    upstream->loop = loop;
+    upstream->options = *options;
+    return upstream;
+}
+
+void cw_upstream_free(cw_upstream_t *upstream)
+{
+    cw_upstream_target_t *target;
+    cw_upstream_target_t *next;
+
+    if (upstream->targets == NULL) {
+        free(upstream);
+        return;
+    }
+    upstream->released = true;
+    DL_FOREACH_SAFE(upstream->targets, target, next)
+    {
+        cw_upstream_target_release(target);
+    }
+}
--- /dev/null
+++ b/src/peer/peer_link.c
@@ -0,0 +1,204 @@
+/**
+ * @file peer_link.c
+ * @brief The socket and the peers known.
+ */
+#include "peer/peer_link.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { DATAGRAM_MAX = 60000, PACK_MAX = 48 * 1024 };
+
+struct cw_peer_link {
+    uv_loop_t        *loop;
+    uv_udp_t          socket;
+    uint32_t          address;
+    uint16_t          port;
+    cw_peer_handler_t handler;
+    cw_peer_t        *peers;
+    uint8_t          *packed; /* room for the longest datagram so far */
+    size_t            packed_capacity;
+    char             *received;
+    bool              closed;
+};
+
+static void on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    cw_peer_link_t *link = handle->data;
+
+    (void)suggested;
+    *buffer = uv_buf_init(link->received, DATAGRAM_MAX);
+}
+
+static void on_received(uv_udp_t *socket, ssize_t length, const uv_buf_t *buffer, const struct sockaddr *from,
+                        unsigned flags)
+{
+    cw_peer_link_t *link = socket->data;
+    Cwp__Datagram  *datagram;
+    cw_peer_t      *peer;
+
+    if (length <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0) {
+        return;
+    }
+    datagram = cwp__datagram__unpack(NULL, (size_t)length, (const uint8_t *)buffer->base);
+    if (datagram == NULL) {
+        return;
+    }
+    peer = cw_peer_link_learn(link, ((const struct sockaddr_in *)from)->sin_addr.s_addr, CW_MS(uv_now(link->loop)));
+    if (peer != NULL) {
+        link->handler.datagram(link->handler.context, peer, datagram);
+    }
+    cwp__datagram__free_unpacked(datagram, NULL);
+}
+
+int cw_peer_link_create(cw_peer_link_t **created, uv_loop_t *loop, const char *address, uint16_t port,
+                        const cw_peer_handler_t *handler)
+{
+    cw_peer_link_t    *link = calloc(1, sizeof(*link));
+    struct sockaddr_in place;
+    int                error;
+
+    if (link == NULL || (link->received = malloc(DATAGRAM_MAX)) == NULL) {
+        abort();
+    }
+    link->loop = loop;
+    link->port = port;
+    link->handler = *handler;
+    link->socket.data = link;
+    *created = link;
+    error = uv_ip4_addr(address, port, &place);
+    if (error != 0) {
+        return error;
+    }
+    link->address = place.sin_addr.s_addr;
+    uv_udp_init(loop, &link->socket);
+    error = uv_udp_bind(&link->socket, (const struct sockaddr *)&place, 0);
+    if (error == 0) {
+        error = uv_udp_recv_start(&link->socket, on_allocate, on_received);
+    }
+    return error;
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+    cw_peer_link_t *link = handle->data;
+    cw_peer_t      *peer;
+
+    while ((peer = link->peers) != NULL) {
+        link->peers = peer->next;
+        free(peer);
+    }
+    free(link->packed);
+    free(link->received);
+    free(link);
+}
+
+void cw_peer_link_close(cw_peer_link_t *link)
+{
+    if (!link->closed) {
+        link->closed = true;
+        uv_close((uv_handle_t *)&link->socket, on_closed);
+    }
+}
+
+cw_peer_t *cw_peer_link_peers(cw_peer_link_t *link)
+{
+    return link->peers;
+}
+
+cw_peer_t *cw_peer_link_learn(cw_peer_link_t *link, uint32_t address, cw_time_us_t now)
+{
+    cw_peer_t *peer;
+
+    if (address == link->address || address == 0) {
+        return NULL;
+    }
+    for (peer = link->peers; peer != NULL; peer = peer->next) {
+        if (peer->address == address) {
+            peer->told_at = now;
+            return peer;
+        }
+    }
+    peer = calloc(1, sizeof(*peer));
+    if (peer == NULL) {
+        abort();
+    }
+    peer->address = address;
+    peer->told_at = now;
+    inet_ntop(AF_INET, &address, peer->text, sizeof(peer->text));
+    peer->next = link->peers;
+    link->peers = peer;
+    return peer;
+}
+
+cw_peer_t *cw_peer_link_learn_text(cw_peer_link_t *link, const char *address, cw_time_us_t now)
+{
+    char           host[INET_ADDRSTRLEN];
+    struct in_addr number;
+
+    snprintf(host, sizeof(host), "%.*s", (int)strcspn(address, ":"), address);
+    return inet_pton(AF_INET, host, &number) == 1 ? cw_peer_link_learn(link, number.s_addr, now) : NULL;
+}
+
+size_t cw_peer_link_pack(cw_peer_link_t *link, const Cwp__Datagram *datagram)
+{
+    size_t length = cwp__datagram__get_packed_size(datagram);
+
+    if (length > PACK_MAX) {
+        return 0;
+    }
+    if (length > link->packed_capacity) {
+        link->packed = realloc(link->packed, length);
+        if (link->packed == NULL) {
+            abort();
+        }
+        link->packed_capacity = length;
+    }
+    return cwp__datagram__pack(datagram, link->packed);
+}
+
+void cw_peer_link_send_packed(cw_peer_link_t *link, const cw_peer_t *peer, size_t length)
+{
+    struct sockaddr_in place = {.sin_family = AF_INET, .sin_port = htons(link->port)};
+    uv_buf_t           buffer = uv_buf_init((char *)link->packed, (unsigned)length);
+
+    if (length == 0 || link->closed) {
+        return;
+    }
+    place.sin_addr.s_addr = peer->address;
+    (void)uv_udp_try_send(&link->socket, &buffer, 1, (const struct sockaddr *)&place);
+}
+
+void cw_peer_link_send(cw_peer_link_t *link, const cw_peer_t *peer, const Cwp__Datagram *datagram)
+{
+    cw_peer_link_send_packed(link, peer, cw_peer_link_pack(link, datagram));
+}
+
+void cw_peer_link_expire(cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now)
+{
+    cw_peer_t **place = &link->peers;
+
+    while (*place != NULL) {
+        cw_peer_t *peer = *place;
+
+        if (now - (peer->heard_at > peer->told_at ? peer->heard_at : peer->told_at) > silence) {
+            *place = peer->next;
+            free(peer);
+        } else {
+            place = &peer->next;
+        }
+    }
+}
+
+uint32_t cw_peer_link_alive(const cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now)
+{
+    const cw_peer_t *peer;
+    uint32_t         count = 0;
+
+    for (peer = link->peers; peer != NULL; peer = peer->next) {
+        count += peer->heard_at != 0 && now - peer->heard_at <= silence ? 1 : 0;
+    }
+    return count;
+}
--- /dev/null
+++ b/src/peer/peer_link.h
@@ -0,0 +1,61 @@
+/**
+ * @file peer_link.h
+ * @brief Datagrams between nodes, and the nodes known.
+ *
+ * All nodes listen on the same port. A node is known by its address once a datagram came from it, or as an address that
+ * was told (seeds, the lock's holder, the leader's list). Nodes that stay silent are forgotten.
+ */
+#ifndef CEDARWINCH_PEER_PEER_LINK_H
+#define CEDARWINCH_PEER_PEER_LINK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "base/time.h"
+#include "peer.pb-c.h"
+
+typedef struct cw_peer_link cw_peer_link_t;
+
+typedef struct cw_peer {
+    uint32_t        address; /**< IPv4, in network order */
+    char            text[16];
+    char            node[64];
+    char            zone[64];
+    uint64_t        incarnation;
+    uint32_t        sequence;
+    cw_time_us_t    heard_at; /**< 0: never */
+    cw_time_us_t    told_at;  /**< when its address was told */
+    bool            stopping;
+    bool            is_lost;
+    uint64_t        term; /**< of the view it has */
+    uint64_t        servers;
+    uint64_t        tables;
+    cw_time_us_t    servers_sent_at;
+    cw_time_us_t    tables_sent_at;
+    struct cw_peer *next;
+} cw_peer_t;
+
+typedef struct cw_peer_handler {
+    void *context;
+    void (*datagram)(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
+} cw_peer_handler_t;
+
+int        cw_peer_link_create(cw_peer_link_t **link, uv_loop_t *loop, const char *address, uint16_t port,
+                               const cw_peer_handler_t *handler);
+void       cw_peer_link_close(cw_peer_link_t *link);
+/** An address that may be a node's; this node's own is left out. */
+cw_peer_t *cw_peer_link_learn(cw_peer_link_t *link, uint32_t address, cw_time_us_t now);
+cw_peer_t *cw_peer_link_learn_text(cw_peer_link_t *link, const char *address, cw_time_us_t now);
+cw_peer_t *cw_peer_link_peers(cw_peer_link_t *link); /**< linked by next */
+/** Packs once, sends to one peer. What the socket does not take is lost. */
+void cw_peer_link_send(cw_peer_link_t *link, const cw_peer_t *peer, const Cwp__Datagram *datagram);
+/** Packs for cw_peer_link_send_packed. */
+size_t   cw_peer_link_pack(cw_peer_link_t *link, const Cwp__Datagram *datagram);
+void     cw_peer_link_send_packed(cw_peer_link_t *link, const cw_peer_t *peer, size_t length);
+/** Forgets peers unheard of for so long. */
+void     cw_peer_link_expire(cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now);
+/** Peers heard within `silence`. */
+uint32_t cw_peer_link_alive(const cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now);
+
+#endif
--- /dev/null
+++ b/src/placement/load_window.c
@@ -0,0 +1,85 @@
+/**
+ * @file load_window.c
+ * @brief Recent keys, each weighed by exp(-age / CW_LOAD_MEMORY): a rate that follows a change within seconds.
+ */
+#include "placement/load_window.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const double memory_s = 1.6; /* time constant; shorter follows faster and sees more noise */
+static const double horizon_s = 6.4;
+
+void cw_load_window_add(cw_load_window_t *window, uint32_t key, double weight, cw_time_us_t now)
+{
+    cw_load_sample_t *sample;
+
+    if (window->samples == NULL) {
+        window->samples = calloc(CW_LOAD_SAMPLES_MAX, sizeof(*window->samples));
+        if (window->samples == NULL) {
+            abort();
+        }
+    }
+    sample = &window->samples[window->next];
+    sample->key = key;
+    sample->weight = (float)weight;
+    sample->at_ms = (uint32_t)(now / 1000);
+    window->next = (window->next + 1) % CW_LOAD_SAMPLES_MAX;
+    if (window->count < CW_LOAD_SAMPLES_MAX) {
+        window->count++;
+    }
+}
+
+static int compare_keys(const void *left, const void *right)
+{
+    const cw_key_load_t *a = left;
+    const cw_key_load_t *b = right;
+
+    return a->key < b->key ? -1 : a->key > b->key;
+}
+
+static size_t join_same(cw_key_load_t *loads, size_t count)
+{
+    size_t index;
+    size_t kept = 0;
+
+    for (index = 0; index < count; index++) {
+        if (kept > 0 && loads[kept - 1].key == loads[index].key) {
+            loads[kept - 1].per_s += loads[index].per_s;
+        } else {
+            loads[kept++] = loads[index];
+        }
+    }
+    return kept;
+}
+
+size_t cw_load_window_read(const cw_load_window_t *window, cw_time_us_t now, cw_key_load_t **loads)
+{
+    uint32_t now_ms = (uint32_t)(now / 1000);
+    size_t   count = 0;
+    size_t   index;
+
+    *loads = malloc((window->count + 1) * sizeof(**loads));
+    if (*loads == NULL) {
+        abort();
+    }
+    for (index = 0; index < window->count; index++) {
+        double age_s = (double)(now_ms - window->samples[index].at_ms) / 1000;
+
+        if (age_s > horizon_s) {
+            continue;
+        }
+        (*loads)[count].key = window->samples[index].key;
+        (*loads)[count].per_s = (double)window->samples[index].weight * exp(-age_s / memory_s) / memory_s;
+        count++;
+    }
+    qsort(*loads, count, sizeof(**loads), compare_keys);
+    return join_same(*loads, count);
+}
+
+void cw_load_window_clear(cw_load_window_t *window)
+{
+    free(window->samples);
+    memset(window, 0, sizeof(*window));
+}
--- /dev/null
+++ b/src/placement/load_window.h
@@ -0,0 +1,38 @@
+/**
+ * @file load_window.h
+ * @brief The keys of recent requests to one service, weighed by age: what the planner knows of load.
+ */
+#ifndef CEDARWINCH_PLACEMENT_LOAD_WINDOW_H
+#define CEDARWINCH_PLACEMENT_LOAD_WINDOW_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/time.h"
+
+typedef struct cw_load_sample {
+    uint32_t key;
+    float    weight; /**< requests it stands for */
+    uint32_t at_ms;
+} cw_load_sample_t;
+
+enum { CW_LOAD_SAMPLES_MAX = 2048 };
+
+typedef struct cw_load_window {
+    cw_load_sample_t *samples; /**< a ring */
+    size_t            count;
+    size_t            next;
+} cw_load_window_t;
+
+/** A key with its share of the load, requests a second. */
+typedef struct cw_key_load {
+    uint32_t key;
+    double   per_s;
+} cw_key_load_t;
+
+void cw_load_window_add(cw_load_window_t *window, uint32_t key, double weight, cw_time_us_t now);
+/** Load of each key seen lately, in order of keys; returns how many. The array is to be freed. */
+size_t cw_load_window_read(const cw_load_window_t *window, cw_time_us_t now, cw_key_load_t **loads);
+void   cw_load_window_clear(cw_load_window_t *window);
+
+#endif
--- /dev/null
+++ b/src/placement/planner.c
@@ -0,0 +1,333 @@
+/**
+ * @file planner.c
+ * @brief Forced moves, balance and joins.
+ */
+#include "placement/planner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { LOST_MS = 1200 };
+
+static const double fit_low = 0.35; /* a piece is worth moving from this share of what should move */
+static const double fit_high = 1.5;
+static const double key_weight = 1e-7; /* breaks ties of load by the number of keys held */
+
+typedef struct planner {
+    cw_keeper_t                 *keeper;
+    const cw_planner_settings_t *settings;
+    cw_planner_server_t         *servers;
+    size_t                       server_count;
+    const cw_server_list_t      *list;
+    cw_key_load_t               *loads;
+    size_t                       load_count;
+    cw_time_us_t                 now;
+    size_t                       changes;
+} planner_t;
+
+/** A piece of a range that could move. */
+typedef struct piece {
+    uint32_t low;
+    uint32_t last;
+    double   per_s;
+} piece_t;
+
+static cw_planner_server_t *server_of(const planner_t *planner, const char *id)
+{
+    size_t index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        if (strcmp(planner->servers[index].entry->id, id) == 0) {
+            return &planner->servers[index];
+        }
+    }
+    return NULL;
+}
+
+/* First load at or above a key. */
+static size_t first_load(const planner_t *planner, uint32_t key)
+{
+    size_t low = 0;
+    size_t high = planner->load_count;
+
+    while (low < high) {
+        size_t middle = low + (high - low) / 2;
+
+        if (planner->loads[middle].key < key) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+static double load_between(const planner_t *planner, uint32_t low, uint32_t last)
+{
+    double sum = 0;
+    size_t index;
+
+    for (index = first_load(planner, low); index < planner->load_count && planner->loads[index].key <= last; index++) {
+        sum += planner->loads[index].per_s;
+    }
+    return sum;
+}
+
+static void measure_servers(planner_t *planner)
+{
+    const cw_range_list_t *ranges = cw_keeper_ranges(planner->keeper);
+    size_t                 index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        planner->servers[index].load = 0;
+        planner->servers[index].keys = 0;
+    }
+    for (index = 0; index < ranges->count; index++) {
+        const cw_range_t    *range = &ranges->items[index];
+        cw_planner_server_t *server = server_of(planner, range->owner.id);
+
+        if (server != NULL) {
+            server->load += load_between(planner, range->low, range->last) * server->cost_s;
+            server->keys += range->last - range->low + 1;
+        }
+    }
+}
+
+static double rank(const cw_planner_server_t *server)
+{
+    return server->load + key_weight * server->keys;
+}
+
+static cw_planner_server_t *least_busy(const planner_t *planner, const char *except)
+{
+    cw_planner_server_t *best = NULL;
+    size_t               index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        cw_planner_server_t *server = &planner->servers[index];
+
+        if (server->usable && strcmp(server->entry->id, except) != 0 && (best == NULL || rank(server) < rank(best))) {
+            best = server;
+        }
+    }
+    return best;
+}
+
+static void move(planner_t *planner, const piece_t *piece, cw_planner_server_t *from, cw_planner_server_t *to)
+{
+    cw_keeper_plan_move(planner->keeper, piece->low, piece->last, to->entry, planner->list);
+    if (from != NULL) {
+        from->load -= piece->per_s * from->cost_s;
+        from->keys -= piece->last - piece->low + 1;
+    }
+    to->load += piece->per_s * to->cost_s;
+    to->keys += piece->last - piece->low + 1;
+    planner->changes++;
+}
+
+/* ---- what must move ---- */
+
+static bool must_move(const planner_t *planner, const cw_range_t *range)
+{
+    const cw_planner_server_t *server = server_of(planner, range->owner.id);
+
+    if (server == NULL || server->entry->draining) {
+        return true;
+    }
+    return range->phase != CW_RANGE_RELEASING && range->failing_since != 0 &&
+           planner->now - range->failing_since > CW_MS(LOST_MS);
+}
+
+static void plan_forced(planner_t *planner)
+{
+    /* The keeper's own list does not change while a plan is made. */
+    const cw_range_list_t *ranges = cw_keeper_ranges(planner->keeper);
+    bool                   unreachable = cw_keeper_failing_share(planner->keeper, planner->now) > 0.5;
+    size_t                 index;
+
+    for (index = 0; index < ranges->count; index++) {
+        const cw_range_t    *range = &ranges->items[index];
+        cw_planner_server_t *from = server_of(planner, range->owner.id);
+        cw_planner_server_t *to;
+        piece_t              piece = {range->low, range->last, 0};
+
+        if (!must_move(planner, range) || (from != NULL && !from->entry->draining && unreachable)) {
+            continue;
+        }
+        to = least_busy(planner, range->owner.id);
+        if (to != NULL) {
+            piece.per_s = load_between(planner, range->low, range->last);
+            move(planner, &piece, from, to);
+        }
+    }
+}
+
+/* ---- balance ---- */
+
+/* Shortest piece at one end of a range with at least the wanted load. */
+static piece_t cut_end(const planner_t *planner, const cw_range_t *range, double wanted, bool at_low_end)
+{
+    piece_t piece = {range->low, range->last, 0};
+    size_t  first = first_load(planner, range->low);
+    size_t  end = first_load(planner, range->last + 1);
+    size_t  step;
+
+    for (step = 0; step < end - first; step++) {
+        const cw_key_load_t *load = &planner->loads[at_low_end ? first + step : end - 1 - step];
+
+        if (piece.per_s > 0 && piece.per_s + load->per_s > wanted * fit_high) {
+            break;
+        }
+        piece.per_s += load->per_s;
+        if (at_low_end) {
+            piece.last = load->key;
+        } else {
+            piece.low = load->key;
+        }
+        if (piece.per_s >= wanted) {
+            break;
+        }
+    }
+    return piece;
+}
+
+static double misfit(double per_s, double wanted)
+{
+    return per_s > wanted ? per_s - wanted : wanted - per_s;
+}
+
+static void consider(const piece_t *piece, double wanted, piece_t *best)
+{
+    if (piece->per_s < wanted * fit_low || piece->per_s > wanted * fit_high) {
+        return;
+    }
+    if (best->per_s == 0 || misfit(piece->per_s, wanted) < misfit(best->per_s, wanted)) {
+        *best = *piece;
+    }
+}
+
+static bool is_moveable(const planner_t *planner, const cw_range_t *range)
+{
+    return cw_keeper_is_settled(planner->keeper, range, planner->now) &&
+           planner->now - range->moved_at > planner->settings->rest;
+}
+
+static bool choose_piece(const planner_t *planner, const cw_planner_server_t *from, double wanted, piece_t *best)
+{
+    const cw_range_list_t *ranges = cw_keeper_ranges(planner->keeper);
+    size_t                 index;
+
+    memset(best, 0, sizeof(*best));
+    for (index = 0; index < ranges->count; index++) {
+        const cw_range_t *range = &ranges->items[index];
+        piece_t           piece;
+
+        if (strcmp(range->owner.id, from->entry->id) != 0 || !is_moveable(planner, range)) {
+            continue;
+        }
+        piece = cut_end(planner, range, wanted, true);
+        consider(&piece, wanted, best);
+        piece = cut_end(planner, range, wanted, false);
+        consider(&piece, wanted, best);
+    }
+    return best->per_s > 0;
+}
+
+static cw_planner_server_t *busiest(const planner_t *planner, const bool *tried)
+{
+    cw_planner_server_t *best = NULL;
+    size_t               index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        if (!tried[index] && (best == NULL || planner->servers[index].load > best->load)) {
+            best = &planner->servers[index];
+        }
+    }
+    return best;
+}
+
+static bool relieve(planner_t *planner, cw_planner_server_t *from)
+{
+    cw_planner_server_t *to = least_busy(planner, from->entry->id);
+    double               wanted;
+    piece_t              piece;
+
+    if (to == NULL || from->load < planner->settings->high || from->load - to->load < planner->settings->gap) {
+        return false;
+    }
+    wanted = (from->load - to->load) / (from->cost_s + to->cost_s);
+    if (!choose_piece(planner, from, wanted, &piece)) {
+        return false;
+    }
+    move(planner, &piece, from, to);
+    return true;
+}
+
+static void plan_balance(planner_t *planner)
+{
+    bool  *tried = calloc(planner->server_count + 1, sizeof(*tried));
+    size_t moves = 0;
+    size_t round;
+
+    if (tried == NULL) {
+        abort();
+    }
+    for (round = 0; round < planner->server_count && moves < planner->settings->moves_max; round++) {
+        cw_planner_server_t *from = busiest(planner, tried);
+
+        if (from == NULL) {
+            break;
+        }
+        tried[from - planner->servers] = true; /* one piece from each server: ranges are as the record has them */
+        moves += relieve(planner, from) ? 1 : 0;
+    }
+    free(tried);
+}
+
+/* ---- joins ---- */
+
+static void plan_joins(planner_t *planner)
+{
+    const cw_range_list_t *ranges = cw_keeper_ranges(planner->keeper);
+    size_t                 index;
+
+    if (ranges->count <= planner->settings->ranges_each * planner->server_count) {
+        return;
+    }
+    for (index = 0; index + 1 < ranges->count; index++) {
+        if (cw_keeper_is_settled(planner->keeper, &ranges->items[index], planner->now) &&
+            cw_keeper_is_settled(planner->keeper, &ranges->items[index + 1], planner->now) &&
+            cw_keeper_plan_merge(planner->keeper, ranges->items[index].low)) {
+            planner->changes++;
+            return;
+        }
+    }
+}
+
+size_t cw_planner_run(cw_keeper_t *keeper, const cw_planner_settings_t *settings, cw_planner_server_t *servers,
+                      size_t server_count, const cw_server_list_t *list, const cw_load_window_t *window,
+                      cw_time_us_t now)
+{
+    planner_t planner = {.keeper = keeper,
+                         .settings = settings,
+                         .servers = servers,
+                         .server_count = server_count,
+                         .list = list,
+                         .now = now};
+
+    if (cw_keeper_state(keeper) != CW_KEEPER_READY || !cw_keeper_may_plan(keeper)) {
+        return 0;
+    }
+    planner.load_count = cw_load_window_read(window, now, &planner.loads);
+    measure_servers(&planner);
+    plan_forced(&planner);
+    if (planner.changes == 0) {
+        plan_balance(&planner);
+    }
+    if (planner.changes == 0) {
+        plan_joins(&planner);
+    }
+    cw_keeper_plan_write(keeper, now);
+    free(planner.loads);
+    return planner.changes;
+}
--- /dev/null
+++ b/src/placement/planner.h
@@ -0,0 +1,37 @@
+/**
+ * @file planner.h
+ * @brief Which ranges should move, and where: a pure function of ranges, servers and the keys' loads.
+ *
+ * First what must move: ranges of servers that leave, are gone or cannot be reached. Then balance: pieces of the
+ * busiest server's ranges go to the least busy one, as long as that earns more than it costs. Last, neighbours with
+ * one owner are joined, so that the number of ranges stays bounded.
+ */
+#ifndef CEDARWINCH_PLACEMENT_PLANNER_H
+#define CEDARWINCH_PLACEMENT_PLANNER_H
+
+#include "assignment/keeper.h"
+#include "placement/load_window.h"
+
+/** A server of the service as the planner sees it. */
+typedef struct cw_planner_server {
+    const cw_server_entry_t *entry;
+    bool                     usable;  /**< may be given keys */
+    double                   cost_s;  /**< share of its slots that one request a second takes */
+    double                   load;    /**< filled by the planner: share of its slots that is busy */
+    uint32_t                 keys;    /**< filled by the planner */
+} cw_planner_server_t;
+
+typedef struct cw_planner_settings {
+    double   high;        /**< no balance below this busy share of the busiest server */
+    double   gap;         /**< smallest difference in busy share that is worth a move */
+    size_t   moves_max;   /**< in one plan, for balance */
+    size_t   ranges_each; /**< joins begin above this many ranges for each server */
+    cw_time_us_t rest;    /**< a range that has moved stays for so long */
+} cw_planner_settings_t;
+
+/** Plans into the keeper and hands the plan in. Returns the number of changes. */
+size_t cw_planner_run(cw_keeper_t *keeper, const cw_planner_settings_t *settings, cw_planner_server_t *servers,
+                      size_t server_count, const cw_server_list_t *list, const cw_load_window_t *window,
+                      cw_time_us_t now);
+
+#endif
--- /dev/null
+++ b/src/proxy/engine.h
@@ -0,0 +1,103 @@
+/**
+ * @file engine.h
+ * @brief From a caller's request to its one answer: route, server, queue, attempts, time limits.
+ *
+ * Rules:
+ *  - A request that may not be repeated is sent again only if no byte of it left this process, or the server itself
+ *    said that it did not run it. Each caller's attempt has an id of its own, so no other node ever sends it.
+ *  - 503 and 429 promise that the request has not run and never will. What was sent, and not denied by the server,
+ *    ends as the server's whole answer, 502 (broken or lost) or 504 (time is over).
+ *  - A refusal is given as soon as it is clear that the request would come too late, and says when to come back.
+ *  - A request is given up at its time limit at the latest (the route's, or the caller's if that is shorter), and the
+ *    answer leaves at once.
+ *  - Requests wait here, in order of priority and deadline, not at servers: a server gets no more than its slots (and,
+ *    for keys that only it holds, a few more).
+ */
+#ifndef CEDARWINCH_PROXY_ENGINE_H
+#define CEDARWINCH_PROXY_ENGINE_H
+
+#include <uv.h>
+
+#include "balance/server_pool.h"
+#include "model/configuration.h"
+#include "net/http_listener.h"
+#include "net/http_upstream.h"
+#include "retry/shared_budget.h"
+
+/** Names that callers and servers use in headers. */
+typedef struct cw_header_names {
+    const char *request_id; /**< echoed by servers */
+    const char *deadline;   /**< milliseconds the sender will wait */
+    const char *target;     /**< to a server: the id of the one that is meant */
+    const char *not_run;    /**< from a server: it did not run the request */
+    const char *key;        /**< number of the key */
+    const char *signature;  /**< from a server: the answer is its own */
+} cw_header_names_t;
+
+typedef struct cw_engine_settings {
+    cw_header_names_t    names;
+    cw_choice_settings_t choice;
+    cw_budget_settings_t budget;
+    double               keyed_extra_slots; /**< requests an owner of keys may have beyond its slots */
+    cw_time_us_t         connect_timeout;
+    double               silence_factor; /**< a repeatable request is repeated after so many usual times of silence */
+    cw_time_us_t         margin;         /**< answers leave this much before the caller's own deadline */
+    size_t               answer_max;
+    size_t               queue_max; /**< requests waiting for one service */
+} cw_engine_settings_t;
+
+/** Where the keys of a service are, as the leader told it. */
+typedef struct cw_key_route {
+    uint32_t low;
+    uint32_t last;
+    char     server[48];
+    uint64_t fence;
+    bool     routable; /**< the owner holds the keys now */
+} cw_key_route_t;
+
+/** Keys of requests since the last report, for the leader. */
+typedef struct cw_key_samples {
+    uint32_t keys[64];
+    uint32_t count;
+    uint32_t seen; /**< requests they stand for */
+} cw_key_samples_t;
+
+typedef struct cw_engine cw_engine_t;
+
+cw_engine_t *cw_engine_create(uv_loop_t *loop, const cw_engine_settings_t *settings, cw_server_pool_t *pool,
+                              cw_upstream_t *upstream);
+void         cw_engine_set_configuration(cw_engine_t *engine, cw_configuration_t *configuration);
+void         cw_engine_set_nodes(cw_engine_t *engine, uint32_t nodes);
+void         cw_engine_set_table(cw_engine_t *engine, const char *service, const cw_key_route_t *routes, size_t count,
+                                 uint64_t version);
+/** Until when the tables may be used without a fresh word. */
+void cw_engine_set_tables_valid(cw_engine_t *engine, cw_time_us_t until);
+/** Slots, servers or tables have changed: looks at what waits. */
+void cw_engine_wake(cw_engine_t *engine);
+/** A server has left the pool: its connections go. */
+void cw_engine_forget_server(cw_engine_t *engine, cw_server_t *server);
+
+void cw_engine_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound);
+void cw_engine_gone(cw_engine_t *engine, cw_http_exchange_t *exchange);
+
+size_t cw_engine_requests(const cw_engine_t *engine); /**< not answered yet */
+size_t cw_engine_queued(const cw_engine_t *engine);
+
+/** Calls back for each service with keys seen since the last call, and forgets them. */
+void cw_engine_take_samples(cw_engine_t *engine,
+                            void (*take)(void *context, const char *service, const cw_key_samples_t *samples),
+                            void *context);
+/** Requests waiting here for a service. */
+void cw_engine_each_queue(cw_engine_t *engine, void (*tell)(void *context, const char *service, uint32_t queued),
+                          void *context);
+/** All services that requests went to. */
+void cw_engine_each_service(cw_engine_t *engine, void (*tell)(void *context, const char *service, uint32_t queued),
+                            void *context);
+/** Requests that wait at other nodes for a service. */
+void cw_engine_set_queued_elsewhere(cw_engine_t *engine, const char *service, uint32_t queued);
+/** Usual time of a request of a service, microseconds. */
+cw_time_us_t cw_engine_usual_time(cw_engine_t *engine, const char *service);
+/** Set while requests under way changed since it was last cleared: a reason to report soon. */
+bool cw_engine_take_changed(cw_engine_t *engine);
+
+#endif
--- /dev/null
+++ b/src/proxy/engine_answer.c
@@ -0,0 +1,196 @@
+/**
+ * @file engine_answer.c
+ * @brief A request's one answer, and its end.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "proxy/engine_internal.h"
+
+enum { STATUS_BAD_GATEWAY = 502, STATUS_UNAVAILABLE = 503, STATUS_GATEWAY_TIMEOUT = 504, STATUS_TOO_MANY = 429,
+       STATUS_TIMEOUT = 408, COME_BACK_PART = 4 };
+
+static const cw_time_us_t come_back_min = CW_MS(40);
+static const cw_time_us_t come_back_owner = CW_MS(250);
+
+static void on_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+void cw_request_end(cw_request_t *request)
+{
+    if (request->is_ended) {
+        return;
+    }
+    cw_request_unqueue(request);
+    if (request->call != NULL) {
+        cw_request_abandon(request);
+    } else if (request->server != NULL) {
+        cw_server_t *server = request->server;
+
+        request->server = NULL;
+        request->engine->changed = true;
+        cw_server_pool_end(request->engine->pool, server);
+        cw_engine_wake(request->engine);
+    }
+    request->is_ended = true;
+    request->engine->requests--;
+    cw_http_exchange_set_data(request->exchange, NULL);
+    cw_configuration_release(request->configuration);
+    uv_close((uv_handle_t *)&request->timer, on_closed);
+}
+
+/* The exchange may begin its next request when it is answered, so the request ends first. */
+static void answer_and_end(cw_request_t *request, const cw_http_outbound_t *outbound)
+{
+    cw_http_exchange_t *exchange = request->exchange;
+
+    cw_histogram_add(CW_HISTOGRAM_TOTAL, request->route->name, cw_engine_now(request->engine) - request->arrived);
+    cw_request_end(request);
+    cw_http_exchange_answer(exchange, outbound);
+}
+
+static bool begin_note(cw_event_t *event, const cw_request_t *request, cw_event_kind_t kind, int status)
+{
+    cw_time_us_t now = cw_engine_now(request->engine);
+
+    if (!cw_event_begin(event, kind)) {
+        return false;
+    }
+    cw_event_text(event, CW_FIELD_REQUEST, request->id);
+    cw_event_text(event, CW_FIELD_ROUTE, request->route->name);
+    cw_event_number(event, CW_FIELD_STATUS, status);
+    cw_event_ms(event, CW_FIELD_TOTAL_MS, now - request->arrived);
+    return true;
+}
+
+static void note_inputs(cw_event_t *event, const cw_request_t *request)
+{
+    cw_time_us_t now = cw_engine_now(request->engine);
+
+    cw_event_text(event, CW_FIELD_SERVICE, request->service->name);
+    cw_event_number(event, CW_FIELD_CONFIGURATION, (int64_t)request->configuration->version);
+    cw_event_number(event, CW_FIELD_ATTEMPT, request->attempts);
+    cw_event_ms(event, CW_FIELD_LEFT_MS, request->deadline - now);
+    cw_event_number(event, CW_FIELD_QUEUED, (int64_t)request->service->queued);
+    cw_event_number(event, CW_FIELD_UNDER_WAY,
+                    cw_server_pool_under_way(request->engine->pool, request->service->name));
+    if (request->is_keyed) {
+        const cw_key_route_t *entry = cw_engine_owner(request->engine, request->service, request->key);
+
+        cw_event_number(event, CW_FIELD_KEY, request->key);
+        cw_event_number(event, CW_FIELD_VIEW, (int64_t)request->service->table_version);
+        cw_event_ms(event, CW_FIELD_VIEW_AGE_MS, now - request->engine->tables_valid_until);
+        cw_event_text(event, CW_FIELD_SERVER, entry == NULL ? NULL : entry->server);
+        cw_event_number(event, CW_FIELD_FENCE, entry == NULL ? 0 : (int64_t)entry->fence);
+    }
+}
+
+/* ---- refused ---- */
+
+static cw_time_us_t come_back_after(const cw_request_t *request, cw_refusal_t reason, cw_time_us_t now)
+{
+    cw_time_us_t estimate = reason == CW_REFUSED_LOAD ? cw_request_estimate(request, now) : CW_NEVER;
+    cw_time_us_t wait = estimate == CW_NEVER ? come_back_owner : estimate - now - request->route_state->usual;
+    cw_time_us_t longest = (request->deadline - now) / COME_BACK_PART;
+
+    wait = wait > longest ? longest : wait;
+    return wait < come_back_min ? come_back_min : wait;
+}
+
+void cw_request_refuse(cw_request_t *request, cw_refusal_t reason)
+{
+    static const char *const  names[] = {"no slot in time", "owner of the key not known or moving", "no server"};
+    static const cw_metric_t  metrics[] = {CW_METRIC_REFUSED_LOAD, CW_METRIC_REFUSED_OWNER, CW_METRIC_REFUSED_SERVERS};
+    cw_time_us_t              now = cw_engine_now(request->engine);
+    cw_time_us_t              wait;
+    cw_http_outbound_t        outbound = {.status = STATUS_UNAVAILABLE};
+    cw_event_t                event;
+
+    if (request->may_have_run) {
+        cw_request_fail_unknown(request, names[reason]);
+        return;
+    }
+    wait = come_back_after(request, reason, now);
+    outbound.retry_after_s = (double)wait / 1e6;
+    cw_metric_add(metrics[reason], 1);
+    if (begin_note(&event, request, CW_EVENT_REQUEST_REFUSED, outbound.status)) {
+        cw_event_text(&event, CW_FIELD_REASON, names[reason]);
+        cw_event_ms(&event, CW_FIELD_RETRY_AFTER_MS, wait);
+        note_inputs(&event, request);
+        cw_event_end(&event);
+    }
+    answer_and_end(request, &outbound);
+}
+
+/* ---- failed ---- */
+
+static void fail(cw_request_t *request, int status, const char *reason, cw_metric_t metric)
+{
+    cw_http_outbound_t outbound = {.status = status, .retry_after_s = -1};
+    cw_event_t         event;
+
+    cw_metric_add(metric, 1);
+    if (begin_note(&event, request, CW_EVENT_REQUEST_FAILED, status)) {
+        cw_event_text(&event, CW_FIELD_REASON, reason);
+        cw_event_text(&event, CW_FIELD_DETAIL, request->server == NULL ? request->avoid : request->server->id);
+        note_inputs(&event, request);
+        cw_event_end(&event);
+    }
+    answer_and_end(request, &outbound);
+}
+
+void cw_request_fail_unknown(cw_request_t *request, const char *fault)
+{
+    fail(request, STATUS_BAD_GATEWAY, fault, CW_METRIC_FAILED_UNKNOWN);
+}
+
+void cw_request_fail_late(cw_request_t *request)
+{
+    if (request->server != NULL) {
+        cw_server_pool_slow(request->server, cw_engine_now(request->engine) - request->sent_at,
+                            request->route_state->usual, cw_engine_now(request->engine));
+    }
+    fail(request, STATUS_GATEWAY_TIMEOUT, "time limit", CW_METRIC_FAILED_LATE);
+}
+
+/* ---- served ---- */
+
+static void note_served(const cw_request_t *request, int status)
+{
+    cw_event_t event;
+
+    if (!begin_note(&event, request, CW_EVENT_REQUEST_SERVED, status)) {
+        return;
+    }
+    cw_event_text(&event, CW_FIELD_SERVER, request->server->id);
+    cw_event_ms(&event, CW_FIELD_SERVER_MS, cw_engine_now(request->engine) - request->sent_at);
+    cw_event_number(&event, CW_FIELD_CONFIGURATION, (int64_t)request->configuration->version);
+    cw_event_end(&event);
+}
+
+/* 503, 429 and 408 are promises that only a server's own word "not run" carries. */
+static bool would_promise(int status)
+{
+    return status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY || status == STATUS_TIMEOUT;
+}
+
+void cw_request_relay(cw_request_t *request, const cw_upstream_answer_t *answer)
+{
+    cw_http_outbound_t outbound = {.status = answer->status,
+                                   .fields = answer->fields,
+                                   .body = answer->body,
+                                   .body_length = answer->body_length,
+                                   .retry_after_s = -1};
+
+    if (!request->route->repeatable && would_promise(answer->status)) {
+        cw_request_fail_unknown(request, "the server refused without saying that it did not run");
+        return;
+    }
+    cw_metric_add(CW_METRIC_SERVED, 1);
+    note_served(request, answer->status);
+    answer_and_end(request, &outbound);
+}
--- /dev/null
+++ b/src/proxy/engine_attempt.c
@@ -0,0 +1,328 @@
+/**
+ * @file engine_attempt.c
+ * @brief One sending of a request to a server, and what its outcome allows next.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "net/byte_buffer.h"
+#include "proxy/engine_internal.h"
+#include "base/text.h"
+
+enum {
+    STATUS_MISDIRECTED = 421,
+    STATUS_SERVER_ERROR = 500,
+    REPEAT_MIN_MS = 150,
+    PAUSE_MISDIRECTED_MS = 25,
+    USUAL_WEIGHT_PART = 24,
+    RATIO_MAX = 10
+};
+
+/* ---- the request as it goes out ---- */
+
+static bool is_replaced(const cw_request_t *request, const char *name)
+{
+    const cw_header_names_t *names = &request->engine->settings.names;
+
+    return strcasecmp(name, names->deadline) == 0 || strcasecmp(name, names->target) == 0;
+}
+
+static bool has_length(const cw_request_t *request)
+{
+    return request->body_length > 0 || strcmp(request->method, "POST") == 0 || strcmp(request->method, "PUT") == 0 ||
+           strcmp(request->method, "PATCH") == 0;
+}
+
+static void write_request(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now, cw_bytes_t *out)
+{
+    const cw_header_names_t *names = &request->engine->settings.names;
+    size_t                   index;
+
+    cw_bytes_append_text(out, request->method);
+    cw_bytes_append(out, " ", 1);
+    cw_bytes_append_text(out, request->target);
+    cw_bytes_append_text(out, " HTTP/1.1\r\n");
+    for (index = 0; index < request->fields->count; index++) {
+        const cw_http_field_t *field = &request->fields->items[index];
+
+        if (cw_http_field_is_hop_by_hop(request->fields, field->name) || is_replaced(request, field->name)) {
+            continue;
+        }
+        cw_bytes_append_text(out, field->name);
+        cw_bytes_append(out, ": ", 2);
+        cw_bytes_append_text(out, field->value == NULL ? "" : field->value);
+        cw_bytes_append(out, "\r\n", 2);
+    }
+    if (has_length(request)) {
+        cw_bytes_append_format(out, "Content-Length: %zu\r\n", request->body_length);
+    }
+    cw_bytes_append_format(out, "%s: %lld\r\n%s: %s\r\n\r\n", names->deadline,
+                           (long long)((request->deadline - now) / 1000 > 0 ? (request->deadline - now) / 1000 : 1),
+                           names->target, server->id);
+    if (request->body_length > 0) {
+        cw_bytes_append(out, request->body, request->body_length);
+    }
+}
+
+/* ---- sending ---- */
+
+static void on_answer(void *context, const cw_upstream_answer_t *answer);
+
+static void set_repeat(cw_request_t *request, cw_time_us_t now)
+{
+    double       usual = (double)request->route_state->usual * (request->server->pace > 1 ? request->server->pace : 1);
+    cw_time_us_t silence = (cw_time_us_t)(usual * request->engine->settings.silence_factor);
+
+    if (!request->route->repeatable) {
+        request->repeat_at = CW_NEVER;
+        return;
+    }
+    request->repeat_at = now + (silence < CW_MS(REPEAT_MIN_MS) ? CW_MS(REPEAT_MIN_MS) : silence);
+}
+
+void cw_request_send(cw_request_t *request, cw_server_t *server)
+{
+    cw_engine_t          *engine = request->engine;
+    cw_time_us_t          now = cw_engine_now(engine);
+    cw_bytes_t            bytes = {0};
+    cw_upstream_request_t sending = {.is_head = strcmp(request->method, "HEAD") == 0,
+                                     .connect_timeout = engine->settings.connect_timeout,
+                                     .answer_max = engine->settings.answer_max,
+                                     .match_name = request->id == NULL ? NULL : engine->settings.names.request_id,
+                                     .match_value = request->id};
+
+    cw_request_unqueue(request);
+    if (server->connections == NULL) {
+        server->connections = cw_upstream_target_create(engine->upstream, server->address);
+    }
+    if (server->connections == NULL) {
+        cw_request_refuse(request, CW_REFUSED_SERVERS);
+        return;
+    }
+    write_request(request, server, now, &bytes);
+    sending.bytes = bytes.data;
+    sending.length = bytes.length;
+    request->server = server;
+    request->sent_at = now;
+    if (request->first_sent_at == 0) {
+        request->first_sent_at = now;
+        cw_histogram_add(CW_HISTOGRAM_QUEUE, request->route->name, now - request->arrived);
+    }
+    request->attempts++;
+    cw_server_pool_begin(server);
+    engine->changed = true;
+    cw_metric_add(CW_METRIC_SENT, 1);
+    request->call = cw_upstream_call(server->connections, &sending, on_answer, request);
+    cw_bytes_clear(&bytes);
+    set_repeat(request, now);
+    cw_request_arm(request);
+}
+
+static void leave_server(cw_request_t *request)
+{
+    cw_server_t *server = request->server;
+
+    request->call = NULL;
+    request->server = NULL;
+    request->repeat_at = CW_NEVER;
+    request->engine->changed = true;
+    cw_text_copy(request->avoid, sizeof(request->avoid), server->id);
+    cw_server_pool_end(request->engine->pool, server);
+    cw_engine_wake(request->engine);
+}
+
+void cw_request_abandon(cw_request_t *request)
+{
+    if (request->call == NULL) {
+        return;
+    }
+    request->may_have_run = request->may_have_run || cw_upstream_call_sent(request->call);
+    cw_upstream_call_abandon(request->call);
+    leave_server(request);
+}
+
+/* ---- again ---- */
+
+static void note_retry(const cw_request_t *request, const char *server, const char *reason)
+{
+    cw_event_t event;
+
+    if (!cw_event_begin(&event, CW_EVENT_REQUEST_RETRIED)) {
+        return;
+    }
+    cw_event_text(&event, CW_FIELD_REQUEST, request->id);
+    cw_event_text(&event, CW_FIELD_ROUTE, request->route->name);
+    cw_event_text(&event, CW_FIELD_SERVER, server);
+    cw_event_text(&event, CW_FIELD_REASON, reason);
+    cw_event_number(&event, CW_FIELD_ATTEMPT, request->attempts);
+    cw_event_ms(&event, CW_FIELD_LEFT_MS, request->deadline - cw_engine_now(request->engine));
+    cw_event_real(&event, CW_FIELD_BUDGET,
+                  cw_shared_budget_left(&request->service->budget, &request->engine->settings.budget,
+                                        request->engine->nodes, cw_engine_now(request->engine)));
+    cw_event_end(&event);
+}
+
+/* Would another sending still be of use? */
+static bool has_time(const cw_request_t *request, cw_time_us_t now)
+{
+    return request->deadline - now > request->route_state->usual / 3;
+}
+
+static bool may_repeat(cw_request_t *request, cw_time_us_t now)
+{
+    if (request->attempts >= request->route->max_attempts || !has_time(request, now)) {
+        return false;
+    }
+    if (!cw_shared_budget_take(&request->service->budget, &request->engine->settings.budget, request->engine->nodes,
+                               now)) {
+        cw_metric_add(CW_METRIC_RETRIES_DENIED, 1);
+        return false;
+    }
+    cw_metric_add(CW_METRIC_RETRIES, 1);
+    return true;
+}
+
+static void send_again(cw_request_t *request, cw_time_us_t pause)
+{
+    request->not_before = pause > 0 ? cw_engine_now(request->engine) + pause : 0;
+    request->decided = true; /* it has been at a server: a refusal is no longer early */
+    cw_request_enqueue(request);
+    cw_service_dispatch(request->engine, request->service);
+    if (request->is_queued) {
+        cw_request_arm(request);
+    }
+}
+
+void cw_request_repeat_after_silence(cw_request_t *request)
+{
+    cw_time_us_t now = cw_engine_now(request->engine);
+    cw_server_t *server = request->server;
+
+    request->repeat_at = CW_NEVER;
+    if (!may_repeat(request, now)) {
+        cw_request_arm(request);
+        return;
+    }
+    note_retry(request, server->id, "silence");
+    cw_server_pool_slow(server, now - request->sent_at, request->route_state->usual, now);
+    cw_request_abandon(request);
+    send_again(request, 0);
+}
+
+/* ---- what an outcome means ---- */
+
+static void learn(cw_request_t *request, cw_server_t *server, cw_time_us_t now)
+{
+    cw_time_us_t took = now - request->sent_at;
+    double       normal = (double)took / (server->pace > 0 ? server->pace : 1);
+    cw_time_us_t usual = request->route_state->usual;
+
+    cw_server_pool_served(server, took, usual, now);
+    if (normal > (double)usual * RATIO_MAX) {
+        normal = (double)usual * RATIO_MAX;
+    }
+    request->route_state->usual += ((cw_time_us_t)normal - usual) / USUAL_WEIGHT_PART;
+    request->service->usual += ((cw_time_us_t)normal - request->service->usual) / USUAL_WEIGHT_PART;
+}
+
+/* The server itself said that it did not run the request. */
+static void not_run(cw_request_t *request, const char *server, int status)
+{
+    cw_time_us_t now = cw_engine_now(request->engine);
+    bool         misdirected = status == STATUS_MISDIRECTED;
+
+    cw_metric_add(CW_METRIC_NOT_RUN, 1);
+    if (!may_repeat(request, now)) {
+        cw_request_refuse(request, misdirected ? CW_REFUSED_OWNER : CW_REFUSED_LOAD);
+        return;
+    }
+    note_retry(request, server, misdirected ? "misdirected" : "not run");
+    send_again(request, misdirected ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
+}
+
+static void unreached(cw_request_t *request, const char *server, cw_time_us_t now)
+{
+    cw_metric_add(CW_METRIC_UNREACHED, 1);
+    request->attempts--; /* nothing left: no server has seen it */
+    if (!has_time(request, now)) {
+        if (request->may_have_run) {
+            cw_request_fail_unknown(request, "no connection");
+        } else {
+            cw_request_refuse(request, CW_REFUSED_SERVERS);
+        }
+        return;
+    }
+    note_retry(request, server, "no connection");
+    send_again(request, request->is_keyed ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
+}
+
+static void broken(cw_request_t *request, const char *server, const char *fault, cw_time_us_t now)
+{
+    cw_metric_add(CW_METRIC_BROKEN, 1);
+    request->may_have_run = true;
+    if (request->route->repeatable && may_repeat(request, now)) {
+        note_retry(request, server, fault);
+        send_again(request, 0);
+        return;
+    }
+    cw_request_fail_unknown(request, fault);
+}
+
+static bool says_not_run(const cw_request_t *request, const cw_upstream_answer_t *answer)
+{
+    return answer->status == STATUS_MISDIRECTED ||
+           cw_http_fields_find(answer->fields, request->engine->settings.names.not_run) != NULL;
+}
+
+static void answered(cw_request_t *request, cw_server_t *server, const cw_upstream_answer_t *answer, cw_time_us_t now)
+{
+    char id[sizeof(request->avoid)];
+
+    cw_text_copy(id, sizeof(id), server->id);
+    if (says_not_run(request, answer)) {
+        leave_server(request);
+        not_run(request, id, answer->status);
+        return;
+    }
+    learn(request, server, now);
+    cw_histogram_add(CW_HISTOGRAM_SERVER, request->route->name, now - request->sent_at);
+    if (answer->status == STATUS_SERVER_ERROR && request->route->repeatable && may_repeat(request, now)) {
+        leave_server(request);
+        note_retry(request, id, "server error");
+        send_again(request, 0);
+        return;
+    }
+    cw_request_relay(request, answer);
+}
+
+static void on_answer(void *context, const cw_upstream_answer_t *answer)
+{
+    cw_request_t *request = context;
+    cw_server_t  *server = request->server;
+    cw_time_us_t  now = cw_engine_now(request->engine);
+    char          id[sizeof(request->avoid)];
+
+    request->call = NULL;
+    cw_text_copy(id, sizeof(id), server->id);
+    switch (answer->result) {
+    case CW_UPSTREAM_ANSWERED:
+        answered(request, server, answer, now);
+        break;
+    case CW_UPSTREAM_NOT_SENT:
+        cw_server_pool_fault(server, now);
+        leave_server(request);
+        unreached(request, id, now);
+        break;
+    case CW_UPSTREAM_BROKEN:
+    case CW_UPSTREAM_TIMED_OUT:
+        if (!answer->any_byte) {
+            cw_server_pool_fault(server, now);
+        }
+        leave_server(request);
+        broken(request, id, answer->fault, now);
+        break;
+    }
+}
--- /dev/null
+++ b/src/proxy/engine_queue.c
@@ -0,0 +1,212 @@
+/**
+ * @file engine_queue.c
+ * @brief Who is sent next, and who had better come back later.
+ */
+#include <string.h>
+#include <utlist.h>
+
+#include "proxy/engine_internal.h"
+
+enum { NO_SERVER_WAIT_MS = 200 };
+
+static int compare_requests(const cw_request_t *left, const cw_request_t *right)
+{
+    if (left->route->priority != right->route->priority) {
+        return left->route->priority < right->route->priority ? -1 : 1;
+    }
+    return left->deadline < right->deadline ? -1 : left->deadline > right->deadline;
+}
+
+void cw_request_enqueue(cw_request_t *request)
+{
+    DL_INSERT_INORDER(request->service->queue, request, compare_requests);
+    request->service->queued++;
+    request->engine->queued++;
+    request->is_queued = true;
+}
+
+void cw_request_unqueue(cw_request_t *request)
+{
+    if (!request->is_queued) {
+        return;
+    }
+    DL_DELETE(request->service->queue, request);
+    request->service->queued--;
+    request->engine->queued--;
+    request->is_queued = false;
+}
+
+/* ---- estimate ---- */
+
+static cw_server_t *owner_server(const cw_request_t *request)
+{
+    const cw_key_route_t *entry = cw_engine_owner(request->engine, request->service, request->key);
+
+    return entry == NULL || !entry->routable ? NULL : cw_server_pool_find(request->engine->pool, entry->server);
+}
+
+/* Requests before this one that wait for the same owner of keys. */
+static uint32_t ahead_at(const cw_request_t *request, const cw_server_t *server)
+{
+    const cw_request_t *other;
+    uint32_t            ahead = 0;
+
+    DL_FOREACH(request->service->queue, other)
+    {
+        if (other == request) {
+            break;
+        }
+        if (other->is_keyed && owner_server(other) == server) {
+            ahead++;
+        }
+    }
+    return ahead;
+}
+
+static uint32_t ahead_in_queue(const cw_request_t *request)
+{
+    const cw_request_t *other;
+    uint32_t            ahead = 0;
+
+    DL_FOREACH(request->service->queue, other)
+    {
+        if (other == request) {
+            break;
+        }
+        ahead++;
+    }
+    return ahead;
+}
+
+static cw_time_us_t estimate_keyed(const cw_request_t *request, cw_time_us_t now)
+{
+    const cw_server_t *server = owner_server(request);
+    cw_time_us_t       usual;
+    int64_t            before;
+
+    if (server == NULL) {
+        return CW_NEVER;
+    }
+    usual = (cw_time_us_t)((double)request->route_state->usual * server->pace);
+    before = (int64_t)server->own + server->others + ahead_at(request, server) + 1 - server->capacity;
+    return now + usual + (before > 0 ? before * usual / (server->capacity == 0 ? 1 : server->capacity) : 0);
+}
+
+cw_time_us_t cw_request_estimate(const cw_request_t *request, cw_time_us_t now)
+{
+    double speed;
+    double waiting;
+
+    if (request->is_keyed) {
+        return estimate_keyed(request, now);
+    }
+    speed = cw_server_pool_speed(request->engine->pool, request->service->name, now);
+    if (speed <= 0) {
+        return CW_NEVER;
+    }
+    waiting = ahead_in_queue(request) + 1 + request->service->queued_elsewhere;
+    return now + request->route_state->usual +
+           (cw_time_us_t)(waiting * (double)request->route_state->usual / speed);
+}
+
+/* ---- dispatch ---- */
+
+typedef enum placing { PLACED, WAITS_FOR_SLOT, WAITS_FOR_OWNER, NO_SERVERS, PAUSED } placing_t;
+
+static placing_t place_keyed(cw_request_t *request)
+{
+    cw_server_t *server = owner_server(request);
+
+    if (server == NULL || server->draining) {
+        return WAITS_FOR_OWNER;
+    }
+    if (!cw_server_has_slot(server, request->engine->settings.keyed_extra_slots)) {
+        return WAITS_FOR_SLOT;
+    }
+    cw_request_send(request, server);
+    return PLACED;
+}
+
+static placing_t place(cw_request_t *request, cw_time_us_t now)
+{
+    cw_server_t *server;
+    bool         full;
+
+    if (request->not_before > now) {
+        return PAUSED;
+    }
+    if (request->is_keyed) {
+        return place_keyed(request);
+    }
+    server = cw_server_pool_choose(request->engine->pool, request->service->name, &request->engine->settings.choice,
+                                   request->avoid[0] == '\0'
+                                       ? NULL
+                                       : cw_server_pool_find(request->engine->pool, request->avoid),
+                                   now, &full);
+    if (server == NULL) {
+        return full ? WAITS_FOR_SLOT : NO_SERVERS;
+    }
+    cw_request_send(request, server);
+    return PLACED;
+}
+
+/* A request that could not be placed: waits, or is told to come back. */
+static void settle(cw_request_t *request, placing_t why, cw_time_us_t now)
+{
+    cw_time_us_t estimate;
+
+    if (request->decided || why == PAUSED) {
+        cw_request_arm(request);
+        return;
+    }
+    if (why == NO_SERVERS && now - request->arrived >= CW_MS(NO_SERVER_WAIT_MS)) {
+        cw_request_refuse(request, CW_REFUSED_SERVERS);
+        return;
+    }
+    estimate = cw_request_estimate(request, now);
+    if (estimate == CW_NEVER) {
+        if (now >= request->decide_at) {
+            cw_request_refuse(request, why == WAITS_FOR_OWNER ? CW_REFUSED_OWNER : CW_REFUSED_SERVERS);
+            return;
+        }
+    } else if (estimate > request->aim_at) {
+        cw_request_refuse(request, CW_REFUSED_LOAD);
+        return;
+    }
+    if (now >= request->decide_at) {
+        request->decided = true; /* a refusal from now on would come late: it waits for its turn */
+    }
+    cw_request_arm(request);
+}
+
+static void dispatch(cw_engine_t *engine, cw_service_state_t *service)
+{
+    cw_time_us_t  now = cw_engine_now(engine);
+    cw_request_t *request;
+    cw_request_t *next;
+
+    DL_FOREACH_SAFE(service->queue, request, next)
+    {
+        placing_t result;
+
+        if (now >= request->deadline) {
+            cw_request_arm(request);
+            continue;
+        }
+        result = place(request, now);
+        if (result != PLACED) {
+            settle(request, result, now);
+        }
+    }
+}
+
+void cw_service_dispatch(cw_engine_t *engine, cw_service_state_t *service)
+{
+    if (engine->dispatching) { /* called from within: once more from the loop */
+        cw_engine_wake(engine);
+        return;
+    }
+    engine->dispatching = true;
+    dispatch(engine, service);
+    engine->dispatching = false;
+}
--- /dev/null
+++ b/src/retry/shared_budget.c
@@ -0,0 +1,63 @@
+/**
+ * @file shared_budget.c
+ * @brief Sliding counts of requests and repeats.
+ */
+#include "retry/shared_budget.h"
+
+static cw_time_us_t slot_length(const cw_budget_settings_t *settings)
+{
+    return settings->window / (CW_BUDGET_SLOTS - 2);
+}
+
+static uint32_t slot_at(cw_shared_budget_t *budget, const cw_budget_settings_t *settings, cw_time_us_t now)
+{
+    int64_t  number = now / slot_length(settings);
+    uint32_t index = (uint32_t)(number % CW_BUDGET_SLOTS);
+
+    if (budget->slot[index] != number) {
+        budget->slot[index] = number;
+        budget->requests[index] = 0;
+        budget->repeats[index] = 0;
+    }
+    return index;
+}
+
+void cw_shared_budget_note_request(cw_shared_budget_t *budget, const cw_budget_settings_t *settings, cw_time_us_t now)
+{
+    budget->requests[slot_at(budget, settings, now)]++;
+}
+
+double cw_shared_budget_left(const cw_shared_budget_t *budget, const cw_budget_settings_t *settings, uint32_t nodes,
+                             cw_time_us_t now)
+{
+    int64_t  newest = now / slot_length(settings);
+    uint32_t requests = 0;
+    uint32_t repeats = 0;
+    uint32_t index;
+
+    for (index = 0; index < CW_BUDGET_SLOTS; index++) {
+        int64_t age = newest - budget->slot[index];
+
+        if (age < 0 || age >= CW_BUDGET_SLOTS) {
+            continue;
+        }
+        repeats += budget->repeats[index];
+        if (age < CW_BUDGET_SLOTS - 2) { /* repeats are counted for longer than requests: on the safe side */
+            requests += budget->requests[index];
+        }
+    }
+    return settings->share * (settings->ratio * requests + settings->extra / (nodes == 0 ? 1 : nodes)) - repeats;
+}
+
+bool cw_shared_budget_take(cw_shared_budget_t *budget, const cw_budget_settings_t *settings, uint32_t nodes,
+                           cw_time_us_t now)
+{
+    uint32_t index;
+
+    if (cw_shared_budget_left(budget, settings, nodes, now) < 1) {
+        return false;
+    }
+    index = slot_at(budget, settings, now);
+    budget->repeats[index]++;
+    return true;
+}
--- /dev/null
+++ b/src/router/adapter.h
@@ -0,0 +1,29 @@
+/**
+ * @file adapter.h
+ * @brief What the router needs of the world it runs in. One adapter is linked into the program; it only translates.
+ */
+#ifndef CEDARWINCH_ROUTER_ADAPTER_H
+#define CEDARWINCH_ROUTER_ADAPTER_H
+
+#include <uv.h>
+
+#include "assignment/keeper.h"
+#include "proxy/engine.h"
+#include "store/store.h"
+
+typedef void (*cw_order_done_t)(void *context, uint64_t order, cw_order_result_t result, const char *handover);
+
+typedef struct cw_adapter {
+    const cw_header_names_t *header_names;
+    /** store_address: "IPv4:PORT". Standing reads begin at once; their results go to the readers. */
+    void *(*create)(uv_loop_t *loop, const char *store_address, const cw_store_readers_t *readers);
+    cw_store_port_t *(*store)(void *adapter);
+    /** Sends a grant or release to a server; done is called once. */
+    void (*order)(void *adapter, const cw_order_t *order, cw_order_done_t done, void *context);
+    void (*close)(void *adapter);
+} cw_adapter_t;
+
+/** The adapter of this program. */
+extern const cw_adapter_t cw_adapter;
+
+#endif
--- /dev/null
+++ b/src/router/router.c
@@ -0,0 +1,456 @@
+/**
+ * @file router.c
+ * @brief A node's life: start, ticks, configuration, readiness, reload, stop.
+ *
+ * A planned stop: not ready at once, orders and leadership are handed over, answers go on and end their connections;
+ * the process ends when nothing is under way and the entry has had time to see that it is not ready, and at the latest
+ * a little before the grace ends.
+ */
+#include "router/router.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <time.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "router/router_internal.h"
+
+enum {
+    CONNECT_MS = 150,
+    UNACKNOWLEDGED_MS = 900,
+    IDLE_MS = 5000,
+    ANSWER_MAX = 16 * 1024 * 1024,
+    QUEUE_MAX = 1000,
+    STATUS_OK = 200,
+    STATUS_NOT_FOUND = 404,
+    STATUS_UNAVAILABLE = 503,
+    OWN_HEADER_BYTES = 16 * 1024,
+    OWN_IDLE_S = 60,
+    FILE_CHECK_MS = 500,
+    STOP_LISTEN_MS = 3600, /* the entry asks each second, and twice */
+    STOP_MARGIN_MS = 400,
+    LATE_STOP_PART = 10
+};
+
+cw_time_us_t cw_router_now(const cw_router_t *router)
+{
+    return CW_MS(uv_now(&router->loop));
+}
+
+static uint64_t new_incarnation(const char *node)
+{
+    struct {
+        struct timespec wall;
+        struct timespec steady;
+        pid_t           process;
+        uint64_t        node;
+    } seed;
+    uint64_t random = 0;
+    int      file = open("/dev/urandom", O_RDONLY | O_CLOEXEC);
+
+    memset(&seed, 0, sizeof(seed));
+    clock_gettime(CLOCK_REALTIME, &seed.wall);
+    clock_gettime(CLOCK_MONOTONIC, &seed.steady);
+    seed.process = getpid();
+    seed.node = XXH3_64bits(node, strlen(node));
+    if (file >= 0) {
+        if (read(file, &random, sizeof(random)) != (ssize_t)sizeof(random)) {
+            random = 0;
+        }
+        close(file);
+    }
+    return XXH3_64bits(&seed, sizeof(seed)) ^ random;
+}
+
+/* ---- the store's readers ---- */
+
+static void note_plan(const cw_router_t *router, const cw_configuration_t *configuration)
+{
+    const cw_configuration_t *before = router->configuration;
+    int64_t                   added = 0;
+    int64_t                   removed = 0;
+    size_t                    index;
+    cw_event_t                event;
+
+    for (index = 0; index < configuration->route_count; index++) {
+        const cw_route_t *route = &configuration->routes[index];
+
+        added += before == NULL || cw_configuration_match(before, route->host, route->prefix) == NULL ? 1 : 0;
+    }
+    for (index = 0; before != NULL && index < before->route_count; index++) {
+        const cw_route_t *route = &before->routes[index];
+
+        removed += cw_configuration_match(configuration, route->host, route->prefix) == NULL ? 1 : 0;
+    }
+    if (cw_event_begin(&event, CW_EVENT_CONFIGURATION_ACCEPTED)) {
+        cw_event_number(&event, CW_FIELD_VERSION, (int64_t)configuration->version);
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)configuration->route_count);
+        cw_event_number(&event, CW_FIELD_ADDED, added);
+        cw_event_number(&event, CW_FIELD_REMOVED, removed);
+        cw_event_end(&event);
+    }
+}
+
+static void on_configuration(void *context, cw_configuration_t *configuration, const char *problem)
+{
+    cw_router_t *router = context;
+    cw_event_t   event;
+
+    if (configuration == NULL) {
+        if (cw_event_begin(&event, CW_EVENT_CONFIGURATION_REFUSED)) {
+            cw_event_text(&event, CW_FIELD_REASON, problem);
+            cw_event_end(&event);
+        }
+        return;
+    }
+    if (router->configuration != NULL && configuration->version <= router->configuration->version) {
+        cw_configuration_release(configuration); /* never back */
+        return;
+    }
+    note_plan(router, configuration);
+    cw_configuration_release(router->configuration);
+    router->configuration = configuration;
+    router->all_due = true;
+    cw_engine_set_configuration(router->engine, configuration);
+    cw_http_listener_set_limits(router->callers, &configuration->limits);
+    cw_metric_set(CW_METRIC_CONFIGURATION, configuration->version);
+}
+
+/* ---- callers, readiness, metrics ---- */
+
+static void on_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    cw_router_t *router = context;
+
+    cw_engine_request(router->engine, exchange, inbound);
+}
+
+static void on_gone(void *context, cw_http_exchange_t *exchange)
+{
+    cw_router_t *router = context;
+
+    cw_engine_gone(router->engine, exchange);
+}
+
+static bool is_ready(const cw_router_t *router)
+{
+    return router->stopping_at == 0 && router->configuration != NULL && router->servers != NULL &&
+           cw_router_tables_known(router);
+}
+
+static uint64_t resident_bytes(void)
+{
+    FILE         *file = fopen("/proc/self/statm", "r");
+    unsigned long size = 0;
+    unsigned long resident = 0;
+
+    if (file == NULL) {
+        return 0;
+    }
+    if (fscanf(file, "%lu %lu", &size, &resident) != 2) {
+        resident = 0;
+    }
+    fclose(file);
+    return (uint64_t)resident * (uint64_t)sysconf(_SC_PAGESIZE);
+}
+
+static void answer_metrics(cw_router_t *router, cw_http_exchange_t *exchange)
+{
+    cw_http_outbound_t outbound = {.status = STATUS_OK, .retry_after_s = -1};
+    char              *text;
+
+    cw_metric_set(CW_METRIC_LOG_DROPPED, cw_event_log_dropped());
+    cw_metric_set(CW_METRIC_CONNECTIONS, cw_http_listener_connections(router->callers));
+    cw_metric_set(CW_METRIC_QUEUED, cw_engine_queued(router->engine));
+    cw_metric_set(CW_METRIC_CONNECTIONS_OPENED, cw_upstream_opened(router->upstream));
+    cw_metric_set(CW_METRIC_MEMORY, resident_bytes());
+    cw_metric_set(CW_METRIC_PEERS,
+                  cw_peer_link_alive(router->link, CW_MS(CW_PEER_SILENCE_MS), cw_router_now(router)));
+    text = cw_metrics_text(&outbound.body_length);
+    outbound.body = text;
+    cw_http_exchange_answer(exchange, &outbound);
+    free(text);
+}
+
+static void on_own_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    cw_router_t       *router = context;
+    cw_http_outbound_t outbound = {.status = STATUS_NOT_FOUND, .retry_after_s = -1};
+
+    if (strcmp(inbound->target, router->settings.metrics_path) == 0) {
+        answer_metrics(router, exchange);
+        return;
+    }
+    if (strcmp(inbound->target, router->settings.readiness_path) == 0) {
+        outbound.status = is_ready(router) ? STATUS_OK : STATUS_UNAVAILABLE;
+        outbound.body = outbound.status == STATUS_OK ? "ready\n" : "not ready\n";
+        outbound.body_length = strlen(outbound.body);
+    }
+    cw_http_exchange_answer(exchange, &outbound);
+}
+
+static void on_own_gone(void *context, cw_http_exchange_t *exchange)
+{
+    (void)context;
+    (void)exchange;
+}
+
+static void on_dropped(void *context, cw_server_t *server)
+{
+    cw_router_t *router = context;
+
+    cw_engine_forget_server(router->engine, server);
+}
+
+/* ---- reload ---- */
+
+static int64_t file_state(const char *file_name)
+{
+    struct stat status;
+
+    if (stat(file_name, &status) != 0) {
+        return 0;
+    }
+    return (int64_t)status.st_mtim.tv_sec * 1000000007 + status.st_mtim.tv_nsec + status.st_size * 31 +
+           (int64_t)status.st_ino;
+}
+
+static void reload(cw_router_t *router)
+{
+    cw_router_settings_t settings;
+    cw_findings_t        findings;
+    cw_event_t           event;
+    bool                 good;
+
+    cw_findings_init(&findings);
+    good = cw_router_settings_read(&settings, router->file_name, &findings) == 0;
+    if (good) {
+        /* Identity, addresses and holds are those of the start; what may change while it runs is taken over. */
+        memcpy(router->settings.seeds, settings.seeds, sizeof(settings.seeds));
+        router->settings.seed_count = settings.seed_count;
+        router->settings.log_level = settings.log_level;
+        router->settings.stop_grace = settings.stop_grace;
+        cw_event_log_set_level(settings.log_level);
+        cw_router_peers_init(router);
+    }
+    if (cw_event_begin(&event, CW_EVENT_RELOAD)) {
+        cw_event_text(&event, CW_FIELD_DETAIL, good ? "taken" : "the file has findings: nothing taken");
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)findings.count);
+        cw_event_end(&event);
+    }
+    cw_findings_clear(&findings);
+}
+
+static void check_file(cw_router_t *router, cw_time_us_t now)
+{
+    int64_t state;
+
+    if (now - router->checked_file_at < CW_MS(FILE_CHECK_MS)) {
+        return;
+    }
+    router->checked_file_at = now;
+    state = file_state(router->file_name);
+    if (state != 0 && state != router->file_changed) {
+        router->file_changed = state;
+        reload(router);
+    }
+}
+
+static void on_hang_up(uv_signal_t *signal, int number)
+{
+    cw_router_t *router = signal->data;
+
+    (void)number;
+    router->file_changed = file_state(router->file_name);
+    reload(router);
+}
+
+/* ---- stop ---- */
+
+static void on_terminate(uv_signal_t *signal, int number)
+{
+    cw_router_t *router = signal->data;
+    cw_event_t   event;
+
+    (void)number;
+    if (router->stopping_at != 0) {
+        return;
+    }
+    router->stopping_at = cw_router_now(router);
+    router->all_due = true;
+    if (cw_event_begin(&event, CW_EVENT_STOP)) {
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)cw_engine_requests(router->engine));
+        cw_event_end(&event);
+    }
+    cw_http_listener_end_connections(router->callers);
+    cw_leadership_resign(&router->leadership, router->stopping_at);
+}
+
+static void check_stop(cw_router_t *router, cw_time_us_t now)
+{
+    cw_time_us_t since = now - router->stopping_at;
+    bool         over = since >= router->settings.stop_grace - CW_MS(STOP_MARGIN_MS);
+
+    if (router->stopping_at == 0) {
+        return;
+    }
+    if (since >= CW_MS(STOP_LISTEN_MS)) {
+        cw_http_listener_close(router->callers);
+    }
+    if (over || (since >= CW_MS(STOP_LISTEN_MS) && cw_http_listener_busy(router->callers) == 0)) {
+        uv_stop(&router->loop);
+    }
+}
+
+/* ---- ticks ---- */
+
+static void on_tick(uv_timer_t *timer)
+{
+    cw_router_t *router = timer->data;
+    cw_time_us_t now = cw_router_now(router);
+    uint32_t     nodes;
+
+    cw_router_lead_tick(router, now);
+    cw_router_view_tick(router, now);
+    cw_router_peers_tick(router, now);
+    nodes = cw_peer_link_alive(router->link, CW_MS(CW_PEER_SILENCE_MS) * LATE_STOP_PART, now) + 1;
+    cw_engine_set_nodes(router->engine, nodes);
+    check_file(router, now);
+    check_stop(router, now);
+    cw_event_log_flush(now);
+}
+
+/* ---- start ---- */
+
+static cw_engine_settings_t engine_settings(const cw_router_t *router)
+{
+    cw_engine_settings_t settings = {
+        .names = *router->adapter->header_names,
+        .choice = {.zone_penalty = 0.35, .extra_slots = 0},
+        .budget = {.ratio = router->settings.retry_ratio,
+                   .extra = router->settings.retry_extra,
+                   .window = router->settings.retry_window,
+                   .share = 0.75},
+        .keyed_extra_slots = 2,
+        .connect_timeout = CW_MS(CONNECT_MS),
+        .silence_factor = 4,
+        .margin = CW_MS(15),
+        .answer_max = ANSWER_MAX,
+        .queue_max = QUEUE_MAX};
+
+    return settings;
+}
+
+static int start_listeners(cw_router_t *router)
+{
+    cw_http_limits_t own_limits = {.header_bytes = OWN_HEADER_BYTES,
+                                   .body_bytes = OWN_HEADER_BYTES,
+                                   .header_timeout = CW_SECONDS(OWN_IDLE_S),
+                                   .idle_timeout = CW_SECONDS(OWN_IDLE_S)};
+    cw_http_listener_handler_t callers = {router, on_request, on_gone};
+    cw_http_listener_handler_t own = {router, on_own_request, on_own_gone};
+    int                        error;
+
+    error = cw_http_listener_create(&router->callers, &router->loop, router->settings.callers.address,
+                                    router->settings.callers.port, &own_limits, &callers);
+    if (error == 0) {
+        error = cw_http_listener_create(&router->readiness, &router->loop, router->settings.readiness.address,
+                                        router->settings.readiness.port, &own_limits, &own);
+    }
+    if (error == 0 && router->settings.metrics_port != 0) {
+        error = cw_http_listener_create(&router->metrics, &router->loop, router->settings.address,
+                                        router->settings.metrics_port, &own_limits, &own);
+    }
+    return error;
+}
+
+static void watch_signal(cw_router_t *router, uv_signal_t *signal, uv_signal_cb taken, int number)
+{
+    uv_signal_init(&router->loop, signal);
+    signal->data = router;
+    uv_signal_start(signal, taken, number);
+}
+
+static int start(cw_router_t *router)
+{
+    cw_engine_settings_t  settings = engine_settings(router);
+    cw_upstream_options_t upstream = {.idle_max = CW_MS(IDLE_MS), .unacknowledged = CW_MS(UNACKNOWLEDGED_MS)};
+    cw_peer_handler_t     peers = {router, cw_router_datagram};
+    cw_store_readers_t    readers = {
+           .context = router, .configuration = on_configuration, .servers = cw_router_on_servers};
+    char store_address[32];
+    int  error;
+
+    router->upstream = cw_upstream_create(&router->loop, &upstream);
+    router->pool = cw_server_pool_create(router->settings.zone, on_dropped, router);
+    router->engine = cw_engine_create(&router->loop, &settings, router->pool, router->upstream);
+    error = start_listeners(router);
+    if (error == 0) {
+        error = cw_peer_link_create(&router->link, &router->loop, router->settings.address, router->settings.peer_port,
+                                    &peers);
+    }
+    if (error != 0) {
+        return error;
+    }
+    cw_router_lead_init(router);
+    cw_router_peers_init(router);
+    snprintf(store_address, sizeof(store_address), "%s:%u", router->settings.store.address,
+             router->settings.store.port);
+    router->platform = router->adapter->create(&router->loop, store_address, &readers);
+    router->store = router->adapter->store(router->platform);
+    watch_signal(router, &router->terminate, on_terminate, SIGTERM);
+    watch_signal(router, &router->interrupt, on_terminate, SIGINT);
+    watch_signal(router, &router->hang_up, on_hang_up, SIGHUP);
+    uv_timer_init(&router->loop, &router->tick);
+    router->tick.data = router;
+    uv_timer_start(&router->tick, on_tick, 0, CW_TICK_MS);
+    return 0;
+}
+
+static void note_start(const cw_router_t *router)
+{
+    cw_event_t event;
+
+    if (cw_event_begin(&event, CW_EVENT_START)) {
+        cw_event_text(&event, CW_FIELD_DETAIL, router->settings.zone);
+        cw_event_number(&event, CW_FIELD_VERSION, (int64_t)(router->incarnation >> 1));
+        cw_event_end(&event);
+    }
+}
+
+int cw_router_run(const cw_router_settings_t *settings, const char *file_name, const cw_adapter_t *adapter)
+{
+    cw_router_t *router = calloc(1, sizeof(*router));
+    cw_event_t   event;
+    int          error;
+
+    if (router == NULL) {
+        return UV_ENOMEM;
+    }
+    (void)signal(SIGPIPE, SIG_IGN);
+    router->settings = *settings;
+    router->adapter = adapter;
+    snprintf(router->file_name, sizeof(router->file_name), "%s", file_name);
+    router->file_changed = file_state(file_name);
+    router->incarnation = new_incarnation(settings->node);
+    uv_loop_init(&router->loop);
+    cw_event_log_open(STDOUT_FILENO, settings->node, settings->log_level);
+    error = start(router);
+    if (error != 0) {
+        fprintf(stderr, "cedarwinch: cannot start: %s\n", uv_strerror(error));
+        return error;
+    }
+    note_start(router);
+    uv_run(&router->loop, UV_RUN_DEFAULT);
+    if (cw_event_begin(&event, CW_EVENT_END)) {
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)cw_engine_requests(router->engine));
+        cw_event_end(&event);
+    }
+    cw_event_log_flush(cw_router_now(router));
+    return 0;
+}
--- /dev/null
+++ b/src/router/router_internal.h
@@ -0,0 +1,144 @@
+/**
+ * @file router_internal.h
+ * @brief State shared by a node's parts.
+ */
+#ifndef CEDARWINCH_ROUTER_INTERNAL_H
+#define CEDARWINCH_ROUTER_INTERNAL_H
+
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "lease/leadership.h"
+#include "peer/peer_link.h"
+#include "placement/planner.h"
+#include "router/router.h"
+
+enum {
+    CW_TICK_MS = 20,
+    CW_PEER_SILENCE_MS = 1000,
+    CW_KEYED_SERVICES_MAX = 16,
+    CW_QUEUE_REPORTS_MAX = 256
+};
+
+/** The leader's care for one service divided by key. */
+typedef struct cw_keyed_service {
+    cw_keeper_t     *keeper;
+    struct cw_router *router;
+    cw_load_window_t window;
+    cw_time_us_t     next_plan;
+    cw_time_us_t     first_seen; /**< since when servers of it are known */
+} cw_keyed_service_t;
+
+/** Requests that wait at another node for a service. */
+typedef struct cw_queue_report {
+    uint32_t     peer;
+    uint32_t     service; /**< hash of its name */
+    uint32_t     queued;
+    cw_time_us_t at;
+} cw_queue_report_t;
+
+/** Tables being received, page by page. */
+typedef struct cw_table_assembly {
+    uint64_t term;
+    uint64_t number;
+    uint32_t pages;
+    uint32_t have;
+    uint8_t  seen[64];
+} cw_table_assembly_t;
+
+typedef struct cw_router {
+    cw_router_settings_t settings;
+    char                 file_name[256];
+    const cw_adapter_t  *adapter;
+    void                *platform;
+    cw_store_port_t     *store;
+    uv_loop_t            loop;
+    uv_timer_t           tick;
+    uv_signal_t          terminate;
+    uv_signal_t          interrupt;
+    uv_signal_t          hang_up;
+    uint64_t             incarnation;
+    cw_http_listener_t  *callers;
+    cw_http_listener_t  *readiness;
+    cw_http_listener_t  *metrics;
+    cw_upstream_t       *upstream;
+    cw_server_pool_t    *pool;
+    cw_engine_t         *engine;
+    cw_peer_link_t      *link;
+    cw_configuration_t  *configuration;
+    cw_time_us_t         started_at;
+    cw_time_us_t         stopping_at; /**< 0: not stopping */
+    cw_time_us_t         checked_file_at;
+    int64_t              file_changed; /**< modification time and size of the settings file, mixed */
+
+    /* reports */
+    uint32_t     sequence;
+    cw_time_us_t reported_zone_at;
+    cw_time_us_t reported_all_at;
+    bool         zone_due;
+    bool         all_due;
+    cw_queue_report_t queues[CW_QUEUE_REPORTS_MAX];
+    size_t            queue_count;
+
+    /* what this node goes by */
+    cw_server_list_t *servers;
+    cw_time_us_t      servers_at;      /**< when the list was surely true */
+    bool              reading_servers; /**< this node reads the list itself */
+    cw_time_us_t      servers_read_at; /**< sending of that read */
+    uint64_t          view_term;
+    uint64_t          view_servers;
+    uint64_t          view_tables;
+    cw_time_us_t      tables_at; /**< when the tables were surely true */
+    cw_time_us_t      leader_word_at;
+    uint64_t          leader_term;
+    char              leader_node[CW_NODE_NAME_MAX];
+    cw_table_assembly_t servers_pages;
+    cw_server_list_t   *servers_partial;
+    cw_table_assembly_t tables_pages;
+    cw_time_us_t      tables_read_at;
+    uint32_t          table_reads; /**< under way */
+    bool              store_lost;
+    cw_time_us_t      store_failing_since;
+
+    /* leading */
+    cw_leadership_t    leadership;
+    bool               was_able;
+    uint64_t           lead_servers; /**< number of the list told to others */
+    uint64_t           lead_tables;
+    cw_keyed_service_t keyed[CW_KEYED_SERVICES_MAX];
+    size_t             keyed_count;
+} cw_router_t;
+
+cw_time_us_t cw_router_now(const cw_router_t *router);
+
+/* ---- router_peers.c ---- */
+void cw_router_peers_init(cw_router_t *router);
+void cw_router_peers_tick(cw_router_t *router, cw_time_us_t now);
+void cw_router_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
+/** Pushes the list (or the tables) to peers that have an older one. */
+void cw_router_push_servers(cw_router_t *router, cw_time_us_t now);
+void cw_router_push_tables(cw_router_t *router, cw_time_us_t now);
+
+/* ---- router_view.c ---- */
+void cw_router_take_servers(cw_router_t *router, cw_server_list_t *list, cw_time_us_t true_at);
+void cw_router_take_servers_page(cw_router_t *router, const Cwp__ServersPage *page);
+void cw_router_take_table_page(cw_router_t *router, const Cwp__TablePage *page);
+void cw_router_take_leader_word(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderWord *word,
+                                cw_time_us_t now);
+/** Reads what no leader tells. */
+void cw_router_view_tick(cw_router_t *router, cw_time_us_t now);
+void cw_router_on_servers(void *context, cw_server_list_t *list);
+bool cw_router_tables_known(const cw_router_t *router);
+/** Sets the engine's tables from the keepers of this node. */
+void cw_router_apply_own_tables(cw_router_t *router);
+uint32_t cw_router_hash(const char *text);
+
+/* ---- router_lead.c ---- */
+void cw_router_lead_init(cw_router_t *router);
+void cw_router_lead_tick(cw_router_t *router, cw_time_us_t now);
+bool cw_router_is_able(const cw_router_t *router, cw_time_us_t now);
+void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
+                            uint32_t seen, cw_time_us_t now);
+/** The store answered a call of this node, or did not. */
+void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now);
+
+#endif
--- /dev/null
+++ b/src/router/router_lead.c
@@ -0,0 +1,422 @@
+/**
+ * @file router_lead.c
+ * @brief Leading: the lock, a keeper for each service divided by key, plans by load.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "router/router_internal.h"
+
+enum {
+    RENEW_MS = 800,
+    SILENCE_MS = 900,
+    READ_EVERY_MS = 400,
+    PLAN_EVERY_MS = 500,
+    FIRST_PLAN_WAIT_MS = 700, /* servers may still be signing in */
+    RENEW_GRANT_MS = 1250,
+    ORDER_TIMEOUT_MS = 350,
+    RELEASE_TIMEOUT_MS = 1500,
+    LATE_ORDERS_S = 13,
+    STORE_TROUBLE_MS = 700, /* without an answer for so long: grants are made to last */
+    SERVERS_MAX = 2048,
+    STORE_LOST_MS = 500
+};
+
+static const char leader_kind[] = "leaders";
+static const char leader_name[] = "main";
+
+/* ---- ports of the keepers ---- */
+
+static void order_done(void *context, uint64_t order, cw_order_result_t result, const char *handover);
+
+/** An order under way, on behalf of a keeper that may be gone by the time of its answer. */
+typedef struct lead_order {
+    cw_router_t *router;
+    cw_keeper_t *keeper;
+} lead_order_t;
+
+static bool is_kept(const cw_router_t *router, const cw_keeper_t *keeper)
+{
+    size_t index;
+
+    for (index = 0; index < router->keyed_count; index++) {
+        if (router->keyed[index].keeper == keeper) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void order_done(void *context, uint64_t id, cw_order_result_t result, const char *handover)
+{
+    lead_order_t *order = context;
+
+    if (is_kept(order->router, order->keeper)) {
+        cw_keeper_order_done(order->keeper, id, result, handover, cw_router_now(order->router));
+    }
+    free(order);
+}
+
+static void send_order(void *context, const cw_order_t *order)
+{
+    cw_keyed_service_t *keyed = context;
+    lead_order_t       *under_way = malloc(sizeof(*under_way));
+
+    if (under_way == NULL) {
+        abort();
+    }
+    under_way->router = keyed->router;
+    under_way->keeper = keyed->keeper;
+    keyed->router->adapter->order(keyed->router->platform, order, order_done, under_way);
+}
+
+static void tables_changed(void *context)
+{
+    cw_keyed_service_t *keyed = context;
+    cw_router_t        *router = keyed->router;
+    cw_peer_t          *peer;
+
+    router->lead_tables++;
+    router->view_tables = router->lead_tables;
+    cw_router_apply_own_tables(router);
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        peer->tables_sent_at = 0;
+    }
+}
+
+static void note_assignment(void *context, const char *service, const char *what, const cw_range_t *range,
+                            const char *detail)
+{
+    cw_event_t event;
+
+    (void)context;
+    if (!cw_event_begin(&event, CW_EVENT_ASSIGNMENT)) {
+        return;
+    }
+    cw_event_text(&event, CW_FIELD_REASON, what);
+    cw_event_text(&event, CW_FIELD_DETAIL, detail);
+    cw_event_text(&event, CW_FIELD_SERVICE, service);
+    cw_event_number(&event, CW_FIELD_LOW, range->low);
+    cw_event_number(&event, CW_FIELD_LAST, range->last);
+    cw_event_text(&event, CW_FIELD_SERVER, range->owner.id);
+    cw_event_number(&event, CW_FIELD_FENCE, (int64_t)range->owner.fence);
+    cw_event_text(&event, CW_FIELD_FORMER, range->former.id[0] == '\0' ? NULL : range->former.id);
+    cw_event_end(&event);
+}
+
+/* ---- leadership ---- */
+
+void cw_router_lead_init(cw_router_t *router)
+{
+    cw_leadership_settings_t settings = {.incarnation = router->incarnation,
+                                         .hold = router->settings.leader_hold,
+                                         .renew_every = CW_MS(RENEW_MS),
+                                         .silence = CW_MS(SILENCE_MS),
+                                         .read_every = CW_MS(READ_EVERY_MS)};
+
+    memcpy(settings.node, router->settings.node, sizeof(settings.node));
+    memcpy(settings.address, router->settings.address, sizeof(router->settings.address));
+    cw_leadership_init(&router->leadership, &settings, cw_router_now(router));
+}
+
+bool cw_router_is_able(const cw_router_t *router, cw_time_us_t now)
+{
+    return cw_leadership_has_authority(&router->leadership, now);
+}
+
+static void end_keepers(cw_router_t *router)
+{
+    size_t index;
+
+    for (index = 0; index < router->keyed_count; index++) {
+        cw_keeper_free(router->keyed[index].keeper);
+        cw_load_window_clear(&router->keyed[index].window);
+    }
+    memset(router->keyed, 0, sizeof(router->keyed));
+    router->keyed_count = 0;
+}
+
+static void note_leadership(const cw_router_t *router, cw_event_kind_t kind, const char *detail)
+{
+    cw_event_t event;
+
+    if (cw_event_begin(&event, kind)) {
+        cw_event_number(&event, CW_FIELD_TERM, (int64_t)router->leadership.lock.term);
+        cw_event_number(&event, CW_FIELD_REVISION, (int64_t)router->leadership.revision);
+        cw_event_text(&event, CW_FIELD_DETAIL, detail);
+        cw_event_end(&event);
+    }
+}
+
+static void on_lock(void *data, const cw_store_reply_t *reply)
+{
+    cw_router_t *router = data;
+    bool         before = router->leadership.leading;
+    uint64_t     term = router->leadership.lock.term;
+    cw_time_us_t now = cw_router_now(router);
+
+    cw_router_store_result(router, reply->result != CW_STORE_REFUSED && reply->result != CW_STORE_UNKNOWN, now);
+    cw_leadership_replied(&router->leadership, reply, now);
+    if (router->leadership.lock.address[0] != '\0' && !router->leadership.leading) {
+        (void)cw_peer_link_learn_text(router->link, router->leadership.lock.address, now);
+    }
+    if (router->leadership.leading && (!before || router->leadership.lock.term != term)) {
+        end_keepers(router);
+        router->lead_servers = 1;
+        router->lead_tables = 0;
+        router->view_term = router->leadership.lock.term;
+        router->view_servers = 1;
+        router->view_tables = 0;
+        router->leader_term = router->leadership.lock.term;
+        memcpy(router->leader_node, router->settings.node, sizeof(router->leader_node));
+        note_leadership(router, CW_EVENT_LEADER_TAKEN, NULL);
+    } else if (before && !router->leadership.leading) {
+        end_keepers(router);
+        router->lead_tables = 0;
+        router->view_term = 0;
+        router->leader_node[0] = '\0';
+        note_leadership(router, CW_EVENT_LEADER_LOST, router->leadership.resigned ? "resigned" : "taken by another");
+    }
+}
+
+static void step_lock(cw_router_t *router, cw_time_us_t now)
+{
+    cw_leadership_action_t action = cw_leadership_tick(&router->leadership, now);
+    json_t                *value;
+
+    if (action == CW_LEADERSHIP_WAIT) {
+        return;
+    }
+    if (action == CW_LEADERSHIP_READ) {
+        router->store->read(router->store->context, leader_kind, leader_name, on_lock, router);
+        return;
+    }
+    value = cw_lock_to_json(&router->leadership.write);
+    if (action == CW_LEADERSHIP_CREATE) {
+        router->store->create(router->store->context, leader_kind, leader_name, value, on_lock, router);
+    } else {
+        router->store->replace(router->store->context, leader_kind, leader_name, router->leadership.revision, value,
+                               on_lock, router);
+    }
+    json_decref(value);
+}
+
+/* ---- keepers ---- */
+
+static cw_keyed_service_t *keyed_service(cw_router_t *router, const char *name)
+{
+    size_t index;
+
+    for (index = 0; index < router->keyed_count; index++) {
+        if (strcmp(cw_keeper_service(router->keyed[index].keeper), name) == 0) {
+            return &router->keyed[index];
+        }
+    }
+    return NULL;
+}
+
+static void add_keyed(cw_router_t *router, const char *name)
+{
+    cw_keyed_service_t  *keyed = &router->keyed[router->keyed_count];
+    cw_keeper_settings_t settings = {.hold = router->settings.hold,
+                                     .hold_long = router->settings.hold_long,
+                                     .renew_every = CW_MS(RENEW_GRANT_MS),
+                                     .order_timeout = CW_MS(ORDER_TIMEOUT_MS),
+                                     .release_timeout = CW_MS(RELEASE_TIMEOUT_MS),
+                                     .late_orders = CW_SECONDS(LATE_ORDERS_S)};
+    cw_keeper_ports_t    ports = {.context = keyed,
+                                  .store = router->store,
+                                  .order = send_order,
+                                  .changed = tables_changed,
+                                  .note = note_assignment};
+
+    keyed->router = router;
+    keyed->keeper =
+        cw_keeper_create(name, router->leadership.lock.term, router->incarnation, &settings, &ports);
+    router->keyed_count++;
+}
+
+static void find_keyed(cw_router_t *router)
+{
+    size_t index;
+
+    for (index = 0; index < router->configuration->service_count; index++) {
+        const cw_service_t *service = &router->configuration->services[index];
+
+        if (service->keyed && keyed_service(router, service->name) == NULL &&
+            router->keyed_count < CW_KEYED_SERVICES_MAX) {
+            add_keyed(router, service->name);
+        }
+    }
+}
+
+void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
+                            uint32_t seen, cw_time_us_t now)
+{
+    size_t index;
+    size_t key;
+
+    for (index = 0; index < router->keyed_count; index++) {
+        cw_keyed_service_t *keyed = &router->keyed[index];
+
+        if (cw_router_hash(cw_keeper_service(keyed->keeper)) != service_hash) {
+            continue;
+        }
+        for (key = 0; key < count; key++) {
+            cw_load_window_add(&keyed->window, keys[key], (double)seen / (double)count, now);
+        }
+    }
+}
+
+/* ---- plans ---- */
+
+static const cw_planner_settings_t planner_settings = {
+    .high = 0.4, .gap = 0.22, .moves_max = 4, .ranges_each = 4, .rest = CW_MS(900)};
+
+static size_t list_servers(cw_router_t *router, const char *service, cw_planner_server_t *servers, cw_time_us_t now)
+{
+    double usual_s = (double)cw_engine_usual_time(router->engine, service) / 1e6;
+    size_t count = 0;
+    size_t index;
+
+    for (index = 0; index < router->servers->count && count < SERVERS_MAX; index++) {
+        const cw_server_entry_t *entry = &router->servers->entries[index];
+        cw_server_t             *server = cw_server_pool_find(router->pool, entry->id);
+
+        if (strcmp(entry->service, service) != 0) {
+            continue;
+        }
+        memset(&servers[count], 0, sizeof(servers[count]));
+        servers[count].entry = entry;
+        servers[count].usable = !entry->draining && server != NULL && server->avoid_until <= now;
+        servers[count].cost_s = usual_s * (server == NULL ? 1 : server->pace) / (entry->capacity == 0 ? 1 : entry->capacity);
+        count++;
+    }
+    return count;
+}
+
+static void plan_first(cw_keyed_service_t *keyed, const cw_planner_server_t *servers, size_t count, cw_time_us_t now)
+{
+    const cw_server_entry_t **usable = calloc(count + 1, sizeof(*usable));
+    size_t                    found = 0;
+    size_t                    index;
+
+    if (usable == NULL) {
+        abort();
+    }
+    for (index = 0; index < count; index++) {
+        if (servers[index].usable) {
+            usable[found++] = servers[index].entry;
+        }
+    }
+    if (found > 0 && keyed->first_seen == 0) {
+        keyed->first_seen = now;
+    }
+    if (found > 0 && now - keyed->first_seen >= CW_MS(FIRST_PLAN_WAIT_MS)) {
+        cw_keeper_plan_first(keyed->keeper, usable, found, now);
+    }
+    free(usable);
+}
+
+static void plan(cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
+{
+    static cw_planner_server_t servers[SERVERS_MAX];
+    size_t                     count;
+    size_t                     changes;
+    cw_event_t                 event;
+
+    if (router->servers == NULL || now < keyed->next_plan || !cw_keeper_may_plan(keyed->keeper)) {
+        return;
+    }
+    keyed->next_plan = now + CW_MS(PLAN_EVERY_MS);
+    count = list_servers(router, cw_keeper_service(keyed->keeper), servers, now);
+    if (cw_keeper_state(keyed->keeper) == CW_KEEPER_EMPTY) {
+        plan_first(keyed, servers, count, now);
+        return;
+    }
+    changes = cw_planner_run(keyed->keeper, &planner_settings, servers, count, router->servers, &keyed->window, now);
+    if (changes > 0 && cw_event_begin(&event, CW_EVENT_PLAN_WRITTEN)) {
+        cw_event_text(&event, CW_FIELD_SERVICE, cw_keeper_service(keyed->keeper));
+        cw_event_number(&event, CW_FIELD_CHANGED, (int64_t)changes);
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)cw_keeper_ranges(keyed->keeper)->count);
+        cw_event_end(&event);
+    }
+    cw_metric_add(CW_METRIC_MOVES, changes);
+}
+
+/* ---- the store's health ---- */
+
+void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now)
+{
+    cw_event_t event;
+
+    if (answered) {
+        router->store_failing_since = 0;
+        if (router->store_lost && cw_event_begin(&event, CW_EVENT_STORE_BACK)) {
+            cw_event_end(&event);
+        }
+        router->store_lost = false;
+        return;
+    }
+    if (router->store_failing_since == 0) {
+        router->store_failing_since = now;
+    }
+    if (!router->store_lost && now - router->store_failing_since >= CW_MS(STORE_LOST_MS)) {
+        router->store_lost = true;
+        if (cw_event_begin(&event, CW_EVENT_STORE_LOST)) {
+            cw_event_ms(&event, CW_FIELD_SILENT_MS, now - router->store_failing_since);
+            cw_event_end(&event);
+        }
+    }
+}
+
+/* Does the store leave this leader's renewals without an answer? */
+static bool is_store_in_trouble(const cw_router_t *router, cw_time_us_t now)
+{
+    const cw_leadership_t *leadership = &router->leadership;
+    bool waits = leadership->pending != CW_LEADERSHIP_WAIT && now - leadership->sent_at > CW_MS(STORE_TROUBLE_MS);
+
+    return waits || leadership->failures > 0;
+}
+
+/* ---- ticks ---- */
+
+static bool is_deposed(const cw_router_t *router)
+{
+    size_t index;
+
+    for (index = 0; index < router->keyed_count; index++) {
+        if (cw_keeper_state(router->keyed[index].keeper) == CW_KEEPER_DEPOSED) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void cw_router_lead_tick(cw_router_t *router, cw_time_us_t now)
+{
+    bool   able;
+    size_t index;
+
+    step_lock(router, now);
+    able = cw_router_is_able(router, now);
+    if (able != router->was_able) {
+        router->was_able = able;
+        router->all_due = true;
+        cw_metric_set(CW_METRIC_LEADING, able ? 1 : 0);
+    }
+    if (!router->leadership.leading || !able || router->configuration == NULL) {
+        return;
+    }
+    find_keyed(router);
+    for (index = 0; index < router->keyed_count; index++) {
+        plan(router, &router->keyed[index], now);
+        cw_keeper_tick(router->keyed[index].keeper, router->servers, able, is_store_in_trouble(router, now), now);
+    }
+    if (is_deposed(router)) {
+        router->leadership.must_read = true;
+        router->leadership.next_at = now;
+    }
+    cw_router_push_servers(router, now);
+    cw_router_push_tables(router, now);
+}
