--- /dev/null
+++ b/src/router/router_view.c
@@ -0,0 +1,405 @@
+/**
+ * @file router_view.c
+ * @brief What this node goes by: the list of servers and the tables of keys, and how old they are.
+ *
+ * Both come from the leader, in pages under a number. A node that has the newest number takes each word of the leader
+ * as their confirmation. Without a fresh word it reads the store itself: the list, and the records of assignments,
+ * whose owners it then routes by (the store is linearizable, and every change is written there before it is ordered).
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "router/router_internal.h"
+#include "base/text.h"
+
+enum {
+    LIST_EVERY_MS = 500,       /* the leader's reading, or a node's own */
+    WORD_OLD_MS = 900,         /* without the leader's word for so long a node reads itself */
+    TABLES_VALID_MS = 4000,    /* below the shortest hold of a grant */
+    TABLES_READ_EVERY_MS = 700
+};
+
+uint32_t cw_router_hash(const char *text)
+{
+    return (uint32_t)XXH3_64bits(text, strlen(text));
+}
+
+/* ---- servers ---- */
+
+static void note_servers(const cw_router_t *router, const cw_server_list_t *list)
+{
+    cw_event_t event;
+    int64_t    added = 0;
+    int64_t    removed = 0;
+    size_t     index;
+
+    for (index = 0; index < list->count; index++) {
+        added += cw_server_list_find(router->servers, list->entries[index].id) == NULL ? 1 : 0;
+    }
+    for (index = 0; router->servers != NULL && index < router->servers->count; index++) {
+        removed += cw_server_list_find(list, router->servers->entries[index].id) == NULL ? 1 : 0;
+    }
+    if (cw_event_begin(&event, CW_EVENT_SERVERS_CHANGED)) {
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)list->count);
+        cw_event_number(&event, CW_FIELD_ADDED, added);
+        cw_event_number(&event, CW_FIELD_REMOVED, removed);
+        cw_event_number(&event, CW_FIELD_VIEW, (int64_t)router->view_servers);
+        cw_event_end(&event);
+    }
+}
+
+void cw_router_take_servers(cw_router_t *router, cw_server_list_t *list, cw_time_us_t true_at)
+{
+    cw_time_us_t now = cw_router_now(router);
+
+    router->servers_at = true_at > router->servers_at ? true_at : router->servers_at;
+    if (cw_server_list_same(router->servers, list)) {
+        cw_server_list_release(list);
+        return;
+    }
+    note_servers(router, list);
+    cw_server_pool_update(router->pool, list, now);
+    cw_server_list_release(router->servers);
+    router->servers = list;
+    cw_metric_set(CW_METRIC_SERVERS, list->count);
+    if (router->leadership.leading) {
+        cw_peer_t *peer;
+
+        router->lead_servers++;
+        router->view_servers = router->lead_servers;
+        for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+            peer->servers_sent_at = 0;
+        }
+        cw_router_push_servers(router, now);
+    }
+    cw_engine_wake(router->engine);
+}
+
+void cw_router_on_servers(void *context, cw_server_list_t *list)
+{
+    cw_router_t *router = context;
+
+    router->reading_servers = false;
+    cw_router_store_result(router, list != NULL, cw_router_now(router));
+    if (list != NULL) {
+        cw_router_take_servers(router, list, router->servers_read_at);
+    }
+}
+
+static void read_servers(cw_router_t *router, cw_time_us_t now)
+{
+    if (router->reading_servers || now - router->servers_read_at < CW_MS(LIST_EVERY_MS)) {
+        return;
+    }
+    router->reading_servers = true;
+    router->servers_read_at = now;
+    router->store->read_servers(router->store->context);
+}
+
+/* ---- pages ---- */
+
+/* Is the page a part of something newer than what this node has? Begins a new assembly where needed. */
+static bool take_page(cw_table_assembly_t *assembly, uint64_t term, uint64_t number, uint32_t page, uint32_t pages,
+                      bool *begun)
+{
+    *begun = false;
+    if (pages == 0 || page >= pages || pages > sizeof(assembly->seen)) {
+        return false;
+    }
+    if (assembly->term != term || assembly->number != number || assembly->pages != pages) {
+        memset(assembly, 0, sizeof(*assembly));
+        assembly->term = term;
+        assembly->number = number;
+        assembly->pages = pages;
+        *begun = true;
+    }
+    if (assembly->seen[page]) {
+        return false;
+    }
+    assembly->seen[page] = 1;
+    assembly->have++;
+    return true;
+}
+
+static bool is_newer(const cw_router_t *router, uint64_t term, uint64_t number, uint64_t has)
+{
+    return term > router->view_term || (term == router->view_term && number > has);
+}
+
+static void begin_term(cw_router_t *router, uint64_t term)
+{
+    if (term > router->view_term) {
+        router->view_term = term;
+        router->view_servers = 0;
+        router->view_tables = 0;
+    }
+}
+
+static void add_entry(cw_server_list_t *list, const Cwp__ViewServer *server)
+{
+    cw_server_entry_t *entry = cw_server_list_add(list);
+
+    entry->id = strdup(server->id);
+    entry->service = strdup(server->service);
+    entry->address = strdup(server->address);
+    entry->zone = strdup(server->zone);
+    entry->capacity = server->capacity;
+    entry->draining = server->draining;
+    entry->cold_time = CW_MS(server->cold_ms);
+}
+
+void cw_router_take_servers_page(cw_router_t *router, const Cwp__ServersPage *page)
+{
+    cw_time_us_t now = cw_router_now(router);
+    bool         begun;
+    size_t       index;
+
+    if (router->leadership.leading || !is_newer(router, page->term, page->number, router->view_servers) ||
+        !take_page(&router->servers_pages, page->term, page->number, page->page, page->pages, &begun)) {
+        return;
+    }
+    if (begun || router->servers_partial == NULL) {
+        cw_server_list_release(router->servers_partial);
+        router->servers_partial = cw_server_list_create();
+    }
+    for (index = 0; index < page->n_servers; index++) {
+        add_entry(router->servers_partial, page->servers[index]);
+    }
+    for (index = 0; index < page->n_nodes; index++) {
+        (void)cw_peer_link_learn(router->link, page->nodes[index], now);
+    }
+    if (router->servers_pages.have == page->pages) {
+        cw_server_list_t *list = router->servers_partial;
+
+        router->servers_partial = NULL;
+        begin_term(router, page->term);
+        router->view_servers = page->number;
+        router->all_due = true; /* tells the leader that it has come */
+        cw_server_list_seal(list);
+        cw_router_take_servers(router, list, 0);
+    }
+}
+
+static const char *id_of_hash(const cw_router_t *router, uint32_t hash)
+{
+    size_t index;
+
+    for (index = 0; router->servers != NULL && index < router->servers->count; index++) {
+        if (cw_router_hash(router->servers->entries[index].id) == hash) {
+            return router->servers->entries[index].id;
+        }
+    }
+    return "";
+}
+
+static void set_route(cw_key_route_t *route, uint32_t low, uint32_t last, const char *server, uint64_t fence,
+                      bool routable)
+{
+    memset(route, 0, sizeof(*route));
+    route->low = low;
+    route->last = last;
+    cw_text_copy(route->server, sizeof(route->server), server);
+    route->fence = fence;
+    route->routable = routable && server[0] != '\0';
+}
+
+static void validate_tables(cw_router_t *router, cw_time_us_t true_at)
+{
+    router->tables_at = true_at > router->tables_at ? true_at : router->tables_at;
+    cw_engine_set_tables_valid(router->engine, router->tables_at + CW_MS(TABLES_VALID_MS));
+}
+
+void cw_router_take_table_page(cw_router_t *router, const Cwp__TablePage *page)
+{
+    cw_key_route_t *routes;
+    bool            begun;
+    size_t          index;
+
+    if (router->leadership.leading || !is_newer(router, page->term, page->number, router->view_tables) ||
+        !take_page(&router->tables_pages, page->term, page->number, page->page, page->pages, &begun)) {
+        return;
+    }
+    routes = calloc(page->n_ranges + 1, sizeof(*routes));
+    if (routes == NULL) {
+        abort();
+    }
+    for (index = 0; index < page->n_ranges; index++) {
+        const Cwp__TableRange *range = page->ranges[index];
+
+        set_route(&routes[index], range->low, range->last, id_of_hash(router, range->server), range->fence,
+                  range->routable);
+    }
+    cw_engine_set_table(router->engine, page->service, routes, page->n_ranges, page->number);
+    free(routes);
+    if (router->tables_pages.have == page->pages) {
+        begin_term(router, page->term);
+        router->view_tables = page->number;
+        router->all_due = true;
+    }
+}
+
+void cw_router_apply_own_tables(cw_router_t *router)
+{
+    size_t index;
+    size_t position;
+
+    for (index = 0; index < router->keyed_count; index++) {
+        const cw_range_list_t *ranges = cw_keeper_ranges(router->keyed[index].keeper);
+        cw_key_route_t        *routes = calloc(ranges->count + 1, sizeof(*routes));
+
+        if (routes == NULL) {
+            abort();
+        }
+        for (position = 0; position < ranges->count; position++) {
+            const cw_range_t *range = &ranges->items[position];
+
+            set_route(&routes[position], range->low, range->last, range->owner.id, range->owner.fence,
+                      range->phase == CW_RANGE_HELD || (range->phase == CW_RANGE_GRANTING && range->keeps_serving));
+        }
+        if (ranges->count > 0) {
+            cw_engine_set_table(router->engine, cw_keeper_service(router->keyed[index].keeper), routes, ranges->count,
+                                router->lead_tables);
+        }
+        free(routes);
+    }
+}
+
+/* ---- the leader's word ---- */
+
+void cw_router_take_leader_word(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderWord *word,
+                                cw_time_us_t now)
+{
+    cw_event_t event;
+
+    cw_leadership_heard(&router->leadership, word->term, word->revision, word->able, now);
+    if (peer->stopping) {
+        cw_leadership_heard_stop(&router->leadership, now);
+    }
+    if (router->leadership.leading || word->term < router->leader_term) {
+        return;
+    }
+    if (word->term > router->leader_term || strcmp(router->leader_node, peer->node) != 0) {
+        router->leader_term = word->term;
+        cw_text_copy(router->leader_node, sizeof(router->leader_node), peer->node);
+        if (cw_event_begin(&event, CW_EVENT_LEADER_SEEN)) {
+            cw_event_text(&event, CW_FIELD_LEADER, peer->node);
+            cw_event_number(&event, CW_FIELD_TERM, (int64_t)word->term);
+            cw_event_number(&event, CW_FIELD_REVISION, (int64_t)word->revision);
+            cw_event_end(&event);
+        }
+    }
+    if (!word->able) {
+        return;
+    }
+    router->leader_word_at = now;
+    if (router->view_term == word->term && router->view_servers >= word->servers) {
+        cw_time_us_t true_at = now - CW_MS(word->list_age_ms);
+
+        router->servers_at = true_at > router->servers_at ? true_at : router->servers_at;
+    }
+    if (router->view_term == word->term && router->view_tables >= word->tables && word->tables > 0) {
+        validate_tables(router, now);
+    }
+}
+
+/* ---- reading what no leader tells ---- */
+
+/** A record being read. */
+typedef struct table_read {
+    cw_router_t *router;
+    cw_time_us_t sent_at;
+    char         service[64];
+} table_read_t;
+
+static void on_record(void *data, const cw_store_reply_t *reply)
+{
+    table_read_t          *read = data;
+    cw_router_t           *router = read->router;
+    cw_assignment_record_t record;
+    cw_key_route_t        *routes;
+    size_t                 index;
+
+    router->table_reads--;
+    cw_router_store_result(router, reply->result == CW_STORE_DONE || reply->result == CW_STORE_NOT_FOUND,
+                           cw_router_now(router));
+    if (reply->result == CW_STORE_DONE && !router->leadership.leading &&
+        cw_assignment_record_from_json(&record, reply->value)) {
+        routes = calloc(record.ranges.count + 1, sizeof(*routes));
+        if (routes == NULL) {
+            abort();
+        }
+        for (index = 0; index < record.ranges.count; index++) {
+            const cw_range_t *range = &record.ranges.items[index];
+
+            set_route(&routes[index], range->low, range->last, range->owner.id, range->owner.fence, true);
+        }
+        if (read->sent_at > router->tables_at) {
+            cw_engine_set_table(router->engine, read->service, routes, record.ranges.count, record.write);
+            validate_tables(router, read->sent_at);
+            router->view_tables = 0; /* the leader's next word has to bring its own again */
+        }
+        free(routes);
+        cw_range_list_clear(&record.ranges);
+    }
+    free(read);
+}
+
+static void read_tables(cw_router_t *router, cw_time_us_t now)
+{
+    size_t index;
+
+    if (router->configuration == NULL || router->table_reads > 0 ||
+        now - router->tables_read_at < CW_MS(TABLES_READ_EVERY_MS)) {
+        return;
+    }
+    router->tables_read_at = now;
+    for (index = 0; index < router->configuration->service_count; index++) {
+        const cw_service_t *service = &router->configuration->services[index];
+        table_read_t       *read;
+
+        if (!service->keyed) {
+            continue;
+        }
+        read = calloc(1, sizeof(*read));
+        if (read == NULL) {
+            abort();
+        }
+        read->router = router;
+        read->sent_at = now;
+        cw_text_copy(read->service, sizeof(read->service), service->name);
+        router->table_reads++;
+        router->store->read(router->store->context, "assignments", service->name, on_record, read);
+    }
+}
+
+bool cw_router_tables_known(const cw_router_t *router)
+{
+    size_t index;
+
+    for (index = 0; router->configuration != NULL && index < router->configuration->service_count; index++) {
+        if (router->configuration->services[index].keyed) {
+            return router->tables_at > 0;
+        }
+    }
+    return true;
+}
+
+void cw_router_view_tick(cw_router_t *router, cw_time_us_t now)
+{
+    bool word_is_fresh = now - router->leader_word_at < CW_MS(WORD_OLD_MS);
+
+    if (cw_router_is_able(router, now)) {
+        read_servers(router, now);
+        if (router->lead_tables > 0) {
+            validate_tables(router, now);
+        }
+        return;
+    }
+    if (!word_is_fresh || now - router->servers_at > CW_MS(WORD_OLD_MS)) {
+        read_servers(router, now);
+    }
+    if (!word_is_fresh) {
+        read_tables(router, now);
+    }
+}
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,58 @@
+/**
+ * @file store.h
+ * @brief Port to a store of objects with revisions, conditional writes, listings and watches.
+ *
+ * The store is linearizable and never loses what it acknowledged. A write whose answer did not come (CW_STORE_UNKNOWN)
+ * may have been done, or may still be done as long as its condition holds: reading the object back proves nothing until
+ * another write has moved its revision.
+ */
+#ifndef CEDARWINCH_STORE_STORE_H
+#define CEDARWINCH_STORE_STORE_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/time.h"
+#include "model/configuration.h"
+#include "model/server_list.h"
+
+typedef enum cw_store_result {
+    CW_STORE_DONE,
+    CW_STORE_NOT_FOUND,
+    CW_STORE_CONFLICT, /**< another revision, or it exists already: nothing was done */
+    CW_STORE_REFUSED,  /**< throttled or down: nothing was done */
+    CW_STORE_UNKNOWN   /**< no answer */
+} cw_store_result_t;
+
+/** What a read or a write of one object brought. Borrowed for the callback. */
+typedef struct cw_store_reply {
+    cw_store_result_t result;
+    uint64_t          revision; /**< of the object; 0: not told */
+    json_t           *value;    /**< NULL: not told. On a conflict the object as it is, where the store tells it */
+} cw_store_reply_t;
+
+typedef void (*cw_store_replied_t)(void *context, const cw_store_reply_t *reply);
+
+/** Callbacks of a store's standing readers. Each gives a reference away. */
+typedef struct cw_store_readers {
+    void *context;
+    void (*configuration)(void *context, cw_configuration_t *configuration, const char *problem);
+    void (*servers)(void *context, cw_server_list_t *list);
+} cw_store_readers_t;
+
+/** What the router asks of a store. A call's callback comes once, from the loop. */
+typedef struct cw_store_port {
+    void *context;
+    void (*read)(void *context, const char *kind, const char *name, cw_store_replied_t replied, void *data);
+    void (*create)(void *context, const char *kind, const char *name, json_t *value, cw_store_replied_t replied,
+                   void *data);
+    void (*replace)(void *context, const char *kind, const char *name, uint64_t revision, json_t *value,
+                    cw_store_replied_t replied, void *data);
+    /** Reads the list of servers; the answer goes to the readers' servers(), NULL when it could not be had. */
+    void (*read_servers)(void *context);
+    /** Looks at the configuration at once, besides the standing watch. */
+    void (*read_configuration)(void *context);
+} cw_store_port_t;
+
+#endif
