Orders name the life they are meant for; unframed answers: a pending socket error is a reset; a move under way is finished first

Change: orders carry the server's id, another life's 421 counts as proof that the one meant has ended; a range whose former holder has not let go is not moved on while its owner may hold it, and records are refreshed a second after a move ended; SO_ERROR is read at the end of an answer without length.

--- a/src/assignment/keeper.c
+++ b/src/assignment/keeper.c
@@ -97,6 +97,7 @@
     planned->unanswered_at = same_owner ? source->unanswered_at : 0;
     planned->taken_at = 0;
     planned->failing_since = 0;
+    planned->owner_ended = false;
     planned->orders = 0;
     planned->next_order = now;
     planned->moved_at = now;
@@ -203,6 +204,7 @@
     keeper->plan.term = keeper->term;
     keeper->plan.writer = keeper->incarnation;
     keeper->plan.write = ++keeper->last_write;
+    keeper->stale_since = 0;
 }
 
 /* Writes the record once more, with this leader's term. */
@@ -374,8 +376,9 @@
 /* Who may still hold the keys when this range's owner changes, and what is known of its handover. */
 static void set_former(cw_range_t *range, const cw_server_list_t *servers)
 {
-    bool ended = cw_server_list_find(servers, range->owner.id) == NULL &&
-                 cw_server_list_successor(servers, range->owner.id, range->owner.address) != NULL;
+    bool ended = range->owner_ended ||
+                 (cw_server_list_find(servers, range->owner.id) == NULL &&
+                  cw_server_list_successor(servers, range->owner.id, range->owner.address) != NULL);
 
     if (range->former.id[0] != '\0') {
         return; /* the move before this one is not finished: the same former holder has to let go */
@@ -442,6 +445,11 @@
     planned->owner.fence = ++keeper->plan.last_fence;
 }
 
+void cw_keeper_plan_refresh(cw_keeper_t *keeper)
+{
+    open_plan(keeper);
+}
+
 void cw_keeper_plan_write(cw_keeper_t *keeper, cw_time_us_t now)
 {
     keeper->now = now;
--- a/src/assignment/keeper.h
+++ b/src/assignment/keeper.h
@@ -25,6 +25,7 @@
 typedef enum cw_order_result {
     CW_ORDER_DONE,
     CW_ORDER_FENCED,    /**< a higher fence was seen on one of the keys */
+    CW_ORDER_ENDED,     /**< another life of a server answers at the address: not done, and the one meant has ended */
     CW_ORDER_REFUSED,   /**< another answer: not done */
     CW_ORDER_NOT_SENT,  /**< proved: nothing left */
     CW_ORDER_UNANSWERED /**< may be done, now or seconds later */
@@ -33,6 +34,7 @@
 typedef struct cw_order {
     uint64_t        id;
     cw_order_kind_t kind;
+    char            server[CW_SERVER_ID_MAX]; /**< the life that is meant */
     char            address[CW_SERVER_ADDRESS_MAX];
     uint32_t        low;
     uint32_t        last;
@@ -100,6 +102,9 @@
 void cw_keeper_plan_write(cw_keeper_t *keeper, cw_time_us_t now);
 /** May this range be moved for balance? */
 bool cw_keeper_is_settled(const cw_keeper_t *keeper, const cw_range_t *range, cw_time_us_t now);
+/** The record still names former holders that have let go: it should be written once more. */
+bool cw_keeper_is_stale(const cw_keeper_t *keeper, cw_time_us_t now);
+void cw_keeper_plan_refresh(cw_keeper_t *keeper);
 /** Owners that no order reaches, over all owners that hold ranges. */
 double cw_keeper_failing_share(const cw_keeper_t *keeper, cw_time_us_t now);
 
--- a/src/assignment/keeper_internal.h
+++ b/src/assignment/keeper_internal.h
@@ -28,6 +28,7 @@
     bool                   freed;
     bool                   long_hold;
     uint64_t               last_write;
+    cw_time_us_t           stale_since; /**< a move ended that the record still shows as under way; 0: none */
     cw_time_us_t           retry_at;
     cw_time_us_t           now;
     cw_order_t            *orders; /**< under way */
--- a/src/assignment/keeper_orders.c
+++ b/src/assignment/keeper_orders.c
@@ -33,6 +33,7 @@
 
     order->id = ++keeper->last_order;
     order->kind = kind;
+    memcpy(order->server, holder->id, sizeof(order->server));
     memcpy(order->address, holder->address, sizeof(order->address));
     order->low = range->low;
     order->last = range->last;
@@ -67,6 +68,9 @@
 {
     keeper->ports.note(keeper->ports.context, keeper->service, "former holder let go", range, why);
     memset(&range->former, 0, sizeof(range->former));
+    if (keeper->stale_since == 0) {
+        keeper->stale_since = now;
+    }
     range->phase = CW_RANGE_GRANTING;
     range->failing_since = 0;
     range->next_order = now;
@@ -92,6 +96,9 @@
 {
     const cw_server_entry_t *entry = cw_server_list_find(servers, range->owner.id);
 
+    if (range->owner_ended) {
+        return false;
+    }
     return entry != NULL || cw_server_list_successor(servers, range->owner.id, range->owner.address) == NULL;
 }
 
@@ -203,6 +210,11 @@
             cw_keeper_plan_write(keeper, now);
         }
         break;
+    case CW_ORDER_ENDED:
+        range->owner_ended = true;
+        keeper->ports.note(keeper->ports.context, keeper->service, "owner ended", range, "another life answers");
+        range->next_order = now + CW_MS(RESEND_NOT_SENT_MS);
+        break;
     case CW_ORDER_REFUSED:
     case CW_ORDER_NOT_SENT:
     case CW_ORDER_UNANSWERED:
@@ -217,6 +229,10 @@
     if (range->phase != CW_RANGE_RELEASING) {
         return;
     }
+    if (result == CW_ORDER_ENDED) {
+        finish_release(keeper, range, "another life answers", now);
+        return;
+    }
     if (result != CW_ORDER_DONE) {
         range->failing_since = now;
         range->next_order = now + CW_MS(RESEND_MS);
@@ -255,6 +271,14 @@
 
 /* ---- what planners ask ---- */
 
+enum { STALE_MS = 1000 };
+
+bool cw_keeper_is_stale(const cw_keeper_t *keeper, cw_time_us_t now)
+{
+    return keeper->stale_since != 0 && now - keeper->stale_since > CW_MS(STALE_MS);
+}
+
+
 bool cw_keeper_is_settled(const cw_keeper_t *keeper, const cw_range_t *range, cw_time_us_t now)
 {
     return range->phase == CW_RANGE_HELD && range->failing_since == 0 &&
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -356,9 +356,20 @@
     }
 }
 
+/* The kernel may tell the end of the stream before it tells that the peer reset it. */
+static bool has_socket_error(const cw_upstream_connection_t *connection)
+{
+    int       fd;
+    int       error = 0;
+    socklen_t length = sizeof(error);
+
+    return uv_fileno((const uv_handle_t *)&connection->tcp, &fd) == 0 &&
+           getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &length) == 0 && error != 0;
+}
+
 static void take_end(cw_upstream_call_t *call, ssize_t error)
 {
-    bool reset = error != UV_EOF;
+    bool reset = error != UV_EOF || has_socket_error(call->connection);
 
     if (!reset && call->head_done) {
         (void)http_parser_execute(&call->parser, &parser_settings, NULL, 0);
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -131,6 +131,12 @@
 {
     const cw_planner_server_t *server = server_of(planner, range->owner.id);
 
+    if (range->owner_ended) {
+        return true;
+    }
+    if (range->phase == CW_RANGE_RELEASING && range->hold_until > planner->now) {
+        return false; /* both its owner and the former holder may hold it: the move under way comes first */
+    }
     if (server == NULL || server->entry->draining) {
         return true;
     }
@@ -327,6 +333,9 @@
     if (planner.changes == 0) {
         plan_joins(&planner);
     }
+    if (planner.changes == 0 && cw_keeper_is_stale(keeper, now)) {
+        cw_keeper_plan_refresh(keeper);
+    }
     cw_keeper_plan_write(keeper, now);
     free(planner.loads);
     return planner.changes;
