Placement by what one request more costs; loads, paces and keys told at their own pace; retry budget of a fresh process

Change: the planner moves pieces from where one request more costs most to where it costs least, several in one plan; a load window that has just begun to fill is scaled up; keys go to the leader each 100 ms, paces once a second; the fixed part of the budget is not used before a window has passed since the start; a server whose address answers with another id is not tried again; no more than a plan under way stops renewals.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &cwp__server_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__server_pace__init
+                     (Cwp__ServerPace         *message)
+{
+  static const Cwp__ServerPace init_value = CWP__SERVER_PACE__INIT;
+  *message = init_value;
+}
+size_t cwp__server_pace__get_packed_size
+                     (const Cwp__ServerPace *message)
+{
+  assert(message->base.descriptor == &cwp__server_pace__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__server_pace__pack
+                     (const Cwp__ServerPace *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__server_pace__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__server_pace__pack_to_buffer
+                     (const Cwp__ServerPace *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__server_pace__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ServerPace *
+       cwp__server_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ServerPace *)
+     protobuf_c_message_unpack (&cwp__server_pace__descriptor,
+                                allocator, len, data);
+}
+void   cwp__server_pace__free_unpacked
+                     (Cwp__ServerPace *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__server_pace__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__queue_length__init
                      (Cwp__QueueLength         *message)
 {
@@ -457,7 +502,7 @@
   assert(message->base.descriptor == &cwp__datagram__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cwp__server_load__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cwp__server_load__field_descriptors[3] =
 {
   {
     "server",
@@ -484,67 +529,105 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "served",
+    "unreachable",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ServerLoad, unreachable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__server_load__field_indices_by_name[] = {
+  0,   /* field[0] = server */
+  1,   /* field[1] = under_way */
+  2,   /* field[2] = unreachable */
+};
+static const ProtobufCIntRange cwp__server_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cwp__server_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ServerLoad",
+  "ServerLoad",
+  "Cwp__ServerLoad",
+  "cwp",
+  sizeof(Cwp__ServerLoad),
+  3,
+  cwp__server_load__field_descriptors,
+  cwp__server_load__field_indices_by_name,
+  1,  cwp__server_load__number_ranges,
+  (ProtobufCMessageInit) cwp__server_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__server_pace__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Cwp__ServerLoad, served),
+    offsetof(Cwp__ServerPace, server),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "served_time",
-    4,
+    "served",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cwp__ServerLoad, served_time),
+    offsetof(Cwp__ServerPace, served),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "unreachable",
-    5,
+    "time",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cwp__ServerLoad, unreachable),
+    offsetof(Cwp__ServerPace, time),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cwp__server_load__field_indices_by_name[] = {
-  2,   /* field[2] = served */
-  3,   /* field[3] = served_time */
+static const unsigned cwp__server_pace__field_indices_by_name[] = {
+  1,   /* field[1] = served */
   0,   /* field[0] = server */
-  1,   /* field[1] = under_way */
-  4,   /* field[4] = unreachable */
+  2,   /* field[2] = time */
 };
-static const ProtobufCIntRange cwp__server_load__number_ranges[1 + 1] =
+static const ProtobufCIntRange cwp__server_pace__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor cwp__server_load__descriptor =
+const ProtobufCMessageDescriptor cwp__server_pace__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cwp.ServerLoad",
-  "ServerLoad",
-  "Cwp__ServerLoad",
+  "cwp.ServerPace",
+  "ServerPace",
+  "Cwp__ServerPace",
   "cwp",
-  sizeof(Cwp__ServerLoad),
-  5,
-  cwp__server_load__field_descriptors,
-  cwp__server_load__field_indices_by_name,
-  1,  cwp__server_load__number_ranges,
-  (ProtobufCMessageInit) cwp__server_load__init,
+  sizeof(Cwp__ServerPace),
+  3,
+  cwp__server_pace__field_descriptors,
+  cwp__server_pace__field_indices_by_name,
+  1,  cwp__server_pace__number_ranges,
+  (ProtobufCMessageInit) cwp__server_pace__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor cwp__queue_length__field_descriptors[2] =
@@ -765,7 +848,7 @@
   (ProtobufCMessageInit) cwp__leader_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[14] =
 {
   {
     "node",
@@ -923,6 +1006,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "paces",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__NodeReport, n_paces),
+    offsetof(Cwp__NodeReport, paces),
+    &cwp__server_pace__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__node_report__field_indices_by_name[] = {
   9,   /* field[9] = configuration */
@@ -930,6 +1025,7 @@
   8,   /* field[8] = leader */
   5,   /* field[5] = loads */
   0,   /* field[0] = node */
+  13,   /* field[13] = paces */
   6,   /* field[6] = queues */
   7,   /* field[7] = samples */
   2,   /* field[2] = sequence */
@@ -942,7 +1038,7 @@
 static const ProtobufCIntRange cwp__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cwp__node_report__descriptor =
 {
@@ -952,7 +1048,7 @@
   "Cwp__NodeReport",
   "cwp",
   sizeof(Cwp__NodeReport),
-  13,
+  14,
   cwp__node_report__field_descriptors,
   cwp__node_report__field_indices_by_name,
   1,  cwp__node_report__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Cwp__ServerLoad Cwp__ServerLoad;
+typedef struct Cwp__ServerPace Cwp__ServerPace;
 typedef struct Cwp__QueueLength Cwp__QueueLength;
 typedef struct Cwp__KeySamples Cwp__KeySamples;
 typedef struct Cwp__LeaderWord Cwp__LeaderWord;
@@ -43,19 +44,29 @@
    */
   uint32_t server;
   uint32_t under_way;
-  /*
-   * answers since the node's start
-   */
-  uint32_t served;
-  /*
-   * their time over what is usual, in thousandths, summed
-   */
-  uint64_t served_time;
   protobuf_c_boolean unreachable;
 };
 #define CWP__SERVER_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__server_load__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0 }
+
+
+/*
+ * How fast a server answered one node, counted since that node's start.
+ */
+struct  Cwp__ServerPace
+{
+  ProtobufCMessage base;
+  uint32_t server;
+  uint32_t served;
+  /*
+   * of the answers over what is usual, in thousandths, summed
+   */
+  uint64_t time;
+};
+#define CWP__SERVER_PACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__server_pace__descriptor) \
+    , 0, 0, 0 }
 
 
 struct  Cwp__QueueLength
@@ -124,6 +135,9 @@
 struct  Cwp__NodeReport
 {
   ProtobufCMessage base;
+  /*
+   * with the zone, only in some reports
+   */
   char *node;
   uint64_t incarnation;
   uint32_t sequence;
@@ -149,10 +163,15 @@
   uint64_t term;
   uint64_t servers;
   uint64_t tables;
+  /*
+   * only in some reports
+   */
+  size_t n_paces;
+  Cwp__ServerPace **paces;
 };
 #define CWP__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Cwp__ViewServer
@@ -269,6 +288,25 @@
 void   cwp__server_load__free_unpacked
                      (Cwp__ServerLoad *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__ServerPace methods */
+void   cwp__server_pace__init
+                     (Cwp__ServerPace         *message);
+size_t cwp__server_pace__get_packed_size
+                     (const Cwp__ServerPace   *message);
+size_t cwp__server_pace__pack
+                     (const Cwp__ServerPace   *message,
+                      uint8_t             *out);
+size_t cwp__server_pace__pack_to_buffer
+                     (const Cwp__ServerPace   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ServerPace *
+       cwp__server_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__server_pace__free_unpacked
+                     (Cwp__ServerPace *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__QueueLength methods */
 void   cwp__queue_length__init
                      (Cwp__QueueLength         *message);
@@ -445,6 +483,9 @@
 typedef void (*Cwp__ServerLoad_Closure)
                  (const Cwp__ServerLoad *message,
                   void *closure_data);
+typedef void (*Cwp__ServerPace_Closure)
+                 (const Cwp__ServerPace *message,
+                  void *closure_data);
 typedef void (*Cwp__QueueLength_Closure)
                  (const Cwp__QueueLength *message,
                   void *closure_data);
@@ -479,6 +520,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor cwp__server_load__descriptor;
+extern const ProtobufCMessageDescriptor cwp__server_pace__descriptor;
 extern const ProtobufCMessageDescriptor cwp__queue_length__descriptor;
 extern const ProtobufCMessageDescriptor cwp__key_samples__descriptor;
 extern const ProtobufCMessageDescriptor cwp__leader_word__descriptor;
--- a/src/assignment/keeper_orders.c
+++ b/src/assignment/keeper_orders.c
@@ -102,12 +102,14 @@
     return entry != NULL || cw_server_list_successor(servers, range->owner.id, range->owner.address) == NULL;
 }
 
-/* A plan that is being written gives the range to another server. */
+/* A plan that is being written gives the range to another server. An owner that holds it is renewed until the write is
+ * done, which may take as long as the store is down; one that has not been granted it must not get it behind the plan's
+ * back, and one that cannot be reached is left to its hold's end. */
 static bool is_leaving(const cw_keeper_t *keeper, const cw_range_t *range)
 {
     const cw_range_t *planned;
 
-    if (!keeper->writing || keeper->adopting) {
+    if (!keeper->writing || keeper->adopting || (range->phase == CW_RANGE_HELD && range->failing_since == 0)) {
         return false;
     }
     planned = cw_range_list_find(&keeper->plan.ranges, range->low);
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -8,7 +8,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-enum { AVOID_FIRST_MS = 300, AVOID_MAX_MS = 2000, AVOID_DOUBLINGS_MAX = 3, PACE_FORGET_S = 6 };
+enum { AVOID_FIRST_MS = 300, AVOID_MAX_MS = 2000, AVOID_DOUBLINGS_MAX = 3, PACE_FORGET_S = 6, LEARN_AT_ONCE = 4 };
 
 static const double pace_weight = 0.15;
 static const double pace_low = 0.25;
@@ -21,6 +21,8 @@
     cw_time_us_t        at;
     cw_server_report_t *reports;
     size_t              count;
+    cw_server_pace_t   *paces; /* last told for each server */
+    size_t              pace_count;
     UT_hash_handle      hh;
 } peer_report_t;
 
@@ -62,6 +64,7 @@
 {
     HASH_DEL(pool->peers, peer);
     free(peer->reports);
+    free(peer->paces);
     free(peer);
 }
 
@@ -192,7 +195,7 @@
     learn_pace(server, ratio, pace_weight);
     server->pace_at = now;
     server->served++;
-    server->served_us += (uint64_t)(ratio * 1000);
+    server->served_time += (uint64_t)(ratio * 1000);
     server->faults = 0;
     server->avoid_until = 0;
 }
@@ -226,18 +229,6 @@
     return server;
 }
 
-static const cw_server_report_t *previous_of(const peer_report_t *peer, uint32_t hash)
-{
-    size_t index;
-
-    for (index = 0; index < peer->count; index++) {
-        if (peer->reports[index].hash == hash) {
-            return &peer->reports[index];
-        }
-    }
-    return NULL;
-}
-
 static void take_back(cw_server_pool_t *pool, const peer_report_t *peer)
 {
     size_t index;
@@ -252,23 +243,9 @@
     }
 }
 
-static void learn_from(cw_server_t *server, const cw_server_report_t *report, const cw_server_report_t *previous)
-{
-    uint32_t answers;
-
-    if (previous == NULL || report->served <= previous->served || report->served_us < previous->served_us) {
-        return;
-    }
-    answers = report->served - previous->served;
-    learn_pace(server, (double)(report->served_us - previous->served_us) / answers / 1000,
-               pace_weight * (answers > 4 ? 4 : answers));
-}
-
-void cw_server_pool_report(cw_server_pool_t *pool, uint64_t node, const cw_server_report_t *reports, size_t count,
-                           cw_time_us_t now)
+static peer_report_t *peer_of(cw_server_pool_t *pool, uint64_t node)
 {
     peer_report_t *peer;
-    size_t         index;
 
     HASH_FIND(hh, pool->peers, &node, sizeof(node), peer);
     if (peer == NULL) {
@@ -279,6 +256,51 @@
         peer->node = node;
         HASH_ADD(hh, pool->peers, node, sizeof(peer->node), peer);
     }
+    return peer;
+}
+
+static cw_server_pace_t *last_pace(peer_report_t *peer, uint32_t hash)
+{
+    size_t index;
+
+    for (index = 0; index < peer->pace_count; index++) {
+        if (peer->paces[index].hash == hash) {
+            return &peer->paces[index];
+        }
+    }
+    peer->paces = realloc(peer->paces, (peer->pace_count + 1) * sizeof(*peer->paces));
+    if (peer->paces == NULL) {
+        abort();
+    }
+    peer->paces[peer->pace_count] = (cw_server_pace_t){.hash = hash};
+    return &peer->paces[peer->pace_count++];
+}
+
+void cw_server_pool_learn(cw_server_pool_t *pool, uint64_t node, const cw_server_pace_t *paces, size_t count)
+{
+    peer_report_t *peer = peer_of(pool, node);
+    size_t         index;
+
+    for (index = 0; index < count; index++) {
+        cw_server_pace_t *last = last_pace(peer, paces[index].hash);
+        cw_server_t      *server = by_hash(pool, paces[index].hash);
+
+        if (server != NULL && paces[index].served > last->served && paces[index].time >= last->time) {
+            uint32_t answers = paces[index].served - last->served;
+
+            learn_pace(server, (double)(paces[index].time - last->time) / answers / 1000,
+                       pace_weight * (answers > LEARN_AT_ONCE ? LEARN_AT_ONCE : answers));
+        }
+        *last = paces[index];
+    }
+}
+
+void cw_server_pool_report(cw_server_pool_t *pool, uint64_t node, const cw_server_report_t *reports, size_t count,
+                           cw_time_us_t now)
+{
+    peer_report_t *peer = peer_of(pool, node);
+    size_t         index;
+
     take_back(pool, peer);
     for (index = 0; index < count; index++) {
         cw_server_t *server = by_hash(pool, reports[index].hash);
@@ -287,7 +309,6 @@
             continue;
         }
         server->others += reports[index].under_way;
-        learn_from(server, &reports[index], previous_of(peer, reports[index].hash));
         if (reports[index].unreachable && server->avoid_until < now + CW_MS(AVOID_FIRST_MS)) {
             server->avoid_until = now + CW_MS(AVOID_FIRST_MS);
         }
@@ -364,7 +385,7 @@
     {
         double value;
 
-        if (!server->listed || server->draining || strcmp(server->service, service) != 0) {
+        if (!server->listed || server->draining || server->ended || strcmp(server->service, service) != 0) {
             continue;
         }
         if (!cw_server_has_slot(server, settings->extra_slots)) {
@@ -388,7 +409,7 @@
 
     HASH_ITER(by_id, pool->by_id, server, next)
     {
-        if (server->listed && !server->draining && server->avoid_until <= now &&
+        if (server->listed && !server->draining && !server->ended && server->avoid_until <= now &&
             strcmp(server->service, service) == 0) {
             speed += server->capacity / present_pace(server, now);
         }
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -24,12 +24,14 @@
     uint32_t       capacity;
     bool           listed;
     bool           draining;
+    bool           ended;         /**< another life answered at its address: this one is over */
     uint32_t       own;           /**< requests of this node under way */
     uint32_t       others;        /**< of the other nodes, as reported */
     double         pace;          /**< time of its answers over what is usual on the route; 1 when nothing is known */
     cw_time_us_t   pace_at;       /**< last measured */
     uint32_t       served;        /**< answers since the start, and */
-    uint64_t       served_us;     /**< their time, divided by what is usual (for reports) */
+    uint64_t       served_time;   /**< their time over what is usual, in thousandths, summed */
+    uint32_t       served_told;   /**< value of served in this node's last report */
     uint32_t       faults;        /**< in a row */
     cw_time_us_t   avoid_until;   /**< not chosen while another one can be */
     cw_time_us_t   slow_until;    /**< just started */
@@ -42,11 +44,16 @@
 typedef struct cw_server_report {
     uint32_t hash;
     uint32_t under_way;
-    uint32_t served;    /**< since that node's start */
-    uint64_t served_us;
     bool     unreachable;
 } cw_server_report_t;
 
+/** How fast one server answered another node, counted since that node's start. */
+typedef struct cw_server_pace {
+    uint32_t hash;
+    uint32_t served;
+    uint64_t time; /**< of the answers over what is usual, in thousandths, summed */
+} cw_server_pace_t;
+
 typedef struct cw_server_pool cw_server_pool_t;
 
 enum { CW_POOL_REPORT_LIFE_MS = 1500 };
@@ -74,6 +81,8 @@
 /** Replaces what this node (0: expired) last reported. */
 void cw_server_pool_report(cw_server_pool_t *pool, uint64_t node, const cw_server_report_t *reports, size_t count,
                            cw_time_us_t now);
+/** Learns from what the answers came to since this node last told. */
+void cw_server_pool_learn(cw_server_pool_t *pool, uint64_t node, const cw_server_pace_t *paces, size_t count);
 /** Forgets nodes that have been silent. */
 void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t now);
 
--- a/src/placement/load_window.c
+++ b/src/placement/load_window.c
@@ -10,6 +10,7 @@
 
 static const double memory_s = 1.6; /* time constant; shorter follows faster and sees more noise */
 static const double horizon_s = 6.4;
+static const double span_min_s = 0.2;
 
 void cw_load_window_add(cw_load_window_t *window, uint32_t key, double weight, cw_time_us_t now)
 {
@@ -21,6 +22,10 @@
             abort();
         }
     }
+    if (window->count == 0 || (uint32_t)(now / 1000) - window->last_ms > (uint32_t)(horizon_s * 1000)) {
+        window->first_ms = (uint32_t)(now / 1000);
+    }
+    window->last_ms = (uint32_t)(now / 1000);
     sample = &window->samples[window->next];
     sample->key = key;
     sample->weight = (float)weight;
@@ -54,9 +59,18 @@
     return kept;
 }
 
+/* A window that has only begun to fill holds less than its share of the rate. */
+static double filled_share(const cw_load_window_t *window, uint32_t now_ms)
+{
+    double span_s = (double)(now_ms - window->first_ms) / 1000;
+
+    return 1 - exp(-(span_s < span_min_s ? span_min_s : span_s) / memory_s);
+}
+
 size_t cw_load_window_read(const cw_load_window_t *window, cw_time_us_t now, cw_key_load_t **loads)
 {
     uint32_t now_ms = (uint32_t)(now / 1000);
+    double   share = filled_share(window, now_ms);
     size_t   count = 0;
     size_t   index;
 
@@ -71,7 +85,7 @@
             continue;
         }
         (*loads)[count].key = window->samples[index].key;
-        (*loads)[count].per_s = (double)window->samples[index].weight * exp(-age_s / memory_s) / memory_s;
+        (*loads)[count].per_s = (double)window->samples[index].weight * exp(-age_s / memory_s) / memory_s / share;
         count++;
     }
     qsort(*loads, count, sizeof(**loads), compare_keys);
--- a/src/placement/load_window.h
+++ b/src/placement/load_window.h
@@ -22,6 +22,8 @@
     cw_load_sample_t *samples; /**< a ring */
     size_t            count;
     size_t            next;
+    uint32_t          first_ms; /**< since when there has been load without a long pause */
+    uint32_t          last_ms;
 } cw_load_window_t;
 
 /** A key with its share of the load, requests a second. */
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -4,14 +4,21 @@
  */
 #include "placement/planner.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
+
 enum { LOST_MS = 1200 };
 
 static const double fit_low = 0.35; /* a piece is worth moving from this share of what should move */
 static const double fit_high = 1.5;
-static const double key_weight = 1e-7; /* breaks ties of load by the number of keys held */
+static const double key_weight = 1e-7; /* breaks ties by the number of keys held */
+static const double full = 0.92;       /* busy share from where the wait is taken to grow in a straight line */
+static const double pace_most = 3;     /* a server in trouble is no reason to move everything at once */
+static const double idle_per_s = 0.5;
+static const double late_power = 1.0;  /* long times weigh more: they miss the aim */
 
 typedef struct planner {
     cw_keeper_t                 *keeper;
@@ -19,8 +26,11 @@
     cw_planner_server_t         *servers;
     size_t                       server_count;
     const cw_server_list_t      *list;
+    cw_range_list_t              ranges; /**< as they will be with the moves planned so far */
     cw_key_load_t               *loads;
     size_t                       load_count;
+    double                       per_s; /**< of all keys */
+    double                       gain_min;
     cw_time_us_t                 now;
     size_t                       changes;
 } planner_t;
@@ -79,7 +89,7 @@
     size_t                 index;
 
     for (index = 0; index < planner->server_count; index++) {
-        planner->servers[index].load = 0;
+        planner->servers[index].per_s = 0;
         planner->servers[index].keys = 0;
     }
     for (index = 0; index < ranges->count; index++) {
@@ -87,15 +97,42 @@
         cw_planner_server_t *server = server_of(planner, range->owner.id);
 
         if (server != NULL) {
-            server->load += load_between(planner, range->low, range->last) * server->cost_s;
+            server->per_s += load_between(planner, range->low, range->last);
             server->keys += range->last - range->low + 1;
         }
     }
 }
 
+/* Mean time of a request over what is usual, at this rate: its pace and the wait for one of the slots. */
+static double time_at(const cw_planner_server_t *server, double per_s)
+{
+    double slots = server->entry->capacity == 0 ? 1 : server->entry->capacity;
+    double busy = per_s * server->cost_s;
+    double bounded = busy > full ? full : busy;
+    double wait = pow(bounded, sqrt(2 * (slots + 1)) - 1) / (slots * (1 - bounded)); /* Sakasegawa's M/M/c */
+
+    if (busy > full) {
+        wait += (busy - full) * 20;
+    }
+    return pow((server->pace > pace_most ? pace_most : server->pace) * (1 + wait), late_power);
+}
+
+static double total_cost(const cw_planner_server_t *server, double per_s)
+{
+    return per_s <= 0 ? 0 : per_s * time_at(server, per_s);
+}
+
+/* What one request a second more would cost. */
+static double marginal(const cw_planner_server_t *server)
+{
+    const double step = 0.5;
+
+    return (total_cost(server, server->per_s + step) - total_cost(server, server->per_s)) / step;
+}
+
 static double rank(const cw_planner_server_t *server)
 {
-    return server->load + key_weight * server->keys;
+    return marginal(server) + key_weight * server->keys;
 }
 
 static cw_planner_server_t *least_busy(const planner_t *planner, const char *except)
@@ -113,14 +150,30 @@
     return best;
 }
 
+static void note_move(planner_t *planner, const piece_t *piece, const cw_planner_server_t *to)
+{
+    size_t      index = (size_t)(cw_range_list_find(&planner->ranges, piece->low) - planner->ranges.items);
+    cw_range_t *range;
+
+    if (cw_range_list_cut(&planner->ranges, index, piece->low)) {
+        index++;
+    }
+    (void)cw_range_list_cut(&planner->ranges, index, piece->last + 1);
+    range = &planner->ranges.items[index];
+    cw_text_copy(range->owner.id, sizeof(range->owner.id), to->entry->id);
+    range->moved_at = planner->now;
+    range->phase = CW_RANGE_RELEASING;
+}
+
 static void move(planner_t *planner, const piece_t *piece, cw_planner_server_t *from, cw_planner_server_t *to)
 {
     cw_keeper_plan_move(planner->keeper, piece->low, piece->last, to->entry, planner->list);
+    note_move(planner, piece, to);
     if (from != NULL) {
-        from->load -= piece->per_s * from->cost_s;
+        from->per_s -= piece->per_s;
         from->keys -= piece->last - piece->low + 1;
     }
-    to->load += piece->per_s * to->cost_s;
+    to->per_s += piece->per_s;
     to->keys += piece->last - piece->low + 1;
     planner->changes++;
 }
@@ -220,7 +273,7 @@
 
 static bool choose_piece(const planner_t *planner, const cw_planner_server_t *from, double wanted, piece_t *best)
 {
-    const cw_range_list_t *ranges = cw_keeper_ranges(planner->keeper);
+    const cw_range_list_t *ranges = &planner->ranges;
     size_t                 index;
 
     memset(best, 0, sizeof(*best));
@@ -245,24 +298,50 @@
     size_t               index;
 
     for (index = 0; index < planner->server_count; index++) {
-        if (!tried[index] && (best == NULL || planner->servers[index].load > best->load)) {
+        if (!tried[index] && (best == NULL || marginal(&planner->servers[index]) > marginal(best))) {
             best = &planner->servers[index];
         }
     }
     return best;
 }
 
+static double gain(const cw_planner_server_t *from, const cw_planner_server_t *to, double per_s)
+{
+    return total_cost(from, from->per_s) - total_cost(from, from->per_s - per_s) + total_cost(to, to->per_s) -
+           total_cost(to, to->per_s + per_s);
+}
+
+/* Rate whose move earns most, by halving: the cost is convex. */
+static double best_rate(const cw_planner_server_t *from, const cw_planner_server_t *to)
+{
+    double low = 0;
+    double high = from->per_s;
+    int    step;
+
+    for (step = 0; step < 20; step++) {
+        double third = (high - low) / 3;
+
+        if (gain(from, to, low + third) < gain(from, to, high - third)) {
+            low += third;
+        } else {
+            high -= third;
+        }
+    }
+    return (low + high) / 2;
+}
+
 static bool relieve(planner_t *planner, cw_planner_server_t *from)
 {
     cw_planner_server_t *to = least_busy(planner, from->entry->id);
     double               wanted;
     piece_t              piece;
 
-    if (to == NULL || from->load < planner->settings->high || from->load - to->load < planner->settings->gap) {
+    if (to == NULL || marginal(to) >= marginal(from)) {
         return false;
     }
-    wanted = (from->load - to->load) / (from->cost_s + to->cost_s);
-    if (!choose_piece(planner, from, wanted, &piece)) {
+    wanted = best_rate(from, to);
+    if (gain(from, to, wanted) < planner->gain_min || !choose_piece(planner, from, wanted, &piece) ||
+        gain(from, to, piece.per_s) < planner->gain_min) {
         return false;
     }
     move(planner, &piece, from, to);
@@ -273,23 +352,51 @@
 {
     bool  *tried = calloc(planner->server_count + 1, sizeof(*tried));
     size_t moves = 0;
-    size_t round;
 
     if (tried == NULL) {
         abort();
     }
-    for (round = 0; round < planner->server_count && moves < planner->settings->moves_max; round++) {
+    while (moves < planner->settings->moves_max) {
         cw_planner_server_t *from = busiest(planner, tried);
 
         if (from == NULL) {
             break;
         }
-        tried[from - planner->servers] = true; /* one piece from each server: ranges are as the record has them */
-        moves += relieve(planner, from) ? 1 : 0;
+        if (relieve(planner, from)) {
+            moves++;
+        } else {
+            tried[from - planner->servers] = true;
+        }
     }
     free(tried);
 }
 
+/* Before there is any load, servers that have come since get their part of the keys. */
+static void plan_idle(planner_t *planner)
+{
+    cw_planner_server_t *most = NULL;
+    cw_planner_server_t *none = NULL;
+    size_t               index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        cw_planner_server_t *server = &planner->servers[index];
+
+        most = most == NULL || server->keys > most->keys ? server : most;
+        none = none == NULL && server->keys == 0 && server->usable ? server : none;
+    }
+    for (index = 0; most != NULL && none != NULL && index < planner->ranges.count; index++) {
+        const cw_range_t *range = &planner->ranges.items[index];
+
+        if (strcmp(range->owner.id, most->entry->id) == 0 && range->last > range->low &&
+            cw_keeper_is_settled(planner->keeper, range, planner->now)) {
+            piece_t piece = {range->low + (range->last - range->low + 1) / 2, range->last, 0};
+
+            move(planner, &piece, most, none);
+            return;
+        }
+    }
+}
+
 /* ---- joins ---- */
 
 static void plan_joins(planner_t *planner)
@@ -325,9 +432,14 @@
         return 0;
     }
     planner.load_count = cw_load_window_read(window, now, &planner.loads);
+    planner.per_s = load_between(&planner, 0, CW_KEY_LAST);
+    planner.gain_min = settings->gain_min + settings->gain_share * planner.per_s;
+    cw_range_list_copy(&planner.ranges, cw_keeper_ranges(keeper));
     measure_servers(&planner);
     plan_forced(&planner);
-    if (planner.changes == 0) {
+    if (planner.changes == 0 && planner.per_s < idle_per_s) {
+        plan_idle(&planner);
+    } else if (planner.changes == 0) {
         plan_balance(&planner);
     }
     if (planner.changes == 0) {
@@ -338,5 +450,6 @@
     }
     cw_keeper_plan_write(keeper, now);
     free(planner.loads);
+    cw_range_list_clear(&planner.ranges);
     return planner.changes;
 }
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -2,9 +2,10 @@
  * @file planner.h
  * @brief Which ranges should move, and where: a pure function of ranges, servers and the keys' loads.
  *
- * First what must move: ranges of servers that leave, are gone or cannot be reached. Then balance: pieces of the
- * busiest server's ranges go to the least busy one, as long as that earns more than it costs. Last, neighbours with
- * one owner are joined, so that the number of ranges stays bounded.
+ * First what must move: ranges of servers that leave, are gone or cannot be reached. Then balance: a server's requests
+ * cost their number times the time one takes there (its pace, and the wait for a slot at that load); pieces of ranges
+ * go from where one request more costs most to where it costs least, as long as that earns more than a move costs.
+ * Last, neighbours with one owner are joined, so that the number of ranges stays bounded.
  */
 #ifndef CEDARWINCH_PLACEMENT_PLANNER_H
 #define CEDARWINCH_PLACEMENT_PLANNER_H
@@ -16,17 +17,18 @@
 typedef struct cw_planner_server {
     const cw_server_entry_t *entry;
     bool                     usable;  /**< may be given keys */
+    double                   pace;    /**< time of its answers over what is usual */
     double                   cost_s;  /**< share of its slots that one request a second takes */
-    double                   load;    /**< filled by the planner: share of its slots that is busy */
+    double                   per_s;   /**< filled by the planner: requests a second on its keys */
     uint32_t                 keys;    /**< filled by the planner */
 } cw_planner_server_t;
 
 typedef struct cw_planner_settings {
-    double   high;        /**< no balance below this busy share of the busiest server */
-    double   gap;         /**< smallest difference in busy share that is worth a move */
-    size_t   moves_max;   /**< in one plan, for balance */
-    size_t   ranges_each; /**< joins begin above this many ranges for each server */
-    cw_time_us_t rest;    /**< a range that has moved stays for so long */
+    double       gain_min;    /**< what a move has to earn: requests a second times usual times saved, and */
+    double       gain_share;  /**< besides that, for each request a second of the whole service */
+    size_t       moves_max;   /**< in one plan, for balance */
+    size_t       ranges_each; /**< joins begin above this many ranges for each server */
+    cw_time_us_t rest;        /**< a range that has moved stays for so long */
 } cw_planner_settings_t;
 
 /** Plans into the keeper and hands the plan in. Returns the number of changes. */
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -393,6 +393,18 @@
     return engine->queued;
 }
 
+bool cw_engine_has_samples(const cw_engine_t *engine)
+{
+    const cw_service_state_t *service;
+
+    for (service = engine->services; service != NULL; service = service->hh.next) {
+        if (service->samples.count > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void cw_engine_take_samples(cw_engine_t *engine,
                             void (*take)(void *context, const char *service, const cw_key_samples_t *samples),
                             void *context)
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -32,6 +32,7 @@
     const char *not_run;    /**< from a server: it did not run the request */
     const char *key;        /**< number of the key */
     const char *signature;  /**< from a server: the answer is its own */
+    const char *instance;   /**< from a server: its id */
 } cw_header_names_t;
 
 typedef struct cw_engine_settings {
@@ -43,6 +44,8 @@
     double               silence_factor; /**< a repeatable request is repeated after so many usual times of silence */
     cw_time_us_t         margin;         /**< answers leave this much before the caller's own deadline */
     size_t               answer_max;
+    double               late_share; /**< a request may wait for an answer that comes this far between its aim and its
+                                          deadline, rather than be refused */
     size_t               queue_max; /**< requests waiting for one service */
 } cw_engine_settings_t;
 
@@ -83,6 +86,7 @@
 size_t cw_engine_requests(const cw_engine_t *engine); /**< not answered yet */
 size_t cw_engine_queued(const cw_engine_t *engine);
 
+bool cw_engine_has_samples(const cw_engine_t *engine);
 /** Calls back for each service with keys seen since the last call, and forgets them. */
 void cw_engine_take_samples(cw_engine_t *engine,
                             void (*take)(void *context, const char *service, const cw_key_samples_t *samples),
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -16,7 +16,7 @@
     STATUS_MISDIRECTED = 421,
     STATUS_SERVER_ERROR = 500,
     REPEAT_MIN_MS = 150,
-    PAUSE_MISDIRECTED_MS = 25,
+    PAUSE_MISDIRECTED_MS = 50,
     USUAL_WEIGHT_PART = 24,
     RATIO_MAX = 10
 };
@@ -271,6 +271,14 @@
     cw_request_fail_unknown(request, fault);
 }
 
+/* Does an answer tell that another life of a server is at this address? */
+static bool is_of_another(const cw_request_t *request, const cw_server_t *server, const cw_upstream_answer_t *answer)
+{
+    const char *instance = cw_http_fields_find(answer->fields, request->engine->settings.names.instance);
+
+    return answer->status == STATUS_MISDIRECTED && instance != NULL && strcmp(instance, server->id) != 0;
+}
+
 static bool says_not_run(const cw_request_t *request, const cw_upstream_answer_t *answer)
 {
     return answer->status == STATUS_MISDIRECTED ||
@@ -282,6 +290,9 @@
     char id[sizeof(request->avoid)];
 
     cw_text_copy(id, sizeof(id), server->id);
+    if (is_of_another(request, server, answer)) {
+        server->ended = true;
+    }
     if (says_not_run(request, answer)) {
         leave_server(request);
         not_run(request, id, answer->status);
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -41,8 +41,13 @@
 static cw_server_t *owner_server(const cw_request_t *request)
 {
     const cw_key_route_t *entry = cw_engine_owner(request->engine, request->service, request->key);
+    cw_server_t          *server;
 
-    return entry == NULL || !entry->routable ? NULL : cw_server_pool_find(request->engine->pool, entry->server);
+    if (entry == NULL || !entry->routable) {
+        return NULL;
+    }
+    server = cw_server_pool_find(request->engine->pool, entry->server);
+    return server == NULL || server->ended ? NULL : server;
 }
 
 /* Requests before this one that wait for the same owner of keys. */
@@ -150,6 +155,13 @@
     return PLACED;
 }
 
+/* A late answer is worth something too: until when a request had better wait than be told to come back. */
+static cw_time_us_t latest_worth_waiting(const cw_request_t *request)
+{
+    return request->aim_at + (cw_time_us_t)((double)(request->deadline - request->aim_at) *
+                                            request->engine->settings.late_share);
+}
+
 /* A request that could not be placed: waits, or is told to come back. */
 static void settle(cw_request_t *request, placing_t why, cw_time_us_t now)
 {
@@ -169,7 +181,7 @@
             cw_request_refuse(request, why == WAITS_FOR_OWNER ? CW_REFUSED_OWNER : CW_REFUSED_SERVERS);
             return;
         }
-    } else if (estimate > request->aim_at) {
+    } else if (estimate > latest_worth_waiting(request)) {
         cw_request_refuse(request, CW_REFUSED_LOAD);
         return;
     }
--- a/src/retry/shared_budget.c
+++ b/src/retry/shared_budget.c
@@ -46,7 +46,7 @@
             requests += budget->requests[index];
         }
     }
-    return settings->share * (settings->ratio * requests + settings->extra / (nodes == 0 ? 1 : nodes)) - repeats;
+    return settings->share * (settings->ratio * requests + (nodes == 0 ? 0 : settings->extra / nodes)) - repeats;
 }
 
 bool cw_shared_budget_take(cw_shared_budget_t *budget, const cw_budget_settings_t *settings, uint32_t nodes,
--- a/src/retry/shared_budget.h
+++ b/src/retry/shared_budget.h
@@ -32,7 +32,7 @@
 
 /** A request for the service came. */
 void cw_shared_budget_note_request(cw_shared_budget_t *budget, const cw_budget_settings_t *settings, cw_time_us_t now);
-/** Takes room for one more arrival; false: there is none. */
+/** Takes room for one more arrival; false: there is none. nodes: 0 while not known; then nothing of `extra` is used. */
 bool cw_shared_budget_take(cw_shared_budget_t *budget, const cw_budget_settings_t *settings, uint32_t nodes,
                            cw_time_us_t now);
 /** Arrivals that could be repeated now. */
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -33,8 +33,7 @@
     OWN_IDLE_S = 60,
     FILE_CHECK_MS = 500,
     STOP_LISTEN_MS = 3600, /* the entry asks each second, and twice */
-    STOP_MARGIN_MS = 400,
-    LATE_STOP_PART = 10
+    STOP_MARGIN_MS = 400
 };
 
 cw_time_us_t cw_router_now(const cw_router_t *router)
@@ -309,17 +308,28 @@
 
 /* ---- ticks ---- */
 
+/* Nodes among which the retry budget's fixed part is shared: the most seen within a window. A process that has run for
+ * less than a window knows neither them nor what its former life has spent. */
+static uint32_t nodes_for_budget(cw_router_t *router, cw_time_us_t now)
+{
+    uint32_t alive = cw_peer_link_alive(router->link, router->settings.retry_window, now) + 1;
+
+    if (alive >= router->nodes_most || now - router->nodes_most_at > router->settings.retry_window) {
+        router->nodes_most = alive;
+        router->nodes_most_at = now;
+    }
+    return now - router->started_at < router->settings.retry_window ? 0 : router->nodes_most;
+}
+
 static void on_tick(uv_timer_t *timer)
 {
     cw_router_t *router = timer->data;
     cw_time_us_t now = cw_router_now(router);
-    uint32_t     nodes;
 
     cw_router_lead_tick(router, now);
     cw_router_view_tick(router, now);
     cw_router_peers_tick(router, now);
-    nodes = cw_peer_link_alive(router->link, CW_MS(CW_PEER_SILENCE_MS) * LATE_STOP_PART, now) + 1;
-    cw_engine_set_nodes(router->engine, nodes);
+    cw_engine_set_nodes(router->engine, nodes_for_budget(router, now));
     check_file(router, now);
     check_stop(router, now);
     cw_event_log_flush(now);
@@ -341,6 +351,7 @@
         .silence_factor = 4,
         .margin = CW_MS(15),
         .answer_max = ANSWER_MAX,
+        .late_share = 0.25,
         .queue_max = QUEUE_MAX};
 
     return settings;
@@ -397,6 +408,7 @@
     if (error != 0) {
         return error;
     }
+    router->started_at = cw_router_now(router);
     cw_router_lead_init(router);
     cw_router_peers_init(router);
     snprintf(store_address, sizeof(store_address), "%s:%u", router->settings.store.address,
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -68,12 +68,16 @@
     cw_time_us_t         started_at;
     cw_time_us_t         stopping_at; /**< 0: not stopping */
     cw_time_us_t         checked_file_at;
+    uint32_t             nodes_most; /**< nodes alive at once, within the retry budget's window */
+    cw_time_us_t         nodes_most_at;
     int64_t              file_changed; /**< modification time and size of the settings file, mixed */
 
     /* reports */
     uint32_t     sequence;
     cw_time_us_t reported_zone_at;
     cw_time_us_t reported_all_at;
+    cw_time_us_t reported_full_at;
+    cw_time_us_t sent_keys_at;
     bool         zone_due;
     bool         all_due;
     cw_queue_report_t queues[CW_QUEUE_REPORTS_MAX];
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -11,7 +11,7 @@
     RENEW_MS = 800,
     SILENCE_MS = 900,
     READ_EVERY_MS = 400,
-    PLAN_EVERY_MS = 500,
+    PLAN_EVERY_MS = 300,
     FIRST_PLAN_WAIT_MS = 700, /* servers may still be signing in */
     RENEW_GRANT_MS = 1250,
     ORDER_TIMEOUT_MS = 350,
@@ -271,7 +271,7 @@
 /* ---- plans ---- */
 
 static const cw_planner_settings_t planner_settings = {
-    .high = 0.4, .gap = 0.22, .moves_max = 4, .ranges_each = 4, .rest = CW_MS(900)};
+    .gain_min = 1.5, .gain_share = 0.008, .moves_max = 12, .ranges_each = 4, .rest = CW_MS(900)};
 
 static size_t list_servers(cw_router_t *router, const char *service, cw_planner_server_t *servers, cw_time_us_t now)
 {
@@ -289,7 +289,8 @@
         memset(&servers[count], 0, sizeof(servers[count]));
         servers[count].entry = entry;
         servers[count].usable = !entry->draining && server != NULL && server->avoid_until <= now;
-        servers[count].cost_s = usual_s * (server == NULL ? 1 : server->pace) / (entry->capacity == 0 ? 1 : entry->capacity);
+        servers[count].pace = server == NULL ? 1 : server->pace;
+        servers[count].cost_s = usual_s * servers[count].pace / (entry->capacity == 0 ? 1 : entry->capacity);
         count++;
     }
     return count;
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -14,8 +14,11 @@
 
 enum {
     ZONE_PAUSE_MS = 20,
-    ALL_PAUSE_MS = 100,
-    IDLE_PAUSE_MS = 250,
+    ALL_PAUSE_MS = 150,
+    IDLE_PAUSE_MS = 300,
+    FULL_PAUSE_MS = 1000, /* between reports with names and paces */
+    NAMED_FIRST = 8,
+    KEYS_PAUSE_MS = 100,
     PEERS_AT_FULL_PACE = 16,
     LOADS_MAX = 512,
     QUEUES_MAX = 32,
@@ -33,6 +36,8 @@
     Cwp__LeaderWord   leader;
     Cwp__ServerLoad   loads[LOADS_MAX];
     Cwp__ServerLoad  *load_pointers[LOADS_MAX];
+    Cwp__ServerPace   paces[LOADS_MAX];
+    Cwp__ServerPace  *pace_pointers[LOADS_MAX];
     Cwp__QueueLength  queues[QUEUES_MAX];
     Cwp__QueueLength *queue_pointers[QUEUES_MAX];
     Cwp__KeySamples   samples[SAMPLES_MAX];
@@ -56,14 +61,12 @@
     {
         Cwp__ServerLoad *load = &builder.loads[count];
 
-        if (count == LOADS_MAX || (server->own == 0 && server->served == 0 && server->avoid_until <= now)) {
+        if (count == LOADS_MAX || (server->own == 0 && server->avoid_until <= now)) {
             continue;
         }
         cwp__server_load__init(load);
         load->server = server->hash;
         load->under_way = server->own;
-        load->served = server->served;
-        load->served_time = server->served_us;
         load->unreachable = server->faults > 0 && server->avoid_until > now;
         builder.load_pointers[count++] = load;
     }
@@ -71,6 +74,31 @@
     builder.report.loads = builder.load_pointers;
 }
 
+/* What has changed since it was last told. */
+static void add_paces(cw_router_t *router)
+{
+    cw_server_t *server;
+    cw_server_t *next;
+    size_t       count = 0;
+
+    HASH_ITER(by_id, cw_server_pool_all(router->pool), server, next)
+    {
+        Cwp__ServerPace *pace = &builder.paces[count];
+
+        if (count == LOADS_MAX || server->served == server->served_told) {
+            continue;
+        }
+        cwp__server_pace__init(pace);
+        pace->server = server->hash;
+        pace->served = server->served;
+        pace->time = server->served_time;
+        server->served_told = server->served;
+        builder.pace_pointers[count++] = pace;
+    }
+    builder.report.n_paces = count;
+    builder.report.paces = builder.pace_pointers;
+}
+
 static void add_queue(void *context, const char *service, uint32_t queued)
 {
     Cwp__QueueLength *length = &builder.queues[builder.queue_count];
@@ -115,15 +143,25 @@
     builder.report.leader = &builder.leader;
 }
 
-static void make_report(cw_router_t *router, cw_time_us_t now)
+static void make_report(cw_router_t *router, bool to_all, cw_time_us_t now)
 {
+    bool full = to_all && now - router->reported_full_at >= CW_MS(FULL_PAUSE_MS);
+
     cwp__node_report__init(&builder.report);
     builder.queue_count = 0;
     builder.sample_count = 0;
-    builder.report.node = router->settings.node;
+    builder.report.node = "";
+    builder.report.zone = "";
+    if (full || router->sequence < NAMED_FIRST) {
+        builder.report.node = router->settings.node;
+        builder.report.zone = router->settings.zone;
+    }
+    if (full) {
+        router->reported_full_at = now;
+        add_paces(router);
+    }
     builder.report.incarnation = router->incarnation;
     builder.report.sequence = ++router->sequence;
-    builder.report.zone = router->settings.zone;
     builder.report.stopping = router->stopping_at != 0;
     builder.report.configuration = router->configuration == NULL ? 0 : router->configuration->version;
     builder.report.term = router->view_term;
@@ -153,7 +191,6 @@
                            cw_router_now(router));
 }
 
-/* The leader's peer entry gets the samples besides. */
 static void send_samples(cw_router_t *router, const cw_peer_t *leader)
 {
     Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
@@ -171,27 +208,35 @@
 static void send_report(cw_router_t *router, bool to_all, cw_time_us_t now)
 {
     Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
-    cw_peer_t    *leader = NULL;
     cw_peer_t    *peer;
     size_t        length;
 
-    make_report(router, now);
-    if (to_all && router->leadership.leading) {
-        cw_engine_take_samples(router->engine, take_own_sample, router);
-    }
+    make_report(router, to_all, now);
     datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
     datagram.report = &builder.report;
     length = cw_peer_link_pack(router->link, &datagram);
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (to_all && !router->leadership.leading && peer->heard_at != 0 &&
-            strcmp(peer->node, router->leader_node) == 0) {
-            leader = peer;
-        } else if (to_all || is_in_zone(router, peer)) {
+        if (to_all || is_in_zone(router, peer)) {
             cw_peer_link_send_packed(router->link, peer, length);
         }
     }
-    if (leader != NULL) {
-        send_samples(router, leader);
+}
+
+/* The leader plans by the keys of recent requests: it hears of them sooner than all others hear of loads. */
+static void send_keys(cw_router_t *router, cw_time_us_t now)
+{
+    cw_peer_t *peer;
+
+    router->sent_keys_at = now;
+    if (router->leadership.leading) {
+        cw_engine_take_samples(router->engine, take_own_sample, router);
+        return;
+    }
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (peer->heard_at != 0 && !peer->is_lost && strcmp(peer->node, router->leader_node) == 0) {
+            make_report(router, false, now);
+            send_samples(router, peer);
+        }
     }
 }
 
@@ -362,13 +407,26 @@
 
         reports[index] = (cw_server_report_t){.hash = load->server,
                                               .under_way = load->under_way,
-                                              .served = load->served,
-                                              .served_us = load->served_time,
                                               .unreachable = load->unreachable};
     }
     cw_server_pool_report(router->pool, peer->address, reports, index, now);
 }
 
+static void take_paces(cw_router_t *router, const cw_peer_t *peer, const Cwp__NodeReport *received)
+{
+    static cw_server_pace_t paces[LOADS_MAX];
+    size_t                  index;
+
+    for (index = 0; index < received->n_paces && index < LOADS_MAX; index++) {
+        const Cwp__ServerPace *pace = received->paces[index];
+
+        paces[index] = (cw_server_pace_t){.hash = pace->server, .served = pace->served, .time = pace->time};
+    }
+    if (index > 0) {
+        cw_server_pool_learn(router->pool, peer->address, paces, index);
+    }
+}
+
 static void note_peer(const cw_peer_t *peer, cw_event_kind_t kind, cw_time_us_t silent)
 {
     cw_event_t event;
@@ -398,8 +456,10 @@
     peer->term = received->term;
     peer->servers = received->servers;
     peer->tables = received->tables;
-    cw_text_copy(peer->node, sizeof(peer->node), received->node);
-    cw_text_copy(peer->zone, sizeof(peer->zone), received->zone);
+    if (received->node[0] != '\0') {
+        cw_text_copy(peer->node, sizeof(peer->node), received->node);
+        cw_text_copy(peer->zone, sizeof(peer->zone), received->zone);
+    }
     return true;
 }
 
@@ -451,6 +511,7 @@
         return;
     }
     take_loads(router, peer, received, now);
+    take_paces(router, peer, received);
     take_queues(router, peer, received, now);
     for (index = 0; router->leadership.leading && index < received->n_samples; index++) {
         const Cwp__KeySamples *samples = received->samples[index];
@@ -512,6 +573,9 @@
 void cw_router_peers_tick(cw_router_t *router, cw_time_us_t now)
 {
     report(router, now);
+    if (now - router->sent_keys_at >= CW_MS(KEYS_PAUSE_MS) && cw_engine_has_samples(router->engine)) {
+        send_keys(router, now);
+    }
     find_lost(router, now);
     cw_server_pool_expire(router->pool, now);
     cw_peer_link_expire(router->link, CW_SECONDS(FORGET_S), now);
