A leader cut off from servers steps down; holds, list readings and table ages follow the platform's bounds

(1) A new leader has to assume the longest hold any former leader may have given: 10 s. (2) A leader that reached the store but not some servers kept leading while their grants ran out. Ruled out: the store (it answered), gateways' tables (421 are few). Change: the longest hold is 8 s; a leader whose orders do not reach two owners that answer other nodes gives the lock back and follows for 6 s; holds are limited by the platform's own bound, intervals follow drain and hold; names go with reports to nodes just heard.

--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -276,7 +276,8 @@
     return &peer->paces[peer->pace_count++];
 }
 
-void cw_server_pool_learn(cw_server_pool_t *pool, uint64_t node, const cw_server_pace_t *paces, size_t count)
+void cw_server_pool_learn(cw_server_pool_t *pool, uint64_t node, const cw_server_pace_t *paces, size_t count,
+                          cw_time_us_t now)
 {
     peer_report_t *peer = peer_of(pool, node);
     size_t         index;
@@ -288,6 +289,7 @@
         if (server != NULL && paces[index].served > last->served && paces[index].time >= last->time) {
             uint32_t answers = paces[index].served - last->served;
 
+            server->answered_others_at = now;
             learn_pace(server, (double)(paces[index].time - last->time) / answers / 1000,
                        pace_weight * (answers > LEARN_AT_ONCE ? LEARN_AT_ONCE : answers));
         }
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -32,6 +32,7 @@
     uint32_t       served;        /**< answers since the start, and */
     uint64_t       served_time;   /**< their time over what is usual, in thousandths, summed */
     uint32_t       served_told;   /**< value of served in this node's last report */
+    cw_time_us_t   answered_others_at; /**< another node told of answers */
     uint32_t       faults;        /**< in a row */
     cw_time_us_t   avoid_until;   /**< not chosen while another one can be */
     cw_time_us_t   slow_until;    /**< just started */
@@ -82,7 +83,8 @@
 void cw_server_pool_report(cw_server_pool_t *pool, uint64_t node, const cw_server_report_t *reports, size_t count,
                            cw_time_us_t now);
 /** Learns from what the answers came to since this node last told. */
-void cw_server_pool_learn(cw_server_pool_t *pool, uint64_t node, const cw_server_pace_t *paces, size_t count);
+void cw_server_pool_learn(cw_server_pool_t *pool, uint64_t node, const cw_server_pace_t *paces, size_t count,
+                          cw_time_us_t now);
 /** Forgets nodes that have been silent. */
 void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t now);
 
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -17,7 +17,10 @@
     FILE_MAX_BYTES = 1024 * 1024,
     LEADER_HOLD_MS = 3000,
     HOLD_MS = 5000,
-    HOLD_LONG_MS = 10000,
+    HOLD_LONG_MS = 8000,
+    HOLD_MAX_MS = 60000,
+    DRAIN_MS = 2000,
+    LEADER_HOLD_PERCENT = 60, /* of a grant's hold: the rest is for another leader to renew in */
     STOP_GRACE_MS = 6000,
     RETRY_WINDOW_MS = 10000,
     RETRY_EXTRA = 20
@@ -32,6 +35,7 @@
     settings->leader_hold = CW_MS(LEADER_HOLD_MS);
     settings->hold = CW_MS(HOLD_MS);
     settings->hold_long = CW_MS(HOLD_LONG_MS);
+    settings->drain = CW_MS(DRAIN_MS);
     settings->stop_grace = CW_MS(STOP_GRACE_MS);
     settings->retry_window = CW_MS(RETRY_WINDOW_MS);
     settings->retry_ratio = 0.1;
@@ -137,11 +141,27 @@
     read_endpoint(mapping, "store", true, &settings->store);
 }
 
+/* Servers take no longer hold than this; what builds on holds is shortened with them. */
+static void limit_holds(cw_router_settings_t *settings, cw_time_us_t most)
+{
+    if (settings->hold_long > most) {
+        settings->hold_long = most;
+    }
+    if (settings->hold > most) {
+        settings->hold = most;
+        if (settings->leader_hold > most * LEADER_HOLD_PERCENT / 100) {
+            settings->leader_hold = most * LEADER_HOLD_PERCENT / 100;
+        }
+    }
+}
+
 static void read_tuning(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
 {
     settings->leader_hold = read_ms(mapping, "leader_hold_ms", 500, 60000, settings->leader_hold);
     settings->hold = read_ms(mapping, "hold_ms", 1000, 60000, settings->hold);
     settings->hold_long = read_ms(mapping, "hold_long_ms", 1000, 60000, settings->hold_long);
+    settings->drain = read_ms(mapping, "drain_ms", 200, 600000, settings->drain);
+    limit_holds(settings, read_ms(mapping, "hold_max_ms", 1000, 600000, CW_MS(HOLD_MAX_MS)));
     settings->stop_grace = read_ms(mapping, "stop_grace_ms", 1000, 600000, settings->stop_grace);
     settings->retry_window = read_ms(mapping, "retry_window_ms", 1000, 600000, settings->retry_window);
     settings->retry_ratio = cw_yaml_real(mapping, "retry_ratio", 0, 1, settings->retry_ratio);
@@ -151,10 +171,11 @@
 /* Checks that span several keys. */
 static void check(const cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
 {
-    if (settings->hold < settings->leader_hold + CW_MS(1000)) {
+    if (settings->leader_hold > settings->hold * LEADER_HOLD_PERCENT / 100) {
         cw_yaml_report(mapping->document, mapping->node,
-                       "'hold_ms' must be at least 1000 above 'leader_hold_ms': else grants run out before another "
-                       "leader can renew them");
+                       "'leader_hold_ms' must be at most %d percent of 'hold_ms': else grants run out before another "
+                       "leader can renew them",
+                       LEADER_HOLD_PERCENT);
     }
     if (settings->hold_long < settings->hold) {
         cw_yaml_report(mapping->document, mapping->node, "'hold_long_ms' must not be below 'hold_ms'");
--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -110,6 +110,13 @@
     leadership->next_at = now;
 }
 
+void cw_leadership_step_down(cw_leadership_t *leadership, cw_time_us_t now, cw_time_us_t pause)
+{
+    cw_leadership_resign(leadership, now);
+    leadership->stepping_down = true;
+    leadership->follow_until = now + pause;
+}
+
 /* ---- what to do next ---- */
 
 static cw_leadership_action_t begin(cw_leadership_t *leadership, cw_leadership_action_t action, cw_time_us_t now)
@@ -144,7 +151,8 @@
 
 static cw_leadership_action_t follow(cw_leadership_t *leadership, cw_time_us_t now)
 {
-    if (leadership->resigning || now - leadership->heard_at < leadership->settings.silence) {
+    if (leadership->resigning || now < leadership->follow_until ||
+        now - leadership->heard_at < leadership->settings.silence) {
         return CW_LEADERSHIP_WAIT;
     }
     if (leadership->absent) {
@@ -182,6 +190,10 @@
 
 static void lose(cw_leadership_t *leadership)
 {
+    if (leadership->stepping_down) { /* another has taken it: that is as good */
+        leadership->stepping_down = false;
+        leadership->resigning = false;
+    }
     leadership->leading = false;
     leadership->authority_end = 0;
 }
@@ -193,7 +205,9 @@
     leadership->must_read = false;
     leadership->failures = 0;
     if (leadership->write.vacant) {
-        leadership->resigned = true;
+        leadership->resigned = !leadership->stepping_down;
+        leadership->resigning = !leadership->stepping_down;
+        leadership->stepping_down = false;
         lose(leadership);
         return;
     }
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -56,6 +56,8 @@
     bool                     leading;
     bool                     resigning;
     bool                     resigned;
+    bool                     stepping_down; /**< resigning, to follow again */
+    cw_time_us_t             follow_until;
     cw_time_us_t             authority_end;
     cw_lock_t                lock;     /**< as last seen */
     uint64_t                 revision; /**< of the lock as last seen; 0: none seen */
@@ -83,6 +85,9 @@
 /** Gives the lock back: no authority from now on, and the lock is written as vacant. */
 void cw_leadership_resign(cw_leadership_t *leadership, cw_time_us_t now);
 
+/** Gives the lock back, and does not take it again before the pause is over. */
+void cw_leadership_step_down(cw_leadership_t *leadership, cw_time_us_t now, cw_time_us_t pause);
+
 json_t *cw_lock_to_json(const cw_lock_t *lock);
 bool    cw_lock_from_json(cw_lock_t *lock, const json_t *value);
 
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -347,8 +347,9 @@
     cw_engine_wake(engine);
 }
 
-void cw_engine_set_tables_valid(cw_engine_t *engine, cw_time_us_t until)
+void cw_engine_set_tables_valid(cw_engine_t *engine, cw_time_us_t confirmed_at, cw_time_us_t until)
 {
+    engine->tables_confirmed_at = confirmed_at;
     engine->tables_valid_until = until;
 }
 
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -73,8 +73,8 @@
 void         cw_engine_set_nodes(cw_engine_t *engine, uint32_t nodes);
 void         cw_engine_set_table(cw_engine_t *engine, const char *service, const cw_key_route_t *routes, size_t count,
                                  uint64_t version);
-/** Until when the tables may be used without a fresh word. */
-void cw_engine_set_tables_valid(cw_engine_t *engine, cw_time_us_t until);
+/** When the tables were last confirmed, and until when they may be used without a fresh word. */
+void cw_engine_set_tables_valid(cw_engine_t *engine, cw_time_us_t confirmed_at, cw_time_us_t until);
 /** Slots, servers or tables have changed: looks at what waits. */
 void cw_engine_wake(cw_engine_t *engine);
 /** A server has left the pool: its connections go. */
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -83,7 +83,7 @@
 
         cw_event_number(event, CW_FIELD_KEY, request->key);
         cw_event_number(event, CW_FIELD_VIEW, (int64_t)request->service->table_version);
-        cw_event_ms(event, CW_FIELD_VIEW_AGE_MS, now - request->engine->tables_valid_until);
+        cw_event_ms(event, CW_FIELD_VIEW_AGE_MS, now - request->engine->tables_confirmed_at);
         cw_event_text(event, CW_FIELD_SERVER, entry == NULL ? NULL : entry->server);
         cw_event_number(event, CW_FIELD_FENCE, entry == NULL ? 0 : (int64_t)entry->fence);
     }
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -83,6 +83,7 @@
     cw_configuration_t  *configuration;
     cw_route_state_t    *routes;
     cw_service_state_t  *services;
+    cw_time_us_t         tables_confirmed_at;
     cw_time_us_t         tables_valid_until;
     uint32_t             nodes;
     size_t               requests;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -78,6 +78,7 @@
     cw_time_us_t reported_all_at;
     cw_time_us_t reported_full_at;
     cw_time_us_t sent_keys_at;
+    cw_time_us_t named_until;
     bool         zone_due;
     bool         all_due;
     cw_queue_report_t queues[CW_QUEUE_REPORTS_MAX];
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -8,18 +8,21 @@
 #include "router/router_internal.h"
 
 enum {
-    RENEW_MS = 800,
+    RENEWALS_A_LEADER_HOLD = 4,
     SILENCE_MS = 900,
     READ_EVERY_MS = 400,
     PLAN_EVERY_MS = 300,
     FIRST_PLAN_WAIT_MS = 700, /* servers may still be signing in */
-    RENEW_GRANT_MS = 1250,
+    RENEWALS_A_HOLD = 4,
     ORDER_TIMEOUT_MS = 350,
     RELEASE_TIMEOUT_MS = 1500,
     LATE_ORDERS_S = 13,
     STORE_TROUBLE_MS = 700, /* without an answer for so long: grants are made to last */
     SERVERS_MAX = 2048,
-    STORE_LOST_MS = 500
+    STORE_LOST_MS = 500,
+    CUT_OFF_MS = 900,
+    CUT_OFF_RANGES = 2,
+    CUT_OFF_PAUSE_S = 6
 };
 
 static const char leader_kind[] = "leaders";
@@ -110,7 +113,7 @@
 {
     cw_leadership_settings_t settings = {.incarnation = router->incarnation,
                                          .hold = router->settings.leader_hold,
-                                         .renew_every = CW_MS(RENEW_MS),
+                                         .renew_every = router->settings.leader_hold / RENEWALS_A_LEADER_HOLD,
                                          .silence = CW_MS(SILENCE_MS),
                                          .read_every = CW_MS(READ_EVERY_MS)};
 
@@ -220,7 +223,7 @@
     cw_keyed_service_t  *keyed = &router->keyed[router->keyed_count];
     cw_keeper_settings_t settings = {.hold = router->settings.hold,
                                      .hold_long = router->settings.hold_long,
-                                     .renew_every = CW_MS(RENEW_GRANT_MS),
+                                     .renew_every = router->settings.hold / RENEWALS_A_HOLD,
                                      .order_timeout = CW_MS(ORDER_TIMEOUT_MS),
                                      .release_timeout = CW_MS(RELEASE_TIMEOUT_MS),
                                      .late_orders = CW_SECONDS(LATE_ORDERS_S)};
@@ -380,6 +383,41 @@
     return waits || leadership->failures > 0;
 }
 
+/* ---- a leader that reaches the store, but not the servers ---- */
+
+/* Owners that this leader's orders do not reach while other nodes get answers from them. */
+static size_t count_cut_off(cw_router_t *router, const cw_keeper_t *keeper, cw_time_us_t now)
+{
+    const cw_range_list_t *ranges = cw_keeper_ranges(keeper);
+    size_t                 count = 0;
+    size_t                 index;
+
+    for (index = 0; index < ranges->count; index++) {
+        const cw_range_t *range = &ranges->items[index];
+        cw_server_t      *server = cw_server_pool_find(router->pool, range->owner.id);
+
+        if (range->failing_since != 0 && now - range->failing_since > CW_MS(CUT_OFF_MS) && server != NULL &&
+            server->answered_others_at > range->failing_since + CW_MS(CUT_OFF_MS) / 2) {
+            count++;
+        }
+    }
+    return count;
+}
+
+static void resign_if_cut_off(cw_router_t *router, cw_time_us_t now)
+{
+    size_t index;
+    size_t cut_off = 0;
+
+    for (index = 0; index < router->keyed_count; index++) {
+        cut_off += count_cut_off(router, router->keyed[index].keeper, now);
+    }
+    if (cut_off >= CUT_OFF_RANGES && !router->leadership.resigning) {
+        note_leadership(router, CW_EVENT_LEADER_LOST, "orders do not reach servers that answer others");
+        cw_leadership_step_down(&router->leadership, now, CW_SECONDS(CUT_OFF_PAUSE_S));
+    }
+}
+
 /* ---- ticks ---- */
 
 static bool is_deposed(const cw_router_t *router)
@@ -414,6 +452,7 @@
         plan(router, &router->keyed[index], now);
         cw_keeper_tick(router->keyed[index].keeper, router->servers, able, is_store_in_trouble(router, now), now);
     }
+    resign_if_cut_off(router, now);
     if (is_deposed(router)) {
         router->leadership.must_read = true;
         router->leadership.next_at = now;
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -17,7 +17,7 @@
     ALL_PAUSE_MS = 150,
     IDLE_PAUSE_MS = 300,
     FULL_PAUSE_MS = 1000, /* between reports with names and paces */
-    NAMED_FIRST = 8,
+    NAMED_MS = 700, /* names go with each report after a node was first heard */
     KEYS_PAUSE_MS = 100,
     PEERS_AT_FULL_PACE = 16,
     LOADS_MAX = 512,
@@ -152,7 +152,7 @@
     builder.sample_count = 0;
     builder.report.node = "";
     builder.report.zone = "";
-    if (full || router->sequence < NAMED_FIRST) {
+    if (full || now < router->named_until) {
         builder.report.node = router->settings.node;
         builder.report.zone = router->settings.zone;
     }
@@ -412,7 +412,7 @@
     cw_server_pool_report(router->pool, peer->address, reports, index, now);
 }
 
-static void take_paces(cw_router_t *router, const cw_peer_t *peer, const Cwp__NodeReport *received)
+static void take_paces(cw_router_t *router, const cw_peer_t *peer, const Cwp__NodeReport *received, cw_time_us_t now)
 {
     static cw_server_pace_t paces[LOADS_MAX];
     size_t                  index;
@@ -423,7 +423,7 @@
         paces[index] = (cw_server_pace_t){.hash = pace->server, .served = pace->served, .time = pace->time};
     }
     if (index > 0) {
-        cw_server_pool_learn(router->pool, peer->address, paces, index);
+        cw_server_pool_learn(router->pool, peer->address, paces, index, now);
     }
 }
 
@@ -439,13 +439,17 @@
     }
 }
 
-static bool take_identity(cw_peer_t *peer, const Cwp__NodeReport *received, cw_time_us_t now)
+static bool take_identity(cw_router_t *router, cw_peer_t *peer, const Cwp__NodeReport *received, cw_time_us_t now)
 {
     if (peer->incarnation == received->incarnation && received->sequence <= peer->sequence &&
         peer->heard_at != 0) {
         return false; /* late or repeated */
     }
     if (peer->heard_at == 0 || peer->is_lost || peer->incarnation != received->incarnation) {
+        router->named_until = now + CW_MS(NAMED_MS);
+        if (received->node[0] != '\0') {
+            cw_text_copy(peer->node, sizeof(peer->node), received->node);
+        }
         note_peer(peer, CW_EVENT_PEER_BACK, peer->heard_at == 0 ? 0 : now - peer->heard_at);
     }
     peer->is_lost = false;
@@ -507,11 +511,11 @@
 {
     size_t index;
 
-    if (!take_identity(peer, received, now)) {
+    if (!take_identity(router, peer, received, now)) {
         return;
     }
     take_loads(router, peer, received, now);
-    take_paces(router, peer, received);
+    take_paces(router, peer, received, now);
     take_queues(router, peer, received, now);
     for (index = 0; router->leadership.leading && index < received->n_samples; index++) {
         const Cwp__KeySamples *samples = received->samples[index];
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -14,9 +14,9 @@
 #include "base/text.h"
 
 enum {
-    LIST_EVERY_MS = 500,       /* the leader's reading, or a node's own */
-    WORD_OLD_MS = 900,         /* without the leader's word for so long a node reads itself */
-    TABLES_VALID_MS = 4000,    /* below the shortest hold of a grant */
+    LIST_PARTS = 4,          /* a list is read so many times while a leaving server may still get requests */
+    WORD_OLD_PERCENT = 45,   /* of that time: without the leader's word for so long a node reads itself */
+    TABLES_VALID_PERCENT = 80, /* of a grant's hold: tables are used no longer without a fresh word */
     TABLES_READ_EVERY_MS = 700
 };
 
@@ -89,7 +89,7 @@
 
 static void read_servers(cw_router_t *router, cw_time_us_t now)
 {
-    if (router->reading_servers || now - router->servers_read_at < CW_MS(LIST_EVERY_MS)) {
+    if (router->reading_servers || now - router->servers_read_at < router->settings.drain / LIST_PARTS) {
         return;
     }
     router->reading_servers = true;
@@ -207,7 +207,8 @@
 static void validate_tables(cw_router_t *router, cw_time_us_t true_at)
 {
     router->tables_at = true_at > router->tables_at ? true_at : router->tables_at;
-    cw_engine_set_tables_valid(router->engine, router->tables_at + CW_MS(TABLES_VALID_MS));
+    cw_engine_set_tables_valid(router->engine, router->tables_at,
+                               router->tables_at + router->settings.hold * TABLES_VALID_PERCENT / 100);
 }
 
 void cw_router_take_table_page(cw_router_t *router, const Cwp__TablePage *page)
@@ -387,7 +388,8 @@
 
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now)
 {
-    bool word_is_fresh = now - router->leader_word_at < CW_MS(WORD_OLD_MS);
+    cw_time_us_t old = router->settings.drain * WORD_OLD_PERCENT / 100;
+    bool         word_is_fresh = now - router->leader_word_at < old;
 
     if (cw_router_is_able(router, now)) {
         read_servers(router, now);
@@ -396,7 +398,7 @@
         }
         return;
     }
-    if (!word_is_fresh || now - router->servers_at > CW_MS(WORD_OLD_MS)) {
+    if (!word_is_fresh || now - router->servers_at > old) {
         read_servers(router, now);
     }
     if (!word_is_fresh) {
