--- a/src/placement/load_window.c
+++ b/src/placement/load_window.c
@@ -92,6 +92,11 @@
     return join_same(*loads, count);
 }
 
+double cw_load_error(double per_s)
+{
+    return per_s <= 0 ? 0 : sqrt(per_s / (2 * memory_s));
+}
+
 void cw_load_window_clear(cw_load_window_t *window)
 {
     free(window->samples);
--- a/src/placement/load_window.h
+++ b/src/placement/load_window.h
@@ -33,6 +33,8 @@
 } cw_key_load_t;
 
 void cw_load_window_add(cw_load_window_t *window, uint32_t key, double weight, cw_time_us_t now);
+/** Standard error of a rate read from the window, requests a second: a Poisson count over its memory. */
+double cw_load_error(double per_s);
 /** Load of each key seen lately, in order of keys; returns how many. The array is to be freed. */
 size_t cw_load_window_read(const cw_load_window_t *window, cw_time_us_t now, cw_key_load_t **loads);
 void   cw_load_window_clear(cw_load_window_t *window);
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -330,6 +330,18 @@
     return (low + high) / 2;
 }
 
+/* Would it still earn enough if chance had made the busy one look busier, and the other less busy, than they are? */
+static bool is_sure_gain(const planner_t *planner, const cw_planner_server_t *from, const cw_planner_server_t *to,
+                         double per_s)
+{
+    cw_planner_server_t less = *from;
+    cw_planner_server_t more = *to;
+
+    less.per_s -= cw_load_error(from->per_s) * planner->settings->errors;
+    more.per_s += cw_load_error(to->per_s) * planner->settings->errors;
+    return gain(&less, &more, per_s > less.per_s ? less.per_s : per_s) >= planner->gain_min;
+}
+
 static bool relieve(planner_t *planner, cw_planner_server_t *from)
 {
     cw_planner_server_t *to = least_busy(planner, from->entry->id);
@@ -341,7 +353,7 @@
     }
     wanted = best_rate(from, to);
     if (gain(from, to, wanted) < planner->gain_min || !choose_piece(planner, from, wanted, &piece) ||
-        gain(from, to, piece.per_s) < planner->gain_min) {
+        !is_sure_gain(planner, from, to, piece.per_s)) {
         return false;
     }
     move(planner, &piece, from, to);
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -274,7 +274,7 @@
 /* ---- plans ---- */
 
 static const cw_planner_settings_t planner_settings = {
-    .gain_min = 1.5, .gain_share = 0.008, .moves_max = 12, .ranges_each = 4, .rest = CW_MS(900)};
+    .gain_min = 1.5, .gain_share = 0.008, .errors = 1.3, .moves_max = 12, .ranges_each = 4, .rest = CW_MS(900)};
 
 static size_t list_servers(cw_router_t *router, const char *service, cw_planner_server_t *servers, cw_time_us_t now)
 {
--- /dev/null
+++ b/tests/router/test_leadership.c
@@ -0,0 +1,258 @@
+/**
+ * @file test_leadership.c
+ * @brief The leader's lock: who may take it when, and when authority ends.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "lease/leadership.h"
+#include "loop_fixture.h"
+
+#define HOLD CW_MS(3000)
+
+static cw_leadership_settings_t settings_of(const char *node, uint64_t incarnation)
+{
+    cw_leadership_settings_t settings = {.incarnation = incarnation,
+                                         .hold = HOLD,
+                                         .renew_every = CW_MS(750),
+                                         .silence = CW_MS(900),
+                                         .read_every = CW_MS(400)};
+
+    snprintf(settings.node, sizeof(settings.node), "%s", node);
+    snprintf(settings.address, sizeof(settings.address), "10.0.0.1");
+    return settings;
+}
+
+static cw_leadership_t new_leadership(const char *node, uint64_t incarnation, cw_time_us_t now)
+{
+    cw_leadership_t          leadership;
+    cw_leadership_settings_t settings = settings_of(node, incarnation);
+
+    cw_leadership_init(&leadership, &settings, now);
+    return leadership;
+}
+
+static void reply(cw_leadership_t *leadership, cw_store_result_t result, uint64_t revision, const cw_lock_t *lock,
+                  cw_time_us_t now)
+{
+    cw_store_reply_t answer = {.result = result, .revision = revision};
+
+    answer.value = lock == NULL ? NULL : cw_lock_to_json(lock);
+    cw_leadership_replied(leadership, &answer, now);
+    json_decref(answer.value);
+}
+
+static cw_lock_t lock_of(const char *node, uint64_t incarnation, uint64_t term)
+{
+    cw_lock_t lock = {.incarnation = incarnation, .term = term, .beat = 5};
+
+    snprintf(lock.node, sizeof(lock.node), "%s", node);
+    snprintf(lock.address, sizeof(lock.address), "10.0.0.2");
+    return lock;
+}
+
+/* Makes it the leader at `now`, by creating the lock. */
+static cw_leadership_t new_leader(cw_time_us_t now)
+{
+    cw_leadership_t leadership = new_leadership("n1", 11, now);
+
+    ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_NOT_FOUND, 0, NULL, now);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_CREATE);
+    reply(&leadership, CW_STORE_DONE, 1, NULL, now);
+    ck_assert(cw_leadership_has_authority(&leadership, now));
+    return leadership;
+}
+
+START_TEST(authority_counts_from_the_sending_of_the_acknowledged_write)
+{
+    cw_leadership_t leadership = new_leader(0);
+    cw_time_us_t    sent = CW_MS(800);
+
+    ck_assert_int_eq(cw_leadership_tick(&leadership, sent), CW_LEADERSHIP_REPLACE);
+    reply(&leadership, CW_STORE_DONE, 2, NULL, sent + CW_MS(600));
+    ck_assert(cw_leadership_has_authority(&leadership, sent + HOLD - 1));
+    ck_assert(!cw_leadership_has_authority(&leadership, sent + HOLD));
+}
+END_TEST
+
+START_TEST(an_unanswered_write_gives_no_authority_even_when_it_was_done)
+{
+    cw_leadership_t leadership = new_leader(0);
+    cw_lock_t       written;
+
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(800)), CW_LEADERSHIP_REPLACE);
+    written = leadership.write;
+    reply(&leadership, CW_STORE_UNKNOWN, 0, NULL, CW_MS(2000));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(2100)), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 2, &written, CW_MS(2200));
+    ck_assert(leadership.leading);
+    ck_assert(!cw_leadership_has_authority(&leadership, HOLD));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(2200)), CW_LEADERSHIP_REPLACE);
+    ck_assert_uint_eq(leadership.revision, 2);
+    reply(&leadership, CW_STORE_DONE, 3, NULL, CW_MS(2300));
+    ck_assert(cw_leadership_has_authority(&leadership, CW_MS(2200) + HOLD - 1));
+}
+END_TEST
+
+START_TEST(a_follower_waits_until_the_unchanged_lock_has_run_out)
+{
+    cw_leadership_t leadership = new_leadership("n1", 11, 0);
+    cw_lock_t       lock = lock_of("n2", 22, 4);
+    cw_time_us_t    now = 0;
+
+    while (now < HOLD + CW_MS(50)) {
+        if (cw_leadership_tick(&leadership, now) != CW_LEADERSHIP_WAIT) {
+            ck_assert_int_eq(leadership.pending, CW_LEADERSHIP_READ);
+            reply(&leadership, CW_STORE_DONE, 9, &lock, now);
+        }
+        now += CW_MS(10);
+    }
+    while (cw_leadership_tick(&leadership, now) != CW_LEADERSHIP_REPLACE) {
+        if (leadership.pending != CW_LEADERSHIP_WAIT) {
+            reply(&leadership, CW_STORE_DONE, 9, &lock, now);
+        }
+        now += CW_MS(10);
+    }
+    ck_assert_int_ge(now, HOLD * 102 / 100);
+    ck_assert_uint_eq(leadership.revision, 9);
+    ck_assert_uint_eq(leadership.write.term, 5);
+}
+END_TEST
+
+START_TEST(a_changed_revision_starts_the_wait_anew)
+{
+    cw_leadership_t leadership = new_leadership("n1", 11, 0);
+    cw_lock_t       lock = lock_of("n2", 22, 4);
+
+    ck_assert_int_eq(cw_leadership_tick(&leadership, 0), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 9, &lock, 0);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(2900)), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 10, &lock, CW_MS(2900));
+    ck_assert_int_ne(cw_leadership_tick(&leadership, CW_MS(3400)), CW_LEADERSHIP_REPLACE);
+}
+END_TEST
+
+START_TEST(the_lock_of_an_earlier_life_of_this_node_is_taken_at_once)
+{
+    cw_leadership_t leadership = new_leadership("n1", 11, 0);
+    cw_lock_t       lock = lock_of("n1", 10, 4);
+
+    ck_assert_int_eq(cw_leadership_tick(&leadership, 0), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 9, &lock, 0);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(400)), CW_LEADERSHIP_REPLACE);
+}
+END_TEST
+
+START_TEST(a_leader_that_is_heard_is_left_alone)
+{
+    cw_leadership_t leadership = new_leadership("n1", 11, 0);
+    cw_time_us_t    now;
+
+    for (now = 0; now < CW_SECONDS(20); now += CW_MS(100)) {
+        cw_leadership_heard(&leadership, 3, 9, true, now);
+        ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_WAIT);
+    }
+}
+END_TEST
+
+START_TEST(a_leader_without_authority_is_not_left_alone)
+{
+    cw_leadership_t leadership = new_leadership("n1", 11, 0);
+
+    cw_leadership_heard(&leadership, 3, 9, true, 0);
+    cw_leadership_heard(&leadership, 3, 9, false, CW_MS(1000));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(1000)), CW_LEADERSHIP_READ);
+}
+END_TEST
+
+START_TEST(a_conflict_with_another_holder_ends_authority)
+{
+    cw_leadership_t leadership = new_leader(0);
+    cw_lock_t       lock = lock_of("n2", 22, 2);
+
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(800)), CW_LEADERSHIP_REPLACE);
+    reply(&leadership, CW_STORE_CONFLICT, 7, &lock, CW_MS(900));
+    ck_assert(!leadership.leading);
+    ck_assert(!cw_leadership_has_authority(&leadership, CW_MS(900)));
+}
+END_TEST
+
+START_TEST(resigning_ends_authority_at_once_and_writes_a_vacant_lock)
+{
+    cw_leadership_t leadership = new_leader(0);
+
+    cw_leadership_resign(&leadership, CW_MS(100));
+    ck_assert(!cw_leadership_has_authority(&leadership, CW_MS(100)));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(100)), CW_LEADERSHIP_REPLACE);
+    ck_assert(leadership.write.vacant);
+    reply(&leadership, CW_STORE_DONE, 2, NULL, CW_MS(110));
+    ck_assert(!leadership.leading);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_SECONDS(60)), CW_LEADERSHIP_WAIT);
+}
+END_TEST
+
+START_TEST(a_vacant_lock_is_taken_at_once)
+{
+    cw_leadership_t leadership = new_leadership("n1", 11, 0);
+    cw_lock_t       lock = lock_of("n2", 22, 4);
+
+    lock.vacant = true;
+    ck_assert_int_eq(cw_leadership_tick(&leadership, 0), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 9, &lock, 0);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, 0), CW_LEADERSHIP_REPLACE);
+}
+END_TEST
+
+START_TEST(after_stepping_down_it_follows_and_may_lead_again_later)
+{
+    cw_leadership_t leadership = new_leader(0);
+    cw_lock_t       vacant;
+
+    cw_leadership_step_down(&leadership, CW_MS(100), CW_SECONDS(6));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(100)), CW_LEADERSHIP_REPLACE);
+    vacant = leadership.write;
+    reply(&leadership, CW_STORE_DONE, 2, NULL, CW_MS(110));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_SECONDS(5)), CW_LEADERSHIP_WAIT);
+    ck_assert_int_ne(cw_leadership_tick(&leadership, CW_SECONDS(7)), CW_LEADERSHIP_WAIT);
+    (void)vacant;
+}
+END_TEST
+
+START_TEST(a_lock_survives_its_text)
+{
+    cw_lock_t lock = lock_of("n2", 0xfedcba9876543210u, 4);
+    cw_lock_t back;
+    json_t   *value = cw_lock_to_json(&lock);
+
+    memset(&back, 0, sizeof(back));
+    ck_assert(cw_lock_from_json(&back, value));
+    ck_assert_str_eq(back.node, "n2");
+    ck_assert(back.incarnation == lock.incarnation);
+    ck_assert_uint_eq(back.term, 4);
+    json_object_del(value, "term");
+    ck_assert(!cw_lock_from_json(&back, value));
+    json_decref(value);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("leadership");
+    TCase *cases = tcase_create("leadership");
+
+    tcase_add_test(cases, authority_counts_from_the_sending_of_the_acknowledged_write);
+    tcase_add_test(cases, an_unanswered_write_gives_no_authority_even_when_it_was_done);
+    tcase_add_test(cases, a_follower_waits_until_the_unchanged_lock_has_run_out);
+    tcase_add_test(cases, a_changed_revision_starts_the_wait_anew);
+    tcase_add_test(cases, the_lock_of_an_earlier_life_of_this_node_is_taken_at_once);
+    tcase_add_test(cases, a_leader_that_is_heard_is_left_alone);
+    tcase_add_test(cases, a_leader_without_authority_is_not_left_alone);
+    tcase_add_test(cases, a_conflict_with_another_holder_ends_authority);
+    tcase_add_test(cases, resigning_ends_authority_at_once_and_writes_a_vacant_lock);
+    tcase_add_test(cases, a_vacant_lock_is_taken_at_once);
+    tcase_add_test(cases, after_stepping_down_it_follows_and_may_lead_again_later);
+    tcase_add_test(cases, a_lock_survives_its_text);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
--- /dev/null
+++ b/tests/router/test_planner.c
@@ -0,0 +1,298 @@
+/**
+ * @file test_planner.c
+ * @brief Which ranges move: what must, what earns it, and what stays.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "keeper_world.h"
+#include "loop_fixture.h"
+#include "placement/planner.h"
+
+static const char *const four[] = {"i-a@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", "i-d@10.0.0.4:80", NULL};
+
+static const cw_planner_settings_t settings = {
+    .gain_min = 1.5, .gain_share = 0.008, .errors = 1.3, .moves_max = 12, .ranges_each = 4, .rest = CW_MS(900)};
+
+typedef struct planner_world {
+    keeper_world_t      keeper;
+    cw_load_window_t    window;
+    cw_planner_server_t servers[8];
+    size_t              server_count;
+} planner_world_t;
+
+static void refresh_servers(planner_world_t *world)
+{
+    size_t index;
+
+    world->server_count = world->keeper.servers->count;
+    for (index = 0; index < world->server_count; index++) {
+        const cw_server_entry_t *entry = &world->keeper.servers->entries[index];
+
+        world->servers[index] =
+            (cw_planner_server_t){.entry = entry, .usable = !entry->draining, .pace = 1, .cost_s = 0.1 / 2};
+    }
+}
+
+static void init(planner_world_t *world, const char *const *texts)
+{
+    memset(world, 0, sizeof(*world));
+    keeper_world_init(&world->keeper, 1);
+    keeper_world_servers(&world->keeper, texts);
+    keeper_world_settle(&world->keeper);
+    world->keeper.now += CW_SECONDS(2);
+    refresh_servers(world);
+}
+
+static void clear(planner_world_t *world)
+{
+    cw_load_window_clear(&world->window);
+    keeper_world_clear(&world->keeper);
+}
+
+/* Requests of the last two seconds, spread evenly over keys low to last. */
+static void add_load(planner_world_t *world, uint32_t low, uint32_t last, double per_s)
+{
+    size_t count = (size_t)(per_s * 2);
+    size_t index;
+
+    for (index = 0; index < count; index++) {
+        cw_time_us_t at = world->keeper.now - CW_SECONDS(2) + (cw_time_us_t)((double)CW_SECONDS(2) * index / count);
+
+        cw_load_window_add(&world->window, low + (uint32_t)((uint64_t)(last - low) * ((index * 7919) % count) / count),
+                           1, at);
+    }
+}
+
+static size_t plan(planner_world_t *world)
+{
+    return cw_planner_run(world->keeper.keeper, &settings, world->servers, world->server_count, world->keeper.servers,
+                          &world->window, world->keeper.now);
+}
+
+/* Plans and carries the moves out, some rounds. */
+static void run_rounds(planner_world_t *world, int rounds)
+{
+    while (rounds-- > 0) {
+        (void)plan(world);
+        keeper_world_tick(&world->keeper, CW_MS(20));
+        keeper_world_tick(&world->keeper, CW_MS(20));
+        keeper_world_answer(&world->keeper, CW_ORDER_DONE, "token");
+        keeper_world_tick(&world->keeper, CW_MS(20));
+        keeper_world_answer(&world->keeper, CW_ORDER_DONE, NULL);
+    }
+}
+
+static size_t keys_of(const planner_world_t *world, const char *id)
+{
+    const cw_range_list_t *ranges = cw_keeper_ranges(world->keeper.keeper);
+    size_t                 keys = 0;
+    size_t                 index;
+
+    for (index = 0; index < ranges->count; index++) {
+        if (strcmp(ranges->items[index].owner.id, id) == 0) {
+            keys += ranges->items[index].last - ranges->items[index].low + 1;
+        }
+    }
+    return keys;
+}
+
+/* Share of the load on keys low to last that its busiest owner has. */
+static double busiest_share(const planner_world_t *world, uint32_t low, uint32_t last)
+{
+    uint32_t counts[8] = {0};
+    uint32_t key;
+    uint32_t most = 0;
+    size_t   index;
+
+    for (key = low; key <= last; key++) {
+        for (index = 0; index < world->server_count; index++) {
+            counts[index] +=
+                strcmp(keeper_world_range(&world->keeper, key)->owner.id, world->servers[index].entry->id) == 0 ? 1 : 0;
+        }
+    }
+    for (index = 0; index < world->server_count; index++) {
+        most = counts[index] > most ? counts[index] : most;
+    }
+    return (double)most / (last - low + 1);
+}
+
+START_TEST(nothing_moves_under_even_load)
+{
+    planner_world_t world;
+
+    init(&world, four);
+    add_load(&world, 0, CW_KEY_LAST, 40);
+    ck_assert_uint_eq(plan(&world), 0);
+    clear(&world);
+}
+END_TEST
+
+START_TEST(a_hot_piece_is_spread_in_one_plan)
+{
+    planner_world_t world;
+
+    init(&world, four);
+    add_load(&world, 1000, 1199, 50);
+    ck_assert_double_eq(busiest_share(&world, 1000, 1199), 1);
+    run_rounds(&world, 1);
+    ck_assert_double_le(busiest_share(&world, 1000, 1199), 0.55);
+    clear(&world);
+}
+END_TEST
+
+START_TEST(a_single_hot_key_is_not_carried_back_and_forth)
+{
+    planner_world_t world;
+
+    init(&world, four);
+    add_load(&world, 1000, 1000, 15);
+    run_rounds(&world, 1);
+    world.keeper.now += CW_SECONDS(2);
+    add_load(&world, 1000, 1000, 15);
+    ck_assert_uint_eq(plan(&world), 0);
+    clear(&world);
+}
+END_TEST
+
+START_TEST(a_slow_server_gets_less)
+{
+    planner_world_t world;
+
+    init(&world, four);
+    world.servers[0].pace = 2;
+    world.servers[0].cost_s *= 2;
+    add_load(&world, 0, CW_KEY_LAST, 60);
+    run_rounds(&world, 1);
+    ck_assert_uint_lt(keys_of(&world, "i-a"), 12000);
+    clear(&world);
+}
+END_TEST
+
+START_TEST(a_draining_server_is_emptied)
+{
+    static const char *const draining[] = {"i-a@10.0.0.1:80!", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80",
+                                           "i-d@10.0.0.4:80", NULL};
+    planner_world_t          world;
+
+    init(&world, four);
+    keeper_world_servers(&world.keeper, draining);
+    refresh_servers(&world);
+    run_rounds(&world, 1);
+    ck_assert_uint_eq(keys_of(&world, "i-a"), 0);
+    clear(&world);
+}
+END_TEST
+
+START_TEST(a_server_that_no_order_reaches_loses_its_keys)
+{
+    planner_world_t world;
+    size_t          index;
+
+    init(&world, four);
+    for (index = 0; index < 20; index++) {
+        keeper_world_tick(&world.keeper, CW_MS(150));
+        while (world.keeper.answered < world.keeper.order_count) {
+            cw_order_t order = world.keeper.orders[world.keeper.answered++];
+
+            cw_keeper_order_done(world.keeper.keeper, order.id,
+                                 strcmp(order.server, "i-a") == 0 ? CW_ORDER_NOT_SENT : CW_ORDER_DONE, NULL,
+                                 world.keeper.now);
+        }
+    }
+    ck_assert_uint_ge(plan(&world), 1);
+    keeper_world_tick(&world.keeper, CW_MS(20));
+    ck_assert_uint_eq(keys_of(&world, "i-a"), 0);
+    clear(&world);
+}
+END_TEST
+
+START_TEST(when_most_owners_cannot_be_reached_nothing_is_taken_away)
+{
+    planner_world_t world;
+    size_t          index;
+
+    init(&world, four);
+    for (index = 0; index < 20; index++) {
+        keeper_world_tick(&world.keeper, CW_MS(150));
+        keeper_world_answer(&world.keeper, CW_ORDER_NOT_SENT, NULL);
+    }
+    ck_assert_uint_eq(plan(&world), 0);
+    clear(&world);
+}
+END_TEST
+
+START_TEST(servers_that_come_before_any_load_get_their_part)
+{
+    static const char *const five[] = {"i-a@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80",
+                                       "i-d@10.0.0.4:80", "i-e@10.0.0.5:80", NULL};
+    planner_world_t          world;
+
+    init(&world, four);
+    keeper_world_servers(&world.keeper, five);
+    refresh_servers(&world);
+    run_rounds(&world, 2);
+    ck_assert_uint_gt(keys_of(&world, "i-e"), 4000);
+    clear(&world);
+}
+END_TEST
+
+START_TEST(a_move_under_way_is_finished_before_the_next)
+{
+    static const char *const without_b[] = {"i-a@10.0.0.1:80", "i-c@10.0.0.3:80", "i-d@10.0.0.4:80", NULL};
+    planner_world_t          world;
+    const cw_server_entry_t *to;
+
+    init(&world, four);
+    to = cw_server_list_find(world.keeper.servers, "i-b");
+    cw_keeper_plan_move(world.keeper.keeper, 0, 99, to, world.keeper.servers);
+    cw_keeper_plan_write(world.keeper.keeper, world.keeper.now);
+    keeper_world_tick(&world.keeper, CW_MS(20));
+    keeper_world_take_over(&world.keeper, 2); /* the record shows a move from i-a to i-b; i-b may hold the keys */
+    keeper_world_servers(&world.keeper, without_b);
+    refresh_servers(&world);
+    keeper_world_tick(&world.keeper, CW_MS(20));
+    keeper_world_tick(&world.keeper, CW_MS(20));
+    ck_assert_int_eq(cw_keeper_state(world.keeper.keeper), CW_KEEPER_READY);
+    (void)plan(&world);
+    keeper_world_tick(&world.keeper, CW_MS(20));
+    ck_assert_str_eq(keeper_world_range(&world.keeper, 50)->owner.id, "i-b");
+    clear(&world);
+}
+END_TEST
+
+START_TEST(a_window_that_has_just_begun_tells_the_full_rate)
+{
+    cw_load_window_t window = {0};
+    cw_key_load_t   *loads;
+    size_t           index;
+
+    for (index = 0; index < 40; index++) {
+        cw_load_window_add(&window, 5, 1, CW_SECONDS(50) + CW_MS(10) * (cw_time_us_t)index);
+    }
+    ck_assert_uint_eq(cw_load_window_read(&window, CW_SECONDS(50) + CW_MS(400), &loads), 1);
+    ck_assert_double_gt(loads[0].per_s, 80);
+    ck_assert_double_lt(loads[0].per_s, 120);
+    free(loads);
+    cw_load_window_clear(&window);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("planner");
+    TCase *cases = tcase_create("planner");
+
+    tcase_add_test(cases, nothing_moves_under_even_load);
+    tcase_add_test(cases, a_hot_piece_is_spread_in_one_plan);
+    tcase_add_test(cases, a_single_hot_key_is_not_carried_back_and_forth);
+    tcase_add_test(cases, a_slow_server_gets_less);
+    tcase_add_test(cases, a_draining_server_is_emptied);
+    tcase_add_test(cases, a_server_that_no_order_reaches_loses_its_keys);
+    tcase_add_test(cases, when_most_owners_cannot_be_reached_nothing_is_taken_away);
+    tcase_add_test(cases, servers_that_come_before_any_load_get_their_part);
+    tcase_add_test(cases, a_move_under_way_is_finished_before_the_next);
+    tcase_add_test(cases, a_window_that_has_just_begun_tells_the_full_rate);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
--- /dev/null
+++ b/tests/router/test_sharing.c
@@ -0,0 +1,226 @@
+/**
+ * @file test_sharing.c
+ * @brief What nodes share without asking one another: the retry budget, and the view of servers' loads.
+ */
+#include <string.h>
+
+#include "balance/server_pool.h"
+#include "loop_fixture.h"
+#include "retry/shared_budget.h"
+
+static const cw_budget_settings_t budget_settings = {.ratio = 0.2, .extra = 56, .window = CW_SECONDS(10), .share = 0.75};
+
+/* Arrivals that a node manages to repeat when it tries at each step. */
+static uint32_t spend(cw_shared_budget_t *budget, uint32_t nodes, uint32_t requests, cw_time_us_t from,
+                      cw_time_us_t length)
+{
+    uint32_t spent = 0;
+    uint32_t index;
+
+    for (index = 0; index < requests; index++) {
+        cw_time_us_t now = from + length * index / requests;
+
+        cw_shared_budget_note_request(budget, &budget_settings, now);
+        while (cw_shared_budget_take(budget, &budget_settings, nodes, now)) {
+            spent++;
+        }
+    }
+    return spent;
+}
+
+START_TEST(nodes_that_spend_all_stay_within_the_sum)
+{
+    cw_shared_budget_t budgets[8];
+    uint32_t           sum = 0;
+    size_t             node;
+
+    memset(budgets, 0, sizeof(budgets));
+    for (node = 0; node < 8; node++) {
+        sum += spend(&budgets[node], 8, 50, CW_SECONDS(100), CW_SECONDS(10));
+    }
+    ck_assert_uint_gt(sum, 60);
+    ck_assert_uint_le(sum, (uint32_t)(0.2 * 400 + 56));
+}
+END_TEST
+
+START_TEST(a_node_that_knows_no_others_uses_none_of_the_fixed_part)
+{
+    cw_shared_budget_t budget;
+
+    memset(&budget, 0, sizeof(budget));
+    ck_assert(!cw_shared_budget_take(&budget, &budget_settings, 0, CW_SECONDS(100)));
+    ck_assert(cw_shared_budget_take(&budget, &budget_settings, 8, CW_SECONDS(100)));
+}
+END_TEST
+
+START_TEST(what_was_spent_counts_for_a_whole_window)
+{
+    cw_shared_budget_t budget;
+    uint32_t           first;
+
+    memset(&budget, 0, sizeof(budget));
+    first = spend(&budget, 8, 1, CW_SECONDS(100), 1);
+    ck_assert_uint_eq(spend(&budget, 8, 1, CW_SECONDS(109), 1), 0);
+    ck_assert_uint_ge(spend(&budget, 8, 1, CW_SECONDS(125), 1), first);
+}
+END_TEST
+
+/* ---- the pool ---- */
+
+static const cw_choice_settings_t choice = {.zone_penalty = 0.35, .extra_slots = 0};
+
+static void on_dropped(void *context, cw_server_t *server)
+{
+    (void)server;
+    (*(uint32_t *)context)++;
+}
+
+static void add(cw_server_list_t *list, const char *id, const char *zone, bool draining)
+{
+    cw_server_entry_t *entry = cw_server_list_add(list);
+
+    entry->id = strdup(id);
+    entry->service = strdup("service");
+    entry->address = strdup("10.0.0.1:80");
+    entry->zone = strdup(zone);
+    entry->capacity = 2;
+    entry->draining = draining;
+}
+
+static cw_server_pool_t *new_pool(uint32_t *dropped)
+{
+    cw_server_pool_t *pool = cw_server_pool_create("z1", on_dropped, dropped);
+    cw_server_list_t *list = cw_server_list_create();
+
+    *dropped = 0;
+    add(list, "near", "z1", false);
+    add(list, "far", "z2", false);
+    add(list, "leaving", "z1", true);
+    cw_server_list_seal(list);
+    cw_server_pool_update(pool, list, 0);
+    cw_server_list_release(list);
+    return pool;
+}
+
+static const char *choose(cw_server_pool_t *pool, cw_time_us_t now, bool *full)
+{
+    const cw_server_t *server = cw_server_pool_choose(pool, "service", &choice, NULL, now, full);
+
+    return server == NULL ? "none" : server->id;
+}
+
+START_TEST(the_near_server_first_then_the_far_one_then_none)
+{
+    uint32_t          dropped;
+    bool              full;
+    cw_server_pool_t *pool = new_pool(&dropped);
+
+    ck_assert_str_eq(choose(pool, 0, &full), "near");
+    cw_server_pool_begin(cw_server_pool_find(pool, "near"));
+    cw_server_pool_begin(cw_server_pool_find(pool, "near"));
+    ck_assert_str_eq(choose(pool, 0, &full), "far");
+    cw_server_pool_begin(cw_server_pool_find(pool, "far"));
+    cw_server_pool_begin(cw_server_pool_find(pool, "far"));
+    ck_assert_str_eq(choose(pool, 0, &full), "none");
+    ck_assert(full);
+    cw_server_pool_free(pool);
+}
+END_TEST
+
+START_TEST(requests_of_other_nodes_take_slots_until_they_fall_silent)
+{
+    uint32_t           dropped;
+    bool               full;
+    cw_server_pool_t  *pool = new_pool(&dropped);
+    cw_server_report_t report = {.hash = cw_server_pool_find(pool, "near")->hash, .under_way = 2};
+
+    cw_server_pool_report(pool, 5, &report, 1, 0);
+    ck_assert_str_eq(choose(pool, 0, &full), "far");
+    report.under_way = 1;
+    cw_server_pool_report(pool, 5, &report, 1, CW_MS(10));
+    ck_assert_str_eq(choose(pool, CW_MS(10), &full), "near");
+    report.under_way = 2;
+    cw_server_pool_report(pool, 5, &report, 1, CW_MS(20));
+    cw_server_pool_expire(pool, CW_MS(20) + CW_MS(CW_POOL_REPORT_LIFE_MS) + 1);
+    ck_assert_uint_eq(cw_server_pool_find(pool, "near")->others, 0);
+    cw_server_pool_free(pool);
+}
+END_TEST
+
+START_TEST(a_server_that_cannot_be_reached_is_left_out_for_a_while)
+{
+    uint32_t          dropped;
+    bool              full;
+    cw_server_pool_t *pool = new_pool(&dropped);
+
+    cw_server_pool_fault(cw_server_pool_find(pool, "near"), 0);
+    ck_assert_str_eq(choose(pool, CW_MS(1), &full), "far");
+    ck_assert_str_eq(choose(pool, CW_SECONDS(1), &full), "near");
+    cw_server_pool_free(pool);
+}
+END_TEST
+
+START_TEST(a_server_whose_address_has_another_life_is_not_chosen)
+{
+    uint32_t          dropped;
+    bool              full;
+    cw_server_pool_t *pool = new_pool(&dropped);
+
+    cw_server_pool_find(pool, "near")->ended = true;
+    ck_assert_str_eq(choose(pool, 0, &full), "far");
+    cw_server_pool_free(pool);
+}
+END_TEST
+
+START_TEST(a_slow_server_is_passed_over_and_others_learn_it)
+{
+    uint32_t          dropped;
+    bool              full;
+    cw_server_pool_t *pool = new_pool(&dropped);
+    cw_server_pace_t  pace = {.hash = cw_server_pool_find(pool, "near")->hash, .served = 10, .time = 30000};
+
+    cw_server_pool_learn(pool, 5, &pace, 1, 0);
+    ck_assert_double_gt(cw_server_pool_find(pool, "near")->pace, 1.5);
+    ck_assert_str_eq(choose(pool, 0, &full), "far");
+    pace.served = 20; /* the next ten were answered in half the usual time */
+    pace.time = 35000;
+    cw_server_pool_learn(pool, 5, &pace, 1, 0);
+    ck_assert_double_lt(cw_server_pool_find(pool, "near")->pace, 1.6);
+    cw_server_pool_free(pool);
+}
+END_TEST
+
+START_TEST(a_server_that_is_gone_from_the_list_goes_with_its_last_request)
+{
+    uint32_t          dropped;
+    cw_server_pool_t *pool = new_pool(&dropped);
+    cw_server_list_t *empty = cw_server_list_create();
+    cw_server_t      *near = cw_server_pool_find(pool, "near");
+
+    cw_server_pool_begin(near);
+    cw_server_pool_update(pool, empty, 0);
+    ck_assert_uint_eq(dropped, 2);
+    cw_server_pool_end(pool, near);
+    ck_assert_uint_eq(dropped, 3);
+    cw_server_list_release(empty);
+    cw_server_pool_free(pool);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("sharing");
+    TCase *cases = tcase_create("sharing");
+
+    tcase_add_test(cases, nodes_that_spend_all_stay_within_the_sum);
+    tcase_add_test(cases, a_node_that_knows_no_others_uses_none_of_the_fixed_part);
+    tcase_add_test(cases, what_was_spent_counts_for_a_whole_window);
+    tcase_add_test(cases, the_near_server_first_then_the_far_one_then_none);
+    tcase_add_test(cases, requests_of_other_nodes_take_slots_until_they_fall_silent);
+    tcase_add_test(cases, a_server_that_cannot_be_reached_is_left_out_for_a_while);
+    tcase_add_test(cases, a_server_whose_address_has_another_life_is_not_chosen);
+    tcase_add_test(cases, a_slow_server_is_passed_over_and_others_learn_it);
+    tcase_add_test(cases, a_server_that_is_gone_from_the_list_goes_with_its_last_request);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
