--- /dev/null
+++ b/tests/router/test_engine.c
@@ -0,0 +1,483 @@
+/**
+ * @file test_engine.c
+ * @brief A request's way through the engine, between a real caller's connection and a real server's.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "net/byte_buffer.h"
+#include "proxy/engine.h"
+
+enum { SERVERS = 2 };
+
+typedef struct world world_t;
+
+/** A server: a listener whose requests the test answers. */
+typedef struct fake_server {
+    world_t            *world;
+    cw_http_listener_t *listener;
+    char                id[8];
+    char                address[32];
+    uint32_t            requests;
+    uint32_t            gone;
+    cw_http_exchange_t *exchange;
+    bool                has_request;
+    char                deadline[32];
+    char                target[64];
+    /* what it answers by itself; 0: the test answers */
+    int         status;
+    bool        not_run;
+    const char *instance;
+} fake_server_t;
+
+struct world {
+    uv_loop_t           loop;
+    cw_server_pool_t   *pool;
+    cw_upstream_t      *upstream;
+    cw_engine_t        *engine;
+    cw_http_listener_t *front;
+    fake_server_t       servers[SERVERS];
+    cw_upstream_t      *caller;
+    cw_upstream_target_t *front_target;
+    bool                answered;
+    cw_upstream_result_t result;
+    int                 status;
+    double              retry_after_s;
+    cw_bytes_t          body;
+};
+
+static const cw_http_limits_t limits = {.header_bytes = 8000, .body_bytes = 100000,
+                                        .header_timeout = CW_SECONDS(30), .idle_timeout = CW_SECONDS(30)};
+
+static void server_answer(fake_server_t *server, int status, const char *text)
+{
+    cw_http_fields_t         fields = {0};
+    cw_http_field_builder_t  builder = {0};
+    cw_http_outbound_t       outbound = {
+              .status = status, .fields = &fields, .body = text, .body_length = strlen(text), .retry_after_s = -1};
+
+    if (server->not_run) {
+        cw_http_field_builder_name(&builder, &fields, "not-run", 7);
+        cw_http_field_builder_value(&builder, &fields, "1", 1);
+    }
+    if (server->instance != NULL) {
+        cw_http_field_builder_name(&builder, &fields, "instance", 8);
+        cw_http_field_builder_value(&builder, &fields, server->instance, strlen(server->instance));
+    }
+    cw_http_exchange_answer(server->exchange, &outbound);
+    cw_http_fields_clear(&fields);
+}
+
+static void on_server_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    fake_server_t *server = context;
+    const char    *deadline = cw_http_fields_find(inbound->fields, "deadline");
+    const char    *target = cw_http_fields_find(inbound->fields, "target");
+
+    server->requests++;
+    server->has_request = true;
+    server->exchange = exchange;
+    snprintf(server->deadline, sizeof(server->deadline), "%s", deadline == NULL ? "" : deadline);
+    snprintf(server->target, sizeof(server->target), "%s", target == NULL ? "" : target);
+    if (server->status != 0) {
+        server_answer(server, server->status, server->id);
+    }
+}
+
+static void on_server_gone(void *context, cw_http_exchange_t *exchange)
+{
+    fake_server_t *server = context;
+
+    (void)exchange;
+    server->gone++;
+}
+
+static void on_front_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    world_t *world = context;
+
+    cw_engine_request(world->engine, exchange, inbound);
+}
+
+static void on_front_gone(void *context, cw_http_exchange_t *exchange)
+{
+    world_t *world = context;
+
+    cw_engine_gone(world->engine, exchange);
+}
+
+static void on_dropped(void *context, cw_server_t *server)
+{
+    world_t *world = context;
+
+    cw_engine_forget_server(world->engine, server);
+}
+
+static void start_servers(world_t *world)
+{
+    cw_server_list_t *list = cw_server_list_create();
+    size_t            index;
+
+    for (index = 0; index < SERVERS; index++) {
+        fake_server_t             *server = &world->servers[index];
+        cw_http_listener_handler_t handler = {server, on_server_request, on_server_gone};
+        cw_server_entry_t         *entry;
+
+        server->world = world;
+        ck_assert_int_eq(
+            cw_http_listener_create(&server->listener, &world->loop, "127.0.0.1", 0, &limits, &handler), 0);
+        snprintf(server->id, sizeof(server->id), "s%zu", index);
+        snprintf(server->address, sizeof(server->address), "127.0.0.1:%u", cw_http_listener_port(server->listener));
+        entry = cw_server_list_add(list);
+        entry->id = strdup(server->id);
+        entry->service = strdup("service");
+        entry->address = strdup(server->address);
+        entry->zone = strdup(index == 0 ? "z1" : "z2"); /* s0 is nearer: it is chosen first */
+        entry->capacity = 1;
+    }
+    cw_server_list_seal(list);
+    cw_server_pool_update(world->pool, list, 0);
+    cw_server_list_release(list);
+}
+
+static cw_route_t *add_route(cw_configuration_t *configuration, const char *name, const char *prefix, bool repeatable)
+{
+    cw_route_t *route = cw_configuration_add_route(configuration);
+
+    route->name = strdup(name);
+    route->host = strdup("a.example");
+    route->prefix = strdup(prefix);
+    route->repeatable = repeatable;
+    route->timeout = CW_SECONDS(20);
+    route->aim = CW_SECONDS(10);
+    route->max_attempts = 3;
+    return route;
+}
+
+static void configure(world_t *world)
+{
+    cw_configuration_t *configuration = cw_configuration_create(1);
+    cw_service_t       *service = cw_configuration_add_service(configuration);
+
+    service->name = strdup("keyed");
+    service->keyed = true;
+    cw_route_add_part(add_route(configuration, "safe", "/safe/", true), "service", 1);
+    cw_route_add_part(add_route(configuration, "once", "/once/", false), "service", 1);
+    cw_route_add_part(add_route(configuration, "keyed", "/keyed/", true), "keyed", 1);
+    cw_configuration_seal(configuration);
+    cw_engine_set_configuration(world->engine, configuration);
+    cw_configuration_release(configuration);
+}
+
+static void init(world_t *world)
+{
+    cw_engine_settings_t settings = {.names = {.request_id = "id", .deadline = "deadline", .target = "target",
+                                               .not_run = "not-run", .key = "key", .signature = "signature",
+                                               .instance = "instance"},
+                                     .choice = {.zone_penalty = 0.5},
+                                     .budget = {.ratio = 0.2, .extra = 50, .window = CW_SECONDS(10), .share = 1},
+                                     .keyed_extra_slots = 0,
+                                     .connect_timeout = CW_SECONDS(5),
+                                     .silence_factor = 1000,
+                                     .answer_max = 100000,
+                                     .queue_max = 100};
+    cw_upstream_options_t      options = {.idle_max = CW_SECONDS(20)};
+    cw_http_listener_handler_t handler = {world, on_front_request, on_front_gone};
+    char                       address[32];
+
+    memset(world, 0, sizeof(*world));
+    uv_loop_init(&world->loop);
+    world->pool = cw_server_pool_create("z1", on_dropped, world);
+    world->upstream = cw_upstream_create(&world->loop, &options);
+    world->engine = cw_engine_create(&world->loop, &settings, world->pool, world->upstream);
+    ck_assert_int_eq(cw_http_listener_create(&world->front, &world->loop, "127.0.0.1", 0, &limits, &handler), 0);
+    world->caller = cw_upstream_create(&world->loop, &options);
+    snprintf(address, sizeof(address), "127.0.0.1:%u", cw_http_listener_port(world->front));
+    world->front_target = cw_upstream_target_create(world->caller, address);
+    start_servers(world);
+    configure(world);
+}
+
+static void on_answered(void *context, const cw_upstream_answer_t *answer)
+{
+    world_t    *world = context;
+    const char *retry_after = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, "retry-after");
+
+    world->answered = true;
+    world->result = answer->result;
+    world->status = answer->status;
+    world->retry_after_s = retry_after == NULL ? -1 : atof(retry_after);
+    world->body.length = 0;
+    cw_bytes_append(&world->body, answer->body, answer->body_length);
+    cw_bytes_append(&world->body, "", 1);
+}
+
+static cw_upstream_call_t *ask(world_t *world, const char *method, const char *path, const char *deadline_ms)
+{
+    char                  text[512];
+    cw_upstream_request_t request = {.connect_timeout = CW_SECONDS(5), .answer_max = 100000, .bytes = text};
+
+    request.length = (size_t)snprintf(text, sizeof(text),
+                                      "%s %s HTTP/1.1\r\nHost: a.example\r\nid: r1\r\nkey: 500\r\ndeadline: %s\r\n"
+                                      "Content-Length: 0\r\n\r\n",
+                                      method, path, deadline_ms);
+    world->answered = false;
+    return cw_upstream_call(world->front_target, &request, on_answered, world);
+}
+
+START_TEST(an_answer_comes_back_whole_with_the_deadline_and_target_passed_on)
+{
+    world_t world;
+
+    init(&world);
+    world.servers[0].status = 200;
+    (void)ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s0");
+    ck_assert_str_eq(world.servers[0].target, "s0");
+    ck_assert_int_le(atoi(world.servers[0].deadline), 15000);
+    ck_assert_int_gt(atoi(world.servers[0].deadline), 0);
+}
+END_TEST
+
+START_TEST(no_route_is_404_and_no_configuration_is_503)
+{
+    world_t world;
+
+    init(&world);
+    (void)ask(&world, "GET", "/nowhere", "1000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 404);
+}
+END_TEST
+
+START_TEST(what_a_server_did_not_run_goes_to_another_even_if_it_must_not_be_repeated)
+{
+    world_t world;
+
+    init(&world);
+    world.servers[0].status = 503;
+    world.servers[0].not_run = true;
+    world.servers[1].status = 200;
+    (void)ask(&world, "POST", "/once/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s1");
+}
+END_TEST
+
+START_TEST(a_503_without_that_word_is_no_promise)
+{
+    world_t world;
+
+    init(&world);
+    world.servers[0].status = 503;
+    (void)ask(&world, "POST", "/once/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 502);
+    ck_assert_uint_eq(world.servers[0].requests + world.servers[1].requests, 1);
+}
+END_TEST
+
+START_TEST(a_broken_answer_is_502_where_it_may_have_run)
+{
+    world_t world;
+
+    init(&world);
+    (void)ask(&world, "POST", "/once/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
+    cw_http_exchange_abort(world.servers[0].exchange);
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 502);
+    ck_assert_uint_eq(world.servers[1].requests, 0);
+}
+END_TEST
+
+START_TEST(a_broken_answer_is_asked_for_again_where_that_may_be)
+{
+    world_t world;
+
+    init(&world);
+    cw_engine_set_nodes(world.engine, 1);
+    world.servers[1].status = 200;
+    (void)ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
+    cw_http_exchange_abort(world.servers[0].exchange);
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s1");
+}
+END_TEST
+
+START_TEST(without_budget_nothing_is_repeated)
+{
+    world_t world;
+
+    init(&world);
+    cw_engine_set_nodes(world.engine, 0);
+    (void)ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
+    cw_http_exchange_abort(world.servers[0].exchange);
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 502);
+}
+END_TEST
+
+START_TEST(a_caller_that_leaves_takes_its_request_from_the_server)
+{
+    world_t             world;
+    cw_upstream_call_t *call;
+
+    init(&world);
+    call = ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
+    cw_upstream_call_abandon(call);
+    while (world.servers[0].gone == 0) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    ck_assert_uint_eq(cw_engine_requests(world.engine), 0);
+}
+END_TEST
+
+START_TEST(the_time_limit_ends_what_is_at_a_server_with_504)
+{
+    world_t world;
+
+    init(&world);
+    (void)ask(&world, "POST", "/once/x", "60");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 504);
+}
+END_TEST
+
+START_TEST(no_server_gets_more_than_its_slots)
+{
+    world_t world;
+
+    init(&world);
+    (void)ask(&world, "GET", "/safe/1", "15000");
+    (void)ask(&world, "GET", "/safe/2", "15000");
+    (void)ask(&world, "GET", "/safe/3", "15000");
+    while (world.servers[0].requests == 0 || world.servers[1].requests == 0 || cw_engine_requests(world.engine) < 3) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    cw_test_run_some(&world.loop, 20);
+    ck_assert_uint_eq(cw_engine_queued(world.engine), 1);
+    ck_assert_uint_eq(world.servers[0].requests + world.servers[1].requests, 2);
+    world.servers[0].status = 200;
+    server_answer(&world.servers[0], 200, "first");
+    while (world.servers[0].requests + world.servers[1].requests < 3) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    ck_assert_uint_eq(cw_engine_queued(world.engine), 0);
+}
+END_TEST
+
+START_TEST(a_key_goes_to_its_owner_only_and_waits_while_it_moves)
+{
+    world_t        world;
+    cw_key_route_t routes[2] = {{.low = 0, .last = 999, .server = "s1", .fence = 4, .routable = false},
+                                {.low = 1000, .last = 65535, .server = "s0", .fence = 5, .routable = true}};
+
+    init(&world);
+    world.servers[0].status = 200;
+    world.servers[1].status = 200;
+    cw_engine_set_tables_valid(world.engine, 0, INT64_MAX);
+    cw_engine_set_table(world.engine, "keyed", routes, 2, 1);
+    (void)ask(&world, "GET", "/keyed/x", "15000");
+    cw_test_run_some(&world.loop, 30);
+    while (cw_engine_queued(world.engine) == 0) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    routes[0].routable = true;
+    cw_engine_set_table(world.engine, "keyed", routes, 2, 2);
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_str_eq(world.body.data, "s1");
+    ck_assert_uint_eq(world.servers[0].requests, 0);
+}
+END_TEST
+
+START_TEST(an_old_table_is_not_used)
+{
+    world_t        world;
+    cw_key_route_t route = {.low = 0, .last = 65535, .server = "s1", .fence = 4, .routable = true};
+
+    init(&world);
+    cw_engine_set_tables_valid(world.engine, 0, 1);
+    cw_engine_set_table(world.engine, "keyed", &route, 1, 1);
+    (void)ask(&world, "GET", "/keyed/x", "100");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert_double_gt(world.retry_after_s, 0);
+    ck_assert_uint_eq(world.servers[1].requests, 0);
+}
+END_TEST
+
+START_TEST(another_life_at_the_address_is_not_asked_twice)
+{
+    world_t world;
+
+    init(&world);
+    cw_engine_set_nodes(world.engine, 1);
+    world.servers[0].status = 421;
+    world.servers[0].instance = "someone-else";
+    world.servers[1].status = 200;
+    (void)ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    (void)ask(&world, "GET", "/safe/y", "15000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_uint_eq(world.servers[0].requests, 1);
+}
+END_TEST
+
+START_TEST(splits_keep_their_weights)
+{
+    world_t             world;
+    cw_configuration_t *configuration;
+    cw_route_t         *route;
+    uint32_t            index;
+
+    init(&world);
+    configuration = cw_configuration_create(2);
+    route = add_route(configuration, "split", "/split/", true);
+    cw_route_add_part(route, "service", 3);
+    cw_route_add_part(route, "nobody", 1);
+    cw_configuration_seal(configuration);
+    cw_engine_set_configuration(world.engine, configuration);
+    cw_configuration_release(configuration);
+    world.servers[0].status = 200;
+    for (index = 0; index < 40; index++) {
+        (void)ask(&world, "GET", "/split/x", "50");
+        cw_test_run_until_set(&world.loop, &world.answered);
+    }
+    ck_assert_uint_eq(world.servers[0].requests, 30);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("engine");
+    TCase *cases = tcase_create("engine");
+
+    tcase_set_timeout(cases, 60);
+    tcase_add_test(cases, an_answer_comes_back_whole_with_the_deadline_and_target_passed_on);
+    tcase_add_test(cases, no_route_is_404_and_no_configuration_is_503);
+    tcase_add_test(cases, what_a_server_did_not_run_goes_to_another_even_if_it_must_not_be_repeated);
+    tcase_add_test(cases, a_503_without_that_word_is_no_promise);
+    tcase_add_test(cases, a_broken_answer_is_502_where_it_may_have_run);
+    tcase_add_test(cases, a_broken_answer_is_asked_for_again_where_that_may_be);
+    tcase_add_test(cases, without_budget_nothing_is_repeated);
+    tcase_add_test(cases, a_caller_that_leaves_takes_its_request_from_the_server);
+    tcase_add_test(cases, the_time_limit_ends_what_is_at_a_server_with_504);
+    tcase_add_test(cases, no_server_gets_more_than_its_slots);
+    tcase_add_test(cases, a_key_goes_to_its_owner_only_and_waits_while_it_moves);
+    tcase_add_test(cases, an_old_table_is_not_used);
+    tcase_add_test(cases, another_life_at_the_address_is_not_asked_twice);
+    tcase_add_test(cases, splits_keep_their_weights);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
