--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,219 +1,153 @@
 #!/usr/bin/env bash
-# Library for harness scripts: starts stand-ins and nodes as processes on loopback addresses and ends them again.
-# Every process started here is ended by its own process id. Source it, then call cluster_begin.
+# Starts nodes, servers and a store on loopback addresses of their own, for the demo, the benchmark and process tests.
+# To be sourced. Everything it starts is ended, by its process id, when the shell ends.
+#
+#   cluster_start NODES            the store and that many nodes, in zones z1, z2, z3
+#   cluster_server NAME ARGS...    one server (cw-server's arguments); its id in SERVER_PIDS[NAME]
+#   cluster_configure FILE         writes config/main
+#   cluster_wait_ready             until each node says it is ready
+#   cluster_callers NAME ARGS...   callers; records go to $WORK/callers-NAME.json
+#   cluster_check                  checks all records; its verdict on standard output
 set -u
-
-CLUSTER_BUILD=${BUILD:-build}
-ADMINISTRATOR_TOKEN=administrator-token
-declare -A CLUSTER_PIDS=()
-declare -A CLUSTER_PORTS=()
-
-# cluster_begin DIRECTORY: files go there; loopback network 127.N.x.x with N from the process id, so that several
-# clusters can run side by side with fixed ports.
-cluster_begin() {
-    CLUSTER_DIR=$1
-    CLUSTER_NET="127.$((20 + $$ % 200)).$((($$ / 200) % 200))"
-    mkdir -p "$CLUSTER_DIR/log" "$CLUSTER_DIR/record" "$CLUSTER_DIR/settings" "$CLUSTER_DIR/intent"
-    STORE_ADDRESS="$CLUSTER_NET.250"
-    STORE_PORT=7000
-    trap cluster_end EXIT
-    trap 'exit 130' INT TERM
-}
+BUILD=${BUILD:-build}
+WORK=$(mktemp -d)
+NET="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
+STORE=""
+declare -A SERVER_PIDS=() NODE_PIDS=()
+PIDS=()
 
 cluster_end() {
-    local name
-    for name in "${!CLUSTER_PIDS[@]}"; do
-        kill -CONT "${CLUSTER_PIDS[$name]}" 2>/dev/null
-        kill -KILL "${CLUSTER_PIDS[$name]}" 2>/dev/null
-    done
-    for name in "${!CLUSTER_PIDS[@]}"; do
-        wait "${CLUSTER_PIDS[$name]}" 2>/dev/null
-    done
-    CLUSTER_PIDS=()
-}
-
-# start_process NAME COMMAND...
-start_process() {
-    local name=$1
-    shift
-    "$@" >>"$CLUSTER_DIR/log/$name.out" 2>>"$CLUSTER_DIR/log/$name.log" </dev/null &
-    CLUSTER_PIDS[$name]=$!
-}
-
-# signal_process NAME SIGNAL
-signal_process() {
-    kill "-$2" "${CLUSTER_PIDS[$1]}"
+    local pid
+    disown -a
+    for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+    [ "${KEEP:-}" = 1 ] && echo "records kept in $WORK" || rm -rf "$WORK"
 }
+trap cluster_end EXIT
 
-# end_process NAME SIGNAL: signals and waits for the end; returns the exit code.
-end_process() {
-    local pid=${CLUSTER_PIDS[$1]} code
-    unset "CLUSTER_PIDS[$1]"
-    kill "-$2" "$pid"
-    wait "$pid" 2>/dev/null
-    code=$?
-    return $code
-}
+# Waits until a command succeeds; the runner's time limit ends a wait for what never comes.
+until_true() { until "$@" >/dev/null 2>&1; do sleep 0.05; done; }
 
-# wait_for WHAT SECONDS COMMAND...: polls until the command succeeds, however long each try takes.
-wait_for() {
-    local what=$1 end=$((SECONDS + $2))
-    shift 2
-    while ! "$@" >/dev/null 2>&1; do
-        if [ "$SECONDS" -ge "$end" ]; then
-            echo "gave up waiting for: $what" >&2
-            return 1
-        fi
-        sleep 0.05
+start_node() {
+    local n=$1 zone="z$((($1 - 1) % 3 + 1))"
+    cat >"$WORK/node$n.yaml" <<YAML
+node: n$n
+zone: $zone
+address: $NET.$n
+callers: $NET.$n:8080
+readiness: $NET.$n:8081
+peer_port: 7000
+seeds: ["$NET.1:7000", "$NET.2:7000"]
+store: $STORE
+retry_extra: 40
+${NODE_SETTINGS:-}
+YAML
+    "$BUILD/cedarwinchd" --settings "$WORK/node$n.yaml" >>"$WORK/node$n.log" 2>>"$WORK/node$n.err" &
+    NODE_PIDS[$n]=$!
+    PIDS+=("$!")
+}
+
+cluster_start() {
+    local n
+    "$BUILD/cw-store" --address "$NET.250" >"$WORK/store.out" &
+    PIDS+=("$!")
+    until_true grep -q port "$WORK/store.out"
+    STORE="$NET.250:$(awk '{print $2}' "$WORK/store.out")"
+    NODES=""
+    for n in $(seq 1 "$1"); do
+        start_node "$n"
+        NODES="$NODES${NODES:+,}$NET.$n:8080"
     done
 }
 
-sha256_of() {
-    printf '%s' "$1" | sha256sum | cut -d' ' -f1
-}
-
-start_platform() {
-    start_process platform "$CLUSTER_BUILD/cw-platform" --address "$STORE_ADDRESS" --port "$STORE_PORT" "$@"
-    wait_for "the platform stand-in" 10 curl -sf "http://$STORE_ADDRESS:$STORE_PORT/machines"
-}
-
-# platform_faults JSON
-platform_faults() {
-    curl -sf -X POST -d "$1" "http://$STORE_ADDRESS:$STORE_PORT/stand-in/faults"
-}
-
-port_printed() {
-    [ -s "$CLUSTER_DIR/log/$1.out" ]
-}
-
-# start_backend TENANT SERVICE NUMBER ZONE FLAGS...: a server process; its port is chosen by the system.
-start_backend() {
-    local tenant=$1 service=$2 number=$3 zone=$4 name
-    name="$tenant-$service-$number"
-    shift 4
-    : >"$CLUSTER_DIR/log/$name.out"
-    start_process "$name" "$CLUSTER_BUILD/cw-backend" --address "$CLUSTER_NET.200" --port "${CLUSTER_PORTS[$name]:-0}" \
-        --name "$tenant/$service/s$number" --zone "$zone" --record "$CLUSTER_DIR/record/$name.jsonl" "$@"
-}
-
-# learn_backend_port TENANT SERVICE NUMBER
-learn_backend_port() {
-    local name="$1-$2-$3"
-    wait_for "port of $name" 10 port_printed "$name" || return 1
-    CLUSTER_PORTS[$name]=$(grep -oE '[0-9]+' "$CLUSTER_DIR/log/$name.out" | tail -1)
+cluster_server() {
+    local name=$1
+    shift
+    "$BUILD/cw-server" --address "$NET.100" --store "$STORE" "$@" >>"$WORK/server-$name.json" &
+    SERVER_PIDS[$name]=$!
+    PIDS+=("$!")
 }
 
-# write_settings NODE ZONE NODE_COUNT
-write_settings() {
-    local node=$1 zone=$2 count=$3 seed zones=(a b c)
-    {
-        echo "node_id: $node"
-        echo "address: $CLUSTER_NET.$node"
-        echo "zone: $zone"
-        echo "region: local"
-        echo "peer_port: 7100"
-        echo "http_port: 7200"
-        echo "store_address: $STORE_ADDRESS"
-        echo "store_port: $STORE_PORT"
-        echo "log_level: ${LOG_LEVEL:-info}"
-        echo "administrator_tokens: [$(sha256_of "$ADMINISTRATOR_TOKEN")]"
-        echo "seeds:"
-        for seed in $(seq 1 "$count"); do
-            echo "  - {id: $seed, address: $CLUSTER_NET.$seed, peer_port: 7100, zone: ${zones[$(((seed - 1) % 3))]}}"
-        done
-    } >"$CLUSTER_DIR/settings/node$node.yaml"
+# One node's whole configuration, as the platform stores it.
+cluster_configure() {
+    curl -sf -X POST "http://$STORE/api/objects/config" -d "{\"metadata\":{\"name\":\"main\"},\"spec\":$1}" >/dev/null ||
+        curl -sf -X PUT "http://$STORE/api/objects/config/main" -d "{\"metadata\":{\"name\":\"main\"},\"spec\":$1}" >/dev/null
 }
 
-# start_node NODE
-start_node() {
-    start_process "node$1" "$CLUSTER_BUILD/cedarwinchd" --settings "$CLUSTER_DIR/settings/node$1.yaml"
+configuration() { # VERSION: three services, as in the demo
+    cat <<JSON
+{"version":$1,"routes":[
+ {"name":"maps","host":"maps.example","path-prefix":"/docks/","route-type":"safe","timeout_ms":2000,"aim_ms":500,"priority":2,"max-attempts":3,"service":"maps"},
+ {"name":"hires","host":"maps.example","path-prefix":"/hire/","route-type":"unsafe","timeout_ms":2000,"aim_ms":500,"priority":0,"max-attempts":2,"service":"hires"}],
+ "services":[{"name":"maps","max-connections":100,"use-sharding":true,"warm-s":1},{"name":"hires","max-connections":100}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}
+JSON
 }
 
-# start_nodes COUNT: settings and processes, spread over zones a, b and c.
-start_nodes() {
-    local node zones=(a b c)
-    for node in $(seq 1 "$1"); do
-        write_settings "$node" "${zones[$(((node - 1) % 3))]}" "$1"
-        start_node "$node"
+cluster_wait_ready() {
+    local n
+    for n in "${!NODE_PIDS[@]}"; do
+        until_true curl -sf "http://$NET.$n:8081/readyz"
     done
 }
 
-node_ready() {
-    curl -sf --max-time 2 "http://$CLUSTER_NET.$1:7200/readyz"
-}
-
-# wait_nodes_ready COUNT
-wait_nodes_ready() {
-    local node
-    for node in $(seq 1 "$1"); do
-        wait_for "node $node to be ready" 20 node_ready "$node" || return 1
+# Until the leader has granted all keys: a request for any key is answered.
+cluster_wait_served() {
+    local key
+    for key in 0 10000 20000 30000 40000 50000 65535; do
+        until_true curl -sf "http://$NET.1:8080/docks/x" -H 'Host: maps.example' -H "X-Shard-Key: $key" \
+            -H "X-Request-Id: wait-$key-$RANDOM$RANDOM" -H 'X-Deadline-Ms: 1000'
     done
 }
 
-# command_line NODE TOKEN ARGUMENTS...: the operators' command line against one node.
-command_line() {
-    local node=$1 token=$2
-    shift 2
-    CEDARWINCH_NODE="$CLUSTER_NET.$node:7200" CEDARWINCH_TOKEN="$token" "$CLUSTER_BUILD/cedarwinch" "$@"
-}
-
-# intent_head TENANT: begins $CLUSTER_DIR/intent/TENANT.yaml.
-intent_head() {
-    {
-        echo "tenant: $1"
-        echo "operator_tokens: [$(sha256_of "$1-operator")]"
-        echo "caller_tokens: [$(sha256_of "$1-caller")]"
-        echo "limits: {requests_per_second: 20000, concurrent_requests: 4000}"
-        echo "services:"
-    } >"$CLUSTER_DIR/intent/$1.yaml"
-}
+KINDS=(--kind "maps.example,/docks/,GET,2000,1" --kind "maps.example,/hire/,POST,2000,0")
 
-# intent_service TENANT SERVICE SERVERS SLOTS CONNECTIONS NON_REPEATABLE(0|1) IMBALANCE CHURN UNAVAILABLE
-intent_service() {
-    local tenant=$1 service=$2 servers=$3 number zones=(a b c)
-    {
-        echo "  - name: $service"
-        echo "    slots_per_server: $4"
-        echo "    connections_per_server: $5"
-        echo "    timeout_ms: 1000"
-        [ "$6" = 0 ] || echo "    non_repeatable: [{method: POST, path_prefix: /}]"
-        echo "    weights: {imbalance: $7, churn: $8, unavailable: $9}"
-        echo "    servers:"
-        for number in $(seq 1 "$servers"); do
-            echo "      - {name: s$number, address: $CLUSTER_NET.200, port: ${CLUSTER_PORTS[$tenant-$service-$number]}," \
-                "zone: ${zones[$(((number - 1) % 3))]}}"
-        done
-    } >>"$CLUSTER_DIR/intent/$tenant.yaml"
+cluster_callers() {
+    local name=$1
+    shift
+    "$BUILD/cw-callers" --nodes "$NODES" --name "$name" "${KINDS[@]}" "$@" >"$WORK/callers-$name.json"
 }
 
-# start_service TENANT SERVICE SERVERS SLOTS SERVICE_MS FLAGS...
-start_service() {
-    local tenant=$1 service=$2 servers=$3 slots=$4 service_ms=$5 number zones=(a b c)
-    shift 5
-    for number in $(seq 1 "$servers"); do
-        start_backend "$tenant" "$service" "$number" "${zones[$(((number - 1) % 3))]}" --slots "$slots" \
-            --service-ms "$service_ms" --seed "$number" "$@"
-    done
-    for number in $(seq 1 "$servers"); do
-        learn_backend_port "$tenant" "$service" "$number" || return 1
+leader() { # number of the node that leads, by its metrics
+    local n
+    for n in "${!NODE_PIDS[@]}"; do
+        curl -sf "http://$NET.$n:8081/metrics" 2>/dev/null | grep -q '^cedarwinch_leading 1' && echo "$n" && return 0
     done
+    return 1
 }
 
-# plan_and_confirm NODE TENANT TOKEN: prints the plan, confirms it.
-plan_and_confirm() {
-    local plan
-    command_line "$1" "$3" plan "$CLUSTER_DIR/intent/$2.yaml" || return 1
-    plan=$(command_line "$1" "$3" --json plan "$CLUSTER_DIR/intent/$2.yaml" | grep -oE '"plan": *"[^"]+"' | cut -d'"' -f4)
-    [ -n "$plan" ] || return 1
-    command_line "$1" "$3" confirm "$plan"
-}
+sum_of() { tail -1 "$WORK/callers-$1.json" | jq -r "(.$2 // 0)"; }
 
-# service_owned NODE TENANT SERVICE: every range of the service is granted and its lease alive.
-service_owned() {
-    command_line "$1" "$ADMINISTRATOR_TOKEN" --json status | grep -q "\"$3\"" || return 1
-}
+cluster_check() { "$BUILD/cw-verdict" "$WORK"/server-*.json "$WORK"/callers-*.json; }
 
-# key_answered NODE TENANT SERVICE KEY: a read of one key through one node is answered.
-key_answered() {
-    curl -sf --max-time 2 -H "authorization: Bearer $2-caller" "http://$CLUSTER_NET.$1:7200/v1/$2/$3/$4"
+# ---- tests: each check counts, the last line is what the runner reads ----
+CHECKS=0 FAILURES=0
+check() { # TEXT COMMAND...
+    local text=$1
+    shift
+    CHECKS=$((CHECKS + 1))
+    if "$@"; then echo "ok   $text"; else
+        echo "FAIL $text"
+        FAILURES=$((FAILURES + 1))
+    fi
+}
+at_least() { [ "$1" -ge "$2" ] || { echo "     $1 is below $2"; return 1; }; }
+at_most() { [ "$1" -le "$2" ] || { echo "     $1 is above $2"; return 1; }; }
+finish_test() {
+    [ "$FAILURES" = 0 ] || tail -n 3 "$WORK"/node*.err
+    echo "$((CHECKS == 0 ? 0 : 100 * (CHECKS - FAILURES) / CHECKS))%: Checks: $CHECKS, Failures: $FAILURES, Errors: 0"
+    [ "$FAILURES" = 0 ]
+}
+
+# Three services' servers as the tests use them: six of maps (divided by key), three of hires.
+usual_servers() {
+    local i
+    for i in 1 2 3 4 5 6; do cluster_server "m$i" --service maps --zone "z$(((i - 1) % 3 + 1))" --keyed --work-ms 15; done
+    for i in 1 2 3; do cluster_server "h$i" --service hires --zone "z$i" --work-ms 15 --hangs; done
+}
+usual_cluster() {
+    cluster_start "${1:-3}"
+    usual_servers
+    cluster_configure "$(configuration 1)"
+    cluster_wait_ready
+    cluster_wait_served
 }
--- a/scripts/dependencies.sh
+++ b/scripts/dependencies.sh
@@ -1,10 +1,9 @@
 #!/usr/bin/env bash
 # Installs the Debian packages the build needs, and only when one is missing.
 set -eu
-packages="gcc make pkg-config libuv1-dev libh2o-dev libargtable2-dev libprotobuf-c-dev libyaml-dev libjansson-dev
-libxxhash-dev uthash-dev libhttp-parser-dev check libssl-dev curl"
-[ "${1:-}" = check ] && packages="$packages clang clang-format clang-tidy libclang-rt-14-dev spin valgrind git jq"
-[ "${1:-}" = bench ] && packages="$packages jq valgrind"
+packages="gcc make pkg-config libuv1-dev libhttp-parser-dev libargtable2-dev libprotobuf-c-dev libyaml-dev
+libjansson-dev libxxhash-dev nettle-dev uthash-dev check curl jq"
+[ "${1:-}" = check ] && packages="$packages clang clang-format clang-tidy libclang-rt-14-dev spin git"
 missing=""
 for package in $packages; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing="$missing $package"
--- a/sim/lease/lease_internal.h
+++ b/sim/lease_internal.h
@@ -14,7 +14,7 @@
     cw_time_us_t at;
     uint64_t     order; /**< of two at the same time, the one made first */
     void (*happen)(sim_world_t *world, void *data);
-    void        *data;
+    void *data;
 } sim_event_t;
 
 /** What one life of a server knows of one cell. */
@@ -51,25 +51,25 @@
 } sim_table_t;
 
 typedef struct sim_node {
-    sim_world_t     *world;
-    uint32_t         index;
-    uint64_t         life; /**< calls of an earlier life bring nothing */
-    bool             up;
-    cw_time_us_t     frozen_until;
-    bool             cut_store;
-    bool             cut_nodes;
-    uint32_t         cut_servers; /**< one bit an address */
-    cw_leadership_t  leadership;
-    cw_keeper_t     *keeper;
-    cw_store_port_t  port;
-    uint64_t         keeper_term;
-    uint64_t         number; /**< of the tables it told as a leader */
-    bool             tables_due;
-    cw_time_us_t     told_at;
-    cw_time_us_t     word_at; /**< last word of a leader with authority */
-    cw_time_us_t     read_at;
-    cw_time_us_t     next_plan;
-    sim_table_t      table;
+    sim_world_t    *world;
+    uint32_t        index;
+    uint64_t        life; /**< calls of an earlier life bring nothing */
+    bool            up;
+    cw_time_us_t    frozen_until;
+    bool            cut_store;
+    bool            cut_nodes;
+    uint32_t        cut_servers; /**< one bit an address */
+    cw_leadership_t leadership;
+    cw_keeper_t    *keeper;
+    cw_store_port_t port;
+    uint64_t        keeper_term;
+    uint64_t        number; /**< of the tables it told as a leader */
+    bool            tables_due;
+    cw_time_us_t    told_at;
+    cw_time_us_t    word_at; /**< last word of a leader with authority */
+    cw_time_us_t    read_at;
+    cw_time_us_t    next_plan;
+    sim_table_t     table;
 } sim_node_t;
 
 struct sim_world {
@@ -88,7 +88,7 @@
     sim_node_t        nodes[CW_SIM_NODES];
     sim_server_t      servers[CW_SIM_ADDRESSES];
     uint64_t          lives;
-    uint64_t          fences[CW_CELLS];           /**< highest taken */
+    uint64_t          fences[CW_CELLS]; /**< highest taken */
     char              fence_of[CW_CELLS][CW_SERVER_ID_MAX];
     cw_time_us_t      served_at[CW_CELLS];
     cw_server_list_t *list;
@@ -107,12 +107,12 @@
 void sim_store_port(sim_node_t *node);
 
 /* ---- lease_servers.c ---- */
-void          sim_servers_start(sim_world_t *world);
-void          sim_server_crash(sim_world_t *world, uint32_t address);
-void          sim_list_servers(sim_world_t *world);
-void          sim_order(sim_node_t *node, const cw_order_t *order);
+void sim_servers_start(sim_world_t *world);
+void sim_server_crash(sim_world_t *world, uint32_t address);
+void sim_list_servers(sim_world_t *world);
+void sim_order(sim_node_t *node, const cw_order_t *order);
 /** A request for a cell comes from a node. */
-void          sim_request(sim_world_t *world, sim_node_t *node, uint32_t cell);
+void sim_request(sim_world_t *world, sim_node_t *node, uint32_t cell);
 
 /* ---- lease_nodes.c ---- */
 void sim_node_start(sim_world_t *world, uint32_t index);
--- a/sim/lease/lease_nodes.c
+++ b/sim/lease_nodes.c
@@ -83,8 +83,8 @@
 
     end_keeper(node);
     node->keeper_term = node->leadership.lock.term;
-    node->keeper = cw_keeper_create("service", node->keeper_term, node->leadership.settings.incarnation, &settings,
-                                    &ports);
+    node->keeper =
+        cw_keeper_create("service", node->keeper_term, node->leadership.settings.incarnation, &settings, &ports);
     node->number = 0;
     node->world->result->leaders++;
 }
@@ -339,11 +339,9 @@
 void sim_node_start(sim_world_t *world, uint32_t index)
 {
     sim_node_t              *node = &world->nodes[index];
-    cw_leadership_settings_t settings = {.hold = CW_MS(3000),
-                                         .renew_every = CW_MS(750),
-                                         .silence = CW_MS(900),
-                                         .read_every = CW_MS(400)};
-    uint64_t                 life = node->life + 1;
+    cw_leadership_settings_t settings = {
+        .hold = CW_MS(3000), .renew_every = CW_MS(750), .silence = CW_MS(900), .read_every = CW_MS(400)};
+    uint64_t life = node->life + 1;
 
     memset(node, 0, sizeof(*node));
     node->world = world;
--- a/sim/lease/lease_servers.c
+++ b/sim/lease_servers.c
@@ -228,13 +228,13 @@
             delivery->result = result;
         }
         if (delivery->order.kind == CW_ORDER_RELEASE) {
-            snprintf(delivery->handover, sizeof(delivery->handover), "h%llu",
-                     (unsigned long long)delivery->order.id);
+            snprintf(delivery->handover, sizeof(delivery->handover), "h%llu", (unsigned long long)delivery->order.id);
             back += CW_MS(sim_below(world, WORK_MS)); /* what ran on the keys comes to its end */
         }
     }
-    sim_at(world, delivery->result == CW_ORDER_UNANSWERED ? delivery->order.sent_at + delivery->order.timeout
-                                                          : world->now + back,
+    sim_at(world,
+           delivery->result == CW_ORDER_UNANSWERED ? delivery->order.sent_at + delivery->order.timeout
+                                                   : world->now + back,
            tell_node, delivery);
 }
 
--- a/sim/lease/lease_store.c
+++ b/sim/lease_store.c
@@ -54,8 +54,8 @@
 static void take_effect(sim_world_t *world, sim_call_t *call)
 {
     sim_object_t *object = call->object;
-    bool          fits = call->kind == SIM_CREATE ? object->value == NULL
-                                                  : object->value != NULL && object->revision == call->revision;
+    bool          fits =
+        call->kind == SIM_CREATE ? object->value == NULL : object->value != NULL && object->revision == call->revision;
 
     call->result = CW_STORE_DONE;
     if (call->kind == SIM_READ) {
@@ -174,6 +174,6 @@
 
 void sim_store_port(sim_node_t *node)
 {
-    node->port = (cw_store_port_t){
-        .context = node, .read = read_object, .create = create_object, .replace = replace_object};
+    node->port =
+        (cw_store_port_t){.context = node, .read = read_object, .create = create_object, .replace = replace_object};
 }
--- a/sim/lease/lease_world.h
+++ b/sim/lease_world.h
@@ -26,28 +26,28 @@
 typedef struct cw_sim_settings {
     uint64_t     seed;
     cw_time_us_t length;
-    cw_time_us_t calm_at; /**< no faults from here on */
-    double       store_lost;      /**< of writes: done, not answered */
-    double       store_late;      /**< of writes: done 1 to 6 s later, not answered */
-    double       order_lost;      /**< of orders: carried out, not answered */
-    double       order_late;      /**< of orders: carried out 2 to 12 s later, not answered */
-    double       outages;         /**< of the store, a second */
-    double       kills;           /**< of a node, a second */
-    double       freezes;         /**< of a node, a second */
-    double       cuts;            /**< of a node from the store, from servers or from nodes, a second */
-    double       crashes;         /**< of a server, a second */
-    double       herd_kills;      /**< of all nodes at once, a second */
-    double       moves;           /**< of cells at random, a second */
+    cw_time_us_t calm_at;    /**< no faults from here on */
+    double       store_lost; /**< of writes: done, not answered */
+    double       store_late; /**< of writes: done 1 to 6 s later, not answered */
+    double       order_lost; /**< of orders: carried out, not answered */
+    double       order_late; /**< of orders: carried out 2 to 12 s later, not answered */
+    double       outages;    /**< of the store, a second */
+    double       kills;      /**< of a node, a second */
+    double       freezes;    /**< of a node, a second */
+    double       cuts;       /**< of a node from the store, from servers or from nodes, a second */
+    double       crashes;    /**< of a server, a second */
+    double       herd_kills; /**< of all nodes at once, a second */
+    double       moves;      /**< of cells at random, a second */
     bool         trace;
 } cw_sim_settings_t;
 
 typedef struct cw_sim_result {
-    uint64_t requests;      /**< begun by servers */
-    uint64_t turned_away;   /**< by servers that did not hold the key */
-    uint64_t unrouted;      /**< no table, or the owner is moving */
+    uint64_t requests;    /**< begun by servers */
+    uint64_t turned_away; /**< by servers that did not hold the key */
+    uint64_t unrouted;    /**< no table, or the owner is moving */
     uint64_t grants;
     uint64_t moves;
-    uint64_t leaders;       /**< changes of leadership */
+    uint64_t leaders; /**< changes of leadership */
     uint32_t violations;
     char     violation[CW_SIM_VIOLATIONS_MAX][160];
     bool     served_at_end; /**< every cell, in the last seconds */
--- a/sim/lease/main_lease.c
+++ b/sim/main.c
@@ -19,8 +19,8 @@
     printf("seed %llu: %llu requests, %llu turned away, %llu unrouted, %llu grants, %llu moves, %llu leaders, "
            "%u violations%s\n",
            (unsigned long long)seed, (unsigned long long)result->requests, (unsigned long long)result->turned_away,
-           (unsigned long long)result->unrouted, (unsigned long long)result->grants,
-           (unsigned long long)result->moves, (unsigned long long)result->leaders, result->violations,
+           (unsigned long long)result->unrouted, (unsigned long long)result->grants, (unsigned long long)result->moves,
+           (unsigned long long)result->leaders, result->violations,
            result->served_at_end ? "" : ", NOT SERVED at the end");
     for (index = 0; index < result->violations && index < CW_SIM_VIOLATIONS_MAX; index++) {
         printf("    %s\n", result->violation[index]);
--- a/src/assignment/keeper.c
+++ b/src/assignment/keeper.c
@@ -364,8 +364,7 @@
     range->owner.fence = ++keeper->plan.last_fence;
 }
 
-void cw_keeper_plan_first(cw_keeper_t *keeper, const cw_server_entry_t *const *servers, size_t count,
-                          cw_time_us_t now)
+void cw_keeper_plan_first(cw_keeper_t *keeper, const cw_server_entry_t *const *servers, size_t count, cw_time_us_t now)
 {
     size_t index;
 
@@ -387,9 +386,9 @@
 /* Who may still hold the keys when this range's owner changes, and what is known of its handover. */
 static void set_former(cw_range_t *range, const cw_server_list_t *servers)
 {
-    bool ended = range->owner_ended ||
-                 (cw_server_list_find(servers, range->owner.id) == NULL &&
-                  cw_server_list_successor(servers, range->owner.id, range->owner.address) != NULL);
+    bool ended =
+        range->owner_ended || (cw_server_list_find(servers, range->owner.id) == NULL &&
+                               cw_server_list_successor(servers, range->owner.id, range->owner.address) != NULL);
 
     if (range->former.id[0] != '\0') {
         return; /* the move before this one is not finished: the same former holder has to let go */
@@ -433,8 +432,8 @@
         return false;
     }
     right = left + 1;
-    if (strcmp(left->owner.id, right->owner.id) != 0 || left->phase != CW_RANGE_HELD ||
-        right->phase != CW_RANGE_HELD || left->former.id[0] != '\0' || right->former.id[0] != '\0') {
+    if (strcmp(left->owner.id, right->owner.id) != 0 || left->phase != CW_RANGE_HELD || right->phase != CW_RANGE_HELD ||
+        left->former.id[0] != '\0' || right->former.id[0] != '\0') {
         return false;
     }
     left->last = right->last;
--- a/src/assignment/keeper.h
+++ b/src/assignment/keeper.h
@@ -50,8 +50,8 @@
 } cw_order_t;
 
 typedef struct cw_keeper_settings {
-    cw_time_us_t hold;          /**< of grants on a calm day */
-    cw_time_us_t hold_long;     /**< while the store cannot be reached */
+    cw_time_us_t hold;      /**< of grants on a calm day */
+    cw_time_us_t hold_long; /**< while the store cannot be reached */
     cw_time_us_t renew_every;
     cw_time_us_t order_timeout; /**< of a grant */
     cw_time_us_t release_timeout;
@@ -71,11 +71,11 @@
 typedef struct cw_keeper cw_keeper_t;
 
 typedef enum cw_keeper_state {
-    CW_KEEPER_NEW,      /**< the record is to be read */
-    CW_KEEPER_CALLING,  /**< a store call is under way, or its outcome unknown */
-    CW_KEEPER_EMPTY,    /**< no record exists: ranges are to be made */
-    CW_KEEPER_READY,    /**< the record carries this leader's term */
-    CW_KEEPER_DEPOSED   /**< a later leader has written */
+    CW_KEEPER_NEW,     /**< the record is to be read */
+    CW_KEEPER_CALLING, /**< a store call is under way, or its outcome unknown */
+    CW_KEEPER_EMPTY,   /**< no record exists: ranges are to be made */
+    CW_KEEPER_READY,   /**< the record carries this leader's term */
+    CW_KEEPER_DEPOSED  /**< a later leader has written */
 } cw_keeper_state_t;
 
 cw_keeper_t *cw_keeper_create(const char *service, uint64_t term, uint64_t incarnation,
@@ -94,8 +94,7 @@
 /** May a plan be made now? Not while a write is under way. */
 bool cw_keeper_may_plan(const cw_keeper_t *keeper);
 /** First assignment of all keys, in equal parts. Only when the state is CW_KEEPER_EMPTY. */
-void cw_keeper_plan_first(cw_keeper_t *keeper, const cw_server_entry_t *const *servers, size_t count,
-                          cw_time_us_t now);
+void cw_keeper_plan_first(cw_keeper_t *keeper, const cw_server_entry_t *const *servers, size_t count, cw_time_us_t now);
 /** Adds to the plan: keys low to last, within one range, go to `to`. */
 void cw_keeper_plan_move(cw_keeper_t *keeper, uint32_t low, uint32_t last, const cw_server_entry_t *to,
                          const cw_server_list_t *servers);
--- a/src/assignment/keeper_internal.h
+++ b/src/assignment/keeper_internal.h
@@ -37,9 +37,8 @@
     uint64_t               last_order;
 };
 
-void         cw_keeper_send_orders(cw_keeper_t *keeper, const cw_server_list_t *servers, bool long_hold,
-                                   cw_time_us_t now);
-void         cw_keeper_plan_refence(cw_keeper_t *keeper, const cw_range_t *range);
+void cw_keeper_send_orders(cw_keeper_t *keeper, const cw_server_list_t *servers, bool long_hold, cw_time_us_t now);
+void cw_keeper_plan_refence(cw_keeper_t *keeper, const cw_range_t *range);
 /** Can an order that went unanswered still be carried out, or its hold still be in force? */
 bool         cw_keeper_may_wake(const cw_keeper_t *keeper, const cw_range_t *range, cw_time_us_t now);
 cw_time_us_t cw_keeper_hold_end(cw_time_us_t sent_at, cw_time_us_t hold);
--- a/src/assignment/keeper_orders.c
+++ b/src/assignment/keeper_orders.c
@@ -280,7 +280,6 @@
     return keeper->stale_since != 0 && now - keeper->stale_since > CW_MS(STALE_MS);
 }
 
-
 bool cw_keeper_is_settled(const cw_keeper_t *keeper, const cw_range_t *range, cw_time_us_t now)
 {
     return range->phase == CW_RANGE_HELD && range->failing_since == 0 && !cw_keeper_may_wake(keeper, range, now);
--- a/src/assignment/range.h
+++ b/src/assignment/range.h
@@ -47,7 +47,7 @@
     cw_time_us_t     unanswered_at; /**< last order to the owner that may still be carried out; 0: none */
     cw_time_us_t     moved_at;
     bool             owner_ended; /**< another life answers at the owner's address */
-    uint32_t         orders; /**< under way */
+    uint32_t         orders;      /**< under way */
 } cw_range_t;
 
 typedef struct cw_range_list {
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -62,7 +62,7 @@
 
 static void free_peer(cw_server_pool_t *pool, peer_report_t *peer)
 {
-    HASH_DEL(pool->peers, peer);
+    HASH_DEL(pool->peers, peer); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
     free(peer->reports);
     free(peer->paces);
     free(peer);
@@ -70,18 +70,11 @@
 
 void cw_server_pool_free(cw_server_pool_t *pool)
 {
-    cw_server_t   *server;
-    cw_server_t   *next;
-    peer_report_t *peer;
-    peer_report_t *next_peer;
-
-    HASH_ITER(by_id, pool->by_id, server, next)
-    {
-        drop(pool, server);
+    while (pool->by_id != NULL) {
+        drop(pool, pool->by_id);
     }
-    HASH_ITER(hh, pool->peers, peer, next_peer)
-    {
-        free_peer(pool, peer);
+    while (pool->peers != NULL) {
+        free_peer(pool, pool->peers);
     }
     free(pool->zone);
     free(pool);
@@ -237,8 +230,8 @@
         cw_server_t *server = by_hash(pool, peer->reports[index].hash);
 
         if (server != NULL) {
-            server->others -= peer->reports[index].under_way < server->others ? peer->reports[index].under_way
-                                                                              : server->others;
+            server->others -=
+                peer->reports[index].under_way < server->others ? peer->reports[index].under_way : server->others;
         }
     }
 }
--- a/src/net/byte_buffer.c
+++ b/src/base/byte_buffer.c
@@ -2,7 +2,7 @@
  * @file byte_buffer.c
  * @brief Growable bytes.
  */
-#include "net/byte_buffer.h"
+#include "base/byte_buffer.h"
 
 #include <stdarg.h>
 #include <stdio.h>
--- a/src/net/byte_buffer.h
+++ b/src/base/byte_buffer.h
@@ -2,8 +2,8 @@
  * @file byte_buffer.h
  * @brief Growable bytes. All zero is an empty buffer.
  */
-#ifndef CEDARWINCH_NET_BYTE_BUFFER_H
-#define CEDARWINCH_NET_BYTE_BUFFER_H
+#ifndef CEDARWINCH_BASE_BYTE_BUFFER_H
+#define CEDARWINCH_BASE_BYTE_BUFFER_H
 
 #include <stddef.h>
 
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -2,7 +2,7 @@
  * @file error.c
  * @brief Texts of the error numbers.
  */
-#include "cedarwinch/error.h"
+#include "base/error.h"
 
 const char *cw_error_text(int error)
 {
--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -103,8 +103,7 @@
             put(event, "\\", 1);
             put(event, text, 1);
         } else if ((unsigned char)*text < FIRST_PRINTABLE || (unsigned char)*text >= 0x7f) {
-            put(event, escaped,
-                (size_t)snprintf(escaped, sizeof(escaped), "\\u%04x", (unsigned)(unsigned char)*text));
+            put(event, escaped, (size_t)snprintf(escaped, sizeof(escaped), "\\u%04x", (unsigned)(unsigned char)*text));
         } else {
             put(event, text, 1);
         }
--- a/src/base/findings.c
+++ b/src/base/findings.c
@@ -2,7 +2,7 @@
  * @file findings.c
  * @brief Collects findings with their place.
  */
-#include "cedarwinch/findings.h"
+#include "base/findings.h"
 
 #include <jansson.h>
 #include <stdarg.h>
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "net/byte_buffer.h"
+#include "base/byte_buffer.h"
 #include "base/text.h"
 
 enum { ROUTES_MAX = 32, BUCKETS = 12, ROUTE_NAME_MAX = 64 };
@@ -28,8 +28,9 @@
 #undef HISTOGRAM_ROW
 
 /** Upper bounds of the buckets; the last one has none. */
-static const cw_time_us_t bounds_us[BUCKETS - 1] = {CW_MS(1),   CW_MS(5),   CW_MS(10),  CW_MS(25),   CW_MS(50),  CW_MS(100),
-                                                    CW_MS(250), CW_MS(500), CW_MS(1000), CW_MS(2500), CW_MS(5000)};
+static const cw_time_us_t bounds_us[BUCKETS - 1] = {CW_MS(1),    CW_MS(5),    CW_MS(10),  CW_MS(25),
+                                                    CW_MS(50),   CW_MS(100),  CW_MS(250), CW_MS(500),
+                                                    CW_MS(1000), CW_MS(2500), CW_MS(5000)};
 
 typedef struct route_histogram {
     char     route[ROUTE_NAME_MAX];
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -18,6 +18,7 @@
     X(REFUSED_OWNER, "cedarwinch_refused_owner_total", "counter", "refused: the key's owner is not known or moving")   \
     X(REFUSED_SERVERS, "cedarwinch_refused_servers_total", "counter", "refused: the service has no server")            \
     X(REFUSED_UNREADY, "cedarwinch_refused_unready_total", "counter", "refused: no configuration yet")                 \
+    X(REFUSED_TENANT, "cedarwinch_refused_tenant_total", "counter", "refused: not a tenant's caller, or its limits")   \
     X(NOT_FOUND, "cedarwinch_not_found_total", "counter", "no route for host and path")                                \
     X(FAILED_UNKNOWN, "cedarwinch_failed_unknown_total", "counter", "502: sent, and the answer was broken or lost")    \
     X(FAILED_LATE, "cedarwinch_failed_late_total", "counter", "504: no answer within the time limit")                  \
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "cedarwinch/error.h"
+#include "base/error.h"
 #include "config/yaml_tree.h"
 
 enum {
@@ -86,8 +86,8 @@
         return;
     }
     if (text[0] != '/' || strlen(text) >= size) {
-        cw_yaml_report(mapping->document, cw_yaml_get(mapping, key, false), "'%s' is '%s'; must begin with a slash", key,
-                       text);
+        cw_yaml_report(mapping->document, cw_yaml_get(mapping, key, false), "'%s' is '%s'; must begin with a slash",
+                       key, text);
         return;
     }
     copy_text(target, size, text);
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -9,8 +9,8 @@
 #include <stdint.h>
 
 #include "base/event_log.h"
+#include "base/findings.h"
 #include "base/time.h"
-#include "cedarwinch/findings.h"
 
 /** IPv4 number and port. */
 typedef struct cw_endpoint {
@@ -35,7 +35,7 @@
     cw_endpoint_t    store;
     cw_event_level_t log_level;
     cw_time_us_t     leader_hold;
-    cw_time_us_t     hold; /**< of grants on a calm day */
+    cw_time_us_t     hold;      /**< of grants on a calm day */
     cw_time_us_t     hold_long; /**< while the store cannot be reached */
     cw_time_us_t     drain;     /**< a leaving server gets no request later than this */
     cw_time_us_t     stop_grace;
--- a/src/config/yaml_tree.c
+++ b/src/config/yaml_tree.c
@@ -11,8 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "cedarwinch/error.h"
-#include "cedarwinch/types.h"
+#include "base/error.h"
 
 enum { DIGEST_TEXT_LENGTH = 2 * CW_TOKEN_DIGEST_BYTES, MESSAGE_MAX = 512 };
 
--- a/src/config/yaml_tree.h
+++ b/src/config/yaml_tree.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 #include <yaml.h>
 
-#include "cedarwinch/findings.h"
+#include "base/findings.h"
 
 typedef struct cw_yaml_document {
     yaml_document_t document;
@@ -22,7 +22,11 @@
     bool            loaded;
 } cw_yaml_document_t;
 
-enum { CW_YAML_KEYS_MAX = 32 };
+enum {
+    CW_YAML_KEYS_MAX = 32,
+    CW_NAME_MAX = 63,          /**< bytes of a name */
+    CW_TOKEN_DIGEST_BYTES = 32 /**< SHA-256 */
+};
 
 /** A mapping being read; remembers which keys were taken. */
 typedef struct cw_yaml_mapping {
--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -37,9 +37,9 @@
     json_int_t  beat;
     int         vacant;
 
-    if (value == NULL || json_unpack((json_t *)value, "{s:s, s:s, s:s, s:I, s:I, s:b}", "node", &node, "address",
-                                     &address, "incarnation", &incarnation, "term", &term, "beat", &beat, "vacant",
-                                     &vacant) != 0) {
+    if (value == NULL ||
+        json_unpack((json_t *)value, "{s:s, s:s, s:s, s:I, s:I, s:b}", "node", &node, "address", &address,
+                    "incarnation", &incarnation, "term", &term, "beat", &beat, "vacant", &vacant) != 0) {
         return false;
     }
     snprintf(lock->node, sizeof(lock->node), "%s", node);
@@ -69,8 +69,7 @@
 
 static bool is_mine(const cw_leadership_t *leadership, const cw_lock_t *lock)
 {
-    return lock->incarnation == leadership->settings.incarnation &&
-           strcmp(lock->node, leadership->settings.node) == 0;
+    return lock->incarnation == leadership->settings.incarnation && strcmp(lock->node, leadership->settings.node) == 0;
 }
 
 static void note_seen(cw_leadership_t *leadership, uint64_t revision, cw_time_us_t now)
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -76,7 +76,7 @@
 void cw_leadership_init(cw_leadership_t *leadership, const cw_leadership_settings_t *settings, cw_time_us_t now);
 /** What is to be asked of the store now. Not WAIT: cw_leadership_replied must follow, once. */
 cw_leadership_action_t cw_leadership_tick(cw_leadership_t *leadership, cw_time_us_t now);
-void                   cw_leadership_replied(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now);
+void cw_leadership_replied(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now);
 /** A leader told this node its term, its lock's revision and whether it has authority. */
 void cw_leadership_heard(cw_leadership_t *leadership, uint64_t term, uint64_t revision, bool able, cw_time_us_t now);
 /** A leader said that it stops: the lock is looked at soon. */
--- a/src/model/configuration.c
+++ b/src/model/configuration.c
@@ -49,6 +49,12 @@
     return &configuration->services[configuration->service_count++];
 }
 
+cw_tenant_t *cw_configuration_add_tenant(cw_configuration_t *configuration)
+{
+    configuration->tenants = grown(configuration->tenants, configuration->tenant_count, sizeof(cw_tenant_t));
+    return &configuration->tenants[configuration->tenant_count++];
+}
+
 void cw_route_add_part(cw_route_t *route, const char *service, double weight)
 {
     route->parts = grown(route->parts, route->part_count, sizeof(cw_split_part_t));
@@ -111,8 +117,12 @@
     for (index = 0; index < configuration->service_count; index++) {
         free(configuration->services[index].name);
     }
+    for (index = 0; index < configuration->tenant_count; index++) {
+        free(configuration->tenants[index].name);
+    }
     free(configuration->routes);
     free(configuration->services);
+    free(configuration->tenants);
     free(configuration);
 }
 
@@ -128,6 +138,18 @@
     return NULL;
 }
 
+const cw_tenant_t *cw_configuration_tenant_of(const cw_configuration_t *configuration, const char *name)
+{
+    size_t index;
+
+    for (index = 0; index < configuration->tenant_count; index++) {
+        if (cw_tenant_owns(configuration->tenants[index].name, name)) {
+            return &configuration->tenants[index];
+        }
+    }
+    return NULL;
+}
+
 static int compare_host(const char *host, size_t length, const char *route_host)
 {
     int order = strncasecmp(host, route_host, length);
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "base/time.h"
+#include "model/tenant.h"
 #include "net/http_listener.h"
 
 /** One part of a traffic split. */
@@ -47,6 +48,8 @@
     size_t           route_count;
     cw_service_t    *services;
     size_t           service_count;
+    cw_tenant_t     *tenants;
+    size_t           tenant_count;
     cw_http_limits_t limits;
     int              references;
 } cw_configuration_t;
@@ -56,6 +59,7 @@
 /** Room for one more; the strings in it are to be allocated and become the configuration's. */
 cw_route_t   *cw_configuration_add_route(cw_configuration_t *configuration);
 cw_service_t *cw_configuration_add_service(cw_configuration_t *configuration);
+cw_tenant_t  *cw_configuration_add_tenant(cw_configuration_t *configuration);
 void          cw_route_add_part(cw_route_t *route, const char *service, double weight);
 /** Sorts routes for matching; to be called once after the last was added. */
 void cw_configuration_seal(cw_configuration_t *configuration);
@@ -64,6 +68,8 @@
 void                cw_configuration_release(cw_configuration_t *configuration); /**< NULL is allowed */
 
 const cw_service_t *cw_configuration_service(const cw_configuration_t *configuration, const char *name);
+/** Tenant that owns a route or service of this name; NULL: none. */
+const cw_tenant_t *cw_configuration_tenant_of(const cw_configuration_t *configuration, const char *name);
 /** Route of a host (a port behind it is ignored) and path: the longest prefix that begins the path; NULL: none. */
 const cw_route_t *cw_configuration_match(const cw_configuration_t *configuration, const char *host, const char *path);
 
--- a/src/model/server_list.h
+++ b/src/model/server_list.h
@@ -21,7 +21,7 @@
     char        *zone;
     uint32_t     capacity; /**< requests it works on at once */
     bool         draining;
-    uint64_t     sequence; /**< rises with each heartbeat */
+    uint64_t     sequence;  /**< rises with each heartbeat */
     cw_time_us_t cold_time; /**< still slow after its start for so long, when it wrote this */
 } cw_server_entry_t;
 
--- a/src/net/http_header.c
+++ b/src/net/http_header.c
@@ -89,7 +89,7 @@
 
 bool cw_http_field_is_hop_by_hop(const cw_http_fields_t *fields, const char *name)
 {
-    static const char *const names[] = {"connection",       "keep-alive", "proxy-connection", "te", "trailer",
+    static const char *const names[] = {"connection",        "keep-alive", "proxy-connection", "te",    "trailer",
                                         "transfer-encoding", "upgrade",    "content-length",   "expect"};
     size_t                   index;
 
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -22,6 +22,7 @@
     READ_CHUNK = 16 * 1024,
     PENDING_MAX = 64 * 1024, /* bytes of later requests kept while one is answered */
     LINGER_MS = 1000,
+    FRESH_MS = 300, /* a connection that has rested for less may have a request on its way */
     IDLE_CHECK_MIN_MS = 10,
     USER_TIMEOUT_MS = 10 * 1000,
     STATUS_TIMEOUT = 408,
@@ -639,7 +640,8 @@
     }
     DL_FOREACH_SAFE(listener->connections, connection, next)
     {
-        if (connection->state == CW_CONNECTION_RESTING) {
+        if (connection->state == CW_CONNECTION_RESTING &&
+            now_us(listener) - connection->rest_begun_us >= CW_MS(FRESH_MS)) {
             close_connection(connection);
         }
     }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -11,8 +11,8 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "base/byte_buffer.h"
 #include "base/time.h"
-#include "net/byte_buffer.h"
 #include "net/http_header.h"
 
 typedef struct cw_http_listener cw_http_listener_t;
@@ -63,13 +63,13 @@
 void cw_http_listener_set_limits(cw_http_listener_t *listener, const cw_http_limits_t *limits);
 /** From now on each answer ends its connection. */
 void cw_http_listener_end_connections(cw_http_listener_t *listener);
-/** Stops accepting and closes connections that rest. */
+/** Stops accepting and closes connections that have rested for a moment; to be called again until none is left. */
 void cw_http_listener_close(cw_http_listener_t *listener);
 /** Connections with a request that was begun or an answer that is being written. */
 size_t cw_http_listener_busy(const cw_http_listener_t *listener);
 size_t cw_http_listener_connections(const cw_http_listener_t *listener);
 
-void  cw_http_exchange_answer(cw_http_exchange_t *exchange, const cw_http_outbound_t *outbound);
+void cw_http_exchange_answer(cw_http_exchange_t *exchange, const cw_http_outbound_t *outbound);
 /** Closes the connection without an answer. */
 void  cw_http_exchange_abort(cw_http_exchange_t *exchange);
 void  cw_http_exchange_set_data(cw_http_exchange_t *exchange, void *data);
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -17,9 +17,15 @@
 #include <strings.h>
 #include <utlist.h>
 
-#include "net/byte_buffer.h"
-
-enum { READ_CHUNK = 16 * 1024, ADDRESS_MAX = 64, INTERIM_LAST = 199, KEEP_ALIVE_SHARE_NUM = 3, KEEP_ALIVE_SHARE_DEN = 5 };
+#include "base/byte_buffer.h"
+
+enum {
+    READ_CHUNK = 16 * 1024,
+    ADDRESS_MAX = 64,
+    INTERIM_LAST = 199,
+    KEEP_ALIVE_SHARE_NUM = 3,
+    KEEP_ALIVE_SHARE_DEN = 5
+};
 
 typedef struct cw_upstream_connection {
     uv_tcp_t                       tcp; /* first: libuv's callbacks get this pointer */
@@ -186,8 +192,8 @@
 {
     cw_upstream_connection_t *connection = call->connection;
     cw_upstream_target_t     *target = connection->target;
-    cw_upstream_answer_t      answer = {.result = result, .fault = fault, .reused = call->reused, .reset = reset,
-                                        .any_byte = call->any_byte};
+    cw_upstream_answer_t      answer = {
+             .result = result, .fault = fault, .reused = call->reused, .reset = reset, .any_byte = call->any_byte};
 
     if (result != CW_UPSTREAM_ANSWERED && !call->sent) {
         answer.result = CW_UPSTREAM_NOT_SENT;
@@ -200,8 +206,8 @@
         answer.body_length = call->body.length;
         answer.closing = http_should_keep_alive(&call->parser) == 0;
     }
-    if (result == CW_UPSTREAM_ANSWERED && call->complete && !call->poisoned && !answer.closing && !connection->writing &&
-        !target->released && idle_time(target->upstream, &call->fields) > 0) {
+    if (result == CW_UPSTREAM_ANSWERED && call->complete && !call->poisoned && !answer.closing &&
+        !connection->writing && !target->released && idle_time(target->upstream, &call->fields) > 0) {
         keep(connection, idle_time(target->upstream, &call->fields));
     } else {
         close_connection(connection, result == CW_UPSTREAM_TIMED_OUT && target->upstream->options.reset_on_abandon);
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -41,9 +41,9 @@
     void (*datagram)(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
 } cw_peer_handler_t;
 
-int        cw_peer_link_create(cw_peer_link_t **link, uv_loop_t *loop, const char *address, uint16_t port,
-                               const cw_peer_handler_t *handler);
-void       cw_peer_link_close(cw_peer_link_t *link);
+int  cw_peer_link_create(cw_peer_link_t **link, uv_loop_t *loop, const char *address, uint16_t port,
+                         const cw_peer_handler_t *handler);
+void cw_peer_link_close(cw_peer_link_t *link);
 /** An address that may be a node's; this node's own is left out. */
 cw_peer_t *cw_peer_link_learn(cw_peer_link_t *link, uint32_t address, cw_time_us_t now);
 cw_peer_t *cw_peer_link_learn_text(cw_peer_link_t *link, const char *address, cw_time_us_t now);
@@ -51,10 +51,10 @@
 /** Packs once, sends to one peer. What the socket does not take is lost. */
 void cw_peer_link_send(cw_peer_link_t *link, const cw_peer_t *peer, const Cwp__Datagram *datagram);
 /** Packs for cw_peer_link_send_packed. */
-size_t   cw_peer_link_pack(cw_peer_link_t *link, const Cwp__Datagram *datagram);
-void     cw_peer_link_send_packed(cw_peer_link_t *link, const cw_peer_t *peer, size_t length);
+size_t cw_peer_link_pack(cw_peer_link_t *link, const Cwp__Datagram *datagram);
+void   cw_peer_link_send_packed(cw_peer_link_t *link, const cw_peer_t *peer, size_t length);
 /** Forgets peers unheard of for so long. */
-void     cw_peer_link_expire(cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now);
+void cw_peer_link_expire(cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now);
 /** Peers heard within `silence`. */
 uint32_t cw_peer_link_alive(const cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now);
 
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -18,7 +18,7 @@
 static const double full = 0.92;       /* busy share from where the wait is taken to grow in a straight line */
 static const double pace_most = 3;     /* a server in trouble is no reason to move everything at once */
 static const double idle_per_s = 0.5;
-static const double late_power = 1.0;  /* long times weigh more: they miss the aim */
+static const double late_power = 1.0; /* long times weigh more: they miss the aim */
 
 typedef struct planner {
     cw_keeper_t                 *keeper;
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -13,6 +13,8 @@
 enum {
     STATUS_NOT_FOUND = 404,
     STATUS_BAD_REQUEST = 400,
+    STATUS_UNAUTHORIZED = 401,
+    STATUS_TOO_MANY = 429,
     STATUS_UNAVAILABLE = 503,
     USUAL_FIRST_MS = 100,
     DEADLINE_DEFAULT_S = 30,
@@ -40,6 +42,7 @@
     engine->pool = pool;
     engine->upstream = upstream;
     engine->nodes = 1;
+    engine->gate = cw_tenant_gate_create();
     uv_timer_init(loop, &engine->wake_timer);
     engine->wake_timer.data = engine;
     return engine;
@@ -169,7 +172,7 @@
 static void set_key(cw_request_t *request)
 {
     const cw_service_t *service = cw_configuration_service(request->configuration, request->service->name);
-    const char *text = cw_http_fields_find(request->fields, request->engine->settings.names.key);
+    const char         *text = cw_http_fields_find(request->fields, request->engine->settings.names.key);
 
     if (service == NULL || !service->keyed || text == NULL) {
         return;
@@ -218,8 +221,37 @@
     cw_request_arm(request);
 }
 
-static cw_request_t *create_request(cw_engine_t *engine, cw_http_exchange_t *exchange,
-                                    const cw_http_inbound_t *inbound, const cw_route_t *route)
+/* False: the tenant's gate has refused it, and it is answered. */
+static bool pass_gate(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                      const cw_route_t *route, cw_tenant_count_t **count)
+{
+    const cw_tenant_t *tenant = cw_configuration_tenant_of(engine->configuration, route->name);
+    cw_time_us_t       wait;
+    cw_gate_answer_t   answer =
+        cw_tenant_gate_enter(engine->gate, tenant, cw_http_fields_find(inbound->fields, "authorization"), engine->nodes,
+                             cw_engine_now(engine), count, &wait);
+
+    switch (answer) {
+    case CW_GATE_OPEN:
+        return true;
+    case CW_GATE_UNKNOWN_CALLER:
+        cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
+        note_plain(engine, inbound, STATUS_UNAUTHORIZED, "not a caller of this tenant");
+        answer_plain(exchange, STATUS_UNAUTHORIZED, -1);
+        return false;
+    case CW_GATE_RATE:
+    case CW_GATE_CONCURRENCY:
+        cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
+        note_plain(engine, inbound, STATUS_TOO_MANY,
+                   answer == CW_GATE_RATE ? "the tenant's rate" : "the tenant's requests at once");
+        answer_plain(exchange, STATUS_TOO_MANY, (double)wait / 1e6);
+        return false;
+    }
+    return true;
+}
+
+static cw_request_t *create_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                                    const cw_route_t *route)
 {
     cw_request_t *request = calloc(1, sizeof(*request));
 
@@ -249,9 +281,10 @@
 
 void cw_engine_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
 {
-    const char       *host = cw_http_fields_find(inbound->fields, "host");
-    const cw_route_t *route;
-    cw_request_t     *request;
+    const char        *host = cw_http_fields_find(inbound->fields, "host");
+    cw_tenant_count_t *tenant;
+    const cw_route_t  *route;
+    cw_request_t      *request;
 
     cw_metric_add(CW_METRIC_REQUESTS, 1);
     if (engine->configuration == NULL) {
@@ -272,7 +305,11 @@
         answer_plain(exchange, STATUS_NOT_FOUND, -1);
         return;
     }
+    if (!pass_gate(engine, exchange, inbound, route, &tenant)) {
+        return;
+    }
     request = create_request(engine, exchange, inbound, route);
+    request->tenant = tenant;
     cw_shared_budget_note_request(&request->service->budget, &engine->settings.budget, cw_engine_now(engine));
     note_sample(request);
     cw_request_enqueue(request);
@@ -423,7 +460,7 @@
 }
 
 void cw_engine_each_queue(cw_engine_t *engine, void (*tell)(void *context, const char *service, uint32_t queued),
-                          void *context)
+                          void        *context)
 {
     cw_service_state_t *service;
     cw_service_state_t *next;
@@ -437,7 +474,7 @@
 }
 
 void cw_engine_each_service(cw_engine_t *engine, void (*tell)(void *context, const char *service, uint32_t queued),
-                            void *context)
+                            void        *context)
 {
     cw_service_state_t *service;
     cw_service_state_t *next;
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -46,7 +46,7 @@
     size_t               answer_max;
     double               late_share; /**< a request may wait for an answer that comes this far between its aim and its
                                           deadline, rather than be refused */
-    size_t               queue_max; /**< requests waiting for one service */
+    size_t queue_max;                /**< requests waiting for one service */
 } cw_engine_settings_t;
 
 /** Where the keys of a service are, as the leader told it. */
@@ -93,10 +93,10 @@
                             void *context);
 /** Requests waiting here for a service. */
 void cw_engine_each_queue(cw_engine_t *engine, void (*tell)(void *context, const char *service, uint32_t queued),
-                          void *context);
+                          void        *context);
 /** All services that requests went to. */
 void cw_engine_each_service(cw_engine_t *engine, void (*tell)(void *context, const char *service, uint32_t queued),
-                            void *context);
+                            void        *context);
 /** Requests that wait at other nodes for a service. */
 void cw_engine_set_queued_elsewhere(cw_engine_t *engine, const char *service, uint32_t queued);
 /** Usual time of a request of a service, microseconds. */
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -9,8 +9,14 @@
 #include "base/metrics.h"
 #include "proxy/engine_internal.h"
 
-enum { STATUS_BAD_GATEWAY = 502, STATUS_UNAVAILABLE = 503, STATUS_GATEWAY_TIMEOUT = 504, STATUS_TOO_MANY = 429,
-       STATUS_TIMEOUT = 408, COME_BACK_PART = 4 };
+enum {
+    STATUS_BAD_GATEWAY = 502,
+    STATUS_UNAVAILABLE = 503,
+    STATUS_GATEWAY_TIMEOUT = 504,
+    STATUS_TOO_MANY = 429,
+    STATUS_TIMEOUT = 408,
+    COME_BACK_PART = 4
+};
 
 static const cw_time_us_t come_back_min = CW_MS(40);
 static const cw_time_us_t come_back_owner = CW_MS(250);
@@ -37,6 +43,7 @@
         cw_engine_wake(request->engine);
     }
     request->is_ended = true;
+    cw_tenant_gate_leave(request->tenant);
     request->engine->requests--;
     cw_http_exchange_set_data(request->exchange, NULL);
     cw_configuration_release(request->configuration);
@@ -76,8 +83,7 @@
     cw_event_number(event, CW_FIELD_ATTEMPT, request->attempts);
     cw_event_ms(event, CW_FIELD_LEFT_MS, request->deadline - now);
     cw_event_number(event, CW_FIELD_QUEUED, (int64_t)request->service->queued);
-    cw_event_number(event, CW_FIELD_UNDER_WAY,
-                    cw_server_pool_under_way(request->engine->pool, request->service->name));
+    cw_event_number(event, CW_FIELD_UNDER_WAY, cw_server_pool_under_way(request->engine->pool, request->service->name));
     if (request->is_keyed) {
         const cw_key_route_t *entry = cw_engine_owner(request->engine, request->service, request->key);
 
@@ -103,12 +109,12 @@
 
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason)
 {
-    static const char *const  names[] = {"no slot in time", "owner of the key not known or moving", "no server"};
-    static const cw_metric_t  metrics[] = {CW_METRIC_REFUSED_LOAD, CW_METRIC_REFUSED_OWNER, CW_METRIC_REFUSED_SERVERS};
-    cw_time_us_t              now = cw_engine_now(request->engine);
-    cw_time_us_t              wait;
-    cw_http_outbound_t        outbound = {.status = STATUS_UNAVAILABLE};
-    cw_event_t                event;
+    static const char *const names[] = {"no slot in time", "owner of the key not known or moving", "no server"};
+    static const cw_metric_t metrics[] = {CW_METRIC_REFUSED_LOAD, CW_METRIC_REFUSED_OWNER, CW_METRIC_REFUSED_SERVERS};
+    cw_time_us_t             now = cw_engine_now(request->engine);
+    cw_time_us_t             wait;
+    cw_http_outbound_t       outbound = {.status = STATUS_UNAVAILABLE};
+    cw_event_t               event;
 
     if (request->may_have_run) {
         cw_request_fail_unknown(request, names[reason]);
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -6,11 +6,11 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/byte_buffer.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
-#include "net/byte_buffer.h"
-#include "proxy/engine_internal.h"
 #include "base/text.h"
+#include "proxy/engine_internal.h"
 
 enum {
     STATUS_MISDIRECTED = 421,
@@ -212,6 +212,30 @@
     send_again(request, 0);
 }
 
+/* ---- servers lost and back ---- */
+
+static void note_server(const cw_server_t *server, cw_event_kind_t kind, const char *reason)
+{
+    cw_event_t event;
+
+    if (cw_event_begin(&event, kind)) {
+        cw_event_text(&event, CW_FIELD_SERVER, server->id);
+        cw_event_text(&event, CW_FIELD_SERVICE, server->service);
+        cw_event_text(&event, CW_FIELD_DETAIL, server->address);
+        cw_event_text(&event, CW_FIELD_REASON, reason);
+        cw_event_number(&event, CW_FIELD_COUNT, server->faults);
+        cw_event_end(&event);
+    }
+}
+
+static void fault(cw_server_t *server, const char *reason, cw_time_us_t now)
+{
+    cw_server_pool_fault(server, now);
+    if (server->faults == 1) {
+        note_server(server, CW_EVENT_SERVER_LOST, reason);
+    }
+}
+
 /* ---- what an outcome means ---- */
 
 static void learn(cw_request_t *request, cw_server_t *server, cw_time_us_t now)
@@ -220,6 +244,9 @@
     double       normal = (double)took / (server->pace > 0 ? server->pace : 1);
     cw_time_us_t usual = request->route_state->usual;
 
+    if (server->faults > 0) {
+        note_server(server, CW_EVENT_SERVER_BACK, "answered");
+    }
     cw_server_pool_served(server, took, usual, now);
     if (normal > (double)usual * RATIO_MAX) {
         normal = (double)usual * RATIO_MAX;
@@ -323,14 +350,14 @@
         answered(request, server, answer, now);
         break;
     case CW_UPSTREAM_NOT_SENT:
-        cw_server_pool_fault(server, now);
+        fault(server, answer->fault, now);
         leave_server(request);
         unreached(request, id, now);
         break;
     case CW_UPSTREAM_BROKEN:
     case CW_UPSTREAM_TIMED_OUT:
         if (!answer->any_byte) {
-            cw_server_pool_fault(server, now);
+            fault(server, answer->fault, now);
         }
         leave_server(request);
         broken(request, id, answer->fault, now);
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -11,6 +11,7 @@
 #include <uthash.h>
 
 #include "proxy/engine.h"
+#include "tenancy/tenant_gate.h"
 
 #define CW_NEVER INT64_MAX
 
@@ -46,6 +47,7 @@
     const cw_route_t       *route;
     cw_route_state_t       *route_state;
     cw_service_state_t     *service;
+    cw_tenant_count_t      *tenant;   /**< NULL: none */
     bool                    is_keyed; /**< the service is divided by key, and the request names one */
     uint32_t                key;
     const char             *method; /**< this and what follows are the exchange's */
@@ -67,7 +69,7 @@
     bool                    is_queued;
     bool                    is_ended;
     bool                    decided;
-    cw_server_t            *server; /**< of the call under way */
+    cw_server_t            *server;    /**< of the call under way */
     char                    avoid[48]; /**< id of the server that failed it last */
     cw_upstream_call_t     *call;
     uv_timer_t              timer;
@@ -81,6 +83,7 @@
     cw_server_pool_t    *pool;
     cw_upstream_t       *upstream;
     cw_configuration_t  *configuration;
+    cw_tenant_gate_t    *gate;
     cw_route_state_t    *routes;
     cw_service_state_t  *services;
     cw_time_us_t         tables_confirmed_at;
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -110,8 +110,7 @@
         return CW_NEVER;
     }
     waiting = ahead_in_queue(request) + 1 + request->service->queued_elsewhere;
-    return now + request->route_state->usual +
-           (cw_time_us_t)(waiting * (double)request->route_state->usual / speed);
+    return now + request->route_state->usual + (cw_time_us_t)(waiting * (double)request->route_state->usual / speed);
 }
 
 /* ---- dispatch ---- */
@@ -143,11 +142,9 @@
     if (request->is_keyed) {
         return place_keyed(request);
     }
-    server = cw_server_pool_choose(request->engine->pool, request->service->name, &request->engine->settings.choice,
-                                   request->avoid[0] == '\0'
-                                       ? NULL
-                                       : cw_server_pool_find(request->engine->pool, request->avoid),
-                                   now, &full);
+    server = cw_server_pool_choose(
+        request->engine->pool, request->service->name, &request->engine->settings.choice,
+        request->avoid[0] == '\0' ? NULL : cw_server_pool_find(request->engine->pool, request->avoid), now, &full);
     if (server == NULL) {
         return full ? WAITS_FOR_SLOT : NO_SERVERS;
     }
@@ -158,8 +155,8 @@
 /* A late answer is worth something too: until when a request had better wait than be told to come back. */
 static cw_time_us_t latest_worth_waiting(const cw_request_t *request)
 {
-    return request->aim_at + (cw_time_us_t)((double)(request->deadline - request->aim_at) *
-                                            request->engine->settings.late_share);
+    return request->aim_at +
+           (cw_time_us_t)((double)(request->deadline - request->aim_at) * request->engine->settings.late_share);
 }
 
 /* A request that could not be placed: waits, or is told to come back. */
--- a/src/retry/shared_budget.h
+++ b/src/retry/shared_budget.h
@@ -19,9 +19,9 @@
 
 typedef struct cw_budget_settings {
     double       ratio;
-    double       extra;  /**< for all nodes together */
+    double       extra; /**< for all nodes together */
     cw_time_us_t window;
-    double       share;  /**< part of the allowance that is used, to leave room for what is not seen */
+    double       share; /**< part of the allowance that is used, to leave room for what is not seen */
 } cw_budget_settings_t;
 
 typedef struct cw_shared_budget {
--- a/src/router/adapter.h
+++ b/src/router/adapter.h
@@ -13,13 +13,21 @@
 
 typedef void (*cw_order_done_t)(void *context, uint64_t order, cw_order_result_t result, const char *handover);
 
+/** The accepted configuration as it stands. configuration: NULL when there is none, or it cannot be read. */
+typedef void (*cw_accepted_read_t)(void *context, cw_store_result_t result, uint64_t revision,
+                                   cw_configuration_t *configuration);
+
 typedef struct cw_adapter {
     const cw_header_names_t *header_names;
-    /** store_address: "IPv4:PORT". Standing reads begin at once; their results go to the readers. */
+    /** store_address: "IPv4:PORT". Standing reads begin at once; their results go to the readers (NULL: none). */
     void *(*create)(uv_loop_t *loop, const char *store_address, const cw_store_readers_t *readers);
     cw_store_port_t *(*store)(void *adapter);
     /** Sends a grant or release to a server; done is called once. */
     void (*order)(void *adapter, const cw_order_t *order, cw_order_done_t done, void *context);
+    /** For the command line: reads the accepted configuration, and writes another under that revision (0: none yet). */
+    void (*read_accepted)(void *adapter, cw_accepted_read_t done, void *context);
+    void (*write_accepted)(void *adapter, const cw_configuration_t *configuration, uint64_t revision,
+                           cw_store_replied_t done, void *context);
     void (*close)(void *adapter);
 } cw_adapter_t;
 
--- a/src/router/main.c
+++ b/src/router/main.c
@@ -9,8 +9,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "cedarwinch/error.h"
-#include "cedarwinch/version.h"
+#include "base/error.h"
+#include "base/version.h"
 #include "router/router.h"
 
 enum { EXIT_NOT_STARTED = 1, EXIT_WRONG_INPUT = 2, ERRORS_MAX = 20 };
@@ -38,27 +38,28 @@
 
 int main(int argument_count, char **arguments)
 {
-    struct arg_file *file = arg_file0("s", "settings", "FILE", "settings; default: the file that CEDARWINCH_SETTINGS names");
-    struct arg_lit  *check = arg_lit0("c", "check", "read and check the settings, then end");
-    struct arg_lit  *help = arg_lit0("h", "help", "this text");
-    struct arg_lit  *version = arg_lit0("V", "version", "version");
-    struct arg_end  *end = arg_end(ERRORS_MAX);
-    void            *table[] = {file, check, help, version, end};
-    int              errors = arg_parse(argument_count, arguments, table);
-    const char      *file_name = file->count > 0 ? file->filename[0] : getenv("CEDARWINCH_SETTINGS");
-    int              code;
+    struct arg_file *file =
+        arg_file0("s", "settings", "FILE", "settings; default: the file that CEDARWINCH_SETTINGS names");
+    struct arg_lit *check = arg_lit0("c", "check", "read and check the settings, then end");
+    struct arg_lit *help = arg_lit0("h", "help", "this text");
+    struct arg_lit *version = arg_lit0("V", "version", "version");
+    struct arg_end *end = arg_end(ERRORS_MAX);
+    void           *table[] = {file, check, help, version, end};
+    int             errors = arg_parse(argument_count, arguments, table);
+    const char     *file_name = file->count > 0 ? file->filename[0] : getenv("CEDARWINCH_SETTINGS");
+    int             code;
 
     if (help->count > 0) {
-        printf("Usage: cedarwinch-router");
+        printf("Usage: cedarwinchd");
         arg_print_syntax(stdout, table, "\n");
         arg_print_glossary(stdout, table, "  %-22s %s\n");
         code = EXIT_SUCCESS;
     } else if (version->count > 0) {
-        printf("cedarwinch-router %s\n", CW_VERSION);
+        printf("cedarwinchd %s\n", CW_VERSION);
         code = EXIT_SUCCESS;
     } else if (errors > 0 || file_name == NULL) {
-        arg_print_errors(stderr, end, "cedarwinch-router");
-        fprintf(stderr, "cedarwinch-router: --settings FILE is needed; see --help\n");
+        arg_print_errors(stderr, end, "cedarwinchd");
+        fprintf(stderr, "cedarwinchd: --settings FILE is needed; see --help\n");
         code = EXIT_WRONG_INPUT;
     } else {
         code = run(file_name, check->count > 0);
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -19,6 +19,7 @@
 #include <xxhash.h>
 
 #include "router/router_internal.h"
+#include "router/router_status.h"
 
 enum {
     CONNECT_MS = 150,
@@ -168,8 +169,7 @@
     cw_metric_set(CW_METRIC_QUEUED, cw_engine_queued(router->engine));
     cw_metric_set(CW_METRIC_CONNECTIONS_OPENED, cw_upstream_opened(router->upstream));
     cw_metric_set(CW_METRIC_MEMORY, resident_bytes());
-    cw_metric_set(CW_METRIC_PEERS,
-                  cw_peer_link_alive(router->link, CW_MS(CW_PEER_SILENCE_MS), cw_router_now(router)));
+    cw_metric_set(CW_METRIC_PEERS, cw_peer_link_alive(router->link, CW_MS(CW_PEER_SILENCE_MS), cw_router_now(router)));
     text = cw_metrics_text(&outbound.body_length);
     outbound.body = text;
     cw_http_exchange_answer(exchange, &outbound);
@@ -185,6 +185,16 @@
         answer_metrics(router, exchange);
         return;
     }
+    if (strcmp(inbound->target, CW_STATUS_PATH) == 0) {
+        char *text = cw_router_status(router);
+
+        outbound.status = STATUS_OK;
+        outbound.body = text;
+        outbound.body_length = strlen(text);
+        cw_http_exchange_answer(exchange, &outbound);
+        free(text);
+        return;
+    }
     if (strcmp(inbound->target, router->settings.readiness_path) == 0) {
         outbound.status = is_ready(router) ? STATUS_OK : STATUS_UNAVAILABLE;
         outbound.body = outbound.status == STATUS_OK ? "ready\n" : "not ready\n";
@@ -301,7 +311,7 @@
     if (since >= CW_MS(STOP_LISTEN_MS)) {
         cw_http_listener_close(router->callers);
     }
-    if (over || (since >= CW_MS(STOP_LISTEN_MS) && cw_http_listener_busy(router->callers) == 0)) {
+    if (over || (since >= CW_MS(STOP_LISTEN_MS) && cw_http_listener_connections(router->callers) == 0)) {
         uv_stop(&router->loop);
     }
 }
@@ -339,30 +349,29 @@
 
 static cw_engine_settings_t engine_settings(const cw_router_t *router)
 {
-    cw_engine_settings_t settings = {
-        .names = *router->adapter->header_names,
-        .choice = {.zone_penalty = 0.35, .extra_slots = 0},
-        .budget = {.ratio = router->settings.retry_ratio,
-                   .extra = router->settings.retry_extra,
-                   .window = router->settings.retry_window,
-                   .share = 0.75},
-        .keyed_extra_slots = 2,
-        .connect_timeout = CW_MS(CONNECT_MS),
-        .silence_factor = 4,
-        .margin = CW_MS(15),
-        .answer_max = ANSWER_MAX,
-        .late_share = 0.25,
-        .queue_max = QUEUE_MAX};
+    cw_engine_settings_t settings = {.names = *router->adapter->header_names,
+                                     .choice = {.zone_penalty = 0.35, .extra_slots = 0},
+                                     .budget = {.ratio = router->settings.retry_ratio,
+                                                .extra = router->settings.retry_extra,
+                                                .window = router->settings.retry_window,
+                                                .share = 0.75},
+                                     .keyed_extra_slots = 2,
+                                     .connect_timeout = CW_MS(CONNECT_MS),
+                                     .silence_factor = 4,
+                                     .margin = CW_MS(15),
+                                     .answer_max = ANSWER_MAX,
+                                     .late_share = 0.25,
+                                     .queue_max = QUEUE_MAX};
 
     return settings;
 }
 
 static int start_listeners(cw_router_t *router)
 {
-    cw_http_limits_t own_limits = {.header_bytes = OWN_HEADER_BYTES,
-                                   .body_bytes = OWN_HEADER_BYTES,
-                                   .header_timeout = CW_SECONDS(OWN_IDLE_S),
-                                   .idle_timeout = CW_SECONDS(OWN_IDLE_S)};
+    cw_http_limits_t           own_limits = {.header_bytes = OWN_HEADER_BYTES,
+                                             .body_bytes = OWN_HEADER_BYTES,
+                                             .header_timeout = CW_SECONDS(OWN_IDLE_S),
+                                             .idle_timeout = CW_SECONDS(OWN_IDLE_S)};
     cw_http_listener_handler_t callers = {router, on_request, on_gone};
     cw_http_listener_handler_t own = {router, on_own_request, on_own_gone};
     int                        error;
--- a/src/router/router.h
+++ b/src/router/router.h
@@ -11,8 +11,8 @@
 #include "config/router_settings.h"
 #include "router/adapter.h"
 
-/** Runs a node until it is stopped. Returns 0, or a libuv error when it could not start. file_name: read again at SIGHUP
- *  and when the file changes. */
+/** Runs a node until it is stopped. Returns 0, or a libuv error when it could not start. file_name: read again at
+ * SIGHUP and when the file changes. */
 int cw_router_run(const cw_router_settings_t *settings, const char *file_name, const cw_adapter_t *adapter);
 
 #endif
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -22,11 +22,11 @@
 
 /** The leader's care for one service divided by key. */
 typedef struct cw_keyed_service {
-    cw_keeper_t     *keeper;
+    cw_keeper_t      *keeper;
     struct cw_router *router;
-    cw_load_window_t window;
-    cw_time_us_t     next_plan;
-    cw_time_us_t     first_seen; /**< since when servers of it are known */
+    cw_load_window_t  window;
+    cw_time_us_t      next_plan;
+    cw_time_us_t      first_seen; /**< since when servers of it are known */
 } cw_keyed_service_t;
 
 /** Requests that wait at another node for a service. */
@@ -74,36 +74,38 @@
     int64_t              file_changed; /**< modification time and size of the settings file, mixed */
 
     /* reports */
-    uint32_t     sequence;
-    cw_time_us_t reported_zone_at;
-    cw_time_us_t reported_all_at;
-    cw_time_us_t reported_full_at;
-    cw_time_us_t sent_keys_at;
-    cw_time_us_t named_until;
-    bool         zone_due;
-    bool         all_due;
+    uint32_t          sequence;
+    cw_time_us_t      reported_zone_at;
+    cw_time_us_t      reported_all_at;
+    cw_time_us_t      reported_full_at;
+    cw_time_us_t      sent_keys_at;
+    cw_time_us_t      named_until;
+    bool              zone_due;
+    bool              all_due;
     cw_queue_report_t queues[CW_QUEUE_REPORTS_MAX];
     size_t            queue_count;
 
     /* what this node goes by */
-    cw_server_list_t *servers;
-    cw_time_us_t      servers_at;      /**< when the list was surely true */
-    bool              reading_servers; /**< this node reads the list itself */
-    cw_time_us_t      servers_read_at; /**< sending of that read */
-    uint64_t          view_term;
-    uint64_t          view_servers;
-    uint64_t          view_tables;
-    cw_time_us_t      tables_at; /**< when the tables were surely true */
-    cw_time_us_t      leader_word_at;
-    uint64_t          leader_term;
-    char              leader_node[CW_NODE_NAME_MAX];
+    cw_server_list_t   *servers;
+    cw_time_us_t        servers_at;      /**< when the list was surely true */
+    bool                reading_servers; /**< this node reads the list itself */
+    cw_time_us_t        servers_read_at; /**< sending of that read */
+    uint64_t            view_term;
+    uint64_t            view_servers;
+    uint64_t            view_tables;
+    cw_time_us_t        tables_at; /**< when the tables were surely true */
+    cw_time_us_t        leader_word_at;
+    uint64_t            leader_term;
+    bool                leader_silent;  /**< told in the log */
+    bool                tables_expired; /**< told in the log */
+    char                leader_node[CW_NODE_NAME_MAX];
     cw_table_assembly_t servers_pages;
     cw_server_list_t   *servers_partial;
     cw_table_assembly_t tables_pages;
-    cw_time_us_t      tables_read_at;
-    uint32_t          table_reads; /**< under way */
-    bool              store_lost;
-    cw_time_us_t      store_failing_since;
+    cw_time_us_t        tables_read_at;
+    uint32_t            table_reads; /**< under way */
+    bool                store_lost;
+    cw_time_us_t        store_failing_since;
 
     /* leading */
     cw_leadership_t    leadership;
@@ -135,7 +137,7 @@
 void cw_router_on_servers(void *context, cw_server_list_t *list);
 bool cw_router_tables_known(const cw_router_t *router);
 /** Sets the engine's tables from the keepers of this node. */
-void cw_router_apply_own_tables(cw_router_t *router);
+void     cw_router_apply_own_tables(cw_router_t *router);
 uint32_t cw_router_hash(const char *text);
 
 /* ---- router_lead.c ---- */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -235,8 +235,7 @@
                                   .note = note_assignment};
 
     keyed->router = router;
-    keyed->keeper =
-        cw_keeper_create(name, router->leadership.lock.term, router->incarnation, &settings, &ports);
+    keyed->keeper = cw_keeper_create(name, router->leadership.lock.term, router->incarnation, &settings, &ports);
     router->keyed_count++;
 }
 
@@ -302,13 +301,10 @@
 
 static void plan_first(cw_keyed_service_t *keyed, const cw_planner_server_t *servers, size_t count, cw_time_us_t now)
 {
-    const cw_server_entry_t **usable = calloc(count + 1, sizeof(*usable));
-    size_t                    found = 0;
-    size_t                    index;
+    static const cw_server_entry_t *usable[SERVERS_MAX];
+    size_t                          found = 0;
+    size_t                          index;
 
-    if (usable == NULL) {
-        abort();
-    }
     for (index = 0; index < count; index++) {
         if (servers[index].usable) {
             usable[found++] = servers[index].entry;
@@ -320,7 +316,6 @@
     if (found > 0 && now - keyed->first_seen >= CW_MS(FIRST_PLAN_WAIT_MS)) {
         cw_keeper_plan_first(keyed->keeper, usable, found, now);
     }
-    free(usable);
 }
 
 static void plan(cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -9,15 +9,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "router/router_internal.h"
 #include "base/text.h"
+#include "router/router_internal.h"
 
 enum {
     ZONE_PAUSE_MS = 20,
     ALL_PAUSE_MS = 150,
     IDLE_PAUSE_MS = 300,
     FULL_PAUSE_MS = 1000, /* between reports with names and paces */
-    NAMED_MS = 700, /* names go with each report after a node was first heard */
+    NAMED_MS = 700,       /* names go with each report after a node was first heard */
     KEYS_PAUSE_MS = 100,
     PEERS_AT_FULL_PACE = 16,
     LOADS_MAX = 512,
@@ -274,7 +274,7 @@
 
 static void send_servers_page(cw_router_t *router, const cw_peer_t *peer, uint32_t page, uint32_t pages)
 {
-    static Cwp__ViewServer entries[PAGE_SERVERS];
+    static Cwp__ViewServer  entries[PAGE_SERVERS];
     static Cwp__ViewServer *pointers[PAGE_SERVERS];
     static uint32_t         nodes[NODES_MAX];
     Cwp__ServersPage        content = CWP__SERVERS_PAGE__INIT;
@@ -405,9 +405,8 @@
     for (index = 0; index < received->n_loads && index < LOADS_MAX; index++) {
         const Cwp__ServerLoad *load = received->loads[index];
 
-        reports[index] = (cw_server_report_t){.hash = load->server,
-                                              .under_way = load->under_way,
-                                              .unreachable = load->unreachable};
+        reports[index] =
+            (cw_server_report_t){.hash = load->server, .under_way = load->under_way, .unreachable = load->unreachable};
     }
     cw_server_pool_report(router->pool, peer->address, reports, index, now);
 }
@@ -441,8 +440,7 @@
 
 static bool take_identity(cw_router_t *router, cw_peer_t *peer, const Cwp__NodeReport *received, cw_time_us_t now)
 {
-    if (peer->incarnation == received->incarnation && received->sequence <= peer->sequence &&
-        peer->heard_at != 0) {
+    if (peer->incarnation == received->incarnation && received->sequence <= peer->sequence && peer->heard_at != 0) {
         return false; /* late or repeated */
     }
     if (peer->heard_at == 0 || peer->is_lost || peer->incarnation != received->incarnation) {
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -10,12 +10,12 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "router/router_internal.h"
 #include "base/text.h"
+#include "router/router_internal.h"
 
 enum {
-    LIST_PARTS = 4,          /* a list is read so many times while a leaving server may still get requests */
-    WORD_OLD_PERCENT = 45,   /* of that time: without the leader's word for so long a node reads itself */
+    LIST_PARTS = 4,        /* a list is read so many times while a leaving server may still get requests */
+    WORD_OLD_PERCENT = 45, /* of that time: without the leader's word for so long a node reads itself */
     TABLES_READ_EVERY_MS = 700
 };
 
@@ -233,9 +233,16 @@
     cw_engine_set_table(router->engine, page->service, routes, page->n_ranges, page->number);
     free(routes);
     if (router->tables_pages.have == page->pages) {
+        cw_event_t event;
+
         begin_term(router, page->term);
         router->view_tables = page->number;
         router->all_due = true;
+        if (cw_event_begin(&event, CW_EVENT_VIEW_TAKEN)) {
+            cw_event_number(&event, CW_FIELD_TERM, (int64_t)page->term);
+            cw_event_number(&event, CW_FIELD_VIEW, (int64_t)page->number);
+            cw_event_end(&event);
+        }
     }
 }
 
@@ -388,11 +395,34 @@
     return true;
 }
 
+/* One line when the leader falls silent, one when the tables get too old to route by. */
+static void note_age(cw_router_t *router, bool word_is_fresh, cw_time_us_t now)
+{
+    bool expired =
+        router->tables_at > 0 && now >= router->tables_at + router->settings.hold * CW_TABLES_VALID_PERCENT / 100;
+    cw_event_t event;
+
+    if (!word_is_fresh && !router->leader_silent && router->leader_word_at > 0 &&
+        cw_event_begin(&event, CW_EVENT_LEADER_SILENT)) {
+        cw_event_text(&event, CW_FIELD_LEADER, router->leader_node);
+        cw_event_ms(&event, CW_FIELD_SILENT_MS, now - router->leader_word_at);
+        cw_event_end(&event);
+    }
+    if (expired && !router->tables_expired && cw_event_begin(&event, CW_EVENT_VIEW_EXPIRED)) {
+        cw_event_number(&event, CW_FIELD_VIEW, (int64_t)router->view_tables);
+        cw_event_ms(&event, CW_FIELD_VIEW_AGE_MS, now - router->tables_at);
+        cw_event_end(&event);
+    }
+    router->leader_silent = !word_is_fresh;
+    router->tables_expired = expired;
+}
+
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now)
 {
     cw_time_us_t old = router->settings.drain * WORD_OLD_PERCENT / 100;
     bool         word_is_fresh = now - router->leader_word_at < old;
 
+    note_age(router, word_is_fresh || cw_router_is_able(router, now), now);
     if (cw_router_is_able(router, now)) {
         read_servers(router, now);
         if (router->lead_tables > 0) {
--- /dev/null
+++ b/src/tenancy/tenant_gate.c
@@ -0,0 +1,149 @@
+/**
+ * @file tenant_gate.c
+ * @brief Tokens, rates and concurrency of tenants.
+ */
+#include "tenancy/tenant_gate.h"
+
+#include <nettle/memops.h>
+#include <nettle/sha2.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <uthash.h>
+
+static const char         scheme[] = "Bearer ";
+static const double       burst_s = 1; /* a second's worth of requests may come at once */
+static const cw_time_us_t retry_min = CW_MS(20);
+
+struct cw_tenant_count {
+    char          *name;
+    double         tokens; /**< requests that may come now */
+    cw_time_us_t   filled_at;
+    uint32_t       concurrent;
+    UT_hash_handle hh;
+};
+
+struct cw_tenant_gate {
+    cw_tenant_count_t *counts;
+};
+
+cw_tenant_gate_t *cw_tenant_gate_create(void)
+{
+    cw_tenant_gate_t *gate = calloc(1, sizeof(*gate));
+
+    if (gate == NULL) {
+        abort();
+    }
+    return gate;
+}
+
+void cw_tenant_gate_free(cw_tenant_gate_t *gate)
+{
+    cw_tenant_count_t *count;
+    cw_tenant_count_t *next;
+
+    HASH_ITER(hh, gate->counts, count, next)
+    {
+        HASH_DEL(gate->counts, count);
+        free(count->name);
+        free(count);
+    }
+    free(gate);
+}
+
+static cw_tenant_count_t *count_of(cw_tenant_gate_t *gate, const cw_tenant_t *tenant, cw_time_us_t now)
+{
+    cw_tenant_count_t *count;
+
+    HASH_FIND_STR(gate->counts, tenant->name, count);
+    if (count == NULL) {
+        count = calloc(1, sizeof(*count));
+        if (count == NULL) {
+            abort();
+        }
+        count->name = strdup(tenant->name);
+        count->tokens = 1;
+        count->filled_at = now;
+        HASH_ADD_KEYPTR(hh, gate->counts, count->name, strlen(count->name), count);
+    }
+    return count;
+}
+
+static bool is_known(const cw_tenant_t *tenant, const char *authorization)
+{
+    struct sha256_ctx context;
+    uint8_t           digest[SHA256_DIGEST_SIZE];
+    const char       *token;
+    bool              known = false;
+    size_t            index;
+
+    if (tenant->token_count == 0) {
+        return true;
+    }
+    if (authorization == NULL || strncasecmp(authorization, scheme, strlen(scheme)) != 0) {
+        return false;
+    }
+    token = authorization + strlen(scheme);
+    sha256_init(&context);
+    sha256_update(&context, strlen(token), (const uint8_t *)token);
+    sha256_digest(&context, sizeof(digest), digest);
+    for (index = 0; index < tenant->token_count; index++) { /* all are looked at: time tells nothing */
+        known |= memeql_sec(digest, tenant->tokens[index], sizeof(digest)) != 0;
+    }
+    return known;
+}
+
+/* This node's part of a limit over all nodes. */
+static double part(uint32_t limit, uint32_t nodes)
+{
+    double own = (double)limit / (nodes == 0 ? 1 : nodes);
+
+    return own < 1 ? 1 : own;
+}
+
+static void refill(cw_tenant_count_t *count, double per_s, cw_time_us_t now)
+{
+    count->tokens += per_s * (double)(now - count->filled_at) / 1e6;
+    count->filled_at = now;
+    if (count->tokens > per_s * burst_s) {
+        count->tokens = per_s * burst_s;
+    }
+}
+
+cw_gate_answer_t cw_tenant_gate_enter(cw_tenant_gate_t *gate, const cw_tenant_t *tenant, const char *authorization,
+                                      uint32_t nodes, cw_time_us_t now, cw_tenant_count_t **count, cw_time_us_t *wait)
+{
+    *count = NULL;
+    *wait = retry_min;
+    if (tenant == NULL) {
+        return CW_GATE_OPEN;
+    }
+    if (!is_known(tenant, authorization)) {
+        return CW_GATE_UNKNOWN_CALLER;
+    }
+    *count = count_of(gate, tenant, now);
+    if (tenant->concurrent > 0 && (*count)->concurrent >= part(tenant->concurrent, nodes)) {
+        return CW_GATE_CONCURRENCY;
+    }
+    if (tenant->requests_per_s > 0) {
+        double per_s = part(tenant->requests_per_s, nodes);
+
+        refill(*count, per_s, now);
+        if ((*count)->tokens < 1) {
+            cw_time_us_t due = (cw_time_us_t)((1 - (*count)->tokens) / per_s * 1e6);
+
+            *wait = due > retry_min ? due : retry_min;
+            return CW_GATE_RATE;
+        }
+        (*count)->tokens -= 1;
+    }
+    (*count)->concurrent++;
+    return CW_GATE_OPEN;
+}
+
+void cw_tenant_gate_leave(cw_tenant_count_t *count)
+{
+    if (count != NULL && count->concurrent > 0) {
+        count->concurrent--;
+    }
+}
--- /dev/null
+++ b/standins/callers/main.c
@@ -0,0 +1,270 @@
+/**
+ * @file main.c
+ * @brief Callers with a fixed rate of requests (open loop), who come back when they are told to.
+ *
+ * Each request goes to a node in turn and takes one of the kinds given. One JSON line on standard output for each
+ * attempt's end; the last line sums up. Ids are unique to an attempt; the path's last part names its kind.
+ */
+#include <argtable2.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/byte_buffer.h"
+#include "net/http_upstream.h"
+
+enum { ERRORS_MAX = 10, NODES_MAX = 32, KINDS_MAX = 8, KEYS = 65536, TEXT_MAX = 200, DRAIN_S = 8 };
+
+/** HOST,PREFIX,METHOD,DEADLINE_MS,KEYED(0|1) */
+typedef struct kind {
+    char     host[TEXT_MAX];
+    char     prefix[TEXT_MAX];
+    char     method[16];
+    uint32_t deadline_ms;
+    uint32_t keyed;
+} kind_t;
+
+typedef struct callers {
+    uv_loop_t             loop;
+    cw_upstream_t        *upstream;
+    cw_upstream_target_t *nodes[NODES_MAX];
+    size_t                node_count;
+    kind_t                kinds[KINDS_MAX];
+    size_t                kind_count;
+    uv_timer_t            pace;
+    uint64_t              sent;
+    uint64_t              total;
+    uint64_t              per_s;
+    uint64_t              started_ms;
+    uint64_t              under_way;
+    uint64_t              counts[600]; /**< by status; 0: no answer */
+    uint64_t              wrong;
+    uint32_t              hot_percent; /**< of requests: all about one key */
+    char                  run[24];
+    uint64_t              random;
+} callers_t;
+
+typedef struct attempt {
+    callers_t    *callers;
+    const kind_t *kind;
+    uint64_t      number;
+    uint32_t      retries;
+    uint32_t      key;
+    uint64_t      started_ns;
+    uint64_t      deadline_ns;
+    char          id[80];
+    uv_timer_t    again;
+} attempt_t;
+
+static uint64_t next_random(callers_t *callers)
+{
+    callers->random = callers->random * 6364136223846793005u + 1442695040888963407u;
+    return callers->random >> 33;
+}
+
+static void send_attempt(attempt_t *attempt);
+
+static void free_attempt(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+static void finish(attempt_t *attempt)
+{
+    attempt->callers->under_way--;
+    uv_close((uv_handle_t *)&attempt->again, free_attempt);
+}
+
+static void on_again(uv_timer_t *timer)
+{
+    send_attempt(timer->data);
+}
+
+/* A 2xx has to be this attempt's: the server answers with the id as its body. */
+static bool is_right(const attempt_t *attempt, const cw_upstream_answer_t *answer)
+{
+    const char *signature = cw_http_fields_find(answer->fields, "X-Server-Signature");
+
+    return signature != NULL && answer->body_length == strlen(attempt->id) &&
+           memcmp(answer->body, attempt->id, answer->body_length) == 0;
+}
+
+static void print_end(const attempt_t *attempt, int status, const char *fault)
+{
+    printf("{\"ns\":%" PRIu64 ",\"event\":\"end\",\"id\":\"%s\",\"method\":\"%s\",\"status\":%d,\"ms\":%" PRIu64
+           ",\"fault\":\"%s\"}\n",
+           uv_hrtime(), attempt->id, attempt->kind->method, status, (uv_hrtime() - attempt->started_ns) / 1000000,
+           fault == NULL ? "" : fault);
+}
+
+static void on_answer(void *context, const cw_upstream_answer_t *answer)
+{
+    attempt_t  *attempt = context;
+    callers_t  *callers = attempt->callers;
+    int         status = answer->result == CW_UPSTREAM_ANSWERED ? answer->status : 0;
+    const char *retry_after = status == 0 ? NULL : cw_http_fields_find(answer->fields, "Retry-After");
+    double      wait_ms = retry_after == NULL ? -1 : atof(retry_after) * 1000;
+    uint64_t    now = uv_hrtime();
+
+    if (status >= 200 && status < 300 && !is_right(attempt, answer)) {
+        callers->wrong++;
+    }
+    callers->counts[status < 600 ? status : 599]++;
+    print_end(attempt, status, answer->fault);
+    if (status == 503 && wait_ms >= 0 && attempt->retries == 0 &&
+        now + (uint64_t)(wait_ms * 3e6) < attempt->deadline_ns) {
+        attempt->retries++;
+        uv_timer_start(&attempt->again, on_again, (uint64_t)wait_ms, 0);
+        return;
+    }
+    finish(attempt);
+}
+
+static void send_attempt(attempt_t *attempt)
+{
+    callers_t            *callers = attempt->callers;
+    const kind_t         *kind = attempt->kind;
+    cw_bytes_t            text = {0};
+    uint64_t              now = uv_hrtime();
+    uint64_t              left_ms = attempt->deadline_ns > now ? (attempt->deadline_ns - now) / 1000000 : 1;
+    cw_upstream_request_t request = {.connect_timeout = CW_MS(500),
+                                     .timeout = CW_MS(left_ms + 500),
+                                     .answer_max = 1 << 20,
+                                     .fresh = attempt->number % 3 == 0};
+    bool                  has_body = strcmp(kind->method, "GET") != 0;
+
+    snprintf(attempt->id, sizeof(attempt->id), "%s-%" PRIu64 "-%u", callers->run, attempt->number, attempt->retries);
+    cw_bytes_append_format(&text, "%s %s%" PRIu64 " HTTP/1.1\r\nHost: %s\r\n", kind->method, kind->prefix,
+                           attempt->number, kind->host);
+    cw_bytes_append_format(&text, "X-Request-Id: %s\r\nX-Deadline-Ms: %" PRIu64 "\r\n", attempt->id, left_ms);
+    if (kind->keyed != 0) {
+        cw_bytes_append_format(&text, "X-Shard-Key: %u\r\n", attempt->key);
+    }
+    cw_bytes_append_text(&text, has_body ? "Content-Length: 5\r\n\r\nhello" : "\r\n");
+    request.bytes = text.data;
+    request.length = text.length;
+    (void)cw_upstream_call(callers->nodes[(attempt->number + attempt->retries) % callers->node_count], &request,
+                           on_answer, attempt);
+    cw_bytes_clear(&text);
+}
+
+static void begin_attempt(callers_t *callers)
+{
+    attempt_t *attempt = calloc(1, sizeof(*attempt));
+
+    if (attempt == NULL) {
+        abort();
+    }
+    attempt->callers = callers;
+    attempt->number = callers->sent++;
+    attempt->kind = &callers->kinds[attempt->number % callers->kind_count];
+    attempt->key = next_random(callers) % 100 < callers->hot_percent ? 30000 : (uint32_t)(next_random(callers) % KEYS);
+    attempt->started_ns = uv_hrtime();
+    attempt->deadline_ns = attempt->started_ns + (uint64_t)attempt->kind->deadline_ms * 1000000;
+    attempt->again.data = attempt;
+    uv_timer_init(&callers->loop, &attempt->again);
+    callers->under_way++;
+    send_attempt(attempt);
+}
+
+static void print_sum(const callers_t *callers)
+{
+    size_t status;
+
+    printf("{\"event\":\"sum\",\"requests\":%" PRIu64 ",\"wrong\":%" PRIu64, callers->sent, callers->wrong);
+    for (status = 0; status < 600; status++) {
+        if (callers->counts[status] > 0) {
+            printf(",\"s%zu\":%" PRIu64, status, callers->counts[status]);
+        }
+    }
+    printf("}\n");
+}
+
+static void on_pace(uv_timer_t *timer)
+{
+    callers_t *callers = timer->data;
+    uint64_t   due = (uv_now(&callers->loop) - callers->started_ms) * callers->per_s / 1000;
+
+    while (callers->sent < callers->total && callers->sent < due) {
+        begin_attempt(callers);
+    }
+    if (callers->sent == callers->total &&
+        (callers->under_way == 0 ||
+         uv_now(&callers->loop) - callers->started_ms > callers->total * 1000 / callers->per_s + DRAIN_S * 1000)) {
+        uv_stop(&callers->loop);
+    }
+}
+
+static bool parse_kind(kind_t *kind, const char *text)
+{
+    return sscanf(text, "%199[^,],%199[^,],%15[^,],%u,%u", kind->host, kind->prefix, kind->method, &kind->deadline_ms,
+                  &kind->keyed) == 5;
+}
+
+static bool parse_nodes(callers_t *callers, const char *text)
+{
+    char  copy[1024];
+    char *item;
+
+    snprintf(copy, sizeof(copy), "%s", text);
+    for (item = strtok(copy, ","); item != NULL && callers->node_count < NODES_MAX; item = strtok(NULL, ",")) {
+        callers->nodes[callers->node_count] = cw_upstream_target_create(callers->upstream, item);
+        if (callers->nodes[callers->node_count] == NULL) {
+            return false;
+        }
+        callers->node_count++;
+    }
+    return callers->node_count > 0;
+}
+
+static int run(callers_t *callers)
+{
+    callers->pace.data = callers;
+    callers->started_ms = uv_now(&callers->loop);
+    uv_timer_init(&callers->loop, &callers->pace);
+    uv_timer_start(&callers->pace, on_pace, 0, 5);
+    uv_run(&callers->loop, UV_RUN_DEFAULT);
+    print_sum(callers);
+    return callers->wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int main(int argument_count, char **arguments)
+{
+    struct arg_str  *nodes = arg_str1("n", "nodes", "IPV4:PORT,...", "nodes, asked in turn");
+    struct arg_str  *kinds = arg_strn("k", "kind", "HOST,PREFIX,METHOD,MS,KEYED", 1, KINDS_MAX, "a kind of request");
+    struct arg_int  *rate = arg_int0("r", "rate", "N", "requests a second; default 50");
+    struct arg_int  *count = arg_int0("c", "count", "N", "requests; default 500");
+    struct arg_int  *hot = arg_int0("t", "hot", "PERCENT", "requests about one key; default 0");
+    struct arg_str  *name = arg_str0("i", "name", "TEXT", "begins the ids; default r");
+    struct arg_end  *end = arg_end(ERRORS_MAX);
+    void            *table[] = {nodes, kinds, rate, count, hot, name, end};
+    static callers_t callers;
+    cw_upstream_options_t options = {.idle_max = CW_SECONDS(2)};
+    int                   index;
+
+    if (arg_parse(argument_count, arguments, table) > 0) {
+        arg_print_errors(stderr, end, "cw-callers");
+        return 2;
+    }
+    (void)signal(SIGPIPE, SIG_IGN);
+    uv_loop_init(&callers.loop);
+    callers.upstream = cw_upstream_create(&callers.loop, &options);
+    callers.random = 12345;
+    callers.per_s = rate->count > 0 ? (uint64_t)rate->ival[0] : 50;
+    callers.total = count->count > 0 ? (uint64_t)count->ival[0] : 500;
+    callers.hot_percent = hot->count > 0 ? (uint32_t)hot->ival[0] : 0;
+    snprintf(callers.run, sizeof(callers.run), "%s", name->count > 0 ? name->sval[0] : "r");
+    for (index = 0; index < kinds->count; index++) {
+        if (!parse_kind(&callers.kinds[callers.kind_count++], kinds->sval[index])) {
+            fprintf(stderr, "cw-callers: a kind is HOST,PREFIX,METHOD,MS,KEYED\n");
+            return 2;
+        }
+    }
+    if (!parse_nodes(&callers, nodes->sval[0])) {
+        fprintf(stderr, "cw-callers: nodes are IPV4:PORT,...\n");
+        return 2;
+    }
+    return run(&callers);
+}
--- /dev/null
+++ b/standins/server/main.c
@@ -0,0 +1,525 @@
+/**
+ * @file main.c
+ * @brief Stand-in of a tenant's server: works on a few requests at once, holds keys by grants, signs into the store.
+ *
+ * One JSON line on standard output for each run, grant and release, with this machine's monotonic time, for the
+ * checker of runs (cw-verdict). SIGTERM: it states that it drains, serves on for a while, and ends.
+ */
+#include <argtable2.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <utlist.h>
+
+#include "net/http_listener.h"
+#include "net/http_upstream.h"
+
+enum {
+    ERRORS_MAX = 10,
+    KEYS = 65536,
+    DRAIN_MS = 2500,
+    LIMIT_BYTES = 4 * 1024 * 1024,
+    STATUS_MISDIRECTED = 421,
+    STATUS_UNAVAILABLE = 503,
+    STATUS_ERROR = 500,
+    STATUS_CONFLICT = 409
+};
+
+typedef struct server server_t;
+
+/** A request that waits or is worked on. */
+typedef struct job {
+    server_t           *server;
+    cw_http_exchange_t *exchange; /**< NULL: its caller has left */
+    uv_timer_t          timer;
+    char                id[80];
+    uint32_t            key;
+    bool                keyed;
+    bool                running;
+    struct job         *prev; /**< utlist's names */
+    struct job         *next;
+} job_t;
+
+/** A release that waits for what runs on its keys. */
+typedef struct release {
+    cw_http_exchange_t *exchange;
+    uint32_t            low;
+    uint32_t            last;
+    struct release     *next;
+} release_t;
+
+typedef struct key_hold {
+    uint32_t fence;
+    uint64_t until_ms;
+} key_hold_t;
+
+struct server {
+    uv_loop_t             loop;
+    cw_http_listener_t   *listener;
+    cw_upstream_t        *upstream;
+    cw_upstream_target_t *store;
+    uv_timer_t            heartbeat;
+    uv_signal_t           terminate;
+    uv_timer_t            leave;
+    const char           *service;
+    const char           *zone;
+    char                  id[40];
+    char                  address[40];
+    uint32_t              capacity;
+    uint32_t              queue_max;
+    uint32_t              work_ms;
+    uint32_t              heartbeat_ms;
+    bool                  keyed;
+    bool                  hangs;
+    bool                  draining;
+    bool                  signed_in;
+    uint64_t              sequence;
+    uint32_t              running;
+    job_t                *waiting;
+    job_t                *jobs; /**< running */
+    uint32_t              waiting_count;
+    release_t            *releases;
+    key_hold_t           *keys;
+    uint64_t              handovers;
+};
+
+static void note(server_t *server, const char *event, const char *id, uint32_t low, uint32_t last, uint64_t fence)
+{
+    printf("{\"ns\":%" PRIu64 ",\"event\":\"%s\",\"server\":\"%s\",\"service\":\"%s\",\"id\":\"%s\",\"low\":%u,"
+           "\"last\":%u,\"fence\":%" PRIu64 "}\n",
+           uv_hrtime(), event, server->id, server->service, id, low, last, fence);
+    fflush(stdout);
+}
+
+/* ---- answers ---- */
+
+static void add_field(cw_http_fields_t *fields, cw_http_field_builder_t *builder, const char *name, const char *value)
+{
+    cw_http_field_builder_name(builder, fields, name, strlen(name));
+    cw_http_field_builder_value(builder, fields, value, strlen(value));
+}
+
+static void answer(server_t *server, cw_http_exchange_t *exchange, int status, const char *id, bool not_run,
+                   const char *handover, const char *body)
+{
+    cw_http_fields_t        fields = {0};
+    cw_http_field_builder_t builder = {0};
+    cw_http_outbound_t      outbound = {
+             .status = status, .fields = &fields, .body = body, .body_length = strlen(body), .retry_after_s = -1};
+    char signature[160];
+
+    add_field(&fields, &builder, "X-Instance-Id", server->id);
+    if (id != NULL) {
+        add_field(&fields, &builder, "X-Request-Id", id);
+    }
+    if (not_run) {
+        add_field(&fields, &builder, "X-Not-Executed", "1");
+    } else if (id != NULL) {
+        snprintf(signature, sizeof(signature), "%s.%s", server->id, id);
+        add_field(&fields, &builder, "X-Server-Signature", signature);
+    }
+    if (handover != NULL) {
+        add_field(&fields, &builder, "X-Handover", handover);
+    }
+    cw_http_exchange_answer(exchange, &outbound);
+    cw_http_fields_clear(&fields);
+}
+
+/* ---- keys ---- */
+
+static bool holds(const server_t *server, uint32_t key)
+{
+    return key < KEYS && server->keys[key].until_ms > uv_now(&server->loop);
+}
+
+static void take_grant(server_t *server, cw_http_exchange_t *exchange, const json_t *body)
+{
+    uint32_t low = (uint32_t)json_integer_value(json_object_get(body, "from"));
+    uint32_t last = (uint32_t)json_integer_value(json_object_get(body, "last"));
+    uint32_t fence = (uint32_t)json_integer_value(json_object_get(body, "fence"));
+    uint64_t hold_ms = (uint64_t)json_number_value(json_object_get(body, "hold_ms"));
+    uint32_t key;
+
+    if (last >= KEYS || low > last || fence == 0) {
+        answer(server, exchange, 400, NULL, true, NULL, "");
+        return;
+    }
+    for (key = low; key <= last; key++) {
+        if (server->keys[key].fence > fence) {
+            answer(server, exchange, STATUS_CONFLICT, NULL, true, NULL, "");
+            return;
+        }
+    }
+    for (key = low; key <= last; key++) {
+        server->keys[key].fence = fence;
+        server->keys[key].until_ms = uv_now(&server->loop) + hold_ms;
+    }
+    note(server, "grant", "", low, last, fence);
+    answer(server, exchange, 200, NULL, true, NULL, "{}");
+}
+
+static bool runs_on(const server_t *server, uint32_t low, uint32_t last)
+{
+    const job_t *job;
+
+    DL_FOREACH(server->jobs, job)
+    {
+        if (job->keyed && job->key >= low && job->key <= last) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void answer_releases(server_t *server)
+{
+    release_t **place = &server->releases;
+    char        handover[80];
+
+    while (*place != NULL) {
+        release_t *release = *place;
+
+        if (runs_on(server, release->low, release->last)) {
+            place = &release->next;
+            continue;
+        }
+        *place = release->next;
+        if (release->exchange != NULL) {
+            snprintf(handover, sizeof(handover), "h%" PRIu64 "-%s", ++server->handovers, server->id);
+            cw_http_exchange_set_data(release->exchange, NULL);
+            answer(server, release->exchange, 200, NULL, true, handover, "{}");
+        }
+        free(release);
+    }
+}
+
+static void take_release(server_t *server, cw_http_exchange_t *exchange, const json_t *body)
+{
+    release_t *release = calloc(1, sizeof(*release));
+    uint32_t   fence = (uint32_t)json_integer_value(json_object_get(body, "fence"));
+    uint32_t   key;
+
+    if (release == NULL) {
+        abort();
+    }
+    release->low = (uint32_t)json_integer_value(json_object_get(body, "from"));
+    release->last = (uint32_t)json_integer_value(json_object_get(body, "last"));
+    for (key = release->low; key <= release->last && key < KEYS; key++) {
+        server->keys[key].until_ms = 0;
+        server->keys[key].fence = fence > server->keys[key].fence ? fence : server->keys[key].fence;
+    }
+    note(server, "release", "", release->low, release->last, fence);
+    release->exchange = exchange;
+    release->next = server->releases;
+    server->releases = release;
+    answer_releases(server);
+}
+
+/* ---- jobs ---- */
+
+static void start_job(job_t *job);
+
+static void on_job_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+static void end_job(job_t *job)
+{
+    server_t *server = job->server;
+    job_t    *next;
+
+    DL_DELETE(server->jobs, job);
+    server->running--;
+    note(server, "end", job->id, job->key, job->key, 0);
+    uv_close((uv_handle_t *)&job->timer, on_job_closed);
+    answer_releases(server);
+    while (server->running < server->capacity && (next = server->waiting) != NULL) {
+        DL_DELETE(server->waiting, next);
+        server->waiting_count--;
+        start_job(next);
+    }
+}
+
+static void on_work_done(uv_timer_t *timer)
+{
+    job_t              *job = timer->data;
+    server_t           *server = job->server;
+    cw_http_exchange_t *exchange = job->exchange;
+    bool                lost = job->keyed && !holds(server, job->key) && !runs_on(server, job->key, job->key);
+    char                id[sizeof(job->id)];
+
+    memcpy(id, job->id, sizeof(id));
+    job->exchange = NULL;
+    end_job(job);
+    if (exchange != NULL) {
+        cw_http_exchange_set_data(exchange, NULL);
+        answer(server, exchange, lost ? STATUS_ERROR : 200, id, false, NULL, id);
+    }
+}
+
+static void start_job(job_t *job)
+{
+    server_t *server = job->server;
+
+    if (job->exchange == NULL || (job->keyed && !holds(server, job->key))) {
+        if (job->exchange != NULL) {
+            cw_http_exchange_set_data(job->exchange, NULL);
+            answer(server, job->exchange, STATUS_MISDIRECTED, job->id, true, NULL, "");
+        }
+        uv_close((uv_handle_t *)&job->timer, on_job_closed);
+        return;
+    }
+    job->running = true;
+    DL_APPEND(server->jobs, job);
+    server->running++;
+    note(server, "run", job->id, job->key, job->key, job->keyed ? server->keys[job->key].fence : 0);
+    uv_timer_start(&job->timer, on_work_done, server->work_ms, 0);
+}
+
+static void take_request(server_t *server, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    const char *target = cw_http_fields_find(inbound->fields, "X-Target-Instance");
+    const char *id = cw_http_fields_find(inbound->fields, "X-Request-Id");
+    const char *key = cw_http_fields_find(inbound->fields, "X-Shard-Key");
+    job_t      *job;
+
+    if (id == NULL) {
+        answer(server, exchange, 400, NULL, true, NULL, "");
+        return;
+    }
+    if ((target != NULL && strcmp(target, server->id) != 0) ||
+        (server->keyed && (key == NULL || !holds(server, (uint32_t)atoi(key))))) {
+        answer(server, exchange, STATUS_MISDIRECTED, id, true, NULL, "");
+        return;
+    }
+    if (server->running >= server->capacity && server->waiting_count >= server->queue_max) {
+        if (!server->hangs) {
+            answer(server, exchange, STATUS_UNAVAILABLE, id, true, NULL, "");
+        }
+        return;
+    }
+    job = calloc(1, sizeof(*job));
+    if (job == NULL) {
+        abort();
+    }
+    job->server = server;
+    job->exchange = exchange;
+    job->keyed = server->keyed;
+    job->key = key == NULL ? 0 : (uint32_t)atoi(key);
+    snprintf(job->id, sizeof(job->id), "%s", id);
+    uv_timer_init(&server->loop, &job->timer);
+    job->timer.data = job;
+    cw_http_exchange_set_data(exchange, job);
+    if (server->running < server->capacity) {
+        start_job(job);
+        return;
+    }
+    DL_APPEND(server->waiting, job);
+    server->waiting_count++;
+}
+
+static void on_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    server_t   *server = context;
+    const char *target = cw_http_fields_find(inbound->fields, "X-Target-Instance");
+    bool        is_order = strncmp(inbound->target, "/api/", strlen("/api/")) == 0;
+    json_t     *body;
+
+    if (strcmp(inbound->target, "/health") == 0) {
+        answer(server, exchange, server->draining ? STATUS_UNAVAILABLE : 200, NULL, true, NULL, "");
+        return;
+    }
+    if (!is_order) {
+        take_request(server, exchange, inbound);
+        return;
+    }
+    if (target != NULL && strcmp(target, server->id) != 0) {
+        answer(server, exchange, STATUS_MISDIRECTED, NULL, true, NULL, "");
+        return;
+    }
+    body = json_loadb(inbound->body == NULL ? "" : inbound->body, inbound->body_length, 0, NULL);
+    if (strcmp(inbound->target, "/api/grant") == 0) {
+        take_grant(server, exchange, body);
+    } else {
+        take_release(server, exchange, body);
+    }
+    json_decref(body);
+}
+
+/* Its caller has left: what waits is dropped, what runs ends unheard. */
+static void on_gone(void *context, cw_http_exchange_t *exchange)
+{
+    server_t  *server = context;
+    job_t     *job = cw_http_exchange_data(exchange);
+    release_t *release;
+
+    for (release = server->releases; release != NULL; release = release->next) {
+        if (release->exchange == exchange) {
+            release->exchange = NULL;
+            return;
+        }
+    }
+    if (job != NULL) {
+        job->exchange = NULL;
+        if (job->running) {
+            end_job(job);
+        }
+    }
+}
+
+/* ---- the store ---- */
+
+static void on_signed(void *context, const cw_upstream_answer_t *answer)
+{
+    server_t *server = context;
+
+    if (answer->result == CW_UPSTREAM_ANSWERED && answer->status < 300) {
+        server->signed_in = true;
+    }
+}
+
+static void call_store(server_t *server, const char *method, bool with_body)
+{
+    char                  text[1024];
+    char                  body[512] = "";
+    char                  path[80] = "";
+    cw_upstream_request_t request = {
+        .bytes = text, .connect_timeout = CW_MS(500), .timeout = CW_MS(1000), .answer_max = 65536};
+
+    if (with_body) {
+        snprintf(body, sizeof(body),
+                 "{\"metadata\":{\"name\":\"%s\"},\"spec\":{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+                 "\"version\":\"v1\",\"capacity\":%u,\"state\":\"%s\",\"cold_ms\":0,\"sequence\":%" PRIu64 "}}",
+                 server->id, server->service, server->address, server->zone, server->capacity,
+                 server->draining ? "draining" : "ready", ++server->sequence);
+    }
+    if (strcmp(method, "POST") != 0) {
+        snprintf(path, sizeof(path), "/%s", server->id);
+    }
+    request.length = (size_t)snprintf(
+        text, sizeof(text), "%s /api/objects/servers%s HTTP/1.1\r\nHost: store\r\nContent-Length: %zu\r\n\r\n%s",
+        method, path, strlen(body), body);
+    (void)cw_upstream_call(server->store, &request, on_signed, server);
+}
+
+static void on_heartbeat(uv_timer_t *timer)
+{
+    server_t *server = timer->data;
+
+    call_store(server, server->signed_in ? "PUT" : "POST", true);
+}
+
+static void on_removed(uv_timer_t *timer)
+{
+    server_t *server = timer->data;
+
+    uv_stop(&server->loop);
+}
+
+static void on_leave(uv_timer_t *timer)
+{
+    server_t *server = timer->data;
+
+    uv_timer_stop(&server->heartbeat);
+    call_store(server, "DELETE", false);
+    uv_timer_start(&server->leave, on_removed, 300, 0);
+}
+
+static void on_terminate(uv_signal_t *handle, int number)
+{
+    server_t *server = handle->data;
+
+    (void)number;
+    if (server->draining) {
+        return;
+    }
+    server->draining = true;
+    on_heartbeat(&server->heartbeat);
+    uv_timer_start(&server->leave, on_leave, DRAIN_MS, 0);
+}
+
+/* ---- start ---- */
+
+static int run(server_t *server, const char *address, uint16_t port, const char *store_address)
+{
+    cw_http_limits_t           limits = {.header_bytes = LIMIT_BYTES,
+                                         .body_bytes = LIMIT_BYTES,
+                                         .header_timeout = CW_SECONDS(60),
+                                         .idle_timeout = CW_SECONDS(10)};
+    cw_http_listener_handler_t handler = {server, on_request, on_gone};
+    cw_upstream_options_t      options = {.idle_max = CW_SECONDS(10)};
+    int                        error;
+
+    (void)signal(SIGPIPE, SIG_IGN);
+    server->keys = calloc(KEYS, sizeof(*server->keys));
+    uv_loop_init(&server->loop);
+    error = cw_http_listener_create(&server->listener, &server->loop, address, port, &limits, &handler);
+    if (error != 0) {
+        fprintf(stderr, "cw-server: %s\n", uv_strerror(error));
+        return EXIT_FAILURE;
+    }
+    snprintf(server->address, sizeof(server->address), "%s:%u", address, cw_http_listener_port(server->listener));
+    snprintf(server->id, sizeof(server->id), "i-%08x%04x", (unsigned)(uv_hrtime() & 0xffffffffu),
+             (unsigned)getpid() & 0xffffu);
+    server->upstream = cw_upstream_create(&server->loop, &options);
+    server->store = cw_upstream_target_create(server->upstream, store_address);
+    if (server->store == NULL) {
+        fprintf(stderr, "cw-server: --store must be IPv4:PORT\n");
+        return 2;
+    }
+    uv_timer_init(&server->loop, &server->heartbeat);
+    uv_timer_init(&server->loop, &server->leave);
+    uv_signal_init(&server->loop, &server->terminate);
+    server->heartbeat.data = server;
+    server->leave.data = server;
+    server->terminate.data = server;
+    uv_timer_start(&server->heartbeat, on_heartbeat, 0, server->heartbeat_ms);
+    uv_signal_start(&server->terminate, on_terminate, SIGTERM);
+    note(server, "start", "", 0, 0, 0);
+    uv_run(&server->loop, UV_RUN_DEFAULT);
+    note(server, "stop", "", 0, 0, 0);
+    return EXIT_SUCCESS;
+}
+
+static uint32_t number_of(const struct arg_int *argument, uint32_t fallback)
+{
+    return argument->count > 0 ? (uint32_t)argument->ival[0] : fallback;
+}
+
+int main(int argument_count, char **arguments)
+{
+    struct arg_str *address = arg_str0("a", "address", "IPV4", "default 127.0.0.1");
+    struct arg_int *port = arg_int0("p", "port", "PORT", "default 0: chosen by the system");
+    struct arg_str *store = arg_str1("s", "store", "IPV4:PORT", "the store");
+    struct arg_str *service = arg_str1("n", "service", "NAME", "service it belongs to");
+    struct arg_str *zone = arg_str0("z", "zone", "NAME", "default z1");
+    struct arg_int *capacity = arg_int0("c", "capacity", "N", "requests at once; default 2");
+    struct arg_int *queue = arg_int0("q", "queue", "N", "requests that wait besides; default 8");
+    struct arg_int *work = arg_int0("w", "work-ms", "MS", "time of a request; default 20");
+    struct arg_int *heartbeat = arg_int0("b", "heartbeat-ms", "MS", "default 500");
+    struct arg_lit *keyed = arg_lit0("k", "keyed", "runs a request only while it holds its key");
+    struct arg_lit *hangs = arg_lit0("x", "hangs", "does not answer what it cannot queue");
+    struct arg_end *end = arg_end(ERRORS_MAX);
+    void *table[] = {address, port, store, service, zone, capacity, queue, work, heartbeat, keyed, hangs, end};
+    static server_t server;
+
+    if (arg_parse(argument_count, arguments, table) > 0) {
+        arg_print_errors(stderr, end, "cw-server");
+        return 2;
+    }
+    server.service = service->sval[0];
+    server.zone = zone->count > 0 ? zone->sval[0] : "z1";
+    server.capacity = number_of(capacity, 2);
+    server.queue_max = number_of(queue, 8);
+    server.work_ms = number_of(work, 20);
+    server.heartbeat_ms = number_of(heartbeat, 500);
+    server.keyed = keyed->count > 0;
+    server.hangs = hangs->count > 0;
+    return run(&server, address->count > 0 ? address->sval[0] : "127.0.0.1", (uint16_t)number_of(port, 0),
+               store->sval[0]);
+}
--- /dev/null
+++ b/standins/store/main.c
@@ -0,0 +1,436 @@
+/**
+ * @file main.c
+ * @brief The store's calls over HTTP.
+ */
+#include <argtable2.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/text.h"
+#include "store.h"
+
+enum { ERRORS_MAX = 10, KIND_MAX = 128, LATE_MS = 1000, WAIT_MAX_MS = 30000, LIMIT_BYTES = 4 * 1024 * 1024 };
+
+static const char prefix[] = "/api/objects/";
+
+/** An answer on its way. */
+typedef struct delayed_answer {
+    uv_timer_t          timer;
+    cw_http_exchange_t *exchange;
+    int                 status;
+    char               *text;
+} delayed_answer_t;
+
+/** A write that is done late. */
+typedef struct late_write {
+    uv_timer_t timer;
+    store_t   *store;
+    char       method[8];
+    char       kind[KIND_MAX];
+    char       name[KIND_MAX];
+    json_t    *body;
+} late_write_t;
+
+/* ---- answers ---- */
+
+static void answer_text(cw_http_exchange_t *exchange, int status, const char *text)
+{
+    cw_http_outbound_t outbound = {.status = status, .body = text, .body_length = strlen(text), .retry_after_s = -1};
+
+    cw_http_exchange_answer(exchange, &outbound);
+}
+
+static void free_delayed(uv_handle_t *handle)
+{
+    delayed_answer_t *delayed = handle->data;
+
+    free(delayed->text);
+    free(delayed);
+}
+
+static void on_delayed(uv_timer_t *timer)
+{
+    delayed_answer_t *delayed = timer->data;
+
+    if (delayed->exchange != NULL) {
+        cw_http_exchange_set_data(delayed->exchange, NULL);
+        answer_text(delayed->exchange, delayed->status, delayed->text);
+    }
+    uv_close((uv_handle_t *)timer, free_delayed);
+}
+
+static void answer(store_t *store, cw_http_exchange_t *exchange, int status, json_t *body)
+{
+    char             *text = body == NULL ? strdup("") : json_dumps(body, JSON_COMPACT);
+    delayed_answer_t *delayed;
+
+    json_decref(body);
+    if (store->slow_ms == 0) {
+        answer_text(exchange, status, text);
+        free(text);
+        return;
+    }
+    delayed = calloc(1, sizeof(*delayed));
+    if (delayed == NULL) {
+        abort();
+    }
+    delayed->exchange = exchange;
+    delayed->status = status;
+    delayed->text = text;
+    delayed->timer.data = delayed;
+    uv_timer_init(&store->loop, &delayed->timer);
+    uv_timer_start(&delayed->timer, on_delayed, store->slow_ms, 0);
+    cw_http_exchange_set_data(exchange, delayed);
+}
+
+/* ---- watches ---- */
+
+static void on_watch_closed(uv_handle_t *handle)
+{
+    store_watch_t *watch = handle->data;
+
+    free(watch->kind);
+    free(watch);
+}
+
+static void end_watch(store_watch_t *watch, int status, json_t *body)
+{
+    store_watch_t **place = &watch->store->watches;
+
+    while (*place != watch) {
+        place = &(*place)->next;
+    }
+    *place = watch->next;
+    if (watch->exchange != NULL) {
+        cw_http_exchange_set_data(watch->exchange, NULL);
+        answer(watch->store, watch->exchange, status, body);
+    } else {
+        json_decref(body);
+    }
+    uv_close((uv_handle_t *)&watch->timer, on_watch_closed);
+}
+
+static json_t *watch_body(store_t *store, json_t *events)
+{
+    return json_pack("{s:o, s:I}", "events", events, "at", (json_int_t)store->revision);
+}
+
+static void on_watch_timer(uv_timer_t *timer)
+{
+    store_watch_t *watch = timer->data;
+
+    end_watch(watch, 200, watch_body(watch->store, json_array()));
+}
+
+static void look_at_watches(store_t *store)
+{
+    store_watch_t *watch = store->watches;
+
+    while (watch != NULL) {
+        store_watch_t *next = watch->next;
+        json_t        *events = store_changes(store, watch->kind, watch->from);
+
+        if (events == NULL) {
+            end_watch(watch, 410, NULL);
+        } else if (json_array_size(events) > 0) {
+            end_watch(watch, 200, watch_body(store, events));
+        } else {
+            json_decref(events);
+        }
+        watch = next;
+    }
+}
+
+static void start_watch(store_t *store, cw_http_exchange_t *exchange, const char *kind, uint64_t from, uint64_t wait)
+{
+    store_watch_t *watch = calloc(1, sizeof(*watch));
+
+    if (watch == NULL) {
+        abort();
+    }
+    watch->exchange = exchange;
+    watch->kind = strdup(kind);
+    watch->from = from;
+    watch->store = store;
+    watch->timer.data = watch;
+    watch->next = store->watches;
+    store->watches = watch;
+    uv_timer_init(&store->loop, &watch->timer);
+    uv_timer_start(&watch->timer, on_watch_timer, wait > WAIT_MAX_MS ? WAIT_MAX_MS : wait, 0);
+    cw_http_exchange_set_data(exchange, NULL);
+    look_at_watches(store);
+}
+
+/* ---- queries ---- */
+
+static bool query_text(const char *query, const char *name, char *value, size_t size)
+{
+    size_t length = strlen(name);
+
+    while (query != NULL && *query != '\0') {
+        if (strncmp(query, name, length) == 0 && query[length] == '=') {
+            snprintf(value, size, "%.*s", (int)strcspn(query + length + 1, "&"), query + length + 1);
+            return true;
+        }
+        query = strchr(query, '&');
+        query = query == NULL ? NULL : query + 1;
+    }
+    return false;
+}
+
+static uint64_t query_number(const char *query, const char *name, uint64_t fallback)
+{
+    char text[32];
+
+    return query_text(query, name, text, sizeof(text)) ? strtoull(text, NULL, 10) : fallback;
+}
+
+/* ---- writes ---- */
+
+static int write_object(store_t *store, const char *method, const char *kind, const char *name, json_t *body,
+                        json_t **answer_body)
+{
+    json_t         *metadata = json_object_get(body, "metadata");
+    const char     *own_name = name[0] != '\0' ? name : json_string_value(json_object_get(metadata, "name"));
+    json_t         *revision = json_object_get(metadata, "revision");
+    json_t         *spec = json_object_get(body, "spec");
+    store_object_t *object = own_name == NULL ? NULL : store_find(store, kind, own_name);
+
+    *answer_body = NULL;
+    if (own_name == NULL || spec == NULL) {
+        return 400;
+    }
+    if (strcmp(method, "POST") == 0 && object != NULL) {
+        *answer_body = store_object_json(object);
+        return 409;
+    }
+    if (strcmp(method, "PUT") == 0 && object == NULL) {
+        return 404;
+    }
+    if (object != NULL && json_is_integer(revision) && (uint64_t)json_integer_value(revision) != object->revision) {
+        *answer_body = store_object_json(object);
+        return 409;
+    }
+    *answer_body = store_object_json(store_put(store, kind, own_name, spec));
+    look_at_watches(store);
+    return 200;
+}
+
+static void on_late_closed(uv_handle_t *handle)
+{
+    late_write_t *late = handle->data;
+
+    json_decref(late->body);
+    free(late);
+}
+
+static void on_late(uv_timer_t *timer)
+{
+    late_write_t *late = timer->data;
+    json_t       *body;
+
+    (void)write_object(late->store, late->method, late->kind, late->name, late->body, &body);
+    json_decref(body);
+    uv_close((uv_handle_t *)timer, on_late_closed);
+}
+
+static void write_late(store_t *store, const char *method, const char *kind, const char *name, json_t *body)
+{
+    late_write_t *late = calloc(1, sizeof(*late));
+
+    if (late == NULL) {
+        abort();
+    }
+    late->store = store;
+    snprintf(late->method, sizeof(late->method), "%s", method);
+    cw_text_copy(late->kind, sizeof(late->kind), kind);
+    cw_text_copy(late->name, sizeof(late->name), name);
+    late->body = json_incref(body);
+    late->timer.data = late;
+    uv_timer_init(&store->loop, &late->timer);
+    uv_timer_start(&late->timer, on_late, LATE_MS, 0);
+}
+
+static void take_write(store_t *store, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound, const char *kind,
+                       const char *name)
+{
+    json_t *body = json_loadb(inbound->body == NULL ? "" : inbound->body, inbound->body_length, 0, NULL);
+    json_t *told;
+    int     status;
+
+    if (store->late > 0) {
+        store->late--;
+        write_late(store, inbound->method, kind, name, body);
+        json_decref(body);
+        return; /* and the connection stays without an answer */
+    }
+    status = write_object(store, inbound->method, kind, name, body, &told);
+    json_decref(body);
+    if (store->lose > 0 && status == 200) {
+        store->lose--;
+        json_decref(told);
+        return;
+    }
+    answer(store, exchange, status, told);
+}
+
+static void take_delete(store_t *store, cw_http_exchange_t *exchange, const char *kind, const char *name)
+{
+    store_object_t *object = store_find(store, kind, name);
+    json_t         *told = object == NULL ? NULL : store_object_json(object);
+
+    if (object != NULL) {
+        store_remove(store, object);
+        look_at_watches(store);
+    }
+    answer(store, exchange, told == NULL ? 404 : 200, told);
+}
+
+/* ---- reads ---- */
+
+static void take_read(store_t *store, cw_http_exchange_t *exchange, const char *kind, const char *name,
+                      const char *query)
+{
+    char            after[KIND_MAX];
+    store_object_t *object;
+
+    if (name[0] != '\0') {
+        object = store_find(store, kind, name);
+        answer(store, exchange, object == NULL ? 404 : 200, object == NULL ? NULL : store_object_json(object));
+    } else if (query != NULL && strstr(query, "watch=") != NULL) {
+        start_watch(store, exchange, kind, query_number(query, "watch", 0), query_number(query, "wait-ms", 0));
+    } else {
+        answer(store, exchange, 200,
+               store_list(store, kind, query_text(query, "after", after, sizeof(after)) ? after : NULL));
+    }
+}
+
+/* ---- faults ---- */
+
+static void take_control(store_t *store, cw_http_exchange_t *exchange, const char *query)
+{
+    char     how[sizeof(store->how)];
+    uint64_t down = query_number(query, "down", 0);
+
+    if (down > 0) {
+        store->down_until_ms = uv_now(&store->loop) + down;
+        snprintf(store->how, sizeof(store->how), "%s", query_text(query, "how", how, sizeof(how)) ? how : "busy");
+    }
+    store->slow_ms = query_number(query, "slow", store->slow_ms);
+    store->lose = (uint32_t)query_number(query, "lose", store->lose);
+    store->late = (uint32_t)query_number(query, "late", store->late);
+    store->refuse_percent = (uint32_t)query_number(query, "refuse", store->refuse_percent);
+    if (query_number(query, "forget", 0) != 0) {
+        store_forget(store);
+        look_at_watches(store);
+    }
+    answer_text(exchange, 200, "done\n");
+}
+
+/* True: the outage has taken the call. */
+static bool is_down(store_t *store, cw_http_exchange_t *exchange)
+{
+    if (uv_now(&store->loop) >= store->down_until_ms) {
+        return false;
+    }
+    if (strcmp(store->how, "reset") == 0) {
+        cw_http_exchange_abort(exchange);
+    } else if (strcmp(store->how, "silent") != 0) {
+        answer_text(exchange, 503, "");
+    }
+    return true;
+}
+
+static void on_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    store_t    *store = context;
+    char        path[2 * KIND_MAX];
+    const char *query = strchr(inbound->target, '?');
+    char       *name;
+
+    if (strncmp(inbound->target, "/control", strlen("/control")) == 0) {
+        take_control(store, exchange, query == NULL ? NULL : query + 1);
+        return;
+    }
+    if (is_down(store, exchange)) {
+        return;
+    }
+    if (store->refuse_percent > 0 && ++store->calls % 100 < store->refuse_percent) {
+        answer_text(exchange, 429, "");
+        return;
+    }
+    if (strncmp(inbound->target, prefix, strlen(prefix)) != 0) {
+        answer_text(exchange, 404, "");
+        return;
+    }
+    snprintf(path, sizeof(path), "%.*s", (int)strcspn(inbound->target + strlen(prefix), "?"),
+             inbound->target + strlen(prefix));
+    name = strchr(path, '/');
+    if (name != NULL) {
+        *name++ = '\0';
+    }
+    if (strcmp(inbound->method, "GET") == 0) {
+        take_read(store, exchange, path, name == NULL ? "" : name, query == NULL ? NULL : query + 1);
+    } else if (strcmp(inbound->method, "DELETE") == 0) {
+        take_delete(store, exchange, path, name == NULL ? "" : name);
+    } else {
+        take_write(store, exchange, inbound, path, name == NULL ? "" : name);
+    }
+}
+
+static void on_gone(void *context, cw_http_exchange_t *exchange)
+{
+    store_t          *store = context;
+    delayed_answer_t *delayed = cw_http_exchange_data(exchange);
+    store_watch_t    *watch;
+
+    if (delayed != NULL) {
+        delayed->exchange = NULL;
+    }
+    for (watch = store->watches; watch != NULL; watch = watch->next) {
+        if (watch->exchange == exchange) {
+            watch->exchange = NULL;
+            uv_timer_start(&watch->timer, on_watch_timer, 0, 0);
+            return;
+        }
+    }
+}
+
+static int serve(const char *address, uint16_t port)
+{
+    static store_t             store;
+    cw_http_limits_t           limits = {.header_bytes = LIMIT_BYTES,
+                                         .body_bytes = LIMIT_BYTES,
+                                         .header_timeout = CW_SECONDS(60),
+                                         .idle_timeout = CW_SECONDS(600)};
+    cw_http_listener_handler_t handler = {&store, on_request, on_gone};
+    int                        error;
+
+    uv_loop_init(&store.loop);
+    store.revision = 1;
+    error = cw_http_listener_create(&store.listener, &store.loop, address, port, &limits, &handler);
+    if (error != 0) {
+        fprintf(stderr, "cw-store: %s\n", uv_strerror(error));
+        return EXIT_FAILURE;
+    }
+    printf("port %u\n", cw_http_listener_port(store.listener));
+    fflush(stdout);
+    return uv_run(&store.loop, UV_RUN_DEFAULT);
+}
+
+int main(int argument_count, char **arguments)
+{
+    struct arg_str *address = arg_str0("a", "address", "IPV4", "default 127.0.0.1");
+    struct arg_int *port = arg_int0("p", "port", "PORT", "default 0: chosen by the system and printed");
+    struct arg_end *end = arg_end(ERRORS_MAX);
+    void           *table[] = {address, port, end};
+
+    if (arg_parse(argument_count, arguments, table) > 0) {
+        arg_print_errors(stderr, end, "cw-store");
+        return 2;
+    }
+    return serve(address->count > 0 ? address->sval[0] : "127.0.0.1", port->count > 0 ? (uint16_t)port->ival[0] : 0);
+}
--- /dev/null
+++ b/standins/store/store_objects.c
@@ -0,0 +1,152 @@
+/**
+ * @file store_objects.c
+ * @brief Objects, their history and listings.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "store.h"
+
+static int compare(const store_object_t *object, const char *kind, const char *name)
+{
+    int order = strcmp(object->kind, kind);
+
+    return order != 0 ? order : strcmp(object->name, name);
+}
+
+store_object_t *store_find(store_t *store, const char *kind, const char *name)
+{
+    store_object_t *object;
+
+    for (object = store->objects; object != NULL; object = object->next) {
+        if (compare(object, kind, name) == 0) {
+            return object;
+        }
+    }
+    return NULL;
+}
+
+json_t *store_object_json(const store_object_t *object)
+{
+    return json_pack("{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:O}", "metadata", "name", object->name, "revision",
+                     (json_int_t)object->revision, "created", (json_int_t)object->created, "finalizers",
+                     "delete-requested", 0, "spec", object->spec, "status", object->status);
+}
+
+static void note_change(store_t *store, const store_object_t *object, bool gone)
+{
+    store_change_t *change;
+
+    if (store->history_count == STORE_HISTORY) {
+        store->forgotten = store->history[0].revision;
+        free(store->history[0].kind);
+        json_decref(store->history[0].event);
+        memmove(store->history, store->history + 1, (STORE_HISTORY - 1) * sizeof(store->history[0]));
+        store->history_count--;
+    }
+    change = &store->history[store->history_count++];
+    change->revision = store->revision;
+    change->kind = strdup(object->kind);
+    change->event = json_pack("{s:b, s:o}", "gone", gone, "object", store_object_json(object));
+}
+
+static store_object_t *insert(store_t *store, const char *kind, const char *name)
+{
+    store_object_t **place = &store->objects;
+    store_object_t  *object = calloc(1, sizeof(*object));
+
+    if (object == NULL) {
+        abort();
+    }
+    while (*place != NULL && compare(*place, kind, name) < 0) {
+        place = &(*place)->next;
+    }
+    object->kind = strdup(kind);
+    object->name = strdup(name);
+    object->status = json_null();
+    object->next = *place;
+    *place = object;
+    return object;
+}
+
+store_object_t *store_put(store_t *store, const char *kind, const char *name, json_t *spec)
+{
+    store_object_t *object = store_find(store, kind, name);
+
+    store->revision++;
+    if (object == NULL) {
+        object = insert(store, kind, name);
+        object->created = store->revision;
+    }
+    json_decref(object->spec);
+    object->spec = json_incref(spec);
+    object->revision = store->revision;
+    note_change(store, object, false);
+    return object;
+}
+
+void store_remove(store_t *store, store_object_t *object)
+{
+    store_object_t **place = &store->objects;
+
+    store->revision++;
+    object->revision = store->revision;
+    note_change(store, object, true);
+    while (*place != object) {
+        place = &(*place)->next;
+    }
+    *place = object->next;
+    free(object->kind);
+    free(object->name);
+    json_decref(object->spec);
+    json_decref(object->status);
+    free(object);
+}
+
+json_t *store_list(store_t *store, const char *kind, const char *after)
+{
+    json_t         *items = json_array();
+    bool            more = false;
+    store_object_t *object;
+
+    for (object = store->objects; object != NULL; object = object->next) {
+        if (strcmp(object->kind, kind) != 0 || (after != NULL && strcmp(object->name, after) <= 0)) {
+            continue;
+        }
+        if (json_array_size(items) == STORE_PAGE) {
+            more = true;
+            break;
+        }
+        json_array_append_new(items, store_object_json(object));
+    }
+    return json_pack("{s:o, s:b, s:I}", "items", items, "has-more", more, "at", (json_int_t)store->revision);
+}
+
+json_t *store_changes(store_t *store, const char *kind, uint64_t after)
+{
+    json_t *events;
+    size_t  index;
+
+    if (after < store->forgotten) {
+        return NULL;
+    }
+    events = json_array();
+    for (index = 0; index < store->history_count; index++) {
+        if (store->history[index].revision > after && strcmp(store->history[index].kind, kind) == 0) {
+            json_array_append(events, store->history[index].event);
+        }
+    }
+    return events;
+}
+
+void store_forget(store_t *store)
+{
+    size_t index;
+
+    for (index = 0; index < store->history_count; index++) {
+        free(store->history[index].kind);
+        json_decref(store->history[index].event);
+    }
+    store->history_count = 0;
+    store->forgotten = store->revision;
+}
--- a/tests/router/keeper_world.c
+++ b/tests/keeper_world.c
@@ -114,8 +114,8 @@
 {
     memset(world, 0, sizeof(*world));
     world->now = CW_SECONDS(100);
-    world->port = (cw_store_port_t){
-        .context = world, .read = read_object, .create = create_object, .replace = replace_object};
+    world->port =
+        (cw_store_port_t){.context = world, .read = read_object, .create = create_object, .replace = replace_object};
     create_keeper(world, term);
 }
 
--- a/tests/router/keeper_world.h
+++ b/tests/keeper_world.h
@@ -43,7 +43,7 @@
 /** Plans the first assignment and grants everything. */
 void keeper_world_settle(keeper_world_t *world);
 /** Orders of this kind sent since index `from`. */
-size_t keeper_world_count(const keeper_world_t *world, cw_order_kind_t kind, size_t from);
+size_t            keeper_world_count(const keeper_world_t *world, cw_order_kind_t kind, size_t from);
 const cw_range_t *keeper_world_range(const keeper_world_t *world, uint32_t key);
 
 #endif
--- /dev/null
+++ b/tests/process/intents.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Operators' intents are the way in: check, plan, confirm; races, stale plans, lost answers; tenants stay apart.
+. "$(dirname "$0")/../../scripts/cluster.sh"
+cluster_start 2
+usual_servers
+cluster_server lp --service liffeyspoke/maps --keyed --work-ms 10
+cluster_server rm --service rimac/pages --work-ms 10
+token=$(printf %s sesame | sha256sum | cut -d' ' -f1)
+intent() { # TIMEOUT
+    cat <<YAML
+tenant: liffeyspoke
+tokens: ["$token"]
+services: [{name: maps, keyed: true}]
+routes:
+  - {name: maps, host: lp.example, prefix: /docks/, service: maps, repeatable: true, timeout_ms: $1}
+YAML
+}
+intent 1000 >"$WORK/a.yaml"
+intent 1500 >"$WORK/b.yaml"
+cat >"$WORK/rimac.yaml" <<YAML
+tenant: rimac
+requests_per_s: 4
+services: [{name: pages}]
+routes:
+  - {name: pages, host: rm.example, prefix: /pages/, service: pages}
+YAML
+sed 's/lp.example/rm.example/; s#/docks/#/pages/#' "$WORK/a.yaml" >"$WORK/thief.yaml"
+echo 'tenant: x' >"$WORK/broken.yaml"
+export CEDARWINCH_STORE=$STORE
+cw() { "$BUILD/cedarwinch" "$@"; }
+plan_of() { cw plan "$1" | awk '/^plan/ {print $2}'; }
+refused() { ! "$@" >/dev/null 2>&1; }
+status() { local token=$1; shift; curl -s -o /dev/null -w '%{http_code}' "$@" -H "Authorization: Bearer $token" -H "X-Request-Id: i$RANDOM$RANDOM" -H 'X-Shard-Key: 7' -H 'X-Deadline-Ms: 900'; }
+
+check "a good intent has no findings" cw check "$WORK/a.yaml"
+check "a broken one has findings" refused cw check "$WORK/broken.yaml"
+a=$(plan_of "$WORK/a.yaml")
+b=$(plan_of "$WORK/b.yaml")
+check "two operators: the first is accepted" cw confirm "$a" "$WORK/a.yaml"
+check "the second's plan is stale" refused cw confirm "$b" "$WORK/b.yaml"
+b=$(plan_of "$WORK/b.yaml")
+check "planned anew it is accepted" cw confirm "$b" "$WORK/b.yaml"
+check "an edited intent does not pass under the old plan" refused cw confirm "$b" "$WORK/a.yaml"
+curl -sf -X POST "http://$STORE/control?lose=1" >/dev/null
+a=$(plan_of "$WORK/a.yaml")
+check "a lost answer is settled by reading" cw confirm "$a" "$WORK/a.yaml"
+check "another tenant's intent keeps the first's" cw confirm "$(plan_of "$WORK/rimac.yaml")" "$WORK/rimac.yaml"
+check "another tenant's host cannot be taken" refused cw plan "$WORK/thief.yaml"
+curl -sf -X POST "http://$STORE/control?down=1500&how=busy" >/dev/null
+check "with the store down nothing is accepted, and that is said" refused cw plan "$WORK/a.yaml"
+sleep 1.6
+in_force() { [ "$(curl -sf "http://$NET.1:8081/metrics" | awk '/^cedarwinch_configuration_version/ {print $2}')" = 4 ]; }
+until_true in_force
+served() { [ "$(status sesame "http://$NET.1:8080/docks/x" -H 'Host: lp.example')" = 200 ]; }
+until_true served
+check "a tenant's caller is served" served
+check "another caller is not" [ "$(status open "http://$NET.1:8080/docks/x" -H 'Host: lp.example')" = 401 ]
+codes=$(for _ in 1 2 3 4 5 6 7 8 9 10 11 12; do status x "http://$NET.1:8080/pages/x" -H 'Host: rm.example'; echo; done | sort | uniq -c | xargs)
+check "a tenant's rate is its own limit ($codes)" grep -q 429 <<<"$codes"
+check "the other tenant is not touched by it" served
+finish_test
--- a/tests/router/test_engine.c
+++ b/tests/test_engine.c
@@ -6,8 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/byte_buffer.h"
 #include "loop_fixture.h"
-#include "net/byte_buffer.h"
 #include "proxy/engine.h"
 
 enum { SERVERS = 2 };
@@ -33,30 +33,30 @@
 } fake_server_t;
 
 struct world {
-    uv_loop_t           loop;
-    cw_server_pool_t   *pool;
-    cw_upstream_t      *upstream;
-    cw_engine_t        *engine;
-    cw_http_listener_t *front;
-    fake_server_t       servers[SERVERS];
-    cw_upstream_t      *caller;
+    uv_loop_t             loop;
+    cw_server_pool_t     *pool;
+    cw_upstream_t        *upstream;
+    cw_engine_t          *engine;
+    cw_http_listener_t   *front;
+    fake_server_t         servers[SERVERS];
+    cw_upstream_t        *caller;
     cw_upstream_target_t *front_target;
-    bool                answered;
-    cw_upstream_result_t result;
-    int                 status;
-    double              retry_after_s;
-    cw_bytes_t          body;
+    bool                  answered;
+    cw_upstream_result_t  result;
+    int                   status;
+    double                retry_after_s;
+    cw_bytes_t            body;
 };
 
-static const cw_http_limits_t limits = {.header_bytes = 8000, .body_bytes = 100000,
-                                        .header_timeout = CW_SECONDS(30), .idle_timeout = CW_SECONDS(30)};
+static const cw_http_limits_t limits = {
+    .header_bytes = 8000, .body_bytes = 100000, .header_timeout = CW_SECONDS(30), .idle_timeout = CW_SECONDS(30)};
 
 static void server_answer(fake_server_t *server, int status, const char *text)
 {
-    cw_http_fields_t         fields = {0};
-    cw_http_field_builder_t  builder = {0};
-    cw_http_outbound_t       outbound = {
-              .status = status, .fields = &fields, .body = text, .body_length = strlen(text), .retry_after_s = -1};
+    cw_http_fields_t        fields = {0};
+    cw_http_field_builder_t builder = {0};
+    cw_http_outbound_t      outbound = {
+             .status = status, .fields = &fields, .body = text, .body_length = strlen(text), .retry_after_s = -1};
 
     if (server->not_run) {
         cw_http_field_builder_name(&builder, &fields, "not-run", 7);
@@ -126,8 +126,8 @@
         cw_server_entry_t         *entry;
 
         server->world = world;
-        ck_assert_int_eq(
-            cw_http_listener_create(&server->listener, &world->loop, "127.0.0.1", 0, &limits, &handler), 0);
+        ck_assert_int_eq(cw_http_listener_create(&server->listener, &world->loop, "127.0.0.1", 0, &limits, &handler),
+                         0);
         snprintf(server->id, sizeof(server->id), "s%zu", index);
         snprintf(server->address, sizeof(server->address), "127.0.0.1:%u", cw_http_listener_port(server->listener));
         entry = cw_server_list_add(list);
@@ -173,16 +173,20 @@
 
 static void init(world_t *world)
 {
-    cw_engine_settings_t settings = {.names = {.request_id = "id", .deadline = "deadline", .target = "target",
-                                               .not_run = "not-run", .key = "key", .signature = "signature",
-                                               .instance = "instance"},
-                                     .choice = {.zone_penalty = 0.5},
-                                     .budget = {.ratio = 0.2, .extra = 50, .window = CW_SECONDS(10), .share = 1},
-                                     .keyed_extra_slots = 0,
-                                     .connect_timeout = CW_SECONDS(5),
-                                     .silence_factor = 1000,
-                                     .answer_max = 100000,
-                                     .queue_max = 100};
+    cw_engine_settings_t       settings = {.names = {.request_id = "id",
+                                                     .deadline = "deadline",
+                                                     .target = "target",
+                                                     .not_run = "not-run",
+                                                     .key = "key",
+                                                     .signature = "signature",
+                                                     .instance = "instance"},
+                                           .choice = {.zone_penalty = 0.5},
+                                           .budget = {.ratio = 0.2, .extra = 50, .window = CW_SECONDS(10), .share = 1},
+                                           .keyed_extra_slots = 0,
+                                           .connect_timeout = CW_SECONDS(5),
+                                           .silence_factor = 1000,
+                                           .answer_max = 100000,
+                                           .queue_max = 100};
     cw_upstream_options_t      options = {.idle_max = CW_SECONDS(20)};
     cw_http_listener_handler_t handler = {world, on_front_request, on_front_gone};
     char                       address[32];
--- a/tests/router/test_http.c
+++ b/tests/test_http.c
@@ -6,8 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/byte_buffer.h"
 #include "loop_fixture.h"
-#include "net/byte_buffer.h"
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
 
@@ -37,13 +37,12 @@
     cw_bytes_t           answer;
 } world_t;
 
-static cw_http_limits_t limits = {.header_bytes = 2000, .body_bytes = 5000, .header_timeout = CW_SECONDS(30),
-                                  .idle_timeout = CW_SECONDS(30)};
+static cw_http_limits_t limits = {
+    .header_bytes = 2000, .body_bytes = 5000, .header_timeout = CW_SECONDS(30), .idle_timeout = CW_SECONDS(30)};
 
 static void answer(cw_http_exchange_t *exchange, int status, const char *text)
 {
-    cw_http_outbound_t outbound = {
-        .status = status, .body = text, .body_length = strlen(text), .retry_after_s = -1};
+    cw_http_outbound_t outbound = {.status = status, .body = text, .body_length = strlen(text), .retry_after_s = -1};
 
     cw_http_exchange_answer(exchange, &outbound);
 }
@@ -80,8 +79,7 @@
 
     memset(world, 0, sizeof(*world));
     uv_loop_init(&world->loop);
-    ck_assert_int_eq(
-        cw_http_listener_create(&world->listener, &world->loop, "127.0.0.1", 0, &limits, &handler), 0);
+    ck_assert_int_eq(cw_http_listener_create(&world->listener, &world->loop, "127.0.0.1", 0, &limits, &handler), 0);
     world->upstream = cw_upstream_create(&world->loop, &options);
 }
 
@@ -89,8 +87,11 @@
 
 static void on_raw_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
+    static char chunk[65536];
+
     (void)handle;
-    *buffer = uv_buf_init(malloc(suggested), (unsigned)suggested);
+    (void)suggested;
+    *buffer = uv_buf_init(chunk, sizeof(chunk));
 }
 
 static void on_raw_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
@@ -102,7 +103,6 @@
     } else if (length < 0) {
         world->ended = true;
     }
-    free(buffer->base);
 }
 
 static void on_raw_connected(uv_connect_t *connect, int status)
@@ -152,8 +152,9 @@
     init(&world);
     world.answer_at_once = true;
     raw_connect(&world);
-    raw_send(&world.raw, "GET /one HTTP/1.1\r\nHost: a\r\n\r\nPOST /two HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
-                         "GET /three HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    raw_send(&world.raw,
+             "GET /one HTTP/1.1\r\nHost: a\r\n\r\nPOST /two HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+             "GET /three HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
     cw_test_run_until(&world.loop, has_received_end, &world);
     ck_assert_uint_eq(world.requests, 3);
     ck_assert_str_eq(world.target, "/three");
@@ -167,7 +168,8 @@
 
     init(&world);
     raw_connect(&world);
-    raw_send(&world.raw, "PUT /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
+    raw_send(&world.raw,
+             "PUT /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
     cw_test_run_until_set(&world.loop, &world.has_request);
     ck_assert_str_eq(world.method, "PUT");
     ck_assert_str_eq(world.body.data, "abcdefg");
@@ -283,7 +285,6 @@
         cw_bytes_append(&world->received, buffer->base, (size_t)length);
         world->has_request = true;
     }
-    free(buffer->base);
 }
 
 static void on_raw_accept(uv_stream_t *stream, int status)
--- /dev/null
+++ b/tests/test_intent.c
@@ -0,0 +1,276 @@
+/**
+ * @file test_intent.c
+ * @brief Intents, plans and tenants' gates.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/error.h"
+#include "intent/plan.h"
+#include "loop_fixture.h"
+#include "platform_internal.h"
+#include "tenancy/tenant_gate.h"
+
+static const char good[] = "tenant: liffeyspoke\n"
+                           "requests_per_s: 100\n"
+                           "services:\n"
+                           "  - {name: maps, keyed: true, warm_ms: 2000}\n"
+                           "  - {name: hires}\n"
+                           "routes:\n"
+                           "  - {name: maps, host: maps.example, prefix: /docks/, service: maps, repeatable: true,\n"
+                           "     timeout_ms: 1000, aim_ms: 500}\n"
+                           "  - name: hires\n"
+                           "    host: maps.example\n"
+                           "    prefix: /hire/\n"
+                           "    split: [{service: hires, weight: 3}, {service: maps, weight: 1}]\n";
+
+static size_t findings_of(const char *text)
+{
+    cw_findings_t findings;
+    cw_intent_t   intent;
+    size_t        count;
+
+    cw_findings_init(&findings);
+    (void)cw_intent_parse(&intent, text, strlen(text), "test.yaml", &findings);
+    count = findings.count;
+    cw_intent_clear(&intent);
+    cw_findings_clear(&findings);
+    return count;
+}
+
+static void parse(cw_intent_t *intent, const char *text)
+{
+    cw_findings_t findings;
+
+    cw_findings_init(&findings);
+    ck_assert_int_eq(cw_intent_parse(intent, text, strlen(text), "test.yaml", &findings), CW_OK);
+    cw_findings_clear(&findings);
+}
+
+START_TEST(a_good_intent_is_read_whole)
+{
+    cw_intent_t intent;
+
+    parse(&intent, good);
+    ck_assert_str_eq(intent.tenant, "liffeyspoke");
+    ck_assert_uint_eq(intent.part->route_count, 2);
+    ck_assert_str_eq(intent.part->routes[0].name, "liffeyspoke/maps");
+    ck_assert(intent.part->routes[0].repeatable);
+    ck_assert(!intent.part->routes[1].repeatable);
+    ck_assert_uint_eq(intent.part->routes[1].part_count, 2);
+    ck_assert(cw_configuration_service(intent.part, "liffeyspoke/maps")->keyed);
+    cw_intent_clear(&intent);
+}
+END_TEST
+
+START_TEST(each_fault_of_an_intent_is_a_finding)
+{
+    ck_assert_uint_ge(findings_of("tenant: a\n"), 2);
+    ck_assert_uint_ge(findings_of("tenant: a b\nservices: []\nroutes: []\n"), 1);
+    ck_assert_uint_eq(findings_of("tenant: a\nservices: []\nroutes:\n"
+                                  "  - {name: r, host: h, prefix: /x, service: s}\n"),
+                      2); /* no such service; no slash at the end */
+    ck_assert_uint_eq(findings_of("tenant: a\nservices: [{name: s}]\nroutes:\n"
+                                  "  - {name: r, host: h, prefix: /x/, service: s, aim_ms: 9, timeout_ms: 5}\n"),
+                      1);
+    ck_assert_uint_eq(findings_of("tenant: a\nservices: [{name: s}]\nroutes:\n"
+                                  "  - {name: r, host: h, prefix: /x/, service: s}\n"
+                                  "  - {name: q, host: h, prefix: /x/, service: s}\n"),
+                      1);
+    ck_assert_uint_eq(findings_of("tenant: a\nservices: [{name: s}]\nroutes:\n"
+                                  "  - {name: r, host: h, prefix: /x/}\n"),
+                      1);
+    ck_assert_uint_ge(findings_of(": not yaml ["), 1);
+}
+END_TEST
+
+static int make(cw_plan_t *plan, const char *text, const cw_configuration_t *present, uint64_t revision)
+{
+    cw_findings_t findings;
+    cw_intent_t   intent;
+    int           error;
+
+    cw_findings_init(&findings);
+    parse(&intent, text);
+    error = cw_plan_make(plan, &intent, present, revision, "test.yaml", &findings);
+    cw_intent_clear(&intent);
+    cw_findings_clear(&findings);
+    return error;
+}
+
+START_TEST(a_plan_says_what_changes_and_keeps_other_tenants)
+{
+    static const char other[] = "tenant: rimac\nservices: [{name: s}]\nroutes:\n"
+                                "  - {name: r, host: rimac.example, prefix: /x/, service: s}\n";
+    cw_plan_t         first;
+    cw_plan_t         second;
+    cw_plan_t         third;
+
+    ck_assert_int_eq(make(&first, good, NULL, 0), CW_OK);
+    ck_assert_uint_eq(first.change_count, 5);
+    ck_assert_uint_eq(first.configuration->version, 1);
+    ck_assert_int_eq(make(&second, other, first.configuration, 10), CW_OK);
+    ck_assert_uint_eq(second.configuration->route_count, 3);
+    ck_assert_uint_eq(second.configuration->version, 2);
+    ck_assert_int_eq(
+        make(&third, "tenant: liffeyspoke\nservices: [{name: maps}]\nroutes: []\n", second.configuration, 11), CW_OK);
+    ck_assert_uint_eq(third.configuration->route_count, 1);
+    cw_bytes_append(&third.changes, "", 1);
+    ck_assert_ptr_nonnull(strstr(third.changes.data, "- route liffeyspoke/hires"));
+    ck_assert_ptr_nonnull(strstr(third.changes.data, "~ service liffeyspoke/maps"));
+    ck_assert_ptr_null(strstr(third.changes.data, "rimac"));
+    cw_plan_clear(&first);
+    cw_plan_clear(&second);
+    cw_plan_clear(&third);
+}
+END_TEST
+
+START_TEST(a_plan_is_bound_to_its_intent_and_to_what_it_was_made_from)
+{
+    char      changed[2048];
+    cw_plan_t plan;
+    cw_plan_t same;
+    cw_plan_t later;
+    cw_plan_t edited;
+
+    snprintf(changed, sizeof(changed), "%s", good);
+    memcpy(strstr(changed, "1000"), "2000", 4);
+    ck_assert_int_eq(make(&plan, good, NULL, 5), CW_OK);
+    ck_assert_int_eq(make(&same, good, NULL, 5), CW_OK);
+    ck_assert_int_eq(make(&later, good, NULL, 6), CW_OK);
+    ck_assert_int_eq(make(&edited, changed, NULL, 5), CW_OK);
+    ck_assert_str_eq(plan.id, same.id);
+    ck_assert_str_ne(plan.id, later.id);
+    ck_assert_str_ne(plan.id, edited.id);
+    cw_plan_clear(&plan);
+    cw_plan_clear(&same);
+    cw_plan_clear(&later);
+    cw_plan_clear(&edited);
+}
+END_TEST
+
+START_TEST(another_tenants_host_and_prefix_cannot_be_taken)
+{
+    cw_plan_t first;
+    cw_plan_t second;
+
+    ck_assert_int_eq(make(&first, good, NULL, 0), CW_OK);
+    ck_assert_int_eq(make(&second,
+                          "tenant: thief\nservices: [{name: s}]\nroutes:\n"
+                          "  - {name: r, host: maps.example, prefix: /docks/, service: s}\n",
+                          first.configuration, 1),
+                     CW_ERROR_CONFLICT);
+    cw_plan_clear(&first);
+    cw_plan_clear(&second);
+}
+END_TEST
+
+START_TEST(a_configuration_survives_the_store)
+{
+    cw_plan_t           plan;
+    cw_configuration_t *back;
+    json_t             *value;
+    const char         *problem = NULL;
+
+    ck_assert_int_eq(make(&plan, good, NULL, 0), CW_OK);
+    value = cw_platform_write_configuration(plan.configuration);
+    back = cw_platform_parse_configuration(value, &problem);
+    ck_assert_ptr_nonnull(back);
+    ck_assert_uint_eq(back->route_count, 2);
+    ck_assert_uint_eq(back->tenant_count, 1);
+    ck_assert_uint_eq(back->tenants[0].requests_per_s, 100);
+    ck_assert_int_eq(cw_configuration_match(back, "maps.example", "/docks/1")->timeout, CW_MS(1000));
+    ck_assert_int_eq(cw_configuration_service(back, "liffeyspoke/maps")->warm_time, CW_MS(2000));
+    json_decref(value);
+    cw_configuration_release(back);
+    cw_plan_clear(&plan);
+}
+END_TEST
+
+START_TEST(a_broken_configuration_is_refused_with_its_problem)
+{
+    const char *problem = NULL;
+    json_t     *value = json_loads("{\"version\":3,\"routes\":[{\"host\":\"h\",\"path-prefix\":\"/\"}]}", 0, NULL);
+
+    ck_assert_ptr_null(cw_platform_parse_configuration(value, &problem));
+    ck_assert_ptr_nonnull(problem);
+    json_decref(value);
+    value = json_loads("{\"routes\":[]}", 0, NULL);
+    ck_assert_ptr_null(cw_platform_parse_configuration(value, &problem));
+    json_decref(value);
+}
+END_TEST
+
+/* ---- gates ---- */
+
+static cw_tenant_t some_tenant(void)
+{
+    cw_tenant_t tenant = {.name = "t", .token_count = 1};
+
+    /* printf %s sesame | sha256sum */
+    ck_assert(cw_tenant_digest_from_text(tenant.tokens[0],
+                                         "d0c04f4b1951e4aeaaec8223ed2039e542f3aae805a6fa7f6d794e5afff5d272"));
+    return tenant;
+}
+
+START_TEST(only_a_tenants_callers_come_in)
+{
+    cw_tenant_gate_t  *gate = cw_tenant_gate_create();
+    cw_tenant_t        tenant = some_tenant();
+    cw_tenant_count_t *count;
+    cw_time_us_t       wait;
+
+    ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, NULL, 1, 0, &count, &wait), CW_GATE_UNKNOWN_CALLER);
+    ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, "Bearer open", 1, 0, &count, &wait), CW_GATE_UNKNOWN_CALLER);
+    ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, "Bearer sesame", 1, 0, &count, &wait), CW_GATE_OPEN);
+    ck_assert_int_eq(cw_tenant_gate_enter(gate, NULL, NULL, 1, 0, &count, &wait), CW_GATE_OPEN);
+    cw_tenant_gate_free(gate);
+}
+END_TEST
+
+START_TEST(rates_and_requests_at_once_are_shared_by_the_nodes)
+{
+    cw_tenant_gate_t  *gate = cw_tenant_gate_create();
+    cw_tenant_t        tenant = {.name = "t", .requests_per_s = 40, .concurrent = 8};
+    cw_tenant_count_t *count;
+    cw_tenant_count_t *counts[8];
+    cw_time_us_t       wait;
+    uint32_t           entered = 0;
+    uint32_t           step;
+
+    for (step = 0; step < 1000; step++) {
+        if (cw_tenant_gate_enter(gate, &tenant, NULL, 4, CW_MS(10) * step, &count, &wait) == CW_GATE_OPEN) {
+            cw_tenant_gate_leave(count);
+            entered++;
+        }
+    }
+    ck_assert_uint_ge(entered, 95);
+    ck_assert_uint_le(entered, 110);
+    for (step = 0; step < 2; step++) {
+        ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, NULL, 4, CW_SECONDS(20), &counts[step], &wait),
+                         CW_GATE_OPEN);
+    }
+    ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, NULL, 4, CW_SECONDS(20), &count, &wait), CW_GATE_CONCURRENCY);
+    cw_tenant_gate_leave(counts[0]);
+    ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, NULL, 4, CW_SECONDS(20), &count, &wait), CW_GATE_OPEN);
+    cw_tenant_gate_free(gate);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("intent");
+    TCase *cases = tcase_create("intent");
+
+    tcase_add_test(cases, a_good_intent_is_read_whole);
+    tcase_add_test(cases, each_fault_of_an_intent_is_a_finding);
+    tcase_add_test(cases, a_plan_says_what_changes_and_keeps_other_tenants);
+    tcase_add_test(cases, a_plan_is_bound_to_its_intent_and_to_what_it_was_made_from);
+    tcase_add_test(cases, another_tenants_host_and_prefix_cannot_be_taken);
+    tcase_add_test(cases, a_configuration_survives_the_store);
+    tcase_add_test(cases, a_broken_configuration_is_refused_with_its_problem);
+    tcase_add_test(cases, only_a_tenants_callers_come_in);
+    tcase_add_test(cases, rates_and_requests_at_once_are_shared_by_the_nodes);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
--- a/tests/router/test_planner.c
+++ b/tests/test_planner.c
@@ -171,8 +171,8 @@
 
 START_TEST(a_draining_server_is_emptied)
 {
-    static const char *const draining[] = {"i-a@10.0.0.1:80!", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80",
-                                           "i-d@10.0.0.4:80", NULL};
+    static const char *const draining[] = {"i-a@10.0.0.1:80!", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", "i-d@10.0.0.4:80",
+                                           NULL};
     planner_world_t          world;
 
     init(&world, four);
--- a/tests/router/test_sharing.c
+++ b/tests/test_sharing.c
@@ -8,7 +8,8 @@
 #include "loop_fixture.h"
 #include "retry/shared_budget.h"
 
-static const cw_budget_settings_t budget_settings = {.ratio = 0.2, .extra = 56, .window = CW_SECONDS(10), .share = 0.75};
+static const cw_budget_settings_t budget_settings = {
+    .ratio = 0.2, .extra = 56, .window = CW_SECONDS(10), .share = 0.75};
 
 /* Arrivals that a node manages to repeat when it tries at each step. */
 static uint32_t spend(cw_shared_budget_t *budget, uint32_t nodes, uint32_t requests, cw_time_us_t from,
