Planner: memory of one second, 1.5 standard errors; datagrams of reports within a budget; another zone costs more

Change: memory 1.6 -> 1.0 s, errors 1.3 -> 1.5, zone penalty 0.35 -> 0.7; 150 datagrams a second of reports for a node (1000 for the leader), what counts as silence follows the pause.

--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -321,14 +321,14 @@
     }
 }
 
-void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t now)
+void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t life, cw_time_us_t now)
 {
     peer_report_t *peer;
     peer_report_t *next;
 
     HASH_ITER(hh, pool->peers, peer, next)
     {
-        if (now - peer->at > CW_MS(CW_POOL_REPORT_LIFE_MS)) {
+        if (now - peer->at > life) {
             take_back(pool, peer);
             free_peer(pool, peer);
         }
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -2,8 +2,8 @@
  * @file server_pool.h
  * @brief What this node knows of each server: its list entry, the requests under way there from all nodes, its speed.
  *
- * Requests of other nodes are what they last reported (cw_server_pool_report); a silent node's count ends after
- * CW_POOL_REPORT_LIFE. Choices are made by cw_server_pool_choose.
+ * Requests of other nodes are what they last reported (cw_server_pool_report); a silent node's count ends with
+ * cw_server_pool_expire. Choices are made by cw_server_pool_choose.
  */
 #ifndef CEDARWINCH_BALANCE_SERVER_POOL_H
 #define CEDARWINCH_BALANCE_SERVER_POOL_H
@@ -85,8 +85,8 @@
 /** Learns from what the answers came to since this node last told. */
 void cw_server_pool_learn(cw_server_pool_t *pool, uint64_t node, const cw_server_pace_t *paces, size_t count,
                           cw_time_us_t now);
-/** Forgets nodes that have been silent. */
-void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t now);
+/** Forgets nodes that have been silent for longer than `life`. */
+void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t life, cw_time_us_t now);
 
 typedef struct cw_choice_settings {
     double zone_penalty; /**< what another zone costs, as a share of a usual request's time */
--- a/src/placement/load_window.c
+++ b/src/placement/load_window.c
@@ -8,8 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const double memory_s = 1.6; /* time constant; shorter follows faster and sees more noise */
-static const double horizon_s = 6.4;
+static const double memory_s = 1.0; /* time constant; shorter follows faster and sees more noise */
+static const double horizon_s = 4.0;
 static const double span_min_s = 0.2;
 
 void cw_load_window_add(cw_load_window_t *window, uint32_t key, double weight, cw_time_us_t now)
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -20,6 +20,9 @@
 static const double idle_per_s = 0.5;
 static const double late_power = 1.0; /* long times weigh more: they miss the aim */
 
+const cw_planner_settings_t cw_planner_defaults = {
+    .gain_min = 1.5, .gain_share = 0.008, .errors = 1.5, .moves_max = 12, .ranges_each = 4, .rest = CW_MS(900)};
+
 typedef struct planner {
     cw_keeper_t                 *keeper;
     const cw_planner_settings_t *settings;
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -32,6 +32,9 @@
     cw_time_us_t rest;        /**< a range that has moved stays for so long */
 } cw_planner_settings_t;
 
+/** What the router plans by. */
+extern const cw_planner_settings_t cw_planner_defaults;
+
 /** Plans into the keeper and hands the plan in. Returns the number of changes. */
 size_t cw_planner_run(cw_keeper_t *keeper, const cw_planner_settings_t *settings, cw_planner_server_t *servers,
                       size_t server_count, const cw_server_list_t *list, const cw_load_window_t *window,
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -169,7 +169,7 @@
     cw_metric_set(CW_METRIC_QUEUED, cw_engine_queued(router->engine));
     cw_metric_set(CW_METRIC_CONNECTIONS_OPENED, cw_upstream_opened(router->upstream));
     cw_metric_set(CW_METRIC_MEMORY, resident_bytes());
-    cw_metric_set(CW_METRIC_PEERS, cw_peer_link_alive(router->link, CW_MS(CW_PEER_SILENCE_MS), cw_router_now(router)));
+    cw_metric_set(CW_METRIC_PEERS, cw_peer_link_alive(router->link, router->silence, cw_router_now(router)));
     text = cw_metrics_text(&outbound.body_length);
     outbound.body = text;
     cw_http_exchange_answer(exchange, &outbound);
@@ -350,7 +350,7 @@
 static cw_engine_settings_t engine_settings(const cw_router_t *router)
 {
     cw_engine_settings_t settings = {.names = *router->adapter->header_names,
-                                     .choice = {.zone_penalty = 0.35, .extra_slots = 0},
+                                     .choice = {.zone_penalty = 0.7, .extra_slots = 0},
                                      .budget = {.ratio = router->settings.retry_ratio,
                                                 .extra = router->settings.retry_extra,
                                                 .window = router->settings.retry_window,
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -14,7 +14,7 @@
 
 enum {
     CW_TICK_MS = 20,
-    CW_PEER_SILENCE_MS = 1000,
+    CW_PEER_SILENCE_MS = 1000, /**< at least; longer where many nodes make reports rare */
     CW_KEYED_SERVICES_MAX = 16,
     CW_QUEUE_REPORTS_MAX = 256,
     CW_TABLES_VALID_PERCENT = 80 /**< of a grant's hold: tables are used no longer without a fresh word */
@@ -75,6 +75,7 @@
 
     /* reports */
     uint32_t          sequence;
+    cw_time_us_t      silence; /**< a node unheard of for so long counts as lost */
     cw_time_us_t      reported_zone_at;
     cw_time_us_t      reported_all_at;
     cw_time_us_t      reported_full_at;
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -273,9 +273,6 @@
 
 /* ---- plans ---- */
 
-static const cw_planner_settings_t planner_settings = {
-    .gain_min = 1.5, .gain_share = 0.008, .errors = 1.3, .moves_max = 12, .ranges_each = 4, .rest = CW_MS(900)};
-
 static size_t list_servers(cw_router_t *router, const char *service, cw_planner_server_t *servers, cw_time_us_t now)
 {
     double usual_s = (double)cw_engine_usual_time(router->engine, service) / 1e6;
@@ -334,7 +331,7 @@
         plan_first(keyed, servers, count, now);
         return;
     }
-    changes = cw_planner_run(keyed->keeper, &planner_settings, servers, count, router->servers, &keyed->window, now);
+    changes = cw_planner_run(keyed->keeper, &cw_planner_defaults, servers, count, router->servers, &keyed->window, now);
     if (changes > 0 && cw_event_begin(&event, CW_EVENT_PLAN_WRITTEN)) {
         cw_event_text(&event, CW_FIELD_SERVICE, cw_keeper_service(keyed->keeper));
         cw_event_number(&event, CW_FIELD_CHANGED, (int64_t)changes);
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -4,7 +4,7 @@
  *
  * Nodes of one zone tell one another soon after each change; nodes of other zones at a slower pace, since bytes between
  * zones cost. A report tells a whole state, so a lost one is mended by the next. The pace falls with the number of
- * peers, so that a node's messages stay bounded.
+ * peers, so that a node's datagrams stay within a budget.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -19,7 +19,9 @@
     FULL_PAUSE_MS = 1000, /* between reports with names and paces */
     NAMED_MS = 700,       /* names go with each report after a node was first heard */
     KEYS_PAUSE_MS = 100,
-    PEERS_AT_FULL_PACE = 16,
+    DATAGRAMS_A_SECOND = 150, /* of reports, to all and within the zone each */
+    LEADERS_DATAGRAMS_A_SECOND = 1000,
+    SILENCE_IN_PAUSES = 3, /* reports that may be lost before a node counts as lost */
     LOADS_MAX = 512,
     QUEUES_MAX = 32,
     SAMPLES_MAX = 16,
@@ -240,30 +242,46 @@
     }
 }
 
-static int64_t paced(const cw_router_t *router, int64_t pause_ms, cw_time_us_t now)
+/* Pause between reports to so many peers: as short as wished, while a node's datagrams stay within their budget. */
+static int64_t paced(const cw_router_t *router, int64_t pause_ms, uint32_t peers)
 {
-    uint32_t peers = cw_peer_link_alive(router->link, CW_MS(CW_PEER_SILENCE_MS), now);
+    int64_t budget = router->leadership.leading ? LEADERS_DATAGRAMS_A_SECOND : DATAGRAMS_A_SECOND;
+    int64_t affordable_ms = (int64_t)peers * 1000 / budget;
 
-    return peers <= PEERS_AT_FULL_PACE ? pause_ms : pause_ms * peers / PEERS_AT_FULL_PACE;
+    return affordable_ms > pause_ms ? affordable_ms : pause_ms;
+}
+
+static uint32_t peers_in_zone(const cw_router_t *router)
+{
+    const cw_peer_t *peer;
+    uint32_t         count = 0;
+
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        count += is_in_zone(router, peer) && !peer->is_lost ? 1 : 0;
+    }
+    return count;
 }
 
 static void report(cw_router_t *router, cw_time_us_t now)
 {
     cw_time_us_t since_all = now - router->reported_all_at;
     cw_time_us_t since_zone = now - router->reported_zone_at;
+    uint32_t     all = cw_peer_link_alive(router->link, router->silence, now);
+    cw_time_us_t idle = CW_MS(paced(router, IDLE_PAUSE_MS, all));
 
+    router->silence =
+        idle * SILENCE_IN_PAUSES > CW_MS(CW_PEER_SILENCE_MS) ? idle * SILENCE_IN_PAUSES : CW_MS(CW_PEER_SILENCE_MS);
     if (cw_engine_take_changed(router->engine)) {
         router->zone_due = true;
         router->all_due = true;
     }
-    if ((router->all_due && since_all >= CW_MS(paced(router, ALL_PAUSE_MS, now))) ||
-        since_all >= CW_MS(paced(router, IDLE_PAUSE_MS, now))) {
+    if ((router->all_due && since_all >= CW_MS(paced(router, ALL_PAUSE_MS, all))) || since_all >= idle) {
         send_report(router, true, now);
         router->reported_all_at = now;
         router->reported_zone_at = now;
         router->all_due = false;
         router->zone_due = false;
-    } else if (router->zone_due && since_zone >= CW_MS(paced(router, ZONE_PAUSE_MS, now))) {
+    } else if (router->zone_due && since_zone >= CW_MS(paced(router, ZONE_PAUSE_MS, peers_in_zone(router)))) {
         send_report(router, false, now);
         router->reported_zone_at = now;
         router->zone_due = false;
@@ -481,6 +499,12 @@
     cw_engine_set_queued_elsewhere(router->engine, service, sum);
 }
 
+/* How long what a silent node told is still counted. */
+static cw_time_us_t report_life(const cw_router_t *router)
+{
+    return router->silence > CW_MS(CW_POOL_REPORT_LIFE_MS) ? router->silence : CW_MS(CW_POOL_REPORT_LIFE_MS);
+}
+
 /* Replaces what this peer (or a silent one) told before. */
 static void take_queues(cw_router_t *router, const cw_peer_t *peer, const Cwp__NodeReport *received, cw_time_us_t now)
 {
@@ -488,8 +512,7 @@
     size_t index;
 
     for (index = 0; index < router->queue_count; index++) {
-        if (router->queues[index].peer != peer->address &&
-            now - router->queues[index].at < CW_MS(CW_POOL_REPORT_LIFE_MS)) {
+        if (router->queues[index].peer != peer->address && now - router->queues[index].at < report_life(router)) {
             router->queues[kept++] = router->queues[index];
         }
     }
@@ -565,7 +588,7 @@
     cw_peer_t *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->heard_at != 0 && !peer->is_lost && now - peer->heard_at > CW_MS(CW_PEER_SILENCE_MS)) {
+        if (peer->heard_at != 0 && !peer->is_lost && now - peer->heard_at > router->silence) {
             peer->is_lost = true;
             note_peer(peer, CW_EVENT_PEER_LOST, now - peer->heard_at);
         }
@@ -579,6 +602,6 @@
         send_keys(router, now);
     }
     find_lost(router, now);
-    cw_server_pool_expire(router->pool, now);
+    cw_server_pool_expire(router->pool, report_life(router), now);
     cw_peer_link_expire(router->link, CW_SECONDS(FORGET_S), now);
 }
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -11,9 +11,6 @@
 
 static const char *const four[] = {"i-a@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", "i-d@10.0.0.4:80", NULL};
 
-static const cw_planner_settings_t settings = {
-    .gain_min = 1.5, .gain_share = 0.008, .errors = 1.3, .moves_max = 12, .ranges_each = 4, .rest = CW_MS(900)};
-
 typedef struct planner_world {
     keeper_world_t      keeper;
     cw_load_window_t    window;
@@ -66,8 +63,8 @@
 
 static size_t plan(planner_world_t *world)
 {
-    return cw_planner_run(world->keeper.keeper, &settings, world->servers, world->server_count, world->keeper.servers,
-                          &world->window, world->keeper.now);
+    return cw_planner_run(world->keeper.keeper, &cw_planner_defaults, world->servers, world->server_count,
+                          world->keeper.servers, &world->window, world->keeper.now);
 }
 
 /* Plans and carries the moves out, some rounds. */
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -142,7 +142,7 @@
     ck_assert_str_eq(choose(pool, CW_MS(10), &full), "near");
     report.under_way = 2;
     cw_server_pool_report(pool, 5, &report, 1, CW_MS(20));
-    cw_server_pool_expire(pool, CW_MS(20) + CW_MS(CW_POOL_REPORT_LIFE_MS) + 1);
+    cw_server_pool_expire(pool, CW_MS(CW_POOL_REPORT_LIFE_MS), CW_MS(20) + CW_MS(CW_POOL_REPORT_LIFE_MS) + 1);
     ck_assert_uint_eq(cw_server_pool_find(pool, "near")->others, 0);
     cw_server_pool_free(pool);
 }
