--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -141,7 +141,7 @@
 # Three services' servers as the tests use them: six of maps (divided by key), three of hires.
 usual_servers() {
     local i
-    for i in 1 2 3 4 5 6; do cluster_server "m$i" --service maps --zone "z$(((i - 1) % 3 + 1))" --keyed --work-ms 15; done
+    for i in 1 2 3 4 5 6; do cluster_server "m$i" --service maps --zone "z$(((i - 1) % 3 + 1))" --keyed --work-ms "${WORK_MS:-15}"; done
     for i in 1 2 3; do cluster_server "h$i" --service hires --zone "z$i" --work-ms 15 --hangs; done
 }
 usual_cluster() {
