router: cut tables of keys into as many pages as they need

Cause, found while writing down the capacity of each role: the leader told one page of at most 400 ranges for each service and dropped the rest without a word. Joins of ranges begin above 4 for each server, so a service of more than 100 servers can have more than 400 ranges; the nodes then knew no owner for the highest keys and refused their requests. Change: table_pages.c cuts a table into pages and puts them together again; nodes go by new tables only when all pages have come.

--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -11,11 +11,13 @@
 #include "peer/peer_link.h"
 #include "placement/planner.h"
 #include "router/router.h"
+#include "router/table_pages.h"
 
 enum {
     CW_TICK_MS = 20,
     CW_PEER_SILENCE_MS = 1000, /**< at least; longer where many nodes make reports rare */
-    CW_KEYED_SERVICES_MAX = 16,
+    CW_KEYED_SERVICES_MAX = CW_TABLE_SERVICES_MAX,
+    CW_PAGES_MAX = 512,
     CW_QUEUE_REPORTS_MAX = 256,
     CW_TABLES_VALID_PERCENT = 80 /**< of a grant's hold: tables are used no longer without a fresh word */
 };
@@ -43,7 +45,7 @@
     uint64_t number;
     uint32_t pages;
     uint32_t have;
-    uint8_t  seen[64];
+    uint8_t  seen[CW_PAGES_MAX];
 } cw_table_assembly_t;
 
 typedef struct cw_router {
@@ -87,26 +89,27 @@
     size_t            queue_count;
 
     /* what this node goes by */
-    cw_server_list_t   *servers;
-    cw_time_us_t        servers_at;      /**< when the list was surely true */
-    bool                reading_servers; /**< this node reads the list itself */
-    cw_time_us_t        servers_read_at; /**< sending of that read */
-    uint64_t            view_term;
-    uint64_t            view_servers;
-    uint64_t            view_tables;
-    cw_time_us_t        tables_at; /**< when the tables were surely true */
-    cw_time_us_t        leader_word_at;
-    uint64_t            leader_term;
-    bool                leader_silent;  /**< told in the log */
-    bool                tables_expired; /**< told in the log */
-    char                leader_node[CW_NODE_NAME_MAX];
-    cw_table_assembly_t servers_pages;
-    cw_server_list_t   *servers_partial;
-    cw_table_assembly_t tables_pages;
-    cw_time_us_t        tables_read_at;
-    uint32_t            table_reads; /**< under way */
-    bool                store_lost;
-    cw_time_us_t        store_failing_since;
+    cw_server_list_t    *servers;
+    cw_time_us_t         servers_at;      /**< when the list was surely true */
+    bool                 reading_servers; /**< this node reads the list itself */
+    cw_time_us_t         servers_read_at; /**< sending of that read */
+    uint64_t             view_term;
+    uint64_t             view_servers;
+    uint64_t             view_tables;
+    cw_time_us_t         tables_at; /**< when the tables were surely true */
+    cw_time_us_t         leader_word_at;
+    uint64_t             leader_term;
+    bool                 leader_silent;  /**< told in the log */
+    bool                 tables_expired; /**< told in the log */
+    char                 leader_node[CW_NODE_NAME_MAX];
+    cw_table_assembly_t  servers_pages;
+    cw_server_list_t    *servers_partial;
+    cw_table_assembly_t  tables_pages;
+    cw_received_tables_t tables_partial;
+    cw_time_us_t         tables_read_at;
+    uint32_t             table_reads; /**< under way */
+    bool                 store_lost;
+    cw_time_us_t         store_failing_since;
 
     /* leading */
     cw_leadership_t    leadership;
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -6,7 +6,7 @@
 
 #include "router/router_internal.h"
 
-enum { RESEND_MS = 150, PAGE_SERVERS = 64, PAGE_RANGES = 400, NODES_MAX = 1024 };
+enum { RESEND_MS = 150, PAGE_SERVERS = 64, NODES_MAX = 1024 };
 
 static void send_servers_page(cw_router_t *router, const cw_peer_t *peer, uint32_t page, uint32_t pages)
 {
@@ -77,44 +77,51 @@
     }
 }
 
-static void send_table(cw_router_t *router, const cw_peer_t *peer, const cw_keeper_t *keeper, uint32_t page,
-                       uint32_t pages)
+static void send_table_page(cw_router_t *router, const cw_peer_t *peer, const cw_keeper_t *keeper, uint32_t part,
+                            uint32_t page, uint32_t pages)
 {
-    static Cwp__TableRange  entries[PAGE_RANGES];
-    static Cwp__TableRange *pointers[PAGE_RANGES];
-    const cw_range_list_t  *ranges = cw_keeper_ranges(keeper);
-    Cwp__TablePage          content = CWP__TABLE_PAGE__INIT;
-    Cwp__Datagram           datagram = CWP__DATAGRAM__INIT;
-    size_t                  index;
+    static cw_table_page_room_t room;
+    Cwp__TablePage              content = CWP__TABLE_PAGE__INIT;
+    Cwp__Datagram               datagram = CWP__DATAGRAM__INIT;
 
     content.term = router->leadership.lock.term;
     content.number = router->lead_tables;
     content.page = page;
     content.pages = pages;
     content.service = (char *)cw_keeper_service(keeper);
-    for (index = 0; index < ranges->count && index < PAGE_RANGES; index++) {
-        const cw_range_t *range = &ranges->items[index];
-        Cwp__TableRange  *entry = &entries[index];
-
-        cwp__table_range__init(entry);
-        entry->low = range->low;
-        entry->last = range->last;
-        entry->server = cw_router_hash(range->owner.id);
-        entry->fence = range->owner.fence;
-        entry->routable = range->phase == CW_RANGE_HELD || (range->phase == CW_RANGE_GRANTING && range->keeps_serving);
-        pointers[index] = entry;
-    }
-    content.n_ranges = index;
-    content.ranges = pointers;
+    cw_table_page_fill(&content, &room, cw_keeper_ranges(keeper), part);
     datagram.content_case = CWP__DATAGRAM__CONTENT_TABLE;
     datagram.table = &content;
     cw_peer_link_send(router->link, peer, &datagram);
 }
 
+static uint32_t pages_of(const cw_keeper_t *keeper)
+{
+    return cw_table_pages_of(cw_keeper_ranges(keeper)->count);
+}
+
+static void send_tables(cw_router_t *router, const cw_peer_t *peer)
+{
+    uint32_t pages = 0;
+    uint32_t page = 0;
+    uint32_t part;
+    size_t   index;
+
+    for (index = 0; index < router->keyed_count; index++) {
+        pages += pages_of(router->keyed[index].keeper);
+    }
+    for (index = 0; index < router->keyed_count; index++) {
+        const cw_keeper_t *keeper = router->keyed[index].keeper;
+
+        for (part = 0; part < pages_of(keeper); part++) {
+            send_table_page(router, peer, keeper, part, page++, pages);
+        }
+    }
+}
+
 void cw_router_push_tables(cw_router_t *router, cw_time_us_t now)
 {
     cw_peer_t *peer;
-    size_t     index;
 
     if (!router->leadership.leading || router->lead_tables == 0) {
         return;
@@ -125,8 +132,6 @@
             continue;
         }
         peer->tables_sent_at = now;
-        for (index = 0; index < router->keyed_count; index++) {
-            send_table(router, peer, router->keyed[index].keeper, (uint32_t)index, (uint32_t)router->keyed_count);
-        }
+        send_tables(router, peer);
     }
 }
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -210,39 +210,58 @@
                                router->tables_at + router->settings.hold * CW_TABLES_VALID_PERCENT / 100);
 }
 
-void cw_router_take_table_page(cw_router_t *router, const Cwp__TablePage *page)
+static void use_table(cw_router_t *router, const cw_received_table_t *table, uint64_t number)
 {
-    cw_key_route_t *routes;
-    bool            begun;
+    cw_key_route_t *routes = calloc(table->count + 1, sizeof(*routes));
     size_t          index;
 
-    if (router->leadership.leading || !is_newer(router, page->term, page->number, router->view_tables) ||
-        !take_page(&router->tables_pages, page->term, page->number, page->page, page->pages, &begun)) {
-        return;
-    }
-    routes = calloc(page->n_ranges + 1, sizeof(*routes));
     if (routes == NULL) {
         abort();
     }
-    for (index = 0; index < page->n_ranges; index++) {
-        const Cwp__TableRange *range = page->ranges[index];
+    for (index = 0; index < table->count; index++) {
+        const cw_received_range_t *range = &table->ranges[index];
 
         set_route(&routes[index], range->low, range->last, id_of_hash(router, range->server), range->fence,
                   range->routable);
     }
-    cw_engine_set_table(router->engine, page->service, routes, page->n_ranges, page->number);
+    cw_engine_set_table(router->engine, table->service, routes, table->count, number);
     free(routes);
-    if (router->tables_pages.have == page->pages) {
-        cw_event_t event;
+}
 
-        begin_term(router, page->term);
-        router->view_tables = page->number;
-        router->all_due = true;
-        if (cw_event_begin(&event, CW_EVENT_VIEW_TAKEN)) {
-            cw_event_number(&event, CW_FIELD_TERM, (int64_t)page->term);
-            cw_event_number(&event, CW_FIELD_VIEW, (int64_t)page->number);
-            cw_event_end(&event);
-        }
+static void use_received_tables(cw_router_t *router, uint64_t term, uint64_t number)
+{
+    cw_event_t event;
+    size_t     index;
+
+    cw_received_tables_seal(&router->tables_partial);
+    for (index = 0; index < router->tables_partial.count; index++) {
+        use_table(router, &router->tables_partial.items[index], number);
+    }
+    cw_received_tables_clear(&router->tables_partial);
+    begin_term(router, term);
+    router->view_tables = number;
+    router->all_due = true;
+    if (cw_event_begin(&event, CW_EVENT_VIEW_TAKEN)) {
+        cw_event_number(&event, CW_FIELD_TERM, (int64_t)term);
+        cw_event_number(&event, CW_FIELD_VIEW, (int64_t)number);
+        cw_event_end(&event);
+    }
+}
+
+void cw_router_take_table_page(cw_router_t *router, const Cwp__TablePage *page)
+{
+    bool begun;
+
+    if (router->leadership.leading || !is_newer(router, page->term, page->number, router->view_tables) ||
+        !take_page(&router->tables_pages, page->term, page->number, page->page, page->pages, &begun)) {
+        return;
+    }
+    if (begun) {
+        cw_received_tables_clear(&router->tables_partial);
+    }
+    cw_received_tables_add(&router->tables_partial, page);
+    if (router->tables_pages.have == page->pages) {
+        use_received_tables(router, page->term, page->number);
     }
 }
 
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -7,6 +7,7 @@
 #include "balance/server_pool.h"
 #include "loop_fixture.h"
 #include "retry/shared_budget.h"
+#include "router/table_pages.h"
 
 static const cw_budget_settings_t budget_settings = {
     .ratio = 0.2, .extra = 56, .window = CW_SECONDS(10), .share = 0.75};
@@ -208,6 +209,61 @@
 }
 END_TEST
 
+enum { MANY_RANGES = 1000, WIDTH = 65 };
+
+/* A table of so many ranges, side by side. */
+static void fill_ranges(cw_range_list_t *list, size_t count)
+{
+    size_t index;
+
+    memset(list, 0, sizeof(*list));
+    for (index = 0; index < count; index++) {
+        cw_range_t *range = cw_range_list_add(list);
+
+        range->low = (uint32_t)index * WIDTH;
+        range->last = index + 1 == count ? CW_KEY_LAST : range->low + WIDTH - 1;
+        range->phase = CW_RANGE_HELD;
+        range->owner.fence = index;
+    }
+}
+
+START_TEST(a_table_of_many_ranges_arrives_whole_in_any_order_of_pages)
+{
+    static cw_table_page_room_t room;
+    cw_range_list_t             list;
+    cw_received_tables_t        received = {0};
+    Cwp__TablePage              page = CWP__TABLE_PAGE__INIT;
+    uint32_t                    part;
+    size_t                      index;
+
+    fill_ranges(&list, MANY_RANGES);
+    page.service = (char *)"docks";
+    for (part = cw_table_pages_of(list.count); part > 0; part--) {
+        cw_table_page_fill(&page, &room, &list, part - 1);
+        cw_received_tables_add(&received, &page);
+    }
+    cw_received_tables_seal(&received);
+    ck_assert_uint_eq(received.count, 1);
+    ck_assert_uint_eq(received.items[0].count, MANY_RANGES);
+    for (index = 0; index < MANY_RANGES; index++) {
+        ck_assert_uint_eq(received.items[0].ranges[index].low, list.items[index].low);
+        ck_assert_uint_eq(received.items[0].ranges[index].last, list.items[index].last);
+        ck_assert_uint_eq(received.items[0].ranges[index].fence, index);
+        ck_assert(received.items[0].ranges[index].routable);
+    }
+    cw_received_tables_clear(&received);
+    cw_range_list_clear(&list);
+}
+END_TEST
+
+START_TEST(an_empty_table_takes_one_page)
+{
+    ck_assert_uint_eq(cw_table_pages_of(0), 1);
+    ck_assert_uint_eq(cw_table_pages_of(CW_TABLE_PAGE_RANGES), 1);
+    ck_assert_uint_eq(cw_table_pages_of(CW_TABLE_PAGE_RANGES + 1), 2);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("sharing");
@@ -222,6 +278,8 @@
     tcase_add_test(cases, a_server_whose_address_has_another_life_is_not_chosen);
     tcase_add_test(cases, a_slow_server_is_passed_over_and_others_learn_it);
     tcase_add_test(cases, a_server_that_is_gone_from_the_list_goes_with_its_last_request);
+    tcase_add_test(cases, a_table_of_many_ranges_arrives_whole_in_any_order_of_pages);
+    tcase_add_test(cases, an_empty_table_takes_one_page);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
