peer, balance: find nodes by address, forget paces of servers that are gone

Reading for the same, the paces that other nodes tell of servers were kept for each server that ever lived, so memory grew with every restart of a server, at each node times each node. Change: nodes are found by a hash of the address; a new list of servers forgets paces of servers that it does not know. Test: what_was_told_of_servers_that_are_gone_is_forgotten, failing before (2 kept instead of 0). Conclusion: unit tests pass.

--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -130,6 +130,45 @@
     }
 }
 
+static cw_server_t *by_hash(cw_server_pool_t *pool, uint32_t hash)
+{
+    cw_server_t *server;
+
+    HASH_FIND(by_hash, pool->by_hash, &hash, sizeof(hash), server);
+    return server;
+}
+
+/* Servers come and go for as long as the process runs: what was told of those that are gone goes too. */
+static void forget_paces(cw_server_pool_t *pool)
+{
+    peer_report_t *peer;
+    peer_report_t *next;
+    size_t         index;
+
+    HASH_ITER(hh, pool->peers, peer, next)
+    {
+        size_t kept = 0;
+
+        for (index = 0; index < peer->pace_count; index++) {
+            if (by_hash(pool, peer->paces[index].hash) != NULL) {
+                peer->paces[kept++] = peer->paces[index];
+            }
+        }
+        peer->pace_count = kept;
+    }
+}
+
+size_t cw_server_pool_paces(const cw_server_pool_t *pool)
+{
+    const peer_report_t *peer;
+    size_t               count = 0;
+
+    for (peer = pool->peers; peer != NULL; peer = peer->hh.next) {
+        count += peer->pace_count;
+    }
+    return count;
+}
+
 void cw_server_pool_update(cw_server_pool_t *pool, const cw_server_list_t *list, cw_time_us_t now)
 {
     cw_server_t *server;
@@ -158,6 +197,7 @@
             drop(pool, server);
         }
     }
+    forget_paces(pool);
 }
 
 /* ---- this node's requests ---- */
@@ -214,14 +254,6 @@
 
 /* ---- other nodes' reports ---- */
 
-static cw_server_t *by_hash(cw_server_pool_t *pool, uint32_t hash)
-{
-    cw_server_t *server;
-
-    HASH_FIND(by_hash, pool->by_hash, &hash, sizeof(hash), server);
-    return server;
-}
-
 static void take_back(cw_server_pool_t *pool, const peer_report_t *peer)
 {
     size_t index;
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -85,6 +85,8 @@
 /** Learns from what the answers came to since this node last told. */
 void cw_server_pool_learn(cw_server_pool_t *pool, uint64_t node, const cw_server_pace_t *paces, size_t count,
                           cw_time_us_t now);
+/** Paces of servers kept, for all nodes that told them. */
+size_t cw_server_pool_paces(const cw_server_pool_t *pool);
 /** Forgets nodes that have been silent for longer than `life`. */
 void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t life, cw_time_us_t now);
 
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -18,7 +18,8 @@
     uint16_t          port;
     cw_peer_handler_t handler;
     cw_peer_t        *peers;
-    uint8_t          *packed; /* room for the longest datagram so far */
+    cw_peer_t        *by_address; /* the same, for look-up: each datagram needs one */
+    uint8_t          *packed;     /* room for the longest datagram so far */
     size_t            packed_capacity;
     char             *received;
     bool              closed;
@@ -86,6 +87,7 @@
     cw_peer_link_t *link = handle->data;
     cw_peer_t      *peer;
 
+    HASH_CLEAR(by_address, link->by_address);
     while ((peer = link->peers) != NULL) {
         link->peers = peer->next;
         free(peer);
@@ -115,11 +117,10 @@
     if (address == link->address || address == 0) {
         return NULL;
     }
-    for (peer = link->peers; peer != NULL; peer = peer->next) {
-        if (peer->address == address) {
-            peer->told_at = now;
-            return peer;
-        }
+    HASH_FIND(by_address, link->by_address, &address, sizeof(address), peer);
+    if (peer != NULL) {
+        peer->told_at = now;
+        return peer;
     }
     peer = calloc(1, sizeof(*peer));
     if (peer == NULL) {
@@ -130,6 +131,7 @@
     inet_ntop(AF_INET, &address, peer->text, sizeof(peer->text));
     peer->next = link->peers;
     link->peers = peer;
+    HASH_ADD(by_address, link->by_address, address, sizeof(peer->address), peer);
     return peer;
 }
 
@@ -185,6 +187,7 @@
 
         if (now - (peer->heard_at > peer->told_at ? peer->heard_at : peer->told_at) > silence) {
             *place = peer->next;
+            HASH_DELETE(by_address, link->by_address, peer);
             free(peer);
         } else {
             place = &peer->next;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -10,6 +10,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <uthash.h>
 #include <uv.h>
 
 #include "base/time.h"
@@ -34,6 +35,7 @@
     cw_time_us_t    servers_sent_at;
     cw_time_us_t    tables_sent_at;
     struct cw_peer *next;
+    UT_hash_handle  by_address;
 } cw_peer_t;
 
 typedef struct cw_peer_handler {
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -192,6 +192,23 @@
 }
 END_TEST
 
+START_TEST(what_was_told_of_servers_that_are_gone_is_forgotten)
+{
+    uint32_t          dropped;
+    cw_server_pool_t *pool = new_pool(&dropped);
+    cw_server_list_t *empty = cw_server_list_create();
+    cw_server_pace_t  pace = {.hash = cw_server_pool_find(pool, "near")->hash, .served = 10, .time = 10000};
+
+    cw_server_pool_learn(pool, 5, &pace, 1, 0);
+    cw_server_pool_learn(pool, 6, &pace, 1, 0);
+    ck_assert_uint_eq(cw_server_pool_paces(pool), 2);
+    cw_server_pool_update(pool, empty, 0);
+    ck_assert_uint_eq(cw_server_pool_paces(pool), 0);
+    cw_server_list_release(empty);
+    cw_server_pool_free(pool);
+}
+END_TEST
+
 START_TEST(a_server_that_is_gone_from_the_list_goes_with_its_last_request)
 {
     uint32_t          dropped;
@@ -277,6 +294,7 @@
     tcase_add_test(cases, a_server_that_cannot_be_reached_is_left_out_for_a_while);
     tcase_add_test(cases, a_server_whose_address_has_another_life_is_not_chosen);
     tcase_add_test(cases, a_slow_server_is_passed_over_and_others_learn_it);
+    tcase_add_test(cases, what_was_told_of_servers_that_are_gone_is_forgotten);
     tcase_add_test(cases, a_server_that_is_gone_from_the_list_goes_with_its_last_request);
     tcase_add_test(cases, a_table_of_many_ranges_arrives_whole_in_any_order_of_pages);
     tcase_add_test(cases, an_empty_table_takes_one_page);
