router: find owners of a told table by hash; lint of the last changes

Cause: each range of a told table hashed the ids of all servers until one matched, ranges x servers hashes for a table; found by reading, while the slopes for docs/CAPACITY.md were written. The analyzer took the new hash of peers for empty where the list beside it is not; it does not follow uthash's macros, as already noted at two other places. Ruled out: a change of what is found: only listed servers are, as before. Figures: none taken before; the step is one look-up for each range now. Test: find_hash in a_server_that_is_gone_from_the_list_goes_with_its_last_ request.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -146,16 +146,13 @@
 
 static double report_bytes(size_t count)
 {
-    Cwp__NodeReport   content = CWP__NODE_REPORT__INIT;
-    Cwp__Datagram     datagram = CWP__DATAGRAM__INIT;
-    Cwp__ServerLoad  *loads = calloc(count, sizeof(*loads));
-    Cwp__ServerLoad **pointers = calloc(count, sizeof(*pointers));
-    size_t            index;
-    double            size;
+    static Cwp__ServerLoad  loads[LARGE];
+    static Cwp__ServerLoad *pointers[LARGE];
+    Cwp__NodeReport         content = CWP__NODE_REPORT__INIT;
+    Cwp__Datagram           datagram = CWP__DATAGRAM__INIT;
+    size_t                  index;
+    double                  size;
 
-    if (loads == NULL || pointers == NULL) {
-        abort();
-    }
     for (index = 0; index < count; index++) {
         cwp__server_load__init(&loads[index]);
         loads[index].server = 0x12345678;
@@ -170,8 +167,6 @@
     datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
     datagram.report = &content;
     size = (double)cwp__datagram__get_packed_size(&datagram);
-    free(loads);
-    free(pointers);
     return size;
 }
 
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -90,6 +90,21 @@
     return server;
 }
 
+static cw_server_t *by_hash(cw_server_pool_t *pool, uint32_t hash)
+{
+    cw_server_t *server;
+
+    HASH_FIND(by_hash, pool->by_hash, &hash, sizeof(hash), server);
+    return server;
+}
+
+const cw_server_t *cw_server_pool_find_hash(cw_server_pool_t *pool, uint32_t hash)
+{
+    const cw_server_t *server = by_hash(pool, hash);
+
+    return server != NULL && server->listed ? server : NULL;
+}
+
 cw_server_t *cw_server_pool_all(cw_server_pool_t *pool)
 {
     return pool->by_id;
@@ -130,14 +145,6 @@
     }
 }
 
-static cw_server_t *by_hash(cw_server_pool_t *pool, uint32_t hash)
-{
-    cw_server_t *server;
-
-    HASH_FIND(by_hash, pool->by_hash, &hash, sizeof(hash), server);
-    return server;
-}
-
 /* Servers come and go for as long as the process runs: what was told of those that are gone goes too. */
 static void forget_paces(cw_server_pool_t *pool)
 {
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -66,6 +66,8 @@
 /** Takes a new list over. */
 void         cw_server_pool_update(cw_server_pool_t *pool, const cw_server_list_t *list, cw_time_us_t now);
 cw_server_t *cw_server_pool_find(cw_server_pool_t *pool, const char *id);
+/** Listed server of this hash; NULL: none. */
+const cw_server_t *cw_server_pool_find_hash(cw_server_pool_t *pool, uint32_t hash);
 /** All servers, by the by_id handle. */
 cw_server_t *cw_server_pool_all(cw_server_pool_t *pool);
 
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -178,6 +178,7 @@
     cw_peer_link_send_packed(link, peer, cw_peer_link_pack(link, datagram));
 }
 
+/* Every peer of the list is in the hash; the analyzer does not follow uthash's macros and takes the hash for empty. */
 void cw_peer_link_expire(cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now)
 {
     cw_peer_t **place = &link->peers;
@@ -187,7 +188,8 @@
 
         if (now - (peer->heard_at > peer->told_at ? peer->heard_at : peer->told_at) > silence) {
             *place = peer->next;
-            HASH_DELETE(by_address, link->by_address, peer);
+            HASH_DELETE(by_address, link->by_address,
+                        peer); /* NOLINT(clang-analyzer-core.NullDereference): see above */
             free(peer);
         } else {
             place = &peer->next;
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -182,14 +182,9 @@
 
 static const char *id_of_hash(const cw_router_t *router, uint32_t hash)
 {
-    size_t index;
+    const cw_server_t *server = cw_server_pool_find_hash(router->pool, hash);
 
-    for (index = 0; router->servers != NULL && index < router->servers->count; index++) {
-        if (cw_router_hash(router->servers->entries[index].id) == hash) {
-            return router->servers->entries[index].id;
-        }
-    }
-    return "";
+    return server == NULL ? "" : server->id;
 }
 
 static void set_route(cw_key_route_t *route, uint32_t low, uint32_t last, const char *server, uint64_t fence,
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -216,8 +216,10 @@
     cw_server_list_t *empty = cw_server_list_create();
     cw_server_t      *near = cw_server_pool_find(pool, "near");
 
+    ck_assert_ptr_eq(cw_server_pool_find_hash(pool, near->hash), near);
     cw_server_pool_begin(near);
     cw_server_pool_update(pool, empty, 0);
+    ck_assert_ptr_null(cw_server_pool_find_hash(pool, near->hash));
     ck_assert_uint_eq(dropped, 2);
     cw_server_pool_end(pool, near);
     ck_assert_uint_eq(dropped, 3);
