--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -188,8 +188,8 @@
 
         if (now - (peer->heard_at > peer->told_at ? peer->heard_at : peer->told_at) > silence) {
             *place = peer->next;
-            HASH_DELETE(by_address, link->by_address,
-                        peer); /* NOLINT(clang-analyzer-core.NullDereference): see above */
+            /* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
+            HASH_DELETE(by_address, link->by_address, peer);
             free(peer);
         } else {
             place = &peer->next;
