assignment: count a former leader's holds from the start of this leader's authority

The leader's process was killed at 7.0 s together with a rack of servers; it took its lock again at 8.08 s, the record was written only at 10.59 s because the store was slow to answer, and the holds of the dead owners were counted from that write: 17.47 s until six ranges were granted anew. Ruled out: grants of the new leader (none left: no connection); a longer outage of the servers. Change: the former leader had lost its authority before this one took the lock, so its longest hold counts from the first tick with authority. Test: a_slow_store_does_not_lengthen_the_holds_that_a_former_leader_gave, failing before (2.02 s longer).

--- a/src/assignment/keeper.c
+++ b/src/assignment/keeper.c
@@ -141,14 +141,15 @@
     }
 }
 
-/* What a former leader did is known only by its record. */
+/* What a former leader did is known only by its record. It sent its last grant before this leader took the lock; how
+ * long the record took to write makes no hold longer. */
 static void commit_adoption(cw_keeper_t *keeper, cw_time_us_t now)
 {
     size_t index;
 
     for (index = 0; index < keeper->plan.ranges.count; index++) {
         cw_range_t  *range = &keeper->plan.ranges.items[index];
-        cw_time_us_t until = cw_keeper_hold_end(now, keeper->settings.hold_long);
+        cw_time_us_t until = cw_keeper_hold_end(keeper->led_since, keeper->settings.hold_long);
 
         range->next_order = now;
         range->hold_until = until;
@@ -340,6 +341,9 @@
     if (!able || keeper->state == CW_KEEPER_DEPOSED) {
         return;
     }
+    if (keeper->led_since == 0) {
+        keeper->led_since = now;
+    }
     call_store(keeper, now);
     if (keeper->state == CW_KEEPER_READY) {
         cw_keeper_send_orders(keeper, servers, long_hold, now);
--- a/src/assignment/keeper_internal.h
+++ b/src/assignment/keeper_internal.h
@@ -31,7 +31,8 @@
     cw_time_us_t           stale_since; /**< a move ended that the record still shows as under way; 0: none */
     cw_time_us_t           retry_at;
     cw_time_us_t           now;
-    cw_order_t            *orders; /**< under way */
+    cw_time_us_t           led_since; /**< first tick with authority: former leaders had lost theirs; 0: none yet */
+    cw_order_t            *orders;    /**< under way */
     size_t                 order_count;
     size_t                 order_capacity;
     uint64_t               last_order;
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -171,6 +171,32 @@
 }
 END_TEST
 
+START_TEST(a_slow_store_does_not_lengthen_the_holds_that_a_former_leader_gave)
+{
+    keeper_world_t world;
+    cw_time_us_t   led_since;
+    size_t         sent;
+
+    keeper_world_init(&world, 1);
+    keeper_world_servers(&world, two);
+    keeper_world_settle(&world);
+    sent = world.order_count;
+    keeper_world_take_over(&world, 2);
+    world.hold_answers = true;
+    keeper_world_tick(&world, CW_MS(20));
+    led_since = world.now;
+    keeper_world_answer_store(&world); /* the read */
+    keeper_world_tick(&world, CW_MS(20));
+    keeper_world_tick(&world, CW_MS(2000)); /* the store takes its time over the write */
+    keeper_world_answer_store(&world);
+    keeper_world_tick(&world, CW_MS(20));
+    ck_assert_uint_eq(keeper_world_count(&world, CW_ORDER_GRANT, sent), 2);
+    keeper_world_answer(&world, CW_ORDER_NOT_SENT, "");
+    ck_assert_int_lt(keeper_world_range(&world, 50)->hold_until, led_since + CW_MS(8000) + CW_MS(1000));
+    keeper_world_clear(&world);
+}
+END_TEST
+
 START_TEST(a_late_write_of_the_former_leader_is_read_and_adopted_again)
 {
     keeper_world_t world;
@@ -448,6 +474,7 @@
     tcase_add_test(cases, an_order_that_reached_another_life_proves_the_end);
     tcase_add_test(cases, a_missing_entry_proves_nothing);
     tcase_add_test(cases, a_new_leader_writes_the_record_before_it_renews);
+    tcase_add_test(cases, a_slow_store_does_not_lengthen_the_holds_that_a_former_leader_gave);
     tcase_add_test(cases, a_late_write_of_the_former_leader_is_read_and_adopted_again);
     tcase_add_test(cases, a_keeper_whose_record_a_later_leader_wrote_is_deposed);
     tcase_add_test(cases, a_write_without_an_answer_is_settled_by_reading);
