--- a/src/model/tenant.h
+++ b/src/model/tenant.h
@@ -2,7 +2,7 @@
  * @file tenant.h
  * @brief Tenants: whose routes and services are whose, and what their callers may do.
  *
- * A tenant owns the routes and services whose names begin with its own and a slash ("liffeyspoke/maps"). Names without
+ * A tenant owns the routes and services whose names begin with its own and a slash ("harbour/maps"). Names without
  * a slash belong to no tenant: their routes are open.
  */
 #ifndef CEDARWINCH_MODEL_TENANT_H
