assignment: one rule for when requests may go to a range's owner

Cause: the same condition stood in the told tables, a leader's own tables and the simulator; found on reading the whole change again. Ruled out: a change of behaviour; the expression is the same. Change: cw_range_is_routable in range.c, used in all three.

--- a/sim/lease_nodes.c
+++ b/sim/lease_nodes.c
@@ -229,8 +229,7 @@
         if (by_record) {
             table->routable[cell] = range != NULL && range->former.id[0] == '\0';
         } else {
-            table->routable[cell] = range != NULL && (range->phase == CW_RANGE_HELD ||
-                                                      (range->phase == CW_RANGE_GRANTING && range->keeps_serving));
+            table->routable[cell] = range != NULL && cw_range_is_routable(range);
         }
     }
 }
--- a/src/assignment/range.c
+++ b/src/assignment/range.c
@@ -71,6 +71,11 @@
     return true;
 }
 
+bool cw_range_is_routable(const cw_range_t *range)
+{
+    return range->phase == CW_RANGE_HELD || (range->phase == CW_RANGE_GRANTING && range->keeps_serving);
+}
+
 bool cw_range_list_is_whole(const cw_range_list_t *list)
 {
     uint32_t next = 0;
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -276,7 +276,7 @@
             const cw_range_t *range = &ranges->items[position];
 
             set_route(&routes[position], range->low, range->last, range->owner.id, range->owner.fence,
-                      range->phase == CW_RANGE_HELD || (range->phase == CW_RANGE_GRANTING && range->keeps_serving));
+                      cw_range_is_routable(range));
         }
         if (ranges->count > 0) {
             cw_engine_set_table(router->engine, cw_keeper_service(router->keyed[index].keeper), routes, ranges->count,
--- a/src/router/table_pages.c
+++ b/src/router/table_pages.c
@@ -30,7 +30,7 @@
         entry->last = range->last;
         entry->server = cw_router_hash(range->owner.id);
         entry->fence = range->owner.fence;
-        entry->routable = range->phase == CW_RANGE_HELD || (range->phase == CW_RANGE_GRANTING && range->keeps_serving);
+        entry->routable = cw_range_is_routable(range);
         room->pointers[page->n_ranges++] = entry;
     }
 }
