server list: entries that lapse during an outage are not taken for servers that left

All nodes dropped 33 servers, and the new leader moved 21 of 24 ranges to the one keyed server left. Ruled out: a fault in paging (the reading was whole), a leader's page lost on the way (each node read it so). Change: a reading that follows an outage (nobody read the list for 1.5 s), or lacks more than half of the servers, keeps those missing for a heartbeat and 0.7 s, unless they were leaving or another life stands at their address. A leader that has just started has no earlier list; it moves nothing while more than 40 % of the owners are missing, for as long. `server_heartbeat_ms` is a setting; the decision is logged as `servers kept`. Tests: test_server_absence (4 cases), owners_missing_in_a_doubtful_list_keep_their_keys; both have no counterpart before.

--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -25,6 +25,7 @@
     X(CONFIGURATION_ACCEPTED, "configuration accepted", NOTICE, 20)                                                    \
     X(CONFIGURATION_REFUSED, "configuration refused", ERROR, 20)                                                       \
     X(SERVERS_CHANGED, "servers changed", NOTICE, 20)                                                                  \
+    X(SERVERS_KEPT, "servers kept", WARNING, 20)                                                                       \
     X(VIEW_TAKEN, "view taken", INFO, 20)                                                                              \
     X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
     X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -38,6 +38,7 @@
     cw_time_us_t     hold;      /**< of grants on a calm day */
     cw_time_us_t     hold_long; /**< while the store cannot be reached */
     cw_time_us_t     drain;     /**< a leaving server gets no request later than this */
+    cw_time_us_t     heartbeat; /**< servers write their entries of the list this often */
     cw_time_us_t     stop_grace;
     cw_time_us_t     retry_window;
     double           retry_ratio;
--- /dev/null
+++ b/src/model/server_absence.h
@@ -0,0 +1,37 @@
+/**
+ * @file server_absence.h
+ * @brief Which servers that are missing in a reading of the list are taken for gone.
+ *
+ * Rules:
+ *  - A missing entry is taken for the server's leaving: some leave without a word, and requests to them have to end.
+ *  - Except where servers could not keep their entries: the reading follows an outage (nobody could read the list for a
+ *    while), or more than half of the servers are missing in it at once. Such servers are kept, as they were last
+ *    known, until they have had time to sign in again. A server that cannot reach the store goes on serving.
+ *  - A server at whose address another one has signed in has ended; one that was leaving anyway is not kept.
+ */
+#ifndef CEDARWINCH_MODEL_SERVER_ABSENCE_H
+#define CEDARWINCH_MODEL_SERVER_ABSENCE_H
+
+#include "model/server_list.h"
+
+/** All zeros: nothing is kept. */
+typedef struct cw_server_absence {
+    cw_time_us_t kept_until; /**< missing servers are kept until then */
+} cw_server_absence_t;
+
+typedef struct cw_absence_settings {
+    cw_time_us_t outage; /**< a list that nobody could read for so long follows an outage */
+    cw_time_us_t grace;  /**< time for servers to sign in again */
+} cw_absence_settings_t;
+
+/** Settings for servers that write their entries this often. */
+cw_absence_settings_t cw_absence_settings_of(cw_time_us_t heartbeat);
+/**
+ * Adds to a reading the servers of `known` that are missing in it and kept; the reading is not sealed afterwards if
+ * any were added. known: NULL is allowed. known_at: when the known list was surely true. Returns how many were added.
+ */
+size_t cw_server_absence_fill(cw_server_absence_t *absence, const cw_absence_settings_t *settings,
+                              cw_server_list_t *reading, const cw_server_list_t *known, cw_time_us_t known_at,
+                              cw_time_us_t now);
+
+#endif
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -32,6 +32,7 @@
     cw_key_load_t               *loads;
     size_t                       load_count;
     double                       per_s; /**< of all keys */
+    bool                         doubts_list;
     cw_time_us_t                 now;
     size_t                       changes;
 } planner_t;
@@ -191,7 +192,10 @@
     if (range->phase == CW_RANGE_RELEASING && range->hold_until > planner->now) {
         return false; /* both its owner and the former holder may hold it: the move under way comes first */
     }
-    if (server == NULL || server->entry->draining) {
+    if (server != NULL && server->entry->draining) {
+        return true;
+    }
+    if (server == NULL && !planner->doubts_list) {
         return true;
     }
     return range->phase != CW_RANGE_RELEASING && range->failing_since != 0 &&
@@ -325,6 +329,7 @@
     size_t                 index;
     int                    at_low_end;
 
+    memset(best, 0, sizeof(*best));
     for (index = 0; index < ranges->count; index++) {
         const cw_range_t *range = &ranges->items[index];
 
@@ -430,23 +435,39 @@
     }
 }
 
-size_t cw_planner_run(cw_keeper_t *keeper, const cw_planner_settings_t *settings, cw_planner_server_t *servers,
-                      size_t server_count, const cw_server_list_t *list, const cw_load_window_t *window,
-                      cw_time_us_t now)
+double cw_planner_missing_share(const cw_keeper_t *keeper, const cw_server_list_t *list)
+{
+    const cw_range_list_t *ranges = cw_keeper_ranges(keeper);
+    size_t                 missing = 0;
+    size_t                 index;
+
+    for (index = 0; index < ranges->count; index++) {
+        const cw_holder_t *owner = &ranges->items[index].owner;
+
+        if (cw_server_list_find(list, owner->id) == NULL &&
+            cw_server_list_successor(list, owner->id, owner->address) == NULL) {
+            missing++;
+        }
+    }
+    return ranges->count == 0 ? 0 : (double)missing / (double)ranges->count;
+}
+
+size_t cw_planner_run(const cw_planner_input_t *input)
 {
-    planner_t planner = {.keeper = keeper,
-                         .settings = settings,
-                         .servers = servers,
-                         .server_count = server_count,
-                         .list = list,
-                         .now = now};
-
-    if (cw_keeper_state(keeper) != CW_KEEPER_READY || !cw_keeper_may_plan(keeper)) {
+    planner_t planner = {.keeper = input->keeper,
+                         .settings = input->settings,
+                         .servers = input->servers,
+                         .server_count = input->server_count,
+                         .list = input->list,
+                         .doubts_list = input->doubts_list,
+                         .now = input->now};
+
+    if (cw_keeper_state(planner.keeper) != CW_KEEPER_READY || !cw_keeper_may_plan(planner.keeper)) {
         return 0;
     }
-    planner.load_count = cw_load_window_read(window, now, &planner.loads);
+    planner.load_count = cw_load_window_read(input->window, planner.now, &planner.loads);
     planner.per_s = load_between(&planner, 0, CW_KEY_LAST);
-    cw_range_list_copy(&planner.ranges, cw_keeper_ranges(keeper));
+    cw_range_list_copy(&planner.ranges, cw_keeper_ranges(planner.keeper));
     measure_servers(&planner);
     plan_forced(&planner);
     if (planner.changes == 0 && planner.per_s < idle_per_s) {
@@ -457,10 +478,10 @@
     if (planner.changes == 0) {
         plan_joins(&planner);
     }
-    if (planner.changes == 0 && cw_keeper_is_stale(keeper, now)) {
-        cw_keeper_plan_refresh(keeper);
+    if (planner.changes == 0 && cw_keeper_is_stale(planner.keeper, planner.now)) {
+        cw_keeper_plan_refresh(planner.keeper);
     }
-    cw_keeper_plan_write(keeper, now);
+    cw_keeper_plan_write(planner.keeper, planner.now);
     free(planner.loads);
     cw_range_list_clear(&planner.ranges);
     return planner.changes;
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -35,9 +35,21 @@
 /** What the router plans by. */
 extern const cw_planner_settings_t cw_planner_defaults;
 
+/** What a plan is made from. */
+typedef struct cw_planner_input {
+    cw_keeper_t                 *keeper;
+    const cw_planner_settings_t *settings;
+    cw_planner_server_t         *servers; /**< of the service; per_s and keys are filled in */
+    size_t                       server_count;
+    const cw_server_list_t      *list;
+    const cw_load_window_t      *window;
+    bool                         doubts_list; /**< owners that are missing in the list may still be there */
+    cw_time_us_t                 now;
+} cw_planner_input_t;
+
 /** Plans into the keeper and hands the plan in. Returns the number of changes. */
-size_t cw_planner_run(cw_keeper_t *keeper, const cw_planner_settings_t *settings, cw_planner_server_t *servers,
-                      size_t server_count, const cw_server_list_t *list, const cw_load_window_t *window,
-                      cw_time_us_t now);
+size_t cw_planner_run(const cw_planner_input_t *input);
+/** Share of the ranges whose owners are missing in the list, though nothing shows that they ended. */
+double cw_planner_missing_share(const cw_keeper_t *keeper, const cw_server_list_t *list);
 
 #endif
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -8,6 +8,7 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "lease/leadership.h"
+#include "model/server_absence.h"
 #include "peer/peer_link.h"
 #include "placement/planner.h"
 #include "router/router.h"
@@ -28,7 +29,8 @@
     struct cw_router *router;
     cw_load_window_t  window;
     cw_time_us_t      next_plan;
-    cw_time_us_t      first_seen; /**< since when servers of it are known */
+    cw_time_us_t      first_seen;           /**< since when servers of it are known */
+    cw_time_us_t      owners_missing_since; /**< most of its owners are not in the list; 0: no */
 } cw_keyed_service_t;
 
 /** Requests that wait at another node for a service. */
@@ -90,7 +92,8 @@
 
     /* what this node goes by */
     cw_server_list_t    *servers;
-    cw_time_us_t         servers_at;      /**< when the list was surely true */
+    cw_time_us_t         servers_at; /**< when the list was surely true */
+    cw_server_absence_t  absence;
     bool                 reading_servers; /**< this node reads the list itself */
     cw_time_us_t         servers_read_at; /**< sending of that read */
     uint64_t             view_term;
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -19,6 +19,7 @@
     LATE_ORDERS_S = 13,
     STORE_TROUBLE_MS = 700, /* without an answer for so long: grants are made to last */
     SERVERS_MAX = 2048,
+    MISSING_PERCENT = 40, /* more owners than these are not all gone at once */
     STORE_LOST_MS = 500,
     CUT_OFF_MS = 900,
     CUT_OFF_RANGES = 2,
@@ -315,6 +316,19 @@
     }
 }
 
+/* A leader that has just started has no list from before an outage: that many owners are missing tells it of one. */
+static bool doubts_list(const cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
+{
+    if (cw_planner_missing_share(keyed->keeper, router->servers) * 100 <= MISSING_PERCENT) {
+        keyed->owners_missing_since = 0;
+        return false;
+    }
+    if (keyed->owners_missing_since == 0) {
+        keyed->owners_missing_since = now;
+    }
+    return now - keyed->owners_missing_since < cw_absence_settings_of(router->settings.heartbeat).grace;
+}
+
 static void plan(cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
 {
     static cw_planner_server_t servers[SERVERS_MAX];
@@ -331,7 +345,14 @@
         plan_first(keyed, servers, count, now);
         return;
     }
-    changes = cw_planner_run(keyed->keeper, &cw_planner_defaults, servers, count, router->servers, &keyed->window, now);
+    changes = cw_planner_run(&(cw_planner_input_t){.keeper = keyed->keeper,
+                                                   .settings = &cw_planner_defaults,
+                                                   .servers = servers,
+                                                   .server_count = count,
+                                                   .list = router->servers,
+                                                   .window = &keyed->window,
+                                                   .doubts_list = doubts_list(router, keyed, now),
+                                                   .now = now});
     if (changes > 0 && cw_event_begin(&event, CW_EVENT_PLAN_WRITTEN)) {
         cw_event_text(&event, CW_FIELD_SERVICE, cw_keeper_service(keyed->keeper));
         cw_event_number(&event, CW_FIELD_CHANGED, (int64_t)changes);
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -75,6 +75,26 @@
     cw_engine_wake(router->engine);
 }
 
+/* Servers that could not sign in during an outage are not taken for gone. */
+static void keep_missing(cw_router_t *router, cw_server_list_t *list)
+{
+    cw_absence_settings_t settings = cw_absence_settings_of(router->settings.heartbeat);
+    cw_time_us_t          now = cw_router_now(router);
+    size_t kept = cw_server_absence_fill(&router->absence, &settings, list, router->servers, router->servers_at, now);
+    cw_event_t event;
+
+    if (kept == 0) {
+        return;
+    }
+    cw_server_list_seal(list);
+    if (cw_event_begin(&event, CW_EVENT_SERVERS_KEPT)) {
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)kept);
+        cw_event_ms(&event, CW_FIELD_VIEW_AGE_MS, now - router->servers_at);
+        cw_event_ms(&event, CW_FIELD_LEFT_MS, router->absence.kept_until - now);
+        cw_event_end(&event);
+    }
+}
+
 void cw_router_on_servers(void *context, cw_server_list_t *list)
 {
     cw_router_t *router = context;
@@ -82,6 +102,7 @@
     router->reading_servers = false;
     cw_router_store_result(router, list != NULL, cw_router_now(router));
     if (list != NULL) {
+        keep_missing(router, list);
         cw_router_take_servers(router, list, router->servers_read_at);
     }
 }
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -61,10 +61,21 @@
     }
 }
 
+static size_t plan_by_list(planner_world_t *world, bool doubts_list)
+{
+    return cw_planner_run(&(cw_planner_input_t){.keeper = world->keeper.keeper,
+                                                .settings = &cw_planner_defaults,
+                                                .servers = world->servers,
+                                                .server_count = world->server_count,
+                                                .list = world->keeper.servers,
+                                                .window = &world->window,
+                                                .doubts_list = doubts_list,
+                                                .now = world->keeper.now});
+}
+
 static size_t plan(planner_world_t *world)
 {
-    return cw_planner_run(world->keeper.keeper, &cw_planner_defaults, world->servers, world->server_count,
-                          world->keeper.servers, &world->window, world->keeper.now);
+    return plan_by_list(world, false);
 }
 
 /* Plans and carries the moves out, some rounds. */
@@ -227,6 +238,21 @@
 }
 END_TEST
 
+START_TEST(owners_missing_in_a_doubtful_list_keep_their_keys)
+{
+    static const char *const only_d[] = {"i-d@10.0.0.4:80", NULL};
+    planner_world_t          world;
+
+    init(&world, four);
+    keeper_world_servers(&world.keeper, only_d);
+    refresh_servers(&world);
+    ck_assert_double_eq(cw_planner_missing_share(world.keeper.keeper, world.keeper.servers), 0.75);
+    ck_assert_uint_eq(plan_by_list(&world, true), 0);
+    ck_assert_uint_eq(plan_by_list(&world, false), 3);
+    clear(&world);
+}
+END_TEST
+
 START_TEST(when_most_owners_cannot_be_reached_nothing_is_taken_away)
 {
     planner_world_t world;
@@ -310,6 +336,7 @@
     tcase_add_test(cases, a_server_with_all_keys_in_many_ranges_is_relieved);
     tcase_add_test(cases, a_draining_server_is_emptied);
     tcase_add_test(cases, a_server_that_no_order_reaches_loses_its_keys);
+    tcase_add_test(cases, owners_missing_in_a_doubtful_list_keep_their_keys);
     tcase_add_test(cases, when_most_owners_cannot_be_reached_nothing_is_taken_away);
     tcase_add_test(cases, servers_that_come_before_any_load_get_their_part);
     tcase_add_test(cases, a_move_under_way_is_finished_before_the_next);
--- /dev/null
+++ b/tests/test_server_absence.c
@@ -0,0 +1,102 @@
+/**
+ * @file test_server_absence.c
+ * @brief Which servers that are missing in a reading of the list are taken for gone.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "model/server_absence.h"
+
+static const cw_absence_settings_t settings = {.outage = CW_MS(1500), .grace = CW_MS(2000)};
+
+/* Servers named by letters, each at an address of its own; a capital one is leaving, a digit stands at b's address. */
+static cw_server_list_t *list_of(const char *names)
+{
+    cw_server_list_t *list = cw_server_list_create();
+
+    for (; *names != '\0'; names++) {
+        cw_server_entry_t *entry = cw_server_list_add(list);
+        bool               leaving = *names >= 'A' && *names <= 'Z';
+        char               letter = (char)(leaving ? *names - 'A' + 'a' : *names);
+        char               address[32];
+        char               id[4] = {letter, '\0'};
+
+        snprintf(address, sizeof(address), "10.0.0.%d:80", letter >= '0' && letter <= '9' ? 'b' : letter);
+        entry->id = strdup(id);
+        entry->service = strdup("docks");
+        entry->address = strdup(address);
+        entry->zone = strdup("z1");
+        entry->draining = leaving;
+    }
+    cw_server_list_seal(list);
+    return list;
+}
+
+/* Servers of the reading after what is kept was added. */
+static size_t count_after(cw_server_absence_t *absence, const char *known_names, cw_time_us_t age, const char *names,
+                          cw_time_us_t now)
+{
+    cw_server_list_t *known = list_of(known_names);
+    cw_server_list_t *reading = list_of(names);
+    size_t            count;
+
+    (void)cw_server_absence_fill(absence, &settings, reading, known, now - age, now);
+    count = reading->count;
+    cw_server_list_release(known);
+    cw_server_list_release(reading);
+    return count;
+}
+
+START_TEST(a_server_missing_on_a_calm_day_is_gone)
+{
+    cw_server_absence_t absence = {0};
+
+    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "acd", CW_SECONDS(60)), 3);
+}
+END_TEST
+
+START_TEST(after_an_outage_missing_servers_are_kept_for_the_grace)
+{
+    cw_server_absence_t absence = {0};
+    cw_time_us_t        now = CW_SECONDS(60);
+
+    ck_assert_uint_eq(count_after(&absence, "abcd", CW_SECONDS(5), "a", now), 4);
+    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "ab", now + CW_MS(500)), 4);
+    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "abc", now + CW_MS(1900)), 4);
+    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "abc", now + CW_MS(2100)), 3);
+}
+END_TEST
+
+START_TEST(most_servers_missing_at_once_are_kept_and_then_believed)
+{
+    cw_server_absence_t absence = {0};
+    cw_time_us_t        now = CW_SECONDS(60);
+
+    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "a", now), 4);
+    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "a", now + CW_MS(2100)), 1);
+    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "a", now + CW_SECONDS(20)), 4);
+}
+END_TEST
+
+START_TEST(neither_leaving_nor_replaced_servers_are_kept)
+{
+    cw_server_absence_t absence = {0};
+
+    ck_assert_uint_eq(count_after(&absence, "aBcd", CW_SECONDS(5), "acd", CW_SECONDS(60)), 3);
+    ck_assert_uint_eq(count_after(&absence, "abcd", CW_SECONDS(5), "ac1", CW_SECONDS(80)), 4); /* d is kept, b is not */
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("server_absence");
+    TCase *cases = tcase_create("server_absence");
+
+    tcase_add_test(cases, a_server_missing_on_a_calm_day_is_gone);
+    tcase_add_test(cases, after_an_outage_missing_servers_are_kept_for_the_grace);
+    tcase_add_test(cases, most_servers_missing_at_once_are_kept_and_then_believed);
+    tcase_add_test(cases, neither_leaving_nor_replaced_servers_are_kept);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
