--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -130,7 +130,7 @@
     }
     cw_server_pool_update(pool, list, 0);
     for (index = 0; index < count; index++) {
-        reports[index].hash = cw_router_hash(list->entries[index].id);
+        reports[index].hash = cw_short_name(list->entries[index].id);
         paces[index].hash = reports[index].hash;
     }
     before = memory();
@@ -202,18 +202,21 @@
 static double table_bytes(size_t count)
 {
     static cw_table_page_room_t room;
+    cw_key_tables_t             tables = {0};
     cw_range_list_t             ranges;
     double                      size = 0;
     uint32_t                    part;
 
     make_ranges(&ranges, count);
+    (void)cw_key_tables_update(&tables, "docks", &ranges, 1);
     for (part = 0; part < cw_table_pages_of(count); part++) {
         Cwp__TablePage page = CWP__TABLE_PAGE__INIT;
 
         page.service = (char *)"docks";
-        cw_table_page_fill(&page, &room, &ranges, part);
+        cw_table_page_fill(&page, &room, tables.items[0].entries, tables.items[0].count, part);
         size += (double)cwp__table_page__get_packed_size(&page);
     }
+    cw_key_tables_clear(&tables);
     cw_range_list_clear(&ranges);
     return size;
 }
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &cwp__view_server__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__view_ack__init
+                     (Cwp__ViewAck         *message)
+{
+  static const Cwp__ViewAck init_value = CWP__VIEW_ACK__INIT;
+  *message = init_value;
+}
+size_t cwp__view_ack__get_packed_size
+                     (const Cwp__ViewAck *message)
+{
+  assert(message->base.descriptor == &cwp__view_ack__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__view_ack__pack
+                     (const Cwp__ViewAck *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__view_ack__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__view_ack__pack_to_buffer
+                     (const Cwp__ViewAck *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__view_ack__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ViewAck *
+       cwp__view_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ViewAck *)
+     protobuf_c_message_unpack (&cwp__view_ack__descriptor,
+                                allocator, len, data);
+}
+void   cwp__view_ack__free_unpacked
+                     (Cwp__ViewAck *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__view_ack__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__servers_page__init
                      (Cwp__ServersPage         *message)
 {
@@ -745,7 +790,7 @@
   (ProtobufCMessageInit) cwp__key_samples__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__leader_word__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cwp__leader_word__field_descriptors[8] =
 {
   {
     "term",
@@ -819,19 +864,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers_hash",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__LeaderWord, servers_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_hash",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__LeaderWord, tables_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__leader_word__field_indices_by_name[] = {
   2,   /* field[2] = able */
   3,   /* field[3] = list_age_ms */
   1,   /* field[1] = revision */
   4,   /* field[4] = servers */
+  6,   /* field[6] = servers_hash */
   5,   /* field[5] = tables */
+  7,   /* field[7] = tables_hash */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange cwp__leader_word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cwp__leader_word__descriptor =
 {
@@ -841,7 +912,7 @@
   "Cwp__LeaderWord",
   "cwp",
   sizeof(Cwp__LeaderWord),
-  6,
+  8,
   cwp__leader_word__field_descriptors,
   cwp__leader_word__field_indices_by_name,
   1,  cwp__leader_word__number_ranges,
@@ -1171,7 +1242,84 @@
   (ProtobufCMessageInit) cwp__view_server__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cwp__view_ack__field_descriptors[4] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ViewAck, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ViewAck, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ViewAck, servers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ViewAck, tables),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__view_ack__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
+  2,   /* field[2] = servers */
+  3,   /* field[3] = tables */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange cwp__view_ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cwp__view_ack__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ViewAck",
+  "ViewAck",
+  "Cwp__ViewAck",
+  "cwp",
+  sizeof(Cwp__ViewAck),
+  4,
+  cwp__view_ack__field_descriptors,
+  cwp__view_ack__field_indices_by_name,
+  1,  cwp__view_ack__number_ranges,
+  (ProtobufCMessageInit) cwp__view_ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[8] =
 {
   {
     "term",
@@ -1245,19 +1393,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "since",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ServersPage, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cwp__ServersPage, n_removed),
+    offsetof(Cwp__ServersPage, removed),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__servers_page__field_indices_by_name[] = {
   4,   /* field[4] = nodes */
   1,   /* field[1] = number */
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
+  7,   /* field[7] = removed */
   5,   /* field[5] = servers */
+  6,   /* field[6] = since */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange cwp__servers_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cwp__servers_page__descriptor =
 {
@@ -1267,7 +1441,7 @@
   "Cwp__ServersPage",
   "cwp",
   sizeof(Cwp__ServersPage),
-  6,
+  8,
   cwp__servers_page__field_descriptors,
   cwp__servers_page__field_indices_by_name,
   1,  cwp__servers_page__number_ranges,
@@ -1364,7 +1538,7 @@
   (ProtobufCMessageInit) cwp__table_range__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__table_page__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cwp__table_page__field_descriptors[7] =
 {
   {
     "term",
@@ -1438,6 +1612,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "since",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__TablePage, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__table_page__field_indices_by_name[] = {
   1,   /* field[1] = number */
@@ -1445,12 +1631,13 @@
   3,   /* field[3] = pages */
   5,   /* field[5] = ranges */
   4,   /* field[4] = service */
+  6,   /* field[6] = since */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange cwp__table_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cwp__table_page__descriptor =
 {
@@ -1460,14 +1647,14 @@
   "Cwp__TablePage",
   "cwp",
   sizeof(Cwp__TablePage),
-  6,
+  7,
   cwp__table_page__field_descriptors,
   cwp__table_page__field_indices_by_name,
   1,  cwp__table_page__number_ranges,
   (ProtobufCMessageInit) cwp__table_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[4] =
 {
   {
     "report",
@@ -1505,8 +1692,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ack",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, ack),
+    &cwp__view_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__datagram__field_indices_by_name[] = {
+  3,   /* field[3] = ack */
   0,   /* field[0] = report */
   1,   /* field[1] = servers */
   2,   /* field[2] = table */
@@ -1514,7 +1714,7 @@
 static const ProtobufCIntRange cwp__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cwp__datagram__descriptor =
 {
@@ -1524,7 +1724,7 @@
   "Cwp__Datagram",
   "cwp",
   sizeof(Cwp__Datagram),
-  3,
+  4,
   cwp__datagram__field_descriptors,
   cwp__datagram__field_indices_by_name,
   1,  cwp__datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Cwp__LeaderWord Cwp__LeaderWord;
 typedef struct Cwp__NodeReport Cwp__NodeReport;
 typedef struct Cwp__ViewServer Cwp__ViewServer;
+typedef struct Cwp__ViewAck Cwp__ViewAck;
 typedef struct Cwp__ServersPage Cwp__ServersPage;
 typedef struct Cwp__TableRange Cwp__TableRange;
 typedef struct Cwp__TablePage Cwp__TablePage;
@@ -126,10 +127,15 @@
    * number of its newest tables
    */
   uint64_t tables;
+  /*
+   * of that list; a node whose own is the same has it already
+   */
+  uint64_t servers_hash;
+  uint64_t tables_hash;
 };
 #define CWP__LEADER_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__leader_word__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cwp__NodeReport
@@ -190,6 +196,25 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * To the leader, at once: what has come.
+ */
+struct  Cwp__ViewAck
+{
+  ProtobufCMessage base;
+  uint64_t incarnation;
+  uint64_t term;
+  uint64_t servers;
+  uint64_t tables;
+};
+#define CWP__VIEW_ACK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__view_ack__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * A page of the list. since 0: of the whole list; else only what changed after the list of that number.
+ */
 struct  Cwp__ServersPage
 {
   ProtobufCMessage base;
@@ -204,10 +229,16 @@
   uint32_t *nodes;
   size_t n_servers;
   Cwp__ViewServer **servers;
+  uint64_t since;
+  /*
+   * ids; only with a base, in page 0
+   */
+  size_t n_removed;
+  char **removed;
 };
 #define CWP__SERVERS_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__servers_page__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  Cwp__TableRange
@@ -230,6 +261,9 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * A page of the tables. since 0: of whole tables; else only ranges that changed after the tables of that number.
+ */
 struct  Cwp__TablePage
 {
   ProtobufCMessage base;
@@ -240,17 +274,19 @@
   char *service;
   size_t n_ranges;
   Cwp__TableRange **ranges;
+  uint64_t since;
 };
 #define CWP__TABLE_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__table_page__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
 typedef enum {
   CWP__DATAGRAM__CONTENT__NOT_SET = 0,
   CWP__DATAGRAM__CONTENT_REPORT = 1,
   CWP__DATAGRAM__CONTENT_SERVERS = 2,
-  CWP__DATAGRAM__CONTENT_TABLE = 3
+  CWP__DATAGRAM__CONTENT_TABLE = 3,
+  CWP__DATAGRAM__CONTENT_ACK = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CWP__DATAGRAM__CONTENT__CASE)
 } Cwp__Datagram__ContentCase;
 
@@ -262,6 +298,7 @@
     Cwp__NodeReport *report;
     Cwp__ServersPage *servers;
     Cwp__TablePage *table;
+    Cwp__ViewAck *ack;
   };
 };
 #define CWP__DATAGRAM__INIT \
@@ -402,6 +439,25 @@
 void   cwp__view_server__free_unpacked
                      (Cwp__ViewServer *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__ViewAck methods */
+void   cwp__view_ack__init
+                     (Cwp__ViewAck         *message);
+size_t cwp__view_ack__get_packed_size
+                     (const Cwp__ViewAck   *message);
+size_t cwp__view_ack__pack
+                     (const Cwp__ViewAck   *message,
+                      uint8_t             *out);
+size_t cwp__view_ack__pack_to_buffer
+                     (const Cwp__ViewAck   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ViewAck *
+       cwp__view_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__view_ack__free_unpacked
+                     (Cwp__ViewAck *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__ServersPage methods */
 void   cwp__servers_page__init
                      (Cwp__ServersPage         *message);
@@ -501,6 +557,9 @@
 typedef void (*Cwp__ViewServer_Closure)
                  (const Cwp__ViewServer *message,
                   void *closure_data);
+typedef void (*Cwp__ViewAck_Closure)
+                 (const Cwp__ViewAck *message,
+                  void *closure_data);
 typedef void (*Cwp__ServersPage_Closure)
                  (const Cwp__ServersPage *message,
                   void *closure_data);
@@ -526,6 +585,7 @@
 extern const ProtobufCMessageDescriptor cwp__leader_word__descriptor;
 extern const ProtobufCMessageDescriptor cwp__node_report__descriptor;
 extern const ProtobufCMessageDescriptor cwp__view_server__descriptor;
+extern const ProtobufCMessageDescriptor cwp__view_ack__descriptor;
 extern const ProtobufCMessageDescriptor cwp__servers_page__descriptor;
 extern const ProtobufCMessageDescriptor cwp__table_range__descriptor;
 extern const ProtobufCMessageDescriptor cwp__table_page__descriptor;
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -23,6 +23,8 @@
     HEARTBEAT_MS = 1000,
     LEADER_HOLD_PERCENT = 60, /* of a grant's hold: the rest is for another leader to renew in */
     STOP_GRACE_MS = 6000,
+    LINK_MBPS = 1000,
+    LINK_MBPS_MAX = 1000000,
     RETRY_WINDOW_MS = 10000,
     RETRY_EXTRA = 20
 };
@@ -39,6 +41,7 @@
     settings->drain = CW_MS(DRAIN_MS);
     settings->heartbeat = CW_MS(HEARTBEAT_MS);
     settings->stop_grace = CW_MS(STOP_GRACE_MS);
+    settings->link_mbps = LINK_MBPS;
     settings->retry_window = CW_MS(RETRY_WINDOW_MS);
     settings->retry_ratio = 0.1;
     settings->retry_extra = RETRY_EXTRA;
@@ -166,6 +169,7 @@
     settings->heartbeat = read_ms(mapping, "server_heartbeat_ms", 50, 600000, settings->heartbeat);
     limit_holds(settings, read_ms(mapping, "hold_max_ms", 1000, 600000, CW_MS(HOLD_MAX_MS)));
     settings->stop_grace = read_ms(mapping, "stop_grace_ms", 1000, 600000, settings->stop_grace);
+    settings->link_mbps = (uint32_t)cw_yaml_real(mapping, "link_mbps", 1, LINK_MBPS_MAX, settings->link_mbps);
     settings->retry_window = read_ms(mapping, "retry_window_ms", 1000, 600000, settings->retry_window);
     settings->retry_ratio = cw_yaml_real(mapping, "retry_ratio", 0, 1, settings->retry_ratio);
     settings->retry_extra = cw_yaml_real(mapping, "retry_extra", 0, 1e9, settings->retry_extra);
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -40,6 +40,7 @@
     cw_time_us_t     drain;     /**< a leaving server gets no request later than this */
     cw_time_us_t     heartbeat; /**< servers write their entries of the list this often */
     cw_time_us_t     stop_grace;
+    uint32_t         link_mbps; /**< bandwidth of this node's link */
     cw_time_us_t     retry_window;
     double           retry_ratio;
     double           retry_extra;
--- a/src/model/server_absence.c
+++ b/src/model/server_absence.c
@@ -38,20 +38,6 @@
     return count;
 }
 
-static cw_server_entry_t copy_of(const cw_server_entry_t *entry)
-{
-    cw_server_entry_t copy = *entry;
-
-    copy.id = strdup(entry->id);
-    copy.service = strdup(entry->service);
-    copy.address = strdup(entry->address);
-    copy.zone = strdup(entry->zone);
-    if (copy.id == NULL || copy.service == NULL || copy.address == NULL || copy.zone == NULL) {
-        abort();
-    }
-    return copy;
-}
-
 /* Those found are kept aside first: adding entries would spoil the order that looking up needs. */
 static size_t add_missing(cw_server_list_t *reading, const cw_server_list_t *known)
 {
@@ -70,7 +56,7 @@
         }
     }
     for (index = 0; index < count; index++) {
-        *cw_server_list_add(reading) = copy_of(kept[index]);
+        cw_server_list_put(reading, 0, kept[index]);
     }
     free(kept);
     return count;
--- a/src/model/server_list.c
+++ b/src/model/server_list.c
@@ -6,6 +6,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum { GROWTH = 16 };
 
@@ -44,6 +45,90 @@
     }
 }
 
+static char *copy_text(const char *text)
+{
+    char *copy = strdup(text);
+
+    if (copy == NULL) {
+        abort();
+    }
+    return copy;
+}
+
+static cw_server_entry_t copy_entry(const cw_server_entry_t *entry)
+{
+    cw_server_entry_t copy = *entry;
+
+    copy.id = copy_text(entry->id);
+    copy.service = copy_text(entry->service);
+    copy.address = copy_text(entry->address);
+    copy.zone = copy_text(entry->zone);
+    return copy;
+}
+
+static void free_entry(cw_server_entry_t *entry)
+{
+    free(entry->id);
+    free(entry->service);
+    free(entry->address);
+    free(entry->zone);
+}
+
+void cw_server_list_put(cw_server_list_t *list, size_t sealed, const cw_server_entry_t *entry)
+{
+    cw_server_list_t   known = {.entries = list->entries, .count = sealed};
+    cw_server_entry_t *place = (cw_server_entry_t *)cw_server_list_find(&known, entry->id);
+    cw_server_entry_t  copy = copy_entry(entry);
+
+    if (place == NULL) {
+        place = cw_server_list_add(list);
+    } else {
+        free_entry(place);
+    }
+    *place = copy;
+}
+
+static bool is_among(const char *id, char *const *ids, size_t count)
+{
+    size_t index;
+
+    for (index = 0; index < count; index++) {
+        if (strcmp(ids[index], id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+cw_server_list_t *cw_server_list_copy_without(const cw_server_list_t *list, char *const *ids, size_t count)
+{
+    cw_server_list_t *copy = cw_server_list_create();
+    size_t            index;
+
+    for (index = 0; index < list->count; index++) {
+        if (!is_among(list->entries[index].id, ids, count)) {
+            *cw_server_list_add(copy) = copy_entry(&list->entries[index]);
+        }
+    }
+    return copy;
+}
+
+uint64_t cw_server_list_hash(const cw_server_list_t *list)
+{
+    uint64_t hash = list->count;
+    size_t   index;
+
+    for (index = 0; index < list->count; index++) {
+        const cw_server_entry_t *entry = &list->entries[index];
+
+        hash = XXH3_64bits_withSeed(entry->id, strlen(entry->id), hash);
+        hash = XXH3_64bits_withSeed(entry->service, strlen(entry->service), hash);
+        hash = XXH3_64bits_withSeed(entry->address, strlen(entry->address), hash);
+        hash += 2 * (uint64_t)entry->capacity + (entry->draining ? 1 : 0);
+    }
+    return hash;
+}
+
 cw_server_list_t *cw_server_list_hold(cw_server_list_t *list)
 {
     list->references++;
@@ -58,10 +143,7 @@
         return;
     }
     for (index = 0; index < list->count; index++) {
-        free(list->entries[index].id);
-        free(list->entries[index].service);
-        free(list->entries[index].address);
-        free(list->entries[index].zone);
+        free_entry(&list->entries[index]);
     }
     free(list->entries);
     free(list);
@@ -100,6 +182,13 @@
     return NULL;
 }
 
+bool cw_server_entry_same(const cw_server_entry_t *left, const cw_server_entry_t *right)
+{
+    return strcmp(left->id, right->id) == 0 && strcmp(left->service, right->service) == 0 &&
+           strcmp(left->address, right->address) == 0 && left->draining == right->draining &&
+           left->capacity == right->capacity;
+}
+
 bool cw_server_list_same(const cw_server_list_t *left, const cw_server_list_t *right)
 {
     size_t index;
@@ -108,11 +197,7 @@
         return left == right;
     }
     for (index = 0; index < left->count; index++) {
-        const cw_server_entry_t *a = &left->entries[index];
-        const cw_server_entry_t *b = &right->entries[index];
-
-        if (strcmp(a->id, b->id) != 0 || strcmp(a->service, b->service) != 0 || strcmp(a->address, b->address) != 0 ||
-            a->draining != b->draining || a->capacity != b->capacity) {
+        if (!cw_server_entry_same(&left->entries[index], &right->entries[index])) {
             return false;
         }
     }
--- a/src/model/server_list.h
+++ b/src/model/server_list.h
@@ -21,8 +21,9 @@
     char        *zone;
     uint32_t     capacity; /**< requests it works on at once */
     bool         draining;
-    uint64_t     sequence;  /**< rises with each heartbeat */
-    cw_time_us_t cold_time; /**< still slow after its start for so long, when it wrote this */
+    uint64_t     sequence;   /**< rises with each heartbeat */
+    uint64_t     changed_in; /**< number of the told list in which it last changed; 0 at nodes that do not lead */
+    cw_time_us_t cold_time;  /**< still slow after its start for so long, when it wrote this */
 } cw_server_entry_t;
 
 typedef struct cw_server_list {
@@ -34,12 +35,20 @@
 cw_server_list_t  *cw_server_list_create(void);
 cw_server_entry_t *cw_server_list_add(cw_server_list_t *list);
 void               cw_server_list_seal(cw_server_list_t *list); /**< sorts; once, after the last was added */
-cw_server_list_t  *cw_server_list_hold(cw_server_list_t *list);
-void               cw_server_list_release(cw_server_list_t *list); /**< NULL is allowed */
+/** Adds a copy of an entry, or replaces the one of its id; `sealed` entries are searched. To be sealed again. */
+void cw_server_list_put(cw_server_list_t *list, size_t sealed, const cw_server_entry_t *entry);
+/** A copy without the entries whose ids are given. */
+cw_server_list_t *cw_server_list_copy_without(const cw_server_list_t *list, char *const *ids, size_t count);
+/** Same for the same servers in the same states. */
+uint64_t          cw_server_list_hash(const cw_server_list_t *list);
+cw_server_list_t *cw_server_list_hold(cw_server_list_t *list);
+void              cw_server_list_release(cw_server_list_t *list); /**< NULL is allowed */
 
 const cw_server_entry_t *cw_server_list_find(const cw_server_list_t *list, const char *id);
 /** Entry with this address and another id; NULL: none. */
 const cw_server_entry_t *cw_server_list_successor(const cw_server_list_t *list, const char *id, const char *address);
+/** Same server in the same state; sequences and times are not compared. */
+bool cw_server_entry_same(const cw_server_entry_t *left, const cw_server_entry_t *right);
 /** Same servers in the same states; sequences and times are not compared. */
 bool cw_server_list_same(const cw_server_list_t *left, const cw_server_list_t *right);
 
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -18,6 +18,12 @@
 
 typedef struct cw_peer_link cw_peer_link_t;
 
+/** When what a node lacks is sent to it next. */
+typedef struct cw_push_state {
+    cw_time_us_t due_at;
+    uint32_t     tries; /**< since it last had the newest */
+} cw_push_state_t;
+
 typedef struct cw_peer {
     uint32_t        address; /**< IPv4, in network order */
     char            text[16];
@@ -32,8 +38,8 @@
     uint64_t        term; /**< of the view it has */
     uint64_t        servers;
     uint64_t        tables;
-    cw_time_us_t    servers_sent_at;
-    cw_time_us_t    tables_sent_at;
+    cw_push_state_t servers_push;
+    cw_push_state_t tables_push;
     struct cw_peer *next;
     UT_hash_handle  by_address;
 } cw_peer_t;
--- /dev/null
+++ b/src/router/key_tables.c
@@ -0,0 +1,225 @@
+/**
+ * @file key_tables.c
+ * @brief Tables of keys: taking over assignments, changes laid over, hash.
+ */
+#include "router/key_tables.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+uint32_t cw_short_name(const char *text)
+{
+    return (uint32_t)XXH3_64bits(text, strlen(text));
+}
+
+void cw_key_tables_clear(cw_key_tables_t *tables)
+{
+    size_t index;
+
+    for (index = 0; index < tables->count; index++) {
+        free(tables->items[index].service);
+        free(tables->items[index].entries);
+    }
+    memset(tables, 0, sizeof(*tables));
+}
+
+static cw_key_table_t *find_table(cw_key_tables_t *tables, const char *service)
+{
+    size_t index;
+
+    for (index = 0; index < tables->count; index++) {
+        if (strcmp(tables->items[index].service, service) == 0) {
+            return &tables->items[index];
+        }
+    }
+    return NULL;
+}
+
+cw_key_table_t *cw_key_tables_service(cw_key_tables_t *tables, const char *service)
+{
+    cw_key_table_t *table = find_table(tables, service);
+
+    if (table != NULL || tables->count == CW_TABLE_SERVICES_MAX) {
+        return table;
+    }
+    table = &tables->items[tables->count++];
+    table->service = strdup(service);
+    if (table->service == NULL) {
+        abort();
+    }
+    return table;
+}
+
+void cw_key_table_add(cw_key_table_t *table, const cw_table_entry_t *entries, size_t count)
+{
+    if (count == 0) {
+        return;
+    }
+    table->entries = realloc(table->entries, (table->count + count) * sizeof(*entries));
+    if (table->entries == NULL) {
+        abort();
+    }
+    memcpy(&table->entries[table->count], entries, count * sizeof(*entries));
+    table->count += count;
+}
+
+void cw_key_tables_copy(cw_key_tables_t *to, const cw_key_tables_t *from)
+{
+    size_t index;
+
+    cw_key_tables_clear(to);
+    for (index = 0; index < from->count; index++) {
+        const cw_key_table_t *table = &from->items[index];
+
+        cw_key_table_add(cw_key_tables_service(to, table->service), table->entries, table->count);
+    }
+}
+
+static int compare_low(const void *left, const void *right)
+{
+    const cw_table_entry_t *first = left;
+    const cw_table_entry_t *second = right;
+
+    return (first->low > second->low) - (first->low < second->low);
+}
+
+void cw_key_tables_seal(cw_key_tables_t *tables)
+{
+    size_t index;
+
+    for (index = 0; index < tables->count; index++) {
+        if (tables->items[index].count > 1) {
+            qsort(tables->items[index].entries, tables->items[index].count, sizeof(cw_table_entry_t), compare_low);
+        }
+    }
+}
+
+/* ---- the leader's side ---- */
+
+static bool is_same(const cw_table_entry_t *left, const cw_table_entry_t *right)
+{
+    return left->low == right->low && left->last == right->last && left->server == right->server &&
+           left->fence == right->fence && left->routable == right->routable;
+}
+
+static cw_table_entry_t entry_of(const cw_range_t *range)
+{
+    return (cw_table_entry_t){.low = range->low,
+                              .last = range->last,
+                              .server = cw_short_name(range->owner.id),
+                              .fence = range->owner.fence,
+                              .routable = cw_range_is_routable(range)};
+}
+
+bool cw_key_tables_update(cw_key_tables_t *tables, const char *service, const cw_range_list_t *ranges, uint64_t number)
+{
+    cw_key_table_t *table = cw_key_tables_service(tables, service);
+    cw_key_table_t  fresh = {0};
+    size_t          before = 0;
+    size_t          index;
+    bool            any;
+
+    if (table == NULL) {
+        return false;
+    }
+    any = table->count != ranges->count;
+    for (index = 0; index < ranges->count; index++) {
+        cw_table_entry_t entry = entry_of(&ranges->items[index]);
+
+        while (before < table->count && table->entries[before].low < entry.low) {
+            before++;
+        }
+        entry.changed_in = number;
+        if (before < table->count && is_same(&table->entries[before], &entry)) {
+            entry.changed_in = table->entries[before].changed_in;
+        }
+        any = any || entry.changed_in == number;
+        cw_key_table_add(&fresh, &entry, 1);
+    }
+    free(table->entries);
+    table->entries = fresh.entries;
+    table->count = fresh.count;
+    return any;
+}
+
+/* ---- the other nodes' side ---- */
+
+/* What of an entry lies below the first changed key, and above the last one, stays. */
+static void keep_around(cw_key_table_t *kept, const cw_table_entry_t *entry, const cw_key_table_t *changes)
+{
+    cw_table_entry_t rest = *entry;
+    uint32_t         low = entry->low;
+    size_t           index;
+
+    for (index = 0; index < changes->count; index++) {
+        const cw_table_entry_t *change = &changes->entries[index];
+        cw_table_entry_t        piece = *entry;
+
+        if (change->last < low || change->low > entry->last) {
+            continue;
+        }
+        if (change->low > low) {
+            piece.low = low;
+            piece.last = change->low - 1;
+            cw_key_table_add(kept, &piece, 1);
+        }
+        if (change->last >= entry->last) {
+            return;
+        }
+        low = change->last + 1;
+    }
+    rest.low = low;
+    cw_key_table_add(kept, &rest, 1);
+}
+
+static void overlay(cw_key_table_t *table, const cw_key_table_t *changes)
+{
+    cw_key_table_t kept = {0};
+    size_t         index;
+
+    for (index = 0; index < table->count; index++) {
+        keep_around(&kept, &table->entries[index], changes);
+    }
+    cw_key_table_add(&kept, changes->entries, changes->count);
+    free(table->entries);
+    table->entries = kept.entries;
+    table->count = kept.count;
+}
+
+void cw_key_tables_overlay(cw_key_tables_t *tables, const cw_key_tables_t *changes)
+{
+    size_t index;
+
+    for (index = 0; index < changes->count; index++) {
+        cw_key_table_t *table = cw_key_tables_service(tables, changes->items[index].service);
+
+        if (table != NULL) {
+            overlay(table, &changes->items[index]);
+        }
+    }
+    cw_key_tables_seal(tables);
+}
+
+/* Tables may stand in any order: their hashes are added up. */
+uint64_t cw_key_tables_hash(const cw_key_tables_t *tables)
+{
+    uint64_t sum = 0;
+    size_t   index;
+    size_t   position;
+
+    for (index = 0; index < tables->count; index++) {
+        const cw_key_table_t *table = &tables->items[index];
+        uint64_t              hash = XXH3_64bits(table->service, strlen(table->service));
+
+        for (position = 0; position < table->count; position++) {
+            const cw_table_entry_t *entry = &table->entries[position];
+            uint64_t                words[3] = {((uint64_t)entry->low << 32) | entry->last,
+                                                ((uint64_t)entry->server << 1) | (entry->routable ? 1 : 0), entry->fence};
+
+            hash = XXH3_64bits_withSeed(words, sizeof(words), hash);
+        }
+        sum += hash;
+    }
+    return sum;
+}
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -11,6 +11,7 @@
 #include "model/server_absence.h"
 #include "peer/peer_link.h"
 #include "placement/planner.h"
+#include "router/list_history.h"
 #include "router/router.h"
 #include "router/table_pages.h"
 
@@ -41,14 +42,15 @@
     cw_time_us_t at;
 } cw_queue_report_t;
 
-/** Tables being received, page by page. */
-typedef struct cw_table_assembly {
+/** Something being received page by page. */
+typedef struct cw_view_assembly {
     uint64_t term;
     uint64_t number;
+    uint64_t base;
     uint32_t pages;
     uint32_t have;
     uint8_t  seen[CW_PAGES_MAX];
-} cw_table_assembly_t;
+} cw_view_assembly_t;
 
 typedef struct cw_router {
     cw_router_settings_t settings;
@@ -91,34 +93,42 @@
     size_t            queue_count;
 
     /* what this node goes by */
-    cw_server_list_t    *servers;
-    cw_time_us_t         servers_at; /**< when the list was surely true */
-    cw_server_absence_t  absence;
-    bool                 reading_servers; /**< this node reads the list itself */
-    cw_time_us_t         servers_read_at; /**< sending of that read */
-    uint64_t             view_term;
-    uint64_t             view_servers;
-    uint64_t             view_tables;
-    cw_time_us_t         tables_at; /**< when the tables were surely true */
-    cw_time_us_t         leader_word_at;
-    uint64_t             leader_term;
-    bool                 leader_silent;  /**< told in the log */
-    bool                 tables_expired; /**< told in the log */
-    char                 leader_node[CW_NODE_NAME_MAX];
-    cw_table_assembly_t  servers_pages;
-    cw_server_list_t    *servers_partial;
-    cw_table_assembly_t  tables_pages;
-    cw_received_tables_t tables_partial;
-    cw_time_us_t         tables_read_at;
-    uint32_t             table_reads; /**< under way */
-    bool                 store_lost;
-    cw_time_us_t         store_failing_since;
+    cw_server_list_t   *servers;
+    cw_time_us_t        servers_at; /**< when the list was surely true */
+    cw_server_absence_t absence;
+    bool                reading_servers; /**< this node reads the list itself */
+    cw_time_us_t        servers_read_at; /**< sending of that read */
+    uint64_t            view_term;
+    uint64_t            view_servers;
+    uint64_t            view_tables;
+    cw_time_us_t        tables_at; /**< when the tables were surely true */
+    cw_time_us_t        leader_word_at;
+    uint64_t            leader_term;
+    bool                leader_silent;  /**< told in the log */
+    bool                tables_expired; /**< told in the log */
+    char                leader_node[CW_NODE_NAME_MAX];
+    uint64_t            servers_hash;
+    cw_view_assembly_t  servers_pages;
+    cw_server_list_t   *servers_partial;
+    size_t              partial_sealed; /**< entries of it that are in order */
+    cw_key_tables_t     tables;
+    uint64_t            tables_hash;
+    cw_view_assembly_t  tables_pages;
+    cw_key_tables_t     tables_partial;
+    cw_time_us_t        tables_read_at;
+    uint32_t            table_reads; /**< under way */
+    bool                store_lost;
+    cw_time_us_t        store_failing_since;
 
     /* leading */
     cw_leadership_t    leadership;
     bool               was_able;
     uint64_t           lead_servers; /**< number of the list told to others */
     uint64_t           lead_tables;
+    cw_list_history_t  list_history;
+    double             push_room; /**< bytes that may be sent to bring others up to date */
+    cw_time_us_t       push_filled_at;
+    cw_time_us_t       led_since;
     cw_keyed_service_t keyed[CW_KEYED_SERVICES_MAX];
     size_t             keyed_count;
 } cw_router_t;
@@ -133,6 +143,11 @@
 void         cw_router_note_peer(const cw_peer_t *peer, cw_event_kind_t kind, cw_time_us_t silent);
 
 /* ---- router_push.c ---- */
+/** This node leads now: others look first whether they have what it has. */
+void cw_router_push_begin(cw_router_t *router, cw_time_us_t now);
+/** A new number of the list (or the tables): those that had the one before are told at once. */
+void cw_router_servers_changed(cw_router_t *router, cw_time_us_t now);
+void cw_router_tables_changed(cw_router_t *router);
 /** Pushes the list (or the tables) to peers that have an older one. */
 void cw_router_push_servers(cw_router_t *router, cw_time_us_t now);
 void cw_router_push_tables(cw_router_t *router, cw_time_us_t now);
@@ -142,17 +157,21 @@
 
 /* ---- router_view.c ---- */
 void cw_router_take_servers(cw_router_t *router, cw_server_list_t *list, cw_time_us_t true_at);
-void cw_router_take_servers_page(cw_router_t *router, const Cwp__ServersPage *page);
-void cw_router_take_table_page(cw_router_t *router, const Cwp__TablePage *page);
+/** Routes by the tables as they are now, and by the servers known now. */
+void cw_router_use_tables(cw_router_t *router);
 void cw_router_take_leader_word(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderWord *word,
                                 cw_time_us_t now);
 /** Reads what no leader tells. */
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now);
 void cw_router_on_servers(void *context, cw_server_list_t *list);
 bool cw_router_tables_known(const cw_router_t *router);
-/** Sets the engine's tables from the keepers of this node. */
-void     cw_router_apply_own_tables(cw_router_t *router);
-uint32_t cw_router_hash(const char *text);
+
+/* ---- router_take.c ---- */
+void cw_router_take_servers_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page);
+void cw_router_take_table_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__TablePage *page);
+void cw_router_take_ack(cw_router_t *router, cw_peer_t *peer, const Cwp__ViewAck *ack);
+/** Takes the leader's numbers over where what this node has is the same by its hash. */
+void cw_router_adopt(cw_router_t *router, const cw_peer_t *leader, const Cwp__LeaderWord *word);
 
 /* ---- router_lead.c ---- */
 void cw_router_lead_init(cw_router_t *router);
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -12,6 +12,7 @@
     SILENCE_MS = 900,
     READ_EVERY_MS = 400,
     PLAN_EVERY_MS = 300,
+    FIRST_TABLES_WAIT_MS = 1000,
     FIRST_PLAN_WAIT_MS = 700, /* servers may still be signing in */
     RENEWALS_A_HOLD = 4,
     ORDER_TIMEOUT_MS = 350,
@@ -74,18 +75,49 @@
     keyed->router->adapter->order(keyed->router->platform, order, order_done, under_way);
 }
 
+/* Before all records have been read, tables would have holes: so long the first ones wait, but not for ever. */
+static bool are_tables_whole(const cw_router_t *router, cw_time_us_t now)
+{
+    size_t index;
+
+    if (router->lead_tables > 0 || now - router->led_since > CW_MS(FIRST_TABLES_WAIT_MS)) {
+        return true;
+    }
+    for (index = 0; index < router->keyed_count; index++) {
+        cw_keeper_state_t state = cw_keeper_state(router->keyed[index].keeper);
+
+        if (state == CW_KEEPER_NEW || state == CW_KEEPER_CALLING) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void tables_changed(void *context)
 {
     cw_keyed_service_t *keyed = context;
     cw_router_t        *router = keyed->router;
-    cw_peer_t          *peer;
+    uint64_t            number = router->lead_tables + 1;
+    bool                any = false;
+    size_t              index;
+
+    if (!are_tables_whole(router, cw_router_now(router))) {
+        return;
+    }
+    for (index = 0; index < router->keyed_count; index++) {
+        const cw_keeper_t     *keeper = router->keyed[index].keeper;
+        const cw_range_list_t *ranges = cw_keeper_ranges(keeper);
 
-    router->lead_tables++;
-    router->view_tables = router->lead_tables;
-    cw_router_apply_own_tables(router);
-    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        peer->tables_sent_at = 0;
+        any = (ranges->count > 0 && cw_key_tables_update(&router->tables, cw_keeper_service(keeper), ranges, number)) ||
+              any;
+    }
+    if (!any) {
+        return;
     }
+    router->lead_tables = number;
+    router->view_tables = number;
+    cw_router_use_tables(router);
+    cw_router_tables_changed(router);
 }
 
 static void note_assignment(void *context, const char *service, const char *what, const cw_range_t *range,
@@ -166,8 +198,12 @@
     }
     if (router->leadership.leading && (!before || router->leadership.lock.term != term)) {
         end_keepers(router);
+        router->led_since = now;
         router->lead_servers = 1;
         router->lead_tables = 0;
+        cw_key_tables_clear(&router->tables);
+        cw_list_history_begin(&router->list_history, router->servers, router->lead_servers);
+        cw_router_push_begin(router, now);
         router->view_term = router->leadership.lock.term;
         router->view_servers = 1;
         router->view_tables = 0;
@@ -263,7 +299,7 @@
     for (index = 0; index < router->keyed_count; index++) {
         cw_keyed_service_t *keyed = &router->keyed[index];
 
-        if (cw_router_hash(cw_keeper_service(keyed->keeper)) != service_hash) {
+        if (cw_short_name(cw_keeper_service(keyed->keeper)) != service_hash) {
             continue;
         }
         for (key = 0; key < count; key++) {
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -105,7 +105,7 @@
         return;
     }
     cwp__queue_length__init(length);
-    length->service = cw_router_hash(service);
+    length->service = cw_short_name(service);
     length->queued = queued;
     builder.queue_pointers[builder.queue_count++] = length;
 }
@@ -121,7 +121,7 @@
     }
     *keys = *seen;
     cwp__key_samples__init(samples);
-    samples->service = cw_router_hash(service);
+    samples->service = cw_short_name(service);
     samples->n_keys = keys->count;
     samples->keys = keys->keys;
     samples->seen = keys->seen;
@@ -137,6 +137,8 @@
     builder.leader.list_age_ms = (uint32_t)((now - router->servers_at) / 1000);
     builder.leader.servers = router->lead_servers;
     builder.leader.tables = router->lead_tables;
+    builder.leader.servers_hash = router->servers == NULL ? 0 : router->servers_hash;
+    builder.leader.tables_hash = router->lead_tables == 0 ? 0 : router->tables_hash;
     builder.report.leader = &builder.leader;
 }
 
@@ -184,7 +186,7 @@
 {
     cw_router_t *router = context;
 
-    cw_router_take_samples(router, cw_router_hash(service), samples->keys, samples->count, samples->seen,
+    cw_router_take_samples(router, cw_short_name(service), samples->keys, samples->count, samples->seen,
                            cw_router_now(router));
 }
 
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -71,7 +71,7 @@
 static void sum_queue(void *context, const char *service, uint32_t queued)
 {
     cw_router_t *router = context;
-    uint32_t     hash = cw_router_hash(service);
+    uint32_t     hash = cw_short_name(service);
     uint32_t     sum = 0;
     size_t       index;
 
@@ -142,10 +142,13 @@
         take_report(router, peer, datagram->report, now);
         break;
     case CWP__DATAGRAM__CONTENT_SERVERS:
-        cw_router_take_servers_page(router, datagram->servers);
+        cw_router_take_servers_page(router, peer, datagram->servers);
         break;
     case CWP__DATAGRAM__CONTENT_TABLE:
-        cw_router_take_table_page(router, datagram->table);
+        cw_router_take_table_page(router, peer, datagram->table);
+        break;
+    case CWP__DATAGRAM__CONTENT_ACK:
+        cw_router_take_ack(router, peer, datagram->ack);
         break;
     default:
         break;
--- /dev/null
+++ b/src/router/router_take.c
@@ -0,0 +1,236 @@
+/**
+ * @file router_take.c
+ * @brief What the leader tells: pages of the list and of the tables, and hashes of what a node may have already.
+ *
+ * A page belongs to a term, a number and a base. All pages of one of them together are the whole list (base 0), or what
+ * changed since the list of number `base`; they are used when the last one has come, if what this node has is not older
+ * than the base. What has come is acknowledged to the leader at once.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "router/router_internal.h"
+
+/* ---- assembling ---- */
+
+typedef struct page_place {
+    uint64_t term;
+    uint64_t number;
+    uint64_t base;
+    uint32_t page;
+    uint32_t pages;
+} page_place_t;
+
+/* False: seen already, or not usable. Begins a new assembly where needed. */
+static bool take_page(cw_view_assembly_t *assembly, const page_place_t *place, bool *begun)
+{
+    *begun = false;
+    if (place->pages == 0 || place->page >= place->pages || place->pages > sizeof(assembly->seen)) {
+        return false;
+    }
+    if (assembly->term != place->term || assembly->number != place->number || assembly->base != place->base ||
+        assembly->pages != place->pages) {
+        memset(assembly, 0, sizeof(*assembly));
+        assembly->term = place->term;
+        assembly->number = place->number;
+        assembly->base = place->base;
+        assembly->pages = place->pages;
+        *begun = true;
+    }
+    if (assembly->seen[place->page]) {
+        return false;
+    }
+    assembly->seen[place->page] = 1;
+    assembly->have++;
+    return true;
+}
+
+/* Is it newer than what this node has, and can it be laid over that? */
+static bool is_usable(const cw_router_t *router, const page_place_t *place, uint64_t has)
+{
+    if (router->leadership.leading || place->term < router->view_term) {
+        return false;
+    }
+    if (place->base != 0) {
+        return place->term == router->view_term && has >= place->base && place->number > has;
+    }
+    return place->term > router->view_term || place->number > has;
+}
+
+static void begin_term(cw_router_t *router, uint64_t term)
+{
+    if (term > router->view_term) {
+        router->view_term = term;
+        router->view_servers = 0;
+        router->view_tables = 0;
+    }
+}
+
+static void acknowledge(cw_router_t *router, const cw_peer_t *leader)
+{
+    Cwp__ViewAck  ack = CWP__VIEW_ACK__INIT;
+    Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
+
+    ack.incarnation = router->incarnation;
+    ack.term = router->view_term;
+    ack.servers = router->view_servers;
+    ack.tables = router->view_tables;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_ACK;
+    datagram.ack = &ack;
+    cw_peer_link_send(router->link, leader, &datagram);
+}
+
+void cw_router_take_ack(cw_router_t *router, cw_peer_t *peer, const Cwp__ViewAck *ack)
+{
+    if (!router->leadership.leading || peer->incarnation != ack->incarnation ||
+        ack->term != router->leadership.lock.term) {
+        return;
+    }
+    if (peer->term != ack->term) {
+        peer->term = ack->term;
+        peer->servers = 0;
+        peer->tables = 0;
+    }
+    peer->servers = ack->servers > peer->servers ? ack->servers : peer->servers;
+    peer->tables = ack->tables > peer->tables ? ack->tables : peer->tables;
+}
+
+/* ---- the list ---- */
+
+static cw_server_entry_t entry_of(const Cwp__ViewServer *server)
+{
+    return (cw_server_entry_t){.id = server->id,
+                               .service = server->service,
+                               .address = server->address,
+                               .zone = server->zone,
+                               .capacity = server->capacity,
+                               .draining = server->draining,
+                               .cold_time = CW_MS(server->cold_ms)};
+}
+
+static void collect_servers(cw_router_t *router, const Cwp__ServersPage *page, bool begun)
+{
+    size_t index;
+
+    if (begun || router->servers_partial == NULL) {
+        cw_server_list_release(router->servers_partial);
+        router->servers_partial = page->since == 0 || router->servers == NULL
+                                      ? cw_server_list_create()
+                                      : cw_server_list_copy_without(router->servers, page->removed, page->n_removed);
+        router->partial_sealed = router->servers_partial->count;
+    }
+    for (index = 0; index < page->n_servers; index++) {
+        cw_server_entry_t entry = entry_of(page->servers[index]);
+
+        cw_server_list_put(router->servers_partial, router->partial_sealed, &entry);
+    }
+    for (index = 0; index < page->n_nodes; index++) {
+        (void)cw_peer_link_learn(router->link, page->nodes[index], cw_router_now(router));
+    }
+}
+
+void cw_router_take_servers_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page)
+{
+    page_place_t      place = {page->term, page->number, page->since, page->page, page->pages};
+    cw_server_list_t *list;
+    bool              begun;
+
+    if (!is_usable(router, &place, router->view_servers) || !take_page(&router->servers_pages, &place, &begun)) {
+        return;
+    }
+    if (page->since != 0 && begun && page->page != 0) {
+        memset(&router->servers_pages, 0,
+               sizeof(router->servers_pages)); /* who was removed is told in the first page */
+        return;
+    }
+    collect_servers(router, page, begun);
+    if (router->servers_pages.have < page->pages) {
+        return;
+    }
+    list = router->servers_partial;
+    router->servers_partial = NULL;
+    memset(&router->servers_pages, 0, sizeof(router->servers_pages));
+    begin_term(router, page->term);
+    router->view_servers = page->number;
+    cw_server_list_seal(list);
+    cw_router_take_servers(router, list, 0);
+    acknowledge(router, peer);
+}
+
+/* ---- tables ---- */
+
+static void note_view(const cw_router_t *router, const page_place_t *place, size_t entries)
+{
+    cw_event_t event;
+
+    (void)router;
+    if (cw_event_begin(&event, CW_EVENT_VIEW_TAKEN)) {
+        cw_event_number(&event, CW_FIELD_TERM, (int64_t)place->term);
+        cw_event_number(&event, CW_FIELD_VIEW, (int64_t)place->number);
+        cw_event_number(&event, CW_FIELD_CHANGED, (int64_t)entries);
+        cw_event_end(&event);
+    }
+}
+
+static size_t count_entries(const cw_key_tables_t *tables)
+{
+    size_t count = 0;
+    size_t index;
+
+    for (index = 0; index < tables->count; index++) {
+        count += tables->items[index].count;
+    }
+    return count;
+}
+
+void cw_router_take_table_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__TablePage *page)
+{
+    page_place_t place = {page->term, page->number, page->since, page->page, page->pages};
+    bool         begun;
+
+    if (!is_usable(router, &place, router->view_tables) || !take_page(&router->tables_pages, &place, &begun)) {
+        return;
+    }
+    if (begun) {
+        cw_key_tables_clear(&router->tables_partial);
+    }
+    cw_table_page_take(&router->tables_partial, page);
+    if (router->tables_pages.have < page->pages) {
+        return;
+    }
+    memset(&router->tables_pages, 0, sizeof(router->tables_pages));
+    cw_key_tables_seal(&router->tables_partial);
+    note_view(router, &place, count_entries(&router->tables_partial));
+    if (page->since == 0) {
+        cw_key_tables_clear(&router->tables);
+    }
+    cw_key_tables_overlay(&router->tables, &router->tables_partial);
+    cw_key_tables_clear(&router->tables_partial);
+    begin_term(router, page->term);
+    router->view_tables = page->number;
+    cw_router_use_tables(router);
+    acknowledge(router, peer);
+}
+
+/* ---- what this node has already ---- */
+
+void cw_router_adopt(cw_router_t *router, const cw_peer_t *leader, const Cwp__LeaderWord *word)
+{
+    bool newer = word->term > router->view_term;
+    bool servers = word->servers_hash != 0 && (newer || word->servers > router->view_servers) &&
+                   word->servers_hash == router->servers_hash;
+    bool tables = word->tables_hash != 0 && (newer || word->tables > router->view_tables) &&
+                  word->tables_hash == router->tables_hash;
+
+    if (word->term < router->view_term || (!servers && !tables)) {
+        return;
+    }
+    begin_term(router, word->term);
+    if (servers) {
+        router->view_servers = word->servers;
+    }
+    if (tables) {
+        router->view_tables = word->tables;
+    }
+    acknowledge(router, leader);
+}
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -8,7 +8,6 @@
  */
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/text.h"
 #include "router/router_internal.h"
@@ -19,11 +18,6 @@
     TABLES_READ_EVERY_MS = 700
 };
 
-uint32_t cw_router_hash(const char *text)
-{
-    return (uint32_t)XXH3_64bits(text, strlen(text));
-}
-
 /* ---- servers ---- */
 
 static void note_servers(const cw_router_t *router, const cw_server_list_t *list)
@@ -59,18 +53,18 @@
     }
     note_servers(router, list);
     cw_server_pool_update(router->pool, list, now);
+    if (router->leadership.leading) {
+        router->lead_servers++;
+        router->view_servers = router->lead_servers;
+        cw_list_history_add(&router->list_history, router->servers, list, router->lead_servers);
+    }
     cw_server_list_release(router->servers);
     router->servers = list;
+    router->servers_hash = cw_server_list_hash(list);
     cw_metric_set(CW_METRIC_SERVERS, list->count);
+    cw_router_use_tables(router); /* owners may have come or gone */
     if (router->leadership.leading) {
-        cw_peer_t *peer;
-
-        router->lead_servers++;
-        router->view_servers = router->lead_servers;
-        for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-            peer->servers_sent_at = 0;
-        }
-        cw_router_push_servers(router, now);
+        cw_router_servers_changed(router, now);
     }
     cw_engine_wake(router->engine);
 }
@@ -103,6 +97,9 @@
     cw_router_store_result(router, list != NULL, cw_router_now(router));
     if (list != NULL) {
         keep_missing(router, list);
+        if (!router->leadership.leading) {
+            router->view_servers = 0; /* changes that the leader tells cannot be laid over it */
+        }
         cw_router_take_servers(router, list, router->servers_read_at);
     }
 }
@@ -117,89 +114,7 @@
     router->store->read_servers(router->store->context);
 }
 
-/* ---- pages ---- */
-
-/* Is the page a part of something newer than what this node has? Begins a new assembly where needed. */
-static bool take_page(cw_table_assembly_t *assembly, uint64_t term, uint64_t number, uint32_t page, uint32_t pages,
-                      bool *begun)
-{
-    *begun = false;
-    if (pages == 0 || page >= pages || pages > sizeof(assembly->seen)) {
-        return false;
-    }
-    if (assembly->term != term || assembly->number != number || assembly->pages != pages) {
-        memset(assembly, 0, sizeof(*assembly));
-        assembly->term = term;
-        assembly->number = number;
-        assembly->pages = pages;
-        *begun = true;
-    }
-    if (assembly->seen[page]) {
-        return false;
-    }
-    assembly->seen[page] = 1;
-    assembly->have++;
-    return true;
-}
-
-static bool is_newer(const cw_router_t *router, uint64_t term, uint64_t number, uint64_t has)
-{
-    return term > router->view_term || (term == router->view_term && number > has);
-}
-
-static void begin_term(cw_router_t *router, uint64_t term)
-{
-    if (term > router->view_term) {
-        router->view_term = term;
-        router->view_servers = 0;
-        router->view_tables = 0;
-    }
-}
-
-static void add_entry(cw_server_list_t *list, const Cwp__ViewServer *server)
-{
-    cw_server_entry_t *entry = cw_server_list_add(list);
-
-    entry->id = strdup(server->id);
-    entry->service = strdup(server->service);
-    entry->address = strdup(server->address);
-    entry->zone = strdup(server->zone);
-    entry->capacity = server->capacity;
-    entry->draining = server->draining;
-    entry->cold_time = CW_MS(server->cold_ms);
-}
-
-void cw_router_take_servers_page(cw_router_t *router, const Cwp__ServersPage *page)
-{
-    cw_time_us_t now = cw_router_now(router);
-    bool         begun;
-    size_t       index;
-
-    if (router->leadership.leading || !is_newer(router, page->term, page->number, router->view_servers) ||
-        !take_page(&router->servers_pages, page->term, page->number, page->page, page->pages, &begun)) {
-        return;
-    }
-    if (begun || router->servers_partial == NULL) {
-        cw_server_list_release(router->servers_partial);
-        router->servers_partial = cw_server_list_create();
-    }
-    for (index = 0; index < page->n_servers; index++) {
-        add_entry(router->servers_partial, page->servers[index]);
-    }
-    for (index = 0; index < page->n_nodes; index++) {
-        (void)cw_peer_link_learn(router->link, page->nodes[index], now);
-    }
-    if (router->servers_pages.have == page->pages) {
-        cw_server_list_t *list = router->servers_partial;
-
-        router->servers_partial = NULL;
-        begin_term(router, page->term);
-        router->view_servers = page->number;
-        router->all_due = true; /* tells the leader that it has come */
-        cw_server_list_seal(list);
-        cw_router_take_servers(router, list, 0);
-    }
-}
+/* ---- tables ---- */
 
 static const char *id_of_hash(const cw_router_t *router, uint32_t hash)
 {
@@ -208,25 +123,7 @@
     return server == NULL ? "" : server->id;
 }
 
-static void set_route(cw_key_route_t *route, uint32_t low, uint32_t last, const char *server, uint64_t fence,
-                      bool routable)
-{
-    memset(route, 0, sizeof(*route));
-    route->low = low;
-    route->last = last;
-    cw_text_copy(route->server, sizeof(route->server), server);
-    route->fence = fence;
-    route->routable = routable && server[0] != '\0';
-}
-
-static void validate_tables(cw_router_t *router, cw_time_us_t true_at)
-{
-    router->tables_at = true_at > router->tables_at ? true_at : router->tables_at;
-    cw_engine_set_tables_valid(router->engine, router->tables_at,
-                               router->tables_at + router->settings.hold * CW_TABLES_VALID_PERCENT / 100);
-}
-
-static void use_table(cw_router_t *router, const cw_received_table_t *table, uint64_t number)
+static void use_table(cw_router_t *router, const cw_key_table_t *table)
 {
     cw_key_route_t *routes = calloc(table->count + 1, sizeof(*routes));
     size_t          index;
@@ -235,76 +132,34 @@
         abort();
     }
     for (index = 0; index < table->count; index++) {
-        const cw_received_range_t *range = &table->ranges[index];
+        const cw_table_entry_t *entry = &table->entries[index];
+        cw_key_route_t         *route = &routes[index];
 
-        set_route(&routes[index], range->low, range->last, id_of_hash(router, range->server), range->fence,
-                  range->routable);
+        route->low = entry->low;
+        route->last = entry->last;
+        route->fence = entry->fence;
+        cw_text_copy(route->server, sizeof(route->server), id_of_hash(router, entry->server));
+        route->routable = entry->routable && route->server[0] != '\0';
     }
-    cw_engine_set_table(router->engine, table->service, routes, table->count, number);
+    cw_engine_set_table(router->engine, table->service, routes, table->count, router->view_tables);
     free(routes);
 }
 
-static void use_received_tables(cw_router_t *router, uint64_t term, uint64_t number)
-{
-    cw_event_t event;
-    size_t     index;
-
-    cw_received_tables_seal(&router->tables_partial);
-    for (index = 0; index < router->tables_partial.count; index++) {
-        use_table(router, &router->tables_partial.items[index], number);
-    }
-    cw_received_tables_clear(&router->tables_partial);
-    begin_term(router, term);
-    router->view_tables = number;
-    router->all_due = true;
-    if (cw_event_begin(&event, CW_EVENT_VIEW_TAKEN)) {
-        cw_event_number(&event, CW_FIELD_TERM, (int64_t)term);
-        cw_event_number(&event, CW_FIELD_VIEW, (int64_t)number);
-        cw_event_end(&event);
-    }
-}
-
-void cw_router_take_table_page(cw_router_t *router, const Cwp__TablePage *page)
+void cw_router_use_tables(cw_router_t *router)
 {
-    bool begun;
+    size_t index;
 
-    if (router->leadership.leading || !is_newer(router, page->term, page->number, router->view_tables) ||
-        !take_page(&router->tables_pages, page->term, page->number, page->page, page->pages, &begun)) {
-        return;
-    }
-    if (begun) {
-        cw_received_tables_clear(&router->tables_partial);
-    }
-    cw_received_tables_add(&router->tables_partial, page);
-    if (router->tables_pages.have == page->pages) {
-        use_received_tables(router, page->term, page->number);
+    router->tables_hash = cw_key_tables_hash(&router->tables);
+    for (index = 0; index < router->tables.count; index++) {
+        use_table(router, &router->tables.items[index]);
     }
 }
 
-void cw_router_apply_own_tables(cw_router_t *router)
+static void validate_tables(cw_router_t *router, cw_time_us_t true_at)
 {
-    size_t index;
-    size_t position;
-
-    for (index = 0; index < router->keyed_count; index++) {
-        const cw_range_list_t *ranges = cw_keeper_ranges(router->keyed[index].keeper);
-        cw_key_route_t        *routes = calloc(ranges->count + 1, sizeof(*routes));
-
-        if (routes == NULL) {
-            abort();
-        }
-        for (position = 0; position < ranges->count; position++) {
-            const cw_range_t *range = &ranges->items[position];
-
-            set_route(&routes[position], range->low, range->last, range->owner.id, range->owner.fence,
-                      cw_range_is_routable(range));
-        }
-        if (ranges->count > 0) {
-            cw_engine_set_table(router->engine, cw_keeper_service(router->keyed[index].keeper), routes, ranges->count,
-                                router->lead_tables);
-        }
-        free(routes);
-    }
+    router->tables_at = true_at > router->tables_at ? true_at : router->tables_at;
+    cw_engine_set_tables_valid(router->engine, router->tables_at,
+                               router->tables_at + router->settings.hold * CW_TABLES_VALID_PERCENT / 100);
 }
 
 /* ---- the leader's word ---- */
@@ -335,6 +190,7 @@
         return;
     }
     router->leader_word_at = now;
+    cw_router_adopt(router, peer, word);
     if (router->view_term == word->term && router->view_servers >= word->servers) {
         cw_time_us_t true_at = now - CW_MS(word->list_age_ms);
 
@@ -354,37 +210,46 @@
     char         service[64];
 } table_read_t;
 
+/* While a move is under way the owner may hold the keys by an order carried out late, beside the former holder: only
+ * the leader knows when it surely does. So there the record is not routed by. */
+static void use_record(cw_router_t *router, const char *service, const cw_assignment_record_t *record)
+{
+    cw_key_table_t *table = cw_key_tables_service(&router->tables, service);
+    size_t          index;
+
+    if (table == NULL) {
+        return;
+    }
+    table->count = 0;
+    for (index = 0; index < record->ranges.count; index++) {
+        const cw_range_t *range = &record->ranges.items[index];
+        cw_table_entry_t  entry = {.low = range->low,
+                                   .last = range->last,
+                                   .server = cw_short_name(range->owner.id),
+                                   .fence = range->owner.fence,
+                                   .routable = range->former.id[0] == '\0'};
+
+        cw_key_table_add(table, &entry, 1);
+    }
+    router->view_tables = 0; /* the leader's next word has to bring its own again */
+    cw_router_use_tables(router);
+}
+
 static void on_record(void *data, const cw_store_reply_t *reply)
 {
     table_read_t          *read = data;
     cw_router_t           *router = read->router;
     cw_assignment_record_t record;
-    cw_key_route_t        *routes;
-    size_t                 index;
 
     router->table_reads--;
     cw_router_store_result(router, reply->result == CW_STORE_DONE || reply->result == CW_STORE_NOT_FOUND,
                            cw_router_now(router));
     if (reply->result == CW_STORE_DONE && !router->leadership.leading &&
         cw_assignment_record_from_json(&record, reply->value)) {
-        routes = calloc(record.ranges.count + 1, sizeof(*routes));
-        if (routes == NULL) {
-            abort();
-        }
-        for (index = 0; index < record.ranges.count; index++) {
-            const cw_range_t *range = &record.ranges.items[index];
-
-            /* While a move is under way the owner may hold the keys by an order carried out late, beside the former
-             * holder: only the leader knows when it surely does. */
-            set_route(&routes[index], range->low, range->last, range->owner.id, range->owner.fence,
-                      range->former.id[0] == '\0');
-        }
         if (read->sent_at > router->tables_at) {
-            cw_engine_set_table(router->engine, read->service, routes, record.ranges.count, record.write);
+            use_record(router, read->service, &record);
             validate_tables(router, read->sent_at);
-            router->view_tables = 0; /* the leader's next word has to bring its own again */
         }
-        free(routes);
         cw_range_list_clear(&record.ranges);
     }
     free(read);
--- a/src/router/table_pages.h
+++ b/src/router/table_pages.h
@@ -1,21 +1,17 @@
 /**
  * @file table_pages.h
- * @brief Tables of keys cut into pages of bounded size, and put together again.
+ * @brief Tables of keys cut into pages of bounded size.
  *
- * A service's table takes as many pages as its ranges need. Pages may come in any order; a table is used only when all
- * pages of all services have come, so that no node goes by a table with holes.
+ * A service's table takes as many pages as its entries need. Pages may come in any order; tables are used only when all
+ * pages have come, so that no node goes by a table with holes.
  */
 #ifndef CEDARWINCH_ROUTER_TABLE_PAGES_H
 #define CEDARWINCH_ROUTER_TABLE_PAGES_H
 
-#include <stdbool.h>
-#include <stddef.h>
-#include <stdint.h>
-
-#include "assignment/range.h"
 #include "peer.pb-c.h"
+#include "router/key_tables.h"
 
-enum { CW_TABLE_PAGE_RANGES = 400, CW_TABLE_SERVICES_MAX = 16 };
+enum { CW_TABLE_PAGE_RANGES = 400 };
 
 /** Room for one page's ranges while it is packed. */
 typedef struct cw_table_page_room {
@@ -23,34 +19,14 @@
     Cwp__TableRange *pointers[CW_TABLE_PAGE_RANGES];
 } cw_table_page_room_t;
 
-/** Pages that a table of so many ranges takes; at least one. */
-uint32_t cw_table_pages_of(size_t ranges);
-/** Sets the page's ranges to part `part` of the table. */
-void cw_table_page_fill(Cwp__TablePage *page, cw_table_page_room_t *room, const cw_range_list_t *ranges, uint32_t part);
-
-typedef struct cw_received_range {
-    uint32_t low;
-    uint32_t last;
-    uint32_t server; /**< hash of the owner's id */
-    uint64_t fence;
-    bool     routable;
-} cw_received_range_t;
-
-typedef struct cw_received_table {
-    char                *service;
-    cw_received_range_t *ranges;
-    size_t               count;
-} cw_received_table_t;
-
-/** All zeros: empty. */
-typedef struct cw_received_tables {
-    cw_received_table_t items[CW_TABLE_SERVICES_MAX];
-    size_t              count;
-} cw_received_tables_t;
-
-void cw_received_tables_clear(cw_received_tables_t *tables);
-void cw_received_tables_add(cw_received_tables_t *tables, const Cwp__TablePage *page);
-/** All pages have come: puts each table's ranges in order. */
-void cw_received_tables_seal(cw_received_tables_t *tables);
+/** Pages that so many entries take; at least one. */
+uint32_t cw_table_pages_of(size_t entries);
+/** Entries of a table that changed after the tables of number `base` (0: all); returns how many, at most `room`. */
+size_t cw_table_changes(const cw_key_table_t *table, uint64_t base, cw_table_entry_t *changes, size_t room);
+/** Sets the page's ranges to part `part` of the entries. */
+void cw_table_page_fill(Cwp__TablePage *page, cw_table_page_room_t *room, const cw_table_entry_t *entries, size_t count,
+                        uint32_t part);
+/** Adds the page's ranges to its service's table. */
+void cw_table_page_take(cw_key_tables_t *tables, const Cwp__TablePage *page);
 
 #endif
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -2,11 +2,13 @@
  * @file test_sharing.c
  * @brief What nodes share without asking one another: the retry budget, and the view of servers' loads.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "balance/server_pool.h"
 #include "loop_fixture.h"
 #include "retry/shared_budget.h"
+#include "router/list_history.h"
 #include "router/table_pages.h"
 
 static const cw_budget_settings_t budget_settings = {
@@ -250,31 +252,168 @@
 {
     static cw_table_page_room_t room;
     cw_range_list_t             list;
-    cw_received_tables_t        received = {0};
+    cw_key_tables_t             told = {0};
+    cw_key_tables_t             received = {0};
     Cwp__TablePage              page = CWP__TABLE_PAGE__INIT;
     uint32_t                    part;
     size_t                      index;
 
     fill_ranges(&list, MANY_RANGES);
     page.service = (char *)"docks";
+    ck_assert(cw_key_tables_update(&told, "docks", &list, 1));
     for (part = cw_table_pages_of(list.count); part > 0; part--) {
-        cw_table_page_fill(&page, &room, &list, part - 1);
-        cw_received_tables_add(&received, &page);
+        cw_table_page_fill(&page, &room, told.items[0].entries, told.items[0].count, part - 1);
+        cw_table_page_take(&received, &page);
     }
-    cw_received_tables_seal(&received);
+    cw_key_tables_seal(&received);
+    ck_assert_uint_eq(cw_key_tables_hash(&received), cw_key_tables_hash(&told));
     ck_assert_uint_eq(received.count, 1);
     ck_assert_uint_eq(received.items[0].count, MANY_RANGES);
     for (index = 0; index < MANY_RANGES; index++) {
-        ck_assert_uint_eq(received.items[0].ranges[index].low, list.items[index].low);
-        ck_assert_uint_eq(received.items[0].ranges[index].last, list.items[index].last);
-        ck_assert_uint_eq(received.items[0].ranges[index].fence, index);
-        ck_assert(received.items[0].ranges[index].routable);
+        ck_assert_uint_eq(received.items[0].entries[index].low, list.items[index].low);
+        ck_assert_uint_eq(received.items[0].entries[index].last, list.items[index].last);
+        ck_assert_uint_eq(received.items[0].entries[index].fence, index);
+        ck_assert(received.items[0].entries[index].routable);
     }
-    cw_received_tables_clear(&received);
+    cw_key_tables_clear(&received);
+    cw_key_tables_clear(&told);
     cw_range_list_clear(&list);
 }
 END_TEST
 
+/* Random cuts, moves and joins of ranges: whoever has an older number and lays over what changed since has the newest.
+ */
+START_TEST(changes_laid_over_an_older_table_give_the_newest)
+{
+    enum { NUMBERS = 120, FOLLOWERS = 4 };
+    static cw_table_page_room_t room;
+    static cw_table_entry_t     changes[CW_KEY_LAST + 1];
+    cw_range_list_t             list;
+    cw_key_tables_t             told = {0};
+    cw_key_tables_t             has[FOLLOWERS];
+    uint64_t                    number_of[FOLLOWERS] = {0};
+    uint64_t                    random = 12345;
+    uint64_t                    number;
+    size_t                      follower;
+
+    memset(has, 0, sizeof(has));
+    fill_ranges(&list, 20);
+    for (number = 1; number <= NUMBERS; number++) {
+        size_t index;
+
+        random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+        index = (size_t)(random >> 40) % list.count;
+        if (index + 1 < list.count && (random >> 33) % 4 == 0) { /* join */
+            list.items[index].last = list.items[index + 1].last;
+            memmove(&list.items[index + 1], &list.items[index + 2], (list.count - index - 2) * sizeof(list.items[0]));
+            list.count--;
+        } else if (list.items[index].last > list.items[index].low) {
+            (void)cw_range_list_cut(&list, index,
+                                    list.items[index].low + (list.items[index].last - list.items[index].low) / 2 + 1);
+        }
+        list.items[index].owner.fence = 1000 + number;
+        snprintf(list.items[index].owner.id, sizeof(list.items[index].owner.id), "i-%d", (int)((random >> 20) % 9));
+        ck_assert(cw_key_tables_update(&told, "docks", &list, number));
+        ck_assert(!cw_key_tables_update(&told, "docks", &list, number + 1));
+        for (follower = 0; follower < FOLLOWERS; follower++) {
+            Cwp__TablePage  page = CWP__TABLE_PAGE__INIT;
+            cw_key_tables_t partial = {0};
+            size_t          count;
+
+            if ((random >> (10 + follower)) % (follower + 1) != 0 && number != NUMBERS) {
+                continue; /* this one is left behind for now */
+            }
+            count = cw_table_changes(&told.items[0], number_of[follower], changes, CW_KEY_LAST + 1);
+            ck_assert(number < 2 || number_of[follower] + 1 < number || count < 4);
+            page.service = (char *)"docks";
+            cw_table_page_fill(&page, &room, changes, count, 0);
+            cw_table_page_take(&partial, &page);
+            cw_key_tables_seal(&partial);
+            cw_key_tables_overlay(&has[follower], &partial);
+            cw_key_tables_clear(&partial);
+            number_of[follower] = number;
+            ck_assert_uint_eq(cw_key_tables_hash(&has[follower]), cw_key_tables_hash(&told));
+        }
+    }
+    for (follower = 0; follower < FOLLOWERS; follower++) {
+        cw_key_tables_clear(&has[follower]);
+    }
+    cw_key_tables_clear(&told);
+    cw_range_list_clear(&list);
+}
+END_TEST
+
+static void add_named(cw_server_list_t *list, const char *id, bool draining)
+{
+    cw_server_entry_t entry = {.id = (char *)id,
+                               .service = (char *)"docks",
+                               .address = (char *)"10.0.0.1:80",
+                               .zone = (char *)"z1",
+                               .capacity = 2,
+                               .draining = draining};
+
+    cw_server_list_put(list, list->count, &entry);
+    cw_server_list_seal(list);
+}
+
+START_TEST(changes_of_the_list_are_told_by_number)
+{
+    static cw_list_history_t history;
+    cw_server_list_t        *first = cw_server_list_create();
+    cw_server_list_t        *second = cw_server_list_create();
+    cw_server_list_t        *applied;
+    char                    *removed[4];
+    size_t                   index;
+
+    add_named(first, "a", false);
+    add_named(first, "b", false);
+    add_named(first, "c", false);
+    cw_list_history_begin(&history, first, 1);
+    add_named(second, "a", false);
+    add_named(second, "c", true);
+    add_named(second, "d", false);
+    cw_list_history_add(&history, first, second, 2);
+    ck_assert(cw_list_history_covers(&history, 1));
+    ck_assert(!cw_list_history_covers(&history, 0));
+    ck_assert_uint_eq(cw_list_history_removed(&history, 1, removed, 4), 1);
+    ck_assert_str_eq(removed[0], "b");
+    ck_assert_uint_eq(cw_list_history_removed(&history, 2, removed, 4), 0);
+    applied = cw_server_list_copy_without(first, removed, 1);
+    for (index = 0; index < second->count; index++) {
+        if (second->entries[index].changed_in > 1) {
+            cw_server_list_put(applied, applied->count, &second->entries[index]);
+            cw_server_list_seal(applied);
+        }
+    }
+    ck_assert(cw_server_list_same(applied, second));
+    ck_assert_uint_eq(cw_server_list_hash(applied), cw_server_list_hash(second));
+    ck_assert_uint_ne(cw_server_list_hash(first), cw_server_list_hash(second));
+    cw_server_list_release(first);
+    cw_server_list_release(second);
+    cw_server_list_release(applied);
+}
+END_TEST
+
+START_TEST(a_list_from_before_what_is_remembered_has_to_come_whole)
+{
+    static cw_list_history_t history;
+    cw_server_list_t        *with = cw_server_list_create();
+    cw_server_list_t        *without = cw_server_list_create();
+    uint64_t                 number;
+
+    add_named(with, "a", false);
+    cw_list_history_begin(&history, with, 1);
+    for (number = 2; number < 2 + 2 * (CW_REMOVED_MAX + 1); number += 2) {
+        cw_list_history_add(&history, with, without, number);
+        cw_list_history_add(&history, without, with, number + 1);
+    }
+    ck_assert(!cw_list_history_covers(&history, 1));
+    ck_assert(cw_list_history_covers(&history, number - 1));
+    cw_server_list_release(with);
+    cw_server_list_release(without);
+}
+END_TEST
+
 START_TEST(an_empty_table_takes_one_page)
 {
     ck_assert_uint_eq(cw_table_pages_of(0), 1);
@@ -299,6 +438,9 @@
     tcase_add_test(cases, what_was_told_of_servers_that_are_gone_is_forgotten);
     tcase_add_test(cases, a_server_that_is_gone_from_the_list_goes_with_its_last_request);
     tcase_add_test(cases, a_table_of_many_ranges_arrives_whole_in_any_order_of_pages);
+    tcase_add_test(cases, changes_laid_over_an_older_table_give_the_newest);
+    tcase_add_test(cases, changes_of_the_list_are_told_by_number);
+    tcase_add_test(cases, a_list_from_before_what_is_remembered_has_to_come_whole);
     tcase_add_test(cases, an_empty_table_takes_one_page);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
