leadership: a small node lets a more capable one lead

Change: nodes tell how capable they are (cores, as far as the link goes with them; `cpu_share`, `link_mbps`). A node that hears one of at least twice its own takes the lock half a second later than it might, but its own earlier life's lock at once as before; a small leader hands over once a larger one has been in reach for 4 s and the store is well. This delays takes and permits none, so the model is not touched. The header named a model file that does not exist; mended. Tests: a_node_lets_a_more_capable_one_try_first, a_node_takes_its_own_earlier_lock_at_once_also_beside_a_more_capable_one.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -919,7 +919,7 @@
   (ProtobufCMessageInit) cwp__leader_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[14] =
+static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[15] =
 {
   {
     "node",
@@ -1089,8 +1089,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capability",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__NodeReport, capability),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__node_report__field_indices_by_name[] = {
+  14,   /* field[14] = capability */
   9,   /* field[9] = configuration */
   1,   /* field[1] = incarnation */
   8,   /* field[8] = leader */
@@ -1109,7 +1122,7 @@
 static const ProtobufCIntRange cwp__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor cwp__node_report__descriptor =
 {
@@ -1119,7 +1132,7 @@
   "Cwp__NodeReport",
   "cwp",
   sizeof(Cwp__NodeReport),
-  14,
+  15,
   cwp__node_report__field_descriptors,
   cwp__node_report__field_indices_by_name,
   1,  cwp__node_report__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -174,10 +174,14 @@
    */
   size_t n_paces;
   Cwp__ServerPace **paces;
+  /*
+   * to lead; with the name
+   */
+  uint32_t capability;
 };
 #define CWP__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Cwp__ViewServer
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -42,6 +42,7 @@
     settings->heartbeat = CW_MS(HEARTBEAT_MS);
     settings->stop_grace = CW_MS(STOP_GRACE_MS);
     settings->link_mbps = LINK_MBPS;
+    settings->cpu_share = 1;
     settings->retry_window = CW_MS(RETRY_WINDOW_MS);
     settings->retry_ratio = 0.1;
     settings->retry_extra = RETRY_EXTRA;
@@ -170,6 +171,7 @@
     limit_holds(settings, read_ms(mapping, "hold_max_ms", 1000, 600000, CW_MS(HOLD_MAX_MS)));
     settings->stop_grace = read_ms(mapping, "stop_grace_ms", 1000, 600000, settings->stop_grace);
     settings->link_mbps = (uint32_t)cw_yaml_real(mapping, "link_mbps", 1, LINK_MBPS_MAX, settings->link_mbps);
+    settings->cpu_share = cw_yaml_real(mapping, "cpu_share", 0.001, 1024, settings->cpu_share);
     settings->retry_window = read_ms(mapping, "retry_window_ms", 1000, 600000, settings->retry_window);
     settings->retry_ratio = cw_yaml_real(mapping, "retry_ratio", 0, 1, settings->retry_ratio);
     settings->retry_extra = cw_yaml_real(mapping, "retry_extra", 0, 1e9, settings->retry_extra);
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -41,6 +41,7 @@
     cw_time_us_t     heartbeat; /**< servers write their entries of the list this often */
     cw_time_us_t     stop_grace;
     uint32_t         link_mbps; /**< bandwidth of this node's link */
+    double           cpu_share; /**< of a core, that this node may use */
     cw_time_us_t     retry_window;
     double           retry_ratio;
     double           retry_extra;
--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -103,6 +103,11 @@
     }
 }
 
+void cw_leadership_defer(cw_leadership_t *leadership, cw_time_us_t deference)
+{
+    leadership->deference = deference;
+}
+
 void cw_leadership_resign(cw_leadership_t *leadership, cw_time_us_t now)
 {
     leadership->resigning = true;
@@ -142,10 +147,10 @@
 {
     cw_time_us_t wait = leadership->settings.hold * (100 + DRIFT_PERCENT) / 100 + CW_MS(TAKE_SLACK_MS);
 
-    if (leadership->lock.vacant || strcmp(leadership->lock.node, leadership->settings.node) == 0) {
+    if (!leadership->lock.vacant && strcmp(leadership->lock.node, leadership->settings.node) == 0) {
         return true;
     }
-    return now - leadership->seen_at >= wait;
+    return now - leadership->seen_at >= (leadership->lock.vacant ? 0 : wait) + leadership->deference;
 }
 
 static cw_leadership_action_t follow(cw_leadership_t *leadership, cw_time_us_t now)
@@ -236,7 +241,7 @@
         leadership->next_at = now;
     } else {
         lose(leadership);
-        leadership->next_at = lock.vacant ? now : now + leadership->settings.read_every;
+        leadership->next_at = lock.vacant && leadership->deference == 0 ? now : now + leadership->settings.read_every;
     }
 }
 
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -9,9 +9,11 @@
  *    revision, once `hold` plus the clocks' drift has run out. Any write in between makes it fail.
  *  - A lock held by an earlier life of this very node may be taken at once: that life has ended. So may a vacant one.
  *  - A write without an answer proves nothing: the lock is read, and the next write is made under what was read.
+ *  - A node that knows of a more capable one in reach lets that one try first: it takes the lock `deference` later than
+ *    it might. Its own earlier life's lock it takes at once all the same. This delays takes and permits none.
  *  - Wall clocks are never used.
  *
- * Model: spec/leadership.pml. Operators: docs/OPERATIONS.md.
+ * Model: spec/lease.pml. Operators: docs/OPERATIONS.md.
  */
 #ifndef CEDARWINCH_LEASE_LEADERSHIP_H
 #define CEDARWINCH_LEASE_LEADERSHIP_H
@@ -69,6 +71,7 @@
     cw_lock_t                write;
     cw_time_us_t             sent_at;
     cw_time_us_t             next_at;
+    cw_time_us_t             deference; /**< how much later than it might it takes the lock; 0: at once */
     uint64_t                 last_beat;
     uint64_t                 failures; /**< store calls in a row that brought nothing */
 } cw_leadership_t;
@@ -79,6 +82,8 @@
 void cw_leadership_replied(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now);
 /** A leader told this node its term, its lock's revision and whether it has authority. */
 void cw_leadership_heard(cw_leadership_t *leadership, uint64_t term, uint64_t revision, bool able, cw_time_us_t now);
+/** Whether a more capable node is in reach, told with each tick: so much later this one takes the lock. */
+void cw_leadership_defer(cw_leadership_t *leadership, cw_time_us_t deference);
 /** A leader said that it stops: the lock is looked at soon. */
 void cw_leadership_heard_stop(cw_leadership_t *leadership, cw_time_us_t now);
 bool cw_leadership_has_authority(const cw_leadership_t *leadership, cw_time_us_t now);
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -34,6 +34,7 @@
     cw_time_us_t    heard_at; /**< 0: never */
     cw_time_us_t    told_at;  /**< when its address was told */
     bool            stopping;
+    uint32_t        capability; /**< to lead, as it told; 0: not known */
     bool            is_lost;
     uint64_t        term; /**< of the view it has */
     uint64_t        servers;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -129,6 +129,7 @@
     double             push_room; /**< bytes that may be sent to bring others up to date */
     cw_time_us_t       push_filled_at;
     cw_time_us_t       led_since;
+    cw_time_us_t       better_since; /**< a node far more capable than this one has been in reach; 0: none is */
     cw_keyed_service_t keyed[CW_KEYED_SERVICES_MAX];
     size_t             keyed_count;
 } cw_router_t;
@@ -176,9 +177,11 @@
 /* ---- router_lead.c ---- */
 void cw_router_lead_init(cw_router_t *router);
 void cw_router_lead_tick(cw_router_t *router, cw_time_us_t now);
-bool cw_router_is_able(const cw_router_t *router, cw_time_us_t now);
-void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
-                            uint32_t seen, cw_time_us_t now);
+/** How much this node can carry as the leader; thousandths of a core, as far as its link goes with them. */
+uint32_t cw_router_capability(const cw_router_t *router);
+bool     cw_router_is_able(const cw_router_t *router, cw_time_us_t now);
+void     cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
+                                uint32_t seen, cw_time_us_t now);
 /** The store answered a call of this node, or did not. */
 void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now);
 
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -24,7 +24,11 @@
     STORE_LOST_MS = 500,
     CUT_OFF_MS = 900,
     CUT_OFF_RANGES = 2,
-    CUT_OFF_PAUSE_S = 6
+    CUT_OFF_PAUSE_S = 6,
+    LINK_CAPABILITY = 5, /* thousandths of a core that a Mbit/s of link goes with */
+    BETTER_TIMES = 2,
+    DEFERENCE_MS = 500,
+    HAND_OVER_S = 4
 };
 
 static const char leader_kind[] = "leaders";
@@ -468,6 +472,46 @@
     }
 }
 
+/* ---- who should lead ---- */
+
+uint32_t cw_router_capability(const cw_router_t *router)
+{
+    double by_cpu = router->settings.cpu_share * 1000;
+    double by_link = (double)router->settings.link_mbps * LINK_CAPABILITY;
+
+    return (uint32_t)(by_cpu < by_link ? by_cpu : by_link);
+}
+
+static bool is_better_in_reach(const cw_router_t *router)
+{
+    uint32_t         own = cw_router_capability(router);
+    const cw_peer_t *peer;
+
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (peer->heard_at != 0 && !peer->is_lost && !peer->stopping && peer->capability >= BETTER_TIMES * own) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A small node leads only while no larger one can. */
+static void prefer_capable(cw_router_t *router, cw_time_us_t now)
+{
+    if (!is_better_in_reach(router)) {
+        router->better_since = 0;
+    } else if (router->better_since == 0) {
+        router->better_since = now;
+    }
+    cw_leadership_defer(&router->leadership, router->better_since == 0 ? 0 : CW_MS(DEFERENCE_MS));
+    if (cw_router_is_able(router, now) && router->better_since != 0 &&
+        now - router->better_since > CW_SECONDS(HAND_OVER_S) && now - router->led_since > CW_SECONDS(HAND_OVER_S) &&
+        !is_store_in_trouble(router, now)) {
+        note_leadership(router, CW_EVENT_LEADER_LOST, "a more capable node is in reach");
+        cw_leadership_step_down(&router->leadership, now, CW_SECONDS(CUT_OFF_PAUSE_S));
+    }
+}
+
 /* ---- ticks ---- */
 
 static bool is_deposed(const cw_router_t *router)
@@ -487,6 +531,7 @@
     bool   able;
     size_t index;
 
+    prefer_capable(router, now);
     step_lock(router, now);
     able = cw_router_is_able(router, now);
     if (able != router->was_able) {
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -154,6 +154,7 @@
     if (full || now < router->named_until) {
         builder.report.node = router->settings.node;
         builder.report.zone = router->settings.zone;
+        builder.report.capability = cw_router_capability(router);
     }
     if (full) {
         router->reported_full_at = now;
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -204,6 +204,35 @@
 }
 END_TEST
 
+START_TEST(a_node_lets_a_more_capable_one_try_first)
+{
+    cw_leadership_t leadership = new_leadership("n1", 11, 0);
+    cw_lock_t       lock = lock_of("n2", 22, 4);
+
+    cw_leadership_defer(&leadership, CW_MS(500));
+    lock.vacant = true;
+    ck_assert_int_eq(cw_leadership_tick(&leadership, 0), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 9, &lock, 0);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(20)),
+                     CW_LEADERSHIP_WAIT); /* nor does it read all the time */
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(400)), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 9, &lock, CW_MS(400));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(800)), CW_LEADERSHIP_REPLACE);
+}
+END_TEST
+
+START_TEST(a_node_takes_its_own_earlier_lock_at_once_also_beside_a_more_capable_one)
+{
+    cw_leadership_t leadership = new_leadership("n1", 11, 0);
+    cw_lock_t       lock = lock_of("n1", 10, 4);
+
+    cw_leadership_defer(&leadership, CW_MS(500));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, 0), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 9, &lock, 0);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(400)), CW_LEADERSHIP_REPLACE);
+}
+END_TEST
+
 START_TEST(after_stepping_down_it_follows_and_may_lead_again_later)
 {
     cw_leadership_t leadership = new_leader(0);
@@ -251,6 +280,8 @@
     tcase_add_test(cases, a_conflict_with_another_holder_ends_authority);
     tcase_add_test(cases, resigning_ends_authority_at_once_and_writes_a_vacant_lock);
     tcase_add_test(cases, a_vacant_lock_is_taken_at_once);
+    tcase_add_test(cases, a_node_lets_a_more_capable_one_try_first);
+    tcase_add_test(cases, a_node_takes_its_own_earlier_lock_at_once_also_beside_a_more_capable_one);
     tcase_add_test(cases, after_stepping_down_it_follows_and_may_lead_again_later);
     tcase_add_test(cases, a_lock_survives_its_text);
     suite_add_tcase(suite, cases);
