platform: fewer calls to the store: list by its changes, long watches, hints after a moment

Change: a list of more than one page is read whole once and then by its changes, one call each time; an answer without any change, 410, a failure or a pause of 4 s lead back to the whole list. A watch of the configuration stands for 25 s; reading the configuration begins a new one. A node that hears of a higher version gives its watch 0.7 s, then reads; one that hears nobody reads each 4 s. After a change 0.4 s pass before the next watch. The configuration's part of router.c is now router_configuration.c. Metric cedarwinch_list_changes_total. Tests: tests/process/list_by_changes.sh (the stand-in store's pages can be made small); configuration.sh as before.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -48,7 +48,7 @@
 
 cluster_start() {
     local n
-    "$BUILD/cw-store" --address "$NET.250" >"$WORK/store.out" &
+    "$BUILD/cw-store" --address "$NET.250" ${STORE_PAGE:+--page "$STORE_PAGE"} >"$WORK/store.out" &
     PIDS+=("$!")
     until_true grep -q port "$WORK/store.out"
     STORE="$NET.250:$(awk '{print $2}' "$WORK/store.out")"
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -67,60 +67,6 @@
     return XXH3_64bits(&seed, sizeof(seed)) ^ random;
 }
 
-/* ---- the store's readers ---- */
-
-static void note_plan(const cw_router_t *router, const cw_configuration_t *configuration)
-{
-    const cw_configuration_t *before = router->configuration;
-    int64_t                   added = 0;
-    int64_t                   removed = 0;
-    size_t                    index;
-    cw_event_t                event;
-
-    for (index = 0; index < configuration->route_count; index++) {
-        const cw_route_t *route = &configuration->routes[index];
-
-        added += before == NULL || cw_configuration_match(before, route->host, route->prefix) == NULL ? 1 : 0;
-    }
-    for (index = 0; before != NULL && index < before->route_count; index++) {
-        const cw_route_t *route = &before->routes[index];
-
-        removed += cw_configuration_match(configuration, route->host, route->prefix) == NULL ? 1 : 0;
-    }
-    if (cw_event_begin(&event, CW_EVENT_CONFIGURATION_ACCEPTED)) {
-        cw_event_number(&event, CW_FIELD_VERSION, (int64_t)configuration->version);
-        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)configuration->route_count);
-        cw_event_number(&event, CW_FIELD_ADDED, added);
-        cw_event_number(&event, CW_FIELD_REMOVED, removed);
-        cw_event_end(&event);
-    }
-}
-
-static void on_configuration(void *context, cw_configuration_t *configuration, const char *problem)
-{
-    cw_router_t *router = context;
-    cw_event_t   event;
-
-    if (configuration == NULL) {
-        if (cw_event_begin(&event, CW_EVENT_CONFIGURATION_REFUSED)) {
-            cw_event_text(&event, CW_FIELD_REASON, problem);
-            cw_event_end(&event);
-        }
-        return;
-    }
-    if (router->configuration != NULL && configuration->version <= router->configuration->version) {
-        cw_configuration_release(configuration); /* never back */
-        return;
-    }
-    note_plan(router, configuration);
-    cw_configuration_release(router->configuration);
-    router->configuration = configuration;
-    router->all_due = true;
-    cw_engine_set_configuration(router->engine, configuration);
-    cw_http_listener_set_limits(router->callers, &configuration->limits);
-    cw_metric_set(CW_METRIC_CONFIGURATION, configuration->version);
-}
-
 /* ---- callers, readiness, metrics ---- */
 
 static void on_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
@@ -338,6 +284,7 @@
 
     cw_router_lead_tick(router, now);
     cw_router_view_tick(router, now);
+    cw_router_configuration_tick(router, now);
     cw_router_peers_tick(router, now);
     cw_engine_set_nodes(router->engine, nodes_for_budget(router, now));
     check_file(router, now);
@@ -402,7 +349,7 @@
     cw_upstream_options_t upstream = {.idle_max = CW_MS(IDLE_MS), .unacknowledged = CW_MS(UNACKNOWLEDGED_MS)};
     cw_peer_handler_t     peers = {router, cw_router_datagram};
     cw_store_readers_t    readers = {
-           .context = router, .configuration = on_configuration, .servers = cw_router_on_servers};
+           .context = router, .configuration = cw_router_on_configuration, .servers = cw_router_on_servers};
     char store_address[32];
     int  error;
 
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -92,6 +92,11 @@
     cw_queue_report_t queues[CW_QUEUE_REPORTS_MAX];
     size_t            queue_count;
 
+    /* the configuration */
+    uint64_t     heard_version; /**< highest that another node told */
+    cw_time_us_t heard_version_at;
+    cw_time_us_t configuration_read_at;
+
     /* what this node goes by */
     cw_server_list_t   *servers;
     cw_time_us_t        servers_at; /**< when the list was surely true */
@@ -153,6 +158,14 @@
 void cw_router_push_servers(cw_router_t *router, cw_time_us_t now);
 void cw_router_push_tables(cw_router_t *router, cw_time_us_t now);
 
+/* ---- router_configuration.c ---- */
+/** Version in force; 0: none yet. */
+uint64_t cw_router_version(const cw_router_t *router);
+void     cw_router_on_configuration(void *context, cw_configuration_t *configuration, const char *problem);
+/** Another node has this version in force. */
+void cw_router_hear_configuration(cw_router_t *router, uint64_t version, cw_time_us_t now);
+void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now);
+
 /* ---- router_receive.c ---- */
 void cw_router_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
 
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -163,7 +163,7 @@
     builder.report.incarnation = router->incarnation;
     builder.report.sequence = ++router->sequence;
     builder.report.stopping = router->stopping_at != 0;
-    builder.report.configuration = router->configuration == NULL ? 0 : router->configuration->version;
+    builder.report.configuration = cw_router_version(router);
     builder.report.term = router->view_term;
     builder.report.servers = router->view_servers;
     builder.report.tables = router->view_tables;
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -127,9 +127,7 @@
     if (received->leader != NULL) {
         cw_router_take_leader_word(router, peer, received->leader, now);
     }
-    if (received->configuration > (router->configuration == NULL ? 0 : router->configuration->version)) {
-        router->store->read_configuration(router->store->context);
-    }
+    cw_router_hear_configuration(router, received->configuration, now);
     cw_engine_wake(router->engine);
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -51,7 +51,7 @@
                     cw_store_replied_t replied, void *data);
     /** Reads the list of servers; the answer goes to the readers' servers(), NULL when it could not be had. */
     void (*read_servers)(void *context);
-    /** Looks at the configuration at once, besides the standing watch. */
+    /** Reads the configuration at once and begins a new standing watch: the present one may be dead. */
     void (*read_configuration)(void *context);
 } cw_store_port_t;
 
--- a/standins/store/main.c
+++ b/standins/store/main.c
@@ -399,7 +399,7 @@
     }
 }
 
-static int serve(const char *address, uint16_t port)
+static int serve(const char *address, uint16_t port, size_t page)
 {
     static store_t             store;
     cw_http_limits_t           limits = {.header_bytes = LIMIT_BYTES,
@@ -411,6 +411,7 @@
 
     uv_loop_init(&store.loop);
     store.revision = 1;
+    store.page = page;
     error = cw_http_listener_create(&store.listener, &store.loop, address, port, &limits, &handler);
     if (error != 0) {
         fprintf(stderr, "cw-store: %s\n", uv_strerror(error));
@@ -425,12 +426,14 @@
 {
     struct arg_str *address = arg_str0("a", "address", "IPV4", "default 127.0.0.1");
     struct arg_int *port = arg_int0("p", "port", "PORT", "default 0: chosen by the system and printed");
+    struct arg_int *page = arg_int0(NULL, "page", "ITEMS", "items of a listing in one answer; default 50");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {address, port, end};
+    void           *table[] = {address, port, page, end};
 
     if (arg_parse(argument_count, arguments, table) > 0) {
         arg_print_errors(stderr, end, "cw-store");
         return 2;
     }
-    return serve(address->count > 0 ? address->sval[0] : "127.0.0.1", port->count > 0 ? (uint16_t)port->ival[0] : 0);
+    return serve(address->count > 0 ? address->sval[0] : "127.0.0.1", port->count > 0 ? (uint16_t)port->ival[0] : 0,
+                 page->count > 0 && page->ival[0] > 0 ? (size_t)page->ival[0] : STORE_PAGE);
 }
--- a/standins/store/store.h
+++ b/standins/store/store.h
@@ -58,6 +58,7 @@
     uint32_t            late;
     uint32_t            refuse_percent;
     uint32_t            calls;
+    size_t              page; /**< items of a listing in one answer */
 } store_t;
 
 /* ---- store_objects.c ---- */
--- a/standins/store/store_objects.c
+++ b/standins/store/store_objects.c
@@ -113,7 +113,7 @@
         if (strcmp(object->kind, kind) != 0 || (after != NULL && strcmp(object->name, after) <= 0)) {
             continue;
         }
-        if (json_array_size(items) == STORE_PAGE) {
+        if (json_array_size(items) == store->page) {
             more = true;
             break;
         }
--- /dev/null
+++ b/tests/process/list_by_changes.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# A list of several pages is kept up to date by its changes: servers that come, leave and end are seen all the same, also
+# after the history was forgotten.
+STORE_PAGE=2
+. "$(dirname "$0")/../../scripts/cluster.sh"
+usual_cluster 3
+by_changes() { local n; for n in 1 2 3; do curl -sf "http://$NET.$n:8081/metrics" | awk '/^cedarwinch_list_changes_total/ {print $2}'; done | sort -n | tail -1; }
+changed() { [ "$(by_changes)" -gt "$1" ]; }
+listed() { curl -sf "http://$NET.$1:8081/status" | jq -r '.servers[] | select(.draining == false) | .service' | grep -c "$2"; }
+has() { [ "$(listed 1 "$1")" = "$2" ] && [ "$(listed 2 "$1")" = "$2" ] && [ "$(listed 3 "$1")" = "$2" ]; }
+until_true changed 3
+check "the list is read by its changes" changed 3
+cluster_server h4 --service hires --zone z1 --work-ms 15
+until_true has hires 4
+check "a server that comes is seen" has hires 4
+kill -TERM "${SERVER_PIDS[h1]}"
+until_true has hires 3
+check "a server that leaves is seen" has hires 3
+curl -sf -X POST "http://$STORE/control?forget=1" >/dev/null
+cluster_server h5 --service hires --zone z2 --work-ms 15
+until_true has hires 4
+check "also after the history was forgotten" has hires 4
+before=$(by_changes)
+until_true changed "$before"
+check "and then it is read by changes again" changed "$before"
+cluster_callers after --rate 100 --count 200
+check "all answered" at_least "$(sum_of after s200)" 198
+check "records agree" cluster_check
+finish_test
