planner: spread a hot piece over as many servers as it takes, none overloaded

Cause: a piece hotter than two servers was halved: the first receiver got half of it, was overloaded itself, and could not be relieved before its rest and settling; with 12 moves a plan, whatever the number of servers, spreading took several rounds of about a second (test: after one plan one of eight servers had 0.515 of a load of five servers). Change: a server is given no more than to 0.7 of its slots (or 1.2 times the mean, where all are busier); a plan makes one move more for each three servers; the window keeps 8,192 keys instead of 2,048, 96 KB at the leader, so that rates above some 700 a second are not cut short. Test: a_hot_piece_of_many_servers_load_is_spread_without_overloading_any (fails before: 0.515, bound 0.25).

--- a/src/placement/load_window.h
+++ b/src/placement/load_window.h
@@ -16,7 +16,7 @@
     uint32_t at_ms;
 } cw_load_sample_t;
 
-enum { CW_LOAD_SAMPLES_MAX = 2048 };
+enum { CW_LOAD_SAMPLES_MAX = 8192 };
 
 typedef struct cw_load_window {
     cw_load_sample_t *samples; /**< a ring */
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -10,14 +10,19 @@
 
 #include "base/text.h"
 
-enum { LOST_MS = 1200 };
+enum {
+    LOST_MS = 1200,
+    MOVES_SERVERS = 3 /* a plan makes one move more for each so many servers */
+};
 
 static const double fit_high = 1.5;    /* a piece is cut off before it would be so many times what should move */
 static const double key_weight = 1e-7; /* breaks ties by the number of keys held */
 static const double full = 0.92;       /* busy share from where the wait is taken to grow in a straight line */
 static const double pace_most = 3;     /* a server in trouble is no reason to move everything at once */
 static const double idle_per_s = 0.5;
-static const double late_power = 1.0; /* long times weigh more: they miss the aim */
+static const double room_busy = 0.7;      /* busy share up to which a server is given more at once */
+static const double room_over_mean = 1.2; /* or this much over the mean of all servers, where that is more */
+static const double late_power = 1.0;     /* long times weigh more: they miss the aim */
 
 const cw_planner_settings_t cw_planner_defaults = {
     .gain_min = 1.5, .move_price = 0.22, .errors = 1.5, .moves_max = 12, .ranges_each = 4, .rest = CW_MS(900)};
@@ -32,6 +37,7 @@
     cw_key_load_t               *loads;
     size_t                       load_count;
     double                       per_s; /**< of all keys */
+    double                       busy;  /**< mean busy share of the servers that can be given keys */
     bool                         doubts_list;
     cw_time_us_t                 now;
     size_t                       changes;
@@ -105,6 +111,21 @@
     }
 }
 
+static void measure_busy(planner_t *planner)
+{
+    double slots = 0;
+    double busy = 0;
+    size_t index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        const cw_planner_server_t *server = &planner->servers[index];
+
+        slots += server->usable ? server->entry->capacity : 0;
+        busy += server->per_s * server->cost_s * server->entry->capacity;
+    }
+    planner->busy = slots > 0 ? busy / slots : 0;
+}
+
 /* Mean time of a request over what is usual, at this rate: its pace and the wait for one of the slots. */
 static double time_at(const cw_planner_server_t *server, double per_s)
 {
@@ -349,16 +370,28 @@
     return best_profit > 0;
 }
 
+/* Rate that a server can be given without becoming the next one to relieve: it keeps what it got for a while. */
+static double room_of(const planner_t *planner, const cw_planner_server_t *server)
+{
+    double most = planner->busy * room_over_mean > room_busy ? planner->busy * room_over_mean : room_busy;
+    double room = most / server->cost_s - server->per_s;
+
+    return room > 0 ? room : 0;
+}
+
 static bool relieve(planner_t *planner, cw_planner_server_t *from)
 {
     cw_planner_server_t *to = least_busy(planner, from->entry->id);
     double               wanted;
+    double               room;
     piece_t              piece;
 
     if (to == NULL || marginal(to) >= marginal(from)) {
         return false;
     }
     wanted = best_rate(from, to);
+    room = room_of(planner, to);
+    wanted = wanted > room ? room : wanted;
     if (gain(from, to, wanted) < planner->settings->gain_min || !choose_piece(planner, from, to, wanted, &piece)) {
         return false;
     }
@@ -370,11 +403,12 @@
 {
     bool  *tried = calloc(planner->server_count + 1, sizeof(*tried));
     size_t moves = 0;
+    size_t most = planner->settings->moves_max + planner->server_count / MOVES_SERVERS;
 
     if (tried == NULL) {
         abort();
     }
-    while (moves < planner->settings->moves_max) {
+    while (moves < most) {
         cw_planner_server_t *from = busiest(planner, tried);
 
         if (from == NULL) {
@@ -469,6 +503,7 @@
     planner.per_s = load_between(&planner, 0, CW_KEY_LAST);
     cw_range_list_copy(&planner.ranges, cw_keeper_ranges(planner.keeper));
     measure_servers(&planner);
+    measure_busy(&planner);
     plan_forced(&planner);
     if (planner.changes == 0 && planner.per_s < idle_per_s) {
         plan_idle(&planner);
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -149,6 +149,22 @@
 }
 END_TEST
 
+/* Those that take pieces over keep them for a while: none may be given so much that it is the next one overloaded. */
+START_TEST(a_hot_piece_of_many_servers_load_is_spread_without_overloading_any)
+{
+    static const char *const eight[] = {"i-a@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80",
+                                        "i-d@10.0.0.4:80", "i-e@10.0.0.5:80", "i-f@10.0.0.6:80",
+                                        "i-g@10.0.0.7:80", "i-h@10.0.0.8:80", NULL};
+    planner_world_t          world;
+
+    init(&world, eight);
+    add_load(&world, 1000, 1199, 100); /* each can serve 20 a second */
+    run_rounds(&world, 1);
+    ck_assert_double_le(busiest_share(&world, 1000, 1199), 0.25);
+    clear(&world);
+}
+END_TEST
+
 START_TEST(a_single_hot_key_is_not_carried_back_and_forth)
 {
     planner_world_t world;
@@ -331,6 +347,7 @@
 
     tcase_add_test(cases, nothing_moves_under_even_load);
     tcase_add_test(cases, a_hot_piece_is_spread_in_one_plan);
+    tcase_add_test(cases, a_hot_piece_of_many_servers_load_is_spread_without_overloading_any);
     tcase_add_test(cases, a_single_hot_key_is_not_carried_back_and_forth);
     tcase_add_test(cases, a_slow_server_gets_less);
     tcase_add_test(cases, a_server_with_all_keys_in_many_ranges_is_relieved);
