planner: all servers have keys before traffic begins

Ruled out: paces (learnt within two seconds at 7 requests a second and server). Change: the first plan waits until no server has signed in for a heartbeat and 0.5 s (4 s at most); as long as there is no load, all servers without keys get half of the largest range of the server with most, in one plan. Test: many_servers_that_come_before_any_load_get_their_parts_in_one_plan (before: one of four).

--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -423,27 +423,56 @@
     free(tried);
 }
 
-/* Before there is any load, servers that have come since get their part of the keys. */
-static void plan_idle(planner_t *planner)
+/* The largest range of a server that can be cut; NULL: none. */
+static const cw_range_t *largest_range(const planner_t *planner, const cw_planner_server_t *server)
+{
+    const cw_range_t *largest = NULL;
+    size_t            index;
+
+    for (index = 0; index < planner->ranges.count; index++) {
+        const cw_range_t *range = &planner->ranges.items[index];
+
+        if (strcmp(range->owner.id, server->entry->id) == 0 && range->last > range->low &&
+            cw_keeper_is_settled(planner->keeper, range, planner->now) &&
+            (largest == NULL || range->last - range->low > largest->last - largest->low)) {
+            largest = range;
+        }
+    }
+    return largest;
+}
+
+/* Half of the largest range of the server with most keys goes to this one. */
+static bool give_half(planner_t *planner, cw_planner_server_t *to)
 {
     cw_planner_server_t *most = NULL;
-    cw_planner_server_t *none = NULL;
+    const cw_range_t    *range;
+    piece_t              piece = {0};
     size_t               index;
 
     for (index = 0; index < planner->server_count; index++) {
         cw_planner_server_t *server = &planner->servers[index];
 
         most = most == NULL || server->keys > most->keys ? server : most;
-        none = none == NULL && server->keys == 0 && server->usable ? server : none;
     }
-    for (index = 0; most != NULL && none != NULL && index < planner->ranges.count; index++) {
-        const cw_range_t *range = &planner->ranges.items[index];
+    range = largest_range(planner, most);
+    if (range == NULL) {
+        return false;
+    }
+    piece.low = range->low + (range->last - range->low + 1) / 2;
+    piece.last = range->last;
+    move(planner, &piece, most, to);
+    return true;
+}
+
+/* Before there is any load, servers that have come since get their part of the keys, all of them in one plan. */
+static void plan_idle(planner_t *planner)
+{
+    size_t index;
 
-        if (strcmp(range->owner.id, most->entry->id) == 0 && range->last > range->low &&
-            cw_keeper_is_settled(planner->keeper, range, planner->now)) {
-            piece_t piece = {range->low + (range->last - range->low + 1) / 2, range->last, 0};
+    for (index = 0; index < planner->server_count; index++) {
+        cw_planner_server_t *server = &planner->servers[index];
 
-            move(planner, &piece, most, none);
+        if (server->keys == 0 && server->usable && !give_half(planner, server)) {
             return;
         }
     }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -31,6 +31,8 @@
     cw_load_window_t  window;
     cw_time_us_t      next_plan;
     cw_time_us_t      first_seen;           /**< since when servers of it are known */
+    size_t            seen;                 /**< servers of it, before the first plan */
+    cw_time_us_t      seen_at;              /**< when that many were first seen */
     cw_time_us_t      owners_missing_since; /**< most of its owners are not in the list; 0: no */
 } cw_keyed_service_t;
 
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -13,7 +13,8 @@
     READ_EVERY_MS = 400,
     PLAN_EVERY_MS = 300,
     FIRST_TABLES_WAIT_MS = 1000,
-    FIRST_PLAN_WAIT_MS = 700, /* servers may still be signing in */
+    FIRST_PLAN_CALM_MS = 500, /* beyond a heartbeat without a server that signed in */
+    FIRST_PLAN_WAIT_S = 4,
     RENEWALS_A_HOLD = 4,
     ORDER_TIMEOUT_MS = 350,
     RELEASE_TIMEOUT_MS = 1500,
@@ -337,7 +338,9 @@
     return count;
 }
 
-static void plan_first(cw_keyed_service_t *keyed, const cw_planner_server_t *servers, size_t count, cw_time_us_t now)
+/* Servers may still be signing in: it waits until none has come for longer than a heartbeat. */
+static void plan_first(const cw_router_t *router, cw_keyed_service_t *keyed, const cw_planner_server_t *servers,
+                       size_t count, cw_time_us_t now)
 {
     static const cw_server_entry_t *usable[SERVERS_MAX];
     size_t                          found = 0;
@@ -351,7 +354,12 @@
     if (found > 0 && keyed->first_seen == 0) {
         keyed->first_seen = now;
     }
-    if (found > 0 && now - keyed->first_seen >= CW_MS(FIRST_PLAN_WAIT_MS)) {
+    if (found != keyed->seen) {
+        keyed->seen = found;
+        keyed->seen_at = now;
+    }
+    if (found > 0 && (now - keyed->seen_at >= router->settings.heartbeat + CW_MS(FIRST_PLAN_CALM_MS) ||
+                      now - keyed->first_seen >= CW_SECONDS(FIRST_PLAN_WAIT_S))) {
         cw_keeper_plan_first(keyed->keeper, usable, found, now);
     }
 }
@@ -382,7 +390,7 @@
     keyed->next_plan = now + CW_MS(PLAN_EVERY_MS);
     count = list_servers(router, cw_keeper_service(keyed->keeper), servers, now);
     if (cw_keeper_state(keyed->keeper) == CW_KEEPER_EMPTY) {
-        plan_first(keyed, servers, count, now);
+        plan_first(router, keyed, servers, count, now);
         return;
     }
     changes = cw_planner_run(&(cw_planner_input_t){.keeper = keyed->keeper,
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -299,6 +299,25 @@
 }
 END_TEST
 
+START_TEST(many_servers_that_come_before_any_load_get_their_parts_in_one_plan)
+{
+    static const char *const eight[] = {"i-a@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80",
+                                        "i-d@10.0.0.4:80", "i-e@10.0.0.5:80", "i-f@10.0.0.6:80",
+                                        "i-g@10.0.0.7:80", "i-h@10.0.0.8:80", NULL};
+    planner_world_t          world;
+    size_t                   index;
+
+    init(&world, four);
+    keeper_world_servers(&world.keeper, eight);
+    refresh_servers(&world);
+    run_rounds(&world, 1);
+    for (index = 0; index < 8; index++) {
+        ck_assert_uint_eq(keys_of(&world, world.servers[index].entry->id), (CW_KEY_LAST + 1) / 8);
+    }
+    clear(&world);
+}
+END_TEST
+
 START_TEST(a_move_under_way_is_finished_before_the_next)
 {
     static const char *const without_b[] = {"i-a@10.0.0.1:80", "i-c@10.0.0.3:80", "i-d@10.0.0.4:80", NULL};
@@ -356,6 +375,7 @@
     tcase_add_test(cases, owners_missing_in_a_doubtful_list_keep_their_keys);
     tcase_add_test(cases, when_most_owners_cannot_be_reached_nothing_is_taken_away);
     tcase_add_test(cases, servers_that_come_before_any_load_get_their_part);
+    tcase_add_test(cases, many_servers_that_come_before_any_load_get_their_parts_in_one_plan);
     tcase_add_test(cases, a_move_under_way_is_finished_before_the_next);
     tcase_add_test(cases, a_window_that_has_just_begun_tells_the_full_rate);
     suite_add_tcase(suite, cases);
