--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -189,6 +189,10 @@
 /** Takes the leader's numbers over where what this node has is the same by its hash. */
 void cw_router_adopt(cw_router_t *router, const cw_peer_t *leader, const Cwp__LeaderWord *word);
 
+/* ---- router_plan.c ---- */
+/** Makes a plan for a service this node leads, if it is time for one. */
+void cw_router_plan(cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now);
+
 /* ---- router_lead.c ---- */
 void cw_router_lead_init(cw_router_t *router);
 void cw_router_lead_tick(cw_router_t *router, cw_time_us_t now);
--- /dev/null
+++ b/src/router/router_plan.c
@@ -0,0 +1,115 @@
+/**
+ * @file router_plan.c
+ * @brief The leader's plans for one service: when they are made, and from what.
+ *
+ * Rules:
+ *  - The first plan waits until servers have signed in.
+ *  - Owners that are missing in the list are not believed gone while most of them are: an outage may have emptied it.
+ *  - A server is given keys only while it is not leaving and this node has no reason to avoid it.
+ */
+#include <string.h>
+
+#include "router/router_internal.h"
+
+enum {
+    PLAN_EVERY_MS = 300,
+    FIRST_PLAN_CALM_MS = 500, /* beyond a heartbeat without a server that signed in */
+    FIRST_PLAN_WAIT_S = 4,
+    SERVERS_MAX = 2048,
+    MISSING_PERCENT = 40, /* more owners than these are not all gone at once */
+};
+
+static size_t list_servers(cw_router_t *router, const char *service, cw_planner_server_t *servers, cw_time_us_t now)
+{
+    double usual_s = (double)cw_engine_usual_time(router->engine, service) / 1e6;
+    size_t count = 0;
+    size_t index;
+
+    for (index = 0; index < router->servers->count && count < SERVERS_MAX; index++) {
+        const cw_server_entry_t *entry = &router->servers->entries[index];
+        cw_server_t             *server = cw_server_pool_find(router->pool, entry->id);
+
+        if (strcmp(entry->service, service) != 0) {
+            continue;
+        }
+        memset(&servers[count], 0, sizeof(servers[count]));
+        servers[count].entry = entry;
+        servers[count].usable = !entry->draining && server != NULL && server->avoid_until <= now;
+        servers[count].pace = server == NULL ? 1 : server->pace;
+        servers[count].cost_s = usual_s * servers[count].pace / (entry->capacity == 0 ? 1 : entry->capacity);
+        count++;
+    }
+    return count;
+}
+
+/* Servers may still be signing in: it waits until none has come for longer than a heartbeat. */
+static void plan_first(const cw_router_t *router, cw_keyed_service_t *keyed, const cw_planner_server_t *servers,
+                       size_t count, cw_time_us_t now)
+{
+    static const cw_server_entry_t *usable[SERVERS_MAX];
+    size_t                          found = 0;
+    size_t                          index;
+
+    for (index = 0; index < count; index++) {
+        if (servers[index].usable) {
+            usable[found++] = servers[index].entry;
+        }
+    }
+    if (found > 0 && keyed->first_seen == 0) {
+        keyed->first_seen = now;
+    }
+    if (found != keyed->seen) {
+        keyed->seen = found;
+        keyed->seen_at = now;
+    }
+    if (found > 0 && (now - keyed->seen_at >= router->settings.heartbeat + CW_MS(FIRST_PLAN_CALM_MS) ||
+                      now - keyed->first_seen >= CW_SECONDS(FIRST_PLAN_WAIT_S))) {
+        cw_keeper_plan_first(keyed->keeper, usable, found, now);
+    }
+}
+
+/* A leader that has just started has no list from before an outage: that many owners are missing tells it of one. */
+static bool doubts_list(const cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
+{
+    if (cw_planner_missing_share(keyed->keeper, router->servers) * 100 <= MISSING_PERCENT) {
+        keyed->owners_missing_since = 0;
+        return false;
+    }
+    if (keyed->owners_missing_since == 0) {
+        keyed->owners_missing_since = now;
+    }
+    return now - keyed->owners_missing_since < cw_absence_settings_of(router->settings.heartbeat).grace;
+}
+
+void cw_router_plan(cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
+{
+    static cw_planner_server_t servers[SERVERS_MAX];
+    size_t                     count;
+    size_t                     changes;
+    cw_event_t                 event;
+
+    if (router->servers == NULL || now < keyed->next_plan || !cw_keeper_may_plan(keyed->keeper)) {
+        return;
+    }
+    keyed->next_plan = now + CW_MS(PLAN_EVERY_MS);
+    count = list_servers(router, cw_keeper_service(keyed->keeper), servers, now);
+    if (cw_keeper_state(keyed->keeper) == CW_KEEPER_EMPTY) {
+        plan_first(router, keyed, servers, count, now);
+        return;
+    }
+    changes = cw_planner_run(&(cw_planner_input_t){.keeper = keyed->keeper,
+                                                   .settings = &cw_planner_defaults,
+                                                   .servers = servers,
+                                                   .server_count = count,
+                                                   .list = router->servers,
+                                                   .window = &keyed->window,
+                                                   .doubts_list = doubts_list(router, keyed, now),
+                                                   .now = now});
+    if (changes > 0 && cw_event_begin(&event, CW_EVENT_PLAN_WRITTEN)) {
+        cw_event_text(&event, CW_FIELD_SERVICE, cw_keeper_service(keyed->keeper));
+        cw_event_number(&event, CW_FIELD_CHANGED, (int64_t)changes);
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)cw_keeper_ranges(keyed->keeper)->count);
+        cw_event_end(&event);
+    }
+    cw_metric_add(CW_METRIC_MOVES, changes);
+}
