platform: changes of the configuration that follow one another are taken together

Ruled out: the list (157 calls), the leader's lock and records (291), reads beside the watch (185). A node that hears of a higher version waits 45 percent of that time for its own watch; before, these were fixed times.

--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -21,6 +21,7 @@
     HOLD_MAX_MS = 60000,
     DRAIN_MS = 2000,
     HEARTBEAT_MS = 1000,
+    CONFIGURATION_MS = 2000,
     LEADER_HOLD_PERCENT = 60, /* of a grant's hold: the rest is for another leader to renew in */
     STOP_GRACE_MS = 6000,
     LINK_MBPS = 1000,
@@ -40,6 +41,7 @@
     settings->hold_long = CW_MS(HOLD_LONG_MS);
     settings->drain = CW_MS(DRAIN_MS);
     settings->heartbeat = CW_MS(HEARTBEAT_MS);
+    settings->configuration_within = CW_MS(CONFIGURATION_MS);
     settings->stop_grace = CW_MS(STOP_GRACE_MS);
     settings->link_mbps = LINK_MBPS;
     settings->cpu_share = 1;
@@ -167,6 +169,8 @@
     settings->hold = read_ms(mapping, "hold_ms", 1000, 60000, settings->hold);
     settings->hold_long = read_ms(mapping, "hold_long_ms", 1000, 60000, settings->hold_long);
     settings->drain = read_ms(mapping, "drain_ms", 200, 600000, settings->drain);
+    settings->configuration_within =
+        read_ms(mapping, "configuration_within_ms", 100, 600000, settings->configuration_within);
     settings->heartbeat = read_ms(mapping, "server_heartbeat_ms", 50, 600000, settings->heartbeat);
     limit_holds(settings, read_ms(mapping, "hold_max_ms", 1000, 600000, CW_MS(HOLD_MAX_MS)));
     settings->stop_grace = read_ms(mapping, "stop_grace_ms", 1000, 600000, settings->stop_grace);
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -35,10 +35,11 @@
     cw_endpoint_t    store;
     cw_event_level_t log_level;
     cw_time_us_t     leader_hold;
-    cw_time_us_t     hold;      /**< of grants on a calm day */
-    cw_time_us_t     hold_long; /**< while the store cannot be reached */
-    cw_time_us_t     drain;     /**< a leaving server gets no request later than this */
-    cw_time_us_t     heartbeat; /**< servers write their entries of the list this often */
+    cw_time_us_t     hold;                 /**< of grants on a calm day */
+    cw_time_us_t     hold_long;            /**< while the store cannot be reached */
+    cw_time_us_t     drain;                /**< a leaving server gets no request later than this */
+    cw_time_us_t     configuration_within; /**< a change of the configuration is in force here within this */
+    cw_time_us_t     heartbeat;            /**< servers write their entries of the list this often */
     cw_time_us_t     stop_grace;
     uint32_t         link_mbps; /**< bandwidth of this node's link */
     double           cpu_share; /**< of a core, that this node may use */
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -349,10 +349,12 @@
     cw_engine_settings_t  settings = engine_settings(router);
     cw_upstream_options_t upstream = {.idle_max = CW_MS(IDLE_MS), .unacknowledged = CW_MS(UNACKNOWLEDGED_MS)};
     cw_peer_handler_t     peers = {router, cw_router_datagram};
-    cw_store_readers_t    readers = {
-           .context = router, .configuration = cw_router_on_configuration, .servers = cw_router_on_servers};
-    char store_address[32];
-    int  error;
+    cw_store_readers_t    readers = {.context = router,
+                                     .configuration = cw_router_on_configuration,
+                                     .configuration_within = router->settings.configuration_within,
+                                     .servers = cw_router_on_servers};
+    char                  store_address[32];
+    int                   error;
 
     router->upstream = cw_upstream_create(&router->loop, &upstream);
     router->pool = cw_server_pool_create(router->settings.zone, on_dropped, router);
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -10,7 +10,10 @@
  */
 #include "router/router_internal.h"
 
-enum { WATCH_LAG_MS = 700, ALONE_EVERY_S = 4 };
+enum {
+    WATCH_LAG_PERCENT = 45, /* of the time in which a change has to be in force: so long its own watch may take */
+    ALONE_EVERY_S = 4
+};
 
 uint64_t cw_router_version(const cw_router_t *router)
 {
@@ -82,8 +85,8 @@
 
 void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now)
 {
-    bool missed =
-        router->heard_version > cw_router_version(router) && now - router->heard_version_at >= CW_MS(WATCH_LAG_MS);
+    bool missed = router->heard_version > cw_router_version(router) &&
+                  now - router->heard_version_at >= router->settings.configuration_within * WATCH_LAG_PERCENT / 100;
     bool alone = cw_peer_link_alive(router->link, router->silence, now) == 0 &&
                  now - router->configuration_read_at >= CW_SECONDS(ALONE_EVERY_S);
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -38,6 +38,9 @@
 typedef struct cw_store_readers {
     void *context;
     void (*configuration)(void *context, cw_configuration_t *configuration, const char *problem);
+    /** A change of it has to be told within this; the adapter may wait for others that follow, but not for all of it.
+     */
+    cw_time_us_t configuration_within;
     void (*servers)(void *context, cw_server_list_t *list);
 } cw_store_readers_t;
 
