--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -790,7 +790,7 @@
   (ProtobufCMessageInit) cwp__key_samples__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__leader_word__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cwp__leader_word__field_descriptors[9] =
 {
   {
     "term",
@@ -888,10 +888,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_revision",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__LeaderWord, list_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__leader_word__field_indices_by_name[] = {
   2,   /* field[2] = able */
   3,   /* field[3] = list_age_ms */
+  8,   /* field[8] = list_revision */
   1,   /* field[1] = revision */
   4,   /* field[4] = servers */
   6,   /* field[6] = servers_hash */
@@ -902,7 +915,7 @@
 static const ProtobufCIntRange cwp__leader_word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cwp__leader_word__descriptor =
 {
@@ -912,7 +925,7 @@
   "Cwp__LeaderWord",
   "cwp",
   sizeof(Cwp__LeaderWord),
-  8,
+  9,
   cwp__leader_word__field_descriptors,
   cwp__leader_word__field_indices_by_name,
   1,  cwp__leader_word__number_ranges,
@@ -1139,7 +1152,7 @@
   (ProtobufCMessageInit) cwp__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__view_server__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cwp__view_server__field_descriptors[8] =
 {
   {
     "id",
@@ -1225,6 +1238,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "missing_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ViewServer, missing_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__view_server__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -1232,13 +1257,14 @@
   6,   /* field[6] = cold_ms */
   5,   /* field[5] = draining */
   0,   /* field[0] = id */
+  7,   /* field[7] = missing_ms */
   1,   /* field[1] = service */
   3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange cwp__view_server__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cwp__view_server__descriptor =
 {
@@ -1248,7 +1274,7 @@
   "Cwp__ViewServer",
   "cwp",
   sizeof(Cwp__ViewServer),
-  7,
+  8,
   cwp__view_server__field_descriptors,
   cwp__view_server__field_indices_by_name,
   1,  cwp__view_server__number_ranges,
@@ -1332,7 +1358,7 @@
   (ProtobufCMessageInit) cwp__view_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[9] =
 {
   {
     "term",
@@ -1430,6 +1456,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "revision",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ServersPage, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__servers_page__field_indices_by_name[] = {
   4,   /* field[4] = nodes */
@@ -1437,6 +1475,7 @@
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
   7,   /* field[7] = removed */
+  8,   /* field[8] = revision */
   5,   /* field[5] = servers */
   6,   /* field[6] = since */
   0,   /* field[0] = term */
@@ -1444,7 +1483,7 @@
 static const ProtobufCIntRange cwp__servers_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cwp__servers_page__descriptor =
 {
@@ -1454,7 +1493,7 @@
   "Cwp__ServersPage",
   "cwp",
   sizeof(Cwp__ServersPage),
-  8,
+  9,
   cwp__servers_page__field_descriptors,
   cwp__servers_page__field_indices_by_name,
   1,  cwp__servers_page__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -132,10 +132,14 @@
    */
   uint64_t servers_hash;
   uint64_t tables_hash;
+  /*
+   * of the store, up to which that list is known to stand
+   */
+  uint64_t list_revision;
 };
 #define CWP__LEADER_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__leader_word__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cwp__NodeReport
@@ -194,10 +198,14 @@
   uint32_t capacity;
   protobuf_c_boolean draining;
   uint32_t cold_ms;
+  /*
+   * kept though its entry has been missing for so long; 0: it has an entry
+   */
+  uint32_t missing_ms;
 };
 #define CWP__VIEW_SERVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__view_server__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -239,10 +247,14 @@
    */
   size_t n_removed;
   char **removed;
+  /*
+   * of the store, that the list stands for
+   */
+  uint64_t revision;
 };
 #define CWP__SERVERS_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__servers_page__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
 
 
 struct  Cwp__TableRange
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -27,6 +27,13 @@
 # Waits until a command succeeds; the runner's time limit ends a wait for what never comes.
 until_true() { until "$@" >/dev/null 2>&1; do sleep 0.05; done; }
 
+# Each node has a door of its own to the store, beside the first one, where STORE_DOORS gives the number of all doors.
+store_of() { # NODE
+    local port
+    port=$(awk -v n="${STORE_DOORS:+$1}" '{print $(n == "" ? 2 : n + 2)}' "$WORK/store.out")
+    echo "$NET.250:$port"
+}
+
 start_node() {
     local n=$1 zone="z$((($1 - 1) % 3 + 1))"
     cat >"$WORK/node$n.yaml" <<YAML
@@ -37,7 +44,7 @@
 readiness: $NET.$n:8081
 peer_port: 7000
 seeds: ["$NET.1:7000", "$NET.2:7000"]
-store: $STORE
+store: $(store_of "$n")
 retry_extra: 40
 ${NODE_SETTINGS:-}
 YAML
@@ -48,10 +55,10 @@
 
 cluster_start() {
     local n
-    "$BUILD/cw-store" --address "$NET.250" ${STORE_PAGE:+--page "$STORE_PAGE"} >"$WORK/store.out" &
+    "$BUILD/cw-store" --address "$NET.250" ${STORE_PAGE:+--page "$STORE_PAGE"} ${STORE_DOORS:+--doors "$STORE_DOORS"} >"$WORK/store.out" &
     PIDS+=("$!")
     until_true grep -q port "$WORK/store.out"
-    STORE="$NET.250:$(awk '{print $2}' "$WORK/store.out")"
+    STORE="$NET.250:$(awk '{print $2}' "$WORK/store.out")" # the first door is also the operator's and the servers'
     NODES=""
     for n in $(seq 1 "$1"); do
         start_node "$n"
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -26,6 +26,7 @@
     X(CONFIGURATION_REFUSED, "configuration refused", ERROR, 20)                                                       \
     X(SERVERS_CHANGED, "servers changed", NOTICE, 20)                                                                  \
     X(SERVERS_KEPT, "servers kept", WARNING, 20)                                                                       \
+    X(SERVERS_OLDER, "servers older", NOTICE, 10)                                                                      \
     X(VIEW_TAKEN, "view taken", INFO, 20)                                                                              \
     X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
     X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
@@ -72,6 +73,7 @@
     X(CHANGED, "changed")                                                                                              \
     X(VERSION, "version")                                                                                              \
     X(REVISION, "revision")                                                                                            \
+    X(IN_FORCE, "in_force")                                                                                            \
     X(DETAIL, "detail")
 
 #define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
--- a/src/model/server_absence.c
+++ b/src/model/server_absence.c
@@ -7,19 +7,37 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { OUTAGE_MS = 1500, GRACE_MIN_MS = 1500, GRACE_MAX_MS = 3000, GRACE_SLACK_MS = 700, MANY_PERCENT = 50 };
+enum {
+    OUTAGE_MS = 1500,
+    GRACE_MIN_MS = 1500,
+    GRACE_MAX_MS = 2000,   /* entries are back within about two seconds of the store's return */
+    GRACE_SLACK_MS = 700,  /* a server's first write after the outage may fail or wait */
+    DRAIN_MARGIN_MS = 250, /* the last requests leave so long before the drain time ends */
+    MANY_PERCENT = 50
+};
 
-cw_absence_settings_t cw_absence_settings_of(cw_time_us_t heartbeat)
+static cw_time_us_t at_least(cw_time_us_t value, cw_time_us_t least)
 {
-    cw_absence_settings_t settings = {.outage = CW_MS(OUTAGE_MS), .grace = heartbeat + CW_MS(GRACE_SLACK_MS)};
+    return value < least ? least : value;
+}
 
-    if (settings.grace < CW_MS(GRACE_MIN_MS)) {
-        settings.grace = CW_MS(GRACE_MIN_MS);
-    }
-    if (settings.grace > CW_MS(GRACE_MAX_MS)) {
-        settings.grace = CW_MS(GRACE_MAX_MS);
-    }
-    return settings;
+static cw_time_us_t at_most(cw_time_us_t value, cw_time_us_t most)
+{
+    return value > most ? most : value;
+}
+
+cw_absence_settings_t cw_absence_settings_of(cw_time_us_t heartbeat, cw_time_us_t drain)
+{
+    cw_time_us_t grace = at_least(heartbeat + CW_MS(GRACE_SLACK_MS), CW_MS(GRACE_MIN_MS));
+
+    grace = at_most(grace, CW_MS(GRACE_MAX_MS));
+    grace = at_most(grace, drain - CW_MS(DRAIN_MARGIN_MS));
+    return (cw_absence_settings_t){.outage = CW_MS(OUTAGE_MS), .grace = grace};
+}
+
+bool cw_absence_is_over(const cw_absence_settings_t *settings, const cw_server_entry_t *entry, cw_time_us_t now)
+{
+    return entry->missing_since != 0 && now - entry->missing_since >= settings->grace;
 }
 
 static bool is_missing(const cw_server_list_t *reading, const cw_server_entry_t *entry)
@@ -27,55 +45,63 @@
     return !entry->draining && cw_server_list_find(reading, entry->id) == NULL;
 }
 
-static size_t count_missing(const cw_server_list_t *reading, const cw_server_list_t *known)
+/* Servers that are missing for the first time. */
+static size_t count_newly_missing(const cw_server_list_t *reading, const cw_server_list_t *known)
 {
     size_t count = 0;
     size_t index;
 
     for (index = 0; index < known->count; index++) {
-        count += is_missing(reading, &known->entries[index]) ? 1 : 0;
+        const cw_server_entry_t *entry = &known->entries[index];
+
+        count += entry->missing_since == 0 && is_missing(reading, entry) ? 1 : 0;
     }
     return count;
 }
 
-/* Those found are kept aside first: adding entries would spoil the order that looking up needs. */
-static size_t add_missing(cw_server_list_t *reading, const cw_server_list_t *known)
+/* Entries to keep, marked, in a list of their own: adding them to the reading would spoil the order that looking up
+ * needs. */
+static cw_server_list_t *kept_entries(const cw_absence_settings_t *settings, const cw_server_list_t *reading,
+                                      const cw_server_list_t *known, bool after_outage, cw_time_us_t now)
 {
-    const cw_server_entry_t **kept = calloc(known->count + 1, sizeof(const cw_server_entry_t *));
-    size_t                    count = 0;
-    size_t                    index;
+    cw_server_list_t *kept = cw_server_list_create();
+    size_t            index;
 
-    if (kept == NULL) {
-        abort();
-    }
     for (index = 0; index < known->count; index++) {
-        const cw_server_entry_t *entry = &known->entries[index];
+        cw_server_entry_t entry = known->entries[index];
 
-        if (is_missing(reading, entry) && cw_server_list_successor(reading, entry->id, entry->address) == NULL) {
-            kept[count++] = entry;
+        if (!is_missing(reading, &entry) || (entry.missing_since == 0 && !after_outage) ||
+            cw_server_list_successor(reading, entry.id, entry.address) != NULL) {
+            continue;
+        }
+        entry.missing_since = entry.missing_since == 0 ? now : entry.missing_since;
+        if (!cw_absence_is_over(settings, &entry, now)) {
+            cw_server_list_put(kept, 0, &entry);
         }
     }
-    for (index = 0; index < count; index++) {
-        cw_server_list_put(reading, 0, kept[index]);
-    }
-    free(kept);
-    return count;
+    return kept;
 }
 
-size_t cw_server_absence_fill(cw_server_absence_t *absence, const cw_absence_settings_t *settings,
-                              cw_server_list_t *reading, const cw_server_list_t *known, cw_time_us_t known_at,
-                              cw_time_us_t now)
+size_t cw_server_absence_fill(const cw_absence_settings_t *settings, cw_server_list_t *reading,
+                              const cw_server_list_t *known, cw_time_us_t known_at, cw_time_us_t now)
 {
-    size_t missing = known == NULL ? 0 : count_missing(reading, known);
+    size_t            newly = known == NULL ? 0 : count_newly_missing(reading, known);
+    cw_server_list_t *kept;
+    size_t            count;
+    size_t            index;
 
-    if (missing == 0) {
+    if (known == NULL) {
         return 0;
     }
-    if (now >= absence->kept_until &&
-        (now - known_at > settings->outage || missing * 100 > known->count * (size_t)MANY_PERCENT)) {
-        if (absence->kept_until == 0 || now - absence->kept_until > settings->outage) {
-            absence->kept_until = now + settings->grace;
-        }
+    kept = kept_entries(settings, reading, known,
+                        now - known_at > settings->outage || newly * 100 > known->count * (size_t)MANY_PERCENT, now);
+    count = kept->count;
+    for (index = 0; index < count; index++) {
+        cw_server_list_put(reading, 0, &kept->entries[index]);
     }
-    return now < absence->kept_until ? add_missing(reading, known) : 0;
+    cw_server_list_release(kept);
+    if (count > 0) {
+        cw_server_list_seal(reading);
+    }
+    return count;
 }
--- a/src/model/server_absence.h
+++ b/src/model/server_absence.h
@@ -7,6 +7,8 @@
  *  - Except where servers could not keep their entries: the reading follows an outage (nobody could read the list for a
  *    while), or more than half of the servers are missing in it at once. Such servers are kept, as they were last
  *    known, until they have had time to sign in again. A server that cannot reach the store goes on serving.
+ *  - The time counts from the first reading in which the server was missing, and further outages do not lengthen it: it
+ *    ends before requests to a server that has left would break the drain time.
  *  - A server at whose address another one has signed in has ended; one that was leaving anyway is not kept.
  */
 #ifndef CEDARWINCH_MODEL_SERVER_ABSENCE_H
@@ -14,24 +16,20 @@
 
 #include "model/server_list.h"
 
-/** All zeros: nothing is kept. */
-typedef struct cw_server_absence {
-    cw_time_us_t kept_until; /**< missing servers are kept until then */
-} cw_server_absence_t;
-
 typedef struct cw_absence_settings {
     cw_time_us_t outage; /**< a list that nobody could read for so long follows an outage */
     cw_time_us_t grace;  /**< time for servers to sign in again */
 } cw_absence_settings_t;
 
-/** Settings for servers that write their entries this often. */
-cw_absence_settings_t cw_absence_settings_of(cw_time_us_t heartbeat);
+/** Settings for servers that write their entries this often and may get requests for `drain` after they left. */
+cw_absence_settings_t cw_absence_settings_of(cw_time_us_t heartbeat, cw_time_us_t drain);
+/** Is this kept entry's time over? */
+bool cw_absence_is_over(const cw_absence_settings_t *settings, const cw_server_entry_t *entry, cw_time_us_t now);
 /**
- * Adds to a reading the servers of `known` that are missing in it and kept; the reading is not sealed afterwards if
- * any were added. known: NULL is allowed. known_at: when the known list was surely true. Returns how many were added.
+ * Adds to a sealed reading the servers of `known` that are missing in it and kept, marked with since when, and seals
+ * it. known: NULL is allowed. known_at: when the known list was surely true. Returns how many were added.
  */
-size_t cw_server_absence_fill(cw_server_absence_t *absence, const cw_absence_settings_t *settings,
-                              cw_server_list_t *reading, const cw_server_list_t *known, cw_time_us_t known_at,
-                              cw_time_us_t now);
+size_t cw_server_absence_fill(const cw_absence_settings_t *settings, cw_server_list_t *reading,
+                              const cw_server_list_t *known, cw_time_us_t known_at, cw_time_us_t now);
 
 #endif
--- a/src/model/server_list.c
+++ b/src/model/server_list.c
@@ -124,7 +124,7 @@
         hash = XXH3_64bits_withSeed(entry->id, strlen(entry->id), hash);
         hash = XXH3_64bits_withSeed(entry->service, strlen(entry->service), hash);
         hash = XXH3_64bits_withSeed(entry->address, strlen(entry->address), hash);
-        hash += 2 * (uint64_t)entry->capacity + (entry->draining ? 1 : 0);
+        hash += 4 * (uint64_t)entry->capacity + (entry->draining ? 1 : 0) + (entry->missing_since != 0 ? 2 : 0);
     }
     return hash;
 }
@@ -186,7 +186,7 @@
 {
     return strcmp(left->id, right->id) == 0 && strcmp(left->service, right->service) == 0 &&
            strcmp(left->address, right->address) == 0 && left->draining == right->draining &&
-           left->capacity == right->capacity;
+           (left->missing_since != 0) == (right->missing_since != 0) && left->capacity == right->capacity;
 }
 
 bool cw_server_list_same(const cw_server_list_t *left, const cw_server_list_t *right)
--- a/src/model/server_list.h
+++ b/src/model/server_list.h
@@ -21,9 +21,10 @@
     char        *zone;
     uint32_t     capacity; /**< requests it works on at once */
     bool         draining;
-    uint64_t     sequence;   /**< rises with each heartbeat */
-    uint64_t     changed_in; /**< number of the told list in which it last changed; 0 at nodes that do not lead */
-    cw_time_us_t cold_time;  /**< still slow after its start for so long, when it wrote this */
+    uint64_t     sequence;      /**< rises with each heartbeat */
+    uint64_t     changed_in;    /**< number of the told list in which it last changed; 0 at nodes that do not lead */
+    cw_time_us_t cold_time;     /**< still slow after its start for so long, when it wrote this */
+    cw_time_us_t missing_since; /**< kept though its entry has been missing since then; 0: it has an entry */
 } cw_server_entry_t;
 
 typedef struct cw_server_list {
@@ -47,7 +48,7 @@
 const cw_server_entry_t *cw_server_list_find(const cw_server_list_t *list, const char *id);
 /** Entry with this address and another id; NULL: none. */
 const cw_server_entry_t *cw_server_list_successor(const cw_server_list_t *list, const char *id, const char *address);
-/** Same server in the same state; sequences and times are not compared. */
+/** Same server in the same state (leaving, kept though missing); sequences and times are not compared. */
 bool cw_server_entry_same(const cw_server_entry_t *left, const cw_server_entry_t *right);
 /** Same servers in the same states; sequences and times are not compared. */
 bool cw_server_list_same(const cw_server_list_t *left, const cw_server_list_t *right);
--- /dev/null
+++ b/src/model/server_view.c
@@ -0,0 +1,282 @@
+/**
+ * @file server_view.c
+ * @brief The list in force, and what has been seen of servers' leaving.
+ */
+#include "model/server_view.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { FORGET_S = 60 }; /* longer than anything about a server that has left can be under way */
+
+void cw_server_view_init(cw_server_view_t *view, const cw_absence_settings_t *absence)
+{
+    memset(view, 0, sizeof(*view));
+    view->absence = *absence;
+}
+
+void cw_server_view_clear(cw_server_view_t *view)
+{
+    size_t index;
+
+    for (index = 0; index < view->departure_count; index++) {
+        free(view->departures[index].id);
+    }
+    free(view->departures);
+    cw_server_list_release(view->list);
+    memset(view, 0, sizeof(*view));
+}
+
+/* ---- departures ---- */
+
+/* Place of an id among the departures, or where it would stand. */
+static size_t place_of(const cw_server_view_t *view, const char *id)
+{
+    size_t low = 0;
+    size_t high = view->departure_count;
+
+    while (low < high) {
+        size_t middle = low + (high - low) / 2;
+
+        if (strcmp(view->departures[middle].id, id) < 0) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+static cw_server_departure_t *find_departure(const cw_server_view_t *view, const char *id)
+{
+    size_t place = place_of(view, id);
+
+    return place < view->departure_count && strcmp(view->departures[place].id, id) == 0 ? &view->departures[place]
+                                                                                        : NULL;
+}
+
+const cw_server_departure_t *cw_server_view_departure(const cw_server_view_t *view, const char *id)
+{
+    return find_departure(view, id);
+}
+
+static cw_server_departure_t *departure_of(cw_server_view_t *view, const char *id)
+{
+    size_t                 place = place_of(view, id);
+    cw_server_departure_t *departure;
+
+    if (place < view->departure_count && strcmp(view->departures[place].id, id) == 0) {
+        return &view->departures[place];
+    }
+    view->departures = realloc(view->departures, (view->departure_count + 1) * sizeof(*view->departures));
+    if (view->departures == NULL) {
+        abort();
+    }
+    departure = &view->departures[place];
+    memmove(departure + 1, departure, (view->departure_count - place) * sizeof(*departure));
+    memset(departure, 0, sizeof(*departure));
+    departure->id = strdup(id);
+    if (departure->id == NULL) {
+        abort();
+    }
+    view->departure_count++;
+    return departure;
+}
+
+static void forget_departures(cw_server_view_t *view, cw_time_us_t now)
+{
+    size_t kept = 0;
+    size_t index;
+
+    for (index = 0; index < view->departure_count; index++) {
+        if (now - view->departures[index].told_at > CW_SECONDS(FORGET_S)) {
+            free(view->departures[index].id);
+        } else {
+            view->departures[kept++] = view->departures[index];
+        }
+    }
+    view->departure_count = kept;
+}
+
+static void note_missing(cw_server_view_t *view, const cw_server_entry_t *entry, uint64_t latest, cw_time_us_t now)
+{
+    cw_server_departure_t *departure = departure_of(view, entry->id);
+
+    if (departure->since == 0) {
+        departure->since = entry->missing_since != 0 ? entry->missing_since : now;
+    }
+    departure->sequence = entry->sequence > departure->sequence ? entry->sequence : departure->sequence;
+    departure->revision = latest > departure->revision ? latest : departure->revision;
+    departure->told_at = now;
+}
+
+static void note_leaving(cw_server_view_t *view, const cw_server_entry_t *entry, cw_time_us_t now)
+{
+    cw_server_departure_t *departure = departure_of(view, entry->id);
+
+    departure->is_leaving = true;
+    departure->told_at = now;
+}
+
+/* Who has left, or is leaving, by the list that comes into force. */
+static void note_departures(cw_server_view_t *view, const cw_server_list_t *list, uint64_t latest, cw_time_us_t now)
+{
+    size_t index;
+
+    for (index = 0; index < list->count; index++) {
+        const cw_server_entry_t *entry = &list->entries[index];
+
+        if (entry->missing_since != 0) {
+            note_missing(view, entry, latest, now);
+        }
+        if (entry->draining) {
+            note_leaving(view, entry, now);
+        }
+    }
+    for (index = 0; view->list != NULL && index < view->list->count; index++) {
+        if (cw_server_list_find(list, view->list->entries[index].id) == NULL) {
+            note_missing(view, &view->list->entries[index], latest, now);
+        }
+    }
+}
+
+/* ---- what is known against an entry ---- */
+
+/* Does the entry show that a server that was missing is back? */
+static bool is_back(const cw_server_departure_t *departure, const cw_server_entry_t *entry,
+                    const cw_server_reading_t *reading)
+{
+    bool is_earlier = entry->sequence != 0 && entry->sequence <= departure->sequence;
+
+    return entry->missing_since == 0 && reading->revision > departure->revision && (reading->is_told || !is_earlier);
+}
+
+/* Brings an entry in line with what has been seen of its server. False: it is not to be in the list. */
+static bool correct(const cw_server_view_t *view, cw_server_entry_t *entry, const cw_server_reading_t *reading,
+                    cw_time_us_t now)
+{
+    cw_server_departure_t *departure = find_departure(view, entry->id);
+
+    if (departure != NULL) {
+        departure->told_at = now;
+        entry->draining = entry->draining || departure->is_leaving;
+        if (departure->since != 0 && is_back(departure, entry, reading)) {
+            departure->since = 0;
+        } else if (departure->since != 0) {
+            entry->missing_since = departure->since;
+        }
+    }
+    return !cw_absence_is_over(&view->absence, entry, now);
+}
+
+/* The list with each entry corrected; the one given is released. */
+static cw_server_list_t *correct_all(const cw_server_view_t *view, const cw_server_reading_t *reading, cw_time_us_t now)
+{
+    cw_server_list_t *list = reading->list;
+    char            **dropped = calloc(list->count + 1, sizeof(*dropped));
+    cw_server_list_t *corrected;
+    size_t            count = 0;
+    size_t            index;
+
+    if (dropped == NULL) {
+        abort();
+    }
+    for (index = 0; index < list->count; index++) {
+        if (!correct(view, &list->entries[index], reading, now)) {
+            dropped[count++] = list->entries[index].id;
+        }
+    }
+    if (count > 0) {
+        corrected = cw_server_list_copy_without(list, dropped, count);
+        cw_server_list_release(list);
+        list = corrected;
+    }
+    free(dropped);
+    return list;
+}
+
+/* ---- the list in force ---- */
+
+/* The same servers in the same states: just how far their heartbeats are, and since when they are missing, is new. */
+static void refresh_entries(cw_server_list_t *list, const cw_server_list_t *newer)
+{
+    size_t index;
+
+    for (index = 0; index < list->count; index++) {
+        cw_server_entry_t       *entry = &list->entries[index];
+        const cw_server_entry_t *told = &newer->entries[index];
+
+        entry->sequence = told->sequence > entry->sequence ? told->sequence : entry->sequence;
+        entry->missing_since = told->missing_since;
+    }
+}
+
+static cw_view_result_t replace(cw_server_view_t *view, cw_server_list_t *list, cw_server_list_t **before)
+{
+    size_t index;
+
+    if (cw_server_list_same(view->list, list)) {
+        refresh_entries(view->list, list);
+        cw_server_list_release(list);
+        return CW_VIEW_SAME;
+    }
+    *before = view->list;
+    view->list = list;
+    view->hash = cw_server_list_hash(list);
+    view->kept = 0;
+    for (index = 0; index < list->count; index++) {
+        view->kept += list->entries[index].missing_since != 0 ? 1 : 0;
+    }
+    return CW_VIEW_CHANGED;
+}
+
+cw_view_result_t cw_server_view_take(cw_server_view_t *view, const cw_server_reading_t *reading, cw_time_us_t now,
+                                     cw_server_list_t **before)
+{
+    uint64_t          latest = reading->latest > reading->revision ? reading->latest : reading->revision;
+    cw_server_list_t *list;
+
+    *before = NULL;
+    if (reading->revision < view->revision) {
+        cw_server_list_release(reading->list);
+        return CW_VIEW_OLDER;
+    }
+    list = correct_all(view, reading, now);
+    if (!reading->is_told) {
+        (void)cw_server_absence_fill(&view->absence, list, view->list, view->true_at, now);
+    }
+    note_departures(view, list, latest, now);
+    forget_departures(view, now);
+    cw_server_view_confirm(view, reading->revision, reading->true_at);
+    return replace(view, list, before);
+}
+
+void cw_server_view_confirm(cw_server_view_t *view, uint64_t revision, cw_time_us_t true_at)
+{
+    view->revision = revision > view->revision ? revision : view->revision;
+    view->true_at = true_at > view->true_at ? true_at : view->true_at;
+}
+
+static bool is_any_over(const cw_server_view_t *view, cw_time_us_t now)
+{
+    size_t index;
+
+    for (index = 0; view->kept > 0 && index < view->list->count; index++) {
+        if (cw_absence_is_over(&view->absence, &view->list->entries[index], now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+cw_view_result_t cw_server_view_expire(cw_server_view_t *view, cw_time_us_t now, cw_server_list_t **before)
+{
+    cw_server_reading_t unchanged = {.revision = view->revision, .is_told = true};
+
+    *before = NULL;
+    if (!is_any_over(view, now)) {
+        return CW_VIEW_SAME;
+    }
+    unchanged.list = cw_server_list_copy_without(view->list, NULL, 0);
+    return cw_server_view_take(view, &unchanged, now, before);
+}
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -85,7 +85,7 @@
 
 static bool is_ready(const cw_router_t *router)
 {
-    return router->stopping_at == 0 && router->configuration != NULL && router->servers != NULL &&
+    return router->stopping_at == 0 && router->configuration != NULL && router->server_view.list != NULL &&
            cw_router_tables_known(router);
 }
 
@@ -353,6 +353,7 @@
                                      .configuration = cw_router_on_configuration,
                                      .configuration_within = router->settings.configuration_within,
                                      .servers = cw_router_on_servers};
+    cw_absence_settings_t absence;
     char                  store_address[32];
     int                   error;
 
@@ -369,6 +370,8 @@
         return error;
     }
     router->started_at = cw_router_now(router);
+    absence = cw_absence_settings_of(router->settings.heartbeat, router->settings.drain);
+    cw_server_view_init(&router->server_view, &absence);
     cw_router_lead_init(router);
     cw_router_peers_init(router);
     snprintf(store_address, sizeof(store_address), "%s:%u", router->settings.store.address,
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -8,7 +8,7 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "lease/leadership.h"
-#include "model/server_absence.h"
+#include "model/server_view.h"
 #include "peer/peer_link.h"
 #include "placement/planner.h"
 #include "router/list_history.h"
@@ -100,32 +100,29 @@
     cw_time_us_t configuration_read_at;
 
     /* what this node goes by */
-    cw_server_list_t   *servers;
-    cw_time_us_t        servers_at; /**< when the list was surely true */
-    cw_server_absence_t absence;
-    bool                reading_servers; /**< this node reads the list itself */
-    cw_time_us_t        servers_read_at; /**< sending of that read */
-    uint64_t            view_term;
-    uint64_t            view_servers;
-    uint64_t            view_tables;
-    cw_time_us_t        tables_at; /**< when the tables were surely true */
-    cw_time_us_t        leader_word_at;
-    uint64_t            leader_term;
-    bool                leader_silent;  /**< told in the log */
-    bool                tables_expired; /**< told in the log */
-    char                leader_node[CW_NODE_NAME_MAX];
-    uint64_t            servers_hash;
-    cw_view_assembly_t  servers_pages;
-    cw_server_list_t   *servers_partial;
-    size_t              partial_sealed; /**< entries of it that are in order */
-    cw_key_tables_t     tables;
-    uint64_t            tables_hash;
-    cw_view_assembly_t  tables_pages;
-    cw_key_tables_t     tables_partial;
-    cw_time_us_t        tables_read_at;
-    uint32_t            table_reads; /**< under way */
-    bool                store_lost;
-    cw_time_us_t        store_failing_since;
+    cw_server_view_t   server_view;     /**< the list of servers in force */
+    bool               reading_servers; /**< this node reads the list itself */
+    cw_time_us_t       servers_read_at; /**< sending of that read */
+    uint64_t           view_term;
+    uint64_t           view_servers;
+    uint64_t           view_tables;
+    cw_time_us_t       tables_at; /**< when the tables were surely true */
+    cw_time_us_t       leader_word_at;
+    uint64_t           leader_term;
+    bool               leader_silent;  /**< told in the log */
+    bool               tables_expired; /**< told in the log */
+    char               leader_node[CW_NODE_NAME_MAX];
+    cw_view_assembly_t servers_pages;
+    cw_server_list_t  *servers_partial;
+    size_t             partial_sealed; /**< entries of it that are in order */
+    cw_key_tables_t    tables;
+    uint64_t           tables_hash;
+    cw_view_assembly_t tables_pages;
+    cw_key_tables_t    tables_partial;
+    cw_time_us_t       tables_read_at;
+    uint32_t           table_reads; /**< under way */
+    bool               store_lost;
+    cw_time_us_t       store_failing_since;
 
     /* leading */
     cw_leadership_t    leadership;
@@ -172,14 +169,17 @@
 void cw_router_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
 
 /* ---- router_view.c ---- */
-void cw_router_take_servers(cw_router_t *router, cw_server_list_t *list, cw_time_us_t true_at);
+/** Offers a list, which is given away. False: a later one is in force. */
+bool cw_router_take_servers(cw_router_t *router, const cw_server_reading_t *reading);
+/** A list was not taken, since one of a later revision is in force. source: on which way it came. */
+void cw_router_note_older_servers(const cw_router_t *router, uint64_t revision, const char *source);
 /** Routes by the tables as they are now, and by the servers known now. */
 void cw_router_use_tables(cw_router_t *router);
 void cw_router_take_leader_word(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderWord *word,
                                 cw_time_us_t now);
 /** Reads what no leader tells. */
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now);
-void cw_router_on_servers(void *context, cw_server_list_t *list);
+void cw_router_on_servers(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest);
 bool cw_router_tables_known(const cw_router_t *router);
 
 /* ---- router_take.c ---- */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -202,7 +202,7 @@
         router->lead_servers = 1;
         router->lead_tables = 0;
         cw_key_tables_clear(&router->tables);
-        cw_list_history_begin(&router->list_history, router->servers, router->lead_servers);
+        cw_list_history_begin(&router->list_history, router->server_view.list, router->lead_servers);
         cw_router_push_begin(router, now);
         router->view_term = router->leadership.lock.term;
         router->view_servers = 1;
@@ -451,7 +451,8 @@
     find_keyed(router);
     for (index = 0; index < router->keyed_count; index++) {
         cw_router_plan(router, &router->keyed[index], now);
-        cw_keeper_tick(router->keyed[index].keeper, router->servers, able, is_store_in_trouble(router, now), now);
+        cw_keeper_tick(router->keyed[index].keeper, router->server_view.list, able, is_store_in_trouble(router, now),
+                       now);
     }
     resign_if_cut_off(router, now);
     if (is_deposed(router)) {
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -134,10 +134,11 @@
     builder.leader.term = router->leadership.lock.term;
     builder.leader.revision = router->leadership.revision;
     builder.leader.able = cw_router_is_able(router, now);
-    builder.leader.list_age_ms = (uint32_t)((now - router->servers_at) / 1000);
+    builder.leader.list_age_ms = (uint32_t)((now - router->server_view.true_at) / 1000);
     builder.leader.servers = router->lead_servers;
     builder.leader.tables = router->lead_tables;
-    builder.leader.servers_hash = router->servers == NULL ? 0 : router->servers_hash;
+    builder.leader.servers_hash = router->server_view.list == NULL ? 0 : router->server_view.hash;
+    builder.leader.list_revision = router->server_view.revision;
     builder.leader.tables_hash = router->lead_tables == 0 ? 0 : router->tables_hash;
     builder.report.leader = &builder.leader;
 }
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -25,8 +25,8 @@
     size_t count = 0;
     size_t index;
 
-    for (index = 0; index < router->servers->count && count < SERVERS_MAX; index++) {
-        const cw_server_entry_t *entry = &router->servers->entries[index];
+    for (index = 0; index < router->server_view.list->count && count < SERVERS_MAX; index++) {
+        const cw_server_entry_t *entry = &router->server_view.list->entries[index];
         cw_server_t             *server = cw_server_pool_find(router->pool, entry->id);
 
         if (strcmp(entry->service, service) != 0) {
@@ -71,14 +71,14 @@
 /* A leader that has just started has no list from before an outage: that many owners are missing tells it of one. */
 static bool doubts_list(const cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
 {
-    if (cw_planner_missing_share(keyed->keeper, router->servers) * 100 <= MISSING_PERCENT) {
+    if (cw_planner_missing_share(keyed->keeper, router->server_view.list) * 100 <= MISSING_PERCENT) {
         keyed->owners_missing_since = 0;
         return false;
     }
     if (keyed->owners_missing_since == 0) {
         keyed->owners_missing_since = now;
     }
-    return now - keyed->owners_missing_since < cw_absence_settings_of(router->settings.heartbeat).grace;
+    return now - keyed->owners_missing_since < router->server_view.absence.grace;
 }
 
 void cw_router_plan(cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
@@ -88,7 +88,7 @@
     size_t                     changes;
     cw_event_t                 event;
 
-    if (router->servers == NULL || now < keyed->next_plan || !cw_keeper_may_plan(keyed->keeper)) {
+    if (router->server_view.list == NULL || now < keyed->next_plan || !cw_keeper_may_plan(keyed->keeper)) {
         return;
     }
     keyed->next_plan = now + CW_MS(PLAN_EVERY_MS);
@@ -101,7 +101,7 @@
                                                    .settings = &cw_planner_defaults,
                                                    .servers = servers,
                                                    .server_count = count,
-                                                   .list = router->servers,
+                                                   .list = router->server_view.list,
                                                    .window = &keyed->window,
                                                    .doubts_list = doubts_list(router, keyed, now),
                                                    .now = now});
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -92,7 +92,7 @@
     char            *removed[REMOVED_ROOM];
 } servers_room_t;
 
-static void add_server(Cwp__ServersPage *page, servers_room_t *room, const cw_server_entry_t *entry)
+static void add_server(Cwp__ServersPage *page, servers_room_t *room, const cw_server_entry_t *entry, cw_time_us_t now)
 {
     Cwp__ViewServer *server = &room->entries[page->n_servers];
 
@@ -104,6 +104,7 @@
     server->capacity = entry->capacity;
     server->draining = entry->draining;
     server->cold_ms = (uint32_t)(entry->cold_time / 1000);
+    server->missing_ms = entry->missing_since == 0 ? 0 : (uint32_t)((now - entry->missing_since) / 1000) + 1;
     room->pointers[page->n_servers++] = server;
 }
 
@@ -136,17 +137,19 @@
     page->term = router->leadership.lock.term;
     page->number = router->lead_servers;
     page->since = base;
+    page->revision = router->server_view.revision;
     page->servers = room->pointers;
 }
 
 static void send_servers(cw_router_t *router, const cw_peer_t *peer, uint64_t base)
 {
-    static servers_room_t room;
-    Cwp__ServersPage      page;
-    Cwp__Datagram         datagram = CWP__DATAGRAM__INIT;
-    uint32_t              pages = (count_changed(router->servers, base) + PAGE_SERVERS - 1) / PAGE_SERVERS;
-    uint32_t              number = 0;
-    size_t                index = 0;
+    static servers_room_t   room;
+    const cw_server_list_t *list = router->server_view.list;
+    Cwp__ServersPage        page;
+    Cwp__Datagram           datagram = CWP__DATAGRAM__INIT;
+    uint32_t                pages = (count_changed(list, base) + PAGE_SERVERS - 1) / PAGE_SERVERS;
+    uint32_t                number = 0;
+    size_t                  index = 0;
 
     pages = pages == 0 ? 1 : pages;
     datagram.content_case = CWP__DATAGRAM__CONTENT_SERVERS;
@@ -161,9 +164,9 @@
             page.n_removed = cw_list_history_removed(&router->list_history, base, room.removed, REMOVED_ROOM);
             page.removed = room.removed;
         }
-        for (; index < router->servers->count && page.n_servers < PAGE_SERVERS; index++) {
-            if (router->servers->entries[index].changed_in > base) {
-                add_server(&page, &room, &router->servers->entries[index]);
+        for (; index < list->count && page.n_servers < PAGE_SERVERS; index++) {
+            if (list->entries[index].changed_in > base) {
+                add_server(&page, &room, &list->entries[index], cw_router_now(router));
             }
         }
         send_datagram(router, peer, &datagram);
@@ -175,7 +178,7 @@
     cw_peer_t *peer;
 
     refill(router, now);
-    if (!router->leadership.leading || router->servers == NULL || router->lead_servers == 0) {
+    if (!router->leadership.leading || router->server_view.list == NULL || router->lead_servers == 0) {
         return;
     }
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -97,7 +97,7 @@
 
 /* ---- the list ---- */
 
-static cw_server_entry_t entry_of(const Cwp__ViewServer *server)
+static cw_server_entry_t entry_of(const Cwp__ViewServer *server, cw_time_us_t now)
 {
     return (cw_server_entry_t){.id = server->id,
                                .service = server->service,
@@ -105,37 +105,47 @@
                                .zone = server->zone,
                                .capacity = server->capacity,
                                .draining = server->draining,
-                               .cold_time = CW_MS(server->cold_ms)};
+                               .cold_time = CW_MS(server->cold_ms),
+                               .missing_since = server->missing_ms == 0 ? 0 : now - CW_MS(server->missing_ms)};
 }
 
 static void collect_servers(cw_router_t *router, const Cwp__ServersPage *page, bool begun)
 {
-    size_t index;
+    const cw_server_list_t *known = router->server_view.list;
+    cw_time_us_t            now = cw_router_now(router);
+    size_t                  index;
 
     if (begun || router->servers_partial == NULL) {
         cw_server_list_release(router->servers_partial);
-        router->servers_partial = page->since == 0 || router->servers == NULL
+        router->servers_partial = page->since == 0 || known == NULL
                                       ? cw_server_list_create()
-                                      : cw_server_list_copy_without(router->servers, page->removed, page->n_removed);
+                                      : cw_server_list_copy_without(known, page->removed, page->n_removed);
         router->partial_sealed = router->servers_partial->count;
     }
     for (index = 0; index < page->n_servers; index++) {
-        cw_server_entry_t entry = entry_of(page->servers[index]);
+        cw_server_entry_t entry = entry_of(page->servers[index], now);
 
         cw_server_list_put(router->servers_partial, router->partial_sealed, &entry);
     }
     for (index = 0; index < page->n_nodes; index++) {
-        (void)cw_peer_link_learn(router->link, page->nodes[index], cw_router_now(router));
+        (void)cw_peer_link_learn(router->link, page->nodes[index], now);
     }
 }
 
 void cw_router_take_servers_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page)
 {
-    page_place_t      place = {page->term, page->number, page->since, page->page, page->pages};
-    cw_server_list_t *list;
-    bool              begun;
+    page_place_t        place = {page->term, page->number, page->since, page->page, page->pages};
+    cw_server_reading_t reading = {.revision = page->revision, .is_told = true};
+    bool                begun;
 
-    if (!is_usable(router, &place, router->view_servers) || !take_page(&router->servers_pages, &place, &begun)) {
+    if (!is_usable(router, &place, router->view_servers)) {
+        return;
+    }
+    if (page->revision < router->server_view.revision) { /* this node has read a later one itself */
+        cw_router_note_older_servers(router, page->revision, "told");
+        return;
+    }
+    if (!take_page(&router->servers_pages, &place, &begun)) {
         return;
     }
     if (page->since != 0 && begun && page->page != 0) {
@@ -147,13 +157,13 @@
     if (router->servers_pages.have < page->pages) {
         return;
     }
-    list = router->servers_partial;
+    reading.list = router->servers_partial;
     router->servers_partial = NULL;
     memset(&router->servers_pages, 0, sizeof(router->servers_pages));
+    cw_server_list_seal(reading.list);
     begin_term(router, page->term);
     router->view_servers = page->number;
-    cw_server_list_seal(list);
-    cw_router_take_servers(router, list, 0);
+    (void)cw_router_take_servers(router, &reading);
     acknowledge(router, peer);
 }
 
@@ -218,7 +228,7 @@
 {
     bool newer = word->term > router->view_term;
     bool servers = word->servers_hash != 0 && (newer || word->servers > router->view_servers) &&
-                   word->servers_hash == router->servers_hash;
+                   word->servers_hash == router->server_view.hash;
     bool tables = word->tables_hash != 0 && (newer || word->tables > router->view_tables) &&
                   word->tables_hash == router->tables_hash;
 
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -20,47 +20,43 @@
 
 /* ---- servers ---- */
 
-static void note_servers(const cw_router_t *router, const cw_server_list_t *list)
+static void note_servers(const cw_router_t *router, const cw_server_list_t *before)
 {
-    cw_event_t event;
-    int64_t    added = 0;
-    int64_t    removed = 0;
-    size_t     index;
+    const cw_server_list_t *list = router->server_view.list;
+    cw_event_t              event;
+    int64_t                 added = 0;
+    int64_t                 removed = 0;
+    size_t                  index;
 
     for (index = 0; index < list->count; index++) {
-        added += cw_server_list_find(router->servers, list->entries[index].id) == NULL ? 1 : 0;
+        added += cw_server_list_find(before, list->entries[index].id) == NULL ? 1 : 0;
     }
-    for (index = 0; router->servers != NULL && index < router->servers->count; index++) {
-        removed += cw_server_list_find(list, router->servers->entries[index].id) == NULL ? 1 : 0;
+    for (index = 0; before != NULL && index < before->count; index++) {
+        removed += cw_server_list_find(list, before->entries[index].id) == NULL ? 1 : 0;
     }
     if (cw_event_begin(&event, CW_EVENT_SERVERS_CHANGED)) {
         cw_event_number(&event, CW_FIELD_COUNT, (int64_t)list->count);
         cw_event_number(&event, CW_FIELD_ADDED, added);
         cw_event_number(&event, CW_FIELD_REMOVED, removed);
         cw_event_number(&event, CW_FIELD_VIEW, (int64_t)router->view_servers);
+        cw_event_number(&event, CW_FIELD_REVISION, (int64_t)router->server_view.revision);
         cw_event_end(&event);
     }
 }
 
-void cw_router_take_servers(cw_router_t *router, cw_server_list_t *list, cw_time_us_t true_at)
+/* Another list is in force: all that goes by it is told. */
+static void use_servers(cw_router_t *router, cw_server_list_t *before, cw_time_us_t now)
 {
-    cw_time_us_t now = cw_router_now(router);
+    cw_server_list_t *list = router->server_view.list;
 
-    router->servers_at = true_at > router->servers_at ? true_at : router->servers_at;
-    if (cw_server_list_same(router->servers, list)) {
-        cw_server_list_release(list);
-        return;
-    }
-    note_servers(router, list);
+    note_servers(router, before);
     cw_server_pool_update(router->pool, list, now);
     if (router->leadership.leading) {
         router->lead_servers++;
         router->view_servers = router->lead_servers;
-        cw_list_history_add(&router->list_history, router->servers, list, router->lead_servers);
+        cw_list_history_add(&router->list_history, before, list, router->lead_servers);
     }
-    cw_server_list_release(router->servers);
-    router->servers = list;
-    router->servers_hash = cw_server_list_hash(list);
+    cw_server_list_release(before);
     cw_metric_set(CW_METRIC_SERVERS, list->count);
     cw_router_use_tables(router); /* owners may have come or gone */
     if (router->leadership.leading) {
@@ -69,38 +65,65 @@
     cw_engine_wake(router->engine);
 }
 
-/* Servers that could not sign in during an outage are not taken for gone. */
-static void keep_missing(cw_router_t *router, cw_server_list_t *list)
+void cw_router_note_older_servers(const cw_router_t *router, uint64_t revision, const char *source)
 {
-    cw_absence_settings_t settings = cw_absence_settings_of(router->settings.heartbeat);
-    cw_time_us_t          now = cw_router_now(router);
-    size_t kept = cw_server_absence_fill(&router->absence, &settings, list, router->servers, router->servers_at, now);
     cw_event_t event;
 
-    if (kept == 0) {
-        return;
+    if (cw_event_begin(&event, CW_EVENT_SERVERS_OLDER)) {
+        cw_event_text(&event, CW_FIELD_DETAIL, source);
+        cw_event_number(&event, CW_FIELD_REVISION, (int64_t)revision);
+        cw_event_number(&event, CW_FIELD_IN_FORCE, (int64_t)router->server_view.revision);
+        cw_event_end(&event);
     }
-    cw_server_list_seal(list);
-    if (cw_event_begin(&event, CW_EVENT_SERVERS_KEPT)) {
-        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)kept);
-        cw_event_ms(&event, CW_FIELD_VIEW_AGE_MS, now - router->servers_at);
-        cw_event_ms(&event, CW_FIELD_LEFT_MS, router->absence.kept_until - now);
+}
+
+static void note_kept(const cw_router_t *router, size_t before)
+{
+    cw_event_t event;
+
+    if (router->server_view.kept > before && cw_event_begin(&event, CW_EVENT_SERVERS_KEPT)) {
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)router->server_view.kept);
+        cw_event_ms(&event, CW_FIELD_LEFT_MS, router->server_view.absence.grace);
         cw_event_end(&event);
     }
 }
 
-void cw_router_on_servers(void *context, cw_server_list_t *list)
+bool cw_router_take_servers(cw_router_t *router, const cw_server_reading_t *reading)
 {
-    cw_router_t *router = context;
+    cw_time_us_t      now = cw_router_now(router);
+    size_t            kept = router->server_view.kept;
+    cw_server_list_t *before;
+    cw_view_result_t  result = cw_server_view_take(&router->server_view, reading, now, &before);
+
+    if (result == CW_VIEW_CHANGED) {
+        note_kept(router, kept);
+        use_servers(router, before, now);
+    } else if (result == CW_VIEW_OLDER) {
+        cw_router_note_older_servers(router, reading->revision, "read");
+    }
+    return result != CW_VIEW_OLDER;
+}
+
+void cw_router_on_servers(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest)
+{
+    cw_router_t        *router = context;
+    cw_server_reading_t reading = {
+        .list = list, .revision = revision, .latest = latest, .true_at = router->servers_read_at};
 
     router->reading_servers = false;
     cw_router_store_result(router, list != NULL, cw_router_now(router));
-    if (list != NULL) {
-        keep_missing(router, list);
-        if (!router->leadership.leading) {
-            router->view_servers = 0; /* changes that the leader tells cannot be laid over it */
-        }
-        cw_router_take_servers(router, list, router->servers_read_at);
+    if (list != NULL && cw_router_take_servers(router, &reading) && !router->leadership.leading) {
+        router->view_servers = 0; /* changes that the leader tells cannot be laid over it */
+    }
+}
+
+/* Servers that were given time to sign in again, and have not. */
+static void expire_servers(cw_router_t *router, cw_time_us_t now)
+{
+    cw_server_list_t *before;
+
+    if (cw_server_view_expire(&router->server_view, now, &before) == CW_VIEW_CHANGED) {
+        use_servers(router, before, now);
     }
 }
 
@@ -192,9 +215,7 @@
     router->leader_word_at = now;
     cw_router_adopt(router, peer, word);
     if (router->view_term == word->term && router->view_servers >= word->servers) {
-        cw_time_us_t true_at = now - CW_MS(word->list_age_ms);
-
-        router->servers_at = true_at > router->servers_at ? true_at : router->servers_at;
+        cw_server_view_confirm(&router->server_view, word->list_revision, now - CW_MS(word->list_age_ms));
     }
     if (router->view_term == word->term && router->view_tables >= word->tables && word->tables > 0) {
         validate_tables(router, now);
@@ -322,6 +343,7 @@
     cw_time_us_t old = router->settings.drain * WORD_OLD_PERCENT / 100;
     bool         word_is_fresh = now - router->leader_word_at < old;
 
+    expire_servers(router, now);
     note_age(router, word_is_fresh || cw_router_is_able(router, now), now);
     if (cw_router_is_able(router, now)) {
         read_servers(router, now);
@@ -330,7 +352,7 @@
         }
         return;
     }
-    if (!word_is_fresh || now - router->servers_at > old) {
+    if (!word_is_fresh || now - router->server_view.true_at > old) {
         read_servers(router, now);
     }
     if (!word_is_fresh) {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -41,7 +41,9 @@
     /** A change of it has to be told within this; the adapter may wait for others that follow, but not for all of it.
      */
     cw_time_us_t configuration_within;
-    void (*servers)(void *context, cw_server_list_t *list);
+    /** The list of servers, NULL when it could not be read. All changes up to `revision` of the store are in it, and
+     * none later than `latest`: what is read in several calls may hold some made meanwhile. */
+    void (*servers)(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest);
 } cw_store_readers_t;
 
 /** What the router asks of a store. A call's callback comes once, from the loop. */
--- a/standins/store/main.c
+++ b/standins/store/main.c
@@ -310,14 +310,22 @@
 
 /* ---- faults ---- */
 
+static void begin_outage(const store_t *store, store_outage_t *outage, const char *query, uint64_t for_ms)
+{
+    char how[sizeof(outage->how)];
+
+    outage->until_ms = uv_now(&store->loop) + for_ms;
+    snprintf(outage->how, sizeof(outage->how), "%s", query_text(query, "how", how, sizeof(how)) ? how : "busy");
+}
+
 static void take_control(store_t *store, cw_http_exchange_t *exchange, const char *query)
 {
-    char     how[sizeof(store->how)];
     uint64_t down = query_number(query, "down", 0);
+    uint64_t door = query_number(query, "door", 0);
 
     if (down > 0) {
-        store->down_until_ms = uv_now(&store->loop) + down;
-        snprintf(store->how, sizeof(store->how), "%s", query_text(query, "how", how, sizeof(how)) ? how : "busy");
+        begin_outage(store, door > 0 && door <= store->door_count ? &store->doors[door - 1].outage : &store->outage,
+                     query, down);
     }
     store->slow_ms = query_number(query, "slow", store->slow_ms);
     store->lose = (uint32_t)query_number(query, "lose", store->lose);
@@ -331,14 +339,14 @@
 }
 
 /* True: the outage has taken the call. */
-static bool is_down(store_t *store, cw_http_exchange_t *exchange)
+static bool is_down(const store_t *store, const store_outage_t *outage, cw_http_exchange_t *exchange)
 {
-    if (uv_now(&store->loop) >= store->down_until_ms) {
+    if (uv_now(&store->loop) >= outage->until_ms) {
         return false;
     }
-    if (strcmp(store->how, "reset") == 0) {
+    if (strcmp(outage->how, "reset") == 0) {
         cw_http_exchange_abort(exchange);
-    } else if (strcmp(store->how, "silent") != 0) {
+    } else if (strcmp(outage->how, "silent") != 0) {
         answer_text(exchange, 503, "");
     }
     return true;
@@ -346,16 +354,17 @@
 
 static void on_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
 {
-    store_t    *store = context;
-    char        path[2 * KIND_MAX];
-    const char *query = strchr(inbound->target, '?');
-    char       *name;
+    const store_door_t *door = context;
+    store_t            *store = door->store;
+    char                path[2 * KIND_MAX];
+    const char         *query = strchr(inbound->target, '?');
+    char               *name;
 
     if (strncmp(inbound->target, "/control", strlen("/control")) == 0) {
         take_control(store, exchange, query == NULL ? NULL : query + 1);
         return;
     }
-    if (is_down(store, exchange)) {
+    if (is_down(store, &store->outage, exchange) || is_down(store, &door->outage, exchange)) {
         return;
     }
     if (store->refuse_percent > 0 && ++store->calls % 100 < store->refuse_percent) {
@@ -383,9 +392,10 @@
 
 static void on_gone(void *context, cw_http_exchange_t *exchange)
 {
-    store_t          *store = context;
-    delayed_answer_t *delayed = cw_http_exchange_data(exchange);
-    store_watch_t    *watch;
+    const store_door_t *door = context;
+    store_t            *store = door->store;
+    delayed_answer_t   *delayed = cw_http_exchange_data(exchange);
+    store_watch_t      *watch;
 
     if (delayed != NULL) {
         delayed->exchange = NULL;
@@ -399,26 +409,51 @@
     }
 }
 
-static int serve(const char *address, uint16_t port, size_t page)
+static int open_door(store_t *store, const char *address, uint16_t port)
 {
-    static store_t             store;
+    store_door_t              *door = &store->doors[store->door_count];
     cw_http_limits_t           limits = {.header_bytes = LIMIT_BYTES,
                                          .body_bytes = LIMIT_BYTES,
                                          .header_timeout = CW_SECONDS(60),
                                          .idle_timeout = CW_SECONDS(600)};
-    cw_http_listener_handler_t handler = {&store, on_request, on_gone};
-    int                        error;
+    cw_http_listener_handler_t handler = {door, on_request, on_gone};
+    int error = cw_http_listener_create(&door->listener, &store->loop, address, port, &limits, &handler);
 
-    uv_loop_init(&store.loop);
-    store.revision = 1;
-    store.page = page;
-    error = cw_http_listener_create(&store.listener, &store.loop, address, port, &limits, &handler);
     if (error != 0) {
         fprintf(stderr, "cw-store: %s\n", uv_strerror(error));
-        return EXIT_FAILURE;
+        return error;
+    }
+    door->store = store;
+    store->door_count++;
+    return 0;
+}
+
+/* Prints "port" and the port of each door. */
+static void print_ports(const store_t *store)
+{
+    size_t index;
+
+    printf("port");
+    for (index = 0; index < store->door_count; index++) {
+        printf(" %u", cw_http_listener_port(store->doors[index].listener));
     }
-    printf("port %u\n", cw_http_listener_port(store.listener));
+    printf("\n");
     fflush(stdout);
+}
+
+static int serve(const char *address, uint16_t port, size_t page, size_t doors)
+{
+    static store_t store;
+
+    uv_loop_init(&store.loop);
+    store.revision = 1;
+    store.page = page;
+    while (store.door_count < doors) {
+        if (open_door(&store, address, store.door_count == 0 ? port : 0) != 0) {
+            return EXIT_FAILURE;
+        }
+    }
+    print_ports(&store);
     return uv_run(&store.loop, UV_RUN_DEFAULT);
 }
 
@@ -427,13 +462,20 @@
     struct arg_str *address = arg_str0("a", "address", "IPV4", "default 127.0.0.1");
     struct arg_int *port = arg_int0("p", "port", "PORT", "default 0: chosen by the system and printed");
     struct arg_int *page = arg_int0(NULL, "page", "ITEMS", "items of a listing in one answer; default 50");
+    struct arg_int *doors = arg_int0(NULL, "doors", "PORTS", "ports to listen at, chosen by the system but the first");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {address, port, page, end};
+    void           *table[] = {address, port, page, doors, end};
+    int             door_count;
 
     if (arg_parse(argument_count, arguments, table) > 0) {
         arg_print_errors(stderr, end, "cw-store");
         return 2;
     }
+    door_count = doors->count > 0 ? doors->ival[0] : 1;
+    if (door_count < 1 || door_count > STORE_DOORS_MAX) {
+        fprintf(stderr, "cw-store: 1 to %d doors\n", STORE_DOORS_MAX);
+        return 2;
+    }
     return serve(address->count > 0 ? address->sval[0] : "127.0.0.1", port->count > 0 ? (uint16_t)port->ival[0] : 0,
-                 page->count > 0 && page->ival[0] > 0 ? (size_t)page->ival[0] : STORE_PAGE);
+                 page->count > 0 && page->ival[0] > 0 ? (size_t)page->ival[0] : STORE_PAGE, (size_t)door_count);
 }
--- /dev/null
+++ b/tests/process/store_turns_leader_away.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# The store turns only the leader away while a server leaves: the other nodes read that it leaves, and the leader, which
+# goes on telling its older list, does not bring it back there. Once for each way of turning away. Callers come by the
+# other nodes only: the leader itself has not been told.
+STORE_DOORS=4
+. "$(dirname "$0")/../../scripts/cluster.sh"
+usual_cluster 3
+last_run() { jq -s '[.[]|select(.event=="run").ns]|max // 0' "$1"; }
+stopped() { jq -s '[.[]|select(.event=="stop").ns]|max // 0' "$1"; }
+ended() { grep -q '"stop"' "$WORK/server-$1.json"; }
+turn=0
+for how in reset busy silent; do
+    turn=$((turn + 1))
+    until_true leader
+    cluster_wait_served
+    leading=$(leader)
+    NODES=""
+    for n in 1 2 3; do [ "$n" = "$leading" ] || NODES="$NODES${NODES:+,}$NET.$n:8080"; done
+    (cluster_callers "$how" --rate 100 --count 700) &
+    callers=$!
+    curl -sf -X POST "http://$STORE/control?door=$((leading + 1))&down=5000&how=$how" >/dev/null
+    kill -TERM "${SERVER_PIDS[h$turn]}"
+    wait "$callers"
+    until_true ended "h$turn"
+    check "$how: no request in the leaving server's last half second" [ "$(last_run "$WORK/server-h$turn.json")" -lt "$(($(stopped "$WORK/server-h$turn.json") - 500000000))" ]
+    check "$how: most answered" at_least "$(sum_of "$how" s200)" 600
+    cluster_server "h$((turn + 3))" --service hires --zone z1 --work-ms 15 --hangs
+done
+check "records agree" cluster_check
+finish_test
--- a/tests/test_server_absence.c
+++ b/tests/test_server_absence.c
@@ -33,58 +33,93 @@
     return list;
 }
 
+/* The list in force after a reading: what is kept goes on from one reading to the next. */
+static cw_server_list_t *known;
+
+static void begin(const char *names)
+{
+    known = list_of(names);
+}
+
+static void end(void)
+{
+    cw_server_list_release(known);
+    known = NULL;
+}
+
 /* Servers of the reading after what is kept was added. */
-static size_t count_after(cw_server_absence_t *absence, const char *known_names, cw_time_us_t age, const char *names,
-                          cw_time_us_t now)
+static size_t count_after(const char *names, cw_time_us_t age, cw_time_us_t now)
 {
-    cw_server_list_t *known = list_of(known_names);
     cw_server_list_t *reading = list_of(names);
-    size_t            count;
 
-    (void)cw_server_absence_fill(absence, &settings, reading, known, now - age, now);
-    count = reading->count;
+    (void)cw_server_absence_fill(&settings, reading, known, now - age, now);
     cw_server_list_release(known);
-    cw_server_list_release(reading);
-    return count;
+    known = reading;
+    return reading->count;
 }
 
 START_TEST(a_server_missing_on_a_calm_day_is_gone)
 {
-    cw_server_absence_t absence = {0};
-
-    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "acd", CW_SECONDS(60)), 3);
+    begin("abcd");
+    ck_assert_uint_eq(count_after("acd", CW_MS(500), CW_SECONDS(60)), 3);
+    end();
 }
 END_TEST
 
 START_TEST(after_an_outage_missing_servers_are_kept_for_the_grace)
 {
-    cw_server_absence_t absence = {0};
-    cw_time_us_t        now = CW_SECONDS(60);
+    cw_time_us_t now = CW_SECONDS(60);
+
+    begin("abcd");
+    ck_assert_uint_eq(count_after("a", CW_SECONDS(5), now), 4);
+    ck_assert_uint_eq(count_after("ab", CW_MS(500), now + CW_MS(500)), 4);
+    ck_assert_uint_eq(count_after("abc", CW_MS(500), now + CW_MS(1900)), 4);
+    ck_assert_uint_eq(count_after("abc", CW_MS(500), now + CW_MS(2100)), 3);
+    end();
+}
+END_TEST
+
+START_TEST(a_further_outage_does_not_lengthen_the_grace)
+{
+    cw_time_us_t now = CW_SECONDS(60);
 
-    ck_assert_uint_eq(count_after(&absence, "abcd", CW_SECONDS(5), "a", now), 4);
-    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "ab", now + CW_MS(500)), 4);
-    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "abc", now + CW_MS(1900)), 4);
-    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "abc", now + CW_MS(2100)), 3);
+    begin("abcd");
+    ck_assert_uint_eq(count_after("abc", CW_SECONDS(5), now), 4);
+    ck_assert_uint_eq(count_after("abc", CW_MS(1900), now + CW_MS(1900)), 4);
+    ck_assert_uint_eq(count_after("abc", CW_MS(1900), now + CW_MS(2000)), 3);
+    end();
 }
 END_TEST
 
 START_TEST(most_servers_missing_at_once_are_kept_and_then_believed)
 {
-    cw_server_absence_t absence = {0};
-    cw_time_us_t        now = CW_SECONDS(60);
-
-    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "a", now), 4);
-    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "a", now + CW_MS(2100)), 1);
-    ck_assert_uint_eq(count_after(&absence, "abcd", CW_MS(500), "a", now + CW_SECONDS(20)), 4);
+    cw_time_us_t now = CW_SECONDS(60);
+
+    begin("abcd");
+    ck_assert_uint_eq(count_after("a", CW_MS(500), now), 4);
+    ck_assert_uint_eq(count_after("a", CW_MS(500), now + CW_MS(2100)), 1);
+    ck_assert_uint_eq(count_after("abcd", CW_MS(500), now + CW_SECONDS(10)), 4);
+    ck_assert_uint_eq(count_after("a", CW_MS(500), now + CW_SECONDS(20)), 4);
+    end();
 }
 END_TEST
 
 START_TEST(neither_leaving_nor_replaced_servers_are_kept)
 {
-    cw_server_absence_t absence = {0};
+    begin("aBcd");
+    ck_assert_uint_eq(count_after("acd", CW_SECONDS(5), CW_SECONDS(60)), 3);
+    end();
+    begin("abcd");
+    ck_assert_uint_eq(count_after("ac1", CW_SECONDS(5), CW_SECONDS(80)), 4); /* d is kept, b is not */
+    end();
+}
+END_TEST
 
-    ck_assert_uint_eq(count_after(&absence, "aBcd", CW_SECONDS(5), "acd", CW_SECONDS(60)), 3);
-    ck_assert_uint_eq(count_after(&absence, "abcd", CW_SECONDS(5), "ac1", CW_SECONDS(80)), 4); /* d is kept, b is not */
+START_TEST(the_grace_ends_before_the_drain_time)
+{
+    ck_assert_int_eq(cw_absence_settings_of(CW_MS(870), CW_SECONDS(2)).grace, CW_MS(1570));
+    ck_assert_int_eq(cw_absence_settings_of(CW_MS(1300), CW_MS(1500)).grace, CW_MS(1250));
+    ck_assert_int_eq(cw_absence_settings_of(CW_SECONDS(5), CW_SECONDS(10)).grace, CW_SECONDS(2));
 }
 END_TEST
 
@@ -95,8 +130,10 @@
 
     tcase_add_test(cases, a_server_missing_on_a_calm_day_is_gone);
     tcase_add_test(cases, after_an_outage_missing_servers_are_kept_for_the_grace);
+    tcase_add_test(cases, a_further_outage_does_not_lengthen_the_grace);
     tcase_add_test(cases, most_servers_missing_at_once_are_kept_and_then_believed);
     tcase_add_test(cases, neither_leaving_nor_replaced_servers_are_kept);
+    tcase_add_test(cases, the_grace_ends_before_the_drain_time);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
--- /dev/null
+++ b/tests/test_server_view.c
@@ -0,0 +1,252 @@
+/**
+ * @file test_server_view.c
+ * @brief Which list of servers is in force, for each order in which readings and the leader's lists arrive.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "model/server_view.h"
+
+static const cw_absence_settings_t settings = {.outage = CW_MS(1500), .grace = CW_MS(1700)};
+
+static const cw_time_us_t start = CW_SECONDS(60);
+
+static cw_server_view_t view;
+
+static void setup(void)
+{
+    cw_server_view_init(&view, &settings);
+}
+
+static void teardown(void)
+{
+    cw_server_view_clear(&view);
+}
+
+/* A list written as letters: a capital one is leaving, a letter after '-' is kept though it is missing. */
+static cw_server_list_t *list_of(const char *names, uint64_t sequence, cw_time_us_t missing_since)
+{
+    cw_server_list_t *list = cw_server_list_create();
+    bool              is_missing = false;
+
+    for (; *names != '\0'; names++) {
+        cw_server_entry_t *entry;
+        bool               is_leaving = *names >= 'A' && *names <= 'Z';
+        char               letter = (char)(is_leaving ? *names - 'A' + 'a' : *names);
+        char               id[2] = {letter, '\0'};
+        char               address[32];
+
+        if (*names == '-') {
+            is_missing = true;
+            continue;
+        }
+        snprintf(address, sizeof(address), "10.0.0.%d:80", letter);
+        entry = cw_server_list_add(list);
+        entry->id = strdup(id);
+        entry->service = strdup("docks");
+        entry->address = strdup(address);
+        entry->zone = strdup("z1");
+        entry->draining = is_leaving;
+        entry->sequence = sequence;
+        entry->missing_since = is_missing ? missing_since : 0;
+        is_missing = false;
+    }
+    cw_server_list_seal(list);
+    return list;
+}
+
+static cw_view_result_t offer(const cw_server_reading_t *reading, cw_time_us_t now)
+{
+    cw_server_list_t *before;
+    cw_view_result_t  result = cw_server_view_take(&view, reading, now, &before);
+
+    cw_server_list_release(before);
+    return result;
+}
+
+static cw_view_result_t read_at(const char *names, uint64_t revision, uint64_t sequence, cw_time_us_t now)
+{
+    cw_server_reading_t reading = {
+        .list = list_of(names, sequence, 0), .revision = revision, .latest = revision, .true_at = now};
+
+    return offer(&reading, now);
+}
+
+static cw_view_result_t told_at(const char *names, uint64_t revision, cw_time_us_t now, cw_time_us_t missing_since)
+{
+    cw_server_reading_t reading = {.list = list_of(names, 0, missing_since), .revision = revision, .is_told = true};
+
+    return offer(&reading, now);
+}
+
+/* The list in force, written the same way. */
+static const char *in_force(void)
+{
+    static char text[64];
+    size_t      length = 0;
+    size_t      index;
+
+    for (index = 0; index < view.list->count; index++) {
+        const cw_server_entry_t *entry = &view.list->entries[index];
+
+        if (entry->missing_since != 0) {
+            text[length++] = '-';
+        }
+        text[length++] = (char)(entry->draining ? entry->id[0] - 'a' + 'A' : entry->id[0]);
+    }
+    text[length] = '\0';
+    return text;
+}
+
+/* ---- which list counts ---- */
+
+START_TEST(the_leaders_older_list_is_not_laid_over_a_newer_reading)
+{
+    ck_assert_int_eq(told_at("abc", 90, start, 0), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("abC", 100, 1, start + CW_MS(10)), CW_VIEW_CHANGED);
+    ck_assert_int_eq(told_at("abc", 90, start + CW_MS(30), 0), CW_VIEW_OLDER);
+    ck_assert_int_eq(told_at("abcd", 99, start + CW_MS(40), 0), CW_VIEW_OLDER);
+    ck_assert_str_eq(in_force(), "abC");
+    ck_assert_uint_eq(view.revision, 100);
+}
+END_TEST
+
+START_TEST(a_reading_older_than_what_the_leader_told_is_not_taken)
+{
+    ck_assert_int_eq(told_at("abC", 100, start, 0), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("abc", 90, 1, start + CW_MS(10)), CW_VIEW_OLDER);
+    ck_assert_str_eq(in_force(), "abC");
+}
+END_TEST
+
+START_TEST(a_confirmation_orders_later_lists)
+{
+    ck_assert_int_eq(told_at("abc", 90, start, 0), CW_VIEW_CHANGED);
+    cw_server_view_confirm(&view, 120, start + CW_MS(500));
+    ck_assert_int_eq(read_at("ab", 110, 1, start + CW_MS(600)), CW_VIEW_OLDER);
+    cw_server_view_confirm(&view, 100, start); /* an earlier word, late */
+    ck_assert_uint_eq(view.revision, 120);
+    ck_assert_int_eq(view.true_at, start + CW_MS(500));
+}
+END_TEST
+
+START_TEST(lists_of_one_revision_are_equally_good)
+{
+    ck_assert_int_eq(read_at("abc", 90, 1, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(told_at("abc", 90, start + CW_MS(5), 0), CW_VIEW_SAME);
+}
+END_TEST
+
+/* ---- leaving ---- */
+
+START_TEST(a_leaving_server_stays_leaving)
+{
+    ck_assert_int_eq(read_at("abC", 100, 5, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("abc", 110, 4, start + CW_MS(500)), CW_VIEW_SAME); /* an earlier heartbeat, done late */
+    ck_assert_int_eq(told_at("abc", 120, start + CW_MS(600), 0), CW_VIEW_SAME);
+    ck_assert_str_eq(in_force(), "abC");
+}
+END_TEST
+
+START_TEST(a_leaving_server_stays_leaving_also_after_it_was_missing)
+{
+    ck_assert_int_eq(read_at("abC", 100, 5, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("ab", 110, 6, start + CW_MS(500)), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("abc", 120, 7, start + CW_MS(900)), CW_VIEW_CHANGED);
+    ck_assert_str_eq(in_force(), "abC");
+}
+END_TEST
+
+/* ---- missing ---- */
+
+START_TEST(a_missing_server_does_not_come_back_by_a_heartbeat_seen_before)
+{
+    ck_assert_int_eq(read_at("abc", 100, 5, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("abc", 105, 6, start + CW_MS(300)), CW_VIEW_SAME);
+    ck_assert_int_eq(read_at("ab", 110, 6, start + CW_MS(500)), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("abc", 120, 6, start + CW_SECONDS(3)), CW_VIEW_SAME);
+    ck_assert_str_eq(in_force(), "ab");
+    ck_assert_int_eq(read_at("abc", 130, 7, start + CW_SECONDS(4)), CW_VIEW_CHANGED);
+    ck_assert_str_eq(in_force(), "abc");
+}
+END_TEST
+
+START_TEST(after_an_outage_a_missing_server_is_kept_but_not_beyond_its_first_grace)
+{
+    cw_server_list_t *before;
+    cw_time_us_t      missed = start + CW_SECONDS(3);
+
+    ck_assert_int_eq(read_at("abcd", 100, 5, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("a", 110, 6, missed), CW_VIEW_CHANGED);
+    ck_assert_str_eq(in_force(), "a-b-c-d");
+    ck_assert_int_eq(read_at("ac", 120, 7, missed + CW_MS(500)), CW_VIEW_CHANGED);
+    ck_assert_str_eq(in_force(), "a-bc-d");
+    ck_assert_int_eq(cw_server_view_expire(&view, missed + CW_MS(1690), &before), CW_VIEW_SAME);
+    /* a further outage does not lengthen it */
+    ck_assert_int_eq(read_at("ac", 130, 8, missed + CW_MS(1699)), CW_VIEW_SAME);
+    ck_assert_int_eq(cw_server_view_expire(&view, missed + CW_MS(1700), &before), CW_VIEW_CHANGED);
+    cw_server_list_release(before);
+    ck_assert_str_eq(in_force(), "ac");
+    ck_assert_uint_eq(view.kept, 0);
+}
+END_TEST
+
+START_TEST(what_another_node_keeps_does_not_bring_a_server_back)
+{
+    ck_assert_int_eq(read_at("abc", 100, 5, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("ab", 110, 6, start + CW_MS(500)), CW_VIEW_CHANGED);
+    /* the leader was without the store, and keeps c from now on: here its time counts from the first reading */
+    ck_assert_int_eq(told_at("ab-c", 120, start + CW_MS(1500), start + CW_MS(1500)), CW_VIEW_CHANGED);
+    ck_assert_str_eq(in_force(), "ab-c");
+    ck_assert_int_eq(told_at("ab-c", 125, start + CW_MS(2300), start + CW_MS(1500)), CW_VIEW_CHANGED);
+    ck_assert_str_eq(in_force(), "ab");
+    ck_assert_int_eq(told_at("abc", 130, start + CW_MS(2400), 0), CW_VIEW_CHANGED); /* it has signed in again */
+    ck_assert_str_eq(in_force(), "abc");
+}
+END_TEST
+
+START_TEST(a_list_that_may_be_older_than_the_missing_does_not_bring_a_server_back)
+{
+    cw_server_reading_t paged = {.revision = 100, .latest = 105, .true_at = start + CW_MS(500)};
+
+    ck_assert_int_eq(read_at("abc", 90, 5, start), CW_VIEW_CHANGED);
+    paged.list = list_of("ab", 6, 0); /* its last page is of revision 105 */
+    ck_assert_int_eq(offer(&paged, start + CW_MS(500)), CW_VIEW_CHANGED);
+    (void)told_at("abc", 103, start + CW_SECONDS(3), 0);
+    ck_assert_str_eq(in_force(), "ab");
+    ck_assert_int_eq(told_at("abc", 106, start + CW_SECONDS(4), 0), CW_VIEW_CHANGED);
+    ck_assert_str_eq(in_force(), "abc");
+}
+END_TEST
+
+START_TEST(departures_are_forgotten_in_the_end)
+{
+    ck_assert_int_eq(read_at("abC", 100, 5, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("ab", 110, 6, start + CW_MS(500)), CW_VIEW_CHANGED);
+    ck_assert_ptr_nonnull(cw_server_view_departure(&view, "c"));
+    ck_assert_int_eq(read_at("ab", 120, 7, start + CW_SECONDS(62)), CW_VIEW_SAME);
+    ck_assert_ptr_null(cw_server_view_departure(&view, "c"));
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("server_view");
+    TCase *cases = tcase_create("server_view");
+
+    tcase_add_checked_fixture(cases, setup, teardown);
+    tcase_add_test(cases, the_leaders_older_list_is_not_laid_over_a_newer_reading);
+    tcase_add_test(cases, a_reading_older_than_what_the_leader_told_is_not_taken);
+    tcase_add_test(cases, a_confirmation_orders_later_lists);
+    tcase_add_test(cases, lists_of_one_revision_are_equally_good);
+    tcase_add_test(cases, a_leaving_server_stays_leaving);
+    tcase_add_test(cases, a_leaving_server_stays_leaving_also_after_it_was_missing);
+    tcase_add_test(cases, a_missing_server_does_not_come_back_by_a_heartbeat_seen_before);
+    tcase_add_test(cases, after_an_outage_a_missing_server_is_kept_but_not_beyond_its_first_grace);
+    tcase_add_test(cases, what_another_node_keeps_does_not_bring_a_server_back);
+    tcase_add_test(cases, a_list_that_may_be_older_than_the_missing_does_not_bring_a_server_back);
+    tcase_add_test(cases, departures_are_forgotten_in_the_end);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
