proxy: lines 'served' tell the service and the key

Cause: the rate of a key, and which service a request of a split went to, could not be read from the log. Change: 'served' has service and, where the service is divided by key, key. No rule and no decision is touched.

--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -172,6 +172,10 @@
     if (!begin_note(&event, request, CW_EVENT_REQUEST_SERVED, status)) {
         return;
     }
+    cw_event_text(&event, CW_FIELD_SERVICE, request->service->name);
+    if (request->is_keyed) {
+        cw_event_number(&event, CW_FIELD_KEY, request->key);
+    }
     cw_event_text(&event, CW_FIELD_SERVER, request->server->id);
     cw_event_ms(&event, CW_FIELD_SERVER_MS, cw_engine_now(request->engine) - request->sent_at);
     cw_event_number(&event, CW_FIELD_CONFIGURATION, (int64_t)request->configuration->version);
