proxy: what waits at other nodes for an owner of keys counts in the estimate

Cause: each node estimated a keyed request's turn from its own queue only. While a key is hot all nodes have queues for its owner, so estimates were a fraction of the real wait: requests were kept, served late, or held to the end untried. Change: reports tell how many requests wait at a node for each owner; the estimate counts them.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -547,7 +547,7 @@
   assert(message->base.descriptor == &cwp__datagram__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cwp__server_load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cwp__server_load__field_descriptors[4] =
 {
   {
     "server",
@@ -585,16 +585,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waiting",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ServerLoad, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__server_load__field_indices_by_name[] = {
   0,   /* field[0] = server */
   1,   /* field[1] = under_way */
   2,   /* field[2] = unreachable */
+  3,   /* field[3] = waiting */
 };
 static const ProtobufCIntRange cwp__server_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cwp__server_load__descriptor =
 {
@@ -604,7 +617,7 @@
   "Cwp__ServerLoad",
   "cwp",
   sizeof(Cwp__ServerLoad),
-  3,
+  4,
   cwp__server_load__field_descriptors,
   cwp__server_load__field_indices_by_name,
   1,  cwp__server_load__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -46,10 +46,14 @@
   uint32_t server;
   uint32_t under_way;
   protobuf_c_boolean unreachable;
+  /*
+   * requests that wait at this node for keys that it owns
+   */
+  uint32_t waiting;
 };
 #define CWP__SERVER_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__server_load__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -148,6 +148,7 @@
         for (index = 0; index < peer->count; index++) {
             if (peer->reports[index].hash == server->hash) {
                 server->others += peer->reports[index].under_way;
+                server->others_waiting += peer->reports[index].waiting;
             }
         }
     }
@@ -269,6 +270,11 @@
 
 /* ---- other nodes' reports ---- */
 
+static uint32_t less(uint32_t sum, uint32_t part)
+{
+    return part < sum ? sum - part : 0;
+}
+
 static void take_back(cw_server_pool_t *pool, const peer_report_t *peer)
 {
     size_t index;
@@ -277,8 +283,8 @@
         cw_server_t *server = by_hash(pool, peer->reports[index].hash);
 
         if (server != NULL) {
-            server->others -=
-                peer->reports[index].under_way < server->others ? peer->reports[index].under_way : server->others;
+            server->others = less(server->others, peer->reports[index].under_way);
+            server->others_waiting = less(server->others_waiting, peer->reports[index].waiting);
         }
     }
 }
@@ -351,6 +357,7 @@
             continue;
         }
         server->others += reports[index].under_way;
+        server->others_waiting += reports[index].waiting;
         if (reports[index].unreachable && server->avoid_until < now + CW_MS(AVOID_FIRST_MS)) {
             server->avoid_until = now + CW_MS(AVOID_FIRST_MS);
         }
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -29,14 +29,16 @@
     uint32_t       capacity;
     bool           listed;
     bool           draining;
-    bool           ended;       /**< another life answered at its address: this one is over */
-    uint32_t       own;         /**< requests of this node under way */
-    uint32_t       others;      /**< of the other nodes, as reported */
-    double         pace;        /**< time of its answers over what is usual on the route; 1 when nothing is known */
-    cw_time_us_t   pace_at;     /**< last measured */
-    uint32_t       served;      /**< answers since the start, and */
-    uint64_t       served_time; /**< their time over what is usual, in thousandths, summed */
-    uint32_t       served_told; /**< value of served in this node's last report */
+    bool           ended;          /**< another life answered at its address: this one is over */
+    uint32_t       own;            /**< requests of this node under way */
+    uint32_t       others;         /**< of the other nodes, as reported */
+    uint32_t       own_waiting;    /**< requests that wait at this node for keys that it owns, when last counted */
+    uint32_t       others_waiting; /**< at the other nodes, as reported */
+    double         pace;           /**< time of its answers over what is usual on the route; 1 when nothing is known */
+    cw_time_us_t   pace_at;        /**< last measured */
+    uint32_t       served;         /**< answers since the start, and */
+    uint64_t       served_time;    /**< their time over what is usual, in thousandths, summed */
+    uint32_t       served_told;    /**< value of served in this node's last report */
     cw_time_us_t   answered_others_at; /**< another node told of answers */
     uint32_t       faults;             /**< in a row */
     cw_time_us_t   avoid_until;        /**< not chosen while another one can be */
@@ -50,6 +52,7 @@
 typedef struct cw_server_report {
     uint32_t hash;
     uint32_t under_way;
+    uint32_t waiting;
     bool     unreachable;
 } cw_server_report_t;
 
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -70,6 +70,8 @@
 cw_engine_t *cw_engine_create(uv_loop_t *loop, const cw_engine_settings_t *settings, cw_server_pool_t *pool,
                               cw_upstream_t *upstream);
 void         cw_engine_set_configuration(cw_engine_t *engine, cw_configuration_t *configuration);
+/** How many nodes are in reach is not known yet: many are assumed. */
+#define CW_NODES_UNKNOWN UINT32_MAX
 /** Nodes that share limits, and that are in reach now. */
 void cw_engine_set_nodes(cw_engine_t *engine, uint32_t nodes, uint32_t in_reach);
 void cw_engine_set_table(cw_engine_t *engine, const char *service, const cw_key_route_t *routes, size_t count,
@@ -92,6 +94,8 @@
 void cw_engine_take_samples(cw_engine_t *engine,
                             void (*take)(void *context, const char *service, const cw_key_samples_t *samples),
                             void *context);
+/** Counts the requests that wait here for each owner of keys (cw_server_t, own_waiting). */
+void cw_engine_count_waiting(cw_engine_t *engine);
 /** Requests waiting here for a service. */
 void cw_engine_each_queue(cw_engine_t *engine, void (*tell)(void *context, const char *service, uint32_t queued),
                           void        *context);
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -23,6 +23,7 @@
     request->service->queued++;
     request->engine->queued++;
     request->is_queued = true;
+    request->engine->changed = true;
 }
 
 void cw_request_unqueue(cw_request_t *request)
@@ -68,6 +69,30 @@
     return ahead;
 }
 
+void cw_engine_count_waiting(cw_engine_t *engine)
+{
+    cw_service_state_t *service;
+    cw_service_state_t *next_service;
+    cw_server_t        *server;
+    cw_server_t        *next_server;
+    const cw_request_t *request;
+
+    HASH_ITER(by_id, cw_server_pool_all(engine->pool), server, next_server)
+    {
+        server->own_waiting = 0;
+    }
+    HASH_ITER(hh, engine->services, service, next_service)
+    {
+        DL_FOREACH(service->queue, request)
+        {
+            server = request->is_keyed ? owner_server(request) : NULL;
+            if (server != NULL) {
+                server->own_waiting++;
+            }
+        }
+    }
+}
+
 static uint32_t ahead_in_queue(const cw_request_t *request)
 {
     const cw_request_t *other;
@@ -93,7 +118,8 @@
         return CW_NEVER;
     }
     usual = (cw_time_us_t)((double)request->route_state->usual * server->pace);
-    before = (int64_t)server->own + server->others + ahead_at(request, server) + 1 - server->capacity;
+    before = (int64_t)server->own + server->others + ahead_at(request, server) + server->others_waiting + 1 -
+             server->capacity;
     return now + usual + (before > 0 ? before * usual / (server->capacity == 0 ? 1 : server->capacity) : 0);
 }
 
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -54,16 +54,18 @@
     cw_server_t *next;
     size_t       count = 0;
 
+    cw_engine_count_waiting(router->engine);
     HASH_ITER(by_id, cw_server_pool_all(router->pool), server, next)
     {
         Cwp__ServerLoad *load = &builder.loads[count];
 
-        if (count == LOADS_MAX || (server->own == 0 && server->avoid_until <= now)) {
+        if (count == LOADS_MAX || (server->own == 0 && server->own_waiting == 0 && server->avoid_until <= now)) {
             continue;
         }
         cwp__server_load__init(load);
         load->server = server->hash;
         load->under_way = server->own;
+        load->waiting = server->own_waiting;
         load->unreachable = server->faults > 0 && server->avoid_until > now;
         builder.load_pointers[count++] = load;
     }
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -20,8 +20,10 @@
     for (index = 0; index < received->n_loads && index < LOADS_MAX; index++) {
         const Cwp__ServerLoad *load = received->loads[index];
 
-        reports[index] =
-            (cw_server_report_t){.hash = load->server, .under_way = load->under_way, .unreachable = load->unreachable};
+        reports[index] = (cw_server_report_t){.hash = load->server,
+                                              .under_way = load->under_way,
+                                              .waiting = load->waiting,
+                                              .unreachable = load->unreachable};
     }
     cw_server_pool_report(router->pool, peer->address, reports, index, now);
 }
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -8,7 +8,7 @@
 
 #include "base/byte_buffer.h"
 #include "loop_fixture.h"
-#include "proxy/engine.h"
+#include "proxy/engine_internal.h"
 
 enum { SERVERS = 2 };
 
@@ -404,6 +404,32 @@
 }
 END_TEST
 
+START_TEST(what_waits_elsewhere_for_the_owner_counts_in_the_wait)
+{
+    world_t            world;
+    cw_key_route_t     route = {.low = 0, .last = 65535, .server = "s1", .fence = 4, .routable = true};
+    cw_server_report_t report = {.under_way = 1};
+
+    init(&world);
+    cw_engine_set_tables_valid(world.engine, 0, INT64_MAX);
+    cw_engine_set_table(world.engine, "keyed", &route, 1, 1);
+    report.hash = cw_server_pool_find(world.pool, "s1")->hash;
+    cw_server_pool_report(world.pool, 9, &report, 1, cw_engine_now(world.engine));
+    (void)ask(&world, "GET", "/keyed/x", "15000");
+    while (cw_engine_queued(world.engine) == 0) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    cw_test_run_some(&world.loop, 20);
+    ck_assert(!world.answered); /* just one is before it */
+    report.waiting = 100000;
+    cw_server_pool_report(world.pool, 9, &report, 1, cw_engine_now(world.engine));
+    cw_engine_wake(world.engine);
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert_uint_eq(world.servers[1].requests, 0);
+}
+END_TEST
+
 START_TEST(an_old_table_is_not_used)
 {
     world_t        world;
@@ -479,6 +505,7 @@
     tcase_add_test(cases, the_time_limit_ends_what_is_at_a_server_with_504);
     tcase_add_test(cases, no_server_gets_more_than_its_slots);
     tcase_add_test(cases, a_key_goes_to_its_owner_only_and_waits_while_it_moves);
+    tcase_add_test(cases, what_waits_elsewhere_for_the_owner_counts_in_the_wait);
     tcase_add_test(cases, an_old_table_is_not_used);
     tcase_add_test(cases, another_life_at_the_address_is_not_asked_twice);
     tcase_add_test(cases, splits_keep_their_weights);
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -152,6 +152,25 @@
 }
 END_TEST
 
+START_TEST(what_waits_at_other_nodes_for_an_owner_is_known_until_they_fall_silent)
+{
+    uint32_t           dropped;
+    cw_server_pool_t  *pool = new_pool(&dropped);
+    const cw_server_t *near = cw_server_pool_find(pool, "near");
+    cw_server_report_t report = {.hash = near->hash, .under_way = 2, .waiting = 7};
+
+    cw_server_pool_report(pool, 5, &report, 1, 0);
+    cw_server_pool_report(pool, 6, &report, 1, 0);
+    ck_assert_uint_eq(near->others_waiting, 14);
+    report.waiting = 1;
+    cw_server_pool_report(pool, 5, &report, 1, CW_MS(20));
+    ck_assert_uint_eq(near->others_waiting, 8);
+    cw_server_pool_expire(pool, CW_MS(CW_POOL_REPORT_LIFE_MS), CW_MS(10) + CW_MS(CW_POOL_REPORT_LIFE_MS));
+    ck_assert_uint_eq(near->others_waiting, 1);
+    cw_server_pool_free(pool);
+}
+END_TEST
+
 START_TEST(a_server_that_cannot_be_reached_is_left_out_for_a_while)
 {
     uint32_t          dropped;
@@ -475,6 +494,7 @@
     tcase_add_test(cases, what_was_spent_counts_for_a_whole_window);
     tcase_add_test(cases, the_near_server_first_then_the_far_one_then_none);
     tcase_add_test(cases, requests_of_other_nodes_take_slots_until_they_fall_silent);
+    tcase_add_test(cases, what_waits_at_other_nodes_for_an_owner_is_known_until_they_fall_silent);
     tcase_add_test(cases, a_server_that_cannot_be_reached_is_left_out_for_a_while);
     tcase_add_test(cases, a_server_whose_address_has_another_life_is_not_chosen);
     tcase_add_test(cases, many_nodes_do_not_all_choose_the_same_server);
