--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -12,7 +12,10 @@
 enum {
     DRIFT_PERCENT = 2, /* largest difference in pace between two clocks */
     TAKE_SLACK_MS = 50,
-    RETRY_MS = 250,
+    RETRY_FIRST_MS = 50,
+    RETRY_DOUBLINGS = 5,
+    RETRIES_A_HOLD = 12,   /* a leader that gets no answer tries at least so many times in its hold */
+    FOLLOWERS_PROMPT = 16, /* with so many followers the pause between their looks has doubled */
     LONG_AGO_S = 3600
 };
 
@@ -99,10 +102,15 @@
 {
     if (!leadership->leading) {
         leadership->heard_at = now - CW_SECONDS(LONG_AGO_S);
-        leadership->next_at = now + CW_MS(RETRY_MS) / 5;
+        leadership->next_at = now + CW_MS(RETRY_FIRST_MS);
     }
 }
 
+void cw_leadership_set_followers(cw_leadership_t *leadership, uint32_t followers)
+{
+    leadership->followers = followers;
+}
+
 void cw_leadership_defer(cw_leadership_t *leadership, cw_time_us_t deference)
 {
     leadership->deference = deference;
@@ -220,6 +228,12 @@
     leadership->next_at = sent_at + leadership->settings.renew_every;
 }
 
+/* Pause between looks at the lock: what all followers together ask of the store stays bounded. */
+static cw_time_us_t look_pause(const cw_leadership_t *leadership)
+{
+    return leadership->settings.read_every * (FOLLOWERS_PROMPT + leadership->followers) / FOLLOWERS_PROMPT;
+}
+
 /* The lock as the store tells it, by a read or with a conflict. */
 static void take_lock(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now)
 {
@@ -241,10 +255,20 @@
         leadership->next_at = now;
     } else {
         lose(leadership);
-        leadership->next_at = lock.vacant && leadership->deference == 0 ? now : now + leadership->settings.read_every;
+        leadership->next_at = lock.vacant && leadership->deference == 0 ? now : now + look_pause(leadership);
     }
 }
 
+/* A leader needs the store back soon: its authority runs out. Of followers one is enough. */
+static cw_time_us_t pause_after_failure(const cw_leadership_t *leadership)
+{
+    uint64_t     doublings = leadership->failures < RETRY_DOUBLINGS ? leadership->failures : RETRY_DOUBLINGS;
+    cw_time_us_t pause = CW_MS(RETRY_FIRST_MS) << doublings;
+    cw_time_us_t most = leadership->leading ? leadership->settings.hold / RETRIES_A_HOLD : look_pause(leadership);
+
+    return pause < most ? pause : most;
+}
+
 void cw_leadership_replied(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now)
 {
     cw_leadership_action_t action = leadership->pending;
@@ -274,13 +298,13 @@
         }
         break;
     case CW_STORE_REFUSED:
+        leadership->next_at = now + pause_after_failure(leadership);
         leadership->failures++;
-        leadership->next_at = now + CW_MS(RETRY_MS);
         break;
     case CW_STORE_UNKNOWN:
-        leadership->failures++;
         leadership->must_read = true;
-        leadership->next_at = now + CW_MS(RETRY_MS) / 5;
+        leadership->next_at = now + pause_after_failure(leadership);
+        leadership->failures++;
         break;
     }
 }
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -11,6 +11,8 @@
  *  - A write without an answer proves nothing: the lock is read, and the next write is made under what was read.
  *  - A node that knows of a more capable one in reach lets that one try first: it takes the lock `deference` later than
  *    it might. Its own earlier life's lock it takes at once all the same. This delays takes and permits none.
+ *  - Calls that bring nothing are repeated after pauses that double: a leader's up to a fraction of its hold, a
+ *    follower's up to the pause between its looks, which is longer the more nodes look.
  *  - Wall clocks are never used.
  *
  * Model: spec/lease.pml. Operators: docs/OPERATIONS.md.
@@ -71,6 +73,7 @@
     cw_lock_t                write;
     cw_time_us_t             sent_at;
     cw_time_us_t             next_at;
+    uint32_t                 followers; /**< nodes that look at the lock besides this one, as far as known */
     cw_time_us_t             deference; /**< how much later than it might it takes the lock; 0: at once */
     uint64_t                 last_beat;
     uint64_t                 failures; /**< store calls in a row that brought nothing */
@@ -82,6 +85,8 @@
 void cw_leadership_replied(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now);
 /** A leader told this node its term, its lock's revision and whether it has authority. */
 void cw_leadership_heard(cw_leadership_t *leadership, uint64_t term, uint64_t revision, bool able, cw_time_us_t now);
+/** How many other nodes look at the lock: all of them together ask the store at a bounded rate. */
+void cw_leadership_set_followers(cw_leadership_t *leadership, uint32_t followers);
 /** Whether a more capable node is in reach, told with each tick: so much later this one takes the lock. */
 void cw_leadership_defer(cw_leadership_t *leadership, cw_time_us_t deference);
 /** A leader said that it stops: the lock is looked at soon. */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -409,6 +409,7 @@
     } else if (router->better_since == 0) {
         router->better_since = now;
     }
+    cw_leadership_set_followers(&router->leadership, cw_peer_link_alive(router->link, router->silence, now));
     cw_leadership_defer(&router->leadership, router->better_since == 0 ? 0 : CW_MS(DEFERENCE_MS));
     if (cw_router_is_able(router, now) && router->better_since != 0 &&
         now - router->better_since > CW_SECONDS(HAND_OVER_S) && now - router->led_since > CW_SECONDS(HAND_OVER_S) &&
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -111,6 +111,7 @@
         .list = list, .revision = revision, .latest = latest, .true_at = router->servers_read_at};
 
     router->reading_servers = false;
+    router->servers_unread = list == NULL;
     cw_router_store_result(router, list != NULL, cw_router_now(router));
     if (list != NULL && cw_router_take_servers(router, &reading) && !router->leadership.leading) {
         router->view_servers = 0; /* changes that the leader tells cannot be laid over it */
@@ -129,7 +130,9 @@
 
 static void read_servers(cw_router_t *router, cw_time_us_t now)
 {
-    if (router->reading_servers || now - router->servers_read_at < router->settings.drain / LIST_PARTS) {
+    cw_time_us_t pause = router->settings.drain / LIST_PARTS * (router->servers_unread ? 2 : 1);
+
+    if (router->reading_servers || now - router->servers_read_at < pause) {
         return;
     }
     router->reading_servers = true;
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -265,6 +265,42 @@
 }
 END_TEST
 
+/* Calls in a time in which the store answers none of them. */
+static unsigned int count_calls(cw_leadership_t *leadership, cw_time_us_t from, cw_time_us_t time)
+{
+    unsigned int calls = 0;
+    cw_time_us_t now;
+
+    for (now = from; now < from + time; now += CW_MS(20)) {
+        if (cw_leadership_tick(leadership, now) != CW_LEADERSHIP_WAIT) {
+            calls++;
+            reply(leadership, CW_STORE_UNKNOWN, 0, NULL, now);
+        }
+    }
+    return calls;
+}
+
+START_TEST(followers_ask_a_store_that_does_not_answer_less_and_less)
+{
+    cw_leadership_t alone = new_leadership("n1", 11, 0);
+    cw_leadership_t one_of_many = new_leadership("n1", 11, 0);
+
+    cw_leadership_set_followers(&one_of_many, 80);
+    ck_assert_uint_le(count_calls(&alone, 0, CW_SECONDS(4)), 14);
+    ck_assert_uint_le(count_calls(&one_of_many, 0, CW_SECONDS(4)), 7);
+}
+END_TEST
+
+START_TEST(a_leader_goes_on_asking_for_its_lease)
+{
+    cw_leadership_t leader = new_leader(0);
+    unsigned int    calls = count_calls(&leader, 0, HOLD);
+
+    ck_assert_uint_ge(calls, 8);
+    ck_assert_uint_le(calls, 15);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("leadership");
@@ -276,6 +312,8 @@
     tcase_add_test(cases, a_changed_revision_starts_the_wait_anew);
     tcase_add_test(cases, the_lock_of_an_earlier_life_of_this_node_is_taken_at_once);
     tcase_add_test(cases, a_leader_that_is_heard_is_left_alone);
+    tcase_add_test(cases, followers_ask_a_store_that_does_not_answer_less_and_less);
+    tcase_add_test(cases, a_leader_goes_on_asking_for_its_lease);
     tcase_add_test(cases, a_leader_without_authority_is_not_left_alone);
     tcase_add_test(cases, a_conflict_with_another_holder_ends_authority);
     tcase_add_test(cases, resigning_ends_authority_at_once_and_writes_a_vacant_lock);
