--- a/src/router/router.c
+++ b/src/router/router.c
@@ -32,6 +32,7 @@
     STATUS_UNAVAILABLE = 503,
     OWN_HEADER_BYTES = 16 * 1024,
     OWN_IDLE_S = 60,
+    PEERS_UNKNOWN_S = 3,
     FILE_CHECK_MS = 500,
     STOP_LISTEN_MS = 3600, /* the entry asks each second, and twice */
     STOP_MARGIN_MS = 400
@@ -264,6 +265,16 @@
 
 /* ---- ticks ---- */
 
+/* Nodes that take from the same servers. A process that has just started has not heard of most of them yet, and would
+ * choose the same servers as all others that have just started. */
+static uint32_t nodes_in_reach(const cw_router_t *router, cw_time_us_t now)
+{
+    if (now - router->started_at < CW_SECONDS(PEERS_UNKNOWN_S)) {
+        return CW_NODES_UNKNOWN;
+    }
+    return cw_peer_link_alive(router->link, router->silence, now);
+}
+
 /* Nodes among which the retry budget's fixed part is shared: the most seen within a window. A process that has run for
  * less than a window knows neither them nor what its former life has spent. */
 static uint32_t nodes_for_budget(cw_router_t *router, cw_time_us_t now)
@@ -286,8 +297,7 @@
     cw_router_view_tick(router, now);
     cw_router_configuration_tick(router, now);
     cw_router_peers_tick(router, now);
-    cw_engine_set_nodes(router->engine, nodes_for_budget(router, now),
-                        cw_peer_link_alive(router->link, router->silence, now));
+    cw_engine_set_nodes(router->engine, nodes_for_budget(router, now), nodes_in_reach(router, now));
     check_file(router, now);
     check_stop(router, now);
     cw_event_log_flush(now);
