--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -149,7 +149,6 @@
             if (peer->reports[index].hash == server->hash) {
                 server->others += peer->reports[index].under_way;
                 server->others_waiting += peer->reports[index].waiting;
-                server->waiting_nodes += peer->reports[index].waiting > 0 ? 1 : 0;
             }
         }
     }
@@ -286,7 +285,6 @@
         if (server != NULL) {
             server->others = less(server->others, peer->reports[index].under_way);
             server->others_waiting = less(server->others_waiting, peer->reports[index].waiting);
-            server->waiting_nodes = less(server->waiting_nodes, peer->reports[index].waiting > 0 ? 1 : 0);
         }
     }
 }
@@ -360,7 +358,6 @@
         }
         server->others += reports[index].under_way;
         server->others_waiting += reports[index].waiting;
-        server->waiting_nodes += reports[index].waiting > 0 ? 1 : 0;
         if (reports[index].unreachable && server->avoid_until < now + CW_MS(AVOID_FIRST_MS)) {
             server->avoid_until = now + CW_MS(AVOID_FIRST_MS);
         }
@@ -399,25 +396,6 @@
     return server->own + server->others < server->capacity + extra_slots;
 }
 
-/* 0 to 1, another for each node, server, epoch and load. */
-static double draw(const cw_server_pool_t *pool, const cw_server_t *server, uint64_t epoch)
-{
-    uint64_t seed[] = {pool->node, server->hash, epoch, server->own};
-
-    return (double)(XXH3_64bits(seed, sizeof(seed)) >> 11) * 0x1.0p-53;
-}
-
-bool cw_server_pool_wins_slot(const cw_server_pool_t *pool, const cw_server_t *server,
-                              const cw_choice_settings_t *settings)
-{
-    double free_slots = server->capacity + settings->extra_slots - server->own - server->others;
-
-    if (settings->contenders <= 0 || server->own < server->own_told) {
-        return true;
-    }
-    return draw(pool, server, settings->epoch) * (settings->contenders + 1) < free_slots;
-}
-
 static double present_pace(const cw_server_t *server, cw_time_us_t now)
 {
     double pace = server->pace;
@@ -459,7 +437,7 @@
         if (!server->listed || server->draining || server->ended || strcmp(server->service, service) != 0) {
             continue;
         }
-        if (!cw_server_has_slot(server, settings->extra_slots) || !cw_server_pool_wins_slot(pool, server, settings)) {
+        if (!cw_server_has_slot(server, settings->extra_slots)) {
             *full = true;
             continue;
         }
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -34,8 +34,6 @@
     uint32_t       others;         /**< of the other nodes, as reported */
     uint32_t       own_waiting;    /**< requests that wait at this node for keys that it owns, when last counted */
     uint32_t       others_waiting; /**< at the other nodes, as reported */
-    uint32_t       waiting_nodes;  /**< nodes at which any of them wait */
-    uint32_t       own_told;       /**< value of own in this node's last report */
     double         pace;           /**< time of its answers over what is usual on the route; 1 when nothing is known */
     cw_time_us_t   pace_at;        /**< last measured */
     uint32_t       served;         /**< answers since the start, and */
@@ -105,24 +103,15 @@
 void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t life, cw_time_us_t now);
 
 typedef struct cw_choice_settings {
-    double   zone_penalty; /**< what another zone costs, as a share of a usual request's time */
-    double   affinity;     /**< weight of this node's own order of servers; more where others' loads are known late */
-    double   extra_slots;  /**< requests a server may have beyond its capacity */
-    double   contenders;   /**< other nodes that have requests waiting for a slot */
-    uint64_t epoch;        /**< rises each time that what other nodes report is new */
+    double zone_penalty; /**< what another zone costs, as a share of a usual request's time */
+    double affinity;     /**< weight of this node's own order of servers; more where others' loads are known late */
+    double extra_slots;  /**< requests a server may have beyond its capacity */
 } cw_choice_settings_t;
 
 /** Best server of a service with a free slot. full: there are servers, but none has a slot. */
 cw_server_t *cw_server_pool_choose(cw_server_pool_t *pool, const char *service, const cw_choice_settings_t *settings,
                                    const cw_server_t *except, cw_time_us_t now, bool *full);
 bool         cw_server_has_slot(const cw_server_t *server, double extra_slots);
-/**
- * May this node take a slot that is free, where other nodes wait for one too? They see it at the same time, and all of
- * them would take it. A slot of its own that it has not told to be free yet is taken; another one by a draw that as
- * many nodes win, in the mean, as there are free slots. It comes out the same until the epoch or this node's load does.
- */
-bool cw_server_pool_wins_slot(const cw_server_pool_t *pool, const cw_server_t *server,
-                              const cw_choice_settings_t *settings);
 /** Slots of a service that can be used, in units of a server of usual pace. */
 double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now);
 /** Requests under way at a service's servers. */
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -374,14 +374,6 @@
     engine->settings.choice.affinity = affinity > affinity_most ? affinity_most : affinity;
 }
 
-void cw_engine_set_epoch(cw_engine_t *engine, uint64_t epoch)
-{
-    if (epoch != engine->settings.choice.epoch) {
-        engine->settings.choice.epoch = epoch;
-        cw_engine_wake(engine);
-    }
-}
-
 void cw_engine_set_table(cw_engine_t *engine, const char *name, const cw_key_route_t *routes, size_t count,
                          uint64_t version)
 {
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -102,10 +102,8 @@
 /** All services that requests went to. */
 void cw_engine_each_service(cw_engine_t *engine, void (*tell)(void *context, const char *service, uint32_t queued),
                             void        *context);
-/** Requests that wait for a service at other nodes, and at how many. */
-void cw_engine_set_queued_elsewhere(cw_engine_t *engine, const char *service, uint32_t queued, uint32_t nodes);
-/** A number that rises about as often as reports of other nodes bring something new. */
-void cw_engine_set_epoch(cw_engine_t *engine, uint64_t epoch);
+/** Requests that wait at other nodes for a service. */
+void cw_engine_set_queued_elsewhere(cw_engine_t *engine, const char *service, uint32_t queued);
 /** Usual time of a request of a service, microseconds. */
 cw_time_us_t cw_engine_usual_time(cw_engine_t *engine, const char *service);
 /** Set while requests under way changed since it was last cleared: a reason to report soon. */
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -32,7 +32,6 @@
     cw_request_t      *queue; /**< by priority, then deadline */
     size_t             queued;
     uint32_t           queued_elsewhere;
-    uint32_t           queues_elsewhere; /**< nodes at which they wait */
     cw_key_route_t    *table;
     size_t             table_count;
     uint64_t           table_version;
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -145,16 +145,12 @@
 
 static placing_t place_keyed(cw_request_t *request)
 {
-    cw_engine_t         *engine = request->engine;
-    cw_server_t         *server = owner_server(request);
-    cw_choice_settings_t choice = engine->settings.choice;
+    cw_server_t *server = owner_server(request);
 
     if (server == NULL || server->draining) {
         return WAITS_FOR_OWNER;
     }
-    choice.extra_slots = engine->settings.keyed_extra_slots;
-    choice.contenders = server->waiting_nodes;
-    if (!cw_server_has_slot(server, choice.extra_slots) || !cw_server_pool_wins_slot(engine->pool, server, &choice)) {
+    if (!cw_server_has_slot(server, request->engine->settings.keyed_extra_slots)) {
         return WAITS_FOR_SLOT;
     }
     cw_request_send(request, server);
@@ -163,9 +159,8 @@
 
 static placing_t place(cw_request_t *request, cw_time_us_t now)
 {
-    cw_choice_settings_t choice = request->engine->settings.choice;
-    cw_server_t         *server;
-    bool                 full;
+    cw_server_t *server;
+    bool         full;
 
     if (request->not_before > now) {
         return PAUSED;
@@ -173,9 +168,8 @@
     if (request->is_keyed) {
         return place_keyed(request);
     }
-    choice.contenders = request->service->queues_elsewhere;
     server = cw_server_pool_choose(
-        request->engine->pool, request->service->name, &choice,
+        request->engine->pool, request->service->name, &request->engine->settings.choice,
         request->avoid[0] == '\0' ? NULL : cw_server_pool_find(request->engine->pool, request->avoid), now, &full);
     if (server == NULL) {
         return full ? WAITS_FOR_SLOT : NO_SERVERS;
--- a/src/proxy/engine_tell.c
+++ b/src/proxy/engine_tell.c
@@ -70,14 +70,13 @@
     }
 }
 
-void cw_engine_set_queued_elsewhere(cw_engine_t *engine, const char *name, uint32_t queued, uint32_t nodes)
+void cw_engine_set_queued_elsewhere(cw_engine_t *engine, const char *name, uint32_t queued)
 {
     cw_service_state_t *service;
 
     HASH_FIND_STR(engine->services, name, service);
     if (service != NULL) {
         service->queued_elsewhere = queued;
-        service->queues_elsewhere = nodes;
     }
 }
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -298,7 +298,6 @@
     cw_router_configuration_tick(router, now);
     cw_router_peers_tick(router, now);
     cw_engine_set_nodes(router->engine, nodes_for_budget(router, now), nodes_in_reach(router, now));
-    cw_engine_set_epoch(router->engine, cw_router_report_epoch(router, now));
     check_file(router, now);
     check_stop(router, now);
     cw_event_log_flush(now);
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -144,8 +144,6 @@
 /* ---- router_peers.c ---- */
 void cw_router_peers_init(cw_router_t *router);
 void cw_router_peers_tick(cw_router_t *router, cw_time_us_t now);
-/** Rises about as often as reports of other nodes bring something new. */
-uint64_t cw_router_report_epoch(const cw_router_t *router, cw_time_us_t now);
 /** How long what a silent node told is still counted. */
 cw_time_us_t cw_router_report_life(const cw_router_t *router);
 void         cw_router_note_peer(const cw_peer_t *peer, cw_event_kind_t kind, cw_time_us_t silent);
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -20,7 +20,6 @@
     KEYS_PAUSE_MS = 100,
     DATAGRAMS_A_SECOND = 150, /* of reports, to all and within the zone each */
     LEADERS_DATAGRAMS_A_SECOND = 1000,
-    EPOCHS_A_REPORT = 2,
     SILENCE_IN_PAUSES = 3, /* reports that may be lost before a node counts as lost */
     LOADS_MAX = 512,
     QUEUES_MAX = 32,
@@ -60,7 +59,6 @@
     {
         Cwp__ServerLoad *load = &builder.loads[count];
 
-        server->own_told = server->own;
         if (count == LOADS_MAX || (server->own == 0 && server->own_waiting == 0 && server->avoid_until <= now)) {
             continue;
         }
@@ -293,13 +291,6 @@
 
 /* ---- ticks ---- */
 
-uint64_t cw_router_report_epoch(const cw_router_t *router, cw_time_us_t now)
-{
-    uint32_t all = cw_peer_link_alive(router->link, router->silence, now);
-
-    return (uint64_t)(now / (CW_MS(paced(router, ALL_PAUSE_MS, all)) / EPOCHS_A_REPORT));
-}
-
 cw_time_us_t cw_router_report_life(const cw_router_t *router)
 {
     return router->silence > CW_MS(CW_POOL_REPORT_LIFE_MS) ? router->silence : CW_MS(CW_POOL_REPORT_LIFE_MS);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -76,17 +76,15 @@
     cw_router_t *router = context;
     uint32_t     hash = cw_short_name(service);
     uint32_t     sum = 0;
-    uint32_t     nodes = 0;
     size_t       index;
 
     (void)queued;
     for (index = 0; index < router->queue_count; index++) {
         if (router->queues[index].service == hash) {
             sum += router->queues[index].queued;
-            nodes++;
         }
     }
-    cw_engine_set_queued_elsewhere(router->engine, service, sum, nodes);
+    cw_engine_set_queued_elsewhere(router->engine, service, sum);
 }
 
 /* Replaces what this peer (or a silent one) told before. */
