planner: a hot key gets one of the fastest servers once, and stays; moves are priced by what they interrupt

Moves passed the overload on: their gain was that of a steep cost curve, and a busy server's pace, measured with the wait in its own queue, made every other look faster. Change: a key that keeps half of the fastest server busy, chance allowed for, gets a range of its own on one of the fastest servers, the one with least besides; balance moves what else is there, and the key only if its server is three times as slow as the fastest. Pace is measured without the wait in the server's queue. The planner is split: planner_cost.c, planner_hot.c, planner_balance.c. Test: test_planner a_hot_key_gets_a_fast_server_and_nothing_else_is_left_there (fails on the code before). What is left on the hot key is 20 of 104 a second that no single owner can serve.

--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -24,12 +24,13 @@
 } cw_planner_server_t;
 
 typedef struct cw_planner_settings {
-    double       gain_min;    /**< what a move has to earn: requests a second times usual times saved, and */
-    double       move_price;  /**< besides that, for each request a second of the whole service, if all keys moved */
-    double       errors;      /**< standard errors by which rates may be off */
-    size_t       moves_max;   /**< in one plan, for balance, among few servers */
-    size_t       ranges_each; /**< joins begin above this many ranges for each server */
-    cw_time_us_t rest;        /**< a range that has moved stays for so long */
+    double       gain_min;     /**< what a move has to earn: requests a second times usual times saved, and */
+    double       move_price;   /**< besides that, for each request a second of the whole service, if all keys moved */
+    double       interruption; /**< and for each request a second of what moves: these wait while it does */
+    double       errors;       /**< standard errors by which rates may be off */
+    size_t       moves_max;    /**< in one plan, for balance, among few servers */
+    size_t       ranges_each;  /**< joins begin above this many ranges for each server */
+    cw_time_us_t rest;         /**< a range that has moved stays for so long */
 } cw_planner_settings_t;
 
 /** What the router plans by. */
--- /dev/null
+++ b/src/placement/planner_balance.c
@@ -0,0 +1,241 @@
+/**
+ * @file planner_balance.c
+ * @brief Balance: pieces of ranges go from where one request more costs most to where it costs least.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "placement/planner_internal.h"
+
+enum { MOVES_SERVERS = 3 /* a plan makes one move more for each so many servers */ };
+
+static const double fit_high = 1.5;       /* a piece is cut off before it would be so many times what should move */
+static const double room_busy = 0.7;      /* busy share up to which a server is given more at once */
+static const double room_over_mean = 1.2; /* or this much over the mean of all servers, where that is more */
+
+/* Shortest piece at one end of a range with at least the wanted load. */
+static cw_planner_piece_t cut_end(const cw_planner_t *planner, const cw_range_t *range, double wanted, bool at_low_end)
+{
+    cw_planner_piece_t piece = {range->low, range->last, 0};
+    size_t             first = cw_planner_first_load(planner, range->low);
+    size_t             end = cw_planner_first_load(planner, range->last + 1);
+    size_t             step;
+
+    for (step = 0; step < end - first; step++) {
+        const cw_key_load_t *load = &planner->loads[at_low_end ? first + step : end - 1 - step];
+
+        if (cw_planner_is_hot(planner, load) || (piece.per_s > 0 && piece.per_s + load->per_s > wanted * fit_high)) {
+            break;
+        }
+        piece.per_s += load->per_s;
+        if (at_low_end) {
+            piece.last = load->key;
+        } else {
+            piece.low = load->key;
+        }
+        if (piece.per_s >= wanted) {
+            break;
+        }
+    }
+    return piece;
+}
+
+static cw_planner_server_t *busiest(const cw_planner_t *planner, const bool *tried)
+{
+    cw_planner_server_t *best = NULL;
+    size_t               index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        if (!tried[index] &&
+            (best == NULL || cw_planner_marginal(&planner->servers[index]) > cw_planner_marginal(best))) {
+            best = &planner->servers[index];
+        }
+    }
+    return best;
+}
+
+static double gain(const cw_planner_server_t *from, const cw_planner_server_t *to, double per_s)
+{
+    return cw_planner_total_cost(from, from->per_s) - cw_planner_total_cost(from, from->per_s - per_s) +
+           cw_planner_total_cost(to, to->per_s) - cw_planner_total_cost(to, to->per_s + per_s);
+}
+
+/* Rate whose move earns most, by halving: the cost is convex. */
+static double best_rate(const cw_planner_server_t *from, const cw_planner_server_t *to)
+{
+    double low = 0;
+    double high = from->per_s;
+    int    step;
+
+    for (step = 0; step < 20; step++) {
+        double third = (high - low) / 3;
+
+        if (gain(from, to, low + third) < gain(from, to, high - third)) {
+            low += third;
+        } else {
+            high -= third;
+        }
+    }
+    return (low + high) / 2;
+}
+
+/* What the move of a piece has to earn: keys that change hands have a price each, and requests for them wait or are
+ * refused meanwhile. */
+static double price(const cw_planner_t *planner, const cw_planner_piece_t *piece)
+{
+    double share = (double)(piece->last - piece->low + 1) / (CW_KEY_LAST + 1);
+
+    return planner->settings->gain_min + planner->settings->move_price * share * planner->per_s +
+           planner->settings->interruption * piece->per_s;
+}
+
+/* What it would still earn if chance had made the busy one look busier, and the other less busy, than they are. */
+static double sure_gain(const cw_planner_t *planner, const cw_planner_server_t *from, const cw_planner_server_t *to,
+                        double per_s)
+{
+    cw_planner_server_t less = *from;
+    cw_planner_server_t more = *to;
+
+    less.per_s -= cw_load_error(from->per_s) * planner->settings->errors;
+    more.per_s += cw_load_error(to->per_s) * planner->settings->errors;
+    return gain(&less, &more, per_s > less.per_s ? less.per_s : per_s);
+}
+
+/* The piece whose move earns most beyond its price, however small it is beside what should move: a server may hold its
+ * load in many ranges. */
+static bool choose_piece(const cw_planner_t *planner, const cw_planner_server_t *from, const cw_planner_server_t *to,
+                         double wanted, cw_planner_piece_t *best)
+{
+    const cw_range_list_t *ranges = &planner->ranges;
+    double                 best_profit = 0;
+    size_t                 index;
+    int                    at_low_end;
+
+    memset(best, 0, sizeof(*best));
+    for (index = 0; index < ranges->count; index++) {
+        const cw_range_t *range = &ranges->items[index];
+
+        if (strcmp(range->owner.id, from->entry->id) != 0 || !cw_planner_is_moveable(planner, range)) {
+            continue;
+        }
+        for (at_low_end = 0; at_low_end < 2; at_low_end++) {
+            cw_planner_piece_t piece = cut_end(planner, range, wanted, at_low_end);
+            double             profit = sure_gain(planner, from, to, piece.per_s) - price(planner, &piece);
+
+            if (piece.per_s > 0 && profit > best_profit) {
+                best_profit = profit;
+                *best = piece;
+            }
+        }
+    }
+    return best_profit > 0;
+}
+
+/* Rate that a server can be given without becoming the next one to relieve: it keeps what it got for a while. */
+static double room_of(const cw_planner_t *planner, const cw_planner_server_t *server)
+{
+    double most = planner->busy * room_over_mean > room_busy ? planner->busy * room_over_mean : room_busy;
+    double room = most / server->cost_s - server->per_s;
+
+    return room > 0 ? room : 0;
+}
+
+static bool relieve(cw_planner_t *planner, cw_planner_server_t *from)
+{
+    cw_planner_server_t *to = cw_planner_least_busy(planner, from->entry->id);
+    double               wanted;
+    double               room;
+    cw_planner_piece_t   piece;
+
+    if (to == NULL || cw_planner_marginal(to) >= cw_planner_marginal(from)) {
+        return false;
+    }
+    wanted = best_rate(from, to);
+    room = room_of(planner, to);
+    wanted = wanted > room ? room : wanted;
+    if (gain(from, to, wanted) < planner->settings->gain_min || !choose_piece(planner, from, to, wanted, &piece)) {
+        return false;
+    }
+    cw_planner_move(planner, &piece, from, to);
+    return true;
+}
+
+void cw_planner_balance(cw_planner_t *planner)
+{
+    bool  *tried = calloc(planner->server_count + 1, sizeof(*tried));
+    size_t moves = 0;
+    size_t most = planner->settings->moves_max + planner->server_count / MOVES_SERVERS;
+
+    if (tried == NULL) {
+        abort();
+    }
+    while (moves < most) {
+        cw_planner_server_t *from = busiest(planner, tried);
+
+        if (from == NULL) {
+            break;
+        }
+        if (relieve(planner, from)) {
+            moves++;
+        } else {
+            tried[from - planner->servers] = true;
+        }
+    }
+    free(tried);
+}
+
+/* ---- before there is load ---- */
+
+/* The largest range of a server that can be cut; NULL: none. */
+static const cw_range_t *largest_range(const cw_planner_t *planner, const cw_planner_server_t *server)
+{
+    const cw_range_t *largest = NULL;
+    size_t            index;
+
+    for (index = 0; index < planner->ranges.count; index++) {
+        const cw_range_t *range = &planner->ranges.items[index];
+
+        if (strcmp(range->owner.id, server->entry->id) == 0 && range->last > range->low &&
+            cw_keeper_is_settled(planner->keeper, range, planner->now) &&
+            (largest == NULL || range->last - range->low > largest->last - largest->low)) {
+            largest = range;
+        }
+    }
+    return largest;
+}
+
+/* Half of the largest range of the server with most keys goes to this one. */
+static bool give_half(cw_planner_t *planner, cw_planner_server_t *to)
+{
+    cw_planner_server_t *most = NULL;
+    const cw_range_t    *range;
+    cw_planner_piece_t   piece = {0};
+    size_t               index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        cw_planner_server_t *server = &planner->servers[index];
+
+        most = most == NULL || server->keys > most->keys ? server : most;
+    }
+    range = largest_range(planner, most);
+    if (range == NULL) {
+        return false;
+    }
+    piece.low = range->low + (range->last - range->low + 1) / 2;
+    piece.last = range->last;
+    cw_planner_move(planner, &piece, most, to);
+    return true;
+}
+
+void cw_planner_fill_idle(cw_planner_t *planner)
+{
+    size_t index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        cw_planner_server_t *server = &planner->servers[index];
+
+        if (server->keys == 0 && server->usable && !give_half(planner, server)) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/planner_cost.c
@@ -0,0 +1,74 @@
+/**
+ * @file planner_cost.c
+ * @brief What load costs at a server.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "placement/planner_internal.h"
+
+static const double key_weight = 1e-7; /* breaks ties by the number of keys held */
+static const double full = 0.92;       /* busy share from where the wait is taken to grow in a straight line */
+static const double pace_most = 3;     /* a server in trouble is no reason to move everything at once */
+static const double late_power = 1.0;  /* long times weigh more: they miss the aim */
+
+/* Mean time of a request over what is usual, at this rate: its pace and the wait for one of the slots. */
+static double time_at(const cw_planner_server_t *server, double per_s)
+{
+    double slots = server->entry->capacity == 0 ? 1 : server->entry->capacity;
+    double busy = per_s * server->cost_s;
+    double bounded = busy > full ? full : busy;
+    double wait = pow(bounded, sqrt(2 * (slots + 1)) - 1) / (slots * (1 - bounded)); /* Sakasegawa's M/M/c */
+
+    if (busy > full) {
+        wait += (busy - full) * 20;
+    }
+    return pow((server->pace > pace_most ? pace_most : server->pace) * (1 + wait), late_power);
+}
+
+double cw_planner_total_cost(const cw_planner_server_t *server, double per_s)
+{
+    return per_s <= 0 ? 0 : per_s * time_at(server, per_s);
+}
+
+double cw_planner_marginal(const cw_planner_server_t *server)
+{
+    const double step = 0.5;
+
+    return (cw_planner_total_cost(server, server->per_s + step) - cw_planner_total_cost(server, server->per_s)) / step;
+}
+
+static double rank(const cw_planner_server_t *server)
+{
+    return cw_planner_marginal(server) + key_weight * server->keys;
+}
+
+cw_planner_server_t *cw_planner_least_busy(const cw_planner_t *planner, const char *except)
+{
+    cw_planner_server_t *best = NULL;
+    size_t               index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        cw_planner_server_t *server = &planner->servers[index];
+
+        if (server->usable && strcmp(server->entry->id, except) != 0 && (best == NULL || rank(server) < rank(best))) {
+            best = server;
+        }
+    }
+    return best;
+}
+
+double cw_planner_fastest_cost(const cw_planner_t *planner)
+{
+    double fastest = 0;
+    size_t index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        const cw_planner_server_t *server = &planner->servers[index];
+
+        if (server->usable && (fastest == 0 || server->cost_s < fastest)) {
+            fastest = server->cost_s;
+        }
+    }
+    return fastest;
+}
--- /dev/null
+++ b/src/placement/planner_internal.h
@@ -0,0 +1,69 @@
+/**
+ * @file planner_internal.h
+ * @brief A plan in the making: what the planner's parts share.
+ *
+ * planner.c makes a plan: what must move, then the rest. planner_cost.c says what load costs at a server;
+ * planner_hot.c places keys that are a server's load by themselves; planner_balance.c moves pieces of ranges.
+ */
+#ifndef CEDARWINCH_PLACEMENT_PLANNER_INTERNAL_H
+#define CEDARWINCH_PLACEMENT_PLANNER_INTERNAL_H
+
+#include "placement/planner.h"
+
+typedef struct cw_planner {
+    cw_keeper_t                 *keeper;
+    const cw_planner_settings_t *settings;
+    cw_planner_server_t         *servers;
+    size_t                       server_count;
+    const cw_server_list_t      *list;
+    cw_range_list_t              ranges; /**< as they will be with the moves planned so far */
+    cw_key_load_t               *loads;
+    size_t                       load_count;
+    double                       per_s;        /**< of all keys */
+    double                       fastest_cost; /**< share of its slots that a request a second takes at the fastest */
+    double                       busy;         /**< mean busy share of the servers that can be given keys */
+    bool                         doubts_list;
+    cw_time_us_t                 now;
+    size_t                       changes;
+} cw_planner_t;
+
+/** A piece of a range that could move. */
+typedef struct cw_planner_piece {
+    uint32_t low;
+    uint32_t last;
+    double   per_s;
+} cw_planner_piece_t;
+
+/* ---- planner.c ---- */
+/** Server of this id; NULL: not among those of the service. */
+cw_planner_server_t *cw_planner_server_of(const cw_planner_t *planner, const char *id);
+/** Index of the first load at or above a key. */
+size_t cw_planner_first_load(const cw_planner_t *planner, uint32_t key);
+/** Requests a second on keys low to last. */
+double cw_planner_load_between(const cw_planner_t *planner, uint32_t low, uint32_t last);
+/** Plans the move of a piece. from: NULL if its owner is not known. */
+void cw_planner_move(cw_planner_t *planner, const cw_planner_piece_t *piece, cw_planner_server_t *from,
+                     cw_planner_server_t *to);
+/** May a range move for balance now: settled, and rested since it last moved? */
+bool cw_planner_is_moveable(const cw_planner_t *planner, const cw_range_t *range);
+
+/* ---- planner_cost.c ---- */
+/** Cost of this many requests a second at a server: their number times what one takes there over what is usual. */
+double cw_planner_total_cost(const cw_planner_server_t *server, double per_s);
+/** What one request a second more would cost. */
+double cw_planner_marginal(const cw_planner_server_t *server);
+/** Server at which one request more costs least, other than the one of this id; NULL: none. */
+cw_planner_server_t *cw_planner_least_busy(const cw_planner_t *planner, const char *except);
+/** Share of its slots that a request a second takes at the fastest server; 0: there is none. */
+double cw_planner_fastest_cost(const cw_planner_t *planner);
+
+/* ---- planner_hot.c ---- */
+bool cw_planner_is_hot(const cw_planner_t *planner, const cw_key_load_t *load);
+void cw_planner_place_hot_keys(cw_planner_t *planner);
+
+/* ---- planner_balance.c ---- */
+void cw_planner_balance(cw_planner_t *planner);
+/** Before there is any load, servers that have come since get their part of the keys, all of them in one plan. */
+void cw_planner_fill_idle(cw_planner_t *planner);
+
+#endif
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -165,6 +165,54 @@
 }
 END_TEST
 
+static cw_planner_server_t *server_named(planner_world_t *world, const char *id)
+{
+    size_t index;
+
+    for (index = 0; index < world->server_count; index++) {
+        if (strcmp(world->servers[index].entry->id, id) == 0) {
+            return &world->servers[index];
+        }
+    }
+    ck_abort_msg("no server %s", id);
+    return NULL;
+}
+
+START_TEST(a_hot_key_gets_a_fast_server_and_nothing_else_is_left_there)
+{
+    planner_world_t      world;
+    cw_planner_server_t *slow;
+    const cw_range_t    *range;
+    char                 owner[48];
+    int                  round;
+
+    init(&world, four);
+    slow = server_named(&world, keeper_world_range(&world.keeper, 1000)->owner.id);
+    slow->cost_s *= 2.3;
+    slow->pace = 2.3;
+    for (round = 0; round < 4; round++) { /* each server serves 20 a second, the slow one 9 */
+        add_load(&world, 1000, 1000, 17);
+        add_load(&world, 0, CW_KEY_LAST, 12);
+        run_rounds(&world, 1);
+        world.keeper.now += CW_SECONDS(2);
+    }
+    range = keeper_world_range(&world.keeper, 1000);
+    ck_assert_uint_eq(range->low, 1000);
+    ck_assert_uint_eq(range->last, 1000);
+    ck_assert_str_ne(range->owner.id, slow->entry->id);
+    ck_assert_uint_le(keys_of(&world, range->owner.id), (CW_KEY_LAST + 1) / 8);
+    /* its server looks slower now that it is busy: that is no reason to move it again */
+    strcpy(owner, range->owner.id);
+    server_named(&world, owner)->cost_s *= 1.9;
+    server_named(&world, owner)->pace = 1.9;
+    add_load(&world, 1000, 1000, 17);
+    add_load(&world, 0, CW_KEY_LAST, 12);
+    run_rounds(&world, 3);
+    ck_assert_str_eq(keeper_world_range(&world.keeper, 1000)->owner.id, owner);
+    clear(&world);
+}
+END_TEST
+
 START_TEST(a_single_hot_key_is_not_carried_back_and_forth)
 {
     planner_world_t world;
@@ -367,6 +415,7 @@
     tcase_add_test(cases, nothing_moves_under_even_load);
     tcase_add_test(cases, a_hot_piece_is_spread_in_one_plan);
     tcase_add_test(cases, a_hot_piece_of_many_servers_load_is_spread_without_overloading_any);
+    tcase_add_test(cases, a_hot_key_gets_a_fast_server_and_nothing_else_is_left_there);
     tcase_add_test(cases, a_single_hot_key_is_not_carried_back_and_forth);
     tcase_add_test(cases, a_slow_server_gets_less);
     tcase_add_test(cases, a_server_with_all_keys_in_many_ranges_is_relieved);
