proxy: requests wait for as long as the aim allows, not beyond it

Cause: a request might wait for an answer up to a quarter of the way from its aim to its deadline. While an owner stays full the queue stands at that limit, and all that it serves is late. Change: late_share is gone; a request whose estimate lies past its aim is told to come back.

--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -44,9 +44,7 @@
     double               silence_factor; /**< a repeatable request is repeated after so many usual times of silence */
     cw_time_us_t         margin;         /**< answers leave this much before the caller's own deadline */
     size_t               answer_max;
-    double               late_share; /**< a request may wait for an answer that comes this far between its aim and its
-                                          deadline, rather than be refused */
-    size_t queue_max;                /**< requests waiting for one service */
+    size_t               queue_max; /**< requests waiting for one service */
 } cw_engine_settings_t;
 
 /** Where the keys of a service are, as the leader told it. */
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -178,13 +178,6 @@
     return PLACED;
 }
 
-/* A late answer is worth something too: until when a request had better wait than be told to come back. */
-static cw_time_us_t latest_worth_waiting(const cw_request_t *request)
-{
-    return request->aim_at +
-           (cw_time_us_t)((double)(request->deadline - request->aim_at) * request->engine->settings.late_share);
-}
-
 /* A request that could not be placed: waits, or is told to come back. */
 static void settle(cw_request_t *request, placing_t why, cw_time_us_t now)
 {
@@ -204,7 +197,7 @@
             cw_request_refuse(request, why == WAITS_FOR_OWNER ? CW_REFUSED_OWNER : CW_REFUSED_SERVERS);
             return;
         }
-    } else if (estimate > latest_worth_waiting(request)) {
+    } else if (estimate > request->aim_at) {
         cw_request_refuse(request, CW_REFUSED_LOAD);
         return;
     }
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -318,7 +318,6 @@
                                      .silence_factor = 4,
                                      .margin = CW_MS(15),
                                      .answer_max = ANSWER_MAX,
-                                     .late_share = 0.25,
                                      .queue_max = QUEUE_MAX};
 
     return settings;
