measures: imbalance, churn and unavailable time are counted by the leader

Change: src/placement/ownership_measures.c counts them for each service divided by key from ranges and load window: busiest owner over the mean weighted by time, keys and load moved (cold ones apart), key-seconds and longest time without an owner that can be reached. Loads of keys are looked up in one place (load_window.c) for the planner and the measures. Ruled out: counting at each node (a node without the leader's word does not know why a key is unavailable).

--- a/scripts/dependencies.sh
+++ b/scripts/dependencies.sh
@@ -13,4 +13,4 @@
 [ "$(id -u)" = 0 ] || privileged=sudo
 $privileged apt-get update -qq
 # shellcheck disable=SC2086
-DEBIAN_FRONTEND=noninteractive $privileged apt-get install -y -qq $missing
+DEBIAN_FRONTEND=noninteractive $privileged apt-get install -y -qq $missing >/dev/null
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -39,6 +39,15 @@
     X(RELEASES, "cedarwinch_releases_total", "counter", "releases sent")                                               \
     X(ORDERS_FAILED, "cedarwinch_orders_failed_total", "counter", "grants and releases without a good answer")         \
     X(MOVES, "cedarwinch_moves_total", "counter", "changes of ranges planned by this node")                            \
+    X(MOVED_KEYS, "cedarwinch_moved_keys_total", "counter", "keys whose owner changed, while this node led")           \
+    X(MOVED_COLD_KEYS, "cedarwinch_moved_cold_keys_total", "counter", "of them without a handover")                    \
+    X(MOVED_LOAD_PPM, "cedarwinch_moved_load_ppm_total", "counter", "load on moved keys, millionths of all load")      \
+    X(UNAVAILABLE_KEY_MS, "cedarwinch_unavailable_key_milliseconds_total", "counter",                                  \
+      "keys times milliseconds without an owner that can be reached, while this node led")                             \
+    X(UNAVAILABLE_LONGEST_MS, "cedarwinch_unavailable_longest_milliseconds", "gauge", "longest such time of a key")    \
+    X(IMBALANCE_WEIGHTED_MS, "cedarwinch_imbalance_weighted_milliseconds_total", "counter",                            \
+      "load of the busiest owner over the mean of owners, times milliseconds")                                         \
+    X(IMBALANCE_MS, "cedarwinch_imbalance_milliseconds_total", "counter", "over so many milliseconds")                 \
     X(LOG_DROPPED, "cedarwinch_log_lines_dropped", "gauge", "log lines not written")                                   \
     X(LEADING, "cedarwinch_leading", "gauge", "1 while this node leads with authority")                                \
     X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -62,6 +62,26 @@
     }
 }
 
+/* Of the leader: how the load lies on the owners, and what its moves cost. */
+static void print_measures(const json_t *status)
+{
+    const char *service;
+    json_t     *measures;
+
+    json_object_foreach(json_object_get(status, "measures"), service, measures)
+    {
+        printf("  %s: busiest owner over the mean %.2f now, %.2f while this node has led; keys moved %.3f times (%.3f "
+               "cold), load %.3f; unavailable %.1f key-seconds, longest %.2f s\n",
+               service, json_number_value(json_object_get(measures, "imbalance")),
+               json_number_value(json_object_get(measures, "imbalance_mean")),
+               json_number_value(json_object_get(measures, "keys_moved")),
+               json_number_value(json_object_get(measures, "keys_moved_cold")),
+               json_number_value(json_object_get(measures, "load_moved")),
+               json_number_value(json_object_get(measures, "unavailable_key_s")),
+               json_number_value(json_object_get(measures, "unavailable_longest_s")));
+    }
+}
+
 static void print_node(const json_t *status)
 {
     const json_t *leadership = json_object_get(status, "leadership");
@@ -78,6 +98,7 @@
            json_array_size(json_object_get(status, "peers")), json_array_size(json_object_get(status, "servers")),
            number_of(status, "queued"), json_is_true(json_object_get(status, "store_lost")) ? ", STORE LOST" : "");
     if (leading) {
+        print_measures(status);
         print_assignments(status);
     }
 }
--- a/src/placement/load_window.c
+++ b/src/placement/load_window.c
@@ -92,6 +92,34 @@
     return join_same(*loads, count);
 }
 
+size_t cw_key_loads_first(const cw_key_load_t *loads, size_t count, uint32_t key)
+{
+    size_t low = 0;
+    size_t high = count;
+
+    while (low < high) {
+        size_t middle = low + (high - low) / 2;
+
+        if (loads[middle].key < key) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+double cw_key_loads_between(const cw_key_load_t *loads, size_t count, uint32_t low, uint32_t last)
+{
+    double sum = 0;
+    size_t index;
+
+    for (index = cw_key_loads_first(loads, count, low); index < count && loads[index].key <= last; index++) {
+        sum += loads[index].per_s;
+    }
+    return sum;
+}
+
 double cw_load_error(double per_s)
 {
     return per_s <= 0 ? 0 : sqrt(per_s / (2 * memory_s));
--- a/src/placement/load_window.h
+++ b/src/placement/load_window.h
@@ -37,6 +37,10 @@
 double cw_load_error(double per_s);
 /** Load of each key seen lately, in order of keys; returns how many. The array is to be freed. */
 size_t cw_load_window_read(const cw_load_window_t *window, cw_time_us_t now, cw_key_load_t **loads);
+/** Index of the first of these at or above a key. */
+size_t cw_key_loads_first(const cw_key_load_t *loads, size_t count, uint32_t key);
+/** Load on keys low to last, requests a second. */
+double cw_key_loads_between(const cw_key_load_t *loads, size_t count, uint32_t low, uint32_t last);
 void   cw_load_window_clear(cw_load_window_t *window);
 
 #endif
--- /dev/null
+++ b/src/placement/ownership_measures.c
@@ -0,0 +1,184 @@
+/**
+ * @file ownership_measures.c
+ * @brief Imbalance, churn and unavailable time.
+ */
+#include "placement/ownership_measures.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+static const double load_min_per_s = 5; /* with less load one request more or less decides */
+
+void cw_ownership_measures_clear(cw_ownership_measures_t *measures)
+{
+    free(measures->seen);
+    free(measures->loads);
+    memset(measures, 0, sizeof(*measures));
+}
+
+static double seconds(cw_time_us_t time)
+{
+    return (double)time / 1e6;
+}
+
+static uint64_t owner_of(const cw_range_t *range)
+{
+    return range->owner.id[0] == '\0' ? 0 : XXH3_64bits(range->owner.id, strlen(range->owner.id));
+}
+
+/* ---- churn ---- */
+
+static double load_between(const cw_ownership_measures_t *measures, uint32_t low, uint32_t last)
+{
+    return cw_key_loads_between(measures->loads, measures->load_count, low, last);
+}
+
+static void count_move(cw_ownership_measures_t *measures, uint32_t low, uint32_t last)
+{
+    double all = load_between(measures, 0, CW_KEY_LAST);
+
+    measures->moved_keys += last - low + 1;
+    if (all >= load_min_per_s) {
+        measures->moved_load += load_between(measures, low, last) / all;
+    }
+}
+
+/* ---- one range against what was seen of its keys before ---- */
+
+static void compare_part(cw_ownership_measures_t *measures, const cw_range_t *range, const cw_range_seen_t *before,
+                         cw_range_seen_t *now_seen)
+{
+    uint32_t low = before->low > range->low ? before->low : range->low;
+    uint32_t last = before->last < range->last ? before->last : range->last;
+    bool     has_moved = before->owner != 0 && before->owner != now_seen->owner;
+
+    if (has_moved) {
+        count_move(measures, low, last);
+    }
+    if (has_moved || before->is_moving) {
+        now_seen->is_moving = range->phase != CW_RANGE_HELD;
+        if (!now_seen->is_moving && range->handover[0] == '\0') {
+            measures->moved_cold_keys += last - low + 1;
+        }
+    }
+    if (now_seen->unavailable_since != 0 && before->unavailable_since != 0 &&
+        before->unavailable_since < now_seen->unavailable_since) {
+        now_seen->unavailable_since = before->unavailable_since;
+    }
+}
+
+static bool is_available(const cw_range_t *range)
+{
+    return cw_range_is_routable(range) && range->failing_since == 0;
+}
+
+/* `first`: the first range seen before that may reach into this one; both are in order of keys. */
+static cw_range_seen_t look_at_range(cw_ownership_measures_t *measures, const cw_range_t *range, size_t *first,
+                                     cw_time_us_t now)
+{
+    cw_range_seen_t seen = {.low = range->low,
+                            .last = range->last,
+                            .owner = owner_of(range),
+                            .unavailable_since = is_available(range) ? 0 : now};
+    size_t          index;
+
+    while (*first < measures->seen_count && measures->seen[*first].last < range->low) {
+        (*first)++;
+    }
+    for (index = *first; index < measures->seen_count && measures->seen[index].low <= range->last; index++) {
+        compare_part(measures, range, &measures->seen[index], &seen);
+    }
+    return seen;
+}
+
+static void count_unavailable(cw_ownership_measures_t *measures, const cw_range_seen_t *seen, cw_time_us_t now)
+{
+    cw_time_us_t from = seen->unavailable_since > measures->looked_at ? seen->unavailable_since : measures->looked_at;
+    double       gap_s = seconds(now - seen->unavailable_since);
+
+    if (seen->unavailable_since == 0) {
+        return;
+    }
+    measures->unavailable_key_s += (seen->last - seen->low + 1) * seconds(now - from);
+    if (gap_s > measures->unavailable_longest_s) {
+        measures->unavailable_longest_s = gap_s;
+    }
+}
+
+void cw_ownership_measures_look(cw_ownership_measures_t *measures, const cw_range_list_t *ranges, cw_time_us_t now)
+{
+    cw_range_seen_t *seen = calloc(ranges->count + 1, sizeof(*seen));
+    size_t           first = 0;
+    size_t           index;
+
+    if (seen == NULL) {
+        abort();
+    }
+    for (index = 0; index < ranges->count; index++) {
+        seen[index] = look_at_range(measures, &ranges->items[index], &first, now);
+        if (measures->looked_at != 0) {
+            count_unavailable(measures, &seen[index], now);
+        }
+    }
+    free(measures->seen);
+    measures->seen = seen;
+    measures->seen_count = ranges->count;
+    measures->looked_at = now;
+}
+
+/* ---- imbalance ---- */
+
+/** Load of one owner. */
+typedef struct owner_load {
+    uint64_t owner;
+    double   per_s;
+} owner_load_t;
+
+static double busiest_over_mean(const cw_ownership_measures_t *measures, const cw_range_list_t *ranges)
+{
+    owner_load_t *owners = calloc(ranges->count + 1, sizeof(*owners));
+    size_t        count = 0;
+    double        all = 0;
+    double        most = 0;
+    size_t        index;
+    size_t        place;
+
+    if (owners == NULL) {
+        abort();
+    }
+    for (index = 0; index < ranges->count; index++) {
+        uint64_t owner = owner_of(&ranges->items[index]);
+
+        for (place = 0; place < count && owners[place].owner != owner; place++) {
+        }
+        if (place == count) {
+            owners[count++].owner = owner;
+        }
+        owners[place].per_s += load_between(measures, ranges->items[index].low, ranges->items[index].last);
+    }
+    for (place = 0; place < count; place++) {
+        all += owners[place].per_s;
+        most = owners[place].per_s > most ? owners[place].per_s : most;
+    }
+    free(owners);
+    return count == 0 || all < load_min_per_s ? 0 : most * (double)count / all;
+}
+
+void cw_ownership_measures_look_at_load(cw_ownership_measures_t *measures, const cw_range_list_t *ranges,
+                                        const cw_load_window_t *window, cw_time_us_t now)
+{
+    free(measures->loads);
+    measures->load_count = cw_load_window_read(window, now, &measures->loads);
+    if (measures->load_at != 0 && measures->imbalance > 0) {
+        measures->imbalance_weighted_s += measures->imbalance * seconds(now - measures->load_at);
+        measures->imbalance_s += seconds(now - measures->load_at);
+    }
+    measures->imbalance = busiest_over_mean(measures, ranges);
+    measures->load_at = now;
+}
+
+double cw_ownership_measures_imbalance(const cw_ownership_measures_t *measures)
+{
+    return measures->imbalance_s > 0 ? measures->imbalance_weighted_s / measures->imbalance_s : 0;
+}
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -36,33 +36,9 @@
     return NULL;
 }
 
-size_t cw_planner_first_load(const cw_planner_t *planner, uint32_t key)
-{
-    size_t low = 0;
-    size_t high = planner->load_count;
-
-    while (low < high) {
-        size_t middle = low + (high - low) / 2;
-
-        if (planner->loads[middle].key < key) {
-            low = middle + 1;
-        } else {
-            high = middle;
-        }
-    }
-    return low;
-}
-
 double cw_planner_load_between(const cw_planner_t *planner, uint32_t low, uint32_t last)
 {
-    double sum = 0;
-    size_t index;
-
-    for (index = cw_planner_first_load(planner, low); index < planner->load_count && planner->loads[index].key <= last;
-         index++) {
-        sum += planner->loads[index].per_s;
-    }
-    return sum;
+    return cw_key_loads_between(planner->loads, planner->load_count, low, last);
 }
 
 static void measure_servers(cw_planner_t *planner)
--- a/src/placement/planner_balance.c
+++ b/src/placement/planner_balance.c
@@ -17,8 +17,8 @@
 static cw_planner_piece_t cut_end(const cw_planner_t *planner, const cw_range_t *range, double wanted, bool at_low_end)
 {
     cw_planner_piece_t piece = {range->low, range->last, 0};
-    size_t             first = cw_planner_first_load(planner, range->low);
-    size_t             end = cw_planner_first_load(planner, range->last + 1);
+    size_t             first = cw_key_loads_first(planner->loads, planner->load_count, range->low);
+    size_t             end = cw_key_loads_first(planner->loads, planner->load_count, range->last + 1);
     size_t             step;
 
     for (step = 0; step < end - first; step++) {
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -37,8 +37,6 @@
 /* ---- planner.c ---- */
 /** Server of this id; NULL: not among those of the service. */
 cw_planner_server_t *cw_planner_server_of(const cw_planner_t *planner, const char *id);
-/** Index of the first load at or above a key. */
-size_t cw_planner_first_load(const cw_planner_t *planner, uint32_t key);
 /** Requests a second on keys low to last. */
 double cw_planner_load_between(const cw_planner_t *planner, uint32_t low, uint32_t last);
 /** Plans the move of a piece. from: NULL if its owner is not known. */
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -10,6 +10,7 @@
 #include "lease/leadership.h"
 #include "model/server_view.h"
 #include "peer/peer_link.h"
+#include "placement/ownership_measures.h"
 #include "placement/planner.h"
 #include "router/list_history.h"
 #include "router/router.h"
@@ -26,14 +27,16 @@
 
 /** The leader's care for one service divided by key. */
 typedef struct cw_keyed_service {
-    cw_keeper_t      *keeper;
-    struct cw_router *router;
-    cw_load_window_t  window;
-    cw_time_us_t      next_plan;
-    cw_time_us_t      first_seen;           /**< since when servers of it are known */
-    size_t            seen;                 /**< servers of it, before the first plan */
-    cw_time_us_t      seen_at;              /**< when that many were first seen */
-    cw_time_us_t      owners_missing_since; /**< most of its owners are not in the list; 0: no */
+    cw_keeper_t            *keeper;
+    struct cw_router       *router;
+    cw_load_window_t        window;
+    cw_ownership_measures_t measures;
+    cw_time_us_t            measured_load_at;
+    cw_time_us_t            next_plan;
+    cw_time_us_t            first_seen;           /**< since when servers of it are known */
+    size_t                  seen;                 /**< servers of it, before the first plan */
+    cw_time_us_t            seen_at;              /**< when that many were first seen */
+    cw_time_us_t            owners_missing_since; /**< most of its owners are not in the list; 0: no */
 } cw_keyed_service_t;
 
 /** Requests that wait at another node for a service. */
@@ -193,6 +196,8 @@
 /* ---- router_plan.c ---- */
 /** Makes a plan for a service this node leads, if it is time for one. */
 void cw_router_plan(cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now);
+/** Counts imbalance, churn and unavailable time of a service this node leads. */
+void cw_router_measure(cw_keyed_service_t *keyed, cw_time_us_t now);
 
 /* ---- router_lead.c ---- */
 void cw_router_lead_init(cw_router_t *router);
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -167,6 +167,7 @@
     for (index = 0; index < router->keyed_count; index++) {
         cw_keeper_free(router->keyed[index].keeper);
         cw_load_window_clear(&router->keyed[index].window);
+        cw_ownership_measures_clear(&router->keyed[index].measures);
     }
     memset(router->keyed, 0, sizeof(router->keyed));
     router->keyed_count = 0;
@@ -454,6 +455,7 @@
         cw_router_plan(router, &router->keyed[index], now);
         cw_keeper_tick(router->keyed[index].keeper, router->server_view.list, able, is_store_in_trouble(router, now),
                        now);
+        cw_router_measure(&router->keyed[index], now);
     }
     resign_if_cut_off(router, now);
     if (is_deposed(router)) {
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -15,6 +15,8 @@
     PLAN_EVERY_MS = 300,
     FIRST_PLAN_CALM_MS = 500, /* beyond a heartbeat without a server that signed in */
     FIRST_PLAN_WAIT_S = 4,
+    MEASURE_LOAD_EVERY_MS = 1000,
+    PARTS_A_MILLION = 1000000,
     SERVERS_MAX = 2048,
     MISSING_PERCENT = 40, /* more owners than these are not all gone at once */
 };
@@ -81,6 +83,33 @@
     return now - keyed->owners_missing_since < router->server_view.absence.grace;
 }
 
+void cw_router_measure(cw_keyed_service_t *keyed, cw_time_us_t now)
+{
+    cw_ownership_measures_t *measures = &keyed->measures;
+    const cw_range_list_t   *ranges = cw_keeper_ranges(keyed->keeper);
+    double                   keys = measures->moved_keys;
+    double                   cold = measures->moved_cold_keys;
+    double                   load = measures->moved_load;
+    double                   unavailable_s = measures->unavailable_key_s;
+    double                   weighted_s = measures->imbalance_weighted_s;
+    double                   measured_s = measures->imbalance_s;
+
+    cw_ownership_measures_look(measures, ranges, now);
+    if (now - keyed->measured_load_at >= CW_MS(MEASURE_LOAD_EVERY_MS)) {
+        keyed->measured_load_at = now;
+        cw_ownership_measures_look_at_load(measures, ranges, &keyed->window, now);
+    }
+    cw_metric_add(CW_METRIC_MOVED_KEYS, (uint64_t)(measures->moved_keys - keys));
+    cw_metric_add(CW_METRIC_MOVED_COLD_KEYS, (uint64_t)(measures->moved_cold_keys - cold));
+    cw_metric_add(CW_METRIC_MOVED_LOAD_PPM, (uint64_t)((measures->moved_load - load) * PARTS_A_MILLION));
+    cw_metric_add(CW_METRIC_UNAVAILABLE_KEY_MS, (uint64_t)((measures->unavailable_key_s - unavailable_s) * 1000));
+    cw_metric_add(CW_METRIC_IMBALANCE_WEIGHTED_MS, (uint64_t)((measures->imbalance_weighted_s - weighted_s) * 1000));
+    cw_metric_add(CW_METRIC_IMBALANCE_MS, (uint64_t)((measures->imbalance_s - measured_s) * 1000));
+    if (measures->unavailable_longest_s * 1000 > (double)cw_metric_value(CW_METRIC_UNAVAILABLE_LONGEST_MS)) {
+        cw_metric_set(CW_METRIC_UNAVAILABLE_LONGEST_MS, (uint64_t)(measures->unavailable_longest_s * 1000));
+    }
+}
+
 void cw_router_plan(cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
 {
     static cw_planner_server_t servers[SERVERS_MAX];
--- a/src/router/router_status.c
+++ b/src/router/router_status.c
@@ -85,17 +85,36 @@
     return servers;
 }
 
+static json_t *measures_json(const cw_router_t *router)
+{
+    json_t *services = json_object();
+    size_t  index;
+
+    for (index = 0; index < router->keyed_count; index++) {
+        const cw_ownership_measures_t *measures = &router->keyed[index].measures;
+
+        json_object_set_new(services, cw_keeper_service(router->keyed[index].keeper),
+                            json_pack("{s:f, s:f, s:f, s:f, s:f, s:f, s:f}", "imbalance", measures->imbalance,
+                                      "imbalance_mean", cw_ownership_measures_imbalance(measures), "keys_moved",
+                                      measures->moved_keys / (CW_KEY_LAST + 1), "keys_moved_cold",
+                                      measures->moved_cold_keys / (CW_KEY_LAST + 1), "load_moved", measures->moved_load,
+                                      "unavailable_key_s", measures->unavailable_key_s, "unavailable_longest_s",
+                                      measures->unavailable_longest_s));
+    }
+    return services;
+}
+
 char *cw_router_status(cw_router_t *router)
 {
     cw_time_us_t now = cw_router_now(router);
     json_t      *status = json_pack(
-             "{s:s, s:s, s:b, s:I, s:o, s:I, s:I, s:b, s:I, s:o, s:o, s:o}", "node", router->settings.node, "zone",
+             "{s:s, s:s, s:b, s:I, s:o, s:I, s:I, s:b, s:I, s:o, s:o, s:o, s:o}", "node", router->settings.node, "zone",
              router->settings.zone, "stopping", router->stopping_at != 0, "configuration",
              (json_int_t)(router->configuration == NULL ? 0 : router->configuration->version), "leadership",
              leadership_json(router, now), "servers_age_ms", (json_int_t)((now - router->server_view.true_at) / 1000),
              "tables_age_ms", (json_int_t)((now - router->tables_at) / 1000), "store_lost", router->store_lost, "queued",
              (json_int_t)cw_engine_queued(router->engine), "assignments", assignments_json(router, now), "peers",
-             peers_json(router, now), "servers", servers_json(router, now));
+             peers_json(router, now), "measures", measures_json(router), "servers", servers_json(router, now));
     char *text = json_dumps(status, JSON_COMPACT);
 
     json_decref(status);
