cli: report: what the logs of a run come to, as tables and as a page with plots

Cause: what binds had to be dug out of logs by hand: which requests, at which moments, for what reason, which key, which move. Change: 'cedarwinch report [--html FILE] LOG...'; reading of logs is one module for explain and report; 'served' tells the route's aim.

--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -58,6 +58,7 @@
     X(QUEUE_MS, "queue_ms")                                                                                            \
     X(SERVER_MS, "server_ms")                                                                                          \
     X(TOTAL_MS, "total_ms")                                                                                            \
+    X(AIM_MS, "aim_ms")                                                                                                \
     X(LEFT_MS, "left_ms")                                                                                              \
     X(ESTIMATE_MS, "estimate_ms")                                                                                      \
     X(RETRY_AFTER_MS, "retry_after_ms")                                                                                \
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -26,5 +26,7 @@
 int cw_cli_status(const char *const *nodes, size_t count);
 /** Prints a request's story from log files, or from standard input when there are none. */
 int cw_cli_explain(const char *request, const char *const *files, size_t count);
+/** Prints what the logs of a run come to. page: file for the same as an HTML page; NULL: none. */
+int cw_cli_report(const char *const *files, size_t count, const char *page);
 
 #endif
--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -4,86 +4,27 @@
  *
  * Prints, in order of time, the lines that name the request and, before each, what the same node believed: its last
  * lines on leader, view, configuration, store and servers, and the last change of the range that the request's key is
- * in, from whichever node led. Lines may carry anything before their first brace.
+ * in, from whichever node led.
  */
-#include <jansson.h>
 #include <stdbool.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "cli/cli.h"
+#include "cli/log_lines.h"
 
-enum { LINE_MAX_BYTES = 8192, BELIEFS = 6, GROWTH = 1024 };
+enum { BELIEFS = 6 };
 
 static const double look_back_s = 30;
 
-typedef struct line {
-    double      time;
-    const char *node;
-    const char *event;
-    json_t     *fields;
-    size_t      order;
-} line_t;
-
-typedef struct lines {
-    line_t *items;
-    size_t  count;
-} lines_t;
-
-static void add_line(lines_t *lines, const char *text)
-{
-    const char *brace = strchr(text, '{');
-    json_t     *fields = brace == NULL ? NULL : json_loads(brace, JSON_DISABLE_EOF_CHECK, NULL);
-    line_t     *line;
-
-    if (fields == NULL || json_object_get(fields, "event") == NULL) {
-        json_decref(fields);
-        return;
-    }
-    if (lines->count % GROWTH == 0) {
-        lines->items = realloc(lines->items, (lines->count + GROWTH) * sizeof(*lines->items));
-        if (lines->items == NULL) {
-            abort();
-        }
-    }
-    line = &lines->items[lines->count];
-    line->time = json_number_value(json_object_get(fields, "time"));
-    line->node = json_string_value(json_object_get(fields, "node"));
-    line->event = json_string_value(json_object_get(fields, "event"));
-    line->node = line->node == NULL ? "" : line->node;
-    line->fields = fields;
-    line->order = lines->count++;
-}
-
-static void read_lines(lines_t *lines, FILE *file)
-{
-    char text[LINE_MAX_BYTES];
-
-    while (fgets(text, sizeof(text), file) != NULL) {
-        add_line(lines, text);
-    }
-}
-
-static int compare_lines(const void *left, const void *right)
-{
-    const line_t *a = left;
-    const line_t *b = right;
-
-    if (a->time != b->time) {
-        return a->time < b->time ? -1 : 1;
-    }
-    return a->order < b->order ? -1 : a->order > b->order;
-}
-
-static bool names_request(const line_t *line, const char *request)
+static bool names_request(const cw_log_line_t *line, const char *request)
 {
     const char *id = json_string_value(json_object_get(line->fields, "request"));
 
     return id != NULL && strcmp(id, request) == 0;
 }
 
-static void print_line(const line_t *line, const char *indent)
+static void print_line(const cw_log_line_t *line, const char *indent)
 {
     const char *key;
     json_t     *value;
@@ -107,12 +48,12 @@
 }
 
 /* The last line of this event before a place, from this node (NULL: any). */
-static const line_t *last_of(const lines_t *lines, size_t before, const char *event, const char *node)
+static const cw_log_line_t *last_of(const cw_log_lines_t *lines, size_t before, const char *event, const char *node)
 {
     size_t index;
 
     for (index = before; index > 0; index--) {
-        const line_t *line = &lines->items[index - 1];
+        const cw_log_line_t *line = &lines->items[index - 1];
 
         if (strcmp(line->event, event) == 0 && (node == NULL || strcmp(line->node, node) == 0)) {
             return line;
@@ -121,7 +62,7 @@
     return NULL;
 }
 
-static bool is_about_key(const line_t *line, json_int_t key, const char *service)
+static bool is_about_key(const cw_log_line_t *line, json_int_t key, const char *service)
 {
     const char *of = json_string_value(json_object_get(line->fields, "service"));
 
@@ -130,12 +71,12 @@
            key <= json_integer_value(json_object_get(line->fields, "last"));
 }
 
-static void print_assignment(const lines_t *lines, size_t place)
+static void print_assignment(const cw_log_lines_t *lines, size_t place)
 {
-    const line_t *line = &lines->items[place];
-    const json_t *key = json_object_get(line->fields, "key");
-    const char   *service = json_string_value(json_object_get(line->fields, "service"));
-    size_t        index;
+    const cw_log_line_t *line = &lines->items[place];
+    const json_t        *key = json_object_get(line->fields, "key");
+    const char          *service = json_string_value(json_object_get(line->fields, "service"));
+    size_t               index;
 
     for (index = place; json_is_integer(key) && index > 0; index--) {
         if (is_about_key(&lines->items[index - 1], json_integer_value(key), service)) {
@@ -146,17 +87,17 @@
 }
 
 /* Troubles of the server that the line names. */
-static void print_server(const lines_t *lines, size_t place)
+static void print_server(const cw_log_lines_t *lines, size_t place)
 {
-    const line_t *line = &lines->items[place];
-    const char   *server = json_string_value(json_object_get(line->fields, "server"));
-    size_t        index;
+    const cw_log_line_t *line = &lines->items[place];
+    const char          *server = json_string_value(json_object_get(line->fields, "server"));
+    size_t               index;
 
     server = server == NULL ? json_string_value(json_object_get(line->fields, "detail")) : server;
     for (index = place; server != NULL && index > 0 && line->time - lines->items[index - 1].time < look_back_s;
          index--) {
-        const line_t *other = &lines->items[index - 1];
-        const char   *named = json_string_value(json_object_get(other->fields, "server"));
+        const cw_log_line_t *other = &lines->items[index - 1];
+        const char          *named = json_string_value(json_object_get(other->fields, "server"));
 
         if (named != NULL && strcmp(named, server) == 0 && strcmp(other->event, "server lost") == 0) {
             print_line(other, "      the server: ");
@@ -165,15 +106,15 @@
     }
 }
 
-static void print_beliefs(const lines_t *lines, size_t place)
+static void print_beliefs(const cw_log_lines_t *lines, size_t place)
 {
     static const char *const events[BELIEFS] = {"start",      "leader seen", "configuration accepted",
                                                 "store lost", "store back",  "servers changed"};
-    const line_t            *line = &lines->items[place];
+    const cw_log_line_t     *line = &lines->items[place];
     size_t                   index;
 
     for (index = 0; index < BELIEFS; index++) {
-        const line_t *belief = last_of(lines, place, events[index], line->node);
+        const cw_log_line_t *belief = last_of(lines, place, events[index], line->node);
 
         if (belief != NULL) {
             print_line(belief, "      this node: ");
@@ -183,24 +124,11 @@
     print_server(lines, place);
 }
 
-static void clear_lines(lines_t *lines)
-{
-    size_t index;
-
-    for (index = 0; index < lines->count; index++) {
-        json_decref(lines->items[index].fields);
-    }
-    free(lines->items);
-}
-
-static int explain(lines_t *lines, const char *request)
+static int explain(cw_log_lines_t *lines, const char *request)
 {
     size_t index;
     size_t found = 0;
 
-    if (lines->count > 1) {
-        qsort(lines->items, lines->count, sizeof(*lines->items), compare_lines);
-    }
     for (index = 0; index < lines->count; index++) {
         if (!names_request(&lines->items[index], request)) {
             continue;
@@ -217,25 +145,12 @@
 
 int cw_cli_explain(const char *request, const char *const *files, size_t count)
 {
-    lines_t lines = {0};
-    size_t  index;
-    int     code;
+    cw_log_lines_t lines = {0};
+    int            code = cw_log_lines_read(&lines, files, count);
 
-    for (index = 0; index < count; index++) {
-        FILE *file = fopen(files[index], "r");
-
-        if (file == NULL) {
-            fprintf(stderr, "cedarwinch: %s cannot be read\n", files[index]);
-            clear_lines(&lines);
-            return CW_EXIT_WRONG_INPUT;
-        }
-        read_lines(&lines, file);
-        fclose(file);
-    }
-    if (count == 0) {
-        read_lines(&lines, stdin);
+    if (code == CW_EXIT_DONE) {
+        code = explain(&lines, request);
     }
-    code = explain(&lines, request);
-    clear_lines(&lines);
+    cw_log_lines_clear(&lines);
     return code;
 }
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -20,6 +20,7 @@
            "  confirm PLAN INTENT --store IPV4:PORT  accepts that plan, if it is not stale\n"
            "  status NODE...                       what nodes (IPV4:PORT of their readiness) believe\n"
            "  explain REQUEST-ID [LOG...]          a request's story from logs, or from standard input\n"
+           "  report [--html FILE] [LOG...]        outcomes by second, hottest keys and moves, from logs\n"
            "Exit codes: 0 done, 1 refused, 2 wrong command line, 3 no answer, 4 outcome not known\n");
 }
 
@@ -36,7 +37,7 @@
     return CW_EXIT_WRONG_INPUT;
 }
 
-static int run(const struct arg_str *words, const struct arg_str *store)
+static int run(const struct arg_str *words, const struct arg_str *store, const struct arg_file *page)
 {
     const char        *command = words->count > 0 ? words->sval[0] : "";
     const char *const *rest = words->sval + 1;
@@ -51,6 +52,9 @@
     if (strcmp(command, "explain") == 0) {
         return count > 0 ? cw_cli_explain(rest[0], rest + 1, count - 1) : wrong("explain needs a request's id");
     }
+    if (strcmp(command, "report") == 0) {
+        return cw_cli_report(rest, count, page->count > 0 ? page->filename[0] : NULL);
+    }
     if (strcmp(command, "plan") == 0) {
         return count == 1 && store_of(store) != NULL ? cw_cli_plan(rest[0], store_of(store))
                                                      : wrong("plan needs an intent and --store");
@@ -64,14 +68,15 @@
 
 int main(int argument_count, char **arguments)
 {
-    struct arg_str *words = arg_strn(NULL, NULL, "COMMAND", 0, WORDS_MAX, "see above");
-    struct arg_str *store = arg_str0("s", "store", "IPV4:PORT", "the store; default: CEDARWINCH_STORE");
-    struct arg_lit *help = arg_lit0("h", "help", "this text");
-    struct arg_lit *version = arg_lit0("V", "version", "version");
-    struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {words, store, help, version, end};
-    int             errors = arg_parse(argument_count, arguments, table);
-    int             code;
+    struct arg_str  *words = arg_strn(NULL, NULL, "COMMAND", 0, WORDS_MAX, "see above");
+    struct arg_str  *store = arg_str0("s", "store", "IPV4:PORT", "the store; default: CEDARWINCH_STORE");
+    struct arg_file *page = arg_file0(NULL, "html", "FILE", "report: the same as a page with plots");
+    struct arg_lit  *help = arg_lit0("h", "help", "this text");
+    struct arg_lit  *version = arg_lit0("V", "version", "version");
+    struct arg_end  *end = arg_end(ERRORS_MAX);
+    void            *table[] = {words, store, page, help, version, end};
+    int              errors = arg_parse(argument_count, arguments, table);
+    int              code;
 
     if (help->count > 0) {
         print_help();
@@ -83,7 +88,7 @@
         arg_print_errors(stderr, end, "cedarwinch");
         code = CW_EXIT_WRONG_INPUT;
     } else {
-        code = run(words, store);
+        code = run(words, store, page);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return code;
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -176,6 +176,7 @@
     if (request->is_keyed) {
         cw_event_number(&event, CW_FIELD_KEY, request->key);
     }
+    cw_event_ms(&event, CW_FIELD_AIM_MS, request->aim_at - request->arrived);
     cw_event_text(&event, CW_FIELD_SERVER, request->server->id);
     cw_event_ms(&event, CW_FIELD_SERVER_MS, cw_engine_now(request->engine) - request->sent_at);
     cw_event_number(&event, CW_FIELD_CONFIGURATION, (int64_t)request->configuration->version);
