leadership: a node that gives up the lock says so, and the others look at it at once

Only a node that stops told that its lock is vacant; after a step down or a hand-over the others waited until they missed the leader's word for 0.9 s. Ruled out: the store (answers within 5 ms then); deference to more capable nodes (all are alike there). Change: reports tell for two seconds the term whose lock was given up; the log calls it 'resigned' instead of 'taken by another'. Test: process/hand_over.sh, fails without the change (followers log 'leader silent').

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -945,7 +945,7 @@
   (ProtobufCMessageInit) cwp__leader_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[15] =
+static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[16] =
 {
   {
     "node",
@@ -1127,6 +1127,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vacated",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__NodeReport, vacated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__node_report__field_indices_by_name[] = {
   14,   /* field[14] = capability */
@@ -1143,12 +1155,13 @@
   4,   /* field[4] = stopping */
   12,   /* field[12] = tables */
   10,   /* field[10] = term */
+  15,   /* field[15] = vacated */
   3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange cwp__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor cwp__node_report__descriptor =
 {
@@ -1158,7 +1171,7 @@
   "Cwp__NodeReport",
   "cwp",
   sizeof(Cwp__NodeReport),
-  15,
+  16,
   cwp__node_report__field_descriptors,
   cwp__node_report__field_indices_by_name,
   1,  cwp__node_report__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -186,10 +186,14 @@
    * to lead; with the name
    */
   uint32_t capability;
+  /*
+   * term of the lock that this node has given up; 0: none lately
+   */
+  uint64_t vacated;
 };
 #define CWP__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Cwp__ViewServer
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -131,6 +131,8 @@
     /* leading */
     cw_leadership_t    leadership;
     bool               was_able;
+    uint64_t           vacated_term; /**< of the lock that this node gave up last */
+    cw_time_us_t       vacated_at;
     uint64_t           lead_servers; /**< number of the list told to others */
     uint64_t           lead_tables;
     cw_list_history_t  list_history;
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -212,11 +212,16 @@
         memcpy(router->leader_node, router->settings.node, sizeof(router->leader_node));
         note_leadership(router, CW_EVENT_LEADER_TAKEN, NULL);
     } else if (before && !router->leadership.leading) {
+        if (router->leadership.lock.vacant) {
+            router->vacated_term = term;
+            router->vacated_at = now;
+            router->all_due = true; /* others need not wait until they miss the leader's word */
+        }
         end_keepers(router);
         router->lead_tables = 0;
         router->view_term = 0;
         router->leader_node[0] = '\0';
-        note_leadership(router, CW_EVENT_LEADER_LOST, router->leadership.resigned ? "resigned" : "taken by another");
+        note_leadership(router, CW_EVENT_LEADER_LOST, router->leadership.lock.vacant ? "resigned" : "taken by another");
     }
 }
 
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -24,6 +24,7 @@
     LOADS_MAX = 512,
     QUEUES_MAX = 32,
     SAMPLES_MAX = 16,
+    VACATED_TOLD_S = 2,
     FORGET_S = 15
 };
 
@@ -166,6 +167,9 @@
     builder.report.incarnation = router->incarnation;
     builder.report.sequence = ++router->sequence;
     builder.report.stopping = router->stopping_at != 0;
+    if (router->vacated_term != 0 && now - router->vacated_at < CW_SECONDS(VACATED_TOLD_S)) {
+        builder.report.vacated = router->vacated_term;
+    }
     builder.report.configuration = cw_router_version(router);
     builder.report.term = router->view_term;
     builder.report.servers = router->view_servers;
