store, peers: fewer calls while there is no leader, rarer names and paces, first looks in turns

Measured in trials: reports are 48 of 66 MB between zones, 144 bytes each, most of them names and paces told each second by 78 nodes; 545 calls come from the start of 78 nodes, 78 and more of each kind from each loss of the leader, though tables stay valid for four seconds and a list may be read twice in a drain time. Change: full reports the rarer the more nodes; a node without the leader's word reads the list twice in a drain time instead of four times, and tables only when they are half as old as they may get; followers' first retry comes after their usual pause; at a first start capable nodes look for the lock first, each at a moment of its own; a vacant lock is looked at in turns; pages of the list are sent again after 250 and 500 ms, since a node that has read a later list takes the next one. Tests: test_leadership nodes_that_start_together_look_for_a_leader_in_turns, a_vacant_lock_is_looked_at_in_turns.

--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -15,6 +15,7 @@
     RETRY_FIRST_MS = 50,
     RETRY_DOUBLINGS = 5,
     RETRIES_A_HOLD = 12,   /* a leader that gets no answer tries at least so many times in its hold */
+    TAKERS_AT_ONCE = 8,    /* followers that look at a vacant lock within the first pause */
     FOLLOWERS_PROMPT = 16, /* with so many followers the pause between their looks has doubled */
     LONG_AGO_S = 3600
 };
@@ -56,12 +57,18 @@
 
 /* ---- state ---- */
 
+/* This node's moment within a time that nodes share. */
+static cw_time_us_t moment_within(const cw_leadership_t *leadership, cw_time_us_t time)
+{
+    return time <= 0 ? 0 : (cw_time_us_t)(leadership->settings.incarnation % (uint64_t)time);
+}
+
 void cw_leadership_init(cw_leadership_t *leadership, const cw_leadership_settings_t *settings, cw_time_us_t now)
 {
     memset(leadership, 0, sizeof(*leadership));
     leadership->settings = *settings;
     leadership->heard_at = now - CW_SECONDS(LONG_AGO_S);
-    leadership->next_at = now;
+    leadership->next_at = now + settings->first_look_after + moment_within(leadership, settings->first_look_within);
     leadership->pending = CW_LEADERSHIP_WAIT;
 }
 
@@ -98,11 +105,17 @@
     }
 }
 
+/* One of the followers is enough: each has a moment of its own, and most hear of the new leader before. */
+static cw_time_us_t turn_of(const cw_leadership_t *leadership)
+{
+    return moment_within(leadership, CW_MS(RETRY_FIRST_MS) * leadership->followers / TAKERS_AT_ONCE);
+}
+
 void cw_leadership_heard_stop(cw_leadership_t *leadership, cw_time_us_t now)
 {
     if (!leadership->leading) {
         leadership->heard_at = now - CW_SECONDS(LONG_AGO_S);
-        leadership->next_at = now + CW_MS(RETRY_FIRST_MS);
+        leadership->next_at = now + CW_MS(RETRY_FIRST_MS) + turn_of(leadership);
     }
 }
 
@@ -263,7 +276,8 @@
 static cw_time_us_t pause_after_failure(const cw_leadership_t *leadership)
 {
     uint64_t     doublings = leadership->failures < RETRY_DOUBLINGS ? leadership->failures : RETRY_DOUBLINGS;
-    cw_time_us_t pause = CW_MS(RETRY_FIRST_MS) << doublings;
+    cw_time_us_t first = leadership->leading ? CW_MS(RETRY_FIRST_MS) : leadership->settings.read_every;
+    cw_time_us_t pause = first << doublings;
     cw_time_us_t most = leadership->leading ? leadership->settings.hold / RETRIES_A_HOLD : look_pause(leadership);
 
     return pause < most ? pause : most;
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -44,8 +44,10 @@
     uint64_t     incarnation;
     cw_time_us_t hold;
     cw_time_us_t renew_every;
-    cw_time_us_t silence;    /**< a leader unheard of for so long is looked up in the store */
-    cw_time_us_t read_every; /**< pause between looks */
+    cw_time_us_t silence;           /**< a leader unheard of for so long is looked up in the store */
+    cw_time_us_t read_every;        /**< pause between looks */
+    cw_time_us_t first_look_after;  /**< the first look comes so much after the start, and */
+    cw_time_us_t first_look_within; /**< within this after that, each node's at a moment of its own */
 } cw_leadership_settings_t;
 
 typedef enum cw_leadership_action {
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -106,7 +106,6 @@
     cw_server_view_t   server_view;     /**< the list of servers in force */
     bool               reading_servers; /**< this node reads the list itself */
     cw_time_us_t       servers_read_at; /**< sending of that read */
-    bool               servers_unread;  /**< the last read brought nothing */
     uint64_t           view_term;
     uint64_t           view_servers;
     uint64_t           view_tables;
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -11,6 +11,8 @@
     RENEWALS_A_LEADER_HOLD = 4,
     SILENCE_MS = 900,
     READ_EVERY_MS = 400,
+    CAPABILITY_OF_A_CORE = 1000,
+    FIRST_TURN_PART = 4, /* of the time for first looks, in which equally capable nodes take turns */
     FIRST_TABLES_WAIT_MS = 1000,
     RENEWALS_A_HOLD = 4,
     ORDER_TIMEOUT_MS = 350,
@@ -142,13 +144,22 @@
 
 /* ---- leadership ---- */
 
+/* Nodes that start together do not know one another yet: the more capable one is, the sooner it looks for the lock. */
+static cw_time_us_t first_look_after(const cw_router_t *router)
+{
+    return router->settings.first_look_within * CAPABILITY_OF_A_CORE /
+           (CAPABILITY_OF_A_CORE + cw_router_capability(router));
+}
+
 void cw_router_lead_init(cw_router_t *router)
 {
     cw_leadership_settings_t settings = {.incarnation = router->incarnation,
                                          .hold = router->settings.leader_hold,
                                          .renew_every = router->settings.leader_hold / RENEWALS_A_LEADER_HOLD,
                                          .silence = CW_MS(SILENCE_MS),
-                                         .read_every = CW_MS(READ_EVERY_MS)};
+                                         .read_every = CW_MS(READ_EVERY_MS),
+                                         .first_look_after = first_look_after(router),
+                                         .first_look_within = router->settings.first_look_within / FIRST_TURN_PART};
 
     memcpy(settings.node, router->settings.node, sizeof(settings.node));
     memcpy(settings.address, router->settings.address, sizeof(router->settings.address));
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -16,7 +16,8 @@
     ZONE_PAUSE_MS = 20,
     ALL_PAUSE_MS = 150,
     IDLE_PAUSE_MS = 300,
-    FULL_PAUSE_MS = 1000, /* between reports with names and paces */
+    FULL_PAUSE_MS = 1000, /* between reports with names and paces, among few nodes; */
+    FULL_NODES = 16,      /* so much longer again for each so many nodes */
     KEYS_PAUSE_MS = 100,
     DATAGRAMS_A_SECOND = 150, /* of reports, to all and within the zone each */
     LEADERS_DATAGRAMS_A_SECOND = 1000,
@@ -146,9 +147,15 @@
     builder.report.leader = &builder.leader;
 }
 
+/* Names and paces are most of a report's bytes, and what they tell changes slowly: the more nodes, the rarer. */
+static cw_time_us_t full_pause(const cw_router_t *router, cw_time_us_t now)
+{
+    return CW_MS(FULL_PAUSE_MS) * (1 + cw_peer_link_alive(router->link, router->silence, now) / FULL_NODES);
+}
+
 static void make_report(cw_router_t *router, bool to_all, cw_time_us_t now)
 {
-    bool full = to_all && now - router->reported_full_at >= CW_MS(FULL_PAUSE_MS);
+    bool full = to_all && now - router->reported_full_at >= full_pause(router, now);
 
     cwp__node_report__init(&builder.report);
     builder.queue_count = 0;
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -12,8 +12,8 @@
 
 enum {
     RESEND_MS = 250,
-    RESEND_DOUBLINGS = 3,
-    ADOPT_MS = 250, /* time to see that what a node has is the leader's */
+    RESEND_DOUBLINGS = 1, /* a node that has read a later list itself takes the leader's next one */
+    ADOPT_MS = 250,       /* time to see that what a node has is the leader's */
     PAGE_SERVERS = 64,
     NODES_MAX = 1024,
     REMOVED_ROOM = CW_REMOVED_MAX,
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -13,8 +13,10 @@
 #include "router/router_internal.h"
 
 enum {
-    LIST_PARTS = 4,        /* a list is read so many times while a leaving server may still get requests */
-    WORD_OLD_PERCENT = 45, /* of that time: without the leader's word for so long a node reads itself */
+    LIST_PARTS = 4,       /* the leader reads the list so many times while a leaving server may still get requests, */
+    LIST_PARTS_ALONE = 2, /* and a node without the leader's word so many times */
+    TABLES_OLD_PERCENT = 50, /* of the time they are valid: older ones are read by a node without the leader's word */
+    WORD_OLD_PERCENT = 45,   /* of that time: without the leader's word for so long a node reads itself */
     TABLES_READ_EVERY_MS = 700
 };
 
@@ -111,7 +113,6 @@
         .list = list, .revision = revision, .latest = latest, .true_at = router->servers_read_at};
 
     router->reading_servers = false;
-    router->servers_unread = list == NULL;
     cw_router_store_result(router, list != NULL, cw_router_now(router));
     if (list != NULL && cw_router_take_servers(router, &reading) && !router->leadership.leading) {
         router->view_servers = 0; /* changes that the leader tells cannot be laid over it */
@@ -130,7 +131,7 @@
 
 static void read_servers(cw_router_t *router, cw_time_us_t now)
 {
-    cw_time_us_t pause = router->settings.drain / LIST_PARTS * (router->servers_unread ? 2 : 1);
+    cw_time_us_t pause = router->settings.drain / (cw_router_is_able(router, now) ? LIST_PARTS : LIST_PARTS_ALONE);
 
     if (router->reading_servers || now - router->servers_read_at < pause) {
         return;
@@ -181,11 +182,16 @@
     }
 }
 
+/* For how long tables are routed by after they were surely true. */
+static cw_time_us_t tables_valid(const cw_router_t *router)
+{
+    return router->settings.hold * CW_TABLES_VALID_PERCENT / 100;
+}
+
 static void validate_tables(cw_router_t *router, cw_time_us_t true_at)
 {
     router->tables_at = true_at > router->tables_at ? true_at : router->tables_at;
-    cw_engine_set_tables_valid(router->engine, router->tables_at,
-                               router->tables_at + router->settings.hold * CW_TABLES_VALID_PERCENT / 100);
+    cw_engine_set_tables_valid(router->engine, router->tables_at, router->tables_at + tables_valid(router));
 }
 
 /* ---- the leader's word ---- */
@@ -358,7 +364,7 @@
     if (!word_is_fresh || now - router->server_view.true_at > old) {
         read_servers(router, now);
     }
-    if (!word_is_fresh) {
+    if (!word_is_fresh && now - router->tables_at > tables_valid(router) * TABLES_OLD_PERCENT / 100) {
         read_tables(router, now);
     }
 }
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -291,6 +291,33 @@
 }
 END_TEST
 
+START_TEST(nodes_that_start_together_look_for_a_leader_in_turns)
+{
+    cw_leadership_settings_t settings = settings_of("n1", 700123);
+    cw_leadership_t          leadership;
+
+    settings.first_look_within = CW_SECONDS(1);
+    cw_leadership_init(&leadership, &settings, CW_SECONDS(5));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_SECONDS(5) + 700122), CW_LEADERSHIP_WAIT);
+    cw_leadership_heard(&leadership, 1, 9, true, CW_SECONDS(5) + 600000); /* another one was first */
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_SECONDS(5) + 700123), CW_LEADERSHIP_WAIT);
+    cw_leadership_init(&leadership, &settings, CW_SECONDS(5));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_SECONDS(5) + 700123), CW_LEADERSHIP_READ);
+}
+END_TEST
+
+START_TEST(a_vacant_lock_is_looked_at_in_turns)
+{
+    cw_leadership_t follower = new_leadership("n1", 111111, 0);
+
+    cw_leadership_set_followers(&follower, 80);
+    cw_leadership_heard(&follower, 1, 9, true, CW_SECONDS(1));
+    cw_leadership_heard_stop(&follower, CW_SECONDS(1));
+    ck_assert_int_eq(cw_leadership_tick(&follower, CW_SECONDS(1) + CW_MS(50)), CW_LEADERSHIP_WAIT);
+    ck_assert_int_eq(cw_leadership_tick(&follower, CW_SECONDS(1) + CW_MS(50) + 111111), CW_LEADERSHIP_READ);
+}
+END_TEST
+
 START_TEST(a_leader_goes_on_asking_for_its_lease)
 {
     cw_leadership_t leader = new_leader(0);
@@ -313,6 +340,8 @@
     tcase_add_test(cases, the_lock_of_an_earlier_life_of_this_node_is_taken_at_once);
     tcase_add_test(cases, a_leader_that_is_heard_is_left_alone);
     tcase_add_test(cases, followers_ask_a_store_that_does_not_answer_less_and_less);
+    tcase_add_test(cases, nodes_that_start_together_look_for_a_leader_in_turns);
+    tcase_add_test(cases, a_vacant_lock_is_looked_at_in_turns);
     tcase_add_test(cases, a_leader_goes_on_asking_for_its_lease);
     tcase_add_test(cases, a_leader_without_authority_is_not_left_alone);
     tcase_add_test(cases, a_conflict_with_another_holder_ends_authority);
