peers: the leader tells nodes of the others apart from the list of servers

Cause: nodes know their seeds and the leader; the other nodes' addresses came with the first page of a whole list. Ruled out: draws for slots (no gain), paces not yet known (learnt in 2 s from reports, which did not come). Change: reports tell how many nodes a node has heard; the leader sends those that have heard fewer than it the addresses. Test: process/restart_all.sh, six nodes; fails on the code before (nodes never hear all).

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &cwp__servers_page__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__nodes_page__init
+                     (Cwp__NodesPage         *message)
+{
+  static const Cwp__NodesPage init_value = CWP__NODES_PAGE__INIT;
+  *message = init_value;
+}
+size_t cwp__nodes_page__get_packed_size
+                     (const Cwp__NodesPage *message)
+{
+  assert(message->base.descriptor == &cwp__nodes_page__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__nodes_page__pack
+                     (const Cwp__NodesPage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__nodes_page__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__nodes_page__pack_to_buffer
+                     (const Cwp__NodesPage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__nodes_page__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__NodesPage *
+       cwp__nodes_page__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__NodesPage *)
+     protobuf_c_message_unpack (&cwp__nodes_page__descriptor,
+                                allocator, len, data);
+}
+void   cwp__nodes_page__free_unpacked
+                     (Cwp__NodesPage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__nodes_page__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__table_range__init
                      (Cwp__TableRange         *message)
 {
@@ -945,7 +990,7 @@
   (ProtobufCMessageInit) cwp__leader_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[17] =
 {
   {
     "node",
@@ -1139,6 +1184,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "peers",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__NodeReport, peers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__node_report__field_indices_by_name[] = {
   14,   /* field[14] = capability */
@@ -1148,6 +1205,7 @@
   5,   /* field[5] = loads */
   0,   /* field[0] = node */
   13,   /* field[13] = paces */
+  16,   /* field[16] = peers */
   6,   /* field[6] = queues */
   7,   /* field[7] = samples */
   2,   /* field[2] = sequence */
@@ -1161,7 +1219,7 @@
 static const ProtobufCIntRange cwp__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor cwp__node_report__descriptor =
 {
@@ -1171,7 +1229,7 @@
   "Cwp__NodeReport",
   "cwp",
   sizeof(Cwp__NodeReport),
-  16,
+  17,
   cwp__node_report__field_descriptors,
   cwp__node_report__field_indices_by_name,
   1,  cwp__node_report__number_ranges,
@@ -1384,7 +1442,7 @@
   (ProtobufCMessageInit) cwp__view_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[8] =
 {
   {
     "term",
@@ -1434,18 +1492,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "nodes",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Cwp__ServersPage, n_nodes),
-    offsetof(Cwp__ServersPage, nodes),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "servers",
     6,
@@ -1496,20 +1542,20 @@
   },
 };
 static const unsigned cwp__servers_page__field_indices_by_name[] = {
-  4,   /* field[4] = nodes */
   1,   /* field[1] = number */
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
-  7,   /* field[7] = removed */
-  8,   /* field[8] = revision */
-  5,   /* field[5] = servers */
-  6,   /* field[6] = since */
+  6,   /* field[6] = removed */
+  7,   /* field[7] = revision */
+  4,   /* field[4] = servers */
+  5,   /* field[5] = since */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange cwp__servers_page__number_ranges[1 + 1] =
+static const ProtobufCIntRange cwp__servers_page__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 6, 4 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cwp__servers_page__descriptor =
 {
@@ -1519,13 +1565,51 @@
   "Cwp__ServersPage",
   "cwp",
   sizeof(Cwp__ServersPage),
-  9,
+  8,
   cwp__servers_page__field_descriptors,
   cwp__servers_page__field_indices_by_name,
-  1,  cwp__servers_page__number_ranges,
+  2,  cwp__servers_page__number_ranges,
   (ProtobufCMessageInit) cwp__servers_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cwp__nodes_page__field_descriptors[1] =
+{
+  {
+    "nodes",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__NodesPage, n_nodes),
+    offsetof(Cwp__NodesPage, nodes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__nodes_page__field_indices_by_name[] = {
+  0,   /* field[0] = nodes */
+};
+static const ProtobufCIntRange cwp__nodes_page__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cwp__nodes_page__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.NodesPage",
+  "NodesPage",
+  "Cwp__NodesPage",
+  "cwp",
+  sizeof(Cwp__NodesPage),
+  1,
+  cwp__nodes_page__field_descriptors,
+  cwp__nodes_page__field_indices_by_name,
+  1,  cwp__nodes_page__number_ranges,
+  (ProtobufCMessageInit) cwp__nodes_page__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cwp__table_range__field_descriptors[5] =
 {
   {
@@ -1732,7 +1816,7 @@
   (ProtobufCMessageInit) cwp__table_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[5] =
 {
   {
     "report",
@@ -1782,9 +1866,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "nodes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, nodes),
+    &cwp__nodes_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__datagram__field_indices_by_name[] = {
   3,   /* field[3] = ack */
+  4,   /* field[4] = nodes */
   0,   /* field[0] = report */
   1,   /* field[1] = servers */
   2,   /* field[2] = table */
@@ -1792,7 +1889,7 @@
 static const ProtobufCIntRange cwp__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cwp__datagram__descriptor =
 {
@@ -1802,7 +1899,7 @@
   "Cwp__Datagram",
   "cwp",
   sizeof(Cwp__Datagram),
-  4,
+  5,
   cwp__datagram__field_descriptors,
   cwp__datagram__field_indices_by_name,
   1,  cwp__datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Cwp__ViewServer Cwp__ViewServer;
 typedef struct Cwp__ViewAck Cwp__ViewAck;
 typedef struct Cwp__ServersPage Cwp__ServersPage;
+typedef struct Cwp__NodesPage Cwp__NodesPage;
 typedef struct Cwp__TableRange Cwp__TableRange;
 typedef struct Cwp__TablePage Cwp__TablePage;
 typedef struct Cwp__Datagram Cwp__Datagram;
@@ -190,10 +191,14 @@
    * term of the lock that this node has given up; 0: none lately
    */
   uint64_t vacated;
+  /*
+   * nodes that it has heard lately
+   */
+  uint32_t peers;
 };
 #define CWP__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Cwp__ViewServer
@@ -242,11 +247,6 @@
   uint64_t number;
   uint32_t page;
   uint32_t pages;
-  /*
-   * IPv4 addresses of the nodes the leader knows
-   */
-  size_t n_nodes;
-  uint32_t *nodes;
   size_t n_servers;
   Cwp__ViewServer **servers;
   uint64_t since;
@@ -262,7 +262,24 @@
 };
 #define CWP__SERVERS_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__servers_page__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0 }
+
+
+/*
+ * From the leader, which every node makes itself known to: the others. Apart from the list, which a node may have already.
+ */
+struct  Cwp__NodesPage
+{
+  ProtobufCMessage base;
+  /*
+   * IPv4 addresses
+   */
+  size_t n_nodes;
+  uint32_t *nodes;
+};
+#define CWP__NODES_PAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__nodes_page__descriptor) \
+    , 0,NULL }
 
 
 struct  Cwp__TableRange
@@ -310,7 +327,8 @@
   CWP__DATAGRAM__CONTENT_REPORT = 1,
   CWP__DATAGRAM__CONTENT_SERVERS = 2,
   CWP__DATAGRAM__CONTENT_TABLE = 3,
-  CWP__DATAGRAM__CONTENT_ACK = 4
+  CWP__DATAGRAM__CONTENT_ACK = 4,
+  CWP__DATAGRAM__CONTENT_NODES = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CWP__DATAGRAM__CONTENT__CASE)
 } Cwp__Datagram__ContentCase;
 
@@ -323,6 +341,7 @@
     Cwp__ServersPage *servers;
     Cwp__TablePage *table;
     Cwp__ViewAck *ack;
+    Cwp__NodesPage *nodes;
   };
 };
 #define CWP__DATAGRAM__INIT \
@@ -501,6 +520,25 @@
 void   cwp__servers_page__free_unpacked
                      (Cwp__ServersPage *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__NodesPage methods */
+void   cwp__nodes_page__init
+                     (Cwp__NodesPage         *message);
+size_t cwp__nodes_page__get_packed_size
+                     (const Cwp__NodesPage   *message);
+size_t cwp__nodes_page__pack
+                     (const Cwp__NodesPage   *message,
+                      uint8_t             *out);
+size_t cwp__nodes_page__pack_to_buffer
+                     (const Cwp__NodesPage   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__NodesPage *
+       cwp__nodes_page__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__nodes_page__free_unpacked
+                     (Cwp__NodesPage *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__TableRange methods */
 void   cwp__table_range__init
                      (Cwp__TableRange         *message);
@@ -587,6 +625,9 @@
 typedef void (*Cwp__ServersPage_Closure)
                  (const Cwp__ServersPage *message,
                   void *closure_data);
+typedef void (*Cwp__NodesPage_Closure)
+                 (const Cwp__NodesPage *message,
+                  void *closure_data);
 typedef void (*Cwp__TableRange_Closure)
                  (const Cwp__TableRange *message,
                   void *closure_data);
@@ -611,6 +652,7 @@
 extern const ProtobufCMessageDescriptor cwp__view_server__descriptor;
 extern const ProtobufCMessageDescriptor cwp__view_ack__descriptor;
 extern const ProtobufCMessageDescriptor cwp__servers_page__descriptor;
+extern const ProtobufCMessageDescriptor cwp__nodes_page__descriptor;
 extern const ProtobufCMessageDescriptor cwp__table_range__descriptor;
 extern const ProtobufCMessageDescriptor cwp__table_page__descriptor;
 extern const ProtobufCMessageDescriptor cwp__datagram__descriptor;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -41,6 +41,8 @@
     uint64_t        tables;
     cw_push_state_t servers_push;
     cw_push_state_t tables_push;
+    uint32_t        peers;        /**< nodes that it has heard lately, as it told last */
+    cw_time_us_t    nodes_due_at; /**< it may be told of the other nodes from then on */
     struct cw_peer *next;
     UT_hash_handle  by_address;
 } cw_peer_t;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -161,6 +161,8 @@
 /** Pushes the list (or the tables) to peers that have an older one. */
 void cw_router_push_servers(cw_router_t *router, cw_time_us_t now);
 void cw_router_push_tables(cw_router_t *router, cw_time_us_t now);
+/** Tells nodes that have heard few others of those that this node has heard. */
+void cw_router_push_nodes(cw_router_t *router, cw_time_us_t now);
 
 /* ---- router_configuration.c ---- */
 /** Version in force; 0: none yet. */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -480,4 +480,5 @@
     }
     cw_router_push_servers(router, now);
     cw_router_push_tables(router, now);
+    cw_router_push_nodes(router, now);
 }
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -178,6 +178,7 @@
         builder.report.vacated = router->vacated_term;
     }
     builder.report.configuration = cw_router_version(router);
+    builder.report.peers = cw_peer_link_alive(router->link, router->silence, now);
     builder.report.term = router->view_term;
     builder.report.servers = router->view_servers;
     builder.report.tables = router->view_tables;
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -16,6 +16,7 @@
     ADOPT_MS = 250,       /* time to see that what a node has is the leader's */
     PAGE_SERVERS = 64,
     NODES_MAX = 1024,
+    NODES_AGAIN_MS = 500, /* until it has heard them: they report at their pace */
     REMOVED_ROOM = CW_REMOVED_MAX,
     LINK_PART = 3, /* of the link's bandwidth */
     BURST_MS = 200,
@@ -88,7 +89,6 @@
 typedef struct servers_room {
     Cwp__ViewServer  entries[PAGE_SERVERS];
     Cwp__ViewServer *pointers[PAGE_SERVERS];
-    uint32_t         nodes[NODES_MAX];
     char            *removed[REMOVED_ROOM];
 } servers_room_t;
 
@@ -108,18 +108,6 @@
     room->pointers[page->n_servers++] = server;
 }
 
-static void add_nodes(const cw_router_t *router, Cwp__ServersPage *page, servers_room_t *room)
-{
-    const cw_peer_t *known;
-
-    page->nodes = room->nodes;
-    for (known = cw_peer_link_peers(router->link); known != NULL; known = known->next) {
-        if (known->heard_at != 0 && page->n_nodes < NODES_MAX) {
-            room->nodes[page->n_nodes++] = known->address;
-        }
-    }
-}
-
 static uint32_t count_changed(const cw_server_list_t *list, uint64_t base)
 {
     uint32_t count = 0;
@@ -158,9 +146,7 @@
         begin_servers_page(router, &page, &room, base);
         page.page = number;
         page.pages = pages;
-        if (number == 0 && base == 0) {
-            add_nodes(router, &page, &room);
-        } else if (number == 0) {
+        if (number == 0 && base != 0) {
             page.n_removed = cw_list_history_removed(&router->list_history, base, room.removed, REMOVED_ROOM);
             page.removed = room.removed;
         }
@@ -203,6 +189,44 @@
     cw_router_push_servers(router, now);
 }
 
+/* ---- nodes ----
+ *
+ * A node knows its seeds and, from the lock, the leader; so the leader hears every node. It tells the others to those
+ * that have heard fewer. That is apart from the list: a node that has read the list itself is sent no page of it.
+ */
+
+static void send_nodes(cw_router_t *router, const cw_peer_t *peer)
+{
+    static uint32_t  nodes[NODES_MAX];
+    Cwp__NodesPage   page = CWP__NODES_PAGE__INIT;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+    const cw_peer_t *known;
+
+    page.nodes = nodes;
+    for (known = cw_peer_link_peers(router->link); known != NULL; known = known->next) {
+        if (known->heard_at != 0 && !known->is_lost && page.n_nodes < NODES_MAX) {
+            nodes[page.n_nodes++] = known->address;
+        }
+    }
+    datagram.content_case = CWP__DATAGRAM__CONTENT_NODES;
+    datagram.nodes = &page;
+    send_datagram(router, peer, &datagram);
+}
+
+void cw_router_push_nodes(cw_router_t *router, cw_time_us_t now)
+{
+    uint32_t   alive = cw_peer_link_alive(router->link, router->silence, now);
+    cw_peer_t *peer;
+
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (peer->heard_at != 0 && !peer->is_lost && peer->peers < alive && now >= peer->nodes_due_at &&
+            router->push_room > 0) {
+            peer->nodes_due_at = now + CW_MS(NODES_AGAIN_MS);
+            send_nodes(router, peer);
+        }
+    }
+}
+
 /* ---- tables ---- */
 
 static void send_table(cw_router_t *router, const cw_peer_t *peer, Cwp__TablePage *page,
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -60,6 +60,7 @@
     peer->sequence = received->sequence;
     peer->heard_at = now;
     peer->stopping = received->stopping;
+    peer->peers = received->peers;
     peer->term = received->term;
     peer->servers = received->servers;
     peer->tables = received->tables;
@@ -136,6 +137,15 @@
     cw_engine_wake(router->engine);
 }
 
+static void take_nodes(cw_router_t *router, const Cwp__NodesPage *page, cw_time_us_t now)
+{
+    size_t index;
+
+    for (index = 0; index < page->n_nodes; index++) {
+        (void)cw_peer_link_learn(router->link, page->nodes[index], now);
+    }
+}
+
 void cw_router_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram)
 {
     cw_router_t *router = context;
@@ -151,6 +161,9 @@
     case CWP__DATAGRAM__CONTENT_TABLE:
         cw_router_take_table_page(router, peer, datagram->table);
         break;
+    case CWP__DATAGRAM__CONTENT_NODES:
+        take_nodes(router, datagram->nodes, now);
+        break;
     case CWP__DATAGRAM__CONTENT_ACK:
         cw_router_take_ack(router, peer, datagram->ack);
         break;
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -127,9 +127,6 @@
 
         cw_server_list_put(router->servers_partial, router->partial_sealed, &entry);
     }
-    for (index = 0; index < page->n_nodes; index++) {
-        (void)cw_peer_link_learn(router->link, page->nodes[index], now);
-    }
 }
 
 void cw_router_take_servers_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page)
