--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -202,14 +202,19 @@
 /** Counts imbalance, churn and unavailable time of a service this node leads. */
 void cw_router_measure(cw_keyed_service_t *keyed, cw_time_us_t now);
 
+/* ---- router_keepers.c ---- */
+/** Makes a keeper for each service divided by key that has none yet. */
+void cw_router_find_keyed(cw_router_t *router);
+void cw_router_end_keepers(cw_router_t *router);
+void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
+                            uint32_t seen, cw_time_us_t now);
+
 /* ---- router_lead.c ---- */
 void cw_router_lead_init(cw_router_t *router);
 void cw_router_lead_tick(cw_router_t *router, cw_time_us_t now);
 /** How much this node can carry as the leader; thousandths of a core, as far as its link goes with them. */
 uint32_t cw_router_capability(const cw_router_t *router);
 bool     cw_router_is_able(const cw_router_t *router, cw_time_us_t now);
-void     cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
-                                uint32_t seen, cw_time_us_t now);
 /** The store answered a call of this node, or did not. */
 void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now);
 
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -1,6 +1,6 @@
 /**
  * @file router_lead.c
- * @brief Leading: the lock, a keeper for each service divided by key, plans by load.
+ * @brief Leading: the lock, who should hold it, and what the leader does with each tick.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -12,12 +12,7 @@
     SILENCE_MS = 900,
     READ_EVERY_MS = 400,
     CAPABILITY_OF_A_CORE = 1000,
-    FIRST_TURN_PART = 4, /* of the time for first looks, in which equally capable nodes take turns */
-    FIRST_TABLES_WAIT_MS = 1000,
-    RENEWALS_A_HOLD = 4,
-    ORDER_TIMEOUT_MS = 350,
-    RELEASE_TIMEOUT_MS = 1500,
-    LATE_ORDERS_S = 13,
+    FIRST_TURN_PART = 4,    /* of the time for first looks, in which equally capable nodes take turns */
     STORE_TROUBLE_MS = 700, /* without an answer for so long: grants are made to last */
     STORE_LOST_MS = 500,
     CUT_OFF_MS = 900,
@@ -32,116 +27,6 @@
 static const char leader_kind[] = "leaders";
 static const char leader_name[] = "main";
 
-/* ---- ports of the keepers ---- */
-
-static void order_done(void *context, uint64_t order, cw_order_result_t result, const char *handover);
-
-/** An order under way, on behalf of a keeper that may be gone by the time of its answer. */
-typedef struct lead_order {
-    cw_router_t *router;
-    cw_keeper_t *keeper;
-} lead_order_t;
-
-static bool is_kept(const cw_router_t *router, const cw_keeper_t *keeper)
-{
-    size_t index;
-
-    for (index = 0; index < router->keyed_count; index++) {
-        if (router->keyed[index].keeper == keeper) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void order_done(void *context, uint64_t id, cw_order_result_t result, const char *handover)
-{
-    lead_order_t *order = context;
-
-    if (is_kept(order->router, order->keeper)) {
-        cw_keeper_order_done(order->keeper, id, result, handover, cw_router_now(order->router));
-    }
-    free(order);
-}
-
-static void send_order(void *context, const cw_order_t *order)
-{
-    cw_keyed_service_t *keyed = context;
-    lead_order_t       *under_way = malloc(sizeof(*under_way));
-
-    if (under_way == NULL) {
-        abort();
-    }
-    under_way->router = keyed->router;
-    under_way->keeper = keyed->keeper;
-    keyed->router->adapter->order(keyed->router->platform, order, order_done, under_way);
-}
-
-/* Before all records have been read, tables would have holes: so long the first ones wait, but not for ever. */
-static bool are_tables_whole(const cw_router_t *router, cw_time_us_t now)
-{
-    size_t index;
-
-    if (router->lead_tables > 0 || now - router->led_since > CW_MS(FIRST_TABLES_WAIT_MS)) {
-        return true;
-    }
-    for (index = 0; index < router->keyed_count; index++) {
-        cw_keeper_state_t state = cw_keeper_state(router->keyed[index].keeper);
-
-        if (state == CW_KEEPER_NEW || state == CW_KEEPER_CALLING) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static void tables_changed(void *context)
-{
-    cw_keyed_service_t *keyed = context;
-    cw_router_t        *router = keyed->router;
-    uint64_t            number = router->lead_tables + 1;
-    bool                any = false;
-    size_t              index;
-
-    if (!are_tables_whole(router, cw_router_now(router))) {
-        return;
-    }
-    for (index = 0; index < router->keyed_count; index++) {
-        const cw_keeper_t     *keeper = router->keyed[index].keeper;
-        const cw_range_list_t *ranges = cw_keeper_ranges(keeper);
-
-        any = (ranges->count > 0 && cw_key_tables_update(&router->tables, cw_keeper_service(keeper), ranges, number)) ||
-              any;
-    }
-    if (!any) {
-        return;
-    }
-    router->lead_tables = number;
-    router->view_tables = number;
-    cw_router_use_tables(router);
-    cw_router_tables_changed(router);
-}
-
-static void note_assignment(void *context, const char *service, const char *what, const cw_range_t *range,
-                            const char *detail)
-{
-    cw_event_t event;
-
-    (void)context;
-    if (!cw_event_begin(&event, CW_EVENT_ASSIGNMENT)) {
-        return;
-    }
-    cw_event_text(&event, CW_FIELD_REASON, what);
-    cw_event_text(&event, CW_FIELD_DETAIL, detail);
-    cw_event_text(&event, CW_FIELD_SERVICE, service);
-    cw_event_number(&event, CW_FIELD_LOW, range->low);
-    cw_event_number(&event, CW_FIELD_LAST, range->last);
-    cw_event_text(&event, CW_FIELD_SERVER, range->owner.id);
-    cw_event_number(&event, CW_FIELD_FENCE, (int64_t)range->owner.fence);
-    cw_event_text(&event, CW_FIELD_FORMER, range->former.id[0] == '\0' ? NULL : range->former.id);
-    cw_event_end(&event);
-}
-
 /* ---- leadership ---- */
 
 /* Nodes that start together do not know one another yet: the more capable one is, the sooner it looks for the lock. */
@@ -171,19 +56,6 @@
     return cw_leadership_has_authority(&router->leadership, now);
 }
 
-static void end_keepers(cw_router_t *router)
-{
-    size_t index;
-
-    for (index = 0; index < router->keyed_count; index++) {
-        cw_keeper_free(router->keyed[index].keeper);
-        cw_load_window_clear(&router->keyed[index].window);
-        cw_ownership_measures_clear(&router->keyed[index].measures);
-    }
-    memset(router->keyed, 0, sizeof(router->keyed));
-    router->keyed_count = 0;
-}
-
 static void note_leadership(const cw_router_t *router, cw_event_kind_t kind, const char *detail)
 {
     cw_event_t event;
@@ -209,7 +81,7 @@
         (void)cw_peer_link_learn_text(router->link, router->leadership.lock.address, now);
     }
     if (router->leadership.leading && (!before || router->leadership.lock.term != term)) {
-        end_keepers(router);
+        cw_router_end_keepers(router);
         router->led_since = now;
         router->lead_servers = 1;
         router->lead_tables = 0;
@@ -228,7 +100,7 @@
             router->vacated_at = now;
             router->all_due = true; /* others need not wait until they miss the leader's word */
         }
-        end_keepers(router);
+        cw_router_end_keepers(router);
         router->lead_tables = 0;
         router->view_term = 0;
         router->leader_node[0] = '\0';
@@ -258,73 +130,6 @@
     json_decref(value);
 }
 
-/* ---- keepers ---- */
-
-static cw_keyed_service_t *keyed_service(cw_router_t *router, const char *name)
-{
-    size_t index;
-
-    for (index = 0; index < router->keyed_count; index++) {
-        if (strcmp(cw_keeper_service(router->keyed[index].keeper), name) == 0) {
-            return &router->keyed[index];
-        }
-    }
-    return NULL;
-}
-
-static void add_keyed(cw_router_t *router, const char *name)
-{
-    cw_keyed_service_t  *keyed = &router->keyed[router->keyed_count];
-    cw_keeper_settings_t settings = {.hold = router->settings.hold,
-                                     .hold_long = router->settings.hold_long,
-                                     .renew_every = router->settings.hold / RENEWALS_A_HOLD,
-                                     .order_timeout = CW_MS(ORDER_TIMEOUT_MS),
-                                     .release_timeout = CW_MS(RELEASE_TIMEOUT_MS),
-                                     .late_orders = CW_SECONDS(LATE_ORDERS_S),
-                                     .table_valid = router->settings.hold * CW_TABLES_VALID_PERCENT / 100};
-    cw_keeper_ports_t    ports = {.context = keyed,
-                                  .store = router->store,
-                                  .order = send_order,
-                                  .changed = tables_changed,
-                                  .note = note_assignment};
-
-    keyed->router = router;
-    keyed->keeper = cw_keeper_create(name, router->leadership.lock.term, router->incarnation, &settings, &ports);
-    router->keyed_count++;
-}
-
-static void find_keyed(cw_router_t *router)
-{
-    size_t index;
-
-    for (index = 0; index < router->configuration->service_count; index++) {
-        const cw_service_t *service = &router->configuration->services[index];
-
-        if (service->keyed && keyed_service(router, service->name) == NULL &&
-            router->keyed_count < CW_KEYED_SERVICES_MAX) {
-            add_keyed(router, service->name);
-        }
-    }
-}
-
-void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
-                            uint32_t seen, cw_time_us_t now)
-{
-    size_t index;
-    size_t key;
-
-    for (index = 0; index < router->keyed_count; index++) {
-        cw_keyed_service_t *keyed = &router->keyed[index];
-
-        if (cw_short_name(cw_keeper_service(keyed->keeper)) != service_hash) {
-            continue;
-        }
-        for (key = 0; key < count; key++) {
-            cw_load_window_add(&keyed->window, keys[key], (double)seen / (double)count, now);
-        }
-    }
-}
-
 /* ---- the store's health ---- */
 
 void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now)
@@ -466,7 +271,7 @@
     if (!router->leadership.leading || !able || router->configuration == NULL) {
         return;
     }
-    find_keyed(router);
+    cw_router_find_keyed(router);
     for (index = 0; index < router->keyed_count; index++) {
         cw_router_plan(router, &router->keyed[index], now);
         cw_keeper_tick(router->keyed[index].keeper, router->server_view.list, able, is_store_in_trouble(router, now),
