router: pages of an earlier leader come too late once a record of a later one has been read

Cause: found while writing down the beliefs that travel on two ways: a node without the leader's word reads the record of owners; a page of a former leader, still on its way, could be laid over it, since the node's own term was not raised. Change: src/router/view_order.h says which page and which record may replace what a node goes by; a record raises the term. Test: test_sharing pages_and_records_are_ordered_by_term_and_number (fails to build before: the order was not one function).

--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -190,6 +190,8 @@
 bool cw_router_tables_known(const cw_router_t *router);
 
 /* ---- router_take.c ---- */
+/** What this node goes by is of this term from now on, if it is a later one; it has nothing of it yet. */
+void cw_router_begin_term(cw_router_t *router, uint64_t term);
 void cw_router_take_servers_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page);
 void cw_router_take_table_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__TablePage *page);
 void cw_router_take_ack(cw_router_t *router, cw_peer_t *peer, const Cwp__ViewAck *ack);
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -10,19 +10,12 @@
 #include <string.h>
 
 #include "router/router_internal.h"
+#include "router/view_order.h"
 
 /* ---- assembling ---- */
 
-typedef struct page_place {
-    uint64_t term;
-    uint64_t number;
-    uint64_t base;
-    uint32_t page;
-    uint32_t pages;
-} page_place_t;
-
 /* False: seen already, or not usable. Begins a new assembly where needed. */
-static bool take_page(cw_view_assembly_t *assembly, const page_place_t *place, bool *begun)
+static bool take_page(cw_view_assembly_t *assembly, const cw_page_place_t *place, bool *begun)
 {
     *begun = false;
     if (place->pages == 0 || place->page >= place->pages || place->pages > sizeof(assembly->seen)) {
@@ -45,19 +38,12 @@
     return true;
 }
 
-/* Is it newer than what this node has, and can it be laid over that? */
-static bool is_usable(const cw_router_t *router, const page_place_t *place, uint64_t has)
+static bool is_usable(const cw_router_t *router, const cw_page_place_t *place, uint64_t has)
 {
-    if (router->leadership.leading || place->term < router->view_term) {
-        return false;
-    }
-    if (place->base != 0) {
-        return place->term == router->view_term && has >= place->base && place->number > has;
-    }
-    return place->term > router->view_term || place->number > has;
+    return !router->leadership.leading && cw_page_is_usable(place, router->view_term, has);
 }
 
-static void begin_term(cw_router_t *router, uint64_t term)
+void cw_router_begin_term(cw_router_t *router, uint64_t term)
 {
     if (term > router->view_term) {
         router->view_term = term;
@@ -131,7 +117,7 @@
 
 void cw_router_take_servers_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page)
 {
-    page_place_t        place = {page->term, page->number, page->since, page->page, page->pages};
+    cw_page_place_t     place = {page->term, page->number, page->since, page->page, page->pages};
     cw_server_reading_t reading = {.revision = page->revision, .is_told = true};
     bool                begun;
 
@@ -158,7 +144,7 @@
     router->servers_partial = NULL;
     memset(&router->servers_pages, 0, sizeof(router->servers_pages));
     cw_server_list_seal(reading.list);
-    begin_term(router, page->term);
+    cw_router_begin_term(router, page->term);
     router->view_servers = page->number;
     (void)cw_router_take_servers(router, &reading);
     acknowledge(router, peer);
@@ -166,7 +152,7 @@
 
 /* ---- tables ---- */
 
-static void note_view(const cw_router_t *router, const page_place_t *place, size_t entries)
+static void note_view(const cw_router_t *router, const cw_page_place_t *place, size_t entries)
 {
     cw_event_t event;
 
@@ -192,8 +178,8 @@
 
 void cw_router_take_table_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__TablePage *page)
 {
-    page_place_t place = {page->term, page->number, page->since, page->page, page->pages};
-    bool         begun;
+    cw_page_place_t place = {page->term, page->number, page->since, page->page, page->pages};
+    bool            begun;
 
     if (!is_usable(router, &place, router->view_tables) || !take_page(&router->tables_pages, &place, &begun)) {
         return;
@@ -213,7 +199,7 @@
     }
     cw_key_tables_overlay(&router->tables, &router->tables_partial);
     cw_key_tables_clear(&router->tables_partial);
-    begin_term(router, page->term);
+    cw_router_begin_term(router, page->term);
     router->view_tables = page->number;
     cw_router_use_tables(router);
     acknowledge(router, peer);
@@ -232,7 +218,7 @@
     if (word->term < router->view_term || (!servers && !tables)) {
         return;
     }
-    begin_term(router, word->term);
+    cw_router_begin_term(router, word->term);
     if (servers) {
         router->view_servers = word->servers;
     }
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -11,6 +11,7 @@
 
 #include "base/text.h"
 #include "router/router_internal.h"
+#include "router/view_order.h"
 
 enum {
     LIST_PARTS = 4,       /* the leader reads the list so many times while a leaving server may still get requests, */
@@ -276,7 +277,8 @@
                            cw_router_now(router));
     if (reply->result == CW_STORE_DONE && !router->leadership.leading &&
         cw_assignment_record_from_json(&record, reply->value)) {
-        if (read->sent_at > router->tables_at) {
+        if (read->sent_at > router->tables_at && cw_record_is_usable(record.term, router->view_term)) {
+            cw_router_begin_term(router, record.term);
             use_record(router, read->service, &record);
             validate_tables(router, read->sent_at);
         }
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -11,6 +11,7 @@
 #include "retry/shared_budget.h"
 #include "router/list_history.h"
 #include "router/table_pages.h"
+#include "router/view_order.h"
 
 static const cw_budget_settings_t budget_settings = {
     .ratio = 0.2, .extra = 56, .window = CW_SECONDS(10), .share = 0.75};
@@ -152,6 +153,25 @@
 }
 END_TEST
 
+START_TEST(pages_and_records_are_ordered_by_term_and_number)
+{
+    cw_page_place_t whole = {.term = 2, .number = 7, .pages = 1};
+    cw_page_place_t change = {.term = 2, .number = 7, .base = 5, .pages = 1};
+
+    ck_assert(cw_page_is_usable(&whole, 1, 90));
+    ck_assert(cw_page_is_usable(&whole, 2, 6));
+    ck_assert(!cw_page_is_usable(&whole, 2, 7));
+    ck_assert(cw_page_is_usable(&change, 2, 5));
+    ck_assert(cw_page_is_usable(&change, 2, 6));
+    ck_assert(!cw_page_is_usable(&change, 2, 4)); /* it lacks what came between */
+    ck_assert(!cw_page_is_usable(&change, 1, 6));
+    /* a record of the next leader has been read: what is on its way from this one comes too late */
+    ck_assert(cw_record_is_usable(3, 2));
+    ck_assert(!cw_page_is_usable(&whole, 3, 0));
+    ck_assert(!cw_record_is_usable(1, 2));
+}
+END_TEST
+
 START_TEST(what_waits_at_other_nodes_for_an_owner_is_known_until_they_fall_silent)
 {
     uint32_t           dropped;
@@ -494,6 +514,7 @@
     tcase_add_test(cases, what_was_spent_counts_for_a_whole_window);
     tcase_add_test(cases, the_near_server_first_then_the_far_one_then_none);
     tcase_add_test(cases, requests_of_other_nodes_take_slots_until_they_fall_silent);
+    tcase_add_test(cases, pages_and_records_are_ordered_by_term_and_number);
     tcase_add_test(cases, what_waits_at_other_nodes_for_an_owner_is_known_until_they_fall_silent);
     tcase_add_test(cases, a_server_that_cannot_be_reached_is_left_out_for_a_while);
     tcase_add_test(cases, a_server_whose_address_has_another_life_is_not_chosen);
