--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -14,9 +14,10 @@
 #include "router/view_order.h"
 
 enum {
-    LIST_PARTS = 4,       /* the leader reads the list so many times while a leaving server may still get requests, */
-    LIST_PARTS_ALONE = 2, /* and a node without the leader's word so many times */
-    TABLES_OLD_PERCENT = 50, /* of the time they are valid: older ones are read by a node without the leader's word */
+    LIST_PARTS = 4,          /* a list is read so many times while a leaving server may still get requests, */
+    LIST_PARTS_MANY = 2,     /* and so many times by each of many nodes without the leader's word */
+    MANY_NODES = 16,         /* more than these are many: what they all ask of the store is to stay bounded */
+    TABLES_OLD_PERCENT = 50, /* of the time they are valid: tables as old are read by each of many nodes */
     WORD_OLD_PERCENT = 45,   /* of that time: without the leader's word for so long a node reads itself */
     TABLES_READ_EVERY_MS = 700
 };
@@ -130,9 +131,15 @@
     }
 }
 
+static bool is_one_of_many(const cw_router_t *router, cw_time_us_t now)
+{
+    return cw_peer_link_alive(router->link, router->silence, now) >= MANY_NODES;
+}
+
 static void read_servers(cw_router_t *router, cw_time_us_t now)
 {
-    cw_time_us_t pause = router->settings.drain / (cw_router_is_able(router, now) ? LIST_PARTS : LIST_PARTS_ALONE);
+    bool         is_rare = is_one_of_many(router, now) && !cw_router_is_able(router, now);
+    cw_time_us_t pause = router->settings.drain / (is_rare ? LIST_PARTS_MANY : LIST_PARTS);
 
     if (router->reading_servers || now - router->servers_read_at < pause) {
         return;
@@ -189,6 +196,12 @@
     return router->settings.hold * CW_TABLES_VALID_PERCENT / 100;
 }
 
+/* For how long a node without the leader's word goes by the tables it has. */
+static cw_time_us_t tables_rest(const cw_router_t *router, cw_time_us_t now)
+{
+    return is_one_of_many(router, now) ? tables_valid(router) * TABLES_OLD_PERCENT / 100 : 0;
+}
+
 static void validate_tables(cw_router_t *router, cw_time_us_t true_at)
 {
     router->tables_at = true_at > router->tables_at ? true_at : router->tables_at;
@@ -366,7 +379,7 @@
     if (!word_is_fresh || now - router->server_view.true_at > old) {
         read_servers(router, now);
     }
-    if (!word_is_fresh && now - router->tables_at > tables_valid(router) * TABLES_OLD_PERCENT / 100) {
+    if (!word_is_fresh && now - router->tables_at > tables_rest(router, now)) {
         read_tables(router, now);
     }
 }
