--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -396,14 +396,6 @@
     return server->own + server->others < server->capacity + extra_slots;
 }
 
-double cw_server_crowding(const cw_server_t *server)
-{
-    double slots = server->capacity == 0 ? 1 : server->capacity;
-    double beyond = server->own + server->others + 1 - slots;
-
-    return beyond > 0 ? 1 + beyond / slots : 1;
-}
-
 static double present_pace(const cw_server_t *server, cw_time_us_t now)
 {
     double pace = server->pace;
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -111,9 +111,7 @@
 /** Best server of a service with a free slot. full: there are servers, but none has a slot. */
 cw_server_t *cw_server_pool_choose(cw_server_pool_t *pool, const char *service, const cw_choice_settings_t *settings,
                                    const cw_server_t *except, cw_time_us_t now, bool *full);
-/** Time of a request sent now over what it would take alone: those beyond the slots wait in the server's queue. */
-double cw_server_crowding(const cw_server_t *server);
-bool   cw_server_has_slot(const cw_server_t *server, double extra_slots);
+bool         cw_server_has_slot(const cw_server_t *server, double extra_slots);
 /** Slots of a service that can be used, in units of a server of usual pace. */
 double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now);
 /** Requests under way at a service's servers. */
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -112,7 +112,6 @@
         cw_histogram_add(CW_HISTOGRAM_QUEUE, request->route->name, now - request->arrived);
     }
     request->attempts++;
-    request->crowding = cw_server_crowding(server);
     cw_server_pool_begin(server);
     engine->changed = true;
     cw_metric_add(CW_METRIC_SENT, 1);
@@ -241,7 +240,7 @@
 
 static void learn(cw_request_t *request, cw_server_t *server, cw_time_us_t now)
 {
-    cw_time_us_t took = (cw_time_us_t)((double)(now - request->sent_at) / request->crowding);
+    cw_time_us_t took = now - request->sent_at;
     double       normal = (double)took / (server->pace > 0 ? server->pace : 1);
     cw_time_us_t usual = request->route_state->usual;
 
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -64,8 +64,6 @@
     cw_time_us_t            sent_at; /**< of the call under way */
     cw_time_us_t            first_sent_at;
     cw_time_us_t            repeat_at;
-    double                  crowding; /**< how much longer than alone the call under way takes, for those before it */
-    uint32_t                attempts; /**< servers it was sent to */
     bool                    may_have_run;
     bool                    is_queued;
     bool                    is_ended;
