--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -64,6 +64,7 @@
     cw_time_us_t            sent_at; /**< of the call under way */
     cw_time_us_t            first_sent_at;
     cw_time_us_t            repeat_at;
+    uint32_t                attempts; /**< servers it was sent to */
     bool                    may_have_run;
     bool                    is_queued;
     bool                    is_ended;
