--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -27,10 +27,10 @@
 # Waits until a command succeeds; the runner's time limit ends a wait for what never comes.
 until_true() { until "$@" >/dev/null 2>&1; do sleep 0.05; done; }
 
-# Each node has a door of its own to the store, beside the first one, where STORE_DOORS gives the number of all doors.
+# Each node has an endpoint of its own to the store, beside the first one, where STORE_ENDPOINTS gives the number of all endpoints.
 store_of() { # NODE
     local port
-    port=$(awk -v n="${STORE_DOORS:+$1}" '{print $(n == "" ? 2 : n + 2)}' "$WORK/store.out")
+    port=$(awk -v n="${STORE_ENDPOINTS:+$1}" '{print $(n == "" ? 2 : n + 2)}' "$WORK/store.out")
     echo "$NET.250:$port"
 }
 
@@ -55,10 +55,10 @@
 
 cluster_start() {
     local n
-    "$BUILD/cw-store" --address "$NET.250" ${STORE_PAGE:+--page "$STORE_PAGE"} ${STORE_DOORS:+--doors "$STORE_DOORS"} >"$WORK/store.out" &
+    "$BUILD/cw-store" --address "$NET.250" ${STORE_PAGE:+--page "$STORE_PAGE"} ${STORE_ENDPOINTS:+--endpoints "$STORE_ENDPOINTS"} >"$WORK/store.out" &
     PIDS+=("$!")
     until_true grep -q port "$WORK/store.out"
-    STORE="$NET.250:$(awk '{print $2}' "$WORK/store.out")" # the first door is also the operator's and the servers'
+    STORE="$NET.250:$(awk '{print $2}' "$WORK/store.out")" # the first endpoint is also the operator's and the servers'
     NODES=""
     for n in $(seq 1 "$1"); do
         start_node "$n"
--- a/standins/store/main.c
+++ b/standins/store/main.c
@@ -321,10 +321,12 @@
 static void take_control(store_t *store, cw_http_exchange_t *exchange, const char *query)
 {
     uint64_t down = query_number(query, "down", 0);
-    uint64_t door = query_number(query, "door", 0);
+    uint64_t endpoint = query_number(query, "endpoint", 0);
 
     if (down > 0) {
-        begin_outage(store, door > 0 && door <= store->door_count ? &store->doors[door - 1].outage : &store->outage,
+        begin_outage(store,
+                     endpoint > 0 && endpoint <= store->endpoint_count ? &store->endpoints[endpoint - 1].outage
+                                                                       : &store->outage,
                      query, down);
     }
     store->slow_ms = query_number(query, "slow", store->slow_ms);
@@ -354,17 +356,17 @@
 
 static void on_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
 {
-    const store_door_t *door = context;
-    store_t            *store = door->store;
-    char                path[2 * KIND_MAX];
-    const char         *query = strchr(inbound->target, '?');
-    char               *name;
+    const store_endpoint_t *endpoint = context;
+    store_t                *store = endpoint->store;
+    char                    path[2 * KIND_MAX];
+    const char             *query = strchr(inbound->target, '?');
+    char                   *name;
 
     if (strncmp(inbound->target, "/control", strlen("/control")) == 0) {
         take_control(store, exchange, query == NULL ? NULL : query + 1);
         return;
     }
-    if (is_down(store, &store->outage, exchange) || is_down(store, &door->outage, exchange)) {
+    if (is_down(store, &store->outage, exchange) || is_down(store, &endpoint->outage, exchange)) {
         return;
     }
     if (store->refuse_percent > 0 && ++store->calls % 100 < store->refuse_percent) {
@@ -392,10 +394,10 @@
 
 static void on_gone(void *context, cw_http_exchange_t *exchange)
 {
-    const store_door_t *door = context;
-    store_t            *store = door->store;
-    delayed_answer_t   *delayed = cw_http_exchange_data(exchange);
-    store_watch_t      *watch;
+    const store_endpoint_t *endpoint = context;
+    store_t                *store = endpoint->store;
+    delayed_answer_t       *delayed = cw_http_exchange_data(exchange);
+    store_watch_t          *watch;
 
     if (delayed != NULL) {
         delayed->exchange = NULL;
@@ -409,47 +411,47 @@
     }
 }
 
-static int open_door(store_t *store, const char *address, uint16_t port)
+static int open_endpoint(store_t *store, const char *address, uint16_t port)
 {
-    store_door_t              *door = &store->doors[store->door_count];
+    store_endpoint_t          *endpoint = &store->endpoints[store->endpoint_count];
     cw_http_limits_t           limits = {.header_bytes = LIMIT_BYTES,
                                          .body_bytes = LIMIT_BYTES,
                                          .header_timeout = CW_SECONDS(60),
                                          .idle_timeout = CW_SECONDS(600)};
-    cw_http_listener_handler_t handler = {door, on_request, on_gone};
-    int error = cw_http_listener_create(&door->listener, &store->loop, address, port, &limits, &handler);
+    cw_http_listener_handler_t handler = {endpoint, on_request, on_gone};
+    int error = cw_http_listener_create(&endpoint->listener, &store->loop, address, port, &limits, &handler);
 
     if (error != 0) {
         fprintf(stderr, "cw-store: %s\n", uv_strerror(error));
         return error;
     }
-    door->store = store;
-    store->door_count++;
+    endpoint->store = store;
+    store->endpoint_count++;
     return 0;
 }
 
-/* Prints "port" and the port of each door. */
+/* Prints "port" and the port of each endpoint. */
 static void print_ports(const store_t *store)
 {
     size_t index;
 
     printf("port");
-    for (index = 0; index < store->door_count; index++) {
-        printf(" %u", cw_http_listener_port(store->doors[index].listener));
+    for (index = 0; index < store->endpoint_count; index++) {
+        printf(" %u", cw_http_listener_port(store->endpoints[index].listener));
     }
     printf("\n");
     fflush(stdout);
 }
 
-static int serve(const char *address, uint16_t port, size_t page, size_t doors)
+static int serve(const char *address, uint16_t port, size_t page, size_t endpoints)
 {
     static store_t store;
 
     uv_loop_init(&store.loop);
     store.revision = 1;
     store.page = page;
-    while (store.door_count < doors) {
-        if (open_door(&store, address, store.door_count == 0 ? port : 0) != 0) {
+    while (store.endpoint_count < endpoints) {
+        if (open_endpoint(&store, address, store.endpoint_count == 0 ? port : 0) != 0) {
             return EXIT_FAILURE;
         }
     }
@@ -462,20 +464,21 @@
     struct arg_str *address = arg_str0("a", "address", "IPV4", "default 127.0.0.1");
     struct arg_int *port = arg_int0("p", "port", "PORT", "default 0: chosen by the system and printed");
     struct arg_int *page = arg_int0(NULL, "page", "ITEMS", "items of a listing in one answer; default 50");
-    struct arg_int *doors = arg_int0(NULL, "doors", "PORTS", "ports to listen at, chosen by the system but the first");
+    struct arg_int *endpoints =
+        arg_int0(NULL, "endpoints", "PORTS", "ports to listen at, chosen by the system but the first");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {address, port, page, doors, end};
-    int             door_count;
+    void           *table[] = {address, port, page, endpoints, end};
+    int             endpoint_count;
 
     if (arg_parse(argument_count, arguments, table) > 0) {
         arg_print_errors(stderr, end, "cw-store");
         return 2;
     }
-    door_count = doors->count > 0 ? doors->ival[0] : 1;
-    if (door_count < 1 || door_count > STORE_DOORS_MAX) {
-        fprintf(stderr, "cw-store: 1 to %d doors\n", STORE_DOORS_MAX);
+    endpoint_count = endpoints->count > 0 ? endpoints->ival[0] : 1;
+    if (endpoint_count < 1 || endpoint_count > STORE_ENDPOINTS_MAX) {
+        fprintf(stderr, "cw-store: 1 to %d endpoints\n", STORE_ENDPOINTS_MAX);
         return 2;
     }
     return serve(address->count > 0 ? address->sval[0] : "127.0.0.1", port->count > 0 ? (uint16_t)port->ival[0] : 0,
-                 page->count > 0 && page->ival[0] > 0 ? (size_t)page->ival[0] : STORE_PAGE, (size_t)door_count);
+                 page->count > 0 && page->ival[0] > 0 ? (size_t)page->ival[0] : STORE_PAGE, (size_t)endpoint_count);
 }
--- a/standins/store/store.h
+++ b/standins/store/store.h
@@ -4,8 +4,8 @@
  *
  * Faults are asked for with POST /control?NAME=VALUE: down (ms), how (silent, busy, reset), slow (ms an answer),
  * lose (the next N writes are done and not answered), late (the next N writes are done a second later and not
- * answered), forget (history is dropped, watches are cut), refuse (PER CENT of calls get 429). With door=N, down and
- * how strike just those who come by that door, while the others are served: the store listens at several ports.
+ * answered), forget (history is dropped, watches are cut), refuse (PER CENT of calls get 429). With endpoint=N, down
+ * and how strike just those who come by that endpoint, while the others are served: the store listens at several ports.
  */
 #ifndef CEDARWINCH_STANDINS_STORE_H
 #define CEDARWINCH_STANDINS_STORE_H
@@ -15,7 +15,7 @@
 
 #include "net/http_listener.h"
 
-enum { STORE_PAGE = 50, STORE_HISTORY = 500, STORE_DOORS_MAX = 16 };
+enum { STORE_PAGE = 50, STORE_HISTORY = 500, STORE_ENDPOINTS_MAX = 16 };
 
 typedef struct store_object {
     char                *kind;
@@ -50,29 +50,29 @@
 } store_outage_t;
 
 /** A port that the store listens at, and an outage of it alone. */
-typedef struct store_door {
+typedef struct store_endpoint {
     struct store       *store;
     cw_http_listener_t *listener;
     store_outage_t      outage;
-} store_door_t;
+} store_endpoint_t;
 
 typedef struct store {
-    uv_loop_t       loop;
-    store_door_t    doors[STORE_DOORS_MAX];
-    size_t          door_count;
-    store_object_t *objects;
-    uint64_t        revision;
-    store_change_t  history[STORE_HISTORY];
-    size_t          history_count;
-    uint64_t        forgotten; /**< changes up to here are no longer known */
-    store_watch_t  *watches;
-    store_outage_t  outage; /**< of the whole store */
-    uint64_t        slow_ms;
-    uint32_t        lose;
-    uint32_t        late;
-    uint32_t        refuse_percent;
-    uint32_t        calls;
-    size_t          page; /**< items of a listing in one answer */
+    uv_loop_t        loop;
+    store_endpoint_t endpoints[STORE_ENDPOINTS_MAX];
+    size_t           endpoint_count;
+    store_object_t  *objects;
+    uint64_t         revision;
+    store_change_t   history[STORE_HISTORY];
+    size_t           history_count;
+    uint64_t         forgotten; /**< changes up to here are no longer known */
+    store_watch_t   *watches;
+    store_outage_t   outage; /**< of the whole store */
+    uint64_t         slow_ms;
+    uint32_t         lose;
+    uint32_t         late;
+    uint32_t         refuse_percent;
+    uint32_t         calls;
+    size_t           page; /**< items of a listing in one answer */
 } store_t;
 
 /* ---- store_objects.c ---- */
--- a/tests/process/store_turns_leader_away.sh
+++ b/tests/process/store_turns_leader_away.sh
@@ -2,7 +2,7 @@
 # The store turns only the leader away while a server leaves: the other nodes read that it leaves, and the leader, which
 # goes on telling its older list, does not bring it back there. Once for each way of turning away. Callers come by the
 # other nodes only: the leader itself has not been told.
-STORE_DOORS=4
+STORE_ENDPOINTS=4
 . "$(dirname "$0")/../../scripts/cluster.sh"
 usual_cluster 3
 last_run() { jq -s '[.[]|select(.event=="run").ns]|max // 0' "$1"; }
@@ -18,7 +18,7 @@
     for n in 1 2 3; do [ "$n" = "$leading" ] || NODES="$NODES${NODES:+,}$NET.$n:8080"; done
     (cluster_callers "$how" --rate 100 --count 700) &
     callers=$!
-    curl -sf -X POST "http://$STORE/control?door=$((leading + 1))&down=5000&how=$how" >/dev/null
+    curl -sf -X POST "http://$STORE/control?endpoint=$((leading + 1))&down=5000&how=$how" >/dev/null
     kill -TERM "${SERVER_PIDS[h$turn]}"
     wait "$callers"
     until_true ended "h$turn"
