tests: what a leaving server's record tells stands once

Change: server_ended and rested_before_end in scripts/cluster.sh; one fixture in test_ownership_measures. The checks are the same: the last run of a leaving server lies half a second or more before its end.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -145,6 +145,15 @@
     [ "$FAILURES" = 0 ]
 }
 
+# What a server's record tells: that it has ended, and that its last half second brought no request.
+server_ended() { grep -q '"stop"' "$WORK/server-$1.json"; }
+rested_before_end() {
+    local last_run stop
+    last_run=$(jq -s '[.[]|select(.event=="run").ns]|max // 0' "$WORK/server-$1.json")
+    stop=$(jq -s '[.[]|select(.event=="stop").ns]|max // 0' "$WORK/server-$1.json")
+    [ "$last_run" -lt "$((stop - 500000000))" ]
+}
+
 # Three services' servers as the tests use them: six of maps (divided by key), three of hires.
 usual_servers() {
     local i
--- a/tests/process/leaving.sh
+++ b/tests/process/leaving.sh
@@ -9,9 +9,7 @@
 wait "$callers"
 check "all answered" at_least "$(sum_of leaving s200)" 598
 wait "${SERVER_PIDS[m1]}"
-last_run() { jq -s '[.[]|select(.event=="run").ns]|max // 0' "$1"; }
-stopped() { jq -s '[.[]|select(.event=="stop").ns]|max // 0' "$1"; }
-check "no request in its last half second" [ "$(last_run "$WORK/server-m1.json")" -lt "$(($(stopped "$WORK/server-m1.json") - 500000000))" ]
+check "no request in its last half second" rested_before_end "m1"
 check "its keys were released" [ "$(grep -c '"release"' "$WORK/server-m1.json")" -ge 1 ]
 check "records agree" cluster_check
 finish_test
--- a/tests/process/store_turns_leader_away.sh
+++ b/tests/process/store_turns_leader_away.sh
@@ -5,9 +5,6 @@
 STORE_ENDPOINTS=4
 . "$(dirname "$0")/../../scripts/cluster.sh"
 usual_cluster 3
-last_run() { jq -s '[.[]|select(.event=="run").ns]|max // 0' "$1"; }
-stopped() { jq -s '[.[]|select(.event=="stop").ns]|max // 0' "$1"; }
-ended() { grep -q '"stop"' "$WORK/server-$1.json"; }
 turn=0
 for how in reset busy silent; do
     turn=$((turn + 1))
@@ -21,8 +18,8 @@
     curl -sf -X POST "http://$STORE/control?endpoint=$((leading + 1))&down=5000&how=$how" >/dev/null
     kill -TERM "${SERVER_PIDS[h$turn]}"
     wait "$callers"
-    until_true ended "h$turn"
-    check "$how: no request in the leaving server's last half second" [ "$(last_run "$WORK/server-h$turn.json")" -lt "$(($(stopped "$WORK/server-h$turn.json") - 500000000))" ]
+    until_true server_ended "h$turn"
+    check "$how: no request in the leaving server's last half second" rested_before_end "h$turn"
     check "$how: most answered" at_least "$(sum_of "$how" s200)" 600
     cluster_server "h$((turn + 3))" --service hires --zone z1 --work-ms 15 --hangs
 done
--- a/tests/test_ownership_measures.c
+++ b/tests/test_ownership_measures.c
@@ -99,17 +99,24 @@
 }
 END_TEST
 
-START_TEST(imbalance_is_the_busiest_over_the_mean_weighted_by_time)
+/* Two owners, a and b; three of four requests of the last two seconds are for a's keys. */
+static void add_three_quarters_on_a(cw_load_window_t *window, cw_time_us_t now)
 {
-    cw_load_window_t window = {0};
-    cw_time_us_t     now = CW_SECONDS(10);
-    int              index;
+    int index;
 
     add_range(0, 32767, "a");
     add_range(32768, 65535, "b");
-    for (index = 0; index < 400; index++) { /* three of four on a's keys */
-        cw_load_window_add(&window, index % 4 == 0 ? 40000 : 100, 1, now - CW_SECONDS(2) + CW_MS(5) * index);
+    for (index = 0; index < 400; index++) {
+        cw_load_window_add(window, index % 4 == 0 ? 40000 : 100, 1, now - CW_SECONDS(2) + CW_MS(5) * index);
     }
+}
+
+START_TEST(imbalance_is_the_busiest_over_the_mean_weighted_by_time)
+{
+    cw_load_window_t window = {0};
+    cw_time_us_t     now = CW_SECONDS(10);
+
+    add_three_quarters_on_a(&window, now);
     cw_ownership_measures_look_at_load(&measures, &ranges, &window, now);
     ck_assert_double_eq_tol(measures.imbalance, 1.5, 0.02);
     cw_ownership_measures_look_at_load(&measures, &ranges, &window, now + CW_SECONDS(1));
@@ -123,13 +130,8 @@
 {
     cw_load_window_t window = {0};
     cw_time_us_t     now = CW_SECONDS(10);
-    int              index;
 
-    add_range(0, 32767, "a");
-    add_range(32768, 65535, "b");
-    for (index = 0; index < 400; index++) {
-        cw_load_window_add(&window, index % 4 == 0 ? 40000 : 100, 1, now - CW_SECONDS(2) + CW_MS(5) * index);
-    }
+    add_three_quarters_on_a(&window, now);
     cw_ownership_measures_look(&measures, &ranges, now);
     cw_ownership_measures_look_at_load(&measures, &ranges, &window, now);
     start_move(&ranges.items[1], "a");
