--- a/fuzz/fuzz_peer.c
+++ b/fuzz/fuzz_peer.c
@@ -19,6 +19,18 @@
     (void)context;
 }
 
+static void read_no_servers(void *context, bool from_copy)
+{
+    (void)context;
+    (void)from_copy;
+}
+
+static void watch_nothing(void *context, bool wanted)
+{
+    (void)context;
+    (void)wanted;
+}
+
 static void on_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram)
 {
     (void)context;
@@ -28,11 +40,12 @@
 
 static cw_router_t *create(void)
 {
-    static cw_store_port_t port = {.read_servers = read_nothing, .read_configuration = read_nothing};
-    cw_engine_settings_t   settings = {.names = {.request_id = "i"}};
-    cw_upstream_options_t  options = {.idle_max = CW_SECONDS(1)};
-    cw_peer_handler_t      handler = {NULL, on_datagram};
-    cw_router_t           *router = calloc(1, sizeof(*router));
+    static cw_store_port_t port = {
+        .read_servers = read_no_servers, .read_configuration = read_nothing, .watch_configuration = watch_nothing};
+    cw_engine_settings_t  settings = {.names = {.request_id = "i"}};
+    cw_upstream_options_t options = {.idle_max = CW_SECONDS(1)};
+    cw_peer_handler_t     handler = {NULL, on_datagram};
+    cw_router_t          *router = calloc(1, sizeof(*router));
 
     uv_loop_init(&router->loop);
     snprintf(router->settings.node, sizeof(router->settings.node), "n1");
@@ -45,6 +58,7 @@
     router->engine = cw_engine_create(&router->loop, &settings, router->pool, router->upstream);
     (void)cw_peer_link_create(&router->link, &router->loop, "127.0.0.1", 0, &handler);
     cw_router_lead_init(router);
+    cw_router_share_init(router);
     return router;
 }
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -547,6 +547,366 @@
   assert(message->base.descriptor == &cwp__table_page__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__configured_route__init
+                     (Cwp__ConfiguredRoute         *message)
+{
+  static const Cwp__ConfiguredRoute init_value = CWP__CONFIGURED_ROUTE__INIT;
+  *message = init_value;
+}
+size_t cwp__configured_route__get_packed_size
+                     (const Cwp__ConfiguredRoute *message)
+{
+  assert(message->base.descriptor == &cwp__configured_route__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__configured_route__pack
+                     (const Cwp__ConfiguredRoute *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__configured_route__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__configured_route__pack_to_buffer
+                     (const Cwp__ConfiguredRoute *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__configured_route__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ConfiguredRoute *
+       cwp__configured_route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ConfiguredRoute *)
+     protobuf_c_message_unpack (&cwp__configured_route__descriptor,
+                                allocator, len, data);
+}
+void   cwp__configured_route__free_unpacked
+                     (Cwp__ConfiguredRoute *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__configured_route__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__configured_service__init
+                     (Cwp__ConfiguredService         *message)
+{
+  static const Cwp__ConfiguredService init_value = CWP__CONFIGURED_SERVICE__INIT;
+  *message = init_value;
+}
+size_t cwp__configured_service__get_packed_size
+                     (const Cwp__ConfiguredService *message)
+{
+  assert(message->base.descriptor == &cwp__configured_service__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__configured_service__pack
+                     (const Cwp__ConfiguredService *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__configured_service__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__configured_service__pack_to_buffer
+                     (const Cwp__ConfiguredService *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__configured_service__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ConfiguredService *
+       cwp__configured_service__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ConfiguredService *)
+     protobuf_c_message_unpack (&cwp__configured_service__descriptor,
+                                allocator, len, data);
+}
+void   cwp__configured_service__free_unpacked
+                     (Cwp__ConfiguredService *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__configured_service__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__configured_tenant__init
+                     (Cwp__ConfiguredTenant         *message)
+{
+  static const Cwp__ConfiguredTenant init_value = CWP__CONFIGURED_TENANT__INIT;
+  *message = init_value;
+}
+size_t cwp__configured_tenant__get_packed_size
+                     (const Cwp__ConfiguredTenant *message)
+{
+  assert(message->base.descriptor == &cwp__configured_tenant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__configured_tenant__pack
+                     (const Cwp__ConfiguredTenant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__configured_tenant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__configured_tenant__pack_to_buffer
+                     (const Cwp__ConfiguredTenant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__configured_tenant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ConfiguredTenant *
+       cwp__configured_tenant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ConfiguredTenant *)
+     protobuf_c_message_unpack (&cwp__configured_tenant__descriptor,
+                                allocator, len, data);
+}
+void   cwp__configured_tenant__free_unpacked
+                     (Cwp__ConfiguredTenant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__configured_tenant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__configured_limits__init
+                     (Cwp__ConfiguredLimits         *message)
+{
+  static const Cwp__ConfiguredLimits init_value = CWP__CONFIGURED_LIMITS__INIT;
+  *message = init_value;
+}
+size_t cwp__configured_limits__get_packed_size
+                     (const Cwp__ConfiguredLimits *message)
+{
+  assert(message->base.descriptor == &cwp__configured_limits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__configured_limits__pack
+                     (const Cwp__ConfiguredLimits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__configured_limits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__configured_limits__pack_to_buffer
+                     (const Cwp__ConfiguredLimits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__configured_limits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ConfiguredLimits *
+       cwp__configured_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ConfiguredLimits *)
+     protobuf_c_message_unpack (&cwp__configured_limits__descriptor,
+                                allocator, len, data);
+}
+void   cwp__configured_limits__free_unpacked
+                     (Cwp__ConfiguredLimits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__configured_limits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__route_key__init
+                     (Cwp__RouteKey         *message)
+{
+  static const Cwp__RouteKey init_value = CWP__ROUTE_KEY__INIT;
+  *message = init_value;
+}
+size_t cwp__route_key__get_packed_size
+                     (const Cwp__RouteKey *message)
+{
+  assert(message->base.descriptor == &cwp__route_key__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__route_key__pack
+                     (const Cwp__RouteKey *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__route_key__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__route_key__pack_to_buffer
+                     (const Cwp__RouteKey *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__route_key__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__RouteKey *
+       cwp__route_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__RouteKey *)
+     protobuf_c_message_unpack (&cwp__route_key__descriptor,
+                                allocator, len, data);
+}
+void   cwp__route_key__free_unpacked
+                     (Cwp__RouteKey *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__route_key__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__configuration_page__init
+                     (Cwp__ConfigurationPage         *message)
+{
+  static const Cwp__ConfigurationPage init_value = CWP__CONFIGURATION_PAGE__INIT;
+  *message = init_value;
+}
+size_t cwp__configuration_page__get_packed_size
+                     (const Cwp__ConfigurationPage *message)
+{
+  assert(message->base.descriptor == &cwp__configuration_page__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__configuration_page__pack
+                     (const Cwp__ConfigurationPage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__configuration_page__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__configuration_page__pack_to_buffer
+                     (const Cwp__ConfigurationPage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__configuration_page__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ConfigurationPage *
+       cwp__configuration_page__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ConfigurationPage *)
+     protobuf_c_message_unpack (&cwp__configuration_page__descriptor,
+                                allocator, len, data);
+}
+void   cwp__configuration_page__free_unpacked
+                     (Cwp__ConfigurationPage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__configuration_page__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__configuration_request__init
+                     (Cwp__ConfigurationRequest         *message)
+{
+  static const Cwp__ConfigurationRequest init_value = CWP__CONFIGURATION_REQUEST__INIT;
+  *message = init_value;
+}
+size_t cwp__configuration_request__get_packed_size
+                     (const Cwp__ConfigurationRequest *message)
+{
+  assert(message->base.descriptor == &cwp__configuration_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__configuration_request__pack
+                     (const Cwp__ConfigurationRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__configuration_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__configuration_request__pack_to_buffer
+                     (const Cwp__ConfigurationRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__configuration_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ConfigurationRequest *
+       cwp__configuration_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ConfigurationRequest *)
+     protobuf_c_message_unpack (&cwp__configuration_request__descriptor,
+                                allocator, len, data);
+}
+void   cwp__configuration_request__free_unpacked
+                     (Cwp__ConfigurationRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__configuration_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__store_notice__init
+                     (Cwp__StoreNotice         *message)
+{
+  static const Cwp__StoreNotice init_value = CWP__STORE_NOTICE__INIT;
+  *message = init_value;
+}
+size_t cwp__store_notice__get_packed_size
+                     (const Cwp__StoreNotice *message)
+{
+  assert(message->base.descriptor == &cwp__store_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__store_notice__pack
+                     (const Cwp__StoreNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__store_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__store_notice__pack_to_buffer
+                     (const Cwp__StoreNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__store_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__StoreNotice *
+       cwp__store_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__StoreNotice *)
+     protobuf_c_message_unpack (&cwp__store_notice__descriptor,
+                                allocator, len, data);
+}
+void   cwp__store_notice__free_unpacked
+                     (Cwp__StoreNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__store_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__datagram__init
                      (Cwp__Datagram         *message)
 {
@@ -990,7 +1350,7 @@
   (ProtobufCMessageInit) cwp__leader_word__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[17] =
+static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[18] =
 {
   {
     "node",
@@ -1196,6 +1556,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_lost",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__NodeReport, store_lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__node_report__field_indices_by_name[] = {
   14,   /* field[14] = capability */
@@ -1211,6 +1583,7 @@
   2,   /* field[2] = sequence */
   11,   /* field[11] = servers */
   4,   /* field[4] = stopping */
+  17,   /* field[17] = store_lost */
   12,   /* field[12] = tables */
   10,   /* field[10] = term */
   15,   /* field[15] = vacated */
@@ -1219,7 +1592,7 @@
 static const ProtobufCIntRange cwp__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor cwp__node_report__descriptor =
 {
@@ -1229,7 +1602,7 @@
   "Cwp__NodeReport",
   "cwp",
   sizeof(Cwp__NodeReport),
-  17,
+  18,
   cwp__node_report__field_descriptors,
   cwp__node_report__field_indices_by_name,
   1,  cwp__node_report__number_ranges,
@@ -1816,55 +2189,775 @@
   (ProtobufCMessageInit) cwp__table_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cwp__configured_route__field_descriptors[10] =
 {
   {
-    "report",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, report),
-    &cwp__node_report__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredRoute, name),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "servers",
+    "host",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, servers),
-    &cwp__servers_page__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredRoute, host),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table",
+    "prefix",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, table),
-    &cwp__table_page__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredRoute, prefix),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ack",
+    "repeatable",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, ack),
-    &cwp__view_ack__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredRoute, repeatable),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredRoute, timeout_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objective_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredRoute, objective_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_attempts",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredRoute, max_attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredRoute, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_services",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cwp__ConfiguredRoute, n_part_services),
+    offsetof(Cwp__ConfiguredRoute, part_services),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_weights",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Cwp__ConfiguredRoute, n_part_weights),
+    offsetof(Cwp__ConfiguredRoute, part_weights),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__configured_route__field_indices_by_name[] = {
+  1,   /* field[1] = host */
+  6,   /* field[6] = max_attempts */
+  0,   /* field[0] = name */
+  5,   /* field[5] = objective_us */
+  8,   /* field[8] = part_services */
+  9,   /* field[9] = part_weights */
+  2,   /* field[2] = prefix */
+  7,   /* field[7] = priority */
+  3,   /* field[3] = repeatable */
+  4,   /* field[4] = timeout_us */
+};
+static const ProtobufCIntRange cwp__configured_route__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor cwp__configured_route__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ConfiguredRoute",
+  "ConfiguredRoute",
+  "Cwp__ConfiguredRoute",
+  "cwp",
+  sizeof(Cwp__ConfiguredRoute),
+  10,
+  cwp__configured_route__field_descriptors,
+  cwp__configured_route__field_indices_by_name,
+  1,  cwp__configured_route__number_ranges,
+  (ProtobufCMessageInit) cwp__configured_route__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__configured_service__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredService, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keyed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredService, keyed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_connections",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredService, max_connections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "warm_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredService, warm_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__configured_service__field_indices_by_name[] = {
+  1,   /* field[1] = keyed */
+  2,   /* field[2] = max_connections */
+  0,   /* field[0] = name */
+  3,   /* field[3] = warm_us */
+};
+static const ProtobufCIntRange cwp__configured_service__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cwp__configured_service__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ConfiguredService",
+  "ConfiguredService",
+  "Cwp__ConfiguredService",
+  "cwp",
+  sizeof(Cwp__ConfiguredService),
+  4,
+  cwp__configured_service__field_descriptors,
+  cwp__configured_service__field_indices_by_name,
+  1,  cwp__configured_service__number_ranges,
+  (ProtobufCMessageInit) cwp__configured_service__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredTenant, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "token_digests",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Cwp__ConfiguredTenant, n_token_digests),
+    offsetof(Cwp__ConfiguredTenant, token_digests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredTenant, requests_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "concurrent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredTenant, concurrent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__configured_tenant__field_indices_by_name[] = {
+  3,   /* field[3] = concurrent */
+  0,   /* field[0] = name */
+  2,   /* field[2] = requests_per_s */
+  1,   /* field[1] = token_digests */
+};
+static const ProtobufCIntRange cwp__configured_tenant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cwp__configured_tenant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ConfiguredTenant",
+  "ConfiguredTenant",
+  "Cwp__ConfiguredTenant",
+  "cwp",
+  sizeof(Cwp__ConfiguredTenant),
+  4,
+  cwp__configured_tenant__field_descriptors,
+  cwp__configured_tenant__field_indices_by_name,
+  1,  cwp__configured_tenant__number_ranges,
+  (ProtobufCMessageInit) cwp__configured_tenant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__configured_limits__field_descriptors[4] =
+{
+  {
+    "header_bytes",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredLimits, header_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body_bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredLimits, body_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "header_timeout_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredLimits, header_timeout_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_timeout_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredLimits, idle_timeout_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__configured_limits__field_indices_by_name[] = {
+  1,   /* field[1] = body_bytes */
+  0,   /* field[0] = header_bytes */
+  2,   /* field[2] = header_timeout_us */
+  3,   /* field[3] = idle_timeout_us */
+};
+static const ProtobufCIntRange cwp__configured_limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cwp__configured_limits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ConfiguredLimits",
+  "ConfiguredLimits",
+  "Cwp__ConfiguredLimits",
+  "cwp",
+  sizeof(Cwp__ConfiguredLimits),
+  4,
+  cwp__configured_limits__field_descriptors,
+  cwp__configured_limits__field_indices_by_name,
+  1,  cwp__configured_limits__number_ranges,
+  (ProtobufCMessageInit) cwp__configured_limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__route_key__field_descriptors[2] =
+{
+  {
+    "host",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__RouteKey, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__RouteKey, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__route_key__field_indices_by_name[] = {
+  0,   /* field[0] = host */
+  1,   /* field[1] = prefix */
+};
+static const ProtobufCIntRange cwp__route_key__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cwp__route_key__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.RouteKey",
+  "RouteKey",
+  "Cwp__RouteKey",
+  "cwp",
+  sizeof(Cwp__RouteKey),
+  2,
+  cwp__route_key__field_descriptors,
+  cwp__route_key__field_indices_by_name,
+  1,  cwp__route_key__number_ranges,
+  (ProtobufCMessageInit) cwp__route_key__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__configuration_page__field_descriptors[9] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfigurationPage, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfigurationPage, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "page",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfigurationPage, page),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pages",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfigurationPage, pages),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__ConfigurationPage, n_routes),
+    offsetof(Cwp__ConfigurationPage, routes),
+    &cwp__configured_route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__ConfigurationPage, n_services),
+    offsetof(Cwp__ConfigurationPage, services),
+    &cwp__configured_service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tenants",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__ConfigurationPage, n_tenants),
+    offsetof(Cwp__ConfigurationPage, tenants),
+    &cwp__configured_tenant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfigurationPage, limits),
+    &cwp__configured_limits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__ConfigurationPage, n_removed),
+    offsetof(Cwp__ConfigurationPage, removed),
+    &cwp__route_key__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__configuration_page__field_indices_by_name[] = {
+  7,   /* field[7] = limits */
+  2,   /* field[2] = page */
+  3,   /* field[3] = pages */
+  8,   /* field[8] = removed */
+  4,   /* field[4] = routes */
+  5,   /* field[5] = services */
+  1,   /* field[1] = since */
+  6,   /* field[6] = tenants */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange cwp__configuration_page__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor cwp__configuration_page__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ConfigurationPage",
+  "ConfigurationPage",
+  "Cwp__ConfigurationPage",
+  "cwp",
+  sizeof(Cwp__ConfigurationPage),
+  9,
+  cwp__configuration_page__field_descriptors,
+  cwp__configuration_page__field_indices_by_name,
+  1,  cwp__configuration_page__number_ranges,
+  (ProtobufCMessageInit) cwp__configuration_page__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__configuration_request__field_descriptors[1] =
+{
+  {
+    "has",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfigurationRequest, has),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__configuration_request__field_indices_by_name[] = {
+  0,   /* field[0] = has */
+};
+static const ProtobufCIntRange cwp__configuration_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cwp__configuration_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ConfigurationRequest",
+  "ConfigurationRequest",
+  "Cwp__ConfigurationRequest",
+  "cwp",
+  sizeof(Cwp__ConfigurationRequest),
+  1,
+  cwp__configuration_request__field_descriptors,
+  cwp__configuration_request__field_indices_by_name,
+  1,  cwp__configuration_request__number_ranges,
+  (ProtobufCMessageInit) cwp__configuration_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__store_notice__field_descriptors[6] =
+{
+  {
+    "configuration",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__StoreNotice, configuration),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers_hash",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__StoreNotice, servers_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers_revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__StoreNotice, servers_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__StoreNotice, servers_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_hash",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__StoreNotice, tables_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__StoreNotice, tables_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__store_notice__field_indices_by_name[] = {
+  0,   /* field[0] = configuration */
+  3,   /* field[3] = servers_age_ms */
+  1,   /* field[1] = servers_hash */
+  2,   /* field[2] = servers_revision */
+  5,   /* field[5] = tables_age_ms */
+  4,   /* field[4] = tables_hash */
+};
+static const ProtobufCIntRange cwp__store_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cwp__store_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.StoreNotice",
+  "StoreNotice",
+  "Cwp__StoreNotice",
+  "cwp",
+  sizeof(Cwp__StoreNotice),
+  6,
+  cwp__store_notice__field_descriptors,
+  cwp__store_notice__field_indices_by_name,
+  1,  cwp__store_notice__number_ranges,
+  (ProtobufCMessageInit) cwp__store_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[8] =
+{
+  {
+    "report",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, report),
+    &cwp__node_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, servers),
+    &cwp__servers_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, table),
+    &cwp__table_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ack",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, ack),
+    &cwp__view_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
     "nodes",
@@ -1878,18 +2971,57 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "configuration",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, configuration),
+    &cwp__configuration_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration_request",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, configuration_request),
+    &cwp__configuration_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_notice",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, store_notice),
+    &cwp__store_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__datagram__field_indices_by_name[] = {
   3,   /* field[3] = ack */
+  5,   /* field[5] = configuration */
+  6,   /* field[6] = configuration_request */
   4,   /* field[4] = nodes */
   0,   /* field[0] = report */
   1,   /* field[1] = servers */
+  7,   /* field[7] = store_notice */
   2,   /* field[2] = table */
 };
 static const ProtobufCIntRange cwp__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cwp__datagram__descriptor =
 {
@@ -1899,7 +3031,7 @@
   "Cwp__Datagram",
   "cwp",
   sizeof(Cwp__Datagram),
-  5,
+  8,
   cwp__datagram__field_descriptors,
   cwp__datagram__field_indices_by_name,
   1,  cwp__datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -27,6 +27,14 @@
 typedef struct Cwp__NodesPage Cwp__NodesPage;
 typedef struct Cwp__TableRange Cwp__TableRange;
 typedef struct Cwp__TablePage Cwp__TablePage;
+typedef struct Cwp__ConfiguredRoute Cwp__ConfiguredRoute;
+typedef struct Cwp__ConfiguredService Cwp__ConfiguredService;
+typedef struct Cwp__ConfiguredTenant Cwp__ConfiguredTenant;
+typedef struct Cwp__ConfiguredLimits Cwp__ConfiguredLimits;
+typedef struct Cwp__RouteKey Cwp__RouteKey;
+typedef struct Cwp__ConfigurationPage Cwp__ConfigurationPage;
+typedef struct Cwp__ConfigurationRequest Cwp__ConfigurationRequest;
+typedef struct Cwp__StoreNotice Cwp__StoreNotice;
 typedef struct Cwp__Datagram Cwp__Datagram;
 
 
@@ -195,10 +203,14 @@
    * nodes that it has heard lately
    */
   uint32_t peers;
+  /*
+   * its calls to the store have brought nothing for a while
+   */
+  protobuf_c_boolean store_lost;
 };
 #define CWP__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Cwp__ViewServer
@@ -322,13 +334,169 @@
     , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
 
 
+/*
+ * One route of a configuration.
+ */
+struct  Cwp__ConfiguredRoute
+{
+  ProtobufCMessage base;
+  char *name;
+  char *host;
+  char *prefix;
+  protobuf_c_boolean repeatable;
+  uint64_t timeout_us;
+  /*
+   * an answer within it has its full worth
+   */
+  uint64_t objective_us;
+  uint32_t max_attempts;
+  uint32_t priority;
+  size_t n_part_services;
+  char **part_services;
+  size_t n_part_weights;
+  double *part_weights;
+};
+#define CWP__CONFIGURED_ROUTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_route__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Cwp__ConfiguredService
+{
+  ProtobufCMessage base;
+  char *name;
+  protobuf_c_boolean keyed;
+  uint32_t max_connections;
+  uint64_t warm_us;
+};
+#define CWP__CONFIGURED_SERVICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_service__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Cwp__ConfiguredTenant
+{
+  ProtobufCMessage base;
+  char *name;
+  size_t n_token_digests;
+  ProtobufCBinaryData *token_digests;
+  uint32_t requests_per_s;
+  uint32_t concurrent;
+};
+#define CWP__CONFIGURED_TENANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_tenant__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
+
+
+struct  Cwp__ConfiguredLimits
+{
+  ProtobufCMessage base;
+  uint64_t header_bytes;
+  uint64_t body_bytes;
+  uint64_t header_timeout_us;
+  uint64_t idle_timeout_us;
+};
+#define CWP__CONFIGURED_LIMITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_limits__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Cwp__RouteKey
+{
+  ProtobufCMessage base;
+  char *host;
+  char *prefix;
+};
+#define CWP__ROUTE_KEY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__route_key__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * A page of a configuration. since 0: of the whole; else routes that changed since the configuration of that version.
+ * Services, tenants, limits and removed routes stand in page 0.
+ */
+struct  Cwp__ConfigurationPage
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  uint64_t since;
+  uint32_t page;
+  /*
+   * 0: too large for datagrams, to be read from the store
+   */
+  uint32_t pages;
+  size_t n_routes;
+  Cwp__ConfiguredRoute **routes;
+  size_t n_services;
+  Cwp__ConfiguredService **services;
+  size_t n_tenants;
+  Cwp__ConfiguredTenant **tenants;
+  Cwp__ConfiguredLimits *limits;
+  size_t n_removed;
+  Cwp__RouteKey **removed;
+};
+#define CWP__CONFIGURATION_PAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__configuration_page__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL }
+
+
+/*
+ * Asks a node for its configuration.
+ */
+struct  Cwp__ConfigurationRequest
+{
+  ProtobufCMessage base;
+  /*
+   * version in force at the asking node; 0: none
+   */
+  uint64_t has;
+};
+#define CWP__CONFIGURATION_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__configuration_request__descriptor) \
+    , 0 }
+
+
+/*
+ * From a node that reads the store for its zone: what it has read, so that others need not read it.
+ */
+struct  Cwp__StoreNotice
+{
+  ProtobufCMessage base;
+  /*
+   * version in force there
+   */
+  uint64_t configuration;
+  /*
+   * of its list of servers; 0: none
+   */
+  uint64_t servers_hash;
+  uint64_t servers_revision;
+  /*
+   * since the list was surely true
+   */
+  uint32_t servers_age_ms;
+  /*
+   * of its tables; 0: none
+   */
+  uint64_t tables_hash;
+  uint32_t tables_age_ms;
+};
+#define CWP__STORE_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__store_notice__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   CWP__DATAGRAM__CONTENT__NOT_SET = 0,
   CWP__DATAGRAM__CONTENT_REPORT = 1,
   CWP__DATAGRAM__CONTENT_SERVERS = 2,
   CWP__DATAGRAM__CONTENT_TABLE = 3,
   CWP__DATAGRAM__CONTENT_ACK = 4,
-  CWP__DATAGRAM__CONTENT_NODES = 5
+  CWP__DATAGRAM__CONTENT_NODES = 5,
+  CWP__DATAGRAM__CONTENT_CONFIGURATION = 6,
+  CWP__DATAGRAM__CONTENT_CONFIGURATION_REQUEST = 7,
+  CWP__DATAGRAM__CONTENT_STORE_NOTICE = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CWP__DATAGRAM__CONTENT__CASE)
 } Cwp__Datagram__ContentCase;
 
@@ -342,6 +510,9 @@
     Cwp__TablePage *table;
     Cwp__ViewAck *ack;
     Cwp__NodesPage *nodes;
+    Cwp__ConfigurationPage *configuration;
+    Cwp__ConfigurationRequest *configuration_request;
+    Cwp__StoreNotice *store_notice;
   };
 };
 #define CWP__DATAGRAM__INIT \
@@ -577,6 +748,158 @@
 void   cwp__table_page__free_unpacked
                      (Cwp__TablePage *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__ConfiguredRoute methods */
+void   cwp__configured_route__init
+                     (Cwp__ConfiguredRoute         *message);
+size_t cwp__configured_route__get_packed_size
+                     (const Cwp__ConfiguredRoute   *message);
+size_t cwp__configured_route__pack
+                     (const Cwp__ConfiguredRoute   *message,
+                      uint8_t             *out);
+size_t cwp__configured_route__pack_to_buffer
+                     (const Cwp__ConfiguredRoute   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ConfiguredRoute *
+       cwp__configured_route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__configured_route__free_unpacked
+                     (Cwp__ConfiguredRoute *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__ConfiguredService methods */
+void   cwp__configured_service__init
+                     (Cwp__ConfiguredService         *message);
+size_t cwp__configured_service__get_packed_size
+                     (const Cwp__ConfiguredService   *message);
+size_t cwp__configured_service__pack
+                     (const Cwp__ConfiguredService   *message,
+                      uint8_t             *out);
+size_t cwp__configured_service__pack_to_buffer
+                     (const Cwp__ConfiguredService   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ConfiguredService *
+       cwp__configured_service__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__configured_service__free_unpacked
+                     (Cwp__ConfiguredService *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__ConfiguredTenant methods */
+void   cwp__configured_tenant__init
+                     (Cwp__ConfiguredTenant         *message);
+size_t cwp__configured_tenant__get_packed_size
+                     (const Cwp__ConfiguredTenant   *message);
+size_t cwp__configured_tenant__pack
+                     (const Cwp__ConfiguredTenant   *message,
+                      uint8_t             *out);
+size_t cwp__configured_tenant__pack_to_buffer
+                     (const Cwp__ConfiguredTenant   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ConfiguredTenant *
+       cwp__configured_tenant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__configured_tenant__free_unpacked
+                     (Cwp__ConfiguredTenant *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__ConfiguredLimits methods */
+void   cwp__configured_limits__init
+                     (Cwp__ConfiguredLimits         *message);
+size_t cwp__configured_limits__get_packed_size
+                     (const Cwp__ConfiguredLimits   *message);
+size_t cwp__configured_limits__pack
+                     (const Cwp__ConfiguredLimits   *message,
+                      uint8_t             *out);
+size_t cwp__configured_limits__pack_to_buffer
+                     (const Cwp__ConfiguredLimits   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ConfiguredLimits *
+       cwp__configured_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__configured_limits__free_unpacked
+                     (Cwp__ConfiguredLimits *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__RouteKey methods */
+void   cwp__route_key__init
+                     (Cwp__RouteKey         *message);
+size_t cwp__route_key__get_packed_size
+                     (const Cwp__RouteKey   *message);
+size_t cwp__route_key__pack
+                     (const Cwp__RouteKey   *message,
+                      uint8_t             *out);
+size_t cwp__route_key__pack_to_buffer
+                     (const Cwp__RouteKey   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__RouteKey *
+       cwp__route_key__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__route_key__free_unpacked
+                     (Cwp__RouteKey *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__ConfigurationPage methods */
+void   cwp__configuration_page__init
+                     (Cwp__ConfigurationPage         *message);
+size_t cwp__configuration_page__get_packed_size
+                     (const Cwp__ConfigurationPage   *message);
+size_t cwp__configuration_page__pack
+                     (const Cwp__ConfigurationPage   *message,
+                      uint8_t             *out);
+size_t cwp__configuration_page__pack_to_buffer
+                     (const Cwp__ConfigurationPage   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ConfigurationPage *
+       cwp__configuration_page__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__configuration_page__free_unpacked
+                     (Cwp__ConfigurationPage *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__ConfigurationRequest methods */
+void   cwp__configuration_request__init
+                     (Cwp__ConfigurationRequest         *message);
+size_t cwp__configuration_request__get_packed_size
+                     (const Cwp__ConfigurationRequest   *message);
+size_t cwp__configuration_request__pack
+                     (const Cwp__ConfigurationRequest   *message,
+                      uint8_t             *out);
+size_t cwp__configuration_request__pack_to_buffer
+                     (const Cwp__ConfigurationRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ConfigurationRequest *
+       cwp__configuration_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__configuration_request__free_unpacked
+                     (Cwp__ConfigurationRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__StoreNotice methods */
+void   cwp__store_notice__init
+                     (Cwp__StoreNotice         *message);
+size_t cwp__store_notice__get_packed_size
+                     (const Cwp__StoreNotice   *message);
+size_t cwp__store_notice__pack
+                     (const Cwp__StoreNotice   *message,
+                      uint8_t             *out);
+size_t cwp__store_notice__pack_to_buffer
+                     (const Cwp__StoreNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__StoreNotice *
+       cwp__store_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__store_notice__free_unpacked
+                     (Cwp__StoreNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__Datagram methods */
 void   cwp__datagram__init
                      (Cwp__Datagram         *message);
@@ -634,6 +957,30 @@
 typedef void (*Cwp__TablePage_Closure)
                  (const Cwp__TablePage *message,
                   void *closure_data);
+typedef void (*Cwp__ConfiguredRoute_Closure)
+                 (const Cwp__ConfiguredRoute *message,
+                  void *closure_data);
+typedef void (*Cwp__ConfiguredService_Closure)
+                 (const Cwp__ConfiguredService *message,
+                  void *closure_data);
+typedef void (*Cwp__ConfiguredTenant_Closure)
+                 (const Cwp__ConfiguredTenant *message,
+                  void *closure_data);
+typedef void (*Cwp__ConfiguredLimits_Closure)
+                 (const Cwp__ConfiguredLimits *message,
+                  void *closure_data);
+typedef void (*Cwp__RouteKey_Closure)
+                 (const Cwp__RouteKey *message,
+                  void *closure_data);
+typedef void (*Cwp__ConfigurationPage_Closure)
+                 (const Cwp__ConfigurationPage *message,
+                  void *closure_data);
+typedef void (*Cwp__ConfigurationRequest_Closure)
+                 (const Cwp__ConfigurationRequest *message,
+                  void *closure_data);
+typedef void (*Cwp__StoreNotice_Closure)
+                 (const Cwp__StoreNotice *message,
+                  void *closure_data);
 typedef void (*Cwp__Datagram_Closure)
                  (const Cwp__Datagram *message,
                   void *closure_data);
@@ -655,6 +1002,14 @@
 extern const ProtobufCMessageDescriptor cwp__nodes_page__descriptor;
 extern const ProtobufCMessageDescriptor cwp__table_range__descriptor;
 extern const ProtobufCMessageDescriptor cwp__table_page__descriptor;
+extern const ProtobufCMessageDescriptor cwp__configured_route__descriptor;
+extern const ProtobufCMessageDescriptor cwp__configured_service__descriptor;
+extern const ProtobufCMessageDescriptor cwp__configured_tenant__descriptor;
+extern const ProtobufCMessageDescriptor cwp__configured_limits__descriptor;
+extern const ProtobufCMessageDescriptor cwp__route_key__descriptor;
+extern const ProtobufCMessageDescriptor cwp__configuration_page__descriptor;
+extern const ProtobufCMessageDescriptor cwp__configuration_request__descriptor;
+extern const ProtobufCMessageDescriptor cwp__store_notice__descriptor;
 extern const ProtobufCMessageDescriptor cwp__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/assignment/keeper.h
+++ b/src/assignment/keeper.h
@@ -22,6 +22,9 @@
 #include "model/server_list.h"
 #include "store/store.h"
 
+/** Kind of the objects in the store that hold the assignments of a service. */
+#define CW_ASSIGNMENTS_KIND "assignments"
+
 typedef enum cw_order_kind { CW_ORDER_GRANT, CW_ORDER_RELEASE } cw_order_kind_t;
 
 typedef enum cw_order_result {
--- a/src/assignment/keeper_internal.h
+++ b/src/assignment/keeper_internal.h
@@ -8,7 +8,6 @@
 #include "assignment/keeper.h"
 
 /** Kind of the objects that hold the records; one object a service. */
-#define CW_ASSIGNMENTS_KIND "assignments"
 
 struct cw_keeper {
     char                  *service;
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -34,6 +34,7 @@
     X(STORE_WRITES, "cedarwinch_store_writes_total", "counter", "writing calls to the store")                          \
     X(LIST_CHANGES, "cedarwinch_list_changes_total", "counter",                                                        \
       "times the list was brought up to date by its changes")                                                          \
+    X(STORE_COPIES, "cedarwinch_store_copy_reads_total", "counter", "reading calls answered from a copy, cheaper")     \
     X(STORE_FAILURES, "cedarwinch_store_failures_total", "counter", "calls to the store refused or without an answer") \
     X(GRANTS, "cedarwinch_grants_total", "counter", "grants and renewals sent")                                        \
     X(RELEASES, "cedarwinch_releases_total", "counter", "releases sent")                                               \
--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -17,6 +17,7 @@
     RETRIES_A_HOLD = 12,   /* a leader that gets no answer tries at least so many times in its hold */
     TAKERS_AT_ONCE = 8,    /* followers that look at a vacant lock within the first pause */
     FOLLOWERS_PROMPT = 16, /* with so many followers the pause between their looks has doubled */
+    LOOK_RECENT_MS = 300,  /* a call to the store that is slow, and a tick */
     LONG_AGO_S = 3600
 };
 
@@ -114,7 +115,8 @@
 void cw_leadership_heard_stop(cw_leadership_t *leadership, cw_time_us_t now)
 {
     if (!leadership->leading) {
-        leadership->heard_at = now - CW_SECONDS(LONG_AGO_S);
+        leadership->heard_at =
+            now - leadership->settings.silence; /* what a deferring node waits besides, counts from now */
         leadership->next_at = now + CW_MS(RETRY_FIRST_MS) + turn_of(leadership);
     }
 }
@@ -164,27 +166,45 @@
     write->vacant = leadership->resigning;
 }
 
-static bool may_take(const cw_leadership_t *leadership, cw_time_us_t now)
+/* How long an unchanged lock stands before another node may take it. */
+static cw_time_us_t take_wait(const cw_leadership_t *leadership)
 {
-    cw_time_us_t wait = leadership->settings.hold * (100 + DRIFT_PERCENT) / 100 + CW_MS(TAKE_SLACK_MS);
+    return leadership->lock.vacant ? 0 : leadership->settings.hold * (100 + DRIFT_PERCENT) / 100 + CW_MS(TAKE_SLACK_MS);
+}
 
+static bool may_take(const cw_leadership_t *leadership, cw_time_us_t now)
+{
     if (!leadership->lock.vacant && strcmp(leadership->lock.node, leadership->settings.node) == 0) {
         return true;
     }
-    return now - leadership->seen_at >= (leadership->lock.vacant ? 0 : wait) + leadership->deference;
+    return now - leadership->seen_at >= take_wait(leadership) + leadership->deference;
+}
+
+/* A node that defers to more capable ones leaves them a hold's time to take the lock. */
+static cw_time_us_t silence_before_look(const cw_leadership_t *leadership)
+{
+    return leadership->settings.silence + (leadership->deference > 0 ? leadership->settings.hold : 0);
+}
+
+/* Where many nodes follow, a look from a while ago is repeated before a write: most likely another has taken the lock.
+ */
+static bool is_look_recent(const cw_leadership_t *leadership, cw_time_us_t now)
+{
+    return leadership->followers < FOLLOWERS_PROMPT || now - leadership->looked_at < CW_MS(LOOK_RECENT_MS);
 }
 
 static cw_leadership_action_t follow(cw_leadership_t *leadership, cw_time_us_t now)
 {
     if (leadership->resigning || now < leadership->follow_until ||
-        now - leadership->heard_at < leadership->settings.silence) {
+        now - leadership->heard_at < silence_before_look(leadership)) {
         return CW_LEADERSHIP_WAIT;
     }
     if (leadership->absent) {
         prepare_write(leadership, 1);
         return begin(leadership, CW_LEADERSHIP_CREATE, now);
     }
-    if (leadership->revision != 0 && !leadership->must_read && may_take(leadership, now)) {
+    if (leadership->revision != 0 && !leadership->must_read && may_take(leadership, now) &&
+        is_look_recent(leadership, now)) {
         prepare_write(leadership, leadership->lock.term + 1);
         return begin(leadership, CW_LEADERSHIP_REPLACE, now);
     }
@@ -247,6 +267,19 @@
     return leadership->settings.read_every * (FOLLOWERS_PROMPT + leadership->followers) / FOLLOWERS_PROMPT;
 }
 
+/* When a follower looks again: in its turn once the lock may be taken, and from time to time before. */
+static cw_time_us_t next_look(const cw_leadership_t *leadership, cw_time_us_t now)
+{
+    cw_time_us_t take_at = leadership->seen_at + take_wait(leadership) + leadership->deference;
+    cw_time_us_t pause_end = now + look_pause(leadership);
+
+    if (take_at <= now) {
+        return now;
+    }
+    take_at += turn_of(leadership);
+    return take_at < pause_end ? take_at : pause_end;
+}
+
 /* The lock as the store tells it, by a read or with a conflict. */
 static void take_lock(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now)
 {
@@ -258,6 +291,11 @@
         lock.vacant = true; /* nobody's: whatever stands there is replaced */
     }
     leadership->failures = 0;
+    leadership->looked_at = now;
+    if (reply->revision < leadership->revision) { /* an old copy */
+        leadership->next_at = now + look_pause(leadership);
+        return;
+    }
     note_seen(leadership, reply->revision, now);
     leadership->must_read = false;
     leadership->lock = lock;
@@ -268,7 +306,7 @@
         leadership->next_at = now;
     } else {
         lose(leadership);
-        leadership->next_at = lock.vacant && leadership->deference == 0 ? now : now + look_pause(leadership);
+        leadership->next_at = next_look(leadership, now);
     }
 }
 
--- a/src/model/configuration.c
+++ b/src/model/configuration.c
@@ -63,19 +63,57 @@
     route->part_count++;
 }
 
-static int compare_routes(const void *left, const void *right)
+int cw_route_compare(const cw_route_t *left, const cw_route_t *right)
 {
-    const cw_route_t *a = left;
-    const cw_route_t *b = right;
-    int               order = strcasecmp(a->host, b->host);
+    int order = strcasecmp(left->host, right->host);
 
     if (order != 0) {
         return order;
     }
-    if (strlen(a->prefix) != strlen(b->prefix)) {
-        return strlen(a->prefix) > strlen(b->prefix) ? -1 : 1;
+    if (strlen(left->prefix) != strlen(right->prefix)) {
+        return strlen(left->prefix) > strlen(right->prefix) ? -1 : 1;
+    }
+    return strcmp(left->prefix, right->prefix);
+}
+
+static int compare_routes(const void *left, const void *right)
+{
+    return cw_route_compare(left, right);
+}
+
+bool cw_route_same(const cw_route_t *left, const cw_route_t *right)
+{
+    size_t index;
+
+    if (strcmp(left->name, right->name) != 0 || strcmp(left->host, right->host) != 0 ||
+        strcmp(left->prefix, right->prefix) != 0 || left->repeatable != right->repeatable ||
+        left->timeout != right->timeout || left->aim != right->aim || left->max_attempts != right->max_attempts ||
+        left->priority != right->priority || left->part_count != right->part_count) {
+        return false;
+    }
+    for (index = 0; index < left->part_count; index++) {
+        if (strcmp(left->parts[index].service, right->parts[index].service) != 0 ||
+            left->parts[index].weight != right->parts[index].weight) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void cw_configuration_copy_route(cw_configuration_t *configuration, const cw_route_t *route)
+{
+    cw_route_t *copy = cw_configuration_add_route(configuration);
+    size_t      index;
+
+    *copy = *route;
+    copy->name = strdup(route->name);
+    copy->host = strdup(route->host);
+    copy->prefix = strdup(route->prefix);
+    copy->parts = NULL;
+    copy->part_count = 0;
+    for (index = 0; index < route->part_count; index++) {
+        cw_route_add_part(copy, route->parts[index].service, route->parts[index].weight);
     }
-    return strcmp(a->prefix, b->prefix);
 }
 
 void cw_configuration_seal(cw_configuration_t *configuration)
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -64,6 +64,13 @@
 /** Sorts routes for matching; to be called once after the last was added. */
 void cw_configuration_seal(cw_configuration_t *configuration);
 
+/** Order of routes in a sealed configuration: by host, then by longer prefix first, then by prefix. */
+int cw_route_compare(const cw_route_t *left, const cw_route_t *right);
+/** Same name, place, limits and parts. */
+bool cw_route_same(const cw_route_t *left, const cw_route_t *right);
+/** Adds a copy of a route to a configuration that is not sealed yet. */
+void cw_configuration_copy_route(cw_configuration_t *configuration, const cw_route_t *route);
+
 cw_configuration_t *cw_configuration_hold(cw_configuration_t *configuration);
 void                cw_configuration_release(cw_configuration_t *configuration); /**< NULL is allowed */
 
--- a/src/model/server_absence.c
+++ b/src/model/server_absence.c
@@ -83,9 +83,10 @@
 }
 
 size_t cw_server_absence_fill(const cw_absence_settings_t *settings, cw_server_list_t *reading,
-                              const cw_server_list_t *known, cw_time_us_t known_at, cw_time_us_t now)
+                              const cw_server_list_t *known, cw_time_us_t known_at, bool store_failed, cw_time_us_t now)
 {
     size_t            newly = known == NULL ? 0 : count_newly_missing(reading, known);
+    bool              after_outage = store_failed && now - known_at > settings->outage;
     cw_server_list_t *kept;
     size_t            count;
     size_t            index;
@@ -93,8 +94,8 @@
     if (known == NULL) {
         return 0;
     }
-    kept = kept_entries(settings, reading, known,
-                        now - known_at > settings->outage || newly * 100 > known->count * (size_t)MANY_PERCENT, now);
+    kept =
+        kept_entries(settings, reading, known, after_outage || newly * 100 > known->count * (size_t)MANY_PERCENT, now);
     count = kept->count;
     for (index = 0; index < count; index++) {
         cw_server_list_put(reading, 0, &kept->entries[index]);
--- a/src/model/server_view.c
+++ b/src/model/server_view.c
@@ -243,7 +243,7 @@
     }
     list = correct_all(view, reading, now);
     if (!reading->is_told) {
-        (void)cw_server_absence_fill(&view->absence, list, view->list, view->true_at, now);
+        (void)cw_server_absence_fill(&view->absence, list, view->list, view->true_at, reading->store_failed, now);
     }
     note_departures(view, list, latest, now);
     forget_departures(view, now);
--- a/src/model/server_view.h
+++ b/src/model/server_view.h
@@ -33,10 +33,11 @@
 /** A list, and what it stands for. */
 typedef struct cw_server_reading {
     cw_server_list_t *list;
-    uint64_t          revision; /**< all changes up to this one are in it; 0: not known */
-    uint64_t          latest;   /**< none after this one is; what is read in several calls may hold later ones */
-    cw_time_us_t      true_at;  /**< 0: not known */
-    bool              is_told;  /**< by the leader; else this node has read it */
+    uint64_t          revision;     /**< all changes up to this one are in it; 0: not known */
+    uint64_t          latest;       /**< none after this one is; what is read in several calls may hold later ones */
+    cw_time_us_t      true_at;      /**< 0: not known */
+    bool              store_failed; /**< calls of this node to the store have failed since its list was last true */
+    bool              is_told;      /**< by the leader; else this node has read it */
 } cw_server_reading_t;
 
 typedef struct cw_server_view {
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -105,6 +105,11 @@
     }
 }
 
+uint32_t cw_peer_link_own_address(const cw_peer_link_t *link)
+{
+    return link->address;
+}
+
 cw_peer_t *cw_peer_link_peers(cw_peer_link_t *link)
 {
     return link->peers;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -36,7 +36,8 @@
     bool            stopping;
     uint32_t        capability; /**< to lead, as it told; 0: not known */
     bool            is_lost;
-    uint64_t        term; /**< of the view it has */
+    bool            store_lost; /**< its calls to the store bring nothing */
+    uint64_t        term;       /**< of the view it has */
     uint64_t        servers;
     uint64_t        tables;
     cw_push_state_t servers_push;
@@ -58,7 +59,8 @@
 /** An address that may be a node's; this node's own is left out. */
 cw_peer_t *cw_peer_link_learn(cw_peer_link_t *link, uint32_t address, cw_time_us_t now);
 cw_peer_t *cw_peer_link_learn_text(cw_peer_link_t *link, const char *address, cw_time_us_t now);
-cw_peer_t *cw_peer_link_peers(cw_peer_link_t *link); /**< linked by next */
+uint32_t   cw_peer_link_own_address(const cw_peer_link_t *link); /**< IPv4, in network order */
+cw_peer_t *cw_peer_link_peers(cw_peer_link_t *link);             /**< linked by next */
 /** Packs once, sends to one peer. What the socket does not take is lost. */
 void cw_peer_link_send(cw_peer_link_t *link, const cw_peer_t *peer, const Cwp__Datagram *datagram);
 /** Packs for cw_peer_link_send_packed. */
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -296,6 +296,7 @@
     cw_router_lead_tick(router, now);
     cw_router_view_tick(router, now);
     cw_router_configuration_tick(router, now);
+    cw_router_share_tick(router, now);
     cw_router_peers_tick(router, now);
     cw_engine_set_nodes(router->engine, nodes_for_budget(router, now), nodes_in_reach(router, now));
     check_file(router, now);
@@ -382,6 +383,7 @@
     absence = cw_absence_settings_of(router->settings.heartbeat, router->settings.drain);
     cw_server_view_init(&router->server_view, &absence);
     cw_router_lead_init(router);
+    cw_router_share_init(router);
     cw_router_peers_init(router);
     snprintf(store_address, sizeof(store_address), "%s:%u", router->settings.store.address,
              router->settings.store.port);
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -4,14 +4,16 @@
  *
  * Rules:
  *  - A version is taken only if it is higher than the one in force, whoever told it: never back.
- *  - The adapter's watch brings each change. A node that hears of a higher version from another one gives its own watch
- *    a moment, and then reads the configuration: the watch may be dead.
- *  - A node that hears no other one has nobody to tell it of a dead watch: it reads from time to time.
+ *  - A few nodes watch it in the store (store_reader.h); the others get it from them (configuration_exchange.h). A node
+ *    that has known of a higher version for a while without getting it reads the store itself.
+ *  - A node that receives from no other one has nobody to send it a newer one: it reads from time to time.
  */
+#include <string.h>
+
 #include "router/router_internal.h"
 
 enum {
-    WATCH_LAG_PERCENT = 45, /* of the time in which a change has to be in force: so long its own watch may take */
+    EXCHANGE_PERCENT = 45, /* of the time in which a change has to be in force: so long other nodes may take */
     ALONE_EVERY_S = 4
 };
 
@@ -47,6 +49,22 @@
     }
 }
 
+bool cw_router_use_configuration(cw_router_t *router, cw_configuration_t *configuration)
+{
+    if (router->configuration != NULL && configuration->version <= router->configuration->version) {
+        cw_configuration_release(configuration); /* never back */
+        return false;
+    }
+    note_plan(router, configuration);
+    cw_configuration_release(router->configuration);
+    router->configuration = configuration;
+    router->all_due = true;
+    cw_engine_set_configuration(router->engine, configuration);
+    cw_http_listener_set_limits(router->callers, &configuration->limits);
+    cw_metric_set(CW_METRIC_CONFIGURATION, configuration->version);
+    return true;
+}
+
 void cw_router_on_configuration(void *context, cw_configuration_t *configuration, const char *problem)
 {
     cw_router_t *router = context;
@@ -59,41 +77,39 @@
         }
         return;
     }
-    if (router->configuration != NULL && configuration->version <= router->configuration->version) {
-        cw_configuration_release(configuration); /* never back */
-        return;
+    if (cw_router_use_configuration(router, configuration)) {
+        cw_router_share_configuration(router, true, cw_router_now(router));
     }
-    note_plan(router, configuration);
-    cw_configuration_release(router->configuration);
-    router->configuration = configuration;
-    router->all_due = true;
-    cw_engine_set_configuration(router->engine, configuration);
-    cw_http_listener_set_limits(router->callers, &configuration->limits);
-    cw_metric_set(CW_METRIC_CONFIGURATION, configuration->version);
 }
 
-void cw_router_hear_configuration(cw_router_t *router, uint64_t version, cw_time_us_t now)
+void cw_router_note_configuration(cw_router_t *router, const cw_peer_t *peer, uint64_t version, cw_time_us_t now)
 {
-    if (version <= router->heard_version || version <= cw_router_version(router)) {
+    bool is_near = strcmp(peer->zone, router->settings.zone) == 0;
+
+    if (version <= cw_router_version(router)) {
+        return;
+    }
+    cw_configuration_exchange_note(router->exchange, peer->address, version, is_near, now);
+    if (version <= router->newest_version) {
         return;
     }
-    if (router->heard_version <= cw_router_version(router)) {
-        router->heard_version_at = now;
+    if (router->newest_version <= cw_router_version(router)) {
+        router->newest_version_at = now;
     }
-    router->heard_version = version;
+    router->newest_version = version;
 }
 
 void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now)
 {
-    bool missed = router->heard_version > cw_router_version(router) &&
-                  now - router->heard_version_at >= router->settings.configuration_within * WATCH_LAG_PERCENT / 100;
+    bool missed = router->newest_version > cw_router_version(router) &&
+                  now - router->newest_version_at >= router->settings.configuration_within * EXCHANGE_PERCENT / 100;
     bool alone = cw_peer_link_alive(router->link, router->silence, now) == 0 &&
                  now - router->configuration_read_at >= CW_SECONDS(ALONE_EVERY_S);
 
     if (!missed && !alone) {
         return;
     }
-    router->heard_version_at = now;
+    router->newest_version_at = now;
     router->configuration_read_at = now;
     router->store->read_configuration(router->store->context);
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -12,8 +12,10 @@
 #include "peer/peer_link.h"
 #include "placement/ownership_measures.h"
 #include "placement/planner.h"
+#include "router/configuration_exchange.h"
 #include "router/list_history.h"
 #include "router/router.h"
+#include "router/store_reader.h"
 #include "router/table_pages.h"
 
 enum {
@@ -97,14 +99,22 @@
     cw_queue_report_t queues[CW_QUEUE_REPORTS_MAX];
     size_t            queue_count;
 
+    /* reading the store for others */
+    bool         is_reader;
+    cw_time_us_t ranked_at;          /**< when that was worked out last */
+    cw_time_us_t notice_sent_at;     /**< last notice to the zone */
+    cw_time_us_t reader_received_at; /**< last notice of a reader; 0: none */
+
     /* the configuration */
-    uint64_t     heard_version; /**< highest that another node told */
-    cw_time_us_t heard_version_at;
+    cw_configuration_exchange_t *exchange;
+    uint64_t                     newest_version; /**< highest that another node has in force */
+    cw_time_us_t newest_version_at;              /**< since when one is higher than this node's own, or was last read */
     cw_time_us_t configuration_read_at;
 
     /* what this node goes by */
     cw_server_view_t   server_view;     /**< the list of servers in force */
     bool               reading_servers; /**< this node reads the list itself */
+    bool               reading_copy;    /**< from a copy, that may be seconds old */
     cw_time_us_t       servers_read_at; /**< sending of that read */
     uint64_t           view_term;
     uint64_t           view_servers;
@@ -125,7 +135,8 @@
     cw_time_us_t       tables_read_at;
     uint32_t           table_reads; /**< under way */
     bool               store_lost;
-    cw_time_us_t       store_failing_since;
+    cw_time_us_t       store_failing_since; /**< calls to the store bring nothing since then; 0: they do */
+    cw_time_us_t       store_failed_at;     /**< last such call; 0: none */
 
     /* leading */
     cw_leadership_t    leadership;
@@ -169,9 +180,20 @@
 uint64_t cw_router_version(const cw_router_t *router);
 void     cw_router_on_configuration(void *context, cw_configuration_t *configuration, const char *problem);
 /** Another node has this version in force. */
-void cw_router_hear_configuration(cw_router_t *router, uint64_t version, cw_time_us_t now);
+void cw_router_note_configuration(cw_router_t *router, const cw_peer_t *peer, uint64_t version, cw_time_us_t now);
+/** Brings a configuration, given away, into force if it is higher than the one that is. */
+bool cw_router_use_configuration(cw_router_t *router, cw_configuration_t *configuration);
 void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now);
 
+/* ---- router_share.c ---- */
+/** Is this node so new that others hold it to no bound yet, and do not know it? It reads little, and from copies. */
+bool cw_router_is_new(const cw_router_t *router, cw_time_us_t now);
+void cw_router_share_init(cw_router_t *router);
+void cw_router_share_tick(cw_router_t *router, cw_time_us_t now);
+/** A configuration came into force here. is_first_hand: from the store, not from another node. */
+void cw_router_share_configuration(cw_router_t *router, bool is_first_hand, cw_time_us_t now);
+void cw_router_take_notice(cw_router_t *router, cw_peer_t *peer, const Cwp__StoreNotice *notice, cw_time_us_t now);
+
 /* ---- router_receive.c ---- */
 void cw_router_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
 
@@ -187,6 +209,8 @@
 /** Reads what no leader tells. */
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now);
 void cw_router_on_servers(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest);
+/** The tables in force were still true then, as a node that has the same ones has read. */
+void cw_router_confirm_tables(cw_router_t *router, cw_time_us_t true_at);
 bool cw_router_tables_known(const cw_router_t *router);
 
 /* ---- router_take.c ---- */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -21,7 +21,8 @@
     LINK_CAPABILITY = 5, /* thousandths of a core that a Mbit/s of link goes with */
     BETTER_TIMES = 2,
     DEFERENCE_MS = 500,
-    HAND_OVER_S = 4
+    HAND_OVER_S = 4,
+    NEW_FOLLOWERS = 64 /* that a process takes it to have until it knows the others: 400 ms of turns at the lock */
 };
 
 static const char leader_kind[] = "leaders";
@@ -108,6 +109,18 @@
     }
 }
 
+/* Followers look at a copy: it may be old, and costs less. Taking the lock is a write under the revision seen, which
+ * the store refuses if that is not the newest. Where no lock is made yet, a copy without it would have all nodes make
+ * it. */
+static void read_lock(cw_router_t *router)
+{
+    if (router->leadership.leading || router->settings.first_look_within > 0) {
+        router->store->read(router->store->context, leader_kind, leader_name, on_lock, router);
+    } else {
+        router->store->read_copy(router->store->context, leader_kind, leader_name, on_lock, router);
+    }
+}
+
 static void step_lock(cw_router_t *router, cw_time_us_t now)
 {
     cw_leadership_action_t action = cw_leadership_tick(&router->leadership, now);
@@ -117,7 +130,7 @@
         return;
     }
     if (action == CW_LEADERSHIP_READ) {
-        router->store->read(router->store->context, leader_kind, leader_name, on_lock, router);
+        read_lock(router);
         return;
     }
     value = cw_lock_to_json(&router->leadership.write);
@@ -144,6 +157,7 @@
         router->store_lost = false;
         return;
     }
+    router->store_failed_at = now;
     if (router->store_failing_since == 0) {
         router->store_failing_since = now;
     }
@@ -226,12 +240,18 @@
 /* A small node leads only while no larger one can. */
 static void prefer_capable(cw_router_t *router, cw_time_us_t now)
 {
+    uint32_t followers;
+
     if (!is_better_in_reach(router)) {
         router->better_since = 0;
     } else if (router->better_since == 0) {
         router->better_since = now;
     }
-    cw_leadership_set_followers(&router->leadership, cw_peer_link_alive(router->link, router->silence, now));
+    followers = cw_peer_link_alive(router->link, router->silence, now);
+    if (cw_router_is_new(router, now) && followers < NEW_FOLLOWERS) {
+        followers = NEW_FOLLOWERS;
+    }
+    cw_leadership_set_followers(&router->leadership, followers);
     cw_leadership_defer(&router->leadership, router->better_since == 0 ? 0 : CW_MS(DEFERENCE_MS));
     if (cw_router_is_able(router, now) && router->better_since != 0 &&
         now - router->better_since > CW_SECONDS(HAND_OVER_S) && now - router->led_since > CW_SECONDS(HAND_OVER_S) &&
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -19,14 +19,18 @@
     FULL_PAUSE_MS = 1000, /* between reports with names and paces, among few nodes; */
     FULL_NODES = 16,      /* so much longer again for each so many nodes */
     KEYS_PAUSE_MS = 100,
-    DATAGRAMS_A_SECOND = 150, /* of reports, to all and within the zone each */
+    KEYS_NODES = 64,               /* with so many nodes the pause has doubled: the leader gets them from all */
+    ZONE_DATAGRAMS_A_SECOND = 150, /* of reports within the zone */
+    ALL_DATAGRAMS_A_SECOND = 60,   /* and to all: what is so late helps no choice, but tells who lives */
     LEADERS_DATAGRAMS_A_SECOND = 1000,
+    REPORT_SLACK_MS = 700, /* by which a report may come later than planned: a busy node's turn, two ticks */
     SILENCE_IN_PAUSES = 3, /* reports that may be lost before a node counts as lost */
     LOADS_MAX = 512,
     QUEUES_MAX = 32,
     SAMPLES_MAX = 16,
     VACATED_TOLD_S = 2,
-    FORGET_S = 15
+    FEW_NODES = 96, /* up to so many, loads of other zones still come in time to be of use */
+    FORGET_S = 30   /* longer than a node counts as alive at the slowest pace */
 };
 
 /** A report while it is being made. */
@@ -174,6 +178,7 @@
     builder.report.incarnation = router->incarnation;
     builder.report.sequence = ++router->sequence;
     builder.report.stopping = router->stopping_at != 0;
+    builder.report.store_lost = router->store_lost;
     if (router->vacated_term != 0 && now - router->vacated_at < CW_SECONDS(VACATED_TOLD_S)) {
         builder.report.vacated = router->vacated_term;
     }
@@ -256,14 +261,26 @@
 }
 
 /* Pause between reports to so many peers: as short as wished, while a node's datagrams stay within their budget. */
-static int64_t paced(const cw_router_t *router, int64_t pause_ms, uint32_t peers)
+static int64_t paced(const cw_router_t *router, int64_t pause_ms, uint32_t peers, int64_t datagrams_a_second)
 {
-    int64_t budget = router->leadership.leading ? LEADERS_DATAGRAMS_A_SECOND : DATAGRAMS_A_SECOND;
+    int64_t budget = router->leadership.leading ? LEADERS_DATAGRAMS_A_SECOND : datagrams_a_second;
     int64_t affordable_ms = (int64_t)peers * 1000 / budget;
 
     return affordable_ms > pause_ms ? affordable_ms : pause_ms;
 }
 
+static int64_t paced_to_all(const cw_router_t *router, int64_t pause_ms, uint32_t peers)
+{
+    return paced(router, pause_ms, peers, peers > FEW_NODES ? ALL_DATAGRAMS_A_SECOND : ZONE_DATAGRAMS_A_SECOND);
+}
+
+static cw_time_us_t keys_pause(const cw_router_t *router, cw_time_us_t now)
+{
+    uint32_t nodes = cw_peer_link_alive(router->link, router->silence, now);
+
+    return CW_MS(KEYS_PAUSE_MS) * (KEYS_NODES + nodes) / KEYS_NODES;
+}
+
 static uint32_t peers_in_zone(const cw_router_t *router)
 {
     const cw_peer_t *peer;
@@ -280,7 +297,7 @@
     cw_time_us_t since_all = now - router->reported_all_at;
     cw_time_us_t since_zone = now - router->reported_zone_at;
     uint32_t     all = cw_peer_link_alive(router->link, router->silence, now);
-    cw_time_us_t idle = CW_MS(paced(router, IDLE_PAUSE_MS, all));
+    cw_time_us_t idle = CW_MS(paced_to_all(router, IDLE_PAUSE_MS, all));
 
     router->silence =
         idle * SILENCE_IN_PAUSES > CW_MS(CW_PEER_SILENCE_MS) ? idle * SILENCE_IN_PAUSES : CW_MS(CW_PEER_SILENCE_MS);
@@ -288,13 +305,14 @@
         router->zone_due = true;
         router->all_due = true;
     }
-    if ((router->all_due && since_all >= CW_MS(paced(router, ALL_PAUSE_MS, all))) || since_all >= idle) {
+    if ((router->all_due && since_all >= CW_MS(paced_to_all(router, ALL_PAUSE_MS, all))) || since_all >= idle) {
         send_report(router, true, now);
         router->reported_all_at = now;
         router->reported_zone_at = now;
         router->all_due = false;
         router->zone_due = false;
-    } else if (router->zone_due && since_zone >= CW_MS(paced(router, ZONE_PAUSE_MS, peers_in_zone(router)))) {
+    } else if (router->zone_due &&
+               since_zone >= CW_MS(paced(router, ZONE_PAUSE_MS, peers_in_zone(router), ZONE_DATAGRAMS_A_SECOND))) {
         send_report(router, false, now);
         router->reported_zone_at = now;
         router->zone_due = false;
@@ -305,7 +323,9 @@
 
 cw_time_us_t cw_router_report_life(const cw_router_t *router)
 {
-    return router->silence > CW_MS(CW_POOL_REPORT_LIFE_MS) ? router->silence : CW_MS(CW_POOL_REPORT_LIFE_MS);
+    cw_time_us_t life = router->silence / SILENCE_IN_PAUSES + CW_MS(REPORT_SLACK_MS); /* the next one replaces it */
+
+    return life > CW_MS(CW_POOL_REPORT_LIFE_MS) ? life : CW_MS(CW_POOL_REPORT_LIFE_MS);
 }
 
 void cw_router_note_peer(const cw_peer_t *peer, cw_event_kind_t kind, cw_time_us_t silent)
@@ -344,7 +364,7 @@
 void cw_router_peers_tick(cw_router_t *router, cw_time_us_t now)
 {
     report(router, now);
-    if (now - router->sent_keys_at >= CW_MS(KEYS_PAUSE_MS) && cw_engine_has_samples(router->engine)) {
+    if (now - router->sent_keys_at >= keys_pause(router, now) && cw_engine_has_samples(router->engine)) {
         send_keys(router, now);
     }
     find_lost(router, now);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -60,6 +60,7 @@
     peer->sequence = received->sequence;
     peer->heard_at = now;
     peer->stopping = received->stopping;
+    peer->store_lost = received->store_lost;
     peer->peers = received->peers;
     peer->term = received->term;
     peer->servers = received->servers;
@@ -133,7 +134,7 @@
     if (received->leader != NULL) {
         cw_router_take_leader_word(router, peer, received->leader, now);
     }
-    cw_router_hear_configuration(router, received->configuration, now);
+    cw_router_note_configuration(router, peer, received->configuration, now);
     cw_engine_wake(router->engine);
 }
 
@@ -167,6 +168,15 @@
     case CWP__DATAGRAM__CONTENT_ACK:
         cw_router_take_ack(router, peer, datagram->ack);
         break;
+    case CWP__DATAGRAM__CONTENT_CONFIGURATION:
+        cw_configuration_exchange_take_page(router->exchange, datagram->configuration);
+        break;
+    case CWP__DATAGRAM__CONTENT_CONFIGURATION_REQUEST:
+        cw_configuration_exchange_take_request(router->exchange, peer->address, datagram->configuration_request);
+        break;
+    case CWP__DATAGRAM__CONTENT_STORE_NOTICE:
+        cw_router_take_notice(router, peer, datagram->store_notice, now);
+        break;
     default:
         break;
     }
--- /dev/null
+++ b/src/router/router_share.c
@@ -0,0 +1,183 @@
+/**
+ * @file router_share.c
+ * @brief Readers of the store: which node is one, and what they send to the others.
+ *
+ * A reader keeps a watch of the configuration; without the leader's heartbeat it also reads the list of servers and the
+ * records of assignments (router_view.c). It sends a notice to its zone every CW_READER_NOTICE_MS, and one to all nodes
+ * when it has read a new configuration. A notice says which version is in force there, and by hashes which list and
+ * tables were true when: a node that has the same need not read them. Who lacks the version asks for it
+ * (configuration_exchange.h).
+ */
+#include <string.h>
+
+#include "router/router_internal.h"
+
+enum {
+    RANK_EVERY_MS = 200,
+    NEW_FOR_MS = 3500 /* bounds hold for machines in touch: four seconds after a start at the earliest */
+};
+
+bool cw_router_is_new(const cw_router_t *router, cw_time_us_t now)
+{
+    return now - router->started_at < CW_MS(NEW_FOR_MS);
+}
+
+/* ---- the exchange of configurations ---- */
+
+static void send_to(void *context, uint32_t address, const Cwp__Datagram *datagram)
+{
+    cw_router_t *router = context;
+    cw_peer_t   *peer = cw_peer_link_learn(router->link, address, cw_router_now(router));
+
+    if (peer != NULL) {
+        cw_peer_link_send(router->link, peer, datagram);
+    }
+}
+
+static void on_received(void *context, cw_configuration_t *configuration)
+{
+    cw_router_t *router = context;
+
+    if (cw_router_use_configuration(router, configuration)) {
+        cw_router_share_configuration(router, false, cw_router_now(router));
+    }
+}
+
+static void on_too_large(void *context)
+{
+    cw_router_t *router = context;
+    cw_time_us_t now = cw_router_now(router);
+
+    if (now - router->configuration_read_at >= CW_MS(CW_READER_NOTICE_MS)) {
+        router->configuration_read_at = now;
+        router->store->read_configuration(router->store->context);
+    }
+}
+
+void cw_router_share_init(cw_router_t *router)
+{
+    cw_configuration_exchange_owner_t owner = {
+        .context = router, .send = send_to, .received = on_received, .too_large = on_too_large};
+
+    router->exchange = cw_configuration_exchange_create(&owner);
+}
+
+/* ---- notices ---- */
+
+static bool is_in_zone(const cw_router_t *router, const cw_peer_t *peer)
+{
+    return peer->heard_at != 0 && !peer->is_lost && strcmp(peer->zone, router->settings.zone) == 0;
+}
+
+static uint32_t age_ms(cw_time_us_t since, cw_time_us_t now)
+{
+    return (uint32_t)((now - since) / 1000);
+}
+
+static void send_notice(cw_router_t *router, bool to_all, cw_time_us_t now)
+{
+    Cwp__StoreNotice notice = CWP__STORE_NOTICE__INIT;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+    cw_peer_t       *peer;
+    size_t           length;
+
+    notice.configuration = cw_router_version(router);
+    if (router->server_view.list != NULL && router->server_view.true_at != 0) {
+        notice.servers_hash = router->server_view.hash;
+        notice.servers_revision = router->server_view.revision;
+        notice.servers_age_ms = age_ms(router->server_view.true_at, now);
+    }
+    if (router->tables_at != 0) {
+        notice.tables_hash = router->tables_hash;
+        notice.tables_age_ms = age_ms(router->tables_at, now);
+    }
+    datagram.content_case = CWP__DATAGRAM__CONTENT_STORE_NOTICE;
+    datagram.store_notice = &notice;
+    length = cw_peer_link_pack(router->link, &datagram);
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (to_all || is_in_zone(router, peer)) {
+            cw_peer_link_send_packed(router->link, peer, length);
+        }
+    }
+    router->notice_sent_at = now;
+}
+
+void cw_router_share_configuration(cw_router_t *router, bool is_first_hand, cw_time_us_t now)
+{
+    cw_configuration_exchange_set(router->exchange, router->configuration);
+    if (is_first_hand && (router->is_reader || router->leadership.leading)) {
+        send_notice(router, true, now);
+    }
+}
+
+void cw_router_take_notice(cw_router_t *router, cw_peer_t *peer, const Cwp__StoreNotice *notice, cw_time_us_t now)
+{
+    router->reader_received_at = now;
+    if (peer->heard_at != 0) {
+        peer->heard_at = now;
+        peer->store_lost = false;
+    }
+    cw_router_note_configuration(router, peer, notice->configuration, now);
+    if (router->leadership.leading) {
+        return;
+    }
+    if (notice->servers_hash != 0 && router->server_view.list != NULL &&
+        notice->servers_hash == router->server_view.hash) {
+        cw_server_view_confirm(&router->server_view, notice->servers_revision, now - CW_MS(notice->servers_age_ms));
+    }
+    if (notice->tables_hash != 0 && router->tables_at != 0 && notice->tables_hash == router->tables_hash) {
+        cw_router_confirm_tables(router, now - CW_MS(notice->tables_age_ms));
+    }
+}
+
+/* ---- who reads ---- */
+
+/* Is the peer a node that may read for this zone, and received from lately? */
+static bool may_read(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now)
+{
+    return is_in_zone(router, peer) && !peer->stopping && !peer->store_lost &&
+           now - peer->heard_at < CW_MS(CW_READER_TRUST_MS);
+}
+
+static bool ranks_among_readers(const cw_router_t *router, cw_time_us_t now)
+{
+    cw_reader_candidate_t self = {.address = cw_peer_link_own_address(router->link),
+                                  .capability = cw_router_capability(router)};
+    size_t                zone_nodes = 1;
+    uint32_t              before = 0;
+    const cw_peer_t      *peer;
+
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        cw_reader_candidate_t candidate = {.address = peer->address, .capability = peer->capability};
+
+        zone_nodes += is_in_zone(router, peer) ? 1 : 0;
+        before += may_read(router, peer, now) && cw_reader_precedes(&candidate, &self) ? 1 : 0;
+    }
+    return before < cw_readers_wanted(zone_nodes);
+}
+
+/* Nothing has come from a leader or a reader for a while: whatever they would send, this node has to read itself. */
+static bool is_left_alone(const cw_router_t *router, cw_time_us_t now)
+{
+    cw_time_us_t received_at =
+        router->reader_received_at > router->leader_word_at ? router->reader_received_at : router->leader_word_at;
+
+    return now - received_at > CW_MS(CW_READER_TRUST_MS);
+}
+
+void cw_router_share_tick(cw_router_t *router, cw_time_us_t now)
+{
+    bool is_new = cw_router_is_new(router, now);
+
+    cw_configuration_exchange_tick(router->exchange, now);
+    if (now - router->ranked_at >= CW_MS(RANK_EVERY_MS)) {
+        router->ranked_at = now;
+        router->is_reader =
+            router->stopping_at == 0 && !is_new && (router->leadership.leading || ranks_among_readers(router, now));
+        router->store->watch_configuration(router->store->context,
+                                           router->is_reader || (!is_new && is_left_alone(router, now)));
+    }
+    if (router->is_reader && !router->store_lost && now - router->notice_sent_at >= CW_MS(CW_READER_NOTICE_MS)) {
+        send_notice(router, false, now);
+    }
+}
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -14,11 +14,14 @@
 #include "router/view_order.h"
 
 enum {
-    LIST_PARTS = 4,          /* a list is read so many times while a leaving server may still get requests, */
-    LIST_PARTS_MANY = 2,     /* and so many times by each of many nodes without the leader's word */
-    MANY_NODES = 16,         /* more than these are many: what they all ask of the store is to stay bounded */
-    TABLES_OLD_PERCENT = 50, /* of the time they are valid: tables as old are read by each of many nodes */
-    WORD_OLD_PERCENT = 45,   /* of that time: without the leader's word for so long a node reads itself */
+    LIST_PARTS = 4,        /* a list is read so many times while a leaving server may still get requests, */
+    LIST_PARTS_MANY = 2,   /* and so many times by each of many nodes without the leader's word */
+    LIST_OLD_PERCENT = 60, /* of that time: an older one is read by nodes that do not read for others, too */
+    FIRST_READ_EVERY_MS = 700,
+    MANY_NODES = 16,            /* more than these are many: what they all ask of the store is to stay bounded */
+    TABLES_READER_PERCENT = 25, /* of the time they are valid: tables as old are read by readers of many nodes, */
+    TABLES_OLD_PERCENT = 50,    /* and by the others: a reader has mostly confirmed theirs before */
+    WORD_OLD_PERCENT = 45,      /* of that time: without the leader's word for so long a node reads itself */
     TABLES_READ_EVERY_MS = 700
 };
 
@@ -111,8 +114,11 @@
 void cw_router_on_servers(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest)
 {
     cw_router_t        *router = context;
-    cw_server_reading_t reading = {
-        .list = list, .revision = revision, .latest = latest, .true_at = router->servers_read_at};
+    cw_server_reading_t reading = {.list = list,
+                                   .revision = revision,
+                                   .latest = latest,
+                                   .true_at = router->reading_copy ? 0 : router->servers_read_at,
+                                   .store_failed = router->store_failed_at > router->server_view.true_at};
 
     router->reading_servers = false;
     cw_router_store_result(router, list != NULL, cw_router_now(router));
@@ -131,22 +137,26 @@
     }
 }
 
+/* A process that has just started does not know the others yet, and takes it that there are many. */
 static bool is_one_of_many(const cw_router_t *router, cw_time_us_t now)
 {
-    return cw_peer_link_alive(router->link, router->silence, now) >= MANY_NODES;
+    return cw_router_is_new(router, now) || cw_peer_link_alive(router->link, router->silence, now) >= MANY_NODES;
 }
 
 static void read_servers(cw_router_t *router, cw_time_us_t now)
 {
     bool         is_rare = is_one_of_many(router, now) && !cw_router_is_able(router, now);
     cw_time_us_t pause = router->settings.drain / (is_rare ? LIST_PARTS_MANY : LIST_PARTS);
+    bool         from_copy = router->server_view.list == NULL && !cw_router_is_able(router, now);
 
+    pause = from_copy ? CW_MS(FIRST_READ_EVERY_MS) : pause;
     if (router->reading_servers || now - router->servers_read_at < pause) {
         return;
     }
     router->reading_servers = true;
     router->servers_read_at = now;
-    router->store->read_servers(router->store->context);
+    router->reading_copy = from_copy;
+    router->store->read_servers(router->store->context, from_copy);
 }
 
 /* ---- tables ---- */
@@ -199,7 +209,10 @@
 /* For how long a node without the leader's word goes by the tables it has. */
 static cw_time_us_t tables_rest(const cw_router_t *router, cw_time_us_t now)
 {
-    return is_one_of_many(router, now) ? tables_valid(router) * TABLES_OLD_PERCENT / 100 : 0;
+    if (router->is_reader) {
+        return is_one_of_many(router, now) ? tables_valid(router) * TABLES_READER_PERCENT / 100 : 0;
+    }
+    return tables_valid(router) * TABLES_OLD_PERCENT / 100;
 }
 
 static void validate_tables(cw_router_t *router, cw_time_us_t true_at)
@@ -208,6 +221,11 @@
     cw_engine_set_tables_valid(router->engine, router->tables_at, router->tables_at + tables_valid(router));
 }
 
+void cw_router_confirm_tables(cw_router_t *router, cw_time_us_t true_at)
+{
+    validate_tables(router, true_at);
+}
+
 /* ---- the leader's word ---- */
 
 void cw_router_take_leader_word(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderWord *word,
@@ -251,6 +269,7 @@
 typedef struct table_read {
     cw_router_t *router;
     cw_time_us_t sent_at;
+    bool         from_copy; /**< what it brings may be seconds old */
     char         service[64];
 } table_read_t;
 
@@ -283,17 +302,21 @@
 {
     table_read_t          *read = data;
     cw_router_t           *router = read->router;
+    cw_time_us_t           true_at = read->sent_at;
     cw_assignment_record_t record;
 
+    if (read->from_copy) { /* used for a while; owners that hold the keys no longer say so */
+        true_at -= tables_valid(router) * TABLES_OLD_PERCENT / 100;
+    }
     router->table_reads--;
     cw_router_store_result(router, reply->result == CW_STORE_DONE || reply->result == CW_STORE_NOT_FOUND,
                            cw_router_now(router));
     if (reply->result == CW_STORE_DONE && !router->leadership.leading &&
         cw_assignment_record_from_json(&record, reply->value)) {
-        if (read->sent_at > router->tables_at && cw_record_is_usable(record.term, router->view_term)) {
+        if (true_at > router->tables_at && cw_record_is_usable(record.term, router->view_term)) {
             cw_router_begin_term(router, record.term);
             use_record(router, read->service, &record);
-            validate_tables(router, read->sent_at);
+            validate_tables(router, true_at);
         }
         cw_range_list_clear(&record.ranges);
     }
@@ -324,7 +347,12 @@
         read->sent_at = now;
         cw_text_copy(read->service, sizeof(read->service), service->name);
         router->table_reads++;
-        router->store->read(router->store->context, "assignments", service->name, on_record, read);
+        read->from_copy = router->tables_at == 0 && cw_router_is_new(router, now);
+        if (read->from_copy) {
+            router->store->read_copy(router->store->context, CW_ASSIGNMENTS_KIND, service->name, on_record, read);
+        } else {
+            router->store->read(router->store->context, CW_ASSIGNMENTS_KIND, service->name, on_record, read);
+        }
     }
 }
 
@@ -362,6 +390,21 @@
     router->tables_expired = expired;
 }
 
+/* A reader reads as soon as the leader's heartbeat fails to come; the others when no reader has confirmed their list.
+ */
+static bool is_list_due(const cw_router_t *router, bool word_is_fresh, cw_time_us_t now)
+{
+    cw_time_us_t age = now - router->server_view.true_at;
+
+    if (cw_router_is_new(router, now)) {
+        return router->server_view.list == NULL;
+    }
+    if (router->is_reader && (!word_is_fresh || age > router->settings.drain * WORD_OLD_PERCENT / 100)) {
+        return true;
+    }
+    return age > router->settings.drain * LIST_OLD_PERCENT / 100;
+}
+
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now)
 {
     cw_time_us_t old = router->settings.drain * WORD_OLD_PERCENT / 100;
@@ -376,7 +419,7 @@
         }
         return;
     }
-    if (!word_is_fresh || now - router->server_view.true_at > old) {
+    if (is_list_due(router, word_is_fresh, now)) {
         read_servers(router, now);
     }
     if (!word_is_fresh && now - router->tables_at > tables_rest(router, now)) {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -54,10 +54,17 @@
                    void *data);
     void (*replace)(void *context, const char *kind, const char *name, uint64_t revision, json_t *value,
                     cw_store_replied_t replied, void *data);
-    /** Reads the list of servers; the answer goes to the readers' servers(), NULL when it could not be had. */
-    void (*read_servers)(void *context);
-    /** Reads the configuration at once and begins a new standing watch: the present one may be dead. */
+    /** The same as read, from a copy that may be seconds old, at a fraction of the price: never a proof of anything. */
+    void (*read_copy)(void *context, const char *kind, const char *name, cw_store_replied_t replied, void *data);
+    /** Reads the list of servers; the answer goes to the readers' servers(), NULL when it could not be had. from_copy:
+     * it may be seconds old. */
+    void (*read_servers)(void *context, bool from_copy);
+    /** Reads the configuration at once; a standing watch begins anew, since the present one may be dead. */
     void (*read_configuration)(void *context);
+    /** Keeps a standing watch of the configuration, or none. None at first: the configuration is read once, from a
+     * copy.
+     */
+    void (*watch_configuration)(void *context, bool wanted);
 } cw_store_port_t;
 
 #endif
--- /dev/null
+++ b/tests/test_configuration_exchange.c
@@ -0,0 +1,293 @@
+/**
+ * @file test_configuration_exchange.c
+ * @brief Nodes that get the configuration from one another: changes, losses, what is too large, who reads the store.
+ *
+ * Two exchanges are joined by a wire on which datagrams are packed, counted, and lost where a test says so.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "router/configuration_exchange.h"
+#include "router/store_reader.h"
+
+enum { ASKING, ANSWERING, NODES, TEXT_MAX = 64 };
+
+/** One node at its end of the wire. */
+typedef struct node {
+    cw_configuration_exchange_t *exchange;
+    cw_configuration_t          *in_force; /**< NULL: none */
+    uint32_t                     too_large;
+} node_t;
+
+static node_t   nodes[NODES];
+static uint32_t sent;          /* datagrams */
+static uint32_t routes_sent;   /* in pages */
+static uint32_t lose;          /* the next so many datagrams get lost */
+static uint32_t last_receiver; /* address that the last datagram was sent to */
+
+static node_t *node_at(uint32_t address)
+{
+    return &nodes[address - 1];
+}
+
+static void deliver(node_t *from, node_t *to, const Cwp__Datagram *datagram)
+{
+    uint32_t from_address = (uint32_t)(from - nodes) + 1;
+
+    if (datagram->content_case == CWP__DATAGRAM__CONTENT_CONFIGURATION) {
+        routes_sent += (uint32_t)datagram->configuration->n_routes;
+        cw_configuration_exchange_take_page(to->exchange, datagram->configuration);
+    } else {
+        cw_configuration_exchange_take_request(to->exchange, from_address, datagram->configuration_request);
+    }
+}
+
+static void on_send(void *context, uint32_t address, const Cwp__Datagram *datagram)
+{
+    static uint8_t packed[64 * 1024];
+    size_t         length = cwp__datagram__get_packed_size(datagram);
+    Cwp__Datagram *copy;
+
+    sent++;
+    last_receiver = address;
+    if (lose > 0) {
+        lose--;
+        return;
+    }
+    if (address > NODES) {
+        return;
+    }
+    ck_assert_uint_lt(length, sizeof(packed));
+    cwp__datagram__pack(datagram, packed);
+    copy = cwp__datagram__unpack(NULL, length, packed);
+    ck_assert_ptr_nonnull(copy);
+    deliver(context, node_at(address), copy);
+    cwp__datagram__free_unpacked(copy, NULL);
+}
+
+static void use(node_t *node, cw_configuration_t *configuration)
+{
+    cw_configuration_release(node->in_force);
+    node->in_force = configuration;
+    cw_configuration_exchange_set(node->exchange, configuration);
+}
+
+static void on_received(void *context, cw_configuration_t *configuration)
+{
+    use(context, configuration);
+}
+
+static void on_too_large(void *context)
+{
+    ((node_t *)context)->too_large++;
+}
+
+static void begin(void)
+{
+    size_t index;
+
+    memset(nodes, 0, sizeof(nodes));
+    sent = 0;
+    routes_sent = 0;
+    lose = 0;
+    for (index = 0; index < NODES; index++) {
+        cw_configuration_exchange_owner_t owner = {&nodes[index], on_send, on_received, on_too_large};
+
+        nodes[index].exchange = cw_configuration_exchange_create(&owner);
+    }
+}
+
+/* Routes /0/ to /count-1/, but for the one left out; the one named is bound to another service. */
+static cw_configuration_t *configuration_of(uint64_t version, int count, int left_out, int changed)
+{
+    cw_configuration_t *configuration = cw_configuration_create(version);
+    cw_service_t       *service = cw_configuration_add_service(configuration);
+    int                 index;
+
+    service->name = strdup("maps");
+    service->keyed = true;
+    service->warm_time = CW_SECONDS(5);
+    configuration->limits.body_bytes = 4096;
+    for (index = 0; index < count; index++) {
+        char        text[TEXT_MAX];
+        cw_route_t *route;
+
+        if (index == left_out) {
+            continue;
+        }
+        route = cw_configuration_add_route(configuration);
+        snprintf(text, sizeof(text), "r%d", index);
+        route->name = strdup(text);
+        snprintf(text, sizeof(text), "/%d/", index);
+        route->prefix = strdup(text);
+        route->host = strdup(index % 2 == 0 ? "even.example" : "odd.example");
+        route->timeout = CW_MS(1500);
+        route->max_attempts = 2;
+        route->repeatable = index % 3 == 0;
+        cw_route_add_part(route, index == changed ? "refunds" : "maps", 1);
+        cw_route_add_part(route, "hires", 0.5);
+    }
+    cw_configuration_seal(configuration);
+    return configuration;
+}
+
+static void assert_same(const cw_configuration_t *left, const cw_configuration_t *right)
+{
+    size_t index;
+
+    ck_assert_ptr_nonnull(left);
+    ck_assert_uint_eq(left->version, right->version);
+    ck_assert_uint_eq(left->route_count, right->route_count);
+    for (index = 0; index < left->route_count; index++) {
+        ck_assert(cw_route_same(&left->routes[index], &right->routes[index]));
+    }
+    ck_assert_uint_eq(left->service_count, right->service_count);
+    ck_assert_str_eq(left->services[0].name, right->services[0].name);
+    ck_assert(left->services[0].keyed);
+    ck_assert_int_eq(left->services[0].warm_time, right->services[0].warm_time);
+    ck_assert_uint_eq(left->limits.body_bytes, right->limits.body_bytes);
+}
+
+static void learn(uint64_t version, bool is_near, cw_time_us_t now)
+{
+    cw_configuration_exchange_note(nodes[ASKING].exchange, ANSWERING + 1, version, is_near, now);
+}
+
+START_TEST(a_node_without_a_configuration_gets_the_whole)
+{
+    begin();
+    use(&nodes[ANSWERING], configuration_of(7, 100, -1, -1));
+    learn(7, true, 0);
+    assert_same(nodes[ASKING].in_force, nodes[ANSWERING].in_force);
+    ck_assert_uint_eq(routes_sent, 100);
+}
+END_TEST
+
+START_TEST(only_what_changed_is_sent_to_a_node_with_an_earlier_version)
+{
+    begin();
+    use(&nodes[ASKING], configuration_of(7, 1000, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(7, 1000, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(9, 1001, 500, 3)); /* one added, one removed, one changed */
+    learn(9, true, 0);
+    assert_same(nodes[ASKING].in_force, nodes[ANSWERING].in_force);
+    ck_assert_uint_eq(routes_sent, 2);
+}
+END_TEST
+
+START_TEST(a_change_too_large_for_datagrams_is_left_to_the_store)
+{
+    begin();
+    use(&nodes[ANSWERING], configuration_of(7, 1400, -1, -1));
+    learn(7, true, 0);
+    ck_assert_ptr_null(nodes[ASKING].in_force);
+    ck_assert_uint_eq(nodes[ASKING].too_large, 1);
+    ck_assert_uint_eq(sent, 2);
+}
+END_TEST
+
+START_TEST(a_lost_request_and_a_lost_page_are_asked_for_again)
+{
+    cw_time_us_t now = 0;
+    int          tries;
+
+    begin();
+    use(&nodes[ANSWERING], configuration_of(7, 100, -1, -1));
+    lose = 1;
+    learn(7, true, now);
+    ck_assert_ptr_null(nodes[ASKING].in_force);
+    for (tries = 0; tries < 3 && nodes[ASKING].in_force == NULL; tries++) {
+        now += CW_MS(200);
+        cw_configuration_exchange_tick(nodes[ASKING].exchange, now);
+    }
+    assert_same(nodes[ASKING].in_force, nodes[ANSWERING].in_force);
+}
+END_TEST
+
+START_TEST(a_node_of_the_same_zone_is_asked_first)
+{
+    begin();
+    use(&nodes[ANSWERING], configuration_of(7, 10, -1, -1));
+    cw_configuration_exchange_note(nodes[ASKING].exchange, 99, 7, false, 0);
+    ck_assert_uint_eq(sent, 0); /* one nearby may turn up */
+    learn(7, true, CW_MS(10));
+    ck_assert_uint_eq(sent, 2);
+    assert_same(nodes[ASKING].in_force, nodes[ANSWERING].in_force);
+}
+END_TEST
+
+START_TEST(a_silent_node_is_followed_by_the_next_one_that_has_it)
+{
+    begin();
+    use(&nodes[ANSWERING], configuration_of(7, 10, -1, -1));
+    cw_configuration_exchange_note(nodes[ASKING].exchange, 99, 7, true, 0); /* there is no such node any more */
+    ck_assert_uint_eq(last_receiver, 99);
+    learn(7, false, CW_MS(50));
+    cw_configuration_exchange_tick(nodes[ASKING].exchange, CW_MS(200));
+    assert_same(nodes[ASKING].in_force, nodes[ANSWERING].in_force);
+}
+END_TEST
+
+START_TEST(an_older_version_is_neither_asked_for_nor_given)
+{
+    Cwp__ConfigurationRequest request = CWP__CONFIGURATION_REQUEST__INIT;
+
+    begin();
+    use(&nodes[ASKING], configuration_of(9, 10, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(7, 10, -1, -1));
+    learn(7, true, 0);
+    ck_assert_uint_eq(sent, 0);
+    request.has = 9;
+    cw_configuration_exchange_take_request(nodes[ANSWERING].exchange, ASKING + 1, &request);
+    ck_assert_uint_eq(sent, 0);
+    ck_assert_uint_eq(nodes[ASKING].in_force->version, 9);
+}
+END_TEST
+
+START_TEST(pages_over_another_base_are_ignored)
+{
+    Cwp__ConfigurationPage page = CWP__CONFIGURATION_PAGE__INIT;
+
+    begin();
+    use(&nodes[ASKING], configuration_of(7, 10, -1, -1));
+    page.version = 9;
+    page.since = 8;
+    page.pages = 1;
+    cw_configuration_exchange_take_page(nodes[ASKING].exchange, &page);
+    ck_assert_uint_eq(nodes[ASKING].in_force->version, 7);
+}
+END_TEST
+
+START_TEST(the_most_capable_nodes_read_the_store)
+{
+    cw_reader_candidate_t small = {.address = 1, .capability = 100};
+    cw_reader_candidate_t large = {.address = 2, .capability = 500};
+    cw_reader_candidate_t equal = {.address = 3, .capability = 500};
+
+    ck_assert(cw_reader_precedes(&large, &small));
+    ck_assert(!cw_reader_precedes(&small, &large));
+    ck_assert(cw_reader_precedes(&large, &equal));
+    ck_assert(!cw_reader_precedes(&equal, &large));
+    ck_assert_uint_eq(cw_readers_wanted(4), 1);
+    ck_assert_uint_eq(cw_readers_wanted(50), 2);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("configuration_exchange");
+    TCase *cases = tcase_create("configuration_exchange");
+
+    tcase_add_test(cases, a_node_without_a_configuration_gets_the_whole);
+    tcase_add_test(cases, only_what_changed_is_sent_to_a_node_with_an_earlier_version);
+    tcase_add_test(cases, a_change_too_large_for_datagrams_is_left_to_the_store);
+    tcase_add_test(cases, a_lost_request_and_a_lost_page_are_asked_for_again);
+    tcase_add_test(cases, a_node_of_the_same_zone_is_asked_first);
+    tcase_add_test(cases, a_silent_node_is_followed_by_the_next_one_that_has_it);
+    tcase_add_test(cases, an_older_version_is_neither_asked_for_nor_given);
+    tcase_add_test(cases, pages_over_another_base_are_ignored);
+    tcase_add_test(cases, the_most_capable_nodes_read_the_store);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -328,6 +328,58 @@
 }
 END_TEST
 
+/* Reads the lock once, as another node holds it under revision 7. */
+static cw_leadership_t new_follower(uint32_t followers, cw_time_us_t now)
+{
+    cw_leadership_t leadership = new_leadership("n2", 22, now);
+    cw_lock_t       lock = lock_of("n1", 11, 3);
+
+    cw_leadership_set_followers(&leadership, followers);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 7, &lock, now);
+    return leadership;
+}
+
+START_TEST(among_many_followers_a_look_from_long_ago_is_repeated_before_the_lock_is_taken)
+{
+    cw_time_us_t    now = CW_SECONDS(100);
+    cw_leadership_t leadership = new_follower(300, now);
+    cw_lock_t       lock = lock_of("n1", 11, 3);
+
+    now += CW_SECONDS(8); /* the hold is over for long */
+    ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 7, &lock, now);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_REPLACE);
+}
+END_TEST
+
+START_TEST(an_old_copy_of_the_lock_is_ignored)
+{
+    cw_time_us_t    now = CW_SECONDS(100);
+    cw_leadership_t leadership = new_follower(4, now);
+    cw_lock_t       older = lock_of("n0", 9, 2);
+
+    now += CW_MS(1000);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 5, &older, now);
+    ck_assert_uint_eq(leadership.revision, 7);
+    ck_assert_str_eq(leadership.lock.node, "n1");
+    ck_assert_int_eq(leadership.seen_at, CW_SECONDS(100));
+}
+END_TEST
+
+START_TEST(a_node_that_defers_looks_at_the_lock_a_hold_later)
+{
+    cw_time_us_t    now = CW_SECONDS(100);
+    cw_leadership_t leadership = new_follower(4, now);
+
+    cw_leadership_heard(&leadership, 3, 7, true, now);
+    cw_leadership_defer(&leadership, CW_MS(500));
+    ck_assert_int_eq(cw_leadership_tick(&leadership, now + HOLD), CW_LEADERSHIP_WAIT);
+    ck_assert_int_ne(cw_leadership_tick(&leadership, now + HOLD + CW_MS(900)), CW_LEADERSHIP_WAIT);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("leadership");
@@ -351,6 +403,9 @@
     tcase_add_test(cases, a_node_takes_its_own_earlier_lock_at_once_also_beside_a_more_capable_one);
     tcase_add_test(cases, after_stepping_down_it_follows_and_may_lead_again_later);
     tcase_add_test(cases, a_lock_survives_its_text);
+    tcase_add_test(cases, among_many_followers_a_look_from_long_ago_is_repeated_before_the_lock_is_taken);
+    tcase_add_test(cases, an_old_copy_of_the_lock_is_ignored);
+    tcase_add_test(cases, a_node_that_defers_looks_at_the_lock_a_hold_later);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
--- a/tests/test_server_absence.c
+++ b/tests/test_server_absence.c
@@ -35,9 +35,11 @@
 
 /* The list in force after a reading: what is kept goes on from one reading to the next. */
 static cw_server_list_t *known;
+static bool              store_failed;
 
 static void begin(const char *names)
 {
+    store_failed = true;
     known = list_of(names);
 }
 
@@ -52,7 +54,7 @@
 {
     cw_server_list_t *reading = list_of(names);
 
-    (void)cw_server_absence_fill(&settings, reading, known, now - age, now);
+    (void)cw_server_absence_fill(&settings, reading, known, now - age, store_failed, now);
     cw_server_list_release(known);
     known = reading;
     return reading->count;
@@ -66,6 +68,16 @@
 }
 END_TEST
 
+/* A node that had no need to read the list for a while, or whose leader could not: the store served it all the time. */
+START_TEST(a_server_missing_in_an_old_list_is_gone_unless_calls_to_the_store_failed)
+{
+    begin("abcd");
+    store_failed = false;
+    ck_assert_uint_eq(count_after("acd", CW_SECONDS(5), CW_SECONDS(60)), 3);
+    end();
+}
+END_TEST
+
 START_TEST(after_an_outage_missing_servers_are_kept_for_the_grace)
 {
     cw_time_us_t now = CW_SECONDS(60);
@@ -129,6 +141,7 @@
     TCase *cases = tcase_create("server_absence");
 
     tcase_add_test(cases, a_server_missing_on_a_calm_day_is_gone);
+    tcase_add_test(cases, a_server_missing_in_an_old_list_is_gone_unless_calls_to_the_store_failed);
     tcase_add_test(cases, after_an_outage_missing_servers_are_kept_for_the_grace);
     tcase_add_test(cases, a_further_outage_does_not_lengthen_the_grace);
     tcase_add_test(cases, most_servers_missing_at_once_are_kept_and_then_believed);
