router: reports among many nodes are rarer; a leader counts answers told of from the report before

Change: 100 datagrams a second in the zone and 30 to all where there are more than 96 nodes (150 and 60 before); paces go to the leader with the samples of keys, and an answer told of counts from that node's report before. Test: answers_told_of_count_from_the_report_before, fails before.

--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -24,6 +24,7 @@
     size_t              count;
     cw_server_pace_t   *paces; /* last told for each server */
     size_t              pace_count;
+    cw_time_us_t        paces_at; /* when it last told any */
     UT_hash_handle      hh;
 } peer_report_t;
 
@@ -335,12 +336,15 @@
         if (server != NULL && paces[index].served > last->served && paces[index].time >= last->time) {
             uint32_t answers = paces[index].served - last->served;
 
-            server->answered_others_at = now;
+            if (peer->paces_at > server->answered_others_at) {
+                server->answered_others_at = peer->paces_at; /* the answers came since its last report */
+            }
             learn_pace(server, (double)(paces[index].time - last->time) / answers / 1000,
                        pace_weight * (answers > LEARN_AT_ONCE ? LEARN_AT_ONCE : answers));
         }
         *last = paces[index];
     }
+    peer->paces_at = now;
 }
 
 void cw_server_pool_report(cw_server_pool_t *pool, uint64_t node, const cw_server_report_t *reports, size_t count,
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -38,8 +38,9 @@
     cw_time_us_t   pace_at;        /**< last measured */
     uint32_t       served;         /**< answers since the start, and */
     uint64_t       served_time;    /**< their time over what is usual, in thousandths, summed */
-    uint32_t       served_told;    /**< value of served in this node's last report */
-    cw_time_us_t   answered_others_at; /**< another node told of answers */
+    uint32_t       served_sent;    /**< value of served in this node's last report to all */
+    uint32_t       served_sent_leader; /**< and in its last one to the leader */
+    cw_time_us_t   answered_others_at; /**< it surely answered another node after this moment; 0: not known */
     uint32_t       faults;             /**< in a row */
     cw_time_us_t   avoid_until;        /**< not chosen while another one can be */
     cw_time_us_t   slow_until;         /**< just started */
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -19,9 +19,11 @@
     FULL_PAUSE_MS = 1000, /* between reports with names and paces, among few nodes; */
     FULL_NODES = 16,      /* so much longer again for each so many nodes */
     KEYS_PAUSE_MS = 100,
-    KEYS_NODES = 64,               /* with so many nodes the pause has doubled: the leader gets them from all */
-    ZONE_DATAGRAMS_A_SECOND = 150, /* of reports within the zone */
-    ALL_DATAGRAMS_A_SECOND = 60,   /* and to all: what is so late helps no choice, but tells who lives */
+    KEYS_NODES = 64,          /* with so many nodes the pause has doubled: the leader gets them from all */
+    DATAGRAMS_A_SECOND = 150, /* of reports to all, and within the zone, among few nodes; */
+    MANY_ZONE_DATAGRAMS_A_SECOND =
+        100,                          /* and among many, whose datagrams are most of what all nodes do: in the zone, */
+    MANY_ALL_DATAGRAMS_A_SECOND = 30, /* and to all: so late, they help no choice, but tell who lives */
     LEADERS_DATAGRAMS_A_SECOND = 1000,
     REPORT_SLACK_MS = 700, /* by which a report may come later than planned: a busy node's turn, two ticks */
     SILENCE_IN_PAUSES = 3, /* reports that may be lost before a node counts as lost */
@@ -30,7 +32,7 @@
     SAMPLES_MAX = 16,
     VACATED_TOLD_S = 2,
     FEW_NODES = 96, /* up to so many, loads of other zones still come in time to be of use */
-    FORGET_S = 30   /* longer than a node counts as alive at the slowest pace */
+    FORGET_S = 15
 };
 
 /** A report while it is being made. */
@@ -79,8 +81,8 @@
     builder.report.loads = builder.load_pointers;
 }
 
-/* What has changed since it was last told. */
-static void add_paces(cw_router_t *router)
+/* What has changed since it was last sent, to the leader or to all. */
+static void add_paces(cw_router_t *router, bool to_leader)
 {
     cw_server_t *server;
     cw_server_t *next;
@@ -89,15 +91,16 @@
     HASH_ITER(by_id, cw_server_pool_all(router->pool), server, next)
     {
         Cwp__ServerPace *pace = &builder.paces[count];
+        uint32_t        *sent = to_leader ? &server->served_sent_leader : &server->served_sent;
 
-        if (count == LOADS_MAX || server->served == server->served_told) {
+        if (count == LOADS_MAX || server->served == *sent) {
             continue;
         }
         cwp__server_pace__init(pace);
         pace->server = server->hash;
         pace->served = server->served;
         pace->time = server->served_time;
-        server->served_told = server->served;
+        *sent = server->served;
         builder.pace_pointers[count++] = pace;
     }
     builder.report.n_paces = count;
@@ -173,7 +176,7 @@
     }
     if (full) {
         router->reported_full_at = now;
-        add_paces(router);
+        add_paces(router, false);
     }
     builder.report.incarnation = router->incarnation;
     builder.report.sequence = ++router->sequence;
@@ -255,6 +258,7 @@
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (peer->heard_at != 0 && !peer->is_lost && strcmp(peer->node, router->leader_node) == 0) {
             make_report(router, false, now);
+            add_paces(router, true); /* it must know soon which owners answer: its own orders may not reach them */
             send_samples(router, peer);
         }
     }
@@ -271,14 +275,7 @@
 
 static int64_t paced_to_all(const cw_router_t *router, int64_t pause_ms, uint32_t peers)
 {
-    return paced(router, pause_ms, peers, peers > FEW_NODES ? ALL_DATAGRAMS_A_SECOND : ZONE_DATAGRAMS_A_SECOND);
-}
-
-static cw_time_us_t keys_pause(const cw_router_t *router, cw_time_us_t now)
-{
-    uint32_t nodes = cw_peer_link_alive(router->link, router->silence, now);
-
-    return CW_MS(KEYS_PAUSE_MS) * (KEYS_NODES + nodes) / KEYS_NODES;
+    return paced(router, pause_ms, peers, peers > FEW_NODES ? MANY_ALL_DATAGRAMS_A_SECOND : DATAGRAMS_A_SECOND);
 }
 
 static uint32_t peers_in_zone(const cw_router_t *router)
@@ -292,6 +289,19 @@
     return count;
 }
 
+static int64_t paced_in_zone(const cw_router_t *router, uint32_t all)
+{
+    return paced(router, ZONE_PAUSE_MS, peers_in_zone(router),
+                 all > FEW_NODES ? MANY_ZONE_DATAGRAMS_A_SECOND : DATAGRAMS_A_SECOND);
+}
+
+static cw_time_us_t keys_pause(const cw_router_t *router, cw_time_us_t now)
+{
+    uint32_t nodes = cw_peer_link_alive(router->link, router->silence, now);
+
+    return CW_MS(KEYS_PAUSE_MS) * (KEYS_NODES + nodes) / KEYS_NODES;
+}
+
 static void report(cw_router_t *router, cw_time_us_t now)
 {
     cw_time_us_t since_all = now - router->reported_all_at;
@@ -311,8 +321,7 @@
         router->reported_zone_at = now;
         router->all_due = false;
         router->zone_due = false;
-    } else if (router->zone_due &&
-               since_zone >= CW_MS(paced(router, ZONE_PAUSE_MS, peers_in_zone(router), ZONE_DATAGRAMS_A_SECOND))) {
+    } else if (router->zone_due && since_zone >= CW_MS(paced_in_zone(router, all))) {
         send_report(router, false, now);
         router->reported_zone_at = now;
         router->zone_due = false;
@@ -369,5 +378,5 @@
     }
     find_lost(router, now);
     cw_server_pool_expire(router->pool, cw_router_report_life(router), now);
-    cw_peer_link_expire(router->link, CW_SECONDS(FORGET_S), now);
+    cw_peer_link_expire(router->link, router->silence + CW_SECONDS(FORGET_S), now);
 }
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -276,6 +276,23 @@
 }
 END_TEST
 
+/* A leader gives up when servers that its orders do not reach answer others: rare reports must not look like that. */
+START_TEST(answers_told_of_count_from_the_report_before)
+{
+    uint32_t          dropped;
+    cw_server_pool_t *pool = new_pool(&dropped);
+    cw_server_pace_t  pace = {.hash = cw_server_pool_find(pool, "near")->hash, .served = 10, .time = 10000};
+
+    cw_server_pool_learn(pool, 5, &pace, 1, CW_SECONDS(10));
+    ck_assert_int_eq(cw_server_pool_find(pool, "near")->answered_others_at, 0);
+    pace.served = 11;
+    pace.time = 11000;
+    cw_server_pool_learn(pool, 5, &pace, 1, CW_SECONDS(30));
+    ck_assert_int_eq(cw_server_pool_find(pool, "near")->answered_others_at, CW_SECONDS(10));
+    cw_server_pool_free(pool);
+}
+END_TEST
+
 START_TEST(what_was_told_of_servers_that_are_gone_is_forgotten)
 {
     uint32_t          dropped;
@@ -520,6 +537,7 @@
     tcase_add_test(cases, a_server_whose_address_has_another_life_is_not_chosen);
     tcase_add_test(cases, many_nodes_do_not_all_choose_the_same_server);
     tcase_add_test(cases, a_slow_server_is_passed_over_and_others_learn_it);
+    tcase_add_test(cases, answers_told_of_count_from_the_report_before);
     tcase_add_test(cases, what_was_told_of_servers_that_are_gone_is_forgotten);
     tcase_add_test(cases, a_server_that_is_gone_from_the_list_goes_with_its_last_request);
     tcase_add_test(cases, a_table_of_many_ranges_arrives_whole_in_any_order_of_pages);
