leadership: the lock of an earlier life is taken right after the look again

Change: such a lock is taken at once. Test: the_lock_of_an_earlier_life_is_taken_right_after_the_look, fails before.

--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -166,15 +166,24 @@
     write->vacant = leadership->resigning;
 }
 
+/* Does the lock stand for an earlier life of this node? That life has ended. */
+static bool is_of_earlier_life(const cw_leadership_t *leadership)
+{
+    return !leadership->lock.vacant && strcmp(leadership->lock.node, leadership->settings.node) == 0;
+}
+
 /* How long an unchanged lock stands before another node may take it. */
 static cw_time_us_t take_wait(const cw_leadership_t *leadership)
 {
-    return leadership->lock.vacant ? 0 : leadership->settings.hold * (100 + DRIFT_PERCENT) / 100 + CW_MS(TAKE_SLACK_MS);
+    if (leadership->lock.vacant) {
+        return 0;
+    }
+    return leadership->settings.hold * (100 + DRIFT_PERCENT) / 100 + CW_MS(TAKE_SLACK_MS);
 }
 
 static bool may_take(const cw_leadership_t *leadership, cw_time_us_t now)
 {
-    if (!leadership->lock.vacant && strcmp(leadership->lock.node, leadership->settings.node) == 0) {
+    if (is_of_earlier_life(leadership)) {
         return true;
     }
     return now - leadership->seen_at >= take_wait(leadership) + leadership->deference;
@@ -273,7 +282,7 @@
     cw_time_us_t take_at = leadership->seen_at + take_wait(leadership) + leadership->deference;
     cw_time_us_t pause_end = now + look_pause(leadership);
 
-    if (take_at <= now) {
+    if (take_at <= now || is_of_earlier_life(leadership)) {
         return now;
     }
     take_at += turn_of(leadership);
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -368,6 +368,19 @@
 }
 END_TEST
 
+START_TEST(the_lock_of_an_earlier_life_is_taken_right_after_the_look)
+{
+    cw_time_us_t    now = CW_SECONDS(100);
+    cw_leadership_t leadership = new_leadership("n2", 22, now);
+    cw_lock_t       lock = lock_of("n2", 21, 3);
+
+    cw_leadership_set_followers(&leadership, 300);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 7, &lock, now);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_REPLACE);
+}
+END_TEST
+
 START_TEST(a_node_that_defers_looks_at_the_lock_a_hold_later)
 {
     cw_time_us_t    now = CW_SECONDS(100);
@@ -405,6 +418,7 @@
     tcase_add_test(cases, a_lock_survives_its_text);
     tcase_add_test(cases, among_many_followers_a_look_from_long_ago_is_repeated_before_the_lock_is_taken);
     tcase_add_test(cases, an_old_copy_of_the_lock_is_ignored);
+    tcase_add_test(cases, the_lock_of_an_earlier_life_is_taken_right_after_the_look);
     tcase_add_test(cases, a_node_that_defers_looks_at_the_lock_a_hold_later);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
