--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -20,10 +20,7 @@
     DEADLINE_DEFAULT_S = 30,
     DECIDE_PART = 5, /* a refusal within a quarter of the aim is early; a little sooner, to be sure */
     MARGIN_PART = 4,
-    LONGEST_WAIT_PART = 256,   /* part of the way to a shorter one: some hundred requests forget a longest wait */
-    COME_BACK_PERCENT = 95,    /* of the longest wait: less is what an earlier try has left */
-    COME_BACK_DECIDE_PART = 3, /* of its time: to hold it for over half and refuse it then would cost it everything */
-    PROMPT_NODES = 10          /* so many nodes tell one another of each request at once */
+    PROMPT_NODES = 10 /* so many nodes tell one another of each request at once */
 };
 
 static const double retry_unready_s = 0.5;
@@ -144,32 +141,10 @@
     cw_event_end(&event);
 }
 
-/* How long the caller will wait, as it says; 0: it says nothing. */
-static cw_time_us_t caller_wait(const cw_engine_t *engine, const cw_http_inbound_t *inbound)
-{
-    const char *text = cw_http_fields_find(inbound->fields, engine->settings.names.deadline);
-
-    return text == NULL ? 0 : CW_MS(strtoll(text, NULL, 10));
-}
-
-/* Callers of a route give their requests much the same time. One that gives less has spent the rest on an earlier try:
- * another refusal would be its last answer. */
-static bool has_come_back(cw_route_state_t *state, cw_time_us_t wait)
-{
-    if (wait >= state->longest_wait) {
-        state->longest_wait = wait;
-        return false;
-    }
-    if (wait <= 0) {
-        return false;
-    }
-    state->longest_wait -= (state->longest_wait - wait) / LONGEST_WAIT_PART;
-    return wait < state->longest_wait * COME_BACK_PERCENT / 100;
-}
-
 static cw_time_us_t caller_deadline(const cw_engine_t *engine, const cw_http_inbound_t *inbound)
 {
-    cw_time_us_t wait = caller_wait(engine, inbound);
+    const char  *text = cw_http_fields_find(inbound->fields, engine->settings.names.deadline);
+    cw_time_us_t wait = text == NULL ? 0 : CW_MS(strtoll(text, NULL, 10));
     cw_time_us_t margin = engine->settings.margin;
 
     if (wait <= 0) {
@@ -194,10 +169,6 @@
     aim = route->aim > 0 ? route->aim : request->deadline - request->arrived;
     request->aim_at = request->arrived + aim;
     request->decide_at = request->arrived + aim / DECIDE_PART;
-    request->has_come_back = has_come_back(request->route_state, caller_wait(request->engine, inbound));
-    if (request->has_come_back && request->deadline > request->arrived) {
-        request->decide_at = request->arrived + (request->deadline - request->arrived) / COME_BACK_DECIDE_PART;
-    }
     request->repeat_at = CW_NEVER;
 }
 
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -19,7 +19,6 @@
 typedef struct cw_route_state {
     char          *name;
     cw_time_us_t   usual; /**< moving mean of whole answers' times at servers of usual pace */
-    cw_time_us_t   longest_wait; /**< that callers of it give a request at first; those that come back give less */
     double        *owed;  /**< for each part of the split: what it is behind its share */
     size_t         owed_count;
     UT_hash_handle hh;
@@ -66,7 +65,6 @@
     cw_time_us_t            first_sent_at;
     cw_time_us_t            repeat_at;
     uint32_t                attempts; /**< servers it was sent to */
-    bool                    has_come_back; /**< its caller was refused before, and has spent a part of its time */
     bool                    may_have_run;
     bool                    is_queued;
     bool                    is_ended;
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -178,13 +178,6 @@
     return PLACED;
 }
 
-/* Until when an answer is worth waiting for. A first refusal sends the caller back in time for a full answer; a second
- * one would be final, and a late answer is better than none. */
-static cw_time_us_t serve_by(const cw_request_t *request)
-{
-    return request->has_come_back ? request->deadline : request->aim_at;
-}
-
 /* A request that could not be placed: waits, or is told to come back. */
 static void settle(cw_request_t *request, placing_t why, cw_time_us_t now)
 {
@@ -204,7 +197,7 @@
             cw_request_refuse(request, why == WAITS_FOR_OWNER ? CW_REFUSED_OWNER : CW_REFUSED_SERVERS);
             return;
         }
-    } else if (estimate > serve_by(request)) {
+    } else if (estimate > request->aim_at) {
         cw_request_refuse(request, CW_REFUSED_LOAD);
         return;
     }
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -430,35 +430,6 @@
 }
 END_TEST
 
-/* Too late for the aim, in time for the deadline: a first try is refused, one that its caller repeats is kept. */
-START_TEST(a_caller_that_has_come_back_is_kept_for_a_late_answer)
-{
-    world_t            world;
-    cw_key_route_t     route = {.low = 0, .last = 65535, .server = "s1", .fence = 4, .routable = true};
-    cw_server_report_t report = {.under_way = 1, .waiting = 3};
-
-    init(&world);
-    cw_engine_set_tables_valid(world.engine, 0, INT64_MAX);
-    cw_engine_set_table(world.engine, "keyed", &route, 1, 1);
-    report.hash = cw_server_pool_find(world.pool, "s1")->hash;
-    cw_server_pool_report(world.pool, 9, &report, 1, cw_engine_now(world.engine));
-    (void)ask(&world, "GET", "/keyed/x", "19900");
-    cw_test_run_until_set(&world.loop, &world.answered);
-    ck_assert_int_eq(world.status, 503);
-    (void)ask(&world, "GET", "/keyed/x", "18500");
-    while (cw_engine_queued(world.engine) == 0) {
-        uv_run(&world.loop, UV_RUN_ONCE);
-    }
-    cw_test_run_some(&world.loop, 20);
-    ck_assert(!world.answered);
-    cw_server_pool_report(world.pool, 9, NULL, 0, cw_engine_now(world.engine));
-    world.servers[1].status = 200;
-    cw_engine_wake(world.engine);
-    cw_test_run_until_set(&world.loop, &world.answered);
-    ck_assert_int_eq(world.status, 200);
-}
-END_TEST
-
 START_TEST(an_old_table_is_not_used)
 {
     world_t        world;
@@ -535,7 +506,6 @@
     tcase_add_test(cases, no_server_gets_more_than_its_slots);
     tcase_add_test(cases, a_key_goes_to_its_owner_only_and_waits_while_it_moves);
     tcase_add_test(cases, what_waits_elsewhere_for_the_owner_counts_in_the_wait);
-    tcase_add_test(cases, a_caller_that_has_come_back_is_kept_for_a_late_answer);
     tcase_add_test(cases, an_old_table_is_not_used);
     tcase_add_test(cases, another_life_at_the_address_is_not_asked_twice);
     tcase_add_test(cases, splits_keep_their_weights);
