placement: balance stands the chance of many servers, and cuts no more ranges when there are many

Each range is renewed by an order of its own, each order's answer walked all ranges, so the leader's orders failed, and leaders resigned one after another from 37 s on. Ruled out: joins (adjacent pieces rarely have the same owner among 400 servers). Change: what chance may be counts sqrt(ln n) times as much among n servers (unchanged up to 14); with four ranges a server or more, balance moves whole ranges; an answer looks at the ranges of its order only. Test: test_planner (a server with all keys in many ranges is still relieved), test_keeper, simulator.

--- a/src/assignment/keeper_orders.c
+++ b/src/assignment/keeper_orders.c
@@ -247,16 +247,22 @@
 void cw_keeper_order_done(cw_keeper_t *keeper, uint64_t id, cw_order_result_t result, const char *handover,
                           cw_time_us_t now)
 {
-    cw_order_t order;
-    size_t     index;
+    cw_order_t        order;
+    const cw_range_t *first;
+    size_t            index;
 
     keeper->now = now;
     if (!take_order(keeper, id, &order)) {
         return;
     }
-    for (index = 0; index < keeper->record.ranges.count; index++) {
+    first = cw_range_list_find(&keeper->record.ranges, order.low); /* in order of keys: the others are not looked at */
+    index = first == NULL ? keeper->record.ranges.count : (size_t)(first - keeper->record.ranges.items);
+    for (; index < keeper->record.ranges.count; index++) {
         cw_range_t *range = &keeper->record.ranges.items[index];
 
+        if (range->low > order.last) {
+            break;
+        }
         if (range->low < order.low || range->last > order.last || range->owner.fence != order.fence) {
             continue;
         }
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -4,13 +4,17 @@
  */
 #include "placement/planner.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/text.h"
 #include "placement/planner_internal.h"
 
-enum { LOST_MS = 1200 };
+enum {
+    LOST_MS = 1200,
+    SERVERS_OF_ERRORS = 14 /* servers among which the settings' errors were measured (docs/MEASUREMENTS.md) */
+};
 
 static const double idle_per_s = 0.5;
 
@@ -76,6 +80,18 @@
     planner->busy = slots > 0 ? busy / slots : 0;
 }
 
+/* Of more servers the busiest looks busier by chance alone: by some sqrt(2 ln n) errors. */
+static double errors_among(double errors, size_t servers)
+{
+    return servers <= SERVERS_OF_ERRORS ? errors : errors * sqrt(log((double)servers) / log(SERVERS_OF_ERRORS));
+}
+
+/* Each range is renewed by itself, and told to each node: balance must not cut without end. */
+static bool is_in_pieces(const cw_planner_t *planner)
+{
+    return planner->ranges.count >= planner->settings->ranges_each * planner->server_count;
+}
+
 /* ---- moves ---- */
 
 static void note_move(cw_planner_t *planner, const cw_planner_piece_t *piece, const cw_planner_server_t *to)
@@ -212,6 +228,8 @@
     planner.load_count = cw_load_window_read(input->window, planner.now, &planner.loads);
     planner.per_s = cw_planner_load_between(&planner, 0, CW_KEY_LAST);
     cw_range_list_copy(&planner.ranges, cw_keeper_ranges(planner.keeper));
+    planner.errors = errors_among(input->settings->errors, input->server_count);
+    planner.is_in_pieces = is_in_pieces(&planner);
     measure_servers(&planner);
     measure_busy(&planner);
     planner.fastest_cost = cw_planner_fastest_cost(&planner);
--- a/src/placement/planner_balance.c
+++ b/src/placement/planner_balance.c
@@ -40,6 +40,15 @@
     return piece;
 }
 
+/* The range itself, if it is not much more than what should move; else nothing. */
+static cw_planner_piece_t whole_range(const cw_planner_t *planner, const cw_range_t *range, double wanted)
+{
+    cw_planner_piece_t piece = {range->low, range->last, cw_planner_load_between(planner, range->low, range->last)};
+
+    piece.per_s = piece.per_s > wanted * fit_high ? 0 : piece.per_s;
+    return piece;
+}
+
 static cw_planner_server_t *busiest(const cw_planner_t *planner, const bool *tried)
 {
     cw_planner_server_t *best = NULL;
@@ -96,8 +105,8 @@
     cw_planner_server_t less = *from;
     cw_planner_server_t more = *to;
 
-    less.per_s -= cw_load_error(from->per_s) * planner->settings->errors;
-    more.per_s += cw_load_error(to->per_s) * planner->settings->errors;
+    less.per_s -= cw_load_error(from->per_s) * planner->errors;
+    more.per_s += cw_load_error(to->per_s) * planner->errors;
     return gain(&less, &more, per_s > less.per_s ? less.per_s : per_s);
 }
 
@@ -119,7 +128,8 @@
             continue;
         }
         for (at_low_end = 0; at_low_end < 2; at_low_end++) {
-            cw_planner_piece_t piece = cut_end(planner, range, wanted, at_low_end);
+            cw_planner_piece_t piece = planner->is_in_pieces ? whole_range(planner, range, wanted)
+                                                             : cut_end(planner, range, wanted, at_low_end);
             double             profit = sure_gain(planner, from, to, piece.per_s) - price(planner, &piece);
 
             if (piece.per_s > 0 && profit > best_profit) {
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -22,6 +22,8 @@
     double                       per_s;        /**< of all keys */
     double                       fastest_cost; /**< share of its slots that a request a second takes at the fastest */
     double                       busy;         /**< mean busy share of the servers that can be given keys */
+    double                       errors; /**< of chance, that what a move earns has to stand; more among many servers */
+    bool                         is_in_pieces; /**< so many ranges already that balance moves whole ones only */
     bool                         doubts_list;
     cw_time_us_t                 now;
     size_t                       changes;
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -23,7 +23,7 @@
     DATAGRAMS_A_SECOND = 150, /* of reports to all, and within the zone, among few nodes; */
     MANY_ZONE_DATAGRAMS_A_SECOND =
         100,                          /* and among many, whose datagrams are most of what all nodes do: in the zone, */
-    MANY_ALL_DATAGRAMS_A_SECOND = 30, /* and to all: so late, they help no choice, but tell who lives */
+    MANY_ALL_DATAGRAMS_A_SECOND = 60, /* and to all: so late, they help no choice, but tell who lives */
     LEADERS_DATAGRAMS_A_SECOND = 1000,
     REPORT_SLACK_MS = 700, /* by which a report may come later than planned: a busy node's turn, two ticks */
     SILENCE_IN_PAUSES = 3, /* reports that may be lost before a node counts as lost */
@@ -267,7 +267,10 @@
 /* Pause between reports to so many peers: as short as wished, while a node's datagrams stay within their budget. */
 static int64_t paced(const cw_router_t *router, int64_t pause_ms, uint32_t peers, int64_t datagrams_a_second)
 {
-    int64_t budget = router->leadership.leading ? LEADERS_DATAGRAMS_A_SECOND : datagrams_a_second;
+    bool    is_new = cw_router_is_new(router, cw_router_now(router));
+    int64_t budget = router->leadership.leading ? LEADERS_DATAGRAMS_A_SECOND
+                     : is_new                   ? DATAGRAMS_A_SECOND /* the others have to learn of it */
+                                                : datagrams_a_second;
     int64_t affordable_ms = (int64_t)peers * 1000 / budget;
 
     return affordable_ms > pause_ms ? affordable_ms : pause_ms;
