--- a/fuzz/fuzz_peer.c
+++ b/fuzz/fuzz_peer.c
@@ -25,6 +25,13 @@
     (void)from_copy;
 }
 
+static void know_no_servers(void *context, const cw_server_list_t *list, uint64_t revision)
+{
+    (void)context;
+    (void)list;
+    (void)revision;
+}
+
 static void watch_nothing(void *context, bool wanted)
 {
     (void)context;
@@ -40,12 +47,14 @@
 
 static cw_router_t *create(void)
 {
-    static cw_store_port_t port = {
-        .read_servers = read_no_servers, .read_configuration = read_nothing, .watch_configuration = watch_nothing};
-    cw_engine_settings_t  settings = {.names = {.request_id = "i"}};
-    cw_upstream_options_t options = {.idle_max = CW_SECONDS(1)};
-    cw_peer_handler_t     handler = {NULL, on_datagram};
-    cw_router_t          *router = calloc(1, sizeof(*router));
+    static cw_store_port_t port = {.read_servers = read_no_servers,
+                                   .know_servers = know_no_servers,
+                                   .read_configuration = read_nothing,
+                                   .watch_configuration = watch_nothing};
+    cw_engine_settings_t   settings = {.names = {.request_id = "i"}};
+    cw_upstream_options_t  options = {.idle_max = CW_SECONDS(1)};
+    cw_peer_handler_t      handler = {NULL, on_datagram};
+    cw_router_t           *router = calloc(1, sizeof(*router));
 
     uv_loop_init(&router->loop);
     snprintf(router->settings.node, sizeof(router->settings.node), "n1");
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -155,6 +155,9 @@
     }
     router->reading_servers = true;
     router->servers_read_at = now;
+    if (!from_copy && router->server_view.list != NULL && router->server_view.revision != 0) {
+        router->store->know_servers(router->store->context, router->server_view.list, router->server_view.revision);
+    }
     router->reading_copy = from_copy;
     router->store->read_servers(router->store->context, from_copy);
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -59,6 +59,9 @@
     /** Reads the list of servers; the answer goes to the readers' servers(), NULL when it could not be had. from_copy:
      * it may be seconds old. */
     void (*read_servers)(void *context, bool from_copy);
+    /** This node knows the list as of this revision, from another node: the next reading needs only what changed since.
+     */
+    void (*know_servers)(void *context, const cw_server_list_t *list, uint64_t revision);
     /** Reads the configuration at once; a standing watch begins anew, since the present one may be dead. */
     void (*read_configuration)(void *context);
     /** Keeps a standing watch of the configuration, or none. None at first: the configuration is read once, from a
