router: a leader gives up for orders that do not arrive only if they are a part of all

Change: at least 5 % of the ranges, and two as before. A leader cut off from one of six zones loses a sixth of them. Test: process/hand_over.sh holds the way itself; no test of the share yet.

--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -16,7 +16,8 @@
     STORE_TROUBLE_MS = 700, /* without an answer for so long: grants are made to last */
     STORE_LOST_MS = 500,
     CUT_OFF_MS = 900,
-    CUT_OFF_RANGES = 2,
+    CUT_OFF_RANGES = 2,  /* owners out of this leader's reach alone, at least; */
+    CUT_OFF_PERCENT = 5, /* and of all ranges: single orders go unanswered on any day, a lost zone is a sixth or more */
     CUT_OFF_PAUSE_S = 6,
     LINK_CAPABILITY = 5, /* thousandths of a core that a Mbit/s of link goes with */
     BETTER_TIMES = 2,
@@ -204,11 +205,13 @@
 {
     size_t index;
     size_t cut_off = 0;
+    size_t ranges = 0;
 
     for (index = 0; index < router->keyed_count; index++) {
         cut_off += count_cut_off(router, router->keyed[index].keeper, now);
+        ranges += cw_keeper_ranges(router->keyed[index].keeper)->count;
     }
-    if (cut_off >= CUT_OFF_RANGES && !router->leadership.resigning) {
+    if (cut_off >= CUT_OFF_RANGES && cut_off * 100 >= ranges * CUT_OFF_PERCENT && !router->leadership.resigning) {
         note_leadership(router, CW_EVENT_LEADER_LOST, "orders do not reach servers that answer others");
         cw_leadership_step_down(&router->leadership, now, CW_SECONDS(CUT_OFF_PAUSE_S));
     }
