model: copies and comparisons of routes stand once

Cause: the exchange of configurations needs both; intent/plan.c had them for itself. Change: plan.c uses model/configuration's. Measured: nothing; test_intent, test_configuration, test_configuration_exchange pass.

--- a/src/intent/plan.c
+++ b/src/intent/plan.c
@@ -13,22 +13,6 @@
 
 /* ---- copies ---- */
 
-static void copy_route(cw_configuration_t *to, const cw_route_t *from)
-{
-    cw_route_t *route = cw_configuration_add_route(to);
-    size_t      index;
-
-    *route = *from;
-    route->name = strdup(from->name);
-    route->host = strdup(from->host);
-    route->prefix = strdup(from->prefix);
-    route->parts = NULL;
-    route->part_count = 0;
-    for (index = 0; index < from->part_count; index++) {
-        cw_route_add_part(route, from->parts[index].service, from->parts[index].weight);
-    }
-}
-
 static void copy_service(cw_configuration_t *to, const cw_service_t *from)
 {
     cw_service_t *service = cw_configuration_add_service(to);
@@ -52,7 +36,7 @@
 
     for (index = 0; index < from->route_count; index++) {
         if (except == NULL || !cw_tenant_owns(except, from->routes[index].name)) {
-            copy_route(to, &from->routes[index]);
+            cw_configuration_copy_route(to, &from->routes[index]);
         }
     }
     for (index = 0; index < from->service_count; index++) {
@@ -75,22 +59,6 @@
     plan->change_count++;
 }
 
-static bool same_parts(const cw_route_t *left, const cw_route_t *right)
-{
-    size_t index;
-
-    if (left->part_count != right->part_count) {
-        return false;
-    }
-    for (index = 0; index < left->part_count; index++) {
-        if (strcmp(left->parts[index].service, right->parts[index].service) != 0 ||
-            left->parts[index].weight != right->parts[index].weight) {
-            return false;
-        }
-    }
-    return true;
-}
-
 static void add_word(cw_bytes_t *words, bool wanted, const char *word)
 {
     if (wanted) {
@@ -103,7 +71,7 @@
     cw_bytes_t what = {0};
 
     add_word(&what, strcmp(before->host, after->host) != 0 || strcmp(before->prefix, after->prefix) != 0, "where");
-    add_word(&what, !same_parts(before, after), "services");
+    add_word(&what, !cw_route_same_parts(before, after), "services");
     add_word(&what, before->repeatable != after->repeatable, "repeatable");
     add_word(&what, before->timeout != after->timeout || before->aim != after->aim, "times");
     add_word(&what, before->max_attempts != after->max_attempts || before->priority != after->priority,
--- a/src/model/configuration.c
+++ b/src/model/configuration.c
@@ -81,14 +81,11 @@
     return cw_route_compare(left, right);
 }
 
-bool cw_route_same(const cw_route_t *left, const cw_route_t *right)
+bool cw_route_same_parts(const cw_route_t *left, const cw_route_t *right)
 {
     size_t index;
 
-    if (strcmp(left->name, right->name) != 0 || strcmp(left->host, right->host) != 0 ||
-        strcmp(left->prefix, right->prefix) != 0 || left->repeatable != right->repeatable ||
-        left->timeout != right->timeout || left->aim != right->aim || left->max_attempts != right->max_attempts ||
-        left->priority != right->priority || left->part_count != right->part_count) {
+    if (left->part_count != right->part_count) {
         return false;
     }
     for (index = 0; index < left->part_count; index++) {
@@ -100,6 +97,17 @@
     return true;
 }
 
+bool cw_route_same(const cw_route_t *left, const cw_route_t *right)
+{
+    bool same_place = strcmp(left->name, right->name) == 0 && strcmp(left->host, right->host) == 0 &&
+                      strcmp(left->prefix, right->prefix) == 0;
+    bool same_rules = left->repeatable == right->repeatable && left->timeout == right->timeout &&
+                      left->aim == right->aim && left->max_attempts == right->max_attempts &&
+                      left->priority == right->priority;
+
+    return same_place && same_rules && cw_route_same_parts(left, right);
+}
+
 void cw_configuration_copy_route(cw_configuration_t *configuration, const cw_route_t *route)
 {
     cw_route_t *copy = cw_configuration_add_route(configuration);
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -66,6 +66,8 @@
 
 /** Order of routes in a sealed configuration: by host, then by longer prefix first, then by prefix. */
 int cw_route_compare(const cw_route_t *left, const cw_route_t *right);
+/** Same services with the same weights, in the same order. */
+bool cw_route_same_parts(const cw_route_t *left, const cw_route_t *right);
 /** Same name, place, limits and parts. */
 bool cw_route_same(const cw_route_t *left, const cw_route_t *right);
 /** Adds a copy of a route to a configuration that is not sealed yet. */
