--- a/src/peer/configuration_pages.c
+++ b/src/peer/configuration_pages.c
@@ -102,7 +102,7 @@
     size_t index;
 
     buffer->services = allocate(configuration->service_count, sizeof(*buffer->services));
-    buffer->service_pointers = allocate(configuration->service_count, sizeof(*buffer->service_pointers));
+    buffer->service_pointers = allocate(configuration->service_count, sizeof(void *));
     for (index = 0; index < configuration->service_count; index++) {
         const cw_service_t     *service = &configuration->services[index];
         Cwp__ConfiguredService *sent = &buffer->services[index];
@@ -124,7 +124,7 @@
     size_t token;
 
     buffer->tenants = allocate(configuration->tenant_count, sizeof(*buffer->tenants));
-    buffer->tenant_pointers = allocate(configuration->tenant_count, sizeof(*buffer->tenant_pointers));
+    buffer->tenant_pointers = allocate(configuration->tenant_count, sizeof(void *));
     buffer->digests = allocate(configuration->tenant_count * CW_TENANT_TOKENS_MAX, sizeof(*buffer->digests));
     for (index = 0; index < configuration->tenant_count; index++) {
         cw_tenant_t           *tenant = &configuration->tenants[index];
@@ -160,7 +160,7 @@
     size_t index;
 
     buffer->removed = allocate(changes->removed_count, sizeof(*buffer->removed));
-    buffer->removed_pointers = allocate(changes->removed_count, sizeof(*buffer->removed_pointers));
+    buffer->removed_pointers = allocate(changes->removed_count, sizeof(void *));
     for (index = 0; index < changes->removed_count; index++) {
         cwp__route_key__init(&buffer->removed[index]);
         buffer->removed[index].host = changes->removed[index]->host;
