--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,7 +2,7 @@
 # Starts nodes, servers and a store on loopback addresses of their own, for the demo, the benchmark and process tests.
 # To be sourced. Everything it starts is ended, by its process id, when the shell ends.
 #
-#   cluster_start NODES            the store and that many nodes, in zones z1, z2, z3
+#   cluster_start NODES            the store and that many nodes, in zones z1, z2, z3 (CLUSTER_ZONES: how many zones)
 #   cluster_server NAME ARGS...    one server (cw-server's arguments); its id in SERVER_PIDS[NAME]
 #   cluster_configure FILE         writes config/main
 #   cluster_wait_ready             until each node says it is ready
@@ -35,7 +35,7 @@
 }
 
 start_node() {
-    local n=$1 zone="z$((($1 - 1) % 3 + 1))"
+    local n=$1 zone="z$((($1 - 1) % ${CLUSTER_ZONES:-3} + 1))"
     cat >"$WORK/node$n.yaml" <<YAML
 node: n$n
 zone: $zone
