Zones out of service and the rate of cold servers: rules of the shifted work

Requests for any server leave a zone at once; owners of keys are reached for three fifths of the bound, counted from the last moment at which the zone was surely in service, while the planner moves their ranges like those of a leaving server. A zone that is put back counts as cold for its services' warm-up. Ruled out: a flag of each server's entry (a zone's later servers would lack it), a watch of its own (a second order of revisions).

Cold servers: balance/cold_rate. A few nodes by rendezvous hashing send to a cold server, two requests in any second each; none on the smaller side of a partition, none for two seconds after the nodes known have changed. Cold servers get no keys.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1815,7 +1815,7 @@
   (ProtobufCMessageInit) cwp__view_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[9] =
 {
   {
     "term",
@@ -1913,6 +1913,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zones_out",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cwp__ServersPage, n_zones_out),
+    offsetof(Cwp__ServersPage, zones_out),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__servers_page__field_indices_by_name[] = {
   1,   /* field[1] = number */
@@ -1923,12 +1935,13 @@
   4,   /* field[4] = servers */
   5,   /* field[5] = since */
   0,   /* field[0] = term */
+  8,   /* field[8] = zones_out */
 };
 static const ProtobufCIntRange cwp__servers_page__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cwp__servers_page__descriptor =
 {
@@ -1938,7 +1951,7 @@
   "Cwp__ServersPage",
   "cwp",
   sizeof(Cwp__ServersPage),
-  8,
+  9,
   cwp__servers_page__field_descriptors,
   cwp__servers_page__field_indices_by_name,
   2,  cwp__servers_page__number_ranges,
@@ -2344,7 +2357,7 @@
   (ProtobufCMessageInit) cwp__configured_route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configured_service__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cwp__configured_service__field_descriptors[6] =
 {
   {
     "name",
@@ -2394,8 +2407,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredService, cold_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_per_s",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredService, cold_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configured_service__field_indices_by_name[] = {
+  5,   /* field[5] = cold_per_s */
+  4,   /* field[4] = cold_us */
   1,   /* field[1] = keyed */
   2,   /* field[2] = max_connections */
   0,   /* field[0] = name */
@@ -2404,7 +2443,7 @@
 static const ProtobufCIntRange cwp__configured_service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cwp__configured_service__descriptor =
 {
@@ -2414,7 +2453,7 @@
   "Cwp__ConfiguredService",
   "cwp",
   sizeof(Cwp__ConfiguredService),
-  4,
+  6,
   cwp__configured_service__field_descriptors,
   cwp__configured_service__field_indices_by_name,
   1,  cwp__configured_service__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -222,6 +222,9 @@
   char *zone;
   uint32_t capacity;
   protobuf_c_boolean draining;
+  /*
+   * its warm-up takes so much longer; 0: it is warm
+   */
   uint32_t cold_ms;
   /*
    * kept though its entry has been missing for so long; 0: it has an entry
@@ -271,10 +274,15 @@
    * of the store, that the list stands for
    */
   uint64_t revision;
+  /*
+   * all zones out of service, in every page
+   */
+  size_t n_zones_out;
+  char **zones_out;
 };
 #define CWP__SERVERS_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__servers_page__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -368,10 +376,18 @@
   protobuf_c_boolean keyed;
   uint32_t max_connections;
   uint64_t warm_us;
+  /*
+   * a server is cold for so long after its start
+   */
+  uint64_t cold_us;
+  /*
+   * requests a second that a cold server bears; 0: no bound
+   */
+  double cold_per_s;
 };
 #define CWP__CONFIGURED_SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_service__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Cwp__ConfiguredTenant
--- /dev/null
+++ b/src/balance/cold_rate.c
@@ -0,0 +1,122 @@
+/**
+ * @file cold_rate.c
+ * @brief The nodes that share a cold server, by rendezvous hashing.
+ */
+#include "balance/cold_rate.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+    WINDOW_MS = 1100, /* the bound's second, and what the ways to the server differ by */
+    CHANGED_MS =
+        2000,   /* a node is missed by all others within a second and a half (CW_PEER_SILENCE_MS, a late report) */
+    MOST_S = 60 /* after that a smaller number of nodes is how many there are */
+};
+
+bool cw_cold_sends_are_left(const cw_cold_sends_t *sends, cw_time_us_t now)
+{
+    cw_time_us_t oldest = sends->at[sends->next];
+
+    return oldest == 0 || now - oldest >= CW_MS(WINDOW_MS);
+}
+
+void cw_cold_sends_note(cw_cold_sends_t *sends, cw_time_us_t now)
+{
+    sends->at[sends->next] = now;
+    sends->next = (sends->next + 1) % CW_COLD_SENDS;
+}
+
+struct cw_cold_rate {
+    uint32_t     own_address;
+    uint32_t    *addresses; /* sorted */
+    size_t       count;
+    cw_time_us_t changed_at;
+    size_t       most; /* nodes known at once lately, this one included */
+    cw_time_us_t most_at;
+};
+
+cw_cold_rate_t *cw_cold_rate_create(uint32_t own_address)
+{
+    cw_cold_rate_t *rate = calloc(1, sizeof(*rate));
+
+    if (rate == NULL) {
+        abort();
+    }
+    rate->own_address = own_address;
+    return rate;
+}
+
+void cw_cold_rate_free(cw_cold_rate_t *rate)
+{
+    free(rate->addresses);
+    free(rate);
+}
+
+static int compare_addresses(const void *left, const void *right)
+{
+    uint32_t a = *(const uint32_t *)left;
+    uint32_t b = *(const uint32_t *)right;
+
+    return a < b ? -1 : a > b;
+}
+
+static void note_most(cw_cold_rate_t *rate, cw_time_us_t now)
+{
+    size_t nodes = rate->count + 1;
+
+    if (nodes >= rate->most || now - rate->most_at > CW_SECONDS(MOST_S)) {
+        rate->most = nodes;
+        rate->most_at = now;
+    }
+}
+
+void cw_cold_rate_set_nodes(cw_cold_rate_t *rate, const uint32_t *addresses, size_t count, cw_time_us_t now)
+{
+    uint32_t *sorted = calloc(count + 1, sizeof(*sorted));
+
+    if (sorted == NULL) {
+        abort();
+    }
+    if (count > 0) {
+        memcpy(sorted, addresses, count * sizeof(*sorted));
+        qsort(sorted, count, sizeof(*sorted), compare_addresses);
+    }
+    if (rate->addresses == NULL || count != rate->count ||
+        memcmp(sorted, rate->addresses, count * sizeof(*sorted)) != 0) {
+        rate->changed_at = now;
+    }
+    free(rate->addresses);
+    rate->addresses = sorted;
+    rate->count = count;
+    note_most(rate, now);
+}
+
+uint32_t cw_cold_rate_sharers(double per_s)
+{
+    uint32_t sharers = (uint32_t)(per_s / CW_COLD_SENDS);
+
+    return sharers == 0 ? 1 : sharers;
+}
+
+static uint64_t rank(uint32_t server, uint32_t address)
+{
+    return XXH3_64bits_withSeed(&address, sizeof(address), server);
+}
+
+bool cw_cold_rate_is_sharer(const cw_cold_rate_t *rate, uint32_t server, double per_s, cw_time_us_t now)
+{
+    uint32_t sharers = cw_cold_rate_sharers(per_s);
+    uint64_t own = rank(server, rate->own_address);
+    uint32_t before = 0;
+    size_t   index;
+
+    if (rate->addresses == NULL || now - rate->changed_at < CW_MS(CHANGED_MS) || 2 * (rate->count + 1) <= rate->most) {
+        return false;
+    }
+    for (index = 0; index < rate->count && before < sharers; index++) {
+        before += rank(server, rate->addresses[index]) > own ? 1 : 0;
+    }
+    return before < sharers;
+}
--- /dev/null
+++ b/src/balance/server_choice.c
@@ -0,0 +1,128 @@
+/**
+ * @file server_choice.c
+ * @brief Which server of a service a request goes to.
+ */
+#include <string.h>
+
+#include "balance/server_pool_internal.h"
+
+enum { PACE_FORGET_S = 6 };
+
+static const double busy_weight = 0.45; /* a server with all slots taken costs so much more */
+static const double cold_pace = 1.5;    /* taken on while a server has just started */
+
+bool cw_server_is_cold(const cw_server_t *server, cw_time_us_t now)
+{
+    return now < server->cold_until;
+}
+
+bool cw_server_is_rate_bounded(const cw_server_t *server, cw_time_us_t now)
+{
+    return server->cold_per_s > 0 && cw_server_is_cold(server, now);
+}
+
+static bool shares_cold(const cw_server_pool_t *pool, const cw_server_t *server, cw_time_us_t now)
+{
+    return pool->cold_rate != NULL && cw_cold_rate_is_sharer(pool->cold_rate, server->hash, server->cold_per_s, now);
+}
+
+bool cw_server_pool_may_send(const cw_server_pool_t *pool, const cw_server_t *server, bool is_owner, cw_time_us_t now)
+{
+    if (server->zone_is_out && (!is_owner || now >= server->owner_until)) {
+        return false;
+    }
+    if (!cw_server_is_rate_bounded(server, now)) {
+        return true;
+    }
+    return cw_cold_sends_are_left(&server->cold_sends, now) && shares_cold(pool, server, now);
+}
+
+bool cw_server_has_slot(const cw_server_t *server, double extra_slots)
+{
+    return server->own + server->others < server->capacity + extra_slots;
+}
+
+static double present_pace(const cw_server_t *server, cw_time_us_t now)
+{
+    double pace = server->pace;
+
+    if (now - server->pace_at > CW_SECONDS(PACE_FORGET_S) && pace > 1) {
+        pace = 1 + (pace - 1) / 2; /* worth another look */
+    }
+    return cw_server_is_cold(server, now) && pace < cold_pace ? cold_pace : pace;
+}
+
+static double cost(const cw_server_pool_t *pool, const cw_server_t *server, const cw_choice_settings_t *settings,
+                   cw_time_us_t now)
+{
+    double busy = (double)(server->own + server->others) / (server->capacity == 0 ? 1 : server->capacity);
+    double value = present_pace(server, now) * (1 + busy_weight * busy) + settings->affinity * server->affinity;
+
+    if (strcmp(server->zone, pool->zone) != 0) {
+        value += settings->zone_penalty;
+    }
+    if (server->avoid_until > now) {
+        value += 1000;
+    }
+    return value;
+}
+
+cw_server_t *cw_server_pool_choose(cw_server_pool_t *pool, const char *service, const cw_choice_settings_t *settings,
+                                   const cw_server_t *except, cw_time_us_t now, bool *full)
+{
+    cw_server_t *best = NULL;
+    double       best_cost = 0;
+    cw_server_t *server;
+    cw_server_t *next;
+
+    *full = false;
+    HASH_ITER(by_id, pool->by_id, server, next)
+    {
+        double value;
+
+        if (!server->listed || server->draining || server->ended || strcmp(server->service, service) != 0) {
+            continue;
+        }
+        if (!cw_server_has_slot(server, settings->extra_slots) || !cw_server_pool_may_send(pool, server, false, now)) {
+            *full = true;
+            continue;
+        }
+        value = cost(pool, server, settings, now) + (server == except ? 500 : 0);
+        if (best == NULL || value < best_cost) {
+            best = server;
+            best_cost = value;
+        }
+    }
+    return best;
+}
+
+double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now)
+{
+    cw_server_t *server;
+    cw_server_t *next;
+    double       speed = 0;
+
+    HASH_ITER(by_id, pool->by_id, server, next)
+    {
+        if (server->listed && !server->draining && !server->ended && server->avoid_until <= now &&
+            !server->zone_is_out && !cw_server_is_rate_bounded(server, now) && strcmp(server->service, service) == 0) {
+            speed += server->capacity / present_pace(server, now);
+        }
+    }
+    return speed;
+}
+
+uint32_t cw_server_pool_under_way(cw_server_pool_t *pool, const char *service)
+{
+    cw_server_t *server;
+    cw_server_t *next;
+    uint32_t     sum = 0;
+
+    HASH_ITER(by_id, pool->by_id, server, next)
+    {
+        if (server->listed && strcmp(server->service, service) == 0) {
+            sum += server->own + server->others;
+        }
+    }
+    return sum;
+}
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -15,38 +15,46 @@
 #include <stdbool.h>
 #include <uthash.h>
 
+#include "balance/cold_rate.h"
 #include "base/time.h"
 #include "model/server_list.h"
+#include "model/zone_service.h"
 
 /** One life of a server. Lives as long as it is listed or requests are under way. */
 typedef struct cw_server {
-    char          *id;
-    char          *service;
-    char          *address;
-    char          *zone;
-    double         affinity; /**< 0 to 1, another for each node: the order in which equal servers are tried */
-    uint32_t       hash;     /**< short name of the id between nodes */
-    uint32_t       capacity;
-    bool           listed;
-    bool           draining;
-    bool           ended;          /**< another life answered at its address: this one is over */
-    uint32_t       own;            /**< requests of this node under way */
-    uint32_t       others;         /**< of the other nodes, as reported */
-    uint32_t       own_waiting;    /**< requests that wait at this node for keys that it owns, when last counted */
-    uint32_t       others_waiting; /**< at the other nodes, as reported */
-    double         pace;           /**< time of its answers over what is usual on the route; 1 when nothing is known */
-    cw_time_us_t   pace_at;        /**< last measured */
-    uint32_t       served;         /**< answers since the start, and */
-    uint64_t       served_time;    /**< their time over what is usual, in thousandths, summed */
-    uint32_t       served_sent;    /**< value of served in this node's last report to all */
-    uint32_t       served_sent_leader; /**< and in its last one to the leader */
-    cw_time_us_t   answered_others_at; /**< it surely answered another node after this moment; 0: not known */
-    uint32_t       faults;             /**< in a row */
-    cw_time_us_t   avoid_until;        /**< not chosen while another one can be */
-    cw_time_us_t   slow_until;         /**< just started */
-    void          *connections;        /**< the adapter's; freed by it when the server is dropped */
-    UT_hash_handle by_id;
-    UT_hash_handle by_hash;
+    char           *id;
+    char           *service;
+    char           *address;
+    char           *zone;
+    double          affinity; /**< 0 to 1, another for each node: the order in which equal servers are tried */
+    uint32_t        hash;     /**< short name of the id between nodes */
+    uint32_t        capacity;
+    bool            listed;
+    bool            draining;
+    bool            ended;          /**< another life answered at its address: this one is over */
+    uint32_t        own;            /**< requests of this node under way */
+    uint32_t        others;         /**< of the other nodes, as reported */
+    uint32_t        own_waiting;    /**< requests that wait at this node for keys that it owns, when last counted */
+    uint32_t        others_waiting; /**< at the other nodes, as reported */
+    double          pace;           /**< time of its answers over what is usual on the route; 1 when nothing is known */
+    cw_time_us_t    pace_at;        /**< last measured */
+    uint32_t        served;         /**< answers since the start, and */
+    uint64_t        served_time;    /**< their time over what is usual, in thousandths, summed */
+    uint32_t        served_sent;    /**< value of served in this node's last report to all */
+    uint32_t        served_sent_leader; /**< and in its last one to the leader */
+    cw_time_us_t    answered_others_at; /**< it surely answered another node after this moment; 0: not known */
+    uint32_t        faults;             /**< in a row */
+    cw_time_us_t    avoid_until;        /**< not chosen while another one can be */
+    cw_time_us_t    cold_until;         /**< its warm-up takes until then; 0: it is warm */
+    bool            cold_by_entry;      /**< its entry says so */
+    cw_time_us_t    zone_put_back_at;   /**< last put-back of its zone that has been counted as a start */
+    double          cold_per_s;         /**< requests a second that it bears while it is cold; 0: no bound known */
+    cw_cold_sends_t cold_sends;         /**< this node's, while it is cold */
+    bool            zone_is_out;        /**< its zone is out of service */
+    cw_time_us_t    owner_until;        /**< then requests for keys that it owns may still go there until this moment */
+    void           *connections;        /**< the adapter's; freed by it when the server is dropped */
+    UT_hash_handle  by_id;
+    UT_hash_handle  by_hash;
 } cw_server_t;
 
 /** One server in another node's report. */
@@ -64,6 +72,12 @@
     uint64_t time; /**< of the answers over what is usual, in thousandths, summed */
 } cw_server_pace_t;
 
+/** How the servers of a service start, and start again when their zone is put back. */
+typedef struct cw_warm_up {
+    cw_time_us_t duration; /**< a server is cold for so long after its start */
+    double       per_s;    /**< requests a second that a cold server bears; 0: no bound known */
+} cw_warm_up_t;
+
 typedef struct cw_server_pool cw_server_pool_t;
 
 enum { CW_POOL_REPORT_LIFE_MS = 1500 };
@@ -74,16 +88,29 @@
 /** This node's name gives it an order of servers of its own. To be set before the first list. */
 void cw_server_pool_set_node(cw_server_pool_t *pool, const char *node);
 void cw_server_pool_free(cw_server_pool_t *pool);
+/** Who may send to cold servers; borrowed. Until it is set this node sends none to those whose rate is bounded. */
+void cw_server_pool_set_cold_rate(cw_server_pool_t *pool, const cw_cold_rate_t *rate);
+/** As configured; counts for servers known already, and for later ones. */
+void cw_server_pool_set_warm_up(cw_server_pool_t *pool, const char *service, const cw_warm_up_t *warm_up);
 /** Takes a new list over. */
-void         cw_server_pool_update(cw_server_pool_t *pool, const cw_server_list_t *list, cw_time_us_t now);
+void cw_server_pool_update(cw_server_pool_t *pool, const cw_server_list_t *list, cw_time_us_t now);
+/** Takes over which zones are out of service, and which have been put back. After each update, too. */
+void         cw_server_pool_set_zones(cw_server_pool_t *pool, const cw_zone_service_t *zones);
 cw_server_t *cw_server_pool_find(cw_server_pool_t *pool, const char *id);
 /** Listed server of this hash; NULL: none. */
 const cw_server_t *cw_server_pool_find_hash(cw_server_pool_t *pool, uint32_t hash);
 /** All servers, by the by_id handle. */
 cw_server_t *cw_server_pool_all(cw_server_pool_t *pool);
 
+/** Its warm-up is not over. */
+bool cw_server_is_cold(const cw_server_t *server, cw_time_us_t now);
+/** Cold, and bears only so many requests a second. */
+bool cw_server_is_rate_bounded(const cw_server_t *server, cw_time_us_t now);
+/** May this node send a request there at all now, if it owns the request's key (or any server will do: false)? */
+bool cw_server_pool_may_send(const cw_server_pool_t *pool, const cw_server_t *server, bool is_owner, cw_time_us_t now);
+
 /** A request goes there, and has come to its end. */
-void cw_server_pool_begin(cw_server_t *server);
+void cw_server_pool_begin(cw_server_t *server, cw_time_us_t now);
 void cw_server_pool_end(cw_server_pool_t *pool, cw_server_t *server);
 /** A whole answer took `took` where `usual` is usual. */
 void cw_server_pool_served(cw_server_t *server, cw_time_us_t took, cw_time_us_t usual, cw_time_us_t now);
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -27,6 +27,8 @@
     X(SERVERS_CHANGED, "servers changed", NOTICE, 20)                                                                  \
     X(SERVERS_KEPT, "servers kept", WARNING, 20)                                                                       \
     X(SERVERS_OLDER, "servers older", NOTICE, 10)                                                                      \
+    X(ZONE_OUT, "zone out of service", WARNING, 20)                                                                    \
+    X(ZONE_BACK, "zone back in service", NOTICE, 20)                                                                   \
     X(VIEW_TAKEN, "view taken", INFO, 20)                                                                              \
     X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
     X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
@@ -66,6 +68,7 @@
     X(UNDER_WAY, "under_way")                                                                                          \
     X(QUEUED, "queued")                                                                                                \
     X(SILENT_MS, "silent_ms")                                                                                          \
+    X(ZONE, "zone")                                                                                                    \
     X(PEER, "peer")                                                                                                    \
     X(LEADER, "leader")                                                                                                \
     X(COUNT, "count")                                                                                                  \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -53,6 +53,7 @@
     X(LEADING, "cedarwinch_leading", "gauge", "1 while this node leads with authority")                                \
     X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
     X(SERVERS, "cedarwinch_servers", "gauge", "servers listed")                                                        \
+    X(ZONES_OUT, "cedarwinch_zones_out_of_service", "gauge", "zones that operators have taken out of service")         \
     X(PEERS, "cedarwinch_peers", "gauge", "nodes heard lately")                                                        \
     X(CONNECTIONS, "cedarwinch_connections", "gauge", "callers' connections")                                          \
     X(QUEUED, "cedarwinch_queued", "gauge", "requests waiting for a slot")                                             \
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -172,6 +172,7 @@
     settings->drain = read_ms(mapping, "drain_ms", 200, 600000, settings->drain);
     settings->configuration_within =
         read_ms(mapping, "configuration_within_ms", 100, 600000, settings->configuration_within);
+    settings->zone_out_within = read_ms(mapping, "zone_out_within_ms", 0, 600000, settings->zone_out_within);
     settings->heartbeat = read_ms(mapping, "server_heartbeat_ms", 50, 600000, settings->heartbeat);
     limit_holds(settings, read_ms(mapping, "hold_max_ms", 1000, 600000, CW_MS(HOLD_MAX_MS)));
     settings->stop_grace = read_ms(mapping, "stop_grace_ms", 1000, 600000, settings->stop_grace);
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -40,6 +40,7 @@
     cw_time_us_t     hold_long;            /**< while the store cannot be reached */
     cw_time_us_t     drain;                /**< a leaving server gets no request later than this */
     cw_time_us_t     configuration_within; /**< a change of the configuration is in force here within this */
+    cw_time_us_t     zone_out_within;      /**< a zone out of service gets no request later than this; 0: none is */
     cw_time_us_t     heartbeat;            /**< servers write their entries of the list this often */
     cw_time_us_t     stop_grace;
     uint32_t         link_mbps; /**< bandwidth of this node's link */
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -39,7 +39,9 @@
     char        *name;
     bool         keyed; /**< divided by key: a server runs only requests for keys it was granted */
     uint32_t     max_connections;
-    cw_time_us_t warm_time; /**< keys without their last holder's handover are slow for so long */
+    cw_time_us_t warm_time;  /**< keys without their last holder's handover are slow for so long */
+    cw_time_us_t cold_time;  /**< a server is cold for so long after its start */
+    double       cold_per_s; /**< requests a second that a cold server bears; 0: no bound */
 } cw_service_t;
 
 typedef struct cw_configuration {
--- a/src/model/server_list.c
+++ b/src/model/server_list.c
@@ -110,12 +110,13 @@
             *cw_server_list_add(copy) = copy_entry(&list->entries[index]);
         }
     }
+    cw_zone_set_copy(&copy->zones_out, &list->zones_out);
     return copy;
 }
 
 uint64_t cw_server_list_hash(const cw_server_list_t *list)
 {
-    uint64_t hash = list->count;
+    uint64_t hash = list->count + cw_zone_set_hash(&list->zones_out);
     size_t   index;
 
     for (index = 0; index < list->count; index++) {
@@ -124,7 +125,8 @@
         hash = XXH3_64bits_withSeed(entry->id, strlen(entry->id), hash);
         hash = XXH3_64bits_withSeed(entry->service, strlen(entry->service), hash);
         hash = XXH3_64bits_withSeed(entry->address, strlen(entry->address), hash);
-        hash += 4 * (uint64_t)entry->capacity + (entry->draining ? 1 : 0) + (entry->missing_since != 0 ? 2 : 0);
+        hash += 8 * (uint64_t)entry->capacity + (entry->draining ? 1 : 0) + (entry->missing_since != 0 ? 2 : 0) +
+                (entry->cold_time != 0 ? 4 : 0);
     }
     return hash;
 }
@@ -146,6 +148,7 @@
         free_entry(&list->entries[index]);
     }
     free(list->entries);
+    cw_zone_set_clear(&list->zones_out);
     free(list);
 }
 
@@ -186,7 +189,8 @@
 {
     return strcmp(left->id, right->id) == 0 && strcmp(left->service, right->service) == 0 &&
            strcmp(left->address, right->address) == 0 && left->draining == right->draining &&
-           (left->missing_since != 0) == (right->missing_since != 0) && left->capacity == right->capacity;
+           (left->missing_since != 0) == (right->missing_since != 0) &&
+           (left->cold_time != 0) == (right->cold_time != 0) && left->capacity == right->capacity;
 }
 
 bool cw_server_list_same(const cw_server_list_t *left, const cw_server_list_t *right)
@@ -196,6 +200,9 @@
     if (left == NULL || right == NULL || left->count != right->count) {
         return left == right;
     }
+    if (!cw_zone_set_same(&left->zones_out, &right->zones_out)) {
+        return false;
+    }
     for (index = 0; index < left->count; index++) {
         if (!cw_server_entry_same(&left->entries[index], &right->entries[index])) {
             return false;
--- a/src/model/server_list.h
+++ b/src/model/server_list.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "base/time.h"
+#include "model/zone_set.h"
 
 typedef struct cw_server_entry {
     char        *id;
@@ -23,13 +24,14 @@
     bool         draining;
     uint64_t     sequence;      /**< rises with each heartbeat */
     uint64_t     changed_in;    /**< number of the told list in which it last changed; 0 at nodes that do not lead */
-    cw_time_us_t cold_time;     /**< still slow after its start for so long, when it wrote this */
+    cw_time_us_t cold_time;     /**< its warm-up still took so long when it wrote this; 0: it is warm */
     cw_time_us_t missing_since; /**< kept though its entry has been missing since then; 0: it has an entry */
 } cw_server_entry_t;
 
 typedef struct cw_server_list {
     cw_server_entry_t *entries; /**< sorted by id */
     size_t             count;
+    cw_zone_set_t      zones_out; /**< out of service; of the same snapshot (zone_service.h) */
     int                references;
 } cw_server_list_t;
 
@@ -48,9 +50,9 @@
 const cw_server_entry_t *cw_server_list_find(const cw_server_list_t *list, const char *id);
 /** Entry with this address and another id; NULL: none. */
 const cw_server_entry_t *cw_server_list_successor(const cw_server_list_t *list, const char *id, const char *address);
-/** Same server in the same state (leaving, kept though missing); sequences and times are not compared. */
+/** Same server in the same state (leaving, kept though missing, cold); sequences and times are not compared. */
 bool cw_server_entry_same(const cw_server_entry_t *left, const cw_server_entry_t *right);
-/** Same servers in the same states; sequences and times are not compared. */
+/** Same servers in the same states, and the same zones out of service; sequences and times are not compared. */
 bool cw_server_list_same(const cw_server_list_t *left, const cw_server_list_t *right);
 
 #endif
--- a/src/model/server_view.c
+++ b/src/model/server_view.c
@@ -208,6 +208,7 @@
 
         entry->sequence = told->sequence > entry->sequence ? told->sequence : entry->sequence;
         entry->missing_since = told->missing_since;
+        entry->cold_time = told->cold_time;
     }
 }
 
--- /dev/null
+++ b/src/model/zone_set.c
@@ -0,0 +1,90 @@
+/**
+ * @file zone_set.c
+ * @brief Sorted names of zones. Deployments have a few zones, so searches are linear.
+ */
+#include "model/zone_set.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+void cw_zone_set_add(cw_zone_set_t *set, const char *zone)
+{
+    size_t place = 0;
+
+    while (place < set->count && strcmp(set->names[place], zone) < 0) {
+        place++;
+    }
+    if (place < set->count && strcmp(set->names[place], zone) == 0) {
+        return;
+    }
+    set->names = realloc(set->names, (set->count + 1) * sizeof(*set->names));
+    if (set->names == NULL) {
+        abort();
+    }
+    memmove(&set->names[place + 1], &set->names[place], (set->count - place) * sizeof(*set->names));
+    set->names[place] = strdup(zone);
+    if (set->names[place] == NULL) {
+        abort();
+    }
+    set->count++;
+}
+
+void cw_zone_set_copy(cw_zone_set_t *to, const cw_zone_set_t *from)
+{
+    size_t index;
+
+    cw_zone_set_clear(to);
+    for (index = 0; index < from->count; index++) {
+        cw_zone_set_add(to, from->names[index]);
+    }
+}
+
+void cw_zone_set_clear(cw_zone_set_t *set)
+{
+    size_t index;
+
+    for (index = 0; index < set->count; index++) {
+        free(set->names[index]);
+    }
+    free(set->names);
+    memset(set, 0, sizeof(*set));
+}
+
+bool cw_zone_set_has(const cw_zone_set_t *set, const char *zone)
+{
+    size_t index;
+
+    for (index = 0; index < set->count; index++) {
+        if (strcmp(set->names[index], zone) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool cw_zone_set_same(const cw_zone_set_t *left, const cw_zone_set_t *right)
+{
+    size_t index;
+
+    if (left->count != right->count) {
+        return false;
+    }
+    for (index = 0; index < left->count; index++) {
+        if (strcmp(left->names[index], right->names[index]) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+uint64_t cw_zone_set_hash(const cw_zone_set_t *set)
+{
+    uint64_t hash = 0;
+    size_t   index;
+
+    for (index = 0; index < set->count; index++) {
+        hash = XXH3_64bits_withSeed(set->names[index], strlen(set->names[index]), hash);
+    }
+    return hash;
+}
--- a/src/peer/configuration_pages.c
+++ b/src/peer/configuration_pages.c
@@ -112,6 +112,8 @@
         sent->keyed = service->keyed;
         sent->max_connections = service->max_connections;
         sent->warm_us = (uint64_t)service->warm_time;
+        sent->cold_us = (uint64_t)service->cold_time;
+        sent->cold_per_s = service->cold_per_s;
         buffer->service_pointers[index] = sent;
     }
     buffer->page.services = buffer->service_pointers;
@@ -276,6 +278,8 @@
     service->keyed = sent->keyed;
     service->max_connections = sent->max_connections;
     service->warm_time = (cw_time_us_t)sent->warm_us;
+    service->cold_time = (cw_time_us_t)sent->cold_us;
+    service->cold_per_s = sent->cold_per_s;
 }
 
 static void take_tenant(cw_configuration_t *partial, const Cwp__ConfiguredTenant *sent)
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -131,6 +131,11 @@
 
 /* ---- what must move ---- */
 
+static bool is_to_be_emptied(const cw_planner_server_t *server)
+{
+    return server->entry->draining || server->zone_is_out;
+}
+
 static bool must_move(const cw_planner_t *planner, const cw_range_t *range)
 {
     const cw_planner_server_t *server = cw_planner_server_of(planner, range->owner.id);
@@ -141,7 +146,7 @@
     if (range->phase == CW_RANGE_RELEASING && range->hold_until > planner->now) {
         return false; /* both its owner and the former holder may hold it: the move under way comes first */
     }
-    if (server != NULL && server->entry->draining) {
+    if (server != NULL && is_to_be_emptied(server)) {
         return true;
     }
     if (server == NULL && !planner->doubts_list) {
@@ -164,7 +169,7 @@
         cw_planner_server_t *to;
         cw_planner_piece_t   piece = {range->low, range->last, 0};
 
-        if (!must_move(planner, range) || (from != NULL && !from->entry->draining && unreachable)) {
+        if (!must_move(planner, range) || (from != NULL && !is_to_be_emptied(from) && unreachable)) {
             continue;
         }
         to = cw_planner_least_busy(planner, range->owner.id);
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -112,7 +112,7 @@
         cw_histogram_add(CW_HISTOGRAM_QUEUE, request->route->name, now - request->arrived);
     }
     request->attempts++;
-    cw_server_pool_begin(server);
+    cw_server_pool_begin(server, now);
     engine->changed = true;
     cw_metric_add(CW_METRIC_SENT, 1);
     request->call = cw_upstream_call(server->connections, &sending, on_answer, request);
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -143,11 +143,11 @@
 
 typedef enum placing { PLACED, WAITS_FOR_SLOT, WAITS_FOR_OWNER, NO_SERVERS, PAUSED } placing_t;
 
-static placing_t place_keyed(cw_request_t *request)
+static placing_t place_keyed(cw_request_t *request, cw_time_us_t now)
 {
     cw_server_t *server = owner_server(request);
 
-    if (server == NULL || server->draining) {
+    if (server == NULL || server->draining || !cw_server_pool_may_send(request->engine->pool, server, true, now)) {
         return WAITS_FOR_OWNER;
     }
     if (!cw_server_has_slot(server, request->engine->settings.keyed_extra_slots)) {
@@ -166,7 +166,7 @@
         return PAUSED;
     }
     if (request->is_keyed) {
-        return place_keyed(request);
+        return place_keyed(request, now);
     }
     server = cw_server_pool_choose(
         request->engine->pool, request->service->name, &request->engine->settings.choice,
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -298,6 +298,7 @@
     cw_router_configuration_tick(router, now);
     cw_router_share_tick(router, now);
     cw_router_peers_tick(router, now);
+    cw_router_zones_tick(router, now);
     cw_engine_set_nodes(router->engine, nodes_for_budget(router, now), nodes_in_reach(router, now));
     check_file(router, now);
     check_stop(router, now);
@@ -362,6 +363,7 @@
     cw_store_readers_t    readers = {.context = router,
                                      .configuration = cw_router_on_configuration,
                                      .configuration_within = router->settings.configuration_within,
+                                     .zones_may_be_out = router->settings.zone_out_within > 0,
                                      .servers = cw_router_on_servers};
     cw_absence_settings_t absence;
     char                  store_address[32];
@@ -384,6 +386,7 @@
     cw_server_view_init(&router->server_view, &absence);
     cw_router_lead_init(router);
     cw_router_share_init(router);
+    cw_router_zones_init(router);
     cw_router_peers_init(router);
     snprintf(store_address, sizeof(store_address), "%s:%u", router->settings.store.address,
              router->settings.store.port);
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -60,6 +60,7 @@
     router->configuration = configuration;
     router->all_due = true;
     cw_engine_set_configuration(router->engine, configuration);
+    cw_router_use_warm_ups(router);
     cw_http_listener_set_limits(router->callers, &configuration->limits);
     cw_metric_set(CW_METRIC_CONFIGURATION, configuration->version);
     return true;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -112,7 +112,10 @@
     cw_time_us_t configuration_read_at;
 
     /* what this node goes by */
-    cw_server_view_t   server_view;     /**< the list of servers in force */
+    cw_server_view_t   server_view; /**< the list of servers in force */
+    cw_zone_service_t *zones;       /**< which zones are out of service, by that list */
+    cw_cold_rate_t    *cold_rate;   /**< which nodes send to cold servers */
+    cw_time_us_t       sharers_gathered_at;
     bool               reading_servers; /**< this node reads the list itself */
     bool               reading_copy;    /**< from a copy, that may be seconds old */
     cw_time_us_t       servers_read_at; /**< sending of that read */
@@ -213,6 +216,14 @@
 void cw_router_confirm_tables(cw_router_t *router, cw_time_us_t true_at);
 bool cw_router_tables_known(const cw_router_t *router);
 
+/* ---- router_zones.c ---- */
+void cw_router_zones_init(cw_router_t *router);
+/** Another list is in force: servers and zones out of service by it. before_true_at: of the list before. */
+void cw_router_use_zones(cw_router_t *router, cw_time_us_t before_true_at, cw_time_us_t now);
+/** As configured: how the servers of each service start. */
+void cw_router_use_warm_ups(cw_router_t *router);
+void cw_router_zones_tick(cw_router_t *router, cw_time_us_t now);
+
 /* ---- router_take.c ---- */
 /** What this node goes by is of this term from now on, if it is a later one; it has nothing of it yet. */
 void cw_router_begin_term(cw_router_t *router, uint64_t term);
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -5,7 +5,8 @@
  * Rules:
  *  - The first plan waits until servers have signed in.
  *  - Owners that are missing in the list are not believed gone while most of them are: an outage may have emptied it.
- *  - A server is given keys only while it is not leaving and this node has no reason to avoid it.
+ *  - A server is given keys only while it is not leaving, its zone is in service and this node has no reason to avoid
+ *    it. A cold server whose rate is bounded is given none: an owner gets all requests for its keys.
  */
 #include <string.h>
 
@@ -36,7 +37,9 @@
         }
         memset(&servers[count], 0, sizeof(servers[count]));
         servers[count].entry = entry;
-        servers[count].usable = !entry->draining && server != NULL && server->avoid_until <= now;
+        servers[count].zone_is_out = cw_zone_service_is_out(router->zones, entry->zone);
+        servers[count].usable = !entry->draining && !servers[count].zone_is_out && server != NULL &&
+                                server->avoid_until <= now && !cw_server_is_rate_bounded(server, now);
         servers[count].pace = server == NULL ? 1 : server->pace;
         servers[count].cost_s = usual_s * servers[count].pace / (entry->capacity == 0 ? 1 : entry->capacity);
         count++;
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -127,6 +127,8 @@
     page->since = base;
     page->revision = router->server_view.revision;
     page->servers = room->pointers;
+    page->zones_out = router->server_view.list->zones_out.names;
+    page->n_zones_out = router->server_view.list->zones_out.count;
 }
 
 static void send_servers(cw_router_t *router, const cw_peer_t *peer, uint64_t base)
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -52,12 +52,13 @@
 }
 
 /* Another list is in force: all that goes by it is told. */
-static void use_servers(cw_router_t *router, cw_server_list_t *before, cw_time_us_t now)
+static void use_servers(cw_router_t *router, cw_server_list_t *before, cw_time_us_t before_true_at, cw_time_us_t now)
 {
     cw_server_list_t *list = router->server_view.list;
 
     note_servers(router, before);
     cw_server_pool_update(router->pool, list, now);
+    cw_router_use_zones(router, before_true_at, now);
     if (router->leadership.leading) {
         router->lead_servers++;
         router->view_servers = router->lead_servers;
@@ -99,12 +100,13 @@
 {
     cw_time_us_t      now = cw_router_now(router);
     size_t            kept = router->server_view.kept;
+    cw_time_us_t      before_true_at = router->server_view.true_at;
     cw_server_list_t *before;
     cw_view_result_t  result = cw_server_view_take(&router->server_view, reading, now, &before);
 
     if (result == CW_VIEW_CHANGED) {
         note_kept(router, kept);
-        use_servers(router, before, now);
+        use_servers(router, before, before_true_at, now);
     } else if (result == CW_VIEW_OLDER) {
         cw_router_note_older_servers(router, reading->revision, "read");
     }
@@ -133,7 +135,7 @@
     cw_server_list_t *before;
 
     if (cw_server_view_expire(&router->server_view, now, &before) == CW_VIEW_CHANGED) {
-        use_servers(router, before, now);
+        use_servers(router, before, router->server_view.true_at, now);
     }
 }
 
--- /dev/null
+++ b/src/router/router_zones.c
@@ -0,0 +1,73 @@
+/**
+ * @file router_zones.c
+ * @brief Wires zones out of service (zone_service.h) and the rate of cold servers (cold_rate.h) into the node.
+ */
+#include "router/router_internal.h"
+
+enum {
+    SHARERS_EVERY_MS =
+        100, /* how often the nodes that may send to cold servers are gathered; well below their silence */
+    NODES_GATHERED_MAX = 1024
+};
+
+void cw_router_zones_init(cw_router_t *router)
+{
+    router->zones = cw_zone_service_create(router->settings.zone_out_within);
+    router->cold_rate = cw_cold_rate_create(cw_peer_link_own_address(router->link));
+    cw_server_pool_set_cold_rate(router->pool, router->cold_rate);
+}
+
+static void note_zone(void *context, const char *zone, cw_zone_change_t change)
+{
+    const cw_router_t *router = context;
+    cw_event_t         event;
+
+    if (cw_event_begin(&event, change == CW_ZONE_TAKEN_OUT ? CW_EVENT_ZONE_OUT : CW_EVENT_ZONE_BACK)) {
+        cw_event_text(&event, CW_FIELD_ZONE, zone);
+        cw_event_number(&event, CW_FIELD_REVISION, (int64_t)router->server_view.revision);
+        cw_event_ms(&event, CW_FIELD_LEFT_MS,
+                    change == CW_ZONE_TAKEN_OUT
+                        ? cw_zone_service_owners_until(router->zones, zone) - cw_router_now(router)
+                        : 0);
+        cw_event_end(&event);
+    }
+}
+
+void cw_router_use_zones(cw_router_t *router, cw_time_us_t before_true_at, cw_time_us_t now)
+{
+    const cw_zone_set_t *out = &router->server_view.list->zones_out;
+
+    cw_zone_service_apply(router->zones, out, before_true_at, now, note_zone, router);
+    cw_server_pool_set_zones(router->pool, router->zones);
+    cw_metric_set(CW_METRIC_ZONES_OUT, out->count);
+}
+
+void cw_router_use_warm_ups(cw_router_t *router)
+{
+    size_t index;
+
+    for (index = 0; index < router->configuration->service_count; index++) {
+        const cw_service_t *service = &router->configuration->services[index];
+        cw_warm_up_t        warm_up = {.duration = service->cold_time, .per_s = service->cold_per_s};
+
+        cw_server_pool_set_warm_up(router->pool, service->name, &warm_up);
+    }
+}
+
+void cw_router_zones_tick(cw_router_t *router, cw_time_us_t now)
+{
+    uint32_t         addresses[NODES_GATHERED_MAX];
+    size_t           count = 0;
+    const cw_peer_t *peer;
+
+    if (now - router->sharers_gathered_at < CW_MS(SHARERS_EVERY_MS)) {
+        return;
+    }
+    router->sharers_gathered_at = now;
+    for (peer = cw_peer_link_peers(router->link); peer != NULL && count < NODES_GATHERED_MAX; peer = peer->next) {
+        if (peer->heard_at != 0 && !peer->is_lost) {
+            addresses[count++] = peer->address;
+        }
+    }
+    cw_cold_rate_set_nodes(router->cold_rate, addresses, count, now);
+}
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -41,6 +41,8 @@
     /** A change of it has to be told within this; the adapter may wait for others that follow, but not for all of it.
      */
     cw_time_us_t configuration_within;
+    /** Operators may take zones out of service here: each reading of the servers also brings which are. */
+    bool zones_may_be_out;
     /** The list of servers, NULL when it could not be read. All changes up to `revision` of the store are in it, and
      * none later than `latest`: what is read in several calls may hold some made meanwhile. */
     void (*servers)(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest);
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -73,6 +73,8 @@
     uint32_t              queue_max;
     uint32_t              work_ms;
     uint32_t              heartbeat_ms;
+    uint32_t              cold_ms; /**< its warm-up after the start, as its entry tells */
+    uint64_t              started_ms;
     bool                  keyed;
     bool                  hangs;
     bool                  draining;
@@ -383,6 +385,13 @@
     }
 }
 
+static uint32_t cold_left_ms(const server_t *server)
+{
+    uint64_t passed = uv_now(&server->loop) - server->started_ms;
+
+    return passed >= server->cold_ms ? 0 : server->cold_ms - (uint32_t)passed;
+}
+
 static void call_store(server_t *server, const char *method, bool with_body)
 {
     char                  text[1024];
@@ -394,9 +403,9 @@
     if (with_body) {
         snprintf(body, sizeof(body),
                  "{\"metadata\":{\"name\":\"%s\"},\"spec\":{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-                 "\"version\":\"v1\",\"capacity\":%u,\"state\":\"%s\",\"cold_ms\":0,\"sequence\":%" PRIu64 "}}",
+                 "\"version\":\"v1\",\"capacity\":%u,\"state\":\"%s\",\"cold_ms\":%u,\"sequence\":%" PRIu64 "}}",
                  server->id, server->service, server->address, server->zone, server->capacity,
-                 server->draining ? "draining" : "ready", ++server->sequence);
+                 server->draining ? "draining" : "ready", cold_left_ms(server), ++server->sequence);
     }
     if (strcmp(method, "POST") != 0) {
         snprintf(path, sizeof(path), "/%s", server->id);
@@ -466,6 +475,7 @@
     snprintf(server->address, sizeof(server->address), "%s:%u", address, cw_http_listener_port(server->listener));
     snprintf(server->id, sizeof(server->id), "i-%08x%04x", (unsigned)(uv_hrtime() & 0xffffffffu),
              (unsigned)getpid() & 0xffffu);
+    server->started_ms = uv_now(&server->loop);
     server->upstream = cw_upstream_create(&server->loop, &options);
     server->store = cw_upstream_target_create(server->upstream, store_address);
     if (server->store == NULL) {
@@ -502,10 +512,11 @@
     struct arg_int *queue = arg_int0("q", "queue", "N", "requests that wait besides; default 8");
     struct arg_int *work = arg_int0("w", "work-ms", "MS", "time of a request; default 20");
     struct arg_int *heartbeat = arg_int0("b", "heartbeat-ms", "MS", "default 500");
+    struct arg_int *cold = arg_int0(NULL, "cold-ms", "MS", "warm-up that it signs in with; default 0");
     struct arg_lit *keyed = arg_lit0("k", "keyed", "runs a request only while it holds its key");
     struct arg_lit *hangs = arg_lit0("x", "hangs", "does not answer what it cannot queue");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void *table[] = {address, port, store, service, zone, capacity, queue, work, heartbeat, keyed, hangs, end};
+    void *table[] = {address, port, store, service, zone, capacity, queue, work, heartbeat, cold, keyed, hangs, end};
     static server_t server;
 
     if (arg_parse(argument_count, arguments, table) > 0) {
@@ -518,6 +529,7 @@
     server.queue_max = number_of(queue, 8);
     server.work_ms = number_of(work, 20);
     server.heartbeat_ms = number_of(heartbeat, 500);
+    server.cold_ms = number_of(cold, 0);
     server.keyed = keyed->count > 0;
     server.hangs = hangs->count > 0;
     return run(&server, address->count > 0 ? address->sval[0] : "127.0.0.1", (uint16_t)number_of(port, 0),
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -122,11 +122,11 @@
     cw_server_pool_t *pool = new_pool(&dropped);
 
     ck_assert_str_eq(choose(pool, 0, &full), "near");
-    cw_server_pool_begin(cw_server_pool_find(pool, "near"));
-    cw_server_pool_begin(cw_server_pool_find(pool, "near"));
+    cw_server_pool_begin(cw_server_pool_find(pool, "near"), 0);
+    cw_server_pool_begin(cw_server_pool_find(pool, "near"), 0);
     ck_assert_str_eq(choose(pool, 0, &full), "far");
-    cw_server_pool_begin(cw_server_pool_find(pool, "far"));
-    cw_server_pool_begin(cw_server_pool_find(pool, "far"));
+    cw_server_pool_begin(cw_server_pool_find(pool, "far"), 0);
+    cw_server_pool_begin(cw_server_pool_find(pool, "far"), 0);
     ck_assert_str_eq(choose(pool, 0, &full), "none");
     ck_assert(full);
     cw_server_pool_free(pool);
@@ -318,7 +318,7 @@
     cw_server_t      *near = cw_server_pool_find(pool, "near");
 
     ck_assert_ptr_eq(cw_server_pool_find_hash(pool, near->hash), near);
-    cw_server_pool_begin(near);
+    cw_server_pool_begin(near, 0);
     cw_server_pool_update(pool, empty, 0);
     ck_assert_ptr_null(cw_server_pool_find_hash(pool, near->hash));
     ck_assert_uint_eq(dropped, 2);
