balance: a server that fails each request is passed over while another exists; a server's load is decoded

Ruled out: passing over after a single fault. Change: a second attempt waits for another server; two faults in a row make a server suspect, which is taken only where a service has nothing better; after its pause it gets one request to show that it answers.

--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -6,7 +6,11 @@
 
 #include "balance/server_pool_internal.h"
 
-enum { PACE_FORGET_S = 6 };
+enum {
+    PACE_FORGET_S = 6,
+    SAMPLE_FRESH_MS = 200, /* a load sample tells of requests that take about as long */
+    FAULTS_SUSPECT = 2     /* in a row: a single one may be a connection that the server had closed as idle */
+};
 
 static const double busy_weight = 0.45; /* a server with all slots taken costs so much more */
 static const double cold_pace = 1.5;    /* taken on while a server has just started */
@@ -37,9 +41,18 @@
     return cw_cold_sends_are_left(&server->cold_sends, now) && shares_cold(pool, server, now);
 }
 
-bool cw_server_has_slot(const cw_server_t *server, double extra_slots)
+/* Requests of other nodes there: what they have reported, or what the server itself said a moment ago if that is more.
+ */
+static uint32_t others_at(const cw_server_t *server, cw_time_us_t now)
+{
+    bool is_fresh = server->sampled_at != 0 && now - server->sampled_at < CW_MS(SAMPLE_FRESH_MS);
+
+    return is_fresh && server->sampled_others > server->others ? server->sampled_others : server->others;
+}
+
+bool cw_server_has_slot(const cw_server_t *server, double extra_slots, cw_time_us_t now)
 {
-    return server->own + server->others < server->capacity + extra_slots;
+    return server->own + others_at(server, now) < server->capacity + extra_slots;
 }
 
 static double present_pace(const cw_server_t *server, cw_time_us_t now)
@@ -55,7 +68,7 @@
 static double cost(const cw_server_pool_t *pool, const cw_server_t *server, const cw_choice_settings_t *settings,
                    cw_time_us_t now)
 {
-    double busy = (double)(server->own + server->others) / (server->capacity == 0 ? 1 : server->capacity);
+    double busy = (double)(server->own + others_at(server, now)) / (server->capacity == 0 ? 1 : server->capacity);
     double value = present_pace(server, now) * (1 + busy_weight * busy) + settings->affinity * server->affinity;
 
     if (strcmp(server->zone, pool->zone) != 0) {
@@ -67,33 +80,72 @@
     return value;
 }
 
+/* How good a server is for a request before its cost counts. Better ones come first, and what is not good is taken only
+ * where a service has nothing better at all: a server that resets each request has free slots all the time, and would
+ * otherwise get all requests as soon as the others are full. */
+typedef enum fitness { UNFIT, SUSPECT, FIT, FITNESSES } fitness_t;
+
+static bool is_candidate(const cw_server_t *server, const char *service)
+{
+    return server->listed && !server->draining && !server->ended && !server->zone_is_out &&
+           strcmp(server->service, service) == 0;
+}
+
+static fitness_t fitness(const cw_server_t *server, const cw_server_t *except, cw_time_us_t now)
+{
+    if (server == except) {
+        return UNFIT;
+    }
+    return server->faults >= FAULTS_SUSPECT && server->avoid_until > now ? SUSPECT : FIT;
+}
+
+/* After its pause a server that failed gets one request to show that it answers again. */
+static bool is_being_tried(const cw_server_t *server)
+{
+    return server->faults >= FAULTS_SUSPECT && server->own > 0;
+}
+
+static bool has_place(const cw_server_pool_t *pool, const cw_server_t *server, const cw_choice_settings_t *settings,
+                      cw_time_us_t now)
+{
+    return cw_server_has_slot(server, settings->extra_slots, now) && !is_being_tried(server) &&
+           cw_server_pool_may_send(pool, server, false, now);
+}
+
 cw_server_t *cw_server_pool_choose(cw_server_pool_t *pool, const char *service, const cw_choice_settings_t *settings,
                                    const cw_server_t *except, cw_time_us_t now, bool *full)
 {
-    cw_server_t *best = NULL;
-    double       best_cost = 0;
+    cw_server_t *best[FITNESSES] = {NULL};
+    double       best_cost[FITNESSES] = {0};
+    bool         any[FITNESSES] = {false};
     cw_server_t *server;
     cw_server_t *next;
+    int          level = FIT;
 
-    *full = false;
     HASH_ITER(by_id, pool->by_id, server, next)
     {
-        double value;
+        fitness_t group;
+        double    value;
 
-        if (!server->listed || server->draining || server->ended || strcmp(server->service, service) != 0) {
+        if (!is_candidate(server, service)) {
             continue;
         }
-        if (!cw_server_has_slot(server, settings->extra_slots) || !cw_server_pool_may_send(pool, server, false, now)) {
-            *full = true;
+        group = fitness(server, except, now);
+        any[group] = true;
+        if (!has_place(pool, server, settings, now)) {
             continue;
         }
-        value = cost(pool, server, settings, now) + (server == except ? 500 : 0);
-        if (best == NULL || value < best_cost) {
-            best = server;
-            best_cost = value;
+        value = cost(pool, server, settings, now);
+        if (best[group] == NULL || value < best_cost[group]) {
+            best[group] = server;
+            best_cost[group] = value;
         }
     }
-    return best;
+    while (level > UNFIT && !any[level]) {
+        level--;
+    }
+    *full = any[level] && best[level] == NULL;
+    return best[level];
 }
 
 double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now)
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -254,6 +254,15 @@
     server->avoid_until = 0;
 }
 
+void cw_server_pool_note_load(cw_server_t *server, const cw_server_load_t *sample, cw_time_us_t now)
+{
+    uint32_t all = sample->running + sample->waiting;
+    uint32_t own = server->own > 0 ? server->own - 1 : 0; /* the one that is answered is no longer there */
+
+    server->sampled_others = all > own ? all - own : 0;
+    server->sampled_at = now;
+}
+
 void cw_server_pool_slow(cw_server_t *server, cw_time_us_t waited, cw_time_us_t usual, cw_time_us_t now)
 {
     double ratio = usual <= 0 ? 1 : (double)waited / (double)usual;
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -16,6 +16,7 @@
 #include <uthash.h>
 
 #include "balance/cold_rate.h"
+#include "balance/server_load.h"
 #include "base/time.h"
 #include "model/server_list.h"
 #include "model/zone_service.h"
@@ -38,6 +39,8 @@
     uint32_t        others_waiting; /**< at the other nodes, as reported */
     double          pace;           /**< time of its answers over what is usual on the route; 1 when nothing is known */
     cw_time_us_t    pace_at;        /**< last measured */
+    uint32_t        sampled_others; /**< requests of other nodes there by its own last load sample, */
+    cw_time_us_t    sampled_at;     /**< which came then; 0: none */
     uint32_t        served;         /**< answers since the start, and */
     uint64_t        served_time;    /**< their time over what is usual, in thousandths, summed */
     uint32_t        served_sent;    /**< value of served in this node's last report to all */
@@ -114,6 +117,8 @@
 void cw_server_pool_end(cw_server_pool_t *pool, cw_server_t *server);
 /** A whole answer took `took` where `usual` is usual. */
 void cw_server_pool_served(cw_server_t *server, cw_time_us_t took, cw_time_us_t usual, cw_time_us_t now);
+/** The server told its load with an answer; this node's own request is over by then. */
+void cw_server_pool_note_load(cw_server_t *server, const cw_server_load_t *sample, cw_time_us_t now);
 /** No whole answer after `waited`: it takes at least that long. */
 void cw_server_pool_slow(cw_server_t *server, cw_time_us_t waited, cw_time_us_t usual, cw_time_us_t now);
 /** No connection, or no answer. */
@@ -139,7 +144,7 @@
 /** Best server of a service with a free slot. full: there are servers, but none has a slot. */
 cw_server_t *cw_server_pool_choose(cw_server_pool_t *pool, const char *service, const cw_choice_settings_t *settings,
                                    const cw_server_t *except, cw_time_us_t now, bool *full);
-bool         cw_server_has_slot(const cw_server_t *server, double extra_slots);
+bool         cw_server_has_slot(const cw_server_t *server, double extra_slots, cw_time_us_t now);
 /** Slots of a service that can be used, in units of a server of usual pace. */
 double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now);
 /** Requests under way at a service's servers. */
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -28,6 +28,8 @@
     X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries for which the budget had no room")        \
     X(NOT_RUN, "cedarwinch_server_not_run_total", "counter", "servers that said they did not run a request")           \
     X(BROKEN, "cedarwinch_server_broken_total", "counter", "answers that broke off, were reset or were no answer")     \
+    X(LOADS_MALFORMED, "cedarwinch_server_loads_malformed_total", "counter",                                           \
+      "answers whose header with the server's load could not be decoded")                                              \
     X(UNREACHED, "cedarwinch_server_unreached_total", "counter", "servers to which no connection could be made")       \
     X(CONNECTIONS_OPENED, "cedarwinch_server_connections_total", "counter", "connections opened to servers")           \
     X(STORE_READS, "cedarwinch_store_reads_total", "counter", "reading calls to the store")                            \
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -33,18 +33,20 @@
     const char *key;        /**< number of the key */
     const char *signature;  /**< from a server: the answer is its own */
     const char *instance;   /**< from a server: its id */
+    const char *load;       /**< from a server: its load at the moment of the answer; NULL: none is told */
 } cw_header_names_t;
 
 typedef struct cw_engine_settings {
-    cw_header_names_t    names;
-    cw_choice_settings_t choice;
-    cw_budget_settings_t budget;
-    double               keyed_extra_slots; /**< requests an owner of keys may have beyond its slots */
-    cw_time_us_t         connect_timeout;
-    double               silence_factor; /**< a repeatable request is repeated after so many usual times of silence */
-    cw_time_us_t         margin;         /**< answers leave this much before the caller's own deadline */
-    size_t               answer_max;
-    size_t               queue_max; /**< requests waiting for one service */
+    cw_header_names_t        names;
+    cw_server_load_decoder_t decode_load; /**< of the header `load`; NULL: it is not read */
+    cw_choice_settings_t     choice;
+    cw_budget_settings_t     budget;
+    double                   keyed_extra_slots; /**< requests an owner of keys may have beyond its slots */
+    cw_time_us_t             connect_timeout;
+    double       silence_factor; /**< a repeatable request is repeated after so many usual times of silence */
+    cw_time_us_t margin;         /**< answers leave this much before the caller's own deadline */
+    size_t       answer_max;
+    size_t       queue_max; /**< requests waiting for one service */
 } cw_engine_settings_t;
 
 /** Where the keys of a service are, as the leader told it. */
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -150,7 +150,7 @@
     if (server == NULL || server->draining || !cw_server_pool_may_send(request->engine->pool, server, true, now)) {
         return WAITS_FOR_OWNER;
     }
-    if (!cw_server_has_slot(server, request->engine->settings.keyed_extra_slots)) {
+    if (!cw_server_has_slot(server, request->engine->settings.keyed_extra_slots, now)) {
         return WAITS_FOR_SLOT;
     }
     cw_request_send(request, server);
--- a/src/router/adapter.h
+++ b/src/router/adapter.h
@@ -19,6 +19,8 @@
 
 typedef struct cw_adapter {
     const cw_header_names_t *header_names;
+    /** Decodes the value of the header `load`. */
+    cw_server_load_decoder_t decode_load;
     /** store_address: "IPv4:PORT". Standing reads begin at once; their results go to the readers (NULL: none). */
     void *(*create)(uv_loop_t *loop, const char *store_address, const cw_store_readers_t *readers);
     cw_store_port_t *(*store)(void *adapter);
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -310,6 +310,7 @@
 static cw_engine_settings_t engine_settings(const cw_router_t *router)
 {
     cw_engine_settings_t settings = {.names = *router->adapter->header_names,
+                                     .decode_load = router->adapter->decode_load,
                                      .choice = {.zone_penalty = 0.7, .extra_slots = 0},
                                      .budget = {.ratio = router->settings.retry_ratio,
                                                 .extra = router->settings.retry_extra,
