--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -907,6 +907,141 @@
   assert(message->base.descriptor == &cwp__store_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__slot_ask__init
+                     (Cwp__SlotAsk         *message)
+{
+  static const Cwp__SlotAsk init_value = CWP__SLOT_ASK__INIT;
+  *message = init_value;
+}
+size_t cwp__slot_ask__get_packed_size
+                     (const Cwp__SlotAsk *message)
+{
+  assert(message->base.descriptor == &cwp__slot_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__slot_ask__pack
+                     (const Cwp__SlotAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__slot_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__slot_ask__pack_to_buffer
+                     (const Cwp__SlotAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__slot_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__SlotAsk *
+       cwp__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__SlotAsk *)
+     protobuf_c_message_unpack (&cwp__slot_ask__descriptor,
+                                allocator, len, data);
+}
+void   cwp__slot_ask__free_unpacked
+                     (Cwp__SlotAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__slot_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__slot_reply__init
+                     (Cwp__SlotReply         *message)
+{
+  static const Cwp__SlotReply init_value = CWP__SLOT_REPLY__INIT;
+  *message = init_value;
+}
+size_t cwp__slot_reply__get_packed_size
+                     (const Cwp__SlotReply *message)
+{
+  assert(message->base.descriptor == &cwp__slot_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__slot_reply__pack
+                     (const Cwp__SlotReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__slot_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__slot_reply__pack_to_buffer
+                     (const Cwp__SlotReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__slot_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__SlotReply *
+       cwp__slot_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__SlotReply *)
+     protobuf_c_message_unpack (&cwp__slot_reply__descriptor,
+                                allocator, len, data);
+}
+void   cwp__slot_reply__free_unpacked
+                     (Cwp__SlotReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__slot_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__slot_return__init
+                     (Cwp__SlotReturn         *message)
+{
+  static const Cwp__SlotReturn init_value = CWP__SLOT_RETURN__INIT;
+  *message = init_value;
+}
+size_t cwp__slot_return__get_packed_size
+                     (const Cwp__SlotReturn *message)
+{
+  assert(message->base.descriptor == &cwp__slot_return__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__slot_return__pack
+                     (const Cwp__SlotReturn *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__slot_return__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__slot_return__pack_to_buffer
+                     (const Cwp__SlotReturn *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__slot_return__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__SlotReturn *
+       cwp__slot_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__SlotReturn *)
+     protobuf_c_message_unpack (&cwp__slot_return__descriptor,
+                                allocator, len, data);
+}
+void   cwp__slot_return__free_unpacked
+                     (Cwp__SlotReturn *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__slot_return__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__datagram__init
                      (Cwp__Datagram         *message)
 {
@@ -2948,7 +3083,316 @@
   (ProtobufCMessageInit) cwp__store_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cwp__slot_ask__field_descriptors[8] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "except",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, except),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objective_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, objective_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__slot_ask__field_indices_by_name[] = {
+  3,   /* field[3] = except */
+  6,   /* field[6] = lease_ms */
+  5,   /* field[5] = objective_ms */
+  4,   /* field[4] = priority */
+  2,   /* field[2] = server */
+  1,   /* field[1] = service */
+  0,   /* field[0] = ticket */
+  7,   /* field[7] = wait_ms */
+};
+static const ProtobufCIntRange cwp__slot_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor cwp__slot_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.SlotAsk",
+  "SlotAsk",
+  "Cwp__SlotAsk",
+  "cwp",
+  sizeof(Cwp__SlotAsk),
+  8,
+  cwp__slot_ask__field_descriptors,
+  cwp__slot_ask__field_indices_by_name,
+  1,  cwp__slot_ask__number_ranges,
+  (ProtobufCMessageInit) cwp__slot_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__slot_reply__field_descriptors[4] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReply, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReply, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReply, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_after_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReply, free_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__slot_reply__field_indices_by_name[] = {
+  3,   /* field[3] = free_after_ms */
+  1,   /* field[1] = outcome */
+  2,   /* field[2] = server */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange cwp__slot_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cwp__slot_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.SlotReply",
+  "SlotReply",
+  "Cwp__SlotReply",
+  "cwp",
+  sizeof(Cwp__SlotReply),
+  4,
+  cwp__slot_reply__field_descriptors,
+  cwp__slot_reply__field_indices_by_name,
+  1,  cwp__slot_reply__number_ranges,
+  (ProtobufCMessageInit) cwp__slot_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__slot_return__field_descriptors[6] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReturn, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReturn, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReturn, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReturn, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReturn, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_percent",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReturn, work_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__slot_return__field_indices_by_name[] = {
+  1,   /* field[1] = end */
+  2,   /* field[2] = running */
+  4,   /* field[4] = slots */
+  0,   /* field[0] = ticket */
+  3,   /* field[3] = waiting */
+  5,   /* field[5] = work_percent */
+};
+static const ProtobufCIntRange cwp__slot_return__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cwp__slot_return__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.SlotReturn",
+  "SlotReturn",
+  "Cwp__SlotReturn",
+  "cwp",
+  sizeof(Cwp__SlotReturn),
+  6,
+  cwp__slot_return__field_descriptors,
+  cwp__slot_return__field_indices_by_name,
+  1,  cwp__slot_return__number_ranges,
+  (ProtobufCMessageInit) cwp__slot_return__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[11] =
 {
   {
     "report",
@@ -3046,6 +3490,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slot_ask",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, slot_ask),
+    &cwp__slot_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_reply",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, slot_reply),
+    &cwp__slot_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_return",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, slot_return),
+    &cwp__slot_return__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__datagram__field_indices_by_name[] = {
   3,   /* field[3] = ack */
@@ -3054,13 +3534,16 @@
   4,   /* field[4] = nodes */
   0,   /* field[0] = report */
   1,   /* field[1] = servers */
+  8,   /* field[8] = slot_ask */
+  9,   /* field[9] = slot_reply */
+  10,   /* field[10] = slot_return */
   7,   /* field[7] = store_notice */
   2,   /* field[2] = table */
 };
 static const ProtobufCIntRange cwp__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cwp__datagram__descriptor =
 {
@@ -3070,7 +3553,7 @@
   "Cwp__Datagram",
   "cwp",
   sizeof(Cwp__Datagram),
-  8,
+  11,
   cwp__datagram__field_descriptors,
   cwp__datagram__field_indices_by_name,
   1,  cwp__datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -35,6 +35,9 @@
 typedef struct Cwp__ConfigurationPage Cwp__ConfigurationPage;
 typedef struct Cwp__ConfigurationRequest Cwp__ConfigurationRequest;
 typedef struct Cwp__StoreNotice Cwp__StoreNotice;
+typedef struct Cwp__SlotAsk Cwp__SlotAsk;
+typedef struct Cwp__SlotReply Cwp__SlotReply;
+typedef struct Cwp__SlotReturn Cwp__SlotReturn;
 typedef struct Cwp__Datagram Cwp__Datagram;
 
 
@@ -503,6 +506,87 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Asks the node that counts the slots of a zone's servers for one.
+ */
+struct  Cwp__SlotAsk
+{
+  ProtobufCMessage base;
+  /*
+   * the asking node's number of it
+   */
+  uint32_t ticket;
+  /*
+   * hash of the service's name
+   */
+  uint32_t service;
+  /*
+   * hash of the only server that will do; 0: any
+   */
+  uint32_t server;
+  /*
+   * hash of one that has failed the request; 0: none
+   */
+  uint32_t except;
+  uint32_t priority;
+  /*
+   * left until the request's latency objective
+   */
+  uint32_t objective_ms;
+  /*
+   * longest time that the slot is needed
+   */
+  uint32_t lease_ms;
+  /*
+   * to be refused if a slot is expected later
+   */
+  uint32_t wait_ms;
+};
+#define CWP__SLOT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__slot_ask__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Cwp__SlotReply
+{
+  ProtobufCMessage base;
+  uint32_t ticket;
+  /*
+   * 0 granted, 1 waits, 2 refused
+   */
+  uint32_t outcome;
+  uint32_t server;
+  uint32_t free_after_ms;
+};
+#define CWP__SLOT_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__slot_reply__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Gives a slot back, or withdraws an ask.
+ */
+struct  Cwp__SlotReturn
+{
+  ProtobufCMessage base;
+  uint32_t ticket;
+  /*
+   * 0 answered, 1 failed, 2 says nothing of the server
+   */
+  uint32_t end;
+  /*
+   * the server's load with its answer; slots 0: not told
+   */
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t slots;
+  uint32_t work_percent;
+};
+#define CWP__SLOT_RETURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__slot_return__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   CWP__DATAGRAM__CONTENT__NOT_SET = 0,
   CWP__DATAGRAM__CONTENT_REPORT = 1,
@@ -512,7 +596,10 @@
   CWP__DATAGRAM__CONTENT_NODES = 5,
   CWP__DATAGRAM__CONTENT_CONFIGURATION = 6,
   CWP__DATAGRAM__CONTENT_CONFIGURATION_REQUEST = 7,
-  CWP__DATAGRAM__CONTENT_STORE_NOTICE = 8
+  CWP__DATAGRAM__CONTENT_STORE_NOTICE = 8,
+  CWP__DATAGRAM__CONTENT_SLOT_ASK = 9,
+  CWP__DATAGRAM__CONTENT_SLOT_REPLY = 10,
+  CWP__DATAGRAM__CONTENT_SLOT_RETURN = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CWP__DATAGRAM__CONTENT__CASE)
 } Cwp__Datagram__ContentCase;
 
@@ -529,6 +616,9 @@
     Cwp__ConfigurationPage *configuration;
     Cwp__ConfigurationRequest *configuration_request;
     Cwp__StoreNotice *store_notice;
+    Cwp__SlotAsk *slot_ask;
+    Cwp__SlotReply *slot_reply;
+    Cwp__SlotReturn *slot_return;
   };
 };
 #define CWP__DATAGRAM__INIT \
@@ -916,6 +1006,63 @@
 void   cwp__store_notice__free_unpacked
                      (Cwp__StoreNotice *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__SlotAsk methods */
+void   cwp__slot_ask__init
+                     (Cwp__SlotAsk         *message);
+size_t cwp__slot_ask__get_packed_size
+                     (const Cwp__SlotAsk   *message);
+size_t cwp__slot_ask__pack
+                     (const Cwp__SlotAsk   *message,
+                      uint8_t             *out);
+size_t cwp__slot_ask__pack_to_buffer
+                     (const Cwp__SlotAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__SlotAsk *
+       cwp__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__slot_ask__free_unpacked
+                     (Cwp__SlotAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__SlotReply methods */
+void   cwp__slot_reply__init
+                     (Cwp__SlotReply         *message);
+size_t cwp__slot_reply__get_packed_size
+                     (const Cwp__SlotReply   *message);
+size_t cwp__slot_reply__pack
+                     (const Cwp__SlotReply   *message,
+                      uint8_t             *out);
+size_t cwp__slot_reply__pack_to_buffer
+                     (const Cwp__SlotReply   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__SlotReply *
+       cwp__slot_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__slot_reply__free_unpacked
+                     (Cwp__SlotReply *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__SlotReturn methods */
+void   cwp__slot_return__init
+                     (Cwp__SlotReturn         *message);
+size_t cwp__slot_return__get_packed_size
+                     (const Cwp__SlotReturn   *message);
+size_t cwp__slot_return__pack
+                     (const Cwp__SlotReturn   *message,
+                      uint8_t             *out);
+size_t cwp__slot_return__pack_to_buffer
+                     (const Cwp__SlotReturn   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__SlotReturn *
+       cwp__slot_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__slot_return__free_unpacked
+                     (Cwp__SlotReturn *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__Datagram methods */
 void   cwp__datagram__init
                      (Cwp__Datagram         *message);
@@ -997,6 +1144,15 @@
 typedef void (*Cwp__StoreNotice_Closure)
                  (const Cwp__StoreNotice *message,
                   void *closure_data);
+typedef void (*Cwp__SlotAsk_Closure)
+                 (const Cwp__SlotAsk *message,
+                  void *closure_data);
+typedef void (*Cwp__SlotReply_Closure)
+                 (const Cwp__SlotReply *message,
+                  void *closure_data);
+typedef void (*Cwp__SlotReturn_Closure)
+                 (const Cwp__SlotReturn *message,
+                  void *closure_data);
 typedef void (*Cwp__Datagram_Closure)
                  (const Cwp__Datagram *message,
                   void *closure_data);
@@ -1026,6 +1182,9 @@
 extern const ProtobufCMessageDescriptor cwp__configuration_page__descriptor;
 extern const ProtobufCMessageDescriptor cwp__configuration_request__descriptor;
 extern const ProtobufCMessageDescriptor cwp__store_notice__descriptor;
+extern const ProtobufCMessageDescriptor cwp__slot_ask__descriptor;
+extern const ProtobufCMessageDescriptor cwp__slot_reply__descriptor;
+extern const ProtobufCMessageDescriptor cwp__slot_return__descriptor;
 extern const ProtobufCMessageDescriptor cwp__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -80,6 +80,11 @@
     return value;
 }
 
+bool cw_server_is_suspect(const cw_server_t *server)
+{
+    return server->faults >= FAULTS_SUSPECT;
+}
+
 /* How good a server is for a request before its cost counts. Better ones come first, and what is not good is taken only
  * where a service has nothing better at all: a server that resets each request has free slots all the time, and would
  * otherwise get all requests as soon as the others are full. */
@@ -96,13 +101,13 @@
     if (server == except) {
         return UNFIT;
     }
-    return server->faults >= FAULTS_SUSPECT && server->avoid_until > now ? SUSPECT : FIT;
+    return cw_server_is_suspect(server) && server->avoid_until > now ? SUSPECT : FIT;
 }
 
 /* After its pause a server that failed gets one request to show that it answers again. */
 static bool is_being_tried(const cw_server_t *server)
 {
-    return server->faults >= FAULTS_SUSPECT && server->own > 0;
+    return cw_server_is_suspect(server) && server->own > 0;
 }
 
 static bool has_place(const cw_server_pool_t *pool, const cw_server_t *server, const cw_choice_settings_t *settings,
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -94,6 +94,11 @@
     return server != NULL && server->listed ? server : NULL;
 }
 
+const char *cw_server_pool_zone(const cw_server_pool_t *pool)
+{
+    return pool->zone;
+}
+
 cw_server_t *cw_server_pool_all(cw_server_pool_t *pool)
 {
     return pool->by_id;
@@ -178,6 +183,7 @@
     server->address = strdup(entry->address);
     server->zone = strdup(entry->zone);
     server->hash = (uint32_t)XXH3_64bits(entry->id, strlen(entry->id));
+    server->service_hash = (uint32_t)XXH3_64bits(entry->service, strlen(entry->service));
     server->affinity = (double)(XXH3_64bits_withSeed(entry->id, strlen(entry->id), pool->node) >> 11) * 0x1.0p-53;
     server->pace = 1;
     server->cold_per_s = warm_up_of(pool, entry->service).per_s;
@@ -242,6 +248,12 @@
     server->pace += weight * (ratio - server->pace);
 }
 
+void cw_server_pool_sound(cw_server_t *server)
+{
+    server->faults = 0;
+    server->avoid_until = 0;
+}
+
 void cw_server_pool_served(cw_server_t *server, cw_time_us_t took, cw_time_us_t usual, cw_time_us_t now)
 {
     double ratio = usual <= 0 ? 1 : (double)took / (double)usual;
@@ -250,8 +262,7 @@
     server->pace_at = now;
     server->served++;
     server->served_time += (uint64_t)(ratio * 1000);
-    server->faults = 0;
-    server->avoid_until = 0;
+    cw_server_pool_sound(server);
 }
 
 void cw_server_pool_note_load(cw_server_t *server, const cw_server_load_t *sample, cw_time_us_t now)
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -27,8 +27,9 @@
     char           *service;
     char           *address;
     char           *zone;
-    double          affinity; /**< 0 to 1, another for each node: the order in which equal servers are tried */
-    uint32_t        hash;     /**< short name of the id between nodes */
+    double          affinity;     /**< 0 to 1, another for each node: the order in which equal servers are tried */
+    uint32_t        hash;         /**< short name of the id between nodes */
+    uint32_t        service_hash; /**< and of its service */
     uint32_t        capacity;
     bool            listed;
     bool            draining;
@@ -102,6 +103,8 @@
 cw_server_t *cw_server_pool_find(cw_server_pool_t *pool, const char *id);
 /** Listed server of this hash; NULL: none. */
 const cw_server_t *cw_server_pool_find_hash(cw_server_pool_t *pool, uint32_t hash);
+/** This node's zone. */
+const char *cw_server_pool_zone(const cw_server_pool_t *pool);
 /** All servers, by the by_id handle. */
 cw_server_t *cw_server_pool_all(cw_server_pool_t *pool);
 
@@ -121,6 +124,10 @@
 void cw_server_pool_note_load(cw_server_t *server, const cw_server_load_t *sample, cw_time_us_t now);
 /** No whole answer after `waited`: it takes at least that long. */
 void cw_server_pool_slow(cw_server_t *server, cw_time_us_t waited, cw_time_us_t usual, cw_time_us_t now);
+/** It answers: former faults count no longer. */
+void cw_server_pool_sound(cw_server_t *server);
+/** Has failed several times in a row. */
+bool cw_server_is_suspect(const cw_server_t *server);
 /** No connection, or no answer. */
 void cw_server_pool_fault(cw_server_t *server, cw_time_us_t now);
 
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -51,6 +51,7 @@
     X(IMBALANCE_WEIGHTED_MS, "cedarwinch_imbalance_weighted_milliseconds_total", "counter",                            \
       "load of the busiest owner over the mean of owners, times milliseconds")                                         \
     X(IMBALANCE_MS, "cedarwinch_imbalance_milliseconds_total", "counter", "over so many milliseconds")                 \
+    X(SLOT_BROKERS_SILENT, "cedarwinch_slot_brokers_silent_total", "counter", "asks for a slot that got no reply")     \
     X(LOG_DROPPED, "cedarwinch_log_lines_dropped", "gauge", "log lines not written")                                   \
     X(LEADING, "cedarwinch_leading", "gauge", "1 while this node leads with authority")                                \
     X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "base/event_log.h"
 #include "base/metrics.h"
@@ -16,7 +17,6 @@
     STATUS_UNAUTHORIZED = 401,
     STATUS_TOO_MANY = 429,
     STATUS_UNAVAILABLE = 503,
-    USUAL_FIRST_MS = 100,
     DEADLINE_DEFAULT_S = 30,
     DECIDE_PART = 5, /* a refusal within a quarter of the aim is early; a little sooner, to be sure */
     MARGIN_PART = 4,
@@ -64,7 +64,8 @@
             abort();
         }
         service->name = strdup(name);
-        service->usual = CW_MS(USUAL_FIRST_MS);
+        service->hash = (uint32_t)XXH3_64bits(name, strlen(name));
+        service->usual = CW_MS(CW_USUAL_FIRST_MS);
         HASH_ADD_KEYPTR(hh, engine->services, service->name, strlen(service->name), service);
     }
     return service;
@@ -81,7 +82,7 @@
             abort();
         }
         state->name = strdup(route->name);
-        state->usual = route->aim > 0 ? route->aim / 3 : CW_MS(USUAL_FIRST_MS);
+        state->usual = route->aim > 0 ? route->aim / 3 : CW_MS(CW_USUAL_FIRST_MS);
         HASH_ADD_KEYPTR(hh, engine->routes, state->name, strlen(state->name), state);
     }
     return state;
@@ -217,6 +218,10 @@
         cw_request_repeat_after_silence(request);
         return;
     }
+    if (cw_request_waits_for_slot(request) && now >= request->claim.due) {
+        cw_request_slot_overdue(request, now);
+        return;
+    }
     if (request->is_queued) {
         cw_service_dispatch(request->engine, request->service);
         return;
@@ -435,7 +440,9 @@
     if (request->call != NULL && request->repeat_at < due) {
         due = request->repeat_at;
     }
-    if (request->is_queued) {
+    if (cw_request_waits_for_slot(request)) {
+        due = request->claim.due < due ? request->claim.due : due;
+    } else if (request->is_queued) {
         if (!request->decided && request->decide_at < due) {
             due = request->decide_at;
         }
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -19,6 +19,7 @@
 #include <uv.h>
 
 #include "balance/server_pool.h"
+#include "balance/slot_broker.h"
 #include "model/configuration.h"
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
@@ -65,11 +66,24 @@
     uint32_t seen; /**< requests they stand for */
 } cw_key_samples_t;
 
+/** The nodes that count slots (slot_broker.h), as the engine reaches them. Replies come by cw_engine_slot_reply, never
+ * before the call returns. */
+typedef struct cw_slot_port {
+    void *context;
+    /** Address of the node that counts for the service's servers in a zone; 0: none, the engine chooses by itself. */
+    uint32_t (*broker_of)(void *context, const char *zone, uint32_t service);
+    void (*ask)(void *context, uint32_t broker, const cw_slot_ask_t *ask);
+    void (*give_back)(void *context, uint32_t broker, const cw_slot_return_t *returned);
+} cw_slot_port_t;
+
 typedef struct cw_engine cw_engine_t;
 
 cw_engine_t *cw_engine_create(uv_loop_t *loop, const cw_engine_settings_t *settings, cw_server_pool_t *pool,
                               cw_upstream_t *upstream);
-void         cw_engine_set_configuration(cw_engine_t *engine, cw_configuration_t *configuration);
+/** Slots are asked for from now on; NULL: the engine chooses servers by what it knows itself. */
+void cw_engine_set_slots(cw_engine_t *engine, const cw_slot_port_t *port);
+void cw_engine_slot_reply(cw_engine_t *engine, const cw_slot_reply_t *reply);
+void cw_engine_set_configuration(cw_engine_t *engine, cw_configuration_t *configuration);
 /** How many nodes are in reach is not known yet: many are assumed. */
 #define CW_NODES_UNKNOWN UINT32_MAX
 /** Nodes that share limits, and that are in reach now. */
@@ -106,6 +120,8 @@
 void cw_engine_set_queued_elsewhere(cw_engine_t *engine, const char *service, uint32_t queued);
 /** Usual time of a request of a service, microseconds. */
 cw_time_us_t cw_engine_usual_time(cw_engine_t *engine, const char *service);
+/** The same by the hash of its name. */
+cw_time_us_t cw_engine_usual_time_of(const cw_engine_t *engine, uint32_t service);
 /** Set while requests under way changed since it was last cleared: a reason to report soon. */
 bool cw_engine_take_changed(cw_engine_t *engine);
 
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -32,6 +32,9 @@
         return;
     }
     cw_request_unqueue(request);
+    if (request->server == NULL) {
+        cw_request_return_slot(request);
+    }
     if (request->call != NULL) {
         cw_request_abandon(request);
     } else if (request->server != NULL) {
@@ -39,6 +42,7 @@
 
         request->server = NULL;
         request->engine->changed = true;
+        cw_request_return_slot(request);
         cw_server_pool_end(request->engine->pool, server);
         cw_engine_wake(request->engine);
     }
@@ -103,6 +107,10 @@
     cw_time_us_t wait = estimate == CW_NEVER ? come_back_owner : estimate - now - request->route_state->usual;
     cw_time_us_t longest = (request->deadline - now) / COME_BACK_PART;
 
+    if (reason == CW_REFUSED_LOAD && request->claim.free_after > 0) {
+        wait = request->claim.free_after;
+    }
+
     wait = wait > longest ? longest : wait;
     return wait < come_back_min ? come_back_min : wait;
 }
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -130,6 +130,7 @@
     request->repeat_at = CW_NEVER;
     request->engine->changed = true;
     cw_text_copy(request->avoid, sizeof(request->avoid), server->id);
+    cw_request_return_slot(request);
     cw_server_pool_end(request->engine->pool, server);
     cw_engine_wake(request->engine);
 }
@@ -255,8 +256,7 @@
     request->service->usual += ((cw_time_us_t)normal - request->service->usual) / USUAL_WEIGHT_PART;
 }
 
-static void note_load(const cw_request_t *request, cw_server_t *server, const cw_upstream_answer_t *answer,
-                      cw_time_us_t now)
+static void note_load(cw_request_t *request, cw_server_t *server, const cw_upstream_answer_t *answer, cw_time_us_t now)
 {
     const cw_engine_settings_t *settings = &request->engine->settings;
     const char *text = settings->names.load == NULL ? NULL : cw_http_fields_find(answer->fields, settings->names.load);
@@ -266,6 +266,8 @@
         return;
     }
     if (settings->decode_load(text, &sample)) {
+        request->claim.load = sample;
+        request->claim.has_load = true;
         cw_server_pool_note_load(server, &sample, now);
     } else {
         cw_metric_add(CW_METRIC_LOADS_MALFORMED, 1);
@@ -343,6 +345,7 @@
         not_run(request, id, answer->status);
         return;
     }
+    request->claim.end = CW_SLOT_ANSWERED;
     learn(request, server, now);
     cw_histogram_add(CW_HISTOGRAM_SERVER, request->route->name, now - request->sent_at);
     if (answer->status == STATUS_SERVER_ERROR && request->route->repeatable && may_repeat(request, now)) {
@@ -369,6 +372,7 @@
         break;
     case CW_UPSTREAM_NOT_SENT:
         fault(server, answer->fault, now);
+        request->claim.end = CW_SLOT_FAILED;
         leave_server(request);
         unreached(request, id, now);
         break;
@@ -376,6 +380,7 @@
     case CW_UPSTREAM_TIMED_OUT:
         if (!answer->any_byte) {
             fault(server, answer->fault, now);
+            request->claim.end = CW_SLOT_FAILED;
         }
         leave_server(request);
         broken(request, id, answer->fault, now);
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -15,6 +15,8 @@
 
 #define CW_NEVER INT64_MAX
 
+enum { CW_USUAL_FIRST_MS = 100 /**< time of a service's requests before any was answered */ };
+
 /** What outlives configurations: a route's usual time and its split's balance. */
 typedef struct cw_route_state {
     char          *name;
@@ -26,8 +28,39 @@
 
 typedef struct cw_request cw_request_t;
 
+typedef enum cw_claim_state {
+    CW_CLAIM_NONE,
+    CW_CLAIM_ASKED,  /**< no reply yet */
+    CW_CLAIM_QUEUED, /**< the broker has it in its queue */
+    CW_CLAIM_HELD    /**< a slot is granted and not given back */
+} cw_claim_state_t;
+
+/** A request's claim to a slot. */
+typedef struct cw_slot_claim {
+    cw_claim_state_t state;
+    uint32_t         ticket;
+    uint32_t         broker;
+    uint32_t         stage;      /**< zones asked before */
+    uint32_t         asks;       /**< sent for this ticket */
+    cw_time_us_t     due;        /**< a reply should have come by then */
+    cw_time_us_t     free_after; /**< as it was refused last; 0: not told */
+    bool             is_direct;  /**< brokers do not reply: the server is chosen here */
+    cw_slot_end_t    end;
+    bool             has_load;
+    cw_server_load_t load;
+} cw_slot_claim_t;
+
+/** A node that did not reply is not asked for a while. */
+typedef struct cw_silent_broker {
+    uint32_t     address;
+    cw_time_us_t until;
+} cw_silent_broker_t;
+
+enum { CW_SILENT_BROKERS = 8 };
+
 typedef struct cw_service_state {
     char              *name;
+    uint32_t           hash; /**< of the name, as between nodes */
     cw_shared_budget_t budget;
     cw_request_t      *queue; /**< by priority, then deadline */
     size_t             queued;
@@ -72,6 +105,8 @@
     cw_server_t            *server;    /**< of the call under way */
     char                    avoid[48]; /**< id of the server that failed it last */
     cw_upstream_call_t     *call;
+    cw_slot_claim_t         claim;
+    UT_hash_handle          by_ticket;
     uv_timer_t              timer;
     cw_request_t           *prev; /**< utlist's names, in the queue */
     cw_request_t           *next;
@@ -94,6 +129,12 @@
     bool                 changed;
     bool                 dispatching;
     uv_timer_t           wake_timer;
+    cw_slot_port_t       slots;
+    bool                 has_slots; /**< slots are asked for */
+    uint32_t             last_ticket;
+    cw_request_t        *by_ticket;
+    cw_silent_broker_t   silent_brokers[CW_SILENT_BROKERS];
+    size_t               next_silent;
 };
 
 /* ---- engine.c ---- */
@@ -109,8 +150,21 @@
 void cw_service_dispatch(cw_engine_t *engine, cw_service_state_t *service);
 /** When the request's turn would come and its answer be there, as far as can be told; CW_NEVER: unknown. */
 cw_time_us_t cw_request_estimate(const cw_request_t *request, cw_time_us_t now);
+/** Places a request that is queued, or settles what becomes of it. */
+void cw_request_place(cw_request_t *request, cw_time_us_t now);
+/** Server that owns its key; NULL: not known, or gone. */
+cw_server_t *cw_request_owner(const cw_request_t *request);
 void         cw_request_arm(cw_request_t *request);
 
+/* ---- engine_slots.c ---- */
+/** Asks for a slot at the owner of its key, or (NULL) at any server. False: to be placed without. */
+bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now);
+bool cw_request_waits_for_slot(const cw_request_t *request);
+/** No reply has come when it was due. */
+void cw_request_slot_overdue(cw_request_t *request, cw_time_us_t now);
+/** Gives its slot back, or withdraws its ask; nothing if it has neither. */
+void cw_request_return_slot(cw_request_t *request);
+
 /* ---- engine_attempt.c ---- */
 void cw_request_send(cw_request_t *request, cw_server_t *server);
 /** Gives the call under way up; its connection closes. */
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -39,7 +39,7 @@
 
 /* ---- estimate ---- */
 
-static cw_server_t *owner_server(const cw_request_t *request)
+cw_server_t *cw_request_owner(const cw_request_t *request)
 {
     const cw_key_route_t *entry = cw_engine_owner(request->engine, request->service, request->key);
     cw_server_t          *server;
@@ -62,7 +62,7 @@
         if (other == request) {
             break;
         }
-        if (other->is_keyed && owner_server(other) == server) {
+        if (other->is_keyed && cw_request_owner(other) == server) {
             ahead++;
         }
     }
@@ -85,7 +85,7 @@
     {
         DL_FOREACH(service->queue, request)
         {
-            server = request->is_keyed ? owner_server(request) : NULL;
+            server = request->is_keyed ? cw_request_owner(request) : NULL;
             if (server != NULL) {
                 server->own_waiting++;
             }
@@ -110,7 +110,7 @@
 
 static cw_time_us_t estimate_keyed(const cw_request_t *request, cw_time_us_t now)
 {
-    const cw_server_t *server = owner_server(request);
+    const cw_server_t *server = cw_request_owner(request);
     cw_time_us_t       usual;
     int64_t            before;
 
@@ -141,15 +141,18 @@
 
 /* ---- dispatch ---- */
 
-typedef enum placing { PLACED, WAITS_FOR_SLOT, WAITS_FOR_OWNER, NO_SERVERS, PAUSED } placing_t;
+typedef enum placing { PLACED, ASKED, WAITS_FOR_SLOT, WAITS_FOR_OWNER, NO_SERVERS, PAUSED } placing_t;
 
 static placing_t place_keyed(cw_request_t *request, cw_time_us_t now)
 {
-    cw_server_t *server = owner_server(request);
+    cw_server_t *server = cw_request_owner(request);
 
     if (server == NULL || server->draining || !cw_server_pool_may_send(request->engine->pool, server, true, now)) {
         return WAITS_FOR_OWNER;
     }
+    if (cw_request_ask_slot(request, server, now)) {
+        return ASKED;
+    }
     if (!cw_server_has_slot(server, request->engine->settings.keyed_extra_slots, now)) {
         return WAITS_FOR_SLOT;
     }
@@ -168,6 +171,9 @@
     if (request->is_keyed) {
         return place_keyed(request, now);
     }
+    if (cw_request_ask_slot(request, NULL, now)) {
+        return ASKED;
+    }
     server = cw_server_pool_choose(
         request->engine->pool, request->service->name, &request->engine->settings.choice,
         request->avoid[0] == '\0' ? NULL : cw_server_pool_find(request->engine->pool, request->avoid), now, &full);
@@ -207,6 +213,17 @@
     cw_request_arm(request);
 }
 
+void cw_request_place(cw_request_t *request, cw_time_us_t now)
+{
+    placing_t result = place(request, now);
+
+    if (result == ASKED) {
+        cw_request_arm(request);
+    } else if (result != PLACED) {
+        settle(request, result, now);
+    }
+}
+
 static void dispatch(cw_engine_t *engine, cw_service_state_t *service)
 {
     cw_time_us_t  now = cw_engine_now(engine);
@@ -215,15 +232,10 @@
 
     DL_FOREACH_SAFE(service->queue, request, next)
     {
-        placing_t result;
-
         if (now >= request->deadline) {
             cw_request_arm(request);
-            continue;
-        }
-        result = place(request, now);
-        if (result != PLACED) {
-            settle(request, result, now);
+        } else if (!cw_request_waits_for_slot(request)) {
+            cw_request_place(request, now);
         }
     }
 }
--- /dev/null
+++ b/src/proxy/engine_slots.c
@@ -0,0 +1,307 @@
+/**
+ * @file engine_slots.c
+ * @brief A request's claim to a slot of a server: asked for at the nodes that count them, held, given back.
+ *
+ * For a key the node of its owner's zone is asked. For any server, this zone's node first, which may let the request
+ * wait for a moment; then those of the other zones, for a slot that is free now; at last this zone's once more, for as
+ * long as an answer could still be in time. A node that does not reply is asked once more, and then not for a while:
+ * meanwhile the engine chooses servers by itself.
+ */
+#include <string.h>
+
+#include "base/metrics.h"
+#include "proxy/engine_internal.h"
+
+enum {
+    REPLY_MS = 20,        /* two ways between zones, and a busy node's turn */
+    ASKS_MOST = 2,        /* a datagram may be lost */
+    SILENT_MS = 300,      /* a node that stopped is missed by all within a second (CW_PEER_SILENCE_MS) */
+    QUEUED_SLACK_MS = 60, /* after the objective: the broker has refused by then */
+    ZONES_MOST = 10
+};
+
+/* Part of a usual request's time that is waited for a slot in this zone before others are asked: a server there costs
+ * the way between zones. */
+static const double wait_near = 0.3;
+
+void cw_engine_set_slots(cw_engine_t *engine, const cw_slot_port_t *port)
+{
+    engine->has_slots = port != NULL;
+    if (port != NULL) {
+        engine->slots = *port;
+    }
+}
+
+bool cw_request_waits_for_slot(const cw_request_t *request)
+{
+    return request->claim.state == CW_CLAIM_ASKED || request->claim.state == CW_CLAIM_QUEUED;
+}
+
+/* ---- whom to ask ---- */
+
+static bool is_silent(const cw_engine_t *engine, uint32_t address, cw_time_us_t now)
+{
+    size_t index;
+
+    for (index = 0; index < CW_SILENT_BROKERS; index++) {
+        if (engine->silent_brokers[index].address == address && engine->silent_brokers[index].until > now) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void note_silent(cw_engine_t *engine, uint32_t address, cw_time_us_t now)
+{
+    engine->silent_brokers[engine->next_silent] =
+        (cw_silent_broker_t){.address = address, .until = now + CW_MS(SILENT_MS)};
+    engine->next_silent = (engine->next_silent + 1) % CW_SILENT_BROKERS;
+    cw_metric_add(CW_METRIC_SLOT_BROKERS_SILENT, 1);
+}
+
+/* Zones in which the service has servers, this node's first. */
+static size_t zones_of(const cw_request_t *request, const char **zones)
+{
+    cw_server_pool_t *pool = request->engine->pool;
+    const char       *own = cw_server_pool_zone(pool);
+    size_t            count = 1;
+    bool              has_own = false;
+    cw_server_t      *server;
+    cw_server_t      *next;
+
+    zones[0] = own;
+    HASH_ITER(by_id, cw_server_pool_all(pool), server, next)
+    {
+        size_t known = 0;
+
+        if (!server->listed || server->zone_is_out || strcmp(server->service, request->service->name) != 0) {
+            continue;
+        }
+        while (known < count && strcmp(zones[known], server->zone) != 0) {
+            known++;
+        }
+        has_own = has_own || known == 0;
+        if (known == count && count < ZONES_MOST) {
+            zones[count++] = server->zone;
+        }
+    }
+    if (!has_own) {
+        memmove(zones, zones + 1, --count * sizeof(*zones));
+    }
+    return count;
+}
+
+/* ---- asking ---- */
+
+static void send_ask(cw_request_t *request, const cw_server_t *owner, cw_time_us_t wait_most, cw_time_us_t now)
+{
+    cw_engine_t       *engine = request->engine;
+    const cw_server_t *failed =
+        request->avoid[0] == '\0' || owner != NULL ? NULL : cw_server_pool_find(engine->pool, request->avoid);
+    cw_time_us_t  left = request->aim_at - now;
+    cw_slot_ask_t ask = {.ticket = request->claim.ticket,
+                         .service = request->service->hash,
+                         .server = owner == NULL ? 0 : owner->hash,
+                         .except = failed == NULL ? 0 : failed->hash,
+                         .priority = request->route->priority,
+                         .objective = left > 0 ? left : 0,
+                         .lease = request->deadline - now,
+                         .wait_most = wait_most};
+
+    if (request->decided && request->attempts > 0) { /* it has been at a server: late is better than nothing */
+        ask.objective = request->deadline - now;
+    }
+    request->claim.asks++;
+    request->claim.due = now + CW_MS(REPLY_MS);
+    engine->slots.ask(engine->slots.context, request->claim.broker, &ask);
+}
+
+static void begin_claim(cw_request_t *request, uint32_t broker)
+{
+    cw_engine_t *engine = request->engine;
+
+    request->claim.state = CW_CLAIM_ASKED;
+    request->claim.ticket = ++engine->last_ticket;
+    request->claim.broker = broker;
+    request->claim.asks = 0;
+    request->claim.end = CW_SLOT_UNUSED;
+    request->claim.has_load = false;
+    HASH_ADD(by_ticket, engine->by_ticket, claim.ticket, sizeof(request->claim.ticket), request);
+}
+
+static void forget_claim(cw_request_t *request)
+{
+    HASH_DELETE(by_ticket, request->engine->by_ticket, request);
+    request->claim.state = CW_CLAIM_NONE;
+}
+
+static uint32_t broker_of(const cw_request_t *request, const char *zone, cw_time_us_t now)
+{
+    cw_engine_t *engine = request->engine;
+    uint32_t     address = engine->slots.broker_of(engine->slots.context, zone, request->service->hash);
+
+    return address != 0 && !is_silent(engine, address, now) ? address : 0;
+}
+
+static cw_time_us_t wait_most(const cw_request_t *request, size_t zones)
+{
+    if (request->claim.stage >= zones) {
+        return request->deadline; /* its objective is the bound */
+    }
+    return request->claim.stage == 0 && zones > 1 ? (cw_time_us_t)((double)request->route_state->usual * wait_near)
+           : zones == 1                           ? request->deadline
+                                                  : 0;
+}
+
+/* Asks at the present stage, or the next at which there is a broker; false: there is none. */
+static bool ask_any(cw_request_t *request, cw_time_us_t now)
+{
+    const char *zones[ZONES_MOST];
+    size_t      count = zones_of(request, zones);
+
+    for (; count > 0 && request->claim.stage <= count; request->claim.stage++) {
+        uint32_t broker = broker_of(request, zones[request->claim.stage % count], now);
+
+        if (broker != 0) {
+            begin_claim(request, broker);
+            send_ask(request, NULL, wait_most(request, count), now);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now)
+{
+    uint32_t broker;
+
+    if (!request->engine->has_slots || request->claim.is_direct) {
+        return false;
+    }
+    request->claim.stage = 0;
+    if (owner == NULL) {
+        return ask_any(request, now);
+    }
+    broker = broker_of(request, owner->zone, now);
+    if (broker == 0) {
+        return false;
+    }
+    begin_claim(request, broker);
+    send_ask(request, owner, request->deadline - now, now);
+    return true;
+}
+
+/* ---- replies ---- */
+
+static void place_directly(cw_request_t *request, cw_time_us_t now)
+{
+    request->claim.is_direct = true;
+    cw_request_place(request, now);
+}
+
+void cw_request_slot_overdue(cw_request_t *request, cw_time_us_t now)
+{
+    cw_server_t *owner = request->is_keyed ? cw_request_owner(request) : NULL;
+
+    if (request->claim.state == CW_CLAIM_ASKED && request->claim.asks < ASKS_MOST &&
+        (!request->is_keyed || owner != NULL)) {
+        send_ask(request, owner, wait_most(request, ZONES_MOST), now);
+        cw_request_arm(request);
+        return;
+    }
+    note_silent(request->engine, request->claim.broker, now);
+    cw_request_return_slot(request);
+    place_directly(request, now);
+}
+
+static void take_refusal(cw_request_t *request, const cw_slot_reply_t *reply, cw_time_us_t now)
+{
+    forget_claim(request);
+    if (reply->free_after > 0) {
+        request->claim.free_after = reply->free_after;
+    }
+    if (!request->is_keyed) {
+        request->claim.stage++;
+        if (ask_any(request, now)) {
+            cw_request_arm(request);
+            return;
+        }
+    }
+    cw_request_refuse(request, reply->free_after > 0 ? CW_REFUSED_LOAD : CW_REFUSED_SERVERS);
+}
+
+static bool is_still_wanted(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now)
+{
+    if (server == NULL || server->draining || server->ended ||
+        !cw_server_pool_may_send(request->engine->pool, server, request->is_keyed, now)) {
+        return false;
+    }
+    return !request->is_keyed || cw_request_owner(request) == server;
+}
+
+static void take_grant(cw_request_t *request, const cw_slot_reply_t *reply, cw_time_us_t now)
+{
+    cw_server_t *server = (cw_server_t *)cw_server_pool_find_hash(request->engine->pool, reply->server);
+
+    request->claim.state = CW_CLAIM_HELD;
+    if (is_still_wanted(request, server, now)) {
+        cw_request_send(request, server);
+        return;
+    }
+    cw_request_return_slot(request);
+    place_directly(request, now); /* the broker goes by another list than this node */
+}
+
+/* A slot for a request that is no longer there, or has been asked for twice. */
+static void decline(cw_engine_t *engine, const cw_slot_reply_t *reply)
+{
+    cw_slot_return_t returned = {.ticket = reply->ticket, .end = CW_SLOT_UNUSED};
+
+    engine->slots.give_back(engine->slots.context, reply->node, &returned);
+}
+
+void cw_engine_slot_reply(cw_engine_t *engine, const cw_slot_reply_t *reply)
+{
+    cw_time_us_t  now = cw_engine_now(engine);
+    cw_request_t *request;
+
+    HASH_FIND(by_ticket, engine->by_ticket, &reply->ticket, sizeof(reply->ticket), request);
+    if (request == NULL || request->claim.broker != reply->node) {
+        if (reply->outcome != CW_SLOT_REFUSED) {
+            decline(engine, reply);
+        }
+        return;
+    }
+    if (!cw_request_waits_for_slot(request)) {
+        return; /* the reply to an ask that was sent twice */
+    }
+    switch (reply->outcome) {
+    case CW_SLOT_GRANTED:
+        take_grant(request, reply, now);
+        break;
+    case CW_SLOT_QUEUED:
+        request->claim.state = CW_CLAIM_QUEUED;
+        request->claim.due = (request->aim_at > now ? request->aim_at : now) + CW_MS(QUEUED_SLACK_MS);
+        cw_request_arm(request);
+        break;
+    case CW_SLOT_REFUSED:
+        take_refusal(request, reply, now);
+        break;
+    }
+}
+
+/* ---- giving back ---- */
+
+void cw_request_return_slot(cw_request_t *request)
+{
+    cw_engine_t     *engine = request->engine;
+    cw_slot_return_t returned = {.ticket = request->claim.ticket,
+                                 .end = request->claim.end,
+                                 .load = request->claim.has_load ? &request->claim.load : NULL};
+
+    if (request->claim.state == CW_CLAIM_NONE) {
+        return;
+    }
+    forget_claim(request);
+    engine->slots.give_back(engine->slots.context, request->claim.broker, &returned);
+}
--- a/src/proxy/engine_tell.c
+++ b/src/proxy/engine_tell.c
@@ -85,6 +85,18 @@
     return cw_engine_service(engine, name)->usual;
 }
 
+cw_time_us_t cw_engine_usual_time_of(const cw_engine_t *engine, uint32_t hash)
+{
+    const cw_service_state_t *service;
+
+    for (service = engine->services; service != NULL; service = service->hh.next) {
+        if (service->hash == hash) {
+            return service->usual;
+        }
+    }
+    return CW_MS(CW_USUAL_FIRST_MS);
+}
+
 bool cw_engine_take_changed(cw_engine_t *engine)
 {
     bool changed = engine->changed;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -12,6 +12,7 @@
 #include "peer/peer_link.h"
 #include "placement/ownership_measures.h"
 #include "placement/planner.h"
+#include "router/broker_choice.h"
 #include "router/configuration_exchange.h"
 #include "router/list_history.h"
 #include "router/router.h"
@@ -59,6 +60,9 @@
     uint8_t  seen[CW_PAGES_MAX];
 } cw_view_assembly_t;
 
+/** Slots of servers: this node's counting, and whom it asks. */
+typedef struct cw_router_slots cw_router_slots_t;
+
 typedef struct cw_router {
     cw_router_settings_t settings;
     char                 file_name[256];
@@ -78,6 +82,7 @@
     cw_server_pool_t    *pool;
     cw_engine_t         *engine;
     cw_peer_link_t      *link;
+    cw_router_slots_t   *slots;
     cw_configuration_t  *configuration;
     cw_time_us_t         started_at;
     cw_time_us_t         stopping_at; /**< 0: not stopping */
@@ -224,6 +229,13 @@
 void cw_router_use_warm_ups(cw_router_t *router);
 void cw_router_zones_tick(cw_router_t *router, cw_time_us_t now);
 
+/* ---- router_slots.c ---- */
+void cw_router_slots_init(cw_router_t *router);
+void cw_router_slots_tick(cw_router_t *router, cw_time_us_t now);
+void cw_router_take_slot_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotAsk *message);
+void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message);
+void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message);
+
 /* ---- router_take.c ---- */
 /** What this node goes by is of this term from now on, if it is a later one; it has nothing of it yet. */
 void cw_router_begin_term(cw_router_t *router, uint64_t term);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -177,6 +177,15 @@
     case CWP__DATAGRAM__CONTENT_STORE_NOTICE:
         cw_router_take_notice(router, peer, datagram->store_notice, now);
         break;
+    case CWP__DATAGRAM__CONTENT_SLOT_ASK:
+        cw_router_take_slot_ask(router, peer, datagram->slot_ask);
+        break;
+    case CWP__DATAGRAM__CONTENT_SLOT_REPLY:
+        cw_router_take_slot_reply(router, peer, datagram->slot_reply);
+        break;
+    case CWP__DATAGRAM__CONTENT_SLOT_RETURN:
+        cw_router_take_slot_return(router, peer, datagram->slot_return);
+        break;
     default:
         break;
     }
--- /dev/null
+++ b/src/router/router_slots.c
@@ -0,0 +1,311 @@
+/**
+ * @file router_slots.c
+ * @brief Wires slots into the node: which nodes count them, the datagrams to and from these, this node's own counting.
+ *
+ * Slots are asked for only where there are many nodes: a few tell one another of each request at once.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "router/router_internal.h"
+
+enum {
+    MANY_NODES = 16,       /* as in router_view.c: so many nodes learn of one another's requests too late */
+    CANDIDATES_MAX = 1024, /* CW_PEERS more are not told of either (router_push.c) */
+    GATHER_EVERY_MS = 100
+};
+
+/** A message of this node to itself: delivered from the loop, as those of others are. */
+typedef struct own_message {
+    cw_slot_reply_t  reply;
+    cw_slot_ask_t    ask;
+    cw_slot_return_t returned;
+    cw_server_load_t load;
+    enum { OWN_ASK, OWN_REPLY, OWN_RETURN } kind;
+} own_message_t;
+
+struct cw_router_slots {
+    cw_router_t          *router;
+    cw_slot_broker_t     *broker;
+    cw_broker_candidate_t candidates[CANDIDATES_MAX];
+    size_t                candidate_count;
+    cw_time_us_t          gathered_at;
+    bool                  is_on;
+    uv_timer_t            deliver;
+    own_message_t        *own;
+    size_t                own_count;
+    size_t                own_capacity;
+};
+
+/* ---- messages to this node itself ---- */
+
+static own_message_t *add_own(cw_router_slots_t *slots)
+{
+    if (slots->own_count == slots->own_capacity) {
+        slots->own_capacity = slots->own_capacity == 0 ? 32 : 2 * slots->own_capacity;
+        slots->own = realloc(slots->own, slots->own_capacity * sizeof(*slots->own));
+        if (slots->own == NULL) {
+            abort();
+        }
+    }
+    memset(&slots->own[slots->own_count], 0, sizeof(*slots->own));
+    return &slots->own[slots->own_count++];
+}
+
+static cw_time_us_t usual_of(cw_router_t *router, uint32_t service)
+{
+    return cw_engine_usual_time_of(router->engine, service);
+}
+
+static void deliver(cw_router_slots_t *slots, const own_message_t *message)
+{
+    cw_router_t     *router = slots->router;
+    cw_slot_return_t returned = message->returned;
+    cw_time_us_t     now = cw_router_now(router);
+
+    switch (message->kind) {
+    case OWN_ASK:
+        cw_slot_broker_ask(slots->broker, &message->ask, usual_of(router, message->ask.service), now);
+        break;
+    case OWN_REPLY:
+        cw_engine_slot_reply(router->engine, &message->reply);
+        break;
+    case OWN_RETURN:
+        returned.load = returned.load == NULL ? NULL : &message->load;
+        cw_slot_broker_return(slots->broker, &returned, now);
+        break;
+    }
+}
+
+/* What is delivered may bring further messages: they come with the next turn of the loop. */
+static void on_deliver(uv_timer_t *timer)
+{
+    cw_router_slots_t *slots = timer->data;
+    own_message_t     *messages = slots->own;
+    size_t             count = slots->own_count;
+    size_t             index;
+
+    slots->own = NULL;
+    slots->own_count = 0;
+    slots->own_capacity = 0;
+    for (index = 0; index < count; index++) {
+        deliver(slots, &messages[index]);
+    }
+    free(messages);
+}
+
+static void deliver_soon(cw_router_slots_t *slots)
+{
+    if (!uv_is_active((uv_handle_t *)&slots->deliver)) {
+        uv_timer_start(&slots->deliver, on_deliver, 0, 0);
+    }
+}
+
+static uint32_t own_address(const cw_router_slots_t *slots)
+{
+    return cw_peer_link_own_address(slots->router->link);
+}
+
+/* ---- the engine's port ---- */
+
+static uint32_t broker_of(void *context, const char *zone, uint32_t service)
+{
+    const cw_router_slots_t *slots = context;
+
+    return cw_broker_choose(slots->candidates, slots->candidate_count, zone, service);
+}
+
+static void send_to(cw_router_slots_t *slots, uint32_t address, const Cwp__Datagram *datagram)
+{
+    cw_router_t *router = slots->router;
+    cw_peer_t   *peer = cw_peer_link_learn(router->link, address, cw_router_now(router));
+
+    if (peer != NULL) {
+        cw_peer_link_send(router->link, peer, datagram);
+    }
+}
+
+static uint32_t to_ms(cw_time_us_t time)
+{
+    return time <= 0 ? 0 : (uint32_t)(time / 1000);
+}
+
+static void ask(void *context, uint32_t broker, const cw_slot_ask_t *asked)
+{
+    cw_router_slots_t *slots = context;
+    Cwp__SlotAsk       message = CWP__SLOT_ASK__INIT;
+    Cwp__Datagram      datagram = CWP__DATAGRAM__INIT;
+
+    if (broker == own_address(slots)) {
+        own_message_t *own = add_own(slots);
+
+        own->kind = OWN_ASK;
+        own->ask = *asked;
+        own->ask.node = broker;
+        deliver_soon(slots);
+        return;
+    }
+    message.ticket = asked->ticket;
+    message.service = asked->service;
+    message.server = asked->server;
+    message.except = asked->except;
+    message.priority = asked->priority;
+    message.objective_ms = to_ms(asked->objective);
+    message.lease_ms = to_ms(asked->lease);
+    message.wait_ms = to_ms(asked->wait_most);
+    datagram.content_case = CWP__DATAGRAM__CONTENT_SLOT_ASK;
+    datagram.slot_ask = &message;
+    send_to(slots, broker, &datagram);
+}
+
+static void give_back(void *context, uint32_t broker, const cw_slot_return_t *returned)
+{
+    cw_router_slots_t *slots = context;
+    Cwp__SlotReturn    message = CWP__SLOT_RETURN__INIT;
+    Cwp__Datagram      datagram = CWP__DATAGRAM__INIT;
+
+    if (broker == own_address(slots)) {
+        own_message_t *own = add_own(slots);
+
+        own->kind = OWN_RETURN;
+        own->returned = *returned;
+        own->returned.node = broker;
+        if (returned->load != NULL) {
+            own->load = *returned->load;
+        }
+        deliver_soon(slots);
+        return;
+    }
+    message.ticket = returned->ticket;
+    message.end = (uint32_t)returned->end;
+    if (returned->load != NULL) {
+        message.running = returned->load->running;
+        message.waiting = returned->load->waiting;
+        message.slots = returned->load->slots;
+        message.work_percent = returned->load->work_percent;
+    }
+    datagram.content_case = CWP__DATAGRAM__CONTENT_SLOT_RETURN;
+    datagram.slot_return = &message;
+    send_to(slots, broker, &datagram);
+}
+
+/* ---- this node as the one that counts ---- */
+
+static void on_replied(void *context, const cw_slot_reply_t *reply)
+{
+    cw_router_slots_t *slots = context;
+    Cwp__SlotReply     message = CWP__SLOT_REPLY__INIT;
+    Cwp__Datagram      datagram = CWP__DATAGRAM__INIT;
+
+    if (reply->node == own_address(slots)) {
+        own_message_t *own = add_own(slots);
+
+        own->kind = OWN_REPLY;
+        own->reply = *reply;
+        deliver_soon(slots);
+        return;
+    }
+    message.ticket = reply->ticket;
+    message.outcome = (uint32_t)reply->outcome;
+    message.server = reply->server;
+    message.free_after_ms = to_ms(reply->free_after);
+    datagram.content_case = CWP__DATAGRAM__CONTENT_SLOT_REPLY;
+    datagram.slot_reply = &message;
+    send_to(slots, reply->node, &datagram);
+}
+
+void cw_router_take_slot_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotAsk *message)
+{
+    cw_slot_ask_t asked = {.node = peer->address,
+                           .ticket = message->ticket,
+                           .service = message->service,
+                           .server = message->server,
+                           .except = message->except,
+                           .priority = message->priority,
+                           .objective = CW_MS(message->objective_ms),
+                           .lease = CW_MS(message->lease_ms),
+                           .wait_most = CW_MS(message->wait_ms)};
+
+    cw_slot_broker_ask(router->slots->broker, &asked, usual_of(router, asked.service), cw_router_now(router));
+}
+
+void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message)
+{
+    cw_slot_reply_t reply = {.node = peer->address,
+                             .ticket = message->ticket,
+                             .server = message->server,
+                             .free_after = CW_MS(message->free_after_ms)};
+
+    if (message->outcome > CW_SLOT_REFUSED) {
+        return; /* of a later version: the ask is repeated, then the server is chosen here */
+    }
+    reply.outcome = (cw_slot_outcome_t)message->outcome;
+    cw_engine_slot_reply(router->engine, &reply);
+}
+
+void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message)
+{
+    cw_server_load_t load = {.running = message->running,
+                             .waiting = message->waiting,
+                             .slots = message->slots,
+                             .work_percent = message->work_percent};
+    cw_slot_return_t returned = {.node = peer->address,
+                                 .ticket = message->ticket,
+                                 .end = message->end > CW_SLOT_UNUSED ? CW_SLOT_UNUSED : (cw_slot_end_t)message->end,
+                                 .load = message->slots == 0 ? NULL : &load};
+
+    cw_slot_broker_return(router->slots->broker, &returned, cw_router_now(router));
+}
+
+/* ---- who counts ---- */
+
+static void gather(cw_router_slots_t *slots)
+{
+    cw_router_t     *router = slots->router;
+    const cw_peer_t *peer;
+
+    slots->candidate_count = 0;
+    if (router->stopping_at == 0) {
+        slots->candidates[slots->candidate_count++] = (cw_broker_candidate_t){
+            .address = own_address(slots), .capability = cw_router_capability(router), .zone = router->settings.zone};
+    }
+    for (peer = cw_peer_link_peers(router->link); peer != NULL && slots->candidate_count < CANDIDATES_MAX;
+         peer = peer->next) {
+        if (peer->heard_at != 0 && !peer->is_lost && !peer->stopping && peer->zone[0] != '\0') {
+            slots->candidates[slots->candidate_count++] =
+                (cw_broker_candidate_t){.address = peer->address, .capability = peer->capability, .zone = peer->zone};
+        }
+    }
+}
+
+void cw_router_slots_init(cw_router_t *router)
+{
+    cw_router_slots_t *slots = calloc(1, sizeof(*slots));
+
+    if (slots == NULL) {
+        abort();
+    }
+    slots->router = router;
+    slots->broker = cw_slot_broker_create(router->pool, router->settings.zone, on_replied, slots);
+    uv_timer_init(&router->loop, &slots->deliver);
+    slots->deliver.data = slots;
+    router->slots = slots;
+}
+
+void cw_router_slots_tick(cw_router_t *router, cw_time_us_t now)
+{
+    cw_router_slots_t *slots = router->slots;
+    cw_slot_port_t     port = {.context = slots, .broker_of = broker_of, .ask = ask, .give_back = give_back};
+    bool               is_on;
+
+    cw_slot_broker_tick(slots->broker, now);
+    if (now - slots->gathered_at >= CW_MS(GATHER_EVERY_MS)) {
+        slots->gathered_at = now;
+        gather(slots);
+    }
+    is_on = slots->candidate_count >= MANY_NODES;
+    if (is_on != slots->is_on) {
+        slots->is_on = is_on;
+        cw_engine_set_slots(router->engine, is_on ? &port : NULL);
+    }
+}
