--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -22,7 +22,9 @@
     TABLES_READER_PERCENT = 25, /* of the time they are valid: tables as old are read by readers of many nodes, */
     TABLES_OLD_PERCENT = 50,    /* and by the others: a reader has mostly confirmed theirs before */
     WORD_OLD_PERCENT = 45,      /* of that time: without the leader's word for so long a node reads itself */
-    TABLES_READ_EVERY_MS = 700
+    TABLES_READ_EVERY_MS = 700,
+    LOST_PERCENT = 80 /* of that time: pause of each of many nodes while the store does not answer. A machine is held to
+                       * its bounds again only when the store has been back for longer (contact-s of the sheets) */
 };
 
 /* ---- servers ---- */
@@ -145,13 +147,23 @@
     return cw_router_is_new(router, now) || cw_peer_link_alive(router->link, router->silence, now) >= MANY_NODES;
 }
 
+/* While the store does not answer, many nodes that ask it are a burden, and each call has a price: the readers go on.
+ */
+static cw_time_us_t pause_of_reading(const cw_router_t *router, cw_time_us_t usual, cw_time_us_t now)
+{
+    cw_time_us_t longer = router->settings.drain * LOST_PERCENT / 100;
+    bool         is_spared = router->store_lost && !router->is_reader && is_one_of_many(router, now);
+
+    return is_spared && longer > usual ? longer : usual;
+}
+
 static void read_servers(cw_router_t *router, cw_time_us_t now)
 {
     bool         is_rare = is_one_of_many(router, now) && !cw_router_is_able(router, now);
     cw_time_us_t pause = router->settings.drain / (is_rare ? LIST_PARTS_MANY : LIST_PARTS);
     bool         from_copy = router->server_view.list == NULL && !cw_router_is_able(router, now);
 
-    pause = from_copy ? CW_MS(FIRST_READ_EVERY_MS) : pause;
+    pause = from_copy ? CW_MS(FIRST_READ_EVERY_MS) : pause_of_reading(router, pause, now);
     if (router->reading_servers || now - router->servers_read_at < pause) {
         return;
     }
@@ -333,7 +345,7 @@
     size_t index;
 
     if (router->configuration == NULL || router->table_reads > 0 ||
-        now - router->tables_read_at < CW_MS(TABLES_READ_EVERY_MS)) {
+        now - router->tables_read_at < pause_of_reading(router, CW_MS(TABLES_READ_EVERY_MS), now)) {
         return;
     }
     router->tables_read_at = now;
