balance: the node that counts slots gives cold servers what they bear

Two ways for cold servers where slots are handed out: none while cold (stood since slots are), or what a server bears (6 of a bound of 18 in any second here), counted by the one node that hands its slots out. Some is kept for callers of a service whose servers are all cold at once, which had nobody else for the warm-up; three nodes that count at the same time would still keep the bound. Nodes that choose by themselves send none there, so that both do not add up. Test: a cold server is given six requests of 200 asked in a second.

--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -30,9 +30,14 @@
     return pool->cold_rate != NULL && cw_cold_rate_is_sharer(pool->cold_rate, server->hash, server->cold_per_s, now);
 }
 
+bool cw_server_zone_allows(const cw_server_t *server, bool is_owner, cw_time_us_t now)
+{
+    return !server->zone_is_out || (is_owner && now < server->owner_until);
+}
+
 bool cw_server_pool_may_send(const cw_server_pool_t *pool, const cw_server_t *server, bool is_owner, cw_time_us_t now)
 {
-    if (server->zone_is_out && (!is_owner || now >= server->owner_until)) {
+    if (!cw_server_zone_allows(server, is_owner, now)) {
         return false;
     }
     if (!cw_server_is_rate_bounded(server, now)) {
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -112,6 +112,8 @@
 bool cw_server_is_cold(const cw_server_t *server, cw_time_us_t now);
 /** Cold, and bears only so many requests a second. */
 bool cw_server_is_rate_bounded(const cw_server_t *server, cw_time_us_t now);
+/** Does its zone allow a request there now, if it owns the request's key (or any server will do: false)? */
+bool cw_server_zone_allows(const cw_server_t *server, bool is_owner, cw_time_us_t now);
 /** May this node send a request there at all now, if it owns the request's key (or any server will do: false)? */
 bool cw_server_pool_may_send(const cw_server_pool_t *pool, const cw_server_t *server, bool is_owner, cw_time_us_t now);
 
--- a/src/balance/slot_broker.c
+++ b/src/balance/slot_broker.c
@@ -15,11 +15,15 @@
     REQUESTS_A_SLOT = 2,    /* one runs, one waits at the server: else its slot rests until the next one has come.
                              * Measured: docs/design/shifted-work.md */
     PERCENT = 100,
+    COLD_WINDOW_MS = 1100,   /* the bound's second, and what the ways to the server differ by */
+    COLD_SENDS_MOST = 16,    /* requests in a second to a cold server, whatever it bears */
     WORK_MOST_PERCENT = 1000 /* beyond it a server in trouble looks no worse */
 };
 
 static const double busy_weight = 0.45; /* as in server_choice.c: a server with all slots taken costs so much more */
 
+static const double cold_factor = 2; /* a cold server takes about twice as long */
+
 /** What is known of a server by its slots. */
 typedef struct slot_server {
     uint32_t       hash;
@@ -28,7 +32,9 @@
     cw_time_us_t   outside_at;
     uint32_t       work_percent; /* and how long work takes there against what is usual */
     cw_time_us_t   work_at;
-    cw_time_us_t   held; /* mean time for which a slot is taken */
+    cw_time_us_t   held;                         /* mean time for which a slot is taken */
+    cw_time_us_t   cold_grants[COLD_SENDS_MOST]; /* while it is cold: a ring of their times */
+    uint32_t       next_cold;
     UT_hash_handle hh;
 } slot_server_t;
 
@@ -138,12 +144,42 @@
 static bool is_usable(const cw_slot_broker_t *broker, const cw_server_t *server, bool is_owner, cw_time_us_t now)
 {
     return server->listed && !server->draining && !server->ended && strcmp(server->zone, broker->zone) == 0 &&
-           !cw_server_is_rate_bounded(server, now) && cw_server_pool_may_send(broker->pool, server, is_owner, now);
+           cw_server_zone_allows(server, is_owner, now);
+}
+
+/* Requests in any second that a cold server is given here: what it bears. Its bound is more than twice that, so it
+ * holds if two nodes count for the zone for a moment. */
+static uint32_t cold_share(const cw_server_t *server)
+{
+    return server->cold_per_s >= COLD_SENDS_MOST ? COLD_SENDS_MOST : (uint32_t)server->cold_per_s;
+}
+
+static bool cold_allows(const cw_server_t *server, const slot_server_t *state, cw_time_us_t now)
+{
+    uint32_t     share = cold_share(server);
+    cw_time_us_t oldest;
+
+    if (!cw_server_is_rate_bounded(server, now)) {
+        return true;
+    }
+    if (share == 0) {
+        return false;
+    }
+    oldest = state->cold_grants[(state->next_cold + COLD_SENDS_MOST - share) % COLD_SENDS_MOST];
+    return oldest == 0 || now - oldest >= CW_MS(COLD_WINDOW_MS);
+}
+
+static void note_cold(const cw_server_t *server, slot_server_t *state, cw_time_us_t now)
+{
+    if (cw_server_is_rate_bounded(server, now)) {
+        state->cold_grants[state->next_cold] = now;
+        state->next_cold = (state->next_cold + 1) % COLD_SENDS_MOST;
+    }
 }
 
 static bool has_slot(const cw_server_t *server, const slot_server_t *state, cw_time_us_t now)
 {
-    return taken(state, now) < server->capacity * REQUESTS_A_SLOT &&
+    return taken(state, now) < server->capacity * REQUESTS_A_SLOT && cold_allows(server, state, now) &&
            !(cw_server_is_suspect(server) && state->granted > 0);
 }
 
@@ -165,7 +201,8 @@
 {
     double busy = (double)taken(state, now) / (server->capacity == 0 ? 1 : server->capacity);
 
-    return (double)held_at(state, server, usual) * work_factor(state, now) * (1 + busy_weight * busy);
+    return (double)held_at(state, server, usual) * work_factor(state, now) * (1 + busy_weight * busy) *
+           (cw_server_is_cold(server, now) ? cold_factor : 1);
 }
 
 /* Servers that an ask may go to, and the best of them with a free slot. */
@@ -198,7 +235,7 @@
 
     survey->any = true;
     survey->any_sound = survey->any_sound || !is_suspect;
-    if (!is_suspect) {
+    if (!is_suspect && !cw_server_is_rate_bounded(server, now)) {
         survey->per_s += (double)server->capacity * 1e6 / (double)(held == 0 ? 1 : held);
         survey->held_sum += (double)held;
         survey->sound++;
@@ -257,6 +294,11 @@
 
 static void grant(cw_slot_broker_t *broker, slot_lease_t *lease, slot_server_t *state, cw_time_us_t now)
 {
+    const cw_server_t *server = cw_server_pool_find_hash(broker->pool, state->hash);
+
+    if (server != NULL) {
+        note_cold(server, state, now);
+    }
     state->granted++;
     lease->server = state->hash;
     lease->granted_at = now;
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -147,12 +147,15 @@
 {
     cw_server_t *server = cw_request_owner(request);
 
-    if (server == NULL || server->draining || !cw_server_pool_may_send(request->engine->pool, server, true, now)) {
+    if (server == NULL || server->draining || !cw_server_zone_allows(server, true, now)) {
         return WAITS_FOR_OWNER;
     }
     if (cw_request_ask_slot(request, server, now)) {
         return ASKED;
     }
+    if (!cw_server_pool_may_send(request->engine->pool, server, true, now)) {
+        return WAITS_FOR_OWNER;
+    }
     if (!cw_server_has_slot(server, request->engine->settings.keyed_extra_slots, now)) {
         return WAITS_FOR_SLOT;
     }
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -232,8 +232,7 @@
 
 static bool is_still_wanted(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now)
 {
-    if (server == NULL || server->draining || server->ended ||
-        !cw_server_pool_may_send(request->engine->pool, server, request->is_keyed, now)) {
+    if (server == NULL || server->draining || server->ended || !cw_server_zone_allows(server, request->is_keyed, now)) {
         return false;
     }
     return !request->is_keyed || cw_request_owner(request) == server;
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -307,5 +307,7 @@
     if (is_on != slots->is_on) {
         slots->is_on = is_on;
         cw_engine_set_slots(router->engine, is_on ? &port : NULL);
+        /* Where slots are handed out, cold servers get requests by slots only: both together could pass the bound. */
+        cw_server_pool_set_cold_rate(router->pool, is_on ? NULL : router->cold_rate);
     }
 }
--- a/tests/test_slot_broker.c
+++ b/tests/test_slot_broker.c
@@ -328,6 +328,33 @@
 }
 END_TEST
 
+START_TEST(a_cold_server_is_given_what_it_bears_in_any_second)
+{
+    broker_world_t world;
+    cw_warm_up_t   warm_up = {.duration = CW_SECONDS(3), .per_s = 6.7};
+    cw_slot_ask_t  asked;
+    cw_time_us_t   now;
+    uint32_t       ticket = 1;
+    uint32_t       granted = 0;
+
+    init(&world);
+    cw_server_pool_set_warm_up(world.pool, "docks", &warm_up);
+    cw_server_pool_find(world.pool, "a")->cold_until = start + CW_SECONDS(3);
+    for (now = start; now < start + CW_SECONDS(1); now += CW_MS(5)) {
+        asked = ask_of(&world, ticket++);
+        asked.server = hash_of(&world, "a");
+        asked.wait_most = 0;
+        if (ask(&world, &asked, now)->outcome == CW_SLOT_GRANTED) {
+            granted++;
+            give_back(&world, asked.ticket, CW_SLOT_ANSWERED, NULL, now + CW_MS(1));
+        }
+        world.count = 0;
+    }
+    ck_assert_uint_eq(granted, 6);
+    clear(&world);
+}
+END_TEST
+
 START_TEST(the_one_that_counts_is_among_the_most_capable_of_the_zone)
 {
     cw_broker_candidate_t candidates[] = {
@@ -363,6 +390,7 @@
     tcase_add_test(cases, requests_from_elsewhere_count_by_the_servers_own_load);
     tcase_add_test(cases, a_server_whose_work_takes_longer_now_comes_last);
     tcase_add_test(cases, a_server_that_fails_requests_of_all_nodes_is_passed_over);
+    tcase_add_test(cases, a_cold_server_is_given_what_it_bears_in_any_second);
     tcase_add_test(cases, the_one_that_counts_is_among_the_most_capable_of_the_zone);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
