--- a/src/router/router_status.c
+++ b/src/router/router_status.c
@@ -77,10 +77,11 @@
 
     HASH_ITER(by_id, cw_server_pool_all(router->pool), server, next)
     {
-        json_array_append_new(servers, json_pack("{s:s, s:s, s:b, s:I, s:I, s:f, s:b}", "id", server->id, "service",
-                                                 server->service, "draining", server->draining, "own",
+        json_array_append_new(servers, json_pack("{s:s, s:s, s:b, s:I, s:I, s:f, s:b, s:b}", "id", server->id,
+                                                 "service", server->service, "draining", server->draining, "own",
                                                  (json_int_t)server->own, "others", (json_int_t)server->others, "pace",
-                                                 server->pace, "avoided", server->avoid_until > now || server->ended));
+                                                 server->pace, "avoided", server->avoid_until > now || server->ended,
+                                                 "cold", cw_server_is_cold(server, now)));
     }
     return servers;
 }
@@ -104,17 +105,30 @@
     return services;
 }
 
+static json_t *zones_out_json(const cw_router_t *router)
+{
+    const cw_server_list_t *list = router->server_view.list;
+    json_t                 *zones = json_array();
+    size_t                  index;
+
+    for (index = 0; list != NULL && index < list->zones_out.count; index++) {
+        json_array_append_new(zones, json_string(list->zones_out.names[index]));
+    }
+    return zones;
+}
+
 char *cw_router_status(cw_router_t *router)
 {
     cw_time_us_t now = cw_router_now(router);
     json_t      *status = json_pack(
-             "{s:s, s:s, s:b, s:I, s:o, s:I, s:I, s:b, s:I, s:o, s:o, s:o, s:o}", "node", router->settings.node, "zone",
+             "{s:s, s:s, s:b, s:I, s:o, s:I, s:I, s:b, s:I, s:o, s:o, s:o, s:o, s:o}", "node", router->settings.node, "zone",
              router->settings.zone, "stopping", router->stopping_at != 0, "configuration",
              (json_int_t)(router->configuration == NULL ? 0 : router->configuration->version), "leadership",
              leadership_json(router, now), "servers_age_ms", (json_int_t)((now - router->server_view.true_at) / 1000),
              "tables_age_ms", (json_int_t)((now - router->tables_at) / 1000), "store_lost", router->store_lost, "queued",
              (json_int_t)cw_engine_queued(router->engine), "assignments", assignments_json(router, now), "peers",
-             peers_json(router, now), "measures", measures_json(router), "servers", servers_json(router, now));
+             peers_json(router, now), "measures", measures_json(router), "servers", servers_json(router, now), "zones_out",
+             zones_out_json(router));
     char *text = json_dumps(status, JSON_COMPACT);
 
     json_decref(status);
--- a/tests/process/zone_out.sh
+++ b/tests/process/zone_out.sh
@@ -27,6 +27,7 @@
 curl -sf -X POST "http://$STORE/api/objects/evacuations" -d '{"metadata":{"name":"z1"},"spec":{}}' >/dev/null
 until_true out_metric 1
 until_true owns_nothing
+check "the status says which zone" [ "$(curl -sf "http://$NET.1:8081/status" | jq -r '.zones_out[]')" = z1 ]
 sleep 1 # what had been sent before has run by then
 before=$(runs_of_zone)
 sleep 2
