--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2337,7 +2337,7 @@
   (ProtobufCMessageInit) cwp__table_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configured_route__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cwp__configured_route__field_descriptors[11] =
 {
   {
     "name",
@@ -2459,6 +2459,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "regions",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cwp__ConfiguredRoute, n_regions),
+    offsetof(Cwp__ConfiguredRoute, regions),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configured_route__field_indices_by_name[] = {
   1,   /* field[1] = host */
@@ -2469,13 +2481,14 @@
   9,   /* field[9] = part_weights */
   2,   /* field[2] = prefix */
   7,   /* field[7] = priority */
+  10,   /* field[10] = regions */
   3,   /* field[3] = repeatable */
   4,   /* field[4] = timeout_us */
 };
 static const ProtobufCIntRange cwp__configured_route__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cwp__configured_route__descriptor =
 {
@@ -2485,7 +2498,7 @@
   "Cwp__ConfiguredRoute",
   "cwp",
   sizeof(Cwp__ConfiguredRoute),
-  10,
+  11,
   cwp__configured_route__field_descriptors,
   cwp__configured_route__field_indices_by_name,
   1,  cwp__configured_route__number_ranges,
@@ -2595,7 +2608,7 @@
   (ProtobufCMessageInit) cwp__configured_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[5] =
 {
   {
     "name",
@@ -2645,17 +2658,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "regions",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cwp__ConfiguredTenant, n_regions),
+    offsetof(Cwp__ConfiguredTenant, regions),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configured_tenant__field_indices_by_name[] = {
   3,   /* field[3] = concurrent */
   0,   /* field[0] = name */
+  4,   /* field[4] = regions */
   2,   /* field[2] = requests_per_s */
   1,   /* field[1] = token_digests */
 };
 static const ProtobufCIntRange cwp__configured_tenant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cwp__configured_tenant__descriptor =
 {
@@ -2665,7 +2691,7 @@
   "Cwp__ConfiguredTenant",
   "cwp",
   sizeof(Cwp__ConfiguredTenant),
-  4,
+  5,
   cwp__configured_tenant__field_descriptors,
   cwp__configured_tenant__field_indices_by_name,
   1,  cwp__configured_tenant__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -366,10 +366,15 @@
   char **part_services;
   size_t n_part_weights;
   double *part_weights;
+  /*
+   * servers there only; none: anywhere
+   */
+  size_t n_regions;
+  char **regions;
 };
 #define CWP__CONFIGURED_ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_route__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Cwp__ConfiguredService
@@ -401,10 +406,12 @@
   ProtobufCBinaryData *token_digests;
   uint32_t requests_per_s;
   uint32_t concurrent;
+  size_t n_regions;
+  char **regions;
 };
 #define CWP__CONFIGURED_TENANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_tenant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Cwp__ConfiguredLimits
--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -85,6 +85,31 @@
     return value;
 }
 
+static bool is_among(const cw_server_t *server, const cw_name_set_t *regions)
+{
+    return regions == NULL || regions->count == 0 || cw_name_set_has(regions, server->region);
+}
+
+bool cw_server_region_allows(const cw_server_t *server, const cw_region_rule_t *rule)
+{
+    return is_among(server, rule->route) && is_among(server, rule->tenant);
+}
+
+bool cw_server_pool_serves(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule)
+{
+    cw_server_t *server;
+    cw_server_t *next;
+
+    HASH_ITER(by_id, pool->by_id, server, next)
+    {
+        if (server->listed && !server->draining && strcmp(server->service, service) == 0 &&
+            cw_server_region_allows(server, rule)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool cw_server_is_suspect(const cw_server_t *server)
 {
     return server->faults >= FAULTS_SUSPECT;
@@ -95,10 +120,10 @@
  * otherwise get all requests as soon as the others are full. */
 typedef enum fitness { UNFIT, SUSPECT, FIT, FITNESSES } fitness_t;
 
-static bool is_candidate(const cw_server_t *server, const char *service)
+static bool is_candidate(const cw_server_t *server, const char *service, const cw_choice_settings_t *settings)
 {
     return server->listed && !server->draining && !server->ended && !server->zone_is_out &&
-           strcmp(server->service, service) == 0;
+           strcmp(server->service, service) == 0 && cw_server_region_allows(server, &settings->regions);
 }
 
 static fitness_t fitness(const cw_server_t *server, const cw_server_t *except, cw_time_us_t now)
@@ -137,7 +162,7 @@
         fitness_t group;
         double    value;
 
-        if (!is_candidate(server, service)) {
+        if (!is_candidate(server, service, settings)) {
             continue;
         }
         group = fitness(server, except, now);
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -40,6 +40,7 @@
     free(server->service);
     free(server->address);
     free(server->zone);
+    free(server->region);
     free(server);
 }
 
@@ -65,6 +66,7 @@
     while (pool->peers != NULL) {
         cw_server_pool_free_peer(pool, pool->peers);
     }
+    free(pool->regions);
     free(pool->zone);
     free(pool);
 }
@@ -171,6 +173,28 @@
     }
 }
 
+void cw_server_pool_set_regions(cw_server_pool_t *pool, const cw_zone_region_t *zones, size_t count)
+{
+    pool->regions = calloc(count + 1, sizeof(*pool->regions));
+    if (pool->regions == NULL) {
+        abort();
+    }
+    memcpy(pool->regions, zones, count * sizeof(*zones));
+    pool->region_count = count;
+}
+
+static const char *region_of(const cw_server_pool_t *pool, const char *zone)
+{
+    size_t index;
+
+    for (index = 0; index < pool->region_count; index++) {
+        if (strcmp(pool->regions[index].zone, zone) == 0) {
+            return pool->regions[index].region;
+        }
+    }
+    return "";
+}
+
 static cw_server_t *add(cw_server_pool_t *pool, const cw_server_entry_t *entry)
 {
     cw_server_t *server = calloc(1, sizeof(*server));
@@ -182,6 +206,7 @@
     server->service = strdup(entry->service);
     server->address = strdup(entry->address);
     server->zone = strdup(entry->zone);
+    server->region = strdup(region_of(pool, entry->zone));
     server->hash = (uint32_t)XXH3_64bits(entry->id, strlen(entry->id));
     server->service_hash = (uint32_t)XXH3_64bits(entry->service, strlen(entry->service));
     server->affinity = (double)(XXH3_64bits_withSeed(entry->id, strlen(entry->id), pool->node) >> 11) * 0x1.0p-53;
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -19,6 +19,7 @@
 #include "balance/server_load.h"
 #include "base/time.h"
 #include "model/server_list.h"
+#include "model/zone_region.h"
 #include "model/zone_service.h"
 
 /** One life of a server. Lives as long as it is listed or requests are under way. */
@@ -27,6 +28,7 @@
     char           *service;
     char           *address;
     char           *zone;
+    char           *region;       /**< in which the zone lies; empty: not known */
     double          affinity;     /**< 0 to 1, another for each node: the order in which equal servers are tried */
     uint32_t        hash;         /**< short name of the id between nodes */
     uint32_t        service_hash; /**< and of its service */
@@ -86,6 +88,12 @@
 
 enum { CW_POOL_REPORT_LIFE_MS = 1500 };
 
+/** Regions that a request may go to: of its route and of its tenant; both bind, an empty set does not. */
+typedef struct cw_region_rule {
+    const cw_name_set_t *route;
+    const cw_name_set_t *tenant; /**< NULL: none */
+} cw_region_rule_t;
+
 typedef void (*cw_server_dropped_t)(void *context, cw_server_t *server);
 
 cw_server_pool_t *cw_server_pool_create(const char *zone, cw_server_dropped_t dropped, void *context);
@@ -103,6 +111,12 @@
 cw_server_t *cw_server_pool_find(cw_server_pool_t *pool, const char *id);
 /** Listed server of this hash; NULL: none. */
 const cw_server_t *cw_server_pool_find_hash(cw_server_pool_t *pool, uint32_t hash);
+/** Copied. To be set before the first list. A zone that is not among them lies in no region. */
+void cw_server_pool_set_regions(cw_server_pool_t *pool, const cw_zone_region_t *zones, size_t count);
+/** May a request under this rule go there? */
+bool cw_server_region_allows(const cw_server_t *server, const cw_region_rule_t *rule);
+/** Has the service a listed server to which a request under this rule may go? */
+bool cw_server_pool_serves(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule);
 /** This node's zone. */
 const char *cw_server_pool_zone(const cw_server_pool_t *pool);
 /** All servers, by the by_id handle. */
@@ -148,6 +162,7 @@
     double zone_penalty; /**< what another zone costs, as a share of a usual request's time */
     double affinity;     /**< weight of this node's own order of servers; more where others' loads are known late */
     double extra_slots;  /**< requests a server may have beyond its capacity */
+    cw_region_rule_t regions;
 } cw_choice_settings_t;
 
 /** Best server of a service with a free slot. full: there are servers, but none has a slot. */
--- a/src/balance/server_pool_internal.h
+++ b/src/balance/server_pool_internal.h
@@ -34,6 +34,8 @@
 
 struct cw_server_pool {
     char                 *zone;
+    cw_zone_region_t     *regions; /* of each zone */
+    size_t                region_count;
     uint64_t              node; /* hash of this node's name */
     cw_server_dropped_t   dropped;
     void                 *context;
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -119,6 +119,43 @@
     }
 }
 
+/* "ZONE=REGION" */
+static bool zone_region_from_text(cw_zone_region_t *place, const char *text)
+{
+    const char *equals = strchr(text, '=');
+    size_t      length = equals == NULL ? 0 : (size_t)(equals - text);
+
+    if (length == 0 || length >= sizeof(place->zone) || equals[1] == '\0' ||
+        strlen(equals + 1) >= sizeof(place->region)) {
+        return false;
+    }
+    snprintf(place->zone, sizeof(place->zone), "%.*s", (int)length, text);
+    snprintf(place->region, sizeof(place->region), "%s", equals + 1);
+    return true;
+}
+
+static void read_zone_regions(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    yaml_node_t *node = cw_yaml_get(mapping, "zone_regions", false);
+    size_t       count = node == NULL ? 0 : cw_yaml_count(mapping->document, node, "zone_regions");
+    size_t       position;
+
+    if (count > CW_ZONES_MAX) {
+        cw_yaml_report(mapping->document, node, "at most %d zones", CW_ZONES_MAX);
+        count = CW_ZONES_MAX;
+    }
+    for (position = 0; position < count; position++) {
+        yaml_node_t *item = cw_yaml_item(mapping->document, node, position);
+        const char  *text = item->type == YAML_SCALAR_NODE ? (const char *)item->data.scalar.value : "";
+
+        if (zone_region_from_text(&settings->zone_regions[settings->zone_region_count], text)) {
+            settings->zone_region_count++;
+        } else {
+            cw_yaml_report(mapping->document, item, "a zone's region is '%s'; must be ZONE=REGION", text);
+        }
+    }
+}
+
 static void read_level(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
 {
     const char *text = cw_yaml_text(mapping, "log_level", false);
@@ -209,6 +246,7 @@
         cw_yaml_open(&mapping, &document, document.root, "the settings");
         read_identity(settings, &mapping);
         read_seeds(settings, &mapping);
+        read_zone_regions(settings, &mapping);
         read_level(settings, &mapping);
         read_tuning(settings, &mapping);
         check(settings, &mapping);
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -11,6 +11,7 @@
 #include "base/event_log.h"
 #include "base/findings.h"
 #include "base/time.h"
+#include "model/zone_region.h"
 
 /** IPv4 number and port. */
 typedef struct cw_endpoint {
@@ -32,6 +33,8 @@
     uint16_t         peer_port;
     cw_endpoint_t    seeds[CW_SEEDS_MAX];
     size_t           seed_count;
+    cw_zone_region_t zone_regions[CW_ZONES_MAX];
+    size_t           zone_region_count;
     cw_endpoint_t    store;
     cw_event_level_t log_level;
     cw_time_us_t     leader_hold;
--- a/src/intent/intent.c
+++ b/src/intent/intent.c
@@ -111,6 +111,23 @@
     }
 }
 
+static void read_regions(cw_name_set_t *regions, cw_yaml_mapping_t *mapping)
+{
+    yaml_node_t *node = cw_yaml_get(mapping, "regions", false);
+    size_t       count = node == NULL ? 0 : cw_yaml_count(mapping->document, node, "regions");
+    size_t       position;
+
+    for (position = 0; position < count; position++) {
+        yaml_node_t *item = cw_yaml_item(mapping->document, node, position);
+
+        if (item->type == YAML_SCALAR_NODE && item->data.scalar.length > 0) {
+            cw_name_set_add(regions, (const char *)item->data.scalar.value);
+        } else {
+            cw_yaml_report(mapping->document, item, "a region must be a name");
+        }
+    }
+}
+
 static void check_route(const cw_intent_t *intent, const cw_route_t *route, cw_yaml_mapping_t *mapping)
 {
     size_t length = strlen(route->prefix);
@@ -153,6 +170,7 @@
     route->aim = read_ms(&mapping, "aim_ms");
     route->max_attempts = (uint32_t)cw_yaml_number(&mapping, "attempts", 1, ATTEMPTS_MAX, 2);
     route->priority = (uint32_t)cw_yaml_number(&mapping, "priority", 0, PRIORITY_MAX, 1);
+    read_regions(&route->regions, &mapping);
     read_target(intent, route, &mapping);
     check_route(intent, route, &mapping);
     cw_yaml_finish(&mapping);
--- a/src/intent/plan.c
+++ b/src/intent/plan.c
@@ -27,6 +27,8 @@
 
     *tenant = *from;
     tenant->name = strdup(from->name);
+    memset(&tenant->regions, 0, sizeof(tenant->regions));
+    cw_name_set_copy(&tenant->regions, &from->regions);
 }
 
 /* All entries, or all but one tenant's. */
@@ -72,6 +74,7 @@
 
     add_word(&what, strcmp(before->host, after->host) != 0 || strcmp(before->prefix, after->prefix) != 0, "where");
     add_word(&what, !cw_route_same_parts(before, after), "services");
+    add_word(&what, !cw_name_set_same(&before->regions, &after->regions), "regions");
     add_word(&what, before->repeatable != after->repeatable, "repeatable");
     add_word(&what, before->timeout != after->timeout || before->aim != after->aim, "times");
     add_word(&what, before->max_attempts != after->max_attempts || before->priority != after->priority,
@@ -211,6 +214,9 @@
         for (part = 0; part < route->part_count; part++) {
             cw_bytes_append_format(text, " %s %.6f\n", route->parts[part].service, route->parts[part].weight);
         }
+        for (part = 0; part < route->regions.count; part++) {
+            cw_bytes_append_format(text, " in %s\n", route->regions.names[part]);
+        }
     }
 }
 
--- a/src/model/configuration.c
+++ b/src/model/configuration.c
@@ -105,7 +105,8 @@
                       left->aim == right->aim && left->max_attempts == right->max_attempts &&
                       left->priority == right->priority;
 
-    return same_place && same_rules && cw_route_same_parts(left, right);
+    return same_place && same_rules && cw_route_same_parts(left, right) &&
+           cw_name_set_same(&left->regions, &right->regions);
 }
 
 void cw_configuration_copy_route(cw_configuration_t *configuration, const cw_route_t *route)
@@ -119,6 +120,8 @@
     copy->prefix = strdup(route->prefix);
     copy->parts = NULL;
     copy->part_count = 0;
+    memset(&copy->regions, 0, sizeof(copy->regions));
+    cw_name_set_copy(&copy->regions, &route->regions);
     for (index = 0; index < route->part_count; index++) {
         cw_route_add_part(copy, route->parts[index].service, route->parts[index].weight);
     }
@@ -145,6 +148,7 @@
         free(route->parts[index].service);
     }
     free(route->parts);
+    cw_name_set_clear(&route->regions);
     free(route->name);
     free(route->host);
     free(route->prefix);
@@ -165,6 +169,7 @@
     }
     for (index = 0; index < configuration->tenant_count; index++) {
         free(configuration->tenants[index].name);
+        cw_name_set_clear(&configuration->tenants[index].regions);
     }
     free(configuration->routes);
     free(configuration->services);
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "base/time.h"
+#include "model/name_set.h"
 #include "model/tenant.h"
 #include "net/http_listener.h"
 
@@ -33,6 +34,7 @@
     uint32_t         priority;     /**< 0 is the most urgent */
     cw_split_part_t *parts;
     size_t           part_count;
+    cw_name_set_t    regions; /**< its requests go to servers there only; empty: anywhere */
 } cw_route_t;
 
 typedef struct cw_service {
--- a/src/model/zone_set.c
+++ b/src/model/name_set.c
@@ -1,21 +1,21 @@
 /**
- * @file zone_set.c
- * @brief Sorted names of zones. Deployments have a few zones, so searches are linear.
+ * @file name_set.c
+ * @brief Sorted names. Deployments have a few zones and regions, so searches are linear.
  */
-#include "model/zone_set.h"
+#include "model/name_set.h"
 
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
-void cw_zone_set_add(cw_zone_set_t *set, const char *zone)
+void cw_name_set_add(cw_name_set_t *set, const char *name)
 {
     size_t place = 0;
 
-    while (place < set->count && strcmp(set->names[place], zone) < 0) {
+    while (place < set->count && strcmp(set->names[place], name) < 0) {
         place++;
     }
-    if (place < set->count && strcmp(set->names[place], zone) == 0) {
+    if (place < set->count && strcmp(set->names[place], name) == 0) {
         return;
     }
     set->names = realloc(set->names, (set->count + 1) * sizeof(*set->names));
@@ -23,24 +23,24 @@
         abort();
     }
     memmove(&set->names[place + 1], &set->names[place], (set->count - place) * sizeof(*set->names));
-    set->names[place] = strdup(zone);
+    set->names[place] = strdup(name);
     if (set->names[place] == NULL) {
         abort();
     }
     set->count++;
 }
 
-void cw_zone_set_copy(cw_zone_set_t *to, const cw_zone_set_t *from)
+void cw_name_set_copy(cw_name_set_t *to, const cw_name_set_t *from)
 {
     size_t index;
 
-    cw_zone_set_clear(to);
+    cw_name_set_clear(to);
     for (index = 0; index < from->count; index++) {
-        cw_zone_set_add(to, from->names[index]);
+        cw_name_set_add(to, from->names[index]);
     }
 }
 
-void cw_zone_set_clear(cw_zone_set_t *set)
+void cw_name_set_clear(cw_name_set_t *set)
 {
     size_t index;
 
@@ -51,19 +51,19 @@
     memset(set, 0, sizeof(*set));
 }
 
-bool cw_zone_set_has(const cw_zone_set_t *set, const char *zone)
+bool cw_name_set_has(const cw_name_set_t *set, const char *name)
 {
     size_t index;
 
     for (index = 0; index < set->count; index++) {
-        if (strcmp(set->names[index], zone) == 0) {
+        if (strcmp(set->names[index], name) == 0) {
             return true;
         }
     }
     return false;
 }
 
-bool cw_zone_set_same(const cw_zone_set_t *left, const cw_zone_set_t *right)
+bool cw_name_set_same(const cw_name_set_t *left, const cw_name_set_t *right)
 {
     size_t index;
 
@@ -78,7 +78,7 @@
     return true;
 }
 
-uint64_t cw_zone_set_hash(const cw_zone_set_t *set)
+uint64_t cw_name_set_hash(const cw_name_set_t *set)
 {
     uint64_t hash = 0;
     size_t   index;
--- /dev/null
+++ b/src/model/name_set.h
@@ -0,0 +1,26 @@
+/**
+ * @file name_set.h
+ * @brief A set of names of zones or regions.
+ */
+#ifndef CEDARWINCH_MODEL_NAME_SET_H
+#define CEDARWINCH_MODEL_NAME_SET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Sorted, without duplicates. All zeros: the empty set. */
+typedef struct cw_name_set {
+    char **names;
+    size_t count;
+} cw_name_set_t;
+
+void cw_name_set_add(cw_name_set_t *set, const char *name);
+/** Replaces what `to` holds. */
+void     cw_name_set_copy(cw_name_set_t *to, const cw_name_set_t *from);
+void     cw_name_set_clear(cw_name_set_t *set);
+bool     cw_name_set_has(const cw_name_set_t *set, const char *name);
+bool     cw_name_set_same(const cw_name_set_t *left, const cw_name_set_t *right);
+uint64_t cw_name_set_hash(const cw_name_set_t *set); /**< 0 for the empty set */
+
+#endif
--- a/src/model/server_list.c
+++ b/src/model/server_list.c
@@ -110,13 +110,13 @@
             *cw_server_list_add(copy) = copy_entry(&list->entries[index]);
         }
     }
-    cw_zone_set_copy(&copy->zones_out, &list->zones_out);
+    cw_name_set_copy(&copy->zones_out, &list->zones_out);
     return copy;
 }
 
 uint64_t cw_server_list_hash(const cw_server_list_t *list)
 {
-    uint64_t hash = list->count + cw_zone_set_hash(&list->zones_out);
+    uint64_t hash = list->count + cw_name_set_hash(&list->zones_out);
     size_t   index;
 
     for (index = 0; index < list->count; index++) {
@@ -148,7 +148,7 @@
         free_entry(&list->entries[index]);
     }
     free(list->entries);
-    cw_zone_set_clear(&list->zones_out);
+    cw_name_set_clear(&list->zones_out);
     free(list);
 }
 
@@ -200,7 +200,7 @@
     if (left == NULL || right == NULL || left->count != right->count) {
         return left == right;
     }
-    if (!cw_zone_set_same(&left->zones_out, &right->zones_out)) {
+    if (!cw_name_set_same(&left->zones_out, &right->zones_out)) {
         return false;
     }
     for (index = 0; index < left->count; index++) {
--- a/src/model/server_list.h
+++ b/src/model/server_list.h
@@ -13,7 +13,7 @@
 #include <stdint.h>
 
 #include "base/time.h"
-#include "model/zone_set.h"
+#include "model/name_set.h"
 
 typedef struct cw_server_entry {
     char        *id;
@@ -31,7 +31,7 @@
 typedef struct cw_server_list {
     cw_server_entry_t *entries; /**< sorted by id */
     size_t             count;
-    cw_zone_set_t      zones_out; /**< out of service; of the same snapshot (zone_service.h) */
+    cw_name_set_t      zones_out; /**< out of service; of the same snapshot (zone_service.h) */
     int                references;
 } cw_server_list_t;
 
--- a/src/model/tenant.h
+++ b/src/model/tenant.h
@@ -12,14 +12,17 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "model/name_set.h"
+
 enum { CW_TENANT_DIGEST_BYTES = 32, CW_TENANT_TOKENS_MAX = 8 };
 
 typedef struct cw_tenant {
-    char    *name;
-    uint8_t  tokens[CW_TENANT_TOKENS_MAX][CW_TENANT_DIGEST_BYTES]; /**< SHA-256 of callers' tokens */
-    size_t   token_count;                                          /**< 0: its routes are open */
-    uint32_t requests_per_s;                                       /**< over all nodes; 0: no limit */
-    uint32_t concurrent;                                           /**< over all nodes; 0: no limit */
+    char         *name;
+    uint8_t       tokens[CW_TENANT_TOKENS_MAX][CW_TENANT_DIGEST_BYTES]; /**< SHA-256 of callers' tokens */
+    size_t        token_count;                                          /**< 0: its routes are open */
+    uint32_t      requests_per_s;                                       /**< over all nodes; 0: no limit */
+    uint32_t      concurrent;                                           /**< over all nodes; 0: no limit */
+    cw_name_set_t regions; /**< its requests go to servers there only; empty: anywhere */
 } cw_tenant_t;
 
 /** Does a route's or service's name belong to the tenant? */
--- a/src/model/zone_service.c
+++ b/src/model/zone_service.c
@@ -87,7 +87,7 @@
     state->owners_until = is_known ? before_true_at + zones->out_within * OWNERS_PERCENT / 100 : 0;
 }
 
-void cw_zone_service_apply(cw_zone_service_t *zones, const cw_zone_set_t *out, cw_time_us_t before_true_at,
+void cw_zone_service_apply(cw_zone_service_t *zones, const cw_name_set_t *out, cw_time_us_t before_true_at,
                            cw_time_us_t now, cw_zone_changed_t changed, void *context)
 {
     size_t index;
@@ -105,7 +105,7 @@
     for (index = 0; index < zones->count; index++) {
         zone_state_t *state = &zones->states[index];
 
-        if (state->is_out && !cw_zone_set_has(out, state->zone)) {
+        if (state->is_out && !cw_name_set_has(out, state->zone)) {
             state->is_out = false;
             state->put_back_at = now;
             if (changed != NULL) {
--- a/src/model/zone_service.h
+++ b/src/model/zone_service.h
@@ -18,7 +18,7 @@
 #define CEDARWINCH_MODEL_ZONE_SERVICE_H
 
 #include "base/time.h"
-#include "model/zone_set.h"
+#include "model/name_set.h"
 
 typedef struct cw_zone_service cw_zone_service_t;
 
@@ -34,7 +34,7 @@
  * The zones that are out of service now. before_true_at: last moment at which the previous set was surely complete; 0:
  * not known. changed: NULL is allowed.
  */
-void cw_zone_service_apply(cw_zone_service_t *zones, const cw_zone_set_t *out, cw_time_us_t before_true_at,
+void cw_zone_service_apply(cw_zone_service_t *zones, const cw_name_set_t *out, cw_time_us_t before_true_at,
                            cw_time_us_t now, cw_zone_changed_t changed, void *context);
 bool cw_zone_service_is_out(const cw_zone_service_t *zones, const char *zone);
 /** Until when requests for keys may still go to owners in this zone, which is out of service; 0: no longer. */
--- a/src/peer/configuration_pages.c
+++ b/src/peer/configuration_pages.c
@@ -86,6 +86,8 @@
     sent->objective_us = (uint64_t)route->aim;
     sent->max_attempts = route->max_attempts;
     sent->priority = route->priority;
+    sent->regions = route->regions.names;
+    sent->n_regions = route->regions.count;
     sent->n_part_services = route->part_count;
     sent->n_part_weights = route->part_count;
     sent->part_services = allocate(route->part_count, sizeof(char *));
@@ -136,6 +138,8 @@
         sent->name = tenant->name;
         sent->requests_per_s = tenant->requests_per_s;
         sent->concurrent = tenant->concurrent;
+        sent->regions = tenant->regions.names;
+        sent->n_regions = tenant->regions.count;
         sent->token_digests = &buffer->digests[index * CW_TENANT_TOKENS_MAX];
         sent->n_token_digests = tenant->token_count;
         for (token = 0; token < tenant->token_count; token++) {
@@ -265,6 +269,9 @@
     route->aim = (cw_time_us_t)sent->objective_us;
     route->max_attempts = sent->max_attempts;
     route->priority = sent->priority;
+    for (index = 0; index < sent->n_regions; index++) {
+        cw_name_set_add(&route->regions, sent->regions[index]);
+    }
     for (index = 0; index < sent->n_part_services && index < sent->n_part_weights; index++) {
         cw_route_add_part(route, sent->part_services[index], sent->part_weights[index]);
     }
@@ -290,6 +297,9 @@
     tenant->name = strdup(sent->name);
     tenant->requests_per_s = sent->requests_per_s;
     tenant->concurrent = sent->concurrent;
+    for (index = 0; index < sent->n_regions; index++) {
+        cw_name_set_add(&tenant->regions, sent->regions[index]);
+    }
     for (index = 0; index < sent->n_token_digests && tenant->token_count < CW_TENANT_TOKENS_MAX; index++) {
         if (sent->token_digests[index].len == CW_TENANT_DIGEST_BYTES) {
             memcpy(tenant->tokens[tenant->token_count++], sent->token_digests[index].data, CW_TENANT_DIGEST_BYTES);
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -133,7 +133,7 @@
 
 static bool is_to_be_emptied(const cw_planner_server_t *server)
 {
-    return server->entry->draining || server->zone_is_out;
+    return server->entry->draining || server->is_barred;
 }
 
 static bool must_move(const cw_planner_t *planner, const cw_range_t *range)
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -90,6 +90,25 @@
 
 /* ---- part of a split: each request goes to the part that is furthest behind its share ---- */
 
+static bool is_bound(const cw_region_rule_t *regions)
+{
+    return regions->route->count > 0 || (regions->tenant != NULL && regions->tenant->count > 0);
+}
+
+/* The first part with servers in the regions: the weights do not bind there. NULL: none has. */
+static const char *choose_part_in_regions(cw_server_pool_t *pool, const cw_route_t *route,
+                                          const cw_region_rule_t *regions)
+{
+    size_t index;
+
+    for (index = 0; index < route->part_count; index++) {
+        if (cw_server_pool_serves(pool, route->parts[index].service, regions)) {
+            return route->parts[index].service;
+        }
+    }
+    return NULL;
+}
+
 static const char *choose_part(cw_route_state_t *state, const cw_route_t *route)
 {
     double sum = 0;
@@ -258,10 +277,18 @@
     return true;
 }
 
+static cw_region_rule_t regions_of(const cw_engine_t *engine, const cw_route_t *route)
+{
+    const cw_tenant_t *tenant = cw_configuration_tenant_of(engine->configuration, route->name);
+
+    return (cw_region_rule_t){.route = &route->regions, .tenant = tenant == NULL ? NULL : &tenant->regions};
+}
+
 static cw_request_t *create_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
                                     const cw_route_t *route)
 {
     cw_request_t *request = calloc(1, sizeof(*request));
+    const char   *part;
 
     if (request == NULL) {
         abort();
@@ -271,7 +298,14 @@
     request->configuration = cw_configuration_hold(engine->configuration);
     request->route = route;
     request->route_state = route_state(engine, route);
-    request->service = cw_engine_service(engine, choose_part(request->route_state, route));
+    request->regions = regions_of(engine, route);
+    part = choose_part(request->route_state, route);
+    if (is_bound(&request->regions) && !cw_server_pool_serves(engine->pool, part, &request->regions)) {
+        const char *open = choose_part_in_regions(engine->pool, route, &request->regions);
+
+        part = open == NULL ? part : open;
+    }
+    request->service = cw_engine_service(engine, part);
     request->method = inbound->method;
     request->target = inbound->target;
     request->fields = inbound->fields;
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -81,6 +81,7 @@
     cw_route_state_t       *route_state;
     cw_service_state_t     *service;
     cw_tenant_count_t      *tenant;   /**< NULL: none */
+    cw_region_rule_t        regions;  /**< servers there only */
     bool                    is_keyed; /**< the service is divided by key, and the request names one */
     uint32_t                key;
     const char             *method; /**< this and what follows are the exchange's */
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -141,7 +141,7 @@
 
 /* ---- dispatch ---- */
 
-typedef enum placing { PLACED, ASKED, WAITS_FOR_SLOT, WAITS_FOR_OWNER, NO_SERVERS, PAUSED } placing_t;
+typedef enum placing { PLACED, ASKED, OUTSIDE_REGIONS, WAITS_FOR_SLOT, WAITS_FOR_OWNER, NO_SERVERS, PAUSED } placing_t;
 
 static placing_t place_keyed(cw_request_t *request, cw_time_us_t now)
 {
@@ -150,6 +150,9 @@
     if (server == NULL || server->draining || !cw_server_zone_allows(server, true, now)) {
         return WAITS_FOR_OWNER;
     }
+    if (!cw_server_region_allows(server, &request->regions)) {
+        return OUTSIDE_REGIONS;
+    }
     if (cw_request_ask_slot(request, server, now)) {
         return ASKED;
     }
@@ -165,9 +168,11 @@
 
 static placing_t place(cw_request_t *request, cw_time_us_t now)
 {
-    cw_server_t *server;
-    bool         full;
+    cw_choice_settings_t choice = request->engine->settings.choice;
+    cw_server_t         *server;
+    bool                 full;
 
+    choice.regions = request->regions;
     if (request->not_before > now) {
         return PAUSED;
     }
@@ -178,7 +183,7 @@
         return ASKED;
     }
     server = cw_server_pool_choose(
-        request->engine->pool, request->service->name, &request->engine->settings.choice,
+        request->engine->pool, request->service->name, &choice,
         request->avoid[0] == '\0' ? NULL : cw_server_pool_find(request->engine->pool, request->avoid), now, &full);
     if (server == NULL) {
         return full ? WAITS_FOR_SLOT : NO_SERVERS;
@@ -192,6 +197,10 @@
 {
     cw_time_us_t estimate;
 
+    if (why == OUTSIDE_REGIONS) { /* its key has an owner where it may not go: waiting does not help */
+        cw_request_refuse(request, CW_REFUSED_SERVERS);
+        return;
+    }
     if (request->decided || why == PAUSED) {
         cw_request_arm(request);
         return;
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -374,6 +374,7 @@
     router->upstream = cw_upstream_create(&router->loop, &upstream);
     router->pool = cw_server_pool_create(router->settings.zone, on_dropped, router);
     cw_server_pool_set_node(router->pool, router->settings.node);
+    cw_server_pool_set_regions(router->pool, router->settings.zone_regions, router->settings.zone_region_count);
     router->engine = cw_engine_create(&router->loop, &settings, router->pool, router->upstream);
     error = start_listeners(router);
     if (error == 0) {
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -22,6 +22,35 @@
     MISSING_PERCENT = 40, /* more owners than these are not all gone at once */
 };
 
+static bool uses_service(const cw_route_t *route, const char *service)
+{
+    size_t index;
+
+    for (index = 0; index < route->part_count; index++) {
+        if (strcmp(route->parts[index].service, service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* An owner gets requests of all routes to its service: each of them has to allow its region. */
+static bool is_region_allowed(const cw_configuration_t *configuration, const char *service, const cw_server_t *server)
+{
+    size_t index;
+
+    for (index = 0; index < configuration->route_count; index++) {
+        const cw_route_t  *route = &configuration->routes[index];
+        const cw_tenant_t *tenant = cw_configuration_tenant_of(configuration, route->name);
+        cw_region_rule_t   rule = {.route = &route->regions, .tenant = tenant == NULL ? NULL : &tenant->regions};
+
+        if (uses_service(route, service) && !cw_server_region_allows(server, &rule)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static size_t list_servers(cw_router_t *router, const char *service, cw_planner_server_t *servers, cw_time_us_t now)
 {
     double usual_s = (double)cw_engine_usual_time(router->engine, service) / 1e6;
@@ -37,8 +66,9 @@
         }
         memset(&servers[count], 0, sizeof(servers[count]));
         servers[count].entry = entry;
-        servers[count].zone_is_out = cw_zone_service_is_out(router->zones, entry->zone);
-        servers[count].usable = !entry->draining && !servers[count].zone_is_out && server != NULL &&
+        servers[count].is_barred = cw_zone_service_is_out(router->zones, entry->zone) ||
+                                   (server != NULL && !is_region_allowed(router->configuration, service, server));
+        servers[count].usable = !entry->draining && !servers[count].is_barred && server != NULL &&
                                 server->avoid_until <= now && !cw_server_is_rate_bounded(server, now);
         servers[count].pace = server == NULL ? 1 : server->pace;
         servers[count].cost_s = usual_s * servers[count].pace / (entry->capacity == 0 ? 1 : entry->capacity);
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -107,9 +107,9 @@
                                       ? cw_server_list_create()
                                       : cw_server_list_copy_without(known, page->removed, page->n_removed);
         router->partial_sealed = router->servers_partial->count;
-        cw_zone_set_clear(&router->servers_partial->zones_out);
+        cw_name_set_clear(&router->servers_partial->zones_out);
         for (index = 0; index < page->n_zones_out; index++) {
-            cw_zone_set_add(&router->servers_partial->zones_out, page->zones_out[index]);
+            cw_name_set_add(&router->servers_partial->zones_out, page->zones_out[index]);
         }
     }
     for (index = 0; index < page->n_servers; index++) {
--- a/tests/test_configuration.c
+++ b/tests/test_configuration.c
@@ -62,6 +62,23 @@
 }
 END_TEST
 
+START_TEST(a_copied_route_keeps_its_regions_and_differs_without_them)
+{
+    cw_configuration_t *configuration = cw_configuration_create(1);
+    cw_route_t         *route;
+
+    add_route(configuration, "bound", "a.example", "/");
+    cw_name_set_add(&configuration->routes[0].regions, "leinster");
+    cw_configuration_copy_route(configuration, &configuration->routes[0]);
+    route = &configuration->routes[1];
+    ck_assert(cw_route_same(&configuration->routes[0], route));
+    cw_name_set_clear(&route->regions);
+    ck_assert(!cw_route_same(&configuration->routes[0], route));
+    ck_assert(cw_name_set_has(&configuration->routes[0].regions, "leinster"));
+    cw_configuration_release(configuration);
+}
+END_TEST
+
 START_TEST(a_held_configuration_outlives_its_release)
 {
     cw_configuration_t *configuration = some_configuration();
@@ -124,6 +141,7 @@
 
     tcase_add_test(cases, longest_prefix_wins);
     tcase_add_test(cases, host_is_compared_whole_without_case_and_port);
+    tcase_add_test(cases, a_copied_route_keeps_its_regions_and_differs_without_them);
     tcase_add_test(cases, a_held_configuration_outlives_its_release);
     tcase_add_test(cases, servers_are_found_by_id_and_successors_by_address);
     tcase_add_test(cases, lists_differ_by_state_not_by_heartbeat);
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -156,6 +156,15 @@
     return route;
 }
 
+/* Its requests go to servers in the region of its name only. */
+static void add_bound_route(cw_configuration_t *configuration, const char *name, const char *prefix)
+{
+    cw_route_t *route = add_route(configuration, name, prefix, true);
+
+    cw_route_add_part(route, "service", 1);
+    cw_name_set_add(&route->regions, name);
+}
+
 static void configure(world_t *world)
 {
     cw_configuration_t *configuration = cw_configuration_create(1);
@@ -166,11 +175,16 @@
     cw_route_add_part(add_route(configuration, "safe", "/safe/", true), "service", 1);
     cw_route_add_part(add_route(configuration, "once", "/once/", false), "service", 1);
     cw_route_add_part(add_route(configuration, "keyed", "/keyed/", true), "keyed", 1);
+    add_bound_route(configuration, "far", "/far/");
+    add_bound_route(configuration, "elsewhere", "/elsewhere/");
     cw_configuration_seal(configuration);
     cw_engine_set_configuration(world->engine, configuration);
     cw_configuration_release(configuration);
 }
 
+/* The region of each server's zone: s0 lies in the near one. */
+static const cw_zone_region_t regions[] = {{"z1", "near"}, {"z2", "far"}};
+
 static void init(world_t *world)
 {
     cw_engine_settings_t       settings = {.names = {.request_id = "id",
@@ -200,6 +214,7 @@
     world->caller = cw_upstream_create(&world->loop, &options);
     snprintf(address, sizeof(address), "127.0.0.1:%u", cw_http_listener_port(world->front));
     world->front_target = cw_upstream_target_create(world->caller, address);
+    cw_server_pool_set_regions(world->pool, regions, sizeof(regions) / sizeof(regions[0]));
     start_servers(world);
     configure(world);
 }
@@ -247,6 +262,166 @@
 }
 END_TEST
 
+START_TEST(a_request_goes_only_to_servers_in_the_regions_of_its_route)
+{
+    world_t world;
+
+    init(&world);
+    world.servers[0].status = 200;
+    world.servers[1].status = 200;
+    (void)ask(&world, "GET", "/far/x", "15000"); /* though s0 is nearer */
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_uint_eq(world.servers[0].requests, 0);
+    (void)ask(&world, "GET", "/elsewhere/x", "15000"); /* no server lies there */
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert(world.retry_after_s > 0);
+    ck_assert_uint_eq(world.servers[0].requests, 0);
+}
+END_TEST
+
+/* ---- slots ---- */
+
+/** A node that hands out slots, as the engine sees it: it keeps what it was sent. */
+typedef struct fake_broker {
+    uint32_t      asks;
+    cw_slot_ask_t asked; /* last */
+    uint32_t      returns;
+    cw_slot_end_t end; /* of the last return */
+} fake_broker_t;
+
+enum { BROKER = 77 };
+
+static uint32_t fake_broker_of(void *context, const char *zone, uint32_t service)
+{
+    (void)context;
+    (void)service;
+    return strcmp(zone, "z1") == 0 ? BROKER : 0;
+}
+
+static void fake_ask(void *context, uint32_t broker, const cw_slot_ask_t *asked)
+{
+    fake_broker_t *fake = context;
+
+    ck_assert_uint_eq(broker, BROKER);
+    fake->asks++;
+    fake->asked = *asked;
+}
+
+static void fake_give_back(void *context, uint32_t broker, const cw_slot_return_t *returned)
+{
+    fake_broker_t *fake = context;
+
+    ck_assert_uint_eq(broker, BROKER);
+    ck_assert_uint_eq(returned->ticket, fake->asked.ticket);
+    fake->returns++;
+    fake->end = returned->end;
+}
+
+static bool has_asked(void *context)
+{
+    const fake_broker_t *fake = context;
+
+    return fake->asks > 0;
+}
+
+/* A request has asked, and waits for the reply. */
+static void ask_for_slot(world_t *world, fake_broker_t *fake, const char *path)
+{
+    cw_slot_port_t port = {.context = fake, .broker_of = fake_broker_of, .ask = fake_ask, .give_back = fake_give_back};
+
+    memset(fake, 0, sizeof(*fake));
+    init(world);
+    world->servers[0].status = 200;
+    world->servers[1].status = 200;
+    cw_engine_set_slots(world->engine, &port);
+    (void)ask(world, "GET", path, "15000");
+    cw_test_run_until(&world->loop, has_asked, fake);
+}
+
+static void reply(world_t *world, const fake_broker_t *fake, cw_slot_outcome_t outcome, const char *server)
+{
+    cw_slot_reply_t message = {.node = BROKER, .ticket = fake->asked.ticket, .outcome = outcome};
+
+    message.server = server == NULL ? 0 : cw_server_pool_find(world->pool, server)->hash;
+    message.free_after = outcome == CW_SLOT_REFUSED ? CW_MS(300) : 0;
+    cw_engine_slot_reply(world->engine, &message);
+}
+
+START_TEST(a_request_goes_where_its_slot_is_and_gives_it_back)
+{
+    world_t       world;
+    fake_broker_t fake;
+
+    ask_for_slot(&world, &fake, "/safe/x");
+    ck_assert_uint_eq(world.servers[0].requests + world.servers[1].requests, 0);
+    reply(&world, &fake, CW_SLOT_GRANTED, "s1");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s1");
+    ck_assert_uint_eq(fake.returns, 1);
+    ck_assert_int_eq(fake.end, CW_SLOT_ANSWERED);
+}
+END_TEST
+
+START_TEST(a_refused_slot_is_a_refusal_with_the_time_to_come_back)
+{
+    world_t       world;
+    fake_broker_t fake;
+
+    ask_for_slot(&world, &fake, "/safe/x");
+    reply(&world, &fake, CW_SLOT_REFUSED, NULL); /* one that may hardly wait, */
+    ck_assert_uint_eq(fake.asks, 2);
+    reply(&world, &fake, CW_SLOT_REFUSED, NULL); /* and one that may */
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert(world.retry_after_s > 0.29 && world.retry_after_s < 0.31);
+    ck_assert_uint_eq(world.servers[0].requests + world.servers[1].requests, 0);
+    ck_assert_uint_eq(fake.returns, 0);
+}
+END_TEST
+
+START_TEST(without_a_reply_the_server_is_chosen_here_and_a_late_grant_is_declined)
+{
+    world_t       world;
+    fake_broker_t fake;
+
+    ask_for_slot(&world, &fake, "/safe/x");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s0");
+    ck_assert_uint_eq(fake.asks, 2); /* a datagram may be lost */
+    ck_assert_uint_eq(fake.returns, 1);
+    reply(&world, &fake, CW_SLOT_GRANTED, "s0");
+    ck_assert_uint_eq(fake.returns, 2);
+    ck_assert_int_eq(fake.end, CW_SLOT_UNUSED);
+    ck_assert_uint_eq(world.servers[0].requests, 1);
+}
+END_TEST
+
+START_TEST(a_caller_that_leaves_while_its_request_waits_for_a_slot_withdraws_the_ask)
+{
+    world_t             world;
+    fake_broker_t       fake;
+    cw_upstream_call_t *call;
+    cw_slot_port_t port = {.context = &fake, .broker_of = fake_broker_of, .ask = fake_ask, .give_back = fake_give_back};
+
+    memset(&fake, 0, sizeof(fake));
+    init(&world);
+    cw_engine_set_slots(world.engine, &port);
+    call = ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until(&world.loop, has_asked, &fake);
+    reply(&world, &fake, CW_SLOT_QUEUED, NULL);
+    cw_upstream_call_abandon(call);
+    while (fake.returns == 0) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    ck_assert_int_eq(fake.end, CW_SLOT_UNUSED);
+    ck_assert_uint_eq(cw_engine_requests(world.engine), 0);
+}
+END_TEST
+
 START_TEST(no_route_is_404_and_no_configuration_is_503)
 {
     world_t world;
@@ -495,6 +670,11 @@
 
     tcase_set_timeout(cases, 60);
     tcase_add_test(cases, an_answer_comes_back_whole_with_the_deadline_and_target_passed_on);
+    tcase_add_test(cases, a_request_goes_only_to_servers_in_the_regions_of_its_route);
+    tcase_add_test(cases, a_request_goes_where_its_slot_is_and_gives_it_back);
+    tcase_add_test(cases, a_refused_slot_is_a_refusal_with_the_time_to_come_back);
+    tcase_add_test(cases, without_a_reply_the_server_is_chosen_here_and_a_late_grant_is_declined);
+    tcase_add_test(cases, a_caller_that_leaves_while_its_request_waits_for_a_slot_withdraws_the_ask);
     tcase_add_test(cases, no_route_is_404_and_no_configuration_is_503);
     tcase_add_test(cases, what_a_server_did_not_run_goes_to_another_even_if_it_must_not_be_repeated);
     tcase_add_test(cases, a_503_without_that_word_is_no_promise);
--- a/tests/test_intent.c
+++ b/tests/test_intent.c
@@ -18,7 +18,7 @@
                            "  - {name: hires}\n"
                            "routes:\n"
                            "  - {name: maps, host: maps.example, prefix: /docks/, service: maps, repeatable: true,\n"
-                           "     timeout_ms: 1000, aim_ms: 500}\n"
+                           "     timeout_ms: 1000, aim_ms: 500, regions: [leinster, munster]}\n"
                            "  - name: hires\n"
                            "    host: maps.example\n"
                            "    prefix: /hire/\n"
@@ -180,6 +180,9 @@
     ck_assert_uint_eq(back->tenant_count, 1);
     ck_assert_uint_eq(back->tenants[0].requests_per_s, 100);
     ck_assert_int_eq(cw_configuration_match(back, "maps.example", "/docks/1")->timeout, CW_MS(1000));
+    ck_assert_uint_eq(cw_configuration_match(back, "maps.example", "/docks/1")->regions.count, 2);
+    ck_assert(cw_name_set_has(&cw_configuration_match(back, "maps.example", "/docks/1")->regions, "munster"));
+    ck_assert_uint_eq(cw_configuration_match(back, "maps.example", "/hire/1")->regions.count, 0);
     ck_assert_int_eq(cw_configuration_service(back, "liffeyspoke/maps")->warm_time, CW_MS(2000));
     json_decref(value);
     cw_configuration_release(back);
@@ -195,6 +198,12 @@
     ck_assert_ptr_null(cw_platform_parse_configuration(value, &problem));
     ck_assert_ptr_nonnull(problem);
     json_decref(value);
+    value =
+        json_loads("{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path-prefix\":\"/\",\"service\":\"s\","
+                   "\"allowed-regions\":\"leinster\"}]}",
+                   0, NULL); /* taken as no restriction it would send requests anywhere */
+    ck_assert_ptr_null(cw_platform_parse_configuration(value, &problem));
+    json_decref(value);
     value = json_loads("{\"routes\":[]}", 0, NULL);
     ck_assert_ptr_null(cw_platform_parse_configuration(value, &problem));
     json_decref(value);
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -280,12 +280,12 @@
 }
 END_TEST
 
-START_TEST(a_server_whose_zone_is_out_of_service_is_emptied_and_gets_nothing_back)
+START_TEST(a_server_whose_is_barred_of_service_is_emptied_and_gets_nothing_back)
 {
     planner_world_t world;
 
     init(&world, four);
-    world.servers[0].zone_is_out = true;
+    world.servers[0].is_barred = true;
     world.servers[0].usable = false;
     run_rounds(&world, 1);
     ck_assert_uint_eq(keys_of(&world, "i-a"), 0);
@@ -437,7 +437,7 @@
     tcase_add_test(cases, a_slow_server_gets_less);
     tcase_add_test(cases, a_server_with_all_keys_in_many_ranges_is_relieved);
     tcase_add_test(cases, a_draining_server_is_emptied);
-    tcase_add_test(cases, a_server_whose_zone_is_out_of_service_is_emptied_and_gets_nothing_back);
+    tcase_add_test(cases, a_server_whose_is_barred_of_service_is_emptied_and_gets_nothing_back);
     tcase_add_test(cases, a_server_that_no_order_reaches_loses_its_keys);
     tcase_add_test(cases, owners_missing_in_a_doubtful_list_keep_their_keys);
     tcase_add_test(cases, when_most_owners_cannot_be_reached_nothing_is_taken_away);
--- a/tests/test_zones.c
+++ b/tests/test_zones.c
@@ -16,32 +16,32 @@
 
 static void apply(cw_zone_service_t *zones, const char *zone, cw_time_us_t before_true_at, cw_time_us_t now)
 {
-    cw_zone_set_t out = {0};
+    cw_name_set_t out = {0};
 
     if (zone != NULL) {
-        cw_zone_set_add(&out, zone);
+        cw_name_set_add(&out, zone);
     }
     cw_zone_service_apply(zones, &out, before_true_at, now, NULL, NULL);
-    cw_zone_set_clear(&out);
+    cw_name_set_clear(&out);
 }
 
 START_TEST(a_set_has_each_name_once_and_in_order)
 {
-    cw_zone_set_t left = {0};
-    cw_zone_set_t right = {0};
-
-    cw_zone_set_add(&left, "b");
-    cw_zone_set_add(&left, "a");
-    cw_zone_set_add(&left, "b");
-    cw_zone_set_add(&right, "a");
-    ck_assert(!cw_zone_set_same(&left, &right));
-    ck_assert_uint_ne(cw_zone_set_hash(&left), cw_zone_set_hash(&right));
-    cw_zone_set_add(&right, "b");
-    ck_assert(cw_zone_set_same(&left, &right));
-    ck_assert_uint_eq(cw_zone_set_hash(&left), cw_zone_set_hash(&right));
-    ck_assert(cw_zone_set_has(&left, "a") && !cw_zone_set_has(&left, "c"));
-    cw_zone_set_clear(&left);
-    cw_zone_set_clear(&right);
+    cw_name_set_t left = {0};
+    cw_name_set_t right = {0};
+
+    cw_name_set_add(&left, "b");
+    cw_name_set_add(&left, "a");
+    cw_name_set_add(&left, "b");
+    cw_name_set_add(&right, "a");
+    ck_assert(!cw_name_set_same(&left, &right));
+    ck_assert_uint_ne(cw_name_set_hash(&left), cw_name_set_hash(&right));
+    cw_name_set_add(&right, "b");
+    ck_assert(cw_name_set_same(&left, &right));
+    ck_assert_uint_eq(cw_name_set_hash(&left), cw_name_set_hash(&right));
+    ck_assert(cw_name_set_has(&left, "a") && !cw_name_set_has(&left, "c"));
+    cw_name_set_clear(&left);
+    cw_name_set_clear(&right);
 }
 END_TEST
 
@@ -93,17 +93,17 @@
 START_TEST(two_zones_are_out_independently)
 {
     cw_zone_service_t *zones = cw_zone_service_create(out_within);
-    cw_zone_set_t      out = {0};
+    cw_name_set_t      out = {0};
 
     apply(zones, NULL, 0, start);
     apply(zones, "z1", start, start + CW_MS(100));
-    cw_zone_set_add(&out, "z1");
-    cw_zone_set_add(&out, "z2");
+    cw_name_set_add(&out, "z1");
+    cw_name_set_add(&out, "z2");
     cw_zone_service_apply(zones, &out, start + CW_MS(200), start + CW_MS(300), NULL, NULL);
     ck_assert(cw_zone_service_is_out(zones, "z1") && cw_zone_service_is_out(zones, "z2"));
     apply(zones, "z2", start + CW_MS(300), start + CW_MS(400));
     ck_assert(!cw_zone_service_is_out(zones, "z1") && cw_zone_service_is_out(zones, "z2"));
-    cw_zone_set_clear(&out);
+    cw_name_set_clear(&out);
     cw_zone_service_free(zones);
 }
 END_TEST
@@ -335,10 +335,10 @@
     cw_server_list_seal(before);
     after = cw_server_list_copy_without(before, NULL, 0);
     ck_assert(cw_server_list_same(before, after));
-    cw_zone_set_add(&after->zones_out, "z1");
+    cw_name_set_add(&after->zones_out, "z1");
     ck_assert(!cw_server_list_same(before, after));
     ck_assert_uint_ne(cw_server_list_hash(before), cw_server_list_hash(after));
-    cw_zone_set_clear(&after->zones_out);
+    cw_name_set_clear(&after->zones_out);
     after->entries[0].cold_time = CW_SECONDS(1);
     ck_assert(!cw_server_list_same(before, after));
     ck_assert_uint_ne(cw_server_list_hash(before), cw_server_list_hash(after));
