balance, proxy: what is known of a server's slots, and the part of a split, are modules of their own

Found while reading: what was kept of servers that are gone was never dropped; it is now, every five seconds (test: what_is_known_of_servers_that_are_gone_goes_too, seen to fail before).

--- a/src/balance/slot_broker.c
+++ b/src/balance/slot_broker.c
@@ -1,6 +1,6 @@
 /**
  * @file slot_broker.c
- * @brief Slots granted, asks that wait, and what is known of each server by the slots given back.
+ * @brief Slots granted, and asks that wait.
  */
 #include "balance/slot_broker.h"
 
@@ -8,35 +8,9 @@
 #include <string.h>
 #include <utlist.h>
 
-enum {
-    OUTSIDE_FRESH_MS = 300, /* so long a load sample tells of requests that were not granted here */
-    WORK_FRESH_MS = 400,    /* and of how long work takes there: it changes many times a second */
-    HELD_WEIGHT_PART = 8,   /* of a slot's time in the mean of its server */
-    REQUESTS_A_SLOT = 2,    /* one runs, one waits at the server: else its slot rests until the next one has come.
-                             * Measured: docs/design/shifted-work.md */
-    PERCENT = 100,
-    COLD_WINDOW_MS = 1100,   /* the bound's second, and what the ways to the server differ by */
-    COLD_SENDS_MOST = 16,    /* requests in a second to a cold server, whatever it bears */
-    WORK_MOST_PERCENT = 1000 /* beyond it a server in trouble looks no worse */
-};
-
-static const double busy_weight = 0.45; /* as in server_choice.c: a server with all slots taken costs so much more */
+#include "balance/slot_server.h"
 
-static const double cold_factor = 2; /* a cold server takes about twice as long */
-
-/** What is known of a server by its slots. */
-typedef struct slot_server {
-    uint32_t       hash;
-    uint32_t       granted;
-    uint32_t       outside; /* requests there that were not granted here, by its last load sample, */
-    cw_time_us_t   outside_at;
-    uint32_t       work_percent; /* and how long work takes there against what is usual */
-    cw_time_us_t   work_at;
-    cw_time_us_t   held;                         /* mean time for which a slot is taken */
-    cw_time_us_t   cold_grants[COLD_SENDS_MOST]; /* while it is cold: a ring of their times */
-    uint32_t       next_cold;
-    UT_hash_handle hh;
-} slot_server_t;
+enum { FORGET_EVERY_S = 5 /* servers that are gone; what is kept of one takes some 250 bytes */ };
 
 /** An ask that waits, or a slot granted. */
 typedef struct slot_lease {
@@ -57,12 +31,13 @@
     char             *zone;
     cw_slot_replied_t replied;
     void             *context;
-    slot_server_t    *servers;
+    cw_slot_server_t *servers;
     slot_lease_t     *leases;
     slot_lease_t     *queue;   /* by priority, then objective */
     slot_lease_t     *granted; /* in order of grants */
     size_t            waiting;
     size_t            granted_count;
+    cw_time_us_t      forgotten_at;
 };
 
 cw_slot_broker_t *cw_slot_broker_create(cw_server_pool_t *pool, const char *zone, cw_slot_replied_t replied,
@@ -88,10 +63,10 @@
 
 void cw_slot_broker_free(cw_slot_broker_t *broker)
 {
-    slot_lease_t  *lease;
-    slot_lease_t  *next_lease;
-    slot_server_t *server;
-    slot_server_t *next_server;
+    slot_lease_t     *lease;
+    slot_lease_t     *next_lease;
+    cw_slot_server_t *server;
+    cw_slot_server_t *next_server;
 
     HASH_ITER(hh, broker->leases, lease, next_lease)
     {
@@ -116,11 +91,16 @@
     return broker->waiting;
 }
 
+size_t cw_slot_broker_servers(const cw_slot_broker_t *broker)
+{
+    return HASH_COUNT(broker->servers);
+}
+
 /* ---- servers ---- */
 
-static slot_server_t *state_of(cw_slot_broker_t *broker, uint32_t hash)
+static cw_slot_server_t *state_of(cw_slot_broker_t *broker, uint32_t hash)
 {
-    slot_server_t *state;
+    cw_slot_server_t *state;
 
     HASH_FIND(hh, broker->servers, &hash, sizeof(hash), state);
     if (state == NULL) {
@@ -134,87 +114,22 @@
     return state;
 }
 
-static uint32_t taken(const slot_server_t *state, cw_time_us_t now)
-{
-    bool is_fresh = state->outside_at != 0 && now - state->outside_at < CW_MS(OUTSIDE_FRESH_MS);
-
-    return state->granted + (is_fresh ? state->outside : 0);
-}
-
 static bool is_usable(const cw_slot_broker_t *broker, const cw_server_t *server, bool is_owner, cw_time_us_t now)
 {
     return server->listed && !server->draining && !server->ended && strcmp(server->zone, broker->zone) == 0 &&
            cw_server_zone_allows(server, is_owner, now);
 }
 
-/* Requests in any second that a cold server is given here: what it bears. Its bound is more than twice that, so it
- * holds if two nodes count for the zone for a moment. */
-static uint32_t cold_share(const cw_server_t *server)
-{
-    return server->cold_per_s >= COLD_SENDS_MOST ? COLD_SENDS_MOST : (uint32_t)server->cold_per_s;
-}
-
-static bool cold_allows(const cw_server_t *server, const slot_server_t *state, cw_time_us_t now)
-{
-    uint32_t     share = cold_share(server);
-    cw_time_us_t oldest;
-
-    if (!cw_server_is_rate_bounded(server, now)) {
-        return true;
-    }
-    if (share == 0) {
-        return false;
-    }
-    oldest = state->cold_grants[(state->next_cold + COLD_SENDS_MOST - share) % COLD_SENDS_MOST];
-    return oldest == 0 || now - oldest >= CW_MS(COLD_WINDOW_MS);
-}
-
-static void note_cold(const cw_server_t *server, slot_server_t *state, cw_time_us_t now)
-{
-    if (cw_server_is_rate_bounded(server, now)) {
-        state->cold_grants[state->next_cold] = now;
-        state->next_cold = (state->next_cold + 1) % COLD_SENDS_MOST;
-    }
-}
-
-static bool has_slot(const cw_server_t *server, const slot_server_t *state, cw_time_us_t now)
-{
-    return taken(state, now) < server->capacity * REQUESTS_A_SLOT && cold_allows(server, state, now) &&
-           !(cw_server_is_suspect(server) && state->granted > 0);
-}
-
-static cw_time_us_t held_at(const slot_server_t *state, const cw_server_t *server, cw_time_us_t usual)
-{
-    return state->held != 0 ? state->held : (cw_time_us_t)((double)usual * server->pace);
-}
-
-/* How long work takes there now against what is usual, as far as a sample tells. */
-static double work_factor(const slot_server_t *state, cw_time_us_t now)
-{
-    bool     is_fresh = state->work_at != 0 && now - state->work_at < CW_MS(WORK_FRESH_MS);
-    uint32_t percent = state->work_percent > WORK_MOST_PERCENT ? WORK_MOST_PERCENT : state->work_percent;
-
-    return is_fresh && percent != 0 ? (double)percent / PERCENT : 1;
-}
-
-static double cost_of(const slot_server_t *state, const cw_server_t *server, cw_time_us_t usual, cw_time_us_t now)
-{
-    double busy = (double)taken(state, now) / (server->capacity == 0 ? 1 : server->capacity);
-
-    return (double)held_at(state, server, usual) * work_factor(state, now) * (1 + busy_weight * busy) *
-           (cw_server_is_cold(server, now) ? cold_factor : 1);
-}
-
 /* Servers that an ask may go to, and the best of them with a free slot. */
 typedef struct survey {
-    slot_server_t *best;
-    double         best_cost;
-    bool           best_is_suspect;
-    bool           any_sound;
-    bool           any;
-    double         per_s;    /* slots that the servers give back a second */
-    double         held_sum; /* times for which slots of sound servers are taken, for the mean */
-    uint32_t       sound;
+    cw_slot_server_t *best;
+    double            best_cost;
+    bool              best_is_suspect;
+    bool              any_sound;
+    bool              any;
+    double            per_s;    /* slots that the servers give back a second */
+    double            held_sum; /* times for which slots of sound servers are taken, for the mean */
+    uint32_t          sound;
 } survey_t;
 
 static bool is_wanted(const cw_slot_ask_t *ask, const cw_server_t *server)
@@ -228,10 +143,10 @@
 static void survey_server(cw_slot_broker_t *broker, const slot_lease_t *lease, const cw_server_t *server,
                           survey_t *survey, cw_time_us_t now)
 {
-    slot_server_t *state = state_of(broker, server->hash);
-    cw_time_us_t   held = held_at(state, server, lease->usual);
-    bool           is_suspect = cw_server_is_suspect(server) && server->avoid_until > now;
-    double         cost = cost_of(state, server, lease->usual, now);
+    cw_slot_server_t *state = state_of(broker, server->hash);
+    cw_time_us_t      held = cw_slot_server_held(state, server, lease->usual);
+    bool              is_suspect = cw_server_is_suspect(server) && server->avoid_until > now;
+    double            cost = cw_slot_server_cost(state, server, lease->usual, now);
 
     survey->any = true;
     survey->any_sound = survey->any_sound || !is_suspect;
@@ -240,7 +155,7 @@
         survey->held_sum += (double)held;
         survey->sound++;
     }
-    if (!has_slot(server, state, now)) {
+    if (!cw_slot_server_has_slot(state, server, now)) {
         return;
     }
     if (survey->best == NULL || (survey->best_is_suspect && !is_suspect) ||
@@ -292,14 +207,9 @@
     broker->replied(broker->context, &message);
 }
 
-static void grant(cw_slot_broker_t *broker, slot_lease_t *lease, slot_server_t *state, cw_time_us_t now)
+static void grant(cw_slot_broker_t *broker, slot_lease_t *lease, cw_slot_server_t *state, cw_time_us_t now)
 {
-    const cw_server_t *server = cw_server_pool_find_hash(broker->pool, state->hash);
-
-    if (server != NULL) {
-        note_cold(server, state, now);
-    }
-    state->granted++;
+    cw_slot_server_note_grant(state, cw_server_pool_find_hash(broker->pool, state->hash), now);
     lease->server = state->hash;
     lease->granted_at = now;
     lease->ends_at = now + lease->ask.lease;
@@ -415,7 +325,7 @@
 }
 
 /* A slot of this server is free: the first in order that wants it gets it. */
-static void offer(cw_slot_broker_t *broker, slot_server_t *state, cw_time_us_t now)
+static void offer(cw_slot_broker_t *broker, cw_slot_server_t *state, cw_time_us_t now)
 {
     const cw_server_t *server = cw_server_pool_find_hash(broker->pool, state->hash);
     slot_lease_t      *lease;
@@ -426,7 +336,7 @@
     }
     DL_FOREACH_SAFE(broker->queue, lease, next)
     {
-        if (!has_slot(server, state, now)) {
+        if (!cw_slot_server_has_slot(state, server, now)) {
             return;
         }
         if (is_wanted(&lease->ask, server) && is_usable(broker, server, lease->ask.server != 0, now)) {
@@ -438,31 +348,16 @@
 
 /* ---- slots given back ---- */
 
-static void note_held(slot_server_t *state, cw_time_us_t held)
-{
-    state->held = state->held == 0 ? held : state->held + (held - state->held) / HELD_WEIGHT_PART;
-}
-
-static void note_load(slot_server_t *state, const cw_server_load_t *load, cw_time_us_t now)
-{
-    uint32_t all = load->running + load->waiting;
-
-    state->outside = all > state->granted ? all - state->granted : 0;
-    state->outside_at = now;
-    state->work_percent = load->work_percent;
-    state->work_at = now;
-}
-
 static void note_end(cw_slot_broker_t *broker, const slot_lease_t *lease, const cw_slot_return_t *returned,
-                     slot_server_t *state, cw_time_us_t now)
+                     cw_slot_server_t *state, cw_time_us_t now)
 {
     cw_server_t *server = (cw_server_t *)cw_server_pool_find_hash(broker->pool, lease->server);
 
     if (returned->end == CW_SLOT_ANSWERED) {
-        note_held(state, now - lease->granted_at);
+        cw_slot_server_note_held(state, now - lease->granted_at);
     }
     if (returned->load != NULL) {
-        note_load(state, returned->load, now);
+        cw_slot_server_note_load(state, returned->load, now);
     }
     if (server != NULL && returned->end == CW_SLOT_FAILED) {
         cw_server_pool_fault(server, now);
@@ -473,7 +368,7 @@
 
 static void end_grant(cw_slot_broker_t *broker, slot_lease_t *lease)
 {
-    slot_server_t *state = state_of(broker, lease->server);
+    cw_slot_server_t *state = state_of(broker, lease->server);
 
     state->granted--;
     DL_DELETE(broker->granted, lease);
@@ -482,8 +377,8 @@
 
 void cw_slot_broker_return(cw_slot_broker_t *broker, const cw_slot_return_t *returned, cw_time_us_t now)
 {
-    slot_lease_t  *lease = find_lease(broker, key_of(returned->node, returned->ticket));
-    slot_server_t *state;
+    slot_lease_t     *lease = find_lease(broker, key_of(returned->node, returned->ticket));
+    cw_slot_server_t *state;
 
     if (lease == NULL) {
         return;
@@ -515,6 +410,21 @@
     }
 }
 
+/* Servers come and go for as long as the process runs. */
+static void forget_servers(cw_slot_broker_t *broker)
+{
+    cw_slot_server_t *state;
+    cw_slot_server_t *next;
+
+    HASH_ITER(hh, broker->servers, state, next)
+    {
+        if (state->granted == 0 && cw_server_pool_find_hash(broker->pool, state->hash) == NULL) {
+            HASH_DEL(broker->servers, state); /* NOLINT(clang-analyzer-unix.Malloc) */
+            free(state);
+        }
+    }
+}
+
 void cw_slot_broker_tick(cw_slot_broker_t *broker, cw_time_us_t now)
 {
     slot_lease_t *lease;
@@ -531,4 +441,8 @@
     {
         look_again(broker, lease, now);
     }
+    if (now - broker->forgotten_at >= CW_SECONDS(FORGET_EVERY_S)) {
+        broker->forgotten_at = now;
+        forget_servers(broker);
+    }
 }
--- a/src/balance/slot_broker.h
+++ b/src/balance/slot_broker.h
@@ -74,5 +74,7 @@
 /** Slots granted and not given back. */
 size_t cw_slot_broker_granted(const cw_slot_broker_t *broker);
 size_t cw_slot_broker_waiting(const cw_slot_broker_t *broker);
+/** Servers of which something is kept. */
+size_t cw_slot_broker_servers(const cw_slot_broker_t *broker);
 
 #endif
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -88,55 +88,6 @@
     return state;
 }
 
-/* ---- part of a split: each request goes to the part that is furthest behind its share ---- */
-
-static bool is_bound(const cw_region_rule_t *regions)
-{
-    return regions->route->count > 0 || (regions->tenant != NULL && regions->tenant->count > 0);
-}
-
-/* The first part with servers in the regions: the weights do not bind there. NULL: none has. */
-static const char *choose_part_in_regions(cw_server_pool_t *pool, const cw_route_t *route,
-                                          const cw_region_rule_t *regions)
-{
-    size_t index;
-
-    for (index = 0; index < route->part_count; index++) {
-        if (cw_server_pool_serves(pool, route->parts[index].service, regions)) {
-            return route->parts[index].service;
-        }
-    }
-    return NULL;
-}
-
-static const char *choose_part(cw_route_state_t *state, const cw_route_t *route)
-{
-    double sum = 0;
-    size_t best = 0;
-    size_t index;
-
-    if (route->part_count == 1) {
-        return route->parts[0].service;
-    }
-    if (state->owed_count != route->part_count) {
-        free(state->owed);
-        state->owed = calloc(route->part_count, sizeof(*state->owed));
-        if (state->owed == NULL) {
-            abort();
-        }
-        state->owed_count = route->part_count;
-    }
-    for (index = 0; index < route->part_count; index++) {
-        sum += route->parts[index].weight;
-        state->owed[index] += route->parts[index].weight;
-        if (state->owed[index] > state->owed[best]) {
-            best = index;
-        }
-    }
-    state->owed[best] -= sum;
-    return route->parts[best].service;
-}
-
 /* ---- a request comes in ---- */
 
 static void answer_plain(cw_http_exchange_t *exchange, int status, double retry_after_s)
@@ -288,7 +239,6 @@
                                     const cw_route_t *route)
 {
     cw_request_t *request = calloc(1, sizeof(*request));
-    const char   *part;
 
     if (request == NULL) {
         abort();
@@ -299,13 +249,7 @@
     request->route = route;
     request->route_state = route_state(engine, route);
     request->regions = regions_of(engine, route);
-    part = choose_part(request->route_state, route);
-    if (is_bound(&request->regions) && !cw_server_pool_serves(engine->pool, part, &request->regions)) {
-        const char *open = choose_part_in_regions(engine->pool, route, &request->regions);
-
-        part = open == NULL ? part : open;
-    }
-    request->service = cw_engine_service(engine, part);
+    request->service = cw_engine_service(engine, cw_route_choose_part(request, route));
     request->method = inbound->method;
     request->target = inbound->target;
     request->fields = inbound->fields;
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -144,6 +144,10 @@
 /** Entry of a key in a service's table; NULL: none, or the table is too old. */
 const cw_key_route_t *cw_engine_owner(const cw_engine_t *engine, const cw_service_state_t *service, uint32_t key);
 
+/* ---- engine_split.c ---- */
+/** The service that a request of this route goes to: by the weights of its split, in the request's regions. */
+const char *cw_route_choose_part(const cw_request_t *request, const cw_route_t *route);
+
 /* ---- engine_queue.c ---- */
 void cw_request_enqueue(cw_request_t *request);
 void cw_request_unqueue(cw_request_t *request);
--- a/tests/test_slot_broker.c
+++ b/tests/test_slot_broker.c
@@ -355,6 +355,26 @@
 }
 END_TEST
 
+START_TEST(what_is_known_of_servers_that_are_gone_goes_too)
+{
+    broker_world_t    world;
+    cw_server_list_t *list = cw_server_list_create();
+    cw_slot_ask_t     asked;
+
+    init(&world);
+    asked = ask_of(&world, 1);
+    (void)ask(&world, &asked, start);
+    ck_assert_uint_eq(cw_slot_broker_servers(world.broker), 2);
+    add_server(list, "c", "z2");
+    cw_server_list_seal(list);
+    cw_server_pool_update(world.pool, list, start);
+    cw_slot_broker_tick(world.broker, start + CW_SECONDS(10)); /* the slot's lease is over, too */
+    ck_assert_uint_eq(cw_slot_broker_servers(world.broker), 0);
+    cw_server_list_release(list);
+    clear(&world);
+}
+END_TEST
+
 START_TEST(the_one_that_counts_is_among_the_most_capable_of_the_zone)
 {
     cw_broker_candidate_t candidates[] = {
@@ -391,6 +411,7 @@
     tcase_add_test(cases, a_server_whose_work_takes_longer_now_comes_last);
     tcase_add_test(cases, a_server_that_fails_requests_of_all_nodes_is_passed_over);
     tcase_add_test(cases, a_cold_server_is_given_what_it_bears_in_any_second);
+    tcase_add_test(cases, what_is_known_of_servers_that_are_gone_goes_too);
     tcase_add_test(cases, the_one_that_counts_is_among_the_most_capable_of_the_zone);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
