--- a/src/balance/slot_server.c
+++ b/src/balance/slot_server.c
@@ -77,7 +77,8 @@
     return is_fresh && percent != 0 ? (double)percent / PERCENT : 1;
 }
 
-double cw_slot_server_cost(const cw_slot_server_t *state, const cw_server_t *server, cw_time_us_t usual, cw_time_us_t now)
+double cw_slot_server_cost(const cw_slot_server_t *state, const cw_server_t *server, cw_time_us_t usual,
+                           cw_time_us_t now)
 {
     double busy = (double)taken(state, now) / (server->capacity == 0 ? 1 : server->capacity);
 
