proxy: a request taken from a silent server is not given up when no slot is free

Before slots such a request waited for a server until its time limit. Change: what may have run and gets no slot is placed without one, as before slots. Test: a_request_taken_from_a_silent_server_is_not_given_up_when_no_slot_is_free, seen to fail before the change.

--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -228,6 +228,10 @@
             return;
         }
     }
+    if (request->may_have_run) { /* it was taken from a server that was at work on it: no refusal would be true */
+        place_directly(request, now);
+        return;
+    }
     cw_request_refuse(request, reply->free_after > 0 ? CW_REFUSED_LOAD : CW_REFUSED_SERVERS);
 }
 
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -185,7 +185,7 @@
 /* The region of each server's zone: s0 lies in the near one. */
 static const cw_zone_region_t regions[] = {{"z1", "near"}, {"z2", "far"}};
 
-static void init(world_t *world)
+static void init_with_silence(world_t *world, double silence_factor)
 {
     cw_engine_settings_t       settings = {.names = {.request_id = "id",
                                                      .deadline = "deadline",
@@ -198,7 +198,7 @@
                                            .budget = {.ratio = 0.2, .extra = 50, .window = CW_SECONDS(10), .share = 1},
                                            .keyed_extra_slots = 0,
                                            .connect_timeout = CW_SECONDS(5),
-                                           .silence_factor = 1000,
+                                           .silence_factor = silence_factor,
                                            .answer_max = 100000,
                                            .queue_max = 100};
     cw_upstream_options_t      options = {.idle_max = CW_SECONDS(20)};
@@ -219,6 +219,11 @@
     configure(world);
 }
 
+static void init(world_t *world)
+{
+    init_with_silence(world, 1000);
+}
+
 static void on_answered(void *context, const cw_upstream_answer_t *answer)
 {
     world_t    *world = context;
@@ -400,6 +405,33 @@
 }
 END_TEST
 
+START_TEST(a_request_taken_from_a_silent_server_is_not_given_up_when_no_slot_is_free)
+{
+    world_t        world;
+    fake_broker_t  fake;
+    cw_slot_port_t port = {.context = &fake, .broker_of = fake_broker_of, .ask = fake_ask, .give_back = fake_give_back};
+    uint32_t       asks;
+
+    memset(&fake, 0, sizeof(fake));
+    init_with_silence(&world, 0.01); /* a repeatable request is repeated after the shortest time */
+    cw_engine_set_slots(world.engine, &port);
+    world.servers[1].status = 200;
+    (void)ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until(&world.loop, has_asked, &fake);
+    reply(&world, &fake, CW_SLOT_GRANTED, "s0"); /* which does not answer */
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
+    asks = fake.asks;
+    while (fake.asks == asks) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    reply(&world, &fake, CW_SLOT_REFUSED, NULL);
+    reply(&world, &fake, CW_SLOT_REFUSED, NULL);
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s1");
+}
+END_TEST
+
 START_TEST(a_caller_that_leaves_while_its_request_waits_for_a_slot_withdraws_the_ask)
 {
     world_t             world;
@@ -674,6 +706,7 @@
     tcase_add_test(cases, a_request_goes_where_its_slot_is_and_gives_it_back);
     tcase_add_test(cases, a_refused_slot_is_a_refusal_with_the_time_to_come_back);
     tcase_add_test(cases, without_a_reply_the_server_is_chosen_here_and_a_late_grant_is_declined);
+    tcase_add_test(cases, a_request_taken_from_a_silent_server_is_not_given_up_when_no_slot_is_free);
     tcase_add_test(cases, a_caller_that_leaves_while_its_request_waits_for_a_slot_withdraws_the_ask);
     tcase_add_test(cases, no_route_is_404_and_no_configuration_is_503);
     tcase_add_test(cases, what_a_server_did_not_run_goes_to_another_even_if_it_must_not_be_repeated);
