--- a/src/balance/cold_rate.h
+++ b/src/balance/cold_rate.h
@@ -12,6 +12,9 @@
  *  - A node sends none for a while after the nodes that it knows to run have changed: a node that was among the first
  *    before has stopped by then.
  *
+ * This is for nodes that choose servers by themselves. Where slots are handed out (slot_broker.h), the one node that
+ * does so keeps the bound, and others send none.
+ *
  * No I/O; time is a parameter, microseconds of the node's steady clock.
  */
 #ifndef CEDARWINCH_BALANCE_COLD_RATE_H
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -11,8 +11,8 @@
 
 enum {
     MANY_NODES = 16,       /* as in router_view.c: so many nodes learn of one another's requests too late */
-    CANDIDATES_MAX = 1024, /* CW_PEERS more are not told of either (router_push.c) */
-    GATHER_EVERY_MS = 100
+    CANDIDATES_MAX = 1024, /* nodes; as many as the leader tells of (router_push.c) */
+    GATHER_EVERY_MS = 100  /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
 };
 
 /** A message of this node to itself: delivered from the loop, as those of others are. */
