--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -24,6 +24,9 @@
     X(LEADER_SILENT, "leader silent", WARNING, 10)                                                                     \
     X(CONFIGURATION_ACCEPTED, "configuration accepted", NOTICE, 20)                                                    \
     X(CONFIGURATION_REFUSED, "configuration refused", ERROR, 20)                                                       \
+    X(WATCH_BEGUN, "watch begun", INFO, 10)                                                                            \
+    X(WATCH_FAILED, "watch failed", WARNING, 10)                                                                       \
+    X(READER, "store reader", NOTICE, 10)                                                                              \
     X(SERVERS_CHANGED, "servers changed", NOTICE, 20)                                                                  \
     X(SERVERS_KEPT, "servers kept", WARNING, 20)                                                                       \
     X(SERVERS_OLDER, "servers older", NOTICE, 10)                                                                      \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -10,8 +10,13 @@
 
 #include "base/time.h"
 
-/* X(symbol, name, type, help) */
+/* X(symbol, name, type, help). What tells a node's state comes first: collectors may cut a long text short. */
 #define CW_METRIC_TABLE(X)                                                                                             \
+    X(LEADING, "cedarwinch_leading", "gauge", "1 while this node leads with authority")                                \
+    X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
+    X(READER, "cedarwinch_store_reader", "gauge", "1 while this node reads the store for its zone")                    \
+    X(WATCHES_FAILED, "cedarwinch_configuration_watches_failed_total", "counter",                                      \
+      "watches of the configuration that were refused, broke or got no answer")                                        \
     X(REQUESTS, "cedarwinch_requests_total", "counter", "requests read from callers")                                  \
     X(SERVED, "cedarwinch_served_total", "counter", "answers of servers passed on")                                    \
     X(REFUSED_LOAD, "cedarwinch_refused_load_total", "counter", "refused: no slot in time")                            \
@@ -53,8 +58,6 @@
     X(IMBALANCE_MS, "cedarwinch_imbalance_milliseconds_total", "counter", "over so many milliseconds")                 \
     X(SLOT_BROKERS_SILENT, "cedarwinch_slot_brokers_silent_total", "counter", "asks for a slot that got no reply")     \
     X(LOG_DROPPED, "cedarwinch_log_lines_dropped", "gauge", "log lines not written")                                   \
-    X(LEADING, "cedarwinch_leading", "gauge", "1 while this node leads with authority")                                \
-    X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
     X(SERVERS, "cedarwinch_servers", "gauge", "servers listed")                                                        \
     X(ZONES_OUT, "cedarwinch_zones_out_of_service", "gauge", "zones that operators have taken out of service")         \
     X(PEERS, "cedarwinch_peers", "gauge", "nodes heard lately")                                                        \
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -165,6 +165,22 @@
     return now - received_at > CW_MS(CW_READER_TRUST_MS);
 }
 
+static void set_reader(cw_router_t *router, bool is_reader)
+{
+    cw_event_t event;
+
+    if (router->is_reader == is_reader) {
+        return;
+    }
+    router->is_reader = is_reader;
+    cw_metric_set(CW_METRIC_READER, is_reader ? 1 : 0);
+    if (cw_event_begin(&event, CW_EVENT_READER)) {
+        cw_event_text(&event, CW_FIELD_DETAIL, is_reader ? "reads for its zone" : "reads no longer");
+        cw_event_number(&event, CW_FIELD_CONFIGURATION, (int64_t)cw_router_version(router));
+        cw_event_end(&event);
+    }
+}
+
 void cw_router_share_tick(cw_router_t *router, cw_time_us_t now)
 {
     bool is_new = cw_router_is_new(router, now);
@@ -172,8 +188,8 @@
     cw_configuration_exchange_tick(router->exchange, now);
     if (now - router->ranked_at >= CW_MS(RANK_EVERY_MS)) {
         router->ranked_at = now;
-        router->is_reader =
-            router->stopping_at == 0 && !is_new && (router->leadership.leading || ranks_among_readers(router, now));
+        set_reader(router, router->stopping_at == 0 && !is_new &&
+                               (router->leadership.leading || ranks_among_readers(router, now)));
         router->store->watch_configuration(router->store->context,
                                            router->is_reader || (!is_new && is_left_alone(router, now)));
     }
