--- a/standins/store/main.c
+++ b/standins/store/main.c
@@ -122,6 +122,9 @@
 {
     store_watch_t *watch = timer->data;
 
+    if (watch->is_muted && watch->exchange != NULL) {
+        return;
+    }
     end_watch(watch, 200, watch_body(watch->store, json_array()));
 }
 
@@ -131,7 +134,7 @@
 
     while (watch != NULL) {
         store_watch_t *next = watch->next;
-        json_t        *events = store_changes(store, watch->kind, watch->from);
+        json_t        *events = watch->is_muted ? json_array() : store_changes(store, watch->kind, watch->from);
 
         if (events == NULL) {
             end_watch(watch, 410, NULL);
@@ -155,6 +158,7 @@
     watch->kind = strdup(kind);
     watch->from = from;
     watch->store = store;
+    watch->is_muted = store->is_mute;
     watch->timer.data = watch;
     watch->next = store->watches;
     store->watches = watch;
@@ -318,6 +322,16 @@
     snprintf(outage->how, sizeof(outage->how), "%s", query_text(query, "how", how, sizeof(how)) ? how : "busy");
 }
 
+static void set_mute(store_t *store, bool is_mute)
+{
+    store_watch_t *watch;
+
+    store->is_mute = is_mute;
+    for (watch = store->watches; is_mute && watch != NULL; watch = watch->next) {
+        watch->is_muted = true;
+    }
+}
+
 static void take_control(store_t *store, cw_http_exchange_t *exchange, const char *query)
 {
     uint64_t down = query_number(query, "down", 0);
@@ -333,6 +347,7 @@
     store->lose = (uint32_t)query_number(query, "lose", store->lose);
     store->late = (uint32_t)query_number(query, "late", store->late);
     store->refuse_percent = (uint32_t)query_number(query, "refuse", store->refuse_percent);
+    set_mute(store, query_number(query, "mute", store->is_mute ? 1 : 0) != 0);
     if (query_number(query, "forget", 0) != 0) {
         store_forget(store);
         look_at_watches(store);
--- a/standins/store/store.h
+++ b/standins/store/store.h
@@ -4,7 +4,8 @@
  *
  * Faults are asked for with POST /control?NAME=VALUE: down (ms), how (silent, busy, reset), slow (ms an answer),
  * lose (the next N writes are done and not answered), late (the next N writes are done a second later and not
- * answered), forget (history is dropped, watches are cut), refuse (PER CENT of calls get 429). With endpoint=N, down
+ * answered), forget (history is dropped, watches are cut), refuse (PER CENT of calls get 429), mute (1: watches that wait
+ * now or are sent from now on are never answered, on open connections; 0: later ones are again). With endpoint=N, down
  * and how strike just those who come by that endpoint, while the others are served: the store listens at several ports.
  */
 #ifndef CEDARWINCH_STANDINS_STORE_H
@@ -38,7 +39,7 @@
     char               *kind;
     uint64_t            from;
     uv_timer_t          timer;
-    bool                ended;
+    bool                is_muted; /**< it is never answered */
     struct store       *store;
     struct store_watch *next;
 } store_watch_t;
@@ -71,6 +72,7 @@
     uint32_t         lose;
     uint32_t         late;
     uint32_t         refuse_percent;
+    bool             is_mute; /**< watches sent now are never answered */
     uint32_t         calls;
     size_t           page; /**< items of a listing in one answer */
 } store_t;
