configuration: how surely the version in force is the newest one is evidence with an age, not the life of a neighbour

Ruled out: the exchange between nodes (no node had a higher version), refusals (none counted).

Change: each node keeps the latest moment at which no configuration above its own had been acknowledged (configuration_freshness.h): from an answer of the store, or from a node that has one, told as an age in heartbeats and notices. The leader (readers while nobody leads) checks by watches that the store may hold for 30 % of the bound and that are given up 20 % later; a reader whose evidence is older than 55 %, and any other node above 70 %, asks the store itself, and replaces a watch that may be dead. Readings of the configuration count for whether the store is lost.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1343,7 +1343,7 @@
   (ProtobufCMessageInit) cwp__key_samples__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__leader_word__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cwp__leader_word__field_descriptors[10] =
 {
   {
     "term",
@@ -1453,9 +1453,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "configuration_age_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__LeaderWord, configuration_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__leader_word__field_indices_by_name[] = {
   2,   /* field[2] = able */
+  9,   /* field[9] = configuration_age_ms */
   3,   /* field[3] = list_age_ms */
   8,   /* field[8] = list_revision */
   1,   /* field[1] = revision */
@@ -1468,7 +1481,7 @@
 static const ProtobufCIntRange cwp__leader_word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cwp__leader_word__descriptor =
 {
@@ -1478,7 +1491,7 @@
   "Cwp__LeaderWord",
   "cwp",
   sizeof(Cwp__LeaderWord),
-  9,
+  10,
   cwp__leader_word__field_descriptors,
   cwp__leader_word__field_indices_by_name,
   1,  cwp__leader_word__number_ranges,
@@ -3006,7 +3019,7 @@
   (ProtobufCMessageInit) cwp__configuration_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__store_notice__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cwp__store_notice__field_descriptors[7] =
 {
   {
     "configuration",
@@ -3080,9 +3093,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "configuration_age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__StoreNotice, configuration_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__store_notice__field_indices_by_name[] = {
   0,   /* field[0] = configuration */
+  6,   /* field[6] = configuration_age_ms */
   3,   /* field[3] = servers_age_ms */
   1,   /* field[1] = servers_hash */
   2,   /* field[2] = servers_revision */
@@ -3092,7 +3118,7 @@
 static const ProtobufCIntRange cwp__store_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cwp__store_notice__descriptor =
 {
@@ -3102,7 +3128,7 @@
   "Cwp__StoreNotice",
   "cwp",
   sizeof(Cwp__StoreNotice),
-  6,
+  7,
   cwp__store_notice__field_descriptors,
   cwp__store_notice__field_indices_by_name,
   1,  cwp__store_notice__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -152,10 +152,14 @@
    * of the store, up to which that list is known to stand
    */
   uint64_t list_revision;
+  /*
+   * since its configuration was surely the newest one, plus one; 0: not known
+   */
+  uint32_t configuration_age_ms;
 };
 #define CWP__LEADER_WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__leader_word__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cwp__NodeReport
@@ -507,10 +511,14 @@
    */
   uint64_t tables_hash;
   uint32_t tables_age_ms;
+  /*
+   * since the configuration was surely the newest one, plus one; 0: not known
+   */
+  uint32_t configuration_age_ms;
 };
 #define CWP__STORE_NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__store_notice__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -14,6 +14,8 @@
 #define CW_METRIC_TABLE(X)                                                                                             \
     X(LEADING, "cedarwinch_leading", "gauge", "1 while this node leads with authority")                                \
     X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
+    X(CONFIGURATION_AGE_MS, "cedarwinch_configuration_age_milliseconds", "gauge",                                      \
+      "time since the configuration in force was surely the newest one")                                               \
     X(READER, "cedarwinch_store_reader", "gauge", "1 while this node reads the store for its zone")                    \
     X(WATCHES_FAILED, "cedarwinch_configuration_watches_failed_total", "counter",                                      \
       "watches of the configuration that were refused, broke or got no answer")                                        \
--- /dev/null
+++ b/src/router/configuration_freshness.c
@@ -0,0 +1,80 @@
+/**
+ * @file configuration_freshness.c
+ * @brief Evidence that the configuration in force is the newest one.
+ */
+#include "router/configuration_freshness.h"
+
+#include <string.h>
+
+enum {
+    STANDING_WAIT_S = 25, /* the store holds a call for 30 s at most; a longer wait is a call less */
+    CHECK_PERCENT = 30,   /* wait of a check: some two calls a second by one node, where a change takes 2 s */
+    READER_PERCENT = 55,  /* of a follower's usual evidence: a check's wait and slack (50), a heartbeat's way */
+    FOLLOWER_PERCENT = 70 /* a heartbeat may be lost; a reading and its answer from a slow store still come in time */
+};
+
+void cw_configuration_freshness_init(cw_configuration_freshness_t *freshness, cw_time_us_t within)
+{
+    memset(freshness, 0, sizeof(*freshness));
+    freshness->within = within;
+}
+
+static void count_pending(cw_configuration_freshness_t *freshness)
+{
+    if (freshness->pending_version <= freshness->version && freshness->pending_at > freshness->complete_at) {
+        freshness->complete_at = freshness->pending_at;
+    }
+}
+
+void cw_configuration_freshness_set(cw_configuration_freshness_t *freshness, uint64_t version)
+{
+    freshness->version = version;
+    count_pending(freshness);
+}
+
+void cw_configuration_freshness_confirm(cw_configuration_freshness_t *freshness, uint64_t version, cw_time_us_t at)
+{
+    if (version <= freshness->version) {
+        freshness->complete_at = at > freshness->complete_at ? at : freshness->complete_at;
+    } else if (at >= freshness->pending_at) {
+        freshness->pending_version = version;
+        freshness->pending_at = at;
+    }
+}
+
+cw_time_us_t cw_configuration_freshness_age(const cw_configuration_freshness_t *freshness, cw_time_us_t now)
+{
+    return now - freshness->complete_at;
+}
+
+cw_time_us_t cw_configuration_freshness_watch(const cw_configuration_freshness_t *freshness,
+                                              cw_configuration_role_t role, cw_time_us_t now)
+{
+    cw_time_us_t age = cw_configuration_freshness_age(freshness, now);
+    cw_time_us_t check = freshness->within * CHECK_PERCENT / 100;
+
+    switch (role) {
+    case CW_CONFIGURATION_CHECKER:
+        return check;
+    case CW_CONFIGURATION_READER:
+        return age > freshness->within * READER_PERCENT / 100 ? check : CW_SECONDS(STANDING_WAIT_S);
+    case CW_CONFIGURATION_FOLLOWER:
+        break;
+    }
+    return age > freshness->within * FOLLOWER_PERCENT / 100 ? check : 0;
+}
+
+uint32_t cw_configuration_freshness_pack(const cw_configuration_freshness_t *freshness, cw_time_us_t now)
+{
+    cw_time_us_t age_ms = cw_configuration_freshness_age(freshness, now) / 1000;
+
+    return freshness->complete_at == 0 || age_ms >= UINT32_MAX ? 0 : (uint32_t)age_ms + 1;
+}
+
+void cw_configuration_freshness_unpack(cw_configuration_freshness_t *freshness, uint64_t version, uint32_t packed_age,
+                                       cw_time_us_t now)
+{
+    if (packed_age != 0) {
+        cw_configuration_freshness_confirm(freshness, version, now - CW_MS((cw_time_us_t)packed_age - 1));
+    }
+}
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -116,6 +116,8 @@
     cw_metric_set(CW_METRIC_QUEUED, cw_engine_queued(router->engine));
     cw_metric_set(CW_METRIC_CONNECTIONS_OPENED, cw_upstream_opened(router->upstream));
     cw_metric_set(CW_METRIC_MEMORY, resident_bytes());
+    cw_metric_set(CW_METRIC_CONFIGURATION_AGE_MS,
+                  (uint64_t)(cw_configuration_freshness_age(&router->freshness, cw_router_now(router)) / 1000));
     cw_metric_set(CW_METRIC_PEERS, cw_peer_link_alive(router->link, router->silence, cw_router_now(router)));
     text = cw_metrics_text(&outbound.body_length);
     outbound.body = text;
@@ -365,6 +367,8 @@
     cw_store_readers_t    readers = {.context = router,
                                      .configuration = cw_router_on_configuration,
                                      .configuration_within = router->settings.configuration_within,
+                                     .configuration_newest = cw_router_on_newest,
+                                     .answered = cw_router_on_answered,
                                      .zones_may_be_out = router->settings.zone_out_within > 0,
                                      .servers = cw_router_on_servers};
     cw_absence_settings_t absence;
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -6,16 +6,14 @@
  *  - A version is taken only if it is higher than the one in force, whoever told it: never back.
  *  - A few nodes watch it in the store (store_reader.h); the others get it from them (configuration_exchange.h). A node
  *    that has known of a higher version for a while without getting it reads the store itself.
- *  - A node that receives from no other one has nobody to send it a newer one: it reads from time to time.
+ *  - Each node knows how surely its own is the newest one, and checks it at the store when that grows old
+ *    (configuration_freshness.h).
  */
 #include <string.h>
 
 #include "router/router_internal.h"
 
-enum {
-    EXCHANGE_PERCENT = 45, /* of the time in which a change has to be in force: so long other nodes may take */
-    ALONE_EVERY_S = 4
-};
+enum { EXCHANGE_PERCENT = 45 /* of the time in which a change has to be in force: so long other nodes may take */ };
 
 uint64_t cw_router_version(const cw_router_t *router)
 {
@@ -59,6 +57,7 @@
     cw_configuration_release(router->configuration);
     router->configuration = configuration;
     router->all_due = true;
+    cw_configuration_freshness_set(&router->freshness, configuration->version);
     cw_engine_set_configuration(router->engine, configuration);
     cw_router_use_warm_ups(router);
     cw_http_listener_set_limits(router->callers, &configuration->limits);
@@ -83,6 +82,13 @@
     }
 }
 
+void cw_router_on_newest(void *context, uint64_t version, cw_time_us_t at)
+{
+    cw_router_t *router = context;
+
+    cw_configuration_freshness_confirm(&router->freshness, version, at);
+}
+
 void cw_router_note_configuration(cw_router_t *router, const cw_peer_t *peer, uint64_t version, cw_time_us_t now)
 {
     bool is_near = strcmp(peer->zone, router->settings.zone) == 0;
@@ -104,13 +110,10 @@
 {
     bool missed = router->newest_version > cw_router_version(router) &&
                   now - router->newest_version_at >= router->settings.configuration_within * EXCHANGE_PERCENT / 100;
-    bool alone = cw_peer_link_alive(router->link, router->silence, now) == 0 &&
-                 now - router->configuration_read_at >= CW_SECONDS(ALONE_EVERY_S);
 
-    if (!missed && !alone) {
-        return;
+    if (missed) {
+        router->newest_version_at = now;
+        router->configuration_read_at = now;
+        router->store->read_configuration(router->store->context);
     }
-    router->newest_version_at = now;
-    router->configuration_read_at = now;
-    router->store->read_configuration(router->store->context);
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -14,6 +14,7 @@
 #include "placement/planner.h"
 #include "router/broker_choice.h"
 #include "router/configuration_exchange.h"
+#include "router/configuration_freshness.h"
 #include "router/list_history.h"
 #include "router/router.h"
 #include "router/store_reader.h"
@@ -106,12 +107,12 @@
 
     /* reading the store for others */
     bool         is_reader;
-    cw_time_us_t ranked_at;          /**< when that was worked out last */
-    cw_time_us_t notice_sent_at;     /**< last notice to the zone */
-    cw_time_us_t reader_received_at; /**< last notice of a reader; 0: none */
+    cw_time_us_t ranked_at;      /**< when that was worked out last */
+    cw_time_us_t notice_sent_at; /**< last notice to the zone */
 
     /* the configuration */
     cw_configuration_exchange_t *exchange;
+    cw_configuration_freshness_t freshness;
     uint64_t                     newest_version; /**< highest that another node has in force */
     cw_time_us_t newest_version_at;              /**< since when one is higher than this node's own, or was last read */
     cw_time_us_t configuration_read_at;
@@ -189,6 +190,8 @@
 void     cw_router_on_configuration(void *context, cw_configuration_t *configuration, const char *problem);
 /** Another node has this version in force. */
 void cw_router_note_configuration(cw_router_t *router, const cw_peer_t *peer, uint64_t version, cw_time_us_t now);
+/** An answer of the store shows that no configuration above this version had been acknowledged at that moment. */
+void cw_router_on_newest(void *context, uint64_t version, cw_time_us_t at);
 /** Brings a configuration, given away, into force if it is higher than the one that is. */
 bool cw_router_use_configuration(cw_router_t *router, cw_configuration_t *configuration);
 void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now);
@@ -266,5 +269,7 @@
 bool     cw_router_is_able(const cw_router_t *router, cw_time_us_t now);
 /** The store answered a call of this node, or did not. */
 void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now);
+/** The same for calls of standing readers. */
+void cw_router_on_answered(void *context, bool is_answered);
 
 #endif
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -171,6 +171,13 @@
     }
 }
 
+void cw_router_on_answered(void *context, bool is_answered)
+{
+    cw_router_t *router = context;
+
+    cw_router_store_result(router, is_answered, cw_router_now(router));
+}
+
 /* Does the store leave this leader's renewals without an answer? */
 static bool is_store_in_trouble(const cw_router_t *router, cw_time_us_t now)
 {
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -150,6 +150,7 @@
     builder.leader.tables = router->lead_tables;
     builder.leader.servers_hash = router->server_view.list == NULL ? 0 : router->server_view.hash;
     builder.leader.list_revision = router->server_view.revision;
+    builder.leader.configuration_age_ms = cw_configuration_freshness_pack(&router->freshness, now);
     builder.leader.tables_hash = router->lead_tables == 0 ? 0 : router->tables_hash;
     builder.report.leader = &builder.leader;
 }
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -135,6 +135,10 @@
         cw_router_take_leader_word(router, peer, received->leader, now);
     }
     cw_router_note_configuration(router, peer, received->configuration, now);
+    if (received->leader != NULL) {
+        cw_configuration_freshness_unpack(&router->freshness, received->configuration,
+                                          received->leader->configuration_age_ms, now);
+    }
     cw_engine_wake(router->engine);
 }
 
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -4,9 +4,9 @@
  *
  * A reader keeps a watch of the configuration; without the leader's heartbeat it also reads the list of servers and the
  * records of assignments (router_view.c). It sends a notice to its zone every CW_READER_NOTICE_MS, and one to all nodes
- * when it has read a new configuration. A notice says which version is in force there, and by hashes which list and
- * tables were true when: a node that has the same need not read them. Who lacks the version asks for it
- * (configuration_exchange.h).
+ * when it has read a new configuration. A notice says which version is in force there and since when it is surely the
+ * newest one, and by hashes which list and tables were true when: a node that has the same need not read them. Who
+ * lacks the version asks for it (configuration_exchange.h).
  */
 #include <string.h>
 
@@ -60,6 +60,7 @@
         .context = router, .send = send_to, .received = on_received, .too_large = on_too_large};
 
     router->exchange = cw_configuration_exchange_create(&owner);
+    cw_configuration_freshness_init(&router->freshness, router->settings.configuration_within);
 }
 
 /* ---- notices ---- */
@@ -82,6 +83,7 @@
     size_t           length;
 
     notice.configuration = cw_router_version(router);
+    notice.configuration_age_ms = cw_configuration_freshness_pack(&router->freshness, now);
     if (router->server_view.list != NULL && router->server_view.true_at != 0) {
         notice.servers_hash = router->server_view.hash;
         notice.servers_revision = router->server_view.revision;
@@ -112,12 +114,12 @@
 
 void cw_router_take_notice(cw_router_t *router, cw_peer_t *peer, const Cwp__StoreNotice *notice, cw_time_us_t now)
 {
-    router->reader_received_at = now;
     if (peer->heard_at != 0) {
         peer->heard_at = now;
         peer->store_lost = false;
     }
     cw_router_note_configuration(router, peer, notice->configuration, now);
+    cw_configuration_freshness_unpack(&router->freshness, notice->configuration, notice->configuration_age_ms, now);
     if (router->leadership.leading) {
         return;
     }
@@ -156,13 +158,28 @@
     return before < cw_readers_wanted(zone_nodes);
 }
 
-/* Nothing has come from a leader or a reader for a while: whatever they would send, this node has to read itself. */
-static bool is_left_alone(const cw_router_t *router, cw_time_us_t now)
+static bool is_leader_alive(const cw_router_t *router, cw_time_us_t now)
 {
-    cw_time_us_t received_at =
-        router->reader_received_at > router->leader_word_at ? router->reader_received_at : router->leader_word_at;
+    return now - router->leader_word_at < CW_MS(CW_READER_TRUST_MS);
+}
+
+static cw_configuration_role_t configuration_role(const cw_router_t *router, cw_time_us_t now)
+{
+    if (router->leadership.leading || (router->is_reader && !is_leader_alive(router, now))) {
+        return CW_CONFIGURATION_CHECKER;
+    }
+    return router->is_reader ? CW_CONFIGURATION_READER : CW_CONFIGURATION_FOLLOWER;
+}
+
+/* A process that has just started gets along with a copy of the configuration and what other nodes send. */
+static void watch_configuration(cw_router_t *router, bool is_new, cw_time_us_t now)
+{
+    cw_configuration_role_t role = configuration_role(router, now);
 
-    return now - received_at > CW_MS(CW_READER_TRUST_MS);
+    router->store->watch_configuration(router->store->context,
+                                       is_new && role == CW_CONFIGURATION_FOLLOWER
+                                           ? 0
+                                           : cw_configuration_freshness_watch(&router->freshness, role, now));
 }
 
 static void set_reader(cw_router_t *router, bool is_reader)
@@ -190,9 +207,8 @@
         router->ranked_at = now;
         set_reader(router, router->stopping_at == 0 && !is_new &&
                                (router->leadership.leading || ranks_among_readers(router, now)));
-        router->store->watch_configuration(router->store->context,
-                                           router->is_reader || (!is_new && is_left_alone(router, now)));
     }
+    watch_configuration(router, is_new, now);
     if (router->is_reader && !router->store_lost && now - router->notice_sent_at >= CW_MS(CW_READER_NOTICE_MS)) {
         send_notice(router, false, now);
     }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -41,6 +41,10 @@
     /** A change of it has to be told within this; the adapter may wait for others that follow, but not for all of it.
      */
     cw_time_us_t configuration_within;
+    /** An answer of the store shows: no configuration above this version had been acknowledged at that moment. */
+    void (*configuration_newest)(void *context, uint64_t version, cw_time_us_t at);
+    /** The store answered a call of a standing reader, or left a reading of the configuration without an answer. */
+    void (*answered)(void *context, bool is_answered);
     /** Operators may take zones out of service here: each reading of the servers also brings which are. */
     bool zones_may_be_out;
     /** The list of servers, NULL when it could not be read. All changes up to `revision` of the store are in it, and
@@ -66,10 +70,10 @@
     void (*know_servers)(void *context, const cw_server_list_t *list, uint64_t revision);
     /** Reads the configuration at once; a standing watch begins anew, since the present one may be dead. */
     void (*read_configuration)(void *context);
-    /** Keeps a standing watch of the configuration, or none. None at first: the configuration is read once, from a
-     * copy.
-     */
-    void (*watch_configuration)(void *context, bool wanted);
+    /** Keeps a standing watch of the configuration that the store may hold for `wait`; 0: none. None at first: the
+     * configuration is read once, from a copy. A watch that would be given up later than one of `wait` begun now is
+     * replaced by such a one: it may be dead. */
+    void (*watch_configuration)(void *context, cw_time_us_t wait);
 } cw_store_port_t;
 
 #endif
--- a/standins/store/store.h
+++ b/standins/store/store.h
@@ -4,9 +4,10 @@
  *
  * Faults are asked for with POST /control?NAME=VALUE: down (ms), how (silent, busy, reset), slow (ms an answer),
  * lose (the next N writes are done and not answered), late (the next N writes are done a second later and not
- * answered), forget (history is dropped, watches are cut), refuse (PER CENT of calls get 429), mute (1: watches that wait
- * now or are sent from now on are never answered, on open connections; 0: later ones are again). With endpoint=N, down
- * and how strike just those who come by that endpoint, while the others are served: the store listens at several ports.
+ * answered), forget (history is dropped, watches are cut), refuse (PER CENT of calls get 429), mute (1: watches that
+ * wait now or are sent from now on are never answered, on open connections; 0: later ones are again). With endpoint=N,
+ * down and how strike just those who come by that endpoint, while the others are served: the store listens at several
+ * ports.
  */
 #ifndef CEDARWINCH_STANDINS_STORE_H
 #define CEDARWINCH_STANDINS_STORE_H
--- /dev/null
+++ b/tests/test_configuration_freshness.c
@@ -0,0 +1,124 @@
+/**
+ * @file test_configuration_freshness.c
+ * @brief Evidence that the configuration in force is the newest one, and which node checks it when.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "loop_fixture.h"
+#include "router/configuration_freshness.h"
+
+enum { WITHIN_S = 2, START_S = 100 };
+
+static cw_configuration_freshness_t begin(uint64_t version)
+{
+    cw_configuration_freshness_t freshness;
+
+    cw_configuration_freshness_init(&freshness, CW_SECONDS(WITHIN_S));
+    cw_configuration_freshness_set(&freshness, version);
+    return freshness;
+}
+
+static cw_time_us_t watch(const cw_configuration_freshness_t *freshness, cw_configuration_role_t role, cw_time_us_t now)
+{
+    return cw_configuration_freshness_watch(freshness, role, now);
+}
+
+START_TEST(a_node_that_knows_nothing_checks_itself_whatever_its_role)
+{
+    cw_configuration_freshness_t freshness = begin(4);
+    cw_time_us_t                 now = CW_SECONDS(START_S);
+
+    ck_assert_int_gt(watch(&freshness, CW_CONFIGURATION_FOLLOWER, now), 0);
+    ck_assert_int_eq(watch(&freshness, CW_CONFIGURATION_READER, now), watch(&freshness, CW_CONFIGURATION_CHECKER, now));
+}
+END_TEST
+
+START_TEST(fresh_evidence_lets_followers_rest_and_readers_wait_long_but_not_the_checker)
+{
+    cw_configuration_freshness_t freshness = begin(4);
+    cw_time_us_t                 now = CW_SECONDS(START_S);
+
+    cw_configuration_freshness_confirm(&freshness, 4, now);
+    ck_assert_int_eq(watch(&freshness, CW_CONFIGURATION_FOLLOWER, now), 0);
+    ck_assert_int_gt(watch(&freshness, CW_CONFIGURATION_READER, now), CW_SECONDS(20));
+    ck_assert_int_lt(watch(&freshness, CW_CONFIGURATION_CHECKER, now), CW_SECONDS(WITHIN_S) / 2);
+}
+END_TEST
+
+/* A watch that is never answered, a reading, and the way to the other nodes: all within the time of a change. */
+START_TEST(readers_and_then_followers_check_early_enough)
+{
+    cw_configuration_freshness_t freshness = begin(4);
+    cw_time_us_t                 now = CW_SECONDS(START_S);
+    cw_time_us_t                 reader_at = now;
+    cw_time_us_t                 follower_at = now;
+
+    cw_configuration_freshness_confirm(&freshness, 4, now);
+    while (watch(&freshness, CW_CONFIGURATION_READER, reader_at) > CW_SECONDS(1)) {
+        reader_at += CW_MS(1);
+    }
+    while (watch(&freshness, CW_CONFIGURATION_FOLLOWER, follower_at) == 0) {
+        follower_at += CW_MS(1);
+    }
+    ck_assert_int_lt(reader_at, follower_at);
+    ck_assert_int_lt(follower_at - now, CW_SECONDS(WITHIN_S) * 3 / 4);
+}
+END_TEST
+
+START_TEST(evidence_for_a_version_not_in_force_counts_only_once_it_is)
+{
+    cw_configuration_freshness_t freshness = begin(4);
+    cw_time_us_t                 now = CW_SECONDS(START_S);
+
+    cw_configuration_freshness_confirm(&freshness, 9, now);
+    ck_assert_int_ge(cw_configuration_freshness_age(&freshness, now), now);
+    cw_configuration_freshness_set(&freshness, 7);
+    ck_assert_int_ge(cw_configuration_freshness_age(&freshness, now), now);
+    cw_configuration_freshness_set(&freshness, 11);
+    ck_assert_int_eq(cw_configuration_freshness_age(&freshness, now), 0);
+}
+END_TEST
+
+START_TEST(evidence_of_a_node_with_an_older_version_counts_and_never_takes_back)
+{
+    cw_configuration_freshness_t freshness = begin(8);
+    cw_time_us_t                 now = CW_SECONDS(START_S);
+
+    cw_configuration_freshness_confirm(&freshness, 6, now);
+    ck_assert_int_eq(cw_configuration_freshness_age(&freshness, now), 0);
+    cw_configuration_freshness_confirm(&freshness, 8, now - CW_SECONDS(1));
+    ck_assert_int_eq(cw_configuration_freshness_age(&freshness, now), 0);
+    cw_configuration_freshness_confirm(&freshness, 9, now + CW_SECONDS(1));
+    ck_assert_int_eq(cw_configuration_freshness_age(&freshness, now), 0);
+}
+END_TEST
+
+START_TEST(an_age_goes_from_node_to_node_and_ignorance_stays_ignorance)
+{
+    cw_configuration_freshness_t here = begin(8);
+    cw_configuration_freshness_t there = begin(8);
+    cw_time_us_t                 now = CW_SECONDS(START_S);
+
+    cw_configuration_freshness_unpack(&there, 8, cw_configuration_freshness_pack(&here, now), now);
+    ck_assert_int_eq(there.complete_at, 0);
+    cw_configuration_freshness_confirm(&here, 8, now - CW_MS(300));
+    cw_configuration_freshness_unpack(&there, 8, cw_configuration_freshness_pack(&here, now), now);
+    ck_assert_int_eq(cw_configuration_freshness_age(&there, now), CW_MS(300));
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("configuration freshness");
+    TCase *cases = tcase_create("freshness");
+
+    tcase_add_test(cases, a_node_that_knows_nothing_checks_itself_whatever_its_role);
+    tcase_add_test(cases, fresh_evidence_lets_followers_rest_and_readers_wait_long_but_not_the_checker);
+    tcase_add_test(cases, readers_and_then_followers_check_early_enough);
+    tcase_add_test(cases, evidence_for_a_version_not_in_force_counts_only_once_it_is);
+    tcase_add_test(cases, evidence_of_a_node_with_an_older_version_counts_and_never_takes_back);
+    tcase_add_test(cases, an_age_goes_from_node_to_node_and_ignorance_stays_ignorance);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
