configuration: a version of any size goes from node to node, in windows of pages that the receiver asks for

Change: pages up to 10,240 routes; the receiver asks for windows of 8 pages, for missing ones after 150 ms, and goes on with a version while newer ones appear; removed routes are spread over pages. A node serves four transfers at a time within a third of its link, beyond that it names nodes that have got the version from it, so sources double with each transfer. Not read from the store while it is coming in. The test that 1,400 routes are left to the store is replaced by the same for more than the new bound, and one that 1,400 are not.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2839,7 +2839,7 @@
   (ProtobufCMessageInit) cwp__route_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configuration_page__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cwp__configuration_page__field_descriptors[10] =
 {
   {
     "version",
@@ -2949,8 +2949,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ask_instead",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfigurationPage, ask_instead),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configuration_page__field_indices_by_name[] = {
+  9,   /* field[9] = ask_instead */
   7,   /* field[7] = limits */
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
@@ -2964,7 +2977,7 @@
 static const ProtobufCIntRange cwp__configuration_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cwp__configuration_page__descriptor =
 {
@@ -2974,14 +2987,14 @@
   "Cwp__ConfigurationPage",
   "cwp",
   sizeof(Cwp__ConfigurationPage),
-  9,
+  10,
   cwp__configuration_page__field_descriptors,
   cwp__configuration_page__field_indices_by_name,
   1,  cwp__configuration_page__number_ranges,
   (ProtobufCMessageInit) cwp__configuration_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configuration_request__field_descriptors[1] =
+static const ProtobufCFieldDescriptor cwp__configuration_request__field_descriptors[3] =
 {
   {
     "has",
@@ -2995,14 +3008,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfigurationRequest, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_page",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfigurationRequest, first_page),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configuration_request__field_indices_by_name[] = {
+  2,   /* field[2] = first_page */
   0,   /* field[0] = has */
+  1,   /* field[1] = version */
 };
 static const ProtobufCIntRange cwp__configuration_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cwp__configuration_request__descriptor =
 {
@@ -3012,7 +3051,7 @@
   "Cwp__ConfigurationRequest",
   "cwp",
   sizeof(Cwp__ConfigurationRequest),
-  1,
+  3,
   cwp__configuration_request__field_descriptors,
   cwp__configuration_request__field_indices_by_name,
   1,  cwp__configuration_request__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -444,7 +444,7 @@
 
 /*
  * A page of a configuration. since 0: of the whole; else routes that changed since the configuration of that version.
- * Services, tenants, limits and removed routes stand in page 0.
+ * Services, tenants and limits stand in page 0.
  */
 struct  Cwp__ConfigurationPage
 {
@@ -453,7 +453,7 @@
   uint64_t since;
   uint32_t page;
   /*
-   * 0: too large for datagrams, to be read from the store
+   * 0: none is sent: too large for datagrams, to be read from the store, unless another node is named
    */
   uint32_t pages;
   size_t n_routes;
@@ -465,14 +465,18 @@
   Cwp__ConfiguredLimits *limits;
   size_t n_removed;
   Cwp__RouteKey **removed;
+  /*
+   * pages 0: this node has sent enough for now; that one has the version too
+   */
+  uint32_t ask_instead;
 };
 #define CWP__CONFIGURATION_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configuration_page__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0 }
 
 
 /*
- * Asks a node for its configuration.
+ * Asks a node for some pages of its configuration.
  */
 struct  Cwp__ConfigurationRequest
 {
@@ -481,10 +485,18 @@
    * version in force at the asking node; 0: none
    */
   uint64_t has;
+  /*
+   * of which some pages have come already; 0: the newest
+   */
+  uint64_t version;
+  /*
+   * the first one that is missing
+   */
+  uint32_t first_page;
 };
 #define CWP__CONFIGURATION_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configuration_request__descriptor) \
-    , 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/src/peer/configuration_pages.c
+++ b/src/peer/configuration_pages.c
@@ -68,8 +68,8 @@
     Cwp__ConfiguredTenant   *tenants;
     Cwp__ConfiguredTenant  **tenant_pointers;
     ProtobufCBinaryData     *digests;
-    Cwp__RouteKey           *removed;
-    Cwp__RouteKey          **removed_pointers;
+    Cwp__RouteKey            removed[CW_CONFIGURATION_PAGE_ROUTES];
+    Cwp__RouteKey           *removed_pointers[CW_CONFIGURATION_PAGE_ROUTES];
 } page_buffer_t;
 
 static void add_route(page_buffer_t *buffer, const cw_route_t *route)
@@ -161,20 +161,14 @@
     buffer->page.limits = &buffer->limits;
 }
 
-static void add_removed(page_buffer_t *buffer, const route_changes_t *changes)
+static void add_removed(page_buffer_t *buffer, const cw_route_t *route)
 {
-    size_t index;
+    Cwp__RouteKey *removed = &buffer->removed[buffer->page.n_removed];
 
-    buffer->removed = allocate(changes->removed_count, sizeof(*buffer->removed));
-    buffer->removed_pointers = allocate(changes->removed_count, sizeof(void *));
-    for (index = 0; index < changes->removed_count; index++) {
-        cwp__route_key__init(&buffer->removed[index]);
-        buffer->removed[index].host = changes->removed[index]->host;
-        buffer->removed[index].prefix = changes->removed[index]->prefix;
-        buffer->removed_pointers[index] = &buffer->removed[index];
-    }
-    buffer->page.removed = buffer->removed_pointers;
-    buffer->page.n_removed = changes->removed_count;
+    cwp__route_key__init(removed);
+    removed->host = route->host;
+    removed->prefix = route->prefix;
+    buffer->removed_pointers[buffer->page.n_removed++] = removed;
 }
 
 static void clear_page(page_buffer_t *buffer)
@@ -190,8 +184,6 @@
     free(buffer->tenants);
     free(buffer->tenant_pointers);
     free(buffer->digests);
-    free(buffer->removed);
-    free(buffer->removed_pointers);
     memset(buffer, 0, sizeof(*buffer));
 }
 
@@ -204,46 +196,69 @@
     buffer->page.page = page;
     buffer->page.pages = pages;
     buffer->page.routes = buffer->route_pointers;
+    buffer->page.removed = buffer->removed_pointers;
 }
 
-void cw_configuration_pages_make(const cw_configuration_t *base, const cw_configuration_t *configuration,
-                                 cw_configuration_page_out_t out, void *context)
+/* Items are the removed routes, then the sent ones; a page holds so many of them, in order. */
+static void fill_page(page_buffer_t *buffer, const route_changes_t *changes, uint32_t page)
+{
+    size_t item = (size_t)page * CW_CONFIGURATION_PAGE_ROUTES;
+    size_t end = item + CW_CONFIGURATION_PAGE_ROUTES;
+
+    for (; item < end && item < changes->removed_count; item++) {
+        add_removed(buffer, changes->removed[item]);
+    }
+    for (; item < end && item < changes->removed_count + changes->sent_count; item++) {
+        add_route(buffer, changes->sent[item - changes->removed_count]);
+    }
+}
+
+bool cw_configuration_pages_make(const cw_configuration_t *base, const cw_configuration_t *configuration,
+                                 cw_page_window_t window, cw_configuration_page_out_t out, void *context)
 {
     static page_buffer_t buffer; /* large, and used by one call at a time */
     route_changes_t      changes = {0};
-    size_t               pages;
-    size_t               page;
-    size_t               index = 0;
+    size_t               items;
+    uint32_t             pages;
+    uint32_t             page = 0;
 
     find_changes(base, configuration, &changes);
-    pages = (changes.sent_count + changes.removed_count + CW_CONFIGURATION_PAGE_ROUTES - 1) /
-            CW_CONFIGURATION_PAGE_ROUTES; /* removed ones count too: page 0 holds them */
+    items = changes.sent_count + changes.removed_count;
+    pages = (uint32_t)((items + CW_CONFIGURATION_PAGE_ROUTES - 1) / CW_CONFIGURATION_PAGE_ROUTES);
     pages = pages == 0 ? 1 : pages;
     if (pages > CW_CONFIGURATION_PAGES_MAX) {
         begin_page(&buffer, base, configuration, 0, 0);
         out(context, &buffer.page);
         pages = 0;
     }
-    for (page = 0; page < pages; page++) {
-        begin_page(&buffer, base, configuration, (uint32_t)page, (uint32_t)pages);
+    for (page = window.first; page < pages && page - window.first < window.count; page++) {
+        begin_page(&buffer, base, configuration, page, pages);
         if (page == 0) {
             add_services(&buffer, configuration);
             add_tenants(&buffer, configuration);
             add_limits(&buffer, &configuration->limits);
-            add_removed(&buffer, &changes);
-        }
-        for (; index < changes.sent_count && buffer.page.n_routes < CW_CONFIGURATION_PAGE_ROUTES; index++) {
-            add_route(&buffer, changes.sent[index]);
         }
+        fill_page(&buffer, &changes, page);
         out(context, &buffer.page);
         clear_page(&buffer);
     }
     free(changes.sent);
     free(changes.removed);
+    return pages != 0 && page == pages;
 }
 
 /* ---- putting pages together ---- */
 
+uint32_t cw_configuration_assembly_missing(const cw_configuration_assembly_t *assembly)
+{
+    uint32_t page = 0;
+
+    while (page < assembly->pages && assembly->has[page]) {
+        page++;
+    }
+    return page;
+}
+
 void cw_configuration_assembly_clear(cw_configuration_assembly_t *assembly)
 {
     size_t index;
@@ -323,7 +338,18 @@
                                                        .header_timeout = (cw_time_us_t)page->limits->header_timeout_us,
                                                        .idle_timeout = (cw_time_us_t)page->limits->idle_timeout_us};
     }
-    assembly->removed = allocate(page->n_removed, sizeof(Cwp__RouteKey *));
+}
+
+static void take_removed(cw_configuration_assembly_t *assembly, const Cwp__ConfigurationPage *page)
+{
+    size_t          count = assembly->removed_count + page->n_removed;
+    Cwp__RouteKey **removed = reallocarray(assembly->removed, count + 1, sizeof(void *));
+    size_t          index;
+
+    if (removed == NULL) {
+        abort();
+    }
+    assembly->removed = removed;
     for (index = 0; index < page->n_removed; index++) {
         Cwp__RouteKey *key = malloc(sizeof(*key));
 
@@ -402,6 +428,7 @@
     for (index = 0; index < page->n_routes; index++) {
         take_route(assembly->partial, page->routes[index]);
     }
+    take_removed(assembly, page);
     if (page->page == 0) {
         take_first_page(assembly, page);
     }
--- a/src/peer/configuration_pages.h
+++ b/src/peer/configuration_pages.h
@@ -4,9 +4,9 @@
  *
  * Rules:
  *  - A change is told by route: identity is a route's host and prefix, the order of a sealed configuration.
- *  - Page 0 carries what is small and always whole: services, tenants, limits, and the routes that were removed.
- *  - What needs more than CW_CONFIGURATION_PAGES_MAX pages is not sent: the store's link carries it better than a small
- *    machine's. One page without contents (pages 0) says so.
+ *  - Page 0 carries what is small and always whole: services, tenants, limits. Removed routes come before the others.
+ *  - The same two configurations make the same pages at each node, so the pages of one transfer may come from several.
+ *  - What needs more than CW_CONFIGURATION_PAGES_MAX pages is not sent. One page without contents (pages 0) says so.
  *
  * No I/O, no clock.
  */
@@ -18,14 +18,21 @@
 
 enum {
     CW_CONFIGURATION_PAGE_ROUTES = 40, /**< routes a page: some 4 KB, well below a datagram's limit */
-    CW_CONFIGURATION_PAGES_MAX = 8     /**< 32 KB at most: to 60 nodes of a zone 0.8 s of a 20 Mbit/s link */
+    CW_CONFIGURATION_PAGES_MAX = 256   /**< 10,240 routes: more than an object of 1 MB in the store holds */
 };
 
 typedef void (*cw_configuration_page_out_t)(void *context, const Cwp__ConfigurationPage *page);
 
-/** Gives out the pages that turn `base` (NULL: nothing) into `configuration`. Both are sealed. */
-void cw_configuration_pages_make(const cw_configuration_t *base, const cw_configuration_t *configuration,
-                                 cw_configuration_page_out_t out, void *context);
+/** Which pages are wanted: `count` from `first` on. */
+typedef struct cw_page_window {
+    uint32_t first;
+    uint32_t count;
+} cw_page_window_t;
+
+/** Gives out those of the pages that turn `base` (NULL: nothing) into `configuration` which lie in the window. Both are
+ * sealed. True: the last page was among them. */
+bool cw_configuration_pages_make(const cw_configuration_t *base, const cw_configuration_t *configuration,
+                                 cw_page_window_t window, cw_configuration_page_out_t out, void *context);
 
 /** A configuration that is received page by page. All zeros: none. */
 typedef struct cw_configuration_assembly {
@@ -38,7 +45,9 @@
     bool                has[CW_CONFIGURATION_PAGES_MAX];
 } cw_configuration_assembly_t;
 
-void cw_configuration_assembly_clear(cw_configuration_assembly_t *assembly);
+/** The first page that has not come; 0 while none has. */
+uint32_t cw_configuration_assembly_missing(const cw_configuration_assembly_t *assembly);
+void     cw_configuration_assembly_clear(cw_configuration_assembly_t *assembly);
 /**
  * Takes a page. Returns the new configuration, sealed and owned by the caller, once all pages have come; else NULL.
  * in_force: the receiver's own configuration (NULL: none); pages laid over another base than that are ignored.
--- a/src/router/configuration_exchange.h
+++ b/src/router/configuration_exchange.h
@@ -7,7 +7,11 @@
  *    zone, else after a moment in which one of its zone may turn up. It asks again, each time the node that it learned
  *    of last, until the version is in force.
  *  - The answer is what changed since the version that the asking node has, where the answering node remembers that
- *    one; else the whole. A change too large for datagrams is answered so, and is then read from the store.
+ *    one; else the whole. It goes in windows of some pages: the asking node asks for the next ones when they have come,
+ *    for those that are missing after a pause, and goes on with the same version while newer ones appear.
+ *  - So a change of any size costs the store what its few readers read of it, and each node passes on what it has:
+ * those that have it double with each transfer. A node sends no more than its allowance, a part of its link; beyond it
+ *    the answer names a node that has got the version from this one, in turn.
  *  - A version is only offered to the owner, who decides whether it comes into force (never back to a lower one).
  *
  * No I/O, no clock: datagrams go out by a callback, and time is a parameter.
@@ -28,6 +32,8 @@
     void (*received)(void *context, cw_configuration_t *configuration);
     /** The version that other nodes have is too large to be sent: it is to be read from the store. */
     void (*too_large)(void *context);
+    /** Bytes of pages that may be sent a second; 0: any number. */
+    double bytes_per_s;
 } cw_configuration_exchange_owner_t;
 
 cw_configuration_exchange_t *cw_configuration_exchange_create(const cw_configuration_exchange_owner_t *owner);
@@ -38,8 +44,11 @@
                                     bool is_near, cw_time_us_t now);
 /** Asks where it is time to. */
 void cw_configuration_exchange_tick(cw_configuration_exchange_t *exchange, cw_time_us_t now);
+/** Is a version coming in at this moment? Then there is no need to read it from the store. */
+bool cw_configuration_exchange_is_receiving(const cw_configuration_exchange_t *exchange, cw_time_us_t now);
 void cw_configuration_exchange_take_request(cw_configuration_exchange_t *exchange, uint32_t address,
-                                            const Cwp__ConfigurationRequest *request);
-void cw_configuration_exchange_take_page(cw_configuration_exchange_t *exchange, const Cwp__ConfigurationPage *page);
+                                            const Cwp__ConfigurationRequest *request, cw_time_us_t now);
+void cw_configuration_exchange_take_page(cw_configuration_exchange_t *exchange, uint32_t address,
+                                         const Cwp__ConfigurationPage *page, cw_time_us_t now);
 
 #endif
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -111,7 +111,7 @@
     bool missed = router->newest_version > cw_router_version(router) &&
                   now - router->newest_version_at >= router->settings.configuration_within * EXCHANGE_PERCENT / 100;
 
-    if (missed) {
+    if (missed && !cw_configuration_exchange_is_receiving(router->exchange, now)) {
         router->newest_version_at = now;
         router->configuration_read_at = now;
         router->store->read_configuration(router->store->context);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -173,10 +173,10 @@
         cw_router_take_ack(router, peer, datagram->ack);
         break;
     case CWP__DATAGRAM__CONTENT_CONFIGURATION:
-        cw_configuration_exchange_take_page(router->exchange, datagram->configuration);
+        cw_configuration_exchange_take_page(router->exchange, peer->address, datagram->configuration, now);
         break;
     case CWP__DATAGRAM__CONTENT_CONFIGURATION_REQUEST:
-        cw_configuration_exchange_take_request(router->exchange, peer->address, datagram->configuration_request);
+        cw_configuration_exchange_take_request(router->exchange, peer->address, datagram->configuration_request, now);
         break;
     case CWP__DATAGRAM__CONTENT_STORE_NOTICE:
         cw_router_take_notice(router, peer, datagram->store_notice, now);
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -14,6 +14,8 @@
 
 enum {
     RANK_EVERY_MS = 200,
+    LINK_PART = 3, /* of the link's bandwidth for pages of configurations; requests need the rest */
+    BITS = 8,
     NEW_FOR_MS = 3500 /* bounds hold for machines in touch: four seconds after a start at the earliest */
 };
 
@@ -56,8 +58,12 @@
 
 void cw_router_share_init(cw_router_t *router)
 {
-    cw_configuration_exchange_owner_t owner = {
-        .context = router, .send = send_to, .received = on_received, .too_large = on_too_large};
+    cw_configuration_exchange_owner_t owner = {.context = router,
+                                               .send = send_to,
+                                               .received = on_received,
+                                               .too_large = on_too_large,
+                                               .bytes_per_s =
+                                                   (double)router->settings.link_mbps * 1e6 / BITS / LINK_PART};
 
     router->exchange = cw_configuration_exchange_create(&owner);
     cw_configuration_freshness_init(&router->freshness, router->settings.configuration_within);
--- a/tests/test_configuration_exchange.c
+++ b/tests/test_configuration_exchange.c
@@ -20,26 +20,37 @@
     uint32_t                     too_large;
 } node_t;
 
-static node_t   nodes[NODES];
-static uint32_t sent;          /* datagrams */
-static uint32_t routes_sent;   /* in pages */
-static uint32_t lose;          /* the next so many datagrams get lost */
-static uint32_t last_receiver; /* address that the last datagram was sent to */
+static node_t       nodes[NODES];
+static node_t      *extra_nodes; /* more than these, at the addresses that follow */
+static uint32_t     extra_count;
+static uint32_t     sent;        /* datagrams */
+static uint32_t     routes_sent; /* in pages */
+static uint32_t     lose;        /* the next so many datagrams get lost */
+static uint32_t     lose_each;   /* each so many-th datagram gets lost; 0: none */
+static cw_time_us_t wire_now;
+static uint32_t     last_receiver; /* address that the last datagram was sent to */
 
 static node_t *node_at(uint32_t address)
 {
-    return &nodes[address - 1];
+    return address <= NODES ? &nodes[address - 1] : &extra_nodes[address - NODES - 1];
+}
+
+static uint32_t address_of(const node_t *node)
+{
+    bool is_extra = extra_count > 0 && node >= extra_nodes && node < extra_nodes + extra_count;
+
+    return is_extra ? (uint32_t)(node - extra_nodes) + NODES + 1 : (uint32_t)(node - nodes) + 1;
 }
 
 static void deliver(node_t *from, node_t *to, const Cwp__Datagram *datagram)
 {
-    uint32_t from_address = (uint32_t)(from - nodes) + 1;
+    uint32_t from_address = address_of(from);
 
     if (datagram->content_case == CWP__DATAGRAM__CONTENT_CONFIGURATION) {
         routes_sent += (uint32_t)datagram->configuration->n_routes;
-        cw_configuration_exchange_take_page(to->exchange, datagram->configuration);
+        cw_configuration_exchange_take_page(to->exchange, from_address, datagram->configuration, wire_now);
     } else {
-        cw_configuration_exchange_take_request(to->exchange, from_address, datagram->configuration_request);
+        cw_configuration_exchange_take_request(to->exchange, from_address, datagram->configuration_request, wire_now);
     }
 }
 
@@ -55,7 +66,10 @@
         lose--;
         return;
     }
-    if (address > NODES) {
+    if (lose_each != 0 && sent % lose_each == 0) {
+        return;
+    }
+    if (address > NODES + extra_count) {
         return;
     }
     ck_assert_uint_lt(length, sizeof(packed));
@@ -83,7 +97,7 @@
     ((node_t *)context)->too_large++;
 }
 
-static void begin(void)
+static void begin_with(double bytes_per_s)
 {
     size_t index;
 
@@ -91,13 +105,20 @@
     sent = 0;
     routes_sent = 0;
     lose = 0;
+    lose_each = 0;
+    wire_now = 0;
     for (index = 0; index < NODES; index++) {
-        cw_configuration_exchange_owner_t owner = {&nodes[index], on_send, on_received, on_too_large};
+        cw_configuration_exchange_owner_t owner = {&nodes[index], on_send, on_received, on_too_large, bytes_per_s};
 
         nodes[index].exchange = cw_configuration_exchange_create(&owner);
     }
 }
 
+static void begin(void)
+{
+    begin_with(0); /* any number of bytes */
+}
+
 /* Routes /0/ to /count-1/, but for the one left out; the one named is bound to another service. */
 static cw_configuration_t *configuration_of(uint64_t version, int count, int left_out, int changed)
 {
@@ -179,7 +200,7 @@
 START_TEST(a_change_too_large_for_datagrams_is_left_to_the_store)
 {
     begin();
-    use(&nodes[ANSWERING], configuration_of(7, 1400, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(7, CW_CONFIGURATION_PAGES_MAX * CW_CONFIGURATION_PAGE_ROUTES + 1, -1, -1));
     learn(7, true, 0);
     ck_assert_ptr_null(nodes[ASKING].in_force);
     ck_assert_uint_eq(nodes[ASKING].too_large, 1);
@@ -187,6 +208,122 @@
 }
 END_TEST
 
+/* Time goes on until the asking node has the version, or for so long. */
+static void run_until(uint64_t version, cw_time_us_t most)
+{
+    cw_time_us_t end = wire_now + most;
+
+    while (wire_now < end && (nodes[ASKING].in_force == NULL || nodes[ASKING].in_force->version < version)) {
+        wire_now += CW_MS(20);
+        cw_configuration_exchange_tick(nodes[ASKING].exchange, wire_now);
+    }
+}
+
+START_TEST(a_large_change_comes_from_another_node_and_not_from_the_store)
+{
+    begin();
+    use(&nodes[ASKING], configuration_of(7, 1400, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(7, 1400, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(9, 2800, 3, -1));
+    learn(9, true, 0);
+    run_until(9, CW_SECONDS(1));
+    assert_same(nodes[ASKING].in_force, nodes[ANSWERING].in_force);
+    ck_assert_uint_eq(nodes[ASKING].too_large, 0);
+    ck_assert_uint_eq(routes_sent, 1400);
+}
+END_TEST
+
+START_TEST(many_removed_routes_fit_into_datagrams)
+{
+    begin();
+    use(&nodes[ASKING], configuration_of(7, 2800, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(7, 2800, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(9, 10, -1, -1));
+    learn(9, true, 0);
+    run_until(9, CW_SECONDS(1));
+    assert_same(nodes[ASKING].in_force, nodes[ANSWERING].in_force);
+    ck_assert_uint_eq(routes_sent, 0);
+}
+END_TEST
+
+START_TEST(a_large_change_gets_through_losses)
+{
+    begin();
+    use(&nodes[ANSWERING], configuration_of(7, 2000, -1, -1));
+    lose_each = 7;
+    learn(7, true, 0);
+    run_until(7, CW_SECONDS(5));
+    assert_same(nodes[ASKING].in_force, nodes[ANSWERING].in_force);
+    ck_assert_uint_lt(routes_sent, 3 * 2000);
+}
+END_TEST
+
+START_TEST(a_large_change_is_not_begun_anew_when_newer_ones_appear)
+{
+    uint64_t version;
+
+    begin();
+    use(&nodes[ANSWERING], configuration_of(7, 2000, -1, -1));
+    lose_each = 7;
+    learn(7, true, 0);
+    for (version = 8; version < 14; version++) { /* the answering node remembers eight */
+        run_until(version, CW_MS(60));
+        use(&nodes[ANSWERING], configuration_of(version, 2000, -1, (int)version));
+        learn(version, true, wire_now);
+    }
+    run_until(13, CW_SECONDS(5));
+    assert_same(nodes[ASKING].in_force, nodes[ANSWERING].in_force);
+    ck_assert_uint_lt(routes_sent, 3 * 2000);
+}
+END_TEST
+
+START_TEST(a_node_sends_no_more_than_its_allowance)
+{
+    begin_with(20000); /* of some 60 bytes a route */
+    use(&nodes[ANSWERING], configuration_of(7, 5000, -1, -1));
+    learn(7, true, 0);
+    run_until(7, CW_SECONDS(2));
+    ck_assert_ptr_null(nodes[ASKING].in_force);
+    ck_assert_uint_gt(routes_sent, 300);
+    ck_assert_uint_lt(routes_sent, 2000);
+    run_until(7, CW_SECONDS(60));
+    assert_same(nodes[ASKING].in_force, nodes[ANSWERING].in_force);
+}
+END_TEST
+
+/* Fifty nodes ask one that can send the version to two of them a second. */
+START_TEST(a_node_beyond_its_allowance_names_one_that_has_the_version)
+{
+    enum { MANY = 50 };
+    static node_t       others[MANY];
+    cw_configuration_t *whole;
+    size_t              having = 0;
+    size_t              index;
+
+    begin_with(200000);
+    extra_nodes = others;
+    extra_count = MANY;
+    whole = configuration_of(7, 1400, -1, -1); /* some 84 KB */
+    use(&nodes[ANSWERING], whole);
+    for (index = 0; index < MANY; index++) {
+        cw_configuration_exchange_owner_t owner = {&others[index], on_send, on_received, on_too_large, 200000};
+
+        others[index].exchange = cw_configuration_exchange_create(&owner);
+        cw_configuration_exchange_note(others[index].exchange, ANSWERING + 1, 7, true, wire_now);
+    }
+    while (wire_now < CW_SECONDS(12) && having < MANY) {
+        wire_now += CW_MS(20);
+        having = 0;
+        for (index = 0; index < MANY; index++) {
+            cw_configuration_exchange_tick(others[index].exchange, wire_now);
+            having += others[index].in_force != NULL ? 1 : 0;
+        }
+    }
+    extra_count = 0;
+    ck_assert_uint_eq(having, MANY); /* that node alone would need twice as long */
+}
+END_TEST
+
 START_TEST(a_lost_request_and_a_lost_page_are_asked_for_again)
 {
     cw_time_us_t now = 0;
@@ -239,7 +376,7 @@
     learn(7, true, 0);
     ck_assert_uint_eq(sent, 0);
     request.has = 9;
-    cw_configuration_exchange_take_request(nodes[ANSWERING].exchange, ASKING + 1, &request);
+    cw_configuration_exchange_take_request(nodes[ANSWERING].exchange, ASKING + 1, &request, 0);
     ck_assert_uint_eq(sent, 0);
     ck_assert_uint_eq(nodes[ASKING].in_force->version, 9);
 }
@@ -254,7 +391,7 @@
     page.version = 9;
     page.since = 8;
     page.pages = 1;
-    cw_configuration_exchange_take_page(nodes[ASKING].exchange, &page);
+    cw_configuration_exchange_take_page(nodes[ASKING].exchange, ANSWERING + 1, &page, 0);
     ck_assert_uint_eq(nodes[ASKING].in_force->version, 7);
 }
 END_TEST
@@ -282,6 +419,12 @@
     tcase_add_test(cases, a_node_without_a_configuration_gets_the_whole);
     tcase_add_test(cases, only_what_changed_is_sent_to_a_node_with_an_earlier_version);
     tcase_add_test(cases, a_change_too_large_for_datagrams_is_left_to_the_store);
+    tcase_add_test(cases, a_large_change_comes_from_another_node_and_not_from_the_store);
+    tcase_add_test(cases, many_removed_routes_fit_into_datagrams);
+    tcase_add_test(cases, a_large_change_gets_through_losses);
+    tcase_add_test(cases, a_large_change_is_not_begun_anew_when_newer_ones_appear);
+    tcase_add_test(cases, a_node_sends_no_more_than_its_allowance);
+    tcase_add_test(cases, a_node_beyond_its_allowance_names_one_that_has_the_version);
     tcase_add_test(cases, a_lost_request_and_a_lost_page_are_asked_for_again);
     tcase_add_test(cases, a_node_of_the_same_zone_is_asked_first);
     tcase_add_test(cases, a_silent_node_is_followed_by_the_next_one_that_has_it);
