upstream: an answer of the store that is coming in is waited for

A reader's watch or reading of a large configuration over a small link may take longer than its time limit; giving it up and asking again is what kept a busy link busy.

--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -179,6 +179,16 @@
     }
 }
 
+void cw_upstream_note_progress(cw_upstream_call_t *call)
+{
+    cw_time_us_t due = now_us(call->connection->target->upstream) + call->progress_us;
+
+    if (call->progress_us > 0 && call->due_us > 0 && due > call->due_us) {
+        call->due_us = due;
+        arm(call->connection, due);
+    }
+}
+
 /* ---- the request ---- */
 
 static void on_written(uv_write_t *write, int status)
@@ -332,6 +342,7 @@
     call->match_name = request->match_name == NULL ? NULL : strdup(request->match_name);
     call->match_value = request->match_value == NULL ? NULL : strdup(request->match_value);
     call->answer_max = request->answer_max;
+    call->progress_us = request->progress;
     call->due_us = request->timeout > 0 ? now_us(target->upstream) + request->timeout : 0;
     http_parser_init(&call->parser, HTTP_RESPONSE);
     call->parser.data = call;
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -34,9 +34,11 @@
     bool         fresh;           /**< on a connection of its own */
     cw_time_us_t connect_timeout; /**< a connection that is not up by then is given up, with nothing sent */
     cw_time_us_t timeout;         /**< for the whole call; 0: none */
-    size_t       answer_max;      /**< bytes of an answer's body; a longer one counts as broken */
-    const char  *match_name;      /**< a header that answers echo; an answer with another value belongs to another */
-    const char  *match_value;     /**< request and is thrown away. NULL: not compared. Copied */
+    cw_time_us_t progress;        /**< an answer of which bytes keep coming at least this often is waited for beyond
+                                   * that; 0: it is not */
+    size_t      answer_max;       /**< bytes of an answer's body; a longer one counts as broken */
+    const char *match_name;       /**< a header that answers echo; an answer with another value belongs to another */
+    const char *match_value;      /**< request and is thrown away. NULL: not compared. Copied */
 } cw_upstream_request_t;
 
 /** Borrowed for the callback. */
--- a/src/net/http_upstream_answer.c
+++ b/src/net/http_upstream_answer.c
@@ -159,6 +159,7 @@
     } else if (length < 0) {
         take_end(connection->call, length);
     } else {
+        cw_upstream_note_progress(connection->call);
         take_bytes(connection->call, buffer->base, (size_t)length);
     }
 }
--- a/src/net/http_upstream_internal.h
+++ b/src/net/http_upstream_internal.h
@@ -38,6 +38,7 @@
     size_t                    length;
     size_t                    answer_max;
     cw_time_us_t              due_us; /* 0: none */
+    cw_time_us_t              progress_us;
     bool                      is_head;
     bool                      sent;
     bool                      reused;
@@ -76,6 +77,8 @@
 
 /** Ends a call: its connection is kept or closed, its callback is called. */
 void cw_upstream_end_call(cw_upstream_call_t *call, cw_upstream_result_t result, const char *fault, bool reset);
+/** Bytes of the call's answer have come: more of them are waited for. */
+void cw_upstream_note_progress(cw_upstream_call_t *call);
 void cw_upstream_close_connection(cw_upstream_connection_t *connection, bool reset);
 
 /* ---- http_upstream_answer.c: libuv's callbacks for reading ---- */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -5,12 +5,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/byte_buffer.h"
 #include "loop_fixture.h"
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
 
+enum { PAUSE_US = 1000 };
+
 typedef struct world {
     uv_loop_t           loop;
     cw_http_listener_t *listener;
@@ -360,6 +363,36 @@
     cw_test_run_until_set(&world->loop, &world->called_back);
 }
 
+/* Past the call's time, while its answer is coming in. */
+START_TEST(an_answer_that_is_coming_in_is_waited_for)
+{
+    static const char     text[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    cw_upstream_request_t request = {.bytes = text,
+                                     .length = sizeof(text) - 1,
+                                     .connect_timeout = CW_SECONDS(20),
+                                     .timeout = CW_SECONDS(2),
+                                     .progress = CW_SECONDS(60),
+                                     .answer_max = 1000};
+    world_t               world;
+    uint64_t              end_ms;
+
+    init(&world);
+    (void)cw_upstream_call(raw_serve(&world), &request, on_called_back, &world);
+    cw_test_run_until_set(&world.loop, &world.has_request);
+    end_ms = uv_now(&world.loop) + 2100;
+    raw_send(&world.accepted, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhe");
+    while (uv_now(&world.loop) < end_ms) {
+        cw_test_run_some(&world.loop, 1);
+        usleep(PAUSE_US);
+    }
+    ck_assert(!world.called_back);
+    raw_send(&world.accepted, "llo");
+    cw_test_run_until_set(&world.loop, &world.called_back);
+    ck_assert_int_eq(world.result, CW_UPSTREAM_ANSWERED);
+    ck_assert_str_eq(world.answer.data, "hello");
+}
+END_TEST
+
 START_TEST(whole_answers_are_told_by_their_framing)
 {
     world_t world;
@@ -513,6 +546,7 @@
     tcase_add_test(cases, a_head_that_does_not_come_to_its_end_is_timed_out);
     tcase_add_test(cases, a_resting_connection_keeps_the_longer_idle_time);
     tcase_add_test(cases, ending_connections_lets_the_request_under_way_finish);
+    tcase_add_test(cases, an_answer_that_is_coming_in_is_waited_for);
     tcase_add_test(cases, whole_answers_are_told_by_their_framing);
     tcase_add_test(cases, answers_that_break_off_are_broken);
     tcase_add_test(cases, bytes_behind_an_answer_poison_the_connection);
