stop: each request that was read has its final answer before the process ends

Change: at a stop all limits are cut to the end (504 where a server may be at work, else a refusal); in the first half new requests are taken with their limits cut, later only those whose own limit lies before the end, the others are refused at once with a short time to come back. Four tests, seen to fail without each part.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -24,6 +24,8 @@
     X(REFUSED_LOAD, "cedarwinch_refused_load_total", "counter", "refused: no slot in time")                            \
     X(REFUSED_OWNER, "cedarwinch_refused_owner_total", "counter", "refused: the key's owner is not known or moving")   \
     X(REFUSED_SERVERS, "cedarwinch_refused_servers_total", "counter", "refused: the service has no server")            \
+    X(REFUSED_STOPPING, "cedarwinch_refused_stopping_total", "counter",                                                \
+      "refused: this node stops before they may end")                                                                  \
     X(REFUSED_UNREADY, "cedarwinch_refused_unready_total", "counter", "refused: no configuration yet")                 \
     X(REFUSED_TENANT, "cedarwinch_refused_tenant_total", "counter", "refused: not a tenant's caller, or its limits")   \
     X(NOT_FOUND, "cedarwinch_not_found_total", "counter", "no route for host and path")                                \
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -262,6 +262,7 @@
     request->timer.data = request;
     cw_http_exchange_set_data(exchange, request);
     engine->requests++;
+    DL_APPEND2(engine->open, request, older, newer);
     return request;
 }
 
@@ -297,6 +298,10 @@
     request = create_request(engine, exchange, inbound, route);
     request->tenant = tenant;
     cw_shared_budget_note_request(&request->service->budget, &engine->settings.budget, cw_engine_now(engine));
+    if (!cw_request_fits_stop(request, cw_engine_now(engine))) {
+        cw_request_refuse(request, CW_REFUSED_STOPPING);
+        return;
+    }
     note_sample(request);
     cw_request_enqueue(request);
     cw_service_dispatch(engine, request->service);
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -97,6 +97,9 @@
 /** A server has left the pool: its connections go. */
 void cw_engine_forget_server(cw_engine_t *engine, cw_server_t *server);
 
+/** This node stops: all requests are answered by then, also those that are still to come. */
+void cw_engine_stop(cw_engine_t *engine, cw_time_us_t end_by);
+
 void cw_engine_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound);
 void cw_engine_gone(cw_engine_t *engine, cw_http_exchange_t *exchange);
 
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -4,6 +4,7 @@
  */
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "base/event_log.h"
 #include "base/metrics.h"
@@ -49,6 +50,7 @@
     request->is_ended = true;
     cw_tenant_gate_leave(request->tenant);
     request->engine->requests--;
+    DL_DELETE2(request->engine->open, request, older, newer);
     cw_http_exchange_set_data(request->exchange, NULL);
     cw_configuration_release(request->configuration);
     uv_close((uv_handle_t *)&request->timer, on_closed);
@@ -107,6 +109,9 @@
     cw_time_us_t wait = estimate == CW_NEVER ? come_back_owner : estimate - now - request->route_state->usual;
     cw_time_us_t longest = (request->deadline - now) / COME_BACK_PART;
 
+    if (reason == CW_REFUSED_STOPPING) {
+        return come_back_min; /* any other node can serve it */
+    }
     if (reason == CW_REFUSED_LOAD && request->claim.free_after > 0) {
         wait = request->claim.free_after;
     }
@@ -117,8 +122,10 @@
 
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason)
 {
-    static const char *const names[] = {"no slot in time", "owner of the key not known or moving", "no server"};
-    static const cw_metric_t metrics[] = {CW_METRIC_REFUSED_LOAD, CW_METRIC_REFUSED_OWNER, CW_METRIC_REFUSED_SERVERS};
+    static const char *const names[] = {"no slot in time", "owner of the key not known or moving", "no server",
+                                        "this node stops"};
+    static const cw_metric_t metrics[] = {CW_METRIC_REFUSED_LOAD, CW_METRIC_REFUSED_OWNER, CW_METRIC_REFUSED_SERVERS,
+                                          CW_METRIC_REFUSED_STOPPING};
     cw_time_us_t             now = cw_engine_now(request->engine);
     cw_time_us_t             wait;
     cw_http_outbound_t       outbound = {.status = STATUS_UNAVAILABLE};
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -111,6 +111,8 @@
     uv_timer_t              timer;
     cw_request_t           *prev; /**< utlist's names, in the queue */
     cw_request_t           *next;
+    cw_request_t           *older; /**< of all requests that are not answered */
+    cw_request_t           *newer;
 };
 
 struct cw_engine {
@@ -125,6 +127,9 @@
     cw_time_us_t         tables_confirmed_at;
     cw_time_us_t         tables_valid_until;
     uint32_t             nodes;
+    cw_request_t        *open;   /**< not answered yet, the oldest first */
+    cw_time_us_t         end_by; /**< all of them are answered by then; 0: this node is not stopping */
+    cw_time_us_t         stopping_since;
     size_t               requests;
     size_t               queued;
     bool                 changed;
@@ -144,6 +149,10 @@
 /** Entry of a key in a service's table; NULL: none, or the table is too old. */
 const cw_key_route_t *cw_engine_owner(const cw_engine_t *engine, const cw_service_state_t *service, uint32_t key);
 
+/* ---- engine_stop.c ---- */
+/** A new request: one that may last longer than what is left of a stop is cut, or (false) is to be refused. */
+bool cw_request_fits_stop(cw_request_t *request, cw_time_us_t now);
+
 /* ---- engine_split.c ---- */
 /** The service that a request of this route goes to: by the weights of its split, in the request's regions. */
 const char *cw_route_choose_part(const cw_request_t *request, const cw_route_t *route);
@@ -178,7 +187,7 @@
 void cw_request_repeat_after_silence(cw_request_t *request);
 
 /* ---- engine_answer.c ---- */
-typedef enum cw_refusal { CW_REFUSED_LOAD, CW_REFUSED_OWNER, CW_REFUSED_SERVERS } cw_refusal_t;
+typedef enum cw_refusal { CW_REFUSED_LOAD, CW_REFUSED_OWNER, CW_REFUSED_SERVERS, CW_REFUSED_STOPPING } cw_refusal_t;
 /** Not run, and never will: 503 with the time to come back. */
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason);
 void cw_request_fail_unknown(cw_request_t *request, const char *fault);
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -35,7 +35,8 @@
     PEERS_UNKNOWN_S = 3,
     FILE_CHECK_MS = 500,
     STOP_LISTEN_MS = 3600, /* the entry asks each second, and twice */
-    STOP_MARGIN_MS = 400
+    STOP_MARGIN_MS = 400,  /* before the grace is over: a busy machine's turn, and the way of the last bytes */
+    STOP_ANSWERS_MS = 100  /* before that: the last answers are written */
 };
 
 cw_time_us_t cw_router_now(const cw_router_t *router)
@@ -246,6 +247,8 @@
         cw_event_end(&event);
     }
     cw_http_listener_end_connections(router->callers);
+    cw_engine_stop(router->engine,
+                   router->stopping_at + router->settings.stop_grace - CW_MS(STOP_MARGIN_MS + STOP_ANSWERS_MS));
     cw_leadership_resign(&router->leadership, router->stopping_at);
 }
 
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -286,6 +286,83 @@
 }
 END_TEST
 
+/* ---- a stop ---- */
+
+START_TEST(what_is_under_way_when_a_stop_ends_is_answered)
+{
+    world_t      world;
+    cw_time_us_t begun;
+
+    init(&world);
+    begun = cw_engine_now(world.engine);
+    (void)ask(&world, "POST", "/once/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
+    cw_engine_stop(world.engine, cw_engine_now(world.engine) + CW_MS(30));
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.result, CW_UPSTREAM_ANSWERED);
+    ck_assert_int_eq(world.status, 504);                                   /* it may have run */
+    ck_assert_int_lt(cw_engine_now(world.engine) - begun, CW_SECONDS(10)); /* not by its own limit */
+    ck_assert_uint_eq(cw_engine_requests(world.engine), 0);
+}
+END_TEST
+
+START_TEST(what_waits_when_a_stop_ends_is_refused)
+{
+    world_t      world;
+    cw_time_us_t begun;
+
+    init(&world);
+    begun = cw_engine_now(world.engine);
+    (void)ask(&world, "GET", "/keyed/x", "15000"); /* no owner of its key is known */
+    while (cw_engine_queued(world.engine) == 0) {
+        cw_test_run_some(&world.loop, 1);
+    }
+    cw_engine_stop(world.engine, cw_engine_now(world.engine) + CW_MS(30));
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert_int_lt(cw_engine_now(world.engine) - begun, CW_SECONDS(2));
+}
+END_TEST
+
+/* The stop began long ago, and ends in ten seconds. */
+static void stop_late(world_t *world)
+{
+    cw_engine_stop(world->engine, cw_engine_now(world->engine) + CW_SECONDS(10));
+    world->engine->stopping_since -= CW_SECONDS(60);
+}
+
+START_TEST(late_in_a_stop_only_what_surely_ends_is_taken)
+{
+    world_t world;
+
+    init(&world);
+    world.servers[0].status = 200;
+    stop_late(&world);
+    (void)ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert(world.retry_after_s > 0 && world.retry_after_s < 0.1);
+    ck_assert_uint_eq(world.servers[0].requests, 0);
+    (void)ask(&world, "GET", "/safe/x", "5000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+}
+END_TEST
+
+START_TEST(early_in_a_stop_a_request_is_taken_and_its_time_is_cut)
+{
+    world_t world;
+
+    init(&world);
+    world.servers[0].status = 200;
+    cw_engine_stop(world.engine, cw_engine_now(world.engine) + CW_SECONDS(10));
+    (void)ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_int_le(atoi(world.servers[0].deadline), 10000);
+}
+END_TEST
+
 /* ---- slots ---- */
 
 /** A node that hands out slots, as the engine sees it: it keeps what it was sent. */
@@ -703,6 +780,10 @@
     tcase_set_timeout(cases, 60);
     tcase_add_test(cases, an_answer_comes_back_whole_with_the_deadline_and_target_passed_on);
     tcase_add_test(cases, a_request_goes_only_to_servers_in_the_regions_of_its_route);
+    tcase_add_test(cases, what_is_under_way_when_a_stop_ends_is_answered);
+    tcase_add_test(cases, what_waits_when_a_stop_ends_is_refused);
+    tcase_add_test(cases, late_in_a_stop_only_what_surely_ends_is_taken);
+    tcase_add_test(cases, early_in_a_stop_a_request_is_taken_and_its_time_is_cut);
     tcase_add_test(cases, a_request_goes_where_its_slot_is_and_gives_it_back);
     tcase_add_test(cases, a_refused_slot_is_a_refusal_with_the_time_to_come_back);
     tcase_add_test(cases, without_a_reply_the_server_is_chosen_here_and_a_late_grant_is_declined);
