soak: real processes under overlapping faults, by seed; a stop's end is fixed when it begins

tests/fault_soak/soak.sh: rounds of kills, freezes, stops, reloads, storms of changes, leaving and crashing servers, and a store that is down, slow, lossy, late, forgetful, mute or refusing; after each round the promises are checked from what callers, servers and the store see. Settings read again during a stop no longer move its end (requests' limits were cut to it).

--- a/src/router/router.c
+++ b/src/router/router.c
@@ -247,15 +247,15 @@
         cw_event_end(&event);
     }
     cw_http_listener_end_connections(router->callers);
-    cw_engine_stop(router->engine,
-                   router->stopping_at + router->settings.stop_grace - CW_MS(STOP_MARGIN_MS + STOP_ANSWERS_MS));
+    router->stop_by = router->stopping_at + router->settings.stop_grace - CW_MS(STOP_MARGIN_MS);
+    cw_engine_stop(router->engine, router->stop_by - CW_MS(STOP_ANSWERS_MS));
     cw_leadership_resign(&router->leadership, router->stopping_at);
 }
 
 static void check_stop(cw_router_t *router, cw_time_us_t now)
 {
     cw_time_us_t since = now - router->stopping_at;
-    bool         over = since >= router->settings.stop_grace - CW_MS(STOP_MARGIN_MS);
+    bool         over = now >= router->stop_by;
 
     if (router->stopping_at == 0) {
         return;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -87,6 +87,7 @@
     cw_configuration_t  *configuration;
     cw_time_us_t         started_at;
     cw_time_us_t         stopping_at; /**< 0: not stopping */
+    cw_time_us_t         stop_by;     /**< the process ends by then; settings that change meanwhile do not count */
     cw_time_us_t         checked_file_at;
     uint32_t             nodes_most; /**< nodes alive at once, within the retry budget's window */
     cw_time_us_t         nodes_most_at;
--- /dev/null
+++ b/tests/fault_soak/soak.sh
@@ -0,0 +1,211 @@
+#!/usr/bin/env bash
+# A soak of the real programs as separate processes on one machine, under faults from outside that overlap and repeat.
+#
+#   SEED=n       the schedule; printed as it is carried out, the same for the same seed (default 1)
+#   ROUNDS=n     rounds of faults, each followed by a calm moment in which the promises are checked (default 4)
+#   NODES=n      default 4, at most 90
+#   SERVERS=n    for the keyed service (default 6); the other one has half as many
+#   ONLY=KIND    only that kind of fault (see `faults`), to narrow a finding down
+#
+# Rounds are planned (stops, reloads, changes, a leaving server, a store in trouble) or unplanned (also kills and freezes).
+# Promises, from what callers, servers and the store see:
+#   records   nothing runs twice, no refused request has run, one owner for a key, fences rise (cw-verdict)
+#   answers   each success is whole and the caller's own
+#   cut       in a planned round no connection ends under a request
+#   ends      a node that is told to stop ends by itself, with 0
+#   calm      after a round, within the bounds: a new configuration is in force everywhere, and all keys are served
+#   back      no process goes back to an older configuration
+# The last lines count the faults by kind and the findings; exit code 1 when there is a finding. KEEP=1 keeps the records.
+SEED=${SEED:-1} ROUNDS=${ROUNDS:-4} COUNT=${NODES:-4} SERVERS=${SERVERS:-6} ONLY=${ONLY:-}
+ENDPOINTS_MAX=16 # of the stand-in store
+[ "$COUNT" -ge "$ENDPOINTS_MAX" ] || STORE_ENDPOINTS=$((COUNT + 1))
+NODE_SETTINGS="stop_grace_ms: 5000"
+. "$(dirname "$0")/../../scripts/cluster.sh"
+CALM_S=12 # machines are held to their bounds 3 s after a fault; then 2 s for a change, and some slack for a busy machine
+STATE=$SEED
+VERSION=1
+HTTP_MS=800
+
+say() { echo "$(date +%T.%3N) $*"; }
+# Random numbers are drawn in this shell, not in a subshell, whose state would be lost. Both leave what they draw in DRAWN.
+draw() { # FIRST COUNT: one of so many numbers
+    STATE=$(((STATE * 1103515245 + 12345) % 2147483648))
+    DRAWN=$((STATE / 65536 % $2 + $1))
+}
+pick() { # ITEM...
+    draw 1 $#
+    DRAWN=${!DRAWN}
+}
+control() { curl -s -m 2 -X POST "http://$STORE/control?$1" >/dev/null; }
+seconds() { echo "$(($1 / 10)).$(($1 % 10))"; } # of tenths
+finding() { say "FINDING $*"; FINDINGS=$((FINDINGS + 1)); }
+version_of() { curl -s -m 1 "http://$NET.$1:8081/metrics" | awk '/^cedarwinch_configuration_version/ {print $2}'; }
+is_up() { kill -0 "${NODE_PIDS[$1]}" 2>/dev/null; }
+# The operator's next version: asked for again until the store acknowledges it.
+change() {
+    local body
+    VERSION=$((VERSION + 1))
+    body="{\"metadata\":{\"name\":\"main\"},\"spec\":$(configuration "$VERSION")}"
+    until curl -sf -m 1 -X PUT "http://$STORE/api/objects/config/main" -d "$body" >/dev/null; do sleep 0.1; done
+}
+
+declare -A COUNTS=()
+FINDINGS=0 NEXT_SERVER=0 JOBS=()
+
+# A server of a new incarnation in place of one that goes.
+replace_server() { # NAME SIGNAL
+    local service=maps args=(--keyed)
+    case $1 in h*) service=hires args=(--hangs) ;; esac
+    NEXT_SERVER=$((NEXT_SERVER + 1))
+    cluster_server "${1%%_*}_$NEXT_SERVER" --service "$service" --zone "z$((NEXT_SERVER % 3 + 1))" "${args[@]}" --work-ms 15
+    SERVER_NAMES=("${SERVER_NAMES[@]/$1/${1%%_*}_$NEXT_SERVER}")
+    kill -"$2" "${SERVER_PIDS[$1]}"
+}
+
+planned_faults=(stop reload change storm leave down endpoint slow lose late forget mute refuse)
+unplanned_faults=("${planned_faults[@]}" kill freeze crash kill_leader kill_many)
+
+stop_node() { # NODE: ends by itself, and is started again by heal
+    kill -TERM "${NODE_PIDS[$1]}" && STOPPED[$1]=${NODE_PIDS[$1]}
+}
+
+# Carries one fault out; those that last go on in the background and end before the round does.
+fault() { # KIND
+    local node how
+    draw 1 "$COUNT"
+    node=$DRAWN
+    COUNTS[$1]=$((${COUNTS[$1]:-0} + 1))
+    say "fault $1 node $node"
+    case $1 in
+    stop) [ -n "${STOPPED[$node]:-}" ] || stop_node "$node" ;;
+    reload) kill -HUP "${NODE_PIDS[$node]}" 2>/dev/null ;;
+    change) change ;;
+    storm) for _ in 1 2 3 4 5 6 7 8; do change; draw 2 8; sleep "0.0$DRAWN"; done ;;
+    leave) pick "${SERVER_NAMES[@]}"; replace_server "$DRAWN" TERM ;;
+    crash) pick "${SERVER_NAMES[@]}"; replace_server "$DRAWN" KILL ;;
+    down) pick silent busy reset; how=$DRAWN; draw 300 4000; control "down=$DRAWN&how=$how" ;;
+    endpoint) pick silent busy reset; how=$DRAWN; draw 500 6000; control "down=$DRAWN&how=$how&endpoint=$((node + 1))" ;;
+    slow) draw 5 300; control "slow=$DRAWN" ;;
+    lose) draw 1 4; control "lose=$DRAWN" ;;
+    late) draw 1 4; control "late=$DRAWN" ;;
+    forget) control forget=1 ;;
+    mute) control mute=1 ;;
+    refuse) draw 5 60; control "refuse=$DRAWN" ;;
+    kill) kill -KILL "${NODE_PIDS[$node]}" 2>/dev/null ;;
+    kill_leader) node=$(leader) && kill -KILL "${NODE_PIDS[$node]}" 2>/dev/null ;;
+    kill_many) for node in $(seq 1 "$COUNT"); do draw 0 10; [ "$DRAWN" -ge 6 ] || kill -KILL "${NODE_PIDS[$node]}" 2>/dev/null; done ;;
+    freeze)
+        kill -STOP "${NODE_PIDS[$node]}" 2>/dev/null
+        draw 2 40
+        (sleep "$(seconds "$DRAWN")"; kill -CONT "${NODE_PIDS[$node]}" 2>/dev/null) &
+        JOBS+=("$!")
+        ;;
+    esac
+}
+
+# Ends what goes on, and starts again what has ended.
+heal() {
+    local node code
+    for job in "${JOBS[@]}"; do wait "$job"; done
+    JOBS=()
+    control "slow=0&mute=0&refuse=0&lose=0&late=0"
+    for node in $(seq 1 "$COUNT"); do
+        if [ -n "${STOPPED[$node]:-}" ]; then
+            wait "${STOPPED[$node]}"
+            code=$?
+            # 137: it was killed while it stopped
+            [ "$code" = 0 ] || [ "$code" = 137 ] || finding "ends: node $node ended with $code"
+            unset "STOPPED[$node]"
+        fi
+        is_up "$node" || start_node "$node"
+    done
+}
+
+declare -A STOPPED=()
+
+in_force_everywhere() { local node; for node in $(seq 1 "$COUNT"); do [ "$(version_of "$node")" = "$VERSION" ] || return 1; done; }
+served_everywhere() {
+    local key node
+    for key in 0 10000 20000 30000 40000 50000 65535; do
+        node=$((key % COUNT + 1))
+        curl -sf -m 2 "http://$NET.$node:8080/docks/x" -H 'Host: maps.example' -H "X-Shard-Key: $key" \
+            -H "X-Request-Id: calm-$key-$VERSION-$SECONDS-$RANDOM_ID" -H "X-Deadline-Ms: $HTTP_MS" >/dev/null || return 1
+        RANDOM_ID=$((RANDOM_ID + 1))
+    done
+}
+RANDOM_ID=0
+holds_within() { # SECONDS COMMAND
+    local end=$((SECONDS + $1))
+    until "$2"; do
+        [ "$SECONDS" -lt "$end" ] || return 1
+        sleep 0.1
+    done
+}
+
+calm() { # ROUND
+    local node
+    change
+    holds_within "$CALM_S" in_force_everywhere ||
+        finding "calm: round $1: version $VERSION is not in force everywhere: $(for node in $(seq 1 "$COUNT"); do version_of "$node"; done | xargs)"
+    holds_within "$CALM_S" served_everywhere || finding "calm: round $1: some keys are not served"
+}
+
+cut_connections() { # ROUND
+    jq -s '[.[]|select(.event=="end" and .status==0 and (.fault=="connection ended early" or .fault=="connection reset" or .fault=="not an answer"))]|length' "$WORK/callers-round$1.json"
+}
+
+round() { # NUMBER
+    local kinds kind cut faults
+    draw 0 2
+    if [ "$DRAWN" = 0 ]; then kind=planned kinds=("${planned_faults[@]}"); else kind=unplanned kinds=("${unplanned_faults[@]}"); fi
+    [ -z "$ONLY" ] || kinds=("$ONLY")
+    draw 4 8
+    faults=$DRAWN
+    say "round $1: $kind, $faults faults"
+    (cluster_callers "round$1" --rate 60 --count 700) &
+    local callers=$!
+    for _ in $(seq 1 "$faults"); do
+        pick "${kinds[@]}"
+        fault "$DRAWN"
+        draw 1 12
+        sleep "$(seconds "$DRAWN")"
+    done
+    heal
+    calm "$1"
+    wait "$callers"
+    cut=$(cut_connections "$1")
+    [ "$kind" = unplanned ] || [ "$cut" = 0 ] || finding "cut: round $1 (planned): $cut connections ended under a request"
+    [ "$(sum_of "round$1" wrong)" = 0 ] || finding "answers: round $1: answers that are not whole, or another's"
+}
+
+# A process's versions, in its log, never fall.
+goes_back() {
+    jq -rs '[.[]|select(.event=="start" or .event=="configuration accepted")]|reduce .[] as $e ({last:0,bad:0}; if $e.event=="start" then .last=0 elif $e.version<=.last then .bad+=1 else .last=$e.version end)|.bad' "$1" 2>/dev/null
+}
+
+say "seed $SEED, $ROUNDS rounds, $COUNT nodes"
+cluster_start "$COUNT"
+SERVER_NAMES=()
+for i in $(seq 1 "$SERVERS"); do
+    cluster_server "m$i" --service maps --zone "z$(((i - 1) % 3 + 1))" --keyed --work-ms 15
+    SERVER_NAMES+=("m$i")
+done
+for i in $(seq 1 $(((SERVERS + 1) / 2))); do
+    cluster_server "h$i" --service hires --zone "z$(((i - 1) % 3 + 1))" --work-ms 15 --hangs
+    SERVER_NAMES+=("h$i")
+done
+cluster_configure "$(configuration 1)"
+cluster_wait_ready
+cluster_wait_served
+sleep 4 # processes that have just started are held to no bound
+for number in $(seq 1 "$ROUNDS"); do round "$number"; done
+for node in $(seq 1 "$COUNT"); do
+    back=$(goes_back "$WORK/node$node.log")
+    [ "${back:-0}" = 0 ] || finding "back: node $node went back $back times"
+done
+cluster_check >"$WORK/verdict.txt" || { cat "$WORK/verdict.txt"; finding "records: $(tail -1 "$WORK/verdict.txt")"; }
+say "verdict: $(tail -1 "$WORK/verdict.txt")"
+say "faults: $(for kind in "${!COUNTS[@]}"; do echo "$kind ${COUNTS[$kind]}"; done | sort | xargs)"
+[ "$FINDINGS" = 0 ] || { KEEP=1; say "records are kept in $WORK"; }
+echo "seed $SEED: $FINDINGS findings"
+[ "$FINDINGS" = 0 ]
