queue: a request that can no longer be served is refused at once, at any moment; DECIDE_PART goes

Cause: after a fifth of its objective a waiting request was never refused again, since a refusal from then on was dearer; it was held until its deadline though its turn could not come. A fifth remains for how long a request waits for an unknown owner of its key (owner_wait_until). The test fails on the code before (held for 12.8 s).

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -18,7 +18,9 @@
     STATUS_TOO_MANY = 429,
     STATUS_UNAVAILABLE = 503,
     DEADLINE_DEFAULT_S = 30,
-    DECIDE_PART = 5, /* a refusal within a quarter of the aim is early; a little sooner, to be sure */
+    OWNER_WAIT_PART =
+        5, /* of the objective: so long a request waits for an owner of its key that is not known; most moves
+            * of a range take shorter, and an answer after a return still comes within the objective */
     MARGIN_PART = 4,
     PROMPT_NODES = 10 /* so many nodes tell one another of each request at once */
 };
@@ -139,7 +141,7 @@
     }
     aim = route->aim > 0 ? route->aim : request->deadline - request->arrived;
     request->aim_at = request->arrived + aim;
-    request->decide_at = request->arrived + aim / DECIDE_PART;
+    request->owner_wait_until = request->arrived + aim / OWNER_WAIT_PART;
     request->repeat_at = CW_NEVER;
 }
 
@@ -426,8 +428,8 @@
     if (cw_request_waits_for_slot(request)) {
         due = request->claim.due < due ? request->claim.due : due;
     } else if (request->is_queued) {
-        if (!request->decided && request->decide_at < due) {
-            due = request->decide_at;
+        if (now < request->owner_wait_until && request->owner_wait_until < due) {
+            due = request->owner_wait_until;
         }
         if (request->not_before > now && request->not_before < due) {
             due = request->not_before;
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -91,9 +91,9 @@
     size_t                  body_length;
     const char             *id;
     cw_time_us_t            arrived;
-    cw_time_us_t            deadline;  /**< its final answer leaves by then */
-    cw_time_us_t            aim_at;    /**< full worth until then */
-    cw_time_us_t            decide_at; /**< refusals after this are late */
+    cw_time_us_t            deadline;         /**< its final answer leaves by then */
+    cw_time_us_t            aim_at;           /**< full worth until then */
+    cw_time_us_t            owner_wait_until; /**< it waits for an owner of its key that is not known until then */
     cw_time_us_t            not_before;
     cw_time_us_t            sent_at; /**< of the call under way */
     cw_time_us_t            first_sent_at;
@@ -102,9 +102,9 @@
     bool                    may_have_run;
     bool                    is_queued;
     bool                    is_ended;
-    bool                    decided;
-    cw_server_t            *server;    /**< of the call under way */
-    char                    avoid[48]; /**< id of the server that failed it last */
+    bool                    is_admitted; /**< it was found to be served within its objective */
+    cw_server_t            *server;      /**< of the call under way */
+    char                    avoid[48];   /**< id of the server that failed it last */
     cw_upstream_call_t     *call;
     cw_slot_claim_t         claim;
     UT_hash_handle          by_ticket;
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -192,7 +192,9 @@
     return PLACED;
 }
 
-/* A request that could not be placed: waits, or is told to come back. */
+/* A request that could not be placed: waits, or is told to come back. It is let in if it will be served within its
+ * latency objective; from then on it waits for its turn, late too, but no longer than that can come before its
+ * deadline. */
 static void settle(cw_request_t *request, placing_t why, cw_time_us_t now)
 {
     cw_time_us_t estimate;
@@ -201,7 +203,7 @@
         cw_request_refuse(request, CW_REFUSED_SERVERS);
         return;
     }
-    if (request->decided || why == PAUSED) {
+    if (why == PAUSED) {
         cw_request_arm(request);
         return;
     }
@@ -211,17 +213,15 @@
     }
     estimate = cw_request_estimate(request, now);
     if (estimate == CW_NEVER) {
-        if (now >= request->decide_at) {
+        if (now >= request->owner_wait_until) {
             cw_request_refuse(request, why == WAITS_FOR_OWNER ? CW_REFUSED_OWNER : CW_REFUSED_SERVERS);
             return;
         }
-    } else if (estimate > request->aim_at) {
+    } else if (estimate > (request->is_admitted ? request->deadline : request->aim_at)) {
         cw_request_refuse(request, CW_REFUSED_LOAD);
         return;
     }
-    if (now >= request->decide_at) {
-        request->decided = true; /* a refusal from now on would come late: it waits for its turn */
-    }
+    request->is_admitted = true;
     cw_request_arm(request);
 }
 
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -5,12 +5,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/byte_buffer.h"
 #include "loop_fixture.h"
 #include "proxy/engine_internal.h"
 
-enum { SERVERS = 2 };
+enum { SERVERS = 2, PAUSE_US = 1000 };
 
 typedef struct world world_t;
 
@@ -286,6 +287,54 @@
 }
 END_TEST
 
+/* ---- waiting ---- */
+
+/* Both servers are busy, and a third request waits for longer than a fifth of its objective. */
+static void begin_waiting(world_t *world)
+{
+    cw_time_us_t end;
+
+    init(world);
+    (void)ask(world, "GET", "/safe/x", "15000");
+    (void)ask(world, "GET", "/safe/y", "15000");
+    cw_test_run_until_set(&world->loop, &world->servers[0].has_request);
+    cw_test_run_until_set(&world->loop, &world->servers[1].has_request);
+    (void)ask(world, "GET", "/safe/z", "15000");
+    end = cw_engine_now(world->engine) + CW_MS(2200);
+    while (cw_engine_queued(world->engine) == 0 || cw_engine_now(world->engine) < end) {
+        cw_test_run_some(&world->loop, 1);
+        usleep(PAUSE_US);
+    }
+}
+
+START_TEST(what_can_no_longer_be_served_is_refused_at_once)
+{
+    world_t      world;
+    cw_time_us_t begun;
+
+    begin_waiting(&world);
+    begun = cw_engine_now(world.engine);
+    cw_engine_set_queued_elsewhere(world.engine, "service", 1000);
+    cw_engine_wake(world.engine);
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert_int_lt(cw_engine_now(world.engine) - begun, CW_SECONDS(5)); /* its deadline lies beyond */
+}
+END_TEST
+
+START_TEST(what_was_let_in_waits_though_it_will_be_late)
+{
+    world_t world;
+
+    begin_waiting(&world);
+    cw_engine_set_queued_elsewhere(world.engine, "service", 4); /* its turn comes after its objective */
+    cw_engine_wake(world.engine);
+    cw_test_run_some(&world.loop, 20);
+    ck_assert(!world.answered);
+    ck_assert_uint_eq(cw_engine_queued(world.engine), 1);
+}
+END_TEST
+
 /* ---- a stop ---- */
 
 START_TEST(what_is_under_way_when_a_stop_ends_is_answered)
@@ -780,6 +829,8 @@
     tcase_set_timeout(cases, 60);
     tcase_add_test(cases, an_answer_comes_back_whole_with_the_deadline_and_target_passed_on);
     tcase_add_test(cases, a_request_goes_only_to_servers_in_the_regions_of_its_route);
+    tcase_add_test(cases, what_can_no_longer_be_served_is_refused_at_once);
+    tcase_add_test(cases, what_was_let_in_waits_though_it_will_be_late);
     tcase_add_test(cases, what_is_under_way_when_a_stop_ends_is_answered);
     tcase_add_test(cases, what_waits_when_a_stop_ends_is_refused);
     tcase_add_test(cases, late_in_a_stop_only_what_surely_ends_is_taken);
