--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -187,49 +187,49 @@
   assert(message->base.descriptor == &cwp__key_samples__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cwp__leader_word__init
-                     (Cwp__LeaderWord         *message)
+void   cwp__leader_heartbeat__init
+                     (Cwp__LeaderHeartbeat         *message)
 {
-  static const Cwp__LeaderWord init_value = CWP__LEADER_WORD__INIT;
+  static const Cwp__LeaderHeartbeat init_value = CWP__LEADER_HEARTBEAT__INIT;
   *message = init_value;
 }
-size_t cwp__leader_word__get_packed_size
-                     (const Cwp__LeaderWord *message)
+size_t cwp__leader_heartbeat__get_packed_size
+                     (const Cwp__LeaderHeartbeat *message)
 {
-  assert(message->base.descriptor == &cwp__leader_word__descriptor);
+  assert(message->base.descriptor == &cwp__leader_heartbeat__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cwp__leader_word__pack
-                     (const Cwp__LeaderWord *message,
+size_t cwp__leader_heartbeat__pack
+                     (const Cwp__LeaderHeartbeat *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cwp__leader_word__descriptor);
+  assert(message->base.descriptor == &cwp__leader_heartbeat__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cwp__leader_word__pack_to_buffer
-                     (const Cwp__LeaderWord *message,
+size_t cwp__leader_heartbeat__pack_to_buffer
+                     (const Cwp__LeaderHeartbeat *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cwp__leader_word__descriptor);
+  assert(message->base.descriptor == &cwp__leader_heartbeat__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cwp__LeaderWord *
-       cwp__leader_word__unpack
+Cwp__LeaderHeartbeat *
+       cwp__leader_heartbeat__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cwp__LeaderWord *)
-     protobuf_c_message_unpack (&cwp__leader_word__descriptor,
+  return (Cwp__LeaderHeartbeat *)
+     protobuf_c_message_unpack (&cwp__leader_heartbeat__descriptor,
                                 allocator, len, data);
 }
-void   cwp__leader_word__free_unpacked
-                     (Cwp__LeaderWord *message,
+void   cwp__leader_heartbeat__free_unpacked
+                     (Cwp__LeaderHeartbeat *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cwp__leader_word__descriptor);
+  assert(message->base.descriptor == &cwp__leader_heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   cwp__node_report__init
@@ -1343,7 +1343,7 @@
   (ProtobufCMessageInit) cwp__key_samples__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__leader_word__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cwp__leader_heartbeat__field_descriptors[10] =
 {
   {
     "term",
@@ -1351,7 +1351,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LeaderWord, term),
+    offsetof(Cwp__LeaderHeartbeat, term),
     NULL,
     NULL,
     0,             /* flags */
@@ -1363,7 +1363,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LeaderWord, revision),
+    offsetof(Cwp__LeaderHeartbeat, revision),
     NULL,
     NULL,
     0,             /* flags */
@@ -1375,7 +1375,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LeaderWord, able),
+    offsetof(Cwp__LeaderHeartbeat, able),
     NULL,
     NULL,
     0,             /* flags */
@@ -1387,7 +1387,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LeaderWord, list_age_ms),
+    offsetof(Cwp__LeaderHeartbeat, list_age_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -1399,7 +1399,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LeaderWord, servers),
+    offsetof(Cwp__LeaderHeartbeat, servers),
     NULL,
     NULL,
     0,             /* flags */
@@ -1411,7 +1411,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LeaderWord, tables),
+    offsetof(Cwp__LeaderHeartbeat, tables),
     NULL,
     NULL,
     0,             /* flags */
@@ -1423,7 +1423,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LeaderWord, servers_hash),
+    offsetof(Cwp__LeaderHeartbeat, servers_hash),
     NULL,
     NULL,
     0,             /* flags */
@@ -1435,7 +1435,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LeaderWord, tables_hash),
+    offsetof(Cwp__LeaderHeartbeat, tables_hash),
     NULL,
     NULL,
     0,             /* flags */
@@ -1447,7 +1447,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LeaderWord, list_revision),
+    offsetof(Cwp__LeaderHeartbeat, list_revision),
     NULL,
     NULL,
     0,             /* flags */
@@ -1459,14 +1459,14 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LeaderWord, configuration_age_ms),
+    offsetof(Cwp__LeaderHeartbeat, configuration_age_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cwp__leader_word__field_indices_by_name[] = {
+static const unsigned cwp__leader_heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = able */
   9,   /* field[9] = configuration_age_ms */
   3,   /* field[3] = list_age_ms */
@@ -1478,24 +1478,24 @@
   7,   /* field[7] = tables_hash */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange cwp__leader_word__number_ranges[1 + 1] =
+static const ProtobufCIntRange cwp__leader_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 10 }
 };
-const ProtobufCMessageDescriptor cwp__leader_word__descriptor =
+const ProtobufCMessageDescriptor cwp__leader_heartbeat__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cwp.LeaderWord",
-  "LeaderWord",
-  "Cwp__LeaderWord",
+  "cwp.LeaderHeartbeat",
+  "LeaderHeartbeat",
+  "Cwp__LeaderHeartbeat",
   "cwp",
-  sizeof(Cwp__LeaderWord),
+  sizeof(Cwp__LeaderHeartbeat),
   10,
-  cwp__leader_word__field_descriptors,
-  cwp__leader_word__field_indices_by_name,
-  1,  cwp__leader_word__number_ranges,
-  (ProtobufCMessageInit) cwp__leader_word__init,
+  cwp__leader_heartbeat__field_descriptors,
+  cwp__leader_heartbeat__field_indices_by_name,
+  1,  cwp__leader_heartbeat__number_ranges,
+  (ProtobufCMessageInit) cwp__leader_heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[18] =
@@ -1603,7 +1603,7 @@
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
     offsetof(Cwp__NodeReport, leader),
-    &cwp__leader_word__descriptor,
+    &cwp__leader_heartbeat__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -19,7 +19,7 @@
 typedef struct Cwp__ServerPace Cwp__ServerPace;
 typedef struct Cwp__QueueLength Cwp__QueueLength;
 typedef struct Cwp__KeySamples Cwp__KeySamples;
-typedef struct Cwp__LeaderWord Cwp__LeaderWord;
+typedef struct Cwp__LeaderHeartbeat Cwp__LeaderHeartbeat;
 typedef struct Cwp__NodeReport Cwp__NodeReport;
 typedef struct Cwp__ViewServer Cwp__ViewServer;
 typedef struct Cwp__ViewAck Cwp__ViewAck;
@@ -119,7 +119,7 @@
     , 0, 0,NULL, 0 }
 
 
-struct  Cwp__LeaderWord
+struct  Cwp__LeaderHeartbeat
 {
   ProtobufCMessage base;
   uint64_t term;
@@ -157,8 +157,8 @@
    */
   uint32_t configuration_age_ms;
 };
-#define CWP__LEADER_WORD__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cwp__leader_word__descriptor) \
+#define CWP__LEADER_HEARTBEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__leader_heartbeat__descriptor) \
     , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
@@ -182,7 +182,7 @@
   /*
    * only from a leader
    */
-  Cwp__LeaderWord *leader;
+  Cwp__LeaderHeartbeat *leader;
   /*
    * version in force
    */
@@ -729,24 +729,24 @@
 void   cwp__key_samples__free_unpacked
                      (Cwp__KeySamples *message,
                       ProtobufCAllocator *allocator);
-/* Cwp__LeaderWord methods */
-void   cwp__leader_word__init
-                     (Cwp__LeaderWord         *message);
-size_t cwp__leader_word__get_packed_size
-                     (const Cwp__LeaderWord   *message);
-size_t cwp__leader_word__pack
-                     (const Cwp__LeaderWord   *message,
+/* Cwp__LeaderHeartbeat methods */
+void   cwp__leader_heartbeat__init
+                     (Cwp__LeaderHeartbeat         *message);
+size_t cwp__leader_heartbeat__get_packed_size
+                     (const Cwp__LeaderHeartbeat   *message);
+size_t cwp__leader_heartbeat__pack
+                     (const Cwp__LeaderHeartbeat   *message,
                       uint8_t             *out);
-size_t cwp__leader_word__pack_to_buffer
-                     (const Cwp__LeaderWord   *message,
+size_t cwp__leader_heartbeat__pack_to_buffer
+                     (const Cwp__LeaderHeartbeat   *message,
                       ProtobufCBuffer     *buffer);
-Cwp__LeaderWord *
-       cwp__leader_word__unpack
+Cwp__LeaderHeartbeat *
+       cwp__leader_heartbeat__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   cwp__leader_word__free_unpacked
-                     (Cwp__LeaderWord *message,
+void   cwp__leader_heartbeat__free_unpacked
+                     (Cwp__LeaderHeartbeat *message,
                       ProtobufCAllocator *allocator);
 /* Cwp__NodeReport methods */
 void   cwp__node_report__init
@@ -1123,8 +1123,8 @@
 typedef void (*Cwp__KeySamples_Closure)
                  (const Cwp__KeySamples *message,
                   void *closure_data);
-typedef void (*Cwp__LeaderWord_Closure)
-                 (const Cwp__LeaderWord *message,
+typedef void (*Cwp__LeaderHeartbeat_Closure)
+                 (const Cwp__LeaderHeartbeat *message,
                   void *closure_data);
 typedef void (*Cwp__NodeReport_Closure)
                  (const Cwp__NodeReport *message,
@@ -1193,7 +1193,7 @@
 extern const ProtobufCMessageDescriptor cwp__server_pace__descriptor;
 extern const ProtobufCMessageDescriptor cwp__queue_length__descriptor;
 extern const ProtobufCMessageDescriptor cwp__key_samples__descriptor;
-extern const ProtobufCMessageDescriptor cwp__leader_word__descriptor;
+extern const ProtobufCMessageDescriptor cwp__leader_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cwp__node_report__descriptor;
 extern const ProtobufCMessageDescriptor cwp__view_server__descriptor;
 extern const ProtobufCMessageDescriptor cwp__view_ack__descriptor;
--- a/sim/lease_faults.c
+++ b/sim/lease_faults.c
@@ -153,8 +153,8 @@
     uint32_t index;
 
     for (index = 0; index < CW_SIM_NODES; index++) {
-        if (world->nodes[index].keeper != NULL) {
-            cw_keeper_free(world->nodes[index].keeper);
+        if (world->nodes[index].assigner != NULL) {
+            cw_assigner_free(world->nodes[index].assigner);
         }
     }
     json_decref(world->lock.value);
--- a/sim/lease_internal.h
+++ b/sim/lease_internal.h
@@ -60,9 +60,9 @@
     bool            cut_nodes;
     uint32_t        cut_servers; /**< one bit an address */
     cw_leadership_t leadership;
-    cw_keeper_t    *keeper;
+    cw_assigner_t  *assigner;
     cw_store_port_t port;
-    uint64_t        keeper_term;
+    uint64_t        assigner_term;
     uint64_t        number; /**< of the tables it told as a leader */
     bool            tables_due;
     cw_time_us_t    told_at;
--- a/sim/lease_nodes.c
+++ b/sim/lease_nodes.c
@@ -19,7 +19,7 @@
     LOST_MS = 1200
 };
 
-/** A leader's word on its way to one node. */
+/** A leader's heartbeat on its way to one node. */
 typedef struct sim_word {
     sim_node_t *to;
     uint64_t    life;
@@ -34,7 +34,7 @@
     return node->up && node->frozen_until <= node->world->now;
 }
 
-/* ---- the keeper's ports ---- */
+/* ---- the assigner's ports ---- */
 
 static void send_order(void *context, const cw_order_t *order)
 {
@@ -61,30 +61,30 @@
     }
 }
 
-static void end_keeper(sim_node_t *node)
+static void end_assigner(sim_node_t *node)
 {
-    if (node->keeper != NULL) {
-        cw_keeper_free(node->keeper);
-        node->keeper = NULL;
+    if (node->assigner != NULL) {
+        cw_assigner_free(node->assigner);
+        node->assigner = NULL;
     }
 }
 
-static void begin_keeper(sim_node_t *node)
+static void begin_assigner(sim_node_t *node)
 {
-    cw_keeper_settings_t settings = {.hold = CW_MS(5000),
-                                     .hold_long = CW_MS(8000),
-                                     .renew_every = CW_MS(1250),
-                                     .order_timeout = CW_MS(350),
-                                     .release_timeout = CW_MS(1500),
-                                     .late_orders = CW_SECONDS(13),
-                                     .table_valid = CW_MS(TABLE_VALID_MS)};
-    cw_keeper_ports_t    ports = {
+    cw_assigner_settings_t settings = {.hold = CW_MS(5000),
+                                       .hold_long = CW_MS(8000),
+                                       .renew_every = CW_MS(1250),
+                                       .order_timeout = CW_MS(350),
+                                       .release_timeout = CW_MS(1500),
+                                       .late_orders = CW_SECONDS(13),
+                                       .table_valid = CW_MS(TABLE_VALID_MS)};
+    cw_assigner_ports_t    ports = {
            .context = node, .store = &node->port, .order = send_order, .changed = tables_changed, .note = note};
 
-    end_keeper(node);
-    node->keeper_term = node->leadership.lock.term;
-    node->keeper =
-        cw_keeper_create("service", node->keeper_term, node->leadership.settings.incarnation, &settings, &ports);
+    end_assigner(node);
+    node->assigner_term = node->leadership.lock.term;
+    node->assigner =
+        cw_assigner_create("service", node->assigner_term, node->leadership.settings.incarnation, &settings, &ports);
     node->number = 0;
     node->world->result->leaders++;
 }
@@ -99,9 +99,9 @@
 
     cw_leadership_replied(&node->leadership, reply, node->world->now);
     if (node->leadership.leading && (!before || node->leadership.lock.term != term)) {
-        begin_keeper(node);
+        begin_assigner(node);
     } else if (before && !node->leadership.leading) {
-        end_keeper(node);
+        end_assigner(node);
     }
 }
 
@@ -164,8 +164,8 @@
 
 static void plan_moves(sim_node_t *node)
 {
-    const cw_range_list_t *ranges = cw_keeper_ranges(node->keeper);
-    bool                   unreachable = cw_keeper_failing_share(node->keeper, node->world->now) > 0.5;
+    const cw_range_list_t *ranges = cw_assigner_ranges(node->assigner);
+    bool                   unreachable = cw_assigner_failing_share(node->assigner, node->world->now) > 0.5;
     size_t                 index;
 
     for (index = 0; index < ranges->count; index++) {
@@ -174,7 +174,7 @@
 
         if (to != NULL && must_move(node, range) &&
             (!unreachable || cw_server_list_find(node->world->list, range->owner.id) == NULL)) {
-            cw_keeper_plan_move(node->keeper, range->low, range->last, to, node->world->list);
+            cw_assigner_plan_move(node->assigner, range->low, range->last, to, node->world->list);
         }
     }
     if (sim_is(node->world, node->world->settings.moves * PLAN_EVERY_MS / 1000)) {
@@ -182,19 +182,19 @@
         const cw_range_t        *range = cw_range_list_find(ranges, cell * CW_CELL_KEYS);
         const cw_server_entry_t *to = any_server(node, range->owner.id);
 
-        if (to != NULL && cw_keeper_is_settled(node->keeper, range, node->world->now)) {
-            cw_keeper_plan_move(node->keeper, cell * CW_CELL_KEYS, (cell + 1) * CW_CELL_KEYS - 1, to,
-                                node->world->list);
+        if (to != NULL && cw_assigner_is_settled(node->assigner, range, node->world->now)) {
+            cw_assigner_plan_move(node->assigner, cell * CW_CELL_KEYS, (cell + 1) * CW_CELL_KEYS - 1, to,
+                                  node->world->list);
             node->world->result->moves++;
         }
     }
     if (sim_is(node->world, 0.1)) {
-        (void)cw_keeper_plan_merge(node->keeper, (uint32_t)sim_below(node->world, CW_CELLS) * CW_CELL_KEYS);
+        (void)cw_assigner_plan_merge(node->assigner, (uint32_t)sim_below(node->world, CW_CELLS) * CW_CELL_KEYS);
     }
-    if (cw_keeper_is_stale(node->keeper, node->world->now)) {
-        cw_keeper_plan_refresh(node->keeper);
+    if (cw_assigner_is_stale(node->assigner, node->world->now)) {
+        cw_assigner_plan_refresh(node->assigner);
     }
-    cw_keeper_plan_write(node->keeper, node->world->now);
+    cw_assigner_plan_write(node->assigner, node->world->now);
 }
 
 static void plan(sim_node_t *node)
@@ -202,15 +202,15 @@
     const cw_server_entry_t *entries[CW_SIM_ADDRESSES];
     size_t                   index;
 
-    if (node->world->now < node->next_plan || !cw_keeper_may_plan(node->keeper)) {
+    if (node->world->now < node->next_plan || !cw_assigner_may_plan(node->assigner)) {
         return;
     }
     node->next_plan = node->world->now + CW_MS(PLAN_EVERY_MS);
-    if (cw_keeper_state(node->keeper) == CW_KEEPER_EMPTY) {
+    if (cw_assigner_state(node->assigner) == CW_ASSIGNER_EMPTY) {
         for (index = 0; index < node->world->list->count && index < CW_SIM_ADDRESSES - 2; index++) {
             entries[index] = &node->world->list->entries[index];
         }
-        cw_keeper_plan_first(node->keeper, entries, index, node->world->now); /* four parts: cells stay whole */
+        cw_assigner_plan_first(node->assigner, entries, index, node->world->now); /* four parts: cells stay whole */
         return;
     }
     plan_moves(node);
@@ -258,15 +258,15 @@
     sim_world_t *world = node->world;
     uint32_t     index;
 
-    if (cw_keeper_state(node->keeper) != CW_KEEPER_READY ||
+    if (cw_assigner_state(node->assigner) != CW_ASSIGNER_READY ||
         (!node->tables_due && world->now - node->told_at < CW_MS(WORD_EVERY_MS))) {
         return;
     }
     node->told_at = world->now;
     node->tables_due = false;
     if (able) {
-        set_table(&node->table, cw_keeper_ranges(node->keeper), false);
-        node->table.term = node->keeper_term;
+        set_table(&node->table, cw_assigner_ranges(node->assigner), false);
+        node->table.term = node->assigner_term;
         node->table.number = node->number;
         node->table.valid_until = world->now + CW_MS(TABLE_VALID_MS);
         node->word_at = world->now;
@@ -284,7 +284,7 @@
         }
         word->to = to;
         word->life = to->life;
-        word->term = node->keeper_term;
+        word->term = node->assigner_term;
         word->revision = node->leadership.revision;
         word->able = able;
         word->table = node->table;
@@ -292,7 +292,7 @@
     }
 }
 
-/* ---- a node without a leader's word reads the record ---- */
+/* ---- a node without a leader's heartbeat reads the record ---- */
 
 typedef struct sim_read {
     sim_node_t  *node;
@@ -370,7 +370,7 @@
     }
     node->up = false;
     node->life++;
-    node->keeper = NULL; /* its memory is gone; what a call under way holds is left to it */
+    node->assigner = NULL; /* its memory is gone; what a call under way holds is left to it */
     sim_at(world, world->now + down, start_again, node);
 }
 
@@ -383,11 +383,11 @@
     }
     step_lock(node);
     able = cw_leadership_has_authority(&node->leadership, node->world->now);
-    if (node->keeper != NULL) {
+    if (node->assigner != NULL) {
         if (able) {
             plan(node);
         }
-        cw_keeper_tick(node->keeper, node->world->list, able, node->leadership.failures > 0, node->world->now);
+        cw_assigner_tick(node->assigner, node->world->list, able, node->leadership.failures > 0, node->world->now);
         tell_others(node, able);
     }
     if (!able) {
--- a/sim/lease_servers.c
+++ b/sim/lease_servers.c
@@ -21,7 +21,7 @@
 typedef struct sim_delivery {
     sim_node_t       *node;
     uint64_t          life;
-    uint64_t          keeper_term;
+    uint64_t          assigner_term;
     cw_order_t        order;
     cw_order_result_t result;
     bool              late;
@@ -191,9 +191,9 @@
         sim_at(world, node->frozen_until, tell_node, delivery);
         return;
     }
-    if (node->up && node->life == delivery->life && node->keeper != NULL &&
-        node->keeper_term == delivery->keeper_term) {
-        cw_keeper_order_done(node->keeper, delivery->order.id, delivery->result, delivery->handover, world->now);
+    if (node->up && node->life == delivery->life && node->assigner != NULL &&
+        node->assigner_term == delivery->assigner_term) {
+        cw_assigner_order_done(node->assigner, delivery->order.id, delivery->result, delivery->handover, world->now);
     }
     free(delivery);
 }
@@ -250,7 +250,7 @@
     }
     delivery->node = node;
     delivery->life = node->life;
-    delivery->keeper_term = node->keeper_term;
+    delivery->assigner_term = node->assigner_term;
     delivery->order = *order;
     if (!reachable || !server->up) {
         /* On a kept connection the bytes may be on their way; a new one does not come up. */
--- a/sim/lease_world.h
+++ b/sim/lease_world.h
@@ -11,7 +11,7 @@
 #ifndef CEDARWINCH_SIM_LEASE_WORLD_H
 #define CEDARWINCH_SIM_LEASE_WORLD_H
 
-#include "assignment/keeper.h"
+#include "assignment/assigner.h"
 #include "lease/leadership.h"
 
 enum {
--- a/src/assignment/keeper_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -1,21 +1,21 @@
 /**
- * @file keeper_internal.h
- * @brief State shared by the keeper's parts.
+ * @file assigner_internal.h
+ * @brief State shared by the assigner's parts.
  */
-#ifndef CEDARWINCH_ASSIGNMENT_KEEPER_INTERNAL_H
-#define CEDARWINCH_ASSIGNMENT_KEEPER_INTERNAL_H
+#ifndef CEDARWINCH_ASSIGNMENT_ASSIGNER_INTERNAL_H
+#define CEDARWINCH_ASSIGNMENT_ASSIGNER_INTERNAL_H
 
-#include "assignment/keeper.h"
+#include "assignment/assigner.h"
 
 /** Kind of the objects that hold the records; one object a service. */
 
-struct cw_keeper {
+struct cw_assigner {
     char                  *service;
     uint64_t               term;
     uint64_t               incarnation;
-    cw_keeper_settings_t   settings;
-    cw_keeper_ports_t      ports;
-    cw_keeper_state_t      state;
+    cw_assigner_settings_t settings;
+    cw_assigner_ports_t    ports;
+    cw_assigner_state_t    state;
     cw_assignment_record_t record;
     uint64_t               revision; /**< of the record; 0: no object */
     cw_assignment_record_t plan;     /**< being made or written; without ranges: none */
@@ -37,10 +37,11 @@
     uint64_t               last_order;
 };
 
-void cw_keeper_send_orders(cw_keeper_t *keeper, const cw_server_list_t *servers, bool long_hold, cw_time_us_t now);
-void cw_keeper_plan_refence(cw_keeper_t *keeper, const cw_range_t *range);
+void cw_assigner_send_orders(cw_assigner_t *assigner, const cw_server_list_t *servers, bool long_hold,
+                             cw_time_us_t now);
+void cw_assigner_plan_refence(cw_assigner_t *assigner, const cw_range_t *range);
 /** Can an order that went unanswered still be carried out, or its hold still be in force? */
-bool         cw_keeper_may_wake(const cw_keeper_t *keeper, const cw_range_t *range, cw_time_us_t now);
-cw_time_us_t cw_keeper_hold_end(cw_time_us_t sent_at, cw_time_us_t hold);
+bool         cw_assigner_may_wake(const cw_assigner_t *assigner, const cw_range_t *range, cw_time_us_t now);
+cw_time_us_t cw_assigner_hold_end(cw_time_us_t sent_at, cw_time_us_t hold);
 
 #endif
--- /dev/null
+++ b/src/assignment/assigner_orders.c
@@ -0,0 +1,310 @@
+/**
+ * @file assigner_orders.c
+ * @brief Grants, renewals and releases: when they are sent and what their answers mean.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "assignment/assigner_internal.h"
+
+enum { RESEND_MS = 150, RESEND_NOT_SENT_MS = 250, ORDERS_FIRST = 32, FAILING_MS = 1000 };
+
+/* ---- sending ---- */
+
+static cw_order_t *add_order(cw_assigner_t *assigner)
+{
+    if (assigner->order_count == assigner->order_capacity) {
+        assigner->order_capacity = assigner->order_capacity == 0 ? ORDERS_FIRST : 2 * assigner->order_capacity;
+        assigner->orders = realloc(assigner->orders, assigner->order_capacity * sizeof(*assigner->orders));
+        if (assigner->orders == NULL) {
+            abort();
+        }
+    }
+    memset(&assigner->orders[assigner->order_count], 0, sizeof(*assigner->orders));
+    return &assigner->orders[assigner->order_count++];
+}
+
+static void send_order(cw_assigner_t *assigner, cw_range_t *range, cw_order_kind_t kind, const cw_holder_t *holder,
+                       cw_time_us_t hold, cw_time_us_t until_before, cw_time_us_t now)
+{
+    cw_order_t *order = add_order(assigner);
+    cw_order_t  copy;
+
+    order->id = ++assigner->last_order;
+    order->kind = kind;
+    memcpy(order->server, holder->id, sizeof(order->server));
+    memcpy(order->address, holder->address, sizeof(order->address));
+    order->low = range->low;
+    order->last = range->last;
+    order->fence = range->owner.fence; /* also of a release: it outranks what the former holder was sent */
+    order->hold = hold;
+    order->sent_at = now;
+    order->until_before = until_before;
+    order->fresh = range->failing_since != 0;
+    order->timeout = kind == CW_ORDER_GRANT ? assigner->settings.order_timeout : assigner->settings.release_timeout;
+    if (kind == CW_ORDER_GRANT) {
+        memcpy(order->handover, range->handover, sizeof(order->handover));
+    }
+    range->orders++;
+    copy = *order; /* the port may answer before it returns, and so move the array */
+    assigner->ports.order(assigner->ports.context, &copy);
+}
+
+static void send_grant(cw_assigner_t *assigner, cw_range_t *range, bool long_hold, cw_time_us_t now)
+{
+    cw_time_us_t hold = long_hold ? assigner->settings.hold_long : assigner->settings.hold;
+    cw_time_us_t until = cw_assigner_hold_end(now, hold);
+    cw_time_us_t before = range->hold_until;
+
+    range->hold_until = until > before ? until : before;
+    range->next_order = now + assigner->settings.renew_every;
+    send_order(assigner, range, CW_ORDER_GRANT, &range->owner, hold, before, now);
+}
+
+/* ---- what is due for a range ---- */
+
+static void finish_release(cw_assigner_t *assigner, cw_range_t *range, const char *why, cw_time_us_t now)
+{
+    assigner->ports.note(assigner->ports.context, assigner->service, "former holder let go", range, why);
+    memset(&range->former, 0, sizeof(range->former));
+    if (assigner->stale_since == 0) {
+        assigner->stale_since = now;
+    }
+    range->phase = CW_RANGE_GRANTING;
+    range->failing_since = 0;
+    range->next_order = now;
+}
+
+static void step_releasing(cw_assigner_t *assigner, cw_range_t *range, const cw_server_list_t *servers,
+                           cw_time_us_t now)
+{
+    bool ended = cw_server_list_find(servers, range->former.id) == NULL &&
+                 cw_server_list_successor(servers, range->former.id, range->former.address) != NULL;
+
+    if (ended) {
+        finish_release(assigner, range, "its life ended", now);
+    } else if (now >= range->former_until) {
+        finish_release(assigner, range, "its hold ran out", now);
+    } else if (range->orders == 0 && now >= range->next_order) {
+        range->next_order = now + CW_MS(RESEND_MS);
+        send_order(assigner, range, CW_ORDER_RELEASE, &range->former, 0, 0, now);
+    }
+}
+
+/* A lost owner is not renewed, so that its hold can run out. */
+static bool is_wanted(const cw_server_list_t *servers, const cw_range_t *range)
+{
+    const cw_server_entry_t *entry = cw_server_list_find(servers, range->owner.id);
+
+    if (range->owner_ended) {
+        return false;
+    }
+    return entry != NULL || cw_server_list_successor(servers, range->owner.id, range->owner.address) == NULL;
+}
+
+/* A plan that is being written gives the range to another server. An owner that holds it is renewed until the write is
+ * done, which may take as long as the store is down; one that has not been granted it must not get it behind the plan's
+ * back, and one that cannot be reached is left to its hold's end. */
+static bool is_leaving(const cw_assigner_t *assigner, const cw_range_t *range)
+{
+    const cw_range_t *planned;
+
+    if (!assigner->writing || assigner->adopting || (range->phase == CW_RANGE_HELD && range->failing_since == 0)) {
+        return false;
+    }
+    planned = cw_range_list_find(&assigner->plan.ranges, range->low);
+    return planned != NULL && strcmp(planned->owner.id, range->owner.id) != 0;
+}
+
+static void step(cw_assigner_t *assigner, cw_range_t *range, const cw_server_list_t *servers, bool long_hold,
+                 cw_time_us_t now)
+{
+    if (range->phase == CW_RANGE_RELEASING) {
+        step_releasing(assigner, range, servers, now);
+    }
+    if (range->phase == CW_RANGE_RELEASING || range->orders > 0 || now < range->next_order) {
+        return;
+    }
+    if (!is_wanted(servers, range) || is_leaving(assigner, range)) {
+        return;
+    }
+    send_grant(assigner, range, long_hold, now);
+}
+
+void cw_assigner_send_orders(cw_assigner_t *assigner, const cw_server_list_t *servers, bool long_hold, cw_time_us_t now)
+{
+    size_t index;
+
+    for (index = 0; index < assigner->record.ranges.count; index++) {
+        cw_range_t *range = &assigner->record.ranges.items[index];
+
+        if (long_hold && !assigner->long_hold && range->phase == CW_RANGE_HELD) {
+            range->next_order = now; /* longer holds, while there is authority to give them */
+        }
+        step(assigner, range, servers, long_hold, now);
+    }
+    assigner->long_hold = long_hold;
+}
+
+/* ---- answers ---- */
+
+static bool take_order(cw_assigner_t *assigner, uint64_t id, cw_order_t *order)
+{
+    size_t index;
+
+    for (index = 0; index < assigner->order_count; index++) {
+        if (assigner->orders[index].id == id) {
+            *order = assigner->orders[index];
+            assigner->orders[index] = assigner->orders[--assigner->order_count];
+            return true;
+        }
+    }
+    return false;
+}
+
+static void granted(cw_assigner_t *assigner, cw_range_t *range, const cw_order_t *order, cw_time_us_t now)
+{
+    bool first = range->phase == CW_RANGE_GRANTING;
+
+    range->failing_since = 0;
+    range->taken_at = order->sent_at;
+    range->phase = CW_RANGE_HELD;
+    range->next_order = order->sent_at + assigner->settings.renew_every;
+    if (first) {
+        assigner->ports.note(assigner->ports.context, assigner->service, "granted", range,
+                             range->handover[0] == '\0' ? "without handover" : "with handover");
+        assigner->ports.changed(assigner->ports.context);
+    }
+    (void)now;
+}
+
+static void grant_failed(cw_assigner_t *assigner, cw_range_t *range, const cw_order_t *order, cw_order_result_t result,
+                         cw_time_us_t now)
+{
+    if (result == CW_ORDER_UNANSWERED) {
+        range->unanswered_at = now;
+    } else if (result == CW_ORDER_NOT_SENT) {
+        range->hold_until = order->until_before;
+    }
+    if (range->failing_since == 0) {
+        range->failing_since = now;
+        assigner->ports.note(assigner->ports.context, assigner->service, "grant not confirmed", range,
+                             result == CW_ORDER_NOT_SENT ? "no connection" : "no answer");
+    }
+    range->next_order = now + CW_MS(result == CW_ORDER_NOT_SENT ? RESEND_NOT_SENT_MS : RESEND_MS);
+}
+
+static void answer_grant(cw_assigner_t *assigner, cw_range_t *range, const cw_order_t *order, cw_order_result_t result,
+                         cw_time_us_t now)
+{
+    if (range->phase == CW_RANGE_RELEASING) {
+        return;
+    }
+    switch (result) {
+    case CW_ORDER_DONE:
+        granted(assigner, range, order, now);
+        break;
+    case CW_ORDER_FENCED:
+        assigner->ports.note(assigner->ports.context, assigner->service, "grant fenced", range,
+                             "a higher fence was seen");
+        range->next_order = now + CW_MS(RESEND_NOT_SENT_MS);
+        if (!assigner->writing) {
+            cw_assigner_plan_refence(assigner, range);
+            cw_assigner_plan_write(assigner, now);
+        }
+        break;
+    case CW_ORDER_ENDED:
+        range->owner_ended = true;
+        assigner->ports.note(assigner->ports.context, assigner->service, "owner ended", range, "another life answers");
+        range->next_order = now + CW_MS(RESEND_NOT_SENT_MS);
+        break;
+    case CW_ORDER_REFUSED:
+    case CW_ORDER_NOT_SENT:
+    case CW_ORDER_UNANSWERED:
+        grant_failed(assigner, range, order, result, now);
+        break;
+    }
+}
+
+static void answer_release(cw_assigner_t *assigner, cw_range_t *range, cw_order_result_t result, const char *handover,
+                           cw_time_us_t now)
+{
+    if (range->phase != CW_RANGE_RELEASING) {
+        return;
+    }
+    if (result == CW_ORDER_ENDED) {
+        finish_release(assigner, range, "another life answers", now);
+        return;
+    }
+    if (result != CW_ORDER_DONE) {
+        range->failing_since = now;
+        range->next_order = now + CW_MS(RESEND_MS);
+        return;
+    }
+    snprintf(range->handover, sizeof(range->handover), "%s", handover == NULL ? "" : handover);
+    finish_release(assigner, range, "released", now);
+}
+
+void cw_assigner_order_done(cw_assigner_t *assigner, uint64_t id, cw_order_result_t result, const char *handover,
+                            cw_time_us_t now)
+{
+    cw_order_t        order;
+    const cw_range_t *first;
+    size_t            index;
+
+    assigner->now = now;
+    if (!take_order(assigner, id, &order)) {
+        return;
+    }
+    first =
+        cw_range_list_find(&assigner->record.ranges, order.low); /* in order of keys: the others are not looked at */
+    index = first == NULL ? assigner->record.ranges.count : (size_t)(first - assigner->record.ranges.items);
+    for (; index < assigner->record.ranges.count; index++) {
+        cw_range_t *range = &assigner->record.ranges.items[index];
+
+        if (range->low > order.last) {
+            break;
+        }
+        if (range->low < order.low || range->last > order.last || range->owner.fence != order.fence) {
+            continue;
+        }
+        if (range->orders > 0) {
+            range->orders--;
+        }
+        if (order.kind == CW_ORDER_GRANT) {
+            answer_grant(assigner, range, &order, result, now);
+        } else {
+            answer_release(assigner, range, result, handover, now);
+        }
+    }
+}
+
+/* ---- what planners ask ---- */
+
+enum { STALE_MS = 1000 };
+
+bool cw_assigner_is_stale(const cw_assigner_t *assigner, cw_time_us_t now)
+{
+    return assigner->stale_since != 0 && now - assigner->stale_since > CW_MS(STALE_MS);
+}
+
+bool cw_assigner_is_settled(const cw_assigner_t *assigner, const cw_range_t *range, cw_time_us_t now)
+{
+    return range->phase == CW_RANGE_HELD && range->failing_since == 0 && !cw_assigner_may_wake(assigner, range, now);
+}
+
+double cw_assigner_failing_share(const cw_assigner_t *assigner, cw_time_us_t now)
+{
+    size_t failing = 0;
+    size_t index;
+
+    for (index = 0; index < assigner->record.ranges.count; index++) {
+        const cw_range_t *range = &assigner->record.ranges.items[index];
+
+        if (range->failing_since != 0 && now - range->failing_since > CW_MS(FAILING_MS)) {
+            failing++;
+        }
+    }
+    return assigner->record.ranges.count == 0 ? 0 : (double)failing / (double)assigner->record.ranges.count;
+}
--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -68,7 +68,7 @@
 {
     memset(leadership, 0, sizeof(*leadership));
     leadership->settings = *settings;
-    leadership->heard_at = now - CW_SECONDS(LONG_AGO_S);
+    leadership->last_received_at = now - CW_SECONDS(LONG_AGO_S);
     leadership->next_at = now + settings->first_look_after + moment_within(leadership, settings->first_look_within);
     leadership->pending = CW_LEADERSHIP_WAIT;
 }
@@ -98,7 +98,7 @@
         return;
     }
     if (able) {
-        leadership->heard_at = now;
+        leadership->last_received_at = now;
     }
     if (revision > leadership->revision) {
         note_seen(leadership, revision, now);
@@ -115,7 +115,7 @@
 void cw_leadership_heard_stop(cw_leadership_t *leadership, cw_time_us_t now)
 {
     if (!leadership->leading) {
-        leadership->heard_at =
+        leadership->last_received_at =
             now - leadership->settings.silence; /* what a deferring node waits besides, counts from now */
         leadership->next_at = now + CW_MS(RETRY_FIRST_MS) + turn_of(leadership);
     }
@@ -205,7 +205,7 @@
 static cw_leadership_action_t follow(cw_leadership_t *leadership, cw_time_us_t now)
 {
     if (leadership->resigning || now < leadership->follow_until ||
-        now - leadership->heard_at < silence_before_look(leadership)) {
+        now - leadership->last_received_at < silence_before_look(leadership)) {
         return CW_LEADERSHIP_WAIT;
     }
     if (leadership->absent) {
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -65,12 +65,12 @@
     bool                     stepping_down; /**< resigning, to follow again */
     cw_time_us_t             follow_until;
     cw_time_us_t             authority_end;
-    cw_lock_t                lock;      /**< as last seen */
-    uint64_t                 revision;  /**< of the lock as last seen; 0: none seen */
-    cw_time_us_t             seen_at;   /**< since when this revision is known */
-    bool                     absent;    /**< a read found no lock */
-    cw_time_us_t             heard_at;  /**< last word of a leader with authority */
-    cw_time_us_t             looked_at; /**< when the store last told the lock */
+    cw_lock_t                lock;             /**< as last seen */
+    uint64_t                 revision;         /**< of the lock as last seen; 0: none seen */
+    cw_time_us_t             seen_at;          /**< since when this revision is known */
+    bool                     absent;           /**< a read found no lock */
+    cw_time_us_t             last_received_at; /**< last heartbeat of a leader with authority */
+    cw_time_us_t             looked_at;        /**< when the store last told the lock */
     bool                     must_read;
     cw_leadership_action_t   pending;
     cw_lock_t                write;
--- a/src/model/server_view.h
+++ b/src/model/server_view.h
@@ -11,7 +11,7 @@
  *    reading only with a heartbeat after the last one seen. What another node keeps though it is missing
  *    (server_absence.h) does not bring it back here: its time counts from when this node first missed it.
  *  - `true_at`: the list was surely true at this moment of the node's own steady clock (the sending of the call that
- *    read it, or the leader's word less the age it tells).
+ *    read it, or the leader's heartbeat less the age it tells).
  *
  * No I/O, no clock.
  */
@@ -62,7 +62,7 @@
 /** Offers a list, which is given away. CW_VIEW_CHANGED: `before` is the former list (NULL: none), to be released. */
 cw_view_result_t cw_server_view_take(cw_server_view_t *view, const cw_server_reading_t *reading, cw_time_us_t now,
                                      cw_server_list_t **before);
-/** The leader's word: the list in force was still true at this revision and moment. */
+/** The leader's heartbeat: the list in force was still true at this revision and moment. */
 void cw_server_view_confirm(cw_server_view_t *view, uint64_t revision, cw_time_us_t true_at);
 /** Lets go of servers whose time to sign in again is over. */
 cw_view_result_t cw_server_view_expire(cw_server_view_t *view, cw_time_us_t now, cw_server_list_t **before);
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -191,7 +191,7 @@
     while (*place != NULL) {
         cw_peer_t *peer = *place;
 
-        if (now - (peer->heard_at > peer->told_at ? peer->heard_at : peer->told_at) > silence) {
+        if (now - (peer->last_received_at > peer->told_at ? peer->last_received_at : peer->told_at) > silence) {
             *place = peer->next;
             /* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
             HASH_DELETE(by_address, link->by_address, peer);
@@ -208,7 +208,7 @@
     uint32_t         count = 0;
 
     for (peer = link->peers; peer != NULL; peer = peer->next) {
-        count += peer->heard_at != 0 && now - peer->heard_at <= silence ? 1 : 0;
+        count += peer->last_received_at != 0 && now - peer->last_received_at <= silence ? 1 : 0;
     }
     return count;
 }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -31,8 +31,8 @@
     char            zone[64];
     uint64_t        incarnation;
     uint32_t        sequence;
-    cw_time_us_t    heard_at; /**< 0: never */
-    cw_time_us_t    told_at;  /**< when its address was told */
+    cw_time_us_t    last_received_at; /**< 0: never */
+    cw_time_us_t    told_at;          /**< when its address was told */
     bool            stopping;
     uint32_t        capability; /**< to lead, as it told; 0: not known */
     bool            is_lost;
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -47,7 +47,7 @@
 
 static void measure_servers(cw_planner_t *planner)
 {
-    const cw_range_list_t *ranges = cw_keeper_ranges(planner->keeper);
+    const cw_range_list_t *ranges = cw_assigner_ranges(planner->assigner);
     size_t                 index;
 
     for (index = 0; index < planner->server_count; index++) {
@@ -112,7 +112,7 @@
 void cw_planner_move(cw_planner_t *planner, const cw_planner_piece_t *piece, cw_planner_server_t *from,
                      cw_planner_server_t *to)
 {
-    cw_keeper_plan_move(planner->keeper, piece->low, piece->last, to->entry, planner->list);
+    cw_assigner_plan_move(planner->assigner, piece->low, piece->last, to->entry, planner->list);
     note_move(planner, piece, to);
     if (from != NULL) {
         from->per_s -= piece->per_s;
@@ -125,7 +125,7 @@
 
 bool cw_planner_is_moveable(const cw_planner_t *planner, const cw_range_t *range)
 {
-    return cw_keeper_is_settled(planner->keeper, range, planner->now) &&
+    return cw_assigner_is_settled(planner->assigner, range, planner->now) &&
            planner->now - range->moved_at > planner->settings->rest;
 }
 
@@ -158,9 +158,9 @@
 
 static void plan_forced(cw_planner_t *planner)
 {
-    /* The keeper's own list does not change while a plan is made. */
-    const cw_range_list_t *ranges = cw_keeper_ranges(planner->keeper);
-    bool                   unreachable = cw_keeper_failing_share(planner->keeper, planner->now) > 0.5;
+    /* The assigner's own list does not change while a plan is made. */
+    const cw_range_list_t *ranges = cw_assigner_ranges(planner->assigner);
+    bool                   unreachable = cw_assigner_failing_share(planner->assigner, planner->now) > 0.5;
     size_t                 index;
 
     for (index = 0; index < ranges->count; index++) {
@@ -184,25 +184,25 @@
 
 static void plan_joins(cw_planner_t *planner)
 {
-    const cw_range_list_t *ranges = cw_keeper_ranges(planner->keeper);
+    const cw_range_list_t *ranges = cw_assigner_ranges(planner->assigner);
     size_t                 index;
 
     if (ranges->count <= planner->settings->ranges_each * planner->server_count) {
         return;
     }
     for (index = 0; index + 1 < ranges->count; index++) {
-        if (cw_keeper_is_settled(planner->keeper, &ranges->items[index], planner->now) &&
-            cw_keeper_is_settled(planner->keeper, &ranges->items[index + 1], planner->now) &&
-            cw_keeper_plan_merge(planner->keeper, ranges->items[index].low)) {
+        if (cw_assigner_is_settled(planner->assigner, &ranges->items[index], planner->now) &&
+            cw_assigner_is_settled(planner->assigner, &ranges->items[index + 1], planner->now) &&
+            cw_assigner_plan_merge(planner->assigner, ranges->items[index].low)) {
             planner->changes++;
             return;
         }
     }
 }
 
-double cw_planner_missing_share(const cw_keeper_t *keeper, const cw_server_list_t *list)
+double cw_planner_missing_share(const cw_assigner_t *assigner, const cw_server_list_t *list)
 {
-    const cw_range_list_t *ranges = cw_keeper_ranges(keeper);
+    const cw_range_list_t *ranges = cw_assigner_ranges(assigner);
     size_t                 missing = 0;
     size_t                 index;
 
@@ -219,7 +219,7 @@
 
 size_t cw_planner_run(const cw_planner_input_t *input)
 {
-    cw_planner_t planner = {.keeper = input->keeper,
+    cw_planner_t planner = {.assigner = input->assigner,
                             .settings = input->settings,
                             .servers = input->servers,
                             .server_count = input->server_count,
@@ -227,12 +227,12 @@
                             .doubts_list = input->doubts_list,
                             .now = input->now};
 
-    if (cw_keeper_state(planner.keeper) != CW_KEEPER_READY || !cw_keeper_may_plan(planner.keeper)) {
+    if (cw_assigner_state(planner.assigner) != CW_ASSIGNER_READY || !cw_assigner_may_plan(planner.assigner)) {
         return 0;
     }
     planner.load_count = cw_load_window_read(input->window, planner.now, &planner.loads);
     planner.per_s = cw_planner_load_between(&planner, 0, CW_KEY_LAST);
-    cw_range_list_copy(&planner.ranges, cw_keeper_ranges(planner.keeper));
+    cw_range_list_copy(&planner.ranges, cw_assigner_ranges(planner.assigner));
     planner.errors = errors_among(input->settings->errors, input->server_count);
     planner.is_in_pieces = is_in_pieces(&planner);
     measure_servers(&planner);
@@ -248,10 +248,10 @@
     if (planner.changes == 0) {
         plan_joins(&planner);
     }
-    if (planner.changes == 0 && cw_keeper_is_stale(planner.keeper, planner.now)) {
-        cw_keeper_plan_refresh(planner.keeper);
+    if (planner.changes == 0 && cw_assigner_is_stale(planner.assigner, planner.now)) {
+        cw_assigner_plan_refresh(planner.assigner);
     }
-    cw_keeper_plan_write(planner.keeper, planner.now);
+    cw_assigner_plan_write(planner.assigner, planner.now);
     free(planner.loads);
     cw_range_list_clear(&planner.ranges);
     return planner.changes;
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -10,7 +10,7 @@
 #ifndef CEDARWINCH_PLACEMENT_PLANNER_H
 #define CEDARWINCH_PLACEMENT_PLANNER_H
 
-#include "assignment/keeper.h"
+#include "assignment/assigner.h"
 #include "placement/load_window.h"
 
 /** A server of the service as the planner sees it. */
@@ -39,7 +39,7 @@
 
 /** What a plan is made from. */
 typedef struct cw_planner_input {
-    cw_keeper_t                 *keeper;
+    cw_assigner_t               *assigner;
     const cw_planner_settings_t *settings;
     cw_planner_server_t         *servers; /**< of the service; per_s and keys are filled in */
     size_t                       server_count;
@@ -49,9 +49,9 @@
     cw_time_us_t                 now;
 } cw_planner_input_t;
 
-/** Plans into the keeper and hands the plan in. Returns the number of changes. */
+/** Plans into the assigner and hands the plan in. Returns the number of changes. */
 size_t cw_planner_run(const cw_planner_input_t *input);
 /** Share of the ranges whose owners are missing in the list, though nothing shows that they ended. */
-double cw_planner_missing_share(const cw_keeper_t *keeper, const cw_server_list_t *list);
+double cw_planner_missing_share(const cw_assigner_t *assigner, const cw_server_list_t *list);
 
 #endif
--- a/src/placement/planner_balance.c
+++ b/src/placement/planner_balance.c
@@ -206,7 +206,7 @@
         const cw_range_t *range = &planner->ranges.items[index];
 
         if (strcmp(range->owner.id, server->entry->id) == 0 && range->last > range->low &&
-            cw_keeper_is_settled(planner->keeper, range, planner->now) &&
+            cw_assigner_is_settled(planner->assigner, range, planner->now) &&
             (largest == NULL || range->last - range->low > largest->last - largest->low)) {
             largest = range;
         }
--- a/src/placement/planner_hot.c
+++ b/src/placement/planner_hot.c
@@ -52,7 +52,7 @@
     cw_planner_server_t *best;
     cw_planner_piece_t   piece = {load->key, load->key, load->per_s};
 
-    if (!cw_keeper_is_settled(planner->keeper, range, planner->now) ||
+    if (!cw_assigner_is_settled(planner->assigner, range, planner->now) ||
         (is_alone && (owner == NULL || owner->cost_s <= planner->fastest_cost * stay_fast ||
                       planner->now - range->moved_at <= planner->settings->rest))) {
         return;
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -11,7 +11,7 @@
 #include "placement/planner.h"
 
 typedef struct cw_planner {
-    cw_keeper_t                 *keeper;
+    cw_assigner_t               *assigner;
     const cw_planner_settings_t *settings;
     cw_planner_server_t         *servers;
     size_t                       server_count;
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -90,7 +90,7 @@
 void cw_engine_set_nodes(cw_engine_t *engine, uint32_t nodes, uint32_t in_reach);
 void cw_engine_set_table(cw_engine_t *engine, const char *service, const cw_key_route_t *routes, size_t count,
                          uint64_t version);
-/** When the tables were last confirmed, and until when they may be used without a fresh word. */
+/** When the tables were last confirmed, and until when they may be used without a fresh heartbeat. */
 void cw_engine_set_tables_valid(cw_engine_t *engine, cw_time_us_t confirmed_at, cw_time_us_t until);
 /** Slots, servers or tables have changed: looks at what waits. */
 void cw_engine_wake(cw_engine_t *engine);
--- a/src/router/adapter.h
+++ b/src/router/adapter.h
@@ -7,7 +7,7 @@
 
 #include <uv.h>
 
-#include "assignment/keeper.h"
+#include "assignment/assigner.h"
 #include "proxy/engine.h"
 #include "store/store.h"
 
--- a/src/router/router_keepers.c
+++ b/src/router/router_assigners.c
@@ -1,6 +1,6 @@
 /**
- * @file router_keepers.c
- * @brief The leader's keepers, one for each service divided by key: what they need of the node, and samples of load.
+ * @file router_assigners.c
+ * @brief The leader's assigners, one for each service divided by key: what they need of the node, and samples of load.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -15,22 +15,22 @@
     LATE_ORDERS_S = 13
 };
 
-/* ---- ports of the keepers ---- */
+/* ---- ports of the assigners ---- */
 
 static void order_done(void *context, uint64_t order, cw_order_result_t result, const char *handover);
 
-/** An order under way, on behalf of a keeper that may be gone by the time of its answer. */
+/** An order under way, on behalf of an assigner that may be gone by the time of its answer. */
 typedef struct lead_order {
-    cw_router_t *router;
-    cw_keeper_t *keeper;
+    cw_router_t   *router;
+    cw_assigner_t *assigner;
 } lead_order_t;
 
-static bool is_kept(const cw_router_t *router, const cw_keeper_t *keeper)
+static bool is_kept(const cw_router_t *router, const cw_assigner_t *assigner)
 {
     size_t index;
 
     for (index = 0; index < router->keyed_count; index++) {
-        if (router->keyed[index].keeper == keeper) {
+        if (router->keyed[index].assigner == assigner) {
             return true;
         }
     }
@@ -41,8 +41,8 @@
 {
     lead_order_t *order = context;
 
-    if (is_kept(order->router, order->keeper)) {
-        cw_keeper_order_done(order->keeper, id, result, handover, cw_router_now(order->router));
+    if (is_kept(order->router, order->assigner)) {
+        cw_assigner_order_done(order->assigner, id, result, handover, cw_router_now(order->router));
     }
     free(order);
 }
@@ -56,7 +56,7 @@
         abort();
     }
     under_way->router = keyed->router;
-    under_way->keeper = keyed->keeper;
+    under_way->assigner = keyed->assigner;
     keyed->router->adapter->order(keyed->router->platform, order, order_done, under_way);
 }
 
@@ -69,9 +69,9 @@
         return true;
     }
     for (index = 0; index < router->keyed_count; index++) {
-        cw_keeper_state_t state = cw_keeper_state(router->keyed[index].keeper);
+        cw_assigner_state_t state = cw_assigner_state(router->keyed[index].assigner);
 
-        if (state == CW_KEEPER_NEW || state == CW_KEEPER_CALLING) {
+        if (state == CW_ASSIGNER_NEW || state == CW_ASSIGNER_CALLING) {
             return false;
         }
     }
@@ -90,10 +90,11 @@
         return;
     }
     for (index = 0; index < router->keyed_count; index++) {
-        const cw_keeper_t     *keeper = router->keyed[index].keeper;
-        const cw_range_list_t *ranges = cw_keeper_ranges(keeper);
+        const cw_assigner_t   *assigner = router->keyed[index].assigner;
+        const cw_range_list_t *ranges = cw_assigner_ranges(assigner);
 
-        any = (ranges->count > 0 && cw_key_tables_update(&router->tables, cw_keeper_service(keeper), ranges, number)) ||
+        any = (ranges->count > 0 &&
+               cw_key_tables_update(&router->tables, cw_assigner_service(assigner), ranges, number)) ||
               any;
     }
     if (!any) {
@@ -132,7 +133,7 @@
     size_t index;
 
     for (index = 0; index < router->keyed_count; index++) {
-        if (strcmp(cw_keeper_service(router->keyed[index].keeper), name) == 0) {
+        if (strcmp(cw_assigner_service(router->keyed[index].assigner), name) == 0) {
             return &router->keyed[index];
         }
     }
@@ -141,22 +142,22 @@
 
 static void add_keyed(cw_router_t *router, const char *name)
 {
-    cw_keyed_service_t  *keyed = &router->keyed[router->keyed_count];
-    cw_keeper_settings_t settings = {.hold = router->settings.hold,
-                                     .hold_long = router->settings.hold_long,
-                                     .renew_every = router->settings.hold / RENEWALS_A_HOLD,
-                                     .order_timeout = CW_MS(ORDER_TIMEOUT_MS),
-                                     .release_timeout = CW_MS(RELEASE_TIMEOUT_MS),
-                                     .late_orders = CW_SECONDS(LATE_ORDERS_S),
-                                     .table_valid = router->settings.hold * CW_TABLES_VALID_PERCENT / 100};
-    cw_keeper_ports_t    ports = {.context = keyed,
-                                  .store = router->store,
-                                  .order = send_order,
-                                  .changed = tables_changed,
-                                  .note = note_assignment};
+    cw_keyed_service_t    *keyed = &router->keyed[router->keyed_count];
+    cw_assigner_settings_t settings = {.hold = router->settings.hold,
+                                       .hold_long = router->settings.hold_long,
+                                       .renew_every = router->settings.hold / RENEWALS_A_HOLD,
+                                       .order_timeout = CW_MS(ORDER_TIMEOUT_MS),
+                                       .release_timeout = CW_MS(RELEASE_TIMEOUT_MS),
+                                       .late_orders = CW_SECONDS(LATE_ORDERS_S),
+                                       .table_valid = router->settings.hold * CW_TABLES_VALID_PERCENT / 100};
+    cw_assigner_ports_t    ports = {.context = keyed,
+                                    .store = router->store,
+                                    .order = send_order,
+                                    .changed = tables_changed,
+                                    .note = note_assignment};
 
     keyed->router = router;
-    keyed->keeper = cw_keeper_create(name, router->leadership.lock.term, router->incarnation, &settings, &ports);
+    keyed->assigner = cw_assigner_create(name, router->leadership.lock.term, router->incarnation, &settings, &ports);
     router->keyed_count++;
 }
 
@@ -183,7 +184,7 @@
     for (index = 0; index < router->keyed_count; index++) {
         cw_keyed_service_t *keyed = &router->keyed[index];
 
-        if (cw_short_name(cw_keeper_service(keyed->keeper)) != service_hash) {
+        if (cw_short_name(cw_assigner_service(keyed->assigner)) != service_hash) {
             continue;
         }
         for (key = 0; key < count; key++) {
@@ -192,12 +193,12 @@
     }
 }
 
-void cw_router_end_keepers(cw_router_t *router)
+void cw_router_end_assigners(cw_router_t *router)
 {
     size_t index;
 
     for (index = 0; index < router->keyed_count; index++) {
-        cw_keeper_free(router->keyed[index].keeper);
+        cw_assigner_free(router->keyed[index].assigner);
         cw_load_window_clear(&router->keyed[index].window);
         cw_ownership_measures_clear(&router->keyed[index].measures);
     }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -26,12 +26,12 @@
     CW_KEYED_SERVICES_MAX = CW_TABLE_SERVICES_MAX,
     CW_PAGES_MAX = 512,
     CW_QUEUE_REPORTS_MAX = 256,
-    CW_TABLES_VALID_PERCENT = 80 /**< of a grant's hold: tables are used no longer without a fresh word */
+    CW_TABLES_VALID_PERCENT = 80 /**< of a grant's hold: tables are used no longer without a fresh heartbeat */
 };
 
 /** The leader's care for one service divided by key. */
 typedef struct cw_keyed_service {
-    cw_keeper_t            *keeper;
+    cw_assigner_t          *assigner;
     struct cw_router       *router;
     cw_load_window_t        window;
     cw_ownership_measures_t measures;
@@ -130,7 +130,7 @@
     uint64_t           view_servers;
     uint64_t           view_tables;
     cw_time_us_t       tables_at; /**< when the tables were surely true */
-    cw_time_us_t       leader_word_at;
+    cw_time_us_t       leader_heartbeat_at;
     uint64_t           leader_term;
     bool               leader_silent;  /**< told in the log */
     bool               tables_expired; /**< told in the log */
@@ -216,8 +216,8 @@
 void cw_router_note_older_servers(const cw_router_t *router, uint64_t revision, const char *source);
 /** Routes by the tables as they are now, and by the servers known now. */
 void cw_router_use_tables(cw_router_t *router);
-void cw_router_take_leader_word(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderWord *word,
-                                cw_time_us_t now);
+void cw_router_take_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderHeartbeat *heartbeat,
+                                     cw_time_us_t now);
 /** Reads what no leader tells. */
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now);
 void cw_router_on_servers(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest);
@@ -247,7 +247,7 @@
 void cw_router_take_table_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__TablePage *page);
 void cw_router_take_ack(cw_router_t *router, cw_peer_t *peer, const Cwp__ViewAck *ack);
 /** Takes the leader's numbers over where what this node has is the same by its hash. */
-void cw_router_adopt(cw_router_t *router, const cw_peer_t *leader, const Cwp__LeaderWord *word);
+void cw_router_adopt(cw_router_t *router, const cw_peer_t *leader, const Cwp__LeaderHeartbeat *heartbeat);
 
 /* ---- router_plan.c ---- */
 /** Makes a plan for a service this node leads, if it is time for one. */
@@ -255,10 +255,10 @@
 /** Counts imbalance, churn and unavailable time of a service this node leads. */
 void cw_router_measure(cw_keyed_service_t *keyed, cw_time_us_t now);
 
-/* ---- router_keepers.c ---- */
-/** Makes a keeper for each service divided by key that has none yet. */
+/* ---- router_assigners.c ---- */
+/** Makes an assigner for each service divided by key that has none yet. */
 void cw_router_find_keyed(cw_router_t *router);
-void cw_router_end_keepers(cw_router_t *router);
+void cw_router_end_assigners(cw_router_t *router);
 void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
                             uint32_t seen, cw_time_us_t now);
 
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -83,7 +83,7 @@
         (void)cw_peer_link_learn_text(router->link, router->leadership.lock.address, now);
     }
     if (router->leadership.leading && (!before || router->leadership.lock.term != term)) {
-        cw_router_end_keepers(router);
+        cw_router_end_assigners(router);
         router->led_since = now;
         router->lead_servers = 1;
         router->lead_tables = 0;
@@ -100,9 +100,9 @@
         if (router->leadership.lock.vacant) {
             router->vacated_term = term;
             router->vacated_at = now;
-            router->all_due = true; /* others need not wait until they miss the leader's word */
+            router->all_due = true; /* others need not wait until they miss the leader's heartbeat */
         }
-        cw_router_end_keepers(router);
+        cw_router_end_assigners(router);
         router->lead_tables = 0;
         router->view_term = 0;
         router->leader_node[0] = '\0';
@@ -190,9 +190,9 @@
 /* ---- a leader that reaches the store, but not the servers ---- */
 
 /* Owners that this leader's orders do not reach while other nodes get answers from them. */
-static size_t count_cut_off(cw_router_t *router, const cw_keeper_t *keeper, cw_time_us_t now)
+static size_t count_cut_off(cw_router_t *router, const cw_assigner_t *assigner, cw_time_us_t now)
 {
-    const cw_range_list_t *ranges = cw_keeper_ranges(keeper);
+    const cw_range_list_t *ranges = cw_assigner_ranges(assigner);
     size_t                 count = 0;
     size_t                 index;
 
@@ -215,8 +215,8 @@
     size_t ranges = 0;
 
     for (index = 0; index < router->keyed_count; index++) {
-        cut_off += count_cut_off(router, router->keyed[index].keeper, now);
-        ranges += cw_keeper_ranges(router->keyed[index].keeper)->count;
+        cut_off += count_cut_off(router, router->keyed[index].assigner, now);
+        ranges += cw_assigner_ranges(router->keyed[index].assigner)->count;
     }
     if (cut_off >= CUT_OFF_RANGES && cut_off * 100 >= ranges * CUT_OFF_PERCENT && !router->leadership.resigning) {
         note_leadership(router, CW_EVENT_LEADER_LOST, "orders do not reach servers that answer others");
@@ -240,7 +240,8 @@
     const cw_peer_t *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->heard_at != 0 && !peer->is_lost && !peer->stopping && peer->capability >= BETTER_TIMES * own) {
+        if (peer->last_received_at != 0 && !peer->is_lost && !peer->stopping &&
+            peer->capability >= BETTER_TIMES * own) {
             return true;
         }
     }
@@ -278,7 +279,7 @@
     size_t index;
 
     for (index = 0; index < router->keyed_count; index++) {
-        if (cw_keeper_state(router->keyed[index].keeper) == CW_KEEPER_DEPOSED) {
+        if (cw_assigner_state(router->keyed[index].assigner) == CW_ASSIGNER_DEPOSED) {
             return true;
         }
     }
@@ -304,8 +305,8 @@
     cw_router_find_keyed(router);
     for (index = 0; index < router->keyed_count; index++) {
         cw_router_plan(router, &router->keyed[index], now);
-        cw_keeper_tick(router->keyed[index].keeper, router->server_view.list, able, is_store_in_trouble(router, now),
-                       now);
+        cw_assigner_tick(router->keyed[index].assigner, router->server_view.list, able,
+                         is_store_in_trouble(router, now), now);
         cw_router_measure(&router->keyed[index], now);
     }
     resign_if_cut_off(router, now);
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -1,6 +1,6 @@
 /**
  * @file router_peers.c
- * @brief Reports between nodes: what each has under way at each server, keys seen, the leader's word.
+ * @brief Reports between nodes: what each has under way at each server, keys seen, the leader's heartbeat.
  *
  * Nodes of one zone tell one another soon after each change; nodes of other zones at a slower pace, since bytes between
  * zones cost. A report tells a whole state, so a lost one is mended by the next. The pace falls with the number of
@@ -37,19 +37,19 @@
 
 /** A report while it is being made. */
 typedef struct report_builder {
-    Cwp__NodeReport   report;
-    Cwp__LeaderWord   leader;
-    Cwp__ServerLoad   loads[LOADS_MAX];
-    Cwp__ServerLoad  *load_pointers[LOADS_MAX];
-    Cwp__ServerPace   paces[LOADS_MAX];
-    Cwp__ServerPace  *pace_pointers[LOADS_MAX];
-    Cwp__QueueLength  queues[QUEUES_MAX];
-    Cwp__QueueLength *queue_pointers[QUEUES_MAX];
-    Cwp__KeySamples   samples[SAMPLES_MAX];
-    Cwp__KeySamples  *sample_pointers[SAMPLES_MAX];
-    cw_key_samples_t  keys[SAMPLES_MAX];
-    size_t            queue_count;
-    size_t            sample_count;
+    Cwp__NodeReport      report;
+    Cwp__LeaderHeartbeat leader;
+    Cwp__ServerLoad      loads[LOADS_MAX];
+    Cwp__ServerLoad     *load_pointers[LOADS_MAX];
+    Cwp__ServerPace      paces[LOADS_MAX];
+    Cwp__ServerPace     *pace_pointers[LOADS_MAX];
+    Cwp__QueueLength     queues[QUEUES_MAX];
+    Cwp__QueueLength    *queue_pointers[QUEUES_MAX];
+    Cwp__KeySamples      samples[SAMPLES_MAX];
+    Cwp__KeySamples     *sample_pointers[SAMPLES_MAX];
+    cw_key_samples_t     keys[SAMPLES_MAX];
+    size_t               queue_count;
+    size_t               sample_count;
 } report_builder_t;
 
 static report_builder_t builder; /* large, and used by one call at a time */
@@ -139,9 +139,9 @@
     builder.sample_pointers[builder.sample_count++] = samples;
 }
 
-static void add_leader_word(cw_router_t *router, cw_time_us_t now)
+static void add_leader_heartbeat(cw_router_t *router, cw_time_us_t now)
 {
-    cwp__leader_word__init(&builder.leader);
+    cwp__leader_heartbeat__init(&builder.leader);
     builder.leader.term = router->leadership.lock.term;
     builder.leader.revision = router->leadership.revision;
     builder.leader.able = cw_router_is_able(router, now);
@@ -196,7 +196,7 @@
     builder.report.n_queues = builder.queue_count;
     builder.report.queues = builder.queue_pointers;
     if (router->leadership.leading) {
-        add_leader_word(router, now);
+        add_leader_heartbeat(router, now);
     }
 }
 
@@ -204,7 +204,7 @@
 
 static bool is_in_zone(const cw_router_t *router, const cw_peer_t *peer)
 {
-    return peer->heard_at != 0 && strcmp(peer->zone, router->settings.zone) == 0;
+    return peer->last_received_at != 0 && strcmp(peer->zone, router->settings.zone) == 0;
 }
 
 static void take_own_sample(void *context, const char *service, const cw_key_samples_t *samples)
@@ -257,7 +257,7 @@
         return;
     }
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->heard_at != 0 && !peer->is_lost && strcmp(peer->node, router->leader_node) == 0) {
+        if (peer->last_received_at != 0 && !peer->is_lost && strcmp(peer->node, router->leader_node) == 0) {
             make_report(router, false, now);
             add_paces(router, true); /* it must know soon which owners answer: its own orders may not reach them */
             send_samples(router, peer);
@@ -367,9 +367,9 @@
     cw_peer_t *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->heard_at != 0 && !peer->is_lost && now - peer->heard_at > router->silence) {
+        if (peer->last_received_at != 0 && !peer->is_lost && now - peer->last_received_at > router->silence) {
             peer->is_lost = true;
-            cw_router_note_peer(peer, CW_EVENT_PEER_LOST, now - peer->heard_at);
+            cw_router_note_peer(peer, CW_EVENT_PEER_LOST, now - peer->last_received_at);
         }
     }
 }
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -99,14 +99,14 @@
     }
     if (found > 0 && (now - keyed->seen_at >= router->settings.heartbeat + CW_MS(FIRST_PLAN_CALM_MS) ||
                       now - keyed->first_seen >= CW_SECONDS(FIRST_PLAN_WAIT_S))) {
-        cw_keeper_plan_first(keyed->keeper, usable, found, now);
+        cw_assigner_plan_first(keyed->assigner, usable, found, now);
     }
 }
 
 /* A leader that has just started has no list from before an outage: that many owners are missing tells it of one. */
 static bool doubts_list(const cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
 {
-    if (cw_planner_missing_share(keyed->keeper, router->server_view.list) * 100 <= MISSING_PERCENT) {
+    if (cw_planner_missing_share(keyed->assigner, router->server_view.list) * 100 <= MISSING_PERCENT) {
         keyed->owners_missing_since = 0;
         return false;
     }
@@ -119,7 +119,7 @@
 void cw_router_measure(cw_keyed_service_t *keyed, cw_time_us_t now)
 {
     cw_ownership_measures_t *measures = &keyed->measures;
-    const cw_range_list_t   *ranges = cw_keeper_ranges(keyed->keeper);
+    const cw_range_list_t   *ranges = cw_assigner_ranges(keyed->assigner);
     double                   keys = measures->moved_keys;
     double                   cold = measures->moved_cold_keys;
     double                   load = measures->moved_load;
@@ -150,16 +150,16 @@
     size_t                     changes;
     cw_event_t                 event;
 
-    if (router->server_view.list == NULL || now < keyed->next_plan || !cw_keeper_may_plan(keyed->keeper)) {
+    if (router->server_view.list == NULL || now < keyed->next_plan || !cw_assigner_may_plan(keyed->assigner)) {
         return;
     }
     keyed->next_plan = now + CW_MS(PLAN_EVERY_MS);
-    count = list_servers(router, cw_keeper_service(keyed->keeper), servers, now);
-    if (cw_keeper_state(keyed->keeper) == CW_KEEPER_EMPTY) {
+    count = list_servers(router, cw_assigner_service(keyed->assigner), servers, now);
+    if (cw_assigner_state(keyed->assigner) == CW_ASSIGNER_EMPTY) {
         plan_first(router, keyed, servers, count, now);
         return;
     }
-    changes = cw_planner_run(&(cw_planner_input_t){.keeper = keyed->keeper,
+    changes = cw_planner_run(&(cw_planner_input_t){.assigner = keyed->assigner,
                                                    .settings = &cw_planner_defaults,
                                                    .servers = servers,
                                                    .server_count = count,
@@ -168,9 +168,9 @@
                                                    .doubts_list = doubts_list(router, keyed, now),
                                                    .now = now});
     if (changes > 0 && cw_event_begin(&event, CW_EVENT_PLAN_WRITTEN)) {
-        cw_event_text(&event, CW_FIELD_SERVICE, cw_keeper_service(keyed->keeper));
+        cw_event_text(&event, CW_FIELD_SERVICE, cw_assigner_service(keyed->assigner));
         cw_event_number(&event, CW_FIELD_CHANGED, (int64_t)changes);
-        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)cw_keeper_ranges(keyed->keeper)->count);
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)cw_assigner_ranges(keyed->assigner)->count);
         cw_event_end(&event);
     }
     cw_metric_add(CW_METRIC_MOVES, changes);
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -3,8 +3,8 @@
  * @brief The leader's list of servers and tables of keys, in pages, to the nodes that have older ones.
  *
  * A node that has an earlier number of this term is sent just what changed since; others are sent everything, but only
- * after they have had time to see that what they have is the same (the leader's word carries hashes). Each node says at
- * once what has come. What is sent again waits longer each time, and all of it stays within a part of the link.
+ * after they have had time to see that what they have is the same (the leader's heartbeat carries hashes). Each node
+ * says at once what has come. What is sent again waits longer each time, and all of it stays within a part of the link.
  */
 #include <string.h>
 
@@ -57,7 +57,7 @@
 static bool is_due(const cw_router_t *router, const cw_peer_t *peer, cw_push_state_t *push, uint64_t has,
                    uint64_t newest, cw_time_us_t now)
 {
-    if (peer->heard_at == 0 || peer->is_lost) {
+    if (peer->last_received_at == 0 || peer->is_lost) {
         return false;
     }
     if (peer->term == router->leadership.lock.term && has >= newest) {
@@ -206,7 +206,7 @@
 
     page.nodes = nodes;
     for (known = cw_peer_link_peers(router->link); known != NULL; known = known->next) {
-        if (known->heard_at != 0 && !known->is_lost && page.n_nodes < NODES_MAX) {
+        if (known->last_received_at != 0 && !known->is_lost && page.n_nodes < NODES_MAX) {
             nodes[page.n_nodes++] = known->address;
         }
     }
@@ -221,7 +221,7 @@
     cw_peer_t *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->heard_at != 0 && !peer->is_lost && peer->peers < alive && now >= peer->nodes_due_at &&
+        if (peer->last_received_at != 0 && !peer->is_lost && peer->peers < alive && now >= peer->nodes_due_at &&
             router->push_room > 0) {
             peer->nodes_due_at = now + CW_MS(NODES_AGAIN_MS);
             send_nodes(router, peer);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -45,20 +45,21 @@
 
 static bool take_identity(cw_router_t *router, cw_peer_t *peer, const Cwp__NodeReport *received, cw_time_us_t now)
 {
-    if (peer->incarnation == received->incarnation && received->sequence <= peer->sequence && peer->heard_at != 0) {
+    if (peer->incarnation == received->incarnation && received->sequence <= peer->sequence &&
+        peer->last_received_at != 0) {
         return false; /* late or repeated */
     }
-    if (peer->heard_at == 0 || peer->is_lost || peer->incarnation != received->incarnation) {
+    if (peer->last_received_at == 0 || peer->is_lost || peer->incarnation != received->incarnation) {
         router->named_until = now + CW_MS(NAMED_MS);
         if (received->node[0] != '\0') {
             cw_text_copy(peer->node, sizeof(peer->node), received->node);
         }
-        cw_router_note_peer(peer, CW_EVENT_PEER_BACK, peer->heard_at == 0 ? 0 : now - peer->heard_at);
+        cw_router_note_peer(peer, CW_EVENT_PEER_BACK, peer->last_received_at == 0 ? 0 : now - peer->last_received_at);
     }
     peer->is_lost = false;
     peer->incarnation = received->incarnation;
     peer->sequence = received->sequence;
-    peer->heard_at = now;
+    peer->last_received_at = now;
     peer->stopping = received->stopping;
     peer->store_lost = received->store_lost;
     peer->peers = received->peers;
@@ -132,7 +133,7 @@
         cw_leadership_heard_stop(&router->leadership, now);
     }
     if (received->leader != NULL) {
-        cw_router_take_leader_word(router, peer, received->leader, now);
+        cw_router_take_leader_heartbeat(router, peer, received->leader, now);
     }
     cw_router_note_configuration(router, peer, received->configuration, now);
     if (received->leader != NULL) {
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -73,7 +73,7 @@
 
 static bool is_in_zone(const cw_router_t *router, const cw_peer_t *peer)
 {
-    return peer->heard_at != 0 && !peer->is_lost && strcmp(peer->zone, router->settings.zone) == 0;
+    return peer->last_received_at != 0 && !peer->is_lost && strcmp(peer->zone, router->settings.zone) == 0;
 }
 
 static uint32_t age_ms(cw_time_us_t since, cw_time_us_t now)
@@ -120,8 +120,8 @@
 
 void cw_router_take_notice(cw_router_t *router, cw_peer_t *peer, const Cwp__StoreNotice *notice, cw_time_us_t now)
 {
-    if (peer->heard_at != 0) {
-        peer->heard_at = now;
+    if (peer->last_received_at != 0) {
+        peer->last_received_at = now;
         peer->store_lost = false;
     }
     cw_router_note_configuration(router, peer, notice->configuration, now);
@@ -144,7 +144,7 @@
 static bool may_read(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now)
 {
     return is_in_zone(router, peer) && !peer->stopping && !peer->store_lost &&
-           now - peer->heard_at < CW_MS(CW_READER_TRUST_MS);
+           now - peer->last_received_at < CW_MS(CW_READER_TRUST_MS);
 }
 
 static bool ranks_among_readers(const cw_router_t *router, cw_time_us_t now)
@@ -166,7 +166,7 @@
 
 static bool is_leader_alive(const cw_router_t *router, cw_time_us_t now)
 {
-    return now - router->leader_word_at < CW_MS(CW_READER_TRUST_MS);
+    return now - router->leader_heartbeat_at < CW_MS(CW_READER_TRUST_MS);
 }
 
 static cw_configuration_role_t configuration_role(const cw_router_t *router, cw_time_us_t now)
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -271,7 +271,7 @@
     }
     for (peer = cw_peer_link_peers(router->link); peer != NULL && slots->candidate_count < CANDIDATES_MAX;
          peer = peer->next) {
-        if (peer->heard_at != 0 && !peer->is_lost && !peer->stopping && peer->zone[0] != '\0') {
+        if (peer->last_received_at != 0 && !peer->is_lost && !peer->stopping && peer->zone[0] != '\0') {
             slots->candidates[slots->candidate_count++] =
                 (cw_broker_candidate_t){.address = peer->address, .capability = peer->capability, .zone = peer->zone};
         }
--- a/src/router/router_status.c
+++ b/src/router/router_status.c
@@ -44,13 +44,13 @@
     size_t  position;
 
     for (index = 0; index < router->keyed_count; index++) {
-        const cw_range_list_t *ranges = cw_keeper_ranges(router->keyed[index].keeper);
+        const cw_range_list_t *ranges = cw_assigner_ranges(router->keyed[index].assigner);
         json_t                *list = json_array();
 
         for (position = 0; position < ranges->count; position++) {
             json_array_append_new(list, range_json(&ranges->items[position], now));
         }
-        json_object_set_new(services, cw_keeper_service(router->keyed[index].keeper), list);
+        json_object_set_new(services, cw_assigner_service(router->keyed[index].assigner), list);
     }
     return services;
 }
@@ -61,9 +61,9 @@
     const cw_peer_t *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->heard_at != 0) {
+        if (peer->last_received_at != 0) {
             json_array_append_new(peers, json_pack("{s:s, s:s, s:I}", "node", peer->node, "address", peer->text,
-                                                   "silent_ms", (json_int_t)((now - peer->heard_at) / 1000)));
+                                                   "silent_ms", (json_int_t)((now - peer->last_received_at) / 1000)));
         }
     }
     return peers;
@@ -94,7 +94,7 @@
     for (index = 0; index < router->keyed_count; index++) {
         const cw_ownership_measures_t *measures = &router->keyed[index].measures;
 
-        json_object_set_new(services, cw_keeper_service(router->keyed[index].keeper),
+        json_object_set_new(services, cw_assigner_service(router->keyed[index].assigner),
                             json_pack("{s:f, s:f, s:f, s:f, s:f, s:f, s:f}", "imbalance", measures->imbalance,
                                       "imbalance_mean", cw_ownership_measures_imbalance(measures), "keys_moved",
                                       measures->moved_keys / (CW_KEY_LAST + 1), "keys_moved_cold",
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -211,23 +211,23 @@
 
 /* ---- what this node has already ---- */
 
-void cw_router_adopt(cw_router_t *router, const cw_peer_t *leader, const Cwp__LeaderWord *word)
+void cw_router_adopt(cw_router_t *router, const cw_peer_t *leader, const Cwp__LeaderHeartbeat *heartbeat)
 {
-    bool newer = word->term > router->view_term;
-    bool servers = word->servers_hash != 0 && (newer || word->servers > router->view_servers) &&
-                   word->servers_hash == router->server_view.hash;
-    bool tables = word->tables_hash != 0 && (newer || word->tables > router->view_tables) &&
-                  word->tables_hash == router->tables_hash;
+    bool newer = heartbeat->term > router->view_term;
+    bool servers = heartbeat->servers_hash != 0 && (newer || heartbeat->servers > router->view_servers) &&
+                   heartbeat->servers_hash == router->server_view.hash;
+    bool tables = heartbeat->tables_hash != 0 && (newer || heartbeat->tables > router->view_tables) &&
+                  heartbeat->tables_hash == router->tables_hash;
 
-    if (word->term < router->view_term || (!servers && !tables)) {
+    if (heartbeat->term < router->view_term || (!servers && !tables)) {
         return;
     }
-    cw_router_begin_term(router, word->term);
+    cw_router_begin_term(router, heartbeat->term);
     if (servers) {
-        router->view_servers = word->servers;
+        router->view_servers = heartbeat->servers;
     }
     if (tables) {
-        router->view_tables = word->tables;
+        router->view_tables = heartbeat->tables;
     }
     acknowledge(router, leader);
 }
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -2,9 +2,10 @@
  * @file router_view.c
  * @brief What this node goes by: the list of servers and the tables of keys, and how old they are.
  *
- * Both come from the leader, in pages under a number. A node that has the newest number takes each word of the leader
- * as their confirmation. Without a fresh word it reads the store itself: the list, and the records of assignments,
- * whose owners it then routes by (the store is linearizable, and every change is written there before it is ordered).
+ * Both come from the leader, in pages under a number. A node that has the newest number takes each heartbeat of the
+ * leader as their confirmation. Without a fresh heartbeat it reads the store itself: the list, and the records of
+ * assignments, whose owners it then routes by (the store is linearizable, and every change is written there before it
+ * is ordered).
  */
 #include <stdlib.h>
 #include <string.h>
@@ -15,13 +16,13 @@
 
 enum {
     LIST_PARTS = 4,        /* a list is read so many times while a leaving server may still get requests, */
-    LIST_PARTS_MANY = 2,   /* and so many times by each of many nodes without the leader's word */
+    LIST_PARTS_MANY = 2,   /* and so many times by each of many nodes without the leader's heartbeat */
     LIST_OLD_PERCENT = 60, /* of that time: an older one is read by nodes that do not read for others, too */
     FIRST_READ_EVERY_MS = 700,
     MANY_NODES = 16,            /* more than these are many: what they all ask of the store is to stay bounded */
     TABLES_READER_PERCENT = 25, /* of the time they are valid: tables as old are read by readers of many nodes, */
     TABLES_OLD_PERCENT = 50,    /* and by the others: a reader has mostly confirmed theirs before */
-    WORD_OLD_PERCENT = 45,      /* of that time: without the leader's word for so long a node reads itself */
+    HEARTBEAT_OLD_PERCENT = 45, /* of that time: without the leader's heartbeat for so long a node reads itself */
     TABLES_READ_EVERY_MS = 700,
     LOST_PERCENT = 80 /* of that time: pause of each of many nodes while the store does not answer. A machine is held to
                        * its bounds again only when the store has been back for longer (contact-s of the sheets) */
@@ -223,7 +224,7 @@
     return router->settings.hold * CW_TABLES_VALID_PERCENT / 100;
 }
 
-/* For how long a node without the leader's word goes by the tables it has. */
+/* For how long a node without the leader's heartbeat goes by the tables it has. */
 static cw_time_us_t tables_rest(const cw_router_t *router, cw_time_us_t now)
 {
     if (router->is_reader) {
@@ -243,39 +244,39 @@
     validate_tables(router, true_at);
 }
 
-/* ---- the leader's word ---- */
+/* ---- the leader's heartbeat ---- */
 
-void cw_router_take_leader_word(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderWord *word,
-                                cw_time_us_t now)
+void cw_router_take_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderHeartbeat *heartbeat,
+                                     cw_time_us_t now)
 {
     cw_event_t event;
 
-    cw_leadership_heard(&router->leadership, word->term, word->revision, word->able, now);
+    cw_leadership_heard(&router->leadership, heartbeat->term, heartbeat->revision, heartbeat->able, now);
     if (peer->stopping) {
         cw_leadership_heard_stop(&router->leadership, now);
     }
-    if (router->leadership.leading || word->term < router->leader_term) {
+    if (router->leadership.leading || heartbeat->term < router->leader_term) {
         return;
     }
-    if (word->term > router->leader_term || strcmp(router->leader_node, peer->node) != 0) {
-        router->leader_term = word->term;
+    if (heartbeat->term > router->leader_term || strcmp(router->leader_node, peer->node) != 0) {
+        router->leader_term = heartbeat->term;
         cw_text_copy(router->leader_node, sizeof(router->leader_node), peer->node);
         if (cw_event_begin(&event, CW_EVENT_LEADER_SEEN)) {
             cw_event_text(&event, CW_FIELD_LEADER, peer->node);
-            cw_event_number(&event, CW_FIELD_TERM, (int64_t)word->term);
-            cw_event_number(&event, CW_FIELD_REVISION, (int64_t)word->revision);
+            cw_event_number(&event, CW_FIELD_TERM, (int64_t)heartbeat->term);
+            cw_event_number(&event, CW_FIELD_REVISION, (int64_t)heartbeat->revision);
             cw_event_end(&event);
         }
     }
-    if (!word->able) {
+    if (!heartbeat->able) {
         return;
     }
-    router->leader_word_at = now;
-    cw_router_adopt(router, peer, word);
-    if (router->view_term == word->term && router->view_servers >= word->servers) {
-        cw_server_view_confirm(&router->server_view, word->list_revision, now - CW_MS(word->list_age_ms));
+    router->leader_heartbeat_at = now;
+    cw_router_adopt(router, peer, heartbeat);
+    if (router->view_term == heartbeat->term && router->view_servers >= heartbeat->servers) {
+        cw_server_view_confirm(&router->server_view, heartbeat->list_revision, now - CW_MS(heartbeat->list_age_ms));
     }
-    if (router->view_term == word->term && router->view_tables >= word->tables && word->tables > 0) {
+    if (router->view_term == heartbeat->term && router->view_tables >= heartbeat->tables && heartbeat->tables > 0) {
         validate_tables(router, now);
     }
 }
@@ -311,7 +312,7 @@
 
         cw_key_table_add(table, &entry, 1);
     }
-    router->view_tables = 0; /* the leader's next word has to bring its own again */
+    router->view_tables = 0; /* the leader's next heartbeat has to bring its own again */
     cw_router_use_tables(router);
 }
 
@@ -386,16 +387,16 @@
 }
 
 /* One line when the leader falls silent, one when the tables get too old to route by. */
-static void note_age(cw_router_t *router, bool word_is_fresh, cw_time_us_t now)
+static void note_age(cw_router_t *router, bool heartbeat_is_fresh, cw_time_us_t now)
 {
     bool expired =
         router->tables_at > 0 && now >= router->tables_at + router->settings.hold * CW_TABLES_VALID_PERCENT / 100;
     cw_event_t event;
 
-    if (!word_is_fresh && !router->leader_silent && router->leader_word_at > 0 &&
+    if (!heartbeat_is_fresh && !router->leader_silent && router->leader_heartbeat_at > 0 &&
         cw_event_begin(&event, CW_EVENT_LEADER_SILENT)) {
         cw_event_text(&event, CW_FIELD_LEADER, router->leader_node);
-        cw_event_ms(&event, CW_FIELD_SILENT_MS, now - router->leader_word_at);
+        cw_event_ms(&event, CW_FIELD_SILENT_MS, now - router->leader_heartbeat_at);
         cw_event_end(&event);
     }
     if (expired && !router->tables_expired && cw_event_begin(&event, CW_EVENT_VIEW_EXPIRED)) {
@@ -403,20 +404,20 @@
         cw_event_ms(&event, CW_FIELD_VIEW_AGE_MS, now - router->tables_at);
         cw_event_end(&event);
     }
-    router->leader_silent = !word_is_fresh;
+    router->leader_silent = !heartbeat_is_fresh;
     router->tables_expired = expired;
 }
 
 /* A reader reads as soon as the leader's heartbeat fails to come; the others when no reader has confirmed their list.
  */
-static bool is_list_due(const cw_router_t *router, bool word_is_fresh, cw_time_us_t now)
+static bool is_list_due(const cw_router_t *router, bool heartbeat_is_fresh, cw_time_us_t now)
 {
     cw_time_us_t age = now - router->server_view.true_at;
 
     if (cw_router_is_new(router, now)) {
         return router->server_view.list == NULL;
     }
-    if (router->is_reader && (!word_is_fresh || age > router->settings.drain * WORD_OLD_PERCENT / 100)) {
+    if (router->is_reader && (!heartbeat_is_fresh || age > router->settings.drain * HEARTBEAT_OLD_PERCENT / 100)) {
         return true;
     }
     return age > router->settings.drain * LIST_OLD_PERCENT / 100;
@@ -424,11 +425,11 @@
 
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now)
 {
-    cw_time_us_t old = router->settings.drain * WORD_OLD_PERCENT / 100;
-    bool         word_is_fresh = now - router->leader_word_at < old;
+    cw_time_us_t old = router->settings.drain * HEARTBEAT_OLD_PERCENT / 100;
+    bool         heartbeat_is_fresh = now - router->leader_heartbeat_at < old;
 
     expire_servers(router, now);
-    note_age(router, word_is_fresh || cw_router_is_able(router, now), now);
+    note_age(router, heartbeat_is_fresh || cw_router_is_able(router, now), now);
     if (cw_router_is_able(router, now)) {
         read_servers(router, now);
         if (router->lead_tables > 0) {
@@ -436,10 +437,10 @@
         }
         return;
     }
-    if (is_list_due(router, word_is_fresh, now)) {
+    if (is_list_due(router, heartbeat_is_fresh, now)) {
         read_servers(router, now);
     }
-    if (!word_is_fresh && now - router->tables_at > tables_rest(router, now)) {
+    if (!heartbeat_is_fresh && now - router->tables_at > tables_rest(router, now)) {
         read_tables(router, now);
     }
 }
--- a/src/router/router_zones.c
+++ b/src/router/router_zones.c
@@ -65,7 +65,7 @@
     }
     router->sharers_gathered_at = now;
     for (peer = cw_peer_link_peers(router->link); peer != NULL && count < NODES_GATHERED_MAX; peer = peer->next) {
-        if (peer->heard_at != 0 && !peer->is_lost) {
+        if (peer->last_received_at != 0 && !peer->is_lost) {
             addresses[count++] = peer->address;
         }
     }
--- a/tests/process/hand_over.sh
+++ b/tests/process/hand_over.sh
@@ -17,7 +17,7 @@
 until_true handed
 wait "$callers"
 check "a more capable node leads" [ "$(leader)" != 1 ]
-check "no node missed the leader's word" [ "$(cat "$WORK"/node[23].log | grep -c '"leader silent"')" = 0 ]
+check "no node missed the leader's heartbeat" [ "$(cat "$WORK"/node[23].log | grep -c '"leader silent"')" = 0 ]
 check "all answered" at_least "$(sum_of over s200)" 499
 check "records agree" cluster_check
 finish_test
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -5,15 +5,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "assigner_world.h"
 #include "base/text.h"
-#include "keeper_world.h"
 #include "loop_fixture.h"
 #include "placement/planner.h"
 
 static const char *const four[] = {"i-a@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", "i-d@10.0.0.4:80", NULL};
 
 typedef struct planner_world {
-    keeper_world_t      keeper;
+    assigner_world_t    assigner;
     cw_load_window_t    window;
     cw_planner_server_t servers[8];
     size_t              server_count;
@@ -23,9 +23,9 @@
 {
     size_t index;
 
-    world->server_count = world->keeper.servers->count;
+    world->server_count = world->assigner.servers->count;
     for (index = 0; index < world->server_count; index++) {
-        const cw_server_entry_t *entry = &world->keeper.servers->entries[index];
+        const cw_server_entry_t *entry = &world->assigner.servers->entries[index];
 
         world->servers[index] =
             (cw_planner_server_t){.entry = entry, .usable = !entry->draining, .pace = 1, .cost_s = 0.1 / 2};
@@ -35,17 +35,17 @@
 static void init(planner_world_t *world, const char *const *texts)
 {
     memset(world, 0, sizeof(*world));
-    keeper_world_init(&world->keeper, 1);
-    keeper_world_servers(&world->keeper, texts);
-    keeper_world_settle(&world->keeper);
-    world->keeper.now += CW_SECONDS(2);
+    assigner_world_init(&world->assigner, 1);
+    assigner_world_servers(&world->assigner, texts);
+    assigner_world_settle(&world->assigner);
+    world->assigner.now += CW_SECONDS(2);
     refresh_servers(world);
 }
 
 static void clear(planner_world_t *world)
 {
     cw_load_window_clear(&world->window);
-    keeper_world_clear(&world->keeper);
+    assigner_world_clear(&world->assigner);
 }
 
 /* Requests of the last two seconds, spread evenly over keys low to last. */
@@ -55,7 +55,7 @@
     size_t index;
 
     for (index = 0; index < count; index++) {
-        cw_time_us_t at = world->keeper.now - CW_SECONDS(2) + (cw_time_us_t)((double)CW_SECONDS(2) * index / count);
+        cw_time_us_t at = world->assigner.now - CW_SECONDS(2) + (cw_time_us_t)((double)CW_SECONDS(2) * index / count);
 
         cw_load_window_add(&world->window, low + (uint32_t)((uint64_t)(last - low) * ((index * 7919) % count) / count),
                            1, at);
@@ -64,14 +64,14 @@
 
 static size_t plan_by_list(planner_world_t *world, bool doubts_list)
 {
-    return cw_planner_run(&(cw_planner_input_t){.keeper = world->keeper.keeper,
+    return cw_planner_run(&(cw_planner_input_t){.assigner = world->assigner.assigner,
                                                 .settings = &cw_planner_defaults,
                                                 .servers = world->servers,
                                                 .server_count = world->server_count,
-                                                .list = world->keeper.servers,
+                                                .list = world->assigner.servers,
                                                 .window = &world->window,
                                                 .doubts_list = doubts_list,
-                                                .now = world->keeper.now});
+                                                .now = world->assigner.now});
 }
 
 static size_t plan(planner_world_t *world)
@@ -84,17 +84,17 @@
 {
     while (rounds-- > 0) {
         (void)plan(world);
-        keeper_world_tick(&world->keeper, CW_MS(20));
-        keeper_world_tick(&world->keeper, CW_MS(20));
-        keeper_world_answer(&world->keeper, CW_ORDER_DONE, "token");
-        keeper_world_tick(&world->keeper, CW_MS(20));
-        keeper_world_answer(&world->keeper, CW_ORDER_DONE, NULL);
+        assigner_world_tick(&world->assigner, CW_MS(20));
+        assigner_world_tick(&world->assigner, CW_MS(20));
+        assigner_world_answer(&world->assigner, CW_ORDER_DONE, "token");
+        assigner_world_tick(&world->assigner, CW_MS(20));
+        assigner_world_answer(&world->assigner, CW_ORDER_DONE, NULL);
     }
 }
 
 static size_t keys_of(const planner_world_t *world, const char *id)
 {
-    const cw_range_list_t *ranges = cw_keeper_ranges(world->keeper.keeper);
+    const cw_range_list_t *ranges = cw_assigner_ranges(world->assigner.assigner);
     size_t                 keys = 0;
     size_t                 index;
 
@@ -117,7 +117,8 @@
     for (key = low; key <= last; key++) {
         for (index = 0; index < world->server_count; index++) {
             counts[index] +=
-                strcmp(keeper_world_range(&world->keeper, key)->owner.id, world->servers[index].entry->id) == 0 ? 1 : 0;
+                strcmp(assigner_world_range(&world->assigner, key)->owner.id, world->servers[index].entry->id) == 0 ? 1
+                                                                                                                    : 0;
         }
     }
     for (index = 0; index < world->server_count; index++) {
@@ -188,16 +189,16 @@
     int                  round;
 
     init(&world, four);
-    slow = server_named(&world, keeper_world_range(&world.keeper, 1000)->owner.id);
+    slow = server_named(&world, assigner_world_range(&world.assigner, 1000)->owner.id);
     slow->cost_s *= 2.3;
     slow->pace = 2.3;
     for (round = 0; round < 4; round++) { /* each server serves 20 a second, the slow one 9 */
         add_load(&world, 1000, 1000, 17);
         add_load(&world, 0, CW_KEY_LAST, 12);
         run_rounds(&world, 1);
-        world.keeper.now += CW_SECONDS(2);
+        world.assigner.now += CW_SECONDS(2);
     }
-    range = keeper_world_range(&world.keeper, 1000);
+    range = assigner_world_range(&world.assigner, 1000);
     ck_assert_uint_eq(range->low, 1000);
     ck_assert_uint_eq(range->last, 1000);
     ck_assert_str_ne(range->owner.id, slow->entry->id);
@@ -209,7 +210,7 @@
     add_load(&world, 1000, 1000, 17);
     add_load(&world, 0, CW_KEY_LAST, 12);
     run_rounds(&world, 3);
-    ck_assert_str_eq(keeper_world_range(&world.keeper, 1000)->owner.id, owner);
+    ck_assert_str_eq(assigner_world_range(&world.assigner, 1000)->owner.id, owner);
     clear(&world);
 }
 END_TEST
@@ -221,7 +222,7 @@
     init(&world, four);
     add_load(&world, 1000, 1000, 15);
     run_rounds(&world, 1);
-    world.keeper.now += CW_SECONDS(2);
+    world.assigner.now += CW_SECONDS(2);
     add_load(&world, 1000, 1000, 15);
     ck_assert_uint_eq(plan(&world), 0);
     clear(&world);
@@ -250,14 +251,14 @@
     uint32_t                 low;
 
     init(&world, four);
-    to = cw_server_list_find(world.keeper.servers, "i-a");
+    to = cw_server_list_find(world.assigner.servers, "i-a");
     for (low = 0; low <= CW_KEY_LAST; low += 2048) {
-        cw_keeper_plan_move(world.keeper.keeper, low, low + 2047, to, world.keeper.servers);
+        cw_assigner_plan_move(world.assigner.assigner, low, low + 2047, to, world.assigner.servers);
     }
-    cw_keeper_plan_write(world.keeper.keeper, world.keeper.now);
+    cw_assigner_plan_write(world.assigner.assigner, world.assigner.now);
     run_rounds(&world, 1);
     ck_assert_uint_eq(keys_of(&world, "i-a"), CW_KEY_LAST + 1);
-    world.keeper.now += CW_SECONDS(2);
+    world.assigner.now += CW_SECONDS(2);
     add_load(&world, 0, CW_KEY_LAST, 200);
     run_rounds(&world, 3);
     ck_assert_uint_lt(keys_of(&world, "i-a"), 28000);
@@ -272,7 +273,7 @@
     planner_world_t          world;
 
     init(&world, four);
-    keeper_world_servers(&world.keeper, draining);
+    assigner_world_servers(&world.assigner, draining);
     refresh_servers(&world);
     run_rounds(&world, 1);
     ck_assert_uint_eq(keys_of(&world, "i-a"), 0);
@@ -303,17 +304,17 @@
 
     init(&world, four);
     for (index = 0; index < 20; index++) {
-        keeper_world_tick(&world.keeper, CW_MS(150));
-        while (world.keeper.answered < world.keeper.order_count) {
-            cw_order_t order = world.keeper.orders[world.keeper.answered++];
+        assigner_world_tick(&world.assigner, CW_MS(150));
+        while (world.assigner.answered < world.assigner.order_count) {
+            cw_order_t order = world.assigner.orders[world.assigner.answered++];
 
-            cw_keeper_order_done(world.keeper.keeper, order.id,
-                                 strcmp(order.server, "i-a") == 0 ? CW_ORDER_NOT_SENT : CW_ORDER_DONE, NULL,
-                                 world.keeper.now);
+            cw_assigner_order_done(world.assigner.assigner, order.id,
+                                   strcmp(order.server, "i-a") == 0 ? CW_ORDER_NOT_SENT : CW_ORDER_DONE, NULL,
+                                   world.assigner.now);
         }
     }
     ck_assert_uint_ge(plan(&world), 1);
-    keeper_world_tick(&world.keeper, CW_MS(20));
+    assigner_world_tick(&world.assigner, CW_MS(20));
     ck_assert_uint_eq(keys_of(&world, "i-a"), 0);
     clear(&world);
 }
@@ -325,9 +326,9 @@
     planner_world_t          world;
 
     init(&world, four);
-    keeper_world_servers(&world.keeper, only_d);
+    assigner_world_servers(&world.assigner, only_d);
     refresh_servers(&world);
-    ck_assert_double_eq(cw_planner_missing_share(world.keeper.keeper, world.keeper.servers), 0.75);
+    ck_assert_double_eq(cw_planner_missing_share(world.assigner.assigner, world.assigner.servers), 0.75);
     ck_assert_uint_eq(plan_by_list(&world, true), 0);
     ck_assert_uint_eq(plan_by_list(&world, false), 3);
     clear(&world);
@@ -341,8 +342,8 @@
 
     init(&world, four);
     for (index = 0; index < 20; index++) {
-        keeper_world_tick(&world.keeper, CW_MS(150));
-        keeper_world_answer(&world.keeper, CW_ORDER_NOT_SENT, NULL);
+        assigner_world_tick(&world.assigner, CW_MS(150));
+        assigner_world_answer(&world.assigner, CW_ORDER_NOT_SENT, NULL);
     }
     ck_assert_uint_eq(plan(&world), 0);
     clear(&world);
@@ -356,7 +357,7 @@
     planner_world_t          world;
 
     init(&world, four);
-    keeper_world_servers(&world.keeper, five);
+    assigner_world_servers(&world.assigner, five);
     refresh_servers(&world);
     run_rounds(&world, 2);
     ck_assert_uint_gt(keys_of(&world, "i-e"), 4000);
@@ -373,7 +374,7 @@
     size_t                   index;
 
     init(&world, four);
-    keeper_world_servers(&world.keeper, eight);
+    assigner_world_servers(&world.assigner, eight);
     refresh_servers(&world);
     run_rounds(&world, 1);
     for (index = 0; index < 8; index++) {
@@ -390,19 +391,19 @@
     const cw_server_entry_t *to;
 
     init(&world, four);
-    to = cw_server_list_find(world.keeper.servers, "i-b");
-    cw_keeper_plan_move(world.keeper.keeper, 0, 99, to, world.keeper.servers);
-    cw_keeper_plan_write(world.keeper.keeper, world.keeper.now);
-    keeper_world_tick(&world.keeper, CW_MS(20));
-    keeper_world_take_over(&world.keeper, 2); /* the record shows a move from i-a to i-b; i-b may hold the keys */
-    keeper_world_servers(&world.keeper, without_b);
+    to = cw_server_list_find(world.assigner.servers, "i-b");
+    cw_assigner_plan_move(world.assigner.assigner, 0, 99, to, world.assigner.servers);
+    cw_assigner_plan_write(world.assigner.assigner, world.assigner.now);
+    assigner_world_tick(&world.assigner, CW_MS(20));
+    assigner_world_take_over(&world.assigner, 2); /* the record shows a move from i-a to i-b; i-b may hold the keys */
+    assigner_world_servers(&world.assigner, without_b);
     refresh_servers(&world);
-    keeper_world_tick(&world.keeper, CW_MS(20));
-    keeper_world_tick(&world.keeper, CW_MS(20));
-    ck_assert_int_eq(cw_keeper_state(world.keeper.keeper), CW_KEEPER_READY);
+    assigner_world_tick(&world.assigner, CW_MS(20));
+    assigner_world_tick(&world.assigner, CW_MS(20));
+    ck_assert_int_eq(cw_assigner_state(world.assigner.assigner), CW_ASSIGNER_READY);
     (void)plan(&world);
-    keeper_world_tick(&world.keeper, CW_MS(20));
-    ck_assert_str_eq(keeper_world_range(&world.keeper, 50)->owner.id, "i-b");
+    assigner_world_tick(&world.assigner, CW_MS(20));
+    ck_assert_str_eq(assigner_world_range(&world.assigner, 50)->owner.id, "i-b");
     clear(&world);
 }
 END_TEST
