--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# cedarwinch: see README.md. Main targets: demo, check, bench, spec, soak, fuzz, install.
+# cedarwinch: see README.md. Main targets: demo, check, bench, spec, soak, fault-soak, fuzz, install.
 BUILD    ?= build
 CC       ?= cc
 CFLAGS   ?= -O2 -g
@@ -27,7 +27,7 @@
 TEST_PROGRAMS := $(addprefix $(BUILD)/tests/,$(TESTS))
 PROCESS_TESTS := $(wildcard tests/process/*.sh)
 
-.PHONY: all programs test check demo bench spec soak fuzz lint format install dependencies clean proto
+.PHONY: all programs test check demo bench spec soak fault-soak fuzz lint format install dependencies clean proto
 .SECONDARY:
 all: programs $(TEST_PROGRAMS)
 programs: $(PROGRAMS)
@@ -93,6 +93,11 @@
 soak: $(BUILD)/cw-lease
 	$(BUILD)/cw-lease --seed $(FIRST) --seeds $(SEEDS) --quiet
 
+# Real processes under faults: make fault-soak [SEED=n] [SEEDS=n] [ROUNDS=n] [NODES=n] [SERVERS=n], see tests/fault_soak/soak.sh
+SEED ?= 1
+fault-soak: programs
+	@tests/fault_soak/many.sh $(SEED) $(if $(filter command line,$(origin SEEDS)),$(SEEDS),10)
+
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v -E '\.pb-c\.')
 format:
 	clang-format -i $(SOURCES)
--- /dev/null
+++ b/tests/fault_soak/many.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Soaks by many seeds, one after the other: many.sh FIRST COUNT. Prints a line for each, and a sum by kind of fault; exit code 1
+# when there is a finding. The output of a seed with findings is kept and named.
+set -u
+first=$1 count=$2 failed=0
+output=$(mktemp -d)
+for seed in $(seq "$first" $((first + count - 1))); do
+    if SEED=$seed bash "$(dirname "$0")/soak.sh" >"$output/$seed.txt" 2>&1; then
+        tail -1 "$output/$seed.txt"
+    else
+        failed=$((failed + 1))
+        grep FINDING "$output/$seed.txt"
+        echo "seed $seed: failed, output in $output/$seed.txt"
+    fi
+done
+echo "faults: $(sed -n 's/^[0-9:.]* faults: //p' "$output"/*.txt | tr ' ' '\n' | paste - - | awk '{sum[$1] += $2} END {for (kind in sum) print kind, sum[kind]}' | sort | xargs)"
+echo "$count seeds, $failed with findings"
+[ "$failed" = 0 ]
