--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -25,6 +25,7 @@
 STATE=$SEED
 VERSION=1
 HTTP_MS=800
+WORK_MS=40 RATE=80 ROUND_S=12 # some three requests are at work at any moment
 
 say() { echo "$(date +%T.%3N) $*"; }
 # Random numbers are drawn in this shell, not in a subshell, whose state would be lost. Both leave what they draw in DRAWN.
@@ -57,7 +58,7 @@
     local service=maps args=(--keyed)
     case $1 in h*) service=hires args=(--hangs) ;; esac
     NEXT_SERVER=$((NEXT_SERVER + 1))
-    cluster_server "${1%%_*}_$NEXT_SERVER" --service "$service" --zone "z$((NEXT_SERVER % 3 + 1))" "${args[@]}" --work-ms 15
+    cluster_server "${1%%_*}_$NEXT_SERVER" --service "$service" --zone "z$((NEXT_SERVER % 3 + 1))" "${args[@]}" --work-ms "$WORK_MS"
     SERVER_NAMES=("${SERVER_NAMES[@]/$1/${1%%_*}_$NEXT_SERVER}")
     kill -"$2" "${SERVER_PIDS[$1]}"
 }
@@ -158,11 +159,14 @@
     local kinds kind cut faults
     draw 0 2
     if [ "$DRAWN" = 0 ]; then kind=planned kinds=("${planned_faults[@]}"); else kind=unplanned kinds=("${unplanned_faults[@]}"); fi
-    [ -z "$ONLY" ] || kinds=("$ONLY")
+    if [ -n "$ONLY" ]; then
+        kinds=("$ONLY")
+        case " ${planned_faults[*]} " in *" $ONLY "*) kind=planned ;; esac
+    fi
     draw 4 8
     faults=$DRAWN
     say "round $1: $kind, $faults faults"
-    (cluster_callers "round$1" --rate 60 --count 700) &
+    (cluster_callers "round$1" --rate "$RATE" --count $((RATE * ROUND_S))) &
     local callers=$!
     for _ in $(seq 1 "$faults"); do
         pick "${kinds[@]}"
@@ -187,11 +191,11 @@
 cluster_start "$COUNT"
 SERVER_NAMES=()
 for i in $(seq 1 "$SERVERS"); do
-    cluster_server "m$i" --service maps --zone "z$(((i - 1) % 3 + 1))" --keyed --work-ms 15
+    cluster_server "m$i" --service maps --zone "z$(((i - 1) % 3 + 1))" --keyed --work-ms "$WORK_MS"
     SERVER_NAMES+=("m$i")
 done
 for i in $(seq 1 $(((SERVERS + 1) / 2))); do
-    cluster_server "h$i" --service hires --zone "z$(((i - 1) % 3 + 1))" --work-ms 15 --hangs
+    cluster_server "h$i" --service hires --zone "z$(((i - 1) % 3 + 1))" --work-ms "$WORK_MS" --hangs
     SERVER_NAMES+=("h$i")
 done
 cluster_configure "$(configuration 1)"
