queue: a request that a server may have run is not given up by an estimate

The story of the first: a request was taken from a server by its silence at 7.639 s, during a stop, to be sent once more; its turn seemed to lie beyond its deadline, so 3 ms later it got 502, although it had two seconds left. That came with: until then such a request kept its place until its deadline. Ruled out: the end of the stop (12.9 s away).

--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -189,7 +189,6 @@
 static void send_again(cw_request_t *request, cw_time_us_t pause)
 {
     request->not_before = pause > 0 ? cw_engine_now(request->engine) + pause : 0;
-    request->is_admitted = true; /* it has been at a server */
     cw_request_enqueue(request);
     cw_service_dispatch(request->engine, request->service);
     if (request->is_queued) {
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -203,7 +203,7 @@
         cw_request_refuse(request, CW_REFUSED_SERVERS);
         return;
     }
-    if (why == PAUSED) {
+    if (why == PAUSED || request->attempts > 0) { /* a server may have run it: it has its whole time to get an answer */
         cw_request_arm(request);
         return;
     }
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -109,7 +109,7 @@
                          .lease = request->deadline - now,
                          .wait_most = wait_most};
 
-    if (request->is_admitted && request->attempts > 0) { /* it has been at a server: late is better than nothing */
+    if (request->attempts > 0) { /* it has been at a server: late is better than nothing */
         ask.objective = request->deadline - now;
     }
     request->claim.asks++;
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -335,6 +335,32 @@
 }
 END_TEST
 
+/* s0 is busy, s1 has the request and is silent; then the request's turn seems to lie beyond its deadline. */
+START_TEST(what_was_taken_from_a_silent_server_is_not_given_up_by_an_estimate)
+{
+    world_t      world;
+    cw_time_us_t end;
+
+    init_with_silence(&world, 0.01);
+    (void)ask(&world, "POST", "/once/x", "15000"); /* not to be repeated: it stays */
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
+    (void)ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.servers[1].has_request);
+    cw_engine_set_queued_elsewhere(world.engine, "service", 100000);
+    while (world.servers[1].gone == 0) { /* taken from s1 by its silence */
+        cw_test_run_some(&world.loop, 1);
+        usleep(PAUSE_US);
+    }
+    end = cw_engine_now(world.engine) + CW_MS(200);
+    while (cw_engine_now(world.engine) < end) {
+        cw_engine_wake(world.engine);
+        cw_test_run_some(&world.loop, 1);
+        usleep(PAUSE_US);
+    }
+    ck_assert(!world.answered);
+}
+END_TEST
+
 /* ---- a stop ---- */
 
 START_TEST(what_is_under_way_when_a_stop_ends_is_answered)
@@ -913,6 +939,7 @@
     tcase_add_test(cases, a_request_goes_only_to_servers_in_the_regions_of_its_route);
     tcase_add_test(cases, what_can_no_longer_be_served_is_refused_at_once);
     tcase_add_test(cases, what_was_let_in_waits_though_it_will_be_late);
+    tcase_add_test(cases, what_was_taken_from_a_silent_server_is_not_given_up_by_an_estimate);
     tcase_add_test(cases, what_is_under_way_when_a_stop_ends_is_answered);
     tcase_add_test(cases, what_waits_when_a_stop_ends_is_refused);
     tcase_add_test(cases, late_in_a_stop_only_what_surely_ends_is_taken);
