model: tenants hold any number of keys, a rate, a burst and a priority; proxy: admission in a file of its own

Cause: a tenant had at most eight keys and no burst or priority, so that tenants' terms could not be configured. The engine's file held both a request's way in and what the engine is told. Ruled out: a fixed larger ceiling (each tenant would pay for it in every configuration that is kept). Change: keys are a growing set of digests; rate and burst are fractions; routes may allow callers without a key; these fields go between nodes. engine_admission.c takes over route, caller, split and limits.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2350,7 +2350,7 @@
   (ProtobufCMessageInit) cwp__table_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configured_route__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cwp__configured_route__field_descriptors[12] =
 {
   {
     "name",
@@ -2484,8 +2484,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "allows_anonymous",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredRoute, allows_anonymous),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configured_route__field_indices_by_name[] = {
+  11,   /* field[11] = allows_anonymous */
   1,   /* field[1] = host */
   6,   /* field[6] = max_attempts */
   0,   /* field[0] = name */
@@ -2501,7 +2514,7 @@
 static const ProtobufCIntRange cwp__configured_route__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cwp__configured_route__descriptor =
 {
@@ -2511,7 +2524,7 @@
   "Cwp__ConfiguredRoute",
   "cwp",
   sizeof(Cwp__ConfiguredRoute),
-  11,
+  12,
   cwp__configured_route__field_descriptors,
   cwp__configured_route__field_indices_by_name,
   1,  cwp__configured_route__number_ranges,
@@ -2621,7 +2634,7 @@
   (ProtobufCMessageInit) cwp__configured_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[7] =
 {
   {
     "name",
@@ -2636,24 +2649,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "token_digests",
+    "key_digests",
     2,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_BYTES,
-    offsetof(Cwp__ConfiguredTenant, n_token_digests),
-    offsetof(Cwp__ConfiguredTenant, token_digests),
+    offsetof(Cwp__ConfiguredTenant, n_key_digests),
+    offsetof(Cwp__ConfiguredTenant, key_digests),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "requests_per_s",
+    "rate_per_s",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Cwp__ConfiguredTenant, requests_per_s),
+    offsetof(Cwp__ConfiguredTenant, rate_per_s),
     NULL,
     NULL,
     0,             /* flags */
@@ -2683,18 +2696,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "burst",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredTenant, burst),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredTenant, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configured_tenant__field_indices_by_name[] = {
+  5,   /* field[5] = burst */
   3,   /* field[3] = concurrent */
+  1,   /* field[1] = key_digests */
   0,   /* field[0] = name */
+  6,   /* field[6] = priority */
+  2,   /* field[2] = rate_per_s */
   4,   /* field[4] = regions */
-  2,   /* field[2] = requests_per_s */
-  1,   /* field[1] = token_digests */
 };
 static const ProtobufCIntRange cwp__configured_tenant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cwp__configured_tenant__descriptor =
 {
@@ -2704,7 +2743,7 @@
   "Cwp__ConfiguredTenant",
   "cwp",
   sizeof(Cwp__ConfiguredTenant),
-  5,
+  7,
   cwp__configured_tenant__field_descriptors,
   cwp__configured_tenant__field_indices_by_name,
   1,  cwp__configured_tenant__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -375,10 +375,14 @@
    */
   size_t n_regions;
   char **regions;
+  /*
+   * callers need no key
+   */
+  protobuf_c_boolean allows_anonymous;
 };
 #define CWP__CONFIGURED_ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_route__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Cwp__ConfiguredService
@@ -406,16 +410,30 @@
 {
   ProtobufCMessage base;
   char *name;
-  size_t n_token_digests;
-  ProtobufCBinaryData *token_digests;
-  uint32_t requests_per_s;
+  /*
+   * SHA-256 of callers' keys
+   */
+  size_t n_key_digests;
+  ProtobufCBinaryData *key_digests;
+  /*
+   * over all nodes; 0: no limit
+   */
+  double rate_per_s;
   uint32_t concurrent;
   size_t n_regions;
   char **regions;
+  /*
+   * requests beyond the rate that may come at once
+   */
+  double burst;
+  /*
+   * goes before its routes'; 0 is the most urgent
+   */
+  uint32_t priority;
 };
 #define CWP__CONFIGURED_TENANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_tenant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Cwp__ConfiguredLimits
--- a/src/intent/intent.c
+++ b/src/intent/intent.c
@@ -184,14 +184,11 @@
     size_t       count = node == NULL ? 0 : cw_yaml_count(mapping->document, node, "tokens");
     size_t       position;
 
-    if (count > CW_TENANT_TOKENS_MAX) {
-        cw_yaml_report(mapping->document, node, "at most %d tokens", CW_TENANT_TOKENS_MAX);
-        count = CW_TENANT_TOKENS_MAX;
-    }
     for (position = 0; position < count; position++) {
-        if (cw_yaml_digest(mapping->document, cw_yaml_item(mapping->document, node, position),
-                           tenant->tokens[tenant->token_count])) {
-            tenant->token_count++;
+        cw_key_digest_t key;
+
+        if (cw_yaml_digest(mapping->document, cw_yaml_item(mapping->document, node, position), key.bytes)) {
+            cw_tenant_add_key(tenant, &key);
         }
     }
 }
@@ -204,7 +201,7 @@
     cw_text_copy(intent->tenant, sizeof(intent->tenant), name == NULL ? "" : name);
     tenant->name = strdup(intent->tenant);
     read_tokens(tenant, mapping);
-    tenant->requests_per_s = (uint32_t)cw_yaml_number(mapping, "requests_per_s", 0, RATE_MAX, 0);
+    tenant->rate_per_s = (double)cw_yaml_number(mapping, "requests_per_s", 0, RATE_MAX, 0);
     tenant->concurrent = (uint32_t)cw_yaml_number(mapping, "concurrent", 0, RATE_MAX, 0);
 }
 
--- a/src/intent/plan.c
+++ b/src/intent/plan.c
@@ -24,9 +24,15 @@
 static void copy_tenant(cw_configuration_t *to, const cw_tenant_t *from)
 {
     cw_tenant_t *tenant = cw_configuration_add_tenant(to);
+    size_t       index;
 
     *tenant = *from;
     tenant->name = strdup(from->name);
+    tenant->keys = NULL;
+    tenant->key_count = 0;
+    for (index = 0; index < from->key_count; index++) {
+        cw_tenant_add_key(tenant, &from->keys[index]);
+    }
     memset(&tenant->regions, 0, sizeof(tenant->regions));
     cw_name_set_copy(&tenant->regions, &from->regions);
 }
@@ -157,11 +163,11 @@
         if (strcmp(before->name, after->name) != 0) {
             continue;
         }
-        if (before->token_count != after->token_count ||
-            memcmp(before->tokens, after->tokens, sizeof(after->tokens)) != 0) {
+        if (!cw_tenant_same_keys(before, after)) {
             say(plan, "~", "tenant", after->name, "callers' tokens");
         }
-        if (before->requests_per_s != after->requests_per_s || before->concurrent != after->concurrent) {
+        if (before->rate_per_s != after->rate_per_s || before->burst != after->burst ||
+            before->priority != after->priority || before->concurrent != after->concurrent) {
             say(plan, "~", "tenant", after->name, "limits");
         }
         return;
@@ -197,8 +203,9 @@
     size_t             index;
     size_t             part;
 
-    cw_bytes_append(text, tenant->tokens, sizeof(tenant->tokens));
-    cw_bytes_append_format(text, "%s %u %u\n", tenant->name, tenant->requests_per_s, tenant->concurrent);
+    cw_bytes_append(text, tenant->keys, tenant->key_count * sizeof(*tenant->keys));
+    cw_bytes_append_format(text, "%s %g %g %u %u\n", tenant->name, tenant->rate_per_s, tenant->burst, tenant->priority,
+                           tenant->concurrent);
     for (index = 0; index < intent->part->service_count; index++) {
         const cw_service_t *service = &intent->part->services[index];
 
--- a/src/model/configuration.c
+++ b/src/model/configuration.c
@@ -103,7 +103,7 @@
                       strcmp(left->prefix, right->prefix) == 0;
     bool same_rules = left->repeatable == right->repeatable && left->timeout == right->timeout &&
                       left->aim == right->aim && left->max_attempts == right->max_attempts &&
-                      left->priority == right->priority;
+                      left->priority == right->priority && left->allows_anonymous == right->allows_anonymous;
 
     return same_place && same_rules && cw_route_same_parts(left, right) &&
            cw_name_set_same(&left->regions, &right->regions);
@@ -168,8 +168,7 @@
         free(configuration->services[index].name);
     }
     for (index = 0; index < configuration->tenant_count; index++) {
-        free(configuration->tenants[index].name);
-        cw_name_set_clear(&configuration->tenants[index].regions);
+        cw_tenant_clear(&configuration->tenants[index]);
     }
     free(configuration->routes);
     free(configuration->services);
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -34,7 +34,8 @@
     uint32_t         priority;     /**< 0 is the most urgent */
     cw_split_part_t *parts;
     size_t           part_count;
-    cw_name_set_t    regions; /**< its requests go to servers there only; empty: anywhere */
+    cw_name_set_t    regions;          /**< its requests go to servers there only; empty: anywhere */
+    bool             allows_anonymous; /**< callers need no key, also where the configuration has tenants with keys */
 } cw_route_t;
 
 typedef struct cw_service {
--- a/src/model/tenant.h
+++ b/src/model/tenant.h
@@ -14,21 +14,34 @@
 
 #include "model/name_set.h"
 
-enum { CW_TENANT_DIGEST_BYTES = 32, CW_TENANT_TOKENS_MAX = 8 };
+enum { CW_TENANT_DIGEST_BYTES = 32 /**< SHA-256 */ };
+
+/** SHA-256 of a caller's key. Keys themselves are kept nowhere. */
+typedef struct cw_key_digest {
+    uint8_t bytes[CW_TENANT_DIGEST_BYTES];
+} cw_key_digest_t;
 
 typedef struct cw_tenant {
-    char         *name;
-    uint8_t       tokens[CW_TENANT_TOKENS_MAX][CW_TENANT_DIGEST_BYTES]; /**< SHA-256 of callers' tokens */
-    size_t        token_count;                                          /**< 0: its routes are open */
-    uint32_t      requests_per_s;                                       /**< over all nodes; 0: no limit */
-    uint32_t      concurrent;                                           /**< over all nodes; 0: no limit */
-    cw_name_set_t regions; /**< its requests go to servers there only; empty: anywhere */
+    char            *name;
+    cw_key_digest_t *keys; /**< of its callers, without duplicates */
+    size_t           key_count;
+    uint32_t         priority;   /**< goes before its routes' priority; 0 is the most urgent */
+    double           rate_per_s; /**< requests a second, over all nodes; 0: no limit */
+    double           burst;      /**< so many more may come at once, over all nodes */
+    uint32_t         concurrent; /**< over all nodes; 0: no limit */
+    cw_name_set_t    regions;    /**< its requests go to servers there only; empty: anywhere */
 } cw_tenant_t;
 
 /** Does a route's or service's name belong to the tenant? */
 bool cw_tenant_owns(const char *tenant, const char *name);
+/** Adds a key, unless the tenant has it. */
+void cw_tenant_add_key(cw_tenant_t *tenant, const cw_key_digest_t *key);
+/** The same keys, in any order. */
+bool cw_tenant_same_keys(const cw_tenant_t *left, const cw_tenant_t *right);
+/** Frees what it holds. */
+void cw_tenant_clear(cw_tenant_t *tenant);
 /** Hexadecimal digits of a digest; false: the text is not 64 of them. */
-bool cw_tenant_digest_from_text(uint8_t digest[CW_TENANT_DIGEST_BYTES], const char *text);
-void cw_tenant_digest_to_text(char *text, size_t size, const uint8_t digest[CW_TENANT_DIGEST_BYTES]);
+bool cw_tenant_digest_from_text(cw_key_digest_t *digest, const char *text);
+void cw_tenant_digest_to_text(char *text, size_t size, const cw_key_digest_t *digest);
 
 #endif
--- a/src/peer/configuration_pages.c
+++ b/src/peer/configuration_pages.c
@@ -86,6 +86,7 @@
     sent->objective_us = (uint64_t)route->aim;
     sent->max_attempts = route->max_attempts;
     sent->priority = route->priority;
+    sent->allows_anonymous = route->allows_anonymous;
     sent->regions = route->regions.names;
     sent->n_regions = route->regions.count;
     sent->n_part_services = route->part_count;
@@ -124,26 +125,33 @@
 
 static void add_tenants(page_buffer_t *buffer, const cw_configuration_t *configuration)
 {
+    size_t keys = 0;
     size_t index;
-    size_t token;
+    size_t key;
 
+    for (index = 0; index < configuration->tenant_count; index++) {
+        keys += configuration->tenants[index].key_count;
+    }
     buffer->tenants = allocate(configuration->tenant_count, sizeof(*buffer->tenants));
     buffer->tenant_pointers = allocate(configuration->tenant_count, sizeof(void *));
-    buffer->digests = allocate(configuration->tenant_count * CW_TENANT_TOKENS_MAX, sizeof(*buffer->digests));
+    buffer->digests = allocate(keys, sizeof(*buffer->digests));
+    keys = 0;
     for (index = 0; index < configuration->tenant_count; index++) {
         cw_tenant_t           *tenant = &configuration->tenants[index];
         Cwp__ConfiguredTenant *sent = &buffer->tenants[index];
 
         cwp__configured_tenant__init(sent);
         sent->name = tenant->name;
-        sent->requests_per_s = tenant->requests_per_s;
+        sent->rate_per_s = tenant->rate_per_s;
+        sent->burst = tenant->burst;
+        sent->priority = tenant->priority;
         sent->concurrent = tenant->concurrent;
         sent->regions = tenant->regions.names;
         sent->n_regions = tenant->regions.count;
-        sent->token_digests = &buffer->digests[index * CW_TENANT_TOKENS_MAX];
-        sent->n_token_digests = tenant->token_count;
-        for (token = 0; token < tenant->token_count; token++) {
-            sent->token_digests[token] = (ProtobufCBinaryData){CW_TENANT_DIGEST_BYTES, tenant->tokens[token]};
+        sent->key_digests = &buffer->digests[keys];
+        sent->n_key_digests = tenant->key_count;
+        for (key = 0; key < tenant->key_count; key++) {
+            buffer->digests[keys++] = (ProtobufCBinaryData){CW_TENANT_DIGEST_BYTES, tenant->keys[key].bytes};
         }
         buffer->tenant_pointers[index] = sent;
     }
@@ -310,14 +318,19 @@
     size_t       index;
 
     tenant->name = strdup(sent->name);
-    tenant->requests_per_s = sent->requests_per_s;
+    tenant->rate_per_s = sent->rate_per_s;
+    tenant->burst = sent->burst;
+    tenant->priority = sent->priority;
     tenant->concurrent = sent->concurrent;
     for (index = 0; index < sent->n_regions; index++) {
         cw_name_set_add(&tenant->regions, sent->regions[index]);
     }
-    for (index = 0; index < sent->n_token_digests && tenant->token_count < CW_TENANT_TOKENS_MAX; index++) {
-        if (sent->token_digests[index].len == CW_TENANT_DIGEST_BYTES) {
-            memcpy(tenant->tokens[tenant->token_count++], sent->token_digests[index].data, CW_TENANT_DIGEST_BYTES);
+    for (index = 0; index < sent->n_key_digests; index++) {
+        cw_key_digest_t key;
+
+        if (sent->key_digests[index].len == CW_TENANT_DIGEST_BYTES) {
+            memcpy(key.bytes, sent->key_digests[index].data, sizeof(key.bytes));
+            cw_tenant_add_key(tenant, &key);
         }
     }
 }
--- /dev/null
+++ b/src/proxy/engine_admission.c
@@ -0,0 +1,231 @@
+/**
+ * @file engine_admission.c
+ * @brief A request comes in: route, caller, part of the split, time limits, queue.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "proxy/engine_internal.h"
+
+enum {
+    STATUS_NOT_FOUND = 404,
+    STATUS_BAD_REQUEST = 400,
+    STATUS_UNAUTHORIZED = 401,
+    STATUS_TOO_MANY = 429,
+    STATUS_UNAVAILABLE = 503,
+    DEADLINE_DEFAULT_S = 30,
+    OWNER_WAIT_PART =
+        5, /* of the objective: so long a request waits for an owner of its key that is not known; most moves
+            * of a range take shorter, and an answer after a return still comes within the objective */
+    MARGIN_PART = 4
+};
+
+static const double retry_unready_s = 0.5;
+
+static cw_route_state_t *route_state(cw_engine_t *engine, const cw_route_t *route)
+{
+    cw_route_state_t *state;
+
+    HASH_FIND_STR(engine->routes, route->name, state);
+    if (state == NULL) {
+        state = calloc(1, sizeof(*state));
+        if (state == NULL) {
+            abort();
+        }
+        state->name = strdup(route->name);
+        state->usual = route->aim > 0 ? route->aim / 3 : CW_MS(CW_USUAL_FIRST_MS);
+        HASH_ADD_KEYPTR(hh, engine->routes, state->name, strlen(state->name), state);
+    }
+    return state;
+}
+
+/* ---- a request comes in ---- */
+
+static void answer_plain(cw_http_exchange_t *exchange, int status, double retry_after_s)
+{
+    cw_http_outbound_t outbound = {.status = status, .retry_after_s = retry_after_s};
+
+    cw_http_exchange_answer(exchange, &outbound);
+}
+
+static void note_plain(const cw_engine_t *engine, const cw_http_inbound_t *inbound, int status, const char *reason)
+{
+    cw_event_t event;
+
+    if (!cw_event_begin(&event, CW_EVENT_REQUEST_REFUSED)) {
+        return;
+    }
+    cw_event_text(&event, CW_FIELD_REQUEST, cw_http_fields_find(inbound->fields, engine->settings.names.request_id));
+    cw_event_number(&event, CW_FIELD_STATUS, status);
+    cw_event_text(&event, CW_FIELD_REASON, reason);
+    cw_event_number(&event, CW_FIELD_CONFIGURATION,
+                    engine->configuration == NULL ? 0 : (int64_t)engine->configuration->version);
+    cw_event_end(&event);
+}
+
+static cw_time_us_t caller_deadline(const cw_engine_t *engine, const cw_http_inbound_t *inbound)
+{
+    const char  *text = cw_http_fields_find(inbound->fields, engine->settings.names.deadline);
+    cw_time_us_t wait = text == NULL ? 0 : CW_MS(strtoll(text, NULL, 10));
+    cw_time_us_t margin = engine->settings.margin;
+
+    if (wait <= 0) {
+        return inbound->arrived_us + CW_SECONDS(DEADLINE_DEFAULT_S);
+    }
+    if (margin > wait / MARGIN_PART) {
+        margin = wait / MARGIN_PART;
+    }
+    return inbound->arrived_us + wait - margin;
+}
+
+static void set_times(cw_request_t *request, const cw_http_inbound_t *inbound)
+{
+    const cw_route_t *route = request->route;
+    cw_time_us_t      aim;
+
+    request->arrived = inbound->arrived_us;
+    request->deadline = caller_deadline(request->engine, inbound);
+    if (route->timeout > 0 && request->arrived + route->timeout < request->deadline) {
+        request->deadline = request->arrived + route->timeout;
+    }
+    aim = route->aim > 0 ? route->aim : request->deadline - request->arrived;
+    request->aim_at = request->arrived + aim;
+    request->owner_wait_until = request->arrived + aim / OWNER_WAIT_PART;
+    request->repeat_at = CW_NEVER;
+}
+
+static void set_key(cw_request_t *request)
+{
+    const cw_service_t *service = cw_configuration_service(request->configuration, request->service->name);
+    const char         *text = cw_http_fields_find(request->fields, request->engine->settings.names.key);
+
+    if (service == NULL || !service->keyed || text == NULL) {
+        return;
+    }
+    request->is_keyed = true;
+    request->key = (uint32_t)strtoul(text, NULL, 10);
+}
+
+static void note_sample(cw_request_t *request)
+{
+    cw_key_samples_t *samples = &request->service->samples;
+
+    if (!request->is_keyed) {
+        return;
+    }
+    samples->seen++;
+    if (samples->count < sizeof(samples->keys) / sizeof(samples->keys[0])) {
+        samples->keys[samples->count++] = request->key;
+    }
+}
+
+/* False: the tenant's gate has refused it, and it is answered. */
+static bool pass_gate(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                      const cw_route_t *route, cw_tenant_count_t **count)
+{
+    const cw_tenant_t *tenant = cw_configuration_tenant_of(engine->configuration, route->name);
+    cw_time_us_t       wait;
+    cw_gate_answer_t   answer =
+        cw_tenant_gate_enter(engine->gate, tenant, cw_http_fields_find(inbound->fields, "authorization"), engine->nodes,
+                             cw_engine_now(engine), count, &wait);
+
+    switch (answer) {
+    case CW_GATE_OPEN:
+        return true;
+    case CW_GATE_UNKNOWN_CALLER:
+        cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
+        note_plain(engine, inbound, STATUS_UNAUTHORIZED, "not a caller of this tenant");
+        answer_plain(exchange, STATUS_UNAUTHORIZED, -1);
+        return false;
+    case CW_GATE_RATE:
+    case CW_GATE_CONCURRENCY:
+        cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
+        note_plain(engine, inbound, STATUS_TOO_MANY,
+                   answer == CW_GATE_RATE ? "the tenant's rate" : "the tenant's requests at once");
+        answer_plain(exchange, STATUS_TOO_MANY, (double)wait / 1e6);
+        return false;
+    }
+    return true;
+}
+
+static cw_region_rule_t regions_of(const cw_engine_t *engine, const cw_route_t *route)
+{
+    const cw_tenant_t *tenant = cw_configuration_tenant_of(engine->configuration, route->name);
+
+    return (cw_region_rule_t){.route = &route->regions, .tenant = tenant == NULL ? NULL : &tenant->regions};
+}
+
+static cw_request_t *create_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                                    const cw_route_t *route)
+{
+    cw_request_t *request = calloc(1, sizeof(*request));
+
+    if (request == NULL) {
+        abort();
+    }
+    request->engine = engine;
+    request->exchange = exchange;
+    request->configuration = cw_configuration_hold(engine->configuration);
+    request->route = route;
+    request->route_state = route_state(engine, route);
+    request->regions = regions_of(engine, route);
+    request->service = cw_engine_service(engine, cw_route_choose_part(request, route));
+    request->method = inbound->method;
+    request->target = inbound->target;
+    request->fields = inbound->fields;
+    request->body = inbound->body;
+    request->body_length = inbound->body_length;
+    request->id = cw_http_fields_find(inbound->fields, engine->settings.names.request_id);
+    set_times(request, inbound);
+    set_key(request);
+    uv_timer_init(engine->loop, &request->timer);
+    request->timer.data = request;
+    cw_http_exchange_set_data(exchange, request);
+    engine->requests++;
+    DL_APPEND2(engine->open, request, older, newer);
+    return request;
+}
+
+void cw_engine_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    const char        *host = cw_http_fields_find(inbound->fields, "host");
+    cw_tenant_count_t *tenant;
+    const cw_route_t  *route;
+    cw_request_t      *request;
+
+    cw_metric_add(CW_METRIC_REQUESTS, 1);
+    if (engine->configuration == NULL) {
+        cw_metric_add(CW_METRIC_REFUSED_UNREADY, 1);
+        note_plain(engine, inbound, STATUS_UNAVAILABLE, "no configuration yet");
+        answer_plain(exchange, STATUS_UNAVAILABLE, retry_unready_s);
+        return;
+    }
+    if (host == NULL || inbound->target[0] != '/') {
+        note_plain(engine, inbound, STATUS_BAD_REQUEST, "no host or path");
+        answer_plain(exchange, STATUS_BAD_REQUEST, -1);
+        return;
+    }
+    route = cw_configuration_match(engine->configuration, host, inbound->target);
+    if (route == NULL) {
+        cw_metric_add(CW_METRIC_NOT_FOUND, 1);
+        note_plain(engine, inbound, STATUS_NOT_FOUND, "no route");
+        answer_plain(exchange, STATUS_NOT_FOUND, -1);
+        return;
+    }
+    if (!pass_gate(engine, exchange, inbound, route, &tenant)) {
+        return;
+    }
+    request = create_request(engine, exchange, inbound, route);
+    request->tenant = tenant;
+    cw_shared_budget_note_request(&request->service->budget, &engine->settings.budget, cw_engine_now(engine));
+    if (!cw_request_fits_stop(request, cw_engine_now(engine))) {
+        cw_request_refuse(request, CW_REFUSED_STOPPING);
+        return;
+    }
+    note_sample(request);
+    cw_request_enqueue(request);
+    cw_service_dispatch(engine, request->service);
+}
--- a/src/tenancy/tenant_gate.c
+++ b/src/tenancy/tenant_gate.c
@@ -77,7 +77,7 @@
     bool              known = false;
     size_t            index;
 
-    if (tenant->token_count == 0) {
+    if (tenant->key_count == 0) {
         return true;
     }
     if (authorization == NULL || strncasecmp(authorization, scheme, strlen(scheme)) != 0) {
@@ -87,16 +87,16 @@
     sha256_init(&context);
     sha256_update(&context, strlen(token), (const uint8_t *)token);
     sha256_digest(&context, sizeof(digest), digest);
-    for (index = 0; index < tenant->token_count; index++) { /* all are looked at: time tells nothing */
-        known |= memeql_sec(digest, tenant->tokens[index], sizeof(digest)) != 0;
+    for (index = 0; index < tenant->key_count; index++) { /* all are looked at: time tells nothing */
+        known |= memeql_sec(digest, tenant->keys[index].bytes, sizeof(digest)) != 0;
     }
     return known;
 }
 
 /* This node's part of a limit over all nodes. */
-static double part(uint32_t limit, uint32_t nodes)
+static double part(double limit, uint32_t nodes)
 {
-    double own = (double)limit / (nodes == 0 ? 1 : nodes);
+    double own = limit / (nodes == 0 ? 1 : nodes);
 
     return own < 1 ? 1 : own;
 }
@@ -125,8 +125,8 @@
     if (tenant->concurrent > 0 && (*count)->concurrent >= part(tenant->concurrent, nodes)) {
         return CW_GATE_CONCURRENCY;
     }
-    if (tenant->requests_per_s > 0) {
-        double per_s = part(tenant->requests_per_s, nodes);
+    if (tenant->rate_per_s > 0) {
+        double per_s = part(tenant->rate_per_s, nodes);
 
         refill(*count, per_s, now);
         if ((*count)->tokens < 1) {
--- a/tests/test_intent.c
+++ b/tests/test_intent.c
@@ -178,7 +178,7 @@
     ck_assert_ptr_nonnull(back);
     ck_assert_uint_eq(back->route_count, 2);
     ck_assert_uint_eq(back->tenant_count, 1);
-    ck_assert_uint_eq(back->tenants[0].requests_per_s, 100);
+    ck_assert_double_eq(back->tenants[0].rate_per_s, 100);
     ck_assert_int_eq(cw_configuration_match(back, "maps.example", "/docks/1")->timeout, CW_MS(1000));
     ck_assert_uint_eq(cw_configuration_match(back, "maps.example", "/docks/1")->regions.count, 2);
     ck_assert(cw_name_set_has(&cw_configuration_match(back, "maps.example", "/docks/1")->regions, "munster"));
@@ -214,11 +214,12 @@
 
 static cw_tenant_t some_tenant(void)
 {
-    cw_tenant_t tenant = {.name = "t", .token_count = 1};
+    cw_tenant_t     tenant = {.name = strdup("t")};
+    cw_key_digest_t key;
 
     /* printf %s sesame | sha256sum */
-    ck_assert(cw_tenant_digest_from_text(tenant.tokens[0],
-                                         "d0c04f4b1951e4aeaaec8223ed2039e542f3aae805a6fa7f6d794e5afff5d272"));
+    ck_assert(cw_tenant_digest_from_text(&key, "d0c04f4b1951e4aeaaec8223ed2039e542f3aae805a6fa7f6d794e5afff5d272"));
+    cw_tenant_add_key(&tenant, &key);
     return tenant;
 }
 
@@ -233,6 +234,7 @@
     ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, "Bearer open", 1, 0, &count, &wait), CW_GATE_UNKNOWN_CALLER);
     ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, "Bearer sesame", 1, 0, &count, &wait), CW_GATE_OPEN);
     ck_assert_int_eq(cw_tenant_gate_enter(gate, NULL, NULL, 1, 0, &count, &wait), CW_GATE_OPEN);
+    cw_tenant_clear(&tenant);
     cw_tenant_gate_free(gate);
 }
 END_TEST
@@ -240,7 +242,7 @@
 START_TEST(rates_and_requests_at_once_are_shared_by_the_nodes)
 {
     cw_tenant_gate_t  *gate = cw_tenant_gate_create();
-    cw_tenant_t        tenant = {.name = "t", .requests_per_s = 40, .concurrent = 8};
+    cw_tenant_t        tenant = {.name = "t", .rate_per_s = 40, .concurrent = 8};
     cw_tenant_count_t *count;
     cw_tenant_count_t *counts[8];
     cw_time_us_t       wait;
