listener: an upload whose bytes pause where a read ends is read whole; no 413 while no configuration is known

A log line of the parser's error showed HPE_INVALID_EOF_STATE with length 0, always after 16,384 or 32,768 bytes of body: libuv reports an empty read when a chunk was filled whole and nothing else is there yet, and http_parser_execute takes zero bytes for the end of the stream. Ruled out: limits (no refusal noted), framing (plain Content-Length), header sizes (248 to 265 bytes). The client side (http_upstream_answer.c) already passes over empty reads. Besides, the listener began with the limits of the node's own pages (16 KB), so that an upload in the first second got 413.

Change: an empty read is passed over. Until a configuration is known a body is read and answered 503.

--- a/src/net/http_listener_request.c
+++ b/src/net/http_listener_request.c
@@ -169,6 +169,9 @@
 {
     cw_http_exchange_t *connection = stream->data;
 
+    if (length == 0) { /* libuv: nothing is there now. To the parser, no bytes would be the end of the stream */
+        return;
+    }
     if (length < 0) {
         on_end(connection);
         return;
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -31,6 +31,8 @@
     STATUS_NOT_FOUND = 404,
     STATUS_UNAVAILABLE = 503,
     OWN_HEADER_BYTES = 16 * 1024,
+    /* While no configuration is known, nobody may say that a body is too long: it is read and answered 503. */
+    UNKNOWN_BODY_BYTES = 16 * 1024 * 1024,
     OWN_IDLE_S = 60,
     PEERS_UNKNOWN_S = 3,
     FILE_CHECK_MS = 500,
@@ -338,12 +340,14 @@
                                              .body_bytes = OWN_HEADER_BYTES,
                                              .header_timeout = CW_SECONDS(OWN_IDLE_S),
                                              .idle_timeout = CW_SECONDS(OWN_IDLE_S)};
+    cw_http_limits_t           first_limits = own_limits;
     cw_http_listener_handler_t callers = {router, on_request, on_gone};
     cw_http_listener_handler_t own = {router, on_own_request, on_own_gone};
     int                        error;
 
+    first_limits.body_bytes = UNKNOWN_BODY_BYTES;
     error = cw_http_listener_create(&router->callers, &router->loop, router->settings.callers.address,
-                                    router->settings.callers.port, &own_limits, &callers);
+                                    router->settings.callers.port, &first_limits, &callers);
     if (error == 0) {
         error = cw_http_listener_create(&router->readiness, &router->loop, router->settings.readiness.address,
                                         router->settings.readiness.port, &own_limits, &own);
--- /dev/null
+++ b/tests/listener_world.h
@@ -0,0 +1,60 @@
+/**
+ * @file listener_world.h
+ * @brief A listener whose handler keeps its requests until a test answers them, and one raw caller.
+ */
+#ifndef CEDARWINCH_TESTS_LISTENER_WORLD_H
+#define CEDARWINCH_TESTS_LISTENER_WORLD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <uv.h>
+
+#include "base/byte_buffer.h"
+#include "net/http_listener.h"
+
+enum { CW_WORLD_REQUESTS = 64 };
+
+/** A request as the handler got it. */
+typedef struct cw_world_request {
+    cw_http_exchange_t *exchange; /**< NULL: answered or gone */
+    char                method[16];
+    char                target[64];
+    size_t              body_length;
+    char                body_first; /**< first and last byte of the body */
+    char                body_last;
+    bool                gone;
+} cw_world_request_t;
+
+typedef struct cw_listener_world {
+    uv_loop_t           loop;
+    cw_http_listener_t *listener;
+    cw_world_request_t  requests[CW_WORLD_REQUESTS]; /**< in the order in which they were handed over */
+    size_t              count;
+    size_t              gone;
+    uv_tcp_t            caller;
+    cw_bytes_t          received; /**< what the caller got */
+    bool                ended;    /**< the connection was closed under the caller */
+} cw_listener_world_t;
+
+void cw_world_init(cw_listener_world_t *world, const cw_http_limits_t *limits);
+/** Connects the caller; it reads from then on. */
+void cw_world_connect(cw_listener_world_t *world);
+/** Writes all bytes, turning the loop while the listener does not take them. */
+void cw_world_send(cw_listener_world_t *world, const void *bytes, size_t length);
+void cw_world_send_text(cw_listener_world_t *world, const char *text);
+/** Turns the loop until so many requests have been handed over in all. */
+void cw_world_await_requests(cw_listener_world_t *world, size_t count);
+/** Turns the loop until the caller has received this text. */
+void cw_world_await_text(cw_listener_world_t *world, const char *text);
+/** Turns the loop until the connection has been closed under the caller. */
+void cw_world_await_end(cw_listener_world_t *world);
+/** Turns the loop until so many requests are gone in all. */
+void cw_world_await_gone(cw_listener_world_t *world, size_t count);
+/** Answers 200 with this body. */
+void cw_world_answer(cw_listener_world_t *world, size_t index, const char *body);
+/** What the caller has received so far, as text. */
+const char *cw_world_received(cw_listener_world_t *world);
+/** How often the caller has received this text. */
+size_t cw_world_count(cw_listener_world_t *world, const char *text);
+
+#endif
