base: a process ended by a signal says which, where and on which request

Cause: a node ended with a segmentation fault right after its line "start"; nothing told where, and what its log still held was lost with it. Change: src/base/fatal_signal.c, for SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT: waiting lines are written, then one line with signal, sender or address, build id, load address and return addresses as addr2line takes them. Two writes, since a walk over a damaged stack may fault; an alternate stack; SA_RESETHAND, then raise: the process ends as before. The request's id is set while a request is read and admitted. Conclusion: the next such end explains itself.

--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -222,6 +222,20 @@
     state.length -= (size_t)written;
 }
 
+void cw_event_log_write_at_end(void)
+{
+    ssize_t written;
+
+    if (state.length == 0 || state.descriptor < 0) {
+        return;
+    }
+    written = write(state.descriptor, state.buffer, state.length);
+    if (written > 0 && state.buffer[written - 1] != '\n') {
+        (void)!write(state.descriptor, "\n", 1);
+    }
+    state.length = 0;
+}
+
 static void tell_dropped(void)
 {
     cw_event_t event;
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -38,6 +38,9 @@
 void cw_event_log_set_level(cw_event_level_t level);
 /** Writes what is waiting, as far as the reader takes it. now: for the limits by second. */
 void cw_event_log_flush(cw_time_us_t now);
+/** For a handler of a fatal signal, async-signal-safe: writes what is waiting as far as the reader takes it. What was
+ * not taken is lost; a line that was cut off is ended. */
+void cw_event_log_write_at_end(void);
 /** Lines not written since the start. */
 uint64_t cw_event_log_dropped(void);
 bool     cw_event_level_from_text(const char *text, cw_event_level_t *level);
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -12,6 +12,7 @@
     X(END, "end", NOTICE, 10)                                                                                          \
     X(RELOAD, "reload", NOTICE, 10)                                                                                    \
     X(LINES_DROPPED, "lines dropped", WARNING, 10)                                                                     \
+    X(FATAL_SIGNAL, "fatal signal", ERROR, 10)                                                                         \
     X(STORE_LOST, "store lost", WARNING, 10)                                                                           \
     X(STORE_BACK, "store back", NOTICE, 10)                                                                            \
     X(PEER_LOST, "peer lost", WARNING, 20)                                                                             \
@@ -81,6 +82,12 @@
     X(VERSION, "version")                                                                                              \
     X(REVISION, "revision")                                                                                            \
     X(IN_FORCE, "in_force")                                                                                            \
+    X(SIGNAL, "signal")                                                                                                \
+    X(SENDER, "sender")                                                                                                \
+    X(ADDRESS, "address")                                                                                              \
+    X(BUILD, "build")                                                                                                  \
+    X(LOAD_ADDRESS, "load_address")                                                                                    \
+    X(TRACE, "trace")                                                                                                  \
     X(DETAIL, "detail")
 
 #define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
--- a/src/router/main.c
+++ b/src/router/main.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 
 #include "base/error.h"
+#include "base/fatal_signal.h"
 #include "base/version.h"
 #include "router/router.h"
 
@@ -33,6 +34,7 @@
         printf("%s: no findings\n", file_name);
         return EXIT_SUCCESS;
     }
+    cw_fatal_signal_install(settings.node);
     return cw_router_run(&settings, file_name, &cw_adapter) == 0 ? EXIT_SUCCESS : EXIT_NOT_STARTED;
 }
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -18,6 +18,7 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include "base/fatal_signal.h"
 #include "router/router_internal.h"
 #include "router/router_status.h"
 
@@ -75,7 +76,9 @@
 {
     cw_router_t *router = context;
 
+    cw_fatal_signal_set_request(cw_http_fields_find(inbound->fields, router->adapter->header_names->request_id));
     cw_engine_request(router->engine, exchange, inbound);
+    cw_fatal_signal_set_request(NULL);
 }
 
 static void on_gone(void *context, cw_http_exchange_t *exchange)
