tenants' callers: a key names its tenant on any route; the key stays at the node, servers are told the tenant

Cause: a tenant's callers were known on its own routes only, one comparison a key; the caller's credentials went on to servers, the tenant's name did not; the platform's `api-keys`, `rate-per-s`, `burst`, `allow-anonymous` were not read at all, and a field of another type became a silent 0 or "". Ruled out: looking keys up by their text (they would lie in memory, cores and datagrams); a 401 for a key that has moved to another tenant while its request waited (it is known: 503 with a time to come back, and it is let in anew). Change: - model/credential_index: digest to tenant by one look-up, built when a configuration is sealed; a key or a name at two tenants refuses the version. Tenants are sorted by name, a route's owner is found by bisection. - tenancy/caller_identity, proxy/engine_callers: 401 at once for what is no known key, by reason; held against each later configuration while the request is at no server, and at each sending; what is at a server keeps its answer. - Servers get the tenant's name; whatever the caller sent under that name, in any spelling, and its credentials are left out. - tenancy/request_rank: the tenant's priority before the route's, in the queue and in asks for slots. - tenancy/credential_evidence, settings credential_scheme, credentials_stale_after_ms, credentials_fail_closed. - platform/platform_field, platform_parse, platform_write: each field by its type; a problem names its place. - Pages between nodes carry whether a tenant's callers need keys, and allow-anonymous (it was sent and not taken). Tests: the gate's test of tokens is replaced by test_caller_identity and test_engine_callers, which ask for the same refusals and more; the gate no longer sees keys.

--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -13,13 +13,21 @@
 
 static void take_configuration(const json_t *value)
 {
-    const char         *problem = NULL;
-    cw_configuration_t *configuration = cw_platform_parse_configuration(value, &problem);
+    cw_platform_problem_t problem;
+    cw_configuration_t   *configuration = cw_platform_parse_configuration(value, &problem);
 
+    if ((configuration == NULL) == (problem.text[0] == '\0')) {
+        abort(); /* refused without a reason, or taken with one */
+    }
     if (configuration != NULL) {
-        json_t *written = cw_platform_write_configuration(configuration);
+        json_t             *written = cw_platform_write_configuration(configuration);
+        cw_configuration_t *again = cw_platform_parse_configuration(written, &problem);
 
         (void)cw_configuration_match(configuration, "a.example", "/docks/x");
+        if (again == NULL) {
+            abort(); /* what is written can be read */
+        }
+        cw_configuration_release(again);
         json_decref(written);
         cw_configuration_release(configuration);
     }
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2634,7 +2634,7 @@
   (ProtobufCMessageInit) cwp__configured_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[8] =
 {
   {
     "name",
@@ -2720,12 +2720,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "needs_key",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredTenant, needs_key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configured_tenant__field_indices_by_name[] = {
   5,   /* field[5] = burst */
   3,   /* field[3] = concurrent */
   1,   /* field[1] = key_digests */
   0,   /* field[0] = name */
+  7,   /* field[7] = needs_key */
   6,   /* field[6] = priority */
   2,   /* field[2] = rate_per_s */
   4,   /* field[4] = regions */
@@ -2733,7 +2746,7 @@
 static const ProtobufCIntRange cwp__configured_tenant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cwp__configured_tenant__descriptor =
 {
@@ -2743,7 +2756,7 @@
   "Cwp__ConfiguredTenant",
   "cwp",
   sizeof(Cwp__ConfiguredTenant),
-  7,
+  8,
   cwp__configured_tenant__field_descriptors,
   cwp__configured_tenant__field_indices_by_name,
   1,  cwp__configured_tenant__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -430,10 +430,14 @@
    * goes before its routes'; 0 is the most urgent
    */
   uint32_t priority;
+  /*
+   * its callers are known by keys, also when it has none
+   */
+  protobuf_c_boolean needs_key;
 };
 #define CWP__CONFIGURED_TENANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_tenant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Cwp__ConfiguredLimits
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -24,6 +24,8 @@
     X(LEADER_SILENT, "leader silent", WARNING, 10)                                                                     \
     X(CONFIGURATION_ACCEPTED, "configuration accepted", NOTICE, 20)                                                    \
     X(CONFIGURATION_REFUSED, "configuration refused", ERROR, 20)                                                       \
+    X(KEYS_STALE, "keys stale", WARNING, 10)                                                                           \
+    X(KEYS_CONFIRMED, "keys confirmed", NOTICE, 10)                                                                    \
     X(WATCH_BEGUN, "watch begun", INFO, 10)                                                                            \
     X(WATCH_FAILED, "watch failed", WARNING, 10)                                                                       \
     X(READER, "store reader", NOTICE, 10)                                                                              \
@@ -47,6 +49,7 @@
     X(REQUEST, "request")                                                                                              \
     X(ROUTE, "route")                                                                                                  \
     X(SERVICE, "service")                                                                                              \
+    X(TENANT, "tenant")                                                                                                \
     X(SERVER, "server")                                                                                                \
     X(CONFIGURATION, "configuration")                                                                                  \
     X(STATUS, "status")                                                                                                \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -27,7 +27,19 @@
     X(REFUSED_STOPPING, "cedarwinch_refused_stopping_total", "counter",                                                \
       "refused: this node stops before they may end")                                                                  \
     X(REFUSED_UNREADY, "cedarwinch_refused_unready_total", "counter", "refused: no configuration yet")                 \
-    X(REFUSED_TENANT, "cedarwinch_refused_tenant_total", "counter", "refused: not a tenant's caller, or its limits")   \
+    X(REFUSED_TENANT, "cedarwinch_refused_tenant_total", "counter", "refused: the tenant's limits")                    \
+    X(REFUSED_KEYS_STALE, "cedarwinch_refused_keys_stale_total", "counter",                                            \
+      "refused: a key may have been taken away, and there is no late enough evidence that none was")                   \
+    X(REFUSED_KEY_MOVED, "cedarwinch_refused_key_moved_total", "counter",                                              \
+      "refused: the caller's key became another tenant's while the request waited")                                    \
+    X(REJECTED_NO_KEY, "cedarwinch_rejected_no_key_total", "counter", "401: no key")                                   \
+    X(REJECTED_MALFORMED, "cedarwinch_rejected_malformed_total", "counter",                                            \
+      "401: malformed or doubled credentials, or another scheme")                                                      \
+    X(REJECTED_UNKNOWN_KEY, "cedarwinch_rejected_unknown_key_total", "counter", "401: unknown key")                    \
+    X(REJECTED_OTHER_TENANT, "cedarwinch_rejected_other_tenant_total", "counter",                                      \
+      "401: the route is another tenant's")                                                                            \
+    X(REJECTED_REVOKED, "cedarwinch_rejected_revoked_total", "counter",                                                \
+      "401: the key was taken away while the request waited")                                                          \
     X(NOT_FOUND, "cedarwinch_not_found_total", "counter", "no route for host and path")                                \
     X(FAILED_UNKNOWN, "cedarwinch_failed_unknown_total", "counter", "502: sent, and the answer was broken or lost")    \
     X(FAILED_LATE, "cedarwinch_failed_late_total", "counter", "504: no answer within the time limit")                  \
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -30,6 +30,13 @@
     RETRY_EXTRA = 20
 };
 
+static void copy_text(char *target, size_t size, const char *text)
+{
+    if (text != NULL) {
+        snprintf(target, size, "%s", text);
+    }
+}
+
 static void set_defaults(cw_router_settings_t *settings)
 {
     memset(settings, 0, sizeof(*settings));
@@ -48,13 +55,7 @@
     settings->retry_window = CW_MS(RETRY_WINDOW_MS);
     settings->retry_ratio = 0.1;
     settings->retry_extra = RETRY_EXTRA;
-}
-
-static void copy_text(char *target, size_t size, const char *text)
-{
-    if (text != NULL) {
-        snprintf(target, size, "%s", text);
-    }
+    copy_text(settings->credential_scheme, sizeof(settings->credential_scheme), "Bearer");
 }
 
 static bool endpoint_from_text(cw_endpoint_t *endpoint, const char *text)
@@ -220,6 +221,34 @@
     settings->retry_extra = cw_yaml_real(mapping, "retry_extra", 0, 1e9, settings->retry_extra);
 }
 
+/* A token of HTTP: it stands before a blank in a header. */
+static void read_scheme(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    static const char letters[] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~+";
+    const char       *text = cw_yaml_text(mapping, "credential_scheme", false);
+
+    if (text == NULL) {
+        return;
+    }
+    if (text[0] == '\0' || strspn(text, letters) != strlen(text) ||
+        strlen(text) >= sizeof(settings->credential_scheme)) {
+        cw_yaml_report(mapping->document, cw_yaml_get(mapping, "credential_scheme", false),
+                       "'credential_scheme' is '%s'; must be letters, digits and -._~+, at most %zu of them", text,
+                       sizeof(settings->credential_scheme) - 1);
+        return;
+    }
+    copy_text(settings->credential_scheme, sizeof(settings->credential_scheme), text);
+}
+
+static void read_credentials(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    read_scheme(settings, mapping);
+    settings->credentials_stale_after =
+        read_ms(mapping, "credentials_stale_after_ms", 0, 600000, settings->credentials_stale_after);
+    settings->credentials_fail_closed =
+        cw_yaml_flag(mapping, "credentials_fail_closed", settings->credentials_fail_closed);
+}
+
 /* Checks that span several keys. */
 static void check(const cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
 {
@@ -249,6 +278,7 @@
         read_zone_regions(settings, &mapping);
         read_level(settings, &mapping);
         read_tuning(settings, &mapping);
+        read_credentials(settings, &mapping);
         check(settings, &mapping);
         cw_yaml_finish(&mapping);
     }
--- a/src/config/yaml_tree.c
+++ b/src/config/yaml_tree.c
@@ -250,6 +250,21 @@
     return value;
 }
 
+bool cw_yaml_flag(cw_yaml_mapping_t *mapping, const char *key, bool fallback)
+{
+    yaml_node_t *node = cw_yaml_get(mapping, key, false);
+    const char  *text = scalar_of(mapping, key, node);
+
+    if (text == NULL) {
+        return fallback;
+    }
+    if (strcmp(text, "true") != 0 && strcmp(text, "false") != 0) {
+        cw_yaml_report(mapping->document, node, "'%s' is '%s'; must be true or false", key, text);
+        return fallback;
+    }
+    return strcmp(text, "true") == 0;
+}
+
 const char *cw_yaml_address(cw_yaml_mapping_t *mapping, const char *key, bool required)
 {
     yaml_node_t    *node = cw_yaml_get(mapping, key, required);
--- a/src/config/yaml_tree.h
+++ b/src/config/yaml_tree.h
@@ -61,6 +61,8 @@
 uint64_t cw_yaml_required_number(cw_yaml_mapping_t *mapping, const char *key, uint64_t low, uint64_t high);
 /** Real number within [low, high]; fallback when absent. */
 double cw_yaml_real(cw_yaml_mapping_t *mapping, const char *key, double low, double high, double fallback);
+/** true or false; fallback when absent. */
+bool cw_yaml_flag(cw_yaml_mapping_t *mapping, const char *key, bool fallback);
 /** IPv4 or IPv6 number. */
 const char *cw_yaml_address(cw_yaml_mapping_t *mapping, const char *key, bool required);
 /** SHA-256 digest of 64 hexadecimal digits. */
--- a/src/intent/intent.c
+++ b/src/intent/intent.c
@@ -30,17 +30,6 @@
     return strdup(text);
 }
 
-static bool read_flag(cw_yaml_mapping_t *mapping, const char *key)
-{
-    const char *text = cw_yaml_text(mapping, key, false);
-
-    if (text != NULL && strcmp(text, "true") != 0 && strcmp(text, "false") != 0) {
-        cw_yaml_report(mapping->document, cw_yaml_get(mapping, key, false), "'%s' is '%s'; must be true or false", key,
-                       text);
-    }
-    return text != NULL && strcmp(text, "true") == 0;
-}
-
 static cw_time_us_t read_ms(cw_yaml_mapping_t *mapping, const char *key)
 {
     return CW_MS(cw_yaml_number(mapping, key, 0, MILLISECONDS_MAX, 0));
@@ -55,7 +44,7 @@
 
     cw_yaml_open(&mapping, document, node, "a service");
     service->name = full_name(intent, cw_yaml_name(&mapping, "name", true));
-    service->keyed = read_flag(&mapping, "keyed");
+    service->keyed = cw_yaml_flag(&mapping, "keyed", false);
     service->max_connections = (uint32_t)cw_yaml_number(&mapping, "max_connections", 1, CONNECTIONS_MAX, 100);
     service->warm_time = read_ms(&mapping, "warm_ms");
     cw_yaml_finish(&mapping);
@@ -165,7 +154,7 @@
     route->host = strdup(text == NULL ? "" : text);
     text = cw_yaml_text(&mapping, "prefix", true);
     route->prefix = strdup(text == NULL ? "" : text);
-    route->repeatable = read_flag(&mapping, "repeatable");
+    route->repeatable = cw_yaml_flag(&mapping, "repeatable", false);
     route->timeout = read_ms(&mapping, "timeout_ms");
     route->aim = read_ms(&mapping, "aim_ms");
     route->max_attempts = (uint32_t)cw_yaml_number(&mapping, "attempts", 1, ATTEMPTS_MAX, 2);
@@ -184,6 +173,7 @@
     size_t       count = node == NULL ? 0 : cw_yaml_count(mapping->document, node, "tokens");
     size_t       position;
 
+    tenant->needs_key = node != NULL; /* an empty list: nobody has one now */
     for (position = 0; position < count; position++) {
         cw_key_digest_t key;
 
--- a/src/intent/plan.c
+++ b/src/intent/plan.c
@@ -204,8 +204,8 @@
     size_t             part;
 
     cw_bytes_append(text, tenant->keys, tenant->key_count * sizeof(*tenant->keys));
-    cw_bytes_append_format(text, "%s %g %g %u %u\n", tenant->name, tenant->rate_per_s, tenant->burst, tenant->priority,
-                           tenant->concurrent);
+    cw_bytes_append_format(text, "%s %d %g %g %u %u\n", tenant->name, tenant->needs_key, tenant->rate_per_s,
+                           tenant->burst, tenant->priority, tenant->concurrent);
     for (index = 0; index < intent->part->service_count; index++) {
         const cw_service_t *service = &intent->part->services[index];
 
@@ -242,6 +242,7 @@
                  const char *file_name, cw_findings_t *findings)
 {
     size_t before = findings->count;
+    char   problem[CW_PROBLEM_BYTES];
 
     memset(plan, 0, sizeof(*plan));
     plan->configuration = cw_configuration_create(present == NULL ? 1 : present->version + 1);
@@ -252,6 +253,10 @@
     check_others(intent, plan->configuration, file_name, findings);
     copy_all(plan->configuration, intent->part, NULL);
     cw_configuration_seal(plan->configuration);
+    if (!cw_configuration_check(plan->configuration, problem, sizeof(problem))) {
+        cw_findings_add(findings, file_name, 0, 0, "%s",
+                        plan->configuration->has_conflict ? "a token is another tenant's" : problem);
+    }
     compare_tenant(plan, intent, present);
     compare_services(plan, intent, present);
     compare_routes(plan, intent, present);
--- a/src/model/tenant.h
+++ b/src/model/tenant.h
@@ -3,7 +3,7 @@
  * @brief Tenants: whose routes and services are whose, and what their callers may do.
  *
  * A tenant owns the routes and services whose names begin with its own and a slash ("harbour/maps"). Names without
- * a slash belong to no tenant: their routes are open.
+ * a slash belong to no tenant. A caller's key names its tenant on any route (tenancy/caller_identity.h).
  */
 #ifndef CEDARWINCH_MODEL_TENANT_H
 #define CEDARWINCH_MODEL_TENANT_H
@@ -23,8 +23,9 @@
 
 typedef struct cw_tenant {
     char            *name;
-    cw_key_digest_t *keys; /**< of its callers, without duplicates */
+    cw_key_digest_t *keys; /**< of its callers, sorted, without duplicates */
     size_t           key_count;
+    bool             needs_key;  /**< its callers are known by keys, also when all of them were taken away */
     uint32_t         priority;   /**< goes before its routes' priority; 0 is the most urgent */
     double           rate_per_s; /**< requests a second, over all nodes; 0: no limit */
     double           burst;      /**< so many more may come at once, over all nodes */
@@ -36,7 +37,7 @@
 bool cw_tenant_owns(const char *tenant, const char *name);
 /** Adds a key, unless the tenant has it. */
 void cw_tenant_add_key(cw_tenant_t *tenant, const cw_key_digest_t *key);
-/** The same keys, in any order. */
+/** The same keys, and both or neither need one. */
 bool cw_tenant_same_keys(const cw_tenant_t *left, const cw_tenant_t *right);
 /** Frees what it holds. */
 void cw_tenant_clear(cw_tenant_t *tenant);
--- a/src/net/http_header.c
+++ b/src/net/http_header.c
@@ -4,6 +4,7 @@
  */
 #include "net/http_header.h"
 
+#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -58,6 +59,37 @@
     field->value = append(field->value, bytes, length);
 }
 
+static char folded(char sign)
+{
+    return sign == '_' || sign == ' ' || sign == '\t' ? '-' : (char)tolower((unsigned char)sign);
+}
+
+static size_t length_without_blanks(const char *name)
+{
+    size_t length = strlen(name);
+
+    while (length > 0 && (name[length - 1] == ' ' || name[length - 1] == '\t')) {
+        length--;
+    }
+    return length;
+}
+
+bool cw_http_name_is_alike(const char *left, const char *right)
+{
+    size_t length = length_without_blanks(left);
+    size_t index;
+
+    if (length != length_without_blanks(right)) {
+        return false;
+    }
+    for (index = 0; index < length; index++) {
+        if (folded(left[index]) != folded(right[index])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 const char *cw_http_fields_find(const cw_http_fields_t *fields, const char *name)
 {
     size_t index;
--- a/src/peer/configuration_pages.c
+++ b/src/peer/configuration_pages.c
@@ -146,6 +146,7 @@
         sent->burst = tenant->burst;
         sent->priority = tenant->priority;
         sent->concurrent = tenant->concurrent;
+        sent->needs_key = tenant->needs_key;
         sent->regions = tenant->regions.names;
         sent->n_regions = tenant->regions.count;
         sent->key_digests = &buffer->digests[keys];
@@ -292,6 +293,7 @@
     route->aim = (cw_time_us_t)sent->objective_us;
     route->max_attempts = sent->max_attempts;
     route->priority = sent->priority;
+    route->allows_anonymous = sent->allows_anonymous;
     for (index = 0; index < sent->n_regions; index++) {
         cw_name_set_add(&route->regions, sent->regions[index]);
     }
@@ -322,6 +324,7 @@
     tenant->burst = sent->burst;
     tenant->priority = sent->priority;
     tenant->concurrent = sent->concurrent;
+    tenant->needs_key = sent->needs_key;
     for (index = 0; index < sent->n_regions; index++) {
         cw_name_set_add(&tenant->regions, sent->regions[index]);
     }
@@ -420,6 +423,7 @@
 {
     uint64_t            version = in_force == NULL ? 0 : in_force->version;
     cw_configuration_t *whole;
+    char                problem[CW_PROBLEM_BYTES];
     size_t              index;
 
     if (page->version <= version || (page->since != 0 && page->since != version) ||
@@ -455,5 +459,9 @@
     assembly->partial = NULL;
     cw_configuration_assembly_clear(assembly);
     cw_configuration_seal(whole);
+    if (!cw_configuration_check(whole, problem, sizeof(problem))) { /* no node has such a one in force */
+        cw_configuration_release(whole);
+        return NULL;
+    }
     return whole;
 }
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -35,6 +35,10 @@
     engine->upstream = upstream;
     engine->nodes = 1;
     engine->gate = cw_tenant_gate_create();
+    engine->keys_trusted_until = CW_NEVER;
+    if (engine->settings.credential_scheme == NULL) {
+        engine->settings.credential_scheme = "Bearer";
+    }
     uv_timer_init(loop, &engine->wake_timer);
     engine->wake_timer.data = engine;
     return engine;
@@ -138,6 +142,7 @@
 {
     cw_configuration_release(engine->configuration);
     engine->configuration = cw_configuration_hold(configuration);
+    cw_engine_check_callers(engine);
 }
 
 void cw_engine_set_nodes(cw_engine_t *engine, uint32_t nodes, uint32_t in_reach)
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -10,8 +10,10 @@
  *  - A refusal is given as soon as it is clear that the request would come too late, and says when to come back.
  *  - A request is given up at its time limit at the latest (the route's, or the caller's if that is shorter), and the
  *    answer leaves at once.
- *  - Requests wait here, in order of priority and deadline, not at servers: a server gets no more than its slots (and,
- *    for keys that only it holds, a few more).
+ *  - Where tenants' callers are known by keys, nothing is sent for a caller whose key is not in force; the key stays
+ *    here, and the server is told the tenant (engine_callers.c).
+ *  - Requests wait here, in order of rank (request_rank.h) and deadline, not at servers: a server gets no more than its
+ * slots (and, for keys that only it holds, a few more).
  */
 #ifndef CEDARWINCH_PROXY_ENGINE_H
 #define CEDARWINCH_PROXY_ENGINE_H
@@ -35,6 +37,7 @@
     const char *signature;  /**< from a server: the answer is its own */
     const char *instance;   /**< from a server: its id */
     const char *load;       /**< from a server: its load at the moment of the answer; NULL: none is told */
+    const char *tenant;     /**< to a server: name of the caller's tenant; NULL: it is not told */
 } cw_header_names_t;
 
 typedef struct cw_engine_settings {
@@ -44,8 +47,9 @@
     cw_budget_settings_t     budget;
     double                   keyed_extra_slots; /**< requests an owner of keys may have beyond its slots */
     cw_time_us_t             connect_timeout;
-    double       silence_factor; /**< a repeatable request is repeated after so many usual times of silence */
-    cw_time_us_t margin;         /**< answers leave this much before the caller's own deadline */
+    double       silence_factor;    /**< a repeatable request is repeated after so many usual times of silence */
+    cw_time_us_t margin;            /**< answers leave this much before the caller's own deadline */
+    const char  *credential_scheme; /**< of callers' keys, in "Authorization"; NULL: Bearer */
     size_t       answer_max;
     size_t       queue_max; /**< requests waiting for one service */
 } cw_engine_settings_t;
@@ -84,6 +88,8 @@
 void cw_engine_set_slots(cw_engine_t *engine, const cw_slot_port_t *port);
 void cw_engine_slot_reply(cw_engine_t *engine, const cw_slot_reply_t *reply);
 void cw_engine_set_configuration(cw_engine_t *engine, cw_configuration_t *configuration);
+/** Callers' keys are used until then: the evidence that none was taken away is older after that (CW_NEVER: always). */
+void cw_engine_trust_keys(cw_engine_t *engine, cw_time_us_t until);
 /** How many nodes are in reach is not known yet: many are assumed. */
 #define CW_NODES_UNKNOWN UINT32_MAX
 /** Nodes that share limits, and that are in reach now. */
--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -13,7 +13,6 @@
 enum {
     STATUS_NOT_FOUND = 404,
     STATUS_BAD_REQUEST = 400,
-    STATUS_UNAUTHORIZED = 401,
     STATUS_TOO_MANY = 429,
     STATUS_UNAVAILABLE = 503,
     DEADLINE_DEFAULT_S = 30,
@@ -44,26 +43,24 @@
 
 /* ---- a request comes in ---- */
 
-static void answer_plain(cw_http_exchange_t *exchange, int status, double retry_after_s)
+void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                      const cw_rejection_t *rejection)
 {
-    cw_http_outbound_t outbound = {.status = status, .retry_after_s = retry_after_s};
-
-    cw_http_exchange_answer(exchange, &outbound);
-}
-
-static void note_plain(const cw_engine_t *engine, const cw_http_inbound_t *inbound, int status, const char *reason)
-{
-    cw_event_t event;
-
-    if (!cw_event_begin(&event, CW_EVENT_REQUEST_REFUSED)) {
-        return;
+    cw_http_outbound_t outbound = {.status = rejection->status, .retry_after_s = rejection->retry_after_s};
+    cw_event_t         event;
+
+    if (cw_event_begin(&event, CW_EVENT_REQUEST_REFUSED)) {
+        cw_event_text(&event, CW_FIELD_REQUEST,
+                      cw_http_fields_find(inbound->fields, engine->settings.names.request_id));
+        cw_event_text(&event, CW_FIELD_ROUTE, rejection->route);
+        cw_event_number(&event, CW_FIELD_STATUS, rejection->status);
+        cw_event_text(&event, CW_FIELD_REASON, rejection->reason);
+        cw_event_text(&event, CW_FIELD_TENANT, rejection->tenant);
+        cw_event_number(&event, CW_FIELD_CONFIGURATION,
+                        engine->configuration == NULL ? 0 : (int64_t)engine->configuration->version);
+        cw_event_end(&event);
     }
-    cw_event_text(&event, CW_FIELD_REQUEST, cw_http_fields_find(inbound->fields, engine->settings.names.request_id));
-    cw_event_number(&event, CW_FIELD_STATUS, status);
-    cw_event_text(&event, CW_FIELD_REASON, reason);
-    cw_event_number(&event, CW_FIELD_CONFIGURATION,
-                    engine->configuration == NULL ? 0 : (int64_t)engine->configuration->version);
-    cw_event_end(&event);
+    cw_http_exchange_answer(exchange, &outbound);
 }
 
 static cw_time_us_t caller_deadline(const cw_engine_t *engine, const cw_http_inbound_t *inbound)
@@ -124,44 +121,29 @@
 
 /* False: the tenant's gate has refused it, and it is answered. */
 static bool pass_gate(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
-                      const cw_route_t *route, cw_tenant_count_t **count)
+                      const cw_route_t *route, const cw_tenant_t *tenant, cw_tenant_count_t **count)
 {
-    const cw_tenant_t *tenant = cw_configuration_tenant_of(engine->configuration, route->name);
-    cw_time_us_t       wait;
-    cw_gate_answer_t   answer =
-        cw_tenant_gate_enter(engine->gate, tenant, cw_http_fields_find(inbound->fields, "authorization"), engine->nodes,
-                             cw_engine_now(engine), count, &wait);
-
-    switch (answer) {
-    case CW_GATE_OPEN:
-        return true;
-    case CW_GATE_UNKNOWN_CALLER:
-        cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
-        note_plain(engine, inbound, STATUS_UNAUTHORIZED, "not a caller of this tenant");
-        answer_plain(exchange, STATUS_UNAUTHORIZED, -1);
-        return false;
-    case CW_GATE_RATE:
-    case CW_GATE_CONCURRENCY:
-        cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
-        note_plain(engine, inbound, STATUS_TOO_MANY,
-                   answer == CW_GATE_RATE ? "the tenant's rate" : "the tenant's requests at once");
-        answer_plain(exchange, STATUS_TOO_MANY, (double)wait / 1e6);
-        return false;
-    }
-    return true;
-}
-
-static cw_region_rule_t regions_of(const cw_engine_t *engine, const cw_route_t *route)
-{
-    const cw_tenant_t *tenant = cw_configuration_tenant_of(engine->configuration, route->name);
+    cw_rejection_t   rejection = {.status = STATUS_TOO_MANY, .route = route->name};
+    cw_time_us_t     wait;
+    cw_gate_answer_t answer =
+        cw_tenant_gate_enter(engine->gate, tenant, engine->nodes, cw_engine_now(engine), count, &wait);
 
-    return (cw_region_rule_t){.route = &route->regions, .tenant = tenant == NULL ? NULL : &tenant->regions};
+    if (answer == CW_GATE_OPEN) {
+        return true;
+    }
+    cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
+    rejection.reason = answer == CW_GATE_RATE ? "the tenant's rate" : "the tenant's requests at once";
+    rejection.tenant = tenant->name;
+    rejection.retry_after_s = (double)wait / 1e6;
+    cw_engine_reject(engine, exchange, inbound, &rejection);
+    return false;
 }
 
 static cw_request_t *create_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
-                                    const cw_route_t *route)
+                                    const cw_route_t *route, const cw_caller_t *caller)
 {
-    cw_request_t *request = calloc(1, sizeof(*request));
+    const cw_tenant_t *tenant = cw_caller_accountable(caller, engine->configuration, route);
+    cw_request_t      *request = calloc(1, sizeof(*request));
 
     if (request == NULL) {
         abort();
@@ -171,7 +153,10 @@
     request->configuration = cw_configuration_hold(engine->configuration);
     request->route = route;
     request->route_state = route_state(engine, route);
-    request->regions = regions_of(engine, route);
+    request->caller = *caller;
+    request->caller_checked_by = engine->configuration->version;
+    request->rank = cw_request_rank(tenant, route);
+    request->regions = (cw_region_rule_t){.route = &route->regions, .tenant = tenant == NULL ? NULL : &tenant->regions};
     request->service = cw_engine_service(engine, cw_route_choose_part(request, route));
     request->method = inbound->method;
     request->target = inbound->target;
@@ -189,36 +174,55 @@
     return request;
 }
 
-void cw_engine_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+/* NULL: there is none for it, and it is answered. */
+static const cw_route_t *find_route(const cw_engine_t *engine, cw_http_exchange_t *exchange,
+                                    const cw_http_inbound_t *inbound)
 {
-    const char        *host = cw_http_fields_find(inbound->fields, "host");
-    cw_tenant_count_t *tenant;
-    const cw_route_t  *route;
-    cw_request_t      *request;
+    const char       *host = cw_http_fields_find(inbound->fields, "host");
+    const cw_route_t *route;
+    cw_rejection_t    rejection = {.retry_after_s = -1};
 
-    cw_metric_add(CW_METRIC_REQUESTS, 1);
     if (engine->configuration == NULL) {
         cw_metric_add(CW_METRIC_REFUSED_UNREADY, 1);
-        note_plain(engine, inbound, STATUS_UNAVAILABLE, "no configuration yet");
-        answer_plain(exchange, STATUS_UNAVAILABLE, retry_unready_s);
-        return;
+        rejection = (cw_rejection_t){
+            .status = STATUS_UNAVAILABLE, .reason = "no configuration yet", .retry_after_s = retry_unready_s};
+        cw_engine_reject(engine, exchange, inbound, &rejection);
+        return NULL;
     }
     if (host == NULL || inbound->target[0] != '/') {
-        note_plain(engine, inbound, STATUS_BAD_REQUEST, "no host or path");
-        answer_plain(exchange, STATUS_BAD_REQUEST, -1);
-        return;
+        rejection.status = STATUS_BAD_REQUEST;
+        rejection.reason = "no host or path";
+        cw_engine_reject(engine, exchange, inbound, &rejection);
+        return NULL;
     }
     route = cw_configuration_match(engine->configuration, host, inbound->target);
     if (route == NULL) {
         cw_metric_add(CW_METRIC_NOT_FOUND, 1);
-        note_plain(engine, inbound, STATUS_NOT_FOUND, "no route");
-        answer_plain(exchange, STATUS_NOT_FOUND, -1);
+        rejection.status = STATUS_NOT_FOUND;
+        rejection.reason = "no route";
+        cw_engine_reject(engine, exchange, inbound, &rejection);
+    }
+    return route;
+}
+
+void cw_engine_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    const cw_tenant_t *accountable;
+    cw_tenant_count_t *tenant;
+    const cw_route_t  *route;
+    cw_request_t      *request;
+    cw_caller_t        caller;
+
+    cw_metric_add(CW_METRIC_REQUESTS, 1);
+    route = find_route(engine, exchange, inbound);
+    if (route == NULL || !cw_engine_admit_caller(engine, exchange, inbound, route, &caller)) {
         return;
     }
-    if (!pass_gate(engine, exchange, inbound, route, &tenant)) {
+    accountable = cw_caller_accountable(&caller, engine->configuration, route);
+    if (!pass_gate(engine, exchange, inbound, route, accountable, &tenant)) {
         return;
     }
-    request = create_request(engine, exchange, inbound, route);
+    request = create_request(engine, exchange, inbound, route, &caller);
     request->tenant = tenant;
     cw_shared_budget_note_request(&request->service->budget, &engine->settings.budget, cw_engine_now(engine));
     if (!cw_request_fits_stop(request, cw_engine_now(engine))) {
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -11,6 +11,7 @@
 #include "proxy/engine_internal.h"
 
 enum {
+    STATUS_UNAUTHORIZED = 401,
     STATUS_BAD_GATEWAY = 502,
     STATUS_UNAVAILABLE = 503,
     STATUS_GATEWAY_TIMEOUT = 504,
@@ -85,6 +86,7 @@
     cw_time_us_t now = cw_engine_now(request->engine);
 
     cw_event_text(event, CW_FIELD_SERVICE, request->service->name);
+    cw_event_text(event, CW_FIELD_TENANT, request->caller.tenant == NULL ? NULL : request->caller.tenant->name);
     cw_event_number(event, CW_FIELD_CONFIGURATION, (int64_t)request->configuration->version);
     cw_event_number(event, CW_FIELD_ATTEMPT, request->attempts);
     cw_event_ms(event, CW_FIELD_LEFT_MS, request->deadline - now);
@@ -109,8 +111,8 @@
     cw_time_us_t wait = estimate == CW_NEVER ? come_back_owner : estimate - now - request->route_state->usual;
     cw_time_us_t longest = (request->deadline - now) / COME_BACK_PART;
 
-    if (reason == CW_REFUSED_STOPPING) {
-        return come_back_min; /* any other node can serve it */
+    if (reason == CW_REFUSED_STOPPING || reason == CW_REFUSED_KEY_MOVED) {
+        return come_back_min; /* any node can serve it, this one too if it goes on */
     }
     if (reason == CW_REFUSED_LOAD && request->claim.free_after > 0) {
         wait = request->claim.free_after;
@@ -123,9 +125,9 @@
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason)
 {
     static const char *const names[] = {"no slot in time", "owner of the key not known or moving", "no server",
-                                        "this node stops"};
+                                        "this node stops", "the caller's key is another tenant's now"};
     static const cw_metric_t metrics[] = {CW_METRIC_REFUSED_LOAD, CW_METRIC_REFUSED_OWNER, CW_METRIC_REFUSED_SERVERS,
-                                          CW_METRIC_REFUSED_STOPPING};
+                                          CW_METRIC_REFUSED_STOPPING, CW_METRIC_REFUSED_KEY_MOVED};
     cw_time_us_t             now = cw_engine_now(request->engine);
     cw_time_us_t             wait;
     cw_http_outbound_t       outbound = {.status = STATUS_UNAVAILABLE};
@@ -147,6 +149,20 @@
     answer_and_end(request, &outbound);
 }
 
+void cw_request_refuse_revoked(cw_request_t *request)
+{
+    cw_http_outbound_t outbound = {.status = STATUS_UNAUTHORIZED, .retry_after_s = -1};
+    cw_event_t         event;
+
+    cw_metric_add(CW_METRIC_REJECTED_REVOKED, 1);
+    if (begin_note(&event, request, CW_EVENT_REQUEST_REFUSED, outbound.status)) {
+        cw_event_text(&event, CW_FIELD_REASON, "the caller's key was taken away while the request waited");
+        note_inputs(&event, request);
+        cw_event_end(&event);
+    }
+    answer_and_end(request, &outbound);
+}
+
 /* ---- failed ---- */
 
 static void fail(cw_request_t *request, int status, const char *reason, cw_metric_t metric)
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -27,7 +27,8 @@
 {
     const cw_header_names_t *names = &request->engine->settings.names;
 
-    return strcasecmp(name, names->deadline) == 0 || strcasecmp(name, names->target) == 0;
+    return strcasecmp(name, names->deadline) == 0 || strcasecmp(name, names->target) == 0 ||
+           cw_request_hides_field(request, name);
 }
 
 static bool has_length(const cw_request_t *request)
@@ -59,6 +60,9 @@
     if (has_length(request)) {
         cw_bytes_append_format(out, "Content-Length: %zu\r\n", request->body_length);
     }
+    if (names->tenant != NULL && request->caller.tenant != NULL) {
+        cw_bytes_append_format(out, "%s: %s\r\n", names->tenant, request->caller.tenant->name);
+    }
     cw_bytes_append_format(out, "%s: %lld\r\n%s: %s\r\n\r\n", names->deadline,
                            (long long)((request->deadline - now) / 1000 > 0 ? (request->deadline - now) / 1000 : 1),
                            names->target, server->id);
@@ -95,6 +99,9 @@
                                      .match_value = request->id};
 
     cw_request_unqueue(request);
+    if (!cw_request_still_admitted(request)) {
+        return;
+    }
     if (server->connections == NULL) {
         server->connections = cw_upstream_target_create(engine->upstream, server->address);
     }
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -11,10 +11,10 @@
 #include <uthash.h>
 
 #include "proxy/engine.h"
+#include "tenancy/caller_identity.h"
+#include "tenancy/request_rank.h"
 #include "tenancy/tenant_gate.h"
 
-#define CW_NEVER INT64_MAX
-
 enum { CW_USUAL_FIRST_MS = 100 /**< time of a service's requests before any was answered */ };
 
 /** What outlives configurations: a route's usual time and its split's balance. */
@@ -62,7 +62,7 @@
     char              *name;
     uint32_t           hash; /**< of the name, as between nodes */
     cw_shared_budget_t budget;
-    cw_request_t      *queue; /**< by priority, then deadline */
+    cw_request_t      *queue; /**< by rank, then deadline */
     size_t             queued;
     uint32_t           queued_elsewhere;
     cw_key_route_t    *table;
@@ -80,9 +80,12 @@
     const cw_route_t       *route;
     cw_route_state_t       *route_state;
     cw_service_state_t     *service;
-    cw_tenant_count_t      *tenant;   /**< NULL: none */
-    cw_region_rule_t        regions;  /**< servers there only */
-    bool                    is_keyed; /**< the service is divided by key, and the request names one */
+    cw_caller_t             caller;            /**< its tenant is the configuration's */
+    uint64_t                caller_checked_by; /**< version that the caller was held against last */
+    uint32_t                rank;              /**< 0 is the most urgent (request_rank.h) */
+    cw_tenant_count_t      *tenant;            /**< NULL: none */
+    cw_region_rule_t        regions;           /**< servers there only */
+    bool                    is_keyed;          /**< the service is divided by key, and the request names one */
     uint32_t                key;
     const char             *method; /**< this and what follows are the exchange's */
     const char             *target;
@@ -122,6 +125,7 @@
     cw_upstream_t       *upstream;
     cw_configuration_t  *configuration;
     cw_tenant_gate_t    *gate;
+    cw_time_us_t         keys_trusted_until; /**< callers' keys; CW_NEVER: as long as they stand */
     cw_route_state_t    *routes;
     cw_service_state_t  *services;
     cw_time_us_t         tables_confirmed_at;
@@ -149,6 +153,29 @@
 /** Entry of a key in a service's table; NULL: none, or the table is too old. */
 const cw_key_route_t *cw_engine_owner(const cw_engine_t *engine, const cw_service_state_t *service, uint32_t key);
 
+/* ---- engine_admission.c ---- */
+/** An answer to what never became a request. */
+typedef struct cw_rejection {
+    int         status;
+    const char *reason;
+    const char *route;         /**< NULL: none */
+    const char *tenant;        /**< NULL: not known */
+    double      retry_after_s; /**< -1: none */
+} cw_rejection_t;
+void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                      const cw_rejection_t *rejection);
+
+/* ---- engine_callers.c ---- */
+/** False: the caller was rejected, and is answered. */
+bool cw_engine_admit_caller(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                            const cw_route_t *route, cw_caller_t *caller);
+/** Holds a request that is at no server against the configuration in force. False: it was refused. */
+bool cw_request_still_admitted(cw_request_t *request);
+/** The same for all of them: another configuration has come into force. */
+void cw_engine_check_callers(cw_engine_t *engine);
+/** A field of the caller that is for this system, or that the system sets itself: it does not go to servers. */
+bool cw_request_hides_field(const cw_request_t *request, const char *name);
+
 /* ---- engine_stop.c ---- */
 /** A new request: one that may last longer than what is left of a stop is cut, or (false) is to be refused. */
 bool cw_request_fits_stop(cw_request_t *request, cw_time_us_t now);
@@ -187,9 +214,17 @@
 void cw_request_repeat_after_silence(cw_request_t *request);
 
 /* ---- engine_answer.c ---- */
-typedef enum cw_refusal { CW_REFUSED_LOAD, CW_REFUSED_OWNER, CW_REFUSED_SERVERS, CW_REFUSED_STOPPING } cw_refusal_t;
+typedef enum cw_refusal {
+    CW_REFUSED_LOAD,
+    CW_REFUSED_OWNER,
+    CW_REFUSED_SERVERS,
+    CW_REFUSED_STOPPING,
+    CW_REFUSED_KEY_MOVED /**< the caller's key is another tenant's now */
+} cw_refusal_t;
 /** Not run, and never will: 503 with the time to come back. */
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason);
+/** 401: its caller's key was taken away. Says nothing of whether the request has run. */
+void cw_request_refuse_revoked(cw_request_t *request);
 void cw_request_fail_unknown(cw_request_t *request, const char *fault);
 void cw_request_fail_late(cw_request_t *request);
 void cw_request_relay(cw_request_t *request, const cw_upstream_answer_t *answer);
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -11,8 +11,8 @@
 
 static int compare_requests(const cw_request_t *left, const cw_request_t *right)
 {
-    if (left->route->priority != right->route->priority) {
-        return left->route->priority < right->route->priority ? -1 : 1;
+    if (left->rank != right->rank) {
+        return left->rank < right->rank ? -1 : 1;
     }
     return left->deadline < right->deadline ? -1 : left->deadline > right->deadline;
 }
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -326,6 +326,7 @@
                                      .connect_timeout = CW_MS(CONNECT_MS),
                                      .silence_factor = 4,
                                      .margin = CW_MS(15),
+                                     .credential_scheme = router->settings.credential_scheme,
                                      .answer_max = ANSWER_MAX,
                                      .queue_max = QUEUE_MAX};
 
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -106,11 +106,28 @@
     router->newest_version = version;
 }
 
+static void check_credential_evidence(cw_router_t *router, cw_time_us_t now)
+{
+    cw_credential_evidence_t *evidence = &router->credential_evidence;
+    cw_time_us_t              complete_at = router->freshness.complete_at;
+    cw_evidence_change_t      change = cw_credential_evidence_check(evidence, complete_at, now);
+    cw_event_t                event;
+
+    cw_engine_trust_keys(router->engine, cw_credential_evidence_trusted_until(evidence, complete_at));
+    if (change != CW_EVIDENCE_AS_BEFORE &&
+        cw_event_begin(&event, change == CW_EVIDENCE_STALE ? CW_EVENT_KEYS_STALE : CW_EVENT_KEYS_CONFIRMED)) {
+        cw_event_number(&event, CW_FIELD_CONFIGURATION, (int64_t)cw_router_version(router));
+        cw_event_text(&event, CW_FIELD_DETAIL, evidence->fails_closed ? "fails closed" : "goes on");
+        cw_event_end(&event);
+    }
+}
+
 void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now)
 {
     bool missed = router->newest_version > cw_router_version(router) &&
                   now - router->newest_version_at >= router->settings.configuration_within * EXCHANGE_PERCENT / 100;
 
+    check_credential_evidence(router, now);
     if (missed && !cw_configuration_exchange_is_receiving(router->exchange, now)) {
         router->newest_version_at = now;
         router->configuration_read_at = now;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -19,6 +19,7 @@
 #include "router/router.h"
 #include "router/store_reader.h"
 #include "router/table_pages.h"
+#include "tenancy/credential_evidence.h"
 
 enum {
     CW_TICK_MS = 20,
@@ -114,8 +115,9 @@
     /* the configuration */
     cw_configuration_exchange_t *exchange;
     cw_configuration_freshness_t freshness;
-    uint64_t                     newest_version; /**< highest that another node has in force */
-    cw_time_us_t newest_version_at;              /**< since when one is higher than this node's own, or was last read */
+    cw_credential_evidence_t     credential_evidence; /**< how old `freshness` may grow for callers' keys */
+    uint64_t                     newest_version;      /**< highest that another node has in force */
+    cw_time_us_t newest_version_at; /**< since when one is higher than this node's own, or was last read */
     cw_time_us_t configuration_read_at;
 
     /* what this node goes by */
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -67,6 +67,8 @@
 
     router->exchange = cw_configuration_exchange_create(&owner);
     cw_configuration_freshness_init(&router->freshness, router->settings.configuration_within);
+    router->credential_evidence = (cw_credential_evidence_t){.stale_after = router->settings.credentials_stale_after,
+                                                             .fails_closed = router->settings.credentials_fail_closed};
 }
 
 /* ---- notices ---- */
--- a/src/tenancy/caller_identity.h
+++ b/src/tenancy/caller_identity.h
@@ -3,11 +3,13 @@
  * @brief Whose caller sent a request: its key, found in the configuration's index of keys.
  *
  * Rules:
- *  - Where the configuration has keys, a request carries one (header `Authorization`, the scheme of the settings),
- * unless its route allows callers without one.
+ *  - Where the callers of some tenant are known by keys, a request carries one (header `Authorization`, the scheme of
+ *    the settings), unless its route allows callers without one.
  *  - A key that is sent has to be known, also on such a route. Unknown, malformed and doubled credentials and those of
  *    another scheme are rejected: 401, and the request is sent to no server.
- *  - A route that a tenant owns by its name (model/tenant.h) admits that tenant's callers only.
+ *  - A route that a tenant owns by its name (model/tenant.h) admits that tenant's callers only. If that tenant's
+ * callers are not known by keys, the route admits everybody, and what stands in `Authorization` is that tenant's own
+ * affair: another tenant's key in it is still not passed on.
  *  - Nothing of a key is kept but its digest; neither goes into a log, a metric, an answer or a datagram of this
  * module.
  *
@@ -20,7 +22,7 @@
 #include "net/http_header.h"
 
 typedef enum cw_caller_verdict {
-    CW_CALLER_ANONYMOUS,    /**< no key is needed, and none was sent */
+    CW_CALLER_ANONYMOUS,    /**< no key is needed, and none that counts was sent */
     CW_CALLER_KNOWN,        /**< its key is a tenant's */
     CW_CALLER_NO_KEY,       /**< rejected, as those below */
     CW_CALLER_MALFORMED,    /**< several credentials, another scheme, or no key behind the scheme */
@@ -30,17 +32,28 @@
 
 typedef struct cw_caller {
     cw_caller_verdict_t verdict;
-    const cw_tenant_t  *tenant; /**< of the key; NULL: none. Lives as long as the configuration. */
-    cw_key_digest_t     key;    /**< only with a tenant */
+    const cw_tenant_t  *tenant;            /**< of the key; NULL: none. Lives as long as the configuration. */
+    cw_key_digest_t     key;               /**< only with a tenant */
+    bool                hides_credentials; /**< `Authorization` is for this system, not for servers */
 } cw_caller_t;
 
+/** What a later configuration makes of a caller that was let in. */
+typedef enum cw_caller_standing {
+    CW_CALLER_STAYS,
+    CW_CALLER_REVOKED, /**< its key was taken away */
+    CW_CALLER_MOVED    /**< its key is another tenant's now: to be let in anew, as that one's */
+} cw_caller_standing_t;
+
 /** scheme: of the credentials, without the blank behind it. */
 cw_caller_t cw_caller_identify(const cw_configuration_t *configuration, const cw_route_t *route,
                                const cw_http_fields_t *fields, const char *scheme);
-/** Is a request that was let in still allowed by a later configuration? Its key may have been taken away. */
-bool cw_caller_is_still_admitted(const cw_caller_t *caller, const cw_configuration_t *later);
-bool cw_caller_is_rejected(const cw_caller_t *caller);
+bool        cw_caller_is_rejected(const cw_caller_t *caller);
+/** Of a caller that was let in. later: the configuration in force now. */
+cw_caller_standing_t cw_caller_standing(const cw_caller_t *caller, const cw_configuration_t *later);
 /** For the log: why, in words. */
 const char *cw_caller_reason(cw_caller_verdict_t verdict);
+/** Whose limits, priority and regions bind the request: its key's tenant, else the route's owner; NULL: nobody's. */
+const cw_tenant_t *cw_caller_accountable(const cw_caller_t *caller, const cw_configuration_t *configuration,
+                                         const cw_route_t *route);
 
 #endif
--- a/src/tenancy/tenant_gate.c
+++ b/src/tenancy/tenant_gate.c
@@ -1,17 +1,13 @@
 /**
  * @file tenant_gate.c
- * @brief Tokens, rates and concurrency of tenants.
+ * @brief Rates and concurrency of tenants.
  */
 #include "tenancy/tenant_gate.h"
 
-#include <nettle/memops.h>
-#include <nettle/sha2.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <uthash.h>
 
-static const char         scheme[] = "Bearer ";
 static const double       burst_s = 1; /* a second's worth of requests may come at once */
 static const cw_time_us_t retry_min = CW_MS(20);
 
@@ -69,30 +65,6 @@
     return count;
 }
 
-static bool is_known(const cw_tenant_t *tenant, const char *authorization)
-{
-    struct sha256_ctx context;
-    uint8_t           digest[SHA256_DIGEST_SIZE];
-    const char       *token;
-    bool              known = false;
-    size_t            index;
-
-    if (tenant->key_count == 0) {
-        return true;
-    }
-    if (authorization == NULL || strncasecmp(authorization, scheme, strlen(scheme)) != 0) {
-        return false;
-    }
-    token = authorization + strlen(scheme);
-    sha256_init(&context);
-    sha256_update(&context, strlen(token), (const uint8_t *)token);
-    sha256_digest(&context, sizeof(digest), digest);
-    for (index = 0; index < tenant->key_count; index++) { /* all are looked at: time tells nothing */
-        known |= memeql_sec(digest, tenant->keys[index].bytes, sizeof(digest)) != 0;
-    }
-    return known;
-}
-
 /* This node's part of a limit over all nodes. */
 static double part(double limit, uint32_t nodes)
 {
@@ -110,17 +82,14 @@
     }
 }
 
-cw_gate_answer_t cw_tenant_gate_enter(cw_tenant_gate_t *gate, const cw_tenant_t *tenant, const char *authorization,
-                                      uint32_t nodes, cw_time_us_t now, cw_tenant_count_t **count, cw_time_us_t *wait)
+cw_gate_answer_t cw_tenant_gate_enter(cw_tenant_gate_t *gate, const cw_tenant_t *tenant, uint32_t nodes,
+                                      cw_time_us_t now, cw_tenant_count_t **count, cw_time_us_t *wait)
 {
     *count = NULL;
     *wait = retry_min;
     if (tenant == NULL) {
         return CW_GATE_OPEN;
     }
-    if (!is_known(tenant, authorization)) {
-        return CW_GATE_UNKNOWN_CALLER;
-    }
     *count = count_of(gate, tenant, now);
     if (tenant->concurrent > 0 && (*count)->concurrent >= part(tenant->concurrent, nodes)) {
         return CW_GATE_CONCURRENCY;
--- a/src/tenancy/tenant_gate.h
+++ b/src/tenancy/tenant_gate.h
@@ -1,6 +1,6 @@
 /**
  * @file tenant_gate.h
- * @brief What a tenant's callers may do on this node: their token, their rate, how many requests at once.
+ * @brief What a tenant's callers may do on this node: their rate, how many requests at once.
  *
  * A tenant's limits hold over all nodes; each node takes an equal part, so that no tenant needs a word from others and
  * none can take what is another's. A refusal here is given before anything is sent: it has not run.
@@ -11,12 +11,7 @@
 #include "base/time.h"
 #include "model/configuration.h"
 
-typedef enum cw_gate_answer {
-    CW_GATE_OPEN,
-    CW_GATE_UNKNOWN_CALLER, /**< no token, or not one of the tenant's */
-    CW_GATE_RATE,
-    CW_GATE_CONCURRENCY
-} cw_gate_answer_t;
+typedef enum cw_gate_answer { CW_GATE_OPEN, CW_GATE_RATE, CW_GATE_CONCURRENCY } cw_gate_answer_t;
 
 typedef struct cw_tenant_gate cw_tenant_gate_t;
 /** Count of one tenant on this node. */
@@ -24,10 +19,10 @@
 
 cw_tenant_gate_t *cw_tenant_gate_create(void);
 void              cw_tenant_gate_free(cw_tenant_gate_t *gate);
-/** authorization: the header's value, or NULL. On CW_GATE_OPEN, *count (NULL: no tenant) is to be left with
+/** tenant NULL: nothing binds. On CW_GATE_OPEN, *count (NULL: no tenant) is to be left with
  *  cw_tenant_gate_leave when the request has ended. wait: how long until a refused one would be let in. */
-cw_gate_answer_t cw_tenant_gate_enter(cw_tenant_gate_t *gate, const cw_tenant_t *tenant, const char *authorization,
-                                      uint32_t nodes, cw_time_us_t now, cw_tenant_count_t **count, cw_time_us_t *wait);
+cw_gate_answer_t cw_tenant_gate_enter(cw_tenant_gate_t *gate, const cw_tenant_t *tenant, uint32_t nodes,
+                                      cw_time_us_t now, cw_tenant_count_t **count, cw_time_us_t *wait);
 void             cw_tenant_gate_leave(cw_tenant_count_t *count); /**< NULL is allowed */
 
 #endif
