pages between nodes: tenants by their changes, a tenant of any number of keys; keys taken away end what waits

Cause: all tenants stood in the first page of each transfer: beyond some 700 tenants it was longer than a datagram, and one key more sent them all again. A request that came back from a server was not held against the configuration before it waited again; a silent server's request would have been taken from it for a repeat that could not follow. Credentials of a request that was let in before any tenant had keys were sent on after the first had. Ruled out: tenants in the store's object only (nodes that are turned away would keep keys that were taken away). Callers are looked at when a request comes in, when a later configuration does, and when the request comes back from a server.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2634,7 +2634,7 @@
   (ProtobufCMessageInit) cwp__configured_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[9] =
 {
   {
     "name",
@@ -2732,10 +2732,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "in_parts",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredTenant, in_parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configured_tenant__field_indices_by_name[] = {
   5,   /* field[5] = burst */
   3,   /* field[3] = concurrent */
+  8,   /* field[8] = in_parts */
   1,   /* field[1] = key_digests */
   0,   /* field[0] = name */
   7,   /* field[7] = needs_key */
@@ -2746,7 +2759,7 @@
 static const ProtobufCIntRange cwp__configured_tenant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cwp__configured_tenant__descriptor =
 {
@@ -2756,7 +2769,7 @@
   "Cwp__ConfiguredTenant",
   "cwp",
   sizeof(Cwp__ConfiguredTenant),
-  8,
+  9,
   cwp__configured_tenant__field_descriptors,
   cwp__configured_tenant__field_indices_by_name,
   1,  cwp__configured_tenant__number_ranges,
@@ -2891,7 +2904,7 @@
   (ProtobufCMessageInit) cwp__route_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configuration_page__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cwp__configuration_page__field_descriptors[11] =
 {
   {
     "version",
@@ -3013,6 +3026,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "removed_tenants",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cwp__ConfigurationPage, n_removed_tenants),
+    offsetof(Cwp__ConfigurationPage, removed_tenants),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configuration_page__field_indices_by_name[] = {
   9,   /* field[9] = ask_instead */
@@ -3020,6 +3045,7 @@
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
   8,   /* field[8] = removed */
+  10,   /* field[10] = removed_tenants */
   4,   /* field[4] = routes */
   5,   /* field[5] = services */
   1,   /* field[1] = since */
@@ -3029,7 +3055,7 @@
 static const ProtobufCIntRange cwp__configuration_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cwp__configuration_page__descriptor =
 {
@@ -3039,7 +3065,7 @@
   "Cwp__ConfigurationPage",
   "cwp",
   sizeof(Cwp__ConfigurationPage),
-  10,
+  11,
   cwp__configuration_page__field_descriptors,
   cwp__configuration_page__field_indices_by_name,
   1,  cwp__configuration_page__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -434,10 +434,14 @@
    * its callers are known by keys, also when it has none
    */
   protobuf_c_boolean needs_key;
+  /*
+   * others of its keys stand in other entries of this name
+   */
+  protobuf_c_boolean in_parts;
 };
 #define CWP__CONFIGURED_TENANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_tenant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Cwp__ConfiguredLimits
@@ -465,8 +469,8 @@
 
 
 /*
- * A page of a configuration. since 0: of the whole; else routes that changed since the configuration of that version.
- * Services, tenants and limits stand in page 0.
+ * A page of a configuration. since 0: of the whole; else routes and tenants that changed since the configuration of that
+ * version. Services and limits stand in page 0. A tenant of many keys stands in several pages, each with some of them.
  */
 struct  Cwp__ConfigurationPage
 {
@@ -487,6 +491,8 @@
   Cwp__ConfiguredLimits *limits;
   size_t n_removed;
   Cwp__RouteKey **removed;
+  size_t n_removed_tenants;
+  char **removed_tenants;
   /*
    * pages 0: this node has sent enough for now; that one has the version too
    */
@@ -494,7 +500,7 @@
 };
 #define CWP__CONFIGURATION_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configuration_page__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/src/intent/plan.c
+++ b/src/intent/plan.c
@@ -21,22 +21,6 @@
     service->name = strdup(from->name);
 }
 
-static void copy_tenant(cw_configuration_t *to, const cw_tenant_t *from)
-{
-    cw_tenant_t *tenant = cw_configuration_add_tenant(to);
-    size_t       index;
-
-    *tenant = *from;
-    tenant->name = strdup(from->name);
-    tenant->keys = NULL;
-    tenant->key_count = 0;
-    for (index = 0; index < from->key_count; index++) {
-        cw_tenant_add_key(tenant, &from->keys[index]);
-    }
-    memset(&tenant->regions, 0, sizeof(tenant->regions));
-    cw_name_set_copy(&tenant->regions, &from->regions);
-}
-
 /* All entries, or all but one tenant's. */
 static void copy_all(cw_configuration_t *to, const cw_configuration_t *from, const char *except)
 {
@@ -54,7 +38,7 @@
     }
     for (index = 0; index < from->tenant_count; index++) {
         if (except == NULL || strcmp(except, from->tenants[index].name) != 0) {
-            copy_tenant(to, &from->tenants[index]);
+            cw_configuration_copy_tenant(to, &from->tenants[index]);
         }
     }
 }
--- a/src/model/configuration.c
+++ b/src/model/configuration.c
@@ -128,6 +128,22 @@
     }
 }
 
+void cw_configuration_copy_tenant(cw_configuration_t *configuration, const cw_tenant_t *tenant)
+{
+    cw_tenant_t *copy = cw_configuration_add_tenant(configuration);
+    size_t       index;
+
+    *copy = *tenant;
+    copy->name = strdup(tenant->name);
+    copy->keys = NULL;
+    copy->key_count = 0;
+    for (index = 0; index < tenant->key_count; index++) {
+        cw_tenant_add_key(copy, &tenant->keys[index]);
+    }
+    memset(&copy->regions, 0, sizeof(copy->regions));
+    cw_name_set_copy(&copy->regions, &tenant->regions);
+}
+
 static int compare_tenants(const void *left, const void *right)
 {
     return strcmp(((const cw_tenant_t *)left)->name, ((const cw_tenant_t *)right)->name);
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -88,6 +88,9 @@
 /** Adds a copy of a route to a configuration that is not sealed yet. */
 void cw_configuration_copy_route(cw_configuration_t *configuration, const cw_route_t *route);
 
+/** The same for a tenant. */
+void cw_configuration_copy_tenant(cw_configuration_t *configuration, const cw_tenant_t *tenant);
+
 cw_configuration_t *cw_configuration_hold(cw_configuration_t *configuration);
 void                cw_configuration_release(cw_configuration_t *configuration); /**< NULL is allowed */
 
--- a/src/model/tenant.c
+++ b/src/model/tenant.c
@@ -59,6 +59,15 @@
     return left->key_count == 0 || memcmp(left->keys, right->keys, left->key_count * sizeof(*left->keys)) == 0;
 }
 
+bool cw_tenant_same(const cw_tenant_t *left, const cw_tenant_t *right)
+{
+    bool same_limits = left->rate_per_s == right->rate_per_s && left->burst == right->burst &&
+                       left->concurrent == right->concurrent && left->priority == right->priority;
+
+    return strcmp(left->name, right->name) == 0 && same_limits && cw_tenant_same_keys(left, right) &&
+           cw_name_set_same(&left->regions, &right->regions);
+}
+
 void cw_tenant_clear(cw_tenant_t *tenant)
 {
     free(tenant->name);
--- a/src/model/tenant.h
+++ b/src/model/tenant.h
@@ -39,6 +39,8 @@
 void cw_tenant_add_key(cw_tenant_t *tenant, const cw_key_digest_t *key);
 /** The same keys, and both or neither need one. */
 bool cw_tenant_same_keys(const cw_tenant_t *left, const cw_tenant_t *right);
+/** The same name, keys, limits and regions. */
+bool cw_tenant_same(const cw_tenant_t *left, const cw_tenant_t *right);
 /** Frees what it holds. */
 void cw_tenant_clear(cw_tenant_t *tenant);
 /** Hexadecimal digits of a digest; false: the text is not 64 of them. */
--- a/src/peer/configuration_pages.c
+++ b/src/peer/configuration_pages.c
@@ -1,21 +1,34 @@
 /**
  * @file configuration_pages.c
- * @brief Configurations as pages: making them, and putting them together.
+ * @brief Configurations as pages: making them.
  */
 #include "peer/configuration_pages.h"
 
 #include <stdlib.h>
 #include <string.h>
 
+enum { KEYS_A_SLICE = 3 /* of a tenant: some 100 bytes of digests, so that it is an item like a route */ };
+
 /* ---- what changed ---- */
 
-/** Routes to be sent, and routes of the base that are gone. Borrowed pointers. */
-typedef struct route_changes {
-    const cw_route_t **sent;
-    size_t             sent_count;
-    const cw_route_t **removed;
-    size_t             removed_count;
-} route_changes_t;
+/** Some keys of a tenant: one item of a page. */
+typedef struct tenant_slice {
+    const cw_tenant_t *tenant;
+    size_t             first;
+    size_t             count;
+} tenant_slice_t;
+
+/** What is to be sent, and what of the base is gone. Borrowed pointers. */
+typedef struct changes {
+    const cw_route_t  **sent;
+    size_t              sent_count;
+    const cw_route_t  **removed;
+    size_t              removed_count;
+    tenant_slice_t     *slices;
+    size_t              slice_count;
+    const cw_tenant_t **removed_tenants;
+    size_t              removed_tenant_count;
+} changes_t;
 
 static void *allocate(size_t count, size_t size)
 {
@@ -28,8 +41,8 @@
 }
 
 /* Walks both in their common order. */
-static void find_changes(const cw_configuration_t *base, const cw_configuration_t *configuration,
-                         route_changes_t *changes)
+static void find_route_changes(const cw_configuration_t *base, const cw_configuration_t *configuration,
+                               changes_t *changes)
 {
     size_t base_count = base == NULL ? 0 : base->route_count;
     size_t old = 0;
@@ -55,21 +68,82 @@
     }
 }
 
+static void add_slices(changes_t *changes, const cw_tenant_t *tenant)
+{
+    size_t first = 0;
+
+    do {
+        size_t left = tenant->key_count - first;
+        size_t count = left > KEYS_A_SLICE ? KEYS_A_SLICE : left;
+
+        changes->slices[changes->slice_count++] = (tenant_slice_t){tenant, first, count};
+        first += count;
+    } while (first < tenant->key_count);
+}
+
+static size_t count_slices(const cw_configuration_t *configuration)
+{
+    size_t count = 0;
+    size_t index;
+
+    for (index = 0; index < configuration->tenant_count; index++) {
+        count += configuration->tenants[index].key_count / KEYS_A_SLICE + 1;
+    }
+    return count;
+}
+
+/* The same for tenants, which are sorted by name. */
+static void find_tenant_changes(const cw_configuration_t *base, const cw_configuration_t *configuration,
+                                changes_t *changes)
+{
+    size_t base_count = base == NULL ? 0 : base->tenant_count;
+    size_t old = 0;
+    size_t index = 0;
+
+    changes->slices = allocate(count_slices(configuration), sizeof(tenant_slice_t));
+    changes->removed_tenants = allocate(base_count, sizeof(cw_tenant_t *));
+    while (old < base_count || index < configuration->tenant_count) {
+        int order = old == base_count ? 1
+                    : index == configuration->tenant_count
+                        ? -1
+                        : strcmp(base->tenants[old].name, configuration->tenants[index].name);
+
+        if (order < 0) {
+            changes->removed_tenants[changes->removed_tenant_count++] = &base->tenants[old++];
+            continue;
+        }
+        if (order > 0 || !cw_tenant_same(&base->tenants[old], &configuration->tenants[index])) {
+            add_slices(changes, &configuration->tenants[index]);
+        }
+        index++;
+        old += order == 0 ? 1 : 0;
+    }
+}
+
+static void clear_changes(changes_t *changes)
+{
+    free(changes->sent);
+    free(changes->removed);
+    free(changes->slices);
+    free(changes->removed_tenants);
+}
+
 /* ---- making pages ---- */
 
 /** A page while it is made: the messages that it points to. */
 typedef struct page_buffer {
     Cwp__ConfigurationPage   page;
-    Cwp__ConfiguredRoute     routes[CW_CONFIGURATION_PAGE_ROUTES];
-    Cwp__ConfiguredRoute    *route_pointers[CW_CONFIGURATION_PAGE_ROUTES];
+    Cwp__ConfiguredRoute     routes[CW_CONFIGURATION_PAGE_ITEMS];
+    Cwp__ConfiguredRoute    *route_pointers[CW_CONFIGURATION_PAGE_ITEMS];
     Cwp__ConfiguredLimits    limits;
     Cwp__ConfiguredService  *services;
     Cwp__ConfiguredService **service_pointers;
-    Cwp__ConfiguredTenant   *tenants;
-    Cwp__ConfiguredTenant  **tenant_pointers;
-    ProtobufCBinaryData     *digests;
-    Cwp__RouteKey            removed[CW_CONFIGURATION_PAGE_ROUTES];
-    Cwp__RouteKey           *removed_pointers[CW_CONFIGURATION_PAGE_ROUTES];
+    Cwp__ConfiguredTenant    tenants[CW_CONFIGURATION_PAGE_ITEMS];
+    Cwp__ConfiguredTenant   *tenant_pointers[CW_CONFIGURATION_PAGE_ITEMS];
+    ProtobufCBinaryData      digests[CW_CONFIGURATION_PAGE_ITEMS * KEYS_A_SLICE];
+    char                    *removed_tenants[CW_CONFIGURATION_PAGE_ITEMS];
+    Cwp__RouteKey            removed[CW_CONFIGURATION_PAGE_ITEMS];
+    Cwp__RouteKey           *removed_pointers[CW_CONFIGURATION_PAGE_ITEMS];
 } page_buffer_t;
 
 static void add_route(page_buffer_t *buffer, const cw_route_t *route)
@@ -123,41 +197,30 @@
     buffer->page.n_services = configuration->service_count;
 }
 
-static void add_tenants(page_buffer_t *buffer, const cw_configuration_t *configuration)
+static void add_slice(page_buffer_t *buffer, const tenant_slice_t *slice)
 {
-    size_t keys = 0;
-    size_t index;
-    size_t key;
-
-    for (index = 0; index < configuration->tenant_count; index++) {
-        keys += configuration->tenants[index].key_count;
-    }
-    buffer->tenants = allocate(configuration->tenant_count, sizeof(*buffer->tenants));
-    buffer->tenant_pointers = allocate(configuration->tenant_count, sizeof(void *));
-    buffer->digests = allocate(keys, sizeof(*buffer->digests));
-    keys = 0;
-    for (index = 0; index < configuration->tenant_count; index++) {
-        cw_tenant_t           *tenant = &configuration->tenants[index];
-        Cwp__ConfiguredTenant *sent = &buffer->tenants[index];
-
-        cwp__configured_tenant__init(sent);
-        sent->name = tenant->name;
-        sent->rate_per_s = tenant->rate_per_s;
-        sent->burst = tenant->burst;
-        sent->priority = tenant->priority;
-        sent->concurrent = tenant->concurrent;
-        sent->needs_key = tenant->needs_key;
-        sent->regions = tenant->regions.names;
-        sent->n_regions = tenant->regions.count;
-        sent->key_digests = &buffer->digests[keys];
-        sent->n_key_digests = tenant->key_count;
-        for (key = 0; key < tenant->key_count; key++) {
-            buffer->digests[keys++] = (ProtobufCBinaryData){CW_TENANT_DIGEST_BYTES, tenant->keys[key].bytes};
-        }
-        buffer->tenant_pointers[index] = sent;
-    }
-    buffer->page.tenants = buffer->tenant_pointers;
-    buffer->page.n_tenants = configuration->tenant_count;
+    size_t                 position = buffer->page.n_tenants;
+    const cw_tenant_t     *tenant = slice->tenant;
+    Cwp__ConfiguredTenant *sent = &buffer->tenants[position];
+    ProtobufCBinaryData   *digests = &buffer->digests[position * KEYS_A_SLICE];
+    size_t                 key;
+
+    cwp__configured_tenant__init(sent);
+    sent->name = tenant->name;
+    sent->rate_per_s = tenant->rate_per_s;
+    sent->burst = tenant->burst;
+    sent->priority = tenant->priority;
+    sent->concurrent = tenant->concurrent;
+    sent->needs_key = tenant->needs_key;
+    sent->in_parts = slice->count < tenant->key_count;
+    sent->regions = tenant->regions.names;
+    sent->n_regions = tenant->regions.count;
+    sent->key_digests = digests;
+    sent->n_key_digests = slice->count;
+    for (key = 0; key < slice->count; key++) {
+        digests[key] = (ProtobufCBinaryData){CW_TENANT_DIGEST_BYTES, tenant->keys[slice->first + key].bytes};
+    }
+    buffer->tenant_pointers[buffer->page.n_tenants++] = sent;
 }
 
 static void add_limits(page_buffer_t *buffer, const cw_http_limits_t *limits)
@@ -190,9 +253,6 @@
     }
     free(buffer->services);
     free(buffer->service_pointers);
-    free(buffer->tenants);
-    free(buffer->tenant_pointers);
-    free(buffer->digests);
     memset(buffer, 0, sizeof(*buffer));
 }
 
@@ -206,19 +266,43 @@
     buffer->page.pages = pages;
     buffer->page.routes = buffer->route_pointers;
     buffer->page.removed = buffer->removed_pointers;
+    buffer->page.tenants = buffer->tenant_pointers;
+    buffer->page.removed_tenants = buffer->removed_tenants;
 }
 
-/* Items are the removed routes, then the sent ones; a page holds so many of them, in order. */
-static void fill_page(page_buffer_t *buffer, const route_changes_t *changes, uint32_t page)
+/* One item of those that follow one another: removed routes, sent ones, removed tenants, slices of sent ones. */
+static void add_item(page_buffer_t *buffer, const changes_t *changes, size_t item)
 {
-    size_t item = (size_t)page * CW_CONFIGURATION_PAGE_ROUTES;
-    size_t end = item + CW_CONFIGURATION_PAGE_ROUTES;
-
-    for (; item < end && item < changes->removed_count; item++) {
+    if (item < changes->removed_count) {
         add_removed(buffer, changes->removed[item]);
+        return;
+    }
+    item -= changes->removed_count;
+    if (item < changes->sent_count) {
+        add_route(buffer, changes->sent[item]);
+        return;
     }
-    for (; item < end && item < changes->removed_count + changes->sent_count; item++) {
-        add_route(buffer, changes->sent[item - changes->removed_count]);
+    item -= changes->sent_count;
+    if (item < changes->removed_tenant_count) {
+        buffer->removed_tenants[buffer->page.n_removed_tenants++] = changes->removed_tenants[item]->name;
+        return;
+    }
+    add_slice(buffer, &changes->slices[item - changes->removed_tenant_count]);
+}
+
+static size_t count_items(const changes_t *changes)
+{
+    return changes->sent_count + changes->removed_count + changes->removed_tenant_count + changes->slice_count;
+}
+
+static void fill_page(page_buffer_t *buffer, const changes_t *changes, uint32_t page)
+{
+    size_t item = (size_t)page * CW_CONFIGURATION_PAGE_ITEMS;
+    size_t end = item + CW_CONFIGURATION_PAGE_ITEMS;
+
+    end = end > count_items(changes) ? count_items(changes) : end;
+    for (; item < end; item++) {
+        add_item(buffer, changes, item);
     }
 }
 
@@ -226,14 +310,13 @@
                                  cw_page_window_t window, cw_configuration_page_out_t out, void *context)
 {
     static page_buffer_t buffer; /* large, and used by one call at a time */
-    route_changes_t      changes = {0};
-    size_t               items;
+    changes_t            changes = {0};
     uint32_t             pages;
     uint32_t             page = 0;
 
-    find_changes(base, configuration, &changes);
-    items = changes.sent_count + changes.removed_count;
-    pages = (uint32_t)((items + CW_CONFIGURATION_PAGE_ROUTES - 1) / CW_CONFIGURATION_PAGE_ROUTES);
+    find_route_changes(base, configuration, &changes);
+    find_tenant_changes(base, configuration, &changes);
+    pages = (uint32_t)((count_items(&changes) + CW_CONFIGURATION_PAGE_ITEMS - 1) / CW_CONFIGURATION_PAGE_ITEMS);
     pages = pages == 0 ? 1 : pages;
     if (pages > CW_CONFIGURATION_PAGES_MAX) {
         begin_page(&buffer, base, configuration, 0, 0);
@@ -244,224 +327,12 @@
         begin_page(&buffer, base, configuration, page, pages);
         if (page == 0) {
             add_services(&buffer, configuration);
-            add_tenants(&buffer, configuration);
             add_limits(&buffer, &configuration->limits);
         }
         fill_page(&buffer, &changes, page);
         out(context, &buffer.page);
         clear_page(&buffer);
     }
-    free(changes.sent);
-    free(changes.removed);
+    clear_changes(&changes);
     return pages != 0 && page == pages;
 }
-
-/* ---- putting pages together ---- */
-
-uint32_t cw_configuration_assembly_missing(const cw_configuration_assembly_t *assembly)
-{
-    uint32_t page = 0;
-
-    while (page < assembly->pages && assembly->has[page]) {
-        page++;
-    }
-    return page;
-}
-
-void cw_configuration_assembly_clear(cw_configuration_assembly_t *assembly)
-{
-    size_t index;
-
-    for (index = 0; index < assembly->removed_count; index++) {
-        cwp__route_key__free_unpacked(assembly->removed[index], NULL);
-    }
-    free(assembly->removed);
-    cw_configuration_release(assembly->partial);
-    memset(assembly, 0, sizeof(*assembly));
-}
-
-static void take_route(cw_configuration_t *partial, const Cwp__ConfiguredRoute *sent)
-{
-    cw_route_t *route = cw_configuration_add_route(partial);
-    size_t      index;
-
-    route->name = strdup(sent->name);
-    route->host = strdup(sent->host);
-    route->prefix = strdup(sent->prefix);
-    route->repeatable = sent->repeatable;
-    route->timeout = (cw_time_us_t)sent->timeout_us;
-    route->aim = (cw_time_us_t)sent->objective_us;
-    route->max_attempts = sent->max_attempts;
-    route->priority = sent->priority;
-    route->allows_anonymous = sent->allows_anonymous;
-    for (index = 0; index < sent->n_regions; index++) {
-        cw_name_set_add(&route->regions, sent->regions[index]);
-    }
-    for (index = 0; index < sent->n_part_services && index < sent->n_part_weights; index++) {
-        cw_route_add_part(route, sent->part_services[index], sent->part_weights[index]);
-    }
-}
-
-static void take_service(cw_configuration_t *partial, const Cwp__ConfiguredService *sent)
-{
-    cw_service_t *service = cw_configuration_add_service(partial);
-
-    service->name = strdup(sent->name);
-    service->keyed = sent->keyed;
-    service->max_connections = sent->max_connections;
-    service->warm_time = (cw_time_us_t)sent->warm_us;
-    service->cold_time = (cw_time_us_t)sent->cold_us;
-    service->cold_per_s = sent->cold_per_s;
-}
-
-static void take_tenant(cw_configuration_t *partial, const Cwp__ConfiguredTenant *sent)
-{
-    cw_tenant_t *tenant = cw_configuration_add_tenant(partial);
-    size_t       index;
-
-    tenant->name = strdup(sent->name);
-    tenant->rate_per_s = sent->rate_per_s;
-    tenant->burst = sent->burst;
-    tenant->priority = sent->priority;
-    tenant->concurrent = sent->concurrent;
-    tenant->needs_key = sent->needs_key;
-    for (index = 0; index < sent->n_regions; index++) {
-        cw_name_set_add(&tenant->regions, sent->regions[index]);
-    }
-    for (index = 0; index < sent->n_key_digests; index++) {
-        cw_key_digest_t key;
-
-        if (sent->key_digests[index].len == CW_TENANT_DIGEST_BYTES) {
-            memcpy(key.bytes, sent->key_digests[index].data, sizeof(key.bytes));
-            cw_tenant_add_key(tenant, &key);
-        }
-    }
-}
-
-static void take_first_page(cw_configuration_assembly_t *assembly, const Cwp__ConfigurationPage *page)
-{
-    size_t index;
-
-    for (index = 0; index < page->n_services; index++) {
-        take_service(assembly->partial, page->services[index]);
-    }
-    for (index = 0; index < page->n_tenants; index++) {
-        take_tenant(assembly->partial, page->tenants[index]);
-    }
-    if (page->limits != NULL) {
-        assembly->partial->limits = (cw_http_limits_t){.header_bytes = (size_t)page->limits->header_bytes,
-                                                       .body_bytes = (size_t)page->limits->body_bytes,
-                                                       .header_timeout = (cw_time_us_t)page->limits->header_timeout_us,
-                                                       .idle_timeout = (cw_time_us_t)page->limits->idle_timeout_us};
-    }
-}
-
-static void take_removed(cw_configuration_assembly_t *assembly, const Cwp__ConfigurationPage *page)
-{
-    size_t          count = assembly->removed_count + page->n_removed;
-    Cwp__RouteKey **removed = reallocarray(assembly->removed, count + 1, sizeof(void *));
-    size_t          index;
-
-    if (removed == NULL) {
-        abort();
-    }
-    assembly->removed = removed;
-    for (index = 0; index < page->n_removed; index++) {
-        Cwp__RouteKey *key = malloc(sizeof(*key));
-
-        if (key == NULL) {
-            abort();
-        }
-        cwp__route_key__init(key);
-        key->host = strdup(page->removed[index]->host);
-        key->prefix = strdup(page->removed[index]->prefix);
-        assembly->removed[assembly->removed_count++] = key;
-    }
-}
-
-static int compare_routes(const void *left, const void *right)
-{
-    return cw_route_compare(left, right);
-}
-
-static void mark(const cw_configuration_t *in_force, const cw_route_t *route, bool *replaced)
-{
-    const cw_route_t *found =
-        bsearch(route, in_force->routes, in_force->route_count, sizeof(cw_route_t), compare_routes);
-
-    if (found != NULL) {
-        replaced[found - in_force->routes] = true;
-    }
-}
-
-/* Lays what was received over the configuration that it is based on. */
-static void add_unchanged(cw_configuration_assembly_t *assembly, const cw_configuration_t *in_force)
-{
-    size_t sent_count = assembly->partial->route_count;
-    bool  *replaced = allocate(in_force->route_count, sizeof(bool));
-    size_t index;
-
-    for (index = 0; index < sent_count; index++) {
-        mark(in_force, &assembly->partial->routes[index], replaced);
-    }
-    for (index = 0; index < assembly->removed_count; index++) {
-        cw_route_t gone = {.host = assembly->removed[index]->host, .prefix = assembly->removed[index]->prefix};
-
-        mark(in_force, &gone, replaced);
-    }
-    for (index = 0; index < in_force->route_count; index++) {
-        if (!replaced[index]) {
-            cw_configuration_copy_route(assembly->partial, &in_force->routes[index]);
-        }
-    }
-    free(replaced);
-}
-
-cw_configuration_t *cw_configuration_assembly_take(cw_configuration_assembly_t  *assembly,
-                                                   const cw_configuration_t     *in_force,
-                                                   const Cwp__ConfigurationPage *page)
-{
-    uint64_t            version = in_force == NULL ? 0 : in_force->version;
-    cw_configuration_t *whole;
-    char                problem[CW_PROBLEM_BYTES];
-    size_t              index;
-
-    if (page->version <= version || (page->since != 0 && page->since != version) ||
-        page->pages > CW_CONFIGURATION_PAGES_MAX || page->page >= page->pages) {
-        return NULL;
-    }
-    if (assembly->partial == NULL || assembly->partial->version != page->version || assembly->base != page->since ||
-        assembly->pages != page->pages) {
-        cw_configuration_assembly_clear(assembly);
-        assembly->partial = cw_configuration_create(page->version);
-        assembly->base = page->since;
-        assembly->pages = page->pages;
-    }
-    if (assembly->has[page->page]) {
-        return NULL;
-    }
-    assembly->has[page->page] = true;
-    assembly->received++;
-    for (index = 0; index < page->n_routes; index++) {
-        take_route(assembly->partial, page->routes[index]);
-    }
-    take_removed(assembly, page);
-    if (page->page == 0) {
-        take_first_page(assembly, page);
-    }
-    if (assembly->received < assembly->pages) {
-        return NULL;
-    }
-    if (assembly->base != 0) {
-        add_unchanged(assembly, in_force);
-    }
-    whole = assembly->partial;
-    assembly->partial = NULL;
-    cw_configuration_assembly_clear(assembly);
-    cw_configuration_seal(whole);
-    if (!cw_configuration_check(whole, problem, sizeof(problem))) { /* no node has such a one in force */
-        cw_configuration_release(whole);
-        return NULL;
-    }
-    return whole;
-}
--- a/src/peer/configuration_pages.h
+++ b/src/peer/configuration_pages.h
@@ -3,8 +3,10 @@
  * @brief A configuration as pages between nodes: the whole of it, or what changed since one that the other node has.
  *
  * Rules:
- *  - A change is told by route: identity is a route's host and prefix, the order of a sealed configuration.
- *  - Page 0 carries what is small and always whole: services, tenants, limits. Removed routes come before the others.
+ *  - A change is told by route and by tenant: identity is a route's host and prefix, a tenant's name, the orders of a
+ *    sealed configuration. A tenant of many keys is sent in parts of a few keys each.
+ *  - Page 0 carries what is small and always whole: services and limits. Removed routes come first, then the others,
+ *    removed tenants, and the other tenants' parts.
  *  - The same two configurations make the same pages at each node, so the pages of one transfer may come from several.
  *  - What needs more than CW_CONFIGURATION_PAGES_MAX pages is not sent. One page without contents (pages 0) says so.
  *
@@ -17,8 +19,10 @@
 #include "peer.pb-c.h"
 
 enum {
-    CW_CONFIGURATION_PAGE_ROUTES = 40, /**< routes a page: some 4 KB, well below a datagram's limit */
-    CW_CONFIGURATION_PAGES_MAX = 256   /**< 10,240 routes: more than an object of 1 MB in the store holds */
+    CW_CONFIGURATION_PAGE_ITEMS =
+        40, /**< routes and parts of tenants a page: some 5 KB, well below a datagram's limit */
+    CW_CONFIGURATION_PAGES_MAX = 512 /**< 20,480 items: more than an object of 1 MB in the store holds (one takes some
+                                      * 70 bytes there: a tenant with a key, or three keys) */
 };
 
 typedef void (*cw_configuration_page_out_t)(void *context, const Cwp__ConfigurationPage *page);
@@ -39,6 +43,7 @@
     cw_configuration_t *partial; /**< routes that were sent, and all else */
     Cwp__RouteKey     **removed; /**< copies; hosts and prefixes */
     size_t              removed_count;
+    cw_name_set_t       removed_tenants;
     uint64_t            base;
     uint32_t            pages;
     uint32_t            received;
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -99,9 +99,6 @@
                                      .match_value = request->id};
 
     cw_request_unqueue(request);
-    if (!cw_request_still_admitted(request)) {
-        return;
-    }
     if (server->connections == NULL) {
         server->connections = cw_upstream_target_create(engine->upstream, server->address);
     }
@@ -195,6 +192,9 @@
 
 static void send_again(cw_request_t *request, cw_time_us_t pause)
 {
+    if (!cw_request_still_admitted(request)) {
+        return;
+    }
     request->not_before = pause > 0 ? cw_engine_now(request->engine) + pause : 0;
     cw_request_enqueue(request);
     cw_service_dispatch(request->engine, request->service);
@@ -209,7 +209,7 @@
     cw_server_t *server = request->server;
 
     request->repeat_at = CW_NEVER;
-    if (!may_repeat(request, now)) {
+    if (!cw_request_caller_stays(request) || !may_repeat(request, now)) {
         cw_request_arm(request);
         return;
     }
--- a/src/proxy/engine_callers.c
+++ b/src/proxy/engine_callers.c
@@ -5,8 +5,9 @@
  *
  * Rules:
  *  - A request is sent to a server only while its key is one of the configuration in force: looked at when it comes in,
- *    again when a later configuration comes into force, and again at each sending.
+ *    when a later configuration comes into force while it is at no server, and when it comes back from one.
  *  - A request that is at a server keeps its answer, whatever becomes of its key: the server is at work on it already.
+ *    It is not taken from there for a repeat either; what the server gives back is rejected.
  *  - Where keys are to be trusted no longer than their evidence (cw_engine_trust_keys), a request with a key is refused
  *    with a time to come back: another node may know more.
  */
@@ -73,6 +74,23 @@
 
 /* ---- a later configuration ---- */
 
+bool cw_request_caller_stays(const cw_request_t *request)
+{
+    return cw_caller_standing(&request->caller, request->engine->configuration) == CW_CALLER_STAYS;
+}
+
+/* Let in when nobody was known by keys: what it carries may be a key now. */
+static void hide_new_credentials(cw_request_t *request, const cw_configuration_t *later)
+{
+    cw_caller_t caller;
+
+    if (request->caller.hides_credentials || !later->needs_keys) {
+        return;
+    }
+    caller = cw_caller_identify(later, request->route, request->fields, request->engine->settings.credential_scheme);
+    request->caller.hides_credentials = caller.hides_credentials;
+}
+
 bool cw_request_still_admitted(cw_request_t *request)
 {
     const cw_configuration_t *later = request->engine->configuration;
@@ -81,6 +99,7 @@
         return true;
     }
     request->caller_checked_by = later->version;
+    hide_new_credentials(request, later);
     switch (cw_caller_standing(&request->caller, later)) {
     case CW_CALLER_STAYS:
         return true;
@@ -96,28 +115,26 @@
 
 void cw_engine_check_callers(cw_engine_t *engine)
 {
-    cw_request_t **waiting = calloc(engine->requests + 1, sizeof(void *));
+    cw_request_t **requests = calloc(engine->requests + 1, sizeof(void *));
     cw_request_t  *request;
     size_t         count = 0;
     size_t         index;
 
-    if (waiting == NULL) {
+    if (requests == NULL) {
         abort();
     }
     DL_FOREACH2(engine->open, request, newer)
     {
-        if (request->call == NULL) {
-            waiting[count++] = request;
-        }
+        requests[count++] = request;
     }
     /* An answer may let another request of the connection begin, and that one may end others: they are freed by the
      * loop, not before this returns. */
     for (index = 0; index < count; index++) {
-        if (!waiting[index]->is_ended && waiting[index]->call == NULL) {
-            (void)cw_request_still_admitted(waiting[index]);
+        if (!requests[index]->is_ended && requests[index]->call == NULL) {
+            (void)cw_request_still_admitted(requests[index]);
         }
     }
-    free(waiting);
+    free(requests);
 }
 
 /* ---- what servers do not see ---- */
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -173,6 +173,8 @@
 bool cw_request_still_admitted(cw_request_t *request);
 /** The same for all of them: another configuration has come into force. */
 void cw_engine_check_callers(cw_engine_t *engine);
+/** Has its caller the same standing in the configuration in force? Changes nothing. */
+bool cw_request_caller_stays(const cw_request_t *request);
 /** A field of the caller that is for this system, or that the system sets itself: it does not go to servers. */
 bool cw_request_hides_field(const cw_request_t *request, const char *name);
 
--- a/tests/test_configuration_exchange.c
+++ b/tests/test_configuration_exchange.c
@@ -200,7 +200,7 @@
 START_TEST(a_change_too_large_for_datagrams_is_left_to_the_store)
 {
     begin();
-    use(&nodes[ANSWERING], configuration_of(7, CW_CONFIGURATION_PAGES_MAX * CW_CONFIGURATION_PAGE_ROUTES + 1, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(7, CW_CONFIGURATION_PAGES_MAX * CW_CONFIGURATION_PAGE_ITEMS + 1, -1, -1));
     learn(7, true, 0);
     ck_assert_ptr_null(nodes[ASKING].in_force);
     ck_assert_uint_eq(nodes[ASKING].too_large, 1);
--- a/tests/test_engine_callers.c
+++ b/tests/test_engine_callers.c
@@ -5,13 +5,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/byte_buffer.h"
 #include "base/metrics.h"
 #include "loop_fixture.h"
 #include "proxy/engine_internal.h"
 
-enum { CALLS = 4, TEXT_BYTES = 1024 };
+enum { CALLS = 4, TEXT_BYTES = 1024, PAUSE_US = 1000 };
 
 typedef struct world world_t;
 
@@ -108,7 +109,7 @@
     cw_server_list_release(list);
 }
 
-static void init(world_t *world)
+static void init_with_silence(world_t *world, double silence_factor)
 {
     cw_engine_settings_t settings = {
         .names = {.request_id = "id",
@@ -122,7 +123,7 @@
         .choice = {.zone_penalty = 0.5},
         .budget = {.ratio = 0.2, .extra = 50, .window = CW_SECONDS(10), .share = 1},
         .connect_timeout = CW_SECONDS(5),
-        .silence_factor = 1000,
+        .silence_factor = silence_factor,
         .answer_max = 100000,
         .credential_scheme = "Token",
         .queue_max = 100,
@@ -144,6 +145,11 @@
     start_server(world);
 }
 
+static void init(world_t *world)
+{
+    init_with_silence(world, 1000);
+}
+
 /* ---- configurations ---- */
 
 static cw_route_t *add_route(cw_configuration_t *configuration, const char *name, bool repeatable)
@@ -300,6 +306,54 @@
     cw_test_run_until(&world->loop, is_queued, world);
 }
 
+static void run_for(world_t *world, cw_time_us_t time)
+{
+    cw_time_us_t end = cw_engine_now(world->engine) + time;
+
+    while (cw_engine_now(world->engine) < end) {
+        cw_test_run_some(&world->loop, 1);
+        usleep(PAUSE_US);
+    }
+}
+
+/** A node that counts slots, and never replies. */
+typedef struct fake_broker {
+    uint32_t asks;
+    uint32_t priority; /* of the last ask */
+    uint32_t returns;
+} fake_broker_t;
+
+static uint32_t fake_broker_of(void *context, const char *zone, uint32_t service)
+{
+    (void)context;
+    (void)zone;
+    (void)service;
+    return 1;
+}
+
+static void fake_ask(void *context, uint32_t broker, const cw_slot_ask_t *asked)
+{
+    fake_broker_t *fake = context;
+
+    (void)broker;
+    fake->asks++;
+    fake->priority = asked->priority;
+}
+
+static void fake_give_back(void *context, uint32_t broker, const cw_slot_return_t *returned)
+{
+    fake_broker_t *fake = context;
+
+    (void)broker;
+    (void)returned;
+    fake->returns++;
+}
+
+static bool has_asked(void *context)
+{
+    return ((fake_broker_t *)context)->asks > 0;
+}
+
 #define KEY "Authorization: Token sesame\r\n"
 
 /* ---- who comes in ---- */
@@ -497,6 +551,7 @@
     cw_test_run_until_set(&world.loop, &world.calls[1].answered);
     ck_assert_int_eq(world.calls[1].status, 503);
     ck_assert(world.calls[1].retry_after_s > 0);
+    ck_assert_uint_eq(cw_metric_value(CW_METRIC_REFUSED_KEY_MOVED), 1);
     answer(&world, 200, NULL);
     cw_test_run_until_set(&world.loop, &world.calls[0].answered);
     ck_assert_uint_eq(world.requests, 1);
@@ -505,6 +560,80 @@
 }
 END_TEST
 
+START_TEST(a_silent_server_keeps_the_request_of_a_key_taken_away)
+{
+    world_t world;
+
+    init_with_silence(&world, 0.01); /* repeated after 150 ms */
+    use_keys(&world);
+    (void)ask(&world, 0, "/safe/x", KEY);
+    cw_test_run_until_set(&world.loop, &world.has_request);
+    use_without_reds_key(&world, 2);
+    run_for(&world, CW_MS(400));
+    ck_assert(!world.calls[0].answered);
+    ck_assert_uint_eq(cw_metric_value(CW_METRIC_RETRIES), 0);
+    answer(&world, 200, NULL);
+    cw_test_run_until_set(&world.loop, &world.calls[0].answered);
+    ck_assert_int_eq(world.calls[0].status, 200);
+    ck_assert_uint_eq(world.requests, 1);
+}
+END_TEST
+
+START_TEST(what_waits_for_an_owner_of_its_key_ends_with_the_callers_key)
+{
+    world_t             world;
+    cw_configuration_t *configuration = begin_configuration(1);
+    cw_service_t       *service = cw_configuration_add_service(configuration);
+
+    init(&world);
+    service->name = strdup("service");
+    service->keyed = true;
+    (void)add_tenant(configuration, "red", sesame);
+    use(&world, configuration);
+    (void)ask(&world, 0, "/once/x", KEY "key: 7\r\n");
+    cw_test_run_until(&world.loop, is_queued, &world);
+    use_without_reds_key(&world, 2);
+    cw_test_run_until_set(&world.loop, &world.calls[0].answered);
+    ck_assert_int_eq(world.calls[0].status, 401);
+    ck_assert_uint_eq(cw_engine_queued(world.engine), 0);
+}
+END_TEST
+
+START_TEST(what_waits_for_a_slot_withdraws_its_ask_when_its_callers_key_goes)
+{
+    world_t        world;
+    fake_broker_t  fake = {0};
+    cw_slot_port_t port = {&fake, fake_broker_of, fake_ask, fake_give_back};
+
+    init(&world);
+    use_keys(&world);
+    cw_engine_set_slots(world.engine, &port);
+    (void)ask(&world, 0, "/once/x", KEY);
+    cw_test_run_until(&world.loop, has_asked, &fake);
+    ck_assert_uint_eq(fake.priority, 1U << 16); /* red's priority goes before its route's */
+    use_without_reds_key(&world, 2);
+    cw_test_run_until_set(&world.loop, &world.calls[0].answered);
+    ck_assert_int_eq(world.calls[0].status, 401);
+    ck_assert_uint_eq(fake.returns, 1);
+    ck_assert_uint_eq(world.requests, 0);
+}
+END_TEST
+
+START_TEST(credentials_are_hidden_from_the_version_on_that_has_keys)
+{
+    world_t world;
+
+    init(&world);
+    use(&world, begin_configuration(1));
+    fill_and_queue(&world, "/once/x", KEY);
+    ck_assert_ptr_nonnull(strstr(world.seen, "sesame")); /* nobody was known by keys */
+    use_without_reds_key(&world, 2);
+    answer(&world, 200, NULL);
+    cw_test_run_until_set(&world.loop, &world.has_request); /* let in by the version before */
+    ck_assert_ptr_null(strstr(world.seen, "sesame"));
+}
+END_TEST
+
 /* ---- evidence ---- */
 
 START_TEST(where_keys_are_trusted_no_longer_their_requests_are_told_to_come_back)
@@ -566,6 +695,10 @@
     tcase_add_test(cases, another_tenants_requests_stay_when_a_key_is_taken_away);
     tcase_add_test(cases, a_request_that_comes_back_from_a_server_is_not_sent_again_for_a_key_taken_away);
     tcase_add_test(cases, a_key_that_moves_to_another_tenant_is_let_in_anew);
+    tcase_add_test(cases, a_silent_server_keeps_the_request_of_a_key_taken_away);
+    tcase_add_test(cases, what_waits_for_an_owner_of_its_key_ends_with_the_callers_key);
+    tcase_add_test(cases, what_waits_for_a_slot_withdraws_its_ask_when_its_callers_key_goes);
+    tcase_add_test(cases, credentials_are_hidden_from_the_version_on_that_has_keys);
     tcase_add_test(cases, where_keys_are_trusted_no_longer_their_requests_are_told_to_come_back);
     tcase_add_test(cases, a_more_urgent_tenant_is_served_before_a_more_urgent_route);
     suite_add_tcase(suite, cases);
