listener: several requests of a connection at once, answers in order; one bound for all bodies

Cause: a connection held one request; a second one waited unread for the first one's answer, and a caller that sent on was cut off at 64 KB.

Change: connection and exchange are split. net/http_pipeline decides without I/O which request is handed over, which answer is written and which one closes; the listener's files are divided by job (exchange, answer, request, body, timer). Reading stops in place of closing. Bodies reserve their memory (net/body_budget) before they are read and wait or get 503 with a time; slow bodies end; answers that nobody reads end. Settings pipeline_depth, pipeline_bytes, memory_mb, body_bytes_most, body_wait_ms. Refusals by the listener itself (400, 408, 413, 431) are logged with their reason, which they were not.

--- a/src/base/byte_buffer.c
+++ b/src/base/byte_buffer.c
@@ -33,6 +33,18 @@
     }
 }
 
+void cw_bytes_reserve(cw_bytes_t *bytes, size_t capacity)
+{
+    if (capacity <= bytes->capacity) {
+        return;
+    }
+    bytes->data = realloc(bytes->data, capacity);
+    if (bytes->data == NULL) {
+        abort();
+    }
+    bytes->capacity = capacity;
+}
+
 void cw_bytes_append_text(cw_bytes_t *bytes, const char *text)
 {
     cw_bytes_append(bytes, text, strlen(text));
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -40,7 +40,8 @@
     X(REQUEST_RETRIED, "retried", NOTICE, 100)                                                                         \
     X(REQUEST_REFUSED, "refused", NOTICE, 100)                                                                         \
     X(REQUEST_FAILED, "failed", NOTICE, 100)                                                                           \
-    X(REQUEST_GONE, "caller left", INFO, 50)
+    X(REQUEST_GONE, "caller left", INFO, 50)                                                                           \
+    X(ANSWER_WAITED, "answer waited", INFO, 50)
 
 /* X(symbol, name in the log) */
 #define CW_EVENT_FIELD_TABLE(X)                                                                                        \
@@ -70,6 +71,8 @@
     X(BUDGET, "budget")                                                                                                \
     X(UNDER_WAY, "under_way")                                                                                          \
     X(QUEUED, "queued")                                                                                                \
+    X(WAITED_MS, "waited_ms")                                                                                          \
+    X(WAITED_FOR, "waited_for")                                                                                        \
     X(SILENT_MS, "silent_ms")                                                                                          \
     X(ZONE, "zone")                                                                                                    \
     X(PEER, "peer")                                                                                                    \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -32,6 +32,15 @@
     X(FAILED_UNKNOWN, "cedarwinch_failed_unknown_total", "counter", "502: sent, and the answer was broken or lost")    \
     X(FAILED_LATE, "cedarwinch_failed_late_total", "counter", "504: no answer within the time limit")                  \
     X(CALLERS_LEFT, "cedarwinch_callers_left_total", "counter", "callers that left before their answer")               \
+    X(PIPELINED, "cedarwinch_pipelined_total", "counter",                                                              \
+      "requests handed over while an earlier one of their connection had no answer written")                           \
+    X(ANSWERS_WAITED, "cedarwinch_answers_waited_total", "counter",                                                    \
+      "answers that waited for an earlier one of their connection")                                                    \
+    X(READING_STOPPED, "cedarwinch_reading_stopped_total", "counter",                                                  \
+      "times a connection was not read on: its pipeline was full, or a body waited for memory")                        \
+    X(BODIES_WAITED, "cedarwinch_bodies_waited_total", "counter", "bodies that waited for memory")                     \
+    X(REFUSED_BODIES, "cedarwinch_refused_bodies_total", "counter", "refused: no memory for the body in time")         \
+    X(BODY_BYTES, "cedarwinch_body_bytes", "gauge", "bytes reserved for callers' bodies")                              \
     X(SENT, "cedarwinch_sent_total", "counter", "requests sent to servers")                                            \
     X(RETRIES, "cedarwinch_retries_total", "counter", "requests sent once more")                                       \
     X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries for which the budget had no room")        \
@@ -73,7 +82,8 @@
 #define CW_HISTOGRAM_TABLE(X)                                                                                          \
     X(QUEUE, "cedarwinch_queue_seconds", "time from a request's arrival to its sending")                               \
     X(SERVER, "cedarwinch_server_seconds", "time from sending to the whole answer")                                    \
-    X(TOTAL, "cedarwinch_total_seconds", "time from a request's arrival to its answer")
+    X(TOTAL, "cedarwinch_total_seconds", "time from a request's arrival to its answer")                                \
+    X(TURN, "cedarwinch_turn_seconds", "time that answers waited for an earlier one of their connection")
 
 #define CW_METRIC_SYMBOL(symbol, name, type, help) CW_METRIC_##symbol,
 typedef enum cw_metric { CW_METRIC_TABLE(CW_METRIC_SYMBOL) CW_METRICS } cw_metric_t;
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -27,7 +27,14 @@
     LINK_MBPS = 1000,
     LINK_MBPS_MAX = 1000000,
     RETRY_WINDOW_MS = 10000,
-    RETRY_EXTRA = 20
+    RETRY_EXTRA = 20,
+    PIPELINE_DEPTH = 16,
+    PIPELINE_DEPTH_MAX = 1000,
+    PIPELINE_BYTES = 256 * 1024,
+    MEMORY_MB_MAX = 1024 * 1024,
+    BODY_BYTES_MOST = 64 * 1024 * 1024, /* where the node's memory is not told */
+    BODY_MEMORY_PART = 4,               /* of the node's memory: bodies are sent from where they are read, held once */
+    BODY_WAIT_MS = 300                  /* some two usual requests at a server, whose end gives memory back */
 };
 
 static void set_defaults(cw_router_settings_t *settings)
@@ -48,6 +55,9 @@
     settings->retry_window = CW_MS(RETRY_WINDOW_MS);
     settings->retry_ratio = 0.1;
     settings->retry_extra = RETRY_EXTRA;
+    settings->pipeline_depth = PIPELINE_DEPTH;
+    settings->pipeline_bytes = PIPELINE_BYTES;
+    settings->body_wait = CW_MS(BODY_WAIT_MS);
 }
 
 static void copy_text(char *target, size_t size, const char *text)
@@ -220,6 +230,20 @@
     settings->retry_extra = cw_yaml_real(mapping, "retry_extra", 0, 1e9, settings->retry_extra);
 }
 
+static void read_connections(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    size_t most;
+
+    settings->pipeline_depth =
+        (uint32_t)cw_yaml_number(mapping, "pipeline_depth", 1, PIPELINE_DEPTH_MAX, settings->pipeline_depth);
+    settings->pipeline_bytes = cw_yaml_number(mapping, "pipeline_bytes", 1024, SIZE_MAX, settings->pipeline_bytes);
+    settings->memory_mb = (uint32_t)cw_yaml_real(mapping, "memory_mb", 0, MEMORY_MB_MAX, 0);
+    most = (size_t)settings->memory_mb * 1024 * 1024 / BODY_MEMORY_PART;
+    settings->body_bytes_most = cw_yaml_number(mapping, "body_bytes_most", 64 * 1024, SIZE_MAX,
+                                               settings->memory_mb == 0 ? BODY_BYTES_MOST : most);
+    settings->body_wait = read_ms(mapping, "body_wait_ms", 0, 60000, settings->body_wait);
+}
+
 /* Checks that span several keys. */
 static void check(const cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
 {
@@ -249,6 +273,7 @@
         read_zone_regions(settings, &mapping);
         read_level(settings, &mapping);
         read_tuning(settings, &mapping);
+        read_connections(settings, &mapping);
         check(settings, &mapping);
         cw_yaml_finish(&mapping);
     }
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -51,6 +51,11 @@
     cw_time_us_t     retry_window;
     double           retry_ratio;
     double           retry_extra;
+    uint32_t         pipeline_depth;  /**< requests of one caller's connection that are served at once */
+    size_t           pipeline_bytes;  /**< of answers that wait for an earlier one; beyond it, nothing is read */
+    uint32_t         memory_mb;       /**< that this node may use; 0: not known */
+    size_t           body_bytes_most; /**< of callers' bodies that are held at once */
+    cw_time_us_t     body_wait;       /**< for memory for a body */
 } cw_router_settings_t;
 
 /** Reads and checks a file; findings name the places of what is wrong. CW_ERROR_PARSE when there are any. */
--- /dev/null
+++ b/src/net/http_listener_exchange.c
@@ -0,0 +1,125 @@
+/**
+ * @file http_listener_exchange.c
+ * @brief One request: its memory, its way to the handler, its end without an answer.
+ */
+#include <stdlib.h>
+
+#include "base/metrics.h"
+#include "net/http_listener_internal.h"
+
+cw_http_exchange_t *cw_listener_exchange_create(cw_http_connection_t *connection)
+{
+    cw_http_exchange_t *exchange = calloc(1, sizeof(*exchange));
+
+    if (exchange == NULL) {
+        abort();
+    }
+    exchange->connection = connection;
+    return exchange;
+}
+
+void cw_listener_exchange_free(cw_http_exchange_t *exchange)
+{
+    if (exchange->in_handler) {
+        exchange->is_done = true;
+        return;
+    }
+    cw_listener_release(exchange, exchange->reserved);
+    cw_http_fields_clear(&exchange->fields);
+    cw_bytes_clear(&exchange->target);
+    cw_bytes_clear(&exchange->body);
+    cw_bytes_clear(&exchange->answer_head);
+    cw_bytes_clear(&exchange->answer_body);
+    free(exchange);
+}
+
+static void hand_over(cw_http_connection_t *connection, cw_http_exchange_t *exchange)
+{
+    cw_http_listener_t *listener = connection->listener;
+    cw_http_inbound_t   inbound = {.method = exchange->method,
+                                   .target = exchange->target.data,
+                                   .fields = &exchange->fields,
+                                   .body = exchange->body.data,
+                                   .body_length = exchange->body.length,
+                                   .arrived_us = exchange->arrived_us};
+
+    exchange->entry.state = CW_PIPELINE_HANDED_OVER;
+    exchange->in_handler = true;
+    listener->handler.request(listener->handler.context, exchange, &inbound);
+    exchange->in_handler = false;
+    if (exchange->is_done) {
+        cw_listener_exchange_free(exchange);
+    }
+}
+
+void cw_listener_hand_over(cw_http_connection_t *connection)
+{
+    cw_pipeline_entry_t *entry;
+
+    while (connection->state == CW_CONNECTION_OPEN &&
+           (entry = cw_pipeline_next_to_hand_over(&connection->pipeline)) != NULL) {
+        if (entry != connection->pipeline.entries) {
+            cw_metric_add(CW_METRIC_PIPELINED, 1);
+        }
+        if (connection->listener->ending) { /* its answer closes the connection */
+            connection->pipeline.ended = true;
+        }
+        hand_over(connection, (cw_http_exchange_t *)entry);
+    }
+}
+
+void cw_listener_end_pipeline(cw_http_connection_t *connection)
+{
+    cw_pipeline_entry_t *entry;
+
+    while ((entry = cw_pipeline_end(&connection->pipeline)) != NULL) {
+        cw_listener_exchange_free((cw_http_exchange_t *)entry);
+    }
+    cw_listener_stop_waiting(connection);
+    if (connection->incoming != NULL) {
+        cw_listener_exchange_free(connection->incoming);
+        connection->incoming = NULL;
+    }
+}
+
+/* The requests behind one that will have no answer: those that are with the handler go. */
+static void drop_behind(cw_http_connection_t *connection, const cw_http_exchange_t *exchange)
+{
+    cw_http_listener_t *listener = connection->listener;
+
+    cw_listener_end_pipeline(connection);
+    while (exchange->entry.next != NULL) {
+        cw_http_exchange_t *newest = (cw_http_exchange_t *)connection->pipeline.entries->prev;
+        bool                with_handler = newest->entry.state == CW_PIPELINE_HANDED_OVER;
+
+        cw_pipeline_remove(&connection->pipeline, &newest->entry);
+        if (with_handler) {
+            newest->entry.state = CW_PIPELINE_ANSWERED;
+            listener->handler.gone(listener->handler.context, newest);
+        }
+        cw_listener_exchange_free(newest);
+    }
+}
+
+void cw_http_exchange_abort(cw_http_exchange_t *exchange)
+{
+    cw_http_connection_t *connection = exchange->connection;
+
+    if (exchange->entry.state != CW_PIPELINE_HANDED_OVER || connection->state != CW_CONNECTION_OPEN) {
+        return;
+    }
+    exchange->aborted = true;
+    cw_pipeline_answered(&connection->pipeline, &exchange->entry, 0);
+    drop_behind(connection, exchange);
+    cw_listener_write(connection);
+}
+
+void cw_http_exchange_set_data(cw_http_exchange_t *exchange, void *data)
+{
+    exchange->data = data;
+}
+
+void *cw_http_exchange_data(const cw_http_exchange_t *exchange)
+{
+    return exchange->data;
+}
--- a/src/net/http_listener_request.c
+++ b/src/net/http_listener_request.c
@@ -1,24 +1,34 @@
 /**
  * @file http_listener_request.c
- * @brief Reading of requests: limits, bodies, and what comes in while one is answered.
+ * @brief Reading of requests: limits, bodies, and when a connection is not read.
  */
 #include <string.h>
 #include <strings.h>
 
+#include "base/metrics.h"
 #include "net/http_listener_internal.h"
 
-enum {
-    PENDING_MAX = 64 * 1024, /* bytes of later requests kept while one is answered */
-    STATUS_TOO_LONG = 413,
-    STATUS_HEADER_TOO_LONG = 431,
-    STATUS_BAD_REQUEST = 400
-};
+enum { STATUS_TOO_LONG = 413, STATUS_HEADER_TOO_LONG = 431, STATUS_BAD_REQUEST = 400, STATUS_UNAVAILABLE = 503 };
 
-static int count_head(cw_http_exchange_t *connection, size_t length)
+/* ---- what the parser finds ---- */
+
+static cw_http_exchange_t *incoming_of(const http_parser *parser)
 {
-    connection->head_bytes += length;
-    if (connection->head_bytes > connection->listener->limits.header_bytes) {
-        connection->refusal = STATUS_HEADER_TOO_LONG;
+    return ((cw_http_connection_t *)parser->data)->incoming;
+}
+
+static const cw_http_limits_t *limits_of(const http_parser *parser)
+{
+    return &((cw_http_connection_t *)parser->data)->listener->limits;
+}
+
+static int count_head(http_parser *parser, size_t length)
+{
+    cw_http_exchange_t *incoming = incoming_of(parser);
+
+    incoming->head_bytes += length;
+    if (incoming->head_bytes > limits_of(parser)->header_bytes) {
+        incoming->refusal = STATUS_HEADER_TOO_LONG;
         return 1;
     }
     return 0;
@@ -26,83 +36,104 @@
 
 static int on_url(http_parser *parser, const char *bytes, size_t length)
 {
-    cw_http_exchange_t *connection = parser->data;
-
-    cw_bytes_append(&connection->target, bytes, length);
-    return count_head(connection, length);
+    cw_bytes_append(&incoming_of(parser)->target, bytes, length);
+    return count_head(parser, length);
 }
 
 static int on_name(http_parser *parser, const char *bytes, size_t length)
 {
-    cw_http_exchange_t *connection = parser->data;
+    cw_http_exchange_t *incoming = incoming_of(parser);
 
-    if (!connection->head_done) { /* trailers are dropped */
-        cw_http_field_builder_name(&connection->builder, &connection->fields, bytes, length);
+    if (!incoming->head_done) { /* trailers are dropped */
+        cw_http_field_builder_name(&incoming->builder, &incoming->fields, bytes, length);
     }
-    return count_head(connection, length + 2);
+    return count_head(parser, length + 2);
 }
 
 static int on_value(http_parser *parser, const char *bytes, size_t length)
 {
-    cw_http_exchange_t *connection = parser->data;
+    cw_http_exchange_t *incoming = incoming_of(parser);
 
-    if (!connection->head_done) {
-        cw_http_field_builder_value(&connection->builder, &connection->fields, bytes, length);
+    if (!incoming->head_done) {
+        cw_http_field_builder_value(&incoming->builder, &incoming->fields, bytes, length);
     }
-    return count_head(connection, length + 2);
+    return count_head(parser, length + 2);
 }
 
-static void send_continue(cw_http_exchange_t *connection)
+/* A body of known length: its memory first. False: it can never have it here. */
+static bool announce_body(http_parser *parser)
 {
-    static char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
-    uv_buf_t    buffer = uv_buf_init(interim, sizeof(interim) - 1);
+    cw_http_connection_t *connection = parser->data;
+    size_t                length = (size_t)parser->content_length;
 
-    (void)uv_try_write((uv_stream_t *)&connection->tcp, &buffer, 1);
+    if (length > connection->listener->bodies.most) {
+        connection->incoming->refusal = STATUS_UNAVAILABLE;
+        return false;
+    }
+    if (!cw_listener_reserve(connection, length)) {
+        http_parser_pause(parser, 1);
+    }
+    return true;
+}
+
+static void note_head(http_parser *parser)
+{
+    cw_http_connection_t *connection = parser->data;
+    cw_http_exchange_t   *incoming = connection->incoming;
+    const char           *expect = cw_http_fields_find(&incoming->fields, "expect");
+
+    incoming->head_done = true;
+    incoming->arrived_us = connection->read_us;
+    incoming->method = http_method_str((enum http_method)parser->method);
+    incoming->is_head = parser->method == HTTP_HEAD;
+    incoming->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
+    incoming->is_chunked = (parser->flags & F_CHUNKED) != 0;
+    incoming->wants_continue = expect != NULL && strcasecmp(expect, "100-continue") == 0;
+    connection->body_read_us = cw_listener_now(connection->listener);
 }
 
 static int on_head(http_parser *parser)
 {
-    cw_http_exchange_t *connection = parser->data;
-    const char         *expect = cw_http_fields_find(&connection->fields, "expect");
+    cw_http_exchange_t *incoming = incoming_of(parser);
 
-    connection->head_done = true;
-    connection->arrived_us = cw_listener_now(connection->listener);
-    connection->is_head = parser->method == HTTP_HEAD;
-    connection->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
+    note_head(parser);
     if (parser->upgrade || parser->method == HTTP_CONNECT) {
-        connection->refusal = STATUS_BAD_REQUEST;
+        incoming->refusal = STATUS_BAD_REQUEST;
         return -1;
     }
-    if ((parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length != UINT64_MAX &&
-        parser->content_length > connection->listener->limits.body_bytes) {
-        connection->refusal = STATUS_TOO_LONG;
-        return -1;
+    if ((parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length != UINT64_MAX && parser->content_length > 0) {
+        if (parser->content_length > limits_of(parser)->body_bytes) {
+            incoming->refusal = STATUS_TOO_LONG;
+            return -1;
+        }
+        return announce_body(parser) ? 0 : -1;
     }
-    if (expect != NULL && strcasecmp(expect, "100-continue") == 0) {
-        send_continue(connection);
+    if (incoming->is_chunked) { /* its pieces get their memory one by one */
+        http_parser_pause(parser, 1);
     }
     return 0;
 }
 
 static int on_body(http_parser *parser, const char *bytes, size_t length)
 {
-    cw_http_exchange_t *connection = parser->data;
+    cw_http_exchange_t *incoming = incoming_of(parser);
 
-    if (connection->body.length + length > connection->listener->limits.body_bytes) {
-        connection->refusal = STATUS_TOO_LONG;
+    if (incoming->body.length + length > limits_of(parser)->body_bytes) {
+        incoming->refusal = STATUS_TOO_LONG;
         return -1;
     }
-    cw_bytes_append(&connection->body, bytes, length);
+    cw_bytes_reserve(&incoming->body, incoming->reserved);
+    cw_bytes_append(&incoming->body, bytes, length);
     return 0;
 }
 
 static int on_message(http_parser *parser)
 {
-    cw_http_exchange_t *connection = parser->data;
+    cw_http_exchange_t *incoming = incoming_of(parser);
 
-    connection->message_done = true;
-    connection->keep_alive = http_should_keep_alive(parser) != 0;
-    http_parser_pause(parser, 1); /* the next request waits for this one's answer */
+    incoming->message_done = true;
+    incoming->entry.last = http_should_keep_alive(parser) == 0;
+    http_parser_pause(parser, 1);
     return 0;
 }
 
@@ -113,93 +144,202 @@
                                                      .on_body = on_body,
                                                      .on_message_complete = on_message};
 
-static void hand_over(cw_http_exchange_t *connection)
+/* ---- one piece of bytes ---- */
+
+static void begin_request(cw_http_connection_t *connection)
 {
-    cw_http_inbound_t inbound = {.method = http_method_str((enum http_method)connection->parser.method),
-                                 .fields = &connection->fields,
-                                 .body = connection->body.data,
-                                 .body_length = connection->body.length,
-                                 .arrived_us = connection->arrived_us};
+    connection->incoming = cw_listener_exchange_create(connection);
+    connection->incoming->begun_us = cw_listener_now(connection->listener);
+    http_parser_init(&connection->parser, HTTP_REQUEST);
+    connection->parser.data = connection;
+}
 
-    cw_bytes_append(&connection->target, "", 1);
-    inbound.target = connection->target.data;
-    connection->state = CW_CONNECTION_ANSWERING;
-    uv_timer_stop(&connection->timer);
-    connection->listener->handler.request(connection->listener->handler.context, connection, &inbound);
+/* RFC 9110, 9.2.2: what these do is the same however often they run. */
+static bool is_repeatable(const char *method)
+{
+    return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0 || strcmp(method, "OPTIONS") == 0;
 }
 
-static void begin_request(cw_http_exchange_t *connection)
+static void take_message(cw_http_connection_t *connection)
 {
-    connection->state = CW_CONNECTION_READING;
-    connection->begun_us = cw_listener_now(connection->listener);
-    cw_listener_arm(connection, connection->begun_us + connection->listener->limits.header_timeout);
+    cw_http_exchange_t *exchange = connection->incoming;
+
+    connection->incoming = NULL;
+    if (exchange->reserved > exchange->body.length) { /* the framing of chunks */
+        cw_listener_release(exchange, exchange->reserved - exchange->body.length);
+    }
+    cw_bytes_append(&exchange->target, "", 1);
+    exchange->entry.repeatable = is_repeatable(exchange->method);
+    cw_pipeline_append(&connection->pipeline, &exchange->entry);
+    cw_listener_hand_over(connection);
 }
 
-void cw_listener_parse(cw_http_exchange_t *connection, const char *bytes, size_t length)
+static void refuse_bad(cw_http_connection_t *connection)
+{
+    int refusal = connection->incoming->refusal;
+
+    if (refusal == STATUS_UNAVAILABLE) {
+        cw_listener_refuse_body(connection);
+        return;
+    }
+    cw_listener_refuse(connection, refusal != 0 ? refusal : STATUS_BAD_REQUEST, -1,
+                       refusal != 0 ? http_status_str((enum http_status)refusal)
+                                    : http_errno_name(HTTP_PARSER_ERRNO(&connection->parser)));
+}
+
+/* Memory for the next piece of a body in chunks. */
+static bool reserve_piece(cw_http_connection_t *connection, size_t length)
+{
+    const cw_http_exchange_t *incoming = connection->incoming;
+    size_t                    needed = incoming->body.length + length;
+
+    return !incoming->is_chunked || needed <= incoming->reserved ||
+           cw_listener_reserve(connection, needed - incoming->reserved);
+}
+
+/* Gives how many bytes it took; 0: the connection waits for memory. */
+static size_t parse_piece(cw_http_connection_t *connection, const char *bytes, size_t length)
 {
     size_t parsed;
 
-    if (connection->state == CW_CONNECTION_RESTING) {
+    if (connection->incoming == NULL) {
+        if (*bytes == '\r' || *bytes == '\n') { /* empty lines between requests: RFC 9112, 2.2 */
+            return 1;
+        }
         begin_request(connection);
     }
+    if (!reserve_piece(connection, length)) {
+        return 0;
+    }
     parsed = http_parser_execute(&connection->parser, &parser_settings, bytes, length);
-    if (connection->message_done) {
-        if (parsed < length) {
-            cw_bytes_append(&connection->pending, bytes + parsed, length - parsed);
+    connection->body_read_us = cw_listener_now(connection->listener);
+    if (connection->incoming->message_done) {
+        take_message(connection);
+    } else if (HTTP_PARSER_ERRNO(&connection->parser) == HPE_PAUSED) { /* the head is done */
+        http_parser_pause(&connection->parser, 0);
+    } else if (HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK) {
+        refuse_bad(connection);
+    }
+    return parsed;
+}
+
+/* ---- when bytes are parsed, and when they are read ---- */
+
+static bool may_parse(cw_http_connection_t *connection)
+{
+    if (connection->room_wanted > 0 && !cw_listener_retry_reserve(connection)) {
+        return false;
+    }
+    return connection->incoming != NULL ||
+           cw_pipeline_has_room(&connection->pipeline, &connection->listener->options.pipeline);
+}
+
+/* Gives how many bytes were used; all of them, thrown away, when nothing more is read from this connection. */
+static size_t parse(cw_http_connection_t *connection, const char *bytes, size_t length)
+{
+    size_t used = 0;
+
+    while (used < length) {
+        if (connection->state != CW_CONNECTION_OPEN || connection->pipeline.ended) {
+            return length;
         }
-        hand_over(connection);
-        return;
+        if (!may_parse(connection)) {
+            break;
+        }
+        used += parse_piece(connection, bytes + used, length - used);
+        cw_listener_send_continue(connection);
     }
-    if (HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK) {
-        cw_listener_refuse(connection, connection->refusal != 0 ? connection->refusal : STATUS_BAD_REQUEST);
+    return used;
+}
+
+static void set_reading(cw_http_connection_t *connection)
+{
+    bool wanted = connection->pending.length == 0;
+
+    if (connection->state == CW_CONNECTION_CLOSED || wanted == connection->is_reading) {
         return;
     }
-    if (connection->head_done) { /* a body that is on its way may rest as long as a connection may */
-        cw_listener_arm(connection, cw_listener_now(connection->listener) + connection->listener->limits.idle_timeout);
+    connection->is_reading = wanted;
+    if (wanted) {
+        uv_read_start((uv_stream_t *)&connection->tcp, cw_listener_on_allocate, cw_listener_on_read);
+    } else {
+        uv_read_stop((uv_stream_t *)&connection->tcp);
+        connection->hang_up_check_us = cw_listener_now(connection->listener) + CW_MS(CW_HANG_UP_CHECK_MS);
+        cw_metric_add(CW_METRIC_READING_STOPPED, 1);
     }
 }
 
-static void on_end(cw_http_exchange_t *connection)
+bool cw_listener_has_more(const cw_http_connection_t *connection)
 {
-    connection->end_seen = true;
-    cw_listener_close_connection(connection);
+    if (connection->state != CW_CONNECTION_OPEN) {
+        return connection->pending.length > 0;
+    }
+    if (cw_pipeline_next_to_hand_over(&connection->pipeline) != NULL) {
+        return true;
+    }
+    if (connection->incoming != NULL && connection->incoming->wants_continue) {
+        return connection->pipeline.count == 0;
+    }
+    return connection->pending.length > 0 && connection->room_wanted == 0 &&
+           (connection->pipeline.ended || connection->incoming != NULL ||
+            cw_pipeline_has_room(&connection->pipeline, &connection->listener->options.pipeline));
+}
+
+static void parse_pending(cw_http_connection_t *connection)
+{
+    cw_bytes_t pending = connection->pending;
+
+    memset(&connection->pending, 0, sizeof(connection->pending));
+    connection->read_us = connection->pending_read_us;
+    cw_bytes_consume(&pending, parse(connection, pending.data, pending.length));
+    if (pending.length == 0) {
+        cw_bytes_clear(&pending);
+    }
+    connection->pending = pending;
+}
+
+void cw_listener_advance(cw_http_connection_t *connection)
+{
+    if (connection->is_advancing) {
+        return;
+    }
+    connection->is_advancing = true;
+    cw_listener_hand_over(connection);
+    cw_listener_send_continue(connection);
+    if (connection->pending.length > 0) {
+        parse_pending(connection);
+    }
+    connection->is_advancing = false;
+    set_reading(connection);
 }
 
 void cw_listener_on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
-    cw_http_exchange_t *connection = stream->data;
+    cw_http_connection_t *connection = stream->data;
+    size_t                used;
 
     if (length == 0) { /* libuv: nothing is there now. To the parser, no bytes would be the end of the stream */
         return;
     }
     if (length < 0) {
-        on_end(connection);
+        cw_listener_close_connection(connection);
         return;
     }
-    switch (connection->state) {
-    case CW_CONNECTION_RESTING:
-    case CW_CONNECTION_READING:
-        if (connection->pending.length == 0) {
-            cw_listener_parse(connection, buffer->base, (size_t)length);
-            break;
-        }
-        /* fall through */
-    case CW_CONNECTION_ANSWERING:
-    case CW_CONNECTION_WRITING:
-        cw_bytes_append(&connection->pending, buffer->base, (size_t)length);
-        if (connection->pending.length > PENDING_MAX) {
-            cw_listener_close_connection(connection);
-        }
-        break;
-    case CW_CONNECTION_LINGERING:
-    case CW_CONNECTION_CLOSED:
-        break;
+    connection->is_advancing = true;
+    connection->read_us = cw_listener_now(connection->listener);
+    used = parse(connection, buffer->base, (size_t)length);
+    connection->is_advancing = false;
+    if (used < (size_t)length) {
+        cw_bytes_append(&connection->pending, buffer->base + used, (size_t)length - used);
+        connection->pending_read_us = connection->read_us;
     }
+    set_reading(connection);
+    cw_listener_arm(connection);
 }
 
 void cw_listener_on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
-    cw_http_exchange_t *connection = handle->data;
+    cw_http_connection_t *connection = handle->data;
 
     (void)suggested;
     /* One chunk serves all: what is read is parsed or copied before the next read. */
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -116,6 +116,7 @@
 
     cw_metric_set(CW_METRIC_LOG_DROPPED, cw_event_log_dropped());
     cw_metric_set(CW_METRIC_CONNECTIONS, cw_http_listener_connections(router->callers));
+    cw_metric_set(CW_METRIC_BODY_BYTES, cw_http_listener_body_bytes(router->callers));
     cw_metric_set(CW_METRIC_QUEUED, cw_engine_queued(router->engine));
     cw_metric_set(CW_METRIC_CONNECTIONS_OPENED, cw_upstream_opened(router->upstream));
     cw_metric_set(CW_METRIC_MEMORY, resident_bytes());
@@ -343,12 +344,18 @@
     cw_http_limits_t           first_limits = own_limits;
     cw_http_listener_handler_t callers = {router, on_request, on_gone};
     cw_http_listener_handler_t own = {router, on_own_request, on_own_gone};
-    int                        error;
+    cw_http_listener_options_t options = {
+        .pipeline = {.depth = router->settings.pipeline_depth, .bytes = router->settings.pipeline_bytes},
+        .body_bytes_most = router->settings.body_bytes_most,
+        .body_wait = router->settings.body_wait,
+        .request_id_name = router->adapter->header_names->request_id};
+    int error;
 
     first_limits.body_bytes = UNKNOWN_BODY_BYTES;
     error = cw_http_listener_create(&router->callers, &router->loop, router->settings.callers.address,
                                     router->settings.callers.port, &first_limits, &callers);
     if (error == 0) {
+        cw_http_listener_set_options(router->callers, &options);
         error = cw_http_listener_create(&router->readiness, &router->loop, router->settings.readiness.address,
                                         router->settings.readiness.port, &own_limits, &own);
     }
--- a/tests/test_http_upload.c
+++ b/tests/test_http_upload.c
@@ -17,6 +17,8 @@
                                         .header_timeout = CW_SECONDS(3),
                                         .idle_timeout = CW_SECONDS(15)};
 
+static const cw_http_listener_options_t options = {.pipeline = {.depth = 4, .bytes = 4096}};
+
 static const char upload_head[] = "POST /inspections/1acacb?page=35&sort=new HTTP/1.1\r\n"
                                   "Host: intake.example\r\n"
                                   "User-Agent: sdk-client/1.9.3\r\n"
@@ -32,10 +34,10 @@
 static char *upload_bytes(size_t *length)
 {
     size_t head = strlen(upload_head);
-    char  *bytes = malloc(head + BODY_BYTES);
+    char  *bytes = malloc(head + BODY_BYTES + 1);
 
     ck_assert_ptr_nonnull(bytes);
-    memcpy(bytes, upload_head, head);
+    (void)snprintf(bytes, head + 1, "%s", upload_head);
     memset(bytes + head, 'b', BODY_BYTES);
     bytes[head] = 'a';
     bytes[head + BODY_BYTES - 1] = 'z';
@@ -48,22 +50,23 @@
 START_TEST(a_body_that_pauses_where_a_read_ends_is_read_whole)
 {
     cw_listener_world_t world;
+    cw_world_caller_t  *caller;
     size_t              length;
     char               *bytes = upload_bytes(&length);
 
-    cw_world_init(&world, &limits);
-    cw_world_connect(&world);
-    cw_world_send(&world, bytes, CW_LISTENER_CHUNK);
+    cw_world_init(&world, &limits, &options);
+    caller = cw_world_connect(&world);
+    cw_world_send(caller, bytes, CW_LISTENER_CHUNK);
     cw_test_run_some(&world.loop, 50);
     ck_assert_uint_eq(world.count, 0);
-    ck_assert_str_eq(cw_world_received(&world), "");
-    cw_world_send(&world, bytes + CW_LISTENER_CHUNK, length - CW_LISTENER_CHUNK);
+    ck_assert_str_eq(cw_world_received(caller), "");
+    cw_world_send(caller, bytes + CW_LISTENER_CHUNK, length - CW_LISTENER_CHUNK);
     cw_world_await_requests(&world, 1);
     ck_assert_uint_eq(world.requests[0].body_length, BODY_BYTES);
     ck_assert_int_eq(world.requests[0].body_first, 'a');
     ck_assert_int_eq(world.requests[0].body_last, 'z');
     cw_world_answer(&world, 0, "stored");
-    cw_world_await_text(&world, "stored");
+    cw_world_await_text(caller, "stored");
     free(bytes);
 }
 END_TEST
