--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -23,14 +23,15 @@
 typedef struct lead_order {
     cw_router_t   *router;
     cw_assigner_t *assigner;
+    uint64_t       term; /**< of leadership; a later assigner may stand at the same place in memory */
 } lead_order_t;
 
-static bool is_kept(const cw_router_t *router, const cw_assigner_t *assigner)
+static bool is_kept(const cw_router_t *router, const lead_order_t *order)
 {
     size_t index;
 
     for (index = 0; index < router->keyed_count; index++) {
-        if (router->keyed[index].assigner == assigner) {
+        if (router->keyed[index].assigner == order->assigner && router->leadership.lock.term == order->term) {
             return true;
         }
     }
@@ -41,7 +42,7 @@
 {
     lead_order_t *order = context;
 
-    if (is_kept(order->router, order->assigner)) {
+    if (is_kept(order->router, order)) {
         cw_assigner_order_done(order->assigner, id, result, handover, cw_router_now(order->router));
     }
     free(order);
@@ -57,6 +58,7 @@
     }
     under_way->router = keyed->router;
     under_way->assigner = keyed->assigner;
+    under_way->term = keyed->router->leadership.lock.term;
     keyed->router->adapter->order(keyed->router->platform, order, order_done, under_way);
 }
 
@@ -188,6 +190,9 @@
             continue;
         }
         for (key = 0; key < count; key++) {
+            if (keys[key] > CW_KEY_LAST) {
+                continue; /* a caller may name any number: it has no range, and placement looks for one */
+            }
             cw_load_window_add(&keyed->window, keys[key], (double)seen / (double)count, now);
         }
     }
--- a/src/router/router_status.c
+++ b/src/router/router_status.c
@@ -5,6 +5,8 @@
 #include "router/router_status.h"
 
 #include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
 
 static json_t *leadership_json(const cw_router_t *router, cw_time_us_t now)
 {
@@ -129,8 +131,11 @@
              (json_int_t)cw_engine_queued(router->engine), "assignments", assignments_json(router, now), "peers",
              peers_json(router, now), "measures", measures_json(router), "servers", servers_json(router, now), "zones_out",
              zones_out_json(router));
-    char *text = json_dumps(status, JSON_COMPACT);
+    char *text = status == NULL ? strdup("{}") : json_dumps(status, JSON_COMPACT); /* NULL: a name is no UTF-8 */
 
     json_decref(status);
+    if (text == NULL) {
+        abort();
+    }
     return text;
 }
--- /dev/null
+++ b/tests/node_fixture.c
@@ -0,0 +1,356 @@
+/**
+ * @file node_fixture.c
+ * @brief The parts of a node, and fakes for what lies around it.
+ */
+#include "node_fixture.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/text.h"
+
+enum { ID_MAX = 24, SETTLE_TICKS = 12, LISTED_CALM_MS = 4200, HEADER_BYTES = 16384 };
+
+static const char *const zones[] = {"z1", "z2", "z3"};
+
+/* ---- the store ---- */
+
+static void add_call(node_fixture_t *node, const char *kind, json_t *value, bool is_write, cw_store_replied_t replied,
+                     void *data)
+{
+    node_fixture_call_t *call;
+
+    if (node->call_count == NODE_FIXTURE_CALLS_MAX) {
+        abort();
+    }
+    call = &node->calls[node->call_count++];
+    *call = (node_fixture_call_t){.is_write = is_write, .replied = replied, .data = data};
+    call->value = value == NULL ? NULL : json_incref(value);
+    cw_text_copy(call->kind, sizeof(call->kind), kind);
+}
+
+static void read_object(void *context, const char *kind, const char *name, cw_store_replied_t replied, void *data)
+{
+    (void)name;
+    add_call(context, kind, NULL, false, replied, data);
+}
+
+static void create_object(void *context, const char *kind, const char *name, json_t *value, cw_store_replied_t replied,
+                          void *data)
+{
+    (void)name;
+    add_call(context, kind, value, true, replied, data);
+}
+
+static void replace_object(void *context, const char *kind, const char *name, uint64_t revision, json_t *value,
+                           cw_store_replied_t replied, void *data)
+{
+    (void)name;
+    (void)revision;
+    add_call(context, kind, value, true, replied, data);
+}
+
+static void read_servers(void *context, bool from_copy)
+{
+    node_fixture_t *node = context;
+
+    (void)from_copy;
+    node->list_reads++;
+}
+
+static void know_servers(void *context, const cw_server_list_t *list, uint64_t revision)
+{
+    (void)context;
+    (void)list;
+    (void)revision;
+}
+
+static void read_configuration(void *context)
+{
+    (void)context;
+}
+
+static void watch_configuration(void *context, cw_time_us_t wait)
+{
+    (void)context;
+    (void)wait;
+}
+
+void node_fixture_answer_store(node_fixture_t *node)
+{
+    node_fixture_call_t calls[NODE_FIXTURE_CALLS_MAX];
+    size_t              count = node->call_count;
+    size_t              index;
+
+    memcpy(calls, node->calls, count * sizeof(calls[0]));
+    node->call_count = 0;
+    for (index = 0; index < count; index++) {
+        cw_store_reply_t reply = {.result = CW_STORE_NOT_FOUND};
+
+        if (calls[index].is_write) {
+            reply.result = CW_STORE_DONE;
+            reply.revision = ++node->revision;
+        }
+        calls[index].replied(calls[index].data, &reply);
+        json_decref(calls[index].value);
+    }
+}
+
+/* ---- servers ---- */
+
+static void take_order(void *context, const cw_order_t *order, cw_order_done_t done, void *data)
+{
+    node_fixture_t *node = context;
+
+    if (node->order_count == NODE_FIXTURE_ORDERS_MAX) {
+        abort();
+    }
+    node->orders[node->order_count++] = (node_fixture_order_t){*order, done, data};
+}
+
+void node_fixture_answer_orders(node_fixture_t *node, cw_order_result_t result)
+{
+    size_t count = node->order_count;
+    size_t index;
+
+    node->order_count = 0;
+    for (index = 0; index < count; index++) {
+        node_fixture_order_t order = node->orders[index]; /* an answer may bring the next order */
+
+        order.done(order.context, order.order.id, result, NULL);
+    }
+}
+
+void node_fixture_read_servers(node_fixture_t *node, const char *service, size_t count, const char *address)
+{
+    cw_server_list_t *list = cw_server_list_create();
+    char              id[ID_MAX];
+    size_t            index;
+
+    for (index = 0; index < count; index++) {
+        cw_server_entry_t *entry = cw_server_list_add(list);
+
+        snprintf(id, sizeof(id), "i-%06zu", index);
+        entry->id = strdup(id);
+        entry->service = strdup(service);
+        entry->address = strdup(address);
+        entry->zone = strdup(zones[index % (sizeof(zones) / sizeof(zones[0]))]);
+        entry->capacity = 4;
+    }
+    cw_server_list_seal(list);
+    cw_router_on_servers(&node->router, list, ++node->revision, 0);
+}
+
+/* ---- the node ---- */
+
+static void on_dropped(void *context, cw_server_t *server)
+{
+    node_fixture_t *node = context;
+
+    cw_engine_forget_server(node->router.engine, server);
+}
+
+static void on_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    node_fixture_t *node = context;
+
+    cw_engine_request(node->router.engine, exchange, inbound);
+}
+
+static void on_gone(void *context, cw_http_exchange_t *exchange)
+{
+    node_fixture_t *node = context;
+
+    cw_engine_gone(node->router.engine, exchange);
+}
+
+static void make_settings(cw_router_settings_t *settings)
+{
+    cw_text_copy(settings->node, sizeof(settings->node), "n1");
+    cw_text_copy(settings->zone, sizeof(settings->zone), "z1");
+    cw_text_copy(settings->address, sizeof(settings->address), "127.0.0.1");
+    cw_text_copy(settings->seeds[0].address, sizeof(settings->seeds[0].address), "10.0.0.9");
+    settings->seed_count = 1;
+    settings->zone_regions[0] = (cw_zone_region_t){"z1", "r1"};
+    settings->zone_regions[1] = (cw_zone_region_t){"z2", "r1"};
+    settings->zone_regions[2] = (cw_zone_region_t){"z3", "r2"};
+    settings->zone_region_count = 3;
+    settings->leader_hold = CW_SECONDS(3);
+    settings->hold = CW_SECONDS(5);
+    settings->hold_long = CW_SECONDS(10);
+    settings->drain = CW_SECONDS(2);
+    settings->configuration_within = CW_SECONDS(2);
+    settings->zone_out_within = CW_SECONDS(5);
+    settings->heartbeat = CW_MS(500);
+    settings->link_mbps = 100;
+    settings->cpu_share = 0.5;
+    settings->retry_window = CW_SECONDS(10);
+}
+
+static void start_parts(node_fixture_t *node)
+{
+    cw_router_t               *router = &node->router;
+    cw_engine_settings_t       settings = {.names = node->names, .answer_max = HEADER_BYTES, .queue_max = 100};
+    cw_upstream_options_t      options = {.idle_max = CW_SECONDS(1)};
+    cw_http_limits_t           limits = {HEADER_BYTES, HEADER_BYTES, CW_SECONDS(1), CW_SECONDS(1)};
+    cw_http_listener_handler_t callers = {node, on_request, on_gone};
+    cw_peer_handler_t          peers = {router, cw_router_datagram};
+    cw_absence_settings_t      absence;
+
+    router->upstream = cw_upstream_create(&router->loop, &options);
+    router->pool = cw_server_pool_create(router->settings.zone, on_dropped, node);
+    cw_server_pool_set_node(router->pool, router->settings.node);
+    cw_server_pool_set_regions(router->pool, router->settings.zone_regions, router->settings.zone_region_count);
+    router->engine = cw_engine_create(&router->loop, &settings, router->pool, router->upstream);
+    if (cw_http_listener_create(&router->callers, &router->loop, "127.0.0.1", 0, &limits, &callers) != 0 ||
+        cw_peer_link_create(&router->link, &router->loop, "127.0.0.1", 0, &peers) != 0) {
+        abort();
+    }
+    router->started_at = cw_router_now(router);
+    absence = cw_absence_settings_of(router->settings.heartbeat, router->settings.drain);
+    cw_server_view_init(&router->server_view, &absence);
+    cw_router_lead_init(router);
+    cw_router_share_init(router);
+    cw_router_zones_init(router);
+    cw_router_slots_init(router);
+    cw_router_peers_init(router);
+    router->store = &node->port;
+}
+
+node_fixture_t *node_fixture_create(void)
+{
+    node_fixture_t *node = calloc(1, sizeof(*node));
+
+    if (node == NULL) {
+        abort();
+    }
+    node->names = (cw_header_names_t){.request_id = "I", .deadline = "D", .target = "T", .not_run = "N", .key = "K"};
+    node->port = (cw_store_port_t){.context = node,
+                                   .read = read_object,
+                                   .read_copy = read_object,
+                                   .create = create_object,
+                                   .replace = replace_object,
+                                   .read_servers = read_servers,
+                                   .know_servers = know_servers,
+                                   .read_configuration = read_configuration,
+                                   .watch_configuration = watch_configuration};
+    node->adapter = (cw_adapter_t){.header_names = &node->names, .order = take_order};
+    node->router.adapter = &node->adapter;
+    node->router.platform = node;
+    node->router.incarnation = 77;
+    uv_loop_init(&node->router.loop);
+    make_settings(&node->router.settings);
+    start_parts(node);
+    return node;
+}
+
+void node_fixture_free(node_fixture_t *node)
+{
+    cw_router_end_assigners(&node->router);
+    node_fixture_answer_store(node);
+    node_fixture_answer_orders(node, CW_ORDER_UNANSWERED);
+    cw_peer_link_close(node->router.link);
+    cw_http_listener_close(node->router.callers);
+    uv_run(&node->router.loop, UV_RUN_NOWAIT);
+    free(node);
+}
+
+void node_fixture_tick(node_fixture_t *node, int64_t passed_ms)
+{
+    cw_router_t *router = &node->router;
+    cw_time_us_t now;
+
+    router->loop.time += (uint64_t)passed_ms; /* logical time: the loop itself does not run */
+    now = cw_router_now(router);
+    cw_router_lead_tick(router, now);
+    cw_router_view_tick(router, now);
+    cw_router_configuration_tick(router, now);
+    cw_router_share_tick(router, now);
+    cw_router_peers_tick(router, now);
+    cw_router_zones_tick(router, now);
+    cw_router_slots_tick(router, now);
+}
+
+void node_fixture_lead_unanswered(node_fixture_t *node)
+{
+    int tick;
+
+    for (tick = 0; tick < SETTLE_TICKS || !node->router.leadership.leading; tick++) {
+        node_fixture_tick(node, CW_TICK_MS);
+        node_fixture_answer_store(node);
+    }
+    node_fixture_tick(node, LISTED_CALM_MS); /* servers are taken to have signed in */
+    for (tick = 0; tick < SETTLE_TICKS; tick++) {
+        node_fixture_answer_store(node);
+        node_fixture_tick(node, CW_TICK_MS);
+    }
+}
+
+void node_fixture_lead(node_fixture_t *node)
+{
+    int tick;
+
+    node_fixture_lead_unanswered(node);
+    for (tick = 0; tick < SETTLE_TICKS; tick++) {
+        node_fixture_answer_orders(node, CW_ORDER_DONE);
+        node_fixture_answer_store(node);
+        node_fixture_tick(node, CW_TICK_MS);
+    }
+}
+
+/* ---- other nodes ---- */
+
+void node_fixture_receive(node_fixture_t *node, const char *from, const Cwp__Datagram *datagram)
+{
+    size_t         length = cwp__datagram__get_packed_size(datagram);
+    uint8_t       *packed = malloc(length + 1);
+    Cwp__Datagram *received;
+    cw_peer_t     *peer;
+
+    if (packed == NULL) {
+        abort();
+    }
+    (void)cwp__datagram__pack(datagram, packed);
+    received = cwp__datagram__unpack(NULL, length, packed);
+    free(packed);
+    if (received == NULL) {
+        abort();
+    }
+    peer = cw_peer_link_learn_text(node->router.link, from, cw_router_now(&node->router));
+    if (peer != NULL) {
+        cw_router_datagram(&node->router, peer, received);
+    }
+    cwp__datagram__free_unpacked(received, NULL);
+}
+
+void node_fixture_receive_report(node_fixture_t *node, const char *from, const char *zone, uint32_t sequence)
+{
+    Cwp__NodeReport report = CWP__NODE_REPORT__INIT;
+    Cwp__Datagram   datagram = CWP__DATAGRAM__INIT;
+
+    report.node = (char *)from;
+    report.zone = (char *)zone;
+    report.incarnation = 1;
+    report.sequence = sequence;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
+    datagram.report = &report;
+    node_fixture_receive(node, from, &datagram);
+}
+
+cw_configuration_t *node_fixture_configuration(uint64_t version, const char *service)
+{
+    cw_configuration_t *configuration = cw_configuration_create(version);
+    cw_route_t         *route = cw_configuration_add_route(configuration);
+    cw_service_t       *added = cw_configuration_add_service(configuration);
+
+    route->name = strdup("r");
+    route->host = strdup("h");
+    route->prefix = strdup("/");
+    route->max_attempts = 1;
+    cw_route_add_part(route, service, 1);
+    added->name = strdup(service);
+    added->keyed = true;
+    cw_configuration_seal(configuration);
+    return configuration;
+}
--- /dev/null
+++ b/tests/test_node_start.c
@@ -0,0 +1,574 @@
+/**
+ * @file test_node_start.c
+ * @brief What comes to a node before it knows anything, in any order and at the bounds of its arrays.
+ *
+ * Most of these hold when the node lives; under AddressSanitizer they hold when it also read and wrote nothing but its
+ * own (make BUILD=build-asan CFLAGS="-O1 -g -fsanitize=address,undefined" LDFLAGS="-fsanitize=address,undefined").
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "node_fixture.h"
+#include "router/router_status.h"
+
+enum {
+    TERM = 7,
+    MANY_LOADS = 600,      /* more than a report may hold */
+    MANY_NODES = 1200,     /* more than may count slots, or share cold servers */
+    MANY_SERVICES = 20,    /* more than tables have room for */
+    MANY_SERVERS = 2100,   /* of one service: more than a plan looks at */
+    HUGE_LIST = 40000,     /* servers */
+    PAGES_MOST = 512,      /* of a list */
+    LONG_FREEZE_MS = 60000 /* all peers are forgotten meanwhile */
+};
+
+#define OTHER "10.0.0.9"
+
+/* ---- datagrams ---- */
+
+static void receive_heartbeat(node_fixture_t *node, uint64_t term, uint64_t servers, uint64_t tables)
+{
+    Cwp__LeaderHeartbeat heartbeat = CWP__LEADER_HEARTBEAT__INIT;
+    Cwp__NodeReport      report = CWP__NODE_REPORT__INIT;
+    Cwp__Datagram        datagram = CWP__DATAGRAM__INIT;
+    static uint32_t      sequence;
+
+    heartbeat.term = term;
+    heartbeat.revision = term;
+    heartbeat.able = true;
+    heartbeat.servers = servers;
+    heartbeat.tables = tables;
+    heartbeat.servers_hash = 1;
+    heartbeat.tables_hash = 1;
+    heartbeat.configuration_age_ms = 1;
+    report.node = OTHER;
+    report.zone = "z2";
+    report.incarnation = 5;
+    report.sequence = ++sequence;
+    report.configuration = 3;
+    report.leader = &heartbeat;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
+    datagram.report = &report;
+    node_fixture_receive(node, OTHER, &datagram);
+}
+
+static void receive_servers(node_fixture_t *node, const Cwp__ServersPage *place, const char *id)
+{
+    Cwp__ServersPage page = *place;
+    Cwp__ViewServer  server = CWP__VIEW_SERVER__INIT;
+    Cwp__ViewServer *servers = &server;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+
+    server.id = (char *)id;
+    server.service = "s";
+    server.address = "10.0.1.1:80";
+    server.zone = "z1";
+    server.capacity = 2;
+    page.servers = &servers;
+    page.n_servers = id == NULL ? 0 : 1;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_SERVERS;
+    datagram.servers = &page;
+    node_fixture_receive(node, OTHER, &datagram);
+}
+
+static Cwp__ServersPage servers_place(uint64_t term, uint64_t number, uint64_t since, uint32_t page, uint32_t pages)
+{
+    Cwp__ServersPage place = CWP__SERVERS_PAGE__INIT;
+
+    place.term = term;
+    place.number = number;
+    place.since = since;
+    place.page = page;
+    place.pages = pages;
+    place.revision = number;
+    return place;
+}
+
+static void receive_table(node_fixture_t *node, uint64_t term, uint32_t page, uint32_t pages, const char *service)
+{
+    Cwp__TablePage   table = CWP__TABLE_PAGE__INIT;
+    Cwp__TableRange  range = CWP__TABLE_RANGE__INIT;
+    Cwp__TableRange *ranges = &range;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+
+    range.last = CW_KEY_LAST;
+    range.server = cw_short_name("i-000000");
+    range.fence = 3;
+    range.routable = true;
+    table.term = term;
+    table.number = 1;
+    table.page = page;
+    table.pages = pages;
+    table.service = (char *)service;
+    table.ranges = &ranges;
+    table.n_ranges = 1;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_TABLE;
+    datagram.table = &table;
+    node_fixture_receive(node, OTHER, &datagram);
+}
+
+static void receive_slot_messages(node_fixture_t *node, const char *from)
+{
+    Cwp__SlotAsk    ask = CWP__SLOT_ASK__INIT;
+    Cwp__SlotReply  reply = CWP__SLOT_REPLY__INIT;
+    Cwp__SlotReturn returned = CWP__SLOT_RETURN__INIT;
+    Cwp__Datagram   datagram = CWP__DATAGRAM__INIT;
+
+    ask.ticket = 1;
+    ask.service = cw_short_name("s");
+    ask.objective_ms = 500;
+    ask.lease_ms = 1000;
+    ask.wait_ms = 100;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_SLOT_ASK;
+    datagram.slot_ask = &ask;
+    node_fixture_receive(node, from, &datagram);
+    reply.ticket = 1;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_SLOT_REPLY;
+    datagram.slot_reply = &reply;
+    node->router.loop.time++;
+    if (node->router.settings.node[0] != '\0') { /* a reply that nobody waits for is declined */
+        cw_router_slots_tick(&node->router, cw_router_now(&node->router));
+    }
+    returned.ticket = 1;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_SLOT_RETURN;
+    datagram.slot_return = &returned;
+    node_fixture_receive(node, from, &datagram);
+}
+
+static void receive_notice(node_fixture_t *node)
+{
+    Cwp__StoreNotice notice = CWP__STORE_NOTICE__INIT;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+
+    notice.configuration = 9;
+    notice.servers_hash = 1;
+    notice.tables_hash = 1;
+    notice.configuration_age_ms = 5;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_STORE_NOTICE;
+    datagram.store_notice = &notice;
+    node_fixture_receive(node, OTHER, &datagram);
+}
+
+static void receive_ack(node_fixture_t *node)
+{
+    Cwp__ViewAck  ack = CWP__VIEW_ACK__INIT;
+    Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
+
+    ack.incarnation = 5;
+    ack.term = TERM;
+    ack.servers = 100;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_ACK;
+    datagram.ack = &ack;
+    node_fixture_receive(node, OTHER, &datagram);
+}
+
+static void receive_configuration_page(node_fixture_t *node, uint64_t version, uint64_t since, uint32_t page,
+                                       uint32_t pages)
+{
+    Cwp__ConfigurationPage    sent = CWP__CONFIGURATION_PAGE__INIT;
+    Cwp__ConfiguredRoute      route = CWP__CONFIGURED_ROUTE__INIT;
+    Cwp__ConfiguredRoute     *routes = &route;
+    Cwp__ConfiguredService    service = CWP__CONFIGURED_SERVICE__INIT;
+    Cwp__ConfiguredService   *services = &service;
+    Cwp__RouteKey             gone = CWP__ROUTE_KEY__INIT;
+    Cwp__RouteKey            *removed = &gone;
+    Cwp__ConfigurationRequest request = CWP__CONFIGURATION_REQUEST__INIT;
+    Cwp__Datagram             datagram = CWP__DATAGRAM__INIT;
+
+    route.name = "r";
+    route.host = "h";
+    route.prefix = "/";
+    service.name = "s";
+    service.keyed = true;
+    gone.host = "h";
+    gone.prefix = "/gone";
+    sent.version = version;
+    sent.since = since;
+    sent.page = page;
+    sent.pages = pages;
+    sent.routes = &routes;
+    sent.n_routes = 1;
+    sent.services = &services;
+    sent.n_services = 1;
+    sent.removed = &removed;
+    sent.n_removed = 1;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_CONFIGURATION;
+    datagram.configuration = &sent;
+    node_fixture_receive(node, OTHER, &datagram);
+    request.has = version;
+    request.first_page = page;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_CONFIGURATION_REQUEST;
+    datagram.configuration_request = &request;
+    node_fixture_receive(node, OTHER, &datagram);
+}
+
+static void receive_samples(node_fixture_t *node, uint32_t key, uint32_t seen, uint32_t sequence)
+{
+    Cwp__NodeReport  report = CWP__NODE_REPORT__INIT;
+    Cwp__KeySamples  samples = CWP__KEY_SAMPLES__INIT;
+    Cwp__KeySamples *pointer = &samples;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+
+    samples.service = cw_short_name("s");
+    samples.keys = &key;
+    samples.n_keys = 1;
+    samples.seen = seen;
+    report.node = OTHER;
+    report.zone = "z2";
+    report.incarnation = 5;
+    report.sequence = sequence;
+    report.samples = &pointer;
+    report.n_samples = 1;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
+    datagram.report = &report;
+    node_fixture_receive(node, OTHER, &datagram);
+}
+
+static void receive_all_kinds(node_fixture_t *node)
+{
+    Cwp__ServersPage changes = servers_place(TERM, 9, 4, 0, 1);
+
+    receive_ack(node);
+    receive_notice(node);
+    receive_slot_messages(node, OTHER);
+    receive_servers(node, &changes, "i-000000");
+    receive_table(node, TERM, 0, 1, "s");
+    receive_configuration_page(node, 9, 8, 0, 1);
+    receive_configuration_page(node, 9, 0, 1, 2);
+    receive_heartbeat(node, TERM, 9, 2);
+    receive_samples(node, 1, 10, 1000);
+}
+
+/* ---- tests ---- */
+
+START_TEST(all_kinds_of_datagrams_come_before_anything_is_known)
+{
+    node_fixture_t *node = node_fixture_create();
+    char           *status;
+
+    receive_all_kinds(node);
+    node_fixture_tick(node, 0);
+    receive_all_kinds(node);
+    node_fixture_tick(node, CW_TICK_MS);
+    node_fixture_answer_store(node);
+    ck_assert_uint_eq(node->router.view_term, TERM);
+    ck_assert_ptr_null(node->router.server_view.list); /* changes of a list that it does not have */
+    ck_assert_ptr_null(node->router.configuration);
+    status = cw_router_status(&node->router);
+    ck_assert_ptr_nonnull(status);
+    free(status);
+    node_fixture_read_servers(node, "s", 3, "10.0.1.1:80");
+    ck_assert(cw_router_use_configuration(&node->router, node_fixture_configuration(1, "s")));
+    receive_all_kinds(node);
+    node_fixture_tick(node, CW_TICK_MS);
+    ck_assert_uint_eq(cw_router_version(&node->router), 1);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(a_list_is_empty_then_huge_then_empty)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    node_fixture_read_servers(node, "s", 0, "10.0.1.1:80");
+    ck_assert_uint_eq(node->router.server_view.list->count, 0);
+    node_fixture_tick(node, CW_TICK_MS);
+    node_fixture_read_servers(node, "s", HUGE_LIST, "10.0.1.1:80");
+    ck_assert_uint_eq(node->router.server_view.list->count, HUGE_LIST);
+    node_fixture_tick(node, CW_TICK_MS);
+    node_fixture_read_servers(node, "s", 0, "10.0.1.1:80");
+    node_fixture_tick(node, CW_TICK_MS);
+    node_fixture_tick(node, LONG_FREEZE_MS);
+    ck_assert_uint_eq(node->router.server_view.list->count, 0); /* not kept for ever */
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(a_configuration_comes_before_the_list_and_the_other_way_round)
+{
+    node_fixture_t *first = node_fixture_create();
+    node_fixture_t *second = node_fixture_create();
+
+    ck_assert(cw_router_use_configuration(&first->router, node_fixture_configuration(1, "s")));
+    node_fixture_lead(first); /* without any list */
+    node_fixture_read_servers(first, "s", 4, "10.0.1.1:80");
+    node_fixture_lead(first);
+    ck_assert_uint_eq(cw_assigner_ranges(first->router.keyed[0].assigner)->count, 4);
+    node_fixture_read_servers(second, "s", 4, "10.0.1.1:80");
+    node_fixture_lead(second); /* without any configuration */
+    ck_assert(cw_router_use_configuration(&second->router, node_fixture_configuration(1, "s")));
+    node_fixture_lead(second);
+    ck_assert_uint_eq(cw_assigner_ranges(second->router.keyed[0].assigner)->count, 4);
+    node_fixture_free(first);
+    node_fixture_free(second);
+}
+END_TEST
+
+START_TEST(pages_come_out_of_order_twice_and_of_several_terms)
+{
+    node_fixture_t  *node = node_fixture_create();
+    Cwp__ServersPage second = servers_place(TERM, 5, 0, 1, 2);
+    Cwp__ServersPage first = servers_place(TERM, 5, 0, 0, 2);
+    Cwp__ServersPage other_term = servers_place(TERM + 1, 5, 0, 0, 3);
+    Cwp__ServersPage early = servers_place(TERM, 6, 5, 1, 2);
+
+    receive_servers(node, &second, "i-b");
+    receive_servers(node, &second, "i-b");
+    receive_servers(node, &other_term, "i-x");
+    receive_servers(node, &second, "i-b");
+    receive_servers(node, &first, "i-a");
+    ck_assert_uint_eq(node->router.server_view.list->count, 2);
+    receive_servers(node, &early, "i-c"); /* who was removed is told in the page before it */
+    ck_assert_uint_eq(node->router.server_view.list->count, 2);
+    receive_servers(node, &first, "i-d"); /* of before */
+    ck_assert_uint_eq(node->router.server_view.list->count, 2);
+    receive_table(node, TERM, 1, 2, "s");
+    receive_table(node, TERM + 1, 0, 2, "t");
+    receive_table(node, TERM, 1, 2, "s");
+    receive_table(node, TERM, 0, 2, "t");
+    ck_assert_uint_eq(node->router.tables.count, 2);
+    node_fixture_tick(node, CW_TICK_MS);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(transfers_have_as_many_pages_as_there_is_room_for_and_one_more)
+{
+    node_fixture_t *node = node_fixture_create();
+    char            id[24];
+    uint32_t        page;
+
+    for (page = 0; page <= PAGES_MOST; page++) {
+        Cwp__ServersPage too_many = servers_place(TERM, 4, 0, page, PAGES_MOST + 1);
+
+        receive_servers(node, &too_many, "i-x");
+    }
+    ck_assert_ptr_null(node->router.server_view.list);
+    for (page = PAGES_MOST; page > 0; page--) {
+        Cwp__ServersPage place = servers_place(TERM, 5, 0, page - 1, PAGES_MOST);
+
+        snprintf(id, sizeof(id), "i-%06u", page);
+        receive_servers(node, &place, id);
+    }
+    ck_assert_uint_eq(node->router.server_view.list->count, PAGES_MOST);
+    for (page = 0; page < MANY_SERVICES; page++) {
+        snprintf(id, sizeof(id), "service-%u", page);
+        receive_table(node, TERM, page, MANY_SERVICES, id);
+    }
+    ck_assert_uint_eq(node->router.tables.count, CW_TABLE_SERVICES_MAX);
+    for (page = 0; page <= CW_CONFIGURATION_PAGES_MAX; page++) {
+        receive_configuration_page(node, 3, 0, page, CW_CONFIGURATION_PAGES_MAX + 1);
+    }
+    ck_assert_ptr_null(node->router.configuration);
+    for (page = CW_CONFIGURATION_PAGES_MAX; page > 0; page--) {
+        receive_configuration_page(node, 3, 0, page - 1, CW_CONFIGURATION_PAGES_MAX);
+    }
+    ck_assert_uint_eq(cw_router_version(&node->router), 3);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(a_report_tells_more_than_there_is_room_for)
+{
+    static Cwp__ServerLoad   loads[MANY_LOADS];
+    static Cwp__ServerLoad  *load_pointers[MANY_LOADS];
+    static Cwp__ServerPace   paces[MANY_LOADS];
+    static Cwp__ServerPace  *pace_pointers[MANY_LOADS];
+    static Cwp__QueueLength  queues[MANY_LOADS];
+    static Cwp__QueueLength *queue_pointers[MANY_LOADS];
+    node_fixture_t          *node = node_fixture_create();
+    Cwp__NodeReport          report = CWP__NODE_REPORT__INIT;
+    Cwp__Datagram            datagram = CWP__DATAGRAM__INIT;
+    uint32_t                 index;
+
+    for (index = 0; index < MANY_LOADS; index++) {
+        loads[index] = (Cwp__ServerLoad)CWP__SERVER_LOAD__INIT;
+        loads[index].server = index;
+        loads[index].under_way = 3;
+        load_pointers[index] = &loads[index];
+        paces[index] = (Cwp__ServerPace)CWP__SERVER_PACE__INIT;
+        paces[index].server = index;
+        paces[index].served = 3;
+        pace_pointers[index] = &paces[index];
+        queues[index] = (Cwp__QueueLength)CWP__QUEUE_LENGTH__INIT;
+        queues[index].service = index;
+        queues[index].queued = 1;
+        queue_pointers[index] = &queues[index];
+    }
+    report.incarnation = 5;
+    report.loads = load_pointers;
+    report.n_loads = MANY_LOADS;
+    report.paces = pace_pointers;
+    report.n_paces = MANY_LOADS;
+    report.queues = queue_pointers;
+    report.n_queues = MANY_LOADS;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
+    datagram.report = &report;
+    for (index = 1; index < 4; index++) {
+        report.sequence = index;
+        node_fixture_receive(node, OTHER, &datagram);
+        node_fixture_receive(node, "10.0.0.10", &datagram);
+        node_fixture_read_servers(node, "s", index, "10.0.1.1:80");
+        node_fixture_tick(node, CW_TICK_MS);
+    }
+    ck_assert_uint_le(node->router.queue_count, CW_QUEUE_REPORTS_MAX);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(more_nodes_come_than_may_count_slots_and_all_are_forgotten_after_a_freeze)
+{
+    node_fixture_t *node = node_fixture_create();
+    char            address[24];
+    uint32_t        index;
+
+    for (index = 0; index < MANY_NODES; index++) {
+        snprintf(address, sizeof(address), "10.1.%u.%u", index / 250, index % 250 + 1);
+        node_fixture_receive_report(node, address, index % 2 == 0 ? "z1" : "z2", 1);
+    }
+    node_fixture_read_servers(node, "s", 30, "10.0.1.1:80");
+    for (index = 0; index < 20; index++) {
+        node_fixture_tick(node, CW_TICK_MS);
+        receive_slot_messages(node, "10.1.0.7");
+    }
+    ck_assert_uint_eq(cw_peer_link_alive(node->router.link, CW_SECONDS(1), cw_router_now(&node->router)), MANY_NODES);
+    node_fixture_lead(node);
+    node_fixture_tick(node, LONG_FREEZE_MS);
+    ck_assert_ptr_null(cw_peer_link_peers(node->router.link));
+    receive_slot_messages(node, "10.1.0.7");
+    for (index = 0; index < 20; index++) {
+        node_fixture_tick(node, CW_TICK_MS);
+    }
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(a_leader_has_more_servers_of_a_service_than_a_plan_looks_at)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    node_fixture_read_servers(node, "s", MANY_SERVERS, "10.0.1.1:80");
+    ck_assert(cw_router_use_configuration(&node->router, node_fixture_configuration(1, "s")));
+    node_fixture_lead(node);
+    ck_assert_uint_gt(cw_assigner_ranges(node->router.keyed[0].assigner)->count, 1000);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(a_leader_is_told_of_keys_that_do_not_exist)
+{
+    node_fixture_t *node = node_fixture_create();
+    uint32_t        sequence;
+
+    node_fixture_read_servers(node, "s", 4, "10.0.1.1:80");
+    ck_assert(cw_router_use_configuration(&node->router, node_fixture_configuration(1, "s")));
+    node_fixture_lead(node);
+    ck_assert_uint_eq(cw_assigner_ranges(node->router.keyed[0].assigner)->count, 4);
+    for (sequence = 1; sequence < 60; sequence++) { /* so often that one of them alone would keep a server busy */
+        receive_samples(node, CW_KEY_LAST + 1, 1000, 3 * sequence);
+        receive_samples(node, UINT32_MAX, 1000, 3 * sequence + 1);
+        receive_samples(node, 5, 1, 3 * sequence + 2); /* there is also usual load */
+        node_fixture_tick(node, CW_TICK_MS);
+        node_fixture_answer_store(node);
+        node_fixture_answer_orders(node, CW_ORDER_DONE);
+    }
+    ck_assert_uint_eq(cw_assigner_ranges(node->router.keyed[0].assigner)->count, 4);
+    node_fixture_free(node);
+}
+END_TEST
+
+/* Orders of a former assigner whose answers come when another one stands at its address in memory. */
+START_TEST(answers_to_orders_of_a_former_term_count_for_nothing)
+{
+    node_fixture_t        *node = node_fixture_create();
+    node_fixture_order_t   former[4];
+    const cw_range_list_t *ranges;
+    size_t                 index;
+
+    node_fixture_read_servers(node, "s", 4, "10.0.1.1:80");
+    ck_assert(cw_router_use_configuration(&node->router, node_fixture_configuration(1, "s")));
+    node_fixture_lead_unanswered(node);
+    ck_assert_uint_eq(node->order_count, 4);
+    memcpy(former, node->orders, sizeof(former));
+    node->order_count = 0;
+    cw_router_end_assigners(&node->router);
+    node->router.leadership.lock.term++;
+    node_fixture_lead_unanswered(node);
+    ck_assert_uint_eq(node->order_count, 4);
+    for (index = 0; index < 4; index++) {
+        former[index].done(former[index].context, former[index].order.id, CW_ORDER_DONE, NULL);
+    }
+    ranges = cw_assigner_ranges(node->router.keyed[0].assigner);
+    ck_assert_uint_eq(ranges->count, 4);
+    for (index = 0; index < 4; index++) {
+        ck_assert_int_eq(ranges->items[index].phase, CW_RANGE_GRANTING);
+    }
+    node_fixture_free(node);
+}
+END_TEST
+
+static void take_result(void *context, uint64_t order, cw_order_result_t result, const char *handover)
+{
+    cw_order_result_t *taken = context;
+
+    (void)order;
+    (void)handover;
+    *taken = result;
+}
+
+START_TEST(an_order_to_what_is_no_address_is_not_sent)
+{
+    static const char *const addresses[] = {"", "10.0.0.1", "host:80", "10.0.0.1.2:80"};
+    uv_loop_t                loop;
+    void                    *platform;
+    size_t                   index;
+
+    uv_loop_init(&loop);
+    platform = cw_adapter.create(&loop, "127.0.0.1:1", NULL);
+    for (index = 0; index < sizeof(addresses) / sizeof(addresses[0]); index++) {
+        cw_order_t        order = {.id = 1, .kind = CW_ORDER_GRANT, .server = "i-a", .timeout = CW_MS(100)};
+        cw_order_result_t result = CW_ORDER_DONE;
+
+        snprintf(order.address, sizeof(order.address), "%s", addresses[index]);
+        cw_adapter.order(platform, &order, take_result, &result);
+        ck_assert_int_eq(result, CW_ORDER_NOT_SENT);
+    }
+}
+END_TEST
+
+START_TEST(a_status_is_told_whatever_another_node_calls_itself)
+{
+    node_fixture_t *node = node_fixture_create();
+    char           *status;
+
+    memset(node->router.leader_node, 0xff, 4); /* no text of UTF-8 */
+    status = cw_router_status(&node->router);
+    ck_assert_ptr_nonnull(status);
+    free(status);
+    node_fixture_free(node);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("node start");
+    TCase *cases = tcase_create("before anything is known");
+
+    tcase_set_timeout(cases, 60);
+    tcase_add_test(cases, all_kinds_of_datagrams_come_before_anything_is_known);
+    tcase_add_test(cases, a_list_is_empty_then_huge_then_empty);
+    tcase_add_test(cases, a_configuration_comes_before_the_list_and_the_other_way_round);
+    tcase_add_test(cases, pages_come_out_of_order_twice_and_of_several_terms);
+    tcase_add_test(cases, transfers_have_as_many_pages_as_there_is_room_for_and_one_more);
+    tcase_add_test(cases, a_report_tells_more_than_there_is_room_for);
+    tcase_add_test(cases, more_nodes_come_than_may_count_slots_and_all_are_forgotten_after_a_freeze);
+    tcase_add_test(cases, a_leader_has_more_servers_of_a_service_than_a_plan_looks_at);
+    tcase_add_test(cases, a_leader_is_told_of_keys_that_do_not_exist);
+    tcase_add_test(cases, answers_to_orders_of_a_former_term_count_for_nothing);
+    tcase_add_test(cases, an_order_to_what_is_no_address_is_not_sent);
+    tcase_add_test(cases, a_status_is_told_whatever_another_node_calls_itself);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
