placement: a server that orders did not reach is given keys last

Ruled out: the pool's pause for servers that fail requests (2 s at most, and the leader may send them none). Change: src/placement/order_trust.[ch], failures of orders in a row by server; the planner gives keys to doubted servers only when no other is left.

--- a/fuzz/fuzz_peer.c
+++ b/fuzz/fuzz_peer.c
@@ -1,92 +1,105 @@
 /**
  * @file fuzz_peer.c
- * @brief Datagrams of other nodes, taken by a node that is not started: view pages, tables, reports.
+ * @brief What a node gets before and while it learns of its world: datagrams of other nodes, answers of the store and
+ * of servers, lists and configurations, in any order, taken by the parts that take them in a process.
+ *
+ * An input is one datagram, or steps: a byte that says what, a byte for how much, and for a datagram its bytes.
  */
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "router/router_internal.h"
+#include "node_fixture.h"
+#include "router/router_status.h"
 
-static void on_dropped(void *context, cw_server_t *server)
-{
-    (void)context;
-    (void)server;
-}
-
-static void read_nothing(void *context)
-{
-    (void)context;
-}
+enum {
+    INPUTS_A_NODE = 16, /* then another node is started: memory of the one before is not given back whole */
+    PEERS = 24,         /* more than the nodes from which on slots are handed out */
+    STEP_KINDS = 8,
+    TICK_UNIT_MS = 40,
+    LIST_UNIT = 3,
+    VERSIONS = 7
+};
 
-static void read_no_servers(void *context, bool from_copy)
+static void take_datagram(node_fixture_t *node, uint8_t peer, const uint8_t *bytes, size_t length)
 {
-    (void)context;
-    (void)from_copy;
-}
+    char           address[24];
+    Cwp__Datagram *datagram = cwp__datagram__unpack(NULL, length, bytes);
+    cw_peer_t     *from;
 
-static void know_no_servers(void *context, const cw_server_list_t *list, uint64_t revision)
-{
-    (void)context;
-    (void)list;
-    (void)revision;
+    if (datagram == NULL) {
+        return;
+    }
+    snprintf(address, sizeof(address), "10.0.0.%u", peer % PEERS + 2);
+    from = cw_peer_link_learn_text(node->router.link, address, cw_router_now(&node->router));
+    from->sequence = 0;
+    cw_router_datagram(&node->router, from, datagram);
+    cwp__datagram__free_unpacked(datagram, NULL);
 }
 
-static void watch_nothing(void *context, bool wanted)
+static void step(node_fixture_t *node, uint8_t kind, uint8_t amount)
 {
-    (void)context;
-    (void)wanted;
+    switch (kind % STEP_KINDS) {
+    case 0:
+        node_fixture_tick(node, amount);
+        break;
+    case 1:
+        node_fixture_tick(node, (int64_t)amount * TICK_UNIT_MS);
+        break;
+    case 2:
+        node_fixture_answer_store(node);
+        break;
+    case 3:
+        node_fixture_read_servers(node, "s", (size_t)amount * LIST_UNIT, amount == 1 ? "" : "10.0.1.1:80");
+        break;
+    case 4:
+        (void)cw_router_use_configuration(&node->router, node_fixture_configuration(amount % VERSIONS, "s"));
+        break;
+    case 5:
+        node_fixture_answer_orders(node, (cw_order_result_t)(amount % (CW_ORDER_UNANSWERED + 1)));
+        break;
+    case 6:
+        node_fixture_receive_report(node, amount % 2 == 0 ? "10.0.0.3" : "10.0.0.4", "z2", amount);
+        break;
+    default:
+        free(cw_router_status(&node->router));
+        break;
+    }
 }
 
-static void on_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram)
+static void take_steps(node_fixture_t *node, const uint8_t *data, size_t size)
 {
-    (void)context;
-    (void)peer;
-    (void)datagram;
-}
+    size_t place = 0;
 
-static cw_router_t *create(void)
-{
-    static cw_store_port_t port = {.read_servers = read_no_servers,
-                                   .know_servers = know_no_servers,
-                                   .read_configuration = read_nothing,
-                                   .watch_configuration = watch_nothing};
-    cw_engine_settings_t   settings = {.names = {.request_id = "i"}};
-    cw_upstream_options_t  options = {.idle_max = CW_SECONDS(1)};
-    cw_peer_handler_t      handler = {NULL, on_datagram};
-    cw_router_t           *router = calloc(1, sizeof(*router));
+    while (place + 2 <= size) {
+        uint8_t kind = data[place];
+        size_t  length = data[place + 1];
 
-    uv_loop_init(&router->loop);
-    snprintf(router->settings.node, sizeof(router->settings.node), "n1");
-    snprintf(router->settings.zone, sizeof(router->settings.zone), "z1");
-    router->settings.hold = CW_SECONDS(5);
-    router->settings.drain = CW_SECONDS(2);
-    router->store = &port;
-    router->upstream = cw_upstream_create(&router->loop, &options);
-    router->pool = cw_server_pool_create("z1", on_dropped, router);
-    router->engine = cw_engine_create(&router->loop, &settings, router->pool, router->upstream);
-    (void)cw_peer_link_create(&router->link, &router->loop, "127.0.0.1", 0, &handler);
-    cw_router_lead_init(router);
-    cw_router_share_init(router);
-    return router;
+        place += 2;
+        if (kind < UINT8_MAX / 2) {
+            step(node, kind, (uint8_t)length);
+            continue;
+        }
+        length = length < size - place ? length : size - place;
+        take_datagram(node, kind, data + place, length);
+        place += length;
+    }
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-    static cw_router_t *router;
-    Cwp__Datagram      *datagram;
-    cw_peer_t          *peer;
+    static node_fixture_t *node;
+    static uint32_t        inputs;
 
-    if (router == NULL) {
-        router = create();
+    if (node == NULL) {
+        node = node_fixture_create();
     }
-    datagram = cwp__datagram__unpack(NULL, size, data);
-    if (datagram == NULL) {
-        return 0;
+    take_datagram(node, 0, data, size);
+    take_steps(node, data, size);
+    if (++inputs % INPUTS_A_NODE == 0) {
+        node_fixture_free(node);
+        node = NULL;
     }
-    peer = cw_peer_link_learn_text(router->link, "10.0.0.9", cw_router_now(router));
-    peer->sequence = 0;
-    cw_router_datagram(router, peer, datagram);
-    cwp__datagram__free_unpacked(datagram, NULL);
     return 0;
 }
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -180,6 +180,20 @@
     }
 }
 
+/* A server that orders did not reach may be given keys only where nothing else can. */
+static void set_doubted_aside(cw_planner_t *planner)
+{
+    bool   any = false;
+    size_t index;
+
+    for (index = 0; index < planner->server_count; index++) {
+        any = any || (planner->servers[index].usable && !planner->servers[index].is_doubted);
+    }
+    for (index = 0; any && index < planner->server_count; index++) {
+        planner->servers[index].usable = planner->servers[index].usable && !planner->servers[index].is_doubted;
+    }
+}
+
 /* ---- joins ---- */
 
 static void plan_joins(cw_planner_t *planner)
@@ -235,6 +249,7 @@
     cw_range_list_copy(&planner.ranges, cw_assigner_ranges(planner.assigner));
     planner.errors = errors_among(input->settings->errors, input->server_count);
     planner.is_in_pieces = is_in_pieces(&planner);
+    set_doubted_aside(&planner);
     measure_servers(&planner);
     measure_busy(&planner);
     planner.fastest_cost = cw_planner_fastest_cost(&planner);
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -16,12 +16,13 @@
 /** A server of the service as the planner sees it. */
 typedef struct cw_planner_server {
     const cw_server_entry_t *entry;
-    bool                     usable;    /**< may be given keys */
-    bool                     is_barred; /**< out of service, or outside the regions allowed: what it holds must move */
-    double                   pace;      /**< time of its answers over what is usual */
-    double                   cost_s;    /**< share of its slots that one request a second takes */
-    double                   per_s;     /**< filled by the planner: requests a second on its keys */
-    uint32_t                 keys;      /**< filled by the planner */
+    bool                     usable;     /**< may be given keys */
+    bool                     is_doubted; /**< orders have not reached it: given keys only if no other can be */
+    bool                     is_barred;  /**< out of service, or outside the regions allowed: what it holds must move */
+    double                   pace;       /**< time of its answers over what is usual */
+    double                   cost_s;     /**< share of its slots that one request a second takes */
+    double                   per_s;      /**< filled by the planner: requests a second on its keys */
+    uint32_t                 keys;       /**< filled by the planner */
 } cw_planner_server_t;
 
 typedef struct cw_planner_settings {
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -23,7 +23,8 @@
 typedef struct lead_order {
     cw_router_t   *router;
     cw_assigner_t *assigner;
-    uint64_t       term; /**< of leadership; a later assigner may stand at the same place in memory */
+    uint32_t       server; /**< hash of its id */
+    uint64_t       term;   /**< of leadership; a later assigner may stand at the same place in memory */
 } lead_order_t;
 
 static bool is_kept(const cw_router_t *router, const lead_order_t *order)
@@ -38,10 +39,26 @@
     return false;
 }
 
+/* An order that was refused or fenced has been answered. */
+static void note_outcome(const lead_order_t *order, cw_order_result_t result)
+{
+    cw_router_t       *router = order->router;
+    const cw_server_t *server = cw_server_pool_find_hash(router->pool, order->server);
+    bool failed = result == CW_ORDER_NOT_SENT || result == CW_ORDER_UNANSWERED || result == CW_ORDER_ENDED;
+
+    if (failed) {
+        cw_order_trust_note_failure(router->order_trust, order->server, server == NULL ? 0 : server->served,
+                                    cw_router_now(router));
+    } else {
+        cw_order_trust_note_answer(router->order_trust, order->server);
+    }
+}
+
 static void order_done(void *context, uint64_t id, cw_order_result_t result, const char *handover)
 {
     lead_order_t *order = context;
 
+    note_outcome(order, result);
     if (is_kept(order->router, order)) {
         cw_assigner_order_done(order->assigner, id, result, handover, cw_router_now(order->router));
     }
@@ -58,6 +75,7 @@
     }
     under_way->router = keyed->router;
     under_way->assigner = keyed->assigner;
+    under_way->server = cw_short_name(order->server);
     under_way->term = keyed->router->leadership.lock.term;
     keyed->router->adapter->order(keyed->router->platform, order, order_done, under_way);
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -10,6 +10,7 @@
 #include "lease/leadership.h"
 #include "model/server_view.h"
 #include "peer/peer_link.h"
+#include "placement/order_trust.h"
 #include "placement/ownership_measures.h"
 #include "placement/planner.h"
 #include "router/broker_choice.h"
@@ -160,6 +161,7 @@
     cw_time_us_t       push_filled_at;
     cw_time_us_t       led_since;
     cw_time_us_t       better_since; /**< a node far more capable than this one has been in reach; 0: none is */
+    cw_order_trust_t  *order_trust;  /**< servers that this leader's orders did not reach */
     cw_keyed_service_t keyed[CW_KEYED_SERVICES_MAX];
     size_t             keyed_count;
 } cw_router_t;
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -51,6 +51,7 @@
     memcpy(settings.node, router->settings.node, sizeof(settings.node));
     memcpy(settings.address, router->settings.address, sizeof(router->settings.address));
     cw_leadership_init(&router->leadership, &settings, cw_router_now(router));
+    router->order_trust = cw_order_trust_create();
 }
 
 bool cw_router_is_able(const cw_router_t *router, cw_time_us_t now)
@@ -303,6 +304,7 @@
         return;
     }
     cw_router_find_keyed(router);
+    cw_order_trust_expire(router->order_trust, now);
     for (index = 0; index < router->keyed_count; index++) {
         cw_router_plan(router, &router->keyed[index], now);
         cw_assigner_tick(router->keyed[index].assigner, router->server_view.list, able,
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -7,6 +7,7 @@
  *  - Owners that are missing in the list are not believed gone while most of them are: an outage may have emptied it.
  *  - A server is given keys only while it is not leaving, its zone is in service and this node has no reason to avoid
  *    it. A cold server whose rate is bounded is given none: an owner gets all requests for its keys.
+ *  - One that orders did not reach is given none while another can be (order_trust.h).
  */
 #include <string.h>
 
@@ -70,6 +71,8 @@
                                    (server != NULL && !is_region_allowed(router->configuration, service, server));
         servers[count].usable = !entry->draining && !servers[count].is_barred && server != NULL &&
                                 server->avoid_until <= now && !cw_server_is_rate_bounded(server, now);
+        servers[count].is_doubted =
+            server != NULL && cw_order_trust_is_doubted(router->order_trust, server->hash, server->served, now);
         servers[count].pace = server == NULL ? 1 : server->pace;
         servers[count].cost_s = usual_s * servers[count].pace / (entry->capacity == 0 ? 1 : entry->capacity);
         count++;
--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -161,7 +161,7 @@
     if [ "$DRAWN" = 0 ]; then kind=planned kinds=("${planned_faults[@]}"); else kind=unplanned kinds=("${unplanned_faults[@]}"); fi
     if [ -n "$ONLY" ]; then
         kinds=("$ONLY")
-        case " ${planned_faults[*]} " in *" $ONLY "*) kind=planned ;; esac
+        case " ${planned_faults[*]} " in *" $ONLY "*) kind=planned ;; *) kind=unplanned ;; esac
     fi
     draw 4 8
     faults=$DRAWN
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -122,6 +122,30 @@
     }
 }
 
+size_t node_fixture_answer_orders_of_dead(node_fixture_t *node, const char *first_alive)
+{
+    size_t count = node->order_count;
+    size_t grants = 0;
+    size_t index;
+
+    node->order_count = 0;
+    for (index = 0; index < count; index++) {
+        node_fixture_order_t order = node->orders[index];
+        bool                 is_dead = strcmp(order.order.server, first_alive) < 0;
+
+        grants += is_dead && order.order.kind == CW_ORDER_GRANT ? 1 : 0;
+        order.done(order.context, order.order.id, is_dead ? CW_ORDER_NOT_SENT : CW_ORDER_DONE, NULL);
+    }
+    return grants;
+}
+
+void node_fixture_receive_samples(node_fixture_t *node, const uint32_t *keys, size_t count, uint32_t seen)
+{
+    const char *service = cw_assigner_service(node->router.keyed[0].assigner);
+
+    cw_router_take_samples(&node->router, cw_short_name(service), keys, count, seen, cw_router_now(&node->router));
+}
+
 void node_fixture_read_servers(node_fixture_t *node, const char *service, size_t count, const char *address)
 {
     cw_server_list_t *list = cw_server_list_create();
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -54,6 +54,10 @@
 void node_fixture_answer_store(node_fixture_t *node);
 /** Answers all orders that wait. */
 void node_fixture_answer_orders(node_fixture_t *node, cw_order_result_t result);
+/** The same, but of servers that are dead (ids before this one) as not sent. Returns how many of those grants. */
+size_t node_fixture_answer_orders_of_dead(node_fixture_t *node, const char *first_alive);
+/** Requests for keys of the only service have been seen by another node. */
+void node_fixture_receive_samples(node_fixture_t *node, const uint32_t *keys, size_t count, uint32_t seen);
 /** The node takes the lock and makes its first plans, as far as its configuration and list go. */
 void node_fixture_lead(node_fixture_t *node);
 /** The same up to the first orders, which wait for their answers. */
--- /dev/null
+++ b/tests/test_order_trust.c
@@ -0,0 +1,149 @@
+/**
+ * @file test_order_trust.c
+ * @brief Servers that are listed and dead: they do not get keys by turns.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "node_fixture.h"
+
+enum { SERVERS = 6, TICKS_A_SECOND = 1000 / CW_TICK_MS, KEYS_SAMPLED = 16 };
+
+enum { SERVER = 77, OTHER = 78 };
+
+static void fail_orders(cw_order_trust_t *trust, int times, cw_time_us_t now)
+{
+    while (times-- > 0) {
+        cw_order_trust_note_failure(trust, SERVER, 0, now);
+    }
+}
+
+START_TEST(one_failure_is_no_reason_to_doubt_and_two_in_a_row_are)
+{
+    cw_order_trust_t *trust = cw_order_trust_create();
+
+    fail_orders(trust, 1, CW_SECONDS(1));
+    ck_assert(!cw_order_trust_is_doubted(trust, SERVER, 0, CW_SECONDS(1)));
+    cw_order_trust_note_answer(trust, SERVER);
+    fail_orders(trust, 1, CW_SECONDS(1));
+    ck_assert(!cw_order_trust_is_doubted(trust, SERVER, 0, CW_SECONDS(1)));
+    fail_orders(trust, 1, CW_SECONDS(1));
+    ck_assert(cw_order_trust_is_doubted(trust, SERVER, 0, CW_SECONDS(1)));
+    ck_assert(!cw_order_trust_is_doubted(trust, OTHER, 0, CW_SECONDS(1)));
+    cw_order_trust_free(trust);
+}
+END_TEST
+
+START_TEST(a_server_that_answers_an_order_or_a_request_is_trusted_again)
+{
+    cw_order_trust_t *trust = cw_order_trust_create();
+
+    fail_orders(trust, 2, CW_SECONDS(1));
+    cw_order_trust_note_answer(trust, SERVER);
+    ck_assert(!cw_order_trust_is_doubted(trust, SERVER, 0, CW_SECONDS(1)));
+    fail_orders(trust, 2, CW_SECONDS(1));
+    ck_assert(cw_order_trust_is_doubted(trust, SERVER, 0, CW_SECONDS(1)));
+    ck_assert(!cw_order_trust_is_doubted(trust, SERVER, 1, CW_SECONDS(1)));
+    ck_assert_uint_eq(cw_order_trust_servers(trust), 0);
+    cw_order_trust_free(trust);
+}
+END_TEST
+
+START_TEST(a_doubted_server_is_tried_ever_later)
+{
+    cw_order_trust_t *trust = cw_order_trust_create();
+    cw_time_us_t      now = CW_SECONDS(1);
+    int               pause_s;
+
+    for (pause_s = CW_ORDER_DOUBT_FIRST_S; pause_s <= 4 * CW_ORDER_DOUBT_MOST_S; pause_s *= 2) {
+        int bounded_s = pause_s < CW_ORDER_DOUBT_MOST_S ? pause_s : CW_ORDER_DOUBT_MOST_S;
+
+        fail_orders(trust, 8, now); /* orders of one try */
+        ck_assert(cw_order_trust_is_doubted(trust, SERVER, 0, now + CW_SECONDS(bounded_s) - 1));
+        now += CW_SECONDS(bounded_s);
+        ck_assert(!cw_order_trust_is_doubted(trust, SERVER, 0, now));
+    }
+    cw_order_trust_free(trust);
+}
+END_TEST
+
+START_TEST(servers_that_are_given_no_orders_any_more_are_forgotten)
+{
+    cw_order_trust_t *trust = cw_order_trust_create();
+
+    fail_orders(trust, 2, CW_SECONDS(1));
+    cw_order_trust_expire(trust, CW_SECONDS(2 * CW_ORDER_DOUBT_MOST_S));
+    ck_assert_uint_eq(cw_order_trust_servers(trust), 1);
+    cw_order_trust_expire(trust, CW_SECONDS(2 * CW_ORDER_DOUBT_MOST_S + 2));
+    ck_assert_uint_eq(cw_order_trust_servers(trust), 0);
+    cw_order_trust_free(trust);
+}
+END_TEST
+
+/* The first two servers are dead from now on. Lets so many seconds pass under load, the servers in the list all the
+ * while; returns the grants that went to the dead ones. */
+static size_t pass_seconds(node_fixture_t *node, int seconds)
+{
+    uint32_t keys[KEYS_SAMPLED];
+    size_t   grants = 0;
+    size_t   key;
+    int      tick;
+
+    for (tick = 0; tick < seconds * TICKS_A_SECOND; tick++) {
+        for (key = 0; key < KEYS_SAMPLED; key++) {
+            keys[key] = (uint32_t)((size_t)tick * 7919 + key * 4096 + 17) % (CW_KEY_LAST + 1);
+        }
+        node_fixture_receive_samples(node, keys, KEYS_SAMPLED, 1);
+        node_fixture_tick(node, CW_TICK_MS);
+        node_fixture_answer_store(node);
+        grants += node_fixture_answer_orders_of_dead(node, "i-000002");
+    }
+    return grants;
+}
+
+static size_t keys_not_held(const node_fixture_t *node)
+{
+    const cw_range_list_t *ranges = cw_assigner_ranges(node->router.keyed[0].assigner);
+    size_t                 keys = 0;
+    size_t                 index;
+
+    for (index = 0; index < ranges->count; index++) {
+        const cw_range_t *range = &ranges->items[index];
+
+        if (range->phase != CW_RANGE_HELD || range->failing_since != 0) {
+            keys += range->last - range->low + 1;
+        }
+    }
+    return keys;
+}
+
+START_TEST(keys_of_two_dead_servers_that_stay_listed_do_not_go_from_one_to_the_other)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    node_fixture_read_servers(node, "s", SERVERS, "10.0.1.1:80");
+    ck_assert(cw_router_use_configuration(&node->router, node_fixture_configuration(1, "s")));
+    node_fixture_lead(node);
+    ck_assert_uint_eq(keys_not_held(node), 0);
+    (void)pass_seconds(node, 12); /* a lost owner's keys are held for a hold's time */
+    ck_assert_uint_eq(keys_not_held(node), 0);
+    ck_assert_uint_le(pass_seconds(node, 60), 24); /* tried again, ever later */
+    node_fixture_free(node);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("order trust");
+    TCase *cases = tcase_create("servers that orders do not reach");
+
+    tcase_set_timeout(cases, 60);
+    tcase_add_test(cases, one_failure_is_no_reason_to_doubt_and_two_in_a_row_are);
+    tcase_add_test(cases, a_server_that_answers_an_order_or_a_request_is_trusted_again);
+    tcase_add_test(cases, a_doubted_server_is_tried_ever_later);
+    tcase_add_test(cases, servers_that_are_given_no_orders_any_more_are_forgotten);
+    tcase_add_test(cases, keys_of_two_dead_servers_that_stay_listed_do_not_go_from_one_to_the_other);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -425,6 +425,56 @@
 }
 END_TEST
 
+/* It has no load, so it looks cheapest. */
+START_TEST(a_doubted_server_gets_no_keys_while_another_one_can)
+{
+    static const char *const a_drains[] = {"i-a@10.0.0.1:80!", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80",
+                                           "i-d@10.0.0.4:80",  "i-e@10.0.0.5:80", NULL};
+    planner_world_t          world;
+
+    init(&world, four);
+    assigner_world_servers(&world.assigner, a_drains);
+    refresh_servers(&world);
+    server_named(&world, "i-e")->is_doubted = true;
+    add_load(&world, 0, CW_KEY_LAST, 60);
+    run_rounds(&world, 3);
+    ck_assert_uint_eq(keys_of(&world, "i-a"), 0);
+    ck_assert_uint_eq(keys_of(&world, "i-e"), 0);
+    clear(&world);
+}
+END_TEST
+
+START_TEST(a_doubted_server_keeps_what_it_holds)
+{
+    planner_world_t world;
+    size_t          before;
+
+    init(&world, four);
+    before = keys_of(&world, "i-b");
+    server_named(&world, "i-b")->is_doubted = true;
+    add_load(&world, 0, CW_KEY_LAST, 40);
+    run_rounds(&world, 3);
+    ck_assert_uint_eq(keys_of(&world, "i-b"), before);
+    clear(&world);
+}
+END_TEST
+
+START_TEST(doubted_servers_get_keys_when_no_other_is_left)
+{
+    static const char *const only_d[] = {"i-a@10.0.0.1:80!", "i-b@10.0.0.2:80!", "i-c@10.0.0.3:80!", "i-d@10.0.0.4:80",
+                                         NULL};
+    planner_world_t          world;
+
+    init(&world, four);
+    assigner_world_servers(&world.assigner, only_d);
+    refresh_servers(&world);
+    server_named(&world, "i-d")->is_doubted = true;
+    run_rounds(&world, 3);
+    ck_assert_uint_eq(keys_of(&world, "i-d"), CW_KEY_LAST + 1);
+    clear(&world);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("planner");
@@ -446,6 +496,9 @@
     tcase_add_test(cases, many_servers_that_come_before_any_load_get_their_parts_in_one_plan);
     tcase_add_test(cases, a_move_under_way_is_finished_before_the_next);
     tcase_add_test(cases, a_window_that_has_just_begun_tells_the_full_rate);
+    tcase_add_test(cases, a_doubted_server_gets_no_keys_while_another_one_can);
+    tcase_add_test(cases, a_doubted_server_keeps_what_it_holds);
+    tcase_add_test(cases, doubted_servers_get_keys_when_no_other_is_left);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
