--- a/src/router/router.c
+++ b/src/router/router.c
@@ -32,6 +32,8 @@
     STATUS_NOT_FOUND = 404,
     STATUS_UNAVAILABLE = 503,
     OWN_HEADER_BYTES = 16 * 1024,
+    /* While no configuration is known, nobody may say that a body is too long: it is read and answered 503. */
+    UNKNOWN_BODY_BYTES = 16 * 1024 * 1024,
     OWN_IDLE_S = 60,
     PEERS_UNKNOWN_S = 3,
     FILE_CHECK_MS = 500,
@@ -329,6 +331,7 @@
                                      .connect_timeout = CW_MS(CONNECT_MS),
                                      .silence_factor = 4,
                                      .margin = CW_MS(15),
+                                     .credential_scheme = router->settings.credential_scheme,
                                      .answer_max = ANSWER_MAX,
                                      .queue_max = QUEUE_MAX};
 
@@ -341,12 +344,14 @@
                                              .body_bytes = OWN_HEADER_BYTES,
                                              .header_timeout = CW_SECONDS(OWN_IDLE_S),
                                              .idle_timeout = CW_SECONDS(OWN_IDLE_S)};
+    cw_http_limits_t           first_limits = own_limits;
     cw_http_listener_handler_t callers = {router, on_request, on_gone};
     cw_http_listener_handler_t own = {router, on_own_request, on_own_gone};
     int                        error;
 
+    first_limits.body_bytes = UNKNOWN_BODY_BYTES;
     error = cw_http_listener_create(&router->callers, &router->loop, router->settings.callers.address,
-                                    router->settings.callers.port, &own_limits, &callers);
+                                    router->settings.callers.port, &first_limits, &callers);
     if (error == 0) {
         error = cw_http_listener_create(&router->readiness, &router->loop, router->settings.readiness.address,
                                         router->settings.readiness.port, &own_limits, &own);
