regions: keyed services whose routes or tenants are bound to different regions have owners

Cause: an owner had to lie in a region that every route to its service allows; with routes of two regions there is none, and all keyed requests were refused after a fifth of their objective. Change: a region may own keys if some route and tenant may send there (placement/region_owners.h). Samples of keys say where their requests may go (a mask, model/region_mask.h; proto KeySamples.regions, sent only where a rule binds); the planner moves rows of keys to where most of their requests may go, and counts a request that would be refused as 20 of usual time in balance, for hot keys and for lost owners. What its owner's region may not serve is refused at once as "outside regions", with a metric of its own, and sent nowhere. A region that loses all its servers: its keys go to where some request may go. Conclusion: ownership is decided by key; tenants' and routes' regions both bind.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1279,7 +1279,7 @@
   (ProtobufCMessageInit) cwp__queue_length__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__key_samples__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cwp__key_samples__field_descriptors[4] =
 {
   {
     "service",
@@ -1317,16 +1317,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "regions",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__KeySamples, n_regions),
+    offsetof(Cwp__KeySamples, regions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__key_samples__field_indices_by_name[] = {
   1,   /* field[1] = keys */
+  3,   /* field[3] = regions */
   2,   /* field[2] = seen */
   0,   /* field[0] = service */
 };
 static const ProtobufCIntRange cwp__key_samples__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cwp__key_samples__descriptor =
 {
@@ -1336,7 +1349,7 @@
   "Cwp__KeySamples",
   "cwp",
   sizeof(Cwp__KeySamples),
-  3,
+  4,
   cwp__key_samples__field_descriptors,
   cwp__key_samples__field_indices_by_name,
   1,  cwp__key_samples__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -113,10 +113,15 @@
    * requests that the keys stand for
    */
   uint32_t seen;
+  /*
+   * where each of them may go, a bit for each region by name; none: all of them anywhere
+   */
+  size_t n_regions;
+  uint32_t *regions;
 };
 #define CWP__KEY_SAMPLES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__key_samples__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0,NULL }
 
 
 struct  Cwp__LeaderHeartbeat
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -181,6 +181,7 @@
     }
     memcpy(pool->regions, zones, count * sizeof(*zones));
     pool->region_count = count;
+    cw_region_table_init(&pool->region_table, zones, count);
 }
 
 static const char *region_of(const cw_server_pool_t *pool, const char *zone)
@@ -195,6 +196,11 @@
     return "";
 }
 
+uint32_t cw_server_pool_region_mask(const cw_server_pool_t *pool, const cw_region_rule_t *rule)
+{
+    return cw_region_mask(&pool->region_table, rule->route, rule->tenant);
+}
+
 static cw_server_t *add(cw_server_pool_t *pool, const cw_server_entry_t *entry)
 {
     cw_server_t *server = calloc(1, sizeof(*server));
@@ -207,6 +213,7 @@
     server->address = strdup(entry->address);
     server->zone = strdup(entry->zone);
     server->region = strdup(region_of(pool, entry->zone));
+    server->region_bit = cw_region_bit(&pool->region_table, server->region);
     server->hash = (uint32_t)XXH3_64bits(entry->id, strlen(entry->id));
     server->service_hash = (uint32_t)XXH3_64bits(entry->service, strlen(entry->service));
     server->affinity = (double)(XXH3_64bits_withSeed(entry->id, strlen(entry->id), pool->node) >> 11) * 0x1.0p-53;
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -18,6 +18,7 @@
 #include "balance/cold_rate.h"
 #include "balance/server_load.h"
 #include "base/time.h"
+#include "model/region_mask.h"
 #include "model/server_list.h"
 #include "model/zone_region.h"
 #include "model/zone_service.h"
@@ -29,6 +30,7 @@
     char           *address;
     char           *zone;
     char           *region;       /**< in which the zone lies; empty: not known */
+    uint32_t        region_bit;   /**< of that region (region_mask.h); 0: none */
     double          affinity;     /**< 0 to 1, another for each node: the order in which equal servers are tried */
     uint32_t        hash;         /**< short name of the id between nodes */
     uint32_t        service_hash; /**< and of its service */
@@ -115,6 +117,8 @@
 void cw_server_pool_set_regions(cw_server_pool_t *pool, const cw_zone_region_t *zones, size_t count);
 /** May a request under this rule go there? */
 bool cw_server_region_allows(const cw_server_t *server, const cw_region_rule_t *rule);
+/** Regions that a rule allows, as a mask. */
+uint32_t cw_server_pool_region_mask(const cw_server_pool_t *pool, const cw_region_rule_t *rule);
 /** Has the service a listed server to which a request under this rule may go? */
 bool cw_server_pool_serves(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule);
 /** This node's zone. */
--- a/src/balance/server_pool_internal.h
+++ b/src/balance/server_pool_internal.h
@@ -36,6 +36,7 @@
     char                 *zone;
     cw_zone_region_t     *regions; /* of each zone */
     size_t                region_count;
+    cw_region_table_t     region_table;
     uint64_t              node; /* hash of this node's name */
     cw_server_dropped_t   dropped;
     void                 *context;
--- a/src/placement/load_window.c
+++ b/src/placement/load_window.c
@@ -8,11 +8,18 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "model/region_mask.h"
+
 static const double memory_s = 1.0; /* time constant; shorter follows faster and sees more noise */
 static const double horizon_s = 4.0;
 static const double span_min_s = 0.2;
 
 void cw_load_window_add(cw_load_window_t *window, uint32_t key, double weight, cw_time_us_t now)
+{
+    cw_load_window_add_bound(window, key, CW_REGIONS_ANY, weight, now);
+}
+
+void cw_load_window_add_bound(cw_load_window_t *window, uint32_t key, uint32_t regions, double weight, cw_time_us_t now)
 {
     cw_load_sample_t *sample;
 
@@ -29,6 +36,7 @@
     sample = &window->samples[window->next];
     sample->key = key;
     sample->weight = (float)weight;
+    sample->regions = regions;
     sample->at_ms = (uint32_t)(now / 1000);
     window->next = (window->next + 1) % CW_LOAD_SAMPLES_MAX;
     if (window->count < CW_LOAD_SAMPLES_MAX) {
@@ -67,6 +75,80 @@
     return 1 - exp(-(span_s < span_min_s ? span_min_s : span_s) / memory_s);
 }
 
+/* Requests a second that a sample still stands for; 0: it is too old. */
+static double present_rate(const cw_load_sample_t *sample, uint32_t now_ms, double share)
+{
+    double age_s = (double)(now_ms - sample->at_ms) / 1000;
+
+    return age_s > horizon_s ? 0 : (double)sample->weight * exp(-age_s / memory_s) / memory_s / share;
+}
+
+static int compare_bound(const void *left, const void *right)
+{
+    const cw_bound_load_t *a = left;
+    const cw_bound_load_t *b = right;
+
+    if (a->key != b->key) {
+        return a->key < b->key ? -1 : 1;
+    }
+    return a->regions < b->regions ? -1 : a->regions > b->regions;
+}
+
+static size_t join_same_bound(cw_bound_load_t *loads, size_t count)
+{
+    size_t kept = 0;
+    size_t index;
+
+    for (index = 0; index < count; index++) {
+        if (kept > 0 && compare_bound(&loads[kept - 1], &loads[index]) == 0) {
+            loads[kept - 1].per_s += loads[index].per_s;
+        } else {
+            loads[kept++] = loads[index];
+        }
+    }
+    return kept;
+}
+
+size_t cw_load_window_read_bound(const cw_load_window_t *window, cw_time_us_t now, cw_bound_load_t **loads)
+{
+    uint32_t now_ms = (uint32_t)(now / 1000);
+    double   share = filled_share(window, now_ms);
+    size_t   count = 0;
+    size_t   index;
+
+    *loads = malloc((window->count + 1) * sizeof(**loads));
+    if (*loads == NULL) {
+        abort();
+    }
+    for (index = 0; index < window->count; index++) {
+        const cw_load_sample_t *sample = &window->samples[index];
+        double                  per_s = present_rate(sample, now_ms, share);
+
+        if (sample->regions != CW_REGIONS_ANY && sample->regions != CW_REGIONS_NOWHERE && per_s > 0) {
+            (*loads)[count++] = (cw_bound_load_t){sample->key, sample->regions, per_s};
+        }
+    }
+    qsort(*loads, count, sizeof(**loads), compare_bound);
+    return join_same_bound(*loads, count);
+}
+
+size_t cw_bound_loads_first(const cw_bound_load_t *loads, size_t count, uint32_t key)
+{
+    size_t low = 0;
+    size_t high = count;
+
+    while (low < high) {
+        size_t middle = low + (high - low) / 2;
+
+        if (loads[middle].key < key) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
 size_t cw_load_window_read(const cw_load_window_t *window, cw_time_us_t now, cw_key_load_t **loads)
 {
     uint32_t now_ms = (uint32_t)(now / 1000);
@@ -79,14 +161,11 @@
         abort();
     }
     for (index = 0; index < window->count; index++) {
-        double age_s = (double)(now_ms - window->samples[index].at_ms) / 1000;
+        double per_s = present_rate(&window->samples[index], now_ms, share);
 
-        if (age_s > horizon_s) {
-            continue;
+        if (per_s > 0) {
+            (*loads)[count++] = (cw_key_load_t){window->samples[index].key, per_s};
         }
-        (*loads)[count].key = window->samples[index].key;
-        (*loads)[count].per_s = (double)window->samples[index].weight * exp(-age_s / memory_s) / memory_s / share;
-        count++;
     }
     qsort(*loads, count, sizeof(**loads), compare_keys);
     return join_same(*loads, count);
--- a/src/placement/load_window.h
+++ b/src/placement/load_window.h
@@ -14,6 +14,7 @@
     uint32_t key;
     float    weight; /**< requests it stands for */
     uint32_t at_ms;
+    uint32_t regions; /**< where these may go, as a mask (region_mask.h) */
 } cw_load_sample_t;
 
 enum { CW_LOAD_SAMPLES_MAX = 8192 };
@@ -32,11 +33,24 @@
     double   per_s;
 } cw_key_load_t;
 
+/** Requests for a key that may go to some regions only, requests a second. */
+typedef struct cw_bound_load {
+    uint32_t key;
+    uint32_t regions; /**< a mask; several entries of one key have different ones */
+    double   per_s;
+} cw_bound_load_t;
+
 void cw_load_window_add(cw_load_window_t *window, uint32_t key, double weight, cw_time_us_t now);
+/** The same for requests that may go to these regions only (region_mask.h). */
+void cw_load_window_add_bound(cw_load_window_t *window, uint32_t key, uint32_t regions, double weight,
+                              cw_time_us_t now);
 /** Standard error of a rate read from the window, requests a second: a Poisson count over its memory. */
 double cw_load_error(double per_s);
 /** Load of each key seen lately, in order of keys; returns how many. The array is to be freed. */
 size_t cw_load_window_read(const cw_load_window_t *window, cw_time_us_t now, cw_key_load_t **loads);
+/** Of it, what is bound to regions that are known, in order of keys. The array is to be freed. */
+size_t cw_load_window_read_bound(const cw_load_window_t *window, cw_time_us_t now, cw_bound_load_t **loads);
+size_t cw_bound_loads_first(const cw_bound_load_t *loads, size_t count, uint32_t key);
 /** Index of the first of these at or above a key. */
 size_t cw_key_loads_first(const cw_key_load_t *loads, size_t count, uint32_t key);
 /** Load on keys low to last, requests a second. */
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -21,6 +21,7 @@
 const cw_planner_settings_t cw_planner_defaults = {.gain_min = 1.5,
                                                    .move_price = 0.22,
                                                    .interruption = 0.5,
+                                                   .refusal = 20, /* its worth is lost, and it comes again */
                                                    .errors = 1.5,
                                                    .moves_max = 12,
                                                    .ranges_each = 4,
@@ -172,7 +173,7 @@
         if (!must_move(planner, range) || (from != NULL && !is_to_be_emptied(from) && unreachable)) {
             continue;
         }
-        to = cw_planner_least_busy(planner, range->owner.id);
+        to = cw_planner_best_for(planner, &piece, range->owner.id);
         if (to != NULL) {
             piece.per_s = cw_planner_load_between(planner, range->low, range->last);
             cw_planner_move(planner, &piece, from, to);
@@ -245,6 +246,7 @@
         return 0;
     }
     planner.load_count = cw_load_window_read(input->window, planner.now, &planner.loads);
+    planner.bound_count = cw_load_window_read_bound(input->window, planner.now, &planner.bounds);
     planner.per_s = cw_planner_load_between(&planner, 0, CW_KEY_LAST);
     cw_range_list_copy(&planner.ranges, cw_assigner_ranges(planner.assigner));
     planner.errors = errors_among(input->settings->errors, input->server_count);
@@ -257,6 +259,7 @@
     if (planner.changes == 0 && planner.per_s < idle_per_s) {
         cw_planner_fill_idle(&planner);
     } else if (planner.changes == 0) {
+        cw_planner_obey_regions(&planner);
         cw_planner_place_hot_keys(&planner);
         cw_planner_balance(&planner);
     }
@@ -267,6 +270,7 @@
         cw_assigner_plan_refresh(planner.assigner);
     }
     cw_assigner_plan_write(planner.assigner, planner.now);
+    free(planner.bounds);
     free(planner.loads);
     cw_range_list_clear(&planner.ranges);
     return planner.changes;
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -19,6 +19,7 @@
     bool                     usable;     /**< may be given keys */
     bool                     is_doubted; /**< orders have not reached it: given keys only if no other can be */
     bool                     is_barred;  /**< out of service, or outside the regions allowed: what it holds must move */
+    uint32_t                 region;     /**< its region's bit (region_mask.h); 0: none */
     double                   pace;       /**< time of its answers over what is usual */
     double                   cost_s;     /**< share of its slots that one request a second takes */
     double                   per_s;      /**< filled by the planner: requests a second on its keys */
@@ -29,6 +30,7 @@
     double       gain_min;     /**< what a move has to earn: requests a second times usual times saved, and */
     double       move_price;   /**< besides that, for each request a second of the whole service, if all keys moved */
     double       interruption; /**< and for each request a second of what moves: these wait while it does */
+    double       refusal;      /**< usual times that a request which may not go to its key's owner counts */
     double       errors;       /**< standard errors by which rates may be off */
     size_t       moves_max;    /**< in one plan, for balance, among few servers */
     size_t       ranges_each;  /**< joins begin above this many ranges for each server */
--- a/src/placement/planner_balance.c
+++ b/src/placement/planner_balance.c
@@ -90,7 +90,7 @@
 
 /* What the move of a piece has to earn: keys that change hands have a price each, and requests for them wait or are
  * refused meanwhile. */
-static double price(const cw_planner_t *planner, const cw_planner_piece_t *piece)
+double cw_planner_price(const cw_planner_t *planner, const cw_planner_piece_t *piece)
 {
     double share = (double)(piece->last - piece->low + 1) / (CW_KEY_LAST + 1);
 
@@ -130,7 +130,9 @@
         for (at_low_end = 0; at_low_end < 2; at_low_end++) {
             cw_planner_piece_t piece = planner->is_in_pieces ? whole_range(planner, range, wanted)
                                                              : cut_end(planner, range, wanted, at_low_end);
-            double             profit = sure_gain(planner, from, to, piece.per_s) - price(planner, &piece);
+            double             profit = sure_gain(planner, from, to, piece.per_s) - cw_planner_price(planner, &piece) +
+                            cw_planner_refusal_cost(planner, &piece, from) -
+                            cw_planner_refusal_cost(planner, &piece, to);
 
             if (piece.per_s > 0 && profit > best_profit) {
                 best_profit = profit;
@@ -150,12 +152,11 @@
     return room > 0 ? room : 0;
 }
 
-static bool relieve(cw_planner_t *planner, cw_planner_server_t *from)
+static bool relieve_to(cw_planner_t *planner, cw_planner_server_t *from, cw_planner_server_t *to)
 {
-    cw_planner_server_t *to = cw_planner_least_busy(planner, from->entry->id);
-    double               wanted;
-    double               room;
-    cw_planner_piece_t   piece;
+    double             wanted;
+    double             room;
+    cw_planner_piece_t piece;
 
     if (to == NULL || cw_planner_marginal(to) >= cw_planner_marginal(from)) {
         return false;
@@ -170,6 +171,15 @@
     return true;
 }
 
+/* Where requests are bound to regions, the server that suits the busy one's own keys is tried before the least busy. */
+static bool relieve(cw_planner_t *planner, cw_planner_server_t *from)
+{
+    cw_planner_server_t *best = cw_planner_least_busy(planner, from->entry->id);
+    cw_planner_server_t *near = planner->bound_count == 0 ? best : cw_planner_least_busy_in(planner, from);
+
+    return (near != best && relieve_to(planner, from, near)) || relieve_to(planner, from, best);
+}
+
 void cw_planner_balance(cw_planner_t *planner)
 {
     bool  *tried = calloc(planner->server_count + 1, sizeof(*tried));
--- a/src/placement/planner_cost.c
+++ b/src/placement/planner_cost.c
@@ -38,7 +38,7 @@
     return (cw_planner_total_cost(server, server->per_s + step) - cw_planner_total_cost(server, server->per_s)) / step;
 }
 
-static double rank(const cw_planner_server_t *server)
+double cw_planner_rank(const cw_planner_server_t *server)
 {
     return cw_planner_marginal(server) + key_weight * server->keys;
 }
@@ -51,7 +51,8 @@
     for (index = 0; index < planner->server_count; index++) {
         cw_planner_server_t *server = &planner->servers[index];
 
-        if (server->usable && strcmp(server->entry->id, except) != 0 && (best == NULL || rank(server) < rank(best))) {
+        if (server->usable && strcmp(server->entry->id, except) != 0 &&
+            (best == NULL || cw_planner_rank(server) < cw_planner_rank(best))) {
             best = server;
         }
     }
--- a/src/placement/planner_hot.c
+++ b/src/placement/planner_hot.c
@@ -28,7 +28,17 @@
     return (server->per_s - (server == owner ? per_s : 0)) * server->cost_s;
 }
 
-static cw_planner_server_t *best_for_hot(const cw_planner_t *planner, cw_planner_server_t *owner, double per_s)
+/* A share of slots, and far above one if its requests may not go there. */
+static double cost_of_hot(const cw_planner_t *planner, const cw_planner_server_t *server,
+                          const cw_planner_server_t *owner, const cw_key_load_t *load)
+{
+    const cw_planner_piece_t piece = {load->key, load->key, load->per_s};
+
+    return busy_besides(server, owner, load->per_s) + cw_planner_refusal_cost(planner, &piece, server);
+}
+
+static cw_planner_server_t *best_for_hot(const cw_planner_t *planner, cw_planner_server_t *owner,
+                                         const cw_key_load_t *load)
 {
     cw_planner_server_t *best = NULL;
     size_t               index;
@@ -37,7 +47,7 @@
         cw_planner_server_t *server = &planner->servers[index];
 
         if (server->usable && server->cost_s <= planner->fastest_cost * as_fast &&
-            (best == NULL || busy_besides(server, owner, per_s) < busy_besides(best, owner, per_s))) {
+            (best == NULL || cost_of_hot(planner, server, owner, load) < cost_of_hot(planner, best, owner, load))) {
             best = server;
         }
     }
@@ -57,7 +67,7 @@
                       planner->now - range->moved_at <= planner->settings->rest))) {
         return;
     }
-    best = best_for_hot(planner, owner, load->per_s);
+    best = best_for_hot(planner, owner, load);
     if (best != NULL && best != owner) {
         cw_planner_move(planner, &piece, owner, best);
     }
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -8,6 +8,7 @@
 #ifndef CEDARWINCH_PLACEMENT_PLANNER_INTERNAL_H
 #define CEDARWINCH_PLACEMENT_PLANNER_INTERNAL_H
 
+#include "model/region_mask.h"
 #include "placement/planner.h"
 
 typedef struct cw_planner {
@@ -19,6 +20,8 @@
     cw_range_list_t              ranges; /**< as they will be with the moves planned so far */
     cw_key_load_t               *loads;
     size_t                       load_count;
+    cw_bound_load_t             *bounds; /**< requests that may go to some regions only, by key */
+    size_t                       bound_count;
     double                       per_s;        /**< of all keys */
     double                       fastest_cost; /**< share of its slots that a request a second takes at the fastest */
     double                       busy;         /**< mean busy share of the servers that can be given keys */
@@ -52,6 +55,8 @@
 double cw_planner_total_cost(const cw_planner_server_t *server, double per_s);
 /** What one request a second more would cost. */
 double cw_planner_marginal(const cw_planner_server_t *server);
+/** What one request more costs there; ties are broken by the number of keys held. */
+double cw_planner_rank(const cw_planner_server_t *server);
 /** Server at which one request more costs least, other than the one of this id; NULL: none. */
 cw_planner_server_t *cw_planner_least_busy(const cw_planner_t *planner, const char *except);
 /** Share of its slots that a request a second takes at the fastest server; 0: there is none. */
@@ -61,8 +66,24 @@
 bool cw_planner_is_hot(const cw_planner_t *planner, const cw_key_load_t *load);
 void cw_planner_place_hot_keys(cw_planner_t *planner);
 
+/* ---- planner_regions.c ---- */
+/** Requests a second on keys low to last that may not go to this region. */
+double cw_planner_refused(const cw_planner_t *planner, uint32_t low, uint32_t last, uint32_t region);
+/** Of the requests for a piece that would be refused at this server, as requests of usual time. */
+double cw_planner_refusal_cost(const cw_planner_t *planner, const cw_planner_piece_t *piece,
+                               const cw_planner_server_t *server);
+/** Server that can be given the piece at the least cost, refusals included, other than the one of this id. */
+cw_planner_server_t *cw_planner_best_for(const cw_planner_t *planner, const cw_planner_piece_t *piece,
+                                         const char *except);
+/** Least busy server of the same region, other than this one; NULL: none. */
+cw_planner_server_t *cw_planner_least_busy_in(const cw_planner_t *planner, const cw_planner_server_t *server);
+/** Moves keys whose requests their owner's region may not serve to where it may. */
+void cw_planner_obey_regions(cw_planner_t *planner);
+
 /* ---- planner_balance.c ---- */
-void cw_planner_balance(cw_planner_t *planner);
+/** What the move of a piece has to earn. */
+double cw_planner_price(const cw_planner_t *planner, const cw_planner_piece_t *piece);
+void   cw_planner_balance(cw_planner_t *planner);
 /** Before there is any load, servers that have come since get their part of the keys, all of them in one plan. */
 void cw_planner_fill_idle(cw_planner_t *planner);
 
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -66,6 +66,8 @@
 /** Keys of requests since the last report, for the leader. */
 typedef struct cw_key_samples {
     uint32_t keys[64];
+    uint32_t regions[64]; /**< where each of these requests may go (region_mask.h) */
+    bool     any_bound;   /**< some of them may not go anywhere */
     uint32_t count;
     uint32_t seen; /**< requests they stand for */
 } cw_key_samples_t;
--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -115,6 +115,10 @@
     }
     samples->seen++;
     if (samples->count < sizeof(samples->keys) / sizeof(samples->keys[0])) {
+        uint32_t mask = cw_server_pool_region_mask(request->engine->pool, &request->regions);
+
+        samples->regions[samples->count] = mask;
+        samples->any_bound = samples->any_bound || mask != CW_REGIONS_ANY;
         samples->keys[samples->count++] = request->key;
     }
 }
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -124,9 +124,11 @@
 
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason)
 {
-    static const char *const names[] = {"no slot in time", "owner of the key not known or moving", "no server",
+    static const char *const names[] = {"no slot in time", "owner of the key not known or moving",
+                                        "no server",       "outside regions",
                                         "this node stops", "the caller's key is another tenant's now"};
-    static const cw_metric_t metrics[] = {CW_METRIC_REFUSED_LOAD, CW_METRIC_REFUSED_OWNER, CW_METRIC_REFUSED_SERVERS,
+    static const cw_metric_t metrics[] = {CW_METRIC_REFUSED_LOAD,     CW_METRIC_REFUSED_OWNER,
+                                          CW_METRIC_REFUSED_SERVERS,  CW_METRIC_REFUSED_REGIONS,
                                           CW_METRIC_REFUSED_STOPPING, CW_METRIC_REFUSED_KEY_MOVED};
     cw_time_us_t             now = cw_engine_now(request->engine);
     cw_time_us_t             wait;
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -218,6 +218,7 @@
     CW_REFUSED_LOAD,
     CW_REFUSED_OWNER,
     CW_REFUSED_SERVERS,
+    CW_REFUSED_REGIONS, /**< its key's owner lies where it may not go */
     CW_REFUSED_STOPPING,
     CW_REFUSED_KEY_MOVED /**< the caller's key is another tenant's now */
 } cw_refusal_t;
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -200,7 +200,7 @@
     cw_time_us_t estimate;
 
     if (why == OUTSIDE_REGIONS) { /* its key has an owner where it may not go: waiting does not help */
-        cw_request_refuse(request, CW_REFUSED_SERVERS);
+        cw_request_refuse(request, CW_REFUSED_REGIONS);
         return;
     }
     if (why == PAUSED || request->attempts > 0) { /* a server may have run it: it has its whole time to get an answer */
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -195,8 +195,8 @@
     }
 }
 
-void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
-                            uint32_t seen, cw_time_us_t now)
+void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const cw_router_samples_t *samples,
+                            cw_time_us_t now)
 {
     size_t index;
     size_t key;
@@ -207,11 +207,14 @@
         if (cw_short_name(cw_assigner_service(keyed->assigner)) != service_hash) {
             continue;
         }
-        for (key = 0; key < count; key++) {
-            if (keys[key] > CW_KEY_LAST) {
+        for (key = 0; key < samples->count; key++) {
+            uint32_t regions = samples->regions == NULL ? CW_REGIONS_ANY : samples->regions[key];
+
+            if (samples->keys[key] > CW_KEY_LAST) {
                 continue; /* a caller may name any number: it has no range, and placement looks for one */
             }
-            cw_load_window_add(&keyed->window, keys[key], (double)seen / (double)count, now);
+            cw_load_window_add_bound(&keyed->window, samples->keys[key], regions,
+                                     (double)samples->seen / (double)samples->count, now);
         }
     }
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -263,8 +263,15 @@
 /** Makes an assigner for each service divided by key that has none yet. */
 void cw_router_find_keyed(cw_router_t *router);
 void cw_router_end_assigners(cw_router_t *router);
-void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
-                            uint32_t seen, cw_time_us_t now);
+/** Keys of requests that a node has seen. Borrowed. */
+typedef struct cw_router_samples {
+    const uint32_t *keys;
+    const uint32_t *regions; /**< where each may go (region_mask.h); NULL: all of them anywhere */
+    size_t          count;
+    uint32_t        seen; /**< requests that they stand for */
+} cw_router_samples_t;
+void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const cw_router_samples_t *samples,
+                            cw_time_us_t now);
 
 /* ---- router_lead.c ---- */
 void cw_router_lead_init(cw_router_t *router);
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -136,6 +136,8 @@
     samples->n_keys = keys->count;
     samples->keys = keys->keys;
     samples->seen = keys->seen;
+    samples->n_regions = keys->any_bound ? keys->count : 0;
+    samples->regions = keys->regions;
     builder.sample_pointers[builder.sample_count++] = samples;
 }
 
@@ -211,8 +213,9 @@
 {
     cw_router_t *router = context;
 
-    cw_router_take_samples(router, cw_short_name(service), samples->keys, samples->count, samples->seen,
-                           cw_router_now(router));
+    cw_router_samples_t taken = {samples->keys, samples->regions, samples->count, samples->seen};
+
+    cw_router_take_samples(router, cw_short_name(service), &taken, cw_router_now(router));
 }
 
 static void send_samples(cw_router_t *router, const cw_peer_t *leader)
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -7,10 +7,12 @@
  *  - Owners that are missing in the list are not believed gone while most of them are: an outage may have emptied it.
  *  - A server is given keys only while it is not leaving, its zone is in service and this node has no reason to avoid
  *    it. A cold server whose rate is bounded is given none: an owner gets all requests for its keys.
+ *  - It is given none in a region to which no route to the service, or no tenant, may send (region_owners.h).
  *  - One that orders did not reach is given none while another can be (order_trust.h).
  */
 #include <string.h>
 
+#include "placement/region_owners.h"
 #include "router/router_internal.h"
 
 enum {
@@ -23,40 +25,38 @@
     MISSING_PERCENT = 40, /* more owners than these are not all gone at once */
 };
 
-static bool uses_service(const cw_route_t *route, const char *service)
-{
-    size_t index;
-
-    for (index = 0; index < route->part_count; index++) {
-        if (strcmp(route->parts[index].service, service) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
+/** Answers for the regions met so far: routes and tenants are many, regions few. */
+typedef struct region_answers {
+    const char *regions[CW_ZONES_MAX];
+    bool        may_own[CW_ZONES_MAX];
+    size_t      count;
+} region_answers_t;
 
-/* An owner gets requests of all routes to its service: each of them has to allow its region. */
-static bool is_region_allowed(const cw_configuration_t *configuration, const char *service, const cw_server_t *server)
+static bool may_own(region_answers_t *answers, const cw_configuration_t *configuration, const char *service,
+                    const char *region)
 {
-    size_t index;
+    size_t index = 0;
 
-    for (index = 0; index < configuration->route_count; index++) {
-        const cw_route_t  *route = &configuration->routes[index];
-        const cw_tenant_t *tenant = cw_configuration_tenant_of(configuration, route->name);
-        cw_region_rule_t   rule = {.route = &route->regions, .tenant = tenant == NULL ? NULL : &tenant->regions};
-
-        if (uses_service(route, service) && !cw_server_region_allows(server, &rule)) {
-            return false;
-        }
+    while (index < answers->count && strcmp(answers->regions[index], region) != 0) {
+        index++;
+    }
+    if (index == CW_ZONES_MAX) {
+        return cw_region_may_own(configuration, service, region);
+    }
+    if (index == answers->count) {
+        answers->regions[index] = region;
+        answers->may_own[index] = cw_region_may_own(configuration, service, region);
+        answers->count++;
     }
-    return true;
+    return answers->may_own[index];
 }
 
 static size_t list_servers(cw_router_t *router, const char *service, cw_planner_server_t *servers, cw_time_us_t now)
 {
-    double usual_s = (double)cw_engine_usual_time(router->engine, service) / 1e6;
-    size_t count = 0;
-    size_t index;
+    double           usual_s = (double)cw_engine_usual_time(router->engine, service) / 1e6;
+    region_answers_t answers = {.count = 0};
+    size_t           count = 0;
+    size_t           index;
 
     for (index = 0; index < router->server_view.list->count && count < SERVERS_MAX; index++) {
         const cw_server_entry_t *entry = &router->server_view.list->entries[index];
@@ -67,12 +67,14 @@
         }
         memset(&servers[count], 0, sizeof(servers[count]));
         servers[count].entry = entry;
-        servers[count].is_barred = cw_zone_service_is_out(router->zones, entry->zone) ||
-                                   (server != NULL && !is_region_allowed(router->configuration, service, server));
+        servers[count].is_barred =
+            cw_zone_service_is_out(router->zones, entry->zone) ||
+            (server != NULL && !may_own(&answers, router->configuration, service, server->region));
         servers[count].usable = !entry->draining && !servers[count].is_barred && server != NULL &&
                                 server->avoid_until <= now && !cw_server_is_rate_bounded(server, now);
         servers[count].is_doubted =
             server != NULL && cw_order_trust_is_doubted(router->order_trust, server->hash, server->served, now);
+        servers[count].region = server == NULL ? 0 : server->region_bit;
         servers[count].pace = server == NULL ? 1 : server->pace;
         servers[count].cost_s = usual_s * servers[count].pace / (entry->capacity == 0 ? 1 : entry->capacity);
         count++;
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -126,8 +126,12 @@
     take_queues(router, peer, received, now);
     for (index = 0; router->leadership.leading && index < received->n_samples; index++) {
         const Cwp__KeySamples *samples = received->samples[index];
+        cw_router_samples_t    taken = {.keys = samples->keys,
+                                        .regions = samples->n_regions == samples->n_keys ? samples->regions : NULL,
+                                        .count = samples->n_keys,
+                                        .seen = samples->seen};
 
-        cw_router_take_samples(router, samples->service, samples->keys, samples->n_keys, samples->seen, now);
+        cw_router_take_samples(router, samples->service, &taken, now);
     }
     if (received->vacated != 0 && received->vacated == router->leader_term) {
         cw_leadership_heard_stop(&router->leadership, now);
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "base/byte_buffer.h"
+#include "base/metrics.h"
 #include "loop_fixture.h"
 #include "proxy/engine_internal.h"
 
@@ -170,6 +171,7 @@
 {
     cw_configuration_t *configuration = cw_configuration_create(1);
     cw_service_t       *service = cw_configuration_add_service(configuration);
+    cw_route_t         *far_keyed;
 
     service->name = strdup("keyed");
     service->keyed = true;
@@ -177,6 +179,9 @@
     cw_route_add_part(add_route(configuration, "once", "/once/", false), "service", 1);
     cw_route_add_part(add_route(configuration, "keyed", "/keyed/", true), "keyed", 1);
     add_bound_route(configuration, "far", "/far/");
+    far_keyed = add_route(configuration, "far-keyed", "/far-keyed/", true);
+    cw_route_add_part(far_keyed, "keyed", 1);
+    cw_name_set_add(&far_keyed->regions, "far");
     add_bound_route(configuration, "elsewhere", "/elsewhere/");
     cw_configuration_seal(configuration);
     cw_engine_set_configuration(world->engine, configuration);
@@ -741,6 +746,33 @@
 }
 END_TEST
 
+/* The other route to the service may send to the owner. */
+START_TEST(what_may_not_go_to_its_keys_owner_is_refused_at_once_with_that_reason)
+{
+    cw_key_route_t route = {.low = 0, .last = 65535, .fence = 1, .routable = true, .server = "s0"};
+    uint64_t       refused = cw_metric_value(CW_METRIC_REFUSED_REGIONS);
+    world_t        world;
+    cw_time_us_t   begun;
+
+    init(&world);
+    world.servers[0].status = 200;
+    cw_engine_set_table(world.engine, "keyed", &route, 1, 1);
+    cw_engine_set_tables_valid(world.engine, cw_engine_now(world.engine), cw_engine_now(world.engine) + CW_SECONDS(30));
+    begun = cw_engine_now(world.engine);
+    (void)ask(&world, "GET", "/far-keyed/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert(world.retry_after_s > 0);
+    ck_assert_int_lt(cw_engine_now(world.engine) - begun, CW_SECONDS(2)); /* a fifth of its objective */
+    ck_assert_uint_eq(world.servers[0].requests + world.servers[1].requests, 0);
+    ck_assert_uint_eq(cw_metric_value(CW_METRIC_REFUSED_REGIONS), refused + 1);
+    (void)ask(&world, "GET", "/keyed/x", "15000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_uint_eq(world.servers[0].requests, 1);
+}
+END_TEST
+
 START_TEST(a_caller_that_leaves_while_its_key_has_no_owner_takes_its_request_along)
 {
     cw_key_route_t      route = {.low = 0, .last = 65535, .fence = 1, .routable = true, .server = "s0"};
@@ -957,6 +989,7 @@
     tcase_add_test(cases, without_budget_nothing_is_repeated);
     tcase_add_test(cases, a_caller_that_leaves_takes_its_request_from_the_server);
     tcase_add_test(cases, a_caller_that_leaves_the_queue_takes_its_request_along);
+    tcase_add_test(cases, what_may_not_go_to_its_keys_owner_is_refused_at_once_with_that_reason);
     tcase_add_test(cases, a_caller_that_leaves_while_its_key_has_no_owner_takes_its_request_along);
     tcase_add_test(cases, a_caller_that_leaves_before_a_repeat_takes_its_request_along);
     tcase_add_test(cases, the_time_limit_ends_what_is_at_a_server_with_504);
