peer: bytes and datagrams between nodes by kind and distance, as metrics and one line at the end

Change: peer_link counts what it sends by the kind of datagram (names from peer.proto) and the distance of the peer's zone (zone, region, remote; remote until the peer has told its zone). Served as two metrics with labels; one line `traffic` before `end`. cw_metrics_append writes into a buffer, so that metrics of other modules follow in one text. Tests: test_traffic_account (4); every_metric_is_documented_and_none_besides holds the new names to OPERATIONS too.

--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -10,6 +10,7 @@
     X(START, "start", NOTICE, 10)                                                                                      \
     X(STOP, "stop", NOTICE, 10)                                                                                        \
     X(END, "end", NOTICE, 10)                                                                                          \
+    X(TRAFFIC, "traffic", NOTICE, 10)                                                                                  \
     X(RELOAD, "reload", NOTICE, 10)                                                                                    \
     X(LINES_DROPPED, "lines dropped", WARNING, 10)                                                                     \
     X(STORE_LOST, "store lost", WARNING, 10)                                                                           \
@@ -81,6 +82,9 @@
     X(VERSION, "version")                                                                                              \
     X(REVISION, "revision")                                                                                            \
     X(IN_FORCE, "in_force")                                                                                            \
+    X(SENT_ZONE, "sent_zone")                                                                                          \
+    X(SENT_REGION, "sent_region")                                                                                      \
+    X(SENT_REMOTE, "sent_remote")                                                                                      \
     X(DETAIL, "detail")
 
 #define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -114,22 +114,28 @@
     cw_bytes_append_format(text, "%s_count{route=\"%s\"} %" PRIu64 "\n", name, route->route, count);
 }
 
-char *cw_metrics_text(size_t *length)
+void cw_metrics_append(cw_bytes_t *text)
 {
-    cw_bytes_t text = {0};
-    size_t     index;
-    size_t     route;
+    size_t index;
+    size_t route;
 
     for (index = 0; index < CW_METRICS; index++) {
-        write_head(&text, &metric_rows[index]);
-        cw_bytes_append_format(&text, "%s %" PRIu64 "\n", metric_rows[index].name, values[index]);
+        write_head(text, &metric_rows[index]);
+        cw_bytes_append_format(text, "%s %" PRIu64 "\n", metric_rows[index].name, values[index]);
     }
     for (index = 0; index < CW_HISTOGRAMS; index++) {
-        write_head(&text, &histogram_rows[index]);
+        write_head(text, &histogram_rows[index]);
         for (route = 0; route < route_count; route++) {
-            write_histogram(&text, (cw_histogram_t)index, routes[route]);
+            write_histogram(text, (cw_histogram_t)index, routes[route]);
         }
     }
+}
+
+char *cw_metrics_text(size_t *length)
+{
+    cw_bytes_t text = {0};
+
+    cw_metrics_append(&text);
     *length = text.length;
     cw_bytes_append(&text, "", 1);
     return text.data;
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/byte_buffer.h"
 #include "base/time.h"
 
 /* X(symbol, name, type, help). What tells a node's state comes first: collectors may cut a long text short. */
@@ -88,6 +89,8 @@
 uint64_t cw_metric_value(cw_metric_t metric);
 /** Counts one latency of a route. */
 void cw_histogram_add(cw_histogram_t histogram, const char *route, cw_time_us_t value);
+/** Appends all metrics. */
+void cw_metrics_append(cw_bytes_t *text);
 /** All metrics as text, to be freed. */
 char *cw_metrics_text(size_t *length);
 /** Forgets everything; for tests. */
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -9,6 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
+
 enum { DATAGRAM_MAX = 60000, PACK_MAX = 48 * 1024 };
 
 struct cw_peer_link {
@@ -23,6 +25,12 @@
     size_t            packed_capacity;
     char             *received;
     bool              closed;
+    uint32_t          packed_kind; /* of the datagram that is packed */
+    char              zone[64];
+
+    const cw_zone_region_t *zones;
+    size_t                  zone_count;
+    cw_traffic_account_t    traffic;
 };
 
 static void on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
@@ -105,6 +113,27 @@
     }
 }
 
+void cw_peer_link_set_place(cw_peer_link_t *link, const char *zone, const cw_zone_region_t *zones, size_t count)
+{
+    cw_text_copy(link->zone, sizeof(link->zone), zone);
+    link->zones = zones;
+    link->zone_count = count;
+}
+
+void cw_peer_link_note_zone(const cw_peer_link_t *link, cw_peer_t *peer, const char *zone)
+{
+    if (strcmp(peer->zone, zone) == 0) {
+        return;
+    }
+    cw_text_copy(peer->zone, sizeof(peer->zone), zone);
+    peer->distance = cw_zone_distance(link->zones, link->zone_count, link->zone, peer->zone);
+}
+
+const cw_traffic_account_t *cw_peer_link_traffic(const cw_peer_link_t *link)
+{
+    return &link->traffic;
+}
+
 uint32_t cw_peer_link_own_address(const cw_peer_link_t *link)
 {
     return link->address;
@@ -133,6 +162,7 @@
     }
     peer->address = address;
     peer->told_at = now;
+    peer->distance = CW_DISTANCE_REMOTE;
     inet_ntop(AF_INET, &address, peer->text, sizeof(peer->text));
     peer->next = link->peers;
     link->peers = peer;
@@ -163,6 +193,7 @@
         }
         link->packed_capacity = length;
     }
+    link->packed_kind = (uint32_t)datagram->content_case;
     return cwp__datagram__pack(datagram, link->packed);
 }
 
@@ -175,6 +206,7 @@
         return;
     }
     place.sin_addr.s_addr = peer->address;
+    cw_traffic_account_note(&link->traffic, link->packed_kind, peer->distance, length);
     (void)uv_udp_try_send(&link->socket, &buffer, 1, (const struct sockaddr *)&place);
 }
 
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -14,7 +14,9 @@
 #include <uv.h>
 
 #include "base/time.h"
+#include "model/zone_region.h"
 #include "peer.pb-c.h"
+#include "peer/traffic_account.h"
 
 typedef struct cw_peer_link cw_peer_link_t;
 
@@ -29,6 +31,7 @@
     char            text[16];
     char            node[64];
     char            zone[64];
+    cw_distance_t   distance; /**< of that zone; the farthest until it is known */
     uint64_t        incarnation;
     uint32_t        sequence;
     cw_time_us_t    last_received_at; /**< 0: never */
@@ -56,6 +59,12 @@
 int  cw_peer_link_create(cw_peer_link_t **link, uv_loop_t *loop, const char *address, uint16_t port,
                          const cw_peer_handler_t *handler);
 void cw_peer_link_close(cw_peer_link_t *link);
+/** Where this node is, and which region each zone lies in; `zones` stays valid as long as the link. */
+void cw_peer_link_set_place(cw_peer_link_t *link, const char *zone, const cw_zone_region_t *zones, size_t count);
+/** A peer has said which zone it is in. */
+void cw_peer_link_note_zone(const cw_peer_link_t *link, cw_peer_t *peer, const char *zone);
+/** What was sent, by kind and distance. */
+const cw_traffic_account_t *cw_peer_link_traffic(const cw_peer_link_t *link);
 /** An address that may be a node's; this node's own is left out. */
 cw_peer_t *cw_peer_link_learn(cw_peer_link_t *link, uint32_t address, cw_time_us_t now);
 cw_peer_t *cw_peer_link_learn_text(cw_peer_link_t *link, const char *address, cw_time_us_t now);
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -110,7 +110,7 @@
 static void answer_metrics(cw_router_t *router, cw_http_exchange_t *exchange)
 {
     cw_http_outbound_t outbound = {.status = STATUS_OK, .retry_after_s = -1};
-    char              *text;
+    cw_bytes_t         text = {0};
 
     cw_metric_set(CW_METRIC_LOG_DROPPED, cw_event_log_dropped());
     cw_metric_set(CW_METRIC_CONNECTIONS, cw_http_listener_connections(router->callers));
@@ -120,10 +120,12 @@
     cw_metric_set(CW_METRIC_CONFIGURATION_AGE_MS,
                   (uint64_t)(cw_configuration_freshness_age(&router->freshness, cw_router_now(router)) / 1000));
     cw_metric_set(CW_METRIC_PEERS, cw_peer_link_alive(router->link, router->silence, cw_router_now(router)));
-    text = cw_metrics_text(&outbound.body_length);
-    outbound.body = text;
+    cw_metrics_append(&text);
+    cw_router_traffic_metrics(router, &text);
+    outbound.body = text.data;
+    outbound.body_length = text.length;
     cw_http_exchange_answer(exchange, &outbound);
-    free(text);
+    cw_bytes_clear(&text);
 }
 
 static void on_own_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
@@ -391,6 +393,8 @@
     if (error != 0) {
         return error;
     }
+    cw_peer_link_set_place(router->link, router->settings.zone, router->settings.zone_regions,
+                           router->settings.zone_region_count);
     router->started_at = cw_router_now(router);
     absence = cw_absence_settings_of(router->settings.heartbeat, router->settings.drain);
     cw_server_view_init(&router->server_view, &absence);
@@ -447,6 +451,7 @@
     }
     note_start(router);
     uv_run(&router->loop, UV_RUN_DEFAULT);
+    cw_router_note_traffic(router);
     if (cw_event_begin(&event, CW_EVENT_END)) {
         cw_event_number(&event, CW_FIELD_COUNT, (int64_t)cw_engine_requests(router->engine));
         cw_event_end(&event);
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -5,6 +5,7 @@
 #ifndef CEDARWINCH_ROUTER_INTERNAL_H
 #define CEDARWINCH_ROUTER_INTERNAL_H
 
+#include "base/byte_buffer.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "lease/leadership.h"
@@ -240,6 +241,12 @@
 void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message);
 void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message);
 
+/* ---- router_traffic.c ---- */
+/** What this node has sent to others, as Prometheus text. */
+void cw_router_traffic_metrics(const cw_router_t *router, cw_bytes_t *text);
+/** The same as one line of the log. */
+void cw_router_note_traffic(const cw_router_t *router);
+
 /* ---- router_take.c ---- */
 /** What this node goes by is of this term from now on, if it is a later one; it has nothing of it yet. */
 void cw_router_begin_term(cw_router_t *router, uint64_t term);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -68,7 +68,7 @@
     peer->tables = received->tables;
     if (received->node[0] != '\0') {
         cw_text_copy(peer->node, sizeof(peer->node), received->node);
-        cw_text_copy(peer->zone, sizeof(peer->zone), received->zone);
+        cw_peer_link_note_zone(router->link, peer, received->zone);
         peer->capability = received->capability;
     }
     return true;
--- a/tests/test_product.c
+++ b/tests/test_product.c
@@ -13,6 +13,7 @@
 #include "base/metrics.h"
 #include "config/router_settings.h"
 #include "loop_fixture.h"
+#include "peer/traffic_account.h"
 
 static const char good_settings[] = "node: n1\nzone: z1\naddress: 10.0.0.1\ncallers: 10.0.0.1:8080\n"
                                     "readiness: 10.0.0.1:8081\npeer_port: 7000\nstore: 10.0.0.9:7001\n"
@@ -233,17 +234,21 @@
 
 START_TEST(every_metric_is_documented_and_none_besides)
 {
-    char  *page = read_file("docs/OPERATIONS.md");
-    char  *text;
-    char  *line;
-    char   quoted[128];
-    size_t length;
-    size_t served = 0;
-    size_t told = 0;
+    cw_traffic_account_t account = {0};
+    cw_bytes_t           served_text = {0};
+    char                *page = read_file("docs/OPERATIONS.md");
+    char                *text;
+    char                *line;
+    char                 quoted[128];
+    size_t               served = 0;
+    size_t               told = 0;
 
     cw_metrics_reset();
     cw_histogram_add(CW_HISTOGRAM_TOTAL, "r", CW_MS(3));
-    text = cw_metrics_text(&length);
+    cw_metrics_append(&served_text);
+    cw_traffic_account_metrics(&account, &served_text);
+    cw_bytes_append(&served_text, "", 1);
+    text = served_text.data;
     for (line = strtok(text, "\n"); line != NULL; line = strtok(NULL, "\n")) {
         char name[96];
 
