--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1042,6 +1042,96 @@
   assert(message->base.descriptor == &cwp__slot_return__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__zone_node__init
+                     (Cwp__ZoneNode         *message)
+{
+  static const Cwp__ZoneNode init_value = CWP__ZONE_NODE__INIT;
+  *message = init_value;
+}
+size_t cwp__zone_node__get_packed_size
+                     (const Cwp__ZoneNode *message)
+{
+  assert(message->base.descriptor == &cwp__zone_node__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__zone_node__pack
+                     (const Cwp__ZoneNode *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__zone_node__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__zone_node__pack_to_buffer
+                     (const Cwp__ZoneNode *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__zone_node__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ZoneNode *
+       cwp__zone_node__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ZoneNode *)
+     protobuf_c_message_unpack (&cwp__zone_node__descriptor,
+                                allocator, len, data);
+}
+void   cwp__zone_node__free_unpacked
+                     (Cwp__ZoneNode *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__zone_node__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__zone_summary__init
+                     (Cwp__ZoneSummary         *message)
+{
+  static const Cwp__ZoneSummary init_value = CWP__ZONE_SUMMARY__INIT;
+  *message = init_value;
+}
+size_t cwp__zone_summary__get_packed_size
+                     (const Cwp__ZoneSummary *message)
+{
+  assert(message->base.descriptor == &cwp__zone_summary__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__zone_summary__pack
+                     (const Cwp__ZoneSummary *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__zone_summary__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__zone_summary__pack_to_buffer
+                     (const Cwp__ZoneSummary *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__zone_summary__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ZoneSummary *
+       cwp__zone_summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ZoneSummary *)
+     protobuf_c_message_unpack (&cwp__zone_summary__descriptor,
+                                allocator, len, data);
+}
+void   cwp__zone_summary__free_unpacked
+                     (Cwp__ZoneSummary *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__zone_summary__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__datagram__init
                      (Cwp__Datagram         *message)
 {
@@ -3522,7 +3612,343 @@
   (ProtobufCMessageInit) cwp__slot_return__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cwp__zone_node__field_descriptors[5] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stopping",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_lost",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, store_lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__zone_node__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = node */
+  3,   /* field[3] = stopping */
+  4,   /* field[4] = store_lost */
+};
+static const ProtobufCIntRange cwp__zone_node__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cwp__zone_node__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ZoneNode",
+  "ZoneNode",
+  "Cwp__ZoneNode",
+  "cwp",
+  sizeof(Cwp__ZoneNode),
+  5,
+  cwp__zone_node__field_descriptors,
+  cwp__zone_node__field_indices_by_name,
+  1,  cwp__zone_node__number_ranges,
+  (ProtobufCMessageInit) cwp__zone_node__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__zone_summary__field_descriptors[17] =
+{
+  {
+    "zone",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "passed_on",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, passed_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__ZoneSummary, n_nodes),
+    offsetof(Cwp__ZoneSummary, nodes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ages_ms",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__ZoneSummary, n_ages_ms),
+    offsetof(Cwp__ZoneSummary, ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capabilities",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__ZoneSummary, n_capabilities),
+    offsetof(Cwp__ZoneSummary, capabilities),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "details",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__ZoneSummary, n_details),
+    offsetof(Cwp__ZoneSummary, details),
+    &cwp__zone_node__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "received",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__ZoneSummary, n_received),
+    offsetof(Cwp__ZoneSummary, received),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, configuration),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_loads",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, has_loads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__ZoneSummary, n_servers),
+    offsetof(Cwp__ZoneSummary, servers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "under_way",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__ZoneSummary, n_under_way),
+    offsetof(Cwp__ZoneSummary, under_way),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__ZoneSummary, n_waiting),
+    offsetof(Cwp__ZoneSummary, waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unreachable",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__ZoneSummary, n_unreachable),
+    offsetof(Cwp__ZoneSummary, unreachable),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queues",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__ZoneSummary, n_queues),
+    offsetof(Cwp__ZoneSummary, queues),
+    &cwp__queue_length__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__zone_summary__field_indices_by_name[] = {
+  6,   /* field[6] = ages_ms */
+  7,   /* field[7] = capabilities */
+  10,   /* field[10] = configuration */
+  8,   /* field[8] = details */
+  11,   /* field[11] = has_loads */
+  2,   /* field[2] = incarnation */
+  5,   /* field[5] = nodes */
+  4,   /* field[4] = passed_on */
+  16,   /* field[16] = queues */
+  9,   /* field[9] = received */
+  1,   /* field[1] = relay */
+  3,   /* field[3] = sequence */
+  12,   /* field[12] = servers */
+  13,   /* field[13] = under_way */
+  15,   /* field[15] = unreachable */
+  14,   /* field[14] = waiting */
+  0,   /* field[0] = zone */
+};
+static const ProtobufCIntRange cwp__zone_summary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 17 }
+};
+const ProtobufCMessageDescriptor cwp__zone_summary__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ZoneSummary",
+  "ZoneSummary",
+  "Cwp__ZoneSummary",
+  "cwp",
+  sizeof(Cwp__ZoneSummary),
+  17,
+  cwp__zone_summary__field_descriptors,
+  cwp__zone_summary__field_indices_by_name,
+  1,  cwp__zone_summary__number_ranges,
+  (ProtobufCMessageInit) cwp__zone_summary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[12] =
 {
   {
     "report",
@@ -3656,6 +4082,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone_summary",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, zone_summary),
+    &cwp__zone_summary__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__datagram__field_indices_by_name[] = {
   3,   /* field[3] = ack */
@@ -3669,11 +4107,13 @@
   10,   /* field[10] = slot_return */
   7,   /* field[7] = store_notice */
   2,   /* field[2] = table */
+  11,   /* field[11] = zone_summary */
 };
-static const ProtobufCIntRange cwp__datagram__number_ranges[1 + 1] =
+static const ProtobufCIntRange cwp__datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 20, 11 },
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cwp__datagram__descriptor =
 {
@@ -3683,10 +4123,10 @@
   "Cwp__Datagram",
   "cwp",
   sizeof(Cwp__Datagram),
-  11,
+  12,
   cwp__datagram__field_descriptors,
   cwp__datagram__field_indices_by_name,
-  1,  cwp__datagram__number_ranges,
+  2,  cwp__datagram__number_ranges,
   (ProtobufCMessageInit) cwp__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -38,6 +38,8 @@
 typedef struct Cwp__SlotAsk Cwp__SlotAsk;
 typedef struct Cwp__SlotReply Cwp__SlotReply;
 typedef struct Cwp__SlotReturn Cwp__SlotReturn;
+typedef struct Cwp__ZoneNode Cwp__ZoneNode;
+typedef struct Cwp__ZoneSummary Cwp__ZoneSummary;
 typedef struct Cwp__Datagram Cwp__Datagram;
 
 
@@ -632,6 +634,92 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What changes rarely of a node of the sender's zone.
+ */
+struct  Cwp__ZoneNode
+{
+  ProtobufCMessage base;
+  uint32_t address;
+  uint64_t incarnation;
+  char *node;
+  protobuf_c_boolean stopping;
+  protobuf_c_boolean store_lost;
+};
+#define CWP__ZONE_NODE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__zone_node__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * From a relay of a zone to one of another zone, which passes it on to its own zone as it is: who is alive, and sums.
+ */
+struct  Cwp__ZoneSummary
+{
+  ProtobufCMessage base;
+  char *zone;
+  /*
+   * address of the node that made it
+   */
+  uint32_t relay;
+  /*
+   * of that node
+   */
+  uint64_t incarnation;
+  uint32_t sequence;
+  /*
+   * by a node of the receiver's own zone
+   */
+  protobuf_c_boolean passed_on;
+  /*
+   * addresses of nodes that the relay has received from lately, and its own
+   */
+  size_t n_nodes;
+  uint32_t *nodes;
+  /*
+   * since then
+   */
+  size_t n_ages_ms;
+  uint32_t *ages_ms;
+  size_t n_capabilities;
+  uint32_t *capabilities;
+  /*
+   * of nodes that changed lately; of all only now and then
+   */
+  size_t n_details;
+  Cwp__ZoneNode **details;
+  /*
+   * hashes of the zones whose summaries the relay has received lately
+   */
+  size_t n_received;
+  uint32_t *received;
+  /*
+   * version in force at the relay
+   */
+  uint64_t configuration;
+  /*
+   * the sums that follow replace the ones before
+   */
+  protobuf_c_boolean has_loads;
+  /*
+   * of services divided by key, as requests of the zone's nodes look
+   */
+  size_t n_servers;
+  uint32_t *servers;
+  size_t n_under_way;
+  uint32_t *under_way;
+  size_t n_waiting;
+  uint32_t *waiting;
+  size_t n_unreachable;
+  uint32_t *unreachable;
+  size_t n_queues;
+  Cwp__QueueLength **queues;
+};
+#define CWP__ZONE_SUMMARY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__zone_summary__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
 typedef enum {
   CWP__DATAGRAM__CONTENT__NOT_SET = 0,
   CWP__DATAGRAM__CONTENT_REPORT = 1,
@@ -644,7 +732,8 @@
   CWP__DATAGRAM__CONTENT_STORE_NOTICE = 8,
   CWP__DATAGRAM__CONTENT_SLOT_ASK = 9,
   CWP__DATAGRAM__CONTENT_SLOT_REPLY = 10,
-  CWP__DATAGRAM__CONTENT_SLOT_RETURN = 11
+  CWP__DATAGRAM__CONTENT_SLOT_RETURN = 11,
+  CWP__DATAGRAM__CONTENT_ZONE_SUMMARY = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CWP__DATAGRAM__CONTENT__CASE)
 } Cwp__Datagram__ContentCase;
 
@@ -664,6 +753,7 @@
     Cwp__SlotAsk *slot_ask;
     Cwp__SlotReply *slot_reply;
     Cwp__SlotReturn *slot_return;
+    Cwp__ZoneSummary *zone_summary;
   };
 };
 #define CWP__DATAGRAM__INIT \
@@ -1108,6 +1198,44 @@
 void   cwp__slot_return__free_unpacked
                      (Cwp__SlotReturn *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__ZoneNode methods */
+void   cwp__zone_node__init
+                     (Cwp__ZoneNode         *message);
+size_t cwp__zone_node__get_packed_size
+                     (const Cwp__ZoneNode   *message);
+size_t cwp__zone_node__pack
+                     (const Cwp__ZoneNode   *message,
+                      uint8_t             *out);
+size_t cwp__zone_node__pack_to_buffer
+                     (const Cwp__ZoneNode   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ZoneNode *
+       cwp__zone_node__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__zone_node__free_unpacked
+                     (Cwp__ZoneNode *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__ZoneSummary methods */
+void   cwp__zone_summary__init
+                     (Cwp__ZoneSummary         *message);
+size_t cwp__zone_summary__get_packed_size
+                     (const Cwp__ZoneSummary   *message);
+size_t cwp__zone_summary__pack
+                     (const Cwp__ZoneSummary   *message,
+                      uint8_t             *out);
+size_t cwp__zone_summary__pack_to_buffer
+                     (const Cwp__ZoneSummary   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ZoneSummary *
+       cwp__zone_summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__zone_summary__free_unpacked
+                     (Cwp__ZoneSummary *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__Datagram methods */
 void   cwp__datagram__init
                      (Cwp__Datagram         *message);
@@ -1198,6 +1326,12 @@
 typedef void (*Cwp__SlotReturn_Closure)
                  (const Cwp__SlotReturn *message,
                   void *closure_data);
+typedef void (*Cwp__ZoneNode_Closure)
+                 (const Cwp__ZoneNode *message,
+                  void *closure_data);
+typedef void (*Cwp__ZoneSummary_Closure)
+                 (const Cwp__ZoneSummary *message,
+                  void *closure_data);
 typedef void (*Cwp__Datagram_Closure)
                  (const Cwp__Datagram *message,
                   void *closure_data);
@@ -1230,6 +1364,8 @@
 extern const ProtobufCMessageDescriptor cwp__slot_ask__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_reply__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_return__descriptor;
+extern const ProtobufCMessageDescriptor cwp__zone_node__descriptor;
+extern const ProtobufCMessageDescriptor cwp__zone_summary__descriptor;
 extern const ProtobufCMessageDescriptor cwp__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -22,47 +22,6 @@
 #include "model/zone_region.h"
 #include "model/zone_service.h"
 
-/** One life of a server. Lives as long as it is listed or requests are under way. */
-typedef struct cw_server {
-    char           *id;
-    char           *service;
-    char           *address;
-    char           *zone;
-    char           *region;       /**< in which the zone lies; empty: not known */
-    double          affinity;     /**< 0 to 1, another for each node: the order in which equal servers are tried */
-    uint32_t        hash;         /**< short name of the id between nodes */
-    uint32_t        service_hash; /**< and of its service */
-    uint32_t        capacity;
-    bool            listed;
-    bool            draining;
-    bool            ended;          /**< another life answered at its address: this one is over */
-    uint32_t        own;            /**< requests of this node under way */
-    uint32_t        others;         /**< of the other nodes, as reported */
-    uint32_t        own_waiting;    /**< requests that wait at this node for keys that it owns, when last counted */
-    uint32_t        others_waiting; /**< at the other nodes, as reported */
-    double          pace;           /**< time of its answers over what is usual on the route; 1 when nothing is known */
-    cw_time_us_t    pace_at;        /**< last measured */
-    uint32_t        sampled_others; /**< requests of other nodes there by its own last load sample, */
-    cw_time_us_t    sampled_at;     /**< which came then; 0: none */
-    uint32_t        served;         /**< answers since the start, and */
-    uint64_t        served_time;    /**< their time over what is usual, in thousandths, summed */
-    uint32_t        served_sent;    /**< value of served in this node's last report to all */
-    uint32_t        served_sent_leader; /**< and in its last one to the leader */
-    cw_time_us_t    answered_others_at; /**< it surely answered another node after this moment; 0: not known */
-    uint32_t        faults;             /**< in a row */
-    cw_time_us_t    avoid_until;        /**< not chosen while another one can be */
-    cw_time_us_t    cold_until;         /**< its warm-up takes until then; 0: it is warm */
-    bool            cold_by_entry;      /**< its entry says so */
-    cw_time_us_t    zone_put_back_at;   /**< last put-back of its zone that has been counted as a start */
-    double          cold_per_s;         /**< requests a second that it bears while it is cold; 0: no bound known */
-    cw_cold_sends_t cold_sends;         /**< this node's, while it is cold */
-    bool            zone_is_out;        /**< its zone is out of service */
-    cw_time_us_t    owner_until;        /**< then requests for keys that it owns may still go there until this moment */
-    void           *connections;        /**< the adapter's; freed by it when the server is dropped */
-    UT_hash_handle  by_id;
-    UT_hash_handle  by_hash;
-} cw_server_t;
-
 /** One server in another node's report. */
 typedef struct cw_server_report {
     uint32_t hash;
@@ -71,6 +30,48 @@
     bool     unreachable;
 } cw_server_report_t;
 
+/** One life of a server. Lives as long as it is listed or requests are under way. */
+typedef struct cw_server {
+    char              *id;
+    char              *service;
+    char              *address;
+    char              *zone;
+    char              *region;       /**< in which the zone lies; empty: not known */
+    double             affinity;     /**< 0 to 1, another for each node: the order in which equal servers are tried */
+    uint32_t           hash;         /**< short name of the id between nodes */
+    uint32_t           service_hash; /**< and of its service */
+    uint32_t           capacity;
+    bool               listed;
+    bool               draining;
+    bool               ended;          /**< another life answered at its address: this one is over */
+    uint32_t           own;            /**< requests of this node under way */
+    uint32_t           others;         /**< of the other nodes, as reported */
+    uint32_t           own_waiting;    /**< requests that wait at this node for keys that it owns, when last counted */
+    uint32_t           others_waiting; /**< at the other nodes, as reported */
+    double             pace;    /**< time of its answers over what is usual on the route; 1 when nothing is known */
+    cw_time_us_t       pace_at; /**< last measured */
+    uint32_t           sampled_others;     /**< requests of other nodes there by its own last load sample, */
+    cw_time_us_t       sampled_at;         /**< which came then; 0: none */
+    uint32_t           served;             /**< answers since the start, and */
+    uint64_t           served_time;        /**< their time over what is usual, in thousandths, summed */
+    uint32_t           served_sent;        /**< value of served in this node's last report to all */
+    uint32_t           served_sent_leader; /**< and in its last one to the leader */
+    cw_time_us_t       answered_others_at; /**< it surely answered another node after this moment; 0: not known */
+    cw_server_report_t sum;                /**< scratch of cw_server_pool_sum */
+    uint32_t           faults;             /**< in a row */
+    cw_time_us_t       avoid_until;        /**< not chosen while another one can be */
+    cw_time_us_t       cold_until;         /**< its warm-up takes until then; 0: it is warm */
+    bool               cold_by_entry;      /**< its entry says so */
+    cw_time_us_t       zone_put_back_at;   /**< last put-back of its zone that has been counted as a start */
+    double             cold_per_s;         /**< requests a second that it bears while it is cold; 0: no bound known */
+    cw_cold_sends_t    cold_sends;         /**< this node's, while it is cold */
+    bool               zone_is_out;        /**< its zone is out of service */
+    cw_time_us_t       owner_until; /**< then requests for keys that it owns may still go there until this moment */
+    void              *connections; /**< the adapter's; freed by it when the server is dropped */
+    UT_hash_handle     by_id;
+    UT_hash_handle     by_hash;
+} cw_server_t;
+
 /** How fast one server answered another node, counted since that node's start. */
 typedef struct cw_server_pace {
     uint32_t hash;
@@ -153,6 +154,15 @@
 /** Learns from what the answers came to since this node last told. */
 void cw_server_pool_learn(cw_server_pool_t *pool, uint64_t node, const cw_server_pace_t *paces, size_t count,
                           cw_time_us_t now);
+/** Whose requests are summed, and at which servers. */
+typedef struct cw_sum_filter {
+    void *context;
+    bool (*takes_node)(void *context, uint64_t node);
+    bool (*takes_server)(void *context, const cw_server_t *server);
+} cw_sum_filter_t;
+/** This node's own requests and those that the nodes taken have reported, by server; returns how many servers. */
+size_t cw_server_pool_sum(cw_server_pool_t *pool, const cw_sum_filter_t *filter, cw_server_report_t *sums, size_t room,
+                          cw_time_us_t now);
 /** Paces of servers kept, for all nodes that told them. */
 size_t cw_server_pool_paces(const cw_server_pool_t *pool);
 /** Forgets nodes that have been silent for longer than `life`. */
--- /dev/null
+++ b/src/balance/server_sums.c
@@ -0,0 +1,61 @@
+/**
+ * @file server_sums.c
+ * @brief What the nodes of one zone have under way at each server, summed for the other zones.
+ */
+#include "balance/server_pool_internal.h"
+
+static void begin_sums(cw_server_pool_t *pool, cw_time_us_t now)
+{
+    cw_server_t *server;
+    cw_server_t *next;
+
+    HASH_ITER(by_id, pool->by_id, server, next)
+    {
+        server->sum = (cw_server_report_t){.hash = server->hash,
+                                           .under_way = server->own,
+                                           .waiting = server->own_waiting,
+                                           .unreachable = server->faults > 0 && server->avoid_until > now};
+    }
+}
+
+static void add_reports(cw_server_pool_t *pool, const peer_report_t *peer)
+{
+    size_t index;
+
+    for (index = 0; index < peer->count; index++) {
+        cw_server_t *server = cw_server_pool_by_hash(pool, peer->reports[index].hash);
+
+        if (server != NULL) {
+            server->sum.under_way += peer->reports[index].under_way;
+            server->sum.waiting += peer->reports[index].waiting;
+            server->sum.unreachable = server->sum.unreachable || peer->reports[index].unreachable;
+        }
+    }
+}
+
+size_t cw_server_pool_sum(cw_server_pool_t *pool, const cw_sum_filter_t *filter, cw_server_report_t *sums, size_t room,
+                          cw_time_us_t now)
+{
+    peer_report_t *peer;
+    peer_report_t *next_peer;
+    cw_server_t   *server;
+    cw_server_t   *next;
+    size_t         count = 0;
+
+    begin_sums(pool, now);
+    HASH_ITER(hh, pool->peers, peer, next_peer)
+    {
+        if (filter->takes_node(filter->context, peer->node)) {
+            add_reports(pool, peer);
+        }
+    }
+    HASH_ITER(by_id, pool->by_id, server, next)
+    {
+        bool is_told = server->sum.under_way > 0 || server->sum.waiting > 0 || server->sum.unreachable;
+
+        if (count < room && is_told && filter->takes_server(filter->context, server)) {
+            sums[count++] = server->sum;
+        }
+    }
+    return count;
+}
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -144,6 +144,14 @@
     return link->peers;
 }
 
+cw_peer_t *cw_peer_link_find(cw_peer_link_t *link, uint32_t address)
+{
+    cw_peer_t *peer;
+
+    HASH_FIND(by_address, link->by_address, &address, sizeof(address), peer);
+    return peer;
+}
+
 cw_peer_t *cw_peer_link_learn(cw_peer_link_t *link, uint32_t address, cw_time_us_t now)
 {
     cw_peer_t *peer;
@@ -151,7 +159,7 @@
     if (address == link->address || address == 0) {
         return NULL;
     }
-    HASH_FIND(by_address, link->by_address, &address, sizeof(address), peer);
+    peer = cw_peer_link_find(link, address);
     if (peer != NULL) {
         peer->told_at = now;
         return peer;
@@ -162,7 +170,7 @@
     }
     peer->address = address;
     peer->told_at = now;
-    peer->distance = CW_DISTANCE_REMOTE;
+    peer->distance = link->zone[0] == '\0' ? CW_DISTANCE_ZONE : CW_DISTANCE_REMOTE; /* without zones all are near */
     inet_ntop(AF_INET, &address, peer->text, sizeof(peer->text));
     peer->next = link->peers;
     link->peers = peer;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -34,7 +34,9 @@
     cw_distance_t   distance; /**< of that zone; the farthest until it is known */
     uint64_t        incarnation;
     uint32_t        sequence;
-    cw_time_us_t    last_received_at; /**< 0: never */
+    cw_time_us_t    last_received_at; /**< by itself, or by a relay of its zone; 0: never */
+    cw_time_us_t    direct_at;        /**< last report of its own that came here; 0: never */
+    cw_time_us_t    details_at;       /**< when it was heard first or again, or what it says of itself changed */
     cw_time_us_t    told_at;          /**< when its address was told */
     bool            stopping;
     uint32_t        capability; /**< to lead, as it told; 0: not known */
@@ -67,6 +69,8 @@
 const cw_traffic_account_t *cw_peer_link_traffic(const cw_peer_link_t *link);
 /** An address that may be a node's; this node's own is left out. */
 cw_peer_t *cw_peer_link_learn(cw_peer_link_t *link, uint32_t address, cw_time_us_t now);
+/** NULL: not known. */
+cw_peer_t *cw_peer_link_find(cw_peer_link_t *link, uint32_t address);
 cw_peer_t *cw_peer_link_learn_text(cw_peer_link_t *link, const char *address, cw_time_us_t now);
 uint32_t   cw_peer_link_own_address(const cw_peer_link_t *link); /**< IPv4, in network order */
 cw_peer_t *cw_peer_link_peers(cw_peer_link_t *link);             /**< linked by next */
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -44,9 +44,10 @@
     cw_time_us_t            owners_missing_since; /**< most of its owners are not in the list; 0: no */
 } cw_keyed_service_t;
 
-/** Requests that wait at another node for a service. */
+/** Requests that wait at another node, or at the nodes of another zone, for a service. */
 typedef struct cw_queue_report {
-    uint32_t     peer;
+    uint64_t     peer;    /**< address of the node, or a zone's number (router_relay.c) */
+    bool         is_near; /**< a node of this zone */
     uint32_t     service; /**< hash of its name */
     uint32_t     queued;
     cw_time_us_t at;
@@ -64,6 +65,8 @@
 
 /** Slots of servers: this node's counting, and whom it asks. */
 typedef struct cw_router_slots cw_router_slots_t;
+/** What the nodes of a zone say to those of other zones, and hear from them, by relays. */
+typedef struct cw_router_relay cw_router_relay_t;
 
 typedef struct cw_router {
     cw_router_settings_t settings;
@@ -85,6 +88,7 @@
     cw_engine_t         *engine;
     cw_peer_link_t      *link;
     cw_router_slots_t   *slots;
+    cw_router_relay_t   *relay;
     cw_configuration_t  *configuration;
     cw_time_us_t         started_at;
     cw_time_us_t         stopping_at; /**< 0: not stopping */
@@ -100,6 +104,7 @@
     cw_time_us_t      reported_zone_at;
     cw_time_us_t      reported_all_at;
     cw_time_us_t      reported_full_at;
+    cw_time_us_t      reported_leader_at;
     cw_time_us_t      sent_keys_at;
     cw_time_us_t      named_until;
     bool              zone_due;
@@ -174,6 +179,32 @@
 cw_time_us_t cw_router_report_life(const cw_router_t *router);
 void         cw_router_note_peer(const cw_peer_t *peer, cw_event_kind_t kind, cw_time_us_t silent);
 
+/* ---- router_report.c ---- */
+/** Parts of a report that are left out where nobody needs them. */
+enum {
+    CW_REPORT_NAMES = 1,
+    CW_REPORT_PACES = 2,
+    CW_REPORT_PACES_TO_LEADER = 4,
+    CW_REPORT_LOADS = 8,
+    CW_REPORT_KEYS = 16
+};
+/** Packs a report of this node as it is now, for cw_peer_link_send_packed. parts: CW_REPORT_ values, added. */
+size_t cw_router_pack_report(cw_router_t *router, uint32_t parts, cw_time_us_t now);
+
+/** Has this node given up the lock so lately that others are to be told? */
+bool cw_router_has_vacated(const cw_router_t *router, cw_time_us_t now);
+
+/* ---- router_relay.c ---- */
+void cw_router_relay_init(cw_router_t *router);
+void cw_router_relay_tick(cw_router_t *router, cw_time_us_t now);
+void cw_router_take_zone_summary(cw_router_t *router, const Cwp__Datagram *datagram, cw_time_us_t now);
+/** Do relays keep this node and the nodes of the peer's zone informed of one another? */
+bool cw_router_is_covered(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now);
+/** Are the peer's requests counted in sums of its zone that this node gets? */
+bool cw_router_is_summed(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now);
+/** Nodes of the largest zone, as far as known. */
+uint32_t cw_router_largest_zone(const cw_router_t *router);
+
 /* ---- router_push.c ---- */
 /** This node leads now: others look first whether they have what it has. */
 void cw_router_push_begin(cw_router_t *router, cw_time_us_t now);
@@ -209,6 +240,9 @@
 
 /* ---- router_receive.c ---- */
 void cw_router_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
+/** Replaces what this sender (or a silent one) told before of requests that wait there. */
+void cw_router_take_queues(cw_router_t *router, uint64_t sender, bool is_near, Cwp__QueueLength *const *queues,
+                           size_t count, cw_time_us_t now);
 
 /* ---- router_view.c ---- */
 /** Offers a list, which is given away. False: a later one is in force. */
@@ -237,6 +271,10 @@
 /* ---- router_slots.c ---- */
 void cw_router_slots_init(cw_router_t *router);
 void cw_router_slots_tick(cw_router_t *router, cw_time_us_t now);
+/** Nodes that run and whose zone is known, this one among them unless it stops; gathered anew a few times a second. */
+const cw_broker_candidate_t *cw_router_candidates(const cw_router_t *router, size_t *count);
+/** Are there so many nodes that these do not tell one another of each request? */
+bool cw_router_nodes_are_many(const cw_router_t *router);
 void cw_router_take_slot_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotAsk *message);
 void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message);
 void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message);
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -1,10 +1,13 @@
 /**
  * @file router_peers.c
- * @brief Reports between nodes: what each has under way at each server, keys seen, the leader's heartbeat.
+ * @brief When this node reports to which others (router_report.c makes the reports).
  *
- * Nodes of one zone tell one another soon after each change; nodes of other zones at a slower pace, since bytes between
- * zones cost. A report tells a whole state, so a lost one is mended by the next. The pace falls with the number of
- * peers, so that a node's datagrams stay within a budget.
+ * Nodes of one zone tell one another soon after each change. Few nodes tell those of other zones the same, at a slower
+ * pace, since bytes between zones cost; among many, relays do it for the zone (router_relay.c), and a node reports by
+ * itself only to zones that it has no such link with, to nodes that it knows nothing of, and, without its requests, to
+ * the leader. A leader reports to all. A report tells a whole state, so
+ * a lost one is mended by the next. The pace falls with the number of peers reported to, so that a node's datagrams
+ * stay within a budget.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -25,222 +28,113 @@
         100,                          /* and among many, whose datagrams are most of what all nodes do: in the zone, */
     MANY_ALL_DATAGRAMS_A_SECOND = 60, /* and to all: so late, they help no choice, but tell who lives */
     LEADERS_DATAGRAMS_A_SECOND = 1000,
-    REPORT_SLACK_MS = 700, /* by which a report may come later than planned: a busy node's turn, two ticks */
-    SILENCE_IN_PAUSES = 3, /* reports that may be lost before a node counts as lost */
-    LOADS_MAX = 512,
-    QUEUES_MAX = 32,
-    SAMPLES_MAX = 16,
-    VACATED_TOLD_S = 2,
-    FEW_NODES = 96, /* up to so many, loads of other zones still come in time to be of use */
+    RELAY_WAY_MS = 300,     /* a relay's pause, and the way by two relays */
+    REPORT_SLACK_MS = 700,  /* by which a report may come later than planned: a busy node's turn, two ticks */
+    SILENCE_IN_PAUSES = 3,  /* reports that may be lost before a node counts as lost */
+    LEADER_PAUSE_MS = 1000, /* between reports to a leader that sees this node by its relays; what has come from it
+                             * is acknowledged at once */
+    FEW_NODES = 96,         /* up to so many, loads of other zones still come in time to be of use */
     FORGET_S = 15
 };
 
-/** A report while it is being made. */
-typedef struct report_builder {
-    Cwp__NodeReport      report;
-    Cwp__LeaderHeartbeat leader;
-    Cwp__ServerLoad      loads[LOADS_MAX];
-    Cwp__ServerLoad     *load_pointers[LOADS_MAX];
-    Cwp__ServerPace      paces[LOADS_MAX];
-    Cwp__ServerPace     *pace_pointers[LOADS_MAX];
-    Cwp__QueueLength     queues[QUEUES_MAX];
-    Cwp__QueueLength    *queue_pointers[QUEUES_MAX];
-    Cwp__KeySamples      samples[SAMPLES_MAX];
-    Cwp__KeySamples     *sample_pointers[SAMPLES_MAX];
-    cw_key_samples_t     keys[SAMPLES_MAX];
-    size_t               queue_count;
-    size_t               sample_count;
-} report_builder_t;
-
-static report_builder_t builder; /* large, and used by one call at a time */
-
-/* ---- making a report ---- */
-
-static void add_loads(cw_router_t *router, cw_time_us_t now)
-{
-    cw_server_t *server;
-    cw_server_t *next;
-    size_t       count = 0;
-
-    cw_engine_count_waiting(router->engine);
-    HASH_ITER(by_id, cw_server_pool_all(router->pool), server, next)
-    {
-        Cwp__ServerLoad *load = &builder.loads[count];
+/* ---- whom ---- */
 
-        if (count == LOADS_MAX || (server->own == 0 && server->own_waiting == 0 && server->avoid_until <= now)) {
-            continue;
-        }
-        cwp__server_load__init(load);
-        load->server = server->hash;
-        load->under_way = server->own;
-        load->waiting = server->own_waiting;
-        load->unreachable = server->faults > 0 && server->avoid_until > now;
-        builder.load_pointers[count++] = load;
-    }
-    builder.report.n_loads = count;
-    builder.report.loads = builder.load_pointers;
+static bool is_in_zone(const cw_peer_t *peer)
+{
+    return peer->last_received_at != 0 && peer->distance == CW_DISTANCE_ZONE;
 }
 
-/* What has changed since it was last sent, to the leader or to all. */
-static void add_paces(cw_router_t *router, bool to_leader)
+static bool is_leader(const cw_router_t *router, const cw_peer_t *peer)
 {
-    cw_server_t *server;
-    cw_server_t *next;
-    size_t       count = 0;
-
-    HASH_ITER(by_id, cw_server_pool_all(router->pool), server, next)
-    {
-        Cwp__ServerPace *pace = &builder.paces[count];
-        uint32_t        *sent = to_leader ? &server->served_sent_leader : &server->served_sent;
-
-        if (count == LOADS_MAX || server->served == *sent) {
-            continue;
-        }
-        cwp__server_pace__init(pace);
-        pace->server = server->hash;
-        pace->served = server->served;
-        pace->time = server->served_time;
-        *sent = server->served;
-        builder.pace_pointers[count++] = pace;
-    }
-    builder.report.n_paces = count;
-    builder.report.paces = builder.pace_pointers;
+    return peer->last_received_at != 0 && !peer->is_lost && router->leader_node[0] != '\0' &&
+           strcmp(peer->node, router->leader_node) == 0;
 }
 
-static void add_queue(void *context, const char *service, uint32_t queued)
+/* A leader's heartbeat, and that it has given up the lock, are waited for. That a node starts or stops is told by its
+ * zone's relays. */
+static bool has_news_for_all(const cw_router_t *router, cw_time_us_t now)
 {
-    Cwp__QueueLength *length = &builder.queues[builder.queue_count];
-
-    (void)context;
-    if (builder.queue_count == QUEUES_MAX) {
-        return;
-    }
-    cwp__queue_length__init(length);
-    length->service = cw_short_name(service);
-    length->queued = queued;
-    builder.queue_pointers[builder.queue_count++] = length;
+    return router->leadership.leading || cw_router_has_vacated(router, now);
 }
 
-static void add_samples(void *context, const char *service, const cw_key_samples_t *seen)
+/** Nodes that this one reports to, and why. */
+typedef struct report_targets {
+    uint32_t near;      /**< of this zone */
+    uint32_t uncovered; /**< of other zones that no relay informs, or not known yet */
+    uint32_t covered;   /**< of other zones that relays inform: they are told where there is news for all */
+} report_targets_t;
+
+static report_targets_t count_targets(const cw_router_t *router, cw_time_us_t now)
 {
-    Cwp__KeySamples  *samples = &builder.samples[builder.sample_count];
-    cw_key_samples_t *keys = &builder.keys[builder.sample_count];
+    report_targets_t targets = {0};
+    const cw_peer_t *peer;
 
-    (void)context;
-    if (builder.sample_count == SAMPLES_MAX) {
-        return;
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (peer->is_lost) {
+            continue;
+        }
+        targets.near += is_in_zone(peer) ? 1 : 0;
+        if (peer->distance != CW_DISTANCE_ZONE && cw_router_is_covered(router, peer, now)) {
+            targets.covered++;
+        } else if (!is_in_zone(peer)) {
+            targets.uncovered += peer->last_received_at != 0 ? 1 : 0;
+        }
     }
-    *keys = *seen;
-    cwp__key_samples__init(samples);
-    samples->service = cw_short_name(service);
-    samples->n_keys = keys->count;
-    samples->keys = keys->keys;
-    samples->seen = keys->seen;
-    builder.sample_pointers[builder.sample_count++] = samples;
+    return targets;
 }
 
-static void add_leader_heartbeat(cw_router_t *router, cw_time_us_t now)
-{
-    cwp__leader_heartbeat__init(&builder.leader);
-    builder.leader.term = router->leadership.lock.term;
-    builder.leader.revision = router->leadership.revision;
-    builder.leader.able = cw_router_is_able(router, now);
-    builder.leader.list_age_ms = (uint32_t)((now - router->server_view.true_at) / 1000);
-    builder.leader.servers = router->lead_servers;
-    builder.leader.tables = router->lead_tables;
-    builder.leader.servers_hash = router->server_view.list == NULL ? 0 : router->server_view.hash;
-    builder.leader.list_revision = router->server_view.revision;
-    builder.leader.configuration_age_ms = cw_configuration_freshness_pack(&router->freshness, now);
-    builder.leader.tables_hash = router->lead_tables == 0 ? 0 : router->tables_hash;
-    builder.report.leader = &builder.leader;
-}
+/* ---- sending ---- */
 
-/* Names and paces are most of a report's bytes, and what they tell changes slowly: the more nodes, the rarer. */
-static cw_time_us_t full_pause(const cw_router_t *router, cw_time_us_t now)
+static void take_own_sample(void *context, const char *service, const cw_key_samples_t *samples)
 {
-    return CW_MS(FULL_PAUSE_MS) * (1 + cw_peer_link_alive(router->link, router->silence, now) / FULL_NODES);
+    cw_router_t *router = context;
+
+    cw_router_take_samples(router, cw_short_name(service), samples->keys, samples->count, samples->seen,
+                           cw_router_now(router));
 }
 
-static void make_report(cw_router_t *router, bool to_all, cw_time_us_t now)
+/* Names and paces are most of a report's bytes, and what they tell changes slowly: the more nodes, the rarer. */
+static uint32_t parts_of_full(cw_router_t *router, uint32_t peers, cw_time_us_t now)
 {
-    bool full = to_all && now - router->reported_full_at >= full_pause(router, now);
-
-    cwp__node_report__init(&builder.report);
-    builder.queue_count = 0;
-    builder.sample_count = 0;
-    builder.report.node = "";
-    builder.report.zone = "";
-    if (full || now < router->named_until) {
-        builder.report.node = router->settings.node;
-        builder.report.zone = router->settings.zone;
-        builder.report.capability = cw_router_capability(router);
-    }
-    if (full) {
-        router->reported_full_at = now;
-        add_paces(router, false);
-    }
-    builder.report.incarnation = router->incarnation;
-    builder.report.sequence = ++router->sequence;
-    builder.report.stopping = router->stopping_at != 0;
-    builder.report.store_lost = router->store_lost;
-    if (router->vacated_term != 0 && now - router->vacated_at < CW_SECONDS(VACATED_TOLD_S)) {
-        builder.report.vacated = router->vacated_term;
-    }
-    builder.report.configuration = cw_router_version(router);
-    builder.report.peers = cw_peer_link_alive(router->link, router->silence, now);
-    builder.report.term = router->view_term;
-    builder.report.servers = router->view_servers;
-    builder.report.tables = router->view_tables;
-    add_loads(router, now);
-    cw_engine_each_queue(router->engine, add_queue, NULL);
-    builder.report.n_queues = builder.queue_count;
-    builder.report.queues = builder.queue_pointers;
-    if (router->leadership.leading) {
-        add_leader_heartbeat(router, now);
+    if (now - router->reported_full_at < CW_MS(FULL_PAUSE_MS) * (1 + peers / FULL_NODES)) {
+        return 0;
     }
+    router->reported_full_at = now;
+    return CW_REPORT_NAMES | CW_REPORT_PACES;
 }
 
-/* ---- sending ---- */
-
-static bool is_in_zone(const cw_router_t *router, const cw_peer_t *peer)
+static void send_to_all(cw_router_t *router, uint32_t parts, cw_time_us_t now)
 {
-    return peer->last_received_at != 0 && strcmp(peer->zone, router->settings.zone) == 0;
+    size_t           length = cw_router_pack_report(router, parts, now);
+    const cw_peer_t *peer;
+
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        cw_peer_link_send_packed(router->link, peer, length);
+    }
 }
 
-static void take_own_sample(void *context, const char *service, const cw_key_samples_t *samples)
+static void send_to_zone(cw_router_t *router, uint32_t parts, cw_time_us_t now)
 {
-    cw_router_t *router = context;
+    size_t           length = cw_router_pack_report(router, parts, now);
+    const cw_peer_t *peer;
 
-    cw_router_take_samples(router, cw_short_name(service), samples->keys, samples->count, samples->seen,
-                           cw_router_now(router));
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (is_in_zone(peer)) {
+            cw_peer_link_send_packed(router->link, peer, length);
+        }
+    }
 }
 
-static void send_samples(cw_router_t *router, const cw_peer_t *leader)
+/* To other zones: where relays inform them, only what is news for all, without this node's requests. */
+static void send_beyond_zone(cw_router_t *router, bool to_covered, cw_time_us_t now)
 {
-    Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
-
-    cw_engine_take_samples(router->engine, add_samples, NULL);
-    builder.report.n_samples = builder.sample_count;
-    builder.report.samples = builder.sample_pointers;
-    datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
-    datagram.report = &builder.report;
-    cw_peer_link_send(router->link, leader, &datagram);
-    builder.report.n_samples = 0;
-    builder.report.samples = NULL;
-}
+    uint32_t         parts = to_covered ? CW_REPORT_NAMES : CW_REPORT_NAMES | CW_REPORT_LOADS;
+    size_t           length = 0;
+    const cw_peer_t *peer;
 
-static void send_report(cw_router_t *router, bool to_all, cw_time_us_t now)
-{
-    Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
-    cw_peer_t    *peer;
-    size_t        length;
-
-    make_report(router, to_all, now);
-    datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
-    datagram.report = &builder.report;
-    length = cw_peer_link_pack(router->link, &datagram);
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (to_all || is_in_zone(router, peer)) {
+        if (!is_in_zone(peer) && cw_router_is_covered(router, peer, now) == to_covered) {
+            length = length == 0 ? cw_router_pack_report(router, parts, now) : length;
             cw_peer_link_send_packed(router->link, peer, length);
         }
     }
@@ -257,14 +151,31 @@
         return;
     }
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->last_received_at != 0 && !peer->is_lost && strcmp(peer->node, router->leader_node) == 0) {
-            make_report(router, false, now);
-            add_paces(router, true); /* it must know soon which owners answer: its own orders may not reach them */
-            send_samples(router, peer);
+        if (is_leader(router, peer)) {
+            uint32_t loads = cw_router_is_covered(router, peer, now) ? 0 : CW_REPORT_LOADS;
+            /* it must know soon which owners answer: its own orders may not reach them */
+            size_t length = cw_router_pack_report(router, CW_REPORT_KEYS | CW_REPORT_PACES_TO_LEADER | loads, now);
+
+            cw_peer_link_send_packed(router->link, peer, length);
+            router->reported_leader_at = now;
         }
     }
 }
 
+static void report_to_leader(cw_router_t *router, cw_time_us_t now)
+{
+    const cw_peer_t *peer;
+
+    router->reported_leader_at = now;
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (is_leader(router, peer) && !is_in_zone(peer) && cw_router_is_covered(router, peer, now)) {
+            cw_peer_link_send_packed(router->link, peer, cw_router_pack_report(router, 0, now));
+        }
+    }
+}
+
+/* ---- how often ---- */
+
 /* Pause between reports to so many peers: as short as wished, while a node's datagrams stay within their budget. */
 static int64_t paced(const cw_router_t *router, int64_t pause_ms, uint32_t peers, int64_t datagrams_a_second)
 {
@@ -277,26 +188,19 @@
     return affordable_ms > pause_ms ? affordable_ms : pause_ms;
 }
 
-static int64_t paced_to_all(const cw_router_t *router, int64_t pause_ms, uint32_t peers)
+static int64_t budget_to_all(uint32_t peers)
 {
-    return paced(router, pause_ms, peers, peers > FEW_NODES ? MANY_ALL_DATAGRAMS_A_SECOND : DATAGRAMS_A_SECOND);
+    return peers > FEW_NODES ? MANY_ALL_DATAGRAMS_A_SECOND : DATAGRAMS_A_SECOND;
 }
 
-static uint32_t peers_in_zone(const cw_router_t *router)
+static int64_t paced_to_all(const cw_router_t *router, int64_t pause_ms, uint32_t peers)
 {
-    const cw_peer_t *peer;
-    uint32_t         count = 0;
-
-    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        count += is_in_zone(router, peer) && !peer->is_lost ? 1 : 0;
-    }
-    return count;
+    return paced(router, pause_ms, peers, budget_to_all(peers));
 }
 
-static int64_t paced_in_zone(const cw_router_t *router, uint32_t all)
+static int64_t paced_in_zone(const cw_router_t *router, uint32_t near, uint32_t all)
 {
-    return paced(router, ZONE_PAUSE_MS, peers_in_zone(router),
-                 all > FEW_NODES ? MANY_ZONE_DATAGRAMS_A_SECOND : DATAGRAMS_A_SECOND);
+    return paced(router, ZONE_PAUSE_MS, near, all > FEW_NODES ? MANY_ZONE_DATAGRAMS_A_SECOND : DATAGRAMS_A_SECOND);
 }
 
 static cw_time_us_t keys_pause(const cw_router_t *router, cw_time_us_t now)
@@ -306,30 +210,96 @@
     return CW_MS(KEYS_PAUSE_MS) * (KEYS_NODES + nodes) / KEYS_NODES;
 }
 
-static void report(cw_router_t *router, cw_time_us_t now)
+static void set_silence(cw_router_t *router, cw_time_us_t idle, cw_time_us_t way)
+{
+    cw_time_us_t silence = idle * SILENCE_IN_PAUSES;
+
+    router->silence = (silence > CW_MS(CW_PEER_SILENCE_MS) ? silence : CW_MS(CW_PEER_SILENCE_MS)) + way;
+}
+
+static void report_among_few(cw_router_t *router, cw_time_us_t now)
 {
     cw_time_us_t since_all = now - router->reported_all_at;
     cw_time_us_t since_zone = now - router->reported_zone_at;
     uint32_t     all = cw_peer_link_alive(router->link, router->silence, now);
+    uint32_t     near = count_targets(router, now).near;
     cw_time_us_t idle = CW_MS(paced_to_all(router, IDLE_PAUSE_MS, all));
 
-    router->silence =
-        idle * SILENCE_IN_PAUSES > CW_MS(CW_PEER_SILENCE_MS) ? idle * SILENCE_IN_PAUSES : CW_MS(CW_PEER_SILENCE_MS);
-    if (cw_engine_take_changed(router->engine)) {
-        router->zone_due = true;
-        router->all_due = true;
-    }
+    set_silence(router, idle, 0);
     if ((router->all_due && since_all >= CW_MS(paced_to_all(router, ALL_PAUSE_MS, all))) || since_all >= idle) {
-        send_report(router, true, now);
+        send_to_all(router, CW_REPORT_LOADS | parts_of_full(router, all, now), now);
         router->reported_all_at = now;
         router->reported_zone_at = now;
         router->all_due = false;
         router->zone_due = false;
-    } else if (router->zone_due && since_zone >= CW_MS(paced_in_zone(router, all))) {
-        send_report(router, false, now);
+    } else if (router->zone_due && since_zone >= CW_MS(paced_in_zone(router, near, all))) {
+        send_to_zone(router, CW_REPORT_LOADS, now);
+        router->reported_zone_at = now;
+        router->zone_due = false;
+    }
+}
+
+/* How long the least frequent reporter among the others may take, whatever this node's own pace is. */
+static void judge_silence(cw_router_t *router, const report_targets_t *targets)
+{
+    uint32_t all = targets->near + targets->covered + targets->uncovered;
+    uint32_t most = targets->uncovered > 0 ? all : cw_router_largest_zone(router);
+    int64_t  idle_ms = (int64_t)most * 1000 / budget_to_all(all);
+
+    set_silence(router, CW_MS(idle_ms > IDLE_PAUSE_MS ? idle_ms : IDLE_PAUSE_MS), CW_MS(RELAY_WAY_MS));
+}
+
+static void report_beyond_zone(cw_router_t *router, const report_targets_t *targets, cw_time_us_t now)
+{
+    cw_time_us_t since = now - router->reported_all_at;
+    bool         has_news = has_news_for_all(router, now);
+    uint32_t     count = targets->uncovered + (has_news ? targets->covered : 0);
+    bool         is_due = router->all_due && since >= CW_MS(paced_to_all(router, ALL_PAUSE_MS, count));
+
+    if (!is_due && since < CW_MS(paced_to_all(router, IDLE_PAUSE_MS, count))) {
+        return;
+    }
+    router->reported_all_at = now;
+    router->all_due = false;
+    send_beyond_zone(router, false, now);
+    if (has_news) {
+        send_beyond_zone(router, true, now);
+    }
+}
+
+static void report_among_many(cw_router_t *router, cw_time_us_t now)
+{
+    report_targets_t targets = count_targets(router, now);
+    uint32_t         all = targets.near + targets.covered + targets.uncovered;
+    cw_time_us_t     since_zone = now - router->reported_zone_at;
+    cw_time_us_t     idle = CW_MS(paced(router, IDLE_PAUSE_MS, targets.near, budget_to_all(all)));
+
+    judge_silence(router, &targets);
+    router->all_due = router->all_due || (router->zone_due && targets.uncovered > 0);
+    if ((router->zone_due && since_zone >= CW_MS(paced_in_zone(router, targets.near, all))) || since_zone >= idle) {
+        send_to_zone(router, CW_REPORT_LOADS | parts_of_full(router, targets.near, now), now);
         router->reported_zone_at = now;
         router->zone_due = false;
     }
+    report_beyond_zone(router, &targets, now);
+    if (now - router->reported_leader_at >= CW_MS(LEADER_PAUSE_MS) && !router->leadership.leading) {
+        report_to_leader(router, now);
+    }
+}
+
+static void report(cw_router_t *router, cw_time_us_t now)
+{
+    bool is_among_many = cw_router_nodes_are_many(router);
+
+    if (cw_engine_take_changed(router->engine)) {
+        router->zone_due = true;
+        router->all_due = router->all_due || !is_among_many;
+    }
+    if (is_among_many) {
+        report_among_many(router, now);
+    } else {
+        report_among_few(router, now);
+    }
 }
 
 /* ---- ticks ---- */
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -56,10 +56,15 @@
         }
         cw_router_note_peer(peer, CW_EVENT_PEER_BACK, peer->last_received_at == 0 ? 0 : now - peer->last_received_at);
     }
+    if (peer->is_lost || peer->incarnation != received->incarnation || peer->stopping != received->stopping ||
+        peer->store_lost != received->store_lost || received->stopping) {
+        peer->details_at = now;
+    }
     peer->is_lost = false;
     peer->incarnation = received->incarnation;
     peer->sequence = received->sequence;
     peer->last_received_at = now;
+    peer->direct_at = now;
     peer->stopping = received->stopping;
     peer->store_lost = received->store_lost;
     peer->peers = received->peers;
@@ -67,6 +72,7 @@
     peer->servers = received->servers;
     peer->tables = received->tables;
     if (received->node[0] != '\0') {
+        peer->details_at = strcmp(peer->node, received->node) == 0 ? peer->details_at : now;
         cw_text_copy(peer->node, sizeof(peer->node), received->node);
         cw_peer_link_note_zone(router->link, peer, received->zone);
         peer->capability = received->capability;
@@ -90,22 +96,22 @@
     cw_engine_set_queued_elsewhere(router->engine, service, sum);
 }
 
-/* Replaces what this peer (or a silent one) told before. */
-static void take_queues(cw_router_t *router, const cw_peer_t *peer, const Cwp__NodeReport *received, cw_time_us_t now)
+void cw_router_take_queues(cw_router_t *router, uint64_t sender, bool is_near, Cwp__QueueLength *const *queues,
+                           size_t count, cw_time_us_t now)
 {
     size_t kept = 0;
     size_t index;
 
     for (index = 0; index < router->queue_count; index++) {
-        if (router->queues[index].peer != peer->address &&
-            now - router->queues[index].at < cw_router_report_life(router)) {
+        if (router->queues[index].peer != sender && now - router->queues[index].at < cw_router_report_life(router)) {
             router->queues[kept++] = router->queues[index];
         }
     }
-    for (index = 0; index < received->n_queues && kept < CW_QUEUE_REPORTS_MAX; index++) {
-        router->queues[kept++] = (cw_queue_report_t){.peer = peer->address,
-                                                     .service = received->queues[index]->service,
-                                                     .queued = received->queues[index]->queued,
+    for (index = 0; index < count && kept < CW_QUEUE_REPORTS_MAX; index++) {
+        router->queues[kept++] = (cw_queue_report_t){.peer = sender,
+                                                     .is_near = is_near,
+                                                     .service = queues[index]->service,
+                                                     .queued = queues[index]->queued,
                                                      .at = now};
     }
     if (kept > 0 || router->queue_count > 0) {
@@ -121,9 +127,15 @@
     if (!take_identity(router, peer, received, now)) {
         return;
     }
-    take_loads(router, peer, received, now);
+    if (cw_router_is_summed(router, peer, now)) { /* counted in its zone's sums already */
+        cw_server_pool_report(router->pool, peer->address, NULL, 0, now);
+        cw_router_take_queues(router, peer->address, false, NULL, 0, now);
+    } else {
+        take_loads(router, peer, received, now);
+        cw_router_take_queues(router, peer->address, peer->distance == CW_DISTANCE_ZONE, received->queues,
+                              received->n_queues, now);
+    }
     take_paces(router, peer, received, now);
-    take_queues(router, peer, received, now);
     for (index = 0; router->leadership.leading && index < received->n_samples; index++) {
         const Cwp__KeySamples *samples = received->samples[index];
 
@@ -191,6 +203,9 @@
     case CWP__DATAGRAM__CONTENT_SLOT_RETURN:
         cw_router_take_slot_return(router, peer, datagram->slot_return);
         break;
+    case CWP__DATAGRAM__CONTENT_ZONE_SUMMARY:
+        cw_router_take_zone_summary(router, datagram, now);
+        break;
     default:
         break;
     }
--- /dev/null
+++ b/src/router/router_relay.c
@@ -0,0 +1,277 @@
+/**
+ * @file router_relay.c
+ * @brief Wires relays into the node: summaries of this zone to other zones, and theirs into what this node knows.
+ *
+ * Among many nodes a report to the nodes of other zones would be most of all that crosses between zones. A relay sends
+ * a summary of its zone to a relay of each other zone every CW_SUMMARY_PAUSE_MS; that one passes it on inside its zone
+ * as it came. A summary tells a whole state: which nodes are alive and since when each was received, and, every
+ * LOADS_PAUSE_MS, the sums of the zone's requests at owners of keys and of those that wait. What changes rarely
+ * (names, incarnations) stands in it for DETAILS_NEWS_MS after a change, and of all nodes every DETAILS_PAUSE_MS.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/text.h"
+#include "router/relay_choice.h"
+#include "router/router_internal.h"
+#include "router/router_summary.h"
+
+struct cw_router_relay {
+    cw_zone_links_t    links;
+    cw_summary_times_t times;
+    cw_time_us_t       sent_at;
+    uint32_t           largest_zone;
+};
+
+void cw_router_relay_init(cw_router_t *router)
+{
+    router->relay = calloc(1, sizeof(*router->relay));
+    if (router->relay == NULL) {
+        abort();
+    }
+}
+
+static bool is_in_zone(const cw_peer_t *peer)
+{
+    return peer->last_received_at != 0 && peer->distance == CW_DISTANCE_ZONE;
+}
+
+/* ---- what reports may leave out ---- */
+
+bool cw_router_is_covered(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now)
+{
+    return cw_router_nodes_are_many(router) && cw_zone_links_is_covered(&router->relay->links, peer->zone, now);
+}
+
+bool cw_router_is_summed(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now)
+{
+    return peer->distance != CW_DISTANCE_ZONE && cw_zone_links_is_summed(&router->relay->links, peer->zone, now);
+}
+
+uint32_t cw_router_largest_zone(const cw_router_t *router)
+{
+    return router->relay->largest_zone;
+}
+
+/* ---- sending ---- */
+
+/* Which of this zone's relays this node is: 0, 1; CW_RELAYS: none. */
+static size_t own_place(const cw_router_t *router, const cw_broker_candidate_t *candidates, size_t count)
+{
+    uint32_t relays[CW_RELAYS];
+    size_t   found = cw_relay_choose(candidates, count, router->settings.zone, relays);
+    size_t   place;
+
+    for (place = 0; place < found; place++) {
+        if (relays[place] == cw_peer_link_own_address(router->link)) {
+            return place;
+        }
+    }
+    return CW_RELAYS;
+}
+
+static void send_to_zone(cw_router_t *router, const char *zone, size_t place, size_t length)
+{
+    uint32_t                     relays[CW_RELAYS];
+    size_t                       count;
+    const cw_broker_candidate_t *candidates = cw_router_candidates(router, &count);
+    size_t                       found = cw_relay_choose(candidates, count, zone, relays);
+    const cw_peer_t             *partner = cw_peer_link_find(router->link, cw_relay_partner(relays, found, place));
+
+    if (partner != NULL) {
+        cw_peer_link_send_packed(router->link, partner, length);
+    }
+}
+
+/* Names of the zones that have nodes, this node's own first. */
+static size_t gather_zones(const cw_router_t *router, const char **zones, uint32_t *sizes)
+{
+    size_t                       count;
+    const cw_broker_candidate_t *candidates = cw_router_candidates(router, &count);
+    size_t                       found = 1;
+    size_t                       index;
+    size_t                       zone;
+
+    zones[0] = router->settings.zone;
+    sizes[0] = 0;
+    for (index = 0; index < count; index++) {
+        for (zone = 0; zone < found && strcmp(zones[zone], candidates[index].zone) != 0; zone++) {
+        }
+        if (zone == CW_ZONES_MAX) {
+            continue;
+        }
+        if (zone == found) {
+            zones[found] = candidates[index].zone;
+            sizes[found++] = 0;
+        }
+        sizes[zone]++;
+    }
+    return found;
+}
+
+void cw_router_relay_tick(cw_router_t *router, cw_time_us_t now)
+{
+    cw_router_relay_t           *relay = router->relay;
+    const char                  *zones[CW_ZONES_MAX];
+    uint32_t                     sizes[CW_ZONES_MAX];
+    size_t                       count;
+    const cw_broker_candidate_t *candidates = cw_router_candidates(router, &count);
+    size_t                       place;
+    size_t                       length;
+    size_t                       zone;
+    size_t                       found;
+
+    if (now - relay->sent_at < CW_MS(CW_SUMMARY_PAUSE_MS)) {
+        return;
+    }
+    relay->sent_at = now;
+    found = gather_zones(router, zones, sizes);
+    relay->largest_zone = 0;
+    for (zone = 0; zone < found; zone++) {
+        relay->largest_zone = sizes[zone] > relay->largest_zone ? sizes[zone] : relay->largest_zone;
+    }
+    place = cw_router_nodes_are_many(router) ? own_place(router, candidates, count) : CW_RELAYS;
+    if (place == CW_RELAYS) {
+        return;
+    }
+    length = cw_router_pack_summary(router, &relay->times, &relay->links, now);
+    for (zone = 1; zone < found; zone++) {
+        send_to_zone(router, zones[zone], place, length);
+    }
+}
+
+/* ---- receiving ---- */
+
+/* It was packed by a relay of another zone: what is passed on differs in one mark, so that it goes no further. */
+static void pass_on(cw_router_t *router, const Cwp__Datagram *datagram)
+{
+    const cw_peer_t *peer;
+    size_t           length;
+
+    datagram->zone_summary->passed_on = true;
+    length = cw_peer_link_pack(router->link, datagram);
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (is_in_zone(peer) && !peer->is_lost) {
+            cw_peer_link_send_packed(router->link, peer, length);
+        }
+    }
+}
+
+static bool answers(const cw_router_t *router, const Cwp__ZoneSummary *summary)
+{
+    uint32_t own = cw_short_name(router->settings.zone);
+    size_t   index;
+
+    for (index = 0; index < summary->n_received; index++) {
+        if (summary->received[index] == own) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A relay has received from this node: later than this one has, and lately enough for it to count as alive. */
+static void take_node(cw_router_t *router, const Cwp__ZoneSummary *summary, size_t index, cw_time_us_t now)
+{
+    cw_time_us_t at = now - CW_MS(summary->ages_ms[index]);
+    cw_peer_t   *peer = cw_peer_link_learn(router->link, summary->nodes[index], now);
+
+    if (peer == NULL || at <= peer->last_received_at || now - at > router->silence) {
+        return;
+    }
+    if (at > peer->direct_at) {
+        cw_peer_link_note_zone(router->link, peer, summary->zone);
+        peer->capability = summary->capabilities[index];
+    }
+    if (peer->last_received_at == 0 || peer->is_lost) {
+        cw_router_note_peer(peer, CW_EVENT_PEER_BACK, peer->last_received_at == 0 ? 0 : now - peer->last_received_at);
+    }
+    peer->is_lost = false;
+    peer->last_received_at = at;
+}
+
+/* What a node said by itself lately is newer. */
+static void take_detail(cw_router_t *router, const Cwp__ZoneNode *detail, cw_time_us_t now)
+{
+    cw_peer_t *peer = cw_peer_link_find(router->link, detail->address);
+
+    if (peer == NULL || (peer->direct_at != 0 && now - peer->direct_at < CW_MS(CW_SUMMARY_TRUST_MS))) {
+        return;
+    }
+    if (peer->incarnation != detail->incarnation) {
+        peer->incarnation = detail->incarnation;
+        peer->sequence = 0;
+    }
+    cw_text_copy(peer->node, sizeof(peer->node), detail->node);
+    peer->stopping = detail->stopping;
+    peer->store_lost = detail->store_lost;
+}
+
+static bool is_unreachable(const Cwp__ZoneSummary *summary, uint32_t server)
+{
+    size_t index;
+
+    for (index = 0; index < summary->n_unreachable; index++) {
+        if (summary->unreachable[index] == server) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void take_sums(cw_router_t *router, const Cwp__ZoneSummary *summary, cw_time_us_t now)
+{
+    static cw_server_report_t sums[CW_SUMMARY_SERVERS_MAX];
+    uint64_t                  number = cw_zone_numbers | cw_short_name(summary->zone);
+    size_t                    index;
+
+    for (index = 0; index < summary->n_servers && index < CW_SUMMARY_SERVERS_MAX; index++) {
+        sums[index] = (cw_server_report_t){.hash = summary->servers[index],
+                                           .under_way = summary->under_way[index],
+                                           .waiting = summary->waiting[index],
+                                           .unreachable = is_unreachable(summary, summary->servers[index])};
+    }
+    cw_server_pool_report(router->pool, number, sums, index, now);
+    cw_router_take_queues(router, number, false, summary->queues, summary->n_queues, now);
+}
+
+static bool is_well_formed(const Cwp__ZoneSummary *summary)
+{
+    return summary->zone[0] != '\0' && summary->n_nodes == summary->n_ages_ms &&
+           summary->n_nodes == summary->n_capabilities && summary->n_servers == summary->n_under_way &&
+           summary->n_servers == summary->n_waiting;
+}
+
+void cw_router_take_zone_summary(cw_router_t *router, const Cwp__Datagram *datagram, cw_time_us_t now)
+{
+    const Cwp__ZoneSummary *summary = datagram->zone_summary;
+    cw_summary_head_t       head = {.zone = summary->zone,
+                                    .relay = summary->relay,
+                                    .incarnation = summary->incarnation,
+                                    .sequence = summary->sequence,
+                                    .answers = answers(router, summary)};
+    cw_peer_t              *relay;
+    size_t                  index;
+
+    if (!is_well_formed(summary) || strcmp(summary->zone, router->settings.zone) == 0 ||
+        !cw_zone_links_note(&router->relay->links, &head, now)) {
+        return;
+    }
+    for (index = 0; index < summary->n_nodes; index++) {
+        take_node(router, summary, index, now);
+    }
+    for (index = 0; index < summary->n_details; index++) {
+        take_detail(router, summary->details[index], now);
+    }
+    if (summary->has_loads) {
+        take_sums(router, summary, now);
+    }
+    relay = cw_peer_link_find(router->link, summary->relay);
+    if (relay != NULL) {
+        cw_router_note_configuration(router, relay, summary->configuration, now);
+    }
+    if (!summary->passed_on) {
+        pass_on(router, datagram);
+    }
+    cw_engine_wake(router->engine);
+}
--- /dev/null
+++ b/src/router/router_report.c
@@ -0,0 +1,201 @@
+/**
+ * @file router_report.c
+ * @brief Making a report: what this node has under way at each server, how fast these answered, keys seen, the leader's
+ * heartbeat.
+ */
+#include <string.h>
+
+#include "router/router_internal.h"
+
+enum { LOADS_MAX = 512, QUEUES_MAX = 32, SAMPLES_MAX = 16, VACATED_TOLD_S = 2 };
+
+/** A report while it is being made. */
+typedef struct report_builder {
+    Cwp__NodeReport      report;
+    Cwp__LeaderHeartbeat leader;
+    Cwp__ServerLoad      loads[LOADS_MAX];
+    Cwp__ServerLoad     *load_pointers[LOADS_MAX];
+    Cwp__ServerPace      paces[LOADS_MAX];
+    Cwp__ServerPace     *pace_pointers[LOADS_MAX];
+    Cwp__QueueLength     queues[QUEUES_MAX];
+    Cwp__QueueLength    *queue_pointers[QUEUES_MAX];
+    Cwp__KeySamples      samples[SAMPLES_MAX];
+    Cwp__KeySamples     *sample_pointers[SAMPLES_MAX];
+    cw_key_samples_t     keys[SAMPLES_MAX];
+    size_t               queue_count;
+    size_t               sample_count;
+} report_builder_t;
+
+static report_builder_t builder; /* large, and used by one call at a time */
+
+static void add_loads(cw_router_t *router, cw_time_us_t now)
+{
+    cw_server_t *server;
+    cw_server_t *next;
+    size_t       count = 0;
+
+    cw_engine_count_waiting(router->engine);
+    HASH_ITER(by_id, cw_server_pool_all(router->pool), server, next)
+    {
+        Cwp__ServerLoad *load = &builder.loads[count];
+
+        if (count == LOADS_MAX || (server->own == 0 && server->own_waiting == 0 && server->avoid_until <= now)) {
+            continue;
+        }
+        cwp__server_load__init(load);
+        load->server = server->hash;
+        load->under_way = server->own;
+        load->waiting = server->own_waiting;
+        load->unreachable = server->faults > 0 && server->avoid_until > now;
+        builder.load_pointers[count++] = load;
+    }
+    builder.report.n_loads = count;
+    builder.report.loads = builder.load_pointers;
+}
+
+/* What has changed since it was last sent, to the leader or to all. */
+static void add_paces(cw_router_t *router, bool to_leader)
+{
+    cw_server_t *server;
+    cw_server_t *next;
+    size_t       count = 0;
+
+    HASH_ITER(by_id, cw_server_pool_all(router->pool), server, next)
+    {
+        Cwp__ServerPace *pace = &builder.paces[count];
+        uint32_t        *sent = to_leader ? &server->served_sent_leader : &server->served_sent;
+
+        if (count == LOADS_MAX || server->served == *sent) {
+            continue;
+        }
+        cwp__server_pace__init(pace);
+        pace->server = server->hash;
+        pace->served = server->served;
+        pace->time = server->served_time;
+        *sent = server->served;
+        builder.pace_pointers[count++] = pace;
+    }
+    builder.report.n_paces = count;
+    builder.report.paces = builder.pace_pointers;
+}
+
+static void add_queue(void *context, const char *service, uint32_t queued)
+{
+    Cwp__QueueLength *length = &builder.queues[builder.queue_count];
+
+    (void)context;
+    if (builder.queue_count == QUEUES_MAX) {
+        return;
+    }
+    cwp__queue_length__init(length);
+    length->service = cw_short_name(service);
+    length->queued = queued;
+    builder.queue_pointers[builder.queue_count++] = length;
+}
+
+static void add_samples(void *context, const char *service, const cw_key_samples_t *seen)
+{
+    Cwp__KeySamples  *samples = &builder.samples[builder.sample_count];
+    cw_key_samples_t *keys = &builder.keys[builder.sample_count];
+
+    (void)context;
+    if (builder.sample_count == SAMPLES_MAX) {
+        return;
+    }
+    *keys = *seen;
+    cwp__key_samples__init(samples);
+    samples->service = cw_short_name(service);
+    samples->n_keys = keys->count;
+    samples->keys = keys->keys;
+    samples->seen = keys->seen;
+    builder.sample_pointers[builder.sample_count++] = samples;
+}
+
+static void add_leader_heartbeat(cw_router_t *router, cw_time_us_t now)
+{
+    cwp__leader_heartbeat__init(&builder.leader);
+    builder.leader.term = router->leadership.lock.term;
+    builder.leader.revision = router->leadership.revision;
+    builder.leader.able = cw_router_is_able(router, now);
+    builder.leader.list_age_ms = (uint32_t)((now - router->server_view.true_at) / 1000);
+    builder.leader.servers = router->lead_servers;
+    builder.leader.tables = router->lead_tables;
+    builder.leader.servers_hash = router->server_view.list == NULL ? 0 : router->server_view.hash;
+    builder.leader.list_revision = router->server_view.revision;
+    builder.leader.configuration_age_ms = cw_configuration_freshness_pack(&router->freshness, now);
+    builder.leader.tables_hash = router->lead_tables == 0 ? 0 : router->tables_hash;
+    builder.report.leader = &builder.leader;
+}
+
+static void begin_report(cw_router_t *router, cw_time_us_t now)
+{
+    cwp__node_report__init(&builder.report);
+    builder.queue_count = 0;
+    builder.sample_count = 0;
+    builder.report.node = "";
+    builder.report.zone = "";
+    builder.report.incarnation = router->incarnation;
+    builder.report.sequence = ++router->sequence;
+    builder.report.stopping = router->stopping_at != 0;
+    builder.report.store_lost = router->store_lost;
+    if (cw_router_has_vacated(router, now)) {
+        builder.report.vacated = router->vacated_term;
+    }
+    builder.report.configuration = cw_router_version(router);
+    builder.report.peers = cw_peer_link_alive(router->link, router->silence, now);
+    builder.report.term = router->view_term;
+    builder.report.servers = router->view_servers;
+    builder.report.tables = router->view_tables;
+}
+
+static void add_names(const cw_router_t *router)
+{
+    builder.report.node = (char *)router->settings.node;
+    builder.report.zone = (char *)router->settings.zone;
+    builder.report.capability = cw_router_capability(router);
+}
+
+static void add_requests(cw_router_t *router, cw_time_us_t now)
+{
+    add_loads(router, now);
+    cw_engine_each_queue(router->engine, add_queue, NULL);
+    builder.report.n_queues = builder.queue_count;
+    builder.report.queues = builder.queue_pointers;
+}
+
+static void add_keys(cw_router_t *router)
+{
+    cw_engine_take_samples(router->engine, add_samples, NULL);
+    builder.report.n_samples = builder.sample_count;
+    builder.report.samples = builder.sample_pointers;
+}
+
+bool cw_router_has_vacated(const cw_router_t *router, cw_time_us_t now)
+{
+    return router->vacated_term != 0 && now - router->vacated_at < CW_SECONDS(VACATED_TOLD_S);
+}
+
+size_t cw_router_pack_report(cw_router_t *router, uint32_t parts, cw_time_us_t now)
+{
+    Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
+
+    begin_report(router, now);
+    if ((parts & CW_REPORT_NAMES) != 0 || now < router->named_until) {
+        add_names(router);
+    }
+    if ((parts & (CW_REPORT_PACES | CW_REPORT_PACES_TO_LEADER)) != 0) {
+        add_paces(router, (parts & CW_REPORT_PACES_TO_LEADER) != 0);
+    }
+    if ((parts & CW_REPORT_LOADS) != 0) {
+        add_requests(router, now);
+    }
+    if ((parts & CW_REPORT_KEYS) != 0) {
+        add_keys(router);
+    }
+    if (router->leadership.leading) {
+        add_leader_heartbeat(router, now);
+    }
+    datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
+    datagram.report = &builder.report;
+    return cw_peer_link_pack(router->link, &datagram);
+}
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -278,6 +278,17 @@
     }
 }
 
+const cw_broker_candidate_t *cw_router_candidates(const cw_router_t *router, size_t *count)
+{
+    *count = router->slots->candidate_count;
+    return router->slots->candidates;
+}
+
+bool cw_router_nodes_are_many(const cw_router_t *router)
+{
+    return router->slots->is_on;
+}
+
 void cw_router_slots_init(cw_router_t *router)
 {
     cw_router_slots_t *slots = calloc(1, sizeof(*slots));
--- /dev/null
+++ b/src/router/router_summary.c
@@ -0,0 +1,240 @@
+/**
+ * @file router_summary.c
+ * @brief Making a summary of this zone (router_relay.c).
+ */
+#include <string.h>
+
+#include "router/router_internal.h"
+#include "router/router_summary.h"
+
+enum {
+    LOADS_PAUSE_MS = 500,    /* a keyed request's usual time, and less than what was reported counts for */
+    DETAILS_PAUSE_MS = 5000, /* names tell people and logs who a node is; nothing waits for them */
+    DETAILS_NEWS_MS = 1000,  /* four summaries of either relay: all of them are not lost */
+    NODES_MAX = 1024,        /* of a zone: 12 bytes each */
+    QUEUES_MAX = 32
+};
+
+/** A summary while it is made. */
+typedef struct summary_builder {
+    Cwp__ZoneSummary   summary;
+    uint32_t           nodes[NODES_MAX];
+    uint32_t           ages_ms[NODES_MAX];
+    uint32_t           capabilities[NODES_MAX];
+    Cwp__ZoneNode      details[NODES_MAX];
+    Cwp__ZoneNode     *detail_pointers[NODES_MAX];
+    uint32_t           received[CW_ZONES_MAX];
+    cw_server_report_t sums[CW_SUMMARY_SERVERS_MAX];
+    uint32_t           servers[CW_SUMMARY_SERVERS_MAX];
+    uint32_t           under_way[CW_SUMMARY_SERVERS_MAX];
+    uint32_t           waiting[CW_SUMMARY_SERVERS_MAX];
+    uint32_t           unreachable[CW_SUMMARY_SERVERS_MAX];
+    Cwp__QueueLength   queues[QUEUES_MAX];
+    Cwp__QueueLength  *queue_pointers[QUEUES_MAX];
+} summary_builder_t;
+
+static summary_builder_t builder; /* large, and used by one call at a time */
+
+static bool is_in_zone(const cw_peer_t *peer)
+{
+    return peer->last_received_at != 0 && peer->distance == CW_DISTANCE_ZONE;
+}
+
+static void add_detail(const cw_peer_t *peer)
+{
+    Cwp__ZoneNode *detail = &builder.details[builder.summary.n_details];
+
+    cwp__zone_node__init(detail);
+    detail->address = peer->address;
+    detail->incarnation = peer->incarnation;
+    detail->node = (char *)peer->node;
+    detail->stopping = peer->stopping;
+    detail->store_lost = peer->store_lost;
+    builder.detail_pointers[builder.summary.n_details++] = detail;
+}
+
+static void add_node(uint32_t address, uint32_t age_ms, uint32_t capability)
+{
+    size_t index = builder.summary.n_nodes;
+
+    builder.nodes[index] = address;
+    builder.ages_ms[index] = age_ms;
+    builder.capabilities[index] = capability;
+    builder.summary.n_nodes = index + 1;
+    builder.summary.n_ages_ms = index + 1;
+    builder.summary.n_capabilities = index + 1;
+}
+
+static void add_own_detail(const cw_router_t *router)
+{
+    Cwp__ZoneNode *detail = &builder.details[builder.summary.n_details];
+
+    cwp__zone_node__init(detail);
+    detail->address = cw_peer_link_own_address(router->link);
+    detail->incarnation = router->incarnation;
+    detail->node = (char *)router->settings.node;
+    detail->stopping = router->stopping_at != 0;
+    detail->store_lost = router->store_lost;
+    builder.detail_pointers[builder.summary.n_details++] = detail;
+}
+
+static void add_nodes(cw_router_t *router, bool with_all_details, cw_time_us_t now)
+{
+    const cw_peer_t *peer;
+
+    add_node(cw_peer_link_own_address(router->link), 0, cw_router_capability(router));
+    if (with_all_details || router->stopping_at != 0) {
+        add_own_detail(router);
+    }
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (!is_in_zone(peer) || peer->is_lost || builder.summary.n_nodes == NODES_MAX) {
+            continue;
+        }
+        add_node(peer->address, (uint32_t)((now - peer->last_received_at) / 1000), peer->capability);
+        if (with_all_details || now - peer->details_at < CW_MS(DETAILS_NEWS_MS)) {
+            add_detail(peer);
+        }
+    }
+}
+
+static void add_received(const cw_zone_links_t *links, cw_time_us_t now)
+{
+
+    size_t index;
+
+    for (index = 0; index < links->count; index++) {
+        if (cw_zone_links_is_summed(links, links->items[index].zone, now)) {
+            builder.received[builder.summary.n_received++] = cw_short_name(links->items[index].zone);
+        }
+    }
+}
+
+static bool takes_node(void *context, uint64_t node)
+{
+    cw_router_t     *router = context;
+    const cw_peer_t *peer = node >= cw_zone_numbers ? NULL : cw_peer_link_find(router->link, (uint32_t)node);
+
+    return peer != NULL && is_in_zone(peer);
+}
+
+/* Slots of the other services are counted in the servers' own zones (slot_broker.h). */
+static bool takes_server(void *context, const cw_server_t *server)
+{
+    const cw_router_t *router = context;
+    size_t             index;
+
+    for (index = 0; router->configuration != NULL && index < router->configuration->service_count; index++) {
+        const cw_service_t *service = &router->configuration->services[index];
+
+        if (service->keyed && strcmp(service->name, server->service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void add_loads(cw_router_t *router, cw_time_us_t now)
+{
+    cw_sum_filter_t filter = {.context = router, .takes_node = takes_node, .takes_server = takes_server};
+    size_t          count;
+    size_t          index;
+
+    cw_engine_count_waiting(router->engine);
+    count = cw_server_pool_sum(router->pool, &filter, builder.sums, CW_SUMMARY_SERVERS_MAX, now);
+    for (index = 0; index < count; index++) {
+        builder.servers[index] = builder.sums[index].hash;
+        builder.under_way[index] = builder.sums[index].under_way;
+        builder.waiting[index] = builder.sums[index].waiting;
+        if (builder.sums[index].unreachable) {
+            builder.unreachable[builder.summary.n_unreachable++] = builder.sums[index].hash;
+        }
+    }
+    builder.summary.has_loads = true;
+    builder.summary.n_servers = count;
+    builder.summary.n_under_way = count;
+    builder.summary.n_waiting = count;
+}
+
+static void add_queued(uint32_t service, uint32_t queued)
+{
+    Cwp__QueueLength *length;
+    size_t            index;
+
+    for (index = 0; index < builder.summary.n_queues; index++) {
+        if (builder.queues[index].service == service) {
+            builder.queues[index].queued += queued;
+            return;
+        }
+    }
+    if (index == QUEUES_MAX) {
+        return;
+    }
+    length = &builder.queues[index];
+    cwp__queue_length__init(length);
+    length->service = service;
+    length->queued = queued;
+    builder.queue_pointers[index] = length;
+    builder.summary.n_queues = index + 1;
+}
+
+static void add_own_queue(void *context, const char *service, uint32_t queued)
+{
+    (void)context;
+    add_queued(cw_short_name(service), queued);
+}
+
+static void add_queues(cw_router_t *router, cw_time_us_t now)
+{
+    size_t index;
+
+    cw_engine_each_queue(router->engine, add_own_queue, NULL);
+    for (index = 0; index < router->queue_count; index++) {
+        if (router->queues[index].is_near && now - router->queues[index].at < cw_router_report_life(router)) {
+            add_queued(router->queues[index].service, router->queues[index].queued);
+        }
+    }
+}
+
+static void begin_summary(const cw_router_t *router, cw_summary_times_t *times)
+{
+    Cwp__ZoneSummary *summary = &builder.summary;
+
+    cwp__zone_summary__init(summary);
+    summary->zone = (char *)router->settings.zone;
+    summary->relay = cw_peer_link_own_address(router->link);
+    summary->incarnation = router->incarnation;
+    summary->sequence = ++times->sequence;
+    summary->configuration = cw_router_version(router);
+    summary->nodes = builder.nodes;
+    summary->ages_ms = builder.ages_ms;
+    summary->capabilities = builder.capabilities;
+    summary->details = builder.detail_pointers;
+    summary->received = builder.received;
+    summary->servers = builder.servers;
+    summary->under_way = builder.under_way;
+    summary->waiting = builder.waiting;
+    summary->unreachable = builder.unreachable;
+    summary->queues = builder.queue_pointers;
+}
+
+size_t cw_router_pack_summary(cw_router_t *router, cw_summary_times_t *times, const cw_zone_links_t *links,
+                              cw_time_us_t now)
+{
+    Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
+    bool          with_all_details = now - times->details_at >= CW_MS(DETAILS_PAUSE_MS);
+
+    begin_summary(router, times);
+    add_nodes(router, with_all_details, now);
+    add_received(links, now);
+    if (with_all_details) {
+        times->details_at = now;
+    }
+    if (now - times->loads_at >= CW_MS(LOADS_PAUSE_MS)) {
+        times->loads_at = now;
+        add_loads(router, now);
+        add_queues(router, now);
+    }
+    datagram.content_case = CWP__DATAGRAM__CONTENT_ZONE_SUMMARY;
+    datagram.zone_summary = &builder.summary;
+    return cw_peer_link_pack(router->link, &datagram);
+}
--- /dev/null
+++ b/tests/process/relays.sh
@@ -0,0 +1,60 @@
+#!/usr/bin/env bash
+# Eighteen nodes in three zones: relays tell the zones of one another's nodes, so that reports stay inside. While a relay
+# stands still, and after one was killed, no node loses another one that runs; keys are served, and have one owner.
+. "$(dirname "$0")/../../scripts/cluster.sh"
+NODES_STARTED=18
+
+metric_of() { curl -sf -m 1 "http://$NET.$1:8081/metrics" | awk -v m="$2" 'index($0, m) == 1 {sum += $2} END {print sum + 0}'; }
+all_know_each_other() { # HOW MANY OTHERS
+    local n
+    for n in "${!NODE_PIDS[@]}"; do
+        [ "$(metric_of "$n" "cedarwinch_peers ")" -eq "$1" ] || return 1
+    done
+}
+sum_of_metric() {
+    local n sum=0
+    for n in "${!NODE_PIDS[@]}"; do sum=$((sum + $(metric_of "$n" "$1"))); done
+    echo "$sum"
+}
+beyond() { echo $(($(sum_of_metric "cedarwinch_peer_datagrams_total{kind=\"$1\",distance=\"region\"}") + $(sum_of_metric "cedarwinch_peer_datagrams_total{kind=\"$1\",distance=\"remote\"}"))); }
+relays() { # nodes that have sent summaries to other zones
+    local n
+    for n in "${!NODE_PIDS[@]}"; do
+        curl -sf "http://$NET.$n:8081/metrics" | grep -q 'peer_datagrams_total{kind="zone_summary",distance="region"}' && echo "$n"
+    done
+}
+lost_lines() { cat "$WORK"/node*.log | grep -c '"event":"peer lost"'; }
+
+usual_cluster "$NODES_STARTED"
+until_true all_know_each_other $((NODES_STARTED - 1))
+until_true test "$(relays | wc -l)" -ge 6
+reports=$(beyond report)
+near=$(sum_of_metric 'cedarwinch_peer_datagrams_total{kind="report",distance="zone"}')
+cluster_callers calm --rate 100 --count 500
+reports=$(($(beyond report) - reports))
+near=$(($(sum_of_metric 'cedarwinch_peer_datagrams_total{kind="report",distance="zone"}') - near))
+check "all answered on a calm day" at_least "$(sum_of calm s200)" 499
+check "reports to other zones, per hundred inside" at_most $((100 * reports / near)) 40
+check "no node took another one for lost" at_most "$(lost_lines)" 0
+
+still=$(relays | awk '$1 > 2' | head -1) # not a seed
+kill -STOP "${NODE_PIDS[$still]}"
+lost_by_all_others() { [ "$(lost_lines)" -ge $((NODES_STARTED - 1)) ]; }
+until_true lost_by_all_others
+others=$(cat "$WORK"/node*.log | grep '"event":"peer lost"' | grep -vc "$NET.$still\"")
+check "while a relay stands still, no other node is taken for lost" at_most "$others" 0
+check "the relay that stands still is, by each of them" at_most "$(lost_lines)" $((NODES_STARTED - 1))
+kill -CONT "${NODE_PIDS[$still]}"
+until_true all_know_each_other $((NODES_STARTED - 1))
+
+before=$(lost_lines)
+killed=$(relays | awk -v s="$still" '$1 > 2 && $1 != s' | head -1)
+kill -KILL "${NODE_PIDS[$killed]}"
+unset "NODE_PIDS[$killed]"
+until_true all_know_each_other $((NODES_STARTED - 2))
+check "each other node has missed the one killed, and no other" at_most $(($(lost_lines) - before)) $((NODES_STARTED - 1))
+NODES=$(printf "$NET.%s:8080\n" "${!NODE_PIDS[@]}" | paste -sd,)
+cluster_callers after --rate 100 --count 300
+check "all answered after that" at_least "$(sum_of after s200)" 299
+check "records agree" cluster_check
+finish_test
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -191,6 +191,44 @@
 }
 END_TEST
 
+static bool takes_low_nodes(void *context, uint64_t node)
+{
+    (void)context;
+    return node < 10;
+}
+
+static bool takes_all_but(void *context, const cw_server_t *server)
+{
+    return strcmp(server->id, context) != 0;
+}
+
+START_TEST(a_zones_sum_is_of_its_own_nodes_and_of_the_servers_asked_for)
+{
+    uint32_t           dropped;
+    cw_server_pool_t  *pool = new_pool(&dropped);
+    cw_server_t       *near = cw_server_pool_find(pool, "near");
+    cw_server_t       *far = cw_server_pool_find(pool, "far");
+    cw_server_report_t report[2] = {{.hash = near->hash, .under_way = 2, .waiting = 1},
+                                    {.hash = far->hash, .under_way = 5}};
+    cw_sum_filter_t    filter = {.context = "far", .takes_node = takes_low_nodes, .takes_server = takes_all_but};
+    cw_server_report_t sums[4];
+
+    cw_server_pool_report(pool, 5, report, 2, 0);
+    cw_server_pool_report(pool, 6, report, 1, 0);
+    cw_server_pool_report(pool, 50, report, 2, 0); /* of another zone */
+    cw_server_pool_begin(near, 0);
+    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 4, 0), 1);
+    ck_assert_uint_eq(sums[0].hash, near->hash);
+    ck_assert_uint_eq(sums[0].under_way, 5);
+    ck_assert_uint_eq(sums[0].waiting, 2);
+    ck_assert(!sums[0].unreachable);
+    filter.context = "";
+    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 4, 0), 2);
+    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 1, 0), 1);
+    cw_server_pool_free(pool);
+}
+END_TEST
+
 START_TEST(a_server_that_cannot_be_reached_is_left_out_for_a_while)
 {
     uint32_t          dropped;
@@ -533,6 +571,7 @@
     tcase_add_test(cases, requests_of_other_nodes_take_slots_until_they_fall_silent);
     tcase_add_test(cases, pages_and_records_are_ordered_by_term_and_number);
     tcase_add_test(cases, what_waits_at_other_nodes_for_an_owner_is_known_until_they_fall_silent);
+    tcase_add_test(cases, a_zones_sum_is_of_its_own_nodes_and_of_the_servers_asked_for);
     tcase_add_test(cases, a_server_that_cannot_be_reached_is_left_out_for_a_while);
     tcase_add_test(cases, a_server_whose_address_has_another_life_is_not_chosen);
     tcase_add_test(cases, many_nodes_do_not_all_choose_the_same_server);
