--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -10,6 +10,7 @@
     X(START, "start", NOTICE, 10)                                                                                      \
     X(STOP, "stop", NOTICE, 10)                                                                                        \
     X(END, "end", NOTICE, 10)                                                                                          \
+    X(TRAFFIC, "traffic", NOTICE, 10)                                                                                  \
     X(RELOAD, "reload", NOTICE, 10)                                                                                    \
     X(LINES_DROPPED, "lines dropped", WARNING, 10)                                                                     \
     X(FATAL_SIGNAL, "fatal signal", ERROR, 10)                                                                         \
@@ -94,6 +95,9 @@
     X(BUILD, "build")                                                                                                  \
     X(LOAD_ADDRESS, "load_address")                                                                                    \
     X(TRACE, "trace")                                                                                                  \
+    X(SENT_ZONE, "sent_zone")                                                                                          \
+    X(SENT_REGION, "sent_region")                                                                                      \
+    X(SENT_REMOTE, "sent_remote")                                                                                      \
     X(DETAIL, "detail")
 
 #define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
