--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -240,6 +240,7 @@
     cw_router_share_init(router);
     cw_router_zones_init(router);
     cw_router_slots_init(router);
+    cw_router_relay_init(router);
     cw_router_peers_init(router);
     router->store = &node->port;
 }
