--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1042,6 +1042,276 @@
   assert(message->base.descriptor == &cwp__slot_return__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__quota_usage__init
+                     (Cwp__QuotaUsage         *message)
+{
+  static const Cwp__QuotaUsage init_value = CWP__QUOTA_USAGE__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_usage__get_packed_size
+                     (const Cwp__QuotaUsage *message)
+{
+  assert(message->base.descriptor == &cwp__quota_usage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_usage__pack
+                     (const Cwp__QuotaUsage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_usage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_usage__pack_to_buffer
+                     (const Cwp__QuotaUsage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_usage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaUsage *
+       cwp__quota_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaUsage *)
+     protobuf_c_message_unpack (&cwp__quota_usage__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_usage__free_unpacked
+                     (Cwp__QuotaUsage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_usage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_report__init
+                     (Cwp__QuotaReport         *message)
+{
+  static const Cwp__QuotaReport init_value = CWP__QUOTA_REPORT__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_report__get_packed_size
+                     (const Cwp__QuotaReport *message)
+{
+  assert(message->base.descriptor == &cwp__quota_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_report__pack
+                     (const Cwp__QuotaReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_report__pack_to_buffer
+                     (const Cwp__QuotaReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaReport *
+       cwp__quota_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaReport *)
+     protobuf_c_message_unpack (&cwp__quota_report__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_report__free_unpacked
+                     (Cwp__QuotaReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_status__init
+                     (Cwp__QuotaStatus         *message)
+{
+  static const Cwp__QuotaStatus init_value = CWP__QUOTA_STATUS__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_status__get_packed_size
+                     (const Cwp__QuotaStatus *message)
+{
+  assert(message->base.descriptor == &cwp__quota_status__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_status__pack
+                     (const Cwp__QuotaStatus *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_status__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_status__pack_to_buffer
+                     (const Cwp__QuotaStatus *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_status__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaStatus *
+       cwp__quota_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaStatus *)
+     protobuf_c_message_unpack (&cwp__quota_status__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_status__free_unpacked
+                     (Cwp__QuotaStatus *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_status__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_ask__init
+                     (Cwp__QuotaAsk         *message)
+{
+  static const Cwp__QuotaAsk init_value = CWP__QUOTA_ASK__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_ask__get_packed_size
+                     (const Cwp__QuotaAsk *message)
+{
+  assert(message->base.descriptor == &cwp__quota_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_ask__pack
+                     (const Cwp__QuotaAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_ask__pack_to_buffer
+                     (const Cwp__QuotaAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaAsk *
+       cwp__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaAsk *)
+     protobuf_c_message_unpack (&cwp__quota_ask__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_ask__free_unpacked
+                     (Cwp__QuotaAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_grant__init
+                     (Cwp__QuotaGrant         *message)
+{
+  static const Cwp__QuotaGrant init_value = CWP__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_grant__get_packed_size
+                     (const Cwp__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &cwp__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_grant__pack
+                     (const Cwp__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_grant__pack_to_buffer
+                     (const Cwp__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaGrant *
+       cwp__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaGrant *)
+     protobuf_c_message_unpack (&cwp__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_grant__free_unpacked
+                     (Cwp__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_return__init
+                     (Cwp__QuotaReturn         *message)
+{
+  static const Cwp__QuotaReturn init_value = CWP__QUOTA_RETURN__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_return__get_packed_size
+                     (const Cwp__QuotaReturn *message)
+{
+  assert(message->base.descriptor == &cwp__quota_return__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_return__pack
+                     (const Cwp__QuotaReturn *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_return__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_return__pack_to_buffer
+                     (const Cwp__QuotaReturn *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_return__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaReturn *
+       cwp__quota_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaReturn *)
+     protobuf_c_message_unpack (&cwp__quota_return__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_return__free_unpacked
+                     (Cwp__QuotaReturn *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_return__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__datagram__init
                      (Cwp__Datagram         *message)
 {
@@ -3226,7 +3496,7 @@
   (ProtobufCMessageInit) cwp__store_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__slot_ask__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cwp__slot_ask__field_descriptors[9] =
 {
   {
     "ticket",
@@ -3324,6 +3594,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tenant",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, tenant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__slot_ask__field_indices_by_name[] = {
   3,   /* field[3] = except */
@@ -3332,13 +3614,14 @@
   4,   /* field[4] = priority */
   2,   /* field[2] = server */
   1,   /* field[1] = service */
+  8,   /* field[8] = tenant */
   0,   /* field[0] = ticket */
   7,   /* field[7] = wait_ms */
 };
 static const ProtobufCIntRange cwp__slot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cwp__slot_ask__descriptor =
 {
@@ -3348,7 +3631,7 @@
   "Cwp__SlotAsk",
   "cwp",
   sizeof(Cwp__SlotAsk),
-  8,
+  9,
   cwp__slot_ask__field_descriptors,
   cwp__slot_ask__field_indices_by_name,
   1,  cwp__slot_ask__number_ranges,
@@ -3535,90 +3818,539 @@
   (ProtobufCMessageInit) cwp__slot_return__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cwp__quota_usage__field_descriptors[6] =
 {
   {
-    "report",
+    "tenant",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, report),
-    &cwp__node_report__descriptor,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, tenant),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "servers",
+    "admitted",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, servers),
-    &cwp__servers_page__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, admitted),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table",
+    "with_tokens",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, table),
-    &cwp__table_page__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, with_tokens),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ack",
+    "elsewhere",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, ack),
-    &cwp__view_ack__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, elsewhere),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "nodes",
+    "recent",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, nodes),
-    &cwp__nodes_page__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, recent),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "configuration",
+    "metered",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, configuration),
-    &cwp__configuration_page__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, metered),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cwp__quota_usage__field_indices_by_name[] = {
+  1,   /* field[1] = admitted */
+  3,   /* field[3] = elsewhere */
+  5,   /* field[5] = metered */
+  4,   /* field[4] = recent */
+  0,   /* field[0] = tenant */
+  2,   /* field[2] = with_tokens */
+};
+static const ProtobufCIntRange cwp__quota_usage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cwp__quota_usage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaUsage",
+  "QuotaUsage",
+  "Cwp__QuotaUsage",
+  "cwp",
+  sizeof(Cwp__QuotaUsage),
+  6,
+  cwp__quota_usage__field_descriptors,
+  cwp__quota_usage__field_indices_by_name,
+  1,  cwp__quota_usage__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_usage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_report__field_descriptors[3] =
+{
   {
-    "configuration_request",
-    7,
+    "incarnation",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, configuration_request),
-    &cwp__configuration_request__descriptor,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReport, incarnation),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReport, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usages",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__QuotaReport, n_usages),
+    offsetof(Cwp__QuotaReport, usages),
+    &cwp__quota_usage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_report__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
+  1,   /* field[1] = sequence */
+  2,   /* field[2] = usages */
+};
+static const ProtobufCIntRange cwp__quota_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cwp__quota_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaReport",
+  "QuotaReport",
+  "Cwp__QuotaReport",
+  "cwp",
+  sizeof(Cwp__QuotaReport),
+  3,
+  cwp__quota_report__field_descriptors,
+  cwp__quota_report__field_indices_by_name,
+  1,  cwp__quota_report__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_status__field_descriptors[3] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaStatus, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "metered",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__QuotaStatus, n_metered),
+    offsetof(Cwp__QuotaStatus, metered),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "declines",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaStatus, declines),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_status__field_indices_by_name[] = {
+  2,   /* field[2] = declines */
+  1,   /* field[1] = metered */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange cwp__quota_status__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cwp__quota_status__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaStatus",
+  "QuotaStatus",
+  "Cwp__QuotaStatus",
+  "cwp",
+  sizeof(Cwp__QuotaStatus),
+  3,
+  cwp__quota_status__field_descriptors,
+  cwp__quota_status__field_indices_by_name,
+  1,  cwp__quota_status__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_status__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_ask__field_descriptors[4] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, usage),
+    &cwp__quota_usage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_ask__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
+  1,   /* field[1] = sequence */
+  3,   /* field[3] = usage */
+  2,   /* field[2] = wanted */
+};
+static const ProtobufCIntRange cwp__quota_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cwp__quota_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaAsk",
+  "QuotaAsk",
+  "Cwp__QuotaAsk",
+  "cwp",
+  sizeof(Cwp__QuotaAsk),
+  4,
+  cwp__quota_ask__field_descriptors,
+  cwp__quota_ask__field_indices_by_name,
+  1,  cwp__quota_ask__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_grant__field_descriptors[5] =
+{
+  {
+    "tenant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, tenant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "metered",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, metered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_grant__field_indices_by_name[] = {
+  4,   /* field[4] = metered */
+  3,   /* field[3] = retry_after_ms */
+  1,   /* field[1] = sequence */
+  0,   /* field[0] = tenant */
+  2,   /* field[2] = tokens */
+};
+static const ProtobufCIntRange cwp__quota_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cwp__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaGrant",
+  "QuotaGrant",
+  "Cwp__QuotaGrant",
+  "cwp",
+  sizeof(Cwp__QuotaGrant),
+  5,
+  cwp__quota_grant__field_descriptors,
+  cwp__quota_grant__field_indices_by_name,
+  1,  cwp__quota_grant__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_return__field_descriptors[2] =
+{
+  {
+    "tenant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReturn, tenant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReturn, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_return__field_indices_by_name[] = {
+  0,   /* field[0] = tenant */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange cwp__quota_return__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cwp__quota_return__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaReturn",
+  "QuotaReturn",
+  "Cwp__QuotaReturn",
+  "cwp",
+  sizeof(Cwp__QuotaReturn),
+  2,
+  cwp__quota_return__field_descriptors,
+  cwp__quota_return__field_indices_by_name,
+  1,  cwp__quota_return__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_return__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[16] =
+{
+  {
+    "report",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, report),
+    &cwp__node_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, servers),
+    &cwp__servers_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, table),
+    &cwp__table_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ack",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, ack),
+    &cwp__view_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, nodes),
+    &cwp__nodes_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, configuration),
+    &cwp__configuration_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration_request",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, configuration_request),
+    &cwp__configuration_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -3669,12 +4401,77 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_report",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, quota_report),
+    &cwp__quota_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_status",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, quota_status),
+    &cwp__quota_status__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_ask",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, quota_ask),
+    &cwp__quota_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_grant",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, quota_grant),
+    &cwp__quota_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_return",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, quota_return),
+    &cwp__quota_return__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__datagram__field_indices_by_name[] = {
   3,   /* field[3] = ack */
   5,   /* field[5] = configuration */
   6,   /* field[6] = configuration_request */
   4,   /* field[4] = nodes */
+  13,   /* field[13] = quota_ask */
+  14,   /* field[14] = quota_grant */
+  11,   /* field[11] = quota_report */
+  15,   /* field[15] = quota_return */
+  12,   /* field[12] = quota_status */
   0,   /* field[0] = report */
   1,   /* field[1] = servers */
   8,   /* field[8] = slot_ask */
@@ -3683,10 +4480,11 @@
   7,   /* field[7] = store_notice */
   2,   /* field[2] = table */
 };
-static const ProtobufCIntRange cwp__datagram__number_ranges[1 + 1] =
+static const ProtobufCIntRange cwp__datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 20, 11 },
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor cwp__datagram__descriptor =
 {
@@ -3696,10 +4494,10 @@
   "Cwp__Datagram",
   "cwp",
   sizeof(Cwp__Datagram),
-  11,
+  16,
   cwp__datagram__field_descriptors,
   cwp__datagram__field_indices_by_name,
-  1,  cwp__datagram__number_ranges,
+  2,  cwp__datagram__number_ranges,
   (ProtobufCMessageInit) cwp__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -38,6 +38,12 @@
 typedef struct Cwp__SlotAsk Cwp__SlotAsk;
 typedef struct Cwp__SlotReply Cwp__SlotReply;
 typedef struct Cwp__SlotReturn Cwp__SlotReturn;
+typedef struct Cwp__QuotaUsage Cwp__QuotaUsage;
+typedef struct Cwp__QuotaReport Cwp__QuotaReport;
+typedef struct Cwp__QuotaStatus Cwp__QuotaStatus;
+typedef struct Cwp__QuotaAsk Cwp__QuotaAsk;
+typedef struct Cwp__QuotaGrant Cwp__QuotaGrant;
+typedef struct Cwp__QuotaReturn Cwp__QuotaReturn;
 typedef struct Cwp__Datagram Cwp__Datagram;
 
 
@@ -590,10 +596,14 @@
    * to be refused if a slot is expected later
    */
   uint32_t wait_ms;
+  /*
+   * hash of the name of the tenant whose turn it takes; 0: none
+   */
+  uint32_t tenant;
 };
 #define CWP__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__slot_ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cwp__SlotReply
@@ -636,6 +646,136 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What a node has let through for a tenant (tenancy/quota.h).
+ */
+struct  Cwp__QuotaUsage
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint32_t tenant;
+  /*
+   * since the node's start
+   */
+  uint64_t admitted;
+  /*
+   * of them, with tokens of the receiver
+   */
+  uint64_t with_tokens;
+  /*
+   * of admitted, before the node counted on the receiver
+   */
+  uint64_t elsewhere;
+  /*
+   * of admitted, in the last window
+   */
+  uint32_t recent;
+  /*
+   * by the last word of a counting node
+   */
+  protobuf_c_boolean metered;
+};
+#define CWP__QUOTA_USAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_usage__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * From a node to the one that counts for some tenants. A whole state: a lost one is mended by the next.
+ */
+struct  Cwp__QuotaReport
+{
+  ProtobufCMessage base;
+  uint64_t incarnation;
+  uint32_t sequence;
+  size_t n_usages;
+  Cwp__QuotaUsage **usages;
+};
+#define CWP__QUOTA_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_report__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * The reply, and at once to those that reported a tenant which gets metered.
+ */
+struct  Cwp__QuotaStatus
+{
+  ProtobufCMessage base;
+  /*
+   * of the report; 0: it is no reply
+   */
+  uint32_t sequence;
+  /*
+   * tenants
+   */
+  size_t n_metered;
+  uint32_t *metered;
+  /*
+   * it does not count: it has just started, or stops
+   */
+  protobuf_c_boolean declines;
+};
+#define CWP__QUOTA_STATUS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_status__descriptor) \
+    , 0, 0,NULL, 0 }
+
+
+/*
+ * Asks for tokens.
+ */
+struct  Cwp__QuotaAsk
+{
+  ProtobufCMessage base;
+  uint64_t incarnation;
+  /*
+   * a repeated ask has the same one
+   */
+  uint32_t sequence;
+  uint32_t wanted;
+  Cwp__QuotaUsage *usage;
+};
+#define CWP__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_ask__descriptor) \
+    , 0, 0, 0, NULL }
+
+
+struct  Cwp__QuotaGrant
+{
+  ProtobufCMessage base;
+  uint32_t tenant;
+  /*
+   * of the ask
+   */
+  uint32_t sequence;
+  uint32_t tokens;
+  /*
+   * for the first request that got none
+   */
+  uint32_t retry_after_ms;
+  protobuf_c_boolean metered;
+};
+#define CWP__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_grant__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * Tokens that were not used.
+ */
+struct  Cwp__QuotaReturn
+{
+  ProtobufCMessage base;
+  uint32_t tenant;
+  uint32_t tokens;
+};
+#define CWP__QUOTA_RETURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_return__descriptor) \
+    , 0, 0 }
+
+
 typedef enum {
   CWP__DATAGRAM__CONTENT__NOT_SET = 0,
   CWP__DATAGRAM__CONTENT_REPORT = 1,
@@ -648,7 +788,12 @@
   CWP__DATAGRAM__CONTENT_STORE_NOTICE = 8,
   CWP__DATAGRAM__CONTENT_SLOT_ASK = 9,
   CWP__DATAGRAM__CONTENT_SLOT_REPLY = 10,
-  CWP__DATAGRAM__CONTENT_SLOT_RETURN = 11
+  CWP__DATAGRAM__CONTENT_SLOT_RETURN = 11,
+  CWP__DATAGRAM__CONTENT_QUOTA_REPORT = 20,
+  CWP__DATAGRAM__CONTENT_QUOTA_STATUS = 21,
+  CWP__DATAGRAM__CONTENT_QUOTA_ASK = 22,
+  CWP__DATAGRAM__CONTENT_QUOTA_GRANT = 23,
+  CWP__DATAGRAM__CONTENT_QUOTA_RETURN = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CWP__DATAGRAM__CONTENT__CASE)
 } Cwp__Datagram__ContentCase;
 
@@ -668,6 +813,11 @@
     Cwp__SlotAsk *slot_ask;
     Cwp__SlotReply *slot_reply;
     Cwp__SlotReturn *slot_return;
+    Cwp__QuotaReport *quota_report;
+    Cwp__QuotaStatus *quota_status;
+    Cwp__QuotaAsk *quota_ask;
+    Cwp__QuotaGrant *quota_grant;
+    Cwp__QuotaReturn *quota_return;
   };
 };
 #define CWP__DATAGRAM__INIT \
@@ -1112,6 +1262,120 @@
 void   cwp__slot_return__free_unpacked
                      (Cwp__SlotReturn *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__QuotaUsage methods */
+void   cwp__quota_usage__init
+                     (Cwp__QuotaUsage         *message);
+size_t cwp__quota_usage__get_packed_size
+                     (const Cwp__QuotaUsage   *message);
+size_t cwp__quota_usage__pack
+                     (const Cwp__QuotaUsage   *message,
+                      uint8_t             *out);
+size_t cwp__quota_usage__pack_to_buffer
+                     (const Cwp__QuotaUsage   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaUsage *
+       cwp__quota_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_usage__free_unpacked
+                     (Cwp__QuotaUsage *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaReport methods */
+void   cwp__quota_report__init
+                     (Cwp__QuotaReport         *message);
+size_t cwp__quota_report__get_packed_size
+                     (const Cwp__QuotaReport   *message);
+size_t cwp__quota_report__pack
+                     (const Cwp__QuotaReport   *message,
+                      uint8_t             *out);
+size_t cwp__quota_report__pack_to_buffer
+                     (const Cwp__QuotaReport   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaReport *
+       cwp__quota_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_report__free_unpacked
+                     (Cwp__QuotaReport *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaStatus methods */
+void   cwp__quota_status__init
+                     (Cwp__QuotaStatus         *message);
+size_t cwp__quota_status__get_packed_size
+                     (const Cwp__QuotaStatus   *message);
+size_t cwp__quota_status__pack
+                     (const Cwp__QuotaStatus   *message,
+                      uint8_t             *out);
+size_t cwp__quota_status__pack_to_buffer
+                     (const Cwp__QuotaStatus   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaStatus *
+       cwp__quota_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_status__free_unpacked
+                     (Cwp__QuotaStatus *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaAsk methods */
+void   cwp__quota_ask__init
+                     (Cwp__QuotaAsk         *message);
+size_t cwp__quota_ask__get_packed_size
+                     (const Cwp__QuotaAsk   *message);
+size_t cwp__quota_ask__pack
+                     (const Cwp__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t cwp__quota_ask__pack_to_buffer
+                     (const Cwp__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaAsk *
+       cwp__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_ask__free_unpacked
+                     (Cwp__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaGrant methods */
+void   cwp__quota_grant__init
+                     (Cwp__QuotaGrant         *message);
+size_t cwp__quota_grant__get_packed_size
+                     (const Cwp__QuotaGrant   *message);
+size_t cwp__quota_grant__pack
+                     (const Cwp__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t cwp__quota_grant__pack_to_buffer
+                     (const Cwp__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaGrant *
+       cwp__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_grant__free_unpacked
+                     (Cwp__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaReturn methods */
+void   cwp__quota_return__init
+                     (Cwp__QuotaReturn         *message);
+size_t cwp__quota_return__get_packed_size
+                     (const Cwp__QuotaReturn   *message);
+size_t cwp__quota_return__pack
+                     (const Cwp__QuotaReturn   *message,
+                      uint8_t             *out);
+size_t cwp__quota_return__pack_to_buffer
+                     (const Cwp__QuotaReturn   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaReturn *
+       cwp__quota_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_return__free_unpacked
+                     (Cwp__QuotaReturn *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__Datagram methods */
 void   cwp__datagram__init
                      (Cwp__Datagram         *message);
@@ -1202,6 +1466,24 @@
 typedef void (*Cwp__SlotReturn_Closure)
                  (const Cwp__SlotReturn *message,
                   void *closure_data);
+typedef void (*Cwp__QuotaUsage_Closure)
+                 (const Cwp__QuotaUsage *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaReport_Closure)
+                 (const Cwp__QuotaReport *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaStatus_Closure)
+                 (const Cwp__QuotaStatus *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaAsk_Closure)
+                 (const Cwp__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaGrant_Closure)
+                 (const Cwp__QuotaGrant *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaReturn_Closure)
+                 (const Cwp__QuotaReturn *message,
+                  void *closure_data);
 typedef void (*Cwp__Datagram_Closure)
                  (const Cwp__Datagram *message,
                   void *closure_data);
@@ -1234,6 +1516,12 @@
 extern const ProtobufCMessageDescriptor cwp__slot_ask__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_reply__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_return__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_usage__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_report__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_status__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_return__descriptor;
 extern const ProtobufCMessageDescriptor cwp__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -38,6 +38,7 @@
     X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
     X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
     X(PLAN_WRITTEN, "plan written", NOTICE, 20)                                                                        \
+    X(LIMIT_MODE, "limit mode", NOTICE, 20)                                                                            \
     X(REQUEST_SERVED, "served", INFO, 200)                                                                             \
     X(REQUEST_RETRIED, "retried", NOTICE, 100)                                                                         \
     X(REQUEST_REFUSED, "refused", NOTICE, 100)                                                                         \
@@ -84,6 +85,8 @@
     X(VERSION, "version")                                                                                              \
     X(REVISION, "revision")                                                                                            \
     X(IN_FORCE, "in_force")                                                                                            \
+    X(LIMIT_MODE, "limit_mode")                                                                                        \
+    X(LIMIT_AGE_MS, "limit_age_ms")                                                                                    \
     X(DETAIL, "detail")
 
 #define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "base/byte_buffer.h"
+#include "base/tenant_metrics.h"
 #include "base/text.h"
 
 enum { ROUTES_MAX = 32, BUCKETS = 12, ROUTE_NAME_MAX = 64 };
@@ -130,6 +131,7 @@
             write_histogram(&text, (cw_histogram_t)index, routes[route]);
         }
     }
+    cw_tenant_metrics_write(&text);
     *length = text.length;
     cw_bytes_append(&text, "", 1);
     return text.data;
@@ -144,4 +146,5 @@
     }
     route_count = 0;
     memset(values, 0, sizeof(values));
+    cw_tenant_metrics_reset();
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -28,6 +28,15 @@
       "refused: this node stops before they may end")                                                                  \
     X(REFUSED_UNREADY, "cedarwinch_refused_unready_total", "counter", "refused: no configuration yet")                 \
     X(REFUSED_TENANT, "cedarwinch_refused_tenant_total", "counter", "refused: the tenant's limits")                    \
+    X(REFUSED_LIMIT, "cedarwinch_refused_limit_total", "counter", "of them, the tenant's rate")                        \
+    X(LIMIT_ASKS, "cedarwinch_limit_asks_total", "counter", "tokens' asks sent, and sent again")                       \
+    X(LIMIT_REPORTS, "cedarwinch_limit_reports_total", "counter", "reports to nodes that count for tenants")           \
+    X(LIMIT_RETURNED, "cedarwinch_limit_tokens_returned_total", "counter", "tokens that were not used")                \
+    X(LIMIT_MODES, "cedarwinch_limit_mode_changes_total", "counter",                                                   \
+      "times a tenant became free, metered or alone on this node")                                                     \
+    X(LIMIT_ALONE, "cedarwinch_limit_alone_total", "counter", "of them, alone: the counting node did not reply")       \
+    X(LIMIT_TENANTS, "cedarwinch_limit_tenants", "gauge", "tenants of which this node counts its own requests")        \
+    X(LIMIT_BUCKETS, "cedarwinch_limit_buckets", "gauge", "tenants for which this node counts for all")                \
     X(REFUSED_KEYS_STALE, "cedarwinch_refused_keys_stale_total", "counter",                                            \
       "refused: a key may have been taken away, and there is no late enough evidence that none was")                   \
     X(REFUSED_KEY_MOVED, "cedarwinch_refused_key_moved_total", "counter",                                              \
--- /dev/null
+++ b/src/base/tenant_metrics.c
@@ -0,0 +1,107 @@
+/**
+ * @file tenant_metrics.c
+ * @brief Counters by tenant.
+ */
+#include "base/tenant_metrics.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+enum { KEPT_MOST = 16384 /* tenants, some 150 bytes each; those that come later count as others */ };
+
+typedef struct tenant_row {
+    char          *name;
+    uint64_t       values[CW_TENANT_METRICS];
+    UT_hash_handle hh;
+} tenant_row_t;
+
+typedef struct metric_row {
+    const char *name;
+    const char *help;
+} metric_row_t;
+
+#define METRIC_ROW(symbol, name, help) {name, help},
+static const metric_row_t metric_rows[] = {CW_TENANT_METRIC_TABLE(METRIC_ROW)};
+#undef METRIC_ROW
+
+static const char    others_name[] = "(others)";
+static tenant_row_t *rows;
+static tenant_row_t  others; /* beyond those kept */
+
+static tenant_row_t *row_of(const char *tenant)
+{
+    tenant_row_t *row;
+
+    HASH_FIND_STR(rows, tenant, row);
+    if (row != NULL) {
+        return row;
+    }
+    if (HASH_COUNT(rows) >= KEPT_MOST) {
+        return &others;
+    }
+    row = calloc(1, sizeof(*row));
+    if (row == NULL) {
+        abort();
+    }
+    row->name = strdup(tenant);
+    HASH_ADD_KEYPTR(hh, rows, row->name, strlen(row->name), row);
+    return row;
+}
+
+void cw_tenant_metric_add(cw_tenant_metric_t metric, const char *tenant, uint64_t amount)
+{
+    row_of(tenant)->values[metric] += amount;
+}
+
+static int compare_rows(const tenant_row_t *left, const tenant_row_t *right)
+{
+    uint64_t a = left->values[CW_TENANT_REQUESTS] + left->values[CW_TENANT_REFUSED_LIMIT];
+    uint64_t b = right->values[CW_TENANT_REQUESTS] + right->values[CW_TENANT_REFUSED_LIMIT];
+
+    return a > b ? -1 : a < b;
+}
+
+static void write_metric(cw_bytes_t *text, size_t metric)
+{
+    const char         *name = metric_rows[metric].name;
+    const tenant_row_t *row;
+    uint64_t            rest = others.values[metric];
+    size_t              told = 0;
+
+    cw_bytes_append_format(text, "# HELP %s %s\n# TYPE %s counter\n", name, metric_rows[metric].help, name);
+    for (row = rows; row != NULL; row = row->hh.next) {
+        if (told < CW_TENANT_METRICS_TOLD) {
+            cw_bytes_append_format(text, "%s{tenant=\"%s\"} %" PRIu64 "\n", name, row->name, row->values[metric]);
+            told++;
+        } else {
+            rest += row->values[metric];
+        }
+    }
+    cw_bytes_append_format(text, "%s{tenant=\"%s\"} %" PRIu64 "\n", name, others_name, rest);
+}
+
+void cw_tenant_metrics_write(cw_bytes_t *text)
+{
+    size_t metric;
+
+    HASH_SORT(rows, compare_rows);
+    for (metric = 0; metric < CW_TENANT_METRICS; metric++) {
+        write_metric(text, metric);
+    }
+}
+
+void cw_tenant_metrics_reset(void)
+{
+    tenant_row_t *row;
+    tenant_row_t *next;
+
+    HASH_ITER(hh, rows, row, next)
+    {
+        HASH_DEL(rows, row); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
+        free(row->name);
+        free(row);
+    }
+    memset(&others, 0, sizeof(others));
+}
--- /dev/null
+++ b/src/base/tenant_metrics.h
@@ -0,0 +1,29 @@
+/**
+ * @file tenant_metrics.h
+ * @brief Counters by tenant, of which the largest tenants are told and the rest as a sum. One table names them all.
+ */
+#ifndef CEDARWINCH_BASE_TENANT_METRICS_H
+#define CEDARWINCH_BASE_TENANT_METRICS_H
+
+#include <stdint.h>
+
+#include "base/byte_buffer.h"
+
+/* X(symbol, name, help) */
+#define CW_TENANT_METRIC_TABLE(X)                                                                                      \
+    X(REQUESTS, "cedarwinch_tenant_requests_total", "requests of the tenant's callers that were let in")               \
+    X(REFUSED_LIMIT, "cedarwinch_tenant_refused_limit_total", "requests above the tenant's rate")
+
+#define CW_TENANT_METRIC_SYMBOL(symbol, name, help) CW_TENANT_##symbol,
+typedef enum cw_tenant_metric { CW_TENANT_METRIC_TABLE(CW_TENANT_METRIC_SYMBOL) CW_TENANT_METRICS } cw_tenant_metric_t;
+#undef CW_TENANT_METRIC_SYMBOL
+
+enum { CW_TENANT_METRICS_TOLD = 20 /**< tenants by name, those with most requests; all others as "(others)" */ };
+
+void cw_tenant_metric_add(cw_tenant_metric_t metric, const char *tenant, uint64_t amount);
+/** As Prometheus text. */
+void cw_tenant_metrics_write(cw_bytes_t *text);
+/** Forgets everything; for tests. */
+void cw_tenant_metrics_reset(void);
+
+#endif
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -27,7 +27,9 @@
     LINK_MBPS = 1000,
     LINK_MBPS_MAX = 1000000,
     RETRY_WINDOW_MS = 10000,
-    RETRY_EXTRA = 20
+    RETRY_EXTRA = 20,
+    LIMIT_WINDOW_MS = 5000,
+    LIMIT_SLACK = 20
 };
 
 static void copy_text(char *target, size_t size, const char *text)
@@ -55,6 +57,9 @@
     settings->retry_window = CW_MS(RETRY_WINDOW_MS);
     settings->retry_ratio = 0.1;
     settings->retry_extra = RETRY_EXTRA;
+    settings->limit_window = CW_MS(LIMIT_WINDOW_MS);
+    settings->limit_overshoot = 0.1;
+    settings->limit_slack = LIMIT_SLACK;
     copy_text(settings->credential_scheme, sizeof(settings->credential_scheme), "Bearer");
 }
 
@@ -219,6 +224,9 @@
     settings->retry_window = read_ms(mapping, "retry_window_ms", 1000, 600000, settings->retry_window);
     settings->retry_ratio = cw_yaml_real(mapping, "retry_ratio", 0, 1, settings->retry_ratio);
     settings->retry_extra = cw_yaml_real(mapping, "retry_extra", 0, 1e9, settings->retry_extra);
+    settings->limit_window = read_ms(mapping, "tenant_limit_window_ms", 100, 600000, settings->limit_window);
+    settings->limit_overshoot = cw_yaml_real(mapping, "tenant_limit_overshoot", 0, 10, settings->limit_overshoot);
+    settings->limit_slack = cw_yaml_real(mapping, "tenant_limit_slack", 0, 1e9, settings->limit_slack);
 }
 
 /* A token of HTTP: it stands before a blank in a header. */
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -51,6 +51,9 @@
     cw_time_us_t     retry_window;
     double           retry_ratio;
     double           retry_extra;
+    cw_time_us_t     limit_window;            /**< in each, over all nodes, a tenant's limit holds within these two: */
+    double           limit_overshoot;         /**< share of it */
+    double           limit_slack;             /**< requests */
     char             credential_scheme[32];   /**< of callers' keys in "Authorization" */
     cw_time_us_t     credentials_stale_after; /**< evidence that no key was taken away is stale then; 0: never */
     bool             credentials_fail_closed; /**< callers with keys are refused while it is stale */
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -26,6 +26,7 @@
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
 #include "retry/shared_budget.h"
+#include "tenancy/quota_share.h"
 
 /** Names that callers and servers use in headers. */
 typedef struct cw_header_names {
@@ -87,6 +88,10 @@
 /** Slots are asked for from now on; NULL: the engine chooses servers by what it knows itself. */
 void cw_engine_set_slots(cw_engine_t *engine, const cw_slot_port_t *port);
 void cw_engine_slot_reply(cw_engine_t *engine, const cw_slot_reply_t *reply);
+/** Tenants' limits bind from now on. The share is borrowed; it says by cw_engine_quota_decided, never within a call of
+ * the engine, that requests which wait can be decided. */
+void cw_engine_set_quota(cw_engine_t *engine, cw_quota_share_t *share);
+void cw_engine_quota_decided(cw_engine_t *engine, uint32_t tenant);
 void cw_engine_set_configuration(cw_engine_t *engine, cw_configuration_t *configuration);
 /** Callers' keys are used until then: the evidence that none was taken away is older after that (CW_NEVER: always). */
 void cw_engine_trust_keys(cw_engine_t *engine, cw_time_us_t until);
--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -125,14 +125,13 @@
 {
     cw_rejection_t   rejection = {.status = STATUS_TOO_MANY, .route = route->name};
     cw_time_us_t     wait;
-    cw_gate_answer_t answer =
-        cw_tenant_gate_enter(engine->gate, tenant, engine->nodes, cw_engine_now(engine), count, &wait);
+    cw_gate_answer_t answer = cw_tenant_gate_enter(engine->gate, tenant, engine->nodes, count, &wait);
 
     if (answer == CW_GATE_OPEN) {
         return true;
     }
     cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
-    rejection.reason = answer == CW_GATE_RATE ? "the tenant's rate" : "the tenant's requests at once";
+    rejection.reason = "the tenant's requests at once";
     rejection.tenant = tenant->name;
     rejection.retry_after_s = (double)wait / 1e6;
     cw_engine_reject(engine, exchange, inbound, &rejection);
@@ -205,6 +204,16 @@
     return route;
 }
 
+void cw_request_admit(cw_request_t *request)
+{
+    cw_engine_t *engine = request->engine;
+
+    cw_shared_budget_note_request(&request->service->budget, &engine->settings.budget, cw_engine_now(engine));
+    note_sample(request);
+    cw_request_enqueue(request);
+    cw_service_dispatch(engine, request->service);
+}
+
 void cw_engine_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
 {
     const cw_tenant_t *accountable;
@@ -224,12 +233,11 @@
     }
     request = create_request(engine, exchange, inbound, route, &caller);
     request->tenant = tenant;
-    cw_shared_budget_note_request(&request->service->budget, &engine->settings.budget, cw_engine_now(engine));
     if (!cw_request_fits_stop(request, cw_engine_now(engine))) {
         cw_request_refuse(request, CW_REFUSED_STOPPING);
         return;
     }
-    note_sample(request);
-    cw_request_enqueue(request);
-    cw_service_dispatch(engine, request->service);
+    if (cw_request_take_token(request)) {
+        cw_request_admit(request);
+    }
 }
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -8,6 +8,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "base/tenant_metrics.h"
 #include "proxy/engine_internal.h"
 
 enum {
@@ -48,6 +49,7 @@
         cw_server_pool_end(request->engine->pool, server);
         cw_engine_wake(request->engine);
     }
+    cw_request_return_token(request);
     request->is_ended = true;
     cw_tenant_gate_leave(request->tenant);
     request->engine->requests--;
@@ -149,6 +151,30 @@
     answer_and_end(request, &outbound);
 }
 
+void cw_request_refuse_limit(cw_request_t *request, cw_time_us_t retry_after)
+{
+    static const char *const modes[] = {"free", "metered", "alone"};
+    const cw_quota_share_t  *share = request->engine->quota;
+    const cw_tenant_t       *tenant = cw_caller_accountable(&request->caller, request->configuration, request->route);
+    cw_time_us_t             now = cw_engine_now(request->engine);
+    cw_http_outbound_t       outbound = {.status = STATUS_TOO_MANY, .retry_after_s = (double)retry_after / 1e6};
+    cw_event_t               event;
+
+    cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
+    cw_metric_add(CW_METRIC_REFUSED_LIMIT, 1);
+    cw_tenant_metric_add(CW_TENANT_REFUSED_LIMIT, tenant->name, 1);
+    if (begin_note(&event, request, CW_EVENT_REQUEST_REFUSED, outbound.status)) {
+        cw_event_text(&event, CW_FIELD_REASON, "the tenant's rate");
+        cw_event_text(&event, CW_FIELD_TENANT, tenant->name);
+        cw_event_ms(&event, CW_FIELD_RETRY_AFTER_MS, retry_after);
+        cw_event_text(&event, CW_FIELD_LIMIT_MODE, modes[cw_quota_share_mode(share, request->limited)]);
+        cw_event_ms(&event, CW_FIELD_LIMIT_AGE_MS, cw_quota_share_age(share, request->limited, now));
+        note_inputs(&event, request);
+        cw_event_end(&event);
+    }
+    answer_and_end(request, &outbound);
+}
+
 void cw_request_refuse_revoked(cw_request_t *request)
 {
     cw_http_outbound_t outbound = {.status = STATUS_UNAUTHORIZED, .retry_after_s = -1};
@@ -233,6 +259,7 @@
         return;
     }
     cw_metric_add(CW_METRIC_SERVED, 1);
+    cw_request_spend_token(request);
     note_served(request, answer->status);
     answer_and_end(request, &outbound);
 }
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -3,7 +3,8 @@
  * @brief State shared by the engine's parts.
  *
  * A request is QUEUED (waits for a slot, an owner or its pause) or SENT (one call is under way); it ends with its
- * answer or when its caller leaves. Its timer is armed for whatever comes first.
+ * answer or when its caller leaves. Before it is queued it may wait for a token of its tenant's limit (engine_quota.c).
+ * Its timer is armed for whatever comes first.
  */
 #ifndef CEDARWINCH_PROXY_ENGINE_INTERNAL_H
 #define CEDARWINCH_PROXY_ENGINE_INTERNAL_H
@@ -50,6 +51,13 @@
     cw_server_load_t load;
 } cw_slot_claim_t;
 
+/** What lets a request of a tenant with a limit go on. */
+typedef enum cw_token_state {
+    CW_TOKEN_NONE,    /**< it needs none, or its run has cost it */
+    CW_TOKEN_AWAITED, /**< asked for at the node that counts for the tenant */
+    CW_TOKEN_HELD
+} cw_token_state_t;
+
 /** A node that did not reply is not asked for a while. */
 typedef struct cw_silent_broker {
     uint32_t     address;
@@ -110,6 +118,10 @@
     char                    avoid[48];   /**< id of the server that failed it last */
     cw_upstream_call_t     *call;
     cw_slot_claim_t         claim;
+    cw_token_state_t        token;
+    uint32_t                limited; /**< hash of the tenant whose limit binds it; 0: none does */
+    cw_request_t           *earlier; /**< utlist's names, among those that await a token */
+    cw_request_t           *later;
     UT_hash_handle          by_ticket;
     uv_timer_t              timer;
     cw_request_t           *prev; /**< utlist's names, in the queue */
@@ -125,6 +137,8 @@
     cw_upstream_t       *upstream;
     cw_configuration_t  *configuration;
     cw_tenant_gate_t    *gate;
+    cw_quota_share_t    *quota;              /**< NULL: tenants' rates bind nobody */
+    cw_request_t        *awaiting;           /**< a token, the earliest first */
     cw_time_us_t         keys_trusted_until; /**< callers' keys; CW_NEVER: as long as they stand */
     cw_route_state_t    *routes;
     cw_service_state_t  *services;
@@ -165,6 +179,17 @@
 void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
                       const cw_rejection_t *rejection);
 
+/** It needs nothing more to be queued. */
+void cw_request_admit(cw_request_t *request);
+
+/* ---- engine_quota.c ---- */
+/** False: it waits for a token, or was refused and is answered. */
+bool cw_request_take_token(cw_request_t *request);
+/** It has run. */
+void cw_request_spend_token(cw_request_t *request);
+/** It ends: its token, if it has not run, is the next request's; it no longer waits for one. */
+void cw_request_return_token(cw_request_t *request);
+
 /* ---- engine_callers.c ---- */
 /** False: the caller was rejected, and is answered. */
 bool cw_engine_admit_caller(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
@@ -223,6 +248,8 @@
 } cw_refusal_t;
 /** Not run, and never will: 503 with the time to come back. */
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason);
+/** 429: above the limit of its tenant. */
+void cw_request_refuse_limit(cw_request_t *request, cw_time_us_t retry_after);
 /** 401: its caller's key was taken away. Says nothing of whether the request has run. */
 void cw_request_refuse_revoked(cw_request_t *request);
 void cw_request_fail_unknown(cw_request_t *request, const char *fault);
--- /dev/null
+++ b/src/proxy/engine_quota.c
@@ -0,0 +1,115 @@
+/**
+ * @file engine_quota.c
+ * @brief The step between admission and the queue: a request of a tenant with a limit needs a token first.
+ *
+ * Mostly the token is there at once. One that has to be asked for at the counting node lets the request wait in a list
+ * of its own, with its time limit; it is in no queue and at no server, so that a refusal is true. A request that ends
+ * without having run gives its token back.
+ */
+#include <utlist.h>
+
+#include "base/tenant_metrics.h"
+#include "proxy/engine_internal.h"
+
+void cw_engine_set_quota(cw_engine_t *engine, cw_quota_share_t *share)
+{
+    engine->quota = share;
+}
+
+/* NULL: nothing binds it. */
+static const cw_tenant_t *bound_tenant(const cw_request_t *request)
+{
+    const cw_tenant_t *tenant = cw_caller_accountable(&request->caller, request->configuration, request->route);
+
+    return request->engine->quota == NULL || tenant == NULL || tenant->rate_per_s <= 0 ? NULL : tenant;
+}
+
+static bool settle(cw_request_t *request, cw_quota_answer_t answer, cw_time_us_t retry_after)
+{
+    switch (answer) {
+    case CW_QUOTA_ADMITTED:
+        cw_tenant_metric_add(CW_TENANT_REQUESTS, bound_tenant(request)->name, 1);
+        request->token = CW_TOKEN_HELD;
+        return true;
+    case CW_QUOTA_WAIT:
+        request->token = CW_TOKEN_AWAITED;
+        DL_APPEND2(request->engine->awaiting, request, earlier, later);
+        cw_request_arm(request);
+        return false;
+    case CW_QUOTA_REFUSED:
+        cw_request_refuse_limit(request, retry_after);
+        return false;
+    }
+    return true;
+}
+
+bool cw_request_take_token(cw_request_t *request)
+{
+    const cw_tenant_t *tenant = bound_tenant(request);
+    cw_quota_limit_t   limit;
+    cw_quota_answer_t  answer;
+    cw_time_us_t       retry_after;
+
+    if (tenant == NULL) {
+        return true;
+    }
+    limit = (cw_quota_limit_t){.rate_per_s = tenant->rate_per_s, .burst = tenant->burst};
+    request->limited = cw_quota_tenant_hash(tenant->name);
+    answer = cw_quota_share_enter(request->engine->quota, request->limited, &limit, cw_engine_now(request->engine),
+                                  &retry_after);
+    return settle(request, answer, retry_after);
+}
+
+static void stop_awaiting(cw_request_t *request)
+{
+    DL_DELETE2(request->engine->awaiting, request, earlier, later);
+    request->token = CW_TOKEN_NONE;
+}
+
+static cw_request_t *first_awaiting(const cw_engine_t *engine, uint32_t tenant)
+{
+    cw_request_t *request;
+
+    DL_FOREACH2(engine->awaiting, request, later)
+    {
+        if (request->limited == tenant) {
+            return request;
+        }
+    }
+    return NULL;
+}
+
+void cw_engine_quota_decided(cw_engine_t *engine, uint32_t tenant)
+{
+    cw_request_t *request = first_awaiting(engine, tenant);
+
+    while (request != NULL) {
+        cw_time_us_t      retry_after;
+        cw_quota_answer_t answer = cw_quota_share_decide(engine->quota, tenant, cw_engine_now(engine), &retry_after);
+
+        if (answer == CW_QUOTA_WAIT) {
+            return;
+        }
+        stop_awaiting(request);
+        if (settle(request, answer, retry_after) && cw_request_still_admitted(request)) {
+            cw_request_admit(request);
+        }
+        request = first_awaiting(engine, tenant);
+    }
+}
+
+void cw_request_spend_token(cw_request_t *request)
+{
+    request->token = CW_TOKEN_NONE;
+}
+
+void cw_request_return_token(cw_request_t *request)
+{
+    if (request->token == CW_TOKEN_AWAITED) {
+        stop_awaiting(request);
+        cw_quota_share_leave(request->engine->quota, request->limited);
+    } else if (request->token == CW_TOKEN_HELD && !request->may_have_run) {
+        cw_quota_share_give_back(request->engine->quota, request->limited, cw_engine_now(request->engine));
+    }
+    request->token = CW_TOKEN_NONE;
+}
--- a/src/router/broker_choice.c
+++ b/src/router/broker_choice.c
@@ -20,7 +20,7 @@
     for (index = 0; index < count; index++) {
         const cw_broker_candidate_t *candidate = &candidates[index];
 
-        if (strcmp(candidate->zone, zone) != 0) {
+        if (zone != CW_BROKER_ANY_ZONE && strcmp(candidate->zone, zone) != 0) {
             continue;
         }
         if (best == NULL || candidate->capability > best->capability ||
--- a/src/router/broker_choice.h
+++ b/src/router/broker_choice.h
@@ -21,7 +21,9 @@
     const char *zone;
 } cw_broker_candidate_t;
 
-/** Address of the node for this service in a zone; 0: the zone has no candidate. */
+#define CW_BROKER_ANY_ZONE NULL
+
+/** Address of the node for this service (or tenant: any hash) in a zone; 0: the zone has no candidate. */
 uint32_t cw_broker_choose(const cw_broker_candidate_t *candidates, size_t count, const char *zone, uint32_t service);
 
 #endif
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -305,6 +305,7 @@
     cw_router_peers_tick(router, now);
     cw_router_zones_tick(router, now);
     cw_router_slots_tick(router, now);
+    cw_router_quota_tick(router, now);
     cw_engine_set_nodes(router->engine, nodes_for_budget(router, now), nodes_in_reach(router, now));
     check_file(router, now);
     check_stop(router, now);
@@ -399,6 +400,7 @@
     cw_router_share_init(router);
     cw_router_zones_init(router);
     cw_router_slots_init(router);
+    cw_router_quota_init(router);
     cw_router_peers_init(router);
     snprintf(store_address, sizeof(store_address), "%s:%u", router->settings.store.address,
              router->settings.store.port);
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -64,6 +64,8 @@
 
 /** Slots of servers: this node's counting, and whom it asks. */
 typedef struct cw_router_slots cw_router_slots_t;
+/** Tenants' limits: this node's counting, and on whom it counts. */
+typedef struct cw_router_quota cw_router_quota_t;
 
 typedef struct cw_router {
     cw_router_settings_t settings;
@@ -85,6 +87,7 @@
     cw_engine_t         *engine;
     cw_peer_link_t      *link;
     cw_router_slots_t   *slots;
+    cw_router_quota_t   *quota;
     cw_configuration_t  *configuration;
     cw_time_us_t         started_at;
     cw_time_us_t         stopping_at; /**< 0: not stopping */
@@ -242,6 +245,15 @@
 void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message);
 void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message);
 
+/* ---- router_quota.c, router_quota_wire.c ---- */
+void cw_router_quota_init(cw_router_t *router);
+void cw_router_quota_tick(cw_router_t *router, cw_time_us_t now);
+void cw_router_take_quota_report(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReport *report);
+void cw_router_take_quota_status(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaStatus *status);
+void cw_router_take_quota_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaAsk *ask);
+void cw_router_take_quota_grant(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaGrant *grant);
+void cw_router_take_quota_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReturn *returned);
+
 /* ---- router_take.c ---- */
 /** What this node goes by is of this term from now on, if it is a later one; it has nothing of it yet. */
 void cw_router_begin_term(cw_router_t *router, uint64_t term);
--- /dev/null
+++ b/src/router/router_quota.c
@@ -0,0 +1,318 @@
+/**
+ * @file router_quota.c
+ * @brief Wires tenants' limits into the node: which nodes count, what their messages do, this node's own counting.
+ *
+ * The most capable nodes in reach count, of all zones; each tenant's one is found by rendezvous hashing. A process that
+ * has just started does not count, and does not know how many nodes share the limits: it takes them for many.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "router/router_quota.h"
+
+enum {
+    CANDIDATES_MAX = 1024,
+    GATHER_EVERY_MS = 100, /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
+    NEW_FOR_MS = 3000,     /* after a start: by then this node has heard the others, at the slowest pace of reports */
+    NODES_OF_NEW = 32      /* so many at least are assumed until then */
+};
+
+static const char *const mode_names[] = {"free", "metered", "alone"};
+
+static uint32_t own_address(const cw_router_quota_t *quota)
+{
+    return cw_peer_link_own_address(quota->router->link);
+}
+
+static cw_time_us_t now_of(const cw_router_quota_t *quota)
+{
+    return cw_router_now(quota->router);
+}
+
+/* ---- this node as one that counts ---- */
+
+static bool is_new(const cw_router_quota_t *quota)
+{
+    const cw_router_t *router = quota->router;
+
+    return router->settings.seed_count > 0 && now_of(quota) - router->started_at < CW_MS(NEW_FOR_MS);
+}
+
+static bool declines(const cw_router_quota_t *quota)
+{
+    return is_new(quota) || quota->router->stopping_at != 0;
+}
+
+static void decline(cw_router_quota_t *quota, uint32_t to, uint32_t sequence)
+{
+    cw_quota_message_t reply = {.kind = CW_QUOTA_STATUS, .sequence = sequence, .declines = true};
+
+    cw_router_quota_send(quota, to, &reply);
+}
+
+static void take_report(cw_router_quota_t *quota, uint32_t from, const cw_quota_message_t *message)
+{
+    cw_quota_message_t reply = {.kind = CW_QUOTA_STATUS, .sequence = message->sequence};
+    size_t             index;
+
+    cw_quota_counter_report(quota->counter, from, message->incarnation, message->usages, message->count, now_of(quota));
+    for (index = 0; index < message->count; index++) {
+        if (cw_quota_counter_is_metered(quota->counter, message->usages[index].tenant, now_of(quota))) {
+            reply.metered[reply.count++] = message->usages[index].tenant;
+        }
+    }
+    cw_router_quota_send(quota, from, &reply);
+}
+
+static void take_ask(cw_router_quota_t *quota, uint32_t from, const cw_quota_message_t *message)
+{
+    cw_quota_message_t reply = {.kind = CW_QUOTA_GRANT};
+
+    reply.grant = cw_quota_counter_ask(quota->counter, from, &message->ask, now_of(quota));
+    cw_router_quota_send(quota, from, &reply);
+}
+
+static void tell_metered(void *context, uint32_t node, uint32_t tenant)
+{
+    cw_quota_message_t message = {.kind = CW_QUOTA_STATUS, .count = 1, .metered = {tenant}};
+
+    cw_router_quota_send(context, node, &message);
+}
+
+/* ---- messages ---- */
+
+void cw_router_quota_deliver(cw_router_quota_t *quota, uint32_t from, const cw_quota_message_t *message)
+{
+    cw_time_us_t now = now_of(quota);
+
+    if ((message->kind == CW_QUOTA_REPORT || message->kind == CW_QUOTA_ASK) && declines(quota)) {
+        decline(quota, from, message->sequence);
+        return;
+    }
+    switch (message->kind) {
+    case CW_QUOTA_REPORT:
+        take_report(quota, from, message);
+        break;
+    case CW_QUOTA_STATUS:
+        if (message->declines) {
+            cw_quota_share_declined(quota->share, from, now);
+        } else {
+            cw_quota_share_status(quota->share, from, message->sequence, message->metered, message->count, now);
+        }
+        break;
+    case CW_QUOTA_ASK:
+        take_ask(quota, from, message);
+        break;
+    case CW_QUOTA_GRANT:
+        cw_quota_share_granted(quota->share, from, &message->grant, now);
+        break;
+    case CW_QUOTA_RETURN:
+        cw_quota_counter_give_back(quota->counter, from, message->tenant, message->tokens, now);
+        break;
+    }
+}
+
+/* ---- the share's port ---- */
+
+static uint32_t counter_of(void *context, uint32_t tenant)
+{
+    const cw_router_quota_t *quota = context;
+    cw_broker_candidate_t    able[CANDIDATES_MAX];
+    size_t                   count = 0;
+    size_t                   index;
+
+    for (index = 0; index < quota->candidate_count; index++) {
+        if (!cw_quota_share_is_silent(quota->share, quota->candidates[index].address, now_of(quota))) {
+            able[count++] = quota->candidates[index];
+        }
+    }
+    return cw_broker_choose(able, count, CW_BROKER_ANY_ZONE, tenant);
+}
+
+static void report(void *context, uint32_t counter, uint32_t sequence, const cw_quota_usage_t *usages, size_t count)
+{
+    cw_router_quota_t *quota = context;
+    cw_quota_message_t message = {
+        .kind = CW_QUOTA_REPORT, .incarnation = quota->router->incarnation, .sequence = sequence};
+
+    message.count = count > CW_QUOTA_USAGES_MAX ? CW_QUOTA_USAGES_MAX : count;
+    memcpy(message.usages, usages, message.count * sizeof(*usages));
+    cw_router_quota_send(quota, counter, &message);
+}
+
+static void ask(void *context, uint32_t counter, const cw_quota_ask_t *asked)
+{
+    cw_quota_message_t message = {.kind = CW_QUOTA_ASK, .ask = *asked};
+
+    cw_router_quota_send(context, counter, &message);
+}
+
+static void give_back(void *context, uint32_t counter, uint32_t tenant, uint32_t tokens)
+{
+    cw_quota_message_t message = {.kind = CW_QUOTA_RETURN, .tenant = tenant, .tokens = tokens};
+
+    cw_metric_add(CW_METRIC_LIMIT_RETURNED, tokens);
+    cw_router_quota_send(context, counter, &message);
+}
+
+static void decided(void *context, uint32_t tenant)
+{
+    const cw_router_quota_t *quota = context;
+
+    cw_engine_quota_decided(quota->router->engine, tenant);
+}
+
+static const char *name_of(const cw_router_t *router, uint32_t tenant)
+{
+    const cw_configuration_t *configuration = router->configuration;
+    size_t                    index;
+
+    for (index = 0; configuration != NULL && index < configuration->tenant_count; index++) {
+        if (cw_quota_tenant_hash(configuration->tenants[index].name) == tenant) {
+            return configuration->tenants[index].name;
+        }
+    }
+    return NULL;
+}
+
+static const char *text_of(const cw_router_quota_t *quota, uint32_t address)
+{
+    const cw_peer_t *peer;
+
+    if (address == own_address(quota)) {
+        return quota->router->settings.address;
+    }
+    for (peer = cw_peer_link_peers(quota->router->link); peer != NULL; peer = peer->next) {
+        if (peer->address == address) {
+            return peer->text;
+        }
+    }
+    return NULL;
+}
+
+static void mode_changed(void *context, uint32_t tenant, cw_quota_mode_t mode, uint32_t counter, cw_time_us_t age)
+{
+    const cw_router_quota_t *quota = context;
+    cw_event_t               event;
+
+    cw_metric_add(CW_METRIC_LIMIT_MODES, 1);
+    cw_metric_add(CW_METRIC_LIMIT_ALONE, mode == CW_QUOTA_ALONE ? 1 : 0);
+    if (cw_event_begin(&event, CW_EVENT_LIMIT_MODE)) {
+        cw_event_text(&event, CW_FIELD_TENANT, name_of(quota->router, tenant));
+        cw_event_text(&event, CW_FIELD_LIMIT_MODE, mode_names[mode]);
+        cw_event_text(&event, CW_FIELD_PEER, text_of(quota, counter));
+        cw_event_ms(&event, CW_FIELD_LIMIT_AGE_MS, age);
+        cw_event_end(&event);
+    }
+}
+
+/* ---- who counts, and for how many ---- */
+
+static void gather(cw_router_quota_t *quota)
+{
+    cw_router_t     *router = quota->router;
+    const cw_peer_t *peer;
+
+    quota->candidate_count = 0;
+    if (!declines(quota)) {
+        quota->candidates[quota->candidate_count++] = (cw_broker_candidate_t){
+            .address = own_address(quota), .capability = cw_router_capability(router), .zone = router->settings.zone};
+    }
+    for (peer = cw_peer_link_peers(router->link); peer != NULL && quota->candidate_count < CANDIDATES_MAX;
+         peer = peer->next) {
+        if (peer->last_received_at != 0 && !peer->is_lost && !peer->stopping && peer->zone[0] != '\0') {
+            quota->candidates[quota->candidate_count++] =
+                (cw_broker_candidate_t){.address = peer->address, .capability = peer->capability, .zone = peer->zone};
+        }
+    }
+}
+
+/* Nodes that share the limits: the most that this one, or those in reach, have heard lately. */
+static uint32_t nodes_of(const cw_router_quota_t *quota)
+{
+    const cw_router_t *router = quota->router;
+    const cw_peer_t   *peer;
+    uint32_t           nodes = router->nodes_most > 0 ? router->nodes_most : 1;
+
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (!peer->is_lost && peer->last_received_at != 0 && peer->peers + 1 > nodes) {
+            nodes = peer->peers + 1;
+        }
+    }
+    return is_new(quota) && nodes < NODES_OF_NEW ? NODES_OF_NEW : nodes;
+}
+
+static void use_limits(cw_router_quota_t *quota, const cw_configuration_t *configuration)
+{
+    cw_quota_tenant_limit_t *limits = calloc(configuration->tenant_count + 1, sizeof(*limits));
+    size_t                   index;
+
+    if (limits == NULL) {
+        abort();
+    }
+    for (index = 0; index < configuration->tenant_count; index++) {
+        const cw_tenant_t *tenant = &configuration->tenants[index];
+
+        limits[index].tenant = cw_quota_tenant_hash(tenant->name);
+        limits[index].limit = (cw_quota_limit_t){.rate_per_s = tenant->rate_per_s, .burst = tenant->burst};
+    }
+    cw_quota_counter_set_limits(quota->counter, limits, configuration->tenant_count, now_of(quota));
+    quota->version = configuration->version;
+    free(limits);
+}
+
+void cw_router_quota_init(cw_router_t *router)
+{
+    cw_router_quota_t  *quota = calloc(1, sizeof(*quota));
+    cw_quota_settings_t settings = {.window = router->settings.limit_window,
+                                    .overshoot = router->settings.limit_overshoot,
+                                    .slack = router->settings.limit_slack};
+    cw_quota_port_t     port = {.context = quota,
+                                .counter_of = counter_of,
+                                .report = report,
+                                .ask = ask,
+                                .give_back = give_back,
+                                .decided = decided,
+                                .mode_changed = mode_changed};
+
+    if (quota == NULL) {
+        abort();
+    }
+    quota->candidates = calloc(CANDIDATES_MAX, sizeof(*quota->candidates));
+    if (quota->candidates == NULL) {
+        abort();
+    }
+    quota->router = router;
+    quota->share = cw_quota_share_create(&settings, &port, cw_peer_link_own_address(router->link), router->incarnation);
+    quota->counter = cw_quota_counter_create(&settings);
+    cw_router_quota_wire_init(quota);
+    router->quota = quota;
+    cw_engine_set_quota(router->engine, quota->share);
+}
+
+static void look_around(cw_router_quota_t *quota, cw_time_us_t now)
+{
+    const cw_router_t *router = quota->router;
+    uint32_t           nodes = nodes_of(quota);
+
+    gather(quota);
+    cw_quota_counter_set_nodes(quota->counter, nodes, cw_peer_link_alive(router->link, router->silence, now) + 1);
+    cw_quota_share_set_nodes(quota->share, nodes);
+    cw_metric_set(CW_METRIC_LIMIT_TENANTS, cw_quota_share_tenants(quota->share));
+    cw_metric_set(CW_METRIC_LIMIT_BUCKETS, cw_quota_counter_buckets(quota->counter));
+}
+
+void cw_router_quota_tick(cw_router_t *router, cw_time_us_t now)
+{
+    cw_router_quota_t *quota = router->quota;
+
+    if (router->configuration != NULL && router->configuration->version != quota->version) {
+        use_limits(quota, router->configuration);
+    }
+    if (now - quota->gathered_at >= CW_MS(GATHER_EVERY_MS)) {
+        quota->gathered_at = now;
+        look_around(quota, now);
+    }
+    cw_quota_counter_tick(quota->counter, now, tell_metered, quota);
+    cw_quota_share_tick(quota->share, now);
+}
--- /dev/null
+++ b/src/router/router_quota.h
@@ -0,0 +1,60 @@
+/**
+ * @file router_quota.h
+ * @brief Tenants' limits at this node, as its parts see them: messages, and how they are sent and come.
+ */
+#ifndef CEDARWINCH_ROUTER_ROUTER_QUOTA_H
+#define CEDARWINCH_ROUTER_ROUTER_QUOTA_H
+
+#include "router/router_internal.h"
+#include "tenancy/quota_counter.h"
+#include "tenancy/quota_share.h"
+
+enum { CW_QUOTA_USAGES_MAX = 64 /**< in one datagram; more than a share reports at once */ };
+
+typedef enum cw_quota_message_kind {
+    CW_QUOTA_REPORT,
+    CW_QUOTA_STATUS,
+    CW_QUOTA_ASK,
+    CW_QUOTA_GRANT,
+    CW_QUOTA_RETURN
+} cw_quota_message_kind_t;
+
+/** One message between nodes, or of this node to itself. */
+typedef struct cw_quota_message {
+    cw_quota_message_kind_t kind;
+    uint64_t                incarnation; /**< report */
+    uint32_t                sequence;    /**< report, status */
+    bool                    declines;    /**< status: the sender does not count */
+    uint32_t                tenant;      /**< return */
+    uint32_t                tokens;
+    cw_quota_ask_t          ask;
+    cw_quota_grant_t        grant;
+    size_t                  count; /**< of usages (report), or of metered (status) */
+    cw_quota_usage_t        usages[CW_QUOTA_USAGES_MAX];
+    uint32_t                metered[CW_QUOTA_USAGES_MAX];
+} cw_quota_message_t;
+
+struct cw_router_quota {
+    cw_router_t           *router;
+    cw_quota_share_t      *share;
+    cw_quota_counter_t    *counter;
+    cw_broker_candidate_t *candidates;
+    size_t                 candidate_count;
+    cw_time_us_t           gathered_at;
+    uint64_t               version; /**< of the configuration whose limits are known */
+    uv_timer_t             deliver;
+    cw_quota_message_t    *own; /**< of this node to itself */
+    size_t                 own_count;
+    size_t                 own_capacity;
+};
+
+/* ---- router_quota.c ---- */
+/** A message has come. */
+void cw_router_quota_deliver(cw_router_quota_t *quota, uint32_t from, const cw_quota_message_t *message);
+
+/* ---- router_quota_wire.c ---- */
+void cw_router_quota_wire_init(cw_router_quota_t *quota);
+/** What goes to this node itself comes with the next turn of the loop. */
+void cw_router_quota_send(cw_router_quota_t *quota, uint32_t to, const cw_quota_message_t *message);
+
+#endif
--- /dev/null
+++ b/src/router/router_quota_wire.c
@@ -0,0 +1,233 @@
+/**
+ * @file router_quota_wire.c
+ * @brief Messages about tenants' limits as datagrams, and those of this node to itself.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "router/router_quota.h"
+
+/* ---- messages to this node itself ---- */
+
+/* What is delivered may bring further messages: they come with the next turn of the loop. */
+static void on_deliver(uv_timer_t *timer)
+{
+    cw_router_quota_t  *quota = timer->data;
+    cw_quota_message_t *messages = quota->own;
+    size_t              count = quota->own_count;
+    size_t              index;
+
+    quota->own = NULL;
+    quota->own_count = 0;
+    quota->own_capacity = 0;
+    for (index = 0; index < count; index++) {
+        cw_router_quota_deliver(quota, cw_peer_link_own_address(quota->router->link), &messages[index]);
+    }
+    free(messages);
+}
+
+static void add_own(cw_router_quota_t *quota, const cw_quota_message_t *message)
+{
+    if (quota->own_count == quota->own_capacity) {
+        quota->own_capacity = quota->own_capacity == 0 ? 4 : 2 * quota->own_capacity;
+        quota->own = realloc(quota->own, quota->own_capacity * sizeof(*quota->own));
+        if (quota->own == NULL) {
+            abort();
+        }
+    }
+    quota->own[quota->own_count++] = *message;
+    if (!uv_is_active((uv_handle_t *)&quota->deliver)) {
+        uv_timer_start(&quota->deliver, on_deliver, 0, 0);
+    }
+}
+
+void cw_router_quota_wire_init(cw_router_quota_t *quota)
+{
+    uv_timer_init(&quota->router->loop, &quota->deliver);
+    quota->deliver.data = quota;
+}
+
+/* ---- as datagrams ---- */
+
+static void send_datagram(cw_router_quota_t *quota, uint32_t to, const Cwp__Datagram *datagram)
+{
+    cw_router_t *router = quota->router;
+    cw_peer_t   *peer = cw_peer_link_learn(router->link, to, cw_router_now(router));
+
+    if (peer != NULL) {
+        cw_peer_link_send(router->link, peer, datagram);
+    }
+}
+
+static void write_usage(Cwp__QuotaUsage *message, const cw_quota_usage_t *usage)
+{
+    cwp__quota_usage__init(message);
+    message->tenant = usage->tenant;
+    message->admitted = usage->admitted;
+    message->with_tokens = usage->with_tokens;
+    message->elsewhere = usage->elsewhere;
+    message->recent = usage->recent;
+    message->metered = usage->is_metered;
+}
+
+/* No count of another node is trusted to be above what it is a part of. */
+static cw_quota_usage_t read_usage(const Cwp__QuotaUsage *message)
+{
+    uint64_t admitted = message->admitted;
+
+    return (cw_quota_usage_t){.tenant = message->tenant,
+                              .admitted = admitted,
+                              .with_tokens = message->with_tokens > admitted ? admitted : message->with_tokens,
+                              .elsewhere = message->elsewhere > admitted ? admitted : message->elsewhere,
+                              .recent = message->recent > admitted ? (uint32_t)admitted : message->recent,
+                              .is_metered = message->metered};
+}
+
+static void send_report(cw_router_quota_t *quota, uint32_t to, const cw_quota_message_t *message)
+{
+    Cwp__QuotaReport report = CWP__QUOTA_REPORT__INIT;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+    Cwp__QuotaUsage  usages[CW_QUOTA_USAGES_MAX];
+    Cwp__QuotaUsage *pointers[CW_QUOTA_USAGES_MAX];
+    size_t           index;
+
+    for (index = 0; index < message->count; index++) {
+        write_usage(&usages[index], &message->usages[index]);
+        pointers[index] = &usages[index];
+    }
+    report.incarnation = message->incarnation;
+    report.sequence = message->sequence;
+    report.n_usages = message->count;
+    report.usages = pointers;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_REPORT;
+    datagram.quota_report = &report;
+    cw_metric_add(CW_METRIC_LIMIT_REPORTS, 1);
+    send_datagram(quota, to, &datagram);
+}
+
+static void send_status(cw_router_quota_t *quota, uint32_t to, const cw_quota_message_t *message)
+{
+    Cwp__QuotaStatus status = CWP__QUOTA_STATUS__INIT;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+
+    status.sequence = message->sequence;
+    status.declines = message->declines;
+    status.n_metered = message->count;
+    status.metered = (uint32_t *)message->metered;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_STATUS;
+    datagram.quota_status = &status;
+    send_datagram(quota, to, &datagram);
+}
+
+static void send_ask(cw_router_quota_t *quota, uint32_t to, const cw_quota_message_t *message)
+{
+    Cwp__QuotaAsk   ask = CWP__QUOTA_ASK__INIT;
+    Cwp__QuotaUsage usage;
+    Cwp__Datagram   datagram = CWP__DATAGRAM__INIT;
+
+    write_usage(&usage, &message->ask.usage);
+    ask.incarnation = message->ask.incarnation;
+    ask.sequence = message->ask.sequence;
+    ask.wanted = message->ask.wanted;
+    ask.usage = &usage;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_ASK;
+    datagram.quota_ask = &ask;
+    cw_metric_add(CW_METRIC_LIMIT_ASKS, 1);
+    send_datagram(quota, to, &datagram);
+}
+
+static void send_grant(cw_router_quota_t *quota, uint32_t to, const cw_quota_message_t *message)
+{
+    Cwp__QuotaGrant grant = CWP__QUOTA_GRANT__INIT;
+    Cwp__Datagram   datagram = CWP__DATAGRAM__INIT;
+
+    grant.tenant = message->grant.tenant;
+    grant.sequence = message->grant.sequence;
+    grant.tokens = message->grant.tokens;
+    grant.retry_after_ms = (uint32_t)(message->grant.retry_after / 1000);
+    grant.metered = message->grant.is_metered;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_GRANT;
+    datagram.quota_grant = &grant;
+    send_datagram(quota, to, &datagram);
+}
+
+static void send_return(cw_router_quota_t *quota, uint32_t to, const cw_quota_message_t *message)
+{
+    Cwp__QuotaReturn returned = CWP__QUOTA_RETURN__INIT;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+
+    returned.tenant = message->tenant;
+    returned.tokens = message->tokens;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_RETURN;
+    datagram.quota_return = &returned;
+    send_datagram(quota, to, &datagram);
+}
+
+void cw_router_quota_send(cw_router_quota_t *quota, uint32_t to, const cw_quota_message_t *message)
+{
+    static void (*const senders[])(cw_router_quota_t *, uint32_t, const cw_quota_message_t *) = {
+        [CW_QUOTA_REPORT] = send_report, [CW_QUOTA_STATUS] = send_status, [CW_QUOTA_ASK] = send_ask,
+        [CW_QUOTA_GRANT] = send_grant,   [CW_QUOTA_RETURN] = send_return,
+    };
+
+    if (to == cw_peer_link_own_address(quota->router->link)) {
+        add_own(quota, message);
+        return;
+    }
+    senders[message->kind](quota, to, message);
+}
+
+/* ---- datagrams come ---- */
+
+void cw_router_take_quota_report(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReport *report)
+{
+    cw_quota_message_t message = {
+        .kind = CW_QUOTA_REPORT, .incarnation = report->incarnation, .sequence = report->sequence};
+
+    for (; message.count < report->n_usages && message.count < CW_QUOTA_USAGES_MAX; message.count++) {
+        message.usages[message.count] = read_usage(report->usages[message.count]);
+    }
+    cw_router_quota_deliver(router->quota, peer->address, &message);
+}
+
+void cw_router_take_quota_status(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaStatus *status)
+{
+    cw_quota_message_t message = {.kind = CW_QUOTA_STATUS, .sequence = status->sequence, .declines = status->declines};
+
+    for (; message.count < status->n_metered && message.count < CW_QUOTA_USAGES_MAX; message.count++) {
+        message.metered[message.count] = status->metered[message.count];
+    }
+    cw_router_quota_deliver(router->quota, peer->address, &message);
+}
+
+void cw_router_take_quota_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaAsk *ask)
+{
+    cw_quota_message_t message = {
+        .kind = CW_QUOTA_ASK,
+        .ask = {.incarnation = ask->incarnation, .sequence = ask->sequence, .wanted = ask->wanted}};
+
+    if (ask->usage == NULL) {
+        return; /* of a later version: without a reply, the node passes this one over */
+    }
+    message.ask.usage = read_usage(ask->usage);
+    cw_router_quota_deliver(router->quota, peer->address, &message);
+}
+
+void cw_router_take_quota_grant(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaGrant *grant)
+{
+    cw_quota_message_t message = {.kind = CW_QUOTA_GRANT,
+                                  .grant = {.tenant = grant->tenant,
+                                            .sequence = grant->sequence,
+                                            .tokens = grant->tokens,
+                                            .retry_after = CW_MS(grant->retry_after_ms),
+                                            .is_metered = grant->metered}};
+
+    cw_router_quota_deliver(router->quota, peer->address, &message);
+}
+
+void cw_router_take_quota_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReturn *returned)
+{
+    cw_quota_message_t message = {.kind = CW_QUOTA_RETURN, .tenant = returned->tenant, .tokens = returned->tokens};
+
+    cw_router_quota_deliver(router->quota, peer->address, &message);
+}
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -191,6 +191,21 @@
     case CWP__DATAGRAM__CONTENT_SLOT_RETURN:
         cw_router_take_slot_return(router, peer, datagram->slot_return);
         break;
+    case CWP__DATAGRAM__CONTENT_QUOTA_REPORT:
+        cw_router_take_quota_report(router, peer, datagram->quota_report);
+        break;
+    case CWP__DATAGRAM__CONTENT_QUOTA_STATUS:
+        cw_router_take_quota_status(router, peer, datagram->quota_status);
+        break;
+    case CWP__DATAGRAM__CONTENT_QUOTA_ASK:
+        cw_router_take_quota_ask(router, peer, datagram->quota_ask);
+        break;
+    case CWP__DATAGRAM__CONTENT_QUOTA_GRANT:
+        cw_router_take_quota_grant(router, peer, datagram->quota_grant);
+        break;
+    case CWP__DATAGRAM__CONTENT_QUOTA_RETURN:
+        cw_router_take_quota_return(router, peer, datagram->quota_return);
+        break;
     default:
         break;
     }
--- a/src/tenancy/quota_bucket.c
+++ b/src/tenancy/quota_bucket.c
@@ -6,6 +6,8 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
 
 enum {
     BEGIN_FOR_MS = 500,   /* two report pauses: by then each node that lets something through has reported */
@@ -28,6 +30,13 @@
     return depth < 1 ? 1 : depth;
 }
 
+uint32_t cw_quota_tenant_hash(const char *name)
+{
+    uint32_t hash = (uint32_t)XXH3_64bits(name, strlen(name));
+
+    return hash == 0 ? 1 : hash;
+}
+
 static double depth_of(const cw_quota_bucket_t *bucket, double share)
 {
     return cw_quota_depth(&bucket->limit) * share;
@@ -226,11 +235,10 @@
     if (record == NULL) {
         record = add_record(bucket, node, incarnation);
         take_first(bucket, usage, now);
-    } else if (incarnation < record->incarnation ||
-               (incarnation == record->incarnation && usage->admitted < record->admitted)) {
+    } else if (incarnation == record->incarnation && usage->admitted < record->admitted) {
         return false;
     } else {
-        if (incarnation > record->incarnation) {
+        if (incarnation != record->incarnation) {
             begin_record(record, incarnation);
         }
         take_next(bucket, record, usage);
--- a/src/tenancy/quota_counter.c
+++ b/src/tenancy/quota_counter.c
@@ -163,7 +163,7 @@
     cw_quota_bucket_take(bucket, share_of(counter), node, ask->incarnation, &ask->usage, now);
     record = cw_quota_bucket_find(bucket, node);
     reply.is_metered = bucket->is_metered;
-    if (ask->sequence < record->sequence || ask->incarnation < record->incarnation) {
+    if (ask->sequence < record->sequence) {
         reply.tokens = 0; /* overtaken by a later ask: nobody waits for it */
         return reply;
     }
--- a/src/tenancy/quota_counter.h
+++ b/src/tenancy/quota_counter.h
@@ -36,7 +36,8 @@
                                  cw_time_us_t now);
 /** Nodes that share limits, over all, and how many of them this one reaches, itself included. */
 void cw_quota_counter_set_nodes(cw_quota_counter_t *counter, uint32_t nodes, uint32_t in_reach);
-/** A node counts on this one, and has let this much through. Counts of an earlier incarnation are ignored. */
+/** A node counts on this one, and has let this much through. Another incarnation is another process there,
+ * whose counts begin anew. */
 void             cw_quota_counter_report(cw_quota_counter_t *counter, uint32_t node, uint64_t incarnation,
                                          const cw_quota_usage_t *usages, size_t count, cw_time_us_t now);
 cw_quota_grant_t cw_quota_counter_ask(cw_quota_counter_t *counter, uint32_t node, const cw_quota_ask_t *ask,
--- a/src/tenancy/quota_reports.c
+++ b/src/tenancy/quota_reports.c
@@ -74,6 +74,13 @@
     }
 }
 
+void cw_quota_share_declined(cw_quota_share_t *share, uint32_t counter, cw_time_us_t now)
+{
+    if (!cw_quota_share_is_silent(share, counter, now)) {
+        cw_quota_pass_over(share, counter, now);
+    }
+}
+
 static void note_reply(cw_quota_link_t *link)
 {
     link->tries = 0;
--- a/src/tenancy/quota_share.h
+++ b/src/tenancy/quota_share.h
@@ -63,6 +63,8 @@
 /** A counting node's reply to the report `sequence`, or (0) its word that tenants are metered from now on. */
 void cw_quota_share_status(cw_quota_share_t *share, uint32_t counter, uint32_t sequence, const uint32_t *metered,
                            size_t count, cw_time_us_t now);
+/** A node that is asked does not count (it has just started, or stops): it is passed over at once. */
+void cw_quota_share_declined(cw_quota_share_t *share, uint32_t counter, cw_time_us_t now);
 void cw_quota_share_granted(cw_quota_share_t *share, uint32_t counter, const cw_quota_grant_t *grant, cw_time_us_t now);
 /** To be called every few milliseconds: reports, repeats, expiry. */
 void cw_quota_share_tick(cw_quota_share_t *share, cw_time_us_t now);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -64,6 +64,22 @@
 }
 END_TEST
 
+/* 40 a second over four nodes: one that gets a quarter of a hundred a second lets its quarter of the limit through. */
+START_TEST(a_rate_is_shared_by_the_nodes)
+{
+    quota_world_t *world = quota_world_create(4, 4, 5);
+    size_t         tenant = quota_world_add_tenant(world, 40, 0, 400);
+    uint64_t       ran;
+
+    quota_world_run(world, 10);
+    ran = quota_world_ran(world, tenant, 0, 10);
+    ck_assert_uint_ge(ran, 4 * 95);
+    ck_assert_uint_le(ran, 4 * 110);
+    ck_assert_double_le(quota_world_excess(world, tenant, 0), 0);
+    quota_world_free(world);
+}
+END_TEST
+
 int main(void)
 {
     Suite   *suite = suite_create("quota");
@@ -74,6 +90,7 @@
     tcase_set_timeout(play, 60);
     tcase_add_test(play, calm_tenants_are_not_refused_and_cost_next_to_nothing);
     tcase_add_test(play, a_tenant_over_its_limit_gets_it_and_no_more);
+    tcase_add_test(play, a_rate_is_shared_by_the_nodes);
     suite_add_tcase(suite, play);
     runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
