settings: as many keys as a node has may stand in one file

Cause: the 33rd key that was read was not remembered as known, so a file that named it was refused and the process did not start (entry: 43 exits). The template had 24 keys, the two parts together read 34. Test: test_product reads examples/node.yaml with all defaults taken in; two findings with the bound of 32.

--- a/src/config/yaml_tree.h
+++ b/src/config/yaml_tree.h
@@ -23,7 +23,7 @@
 } cw_yaml_document_t;
 
 enum {
-    CW_YAML_KEYS_MAX = 32,
+    CW_YAML_KEYS_MAX = 128,
     CW_NAME_MAX = 63,          /**< bytes of a name */
     CW_TOKEN_DIGEST_BYTES = 32 /**< SHA-256 */
 };
--- a/tests/test_product.c
+++ b/tests/test_product.c
@@ -210,6 +210,27 @@
     return text;
 }
 
+/* The example with its commented defaults taken in: each key of a node at once. */
+START_TEST(all_settings_at_once_are_known)
+{
+    cw_router_settings_t settings;
+    char                *text = read_file("examples/node.yaml");
+    char                *line;
+
+    for (line = text; line != NULL && *line != '\0';
+         line = strchr(line, '\n') == NULL ? NULL : strchr(line, '\n') + 1) {
+        size_t name = strspn(line, "# ");
+
+        if (line[0] == '#' && line[name + strspn(line + name, "abcdefghijklmnopqrstuvwxyz_")] == ':') {
+            memset(line, ' ', name);
+            memmove(line, line + name, strlen(line + name) + 1);
+        }
+    }
+    ck_assert_uint_eq(findings_of(text, &settings), 0);
+    free(text);
+}
+END_TEST
+
 START_TEST(every_event_and_field_is_documented)
 {
     char  *page = read_file("docs/OPERATIONS.md");
@@ -290,6 +311,7 @@
     tcase_add_test(cases, levels_keep_lines_out);
     tcase_add_test(cases, a_reader_that_does_not_read_costs_lines_not_time);
     tcase_add_test(cases, a_flood_of_one_kind_is_limited_and_told);
+    tcase_add_test(cases, all_settings_at_once_are_known);
     tcase_add_test(cases, every_event_and_field_is_documented);
     tcase_add_test(cases, every_metric_is_documented_and_none_besides);
     tcase_add_test(cases, histograms_count_upwards);
