tenants' limits: isolated nodes serve their part, a node that declines is passed over for a moment, later times for refused ones

Ruled out: a lower bucket (a burst inside the limit would be refused). Change: no counter is asked while no datagram came from any other node for 500 ms; a node that declines is passed over for 300 ms without doubling. Asks say how many requests were refused without an ask, and the told times go on behind them.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -4049,7 +4049,7 @@
   (ProtobufCMessageInit) cwp__quota_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__quota_ask__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cwp__quota_ask__field_descriptors[5] =
 {
   {
     "incarnation",
@@ -4099,9 +4099,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refused",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__quota_ask__field_indices_by_name[] = {
   0,   /* field[0] = incarnation */
+  4,   /* field[4] = refused */
   1,   /* field[1] = sequence */
   3,   /* field[3] = usage */
   2,   /* field[2] = wanted */
@@ -4109,7 +4122,7 @@
 static const ProtobufCIntRange cwp__quota_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cwp__quota_ask__descriptor =
 {
@@ -4119,7 +4132,7 @@
   "Cwp__QuotaAsk",
   "cwp",
   sizeof(Cwp__QuotaAsk),
-  4,
+  5,
   cwp__quota_ask__field_descriptors,
   cwp__quota_ask__field_indices_by_name,
   1,  cwp__quota_ask__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -735,11 +735,15 @@
    */
   uint32_t sequence;
   uint32_t wanted;
+  /*
+   * requests refused since the last ask, without asking
+   */
+  uint32_t refused;
   Cwp__QuotaUsage *usage;
 };
 #define CWP__QUOTA_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_ask__descriptor) \
-    , 0, 0, 0, NULL }
+    , 0, 0, 0, 0, NULL }
 
 
 struct  Cwp__QuotaGrant
--- a/src/router/router_quota.c
+++ b/src/router/router_quota.c
@@ -12,9 +12,10 @@
 
 enum {
     CANDIDATES_MAX = 1024,
-    GATHER_EVERY_MS = 100, /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
-    NEW_FOR_MS = 3000,     /* after a start: by then this node has heard the others, at the slowest pace of reports */
-    NODES_OF_NEW = 32      /* so many at least are assumed until then */
+    GATHER_EVERY_MS = 100,   /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
+    ISOLATED_AFTER_MS = 500, /* the slowest pause between reports of few nodes is 300 ms (router_peers.c) */
+    NEW_FOR_MS = 3000,       /* after a start: by then this node has heard the others, at the slowest pace of reports */
+    NODES_OF_NEW = 32        /* so many at least are assumed until then */
 };
 
 static const char *const mode_names[] = {"free", "metered", "alone"};
@@ -114,6 +115,13 @@
 
 /* ---- the share's port ---- */
 
+/* Nothing comes from any other node: what this one would count for itself, the others may be counting too. Peers count
+ * as lost later than that. */
+static bool is_isolated(const cw_router_quota_t *quota)
+{
+    return quota->nodes > 1 && now_of(quota) - quota->last_received_at >= CW_MS(ISOLATED_AFTER_MS);
+}
+
 static uint32_t counter_of(void *context, uint32_t tenant)
 {
     const cw_router_quota_t *quota = context;
@@ -121,6 +129,9 @@
     size_t                   count = 0;
     size_t                   index;
 
+    if (is_isolated(quota)) {
+        return 0;
+    }
     for (index = 0; index < quota->candidate_count; index++) {
         if (!cw_quota_share_is_silent(quota->share, quota->candidates[index].address, now_of(quota))) {
             able[count++] = quota->candidates[index];
@@ -220,6 +231,9 @@
     }
     for (peer = cw_peer_link_peers(router->link); peer != NULL && quota->candidate_count < CANDIDATES_MAX;
          peer = peer->next) {
+        if (peer->last_received_at > quota->last_received_at) {
+            quota->last_received_at = peer->last_received_at;
+        }
         if (peer->last_received_at != 0 && !peer->is_lost && !peer->stopping && peer->zone[0] != '\0') {
             quota->candidates[quota->candidate_count++] =
                 (cw_broker_candidate_t){.address = peer->address, .capability = peer->capability, .zone = peer->zone};
@@ -293,11 +307,12 @@
 static void look_around(cw_router_quota_t *quota, cw_time_us_t now)
 {
     const cw_router_t *router = quota->router;
-    uint32_t           nodes = nodes_of(quota);
 
+    quota->nodes = nodes_of(quota);
     gather(quota);
-    cw_quota_counter_set_nodes(quota->counter, nodes, cw_peer_link_alive(router->link, router->silence, now) + 1);
-    cw_quota_share_set_nodes(quota->share, nodes);
+    cw_quota_counter_set_nodes(quota->counter, quota->nodes,
+                               cw_peer_link_alive(router->link, router->silence, now) + 1);
+    cw_quota_share_set_nodes(quota->share, quota->nodes);
     cw_metric_set(CW_METRIC_LIMIT_TENANTS, cw_quota_share_tenants(quota->share));
     cw_metric_set(CW_METRIC_LIMIT_BUCKETS, cw_quota_counter_buckets(quota->counter));
 }
--- a/src/router/router_quota.h
+++ b/src/router/router_quota.h
@@ -41,7 +41,9 @@
     cw_broker_candidate_t *candidates;
     size_t                 candidate_count;
     cw_time_us_t           gathered_at;
-    uint64_t               version; /**< of the configuration whose limits are known */
+    cw_time_us_t           last_received_at; /**< from any other node */
+    uint32_t               nodes;            /**< that share the limits */
+    uint64_t               version;          /**< of the configuration whose limits are known */
     uv_timer_t             deliver;
     cw_quota_message_t    *own; /**< of this node to itself */
     size_t                 own_count;
--- a/src/router/router_quota_wire.c
+++ b/src/router/router_quota_wire.c
@@ -129,6 +129,7 @@
     ask.incarnation = message->ask.incarnation;
     ask.sequence = message->ask.sequence;
     ask.wanted = message->ask.wanted;
+    ask.refused = message->ask.refused;
     ask.usage = &usage;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_ASK;
     datagram.quota_ask = &ask;
@@ -202,9 +203,11 @@
 
 void cw_router_take_quota_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaAsk *ask)
 {
-    cw_quota_message_t message = {
-        .kind = CW_QUOTA_ASK,
-        .ask = {.incarnation = ask->incarnation, .sequence = ask->sequence, .wanted = ask->wanted}};
+    cw_quota_message_t message = {.kind = CW_QUOTA_ASK,
+                                  .ask = {.incarnation = ask->incarnation,
+                                          .sequence = ask->sequence,
+                                          .wanted = ask->wanted,
+                                          .refused = ask->refused}};
 
     if (ask->usage == NULL) {
         return; /* of a later version: without a reply, the node passes this one over */
--- a/src/tenancy/quota.h
+++ b/src/tenancy/quota.h
@@ -49,6 +49,7 @@
     uint64_t         incarnation; /**< of the asking node */
     uint32_t         sequence;    /**< rises with each ask of a tenant; a repeated ask has the same one */
     uint32_t         wanted;
+    uint32_t         refused; /**< requests that the node refused since its last ask, without asking */
     cw_quota_usage_t usage;
 } cw_quota_ask_t;
 
--- a/src/tenancy/quota_bucket.c
+++ b/src/tenancy/quota_bucket.c
@@ -274,7 +274,7 @@
     bucket->level -= record->granted;
     record->retry_after = 0;
     if (record->granted < ask->wanted) {
-        record->retry_after = spread(bucket, share, ask->wanted - record->granted, now);
+        record->retry_after = spread(bucket, share, ask->wanted - record->granted + ask->refused, now);
     }
     record->open = (now < record->open_until ? record->open : 0) + record->granted;
     record->open_until = now + CW_MS(TOKEN_LIFE_MS);
--- a/src/tenancy/quota_reports.c
+++ b/src/tenancy/quota_reports.c
@@ -14,7 +14,8 @@
     REPORTS_MOST = 2, /* without a reply; a datagram may be lost */
     SILENT_MS = 1000, /* a node that stopped is missed by all by then (CW_PEER_SILENCE_MS); */
     SILENT_DOUBLINGS = 3,
-    USAGES_MOST = 48 /* in one datagram of some 1,200 bytes */
+    DECLINED_MS = 300, /* one that has just started counts soon */
+    USAGES_MOST = 48   /* in one datagram of some 1,200 bytes */
 };
 
 static const double good_part = 0.125; /* of a bucket */
@@ -57,27 +58,34 @@
     }
 }
 
-void cw_quota_pass_over(cw_quota_share_t *share, uint32_t counter, cw_time_us_t now)
+static void pass_over(cw_quota_share_t *share, cw_quota_link_t *link, cw_time_us_t until, cw_time_us_t now)
 {
-    cw_quota_link_t   *link = cw_quota_link_to(share, counter);
     cw_quota_tenant_t *tenant;
     cw_quota_tenant_t *next;
 
-    link->silent_until = now + (CW_MS(SILENT_MS) << link->silences);
-    link->silences += link->silences < SILENT_DOUBLINGS ? 1 : 0;
+    link->silent_until = until;
     link->tries = 0;
     HASH_ITER(hh, share->tenants, tenant, next)
     {
-        if (tenant->counter == counter) {
+        if (tenant->counter == link->address) {
             serve_alone(share, tenant, now);
         }
     }
 }
 
+void cw_quota_pass_over(cw_quota_share_t *share, uint32_t counter, cw_time_us_t now)
+{
+    cw_quota_link_t *link = cw_quota_link_to(share, counter);
+    cw_time_us_t     silence = CW_MS(SILENT_MS) << link->silences;
+
+    link->silences += link->silences < SILENT_DOUBLINGS ? 1 : 0;
+    pass_over(share, link, now + silence, now);
+}
+
 void cw_quota_share_declined(cw_quota_share_t *share, uint32_t counter, cw_time_us_t now)
 {
     if (!cw_quota_share_is_silent(share, counter, now)) {
-        cw_quota_pass_over(share, counter, now);
+        pass_over(share, cw_quota_link_to(share, counter), now + CW_MS(DECLINED_MS), now);
     }
 }
 
--- a/src/tenancy/quota_share.c
+++ b/src/tenancy/quota_share.c
@@ -157,6 +157,7 @@
     cw_quota_ask_t ask = {.incarnation = share->incarnation,
                           .sequence = tenant->ask.sequence,
                           .wanted = tenant->ask.wanted,
+                          .refused = tenant->ask.refused,
                           .usage = cw_quota_usage_of(share, tenant, now)};
 
     tenant->ask.tries++;
@@ -177,6 +178,8 @@
     recent_per_s = cw_quota_recent_sum(share, &tenant->recent, now) * 1e6 / (double)share->settings.window;
     tenant->ask.sequence = ++tenant->last_sequence;
     tenant->ask.wanted = tenant->waiting + (uint32_t)(recent_per_s * ahead_s);
+    tenant->ask.refused = tenant->refused;
+    tenant->refused = 0;
     tenant->ask.tries = 0;
     send_ask(share, tenant, now);
 }
@@ -257,6 +260,7 @@
         return CW_QUOTA_ADMITTED;
     }
     if (now < tenant->refuse_until) {
+        tenant->refused++;
         *retry_after = come_back_after(share, tenant, now);
         return CW_QUOTA_REFUSED;
     }
--- a/src/tenancy/quota_share_internal.h
+++ b/src/tenancy/quota_share_internal.h
@@ -36,6 +36,7 @@
 typedef struct cw_quota_open_ask {
     uint32_t     sequence; /**< 0: none */
     uint32_t     wanted;
+    uint32_t     refused;
     uint32_t     tries;
     cw_time_us_t sent_at;
 } cw_quota_open_ask_t;
@@ -64,6 +65,7 @@
     cw_quota_open_ask_t ask;
     uint32_t            last_sequence;
     cw_time_us_t        came_at;
+    uint32_t            refused;      /**< since the last ask */
     cw_time_us_t        refuse_until; /**< no token is to be had till then */
     cw_time_us_t        come_back_at; /**< told to the last refused request */
     cw_quota_part_t     part;
