--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -40,6 +40,7 @@
     X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
     X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
     X(PLAN_WRITTEN, "plan written", NOTICE, 20)                                                                        \
+    X(LIMIT_MODE, "limit mode", NOTICE, 20)                                                                            \
     X(REQUEST_SERVED, "served", INFO, 200)                                                                             \
     X(REQUEST_RETRIED, "retried", NOTICE, 100)                                                                         \
     X(REQUEST_REFUSED, "refused", NOTICE, 100)                                                                         \
@@ -98,6 +99,8 @@
     X(SENT_ZONE, "sent_zone")                                                                                          \
     X(SENT_REGION, "sent_region")                                                                                      \
     X(SENT_REMOTE, "sent_remote")                                                                                      \
+    X(LIMIT_MODE, "limit_mode")                                                                                        \
+    X(LIMIT_AGE_MS, "limit_age_ms")                                                                                    \
     X(DETAIL, "detail")
 
 #define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -70,6 +70,9 @@
 /** What the nodes of a zone say to those of other zones, and hear from them, by relays. */
 typedef struct cw_router_relay cw_router_relay_t;
 
+/** Tenants' limits: this node's counting, and on whom it counts. */
+typedef struct cw_router_quota cw_router_quota_t;
+
 typedef struct cw_router {
     cw_router_settings_t settings;
     char                 file_name[256];
@@ -91,6 +94,7 @@
     cw_peer_link_t      *link;
     cw_router_slots_t   *slots;
     cw_router_relay_t   *relay;
+    cw_router_quota_t   *quota;
     cw_configuration_t  *configuration;
     cw_time_us_t         started_at;
     cw_time_us_t         stopping_at; /**< 0: not stopping */
@@ -289,6 +293,15 @@
 /** The same as one line of the log. */
 void cw_router_note_traffic(const cw_router_t *router);
 
+/* ---- router_quota.c, router_quota_wire.c ---- */
+void cw_router_quota_init(cw_router_t *router);
+void cw_router_quota_tick(cw_router_t *router, cw_time_us_t now);
+void cw_router_take_quota_report(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReport *report);
+void cw_router_take_quota_status(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaStatus *status);
+void cw_router_take_quota_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaAsk *ask);
+void cw_router_take_quota_grant(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaGrant *grant);
+void cw_router_take_quota_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReturn *returned);
+
 /* ---- router_take.c ---- */
 /** What this node goes by is of this term from now on, if it is a later one; it has nothing of it yet. */
 void cw_router_begin_term(cw_router_t *router, uint64_t term);
--- a/tests/test_product.c
+++ b/tests/test_product.c
@@ -11,6 +11,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "base/tenant_metrics.h"
 #include "config/router_settings.h"
 #include "loop_fixture.h"
 #include "peer/traffic_account.h"
@@ -267,6 +268,7 @@
     cw_metrics_reset();
     cw_histogram_add(CW_HISTOGRAM_TOTAL, "r", CW_MS(3));
     cw_metrics_append(&served_text);
+    cw_tenant_metrics_write(&served_text);
     cw_traffic_account_metrics(&account, &served_text);
     cw_bytes_append(&served_text, "", 1);
     text = served_text.data;
