engine: a 401 says which scheme is asked for

Cause: RFC 9110, 15.5.2: a 401 carries WWW-Authenticate; ours had none, so a caller with another scheme had to guess. Change: one field, made when the engine is created, in every 401 of its own. Tests: test_engine_callers, for a request that comes in and for one that waited. Runs: test_engine_callers, test_engine.

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -35,10 +35,7 @@
     engine->upstream = upstream;
     engine->nodes = 1;
     engine->gate = cw_tenant_gate_create();
-    engine->keys_trusted_until = CW_NEVER;
-    if (engine->settings.credential_scheme == NULL) {
-        engine->settings.credential_scheme = "Bearer";
-    }
+    cw_engine_init_callers(engine);
     uv_timer_init(loop, &engine->wake_timer);
     engine->wake_timer.data = engine;
     return engine;
--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -46,8 +46,9 @@
 void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
                       const cw_rejection_t *rejection)
 {
-    cw_http_outbound_t outbound = {.status = rejection->status, .retry_after_s = rejection->retry_after_s};
-    cw_event_t         event;
+    cw_http_outbound_t outbound = {
+        .status = rejection->status, .fields = rejection->fields, .retry_after_s = rejection->retry_after_s};
+    cw_event_t event;
 
     if (cw_event_begin(&event, CW_EVENT_REQUEST_REFUSED)) {
         cw_event_text(&event, CW_FIELD_REQUEST,
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -153,8 +153,9 @@
 
 void cw_request_refuse_revoked(cw_request_t *request)
 {
-    cw_http_outbound_t outbound = {.status = STATUS_UNAUTHORIZED, .retry_after_s = -1};
-    cw_event_t         event;
+    cw_http_outbound_t outbound = {
+        .status = STATUS_UNAUTHORIZED, .fields = &request->engine->challenge, .retry_after_s = -1};
+    cw_event_t event;
 
     cw_metric_add(CW_METRIC_REJECTED_REVOKED, 1);
     if (begin_note(&event, request, CW_EVENT_REQUEST_REFUSED, outbound.status)) {
--- a/src/proxy/engine_callers.c
+++ b/src/proxy/engine_callers.c
@@ -12,7 +12,7 @@
  *    with a time to come back: another node may know more.
  */
 #include <stdlib.h>
-#include <strings.h>
+#include <string.h>
 #include <utlist.h>
 
 #include "base/event_log.h"
@@ -25,6 +25,20 @@
  * follow within a second (configuration_freshness.h). */
 static const double retry_stale_s = 0.5;
 
+void cw_engine_init_callers(cw_engine_t *engine)
+{
+    static const char       name[] = "WWW-Authenticate";
+    cw_http_field_builder_t builder = {0};
+
+    engine->keys_trusted_until = CW_NEVER;
+    if (engine->settings.credential_scheme == NULL) {
+        engine->settings.credential_scheme = "Bearer";
+    }
+    cw_http_field_builder_name(&builder, &engine->challenge, name, strlen(name));
+    cw_http_field_builder_value(&builder, &engine->challenge, engine->settings.credential_scheme,
+                                strlen(engine->settings.credential_scheme));
+}
+
 void cw_engine_trust_keys(cw_engine_t *engine, cw_time_us_t until)
 {
     engine->keys_trusted_until = until;
@@ -64,6 +78,7 @@
     } else if (cw_caller_is_rejected(caller)) {
         rejection.status = STATUS_UNAUTHORIZED;
         rejection.reason = cw_caller_reason(caller->verdict);
+        rejection.fields = &engine->challenge;
         cw_metric_add(metric_of(caller->verdict), 1);
     } else {
         return true;
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -125,6 +125,7 @@
     cw_upstream_t       *upstream;
     cw_configuration_t  *configuration;
     cw_tenant_gate_t    *gate;
+    cw_http_fields_t     challenge;          /**< of a 401: the scheme that is asked for (RFC 9110, 15.5.2) */
     cw_time_us_t         keys_trusted_until; /**< callers' keys; CW_NEVER: as long as they stand */
     cw_route_state_t    *routes;
     cw_service_state_t  *services;
@@ -156,16 +157,19 @@
 /* ---- engine_admission.c ---- */
 /** An answer to what never became a request. */
 typedef struct cw_rejection {
-    int         status;
-    const char *reason;
-    const char *route;         /**< NULL: none */
-    const char *tenant;        /**< NULL: not known */
-    double      retry_after_s; /**< -1: none */
+    int                     status;
+    const char             *reason;
+    const char             *route;         /**< NULL: none */
+    const char             *tenant;        /**< NULL: not known */
+    double                  retry_after_s; /**< -1: none */
+    const cw_http_fields_t *fields;        /**< of the answer; NULL: none */
 } cw_rejection_t;
 void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
                       const cw_rejection_t *rejection);
 
 /* ---- engine_callers.c ---- */
+/** Once, when the engine is created. */
+void cw_engine_init_callers(cw_engine_t *engine);
 /** False: the caller was rejected, and is answered. */
 bool cw_engine_admit_caller(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
                             const cw_route_t *route, cw_caller_t *caller);
--- a/tests/test_engine_callers.c
+++ b/tests/test_engine_callers.c
@@ -21,6 +21,7 @@
     bool   answered;
     int    status;
     double retry_after_s;
+    bool   is_challenged; /* told the scheme */
     char   body[32];
 } fake_call_t;
 
@@ -232,7 +233,10 @@
     fake_call_t *call = context;
     const char  *retry_after = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, "retry-after");
 
+    const char *challenge = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, "www-authenticate");
+
     call->answered = true;
+    call->is_challenged = challenge != NULL && strcmp(challenge, "Token") == 0;
     call->status = answer->status;
     call->retry_after_s = retry_after == NULL ? -1 : atof(retry_after);
     snprintf(call->body, sizeof(call->body), "%.*s", (int)answer->body_length,
@@ -365,6 +369,7 @@
     init(&world);
     use_keys(&world);
     ck_assert_int_eq(status_of(&world, "/safe/x", ""), 401);
+    ck_assert(world.calls[0].is_challenged);
     ck_assert_int_eq(status_of(&world, "/once/x", "Authorization: Token unknown\r\n"), 401);
     ck_assert_int_eq(status_of(&world, "/safe/x", "Authorization: Bearer sesame\r\n"), 401);
     ck_assert_int_eq(status_of(&world, "/safe/x", "Authorization: Token\r\n"), 401);
@@ -490,6 +495,7 @@
     use_without_reds_key(&world, 2);
     cw_test_run_until_set(&world.loop, &world.calls[1].answered);
     ck_assert_int_eq(world.calls[1].status, 401);
+    ck_assert(world.calls[1].is_challenged);
     ck_assert(!world.calls[0].answered);
     answer(&world, 200, NULL);
     cw_test_run_until_set(&world.loop, &world.calls[0].answered);
