--- a/src/net/http_listener_answer.c
+++ b/src/net/http_listener_answer.c
@@ -176,7 +176,8 @@
     uv_buf_t buffers[] = {uv_buf_init(exchange->answer_head.data, (unsigned)exchange->answer_head.length),
                           uv_buf_init(exchange->answer_body.data, (unsigned)exchange->answer_body.length)};
     size_t   whole = buffers[0].len + buffers[1].len;
-    int      tried = uv_try_write((uv_stream_t *)&connection->tcp, buffers, buffers[1].len > 0 ? 2 : 1);
+    unsigned count = buffers[1].len > 0 ? 2 : 1;
+    int      tried = uv_try_write((uv_stream_t *)&connection->tcp, buffers, count);
     size_t   sent = tried > 0 ? (size_t)tried : 0;
 
     if (sent == whole) {
@@ -185,7 +186,7 @@
     skip(&buffers[0], &sent);
     skip(&buffers[1], &sent);
     connection->write.data = connection;
-    if (uv_write(&connection->write, (uv_stream_t *)&connection->tcp, buffers, 2, on_written) != 0) {
+    if (uv_write(&connection->write, (uv_stream_t *)&connection->tcp, buffers, count, on_written) != 0) {
         cw_listener_close_connection(connection);
         return false;
     }
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -204,25 +204,36 @@
     }
 }
 
+static void skip(uv_buf_t *buffer, size_t *sent)
+{
+    size_t part = *sent < buffer->len ? *sent : buffer->len;
+
+    buffer->base += part;
+    buffer->len -= part;
+    *sent -= part;
+}
+
 /* Runs from the loop: failures may call back. */
 static void send_request(cw_upstream_connection_t *connection)
 {
     cw_upstream_call_t *call = connection->call;
-    uv_buf_t            buffer = uv_buf_init(call->bytes, (unsigned)call->length);
-    int                 sent;
+    uv_buf_t            buffers[] = {uv_buf_init(call->bytes, (unsigned)call->length),
+                                     uv_buf_init((char *)call->tail, (unsigned)call->tail_length)};
+    unsigned            count = call->tail_length > 0 ? 2 : 1;
+    int                 tried;
+    size_t              sent;
 
     call->sent = true;
-    sent = uv_try_write((uv_stream_t *)&connection->tcp, &buffer, 1);
-    if (sent == (int)call->length) {
+    tried = uv_try_write((uv_stream_t *)&connection->tcp, buffers, count);
+    sent = tried > 0 ? (size_t)tried : 0;
+    if (sent == call->length + call->tail_length) {
         return;
     }
-    if (sent > 0) {
-        buffer.base += sent;
-        buffer.len -= (size_t)sent;
-    }
+    skip(&buffers[0], &sent);
+    skip(&buffers[1], &sent);
     connection->writing = true;
     connection->write.data = connection;
-    if (uv_write(&connection->write, (uv_stream_t *)&connection->tcp, &buffer, 1, on_written) != 0) {
+    if (uv_write(&connection->write, (uv_stream_t *)&connection->tcp, buffers, count, on_written) != 0) {
         connection->writing = false;
         arm(connection, now_us(connection->target->upstream)); /* fails from the loop */
     }
@@ -336,6 +347,8 @@
     }
     memcpy(call->bytes, request->bytes, request->length);
     call->length = request->length;
+    call->tail = request->body;
+    call->tail_length = request->body_length;
     call->answered = answered;
     call->context = context;
     call->is_head = request->is_head;
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -5,7 +5,8 @@
  *
  * An answer is whole only when its own framing says so: a length that was met, chunks up to the last one, or, with
  * neither, the orderly end of the connection (a reset is no end). A connection is used again only after a whole answer
- * with nothing behind it, to a request that had left whole.
+ * with nothing behind it, to a request that had left whole: a server may answer before it has read a long body, and
+ * what it reads later in that body's place must be that body.
  */
 #ifndef CEDARWINCH_NET_HTTP_UPSTREAM_H
 #define CEDARWINCH_NET_HTTP_UPSTREAM_H
@@ -28,8 +29,11 @@
 } cw_upstream_result_t;
 
 typedef struct cw_upstream_request {
-    const char  *bytes; /**< head and body as they go out; copied */
-    size_t       length;
+    const char *bytes; /**< head and body as they go out; copied */
+    size_t      length;
+    const char *body; /**< what goes out behind these bytes; not copied: it stays the caller's until the call has ended
+                       * or is abandoned. NULL: nothing */
+    size_t       body_length;
     bool         is_head;
     bool         fresh;           /**< on a connection of its own */
     cw_time_us_t connect_timeout; /**< a connection that is not up by then is given up, with nothing sent */
--- a/src/net/http_upstream_internal.h
+++ b/src/net/http_upstream_internal.h
@@ -36,6 +36,8 @@
     void                     *context;
     char                     *bytes;
     size_t                    length;
+    const char               *tail; /* the request's body, where it is not among the bytes; the caller's */
+    size_t                    tail_length;
     size_t                    answer_max;
     cw_time_us_t              due_us; /* 0: none */
     cw_time_us_t              progress_us;
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -36,6 +36,7 @@
            strcmp(request->method, "PATCH") == 0;
 }
 
+/* All but the body. */
 static void write_request(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now, cw_bytes_t *out)
 {
     const cw_header_names_t *names = &request->engine->settings.names;
@@ -62,9 +63,6 @@
     cw_bytes_append_format(out, "%s: %lld\r\n%s: %s\r\n\r\n", names->deadline,
                            (long long)((request->deadline - now) / 1000 > 0 ? (request->deadline - now) / 1000 : 1),
                            names->target, server->id);
-    if (request->body_length > 0) {
-        cw_bytes_append(out, request->body, request->body_length);
-    }
 }
 
 /* ---- sending ---- */
@@ -105,6 +103,8 @@
     write_request(request, server, now, &bytes);
     sending.bytes = bytes.data;
     sending.length = bytes.length;
+    sending.body = request->body; /* sent from where it was read: one copy in memory, for all repeats */
+    sending.body_length = request->body_length;
     request->server = server;
     request->sent_at = now;
     if (request->first_sent_at == 0) {
