--- a/tests/test_http_upload.c
+++ b/tests/test_http_upload.c
@@ -273,7 +273,8 @@
     send_body(first, "/1", 40000);
     cw_world_await_requests(&world, 1);
     memset(piece, 'x', sizeof(piece));
-    memcpy(piece, "7530\r\n", 6); /* 30000 */
+    (void)snprintf(piece, sizeof(piece), "7530\r\n"); /* 30000 */
+    piece[6] = 'x';
     cw_world_send_text(second, "POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
     cw_world_send(second, piece, sizeof(piece));
     cw_world_pass(&world, WAIT_MS);
