regions: requests that any server will do for leave their region when waiting costs more than crossing

Cause: another zone cost the same whether it lay in the region or beyond its border; with all near slots taken a request went to whichever zone had one. Zones of one region: as before.

--- a/fuzz/fuzz_peer.c
+++ b/fuzz/fuzz_peer.c
@@ -38,6 +38,17 @@
     cwp__datagram__free_unpacked(datagram, NULL);
 }
 
+/* What an input leaves unanswered for too long is answered: the fixture keeps a bounded number. */
+static void answer_what_waits(node_fixture_t *node)
+{
+    if (node->order_count > NODE_FIXTURE_ORDERS_MAX / 2) {
+        node_fixture_answer_orders(node, CW_ORDER_UNANSWERED);
+    }
+    if (node->call_count > NODE_FIXTURE_CALLS_MAX / 2) {
+        node_fixture_answer_store(node);
+    }
+}
+
 static void step(node_fixture_t *node, uint8_t kind, uint8_t amount)
 {
     switch (kind % STEP_KINDS) {
@@ -66,6 +77,7 @@
         free(cw_router_status(&node->router));
         break;
     }
+    answer_what_waits(node);
 }
 
 static void take_steps(node_fixture_t *node, const uint8_t *data, size_t size)
--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -79,6 +79,9 @@
     if (strcmp(server->zone, pool->zone) != 0) {
         value += settings->zone_penalty;
     }
+    if (server->distance == CW_DISTANCE_REMOTE) {
+        value += settings->remote_penalty;
+    }
     if (server->avoid_until > now) {
         value += 1000;
     }
@@ -123,7 +126,8 @@
 static bool is_candidate(const cw_server_t *server, const char *service, const cw_choice_settings_t *settings)
 {
     return server->listed && !server->draining && !server->ended && !server->zone_is_out &&
-           strcmp(server->service, service) == 0 && cw_server_region_allows(server, &settings->regions);
+           strcmp(server->service, service) == 0 && cw_server_region_allows(server, &settings->regions) &&
+           !(settings->stays_in_region && server->distance == CW_DISTANCE_REMOTE);
 }
 
 static fitness_t fitness(const cw_server_t *server, const cw_server_t *except, cw_time_us_t now)
@@ -183,6 +187,13 @@
     return best[level];
 }
 
+/* Does it add to a service's speed? */
+static bool is_serving(const cw_server_t *server, const char *service, cw_time_us_t now)
+{
+    return server->listed && !server->draining && !server->ended && server->avoid_until <= now &&
+           !server->zone_is_out && !cw_server_is_rate_bounded(server, now) && strcmp(server->service, service) == 0;
+}
+
 double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now)
 {
     cw_server_t *server;
@@ -191,8 +202,24 @@
 
     HASH_ITER(by_id, pool->by_id, server, next)
     {
-        if (server->listed && !server->draining && !server->ended && server->avoid_until <= now &&
-            !server->zone_is_out && !cw_server_is_rate_bounded(server, now) && strcmp(server->service, service) == 0) {
+        if (is_serving(server, service, now)) {
+            speed += server->capacity / present_pace(server, now);
+        }
+    }
+    return speed;
+}
+
+double cw_server_pool_speed_near(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                                 cw_time_us_t now)
+{
+    cw_server_t *server;
+    cw_server_t *next;
+    double       speed = 0;
+
+    HASH_ITER(by_id, pool->by_id, server, next)
+    {
+        if (server->distance != CW_DISTANCE_REMOTE && is_serving(server, service, now) &&
+            cw_server_region_allows(server, rule)) {
             speed += server->capacity / present_pace(server, now);
         }
     }
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -196,6 +196,11 @@
     return "";
 }
 
+bool cw_server_pool_has_regions(const cw_server_pool_t *pool)
+{
+    return pool->region_table.count > 1;
+}
+
 uint32_t cw_server_pool_region_mask(const cw_server_pool_t *pool, const cw_region_rule_t *rule)
 {
     return cw_region_mask(&pool->region_table, rule->route, rule->tenant);
@@ -213,6 +218,7 @@
     server->address = strdup(entry->address);
     server->zone = strdup(entry->zone);
     server->region = strdup(region_of(pool, entry->zone));
+    server->distance = cw_zone_distance(pool->regions, pool->region_count, pool->zone, entry->zone);
     server->region_bit = cw_region_bit(&pool->region_table, server->region);
     server->hash = (uint32_t)XXH3_64bits(entry->id, strlen(entry->id));
     server->service_hash = (uint32_t)XXH3_64bits(entry->service, strlen(entry->service));
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -30,6 +30,7 @@
     char           *address;
     char           *zone;
     char           *region;       /**< in which the zone lies; empty: not known */
+    cw_distance_t   distance;     /**< of its zone from this node's */
     uint32_t        region_bit;   /**< of that region (region_mask.h); 0: none */
     double          affinity;     /**< 0 to 1, another for each node: the order in which equal servers are tried */
     uint32_t        hash;         /**< short name of the id between nodes */
@@ -121,6 +122,8 @@
 uint32_t cw_server_pool_region_mask(const cw_server_pool_t *pool, const cw_region_rule_t *rule);
 /** Has the service a listed server to which a request under this rule may go? */
 bool cw_server_pool_serves(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule);
+/** Do the settings know more than one region? */
+bool cw_server_pool_has_regions(const cw_server_pool_t *pool);
 /** This node's zone. */
 const char *cw_server_pool_zone(const cw_server_pool_t *pool);
 /** All servers, by the by_id handle. */
@@ -163,9 +166,11 @@
 void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t life, cw_time_us_t now);
 
 typedef struct cw_choice_settings {
-    double zone_penalty; /**< what another zone costs, as a share of a usual request's time */
-    double affinity;     /**< weight of this node's own order of servers; more where others' loads are known late */
-    double extra_slots;  /**< requests a server may have beyond its capacity */
+    double zone_penalty;    /**< what another zone costs, as a share of a usual request's time */
+    double remote_penalty;  /**< what another region costs besides, in the same unit */
+    bool   stays_in_region; /**< servers of other regions are not taken */
+    double affinity;        /**< weight of this node's own order of servers; more where others' loads are known late */
+    double extra_slots;     /**< requests a server may have beyond its capacity */
     cw_region_rule_t regions;
 } cw_choice_settings_t;
 
@@ -175,6 +180,9 @@
 bool         cw_server_has_slot(const cw_server_t *server, double extra_slots, cw_time_us_t now);
 /** Slots of a service that can be used, in units of a server of usual pace. */
 double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now);
+/** The same for servers of this node's region to which a request under this rule may go. */
+double cw_server_pool_speed_near(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                                 cw_time_us_t now);
 /** Requests under way at a service's servers. */
 uint32_t cw_server_pool_under_way(cw_server_pool_t *pool, const char *service);
 
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -26,6 +26,9 @@
     STOP_GRACE_MS = 6000,
     LINK_MBPS = 1000,
     LINK_MBPS_MAX = 1000000,
+    REMOTE_BYTE_COST_MS_PER_MB = 30000, /* a body of 60 KB waits 1.8 s, longer than usual objectives: it stays in its
+                                         * region while there is a slot in time; a kilobyte waits 30 ms, about as long
+                                         * as the way itself takes: it crosses as soon as a queue forms */
     RETRY_WINDOW_MS = 10000,
     RETRY_EXTRA = 20
 };
@@ -51,6 +54,7 @@
     settings->configuration_within = CW_MS(CONFIGURATION_MS);
     settings->stop_grace = CW_MS(STOP_GRACE_MS);
     settings->link_mbps = LINK_MBPS;
+    settings->remote_byte_cost = REMOTE_BYTE_COST_MS_PER_MB;
     settings->cpu_share = 1;
     settings->retry_window = CW_MS(RETRY_WINDOW_MS);
     settings->retry_ratio = 0.1;
@@ -215,6 +219,8 @@
     limit_holds(settings, read_ms(mapping, "hold_max_ms", 1000, 600000, CW_MS(HOLD_MAX_MS)));
     settings->stop_grace = read_ms(mapping, "stop_grace_ms", 1000, 600000, settings->stop_grace);
     settings->link_mbps = (uint32_t)cw_yaml_real(mapping, "link_mbps", 1, LINK_MBPS_MAX, settings->link_mbps);
+    settings->remote_byte_cost =
+        cw_yaml_real(mapping, "remote_byte_cost_ms_per_mb", 0, 1e9, settings->remote_byte_cost);
     settings->cpu_share = cw_yaml_real(mapping, "cpu_share", 0.001, 1024, settings->cpu_share);
     settings->retry_window = read_ms(mapping, "retry_window_ms", 1000, 600000, settings->retry_window);
     settings->retry_ratio = cw_yaml_real(mapping, "retry_ratio", 0, 1, settings->retry_ratio);
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -46,8 +46,9 @@
     cw_time_us_t     zone_out_within;      /**< a zone out of service gets no request later than this; 0: none is */
     cw_time_us_t     heartbeat;            /**< servers write their entries of the list this often */
     cw_time_us_t     stop_grace;
-    uint32_t         link_mbps; /**< bandwidth of this node's link */
-    double           cpu_share; /**< of a core, that this node may use */
+    double           remote_byte_cost; /**< milliseconds of waiting that a megabyte across a region's border is worth */
+    uint32_t         link_mbps;        /**< bandwidth of this node's link */
+    double           cpu_share;        /**< of a core, that this node may use */
     cw_time_us_t     retry_window;
     double           retry_ratio;
     double           retry_extra;
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -20,6 +20,7 @@
 
 #include <uv.h>
 
+#include "balance/crossing_cost.h"
 #include "balance/server_pool.h"
 #include "balance/slot_broker.h"
 #include "model/configuration.h"
@@ -44,6 +45,7 @@
     cw_header_names_t        names;
     cw_server_load_decoder_t decode_load; /**< of the header `load`; NULL: it is not read */
     cw_choice_settings_t     choice;
+    cw_crossing_settings_t   crossing; /**< of a region's border */
     cw_budget_settings_t     budget;
     double                   keyed_extra_slots; /**< requests an owner of keys may have beyond its slots */
     cw_time_us_t             connect_timeout;
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -353,6 +353,7 @@
     }
     request->claim.end = CW_SLOT_ANSWERED;
     learn(request, server, now);
+    cw_request_note_answer_bytes(request, answer->body_length);
     cw_histogram_add(CW_HISTOGRAM_SERVER, request->route->name, now - request->sent_at);
     if (answer->status == STATUS_SERVER_ERROR && request->route->repeatable && may_repeat(request, now)) {
         leave_server(request);
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -11,6 +11,7 @@
 #include <uthash.h>
 
 #include "proxy/engine.h"
+#include "proxy/slot_stages.h"
 #include "tenancy/caller_identity.h"
 #include "tenancy/request_rank.h"
 #include "tenancy/tenant_gate.h"
@@ -20,8 +21,9 @@
 /** What outlives configurations: a route's usual time and its split's balance. */
 typedef struct cw_route_state {
     char          *name;
-    cw_time_us_t   usual; /**< moving mean of whole answers' times at servers of usual pace */
-    double        *owed;  /**< for each part of the split: what it is behind its share */
+    cw_time_us_t   usual;        /**< moving mean of whole answers' times at servers of usual pace */
+    double         answer_bytes; /**< moving mean of whole answers' bodies */
+    double        *owed;         /**< for each part of the split: what it is behind its share */
     size_t         owed_count;
     UT_hash_handle hh;
 } cw_route_state_t;
@@ -40,7 +42,8 @@
     cw_claim_state_t state;
     uint32_t         ticket;
     uint32_t         broker;
-    uint32_t         stage;      /**< zones asked before */
+    uint32_t         stage;      /**< asks for it before (slot_stages.h) */
+    cw_time_us_t     wait;       /**< told with the ask */
     uint32_t         asks;       /**< sent for this ticket */
     cw_time_us_t     due;        /**< a reply should have come by then */
     cw_time_us_t     free_after; /**< as it was refused last; 0: not told */
@@ -197,6 +200,16 @@
 cw_server_t *cw_request_owner(const cw_request_t *request);
 void         cw_request_arm(cw_request_t *request);
 
+/** Requests before it in its service's queue. */
+uint32_t cw_request_ahead(const cw_request_t *request);
+
+/* ---- engine_regions.c ---- */
+/** Waiting that it is worth not to send the request and its answer across a region's border. */
+cw_time_us_t cw_request_crossing_cost(const cw_request_t *request);
+void         cw_request_note_answer_bytes(cw_request_t *request, size_t bytes);
+/** Is it to wait for a server of this region though others may be free? */
+bool cw_request_stays_in_region(const cw_request_t *request, cw_time_us_t now);
+
 /* ---- engine_slots.c ---- */
 /** Asks for a slot at the owner of its key, or (NULL) at any server. False: to be placed without. */
 bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now);
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -93,7 +93,7 @@
     }
 }
 
-static uint32_t ahead_in_queue(const cw_request_t *request)
+uint32_t cw_request_ahead(const cw_request_t *request)
 {
     const cw_request_t *other;
     uint32_t            ahead = 0;
@@ -135,7 +135,7 @@
     if (speed <= 0) {
         return CW_NEVER;
     }
-    waiting = ahead_in_queue(request) + 1 + request->service->queued_elsewhere;
+    waiting = cw_request_ahead(request) + 1 + request->service->queued_elsewhere;
     return now + request->route_state->usual + (cw_time_us_t)(waiting * (double)request->route_state->usual / speed);
 }
 
@@ -172,7 +172,6 @@
     cw_server_t         *server;
     bool                 full;
 
-    choice.regions = request->regions;
     if (request->not_before > now) {
         return PAUSED;
     }
@@ -182,6 +181,9 @@
     if (cw_request_ask_slot(request, NULL, now)) {
         return ASKED;
     }
+    choice.regions = request->regions;
+    choice.stays_in_region = cw_request_stays_in_region(request, now);
+    choice.remote_penalty = (double)cw_request_crossing_cost(request) / (double)(request->route_state->usual + 1);
     server = cw_server_pool_choose(
         request->engine->pool, request->service->name, &choice,
         request->avoid[0] == '\0' ? NULL : cw_server_pool_find(request->engine->pool, request->avoid), now, &full);
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -2,10 +2,9 @@
  * @file engine_slots.c
  * @brief A request's claim to a slot of a server: asked for at the nodes that count them, held, given back.
  *
- * For a key the node of its owner's zone is asked. For any server, this zone's node first, which may let the request
- * wait for a moment; then those of the other zones, for a slot that is free now; at last this zone's once more, for as
- * long as an answer could still be in time. A node that does not reply is asked once more, and then not for a while:
- * meanwhile the engine chooses servers by itself.
+ * For a key the node of its owner's zone is asked. For any server, zones are asked in the order of slot_stages.h. A
+ * node that does not reply is asked once more, and then not for a while: meanwhile the engine chooses servers by
+ * itself.
  */
 #include <string.h>
 
@@ -13,11 +12,10 @@
 #include "proxy/engine_internal.h"
 
 enum {
-    REPLY_MS = 20,        /* two ways between zones, and a busy node's turn */
-    ASKS_MOST = 2,        /* a datagram may be lost */
-    SILENT_MS = 300,      /* a node that stopped is missed by all within a second (CW_PEER_SILENCE_MS) */
-    QUEUED_SLACK_MS = 60, /* after the objective: the broker has refused by then */
-    ZONES_MOST = 10
+    REPLY_MS = 20,       /* two ways between zones, and a busy node's turn */
+    ASKS_MOST = 2,       /* a datagram may be lost */
+    SILENT_MS = 300,     /* a node that stopped is missed by all within a second (CW_PEER_SILENCE_MS) */
+    QUEUED_SLACK_MS = 60 /* after the objective: the broker has refused by then */
 };
 
 /* Part of a usual request's time that is waited for a slot in this zone before others are asked: a server there costs
@@ -60,16 +58,15 @@
 }
 
 /* Zones in which the service has servers, this node's first. */
-static size_t zones_of(const cw_request_t *request, const char **zones)
+static size_t zones_of(const cw_request_t *request, cw_slot_zone_t *zones)
 {
     cw_server_pool_t *pool = request->engine->pool;
-    const char       *own = cw_server_pool_zone(pool);
     size_t            count = 1;
     bool              has_own = false;
     cw_server_t      *server;
     cw_server_t      *next;
 
-    zones[0] = own;
+    zones[0] = (cw_slot_zone_t){cw_server_pool_zone(pool), CW_DISTANCE_ZONE};
     HASH_ITER(by_id, cw_server_pool_all(pool), server, next)
     {
         size_t known = 0;
@@ -78,12 +75,12 @@
             !cw_server_region_allows(server, &request->regions)) {
             continue;
         }
-        while (known < count && strcmp(zones[known], server->zone) != 0) {
+        while (known < count && strcmp(zones[known].name, server->zone) != 0) {
             known++;
         }
         has_own = has_own || known == 0;
-        if (known == count && count < ZONES_MOST) {
-            zones[count++] = server->zone;
+        if (known == count && count < CW_SLOT_ZONES_MAX) {
+            zones[count++] = (cw_slot_zone_t){server->zone, server->distance};
         }
     }
     if (!has_own) {
@@ -94,7 +91,7 @@
 
 /* ---- asking ---- */
 
-static void send_ask(cw_request_t *request, const cw_server_t *owner, cw_time_us_t wait_most, cw_time_us_t now)
+static void send_ask(cw_request_t *request, const cw_server_t *owner, cw_time_us_t wait, cw_time_us_t now)
 {
     cw_engine_t       *engine = request->engine;
     const cw_server_t *failed =
@@ -107,12 +104,13 @@
                          .priority = request->rank,
                          .objective = left > 0 ? left : 0,
                          .lease = request->deadline - now,
-                         .wait_most = wait_most};
+                         .wait_most = wait};
 
     if (request->attempts > 0) { /* it has been at a server: late is better than nothing */
         ask.objective = request->deadline - now;
     }
     request->claim.asks++;
+    request->claim.wait = wait;
     request->claim.due = now + CW_MS(REPLY_MS);
     engine->slots.ask(engine->slots.context, request->claim.broker, &ask);
 }
@@ -144,28 +142,22 @@
     return address != 0 && !is_silent(engine, address, now) ? address : 0;
 }
 
-static cw_time_us_t wait_most(const cw_request_t *request, size_t zones)
-{
-    if (request->claim.stage >= zones) {
-        return request->deadline; /* its objective is the bound */
-    }
-    return request->claim.stage == 0 && zones > 1 ? (cw_time_us_t)((double)request->route_state->usual * wait_near)
-           : zones == 1                           ? request->deadline
-                                                  : 0;
-}
-
 /* Asks at the present stage, or the next at which there is a broker; false: there is none. */
 static bool ask_any(cw_request_t *request, cw_time_us_t now)
 {
-    const char *zones[ZONES_MOST];
-    size_t      count = zones_of(request, zones);
+    cw_slot_zone_t  zones[CW_SLOT_ZONES_MAX];
+    cw_slot_stage_t stages[CW_SLOT_STAGES_MAX];
+    cw_slot_waits_t waits = {.near = (cw_time_us_t)((double)request->route_state->usual * wait_near),
+                             .crossing = cw_request_crossing_cost(request),
+                             .longest = request->deadline}; /* its objective is the bound */
+    size_t          count = cw_slot_stages_make(zones, zones_of(request, zones), &waits, stages);
 
-    for (; count > 0 && request->claim.stage <= count; request->claim.stage++) {
-        uint32_t broker = broker_of(request, zones[request->claim.stage % count], now);
+    for (; request->claim.stage < count; request->claim.stage++) {
+        uint32_t broker = broker_of(request, stages[request->claim.stage].zone, now);
 
         if (broker != 0) {
             begin_claim(request, broker);
-            send_ask(request, NULL, wait_most(request, count), now);
+            send_ask(request, NULL, stages[request->claim.stage].wait, now);
             return true;
         }
     }
@@ -206,7 +198,7 @@
 
     if (request->claim.state == CW_CLAIM_ASKED && request->claim.asks < ASKS_MOST &&
         (!request->is_keyed || owner != NULL)) {
-        send_ask(request, owner, wait_most(request, ZONES_MOST), now);
+        send_ask(request, owner, request->claim.wait, now);
         cw_request_arm(request);
         return;
     }
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -26,6 +26,7 @@
     CONNECT_MS = 150,
     UNACKNOWLEDGED_MS = 900,
     IDLE_MS = 5000,
+    REMOTE_WAY_MS = 16, /* to a neighbouring region and back, some 1,000 km of fibre each way and equipment */
     ANSWER_MAX = 16 * 1024 * 1024,
     QUEUE_MAX = 1000,
     STATUS_OK = 200,
@@ -320,20 +321,22 @@
 
 static cw_engine_settings_t engine_settings(const cw_router_t *router)
 {
-    cw_engine_settings_t settings = {.names = *router->adapter->header_names,
-                                     .decode_load = router->adapter->decode_load,
-                                     .choice = {.zone_penalty = 0.7, .extra_slots = 0},
-                                     .budget = {.ratio = router->settings.retry_ratio,
-                                                .extra = router->settings.retry_extra,
-                                                .window = router->settings.retry_window,
-                                                .share = 0.75},
-                                     .keyed_extra_slots = 2,
-                                     .connect_timeout = CW_MS(CONNECT_MS),
-                                     .silence_factor = 4,
-                                     .margin = CW_MS(15),
-                                     .credential_scheme = router->settings.credential_scheme,
-                                     .answer_max = ANSWER_MAX,
-                                     .queue_max = QUEUE_MAX};
+    cw_engine_settings_t settings = {
+        .names = *router->adapter->header_names,
+        .decode_load = router->adapter->decode_load,
+        .choice = {.zone_penalty = 0.7, .extra_slots = 0},
+        .crossing = {.ms_per_mb = router->settings.remote_byte_cost, .way = CW_MS(REMOTE_WAY_MS)},
+        .budget = {.ratio = router->settings.retry_ratio,
+                   .extra = router->settings.retry_extra,
+                   .window = router->settings.retry_window,
+                   .share = 0.75},
+        .keyed_extra_slots = 2,
+        .connect_timeout = CW_MS(CONNECT_MS),
+        .silence_factor = 4,
+        .margin = CW_MS(15),
+        .credential_scheme = router->settings.credential_scheme,
+        .answer_max = ANSWER_MAX,
+        .queue_max = QUEUE_MAX};
 
     return settings;
 }
