tests: leaving a region, in the engine: large bodies wait, short requests cross, lost and cut off regions

Seen to fail: without the rule on staying, the upload goes to the far server and the test does not end.

--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -279,7 +279,14 @@
     cw_peer_link_close(node->router.link);
     cw_http_listener_close(node->router.callers);
     uv_run(&node->router.loop, UV_RUN_NOWAIT);
-    free(node);
+    cw_server_pool_free(node->router.pool);
+    cw_server_view_clear(&node->router.server_view);
+    cw_server_list_release(node->router.servers_partial);
+    cw_key_tables_clear(&node->router.tables);
+    cw_key_tables_clear(&node->router.tables_partial);
+    cw_order_trust_free(node->router.order_trust);
+    cw_configuration_release(node->router.configuration);
+    free(node); /* a process frees nothing of this; the engine and what keeps timers stays */
 }
 
 void node_fixture_tick(node_fixture_t *node, int64_t passed_ms)
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -191,6 +191,9 @@
 /* The region of each server's zone: s0 lies in the near one. */
 static const cw_zone_region_t regions[] = {{"z1", "near"}, {"z2", "far"}};
 
+/* What a megabyte across their border is worth; the tests that set it set it back. */
+static double crossing_ms_per_mb;
+
 static void init_with_silence(world_t *world, double silence_factor)
 {
     cw_engine_settings_t       settings = {.names = {.request_id = "id",
@@ -201,6 +204,7 @@
                                                      .signature = "signature",
                                                      .instance = "instance"},
                                            .choice = {.zone_penalty = 0.5},
+                                           .crossing = {.ms_per_mb = crossing_ms_per_mb},
                                            .budget = {.ratio = 0.2, .extra = 50, .window = CW_SECONDS(10), .share = 1},
                                            .keyed_extra_slots = 0,
                                            .connect_timeout = CW_SECONDS(5),
@@ -292,6 +296,107 @@
 }
 END_TEST
 
+/* ---- leaving the region ---- */
+
+enum { BODY_BYTES = 60000 };
+
+static cw_upstream_call_t *upload(world_t *world, const char *path)
+{
+    static char           text[BODY_BYTES + 512];
+    cw_upstream_request_t request = {.connect_timeout = CW_SECONDS(5), .answer_max = 100000, .bytes = text};
+    int                   head = snprintf(text, 512,
+                                          "POST %s HTTP/1.1\r\nHost: a.example\r\nid: r2\r\ndeadline: 15000\r\n"
+                                                            "Content-Length: %d\r\n\r\n",
+                                          path, BODY_BYTES);
+
+    memset(text + head, 'x', BODY_BYTES);
+    request.length = (size_t)head + BODY_BYTES;
+    world->answered = false;
+    return cw_upstream_call(world->front_target, &request, on_answered, world);
+}
+
+/* The near server has a request; the far one has none. Usual times are a third of 10 s, so its slot comes in 3.3 s. */
+static void begin_with_near_server_taken(world_t *world)
+{
+    crossing_ms_per_mb = 100000; /* 6 s for the body, 80 ms for what has none */
+    init(world);
+    crossing_ms_per_mb = 0;
+    world->servers[1].status = 200;
+    (void)ask(world, "GET", "/safe/x", "15000");
+    cw_test_run_until_set(&world->loop, &world->servers[0].has_request);
+    ck_assert_uint_eq(world->servers[1].requests, 0);
+}
+
+START_TEST(a_large_body_waits_for_a_server_of_its_region)
+{
+    world_t world;
+
+    begin_with_near_server_taken(&world);
+    (void)upload(&world, "/once/x");
+    while (cw_engine_queued(world.engine) == 0) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    cw_test_run_some(&world.loop, 20);
+    ck_assert_uint_eq(world.servers[1].requests, 0);
+    world.answered = false;
+    server_answer(&world.servers[0], 200, "s0");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    world.servers[0].status = 200;
+    while (world.servers[0].requests < 2) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    ck_assert_uint_eq(world.servers[1].requests, 0);
+}
+END_TEST
+
+START_TEST(a_short_request_crosses_rather_than_wait)
+{
+    world_t world;
+
+    begin_with_near_server_taken(&world);
+    (void)ask(&world, "GET", "/safe/y", "15000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s1");
+}
+END_TEST
+
+START_TEST(a_large_body_crosses_when_its_region_has_lost_its_servers)
+{
+    world_t world;
+
+    begin_with_near_server_taken(&world);
+    cw_server_pool_fault(cw_server_pool_find(world.pool, "s0"), cw_engine_now(world.engine));
+    cw_server_pool_fault(cw_server_pool_find(world.pool, "s0"), cw_engine_now(world.engine));
+    (void)upload(&world, "/once/x");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s1");
+}
+END_TEST
+
+START_TEST(a_request_comes_back_from_a_region_that_is_cut_off)
+{
+    world_t world;
+
+    begin_with_near_server_taken(&world);
+    cw_http_listener_close(world.servers[1].listener); /* connections there are refused */
+    cw_test_run_some(&world.loop, 5);
+    (void)ask(&world, "GET", "/safe/y", "15000");
+    while (cw_server_pool_find(world.pool, "s1")->faults == 0) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    world.servers[0].status = 200;
+    server_answer(&world.servers[0], 200, "s0");
+    while (world.servers[0].requests < 2) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_uint_eq(world.servers[1].requests, 0);
+}
+END_TEST
+
 /* ---- waiting ---- */
 
 /* Both servers are busy, and a third request waits for longer than a fifth of its objective. */
@@ -611,6 +716,78 @@
 }
 END_TEST
 
+/** Asks in their order, each refused at once. */
+typedef struct refusing_brokers {
+    world_t      *world;
+    char          text[256]; /* zone and wait in ms of each */
+    uint32_t      broker;
+    cw_slot_ask_t asked;
+    bool          has_asked;
+} refusing_brokers_t;
+
+static uint32_t broker_of_zone(void *context, const char *zone, uint32_t service)
+{
+    (void)context;
+    (void)service;
+    return (uint32_t)(zone[1] - '0'); /* z1, z2 */
+}
+
+static void note_ask(void *context, uint32_t broker, const cw_slot_ask_t *asked)
+{
+    refusing_brokers_t *brokers = context;
+    size_t              length = strlen(brokers->text);
+
+    snprintf(brokers->text + length, sizeof(brokers->text) - length, "z%u %d, ", broker,
+             (int)(asked->wait_most / 1000000));
+    brokers->broker = broker;
+    brokers->asked = *asked;
+    brokers->has_asked = true;
+}
+
+static void note_return(void *context, uint32_t broker, const cw_slot_return_t *returned)
+{
+    (void)context;
+    (void)broker;
+    (void)returned;
+}
+
+static void refuse_all(refusing_brokers_t *brokers)
+{
+    while (!brokers->world->answered) {
+        if (brokers->has_asked) {
+            cw_slot_reply_t message = {.node = brokers->broker,
+                                       .ticket = brokers->asked.ticket,
+                                       .outcome = CW_SLOT_REFUSED,
+                                       .free_after = CW_MS(300)};
+
+            brokers->has_asked = false;
+            cw_engine_slot_reply(brokers->world->engine, &message);
+        }
+        uv_run(&brokers->world->loop, UV_RUN_NOWAIT);
+    }
+}
+
+START_TEST(zones_are_asked_in_order_of_distance_and_of_what_crossing_is_worth)
+{
+    world_t            world;
+    refusing_brokers_t brokers = {.world = &world};
+    cw_slot_port_t     port = {&brokers, broker_of_zone, note_ask, note_return};
+
+    crossing_ms_per_mb = 100000;
+    init(&world);
+    crossing_ms_per_mb = 0;
+    cw_engine_set_slots(world.engine, &port);
+    (void)ask(&world, "GET", "/safe/x", "15000");
+    refuse_all(&brokers);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert_int_eq(strncmp(brokers.text, "z1 0, z2 0, z1 ", 15), 0); /* a short request: 1 s here at first */
+    brokers.text[0] = '\0';
+    (void)upload(&world, "/once/x");
+    refuse_all(&brokers);
+    ck_assert_int_eq(strncmp(brokers.text, "z1 0, z1 6, z2 0, z1 ", 21), 0);
+}
+END_TEST
+
 START_TEST(no_route_is_404_and_no_configuration_is_503)
 {
     world_t world;
@@ -969,6 +1146,10 @@
     tcase_set_timeout(cases, 60);
     tcase_add_test(cases, an_answer_comes_back_whole_with_the_deadline_and_target_passed_on);
     tcase_add_test(cases, a_request_goes_only_to_servers_in_the_regions_of_its_route);
+    tcase_add_test(cases, a_large_body_waits_for_a_server_of_its_region);
+    tcase_add_test(cases, a_short_request_crosses_rather_than_wait);
+    tcase_add_test(cases, a_large_body_crosses_when_its_region_has_lost_its_servers);
+    tcase_add_test(cases, a_request_comes_back_from_a_region_that_is_cut_off);
     tcase_add_test(cases, what_can_no_longer_be_served_is_refused_at_once);
     tcase_add_test(cases, what_was_let_in_waits_though_it_will_be_late);
     tcase_add_test(cases, what_was_taken_from_a_silent_server_is_not_given_up_by_an_estimate);
@@ -981,6 +1162,7 @@
     tcase_add_test(cases, without_a_reply_the_server_is_chosen_here_and_a_late_grant_is_declined);
     tcase_add_test(cases, a_request_taken_from_a_silent_server_is_not_given_up_when_no_slot_is_free);
     tcase_add_test(cases, a_caller_that_leaves_while_its_request_waits_for_a_slot_withdraws_the_ask);
+    tcase_add_test(cases, zones_are_asked_in_order_of_distance_and_of_what_crossing_is_worth);
     tcase_add_test(cases, no_route_is_404_and_no_configuration_is_503);
     tcase_add_test(cases, what_a_server_did_not_run_goes_to_another_even_if_it_must_not_be_repeated);
     tcase_add_test(cases, a_503_without_that_word_is_no_promise);
