queue, slot broker: tenants take turns within a priority

Cause: one tenant at 7.5 times its usual rate took the others' slots: what waits was ordered by priority and deadline only. Change: balance/fair_turns (start-time fair queueing, each request of the same cost; only what waits is kept); the engine's queue and the broker's (slot_queue.c, parted from slot_broker.c) order by rank, turn, deadline; asks carry the tenant's hash. A request that leaves unserved costs its tenant no turn. Without tenants all have the same turn: the order stays.

--- /dev/null
+++ b/src/balance/fair_turns.c
@@ -0,0 +1,187 @@
+/**
+ * @file fair_turns.c
+ * @brief Turns by group and tenant.
+ */
+#include "balance/fair_turns.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+typedef struct turn_tenant {
+    uint32_t       tenant;
+    uint32_t       waiting;
+    uint64_t       last; /* turn of its latest request */
+    UT_hash_handle hh;
+} turn_tenant_t;
+
+typedef struct turn_group {
+    cw_turn_group_t key;
+    uint32_t        waiting;
+    uint64_t        present; /* the latest turn that was served */
+    turn_tenant_t  *tenants; /* that wait */
+    UT_hash_handle  hh;
+} turn_group_t;
+
+struct cw_fair_turns {
+    turn_group_t *groups; /* in which something waits */
+};
+
+cw_fair_turns_t *cw_fair_turns_create(void)
+{
+    cw_fair_turns_t *turns = calloc(1, sizeof(*turns));
+
+    if (turns == NULL) {
+        abort();
+    }
+    return turns;
+}
+
+static void drop_tenant(turn_group_t *group, turn_tenant_t *tenant)
+{
+    HASH_DEL(group->tenants, tenant); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
+    free(tenant);
+}
+
+static void drop_group(cw_fair_turns_t *turns, turn_group_t *group)
+{
+    turn_tenant_t *tenant;
+    turn_tenant_t *next;
+
+    HASH_ITER(hh, group->tenants, tenant, next)
+    {
+        drop_tenant(group, tenant);
+    }
+    HASH_DEL(turns->groups, group); /* NOLINT(clang-analyzer-unix.Malloc) */
+    free(group);
+}
+
+void cw_fair_turns_free(cw_fair_turns_t *turns)
+{
+    turn_group_t *group;
+    turn_group_t *next;
+
+    HASH_ITER(hh, turns->groups, group, next)
+    {
+        drop_group(turns, group);
+    }
+    free(turns);
+}
+
+cw_turn_group_t cw_fair_turns_group(uint32_t service, uint32_t rank)
+{
+    return (cw_turn_group_t)service << 32 | rank;
+}
+
+static turn_group_t *find_group(const cw_fair_turns_t *turns, cw_turn_group_t key)
+{
+    turn_group_t *group;
+
+    HASH_FIND(hh, turns->groups, &key, sizeof(key), group);
+    return group;
+}
+
+static turn_tenant_t *find_tenant(const turn_group_t *group, uint32_t hash)
+{
+    turn_tenant_t *tenant;
+
+    HASH_FIND(hh, group->tenants, &hash, sizeof(hash), tenant);
+    return tenant;
+}
+
+uint64_t cw_fair_turns_next(const cw_fair_turns_t *turns, cw_turn_group_t key, uint32_t hash)
+{
+    const turn_group_t  *group = find_group(turns, key);
+    const turn_tenant_t *tenant = group == NULL || hash == 0 ? NULL : find_tenant(group, hash);
+
+    if (group == NULL) {
+        return 0;
+    }
+    return tenant == NULL || tenant->last + 1 < group->present ? group->present : tenant->last + 1;
+}
+
+static turn_group_t *use_group(cw_fair_turns_t *turns, cw_turn_group_t key)
+{
+    turn_group_t *group = find_group(turns, key);
+
+    if (group == NULL) {
+        group = calloc(1, sizeof(*group));
+        if (group == NULL) {
+            abort();
+        }
+        group->key = key;
+        HASH_ADD(hh, turns->groups, key, sizeof(group->key), group);
+    }
+    return group;
+}
+
+static turn_tenant_t *use_tenant(turn_group_t *group, uint32_t hash)
+{
+    turn_tenant_t *tenant = find_tenant(group, hash);
+
+    if (tenant == NULL) {
+        tenant = calloc(1, sizeof(*tenant));
+        if (tenant == NULL) {
+            abort();
+        }
+        tenant->tenant = hash;
+        HASH_ADD(hh, group->tenants, tenant, sizeof(tenant->tenant), tenant);
+    }
+    return tenant;
+}
+
+void cw_fair_turns_wait(cw_fair_turns_t *turns, cw_turn_group_t key, uint32_t hash, uint64_t turn)
+{
+    turn_group_t  *group = use_group(turns, key);
+    turn_tenant_t *tenant = hash == 0 ? NULL : use_tenant(group, hash);
+
+    group->waiting++;
+    if (tenant != NULL) {
+        tenant->waiting++;
+        tenant->last = turn;
+    }
+}
+
+static void end_wait(cw_fair_turns_t *turns, turn_group_t *group, turn_tenant_t *tenant)
+{
+    if (tenant != NULL && --tenant->waiting == 0) {
+        drop_tenant(group, tenant);
+    }
+    if (--group->waiting == 0) {
+        drop_group(turns, group);
+    }
+}
+
+void cw_fair_turns_serve(cw_fair_turns_t *turns, cw_turn_group_t key, uint32_t hash, uint64_t turn)
+{
+    turn_group_t *group = find_group(turns, key);
+
+    if (group != NULL) {
+        group->present = turn > group->present ? turn : group->present;
+        end_wait(turns, group, hash == 0 ? NULL : find_tenant(group, hash));
+    }
+}
+
+void cw_fair_turns_leave(cw_fair_turns_t *turns, cw_turn_group_t key, uint32_t hash)
+{
+    turn_group_t  *group = find_group(turns, key);
+    turn_tenant_t *tenant = group == NULL || hash == 0 ? NULL : find_tenant(group, hash);
+
+    if (group == NULL) {
+        return;
+    }
+    if (tenant != NULL && tenant->last > group->present) {
+        tenant->last--;
+    }
+    end_wait(turns, group, tenant);
+}
+
+size_t cw_fair_turns_kept(const cw_fair_turns_t *turns)
+{
+    const turn_group_t *group;
+    size_t              count = 0;
+
+    for (group = turns->groups; group != NULL; group = group->hh.next) {
+        count += HASH_COUNT(group->tenants);
+    }
+    return count;
+}
--- a/src/balance/slot_broker.c
+++ b/src/balance/slot_broker.c
@@ -8,38 +8,10 @@
 #include <string.h>
 #include <utlist.h>
 
-#include "balance/slot_server.h"
+#include "balance/slot_broker_internal.h"
 
 enum { FORGET_EVERY_S = 5 /* servers that are gone; what is kept of one takes some 250 bytes */ };
 
-/** An ask that waits, or a slot granted. */
-typedef struct slot_lease {
-    uint64_t           key; /* node and ticket */
-    cw_slot_ask_t      ask;
-    cw_time_us_t       usual;
-    cw_time_us_t       objective_at;
-    cw_time_us_t       granted_at; /* 0: it waits */
-    cw_time_us_t       ends_at;    /* of the lease */
-    uint32_t           server;     /* granted */
-    struct slot_lease *prev;       /* utlist's names, in the queue or among the granted */
-    struct slot_lease *next;
-    UT_hash_handle     hh;
-} slot_lease_t;
-
-struct cw_slot_broker {
-    cw_server_pool_t *pool;
-    char             *zone;
-    cw_slot_replied_t replied;
-    void             *context;
-    cw_slot_server_t *servers;
-    slot_lease_t     *leases;
-    slot_lease_t     *queue;   /* by priority, then objective */
-    slot_lease_t     *granted; /* in order of grants */
-    size_t            waiting;
-    size_t            granted_count;
-    cw_time_us_t      forgotten_at;
-};
-
 cw_slot_broker_t *cw_slot_broker_create(cw_server_pool_t *pool, const char *zone, cw_slot_replied_t replied,
                                         void *context)
 {
@@ -50,12 +22,13 @@
     }
     broker->pool = pool;
     broker->zone = strdup(zone);
+    broker->turns = cw_fair_turns_create();
     broker->replied = replied;
     broker->context = context;
     return broker;
 }
 
-static void drop_lease(cw_slot_broker_t *broker, slot_lease_t *lease)
+static void drop_lease(cw_slot_broker_t *broker, cw_slot_lease_t *lease)
 {
     HASH_DEL(broker->leases, lease); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
     free(lease);
@@ -63,8 +36,8 @@
 
 void cw_slot_broker_free(cw_slot_broker_t *broker)
 {
-    slot_lease_t     *lease;
-    slot_lease_t     *next_lease;
+    cw_slot_lease_t  *lease;
+    cw_slot_lease_t  *next_lease;
     cw_slot_server_t *server;
     cw_slot_server_t *next_server;
 
@@ -77,6 +50,7 @@
         HASH_DEL(broker->servers, server); /* NOLINT(clang-analyzer-unix.Malloc) */
         free(server);
     }
+    cw_fair_turns_free(broker->turns);
     free(broker->zone);
     free(broker);
 }
@@ -140,7 +114,7 @@
     return server->service_hash == ask->service && server->hash != ask->except;
 }
 
-static void survey_server(cw_slot_broker_t *broker, const slot_lease_t *lease, const cw_server_t *server,
+static void survey_server(cw_slot_broker_t *broker, const cw_slot_lease_t *lease, const cw_server_t *server,
                           survey_t *survey, cw_time_us_t now)
 {
     cw_slot_server_t *state = state_of(broker, server->hash);
@@ -166,7 +140,7 @@
     }
 }
 
-static survey_t survey_servers(cw_slot_broker_t *broker, const slot_lease_t *lease, cw_time_us_t now)
+static survey_t survey_servers(cw_slot_broker_t *broker, const cw_slot_lease_t *lease, cw_time_us_t now)
 {
     survey_t     survey = {0};
     bool         is_owner = lease->ask.server != 0;
@@ -195,7 +169,7 @@
 
 /* ---- replies ---- */
 
-static void reply(cw_slot_broker_t *broker, const slot_lease_t *lease, cw_slot_outcome_t outcome,
+static void reply(cw_slot_broker_t *broker, const cw_slot_lease_t *lease, cw_slot_outcome_t outcome,
                   cw_time_us_t free_after)
 {
     cw_slot_reply_t message = {.node = lease->ask.node,
@@ -207,7 +181,7 @@
     broker->replied(broker->context, &message);
 }
 
-static void grant(cw_slot_broker_t *broker, slot_lease_t *lease, cw_slot_server_t *state, cw_time_us_t now)
+static void grant(cw_slot_broker_t *broker, cw_slot_lease_t *lease, cw_slot_server_t *state, cw_time_us_t now)
 {
     cw_slot_server_note_grant(state, cw_server_pool_find_hash(broker->pool, state->hash), now);
     lease->server = state->hash;
@@ -218,42 +192,13 @@
     reply(broker, lease, CW_SLOT_GRANTED, 0);
 }
 
-static void refuse(cw_slot_broker_t *broker, slot_lease_t *lease, cw_time_us_t free_after)
+static void refuse(cw_slot_broker_t *broker, cw_slot_lease_t *lease, cw_time_us_t free_after)
 {
     reply(broker, lease, CW_SLOT_REFUSED, free_after);
     drop_lease(broker, lease);
 }
 
-/* ---- the queue ---- */
-
-static int compare_leases(const slot_lease_t *left, const slot_lease_t *right)
-{
-    if (left->ask.priority != right->ask.priority) {
-        return left->ask.priority < right->ask.priority ? -1 : 1;
-    }
-    return left->objective_at < right->objective_at ? -1 : left->objective_at > right->objective_at;
-}
-
-static bool competes(const slot_lease_t *waiting, const slot_lease_t *lease)
-{
-    return lease->ask.server != 0 ? waiting->ask.server == lease->ask.server
-                                  : waiting->ask.server == 0 && waiting->ask.service == lease->ask.service;
-}
-
-static uint32_t ahead_of(const cw_slot_broker_t *broker, const slot_lease_t *lease)
-{
-    const slot_lease_t *waiting;
-    uint32_t            ahead = 0;
-
-    DL_FOREACH(broker->queue, waiting)
-    {
-        if (compare_leases(waiting, lease) > 0) {
-            break;
-        }
-        ahead += competes(waiting, lease) ? 1 : 0;
-    }
-    return ahead;
-}
+/* ---- asks ---- */
 
 /* Mean time from a grant to the answer. */
 static cw_time_us_t held_mean(const survey_t *survey)
@@ -266,11 +211,15 @@
     return survey->per_s > 0 ? (cw_time_us_t)((ahead + 1) * 1e6 / survey->per_s) : INT64_MAX / 2;
 }
 
-static void take_ask(cw_slot_broker_t *broker, slot_lease_t *lease, cw_time_us_t now)
+static void take_ask(cw_slot_broker_t *broker, cw_slot_lease_t *lease, cw_time_us_t now)
 {
     survey_t     survey = survey_servers(broker, lease, now);
-    uint32_t     ahead = ahead_of(broker, lease);
-    cw_time_us_t wait = wait_for(&survey, ahead);
+    uint32_t     ahead;
+    cw_time_us_t wait;
+
+    cw_slot_queue_give_turn(broker, lease);
+    ahead = cw_slot_queue_ahead(broker, lease);
+    wait = wait_for(&survey, ahead);
 
     if (survey.best != NULL && ahead == 0) {
         grant(broker, lease, survey.best, now);
@@ -280,8 +229,7 @@
         refuse(broker, lease, survey.any ? wait : 0);
         return;
     }
-    DL_INSERT_INORDER(broker->queue, lease, compare_leases);
-    broker->waiting++;
+    cw_slot_queue_join(broker, lease);
     reply(broker, lease, CW_SLOT_QUEUED, 0);
 }
 
@@ -290,9 +238,9 @@
     return (uint64_t)node << 32 | ticket;
 }
 
-static slot_lease_t *find_lease(cw_slot_broker_t *broker, uint64_t key)
+static cw_slot_lease_t *find_lease(cw_slot_broker_t *broker, uint64_t key)
 {
-    slot_lease_t *lease;
+    cw_slot_lease_t *lease;
 
     HASH_FIND(hh, broker->leases, &key, sizeof(key), lease);
     return lease;
@@ -300,7 +248,7 @@
 
 void cw_slot_broker_ask(cw_slot_broker_t *broker, const cw_slot_ask_t *ask, cw_time_us_t usual, cw_time_us_t now)
 {
-    slot_lease_t *lease = find_lease(broker, key_of(ask->node, ask->ticket));
+    cw_slot_lease_t *lease = find_lease(broker, key_of(ask->node, ask->ticket));
 
     if (lease != NULL) { /* asked again, since the reply did not arrive */
         reply(broker, lease, lease->granted_at != 0 ? CW_SLOT_GRANTED : CW_SLOT_QUEUED, 0);
@@ -318,18 +266,12 @@
     take_ask(broker, lease, now);
 }
 
-static void leave_queue(cw_slot_broker_t *broker, slot_lease_t *lease)
-{
-    DL_DELETE(broker->queue, lease);
-    broker->waiting--;
-}
-
 /* A slot of this server is free: the first in order that wants it gets it. */
 static void offer(cw_slot_broker_t *broker, cw_slot_server_t *state, cw_time_us_t now)
 {
     const cw_server_t *server = cw_server_pool_find_hash(broker->pool, state->hash);
-    slot_lease_t      *lease;
-    slot_lease_t      *next;
+    cw_slot_lease_t   *lease;
+    cw_slot_lease_t   *next;
 
     if (server == NULL) {
         return;
@@ -340,7 +282,7 @@
             return;
         }
         if (is_wanted(&lease->ask, server) && is_usable(broker, server, lease->ask.server != 0, now)) {
-            leave_queue(broker, lease);
+            cw_slot_queue_serve(broker, lease);
             grant(broker, lease, state, now);
         }
     }
@@ -348,7 +290,7 @@
 
 /* ---- slots given back ---- */
 
-static void note_end(cw_slot_broker_t *broker, const slot_lease_t *lease, const cw_slot_return_t *returned,
+static void note_end(cw_slot_broker_t *broker, const cw_slot_lease_t *lease, const cw_slot_return_t *returned,
                      cw_slot_server_t *state, cw_time_us_t now)
 {
     cw_server_t *server = (cw_server_t *)cw_server_pool_find_hash(broker->pool, lease->server);
@@ -366,7 +308,7 @@
     }
 }
 
-static void end_grant(cw_slot_broker_t *broker, slot_lease_t *lease)
+static void end_grant(cw_slot_broker_t *broker, cw_slot_lease_t *lease)
 {
     cw_slot_server_t *state = state_of(broker, lease->server);
 
@@ -377,14 +319,14 @@
 
 void cw_slot_broker_return(cw_slot_broker_t *broker, const cw_slot_return_t *returned, cw_time_us_t now)
 {
-    slot_lease_t     *lease = find_lease(broker, key_of(returned->node, returned->ticket));
+    cw_slot_lease_t  *lease = find_lease(broker, key_of(returned->node, returned->ticket));
     cw_slot_server_t *state;
 
     if (lease == NULL) {
         return;
     }
     if (lease->granted_at == 0) {
-        leave_queue(broker, lease);
+        cw_slot_queue_leave(broker, lease);
         drop_lease(broker, lease);
         return;
     }
@@ -397,15 +339,15 @@
 
 /* What waits and can no longer be answered in time is refused; what a slot is free for now, though none was given back
  * (a server came, a lease ended, a load sample is old), is granted. */
-static void look_again(cw_slot_broker_t *broker, slot_lease_t *lease, cw_time_us_t now)
+static void look_again(cw_slot_broker_t *broker, cw_slot_lease_t *lease, cw_time_us_t now)
 {
     survey_t survey = survey_servers(broker, lease, now);
 
     if (!survey.any || now + held_mean(&survey) > lease->objective_at) {
-        leave_queue(broker, lease);
-        refuse(broker, lease, survey.any ? wait_for(&survey, ahead_of(broker, lease)) : 0);
+        cw_slot_queue_leave(broker, lease);
+        refuse(broker, lease, survey.any ? wait_for(&survey, cw_slot_queue_ahead(broker, lease)) : 0);
     } else if (survey.best != NULL) {
-        leave_queue(broker, lease);
+        cw_slot_queue_serve(broker, lease);
         grant(broker, lease, survey.best, now);
     }
 }
@@ -427,8 +369,8 @@
 
 void cw_slot_broker_tick(cw_slot_broker_t *broker, cw_time_us_t now)
 {
-    slot_lease_t *lease;
-    slot_lease_t *next;
+    cw_slot_lease_t *lease;
+    cw_slot_lease_t *next;
 
     DL_FOREACH_SAFE(broker->granted, lease, next)
     {
--- a/src/balance/slot_broker.h
+++ b/src/balance/slot_broker.h
@@ -7,8 +7,9 @@
  * request to the server that is granted, and gives the slot back with the server's answer. Rules:
  *  - A server has twice as many requests as it can work on at once: so it has the next one when a slot gets free.
  *    Requests that it has from elsewhere, by its own load sample, count too.
- *  - Asks wait in order of priority, then deadline. One that could not be answered within its latency objective, by how
- *    long slots have been held at its server, is refused at once, with the time after which a slot may be free.
+ *  - Asks wait in order of priority; within one, tenants take turns (fair_turns.h); then by deadline. One that could
+ * not be answered within its latency objective, by how long slots have been held at its server, is refused at once,
+ * with the time after which a slot may be free.
  *  - A slot that is not given back is free again when its lease ends.
  *  - Nothing about ownership of keys or at-most-once depends on it: a node that gets no answer chooses by itself.
  *
@@ -27,6 +28,7 @@
     uint32_t     server;    /**< hash of the only server that will do; 0: any one of the service in this zone */
     uint32_t     except;    /**< hash of a server that has failed the request; 0: none */
     uint32_t     priority;  /**< 0 is the most urgent */
+    uint32_t     tenant;    /**< hash of the name of the tenant whose turn it takes; 0: none */
     cw_time_us_t objective; /**< time left until the request's latency objective */
     cw_time_us_t lease;     /**< longest time that the slot is needed */
     cw_time_us_t wait_most; /**< refused if a slot is expected later; 0: unless one is free now */
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -35,6 +35,7 @@
     engine->upstream = upstream;
     engine->nodes = 1;
     engine->gate = cw_tenant_gate_create();
+    engine->turns = cw_fair_turns_create();
     engine->keys_trusted_until = CW_NEVER;
     if (engine->settings.credential_scheme == NULL) {
         engine->settings.credential_scheme = "Bearer";
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -166,8 +166,8 @@
     if (begin_note(&event, request, CW_EVENT_REQUEST_REFUSED, outbound.status)) {
         cw_event_text(&event, CW_FIELD_REASON, "the tenant's rate");
         cw_event_ms(&event, CW_FIELD_RETRY_AFTER_MS, retry_after);
-        cw_event_text(&event, CW_FIELD_LIMIT_MODE, modes[cw_quota_share_mode(share, request->limited)]);
-        cw_event_ms(&event, CW_FIELD_LIMIT_AGE_MS, cw_quota_share_age(share, request->limited, now));
+        cw_event_text(&event, CW_FIELD_LIMIT_MODE, modes[cw_quota_share_mode(share, request->tenant_hash)]);
+        cw_event_ms(&event, CW_FIELD_LIMIT_AGE_MS, cw_quota_share_age(share, request->tenant_hash, now));
         note_inputs(&event, request);
         cw_event_end(&event);
     }
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -98,7 +98,7 @@
                                      .match_name = request->id == NULL ? NULL : engine->settings.names.request_id,
                                      .match_value = request->id};
 
-    cw_request_unqueue(request);
+    cw_request_take_turn(request);
     if (!cw_request_still_admitted(request)) {
         return;
     }
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -11,6 +11,7 @@
 
 #include <uthash.h>
 
+#include "balance/fair_turns.h"
 #include "proxy/engine.h"
 #include "tenancy/caller_identity.h"
 #include "tenancy/request_rank.h"
@@ -70,7 +71,7 @@
     char              *name;
     uint32_t           hash; /**< of the name, as between nodes */
     cw_shared_budget_t budget;
-    cw_request_t      *queue; /**< by rank, then deadline */
+    cw_request_t      *queue; /**< by rank, then turn, then deadline */
     size_t             queued;
     uint32_t           queued_elsewhere;
     cw_key_route_t    *table;
@@ -91,6 +92,8 @@
     cw_caller_t             caller;            /**< its tenant is the configuration's */
     uint64_t                caller_checked_by; /**< version that the caller was held against last */
     uint32_t                rank;              /**< 0 is the most urgent (request_rank.h) */
+    uint32_t                tenant_hash;       /**< of the tenant that is accountable for it; 0: none */
+    uint64_t                turn;              /**< among the tenants that wait (fair_turns.h) */
     cw_tenant_count_t      *tenant;            /**< NULL: none */
     cw_region_rule_t        regions;           /**< servers there only */
     bool                    is_keyed;          /**< the service is divided by key, and the request names one */
@@ -119,7 +122,6 @@
     cw_upstream_call_t     *call;
     cw_slot_claim_t         claim;
     cw_token_state_t        token;
-    uint32_t                limited; /**< hash of the tenant whose limit binds it; 0: none does */
     cw_request_t           *earlier; /**< utlist's names, among those that await a token */
     cw_request_t           *later;
     UT_hash_handle          by_ticket;
@@ -137,6 +139,7 @@
     cw_upstream_t       *upstream;
     cw_configuration_t  *configuration;
     cw_tenant_gate_t    *gate;
+    cw_fair_turns_t     *turns;
     cw_quota_share_t    *quota;              /**< NULL: tenants' rates bind nobody */
     cw_request_t        *awaiting;           /**< a token, the earliest first */
     cw_time_us_t         keys_trusted_until; /**< callers' keys; CW_NEVER: as long as they stand */
@@ -212,6 +215,8 @@
 /* ---- engine_queue.c ---- */
 void cw_request_enqueue(cw_request_t *request);
 void cw_request_unqueue(cw_request_t *request);
+/** The same, since it is sent now: its tenant's turn is over. */
+void cw_request_take_turn(cw_request_t *request);
 /** Sends what can be sent of a service's queue. */
 void cw_service_dispatch(cw_engine_t *engine, cw_service_state_t *service);
 /** When the request's turn would come and its answer be there, as far as can be told; CW_NEVER: unknown. */
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -14,11 +14,21 @@
     if (left->rank != right->rank) {
         return left->rank < right->rank ? -1 : 1;
     }
+    if (left->turn != right->turn) {
+        return left->turn < right->turn ? -1 : 1;
+    }
     return left->deadline < right->deadline ? -1 : left->deadline > right->deadline;
 }
 
+static cw_turn_group_t group_of(const cw_request_t *request)
+{
+    return cw_fair_turns_group(request->service->hash, request->rank);
+}
+
 void cw_request_enqueue(cw_request_t *request)
 {
+    request->turn = cw_fair_turns_next(request->engine->turns, group_of(request), request->tenant_hash);
+    cw_fair_turns_wait(request->engine->turns, group_of(request), request->tenant_hash, request->turn);
     DL_INSERT_INORDER(request->service->queue, request, compare_requests);
     request->service->queued++;
     request->engine->queued++;
@@ -26,17 +36,30 @@
     request->engine->changed = true;
 }
 
-void cw_request_unqueue(cw_request_t *request)
+static void leave_queue(cw_request_t *request)
 {
-    if (!request->is_queued) {
-        return;
-    }
     DL_DELETE(request->service->queue, request);
     request->service->queued--;
     request->engine->queued--;
     request->is_queued = false;
 }
 
+void cw_request_unqueue(cw_request_t *request)
+{
+    if (request->is_queued) {
+        leave_queue(request);
+        cw_fair_turns_leave(request->engine->turns, group_of(request), request->tenant_hash);
+    }
+}
+
+void cw_request_take_turn(cw_request_t *request)
+{
+    if (request->is_queued) {
+        leave_queue(request);
+        cw_fair_turns_serve(request->engine->turns, group_of(request), request->tenant_hash, request->turn);
+    }
+}
+
 /* ---- estimate ---- */
 
 cw_server_t *cw_request_owner(const cw_request_t *request)
--- a/src/proxy/engine_quota.c
+++ b/src/proxy/engine_quota.c
@@ -54,8 +54,7 @@
         return true;
     }
     limit = (cw_quota_limit_t){.rate_per_s = tenant->rate_per_s, .burst = tenant->burst};
-    request->limited = cw_quota_tenant_hash(tenant->name);
-    answer = cw_quota_share_enter(request->engine->quota, request->limited, &limit, cw_engine_now(request->engine),
+    answer = cw_quota_share_enter(request->engine->quota, request->tenant_hash, &limit, cw_engine_now(request->engine),
                                   &retry_after);
     return settle(request, answer, retry_after);
 }
@@ -72,7 +71,7 @@
 
     DL_FOREACH2(engine->awaiting, request, later)
     {
-        if (request->limited == tenant) {
+        if (request->tenant_hash == tenant) {
             return request;
         }
     }
@@ -107,9 +106,9 @@
 {
     if (request->token == CW_TOKEN_AWAITED) {
         stop_awaiting(request);
-        cw_quota_share_leave(request->engine->quota, request->limited);
+        cw_quota_share_leave(request->engine->quota, request->tenant_hash);
     } else if (request->token == CW_TOKEN_HELD && !request->may_have_run) {
-        cw_quota_share_give_back(request->engine->quota, request->limited, cw_engine_now(request->engine));
+        cw_quota_share_give_back(request->engine->quota, request->tenant_hash, cw_engine_now(request->engine));
     }
     request->token = CW_TOKEN_NONE;
 }
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -105,6 +105,7 @@
                          .server = owner == NULL ? 0 : owner->hash,
                          .except = failed == NULL ? 0 : failed->hash,
                          .priority = request->rank,
+                         .tenant = request->tenant_hash,
                          .objective = left > 0 ? left : 0,
                          .lease = request->deadline - now,
                          .wait_most = wait_most};
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -150,6 +150,7 @@
     message.server = asked->server;
     message.except = asked->except;
     message.priority = asked->priority;
+    message.tenant = asked->tenant;
     message.objective_ms = to_ms(asked->objective);
     message.lease_ms = to_ms(asked->lease);
     message.wait_ms = to_ms(asked->wait_most);
@@ -222,6 +223,7 @@
                            .server = message->server,
                            .except = message->except,
                            .priority = message->priority,
+                           .tenant = message->tenant,
                            .objective = CW_MS(message->objective_ms),
                            .lease = CW_MS(message->lease_ms),
                            .wait_most = CW_MS(message->wait_ms)};
