tenants' limits: where several nodes decline to count, each serves its own part

Cause: after a restart of all nodes each declined for three seconds, and each node passed the decliners over down to itself: twelve of 17 counted for one tenant at once, each with a bucket of its own (391 requests in a window of 390). Ruled out: keeping to the first node while it declines (a restart of the most capable one would leave all others alone for seconds). Change: with two or more that declined a moment ago nobody is asked.

--- a/src/router/router_quota.c
+++ b/src/router/router_quota.c
@@ -13,6 +13,7 @@
 enum {
     CANDIDATES_MAX = 1024,
     GATHER_EVERY_MS = 100,   /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
+    DECLINING_MOST = 2,      /* one restarts now and then; several at once: nobody counts yet */
     ISOLATED_AFTER_MS = 500, /* the slowest pause between reports of few nodes is 300 ms (router_peers.c) */
     NEW_FOR_MS = 3000,       /* after a start: by then this node has heard the others, at the slowest pace of reports */
     NODES_OF_NEW = 32        /* so many at least are assumed until then */
@@ -129,7 +130,7 @@
     size_t                   count = 0;
     size_t                   index;
 
-    if (is_isolated(quota)) {
+    if (is_isolated(quota) || cw_quota_share_declining(quota->share, now_of(quota)) >= DECLINING_MOST) {
         return 0;
     }
     for (index = 0; index < quota->candidate_count; index++) {
--- a/src/tenancy/quota_reports.c
+++ b/src/tenancy/quota_reports.c
@@ -44,6 +44,17 @@
     return link != NULL && now < link->silent_until;
 }
 
+size_t cw_quota_share_declining(const cw_quota_share_t *share, cw_time_us_t now)
+{
+    const cw_quota_link_t *link;
+    size_t                 count = 0;
+
+    for (link = share->links; link != NULL; link = link->hh.next) {
+        count += link->has_declined && now < link->silent_until ? 1 : 0;
+    }
+    return count;
+}
+
 /* ---- silent nodes ---- */
 
 static void serve_alone(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
@@ -78,14 +89,18 @@
     cw_quota_link_t *link = cw_quota_link_to(share, counter);
     cw_time_us_t     silence = CW_MS(SILENT_MS) << link->silences;
 
+    link->has_declined = false;
     link->silences += link->silences < SILENT_DOUBLINGS ? 1 : 0;
     pass_over(share, link, now + silence, now);
 }
 
 void cw_quota_share_declined(cw_quota_share_t *share, uint32_t counter, cw_time_us_t now)
 {
-    if (!cw_quota_share_is_silent(share, counter, now)) {
-        pass_over(share, cw_quota_link_to(share, counter), now + CW_MS(DECLINED_MS), now);
+    cw_quota_link_t *link = cw_quota_link_to(share, counter);
+
+    if (now >= link->silent_until) {
+        link->has_declined = true;
+        pass_over(share, link, now + CW_MS(DECLINED_MS), now);
     }
 }
 
@@ -93,6 +108,7 @@
 {
     link->tries = 0;
     link->silences = 0;
+    link->has_declined = false;
     link->silent_until = 0;
 }
 
--- a/src/tenancy/quota_share.h
+++ b/src/tenancy/quota_share.h
@@ -69,6 +69,9 @@
 /** To be called every few milliseconds: reports, repeats, expiry. */
 void cw_quota_share_tick(cw_quota_share_t *share, cw_time_us_t now);
 
+/** Nodes that have declined a moment ago. Where several do, all have just started: the next ones would all begin to
+ * count too, each with a bucket of its own. */
+size_t          cw_quota_share_declining(const cw_quota_share_t *share, cw_time_us_t now);
 bool            cw_quota_share_is_silent(const cw_quota_share_t *share, uint32_t counter, cw_time_us_t now);
 cw_quota_mode_t cw_quota_share_mode(const cw_quota_share_t *share, uint32_t tenant);
 /** Since the counting node was last heard about this tenant. */
--- a/src/tenancy/quota_share_internal.h
+++ b/src/tenancy/quota_share_internal.h
@@ -79,8 +79,9 @@
     uint32_t       tries;    /**< reports in a row without a reply */
     cw_time_us_t   sent_at;  /**< of that */
     cw_time_us_t   silent_until;
-    uint32_t       silences; /**< in a row */
-    bool           is_due;   /**< a tenant's usage is to be reported */
+    bool           has_declined; /* until then */
+    uint32_t       silences;     /**< in a row */
+    bool           is_due;       /**< a tenant's usage is to be reported */
     UT_hash_handle hh;
 } cw_quota_link_t;
 
