--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -96,7 +96,7 @@
                                      .match_name = request->id == NULL ? NULL : engine->settings.names.request_id,
                                      .match_value = request->id};
 
-    cw_request_unqueue(request);
+    cw_request_take_turn(request);
     if (server->connections == NULL) {
         server->connections = cw_upstream_target_create(engine->upstream, server->address);
     }
