router: lists and tables cross to a zone's relays, which pass changes on and bring new nodes up to date

Ruled out: pages sent again: one whole and a third per node, and 130 changes of the tables each. Change: in zones that relays cover, changes go to the two relays, marked to be passed on, and at once; a node without the term's list or tables gets them whole from a relay of its zone, which sends only what the leader's heartbeat has the same number and hash of. Nodes acknowledge to the sender and to the leader, which sends by itself after 300 ms (a change) or 0.8 s and 5 ms a node (the whole). Lists of nodes go to covered zones only where half are unknown. Summaries list nodes as often as these report, not every 250 ms.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2053,7 +2053,7 @@
   (ProtobufCMessageInit) cwp__view_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[10] =
 {
   {
     "term",
@@ -2163,11 +2163,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pass_on",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ServersPage, pass_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__servers_page__field_indices_by_name[] = {
   1,   /* field[1] = number */
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
+  9,   /* field[9] = pass_on */
   6,   /* field[6] = removed */
   7,   /* field[7] = revision */
   4,   /* field[4] = servers */
@@ -2179,7 +2192,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cwp__servers_page__descriptor =
 {
@@ -2189,7 +2202,7 @@
   "Cwp__ServersPage",
   "cwp",
   sizeof(Cwp__ServersPage),
-  9,
+  10,
   cwp__servers_page__field_descriptors,
   cwp__servers_page__field_indices_by_name,
   2,  cwp__servers_page__number_ranges,
@@ -2324,7 +2337,7 @@
   (ProtobufCMessageInit) cwp__table_range__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__table_page__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cwp__table_page__field_descriptors[8] =
 {
   {
     "term",
@@ -2410,11 +2423,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pass_on",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__TablePage, pass_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__table_page__field_indices_by_name[] = {
   1,   /* field[1] = number */
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
+  7,   /* field[7] = pass_on */
   5,   /* field[5] = ranges */
   4,   /* field[4] = service */
   6,   /* field[6] = since */
@@ -2423,7 +2449,7 @@
 static const ProtobufCIntRange cwp__table_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cwp__table_page__descriptor =
 {
@@ -2433,7 +2459,7 @@
   "Cwp__TablePage",
   "cwp",
   sizeof(Cwp__TablePage),
-  7,
+  8,
   cwp__table_page__field_descriptors,
   cwp__table_page__field_indices_by_name,
   1,  cwp__table_page__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -288,10 +288,14 @@
    */
   size_t n_zones_out;
   char **zones_out;
+  /*
+   * the receiver, a relay, is to send it to the other nodes of its zone
+   */
+  protobuf_c_boolean pass_on;
 };
 #define CWP__SERVERS_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__servers_page__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -345,10 +349,14 @@
   size_t n_ranges;
   Cwp__TableRange **ranges;
   uint64_t since;
+  /*
+   * as in ServersPage
+   */
+  protobuf_c_boolean pass_on;
 };
 #define CWP__TABLE_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__table_page__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -25,8 +25,7 @@
     KEYS_NODES = 64,          /* with so many nodes the pause has doubled: the leader gets them from all */
     DATAGRAMS_A_SECOND = 150, /* of reports to all, and within the zone, among few nodes; */
     MANY_ZONE_DATAGRAMS_A_SECOND =
-        100,                          /* and among many, whose datagrams are most of what all nodes do: in the zone, */
-    MANY_ALL_DATAGRAMS_A_SECOND = 60, /* and to all: so late, they help no choice, but tell who lives */
+        100, /* and among many, whose datagrams are most of what all nodes do: in the zone, */
     LEADERS_DATAGRAMS_A_SECOND = 1000,
     RELAY_WAY_MS = 300,     /* a relay's pause, and the way by two relays */
     REPORT_SLACK_MS = 700,  /* by which a report may come later than planned: a busy node's turn, two ticks */
@@ -190,7 +189,7 @@
 
 static int64_t budget_to_all(uint32_t peers)
 {
-    return peers > FEW_NODES ? MANY_ALL_DATAGRAMS_A_SECOND : DATAGRAMS_A_SECOND;
+    return peers > FEW_NODES ? CW_MANY_DATAGRAMS_A_SECOND : DATAGRAMS_A_SECOND;
 }
 
 static int64_t paced_to_all(const cw_router_t *router, int64_t pause_ms, uint32_t peers)
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -5,27 +5,33 @@
  * A node that has an earlier number of this term is sent just what changed since; others are sent everything, but only
  * after they have had time to see that what they have is the same (the leader's heartbeat carries hashes). Each node
  * says at once what has come. What is sent again waits longer each time, and all of it stays within a part of the link.
+ *
+ * To a zone that relays inform, each change is sent to its relays alone, which pass it on; a node that has none of this
+ * term gets the whole from a relay of its zone (router_pass_on.c). To one that still lacks it after a while, the leader
+ * sends it by itself: so a relay that stops costs time, but nothing waits for it.
  */
 #include <string.h>
 
 #include "router/router_internal.h"
+#include "router/servers_pages.h"
 
 enum {
     RESEND_MS = 250,
     RESEND_DOUBLINGS = 1, /* a node that has read a later list itself takes the leader's next one */
     ADOPT_MS = 250,       /* time to see that what a node has is the leader's */
-    PAGE_SERVERS = 64,
+    RELAY_WAIT_MS = 300,  /* for a relay to pass a change on, and for the acknowledgement: some ten times both */
+    WHOLE_WAIT_MS = 800,  /* for the whole: a relay gets it, learns by the next heartbeat that it is right, sends it; */
+    WHOLE_WAIT_NODE_MS = 5, /* and so much more for each node: with many, a relay has many to send it to */
     NODES_MAX = 1024,
     NODES_AGAIN_MS = 500, /* until it has heard them: they report at their pace */
-    REMOVED_ROOM = CW_REMOVED_MAX,
-    LINK_PART = 3, /* of the link's bandwidth */
+    LINK_PART = 3,        /* of the link's bandwidth */
     BURST_MS = 200,
     BITS = 8
 };
 
 /* ---- the link ---- */
 
-static void refill(cw_router_t *router, cw_time_us_t now)
+void cw_router_refill_push(cw_router_t *router, cw_time_us_t now)
 {
     double per_s = (double)router->settings.link_mbps * 1e6 / BITS / LINK_PART;
     double most = per_s * BURST_MS / 1000;
@@ -45,7 +51,7 @@
 
 /* ---- when ---- */
 
-static cw_time_us_t next_try(cw_push_state_t *push, cw_time_us_t now)
+cw_time_us_t cw_router_next_push(cw_push_state_t *push, cw_time_us_t now)
 {
     int doublings = push->tries < RESEND_DOUBLINGS ? (int)push->tries : RESEND_DOUBLINGS;
 
@@ -53,19 +59,44 @@
     return now + CW_MS((int64_t)RESEND_MS << doublings);
 }
 
+/* Does a relay of its zone send this node what it lacks? */
+static bool is_fed_by_relay(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now)
+{
+    return peer->distance != CW_DISTANCE_ZONE && !cw_router_is_relay(router, peer) &&
+           cw_router_is_covered(router, peer, now);
+}
+
+static cw_time_us_t relay_wait(const cw_router_t *router, bool is_whole, cw_time_us_t now)
+{
+    if (!is_whole) {
+        return CW_MS(RELAY_WAIT_MS);
+    }
+    return CW_MS(WHOLE_WAIT_MS + WHOLE_WAIT_NODE_MS * (int64_t)cw_peer_link_alive(router->link, router->silence, now));
+}
+
 /* Is it this node's turn to be sent what it lacks? */
 static bool is_due(const cw_router_t *router, const cw_peer_t *peer, cw_push_state_t *push, uint64_t has,
                    uint64_t newest, cw_time_us_t now)
 {
+    bool is_of_term = peer->term == router->leadership.lock.term;
+
     if (peer->last_received_at == 0 || peer->is_lost) {
         return false;
     }
-    if (peer->term == router->leadership.lock.term && has >= newest) {
+    if (is_of_term && has >= newest) {
         push->tries = 0;
         push->due_at = 0;
         return false;
     }
-    return now >= push->due_at && router->push_room > 0;
+    if (now < push->due_at || router->push_room <= 0) {
+        return false;
+    }
+    if (push->tries == 0 && is_fed_by_relay(router, peer, now)) {
+        push->tries = 1;
+        push->due_at = now + relay_wait(router, !is_of_term || has == 0, now);
+        return false;
+    }
+    return true;
 }
 
 static uint64_t base_of(const cw_router_t *router, const cw_peer_t *peer, uint64_t has)
@@ -85,45 +116,12 @@
 
 /* ---- the list ---- */
 
-/** A list's page while it is packed. */
-typedef struct servers_room {
-    Cwp__ViewServer  entries[PAGE_SERVERS];
-    Cwp__ViewServer *pointers[PAGE_SERVERS];
-    char            *removed[REMOVED_ROOM];
-} servers_room_t;
-
-static void add_server(Cwp__ServersPage *page, servers_room_t *room, const cw_server_entry_t *entry, cw_time_us_t now)
-{
-    Cwp__ViewServer *server = &room->entries[page->n_servers];
-
-    cwp__view_server__init(server);
-    server->id = entry->id;
-    server->service = entry->service;
-    server->address = entry->address;
-    server->zone = entry->zone;
-    server->capacity = entry->capacity;
-    server->draining = entry->draining;
-    server->cold_ms = (uint32_t)(entry->cold_time / 1000);
-    server->missing_ms = entry->missing_since == 0 ? 0 : (uint32_t)((now - entry->missing_since) / 1000) + 1;
-    room->pointers[page->n_servers++] = server;
-}
-
-static uint32_t count_changed(const cw_server_list_t *list, uint64_t base)
-{
-    uint32_t count = 0;
-    size_t   index;
-
-    for (index = 0; index < list->count; index++) {
-        count += list->entries[index].changed_in > base ? 1 : 0;
-    }
-    return count;
-}
-
-static void begin_servers_page(const cw_router_t *router, Cwp__ServersPage *page, servers_room_t *room, uint64_t base)
+static void begin_servers_page(const cw_router_t *router, Cwp__ServersPage *page, cw_servers_page_room_t *room,
+                               uint64_t base)
 {
     cwp__servers_page__init(page);
-    page->term = router->leadership.lock.term;
-    page->number = router->lead_servers;
+    page->term = router->view_term;
+    page->number = router->view_servers;
     page->since = base;
     page->revision = router->server_view.revision;
     page->servers = room->pointers;
@@ -131,41 +129,43 @@
     page->n_zones_out = router->server_view.list->zones_out.count;
 }
 
-static void send_servers(cw_router_t *router, const cw_peer_t *peer, uint64_t base)
+void cw_router_send_servers(cw_router_t *router, const cw_peer_t *peer, uint64_t base, bool pass_on)
 {
-    static servers_room_t   room;
-    const cw_server_list_t *list = router->server_view.list;
-    Cwp__ServersPage        page;
-    Cwp__Datagram           datagram = CWP__DATAGRAM__INIT;
-    uint32_t                pages = (count_changed(list, base) + PAGE_SERVERS - 1) / PAGE_SERVERS;
-    uint32_t                number = 0;
-    size_t                  index = 0;
-
-    pages = pages == 0 ? 1 : pages;
+    static cw_servers_page_room_t room;
+    const cw_server_list_t       *list = router->server_view.list;
+    Cwp__ServersPage              page;
+    Cwp__Datagram                 datagram = CWP__DATAGRAM__INIT;
+    uint32_t                      pages = cw_servers_pages_of(list, base);
+    uint32_t                      number = 0;
+    size_t                        index = 0;
+
     datagram.content_case = CWP__DATAGRAM__CONTENT_SERVERS;
     datagram.servers = &page;
     for (number = 0; number < pages; number++) {
         begin_servers_page(router, &page, &room, base);
         page.page = number;
         page.pages = pages;
+        page.pass_on = pass_on;
         if (number == 0 && base != 0) {
-            page.n_removed = cw_list_history_removed(&router->list_history, base, room.removed, REMOVED_ROOM);
+            page.n_removed = cw_list_history_removed(&router->list_history, base, room.removed, CW_REMOVED_MAX);
             page.removed = room.removed;
         }
-        for (; index < list->count && page.n_servers < PAGE_SERVERS; index++) {
-            if (list->entries[index].changed_in > base) {
-                add_server(&page, &room, &list->entries[index], cw_router_now(router));
-            }
-        }
+        index = cw_servers_page_fill(&page, &room, list, base, index, cw_router_now(router));
         send_datagram(router, peer, &datagram);
     }
 }
 
+/* Whole ones a relay sends from its own, to those that have none. */
+static bool is_to_pass_on(const cw_router_t *router, const cw_peer_t *peer)
+{
+    return peer->distance != CW_DISTANCE_ZONE && cw_router_is_relay(router, peer);
+}
+
 void cw_router_push_servers(cw_router_t *router, cw_time_us_t now)
 {
     cw_peer_t *peer;
 
-    refill(router, now);
+    cw_router_refill_push(router, now);
     if (!router->leadership.leading || router->server_view.list == NULL || router->lead_servers == 0) {
         return;
     }
@@ -173,8 +173,9 @@
         uint64_t base = base_of(router, peer, peer->servers);
 
         if (is_due(router, peer, &peer->servers_push, peer->servers, router->lead_servers, now)) {
-            peer->servers_push.due_at = next_try(&peer->servers_push, now);
-            send_servers(router, peer, cw_list_history_covers(&router->list_history, base) ? base : 0);
+            peer->servers_push.due_at = cw_router_next_push(&peer->servers_push, now);
+            base = cw_list_history_covers(&router->list_history, base) ? base : 0;
+            cw_router_send_servers(router, peer, base, base != 0 && is_to_pass_on(router, peer));
         }
     }
 }
@@ -221,7 +222,10 @@
     cw_peer_t *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->last_received_at != 0 && !peer->is_lost && peer->peers < alive && now >= peer->nodes_due_at &&
+        /* relays tell of the others where they work */
+        uint32_t expected = cw_router_is_covered(router, peer, now) ? alive / 2 : alive;
+
+        if (peer->last_received_at != 0 && !peer->is_lost && peer->peers < expected && now >= peer->nodes_due_at &&
             router->push_room > 0) {
             peer->nodes_due_at = now + CW_MS(NODES_AGAIN_MS);
             send_nodes(router, peer);
@@ -247,15 +251,16 @@
     }
 }
 
-static void send_tables(cw_router_t *router, const cw_peer_t *peer, uint64_t base)
+void cw_router_send_tables(cw_router_t *router, const cw_peer_t *peer, uint64_t base, bool pass_on)
 {
     static cw_table_entry_t changes[CW_KEY_LAST + 1];
     Cwp__TablePage          page = CWP__TABLE_PAGE__INIT;
     size_t                  index;
 
-    page.term = router->leadership.lock.term;
-    page.number = router->lead_tables;
+    page.term = router->view_term;
+    page.number = router->view_tables;
     page.since = base;
+    page.pass_on = pass_on;
     for (index = 0; index < router->tables.count; index++) {
         page.pages += cw_table_pages_of(cw_table_changes(&router->tables.items[index], base, changes, CW_KEY_LAST + 1));
     }
@@ -275,19 +280,26 @@
         return;
     }
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        uint64_t base;
+
         if (is_due(router, peer, &peer->tables_push, peer->tables, router->lead_tables, now)) {
-            peer->tables_push.due_at = next_try(&peer->tables_push, now);
-            send_tables(router, peer, base_of(router, peer, peer->tables));
+            peer->tables_push.due_at = cw_router_next_push(&peer->tables_push, now);
+            base = base_of(router, peer, peer->tables);
+            cw_router_send_tables(router, peer, base, base != 0 && is_to_pass_on(router, peer));
         }
     }
 }
 
 void cw_router_tables_changed(cw_router_t *router)
 {
-    cw_peer_t *peer;
+    cw_time_us_t now = cw_router_now(router);
+    cw_peer_t   *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->term == router->leadership.lock.term && peer->tables != 0) {
+        bool had_newest = peer->tables + 1 >= router->lead_tables; /* others are waited for as long as before */
+
+        if (peer->term == router->leadership.lock.term && peer->tables != 0 &&
+            (had_newest || !is_fed_by_relay(router, peer, now))) {
             peer->tables_push.due_at = 0;
             peer->tables_push.tries = 0;
         }
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -174,9 +174,15 @@
         take_report(router, peer, datagram->report, now);
         break;
     case CWP__DATAGRAM__CONTENT_SERVERS:
+        if (datagram->servers->pass_on) {
+            cw_router_pass_on_page(router, datagram);
+        }
         cw_router_take_servers_page(router, peer, datagram->servers);
         break;
     case CWP__DATAGRAM__CONTENT_TABLE:
+        if (datagram->table->pass_on) {
+            cw_router_pass_on_page(router, datagram);
+        }
         cw_router_take_table_page(router, peer, datagram->table);
         break;
     case CWP__DATAGRAM__CONTENT_NODES:
--- a/src/router/router_relay.c
+++ b/src/router/router_relay.c
@@ -16,11 +16,22 @@
 #include "router/router_internal.h"
 #include "router/router_summary.h"
 
+/** Relays of one zone, as this node sees it. */
+typedef struct zone_relays {
+    char     name[64];
+    uint32_t nodes;
+    uint32_t relays[CW_RELAYS];
+    size_t   count;
+} zone_relays_t;
+
 struct cw_router_relay {
     cw_zone_links_t    links;
     cw_summary_times_t times;
     cw_time_us_t       sent_at;
     uint32_t           largest_zone;
+    zone_relays_t      zones[CW_ZONES_MAX]; /* this node's own first */
+    size_t             zone_count;
+    cw_sure_view_t     sure;
 };
 
 void cw_router_relay_init(cw_router_t *router)
@@ -53,91 +64,125 @@
     return router->relay->largest_zone;
 }
 
-/* ---- sending ---- */
+/* ---- who ---- */
 
-/* Which of this zone's relays this node is: 0, 1; CW_RELAYS: none. */
-static size_t own_place(const cw_router_t *router, const cw_broker_candidate_t *candidates, size_t count)
+static zone_relays_t *find_zone(cw_router_relay_t *relay, const char *zone)
 {
-    uint32_t relays[CW_RELAYS];
-    size_t   found = cw_relay_choose(candidates, count, router->settings.zone, relays);
-    size_t   place;
+    size_t index;
 
-    for (place = 0; place < found; place++) {
-        if (relays[place] == cw_peer_link_own_address(router->link)) {
-            return place;
+    for (index = 0; index < relay->zone_count; index++) {
+        if (strcmp(relay->zones[index].name, zone) == 0) {
+            return &relay->zones[index];
         }
     }
-    return CW_RELAYS;
+    return NULL;
 }
 
-static void send_to_zone(cw_router_t *router, const char *zone, size_t place, size_t length)
+static zone_relays_t *add_zone(cw_router_relay_t *relay, const char *zone)
 {
-    uint32_t                     relays[CW_RELAYS];
-    size_t                       count;
-    const cw_broker_candidate_t *candidates = cw_router_candidates(router, &count);
-    size_t                       found = cw_relay_choose(candidates, count, zone, relays);
-    const cw_peer_t             *partner = cw_peer_link_find(router->link, cw_relay_partner(relays, found, place));
+    zone_relays_t *found = find_zone(relay, zone);
 
-    if (partner != NULL) {
-        cw_peer_link_send_packed(router->link, partner, length);
+    if (found != NULL || relay->zone_count == CW_ZONES_MAX) {
+        return found;
     }
+    found = &relay->zones[relay->zone_count++];
+    memset(found, 0, sizeof(*found));
+    cw_text_copy(found->name, sizeof(found->name), zone);
+    return found;
 }
 
-/* Names of the zones that have nodes, this node's own first. */
-static size_t gather_zones(const cw_router_t *router, const char **zones, uint32_t *sizes)
+/* All zones that have nodes, this node's own first, and their relays. */
+static void gather_zones(cw_router_t *router)
 {
+    cw_router_relay_t           *relay = router->relay;
     size_t                       count;
     const cw_broker_candidate_t *candidates = cw_router_candidates(router, &count);
-    size_t                       found = 1;
     size_t                       index;
-    size_t                       zone;
 
-    zones[0] = router->settings.zone;
-    sizes[0] = 0;
+    relay->zone_count = 0;
+    relay->largest_zone = 0;
+    (void)add_zone(relay, router->settings.zone);
     for (index = 0; index < count; index++) {
-        for (zone = 0; zone < found && strcmp(zones[zone], candidates[index].zone) != 0; zone++) {
-        }
-        if (zone == CW_ZONES_MAX) {
-            continue;
+        zone_relays_t *zone = add_zone(relay, candidates[index].zone);
+
+        if (zone != NULL) {
+            zone->nodes++;
+            relay->largest_zone = zone->nodes > relay->largest_zone ? zone->nodes : relay->largest_zone;
         }
-        if (zone == found) {
-            zones[found] = candidates[index].zone;
-            sizes[found++] = 0;
+    }
+    for (index = 0; index < relay->zone_count; index++) {
+        zone_relays_t *zone = &relay->zones[index];
+
+        zone->count = cw_relay_choose(candidates, count, zone->name, zone->relays);
+    }
+}
+
+/* Which of a zone's relays the node is: 0, 1; CW_RELAYS: none. */
+static size_t place_of(const zone_relays_t *zone, uint32_t address)
+{
+    size_t place;
+
+    for (place = 0; place < zone->count && zone->relays[place] != address; place++) {
+    }
+    return place < zone->count ? place : CW_RELAYS;
+}
+
+bool cw_router_is_relay(const cw_router_t *router, const cw_peer_t *peer)
+{
+    const zone_relays_t *zone = find_zone(router->relay, peer->zone);
+
+    return zone != NULL && place_of(zone, peer->address) != CW_RELAYS;
+}
+
+/* ---- sending ---- */
+
+static void send_summary(cw_router_t *router, size_t place, cw_time_us_t now)
+{
+    cw_router_relay_t *relay = router->relay;
+    size_t             length = cw_router_pack_summary(router, &relay->times, &relay->links, now);
+    size_t             index;
+
+    for (index = 1; index < relay->zone_count; index++) {
+        const zone_relays_t *zone = &relay->zones[index];
+        const cw_peer_t *partner = cw_peer_link_find(router->link, cw_relay_partner(zone->relays, zone->count, place));
+
+        if (partner != NULL) {
+            cw_peer_link_send_packed(router->link, partner, length);
         }
-        sizes[zone]++;
     }
-    return found;
+}
+
+void cw_router_compare_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat)
+{
+    cw_sure_view_t *sure = &router->relay->sure;
+    bool            is_term = heartbeat->term == router->view_term;
+
+    sure->term = heartbeat->term;
+    sure->servers = is_term && router->server_view.list != NULL && heartbeat->servers == router->view_servers &&
+                            heartbeat->servers_hash == router->server_view.hash
+                        ? router->view_servers
+                        : 0;
+    sure->tables = is_term && heartbeat->tables == router->view_tables && heartbeat->tables_hash == router->tables_hash
+                       ? router->view_tables
+                       : 0;
 }
 
 void cw_router_relay_tick(cw_router_t *router, cw_time_us_t now)
 {
-    cw_router_relay_t           *relay = router->relay;
-    const char                  *zones[CW_ZONES_MAX];
-    uint32_t                     sizes[CW_ZONES_MAX];
-    size_t                       count;
-    const cw_broker_candidate_t *candidates = cw_router_candidates(router, &count);
-    size_t                       place;
-    size_t                       length;
-    size_t                       zone;
-    size_t                       found;
+    cw_router_relay_t *relay = router->relay;
+    size_t             place;
 
     if (now - relay->sent_at < CW_MS(CW_SUMMARY_PAUSE_MS)) {
         return;
     }
     relay->sent_at = now;
-    found = gather_zones(router, zones, sizes);
-    relay->largest_zone = 0;
-    for (zone = 0; zone < found; zone++) {
-        relay->largest_zone = sizes[zone] > relay->largest_zone ? sizes[zone] : relay->largest_zone;
-    }
-    place = cw_router_nodes_are_many(router) ? own_place(router, candidates, count) : CW_RELAYS;
-    if (place == CW_RELAYS) {
+    gather_zones(router);
+    place = place_of(&relay->zones[0], cw_peer_link_own_address(router->link));
+    if (place == CW_RELAYS || !cw_router_nodes_are_many(router)) {
         return;
     }
-    length = cw_router_pack_summary(router, &relay->times, &relay->links, now);
-    for (zone = 1; zone < found; zone++) {
-        send_to_zone(router, zones[zone], place, length);
-    }
+    send_summary(router, place, now);
+    cw_router_pass_on_whole(router, &relay->sure, place, now);
 }
 
 /* ---- receiving ---- */
--- a/src/router/router_summary.c
+++ b/src/router/router_summary.c
@@ -78,20 +78,30 @@
     builder.detail_pointers[builder.summary.n_details++] = detail;
 }
 
-static void add_nodes(cw_router_t *router, bool with_all_details, cw_time_us_t now)
+static void add_nodes(cw_router_t *router, cw_time_us_t now)
 {
     const cw_peer_t *peer;
 
     add_node(cw_peer_link_own_address(router->link), 0, cw_router_capability(router));
-    if (with_all_details || router->stopping_at != 0) {
-        add_own_detail(router);
-    }
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (!is_in_zone(peer) || peer->is_lost || builder.summary.n_nodes == NODES_MAX) {
             continue;
         }
         add_node(peer->address, (uint32_t)((now - peer->last_received_at) / 1000), peer->capability);
-        if (with_all_details || now - peer->details_at < CW_MS(DETAILS_NEWS_MS)) {
+    }
+}
+
+static void add_details(cw_router_t *router, bool of_all, cw_time_us_t now)
+{
+    const cw_peer_t *peer;
+
+    if (of_all || router->stopping_at != 0) {
+        add_own_detail(router);
+    }
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        bool is_wanted = of_all || now - peer->details_at < CW_MS(DETAILS_NEWS_MS);
+
+        if (is_wanted && is_in_zone(peer) && !peer->is_lost && builder.summary.n_details < NODES_MAX) {
             add_detail(peer);
         }
     }
@@ -217,6 +227,14 @@
     summary->queues = builder.queue_pointers;
 }
 
+/* Nodes of a zone report to one another no more often than this: to tell of them more often tells nothing new. */
+static cw_time_us_t nodes_pause(const cw_router_t *router)
+{
+    cw_time_us_t pause = CW_MS((int64_t)cw_router_largest_zone(router) * 1000 / CW_MANY_DATAGRAMS_A_SECOND);
+
+    return pause > CW_MS(CW_SUMMARY_PAUSE_MS) ? pause : CW_MS(CW_SUMMARY_PAUSE_MS);
+}
+
 size_t cw_router_pack_summary(cw_router_t *router, cw_summary_times_t *times, const cw_zone_links_t *links,
                               cw_time_us_t now)
 {
@@ -224,7 +242,11 @@
     bool          with_all_details = now - times->details_at >= CW_MS(DETAILS_PAUSE_MS);
 
     begin_summary(router, times);
-    add_nodes(router, with_all_details, now);
+    if (now - times->nodes_at >= nodes_pause(router)) {
+        times->nodes_at = now;
+        add_nodes(router, now);
+    }
+    add_details(router, with_all_details, now);
     add_received(links, now);
     if (with_all_details) {
         times->details_at = now;
--- a/src/router/router_summary.h
+++ b/src/router/router_summary.h
@@ -13,6 +13,7 @@
 /** What this node's summaries have told, and when. All zeros: nothing yet. */
 typedef struct cw_summary_times {
     uint32_t     sequence;
+    cw_time_us_t nodes_at;
     cw_time_us_t loads_at;
     cw_time_us_t details_at;
 } cw_summary_times_t;
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -52,10 +52,12 @@
     }
 }
 
-static void acknowledge(cw_router_t *router, const cw_peer_t *leader)
+/* To the node that sent it, and to the leader if that is another one: what it need not send by itself. */
+static void acknowledge(cw_router_t *router, const cw_peer_t *sender)
 {
-    Cwp__ViewAck  ack = CWP__VIEW_ACK__INIT;
-    Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
+    Cwp__ViewAck     ack = CWP__VIEW_ACK__INIT;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+    const cw_peer_t *peer;
 
     ack.incarnation = router->incarnation;
     ack.term = router->view_term;
@@ -63,13 +65,20 @@
     ack.tables = router->view_tables;
     datagram.content_case = CWP__DATAGRAM__CONTENT_ACK;
     datagram.ack = &ack;
-    cw_peer_link_send(router->link, leader, &datagram);
+    cw_peer_link_send(router->link, sender, &datagram);
+    if (strcmp(sender->node, router->leader_node) == 0 || router->leader_node[0] == '\0') {
+        return;
+    }
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (strcmp(peer->node, router->leader_node) == 0) {
+            cw_peer_link_send(router->link, peer, &datagram);
+        }
+    }
 }
 
 void cw_router_take_ack(cw_router_t *router, cw_peer_t *peer, const Cwp__ViewAck *ack)
 {
-    if (!router->leadership.leading || peer->incarnation != ack->incarnation ||
-        ack->term != router->leadership.lock.term) {
+    if (peer->incarnation != ack->incarnation || ack->term != router->view_term) {
         return;
     }
     if (peer->term != ack->term) {
--- a/tests/process/relays.sh
+++ b/tests/process/relays.sh
@@ -53,6 +53,23 @@
 unset "NODE_PIDS[$killed]"
 until_true all_know_each_other $((NODES_STARTED - 2))
 check "each other node has missed the one killed, and no other" at_most $(($(lost_lines) - before)) $((NODES_STARTED - 1))
+# Both relays of a zone stand still: the others there still get what changes, from the leader itself.
+zone_of() { echo $((($1 - 1) % 3)); }
+first=$(relays | awk '$1 > 2' | head -1)
+pair=$(for n in $(relays); do [ "$(zone_of "$n")" = "$(zone_of "$first")" ] && echo "$n"; done)
+pair=$(for n in $pair; do [ "$n" = "$(leader)" ] || echo "$n"; done)
+for n in $pair; do kill -STOP "${NODE_PIDS[$n]}"; done
+cluster_server m7 --service maps --zone z1 --keyed --work-ms 15
+others_have_ten_servers() {
+    local n
+    for n in "${!NODE_PIDS[@]}"; do
+        grep -qx "$n" <<<"$pair" || [ "$(metric_of "$n" "cedarwinch_servers ")" -eq 10 ] || return 1
+    done
+}
+until_true others_have_ten_servers
+check "a change comes to a zone whose relays stand still" others_have_ten_servers
+for n in $pair; do kill -CONT "${NODE_PIDS[$n]}"; done
+until_true all_know_each_other $((NODES_STARTED - 2))
 NODES=$(printf "$NET.%s:8080\n" "${!NODE_PIDS[@]}" | paste -sd,)
 cluster_callers after --rate 100 --count 300
 check "all answered after that" at_least "$(sum_of after s200)" 299
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -10,6 +10,7 @@
 #include "loop_fixture.h"
 #include "retry/shared_budget.h"
 #include "router/list_history.h"
+#include "router/servers_pages.h"
 #include "router/table_pages.h"
 #include "router/view_order.h"
 
@@ -153,6 +154,54 @@
 }
 END_TEST
 
+static cw_server_list_t *list_of(size_t count, uint64_t changed_in)
+{
+    cw_server_list_t *list = cw_server_list_create();
+    char              id[16];
+    size_t            index;
+
+    for (index = 0; index < count; index++) {
+        snprintf(id, sizeof(id), "s%03zu", index);
+        add(list, id, "z1", false);
+        list->entries[index].changed_in = changed_in;
+    }
+    cw_server_list_seal(list);
+    return list;
+}
+
+/* All servers of all pages. */
+static size_t count_paged(const cw_server_list_t *list, uint64_t base)
+{
+    static cw_servers_page_room_t room;
+    Cwp__ServersPage              page = CWP__SERVERS_PAGE__INIT;
+    uint32_t                      pages = cw_servers_pages_of(list, base);
+    uint32_t                      number;
+    size_t                        from = 0;
+    size_t                        sum = 0;
+
+    for (number = 0; number < pages; number++) {
+        from = cw_servers_page_fill(&page, &room, list, base, from, 0);
+        sum += page.n_servers;
+    }
+    return sum;
+}
+
+START_TEST(the_whole_list_has_all_servers_also_where_their_changes_are_not_known)
+{
+    cw_server_list_t *followed = list_of(150, 0);
+    cw_server_list_t *led = list_of(150, 7);
+
+    ck_assert_uint_eq(cw_servers_pages_of(followed, 0), 3);
+    ck_assert_uint_eq(count_paged(followed, 0), 150);
+    ck_assert_uint_eq(count_paged(led, 0), 150);
+    ck_assert_uint_eq(count_paged(led, 6), 150);
+    ck_assert_uint_eq(count_paged(led, 7), 0);
+    ck_assert_uint_eq(cw_servers_pages_of(led, 7), 1); /* that nothing changed is told too */
+    cw_server_list_release(followed);
+    cw_server_list_release(led);
+}
+END_TEST
+
 START_TEST(pages_and_records_are_ordered_by_term_and_number)
 {
     cw_page_place_t whole = {.term = 2, .number = 7, .pages = 1};
@@ -569,6 +618,7 @@
     tcase_add_test(cases, what_was_spent_counts_for_a_whole_window);
     tcase_add_test(cases, the_near_server_first_then_the_far_one_then_none);
     tcase_add_test(cases, requests_of_other_nodes_take_slots_until_they_fall_silent);
+    tcase_add_test(cases, the_whole_list_has_all_servers_also_where_their_changes_are_not_known);
     tcase_add_test(cases, pages_and_records_are_ordered_by_term_and_number);
     tcase_add_test(cases, what_waits_at_other_nodes_for_an_owner_is_known_until_they_fall_silent);
     tcase_add_test(cases, a_zones_sum_is_of_its_own_nodes_and_of_the_servers_asked_for);
