--- a/standins/callers/main.c
+++ b/standins/callers/main.c
@@ -4,6 +4,8 @@
  *
  * Each request goes to a node in turn and takes one of the kinds given. One JSON line on standard output for each
  * attempt's end; the last line sums up. Ids are unique to an attempt; the path's last part names its kind.
+ *
+ * With --pipeline, so many requests are sent at once on a connection of their own, and none comes back.
  */
 #include <argtable2.h>
 #include <inttypes.h>
@@ -14,8 +16,9 @@
 
 #include "base/byte_buffer.h"
 #include "net/http_upstream.h"
+#include "pipeline.h"
 
-enum { ERRORS_MAX = 10, NODES_MAX = 32, KINDS_MAX = 8, KEYS = 65536, TEXT_MAX = 200, DRAIN_S = 8 };
+enum { ERRORS_MAX = 10, PIPELINE_MAX = 16, NODES_MAX = 32, KINDS_MAX = 8, KEYS = 65536, TEXT_MAX = 200, DRAIN_S = 8 };
 
 /** HOST,PREFIX,METHOD,DEADLINE_MS,KEYED(0|1) */
 typedef struct kind {
@@ -30,7 +33,10 @@
     uv_loop_t             loop;
     cw_upstream_t        *upstream;
     cw_upstream_target_t *nodes[NODES_MAX];
+    char                  addresses[NODES_MAX][64];
     size_t                node_count;
+    uint64_t              pipeline; /**< requests sent at once on a connection; 1: one */
+    uint64_t              unread;   /**< behind an answer that closed the connection */
     kind_t                kinds[KINDS_MAX];
     size_t                kind_count;
     uv_timer_t            pace;
@@ -83,12 +89,11 @@
 }
 
 /* A 2xx has to be this attempt's: the server answers with the id as its body. */
-static bool is_right(const attempt_t *attempt, const cw_upstream_answer_t *answer)
+static bool is_right(const attempt_t *attempt, const cw_http_fields_t *fields, const char *body, size_t body_length)
 {
-    const char *signature = cw_http_fields_find(answer->fields, "X-Server-Signature");
+    const char *signature = cw_http_fields_find(fields, "X-Server-Signature");
 
-    return signature != NULL && answer->body_length == strlen(attempt->id) &&
-           memcmp(answer->body, attempt->id, answer->body_length) == 0;
+    return signature != NULL && body_length == strlen(attempt->id) && memcmp(body, attempt->id, body_length) == 0;
 }
 
 static void print_end(const attempt_t *attempt, int status, const char *fault)
@@ -108,7 +113,7 @@
     double      wait_ms = retry_after == NULL ? -1 : atof(retry_after) * 1000;
     uint64_t    now = uv_hrtime();
 
-    if (status >= 200 && status < 300 && !is_right(attempt, answer)) {
+    if (status >= 200 && status < 300 && !is_right(attempt, answer->fields, answer->body, answer->body_length)) {
         callers->wrong++;
     }
     callers->counts[status < 600 ? status : 599]++;
@@ -122,27 +127,36 @@
     finish(attempt);
 }
 
+/* Gives how long the caller waits, in milliseconds. */
+static uint64_t write_attempt(attempt_t *attempt, cw_bytes_t *text)
+{
+    const callers_t *callers = attempt->callers;
+    const kind_t    *kind = attempt->kind;
+    uint64_t         now = uv_hrtime();
+    uint64_t         left_ms = attempt->deadline_ns > now ? (attempt->deadline_ns - now) / 1000000 : 1;
+    bool             has_body = strcmp(kind->method, "GET") != 0;
+
+    snprintf(attempt->id, sizeof(attempt->id), "%s-%" PRIu64 "-%u", callers->run, attempt->number, attempt->retries);
+    cw_bytes_append_format(text, "%s %s%" PRIu64 " HTTP/1.1\r\nHost: %s\r\n", kind->method, kind->prefix,
+                           attempt->number, kind->host);
+    cw_bytes_append_format(text, "X-Request-Id: %s\r\nX-Deadline-Ms: %" PRIu64 "\r\n", attempt->id, left_ms);
+    if (kind->keyed != 0) {
+        cw_bytes_append_format(text, "X-Shard-Key: %u\r\n", attempt->key);
+    }
+    cw_bytes_append_text(text, has_body ? "Content-Length: 5\r\n\r\nhello" : "\r\n");
+    return left_ms;
+}
+
 static void send_attempt(attempt_t *attempt)
 {
     callers_t            *callers = attempt->callers;
-    const kind_t         *kind = attempt->kind;
     cw_bytes_t            text = {0};
-    uint64_t              now = uv_hrtime();
-    uint64_t              left_ms = attempt->deadline_ns > now ? (attempt->deadline_ns - now) / 1000000 : 1;
+    uint64_t              left_ms = write_attempt(attempt, &text);
     cw_upstream_request_t request = {.connect_timeout = CW_MS(500),
                                      .timeout = CW_MS(left_ms + 500),
                                      .answer_max = 1 << 20,
                                      .fresh = attempt->number % 3 == 0};
-    bool                  has_body = strcmp(kind->method, "GET") != 0;
 
-    snprintf(attempt->id, sizeof(attempt->id), "%s-%" PRIu64 "-%u", callers->run, attempt->number, attempt->retries);
-    cw_bytes_append_format(&text, "%s %s%" PRIu64 " HTTP/1.1\r\nHost: %s\r\n", kind->method, kind->prefix,
-                           attempt->number, kind->host);
-    cw_bytes_append_format(&text, "X-Request-Id: %s\r\nX-Deadline-Ms: %" PRIu64 "\r\n", attempt->id, left_ms);
-    if (kind->keyed != 0) {
-        cw_bytes_append_format(&text, "X-Shard-Key: %u\r\n", attempt->key);
-    }
-    cw_bytes_append_text(&text, has_body ? "Content-Length: 5\r\n\r\nhello" : "\r\n");
     request.bytes = text.data;
     request.length = text.length;
     (void)cw_upstream_call(callers->nodes[(attempt->number + attempt->retries) % callers->node_count], &request,
@@ -150,7 +164,7 @@
     cw_bytes_clear(&text);
 }
 
-static void begin_attempt(callers_t *callers)
+static attempt_t *create_attempt(callers_t *callers)
 {
     attempt_t *attempt = calloc(1, sizeof(*attempt));
 
@@ -166,14 +180,50 @@
     attempt->again.data = attempt;
     uv_timer_init(&callers->loop, &attempt->again);
     callers->under_way++;
-    send_attempt(attempt);
+    return attempt;
+}
+
+static void on_pipelined(void *request, const pipeline_answer_t *answer)
+{
+    static const char *const faults[] = {"", "behind a closing answer", "cut", "connection refused"};
+    attempt_t               *attempt = request;
+    callers_t               *callers = attempt->callers;
+    int                      status = answer->end == PIPELINE_ANSWERED ? answer->status : 0;
+
+    if (status >= 200 && status < 300 && !is_right(attempt, answer->fields, answer->body, answer->body_length)) {
+        callers->wrong++;
+    }
+    if (answer->end == PIPELINE_UNREAD) {
+        callers->unread++;
+    } else {
+        callers->counts[status < 600 ? status : 599]++;
+    }
+    print_end(attempt, status, faults[answer->end]);
+    finish(attempt);
+}
+
+static void begin_pipeline(callers_t *callers)
+{
+    void       *attempts[PIPELINE_MAX];
+    cw_bytes_t  text = {0};
+    size_t      count = 0;
+    const char *address = callers->addresses[callers->sent / callers->pipeline % callers->node_count];
+
+    while (count < callers->pipeline && callers->sent < callers->total) {
+        attempts[count] = create_attempt(callers);
+        (void)write_attempt(attempts[count], &text);
+        count++;
+    }
+    pipeline_send(&callers->loop, address, text.data, text.length, attempts, count, on_pipelined);
+    cw_bytes_clear(&text);
 }
 
 static void print_sum(const callers_t *callers)
 {
     size_t status;
 
-    printf("{\"event\":\"sum\",\"requests\":%" PRIu64 ",\"wrong\":%" PRIu64, callers->sent, callers->wrong);
+    printf("{\"event\":\"sum\",\"requests\":%" PRIu64 ",\"wrong\":%" PRIu64 ",\"unread\":%" PRIu64, callers->sent,
+           callers->wrong, callers->unread);
     for (status = 0; status < 600; status++) {
         if (callers->counts[status] > 0) {
             printf(",\"s%zu\":%" PRIu64, status, callers->counts[status]);
@@ -188,7 +238,11 @@
     uint64_t   due = (uv_now(&callers->loop) - callers->started_ms) * callers->per_s / 1000;
 
     while (callers->sent < callers->total && callers->sent < due) {
-        begin_attempt(callers);
+        if (callers->pipeline > 1) {
+            begin_pipeline(callers);
+        } else {
+            send_attempt(create_attempt(callers));
+        }
     }
     if (callers->sent == callers->total &&
         (callers->under_way == 0 ||
@@ -214,6 +268,7 @@
         if (callers->nodes[callers->node_count] == NULL) {
             return false;
         }
+        snprintf(callers->addresses[callers->node_count], sizeof(callers->addresses[0]), "%s", item);
         callers->node_count++;
     }
     return callers->node_count > 0;
@@ -237,9 +292,10 @@
     struct arg_int  *rate = arg_int0("r", "rate", "N", "requests a second; default 50");
     struct arg_int  *count = arg_int0("c", "count", "N", "requests; default 500");
     struct arg_int  *hot = arg_int0("t", "hot", "PERCENT", "requests about one key; default 0");
+    struct arg_int  *pipeline = arg_int0("p", "pipeline", "N", "requests sent at once on a connection; default 1");
     struct arg_str  *name = arg_str0("i", "name", "TEXT", "begins the ids; default r");
     struct arg_end  *end = arg_end(ERRORS_MAX);
-    void            *table[] = {nodes, kinds, rate, count, hot, name, end};
+    void            *table[] = {nodes, kinds, rate, count, hot, pipeline, name, end};
     static callers_t callers;
     cw_upstream_options_t options = {.idle_max = CW_SECONDS(2)};
     int                   index;
@@ -254,6 +310,11 @@
     callers.random = 12345;
     callers.per_s = rate->count > 0 ? (uint64_t)rate->ival[0] : 50;
     callers.total = count->count > 0 ? (uint64_t)count->ival[0] : 500;
+    callers.pipeline = pipeline->count > 0 ? (uint64_t)pipeline->ival[0] : 1;
+    if (callers.pipeline < 1 || callers.pipeline > PIPELINE_MAX) {
+        fprintf(stderr, "cw-callers: --pipeline is from 1 to %d\n", PIPELINE_MAX);
+        return 2;
+    }
     callers.hot_percent = hot->count > 0 ? (uint32_t)hot->ival[0] : 0;
     snprintf(callers.run, sizeof(callers.run), "%s", name->count > 0 ? name->sval[0] : "r");
     for (index = 0; index < kinds->count; index++) {
