--- a/tests/test_http_pipeline.c
+++ b/tests/test_http_pipeline.c
@@ -314,9 +314,32 @@
 
 START_TEST(a_bad_request_is_answered_in_its_turn_and_is_the_last_one)
 {
+    char text[4000];
+
     expect_refused(GET("/1") GET("/2") "no request\r\n\r\n" GET("/3"), "HTTP/1.1 400");
     expect_refused(GET("/1") GET("/2") "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n" GET("/3"),
                    "HTTP/1.1 413");
+    snprintf(text, sizeof(text), "%sGET /3 HTTP/1.1\r\nLong: %02500d\r\n\r\n%s", GET("/1") GET("/2"), 0, GET("/4"));
+    expect_refused(text, "HTTP/1.1 431");
+}
+END_TEST
+
+START_TEST(empty_lines_between_requests_are_no_requests)
+{
+    cw_http_limits_t    short_limits = limits;
+    cw_listener_world_t world;
+    cw_world_caller_t  *caller;
+
+    short_limits.header_timeout = CW_MS(20);
+    cw_world_init(&world, &short_limits, &options);
+    caller = cw_world_connect(&world);
+    cw_world_send_text(caller, GET("/1") "\r\n\r\n" GET("/2") "\r\n");
+    cw_world_await_requests(&world, 2);
+    cw_world_answer(&world, 0, "first");
+    cw_world_answer(&world, 1, "second");
+    cw_world_pass(&world, 60);
+    ck_assert(!caller->ended);
+    ck_assert_ptr_null(strstr(cw_world_received(caller), "HTTP/1.1 408"));
 }
 END_TEST
 
@@ -440,6 +463,7 @@
     tcase_add_test(cases, a_post_waits_for_the_answers_before_it_and_holds_what_is_behind_it);
     tcase_add_test(cases, a_request_that_asks_to_close_is_the_last_one);
     tcase_add_test(cases, a_bad_request_is_answered_in_its_turn_and_is_the_last_one);
+    tcase_add_test(cases, empty_lines_between_requests_are_no_requests);
     tcase_add_test(cases, a_head_that_does_not_come_to_its_end_is_refused_in_its_turn);
     tcase_add_test(cases, an_abort_lets_the_answers_before_it_out);
     tcase_add_test(cases, at_a_stop_the_last_request_that_was_handed_over_closes);
