--- a/src/router/main.c
+++ b/src/router/main.c
@@ -6,6 +6,7 @@
  * or settings.
  */
 #include <argtable2.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -22,6 +23,7 @@
     cw_findings_t        findings;
     size_t               count;
 
+    (void)signal(SIGHUP, SIG_IGN); /* until it is handled: what it asks for, reading the settings, comes anyway */
     cw_findings_init(&findings);
     (void)cw_router_settings_read(&settings, file_name, &findings);
     cw_findings_print(&findings, stderr);
