--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -38,6 +38,14 @@
 typedef struct Cwp__SlotAsk Cwp__SlotAsk;
 typedef struct Cwp__SlotReply Cwp__SlotReply;
 typedef struct Cwp__SlotReturn Cwp__SlotReturn;
+typedef struct Cwp__ZoneNode Cwp__ZoneNode;
+typedef struct Cwp__ZoneSummary Cwp__ZoneSummary;
+typedef struct Cwp__QuotaUsage Cwp__QuotaUsage;
+typedef struct Cwp__QuotaReport Cwp__QuotaReport;
+typedef struct Cwp__QuotaStatus Cwp__QuotaStatus;
+typedef struct Cwp__QuotaAsk Cwp__QuotaAsk;
+typedef struct Cwp__QuotaGrant Cwp__QuotaGrant;
+typedef struct Cwp__QuotaReturn Cwp__QuotaReturn;
 typedef struct Cwp__Datagram Cwp__Datagram;
 
 
@@ -439,10 +447,14 @@
    * its callers are known by keys, also when it has none
    */
   protobuf_c_boolean needs_key;
+  /*
+   * others of its keys stand in other entries of this name
+   */
+  protobuf_c_boolean in_parts;
 };
 #define CWP__CONFIGURED_TENANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configured_tenant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Cwp__ConfiguredLimits
@@ -470,8 +482,8 @@
 
 
 /*
- * A page of a configuration. since 0: of the whole; else routes that changed since the configuration of that version.
- * Services, tenants and limits stand in page 0.
+ * A page of a configuration. since 0: of the whole; else routes and tenants that changed since the configuration of that
+ * version. Services and limits stand in page 0. A tenant of many keys stands in several pages, each with some of them.
  */
 struct  Cwp__ConfigurationPage
 {
@@ -492,6 +504,8 @@
   Cwp__ConfiguredLimits *limits;
   size_t n_removed;
   Cwp__RouteKey **removed;
+  size_t n_removed_tenants;
+  char **removed_tenants;
   /*
    * pages 0: this node has sent enough for now; that one has the version too
    */
@@ -499,7 +513,7 @@
 };
 #define CWP__CONFIGURATION_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__configuration_page__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -595,10 +609,14 @@
    * to be refused if a slot is expected later
    */
   uint32_t wait_ms;
+  /*
+   * hash of the name of the tenant whose turn it takes; 0: none
+   */
+  uint32_t tenant;
 };
 #define CWP__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__slot_ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cwp__SlotReply
@@ -641,6 +659,226 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What changes rarely of a node of the sender's zone.
+ */
+struct  Cwp__ZoneNode
+{
+  ProtobufCMessage base;
+  uint32_t address;
+  uint64_t incarnation;
+  char *node;
+  protobuf_c_boolean stopping;
+  protobuf_c_boolean store_lost;
+};
+#define CWP__ZONE_NODE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__zone_node__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * From a relay of a zone to one of another zone, which passes it on to its own zone as it is: who is alive, and sums.
+ */
+struct  Cwp__ZoneSummary
+{
+  ProtobufCMessage base;
+  char *zone;
+  /*
+   * address of the node that made it
+   */
+  uint32_t relay;
+  /*
+   * of that node
+   */
+  uint64_t incarnation;
+  uint32_t sequence;
+  /*
+   * by a node of the receiver's own zone
+   */
+  protobuf_c_boolean passed_on;
+  /*
+   * addresses of nodes that the relay has received from lately, and its own
+   */
+  size_t n_nodes;
+  uint32_t *nodes;
+  /*
+   * since then
+   */
+  size_t n_ages_ms;
+  uint32_t *ages_ms;
+  size_t n_capabilities;
+  uint32_t *capabilities;
+  /*
+   * of nodes that changed lately; of all only now and then
+   */
+  size_t n_details;
+  Cwp__ZoneNode **details;
+  /*
+   * hashes of the zones whose summaries the relay has received lately
+   */
+  size_t n_received;
+  uint32_t *received;
+  /*
+   * version in force at the relay
+   */
+  uint64_t configuration;
+  /*
+   * the sums that follow replace the ones before
+   */
+  protobuf_c_boolean has_loads;
+  /*
+   * of services divided by key, as requests of the zone's nodes look
+   */
+  size_t n_servers;
+  uint32_t *servers;
+  size_t n_under_way;
+  uint32_t *under_way;
+  size_t n_waiting;
+  uint32_t *waiting;
+  size_t n_unreachable;
+  uint32_t *unreachable;
+  size_t n_queues;
+  Cwp__QueueLength **queues;
+};
+#define CWP__ZONE_SUMMARY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__zone_summary__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * What a node has let through for a tenant (tenancy/quota.h).
+ */
+struct  Cwp__QuotaUsage
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint32_t tenant;
+  /*
+   * since the node's start
+   */
+  uint64_t admitted;
+  /*
+   * of them, with tokens of the receiver
+   */
+  uint64_t with_tokens;
+  /*
+   * of admitted, before the node counted on the receiver
+   */
+  uint64_t elsewhere;
+  /*
+   * of admitted, in the last window
+   */
+  uint32_t recent;
+  /*
+   * by the last word of a counting node
+   */
+  protobuf_c_boolean metered;
+};
+#define CWP__QUOTA_USAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_usage__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * From a node to the one that counts for some tenants. A whole state: a lost one is mended by the next.
+ */
+struct  Cwp__QuotaReport
+{
+  ProtobufCMessage base;
+  uint64_t incarnation;
+  uint32_t sequence;
+  size_t n_usages;
+  Cwp__QuotaUsage **usages;
+};
+#define CWP__QUOTA_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_report__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * The reply, and at once to those that reported a tenant which gets metered.
+ */
+struct  Cwp__QuotaStatus
+{
+  ProtobufCMessage base;
+  /*
+   * of the report; 0: it is no reply
+   */
+  uint32_t sequence;
+  /*
+   * tenants
+   */
+  size_t n_metered;
+  uint32_t *metered;
+  /*
+   * it does not count: it has just started, or stops
+   */
+  protobuf_c_boolean declines;
+};
+#define CWP__QUOTA_STATUS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_status__descriptor) \
+    , 0, 0,NULL, 0 }
+
+
+/*
+ * Asks for tokens.
+ */
+struct  Cwp__QuotaAsk
+{
+  ProtobufCMessage base;
+  uint64_t incarnation;
+  /*
+   * a repeated ask has the same one
+   */
+  uint32_t sequence;
+  uint32_t wanted;
+  /*
+   * requests refused since the last ask, without asking
+   */
+  uint32_t refused;
+  Cwp__QuotaUsage *usage;
+};
+#define CWP__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_ask__descriptor) \
+    , 0, 0, 0, 0, NULL }
+
+
+struct  Cwp__QuotaGrant
+{
+  ProtobufCMessage base;
+  uint32_t tenant;
+  /*
+   * of the ask
+   */
+  uint32_t sequence;
+  uint32_t tokens;
+  /*
+   * for the first request that got none
+   */
+  uint32_t retry_after_ms;
+  protobuf_c_boolean metered;
+};
+#define CWP__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_grant__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * Tokens that were not used.
+ */
+struct  Cwp__QuotaReturn
+{
+  ProtobufCMessage base;
+  uint32_t tenant;
+  uint32_t tokens;
+};
+#define CWP__QUOTA_RETURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_return__descriptor) \
+    , 0, 0 }
+
+
 typedef enum {
   CWP__DATAGRAM__CONTENT__NOT_SET = 0,
   CWP__DATAGRAM__CONTENT_REPORT = 1,
@@ -653,7 +891,13 @@
   CWP__DATAGRAM__CONTENT_STORE_NOTICE = 8,
   CWP__DATAGRAM__CONTENT_SLOT_ASK = 9,
   CWP__DATAGRAM__CONTENT_SLOT_REPLY = 10,
-  CWP__DATAGRAM__CONTENT_SLOT_RETURN = 11
+  CWP__DATAGRAM__CONTENT_SLOT_RETURN = 11,
+  CWP__DATAGRAM__CONTENT_ZONE_SUMMARY = 20,
+  CWP__DATAGRAM__CONTENT_QUOTA_REPORT = 21,
+  CWP__DATAGRAM__CONTENT_QUOTA_STATUS = 22,
+  CWP__DATAGRAM__CONTENT_QUOTA_ASK = 23,
+  CWP__DATAGRAM__CONTENT_QUOTA_GRANT = 24,
+  CWP__DATAGRAM__CONTENT_QUOTA_RETURN = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CWP__DATAGRAM__CONTENT__CASE)
 } Cwp__Datagram__ContentCase;
 
@@ -673,6 +917,12 @@
     Cwp__SlotAsk *slot_ask;
     Cwp__SlotReply *slot_reply;
     Cwp__SlotReturn *slot_return;
+    Cwp__ZoneSummary *zone_summary;
+    Cwp__QuotaReport *quota_report;
+    Cwp__QuotaStatus *quota_status;
+    Cwp__QuotaAsk *quota_ask;
+    Cwp__QuotaGrant *quota_grant;
+    Cwp__QuotaReturn *quota_return;
   };
 };
 #define CWP__DATAGRAM__INIT \
@@ -1117,6 +1367,158 @@
 void   cwp__slot_return__free_unpacked
                      (Cwp__SlotReturn *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__ZoneNode methods */
+void   cwp__zone_node__init
+                     (Cwp__ZoneNode         *message);
+size_t cwp__zone_node__get_packed_size
+                     (const Cwp__ZoneNode   *message);
+size_t cwp__zone_node__pack
+                     (const Cwp__ZoneNode   *message,
+                      uint8_t             *out);
+size_t cwp__zone_node__pack_to_buffer
+                     (const Cwp__ZoneNode   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ZoneNode *
+       cwp__zone_node__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__zone_node__free_unpacked
+                     (Cwp__ZoneNode *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__ZoneSummary methods */
+void   cwp__zone_summary__init
+                     (Cwp__ZoneSummary         *message);
+size_t cwp__zone_summary__get_packed_size
+                     (const Cwp__ZoneSummary   *message);
+size_t cwp__zone_summary__pack
+                     (const Cwp__ZoneSummary   *message,
+                      uint8_t             *out);
+size_t cwp__zone_summary__pack_to_buffer
+                     (const Cwp__ZoneSummary   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ZoneSummary *
+       cwp__zone_summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__zone_summary__free_unpacked
+                     (Cwp__ZoneSummary *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaUsage methods */
+void   cwp__quota_usage__init
+                     (Cwp__QuotaUsage         *message);
+size_t cwp__quota_usage__get_packed_size
+                     (const Cwp__QuotaUsage   *message);
+size_t cwp__quota_usage__pack
+                     (const Cwp__QuotaUsage   *message,
+                      uint8_t             *out);
+size_t cwp__quota_usage__pack_to_buffer
+                     (const Cwp__QuotaUsage   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaUsage *
+       cwp__quota_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_usage__free_unpacked
+                     (Cwp__QuotaUsage *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaReport methods */
+void   cwp__quota_report__init
+                     (Cwp__QuotaReport         *message);
+size_t cwp__quota_report__get_packed_size
+                     (const Cwp__QuotaReport   *message);
+size_t cwp__quota_report__pack
+                     (const Cwp__QuotaReport   *message,
+                      uint8_t             *out);
+size_t cwp__quota_report__pack_to_buffer
+                     (const Cwp__QuotaReport   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaReport *
+       cwp__quota_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_report__free_unpacked
+                     (Cwp__QuotaReport *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaStatus methods */
+void   cwp__quota_status__init
+                     (Cwp__QuotaStatus         *message);
+size_t cwp__quota_status__get_packed_size
+                     (const Cwp__QuotaStatus   *message);
+size_t cwp__quota_status__pack
+                     (const Cwp__QuotaStatus   *message,
+                      uint8_t             *out);
+size_t cwp__quota_status__pack_to_buffer
+                     (const Cwp__QuotaStatus   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaStatus *
+       cwp__quota_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_status__free_unpacked
+                     (Cwp__QuotaStatus *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaAsk methods */
+void   cwp__quota_ask__init
+                     (Cwp__QuotaAsk         *message);
+size_t cwp__quota_ask__get_packed_size
+                     (const Cwp__QuotaAsk   *message);
+size_t cwp__quota_ask__pack
+                     (const Cwp__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t cwp__quota_ask__pack_to_buffer
+                     (const Cwp__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaAsk *
+       cwp__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_ask__free_unpacked
+                     (Cwp__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaGrant methods */
+void   cwp__quota_grant__init
+                     (Cwp__QuotaGrant         *message);
+size_t cwp__quota_grant__get_packed_size
+                     (const Cwp__QuotaGrant   *message);
+size_t cwp__quota_grant__pack
+                     (const Cwp__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t cwp__quota_grant__pack_to_buffer
+                     (const Cwp__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaGrant *
+       cwp__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_grant__free_unpacked
+                     (Cwp__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__QuotaReturn methods */
+void   cwp__quota_return__init
+                     (Cwp__QuotaReturn         *message);
+size_t cwp__quota_return__get_packed_size
+                     (const Cwp__QuotaReturn   *message);
+size_t cwp__quota_return__pack
+                     (const Cwp__QuotaReturn   *message,
+                      uint8_t             *out);
+size_t cwp__quota_return__pack_to_buffer
+                     (const Cwp__QuotaReturn   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__QuotaReturn *
+       cwp__quota_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__quota_return__free_unpacked
+                     (Cwp__QuotaReturn *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__Datagram methods */
 void   cwp__datagram__init
                      (Cwp__Datagram         *message);
@@ -1207,6 +1609,30 @@
 typedef void (*Cwp__SlotReturn_Closure)
                  (const Cwp__SlotReturn *message,
                   void *closure_data);
+typedef void (*Cwp__ZoneNode_Closure)
+                 (const Cwp__ZoneNode *message,
+                  void *closure_data);
+typedef void (*Cwp__ZoneSummary_Closure)
+                 (const Cwp__ZoneSummary *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaUsage_Closure)
+                 (const Cwp__QuotaUsage *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaReport_Closure)
+                 (const Cwp__QuotaReport *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaStatus_Closure)
+                 (const Cwp__QuotaStatus *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaAsk_Closure)
+                 (const Cwp__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaGrant_Closure)
+                 (const Cwp__QuotaGrant *message,
+                  void *closure_data);
+typedef void (*Cwp__QuotaReturn_Closure)
+                 (const Cwp__QuotaReturn *message,
+                  void *closure_data);
 typedef void (*Cwp__Datagram_Closure)
                  (const Cwp__Datagram *message,
                   void *closure_data);
@@ -1239,6 +1665,14 @@
 extern const ProtobufCMessageDescriptor cwp__slot_ask__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_reply__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_return__descriptor;
+extern const ProtobufCMessageDescriptor cwp__zone_node__descriptor;
+extern const ProtobufCMessageDescriptor cwp__zone_summary__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_usage__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_report__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_status__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_grant__descriptor;
+extern const ProtobufCMessageDescriptor cwp__quota_return__descriptor;
 extern const ProtobufCMessageDescriptor cwp__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -10,6 +10,7 @@
     X(START, "start", NOTICE, 10)                                                                                      \
     X(STOP, "stop", NOTICE, 10)                                                                                        \
     X(END, "end", NOTICE, 10)                                                                                          \
+    X(TRAFFIC, "traffic", NOTICE, 10)                                                                                  \
     X(RELOAD, "reload", NOTICE, 10)                                                                                    \
     X(LINES_DROPPED, "lines dropped", WARNING, 10)                                                                     \
     X(FATAL_SIGNAL, "fatal signal", ERROR, 10)                                                                         \
@@ -39,11 +40,13 @@
     X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
     X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
     X(PLAN_WRITTEN, "plan written", NOTICE, 20)                                                                        \
+    X(LIMIT_MODE, "limit mode", NOTICE, 20)                                                                            \
     X(REQUEST_SERVED, "served", INFO, 200)                                                                             \
     X(REQUEST_RETRIED, "retried", NOTICE, 100)                                                                         \
     X(REQUEST_REFUSED, "refused", NOTICE, 100)                                                                         \
     X(REQUEST_FAILED, "failed", NOTICE, 100)                                                                           \
-    X(REQUEST_GONE, "caller left", INFO, 50)
+    X(REQUEST_GONE, "caller left", INFO, 50)                                                                           \
+    X(ANSWER_WAITED, "answer waited", INFO, 50)
 
 /* X(symbol, name in the log) */
 #define CW_EVENT_FIELD_TABLE(X)                                                                                        \
@@ -74,6 +77,8 @@
     X(BUDGET, "budget")                                                                                                \
     X(UNDER_WAY, "under_way")                                                                                          \
     X(QUEUED, "queued")                                                                                                \
+    X(WAITED_MS, "waited_ms")                                                                                          \
+    X(WAITED_FOR, "waited_for")                                                                                        \
     X(SILENT_MS, "silent_ms")                                                                                          \
     X(ZONE, "zone")                                                                                                    \
     X(PEER, "peer")                                                                                                    \
@@ -91,6 +96,11 @@
     X(BUILD, "build")                                                                                                  \
     X(LOAD_ADDRESS, "load_address")                                                                                    \
     X(TRACE, "trace")                                                                                                  \
+    X(SENT_ZONE, "sent_zone")                                                                                          \
+    X(SENT_REGION, "sent_region")                                                                                      \
+    X(SENT_REMOTE, "sent_remote")                                                                                      \
+    X(LIMIT_MODE, "limit_mode")                                                                                        \
+    X(LIMIT_AGE_MS, "limit_age_ms")                                                                                    \
     X(DETAIL, "detail")
 
 #define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/byte_buffer.h"
 #include "base/time.h"
 
 /* X(symbol, name, type, help). What tells a node's state comes first: collectors may cut a long text short. */
@@ -30,6 +31,15 @@
       "refused: this node stops before they may end")                                                                  \
     X(REFUSED_UNREADY, "cedarwinch_refused_unready_total", "counter", "refused: no configuration yet")                 \
     X(REFUSED_TENANT, "cedarwinch_refused_tenant_total", "counter", "refused: the tenant's limits")                    \
+    X(REFUSED_LIMIT, "cedarwinch_refused_limit_total", "counter", "of them, the tenant's rate")                        \
+    X(LIMIT_ASKS, "cedarwinch_limit_asks_total", "counter", "tokens' asks sent, and sent again")                       \
+    X(LIMIT_REPORTS, "cedarwinch_limit_reports_total", "counter", "reports to nodes that count for tenants")           \
+    X(LIMIT_RETURNED, "cedarwinch_limit_tokens_returned_total", "counter", "tokens that were not used")                \
+    X(LIMIT_MODES, "cedarwinch_limit_mode_changes_total", "counter",                                                   \
+      "times a tenant became free, metered or alone on this node")                                                     \
+    X(LIMIT_ALONE, "cedarwinch_limit_alone_total", "counter", "of them, alone: the counting node did not reply")       \
+    X(LIMIT_TENANTS, "cedarwinch_limit_tenants", "gauge", "tenants of which this node counts its own requests")        \
+    X(LIMIT_BUCKETS, "cedarwinch_limit_buckets", "gauge", "tenants for which this node counts for all")                \
     X(REFUSED_KEYS_STALE, "cedarwinch_refused_keys_stale_total", "counter",                                            \
       "refused: a key may have been taken away, and there is no late enough evidence that none was")                   \
     X(REFUSED_KEY_MOVED, "cedarwinch_refused_key_moved_total", "counter",                                              \
@@ -46,6 +56,15 @@
     X(FAILED_UNKNOWN, "cedarwinch_failed_unknown_total", "counter", "502: sent, and the answer was broken or lost")    \
     X(FAILED_LATE, "cedarwinch_failed_late_total", "counter", "504: no answer within the time limit")                  \
     X(CALLERS_LEFT, "cedarwinch_callers_left_total", "counter", "callers that left before their answer")               \
+    X(PIPELINED, "cedarwinch_pipelined_total", "counter",                                                              \
+      "requests handed over while an earlier one of their connection had no answer written")                           \
+    X(ANSWERS_WAITED, "cedarwinch_answers_waited_total", "counter",                                                    \
+      "answers that waited for an earlier one of their connection")                                                    \
+    X(READING_STOPPED, "cedarwinch_reading_stopped_total", "counter",                                                  \
+      "times a connection was not read on: its pipeline was full, or a body waited for memory")                        \
+    X(BODIES_WAITED, "cedarwinch_bodies_waited_total", "counter", "bodies that waited for memory")                     \
+    X(REFUSED_BODIES, "cedarwinch_refused_bodies_total", "counter", "refused: no memory for the body in time")         \
+    X(BODY_BYTES, "cedarwinch_body_bytes", "gauge", "bytes reserved for callers' bodies")                              \
     X(SENT, "cedarwinch_sent_total", "counter", "requests sent to servers")                                            \
     X(RETRIES, "cedarwinch_retries_total", "counter", "requests sent once more")                                       \
     X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries for which the budget had no room")        \
@@ -87,7 +106,8 @@
 #define CW_HISTOGRAM_TABLE(X)                                                                                          \
     X(QUEUE, "cedarwinch_queue_seconds", "time from a request's arrival to its sending")                               \
     X(SERVER, "cedarwinch_server_seconds", "time from sending to the whole answer")                                    \
-    X(TOTAL, "cedarwinch_total_seconds", "time from a request's arrival to its answer")
+    X(TOTAL, "cedarwinch_total_seconds", "time from a request's arrival to its answer")                                \
+    X(TURN, "cedarwinch_turn_seconds", "time that answers waited for an earlier one of their connection")
 
 #define CW_METRIC_SYMBOL(symbol, name, type, help) CW_METRIC_##symbol,
 typedef enum cw_metric { CW_METRIC_TABLE(CW_METRIC_SYMBOL) CW_METRICS } cw_metric_t;
@@ -102,6 +122,8 @@
 uint64_t cw_metric_value(cw_metric_t metric);
 /** Counts one latency of a route. */
 void cw_histogram_add(cw_histogram_t histogram, const char *route, cw_time_us_t value);
+/** Appends all metrics. */
+void cw_metrics_append(cw_bytes_t *text);
 /** All metrics as text, to be freed. */
 char *cw_metrics_text(size_t *length);
 /** Forgets everything; for tests. */
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -30,7 +30,16 @@
                                          * region while there is a slot in time; a kilobyte waits 30 ms, about as long
                                          * as the way itself takes: it crosses as soon as a queue forms */
     RETRY_WINDOW_MS = 10000,
-    RETRY_EXTRA = 20
+    RETRY_EXTRA = 20,
+    PIPELINE_DEPTH = 16,
+    PIPELINE_DEPTH_MAX = 1000,
+    PIPELINE_BYTES = 256 * 1024,
+    MEMORY_MB_MAX = 1024 * 1024,
+    BODY_BYTES_MOST = 64 * 1024 * 1024, /* where the node's memory is not told */
+    BODY_MEMORY_PART = 4,               /* of the node's memory: bodies are sent from where they are read, held once */
+    BODY_WAIT_MS = 300,                 /* some two usual requests at a server, whose end gives memory back */
+    LIMIT_WINDOW_MS = 5000,
+    LIMIT_SLACK = 20
 };
 
 static void copy_text(char *target, size_t size, const char *text)
@@ -59,7 +68,13 @@
     settings->retry_window = CW_MS(RETRY_WINDOW_MS);
     settings->retry_ratio = 0.1;
     settings->retry_extra = RETRY_EXTRA;
+    settings->limit_window = CW_MS(LIMIT_WINDOW_MS);
+    settings->limit_overshoot = 0.1;
+    settings->limit_slack = LIMIT_SLACK;
     copy_text(settings->credential_scheme, sizeof(settings->credential_scheme), "Bearer");
+    settings->pipeline_depth = PIPELINE_DEPTH;
+    settings->pipeline_bytes = PIPELINE_BYTES;
+    settings->body_wait = CW_MS(BODY_WAIT_MS);
 }
 
 static bool endpoint_from_text(cw_endpoint_t *endpoint, const char *text)
@@ -225,6 +240,9 @@
     settings->retry_window = read_ms(mapping, "retry_window_ms", 1000, 600000, settings->retry_window);
     settings->retry_ratio = cw_yaml_real(mapping, "retry_ratio", 0, 1, settings->retry_ratio);
     settings->retry_extra = cw_yaml_real(mapping, "retry_extra", 0, 1e9, settings->retry_extra);
+    settings->limit_window = read_ms(mapping, "tenant_limit_window_ms", 100, 600000, settings->limit_window);
+    settings->limit_overshoot = cw_yaml_real(mapping, "tenant_limit_overshoot", 0, 10, settings->limit_overshoot);
+    settings->limit_slack = cw_yaml_real(mapping, "tenant_limit_slack", 0, 1e9, settings->limit_slack);
 }
 
 /* A token of HTTP: it stands before a blank in a header. */
@@ -255,6 +273,20 @@
         cw_yaml_flag(mapping, "credentials_fail_closed", settings->credentials_fail_closed);
 }
 
+static void read_connections(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    size_t most;
+
+    settings->pipeline_depth =
+        (uint32_t)cw_yaml_number(mapping, "pipeline_depth", 1, PIPELINE_DEPTH_MAX, settings->pipeline_depth);
+    settings->pipeline_bytes = cw_yaml_number(mapping, "pipeline_bytes", 1024, SIZE_MAX, settings->pipeline_bytes);
+    settings->memory_mb = (uint32_t)cw_yaml_real(mapping, "memory_mb", 0, MEMORY_MB_MAX, 0);
+    most = (size_t)settings->memory_mb * 1024 * 1024 / BODY_MEMORY_PART;
+    settings->body_bytes_most = cw_yaml_number(mapping, "body_bytes_most", 64 * 1024, SIZE_MAX,
+                                               settings->memory_mb == 0 ? BODY_BYTES_MOST : most);
+    settings->body_wait = read_ms(mapping, "body_wait_ms", 0, 60000, settings->body_wait);
+}
+
 /* Checks that span several keys. */
 static void check(const cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
 {
@@ -285,6 +317,7 @@
         read_level(settings, &mapping);
         read_tuning(settings, &mapping);
         read_credentials(settings, &mapping);
+        read_connections(settings, &mapping);
         check(settings, &mapping);
         cw_yaml_finish(&mapping);
     }
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -37,6 +37,7 @@
            strcmp(request->method, "PATCH") == 0;
 }
 
+/* All but the body. */
 static void write_request(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now, cw_bytes_t *out)
 {
     const cw_header_names_t *names = &request->engine->settings.names;
@@ -66,9 +67,6 @@
     cw_bytes_append_format(out, "%s: %lld\r\n%s: %s\r\n\r\n", names->deadline,
                            (long long)((request->deadline - now) / 1000 > 0 ? (request->deadline - now) / 1000 : 1),
                            names->target, server->id);
-    if (request->body_length > 0) {
-        cw_bytes_append(out, request->body, request->body_length);
-    }
 }
 
 /* ---- sending ---- */
@@ -98,10 +96,7 @@
                                      .match_name = request->id == NULL ? NULL : engine->settings.names.request_id,
                                      .match_value = request->id};
 
-    cw_request_unqueue(request);
-    if (!cw_request_still_admitted(request)) {
-        return;
-    }
+    cw_request_take_turn(request);
     if (server->connections == NULL) {
         server->connections = cw_upstream_target_create(engine->upstream, server->address);
     }
@@ -112,6 +107,8 @@
     write_request(request, server, now, &bytes);
     sending.bytes = bytes.data;
     sending.length = bytes.length;
+    sending.body = request->body; /* sent from where it was read: one copy in memory, for all repeats */
+    sending.body_length = request->body_length;
     request->server = server;
     request->sent_at = now;
     if (request->first_sent_at == 0) {
@@ -195,6 +192,9 @@
 
 static void send_again(cw_request_t *request, cw_time_us_t pause)
 {
+    if (!cw_request_still_admitted(request)) {
+        return;
+    }
     request->not_before = pause > 0 ? cw_engine_now(request->engine) + pause : 0;
     cw_request_enqueue(request);
     cw_service_dispatch(request->engine, request->service);
@@ -209,7 +209,7 @@
     cw_server_t *server = request->server;
 
     request->repeat_at = CW_NEVER;
-    if (!may_repeat(request, now)) {
+    if (!cw_request_caller_stays(request) || !may_repeat(request, now)) {
         cw_request_arm(request);
         return;
     }
--- a/src/proxy/engine_callers.c
+++ b/src/proxy/engine_callers.c
@@ -5,13 +5,14 @@
  *
  * Rules:
  *  - A request is sent to a server only while its key is one of the configuration in force: looked at when it comes in,
- *    again when a later configuration comes into force, and again at each sending.
+ *    when a later configuration comes into force while it is at no server, and when it comes back from one.
  *  - A request that is at a server keeps its answer, whatever becomes of its key: the server is at work on it already.
+ *    It is not taken from there for a repeat either; what the server gives back is rejected.
  *  - Where keys are to be trusted no longer than their evidence (cw_engine_trust_keys), a request with a key is refused
  *    with a time to come back: another node may know more.
  */
 #include <stdlib.h>
-#include <strings.h>
+#include <string.h>
 #include <utlist.h>
 
 #include "base/event_log.h"
@@ -24,6 +25,20 @@
  * follow within a second (configuration_freshness.h). */
 static const double retry_stale_s = 0.5;
 
+void cw_engine_init_callers(cw_engine_t *engine)
+{
+    static const char       name[] = "WWW-Authenticate";
+    cw_http_field_builder_t builder = {0};
+
+    engine->keys_trusted_until = CW_NEVER;
+    if (engine->settings.credential_scheme == NULL) {
+        engine->settings.credential_scheme = "Bearer";
+    }
+    cw_http_field_builder_name(&builder, &engine->challenge, name, strlen(name));
+    cw_http_field_builder_value(&builder, &engine->challenge, engine->settings.credential_scheme,
+                                strlen(engine->settings.credential_scheme));
+}
+
 void cw_engine_trust_keys(cw_engine_t *engine, cw_time_us_t until)
 {
     engine->keys_trusted_until = until;
@@ -63,6 +78,7 @@
     } else if (cw_caller_is_rejected(caller)) {
         rejection.status = STATUS_UNAUTHORIZED;
         rejection.reason = cw_caller_reason(caller->verdict);
+        rejection.fields = &engine->challenge;
         cw_metric_add(metric_of(caller->verdict), 1);
     } else {
         return true;
@@ -73,6 +89,23 @@
 
 /* ---- a later configuration ---- */
 
+bool cw_request_caller_stays(const cw_request_t *request)
+{
+    return cw_caller_standing(&request->caller, request->engine->configuration) == CW_CALLER_STAYS;
+}
+
+/* Let in when nobody was known by keys: what it carries may be a key now. */
+static void hide_new_credentials(cw_request_t *request, const cw_configuration_t *later)
+{
+    cw_caller_t caller;
+
+    if (request->caller.hides_credentials || !later->needs_keys) {
+        return;
+    }
+    caller = cw_caller_identify(later, request->route, request->fields, request->engine->settings.credential_scheme);
+    request->caller.hides_credentials = caller.hides_credentials;
+}
+
 bool cw_request_still_admitted(cw_request_t *request)
 {
     const cw_configuration_t *later = request->engine->configuration;
@@ -81,6 +114,7 @@
         return true;
     }
     request->caller_checked_by = later->version;
+    hide_new_credentials(request, later);
     switch (cw_caller_standing(&request->caller, later)) {
     case CW_CALLER_STAYS:
         return true;
@@ -96,28 +130,26 @@
 
 void cw_engine_check_callers(cw_engine_t *engine)
 {
-    cw_request_t **waiting = calloc(engine->requests + 1, sizeof(void *));
+    cw_request_t **requests = calloc(engine->requests + 1, sizeof(void *));
     cw_request_t  *request;
     size_t         count = 0;
     size_t         index;
 
-    if (waiting == NULL) {
+    if (requests == NULL) {
         abort();
     }
     DL_FOREACH2(engine->open, request, newer)
     {
-        if (request->call == NULL) {
-            waiting[count++] = request;
-        }
+        requests[count++] = request;
     }
     /* An answer may let another request of the connection begin, and that one may end others: they are freed by the
      * loop, not before this returns. */
     for (index = 0; index < count; index++) {
-        if (!waiting[index]->is_ended && waiting[index]->call == NULL) {
-            (void)cw_request_still_admitted(waiting[index]);
+        if (!requests[index]->is_ended && requests[index]->call == NULL) {
+            (void)cw_request_still_admitted(requests[index]);
         }
     }
-    free(waiting);
+    free(requests);
 }
 
 /* ---- what servers do not see ---- */
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -3,13 +3,15 @@
  * @brief State shared by the engine's parts.
  *
  * A request is QUEUED (waits for a slot, an owner or its pause) or SENT (one call is under way); it ends with its
- * answer or when its caller leaves. Its timer is armed for whatever comes first.
+ * answer or when its caller leaves. Before it is queued it may wait for a token of its tenant's limit (engine_quota.c).
+ * Its timer is armed for whatever comes first.
  */
 #ifndef CEDARWINCH_PROXY_ENGINE_INTERNAL_H
 #define CEDARWINCH_PROXY_ENGINE_INTERNAL_H
 
 #include <uthash.h>
 
+#include "balance/fair_turns.h"
 #include "proxy/engine.h"
 #include "proxy/slot_stages.h"
 #include "tenancy/caller_identity.h"
@@ -53,6 +55,13 @@
     cw_server_load_t load;
 } cw_slot_claim_t;
 
+/** What lets a request of a tenant with a limit go on. */
+typedef enum cw_token_state {
+    CW_TOKEN_NONE,    /**< it needs none, or its run has cost it */
+    CW_TOKEN_AWAITED, /**< asked for at the node that counts for the tenant */
+    CW_TOKEN_HELD
+} cw_token_state_t;
+
 /** A node that did not reply is not asked for a while. */
 typedef struct cw_silent_broker {
     uint32_t     address;
@@ -65,7 +74,7 @@
     char              *name;
     uint32_t           hash; /**< of the name, as between nodes */
     cw_shared_budget_t budget;
-    cw_request_t      *queue; /**< by rank, then deadline */
+    cw_request_t      *queue; /**< by rank, then turn, then deadline */
     size_t             queued;
     uint32_t           queued_elsewhere;
     cw_key_route_t    *table;
@@ -86,6 +95,8 @@
     cw_caller_t             caller;            /**< its tenant is the configuration's */
     uint64_t                caller_checked_by; /**< version that the caller was held against last */
     uint32_t                rank;              /**< 0 is the most urgent (request_rank.h) */
+    uint32_t                tenant_hash;       /**< of the tenant that is accountable for it; 0: none */
+    uint64_t                turn;              /**< among the tenants that wait (fair_turns.h) */
     cw_tenant_count_t      *tenant;            /**< NULL: none */
     cw_region_rule_t        regions;           /**< servers there only */
     bool                    is_keyed;          /**< the service is divided by key, and the request names one */
@@ -113,6 +124,9 @@
     char                    avoid[48];   /**< id of the server that failed it last */
     cw_upstream_call_t     *call;
     cw_slot_claim_t         claim;
+    cw_token_state_t        token;
+    cw_request_t           *earlier; /**< utlist's names, among those that await a token */
+    cw_request_t           *later;
     UT_hash_handle          by_ticket;
     uv_timer_t              timer;
     cw_request_t           *prev; /**< utlist's names, in the queue */
@@ -128,6 +142,10 @@
     cw_upstream_t       *upstream;
     cw_configuration_t  *configuration;
     cw_tenant_gate_t    *gate;
+    cw_fair_turns_t     *turns;
+    cw_quota_share_t    *quota;              /**< NULL: tenants' rates bind nobody */
+    cw_request_t        *awaiting;           /**< a token, the earliest first */
+    cw_http_fields_t     challenge;          /**< of a 401: the scheme that is asked for (RFC 9110, 15.5.2) */
     cw_time_us_t         keys_trusted_until; /**< callers' keys; CW_NEVER: as long as they stand */
     cw_route_state_t    *routes;
     cw_service_state_t  *services;
@@ -159,16 +177,30 @@
 /* ---- engine_admission.c ---- */
 /** An answer to what never became a request. */
 typedef struct cw_rejection {
-    int         status;
-    const char *reason;
-    const char *route;         /**< NULL: none */
-    const char *tenant;        /**< NULL: not known */
-    double      retry_after_s; /**< -1: none */
+    int                     status;
+    const char             *reason;
+    const char             *route;         /**< NULL: none */
+    const char             *tenant;        /**< NULL: not known */
+    double                  retry_after_s; /**< -1: none */
+    const cw_http_fields_t *fields;        /**< of the answer; NULL: none */
 } cw_rejection_t;
 void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
                       const cw_rejection_t *rejection);
 
+/** It needs nothing more to be queued. */
+void cw_request_admit(cw_request_t *request);
+
+/* ---- engine_quota.c ---- */
+/** False: it waits for a token, or was refused and is answered. */
+bool cw_request_take_token(cw_request_t *request);
+/** It has run. */
+void cw_request_spend_token(cw_request_t *request);
+/** It ends: its token, if it has not run, is the next request's; it no longer waits for one. */
+void cw_request_return_token(cw_request_t *request);
+
 /* ---- engine_callers.c ---- */
+/** Once, when the engine is created. */
+void cw_engine_init_callers(cw_engine_t *engine);
 /** False: the caller was rejected, and is answered. */
 bool cw_engine_admit_caller(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
                             const cw_route_t *route, cw_caller_t *caller);
@@ -176,6 +208,8 @@
 bool cw_request_still_admitted(cw_request_t *request);
 /** The same for all of them: another configuration has come into force. */
 void cw_engine_check_callers(cw_engine_t *engine);
+/** Has its caller the same standing in the configuration in force? Changes nothing. */
+bool cw_request_caller_stays(const cw_request_t *request);
 /** A field of the caller that is for this system, or that the system sets itself: it does not go to servers. */
 bool cw_request_hides_field(const cw_request_t *request, const char *name);
 
@@ -190,6 +224,8 @@
 /* ---- engine_queue.c ---- */
 void cw_request_enqueue(cw_request_t *request);
 void cw_request_unqueue(cw_request_t *request);
+/** The same, since it is sent now: its tenant's turn is over. */
+void cw_request_take_turn(cw_request_t *request);
 /** Sends what can be sent of a service's queue. */
 void cw_service_dispatch(cw_engine_t *engine, cw_service_state_t *service);
 /** When the request's turn would come and its answer be there, as far as can be told; CW_NEVER: unknown. */
@@ -237,6 +273,8 @@
 } cw_refusal_t;
 /** Not run, and never will: 503 with the time to come back. */
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason);
+/** 429: above the limit of its tenant. */
+void cw_request_refuse_limit(cw_request_t *request, cw_time_us_t retry_after);
 /** 401: its caller's key was taken away. Says nothing of whether the request has run. */
 void cw_request_refuse_revoked(cw_request_t *request);
 void cw_request_fail_unknown(cw_request_t *request, const char *fault);
--- a/tests/test_product.c
+++ b/tests/test_product.c
@@ -11,8 +11,10 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "base/tenant_metrics.h"
 #include "config/router_settings.h"
 #include "loop_fixture.h"
+#include "peer/traffic_account.h"
 
 static const char good_settings[] = "node: n1\nzone: z1\naddress: 10.0.0.1\ncallers: 10.0.0.1:8080\n"
                                     "readiness: 10.0.0.1:8081\npeer_port: 7000\nstore: 10.0.0.9:7001\n"
@@ -210,6 +212,27 @@
     return text;
 }
 
+/* The example with its commented defaults taken in: each key of a node at once. */
+START_TEST(all_settings_at_once_are_known)
+{
+    cw_router_settings_t settings;
+    char                *text = read_file("examples/node.yaml");
+    char                *line;
+
+    for (line = text; line != NULL && *line != '\0';
+         line = strchr(line, '\n') == NULL ? NULL : strchr(line, '\n') + 1) {
+        size_t name = strspn(line, "# ");
+
+        if (line[0] == '#' && line[name + strspn(line + name, "abcdefghijklmnopqrstuvwxyz_")] == ':') {
+            memset(line, ' ', name);
+            memmove(line, line + name, strlen(line + name) + 1);
+        }
+    }
+    ck_assert_uint_eq(findings_of(text, &settings), 0);
+    free(text);
+}
+END_TEST
+
 START_TEST(every_event_and_field_is_documented)
 {
     char  *page = read_file("docs/OPERATIONS.md");
@@ -233,17 +256,22 @@
 
 START_TEST(every_metric_is_documented_and_none_besides)
 {
-    char  *page = read_file("docs/OPERATIONS.md");
-    char  *text;
-    char  *line;
-    char   quoted[128];
-    size_t length;
-    size_t served = 0;
-    size_t told = 0;
+    cw_traffic_account_t account = {0};
+    cw_bytes_t           served_text = {0};
+    char                *page = read_file("docs/OPERATIONS.md");
+    char                *text;
+    char                *line;
+    char                 quoted[128];
+    size_t               served = 0;
+    size_t               told = 0;
 
     cw_metrics_reset();
     cw_histogram_add(CW_HISTOGRAM_TOTAL, "r", CW_MS(3));
-    text = cw_metrics_text(&length);
+    cw_metrics_append(&served_text);
+    cw_tenant_metrics_write(&served_text);
+    cw_traffic_account_metrics(&account, &served_text);
+    cw_bytes_append(&served_text, "", 1);
+    text = served_text.data;
     for (line = strtok(text, "\n"); line != NULL; line = strtok(NULL, "\n")) {
         char name[96];
 
@@ -290,6 +318,7 @@
     tcase_add_test(cases, levels_keep_lines_out);
     tcase_add_test(cases, a_reader_that_does_not_read_costs_lines_not_time);
     tcase_add_test(cases, a_flood_of_one_kind_is_limited_and_told);
+    tcase_add_test(cases, all_settings_at_once_are_known);
     tcase_add_test(cases, every_event_and_field_is_documented);
     tcase_add_test(cases, every_metric_is_documented_and_none_besides);
     tcase_add_test(cases, histograms_count_upwards);
