placement: where a key's requests come from enters the cost of its place

Samples name the region of the node that saw them (its zone is known to the receiver). Tests: test_planner (three); without the errors of chance, requests from everywhere move keys (seen).

--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -201,6 +201,11 @@
     return pool->region_table.count > 1;
 }
 
+uint32_t cw_server_pool_zone_bit(const cw_server_pool_t *pool, const char *zone)
+{
+    return cw_region_bit(&pool->region_table, region_of(pool, zone));
+}
+
 uint32_t cw_server_pool_region_mask(const cw_server_pool_t *pool, const cw_region_rule_t *rule)
 {
     return cw_region_mask(&pool->region_table, rule->route, rule->tenant);
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -117,6 +117,8 @@
 const cw_server_t *cw_server_pool_find_hash(cw_server_pool_t *pool, uint32_t hash);
 /** Copied. To be set before the first list. A zone that is not among them lies in no region. */
 void cw_server_pool_set_regions(cw_server_pool_t *pool, const cw_zone_region_t *zones, size_t count);
+/** Bit of the region of a zone (region_mask.h); 0: none. */
+uint32_t cw_server_pool_zone_bit(const cw_server_pool_t *pool, const char *zone);
 /** Regions that a rule allows, as a mask. */
 uint32_t cw_server_pool_region_mask(const cw_server_pool_t *pool, const cw_region_rule_t *rule);
 /** May a request under this rule go there? */
--- a/src/placement/load_window.c
+++ b/src/placement/load_window.c
@@ -5,6 +5,7 @@
 #include "placement/load_window.h"
 
 #include <math.h>
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -16,10 +17,10 @@
 
 void cw_load_window_add(cw_load_window_t *window, uint32_t key, double weight, cw_time_us_t now)
 {
-    cw_load_window_add_bound(window, key, CW_REGIONS_ANY, weight, now);
+    cw_load_window_note(window, &(cw_key_sighting_t){.key = key, .weight = weight}, now);
 }
 
-void cw_load_window_add_bound(cw_load_window_t *window, uint32_t key, uint32_t regions, double weight, cw_time_us_t now)
+void cw_load_window_note(cw_load_window_t *window, const cw_key_sighting_t *seen, cw_time_us_t now)
 {
     cw_load_sample_t *sample;
 
@@ -34,9 +35,10 @@
     }
     window->last_ms = (uint32_t)(now / 1000);
     sample = &window->samples[window->next];
-    sample->key = key;
-    sample->weight = (float)weight;
-    sample->regions = regions;
+    sample->key = seen->key;
+    sample->weight = (float)seen->weight;
+    sample->regions = seen->regions;
+    sample->from = seen->from;
     sample->at_ms = (uint32_t)(now / 1000);
     window->next = (window->next + 1) % CW_LOAD_SAMPLES_MAX;
     if (window->count < CW_LOAD_SAMPLES_MAX) {
@@ -109,7 +111,15 @@
     return kept;
 }
 
-size_t cw_load_window_read_bound(const cw_load_window_t *window, cw_time_us_t now, cw_bound_load_t **loads)
+/* Regions of a sample as they count for a reading; CW_REGIONS_ANY: not at all. */
+static uint32_t regions_of(const cw_load_sample_t *sample, bool by_origin)
+{
+    uint32_t regions = by_origin ? sample->from : sample->regions;
+
+    return regions == CW_REGIONS_NOWHERE ? CW_REGIONS_ANY : regions;
+}
+
+static size_t read_by_regions(const cw_load_window_t *window, bool by_origin, cw_time_us_t now, cw_bound_load_t **loads)
 {
     uint32_t now_ms = (uint32_t)(now / 1000);
     double   share = filled_share(window, now_ms);
@@ -122,16 +132,27 @@
     }
     for (index = 0; index < window->count; index++) {
         const cw_load_sample_t *sample = &window->samples[index];
+        uint32_t                regions = regions_of(sample, by_origin);
         double                  per_s = present_rate(sample, now_ms, share);
 
-        if (sample->regions != CW_REGIONS_ANY && sample->regions != CW_REGIONS_NOWHERE && per_s > 0) {
-            (*loads)[count++] = (cw_bound_load_t){sample->key, sample->regions, per_s};
+        if (regions != CW_REGIONS_ANY && per_s > 0) {
+            (*loads)[count++] = (cw_bound_load_t){sample->key, regions, per_s};
         }
     }
     qsort(*loads, count, sizeof(**loads), compare_bound);
     return join_same_bound(*loads, count);
 }
 
+size_t cw_load_window_read_bound(const cw_load_window_t *window, cw_time_us_t now, cw_bound_load_t **loads)
+{
+    return read_by_regions(window, false, now, loads);
+}
+
+size_t cw_load_window_read_origins(const cw_load_window_t *window, cw_time_us_t now, cw_bound_load_t **loads)
+{
+    return read_by_regions(window, true, now, loads);
+}
+
 size_t cw_bound_loads_first(const cw_bound_load_t *loads, size_t count, uint32_t key)
 {
     size_t low = 0;
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -247,6 +247,10 @@
     }
     planner.load_count = cw_load_window_read(input->window, planner.now, &planner.loads);
     planner.bound_count = cw_load_window_read_bound(input->window, planner.now, &planner.bounds);
+    if (input->crossing > 0) {
+        planner.crossing = input->crossing;
+        planner.origin_count = cw_load_window_read_origins(input->window, planner.now, &planner.origins);
+    }
     planner.per_s = cw_planner_load_between(&planner, 0, CW_KEY_LAST);
     cw_range_list_copy(&planner.ranges, cw_assigner_ranges(planner.assigner));
     planner.errors = errors_among(input->settings->errors, input->server_count);
@@ -270,6 +274,7 @@
         cw_assigner_plan_refresh(planner.assigner);
     }
     cw_assigner_plan_write(planner.assigner, planner.now);
+    free(planner.origins);
     free(planner.bounds);
     free(planner.loads);
     cw_range_list_clear(&planner.ranges);
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -48,8 +48,9 @@
     size_t                       server_count;
     const cw_server_list_t      *list;
     const cw_load_window_t      *window;
-    bool                         doubts_list; /**< owners that are missing in the list may still be there */
-    cw_time_us_t                 now;
+    double       crossing;    /**< what a request costs that crosses a region's border, in usual times; 0: nothing */
+    bool         doubts_list; /**< owners that are missing in the list may still be there */
+    cw_time_us_t now;
 } cw_planner_input_t;
 
 /** Plans into the assigner and hands the plan in. Returns the number of changes. */
--- a/src/placement/planner_balance.c
+++ b/src/placement/planner_balance.c
@@ -131,8 +131,7 @@
             cw_planner_piece_t piece = planner->is_in_pieces ? whole_range(planner, range, wanted)
                                                              : cut_end(planner, range, wanted, at_low_end);
             double             profit = sure_gain(planner, from, to, piece.per_s) - cw_planner_price(planner, &piece) +
-                            cw_planner_refusal_cost(planner, &piece, from) -
-                            cw_planner_refusal_cost(planner, &piece, to);
+                            cw_planner_region_gain(planner, &piece, from, to);
 
             if (piece.per_s > 0 && profit > best_profit) {
                 best_profit = profit;
@@ -175,7 +174,8 @@
 static bool relieve(cw_planner_t *planner, cw_planner_server_t *from)
 {
     cw_planner_server_t *best = cw_planner_least_busy(planner, from->entry->id);
-    cw_planner_server_t *near = planner->bound_count == 0 ? best : cw_planner_least_busy_in(planner, from);
+    cw_planner_server_t *near =
+        planner->bound_count == 0 ? best : cw_planner_least_busy_in(planner, from);
 
     return (near != best && relieve_to(planner, from, near)) || relieve_to(planner, from, best);
 }
--- a/src/placement/planner_hot.c
+++ b/src/placement/planner_hot.c
@@ -34,7 +34,7 @@
 {
     const cw_planner_piece_t piece = {load->key, load->key, load->per_s};
 
-    return busy_besides(server, owner, load->per_s) + cw_planner_refusal_cost(planner, &piece, server);
+    return busy_besides(server, owner, load->per_s) + cw_planner_region_cost(planner, &piece, server);
 }
 
 static cw_planner_server_t *best_for_hot(const cw_planner_t *planner, cw_planner_server_t *owner,
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -22,14 +22,17 @@
     size_t                       load_count;
     cw_bound_load_t             *bounds; /**< requests that may go to some regions only, by key */
     size_t                       bound_count;
-    double                       per_s;        /**< of all keys */
-    double                       fastest_cost; /**< share of its slots that a request a second takes at the fastest */
-    double                       busy;         /**< mean busy share of the servers that can be given keys */
-    double                       errors; /**< of chance, that what a move earns has to stand; more among many servers */
-    bool                         is_in_pieces; /**< so many ranges already that balance moves whole ones only */
-    bool                         doubts_list;
-    cw_time_us_t                 now;
-    size_t                       changes;
+    cw_bound_load_t *origins; /**< requests by the region that they come from, by key; none if crossing costs nothing */
+    size_t           origin_count;
+    double           crossing;     /**< what such a request costs at another region's owner, in usual times */
+    double           per_s;        /**< of all keys */
+    double           fastest_cost; /**< share of its slots that a request a second takes at the fastest */
+    double           busy;         /**< mean busy share of the servers that can be given keys */
+    double           errors;       /**< of chance, that what a move earns has to stand; more among many servers */
+    bool             is_in_pieces; /**< so many ranges already that balance moves whole ones only */
+    bool             doubts_list;
+    cw_time_us_t     now;
+    size_t           changes;
 } cw_planner_t;
 
 /** A piece of a range that could move. */
@@ -69,9 +72,13 @@
 /* ---- planner_regions.c ---- */
 /** Requests a second on keys low to last that may not go to this region. */
 double cw_planner_refused(const cw_planner_t *planner, uint32_t low, uint32_t last, uint32_t region);
-/** Of the requests for a piece that would be refused at this server, as requests of usual time. */
-double cw_planner_refusal_cost(const cw_planner_t *planner, const cw_planner_piece_t *piece,
-                               const cw_planner_server_t *server);
+/** Of the requests for a piece that would be refused at this server, or come there from another region, as requests of
+ * usual time. */
+double cw_planner_region_cost(const cw_planner_t *planner, const cw_planner_piece_t *piece,
+                              const cw_planner_server_t *server);
+/** What the move of a piece saves of that, as far as chance does not explain it. */
+double cw_planner_region_gain(const cw_planner_t *planner, const cw_planner_piece_t *piece,
+                              const cw_planner_server_t *from, const cw_planner_server_t *to);
 /** Server that can be given the piece at the least cost, refusals included, other than the one of this id. */
 cw_planner_server_t *cw_planner_best_for(const cw_planner_t *planner, const cw_planner_piece_t *piece,
                                          const char *except);
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -138,6 +138,8 @@
 void cw_engine_set_queued_elsewhere(cw_engine_t *engine, const char *service, uint32_t queued);
 /** Usual time of a request of a service, microseconds. */
 cw_time_us_t cw_engine_usual_time(cw_engine_t *engine, const char *service);
+/** What a request of the service costs that crosses a region's border, in its usual times; 0: there is one region. */
+double cw_engine_crossing_share(cw_engine_t *engine, const char *service);
 /** The same by the hash of its name. */
 cw_time_us_t cw_engine_usual_time_of(const cw_engine_t *engine, uint32_t service);
 /** Set while requests under way changed since it was last cleared: a reason to report soon. */
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -82,6 +82,7 @@
     uint64_t           table_version;
     cw_key_samples_t   samples;
     cw_time_us_t       usual;
+    double             bytes; /**< moving mean of bodies, of requests and answers together */
     UT_hash_handle     hh;
 } cw_service_state_t;
 
--- a/src/proxy/engine_regions.c
+++ b/src/proxy/engine_regions.c
@@ -12,7 +12,21 @@
 
 void cw_request_note_answer_bytes(cw_request_t *request, size_t bytes)
 {
+    double both = (double)bytes + (double)request->body_length;
+
     request->route_state->answer_bytes += ((double)bytes - request->route_state->answer_bytes) / ANSWER_WEIGHT_PART;
+    request->service->bytes += (both - request->service->bytes) / ANSWER_WEIGHT_PART;
+}
+
+double cw_engine_crossing_share(cw_engine_t *engine, const char *name)
+{
+    const cw_service_state_t *service = cw_engine_service(engine, name);
+    size_t                    bytes = HEADS_BYTES + (size_t)service->bytes;
+
+    if (!cw_server_pool_has_regions(engine->pool) || service->usual <= 0) {
+        return 0;
+    }
+    return (double)cw_crossing_cost(&engine->settings.crossing, bytes) / (double)service->usual;
 }
 
 cw_time_us_t cw_request_crossing_cost(const cw_request_t *request)
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -213,8 +213,12 @@
             if (samples->keys[key] > CW_KEY_LAST) {
                 continue; /* a caller may name any number: it has no range, and placement looks for one */
             }
-            cw_load_window_add_bound(&keyed->window, samples->keys[key], regions,
-                                     (double)samples->seen / (double)samples->count, now);
+            cw_load_window_note(&keyed->window,
+                                &(cw_key_sighting_t){.key = samples->keys[key],
+                                                     .regions = regions,
+                                                     .from = cw_server_pool_zone_bit(router->pool, samples->zone),
+                                                     .weight = (double)samples->seen / (double)samples->count},
+                                now);
         }
     }
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -327,6 +327,7 @@
     const uint32_t *regions; /**< where each may go (region_mask.h); NULL: all of them anywhere */
     size_t          count;
     uint32_t        seen; /**< requests that they stand for */
+    const char     *zone; /**< of that node */
 } cw_router_samples_t;
 void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const cw_router_samples_t *samples,
                             cw_time_us_t now);
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -88,7 +88,7 @@
 static void take_own_sample(void *context, const char *service, const cw_key_samples_t *samples)
 {
     cw_router_t        *router = context;
-    cw_router_samples_t taken = {samples->keys, samples->regions, samples->count, samples->seen};
+    cw_router_samples_t taken = {samples->keys, samples->regions, samples->count, samples->seen, router->settings.zone};
 
     cw_router_take_samples(router, cw_short_name(service), &taken, cw_router_now(router));
 }
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -164,14 +164,16 @@
         plan_first(router, keyed, servers, count, now);
         return;
     }
-    changes = cw_planner_run(&(cw_planner_input_t){.assigner = keyed->assigner,
-                                                   .settings = &cw_planner_defaults,
-                                                   .servers = servers,
-                                                   .server_count = count,
-                                                   .list = router->server_view.list,
-                                                   .window = &keyed->window,
-                                                   .doubts_list = doubts_list(router, keyed, now),
-                                                   .now = now});
+    changes = cw_planner_run(&(cw_planner_input_t){
+        .assigner = keyed->assigner,
+        .settings = &cw_planner_defaults,
+        .servers = servers,
+        .server_count = count,
+        .list = router->server_view.list,
+        .window = &keyed->window,
+        .crossing = cw_engine_crossing_share(router->engine, cw_assigner_service(keyed->assigner)),
+        .doubts_list = doubts_list(router, keyed, now),
+        .now = now});
     if (changes > 0 && cw_event_begin(&event, CW_EVENT_PLAN_WRITTEN)) {
         cw_event_text(&event, CW_FIELD_SERVICE, cw_assigner_service(keyed->assigner));
         cw_event_number(&event, CW_FIELD_CHANGED, (int64_t)changes);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -141,7 +141,8 @@
         cw_router_samples_t    taken = {.keys = samples->keys,
                                         .regions = samples->n_regions == samples->n_keys ? samples->regions : NULL,
                                         .count = samples->n_keys,
-                                        .seen = samples->seen};
+                                        .seen = samples->seen,
+                                        .zone = peer->zone};
 
         cw_router_take_samples(router, samples->service, &taken, now);
     }
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -143,7 +143,7 @@
 {
     const char *service = cw_assigner_service(node->router.keyed[0].assigner);
 
-    cw_router_samples_t samples = {keys, NULL, count, seen};
+    cw_router_samples_t samples = {keys, NULL, count, seen, "z2"};
 
     cw_router_take_samples(&node->router, cw_short_name(service), &samples, cw_router_now(&node->router));
 }
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -17,6 +17,7 @@
     cw_load_window_t    window;
     cw_planner_server_t servers[8];
     size_t              server_count;
+    double              crossing; /* usual times of a request that crosses a region's border */
 } planner_world_t;
 
 static void refresh_servers(planner_world_t *world)
@@ -70,6 +71,7 @@
                                                 .server_count = world->server_count,
                                                 .list = world->assigner.servers,
                                                 .window = &world->window,
+                                                .crossing = world->crossing,
                                                 .doubts_list = doubts_list,
                                                 .now = world->assigner.now});
 }
@@ -425,6 +427,89 @@
 }
 END_TEST
 
+/* ---- where requests come from ---- */
+
+enum { REGION_1 = 1, REGION_2 = 2 };
+
+/* i-a and i-b lie in one region, i-c and i-d in the other. */
+static void set_regions(planner_world_t *world, double crossing)
+{
+    size_t index;
+
+    world->crossing = crossing;
+    for (index = 0; index < world->server_count; index++) {
+        world->servers[index].region = strcmp(world->servers[index].entry->id, "i-c") < 0 ? REGION_1 : REGION_2;
+    }
+}
+
+/* Requests of the last two seconds from a region; 0: from both by turns that look like chance. */
+static void add_load_from(planner_world_t *world, uint32_t low, uint32_t last, double per_s, uint32_t from)
+{
+    size_t   count = (size_t)(per_s * 2);
+    size_t   index;
+    uint32_t state = 1;
+
+    for (index = 0; index < count; index++) {
+        cw_time_us_t at = world->assigner.now - CW_SECONDS(2) + (cw_time_us_t)((double)CW_SECONDS(2) * index / count);
+        uint32_t     chance = (state >> 16) % 2 + 1;
+        cw_key_sighting_t seen = {.key = low + (uint32_t)((uint64_t)(last - low) * ((index * 7919) % count) / count),
+                                  .from = from == 0 ? chance : from,
+                                  .weight = 1};
+
+        state = state * 1103515245 + 12345;
+        cw_load_window_note(&world->window, &seen, at);
+    }
+}
+
+START_TEST(keys_of_a_server_that_leaves_go_to_the_region_that_asks_for_them)
+{
+    static const char *const c_drains[] = {"i-a@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80!", "i-d@10.0.0.4:80",
+                                           NULL};
+    planner_world_t          world;
+    uint32_t                 key;
+
+    init(&world, four);
+    key = cw_range_list_find(cw_assigner_ranges(world.assigner.assigner), 40000)->low;
+    ck_assert_str_eq(assigner_world_range(&world.assigner, key)->owner.id, "i-c");
+    assigner_world_servers(&world.assigner, c_drains);
+    refresh_servers(&world);
+    set_regions(&world, 0.5);
+    add_load_from(&world, key, key + 16383, 16, REGION_1);
+    add_load_from(&world, 0, key - 1, 20, REGION_1); /* i-d has nothing to do: it looks cheapest */
+    run_rounds(&world, 1);
+    ck_assert_str_lt(assigner_world_range(&world.assigner, key)->owner.id, "i-c");
+    clear(&world);
+}
+END_TEST
+
+START_TEST(a_range_is_brought_near_where_its_bytes_are_worth_a_move)
+{
+    planner_world_t world;
+
+    init(&world, four);
+    set_regions(&world, 0.3); /* short requests */
+    add_load_from(&world, 32768, 49151, 17, REGION_1);
+    add_load_from(&world, 0, 32767, 20, REGION_1);
+    ck_assert_uint_eq(plan(&world), 0);
+    set_regions(&world, 10); /* large bodies */
+    run_rounds(&world, 1);
+    ck_assert_str_lt(assigner_world_range(&world.assigner, 40000)->owner.id, "i-c");
+    clear(&world);
+}
+END_TEST
+
+START_TEST(requests_that_come_from_everywhere_move_nothing)
+{
+    planner_world_t world;
+
+    init(&world, four);
+    set_regions(&world, 10);
+    add_load_from(&world, 0, CW_KEY_LAST, 40, 0);
+    ck_assert_uint_eq(plan(&world), 0);
+    clear(&world);
+}
+END_TEST
+
 /* It has no load, so it looks cheapest. */
 START_TEST(a_doubted_server_gets_no_keys_while_another_one_can)
 {
@@ -496,6 +581,9 @@
     tcase_add_test(cases, many_servers_that_come_before_any_load_get_their_parts_in_one_plan);
     tcase_add_test(cases, a_move_under_way_is_finished_before_the_next);
     tcase_add_test(cases, a_window_that_has_just_begun_tells_the_full_rate);
+    tcase_add_test(cases, keys_of_a_server_that_leaves_go_to_the_region_that_asks_for_them);
+    tcase_add_test(cases, a_range_is_brought_near_where_its_bytes_are_worth_a_move);
+    tcase_add_test(cases, requests_that_come_from_everywhere_move_nothing);
     tcase_add_test(cases, a_doubted_server_gets_no_keys_while_another_one_can);
     tcase_add_test(cases, a_doubted_server_keeps_what_it_holds);
     tcase_add_test(cases, doubted_servers_get_keys_when_no_other_is_left);
--- a/tests/test_regions.c
+++ b/tests/test_regions.c
@@ -151,7 +151,7 @@
 {
     uint32_t            keys[KEYS];
     uint32_t            regions[KEYS];
-    cw_router_samples_t samples = {keys, regions, KEYS, KEYS};
+    cw_router_samples_t samples = {keys, regions, KEYS, KEYS, "z1"};
     int                 tick;
     uint32_t            index;
 
@@ -209,7 +209,7 @@
     node_fixture_t     *node = lead_with("r1", "r2");
     uint32_t            keys[] = {1000, 1000, 1000, 1000, 1000};
     uint32_t            regions[] = {1, 1, 1, 1, 1};
-    cw_router_samples_t samples = {keys, regions, 5, 5};
+    cw_router_samples_t samples = {keys, regions, 5, 5, "z1"};
     size_t              moves = 0;
     int                 tick;
 
