--- a/tests/test_intent.c
+++ b/tests/test_intent.c
@@ -165,6 +165,41 @@
 }
 END_TEST
 
+#define DIGEST "d0c04f4b1951e4aeaaec8223ed2039e542f3aae805a6fa7f6d794e5afff5d272"
+#define EMPTY  "services: []\nroutes: []\n"
+
+START_TEST(another_tenants_token_cannot_be_taken)
+{
+    cw_plan_t first;
+    cw_plan_t second;
+
+    ck_assert_int_eq(make(&first, "tenant: a\ntokens: [" DIGEST "]\n" EMPTY, NULL, 0), CW_OK);
+    ck_assert_int_eq(make(&second, "tenant: b\ntokens: [" DIGEST "]\n" EMPTY, first.configuration, 1),
+                     CW_ERROR_CONFLICT);
+    cw_plan_clear(&second);
+    ck_assert_int_eq(make(&second, "tenant: a\ntokens: [" DIGEST "]\n" EMPTY, first.configuration, 1), CW_OK);
+    cw_plan_clear(&first);
+    cw_plan_clear(&second);
+}
+END_TEST
+
+START_TEST(a_tenant_without_a_list_of_tokens_is_open_and_one_with_an_empty_list_is_closed)
+{
+    cw_plan_t open;
+    cw_plan_t closed;
+
+    ck_assert_int_eq(make(&open, "tenant: a\n" EMPTY, NULL, 0), CW_OK);
+    ck_assert(!open.configuration->needs_keys);
+    ck_assert_int_eq(make(&closed, "tenant: a\ntokens: []\n" EMPTY, open.configuration, 0), CW_OK);
+    ck_assert(closed.configuration->needs_keys);
+    ck_assert_str_ne(open.id, closed.id);
+    cw_bytes_append(&closed.changes, "", 1);
+    ck_assert_ptr_nonnull(strstr(closed.changes.data, "~ tenant a"));
+    cw_plan_clear(&open);
+    cw_plan_clear(&closed);
+}
+END_TEST
+
 START_TEST(a_configuration_survives_the_store)
 {
     cw_plan_t             plan;
@@ -253,6 +288,8 @@
     tcase_add_test(cases, a_plan_says_what_changes_and_keeps_other_tenants);
     tcase_add_test(cases, a_plan_is_bound_to_its_intent_and_to_what_it_was_made_from);
     tcase_add_test(cases, another_tenants_host_and_prefix_cannot_be_taken);
+    tcase_add_test(cases, another_tenants_token_cannot_be_taken);
+    tcase_add_test(cases, a_tenant_without_a_list_of_tokens_is_open_and_one_with_an_empty_list_is_closed);
     tcase_add_test(cases, a_configuration_survives_the_store);
     tcase_add_test(cases, a_broken_configuration_is_refused_with_its_problem);
     tcase_add_test(cases, nobodys_requests_are_not_bound);
