tests: a request that waits for its tenant's token ends with its caller's key

Cause: tokens and keys that are taken away met in the code only. Tests: test_engine_quota; seen to fail without the look at waiting callers when a configuration comes into force.

--- a/tests/test_engine_quota.c
+++ b/tests/test_engine_quota.c
@@ -417,6 +417,51 @@
 }
 END_TEST
 
+/* The same tenant, whose callers are known by keys. digest: of the only one; NULL: it was taken away. */
+static void use_limit_and_key(world_t *world, uint64_t version, const char *digest)
+{
+    cw_configuration_t *configuration = cw_configuration_create(version);
+    cw_tenant_t        *tenant;
+    cw_key_digest_t     key;
+
+    cw_configuration_copy_route(configuration, &world->engine->configuration->routes[0]);
+    cw_configuration_copy_tenant(configuration, &world->engine->configuration->tenants[0]);
+    tenant = &configuration->tenants[0];
+    tenant->key_count = 0;
+    tenant->needs_key = true;
+    if (digest != NULL) {
+        ck_assert(cw_tenant_digest_from_text(&key, digest));
+        cw_tenant_add_key(tenant, &key);
+    }
+    cw_configuration_seal(configuration);
+    cw_engine_set_configuration(world->engine, configuration);
+    cw_configuration_release(configuration);
+}
+
+START_TEST(what_waits_for_a_token_ends_when_its_callers_key_is_taken_away)
+{
+    /* printf %s sesame | sha256sum */
+    static const char     sesame[] = "d0c04f4b1951e4aeaaec8223ed2039e542f3aae805a6fa7f6d794e5afff5d272";
+    static const char     text[] = "POST /x HTTP/1.1\r\nHost: a.example\r\nid: r0\r\ndeadline: 15000\r\n"
+                                   "Authorization: Bearer sesame\r\nContent-Length: 0\r\n\r\n";
+    cw_upstream_request_t request = {
+        .connect_timeout = CW_SECONDS(5), .answer_max = 100000, .bytes = text, .length = sizeof(text) - 1};
+    world_t world;
+
+    init(&world);
+    use_limit_and_key(&world, 2, sesame);
+    (void)cw_upstream_call(world.front_target, &request, on_answered, &world.calls[0]);
+    cw_test_run_until_set(&world.loop, &world.has_ask);
+    use_limit_and_key(&world, 3, NULL);
+    cw_test_run_until_set(&world.loop, &world.calls[0].answered);
+    ck_assert_int_eq(world.calls[0].status, 401);
+    grant(&world, 1, 0); /* nobody waits for it any more */
+    cw_test_run_some(&world.loop, 5);
+    ck_assert_uint_eq(world.requests, 0);
+    ck_assert_uint_eq(cw_engine_requests(world.engine), 0);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("engine, tenants' limits");
@@ -430,6 +475,7 @@
     tcase_add_test(cases, a_request_that_a_server_did_not_run_gives_its_token_back);
     tcase_add_test(cases, a_request_that_has_run_does_not);
     tcase_add_test(cases, a_request_that_may_have_run_does_not_either);
+    tcase_add_test(cases, what_waits_for_a_token_ends_when_its_callers_key_is_taken_away);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
