soak: callers that pipeline, and uploads; router: the callers' listener in a file of its own

The soak's rounds have a second stream of callers: five requests at once on a connection, each fourth one a POST of 60 KB. Checked: in a planned round no pipelined request is cut; none behind an answer that closed its connection has run; answers are their requests'.

--- a/src/router/router.c
+++ b/src/router/router.c
@@ -31,8 +31,6 @@
     STATUS_NOT_FOUND = 404,
     STATUS_UNAVAILABLE = 503,
     OWN_HEADER_BYTES = 16 * 1024,
-    /* While no configuration is known, nobody may say that a body is too long: it is read and answered 503. */
-    UNKNOWN_BODY_BYTES = 16 * 1024 * 1024,
     OWN_IDLE_S = 60,
     PEERS_UNKNOWN_S = 3,
     FILE_CHECK_MS = 500,
@@ -71,21 +69,7 @@
     return XXH3_64bits(&seed, sizeof(seed)) ^ random;
 }
 
-/* ---- callers, readiness, metrics ---- */
-
-static void on_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
-{
-    cw_router_t *router = context;
-
-    cw_engine_request(router->engine, exchange, inbound);
-}
-
-static void on_gone(void *context, cw_http_exchange_t *exchange)
-{
-    cw_router_t *router = context;
-
-    cw_engine_gone(router->engine, exchange);
-}
+/* ---- readiness, metrics ---- */
 
 static bool is_ready(const cw_router_t *router)
 {
@@ -341,21 +325,10 @@
                                              .body_bytes = OWN_HEADER_BYTES,
                                              .header_timeout = CW_SECONDS(OWN_IDLE_S),
                                              .idle_timeout = CW_SECONDS(OWN_IDLE_S)};
-    cw_http_limits_t           first_limits = own_limits;
-    cw_http_listener_handler_t callers = {router, on_request, on_gone};
     cw_http_listener_handler_t own = {router, on_own_request, on_own_gone};
-    cw_http_listener_options_t options = {
-        .pipeline = {.depth = router->settings.pipeline_depth, .bytes = router->settings.pipeline_bytes},
-        .body_bytes_most = router->settings.body_bytes_most,
-        .body_wait = router->settings.body_wait,
-        .request_id_name = router->adapter->header_names->request_id};
-    int error;
-
-    first_limits.body_bytes = UNKNOWN_BODY_BYTES;
-    error = cw_http_listener_create(&router->callers, &router->loop, router->settings.callers.address,
-                                    router->settings.callers.port, &first_limits, &callers);
+    int                        error = cw_router_callers_start(router);
+
     if (error == 0) {
-        cw_http_listener_set_options(router->callers, &options);
         error = cw_http_listener_create(&router->readiness, &router->loop, router->settings.readiness.address,
                                         router->settings.readiness.port, &own_limits, &own);
     }
--- /dev/null
+++ b/src/router/router_callers.c
@@ -0,0 +1,47 @@
+/**
+ * @file router_callers.c
+ * @brief The listener for callers: its bounds, and its way to the engine.
+ */
+#include "router/router_internal.h"
+
+enum {
+    /* Until a configuration is known. Nobody may say then that a body is too long: it is read, and answered 503. */
+    FIRST_HEADER_BYTES = 16 * 1024,
+    FIRST_BODY_BYTES = 16 * 1024 * 1024,
+    FIRST_TIMEOUT_S = 60
+};
+
+static void on_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    cw_router_t *router = context;
+
+    cw_engine_request(router->engine, exchange, inbound);
+}
+
+static void on_gone(void *context, cw_http_exchange_t *exchange)
+{
+    cw_router_t *router = context;
+
+    cw_engine_gone(router->engine, exchange);
+}
+
+int cw_router_callers_start(cw_router_t *router)
+{
+    const cw_router_settings_t *settings = &router->settings;
+    cw_http_limits_t            limits = {.header_bytes = FIRST_HEADER_BYTES,
+                                          .body_bytes = FIRST_BODY_BYTES,
+                                          .header_timeout = CW_SECONDS(FIRST_TIMEOUT_S),
+                                          .idle_timeout = CW_SECONDS(FIRST_TIMEOUT_S)};
+    cw_http_listener_options_t  options = {
+         .pipeline = {.depth = settings->pipeline_depth, .bytes = settings->pipeline_bytes},
+         .body_bytes_most = settings->body_bytes_most,
+         .body_wait = settings->body_wait,
+         .request_id_name = router->adapter->header_names->request_id};
+    cw_http_listener_handler_t handler = {router, on_request, on_gone};
+    int                        error;
+
+    error = cw_http_listener_create(&router->callers, &router->loop, settings->callers.address, settings->callers.port,
+                                    &limits, &handler);
+    cw_http_listener_set_options(router->callers, &options);
+    return error;
+}
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -166,6 +166,10 @@
 
 cw_time_us_t cw_router_now(const cw_router_t *router);
 
+/* ---- router_callers.c ---- */
+/** Listens for callers. Returns 0 or a libuv error. */
+int cw_router_callers_start(cw_router_t *router);
+
 /* ---- router_peers.c ---- */
 void cw_router_peers_init(cw_router_t *router);
 void cw_router_peers_tick(cw_router_t *router, cw_time_us_t now);
--- a/standins/callers/main.c
+++ b/standins/callers/main.c
@@ -35,8 +35,9 @@
     cw_upstream_target_t *nodes[NODES_MAX];
     char                  addresses[NODES_MAX][64];
     size_t                node_count;
-    uint64_t              pipeline; /**< requests sent at once on a connection; 1: one */
-    uint64_t              unread;   /**< behind an answer that closed the connection */
+    uint64_t              pipeline;   /**< requests sent at once on a connection; 1: one */
+    size_t                body_bytes; /**< of requests that have a body */
+    uint64_t              unread;     /**< behind an answer that closed the connection */
     kind_t                kinds[KINDS_MAX];
     size_t                kind_count;
     uv_timer_t            pace;
@@ -143,7 +144,15 @@
     if (kind->keyed != 0) {
         cw_bytes_append_format(text, "X-Shard-Key: %u\r\n", attempt->key);
     }
-    cw_bytes_append_text(text, has_body ? "Content-Length: 5\r\n\r\nhello" : "\r\n");
+    if (has_body) {
+        cw_bytes_append_format(text, "Content-Length: %zu\r\n", callers->body_bytes);
+    }
+    cw_bytes_append_text(text, "\r\n");
+    if (has_body) {
+        cw_bytes_reserve(text, text->length + callers->body_bytes);
+        memset(text->data + text->length, 'b', callers->body_bytes);
+        text->length += callers->body_bytes;
+    }
     return left_ms;
 }
 
@@ -293,9 +302,10 @@
     struct arg_int  *count = arg_int0("c", "count", "N", "requests; default 500");
     struct arg_int  *hot = arg_int0("t", "hot", "PERCENT", "requests about one key; default 0");
     struct arg_int  *pipeline = arg_int0("p", "pipeline", "N", "requests sent at once on a connection; default 1");
+    struct arg_int  *body = arg_int0("b", "body", "BYTES", "of requests that have one; default 5");
     struct arg_str  *name = arg_str0("i", "name", "TEXT", "begins the ids; default r");
     struct arg_end  *end = arg_end(ERRORS_MAX);
-    void            *table[] = {nodes, kinds, rate, count, hot, pipeline, name, end};
+    void            *table[] = {nodes, kinds, rate, count, hot, pipeline, body, name, end};
     static callers_t callers;
     cw_upstream_options_t options = {.idle_max = CW_SECONDS(2)};
     int                   index;
@@ -310,6 +320,7 @@
     callers.random = 12345;
     callers.per_s = rate->count > 0 ? (uint64_t)rate->ival[0] : 50;
     callers.total = count->count > 0 ? (uint64_t)count->ival[0] : 500;
+    callers.body_bytes = body->count > 0 && body->ival[0] >= 0 ? (size_t)body->ival[0] : 5;
     callers.pipeline = pipeline->count > 0 ? (uint64_t)pipeline->ival[0] : 1;
     if (callers.pipeline < 1 || callers.pipeline > PIPELINE_MAX) {
         fprintf(stderr, "cw-callers: --pipeline is from 1 to %d\n", PIPELINE_MAX);
--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -11,7 +11,8 @@
 # Promises, from what callers, servers and the store see:
 #   records   nothing runs twice, no refused request has run, one owner for a key, fences rise (cw-verdict)
 #   answers   each success is whole and the caller's own
-#   cut       in a planned round no connection ends under a request
+#   cut       in a planned round no connection ends under a request, pipelined or not
+#   unread    no request behind an answer that closed its connection has run
 #   ends      a node that is told to stop ends by itself, with 0
 #   calm      after a round, within the bounds: a new configuration is in force everywhere, and all keys are served
 #   back      no process goes back to an older configuration
@@ -26,6 +27,7 @@
 VERSION=1
 HTTP_MS=800
 WORK_MS=40 RATE=80 ROUND_S=12 # some three requests are at work at any moment
+PIPED_RATE=60 UPLOAD_BYTES=60000
 
 say() { echo "$(date +%T.%3N) $*"; }
 # Random numbers are drawn in this shell, not in a subshell, whose state would be lost. Both leave what they draw in DRAWN.
@@ -51,7 +53,7 @@
 }
 
 declare -A COUNTS=()
-FINDINGS=0 NEXT_SERVER=0 JOBS=()
+FINDINGS=0 NEXT_SERVER=0 UNREAD=0 JOBS=()
 
 # A server of a new incarnation in place of one that goes.
 replace_server() { # NAME SIGNAL
@@ -155,6 +157,28 @@
     jq -s '[.[]|select(.event=="end" and .status==0 and (.fault=="connection ended early" or .fault=="connection reset" or .fault=="not an answer"))]|length' "$WORK/callers-round$1.json"
 }
 
+# Callers that send five requests at once on a connection, each fourth one an upload.
+piped_callers() { # ROUND
+    local maps="maps.example,/docks/,GET,2000,1" KINDS
+    KINDS=(--kind "$maps" --kind "$maps" --kind "$maps" --kind "maps.example,/hire/,POST,2000,0")
+    cluster_callers "piped$1" --pipeline 5 --body "$UPLOAD_BYTES" --rate "$PIPED_RATE" --count $((PIPED_RATE * ROUND_S))
+}
+piped_ended() { jq -rs "[.[]|select(.event==\"end\" and .fault==\"$2\").id]|$3" "$WORK/callers-piped$1.json"; }
+unread_and_run() { # ROUND
+    piped_ended "$1" "behind a closing answer" '.[]' >"$WORK/unread"
+    [ ! -s "$WORK/unread" ] && echo 0 && return
+    cat "$WORK"/server-*.json | jq -r 'select(.event=="run").id' | grep -cxFf "$WORK/unread"
+}
+check_piped() { # ROUND KIND
+    local cut run
+    cut=$(piped_ended "$1" cut length)
+    run=$(unread_and_run "$1")
+    UNREAD=$((UNREAD + $(sum_of "piped$1" unread)))
+    [ "$2" = unplanned ] || [ "$cut" = 0 ] || finding "cut: round $1 (planned): $cut pipelined requests"
+    [ "$run" = 0 ] || finding "unread: round $1: $run requests behind a closing answer have run"
+    [ "$(sum_of "piped$1" wrong)" = 0 ] || finding "answers: round $1: pipelined answers that are another's"
+}
+
 round() { # NUMBER
     local kinds kind cut faults
     draw 0 2
@@ -167,7 +191,9 @@
     faults=$DRAWN
     say "round $1: $kind, $faults faults"
     (cluster_callers "round$1" --rate "$RATE" --count $((RATE * ROUND_S))) &
-    local callers=$!
+    local callers=$! piped
+    piped_callers "$1" &
+    piped=$!
     for _ in $(seq 1 "$faults"); do
         pick "${kinds[@]}"
         fault "$DRAWN"
@@ -176,7 +202,8 @@
     done
     heal
     calm "$1"
-    wait "$callers"
+    wait "$callers" "$piped"
+    check_piped "$1" "$kind"
     cut=$(cut_connections "$1")
     [ "$kind" = unplanned ] || [ "$cut" = 0 ] || finding "cut: round $1 (planned): $cut connections ended under a request"
     [ "$(sum_of "round$1" wrong)" = 0 ] || finding "answers: round $1: answers that are not whole, or another's"
@@ -208,6 +235,7 @@
     [ "${back:-0}" = 0 ] || finding "back: node $node went back $back times"
 done
 cluster_check >"$WORK/verdict.txt" || { cat "$WORK/verdict.txt"; finding "records: $(tail -1 "$WORK/verdict.txt")"; }
+say "pipelined: $UNREAD requests lay behind a closing answer"
 say "verdict: $(tail -1 "$WORK/verdict.txt")"
 say "faults: $(for kind in "${!COUNTS[@]}"; do echo "$kind ${COUNTS[$kind]}"; done | sort | xargs)"
 [ "$FINDINGS" = 0 ] || { KEEP=1; say "records are kept in $WORK"; }
