--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1042,6 +1042,366 @@
   assert(message->base.descriptor == &cwp__slot_return__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__zone_node__init
+                     (Cwp__ZoneNode         *message)
+{
+  static const Cwp__ZoneNode init_value = CWP__ZONE_NODE__INIT;
+  *message = init_value;
+}
+size_t cwp__zone_node__get_packed_size
+                     (const Cwp__ZoneNode *message)
+{
+  assert(message->base.descriptor == &cwp__zone_node__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__zone_node__pack
+                     (const Cwp__ZoneNode *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__zone_node__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__zone_node__pack_to_buffer
+                     (const Cwp__ZoneNode *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__zone_node__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ZoneNode *
+       cwp__zone_node__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ZoneNode *)
+     protobuf_c_message_unpack (&cwp__zone_node__descriptor,
+                                allocator, len, data);
+}
+void   cwp__zone_node__free_unpacked
+                     (Cwp__ZoneNode *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__zone_node__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__zone_summary__init
+                     (Cwp__ZoneSummary         *message)
+{
+  static const Cwp__ZoneSummary init_value = CWP__ZONE_SUMMARY__INIT;
+  *message = init_value;
+}
+size_t cwp__zone_summary__get_packed_size
+                     (const Cwp__ZoneSummary *message)
+{
+  assert(message->base.descriptor == &cwp__zone_summary__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__zone_summary__pack
+                     (const Cwp__ZoneSummary *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__zone_summary__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__zone_summary__pack_to_buffer
+                     (const Cwp__ZoneSummary *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__zone_summary__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ZoneSummary *
+       cwp__zone_summary__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ZoneSummary *)
+     protobuf_c_message_unpack (&cwp__zone_summary__descriptor,
+                                allocator, len, data);
+}
+void   cwp__zone_summary__free_unpacked
+                     (Cwp__ZoneSummary *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__zone_summary__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_usage__init
+                     (Cwp__QuotaUsage         *message)
+{
+  static const Cwp__QuotaUsage init_value = CWP__QUOTA_USAGE__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_usage__get_packed_size
+                     (const Cwp__QuotaUsage *message)
+{
+  assert(message->base.descriptor == &cwp__quota_usage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_usage__pack
+                     (const Cwp__QuotaUsage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_usage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_usage__pack_to_buffer
+                     (const Cwp__QuotaUsage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_usage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaUsage *
+       cwp__quota_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaUsage *)
+     protobuf_c_message_unpack (&cwp__quota_usage__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_usage__free_unpacked
+                     (Cwp__QuotaUsage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_usage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_report__init
+                     (Cwp__QuotaReport         *message)
+{
+  static const Cwp__QuotaReport init_value = CWP__QUOTA_REPORT__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_report__get_packed_size
+                     (const Cwp__QuotaReport *message)
+{
+  assert(message->base.descriptor == &cwp__quota_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_report__pack
+                     (const Cwp__QuotaReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_report__pack_to_buffer
+                     (const Cwp__QuotaReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaReport *
+       cwp__quota_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaReport *)
+     protobuf_c_message_unpack (&cwp__quota_report__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_report__free_unpacked
+                     (Cwp__QuotaReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_status__init
+                     (Cwp__QuotaStatus         *message)
+{
+  static const Cwp__QuotaStatus init_value = CWP__QUOTA_STATUS__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_status__get_packed_size
+                     (const Cwp__QuotaStatus *message)
+{
+  assert(message->base.descriptor == &cwp__quota_status__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_status__pack
+                     (const Cwp__QuotaStatus *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_status__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_status__pack_to_buffer
+                     (const Cwp__QuotaStatus *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_status__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaStatus *
+       cwp__quota_status__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaStatus *)
+     protobuf_c_message_unpack (&cwp__quota_status__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_status__free_unpacked
+                     (Cwp__QuotaStatus *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_status__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_ask__init
+                     (Cwp__QuotaAsk         *message)
+{
+  static const Cwp__QuotaAsk init_value = CWP__QUOTA_ASK__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_ask__get_packed_size
+                     (const Cwp__QuotaAsk *message)
+{
+  assert(message->base.descriptor == &cwp__quota_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_ask__pack
+                     (const Cwp__QuotaAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_ask__pack_to_buffer
+                     (const Cwp__QuotaAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaAsk *
+       cwp__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaAsk *)
+     protobuf_c_message_unpack (&cwp__quota_ask__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_ask__free_unpacked
+                     (Cwp__QuotaAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_grant__init
+                     (Cwp__QuotaGrant         *message)
+{
+  static const Cwp__QuotaGrant init_value = CWP__QUOTA_GRANT__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_grant__get_packed_size
+                     (const Cwp__QuotaGrant *message)
+{
+  assert(message->base.descriptor == &cwp__quota_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_grant__pack
+                     (const Cwp__QuotaGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_grant__pack_to_buffer
+                     (const Cwp__QuotaGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaGrant *
+       cwp__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaGrant *)
+     protobuf_c_message_unpack (&cwp__quota_grant__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_grant__free_unpacked
+                     (Cwp__QuotaGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__quota_return__init
+                     (Cwp__QuotaReturn         *message)
+{
+  static const Cwp__QuotaReturn init_value = CWP__QUOTA_RETURN__INIT;
+  *message = init_value;
+}
+size_t cwp__quota_return__get_packed_size
+                     (const Cwp__QuotaReturn *message)
+{
+  assert(message->base.descriptor == &cwp__quota_return__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__quota_return__pack
+                     (const Cwp__QuotaReturn *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__quota_return__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__quota_return__pack_to_buffer
+                     (const Cwp__QuotaReturn *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__quota_return__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__QuotaReturn *
+       cwp__quota_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__QuotaReturn *)
+     protobuf_c_message_unpack (&cwp__quota_return__descriptor,
+                                allocator, len, data);
+}
+void   cwp__quota_return__free_unpacked
+                     (Cwp__QuotaReturn *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__quota_return__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__datagram__init
                      (Cwp__Datagram         *message)
 {
@@ -1279,7 +1639,7 @@
   (ProtobufCMessageInit) cwp__queue_length__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__key_samples__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cwp__key_samples__field_descriptors[4] =
 {
   {
     "service",
@@ -1317,16 +1677,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "regions",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__KeySamples, n_regions),
+    offsetof(Cwp__KeySamples, regions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__key_samples__field_indices_by_name[] = {
   1,   /* field[1] = keys */
+  3,   /* field[3] = regions */
   2,   /* field[2] = seen */
   0,   /* field[0] = service */
 };
 static const ProtobufCIntRange cwp__key_samples__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cwp__key_samples__descriptor =
 {
@@ -1336,7 +1709,7 @@
   "Cwp__KeySamples",
   "cwp",
   sizeof(Cwp__KeySamples),
-  3,
+  4,
   cwp__key_samples__field_descriptors,
   cwp__key_samples__field_indices_by_name,
   1,  cwp__key_samples__number_ranges,
@@ -1963,7 +2336,7 @@
   (ProtobufCMessageInit) cwp__view_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[10] =
 {
   {
     "term",
@@ -2073,11 +2446,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pass_on",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ServersPage, pass_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__servers_page__field_indices_by_name[] = {
   1,   /* field[1] = number */
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
+  9,   /* field[9] = pass_on */
   6,   /* field[6] = removed */
   7,   /* field[7] = revision */
   4,   /* field[4] = servers */
@@ -2089,7 +2475,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cwp__servers_page__descriptor =
 {
@@ -2099,7 +2485,7 @@
   "Cwp__ServersPage",
   "cwp",
   sizeof(Cwp__ServersPage),
-  9,
+  10,
   cwp__servers_page__field_descriptors,
   cwp__servers_page__field_indices_by_name,
   2,  cwp__servers_page__number_ranges,
@@ -2234,7 +2620,7 @@
   (ProtobufCMessageInit) cwp__table_range__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__table_page__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cwp__table_page__field_descriptors[8] =
 {
   {
     "term",
@@ -2320,11 +2706,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pass_on",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__TablePage, pass_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__table_page__field_indices_by_name[] = {
   1,   /* field[1] = number */
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
+  7,   /* field[7] = pass_on */
   5,   /* field[5] = ranges */
   4,   /* field[4] = service */
   6,   /* field[6] = since */
@@ -2333,7 +2732,7 @@
 static const ProtobufCIntRange cwp__table_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cwp__table_page__descriptor =
 {
@@ -2343,7 +2742,7 @@
   "Cwp__TablePage",
   "cwp",
   sizeof(Cwp__TablePage),
-  7,
+  8,
   cwp__table_page__field_descriptors,
   cwp__table_page__field_indices_by_name,
   1,  cwp__table_page__number_ranges,
@@ -2634,7 +3033,7 @@
   (ProtobufCMessageInit) cwp__configured_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cwp__configured_tenant__field_descriptors[9] =
 {
   {
     "name",
@@ -2720,12 +3119,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned cwp__configured_tenant__field_indices_by_name[] = {
-  5,   /* field[5] = burst */
-  3,   /* field[3] = concurrent */
-  1,   /* field[1] = key_digests */
-  0,   /* field[0] = name */
+  {
+    "needs_key",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredTenant, needs_key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_parts",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ConfiguredTenant, in_parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__configured_tenant__field_indices_by_name[] = {
+  5,   /* field[5] = burst */
+  3,   /* field[3] = concurrent */
+  8,   /* field[8] = in_parts */
+  1,   /* field[1] = key_digests */
+  0,   /* field[0] = name */
+  7,   /* field[7] = needs_key */
   6,   /* field[6] = priority */
   2,   /* field[2] = rate_per_s */
   4,   /* field[4] = regions */
@@ -2733,7 +3158,7 @@
 static const ProtobufCIntRange cwp__configured_tenant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cwp__configured_tenant__descriptor =
 {
@@ -2743,7 +3168,7 @@
   "Cwp__ConfiguredTenant",
   "cwp",
   sizeof(Cwp__ConfiguredTenant),
-  7,
+  9,
   cwp__configured_tenant__field_descriptors,
   cwp__configured_tenant__field_indices_by_name,
   1,  cwp__configured_tenant__number_ranges,
@@ -2878,7 +3303,7 @@
   (ProtobufCMessageInit) cwp__route_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__configuration_page__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cwp__configuration_page__field_descriptors[11] =
 {
   {
     "version",
@@ -3000,6 +3425,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "removed_tenants",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Cwp__ConfigurationPage, n_removed_tenants),
+    offsetof(Cwp__ConfigurationPage, removed_tenants),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__configuration_page__field_indices_by_name[] = {
   9,   /* field[9] = ask_instead */
@@ -3007,6 +3444,7 @@
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
   8,   /* field[8] = removed */
+  10,   /* field[10] = removed_tenants */
   4,   /* field[4] = routes */
   5,   /* field[5] = services */
   1,   /* field[1] = since */
@@ -3016,7 +3454,7 @@
 static const ProtobufCIntRange cwp__configuration_page__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cwp__configuration_page__descriptor =
 {
@@ -3026,7 +3464,7 @@
   "Cwp__ConfigurationPage",
   "cwp",
   sizeof(Cwp__ConfigurationPage),
-  10,
+  11,
   cwp__configuration_page__field_descriptors,
   cwp__configuration_page__field_indices_by_name,
   1,  cwp__configuration_page__number_ranges,
@@ -3213,7 +3651,7 @@
   (ProtobufCMessageInit) cwp__store_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__slot_ask__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cwp__slot_ask__field_descriptors[9] =
 {
   {
     "ticket",
@@ -3311,6 +3749,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tenant",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, tenant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__slot_ask__field_indices_by_name[] = {
   3,   /* field[3] = except */
@@ -3319,13 +3769,14 @@
   4,   /* field[4] = priority */
   2,   /* field[2] = server */
   1,   /* field[1] = service */
+  8,   /* field[8] = tenant */
   0,   /* field[0] = ticket */
   7,   /* field[7] = wait_ms */
 };
 static const ProtobufCIntRange cwp__slot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cwp__slot_ask__descriptor =
 {
@@ -3335,7 +3786,7 @@
   "Cwp__SlotAsk",
   "cwp",
   sizeof(Cwp__SlotAsk),
-  8,
+  9,
   cwp__slot_ask__field_descriptors,
   cwp__slot_ask__field_indices_by_name,
   1,  cwp__slot_ask__number_ranges,
@@ -3522,158 +3973,1035 @@
   (ProtobufCMessageInit) cwp__slot_return__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cwp__zone_node__field_descriptors[5] =
 {
   {
-    "report",
+    "address",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, report),
-    &cwp__node_report__descriptor,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, address),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "servers",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, servers),
-    &cwp__servers_page__descriptor,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, incarnation),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table",
+    "node",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, table),
-    &cwp__table_page__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, node),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ack",
+    "stopping",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, ack),
-    &cwp__view_ack__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, stopping),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "nodes",
+    "store_lost",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, nodes),
-    &cwp__nodes_page__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, store_lost),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned cwp__zone_node__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = node */
+  3,   /* field[3] = stopping */
+  4,   /* field[4] = store_lost */
+};
+static const ProtobufCIntRange cwp__zone_node__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cwp__zone_node__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ZoneNode",
+  "ZoneNode",
+  "Cwp__ZoneNode",
+  "cwp",
+  sizeof(Cwp__ZoneNode),
+  5,
+  cwp__zone_node__field_descriptors,
+  cwp__zone_node__field_indices_by_name,
+  1,  cwp__zone_node__number_ranges,
+  (ProtobufCMessageInit) cwp__zone_node__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__zone_summary__field_descriptors[17] =
+{
   {
-    "configuration",
-    6,
+    "zone",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, configuration),
-    &cwp__configuration_page__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, zone),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "configuration_request",
-    7,
+    "relay",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, configuration_request),
-    &cwp__configuration_request__descriptor,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, relay),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "store_notice",
-    8,
+    "incarnation",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, store_notice),
-    &cwp__store_notice__descriptor,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, incarnation),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slot_ask",
-    9,
+    "sequence",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, slot_ask),
-    &cwp__slot_ask__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, sequence),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slot_reply",
-    10,
+    "passed_on",
+    5,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, passed_on),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__ZoneSummary, n_nodes),
+    offsetof(Cwp__ZoneSummary, nodes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ages_ms",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__ZoneSummary, n_ages_ms),
+    offsetof(Cwp__ZoneSummary, ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capabilities",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__ZoneSummary, n_capabilities),
+    offsetof(Cwp__ZoneSummary, capabilities),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "details",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, slot_reply),
-    &cwp__slot_reply__descriptor,
+    offsetof(Cwp__ZoneSummary, n_details),
+    offsetof(Cwp__ZoneSummary, details),
+    &cwp__zone_node__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slot_return",
+    "received",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__ZoneSummary, n_received),
+    offsetof(Cwp__ZoneSummary, received),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration",
     11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, slot_return),
-    &cwp__slot_return__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, configuration),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "has_loads",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneSummary, has_loads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__ZoneSummary, n_servers),
+    offsetof(Cwp__ZoneSummary, servers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "under_way",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__ZoneSummary, n_under_way),
+    offsetof(Cwp__ZoneSummary, under_way),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__ZoneSummary, n_waiting),
+    offsetof(Cwp__ZoneSummary, waiting),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unreachable",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__ZoneSummary, n_unreachable),
+    offsetof(Cwp__ZoneSummary, unreachable),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queues",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__ZoneSummary, n_queues),
+    offsetof(Cwp__ZoneSummary, queues),
+    &cwp__queue_length__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__zone_summary__field_indices_by_name[] = {
+  6,   /* field[6] = ages_ms */
+  7,   /* field[7] = capabilities */
+  10,   /* field[10] = configuration */
+  8,   /* field[8] = details */
+  11,   /* field[11] = has_loads */
+  2,   /* field[2] = incarnation */
+  5,   /* field[5] = nodes */
+  4,   /* field[4] = passed_on */
+  16,   /* field[16] = queues */
+  9,   /* field[9] = received */
+  1,   /* field[1] = relay */
+  3,   /* field[3] = sequence */
+  12,   /* field[12] = servers */
+  13,   /* field[13] = under_way */
+  15,   /* field[15] = unreachable */
+  14,   /* field[14] = waiting */
+  0,   /* field[0] = zone */
+};
+static const ProtobufCIntRange cwp__zone_summary__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 17 }
+};
+const ProtobufCMessageDescriptor cwp__zone_summary__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ZoneSummary",
+  "ZoneSummary",
+  "Cwp__ZoneSummary",
+  "cwp",
+  sizeof(Cwp__ZoneSummary),
+  17,
+  cwp__zone_summary__field_descriptors,
+  cwp__zone_summary__field_indices_by_name,
+  1,  cwp__zone_summary__number_ranges,
+  (ProtobufCMessageInit) cwp__zone_summary__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_usage__field_descriptors[6] =
+{
+  {
+    "tenant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, tenant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admitted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, admitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "with_tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, with_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elsewhere",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, elsewhere),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recent",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, recent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "metered",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, metered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_usage__field_indices_by_name[] = {
+  1,   /* field[1] = admitted */
+  3,   /* field[3] = elsewhere */
+  5,   /* field[5] = metered */
+  4,   /* field[4] = recent */
+  0,   /* field[0] = tenant */
+  2,   /* field[2] = with_tokens */
+};
+static const ProtobufCIntRange cwp__quota_usage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cwp__quota_usage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaUsage",
+  "QuotaUsage",
+  "Cwp__QuotaUsage",
+  "cwp",
+  sizeof(Cwp__QuotaUsage),
+  6,
+  cwp__quota_usage__field_descriptors,
+  cwp__quota_usage__field_indices_by_name,
+  1,  cwp__quota_usage__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_usage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_report__field_descriptors[3] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReport, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usages",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__QuotaReport, n_usages),
+    offsetof(Cwp__QuotaReport, usages),
+    &cwp__quota_usage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_report__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
+  1,   /* field[1] = sequence */
+  2,   /* field[2] = usages */
+};
+static const ProtobufCIntRange cwp__quota_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cwp__quota_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaReport",
+  "QuotaReport",
+  "Cwp__QuotaReport",
+  "cwp",
+  sizeof(Cwp__QuotaReport),
+  3,
+  cwp__quota_report__field_descriptors,
+  cwp__quota_report__field_indices_by_name,
+  1,  cwp__quota_report__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_status__field_descriptors[3] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaStatus, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "metered",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__QuotaStatus, n_metered),
+    offsetof(Cwp__QuotaStatus, metered),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "declines",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaStatus, declines),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_status__field_indices_by_name[] = {
+  2,   /* field[2] = declines */
+  1,   /* field[1] = metered */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange cwp__quota_status__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cwp__quota_status__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaStatus",
+  "QuotaStatus",
+  "Cwp__QuotaStatus",
+  "cwp",
+  sizeof(Cwp__QuotaStatus),
+  3,
+  cwp__quota_status__field_descriptors,
+  cwp__quota_status__field_indices_by_name,
+  1,  cwp__quota_status__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_status__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_ask__field_descriptors[5] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, usage),
+    &cwp__quota_usage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_ask__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
+  4,   /* field[4] = refused */
+  1,   /* field[1] = sequence */
+  3,   /* field[3] = usage */
+  2,   /* field[2] = wanted */
+};
+static const ProtobufCIntRange cwp__quota_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cwp__quota_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaAsk",
+  "QuotaAsk",
+  "Cwp__QuotaAsk",
+  "cwp",
+  sizeof(Cwp__QuotaAsk),
+  5,
+  cwp__quota_ask__field_descriptors,
+  cwp__quota_ask__field_indices_by_name,
+  1,  cwp__quota_ask__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_grant__field_descriptors[5] =
+{
+  {
+    "tenant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, tenant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "metered",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, metered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_grant__field_indices_by_name[] = {
+  4,   /* field[4] = metered */
+  3,   /* field[3] = retry_after_ms */
+  1,   /* field[1] = sequence */
+  0,   /* field[0] = tenant */
+  2,   /* field[2] = tokens */
 };
-static const unsigned cwp__datagram__field_indices_by_name[] = {
-  3,   /* field[3] = ack */
-  5,   /* field[5] = configuration */
-  6,   /* field[6] = configuration_request */
-  4,   /* field[4] = nodes */
-  0,   /* field[0] = report */
-  1,   /* field[1] = servers */
-  8,   /* field[8] = slot_ask */
-  9,   /* field[9] = slot_reply */
-  10,   /* field[10] = slot_return */
-  7,   /* field[7] = store_notice */
-  2,   /* field[2] = table */
-};
-static const ProtobufCIntRange cwp__datagram__number_ranges[1 + 1] =
+static const ProtobufCIntRange cwp__quota_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cwp__quota_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaGrant",
+  "QuotaGrant",
+  "Cwp__QuotaGrant",
+  "cwp",
+  sizeof(Cwp__QuotaGrant),
+  5,
+  cwp__quota_grant__field_descriptors,
+  cwp__quota_grant__field_indices_by_name,
+  1,  cwp__quota_grant__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__quota_return__field_descriptors[2] =
+{
+  {
+    "tenant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReturn, tenant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReturn, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__quota_return__field_indices_by_name[] = {
+  0,   /* field[0] = tenant */
+  1,   /* field[1] = tokens */
+};
+static const ProtobufCIntRange cwp__quota_return__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cwp__quota_return__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.QuotaReturn",
+  "QuotaReturn",
+  "Cwp__QuotaReturn",
+  "cwp",
+  sizeof(Cwp__QuotaReturn),
+  2,
+  cwp__quota_return__field_descriptors,
+  cwp__quota_return__field_indices_by_name,
+  1,  cwp__quota_return__number_ranges,
+  (ProtobufCMessageInit) cwp__quota_return__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[17] =
+{
+  {
+    "report",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, report),
+    &cwp__node_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, servers),
+    &cwp__servers_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, table),
+    &cwp__table_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ack",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, ack),
+    &cwp__view_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nodes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, nodes),
+    &cwp__nodes_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, configuration),
+    &cwp__configuration_page__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration_request",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, configuration_request),
+    &cwp__configuration_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_notice",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, store_notice),
+    &cwp__store_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_ask",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, slot_ask),
+    &cwp__slot_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_reply",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, slot_reply),
+    &cwp__slot_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_return",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, slot_return),
+    &cwp__slot_return__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone_summary",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, zone_summary),
+    &cwp__zone_summary__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_report",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, quota_report),
+    &cwp__quota_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_status",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, quota_status),
+    &cwp__quota_status__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_ask",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, quota_ask),
+    &cwp__quota_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_grant",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, quota_grant),
+    &cwp__quota_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_return",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, quota_return),
+    &cwp__quota_return__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__datagram__field_indices_by_name[] = {
+  3,   /* field[3] = ack */
+  5,   /* field[5] = configuration */
+  6,   /* field[6] = configuration_request */
+  4,   /* field[4] = nodes */
+  14,   /* field[14] = quota_ask */
+  15,   /* field[15] = quota_grant */
+  12,   /* field[12] = quota_report */
+  16,   /* field[16] = quota_return */
+  13,   /* field[13] = quota_status */
+  0,   /* field[0] = report */
+  1,   /* field[1] = servers */
+  8,   /* field[8] = slot_ask */
+  9,   /* field[9] = slot_reply */
+  10,   /* field[10] = slot_return */
+  7,   /* field[7] = store_notice */
+  2,   /* field[2] = table */
+  11,   /* field[11] = zone_summary */
+};
+static const ProtobufCIntRange cwp__datagram__number_ranges[2 + 1] =
+{
+  { 1, 0 },
+  { 20, 11 },
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor cwp__datagram__descriptor =
 {
@@ -3683,10 +5011,10 @@
   "Cwp__Datagram",
   "cwp",
   sizeof(Cwp__Datagram),
-  11,
+  17,
   cwp__datagram__field_descriptors,
   cwp__datagram__field_indices_by_name,
-  1,  cwp__datagram__number_ranges,
+  2,  cwp__datagram__number_ranges,
   (ProtobufCMessageInit) cwp__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -18,51 +18,11 @@
 #include "balance/cold_rate.h"
 #include "balance/server_load.h"
 #include "base/time.h"
+#include "model/region_mask.h"
 #include "model/server_list.h"
 #include "model/zone_region.h"
 #include "model/zone_service.h"
 
-/** One life of a server. Lives as long as it is listed or requests are under way. */
-typedef struct cw_server {
-    char           *id;
-    char           *service;
-    char           *address;
-    char           *zone;
-    char           *region;       /**< in which the zone lies; empty: not known */
-    double          affinity;     /**< 0 to 1, another for each node: the order in which equal servers are tried */
-    uint32_t        hash;         /**< short name of the id between nodes */
-    uint32_t        service_hash; /**< and of its service */
-    uint32_t        capacity;
-    bool            listed;
-    bool            draining;
-    bool            ended;          /**< another life answered at its address: this one is over */
-    uint32_t        own;            /**< requests of this node under way */
-    uint32_t        others;         /**< of the other nodes, as reported */
-    uint32_t        own_waiting;    /**< requests that wait at this node for keys that it owns, when last counted */
-    uint32_t        others_waiting; /**< at the other nodes, as reported */
-    double          pace;           /**< time of its answers over what is usual on the route; 1 when nothing is known */
-    cw_time_us_t    pace_at;        /**< last measured */
-    uint32_t        sampled_others; /**< requests of other nodes there by its own last load sample, */
-    cw_time_us_t    sampled_at;     /**< which came then; 0: none */
-    uint32_t        served;         /**< answers since the start, and */
-    uint64_t        served_time;    /**< their time over what is usual, in thousandths, summed */
-    uint32_t        served_sent;    /**< value of served in this node's last report to all */
-    uint32_t        served_sent_leader; /**< and in its last one to the leader */
-    cw_time_us_t    answered_others_at; /**< it surely answered another node after this moment; 0: not known */
-    uint32_t        faults;             /**< in a row */
-    cw_time_us_t    avoid_until;        /**< not chosen while another one can be */
-    cw_time_us_t    cold_until;         /**< its warm-up takes until then; 0: it is warm */
-    bool            cold_by_entry;      /**< its entry says so */
-    cw_time_us_t    zone_put_back_at;   /**< last put-back of its zone that has been counted as a start */
-    double          cold_per_s;         /**< requests a second that it bears while it is cold; 0: no bound known */
-    cw_cold_sends_t cold_sends;         /**< this node's, while it is cold */
-    bool            zone_is_out;        /**< its zone is out of service */
-    cw_time_us_t    owner_until;        /**< then requests for keys that it owns may still go there until this moment */
-    void           *connections;        /**< the adapter's; freed by it when the server is dropped */
-    UT_hash_handle  by_id;
-    UT_hash_handle  by_hash;
-} cw_server_t;
-
 /** One server in another node's report. */
 typedef struct cw_server_report {
     uint32_t hash;
@@ -71,6 +31,50 @@
     bool     unreachable;
 } cw_server_report_t;
 
+/** One life of a server. Lives as long as it is listed or requests are under way. */
+typedef struct cw_server {
+    char              *id;
+    char              *service;
+    char              *address;
+    char              *zone;
+    char              *region;       /**< in which the zone lies; empty: not known */
+    cw_distance_t      distance;     /**< of its zone from this node's */
+    uint32_t           region_bit;   /**< of that region (region_mask.h); 0: none */
+    double             affinity;     /**< 0 to 1, another for each node: the order in which equal servers are tried */
+    uint32_t           hash;         /**< short name of the id between nodes */
+    uint32_t           service_hash; /**< and of its service */
+    uint32_t           capacity;
+    bool               listed;
+    bool               draining;
+    bool               ended;          /**< another life answered at its address: this one is over */
+    uint32_t           own;            /**< requests of this node under way */
+    uint32_t           others;         /**< of the other nodes, as reported */
+    uint32_t           own_waiting;    /**< requests that wait at this node for keys that it owns, when last counted */
+    uint32_t           others_waiting; /**< at the other nodes, as reported */
+    double             pace;    /**< time of its answers over what is usual on the route; 1 when nothing is known */
+    cw_time_us_t       pace_at; /**< last measured */
+    uint32_t           sampled_others;     /**< requests of other nodes there by its own last load sample, */
+    cw_time_us_t       sampled_at;         /**< which came then; 0: none */
+    uint32_t           served;             /**< answers since the start, and */
+    uint64_t           served_time;        /**< their time over what is usual, in thousandths, summed */
+    uint32_t           served_sent;        /**< value of served in this node's last report to all */
+    uint32_t           served_sent_leader; /**< and in its last one to the leader */
+    cw_time_us_t       answered_others_at; /**< it surely answered another node after this moment; 0: not known */
+    cw_server_report_t sum;                /**< scratch of cw_server_pool_sum */
+    uint32_t           faults;             /**< in a row */
+    cw_time_us_t       avoid_until;        /**< not chosen while another one can be */
+    cw_time_us_t       cold_until;         /**< its warm-up takes until then; 0: it is warm */
+    bool               cold_by_entry;      /**< its entry says so */
+    cw_time_us_t       zone_put_back_at;   /**< last put-back of its zone that has been counted as a start */
+    double             cold_per_s;         /**< requests a second that it bears while it is cold; 0: no bound known */
+    cw_cold_sends_t    cold_sends;         /**< this node's, while it is cold */
+    bool               zone_is_out;        /**< its zone is out of service */
+    cw_time_us_t       owner_until; /**< then requests for keys that it owns may still go there until this moment */
+    void              *connections; /**< the adapter's; freed by it when the server is dropped */
+    UT_hash_handle     by_id;
+    UT_hash_handle     by_hash;
+} cw_server_t;
+
 /** How fast one server answered another node, counted since that node's start. */
 typedef struct cw_server_pace {
     uint32_t hash;
@@ -113,10 +117,16 @@
 const cw_server_t *cw_server_pool_find_hash(cw_server_pool_t *pool, uint32_t hash);
 /** Copied. To be set before the first list. A zone that is not among them lies in no region. */
 void cw_server_pool_set_regions(cw_server_pool_t *pool, const cw_zone_region_t *zones, size_t count);
+/** Bit of the region of a zone (region_mask.h); 0: none. */
+uint32_t cw_server_pool_zone_bit(const cw_server_pool_t *pool, const char *zone);
+/** Regions that a rule allows, as a mask. */
+uint32_t cw_server_pool_region_mask(const cw_server_pool_t *pool, const cw_region_rule_t *rule);
 /** May a request under this rule go there? */
 bool cw_server_region_allows(const cw_server_t *server, const cw_region_rule_t *rule);
 /** Has the service a listed server to which a request under this rule may go? */
 bool cw_server_pool_serves(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule);
+/** Do the settings know more than one region? */
+bool cw_server_pool_has_regions(const cw_server_pool_t *pool);
 /** This node's zone. */
 const char *cw_server_pool_zone(const cw_server_pool_t *pool);
 /** All servers, by the by_id handle. */
@@ -153,15 +163,26 @@
 /** Learns from what the answers came to since this node last told. */
 void cw_server_pool_learn(cw_server_pool_t *pool, uint64_t node, const cw_server_pace_t *paces, size_t count,
                           cw_time_us_t now);
+/** Whose requests are summed, and at which servers. */
+typedef struct cw_sum_filter {
+    void *context;
+    bool (*takes_node)(void *context, uint64_t node);
+    bool (*takes_server)(void *context, const cw_server_t *server);
+} cw_sum_filter_t;
+/** This node's own requests and those that the nodes taken have reported, by server; returns how many servers. */
+size_t cw_server_pool_sum(cw_server_pool_t *pool, const cw_sum_filter_t *filter, cw_server_report_t *sums, size_t room,
+                          cw_time_us_t now);
 /** Paces of servers kept, for all nodes that told them. */
 size_t cw_server_pool_paces(const cw_server_pool_t *pool);
 /** Forgets nodes that have been silent for longer than `life`. */
 void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t life, cw_time_us_t now);
 
 typedef struct cw_choice_settings {
-    double zone_penalty; /**< what another zone costs, as a share of a usual request's time */
-    double affinity;     /**< weight of this node's own order of servers; more where others' loads are known late */
-    double extra_slots;  /**< requests a server may have beyond its capacity */
+    double zone_penalty;    /**< what another zone costs, as a share of a usual request's time */
+    double remote_penalty;  /**< what another region costs besides, in the same unit */
+    bool   stays_in_region; /**< servers of other regions are not taken */
+    double affinity;        /**< weight of this node's own order of servers; more where others' loads are known late */
+    double extra_slots;     /**< requests a server may have beyond its capacity */
     cw_region_rule_t regions;
 } cw_choice_settings_t;
 
@@ -171,6 +192,9 @@
 bool         cw_server_has_slot(const cw_server_t *server, double extra_slots, cw_time_us_t now);
 /** Slots of a service that can be used, in units of a server of usual pace. */
 double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now);
+/** The same for servers of this node's region to which a request under this rule may go. */
+double cw_server_pool_speed_near(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                                 cw_time_us_t now);
 /** Requests under way at a service's servers. */
 uint32_t cw_server_pool_under_way(cw_server_pool_t *pool, const char *service);
 
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -10,8 +10,10 @@
     X(START, "start", NOTICE, 10)                                                                                      \
     X(STOP, "stop", NOTICE, 10)                                                                                        \
     X(END, "end", NOTICE, 10)                                                                                          \
+    X(TRAFFIC, "traffic", NOTICE, 10)                                                                                  \
     X(RELOAD, "reload", NOTICE, 10)                                                                                    \
     X(LINES_DROPPED, "lines dropped", WARNING, 10)                                                                     \
+    X(FATAL_SIGNAL, "fatal signal", ERROR, 10)                                                                         \
     X(STORE_LOST, "store lost", WARNING, 10)                                                                           \
     X(STORE_BACK, "store back", NOTICE, 10)                                                                            \
     X(PEER_LOST, "peer lost", WARNING, 20)                                                                             \
@@ -24,6 +26,8 @@
     X(LEADER_SILENT, "leader silent", WARNING, 10)                                                                     \
     X(CONFIGURATION_ACCEPTED, "configuration accepted", NOTICE, 20)                                                    \
     X(CONFIGURATION_REFUSED, "configuration refused", ERROR, 20)                                                       \
+    X(KEYS_STALE, "keys stale", WARNING, 10)                                                                           \
+    X(KEYS_CONFIRMED, "keys confirmed", NOTICE, 10)                                                                    \
     X(WATCH_BEGUN, "watch begun", INFO, 10)                                                                            \
     X(WATCH_FAILED, "watch failed", WARNING, 10)                                                                       \
     X(READER, "store reader", NOTICE, 10)                                                                              \
@@ -36,6 +40,7 @@
     X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
     X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
     X(PLAN_WRITTEN, "plan written", NOTICE, 20)                                                                        \
+    X(LIMIT_MODE, "limit mode", NOTICE, 20)                                                                            \
     X(REQUEST_SERVED, "served", INFO, 200)                                                                             \
     X(REQUEST_RETRIED, "retried", NOTICE, 100)                                                                         \
     X(REQUEST_REFUSED, "refused", NOTICE, 100)                                                                         \
@@ -48,6 +53,7 @@
     X(REQUEST, "request")                                                                                              \
     X(ROUTE, "route")                                                                                                  \
     X(SERVICE, "service")                                                                                              \
+    X(TENANT, "tenant")                                                                                                \
     X(SERVER, "server")                                                                                                \
     X(CONFIGURATION, "configuration")                                                                                  \
     X(STATUS, "status")                                                                                                \
@@ -84,6 +90,17 @@
     X(VERSION, "version")                                                                                              \
     X(REVISION, "revision")                                                                                            \
     X(IN_FORCE, "in_force")                                                                                            \
+    X(SIGNAL, "signal")                                                                                                \
+    X(SENDER, "sender")                                                                                                \
+    X(ADDRESS, "address")                                                                                              \
+    X(BUILD, "build")                                                                                                  \
+    X(LOAD_ADDRESS, "load_address")                                                                                    \
+    X(TRACE, "trace")                                                                                                  \
+    X(SENT_ZONE, "sent_zone")                                                                                          \
+    X(SENT_REGION, "sent_region")                                                                                      \
+    X(SENT_REMOTE, "sent_remote")                                                                                      \
+    X(LIMIT_MODE, "limit_mode")                                                                                        \
+    X(LIMIT_AGE_MS, "limit_age_ms")                                                                                    \
     X(DETAIL, "detail")
 
 #define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/byte_buffer.h"
 #include "base/time.h"
 
 /* X(symbol, name, type, help). What tells a node's state comes first: collectors may cut a long text short. */
@@ -24,10 +25,33 @@
     X(REFUSED_LOAD, "cedarwinch_refused_load_total", "counter", "refused: no slot in time")                            \
     X(REFUSED_OWNER, "cedarwinch_refused_owner_total", "counter", "refused: the key's owner is not known or moving")   \
     X(REFUSED_SERVERS, "cedarwinch_refused_servers_total", "counter", "refused: the service has no server")            \
+    X(REFUSED_REGIONS, "cedarwinch_refused_regions_total", "counter",                                                  \
+      "refused: the key's owner lies outside the regions of the request's route and tenant")                           \
     X(REFUSED_STOPPING, "cedarwinch_refused_stopping_total", "counter",                                                \
       "refused: this node stops before they may end")                                                                  \
     X(REFUSED_UNREADY, "cedarwinch_refused_unready_total", "counter", "refused: no configuration yet")                 \
-    X(REFUSED_TENANT, "cedarwinch_refused_tenant_total", "counter", "refused: not a tenant's caller, or its limits")   \
+    X(REFUSED_TENANT, "cedarwinch_refused_tenant_total", "counter", "refused: the tenant's limits")                    \
+    X(REFUSED_LIMIT, "cedarwinch_refused_limit_total", "counter", "of them, the tenant's rate")                        \
+    X(LIMIT_ASKS, "cedarwinch_limit_asks_total", "counter", "tokens' asks sent, and sent again")                       \
+    X(LIMIT_REPORTS, "cedarwinch_limit_reports_total", "counter", "reports to nodes that count for tenants")           \
+    X(LIMIT_RETURNED, "cedarwinch_limit_tokens_returned_total", "counter", "tokens that were not used")                \
+    X(LIMIT_MODES, "cedarwinch_limit_mode_changes_total", "counter",                                                   \
+      "times a tenant became free, metered or alone on this node")                                                     \
+    X(LIMIT_ALONE, "cedarwinch_limit_alone_total", "counter", "of them, alone: the counting node did not reply")       \
+    X(LIMIT_TENANTS, "cedarwinch_limit_tenants", "gauge", "tenants of which this node counts its own requests")        \
+    X(LIMIT_BUCKETS, "cedarwinch_limit_buckets", "gauge", "tenants for which this node counts for all")                \
+    X(REFUSED_KEYS_STALE, "cedarwinch_refused_keys_stale_total", "counter",                                            \
+      "refused: a key may have been taken away, and there is no late enough evidence that none was")                   \
+    X(REFUSED_KEY_MOVED, "cedarwinch_refused_key_moved_total", "counter",                                              \
+      "refused: the caller's key became another tenant's while the request waited")                                    \
+    X(REJECTED_NO_KEY, "cedarwinch_rejected_no_key_total", "counter", "401: no key")                                   \
+    X(REJECTED_MALFORMED, "cedarwinch_rejected_malformed_total", "counter",                                            \
+      "401: malformed or doubled credentials, or another scheme")                                                      \
+    X(REJECTED_UNKNOWN_KEY, "cedarwinch_rejected_unknown_key_total", "counter", "401: unknown key")                    \
+    X(REJECTED_OTHER_TENANT, "cedarwinch_rejected_other_tenant_total", "counter",                                      \
+      "401: the route is another tenant's")                                                                            \
+    X(REJECTED_REVOKED, "cedarwinch_rejected_revoked_total", "counter",                                                \
+      "401: the key was taken away while the request waited")                                                          \
     X(NOT_FOUND, "cedarwinch_not_found_total", "counter", "no route for host and path")                                \
     X(FAILED_UNKNOWN, "cedarwinch_failed_unknown_total", "counter", "502: sent, and the answer was broken or lost")    \
     X(FAILED_LATE, "cedarwinch_failed_late_total", "counter", "504: no answer within the time limit")                  \
@@ -98,6 +122,8 @@
 uint64_t cw_metric_value(cw_metric_t metric);
 /** Counts one latency of a route. */
 void cw_histogram_add(cw_histogram_t histogram, const char *route, cw_time_us_t value);
+/** Appends all metrics. */
+void cw_metrics_append(cw_bytes_t *text);
 /** All metrics as text, to be freed. */
 char *cw_metrics_text(size_t *length);
 /** Forgets everything; for tests. */
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -26,6 +26,9 @@
     STOP_GRACE_MS = 6000,
     LINK_MBPS = 1000,
     LINK_MBPS_MAX = 1000000,
+    REMOTE_BYTE_COST_MS_PER_MB = 30000, /* a body of 60 KB waits 1.8 s, longer than usual objectives: it stays in its
+                                         * region while there is a slot in time; a kilobyte waits 30 ms, about as long
+                                         * as the way itself takes: it crosses as soon as a queue forms */
     RETRY_WINDOW_MS = 10000,
     RETRY_EXTRA = 20,
     PIPELINE_DEPTH = 16,
@@ -34,9 +37,18 @@
     MEMORY_MB_MAX = 1024 * 1024,
     BODY_BYTES_MOST = 64 * 1024 * 1024, /* where the node's memory is not told */
     BODY_MEMORY_PART = 4,               /* of the node's memory: bodies are sent from where they are read, held once */
-    BODY_WAIT_MS = 300                  /* some two usual requests at a server, whose end gives memory back */
+    BODY_WAIT_MS = 300,                 /* some two usual requests at a server, whose end gives memory back */
+    LIMIT_WINDOW_MS = 5000,
+    LIMIT_SLACK = 20
 };
 
+static void copy_text(char *target, size_t size, const char *text)
+{
+    if (text != NULL) {
+        snprintf(target, size, "%s", text);
+    }
+}
+
 static void set_defaults(cw_router_settings_t *settings)
 {
     memset(settings, 0, sizeof(*settings));
@@ -51,22 +63,20 @@
     settings->configuration_within = CW_MS(CONFIGURATION_MS);
     settings->stop_grace = CW_MS(STOP_GRACE_MS);
     settings->link_mbps = LINK_MBPS;
+    settings->remote_byte_cost = REMOTE_BYTE_COST_MS_PER_MB;
     settings->cpu_share = 1;
     settings->retry_window = CW_MS(RETRY_WINDOW_MS);
     settings->retry_ratio = 0.1;
     settings->retry_extra = RETRY_EXTRA;
+    settings->limit_window = CW_MS(LIMIT_WINDOW_MS);
+    settings->limit_overshoot = 0.1;
+    settings->limit_slack = LIMIT_SLACK;
+    copy_text(settings->credential_scheme, sizeof(settings->credential_scheme), "Bearer");
     settings->pipeline_depth = PIPELINE_DEPTH;
     settings->pipeline_bytes = PIPELINE_BYTES;
     settings->body_wait = CW_MS(BODY_WAIT_MS);
 }
 
-static void copy_text(char *target, size_t size, const char *text)
-{
-    if (text != NULL) {
-        snprintf(target, size, "%s", text);
-    }
-}
-
 static bool endpoint_from_text(cw_endpoint_t *endpoint, const char *text)
 {
     const char    *colon = strrchr(text, ':');
@@ -224,10 +234,43 @@
     limit_holds(settings, read_ms(mapping, "hold_max_ms", 1000, 600000, CW_MS(HOLD_MAX_MS)));
     settings->stop_grace = read_ms(mapping, "stop_grace_ms", 1000, 600000, settings->stop_grace);
     settings->link_mbps = (uint32_t)cw_yaml_real(mapping, "link_mbps", 1, LINK_MBPS_MAX, settings->link_mbps);
+    settings->remote_byte_cost =
+        cw_yaml_real(mapping, "remote_byte_cost_ms_per_mb", 0, 1e9, settings->remote_byte_cost);
     settings->cpu_share = cw_yaml_real(mapping, "cpu_share", 0.001, 1024, settings->cpu_share);
     settings->retry_window = read_ms(mapping, "retry_window_ms", 1000, 600000, settings->retry_window);
     settings->retry_ratio = cw_yaml_real(mapping, "retry_ratio", 0, 1, settings->retry_ratio);
     settings->retry_extra = cw_yaml_real(mapping, "retry_extra", 0, 1e9, settings->retry_extra);
+    settings->limit_window = read_ms(mapping, "tenant_limit_window_ms", 100, 600000, settings->limit_window);
+    settings->limit_overshoot = cw_yaml_real(mapping, "tenant_limit_overshoot", 0, 10, settings->limit_overshoot);
+    settings->limit_slack = cw_yaml_real(mapping, "tenant_limit_slack", 0, 1e9, settings->limit_slack);
+}
+
+/* A token of HTTP: it stands before a blank in a header. */
+static void read_scheme(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    static const char letters[] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~+";
+    const char       *text = cw_yaml_text(mapping, "credential_scheme", false);
+
+    if (text == NULL) {
+        return;
+    }
+    if (text[0] == '\0' || strspn(text, letters) != strlen(text) ||
+        strlen(text) >= sizeof(settings->credential_scheme)) {
+        cw_yaml_report(mapping->document, cw_yaml_get(mapping, "credential_scheme", false),
+                       "'credential_scheme' is '%s'; must be letters, digits and -._~+, at most %zu of them", text,
+                       sizeof(settings->credential_scheme) - 1);
+        return;
+    }
+    copy_text(settings->credential_scheme, sizeof(settings->credential_scheme), text);
+}
+
+static void read_credentials(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    read_scheme(settings, mapping);
+    settings->credentials_stale_after =
+        read_ms(mapping, "credentials_stale_after_ms", 0, 600000, settings->credentials_stale_after);
+    settings->credentials_fail_closed =
+        cw_yaml_flag(mapping, "credentials_fail_closed", settings->credentials_fail_closed);
 }
 
 static void read_connections(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
@@ -273,6 +316,7 @@
         read_zone_regions(settings, &mapping);
         read_level(settings, &mapping);
         read_tuning(settings, &mapping);
+        read_credentials(settings, &mapping);
         read_connections(settings, &mapping);
         check(settings, &mapping);
         cw_yaml_finish(&mapping);
--- a/src/config/yaml_tree.h
+++ b/src/config/yaml_tree.h
@@ -23,7 +23,7 @@
 } cw_yaml_document_t;
 
 enum {
-    CW_YAML_KEYS_MAX = 32,
+    CW_YAML_KEYS_MAX = 128,
     CW_NAME_MAX = 63,          /**< bytes of a name */
     CW_TOKEN_DIGEST_BYTES = 32 /**< SHA-256 */
 };
@@ -61,6 +61,8 @@
 uint64_t cw_yaml_required_number(cw_yaml_mapping_t *mapping, const char *key, uint64_t low, uint64_t high);
 /** Real number within [low, high]; fallback when absent. */
 double cw_yaml_real(cw_yaml_mapping_t *mapping, const char *key, double low, double high, double fallback);
+/** true or false; fallback when absent. */
+bool cw_yaml_flag(cw_yaml_mapping_t *mapping, const char *key, bool fallback);
 /** IPv4 or IPv6 number. */
 const char *cw_yaml_address(cw_yaml_mapping_t *mapping, const char *key, bool required);
 /** SHA-256 digest of 64 hexadecimal digits. */
--- a/src/intent/plan.c
+++ b/src/intent/plan.c
@@ -21,22 +21,6 @@
     service->name = strdup(from->name);
 }
 
-static void copy_tenant(cw_configuration_t *to, const cw_tenant_t *from)
-{
-    cw_tenant_t *tenant = cw_configuration_add_tenant(to);
-    size_t       index;
-
-    *tenant = *from;
-    tenant->name = strdup(from->name);
-    tenant->keys = NULL;
-    tenant->key_count = 0;
-    for (index = 0; index < from->key_count; index++) {
-        cw_tenant_add_key(tenant, &from->keys[index]);
-    }
-    memset(&tenant->regions, 0, sizeof(tenant->regions));
-    cw_name_set_copy(&tenant->regions, &from->regions);
-}
-
 /* All entries, or all but one tenant's. */
 static void copy_all(cw_configuration_t *to, const cw_configuration_t *from, const char *except)
 {
@@ -54,7 +38,7 @@
     }
     for (index = 0; index < from->tenant_count; index++) {
         if (except == NULL || strcmp(except, from->tenants[index].name) != 0) {
-            copy_tenant(to, &from->tenants[index]);
+            cw_configuration_copy_tenant(to, &from->tenants[index]);
         }
     }
 }
@@ -204,8 +188,8 @@
     size_t             part;
 
     cw_bytes_append(text, tenant->keys, tenant->key_count * sizeof(*tenant->keys));
-    cw_bytes_append_format(text, "%s %g %g %u %u\n", tenant->name, tenant->rate_per_s, tenant->burst, tenant->priority,
-                           tenant->concurrent);
+    cw_bytes_append_format(text, "%s %d %g %g %u %u\n", tenant->name, tenant->needs_key, tenant->rate_per_s,
+                           tenant->burst, tenant->priority, tenant->concurrent);
     for (index = 0; index < intent->part->service_count; index++) {
         const cw_service_t *service = &intent->part->services[index];
 
@@ -242,6 +226,7 @@
                  const char *file_name, cw_findings_t *findings)
 {
     size_t before = findings->count;
+    char   problem[CW_PROBLEM_BYTES];
 
     memset(plan, 0, sizeof(*plan));
     plan->configuration = cw_configuration_create(present == NULL ? 1 : present->version + 1);
@@ -252,6 +237,10 @@
     check_others(intent, plan->configuration, file_name, findings);
     copy_all(plan->configuration, intent->part, NULL);
     cw_configuration_seal(plan->configuration);
+    if (!cw_configuration_check(plan->configuration, problem, sizeof(problem))) {
+        cw_findings_add(findings, file_name, 0, 0, "%s",
+                        plan->configuration->has_conflict ? "a token is another tenant's" : problem);
+    }
     compare_tenant(plan, intent, present);
     compare_services(plan, intent, present);
     compare_routes(plan, intent, present);
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -16,18 +16,21 @@
 /** A server of the service as the planner sees it. */
 typedef struct cw_planner_server {
     const cw_server_entry_t *entry;
-    bool                     usable;    /**< may be given keys */
-    bool                     is_barred; /**< out of service, or outside the regions allowed: what it holds must move */
-    double                   pace;      /**< time of its answers over what is usual */
-    double                   cost_s;    /**< share of its slots that one request a second takes */
-    double                   per_s;     /**< filled by the planner: requests a second on its keys */
-    uint32_t                 keys;      /**< filled by the planner */
+    bool                     usable;     /**< may be given keys */
+    bool                     is_doubted; /**< orders have not reached it: given keys only if no other can be */
+    bool                     is_barred;  /**< out of service, or outside the regions allowed: what it holds must move */
+    uint32_t                 region;     /**< its region's bit (region_mask.h); 0: none */
+    double                   pace;       /**< time of its answers over what is usual */
+    double                   cost_s;     /**< share of its slots that one request a second takes */
+    double                   per_s;      /**< filled by the planner: requests a second on its keys */
+    uint32_t                 keys;       /**< filled by the planner */
 } cw_planner_server_t;
 
 typedef struct cw_planner_settings {
     double       gain_min;     /**< what a move has to earn: requests a second times usual times saved, and */
     double       move_price;   /**< besides that, for each request a second of the whole service, if all keys moved */
     double       interruption; /**< and for each request a second of what moves: these wait while it does */
+    double       refusal;      /**< usual times that a request which may not go to its key's owner counts */
     double       errors;       /**< standard errors by which rates may be off */
     size_t       moves_max;    /**< in one plan, for balance, among few servers */
     size_t       ranges_each;  /**< joins begin above this many ranges for each server */
@@ -45,8 +48,9 @@
     size_t                       server_count;
     const cw_server_list_t      *list;
     const cw_load_window_t      *window;
-    bool                         doubts_list; /**< owners that are missing in the list may still be there */
-    cw_time_us_t                 now;
+    double       crossing;    /**< what a request costs that crosses a region's border, in usual times; 0: nothing */
+    bool         doubts_list; /**< owners that are missing in the list may still be there */
+    cw_time_us_t now;
 } cw_planner_input_t;
 
 /** Plans into the assigner and hands the plan in. Returns the number of changes. */
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -10,20 +10,24 @@
  *  - A refusal is given as soon as it is clear that the request would come too late, and says when to come back.
  *  - A request is given up at its time limit at the latest (the route's, or the caller's if that is shorter), and the
  *    answer leaves at once.
- *  - Requests wait here, in order of priority and deadline, not at servers: a server gets no more than its slots (and,
- *    for keys that only it holds, a few more).
+ *  - Where tenants' callers are known by keys, nothing is sent for a caller whose key is not in force; the key stays
+ *    here, and the server is told the tenant (engine_callers.c).
+ *  - Requests wait here, in order of rank (request_rank.h) and deadline, not at servers: a server gets no more than its
+ * slots (and, for keys that only it holds, a few more).
  */
 #ifndef CEDARWINCH_PROXY_ENGINE_H
 #define CEDARWINCH_PROXY_ENGINE_H
 
 #include <uv.h>
 
+#include "balance/crossing_cost.h"
 #include "balance/server_pool.h"
 #include "balance/slot_broker.h"
 #include "model/configuration.h"
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
 #include "retry/shared_budget.h"
+#include "tenancy/quota_share.h"
 
 /** Names that callers and servers use in headers. */
 typedef struct cw_header_names {
@@ -35,17 +39,20 @@
     const char *signature;  /**< from a server: the answer is its own */
     const char *instance;   /**< from a server: its id */
     const char *load;       /**< from a server: its load at the moment of the answer; NULL: none is told */
+    const char *tenant;     /**< to a server: name of the caller's tenant; NULL: it is not told */
 } cw_header_names_t;
 
 typedef struct cw_engine_settings {
     cw_header_names_t        names;
     cw_server_load_decoder_t decode_load; /**< of the header `load`; NULL: it is not read */
     cw_choice_settings_t     choice;
+    cw_crossing_settings_t   crossing; /**< of a region's border */
     cw_budget_settings_t     budget;
     double                   keyed_extra_slots; /**< requests an owner of keys may have beyond its slots */
     cw_time_us_t             connect_timeout;
-    double       silence_factor; /**< a repeatable request is repeated after so many usual times of silence */
-    cw_time_us_t margin;         /**< answers leave this much before the caller's own deadline */
+    double       silence_factor;    /**< a repeatable request is repeated after so many usual times of silence */
+    cw_time_us_t margin;            /**< answers leave this much before the caller's own deadline */
+    const char  *credential_scheme; /**< of callers' keys, in "Authorization"; NULL: Bearer */
     size_t       answer_max;
     size_t       queue_max; /**< requests waiting for one service */
 } cw_engine_settings_t;
@@ -62,6 +69,8 @@
 /** Keys of requests since the last report, for the leader. */
 typedef struct cw_key_samples {
     uint32_t keys[64];
+    uint32_t regions[64]; /**< where each of these requests may go (region_mask.h) */
+    bool     any_bound;   /**< some of them may not go anywhere */
     uint32_t count;
     uint32_t seen; /**< requests they stand for */
 } cw_key_samples_t;
@@ -83,7 +92,13 @@
 /** Slots are asked for from now on; NULL: the engine chooses servers by what it knows itself. */
 void cw_engine_set_slots(cw_engine_t *engine, const cw_slot_port_t *port);
 void cw_engine_slot_reply(cw_engine_t *engine, const cw_slot_reply_t *reply);
+/** Tenants' limits bind from now on. The share is borrowed; it says by cw_engine_quota_decided, never within a call of
+ * the engine, that requests which wait can be decided. */
+void cw_engine_set_quota(cw_engine_t *engine, cw_quota_share_t *share);
+void cw_engine_quota_decided(cw_engine_t *engine, uint32_t tenant);
 void cw_engine_set_configuration(cw_engine_t *engine, cw_configuration_t *configuration);
+/** Callers' keys are used until then: the evidence that none was taken away is older after that (CW_NEVER: always). */
+void cw_engine_trust_keys(cw_engine_t *engine, cw_time_us_t until);
 /** How many nodes are in reach is not known yet: many are assumed. */
 #define CW_NODES_UNKNOWN UINT32_MAX
 /** Nodes that share limits, and that are in reach now. */
@@ -123,6 +138,8 @@
 void cw_engine_set_queued_elsewhere(cw_engine_t *engine, const char *service, uint32_t queued);
 /** Usual time of a request of a service, microseconds. */
 cw_time_us_t cw_engine_usual_time(cw_engine_t *engine, const char *service);
+/** What a request of the service costs that crosses a region's border, in its usual times; 0: there is one region. */
+double cw_engine_crossing_share(cw_engine_t *engine, const char *service);
 /** The same by the hash of its name. */
 cw_time_us_t cw_engine_usual_time_of(const cw_engine_t *engine, uint32_t service);
 /** Set while requests under way changed since it was last cleared: a reason to report soon. */
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -27,7 +27,8 @@
 {
     const cw_header_names_t *names = &request->engine->settings.names;
 
-    return strcasecmp(name, names->deadline) == 0 || strcasecmp(name, names->target) == 0;
+    return strcasecmp(name, names->deadline) == 0 || strcasecmp(name, names->target) == 0 ||
+           cw_request_hides_field(request, name);
 }
 
 static bool has_length(const cw_request_t *request)
@@ -60,6 +61,9 @@
     if (has_length(request)) {
         cw_bytes_append_format(out, "Content-Length: %zu\r\n", request->body_length);
     }
+    if (names->tenant != NULL && request->caller.tenant != NULL) {
+        cw_bytes_append_format(out, "%s: %s\r\n", names->tenant, request->caller.tenant->name);
+    }
     cw_bytes_append_format(out, "%s: %lld\r\n%s: %s\r\n\r\n", names->deadline,
                            (long long)((request->deadline - now) / 1000 > 0 ? (request->deadline - now) / 1000 : 1),
                            names->target, server->id);
@@ -92,7 +96,7 @@
                                      .match_name = request->id == NULL ? NULL : engine->settings.names.request_id,
                                      .match_value = request->id};
 
-    cw_request_unqueue(request);
+    cw_request_take_turn(request);
     if (server->connections == NULL) {
         server->connections = cw_upstream_target_create(engine->upstream, server->address);
     }
@@ -188,6 +192,9 @@
 
 static void send_again(cw_request_t *request, cw_time_us_t pause)
 {
+    if (!cw_request_still_admitted(request)) {
+        return;
+    }
     request->not_before = pause > 0 ? cw_engine_now(request->engine) + pause : 0;
     cw_request_enqueue(request);
     cw_service_dispatch(request->engine, request->service);
@@ -202,7 +209,7 @@
     cw_server_t *server = request->server;
 
     request->repeat_at = CW_NEVER;
-    if (!may_repeat(request, now)) {
+    if (!cw_request_caller_stays(request) || !may_repeat(request, now)) {
         cw_request_arm(request);
         return;
     }
@@ -346,6 +353,7 @@
     }
     request->claim.end = CW_SLOT_ANSWERED;
     learn(request, server, now);
+    cw_request_note_answer_bytes(request, answer->body_length);
     cw_histogram_add(CW_HISTOGRAM_SERVER, request->route->name, now - request->sent_at);
     if (answer->status == STATUS_SERVER_ERROR && request->route->repeatable && may_repeat(request, now)) {
         leave_server(request);
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -3,25 +3,29 @@
  * @brief State shared by the engine's parts.
  *
  * A request is QUEUED (waits for a slot, an owner or its pause) or SENT (one call is under way); it ends with its
- * answer or when its caller leaves. Its timer is armed for whatever comes first.
+ * answer or when its caller leaves. Before it is queued it may wait for a token of its tenant's limit (engine_quota.c).
+ * Its timer is armed for whatever comes first.
  */
 #ifndef CEDARWINCH_PROXY_ENGINE_INTERNAL_H
 #define CEDARWINCH_PROXY_ENGINE_INTERNAL_H
 
 #include <uthash.h>
 
+#include "balance/fair_turns.h"
 #include "proxy/engine.h"
+#include "proxy/slot_stages.h"
+#include "tenancy/caller_identity.h"
+#include "tenancy/request_rank.h"
 #include "tenancy/tenant_gate.h"
 
-#define CW_NEVER INT64_MAX
-
 enum { CW_USUAL_FIRST_MS = 100 /**< time of a service's requests before any was answered */ };
 
 /** What outlives configurations: a route's usual time and its split's balance. */
 typedef struct cw_route_state {
     char          *name;
-    cw_time_us_t   usual; /**< moving mean of whole answers' times at servers of usual pace */
-    double        *owed;  /**< for each part of the split: what it is behind its share */
+    cw_time_us_t   usual;        /**< moving mean of whole answers' times at servers of usual pace */
+    double         answer_bytes; /**< moving mean of whole answers' bodies */
+    double        *owed;         /**< for each part of the split: what it is behind its share */
     size_t         owed_count;
     UT_hash_handle hh;
 } cw_route_state_t;
@@ -40,7 +44,8 @@
     cw_claim_state_t state;
     uint32_t         ticket;
     uint32_t         broker;
-    uint32_t         stage;      /**< zones asked before */
+    uint32_t         stage;      /**< asks for it before (slot_stages.h) */
+    cw_time_us_t     wait;       /**< told with the ask */
     uint32_t         asks;       /**< sent for this ticket */
     cw_time_us_t     due;        /**< a reply should have come by then */
     cw_time_us_t     free_after; /**< as it was refused last; 0: not told */
@@ -50,6 +55,13 @@
     cw_server_load_t load;
 } cw_slot_claim_t;
 
+/** What lets a request of a tenant with a limit go on. */
+typedef enum cw_token_state {
+    CW_TOKEN_NONE,    /**< it needs none, or its run has cost it */
+    CW_TOKEN_AWAITED, /**< asked for at the node that counts for the tenant */
+    CW_TOKEN_HELD
+} cw_token_state_t;
+
 /** A node that did not reply is not asked for a while. */
 typedef struct cw_silent_broker {
     uint32_t     address;
@@ -62,7 +74,7 @@
     char              *name;
     uint32_t           hash; /**< of the name, as between nodes */
     cw_shared_budget_t budget;
-    cw_request_t      *queue; /**< by priority, then deadline */
+    cw_request_t      *queue; /**< by rank, then turn, then deadline */
     size_t             queued;
     uint32_t           queued_elsewhere;
     cw_key_route_t    *table;
@@ -70,6 +82,7 @@
     uint64_t           table_version;
     cw_key_samples_t   samples;
     cw_time_us_t       usual;
+    double             bytes; /**< moving mean of bodies, of requests and answers together */
     UT_hash_handle     hh;
 } cw_service_state_t;
 
@@ -80,9 +93,14 @@
     const cw_route_t       *route;
     cw_route_state_t       *route_state;
     cw_service_state_t     *service;
-    cw_tenant_count_t      *tenant;   /**< NULL: none */
-    cw_region_rule_t        regions;  /**< servers there only */
-    bool                    is_keyed; /**< the service is divided by key, and the request names one */
+    cw_caller_t             caller;            /**< its tenant is the configuration's */
+    uint64_t                caller_checked_by; /**< version that the caller was held against last */
+    uint32_t                rank;              /**< 0 is the most urgent (request_rank.h) */
+    uint32_t                tenant_hash;       /**< of the tenant that is accountable for it; 0: none */
+    uint64_t                turn;              /**< among the tenants that wait (fair_turns.h) */
+    cw_tenant_count_t      *tenant;            /**< NULL: none */
+    cw_region_rule_t        regions;           /**< servers there only */
+    bool                    is_keyed;          /**< the service is divided by key, and the request names one */
     uint32_t                key;
     const char             *method; /**< this and what follows are the exchange's */
     const char             *target;
@@ -107,6 +125,9 @@
     char                    avoid[48];   /**< id of the server that failed it last */
     cw_upstream_call_t     *call;
     cw_slot_claim_t         claim;
+    cw_token_state_t        token;
+    cw_request_t           *earlier; /**< utlist's names, among those that await a token */
+    cw_request_t           *later;
     UT_hash_handle          by_ticket;
     uv_timer_t              timer;
     cw_request_t           *prev; /**< utlist's names, in the queue */
@@ -122,6 +143,11 @@
     cw_upstream_t       *upstream;
     cw_configuration_t  *configuration;
     cw_tenant_gate_t    *gate;
+    cw_fair_turns_t     *turns;
+    cw_quota_share_t    *quota;              /**< NULL: tenants' rates bind nobody */
+    cw_request_t        *awaiting;           /**< a token, the earliest first */
+    cw_http_fields_t     challenge;          /**< of a 401: the scheme that is asked for (RFC 9110, 15.5.2) */
+    cw_time_us_t         keys_trusted_until; /**< callers' keys; CW_NEVER: as long as they stand */
     cw_route_state_t    *routes;
     cw_service_state_t  *services;
     cw_time_us_t         tables_confirmed_at;
@@ -149,6 +175,45 @@
 /** Entry of a key in a service's table; NULL: none, or the table is too old. */
 const cw_key_route_t *cw_engine_owner(const cw_engine_t *engine, const cw_service_state_t *service, uint32_t key);
 
+/* ---- engine_admission.c ---- */
+/** An answer to what never became a request. */
+typedef struct cw_rejection {
+    int                     status;
+    const char             *reason;
+    const char             *route;         /**< NULL: none */
+    const char             *tenant;        /**< NULL: not known */
+    double                  retry_after_s; /**< -1: none */
+    const cw_http_fields_t *fields;        /**< of the answer; NULL: none */
+} cw_rejection_t;
+void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                      const cw_rejection_t *rejection);
+
+/** It needs nothing more to be queued. */
+void cw_request_admit(cw_request_t *request);
+
+/* ---- engine_quota.c ---- */
+/** False: it waits for a token, or was refused and is answered. */
+bool cw_request_take_token(cw_request_t *request);
+/** It has run. */
+void cw_request_spend_token(cw_request_t *request);
+/** It ends: its token, if it has not run, is the next request's; it no longer waits for one. */
+void cw_request_return_token(cw_request_t *request);
+
+/* ---- engine_callers.c ---- */
+/** Once, when the engine is created. */
+void cw_engine_init_callers(cw_engine_t *engine);
+/** False: the caller was rejected, and is answered. */
+bool cw_engine_admit_caller(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                            const cw_route_t *route, cw_caller_t *caller);
+/** Holds a request that is at no server against the configuration in force. False: it was refused. */
+bool cw_request_still_admitted(cw_request_t *request);
+/** The same for all of them: another configuration has come into force. */
+void cw_engine_check_callers(cw_engine_t *engine);
+/** Has its caller the same standing in the configuration in force? Changes nothing. */
+bool cw_request_caller_stays(const cw_request_t *request);
+/** A field of the caller that is for this system, or that the system sets itself: it does not go to servers. */
+bool cw_request_hides_field(const cw_request_t *request, const char *name);
+
 /* ---- engine_stop.c ---- */
 /** A new request: one that may last longer than what is left of a stop is cut, or (false) is to be refused. */
 bool cw_request_fits_stop(cw_request_t *request, cw_time_us_t now);
@@ -160,6 +225,8 @@
 /* ---- engine_queue.c ---- */
 void cw_request_enqueue(cw_request_t *request);
 void cw_request_unqueue(cw_request_t *request);
+/** The same, since it is sent now: its tenant's turn is over. */
+void cw_request_take_turn(cw_request_t *request);
 /** Sends what can be sent of a service's queue. */
 void cw_service_dispatch(cw_engine_t *engine, cw_service_state_t *service);
 /** When the request's turn would come and its answer be there, as far as can be told; CW_NEVER: unknown. */
@@ -170,6 +237,16 @@
 cw_server_t *cw_request_owner(const cw_request_t *request);
 void         cw_request_arm(cw_request_t *request);
 
+/** Requests before it in its service's queue. */
+uint32_t cw_request_ahead(const cw_request_t *request);
+
+/* ---- engine_regions.c ---- */
+/** Waiting that it is worth not to send the request and its answer across a region's border. */
+cw_time_us_t cw_request_crossing_cost(const cw_request_t *request);
+void         cw_request_note_answer_bytes(cw_request_t *request, size_t bytes);
+/** Is it to wait for a server of this region though others may be free? */
+bool cw_request_stays_in_region(const cw_request_t *request, cw_time_us_t now);
+
 /* ---- engine_slots.c ---- */
 /** Asks for a slot at the owner of its key, or (NULL) at any server. False: to be placed without. */
 bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now);
@@ -187,9 +264,20 @@
 void cw_request_repeat_after_silence(cw_request_t *request);
 
 /* ---- engine_answer.c ---- */
-typedef enum cw_refusal { CW_REFUSED_LOAD, CW_REFUSED_OWNER, CW_REFUSED_SERVERS, CW_REFUSED_STOPPING } cw_refusal_t;
+typedef enum cw_refusal {
+    CW_REFUSED_LOAD,
+    CW_REFUSED_OWNER,
+    CW_REFUSED_SERVERS,
+    CW_REFUSED_REGIONS, /**< its key's owner lies where it may not go */
+    CW_REFUSED_STOPPING,
+    CW_REFUSED_KEY_MOVED /**< the caller's key is another tenant's now */
+} cw_refusal_t;
 /** Not run, and never will: 503 with the time to come back. */
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason);
+/** 429: above the limit of its tenant. */
+void cw_request_refuse_limit(cw_request_t *request, cw_time_us_t retry_after);
+/** 401: its caller's key was taken away. Says nothing of whether the request has run. */
+void cw_request_refuse_revoked(cw_request_t *request);
 void cw_request_fail_unknown(cw_request_t *request, const char *fault);
 void cw_request_fail_late(cw_request_t *request);
 void cw_request_relay(cw_request_t *request, const cw_upstream_answer_t *answer);
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -11,14 +11,24 @@
 
 static int compare_requests(const cw_request_t *left, const cw_request_t *right)
 {
-    if (left->route->priority != right->route->priority) {
-        return left->route->priority < right->route->priority ? -1 : 1;
+    if (left->rank != right->rank) {
+        return left->rank < right->rank ? -1 : 1;
+    }
+    if (left->turn != right->turn) {
+        return left->turn < right->turn ? -1 : 1;
     }
     return left->deadline < right->deadline ? -1 : left->deadline > right->deadline;
 }
 
+static cw_turn_group_t group_of(const cw_request_t *request)
+{
+    return cw_fair_turns_group(request->service->hash, request->rank);
+}
+
 void cw_request_enqueue(cw_request_t *request)
 {
+    request->turn = cw_fair_turns_next(request->engine->turns, group_of(request), request->tenant_hash);
+    cw_fair_turns_wait(request->engine->turns, group_of(request), request->tenant_hash, request->turn);
     DL_INSERT_INORDER(request->service->queue, request, compare_requests);
     request->service->queued++;
     request->engine->queued++;
@@ -26,17 +36,30 @@
     request->engine->changed = true;
 }
 
-void cw_request_unqueue(cw_request_t *request)
+static void leave_queue(cw_request_t *request)
 {
-    if (!request->is_queued) {
-        return;
-    }
     DL_DELETE(request->service->queue, request);
     request->service->queued--;
     request->engine->queued--;
     request->is_queued = false;
 }
 
+void cw_request_unqueue(cw_request_t *request)
+{
+    if (request->is_queued) {
+        leave_queue(request);
+        cw_fair_turns_leave(request->engine->turns, group_of(request), request->tenant_hash);
+    }
+}
+
+void cw_request_take_turn(cw_request_t *request)
+{
+    if (request->is_queued) {
+        leave_queue(request);
+        cw_fair_turns_serve(request->engine->turns, group_of(request), request->tenant_hash, request->turn);
+    }
+}
+
 /* ---- estimate ---- */
 
 cw_server_t *cw_request_owner(const cw_request_t *request)
@@ -93,7 +116,7 @@
     }
 }
 
-static uint32_t ahead_in_queue(const cw_request_t *request)
+uint32_t cw_request_ahead(const cw_request_t *request)
 {
     const cw_request_t *other;
     uint32_t            ahead = 0;
@@ -135,7 +158,7 @@
     if (speed <= 0) {
         return CW_NEVER;
     }
-    waiting = ahead_in_queue(request) + 1 + request->service->queued_elsewhere;
+    waiting = cw_request_ahead(request) + 1 + request->service->queued_elsewhere;
     return now + request->route_state->usual + (cw_time_us_t)(waiting * (double)request->route_state->usual / speed);
 }
 
@@ -172,7 +195,6 @@
     cw_server_t         *server;
     bool                 full;
 
-    choice.regions = request->regions;
     if (request->not_before > now) {
         return PAUSED;
     }
@@ -182,6 +204,9 @@
     if (cw_request_ask_slot(request, NULL, now)) {
         return ASKED;
     }
+    choice.regions = request->regions;
+    choice.stays_in_region = cw_request_stays_in_region(request, now);
+    choice.remote_penalty = (double)cw_request_crossing_cost(request) / (double)(request->route_state->usual + 1);
     server = cw_server_pool_choose(
         request->engine->pool, request->service->name, &choice,
         request->avoid[0] == '\0' ? NULL : cw_server_pool_find(request->engine->pool, request->avoid), now, &full);
@@ -200,7 +225,7 @@
     cw_time_us_t estimate;
 
     if (why == OUTSIDE_REGIONS) { /* its key has an owner where it may not go: waiting does not help */
-        cw_request_refuse(request, CW_REFUSED_SERVERS);
+        cw_request_refuse(request, CW_REFUSED_REGIONS);
         return;
     }
     if (why == PAUSED || request->attempts > 0) { /* a server may have run it: it has its whole time to get an answer */
--- a/src/router/main.c
+++ b/src/router/main.c
@@ -6,10 +6,12 @@
  * or settings.
  */
 #include <argtable2.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "base/error.h"
+#include "base/fatal_signal.h"
 #include "base/version.h"
 #include "router/router.h"
 
@@ -21,6 +23,7 @@
     cw_findings_t        findings;
     size_t               count;
 
+    (void)signal(SIGHUP, SIG_IGN); /* until it is handled: what it asks for, reading the settings, comes anyway */
     cw_findings_init(&findings);
     (void)cw_router_settings_read(&settings, file_name, &findings);
     cw_findings_print(&findings, stderr);
@@ -33,6 +36,7 @@
         printf("%s: no findings\n", file_name);
         return EXIT_SUCCESS;
     }
+    cw_fatal_signal_install(settings.node);
     return cw_router_run(&settings, file_name, &cw_adapter) == 0 ? EXIT_SUCCESS : EXIT_NOT_STARTED;
 }
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -25,6 +25,7 @@
     CONNECT_MS = 150,
     UNACKNOWLEDGED_MS = 900,
     IDLE_MS = 5000,
+    REMOTE_WAY_MS = 16, /* to a neighbouring region and back, some 1,000 km of fibre each way and equipment */
     ANSWER_MAX = 16 * 1024 * 1024,
     QUEUE_MAX = 1000,
     STATUS_OK = 200,
@@ -96,7 +97,7 @@
 static void answer_metrics(cw_router_t *router, cw_http_exchange_t *exchange)
 {
     cw_http_outbound_t outbound = {.status = STATUS_OK, .retry_after_s = -1};
-    char              *text;
+    cw_bytes_t         text = {0};
 
     cw_metric_set(CW_METRIC_LOG_DROPPED, cw_event_log_dropped());
     cw_metric_set(CW_METRIC_CONNECTIONS, cw_http_listener_connections(router->callers));
@@ -107,10 +108,12 @@
     cw_metric_set(CW_METRIC_CONFIGURATION_AGE_MS,
                   (uint64_t)(cw_configuration_freshness_age(&router->freshness, cw_router_now(router)) / 1000));
     cw_metric_set(CW_METRIC_PEERS, cw_peer_link_alive(router->link, router->silence, cw_router_now(router)));
-    text = cw_metrics_text(&outbound.body_length);
-    outbound.body = text;
+    cw_metrics_append(&text);
+    cw_router_traffic_metrics(router, &text);
+    outbound.body = text.data;
+    outbound.body_length = text.length;
     cw_http_exchange_answer(exchange, &outbound);
-    free(text);
+    cw_bytes_clear(&text);
 }
 
 static void on_own_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
@@ -292,6 +295,8 @@
     cw_router_peers_tick(router, now);
     cw_router_zones_tick(router, now);
     cw_router_slots_tick(router, now);
+    cw_router_relay_tick(router, now);
+    cw_router_quota_tick(router, now);
     cw_engine_set_nodes(router->engine, nodes_for_budget(router, now), nodes_in_reach(router, now));
     check_file(router, now);
     check_stop(router, now);
@@ -302,19 +307,22 @@
 
 static cw_engine_settings_t engine_settings(const cw_router_t *router)
 {
-    cw_engine_settings_t settings = {.names = *router->adapter->header_names,
-                                     .decode_load = router->adapter->decode_load,
-                                     .choice = {.zone_penalty = 0.7, .extra_slots = 0},
-                                     .budget = {.ratio = router->settings.retry_ratio,
-                                                .extra = router->settings.retry_extra,
-                                                .window = router->settings.retry_window,
-                                                .share = 0.75},
-                                     .keyed_extra_slots = 2,
-                                     .connect_timeout = CW_MS(CONNECT_MS),
-                                     .silence_factor = 4,
-                                     .margin = CW_MS(15),
-                                     .answer_max = ANSWER_MAX,
-                                     .queue_max = QUEUE_MAX};
+    cw_engine_settings_t settings = {
+        .names = *router->adapter->header_names,
+        .decode_load = router->adapter->decode_load,
+        .choice = {.zone_penalty = 0.7, .extra_slots = 0},
+        .crossing = {.ms_per_mb = router->settings.remote_byte_cost, .way = CW_MS(REMOTE_WAY_MS)},
+        .budget = {.ratio = router->settings.retry_ratio,
+                   .extra = router->settings.retry_extra,
+                   .window = router->settings.retry_window,
+                   .share = 0.75},
+        .keyed_extra_slots = 2,
+        .connect_timeout = CW_MS(CONNECT_MS),
+        .silence_factor = 4,
+        .margin = CW_MS(15),
+        .credential_scheme = router->settings.credential_scheme,
+        .answer_max = ANSWER_MAX,
+        .queue_max = QUEUE_MAX};
 
     return settings;
 }
@@ -375,6 +383,8 @@
     if (error != 0) {
         return error;
     }
+    cw_peer_link_set_place(router->link, router->settings.zone, router->settings.zone_regions,
+                           router->settings.zone_region_count);
     router->started_at = cw_router_now(router);
     absence = cw_absence_settings_of(router->settings.heartbeat, router->settings.drain);
     cw_server_view_init(&router->server_view, &absence);
@@ -382,6 +392,8 @@
     cw_router_share_init(router);
     cw_router_zones_init(router);
     cw_router_slots_init(router);
+    cw_router_relay_init(router);
+    cw_router_quota_init(router);
     cw_router_peers_init(router);
     snprintf(store_address, sizeof(store_address), "%s:%u", router->settings.store.address,
              router->settings.store.port);
@@ -431,6 +443,7 @@
     }
     note_start(router);
     uv_run(&router->loop, UV_RUN_DEFAULT);
+    cw_router_note_traffic(router);
     if (cw_event_begin(&event, CW_EVENT_END)) {
         cw_event_number(&event, CW_FIELD_COUNT, (int64_t)cw_engine_requests(router->engine));
         cw_event_end(&event);
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -23,25 +23,43 @@
 typedef struct lead_order {
     cw_router_t   *router;
     cw_assigner_t *assigner;
+    uint32_t       server; /**< hash of its id */
+    uint64_t       term;   /**< of leadership; a later assigner may stand at the same place in memory */
 } lead_order_t;
 
-static bool is_kept(const cw_router_t *router, const cw_assigner_t *assigner)
+static bool is_kept(const cw_router_t *router, const lead_order_t *order)
 {
     size_t index;
 
     for (index = 0; index < router->keyed_count; index++) {
-        if (router->keyed[index].assigner == assigner) {
+        if (router->keyed[index].assigner == order->assigner && router->leadership.lock.term == order->term) {
             return true;
         }
     }
     return false;
 }
 
+/* An order that was refused or fenced has been answered. */
+static void note_outcome(const lead_order_t *order, cw_order_result_t result)
+{
+    cw_router_t       *router = order->router;
+    const cw_server_t *server = cw_server_pool_find_hash(router->pool, order->server);
+    bool failed = result == CW_ORDER_NOT_SENT || result == CW_ORDER_UNANSWERED || result == CW_ORDER_ENDED;
+
+    if (failed) {
+        cw_order_trust_note_failure(router->order_trust, order->server, server == NULL ? 0 : server->served,
+                                    cw_router_now(router));
+    } else {
+        cw_order_trust_note_answer(router->order_trust, order->server);
+    }
+}
+
 static void order_done(void *context, uint64_t id, cw_order_result_t result, const char *handover)
 {
     lead_order_t *order = context;
 
-    if (is_kept(order->router, order->assigner)) {
+    note_outcome(order, result);
+    if (is_kept(order->router, order)) {
         cw_assigner_order_done(order->assigner, id, result, handover, cw_router_now(order->router));
     }
     free(order);
@@ -57,6 +75,8 @@
     }
     under_way->router = keyed->router;
     under_way->assigner = keyed->assigner;
+    under_way->server = cw_short_name(order->server);
+    under_way->term = keyed->router->leadership.lock.term;
     keyed->router->adapter->order(keyed->router->platform, order, order_done, under_way);
 }
 
@@ -175,8 +195,8 @@
     }
 }
 
-void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
-                            uint32_t seen, cw_time_us_t now)
+void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const cw_router_samples_t *samples,
+                            cw_time_us_t now)
 {
     size_t index;
     size_t key;
@@ -187,8 +207,18 @@
         if (cw_short_name(cw_assigner_service(keyed->assigner)) != service_hash) {
             continue;
         }
-        for (key = 0; key < count; key++) {
-            cw_load_window_add(&keyed->window, keys[key], (double)seen / (double)count, now);
+        for (key = 0; key < samples->count; key++) {
+            uint32_t regions = samples->regions == NULL ? CW_REGIONS_ANY : samples->regions[key];
+
+            if (samples->keys[key] > CW_KEY_LAST) {
+                continue; /* a caller may name any number: it has no range, and placement looks for one */
+            }
+            cw_load_window_note(&keyed->window,
+                                &(cw_key_sighting_t){.key = samples->keys[key],
+                                                     .regions = regions,
+                                                     .from = cw_server_pool_zone_bit(router->pool, samples->zone),
+                                                     .weight = (double)samples->seen / (double)samples->count},
+                                now);
         }
     }
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -5,11 +5,13 @@
 #ifndef CEDARWINCH_ROUTER_INTERNAL_H
 #define CEDARWINCH_ROUTER_INTERNAL_H
 
+#include "base/byte_buffer.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "lease/leadership.h"
 #include "model/server_view.h"
 #include "peer/peer_link.h"
+#include "placement/order_trust.h"
 #include "placement/ownership_measures.h"
 #include "placement/planner.h"
 #include "router/broker_choice.h"
@@ -19,10 +21,12 @@
 #include "router/router.h"
 #include "router/store_reader.h"
 #include "router/table_pages.h"
+#include "tenancy/credential_evidence.h"
 
 enum {
     CW_TICK_MS = 20,
-    CW_PEER_SILENCE_MS = 1000, /**< at least; longer where many nodes make reports rare */
+    CW_PEER_SILENCE_MS = 1000,       /**< at least; longer where many nodes make reports rare */
+    CW_MANY_DATAGRAMS_A_SECOND = 60, /**< of reports of one of many nodes, whose datagrams are most of what all do */
     CW_KEYED_SERVICES_MAX = CW_TABLE_SERVICES_MAX,
     CW_PAGES_MAX = 512,
     CW_QUEUE_REPORTS_MAX = 256,
@@ -43,9 +47,10 @@
     cw_time_us_t            owners_missing_since; /**< most of its owners are not in the list; 0: no */
 } cw_keyed_service_t;
 
-/** Requests that wait at another node for a service. */
+/** Requests that wait at another node, or at the nodes of another zone, for a service. */
 typedef struct cw_queue_report {
-    uint32_t     peer;
+    uint64_t     peer;    /**< address of the node, or a zone's number (router_relay.c) */
+    bool         is_near; /**< a node of this zone */
     uint32_t     service; /**< hash of its name */
     uint32_t     queued;
     cw_time_us_t at;
@@ -63,6 +68,11 @@
 
 /** Slots of servers: this node's counting, and whom it asks. */
 typedef struct cw_router_slots cw_router_slots_t;
+/** What the nodes of a zone say to those of other zones, and hear from them, by relays. */
+typedef struct cw_router_relay cw_router_relay_t;
+
+/** Tenants' limits: this node's counting, and on whom it counts. */
+typedef struct cw_router_quota cw_router_quota_t;
 
 typedef struct cw_router {
     cw_router_settings_t settings;
@@ -84,6 +94,8 @@
     cw_engine_t         *engine;
     cw_peer_link_t      *link;
     cw_router_slots_t   *slots;
+    cw_router_relay_t   *relay;
+    cw_router_quota_t   *quota;
     cw_configuration_t  *configuration;
     cw_time_us_t         started_at;
     cw_time_us_t         stopping_at; /**< 0: not stopping */
@@ -99,6 +111,7 @@
     cw_time_us_t      reported_zone_at;
     cw_time_us_t      reported_all_at;
     cw_time_us_t      reported_full_at;
+    cw_time_us_t      reported_leader_at;
     cw_time_us_t      sent_keys_at;
     cw_time_us_t      named_until;
     bool              zone_due;
@@ -114,8 +127,9 @@
     /* the configuration */
     cw_configuration_exchange_t *exchange;
     cw_configuration_freshness_t freshness;
-    uint64_t                     newest_version; /**< highest that another node has in force */
-    cw_time_us_t newest_version_at;              /**< since when one is higher than this node's own, or was last read */
+    cw_credential_evidence_t     credential_evidence; /**< how old `freshness` may grow for callers' keys */
+    uint64_t                     newest_version;      /**< highest that another node has in force */
+    cw_time_us_t newest_version_at; /**< since when one is higher than this node's own, or was last read */
     cw_time_us_t configuration_read_at;
 
     /* what this node goes by */
@@ -160,6 +174,7 @@
     cw_time_us_t       push_filled_at;
     cw_time_us_t       led_since;
     cw_time_us_t       better_since; /**< a node far more capable than this one has been in reach; 0: none is */
+    cw_order_trust_t  *order_trust;  /**< servers that this leader's orders did not reach */
     cw_keyed_service_t keyed[CW_KEYED_SERVICES_MAX];
     size_t             keyed_count;
 } cw_router_t;
@@ -177,7 +192,56 @@
 cw_time_us_t cw_router_report_life(const cw_router_t *router);
 void         cw_router_note_peer(const cw_peer_t *peer, cw_event_kind_t kind, cw_time_us_t silent);
 
+/* ---- router_report.c ---- */
+/** Parts of a report that are left out where nobody needs them. */
+enum {
+    CW_REPORT_NAMES = 1,
+    CW_REPORT_PACES = 2,
+    CW_REPORT_PACES_TO_LEADER = 4,
+    CW_REPORT_LOADS = 8,
+    CW_REPORT_KEYS = 16
+};
+/** Packs a report of this node as it is now, for cw_peer_link_send_packed. parts: CW_REPORT_ values, added. */
+size_t cw_router_pack_report(cw_router_t *router, uint32_t parts, cw_time_us_t now);
+
+/** Has this node given up the lock so lately that others are to be told? */
+bool cw_router_has_vacated(const cw_router_t *router, cw_time_us_t now);
+
+/* ---- router_relay.c ---- */
+void cw_router_relay_init(cw_router_t *router);
+void cw_router_relay_tick(cw_router_t *router, cw_time_us_t now);
+void cw_router_take_zone_summary(cw_router_t *router, const Cwp__Datagram *datagram, cw_time_us_t now);
+/** Do relays keep this node and the nodes of the peer's zone informed of one another? */
+bool cw_router_is_covered(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now);
+/** Are the peer's requests counted in sums of its zone that this node gets? */
+bool cw_router_is_summed(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now);
+/** Is the peer one of the relays of its zone? */
+bool cw_router_is_relay(const cw_router_t *router, const cw_peer_t *peer);
+/** The leader's list and tables are those of this node, by numbers and hashes, or are not. */
+void cw_router_compare_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat);
+/** Nodes of the largest zone, as far as known. */
+uint32_t cw_router_largest_zone(const cw_router_t *router);
+
+/* ---- router_pass_on.c ---- */
+/** Sends a page of changes that the leader has sent this relay to the other nodes of its zone. */
+void cw_router_pass_on_page(cw_router_t *router, const Cwp__Datagram *datagram);
+/** Numbers of the list and of the tables that this relay surely has as the leader does; 0: not sure. */
+typedef struct cw_sure_view {
+    uint64_t term;
+    uint64_t servers;
+    uint64_t tables;
+} cw_sure_view_t;
+/** Sends whole lists and tables to nodes of this relay's zone that have none of this term. place: 0 or 1. */
+void cw_router_pass_on_whole(cw_router_t *router, const cw_sure_view_t *sure, size_t place, cw_time_us_t now);
+
 /* ---- router_push.c ---- */
+/** Sends the list, or the tables, as this node has them: what changed since number `base`, or the whole (0). */
+void cw_router_send_servers(cw_router_t *router, const cw_peer_t *peer, uint64_t base, bool pass_on);
+void cw_router_send_tables(cw_router_t *router, const cw_peer_t *peer, uint64_t base, bool pass_on);
+/** More bytes may be sent as time passes. */
+void cw_router_refill_push(cw_router_t *router, cw_time_us_t now);
+/** When what was sent just now is sent again. */
+cw_time_us_t cw_router_next_push(cw_push_state_t *push, cw_time_us_t now);
 /** This node leads now: others look first whether they have what it has. */
 void cw_router_push_begin(cw_router_t *router, cw_time_us_t now);
 /** A new number of the list (or the tables): those that had the one before are told at once. */
@@ -212,6 +276,9 @@
 
 /* ---- router_receive.c ---- */
 void cw_router_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
+/** Replaces what this sender (or a silent one) told before of requests that wait there. */
+void cw_router_take_queues(cw_router_t *router, uint64_t sender, bool is_near, Cwp__QueueLength *const *queues,
+                           size_t count, cw_time_us_t now);
 
 /* ---- router_view.c ---- */
 /** Offers a list, which is given away. False: a later one is in force. */
@@ -240,10 +307,29 @@
 /* ---- router_slots.c ---- */
 void cw_router_slots_init(cw_router_t *router);
 void cw_router_slots_tick(cw_router_t *router, cw_time_us_t now);
+/** Nodes that run and whose zone is known, this one among them unless it stops; gathered anew a few times a second. */
+const cw_broker_candidate_t *cw_router_candidates(const cw_router_t *router, size_t *count);
+/** Are there so many nodes that these do not tell one another of each request? */
+bool cw_router_nodes_are_many(const cw_router_t *router);
 void cw_router_take_slot_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotAsk *message);
 void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message);
 void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message);
 
+/* ---- router_traffic.c ---- */
+/** What this node has sent to others, as Prometheus text. */
+void cw_router_traffic_metrics(const cw_router_t *router, cw_bytes_t *text);
+/** The same as one line of the log. */
+void cw_router_note_traffic(const cw_router_t *router);
+
+/* ---- router_quota.c, router_quota_wire.c ---- */
+void cw_router_quota_init(cw_router_t *router);
+void cw_router_quota_tick(cw_router_t *router, cw_time_us_t now);
+void cw_router_take_quota_report(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReport *report);
+void cw_router_take_quota_status(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaStatus *status);
+void cw_router_take_quota_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaAsk *ask);
+void cw_router_take_quota_grant(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaGrant *grant);
+void cw_router_take_quota_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReturn *returned);
+
 /* ---- router_take.c ---- */
 /** What this node goes by is of this term from now on, if it is a later one; it has nothing of it yet. */
 void cw_router_begin_term(cw_router_t *router, uint64_t term);
@@ -263,8 +349,16 @@
 /** Makes an assigner for each service divided by key that has none yet. */
 void cw_router_find_keyed(cw_router_t *router);
 void cw_router_end_assigners(cw_router_t *router);
-void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const uint32_t *keys, size_t count,
-                            uint32_t seen, cw_time_us_t now);
+/** Keys of requests that a node has seen. Borrowed. */
+typedef struct cw_router_samples {
+    const uint32_t *keys;
+    const uint32_t *regions; /**< where each may go (region_mask.h); NULL: all of them anywhere */
+    size_t          count;
+    uint32_t        seen; /**< requests that they stand for */
+    const char     *zone; /**< of that node */
+} cw_router_samples_t;
+void cw_router_take_samples(cw_router_t *router, uint32_t service_hash, const cw_router_samples_t *samples,
+                            cw_time_us_t now);
 
 /* ---- router_lead.c ---- */
 void cw_router_lead_init(cw_router_t *router);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -56,10 +56,15 @@
         }
         cw_router_note_peer(peer, CW_EVENT_PEER_BACK, peer->last_received_at == 0 ? 0 : now - peer->last_received_at);
     }
+    if (peer->is_lost || peer->incarnation != received->incarnation || peer->stopping != received->stopping ||
+        peer->store_lost != received->store_lost || received->stopping) {
+        peer->details_at = now;
+    }
     peer->is_lost = false;
     peer->incarnation = received->incarnation;
     peer->sequence = received->sequence;
     peer->last_received_at = now;
+    peer->direct_at = now;
     peer->stopping = received->stopping;
     peer->store_lost = received->store_lost;
     peer->peers = received->peers;
@@ -67,8 +72,9 @@
     peer->servers = received->servers;
     peer->tables = received->tables;
     if (received->node[0] != '\0') {
+        peer->details_at = strcmp(peer->node, received->node) == 0 ? peer->details_at : now;
         cw_text_copy(peer->node, sizeof(peer->node), received->node);
-        cw_text_copy(peer->zone, sizeof(peer->zone), received->zone);
+        cw_peer_link_note_zone(router->link, peer, received->zone);
         peer->capability = received->capability;
     }
     return true;
@@ -90,22 +96,22 @@
     cw_engine_set_queued_elsewhere(router->engine, service, sum);
 }
 
-/* Replaces what this peer (or a silent one) told before. */
-static void take_queues(cw_router_t *router, const cw_peer_t *peer, const Cwp__NodeReport *received, cw_time_us_t now)
+void cw_router_take_queues(cw_router_t *router, uint64_t sender, bool is_near, Cwp__QueueLength *const *queues,
+                           size_t count, cw_time_us_t now)
 {
     size_t kept = 0;
     size_t index;
 
     for (index = 0; index < router->queue_count; index++) {
-        if (router->queues[index].peer != peer->address &&
-            now - router->queues[index].at < cw_router_report_life(router)) {
+        if (router->queues[index].peer != sender && now - router->queues[index].at < cw_router_report_life(router)) {
             router->queues[kept++] = router->queues[index];
         }
     }
-    for (index = 0; index < received->n_queues && kept < CW_QUEUE_REPORTS_MAX; index++) {
-        router->queues[kept++] = (cw_queue_report_t){.peer = peer->address,
-                                                     .service = received->queues[index]->service,
-                                                     .queued = received->queues[index]->queued,
+    for (index = 0; index < count && kept < CW_QUEUE_REPORTS_MAX; index++) {
+        router->queues[kept++] = (cw_queue_report_t){.peer = sender,
+                                                     .is_near = is_near,
+                                                     .service = queues[index]->service,
+                                                     .queued = queues[index]->queued,
                                                      .at = now};
     }
     if (kept > 0 || router->queue_count > 0) {
@@ -121,13 +127,24 @@
     if (!take_identity(router, peer, received, now)) {
         return;
     }
-    take_loads(router, peer, received, now);
+    if (cw_router_is_summed(router, peer, now)) { /* counted in its zone's sums already */
+        cw_server_pool_report(router->pool, peer->address, NULL, 0, now);
+        cw_router_take_queues(router, peer->address, false, NULL, 0, now);
+    } else {
+        take_loads(router, peer, received, now);
+        cw_router_take_queues(router, peer->address, peer->distance == CW_DISTANCE_ZONE, received->queues,
+                              received->n_queues, now);
+    }
     take_paces(router, peer, received, now);
-    take_queues(router, peer, received, now);
     for (index = 0; router->leadership.leading && index < received->n_samples; index++) {
         const Cwp__KeySamples *samples = received->samples[index];
+        cw_router_samples_t    taken = {.keys = samples->keys,
+                                        .regions = samples->n_regions == samples->n_keys ? samples->regions : NULL,
+                                        .count = samples->n_keys,
+                                        .seen = samples->seen,
+                                        .zone = peer->zone};
 
-        cw_router_take_samples(router, samples->service, samples->keys, samples->n_keys, samples->seen, now);
+        cw_router_take_samples(router, samples->service, &taken, now);
     }
     if (received->vacated != 0 && received->vacated == router->leader_term) {
         cw_leadership_heard_stop(&router->leadership, now);
@@ -162,9 +179,15 @@
         take_report(router, peer, datagram->report, now);
         break;
     case CWP__DATAGRAM__CONTENT_SERVERS:
+        if (datagram->servers->pass_on) {
+            cw_router_pass_on_page(router, datagram);
+        }
         cw_router_take_servers_page(router, peer, datagram->servers);
         break;
     case CWP__DATAGRAM__CONTENT_TABLE:
+        if (datagram->table->pass_on) {
+            cw_router_pass_on_page(router, datagram);
+        }
         cw_router_take_table_page(router, peer, datagram->table);
         break;
     case CWP__DATAGRAM__CONTENT_NODES:
@@ -191,6 +214,24 @@
     case CWP__DATAGRAM__CONTENT_SLOT_RETURN:
         cw_router_take_slot_return(router, peer, datagram->slot_return);
         break;
+    case CWP__DATAGRAM__CONTENT_ZONE_SUMMARY:
+        cw_router_take_zone_summary(router, datagram, now);
+        break;
+    case CWP__DATAGRAM__CONTENT_QUOTA_REPORT:
+        cw_router_take_quota_report(router, peer, datagram->quota_report);
+        break;
+    case CWP__DATAGRAM__CONTENT_QUOTA_STATUS:
+        cw_router_take_quota_status(router, peer, datagram->quota_status);
+        break;
+    case CWP__DATAGRAM__CONTENT_QUOTA_ASK:
+        cw_router_take_quota_ask(router, peer, datagram->quota_ask);
+        break;
+    case CWP__DATAGRAM__CONTENT_QUOTA_GRANT:
+        cw_router_take_quota_grant(router, peer, datagram->quota_grant);
+        break;
+    case CWP__DATAGRAM__CONTENT_QUOTA_RETURN:
+        cw_router_take_quota_return(router, peer, datagram->quota_return);
+        break;
     default:
         break;
     }
