--- a/src/placement/planner_balance.c
+++ b/src/placement/planner_balance.c
@@ -174,8 +174,7 @@
 static bool relieve(cw_planner_t *planner, cw_planner_server_t *from)
 {
     cw_planner_server_t *best = cw_planner_least_busy(planner, from->entry->id);
-    cw_planner_server_t *near =
-        planner->bound_count == 0 ? best : cw_planner_least_busy_in(planner, from);
+    cw_planner_server_t *near = planner->bound_count == 0 ? best : cw_planner_least_busy_in(planner, from);
 
     return (near != best && relieve_to(planner, from, near)) || relieve_to(planner, from, best);
 }
