--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -80,6 +80,45 @@
 }
 END_TEST
 
+static uint32_t no_counter(void *context, uint32_t tenant)
+{
+    (void)context, (void)tenant;
+    return 0;
+}
+
+static void on_mode(void *context, uint32_t tenant, cw_quota_mode_t mode, uint32_t counter, cw_time_us_t age)
+{
+    (void)context, (void)tenant, (void)mode, (void)counter, (void)age;
+}
+
+/* Nobody to ask: a tenth of the limit, after a moment in which it may have what it lately let through. */
+START_TEST(a_node_alone_lets_its_equal_part_through)
+{
+    cw_quota_settings_t settings = {.window = CW_SECONDS(5), .overshoot = 0.1, .slack = 20};
+    cw_quota_port_t     port = {.counter_of = no_counter, .mode_changed = on_mode};
+    cw_quota_share_t   *share = cw_quota_share_create(&settings, &port, 1, 1);
+    cw_quota_limit_t    limit = {.rate_per_s = 100, .burst = 100};
+    cw_time_us_t        now = CW_SECONDS(100);
+    cw_time_us_t        retry_after;
+    uint32_t            admitted = 0;
+    int                 index;
+
+    cw_quota_share_set_nodes(share, 10);
+    for (index = 0; index < 1500; index++) { /* fifty a second */
+        cw_quota_answer_t answer = cw_quota_share_enter(share, 7, &limit, now, &retry_after);
+
+        ck_assert_int_ne(answer, CW_QUOTA_WAIT);
+        admitted += answer == CW_QUOTA_ADMITTED ? 1 : 0;
+        ck_assert(answer == CW_QUOTA_ADMITTED || retry_after > 0);
+        now += CW_MS(20);
+        cw_quota_share_tick(share, now);
+    }
+    ck_assert_uint_ge(admitted, 300);
+    ck_assert_uint_le(admitted, 300 + 10);
+    cw_quota_share_free(share);
+}
+END_TEST
+
 int main(void)
 {
     Suite   *suite = suite_create("quota");
@@ -91,6 +130,7 @@
     tcase_add_test(play, calm_tenants_are_not_refused_and_cost_next_to_nothing);
     tcase_add_test(play, a_tenant_over_its_limit_gets_it_and_no_more);
     tcase_add_test(play, a_rate_is_shared_by_the_nodes);
+    tcase_add_test(play, a_node_alone_lets_its_equal_part_through);
     suite_add_tcase(suite, play);
     runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
--- /dev/null
+++ b/tests/test_quota_counter.c
@@ -0,0 +1,243 @@
+/**
+ * @file test_quota_counter.c
+ * @brief The node that counts: what each message does to a tenant's bucket.
+ */
+#include "loop_fixture.h"
+#include "tenancy/quota_counter.h"
+
+enum { TENANT = 5, NODE = 1, OTHER = 2 };
+
+static const double       rate = 100;
+static const cw_time_us_t start = CW_SECONDS(100);
+
+static cw_quota_counter_t *create(void)
+{
+    cw_quota_settings_t     settings = {.window = CW_SECONDS(5), .overshoot = 0.1, .slack = 20};
+    cw_quota_tenant_limit_t limit = {.tenant = TENANT, .limit = {.rate_per_s = rate, .burst = rate}};
+    cw_quota_counter_t     *counter = cw_quota_counter_create(&settings);
+
+    cw_quota_counter_set_limits(counter, &limit, 1, start);
+    cw_quota_counter_set_nodes(counter, 10, 10);
+    return counter;
+}
+
+static void on_metered(void *context, uint32_t node, uint32_t tenant)
+{
+    int *count = context;
+
+    ck_assert_uint_eq(tenant, TENANT);
+    ck_assert(node == NODE || node == OTHER);
+    (*count)++;
+}
+
+/* Ticks until then, as a node's loop does; returns how many nodes were told that the tenant is metered. */
+static int pass(cw_quota_counter_t *counter, cw_time_us_t from, cw_time_us_t to)
+{
+    int told = 0;
+
+    for (; from <= to; from += CW_MS(20)) {
+        cw_quota_counter_tick(counter, from, on_metered, &told);
+    }
+    return told;
+}
+
+static void report(cw_quota_counter_t *counter, uint64_t incarnation, uint64_t admitted, uint32_t recent,
+                   cw_time_us_t now)
+{
+    cw_quota_usage_t usage = {.tenant = TENANT, .admitted = admitted, .recent = recent};
+
+    cw_quota_counter_report(counter, NODE, incarnation, &usage, 1, now);
+}
+
+static cw_quota_grant_t ask(cw_quota_counter_t *counter, uint32_t sequence, uint32_t wanted, cw_time_us_t now)
+{
+    cw_quota_ask_t asked = {.incarnation = 9, .sequence = sequence, .wanted = wanted, .usage = {.tenant = TENANT}};
+
+    return cw_quota_counter_ask(counter, OTHER, &asked, now);
+}
+
+/* The tenant has come for so long that its bucket is full. Returns the time then. */
+static cw_time_us_t fill(cw_quota_counter_t *counter)
+{
+    cw_time_us_t now = start + CW_SECONDS(3);
+
+    report(counter, 1, 1, 1, start);
+    (void)pass(counter, start, now);
+    (void)cw_quota_counter_is_metered(counter, TENANT, now - CW_SECONDS(1));
+    ck_assert(!cw_quota_counter_is_metered(counter, TENANT, now));
+    return now;
+}
+
+START_TEST(a_bucket_never_begins_full)
+{
+    cw_quota_counter_t *counter = create();
+    cw_quota_grant_t    granted = ask(counter, 1, 1000, start);
+
+    ck_assert_uint_ge(granted.tokens, 1);
+    ck_assert_uint_lt(granted.tokens, (uint32_t)rate / 2);
+    ck_assert(granted.is_metered);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+START_TEST(what_the_last_window_held_is_missing_from_a_bucket_that_begins)
+{
+    cw_quota_counter_t *counter = create();
+
+    report(counter, 1, 5000, 600, start); /* rate x window + burst: all of it */
+    ck_assert_uint_eq(ask(counter, 1, 1000, start).tokens, 0);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+START_TEST(an_ask_that_comes_twice_gets_the_same_tokens)
+{
+    cw_quota_counter_t *counter = create();
+    cw_time_us_t        now = fill(counter);
+
+    ck_assert_uint_eq(ask(counter, 1, 40, now).tokens, 40);
+    ck_assert_uint_eq(ask(counter, 1, 40, now).tokens, 40);
+    ck_assert_uint_eq(ask(counter, 2, 1000, now).tokens, (uint32_t)rate - 40);
+    ck_assert_uint_eq(ask(counter, 1, 40, now + CW_MS(500)).tokens, 0); /* overtaken */
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+START_TEST(no_more_comes_back_than_was_granted)
+{
+    cw_quota_counter_t *counter = create();
+    cw_time_us_t        now = fill(counter);
+
+    ck_assert_uint_eq(ask(counter, 1, 1000, now).tokens, (uint32_t)rate);
+    cw_quota_counter_give_back(counter, OTHER, TENANT, 30, now);
+    cw_quota_counter_give_back(counter, OTHER, TENANT, 1000, now);
+    ck_assert_uint_eq(ask(counter, 2, 1000, now).tokens, (uint32_t)rate);
+    cw_quota_counter_give_back(counter, OTHER, TENANT, 1000, now + CW_SECONDS(2)); /* too late: they have expired */
+    ck_assert_uint_eq(ask(counter, 3, 1000, now + CW_MS(10)).tokens, 1);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+START_TEST(debt_is_paid_before_tokens_are_granted)
+{
+    cw_quota_counter_t *counter = create();
+    cw_time_us_t        now = fill(counter);
+    cw_quota_grant_t    granted;
+
+    report(counter, 1, 1 + 150, 151, now);
+    ck_assert_int_eq(pass(counter, now, now), 1);
+    granted = ask(counter, 1, 10, now);
+    ck_assert_uint_eq(granted.tokens, 0);
+    ck_assert(granted.is_metered);
+    ck_assert_int_ge(granted.retry_after, CW_MS(500));
+    ck_assert_int_gt(ask(counter, 2, 1, now).retry_after, granted.retry_after); /* behind those told before */
+    (void)pass(counter, now, now + CW_MS(500));
+    ck_assert_uint_eq(ask(counter, 3, 10, now + CW_MS(500)).tokens, 0);
+    (void)pass(counter, now, now + CW_MS(520));
+    ck_assert_uint_ge(ask(counter, 4, 10, now + CW_MS(520)).tokens, 1);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+START_TEST(reports_that_were_overtaken_change_nothing)
+{
+    cw_quota_counter_t *counter = create();
+    cw_time_us_t        now = fill(counter);
+
+    report(counter, 1, 31, 31, now);
+    report(counter, 1, 11, 11, now);
+    report(counter, 1, 31, 31, now);
+    ck_assert_uint_eq(ask(counter, 1, 1000, now).tokens, (uint32_t)rate - 30);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+START_TEST(a_node_that_restarted_counts_anew)
+{
+    cw_quota_counter_t *counter = create();
+    cw_time_us_t        now = fill(counter);
+
+    report(counter, 1, 31, 31, now);
+    report(counter, 2, 20, 20, now);
+    ck_assert_uint_eq(ask(counter, 1, 1000, now).tokens, (uint32_t)rate - 50);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+/* Another node may have counted meanwhile. */
+START_TEST(a_counter_that_stood_still_begins_anew)
+{
+    cw_quota_counter_t *counter = create();
+    cw_time_us_t        now = fill(counter);
+
+    report(counter, 1, 2, 2, now);
+    ck_assert_uint_eq(cw_quota_counter_buckets(counter), 1);
+    (void)pass(counter, now + CW_SECONDS(2), now + CW_SECONDS(2));
+    ck_assert_uint_eq(cw_quota_counter_buckets(counter), 0);
+    ck_assert_uint_lt(ask(counter, 1, 1000, now + CW_SECONDS(2)).tokens, (uint32_t)rate / 2);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+START_TEST(a_limit_lowered_below_what_comes_leaves_nothing_in_the_bucket)
+{
+    cw_quota_counter_t     *counter = create();
+    cw_quota_tenant_limit_t lower = {.tenant = TENANT, .limit = {.rate_per_s = 10, .burst = 10}};
+    cw_time_us_t            now = fill(counter);
+
+    report(counter, 1, 101, 300, now); /* in the window: below the old limit, above the new one */
+    (void)pass(counter, now, now + CW_SECONDS(1));
+    now += CW_SECONDS(1);
+    cw_quota_counter_set_limits(counter, &lower, 1, now);
+    ck_assert(cw_quota_counter_is_metered(counter, TENANT, now));
+    ck_assert_uint_eq(ask(counter, 1, 10, now).tokens, 0);
+    cw_quota_counter_set_limits(counter, NULL, 0, now); /* none any more */
+    ck_assert_uint_eq(ask(counter, 2, 10, now).tokens, 10);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+START_TEST(what_a_node_let_through_while_another_counted_is_paid_from_what_was_not_given_out_here)
+{
+    cw_quota_counter_t *counter = create();
+    cw_time_us_t        now = fill(counter);
+    cw_quota_usage_t    back = {.tenant = TENANT, .admitted = 1 + 150, .elsewhere = 1 + 150, .recent = 150};
+
+    cw_quota_counter_report(counter, NODE, 1, &back, 1, now);
+    ck_assert_uint_ge(ask(counter, 1, 1000, now).tokens, (uint32_t)rate / 2);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+START_TEST(nodes_that_are_not_heard_are_forgotten)
+{
+    cw_quota_counter_t *counter = create();
+    cw_time_us_t        now = fill(counter);
+
+    ck_assert_uint_eq(cw_quota_counter_records(counter), 1);
+    (void)pass(counter, now, now + CW_SECONDS(4));
+    ck_assert_uint_eq(cw_quota_counter_records(counter), 0);
+    ck_assert_uint_eq(cw_quota_counter_buckets(counter), 0);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("quota counter");
+    TCase *cases = tcase_create("counter");
+
+    tcase_add_test(cases, a_bucket_never_begins_full);
+    tcase_add_test(cases, what_the_last_window_held_is_missing_from_a_bucket_that_begins);
+    tcase_add_test(cases, an_ask_that_comes_twice_gets_the_same_tokens);
+    tcase_add_test(cases, no_more_comes_back_than_was_granted);
+    tcase_add_test(cases, debt_is_paid_before_tokens_are_granted);
+    tcase_add_test(cases, reports_that_were_overtaken_change_nothing);
+    tcase_add_test(cases, a_node_that_restarted_counts_anew);
+    tcase_add_test(cases, a_counter_that_stood_still_begins_anew);
+    tcase_add_test(cases, a_limit_lowered_below_what_comes_leaves_nothing_in_the_bucket);
+    tcase_add_test(cases, what_a_node_let_through_while_another_counted_is_paid_from_what_was_not_given_out_here);
+    tcase_add_test(cases, nodes_that_are_not_heard_are_forgotten);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
