--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -80,6 +80,99 @@
 }
 END_TEST
 
+/* ---- other ways, on the same load ---- */
+
+typedef struct way {
+    double   excess;
+    double   refused;   /* share of what came */
+    double   datagrams; /* a second */
+    uint64_t waited_ms;
+} way_t;
+
+typedef struct load {
+    double   rate_per_s; /* limit */
+    double   per_s;      /* what comes */
+    uint32_t nodes;      /* it comes to these; 0: to all */
+} load_t;
+
+static way_t by_counts_and_tokens(const load_t *load)
+{
+    quota_world_t  *world = quota_world_create(NODES, CAPABLE, 11);
+    size_t          tenant = quota_world_add_tenant(world, load->rate_per_s, load->rate_per_s, load->per_s);
+    world_tenant_t *played = &world->tenants[tenant];
+    way_t           way;
+
+    played->nodes = load->nodes;
+    quota_world_run(world, 20);
+    way = (way_t){.excess = quota_world_excess(world, tenant, 0),
+                  .refused = (double)played->refused / (double)played->came,
+                  .datagrams = (double)world->sent / 20,
+                  .waited_ms = (uint64_t)played->waited_most / 1000};
+    quota_world_free(world);
+    return way;
+}
+
+static double draw(uint64_t *random)
+{
+    *random = *random * 6364136223846793005ULL + 1442695040888963407ULL;
+    return (double)(*random >> 11) / (double)(1ULL << 53);
+}
+
+/* Each node an equal part, at least one request a second, with a bucket of a second. At most one request comes in a
+ * millisecond. */
+static way_t by_equal_parts(const load_t *load)
+{
+    enum { STEPS = 20000, WINDOW = 5000 };
+    static uint32_t runs[STEPS];
+    double          tokens[NODES] = {0};
+    double          part = fmax(1, load->rate_per_s / NODES);
+    uint64_t        random = 1;
+    double          came = 0;
+    double          refused = 0;
+    int64_t         sum = 0;
+    int64_t         most = 0;
+    int             step;
+    size_t          node;
+
+    for (step = 0; step < STEPS; step++) {
+        for (node = 0; node < NODES; node++) {
+            tokens[node] = step == 0 ? part : fmin(part, tokens[node] + part / 1000);
+        }
+        runs[step] = 0;
+        if (draw(&random) < load->per_s / 1000) {
+            node = (size_t)(draw(&random) * (load->nodes == 0 ? NODES : load->nodes));
+            runs[step] = tokens[node] >= 1 ? 1 : 0;
+            tokens[node] -= runs[step];
+            came++;
+            refused += 1 - runs[step];
+        }
+        sum += (int64_t)runs[step] - (step >= WINDOW ? (int64_t)runs[step - WINDOW] : 0);
+        most = sum > most ? sum : most;
+    }
+    return (way_t){.excess = (double)most - (6 * load->rate_per_s * 1.1 + 20), .refused = refused / came};
+}
+
+START_TEST(equal_parts_break_small_limits_and_refuse_uneven_loads_and_counts_do_neither)
+{
+    load_t over = {.rate_per_s = 8, .per_s = 8 * 9.4};
+    load_t uneven = {.rate_per_s = 300, .per_s = 300 * 0.6, .nodes = 8};
+    way_t  equal_over = by_equal_parts(&over);
+    way_t  counted_over = by_counts_and_tokens(&over);
+    way_t  equal_uneven = by_equal_parts(&uneven);
+    way_t  counted_uneven = by_counts_and_tokens(&uneven);
+
+    printf("9.4 times 8/s: equal parts: excess %.0f; counts: excess %.0f, %.0f datagrams a second, waited %llu ms\n",
+           equal_over.excess, counted_over.excess, counted_over.datagrams, (unsigned long long)counted_over.waited_ms);
+    printf("0.6 of 300/s at 8 of %d nodes: equal parts: refused %.3f; counts: refused %.3f, %.0f datagrams a second\n",
+           NODES, equal_uneven.refused, counted_uneven.refused, counted_uneven.datagrams);
+    fflush(stdout);
+    ck_assert_double_gt(equal_over.excess, 0);
+    ck_assert_double_le(counted_over.excess, 0);
+    ck_assert_double_gt(equal_uneven.refused, 0.5);
+    ck_assert_double_le(counted_uneven.refused, 0);
+}
+END_TEST
+
 static uint32_t no_counter(void *context, uint32_t tenant)
 {
     (void)context, (void)tenant;
@@ -130,6 +223,7 @@
     tcase_add_test(play, calm_tenants_are_not_refused_and_cost_next_to_nothing);
     tcase_add_test(play, a_tenant_over_its_limit_gets_it_and_no_more);
     tcase_add_test(play, a_rate_is_shared_by_the_nodes);
+    tcase_add_test(play, equal_parts_break_small_limits_and_refuse_uneven_loads_and_counts_do_neither);
     tcase_add_test(play, a_node_alone_lets_its_equal_part_through);
     suite_add_tcase(suite, play);
     runner = srunner_create(suite);
