start: a loop that was only half made is not run

Cause, found by failing one call at a time at the start (a preloaded library, trials): the result of uv_loop_init was not looked at. Where the second of its pipes could not be made, the loop's internals were NULL: the first tick wrote the line "start", the first wait for a socket ended with SIGSEGV, 139. A failing eventfd left a process that hung and took memory; epoll_create1 and the first pipe aborted in the library. Ruled out: nothing else of the start ends by SIGSEGV when it fails once (sockets, listen, setsockopt, getsockname, connect: 1 and a word, or tried again). epoll_ctl and epoll_wait abort in the library (134): left so.

--- /dev/null
+++ b/src/router/loop_start.c
@@ -0,0 +1,46 @@
+/**
+ * @file loop_start.c
+ * @brief The loop's start, tried several times.
+ */
+#include "router/loop_start.h"
+
+#include <stdbool.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+/* The library aborts where the first of its pipes cannot be made: it is not asked before there is room for all. */
+static bool has_descriptors(void)
+{
+    int    pairs[CW_LOOP_DESCRIPTORS / 2][2];
+    size_t made = 0;
+    size_t index;
+
+    while (made < CW_LOOP_DESCRIPTORS / 2 && pipe(pairs[made]) == 0) {
+        made++;
+    }
+    for (index = 0; index < made; index++) {
+        close(pairs[index][0]);
+        close(pairs[index][1]);
+    }
+    return made == CW_LOOP_DESCRIPTORS / 2;
+}
+
+int cw_loop_start(uv_loop_t *loop)
+{
+    const struct timespec pause = {.tv_nsec = CW_LOOP_PAUSE_MS * 1000000L};
+    int                   error = UV_EMFILE;
+    int                   tries;
+
+    for (tries = 0; tries < CW_LOOP_TRIES; tries++) {
+        if (tries > 0) {
+            (void)nanosleep(&pause, NULL);
+        }
+        memset(loop, 0, sizeof(*loop));
+        error = has_descriptors() ? uv_loop_init(loop) : UV_EMFILE;
+        if (error == 0) {
+            break;
+        }
+    }
+    return error;
+}
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -19,6 +19,7 @@
 #include <xxhash.h>
 
 #include "base/fatal_signal.h"
+#include "router/loop_start.h"
 #include "router/router_internal.h"
 #include "router/router_status.h"
 
@@ -377,11 +378,22 @@
     return error;
 }
 
-static void watch_signal(cw_router_t *router, uv_signal_t *signal, uv_signal_cb taken, int number)
+static int watch_signal(cw_router_t *router, uv_signal_t *signal, uv_signal_cb taken, int number)
 {
-    uv_signal_init(&router->loop, signal);
+    int error = uv_signal_init(&router->loop, signal);
+
     signal->data = router;
-    uv_signal_start(signal, taken, number);
+    return error != 0 ? error : uv_signal_start(signal, taken, number);
+}
+
+static int watch_signals(cw_router_t *router)
+{
+    int error = watch_signal(router, &router->terminate, on_terminate, SIGTERM);
+
+    if (error == 0) {
+        error = watch_signal(router, &router->interrupt, on_terminate, SIGINT);
+    }
+    return error != 0 ? error : watch_signal(router, &router->hang_up, on_hang_up, SIGHUP);
 }
 
 static int start(cw_router_t *router)
@@ -429,13 +441,11 @@
              router->settings.store.port);
     router->platform = router->adapter->create(&router->loop, store_address, &readers);
     router->store = router->adapter->store(router->platform);
-    watch_signal(router, &router->terminate, on_terminate, SIGTERM);
-    watch_signal(router, &router->interrupt, on_terminate, SIGINT);
-    watch_signal(router, &router->hang_up, on_hang_up, SIGHUP);
+    error = watch_signals(router);
     uv_timer_init(&router->loop, &router->tick);
     router->tick.data = router;
     uv_timer_start(&router->tick, on_tick, 0, CW_TICK_MS);
-    return 0;
+    return error;
 }
 
 static void note_start(const cw_router_t *router)
@@ -464,9 +474,11 @@
     snprintf(router->file_name, sizeof(router->file_name), "%s", file_name);
     router->file_changed = file_state(file_name);
     router->incarnation = new_incarnation(settings->node);
-    uv_loop_init(&router->loop);
     cw_event_log_open(STDOUT_FILENO, settings->node, settings->log_level);
-    error = start(router);
+    error = cw_loop_start(&router->loop);
+    if (error == 0) {
+        error = start(router);
+    }
     if (error != 0) {
         fprintf(stderr, "cedarwinch: cannot start: %s\n", uv_strerror(error));
         return error;
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -8,9 +8,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include "loop_fixture.h"
 #include "node_fixture.h"
+#include "router/loop_start.h"
 #include "router/router_status.h"
 
 enum {
@@ -551,6 +554,35 @@
 }
 END_TEST
 
+/* As many as are in use, and so many more. */
+static void leave_descriptors(struct rlimit *before, rlim_t more)
+{
+    struct rlimit limit;
+    int           next = dup(0);
+
+    close(next);
+    ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, before), 0);
+    limit = *before;
+    limit.rlim_cur = (rlim_t)next + more;
+    ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+}
+
+START_TEST(a_loop_is_whole_or_not_made)
+{
+    struct rlimit before;
+    uv_loop_t     loop;
+    rlim_t        more;
+
+    for (more = 0; more < CW_LOOP_DESCRIPTORS; more += 3) {
+        leave_descriptors(&before, more);
+        ck_assert_int_eq(cw_loop_start(&loop), UV_EMFILE);
+        ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &before), 0);
+    }
+    ck_assert_int_eq(cw_loop_start(&loop), 0);
+    ck_assert_int_eq(uv_loop_close(&loop), 0);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("node start");
@@ -569,6 +601,7 @@
     tcase_add_test(cases, answers_to_orders_of_a_former_term_count_for_nothing);
     tcase_add_test(cases, an_order_to_what_is_no_address_is_not_sent);
     tcase_add_test(cases, a_status_is_told_whatever_another_node_calls_itself);
+    tcase_add_test(cases, a_loop_is_whole_or_not_made);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
