rehearsal: the request to be refused comes when all slots are held, not after 0.3 s

Cause: requests that hold the slots ended 1.485 s after they were sent, the one to be refused waited 1 s and was sent 0.3 s after them. On a machine with a load of 23 it was sent late once in five runs, got a slot that had become free at a server that stood still, and ended with 504.

Ruled out: a wrong decision of the node (it had a slot to give).

Change: the route's limit is 30 s in this test, so slots are held until the servers go on; the request is sent when the node's metric shows that all six holders were sent. The checks are as they were.

--- a/tests/process/rehearsal.sh
+++ b/tests/process/rehearsal.sh
@@ -7,9 +7,14 @@
 for i in 1 2 3 4 5 6; do kill -STOP "${SERVER_PIDS[m$i]}"; done
 check "late" [ "$(ask /docks/x late-1 400)" = 504 ]
 for i in 1 2 3 4 5 6; do kill -CONT "${SERVER_PIDS[m$i]}"; done
+metric() { curl -sf "http://$NET.1:8081/metrics" | awk -v name="$1" '$1 == name {print $2}'; }
+metric_is() { [ "$(metric "$1")" = "$2" ]; }
+cluster_configure "$(configuration 2 | jq '.routes[1].timeout_ms = 30000')" # what holds a slot holds it until its server goes on
+until_true metric_is cedarwinch_configuration_version 2
 for i in 1 2 3; do kill -STOP "${SERVER_PIDS[h$i]}"; done
-for i in 1 2 3 4 5 6; do ask /hire/x "hold-$i" 1500 -X POST >/dev/null & done
-sleep 0.3
+sent=$(metric cedarwinch_sent_total)
+for i in 1 2 3 4 5 6; do ask /hire/x "hold-$i" 30000 -X POST >/dev/null & done
+until_true metric_is cedarwinch_sent_total $((sent + 6)) # three servers of two slots
 code=$(ask /hire/x refused-1 1000 -X POST)
 check "refused ($code)" [ "$code" = 503 ]
 for i in 1 2 3; do kill -CONT "${SERVER_PIDS[h$i]}"; done
