intents: keys by digest or file, burst, priority, regions, open routes; plans show them

Cause: intents knew tokens (digests), a whole rate and routes' regions; keys in files, burst, priority, the tenant's regions and open routes could not be written.

`tokens` stays as an older name of `keys`.

--- a/fuzz/fuzz_yaml.c
+++ b/fuzz/fuzz_yaml.c
@@ -23,7 +23,7 @@
         cw_intent_t intent;
         cw_plan_t   plan;
 
-        if (cw_intent_parse(&intent, (const char *)data + 1, size - 1, "fuzz", &findings) == 0) {
+        if (cw_intent_parse(&intent, (const char *)data + 1, size - 1, "fuzz", NULL, &findings) == 0) {
             (void)cw_plan_make(&plan, &intent, NULL, 1, "fuzz", &findings);
             cw_plan_clear(&plan);
         }
--- a/src/cli/check.c
+++ b/src/cli/check.c
@@ -28,20 +28,20 @@
     return found;
 }
 
-static void check_file(const char *file, cw_findings_t *findings)
+static void check_file(const char *file, const cw_name_set_t *regions, cw_findings_t *findings)
 {
     cw_router_settings_t settings;
     cw_intent_t          intent;
 
     if (is_intent(file)) {
-        (void)cw_intent_read(&intent, file, findings);
+        (void)cw_intent_read(&intent, file, regions, findings);
         cw_intent_clear(&intent);
     } else {
         (void)cw_router_settings_read(&settings, file, findings);
     }
 }
 
-int cw_cli_check(const char *const *files, size_t count)
+int cw_cli_check(const char *const *files, size_t count, const cw_name_set_t *regions)
 {
     cw_findings_t findings;
     size_t        index;
@@ -49,7 +49,7 @@
 
     cw_findings_init(&findings);
     for (index = 0; index < count; index++) {
-        check_file(files[index], &findings);
+        check_file(files[index], regions, &findings);
     }
     cw_findings_print(&findings, stdout);
     printf("%zu files, %zu findings\n", count, findings.count);
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -8,6 +8,8 @@
 #include <stddef.h>
 #include <stdio.h>
 
+#include "model/name_set.h"
+
 enum {
     CW_EXIT_DONE = 0,
     CW_EXIT_REFUSED = 1,     /**< findings, a stale plan, nothing found */
@@ -16,12 +18,13 @@
     CW_EXIT_UNKNOWN = 4      /**< a write without an answer: it may be done */
 };
 
-/** Checks settings files or intents, by what they contain; prints all findings with their places. */
-int cw_cli_check(const char *const *files, size_t count);
+/** Checks settings files or intents, by what they contain; prints all findings with their places. regions: those that
+ * intents may name; NULL: not known, any. */
+int cw_cli_check(const char *const *files, size_t count, const cw_name_set_t *regions);
 /** Prints the plan that the intent comes to. */
-int cw_cli_plan(const char *file, const char *store);
+int cw_cli_plan(const char *file, const char *store, const cw_name_set_t *regions);
 /** Makes the plan again and, if it is still the one of this id, writes it. */
-int cw_cli_confirm(const char *plan, const char *file, const char *store);
+int cw_cli_confirm(const char *plan, const char *file, const char *store, const cw_name_set_t *regions);
 /** Prints what the nodes (each "IPv4:PORT" of its readiness endpoint) believe. */
 int cw_cli_status(const char *const *nodes, size_t count);
 /** Prints a request's story from log files, or from standard input when there are none. */
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -21,6 +21,7 @@
            "  status NODE...                       what nodes (IPV4:PORT of their readiness) believe\n"
            "  explain REQUEST-ID [LOG...]          a request's story from logs, or from standard input\n"
            "  report [--html FILE] [LOG...]        outcomes by second, hottest keys and moves, from logs\n"
+           "  --regions NAME,...                   with check, plan and confirm: other regions are findings\n"
            "Exit codes: 0 done, 1 refused, 2 wrong command line, 3 no answer, 4 outcome not known\n");
 }
 
@@ -37,14 +38,29 @@
     return CW_EXIT_WRONG_INPUT;
 }
 
-static int run(const struct arg_str *words, const struct arg_str *store, const struct arg_file *page)
+/* NULL: not told. */
+static const cw_name_set_t *regions_of(cw_name_set_t *regions, const struct arg_str *option)
+{
+    char *names = option->count > 0 ? strdup(option->sval[0]) : NULL;
+    char *rest = NULL;
+    char *name;
+
+    for (name = names == NULL ? NULL : strtok_r(names, ",", &rest); name != NULL; name = strtok_r(NULL, ",", &rest)) {
+        cw_name_set_add(regions, name);
+    }
+    free(names);
+    return option->count > 0 ? regions : NULL;
+}
+
+static int run(const struct arg_str *words, const struct arg_str *store, const struct arg_file *page,
+               const cw_name_set_t *regions)
 {
     const char        *command = words->count > 0 ? words->sval[0] : "";
     const char *const *rest = words->sval + 1;
     size_t             count = words->count > 0 ? (size_t)words->count - 1 : 0;
 
     if (strcmp(command, "check") == 0) {
-        return count > 0 ? cw_cli_check(rest, count) : wrong("check needs files");
+        return count > 0 ? cw_cli_check(rest, count, regions) : wrong("check needs files");
     }
     if (strcmp(command, "status") == 0) {
         return count > 0 ? cw_cli_status(rest, count) : wrong("status needs nodes");
@@ -56,11 +72,11 @@
         return cw_cli_report(rest, count, page->count > 0 ? page->filename[0] : NULL);
     }
     if (strcmp(command, "plan") == 0) {
-        return count == 1 && store_of(store) != NULL ? cw_cli_plan(rest[0], store_of(store))
+        return count == 1 && store_of(store) != NULL ? cw_cli_plan(rest[0], store_of(store), regions)
                                                      : wrong("plan needs an intent and --store");
     }
     if (strcmp(command, "confirm") == 0) {
-        return count == 2 && store_of(store) != NULL ? cw_cli_confirm(rest[0], rest[1], store_of(store))
+        return count == 2 && store_of(store) != NULL ? cw_cli_confirm(rest[0], rest[1], store_of(store), regions)
                                                      : wrong("confirm needs a plan, an intent and --store");
     }
     return wrong("no such command");
@@ -71,11 +87,13 @@
     struct arg_str  *words = arg_strn(NULL, NULL, "COMMAND", 0, WORDS_MAX, "see above");
     struct arg_str  *store = arg_str0("s", "store", "IPV4:PORT", "the store; default: CEDARWINCH_STORE");
     struct arg_file *page = arg_file0(NULL, "html", "FILE", "report: the same as a page with plots");
+    struct arg_str  *region_names = arg_str0(NULL, "regions", "NAME,...", "regions that intents may name");
     struct arg_lit  *help = arg_lit0("h", "help", "this text");
     struct arg_lit  *version = arg_lit0("V", "version", "version");
     struct arg_end  *end = arg_end(ERRORS_MAX);
-    void            *table[] = {words, store, page, help, version, end};
+    void            *table[] = {words, store, page, region_names, help, version, end};
     int              errors = arg_parse(argument_count, arguments, table);
+    cw_name_set_t    regions = {0};
     int              code;
 
     if (help->count > 0) {
@@ -88,8 +106,9 @@
         arg_print_errors(stderr, end, "cedarwinch");
         code = CW_EXIT_WRONG_INPUT;
     } else {
-        code = run(words, store, page);
+        code = run(words, store, page, regions_of(&regions, region_names));
     }
+    cw_name_set_clear(&regions);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return code;
 }
--- a/src/cli/plan.c
+++ b/src/cli/plan.c
@@ -66,14 +66,14 @@
     return answer;
 }
 
-static int open_session(session_t *session, const char *file, const char *store)
+static int open_session(session_t *session, const char *file, const char *store, const cw_name_set_t *regions)
 {
     cw_findings_t findings;
     int           error;
 
     memset(session, 0, sizeof(*session));
     cw_findings_init(&findings);
-    error = cw_intent_read(&session->intent, file, &findings);
+    error = cw_intent_read(&session->intent, file, regions, &findings);
     cw_findings_print(&findings, stdout);
     cw_findings_clear(&findings);
     if (error != CW_OK) {
@@ -118,10 +118,10 @@
            session->plan.changes.data == NULL ? "" : session->plan.changes.data);
 }
 
-int cw_cli_plan(const char *file, const char *store)
+int cw_cli_plan(const char *file, const char *store, const cw_name_set_t *regions)
 {
     session_t session;
-    int       code = open_session(&session, file, store);
+    int       code = open_session(&session, file, store, regions);
 
     if (code == CW_EXIT_DONE) {
         code = make_plan(&session, file);
@@ -175,10 +175,10 @@
     return CW_EXIT_UNKNOWN;
 }
 
-int cw_cli_confirm(const char *plan, const char *file, const char *store)
+int cw_cli_confirm(const char *plan, const char *file, const char *store, const cw_name_set_t *regions)
 {
     session_t session;
-    int       code = open_session(&session, file, store);
+    int       code = open_session(&session, file, store, regions);
 
     if (code == CW_EXIT_DONE) {
         code = make_plan(&session, file);
--- a/src/config/yaml_tree.c
+++ b/src/config/yaml_tree.c
@@ -324,7 +324,7 @@
         parse_digest((const char *)node->data.scalar.value, node->data.scalar.length, digest)) {
         return true;
     }
-    cw_yaml_report(document, node, "must be the SHA-256 digest of a token: %d hexadecimal digits", DIGEST_TEXT_LENGTH);
+    cw_yaml_report(document, node, "must be the SHA-256 digest of a key: %d hexadecimal digits", DIGEST_TEXT_LENGTH);
     return false;
 }
 
--- a/src/intent/intent.c
+++ b/src/intent/intent.c
@@ -9,8 +9,8 @@
 #include <string.h>
 
 #include "base/error.h"
-#include "base/text.h"
 #include "config/yaml_tree.h"
+#include "intent/intent_tenant.h"
 
 enum {
     FILE_MAX_BYTES = 1024 * 1024,
@@ -18,7 +18,6 @@
     ATTEMPTS_MAX = 10,
     PRIORITY_MAX = 100,
     CONNECTIONS_MAX = 100000,
-    RATE_MAX = 10000000,
     NAME_BYTES = 160
 };
 
@@ -100,23 +99,6 @@
     }
 }
 
-static void read_regions(cw_name_set_t *regions, cw_yaml_mapping_t *mapping)
-{
-    yaml_node_t *node = cw_yaml_get(mapping, "regions", false);
-    size_t       count = node == NULL ? 0 : cw_yaml_count(mapping->document, node, "regions");
-    size_t       position;
-
-    for (position = 0; position < count; position++) {
-        yaml_node_t *item = cw_yaml_item(mapping->document, node, position);
-
-        if (item->type == YAML_SCALAR_NODE && item->data.scalar.length > 0) {
-            cw_name_set_add(regions, (const char *)item->data.scalar.value);
-        } else {
-            cw_yaml_report(mapping->document, item, "a region must be a name");
-        }
-    }
-}
-
 static void check_route(const cw_intent_t *intent, const cw_route_t *route, cw_yaml_mapping_t *mapping)
 {
     size_t length = strlen(route->prefix);
@@ -159,41 +141,14 @@
     route->aim = read_ms(&mapping, "aim_ms");
     route->max_attempts = (uint32_t)cw_yaml_number(&mapping, "attempts", 1, ATTEMPTS_MAX, 2);
     route->priority = (uint32_t)cw_yaml_number(&mapping, "priority", 0, PRIORITY_MAX, 1);
-    read_regions(&route->regions, &mapping);
+    route->allows_anonymous = cw_yaml_flag(&mapping, "open", false);
+    cw_intent_read_regions(intent, &route->regions, &mapping);
     read_target(intent, route, &mapping);
     check_route(intent, route, &mapping);
     cw_yaml_finish(&mapping);
 }
 
-/* ---- the tenant ---- */
-
-static void read_tokens(cw_tenant_t *tenant, cw_yaml_mapping_t *mapping)
-{
-    yaml_node_t *node = cw_yaml_get(mapping, "tokens", false);
-    size_t       count = node == NULL ? 0 : cw_yaml_count(mapping->document, node, "tokens");
-    size_t       position;
-
-    tenant->needs_key = node != NULL; /* an empty list: nobody has one now */
-    for (position = 0; position < count; position++) {
-        cw_key_digest_t key;
-
-        if (cw_yaml_digest(mapping->document, cw_yaml_item(mapping->document, node, position), key.bytes)) {
-            cw_tenant_add_key(tenant, &key);
-        }
-    }
-}
-
-static void read_tenant(cw_intent_t *intent, cw_yaml_mapping_t *mapping)
-{
-    const char  *name = cw_yaml_name(mapping, "tenant", true);
-    cw_tenant_t *tenant = cw_configuration_add_tenant(intent->part);
-
-    cw_text_copy(intent->tenant, sizeof(intent->tenant), name == NULL ? "" : name);
-    tenant->name = strdup(intent->tenant);
-    read_tokens(tenant, mapping);
-    tenant->rate_per_s = (double)cw_yaml_number(mapping, "requests_per_s", 0, RATE_MAX, 0);
-    tenant->concurrent = (uint32_t)cw_yaml_number(mapping, "concurrent", 0, RATE_MAX, 0);
-}
+/* ---- the whole ---- */
 
 static void read_list(cw_intent_t *intent, cw_yaml_mapping_t *mapping, const char *key,
                       void (*read)(cw_intent_t *, cw_yaml_document_t *, yaml_node_t *))
@@ -208,7 +163,7 @@
 }
 
 int cw_intent_parse(cw_intent_t *intent, const char *text, size_t length, const char *file_name,
-                    cw_findings_t *findings)
+                    const cw_name_set_t *regions, cw_findings_t *findings)
 {
     size_t             before = findings->count;
     cw_yaml_document_t document;
@@ -216,9 +171,10 @@
 
     memset(intent, 0, sizeof(*intent));
     intent->part = cw_configuration_create(0);
+    intent->known_regions = regions;
     if (cw_yaml_load(&document, text, length, file_name, findings) == CW_OK) {
         cw_yaml_open(&mapping, &document, document.root, "an intent");
-        read_tenant(intent, &mapping);
+        cw_intent_read_tenant(intent, &mapping);
         read_list(intent, &mapping, "services", read_service);
         read_list(intent, &mapping, "routes", read_route);
         cw_yaml_finish(&mapping);
@@ -227,7 +183,7 @@
     return findings->count == before ? CW_OK : CW_ERROR_PARSE;
 }
 
-int cw_intent_read(cw_intent_t *intent, const char *file_name, cw_findings_t *findings)
+int cw_intent_read(cw_intent_t *intent, const char *file_name, const cw_name_set_t *regions, cw_findings_t *findings)
 {
     FILE  *file = fopen(file_name, "rb");
     char  *text = malloc(FILE_MAX_BYTES);
@@ -245,7 +201,7 @@
     }
     length = fread(text, 1, FILE_MAX_BYTES, file);
     fclose(file);
-    error = cw_intent_parse(intent, text, length, file_name, findings);
+    error = cw_intent_parse(intent, text, length, file_name, regions, findings);
     free(text);
     return error;
 }
@@ -253,5 +209,6 @@
 void cw_intent_clear(cw_intent_t *intent)
 {
     cw_configuration_release(intent->part);
+    free(intent->key_places);
     memset(intent, 0, sizeof(*intent));
 }
--- a/src/model/tenant.c
+++ b/src/model/tenant.c
@@ -4,6 +4,7 @@
  */
 #include "model/tenant.h"
 
+#include <nettle/sha2.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -33,12 +34,19 @@
     return low;
 }
 
+bool cw_tenant_has_key(const cw_tenant_t *tenant, const cw_key_digest_t *key)
+{
+    size_t position = position_of(tenant, key);
+
+    return position < tenant->key_count && memcmp(&tenant->keys[position], key, sizeof(*key)) == 0;
+}
+
 void cw_tenant_add_key(cw_tenant_t *tenant, const cw_key_digest_t *key)
 {
     size_t position = position_of(tenant, key);
 
     tenant->needs_key = true;
-    if (position < tenant->key_count && memcmp(&tenant->keys[position], key, sizeof(*key)) == 0) {
+    if (cw_tenant_has_key(tenant, key)) {
         return;
     }
     tenant->keys = reallocarray(tenant->keys, tenant->key_count + 1, sizeof(*tenant->keys));
@@ -76,6 +84,15 @@
     memset(tenant, 0, sizeof(*tenant));
 }
 
+void cw_tenant_digest_of_key(cw_key_digest_t *digest, const char *key)
+{
+    struct sha256_ctx context;
+
+    sha256_init(&context);
+    sha256_update(&context, strlen(key), (const uint8_t *)key);
+    sha256_digest(&context, sizeof(digest->bytes), digest->bytes);
+}
+
 bool cw_tenant_digest_from_text(cw_key_digest_t *digest, const char *text)
 {
     size_t index;
--- a/src/model/tenant.h
+++ b/src/model/tenant.h
@@ -37,12 +37,15 @@
 bool cw_tenant_owns(const char *tenant, const char *name);
 /** Adds a key, unless the tenant has it. */
 void cw_tenant_add_key(cw_tenant_t *tenant, const cw_key_digest_t *key);
+bool cw_tenant_has_key(const cw_tenant_t *tenant, const cw_key_digest_t *key);
 /** The same keys, and both or neither need one. */
 bool cw_tenant_same_keys(const cw_tenant_t *left, const cw_tenant_t *right);
 /** The same name, keys, limits and regions. */
 bool cw_tenant_same(const cw_tenant_t *left, const cw_tenant_t *right);
 /** Frees what it holds. */
 void cw_tenant_clear(cw_tenant_t *tenant);
+/** SHA-256 of a caller's key. */
+void cw_tenant_digest_of_key(cw_key_digest_t *digest, const char *key);
 /** Hexadecimal digits of a digest; false: the text is not 64 of them. */
 bool cw_tenant_digest_from_text(cw_key_digest_t *digest, const char *text);
 void cw_tenant_digest_to_text(char *text, size_t size, const cw_key_digest_t *digest);
--- a/tests/process/intents.sh
+++ b/tests/process/intents.sh
@@ -9,7 +9,7 @@
 intent() { # TIMEOUT
     cat <<YAML
 tenant: liffeyspoke
-tokens: ["$token"]
+keys: ["$token"]
 services: [{name: maps, keyed: true}]
 routes:
   - {name: maps, host: lp.example, prefix: /docks/, service: maps, repeatable: true, timeout_ms: $1}
@@ -26,6 +26,9 @@
 YAML
 sed 's/lp.example/rm.example/; s#/docks/#/pages/#' "$WORK/a.yaml" >"$WORK/thief.yaml"
 echo 'tenant: x' >"$WORK/broken.yaml"
+printf 'opensesame\n' >"$WORK/rimac.key"
+sed "s/^requests_per_s/keys: [{file: rimac.key}]\n&/" "$WORK/rimac.yaml" >"$WORK/rimac-keys.yaml"
+sed "s/^requests_per_s/keys: [$token]\n&/" "$WORK/rimac.yaml" >"$WORK/rimac-thief.yaml"
 export CEDARWINCH_STORE=$STORE
 cw() { "$BUILD/cedarwinch" "$@"; }
 plan_of() { cw plan "$1" | awk '/^plan/ {print $2}'; }
@@ -46,6 +49,11 @@
 check "a lost answer is settled by reading" cw confirm "$a" "$WORK/a.yaml"
 check "another tenant's intent keeps the first's" cw confirm "$(plan_of "$WORK/rimac.yaml")" "$WORK/rimac.yaml"
 check "another tenant's host cannot be taken" refused cw plan "$WORK/thief.yaml"
+check "another tenant's key cannot be taken" refused cw plan "$WORK/rimac-thief.yaml"
+check "and the finding names the place and the fingerprint" grep -q "rimac-thief.yaml:2:8: .*fingerprint ${token:0:8}" <(cw plan "$WORK/rimac-thief.yaml")
+cw plan "$WORK/rimac-keys.yaml" >"$WORK/keys.plan"
+check "a key out of a file is shown by its fingerprint" grep -q "keys added $(printf %s opensesame | sha256sum | cut -c1-8)" "$WORK/keys.plan"
+check "and by nothing else" [ "$(grep -c opensesame "$WORK/keys.plan")" = 0 ]
 curl -sf -X POST "http://$STORE/control?down=1500&how=busy" >/dev/null
 check "with the store down nothing is accepted, and that is said" refused cw plan "$WORK/a.yaml"
 sleep 1.6
@@ -58,4 +66,10 @@
 codes=$(for _ in 1 2 3 4 5 6 7 8 9 10 11 12; do status x "http://$NET.1:8080/pages/x" -H 'Host: rm.example'; echo; done | sort | uniq -c | xargs)
 check "a tenant's rate is its own limit ($codes)" grep -q 429 <<<"$codes"
 check "the other tenant is not touched by it" served
+check "a tenant's key out of a file is accepted" cw confirm "$(plan_of "$WORK/rimac-keys.yaml")" "$WORK/rimac-keys.yaml"
+known() { status opensesame "http://$NET.1:8080/pages/x" -H 'Host: rm.example' | grep -q '200\|429'; }
+until_true known
+check "and its caller is known" known
+check "one with another key is not" [ "$(status sesame "http://$NET.1:8080/pages/x" -H 'Host: rm.example')" = 401 ]
+check "the key stands in no log and not in the store" [ "$(cat "$WORK"/node*.log <(curl -sf "http://$STORE/api/objects/config/main") | grep -c opensesame)" = 0 ]
 finish_test
--- a/tests/test_intent.c
+++ b/tests/test_intent.c
@@ -31,7 +31,7 @@
     size_t        count;
 
     cw_findings_init(&findings);
-    (void)cw_intent_parse(&intent, text, strlen(text), "test.yaml", &findings);
+    (void)cw_intent_parse(&intent, text, strlen(text), "test.yaml", NULL, &findings);
     count = findings.count;
     cw_intent_clear(&intent);
     cw_findings_clear(&findings);
@@ -43,7 +43,7 @@
     cw_findings_t findings;
 
     cw_findings_init(&findings);
-    ck_assert_int_eq(cw_intent_parse(intent, text, strlen(text), "test.yaml", &findings), CW_OK);
+    ck_assert_int_eq(cw_intent_parse(intent, text, strlen(text), "test.yaml", NULL, &findings), CW_OK);
     cw_findings_clear(&findings);
 }
 
