explain tells the cause; report counts refusals by reason and tenant, waits and bytes by distance

Cause: explain printed a request's lines and left their meaning to the reader; report left out requests that never came to a service (401) and put 429s among "other".

Change: explain_cause.[ch] says what a refusal or a late pipelined answer means and which lines it rests on (the tenant's `limit mode` on the same node, `keys stale`, ...); explain follows `waited_for` one step. run_refusals.[ch] counts refusals by status, reason and mode of the limit, and by tenant (20 of each by name, the rest as a sum), answers that waited and the longest, and bytes by distance from the lines `traffic` of processes that ended. The page shows the same.

--- a/src/cli/explain.c
+++ b/src/cli/explain.c
@@ -4,13 +4,15 @@
  *
  * Prints, in order of time, the lines that name the request and, before each, what the same node believed: its last
  * lines on leader, view, configuration, store and servers, and the last change of the range that the request's key is
- * in, from whichever node led.
+ * in, from whichever node led. What a line means stands under it, with the lines that it rests on (explain_cause.h); an
+ * answer that waited is followed by the story of the request that it waited for.
  */
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "cli/cli.h"
+#include "cli/explain_cause.h"
 #include "cli/log_lines.h"
 
 enum { BELIEFS = 6 };
@@ -124,7 +126,44 @@
     print_server(lines, place);
 }
 
-static int explain(cw_log_lines_t *lines, const char *request)
+/* What the line means, and the last lines that it rests on. */
+static void print_cause(const cw_log_lines_t *lines, size_t place)
+{
+    const cw_log_line_t      *line = &lines->items[place];
+    const char               *words = cw_explain_cause(line);
+    const cw_explain_trail_t *trail = cw_explain_trail(line);
+    size_t                    event;
+    size_t                    index;
+
+    if (words != NULL) {
+        printf("      cause: %s\n", words);
+    }
+    for (event = 0; trail != NULL && trail->events[event] != NULL; event++) {
+        for (index = place; index > 0; index--) {
+            if (cw_explain_rests_on(line, &lines->items[index - 1], trail->events[event])) {
+                print_line(&lines->items[index - 1], "      rests on: ");
+                break;
+            }
+        }
+    }
+}
+
+static size_t print_story(const cw_log_lines_t *lines, const char *request, const char *indent);
+
+/* Of the request that an answer waited for. */
+static void print_waited_for(const cw_log_lines_t *lines, const cw_log_line_t *line)
+{
+    const char *earlier = cw_log_line_text(line, "waited_for");
+
+    if (strcmp(line->event, "answer waited") == 0 && earlier[0] != '\0' && !names_request(line, earlier)) {
+        printf("      the request that it waited for, %s:\n", earlier);
+        if (print_story(lines, earlier, "        ") == 0) {
+            printf("        no line names it\n");
+        }
+    }
+}
+
+static size_t print_story(const cw_log_lines_t *lines, const char *request, const char *indent)
 {
     size_t index;
     size_t found = 0;
@@ -133,10 +172,21 @@
         if (!names_request(&lines->items[index], request)) {
             continue;
         }
-        print_line(&lines->items[index], "");
+        print_line(&lines->items[index], indent);
+        print_cause(lines, index);
         print_beliefs(lines, index);
+        if (indent[0] == '\0') { /* one step only: whom that one waited for is its own story */
+            print_waited_for(lines, &lines->items[index]);
+        }
         found++;
     }
+    return found;
+}
+
+static int explain(const cw_log_lines_t *lines, const char *request)
+{
+    size_t found = print_story(lines, request, "");
+
     if (found == 0) {
         printf("no line names request %s in %zu lines\n", request, lines->count);
     }
--- /dev/null
+++ b/src/cli/explain_cause.c
@@ -0,0 +1,130 @@
+/**
+ * @file explain_cause.c
+ * @brief Causes by what a line says.
+ */
+#include "cli/explain_cause.h"
+
+#include <string.h>
+
+/** One kind of line: what it means, and what else is to be shown. */
+typedef struct cause {
+    const char        *event;
+    const char        *reason;     /**< its beginning; NULL: any */
+    const char        *limit_mode; /**< NULL: any */
+    const char        *words;
+    cw_explain_trail_t trail;
+} cause_t;
+
+/* The first one that fits counts. */
+static const cause_t causes[] = {
+    {"refused",
+     "no key",
+     NULL,
+     "401: the route is not open, and the request had no Authorization. It was sent to no server",
+     {.events = {NULL}}},
+    {"refused",
+     "malformed or doubled credentials",
+     NULL,
+     "401: two such headers, another scheme than the settings' credential_scheme, or no single key behind it",
+     {.events = {NULL}}},
+    {"refused",
+     "unknown key",
+     NULL,
+     "401: no tenant has this key in the version named here; if the store's version has it, this node was behind",
+     {.events = {"configuration refused", "keys stale"}}},
+    {"refused",
+     "the route is another tenant's",
+     NULL,
+     "401: the key is good, and is the named tenant's; the route belongs to another one and is not open",
+     {.events = {NULL}}},
+    {"refused",
+     "the caller's key was taken away",
+     NULL,
+     "401: it was let in, and a later version took its key away before it was sent",
+     {.events = {NULL}}},
+    {"refused",
+     "the caller's key is another tenant's now",
+     NULL,
+     "503: a later version gave the key to another tenant while the request waited; sent again, it is that one's",
+     {.events = {NULL}}},
+    {"refused",
+     "too long without evidence",
+     NULL,
+     "503: this node cannot tell whether a key was taken away, and credentials_fail_closed is set",
+     {.events = {"keys stale", "watch failed"}}},
+    {"refused",
+     "the tenant's rate",
+     "metered",
+     "429: over all nodes the tenant is at its limit; the node that counts for it had no token",
+     {.events = {"limit mode"}}},
+    {"refused",
+     "the tenant's rate",
+     "alone",
+     "429: the node that counts for the tenant did not reply, and this node's own part of the limit was used up",
+     {.events = {"limit mode", "peer lost"}}},
+    {"refused", "the tenant's rate", NULL, "429: above the tenant's rate", {.events = {"limit mode"}}},
+    {"refused",
+     "the tenant's requests at once",
+     NULL,
+     "429: this node's part of the tenant's limit of requests at once was taken",
+     {.events = {NULL}}},
+    {"refused",
+     "outside regions",
+     NULL,
+     "503: the owner of its key lies where the route or the tenant may not go; it was sent nowhere",
+     {.events = {"zone out of service"}}},
+    {"refused",
+     "no server",
+     NULL,
+     "503: no server of the service is in service within the regions of the route and the tenant",
+     {.events = {"zone out of service"}}},
+    {"answer waited",
+     NULL,
+     NULL,
+     "its answer was here; an earlier request of the same connection had to be answered first, and was slower",
+     {.events = {NULL}}},
+};
+
+static bool begins(const char *text, const char *beginning)
+{
+    return beginning == NULL || strncmp(text, beginning, strlen(beginning)) == 0;
+}
+
+static const cause_t *cause_of(const cw_log_line_t *line)
+{
+    const char *reason = cw_log_line_text(line, "reason");
+    const char *mode = cw_log_line_text(line, "limit_mode");
+    size_t      index;
+
+    for (index = 0; index < sizeof(causes) / sizeof(causes[0]); index++) {
+        const cause_t *cause = &causes[index];
+
+        if (strcmp(cause->event, line->event) == 0 && begins(reason, cause->reason) &&
+            (cause->limit_mode == NULL || strcmp(cause->limit_mode, mode) == 0)) {
+            return cause;
+        }
+    }
+    return NULL;
+}
+
+const char *cw_explain_cause(const cw_log_line_t *line)
+{
+    const cause_t *cause = cause_of(line);
+
+    return cause == NULL ? NULL : cause->words;
+}
+
+const cw_explain_trail_t *cw_explain_trail(const cw_log_line_t *line)
+{
+    const cause_t *cause = cause_of(line);
+
+    return cause == NULL || cause->trail.events[0] == NULL ? NULL : &cause->trail;
+}
+
+bool cw_explain_rests_on(const cw_log_line_t *line, const cw_log_line_t *other, const char *event)
+{
+    const char *tenant = cw_log_line_text(other, "tenant");
+
+    return strcmp(other->event, event) == 0 && strcmp(other->node, line->node) == 0 &&
+           (tenant[0] == '\0' || strcmp(tenant, cw_log_line_text(line, "tenant")) == 0);
+}
--- a/src/cli/run_report.c
+++ b/src/cli/run_report.c
@@ -291,6 +291,7 @@
         find_hot_keys(report, &report->services[index], lines);
     }
     find_moves(report, lines);
+    cw_run_refusals_make(&report->refusals, lines);
 }
 
 void cw_run_report_clear(cw_run_report_t *report)
--- a/src/cli/run_report.h
+++ b/src/cli/run_report.h
@@ -13,6 +13,7 @@
 #include <stdio.h>
 
 #include "cli/log_lines.h"
+#include "cli/run_refusals.h"
 
 enum { CW_REPORT_NAME_MAX = 64, CW_REPORT_HOT_KEYS = 5, CW_REPORT_OWNERS_MAX = 64 };
 
@@ -77,6 +78,7 @@
     size_t               service_count;
     cw_report_move_t    *moves;
     size_t               move_count;
+    cw_run_refusals_t    refusals;
     uint32_t             dropped; /**< lines that processes say they dropped */
 } cw_run_report_t;
 
@@ -86,5 +88,7 @@
 void cw_run_report_write_text(const cw_run_report_t *report, FILE *out);
 /** A page that needs nothing else: styles and plots are in it. */
 void cw_run_report_write_html(const cw_run_report_t *report, FILE *out);
+/** A text from a log as text of a page. */
+void cw_run_report_write_escaped(const char *text, FILE *out);
 
 #endif
--- a/src/cli/run_report_html.c
+++ b/src/cli/run_report_html.c
@@ -10,7 +10,7 @@
                                                          "#b04a5a", "#8a8a8a", "#402030"};
 static const char *const owner_colours[] = {"#4878a8", "#a86848", "#5a9a5a", "#9a5a9a", "#a8a048", "#48a0a0"};
 
-static void write_escaped(const char *text, FILE *out)
+void cw_run_report_write_escaped(const char *text, FILE *out)
 {
     for (; *text != '\0'; text++) {
         switch (*text) {
@@ -113,7 +113,7 @@
                     LABEL_WIDTH + owner->from * scale, place * ROW_HEIGHT + 2, (owner->to - owner->from) * scale + 1,
                     ROW_HEIGHT - 4, owner_colours[index % (sizeof(owner_colours) / sizeof(owner_colours[0]))],
                     owner->from, owner->to);
-            write_escaped(owner->server, out);
+            cw_run_report_write_escaped(owner->server, out);
             fprintf(out, "</title></rect>\n");
         }
     }
@@ -130,13 +130,13 @@
         const cw_report_move_t *move = &report->moves[index];
 
         fprintf(out, "<tr><td>%.2f</td><td>", move->released);
-        write_escaped(move->service, out);
+        cw_run_report_write_escaped(move->service, out);
         fprintf(out, "</td><td>%u-%u</td><td>", move->low, move->last);
-        write_escaped(move->from, out);
+        cw_run_report_write_escaped(move->from, out);
         fprintf(out, "</td><td>");
-        write_escaped(move->to, out);
+        cw_run_report_write_escaped(move->to, out);
         fprintf(out, "</td><td>");
-        write_escaped(move->how, out);
+        cw_run_report_write_escaped(move->how, out);
         fprintf(out, "</td><td>%.2f</td><td>%u</td></tr>\n", move->granted, move->refused);
     }
     fprintf(out, "</table>\n");
@@ -160,11 +160,12 @@
     write_legend(out);
     for (index = 0; index < report->service_count; index++) {
         fprintf(out, "<h2>");
-        write_escaped(report->services[index].name, out);
+        cw_run_report_write_escaped(report->services[index].name, out);
         fprintf(out, "</h2>\n");
         write_bars(report, &report->services[index], out);
         write_owners(report, &report->services[index], out);
     }
     write_moves(report, out);
+    cw_run_refusals_write_html(&report->refusals, out);
     fprintf(out, "</body></html>\n");
 }
--- a/src/cli/run_report_text.c
+++ b/src/cli/run_report_text.c
@@ -90,4 +90,5 @@
         }
     }
     write_moves(report, out);
+    cw_run_refusals_write_text(&report->refusals, out);
 }
--- a/tests/test_intent_tenant.c
+++ b/tests/test_intent_tenant.c
@@ -138,7 +138,7 @@
 
 static void setup(void)
 {
-    strcpy(folder + strlen(folder) - strlen("XXXXXX"), "XXXXXX");
+    memcpy(folder + sizeof(folder) - sizeof("XXXXXX"), "XXXXXX", sizeof("XXXXXX"));
     ck_assert_ptr_nonnull(mkdtemp(folder));
     snprintf(intent_name, sizeof(intent_name), "%s/a.yaml", folder);
     snprintf(key_name, sizeof(key_name), "%s/key", folder);
