status sums refusals by reason, tenants at their limits with who counts, bytes by distance, pipelined waits

Cause: status showed leader, ages and ranges; who is refused why stood only in metrics of each node.

Change: /status of a node carries refusals by reason, the largest tenants (as in its metrics: 20 and a sum) with the mode of their limit and the counting node, bytes to other nodes by distance, pipelined requests and waits (router_status_callers.c; cw_tenant_metrics_told in base). `cedarwinch status` prints sums over the nodes that answered (status_totals.[ch]), 20 tenants by name.

--- a/src/base/tenant_metrics.c
+++ b/src/base/tenant_metrics.c
@@ -63,32 +63,44 @@
     return a > b ? -1 : a < b;
 }
 
-static void write_metric(cw_bytes_t *text, size_t metric)
+size_t cw_tenant_metrics_told(cw_tenant_counts_t told[CW_TENANT_METRICS_TOLD + 1])
 {
-    const char         *name = metric_rows[metric].name;
+    cw_tenant_counts_t  rest = {.tenant = others_name};
     const tenant_row_t *row;
-    uint64_t            rest = others.values[metric];
-    size_t              told = 0;
+    size_t              count = 0;
+    size_t              metric;
 
-    cw_bytes_append_format(text, "# HELP %s %s\n# TYPE %s counter\n", name, metric_rows[metric].help, name);
+    memcpy(rest.values, others.values, sizeof(rest.values));
+    HASH_SORT(rows, compare_rows);
     for (row = rows; row != NULL; row = row->hh.next) {
-        if (told < CW_TENANT_METRICS_TOLD) {
-            cw_bytes_append_format(text, "%s{tenant=\"%s\"} %" PRIu64 "\n", name, row->name, row->values[metric]);
-            told++;
-        } else {
-            rest += row->values[metric];
+        if (count < CW_TENANT_METRICS_TOLD) {
+            told[count].tenant = row->name;
+            memcpy(told[count++].values, row->values, sizeof(rest.values));
+            continue;
+        }
+        for (metric = 0; metric < CW_TENANT_METRICS; metric++) {
+            rest.values[metric] += row->values[metric];
         }
     }
-    cw_bytes_append_format(text, "%s{tenant=\"%s\"} %" PRIu64 "\n", name, others_name, rest);
+    told[count++] = rest;
+    return count;
 }
 
 void cw_tenant_metrics_write(cw_bytes_t *text)
 {
-    size_t metric;
+    cw_tenant_counts_t told[CW_TENANT_METRICS_TOLD + 1];
+    size_t             count = cw_tenant_metrics_told(told);
+    size_t             metric;
+    size_t             index;
 
-    HASH_SORT(rows, compare_rows);
     for (metric = 0; metric < CW_TENANT_METRICS; metric++) {
-        write_metric(text, metric);
+        const char *name = metric_rows[metric].name;
+
+        cw_bytes_append_format(text, "# HELP %s %s\n# TYPE %s counter\n", name, metric_rows[metric].help, name);
+        for (index = 0; index < count; index++) {
+            cw_bytes_append_format(text, "%s{tenant=\"%s\"} %" PRIu64 "\n", name, told[index].tenant,
+                                   told[index].values[metric]);
+        }
     }
 }
 
--- a/src/base/tenant_metrics.h
+++ b/src/base/tenant_metrics.h
@@ -5,6 +5,7 @@
 #ifndef CEDARWINCH_BASE_TENANT_METRICS_H
 #define CEDARWINCH_BASE_TENANT_METRICS_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 #include "base/byte_buffer.h"
@@ -21,6 +22,15 @@
 enum { CW_TENANT_METRICS_TOLD = 20 /**< tenants by name, those with most requests; all others as "(others)" */ };
 
 void cw_tenant_metric_add(cw_tenant_metric_t metric, const char *tenant, uint64_t amount);
+
+/** One tenant's counters. */
+typedef struct cw_tenant_counts {
+    const char *tenant; /**< "(others)" for the last row; valid until cw_tenant_metrics_reset */
+    uint64_t    values[CW_TENANT_METRICS];
+} cw_tenant_counts_t;
+
+/** The largest tenants, then the sum of the others; their number, at least 1. */
+size_t cw_tenant_metrics_told(cw_tenant_counts_t told[CW_TENANT_METRICS_TOLD + 1]);
 /** As Prometheus text. */
 void cw_tenant_metrics_write(cw_bytes_t *text);
 /** Forgets everything; for tests. */
--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -9,6 +9,7 @@
 #include <uv.h>
 
 #include "cli/cli.h"
+#include "cli/status_totals.h"
 #include "net/http_upstream.h"
 
 enum { TIMEOUT_MS = 2000, ANSWER_MAX = 16 * 1024 * 1024 };
@@ -114,6 +115,7 @@
     cw_upstream_options_t options = {.idle_max = CW_SECONDS(1)};
     uv_loop_t             loop;
     cw_upstream_t        *upstream;
+    cw_status_totals_t    totals = {0};
     int                   code = CW_EXIT_DONE;
     size_t                index;
 
@@ -125,6 +127,7 @@
 
         if (target == NULL) {
             fprintf(stderr, "cedarwinch: '%s' is not IPv4:PORT\n", nodes[index]);
+            cw_status_totals_clear(&totals);
             return CW_EXIT_WRONG_INPUT;
         }
         (void)cw_upstream_call(target, &request, on_answer, &answer);
@@ -137,7 +140,10 @@
             continue;
         }
         print_node(answer.status);
+        cw_status_totals_add(&totals, answer.status);
         json_decref(answer.status);
     }
+    cw_status_totals_print(&totals, stdout);
+    cw_status_totals_clear(&totals);
     return code;
 }
--- a/src/router/router_status.c
+++ b/src/router/router_status.c
@@ -4,7 +4,6 @@
  */
 #include "router/router_status.h"
 
-#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -131,7 +130,15 @@
              (json_int_t)cw_engine_queued(router->engine), "assignments", assignments_json(router, now), "peers",
              peers_json(router, now), "measures", measures_json(router), "servers", servers_json(router, now), "zones_out",
              zones_out_json(router));
-    char *text = status == NULL ? strdup("{}") : json_dumps(status, JSON_COMPACT); /* NULL: a name is no UTF-8 */
+    char *text;
+
+    if (status != NULL) {
+        json_object_set_new(status, "refused", cw_router_status_refused());
+        json_object_set_new(status, "tenants", cw_router_status_tenants(router));
+        json_object_set_new(status, "sent", cw_router_status_sent(router));
+        json_object_set_new(status, "pipelines", cw_router_status_pipelines());
+    }
+    text = status == NULL ? strdup("{}") : json_dumps(status, JSON_COMPACT); /* NULL: a name is no UTF-8 */
 
     json_decref(status);
     if (text == NULL) {
--- a/tests/process/intents.sh
+++ b/tests/process/intents.sh
@@ -72,4 +72,12 @@
 check "and its caller is known" known
 check "one with another key is not" [ "$(status sesame "http://$NET.1:8080/pages/x" -H 'Host: rm.example')" = 401 ]
 check "the key stands in no log and not in the store" [ "$(cat "$WORK"/node*.log <(curl -sf "http://$STORE/api/objects/config/main") | grep -c opensesame)" = 0 ]
+cw status "$NET.1:8081" "$NET.2:8081" >"$WORK/status"
+check "status tells the tenant at its limit, and who counts" grep -Eq 'tenant rimac: .* [1-9][0-9]* refused; limit 4 a second, burst 0, .*counted by n[12]' "$WORK/status"
+check "and refusals by reason" grep -q 'refused 429 the tenant.s rate: [1-9]' "$WORK/status"
+check "and callers without a good key" grep -q 'refused 401 ' "$WORK/status"
+told() { cw explain "$1" "$WORK"/node*.log; }
+limited=$(grep -h '"the tenant.s rate"' "$WORK"/node*.log | tail -1 | grep -o '"request":"[^"]*"' | cut -d'"' -f4)
+check "explain tells the cause of a 429" grep -q 'cause: 429: ' <(told "$limited")
+check "report counts it" grep -q "429 the tenant's rate" <(cw report "$WORK"/node*.log)
 finish_test
