explain, report: a tenant without keys is told by its route's name

Cause: lines of 429s name the tenant of the caller's key only; of a tenant whose callers need none, report counted 2 of 13 refusals and explain did not find its `limit mode`.

--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -6,6 +6,8 @@
 
 #include <string.h>
 
+enum { TENANT_BYTES = 128 };
+
 /** One kind of line: what it means, and what else is to be shown. */
 typedef struct cause {
     const char        *event;
@@ -123,8 +125,10 @@
 
 bool cw_explain_rests_on(const cw_log_line_t *line, const cw_log_line_t *other, const char *event)
 {
-    const char *tenant = cw_log_line_text(other, "tenant");
+    const char *named = cw_log_line_text(other, "tenant");
+    char        tenant[TENANT_BYTES];
 
+    cw_log_line_tenant(line, tenant, sizeof(tenant));
     return strcmp(other->event, event) == 0 && strcmp(other->node, line->node) == 0 &&
-           (tenant[0] == '\0' || strcmp(tenant, cw_log_line_text(line, "tenant")) == 0);
+           (named[0] == '\0' || strcmp(named, tenant) == 0);
 }
--- a/src/cli/log_lines.c
+++ b/src/cli/log_lines.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "cli/cli.h"
 
 enum { LINE_MAX_BYTES = 8192, GROWTH = 1024 };
@@ -101,3 +102,18 @@
 {
     return json_number_value(json_object_get(line->fields, field));
 }
+
+void cw_log_line_tenant(const cw_log_line_t *line, char *text, size_t size)
+{
+    static const char limits[] = "the tenant's ";
+    const char       *tenant = cw_log_line_text(line, "tenant");
+    const char       *route = cw_log_line_text(line, "route");
+    char             *slash;
+
+    cw_text_copy(text, size, tenant);
+    if (tenant[0] == '\0' && strncmp(cw_log_line_text(line, "reason"), limits, strlen(limits)) == 0) {
+        cw_text_copy(text, size, route);
+        slash = strchr(text, '/');
+        text[slash == NULL ? 0 : slash - text] = '\0';
+    }
+}
--- a/src/cli/log_lines.h
+++ b/src/cli/log_lines.h
@@ -29,4 +29,8 @@
 const char *cw_log_line_text(const cw_log_line_t *line, const char *field);
 double      cw_log_line_number(const cw_log_line_t *line, const char *field);
 
+/** Whose limit or key the line is about: the field `tenant`; without it, and where the reason is a tenant's limit, the
+ * tenant that the route's name begins with (its callers need no keys). "" where there is none. */
+void cw_log_line_tenant(const cw_log_line_t *line, char *text, size_t size);
+
 #endif
--- a/src/cli/run_refusals.c
+++ b/src/cli/run_refusals.c
@@ -71,12 +71,13 @@
 static void count_refusal(counted_t **reasons, counted_t **tenants, const cw_log_line_t *line)
 {
     const char *mode = cw_log_line_text(line, "limit_mode");
-    const char *tenant = cw_log_line_text(line, "tenant");
+    char        tenant[CW_REFUSALS_TEXT_MAX];
     char        label[CW_REFUSALS_TEXT_MAX];
 
     snprintf(label, sizeof(label), "%.0f %s%s%s", cw_log_line_number(line, "status"), cw_log_line_text(line, "reason"),
              mode[0] == '\0' ? "" : ", ", mode);
     count_name(reasons, label);
+    cw_log_line_tenant(line, tenant, sizeof(tenant));
     if (tenant[0] != '\0') {
         count_name(tenants, tenant);
     }
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -80,6 +80,18 @@
     ck_assert_msg(strstr(printed, text) != NULL, "'%s' is not in '%s'", text, printed);
 }
 
+static cw_run_refusals_t refusals_of(void)
+{
+    const char       *files[] = {log_name};
+    cw_log_lines_t    lines = {0};
+    cw_run_refusals_t refusals;
+
+    ck_assert_int_eq(cw_log_lines_read(&lines, files, 1), CW_EXIT_DONE);
+    cw_run_refusals_make(&refusals, &lines);
+    cw_log_lines_clear(&lines);
+    return refusals;
+}
+
 START_TEST(a_429_is_told_with_who_counts_for_the_tenant)
 {
     const char *printed = explained("limit-1");
@@ -91,6 +103,27 @@
 }
 END_TEST
 
+START_TEST(a_tenant_without_keys_is_told_by_its_route)
+{
+    const char       *printed;
+    cw_run_refusals_t refusals;
+    FILE             *file = fopen(log_name, "w");
+
+    fputs(LINE("1.0", "n1", "limit mode", "\"tenant\":\"rimac\",\"limit_mode\":\"alone\"")
+              LINE("1.1", "n1", "limit mode", "\"tenant\":\"harbour\",\"limit_mode\":\"metered\"") LINE(
+                  "2.0", "n1", "refused",
+                  "\"request\":\"limit-2\",\"status\":429,\"reason\":\"the tenant's rate\",\"route\":\"rimac/pages\","
+                  "\"limit_mode\":\"alone\""),
+          file);
+    fclose(file);
+    printed = explained("limit-2");
+    expect(printed, "rests on: 1.000 n1 limit mode tenant=\"rimac\"");
+    refusals = refusals_of();
+    ck_assert_uint_eq(refusals.tenants.count, 1);
+    ck_assert_str_eq(refusals.tenants.items[0].name, "rimac");
+}
+END_TEST
+
 START_TEST(a_401_is_told_with_its_rule_and_how_old_the_keys_were)
 {
     const char *printed = explained("key-1");
@@ -119,18 +152,6 @@
 
 /* ---- the report ---- */
 
-static cw_run_refusals_t refusals_of(void)
-{
-    const char       *files[] = {log_name};
-    cw_log_lines_t    lines = {0};
-    cw_run_refusals_t refusals;
-
-    ck_assert_int_eq(cw_log_lines_read(&lines, files, 1), CW_EXIT_DONE);
-    cw_run_refusals_make(&refusals, &lines);
-    cw_log_lines_clear(&lines);
-    return refusals;
-}
-
 START_TEST(refusals_are_counted_by_reason_and_tenant)
 {
     cw_run_refusals_t refusals = refusals_of();
@@ -201,6 +222,7 @@
 
     tcase_add_checked_fixture(cases, setup, teardown);
     tcase_add_test(cases, a_429_is_told_with_who_counts_for_the_tenant);
+    tcase_add_test(cases, a_tenant_without_keys_is_told_by_its_route);
     tcase_add_test(cases, a_401_is_told_with_its_rule_and_how_old_the_keys_were);
     tcase_add_test(cases, a_regions_refusal_is_told_with_its_cause);
     tcase_add_test(cases, an_answer_that_waited_is_told_with_the_one_it_waited_for);
