process/tenant_limit.sh: a request before each look for the node that counts

Cause: the test hung once (time limit of the runner, load 25): one request was answered while the nodes still declined to count, or its bucket was forgotten after five seconds, and then it waited for a counting node without sending anything.

--- a/tests/process/tenant_limit.sh
+++ b/tests/process/tenant_limit.sh
@@ -26,8 +26,10 @@
     return 1
 }
 until_true served 1
-until_true counting
-(sleep 6; n=$(counting) && echo "$n" >"$WORK/counted" && kill -KILL "${NODE_PIDS[$n]}") &
+# A node that has just started does not count, and a bucket is forgotten when nothing comes: a request before each look.
+counting_after_a_request() { status 1 >/dev/null; counting; }
+until_true counting_after_a_request
+(sleep 6; until_true counting; n=$(counting) && echo "$n" >"$WORK/counted" && kill -KILL "${NODE_PIDS[$n]}") &
 killer=$!
 (cluster_callers calm --rate 50 --count 800) &
 calm=$!
