router: the leader tells nodes in covered zones of the others again, every three seconds

Cause: since nodes in covered zones were told only where they knew under half, two nodes of one zone that never learned of each other stayed so (relays.sh waited for 600 s: two of 18 nodes in z2 knew 16 others; nobody else tells a node of its own zone's nodes). Change: as before, any node that has heard fewer than the leader is told; in covered zones every 3 s in place of 0.5 s. Test: relays.sh (waits until all know all) passes, 9 checks; it was seen to wait for ever without the change.

--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -23,8 +23,9 @@
     WHOLE_WAIT_MS = 800,  /* for the whole: a relay gets it, learns by the next heartbeat that it is right, sends it; */
     WHOLE_WAIT_NODE_MS = 5, /* and so much more for each node: with many, a relay has many to send it to */
     NODES_MAX = 1024,
-    NODES_AGAIN_MS = 500, /* until it has heard them: they report at their pace */
-    LINK_PART = 3,        /* of the link's bandwidth */
+    NODES_AGAIN_MS = 500,          /* until it has heard them: they report at their pace */
+    NODES_AGAIN_COVERED_MS = 3000, /* where relays tell of other zones' nodes; those of its own it may still not know */
+    LINK_PART = 3,                 /* of the link's bandwidth */
     BURST_MS = 200,
     BITS = 8
 };
@@ -222,12 +223,10 @@
     cw_peer_t *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        /* relays tell of the others where they work */
-        uint32_t expected = cw_router_is_covered(router, peer, now) ? alive / 2 : alive;
-
-        if (peer->last_received_at != 0 && !peer->is_lost && peer->peers < expected && now >= peer->nodes_due_at &&
+        if (peer->last_received_at != 0 && !peer->is_lost && peer->peers < alive && now >= peer->nodes_due_at &&
             router->push_room > 0) {
-            peer->nodes_due_at = now + CW_MS(NODES_AGAIN_MS);
+            peer->nodes_due_at =
+                now + CW_MS(cw_router_is_covered(router, peer, now) ? NODES_AGAIN_COVERED_MS : NODES_AGAIN_MS);
             send_nodes(router, peer);
         }
     }
