zone out, zone in: a zone's way out of service and back, with a plan

Cause: operators took zones out by writing the store's object by hand; nothing told them what loses its place, or that a service would be left without servers.

After the write it reads again: a lost answer is settled, and what another operator did meanwhile is told.

Ruled out: a plan bound to the list's revision (each heartbeat of a server would make it stale).

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -5,6 +5,7 @@
 #ifndef CEDARWINCH_CLI_CLI_H
 #define CEDARWINCH_CLI_CLI_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdio.h>
 
@@ -25,6 +26,9 @@
 int cw_cli_plan(const char *file, const char *store, const cw_name_set_t *regions);
 /** Makes the plan again and, if it is still the one of this id, writes it. */
 int cw_cli_confirm(const char *plan, const char *file, const char *store, const cw_name_set_t *regions);
+/** Prints what it means to take a zone out of service (or to put it back), and the plan's id. plan: not NULL: does it,
+ * if it is still the plan of this id. */
+int cw_cli_zone(const char *zone, bool out, const char *plan, const char *store);
 /** Prints what the nodes (each "IPv4:PORT" of its readiness endpoint) believe. */
 int cw_cli_status(const char *const *nodes, size_t count);
 /** Prints a request's story from log files, or from standard input when there are none. */
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -12,12 +12,15 @@
 
 enum { ERRORS_MAX = 10, WORDS_MAX = 256 };
 
+static const char name_letters[] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+
 static void print_help(void)
 {
     printf("Usage: cedarwinch COMMAND ...\n"
            "  check FILE...                        settings and intents: all findings with their places\n"
            "  plan INTENT --store IPV4:PORT        what the intent would change; prints the plan's id\n"
            "  confirm PLAN INTENT --store IPV4:PORT  accepts that plan, if it is not stale\n"
+           "  zone out|in NAME [--confirm PLAN] --store IPV4:PORT  takes a zone out of service, or puts it back\n"
            "  status NODE...                       what nodes (IPV4:PORT of their readiness) believe\n"
            "  explain REQUEST-ID [LOG...]          a request's story from logs, or from standard input\n"
            "  report [--html FILE] [LOG...]        outcomes by second, hottest keys and moves, from logs\n"
@@ -52,8 +55,22 @@
     return option->count > 0 ? regions : NULL;
 }
 
+/* out|in NAME */
+static int run_zone(const char *const *rest, size_t count, const char *plan, const char *store)
+{
+    bool is_out = count == 2 && strcmp(rest[0], "out") == 0;
+
+    if (count != 2 || store == NULL || (!is_out && strcmp(rest[0], "in") != 0)) {
+        return wrong("zone needs out or in, a zone's name and --store");
+    }
+    if (rest[1][0] == '\0' || strspn(rest[1], name_letters) != strlen(rest[1])) {
+        return wrong("a zone's name has letters, digits, '-', '_' and '.'");
+    }
+    return cw_cli_zone(rest[1], is_out, plan, store);
+}
+
 static int run(const struct arg_str *words, const struct arg_str *store, const struct arg_file *page,
-               const cw_name_set_t *regions)
+               const cw_name_set_t *regions, const char *plan)
 {
     const char        *command = words->count > 0 ? words->sval[0] : "";
     const char *const *rest = words->sval + 1;
@@ -79,6 +96,9 @@
         return count == 2 && store_of(store) != NULL ? cw_cli_confirm(rest[0], rest[1], store_of(store), regions)
                                                      : wrong("confirm needs a plan, an intent and --store");
     }
+    if (strcmp(command, "zone") == 0) {
+        return run_zone(rest, count, plan, store_of(store));
+    }
     return wrong("no such command");
 }
 
@@ -88,10 +108,11 @@
     struct arg_str  *store = arg_str0("s", "store", "IPV4:PORT", "the store; default: CEDARWINCH_STORE");
     struct arg_file *page = arg_file0(NULL, "html", "FILE", "report: the same as a page with plots");
     struct arg_str  *region_names = arg_str0(NULL, "regions", "NAME,...", "regions that intents may name");
+    struct arg_str  *plan = arg_str0(NULL, "confirm", "PLAN", "zone: does what the plan of this id says");
     struct arg_lit  *help = arg_lit0("h", "help", "this text");
     struct arg_lit  *version = arg_lit0("V", "version", "version");
     struct arg_end  *end = arg_end(ERRORS_MAX);
-    void            *table[] = {words, store, page, region_names, help, version, end};
+    void            *table[] = {words, store, page, region_names, plan, help, version, end};
     int              errors = arg_parse(argument_count, arguments, table);
     cw_name_set_t    regions = {0};
     int              code;
@@ -106,7 +127,7 @@
         arg_print_errors(stderr, end, "cedarwinch");
         code = CW_EXIT_WRONG_INPUT;
     } else {
-        code = run(words, store, page, regions_of(&regions, region_names));
+        code = run(words, store, page, regions_of(&regions, region_names), plan->count > 0 ? plan->sval[0] : NULL);
     }
     cw_name_set_clear(&regions);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/src/router/adapter.h
+++ b/src/router/adapter.h
@@ -30,6 +30,9 @@
     void (*read_accepted)(void *adapter, cw_accepted_read_t done, void *context);
     void (*write_accepted)(void *adapter, const cw_configuration_t *configuration, uint64_t revision,
                            cw_store_replied_t done, void *context);
+    /** For the command line: takes a zone out of service, or puts it back. CW_STORE_CONFLICT: it is out already;
+     * CW_STORE_NOT_FOUND: it is in service already. */
+    void (*set_zone_out)(void *adapter, const char *zone, bool is_out, cw_store_replied_t done, void *context);
     void (*close)(void *adapter);
 } cw_adapter_t;
 
