--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -8,8 +8,10 @@
 #include <unistd.h>
 
 #include "cli/cli.h"
+#include "cli/explain_cause.h"
 #include "cli/run_refusals.h"
 #include "loop_fixture.h"
+#include "tenancy/caller_identity.h"
 
 #define LINE(time, node, event, fields) "{\"time\":" time ",\"node\":\"" node "\",\"event\":\"" event "\"," fields "}\n"
 
@@ -150,6 +152,28 @@
 }
 END_TEST
 
+START_TEST(each_rule_that_a_caller_is_turned_away_by_has_its_cause)
+{
+    static const cw_caller_verdict_t verdicts[] = {CW_CALLER_NO_KEY, CW_CALLER_MALFORMED, CW_CALLER_UNKNOWN_KEY,
+                                                   CW_CALLER_OTHER_TENANT};
+    const char                      *seen[sizeof(verdicts) / sizeof(verdicts[0])];
+    size_t                           index;
+    size_t                           other;
+
+    for (index = 0; index < sizeof(verdicts) / sizeof(verdicts[0]); index++) {
+        cw_log_line_t line = {.event = "refused", .node = "n1"};
+
+        line.fields = json_pack("{s:s}", "reason", cw_caller_reason(verdicts[index]));
+        seen[index] = cw_explain_cause(&line);
+        ck_assert_ptr_nonnull(seen[index]);
+        for (other = 0; other < index; other++) {
+            ck_assert_str_ne(seen[index], seen[other]);
+        }
+        json_decref(line.fields);
+    }
+}
+END_TEST
+
 /* ---- the report ---- */
 
 START_TEST(refusals_are_counted_by_reason_and_tenant)
@@ -226,6 +250,7 @@
     tcase_add_test(cases, a_401_is_told_with_its_rule_and_how_old_the_keys_were);
     tcase_add_test(cases, a_regions_refusal_is_told_with_its_cause);
     tcase_add_test(cases, an_answer_that_waited_is_told_with_the_one_it_waited_for);
+    tcase_add_test(cases, each_rule_that_a_caller_is_turned_away_by_has_its_cause);
     tcase_add_test(cases, refusals_are_counted_by_reason_and_tenant);
     tcase_add_test(cases, many_tenants_are_told_by_the_largest_and_a_sum);
     tcase_add_test(cases, the_page_and_the_text_tell_the_same);
