tenants' limits: a grant that comes twice gives nothing back; four findings of a review mended

Cause, each by reading and then by a test that failed: - an ask is repeated after 40 ms; the second copy of its grant was given back though the first had been used, if another ask had followed. The counting node took the tokens for free ones: a limit could be passed by what was granted. - the same check lost a grant that came after the node had turned to its own part, in place of giving it back. - a tenant that first came while nobody counted stayed on the node's own part (for nodes over rate seconds: 90 s for one a second over 90 nodes), since nothing asked the counting node how it stands. - tokens of requests that did not run were kept alive by later ones: more than SPARE_LIFE_MS of a tenant's rate could add up. Change: the last settled ask is remembered; a tenant without a counting node is reported as soon as there is one; spares end with the first of them. Test: tests/test_quota_share.c, 4 of 4 failed before, pass now; all unit tests pass.

--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -225,13 +225,12 @@
 /* ---- router_pass_on.c ---- */
 /** Sends a page of changes that the leader has sent this relay to the other nodes of its zone. */
 void cw_router_pass_on_page(cw_router_t *router, const Cwp__Datagram *datagram);
-/** Numbers of the list and of the tables that this relay surely has as the leader does; 0: not sure. */
+/** Number of the list that this relay surely has as the leader does; 0: not sure. */
 typedef struct cw_sure_view {
     uint64_t term;
     uint64_t servers;
-    uint64_t tables;
 } cw_sure_view_t;
-/** Sends whole lists and tables to nodes of this relay's zone that have none of this term. place: 0 or 1. */
+/** Sends the whole list to nodes of this relay's zone that have none of this term. place: 0 or 1. */
 void cw_router_pass_on_whole(cw_router_t *router, const cw_sure_view_t *sure, size_t place, cw_time_us_t now);
 
 /* ---- router_push.c ---- */
--- a/src/router/router_pass_on.c
+++ b/src/router/router_pass_on.c
@@ -1,10 +1,15 @@
 /**
  * @file router_pass_on.c
- * @brief A relay's part in bringing its zone up to date: changes of the leader passed on, and whole lists and tables.
+ * @brief A relay's part in bringing its zone up to date: changes of the leader passed on, and whole lists.
  *
- * A page of changes goes on as it came, to all of the zone: those that it does not fit leave it. A whole is sent from
- * this node's own, to nodes of the zone that have none of the leader's term, and only while the leader's heartbeat has
- * the same number and hash: so what is passed on is the leader's. Nodes acknowledge to the relay and to the leader.
+ * A page of changes goes on as it came, to all of the zone: those that it does not fit leave it. A whole list is sent
+ * from this node's own, to nodes of the zone that have none of the leader's term, and only while the leader's heartbeat
+ * has the same number and hash: so what is passed on is the leader's. Nodes acknowledge to the relay and to the leader.
+ *
+ * Whole tables come from the leader alone. A node that has read a later record of assignments in the store has no
+ * number of the tables; a relay's tables, true a moment ago, would replace what it read and live on for as long as the
+ * record may, so that keys could be routed to an owner whose hold a next leader takes to be over. Lists are ordered by
+ * the store's revision, tables are not.
  */
 #include "router/router_internal.h"
 
@@ -58,7 +63,6 @@
 void cw_router_pass_on_whole(cw_router_t *router, const cw_sure_view_t *sure, size_t place, cw_time_us_t now)
 {
     bool has_servers = sure->term == router->view_term && sure->servers != 0 && sure->servers == router->view_servers;
-    bool has_tables = sure->term == router->view_term && sure->tables != 0 && sure->tables == router->view_tables;
     cw_peer_t *peer;
 
     cw_router_refill_push(router, now);
@@ -72,9 +76,5 @@
             peer->servers_push.due_at = cw_router_next_push(&peer->servers_push, now);
             cw_router_send_servers(router, peer, 0, false);
         }
-        if (has_tables && is_due(router, is_new || peer->tables == 0, &peer->tables_push, place, now)) {
-            peer->tables_push.due_at = cw_router_next_push(&peer->tables_push, now);
-            cw_router_send_tables(router, peer, 0, false);
-        }
     }
 }
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -6,9 +6,9 @@
  * after they have had time to see that what they have is the same (the leader's heartbeat carries hashes). Each node
  * says at once what has come. What is sent again waits longer each time, and all of it stays within a part of the link.
  *
- * To a zone that relays inform, each change is sent to its relays alone, which pass it on; a node that has none of this
- * term gets the whole from a relay of its zone (router_pass_on.c). To one that still lacks it after a while, the leader
- * sends it by itself: so a relay that stops costs time, but nothing waits for it.
+ * To a zone that relays inform, each change is sent to its relays alone, which pass it on; a node that has no list of
+ * this term gets the whole one from a relay of its zone (router_pass_on.c says why not tables). To one that still lacks
+ * it after a while, the leader sends it by itself: so a relay that stops costs time, but nothing waits for it.
  */
 #include <string.h>
 
@@ -75,11 +75,12 @@
     return CW_MS(WHOLE_WAIT_MS + WHOLE_WAIT_NODE_MS * (int64_t)cw_peer_link_alive(router->link, router->silence, now));
 }
 
-/* Is it this node's turn to be sent what it lacks? */
+/* Is it this node's turn to be sent what it lacks? relays_send_whole: not its changes alone. */
 static bool is_due(const cw_router_t *router, const cw_peer_t *peer, cw_push_state_t *push, uint64_t has,
-                   uint64_t newest, cw_time_us_t now)
+                   uint64_t newest, bool relays_send_whole, cw_time_us_t now)
 {
     bool is_of_term = peer->term == router->leadership.lock.term;
+    bool wants_whole = !is_of_term || has == 0;
 
     if (peer->last_received_at == 0 || peer->is_lost) {
         return false;
@@ -92,9 +93,9 @@
     if (now < push->due_at || router->push_room <= 0) {
         return false;
     }
-    if (push->tries == 0 && is_fed_by_relay(router, peer, now)) {
+    if (push->tries == 0 && (relays_send_whole || !wants_whole) && is_fed_by_relay(router, peer, now)) {
         push->tries = 1;
-        push->due_at = now + relay_wait(router, !is_of_term || has == 0, now);
+        push->due_at = now + relay_wait(router, wants_whole, now);
         return false;
     }
     return true;
@@ -173,7 +174,7 @@
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         uint64_t base = base_of(router, peer, peer->servers);
 
-        if (is_due(router, peer, &peer->servers_push, peer->servers, router->lead_servers, now)) {
+        if (is_due(router, peer, &peer->servers_push, peer->servers, router->lead_servers, true, now)) {
             peer->servers_push.due_at = cw_router_next_push(&peer->servers_push, now);
             base = cw_list_history_covers(&router->list_history, base) ? base : 0;
             cw_router_send_servers(router, peer, base, base != 0 && is_to_pass_on(router, peer));
@@ -281,7 +282,7 @@
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         uint64_t base;
 
-        if (is_due(router, peer, &peer->tables_push, peer->tables, router->lead_tables, now)) {
+        if (is_due(router, peer, &peer->tables_push, peer->tables, router->lead_tables, false, now)) {
             peer->tables_push.due_at = cw_router_next_push(&peer->tables_push, now);
             base = base_of(router, peer, peer->tables);
             cw_router_send_tables(router, peer, base, base != 0 && is_to_pass_on(router, peer));
--- a/src/router/router_quota.c
+++ b/src/router/router_quota.c
@@ -40,9 +40,10 @@
     return router->settings.seed_count > 0 && now_of(quota) - router->started_at < CW_MS(NEW_FOR_MS);
 }
 
+/* Without a configuration no tenant would seem to have a limit. */
 static bool declines(const cw_router_quota_t *quota)
 {
-    return is_new(quota) || quota->router->stopping_at != 0;
+    return is_new(quota) || quota->router->stopping_at != 0 || quota->router->configuration == NULL;
 }
 
 static void decline(cw_router_quota_t *quota, uint32_t to, uint32_t sequence)
--- a/src/router/router_relay.c
+++ b/src/router/router_relay.c
@@ -162,9 +162,6 @@
                             heartbeat->servers_hash == router->server_view.hash
                         ? router->view_servers
                         : 0;
-    sure->tables = is_term && heartbeat->tables == router->view_tables && heartbeat->tables_hash == router->tables_hash
-                       ? router->view_tables
-                       : 0;
 }
 
 void cw_router_relay_tick(cw_router_t *router, cw_time_us_t now)
--- a/src/tenancy/quota_share.c
+++ b/src/tenancy/quota_share.c
@@ -146,6 +146,7 @@
     }
     if (counter == 0) {
         cw_quota_set_mode(share, tenant, CW_QUOTA_ALONE, now);
+        tenant->is_report_due = true; /* the node that counts next says how the tenant stands */
     }
     return counter != 0;
 }
@@ -334,8 +335,11 @@
     if (tenant == NULL) {
         return;
     }
-    tenant->spares = (now < tenant->spares_until ? tenant->spares : 0) + 1;
-    tenant->spares_until = now + CW_MS(SPARE_LIFE_MS);
+    if (now >= tenant->spares_until) { /* later ones do not lengthen the life of those before */
+        tenant->spares = 0;
+        tenant->spares_until = now + CW_MS(SPARE_LIFE_MS);
+    }
+    tenant->spares++;
 }
 
 /* ---- replies ---- */
@@ -351,16 +355,31 @@
     tenant->ask.sequence = 0;
 }
 
+/* A grant that comes too late is given back. One that comes a second time, since its ask was repeated, is not: its
+ * tokens were taken, or given back, with the first. */
+static void decline_grant(cw_quota_share_t *share, cw_quota_tenant_t *tenant, uint32_t counter,
+                          const cw_quota_grant_t *grant)
+{
+    if (tenant != NULL && grant->sequence <= tenant->settled_sequence) {
+        return;
+    }
+    if (tenant != NULL) {
+        tenant->settled_sequence = grant->sequence;
+    }
+    if (grant->tokens > 0) {
+        share->port.give_back(share->port.context, counter, grant->tenant, grant->tokens);
+    }
+}
+
 void cw_quota_share_granted(cw_quota_share_t *share, uint32_t counter, const cw_quota_grant_t *grant, cw_time_us_t now)
 {
     cw_quota_tenant_t *tenant = find_tenant(share, grant->tenant);
 
     if (tenant == NULL || tenant->counter != counter || grant->sequence != tenant->ask.sequence) {
-        if (grant->tokens > 0 && (tenant == NULL || grant->sequence != tenant->last_sequence)) {
-            share->port.give_back(share->port.context, counter, grant->tenant, grant->tokens);
-        }
+        decline_grant(share, tenant, counter, grant);
         return;
     }
+    tenant->settled_sequence = grant->sequence;
     tenant->heard_at = now;
     tenant->has_word = true;
     tenant->unconfirmed = 0;
--- a/src/tenancy/quota_share_internal.h
+++ b/src/tenancy/quota_share_internal.h
@@ -53,7 +53,7 @@
     cw_quota_recent_t   recent;
     uint32_t            unreported;    /**< let through without a token since the last report */
     uint32_t            unconfirmed;   /**< in reports without a reply */
-    bool                is_report_due; /**< the counter is a new one */
+    bool                is_report_due; /**< though nothing is unreported: its counter is to say how it stands */
     uint32_t            reported_in;   /**< sequence of the last report that names it */
     bool                has_word;      /**< of the present counter */
     cw_time_us_t        heard_at;      /**< the counter's last word on this tenant */
@@ -64,6 +64,7 @@
     uint32_t            waiting; /**< requests */
     cw_quota_open_ask_t ask;
     uint32_t            last_sequence;
+    uint32_t            settled_sequence; /**< of the last ask whose grant was taken or given back */
     cw_time_us_t        came_at;
     uint32_t            refused;      /**< since the last ask */
     cw_time_us_t        refuse_until; /**< no token is to be had till then */
--- /dev/null
+++ b/tests/test_quota_share.c
@@ -0,0 +1,189 @@
+/**
+ * @file test_quota_share.c
+ * @brief A node's part in a tenant's limit, message by message: the test is the counting node.
+ */
+#include "loop_fixture.h"
+#include "tenancy/quota_share.h"
+
+enum { TENANT = 7, COUNTER = 4 };
+
+static const cw_quota_limit_t limit = {.rate_per_s = 100, .burst = 100};
+static const cw_time_us_t     start = CW_SECONDS(100);
+
+/** What the node has sent. */
+typedef struct sent {
+    uint32_t       counter; /**< 0: there is none */
+    uint32_t       reports;
+    uint32_t       sequence;   /**< of the last report */
+    uint32_t       given_back; /**< tokens */
+    uint32_t       asks;
+    cw_quota_ask_t ask; /**< the last one */
+} sent_t;
+
+static uint32_t on_counter(void *context, uint32_t tenant)
+{
+    (void)tenant;
+    return ((const sent_t *)context)->counter;
+}
+
+static void on_report(void *context, uint32_t counter, uint32_t sequence, const cw_quota_usage_t *usages, size_t count)
+{
+    sent_t *sent = context;
+
+    (void)counter, (void)usages, (void)count;
+    sent->reports++;
+    sent->sequence = sequence;
+}
+
+static void on_ask(void *context, uint32_t counter, const cw_quota_ask_t *ask)
+{
+    sent_t *sent = context;
+
+    (void)counter;
+    sent->asks++;
+    sent->ask = *ask;
+}
+
+static void on_give_back(void *context, uint32_t counter, uint32_t tenant, uint32_t tokens)
+{
+    (void)counter, (void)tenant;
+    ((sent_t *)context)->given_back += tokens;
+}
+
+static void on_decided(void *context, uint32_t tenant)
+{
+    (void)context, (void)tenant;
+}
+
+static void on_mode(void *context, uint32_t tenant, cw_quota_mode_t mode, uint32_t counter, cw_time_us_t age)
+{
+    (void)context, (void)tenant, (void)mode, (void)counter, (void)age;
+}
+
+static cw_quota_share_t *create(sent_t *sent, uint32_t nodes)
+{
+    cw_quota_settings_t settings = {.window = CW_SECONDS(5), .overshoot = 0.1, .slack = 20};
+    cw_quota_port_t     port = {sent, on_counter, on_report, on_ask, on_give_back, on_decided, on_mode};
+    cw_quota_share_t   *share = cw_quota_share_create(&settings, &port, 1, 1);
+
+    cw_quota_share_set_nodes(share, nodes);
+    return share;
+}
+
+static cw_quota_answer_t enter(cw_quota_share_t *share, cw_time_us_t now)
+{
+    cw_time_us_t retry_after;
+
+    return cw_quota_share_enter(share, TENANT, &limit, now, &retry_after);
+}
+
+static void grant(cw_quota_share_t *share, uint32_t sequence, uint32_t tokens, cw_time_us_t now)
+{
+    cw_quota_grant_t granted = {.tenant = TENANT, .sequence = sequence, .tokens = tokens, .is_metered = true};
+
+    cw_quota_share_granted(share, COUNTER, &granted, now);
+}
+
+static cw_quota_answer_t decide(cw_quota_share_t *share, cw_time_us_t now)
+{
+    cw_time_us_t retry_after;
+
+    return cw_quota_share_decide(share, TENANT, now, &retry_after);
+}
+
+/* A slow counting node answers an ask and its repeat. */
+START_TEST(a_grant_that_comes_twice_is_taken_once_and_not_given_back)
+{
+    sent_t            sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1000);
+    uint32_t          first;
+
+    ck_assert_int_eq(enter(share, start), CW_QUOTA_WAIT);
+    first = sent.ask.sequence;
+    cw_quota_share_tick(share, start + CW_MS(45));
+    ck_assert_uint_eq(sent.asks, 2);
+    ck_assert_uint_eq(sent.ask.sequence, first);
+    grant(share, first, 1, start + CW_MS(50));
+    ck_assert_int_eq(decide(share, start + CW_MS(50)), CW_QUOTA_ADMITTED);
+    ck_assert_int_eq(enter(share, start + CW_MS(51)), CW_QUOTA_WAIT);
+    ck_assert_uint_gt(sent.ask.sequence, first);
+    grant(share, first, 1, start + CW_MS(52));
+    ck_assert_uint_eq(sent.given_back, 0);
+    cw_quota_share_free(share);
+}
+END_TEST
+
+START_TEST(a_grant_that_comes_too_late_is_given_back_once)
+{
+    sent_t            sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1000);
+    cw_time_us_t      now;
+
+    ck_assert_int_eq(enter(share, start), CW_QUOTA_WAIT);
+    for (now = start; now < start + CW_MS(300); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+    }
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_ALONE);
+    grant(share, sent.ask.sequence, 3, now);
+    grant(share, sent.ask.sequence, 3, now);
+    ck_assert_uint_eq(sent.given_back, 3);
+    cw_quota_share_free(share);
+}
+END_TEST
+
+START_TEST(a_tenant_that_came_while_nobody_counted_is_reported_when_a_node_does)
+{
+    sent_t            sent = {.counter = 0};
+    cw_quota_share_t *share = create(&sent, 1000);
+    cw_time_us_t      now = start;
+
+    (void)enter(share, now);
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_ALONE);
+    sent.counter = COUNTER;
+    for (; now < start + CW_MS(200); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+    }
+    ck_assert_uint_ge(sent.reports, 1);
+    cw_quota_share_status(share, COUNTER, sent.sequence, NULL, 0, now);
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_FREE);
+    cw_quota_share_free(share);
+}
+END_TEST
+
+/* What is given back later does not keep alive what was given back before. */
+START_TEST(tokens_of_requests_that_did_not_run_expire)
+{
+    sent_t            sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1000);
+    cw_time_us_t      now = start;
+    int               index;
+
+    ck_assert_int_eq(enter(share, now), CW_QUOTA_WAIT);
+    grant(share, sent.ask.sequence, 1, now);
+    ck_assert_int_eq(decide(share, now), CW_QUOTA_ADMITTED);
+    for (index = 0; index < 50; index++) {
+        cw_quota_share_give_back(share, TENANT, now);
+    }
+    for (index = 0; index < 2; index++) { /* one is used and comes back, each time before the last one's end */
+        now += CW_MS(200);
+        if (enter(share, now) == CW_QUOTA_ADMITTED) {
+            cw_quota_share_give_back(share, TENANT, now);
+        }
+    }
+    ck_assert_int_eq(enter(share, now + CW_MS(150)), CW_QUOTA_WAIT);
+    cw_quota_share_free(share);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("quota share");
+    TCase *cases = tcase_create("message by message");
+
+    tcase_add_test(cases, a_grant_that_comes_twice_is_taken_once_and_not_given_back);
+    tcase_add_test(cases, a_grant_that_comes_too_late_is_given_back_once);
+    tcase_add_test(cases, a_tenant_that_came_while_nobody_counted_is_reported_when_a_node_does);
+    tcase_add_test(cases, tokens_of_requests_that_did_not_run_expire);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
