--- /dev/null
+++ b/tests/test_pass_on.c
@@ -0,0 +1,61 @@
+/**
+ * @file test_pass_on.c
+ * @brief What a relay sends to nodes of its zone that have nothing of the leader's term.
+ */
+#include <arpa/inet.h>
+
+#include "loop_fixture.h"
+#include "node_fixture.h"
+
+enum { TERM = 5, SERVERS_NUMBER = 3, TABLES_NUMBER = 4, STEPS = 60 };
+
+static uint64_t sent_to_zone(const node_fixture_t *node, Cwp__Datagram__ContentCase kind)
+{
+    return cw_peer_link_traffic(node->router.link)->datagrams[kind][CW_DISTANCE_ZONE];
+}
+
+/* It has read the list and a record of assignments in the store itself: no number of either. */
+static cw_peer_t *add_reader(node_fixture_t *node)
+{
+    cw_peer_t *peer;
+
+    node_fixture_receive_report(node, "10.0.0.10", "z1", 1);
+    peer = cw_peer_link_find(node->router.link, inet_addr("10.0.0.10"));
+    ck_assert_ptr_nonnull(peer);
+    peer->distance = CW_DISTANCE_ZONE;
+    peer->term = TERM;
+    peer->servers = 0;
+    peer->tables = 0;
+    return peer;
+}
+
+START_TEST(whole_lists_are_passed_on_and_whole_tables_never)
+{
+    node_fixture_t *node = node_fixture_create();
+    cw_sure_view_t  sure = {.term = TERM, .servers = SERVERS_NUMBER};
+    int             step;
+
+    node_fixture_read_servers(node, "docks", 6, "10.0.1.1:80");
+    (void)add_reader(node);
+    node->router.settings.link_mbps = 100;
+    node->router.view_term = TERM;
+    node->router.view_servers = SERVERS_NUMBER;
+    node->router.view_tables = TABLES_NUMBER;
+    for (step = 0; step < STEPS; step++) {
+        cw_router_pass_on_whole(&node->router, &sure, 0, cw_router_now(&node->router) + CW_MS(20) * step);
+    }
+    ck_assert_uint_ge(sent_to_zone(node, CWP__DATAGRAM__CONTENT_SERVERS), 1);
+    ck_assert_uint_eq(sent_to_zone(node, CWP__DATAGRAM__CONTENT_TABLE), 0);
+    node_fixture_free(node);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("pass on");
+    TCase *cases = tcase_create("pass on");
+
+    tcase_add_test(cases, whole_lists_are_passed_on_and_whole_tables_never);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
