--- a/tests/test_pass_on.c
+++ b/tests/test_pass_on.c
@@ -29,6 +29,15 @@
     return peer;
 }
 
+static void set_tables(node_fixture_t *node)
+{
+    cw_range_t      range = {.low = 0, .last = CW_KEY_LAST, .phase = CW_RANGE_HELD};
+    cw_range_list_t ranges = {.items = &range, .count = 1};
+
+    ck_assert(cw_key_tables_update(&node->router.tables, "docks", &ranges, TABLES_NUMBER));
+    node->router.view_tables = TABLES_NUMBER;
+}
+
 START_TEST(whole_lists_are_passed_on_and_whole_tables_never)
 {
     node_fixture_t *node = node_fixture_create();
@@ -40,7 +49,7 @@
     node->router.settings.link_mbps = 100;
     node->router.view_term = TERM;
     node->router.view_servers = SERVERS_NUMBER;
-    node->router.view_tables = TABLES_NUMBER;
+    set_tables(node);
     for (step = 0; step < STEPS; step++) {
         cw_router_pass_on_whole(&node->router, &sure, 0, cw_router_now(&node->router) + CW_MS(20) * step);
     }
