The soak has tenants: keys, a key that is taken away, a limit

Cause: the soak struck processes and the store but knew no tenants, so nothing showed under faults that a caller's key stays at the node, that a key taken away stops counting, and that a limit holds over all nodes. A new kind shifts what a seed draws: REVOKE= leaves it out, so that a seed found before plays its schedule (regressions.txt). Ruled out: rules of cw-verdict, which would ask each process test for its callers' tenants.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -97,12 +97,12 @@
     done
 }
 
-# Until the leader has granted all keys: a request for any key is answered.
+# Until the leader has granted all keys: a request for any key is answered. CALLER_KEY: where callers are known by keys.
 cluster_wait_served() {
     local key
     for key in 0 10000 20000 30000 40000 50000 65535; do
         until_true curl -sf "http://$NET.1:8080/docks/x" -H 'Host: maps.example' -H "X-Shard-Key: $key" \
-            -H "X-Request-Id: wait-$key-$RANDOM$RANDOM" -H 'X-Deadline-Ms: 1000'
+            -H "X-Request-Id: wait-$key-$RANDOM$RANDOM" -H 'X-Deadline-Ms: 1000' ${CALLER_KEY:+-H "Authorization: Bearer $CALLER_KEY"}
     done
 }
 
--- a/standins/callers/main.c
+++ b/standins/callers/main.c
@@ -49,6 +49,7 @@
     uint64_t              counts[600]; /**< by status; 0: no answer */
     uint64_t              wrong;
     uint32_t              hot_percent; /**< of requests: all about one key */
+    const char           *credential;  /**< sent in "Authorization"; NULL: none */
     char                  run[24];
     uint64_t              random;
 } callers_t;
@@ -141,6 +142,9 @@
     cw_bytes_append_format(text, "%s %s%" PRIu64 " HTTP/1.1\r\nHost: %s\r\n", kind->method, kind->prefix,
                            attempt->number, kind->host);
     cw_bytes_append_format(text, "X-Request-Id: %s\r\nX-Deadline-Ms: %" PRIu64 "\r\n", attempt->id, left_ms);
+    if (callers->credential != NULL) {
+        cw_bytes_append_format(text, "Authorization: Bearer %s\r\n", callers->credential);
+    }
     if (kind->keyed != 0) {
         cw_bytes_append_format(text, "X-Shard-Key: %u\r\n", attempt->key);
     }
@@ -303,9 +307,10 @@
     struct arg_int  *hot = arg_int0("t", "hot", "PERCENT", "requests about one key; default 0");
     struct arg_int  *pipeline = arg_int0("p", "pipeline", "N", "requests sent at once on a connection; default 1");
     struct arg_int  *body = arg_int0("b", "body", "BYTES", "of requests that have one; default 5");
+    struct arg_str  *credential = arg_str0(NULL, "credential", "KEY", "the callers' key; default none");
     struct arg_str  *name = arg_str0("i", "name", "TEXT", "begins the ids; default r");
     struct arg_end  *end = arg_end(ERRORS_MAX);
-    void            *table[] = {nodes, kinds, rate, count, hot, pipeline, body, name, end};
+    void            *table[] = {nodes, kinds, rate, count, hot, pipeline, body, credential, name, end};
     static callers_t callers;
     cw_upstream_options_t options = {.idle_max = CW_SECONDS(2)};
     int                   index;
@@ -327,6 +332,7 @@
         return 2;
     }
     callers.hot_percent = hot->count > 0 ? (uint32_t)hot->ival[0] : 0;
+    callers.credential = credential->count > 0 ? credential->sval[0] : NULL;
     snprintf(callers.run, sizeof(callers.run), "%s", name->count > 0 ? name->sval[0] : "r");
     for (index = 0; index < kinds->count; index++) {
         if (!parse_kind(&callers.kinds[callers.kind_count++], kinds->sval[index])) {
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -3,7 +3,8 @@
  * @brief Stand-in of a tenant's server: works on a few requests at once, holds keys by grants, signs into the store.
  *
  * One JSON line on standard output for each run, grant and release, with this machine's monotonic time, for the
- * checker of runs (cw-verdict). SIGTERM: it states that it drains, serves on for a while, and ends.
+ * checker of runs (cw-verdict). Runs name the tenant that the server was told ("X-Tenant"); a caller's credential that
+ * reaches a server gets a line of its own. SIGTERM: it states that it drains, serves on for a while, and ends.
  */
 #include <argtable2.h>
 #include <inttypes.h>
@@ -37,6 +38,7 @@
     cw_http_exchange_t *exchange; /**< NULL: its caller has left */
     uv_timer_t          timer;
     char                id[80];
+    char                tenant[40]; /**< of its caller, as the server was told; empty: none */
     uint32_t            key;
     bool                keyed;
     bool                running;
@@ -89,14 +91,20 @@
     uint64_t              handovers;
 };
 
-static void note(server_t *server, const char *event, const char *id, uint32_t low, uint32_t last, uint64_t fence)
+static void note_of_tenant(server_t *server, const char *event, const char *id, uint32_t low, uint32_t last,
+                           uint64_t fence, const char *tenant)
 {
     printf("{\"ns\":%" PRIu64 ",\"event\":\"%s\",\"server\":\"%s\",\"service\":\"%s\",\"id\":\"%s\",\"low\":%u,"
-           "\"last\":%u,\"fence\":%" PRIu64 "}\n",
-           uv_hrtime(), event, server->id, server->service, id, low, last, fence);
+           "\"last\":%u,\"fence\":%" PRIu64 ",\"tenant\":\"%s\"}\n",
+           uv_hrtime(), event, server->id, server->service, id, low, last, fence, tenant);
     fflush(stdout);
 }
 
+static void note(server_t *server, const char *event, const char *id, uint32_t low, uint32_t last, uint64_t fence)
+{
+    note_of_tenant(server, event, id, low, last, fence, "");
+}
+
 /* ---- answers ---- */
 
 static void add_field(cw_http_fields_t *fields, cw_http_field_builder_t *builder, const char *name, const char *value)
@@ -279,7 +287,8 @@
     job->running = true;
     DL_APPEND(server->jobs, job);
     server->running++;
-    note(server, "run", job->id, job->key, job->key, job->keyed ? server->keys[job->key].fence : 0);
+    note_of_tenant(server, "run", job->id, job->key, job->key, job->keyed ? server->keys[job->key].fence : 0,
+                   job->tenant);
     uv_timer_start(&job->timer, on_work_done, server->work_ms, 0);
 }
 
@@ -288,6 +297,7 @@
     const char *target = cw_http_fields_find(inbound->fields, "X-Target-Instance");
     const char *id = cw_http_fields_find(inbound->fields, "X-Request-Id");
     const char *key = cw_http_fields_find(inbound->fields, "X-Shard-Key");
+    const char *tenant = cw_http_fields_find(inbound->fields, "X-Tenant");
     job_t      *job;
 
     if (id == NULL) {
@@ -314,6 +324,7 @@
     job->keyed = server->keyed;
     job->key = key == NULL ? 0 : (uint32_t)atoi(key);
     snprintf(job->id, sizeof(job->id), "%s", id);
+    snprintf(job->tenant, sizeof(job->tenant), "%s", tenant == NULL ? "" : tenant);
     uv_timer_init(&server->loop, &job->timer);
     job->timer.data = job;
     cw_http_exchange_set_data(exchange, job);
@@ -330,8 +341,12 @@
     server_t   *server = context;
     const char *target = cw_http_fields_find(inbound->fields, "X-Target-Instance");
     bool        is_order = strncmp(inbound->target, "/api/", strlen("/api/")) == 0;
+    const char *id = cw_http_fields_find(inbound->fields, "X-Request-Id");
     json_t     *body;
 
+    if (cw_http_fields_find(inbound->fields, "Authorization") != NULL) {
+        note(server, "credential", id == NULL ? "" : id, 0, 0, 0);
+    }
     if (strcmp(inbound->target, "/health") == 0) {
         answer(server, exchange, server->draining ? STATUS_UNAVAILABLE : 200, NULL, true, NULL, "");
         return;
--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -5,6 +5,7 @@
 #   ROUNDS=n     rounds of faults, each followed by a calm moment in which the promises are checked (default 4)
 #   NODES=n      default 4, at most 90
 #   SERVERS=n    for the keyed service (default 6); the other one has half as many
+#   REVOKE=      (empty) without that kind, as seeds were drawn before it was there
 #   ONLY=KIND    only that kind of fault (see `faults`), to narrow a finding down
 #
 # Rounds are planned (stops, reloads, changes, a leaving server, a store in trouble) or unplanned (also kills and freezes).
@@ -16,11 +17,15 @@
 #   ends      a node that is told to stop ends by itself, with 0
 #   calm      after a round, within the bounds: a new configuration is in force everywhere, and all keys are served
 #   back      no process goes back to an older configuration
+#   tenants   no caller's key reaches a server, each run names the tenant of the caller's key, and none is without
+#   revoked   a key that was taken away runs nothing later than the bound, and is rejected by all nodes after a round
+#   limit     a tenant's runs over all servers, in each window, are no more than its limit allows
 # The last lines count the faults by kind and the findings; exit code 1 when there is a finding. KEEP=1 keeps the records.
 SEED=${SEED:-1} ROUNDS=${ROUNDS:-4} COUNT=${NODES:-4} SERVERS=${SERVERS:-6} ONLY=${ONLY:-}
 ENDPOINTS_MAX=16 # of the stand-in store
 [ "$COUNT" -ge "$ENDPOINTS_MAX" ] || STORE_ENDPOINTS=$((COUNT + 1))
 NODE_SETTINGS="stop_grace_ms: 5000"
+CALLER_KEY=red-key # of the callers that nothing is taken away from
 . "$(dirname "$0")/../../scripts/cluster.sh"
 CALM_S=12 # machines are held to their bounds 3 s after a fault; then 2 s for a change, and some slack for a busy machine
 STATE=$SEED
@@ -28,6 +33,11 @@
 HTTP_MS=800
 WORK_MS=40 RATE=80 ROUND_S=12 # some three requests are at work at any moment
 PIPED_RATE=60 UPLOAD_BYTES=60000
+# The tenant "limited" sends four times its rate; window, overshoot and slack are the nodes' own (docs/CONFIGURATION.md).
+LIMIT_RATE=10 LIMIT_WINDOW_S=5 LIMIT_SLACK=20 LIMITED_RATE=40
+KEY_TURN=0 # the number of the tenant "red"'s other key, which is taken away and replaced
+# Alone, a key taken away is held to configuration_within_ms and a second for a busy machine; under other faults to CALM_S.
+if [ "$ONLY" = revoke ]; then REVOKED_WITHIN_MS=3000; else REVOKED_WITHIN_MS=$((CALM_S * 1000)); fi
 
 say() { echo "$(date +%T.%3N) $*"; }
 # Random numbers are drawn in this shell, not in a subshell, whose state would be lost. Both leave what they draw in DRAWN.
@@ -44,6 +54,12 @@
 finding() { say "FINDING $*"; FINDINGS=$((FINDINGS + 1)); }
 version_of() { curl -s -m 1 "http://$NET.$1:8081/metrics" | awk '/^cedarwinch_configuration_version/ {print $2}'; }
 is_up() { kill -0 "${NODE_PIDS[$1]}" 2>/dev/null; }
+eval "untenanted_$(declare -f configuration)"
+configuration() { # VERSION: the usual one, with tenants
+    untenanted_configuration "$1" | jq -c --arg turn "red-turn-$KEY_TURN" --argjson rate "$LIMIT_RATE" '. + {tenants: [
+        {name: "red", "api-keys": ["red-key", $turn], priority: 1},
+        {name: "limited", "api-keys": ["limited-key"], priority: 0, "rate-per-s": $rate}]}'
+}
 # The operator's next version: asked for again until the store acknowledges it.
 change() {
     local body
@@ -53,7 +69,7 @@
 }
 
 declare -A COUNTS=()
-FINDINGS=0 NEXT_SERVER=0 UNREAD=0 JOBS=()
+FINDINGS=0 NEXT_SERVER=0 UNREAD=0 LATE=0 JOBS=()
 
 # A server of a new incarnation in place of one that goes.
 replace_server() { # NAME SIGNAL
@@ -65,7 +81,7 @@
     kill -"$2" "${SERVER_PIDS[$1]}"
 }
 
-planned_faults=(stop reload change storm leave down endpoint slow lose late forget mute refuse)
+planned_faults=(stop reload change storm ${REVOKE-revoke} leave down endpoint slow lose late forget mute refuse)
 unplanned_faults=("${planned_faults[@]}" kill freeze crash kill_leader kill_many)
 
 stop_node() { # NODE: ends by itself, and is started again by heal
@@ -83,6 +99,7 @@
     stop) [ -n "${STOPPED[$node]:-}" ] || stop_node "$node" ;;
     reload) kill -HUP "${NODE_PIDS[$node]}" 2>/dev/null ;;
     change) change ;;
+    revoke) KEY_TURN=$((KEY_TURN + 1)); change; REVOKED[$((KEY_TURN - 1))]=$(monotonic_ms) ;;
     storm) for _ in 1 2 3 4 5 6 7 8; do change; draw 2 8; sleep "0.0$DRAWN"; done ;;
     leave) pick "${SERVER_NAMES[@]}"; replace_server "$DRAWN" TERM ;;
     crash) pick "${SERVER_NAMES[@]}"; replace_server "$DRAWN" KILL ;;
@@ -124,7 +141,9 @@
     done
 }
 
-declare -A STOPPED=()
+declare -A STOPPED=() REVOKED=() # REVOKED: when the store had acknowledged that the key was taken away
+
+monotonic_ms() { awk '{printf "%d", $1 * 1000}' /proc/uptime; } # the clock of servers' and callers' records
 
 in_force_everywhere() { local node; for node in $(seq 1 "$COUNT"); do [ "$(version_of "$node")" = "$VERSION" ] || return 1; done; }
 served_everywhere() {
@@ -132,7 +151,8 @@
     for key in 0 10000 20000 30000 40000 50000 65535; do
         node=$((key % COUNT + 1))
         curl -sf -m 2 "http://$NET.$node:8080/docks/x" -H 'Host: maps.example' -H "X-Shard-Key: $key" \
-            -H "X-Request-Id: calm-$key-$VERSION-$SECONDS-$RANDOM_ID" -H "X-Deadline-Ms: $HTTP_MS" >/dev/null || return 1
+            -H "X-Request-Id: calm-$key-$VERSION-$SECONDS-$RANDOM_ID" -H "X-Deadline-Ms: $HTTP_MS" \
+            -H "Authorization: Bearer red-turn-$KEY_TURN" >/dev/null || return 1
         RANDOM_ID=$((RANDOM_ID + 1))
     done
 }
@@ -145,14 +165,62 @@
     done
 }
 
+# With the version in force everywhere, no node serves a key that was taken away.
+check_taken_keys() { # ROUND
+    local node turn status
+    for turn in "${!REVOKED[@]}"; do
+        for node in $(seq 1 "$COUNT"); do
+            status=$(curl -s -m 2 -o /dev/null -w '%{http_code}' -X POST "http://$NET.$node:8080/hire/x" -H 'Host: maps.example' \
+                -H "X-Request-Id: taken-$turn-$node-$VERSION" -H "X-Deadline-Ms: $HTTP_MS" -H "Authorization: Bearer red-turn-$turn")
+            [ "$status" = 401 ] || finding "revoked: round $1: node $node answers $status to key $turn, which was taken away"
+        done
+    done
+}
+
 calm() { # ROUND
     local node
     change
     holds_within "$CALM_S" in_force_everywhere ||
         finding "calm: round $1: version $VERSION is not in force everywhere: $(for node in $(seq 1 "$COUNT"); do version_of "$node"; done | xargs)"
+    check_taken_keys "$1"
     holds_within "$CALM_S" served_everywhere || finding "calm: round $1: some keys are not served"
 }
 
+# Beside the callers whose promises are checked: those with a key that may be taken away, with a limit, and without a key.
+other_callers() { # ROUND
+    local KINDS=(--kind "maps.example,/hire/,POST,2000,0")
+    cluster_callers "turn$KEY_TURN-round$1" --credential "red-turn-$KEY_TURN" --rate 10 --count $((10 * ROUND_S)) &
+    cluster_callers "limited-round$1" --credential limited-key --rate "$LIMITED_RATE" --count $((LIMITED_RATE * ROUND_S)) &
+    cluster_callers "none-round$1" --rate 5 --count $((5 * ROUND_S)) &
+    wait
+}
+check_tenants() {
+    local reached other
+    reached=$(cat "$WORK"/server-*.json | jq -r 'select(.event=="credential").id' | wc -l)
+    other=$(cat "$WORK"/server-*.json | jq -r 'select(.event=="run" and
+        .tenant != (if .id|test("^limited-") then "limited" elif .id|test("^none-") then "nobody" else "red" end)) | "\(.id) ran for \(.tenant)"')
+    [ "$reached" = 0 ] || finding "tenants: $reached requests reached a server with their caller's key"
+    [ -z "$other" ] || finding "tenants: $(wc -l <<<"$other") runs name another tenant or none: $(head -1 <<<"$other")"
+}
+# Of requests with a key that was taken away, those sent later than the bound that have run.
+check_revoked() {
+    local turn late
+    for turn in "${!REVOKED[@]}"; do
+        cat "$WORK/callers-turn$turn"-*.json 2>/dev/null |
+            jq -r --argjson after $((REVOKED[$turn] + REVOKED_WITHIN_MS)) 'select(.event=="end" and .ns / 1e6 - .ms > $after).id' >"$WORK/late"
+        LATE=$((LATE + $(wc -l <"$WORK/late")))
+        late=$(cat "$WORK"/server-*.json | jq -r 'select(.event=="run").id' | grep -xFf "$WORK/late" | xargs)
+        [ -z "$late" ] || finding "revoked: key $turn, taken away at ${REVOKED[$turn]} ms, has run: $late"
+    done
+}
+check_limit() {
+    local most allowed=$((LIMIT_RATE * LIMIT_WINDOW_S * 11 / 10 + LIMIT_SLACK))
+    most=$(cat "$WORK"/server-*.json | jq -s --argjson w "${LIMIT_WINDOW_S}000000000" \
+        '[.[]|select(.event=="run" and .tenant=="limited").ns]|sort as $t|[range($t|length) as $i|[$t[$i:][]|select(. < $t[$i]+$w)]|length]|max // 0')
+    say "limit: at most $most runs in a window, $allowed are allowed"
+    [ "$most" -le "$allowed" ] || finding "limit: $most runs in a window of $LIMIT_WINDOW_S s, $allowed are allowed"
+}
+
 cut_connections() { # ROUND
     jq -s '[.[]|select(.event=="end" and .status==0 and (.fault=="connection ended early" or .fault=="connection reset" or .fault=="not an answer"))]|length' "$WORK/callers-round$1.json"
 }
@@ -161,7 +229,7 @@
 piped_callers() { # ROUND
     local maps="maps.example,/docks/,GET,2000,1" KINDS
     KINDS=(--kind "$maps" --kind "$maps" --kind "$maps" --kind "maps.example,/hire/,POST,2000,0")
-    cluster_callers "piped$1" --pipeline 5 --body "$UPLOAD_BYTES" --rate "$PIPED_RATE" --count $((PIPED_RATE * ROUND_S))
+    cluster_callers "piped$1" --credential "$CALLER_KEY" --pipeline 5 --body "$UPLOAD_BYTES" --rate "$PIPED_RATE" --count $((PIPED_RATE * ROUND_S))
 }
 piped_ended() { jq -rs "[.[]|select(.event==\"end\" and .fault==\"$2\").id]|$3" "$WORK/callers-piped$1.json"; }
 unread_and_run() { # ROUND
@@ -190,10 +258,12 @@
     draw 4 8
     faults=$DRAWN
     say "round $1: $kind, $faults faults"
-    (cluster_callers "round$1" --rate "$RATE" --count $((RATE * ROUND_S))) &
-    local callers=$! piped
+    (cluster_callers "round$1" --credential "$CALLER_KEY" --rate "$RATE" --count $((RATE * ROUND_S))) &
+    local callers=$! piped others
     piped_callers "$1" &
     piped=$!
+    (other_callers "$1") &
+    others=$!
     for _ in $(seq 1 "$faults"); do
         pick "${kinds[@]}"
         fault "$DRAWN"
@@ -202,7 +272,7 @@
     done
     heal
     calm "$1"
-    wait "$callers" "$piped"
+    wait "$callers" "$piped" "$others"
     check_piped "$1" "$kind"
     cut=$(cut_connections "$1")
     [ "$kind" = unplanned ] || [ "$cut" = 0 ] || finding "cut: round $1 (planned): $cut connections ended under a request"
@@ -235,6 +305,10 @@
     [ "${back:-0}" = 0 ] || finding "back: node $node went back $back times"
 done
 cluster_check >"$WORK/verdict.txt" || { cat "$WORK/verdict.txt"; finding "records: $(tail -1 "$WORK/verdict.txt")"; }
+check_tenants
+check_revoked
+check_limit
+say "revoked: ${#REVOKED[@]} keys, $LATE requests later than the bound"
 say "pipelined: $UNREAD requests lay behind a closing answer"
 say "verdict: $(tail -1 "$WORK/verdict.txt")"
 say "faults: $(for kind in "${!COUNTS[@]}"; do echo "$kind ${COUNTS[$kind]}"; done | sort | xargs)"
