Each round of the soak takes a key away, beside the faults that are drawn

Change: each round takes one key away; ONLY=revoke does nothing else. The schedules are those drawn before, so regressions.txt stands.

--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -5,7 +5,6 @@
 #   ROUNDS=n     rounds of faults, each followed by a calm moment in which the promises are checked (default 4)
 #   NODES=n      default 4, at most 90
 #   SERVERS=n    for the keyed service (default 6); the other one has half as many
-#   REVOKE=      (empty) without that kind, as seeds were drawn before it was there
 #   ONLY=KIND    only that kind of fault (see `faults`), to narrow a finding down
 #
 # Rounds are planned (stops, reloads, changes, a leaving server, a store in trouble) or unplanned (also kills and freezes).
@@ -81,13 +80,20 @@
     kill -"$2" "${SERVER_PIDS[$1]}"
 }
 
-planned_faults=(stop reload change storm ${REVOKE-revoke} leave down endpoint slow lose late forget mute refuse)
+planned_faults=(stop reload change storm leave down endpoint slow lose late forget mute refuse)
 unplanned_faults=("${planned_faults[@]}" kill freeze crash kill_leader kill_many)
 
 stop_node() { # NODE: ends by itself, and is started again by heal
     kill -TERM "${NODE_PIDS[$1]}" && STOPPED[$1]=${NODE_PIDS[$1]}
 }
 
+# A key is taken away and another added. Each round has one beside the faults that are drawn, so that the schedule is as it was.
+revoke() {
+    KEY_TURN=$((KEY_TURN + 1))
+    change
+    REVOKED[$((KEY_TURN - 1))]=$(monotonic_ms)
+}
+
 # Carries one fault out; those that last go on in the background and end before the round does.
 fault() { # KIND
     local node how
@@ -99,7 +105,7 @@
     stop) [ -n "${STOPPED[$node]:-}" ] || stop_node "$node" ;;
     reload) kill -HUP "${NODE_PIDS[$node]}" 2>/dev/null ;;
     change) change ;;
-    revoke) KEY_TURN=$((KEY_TURN + 1)); change; REVOKED[$((KEY_TURN - 1))]=$(monotonic_ms) ;;
+    revoke) revoke ;;
     storm) for _ in 1 2 3 4 5 6 7 8; do change; draw 2 8; sleep "0.0$DRAWN"; done ;;
     leave) pick "${SERVER_NAMES[@]}"; replace_server "$DRAWN" TERM ;;
     crash) pick "${SERVER_NAMES[@]}"; replace_server "$DRAWN" KILL ;;
@@ -248,12 +254,12 @@
 }
 
 round() { # NUMBER
-    local kinds kind cut faults
+    local kinds kind cut faults number
     draw 0 2
     if [ "$DRAWN" = 0 ]; then kind=planned kinds=("${planned_faults[@]}"); else kind=unplanned kinds=("${unplanned_faults[@]}"); fi
     if [ -n "$ONLY" ]; then
         kinds=("$ONLY")
-        case " ${planned_faults[*]} " in *" $ONLY "*) kind=planned ;; *) kind=unplanned ;; esac
+        case " ${planned_faults[*]} revoke " in *" $ONLY "*) kind=planned ;; *) kind=unplanned ;; esac
     fi
     draw 4 8
     faults=$DRAWN
@@ -264,9 +270,13 @@
     piped=$!
     (other_callers "$1") &
     others=$!
-    for _ in $(seq 1 "$faults"); do
+    for number in $(seq 1 "$faults"); do
         pick "${kinds[@]}"
         fault "$DRAWN"
+        if [ "$number" = 2 ] && [ -z "$ONLY" ]; then
+            say "a key is taken away"
+            revoke
+        fi
         draw 1 12
         sleep "$(seconds "$DRAWN")"
     done
