Callers with a key that is taken away go on through the soak's next round

Change: they last two rounds and are waited for at the end; the last round's end with it, so that a soak lasts no longer.

--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -68,7 +68,7 @@
 }
 
 declare -A COUNTS=()
-FINDINGS=0 NEXT_SERVER=0 UNREAD=0 LATE=0 JOBS=()
+FINDINGS=0 NEXT_SERVER=0 UNREAD=0 LATE=0 JOBS=() TURN_CALLERS=()
 
 # A server of a new incarnation in place of one that goes.
 replace_server() { # NAME SIGNAL
@@ -192,10 +192,15 @@
     holds_within "$CALM_S" served_everywhere || finding "calm: round $1: some keys are not served"
 }
 
-# Beside the callers whose promises are checked: those with a key that may be taken away, with a limit, and without a key.
+# Those with a key that is taken away in this round go on through the next one, to be later than the bound.
+turn_callers() { # ROUND
+    local KINDS=(--kind "maps.example,/hire/,POST,2000,0") rounds=2
+    [ "$1" -lt "$ROUNDS" ] || rounds=1
+    cluster_callers "turn$KEY_TURN-round$1" --credential "red-turn-$KEY_TURN" --rate 10 --count $((10 * ROUND_S * rounds))
+}
+# Beside the callers whose promises are checked: those with a limit, and those without a key.
 other_callers() { # ROUND
     local KINDS=(--kind "maps.example,/hire/,POST,2000,0")
-    cluster_callers "turn$KEY_TURN-round$1" --credential "red-turn-$KEY_TURN" --rate 10 --count $((10 * ROUND_S)) &
     cluster_callers "limited-round$1" --credential limited-key --rate "$LIMITED_RATE" --count $((LIMITED_RATE * ROUND_S)) &
     cluster_callers "none-round$1" --rate 5 --count $((5 * ROUND_S)) &
     wait
@@ -268,6 +273,8 @@
     local callers=$! piped others
     piped_callers "$1" &
     piped=$!
+    (turn_callers "$1") &
+    TURN_CALLERS+=("$!")
     (other_callers "$1") &
     others=$!
     for number in $(seq 1 "$faults"); do
@@ -315,6 +322,7 @@
     [ "${back:-0}" = 0 ] || finding "back: node $node went back $back times"
 done
 cluster_check >"$WORK/verdict.txt" || { cat "$WORK/verdict.txt"; finding "records: $(tail -1 "$WORK/verdict.txt")"; }
+wait "${TURN_CALLERS[@]}"
 check_tenants
 check_revoked
 check_limit
