--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -207,20 +207,22 @@
 bool cw_router_is_relay(const cw_router_t *router, const cw_peer_t *peer);
 /** The leader's list and tables are those of this node, by numbers and hashes, or are not. */
 void cw_router_compare_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat);
+/** Changes of the leader's were laid over the tables of number `before`: what was sure of them still is. */
+void cw_router_follow_tables(cw_router_t *router, uint64_t before);
 /** Nodes of the largest zone, as far as known. */
 uint32_t cw_router_largest_zone(const cw_router_t *router);
 
 /* ---- router_pass_on.c ---- */
 /** Sends a page of changes that the leader has sent this relay to the other nodes of its zone. */
 void cw_router_pass_on_page(cw_router_t *router, const Cwp__Datagram *datagram);
-/** Numbers of the list and of the tables that this relay surely has as the leader does; 0: not sure. */
+/** Numbers of the list and of the tables that this node surely has as the leader does; 0: not sure. */
 typedef struct cw_sure_view {
     uint64_t term;
     uint64_t servers;
     uint64_t tables;
 } cw_sure_view_t;
-/** Sends whole lists and tables to nodes of this relay's zone that have none of this term. place: 0 or 1. */
-void cw_router_pass_on_whole(cw_router_t *router, const cw_sure_view_t *sure, size_t place, cw_time_us_t now);
+/** Sends whole lists and tables to nodes of this zone that have none of this term, where it is this node's turn. */
+void cw_router_pass_on_whole(cw_router_t *router, const cw_sure_view_t *sure, cw_time_us_t now);
 
 /* ---- router_push.c ---- */
 /** Sends the list, or the tables, as this node has them: what changed since number `base`, or the whole (0). */
@@ -228,8 +230,6 @@
 void cw_router_send_tables(cw_router_t *router, const cw_peer_t *peer, uint64_t base, bool pass_on);
 /** More bytes may be sent as time passes. */
 void cw_router_refill_push(cw_router_t *router, cw_time_us_t now);
-/** When what was sent just now is sent again. */
-cw_time_us_t cw_router_next_push(cw_push_state_t *push, cw_time_us_t now);
 /** This node leads now: others look first whether they have what it has. */
 void cw_router_push_begin(cw_router_t *router, cw_time_us_t now);
 /** A new number of the list (or the tables): those that had the one before are told at once. */
--- a/src/router/router_pass_on.c
+++ b/src/router/router_pass_on.c
@@ -1,16 +1,21 @@
 /**
  * @file router_pass_on.c
- * @brief A relay's part in bringing its zone up to date: changes of the leader passed on, and whole lists and tables.
+ * @brief How a zone is brought up to date from inside: changes that a relay passes on, and whole lists and tables.
  *
- * A page of changes goes on as it came, to all of the zone: those that it does not fit leave it. A whole is sent from
- * this node's own, to nodes of the zone that have none of the leader's term, and only while the leader's heartbeat has
- * the same number and hash: so what is passed on is the leader's. Nodes acknowledge to the relay and to the leader.
+ * A page of changes goes on as it came, to all of the zone: those that it does not fit leave it. A whole is sent to a
+ * node that has none of the leader's term, by the nodes of its zone that have it: they share those that lack it by
+ * rendezvous hashing, so that the senders double with each round; the next one sends if it has not come after a while.
+ * A node sends only what the leader's heartbeat had the same number and hash of. Nodes acknowledge to the sender and
+ * to the leader.
  */
+#include <xxhash.h>
+
 #include "router/router_internal.h"
 
 enum {
-    FIRST_WAIT_MS = 100,       /* a node that has the same already says so within a turn of its loop */
-    SECOND_RELAY_WAIT_MS = 700 /* the other relay of the zone has sent it by then */
+    FIRST_WAIT_MS = 100, /* a node that has the same already says so within a turn of its loop */
+    RANK_WAIT_MS = 1500, /* for the node before to send it: 240 KB (3,000 servers) take 0.6 s of a third of 10 Mbit/s */
+    AGAIN_MS = 2000      /* pause before the same node sends it again, for the same reason */
 };
 
 static bool is_of_zone(const cw_peer_t *peer)
@@ -41,39 +46,74 @@
     }
 }
 
-/* Does the node lack it, and is it time to send it? */
-static bool is_due(const cw_router_t *router, bool lacks, cw_push_state_t *push, size_t place, cw_time_us_t now)
+/** What of the leader's a node may lack. */
+typedef enum whole_kind { WHOLE_SERVERS, WHOLE_TABLES } whole_kind_t;
+
+static bool lacks(const cw_router_t *router, const cw_peer_t *peer, whole_kind_t kind)
+{
+    return peer->term != router->view_term || (kind == WHOLE_SERVERS ? peer->servers : peer->tables) == 0;
+}
+
+static uint64_t weight(uint32_t sender, uint32_t receiver)
 {
-    if (!lacks) {
+    return XXH3_64bits_withSeed(&sender, sizeof(sender), receiver);
+}
+
+/* Nodes of the zone that have it too, and come before this one in sending it to the receiver. */
+static uint32_t rank_for(const cw_router_t *router, const cw_peer_t *receiver, whole_kind_t kind)
+{
+    uint64_t         own = weight(cw_peer_link_own_address(router->link), receiver->address);
+    uint32_t         rank = 0;
+    const cw_peer_t *peer;
+
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (is_of_zone(peer) && !peer->stopping && !lacks(router, peer, kind) &&
+            weight(peer->address, receiver->address) > own) {
+            rank++;
+        }
+    }
+    return rank;
+}
+
+/* Does the node lack it, and is it this node's turn to send it? */
+static bool is_due(const cw_router_t *router, const cw_peer_t *peer, cw_push_state_t *push, whole_kind_t kind,
+                   cw_time_us_t now)
+{
+    if (!lacks(router, peer, kind)) {
         push->tries = 0;
         push->due_at = 0;
         return false;
     }
     if (push->due_at == 0) {
-        push->due_at = now + CW_MS(FIRST_WAIT_MS + (place == 0 ? 0 : SECOND_RELAY_WAIT_MS));
+        push->due_at = now + CW_MS(FIRST_WAIT_MS + RANK_WAIT_MS * (int64_t)rank_for(router, peer, kind));
     }
-    return now >= push->due_at && router->push_room > 0;
+    if (now < push->due_at || router->push_room <= 0) {
+        return false;
+    }
+    push->due_at = now + CW_MS(AGAIN_MS);
+    return true;
 }
 
-void cw_router_pass_on_whole(cw_router_t *router, const cw_sure_view_t *sure, size_t place, cw_time_us_t now)
+void cw_router_pass_on_whole(cw_router_t *router, const cw_sure_view_t *sure, cw_time_us_t now)
 {
-    bool has_servers = sure->term == router->view_term && sure->servers != 0 && sure->servers == router->view_servers;
-    bool has_tables = sure->term == router->view_term && sure->tables != 0 && sure->tables == router->view_tables;
+    bool is_term = sure->term == router->view_term;
+    bool has_servers = is_term && sure->servers != 0 && sure->servers == router->view_servers;
+    bool has_tables = is_term && sure->tables != 0 && sure->tables == router->view_tables;
+
     cw_peer_t *peer;
 
+    if (router->leadership.leading || router->stopping_at != 0) {
+        return;
+    }
     cw_router_refill_push(router, now);
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        bool is_new = peer->term != router->view_term;
-
-        if (!is_of_zone(peer) || router->leadership.leading) {
+        if (!is_of_zone(peer) || peer->stopping) {
             continue;
         }
-        if (has_servers && is_due(router, is_new || peer->servers == 0, &peer->servers_push, place, now)) {
-            peer->servers_push.due_at = cw_router_next_push(&peer->servers_push, now);
+        if (has_servers && is_due(router, peer, &peer->servers_push, WHOLE_SERVERS, now)) {
             cw_router_send_servers(router, peer, 0, false);
         }
-        if (has_tables && is_due(router, is_new || peer->tables == 0, &peer->tables_push, place, now)) {
-            peer->tables_push.due_at = cw_router_next_push(&peer->tables_push, now);
+        if (has_tables && is_due(router, peer, &peer->tables_push, WHOLE_TABLES, now)) {
             cw_router_send_tables(router, peer, 0, false);
         }
     }
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -7,7 +7,7 @@
  * says at once what has come. What is sent again waits longer each time, and all of it stays within a part of the link.
  *
  * To a zone that relays inform, each change is sent to its relays alone, which pass it on; a node that has none of this
- * term gets the whole from a relay of its zone (router_pass_on.c). To one that still lacks it after a while, the leader
+ * term gets the whole from nodes of its zone (router_pass_on.c). To one that still lacks it after a while, the leader
  * sends it by itself: so a relay that stops costs time, but nothing waits for it.
  */
 #include <string.h>
@@ -17,11 +17,14 @@
 
 enum {
     RESEND_MS = 250,
-    RESEND_DOUBLINGS = 1, /* a node that has read a later list itself takes the leader's next one */
-    ADOPT_MS = 250,       /* time to see that what a node has is the leader's */
-    RELAY_WAIT_MS = 300,  /* for a relay to pass a change on, and for the acknowledgement: some ten times both */
-    WHOLE_WAIT_MS = 800,  /* for the whole: a relay gets it, learns by the next heartbeat that it is right, sends it; */
-    WHOLE_WAIT_NODE_MS = 5, /* and so much more for each node: with many, a relay has many to send it to */
+    RESEND_DOUBLINGS = 1,    /* a node that has read a later list itself takes the leader's next one */
+    ADOPT_MS = 250,          /* time to see that what a node has is the leader's */
+    RELAY_WAIT_MS = 300,     /* for a relay to pass a change on, and for the acknowledgement: some ten times both */
+    WHOLE_WAIT_MS = 1000,    /* for the whole to come from nodes of the zone, */
+    WHOLE_WAIT_NODE_MS = 20, /* and so much more for each node: all of a large zone may lack it at once */
+    SERVER_BYTES = 80,       /* of a whole list, and */
+    RANGE_BYTES = 20,        /* of whole tables: what was sent is sent again when it must have come, */
+    RESEND_BYTES_A_MS = 125, /* at a tenth of the smallest links, that are busy with requests: 1 Mbit/s */
     NODES_MAX = 1024,
     NODES_AGAIN_MS = 500,          /* until it has heard them: they report at their pace */
     NODES_AGAIN_COVERED_MS = 3000, /* where relays tell of other zones' nodes; those of its own it may still not know */
@@ -52,12 +55,12 @@
 
 /* ---- when ---- */
 
-cw_time_us_t cw_router_next_push(cw_push_state_t *push, cw_time_us_t now)
+static cw_time_us_t next_try(cw_push_state_t *push, size_t whole_bytes, cw_time_us_t now)
 {
     int doublings = push->tries < RESEND_DOUBLINGS ? (int)push->tries : RESEND_DOUBLINGS;
 
     push->tries++;
-    return now + CW_MS((int64_t)RESEND_MS << doublings);
+    return now + CW_MS(((int64_t)RESEND_MS << doublings) + (int64_t)whole_bytes / RESEND_BYTES_A_MS);
 }
 
 /* Does a relay of its zone send this node what it lacks? */
@@ -174,8 +177,9 @@
         uint64_t base = base_of(router, peer, peer->servers);
 
         if (is_due(router, peer, &peer->servers_push, peer->servers, router->lead_servers, now)) {
-            peer->servers_push.due_at = cw_router_next_push(&peer->servers_push, now);
             base = cw_list_history_covers(&router->list_history, base) ? base : 0;
+            peer->servers_push.due_at =
+                next_try(&peer->servers_push, base == 0 ? router->server_view.list->count * SERVER_BYTES : 0, now);
             cw_router_send_servers(router, peer, base, base != 0 && is_to_pass_on(router, peer));
         }
     }
@@ -271,6 +275,17 @@
     }
 }
 
+static size_t count_ranges(const cw_router_t *router)
+{
+    size_t count = 0;
+    size_t index;
+
+    for (index = 0; index < router->tables.count; index++) {
+        count += router->tables.items[index].count;
+    }
+    return count;
+}
+
 void cw_router_push_tables(cw_router_t *router, cw_time_us_t now)
 {
     cw_peer_t *peer;
@@ -282,8 +297,9 @@
         uint64_t base;
 
         if (is_due(router, peer, &peer->tables_push, peer->tables, router->lead_tables, now)) {
-            peer->tables_push.due_at = cw_router_next_push(&peer->tables_push, now);
             base = base_of(router, peer, peer->tables);
+            peer->tables_push.due_at =
+                next_try(&peer->tables_push, base == 0 ? count_ranges(router) * RANGE_BYTES : 0, now);
             cw_router_send_tables(router, peer, base, base != 0 && is_to_pass_on(router, peer));
         }
     }
--- a/src/router/router_relay.c
+++ b/src/router/router_relay.c
@@ -167,6 +167,15 @@
                        : 0;
 }
 
+void cw_router_follow_tables(cw_router_t *router, uint64_t before)
+{
+    cw_sure_view_t *sure = &router->relay->sure;
+
+    if (before != 0 && sure->term == router->view_term && sure->tables == before) {
+        sure->tables = router->view_tables;
+    }
+}
+
 void cw_router_relay_tick(cw_router_t *router, cw_time_us_t now)
 {
     cw_router_relay_t *relay = router->relay;
@@ -177,12 +186,14 @@
     }
     relay->sent_at = now;
     gather_zones(router);
-    place = place_of(&relay->zones[0], cw_peer_link_own_address(router->link));
-    if (place == CW_RELAYS || !cw_router_nodes_are_many(router)) {
+    if (!cw_router_nodes_are_many(router)) {
         return;
     }
-    send_summary(router, place, now);
-    cw_router_pass_on_whole(router, &relay->sure, place, now);
+    cw_router_pass_on_whole(router, &relay->sure, now);
+    place = place_of(&relay->zones[0], cw_peer_link_own_address(router->link));
+    if (place != CW_RELAYS) {
+        send_summary(router, place, now);
+    }
 }
 
 /* ---- receiving ---- */
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -192,6 +192,7 @@
 void cw_router_take_table_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__TablePage *page)
 {
     cw_page_place_t place = {page->term, page->number, page->since, page->page, page->pages};
+    uint64_t        before;
     bool            begun;
 
     if (!is_usable(router, &place, router->view_tables) || !take_page(&router->tables_pages, &place, &begun)) {
@@ -213,8 +214,12 @@
     cw_key_tables_overlay(&router->tables, &router->tables_partial);
     cw_key_tables_clear(&router->tables_partial);
     cw_router_begin_term(router, page->term);
+    before = router->view_tables;
     router->view_tables = page->number;
     cw_router_use_tables(router);
+    if (page->since != 0) {
+        cw_router_follow_tables(router, before);
+    }
     acknowledge(router, peer);
 }
 
