Limits are counted as soon as nearly all nodes are in reach, by the number that the leader states

Cause: a process declined to count tenants' limits for a fixed three seconds after its start. When all nodes lose power, nobody counts for that long and each node serves an equal part of each limit: 7,496 requests within their limits were refused (81 nodes, 83 tenants), and all was served again only after 3.8 s. Ruled out: tables, leader and configuration, which all nodes had within a second; the counting itself, which refused none afterwards. A shorter fixed time is no answer: in a large fleet it gives out limits before the nodes know one another. Change: the leader writes the number of nodes into its lock (no call more) and states it in its heartbeat; a new leader states its predecessor's until it has counted for a whole window. A new process counts once nine tenths of that number are in reach, else after three seconds as before. Without a number a part is still that of 32 nodes; with it, of the number: a small fleet's parts are no longer halved. Tests: test_fleet_size (9), with the lock's text.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1716,7 +1716,7 @@
   (ProtobufCMessageInit) cwp__key_samples__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__leader_heartbeat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cwp__leader_heartbeat__field_descriptors[11] =
 {
   {
     "term",
@@ -1838,12 +1838,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "nodes",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__LeaderHeartbeat, nodes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__leader_heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = able */
   9,   /* field[9] = configuration_age_ms */
   3,   /* field[3] = list_age_ms */
   8,   /* field[8] = list_revision */
+  10,   /* field[10] = nodes */
   1,   /* field[1] = revision */
   4,   /* field[4] = servers */
   6,   /* field[6] = servers_hash */
@@ -1854,7 +1867,7 @@
 static const ProtobufCIntRange cwp__leader_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cwp__leader_heartbeat__descriptor =
 {
@@ -1864,7 +1877,7 @@
   "Cwp__LeaderHeartbeat",
   "cwp",
   sizeof(Cwp__LeaderHeartbeat),
-  10,
+  11,
   cwp__leader_heartbeat__field_descriptors,
   cwp__leader_heartbeat__field_indices_by_name,
   1,  cwp__leader_heartbeat__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -169,10 +169,14 @@
    * since its configuration was surely the newest one, plus one; 0: not known
    */
   uint32_t configuration_age_ms;
+  /*
+   * that there are (router/fleet_size.h); 0: not known
+   */
+  uint32_t nodes;
 };
 #define CWP__LEADER_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__leader_heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Cwp__NodeReport
--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -28,9 +28,17 @@
     char incarnation[32];
 
     snprintf(incarnation, sizeof(incarnation), "%016" PRIx64, lock->incarnation);
-    return json_pack("{s:s, s:s, s:s, s:I, s:I, s:b}", "node", lock->node, "address", lock->address, "incarnation",
+    return json_pack("{s:s, s:s, s:s, s:I, s:I, s:b, s:I}", "node", lock->node, "address", lock->address, "incarnation",
                      incarnation, "term", (json_int_t)lock->term, "beat", (json_int_t)lock->beat, "vacant",
-                     lock->vacant);
+                     lock->vacant, "nodes", (json_int_t)lock->nodes);
+}
+
+/* Not needed for the lock itself: one that a former release wrote has none, and a wrong one counts as unknown. */
+static uint32_t nodes_from_json(const json_t *value)
+{
+    json_int_t nodes = json_integer_value(json_object_get(value, "nodes"));
+
+    return nodes > 0 && nodes <= UINT32_MAX ? (uint32_t)nodes : 0;
 }
 
 bool cw_lock_from_json(cw_lock_t *lock, const json_t *value)
@@ -53,6 +61,7 @@
     lock->term = (uint64_t)term;
     lock->beat = (uint64_t)beat;
     lock->vacant = vacant != 0;
+    lock->nodes = nodes_from_json(value);
     return true;
 }
 
@@ -126,6 +135,11 @@
     leadership->followers = followers;
 }
 
+void cw_leadership_set_nodes(cw_leadership_t *leadership, uint32_t nodes)
+{
+    leadership->nodes = nodes;
+}
+
 void cw_leadership_defer(cw_leadership_t *leadership, cw_time_us_t deference)
 {
     leadership->deference = deference;
@@ -164,6 +178,7 @@
     write->term = term;
     write->beat = ++leadership->last_beat;
     write->vacant = leadership->resigning;
+    write->nodes = leadership->nodes;
 }
 
 /* Does the lock stand for an earlier life of this node? That life has ended. */
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -36,6 +36,7 @@
     uint64_t term; /**< rises with each change of holder */
     uint64_t beat; /**< rises with each write of a holder */
     bool     vacant;
+    uint32_t nodes; /**< that there are, as the holder counts them, itself among them; 0: not known */
 } cw_lock_t;
 
 typedef struct cw_leadership_settings {
@@ -76,6 +77,7 @@
     cw_lock_t                write;
     cw_time_us_t             sent_at;
     cw_time_us_t             next_at;
+    uint32_t                 nodes;     /**< written into the lock */
     uint32_t                 followers; /**< nodes that look at the lock besides this one, as far as known */
     cw_time_us_t             deference; /**< how much later than it might it takes the lock; 0: at once */
     uint64_t                 last_beat;
@@ -90,6 +92,8 @@
 void cw_leadership_heard(cw_leadership_t *leadership, uint64_t term, uint64_t revision, bool able, cw_time_us_t now);
 /** How many other nodes look at the lock: all of them together ask the store at a bounded rate. */
 void cw_leadership_set_followers(cw_leadership_t *leadership, uint32_t followers);
+/** How many nodes there are, this one among them: its lock says so to those that start later. */
+void cw_leadership_set_nodes(cw_leadership_t *leadership, uint32_t nodes);
 /** Whether a more capable node is in reach, told with each tick: so much later this one takes the lock. */
 void cw_leadership_defer(cw_leadership_t *leadership, cw_time_us_t deference);
 /** A leader said that it stops: the lock is looked at soon. */
--- /dev/null
+++ b/src/router/fleet_size.c
@@ -0,0 +1,43 @@
+/**
+ * @file fleet_size.c
+ * @brief The number stated, and when this process's own count replaces it.
+ */
+#include "router/fleet_size.h"
+
+#include <string.h>
+
+void cw_fleet_size_init(cw_fleet_size_t *fleet, cw_time_us_t counting, cw_time_us_t now)
+{
+    memset(fleet, 0, sizeof(*fleet));
+    fleet->started_at = now;
+    fleet->counted_at = now + counting;
+}
+
+void cw_fleet_size_note(cw_fleet_size_t *fleet, uint32_t nodes)
+{
+    if (nodes > 0) {
+        fleet->stated = nodes;
+    }
+}
+
+uint32_t cw_fleet_size_nodes(const cw_fleet_size_t *fleet, uint32_t counted, cw_time_us_t now)
+{
+    uint32_t stated = now < fleet->counted_at ? fleet->stated : 0;
+
+    return stated > counted ? stated : counted;
+}
+
+uint32_t cw_fleet_size_to_state(const cw_fleet_size_t *fleet, uint32_t counted, cw_time_us_t now)
+{
+    bool is_unknown = fleet->stated == 0 && now < fleet->counted_at;
+
+    return is_unknown ? 0 : cw_fleet_size_nodes(fleet, counted, now);
+}
+
+bool cw_fleet_size_is_reached(const cw_fleet_size_t *fleet, uint32_t in_reach, cw_time_us_t now)
+{
+    if (now - fleet->started_at >= CW_MS(CW_FLEET_UNKNOWN_MS)) {
+        return true;
+    }
+    return fleet->stated > 0 && (uint64_t)in_reach * 100 >= (uint64_t)fleet->stated * CW_FLEET_REACHED_PERCENT;
+}
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -398,6 +398,7 @@
     cw_peer_link_set_place(router->link, router->settings.zone, router->settings.zone_regions,
                            router->settings.zone_region_count);
     router->started_at = cw_router_now(router);
+    cw_fleet_size_init(&router->fleet_size, router->settings.retry_window, router->started_at);
     absence = cw_absence_settings_of(router->settings.heartbeat, router->settings.drain);
     cw_server_view_init(&router->server_view, &absence);
     cw_router_lead_init(router);
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -17,6 +17,7 @@
 #include "router/broker_choice.h"
 #include "router/configuration_exchange.h"
 #include "router/configuration_freshness.h"
+#include "router/fleet_size.h"
 #include "router/list_history.h"
 #include "router/router.h"
 #include "router/store_reader.h"
@@ -101,6 +102,7 @@
     cw_time_us_t         stopping_at; /**< 0: not stopping */
     cw_time_us_t         stop_by;     /**< the process ends by then; settings that change meanwhile do not count */
     cw_time_us_t         checked_file_at;
+    cw_fleet_size_t      fleet_size;
     uint32_t             nodes_most; /**< nodes alive at once, within the retry budget's window */
     cw_time_us_t         nodes_most_at;
     int64_t              file_changed; /**< modification time and size of the settings file, mixed */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -80,6 +80,7 @@
 
     cw_router_store_result(router, reply->result != CW_STORE_REFUSED && reply->result != CW_STORE_UNKNOWN, now);
     cw_leadership_replied(&router->leadership, reply, now);
+    cw_fleet_size_note(&router->fleet_size, router->leadership.lock.nodes);
     if (router->leadership.lock.address[0] != '\0' && !router->leadership.leading) {
         (void)cw_peer_link_learn_text(router->link, router->leadership.lock.address, now);
     }
@@ -125,9 +126,11 @@
 
 static void step_lock(cw_router_t *router, cw_time_us_t now)
 {
-    cw_leadership_action_t action = cw_leadership_tick(&router->leadership, now);
+    cw_leadership_action_t action;
     json_t                *value;
 
+    cw_leadership_set_nodes(&router->leadership, cw_fleet_size_to_state(&router->fleet_size, router->nodes_most, now));
+    action = cw_leadership_tick(&router->leadership, now);
     if (action == CW_LEADERSHIP_WAIT) {
         return;
     }
--- a/src/router/router_quota.c
+++ b/src/router/router_quota.c
@@ -15,8 +15,7 @@
     GATHER_EVERY_MS = 100,   /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
     DECLINING_MOST = 2,      /* one restarts now and then; several at once: nobody counts yet */
     ISOLATED_AFTER_MS = 500, /* the slowest pause between reports of few nodes is 300 ms (router_peers.c) */
-    NEW_FOR_MS = 3000,       /* after a start: by then this node has heard the others, at the slowest pace of reports */
-    NODES_OF_NEW = 32        /* so many at least are assumed until then */
+    NODES_OF_NEW = 32        /* so many at least are assumed by a new process to which no leader has stated them */
 };
 
 static const char *const mode_names[] = {"free", "metered", "alone"};
@@ -37,7 +36,8 @@
 {
     const cw_router_t *router = quota->router;
 
-    return router->settings.seed_count > 0 && now_of(quota) - router->started_at < CW_MS(NEW_FOR_MS);
+    return router->settings.seed_count > 0 &&
+           !cw_fleet_size_is_reached(&router->fleet_size, quota->in_reach, now_of(quota));
 }
 
 /* Without a configuration no tenant would seem to have a limit. */
@@ -248,14 +248,15 @@
 {
     const cw_router_t *router = quota->router;
     const cw_peer_t   *peer;
-    uint32_t           nodes = router->nodes_most > 0 ? router->nodes_most : 1;
+    uint32_t           counted = router->nodes_most > 0 ? router->nodes_most : 1;
+    uint32_t           nodes = cw_fleet_size_nodes(&router->fleet_size, counted, now_of(quota));
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (!peer->is_lost && peer->last_received_at != 0 && peer->peers + 1 > nodes) {
             nodes = peer->peers + 1;
         }
     }
-    return is_new(quota) && nodes < NODES_OF_NEW ? NODES_OF_NEW : nodes;
+    return is_new(quota) && router->fleet_size.stated == 0 && nodes < NODES_OF_NEW ? NODES_OF_NEW : nodes;
 }
 
 static void use_limits(cw_router_quota_t *quota, const cw_configuration_t *configuration)
@@ -310,10 +311,10 @@
 {
     const cw_router_t *router = quota->router;
 
+    quota->in_reach = cw_peer_link_alive(router->link, router->silence, now) + 1;
     quota->nodes = nodes_of(quota);
     gather(quota);
-    cw_quota_counter_set_nodes(quota->counter, quota->nodes,
-                               cw_peer_link_alive(router->link, router->silence, now) + 1);
+    cw_quota_counter_set_nodes(quota->counter, quota->nodes, quota->in_reach);
     cw_quota_share_set_nodes(quota->share, quota->nodes);
     cw_metric_set(CW_METRIC_LIMIT_TENANTS, cw_quota_share_tenants(quota->share));
     cw_metric_set(CW_METRIC_LIMIT_BUCKETS, cw_quota_counter_buckets(quota->counter));
--- a/src/router/router_quota.h
+++ b/src/router/router_quota.h
@@ -43,6 +43,7 @@
     cw_time_us_t           gathered_at;
     cw_time_us_t           last_received_at; /**< from any other node */
     uint32_t               nodes;            /**< that share the limits */
+    uint32_t               in_reach;         /**< nodes received from lately, this one among them */
     uint64_t               version;          /**< of the configuration whose limits are known */
     uv_timer_t             deliver;
     cw_quota_message_t    *own; /**< of this node to itself */
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -126,6 +126,7 @@
     builder.leader.list_revision = router->server_view.revision;
     builder.leader.configuration_age_ms = cw_configuration_freshness_pack(&router->freshness, now);
     builder.leader.tables_hash = router->lead_tables == 0 ? 0 : router->tables_hash;
+    builder.leader.nodes = cw_fleet_size_to_state(&router->fleet_size, router->nodes_most, now);
     builder.report.leader = &builder.leader;
 }
 
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -272,6 +272,7 @@
         return;
     }
     router->leader_heartbeat_at = now;
+    cw_fleet_size_note(&router->fleet_size, heartbeat->nodes);
     cw_router_adopt(router, peer, heartbeat);
     cw_router_compare_view(router, heartbeat);
     if (router->view_term == heartbeat->term && router->view_servers >= heartbeat->servers) {
--- /dev/null
+++ b/tests/test_fleet_size.c
@@ -0,0 +1,160 @@
+/**
+ * @file test_fleet_size.c
+ * @brief When a process that has just started knows how many nodes there are.
+ *
+ * The load behind it: all of 81 nodes lose power and come back within a second, while callers go on asking. Whatever
+ * they refuse until they know one another was within its limit.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "lease/leadership.h"
+#include "router/fleet_size.h"
+
+static const cw_time_us_t counting = CW_SECONDS(10);
+
+static cw_fleet_size_t started(void)
+{
+    cw_fleet_size_t fleet;
+
+    cw_fleet_size_init(&fleet, counting, CW_SECONDS(100));
+    return fleet;
+}
+
+START_TEST(where_nobody_states_a_number_it_takes_the_bounded_time)
+{
+    cw_fleet_size_t fleet = started();
+
+    ck_assert(!cw_fleet_size_is_reached(&fleet, 1, CW_SECONDS(100)));
+    ck_assert(!cw_fleet_size_is_reached(&fleet, 200, CW_MS(102999)));
+    ck_assert(cw_fleet_size_is_reached(&fleet, 1, CW_MS(103000)));
+}
+END_TEST
+
+START_TEST(nearly_all_of_the_nodes_stated_are_enough)
+{
+    cw_fleet_size_t fleet = started();
+
+    cw_fleet_size_note(&fleet, 81);
+    ck_assert(!cw_fleet_size_is_reached(&fleet, 72, CW_MS(100500)));
+    ck_assert(cw_fleet_size_is_reached(&fleet, 73, CW_MS(100500)));
+}
+END_TEST
+
+START_TEST(one_part_of_a_divided_fleet_waits_and_goes_by_the_whole)
+{
+    cw_fleet_size_t fleet = started();
+
+    cw_fleet_size_note(&fleet, 81);
+    ck_assert(!cw_fleet_size_is_reached(&fleet, 41, CW_MS(102999)));
+    ck_assert(cw_fleet_size_is_reached(&fleet, 41, CW_MS(103000)));
+    ck_assert_uint_eq(cw_fleet_size_nodes(&fleet, 41, CW_MS(103000)), 81);
+}
+END_TEST
+
+START_TEST(its_own_count_replaces_what_was_stated)
+{
+    cw_fleet_size_t fleet = started();
+
+    cw_fleet_size_note(&fleet, 81);
+    ck_assert_uint_eq(cw_fleet_size_nodes(&fleet, 90, CW_SECONDS(101)), 90);
+    ck_assert_uint_eq(cw_fleet_size_nodes(&fleet, 20, CW_SECONDS(109)), 81);
+    ck_assert_uint_eq(cw_fleet_size_nodes(&fleet, 20, CW_SECONDS(110)), 20);
+}
+END_TEST
+
+START_TEST(a_leader_that_does_not_know_changes_nothing)
+{
+    cw_fleet_size_t fleet = started();
+
+    cw_fleet_size_note(&fleet, 81);
+    cw_fleet_size_note(&fleet, 0);
+    ck_assert_uint_eq(cw_fleet_size_nodes(&fleet, 1, CW_SECONDS(101)), 81);
+}
+END_TEST
+
+START_TEST(a_leader_that_is_new_itself_states_what_its_predecessor_did_or_nothing)
+{
+    cw_fleet_size_t fleet = started();
+
+    ck_assert_uint_eq(cw_fleet_size_to_state(&fleet, 12, CW_MS(109999)), 0);
+    ck_assert_uint_eq(cw_fleet_size_to_state(&fleet, 12, CW_SECONDS(110)), 12);
+    cw_fleet_size_note(&fleet, 81);
+    ck_assert_uint_eq(cw_fleet_size_to_state(&fleet, 12, CW_SECONDS(101)), 81);
+}
+END_TEST
+
+START_TEST(a_fleet_that_was_made_smaller_is_stated_so_by_its_leader)
+{
+    cw_fleet_size_t fleet = started();
+
+    cw_fleet_size_note(&fleet, 81);
+    cw_fleet_size_note(&fleet, 20);
+    ck_assert(cw_fleet_size_is_reached(&fleet, 18, CW_MS(100500)));
+    ck_assert_uint_eq(cw_fleet_size_nodes(&fleet, 18, CW_MS(100500)), 20);
+}
+END_TEST
+
+/* ---- the lock keeps it ---- */
+
+START_TEST(the_lock_keeps_the_number_for_the_next_leader)
+{
+    cw_leadership_settings_t settings = {.node = "n1", .incarnation = 7, .hold = CW_SECONDS(3)};
+    cw_leadership_t          leadership;
+    cw_lock_t                back = {.nodes = 0};
+    json_t                  *value;
+
+    cw_leadership_init(&leadership, &settings, CW_SECONDS(100));
+    cw_leadership_set_nodes(&leadership, 81);
+    leadership.absent = true;
+    ck_assert_int_eq(cw_leadership_tick(&leadership, CW_SECONDS(100)), CW_LEADERSHIP_CREATE);
+    value = cw_lock_to_json(&leadership.write);
+    ck_assert(cw_lock_from_json(&back, value));
+    ck_assert_uint_eq(back.nodes, 81);
+    json_decref(value);
+}
+END_TEST
+
+START_TEST(a_lock_without_the_number_or_with_a_wrong_one_is_still_a_lock)
+{
+    cw_lock_t lock = {.node = "n1", .address = "127.0.0.1", .term = 3, .nodes = 81};
+    cw_lock_t back = {.nodes = 5};
+    json_t   *value = cw_lock_to_json(&lock);
+
+    json_object_del(value, "nodes");
+    ck_assert(cw_lock_from_json(&back, value));
+    ck_assert_uint_eq(back.nodes, 0);
+    json_object_set_new(value, "nodes", json_integer(-4));
+    ck_assert(cw_lock_from_json(&back, value));
+    ck_assert_uint_eq(back.nodes, 0);
+    json_object_set_new(value, "nodes", json_string("many"));
+    ck_assert(cw_lock_from_json(&back, value));
+    ck_assert_uint_eq(back.nodes, 0);
+    ck_assert_uint_eq(back.term, 3);
+    json_decref(value);
+}
+END_TEST
+
+int main(void)
+{
+    Suite   *suite = suite_create("fleet_size");
+    TCase   *cases = tcase_create("fleet_size");
+    SRunner *runner;
+    int      failed;
+
+    tcase_add_test(cases, where_nobody_states_a_number_it_takes_the_bounded_time);
+    tcase_add_test(cases, nearly_all_of_the_nodes_stated_are_enough);
+    tcase_add_test(cases, one_part_of_a_divided_fleet_waits_and_goes_by_the_whole);
+    tcase_add_test(cases, its_own_count_replaces_what_was_stated);
+    tcase_add_test(cases, a_leader_that_does_not_know_changes_nothing);
+    tcase_add_test(cases, a_leader_that_is_new_itself_states_what_its_predecessor_did_or_nothing);
+    tcase_add_test(cases, a_fleet_that_was_made_smaller_is_stated_so_by_its_leader);
+    tcase_add_test(cases, the_lock_keeps_the_number_for_the_next_leader);
+    tcase_add_test(cases, a_lock_without_the_number_or_with_a_wrong_one_is_still_a_lock);
+    suite_add_tcase(suite, cases);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
