Reachability of the store is a module: router/store_reach.h

Cause: three fields of the node's state, and the rule that combines them, stood between the lock and the plans of router_lead.c, without a test of their own. Ruled out: a callback for the change; each caller has one line to log, so the change is a returned value. Change: cw_store_reach_t with cw_store_reach_note; router_lead.c only logs what it returns.

--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -19,6 +19,7 @@
 #include "router/configuration_freshness.h"
 #include "router/list_history.h"
 #include "router/router.h"
+#include "router/store_reach.h"
 #include "router/store_reader.h"
 #include "router/table_pages.h"
 #include "tenancy/credential_evidence.h"
@@ -158,9 +159,7 @@
     cw_key_tables_t    tables_partial;
     cw_time_us_t       tables_read_at;
     uint32_t           table_reads; /**< under way */
-    bool               store_lost;
-    cw_time_us_t       store_failing_since; /**< calls to the store bring nothing since then; 0: they do */
-    cw_time_us_t       store_failed_at;     /**< last such call; 0: none */
+    cw_store_reach_t   store_reach;
 
     /* leading */
     cw_leadership_t    leadership;
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -14,7 +14,6 @@
     CAPABILITY_OF_A_CORE = 1000,
     FIRST_TURN_PART = 4,    /* of the time for first looks, in which equally capable nodes take turns */
     STORE_TROUBLE_MS = 700, /* without an answer for so long: grants are made to last */
-    STORE_LOST_MS = 500,
     CUT_OFF_MS = 900,
     CUT_OFF_RANGES = 2,  /* owners out of this leader's reach alone, at least; */
     CUT_OFF_PERCENT = 5, /* and of all ranges: single orders go unanswered on any day, a lost zone is a sixth or more */
@@ -147,28 +146,33 @@
 
 /* ---- the store's health ---- */
 
-void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now)
+static void log_store_lost(const cw_store_reach_t *reach, cw_time_us_t now)
 {
     cw_event_t event;
 
-    if (answered) {
-        router->store_failing_since = 0;
-        if (router->store_lost && cw_event_begin(&event, CW_EVENT_STORE_BACK)) {
-            cw_event_end(&event);
-        }
-        router->store_lost = false;
-        return;
+    if (cw_event_begin(&event, CW_EVENT_STORE_LOST)) {
+        cw_event_ms(&event, CW_FIELD_SILENT_MS, cw_store_reach_failing_for(reach, now));
+        cw_event_end(&event);
     }
-    router->store_failed_at = now;
-    if (router->store_failing_since == 0) {
-        router->store_failing_since = now;
+}
+
+static void log_store_back(void)
+{
+    cw_event_t event;
+
+    if (cw_event_begin(&event, CW_EVENT_STORE_BACK)) {
+        cw_event_end(&event);
     }
-    if (!router->store_lost && now - router->store_failing_since >= CW_MS(STORE_LOST_MS)) {
-        router->store_lost = true;
-        if (cw_event_begin(&event, CW_EVENT_STORE_LOST)) {
-            cw_event_ms(&event, CW_FIELD_SILENT_MS, now - router->store_failing_since);
-            cw_event_end(&event);
-        }
+}
+
+void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now)
+{
+    cw_store_change_t change = cw_store_reach_note(&router->store_reach, answered, now);
+
+    if (change == CW_STORE_LOST) {
+        log_store_lost(&router->store_reach, now);
+    } else if (change == CW_STORE_BACK) {
+        log_store_back();
     }
 }
 
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -139,7 +139,7 @@
     builder.report.incarnation = router->incarnation;
     builder.report.sequence = ++router->sequence;
     builder.report.stopping = router->stopping_at != 0;
-    builder.report.store_lost = router->store_lost;
+    builder.report.store_lost = router->store_reach.is_lost;
     if (cw_router_has_vacated(router, now)) {
         builder.report.vacated = router->vacated_term;
     }
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -217,7 +217,8 @@
                                (router->leadership.leading || ranks_among_readers(router, now)));
     }
     watch_configuration(router, is_new, now);
-    if (router->is_reader && !router->store_lost && now - router->notice_sent_at >= CW_MS(CW_READER_NOTICE_MS)) {
+    if (router->is_reader && !router->store_reach.is_lost &&
+        now - router->notice_sent_at >= CW_MS(CW_READER_NOTICE_MS)) {
         send_notice(router, false, now);
     }
 }
--- a/src/router/router_status.c
+++ b/src/router/router_status.c
@@ -126,8 +126,8 @@
              router->settings.zone, "stopping", router->stopping_at != 0, "configuration",
              (json_int_t)(router->configuration == NULL ? 0 : router->configuration->version), "leadership",
              leadership_json(router, now), "servers_age_ms", (json_int_t)((now - router->server_view.true_at) / 1000),
-             "tables_age_ms", (json_int_t)((now - router->tables_at) / 1000), "store_lost", router->store_lost, "queued",
-             (json_int_t)cw_engine_queued(router->engine), "assignments", assignments_json(router, now), "peers",
+             "tables_age_ms", (json_int_t)((now - router->tables_at) / 1000), "store_lost", router->store_reach.is_lost,
+             "queued", (json_int_t)cw_engine_queued(router->engine), "assignments", assignments_json(router, now), "peers",
              peers_json(router, now), "measures", measures_json(router), "servers", servers_json(router, now), "zones_out",
              zones_out_json(router));
     char *text;
--- a/src/router/router_summary.c
+++ b/src/router/router_summary.c
@@ -74,7 +74,7 @@
     detail->incarnation = router->incarnation;
     detail->node = (char *)router->settings.node;
     detail->stopping = router->stopping_at != 0;
-    detail->store_lost = router->store_lost;
+    detail->store_lost = router->store_reach.is_lost;
     builder.detail_pointers[builder.summary.n_details++] = detail;
 }
 
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -123,7 +123,7 @@
                                    .revision = revision,
                                    .latest = latest,
                                    .true_at = router->reading_copy ? 0 : router->servers_read_at,
-                                   .store_failed = router->store_failed_at > router->server_view.true_at};
+                                   .store_failed = router->store_reach.failed_at > router->server_view.true_at};
 
     router->reading_servers = false;
     cw_router_store_result(router, list != NULL, cw_router_now(router));
@@ -153,7 +153,7 @@
 static cw_time_us_t pause_of_reading(const cw_router_t *router, cw_time_us_t usual, cw_time_us_t now)
 {
     cw_time_us_t longer = router->settings.drain * LOST_PERCENT / 100;
-    bool         is_spared = router->store_lost && !router->is_reader && is_one_of_many(router, now);
+    bool         is_spared = router->store_reach.is_lost && !router->is_reader && is_one_of_many(router, now);
 
     return is_spared && longer > usual ? longer : usual;
 }
--- /dev/null
+++ b/src/router/store_reach.h
@@ -0,0 +1,38 @@
+/**
+ * @file store_reach.h
+ * @brief Whether the store answers this node's calls.
+ *
+ * Rules:
+ *  - Each call reports its outcome: answered (also with a refusal by condition), or failed.
+ *  - The store counts as lost once calls have failed for CW_STORE_LOST_MS without an answer between them. One answer
+ * ends that.
+ *
+ * No I/O, no clock.
+ */
+#ifndef CEDARWINCH_ROUTER_STORE_REACH_H
+#define CEDARWINCH_ROUTER_STORE_REACH_H
+
+#include <stdbool.h>
+
+#include "base/time.h"
+
+enum {
+    CW_STORE_LOST_MS = 500 /**< two reads of the lock (READ_EVERY_MS, router_lead.c) without an answer */
+};
+
+/** What a call's outcome has changed. */
+typedef enum cw_store_change { CW_STORE_AS_BEFORE, CW_STORE_LOST, CW_STORE_BACK } cw_store_change_t;
+
+/** All zeros: no call has failed yet. */
+typedef struct cw_store_reach {
+    bool         is_lost;
+    cw_time_us_t failing_since; /**< first failure since the last answer; 0: none */
+    cw_time_us_t failed_at;     /**< last failure; 0: none */
+} cw_store_reach_t;
+
+/** A call has ended. The change is reported once: the caller logs it. */
+cw_store_change_t cw_store_reach_note(cw_store_reach_t *reach, bool is_answered, cw_time_us_t now);
+/** Time since the first failure after the last answer; 0: none. */
+cw_time_us_t cw_store_reach_failing_for(const cw_store_reach_t *reach, cw_time_us_t now);
+
+#endif
