A leader's step-down and rivals are a module: router/leader_tenure.h

Ruled out: moving them into lease/leadership.h; its rules are those of the lock, which the model in spec/ checks. Change: cw_leader_tenure_t; router_lead.c, router_report.c, router_peers.c and router_assigners.c call it.

--- /dev/null
+++ b/src/router/leader_tenure.c
@@ -0,0 +1,54 @@
+/**
+ * @file leader_tenure.c
+ * @brief A node's time as the leader; rules in leader_tenure.h.
+ */
+#include "router/leader_tenure.h"
+
+void cw_leader_tenure_begin(cw_leader_tenure_t *tenure, cw_time_us_t now)
+{
+    tenure->led_since = now;
+}
+
+void cw_leader_tenure_release(cw_leader_tenure_t *tenure, uint64_t term, cw_time_us_t now)
+{
+    tenure->released_term = term;
+    tenure->released_at = now;
+}
+
+uint64_t cw_leader_tenure_announced(const cw_leader_tenure_t *tenure, cw_time_us_t now)
+{
+    return now - tenure->released_at < CW_SECONDS(CW_RELEASE_ANNOUNCED_S) ? tenure->released_term : 0;
+}
+
+bool cw_leader_is_rival(uint32_t own, uint32_t capability)
+{
+    return capability >= CW_LEADER_RIVAL_TIMES * own;
+}
+
+void cw_leader_tenure_note_rival(cw_leader_tenure_t *tenure, bool in_reach, cw_time_us_t now)
+{
+    if (!in_reach) {
+        tenure->rival_since = 0;
+    } else if (tenure->rival_since == 0) {
+        tenure->rival_since = now;
+    }
+}
+
+cw_time_us_t cw_leader_tenure_deference(const cw_leader_tenure_t *tenure)
+{
+    return tenure->rival_since == 0 ? 0 : CW_MS(CW_LEADER_DEFERENCE_MS);
+}
+
+bool cw_leader_tenure_should_hand_over(const cw_leader_tenure_t *tenure, cw_time_us_t now)
+{
+    return tenure->rival_since != 0 && now - tenure->rival_since > CW_SECONDS(CW_LEADER_HAND_OVER_S) &&
+           now - tenure->led_since > CW_SECONDS(CW_LEADER_HAND_OVER_S);
+}
+
+bool cw_leader_tenure_authority_changed(cw_leader_tenure_t *tenure, bool has_authority)
+{
+    bool had_authority = tenure->had_authority;
+
+    tenure->had_authority = has_authority;
+    return had_authority != has_authority;
+}
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -85,7 +85,7 @@
 {
     size_t index;
 
-    if (router->lead_tables > 0 || now - router->led_since > CW_MS(FIRST_TABLES_WAIT_MS)) {
+    if (router->lead_tables > 0 || now - router->tenure.led_since > CW_MS(FIRST_TABLES_WAIT_MS)) {
         return true;
     }
     for (index = 0; index < router->keyed_count; index++) {
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -17,6 +17,7 @@
 #include "router/broker_choice.h"
 #include "router/configuration_exchange.h"
 #include "router/configuration_freshness.h"
+#include "router/leader_tenure.h"
 #include "router/list_history.h"
 #include "router/router.h"
 #include "router/store_reach.h"
@@ -163,17 +164,13 @@
 
     /* leading */
     cw_leadership_t    leadership;
-    bool               was_able;
-    uint64_t           vacated_term; /**< of the lock that this node gave up last */
-    cw_time_us_t       vacated_at;
+    cw_leader_tenure_t tenure;
     uint64_t           lead_servers; /**< number of the list told to others */
     uint64_t           lead_tables;
     cw_list_history_t  list_history;
     double             push_room; /**< bytes that may be sent to bring others up to date */
     cw_time_us_t       push_filled_at;
-    cw_time_us_t       led_since;
-    cw_time_us_t       better_since; /**< a node far more capable than this one has been in reach; 0: none is */
-    cw_order_trust_t  *order_trust;  /**< servers that this leader's orders did not reach */
+    cw_order_trust_t  *order_trust; /**< servers that this leader's orders did not reach */
     cw_keyed_service_t keyed[CW_KEYED_SERVICES_MAX];
     size_t             keyed_count;
 } cw_router_t;
@@ -203,9 +200,6 @@
 /** Packs a report of this node as it is now, for cw_peer_link_send_packed. parts: CW_REPORT_ values, added. */
 size_t cw_router_pack_report(cw_router_t *router, uint32_t parts, cw_time_us_t now);
 
-/** Has this node given up the lock so lately that others are to be told? */
-bool cw_router_has_vacated(const cw_router_t *router, cw_time_us_t now);
-
 /* ---- router_relay.c ---- */
 void cw_router_relay_init(cw_router_t *router);
 void cw_router_relay_tick(cw_router_t *router, cw_time_us_t now);
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -19,10 +19,7 @@
     CUT_OFF_PERCENT = 5, /* and of all ranges: single orders go unanswered on any day, a lost zone is a sixth or more */
     CUT_OFF_PAUSE_S = 6,
     LINK_CAPABILITY = 5, /* thousandths of a core that a Mbit/s of link goes with */
-    BETTER_TIMES = 2,
-    DEFERENCE_MS = 500,
-    HAND_OVER_S = 4,
-    NEW_FOLLOWERS = 64 /* that a process takes it to have until it knows the others: 400 ms of turns at the lock */
+    NEW_FOLLOWERS = 64   /* that a process takes it to have until it knows the others: 400 ms of turns at the lock */
 };
 
 static const char leader_kind[] = "leaders";
@@ -84,7 +81,7 @@
     }
     if (router->leadership.leading && (!before || router->leadership.lock.term != term)) {
         cw_router_end_assigners(router);
-        router->led_since = now;
+        cw_leader_tenure_begin(&router->tenure, now);
         router->lead_servers = 1;
         router->lead_tables = 0;
         cw_key_tables_clear(&router->tables);
@@ -98,8 +95,7 @@
         note_leadership(router, CW_EVENT_LEADER_TAKEN, NULL);
     } else if (before && !router->leadership.leading) {
         if (router->leadership.lock.vacant) {
-            router->vacated_term = term;
-            router->vacated_at = now;
+            cw_leader_tenure_release(&router->tenure, term, now);
             router->all_due = true; /* others need not wait until they miss the leader's heartbeat */
         }
         cw_router_end_assigners(router);
@@ -239,14 +235,14 @@
     return (uint32_t)(by_cpu < by_link ? by_cpu : by_link);
 }
 
-static bool is_better_in_reach(const cw_router_t *router)
+static bool is_rival_in_reach(const cw_router_t *router)
 {
     uint32_t         own = cw_router_capability(router);
     const cw_peer_t *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (peer->last_received_at != 0 && !peer->is_lost && !peer->stopping &&
-            peer->capability >= BETTER_TIMES * own) {
+            cw_leader_is_rival(own, peer->capability)) {
             return true;
         }
     }
@@ -258,19 +254,14 @@
 {
     uint32_t followers;
 
-    if (!is_better_in_reach(router)) {
-        router->better_since = 0;
-    } else if (router->better_since == 0) {
-        router->better_since = now;
-    }
+    cw_leader_tenure_note_rival(&router->tenure, is_rival_in_reach(router), now);
     followers = cw_peer_link_alive(router->link, router->silence, now);
     if (cw_router_is_new(router, now) && followers < NEW_FOLLOWERS) {
         followers = NEW_FOLLOWERS;
     }
     cw_leadership_set_followers(&router->leadership, followers);
-    cw_leadership_defer(&router->leadership, router->better_since == 0 ? 0 : CW_MS(DEFERENCE_MS));
-    if (cw_router_is_able(router, now) && router->better_since != 0 &&
-        now - router->better_since > CW_SECONDS(HAND_OVER_S) && now - router->led_since > CW_SECONDS(HAND_OVER_S) &&
+    cw_leadership_defer(&router->leadership, cw_leader_tenure_deference(&router->tenure));
+    if (cw_router_is_able(router, now) && cw_leader_tenure_should_hand_over(&router->tenure, now) &&
         !is_store_in_trouble(router, now)) {
         note_leadership(router, CW_EVENT_LEADER_LOST, "a more capable node is in reach");
         cw_leadership_step_down(&router->leadership, now, CW_SECONDS(CUT_OFF_PAUSE_S));
@@ -299,8 +290,7 @@
     prefer_capable(router, now);
     step_lock(router, now);
     able = cw_router_is_able(router, now);
-    if (able != router->was_able) {
-        router->was_able = able;
+    if (cw_leader_tenure_authority_changed(&router->tenure, able)) {
         router->all_due = true;
         cw_metric_set(CW_METRIC_LEADING, able ? 1 : 0);
     }
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -53,7 +53,7 @@
  * zone's relays. */
 static bool has_news_for_all(const cw_router_t *router, cw_time_us_t now)
 {
-    return router->leadership.leading || cw_router_has_vacated(router, now);
+    return router->leadership.leading || cw_leader_tenure_announced(&router->tenure, now) != 0;
 }
 
 /** Nodes that this one reports to, and why. */
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -7,7 +7,7 @@
 
 #include "router/router_internal.h"
 
-enum { LOADS_MAX = 512, QUEUES_MAX = 32, SAMPLES_MAX = 16, VACATED_TOLD_S = 2 };
+enum { LOADS_MAX = 512, QUEUES_MAX = 32, SAMPLES_MAX = 16 };
 
 /** A report while it is being made. */
 typedef struct report_builder {
@@ -140,9 +140,7 @@
     builder.report.sequence = ++router->sequence;
     builder.report.stopping = router->stopping_at != 0;
     builder.report.store_lost = router->store_reach.is_lost;
-    if (cw_router_has_vacated(router, now)) {
-        builder.report.vacated = router->vacated_term;
-    }
+    builder.report.vacated = cw_leader_tenure_announced(&router->tenure, now);
     builder.report.configuration = cw_router_version(router);
     builder.report.peers = cw_peer_link_alive(router->link, router->silence, now);
     builder.report.term = router->view_term;
@@ -172,11 +170,6 @@
     builder.report.samples = builder.sample_pointers;
 }
 
-bool cw_router_has_vacated(const cw_router_t *router, cw_time_us_t now)
-{
-    return router->vacated_term != 0 && now - router->vacated_at < CW_SECONDS(VACATED_TOLD_S);
-}
-
 size_t cw_router_pack_report(cw_router_t *router, uint32_t parts, cw_time_us_t now)
 {
     Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
--- a/src/router/store_reach.h
+++ b/src/router/store_reach.h
@@ -17,7 +17,7 @@
 #include "base/time.h"
 
 enum {
-    CW_STORE_LOST_MS = 500 /**< two reads of the lock (READ_EVERY_MS, router_lead.c) without an answer */
+    CW_STORE_LOST_MS = 500 /**< chosen, not measured */
 };
 
 /** What a call's outcome has changed. */
