Lengths of queues at other nodes are a module: balance/queue_lengths.h

Cause: the array and its count were fields of the node's state, with the loops over them in router_receive.c and router_summary.c; no test showed what happens when it is full. Ruled out: a table by service; a sender's report replaces all that it reported before, and the array is summed a few times a second. Change: cw_queue_lengths_t, without protobuf's types; the two files call it. An entry that does not fit is a returned value now.

--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -5,6 +5,7 @@
 #ifndef CEDARWINCH_ROUTER_INTERNAL_H
 #define CEDARWINCH_ROUTER_INTERNAL_H
 
+#include "balance/queue_lengths.h"
 #include "base/byte_buffer.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
@@ -31,7 +32,6 @@
     CW_MANY_DATAGRAMS_A_SECOND = 60, /**< of reports of one of many nodes, whose datagrams are most of what all do */
     CW_KEYED_SERVICES_MAX = CW_TABLE_SERVICES_MAX,
     CW_PAGES_MAX = 512,
-    CW_QUEUE_REPORTS_MAX = 256,
     CW_TABLES_VALID_PERCENT = 80 /**< of a grant's hold: tables are used no longer without a fresh heartbeat */
 };
 
@@ -49,15 +49,6 @@
     cw_time_us_t            owners_missing_since; /**< most of its owners are not in the list; 0: no */
 } cw_keyed_service_t;
 
-/** Requests that wait at another node, or at the nodes of another zone, for a service. */
-typedef struct cw_queue_report {
-    uint64_t     peer;    /**< address of the node, or a zone's number (router_relay.c) */
-    bool         is_near; /**< a node of this zone */
-    uint32_t     service; /**< hash of its name */
-    uint32_t     queued;
-    cw_time_us_t at;
-} cw_queue_report_t;
-
 /** Something being received page by page. */
 typedef struct cw_view_assembly {
     uint64_t term;
@@ -108,18 +99,17 @@
     int64_t              file_changed; /**< modification time and size of the settings file, mixed */
 
     /* reports */
-    uint32_t          sequence;
-    cw_time_us_t      silence; /**< a node unheard of for so long counts as lost */
-    cw_time_us_t      reported_zone_at;
-    cw_time_us_t      reported_all_at;
-    cw_time_us_t      reported_full_at;
-    cw_time_us_t      reported_leader_at;
-    cw_time_us_t      sent_keys_at;
-    cw_time_us_t      named_until;
-    bool              zone_due;
-    bool              all_due;
-    cw_queue_report_t queues[CW_QUEUE_REPORTS_MAX];
-    size_t            queue_count;
+    uint32_t           sequence;
+    cw_time_us_t       silence; /**< a node unheard of for so long counts as lost */
+    cw_time_us_t       reported_zone_at;
+    cw_time_us_t       reported_all_at;
+    cw_time_us_t       reported_full_at;
+    cw_time_us_t       reported_leader_at;
+    cw_time_us_t       sent_keys_at;
+    cw_time_us_t       named_until;
+    bool               zone_due;
+    bool               all_due;
+    cw_queue_lengths_t queue_lengths; /**< of other nodes */
 
     /* reading the store for others */
     bool         is_reader;
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -83,39 +83,28 @@
 static void sum_queue(void *context, const char *service, uint32_t queued)
 {
     cw_router_t *router = context;
-    uint32_t     hash = cw_short_name(service);
-    uint32_t     sum = 0;
-    size_t       index;
+    uint32_t     sum = cw_queue_lengths_sum(&router->queue_lengths, cw_short_name(service));
 
     (void)queued;
-    for (index = 0; index < router->queue_count; index++) {
-        if (router->queues[index].service == hash) {
-            sum += router->queues[index].queued;
-        }
-    }
     cw_engine_set_queued_elsewhere(router->engine, service, sum);
 }
 
 void cw_router_take_queues(cw_router_t *router, uint64_t sender, bool is_near, Cwp__QueueLength *const *queues,
                            size_t count, cw_time_us_t now)
 {
-    size_t kept = 0;
+    bool   any = cw_queue_lengths_begin(&router->queue_lengths, sender, cw_router_report_life(router), now);
+    bool   fits = true;
     size_t index;
 
-    for (index = 0; index < router->queue_count; index++) {
-        if (router->queues[index].peer != sender && now - router->queues[index].at < cw_router_report_life(router)) {
-            router->queues[kept++] = router->queues[index];
-        }
-    }
-    for (index = 0; index < count && kept < CW_QUEUE_REPORTS_MAX; index++) {
-        router->queues[kept++] = (cw_queue_report_t){.peer = sender,
-                                                     .is_near = is_near,
-                                                     .service = queues[index]->service,
-                                                     .queued = queues[index]->queued,
-                                                     .at = now};
+    for (index = 0; index < count && fits; index++) {
+        cw_queue_length_t length = {.sender = {.id = sender, .is_near = is_near},
+                                    .service = queues[index]->service,
+                                    .queued = queues[index]->queued,
+                                    .at = now};
+
+        fits = cw_queue_lengths_add(&router->queue_lengths, &length);
     }
-    if (kept > 0 || router->queue_count > 0) {
-        router->queue_count = kept;
+    if (any || router->queue_lengths.count > 0) {
         cw_engine_each_service(router->engine, sum_queue, router);
     }
 }
--- a/src/router/router_summary.c
+++ b/src/router/router_summary.c
@@ -193,16 +193,16 @@
     add_queued(cw_short_name(service), queued);
 }
 
-static void add_queues(cw_router_t *router, cw_time_us_t now)
+static void add_other_queue(void *context, const cw_queue_length_t *length)
 {
-    size_t index;
+    (void)context;
+    add_queued(length->service, length->queued);
+}
 
+static void add_queues(cw_router_t *router, cw_time_us_t now)
+{
     cw_engine_each_queue(router->engine, add_own_queue, NULL);
-    for (index = 0; index < router->queue_count; index++) {
-        if (router->queues[index].is_near && now - router->queues[index].at < cw_router_report_life(router)) {
-            add_queued(router->queues[index].service, router->queues[index].queued);
-        }
-    }
+    cw_queue_lengths_each_near(&router->queue_lengths, cw_router_report_life(router), now, add_other_queue, NULL);
 }
 
 static void begin_summary(const cw_router_t *router, cw_summary_times_t *times)
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -416,7 +416,7 @@
         node_fixture_read_servers(node, "s", index, "10.0.1.1:80");
         node_fixture_tick(node, CW_TICK_MS);
     }
-    ck_assert_uint_le(node->router.queue_count, CW_QUEUE_REPORTS_MAX);
+    ck_assert_uint_le(node->router.queue_lengths.count, CW_QUEUE_LENGTHS_MAX);
     node_fixture_free(node);
 }
 END_TEST
