Which version others have is a module: router/configuration_newest.h

Cause: three fields and their rule (when a node reads what no other one has sent it) stood in router_configuration.c and router_share.c, without a test of their own. Ruled out: joining it with configuration_exchange.h, which has a highest version too: that one follows who can be asked, this one the time. Change: cw_configuration_newest_t; the two files call it.

--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -97,13 +97,7 @@
         return;
     }
     cw_configuration_exchange_note(router->exchange, peer->address, version, is_near, now);
-    if (version <= router->newest_version) {
-        return;
-    }
-    if (router->newest_version <= cw_router_version(router)) {
-        router->newest_version_at = now;
-    }
-    router->newest_version = version;
+    cw_configuration_newest_note(&router->configuration_newest, version, cw_router_version(router), now);
 }
 
 static void check_credential_evidence(cw_router_t *router, cw_time_us_t now)
@@ -124,13 +118,13 @@
 
 void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now)
 {
-    bool missed = router->newest_version > cw_router_version(router) &&
-                  now - router->newest_version_at >= router->settings.configuration_within * EXCHANGE_PERCENT / 100;
+    cw_time_us_t patience = router->settings.configuration_within * EXCHANGE_PERCENT / 100;
+    uint64_t     version = cw_router_version(router);
+    bool         is_overdue = cw_configuration_newest_is_overdue(&router->configuration_newest, version, patience, now);
 
     check_credential_evidence(router, now);
-    if (missed && !cw_configuration_exchange_is_receiving(router->exchange, now)) {
-        router->newest_version_at = now;
-        router->configuration_read_at = now;
+    if (is_overdue && !cw_configuration_exchange_is_receiving(router->exchange, now)) {
+        cw_configuration_newest_read(&router->configuration_newest, now);
         router->store->read_configuration(router->store->context);
     }
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -18,6 +18,7 @@
 #include "router/broker_choice.h"
 #include "router/configuration_exchange.h"
 #include "router/configuration_freshness.h"
+#include "router/configuration_newest.h"
 #include "router/leader_tenure.h"
 #include "router/list_history.h"
 #include "router/router.h"
@@ -120,9 +121,7 @@
     cw_configuration_exchange_t *exchange;
     cw_configuration_freshness_t freshness;
     cw_credential_evidence_t     credential_evidence; /**< how old `freshness` may grow for callers' keys */
-    uint64_t                     newest_version;      /**< highest that another node has in force */
-    cw_time_us_t newest_version_at; /**< since when one is higher than this node's own, or was last read */
-    cw_time_us_t configuration_read_at;
+    cw_configuration_newest_t    configuration_newest;
 
     /* what this node goes by */
     cw_server_view_t   server_view; /**< the list of servers in force */
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -50,8 +50,7 @@
     cw_router_t *router = context;
     cw_time_us_t now = cw_router_now(router);
 
-    if (now - router->configuration_read_at >= CW_MS(CW_READER_NOTICE_MS)) {
-        router->configuration_read_at = now;
+    if (cw_configuration_newest_read_large(&router->configuration_newest, CW_MS(CW_READER_NOTICE_MS), now)) {
         router->store->read_configuration(router->store->context);
     }
 }
