Allowance for sending is a module: base/send_allowance.h, used by the configuration's pages

Cause: two token buckets of bytes, in router_push.c and configuration_exchange.c, with the same arithmetic and no test of their own. Where a link of no bandwidth is configured, that one sends nothing, and this one (rate 0) anything: whoever moves it over has to keep that apart. Change: cw_send_allowance_t; configuration_exchange.c calls it.

--- a/src/router/configuration_exchange.c
+++ b/src/router/configuration_exchange.c
@@ -6,6 +6,8 @@
 
 #include <stdlib.h>
 
+#include "base/send_allowance.h"
+
 enum {
     REMEMBERED = 8,     /* earlier configurations, for changes told from them: a storm brings some four a second */
     NEAR_WAIT_MS = 80,  /* two ticks and a datagram's way: a node of the own zone mostly turns up meanwhile */
@@ -37,8 +39,7 @@
     cw_time_us_t                      received_at; /**< the last page that was missing came; 0: none has */
     cw_time_us_t                      ask_at;      /**< next request */
     uint32_t                          answer_to;   /**< node that is being answered */
-    double                            allowance;   /**< bytes that may be sent now */
-    cw_time_us_t                      filled_at;
+    cw_send_allowance_t               allowance;   /**< for pages */
     transfer_t                        transfers[TRANSFERS_MAX];
     uint32_t                          served[SERVED_MAX]; /**< nodes that got the last pages of the version in force */
     size_t                            served_count;
@@ -53,6 +54,7 @@
         abort();
     }
     exchange->owner = *owner;
+    cw_send_allowance_init(&exchange->allowance, owner->bytes_per_s, CW_MS(BURST_MS));
     return exchange;
 }
 
@@ -156,19 +158,15 @@
 
     datagram.content_case = CWP__DATAGRAM__CONTENT_CONFIGURATION;
     datagram.configuration = (Cwp__ConfigurationPage *)page;
-    exchange->allowance -= (double)cwp__datagram__get_packed_size(&datagram);
+    cw_send_allowance_spend(&exchange->allowance, cwp__datagram__get_packed_size(&datagram));
     exchange->owner.send(exchange->owner.context, exchange->answer_to, &datagram);
 }
 
 /* May more be sent now? */
 static bool refill_allowance(cw_configuration_exchange_t *exchange, cw_time_us_t now)
 {
-    double most = exchange->owner.bytes_per_s * BURST_MS / 1000;
-
-    exchange->allowance += exchange->owner.bytes_per_s * (double)(now - exchange->filled_at) / 1e6;
-    exchange->allowance = exchange->allowance > most ? most : exchange->allowance;
-    exchange->filled_at = now;
-    return exchange->owner.bytes_per_s == 0 || exchange->allowance > 0;
+    cw_send_allowance_refill(&exchange->allowance, now);
+    return cw_send_allowance_has_any(&exchange->allowance);
 }
 
 static const cw_configuration_t *find_remembered(const cw_configuration_exchange_t *exchange, uint64_t version)
