platform/: each body of the store is decoded once, by type; what is malformed is logged with its place

Cause: platform_parse.c read servers' entries with defaults: another type or a missing field gave "" or 0 (an entry without a zone, a capacity of 1), a sequence above 32 bits was cut; a watch's answer without events passed for "no change", and so for evidence that the configuration is the newest; a listing without its revision counted as revision 0. A limit of 1.5 or 1e300 bytes fell back to the default. Ruled out: refusing a whole list for one entry: one server would blind all nodes; the entry is left out, logged and counted. Conclusion: no body of the store is read as a made-up value.

--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -1,6 +1,6 @@
 /**
  * @file fuzz_platform.c
- * @brief Bodies of the store: configurations, servers, locks, records. The first byte chooses.
+ * @brief Bodies of the store: configurations, servers, records, listings, changes, locks. The first byte chooses.
  */
 #include <stdint.h>
 #include <stdlib.h>
@@ -9,7 +9,7 @@
 #include "lease/leadership.h"
 #include "platform_internal.h"
 
-enum { KINDS = 4 };
+enum { KINDS = 6 };
 
 static void take_configuration(const json_t *value)
 {
@@ -33,16 +33,59 @@
     }
 }
 
+/* A body is refused with a reason, or read without one. */
+static void check_reason(bool is_read, const cw_platform_problem_t *problem)
+{
+    if (is_read != (problem->text[0] == '\0')) {
+        abort();
+    }
+}
+
 static void take_server(const json_t *value)
 {
-    cw_server_list_t *list = cw_server_list_create();
+    cw_server_list_t     *list = cw_server_list_create();
+    cw_platform_problem_t problem;
+    cw_stored_object_t    object;
+    bool                  is_read = cw_platform_decode_object(&object, value, &problem);
 
-    (void)cw_platform_parse_server(list, value);
+    check_reason(is_read, &problem);
+    if (is_read) {
+        check_reason(cw_platform_decode_server(list, &object), &problem);
+    }
     cw_server_list_seal(list);
     (void)cw_server_list_find(list, "i-a");
     cw_server_list_release(list);
 }
 
+static void take_page(const json_t *value)
+{
+    cw_platform_problem_t problem;
+    cw_listing_page_t     page;
+    cw_stored_object_t    object;
+    bool                  is_read = cw_platform_decode_page(&page, value, &problem);
+    size_t                index;
+
+    check_reason(is_read, &problem);
+    for (index = 0; is_read && index < json_array_size(page.objects); index++) {
+        check_reason(cw_platform_decode_listed(&object, value, index, &problem), &problem);
+    }
+}
+
+static void take_changes(const json_t *value)
+{
+    cw_server_list_t     *list = cw_server_list_create();
+    cw_platform_problem_t problem;
+    cw_store_changes_t    changes;
+    bool                  is_read = cw_platform_decode_changes(&changes, value, &problem);
+
+    check_reason(is_read, &problem);
+    cw_server_list_seal(list);
+    if (is_read) {
+        cw_server_list_release(cw_platform_apply_changes(list, value));
+    }
+    cw_server_list_release(list);
+}
+
 static void take_record(const json_t *value)
 {
     cw_assignment_record_t record;
@@ -73,6 +116,12 @@
     case 2:
         take_record(value);
         break;
+    case 3:
+        take_page(value);
+        break;
+    case 4:
+        take_changes(value);
+        break;
     default:
         (void)cw_lock_from_json(&lock, value);
         break;
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -30,6 +30,7 @@
     X(KEYS_CONFIRMED, "keys confirmed", NOTICE, 10)                                                                    \
     X(WATCH_BEGUN, "watch begun", INFO, 10)                                                                            \
     X(WATCH_FAILED, "watch failed", WARNING, 10)                                                                       \
+    X(STORE_BODY_MALFORMED, "malformed store body", WARNING, 20)                                                       \
     X(READER, "store reader", NOTICE, 10)                                                                              \
     X(SERVERS_CHANGED, "servers changed", NOTICE, 20)                                                                  \
     X(SERVERS_KEPT, "servers kept", WARNING, 20)                                                                       \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -80,6 +80,8 @@
       "times the list was brought up to date by its changes")                                                          \
     X(STORE_COPIES, "cedarwinch_store_copy_reads_total", "counter", "reading calls answered from a copy, cheaper")     \
     X(STORE_FAILURES, "cedarwinch_store_failures_total", "counter", "calls to the store refused or without an answer") \
+    X(STORE_BODIES_MALFORMED, "cedarwinch_store_bodies_malformed_total", "counter",                                    \
+      "answers of the store, or entries in them, with a field missing or of another type")                             \
     X(GRANTS, "cedarwinch_grants_total", "counter", "grants and renewals sent")                                        \
     X(RELEASES, "cedarwinch_releases_total", "counter", "releases sent")                                               \
     X(ORDERS_FAILED, "cedarwinch_orders_failed_total", "counter", "grants and releases without a good answer")         \
--- a/tests/process/configuration.sh
+++ b/tests/process/configuration.sh
@@ -19,6 +19,16 @@
 cluster_configure "$(configuration 12)"
 until_true all_have 12
 check "a lower version was not taken" [ "$(grep -h '"configuration accepted"' "$WORK"/node1.log | grep -c '"version":7')" = 0 ]
+# A limit of another type: refused whole, with its place; the one in force stays, and a later one is taken.
+refused() { grep -h '"configuration refused"' "$WORK"/node?.log | grep -q 'limits.max-body-bytes: not a number'; }
+cluster_configure "$(renamed 14 | jq -c '.limits = {"max-body-bytes": "1000"}')"
+until_true refused
+check "a limit of another type is refused with its place" refused
+check "the version in force stays" all_have 12
+check "its routes serve" [ "$(status 1 /hire/x)" = 200 ]
+cluster_configure "$(configuration 16)"
+until_true all_have 16
+check "a later one is taken" all_have 16
 # Forgotten, and nothing changes: a watch from the object's own revision would be refused again and again.
 curl -sf -X POST "http://$STORE/control?forget=1" >/dev/null
 reads() { curl -sf "http://$NET.1:8081/metrics" | awk '/^cedarwinch_store_reads_total/ {print $2}'; }
--- /dev/null
+++ b/tests/test_platform_bodies.c
@@ -0,0 +1,269 @@
+/**
+ * @file test_platform_bodies.c
+ * @brief Answers of the platform's store: what is read, and what is a problem with its place.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "platform_body.h"
+
+#define SERVICE  "\"service\":\"maps\","
+#define ADDRESS  "\"address\":\"10.0.0.1:80\","
+#define ZONE     "\"zone\":\"quay\","
+#define CAPACITY "\"capacity\":4,"
+#define STATE    "\"state\":\"ready\","
+#define COLD     "\"cold_ms\":0,"
+#define SEQUENCE "\"sequence\":7"
+#define METADATA "\"metadata\":{\"name\":\"i-a\",\"revision\":3}"
+#define SPEC     "{" SERVICE ADDRESS ZONE CAPACITY STATE COLD SEQUENCE "}"
+#define OBJECT   "{" METADATA ",\"spec\":" SPEC "}"
+
+/** A body that is refused, and the place and reason given. */
+typedef struct refusal {
+    const char *body;
+    const char *problem;
+} refusal_t;
+
+static json_t *load(const char *text)
+{
+    json_t *body = json_loads(text, 0, NULL);
+
+    ck_assert_msg(body != NULL, "%s", text);
+    return body;
+}
+
+/* ---- servers ---- */
+
+/* The list with the one server of an entry; NULL: refused. */
+static cw_server_list_t *read_server(const char *text, cw_platform_problem_t *problem)
+{
+    cw_server_list_t  *list = cw_server_list_create();
+    json_t            *body = load(text);
+    cw_stored_object_t object;
+    bool is_read = cw_platform_decode_object(&object, body, problem) && cw_platform_decode_server(list, &object);
+
+    json_decref(body);
+    ck_assert_uint_eq(list->count, is_read ? 1 : 0);
+    if (!is_read) {
+        cw_server_list_release(list);
+        return NULL;
+    }
+    cw_server_list_seal(list);
+    return list;
+}
+
+START_TEST(an_entry_is_read_whole)
+{
+    cw_platform_problem_t    problem;
+    cw_server_list_t        *list = read_server("{" METADATA ",\"spec\":{" SERVICE ADDRESS ZONE CAPACITY
+                                                "\"state\":\"draining\",\"cold_ms\":1500.5,\"sequence\":6000000000,"
+                                                       "\"version\":\"v1\"}}",
+                                                &problem);
+    const cw_server_entry_t *entry;
+
+    ck_assert_msg(list != NULL, "%s", problem.text);
+    entry = cw_server_list_find(list, "i-a");
+    ck_assert_str_eq(entry->service, "maps");
+    ck_assert_str_eq(entry->address, "10.0.0.1:80");
+    ck_assert_str_eq(entry->zone, "quay");
+    ck_assert_uint_eq(entry->capacity, 4);
+    ck_assert(entry->draining);
+    ck_assert_uint_eq(entry->sequence, 6000000000);
+    ck_assert_int_eq(entry->cold_time, 1500500);
+    cw_server_list_release(list);
+}
+END_TEST
+
+#define REFUSED_ENTRY(fields, reason)                                                                                  \
+    {                                                                                                                  \
+        "{" METADATA ",\"spec\":{" fields "}}", reason                                                                 \
+    }
+
+static const refusal_t server_refusals[] = {
+    {"{}", "metadata: missing"},
+    {"{\"metadata\":7}", "metadata: not an object"},
+    {"{\"metadata\":{}}", "metadata.name: missing"},
+    {"{\"metadata\":{\"name\":7}}", "metadata.name: not a text"},
+    {"{\"metadata\":{\"name\":\"\"}}", "metadata.name: empty"},
+    {"{\"metadata\":{\"name\":\"i-a\",\"revision\":\"3\"}}", "metadata.revision: not a whole number"},
+    {"{" METADATA "}", "spec: missing"},
+    {"{" METADATA ",\"spec\":null}", "spec: missing"},
+    {"{" METADATA ",\"spec\":[]}", "spec: not an object"},
+    {"{" METADATA "," SERVICE ADDRESS ZONE CAPACITY STATE COLD SEQUENCE "}", "spec: missing"},
+    REFUSED_ENTRY(ADDRESS ZONE CAPACITY STATE COLD SEQUENCE, "spec.service: missing"),
+    REFUSED_ENTRY("\"service\":7," ADDRESS ZONE CAPACITY STATE COLD SEQUENCE, "spec.service: not a text"),
+    REFUSED_ENTRY("\"service\":\"\"," ADDRESS ZONE CAPACITY STATE COLD SEQUENCE, "spec.service: empty"),
+    REFUSED_ENTRY(SERVICE ZONE CAPACITY STATE COLD SEQUENCE, "spec.address: missing"),
+    REFUSED_ENTRY(SERVICE "\"address\":80," ZONE CAPACITY STATE COLD SEQUENCE, "spec.address: not a text"),
+    REFUSED_ENTRY(SERVICE ADDRESS CAPACITY STATE COLD SEQUENCE, "spec.zone: missing"),
+    REFUSED_ENTRY(SERVICE ADDRESS "\"zone\":[]," CAPACITY STATE COLD SEQUENCE, "spec.zone: not a text"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE STATE COLD SEQUENCE, "spec.capacity: missing"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE "\"capacity\":\"4\"," STATE COLD SEQUENCE, "spec.capacity: not a number"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE "\"capacity\":-4," STATE COLD SEQUENCE, "spec.capacity: below zero"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE "\"capacity\":1.5," STATE COLD SEQUENCE,
+                  "spec.capacity: not a whole number, or too large"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE "\"capacity\":1e10," STATE COLD SEQUENCE,
+                  "spec.capacity: not a whole number, or too large"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY COLD SEQUENCE, "spec.state: missing"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY "\"state\":true," COLD SEQUENCE, "spec.state: not a text"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY "\"state\":\"Ready\"," COLD SEQUENCE,
+                  "spec.state: neither ready nor draining"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE SEQUENCE, "spec.cold_ms: missing"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE "\"cold_ms\":\"0\"," SEQUENCE, "spec.cold_ms: not a number"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE "\"cold_ms\":-1," SEQUENCE, "spec.cold_ms: below zero"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE "\"cold_ms\":1e300," SEQUENCE, "spec.cold_ms: too large"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE "\"cold_ms\":0", "spec.sequence: missing"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE COLD "\"sequence\":\"7\"", "spec.sequence: not a whole number"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE COLD "\"sequence\":7.5", "spec.sequence: not a whole number"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE COLD "\"sequence\":-7", "spec.sequence: not a whole number"),
+};
+
+START_TEST(an_entry_with_a_field_missing_or_of_another_type_is_refused_with_its_place)
+{
+    cw_platform_problem_t problem;
+
+    ck_assert_ptr_null(read_server(server_refusals[_i].body, &problem));
+    ck_assert_str_eq(problem.text, server_refusals[_i].problem);
+}
+END_TEST
+
+/* ---- listings ---- */
+
+START_TEST(a_page_of_a_listing_is_read)
+{
+    json_t               *body = load("{\"items\":[" OBJECT "],\"has-more\":true,\"at\":530}");
+    cw_platform_problem_t problem;
+    cw_listing_page_t     page;
+    cw_stored_object_t    object;
+
+    ck_assert(cw_platform_decode_page(&page, body, &problem));
+    ck_assert_uint_eq(json_array_size(page.objects), 1);
+    ck_assert(page.has_more);
+    ck_assert_uint_eq(page.revision, 530);
+    ck_assert(cw_platform_decode_listed(&object, body, 0, &problem));
+    ck_assert_str_eq(object.name, "i-a");
+    ck_assert_uint_eq(object.revision, 3);
+    json_decref(body);
+}
+END_TEST
+
+static const refusal_t page_refusals[] = {
+    {"[]", "body: not an object"},
+    {"{\"has-more\":false,\"at\":3}", "items: missing"},
+    {"{\"items\":{},\"has-more\":false,\"at\":3}", "items: not a list"},
+    {"{\"items\":[],\"at\":3}", "has-more: missing"},
+    {"{\"items\":[],\"has-more\":0,\"at\":3}", "has-more: neither true nor false"},
+    {"{\"items\":[],\"has-more\":true,\"at\":3}", "items: empty, though there are more"},
+    {"{\"items\":[],\"has-more\":false}", "at: missing"},
+    {"{\"items\":[],\"has-more\":false,\"at\":\"3\"}", "at: not a whole number"},
+    {"{\"items\":[],\"has-more\":false,\"at\":-3}", "at: not a whole number"},
+    {"{\"items\":[],\"has-more\":false,\"at\":3.5}", "at: not a whole number"},
+};
+
+START_TEST(a_page_with_a_field_missing_or_of_another_type_is_refused)
+{
+    json_t               *body = load(page_refusals[_i].body);
+    cw_platform_problem_t problem;
+    cw_listing_page_t     page;
+
+    ck_assert(!cw_platform_decode_page(&page, body, &problem));
+    ck_assert_str_eq(problem.text, page_refusals[_i].problem);
+    json_decref(body);
+}
+END_TEST
+
+START_TEST(a_listed_object_that_is_none_is_refused_with_its_position)
+{
+    json_t               *body = load("{\"items\":[" OBJECT ",{\"metadata\":{}},7],\"has-more\":false,\"at\":530}");
+    cw_platform_problem_t problem;
+    cw_stored_object_t    object;
+
+    ck_assert(!cw_platform_decode_listed(&object, body, 1, &problem));
+    ck_assert_str_eq(problem.text, "items[1].metadata.name: missing");
+    ck_assert(!cw_platform_decode_listed(&object, body, 2, &problem));
+    ck_assert_str_eq(problem.text, "items[2]: not an object");
+    ck_assert(cw_platform_decode_listed(&object, body, 0, &problem)); /* no problem stays from before */
+    json_decref(body);
+}
+END_TEST
+
+/* ---- watches ---- */
+
+START_TEST(changes_are_read)
+{
+    json_t               *body = load("{\"events\":[{\"gone\":true,\"object\":" OBJECT "}],\"at\":533}");
+    cw_platform_problem_t problem;
+    cw_store_changes_t    changes;
+    cw_store_change_t     change;
+
+    ck_assert(cw_platform_decode_changes(&changes, body, &problem));
+    ck_assert_uint_eq(json_array_size(changes.events), 1);
+    ck_assert_uint_eq(changes.revision, 533);
+    ck_assert(cw_platform_decode_change(&change, body, 0, &problem));
+    ck_assert(change.is_gone);
+    ck_assert_str_eq(change.object.name, "i-a");
+    json_decref(body);
+}
+END_TEST
+
+static const refusal_t changes_refusals[] = {
+    {"{\"at\":3}", "events: missing"},
+    {"{\"events\":7,\"at\":3}", "events: not a list"},
+    {"{\"events\":[]}", "at: missing"},
+    {"{\"events\":[],\"at\":true}", "at: not a whole number"},
+};
+
+START_TEST(changes_with_a_field_missing_or_of_another_type_are_refused)
+{
+    json_t               *body = load(changes_refusals[_i].body);
+    cw_platform_problem_t problem;
+    cw_store_changes_t    changes;
+
+    ck_assert(!cw_platform_decode_changes(&changes, body, &problem));
+    ck_assert_str_eq(problem.text, changes_refusals[_i].problem);
+    json_decref(body);
+}
+END_TEST
+
+static const refusal_t change_refusals[] = {
+    {"{\"events\":[7]}", "events[0]: not an object"},
+    {"{\"events\":[{\"gone\":false}]}", "events[0].object: missing"},
+    {"{\"events\":[{\"gone\":false,\"object\":[]}]}", "events[0].object: not an object"},
+    {"{\"events\":[{\"object\":" OBJECT "}]}", "events[0].gone: missing"},
+    {"{\"events\":[{\"gone\":\"false\",\"object\":" OBJECT "}]}", "events[0].gone: neither true nor false"},
+    {"{\"events\":[{\"gone\":false,\"object\":{\"metadata\":{\"name\":7}}}]}",
+     "events[0].object.metadata.name: not a text"},
+};
+
+START_TEST(a_change_with_a_field_missing_or_of_another_type_is_refused)
+{
+    json_t               *body = load(change_refusals[_i].body);
+    cw_platform_problem_t problem;
+    cw_store_change_t     change;
+
+    ck_assert(!cw_platform_decode_change(&change, body, 0, &problem));
+    ck_assert_str_eq(problem.text, change_refusals[_i].problem);
+    json_decref(body);
+}
+END_TEST
+
+#define COUNT(list) ((int)(sizeof(list) / sizeof((list)[0])))
+
+int main(void)
+{
+    Suite *suite = suite_create("platform bodies");
+    TCase *cases = tcase_create("bodies");
+
+    tcase_add_test(cases, an_entry_is_read_whole);
+    tcase_add_loop_test(cases, an_entry_with_a_field_missing_or_of_another_type_is_refused_with_its_place, 0,
+                        COUNT(server_refusals));
+    tcase_add_test(cases, a_page_of_a_listing_is_read);
+    tcase_add_loop_test(cases, a_page_with_a_field_missing_or_of_another_type_is_refused, 0, COUNT(page_refusals));
+    tcase_add_test(cases, a_listed_object_that_is_none_is_refused_with_its_position);
+    tcase_add_test(cases, changes_are_read);
+    tcase_add_loop_test(cases, changes_with_a_field_missing_or_of_another_type_are_refused, 0, COUNT(changes_refusals));
+    tcase_add_loop_test(cases, a_change_with_a_field_missing_or_of_another_type_is_refused, 0, COUNT(change_refusals));
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
