src/assignment: the assigner's record, commits, plans and tick are files of their own

Cause: assigner.c had 479 lines with five jobs. Ruled out: types of their own: all of them change one state machine, whose rules stand in one header. Change: assigner_record.c (store calls), assigner_commit.c, assigner_plan.c, assigner_tick.c; text of the functions unchanged, each file calls only files below it (tick: record, orders; record: commit, plan; all: assigner.c). Conclusion: no change of behaviour.

--- /dev/null
+++ b/src/assignment/assigner_commit.c
@@ -0,0 +1,113 @@
+/**
+ * @file assigner_commit.c
+ * @brief What a written plan means for each range: kept as it was, or begun as a move.
+ */
+#include "assignment/assigner_internal.h"
+
+#include <string.h>
+
+static const cw_range_t *source_of(const cw_assigner_t *assigner, const cw_range_t *planned)
+{
+    return cw_range_list_find(&assigner->record.ranges, planned->low);
+}
+
+/* A range that the plan left with its owner and fence keeps all that is known of it. */
+static void carry_on(cw_range_t *planned, const cw_range_t *source)
+{
+    uint32_t low = planned->low;
+    uint32_t last = planned->last;
+
+    *planned = *source;
+    planned->low = low;
+    planned->last = last;
+    planned->orders = 0;
+}
+
+/* A range whose owner or fence the plan changed. */
+static void begin_move(const cw_assigner_t *assigner, cw_range_t *planned, const cw_range_t *source, cw_time_us_t now)
+{
+    bool same_owner = source != NULL && strcmp(source->owner.id, planned->owner.id) == 0;
+
+    planned->hold_until = same_owner ? source->hold_until : 0;
+    planned->unanswered_at = same_owner ? source->unanswered_at : 0;
+    planned->taken_at = 0;
+    planned->failing_since = 0;
+    planned->owner_ended = false;
+    planned->orders = 0;
+    planned->next_order = now;
+    planned->moved_at = now;
+    if (planned->former.id[0] == '\0') {
+        planned->phase = CW_RANGE_GRANTING;
+        return;
+    }
+    planned->phase = CW_RANGE_RELEASING;
+    planned->keeps_serving = false;
+    if (source == NULL) {
+        return;
+    }
+    planned->former_until =
+        strcmp(planned->former.id, source->owner.id) == 0 ? source->hold_until : source->former_until;
+    if (cw_assigner_may_wake(assigner, source, now)) {
+        cw_time_us_t tables_end = cw_assigner_hold_end(now, assigner->settings.table_valid);
+
+        planned->former_until = tables_end > planned->former_until ? tables_end : planned->former_until;
+    }
+}
+
+static void commit_change(cw_assigner_t *assigner, cw_time_us_t now)
+{
+    size_t index;
+
+    for (index = 0; index < assigner->plan.ranges.count; index++) {
+        cw_range_t       *planned = &assigner->plan.ranges.items[index];
+        const cw_range_t *source = source_of(assigner, planned);
+
+        if (source != NULL && source->owner.fence == planned->owner.fence) {
+            carry_on(planned, source);
+        } else {
+            begin_move(assigner, planned, source, now);
+        }
+    }
+}
+
+/* What a former leader did is known only by its record. It sent its last grant before this leader took the lock; how
+ * long the record took to write makes no hold longer. */
+static void commit_adoption(cw_assigner_t *assigner, cw_time_us_t now)
+{
+    size_t index;
+
+    for (index = 0; index < assigner->plan.ranges.count; index++) {
+        cw_range_t  *range = &assigner->plan.ranges.items[index];
+        cw_time_us_t until = cw_assigner_hold_end(assigner->led_since, assigner->settings.hold_long);
+
+        range->next_order = now;
+        range->hold_until = until;
+        range->former_until = until;
+        if (range->former.id[0] != '\0') {
+            range->phase = CW_RANGE_RELEASING;
+        } else {
+            range->phase = CW_RANGE_GRANTING;
+            range->keeps_serving = true;
+        }
+    }
+}
+
+void cw_assigner_commit(cw_assigner_t *assigner, uint64_t revision, cw_time_us_t now)
+{
+    cw_assignment_record_t written = assigner->plan;
+
+    if (assigner->adopting) {
+        commit_adoption(assigner, now);
+    } else {
+        commit_change(assigner, now);
+    }
+    written.ranges = assigner->plan.ranges;
+    cw_range_list_clear(&assigner->record.ranges);
+    assigner->record = written;
+    memset(&assigner->plan, 0, sizeof(assigner->plan));
+    assigner->revision = revision;
+    assigner->writing = false;
+    assigner->adopting = false;
+    assigner->state = CW_ASSIGNER_READY;
+    assigner->ports.changed(assigner->ports.context);
+}
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -7,8 +7,6 @@
 
 #include "assignment/assigner.h"
 
-/** Kind of the objects that hold the records; one object a service. */
-
 struct cw_assigner {
     char                  *service;
     uint64_t               term;
@@ -37,11 +35,29 @@
     uint64_t               last_order;
 };
 
-void cw_assigner_send_orders(cw_assigner_t *assigner, const cw_server_list_t *servers, bool long_hold,
-                             cw_time_us_t now);
-void cw_assigner_plan_refence(cw_assigner_t *assigner, const cw_range_t *range);
+/* ---- assigner.c ---- */
+/** Frees it at once. */
+void cw_assigner_free_now(cw_assigner_t *assigner);
 /** Can an order that went unanswered still be carried out, or its hold still be in force? */
-bool         cw_assigner_may_wake(const cw_assigner_t *assigner, const cw_range_t *range, cw_time_us_t now);
+bool cw_assigner_may_wake(const cw_assigner_t *assigner, const cw_range_t *range, cw_time_us_t now);
+/** When a hold ordered then has ended by any server's clock. */
 cw_time_us_t cw_assigner_hold_end(cw_time_us_t sent_at, cw_time_us_t hold);
 
+/* ---- assigner_plan.c ---- */
+/** Hands the plan in: it is written as soon as the store can be called, and stays as it is until then. */
+void cw_assigner_begin_write(cw_assigner_t *assigner);
+void cw_assigner_plan_refence(cw_assigner_t *assigner, const cw_range_t *range);
+
+/* ---- assigner_commit.c ---- */
+/** The plan stands in the store under this revision: it is the record now. */
+void cw_assigner_commit(cw_assigner_t *assigner, uint64_t revision, cw_time_us_t now);
+
+/* ---- assigner_record.c ---- */
+/** Makes the store call that is due, unless one is under way. */
+void cw_assigner_call_store(cw_assigner_t *assigner, cw_time_us_t now);
+
+/* ---- assigner_orders.c ---- */
+void cw_assigner_send_orders(cw_assigner_t *assigner, const cw_server_list_t *servers, bool long_hold,
+                             cw_time_us_t now);
+
 #endif
--- /dev/null
+++ b/src/assignment/assigner_record.c
@@ -0,0 +1,149 @@
+/**
+ * @file assigner_record.c
+ * @brief The record in the store: read, written, adopted from a former leader, or lost to a later one.
+ */
+#include "assignment/assigner_internal.h"
+
+enum { RETRY_MS = 150 /* after a refusal, and after a reading that brought nothing; chosen */ };
+
+static void on_written(void *data, const cw_store_reply_t *reply);
+static void on_read(void *data, const cw_store_reply_t *reply);
+
+static void call_write(cw_assigner_t *assigner)
+{
+    json_t *value = cw_assignment_record_to_json(&assigner->plan);
+
+    assigner->calling = true;
+    if (assigner->revision == 0) {
+        assigner->ports.store->create(assigner->ports.store->context, CW_ASSIGNMENTS_KIND, assigner->service, value,
+                                      on_written, assigner);
+    } else {
+        assigner->ports.store->replace(assigner->ports.store->context, CW_ASSIGNMENTS_KIND, assigner->service,
+                                       assigner->revision, value, on_written, assigner);
+    }
+    json_decref(value);
+}
+
+static void call_read(cw_assigner_t *assigner)
+{
+    assigner->calling = true;
+    assigner->ports.store->read(assigner->ports.store->context, CW_ASSIGNMENTS_KIND, assigner->service, on_read,
+                                assigner);
+}
+
+/* Writes the record once more, with this leader's term. */
+static void adopt(cw_assigner_t *assigner, cw_assignment_record_t *record, uint64_t revision)
+{
+    cw_range_list_clear(&assigner->plan.ranges);
+    assigner->plan = *record;
+    assigner->revision = revision;
+    assigner->adopting = true;
+    cw_assigner_begin_write(assigner);
+}
+
+/* The object as it stands: this leader's own write, a former leader's, or a later one's. */
+static void take_object(cw_assigner_t *assigner, const cw_store_reply_t *reply, cw_time_us_t now)
+{
+    cw_assignment_record_t record;
+    bool                   readable = cw_assignment_record_from_json(&record, reply->value);
+
+    if (readable && record.term > assigner->term) {
+        cw_range_list_clear(&record.ranges);
+        assigner->state = CW_ASSIGNER_DEPOSED;
+        assigner->writing = false;
+        return;
+    }
+    if (assigner->writing && readable && record.writer == assigner->incarnation &&
+        record.write == assigner->plan.write) {
+        cw_range_list_clear(&record.ranges);
+        cw_assigner_commit(assigner, reply->revision, now);
+        return;
+    }
+    if (assigner->writing && reply->revision == assigner->revision) {
+        cw_range_list_clear(&record.ranges);
+        assigner->write_due = true; /* not done so far: once more, under the same revision */
+        return;
+    }
+    if (!readable) {
+        assigner->revision = reply->revision;
+        assigner->state = CW_ASSIGNER_EMPTY;
+        assigner->writing = false;
+        return;
+    }
+    adopt(assigner, &record, reply->revision);
+}
+
+static bool take_back(cw_assigner_t *assigner)
+{
+    assigner->calling = false;
+    if (assigner->freed) {
+        cw_assigner_free_now(assigner);
+        return false;
+    }
+    return true;
+}
+
+static void on_written(void *data, const cw_store_reply_t *reply)
+{
+    cw_assigner_t *assigner = data;
+
+    if (!take_back(assigner)) {
+        return;
+    }
+    assigner->write_due = false;
+    switch (reply->result) {
+    case CW_STORE_DONE:
+        cw_assigner_commit(assigner, reply->revision, assigner->now);
+        break;
+    case CW_STORE_REFUSED:
+        assigner->write_due = true;
+        assigner->retry_at = assigner->now + CW_MS(RETRY_MS);
+        break;
+    case CW_STORE_NOT_FOUND:
+    case CW_STORE_CONFLICT:
+    case CW_STORE_UNKNOWN:
+        assigner->read_due = true;
+        break;
+    }
+}
+
+static void on_read(void *data, const cw_store_reply_t *reply)
+{
+    cw_assigner_t *assigner = data;
+
+    if (!take_back(assigner)) {
+        return;
+    }
+    assigner->read_due = false;
+    switch (reply->result) {
+    case CW_STORE_DONE:
+        take_object(assigner, reply, assigner->now);
+        break;
+    case CW_STORE_NOT_FOUND:
+        assigner->revision = 0;
+        assigner->write_due = assigner->writing;
+        if (!assigner->writing) {
+            assigner->state = CW_ASSIGNER_EMPTY;
+        }
+        break;
+    case CW_STORE_CONFLICT:
+    case CW_STORE_REFUSED:
+    case CW_STORE_UNKNOWN:
+        assigner->read_due = true;
+        assigner->retry_at = assigner->now + CW_MS(RETRY_MS);
+        break;
+    }
+}
+
+void cw_assigner_call_store(cw_assigner_t *assigner, cw_time_us_t now)
+{
+    if (assigner->calling || now < assigner->retry_at) {
+        return;
+    }
+    if (assigner->read_due || assigner->state == CW_ASSIGNER_NEW) {
+        assigner->state = assigner->state == CW_ASSIGNER_NEW ? CW_ASSIGNER_CALLING : assigner->state;
+        call_read(assigner);
+    } else if (assigner->write_due) {
+        call_write(assigner);
+    }
+}
--- /dev/null
+++ b/src/assignment/assigner_tick.c
@@ -0,0 +1,21 @@
+/**
+ * @file assigner_tick.c
+ * @brief What an assigner does with each tick.
+ */
+#include "assignment/assigner_internal.h"
+
+void cw_assigner_tick(cw_assigner_t *assigner, const cw_server_list_t *servers, bool able, bool long_hold,
+                      cw_time_us_t now)
+{
+    assigner->now = now;
+    if (!able || assigner->state == CW_ASSIGNER_DEPOSED) {
+        return;
+    }
+    if (assigner->led_since == 0) {
+        assigner->led_since = now;
+    }
+    cw_assigner_call_store(assigner, now);
+    if (assigner->state == CW_ASSIGNER_READY) {
+        cw_assigner_send_orders(assigner, servers, long_hold, now);
+    }
+}
