src/router: the planned stop, the settings file and the answers about the node are files of their own

Ruled out: passing router_internal.h by; the three parts read a dozen fields each, and own few. Change: router_stop.c, router_reload.c, router_own.c; router.c starts, ticks and hands signals on. Text of the functions unchanged. Conclusion: no change of behaviour.

--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -170,6 +170,24 @@
 /** Listens for callers. Returns 0 or a libuv error. */
 int cw_router_callers_start(cw_router_t *router);
 
+/* ---- router_own.c ---- */
+/** Listens for questions about this node: readiness, status, metrics. Returns 0 or a libuv error. */
+int cw_router_own_start(cw_router_t *router);
+
+/* ---- router_reload.c ---- */
+/** Modification time and size of a file, mixed; 0: there is none. */
+int64_t cw_router_file_state(const char *file_name);
+/** Reads the settings file again; what may change while the process runs is taken over. */
+void cw_router_reload(cw_router_t *router);
+/** The same if the file has changed, looked at a few times a second. */
+void cw_router_check_file(cw_router_t *router, cw_time_us_t now);
+
+/* ---- router_stop.c ---- */
+/** Begins a planned stop, unless one has begun. */
+void cw_router_stop(cw_router_t *router);
+/** Ends the process when it is time to. */
+void cw_router_check_stop(cw_router_t *router, cw_time_us_t now);
+
 /* ---- router_peers.c ---- */
 void cw_router_peers_init(cw_router_t *router);
 void cw_router_peers_tick(cw_router_t *router, cw_time_us_t now);
--- /dev/null
+++ b/src/router/router_own.c
@@ -0,0 +1,114 @@
+/**
+ * @file router_own.c
+ * @brief What this node answers about itself: readiness, status, metrics.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "router/router_internal.h"
+#include "router/router_status.h"
+
+enum {
+    STATUS_OK = 200,
+    STATUS_NOT_FOUND = 404,
+    STATUS_UNAVAILABLE = 503,
+    OWN_HEADER_BYTES = 16 * 1024,
+    OWN_IDLE_S = 60
+};
+
+static bool is_ready(const cw_router_t *router)
+{
+    return router->stopping_at == 0 && router->configuration != NULL && router->server_view.list != NULL &&
+           cw_router_tables_known(router);
+}
+
+static uint64_t resident_bytes(void)
+{
+    FILE         *file = fopen("/proc/self/statm", "r");
+    unsigned long size = 0;
+    unsigned long resident = 0;
+
+    if (file == NULL) {
+        return 0;
+    }
+    if (fscanf(file, "%lu %lu", &size, &resident) != 2) {
+        resident = 0;
+    }
+    fclose(file);
+    return (uint64_t)resident * (uint64_t)sysconf(_SC_PAGESIZE);
+}
+
+static void answer_metrics(cw_router_t *router, cw_http_exchange_t *exchange)
+{
+    cw_http_outbound_t outbound = {.status = STATUS_OK, .retry_after_s = -1};
+    cw_bytes_t         text = {0};
+
+    cw_metric_set(CW_METRIC_LOG_DROPPED, cw_event_log_dropped());
+    cw_metric_set(CW_METRIC_CONNECTIONS, cw_http_listener_connections(router->callers));
+    cw_metric_set(CW_METRIC_BODY_BYTES, cw_http_listener_body_bytes(router->callers));
+    cw_metric_set(CW_METRIC_QUEUED, cw_engine_queued(router->engine));
+    cw_metric_set(CW_METRIC_CONNECTIONS_OPENED, cw_upstream_opened(router->upstream));
+    cw_metric_set(CW_METRIC_MEMORY, resident_bytes());
+    cw_metric_set(CW_METRIC_CONFIGURATION_AGE_MS,
+                  (uint64_t)(cw_configuration_freshness_age(&router->freshness, cw_router_now(router)) / 1000));
+    cw_metric_set(CW_METRIC_PEERS, cw_peer_link_alive(router->link, router->silence, cw_router_now(router)));
+    cw_metrics_append(&text);
+    cw_router_traffic_metrics(router, &text);
+    outbound.body = text.data;
+    outbound.body_length = text.length;
+    cw_http_exchange_answer(exchange, &outbound);
+    cw_bytes_clear(&text);
+}
+
+static void on_own_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
+{
+    cw_router_t       *router = context;
+    cw_http_outbound_t outbound = {.status = STATUS_NOT_FOUND, .retry_after_s = -1};
+
+    if (strcmp(inbound->target, router->settings.metrics_path) == 0) {
+        answer_metrics(router, exchange);
+        return;
+    }
+    if (strcmp(inbound->target, CW_STATUS_PATH) == 0) {
+        char *text = cw_router_status(router);
+
+        outbound.status = STATUS_OK;
+        outbound.body = text;
+        outbound.body_length = strlen(text);
+        cw_http_exchange_answer(exchange, &outbound);
+        free(text);
+        return;
+    }
+    if (strcmp(inbound->target, router->settings.readiness_path) == 0) {
+        outbound.status = is_ready(router) ? STATUS_OK : STATUS_UNAVAILABLE;
+        outbound.body = outbound.status == STATUS_OK ? "ready\n" : "not ready\n";
+        outbound.body_length = strlen(outbound.body);
+    }
+    cw_http_exchange_answer(exchange, &outbound);
+}
+
+static void on_own_gone(void *context, cw_http_exchange_t *exchange)
+{
+    (void)context;
+    (void)exchange;
+}
+
+int cw_router_own_start(cw_router_t *router)
+{
+    cw_http_limits_t           own_limits = {.header_bytes = OWN_HEADER_BYTES,
+                                             .body_bytes = OWN_HEADER_BYTES,
+                                             .header_timeout = CW_SECONDS(OWN_IDLE_S),
+                                             .idle_timeout = CW_SECONDS(OWN_IDLE_S)};
+    cw_http_listener_handler_t own = {router, on_own_request, on_own_gone};
+    int                        error;
+
+    error = cw_http_listener_create(&router->readiness, &router->loop, router->settings.readiness.address,
+                                    router->settings.readiness.port, &own_limits, &own);
+    if (error == 0 && router->settings.metrics_port != 0) {
+        error = cw_http_listener_create(&router->metrics, &router->loop, router->settings.address,
+                                        router->settings.metrics_port, &own_limits, &own);
+    }
+    return error;
+}
--- /dev/null
+++ b/src/router/router_reload.c
@@ -0,0 +1,67 @@
+/**
+ * @file router_reload.c
+ * @brief The settings file: read again when it has changed, or on SIGHUP.
+ */
+#include <sys/stat.h>
+
+#include "router/router_internal.h"
+
+enum { FILE_CHECK_MS = 500 /* between looks at the file: it may change without a signal */ };
+
+int64_t cw_router_file_state(const char *file_name)
+{
+    struct stat status;
+
+    if (stat(file_name, &status) != 0) {
+        return 0;
+    }
+    return (int64_t)status.st_mtim.tv_sec * 1000000007 + status.st_mtim.tv_nsec + status.st_size * 31 +
+           (int64_t)status.st_ino;
+}
+
+static void reload(cw_router_t *router)
+{
+    cw_router_settings_t settings;
+    cw_findings_t        findings;
+    cw_event_t           event;
+    bool                 good;
+
+    cw_findings_init(&findings);
+    good = cw_router_settings_read(&settings, router->file_name, &findings) == 0;
+    if (good) {
+        /* Identity, addresses and holds are those of the start; what may change while it runs is taken over. */
+        memcpy(router->settings.seeds, settings.seeds, sizeof(settings.seeds));
+        router->settings.seed_count = settings.seed_count;
+        router->settings.log_level = settings.log_level;
+        router->settings.stop_grace = settings.stop_grace;
+        cw_event_log_set_level(settings.log_level);
+        cw_router_peers_init(router);
+    }
+    if (cw_event_begin(&event, CW_EVENT_RELOAD)) {
+        cw_event_text(&event, CW_FIELD_DETAIL, good ? "taken" : "the file has findings: nothing taken");
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)findings.count);
+        cw_event_end(&event);
+    }
+    cw_findings_clear(&findings);
+}
+
+void cw_router_check_file(cw_router_t *router, cw_time_us_t now)
+{
+    int64_t state;
+
+    if (now - router->checked_file_at < CW_MS(FILE_CHECK_MS)) {
+        return;
+    }
+    router->checked_file_at = now;
+    state = cw_router_file_state(router->file_name);
+    if (state != 0 && state != router->file_changed) {
+        router->file_changed = state;
+        reload(router);
+    }
+}
+
+void cw_router_reload(cw_router_t *router)
+{
+    router->file_changed = cw_router_file_state(router->file_name);
+    reload(router);
+}
