src/placement: a move and its price are a file of their own; the planner's files form no circle

Cause: planner.c called its parts, which called it back for moves; planner_balance.c and planner_regions.c called one another. Ruled out: callbacks: the parts are steps of one plan. Change: planner_move.c (server of a range, load, price, move); the header names the files in the order in which they may call; the declaration of a function that is not there is gone. Conclusion: no change of behaviour.

--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -6,9 +6,7 @@
 
 #include <math.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "base/text.h"
 #include "placement/planner_internal.h"
 
 enum {
@@ -29,23 +27,6 @@
 
 /* ---- ranges and loads ---- */
 
-cw_planner_server_t *cw_planner_server_of(const cw_planner_t *planner, const char *id)
-{
-    size_t index;
-
-    for (index = 0; index < planner->server_count; index++) {
-        if (strcmp(planner->servers[index].entry->id, id) == 0) {
-            return &planner->servers[index];
-        }
-    }
-    return NULL;
-}
-
-double cw_planner_load_between(const cw_planner_t *planner, uint32_t low, uint32_t last)
-{
-    return cw_key_loads_between(planner->loads, planner->load_count, low, last);
-}
-
 static void measure_servers(cw_planner_t *planner)
 {
     const cw_range_list_t *ranges = cw_assigner_ranges(planner->assigner);
@@ -93,43 +74,6 @@
     return planner->ranges.count >= planner->settings->ranges_each * planner->server_count;
 }
 
-/* ---- moves ---- */
-
-static void note_move(cw_planner_t *planner, const cw_planner_piece_t *piece, const cw_planner_server_t *to)
-{
-    size_t      index = (size_t)(cw_range_list_find(&planner->ranges, piece->low) - planner->ranges.items);
-    cw_range_t *range;
-
-    if (cw_range_list_cut(&planner->ranges, index, piece->low)) {
-        index++;
-    }
-    (void)cw_range_list_cut(&planner->ranges, index, piece->last + 1);
-    range = &planner->ranges.items[index];
-    cw_text_copy(range->owner.id, sizeof(range->owner.id), to->entry->id);
-    range->moved_at = planner->now;
-    range->phase = CW_RANGE_RELEASING;
-}
-
-void cw_planner_move(cw_planner_t *planner, const cw_planner_piece_t *piece, cw_planner_server_t *from,
-                     cw_planner_server_t *to)
-{
-    cw_assigner_plan_move(planner->assigner, piece->low, piece->last, to->entry, planner->list);
-    note_move(planner, piece, to);
-    if (from != NULL) {
-        from->per_s -= piece->per_s;
-        from->keys -= piece->last - piece->low + 1;
-    }
-    to->per_s += piece->per_s;
-    to->keys += piece->last - piece->low + 1;
-    planner->changes++;
-}
-
-bool cw_planner_is_moveable(const cw_planner_t *planner, const cw_range_t *range)
-{
-    return cw_assigner_is_settled(planner->assigner, range, planner->now) &&
-           planner->now - range->moved_at > planner->settings->rest;
-}
-
 /* ---- what must move ---- */
 
 static bool is_to_be_emptied(const cw_planner_server_t *server)
--- a/src/placement/planner_balance.c
+++ b/src/placement/planner_balance.c
@@ -88,16 +88,6 @@
     return (low + high) / 2;
 }
 
-/* What the move of a piece has to earn: keys that change hands have a price each, and requests for them wait or are
- * refused meanwhile. */
-double cw_planner_price(const cw_planner_t *planner, const cw_planner_piece_t *piece)
-{
-    double share = (double)(piece->last - piece->low + 1) / (CW_KEY_LAST + 1);
-
-    return planner->settings->gain_min + planner->settings->move_price * share * planner->per_s +
-           planner->settings->interruption * piece->per_s;
-}
-
 /* What it would still earn if chance had made the busy one look busier, and the other less busy, than they are. */
 static double sure_gain(const cw_planner_t *planner, const cw_planner_server_t *from, const cw_planner_server_t *to,
                         double per_s)
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -42,7 +42,9 @@
     double   per_s;
 } cw_planner_piece_t;
 
-/* ---- planner.c ---- */
+/* Each file calls only files above its own here; planner.c calls them all. */
+
+/* ---- planner_move.c ---- */
 /** Server of this id; NULL: not among those of the service. */
 cw_planner_server_t *cw_planner_server_of(const cw_planner_t *planner, const char *id);
 /** Requests a second on keys low to last. */
@@ -50,6 +52,8 @@
 /** Plans the move of a piece. from: NULL if its owner is not known. */
 void cw_planner_move(cw_planner_t *planner, const cw_planner_piece_t *piece, cw_planner_server_t *from,
                      cw_planner_server_t *to);
+/** What the move of a piece has to earn. */
+double cw_planner_price(const cw_planner_t *planner, const cw_planner_piece_t *piece);
 /** May a range move for balance now: settled, and rested since it last moved? */
 bool cw_planner_is_moveable(const cw_planner_t *planner, const cw_range_t *range);
 
@@ -65,13 +69,7 @@
 /** Share of its slots that a request a second takes at the fastest server; 0: there is none. */
 double cw_planner_fastest_cost(const cw_planner_t *planner);
 
-/* ---- planner_hot.c ---- */
-bool cw_planner_is_hot(const cw_planner_t *planner, const cw_key_load_t *load);
-void cw_planner_place_hot_keys(cw_planner_t *planner);
-
 /* ---- planner_regions.c ---- */
-/** Requests a second on keys low to last that may not go to this region. */
-double cw_planner_refused(const cw_planner_t *planner, uint32_t low, uint32_t last, uint32_t region);
 /** Of the requests for a piece that would be refused at this server, or come there from another region, as requests of
  * usual time. */
 double cw_planner_region_cost(const cw_planner_t *planner, const cw_planner_piece_t *piece,
@@ -87,10 +85,12 @@
 /** Moves keys whose requests their owner's region may not serve to where it may. */
 void cw_planner_obey_regions(cw_planner_t *planner);
 
+/* ---- planner_hot.c ---- */
+bool cw_planner_is_hot(const cw_planner_t *planner, const cw_key_load_t *load);
+void cw_planner_place_hot_keys(cw_planner_t *planner);
+
 /* ---- planner_balance.c ---- */
-/** What the move of a piece has to earn. */
-double cw_planner_price(const cw_planner_t *planner, const cw_planner_piece_t *piece);
-void   cw_planner_balance(cw_planner_t *planner);
+void cw_planner_balance(cw_planner_t *planner);
 /** Before there is any load, servers that have come since get their part of the keys, all of them in one plan. */
 void cw_planner_fill_idle(cw_planner_t *planner);
 
