Entries that do not fit are logged and counted; ids, addresses and tokens are never cut

Cause: full arrays ended loops without a word (queue lengths of other nodes, servers of a plan, nodes that send to cold servers, services divided by key); a server's id of 48 bytes or more, an address of 32 and a handover token of 64 were cut: the owner of a range was then never found in the list. Ruled out: growing the arrays here: their bounds are those of CAPACITY.md; and a line at each place by hand. Change: base/dropped_entries.h: event 'entries dropped' (reason, count, most; one line a second), cedarwinch_entries_dropped_total. What is too long is a malformed body. Comments where nothing can be lost. Conclusion: in the files of this part no bound is met silently.

--- a/src/assignment/assigner_plan.c
+++ b/src/assignment/assigner_plan.c
@@ -82,7 +82,7 @@
     if (cw_range_list_cut(&assigner->plan.ranges, index, low)) {
         index++;
     }
-    (void)cw_range_list_cut(&assigner->plan.ranges, index, last + 1);
+    (void)cw_range_list_cut(&assigner->plan.ranges, index, last + 1); /* false: the range ends there already */
     range = &assigner->plan.ranges.items[index];
     set_former(range, servers);
     range->keeps_serving = false;
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -13,6 +13,7 @@
     X(TRAFFIC, "traffic", NOTICE, 10)                                                                                  \
     X(RELOAD, "reload", NOTICE, 10)                                                                                    \
     X(LINES_DROPPED, "lines dropped", WARNING, 10)                                                                     \
+    X(ENTRIES_DROPPED, "entries dropped", WARNING, 1)                                                                  \
     X(FATAL_SIGNAL, "fatal signal", ERROR, 10)                                                                         \
     X(STORE_LOST, "store lost", WARNING, 10)                                                                           \
     X(STORE_BACK, "store back", NOTICE, 10)                                                                            \
@@ -85,6 +86,7 @@
     X(PEER, "peer")                                                                                                    \
     X(LEADER, "leader")                                                                                                \
     X(COUNT, "count")                                                                                                  \
+    X(MOST, "most")                                                                                                    \
     X(ADDED, "added")                                                                                                  \
     X(REMOVED, "removed")                                                                                              \
     X(CHANGED, "changed")                                                                                              \
--- a/src/model/server_view.c
+++ b/src/model/server_view.c
@@ -244,6 +244,7 @@
     }
     list = correct_all(view, reading, now);
     if (!reading->is_told) {
+        /* How many were added is seen in the list, and logged by the caller. */
         (void)cw_server_absence_fill(&view->absence, list, view->list, view->true_at, reading->store_failed, now);
     }
     note_departures(view, list, latest, now);
--- a/src/placement/load_window.c
+++ b/src/placement/load_window.c
@@ -41,7 +41,7 @@
     sample->from = seen->from;
     sample->at_ms = (uint32_t)(now / 1000);
     window->next = (window->next + 1) % CW_LOAD_SAMPLES_MAX;
-    if (window->count < CW_LOAD_SAMPLES_MAX) {
+    if (window->count < CW_LOAD_SAMPLES_MAX) { /* else the oldest has been replaced: the rest is the newest sample */
         window->count++;
     }
 }
--- a/src/placement/planner_move.c
+++ b/src/placement/planner_move.c
@@ -42,7 +42,7 @@
     if (cw_range_list_cut(&planner->ranges, index, piece->low)) {
         index++;
     }
-    (void)cw_range_list_cut(&planner->ranges, index, piece->last + 1);
+    (void)cw_range_list_cut(&planner->ranges, index, piece->last + 1); /* false: the range ends there already */
     range = &planner->ranges.items[index];
     cw_text_copy(range->owner.id, sizeof(range->owner.id), to->entry->id);
     range->moved_at = planner->now;
--- a/src/router/configuration_exchange.c
+++ b/src/router/configuration_exchange.c
@@ -218,7 +218,7 @@
 
 static void end_transfer(cw_configuration_exchange_t *exchange, transfer_t *transfer, bool has_newest)
 {
-    if (has_newest && exchange->served_count < SERVED_MAX) {
+    if (has_newest && exchange->served_count < SERVED_MAX) { /* else enough are known that can be named */
         exchange->served[exchange->served_count++] = transfer->address;
     }
     transfer->address = 0;
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -189,7 +189,7 @@
         const cw_service_t *service = &router->configuration->services[index];
 
         if (service->keyed && keyed_service(router, service->name) == NULL &&
-            router->keyed_count < CW_KEYED_SERVICES_MAX) {
+            router->keyed_count < CW_KEYED_SERVICES_MAX) { /* logged once a version, router_configuration.c */
             add_keyed(router, service->name);
         }
     }
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -11,6 +11,7 @@
  */
 #include <string.h>
 
+#include "base/dropped_entries.h"
 #include "router/router_internal.h"
 
 enum { EXCHANGE_PERCENT = 45 /* of the time in which a change has to be in force: so long other nodes may take */ };
@@ -47,6 +48,19 @@
     }
 }
 
+/* Services divided by key beyond those that tables have places for get no owners. */
+static void note_keyed_services(const cw_configuration_t *configuration)
+{
+    size_t keyed = 0;
+    size_t index;
+
+    for (index = 0; index < configuration->service_count; index++) {
+        keyed += configuration->services[index].keyed ? 1 : 0;
+    }
+    cw_dropped_entries_note("services divided by key: the others get no owners", CW_KEYED_SERVICES_MAX,
+                            keyed > CW_KEYED_SERVICES_MAX ? keyed - CW_KEYED_SERVICES_MAX : 0);
+}
+
 bool cw_router_use_configuration(cw_router_t *router, cw_configuration_t *configuration)
 {
     if (router->configuration != NULL && configuration->version <= router->configuration->version) {
@@ -54,6 +68,7 @@
         return false;
     }
     note_plan(router, configuration);
+    note_keyed_services(configuration);
     cw_configuration_release(router->configuration);
     router->configuration = configuration;
     router->all_due = true;
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -77,6 +77,7 @@
     cw_router_store_result(router, reply->result != CW_STORE_REFUSED && reply->result != CW_STORE_UNKNOWN, now);
     cw_leadership_replied(&router->leadership, reply, now);
     if (router->leadership.lock.address[0] != '\0' && !router->leadership.leading) {
+        /* What is no address is ignored: nodes are known by their reports too. */
         (void)cw_peer_link_learn_text(router->link, router->leadership.lock.address, now);
     }
     if (router->leadership.leading && (!before || router->leadership.lock.term != term)) {
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -12,6 +12,7 @@
  */
 #include <string.h>
 
+#include "base/dropped_entries.h"
 #include "placement/region_owners.h"
 #include "router/router_internal.h"
 
@@ -40,7 +41,7 @@
     while (index < answers->count && strcmp(answers->regions[index], region) != 0) {
         index++;
     }
-    if (index == CW_ZONES_MAX) {
+    if (index == CW_ZONES_MAX) { /* nothing is lost: only the answer is not kept */
         return cw_region_may_own(configuration, service, region);
     }
     if (index == answers->count) {
@@ -56,15 +57,20 @@
     double           usual_s = (double)cw_engine_usual_time(router->engine, service) / 1e6;
     region_answers_t answers = {.count = 0};
     size_t           count = 0;
+    size_t           dropped = 0;
     size_t           index;
 
-    for (index = 0; index < router->server_view.list->count && count < SERVERS_MAX; index++) {
+    for (index = 0; index < router->server_view.list->count; index++) {
         const cw_server_entry_t *entry = &router->server_view.list->entries[index];
         cw_server_t             *server = cw_server_pool_find(router->pool, entry->id);
 
         if (strcmp(entry->service, service) != 0) {
             continue;
         }
+        if (count == SERVERS_MAX) {
+            dropped++;
+            continue;
+        }
         memset(&servers[count], 0, sizeof(servers[count]));
         servers[count].entry = entry;
         servers[count].is_barred =
@@ -79,6 +85,7 @@
         servers[count].cost_s = usual_s * servers[count].pace / (entry->capacity == 0 ? 1 : entry->capacity);
         count++;
     }
+    cw_dropped_entries_note("servers of a service: the others are given no keys", SERVERS_MAX, dropped);
     return count;
 }
 
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "base/dropped_entries.h"
 #include "base/text.h"
 #include "router/router_internal.h"
 
@@ -104,6 +105,8 @@
 
         fits = cw_queue_lengths_add(&router->queue_lengths, &length);
     }
+    cw_dropped_entries_note("queue lengths of other nodes: services seem less busy there", CW_QUEUE_LENGTHS_MAX,
+                            fits ? 0 : count - index + 1);
     if (any || router->queue_lengths.count > 0) {
         cw_engine_each_service(router->engine, sum_queue, router);
     }
--- a/src/router/router_zones.c
+++ b/src/router/router_zones.c
@@ -2,6 +2,7 @@
  * @file router_zones.c
  * @brief Wires zones out of service (zone_service.h) and the rate of cold servers (cold_rate.h) into the node.
  */
+#include "base/dropped_entries.h"
 #include "router/router_internal.h"
 
 enum {
@@ -58,16 +59,24 @@
 {
     uint32_t         addresses[NODES_GATHERED_MAX];
     size_t           count = 0;
+    size_t           dropped = 0;
     const cw_peer_t *peer;
 
     if (now - router->sharers_gathered_at < CW_MS(SHARERS_EVERY_MS)) {
         return;
     }
     router->sharers_gathered_at = now;
-    for (peer = cw_peer_link_peers(router->link); peer != NULL && count < NODES_GATHERED_MAX; peer = peer->next) {
-        if (peer->last_received_at != 0 && !peer->is_lost) {
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (peer->last_received_at == 0 || peer->is_lost) {
+            continue;
+        }
+        if (count < NODES_GATHERED_MAX) {
             addresses[count++] = peer->address;
+        } else {
+            dropped++;
         }
     }
+    cw_dropped_entries_note("nodes that may send to cold servers: the others send them nothing", NODES_GATHERED_MAX,
+                            dropped);
     cw_cold_rate_set_nodes(router->cold_rate, addresses, count, now);
 }
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -417,6 +417,7 @@
         node_fixture_tick(node, CW_TICK_MS);
     }
     ck_assert_uint_le(node->router.queue_lengths.count, CW_QUEUE_LENGTHS_MAX);
+    ck_assert_uint_gt(cw_metric_value(CW_METRIC_ENTRIES_DROPPED), 0);
     node_fixture_free(node);
 }
 END_TEST
--- a/tests/test_platform_bodies.c
+++ b/tests/test_platform_bodies.c
@@ -117,6 +117,11 @@
     REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE COLD "\"sequence\":\"7\"", "spec.sequence: not a whole number"),
     REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE COLD "\"sequence\":7.5", "spec.sequence: not a whole number"),
     REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE COLD "\"sequence\":-7", "spec.sequence: not a whole number"),
+    REFUSED_ENTRY(SERVICE
+                  "\"address\":\"10.0.0.1:80 of a machine with a long name\"," ZONE CAPACITY STATE COLD SEQUENCE,
+                  "spec.address: too long"),
+    {"{\"metadata\":{\"name\":\"i-0123456789abcdef0123456789abcdef0123456789abcdef\"},\"spec\":" SPEC "}",
+     "spec: the name of its object is too long"},
 };
 
 START_TEST(an_entry_with_a_field_missing_or_of_another_type_is_refused_with_its_place)
