A record that cannot be read is logged, and its keys are granted only when former holds have ended

Cause: a leader that could not read a service's record took it for none: all keys were assigned anew and granted at once, while owners of the former leader's grants could still be at work (up to 8.3 s), without a word in the log. Ruled out: waiting for the record to become readable: nobody would write it. Fences of the former record stay unknown: a server that has seen a higher one refuses, and each refusal raises the fence by one; not changed here. Change: forget_owners (log line 'record not readable' by the port for decisions); no grant before the leader's first tick with authority plus the longest hold, with drift and slack as for adopted records. Conclusion: two owners at work after an unreadable record are ruled out by time.

--- a/src/assignment/assigner_commit.c
+++ b/src/assignment/assigner_commit.c
@@ -34,7 +34,7 @@
     planned->failing_since = 0;
     planned->owner_ended = false;
     planned->orders = 0;
-    planned->next_order = now;
+    planned->next_order = now > assigner->first_grant_at ? now : assigner->first_grant_at;
     planned->moved_at = now;
     if (planned->former.id[0] == '\0') {
         planned->phase = CW_RANGE_GRANTING;
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -29,10 +29,11 @@
     cw_time_us_t           retry_at;
     cw_time_us_t           now;
     cw_time_us_t           led_since; /**< first tick with authority: former leaders had lost theirs; 0: none yet */
-    cw_order_t            *orders;    /**< under way */
-    size_t                 order_count;
-    size_t                 order_capacity;
-    uint64_t               last_order;
+    cw_time_us_t first_grant_at;      /**< ranges of whose past nothing is known are not granted before; 0: none are */
+    cw_order_t  *orders;              /**< under way */
+    size_t       order_count;
+    size_t       order_capacity;
+    uint64_t     last_order;
 };
 
 /* ---- assigner.c ---- */
--- a/src/assignment/assigner_record.c
+++ b/src/assignment/assigner_record.c
@@ -41,6 +41,19 @@
     cw_assigner_begin_write(assigner);
 }
 
+/* What stands in the record cannot be read, so that its owners are not known: all keys are assigned anew, and granted
+ * when the last holds that a former leader can have given have ended. */
+static void forget_owners(cw_assigner_t *assigner)
+{
+    cw_range_t all_keys = {.low = 0, .last = CW_KEY_LAST};
+
+    assigner->ports.note(assigner->ports.context, assigner->service, "record not readable", &all_keys,
+                         "assigned anew once former holds have ended");
+    assigner->first_grant_at = cw_assigner_hold_end(assigner->led_since, assigner->settings.hold_long);
+    assigner->state = CW_ASSIGNER_EMPTY;
+    assigner->writing = false;
+}
+
 /* The object as it stands: this leader's own write, a former leader's, or a later one's. */
 static void take_object(cw_assigner_t *assigner, const cw_store_reply_t *reply, cw_time_us_t now)
 {
@@ -66,8 +79,7 @@
     }
     if (!readable) {
         assigner->revision = reply->revision;
-        assigner->state = CW_ASSIGNER_EMPTY;
-        assigner->writing = false;
+        forget_owners(assigner);
         return;
     }
     adopt(assigner, &record, reply->revision);
--- a/tests/test_assigner.c
+++ b/tests/test_assigner.c
@@ -439,6 +439,34 @@
 }
 END_TEST
 
+START_TEST(keys_whose_record_cannot_be_read_are_granted_when_former_holds_have_surely_ended)
+{
+    const cw_server_entry_t *entries[2];
+    assigner_world_t         world;
+    size_t                   sent;
+
+    assigner_world_init(&world, 1);
+    assigner_world_servers(&world, two);
+    assigner_world_settle(&world);
+    json_object_set_new(world.object, "ranges", json_string("of another form"));
+    assigner_world_take_over(&world, 2);
+    sent = world.order_count;
+    assigner_world_tick(&world, CW_MS(20)); /* leads from now on: holds given before last 8 s at most, and 2 % more */
+    assigner_world_tick(&world, CW_MS(20));
+    ck_assert_int_eq(cw_assigner_state(world.assigner), CW_ASSIGNER_EMPTY);
+    entries[0] = server(&world, "i-b"); /* each half goes to the other server than before */
+    entries[1] = server(&world, "i-a");
+    cw_assigner_plan_first(world.assigner, entries, 2, world.now);
+    assigner_world_tick(&world, CW_MS(20));
+    assigner_world_tick(&world, CW_MS(20));
+    assigner_world_tick(&world, CW_MS(8000));
+    ck_assert_uint_eq(assigner_world_count(&world, CW_ORDER_GRANT, sent), 0);
+    assigner_world_tick(&world, CW_MS(300));
+    ck_assert_uint_eq(assigner_world_count(&world, CW_ORDER_GRANT, sent), 2);
+    assigner_world_clear(&world);
+}
+END_TEST
+
 START_TEST(a_record_survives_its_text_and_a_broken_one_is_refused)
 {
     cw_assignment_record_t record = {.term = 3, .write = 4, .writer = 0xabcdef0123456789u, .last_fence = 9};
@@ -486,6 +514,7 @@
     tcase_add_test(cases, no_order_without_authority);
     tcase_add_test(cases, holds_are_lengthened_at_once_when_the_store_falls_silent);
     tcase_add_test(cases, joined_ranges_serve_on_under_a_new_fence);
+    tcase_add_test(cases, keys_whose_record_cannot_be_read_are_granted_when_former_holds_have_surely_ended);
     tcase_add_test(cases, a_record_survives_its_text_and_a_broken_one_is_refused);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
