Names of the field in leadership, list of servers, planner, adapter and docs

Cause: comments and names told, heard and had room; the project's list of terms has others. Ruled out: log events, metrics' names and the node's field 'silence', which files of other parts and process tests use. Conclusion: no change of behaviour.

--- a/sim/lease_nodes.c
+++ b/sim/lease_nodes.c
@@ -240,7 +240,7 @@
     sim_node_t *node = word->to;
 
     if (sim_node_runs(node) && node->life == word->life) {
-        cw_leadership_heard(&node->leadership, word->term, word->revision, word->able, world->now);
+        cw_leadership_receive_heartbeat(&node->leadership, word->term, word->revision, word->able, world->now);
         if (word->able && !node->leadership.leading &&
             (word->term > node->table.term ||
              (word->term == node->table.term && word->table.number >= node->table.number))) {
@@ -339,7 +339,7 @@
 {
     sim_node_t              *node = &world->nodes[index];
     cw_leadership_settings_t settings = {
-        .hold = CW_MS(3000), .renew_every = CW_MS(750), .silence = CW_MS(900), .read_every = CW_MS(400)};
+        .hold = CW_MS(3000), .renew_every = CW_MS(750), .heartbeat_timeout = CW_MS(900), .read_every = CW_MS(400)};
     uint64_t life = node->life + 1;
 
     memset(node, 0, sizeof(*node));
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -3,7 +3,7 @@
  * @brief Structured log: one JSON object a line on standard output, bounded, never blocking.
  *
  * Names of events and fields come from one table (event_names.h). Each event has a limit of lines a second; what is
- * beyond it, and what a reader that does not read leaves no room for, is counted and told in a line "lines dropped".
+ * beyond it, and what a reader that does not read leaves no space for, is counted and logged in a line "lines dropped".
  */
 #ifndef CEDARWINCH_BASE_EVENT_LOG_H
 #define CEDARWINCH_BASE_EVENT_LOG_H
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -11,7 +11,7 @@
 #include "base/byte_buffer.h"
 #include "base/time.h"
 
-/* X(symbol, name, type, help). What tells a node's state comes first: collectors may cut a long text short. */
+/* X(symbol, name, type, help). What shows a node's state comes first: collectors may cut a long text short. */
 #define CW_METRIC_TABLE(X)                                                                                             \
     X(LEADING, "cedarwinch_leading", "gauge", "1 while this node leads with authority")                                \
     X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
@@ -67,7 +67,7 @@
     X(BODY_BYTES, "cedarwinch_body_bytes", "gauge", "bytes reserved for callers' bodies")                              \
     X(SENT, "cedarwinch_sent_total", "counter", "requests sent to servers")                                            \
     X(RETRIES, "cedarwinch_retries_total", "counter", "requests sent once more")                                       \
-    X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries for which the budget had no room")        \
+    X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries that the budget did not allow")           \
     X(NOT_RUN, "cedarwinch_server_not_run_total", "counter", "servers that said they did not run a request")           \
     X(BROKEN, "cedarwinch_server_broken_total", "counter", "answers that broke off, were reset or were no answer")     \
     X(LOADS_MALFORMED, "cedarwinch_server_loads_malformed_total", "counter",                                           \
@@ -101,7 +101,7 @@
     X(LOG_DROPPED, "cedarwinch_log_lines_dropped", "gauge", "log lines not written")                                   \
     X(SERVERS, "cedarwinch_servers", "gauge", "servers listed")                                                        \
     X(ZONES_OUT, "cedarwinch_zones_out_of_service", "gauge", "zones that operators have taken out of service")         \
-    X(PEERS, "cedarwinch_peers", "gauge", "nodes heard lately")                                                        \
+    X(PEERS, "cedarwinch_peers", "gauge", "nodes received from lately")                                                \
     X(CONNECTIONS, "cedarwinch_connections", "gauge", "callers' connections")                                          \
     X(QUEUED, "cedarwinch_queued", "gauge", "requests waiting for a slot")                                             \
     X(MEMORY, "cedarwinch_memory_bytes", "gauge", "resident memory")
--- a/src/base/tenant_metrics.c
+++ b/src/base/tenant_metrics.c
@@ -63,7 +63,7 @@
     return a > b ? -1 : a < b;
 }
 
-size_t cw_tenant_metrics_told(cw_tenant_counts_t told[CW_TENANT_METRICS_TOLD + 1])
+size_t cw_tenant_metrics_largest(cw_tenant_counts_t largest[CW_TENANT_METRICS_LARGEST + 1])
 {
     cw_tenant_counts_t  rest = {.tenant = others_name};
     const tenant_row_t *row;
@@ -73,23 +73,23 @@
     memcpy(rest.values, others.values, sizeof(rest.values));
     HASH_SORT(rows, compare_rows);
     for (row = rows; row != NULL; row = row->hh.next) {
-        if (count < CW_TENANT_METRICS_TOLD) {
-            told[count].tenant = row->name;
-            memcpy(told[count++].values, row->values, sizeof(rest.values));
+        if (count < CW_TENANT_METRICS_LARGEST) {
+            largest[count].tenant = row->name;
+            memcpy(largest[count++].values, row->values, sizeof(rest.values));
             continue;
         }
         for (metric = 0; metric < CW_TENANT_METRICS; metric++) {
             rest.values[metric] += row->values[metric];
         }
     }
-    told[count++] = rest;
+    largest[count++] = rest;
     return count;
 }
 
 void cw_tenant_metrics_write(cw_bytes_t *text)
 {
-    cw_tenant_counts_t told[CW_TENANT_METRICS_TOLD + 1];
-    size_t             count = cw_tenant_metrics_told(told);
+    cw_tenant_counts_t largest[CW_TENANT_METRICS_LARGEST + 1];
+    size_t             count = cw_tenant_metrics_largest(largest);
     size_t             metric;
     size_t             index;
 
@@ -98,8 +98,8 @@
 
         cw_bytes_append_format(text, "# HELP %s %s\n# TYPE %s counter\n", name, metric_rows[metric].help, name);
         for (index = 0; index < count; index++) {
-            cw_bytes_append_format(text, "%s{tenant=\"%s\"} %" PRIu64 "\n", name, told[index].tenant,
-                                   told[index].values[metric]);
+            cw_bytes_append_format(text, "%s{tenant=\"%s\"} %" PRIu64 "\n", name, largest[index].tenant,
+                                   largest[index].values[metric]);
         }
     }
 }
--- a/src/base/tenant_metrics.h
+++ b/src/base/tenant_metrics.h
@@ -1,6 +1,7 @@
 /**
  * @file tenant_metrics.h
- * @brief Counters by tenant, of which the largest tenants are told and the rest as a sum. One table names them all.
+ * @brief Counters by tenant, of which the largest tenants are given by name and the rest as a sum. One table names them
+ * all.
  */
 #ifndef CEDARWINCH_BASE_TENANT_METRICS_H
 #define CEDARWINCH_BASE_TENANT_METRICS_H
@@ -19,7 +20,7 @@
 typedef enum cw_tenant_metric { CW_TENANT_METRIC_TABLE(CW_TENANT_METRIC_SYMBOL) CW_TENANT_METRICS } cw_tenant_metric_t;
 #undef CW_TENANT_METRIC_SYMBOL
 
-enum { CW_TENANT_METRICS_TOLD = 20 /**< tenants by name, those with most requests; all others as "(others)" */ };
+enum { CW_TENANT_METRICS_LARGEST = 20 /**< tenants by name, those with most requests; all others as "(others)" */ };
 
 void cw_tenant_metric_add(cw_tenant_metric_t metric, const char *tenant, uint64_t amount);
 
@@ -30,7 +31,7 @@
 } cw_tenant_counts_t;
 
 /** The largest tenants, then the sum of the others; their number, at least 1. */
-size_t cw_tenant_metrics_told(cw_tenant_counts_t told[CW_TENANT_METRICS_TOLD + 1]);
+size_t cw_tenant_metrics_largest(cw_tenant_counts_t largest[CW_TENANT_METRICS_LARGEST + 1]);
 /** As Prometheus text. */
 void cw_tenant_metrics_write(cw_bytes_t *text);
 /** Forgets everything; for tests. */
--- a/src/base/text.h
+++ b/src/base/text.h
@@ -1,6 +1,6 @@
 /**
  * @file text.h
- * @brief Copies of short texts into fixed room.
+ * @brief Copies of short texts into buffers of fixed size.
  */
 #ifndef CEDARWINCH_BASE_TEXT_H
 #define CEDARWINCH_BASE_TEXT_H
--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -52,7 +52,7 @@
     {"refused",
      "too long without evidence",
      NULL,
-     "503: this node cannot tell whether a key was taken away, and credentials_fail_closed is set",
+     "503: this node does not know whether a key was taken away, and credentials_fail_closed is set",
      {.events = {"keys stale", "watch failed"}}},
     {"refused",
      "the tenant's rate",
--- a/src/cli/explain_cause.h
+++ b/src/cli/explain_cause.h
@@ -1,6 +1,6 @@
 /**
  * @file explain_cause.h
- * @brief What a request's line in the log means, and which other lines tell why.
+ * @brief What a request's line in the log means, and which other lines say why.
  */
 #ifndef CEDARWINCH_CLI_EXPLAIN_CAUSE_H
 #define CEDARWINCH_CLI_EXPLAIN_CAUSE_H
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -41,7 +41,7 @@
     return CW_EXIT_WRONG_INPUT;
 }
 
-/* NULL: not told. */
+/* NULL: not given. */
 static const cw_name_set_t *regions_of(cw_name_set_t *regions, const struct arg_str *option)
 {
     char *names = option->count > 0 ? strdup(option->sval[0]) : NULL;
--- a/src/cli/run_refusals.h
+++ b/src/cli/run_refusals.h
@@ -1,6 +1,6 @@
 /**
  * @file run_refusals.h
- * @brief What a run's logs tell of callers that were turned away or waited: refusals by reason and by tenant, answers
+ * @brief What a run's logs say of callers that were turned away or waited: refusals by reason and by tenant, answers
  * that waited for their turn, and bytes sent between nodes by distance.
  *
  * Bounded: of reasons and of tenants the largest are named, the rest is a sum.
--- a/src/cli/run_report.h
+++ b/src/cli/run_report.h
@@ -3,7 +3,7 @@
  * @brief What a run's logs come to: outcomes by second and service, the hottest keys and their owners, the moves.
  *
  * run_report.c counts, run_report_text.c and run_report_html.c write. Logs are bounded: processes that have more lines
- * of a kind than that drop some, and say so; the report tells how many.
+ * of a kind than that drop some, and say so; the report says how many.
  */
 #ifndef CEDARWINCH_CLI_RUN_REPORT_H
 #define CEDARWINCH_CLI_RUN_REPORT_H
--- a/src/cli/zone.c
+++ b/src/cli/zone.c
@@ -132,7 +132,7 @@
     return session->servers != NULL;
 }
 
-/* A service whose record cannot be read is told without its keys. */
+/* A service whose record cannot be read is listed without its keys. */
 static void read_keys(zone_session_t *session)
 {
     const cw_store_port_t    *store = cw_adapter.store(session->adapter);
--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -92,7 +92,8 @@
     }
 }
 
-void cw_leadership_heard(cw_leadership_t *leadership, uint64_t term, uint64_t revision, bool able, cw_time_us_t now)
+void cw_leadership_receive_heartbeat(cw_leadership_t *leadership, uint64_t term, uint64_t revision, bool able,
+                                     cw_time_us_t now)
 {
     if (leadership->leading || term < leadership->lock.term) {
         return;
@@ -112,11 +113,11 @@
     return moment_within(leadership, CW_MS(RETRY_FIRST_MS) * leadership->followers / TAKERS_AT_ONCE);
 }
 
-void cw_leadership_heard_stop(cw_leadership_t *leadership, cw_time_us_t now)
+void cw_leadership_receive_step_down(cw_leadership_t *leadership, cw_time_us_t now)
 {
     if (!leadership->leading) {
         leadership->last_received_at =
-            now - leadership->settings.silence; /* what a deferring node waits besides, counts from now */
+            now - leadership->settings.heartbeat_timeout; /* what a deferring node waits besides, counts from now */
         leadership->next_at = now + CW_MS(RETRY_FIRST_MS) + turn_of(leadership);
     }
 }
@@ -192,7 +193,7 @@
 /* A node that defers to more capable ones leaves them a hold's time to take the lock. */
 static cw_time_us_t silence_before_look(const cw_leadership_t *leadership)
 {
-    return leadership->settings.silence + (leadership->deference > 0 ? leadership->settings.hold : 0);
+    return leadership->settings.heartbeat_timeout + (leadership->deference > 0 ? leadership->settings.hold : 0);
 }
 
 /* Where many nodes follow, a look from a while ago is repeated before a write: most likely another has taken the lock.
@@ -289,7 +290,7 @@
     return take_at < pause_end ? take_at : pause_end;
 }
 
-/* The lock as the store tells it, by a read or with a conflict. */
+/* The lock as the store has it, by a read or with a conflict. */
 static void take_lock(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now)
 {
     cw_lock_t lock;
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -44,7 +44,7 @@
     uint64_t     incarnation;
     cw_time_us_t hold;
     cw_time_us_t renew_every;
-    cw_time_us_t silence;           /**< a leader unheard of for so long is looked up in the store */
+    cw_time_us_t heartbeat_timeout; /**< without a heartbeat for so long, the lock is looked up in the store */
     cw_time_us_t read_every;        /**< pause between looks */
     cw_time_us_t first_look_after;  /**< the first look comes so much after the start, and */
     cw_time_us_t first_look_within; /**< within this after that, each node's at a moment of its own */
@@ -70,7 +70,7 @@
     cw_time_us_t             seen_at;          /**< since when this revision is known */
     bool                     absent;           /**< a read found no lock */
     cw_time_us_t             last_received_at; /**< last heartbeat of a leader with authority */
-    cw_time_us_t             looked_at;        /**< when the store last told the lock */
+    cw_time_us_t             looked_at;        /**< when the store last showed the lock */
     bool                     must_read;
     cw_leadership_action_t   pending;
     cw_lock_t                write;
@@ -86,14 +86,15 @@
 /** What is to be asked of the store now. Not WAIT: cw_leadership_replied must follow, once. */
 cw_leadership_action_t cw_leadership_tick(cw_leadership_t *leadership, cw_time_us_t now);
 void cw_leadership_replied(cw_leadership_t *leadership, const cw_store_reply_t *reply, cw_time_us_t now);
-/** A leader told this node its term, its lock's revision and whether it has authority. */
-void cw_leadership_heard(cw_leadership_t *leadership, uint64_t term, uint64_t revision, bool able, cw_time_us_t now);
+/** A leader's heartbeat has come: its term, its lock's revision, and whether it has authority. */
+void cw_leadership_receive_heartbeat(cw_leadership_t *leadership, uint64_t term, uint64_t revision, bool has_authority,
+                                     cw_time_us_t now);
 /** How many other nodes look at the lock: all of them together ask the store at a bounded rate. */
 void cw_leadership_set_followers(cw_leadership_t *leadership, uint32_t followers);
-/** Whether a more capable node is in reach, told with each tick: so much later this one takes the lock. */
+/** Set with each tick: so much later than it might this node takes the lock, since a more capable one is in reach. */
 void cw_leadership_defer(cw_leadership_t *leadership, cw_time_us_t deference);
-/** A leader said that it stops: the lock is looked at soon. */
-void cw_leadership_heard_stop(cw_leadership_t *leadership, cw_time_us_t now);
+/** A leader's step-down notice has come: the lock is looked at soon. */
+void cw_leadership_receive_step_down(cw_leadership_t *leadership, cw_time_us_t now);
 bool cw_leadership_has_authority(const cw_leadership_t *leadership, cw_time_us_t now);
 /** Gives the lock back: no authority from now on, and the lock is written as vacant. */
 void cw_leadership_resign(cw_leadership_t *leadership, cw_time_us_t now);
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -30,7 +30,7 @@
     char            *prefix;       /**< begins and ends with a slash */
     bool             repeatable;   /**< requests may run more than once */
     cw_time_us_t     timeout;      /**< longest time a request is held; 0: the caller's own */
-    cw_time_us_t     aim;          /**< an answer within it has its full worth; 0: not told */
+    cw_time_us_t     aim;          /**< an answer within it has its full worth; 0: not stated */
     uint32_t         max_attempts; /**< servers one request may be sent to; at least 1 */
     uint32_t         priority;     /**< 0 is the most urgent */
     cw_split_part_t *parts;
--- a/src/model/credential_index.h
+++ b/src/model/credential_index.h
@@ -6,7 +6,7 @@
  * digest's first bytes without hashing for it. A slot names a tenant and the position of the key in its list, so no
  * digest is kept twice. Only the whole digest decides, and it is compared in constant time.
  *
- * Memory: cw_credential_index_bytes tells it; tests/test_credential_index.c holds it below 16 bytes a key beside the
+ * Memory: cw_credential_index_bytes; tests/test_credential_index.c holds it below 16 bytes a key beside the
  * 32 of the digest (10,000 tenants with two keys each).
  */
 #ifndef CEDARWINCH_MODEL_CREDENTIAL_INDEX_H
--- a/src/model/server_list.h
+++ b/src/model/server_list.h
@@ -1,6 +1,6 @@
 /**
  * @file server_list.h
- * @brief The servers as the platform's list tells them: one snapshot, immutable and counted.
+ * @brief The servers as the platform lists them: one snapshot, immutable and counted.
  *
  * A server's id names one life of it: a restart brings another id. A missing entry proves nothing about a server's end;
  * another id at its address does.
@@ -22,9 +22,9 @@
     char        *zone;
     uint32_t     capacity; /**< requests it works on at once */
     bool         draining;
-    uint64_t     sequence;      /**< rises with each heartbeat */
-    uint64_t     changed_in;    /**< number of the told list in which it last changed; 0 at nodes that do not lead */
-    cw_time_us_t cold_time;     /**< its warm-up still took so long when it wrote this; 0: it is warm */
+    uint64_t     sequence;   /**< rises with each heartbeat */
+    uint64_t     changed_in; /**< number of the leader's list in which it last changed; 0 at nodes that do not lead */
+    cw_time_us_t cold_time;  /**< its warm-up still took so long when it wrote this; 0: it is warm */
     cw_time_us_t missing_since; /**< kept though its entry has been missing since then; 0: it has an entry */
 } cw_server_entry_t;
 
--- a/src/model/server_view.c
+++ b/src/model/server_view.c
@@ -89,7 +89,7 @@
     size_t index;
 
     for (index = 0; index < view->departure_count; index++) {
-        if (now - view->departures[index].told_at > CW_SECONDS(FORGET_S)) {
+        if (now - view->departures[index].last_noted_at > CW_SECONDS(FORGET_S)) {
             free(view->departures[index].id);
         } else {
             view->departures[kept++] = view->departures[index];
@@ -107,7 +107,7 @@
     }
     departure->sequence = entry->sequence > departure->sequence ? entry->sequence : departure->sequence;
     departure->revision = latest > departure->revision ? latest : departure->revision;
-    departure->told_at = now;
+    departure->last_noted_at = now;
 }
 
 static void note_leaving(cw_server_view_t *view, const cw_server_entry_t *entry, cw_time_us_t now)
@@ -115,7 +115,7 @@
     cw_server_departure_t *departure = departure_of(view, entry->id);
 
     departure->is_leaving = true;
-    departure->told_at = now;
+    departure->last_noted_at = now;
 }
 
 /* Who has left, or is leaving, by the list that comes into force. */
@@ -158,7 +158,7 @@
     cw_server_departure_t *departure = find_departure(view, entry->id);
 
     if (departure != NULL) {
-        departure->told_at = now;
+        departure->last_noted_at = now;
         entry->draining = entry->draining || departure->is_leaving;
         if (departure->since != 0 && is_back(departure, entry, reading)) {
             departure->since = 0;
@@ -204,11 +204,11 @@
 
     for (index = 0; index < list->count; index++) {
         cw_server_entry_t       *entry = &list->entries[index];
-        const cw_server_entry_t *told = &newer->entries[index];
+        const cw_server_entry_t *other = &newer->entries[index];
 
-        entry->sequence = told->sequence > entry->sequence ? told->sequence : entry->sequence;
-        entry->missing_since = told->missing_since;
-        entry->cold_time = told->cold_time;
+        entry->sequence = other->sequence > entry->sequence ? other->sequence : entry->sequence;
+        entry->missing_since = other->missing_since;
+        entry->cold_time = other->cold_time;
     }
 }
 
--- a/src/model/server_view.h
+++ b/src/model/server_view.h
@@ -2,16 +2,16 @@
  * @file server_view.h
  * @brief The list of servers in force at a node: the one place that says which list counts, and how fresh it is.
  *
- * A list comes on two ways: the node's own readings of the store, and what the leader tells. Rules:
+ * A list comes on two ways: the node's own readings of the store, and what the leader sends. Rules:
  *  - A list stands for a revision of the store, which rises with each change there. A list of an earlier revision than
  *    the one in force is never taken, from whichever source.
- *  - A server that has been seen leaving goes on leaving for as long as its id is told of: a late write of one of its
+ *  - A server that has been seen leaving goes on leaving for as long as its id is listed: a late write of one of its
  *    earlier heartbeats does not undo it.
  *  - A server that has been missing is back once a later revision than the one it was missing in shows it, in a
  *    reading only with a heartbeat after the last one seen. What another node keeps though it is missing
  *    (server_absence.h) does not bring it back here: its time counts from when this node first missed it.
  *  - `true_at`: the list was surely true at this moment of the node's own steady clock (the sending of the call that
- *    read it, or the leader's heartbeat less the age it tells).
+ *    read it, or the leader's heartbeat less the age it states).
  *
  * No I/O, no clock.
  */
@@ -23,10 +23,10 @@
 /** What has been seen of a server's leaving. */
 typedef struct cw_server_departure {
     char        *id;
-    uint64_t     sequence; /**< of its last heartbeat in a reading; 0: not known */
-    uint64_t     revision; /**< at the latest one of these of the store it was missing or leaving */
-    cw_time_us_t since;    /**< first missing; 0: it has an entry, and is leaving */
-    cw_time_us_t told_at;  /**< last time a list told of it, or missed it */
+    uint64_t     sequence;      /**< of its last heartbeat in a reading; 0: not known */
+    uint64_t     revision;      /**< at the latest one of these of the store it was missing or leaving */
+    cw_time_us_t since;         /**< first missing; 0: it has an entry, and is leaving */
+    cw_time_us_t last_noted_at; /**< last time a list had it, or missed it */
     bool         is_leaving;
 } cw_server_departure_t;
 
--- a/src/model/zone_region.h
+++ b/src/model/zone_region.h
@@ -1,6 +1,6 @@
 /**
  * @file zone_region.h
- * @brief Which region a zone lies in, as the settings tell, and how far two zones lie apart.
+ * @brief Which region a zone lies in, by the settings, and how far two zones lie apart.
  */
 #ifndef CEDARWINCH_MODEL_ZONE_REGION_H
 #define CEDARWINCH_MODEL_ZONE_REGION_H
--- a/src/placement/ownership_measures.h
+++ b/src/placement/ownership_measures.h
@@ -4,7 +4,7 @@
  * unavailable time of keys. The leader counts them while it leads; sums over all nodes are those of the whole system.
  *
  *  - Imbalance: load of the busiest owner over the mean of all owners, weighted by the time it stood so, while there is
- *    load enough to tell.
+ *    load enough for a figure.
  *  - Churn: keys whose owner changed, as a share of all keys (1: as if each key had moved once), the share of the load
  *    that was on them then, and the keys among them whose new owner got them without what the former one knew (cold).
  *    A key's first owner is no move.
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -68,7 +68,7 @@
     return servers <= SERVERS_OF_ERRORS ? errors : errors * sqrt(log((double)servers) / log(SERVERS_OF_ERRORS));
 }
 
-/* Each range is renewed by itself, and told to each node: balance must not cut without end. */
+/* Each range is renewed by itself, and sent to each node: balance must not cut without end. */
 static bool is_in_pieces(const cw_planner_t *planner)
 {
     return planner->ranges.count >= planner->settings->ranges_each * planner->server_count;
--- a/src/placement/planner_balance.c
+++ b/src/placement/planner_balance.c
@@ -9,9 +9,9 @@
 
 enum { MOVES_SERVERS = 3 /* a plan makes one move more for each so many servers */ };
 
-static const double fit_high = 1.5;       /* a piece is cut off before it would be so many times what should move */
-static const double room_busy = 0.7;      /* busy share up to which a server is given more at once */
-static const double room_over_mean = 1.2; /* or this much over the mean of all servers, where that is more */
+static const double fit_high = 1.5;        /* a piece is cut off before it would be so many times what should move */
+static const double spare_busy = 0.7;      /* busy share up to which a server is given more at once */
+static const double spare_over_mean = 1.2; /* or this much over the mean of all servers, where that is more */
 
 /* Shortest piece at one end of a range with at least the wanted load. */
 static cw_planner_piece_t cut_end(const cw_planner_t *planner, const cw_range_t *range, double wanted, bool at_low_end)
@@ -133,26 +133,26 @@
 }
 
 /* Rate that a server can be given without becoming the next one to relieve: it keeps what it got for a while. */
-static double room_of(const cw_planner_t *planner, const cw_planner_server_t *server)
+static double spare_rate_of(const cw_planner_t *planner, const cw_planner_server_t *server)
 {
-    double most = planner->busy * room_over_mean > room_busy ? planner->busy * room_over_mean : room_busy;
-    double room = most / server->cost_s - server->per_s;
+    double most = planner->busy * spare_over_mean > spare_busy ? planner->busy * spare_over_mean : spare_busy;
+    double spare = most / server->cost_s - server->per_s;
 
-    return room > 0 ? room : 0;
+    return spare > 0 ? spare : 0;
 }
 
 static bool relieve_to(cw_planner_t *planner, cw_planner_server_t *from, cw_planner_server_t *to)
 {
     double             wanted;
-    double             room;
+    double             spare;
     cw_planner_piece_t piece;
 
     if (to == NULL || cw_planner_marginal(to) >= cw_planner_marginal(from)) {
         return false;
     }
     wanted = best_rate(from, to);
-    room = room_of(planner, to);
-    wanted = wanted > room ? room : wanted;
+    spare = spare_rate_of(planner, to);
+    wanted = wanted > spare ? spare : wanted;
     if (gain(from, to, wanted) < planner->settings->gain_min || !choose_piece(planner, from, to, wanted, &piece)) {
         return false;
     }
--- a/src/router/configuration_exchange.c
+++ b/src/router/configuration_exchange.c
@@ -9,7 +9,7 @@
 #include "base/send_allowance.h"
 
 enum {
-    REMEMBERED = 8,     /* earlier configurations, for changes told from them: a storm brings some four a second */
+    REMEMBERED = 8,     /* earlier configurations, which changes are sent against: a storm brings some four a second */
     NEAR_WAIT_MS = 80,  /* two ticks and a datagram's way: a node of the own zone mostly turns up meanwhile */
     ASK_AGAIN_MS = 150, /* a page's way and a busy small machine's turn; a lost datagram costs this much */
     REDIRECT_MS = 40,   /* two ticks: the last pages' way to the node that is named */
--- a/src/router/loop_start.c
+++ b/src/router/loop_start.c
@@ -9,7 +9,8 @@
 #include <time.h>
 #include <unistd.h>
 
-/* The library aborts where the first of its pipes cannot be made: it is not asked before there is room for all. */
+/* The library aborts where the first of its pipes cannot be made: it is not asked before there are descriptors for all.
+ */
 static bool has_descriptors(void)
 {
     int    pairs[CW_LOOP_DESCRIPTORS / 2][2];
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -68,7 +68,7 @@
 
 /* ---- ticks ---- */
 
-/* Nodes that take from the same servers. A process that has just started has not heard of most of them yet, and would
+/* Nodes that take from the same servers. A process that has just started does not know most of them yet, and would
  * choose the same servers as all others that have just started. */
 static uint32_t nodes_in_reach(const cw_router_t *router, cw_time_us_t now)
 {
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -3,7 +3,7 @@
  * @brief The configuration in force at this node, and when it is looked at besides its standing watch.
  *
  * Rules:
- *  - A version is taken only if it is higher than the one in force, whoever told it: never back.
+ *  - A version is taken only if it is higher than the one in force, whoever sent it: never back.
  *  - A few nodes watch it in the store (store_reader.h); the others get it from them (configuration_exchange.h). A node
  *    that has known of a higher version for a while without getting it reads the store itself.
  *  - Each node knows how surely its own is the newest one, and checks it at the store when that grows old
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -101,7 +101,7 @@
 
     /* reports */
     uint32_t           sequence;
-    cw_time_us_t       silence; /**< a node unheard of for so long counts as lost */
+    cw_time_us_t       silence; /**< a node not received from for so long counts as lost */
     cw_time_us_t       reported_zone_at;
     cw_time_us_t       reported_all_at;
     cw_time_us_t       reported_full_at;
@@ -137,8 +137,8 @@
     cw_time_us_t       tables_at; /**< when the tables were surely true */
     cw_time_us_t       leader_heartbeat_at;
     uint64_t           leader_term;
-    bool               leader_silent;  /**< told in the log */
-    bool               tables_expired; /**< told in the log */
+    bool               leader_silent;  /**< logged */
+    bool               tables_expired; /**< logged */
     char               leader_node[CW_NODE_NAME_MAX];
     cw_view_assembly_t servers_pages;
     cw_server_list_t  *servers_partial;
@@ -154,7 +154,7 @@
     /* leading */
     cw_leadership_t    leadership;
     cw_leader_tenure_t tenure;
-    uint64_t           lead_servers; /**< number of the list told to others */
+    uint64_t           lead_servers; /**< number of the list that others are sent */
     uint64_t           lead_tables;
     cw_list_history_t  list_history;
     double             push_room; /**< bytes that may be sent to bring others up to date */
@@ -191,7 +191,7 @@
 /* ---- router_peers.c ---- */
 void cw_router_peers_init(cw_router_t *router);
 void cw_router_peers_tick(cw_router_t *router, cw_time_us_t now);
-/** How long what a silent node told is still counted. */
+/** How long reports of a node that sends no more still count. */
 cw_time_us_t cw_router_report_life(const cw_router_t *router);
 void         cw_router_note_peer(const cw_peer_t *peer, cw_event_kind_t kind, cw_time_us_t silent);
 
@@ -243,13 +243,13 @@
 cw_time_us_t cw_router_next_push(cw_push_state_t *push, cw_time_us_t now);
 /** This node leads now: others look first whether they have what it has. */
 void cw_router_push_begin(cw_router_t *router, cw_time_us_t now);
-/** A new number of the list (or the tables): those that had the one before are told at once. */
+/** A new number of the list (or the tables): sent at once to those that had the one before. */
 void cw_router_servers_changed(cw_router_t *router, cw_time_us_t now);
 void cw_router_tables_changed(cw_router_t *router);
 /** Pushes the list (or the tables) to peers that have an older one. */
 void cw_router_push_servers(cw_router_t *router, cw_time_us_t now);
 void cw_router_push_tables(cw_router_t *router, cw_time_us_t now);
-/** Tells nodes that have heard few others of those that this node has heard. */
+/** Sends nodes that know few others the addresses of those that this node knows. */
 void cw_router_push_nodes(cw_router_t *router, cw_time_us_t now);
 
 /* ---- router_configuration.c ---- */
@@ -275,7 +275,7 @@
 
 /* ---- router_receive.c ---- */
 void cw_router_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
-/** Replaces what this sender (or a silent one) told before of requests that wait there. */
+/** Replaces what this sender reported before of requests that wait there. */
 void cw_router_take_queues(cw_router_t *router, uint64_t sender, bool is_near, Cwp__QueueLength *const *queues,
                            size_t count, cw_time_us_t now);
 
@@ -288,7 +288,7 @@
 void cw_router_use_tables(cw_router_t *router);
 void cw_router_take_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderHeartbeat *heartbeat,
                                      cw_time_us_t now);
-/** Reads what no leader tells. */
+/** Reads what no leader sends. */
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now);
 void cw_router_on_servers(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest);
 /** The tables in force were still true then, as a node that has the same ones has read. */
@@ -308,7 +308,7 @@
 void cw_router_slots_tick(cw_router_t *router, cw_time_us_t now);
 /** Nodes that run and whose zone is known, this one among them unless it stops; gathered anew a few times a second. */
 const cw_broker_candidate_t *cw_router_candidates(const cw_router_t *router, size_t *count);
-/** Are there so many nodes that these do not tell one another of each request? */
+/** Are there so many nodes that these do not report each request to one another? */
 bool cw_router_nodes_are_many(const cw_router_t *router);
 void cw_router_take_slot_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotAsk *message);
 void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message);
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -9,7 +9,7 @@
 
 enum {
     RENEWALS_A_LEADER_HOLD = 4,
-    SILENCE_MS = 900,
+    HEARTBEAT_TIMEOUT_MS = 900,
     READ_EVERY_MS = 400,
     CAPABILITY_OF_A_CORE = 1000,
     FIRST_TURN_PART = 4,    /* of the time for first looks, in which equally capable nodes take turns */
@@ -39,7 +39,7 @@
     cw_leadership_settings_t settings = {.incarnation = router->incarnation,
                                          .hold = router->settings.leader_hold,
                                          .renew_every = router->settings.leader_hold / RENEWALS_A_LEADER_HOLD,
-                                         .silence = CW_MS(SILENCE_MS),
+                                         .heartbeat_timeout = CW_MS(HEARTBEAT_TIMEOUT_MS),
                                          .read_every = CW_MS(READ_EVERY_MS),
                                          .first_look_after = first_look_after(router),
                                          .first_look_within = router->settings.first_look_within / FIRST_TURN_PART};
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -115,7 +115,7 @@
     }
 }
 
-/* A leader that has just started has no list from before an outage: that many owners are missing tells it of one. */
+/* A leader that has just started has no list from before an outage: that many owners are missing shows it one. */
 static bool doubts_list(const cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
 {
     if (cw_planner_missing_share(keyed->assigner, router->server_view.list) * 100 <= MISSING_PERCENT) {
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -139,7 +139,7 @@
         cw_router_take_samples(router, samples->service, &taken, now);
     }
     if (received->vacated != 0 && received->vacated == router->leader_term) {
-        cw_leadership_heard_stop(&router->leadership, now);
+        cw_leadership_receive_step_down(&router->leadership, now);
     }
     if (received->leader != NULL) {
         cw_router_take_leader_heartbeat(router, peer, received->leader, now);
--- a/src/router/router_status_callers.c
+++ b/src/router/router_status_callers.c
@@ -121,14 +121,14 @@
 
 json_t *cw_router_status_tenants(const cw_router_t *router)
 {
-    cw_tenant_counts_t told[CW_TENANT_METRICS_TOLD + 1];
-    size_t             count = cw_tenant_metrics_told(told);
+    cw_tenant_counts_t largest[CW_TENANT_METRICS_LARGEST + 1];
+    size_t             count = cw_tenant_metrics_largest(largest);
     json_t            *rows = json_array();
     size_t             index;
 
     for (index = 0; index < count; index++) {
-        if (told[index].values[CW_TENANT_REQUESTS] + told[index].values[CW_TENANT_REFUSED_LIMIT] > 0) {
-            json_array_append_new(rows, tenant_json(router, &told[index]));
+        if (largest[index].values[CW_TENANT_REQUESTS] + largest[index].values[CW_TENANT_REFUSED_LIMIT] > 0) {
+            json_array_append_new(rows, tenant_json(router, &largest[index]));
         }
     }
     return rows;
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -251,9 +251,9 @@
 {
     cw_event_t event;
 
-    cw_leadership_heard(&router->leadership, heartbeat->term, heartbeat->revision, heartbeat->able, now);
+    cw_leadership_receive_heartbeat(&router->leadership, heartbeat->term, heartbeat->revision, heartbeat->able, now);
     if (peer->stopping) {
-        cw_leadership_heard_stop(&router->leadership, now);
+        cw_leadership_receive_step_down(&router->leadership, now);
     }
     if (router->leadership.leading || heartbeat->term < router->leader_term) {
         return;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -28,8 +28,8 @@
 /** What a read or a write of one object brought. Borrowed for the callback. */
 typedef struct cw_store_reply {
     cw_store_result_t result;
-    uint64_t          revision; /**< of the object; 0: not told */
-    json_t           *value;    /**< NULL: not told. On a conflict the object as it is, where the store tells it */
+    uint64_t          revision; /**< of the object; 0: not stated */
+    json_t           *value;    /**< NULL: not stated. On a conflict the object as it is, where the store states it */
 } cw_store_reply_t;
 
 typedef void (*cw_store_replied_t)(void *context, const cw_store_reply_t *reply);
@@ -38,7 +38,8 @@
 typedef struct cw_store_readers {
     void *context;
     void (*configuration)(void *context, cw_configuration_t *configuration, const char *problem);
-    /** A change of it has to be told within this; the adapter may wait for others that follow, but not for all of it.
+    /** A change of it has to be reported within this; the adapter may wait for others that follow, but not for all of
+     * it.
      */
     cw_time_us_t configuration_within;
     /** An answer of the store shows: no configuration above this version had been acknowledged at that moment. */
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -15,7 +15,7 @@
     cw_leadership_settings_t settings = {.incarnation = incarnation,
                                          .hold = HOLD,
                                          .renew_every = CW_MS(750),
-                                         .silence = CW_MS(900),
+                                         .heartbeat_timeout = CW_MS(900),
                                          .read_every = CW_MS(400)};
 
     snprintf(settings.node, sizeof(settings.node), "%s", node);
@@ -150,7 +150,7 @@
     cw_time_us_t    now;
 
     for (now = 0; now < CW_SECONDS(20); now += CW_MS(100)) {
-        cw_leadership_heard(&leadership, 3, 9, true, now);
+        cw_leadership_receive_heartbeat(&leadership, 3, 9, true, now);
         ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_WAIT);
     }
 }
@@ -160,8 +160,8 @@
 {
     cw_leadership_t leadership = new_leadership("n1", 11, 0);
 
-    cw_leadership_heard(&leadership, 3, 9, true, 0);
-    cw_leadership_heard(&leadership, 3, 9, false, CW_MS(1000));
+    cw_leadership_receive_heartbeat(&leadership, 3, 9, true, 0);
+    cw_leadership_receive_heartbeat(&leadership, 3, 9, false, CW_MS(1000));
     ck_assert_int_eq(cw_leadership_tick(&leadership, CW_MS(1000)), CW_LEADERSHIP_READ);
 }
 END_TEST
@@ -299,7 +299,7 @@
     settings.first_look_within = CW_SECONDS(1);
     cw_leadership_init(&leadership, &settings, CW_SECONDS(5));
     ck_assert_int_eq(cw_leadership_tick(&leadership, CW_SECONDS(5) + 700122), CW_LEADERSHIP_WAIT);
-    cw_leadership_heard(&leadership, 1, 9, true, CW_SECONDS(5) + 600000); /* another one was first */
+    cw_leadership_receive_heartbeat(&leadership, 1, 9, true, CW_SECONDS(5) + 600000); /* another one was first */
     ck_assert_int_eq(cw_leadership_tick(&leadership, CW_SECONDS(5) + 700123), CW_LEADERSHIP_WAIT);
     cw_leadership_init(&leadership, &settings, CW_SECONDS(5));
     ck_assert_int_eq(cw_leadership_tick(&leadership, CW_SECONDS(5) + 700123), CW_LEADERSHIP_READ);
@@ -311,8 +311,8 @@
     cw_leadership_t follower = new_leadership("n1", 111111, 0);
 
     cw_leadership_set_followers(&follower, 80);
-    cw_leadership_heard(&follower, 1, 9, true, CW_SECONDS(1));
-    cw_leadership_heard_stop(&follower, CW_SECONDS(1));
+    cw_leadership_receive_heartbeat(&follower, 1, 9, true, CW_SECONDS(1));
+    cw_leadership_receive_step_down(&follower, CW_SECONDS(1));
     ck_assert_int_eq(cw_leadership_tick(&follower, CW_SECONDS(1) + CW_MS(50)), CW_LEADERSHIP_WAIT);
     ck_assert_int_eq(cw_leadership_tick(&follower, CW_SECONDS(1) + CW_MS(50) + 111111), CW_LEADERSHIP_READ);
 }
@@ -386,7 +386,7 @@
     cw_time_us_t    now = CW_SECONDS(100);
     cw_leadership_t leadership = new_follower(4, now);
 
-    cw_leadership_heard(&leadership, 3, 7, true, now);
+    cw_leadership_receive_heartbeat(&leadership, 3, 7, true, now);
     cw_leadership_defer(&leadership, CW_MS(500));
     ck_assert_int_eq(cw_leadership_tick(&leadership, now + HOLD), CW_LEADERSHIP_WAIT);
     ck_assert_int_ne(cw_leadership_tick(&leadership, now + HOLD + CW_MS(900)), CW_LEADERSHIP_WAIT);
