cedarwinch plan: no plan beside an accepted configuration that cannot be read

Cause: the adapter gave the command line no configuration where the accepted one could not be decoded, and dropped the reason; 'plan' took that for none, and its plan, confirmed under the right revision, would have replaced all routes and tenants by one intent's. Ruled out: refusing zone plans too: a zone has to be taken out whatever the configuration is; it says that owners are not listed. Conclusion: an unreadable configuration is never planned over.

--- a/src/cli/plan.c
+++ b/src/cli/plan.c
@@ -21,6 +21,7 @@
     cw_store_result_t   result;
     uint64_t            revision;
     cw_configuration_t *configuration;
+    char                problem[CW_PROBLEM_BYTES]; /**< why it cannot be read; empty: it can, or there is none */
 } store_answer_t;
 
 typedef struct session {
@@ -31,14 +32,15 @@
     uint64_t    revision; /**< of the configuration that the plan was made from */
 } session_t;
 
-static void on_read(void *context, cw_store_result_t result, uint64_t revision, cw_configuration_t *configuration)
+static void on_read(void *context, const cw_accepted_t *accepted)
 {
     store_answer_t *answer = context;
 
     answer->done = true;
-    answer->result = result;
-    answer->revision = revision;
-    answer->configuration = configuration;
+    answer->result = accepted->result;
+    answer->revision = accepted->revision;
+    answer->configuration = accepted->configuration;
+    snprintf(answer->problem, sizeof(answer->problem), "%s", accepted->problem == NULL ? "" : accepted->problem);
 }
 
 static void on_written(void *context, const cw_store_reply_t *reply)
@@ -94,6 +96,11 @@
         fprintf(stderr, "cedarwinch: the store did not answer; nothing was changed\n");
         return CW_EXIT_UNAVAILABLE;
     }
+    if (present.problem[0] != '\0') { /* a plan made without it would remove all that it holds */
+        fprintf(stderr, "cedarwinch: the accepted configuration cannot be read: %s; nothing was changed\n",
+                present.problem);
+        return CW_EXIT_REFUSED;
+    }
     session->revision = present.result == CW_STORE_DONE ? present.revision : 0;
     cw_findings_init(&findings);
     error = cw_plan_make(&session->plan, &session->intent, present.configuration, session->revision, file, &findings);
--- a/src/cli/zone.c
+++ b/src/cli/zone.c
@@ -33,14 +33,14 @@
 
 /* ---- the store's answers ---- */
 
-static void on_configuration_told(void *context, cw_configuration_t *configuration, const char *problem)
+static void on_configuration_watched(void *context, cw_configuration_t *configuration, const char *problem)
 {
     (void)context;
     (void)problem;
     cw_configuration_release(configuration);
 }
 
-static void on_newest_told(void *context, uint64_t version, cw_time_us_t at)
+static void on_newest_watched(void *context, uint64_t version, cw_time_us_t at)
 {
     (void)context;
     (void)version;
@@ -64,14 +64,17 @@
     session->done = true;
 }
 
-static void on_configuration(void *context, cw_store_result_t result, uint64_t revision,
-                             cw_configuration_t *configuration)
+/* A zone can be taken out whatever the configuration is: it is read for what the plan shows only. */
+static void on_configuration(void *context, const cw_accepted_t *accepted)
 {
     zone_session_t *session = context;
 
-    (void)revision;
-    session->result = result;
-    session->configuration = configuration;
+    if (accepted->problem != NULL) {
+        fprintf(stderr, "cedarwinch: the accepted configuration cannot be read: %s; owners of keys are not listed\n",
+                accepted->problem);
+    }
+    session->result = accepted->result;
+    session->configuration = accepted->configuration;
     session->done = true;
 }
 
@@ -274,8 +277,8 @@
 {
     zone_session_t     session = {.zone = zone, .change = out ? CW_ZONE_TAKEN_OUT : CW_ZONE_PUT_BACK};
     cw_store_readers_t readers = {.context = &session,
-                                  .configuration = on_configuration_told,
-                                  .configuration_newest = on_newest_told,
+                                  .configuration = on_configuration_watched,
+                                  .configuration_newest = on_newest_watched,
                                   .answered = on_answered,
                                   .zones_may_be_out = true,
                                   .servers = on_servers};
--- a/src/router/adapter.h
+++ b/src/router/adapter.h
@@ -13,9 +13,15 @@
 
 typedef void (*cw_order_done_t)(void *context, uint64_t order, cw_order_result_t result, const char *handover);
 
-/** The accepted configuration as it stands. configuration: NULL when there is none, or it cannot be read. */
-typedef void (*cw_accepted_read_t)(void *context, cw_store_result_t result, uint64_t revision,
-                                   cw_configuration_t *configuration);
+/** What a reading of the accepted configuration brought. */
+typedef struct cw_accepted {
+    cw_store_result_t   result;
+    uint64_t            revision;
+    cw_configuration_t *configuration; /**< given away; NULL: there is none, or it cannot be read */
+    const char         *problem;       /**< why it cannot be read, with the place; NULL: it can, or there is none */
+} cw_accepted_t;
+
+typedef void (*cw_accepted_read_t)(void *context, const cw_accepted_t *accepted);
 
 typedef struct cw_adapter {
     const cw_header_names_t *header_names;
--- a/tests/process/intents.sh
+++ b/tests/process/intents.sh
@@ -80,4 +80,10 @@
 limited=$(grep -h '"the tenant.s rate"' "$WORK"/node*.log | tail -1 | grep -o '"request":"[^"]*"' | cut -d'"' -f4)
 check "explain tells the cause of a 429" grep -q 'cause: 429: ' <(told "$limited")
 check "report counts it" grep -q "429 the tenant's rate" <(cw report "$WORK"/node*.log)
+# An accepted configuration that cannot be read: a plan beside it would be one to replace it all.
+cluster_configure '{"version":900,"routes":[],"limits":{"max-body-bytes":"1000"}}'
+plan_output=$(cw plan "$WORK/b.yaml" 2>&1)
+check "no plan without the present configuration" [ "$?" = 1 ]
+check "the reason has its place" grep -q 'limits.max-body-bytes: not a number' <<<"$plan_output"
+check "a zone plan says what it lacks" grep -q 'limits.max-body-bytes: not a number' <(cw zone out z1 2>&1)
 finish_test
