When keys are first assigned, and when a list is believed, is a module: placement/plan_timing.h

Cause: four fields of a service's state and their rules stood in router_plan.c; only whole nodes showed them. Ruled out: putting them into the planner: it is a pure function without state. Change: cw_plan_timing_t; router_plan.c calls it.

--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -14,6 +14,7 @@
 #include "peer/peer_link.h"
 #include "placement/order_trust.h"
 #include "placement/ownership_measures.h"
+#include "placement/plan_timing.h"
 #include "placement/planner.h"
 #include "router/broker_choice.h"
 #include "router/configuration_exchange.h"
@@ -36,7 +37,7 @@
     CW_TABLES_VALID_PERCENT = 80 /**< of a grant's hold: tables are used no longer without a fresh heartbeat */
 };
 
-/** The leader's care for one service divided by key. */
+/** The leader's state of one service divided by key. */
 typedef struct cw_keyed_service {
     cw_assigner_t          *assigner;
     struct cw_router       *router;
@@ -44,10 +45,7 @@
     cw_ownership_measures_t measures;
     cw_time_us_t            measured_load_at;
     cw_time_us_t            next_plan;
-    cw_time_us_t            first_seen;           /**< since when servers of it are known */
-    size_t                  seen;                 /**< servers of it, before the first plan */
-    cw_time_us_t            seen_at;              /**< when that many were first seen */
-    cw_time_us_t            owners_missing_since; /**< most of its owners are not in the list; 0: no */
+    cw_plan_timing_t        timing;
 } cw_keyed_service_t;
 
 /** Something being received page by page. */
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -3,8 +3,8 @@
  * @brief The leader's plans for one service: when they are made, and from what.
  *
  * Rules:
- *  - The first plan waits until servers have signed in.
- *  - Owners that are missing in the list are not believed gone while most of them are: an outage may have emptied it.
+ *  - The first plan waits until servers have signed in, and a list that lacks most owners is doubted for a while
+ *    (plan_timing.h).
  *  - A server is given keys only while it is not leaving, its zone is in service and this node has no reason to avoid
  *    it. A cold server whose rate is bounded is given none: an owner gets all requests for its keys.
  *  - It is given none in a region to which no route to the service, or no tenant, may send (region_owners.h).
@@ -18,12 +18,9 @@
 
 enum {
     PLAN_EVERY_MS = 300,
-    FIRST_PLAN_CALM_MS = 500, /* beyond a heartbeat without a server that signed in */
-    FIRST_PLAN_WAIT_S = 4,
     MEASURE_LOAD_EVERY_MS = 1000,
     PARTS_A_MILLION = 1000000,
     SERVERS_MAX = 2048,
-    MISSING_PERCENT = 40, /* more owners than these are not all gone at once */
 };
 
 /** Answers for the regions met so far: routes and tenants are many, regions few. */
@@ -89,7 +86,6 @@
     return count;
 }
 
-/* Servers may still be signing in: it waits until none has come for longer than a heartbeat. */
 static void plan_first(const cw_router_t *router, cw_keyed_service_t *keyed, const cw_planner_server_t *servers,
                        size_t count, cw_time_us_t now)
 {
@@ -102,15 +98,7 @@
             usable[found++] = servers[index].entry;
         }
     }
-    if (found > 0 && keyed->first_seen == 0) {
-        keyed->first_seen = now;
-    }
-    if (found != keyed->seen) {
-        keyed->seen = found;
-        keyed->seen_at = now;
-    }
-    if (found > 0 && (now - keyed->seen_at >= router->settings.heartbeat + CW_MS(FIRST_PLAN_CALM_MS) ||
-                      now - keyed->first_seen >= CW_SECONDS(FIRST_PLAN_WAIT_S))) {
+    if (cw_plan_timing_is_first_due(&keyed->timing, found, router->settings.heartbeat, now)) {
         cw_assigner_plan_first(keyed->assigner, usable, found, now);
     }
 }
@@ -118,14 +106,9 @@
 /* A leader that has just started has no list from before an outage: that many owners are missing shows it one. */
 static bool doubts_list(const cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
 {
-    if (cw_planner_missing_share(keyed->assigner, router->server_view.list) * 100 <= MISSING_PERCENT) {
-        keyed->owners_missing_since = 0;
-        return false;
-    }
-    if (keyed->owners_missing_since == 0) {
-        keyed->owners_missing_since = now;
-    }
-    return now - keyed->owners_missing_since < router->server_view.absence.grace;
+    double missing = cw_planner_missing_share(keyed->assigner, router->server_view.list);
+
+    return cw_plan_timing_doubts_list(&keyed->timing, missing, router->server_view.absence.grace, now);
 }
 
 void cw_router_measure(cw_keyed_service_t *keyed, cw_time_us_t now)
