--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -13,6 +13,7 @@
     X(TRAFFIC, "traffic", NOTICE, 10)                                                                                  \
     X(RELOAD, "reload", NOTICE, 10)                                                                                    \
     X(LINES_DROPPED, "lines dropped", WARNING, 10)                                                                     \
+    X(ENTRIES_DROPPED, "entries dropped", WARNING, 1)                                                                  \
     X(FATAL_SIGNAL, "fatal signal", ERROR, 10)                                                                         \
     X(STORE_LOST, "store lost", WARNING, 10)                                                                           \
     X(STORE_BACK, "store back", NOTICE, 10)                                                                            \
@@ -30,6 +31,7 @@
     X(KEYS_CONFIRMED, "keys confirmed", NOTICE, 10)                                                                    \
     X(WATCH_BEGUN, "watch begun", INFO, 10)                                                                            \
     X(WATCH_FAILED, "watch failed", WARNING, 10)                                                                       \
+    X(STORE_BODY_MALFORMED, "malformed store body", WARNING, 20)                                                       \
     X(READER, "store reader", NOTICE, 10)                                                                              \
     X(SERVERS_CHANGED, "servers changed", NOTICE, 20)                                                                  \
     X(SERVERS_KEPT, "servers kept", WARNING, 20)                                                                       \
@@ -84,6 +86,7 @@
     X(PEER, "peer")                                                                                                    \
     X(LEADER, "leader")                                                                                                \
     X(COUNT, "count")                                                                                                  \
+    X(MOST, "most")                                                                                                    \
     X(ADDED, "added")                                                                                                  \
     X(REMOVED, "removed")                                                                                              \
     X(CHANGED, "changed")                                                                                              \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -11,7 +11,7 @@
 #include "base/byte_buffer.h"
 #include "base/time.h"
 
-/* X(symbol, name, type, help). What tells a node's state comes first: collectors may cut a long text short. */
+/* X(symbol, name, type, help). What shows a node's state comes first: collectors may cut a long text short. */
 #define CW_METRIC_TABLE(X)                                                                                             \
     X(LEADING, "cedarwinch_leading", "gauge", "1 while this node leads with authority")                                \
     X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
@@ -67,7 +67,7 @@
     X(BODY_BYTES, "cedarwinch_body_bytes", "gauge", "bytes reserved for callers' bodies")                              \
     X(SENT, "cedarwinch_sent_total", "counter", "requests sent to servers")                                            \
     X(RETRIES, "cedarwinch_retries_total", "counter", "requests sent once more")                                       \
-    X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries for which the budget had no room")        \
+    X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries that the budget did not allow")           \
     X(NOT_RUN, "cedarwinch_server_not_run_total", "counter", "servers that said they did not run a request")           \
     X(BROKEN, "cedarwinch_server_broken_total", "counter", "answers that broke off, were reset or were no answer")     \
     X(LOADS_MALFORMED, "cedarwinch_server_loads_malformed_total", "counter",                                           \
@@ -80,6 +80,8 @@
       "times the list was brought up to date by its changes")                                                          \
     X(STORE_COPIES, "cedarwinch_store_copy_reads_total", "counter", "reading calls answered from a copy, cheaper")     \
     X(STORE_FAILURES, "cedarwinch_store_failures_total", "counter", "calls to the store refused or without an answer") \
+    X(STORE_BODIES_MALFORMED, "cedarwinch_store_bodies_malformed_total", "counter",                                    \
+      "answers of the store, or entries in them, with a field missing or of another type")                             \
     X(GRANTS, "cedarwinch_grants_total", "counter", "grants and renewals sent")                                        \
     X(RELEASES, "cedarwinch_releases_total", "counter", "releases sent")                                               \
     X(ORDERS_FAILED, "cedarwinch_orders_failed_total", "counter", "grants and releases without a good answer")         \
@@ -94,10 +96,12 @@
       "load of the busiest owner over the mean of owners, times milliseconds")                                         \
     X(IMBALANCE_MS, "cedarwinch_imbalance_milliseconds_total", "counter", "over so many milliseconds")                 \
     X(SLOT_BROKERS_SILENT, "cedarwinch_slot_brokers_silent_total", "counter", "asks for a slot that got no reply")     \
+    X(ENTRIES_DROPPED, "cedarwinch_entries_dropped_total", "counter",                                                  \
+      "entries left out because an array of fixed size was full, counted at each look")                                \
     X(LOG_DROPPED, "cedarwinch_log_lines_dropped", "gauge", "log lines not written")                                   \
     X(SERVERS, "cedarwinch_servers", "gauge", "servers listed")                                                        \
     X(ZONES_OUT, "cedarwinch_zones_out_of_service", "gauge", "zones that operators have taken out of service")         \
-    X(PEERS, "cedarwinch_peers", "gauge", "nodes heard lately")                                                        \
+    X(PEERS, "cedarwinch_peers", "gauge", "nodes received from lately")                                                \
     X(CONNECTIONS, "cedarwinch_connections", "gauge", "callers' connections")                                          \
     X(QUEUED, "cedarwinch_queued", "gauge", "requests waiting for a slot")                                             \
     X(MEMORY, "cedarwinch_memory_bytes", "gauge", "resident memory")
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -85,7 +85,7 @@
 {
     size_t index;
 
-    if (router->lead_tables > 0 || now - router->led_since > CW_MS(FIRST_TABLES_WAIT_MS)) {
+    if (router->lead_tables > 0 || now - router->tenure.led_since > CW_MS(FIRST_TABLES_WAIT_MS)) {
         return true;
     }
     for (index = 0; index < router->keyed_count; index++) {
@@ -189,7 +189,7 @@
         const cw_service_t *service = &router->configuration->services[index];
 
         if (service->keyed && keyed_service(router, service->name) == NULL &&
-            router->keyed_count < CW_KEYED_SERVICES_MAX) {
+            router->keyed_count < CW_KEYED_SERVICES_MAX) { /* logged once a version, router_configuration.c */
             add_keyed(router, service->name);
         }
     }
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -3,7 +3,7 @@
  * @brief The configuration in force at this node, and when it is looked at besides its standing watch.
  *
  * Rules:
- *  - A version is taken only if it is higher than the one in force, whoever told it: never back.
+ *  - A version is taken only if it is higher than the one in force, whoever sent it: never back.
  *  - A few nodes watch it in the store (store_reader.h); the others get it from them (configuration_exchange.h). A node
  *    that has known of a higher version for a while without getting it reads the store itself.
  *  - Each node knows how surely its own is the newest one, and checks it at the store when that grows old
@@ -11,6 +11,7 @@
  */
 #include <string.h>
 
+#include "base/dropped_entries.h"
 #include "router/router_internal.h"
 
 enum { EXCHANGE_PERCENT = 45 /* of the time in which a change has to be in force: so long other nodes may take */ };
@@ -47,6 +48,19 @@
     }
 }
 
+/* Services divided by key beyond those that tables have places for get no owners. */
+static void note_keyed_services(const cw_configuration_t *configuration)
+{
+    size_t keyed = 0;
+    size_t index;
+
+    for (index = 0; index < configuration->service_count; index++) {
+        keyed += configuration->services[index].keyed ? 1 : 0;
+    }
+    cw_dropped_entries_note("services divided by key: the others get no owners", CW_KEYED_SERVICES_MAX,
+                            keyed > CW_KEYED_SERVICES_MAX ? keyed - CW_KEYED_SERVICES_MAX : 0);
+}
+
 bool cw_router_use_configuration(cw_router_t *router, cw_configuration_t *configuration)
 {
     if (router->configuration != NULL && configuration->version <= router->configuration->version) {
@@ -54,6 +68,7 @@
         return false;
     }
     note_plan(router, configuration);
+    note_keyed_services(configuration);
     cw_configuration_release(router->configuration);
     router->configuration = configuration;
     router->all_due = true;
@@ -97,13 +112,7 @@
         return;
     }
     cw_configuration_exchange_note(router->exchange, peer->address, version, is_near, now);
-    if (version <= router->newest_version) {
-        return;
-    }
-    if (router->newest_version <= cw_router_version(router)) {
-        router->newest_version_at = now;
-    }
-    router->newest_version = version;
+    cw_configuration_newest_note(&router->configuration_newest, version, cw_router_version(router), now);
 }
 
 static void check_credential_evidence(cw_router_t *router, cw_time_us_t now)
@@ -124,13 +133,13 @@
 
 void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now)
 {
-    bool missed = router->newest_version > cw_router_version(router) &&
-                  now - router->newest_version_at >= router->settings.configuration_within * EXCHANGE_PERCENT / 100;
+    cw_time_us_t patience = router->settings.configuration_within * EXCHANGE_PERCENT / 100;
+    uint64_t     version = cw_router_version(router);
+    bool         is_overdue = cw_configuration_newest_is_overdue(&router->configuration_newest, version, patience, now);
 
     check_credential_evidence(router, now);
-    if (missed && !cw_configuration_exchange_is_receiving(router->exchange, now)) {
-        router->newest_version_at = now;
-        router->configuration_read_at = now;
+    if (is_overdue && !cw_configuration_exchange_is_receiving(router->exchange, now)) {
+        cw_configuration_newest_read(&router->configuration_newest, now);
         router->store->read_configuration(router->store->context);
     }
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -5,6 +5,7 @@
 #ifndef CEDARWINCH_ROUTER_INTERNAL_H
 #define CEDARWINCH_ROUTER_INTERNAL_H
 
+#include "balance/queue_lengths.h"
 #include "base/byte_buffer.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
@@ -13,13 +14,17 @@
 #include "peer/peer_link.h"
 #include "placement/order_trust.h"
 #include "placement/ownership_measures.h"
+#include "placement/plan_timing.h"
 #include "placement/planner.h"
 #include "router/broker_choice.h"
 #include "router/configuration_exchange.h"
 #include "router/configuration_freshness.h"
+#include "router/configuration_newest.h"
 #include "router/fleet_size.h"
+#include "router/leader_tenure.h"
 #include "router/list_history.h"
 #include "router/router.h"
+#include "router/store_reach.h"
 #include "router/store_reader.h"
 #include "router/table_pages.h"
 #include "tenancy/credential_evidence.h"
@@ -30,11 +35,10 @@
     CW_MANY_DATAGRAMS_A_SECOND = 60, /**< of reports of one of many nodes, whose datagrams are most of what all do */
     CW_KEYED_SERVICES_MAX = CW_TABLE_SERVICES_MAX,
     CW_PAGES_MAX = 512,
-    CW_QUEUE_REPORTS_MAX = 256,
     CW_TABLES_VALID_PERCENT = 80 /**< of a grant's hold: tables are used no longer without a fresh heartbeat */
 };
 
-/** The leader's care for one service divided by key. */
+/** The leader's state of one service divided by key. */
 typedef struct cw_keyed_service {
     cw_assigner_t          *assigner;
     struct cw_router       *router;
@@ -42,21 +46,9 @@
     cw_ownership_measures_t measures;
     cw_time_us_t            measured_load_at;
     cw_time_us_t            next_plan;
-    cw_time_us_t            first_seen;           /**< since when servers of it are known */
-    size_t                  seen;                 /**< servers of it, before the first plan */
-    cw_time_us_t            seen_at;              /**< when that many were first seen */
-    cw_time_us_t            owners_missing_since; /**< most of its owners are not in the list; 0: no */
+    cw_plan_timing_t        timing;
 } cw_keyed_service_t;
 
-/** Requests that wait at another node, or at the nodes of another zone, for a service. */
-typedef struct cw_queue_report {
-    uint64_t     peer;    /**< address of the node, or a zone's number (router_relay.c) */
-    bool         is_near; /**< a node of this zone */
-    uint32_t     service; /**< hash of its name */
-    uint32_t     queued;
-    cw_time_us_t at;
-} cw_queue_report_t;
-
 /** Something being received page by page. */
 typedef struct cw_view_assembly {
     uint64_t term;
@@ -108,18 +100,17 @@
     int64_t              file_changed; /**< modification time and size of the settings file, mixed */
 
     /* reports */
-    uint32_t          sequence;
-    cw_time_us_t      silence; /**< a node unheard of for so long counts as lost */
-    cw_time_us_t      reported_zone_at;
-    cw_time_us_t      reported_all_at;
-    cw_time_us_t      reported_full_at;
-    cw_time_us_t      reported_leader_at;
-    cw_time_us_t      sent_keys_at;
-    cw_time_us_t      named_until;
-    bool              zone_due;
-    bool              all_due;
-    cw_queue_report_t queues[CW_QUEUE_REPORTS_MAX];
-    size_t            queue_count;
+    uint32_t           sequence;
+    cw_time_us_t       silence; /**< a node not received from for so long counts as lost */
+    cw_time_us_t       reported_zone_at;
+    cw_time_us_t       reported_all_at;
+    cw_time_us_t       reported_full_at;
+    cw_time_us_t       reported_leader_at;
+    cw_time_us_t       sent_keys_at;
+    cw_time_us_t       named_until;
+    bool               zone_due;
+    bool               all_due;
+    cw_queue_lengths_t queue_lengths; /**< of other nodes */
 
     /* reading the store for others */
     bool         is_reader;
@@ -130,9 +121,7 @@
     cw_configuration_exchange_t *exchange;
     cw_configuration_freshness_t freshness;
     cw_credential_evidence_t     credential_evidence; /**< how old `freshness` may grow for callers' keys */
-    uint64_t                     newest_version;      /**< highest that another node has in force */
-    cw_time_us_t newest_version_at; /**< since when one is higher than this node's own, or was last read */
-    cw_time_us_t configuration_read_at;
+    cw_configuration_newest_t    configuration_newest;
 
     /* what this node goes by */
     cw_server_view_t   server_view; /**< the list of servers in force */
@@ -148,8 +137,8 @@
     cw_time_us_t       tables_at; /**< when the tables were surely true */
     cw_time_us_t       leader_heartbeat_at;
     uint64_t           leader_term;
-    bool               leader_silent;  /**< told in the log */
-    bool               tables_expired; /**< told in the log */
+    bool               leader_silent;  /**< logged */
+    bool               tables_expired; /**< logged */
     char               leader_node[CW_NODE_NAME_MAX];
     cw_view_assembly_t servers_pages;
     cw_server_list_t  *servers_partial;
@@ -160,23 +149,17 @@
     cw_key_tables_t    tables_partial;
     cw_time_us_t       tables_read_at;
     uint32_t           table_reads; /**< under way */
-    bool               store_lost;
-    cw_time_us_t       store_failing_since; /**< calls to the store bring nothing since then; 0: they do */
-    cw_time_us_t       store_failed_at;     /**< last such call; 0: none */
+    cw_store_reach_t   store_reach;
 
     /* leading */
     cw_leadership_t    leadership;
-    bool               was_able;
-    uint64_t           vacated_term; /**< of the lock that this node gave up last */
-    cw_time_us_t       vacated_at;
-    uint64_t           lead_servers; /**< number of the list told to others */
+    cw_leader_tenure_t tenure;
+    uint64_t           lead_servers; /**< number of the list that others are sent */
     uint64_t           lead_tables;
     cw_list_history_t  list_history;
     double             push_room; /**< bytes that may be sent to bring others up to date */
     cw_time_us_t       push_filled_at;
-    cw_time_us_t       led_since;
-    cw_time_us_t       better_since; /**< a node far more capable than this one has been in reach; 0: none is */
-    cw_order_trust_t  *order_trust;  /**< servers that this leader's orders did not reach */
+    cw_order_trust_t  *order_trust; /**< servers that this leader's orders did not reach */
     cw_keyed_service_t keyed[CW_KEYED_SERVICES_MAX];
     size_t             keyed_count;
 } cw_router_t;
@@ -187,10 +170,28 @@
 /** Listens for callers. Returns 0 or a libuv error. */
 int cw_router_callers_start(cw_router_t *router);
 
+/* ---- router_own.c ---- */
+/** Listens for questions about this node: readiness, status, metrics. Returns 0 or a libuv error. */
+int cw_router_own_start(cw_router_t *router);
+
+/* ---- router_reload.c ---- */
+/** Modification time and size of a file, mixed; 0: there is none. */
+int64_t cw_router_file_state(const char *file_name);
+/** Reads the settings file again; what may change while the process runs is taken over. */
+void cw_router_reload(cw_router_t *router);
+/** The same if the file has changed, looked at a few times a second. */
+void cw_router_check_file(cw_router_t *router, cw_time_us_t now);
+
+/* ---- router_stop.c ---- */
+/** Begins a planned stop, unless one has begun. */
+void cw_router_stop(cw_router_t *router);
+/** Ends the process when it is time to. */
+void cw_router_check_stop(cw_router_t *router, cw_time_us_t now);
+
 /* ---- router_peers.c ---- */
 void cw_router_peers_init(cw_router_t *router);
 void cw_router_peers_tick(cw_router_t *router, cw_time_us_t now);
-/** How long what a silent node told is still counted. */
+/** How long reports of a node that sends no more still count. */
 cw_time_us_t cw_router_report_life(const cw_router_t *router);
 void         cw_router_note_peer(const cw_peer_t *peer, cw_event_kind_t kind, cw_time_us_t silent);
 
@@ -206,9 +207,6 @@
 /** Packs a report of this node as it is now, for cw_peer_link_send_packed. parts: CW_REPORT_ values, added. */
 size_t cw_router_pack_report(cw_router_t *router, uint32_t parts, cw_time_us_t now);
 
-/** Has this node given up the lock so lately that others are to be told? */
-bool cw_router_has_vacated(const cw_router_t *router, cw_time_us_t now);
-
 /* ---- router_relay.c ---- */
 void cw_router_relay_init(cw_router_t *router);
 void cw_router_relay_tick(cw_router_t *router, cw_time_us_t now);
@@ -245,13 +243,13 @@
 cw_time_us_t cw_router_next_push(cw_push_state_t *push, cw_time_us_t now);
 /** This node leads now: others look first whether they have what it has. */
 void cw_router_push_begin(cw_router_t *router, cw_time_us_t now);
-/** A new number of the list (or the tables): those that had the one before are told at once. */
+/** A new number of the list (or the tables): sent at once to those that had the one before. */
 void cw_router_servers_changed(cw_router_t *router, cw_time_us_t now);
 void cw_router_tables_changed(cw_router_t *router);
 /** Pushes the list (or the tables) to peers that have an older one. */
 void cw_router_push_servers(cw_router_t *router, cw_time_us_t now);
 void cw_router_push_tables(cw_router_t *router, cw_time_us_t now);
-/** Tells nodes that have heard few others of those that this node has heard. */
+/** Sends nodes that know few others the addresses of those that this node knows. */
 void cw_router_push_nodes(cw_router_t *router, cw_time_us_t now);
 
 /* ---- router_configuration.c ---- */
@@ -277,7 +275,7 @@
 
 /* ---- router_receive.c ---- */
 void cw_router_datagram(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
-/** Replaces what this sender (or a silent one) told before of requests that wait there. */
+/** Replaces what this sender reported before of requests that wait there. */
 void cw_router_take_queues(cw_router_t *router, uint64_t sender, bool is_near, Cwp__QueueLength *const *queues,
                            size_t count, cw_time_us_t now);
 
@@ -290,7 +288,7 @@
 void cw_router_use_tables(cw_router_t *router);
 void cw_router_take_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderHeartbeat *heartbeat,
                                      cw_time_us_t now);
-/** Reads what no leader tells. */
+/** Reads what no leader sends. */
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now);
 void cw_router_on_servers(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest);
 /** The tables in force were still true then, as a node that has the same ones has read. */
@@ -310,7 +308,7 @@
 void cw_router_slots_tick(cw_router_t *router, cw_time_us_t now);
 /** Nodes that run and whose zone is known, this one among them unless it stops; gathered anew a few times a second. */
 const cw_broker_candidate_t *cw_router_candidates(const cw_router_t *router, size_t *count);
-/** Are there so many nodes that these do not tell one another of each request? */
+/** Are there so many nodes that these do not report each request to one another? */
 bool cw_router_nodes_are_many(const cw_router_t *router);
 void cw_router_take_slot_ask(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotAsk *message);
 void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message);
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -9,21 +9,17 @@
 
 enum {
     RENEWALS_A_LEADER_HOLD = 4,
-    SILENCE_MS = 900,
+    HEARTBEAT_TIMEOUT_MS = 900,
     READ_EVERY_MS = 400,
     CAPABILITY_OF_A_CORE = 1000,
     FIRST_TURN_PART = 4,    /* of the time for first looks, in which equally capable nodes take turns */
     STORE_TROUBLE_MS = 700, /* without an answer for so long: grants are made to last */
-    STORE_LOST_MS = 500,
     CUT_OFF_MS = 900,
     CUT_OFF_RANGES = 2,  /* owners out of this leader's reach alone, at least; */
     CUT_OFF_PERCENT = 5, /* and of all ranges: single orders go unanswered on any day, a lost zone is a sixth or more */
     CUT_OFF_PAUSE_S = 6,
     LINK_CAPABILITY = 5, /* thousandths of a core that a Mbit/s of link goes with */
-    BETTER_TIMES = 2,
-    DEFERENCE_MS = 500,
-    HAND_OVER_S = 4,
-    NEW_FOLLOWERS = 64 /* that a process takes it to have until it knows the others: 400 ms of turns at the lock */
+    NEW_FOLLOWERS = 64   /* that a process takes it to have until it knows the others: 400 ms of turns at the lock */
 };
 
 static const char leader_kind[] = "leaders";
@@ -43,7 +39,7 @@
     cw_leadership_settings_t settings = {.incarnation = router->incarnation,
                                          .hold = router->settings.leader_hold,
                                          .renew_every = router->settings.leader_hold / RENEWALS_A_LEADER_HOLD,
-                                         .silence = CW_MS(SILENCE_MS),
+                                         .heartbeat_timeout = CW_MS(HEARTBEAT_TIMEOUT_MS),
                                          .read_every = CW_MS(READ_EVERY_MS),
                                          .first_look_after = first_look_after(router),
                                          .first_look_within = router->settings.first_look_within / FIRST_TURN_PART};
@@ -82,11 +78,12 @@
     cw_leadership_replied(&router->leadership, reply, now);
     cw_fleet_size_note(&router->fleet_size, router->leadership.lock.nodes);
     if (router->leadership.lock.address[0] != '\0' && !router->leadership.leading) {
+        /* What is no address is ignored: nodes are known by their reports too. */
         (void)cw_peer_link_learn_text(router->link, router->leadership.lock.address, now);
     }
     if (router->leadership.leading && (!before || router->leadership.lock.term != term)) {
         cw_router_end_assigners(router);
-        router->led_since = now;
+        cw_leader_tenure_begin(&router->tenure, now);
         router->lead_servers = 1;
         router->lead_tables = 0;
         cw_key_tables_clear(&router->tables);
@@ -100,8 +97,7 @@
         note_leadership(router, CW_EVENT_LEADER_TAKEN, NULL);
     } else if (before && !router->leadership.leading) {
         if (router->leadership.lock.vacant) {
-            router->vacated_term = term;
-            router->vacated_at = now;
+            cw_leader_tenure_release(&router->tenure, term, now);
             router->all_due = true; /* others need not wait until they miss the leader's heartbeat */
         }
         cw_router_end_assigners(router);
@@ -150,28 +146,33 @@
 
 /* ---- the store's health ---- */
 
-void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now)
+static void log_store_lost(const cw_store_reach_t *reach, cw_time_us_t now)
 {
     cw_event_t event;
 
-    if (answered) {
-        router->store_failing_since = 0;
-        if (router->store_lost && cw_event_begin(&event, CW_EVENT_STORE_BACK)) {
-            cw_event_end(&event);
-        }
-        router->store_lost = false;
-        return;
+    if (cw_event_begin(&event, CW_EVENT_STORE_LOST)) {
+        cw_event_ms(&event, CW_FIELD_SILENT_MS, cw_store_reach_failing_for(reach, now));
+        cw_event_end(&event);
     }
-    router->store_failed_at = now;
-    if (router->store_failing_since == 0) {
-        router->store_failing_since = now;
+}
+
+static void log_store_back(void)
+{
+    cw_event_t event;
+
+    if (cw_event_begin(&event, CW_EVENT_STORE_BACK)) {
+        cw_event_end(&event);
     }
-    if (!router->store_lost && now - router->store_failing_since >= CW_MS(STORE_LOST_MS)) {
-        router->store_lost = true;
-        if (cw_event_begin(&event, CW_EVENT_STORE_LOST)) {
-            cw_event_ms(&event, CW_FIELD_SILENT_MS, now - router->store_failing_since);
-            cw_event_end(&event);
-        }
+}
+
+void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now)
+{
+    cw_store_change_t change = cw_store_reach_note(&router->store_reach, answered, now);
+
+    if (change == CW_STORE_LOST) {
+        log_store_lost(&router->store_reach, now);
+    } else if (change == CW_STORE_BACK) {
+        log_store_back();
     }
 }
 
@@ -238,14 +239,14 @@
     return (uint32_t)(by_cpu < by_link ? by_cpu : by_link);
 }
 
-static bool is_better_in_reach(const cw_router_t *router)
+static bool is_rival_in_reach(const cw_router_t *router)
 {
     uint32_t         own = cw_router_capability(router);
     const cw_peer_t *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (peer->last_received_at != 0 && !peer->is_lost && !peer->stopping &&
-            peer->capability >= BETTER_TIMES * own) {
+            cw_leader_is_rival(own, peer->capability)) {
             return true;
         }
     }
@@ -257,19 +258,14 @@
 {
     uint32_t followers;
 
-    if (!is_better_in_reach(router)) {
-        router->better_since = 0;
-    } else if (router->better_since == 0) {
-        router->better_since = now;
-    }
+    cw_leader_tenure_note_rival(&router->tenure, is_rival_in_reach(router), now);
     followers = cw_peer_link_alive(router->link, router->silence, now);
     if (cw_router_is_new(router, now) && followers < NEW_FOLLOWERS) {
         followers = NEW_FOLLOWERS;
     }
     cw_leadership_set_followers(&router->leadership, followers);
-    cw_leadership_defer(&router->leadership, router->better_since == 0 ? 0 : CW_MS(DEFERENCE_MS));
-    if (cw_router_is_able(router, now) && router->better_since != 0 &&
-        now - router->better_since > CW_SECONDS(HAND_OVER_S) && now - router->led_since > CW_SECONDS(HAND_OVER_S) &&
+    cw_leadership_defer(&router->leadership, cw_leader_tenure_deference(&router->tenure));
+    if (cw_router_is_able(router, now) && cw_leader_tenure_should_hand_over(&router->tenure, now) &&
         !is_store_in_trouble(router, now)) {
         note_leadership(router, CW_EVENT_LEADER_LOST, "a more capable node is in reach");
         cw_leadership_step_down(&router->leadership, now, CW_SECONDS(CUT_OFF_PAUSE_S));
@@ -298,8 +294,7 @@
     prefer_capable(router, now);
     step_lock(router, now);
     able = cw_router_is_able(router, now);
-    if (able != router->was_able) {
-        router->was_able = able;
+    if (cw_leader_tenure_authority_changed(&router->tenure, able)) {
         router->all_due = true;
         cw_metric_set(CW_METRIC_LEADING, able ? 1 : 0);
     }
