Listener: a stop between an answer and the unsafe request behind it; what is cut or dropped is logged

Cause: at a stop a connection whose answers were all written, with an unsafe request read behind them, was ended as if an answer could still say so. Its request was dropped, nothing closed it, and what came was discarded. Ruled out: closing it at once, which would cut a request its caller was promised a connection for. Change: a connection ends early only if the newest request that was handed over has no answer head yet; else the next one is taken, what is behind it is dropped, and its answer closes. Answers cut, requests dropped and messages about limits not sent are counted and logged.

--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -46,7 +46,10 @@
     X(REQUEST_REFUSED, "refused", NOTICE, 100)                                                                         \
     X(REQUEST_FAILED, "failed", NOTICE, 100)                                                                           \
     X(REQUEST_GONE, "caller left", INFO, 50)                                                                           \
-    X(ANSWER_WAITED, "answer waited", INFO, 50)
+    X(ANSWER_WAITED, "answer waited", INFO, 50)                                                                        \
+    X(ANSWER_CUT, "answer cut", NOTICE, 20)                                                                            \
+    X(REQUESTS_DROPPED, "requests dropped", NOTICE, 10)                                                                \
+    X(MESSAGE_UNSENT, "message not sent", WARNING, 5)
 
 /* X(symbol, name in the log) */
 #define CW_EVENT_FIELD_TABLE(X)                                                                                        \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -38,6 +38,8 @@
     X(LIMIT_MODES, "cedarwinch_limit_mode_changes_total", "counter",                                                   \
       "times a tenant became free, metered or alone on this node")                                                     \
     X(LIMIT_ALONE, "cedarwinch_limit_alone_total", "counter", "of them, alone: the counting node did not reply")       \
+    X(LIMIT_UNSENT, "cedarwinch_limit_messages_unsent_total", "counter",                                               \
+      "messages about limits that were not sent: no such peer, or too long")                                           \
     X(LIMIT_TENANTS, "cedarwinch_limit_tenants", "gauge", "tenants of which this node counts its own requests")        \
     X(LIMIT_BUCKETS, "cedarwinch_limit_buckets", "gauge", "tenants for which this node counts for all")                \
     X(REFUSED_KEYS_STALE, "cedarwinch_refused_keys_stale_total", "counter",                                            \
@@ -60,6 +62,9 @@
       "requests handed over while an earlier one of their connection had no answer written")                           \
     X(ANSWERS_WAITED, "cedarwinch_answers_waited_total", "counter",                                                    \
       "answers that waited for an earlier one of their connection")                                                    \
+    X(ANSWERS_CUT, "cedarwinch_answers_cut_total", "counter", "answers cut short: their callers did not read them")    \
+    X(REQUESTS_DROPPED, "cedarwinch_requests_dropped_total", "counter",                                                \
+      "requests that were read and not handed over before their connection ended")                                     \
     X(READING_STOPPED, "cedarwinch_reading_stopped_total", "counter",                                                  \
       "times a connection was not read on: its pipeline was full, or a body waited for memory")                        \
     X(BODIES_WAITED, "cedarwinch_bodies_waited_total", "counter", "bodies that waited for memory")                     \
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "base/event_log.h"
+#include "base/metrics.h"
 #include "net/http_listener_internal.h"
 
 enum {
@@ -162,15 +164,30 @@
     listener->bodies.most = options->body_bytes_most == 0 ? SIZE_MAX : options->body_bytes_most;
 }
 
-/* The answer that is being written says whether it closes the connection: only what is behind it can still say so. */
+/* Only an answer whose head is not written yet can still say that it closes the connection. Without one the next
+ * request is taken, and its answer says so. */
 static bool may_end(const cw_http_connection_t *connection)
 {
-    return connection->state == CW_CONNECTION_OPEN && connection->pipeline.count > 0 &&
-           !((const cw_http_exchange_t *)connection->pipeline.entries->prev)->is_head_done;
+    const cw_pipeline_entry_t *newest = cw_pipeline_newest_begun(&connection->pipeline);
+
+    return connection->state == CW_CONNECTION_OPEN && newest != NULL &&
+           !((const cw_http_exchange_t *)newest)->is_head_done;
+}
+
+static void note_dropped(uint64_t count)
+{
+    cw_event_t event;
+
+    if (count > 0 && cw_event_begin(&event, CW_EVENT_REQUESTS_DROPPED)) {
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)count);
+        cw_event_text(&event, CW_FIELD_REASON, "this node stops");
+        cw_event_end(&event);
+    }
 }
 
 void cw_http_listener_end_connections(cw_http_listener_t *listener)
 {
+    uint64_t              before = cw_metric_value(CW_METRIC_REQUESTS_DROPPED);
     cw_http_connection_t *connection;
 
     listener->ending = true;
@@ -181,6 +198,7 @@
             cw_listener_resume_later(connection); /* what lies in its buffers is thrown away */
         }
     }
+    note_dropped(cw_metric_value(CW_METRIC_REQUESTS_DROPPED) - before);
 }
 
 void cw_http_listener_close(cw_http_listener_t *listener)
--- a/src/net/http_listener_answer.c
+++ b/src/net/http_listener_answer.c
@@ -79,7 +79,7 @@
 
 /* ---- turn ---- */
 
-static const char *name_of(const cw_http_exchange_t *exchange)
+const char *cw_listener_request_name(const cw_http_exchange_t *exchange)
 {
     const char *name = exchange->connection->listener->options.request_id_name;
 
@@ -90,7 +90,7 @@
 static void note_turn_holder(const cw_http_exchange_t *exchange)
 {
     cw_http_connection_t *connection = exchange->connection;
-    const char           *name = name_of(exchange);
+    const char           *name = cw_listener_request_name(exchange);
 
     free(connection->turn_holder);
     connection->turn_holder = name == NULL ? NULL : strdup(name);
@@ -107,7 +107,7 @@
     if (waited < CW_MS(WAIT_NOTED_MS) || !cw_event_begin(&event, CW_EVENT_ANSWER_WAITED)) {
         return;
     }
-    cw_event_text(&event, CW_FIELD_REQUEST, name_of(exchange));
+    cw_event_text(&event, CW_FIELD_REQUEST, cw_listener_request_name(exchange));
     cw_event_ms(&event, CW_FIELD_WAITED_MS, waited);
     cw_event_text(&event, CW_FIELD_WAITED_FOR, exchange->connection->turn_holder);
     cw_event_end(&event);
@@ -271,7 +271,7 @@
     cw_event_t event;
 
     if (cw_event_begin(&event, CW_EVENT_REQUEST_REFUSED)) {
-        cw_event_text(&event, CW_FIELD_REQUEST, name_of(exchange));
+        cw_event_text(&event, CW_FIELD_REQUEST, cw_listener_request_name(exchange));
         cw_event_number(&event, CW_FIELD_STATUS, status);
         cw_event_text(&event, CW_FIELD_REASON, reason);
         cw_event_end(&event);
--- a/src/net/http_listener_exchange.c
+++ b/src/net/http_listener_exchange.c
@@ -62,7 +62,8 @@
             cw_metric_add(CW_METRIC_PIPELINED, 1);
         }
         if (connection->listener->ending) { /* its answer closes the connection */
-            connection->pipeline.ended = true;
+            entry->state = CW_PIPELINE_HANDED_OVER;
+            cw_listener_end_pipeline(connection);
         }
         hand_over(connection, (cw_http_exchange_t *)entry);
     }
@@ -73,10 +74,12 @@
     cw_pipeline_entry_t *entry;
 
     while ((entry = cw_pipeline_end(&connection->pipeline)) != NULL) {
+        cw_metric_add(CW_METRIC_REQUESTS_DROPPED, 1);
         cw_listener_exchange_free((cw_http_exchange_t *)entry);
     }
     cw_listener_stop_waiting(connection);
     if (connection->incoming != NULL) {
+        cw_metric_add(CW_METRIC_REQUESTS_DROPPED, 1);
         cw_listener_exchange_free(connection->incoming);
         connection->incoming = NULL;
     }
--- a/src/net/http_listener_internal.h
+++ b/src/net/http_listener_internal.h
@@ -140,6 +140,8 @@
 /** Answers the incoming request, which cannot be taken. The connection ends with it. retry_after_s below 0: not said.
  */
 void cw_listener_refuse(cw_http_connection_t *connection, int status, double retry_after_s, const char *reason);
+/** For the log: by the header that the options name; NULL: it has none. */
+const char *cw_listener_request_name(const cw_http_exchange_t *exchange);
 /** Writes the answers whose turn it is. */
 void cw_listener_write(cw_http_connection_t *connection);
 /** Sends the interim answer that the incoming request asked for, if all before it is written. */
--- a/src/net/http_listener_timer.c
+++ b/src/net/http_listener_timer.c
@@ -4,6 +4,8 @@
  */
 #include <poll.h>
 
+#include "base/event_log.h"
+#include "base/metrics.h"
 #include "net/http_listener_internal.h"
 
 enum {
@@ -95,6 +97,20 @@
     return poll(&place, 1, 0) > 0 && (place.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+static void note_cut(const cw_http_connection_t *connection, size_t left)
+{
+    const cw_http_exchange_t *exchange = (const cw_http_exchange_t *)connection->pipeline.entries;
+    cw_event_t                event;
+
+    cw_metric_add(CW_METRIC_ANSWERS_CUT, 1);
+    if (cw_event_begin(&event, CW_EVENT_ANSWER_CUT)) {
+        cw_event_text(&event, CW_FIELD_REQUEST, cw_listener_request_name(exchange));
+        cw_event_text(&event, CW_FIELD_REASON, "the caller does not read it");
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)left);
+        cw_event_end(&event);
+    }
+}
+
 /* A caller that does not read its answer does not hold it for longer than a connection may rest. */
 static bool has_stalled(cw_http_connection_t *connection, cw_time_us_t now)
 {
@@ -104,6 +120,7 @@
         return false;
     }
     if (left == connection->write_left) {
+        note_cut(connection, left);
         return true;
     }
     connection->write_left = left;
--- a/src/net/http_pipeline.c
+++ b/src/net/http_pipeline.c
@@ -58,6 +58,21 @@
     return pipeline->ended && entry->next == NULL;
 }
 
+cw_pipeline_entry_t *cw_pipeline_newest_begun(const cw_pipeline_t *pipeline)
+{
+    cw_pipeline_entry_t *newest = NULL;
+    cw_pipeline_entry_t *entry;
+
+    DL_FOREACH(pipeline->entries, entry)
+    {
+        if (entry->state == CW_PIPELINE_WAITING) {
+            break;
+        }
+        newest = entry;
+    }
+    return newest;
+}
+
 void cw_pipeline_remove(cw_pipeline_t *pipeline, cw_pipeline_entry_t *entry)
 {
     DL_DELETE(pipeline->entries, entry);
--- a/src/net/http_pipeline.h
+++ b/src/net/http_pipeline.h
@@ -55,6 +55,8 @@
 void                 cw_pipeline_answered(cw_pipeline_t *pipeline, cw_pipeline_entry_t *entry, size_t answer_bytes);
 /** Does the answer to this entry, the oldest, close the connection? */
 bool cw_pipeline_closes(const cw_pipeline_t *pipeline, const cw_pipeline_entry_t *entry);
+/** The newest request that was handed over or answered; NULL: none. Those behind it wait. */
+cw_pipeline_entry_t *cw_pipeline_newest_begun(const cw_pipeline_t *pipeline);
 /** Takes an entry out: its answer is written, or nobody waits for it. */
 void cw_pipeline_remove(cw_pipeline_t *pipeline, cw_pipeline_entry_t *entry);
 /** No further request is taken up. Gives one entry that was not handed over, or is behind such a one, taken out; to be
--- a/src/router/router_quota_wire.c
+++ b/src/router/router_quota_wire.c
@@ -2,6 +2,7 @@
  * @file router_quota_wire.c
  * @brief Messages about tenants' limits as datagrams, and those of this node to itself.
  */
+#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -49,14 +50,32 @@
 
 /* ---- as datagrams ---- */
 
+static void note_unsent(uint32_t to, const char *reason)
+{
+    struct in_addr address = {.s_addr = to};
+    char           text[INET_ADDRSTRLEN] = "";
+    cw_event_t     event;
+
+    cw_metric_add(CW_METRIC_LIMIT_UNSENT, 1);
+    if (cw_event_begin(&event, CW_EVENT_MESSAGE_UNSENT)) {
+        cw_event_text(&event, CW_FIELD_ADDRESS, inet_ntop(AF_INET, &address, text, sizeof(text)));
+        cw_event_text(&event, CW_FIELD_REASON, reason);
+        cw_event_end(&event);
+    }
+}
+
 static void send_datagram(cw_router_quota_t *quota, uint32_t to, const Cwp__Datagram *datagram)
 {
     cw_router_t *router = quota->router;
     cw_peer_t   *peer = cw_peer_link_learn(router->link, to, cw_router_now(router));
 
-    if (peer != NULL) {
-        cw_peer_link_send(router->link, peer, datagram);
+    size_t length = cw_peer_link_pack(router->link, datagram);
+
+    if (peer == NULL || length == 0) {
+        note_unsent(to, peer == NULL ? "no such peer" : "too long for a datagram");
+        return;
     }
+    cw_peer_link_send_packed(router->link, peer, length);
 }
 
 static void write_usage(Cwp__QuotaUsage *message, const cw_quota_usage_t *usage)
--- a/tests/test_http_pipeline.c
+++ b/tests/test_http_pipeline.c
@@ -422,6 +422,25 @@
 }
 END_TEST
 
+/* Its answer has said that the connection stays: the request behind it is taken, and closes. */
+START_TEST(at_a_stop_an_unsafe_request_behind_a_written_answer_is_taken_and_closes)
+{
+    cw_listener_world_t world;
+    cw_world_caller_t  *caller = begin(&world, GET("/1") POST("/2") GET("/3"));
+
+    cw_world_await_requests(&world, 1);
+    cw_world_answer(&world, 0, "first");
+    ck_assert_uint_eq(world.count, 1); /* the second one is handed over by the loop's next turn */
+    cw_http_listener_end_connections(world.listener);
+    cw_world_pass(&world, 50);
+    ck_assert_uint_eq(world.count, 2);
+    cw_world_answer(&world, 1, "second");
+    cw_world_await_end(caller);
+    ck_assert_ptr_nonnull(strstr(cw_world_received(caller), "Connection: close\r\n\r\nsecond"));
+    ck_assert_uint_eq(cw_metric_value(CW_METRIC_REQUESTS_DROPPED), 1);
+}
+END_TEST
+
 /* ---- callers that do not read ---- */
 
 START_TEST(an_answer_that_is_not_read_does_not_stay_for_ever)
@@ -439,8 +458,10 @@
     cw_world_send_text(caller, GET("/1") GET("/2"));
     cw_world_await_requests(&world, 2);
     cw_world_answer(&world, 0, long_text);
+    cw_metrics_reset();
     cw_world_await_gone(&world, 1);
     ck_assert(world.requests[1].gone);
+    ck_assert_uint_eq(cw_metric_value(CW_METRIC_ANSWERS_CUT), 1);
 }
 END_TEST
 
@@ -468,6 +489,7 @@
     tcase_add_test(cases, an_abort_lets_the_answers_before_it_out);
     tcase_add_test(cases, at_a_stop_the_last_request_that_was_handed_over_closes);
     tcase_add_test(cases, while_stopping_one_request_of_a_connection_is_taken);
+    tcase_add_test(cases, at_a_stop_an_unsafe_request_behind_a_written_answer_is_taken_and_closes);
     tcase_add_test(cases, an_answer_that_is_not_read_does_not_stay_for_ever);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
