--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -4412,7 +4412,7 @@
   (ProtobufCMessageInit) cwp__quota_usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__quota_report__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cwp__quota_report__field_descriptors[4] =
 {
   {
     "incarnation",
@@ -4450,16 +4450,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReport, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__quota_report__field_indices_by_name[] = {
   0,   /* field[0] = incarnation */
   1,   /* field[1] = sequence */
   2,   /* field[2] = usages */
+  3,   /* field[3] = version */
 };
 static const ProtobufCIntRange cwp__quota_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cwp__quota_report__descriptor =
 {
@@ -4469,14 +4482,14 @@
   "Cwp__QuotaReport",
   "cwp",
   sizeof(Cwp__QuotaReport),
-  3,
+  4,
   cwp__quota_report__field_descriptors,
   cwp__quota_report__field_indices_by_name,
   1,  cwp__quota_report__number_ranges,
   (ProtobufCMessageInit) cwp__quota_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__quota_status__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cwp__quota_status__field_descriptors[4] =
 {
   {
     "sequence",
@@ -4514,16 +4527,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unknown",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__QuotaStatus, n_unknown),
+    offsetof(Cwp__QuotaStatus, unknown),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__quota_status__field_indices_by_name[] = {
   2,   /* field[2] = declines */
   1,   /* field[1] = metered */
   0,   /* field[0] = sequence */
+  3,   /* field[3] = unknown */
 };
 static const ProtobufCIntRange cwp__quota_status__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cwp__quota_status__descriptor =
 {
@@ -4533,14 +4559,14 @@
   "Cwp__QuotaStatus",
   "cwp",
   sizeof(Cwp__QuotaStatus),
-  3,
+  4,
   cwp__quota_status__field_descriptors,
   cwp__quota_status__field_indices_by_name,
   1,  cwp__quota_status__number_ranges,
   (ProtobufCMessageInit) cwp__quota_status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__quota_ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cwp__quota_ask__field_descriptors[6] =
 {
   {
     "incarnation",
@@ -4602,18 +4628,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaAsk, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__quota_ask__field_indices_by_name[] = {
   0,   /* field[0] = incarnation */
   4,   /* field[4] = refused */
   1,   /* field[1] = sequence */
   3,   /* field[3] = usage */
+  5,   /* field[5] = version */
   2,   /* field[2] = wanted */
 };
 static const ProtobufCIntRange cwp__quota_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cwp__quota_ask__descriptor =
 {
@@ -4623,14 +4662,14 @@
   "Cwp__QuotaAsk",
   "cwp",
   sizeof(Cwp__QuotaAsk),
-  5,
+  6,
   cwp__quota_ask__field_descriptors,
   cwp__quota_ask__field_indices_by_name,
   1,  cwp__quota_ask__number_ranges,
   (ProtobufCMessageInit) cwp__quota_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__quota_grant__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cwp__quota_grant__field_descriptors[6] =
 {
   {
     "tenant",
@@ -4692,6 +4731,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unknown",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, unknown),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__quota_grant__field_indices_by_name[] = {
   4,   /* field[4] = metered */
@@ -4699,11 +4750,12 @@
   1,   /* field[1] = sequence */
   0,   /* field[0] = tenant */
   2,   /* field[2] = tokens */
+  5,   /* field[5] = unknown */
 };
 static const ProtobufCIntRange cwp__quota_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cwp__quota_grant__descriptor =
 {
@@ -4713,7 +4765,7 @@
   "Cwp__QuotaGrant",
   "cwp",
   sizeof(Cwp__QuotaGrant),
-  5,
+  6,
   cwp__quota_grant__field_descriptors,
   cwp__quota_grant__field_indices_by_name,
   1,  cwp__quota_grant__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -799,10 +799,14 @@
   uint32_t sequence;
   size_t n_usages;
   Cwp__QuotaUsage **usages;
+  /*
+   * of the configuration that the node goes by
+   */
+  uint64_t version;
 };
 #define CWP__QUOTA_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_report__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -824,10 +828,15 @@
    * it does not count: it has just started, or stops
    */
   protobuf_c_boolean declines;
+  /*
+   * tenants without a limit in its configuration, which is earlier than the report's
+   */
+  size_t n_unknown;
+  uint32_t *unknown;
 };
 #define CWP__QUOTA_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_status__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -847,10 +856,14 @@
    */
   uint32_t refused;
   Cwp__QuotaUsage *usage;
+  /*
+   * of the configuration that the node goes by
+   */
+  uint64_t version;
 };
 #define CWP__QUOTA_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_ask__descriptor) \
-    , 0, 0, 0, 0, NULL }
+    , 0, 0, 0, 0, NULL, 0 }
 
 
 struct  Cwp__QuotaGrant
@@ -867,10 +880,14 @@
    */
   uint32_t retry_after_ms;
   protobuf_c_boolean metered;
+  /*
+   * no limit in the sender's configuration, which is earlier than the ask's
+   */
+  protobuf_c_boolean unknown;
 };
 #define CWP__QUOTA_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_grant__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/router/router_quota.c
+++ b/src/router/router_quota.c
@@ -11,7 +11,7 @@
 #include "router/router_quota.h"
 
 enum {
-    CANDIDATES_MAX = 1024,
+    CANDIDATES_FIRST = 64,   /* memory for so many at first; it doubles */
     GATHER_EVERY_MS = 100,   /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
     DECLINING_MOST = 2,      /* one restarts now and then; several at once: nobody counts yet */
     ISOLATED_AFTER_MS = 500, /* the slowest pause between reports of few nodes is 300 ms (router_peers.c) */
@@ -60,8 +60,12 @@
 
     cw_quota_counter_report(quota->counter, from, message->incarnation, message->usages, message->count, now_of(quota));
     for (index = 0; index < message->count; index++) {
-        if (cw_quota_counter_is_metered(quota->counter, message->usages[index].tenant, now_of(quota))) {
-            reply.metered[reply.count++] = message->usages[index].tenant;
+        uint32_t tenant = message->usages[index].tenant;
+
+        if (cw_quota_counter_is_metered(quota->counter, tenant, now_of(quota))) {
+            reply.metered[reply.count++] = tenant;
+        } else if (cw_quota_counter_is_behind(quota->counter, tenant, message->version)) {
+            reply.unknown[reply.unknown_count++] = tenant;
         }
     }
     cw_router_quota_send(quota, from, &reply);
@@ -82,6 +86,49 @@
     cw_router_quota_send(context, node, &message);
 }
 
+static void take_status(cw_router_quota_t *quota, uint32_t from, const cw_quota_message_t *message, cw_time_us_t now)
+{
+    cw_quota_status_t status = {.sequence = message->sequence,
+                                .metered = message->metered,
+                                .metered_count = message->count,
+                                .unknown = message->unknown,
+                                .unknown_count = message->unknown_count};
+
+    cw_quota_share_status(quota->share, from, &status, now);
+}
+
+/* ---- limits as configured ---- */
+
+static void use_limits(cw_router_quota_t *quota, const cw_configuration_t *configuration)
+{
+    cw_quota_tenant_limit_t *limits = calloc(configuration->tenant_count + 1, sizeof(*limits));
+    size_t                   index;
+
+    if (limits == NULL) {
+        abort();
+    }
+    for (index = 0; index < configuration->tenant_count; index++) {
+        const cw_tenant_t *tenant = &configuration->tenants[index];
+
+        limits[index].tenant = cw_quota_tenant_hash(tenant->name);
+        limits[index].limit = (cw_quota_limit_t){.rate_per_s = tenant->rate_per_s, .burst = tenant->burst};
+    }
+    cw_quota_counter_set_limits(quota->counter, limits, configuration->tenant_count, now_of(quota));
+    cw_quota_counter_set_version(quota->counter, configuration->version);
+    quota->version = configuration->version;
+    free(limits);
+}
+
+/* A message may come by a version that is in force here since this turn of the loop. */
+static void follow_configuration(cw_router_quota_t *quota)
+{
+    const cw_configuration_t *configuration = quota->router->configuration;
+
+    if (configuration != NULL && configuration->version != quota->version) {
+        use_limits(quota, configuration);
+    }
+}
+
 /* ---- messages ---- */
 
 void cw_router_quota_deliver(cw_router_quota_t *quota, uint32_t from, const cw_quota_message_t *message)
@@ -92,6 +139,7 @@
         decline(quota, from, message->sequence);
         return;
     }
+    follow_configuration(quota);
     switch (message->kind) {
     case CW_QUOTA_REPORT:
         take_report(quota, from, message);
@@ -100,7 +148,7 @@
         if (message->declines) {
             cw_quota_share_declined(quota->share, from, now);
         } else {
-            cw_quota_share_status(quota->share, from, message->sequence, message->metered, message->count, now);
+            take_status(quota, from, message, now);
         }
         break;
     case CW_QUOTA_ASK:
@@ -126,27 +174,33 @@
 
 static uint32_t counter_of(void *context, uint32_t tenant)
 {
-    const cw_router_quota_t *quota = context;
-    cw_broker_candidate_t    able[CANDIDATES_MAX];
-    size_t                   count = 0;
-    size_t                   index;
+    cw_router_quota_t *quota = context;
+    size_t             count = 0;
+    size_t             index;
 
     if (is_isolated(quota) || cw_quota_share_declining(quota->share, now_of(quota)) >= DECLINING_MOST) {
         return 0;
     }
     for (index = 0; index < quota->candidate_count; index++) {
         if (!cw_quota_share_is_silent(quota->share, quota->candidates[index].address, now_of(quota))) {
-            able[count++] = quota->candidates[index];
+            quota->able[count++] = quota->candidates[index];
         }
     }
-    return cw_broker_choose(able, count, CW_BROKER_ANY_ZONE, tenant);
+    return cw_broker_choose(quota->able, count, CW_BROKER_ANY_ZONE, tenant);
+}
+
+static uint64_t version_of(const cw_router_quota_t *quota)
+{
+    return quota->router->configuration == NULL ? 0 : quota->router->configuration->version;
 }
 
 static void report(void *context, uint32_t counter, uint32_t sequence, const cw_quota_usage_t *usages, size_t count)
 {
     cw_router_quota_t *quota = context;
-    cw_quota_message_t message = {
-        .kind = CW_QUOTA_REPORT, .incarnation = quota->router->incarnation, .sequence = sequence};
+    cw_quota_message_t message = {.kind = CW_QUOTA_REPORT,
+                                  .incarnation = quota->router->incarnation,
+                                  .sequence = sequence,
+                                  .version = version_of(quota)};
 
     message.count = count > CW_QUOTA_USAGES_MAX ? CW_QUOTA_USAGES_MAX : count;
     memcpy(message.usages, usages, message.count * sizeof(*usages));
@@ -157,6 +211,7 @@
 {
     cw_quota_message_t message = {.kind = CW_QUOTA_ASK, .ask = *asked};
 
+    message.ask.version = version_of(context);
     cw_router_quota_send(context, counter, &message);
 }
 
@@ -221,24 +276,46 @@
 
 /* ---- who counts, and for how many ---- */
 
+static void *grown(void *array, size_t capacity)
+{
+    void *larger = realloc(array, capacity * sizeof(cw_broker_candidate_t));
+
+    if (larger == NULL) {
+        abort();
+    }
+    return larger;
+}
+
+static void add_candidate(cw_router_quota_t *quota, const cw_broker_candidate_t *candidate)
+{
+    if (quota->candidate_count == quota->candidate_capacity) {
+        quota->candidate_capacity = quota->candidate_capacity == 0 ? CANDIDATES_FIRST : 2 * quota->candidate_capacity;
+        quota->candidates = grown(quota->candidates, quota->candidate_capacity);
+        quota->able = grown(quota->able, quota->candidate_capacity);
+    }
+    quota->candidates[quota->candidate_count++] = *candidate;
+}
+
+/* All of them, however many: nodes that go by different ones would disagree on who counts. */
 static void gather(cw_router_quota_t *quota)
 {
-    cw_router_t     *router = quota->router;
-    const cw_peer_t *peer;
+    cw_router_t          *router = quota->router;
+    const cw_peer_t      *peer;
+    cw_broker_candidate_t candidate = {
+        .address = own_address(quota), .capability = cw_router_capability(router), .zone = router->settings.zone};
 
     quota->candidate_count = 0;
     if (!declines(quota)) {
-        quota->candidates[quota->candidate_count++] = (cw_broker_candidate_t){
-            .address = own_address(quota), .capability = cw_router_capability(router), .zone = router->settings.zone};
+        add_candidate(quota, &candidate);
     }
-    for (peer = cw_peer_link_peers(router->link); peer != NULL && quota->candidate_count < CANDIDATES_MAX;
-         peer = peer->next) {
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (peer->last_received_at > quota->last_received_at) {
             quota->last_received_at = peer->last_received_at;
         }
         if (peer->last_received_at != 0 && !peer->is_lost && !peer->stopping && peer->zone[0] != '\0') {
-            quota->candidates[quota->candidate_count++] =
+            candidate =
                 (cw_broker_candidate_t){.address = peer->address, .capability = peer->capability, .zone = peer->zone};
+            add_candidate(quota, &candidate);
         }
     }
 }
@@ -258,25 +335,6 @@
     return is_new(quota) && nodes < NODES_OF_NEW ? NODES_OF_NEW : nodes;
 }
 
-static void use_limits(cw_router_quota_t *quota, const cw_configuration_t *configuration)
-{
-    cw_quota_tenant_limit_t *limits = calloc(configuration->tenant_count + 1, sizeof(*limits));
-    size_t                   index;
-
-    if (limits == NULL) {
-        abort();
-    }
-    for (index = 0; index < configuration->tenant_count; index++) {
-        const cw_tenant_t *tenant = &configuration->tenants[index];
-
-        limits[index].tenant = cw_quota_tenant_hash(tenant->name);
-        limits[index].limit = (cw_quota_limit_t){.rate_per_s = tenant->rate_per_s, .burst = tenant->burst};
-    }
-    cw_quota_counter_set_limits(quota->counter, limits, configuration->tenant_count, now_of(quota));
-    quota->version = configuration->version;
-    free(limits);
-}
-
 void cw_router_quota_init(cw_router_t *router)
 {
     cw_router_quota_t  *quota = calloc(1, sizeof(*quota));
@@ -294,10 +352,6 @@
     if (quota == NULL) {
         abort();
     }
-    quota->candidates = calloc(CANDIDATES_MAX, sizeof(*quota->candidates));
-    if (quota->candidates == NULL) {
-        abort();
-    }
     quota->router = router;
     quota->share = cw_quota_share_create(&settings, &port, cw_peer_link_own_address(router->link), router->incarnation);
     quota->counter = cw_quota_counter_create(&settings);
@@ -323,9 +377,7 @@
 {
     cw_router_quota_t *quota = router->quota;
 
-    if (router->configuration != NULL && router->configuration->version != quota->version) {
-        use_limits(quota, router->configuration);
-    }
+    follow_configuration(quota);
     if (now - quota->gathered_at >= CW_MS(GATHER_EVERY_MS)) {
         quota->gathered_at = now;
         look_around(quota, now);
--- a/src/router/router_quota.h
+++ b/src/router/router_quota.h
@@ -24,6 +24,7 @@
     cw_quota_message_kind_t kind;
     uint64_t                incarnation; /**< report */
     uint32_t                sequence;    /**< report, status */
+    uint64_t                version;     /**< report: of the sender's configuration */
     bool                    declines;    /**< status: the sender does not count */
     uint32_t                tenant;      /**< return */
     uint32_t                tokens;
@@ -32,14 +33,18 @@
     size_t                  count; /**< of usages (report), or of metered (status) */
     cw_quota_usage_t        usages[CW_QUOTA_USAGES_MAX];
     uint32_t                metered[CW_QUOTA_USAGES_MAX];
+    size_t                  unknown_count;
+    uint32_t                unknown[CW_QUOTA_USAGES_MAX];
 } cw_quota_message_t;
 
 struct cw_router_quota {
     cw_router_t           *router;
     cw_quota_share_t      *share;
     cw_quota_counter_t    *counter;
-    cw_broker_candidate_t *candidates;
+    cw_broker_candidate_t *candidates; /**< that may count */
+    cw_broker_candidate_t *able;       /**< as many: those of them that do not keep silent */
     size_t                 candidate_count;
+    size_t                 candidate_capacity;
     cw_time_us_t           gathered_at;
     cw_time_us_t           last_received_at; /**< from any other node */
     uint32_t               nodes;            /**< that share the limits */
--- a/src/router/router_quota_wire.c
+++ b/src/router/router_quota_wire.c
@@ -116,6 +116,7 @@
     }
     report.incarnation = message->incarnation;
     report.sequence = message->sequence;
+    report.version = message->version;
     report.n_usages = message->count;
     report.usages = pointers;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_REPORT;
@@ -133,6 +134,8 @@
     status.declines = message->declines;
     status.n_metered = message->count;
     status.metered = (uint32_t *)message->metered;
+    status.n_unknown = message->unknown_count;
+    status.unknown = (uint32_t *)message->unknown;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_STATUS;
     datagram.quota_status = &status;
     send_datagram(quota, to, &datagram);
@@ -147,6 +150,7 @@
     write_usage(&usage, &message->ask.usage);
     ask.incarnation = message->ask.incarnation;
     ask.sequence = message->ask.sequence;
+    ask.version = message->ask.version;
     ask.wanted = message->ask.wanted;
     ask.refused = message->ask.refused;
     ask.usage = &usage;
@@ -166,6 +170,7 @@
     grant.tokens = message->grant.tokens;
     grant.retry_after_ms = (uint32_t)(message->grant.retry_after / 1000);
     grant.metered = message->grant.is_metered;
+    grant.unknown = message->grant.is_unknown;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_GRANT;
     datagram.quota_grant = &grant;
     send_datagram(quota, to, &datagram);
@@ -201,8 +206,10 @@
 
 void cw_router_take_quota_report(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReport *report)
 {
-    cw_quota_message_t message = {
-        .kind = CW_QUOTA_REPORT, .incarnation = report->incarnation, .sequence = report->sequence};
+    cw_quota_message_t message = {.kind = CW_QUOTA_REPORT,
+                                  .incarnation = report->incarnation,
+                                  .sequence = report->sequence,
+                                  .version = report->version};
 
     for (; message.count < report->n_usages && message.count < CW_QUOTA_USAGES_MAX; message.count++) {
         message.usages[message.count] = read_usage(report->usages[message.count]);
@@ -217,6 +224,10 @@
     for (; message.count < status->n_metered && message.count < CW_QUOTA_USAGES_MAX; message.count++) {
         message.metered[message.count] = status->metered[message.count];
     }
+    for (; message.unknown_count < status->n_unknown && message.unknown_count < CW_QUOTA_USAGES_MAX;
+         message.unknown_count++) {
+        message.unknown[message.unknown_count] = status->unknown[message.unknown_count];
+    }
     cw_router_quota_deliver(router->quota, peer->address, &message);
 }
 
@@ -224,6 +235,7 @@
 {
     cw_quota_message_t message = {.kind = CW_QUOTA_ASK,
                                   .ask = {.incarnation = ask->incarnation,
+                                          .version = ask->version,
                                           .sequence = ask->sequence,
                                           .wanted = ask->wanted,
                                           .refused = ask->refused}};
@@ -242,7 +254,8 @@
                                             .sequence = grant->sequence,
                                             .tokens = grant->tokens,
                                             .retry_after = CW_MS(grant->retry_after_ms),
-                                            .is_metered = grant->metered}};
+                                            .is_metered = grant->metered,
+                                            .is_unknown = grant->unknown}};
 
     cw_router_quota_deliver(router->quota, peer->address, &message);
 }
--- a/src/tenancy/quota.h
+++ b/src/tenancy/quota.h
@@ -47,6 +47,7 @@
 /** A node's ask for tokens. */
 typedef struct cw_quota_ask {
     uint64_t         incarnation; /**< of the asking node */
+    uint64_t         version;     /**< of the configuration that the asking node goes by */
     uint32_t         sequence;    /**< rises with each ask of a tenant; a repeated ask has the same one */
     uint32_t         wanted;
     uint32_t         refused; /**< requests that the node refused since its last ask, without asking */
@@ -60,8 +61,18 @@
     uint32_t     tokens;      /**< granted, at most as many as were asked for */
     cw_time_us_t retry_after; /**< for the first request that got none: until one will be free */
     bool         is_metered;
+    bool         is_unknown; /**< the counting node goes by an earlier configuration, without a limit for it */
 } cw_quota_grant_t;
 
+/** A counting node's reply to a report, or its notice that tenants are metered from now on. */
+typedef struct cw_quota_status {
+    uint32_t        sequence; /**< of the report; 0: a notice */
+    const uint32_t *metered;  /**< tenants */
+    size_t          metered_count;
+    const uint32_t *unknown; /**< tenants without a limit in its configuration, which is earlier than the report's */
+    size_t          unknown_count;
+} cw_quota_status_t;
+
 /** Of a tenant's name, as between nodes; never 0. */
 uint32_t cw_quota_tenant_hash(const char *name);
 /** Tokens that the bucket of a limit holds at most. */
--- a/src/tenancy/quota_counter.c
+++ b/src/tenancy/quota_counter.c
@@ -18,6 +18,7 @@
 struct cw_quota_counter {
     cw_quota_settings_t settings;
     cw_quota_bucket_t  *buckets; /* of all tenants with a limit */
+    uint64_t            version; /* of the configuration */
     uint32_t            nodes;
     uint32_t            in_reach;
     cw_time_us_t        ticked_at;
@@ -134,6 +135,16 @@
     drop_buckets(before);
 }
 
+void cw_quota_counter_set_version(cw_quota_counter_t *counter, uint64_t version)
+{
+    counter->version = version;
+}
+
+bool cw_quota_counter_is_behind(const cw_quota_counter_t *counter, uint32_t tenant, uint64_t version)
+{
+    return version > counter->version && find_bucket(counter, tenant) == NULL;
+}
+
 /* ---- reports and asks ---- */
 
 void cw_quota_counter_report(cw_quota_counter_t *counter, uint32_t node, uint64_t incarnation,
@@ -157,8 +168,10 @@
     cw_quota_bucket_t *bucket = use_bucket(counter, &ask->usage, now);
     cw_quota_record_t *record;
 
-    if (bucket == NULL) {
-        return reply; /* no limit here: the node goes by another version of the configuration */
+    if (bucket == NULL) { /* no limit here: the node goes by another version of the configuration */
+        reply.is_unknown = cw_quota_counter_is_behind(counter, ask->usage.tenant, ask->version);
+        reply.tokens = reply.is_unknown ? 0 : ask->wanted;
+        return reply;
     }
     cw_quota_bucket_take(bucket, share_of(counter), node, ask->incarnation, &ask->usage, now);
     record = cw_quota_bucket_find(bucket, node);
--- a/src/tenancy/quota_reports.c
+++ b/src/tenancy/quota_reports.c
@@ -14,8 +14,11 @@
     REPORTS_MOST = 2, /* without a reply; a datagram may be lost */
     SILENT_MS = 1000, /* a node that stopped is missed by all by then (CW_PEER_SILENCE_MS); */
     SILENT_DOUBLINGS = 3,
-    DECLINED_MS = 300, /* one that has just started counts soon */
-    USAGES_MOST = 48   /* in one datagram of some 1,200 bytes */
+    DECLINED_MS = 300,  /* one that has just started counts soon */
+    USAGES_MOST = 48,   /* in one datagram of some 1,200 bytes */
+    DATAGRAMS_MOST = 8, /* at once to one node: 10 KB, a few ms of a slow link; the rest when these have a reply */
+    UNKNOWN_MS = 200,   /* between reports on a tenant that its counter does not know: a version spreads in a second */
+    LINK_KEPT_S = 60    /* longer than any silence counts */
 };
 
 static const double good_part = 0.125; /* of a bucket */
@@ -104,8 +107,14 @@
     }
 }
 
-static void note_reply(cw_quota_link_t *link)
+static void note_reply(const cw_quota_share_t *share, uint32_t counter)
 {
+    cw_quota_link_t *link;
+
+    HASH_FIND(hh, share->links, &counter, sizeof(counter), link);
+    if (link == NULL) { /* nothing is kept against it */
+        return;
+    }
     link->tries = 0;
     link->silences = 0;
     link->has_declined = false;
@@ -126,39 +135,46 @@
     return false;
 }
 
-void cw_quota_share_status(cw_quota_share_t *share, uint32_t counter, uint32_t sequence, const uint32_t *metered,
-                           size_t count, cw_time_us_t now)
+static void take_status(cw_quota_share_t *share, cw_quota_tenant_t *tenant, const cw_quota_status_t *status,
+                        cw_time_us_t now)
+{
+    bool is_reply = status->sequence != 0 && tenant->reported_in == status->sequence;
+    bool is_metered = is_named(status->metered, status->metered_count, tenant->hash);
+
+    if (is_reply) {
+        tenant->heard_at = now;
+        tenant->has_word = true;
+        tenant->unconfirmed = 0;
+        tenant->is_report_due = false;
+        tenant->is_unknown = is_named(status->unknown, status->unknown_count, tenant->hash);
+    }
+    if (is_metered || (is_reply && (tenant->is_unknown || tenant->waiting == 0))) {
+        cw_quota_set_mode(share, tenant, cw_quota_mode_by(tenant->is_unknown, is_metered), now);
+    }
+}
+
+void cw_quota_share_status(cw_quota_share_t *share, uint32_t counter, const cw_quota_status_t *status, cw_time_us_t now)
 {
     cw_quota_tenant_t *tenant;
     cw_quota_tenant_t *next;
 
-    note_reply(cw_quota_link_to(share, counter));
+    note_reply(share, counter);
     HASH_ITER(hh, share->tenants, tenant, next)
     {
-        bool is_reply = sequence != 0 && tenant->reported_in == sequence;
-
-        if (tenant->counter != counter) {
-            continue;
-        }
-        if (is_reply) {
-            tenant->heard_at = now;
-            tenant->has_word = true;
-            tenant->unconfirmed = 0;
-            tenant->is_report_due = false;
-        }
-        if (is_named(metered, count, tenant->hash)) {
-            cw_quota_set_mode(share, tenant, CW_QUOTA_METERED, now);
-        } else if (is_reply && tenant->waiting == 0) {
-            cw_quota_set_mode(share, tenant, CW_QUOTA_FREE, now);
+        if (tenant->counter == counter) {
+            take_status(share, tenant, status, now);
         }
     }
 }
 
 /* ---- reports ---- */
 
-static bool is_due(const cw_quota_tenant_t *tenant)
+static bool is_due(const cw_quota_tenant_t *tenant, cw_time_us_t now)
 {
-    return tenant->unreported > 0 || tenant->is_report_due;
+    if (tenant->is_report_due) { /* until the reply has come */
+        return now - tenant->reported_at >= CW_MS(AT_ONCE_MS);
+    }
+    return tenant->unreported > 0 || (tenant->is_unknown && now - tenant->heard_at >= CW_MS(UNKNOWN_MS));
 }
 
 static cw_time_us_t pause_of(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
@@ -172,27 +188,54 @@
     return tenant->unreported >= usual + SOONER_COUNT ? CW_MS(SOONER_MS) : CW_MS(CW_QUOTA_PAUSE_MS);
 }
 
+/* Named in a report, or in an ask, that got no reply in time. */
+static bool is_unconfirmed(const cw_quota_tenant_t *tenant, cw_time_us_t now)
+{
+    return tenant->unconfirmed > 0 && now - tenant->reported_at >= CW_MS(REPLY_MS);
+}
+
+static void send_report(cw_quota_share_t *share, cw_quota_link_t *link, const cw_quota_usage_t *usages, size_t count)
+{
+    share->port.report(share->port.context, link->address, link->sequence, usages, count);
+    link->sequence = ++share->last_report;
+}
+
+/* Each datagram has its own sequence, and gets its own reply. What one may hold no more goes with the next. */
 static void report(cw_quota_share_t *share, cw_quota_link_t *link, cw_time_us_t now)
 {
     cw_quota_usage_t   usages[USAGES_MOST];
     size_t             count = 0;
+    size_t             full = 0;
     cw_quota_tenant_t *tenant;
     cw_quota_tenant_t *next;
 
     link->sequence = ++share->last_report;
     link->tries++;
     link->sent_at = now;
+    link->has_more = false;
     HASH_ITER(hh, share->tenants, tenant, next)
     {
-        if (tenant->counter != link->address || !(is_due(tenant) || tenant->unconfirmed > 0) || count == USAGES_MOST) {
+        if (tenant->counter != link->address || !(is_due(tenant, now) || is_unconfirmed(tenant, now))) {
             continue;
         }
+        if (full == DATAGRAMS_MOST) {
+            link->has_more = true;
+            break;
+        }
         usages[count++] = cw_quota_usage_of(share, tenant, now);
         tenant->unconfirmed += tenant->unreported;
         tenant->unreported = 0;
         tenant->reported_in = link->sequence;
+        tenant->reported_at = now;
+        if (count == USAGES_MOST) {
+            send_report(share, link, usages, count);
+            full++;
+            count = 0;
+        }
+    }
+    if (count > 0 || full == 0) {
+        send_report(share, link, usages, count);
     }
-    share->port.report(share->port.context, link->address, link->sequence, usages, count);
 }
 
 static void mark_due(cw_quota_share_t *share, cw_time_us_t now)
@@ -204,14 +247,20 @@
     {
         cw_quota_link_t *link;
 
-        if (!is_due(tenant) || !cw_quota_choose(share, tenant, now)) {
+        if (!is_due(tenant, now) || !cw_quota_choose(share, tenant, now)) {
             continue;
         }
         link = cw_quota_link_to(share, tenant->counter);
-        link->is_due = link->is_due || now - link->sent_at >= pause_of(share, tenant, now);
+        link->is_due = link->is_due || link->has_more || now - link->sent_at >= pause_of(share, tenant, now);
     }
 }
 
+static bool is_forgotten(const cw_quota_link_t *link, cw_time_us_t now)
+{
+    return link->tries == 0 && now - link->sent_at >= CW_SECONDS(LINK_KEPT_S) &&
+           now - link->silent_until >= CW_SECONDS(LINK_KEPT_S);
+}
+
 void cw_quota_reports_tick(cw_quota_share_t *share, cw_time_us_t now)
 {
     cw_quota_link_t *link;
@@ -229,5 +278,9 @@
             report(share, link, now);
         }
         link->is_due = false;
+        if (is_forgotten(link, now)) {
+            HASH_DEL(share->links, link); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
+            free(link);
+        }
     }
 }
--- a/src/tenancy/quota_share.c
+++ b/src/tenancy/quota_share.c
@@ -123,6 +123,14 @@
                               .is_metered = tenant->was_metered};
 }
 
+cw_quota_mode_t cw_quota_mode_by(bool is_unknown, bool is_metered)
+{
+    if (is_unknown) {
+        return CW_QUOTA_ALONE;
+    }
+    return is_metered ? CW_QUOTA_METERED : CW_QUOTA_FREE;
+}
+
 static void return_tokens(cw_quota_share_t *share, cw_quota_tenant_t *tenant)
 {
     if (tenant->tokens > 0) {
@@ -143,6 +151,7 @@
         tenant->ask.sequence = 0;
         tenant->refuse_until = 0;
         tenant->has_word = false;
+        tenant->is_unknown = false;
     }
     if (counter == 0) {
         cw_quota_set_mode(share, tenant, CW_QUOTA_ALONE, now);
@@ -385,7 +394,8 @@
     tenant->unconfirmed = 0;
     tenant->is_report_due = false;
     take_tokens(tenant, grant, now);
-    cw_quota_set_mode(share, tenant, grant->is_metered ? CW_QUOTA_METERED : CW_QUOTA_FREE, now);
+    tenant->is_unknown = grant->is_unknown;
+    cw_quota_set_mode(share, tenant, cw_quota_mode_by(grant->is_unknown, grant->is_metered), now);
     share->port.decided(share->port.context, tenant->hash);
     cw_quota_ask_if_due(share, tenant, now);
 }
@@ -411,6 +421,14 @@
     }
 }
 
+/* Nobody is asked any more for those that wait: this node's own part decides. */
+static void decide_alone(const cw_quota_share_t *share, const cw_quota_tenant_t *tenant)
+{
+    if (tenant->mode == CW_QUOTA_ALONE && tenant->waiting > 0) {
+        share->port.decided(share->port.context, tenant->hash);
+    }
+}
+
 /* The counting nodes have forgotten it by then, so its counts may begin anew. */
 static bool is_forgotten(const cw_quota_share_t *share, const cw_quota_tenant_t *tenant, cw_time_us_t now)
 {
@@ -428,6 +446,7 @@
         ask_again(share, tenant, now);
         expire(share, tenant, now);
         cw_quota_ask_if_due(share, tenant, now);
+        decide_alone(share, tenant);
         if (is_forgotten(share, tenant, now)) {
             drop_tenant(share, tenant);
         }
@@ -455,3 +474,8 @@
 {
     return HASH_COUNT(share->tenants);
 }
+
+size_t cw_quota_share_links(const cw_quota_share_t *share)
+{
+    return HASH_COUNT(share->links);
+}
--- a/src/tenancy/quota_share.h
+++ b/src/tenancy/quota_share.h
@@ -60,9 +60,9 @@
 /** A request that was let through was not run. */
 void cw_quota_share_give_back(cw_quota_share_t *share, uint32_t tenant, cw_time_us_t now);
 
-/** A counting node's reply to the report `sequence`, or (0) its word that tenants are metered from now on. */
-void cw_quota_share_status(cw_quota_share_t *share, uint32_t counter, uint32_t sequence, const uint32_t *metered,
-                           size_t count, cw_time_us_t now);
+/** A counting node's reply to a report, or its notice. */
+void cw_quota_share_status(cw_quota_share_t *share, uint32_t counter, const cw_quota_status_t *status,
+                           cw_time_us_t now);
 /** A node that is asked does not count (it has just started, or stops): it is passed over at once. */
 void cw_quota_share_declined(cw_quota_share_t *share, uint32_t counter, cw_time_us_t now);
 void cw_quota_share_granted(cw_quota_share_t *share, uint32_t counter, const cw_quota_grant_t *grant, cw_time_us_t now);
@@ -78,5 +78,7 @@
 cw_time_us_t cw_quota_share_age(const cw_quota_share_t *share, uint32_t tenant, cw_time_us_t now);
 /** Tenants of which something is kept. */
 size_t cw_quota_share_tenants(const cw_quota_share_t *share);
+/** Counting nodes of which something is kept. */
+size_t cw_quota_share_links(const cw_quota_share_t *share);
 
 #endif
--- a/src/tenancy/quota_share_internal.h
+++ b/src/tenancy/quota_share_internal.h
@@ -54,12 +54,14 @@
     uint32_t            unreported;    /**< let through without a token since the last report */
     uint32_t            unconfirmed;   /**< in reports without a reply */
     bool                is_report_due; /**< though nothing is unreported: its counter is to say how it stands */
+    bool                is_unknown;    /**< its counter goes by an earlier configuration, without a limit for it */
     uint32_t            reported_in;   /**< sequence of the last report that names it */
-    bool                has_word;      /**< of the present counter */
-    cw_time_us_t        heard_at;      /**< the counter's last word on this tenant */
-    uint32_t            tokens;        /**< not used yet */
-    cw_time_us_t        tokens_until;  /**< they expire then */
-    uint32_t            spares;        /**< of requests that did not run */
+    cw_time_us_t        reported_at;
+    bool                has_word;     /**< of the present counter */
+    cw_time_us_t        heard_at;     /**< the counter's last word on this tenant */
+    uint32_t            tokens;       /**< not used yet */
+    cw_time_us_t        tokens_until; /**< they expire then */
+    uint32_t            spares;       /**< of requests that did not run */
     cw_time_us_t        spares_until;
     uint32_t            waiting; /**< requests */
     cw_quota_open_ask_t ask;
@@ -83,6 +85,7 @@
     bool           has_declined; /* until then */
     uint32_t       silences;     /**< in a row */
     bool           is_due;       /**< a tenant's usage is to be reported */
+    bool           has_more;     /**< more tenants were due than were reported at once */
     UT_hash_handle hh;
 } cw_quota_link_t;
 
@@ -99,6 +102,8 @@
 
 /* ---- quota_share.c ---- */
 void cw_quota_set_mode(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_quota_mode_t mode, cw_time_us_t now);
+/** By what its counting node says of it. */
+cw_quota_mode_t cw_quota_mode_by(bool is_unknown, bool is_metered);
 /** What it tells the counting node. */
 cw_quota_usage_t cw_quota_usage_of(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
 /** Chooses the counting node again. False: there is none. */
--- a/tests/quota_world.c
+++ b/tests/quota_world.c
@@ -96,6 +96,14 @@
     post(node->world, &message);
 }
 
+static void take_status(world_node_t *node, uint32_t from, const world_message_t *message)
+{
+    cw_quota_status_t status = {
+        .sequence = message->sequence, .metered = message->metered, .metered_count = message->metered_count};
+
+    cw_quota_share_status(node->share, from, &status, node->world->now);
+}
+
 static void deliver(quota_world_t *world, const world_message_t *message)
 {
     world_node_t   *node = &world->nodes[message->to];
@@ -111,8 +119,7 @@
         send_status(node, message->from, message->sequence, message->usages, message->count);
         break;
     case STATUS:
-        cw_quota_share_status(node->share, from, message->sequence, message->metered, message->metered_count,
-                              world->now);
+        take_status(node, from, message);
         break;
     case ASK:
         reply.kind = GRANT;
--- a/tests/test_quota_counter.c
+++ b/tests/test_quota_counter.c
@@ -197,6 +197,27 @@
 }
 END_TEST
 
+/* Its configuration is earlier than that of the node that asks. */
+START_TEST(a_limit_that_is_new_to_the_counting_node_is_not_taken_for_none)
+{
+    cw_quota_counter_t *counter = create();
+    cw_quota_ask_t      asked = {.version = 8, .sequence = 1, .wanted = 10, .usage = {.tenant = TENANT + 1}};
+    cw_quota_grant_t    granted;
+
+    cw_quota_counter_set_version(counter, 7);
+    granted = cw_quota_counter_ask(counter, NODE, &asked, start);
+    ck_assert_uint_eq(granted.tokens, 0);
+    ck_assert(granted.is_unknown);
+    ck_assert(cw_quota_counter_is_behind(counter, TENANT + 1, 8));
+    ck_assert(!cw_quota_counter_is_behind(counter, TENANT, 8));
+    asked.version = 6; /* the limit was taken away since */
+    granted = cw_quota_counter_ask(counter, NODE, &asked, start);
+    ck_assert_uint_eq(granted.tokens, 10);
+    ck_assert(!granted.is_unknown);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
 START_TEST(what_a_node_let_through_while_another_counted_is_paid_from_what_was_not_given_out_here)
 {
     cw_quota_counter_t *counter = create();
@@ -235,6 +256,7 @@
     tcase_add_test(cases, reports_that_were_overtaken_change_nothing);
     tcase_add_test(cases, a_node_that_restarted_counts_anew);
     tcase_add_test(cases, a_counter_that_stood_still_begins_anew);
+    tcase_add_test(cases, a_limit_that_is_new_to_the_counting_node_is_not_taken_for_none);
     tcase_add_test(cases, a_limit_lowered_below_what_comes_leaves_nothing_in_the_bucket);
     tcase_add_test(cases, what_a_node_let_through_while_another_counted_is_paid_from_what_was_not_given_out_here);
     tcase_add_test(cases, nodes_that_are_not_heard_are_forgotten);
--- a/tests/test_quota_share.c
+++ b/tests/test_quota_share.c
@@ -10,12 +10,16 @@
 static const cw_quota_limit_t limit = {.rate_per_s = 100, .burst = 100};
 static const cw_time_us_t     start = CW_SECONDS(100);
 
+enum { TENANTS = 200 };
+
 /** What the node has sent. */
 typedef struct sent {
     uint32_t       counter; /**< 0: there is none */
     uint32_t       reports;
-    uint32_t       sequence;   /**< of the last report */
-    uint32_t       given_back; /**< tokens */
+    uint32_t       sequence;       /**< of the last report */
+    uint32_t       given_back;     /**< tokens */
+    uint32_t       decided;        /**< times that those which wait were to be decided */
+    uint32_t       named[TENANTS]; /**< how often reports named each tenant */
     uint32_t       asks;
     cw_quota_ask_t ask; /**< the last one */
 } sent_t;
@@ -29,8 +33,12 @@
 static void on_report(void *context, uint32_t counter, uint32_t sequence, const cw_quota_usage_t *usages, size_t count)
 {
     sent_t *sent = context;
+    size_t  index;
 
-    (void)counter, (void)usages, (void)count;
+    (void)counter;
+    for (index = 0; index < count; index++) {
+        sent->named[usages[index].tenant]++;
+    }
     sent->reports++;
     sent->sequence = sequence;
 }
@@ -52,7 +60,8 @@
 
 static void on_decided(void *context, uint32_t tenant)
 {
-    (void)context, (void)tenant;
+    (void)tenant;
+    ((sent_t *)context)->decided++;
 }
 
 static void on_mode(void *context, uint32_t tenant, cw_quota_mode_t mode, uint32_t counter, cw_time_us_t age)
@@ -84,6 +93,14 @@
     cw_quota_share_granted(share, COUNTER, &granted, now);
 }
 
+/* Of a report: no tenant is metered. */
+static void reply(cw_quota_share_t *share, uint32_t sequence, cw_time_us_t now)
+{
+    cw_quota_status_t status = {.sequence = sequence};
+
+    cw_quota_share_status(share, COUNTER, &status, now);
+}
+
 static cw_quota_answer_t decide(cw_quota_share_t *share, cw_time_us_t now)
 {
     cw_time_us_t retry_after;
@@ -144,7 +161,7 @@
         cw_quota_share_tick(share, now);
     }
     ck_assert_uint_ge(sent.reports, 1);
-    cw_quota_share_status(share, COUNTER, sent.sequence, NULL, 0, now);
+    reply(share, sent.sequence, now);
     ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_FREE);
     cw_quota_share_free(share);
 }
@@ -175,6 +192,105 @@
 }
 END_TEST
 
+/* The node that counted is gone, and no other one is known. */
+START_TEST(what_waits_is_decided_when_nobody_counts_any_more)
+{
+    sent_t            sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1);
+    cw_time_us_t      now = start;
+    int               index;
+
+    ck_assert_int_eq(enter(share, now), CW_QUOTA_ADMITTED);
+    now += CW_SECONDS(1);
+    cw_quota_share_tick(share, now);
+    for (index = 0; enter(share, now) == CW_QUOTA_ADMITTED; index++) {
+        ck_assert_int_lt(index, 1000);
+    }
+    reply(share, sent.sequence, now); /* of the report before the ask: the next one need not wait, and is due */
+    ck_assert_int_eq(enter(share, now), CW_QUOTA_ADMITTED);
+    sent.counter = 0;
+    cw_quota_share_tick(share, now + CW_MS(5));
+    cw_quota_share_tick(share, now + CW_MS(10));
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_ALONE);
+    ck_assert_uint_ge(sent.decided, 1);
+    ck_assert_int_ne(decide(share, now), CW_QUOTA_WAIT);
+    cw_quota_share_free(share);
+}
+END_TEST
+
+/* Its configuration is earlier, and has no limit for the tenant. */
+START_TEST(a_tenant_that_its_counting_node_does_not_know_is_served_from_the_own_part)
+{
+    sent_t            sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1000);
+    uint32_t          unknown[] = {TENANT};
+    cw_quota_status_t status = {.unknown = unknown, .unknown_count = 1};
+    cw_quota_grant_t  granted = {.tenant = TENANT, .is_unknown = true};
+    cw_time_us_t      now = start;
+
+    ck_assert_int_eq(enter(share, now), CW_QUOTA_WAIT);
+    granted.sequence = sent.ask.sequence;
+    cw_quota_share_granted(share, COUNTER, &granted, now);
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_ALONE);
+    ck_assert_int_ne(decide(share, now), CW_QUOTA_WAIT);
+    for (; now < start + CW_MS(300); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+    }
+    ck_assert_uint_ge(sent.reports, 1); /* whether it is known by now */
+    status.sequence = sent.sequence;
+    cw_quota_share_status(share, COUNTER, &status, now);
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_ALONE);
+    for (; now < start + CW_MS(600); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+    }
+    reply(share, sent.sequence, now);
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_FREE);
+    cw_quota_share_free(share);
+}
+END_TEST
+
+START_TEST(all_tenants_that_are_due_are_reported_at_once)
+{
+    sent_t            sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1);
+    cw_time_us_t      retry_after;
+    cw_time_us_t      now;
+    uint32_t          tenant;
+
+    for (tenant = 0; tenant < TENANTS; tenant++) {
+        ck_assert_int_eq(cw_quota_share_enter(share, tenant, &limit, start, &retry_after), CW_QUOTA_ADMITTED);
+    }
+    for (now = start; now <= start + CW_MS(40); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+    }
+    for (tenant = 0; tenant < TENANTS; tenant++) {
+        ck_assert_uint_eq(sent.named[tenant], 1);
+    }
+    cw_quota_share_free(share);
+}
+END_TEST
+
+START_TEST(counting_nodes_that_are_gone_are_forgotten)
+{
+    sent_t            sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1);
+    cw_time_us_t      now = start;
+
+    ck_assert_int_eq(enter(share, now), CW_QUOTA_ADMITTED);
+    for (; now < start + CW_SECONDS(1); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+    }
+    ck_assert_uint_eq(cw_quota_share_links(share), 1);
+    sent.counter = COUNTER + 1;
+    for (; now < start + CW_SECONDS(130); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+        cw_quota_share_status(share, COUNTER + 1, &(cw_quota_status_t){.sequence = sent.sequence}, now);
+    }
+    ck_assert_uint_eq(cw_quota_share_links(share), 0);
+    cw_quota_share_free(share);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("quota share");
@@ -184,6 +300,10 @@
     tcase_add_test(cases, a_grant_that_comes_too_late_is_given_back_once);
     tcase_add_test(cases, a_tenant_that_came_while_nobody_counted_is_reported_when_a_node_does);
     tcase_add_test(cases, tokens_of_requests_that_did_not_run_expire);
+    tcase_add_test(cases, what_waits_is_decided_when_nobody_counts_any_more);
+    tcase_add_test(cases, a_tenant_that_its_counting_node_does_not_know_is_served_from_the_own_part);
+    tcase_add_test(cases, all_tenants_that_are_due_are_reported_at_once);
+    tcase_add_test(cases, counting_nodes_that_are_gone_are_forgotten);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
--- /dev/null
+++ b/tests/test_router_quota.c
@@ -0,0 +1,155 @@
+/**
+ * @file test_router_quota.c
+ * @brief Tenants' limits at a whole node: who may count, and messages by another version of the configuration.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "node_fixture.h"
+#include "router/router_quota.h"
+
+enum {
+    MANY_NODES = 1500,
+    STARTED_MS = 4000, /* by then a node counts */
+    VERSION = 5,
+    TENANT = 7
+};
+
+static node_fixture_t *create(void)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    node->router.configuration = node_fixture_configuration(VERSION, "s");
+    node_fixture_tick(node, STARTED_MS);
+    return node;
+}
+
+START_TEST(all_nodes_may_count_however_many)
+{
+    node_fixture_t *node = create();
+    char            address[32];
+    int             index;
+
+    for (index = 0; index < MANY_NODES; index++) {
+        snprintf(address, sizeof(address), "10.1.%d.%d", index / 200, index % 200 + 1);
+        node_fixture_receive_report(node, address, "z2", 1);
+    }
+    node_fixture_tick(node, 100);
+    cw_router_quota_tick(&node->router, cw_router_now(&node->router));
+    ck_assert_uint_eq(node->router.quota->candidate_count, MANY_NODES + 1);
+    node_fixture_free(node);
+}
+END_TEST
+
+/* The node asks itself: the reply waits for the loop's next turn. */
+static const cw_quota_message_t *asked_by(node_fixture_t *node, uint64_t version)
+{
+    cw_router_quota_t *quota = node->router.quota;
+    cw_quota_message_t message = {.kind = CW_QUOTA_ASK,
+                                  .ask = {.version = version, .sequence = 1, .wanted = 3, .usage = {.tenant = TENANT}}};
+
+    cw_router_quota_deliver(quota, cw_peer_link_own_address(node->router.link), &message);
+    ck_assert_uint_ge(quota->own_count, 1);
+    return &quota->own[quota->own_count - 1];
+}
+
+START_TEST(an_ask_by_a_later_version_is_not_granted_without_a_limit)
+{
+    node_fixture_t           *node = create();
+    const cw_quota_message_t *reply = asked_by(node, VERSION + 1);
+
+    ck_assert_int_eq(reply->kind, CW_QUOTA_GRANT);
+    ck_assert(reply->grant.is_unknown);
+    ck_assert_uint_eq(reply->grant.tokens, 0);
+    reply = asked_by(node, VERSION);
+    ck_assert(!reply->grant.is_unknown);
+    ck_assert_uint_eq(reply->grant.tokens, 3);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(a_report_by_a_later_version_learns_which_tenants_are_unknown)
+{
+    node_fixture_t           *node = create();
+    cw_router_quota_t        *quota = node->router.quota;
+    cw_quota_message_t        message = {.kind = CW_QUOTA_REPORT,
+                                         .version = VERSION + 1,
+                                         .sequence = 9,
+                                         .count = 2,
+                                         .usages = {{.tenant = TENANT}, {.tenant = TENANT + 1}}};
+    const cw_quota_message_t *reply;
+
+    cw_router_quota_deliver(quota, cw_peer_link_own_address(node->router.link), &message);
+    reply = &quota->own[quota->own_count - 1];
+    ck_assert_int_eq(reply->kind, CW_QUOTA_STATUS);
+    ck_assert_uint_eq(reply->unknown_count, 2);
+    ck_assert_uint_eq(reply->unknown[1], TENANT + 1);
+    node_fixture_free(node);
+}
+END_TEST
+
+static Cwp__Datagram *packed(const Cwp__Datagram *datagram)
+{
+    uint8_t        bytes[1024];
+    size_t         length = cwp__datagram__pack(datagram, bytes);
+    Cwp__Datagram *read = cwp__datagram__unpack(NULL, length, bytes);
+
+    ck_assert_ptr_nonnull(read);
+    return read;
+}
+
+START_TEST(messages_name_versions_and_unknown_tenants)
+{
+    uint32_t         unknown[] = {TENANT};
+    Cwp__QuotaAsk    ask = CWP__QUOTA_ASK__INIT;
+    Cwp__QuotaReport report = CWP__QUOTA_REPORT__INIT;
+    Cwp__QuotaGrant  grant = CWP__QUOTA_GRANT__INIT;
+    Cwp__QuotaStatus status = CWP__QUOTA_STATUS__INIT;
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+    Cwp__Datagram   *read;
+
+    ask.version = VERSION;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_ASK;
+    datagram.quota_ask = &ask;
+    read = packed(&datagram);
+    ck_assert_uint_eq(read->quota_ask->version, VERSION);
+    cwp__datagram__free_unpacked(read, NULL);
+
+    report.version = VERSION;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_REPORT;
+    datagram.quota_report = &report;
+    read = packed(&datagram);
+    ck_assert_uint_eq(read->quota_report->version, VERSION);
+    cwp__datagram__free_unpacked(read, NULL);
+
+    grant.unknown = true;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_GRANT;
+    datagram.quota_grant = &grant;
+    read = packed(&datagram);
+    ck_assert(read->quota_grant->unknown);
+    cwp__datagram__free_unpacked(read, NULL);
+
+    status.n_unknown = 1;
+    status.unknown = unknown;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_STATUS;
+    datagram.quota_status = &status;
+    read = packed(&datagram);
+    ck_assert_uint_eq(read->quota_status->n_unknown, 1);
+    ck_assert_uint_eq(read->quota_status->unknown[0], TENANT);
+    cwp__datagram__free_unpacked(read, NULL);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("router quota");
+    TCase *cases = tcase_create("node");
+
+    tcase_add_test(cases, all_nodes_may_count_however_many);
+    tcase_add_test(cases, an_ask_by_a_later_version_is_not_granted_without_a_limit);
+    tcase_add_test(cases, a_report_by_a_later_version_learns_which_tenants_are_unknown);
+    tcase_add_test(cases, messages_name_versions_and_unknown_tenants);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
