Callers: another tenant's key is hidden in any form; counts and hashes of tenants

Cause: a tenant that needs no key got another tenant's key in its servers' requests where the credentials were malformed, since only a well-formed one was looked up. The gate kept a count of each name for ever. Two limited tenants whose names have one 32-bit hash shared one limit. Ruled out: hiding all malformed credentials (what such a tenant makes of the field is its own affair), and 64-bit hashes between nodes (a change of every message; 10,000 tenants meet one such pair in 100 configurations). Change: each part of the field is looked up, with marks and the scheme taken off, 64 parts at most; a tenant's count ends with its last request; such a configuration is refused and the finding names both tenants. Tests: fail with each safeguard left out (test_caller_identity, test_intent, test_credential_index).

--- a/src/model/configuration.c
+++ b/src/model/configuration.c
@@ -172,6 +172,60 @@
     seal_tenants(configuration);
 }
 
+/** A tenant with a limit, by its hash. */
+typedef struct limited_tenant {
+    uint32_t    hash;
+    const char *name;
+} limited_tenant_t;
+
+static int compare_hashes(const void *left, const void *right)
+{
+    uint32_t one = ((const limited_tenant_t *)left)->hash;
+    uint32_t other = ((const limited_tenant_t *)right)->hash;
+
+    return one < other ? -1 : one > other;
+}
+
+/* Sorted by hash; to be freed. */
+static limited_tenant_t *limited_tenants(const cw_configuration_t *configuration, size_t *count)
+{
+    limited_tenant_t *limited = calloc(configuration->tenant_count + 1, sizeof(*limited));
+    size_t            index;
+
+    if (limited == NULL) {
+        abort();
+    }
+    *count = 0;
+    for (index = 0; index < configuration->tenant_count; index++) {
+        const cw_tenant_t *tenant = &configuration->tenants[index];
+
+        if (tenant->rate_per_s > 0) {
+            limited[(*count)++] = (limited_tenant_t){.hash = cw_tenant_hash(tenant->name), .name = tenant->name};
+        }
+    }
+    qsort(limited, *count, sizeof(*limited), compare_hashes);
+    return limited;
+}
+
+/* Nodes count limits by the hash: such two would share one. */
+static bool has_shared_hash(const cw_configuration_t *configuration, char *problem, size_t size)
+{
+    size_t            count;
+    limited_tenant_t *limited = limited_tenants(configuration, &count);
+    bool              is_shared = false;
+    size_t            index;
+
+    for (index = 1; index < count && !is_shared; index++) {
+        is_shared = limited[index - 1].hash == limited[index].hash;
+        if (is_shared) {
+            snprintf(problem, size, "tenants '%s' and '%s' have limits and names of one hash: one needs another name",
+                     limited[index - 1].name, limited[index].name);
+        }
+    }
+    free(limited);
+    return is_shared;
+}
+
 bool cw_configuration_check(const cw_configuration_t *configuration, char *problem, size_t size)
 {
     const cw_tenant_t *tenants = configuration->tenants;
@@ -188,7 +242,7 @@
                  tenants[configuration->conflict.second].name);
         return false;
     }
-    return true;
+    return !has_shared_hash(configuration, problem, size);
 }
 
 cw_configuration_t *cw_configuration_hold(cw_configuration_t *configuration)
--- a/src/model/tenant.c
+++ b/src/model/tenant.c
@@ -8,6 +8,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
+
+uint32_t cw_tenant_hash(const char *name)
+{
+    uint32_t hash = (uint32_t)XXH3_64bits(name, strlen(name));
+
+    return hash == 0 ? 1 : hash;
+}
 
 bool cw_tenant_owns(const char *tenant, const char *name)
 {
--- a/src/model/tenant.h
+++ b/src/model/tenant.h
@@ -33,6 +33,9 @@
     cw_name_set_t    regions;    /**< its requests go to servers there only; empty: anywhere */
 } cw_tenant_t;
 
+/** Of a tenant's name, as nodes name it to one another; never 0. No two tenants with a limit have the same one
+ * (cw_configuration_check). */
+uint32_t cw_tenant_hash(const char *name);
 /** Does a route's or service's name belong to the tenant? */
 bool cw_tenant_owns(const char *tenant, const char *name);
 /** Adds a key, unless the tenant has it. */
--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -160,7 +160,7 @@
     request->caller = *caller;
     request->caller_checked_by = engine->configuration->version;
     request->rank = cw_request_rank(tenant, route);
-    request->tenant_hash = tenant == NULL ? 0 : cw_quota_tenant_hash(tenant->name);
+    request->tenant_hash = tenant == NULL ? 0 : cw_tenant_hash(tenant->name);
     request->regions = (cw_region_rule_t){.route = &route->regions, .tenant = tenant == NULL ? NULL : &tenant->regions};
     request->service = cw_engine_service(engine, cw_route_choose_part(request, route));
     request->method = inbound->method;
--- a/src/router/router_quota.c
+++ b/src/router/router_quota.c
@@ -110,7 +110,7 @@
     for (index = 0; index < configuration->tenant_count; index++) {
         const cw_tenant_t *tenant = &configuration->tenants[index];
 
-        limits[index].tenant = cw_quota_tenant_hash(tenant->name);
+        limits[index].tenant = cw_tenant_hash(tenant->name);
         limits[index].limit = (cw_quota_limit_t){.rate_per_s = tenant->rate_per_s, .burst = tenant->burst};
     }
     cw_quota_counter_set_limits(quota->counter, limits, configuration->tenant_count, now_of(quota));
@@ -236,7 +236,7 @@
     size_t                    index;
 
     for (index = 0; configuration != NULL && index < configuration->tenant_count; index++) {
-        if (cw_quota_tenant_hash(configuration->tenants[index].name) == tenant) {
+        if (cw_tenant_hash(configuration->tenants[index].name) == tenant) {
             return configuration->tenants[index].name;
         }
     }
--- a/src/router/router_status_callers.c
+++ b/src/router/router_status_callers.c
@@ -107,7 +107,7 @@
                                              (json_int_t)counts->values[CW_TENANT_REFUSED_LIMIT]);
 
     if (row != NULL && tenant != NULL && tenant->rate_per_s > 0) {
-        uint32_t        hash = cw_quota_tenant_hash(tenant->name);
+        uint32_t        hash = cw_tenant_hash(tenant->name);
         cw_quota_mode_t mode = cw_quota_share_mode(router->quota->share, hash);
         const char     *counter = mode == CW_QUOTA_ALONE ? NULL : counting_node(router, hash);
 
--- a/src/tenancy/caller_identity.c
+++ b/src/tenancy/caller_identity.c
@@ -8,7 +8,14 @@
 #include <string.h>
 #include <strings.h>
 
+enum {
+    KEY_MOST = 4096, /* bytes that are looked at as one key: a quarter of the longest head (router_callers.c) */
+    PARTS_MOST = 64  /* of a value: some 1 us each */
+};
+
 static const char header[] = "authorization";
+static const char separators[] = " \t,"; /* no key has one */
+static const char marks[] = ";\"'";      /* that may stand around a key in another form */
 
 /** The credentials of a request, as far as they can be told apart. */
 typedef enum credentials_state { CREDENTIALS_NONE, CREDENTIALS_MALFORMED, CREDENTIALS_KEY } credentials_state_t;
@@ -78,6 +85,77 @@
     return caller;
 }
 
+/* Is this part of a field's value a key, by itself or glued to the scheme? */
+static bool is_known_key(const cw_configuration_t *configuration, const char *part, size_t length, const char *scheme)
+{
+    size_t          glued = strlen(scheme);
+    char            text[KEY_MOST + 1];
+    cw_key_digest_t key;
+
+    if (length == 0 || length > KEY_MOST) {
+        return length > 0;
+    }
+    memcpy(text, part, length);
+    text[length] = '\0';
+    digest_of(text, &key);
+    if (cw_credential_index_find(configuration->credentials, &key) != NULL) {
+        return true;
+    }
+    if (length <= glued || strncasecmp(text, scheme, glued) != 0) {
+        return false;
+    }
+    digest_of(text + glued, &key);
+    return cw_credential_index_find(configuration->credentials, &key) != NULL;
+}
+
+static bool is_marked_key(const cw_configuration_t *configuration, const char *part, size_t length, const char *scheme)
+{
+    size_t before = strspn(part, marks);
+
+    while (length > before && strchr(marks, part[length - 1]) != NULL) {
+        length--;
+    }
+    return length > before && is_known_key(configuration, part + before, length - before, scheme);
+}
+
+/* What could not be read as one key may hold one all the same. Where there is more than is looked at, it is taken to. */
+static bool may_hold_key(const cw_configuration_t *configuration, const char *value, const char *scheme)
+{
+    size_t parts;
+
+    for (parts = 0; parts < PARTS_MOST; parts++) {
+        size_t length;
+
+        value += strspn(value, separators);
+        if (*value == '\0') {
+            return false;
+        }
+        length = strcspn(value, separators);
+        if (is_known_key(configuration, value, length, scheme) ||
+            is_marked_key(configuration, value, length, scheme)) {
+            return true;
+        }
+        value += length;
+    }
+    return true;
+}
+
+/* Of a request whose tenant needs no key: is another tenant's key among its credentials? */
+static bool holds_key(const cw_configuration_t *configuration, const cw_http_fields_t *fields, const char *scheme)
+{
+    size_t index;
+
+    for (index = 0; index < fields->count; index++) {
+        const cw_http_field_t *field = &fields->items[index];
+
+        if (cw_http_name_is_alike(field->name, header) && field->value != NULL &&
+            may_hold_key(configuration, field->value, scheme)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 cw_caller_t cw_caller_identify(const cw_configuration_t *configuration, const cw_route_t *route,
                                const cw_http_fields_t *fields, const char *scheme)
 {
@@ -89,12 +167,11 @@
     if (!configuration->needs_keys) {
         return caller;
     }
-    state = read_credentials(fields, scheme, &key);
     if (owner != NULL && !owner->needs_key) {
-        caller.hides_credentials =
-            state == CREDENTIALS_KEY && cw_credential_index_find(configuration->credentials, &key) != NULL;
+        caller.hides_credentials = holds_key(configuration, fields, scheme);
         return caller;
     }
+    state = read_credentials(fields, scheme, &key);
     if (state == CREDENTIALS_KEY) {
         return identify_by_key(configuration, route, owner, &key);
     }
--- a/src/tenancy/caller_identity.h
+++ b/src/tenancy/caller_identity.h
@@ -9,7 +9,7 @@
  *    another scheme are rejected: 401, and the request is sent to no server.
  *  - A route that a tenant owns by its name (model/tenant.h) admits that tenant's callers only. If that tenant's
  * callers are not known by keys, the route admits everybody, and what stands in `Authorization` is that tenant's own
- * affair: another tenant's key in it is still not passed on.
+ * affair: another tenant's key in it, in whatever form, is still not passed on.
  *  - Nothing of a key is kept but its digest; neither goes into a log, a metric, an answer or a datagram of this
  * module.
  *
--- a/src/tenancy/quota.h
+++ b/src/tenancy/quota.h
@@ -73,8 +73,6 @@
     size_t          unknown_count;
 } cw_quota_status_t;
 
-/** Of a tenant's name, as between nodes; never 0. */
-uint32_t cw_quota_tenant_hash(const char *name);
 /** Tokens that the bucket of a limit holds at most. */
 double cw_quota_depth(const cw_quota_limit_t *limit);
 
--- a/src/tenancy/quota_bucket.c
+++ b/src/tenancy/quota_bucket.c
@@ -6,8 +6,6 @@
 
 #include <math.h>
 #include <stdlib.h>
-#include <string.h>
-#include <xxhash.h>
 
 enum {
     BEGIN_FOR_MS = 500,   /* two report pauses: by then each node that lets something through has reported */
@@ -30,13 +28,6 @@
     return depth < 1 ? 1 : depth;
 }
 
-uint32_t cw_quota_tenant_hash(const char *name)
-{
-    uint32_t hash = (uint32_t)XXH3_64bits(name, strlen(name));
-
-    return hash == 0 ? 1 : hash;
-}
-
 static double depth_of(const cw_quota_bucket_t *bucket, double share)
 {
     return cw_quota_depth(&bucket->limit) * share;
--- a/src/tenancy/tenant_gate.c
+++ b/src/tenancy/tenant_gate.c
@@ -11,9 +11,10 @@
 static const cw_time_us_t retry_after = CW_MS(20); /* a request ends within that, where many run */
 
 struct cw_tenant_count {
-    char          *name;
-    uint32_t       concurrent;
-    UT_hash_handle hh;
+    cw_tenant_gate_t *gate;
+    char             *name;
+    uint32_t          concurrent;
+    UT_hash_handle    hh;
 };
 
 struct cw_tenant_gate {
@@ -30,6 +31,13 @@
     return gate;
 }
 
+static void drop_count(cw_tenant_count_t *count)
+{
+    HASH_DEL(count->gate->counts, count); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
+    free(count->name);
+    free(count);
+}
+
 void cw_tenant_gate_free(cw_tenant_gate_t *gate)
 {
     cw_tenant_count_t *count;
@@ -37,9 +45,7 @@
 
     HASH_ITER(hh, gate->counts, count, next)
     {
-        HASH_DEL(gate->counts, count); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
-        free(count->name);
-        free(count);
+        drop_count(count);
     }
     free(gate);
 }
@@ -54,6 +60,7 @@
         if (count == NULL) {
             abort();
         }
+        count->gate = gate;
         count->name = strdup(tenant->name);
         HASH_ADD_KEYPTR(hh, gate->counts, count->name, strlen(count->name), count);
     }
@@ -78,6 +85,7 @@
     }
     *count = count_of(gate, tenant);
     if (tenant->concurrent > 0 && (*count)->concurrent >= part(tenant->concurrent, nodes)) {
+        *count = NULL; /* not entered: it is not to be left */
         return CW_GATE_CONCURRENCY;
     }
     (*count)->concurrent++;
@@ -86,7 +94,16 @@
 
 void cw_tenant_gate_leave(cw_tenant_count_t *count)
 {
-    if (count != NULL && count->concurrent > 0) {
-        count->concurrent--;
+    if (count == NULL) {
+        return;
     }
+    count->concurrent--;
+    if (count->concurrent == 0) { /* its name may be gone with the next configuration */
+        drop_count(count);
+    }
+}
+
+size_t cw_tenant_gate_counts(const cw_tenant_gate_t *gate)
+{
+    return HASH_COUNT(gate->counts);
 }
--- a/src/tenancy/tenant_gate.h
+++ b/src/tenancy/tenant_gate.h
@@ -24,6 +24,9 @@
  *  cw_tenant_gate_leave when the request has ended. wait: how long until a refused one would be let in. */
 cw_gate_answer_t cw_tenant_gate_enter(cw_tenant_gate_t *gate, const cw_tenant_t *tenant, uint32_t nodes,
                                       cw_tenant_count_t **count, cw_time_us_t *wait);
-void             cw_tenant_gate_leave(cw_tenant_count_t *count); /**< NULL is allowed */
+/** Once for each that entered; the count may end with it. NULL is allowed. */
+void cw_tenant_gate_leave(cw_tenant_count_t *count);
+/** Tenants of which something is kept: those with a request here. */
+size_t cw_tenant_gate_counts(const cw_tenant_gate_t *gate);
 
 #endif
--- a/tests/test_caller_identity.c
+++ b/tests/test_caller_identity.c
@@ -180,6 +180,37 @@
 }
 END_TEST
 
+/* Tenant c needs none, and its servers are not to see another tenant's key, however it was sent. */
+START_TEST(another_tenants_key_is_hidden_in_any_form)
+{
+    static const char *const forms[] = {"sesame",          "Tokensesame",          "Bearer sesame", "Token sesame,",
+                                        "Token x, sesame", "Token sesame x",       "Token  sesame", "Token \"sesame\"",
+                                        "Token 'sesame';", "Basic x\tToken\tsesame"};
+    cw_configuration_t      *configuration = configured();
+    cw_http_fields_t         fields = {0};
+    char                     parts[200] = "";
+    size_t                   index;
+
+    for (index = 0; index < sizeof(forms) / sizeof(forms[0]); index++) {
+        cw_caller_t caller = identify(configuration, "/c/x", forms[index]);
+
+        ck_assert_int_eq(caller.verdict, CW_CALLER_ANONYMOUS);
+        ck_assert_msg(caller.hides_credentials, "%s", forms[index]);
+    }
+    add_field(&fields, "Authorization", "Basic xyz");
+    add_field(&fields, "authorization", "Token sesame");
+    ck_assert(cw_caller_identify(configuration, cw_configuration_match(configuration, "h", "/c/x"), &fields, "Token")
+                  .hides_credentials);
+    cw_http_fields_clear(&fields);
+    for (index = 0; index < 80; index++) { /* more parts than are looked at */
+        strcat(parts, "x ");
+    }
+    ck_assert(identify(configuration, "/c/x", parts).hides_credentials);
+    ck_assert(!identify(configuration, "/c/x", "Digest username=\"a\", uri=\"/c\"").hides_credentials);
+    cw_configuration_release(configuration);
+}
+END_TEST
+
 START_TEST(without_keys_in_the_configuration_credentials_are_ordinary)
 {
     cw_configuration_t *configuration = cw_configuration_create(1);
@@ -278,6 +309,7 @@
     tcase_add_test(cases, doubled_credentials_are_rejected_in_any_spelling);
     tcase_add_test(cases, an_open_route_needs_no_key_and_takes_no_unknown_one);
     tcase_add_test(cases, the_route_of_a_tenant_without_keys_is_open_and_its_credentials_are_its_own);
+    tcase_add_test(cases, another_tenants_key_is_hidden_in_any_form);
     tcase_add_test(cases, without_keys_in_the_configuration_credentials_are_ordinary);
     tcase_add_test(cases, a_later_configuration_keeps_revokes_or_moves_a_key);
     tcase_add_test(cases, a_tenants_priority_goes_before_its_routes);
--- a/tests/test_credential_index.c
+++ b/tests/test_credential_index.c
@@ -170,6 +170,31 @@
 }
 END_TEST
 
+/* Two names whose hashes are the same: limits are counted by them. */
+START_TEST(two_limited_tenants_of_one_hash_are_refused)
+{
+    static const char *const names[] = {"tenant-45619", "tenant-94911"};
+    cw_configuration_t      *configuration = cw_configuration_create(1);
+    char                     problem[160] = "";
+    size_t                   index;
+
+    ck_assert_uint_eq(cw_tenant_hash(names[0]), cw_tenant_hash(names[1]));
+    for (index = 0; index < 2; index++) {
+        cw_tenant_t *tenant = cw_configuration_add_tenant(configuration);
+
+        tenant->name = strdup(names[index]);
+        tenant->rate_per_s = 5;
+    }
+    cw_configuration_seal(configuration);
+    ck_assert(!cw_configuration_check(configuration, problem, sizeof(problem)));
+    ck_assert_ptr_nonnull(strstr(problem, names[0]));
+    ck_assert_ptr_nonnull(strstr(problem, names[1]));
+    configuration->tenants[0].rate_per_s = 0;
+    ck_assert(cw_configuration_check(configuration, problem, sizeof(problem)));
+    cw_configuration_release(configuration);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("credential index");
@@ -180,6 +205,7 @@
     tcase_add_test(cases, a_key_or_a_name_at_two_tenants_makes_a_configuration_invalid);
     tcase_add_test(cases, a_tenant_that_lost_its_last_key_still_needs_one);
     tcase_add_test(cases, ten_thousand_tenants_take_less_than_a_megabyte);
+    tcase_add_test(cases, two_limited_tenants_of_one_hash_are_refused);
     tcase_add_test(cases, a_routes_owner_is_the_tenant_before_its_slash);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
--- a/tests/test_intent.c
+++ b/tests/test_intent.c
@@ -272,8 +272,13 @@
         ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, 4, &counts[step], &wait), CW_GATE_OPEN);
     }
     ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, 4, &count, &wait), CW_GATE_CONCURRENCY);
+    ck_assert_ptr_null(count);
     cw_tenant_gate_leave(counts[0]);
     ck_assert_int_eq(cw_tenant_gate_enter(gate, &tenant, 4, &count, &wait), CW_GATE_OPEN);
+    cw_tenant_gate_leave(counts[1]);
+    ck_assert_uint_eq(cw_tenant_gate_counts(gate), 1);
+    cw_tenant_gate_leave(count);
+    ck_assert_uint_eq(cw_tenant_gate_counts(gate), 0); /* nothing is kept of a tenant without a request here */
     cw_tenant_gate_free(gate);
 }
 END_TEST
