Refusals name the tenant that is accountable; requests at once are counted by tenant

Cause: the lines of refusals named the tenant of the caller's key only, so those of a tenant whose callers need no key named none; 429 for requests at once had no counter by tenant. Ruled out: a field of its own for the route's owner: limits bind the accountable tenant, and it is that one a reader looks for. Change: lines name the accountable tenant; a counter by tenant for requests at once (cedarwinch_tenant_refused_concurrency_total).

--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -8,6 +8,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "base/tenant_metrics.h"
 #include "proxy/engine_internal.h"
 
 enum {
@@ -136,6 +137,7 @@
         return true;
     }
     cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
+    cw_tenant_metric_add(CW_TENANT_REFUSED_CONCURRENCY, tenant->name, 1);
     rejection.reason = "the tenant's requests at once";
     rejection.tenant = tenant->name;
     rejection.retry_after_s = (double)wait / 1e6;
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -85,10 +85,11 @@
 
 static void note_inputs(cw_event_t *event, const cw_request_t *request)
 {
-    cw_time_us_t now = cw_engine_now(request->engine);
+    const cw_tenant_t *tenant = cw_caller_accountable(&request->caller, request->configuration, request->route);
+    cw_time_us_t       now = cw_engine_now(request->engine);
 
     cw_event_text(event, CW_FIELD_SERVICE, request->service->name);
-    cw_event_text(event, CW_FIELD_TENANT, request->caller.tenant == NULL ? NULL : request->caller.tenant->name);
+    cw_event_text(event, CW_FIELD_TENANT, tenant == NULL ? NULL : tenant->name);
     cw_event_number(event, CW_FIELD_CONFIGURATION, (int64_t)request->configuration->version);
     cw_event_number(event, CW_FIELD_ATTEMPT, request->attempts);
     cw_event_ms(event, CW_FIELD_LEFT_MS, request->deadline - now);
--- a/tests/test_engine_quota.c
+++ b/tests/test_engine_quota.c
@@ -3,11 +3,15 @@
  * @brief A tenant's limit on a request's way: it waits for its token, goes on with it, or is refused; and where the
  * token goes when the request does not run.
  */
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "base/event_log.h"
 #include "base/metrics.h"
+#include "base/tenant_metrics.h"
 #include "loop_fixture.h"
 #include "proxy/engine_internal.h"
 
@@ -312,6 +316,33 @@
 }
 END_TEST
 
+/* Its callers need no key: the tenant is the route's owner. */
+START_TEST(a_refusal_names_the_tenant_of_callers_without_a_key)
+{
+    static char        text[4096];
+    cw_tenant_counts_t counts[CW_TENANT_METRICS_TOLD + 1];
+    world_t            world;
+    fake_call_t       *call;
+    int                ends[2];
+
+    ck_assert_int_eq(pipe2(ends, O_NONBLOCK), 0);
+    cw_event_log_open(ends[1], "n1", CW_EVENT_INFO);
+    cw_tenant_metrics_reset();
+    init(&world);
+    call = ask_and_wait(&world, 0);
+    grant(&world, 0, CW_MS(700));
+    cw_test_run_until_set(&world.loop, &call->answered);
+    cw_event_log_flush(cw_engine_now(world.engine));
+    ck_assert_int_gt(read(ends[0], text, sizeof(text) - 1), 0);
+    ck_assert_ptr_nonnull(strstr(text, "\"status\":429"));
+    ck_assert_ptr_nonnull(strstr(text, "\"tenant\":\"red\""));
+    ck_assert_uint_ge(cw_tenant_metrics_told(counts), 1);
+    ck_assert_str_eq(counts[0].tenant, "red");
+    ck_assert_uint_eq(counts[0].values[CW_TENANT_REFUSED_LIMIT], 1);
+    cw_event_log_open(open("/dev/null", O_WRONLY), "n1", CW_EVENT_ERROR);
+}
+END_TEST
+
 START_TEST(its_caller_may_leave_while_it_waits_and_the_next_gets_the_token)
 {
     world_t      world;
@@ -469,6 +500,7 @@
 
     tcase_add_test(cases, a_request_waits_for_its_token_and_goes_on_with_it);
     tcase_add_test(cases, without_a_token_it_is_refused_and_has_not_run);
+    tcase_add_test(cases, a_refusal_names_the_tenant_of_callers_without_a_key);
     tcase_add_test(cases, its_caller_may_leave_while_it_waits_and_the_next_gets_the_token);
     tcase_add_test(cases, it_waits_no_longer_than_its_time_limit);
     tcase_add_test(cases, without_a_reply_this_nodes_own_part_decides);
