Callers without a known key are rejected by the head of their request

Cause: a body was read whole, within the bound of all bodies, before its caller was answered 401. Ruled out: answering from the listener (the line, the counters and the challenge are the engine's), and closing one second after the answer: a slow body on its way would reset the connection under the answer. Change: the listener asks its handler by the head; a rejected request is handed over in its turn without its body, its answer closes, nothing behind it is read, no 100 Continue. The body is thrown away while it comes, 30 s at most. One whose key a later version has by then gets 503: it cannot run. Tests: test_http_upload (5 new), test_engine_callers (2 new). Seen to fail: without the question the cases wait without an end (100 s, stopped); without the longer end the connection is gone after 1 s; without the check of bodies such a request is sent on (504 for 503).

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -46,6 +46,8 @@
       "refused: a key may have been taken away, and there is no late enough evidence that none was")                   \
     X(REFUSED_KEY_MOVED, "cedarwinch_refused_key_moved_total", "counter",                                              \
       "refused: the caller's key became another tenant's while the request waited")                                    \
+    X(REFUSED_UNREAD, "cedarwinch_refused_unread_total", "counter",                                                    \
+      "refused: the body was not read, and a later version has the caller's key")                                      \
     X(REJECTED_NO_KEY, "cedarwinch_rejected_no_key_total", "counter", "401: no key")                                   \
     X(REJECTED_MALFORMED, "cedarwinch_rejected_malformed_total", "counter",                                            \
       "401: malformed or doubled credentials, or another scheme")                                                      \
@@ -69,6 +71,8 @@
       "times a connection was not read on: its pipeline was full, or a body waited for memory")                        \
     X(BODIES_WAITED, "cedarwinch_bodies_waited_total", "counter", "bodies that waited for memory")                     \
     X(REFUSED_BODIES, "cedarwinch_refused_bodies_total", "counter", "refused: no memory for the body in time")         \
+    X(BODIES_UNREAD, "cedarwinch_bodies_unread_total", "counter",                                                      \
+      "requests rejected by their head: their bodies were not read")                                                   \
     X(BODY_BYTES, "cedarwinch_body_bytes", "gauge", "bytes reserved for callers' bodies")                              \
     X(SENT, "cedarwinch_sent_total", "counter", "requests sent to servers")                                            \
     X(RETRIES, "cedarwinch_retries_total", "counter", "requests sent once more")                                       \
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -164,6 +164,11 @@
     listener->bodies.most = options->body_bytes_most == 0 ? SIZE_MAX : options->body_bytes_most;
 }
 
+void cw_http_listener_set_rejects(cw_http_listener_t *listener, cw_http_rejects_t rejects)
+{
+    listener->rejects = rejects;
+}
+
 /* Only an answer whose head is not written yet can still say that it closes the connection. Without one the next
  * request is taken, and its answer says so. */
 static bool may_end(const cw_http_connection_t *connection)
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -13,6 +13,8 @@
  * at which its head was read, so one that lies unread in the socket meanwhile has not begun.
  *  - Bodies are read whole before the handler gets the request, within one bound for all connections
  *    (net/body_budget.h), and kept until the answer, so that the handler may send them more than once.
+ *  - A request that the handler rejects by its head is handed over without its body, which is thrown away: what is
+ * behind it has not been read.
  *  - When the caller leaves, all its requests are gone.
  */
 #ifndef CEDARWINCH_NET_HTTP_LISTENER_H
@@ -54,7 +56,8 @@
     const cw_http_fields_t *fields;
     const char             *body;
     size_t                  body_length;
-    cw_time_us_t            arrived_us; /**< when the request's head was whole */
+    cw_time_us_t            arrived_us;   /**< when the request's head was whole */
+    bool                    without_body; /**< its body was not read, since the handler rejects it */
 } cw_http_inbound_t;
 
 typedef struct cw_http_listener_handler {
@@ -65,6 +68,10 @@
     void (*gone)(void *context, cw_http_exchange_t *exchange);
 } cw_http_listener_handler_t;
 
+/** The head of a request with a body has been read: does the handler reject it whatever its body is? Then it is handed
+ * over in its turn without one, and its answer closes the connection. context: the handler's. */
+typedef bool (*cw_http_rejects_t)(void *context, const cw_http_inbound_t *head);
+
 typedef struct cw_http_outbound {
     int                     status;
     const cw_http_fields_t *fields; /**< hop-by-hop fields in it are left out; NULL: none */
@@ -84,6 +91,8 @@
 void cw_http_listener_set_options(cw_http_listener_t *listener, const cw_http_listener_options_t *options);
 /** Limits of requests that begin from now on. A resting connection keeps the longer of its idle times. */
 void cw_http_listener_set_limits(cw_http_listener_t *listener, const cw_http_limits_t *limits);
+/** For requests whose heads are read from now on. NULL: none is rejected by its head. */
+void cw_http_listener_set_rejects(cw_http_listener_t *listener, cw_http_rejects_t rejects);
 /** From now on connections end: with the answer to the last request that was handed over, or to the next one. */
 void cw_http_listener_end_connections(cw_http_listener_t *listener);
 /** Stops accepting and closes connections that have rested for a moment; to be called again until none is left. */
--- a/src/net/http_listener_answer.c
+++ b/src/net/http_listener_answer.c
@@ -13,7 +13,6 @@
 #include "net/http_listener_internal.h"
 
 enum {
-    LINGER_MS = 1000,
     WAIT_NOTED_MS = 50, /* waits for an earlier answer below this are counted, not logged */
     NO_CONTENT = 204,
     NOT_MODIFIED = 304
@@ -124,7 +123,8 @@
 static void linger(cw_http_connection_t *connection)
 {
     connection->state = CW_CONNECTION_LINGERING;
-    connection->linger_until = cw_listener_now(connection->listener) + CW_MS(LINGER_MS);
+    connection->linger_until = cw_listener_now(connection->listener) + CW_MS(CW_LINGER_MS);
+    connection->linger_most = cw_listener_now(connection->listener) + CW_SECONDS(CW_LINGER_MOST_S);
     cw_listener_end_pipeline(connection);
     if (uv_shutdown(&connection->shutdown, (uv_stream_t *)&connection->tcp, on_shut) != 0) {
         cw_listener_close_connection(connection);
--- a/src/net/http_listener_exchange.c
+++ b/src/net/http_listener_exchange.c
@@ -33,15 +33,21 @@
     free(exchange);
 }
 
+cw_http_inbound_t cw_listener_inbound(const cw_http_exchange_t *exchange)
+{
+    return (cw_http_inbound_t){.method = exchange->method,
+                               .target = exchange->target.data,
+                               .fields = &exchange->fields,
+                               .body = exchange->body.data,
+                               .body_length = exchange->body.length,
+                               .arrived_us = exchange->arrived_us,
+                               .without_body = exchange->without_body};
+}
+
 static void hand_over(cw_http_connection_t *connection, cw_http_exchange_t *exchange)
 {
     cw_http_listener_t *listener = connection->listener;
-    cw_http_inbound_t   inbound = {.method = exchange->method,
-                                   .target = exchange->target.data,
-                                   .fields = &exchange->fields,
-                                   .body = exchange->body.data,
-                                   .body_length = exchange->body.length,
-                                   .arrived_us = exchange->arrived_us};
+    cw_http_inbound_t   inbound = cw_listener_inbound(exchange);
 
     exchange->entry.state = CW_PIPELINE_HANDED_OVER;
     exchange->in_handler = true;
--- a/src/net/http_listener_internal.h
+++ b/src/net/http_listener_internal.h
@@ -8,7 +8,8 @@
  * hang-up is looked for every CW_HANG_UP_CHECK_MS.
  *
  * States of a connection: OPEN, then LINGERING (the last answer has been written and the sending side is shut; input is
- * thrown away until the peer closes or a second has passed, so that the peer gets the whole answer), then CLOSED.
+ * thrown away until the peer closes, or sends nothing for CW_LINGER_MS, so that the peer gets the whole answer), then
+ * CLOSED.
  */
 #ifndef CEDARWINCH_NET_HTTP_LISTENER_INTERNAL_H
 #define CEDARWINCH_NET_HTTP_LISTENER_INTERNAL_H
@@ -19,6 +20,8 @@
 
 enum {
     CW_LISTENER_CHUNK = 16 * 1024,
+    CW_LINGER_MS = 1000,
+    CW_LINGER_MOST_S = 30,    /* nginx's lingering_time: a body that was not read may be on its way for so long */
     CW_HANG_UP_CHECK_MS = 250 /* a caller that has left is seen within half a second also while nothing is read */
 };
 
@@ -45,6 +48,7 @@
     bool                    is_chunked;
     bool                    is_head;
     bool                    http_1_0;
+    bool                    without_body;   /* rejected by its head */
     bool                    wants_continue; /* 100, once all before it is written */
     bool                    is_head_done;   /* of the answer: whether it closes the connection is settled */
     bool                    closes;
@@ -86,6 +90,7 @@
     cw_time_us_t          rest_begun_us;
     cw_time_us_t          rest_told; /* the idle timeout in force when it began to rest */
     cw_time_us_t          linger_until;
+    cw_time_us_t          linger_most; /* at the latest, though the caller goes on sending */
     char                 *turn_holder; /* name of the request for whose answer those behind it waited; NULL: none */
     int                   handles;
     uv_write_t            write;
@@ -105,6 +110,7 @@
     cw_http_listener_options_t options;
     cw_body_budget_t           bodies;
     cw_http_listener_handler_t handler;
+    cw_http_rejects_t          rejects; /* NULL: none is rejected by its head */
     cw_http_connection_t      *connections;
     size_t                     count;
     cw_http_connection_t      *room_waiting;
@@ -129,6 +135,8 @@
 
 /* ---- http_listener_exchange.c ---- */
 cw_http_exchange_t *cw_listener_exchange_create(cw_http_connection_t *connection);
+/** The request as the handler gets it. */
+cw_http_inbound_t cw_listener_inbound(const cw_http_exchange_t *exchange);
 /** Frees an exchange that is in no pipeline; later, if the handler is being called with it. */
 void cw_listener_exchange_free(cw_http_exchange_t *exchange);
 /** Hands over what may be handed over now. */
--- a/src/net/http_listener_request.c
+++ b/src/net/http_listener_request.c
@@ -92,6 +92,29 @@
     connection->body_read_us = cw_listener_now(connection->listener);
 }
 
+static bool has_body(const http_parser *parser)
+{
+    bool has_length = (parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length != UINT64_MAX;
+
+    return (parser->flags & F_CHUNKED) != 0 || (has_length && parser->content_length > 0);
+}
+
+/* By the handler, whatever its body is. */
+static bool is_rejected(const http_parser *parser)
+{
+    cw_http_connection_t     *connection = parser->data;
+    const cw_http_listener_t *listener = connection->listener;
+    cw_http_inbound_t         head;
+
+    if (listener->rejects == NULL || !has_body(parser)) {
+        return false;
+    }
+    cw_bytes_append(&connection->incoming->target, "", 1);
+    connection->incoming->target.length--;
+    head = cw_listener_inbound(connection->incoming);
+    return listener->rejects(listener->handler.context, &head);
+}
+
 static int on_head(http_parser *parser)
 {
     cw_http_exchange_t *incoming = incoming_of(parser);
@@ -101,7 +124,11 @@
         incoming->refusal = STATUS_BAD_REQUEST;
         return -1;
     }
-    if ((parser->flags & F_CONTENTLENGTH) != 0 && parser->content_length != UINT64_MAX && parser->content_length > 0) {
+    if (is_rejected(parser)) {
+        incoming->without_body = true;
+        return -1;
+    }
+    if (has_body(parser) && !incoming->is_chunked) {
         if (parser->content_length > limits_of(parser)->body_bytes) {
             incoming->refusal = STATUS_TOO_LONG;
             return -1;
@@ -215,6 +242,10 @@
     connection->body_read_us = cw_listener_now(connection->listener);
     if (connection->incoming->message_done) {
         take_message(connection);
+    } else if (connection->incoming->without_body) {
+        connection->incoming->entry.last = true;
+        cw_metric_add(CW_METRIC_BODIES_UNREAD, 1);
+        take_message(connection);
     } else if (HTTP_PARSER_ERRNO(&connection->parser) == HPE_PAUSED) { /* the head is done */
         http_parser_pause(&connection->parser, 0);
     } else if (HTTP_PARSER_ERRNO(&connection->parser) != HPE_OK) {
@@ -313,6 +344,16 @@
     set_reading(connection);
 }
 
+/* A reset under bytes that are on their way would take the answer from the caller. A stop does not wait for it. */
+static void linger_on(cw_http_connection_t *connection)
+{
+    cw_time_us_t until = cw_listener_now(connection->listener) + CW_MS(CW_LINGER_MS);
+
+    if (connection->state == CW_CONNECTION_LINGERING && !connection->listener->ending) {
+        connection->linger_until = until < connection->linger_most ? until : connection->linger_most;
+    }
+}
+
 void cw_listener_on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
     cw_http_connection_t *connection = stream->data;
@@ -334,6 +375,7 @@
         connection->pending_read_us = connection->read_us;
     }
     set_reading(connection);
+    linger_on(connection);
     cw_listener_arm(connection);
 }
 
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -112,6 +112,8 @@
 /** A server has left the pool: its connections go. */
 void cw_engine_forget_server(cw_engine_t *engine, cw_server_t *server);
 
+/** Is a request with this head rejected (401), whatever its body is? */
+bool cw_engine_rejects_head(const cw_engine_t *engine, const cw_http_inbound_t *head);
 /** This node stops: all requests are answered by then, also those that are still to come. */
 void cw_engine_stop(cw_engine_t *engine, cw_time_us_t end_by);
 
--- a/src/proxy/engine_callers.c
+++ b/src/proxy/engine_callers.c
@@ -24,6 +24,7 @@
 /* Until another node has been asked by the caller, or this one has reached the store: checks of the configuration
  * follow within a second (configuration_freshness.h). */
 static const double retry_stale_s = 0.5;
+static const double retry_unread_s = 0.04; /* at once, on a new connection: the least that is said */
 
 void cw_engine_init_callers(cw_engine_t *engine)
 {
@@ -63,6 +64,17 @@
     return caller->tenant != NULL || caller->verdict == CW_CALLER_UNKNOWN_KEY;
 }
 
+/* A later configuration came into force between the head and its turn: it has a key now, and no body. */
+static void refuse_without_body(const cw_engine_t *engine, cw_http_exchange_t *exchange,
+                                const cw_http_inbound_t *inbound, cw_rejection_t *rejection)
+{
+    rejection->status = STATUS_UNAVAILABLE;
+    rejection->reason = "its key is new, and its body was not read";
+    rejection->retry_after_s = retry_unread_s;
+    cw_metric_add(CW_METRIC_REFUSED_UNREAD, 1);
+    cw_engine_reject(engine, exchange, inbound, rejection);
+}
+
 bool cw_engine_admit_caller(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
                             const cw_route_t *route, cw_caller_t *caller)
 {
@@ -80,6 +92,9 @@
         rejection.reason = cw_caller_reason(caller->verdict);
         rejection.fields = &engine->challenge;
         cw_metric_add(metric_of(caller->verdict), 1);
+    } else if (inbound->without_body) {
+        refuse_without_body(engine, exchange, inbound, &rejection);
+        return false;
     } else {
         return true;
     }
@@ -87,6 +102,23 @@
     return false;
 }
 
+bool cw_engine_rejects_head(const cw_engine_t *engine, const cw_http_inbound_t *head)
+{
+    const char       *host = cw_http_fields_find(head->fields, "host");
+    const cw_route_t *route;
+    cw_caller_t       caller;
+
+    if (engine->configuration == NULL || host == NULL || head->target[0] != '/') {
+        return false;
+    }
+    route = cw_configuration_match(engine->configuration, host, head->target);
+    if (route == NULL) {
+        return false;
+    }
+    caller = cw_caller_identify(engine->configuration, route, head->fields, engine->settings.credential_scheme);
+    return cw_caller_is_rejected(&caller);
+}
+
 /* ---- a later configuration ---- */
 
 bool cw_request_caller_stays(const cw_request_t *request)
--- a/src/router/router_callers.c
+++ b/src/router/router_callers.c
@@ -28,6 +28,13 @@
     cw_engine_gone(router->engine, exchange);
 }
 
+static bool rejects(void *context, const cw_http_inbound_t *head)
+{
+    const cw_router_t *router = context;
+
+    return cw_engine_rejects_head(router->engine, head);
+}
+
 int cw_router_callers_start(cw_router_t *router)
 {
     const cw_router_settings_t *settings = &router->settings;
@@ -46,5 +53,6 @@
     error = cw_http_listener_create(&router->callers, &router->loop, settings->callers.address, settings->callers.port,
                                     &limits, &handler);
     cw_http_listener_set_options(router->callers, &options);
+    cw_http_listener_set_rejects(router->callers, rejects);
     return error;
 }
--- a/tests/listener_world.c
+++ b/tests/listener_world.c
@@ -27,6 +27,7 @@
     snprintf(request->method, sizeof(request->method), "%s", inbound->method);
     snprintf(request->target, sizeof(request->target), "%s", inbound->target);
     request->body_length = inbound->body_length;
+    request->without_body = inbound->without_body;
     if (inbound->body_length > 0) {
         request->body_first = inbound->body[0];
         request->body_last = inbound->body[inbound->body_length - 1];
@@ -49,6 +50,12 @@
     world->gone++;
 }
 
+static bool rejects(void *context, const cw_http_inbound_t *head)
+{
+    (void)context;
+    return strcmp(head->target, CW_WORLD_REJECTED) == 0;
+}
+
 void cw_world_init(cw_listener_world_t *world, const cw_http_limits_t *limits,
                    const cw_http_listener_options_t *options)
 {
@@ -58,6 +65,7 @@
     uv_loop_init(&world->loop);
     ck_assert_int_eq(cw_http_listener_create(&world->listener, &world->loop, "127.0.0.1", 0, limits, &handler), 0);
     cw_http_listener_set_options(world->listener, options);
+    cw_http_listener_set_rejects(world->listener, rejects);
 }
 
 /* ---- callers ---- */
--- a/tests/listener_world.h
+++ b/tests/listener_world.h
@@ -14,6 +14,9 @@
 
 enum { CW_WORLD_REQUESTS = 64, CW_WORLD_CALLERS = 4 };
 
+/** Requests for this are rejected by their heads. */
+#define CW_WORLD_REJECTED "/rejected"
+
 /** A request as the handler got it. */
 typedef struct cw_world_request {
     cw_http_exchange_t *exchange; /**< NULL: answered or gone */
@@ -24,6 +27,7 @@
     char                body_last;
     cw_time_us_t        arrived_us;
     bool                gone;
+    bool                without_body;
 } cw_world_request_t;
 
 typedef struct cw_world_caller {
--- a/tests/test_engine_callers.c
+++ b/tests/test_engine_callers.c
@@ -37,6 +37,7 @@
     /* the one server, of one slot */
     cw_http_listener_t *server;
     uint32_t            requests;
+    bool                rejects_all; /* by their heads */
     cw_http_exchange_t *exchange;
     bool                has_request;
     char                seen[TEXT_BYTES]; /* fields of its last request, a line each */
@@ -77,6 +78,13 @@
     cw_engine_request(world->engine, exchange, inbound);
 }
 
+static bool front_rejects(void *context, const cw_http_inbound_t *head)
+{
+    const world_t *world = context;
+
+    return world->rejects_all || cw_engine_rejects_head(world->engine, head);
+}
+
 static void on_front_gone(void *context, cw_http_exchange_t *exchange)
 {
     world_t *world = context;
@@ -140,6 +148,7 @@
     world->upstream = cw_upstream_create(&world->loop, &options);
     world->engine = cw_engine_create(&world->loop, &settings, world->pool, world->upstream);
     ck_assert_int_eq(cw_http_listener_create(&world->front, &world->loop, "127.0.0.1", 0, &limits, &handler), 0);
+    cw_http_listener_set_rejects(world->front, front_rejects);
     world->caller = cw_upstream_create(&world->loop, &options);
     snprintf(address, sizeof(address), "127.0.0.1:%u", cw_http_listener_port(world->front));
     world->front_target = cw_upstream_target_create(world->caller, address);
@@ -467,6 +476,50 @@
 
 /* ---- a later configuration ---- */
 
+/* Only the head is sent: the answer does not wait for the body. */
+static int status_of_head(world_t *world, const char *path, const char *lines)
+{
+    char                  text[TEXT_BYTES];
+    cw_upstream_request_t request = {.connect_timeout = CW_SECONDS(5), .answer_max = 100000, .bytes = text};
+    fake_call_t          *call = &world->calls[0];
+
+    request.length = (size_t)snprintf(
+        text, sizeof(text), "POST %s HTTP/1.1\r\nHost: a.example\r\n%sContent-Length: 90000\r\n\r\n", path, lines);
+    memset(call, 0, sizeof(*call));
+    (void)cw_upstream_call(world->front_target, &request, on_answered, call);
+    cw_test_run_until_set(&world->loop, &call->answered);
+    return call->status;
+}
+
+START_TEST(a_caller_without_a_known_key_is_rejected_before_its_body)
+{
+    world_t world;
+
+    init(&world);
+    use_keys(&world);
+    ck_assert_int_eq(status_of_head(&world, "/once/x", ""), 401);
+    ck_assert_int_eq(status_of_head(&world, "/once/x", "Authorization: Token wrong\r\n"), 401);
+    ck_assert(world.calls[0].is_challenged);
+    ck_assert_uint_eq(cw_metric_value(CW_METRIC_REJECTED_UNKNOWN_KEY), 1);
+    ck_assert_uint_eq(cw_metric_value(CW_METRIC_BODIES_UNREAD), 2);
+    ck_assert_uint_eq(world.requests, 0);
+}
+END_TEST
+
+/* Its head was read before the version that has its key came into force: without its body it cannot run. */
+START_TEST(a_request_whose_body_was_not_read_never_runs)
+{
+    world_t world;
+
+    init(&world);
+    use_keys(&world);
+    world.rejects_all = true;
+    ck_assert_int_eq(status_of_head(&world, "/once/x", "Authorization: Token sesame\r\n"), 503);
+    ck_assert_double_ge(world.calls[0].retry_after_s, 0);
+    ck_assert_uint_eq(world.requests, 0);
+}
+END_TEST
+
 START_TEST(a_key_counts_as_soon_as_its_configuration_does)
 {
     world_t             world;
@@ -696,6 +749,8 @@
     tcase_add_test(cases, a_server_gets_the_tenants_name_in_place_of_the_key);
     tcase_add_test(cases, a_callers_own_tenant_header_is_removed_in_any_spelling_and_number);
     tcase_add_test(cases, a_connection_header_does_not_take_the_tenants_name_away);
+    tcase_add_test(cases, a_caller_without_a_known_key_is_rejected_before_its_body);
+    tcase_add_test(cases, a_request_whose_body_was_not_read_never_runs);
     tcase_add_test(cases, a_key_counts_as_soon_as_its_configuration_does);
     tcase_add_test(cases, a_key_taken_away_ends_what_waits_and_not_what_is_at_a_server);
     tcase_add_test(cases, another_tenants_requests_stay_when_a_key_is_taken_away);
--- a/tests/test_http_upload.c
+++ b/tests/test_http_upload.c
@@ -394,6 +394,114 @@
 }
 END_TEST
 
+/* ---- rejected by their heads ---- */
+
+#define REJECTED "POST " CW_WORLD_REJECTED " HTTP/1.1\r\nHost: a\r\n"
+
+/* Its first and only answer closes, though its body has not come. */
+static void expect_closing_answer(cw_listener_world_t *world, cw_world_caller_t *caller, size_t index)
+{
+    cw_world_await_requests(world, index + 1);
+    ck_assert_str_eq(world->requests[index].target, CW_WORLD_REJECTED);
+    ck_assert(world->requests[index].without_body);
+    ck_assert_uint_eq(world->requests[index].body_length, 0);
+    ck_assert_uint_eq(cw_http_listener_body_bytes(world->listener), 0);
+    cw_world_answer(world, index, "no");
+    cw_world_await_end(caller);
+    ck_assert_ptr_nonnull(strstr(cw_world_received(caller), "Connection: close\r\n\r\nno"));
+    ck_assert_ptr_null(strstr(cw_world_received(caller), "100 Continue"));
+    ck_assert_uint_eq(world->count, index + 1);
+}
+
+static void expect_rejection(const char *text)
+{
+    cw_listener_world_t world;
+    cw_world_caller_t  *caller;
+
+    cw_world_init(&world, &limits, &bounded);
+    caller = cw_world_connect(&world);
+    cw_world_send_text(caller, text);
+    expect_closing_answer(&world, caller, 0);
+}
+
+START_TEST(the_body_of_a_rejected_request_is_not_read)
+{
+    expect_rejection(REJECTED "Content-Length: 40000\r\n\r\n");
+    expect_rejection(REJECTED "Content-Length: 4\r\n\r\nwhole");
+    expect_rejection(REJECTED "Content-Length: 900000\r\n\r\npart"); /* longer than any may be */
+    expect_rejection(REJECTED "Transfer-Encoding: chunked\r\n\r\n");
+    expect_rejection(REJECTED "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    expect_rejection(REJECTED "Expect: 100-continue\r\nContent-Length: 40000\r\n\r\n");
+}
+END_TEST
+
+/* What looks like a request may be its body: it has not been read. */
+START_TEST(what_is_behind_a_rejected_request_is_not_read)
+{
+    expect_rejection(REJECTED "Content-Length: 33\r\n\r\nGET /body HTTP/1.1\r\nHost: a\r\n\r\n"
+                              "GET /behind HTTP/1.1\r\nHost: a\r\n\r\n");
+}
+END_TEST
+
+/* Its answer is not lost under a body that comes slowly. */
+START_TEST(a_rejected_caller_may_go_on_sending)
+{
+    enum { PIECES = 8, PIECE_MS = 200 };
+    cw_listener_world_t world;
+    cw_world_caller_t  *caller;
+    int                 piece;
+
+    cw_world_init(&world, &limits, &bounded);
+    caller = cw_world_connect(&world);
+    cw_world_send_text(caller, REJECTED "Content-Length: 40000\r\n\r\n");
+    cw_world_await_requests(&world, 1);
+    cw_world_answer(&world, 0, "no");
+    for (piece = 0; piece < PIECES; piece++) {
+        cw_world_send_text(caller, "a piece of it");
+        cw_world_pass(&world, PIECE_MS);
+        ck_assert_uint_eq(cw_http_listener_connections(world.listener), 1);
+    }
+    cw_world_pass(&world, CW_LINGER_MS + PIECE_MS);
+    ck_assert_uint_eq(cw_http_listener_connections(world.listener), 0);
+}
+END_TEST
+
+START_TEST(a_rejected_request_waits_for_its_turn)
+{
+    static const char *const order[] = {"first", "Connection: close\r\n\r\nno", NULL};
+    cw_listener_world_t      world;
+    cw_world_caller_t       *caller;
+
+    cw_world_init(&world, &limits, &patient);
+    caller = cw_world_connect(&world);
+    cw_world_send_text(caller, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" REJECTED "Content-Length: 40000\r\n\r\nabc");
+    cw_world_await_requests(&world, 1);
+    cw_world_pass(&world, 20);
+    ck_assert_uint_eq(world.count, 1);
+    cw_world_send_text(caller, "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    cw_world_answer(&world, 0, "first");
+    expect_closing_answer(&world, caller, 1);
+    ck_assert(cw_world_received_in_order(caller, order));
+}
+END_TEST
+
+START_TEST(a_rejected_request_without_a_body_keeps_its_connection)
+{
+    cw_listener_world_t world;
+    cw_world_caller_t  *caller;
+
+    cw_world_init(&world, &limits, &bounded);
+    caller = cw_world_connect(&world);
+    cw_world_send_text(caller, REJECTED "Content-Length: 0\r\n\r\n");
+    cw_world_await_requests(&world, 1);
+    ck_assert(!world.requests[0].without_body);
+    cw_world_answer(&world, 0, "no");
+    cw_world_send_text(caller, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    cw_world_await_requests(&world, 2);
+    ck_assert_ptr_null(strstr(cw_world_received(caller), "Connection: close"));
+}
+END_TEST
+
 /* ---- slow senders ---- */
 
 static void expect_timeout(bool drips)
@@ -512,6 +620,11 @@
     tcase_add_test(cases, a_body_in_chunks_waits_piece_by_piece);
     tcase_add_test(cases, a_body_beyond_the_bound_is_told_to_come_back_and_one_beyond_the_limit_is_not);
     tcase_add_test(cases, a_body_in_chunks_beyond_the_limit_is_refused);
+    tcase_add_test(cases, the_body_of_a_rejected_request_is_not_read);
+    tcase_add_test(cases, what_is_behind_a_rejected_request_is_not_read);
+    tcase_add_test(cases, a_rejected_caller_may_go_on_sending);
+    tcase_add_test(cases, a_rejected_request_waits_for_its_turn);
+    tcase_add_test(cases, a_rejected_request_without_a_body_keeps_its_connection);
     tcase_add_test(cases, a_caller_that_asks_is_told_to_go_on_when_its_turn_has_come);
     tcase_add_test(cases, a_caller_that_asks_is_not_told_to_go_on_while_there_is_no_memory);
     tcase_add_test(cases, a_caller_that_asked_and_waited_is_told_to_go_on_when_there_is_memory);
