Limits: a model of tokens; returns carry a number and a record; quota_share.c split by job

Cause: spec/tokens.pml (a counting node and its successor, two nodes, messages lost, late, doubled) found two ways in which tokens were multiplied: a return that came twice was taken twice (1 token given back, 2 granted anew), and one that came after the counting node had forgotten the node was taken from what it had granted since. Ruled out: whole counts in place of returns (a lost return would come back with the next, but a grant that is declined after the tenant was forgotten has no count to stand in). Change: a grant names the counting node's record, a return names it too and has a number that rises; returns of another record, or not newer, are not taken. Not completed: a refill, a restart and two changes of the counting node in one search (100 s).

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -4669,7 +4669,7 @@
   (ProtobufCMessageInit) cwp__quota_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__quota_grant__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cwp__quota_grant__field_descriptors[7] =
 {
   {
     "tenant",
@@ -4743,9 +4743,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "record",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaGrant, record),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__quota_grant__field_indices_by_name[] = {
   4,   /* field[4] = metered */
+  6,   /* field[6] = record */
   3,   /* field[3] = retry_after_ms */
   1,   /* field[1] = sequence */
   0,   /* field[0] = tenant */
@@ -4755,7 +4768,7 @@
 static const ProtobufCIntRange cwp__quota_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cwp__quota_grant__descriptor =
 {
@@ -4765,14 +4778,14 @@
   "Cwp__QuotaGrant",
   "cwp",
   sizeof(Cwp__QuotaGrant),
-  6,
+  7,
   cwp__quota_grant__field_descriptors,
   cwp__quota_grant__field_indices_by_name,
   1,  cwp__quota_grant__number_ranges,
   (ProtobufCMessageInit) cwp__quota_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__quota_return__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cwp__quota_return__field_descriptors[4] =
 {
   {
     "tenant",
@@ -4798,15 +4811,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "record",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReturn, record),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaReturn, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__quota_return__field_indices_by_name[] = {
+  3,   /* field[3] = number */
+  2,   /* field[2] = record */
   0,   /* field[0] = tenant */
   1,   /* field[1] = tokens */
 };
 static const ProtobufCIntRange cwp__quota_return__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cwp__quota_return__descriptor =
 {
@@ -4816,7 +4855,7 @@
   "Cwp__QuotaReturn",
   "cwp",
   sizeof(Cwp__QuotaReturn),
-  2,
+  4,
   cwp__quota_return__field_descriptors,
   cwp__quota_return__field_indices_by_name,
   1,  cwp__quota_return__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -884,10 +884,14 @@
    * no limit in the sender's configuration, which is earlier than the ask's
    */
   protobuf_c_boolean unknown;
+  /*
+   * of the asking node at the sender
+   */
+  uint32_t record;
 };
 #define CWP__QUOTA_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_grant__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -898,10 +902,18 @@
   ProtobufCMessage base;
   uint32_t tenant;
   uint32_t tokens;
+  /*
+   * of the grant
+   */
+  uint32_t record;
+  /*
+   * rises with each return of the sender
+   */
+  uint32_t number;
 };
 #define CWP__QUOTA_RETURN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_return__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -3,33 +3,40 @@
 # the violation. make spec. Some minutes on one core; three at a time here, up to 4 GB each.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-model=$(pwd)/spec/lease.pml
+spec=$(pwd)/spec
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 
-search() { # NAME FLAGS...
-    local name=$1 dir="$out/$1"
-    shift
+search() { # NAME MODEL FLAGS...
+    local name=$1 model="$spec/$2.pml" dir="$out/$1"
+    shift 2
     mkdir -p "$dir"
     (cd "$dir" && spin -a "$@" "$model" >spin.log 2>&1 && cc -w -O2 -DSAFETY -DVECTORSZ=1024 -DMEMLIM=4000 -o pan pan.c &&
         ./pan -E -m300000 -n -w24 >pan.log 2>&1)
     rm -f "$dir/pan" "$dir"/pan.?
 }
 export -f search
-export out model
+export out spec
 
 cat >"$out/list" <<'LIST'
-holds-3-ticks hold -DTICKS=3
-holds-4-ticks-no-restart hold -DTICKS=4 -DENDS_LEFT=0
-holds-4-ticks-no-late-write hold -DTICKS=4 -DLATE_WRITES_LEFT=0
-no-authority break -DTICKS=4 -DNO_AUTHORITY
-no-lock-wait break -DTICKS=4 -DNO_LOCK_WAIT
-no-hold-wait break -DTICKS=4 -DNO_HOLD_WAIT
-no-table-age break -DTICKS=4 -DNO_TABLE_AGE
-no-table-wait break -DTICKS=4 -DNO_TABLE_WAIT
-no-move-guard break -DTICKS=4 -DNO_MOVE_GUARD -DLATE_WRITES_LEFT=0 -DENDS_LEFT=0 -DLATE_GRANTS_LEFT=2
-no-life break -DTICKS=4 -DNO_LIFE
-no-seen-fence break -DTICKS=4 -DNO_SEEN_FENCE
+holds-3-ticks hold lease -DTICKS=3
+holds-4-ticks-no-restart hold lease -DTICKS=4 -DENDS_LEFT=0
+holds-4-ticks-no-late-write hold lease -DTICKS=4 -DLATE_WRITES_LEFT=0
+no-authority break lease -DTICKS=4 -DNO_AUTHORITY
+no-lock-wait break lease -DTICKS=4 -DNO_LOCK_WAIT
+no-hold-wait break lease -DTICKS=4 -DNO_HOLD_WAIT
+no-table-age break lease -DTICKS=4 -DNO_TABLE_AGE
+no-table-wait break lease -DTICKS=4 -DNO_TABLE_WAIT
+no-move-guard break lease -DTICKS=4 -DNO_MOVE_GUARD -DLATE_WRITES_LEFT=0 -DENDS_LEFT=0 -DLATE_GRANTS_LEFT=2
+no-life break lease -DTICKS=4 -DNO_LIFE
+no-seen-fence break lease -DTICKS=4 -DNO_SEEN_FENCE
+tokens-hold hold tokens -DREFILLS_LEFT=0
+tokens-hold-refilled hold tokens -DRESTARTS_LEFT=0
+tokens-no-grant-once break tokens -DNO_GRANT_ONCE
+tokens-no-settled break tokens -DNO_SETTLED
+tokens-no-return-number break tokens -DNO_RETURN_NUMBER
+tokens-no-record break tokens -DNO_RECORD
+tokens-no-grant-bound break tokens -DNO_GRANT_BOUND
 LIST
 awk '{printf "%s", $1; for (i = 3; i <= NF; i++) printf " %s", $i; print ""}' "$out/list" |
     xargs -P 3 -L 1 bash -c 'search "$@"' _
--- a/src/router/router_quota.c
+++ b/src/router/router_quota.c
@@ -158,7 +158,7 @@
         cw_quota_share_granted(quota->share, from, &message->grant, now);
         break;
     case CW_QUOTA_RETURN:
-        cw_quota_counter_give_back(quota->counter, from, message->tenant, message->tokens, now);
+        cw_quota_counter_give_back(quota->counter, from, &message->returned, now);
         break;
     }
 }
@@ -215,11 +215,11 @@
     cw_router_quota_send(context, counter, &message);
 }
 
-static void give_back(void *context, uint32_t counter, uint32_t tenant, uint32_t tokens)
+static void give_back(void *context, uint32_t counter, const cw_quota_return_t *returned)
 {
-    cw_quota_message_t message = {.kind = CW_QUOTA_RETURN, .tenant = tenant, .tokens = tokens};
+    cw_quota_message_t message = {.kind = CW_QUOTA_RETURN, .returned = *returned};
 
-    cw_metric_add(CW_METRIC_LIMIT_RETURNED, tokens);
+    cw_metric_add(CW_METRIC_LIMIT_RETURNED, returned->tokens);
     cw_router_quota_send(context, counter, &message);
 }
 
--- a/src/router/router_quota.h
+++ b/src/router/router_quota.h
@@ -26,8 +26,7 @@
     uint32_t                sequence;    /**< report, status */
     uint64_t                version;     /**< report: of the sender's configuration */
     bool                    declines;    /**< status: the sender does not count */
-    uint32_t                tenant;      /**< return */
-    uint32_t                tokens;
+    cw_quota_return_t       returned;
     cw_quota_ask_t          ask;
     cw_quota_grant_t        grant;
     size_t                  count; /**< of usages (report), or of metered (status) */
--- a/src/router/router_quota_wire.c
+++ b/src/router/router_quota_wire.c
@@ -171,6 +171,7 @@
     grant.retry_after_ms = (uint32_t)(message->grant.retry_after / 1000);
     grant.metered = message->grant.is_metered;
     grant.unknown = message->grant.is_unknown;
+    grant.record = message->grant.record;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_GRANT;
     datagram.quota_grant = &grant;
     send_datagram(quota, to, &datagram);
@@ -181,8 +182,10 @@
     Cwp__QuotaReturn returned = CWP__QUOTA_RETURN__INIT;
     Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
 
-    returned.tenant = message->tenant;
-    returned.tokens = message->tokens;
+    returned.tenant = message->returned.tenant;
+    returned.tokens = message->returned.tokens;
+    returned.record = message->returned.record;
+    returned.number = message->returned.number;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_RETURN;
     datagram.quota_return = &returned;
     send_datagram(quota, to, &datagram);
@@ -255,14 +258,19 @@
                                             .tokens = grant->tokens,
                                             .retry_after = CW_MS(grant->retry_after_ms),
                                             .is_metered = grant->metered,
-                                            .is_unknown = grant->unknown}};
+                                            .is_unknown = grant->unknown,
+                                            .record = grant->record}};
 
     cw_router_quota_deliver(router->quota, peer->address, &message);
 }
 
 void cw_router_take_quota_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReturn *returned)
 {
-    cw_quota_message_t message = {.kind = CW_QUOTA_RETURN, .tenant = returned->tenant, .tokens = returned->tokens};
+    cw_quota_message_t message = {.kind = CW_QUOTA_RETURN,
+                                  .returned = {.tenant = returned->tenant,
+                                               .tokens = returned->tokens,
+                                               .record = returned->record,
+                                               .number = returned->number}};
 
     cw_router_quota_deliver(router->quota, peer->address, &message);
 }
--- a/src/tenancy/quota.h
+++ b/src/tenancy/quota.h
@@ -61,9 +61,19 @@
     uint32_t     tokens;      /**< granted, at most as many as were asked for */
     cw_time_us_t retry_after; /**< for the first request that got none: until one will be free */
     bool         is_metered;
+    uint32_t     record;     /**< of the asking node at the counting node: another one when that has forgotten it */
     bool         is_unknown; /**< the counting node goes by an earlier configuration, without a limit for it */
 } cw_quota_grant_t;
 
+/** Tokens that a node did not use. A return that comes twice, or whose tokens were granted before the counting node
+ * forgot the node, is not taken: others may have got them since. */
+typedef struct cw_quota_return {
+    uint32_t tenant;
+    uint32_t tokens;
+    uint32_t record; /**< of the grant */
+    uint32_t number; /**< rises with each return of a node */
+} cw_quota_return_t;
+
 /** A counting node's reply to a report, or its notice that tenants are metered from now on. */
 typedef struct cw_quota_status {
     uint32_t        sequence; /**< of the report; 0: a notice */
--- a/src/tenancy/quota_bucket.c
+++ b/src/tenancy/quota_bucket.c
@@ -159,7 +159,13 @@
     return record;
 }
 
-static cw_quota_record_t *add_record(cw_quota_bucket_t *bucket, uint32_t node, uint64_t incarnation)
+/* In milliseconds: a record is forgotten only after it has been there for longer. */
+static uint32_t id_of(cw_time_us_t now)
+{
+    return (uint32_t)(now / 1000);
+}
+
+static cw_quota_record_t *add_record(cw_quota_bucket_t *bucket, uint32_t node, uint64_t incarnation, cw_time_us_t now)
 {
     cw_quota_record_t *record = calloc(1, sizeof(*record));
 
@@ -168,6 +174,7 @@
     }
     record->node = node;
     record->incarnation = incarnation;
+    record->id = id_of(now);
     HASH_ADD(hh, bucket->records, node, sizeof(record->node), record);
     return record;
 }
@@ -210,9 +217,11 @@
 }
 
 /* Another process runs there now. */
-static void begin_record(cw_quota_record_t *record, uint64_t incarnation)
+static void begin_record(cw_quota_record_t *record, uint64_t incarnation, cw_time_us_t now)
 {
     record->incarnation = incarnation;
+    record->id = id_of(now);
+    record->returned = 0;
     record->admitted = 0;
     record->with_tokens = 0;
     record->sequence = 0;
@@ -224,13 +233,13 @@
     cw_quota_record_t *record = cw_quota_bucket_find(bucket, node);
 
     if (record == NULL) {
-        record = add_record(bucket, node, incarnation);
+        record = add_record(bucket, node, incarnation, now);
         take_first(bucket, usage, now);
     } else if (incarnation == record->incarnation && usage->admitted < record->admitted) {
         return false;
     } else {
         if (incarnation != record->incarnation) {
-            begin_record(record, incarnation);
+            begin_record(record, incarnation, now);
         }
         take_next(bucket, record, usage);
     }
@@ -272,13 +281,15 @@
     note_level(bucket, share, now);
 }
 
-void cw_quota_bucket_give_back(cw_quota_bucket_t *bucket, double share, cw_quota_record_t *record, uint32_t tokens,
-                               cw_time_us_t now)
+void cw_quota_bucket_give_back(cw_quota_bucket_t *bucket, double share, cw_quota_record_t *record,
+                               const cw_quota_return_t *returned, cw_time_us_t now)
 {
-    if (now >= record->open_until) {
+    uint32_t tokens = returned->tokens > record->open ? record->open : returned->tokens;
+
+    if (returned->record != record->id || returned->number <= record->returned || now >= record->open_until) {
         return;
     }
-    tokens = tokens > record->open ? record->open : tokens;
+    record->returned = returned->number;
     record->open -= tokens;
     bucket->level += tokens;
     cw_quota_bucket_refill(bucket, share, now);
--- a/src/tenancy/quota_bucket.h
+++ b/src/tenancy/quota_bucket.h
@@ -15,6 +15,7 @@
 typedef struct cw_quota_record {
     uint32_t       node;
     uint64_t       incarnation;
+    uint32_t       id; /* of this record: by its time of creation, so that no later one has it */
     uint64_t       admitted;
     uint64_t       with_tokens;
     uint32_t       recent;
@@ -24,6 +25,7 @@
     cw_time_us_t   retry_after;
     uint32_t       open; /* tokens granted lately that it may give back */
     cw_time_us_t   open_until;
+    uint32_t       returned; /* number of its last return */
     UT_hash_handle hh;
 } cw_quota_record_t;
 
@@ -60,7 +62,7 @@
                           const cw_quota_usage_t *usage, cw_time_us_t now);
 void cw_quota_bucket_grant(cw_quota_bucket_t *bucket, double share, cw_quota_record_t *record,
                            const cw_quota_ask_t *ask, cw_time_us_t now);
-void cw_quota_bucket_give_back(cw_quota_bucket_t *bucket, double share, cw_quota_record_t *record, uint32_t tokens,
-                               cw_time_us_t now);
+void cw_quota_bucket_give_back(cw_quota_bucket_t *bucket, double share, cw_quota_record_t *record,
+                               const cw_quota_return_t *returned, cw_time_us_t now);
 
 #endif
--- a/src/tenancy/quota_counter.c
+++ b/src/tenancy/quota_counter.c
@@ -176,6 +176,7 @@
     cw_quota_bucket_take(bucket, share_of(counter), node, ask->incarnation, &ask->usage, now);
     record = cw_quota_bucket_find(bucket, node);
     reply.is_metered = bucket->is_metered;
+    reply.record = record->id;
     if (ask->sequence < record->sequence) {
         reply.tokens = 0; /* overtaken by a later ask: nobody waits for it */
         return reply;
@@ -188,14 +189,14 @@
     return reply;
 }
 
-void cw_quota_counter_give_back(cw_quota_counter_t *counter, uint32_t node, uint32_t tenant, uint32_t tokens,
+void cw_quota_counter_give_back(cw_quota_counter_t *counter, uint32_t node, const cw_quota_return_t *returned,
                                 cw_time_us_t now)
 {
-    cw_quota_bucket_t *bucket = find_bucket(counter, tenant);
+    cw_quota_bucket_t *bucket = find_bucket(counter, returned->tenant);
     cw_quota_record_t *record = bucket == NULL ? NULL : cw_quota_bucket_find(bucket, node);
 
     if (record != NULL) {
-        cw_quota_bucket_give_back(bucket, share_of(counter), record, tokens, now);
+        cw_quota_bucket_give_back(bucket, share_of(counter), record, returned, now);
     }
 }
 
--- a/src/tenancy/quota_counter.h
+++ b/src/tenancy/quota_counter.h
@@ -48,7 +48,7 @@
 cw_quota_grant_t cw_quota_counter_ask(cw_quota_counter_t *counter, uint32_t node, const cw_quota_ask_t *ask,
                                       cw_time_us_t now);
 /** Tokens of a node that were not used; no more than it got lately are taken. */
-void cw_quota_counter_give_back(cw_quota_counter_t *counter, uint32_t node, uint32_t tenant, uint32_t tokens,
+void cw_quota_counter_give_back(cw_quota_counter_t *counter, uint32_t node, const cw_quota_return_t *returned,
                                 cw_time_us_t now);
 bool cw_quota_counter_is_metered(cw_quota_counter_t *counter, uint32_t tenant, cw_time_us_t now);
 /** To be called every few milliseconds. Calls back for each node to tell that a tenant is metered from now on. */
--- a/src/tenancy/quota_share.c
+++ b/src/tenancy/quota_share.c
@@ -1,6 +1,6 @@
 /**
  * @file quota_share.c
- * @brief What becomes of a request, and tokens.
+ * @brief What becomes of a request, by the tenant's mode at this node.
  */
 #include "tenancy/quota_share.h"
 
@@ -10,18 +10,12 @@
 #include "tenancy/quota_share_internal.h"
 
 enum {
-    REPLY_MS = 40,       /* two ways between zones, and a busy node's turn twice; an ask is repeated then */
-    ASKS_MOST = 3,       /* a datagram may be lost */
-    REASK_MS = 100,      /* after a shortage: meanwhile requests are refused without an ask */
-    FRESH_MS = 2000,     /* a counting node's word is gone by for so long: a few report pauses */
-    TOKEN_LIFE_MS = 500, /* tokens asked for ahead that do not get used go back after it */
-    SPARE_LIFE_MS = 300, /* of tokens of requests that did not run: they shift what runs by so much */
+    FRESH_MS = 2000, /* a counting node's word is gone by for so long: a few report pauses */
     COME_BACK_MOST_MS = 5000,
     COME_BACK_LEAST_MS = 20,
     FORGET_WINDOWS = 3
 };
 
-static const double ahead_s = 0.1; /* of what was lately let through, that tokens are asked for ahead */
 static const double usual_times =
     1.5; /* of what a report pause usually brings: twice that comes without a cause, too */
 static const double unconfirmed_part = 0.5; /* of the bucket, that one node lets through without a reply */
@@ -74,7 +68,7 @@
 
 /* ---- tenants ---- */
 
-static cw_quota_tenant_t *find_tenant(const cw_quota_share_t *share, uint32_t hash)
+cw_quota_tenant_t *cw_quota_find_tenant(const cw_quota_share_t *share, uint32_t hash)
 {
     cw_quota_tenant_t *tenant;
 
@@ -84,7 +78,7 @@
 
 static cw_quota_tenant_t *use_tenant(cw_quota_share_t *share, uint32_t hash, cw_time_us_t now)
 {
-    cw_quota_tenant_t *tenant = find_tenant(share, hash);
+    cw_quota_tenant_t *tenant = cw_quota_find_tenant(share, hash);
 
     if (tenant == NULL) {
         tenant = calloc(1, sizeof(*tenant));
@@ -131,20 +125,12 @@
     return is_metered ? CW_QUOTA_METERED : CW_QUOTA_FREE;
 }
 
-static void return_tokens(cw_quota_share_t *share, cw_quota_tenant_t *tenant)
-{
-    if (tenant->tokens > 0) {
-        share->port.give_back(share->port.context, tenant->counter, tenant->hash, tenant->tokens);
-        tenant->tokens = 0;
-    }
-}
-
 bool cw_quota_choose(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
 {
     uint32_t counter = share->port.counter_of(share->port.context, tenant->hash);
 
     if (counter != tenant->counter) {
-        return_tokens(share, tenant);
+        cw_quota_return_tokens(share, tenant);
         tenant->counter = counter;
         tenant->with_tokens = 0;
         tenant->elsewhere = tenant->admitted;
@@ -160,63 +146,8 @@
     return counter != 0;
 }
 
-/* ---- asking ---- */
-
-static void send_ask(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
-{
-    cw_quota_ask_t ask = {.incarnation = share->incarnation,
-                          .sequence = tenant->ask.sequence,
-                          .wanted = tenant->ask.wanted,
-                          .refused = tenant->ask.refused,
-                          .usage = cw_quota_usage_of(share, tenant, now)};
-
-    tenant->ask.tries++;
-    tenant->ask.sent_at = now;
-    tenant->unconfirmed += tenant->unreported; /* it stands in the ask */
-    tenant->unreported = 0;
-    share->port.ask(share->port.context, tenant->counter, &ask);
-}
-
-void cw_quota_ask_if_due(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
-{
-    double recent_per_s;
-
-    if (tenant->mode == CW_QUOTA_ALONE || tenant->waiting == 0 || tenant->ask.sequence != 0 ||
-        now < tenant->refuse_until || !cw_quota_choose(share, tenant, now)) {
-        return;
-    }
-    recent_per_s = cw_quota_recent_sum(share, &tenant->recent, now) * 1e6 / (double)share->settings.window;
-    tenant->ask.sequence = ++tenant->last_sequence;
-    tenant->ask.wanted = tenant->waiting + (uint32_t)(recent_per_s * ahead_s);
-    tenant->ask.refused = tenant->refused;
-    tenant->refused = 0;
-    tenant->ask.tries = 0;
-    send_ask(share, tenant, now);
-}
-
 /* ---- a request comes ---- */
 
-static void let_through(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
-{
-    tenant->admitted++;
-    cw_quota_recent_add(share, &tenant->recent, now);
-}
-
-static bool use_token(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
-{
-    if (tenant->spares > 0 && now < tenant->spares_until) {
-        tenant->spares--;
-        return true;
-    }
-    if (tenant->tokens > 0 && now < tenant->tokens_until) {
-        tenant->tokens--;
-        tenant->with_tokens++;
-        let_through(share, tenant, now);
-        return true;
-    }
-    return false;
-}
-
 /* Requests of this node are told moments as far apart as it gets tokens: its part of the rate by what it asks for. */
 static cw_time_us_t come_back_after(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
 {
@@ -247,7 +178,7 @@
     if (tenant->unreported + tenant->unconfirmed + 1 > free_bound(share, tenant, now)) {
         return false;
     }
-    let_through(share, tenant, now);
+    cw_quota_let_through(share, tenant, now);
     tenant->unreported++;
     return true;
 }
@@ -255,7 +186,7 @@
 static cw_quota_answer_t decide(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now,
                                 cw_time_us_t *retry_after)
 {
-    if (use_token(share, tenant, now)) {
+    if (cw_quota_use_token(share, tenant, now)) {
         return CW_QUOTA_ADMITTED;
     }
     if (tenant->mode == CW_QUOTA_FREE && enter_free(share, tenant, now)) {
@@ -265,7 +196,7 @@
         if (!cw_quota_part_take(share, tenant, now, retry_after)) {
             return CW_QUOTA_REFUSED;
         }
-        let_through(share, tenant, now);
+        cw_quota_let_through(share, tenant, now);
         tenant->unreported++;
         return CW_QUOTA_ADMITTED;
     }
@@ -314,7 +245,7 @@
 cw_quota_answer_t cw_quota_share_decide(cw_quota_share_t *share, uint32_t hash, cw_time_us_t now,
                                         cw_time_us_t *retry_after)
 {
-    cw_quota_tenant_t *tenant = find_tenant(share, hash);
+    cw_quota_tenant_t *tenant = cw_quota_find_tenant(share, hash);
     cw_quota_answer_t  answer;
 
     *retry_after = 0;
@@ -330,97 +261,15 @@
 
 void cw_quota_share_leave(cw_quota_share_t *share, uint32_t hash)
 {
-    cw_quota_tenant_t *tenant = find_tenant(share, hash);
+    cw_quota_tenant_t *tenant = cw_quota_find_tenant(share, hash);
 
     if (tenant != NULL && tenant->waiting > 0) {
         tenant->waiting--;
     }
 }
 
-void cw_quota_share_give_back(cw_quota_share_t *share, uint32_t hash, cw_time_us_t now)
-{
-    cw_quota_tenant_t *tenant = find_tenant(share, hash);
-
-    if (tenant == NULL) {
-        return;
-    }
-    if (now >= tenant->spares_until) { /* later ones do not lengthen the life of those before */
-        tenant->spares = 0;
-        tenant->spares_until = now + CW_MS(SPARE_LIFE_MS);
-    }
-    tenant->spares++;
-}
-
-/* ---- replies ---- */
-
-static void take_tokens(cw_quota_tenant_t *tenant, const cw_quota_grant_t *grant, cw_time_us_t now)
-{
-    tenant->tokens = (now < tenant->tokens_until ? tenant->tokens : 0) + grant->tokens;
-    tenant->tokens_until = now + CW_MS(TOKEN_LIFE_MS);
-    if (grant->tokens < tenant->ask.wanted && tenant->tokens < tenant->waiting) {
-        tenant->refuse_until = now + (grant->retry_after < CW_MS(REASK_MS) ? grant->retry_after : CW_MS(REASK_MS));
-        tenant->come_back_at = now + grant->retry_after;
-    }
-    tenant->ask.sequence = 0;
-}
-
-/* A grant that comes too late is given back. One that comes a second time, since its ask was repeated, is not: its
- * tokens were taken, or given back, with the first. */
-static void decline_grant(cw_quota_share_t *share, cw_quota_tenant_t *tenant, uint32_t counter,
-                          const cw_quota_grant_t *grant)
-{
-    if (tenant != NULL && grant->sequence <= tenant->settled_sequence) {
-        return;
-    }
-    if (tenant != NULL) {
-        tenant->settled_sequence = grant->sequence;
-    }
-    if (grant->tokens > 0) {
-        share->port.give_back(share->port.context, counter, grant->tenant, grant->tokens);
-    }
-}
-
-void cw_quota_share_granted(cw_quota_share_t *share, uint32_t counter, const cw_quota_grant_t *grant, cw_time_us_t now)
-{
-    cw_quota_tenant_t *tenant = find_tenant(share, grant->tenant);
-
-    if (tenant == NULL || tenant->counter != counter || grant->sequence != tenant->ask.sequence) {
-        decline_grant(share, tenant, counter, grant);
-        return;
-    }
-    tenant->settled_sequence = grant->sequence;
-    tenant->heard_at = now;
-    tenant->has_word = true;
-    tenant->unconfirmed = 0;
-    tenant->is_report_due = false;
-    take_tokens(tenant, grant, now);
-    tenant->is_unknown = grant->is_unknown;
-    cw_quota_set_mode(share, tenant, cw_quota_mode_by(grant->is_unknown, grant->is_metered), now);
-    share->port.decided(share->port.context, tenant->hash);
-    cw_quota_ask_if_due(share, tenant, now);
-}
-
 /* ---- time ---- */
 
-static void ask_again(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
-{
-    if (tenant->ask.sequence == 0 || now - tenant->ask.sent_at < CW_MS(REPLY_MS)) {
-        return;
-    }
-    if (tenant->ask.tries < ASKS_MOST) {
-        send_ask(share, tenant, now);
-        return;
-    }
-    cw_quota_pass_over(share, tenant->counter, now);
-}
-
-static void expire(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
-{
-    if (now >= tenant->tokens_until) {
-        return_tokens(share, tenant);
-    }
-}
-
 /* Nobody is asked any more for those that wait: this node's own part decides. */
 static void decide_alone(const cw_quota_share_t *share, const cw_quota_tenant_t *tenant)
 {
@@ -443,8 +292,8 @@
 
     HASH_ITER(hh, share->tenants, tenant, next)
     {
-        ask_again(share, tenant, now);
-        expire(share, tenant, now);
+        cw_quota_ask_again(share, tenant, now);
+        cw_quota_expire(share, tenant, now);
         cw_quota_ask_if_due(share, tenant, now);
         decide_alone(share, tenant);
         if (is_forgotten(share, tenant, now)) {
@@ -458,14 +307,14 @@
 
 cw_quota_mode_t cw_quota_share_mode(const cw_quota_share_t *share, uint32_t hash)
 {
-    const cw_quota_tenant_t *tenant = find_tenant(share, hash);
+    const cw_quota_tenant_t *tenant = cw_quota_find_tenant(share, hash);
 
     return tenant == NULL ? CW_QUOTA_FREE : tenant->mode;
 }
 
 cw_time_us_t cw_quota_share_age(const cw_quota_share_t *share, uint32_t hash, cw_time_us_t now)
 {
-    const cw_quota_tenant_t *tenant = find_tenant(share, hash);
+    const cw_quota_tenant_t *tenant = cw_quota_find_tenant(share, hash);
 
     return tenant == NULL ? 0 : now - tenant->heard_at;
 }
--- a/src/tenancy/quota_share.h
+++ b/src/tenancy/quota_share.h
@@ -36,7 +36,7 @@
     uint32_t (*counter_of)(void *context, uint32_t tenant);
     void (*report)(void *context, uint32_t counter, uint32_t sequence, const cw_quota_usage_t *usages, size_t count);
     void (*ask)(void *context, uint32_t counter, const cw_quota_ask_t *ask);
-    void (*give_back)(void *context, uint32_t counter, uint32_t tenant, uint32_t tokens);
+    void (*give_back)(void *context, uint32_t counter, const cw_quota_return_t *returned);
     /** Requests of the tenant that wait are to be decided (cw_quota_share_decide). Never called within _enter. */
     void (*decided)(void *context, uint32_t tenant);
     /** For the log. age: since the counting node was last heard about this tenant. */
--- a/src/tenancy/quota_share_internal.h
+++ b/src/tenancy/quota_share_internal.h
@@ -61,6 +61,7 @@
     cw_time_us_t        heard_at;     /**< the counter's last word on this tenant */
     uint32_t            tokens;       /**< not used yet */
     cw_time_us_t        tokens_until; /**< they expire then */
+    uint32_t            record;       /**< of their grant */
     uint32_t            spares;       /**< of requests that did not run */
     cw_time_us_t        spares_until;
     uint32_t            waiting; /**< requests */
@@ -98,9 +99,12 @@
     cw_quota_tenant_t  *tenants;
     cw_quota_link_t    *links;
     uint32_t            last_report;
+    uint32_t            last_return;
 };
 
 /* ---- quota_share.c ---- */
+/** NULL: nothing is kept of it. */
+cw_quota_tenant_t *cw_quota_find_tenant(const cw_quota_share_t *share, uint32_t hash);
 void cw_quota_set_mode(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_quota_mode_t mode, cw_time_us_t now);
 /** By what its counting node says of it. */
 cw_quota_mode_t cw_quota_mode_by(bool is_unknown, bool is_metered);
@@ -108,8 +112,20 @@
 cw_quota_usage_t cw_quota_usage_of(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
 /** Chooses the counting node again. False: there is none. */
 bool cw_quota_choose(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
+
+/* ---- quota_tokens.c ---- */
 /** Asks for what waits, if tokens may be had. */
 void cw_quota_ask_if_due(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
+/** Asks once more where no reply has come, or passes the counting node over. */
+void cw_quota_ask_again(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
+/** Counts a request that is let through. */
+void cw_quota_let_through(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
+/** False: there is no token now. */
+bool cw_quota_use_token(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
+/** Gives all tokens back to the counting node. */
+void cw_quota_return_tokens(cw_quota_share_t *share, cw_quota_tenant_t *tenant);
+/** Gives back what has not been used in time. */
+void cw_quota_expire(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
 
 /* ---- quota_part.c ---- */
 void cw_quota_recent_add(const cw_quota_share_t *share, cw_quota_recent_t *recent, cw_time_us_t now);
--- a/tests/quota_world.c
+++ b/tests/quota_world.c
@@ -16,23 +16,22 @@
 typedef enum { REPORT, STATUS, ASK, GRANT, RETURN } message_kind_t;
 
 struct world_message {
-    message_kind_t   kind;
-    size_t           from;
-    size_t           to;
-    uint64_t         to_incarnation; /* of the process that it is meant for */
-    cw_time_us_t     due;
-    uint64_t         incarnation;
-    uint32_t         sequence;
-    cw_quota_usage_t usages[48];
-    size_t           count;
-    cw_quota_ask_t   ask;
-    cw_quota_grant_t grant;
-    uint32_t         tenant;
-    uint32_t         tokens;
-    uint32_t         metered[METERED_MOST];
-    size_t           metered_count;
-    world_message_t *prev;
-    world_message_t *next;
+    message_kind_t    kind;
+    size_t            from;
+    size_t            to;
+    uint64_t          to_incarnation; /* of the process that it is meant for */
+    cw_time_us_t      due;
+    uint64_t          incarnation;
+    uint32_t          sequence;
+    cw_quota_usage_t  usages[48];
+    size_t            count;
+    cw_quota_ask_t    ask;
+    cw_quota_grant_t  grant;
+    cw_quota_return_t returned;
+    uint32_t          metered[METERED_MOST];
+    size_t            metered_count;
+    world_message_t  *prev;
+    world_message_t  *next;
 };
 
 static double draw(quota_world_t *world)
@@ -130,7 +129,7 @@
         cw_quota_share_granted(node->share, from, &message->grant, world->now);
         break;
     case RETURN:
-        cw_quota_counter_give_back(node->counter, from, message->tenant, message->tokens, world->now);
+        cw_quota_counter_give_back(node->counter, from, &message->returned, world->now);
         break;
     }
 }
@@ -206,11 +205,11 @@
     post(node->world, &message);
 }
 
-static void give_back(void *context, uint32_t counter, uint32_t tenant, uint32_t tokens)
+static void give_back(void *context, uint32_t counter, const cw_quota_return_t *returned)
 {
     world_node_t   *node = context;
     world_message_t message = {
-        .kind = RETURN, .from = index_of(node->address), .to = index_of(counter), .tenant = tenant, .tokens = tokens};
+        .kind = RETURN, .from = index_of(node->address), .to = index_of(counter), .returned = *returned};
 
     post(node->world, &message);
 }
--- a/tests/test_engine_quota.c
+++ b/tests/test_engine_quota.c
@@ -106,9 +106,9 @@
     world->has_ask = true;
 }
 
-static void on_give_back(void *context, uint32_t counter, uint32_t tenant, uint32_t tokens)
+static void on_give_back(void *context, uint32_t counter, const cw_quota_return_t *returned)
 {
-    (void)context, (void)counter, (void)tenant, (void)tokens;
+    (void)context, (void)counter, (void)returned;
 }
 
 static void on_decided(void *context, uint32_t tenant)
--- a/tests/test_quota_counter.c
+++ b/tests/test_quota_counter.c
@@ -56,6 +56,14 @@
     return cw_quota_counter_ask(counter, OTHER, &asked, now);
 }
 
+static void give_back(cw_quota_counter_t *counter, const cw_quota_grant_t *granted, uint32_t number, uint32_t tokens,
+                      cw_time_us_t now)
+{
+    cw_quota_return_t returned = {.tenant = TENANT, .tokens = tokens, .record = granted->record, .number = number};
+
+    cw_quota_counter_give_back(counter, OTHER, &returned, now);
+}
+
 /* The tenant has come for so long that its bucket is full. Returns the time then. */
 static cw_time_us_t fill(cw_quota_counter_t *counter)
 {
@@ -107,17 +115,52 @@
 {
     cw_quota_counter_t *counter = create();
     cw_time_us_t        now = fill(counter);
+    cw_quota_grant_t    granted = ask(counter, 1, 1000, now);
 
-    ck_assert_uint_eq(ask(counter, 1, 1000, now).tokens, (uint32_t)rate);
-    cw_quota_counter_give_back(counter, OTHER, TENANT, 30, now);
-    cw_quota_counter_give_back(counter, OTHER, TENANT, 1000, now);
+    ck_assert_uint_eq(granted.tokens, (uint32_t)rate);
+    give_back(counter, &granted, 1, 30, now);
+    give_back(counter, &granted, 2, 1000, now);
     ck_assert_uint_eq(ask(counter, 2, 1000, now).tokens, (uint32_t)rate);
-    cw_quota_counter_give_back(counter, OTHER, TENANT, 1000, now + CW_SECONDS(2)); /* too late: they have expired */
+    give_back(counter, &granted, 3, 1000, now + CW_SECONDS(2)); /* too late: they have expired */
     ck_assert_uint_eq(ask(counter, 3, 1000, now + CW_MS(10)).tokens, 1);
     cw_quota_counter_free(counter);
 }
 END_TEST
 
+START_TEST(a_return_that_comes_twice_is_taken_once)
+{
+    cw_quota_counter_t *counter = create();
+    cw_time_us_t        now = fill(counter);
+    cw_quota_grant_t    granted = ask(counter, 1, 1000, now);
+
+    give_back(counter, &granted, 1, 30, now);
+    give_back(counter, &granted, 1, 30, now);
+    ck_assert_uint_eq(ask(counter, 2, 1000, now).tokens, 30);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
+/* It comes late: the counting node stood still meanwhile, and has granted anew. */
+START_TEST(what_was_granted_before_the_counting_node_forgot_is_not_taken_back)
+{
+    cw_quota_counter_t *counter = create();
+    cw_time_us_t        now = fill(counter);
+    cw_quota_grant_t    before = ask(counter, 1, 30, now);
+    cw_quota_grant_t    after;
+
+    now += CW_SECONDS(2);
+    (void)pass(counter, now, now);
+    after = ask(counter, 2, 1000, now);
+    ck_assert_uint_gt(after.tokens, 0);
+    ck_assert_uint_ne(after.record, before.record);
+    give_back(counter, &before, 1, 30, now);
+    ck_assert_uint_eq(ask(counter, 3, 1000, now).tokens, 0);
+    give_back(counter, &after, 2, after.tokens, now);
+    ck_assert_uint_ge(ask(counter, 4, 1000, now).tokens, 1);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
 START_TEST(debt_is_paid_before_tokens_are_granted)
 {
     cw_quota_counter_t *counter = create();
@@ -252,6 +295,8 @@
     tcase_add_test(cases, what_the_last_window_held_is_missing_from_a_bucket_that_begins);
     tcase_add_test(cases, an_ask_that_comes_twice_gets_the_same_tokens);
     tcase_add_test(cases, no_more_comes_back_than_was_granted);
+    tcase_add_test(cases, a_return_that_comes_twice_is_taken_once);
+    tcase_add_test(cases, what_was_granted_before_the_counting_node_forgot_is_not_taken_back);
     tcase_add_test(cases, debt_is_paid_before_tokens_are_granted);
     tcase_add_test(cases, reports_that_were_overtaken_change_nothing);
     tcase_add_test(cases, a_node_that_restarted_counts_anew);
--- a/tests/test_quota_share.c
+++ b/tests/test_quota_share.c
@@ -5,7 +5,7 @@
 #include "loop_fixture.h"
 #include "tenancy/quota_share.h"
 
-enum { TENANT = 7, COUNTER = 4 };
+enum { TENANT = 7, COUNTER = 4, RECORD = 99 };
 
 static const cw_quota_limit_t limit = {.rate_per_s = 100, .burst = 100};
 static const cw_time_us_t     start = CW_SECONDS(100);
@@ -14,14 +14,15 @@
 
 /** What the node has sent. */
 typedef struct sent {
-    uint32_t       counter; /**< 0: there is none */
-    uint32_t       reports;
-    uint32_t       sequence;       /**< of the last report */
-    uint32_t       given_back;     /**< tokens */
-    uint32_t       decided;        /**< times that those which wait were to be decided */
-    uint32_t       named[TENANTS]; /**< how often reports named each tenant */
-    uint32_t       asks;
-    cw_quota_ask_t ask; /**< the last one */
+    uint32_t          counter; /**< 0: there is none */
+    uint32_t          reports;
+    uint32_t          sequence;       /**< of the last report */
+    uint32_t          given_back;     /**< tokens */
+    cw_quota_return_t returned;       /**< the last one */
+    uint32_t          decided;        /**< times that those which wait were to be decided */
+    uint32_t          named[TENANTS]; /**< how often reports named each tenant */
+    uint32_t          asks;
+    cw_quota_ask_t    ask; /**< the last one */
 } sent_t;
 
 static uint32_t on_counter(void *context, uint32_t tenant)
@@ -52,10 +53,14 @@
     sent->ask = *ask;
 }
 
-static void on_give_back(void *context, uint32_t counter, uint32_t tenant, uint32_t tokens)
+static void on_give_back(void *context, uint32_t counter, const cw_quota_return_t *returned)
 {
-    (void)counter, (void)tenant;
-    ((sent_t *)context)->given_back += tokens;
+    sent_t *sent = context;
+
+    (void)counter;
+    ck_assert_uint_gt(returned->number, sent->returned.number);
+    sent->given_back += returned->tokens;
+    sent->returned = *returned;
 }
 
 static void on_decided(void *context, uint32_t tenant)
@@ -88,7 +93,8 @@
 
 static void grant(cw_quota_share_t *share, uint32_t sequence, uint32_t tokens, cw_time_us_t now)
 {
-    cw_quota_grant_t granted = {.tenant = TENANT, .sequence = sequence, .tokens = tokens, .is_metered = true};
+    cw_quota_grant_t granted = {
+        .tenant = TENANT, .sequence = sequence, .tokens = tokens, .is_metered = true, .record = RECORD};
 
     cw_quota_share_granted(share, COUNTER, &granted, now);
 }
@@ -144,6 +150,7 @@
     grant(share, sent.ask.sequence, 3, now);
     grant(share, sent.ask.sequence, 3, now);
     ck_assert_uint_eq(sent.given_back, 3);
+    ck_assert_uint_eq(sent.returned.record, RECORD);
     cw_quota_share_free(share);
 }
 END_TEST
--- a/tests/test_router_quota.c
+++ b/tests/test_router_quota.c
@@ -13,7 +13,8 @@
     MANY_NODES = 1500,
     STARTED_MS = 4000, /* by then a node counts */
     VERSION = 5,
-    TENANT = 7
+    TENANT = 7,
+    RECORD = 11
 };
 
 static node_fixture_t *create(void)
@@ -105,6 +106,7 @@
     Cwp__QuotaAsk    ask = CWP__QUOTA_ASK__INIT;
     Cwp__QuotaReport report = CWP__QUOTA_REPORT__INIT;
     Cwp__QuotaGrant  grant = CWP__QUOTA_GRANT__INIT;
+    Cwp__QuotaReturn returned = CWP__QUOTA_RETURN__INIT;
     Cwp__QuotaStatus status = CWP__QUOTA_STATUS__INIT;
     Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
     Cwp__Datagram   *read;
@@ -124,10 +126,21 @@
     cwp__datagram__free_unpacked(read, NULL);
 
     grant.unknown = true;
+    grant.record = RECORD;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_GRANT;
     datagram.quota_grant = &grant;
     read = packed(&datagram);
     ck_assert(read->quota_grant->unknown);
+    ck_assert_uint_eq(read->quota_grant->record, RECORD);
+    cwp__datagram__free_unpacked(read, NULL);
+
+    returned.record = RECORD;
+    returned.number = 2;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_RETURN;
+    datagram.quota_return = &returned;
+    read = packed(&datagram);
+    ck_assert_uint_eq(read->quota_return->record, RECORD);
+    ck_assert_uint_eq(read->quota_return->number, 2);
     cwp__datagram__free_unpacked(read, NULL);
 
     status.n_unknown = 1;
