--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Model checking: searches that must find nothing and complete, and searches without one safeguard each that must find
-# the violation. make spec. Some minutes on one core; three at a time here, up to 4 GB each.
+# the violation. make spec; spec/check.sh NAME: only those whose names begin so. Some minutes on one core; three at a time here, up to 4 GB each.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 spec=$(pwd)/spec
@@ -18,7 +18,7 @@
 export -f search
 export out spec
 
-cat >"$out/list" <<'LIST'
+grep "^${1:-}" >"$out/list" <<'LIST'
 holds-3-ticks hold lease -DTICKS=3
 holds-4-ticks-no-restart hold lease -DTICKS=4 -DENDS_LEFT=0
 holds-4-ticks-no-late-write hold lease -DTICKS=4 -DLATE_WRITES_LEFT=0
@@ -32,6 +32,7 @@
 no-seen-fence break lease -DTICKS=4 -DNO_SEEN_FENCE
 tokens-hold hold tokens -DREFILLS_LEFT=0
 tokens-hold-refilled hold tokens -DRESTARTS_LEFT=0
+tokens-hold-one-change hold tokens -DSWITCHES_LEFT=1
 tokens-no-grant-once break tokens -DNO_GRANT_ONCE
 tokens-no-settled break tokens -DNO_SETTLED
 tokens-no-return-number break tokens -DNO_RETURN_NUMBER
--- a/tests/test_engine_quota.c
+++ b/tests/test_engine_quota.c
@@ -14,8 +14,9 @@
 #include "base/tenant_metrics.h"
 #include "loop_fixture.h"
 #include "proxy/engine_internal.h"
+#include "quota_port.h"
 
-enum { CALLS = 4, TEXT_BYTES = 512, COUNTER = 7, ASKS_MAX = 16 };
+enum { CALLS = 4, TEXT_BYTES = 512, COUNTER = 7 };
 
 typedef struct fake_call {
     bool                answered;
@@ -38,9 +39,7 @@
     uint32_t              requests; /* at the server */
     cw_http_exchange_t   *exchange;
     bool                  has_request;
-    cw_quota_ask_t        asks[ASKS_MAX];
-    size_t                ask_count;
-    bool                  has_ask;
+    quota_sent_t          sent;
 } world_t;
 
 static const cw_http_limits_t limits = {
@@ -85,32 +84,6 @@
     cw_engine_forget_server(world->engine, server);
 }
 
-static uint32_t counter_of(void *context, uint32_t tenant)
-{
-    (void)context, (void)tenant;
-    return COUNTER;
-}
-
-static void on_report(void *context, uint32_t counter, uint32_t sequence, const cw_quota_usage_t *usages, size_t count)
-{
-    (void)context, (void)counter, (void)sequence, (void)usages, (void)count;
-}
-
-static void on_ask(void *context, uint32_t counter, const cw_quota_ask_t *asked)
-{
-    world_t *world = context;
-
-    (void)counter;
-    ck_assert_uint_lt(world->ask_count, ASKS_MAX);
-    world->asks[world->ask_count++] = *asked;
-    world->has_ask = true;
-}
-
-static void on_give_back(void *context, uint32_t counter, const cw_quota_return_t *returned)
-{
-    (void)context, (void)counter, (void)returned;
-}
-
 static void on_decided(void *context, uint32_t tenant)
 {
     world_t *world = context;
@@ -118,11 +91,6 @@
     cw_engine_quota_decided(world->engine, tenant);
 }
 
-static void on_mode(void *context, uint32_t tenant, cw_quota_mode_t mode, uint32_t counter, cw_time_us_t age)
-{
-    (void)context, (void)tenant, (void)mode, (void)counter, (void)age;
-}
-
 static void start_server(world_t *world)
 {
     cw_server_list_t          *list = cw_server_list_create();
@@ -179,13 +147,7 @@
                                            .answer_max = 100000,
                                            .queue_max = 100};
     cw_quota_settings_t        quota = {.window = CW_SECONDS(5), .overshoot = 0.1, .slack = 20};
-    cw_quota_port_t            port = {.context = world,
-                                       .counter_of = counter_of,
-                                       .report = on_report,
-                                       .ask = on_ask,
-                                       .give_back = on_give_back,
-                                       .decided = on_decided,
-                                       .mode_changed = on_mode};
+    cw_quota_port_t            port;
     cw_upstream_options_t      options = {.idle_max = CW_SECONDS(20)};
     cw_http_listener_handler_t handler = {world, on_front_request, on_front_gone};
     char                       address[32];
@@ -196,6 +158,8 @@
     world->pool = cw_server_pool_create("z1", on_dropped, world);
     world->upstream = cw_upstream_create(&world->loop, &options);
     world->engine = cw_engine_create(&world->loop, &settings, world->pool, world->upstream);
+    world->sent = (quota_sent_t){.counter = COUNTER, .on_decided = on_decided, .owner = world};
+    port = quota_port(&world->sent);
     world->share = cw_quota_share_create(&quota, &port, 1, 1);
     cw_quota_share_set_nodes(world->share, 81);
     cw_engine_set_quota(world->engine, world->share);
@@ -238,15 +202,15 @@
 {
     fake_call_t *call;
 
-    world->has_ask = false;
+    world->sent.has_ask = false;
     call = ask(world, number, 15000);
-    cw_test_run_until_set(&world->loop, &world->has_ask);
+    cw_test_run_until_set(&world->loop, &world->sent.has_ask);
     return call;
 }
 
 static void grant(world_t *world, uint32_t tokens, cw_time_us_t retry_after)
 {
-    const cw_quota_ask_t *asked = &world->asks[world->ask_count - 1];
+    const cw_quota_ask_t *asked = &world->sent.asks[world->sent.ask_count - 1];
     cw_quota_grant_t      reply = {.tenant = asked->usage.tenant,
                                    .sequence = asked->sequence,
                                    .tokens = tokens,
@@ -296,7 +260,7 @@
     answer(&world, 200, NULL);
     cw_test_run_until_set(&world.loop, &call->answered);
     ck_assert_int_eq(call->status, 200);
-    ck_assert_uint_eq(world.asks[0].wanted, 1);
+    ck_assert_uint_eq(world.sent.asks[0].wanted, 1);
 }
 END_TEST
 
@@ -355,7 +319,7 @@
     grant(&world, 1, 0);
     (void)ask(&world, 1, 15000);
     cw_test_run_until_set(&world.loop, &world.has_request);
-    ck_assert_uint_eq(world.ask_count, 1);
+    ck_assert_uint_eq(world.sent.ask_count, 1);
 }
 END_TEST
 
@@ -369,7 +333,7 @@
     cw_test_run_until_set(&world.loop, &call->answered);
     ck_assert_int_eq(call->status, 503);
     ck_assert_uint_eq(world.requests, 0);
-    ck_assert_uint_eq(world.ask_count, 1);
+    ck_assert_uint_eq(world.sent.ask_count, 1);
 }
 END_TEST
 
@@ -384,11 +348,11 @@
     call = ask_and_wait(&world, 0);
     now = cw_engine_now(world.engine);
     cw_quota_share_tick(world.share, now + CW_MS(50));
-    ck_assert_uint_eq(world.ask_count, 2);
-    ck_assert_uint_eq(world.asks[1].sequence, world.asks[0].sequence);
+    ck_assert_uint_eq(world.sent.ask_count, 2);
+    ck_assert_uint_eq(world.sent.asks[1].sequence, world.sent.asks[0].sequence);
     cw_quota_share_tick(world.share, now + CW_MS(100));
     cw_quota_share_tick(world.share, now + CW_MS(150));
-    ck_assert_uint_eq(cw_quota_share_mode(world.share, world.asks[0].usage.tenant), CW_QUOTA_ALONE);
+    ck_assert_uint_eq(cw_quota_share_mode(world.share, world.sent.asks[0].usage.tenant), CW_QUOTA_ALONE);
     cw_test_run_some(&world.loop, 5);
     ck_assert(call->answered || world.has_request);
     ck_assert(!call->answered || call->status == 429);
@@ -409,7 +373,7 @@
     ck_assert_int_eq(call->status, 503);
     (void)ask(&world, 1, 15000);
     cw_test_run_until_set(&world.loop, &world.has_request);
-    ck_assert_uint_eq(world.ask_count, 1);
+    ck_assert_uint_eq(world.sent.ask_count, 1);
     ck_assert_uint_eq(world.requests, 2);
 }
 END_TEST
@@ -426,7 +390,7 @@
     answer(&world, 200, NULL);
     cw_test_run_until_set(&world.loop, &call->answered);
     (void)ask_and_wait(&world, 1);
-    ck_assert_uint_eq(world.ask_count, 2);
+    ck_assert_uint_eq(world.sent.ask_count, 2);
     ck_assert_uint_eq(world.requests, 1);
 }
 END_TEST
@@ -444,7 +408,7 @@
     cw_upstream_call_abandon(call->call);
     cw_test_run_until(&world.loop, is_empty, &world);
     (void)ask_and_wait(&world, 1);
-    ck_assert_uint_eq(world.ask_count, 2);
+    ck_assert_uint_eq(world.sent.ask_count, 2);
 }
 END_TEST
 
@@ -482,7 +446,7 @@
     init(&world);
     use_limit_and_key(&world, 2, sesame);
     (void)cw_upstream_call(world.front_target, &request, on_answered, &world.calls[0]);
-    cw_test_run_until_set(&world.loop, &world.has_ask);
+    cw_test_run_until_set(&world.loop, &world.sent.has_ask);
     use_limit_and_key(&world, 3, NULL);
     cw_test_run_until_set(&world.loop, &world.calls[0].answered);
     ck_assert_int_eq(world.calls[0].status, 401);
--- a/tests/test_quota_share.c
+++ b/tests/test_quota_share.c
@@ -3,6 +3,7 @@
  * @brief A node's part in a tenant's limit, message by message: the test is the counting node.
  */
 #include "loop_fixture.h"
+#include "quota_port.h"
 #include "tenancy/quota_share.h"
 
 enum { TENANT = 7, COUNTER = 4, RECORD = 99 };
@@ -10,74 +11,10 @@
 static const cw_quota_limit_t limit = {.rate_per_s = 100, .burst = 100};
 static const cw_time_us_t     start = CW_SECONDS(100);
 
-enum { TENANTS = 200 };
-
-/** What the node has sent. */
-typedef struct sent {
-    uint32_t          counter; /**< 0: there is none */
-    uint32_t          reports;
-    uint32_t          sequence;       /**< of the last report */
-    uint32_t          given_back;     /**< tokens */
-    cw_quota_return_t returned;       /**< the last one */
-    uint32_t          decided;        /**< times that those which wait were to be decided */
-    uint32_t          named[TENANTS]; /**< how often reports named each tenant */
-    uint32_t          asks;
-    cw_quota_ask_t    ask; /**< the last one */
-} sent_t;
-
-static uint32_t on_counter(void *context, uint32_t tenant)
-{
-    (void)tenant;
-    return ((const sent_t *)context)->counter;
-}
-
-static void on_report(void *context, uint32_t counter, uint32_t sequence, const cw_quota_usage_t *usages, size_t count)
-{
-    sent_t *sent = context;
-    size_t  index;
-
-    (void)counter;
-    for (index = 0; index < count; index++) {
-        sent->named[usages[index].tenant]++;
-    }
-    sent->reports++;
-    sent->sequence = sequence;
-}
-
-static void on_ask(void *context, uint32_t counter, const cw_quota_ask_t *ask)
-{
-    sent_t *sent = context;
-
-    (void)counter;
-    sent->asks++;
-    sent->ask = *ask;
-}
-
-static void on_give_back(void *context, uint32_t counter, const cw_quota_return_t *returned)
-{
-    sent_t *sent = context;
-
-    (void)counter;
-    ck_assert_uint_gt(returned->number, sent->returned.number);
-    sent->given_back += returned->tokens;
-    sent->returned = *returned;
-}
-
-static void on_decided(void *context, uint32_t tenant)
-{
-    (void)tenant;
-    ((sent_t *)context)->decided++;
-}
-
-static void on_mode(void *context, uint32_t tenant, cw_quota_mode_t mode, uint32_t counter, cw_time_us_t age)
-{
-    (void)context, (void)tenant, (void)mode, (void)counter, (void)age;
-}
-
-static cw_quota_share_t *create(sent_t *sent, uint32_t nodes)
+static cw_quota_share_t *create(quota_sent_t *sent, uint32_t nodes)
 {
     cw_quota_settings_t settings = {.window = CW_SECONDS(5), .overshoot = 0.1, .slack = 20};
-    cw_quota_port_t     port = {sent, on_counter, on_report, on_ask, on_give_back, on_decided, on_mode};
+    cw_quota_port_t     port = quota_port(sent);
     cw_quota_share_t   *share = cw_quota_share_create(&settings, &port, 1, 1);
 
     cw_quota_share_set_nodes(share, nodes);
@@ -117,14 +54,14 @@
 /* A slow counting node answers an ask and its repeat. */
 START_TEST(a_grant_that_comes_twice_is_taken_once_and_not_given_back)
 {
-    sent_t            sent = {.counter = COUNTER};
+    quota_sent_t      sent = {.counter = COUNTER};
     cw_quota_share_t *share = create(&sent, 1000);
     uint32_t          first;
 
     ck_assert_int_eq(enter(share, start), CW_QUOTA_WAIT);
     first = sent.ask.sequence;
     cw_quota_share_tick(share, start + CW_MS(45));
-    ck_assert_uint_eq(sent.asks, 2);
+    ck_assert_uint_eq(sent.ask_count, 2);
     ck_assert_uint_eq(sent.ask.sequence, first);
     grant(share, first, 1, start + CW_MS(50));
     ck_assert_int_eq(decide(share, start + CW_MS(50)), CW_QUOTA_ADMITTED);
@@ -138,7 +75,7 @@
 
 START_TEST(a_grant_that_comes_too_late_is_given_back_once)
 {
-    sent_t            sent = {.counter = COUNTER};
+    quota_sent_t      sent = {.counter = COUNTER};
     cw_quota_share_t *share = create(&sent, 1000);
     cw_time_us_t      now;
 
@@ -157,7 +94,7 @@
 
 START_TEST(a_tenant_that_came_while_nobody_counted_is_reported_when_a_node_does)
 {
-    sent_t            sent = {.counter = 0};
+    quota_sent_t      sent = {.counter = 0};
     cw_quota_share_t *share = create(&sent, 1000);
     cw_time_us_t      now = start;
 
@@ -177,7 +114,7 @@
 /* What is given back later does not keep alive what was given back before. */
 START_TEST(tokens_of_requests_that_did_not_run_expire)
 {
-    sent_t            sent = {.counter = COUNTER};
+    quota_sent_t      sent = {.counter = COUNTER};
     cw_quota_share_t *share = create(&sent, 1000);
     cw_time_us_t      now = start;
     int               index;
@@ -202,7 +139,7 @@
 /* The node that counted is gone, and no other one is known. */
 START_TEST(what_waits_is_decided_when_nobody_counts_any_more)
 {
-    sent_t            sent = {.counter = COUNTER};
+    quota_sent_t      sent = {.counter = COUNTER};
     cw_quota_share_t *share = create(&sent, 1);
     cw_time_us_t      now = start;
     int               index;
@@ -228,7 +165,7 @@
 /* Its configuration is earlier, and has no limit for the tenant. */
 START_TEST(a_tenant_that_its_counting_node_does_not_know_is_served_from_the_own_part)
 {
-    sent_t            sent = {.counter = COUNTER};
+    quota_sent_t      sent = {.counter = COUNTER};
     cw_quota_share_t *share = create(&sent, 1000);
     uint32_t          unknown[] = {TENANT};
     cw_quota_status_t status = {.unknown = unknown, .unknown_count = 1};
@@ -258,19 +195,19 @@
 
 START_TEST(all_tenants_that_are_due_are_reported_at_once)
 {
-    sent_t            sent = {.counter = COUNTER};
+    quota_sent_t      sent = {.counter = COUNTER};
     cw_quota_share_t *share = create(&sent, 1);
     cw_time_us_t      retry_after;
     cw_time_us_t      now;
     uint32_t          tenant;
 
-    for (tenant = 0; tenant < TENANTS; tenant++) {
+    for (tenant = 0; tenant < QUOTA_PORT_TENANTS; tenant++) {
         ck_assert_int_eq(cw_quota_share_enter(share, tenant, &limit, start, &retry_after), CW_QUOTA_ADMITTED);
     }
     for (now = start; now <= start + CW_MS(40); now += CW_MS(20)) {
         cw_quota_share_tick(share, now);
     }
-    for (tenant = 0; tenant < TENANTS; tenant++) {
+    for (tenant = 0; tenant < QUOTA_PORT_TENANTS; tenant++) {
         ck_assert_uint_eq(sent.named[tenant], 1);
     }
     cw_quota_share_free(share);
@@ -279,7 +216,7 @@
 
 START_TEST(counting_nodes_that_are_gone_are_forgotten)
 {
-    sent_t            sent = {.counter = COUNTER};
+    quota_sent_t      sent = {.counter = COUNTER};
     cw_quota_share_t *share = create(&sent, 1);
     cw_time_us_t      now = start;
 
