Limits: tenants of a report datagram without a reply are reported again

Cause: with several datagrams in one report the reply to any of them counted as the node's; tenants of another one that was lost were named again only when they had new requests. Ruled out: counting replies by datagram: a state is reported whole each time, so the next report mends it. Change: a tenant whose report has no reply is due with the usual pause. Test: test_quota_share, 0 of 200 tenants named again before, more than half after.

--- a/src/tenancy/quota_reports.c
+++ b/src/tenancy/quota_reports.c
@@ -247,7 +247,7 @@
     {
         cw_quota_link_t *link;
 
-        if (!is_due(tenant, now) || !cw_quota_choose(share, tenant, now)) {
+        if (!(is_due(tenant, now) || is_unconfirmed(tenant, now)) || !cw_quota_choose(share, tenant, now)) {
             continue;
         }
         link = cw_quota_link_to(share, tenant->counter);
--- a/tests/test_quota_share.c
+++ b/tests/test_quota_share.c
@@ -214,6 +214,33 @@
 }
 END_TEST
 
+/* One of its datagrams, or the reply, is lost. */
+START_TEST(tenants_of_a_report_without_a_reply_are_reported_again)
+{
+    quota_sent_t      sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1);
+    cw_time_us_t      retry_after;
+    cw_time_us_t      now;
+    uint32_t          again = 0;
+    uint32_t          tenant;
+
+    for (tenant = 0; tenant < QUOTA_PORT_TENANTS; tenant++) {
+        (void)cw_quota_share_enter(share, tenant, &limit, start, &retry_after);
+    }
+    cw_quota_share_tick(share, start + CW_SECONDS(1));
+    reply(share, sent.sequence, start + CW_SECONDS(1));
+    for (now = start + CW_SECONDS(1); now < start + CW_SECONDS(2); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+        reply(share, sent.sequence, now);
+    }
+    for (tenant = 0; tenant < QUOTA_PORT_TENANTS; tenant++) {
+        again += sent.named[tenant] > 1 ? 1 : 0;
+    }
+    ck_assert_uint_gt(again, QUOTA_PORT_TENANTS / 2);
+    cw_quota_share_free(share);
+}
+END_TEST
+
 START_TEST(counting_nodes_that_are_gone_are_forgotten)
 {
     quota_sent_t      sent = {.counter = COUNTER};
@@ -247,6 +274,7 @@
     tcase_add_test(cases, what_waits_is_decided_when_nobody_counts_any_more);
     tcase_add_test(cases, a_tenant_that_its_counting_node_does_not_know_is_served_from_the_own_part);
     tcase_add_test(cases, all_tenants_that_are_due_are_reported_at_once);
+    tcase_add_test(cases, tenants_of_a_report_without_a_reply_are_reported_again);
     tcase_add_test(cases, counting_nodes_that_are_gone_are_forgotten);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
