--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -803,10 +803,14 @@
   uint32_t sequence;
   size_t n_usages;
   Cwp__QuotaUsage **usages;
+  /*
+   * of the configuration that the node goes by
+   */
+  uint64_t version;
 };
 #define CWP__QUOTA_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_report__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -828,10 +832,15 @@
    * it does not count: it has just started, or stops
    */
   protobuf_c_boolean declines;
+  /*
+   * tenants without a limit in its configuration, which is earlier than the report's
+   */
+  size_t n_unknown;
+  uint32_t *unknown;
 };
 #define CWP__QUOTA_STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_status__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -851,10 +860,14 @@
    */
   uint32_t refused;
   Cwp__QuotaUsage *usage;
+  /*
+   * of the configuration that the node goes by
+   */
+  uint64_t version;
 };
 #define CWP__QUOTA_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_ask__descriptor) \
-    , 0, 0, 0, 0, NULL }
+    , 0, 0, 0, 0, NULL, 0 }
 
 
 struct  Cwp__QuotaGrant
@@ -871,10 +884,18 @@
    */
   uint32_t retry_after_ms;
   protobuf_c_boolean metered;
+  /*
+   * no limit in the sender's configuration, which is earlier than the ask's
+   */
+  protobuf_c_boolean unknown;
+  /*
+   * of the asking node at the sender
+   */
+  uint32_t record;
 };
 #define CWP__QUOTA_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_grant__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -885,10 +906,18 @@
   ProtobufCMessage base;
   uint32_t tenant;
   uint32_t tokens;
+  /*
+   * of the grant
+   */
+  uint32_t record;
+  /*
+   * rises with each return of the sender
+   */
+  uint32_t number;
 };
 #define CWP__QUOTA_RETURN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_return__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -38,12 +38,16 @@
     X(LIMIT_MODES, "cedarwinch_limit_mode_changes_total", "counter",                                                   \
       "times a tenant became free, metered or alone on this node")                                                     \
     X(LIMIT_ALONE, "cedarwinch_limit_alone_total", "counter", "of them, alone: the counting node did not reply")       \
+    X(LIMIT_UNSENT, "cedarwinch_limit_messages_unsent_total", "counter",                                               \
+      "messages about limits that were not sent: no such peer, or too long")                                           \
     X(LIMIT_TENANTS, "cedarwinch_limit_tenants", "gauge", "tenants of which this node counts its own requests")        \
     X(LIMIT_BUCKETS, "cedarwinch_limit_buckets", "gauge", "tenants for which this node counts for all")                \
     X(REFUSED_KEYS_STALE, "cedarwinch_refused_keys_stale_total", "counter",                                            \
       "refused: a key may have been taken away, and there is no late enough evidence that none was")                   \
     X(REFUSED_KEY_MOVED, "cedarwinch_refused_key_moved_total", "counter",                                              \
       "refused: the caller's key became another tenant's while the request waited")                                    \
+    X(REFUSED_UNREAD, "cedarwinch_refused_unread_total", "counter",                                                    \
+      "refused: the body was not read, and a later version has the caller's key")                                      \
     X(REJECTED_NO_KEY, "cedarwinch_rejected_no_key_total", "counter", "401: no key")                                   \
     X(REJECTED_MALFORMED, "cedarwinch_rejected_malformed_total", "counter",                                            \
       "401: malformed or doubled credentials, or another scheme")                                                      \
@@ -60,10 +64,15 @@
       "requests handed over while an earlier one of their connection had no answer written")                           \
     X(ANSWERS_WAITED, "cedarwinch_answers_waited_total", "counter",                                                    \
       "answers that waited for an earlier one of their connection")                                                    \
+    X(ANSWERS_CUT, "cedarwinch_answers_cut_total", "counter", "answers cut short: their callers did not read them")    \
+    X(REQUESTS_DROPPED, "cedarwinch_requests_dropped_total", "counter",                                                \
+      "requests that were read and not handed over before their connection ended")                                     \
     X(READING_STOPPED, "cedarwinch_reading_stopped_total", "counter",                                                  \
       "times a connection was not read on: its pipeline was full, or a body waited for memory")                        \
     X(BODIES_WAITED, "cedarwinch_bodies_waited_total", "counter", "bodies that waited for memory")                     \
     X(REFUSED_BODIES, "cedarwinch_refused_bodies_total", "counter", "refused: no memory for the body in time")         \
+    X(BODIES_UNREAD, "cedarwinch_bodies_unread_total", "counter",                                                      \
+      "requests rejected by their head: their bodies were not read")                                                   \
     X(BODY_BYTES, "cedarwinch_body_bytes", "gauge", "bytes reserved for callers' bodies")                              \
     X(SENT, "cedarwinch_sent_total", "counter", "requests sent to servers")                                            \
     X(RETRIES, "cedarwinch_retries_total", "counter", "requests sent once more")                                       \
--- a/src/net/http_listener_answer.c
+++ b/src/net/http_listener_answer.c
@@ -13,7 +13,6 @@
 #include "net/http_listener_internal.h"
 
 enum {
-    LINGER_MS = 1000,
     WAIT_NOTED_MS = 50, /* waits for an earlier answer below this are counted, not logged */
     NO_CONTENT = 204,
     NOT_MODIFIED = 304
@@ -79,7 +78,7 @@
 
 /* ---- turn ---- */
 
-static const char *name_of(const cw_http_exchange_t *exchange)
+const char *cw_listener_request_name(const cw_http_exchange_t *exchange)
 {
     const char *name = exchange->connection->listener->options.request_id_name;
 
@@ -90,7 +89,7 @@
 static void note_turn_holder(const cw_http_exchange_t *exchange)
 {
     cw_http_connection_t *connection = exchange->connection;
-    const char           *name = name_of(exchange);
+    const char           *name = cw_listener_request_name(exchange);
 
     free(connection->turn_holder);
     connection->turn_holder = name == NULL ? NULL : strdup(name);
@@ -107,7 +106,7 @@
     if (waited < CW_MS(WAIT_NOTED_MS) || !cw_event_begin(&event, CW_EVENT_ANSWER_WAITED)) {
         return;
     }
-    cw_event_text(&event, CW_FIELD_REQUEST, name_of(exchange));
+    cw_event_text(&event, CW_FIELD_REQUEST, cw_listener_request_name(exchange));
     cw_event_ms(&event, CW_FIELD_WAITED_MS, waited);
     cw_event_text(&event, CW_FIELD_WAITED_FOR, exchange->connection->turn_holder);
     cw_event_end(&event);
@@ -124,7 +123,8 @@
 static void linger(cw_http_connection_t *connection)
 {
     connection->state = CW_CONNECTION_LINGERING;
-    connection->linger_until = cw_listener_now(connection->listener) + CW_MS(LINGER_MS);
+    connection->linger_until = cw_listener_now(connection->listener) + CW_MS(CW_LINGER_MS);
+    connection->linger_most = cw_listener_now(connection->listener) + CW_SECONDS(CW_LINGER_MOST_S);
     cw_listener_end_pipeline(connection);
     if (uv_shutdown(&connection->shutdown, (uv_stream_t *)&connection->tcp, on_shut) != 0) {
         cw_listener_close_connection(connection);
@@ -271,7 +271,7 @@
     cw_event_t event;
 
     if (cw_event_begin(&event, CW_EVENT_REQUEST_REFUSED)) {
-        cw_event_text(&event, CW_FIELD_REQUEST, name_of(exchange));
+        cw_event_text(&event, CW_FIELD_REQUEST, cw_listener_request_name(exchange));
         cw_event_number(&event, CW_FIELD_STATUS, status);
         cw_event_text(&event, CW_FIELD_REASON, reason);
         cw_event_end(&event);
--- a/src/net/http_listener_exchange.c
+++ b/src/net/http_listener_exchange.c
@@ -33,15 +33,21 @@
     free(exchange);
 }
 
+cw_http_inbound_t cw_listener_inbound(const cw_http_exchange_t *exchange)
+{
+    return (cw_http_inbound_t){.method = exchange->method,
+                               .target = exchange->target.data,
+                               .fields = &exchange->fields,
+                               .body = exchange->body.data,
+                               .body_length = exchange->body.length,
+                               .arrived_us = exchange->arrived_us,
+                               .without_body = exchange->without_body};
+}
+
 static void hand_over(cw_http_connection_t *connection, cw_http_exchange_t *exchange)
 {
     cw_http_listener_t *listener = connection->listener;
-    cw_http_inbound_t   inbound = {.method = exchange->method,
-                                   .target = exchange->target.data,
-                                   .fields = &exchange->fields,
-                                   .body = exchange->body.data,
-                                   .body_length = exchange->body.length,
-                                   .arrived_us = exchange->arrived_us};
+    cw_http_inbound_t   inbound = cw_listener_inbound(exchange);
 
     exchange->entry.state = CW_PIPELINE_HANDED_OVER;
     exchange->in_handler = true;
@@ -62,7 +68,8 @@
             cw_metric_add(CW_METRIC_PIPELINED, 1);
         }
         if (connection->listener->ending) { /* its answer closes the connection */
-            connection->pipeline.ended = true;
+            entry->state = CW_PIPELINE_HANDED_OVER;
+            cw_listener_end_pipeline(connection);
         }
         hand_over(connection, (cw_http_exchange_t *)entry);
     }
@@ -73,10 +80,12 @@
     cw_pipeline_entry_t *entry;
 
     while ((entry = cw_pipeline_end(&connection->pipeline)) != NULL) {
+        cw_metric_add(CW_METRIC_REQUESTS_DROPPED, 1);
         cw_listener_exchange_free((cw_http_exchange_t *)entry);
     }
     cw_listener_stop_waiting(connection);
     if (connection->incoming != NULL) {
+        cw_metric_add(CW_METRIC_REQUESTS_DROPPED, 1);
         cw_listener_exchange_free(connection->incoming);
         connection->incoming = NULL;
     }
--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -8,6 +8,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "base/tenant_metrics.h"
 #include "proxy/engine_internal.h"
 
 enum {
@@ -136,6 +137,7 @@
         return true;
     }
     cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
+    cw_tenant_metric_add(CW_TENANT_REFUSED_CONCURRENCY, tenant->name, 1);
     rejection.reason = "the tenant's requests at once";
     rejection.tenant = tenant->name;
     rejection.retry_after_s = (double)wait / 1e6;
@@ -160,7 +162,7 @@
     request->caller = *caller;
     request->caller_checked_by = engine->configuration->version;
     request->rank = cw_request_rank(tenant, route);
-    request->tenant_hash = tenant == NULL ? 0 : cw_quota_tenant_hash(tenant->name);
+    request->tenant_hash = tenant == NULL ? 0 : cw_tenant_hash(tenant->name);
     request->regions = (cw_region_rule_t){.route = &route->regions, .tenant = tenant == NULL ? NULL : &tenant->regions};
     request->service = cw_engine_service(engine, cw_route_choose_part(request, route));
     request->method = inbound->method;
--- a/src/router/router_quota_wire.c
+++ b/src/router/router_quota_wire.c
@@ -2,6 +2,7 @@
  * @file router_quota_wire.c
  * @brief Messages about tenants' limits as datagrams, and those of this node to itself.
  */
+#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -49,14 +50,32 @@
 
 /* ---- as datagrams ---- */
 
+static void note_unsent(uint32_t to, const char *reason)
+{
+    struct in_addr address = {.s_addr = to};
+    char           text[INET_ADDRSTRLEN] = "";
+    cw_event_t     event;
+
+    cw_metric_add(CW_METRIC_LIMIT_UNSENT, 1);
+    if (cw_event_begin(&event, CW_EVENT_MESSAGE_UNSENT)) {
+        cw_event_text(&event, CW_FIELD_ADDRESS, inet_ntop(AF_INET, &address, text, sizeof(text)));
+        cw_event_text(&event, CW_FIELD_REASON, reason);
+        cw_event_end(&event);
+    }
+}
+
 static void send_datagram(cw_router_quota_t *quota, uint32_t to, const Cwp__Datagram *datagram)
 {
     cw_router_t *router = quota->router;
     cw_peer_t   *peer = cw_peer_link_learn(router->link, to, cw_router_now(router));
 
-    if (peer != NULL) {
-        cw_peer_link_send(router->link, peer, datagram);
+    size_t length = cw_peer_link_pack(router->link, datagram);
+
+    if (peer == NULL || length == 0) {
+        note_unsent(to, peer == NULL ? "no such peer" : "too long for a datagram");
+        return;
     }
+    cw_peer_link_send_packed(router->link, peer, length);
 }
 
 static void write_usage(Cwp__QuotaUsage *message, const cw_quota_usage_t *usage)
@@ -97,6 +116,7 @@
     }
     report.incarnation = message->incarnation;
     report.sequence = message->sequence;
+    report.version = message->version;
     report.n_usages = message->count;
     report.usages = pointers;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_REPORT;
@@ -114,6 +134,8 @@
     status.declines = message->declines;
     status.n_metered = message->count;
     status.metered = (uint32_t *)message->metered;
+    status.n_unknown = message->unknown_count;
+    status.unknown = (uint32_t *)message->unknown;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_STATUS;
     datagram.quota_status = &status;
     send_datagram(quota, to, &datagram);
@@ -128,6 +150,7 @@
     write_usage(&usage, &message->ask.usage);
     ask.incarnation = message->ask.incarnation;
     ask.sequence = message->ask.sequence;
+    ask.version = message->ask.version;
     ask.wanted = message->ask.wanted;
     ask.refused = message->ask.refused;
     ask.usage = &usage;
@@ -147,6 +170,8 @@
     grant.tokens = message->grant.tokens;
     grant.retry_after_ms = (uint32_t)(message->grant.retry_after / 1000);
     grant.metered = message->grant.is_metered;
+    grant.unknown = message->grant.is_unknown;
+    grant.record = message->grant.record;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_GRANT;
     datagram.quota_grant = &grant;
     send_datagram(quota, to, &datagram);
@@ -157,8 +182,10 @@
     Cwp__QuotaReturn returned = CWP__QUOTA_RETURN__INIT;
     Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
 
-    returned.tenant = message->tenant;
-    returned.tokens = message->tokens;
+    returned.tenant = message->returned.tenant;
+    returned.tokens = message->returned.tokens;
+    returned.record = message->returned.record;
+    returned.number = message->returned.number;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_RETURN;
     datagram.quota_return = &returned;
     send_datagram(quota, to, &datagram);
@@ -182,8 +209,10 @@
 
 void cw_router_take_quota_report(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReport *report)
 {
-    cw_quota_message_t message = {
-        .kind = CW_QUOTA_REPORT, .incarnation = report->incarnation, .sequence = report->sequence};
+    cw_quota_message_t message = {.kind = CW_QUOTA_REPORT,
+                                  .incarnation = report->incarnation,
+                                  .sequence = report->sequence,
+                                  .version = report->version};
 
     for (; message.count < report->n_usages && message.count < CW_QUOTA_USAGES_MAX; message.count++) {
         message.usages[message.count] = read_usage(report->usages[message.count]);
@@ -198,6 +227,10 @@
     for (; message.count < status->n_metered && message.count < CW_QUOTA_USAGES_MAX; message.count++) {
         message.metered[message.count] = status->metered[message.count];
     }
+    for (; message.unknown_count < status->n_unknown && message.unknown_count < CW_QUOTA_USAGES_MAX;
+         message.unknown_count++) {
+        message.unknown[message.unknown_count] = status->unknown[message.unknown_count];
+    }
     cw_router_quota_deliver(router->quota, peer->address, &message);
 }
 
@@ -205,6 +238,7 @@
 {
     cw_quota_message_t message = {.kind = CW_QUOTA_ASK,
                                   .ask = {.incarnation = ask->incarnation,
+                                          .version = ask->version,
                                           .sequence = ask->sequence,
                                           .wanted = ask->wanted,
                                           .refused = ask->refused}};
@@ -223,14 +257,20 @@
                                             .sequence = grant->sequence,
                                             .tokens = grant->tokens,
                                             .retry_after = CW_MS(grant->retry_after_ms),
-                                            .is_metered = grant->metered}};
+                                            .is_metered = grant->metered,
+                                            .is_unknown = grant->unknown,
+                                            .record = grant->record}};
 
     cw_router_quota_deliver(router->quota, peer->address, &message);
 }
 
 void cw_router_take_quota_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__QuotaReturn *returned)
 {
-    cw_quota_message_t message = {.kind = CW_QUOTA_RETURN, .tenant = returned->tenant, .tokens = returned->tokens};
+    cw_quota_message_t message = {.kind = CW_QUOTA_RETURN,
+                                  .returned = {.tenant = returned->tenant,
+                                               .tokens = returned->tokens,
+                                               .record = returned->record,
+                                               .number = returned->number}};
 
     cw_router_quota_deliver(router->quota, peer->address, &message);
 }
--- a/src/tenancy/quota_share_internal.h
+++ b/src/tenancy/quota_share_internal.h
@@ -54,12 +54,15 @@
     uint32_t            unreported;    /**< let through without a token since the last report */
     uint32_t            unconfirmed;   /**< in reports without a reply */
     bool                is_report_due; /**< though nothing is unreported: its counter is to say how it stands */
+    bool                is_unknown;    /**< its counter goes by an earlier configuration, without a limit for it */
     uint32_t            reported_in;   /**< sequence of the last report that names it */
-    bool                has_word;      /**< of the present counter */
-    cw_time_us_t        heard_at;      /**< the counter's last word on this tenant */
-    uint32_t            tokens;        /**< not used yet */
-    cw_time_us_t        tokens_until;  /**< they expire then */
-    uint32_t            spares;        /**< of requests that did not run */
+    cw_time_us_t        reported_at;
+    bool                has_word;     /**< of the present counter */
+    cw_time_us_t        heard_at;     /**< the counter's last word on this tenant */
+    uint32_t            tokens;       /**< not used yet */
+    cw_time_us_t        tokens_until; /**< they expire then */
+    uint32_t            record;       /**< of their grant */
+    uint32_t            spares;       /**< of requests that did not run */
     cw_time_us_t        spares_until;
     uint32_t            waiting; /**< requests */
     cw_quota_open_ask_t ask;
@@ -83,6 +86,7 @@
     bool           has_declined; /* until then */
     uint32_t       silences;     /**< in a row */
     bool           is_due;       /**< a tenant's usage is to be reported */
+    bool           has_more;     /**< more tenants were due than were reported at once */
     UT_hash_handle hh;
 } cw_quota_link_t;
 
@@ -95,16 +99,33 @@
     cw_quota_tenant_t  *tenants;
     cw_quota_link_t    *links;
     uint32_t            last_report;
+    uint32_t            last_return;
 };
 
 /* ---- quota_share.c ---- */
+/** NULL: nothing is kept of it. */
+cw_quota_tenant_t *cw_quota_find_tenant(const cw_quota_share_t *share, uint32_t hash);
 void cw_quota_set_mode(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_quota_mode_t mode, cw_time_us_t now);
+/** By what its counting node says of it. */
+cw_quota_mode_t cw_quota_mode_by(bool is_unknown, bool is_metered);
 /** What it tells the counting node. */
 cw_quota_usage_t cw_quota_usage_of(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
 /** Chooses the counting node again. False: there is none. */
 bool cw_quota_choose(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
+
+/* ---- quota_tokens.c ---- */
 /** Asks for what waits, if tokens may be had. */
 void cw_quota_ask_if_due(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
+/** Asks once more where no reply has come, or passes the counting node over. */
+void cw_quota_ask_again(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
+/** Counts a request that is let through. */
+void cw_quota_let_through(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
+/** False: there is no token now. */
+bool cw_quota_use_token(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
+/** Gives all tokens back to the counting node. */
+void cw_quota_return_tokens(cw_quota_share_t *share, cw_quota_tenant_t *tenant);
+/** Gives back what has not been used in time. */
+void cw_quota_expire(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
 
 /* ---- quota_part.c ---- */
 void cw_quota_recent_add(const cw_quota_share_t *share, cw_quota_recent_t *recent, cw_time_us_t now);
--- a/tests/test_quota_share.c
+++ b/tests/test_quota_share.c
@@ -3,67 +3,18 @@
  * @brief A node's part in a tenant's limit, message by message: the test is the counting node.
  */
 #include "loop_fixture.h"
+#include "quota_port.h"
 #include "tenancy/quota_share.h"
 
-enum { TENANT = 7, COUNTER = 4 };
+enum { TENANT = 7, COUNTER = 4, RECORD = 99 };
 
 static const cw_quota_limit_t limit = {.rate_per_s = 100, .burst = 100};
 static const cw_time_us_t     start = CW_SECONDS(100);
 
-/** What the node has sent. */
-typedef struct sent {
-    uint32_t       counter; /**< 0: there is none */
-    uint32_t       reports;
-    uint32_t       sequence;   /**< of the last report */
-    uint32_t       given_back; /**< tokens */
-    uint32_t       asks;
-    cw_quota_ask_t ask; /**< the last one */
-} sent_t;
-
-static uint32_t on_counter(void *context, uint32_t tenant)
-{
-    (void)tenant;
-    return ((const sent_t *)context)->counter;
-}
-
-static void on_report(void *context, uint32_t counter, uint32_t sequence, const cw_quota_usage_t *usages, size_t count)
-{
-    sent_t *sent = context;
-
-    (void)counter, (void)usages, (void)count;
-    sent->reports++;
-    sent->sequence = sequence;
-}
-
-static void on_ask(void *context, uint32_t counter, const cw_quota_ask_t *ask)
-{
-    sent_t *sent = context;
-
-    (void)counter;
-    sent->asks++;
-    sent->ask = *ask;
-}
-
-static void on_give_back(void *context, uint32_t counter, uint32_t tenant, uint32_t tokens)
-{
-    (void)counter, (void)tenant;
-    ((sent_t *)context)->given_back += tokens;
-}
-
-static void on_decided(void *context, uint32_t tenant)
-{
-    (void)context, (void)tenant;
-}
-
-static void on_mode(void *context, uint32_t tenant, cw_quota_mode_t mode, uint32_t counter, cw_time_us_t age)
-{
-    (void)context, (void)tenant, (void)mode, (void)counter, (void)age;
-}
-
-static cw_quota_share_t *create(sent_t *sent, uint32_t nodes)
+static cw_quota_share_t *create(quota_sent_t *sent, uint32_t nodes)
 {
     cw_quota_settings_t settings = {.window = CW_SECONDS(5), .overshoot = 0.1, .slack = 20};
-    cw_quota_port_t     port = {sent, on_counter, on_report, on_ask, on_give_back, on_decided, on_mode};
+    cw_quota_port_t     port = quota_port(sent);
     cw_quota_share_t   *share = cw_quota_share_create(&settings, &port, 1, 1);
 
     cw_quota_share_set_nodes(share, nodes);
@@ -79,11 +30,20 @@
 
 static void grant(cw_quota_share_t *share, uint32_t sequence, uint32_t tokens, cw_time_us_t now)
 {
-    cw_quota_grant_t granted = {.tenant = TENANT, .sequence = sequence, .tokens = tokens, .is_metered = true};
+    cw_quota_grant_t granted = {
+        .tenant = TENANT, .sequence = sequence, .tokens = tokens, .is_metered = true, .record = RECORD};
 
     cw_quota_share_granted(share, COUNTER, &granted, now);
 }
 
+/* Of a report: no tenant is metered. */
+static void reply(cw_quota_share_t *share, uint32_t sequence, cw_time_us_t now)
+{
+    cw_quota_status_t status = {.sequence = sequence};
+
+    cw_quota_share_status(share, COUNTER, &status, now);
+}
+
 static cw_quota_answer_t decide(cw_quota_share_t *share, cw_time_us_t now)
 {
     cw_time_us_t retry_after;
@@ -94,14 +54,14 @@
 /* A slow counting node answers an ask and its repeat. */
 START_TEST(a_grant_that_comes_twice_is_taken_once_and_not_given_back)
 {
-    sent_t            sent = {.counter = COUNTER};
+    quota_sent_t      sent = {.counter = COUNTER};
     cw_quota_share_t *share = create(&sent, 1000);
     uint32_t          first;
 
     ck_assert_int_eq(enter(share, start), CW_QUOTA_WAIT);
     first = sent.ask.sequence;
     cw_quota_share_tick(share, start + CW_MS(45));
-    ck_assert_uint_eq(sent.asks, 2);
+    ck_assert_uint_eq(sent.ask_count, 2);
     ck_assert_uint_eq(sent.ask.sequence, first);
     grant(share, first, 1, start + CW_MS(50));
     ck_assert_int_eq(decide(share, start + CW_MS(50)), CW_QUOTA_ADMITTED);
@@ -115,7 +75,7 @@
 
 START_TEST(a_grant_that_comes_too_late_is_given_back_once)
 {
-    sent_t            sent = {.counter = COUNTER};
+    quota_sent_t      sent = {.counter = COUNTER};
     cw_quota_share_t *share = create(&sent, 1000);
     cw_time_us_t      now;
 
@@ -127,13 +87,14 @@
     grant(share, sent.ask.sequence, 3, now);
     grant(share, sent.ask.sequence, 3, now);
     ck_assert_uint_eq(sent.given_back, 3);
+    ck_assert_uint_eq(sent.returned.record, RECORD);
     cw_quota_share_free(share);
 }
 END_TEST
 
 START_TEST(a_tenant_that_came_while_nobody_counted_is_reported_when_a_node_does)
 {
-    sent_t            sent = {.counter = 0};
+    quota_sent_t      sent = {.counter = 0};
     cw_quota_share_t *share = create(&sent, 1000);
     cw_time_us_t      now = start;
 
@@ -144,7 +105,7 @@
         cw_quota_share_tick(share, now);
     }
     ck_assert_uint_ge(sent.reports, 1);
-    cw_quota_share_status(share, COUNTER, sent.sequence, NULL, 0, now);
+    reply(share, sent.sequence, now);
     ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_FREE);
     cw_quota_share_free(share);
 }
@@ -153,7 +114,7 @@
 /* What is given back later does not keep alive what was given back before. */
 START_TEST(tokens_of_requests_that_did_not_run_expire)
 {
-    sent_t            sent = {.counter = COUNTER};
+    quota_sent_t      sent = {.counter = COUNTER};
     cw_quota_share_t *share = create(&sent, 1000);
     cw_time_us_t      now = start;
     int               index;
@@ -175,6 +136,132 @@
 }
 END_TEST
 
+/* The node that counted is gone, and no other one is known. */
+START_TEST(what_waits_is_decided_when_nobody_counts_any_more)
+{
+    quota_sent_t      sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1);
+    cw_time_us_t      now = start;
+    int               index;
+
+    ck_assert_int_eq(enter(share, now), CW_QUOTA_ADMITTED);
+    now += CW_SECONDS(1);
+    cw_quota_share_tick(share, now);
+    for (index = 0; enter(share, now) == CW_QUOTA_ADMITTED; index++) {
+        ck_assert_int_lt(index, 1000);
+    }
+    reply(share, sent.sequence, now); /* of the report before the ask: the next one need not wait, and is due */
+    ck_assert_int_eq(enter(share, now), CW_QUOTA_ADMITTED);
+    sent.counter = 0;
+    cw_quota_share_tick(share, now + CW_MS(5));
+    cw_quota_share_tick(share, now + CW_MS(10));
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_ALONE);
+    ck_assert_uint_ge(sent.decided, 1);
+    ck_assert_int_ne(decide(share, now), CW_QUOTA_WAIT);
+    cw_quota_share_free(share);
+}
+END_TEST
+
+/* Its configuration is earlier, and has no limit for the tenant. */
+START_TEST(a_tenant_that_its_counting_node_does_not_know_is_served_from_the_own_part)
+{
+    quota_sent_t      sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1000);
+    uint32_t          unknown[] = {TENANT};
+    cw_quota_status_t status = {.unknown = unknown, .unknown_count = 1};
+    cw_quota_grant_t  granted = {.tenant = TENANT, .is_unknown = true};
+    cw_time_us_t      now = start;
+
+    ck_assert_int_eq(enter(share, now), CW_QUOTA_WAIT);
+    granted.sequence = sent.ask.sequence;
+    cw_quota_share_granted(share, COUNTER, &granted, now);
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_ALONE);
+    ck_assert_int_ne(decide(share, now), CW_QUOTA_WAIT);
+    for (; now < start + CW_MS(300); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+    }
+    ck_assert_uint_ge(sent.reports, 1); /* whether it is known by now */
+    status.sequence = sent.sequence;
+    cw_quota_share_status(share, COUNTER, &status, now);
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_ALONE);
+    for (; now < start + CW_MS(600); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+    }
+    reply(share, sent.sequence, now);
+    ck_assert_int_eq(cw_quota_share_mode(share, TENANT), CW_QUOTA_FREE);
+    cw_quota_share_free(share);
+}
+END_TEST
+
+START_TEST(all_tenants_that_are_due_are_reported_at_once)
+{
+    quota_sent_t      sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1);
+    cw_time_us_t      retry_after;
+    cw_time_us_t      now;
+    uint32_t          tenant;
+
+    for (tenant = 0; tenant < QUOTA_PORT_TENANTS; tenant++) {
+        ck_assert_int_eq(cw_quota_share_enter(share, tenant, &limit, start, &retry_after), CW_QUOTA_ADMITTED);
+    }
+    for (now = start; now <= start + CW_MS(40); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+    }
+    for (tenant = 0; tenant < QUOTA_PORT_TENANTS; tenant++) {
+        ck_assert_uint_eq(sent.named[tenant], 1);
+    }
+    cw_quota_share_free(share);
+}
+END_TEST
+
+/* One of its datagrams, or the reply, is lost. */
+START_TEST(tenants_of_a_report_without_a_reply_are_reported_again)
+{
+    quota_sent_t      sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1);
+    cw_time_us_t      retry_after;
+    cw_time_us_t      now;
+    uint32_t          again = 0;
+    uint32_t          tenant;
+
+    for (tenant = 0; tenant < QUOTA_PORT_TENANTS; tenant++) {
+        (void)cw_quota_share_enter(share, tenant, &limit, start, &retry_after);
+    }
+    cw_quota_share_tick(share, start + CW_SECONDS(1));
+    reply(share, sent.sequence, start + CW_SECONDS(1));
+    for (now = start + CW_SECONDS(1); now < start + CW_SECONDS(2); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+        reply(share, sent.sequence, now);
+    }
+    for (tenant = 0; tenant < QUOTA_PORT_TENANTS; tenant++) {
+        again += sent.named[tenant] > 1 ? 1 : 0;
+    }
+    ck_assert_uint_gt(again, QUOTA_PORT_TENANTS / 2);
+    cw_quota_share_free(share);
+}
+END_TEST
+
+START_TEST(counting_nodes_that_are_gone_are_forgotten)
+{
+    quota_sent_t      sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1);
+    cw_time_us_t      now = start;
+
+    ck_assert_int_eq(enter(share, now), CW_QUOTA_ADMITTED);
+    for (; now < start + CW_SECONDS(1); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+    }
+    ck_assert_uint_eq(cw_quota_share_links(share), 1);
+    sent.counter = COUNTER + 1;
+    for (; now < start + CW_SECONDS(130); now += CW_MS(20)) {
+        cw_quota_share_tick(share, now);
+        cw_quota_share_status(share, COUNTER + 1, &(cw_quota_status_t){.sequence = sent.sequence}, now);
+    }
+    ck_assert_uint_eq(cw_quota_share_links(share), 0);
+    cw_quota_share_free(share);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("quota share");
@@ -184,6 +271,11 @@
     tcase_add_test(cases, a_grant_that_comes_too_late_is_given_back_once);
     tcase_add_test(cases, a_tenant_that_came_while_nobody_counted_is_reported_when_a_node_does);
     tcase_add_test(cases, tokens_of_requests_that_did_not_run_expire);
+    tcase_add_test(cases, what_waits_is_decided_when_nobody_counts_any_more);
+    tcase_add_test(cases, a_tenant_that_its_counting_node_does_not_know_is_served_from_the_own_part);
+    tcase_add_test(cases, all_tenants_that_are_due_are_reported_at_once);
+    tcase_add_test(cases, tenants_of_a_report_without_a_reply_are_reported_again);
+    tcase_add_test(cases, counting_nodes_that_are_gone_are_forgotten);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
