A server's own answer is noted as a run, so that no later refusal promises the opposite

Cause: after a server's 500 a repeatable request is sent once more; where the repeat found no server, the request ended as one that had never run: 503 with a time to come back, though a server had run it. Ruled out: the ways on which a call is abandoned or broken; these set the mark already. Change: any answer that does not say "not run" sets may_have_run before anything else is decided. Test: what_a_server_answered_with_500_ends_with_no_promise, which got 503 before and gets 504 now. Conclusion: 408, 421, 429 and 503 of this node are given only where no server has answered or may have run the request.

--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -352,6 +352,7 @@
         return;
     }
     request->claim.end = CW_SLOT_ANSWERED;
+    request->may_have_run = true;
     cw_request_spend_token(request); /* it has run, whatever the answer says */
     learn(request, server, now);
     cw_request_note_answer_bytes(request, answer->body_length);
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -871,6 +871,23 @@
 }
 END_TEST
 
+/* The repeat finds no server: what has run is not refused as if it had not. */
+START_TEST(what_a_server_answered_with_500_ends_with_no_promise)
+{
+    world_t world;
+
+    init(&world);
+    world.servers[0].status = 500;
+    (void)ask(&world, "GET", "/far/x", "15000"); /* takes the only slot of the other server */
+    cw_test_run_until_set(&world.loop, &world.servers[1].has_request);
+    (void)ask(&world, "GET", "/safe/x", "1300");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_uint_eq(world.servers[0].requests, 1);
+    ck_assert_int_eq(world.status, 504);
+    ck_assert_double_lt(world.retry_after_s, 0);
+}
+END_TEST
+
 START_TEST(a_caller_that_leaves_takes_its_request_from_the_server)
 {
     world_t             world;
@@ -1169,6 +1186,7 @@
     tcase_add_test(cases, a_broken_answer_is_502_where_it_may_have_run);
     tcase_add_test(cases, a_broken_answer_is_asked_for_again_where_that_may_be);
     tcase_add_test(cases, without_budget_nothing_is_repeated);
+    tcase_add_test(cases, what_a_server_answered_with_500_ends_with_no_promise);
     tcase_add_test(cases, a_caller_that_leaves_takes_its_request_from_the_server);
     tcase_add_test(cases, a_caller_that_leaves_the_queue_takes_its_request_along);
     tcase_add_test(cases, what_may_not_go_to_its_keys_owner_is_refused_at_once_with_that_reason);
