Requests without a tenant take turns with the tenants that wait

Cause: a request without a tenant got the group's present turn, the lowest there is: a flood of them went before all queued requests of tenants of the same rank but each tenant's first. Ruled out: a turn of their own also where no tenant waits: they would be served in order of arrival in place of deadlines. Change: while tenants wait in a group, requests without one count as one more tenant; after the last tenant they share the latest turn of their own, so none passes those before it. Tests: requests_without_a_tenant_take_turns_with_tenants_that_wait failed before (turn 0 against 1); when_the_last_tenant_has_left_no_request_passes_those_before_it failed on the first form of this change (turn 0 against 9 expected). Conclusion: no caller without a tenant passes tenants by being one.

--- a/src/balance/fair_turns.c
+++ b/src/balance/fair_turns.c
@@ -4,11 +4,12 @@
  */
 #include "balance/fair_turns.h"
 
+#include <stdbool.h>
 #include <stdlib.h>
 #include <uthash.h>
 
 typedef struct turn_tenant {
-    uint32_t       tenant;
+    uint32_t       tenant; /* 0: all requests without one */
     uint32_t       waiting;
     uint64_t       last; /* turn of its latest request */
     UT_hash_handle hh;
@@ -88,14 +89,31 @@
     return tenant;
 }
 
+static bool has_tenants(const turn_group_t *group)
+{
+    return HASH_COUNT(group->tenants) > (find_tenant(group, 0) == NULL ? 0u : 1u);
+}
+
+/* Where no tenants wait, requests without one share the turn of the latest of them: none passes those before it. */
+static uint64_t turn_without_tenants(const turn_group_t *group)
+{
+    const turn_tenant_t *others = find_tenant(group, 0);
+
+    return others == NULL || others->last < group->present ? group->present : others->last;
+}
+
 uint64_t cw_fair_turns_next(const cw_fair_turns_t *turns, cw_turn_group_t key, uint32_t hash)
 {
     const turn_group_t  *group = find_group(turns, key);
-    const turn_tenant_t *tenant = group == NULL || hash == 0 ? NULL : find_tenant(group, hash);
+    const turn_tenant_t *tenant;
 
     if (group == NULL) {
         return 0;
     }
+    if (hash == 0 && !has_tenants(group)) {
+        return turn_without_tenants(group);
+    }
+    tenant = find_tenant(group, hash);
     return tenant == NULL || tenant->last + 1 < group->present ? group->present : tenant->last + 1;
 }
 
@@ -132,13 +150,11 @@
 void cw_fair_turns_wait(cw_fair_turns_t *turns, cw_turn_group_t key, uint32_t hash, uint64_t turn)
 {
     turn_group_t  *group = use_group(turns, key);
-    turn_tenant_t *tenant = hash == 0 ? NULL : use_tenant(group, hash);
+    turn_tenant_t *tenant = use_tenant(group, hash);
 
     group->waiting++;
-    if (tenant != NULL) {
-        tenant->waiting++;
-        tenant->last = turn;
-    }
+    tenant->waiting++;
+    tenant->last = turn;
 }
 
 static void end_wait(cw_fair_turns_t *turns, turn_group_t *group, turn_tenant_t *tenant)
@@ -157,14 +173,14 @@
 
     if (group != NULL) {
         group->present = turn > group->present ? turn : group->present;
-        end_wait(turns, group, hash == 0 ? NULL : find_tenant(group, hash));
+        end_wait(turns, group, find_tenant(group, hash));
     }
 }
 
 void cw_fair_turns_leave(cw_fair_turns_t *turns, cw_turn_group_t key, uint32_t hash)
 {
     turn_group_t  *group = find_group(turns, key);
-    turn_tenant_t *tenant = group == NULL || hash == 0 ? NULL : find_tenant(group, hash);
+    turn_tenant_t *tenant = group == NULL ? NULL : find_tenant(group, hash);
 
     if (group == NULL) {
         return;
--- a/tests/test_fair_turns.c
+++ b/tests/test_fair_turns.c
@@ -55,6 +55,46 @@
 }
 END_TEST
 
+START_TEST(requests_without_a_tenant_take_turns_with_tenants_that_wait)
+{
+    cw_fair_turns_t *turns = cw_fair_turns_create();
+    cw_turn_group_t  group = cw_fair_turns_group(1, 0);
+    uint64_t         first = wait_in(turns, group, 7);
+    uint64_t         second = wait_in(turns, group, 7);
+    uint64_t         last = 0;
+    int              index;
+
+    ck_assert_uint_eq(wait_in(turns, group, 0), first);
+    for (index = 0; index < 10; index++) {
+        last = wait_in(turns, group, 0);
+        ck_assert_uint_ge(last, second);
+    }
+    ck_assert_uint_ge(last, second + 9); /* a flood waits behind itself, */
+    ck_assert_uint_lt(wait_in(turns, group, 7), last);
+    cw_fair_turns_leave(turns, group, 0);
+    ck_assert_uint_eq(wait_in(turns, group, 0), last); /* and what leaves gives its turn to the next one */
+    cw_fair_turns_free(turns);
+}
+END_TEST
+
+START_TEST(when_the_last_tenant_has_left_no_request_passes_those_before_it)
+{
+    cw_fair_turns_t *turns = cw_fair_turns_create();
+    cw_turn_group_t  group = cw_fair_turns_group(1, 0);
+    uint64_t         last = 0;
+    int              index;
+
+    (void)wait_in(turns, group, 7);
+    for (index = 0; index < 10; index++) {
+        last = wait_in(turns, group, 0);
+    }
+    cw_fair_turns_leave(turns, group, 7);
+    ck_assert_uint_gt(last, 0);
+    ck_assert_uint_eq(wait_in(turns, group, 0), last);
+    cw_fair_turns_free(turns);
+}
+END_TEST
+
 START_TEST(what_leaves_unserved_costs_its_tenant_no_turn)
 {
     cw_fair_turns_t *turns = cw_fair_turns_create();
@@ -333,6 +373,8 @@
     tcase_set_timeout(cases, 60);
     tcase_add_test(cases, a_tenant_of_many_requests_waits_behind_itself);
     tcase_add_test(cases, without_tenants_all_have_the_same_turn);
+    tcase_add_test(cases, requests_without_a_tenant_take_turns_with_tenants_that_wait);
+    tcase_add_test(cases, when_the_last_tenant_has_left_no_request_passes_those_before_it);
     tcase_add_test(cases, what_leaves_unserved_costs_its_tenant_no_turn);
     tcase_add_test(cases, groups_do_not_touch_each_other_and_only_what_waits_is_kept);
     tcase_add_test(cases, one_tenant_at_many_times_its_usual_does_not_take_the_others_slots);
