Stages of zones are made once for a request, and of many zones the nearest are asked

Cause: the zones in which a slot is asked for were worked out anew before each ask, and the number of the stage was kept: a zone that came or went in between made the request leave out another one. Ruled out: keeping zones by name in the request; names go with the servers' list. Brokers' addresses and waits are kept. Change: cw_slot_zones_add keeps the nearest ten in order; stages are made before the first ask. Tests: a_zone_that_leaves_between_asks_costs_no_other_zone_its_ask failed before; of_more_zones_than_can_be_asked_the_nearest_are_kept fails where what comes later is dropped. Conclusion: a request asks each zone that it set out to ask, once, in the order of distance.

--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -39,12 +39,20 @@
     CW_CLAIM_HELD    /**< a slot is granted and not given back */
 } cw_claim_state_t;
 
+/** One ask to come: of a broker, and how long the request may wait there (slot_stages.h). */
+typedef struct cw_claim_stage {
+    uint32_t     broker;
+    cw_time_us_t wait;
+} cw_claim_stage_t;
+
 /** A request's claim to a slot. */
 typedef struct cw_slot_claim {
     cw_claim_state_t state;
     uint32_t         ticket;
     uint32_t         broker;
-    uint32_t         stage;      /**< asks for it before (slot_stages.h) */
+    cw_claim_stage_t stages[CW_SLOT_STAGES_MAX]; /**< made once, before the first ask */
+    size_t           stage_count;
+    size_t           stage;      /**< the present one */
     cw_time_us_t     wait;       /**< told with the ask */
     uint32_t         asks;       /**< sent for this ticket */
     cw_time_us_t     due;        /**< a reply should have come by then */
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -57,34 +57,41 @@
     cw_metric_add(CW_METRIC_SLOT_BROKERS_SILENT, 1);
 }
 
-/* Zones in which the service has servers, this node's first. */
+static uint32_t broker_of(const cw_request_t *request, const char *zone, cw_time_us_t now)
+{
+    cw_engine_t *engine = request->engine;
+    uint32_t     address = engine->slots.broker_of(engine->slots.context, zone, request->service->hash);
+
+    return address != 0 && !is_silent(engine, address, now) ? address : 0;
+}
+
+static bool has_zone(const cw_slot_zone_t *zones, size_t count, const char *zone)
+{
+    size_t index;
+
+    for (index = 0; index < count; index++) {
+        if (strcmp(zones[index].name, zone) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Zones in which the service has servers that will do, the nearest first. */
 static size_t zones_of(const cw_request_t *request, cw_slot_zone_t *zones)
 {
-    cw_server_pool_t *pool = request->engine->pool;
-    size_t            count = 1;
-    bool              has_own = false;
-    cw_server_t      *server;
-    cw_server_t      *next;
-
-    zones[0] = (cw_slot_zone_t){cw_server_pool_zone(pool), CW_DISTANCE_ZONE};
-    HASH_ITER(by_id, cw_server_pool_all(pool), server, next)
+    size_t       count = 0;
+    cw_server_t *server;
+    cw_server_t *next;
+
+    HASH_ITER(by_id, cw_server_pool_all(request->engine->pool), server, next)
     {
-        size_t known = 0;
+        cw_slot_zone_t zone = {server->zone, server->distance};
 
-        if (!server->listed || server->zone_is_out || strcmp(server->service, request->service->name) != 0 ||
-            !cw_server_region_allows(server, &request->regions)) {
-            continue;
+        if (server->listed && !server->zone_is_out && strcmp(server->service, request->service->name) == 0 &&
+            cw_server_region_allows(server, &request->regions) && !has_zone(zones, count, zone.name)) {
+            count = cw_slot_zones_add(zones, count, &zone);
         }
-        while (known < count && strcmp(zones[known].name, server->zone) != 0) {
-            known++;
-        }
-        has_own = has_own || known == 0;
-        if (known == count && count < CW_SLOT_ZONES_MAX) {
-            zones[count++] = (cw_slot_zone_t){server->zone, server->distance};
-        }
-    }
-    if (!has_own) {
-        memmove(zones, zones + 1, --count * sizeof(*zones));
     }
     return count;
 }
@@ -135,34 +142,42 @@
     request->claim.state = CW_CLAIM_NONE;
 }
 
-static uint32_t broker_of(const cw_request_t *request, const char *zone, cw_time_us_t now)
+static void make_stages(cw_request_t *request, cw_time_us_t now)
 {
-    cw_engine_t *engine = request->engine;
-    uint32_t     address = engine->slots.broker_of(engine->slots.context, zone, request->service->hash);
+    cw_slot_claim_t *claim = &request->claim;
+    cw_slot_zone_t   zones[CW_SLOT_ZONES_MAX];
+    cw_slot_stage_t  stages[CW_SLOT_STAGES_MAX];
+    cw_slot_waits_t  waits = {.near = (cw_time_us_t)((double)request->route_state->usual * wait_near),
+                              .crossing = cw_request_crossing_cost(request),
+                              .longest = request->deadline}; /* its objective is the bound */
+    size_t           count = cw_slot_stages_make(zones, zones_of(request, zones), &waits, stages);
+    size_t           index;
+
+    claim->stage = 0;
+    claim->stage_count = 0;
+    for (index = 0; index < count; index++) {
+        uint32_t broker = broker_of(request, stages[index].zone, now);
 
-    return address != 0 && !is_silent(engine, address, now) ? address : 0;
+        if (broker != 0) {
+            claim->stages[claim->stage_count++] = (cw_claim_stage_t){broker, stages[index].wait};
+        }
+    }
 }
 
-/* Asks at the present stage, or the next at which there is a broker; false: there is none. */
+/* Asks at the present stage, or at the next whose broker replies; false: there is none. */
 static bool ask_any(cw_request_t *request, cw_time_us_t now)
 {
-    cw_slot_zone_t  zones[CW_SLOT_ZONES_MAX];
-    cw_slot_stage_t stages[CW_SLOT_STAGES_MAX];
-    cw_slot_waits_t waits = {.near = (cw_time_us_t)((double)request->route_state->usual * wait_near),
-                             .crossing = cw_request_crossing_cost(request),
-                             .longest = request->deadline}; /* its objective is the bound */
-    size_t          count = cw_slot_stages_make(zones, zones_of(request, zones), &waits, stages);
-
-    for (; request->claim.stage < count; request->claim.stage++) {
-        uint32_t broker = broker_of(request, stages[request->claim.stage].zone, now);
+    cw_slot_claim_t *claim = &request->claim;
 
-        if (broker != 0) {
-            begin_claim(request, broker);
-            send_ask(request, NULL, stages[request->claim.stage].wait, now);
-            return true;
-        }
+    while (claim->stage < claim->stage_count && is_silent(request->engine, claim->stages[claim->stage].broker, now)) {
+        claim->stage++;
     }
-    return false;
+    if (claim->stage == claim->stage_count) {
+        return false;
+    }
+    begin_claim(request, claim->stages[claim->stage].broker);
+    send_ask(request, NULL, claim->stages[claim->stage].wait, now);
+    return true;
 }
 
 bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now)
@@ -172,8 +187,8 @@
     if (!request->engine->has_slots || request->claim.is_direct) {
         return false;
     }
-    request->claim.stage = 0;
     if (owner == NULL) {
+        make_stages(request, now);
         return ask_any(request, now);
     }
     broker = broker_of(request, owner->zone, now);
--- a/src/proxy/slot_stages.c
+++ b/src/proxy/slot_stages.c
@@ -21,6 +21,24 @@
     }
 }
 
+size_t cw_slot_zones_add(cw_slot_zone_t *zones, size_t count, const cw_slot_zone_t *zone)
+{
+    size_t place = count;
+
+    if (count == CW_SLOT_ZONES_MAX) {
+        if (zones[count - 1].distance <= zone->distance) {
+            return count;
+        }
+        place = count - 1;
+    }
+    while (place > 0 && zones[place - 1].distance > zone->distance) {
+        zones[place] = zones[place - 1];
+        place--;
+    }
+    zones[place] = *zone;
+    return count < CW_SLOT_ZONES_MAX ? count + 1 : count;
+}
+
 static size_t count_within(const cw_slot_zone_t *zones, size_t count, cw_distance_t farthest)
 {
     size_t within = 0;
--- a/src/proxy/slot_stages.h
+++ b/src/proxy/slot_stages.h
@@ -36,6 +36,9 @@
     cw_time_us_t longest;  /**< at last */
 } cw_slot_waits_t;
 
+/** Adds a zone that is not among them, behind those as far away; the farthest one is dropped where there are too many.
+ * Returns how many there are now. */
+size_t cw_slot_zones_add(cw_slot_zone_t *zones, size_t count, const cw_slot_zone_t *zone);
 /** Sorts the zones by distance, the order among equals kept, and makes the stages; returns how many. */
 size_t cw_slot_stages_make(cw_slot_zone_t *zones, size_t count, const cw_slot_waits_t *waits, cw_slot_stage_t *stages);
 
--- a/tests/test_crossing.c
+++ b/tests/test_crossing.c
@@ -81,6 +81,29 @@
 }
 END_TEST
 
+START_TEST(of_more_zones_than_can_be_asked_the_nearest_are_kept)
+{
+    cw_slot_zone_t zones[CW_SLOT_ZONES_MAX];
+    cw_slot_zone_t far = {"far", CW_DISTANCE_REMOTE};
+    cw_slot_zone_t near = {"near", CW_DISTANCE_REGION};
+    cw_slot_zone_t own = {"own", CW_DISTANCE_ZONE};
+    size_t         count = 0;
+    size_t         index;
+
+    for (index = 0; index < 2 * CW_SLOT_ZONES_MAX; index++) {
+        count = cw_slot_zones_add(zones, count, &far);
+    }
+    count = cw_slot_zones_add(zones, count, &near);
+    count = cw_slot_zones_add(zones, count, &own);
+    ck_assert_uint_eq(count, CW_SLOT_ZONES_MAX);
+    ck_assert_str_eq(zones[0].name, "own");
+    ck_assert_str_eq(zones[1].name, "near");
+    ck_assert_str_eq(zones[2].name, "far");
+    count = cw_slot_zones_add(zones, count, &far);
+    ck_assert_uint_eq(count, CW_SLOT_ZONES_MAX);
+}
+END_TEST
+
 START_TEST(a_region_without_servers_is_left_at_once)
 {
     cw_slot_zone_t zones[] = {{"z3", CW_DISTANCE_REMOTE}, {"z4", CW_DISTANCE_REMOTE}};
@@ -201,6 +224,7 @@
     tcase_add_test(cases, zones_of_one_region_are_asked_for_what_is_free_and_the_own_one_at_last);
     tcase_add_test(cases, other_regions_are_asked_after_a_wait_that_crossing_is_worth);
     tcase_add_test(cases, a_region_without_servers_is_left_at_once);
+    tcase_add_test(cases, of_more_zones_than_can_be_asked_the_nearest_are_kept);
     tcase_add_test(cases, as_many_zones_as_there_may_be_have_room);
     tcase_add_test(cases, another_zone_of_the_region_comes_before_other_regions);
     tcase_add_test(cases, speed_of_the_region_is_that_of_its_servers_that_answer);
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -788,6 +788,37 @@
 }
 END_TEST
 
+/* Refuses all asks until one has come to `broker`. */
+static void refuse_until_asked(refusing_brokers_t *brokers, uint32_t broker)
+{
+    while (!brokers->has_asked || brokers->broker != broker) {
+        if (brokers->has_asked) {
+            cw_slot_reply_t message = {
+                .node = brokers->broker, .ticket = brokers->asked.ticket, .outcome = CW_SLOT_REFUSED};
+
+            brokers->has_asked = false;
+            cw_engine_slot_reply(brokers->world->engine, &message);
+        }
+        uv_run(&brokers->world->loop, UV_RUN_NOWAIT);
+    }
+}
+
+START_TEST(a_zone_that_leaves_between_asks_costs_no_other_zone_its_ask)
+{
+    world_t            world;
+    refusing_brokers_t brokers = {.world = &world};
+    cw_slot_port_t     port = {&brokers, broker_of_zone, note_ask, note_return};
+
+    init(&world);
+    cw_engine_set_slots(world.engine, &port);
+    (void)ask(&world, "GET", "/safe/x", "15000");
+    refuse_until_asked(&brokers, 1);
+    cw_server_pool_find(world.pool, "s0")->listed = false;
+    refuse_all(&brokers);
+    ck_assert_int_eq(strncmp(brokers.text, "z1 0, z2 0, z1 ", 15), 0);
+}
+END_TEST
+
 START_TEST(no_route_is_404_and_no_configuration_is_503)
 {
     world_t world;
@@ -1180,6 +1211,7 @@
     tcase_add_test(cases, a_request_taken_from_a_silent_server_is_not_given_up_when_no_slot_is_free);
     tcase_add_test(cases, a_caller_that_leaves_while_its_request_waits_for_a_slot_withdraws_the_ask);
     tcase_add_test(cases, zones_are_asked_in_order_of_distance_and_of_what_crossing_is_worth);
+    tcase_add_test(cases, a_zone_that_leaves_between_asks_costs_no_other_zone_its_ask);
     tcase_add_test(cases, no_route_is_404_and_no_configuration_is_503);
     tcase_add_test(cases, what_a_server_did_not_run_goes_to_another_even_if_it_must_not_be_repeated);
     tcase_add_test(cases, a_503_without_that_word_is_no_promise);
