Servers of a zone that nobody counts are used before a request is refused

Cause: a zone whose slot broker had not replied was left out for 300 ms, also as the zone to wait in, and so was one without any node; when the other zones' brokers refused, the request was refused though servers were free there. An ask for a key that was repeated after 20 ms went to the broker of the former owner's zone with the new owner's number, and was refused. Ruled out: choosing among all servers then: those whose broker has refused are full. Change: stages hold zones whose broker replies; when these have refused, a free server of the other zones is chosen here (cw_zone_filter_t); an ask whose key has moved is withdrawn and placed anew. Tests: servers_of_a_zone_whose_broker_is_unresponsive_are_used_when_the_others_refuse, servers_of_a_zone_without_a_broker_are_used_when_the_others_refuse and a_key_that_moves_to_another_zone_before_the_reply_is_asked_for_there failed before (503, 503, broker 1). servers_whose_broker_has_refused_are_not_used_in_place_of_it holds the bound. a_refused_slot_is_a_refusal_with_the_time_to_come_back counted on a zone without a broker being left unused: its server is taken out of the list there, what it checks is the same, and the new test holds what becomes of such a zone. Conclusion: a request is refused for want of slots only if no server that may take it looked free.

--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -123,11 +123,17 @@
  * otherwise get all requests as soon as the others are full. */
 typedef enum fitness { UNFIT, SUSPECT, FIT, FITNESSES } fitness_t;
 
+static bool is_zone_taken(const cw_zone_filter_t *zones, const char *zone)
+{
+    return zones == NULL || zones->takes_zone(zones->context, zone);
+}
+
 static bool is_candidate(const cw_server_t *server, const char *service, const cw_choice_settings_t *settings)
 {
     return server->listed && !server->draining && !server->ended && !server->zone_is_out &&
            strcmp(server->service, service) == 0 && cw_server_region_allows(server, &settings->regions) &&
-           !(settings->stays_in_region && server->distance == CW_DISTANCE_REMOTE);
+           !(settings->stays_in_region && server->distance == CW_DISTANCE_REMOTE) &&
+           is_zone_taken(settings->zones, server->zone);
 }
 
 static fitness_t fitness(const cw_server_t *server, const cw_server_t *except, cw_time_us_t now)
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -177,13 +177,20 @@
 /** Forgets nodes that have been silent for longer than `life`. */
 void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t life, cw_time_us_t now);
 
+/** Zones whose servers may be chosen. */
+typedef struct cw_zone_filter {
+    void *context;
+    bool (*takes_zone)(void *context, const char *zone);
+} cw_zone_filter_t;
+
 typedef struct cw_choice_settings {
     double zone_penalty;    /**< what another zone costs, as a share of a usual request's time */
     double remote_penalty;  /**< what another region costs besides, in the same unit */
     bool   stays_in_region; /**< servers of other regions are not taken */
     double affinity;        /**< weight of this node's own order of servers; more where others' loads are known late */
     double extra_slots;     /**< requests a server may have beyond its capacity */
-    cw_region_rule_t regions;
+    cw_region_rule_t        regions;
+    const cw_zone_filter_t *zones; /**< NULL: all */
 } cw_choice_settings_t;
 
 /** Best server of a service with a free slot. full: there are servers, but none has a slot. */
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -54,6 +54,7 @@
     size_t           stage_count;
     size_t           stage;      /**< the present one */
     cw_time_us_t     wait;       /**< told with the ask */
+    uint32_t         server;     /**< hash of the only one that will do; 0: any */
     uint32_t         asks;       /**< sent for this ticket */
     cw_time_us_t     due;        /**< a reply should have come by then */
     cw_time_us_t     free_after; /**< as it was refused last; 0: not told */
@@ -239,6 +240,10 @@
 void cw_service_dispatch(cw_engine_t *engine, cw_service_state_t *service);
 /** When the request's turn would come and its answer be there, as far as can be told; CW_NEVER: unknown. */
 cw_time_us_t cw_request_estimate(const cw_request_t *request, cw_time_us_t now);
+/** Best server for a request without a key, by what this node knows itself; NULL: none has a free slot. zones: those
+ * that will do; NULL: all. full: there are servers, but none has a slot. */
+cw_server_t *cw_request_choose(const cw_request_t *request, const cw_zone_filter_t *zones, cw_time_us_t now,
+                               bool *full);
 /** Places a request that is queued, or settles what becomes of it. */
 void cw_request_place(cw_request_t *request, cw_time_us_t now);
 /** Server that owns its key; NULL: not known, or gone. */
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -189,11 +189,23 @@
     return PLACED;
 }
 
-static placing_t place(cw_request_t *request, cw_time_us_t now)
+cw_server_t *cw_request_choose(const cw_request_t *request, const cw_zone_filter_t *zones, cw_time_us_t now, bool *full)
 {
+    cw_server_pool_t    *pool = request->engine->pool;
     cw_choice_settings_t choice = request->engine->settings.choice;
-    cw_server_t         *server;
-    bool                 full;
+    const cw_server_t   *failed = request->avoid[0] == '\0' ? NULL : cw_server_pool_find(pool, request->avoid);
+
+    choice.regions = request->regions;
+    choice.stays_in_region = cw_request_stays_in_region(request, now);
+    choice.remote_penalty = (double)cw_request_crossing_cost(request) / (double)(request->route_state->usual + 1);
+    choice.zones = zones;
+    return cw_server_pool_choose(pool, request->service->name, &choice, failed, now, full);
+}
+
+static placing_t place(cw_request_t *request, cw_time_us_t now)
+{
+    cw_server_t *server;
+    bool         full;
 
     if (request->not_before > now) {
         return PAUSED;
@@ -204,12 +216,7 @@
     if (cw_request_ask_slot(request, NULL, now)) {
         return ASKED;
     }
-    choice.regions = request->regions;
-    choice.stays_in_region = cw_request_stays_in_region(request, now);
-    choice.remote_penalty = (double)cw_request_crossing_cost(request) / (double)(request->route_state->usual + 1);
-    server = cw_server_pool_choose(
-        request->engine->pool, request->service->name, &choice,
-        request->avoid[0] == '\0' ? NULL : cw_server_pool_find(request->engine->pool, request->avoid), now, &full);
+    server = cw_request_choose(request, NULL, now, &full);
     if (server == NULL) {
         return full ? WAITS_FOR_SLOT : NO_SERVERS;
     }
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -3,8 +3,8 @@
  * @brief A request's claim to a slot of a server: asked for at the nodes that count them, held, given back.
  *
  * For a key the node of its owner's zone is asked. For any server, zones are asked in the order of slot_stages.h. A
- * node that does not reply is asked once more, and then not for a while: meanwhile the engine chooses servers by
- * itself.
+ * node that does not reply is asked once more, and then not for a while: meanwhile the engine chooses servers of its
+ * zone by itself, where the others have none free.
  */
 #include <string.h>
 
@@ -77,8 +77,8 @@
     return false;
 }
 
-/* Zones in which the service has servers that will do, the nearest first. */
-static size_t zones_of(const cw_request_t *request, cw_slot_zone_t *zones)
+/* Zones in which the service has servers that will do and a broker that replies, the nearest first. */
+static size_t zones_of(const cw_request_t *request, cw_slot_zone_t *zones, cw_time_us_t now)
 {
     size_t       count = 0;
     cw_server_t *server;
@@ -89,7 +89,8 @@
         cw_slot_zone_t zone = {server->zone, server->distance};
 
         if (server->listed && !server->zone_is_out && strcmp(server->service, request->service->name) == 0 &&
-            cw_server_region_allows(server, &request->regions) && !has_zone(zones, count, zone.name)) {
+            cw_server_region_allows(server, &request->regions) && !has_zone(zones, count, zone.name) &&
+            broker_of(request, zone.name, now) != 0) {
             count = cw_slot_zones_add(zones, count, &zone);
         }
     }
@@ -118,6 +119,7 @@
         ask.objective = request->deadline - now;
     }
     request->claim.asks++;
+    request->claim.server = ask.server;
     request->claim.wait = wait;
     request->claim.due = now + CW_MS(REPLY_MS);
     engine->slots.ask(engine->slots.context, request->claim.broker, &ask);
@@ -150,17 +152,13 @@
     cw_slot_waits_t  waits = {.near = (cw_time_us_t)((double)request->route_state->usual * wait_near),
                               .crossing = cw_request_crossing_cost(request),
                               .longest = request->deadline}; /* its objective is the bound */
-    size_t           count = cw_slot_stages_make(zones, zones_of(request, zones), &waits, stages);
+    size_t           count = cw_slot_stages_make(zones, zones_of(request, zones, now), &waits, stages);
     size_t           index;
 
     claim->stage = 0;
-    claim->stage_count = 0;
+    claim->stage_count = count;
     for (index = 0; index < count; index++) {
-        uint32_t broker = broker_of(request, stages[index].zone, now);
-
-        if (broker != 0) {
-            claim->stages[claim->stage_count++] = (cw_claim_stage_t){broker, stages[index].wait};
-        }
+        claim->stages[index] = (cw_claim_stage_t){broker_of(request, stages[index].zone, now), stages[index].wait};
     }
 }
 
@@ -212,8 +210,12 @@
 {
     cw_server_t *owner = request->is_keyed ? cw_request_owner(request) : NULL;
 
-    if (request->claim.state == CW_CLAIM_ASKED && request->claim.asks < ASKS_MOST &&
-        (!request->is_keyed || owner != NULL)) {
+    if (request->is_keyed && (owner == NULL || owner->hash != request->claim.server)) {
+        cw_request_return_slot(request); /* its key has moved meanwhile: that says nothing of the broker */
+        cw_request_place(request, now);
+        return;
+    }
+    if (request->claim.state == CW_CLAIM_ASKED && request->claim.asks < ASKS_MOST) {
         send_ask(request, owner, request->claim.wait, now);
         cw_request_arm(request);
         return;
@@ -223,6 +225,28 @@
     place_directly(request, now);
 }
 
+/* Is nobody there to be asked for the zone's slots now? */
+static bool has_no_broker(void *context, const char *zone)
+{
+    const cw_request_t *request = context;
+
+    return broker_of(request, zone, cw_engine_now(request->engine)) == 0;
+}
+
+/* All that could be asked have refused. False: no server is free in zones where nobody could be asked. */
+static bool place_unasked(cw_request_t *request, cw_time_us_t now)
+{
+    cw_zone_filter_t zones = {request, has_no_broker};
+    bool             full;
+    cw_server_t     *server = cw_request_choose(request, &zones, now, &full);
+
+    if (server == NULL) {
+        return false;
+    }
+    cw_request_send(request, server);
+    return true;
+}
+
 static void take_refusal(cw_request_t *request, const cw_slot_reply_t *reply, cw_time_us_t now)
 {
     forget_claim(request);
@@ -235,6 +259,9 @@
             cw_request_arm(request);
             return;
         }
+        if (place_unasked(request, now)) {
+            return;
+        }
     }
     if (request->may_have_run) { /* it was taken from a server that was at work on it: no refusal would be true */
         place_directly(request, now);
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -638,7 +638,8 @@
     fake_broker_t fake;
 
     ask_for_slot(&world, &fake, "/safe/x");
-    reply(&world, &fake, CW_SLOT_REFUSED, NULL); /* one that may hardly wait, */
+    cw_server_pool_find(world.pool, "s1")->listed = false; /* no broker counts its slots: it would be used */
+    reply(&world, &fake, CW_SLOT_REFUSED, NULL);           /* one that may hardly wait, */
     ck_assert_uint_eq(fake.asks, 2);
     reply(&world, &fake, CW_SLOT_REFUSED, NULL); /* and one that may */
     cw_test_run_until_set(&world.loop, &world.answered);
@@ -649,6 +650,21 @@
 }
 END_TEST
 
+START_TEST(servers_of_a_zone_without_a_broker_are_used_when_the_others_refuse)
+{
+    world_t       world;
+    fake_broker_t fake;
+
+    ask_for_slot(&world, &fake, "/safe/x");
+    reply(&world, &fake, CW_SLOT_REFUSED, NULL);
+    reply(&world, &fake, CW_SLOT_REFUSED, NULL);
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s1");
+    ck_assert_uint_eq(world.servers[0].requests, 0);
+}
+END_TEST
+
 START_TEST(without_a_reply_the_server_is_chosen_here_and_a_late_grant_is_declined)
 {
     world_t       world;
@@ -819,6 +835,73 @@
 }
 END_TEST
 
+/* Broker 1 has not replied to a request, which went to s0; it is not asked now. */
+static void begin_with_unresponsive_broker(world_t *world, refusing_brokers_t *brokers, const cw_slot_port_t *port)
+{
+    init(world);
+    cw_engine_set_slots(world->engine, port);
+    world->servers[0].status = 200;
+    (void)ask(world, "GET", "/safe/x", "15000");
+    cw_test_run_until_set(&world->loop, &world->answered);
+    ck_assert_int_eq(world->status, 200);
+    ck_assert_str_eq(world->body.data, "s0");
+    brokers->has_asked = false;
+    brokers->text[0] = '\0';
+}
+
+START_TEST(servers_of_a_zone_whose_broker_is_unresponsive_are_used_when_the_others_refuse)
+{
+    world_t            world;
+    refusing_brokers_t brokers = {.world = &world};
+    cw_slot_port_t     port = {&brokers, broker_of_zone, note_ask, note_return};
+
+    begin_with_unresponsive_broker(&world, &brokers, &port);
+    (void)ask(&world, "GET", "/safe/y", "15000");
+    refuse_all(&brokers);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s0");
+    ck_assert_ptr_null(strstr(brokers.text, "z1"));
+}
+END_TEST
+
+START_TEST(servers_whose_broker_has_refused_are_not_used_in_place_of_it)
+{
+    world_t            world;
+    refusing_brokers_t brokers = {.world = &world};
+    cw_slot_port_t     port = {&brokers, broker_of_zone, note_ask, note_return};
+
+    begin_with_unresponsive_broker(&world, &brokers, &port);
+    cw_server_pool_begin(cw_server_pool_find(world.pool, "s0"), cw_engine_now(world.engine)); /* its one slot */
+    (void)ask(&world, "GET", "/safe/y", "15000");
+    refuse_all(&brokers);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert_uint_eq(world.servers[1].requests, 0);
+}
+END_TEST
+
+START_TEST(a_key_that_moves_to_another_zone_before_the_reply_is_asked_for_there)
+{
+    world_t            world;
+    refusing_brokers_t brokers = {.world = &world};
+    cw_slot_port_t     port = {&brokers, broker_of_zone, note_ask, note_return};
+    cw_key_route_t     route = {.low = 0, .last = 65535, .server = "s0", .fence = 4, .routable = true};
+
+    init(&world);
+    cw_engine_set_slots(world.engine, &port);
+    cw_engine_set_tables_valid(world.engine, 0, INT64_MAX);
+    cw_engine_set_table(world.engine, "keyed", &route, 1, 1);
+    (void)ask(&world, "GET", "/keyed/x", "15000");
+    cw_test_run_until_set(&world.loop, &brokers.has_asked);
+    ck_assert_uint_eq(brokers.broker, 1);
+    brokers.has_asked = false;
+    snprintf(route.server, sizeof(route.server), "s1");
+    cw_engine_set_table(world.engine, "keyed", &route, 1, 2);
+    cw_test_run_until_set(&world.loop, &brokers.has_asked);
+    ck_assert_uint_eq(brokers.broker, 2);
+    ck_assert_uint_eq(brokers.asked.server, cw_server_pool_find(world.pool, "s1")->hash);
+}
+END_TEST
+
 START_TEST(no_route_is_404_and_no_configuration_is_503)
 {
     world_t world;
@@ -1207,11 +1290,15 @@
     tcase_add_test(cases, early_in_a_stop_a_request_is_taken_and_its_time_is_cut);
     tcase_add_test(cases, a_request_goes_where_its_slot_is_and_gives_it_back);
     tcase_add_test(cases, a_refused_slot_is_a_refusal_with_the_time_to_come_back);
+    tcase_add_test(cases, servers_of_a_zone_without_a_broker_are_used_when_the_others_refuse);
     tcase_add_test(cases, without_a_reply_the_server_is_chosen_here_and_a_late_grant_is_declined);
     tcase_add_test(cases, a_request_taken_from_a_silent_server_is_not_given_up_when_no_slot_is_free);
     tcase_add_test(cases, a_caller_that_leaves_while_its_request_waits_for_a_slot_withdraws_the_ask);
     tcase_add_test(cases, zones_are_asked_in_order_of_distance_and_of_what_crossing_is_worth);
     tcase_add_test(cases, a_zone_that_leaves_between_asks_costs_no_other_zone_its_ask);
+    tcase_add_test(cases, servers_of_a_zone_whose_broker_is_unresponsive_are_used_when_the_others_refuse);
+    tcase_add_test(cases, servers_whose_broker_has_refused_are_not_used_in_place_of_it);
+    tcase_add_test(cases, a_key_that_moves_to_another_zone_before_the_reply_is_asked_for_there);
     tcase_add_test(cases, no_route_is_404_and_no_configuration_is_503);
     tcase_add_test(cases, what_a_server_did_not_run_goes_to_another_even_if_it_must_not_be_repeated);
     tcase_add_test(cases, a_503_without_that_word_is_no_promise);
