What is bound to regions is admitted by the speed of the servers there

Cause: among few nodes a request without a key was admitted by the speed of all servers of its service, also where its route or tenant is bound to regions: it was let in, waited, and was refused at its time limit. Ruled out: counting all that wait at the speed of the regions' servers: what is not bound is taken up elsewhere too. Change: the wait is the longer one of all that wait at all servers and of what is bound as closely at the servers of its regions (cw_server_pool_speed_under). Test: what_is_bound_to_regions_is_let_in_by_the_speed_of_their_servers failed before: refused at its time limit of 15 s. Conclusion: no change for requests that nothing binds; bound ones are refused at once where they would come too late.

--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -200,7 +200,9 @@
            !server->zone_is_out && !cw_server_is_rate_bounded(server, now) && strcmp(server->service, service) == 0;
 }
 
-double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now)
+/* rule: NULL: none. */
+static double sum_speed(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                        cw_distance_t farthest, cw_time_us_t now)
 {
     cw_server_t *server;
     cw_server_t *next;
@@ -208,28 +210,29 @@
 
     HASH_ITER(by_id, pool->by_id, server, next)
     {
-        if (is_serving(server, service, now)) {
+        if (server->distance <= farthest && is_serving(server, service, now) &&
+            (rule == NULL || cw_server_region_allows(server, rule))) {
             speed += server->capacity / present_pace(server, now);
         }
     }
     return speed;
 }
 
+double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now)
+{
+    return sum_speed(pool, service, NULL, CW_DISTANCE_REMOTE, now);
+}
+
+double cw_server_pool_speed_under(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                                  cw_time_us_t now)
+{
+    return sum_speed(pool, service, rule, CW_DISTANCE_REMOTE, now);
+}
+
 double cw_server_pool_speed_near(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
                                  cw_time_us_t now)
 {
-    cw_server_t *server;
-    cw_server_t *next;
-    double       speed = 0;
-
-    HASH_ITER(by_id, pool->by_id, server, next)
-    {
-        if (server->distance != CW_DISTANCE_REMOTE && is_serving(server, service, now) &&
-            cw_server_region_allows(server, rule)) {
-            speed += server->capacity / present_pace(server, now);
-        }
-    }
-    return speed;
+    return sum_speed(pool, service, rule, CW_DISTANCE_REGION, now);
 }
 
 uint32_t cw_server_pool_under_way(cw_server_pool_t *pool, const char *service)
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -199,7 +199,10 @@
 bool         cw_server_has_slot(const cw_server_t *server, double extra_slots, cw_time_us_t now);
 /** Slots of a service that can be used, in units of a server of usual pace. */
 double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now);
-/** The same for servers of this node's region to which a request under this rule may go. */
+/** The same for servers to which a request under this rule may go. */
+double cw_server_pool_speed_under(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                                  cw_time_us_t now);
+/** The same for those of them that lie in this node's region. */
 double cw_server_pool_speed_near(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
                                  cw_time_us_t now);
 /** Requests under way at a service's servers. */
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -146,20 +146,59 @@
     return now + usual + (before > 0 ? before * usual / (server->capacity == 0 ? 1 : server->capacity) : 0);
 }
 
+/* Time until `waiting` requests have been taken up at that speed; CW_NEVER: at none. */
+static cw_time_us_t drain_time(const cw_request_t *request, double waiting, double speed)
+{
+    return speed <= 0 ? CW_NEVER : (cw_time_us_t)(waiting * (double)request->route_state->usual / speed);
+}
+
+/* Requests before this one that may go nowhere but where it may go itself. */
+static uint32_t ahead_within(const cw_request_t *request, uint32_t mask)
+{
+    const cw_request_t *other;
+    uint32_t            ahead = 0;
+
+    DL_FOREACH(request->service->queue, other)
+    {
+        uint32_t others = cw_server_pool_region_mask(request->engine->pool, &other->regions);
+
+        if (other == request) {
+            break;
+        }
+        ahead += others != CW_REGIONS_ANY && (others & ~mask) == 0 ? 1 : 0;
+    }
+    return ahead;
+}
+
+/* What is bound to regions waits for their servers, behind what is bound as closely; never less than all wait. */
+static cw_time_us_t wait_under_regions(const cw_request_t *request, cw_time_us_t now)
+{
+    cw_server_pool_t *pool = request->engine->pool;
+    uint32_t          mask = cw_server_pool_region_mask(pool, &request->regions);
+
+    if (mask == CW_REGIONS_ANY) {
+        return 0;
+    }
+    return drain_time(request, ahead_within(request, mask) + 1,
+                      cw_server_pool_speed_under(pool, request->service->name, &request->regions, now));
+}
+
 cw_time_us_t cw_request_estimate(const cw_request_t *request, cw_time_us_t now)
 {
-    double speed;
-    double waiting;
+    double       speed;
+    double       waiting;
+    cw_time_us_t wait;
+    cw_time_us_t bound;
 
     if (request->is_keyed) {
         return estimate_keyed(request, now);
     }
     speed = cw_server_pool_speed(request->engine->pool, request->service->name, now);
-    if (speed <= 0) {
-        return CW_NEVER;
-    }
     waiting = cw_request_ahead(request) + 1 + request->service->queued_elsewhere;
-    return now + request->route_state->usual + (cw_time_us_t)(waiting * (double)request->route_state->usual / speed);
+    wait = drain_time(request, waiting, speed);
+    bound = wait_under_regions(request, now);
+    wait = wait > bound ? wait : bound;
+    return wait == CW_NEVER ? CW_NEVER : now + request->route_state->usual + wait;
 }
 
 /* ---- dispatch ---- */
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -296,6 +296,26 @@
 }
 END_TEST
 
+START_TEST(what_is_bound_to_regions_is_let_in_by_the_speed_of_their_servers)
+{
+    world_t world;
+
+    init(&world);
+    cw_server_pool_find(world.pool, "s1")->pace = 1.2; /* two before it take it beyond its objective there */
+    cw_server_pool_find(world.pool, "s1")->pace_at = cw_engine_now(world.engine);
+    (void)ask(&world, "GET", "/far/1", "15000");
+    cw_test_run_until_set(&world.loop, &world.servers[1].has_request);
+    (void)ask(&world, "GET", "/far/2", "15000");
+    while (cw_engine_queued(world.engine) == 0) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    (void)ask(&world, "GET", "/far/3", "16000");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 503);
+    ck_assert_uint_eq(cw_engine_queued(world.engine), 1);
+}
+END_TEST
+
 /* ---- leaving the region ---- */
 
 enum { BODY_BYTES = 60000 };
@@ -1277,6 +1297,7 @@
     tcase_set_timeout(cases, 60);
     tcase_add_test(cases, an_answer_comes_back_whole_with_the_deadline_and_target_passed_on);
     tcase_add_test(cases, a_request_goes_only_to_servers_in_the_regions_of_its_route);
+    tcase_add_test(cases, what_is_bound_to_regions_is_let_in_by_the_speed_of_their_servers);
     tcase_add_test(cases, a_large_body_waits_for_a_server_of_its_region);
     tcase_add_test(cases, a_short_request_crosses_rather_than_wait);
     tcase_add_test(cases, a_large_body_crosses_when_its_region_has_lost_its_servers);
