src/proxy in layers: no circle of four files stands any longer

Cause: ten of its thirteen files stood in one circle of calls (engine, admission, answer, attempt, callers, queue, quota, regions, slots, stop): none could be read without the others. Ruled out: one file for all transitions (1,500 lines); an interface of function pointers between all parts. Change: what others only use is below (engine_state: names, tables, timers; engine_queue: the order; engine_claim: asks; engine_attempt: one sending; engine_token), what decides is above (engine_placing, engine_slots, engine_outcome), engine.c on top. The engine holds the three callbacks of its timers and calls. Nothing is decided otherwise. Measured by which file names a function of which other: before, one circle of 10; now one of 3 (answer, attempt, callers) and one of 2 (admission, quota). Tests: test_engine 44, test_engine_callers 16, test_engine_quota 9, test_crossing 9 checks pass, before and after.

--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <utlist.h>
 
-#include "base/event_log.h"
 #include "base/metrics.h"
 #include "proxy/engine_internal.h"
 
@@ -43,27 +42,6 @@
 
 /* ---- a request comes in ---- */
 
-void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
-                      const cw_rejection_t *rejection)
-{
-    cw_http_outbound_t outbound = {
-        .status = rejection->status, .fields = rejection->fields, .retry_after_s = rejection->retry_after_s};
-    cw_event_t event;
-
-    if (cw_event_begin(&event, CW_EVENT_REQUEST_REFUSED)) {
-        cw_event_text(&event, CW_FIELD_REQUEST,
-                      cw_http_fields_find(inbound->fields, engine->settings.names.request_id));
-        cw_event_text(&event, CW_FIELD_ROUTE, rejection->route);
-        cw_event_number(&event, CW_FIELD_STATUS, rejection->status);
-        cw_event_text(&event, CW_FIELD_REASON, rejection->reason);
-        cw_event_text(&event, CW_FIELD_TENANT, rejection->tenant);
-        cw_event_number(&event, CW_FIELD_CONFIGURATION,
-                        engine->configuration == NULL ? 0 : (int64_t)engine->configuration->version);
-        cw_event_end(&event);
-    }
-    cw_http_exchange_answer(exchange, &outbound);
-}
-
 static cw_time_us_t caller_deadline(const cw_engine_t *engine, const cw_http_inbound_t *inbound)
 {
     const char  *text = cw_http_fields_find(inbound->fields, engine->settings.names.deadline);
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -105,6 +105,27 @@
     }
 }
 
+void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                      const cw_rejection_t *rejection)
+{
+    cw_http_outbound_t outbound = {
+        .status = rejection->status, .fields = rejection->fields, .retry_after_s = rejection->retry_after_s};
+    cw_event_t event;
+
+    if (cw_event_begin(&event, CW_EVENT_REQUEST_REFUSED)) {
+        cw_event_text(&event, CW_FIELD_REQUEST,
+                      cw_http_fields_find(inbound->fields, engine->settings.names.request_id));
+        cw_event_text(&event, CW_FIELD_ROUTE, rejection->route);
+        cw_event_number(&event, CW_FIELD_STATUS, rejection->status);
+        cw_event_text(&event, CW_FIELD_REASON, rejection->reason);
+        cw_event_text(&event, CW_FIELD_TENANT, rejection->tenant);
+        cw_event_number(&event, CW_FIELD_CONFIGURATION,
+                        engine->configuration == NULL ? 0 : (int64_t)engine->configuration->version);
+        cw_event_end(&event);
+    }
+    cw_http_exchange_answer(exchange, &outbound);
+}
+
 /* ---- refused ---- */
 
 static cw_time_us_t come_back_after(const cw_request_t *request, cw_refusal_t reason, cw_time_us_t now)
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -1,25 +1,16 @@
 /**
  * @file engine_attempt.c
- * @brief One sending of a request to a server, and what its outcome allows next.
+ * @brief One sending of a request to a server.
  */
-#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include "base/byte_buffer.h"
-#include "base/event_log.h"
 #include "base/metrics.h"
 #include "base/text.h"
 #include "proxy/engine_internal.h"
 
-enum {
-    STATUS_MISDIRECTED = 421,
-    STATUS_SERVER_ERROR = 500,
-    REPEAT_MIN_MS = 150,
-    PAUSE_MISDIRECTED_MS = 50,
-    USUAL_WEIGHT_PART = 24,
-    RATIO_MAX = 10
-};
+enum { REPEAT_MIN_MS = 150 };
 
 /* ---- the request as it goes out ---- */
 
@@ -71,8 +62,6 @@
 
 /* ---- sending ---- */
 
-static void on_answer(void *context, const cw_upstream_answer_t *answer);
-
 static void set_repeat(cw_request_t *request, cw_time_us_t now)
 {
     double       usual = (double)request->route_state->usual * (request->server->pace > 1 ? request->server->pace : 1);
@@ -119,13 +108,13 @@
     cw_server_pool_begin(server, now);
     engine->changed = true;
     cw_metric_add(CW_METRIC_SENT, 1);
-    request->call = cw_upstream_call(server->connections, &sending, on_answer, request);
+    request->call = cw_upstream_call(server->connections, &sending, engine->on_answer, request);
     cw_bytes_clear(&bytes);
     set_repeat(request, now);
     cw_request_arm(request);
 }
 
-static void leave_server(cw_request_t *request)
+void cw_request_leave_server(cw_request_t *request)
 {
     cw_server_t *server = request->server;
 
@@ -146,253 +135,5 @@
     }
     request->may_have_run = request->may_have_run || cw_upstream_call_sent(request->call);
     cw_upstream_call_abandon(request->call);
-    leave_server(request);
-}
-
-/* ---- again ---- */
-
-static void note_retry(const cw_request_t *request, const char *server, const char *reason)
-{
-    cw_event_t event;
-
-    if (!cw_event_begin(&event, CW_EVENT_REQUEST_RETRIED)) {
-        return;
-    }
-    cw_event_text(&event, CW_FIELD_REQUEST, request->id);
-    cw_event_text(&event, CW_FIELD_ROUTE, request->route->name);
-    cw_event_text(&event, CW_FIELD_SERVER, server);
-    cw_event_text(&event, CW_FIELD_REASON, reason);
-    cw_event_number(&event, CW_FIELD_ATTEMPT, request->attempts);
-    cw_event_ms(&event, CW_FIELD_LEFT_MS, request->deadline - cw_engine_now(request->engine));
-    cw_event_real(&event, CW_FIELD_BUDGET,
-                  cw_shared_budget_left(&request->service->budget, &request->engine->settings.budget,
-                                        request->engine->nodes, cw_engine_now(request->engine)));
-    cw_event_end(&event);
-}
-
-/* Would another sending still be of use? */
-static bool has_time(const cw_request_t *request, cw_time_us_t now)
-{
-    return request->deadline - now > request->route_state->usual / 3;
-}
-
-static bool may_repeat(cw_request_t *request, cw_time_us_t now)
-{
-    if (request->attempts >= request->route->max_attempts || !has_time(request, now)) {
-        return false;
-    }
-    if (!cw_shared_budget_take(&request->service->budget, &request->engine->settings.budget, request->engine->nodes,
-                               now)) {
-        cw_metric_add(CW_METRIC_RETRIES_DENIED, 1);
-        return false;
-    }
-    cw_metric_add(CW_METRIC_RETRIES, 1);
-    return true;
-}
-
-static void send_again(cw_request_t *request, cw_time_us_t pause)
-{
-    if (!cw_request_still_admitted(request)) {
-        return;
-    }
-    request->not_before = pause > 0 ? cw_engine_now(request->engine) + pause : 0;
-    cw_request_enqueue(request);
-    cw_service_dispatch(request->engine, request->service);
-    if (request->is_queued) {
-        cw_request_arm(request);
-    }
-}
-
-void cw_request_repeat_after_silence(cw_request_t *request)
-{
-    cw_time_us_t now = cw_engine_now(request->engine);
-    cw_server_t *server = request->server;
-
-    request->repeat_at = CW_NEVER;
-    if (!cw_request_caller_stays(request) || !may_repeat(request, now)) {
-        cw_request_arm(request);
-        return;
-    }
-    note_retry(request, server->id, "silence");
-    cw_server_pool_slow(server, now - request->sent_at, request->route_state->usual, now);
-    cw_request_abandon(request);
-    send_again(request, 0);
-}
-
-/* ---- servers lost and back ---- */
-
-static void note_server(const cw_server_t *server, cw_event_kind_t kind, const char *reason)
-{
-    cw_event_t event;
-
-    if (cw_event_begin(&event, kind)) {
-        cw_event_text(&event, CW_FIELD_SERVER, server->id);
-        cw_event_text(&event, CW_FIELD_SERVICE, server->service);
-        cw_event_text(&event, CW_FIELD_DETAIL, server->address);
-        cw_event_text(&event, CW_FIELD_REASON, reason);
-        cw_event_number(&event, CW_FIELD_COUNT, server->faults);
-        cw_event_end(&event);
-    }
-}
-
-static void fault(cw_server_t *server, const char *reason, cw_time_us_t now)
-{
-    cw_server_pool_fault(server, now);
-    if (server->faults == 1) {
-        note_server(server, CW_EVENT_SERVER_LOST, reason);
-    }
-}
-
-/* ---- what an outcome means ---- */
-
-static void learn(cw_request_t *request, cw_server_t *server, cw_time_us_t now)
-{
-    cw_time_us_t took = now - request->sent_at;
-    double       normal = (double)took / (server->pace > 0 ? server->pace : 1);
-    cw_time_us_t usual = request->route_state->usual;
-
-    if (server->faults > 0) {
-        note_server(server, CW_EVENT_SERVER_BACK, "answered");
-    }
-    cw_server_pool_served(server, took, usual, now);
-    if (normal > (double)usual * RATIO_MAX) {
-        normal = (double)usual * RATIO_MAX;
-    }
-    request->route_state->usual += ((cw_time_us_t)normal - usual) / USUAL_WEIGHT_PART;
-    request->service->usual += ((cw_time_us_t)normal - request->service->usual) / USUAL_WEIGHT_PART;
-}
-
-static void note_load(cw_request_t *request, cw_server_t *server, const cw_upstream_answer_t *answer, cw_time_us_t now)
-{
-    const cw_engine_settings_t *settings = &request->engine->settings;
-    const char *text = settings->names.load == NULL ? NULL : cw_http_fields_find(answer->fields, settings->names.load);
-    cw_server_load_t sample;
-
-    if (text == NULL || settings->decode_load == NULL) {
-        return;
-    }
-    if (settings->decode_load(text, &sample)) {
-        request->claim.load = sample;
-        request->claim.has_load = true;
-        cw_server_pool_note_load(server, &sample, now);
-    } else {
-        cw_metric_add(CW_METRIC_LOADS_MALFORMED, 1);
-    }
-}
-
-/* The server itself said that it did not run the request. */
-static void not_run(cw_request_t *request, const char *server, int status)
-{
-    cw_time_us_t now = cw_engine_now(request->engine);
-    bool         misdirected = status == STATUS_MISDIRECTED;
-
-    cw_metric_add(CW_METRIC_NOT_RUN, 1);
-    if (!may_repeat(request, now)) {
-        cw_request_refuse(request, misdirected ? CW_REFUSED_OWNER : CW_REFUSED_LOAD);
-        return;
-    }
-    note_retry(request, server, misdirected ? "misdirected" : "not run");
-    send_again(request, misdirected ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
-}
-
-static void unreached(cw_request_t *request, const char *server, cw_time_us_t now)
-{
-    cw_metric_add(CW_METRIC_UNREACHED, 1);
-    request->attempts--; /* nothing left: no server has seen it */
-    if (!has_time(request, now)) {
-        if (request->may_have_run) {
-            cw_request_fail_unknown(request, "no connection");
-        } else {
-            cw_request_refuse(request, CW_REFUSED_SERVERS);
-        }
-        return;
-    }
-    note_retry(request, server, "no connection");
-    send_again(request, request->is_keyed ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
-}
-
-static void broken(cw_request_t *request, const char *server, const char *fault, cw_time_us_t now)
-{
-    cw_metric_add(CW_METRIC_BROKEN, 1);
-    request->may_have_run = true;
-    if (request->route->repeatable && may_repeat(request, now)) {
-        note_retry(request, server, fault);
-        send_again(request, 0);
-        return;
-    }
-    cw_request_fail_unknown(request, fault);
-}
-
-/* Does an answer tell that another life of a server is at this address? */
-static bool is_of_another(const cw_request_t *request, const cw_server_t *server, const cw_upstream_answer_t *answer)
-{
-    const char *instance = cw_http_fields_find(answer->fields, request->engine->settings.names.instance);
-
-    return answer->status == STATUS_MISDIRECTED && instance != NULL && strcmp(instance, server->id) != 0;
-}
-
-static bool says_not_run(const cw_request_t *request, const cw_upstream_answer_t *answer)
-{
-    return answer->status == STATUS_MISDIRECTED ||
-           cw_http_fields_find(answer->fields, request->engine->settings.names.not_run) != NULL;
-}
-
-static void answered(cw_request_t *request, cw_server_t *server, const cw_upstream_answer_t *answer, cw_time_us_t now)
-{
-    char id[sizeof(request->avoid)];
-
-    cw_text_copy(id, sizeof(id), server->id);
-    note_load(request, server, answer, now);
-    if (is_of_another(request, server, answer)) {
-        server->ended = true;
-    }
-    if (says_not_run(request, answer)) {
-        leave_server(request);
-        not_run(request, id, answer->status);
-        return;
-    }
-    request->claim.end = CW_SLOT_ANSWERED;
-    request->may_have_run = true;
-    cw_request_spend_token(request); /* it has run, whatever the answer says */
-    learn(request, server, now);
-    cw_request_note_answer_bytes(request, answer->body_length);
-    cw_histogram_add(CW_HISTOGRAM_SERVER, request->route->name, now - request->sent_at);
-    if (answer->status == STATUS_SERVER_ERROR && request->route->repeatable && may_repeat(request, now)) {
-        leave_server(request);
-        note_retry(request, id, "server error");
-        send_again(request, 0);
-        return;
-    }
-    cw_request_relay(request, answer);
-}
-
-static void on_answer(void *context, const cw_upstream_answer_t *answer)
-{
-    cw_request_t *request = context;
-    cw_server_t  *server = request->server;
-    cw_time_us_t  now = cw_engine_now(request->engine);
-    char          id[sizeof(request->avoid)];
-
-    request->call = NULL;
-    cw_text_copy(id, sizeof(id), server->id);
-    switch (answer->result) {
-    case CW_UPSTREAM_ANSWERED:
-        answered(request, server, answer, now);
-        break;
-    case CW_UPSTREAM_NOT_SENT:
-        fault(server, answer->fault, now);
-        request->claim.end = CW_SLOT_FAILED;
-        leave_server(request);
-        unreached(request, id, now);
-        break;
-    case CW_UPSTREAM_BROKEN:
-    case CW_UPSTREAM_TIMED_OUT:
-        if (!answer->any_byte) {
-            fault(server, answer->fault, now);
-            request->claim.end = CW_SLOT_FAILED;
-        }
-        leave_server(request);
-        broken(request, id, answer->fault, now);
-        break;
-    }
+    cw_request_leave_server(request);
 }
--- /dev/null
+++ b/src/proxy/engine_claim.c
@@ -0,0 +1,216 @@
+/**
+ * @file engine_claim.c
+ * @brief A request's claim to a slot of a server: asked for at the nodes that count them, and given back.
+ *
+ * For a key the node of its owner's zone is asked. For any server, zones are asked in the order of slot_stages.h. A
+ * node that does not reply is asked once more, and then not for a while: meanwhile the engine chooses servers of its
+ * zone by itself, where the others have none free.
+ */
+#include <string.h>
+
+#include "base/metrics.h"
+#include "proxy/engine_internal.h"
+
+enum {
+    REPLY_MS = 20,  /* two ways between zones, and a busy node's turn */
+    SILENT_MS = 300 /* a node that stopped is missed by all within a second (CW_PEER_SILENCE_MS) */
+};
+
+/* Part of a usual request's time that is waited for a slot in this zone before others are asked: a server there costs
+ * the way between zones. */
+static const double wait_near = 0.3;
+
+/* ---- whom to ask ---- */
+
+static bool is_silent(const cw_engine_t *engine, uint32_t address, cw_time_us_t now)
+{
+    size_t index;
+
+    for (index = 0; index < CW_SILENT_BROKERS; index++) {
+        if (engine->silent_brokers[index].address == address && engine->silent_brokers[index].until > now) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static uint32_t broker_of(const cw_request_t *request, const char *zone, cw_time_us_t now)
+{
+    cw_engine_t *engine = request->engine;
+    uint32_t     address = engine->slots.broker_of(engine->slots.context, zone, request->service->hash);
+
+    return address != 0 && !is_silent(engine, address, now) ? address : 0;
+}
+
+static bool has_zone(const cw_slot_zone_t *zones, size_t count, const char *zone)
+{
+    size_t index;
+
+    for (index = 0; index < count; index++) {
+        if (strcmp(zones[index].name, zone) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Zones in which the service has servers that will do and a broker that replies, the nearest first. */
+static size_t zones_of(const cw_request_t *request, cw_slot_zone_t *zones, cw_time_us_t now)
+{
+    size_t       count = 0;
+    cw_server_t *server;
+    cw_server_t *next;
+
+    HASH_ITER(by_id, cw_server_pool_all(request->engine->pool), server, next)
+    {
+        cw_slot_zone_t zone = {server->zone, server->distance};
+
+        if (server->listed && !server->zone_is_out && strcmp(server->service, request->service->name) == 0 &&
+            cw_server_region_allows(server, &request->regions) && !has_zone(zones, count, zone.name) &&
+            broker_of(request, zone.name, now) != 0) {
+            count = cw_slot_zones_add(zones, count, &zone);
+        }
+    }
+    return count;
+}
+
+/* ---- asking ---- */
+
+static void send_ask(cw_request_t *request, const cw_server_t *owner, cw_time_us_t wait, cw_time_us_t now)
+{
+    cw_engine_t       *engine = request->engine;
+    const cw_server_t *failed =
+        request->avoid[0] == '\0' || owner != NULL ? NULL : cw_server_pool_find(engine->pool, request->avoid);
+    cw_time_us_t  left = request->aim_at - now;
+    cw_slot_ask_t ask = {.ticket = request->claim.ticket,
+                         .service = request->service->hash,
+                         .server = owner == NULL ? 0 : owner->hash,
+                         .except = failed == NULL ? 0 : failed->hash,
+                         .priority = request->rank,
+                         .tenant = request->tenant_hash,
+                         .objective = left > 0 ? left : 0,
+                         .lease = request->deadline - now,
+                         .wait_most = wait};
+
+    if (request->attempts > 0) { /* it has been at a server: late is better than nothing */
+        ask.objective = request->deadline - now;
+    }
+    request->claim.asks++;
+    request->claim.server = ask.server;
+    request->claim.wait = wait;
+    request->claim.due = now + CW_MS(REPLY_MS);
+    engine->slots.ask(engine->slots.context, request->claim.broker, &ask);
+}
+
+static void begin_claim(cw_request_t *request, uint32_t broker)
+{
+    cw_engine_t *engine = request->engine;
+
+    request->claim.state = CW_CLAIM_ASKED;
+    request->claim.ticket = ++engine->last_ticket;
+    request->claim.broker = broker;
+    request->claim.asks = 0;
+    request->claim.end = CW_SLOT_UNUSED;
+    request->claim.has_load = false;
+    HASH_ADD(by_ticket, engine->by_ticket, claim.ticket, sizeof(request->claim.ticket), request);
+}
+
+void cw_claim_forget(cw_request_t *request)
+{
+    HASH_DELETE(by_ticket, request->engine->by_ticket, request);
+    request->claim.state = CW_CLAIM_NONE;
+}
+
+static void make_stages(cw_request_t *request, cw_time_us_t now)
+{
+    cw_slot_claim_t *claim = &request->claim;
+    cw_slot_zone_t   zones[CW_SLOT_ZONES_MAX];
+    cw_slot_stage_t  stages[CW_SLOT_STAGES_MAX];
+    cw_slot_waits_t  waits = {.near = (cw_time_us_t)((double)request->route_state->usual * wait_near),
+                              .crossing = cw_request_crossing_cost(request),
+                              .longest = request->deadline}; /* its objective is the bound */
+    size_t           count = cw_slot_stages_make(zones, zones_of(request, zones, now), &waits, stages);
+    size_t           index;
+
+    claim->stage = 0;
+    claim->stage_count = count;
+    for (index = 0; index < count; index++) {
+        claim->stages[index] = (cw_claim_stage_t){broker_of(request, stages[index].zone, now), stages[index].wait};
+    }
+}
+
+/* Asks at the present stage, or at the next whose broker replies; false: there is none. */
+bool cw_claim_ask_next(cw_request_t *request, cw_time_us_t now)
+{
+    cw_slot_claim_t *claim = &request->claim;
+
+    while (claim->stage < claim->stage_count && is_silent(request->engine, claim->stages[claim->stage].broker, now)) {
+        claim->stage++;
+    }
+    if (claim->stage == claim->stage_count) {
+        return false;
+    }
+    begin_claim(request, claim->stages[claim->stage].broker);
+    send_ask(request, NULL, claim->stages[claim->stage].wait, now);
+    return true;
+}
+
+bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now)
+{
+    uint32_t broker;
+
+    if (!request->engine->has_slots || request->claim.is_direct) {
+        return false;
+    }
+    if (owner == NULL) {
+        make_stages(request, now);
+        return cw_claim_ask_next(request, now);
+    }
+    broker = broker_of(request, owner->zone, now);
+    if (broker == 0) {
+        return false;
+    }
+    begin_claim(request, broker);
+    send_ask(request, owner, request->deadline - now, now);
+    return true;
+}
+
+void cw_claim_ask_again(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now)
+{
+    send_ask(request, owner, request->claim.wait, now);
+    cw_request_arm(request);
+}
+
+void cw_claim_note_unresponsive(cw_request_t *request, cw_time_us_t now)
+{
+    cw_engine_t *engine = request->engine;
+
+    engine->silent_brokers[engine->next_silent] =
+        (cw_silent_broker_t){.address = request->claim.broker, .until = now + CW_MS(SILENT_MS)};
+    engine->next_silent = (engine->next_silent + 1) % CW_SILENT_BROKERS;
+    cw_metric_add(CW_METRIC_SLOT_BROKERS_SILENT, 1);
+}
+
+/* Is nobody there to be asked for the zone's slots now? */
+bool cw_claim_has_no_broker(void *context, const char *zone)
+{
+    const cw_request_t *request = context;
+
+    return broker_of(request, zone, cw_engine_now(request->engine)) == 0;
+}
+
+/* ---- giving back ---- */
+
+void cw_request_return_slot(cw_request_t *request)
+{
+    cw_engine_t     *engine = request->engine;
+    cw_slot_return_t returned = {.ticket = request->claim.ticket,
+                                 .end = request->claim.end,
+                                 .load = request->claim.has_load ? &request->claim.load : NULL};
+
+    if (request->claim.state == CW_CLAIM_NONE) {
+        return;
+    }
+    cw_claim_forget(request);
+    engine->slots.give_back(engine->slots.context, request->claim.broker, &returned);
+}
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -146,45 +146,52 @@
 };
 
 struct cw_engine {
-    uv_loop_t           *loop;
-    cw_engine_settings_t settings;
-    cw_server_pool_t    *pool;
-    cw_upstream_t       *upstream;
-    cw_configuration_t  *configuration;
-    cw_tenant_gate_t    *gate;
-    cw_fair_turns_t     *turns;
-    cw_quota_share_t    *quota;              /**< NULL: tenants' rates bind nobody */
-    cw_request_t        *awaiting;           /**< a token, the earliest first */
-    cw_http_fields_t     challenge;          /**< of a 401: the scheme that is asked for (RFC 9110, 15.5.2) */
-    cw_time_us_t         keys_trusted_until; /**< callers' keys; CW_NEVER: as long as they stand */
-    cw_route_state_t    *routes;
-    cw_service_state_t  *services;
-    cw_time_us_t         tables_confirmed_at;
-    cw_time_us_t         tables_valid_until;
-    uint32_t             nodes;
-    cw_request_t        *open;   /**< not answered yet, the oldest first */
-    cw_time_us_t         end_by; /**< all of them are answered by then; 0: this node is not stopping */
-    cw_time_us_t         stopping_since;
-    size_t               requests;
-    size_t               queued;
-    bool                 changed;
-    bool                 dispatching;
-    uv_timer_t           wake_timer;
-    cw_slot_port_t       slots;
-    bool                 has_slots; /**< slots are asked for */
-    uint32_t             last_ticket;
-    cw_request_t        *by_ticket;
-    cw_silent_broker_t   silent_brokers[CW_SILENT_BROKERS];
-    size_t               next_silent;
+    uv_loop_t             *loop;
+    cw_engine_settings_t   settings;
+    cw_server_pool_t      *pool;
+    cw_upstream_t         *upstream;
+    cw_configuration_t    *configuration;
+    cw_tenant_gate_t      *gate;
+    cw_fair_turns_t       *turns;
+    cw_quota_share_t      *quota;              /**< NULL: tenants' rates bind nobody */
+    cw_request_t          *awaiting;           /**< a token, the earliest first */
+    cw_http_fields_t       challenge;          /**< of a 401: the scheme that is asked for (RFC 9110, 15.5.2) */
+    cw_time_us_t           keys_trusted_until; /**< callers' keys; CW_NEVER: as long as they stand */
+    cw_route_state_t      *routes;
+    cw_service_state_t    *services;
+    cw_time_us_t           tables_confirmed_at;
+    cw_time_us_t           tables_valid_until;
+    uint32_t               nodes;
+    cw_request_t          *open;   /**< not answered yet, the oldest first */
+    cw_time_us_t           end_by; /**< all of them are answered by then; 0: this node is not stopping */
+    cw_time_us_t           stopping_since;
+    size_t                 requests;
+    size_t                 queued;
+    bool                   changed;
+    bool                   dispatching;
+    uv_timer_t             wake_timer;
+    uv_timer_cb            on_wake;   /**< of wake_timer */
+    uv_timer_cb            on_due;    /**< of requests' timers */
+    cw_upstream_answered_t on_answer; /**< of calls to servers */
+    cw_slot_port_t         slots;
+    bool                   has_slots; /**< slots are asked for */
+    uint32_t               last_ticket;
+    cw_request_t          *by_ticket;
+    cw_silent_broker_t     silent_brokers[CW_SILENT_BROKERS];
+    size_t                 next_silent;
 };
 
-/* ---- engine.c ---- */
+/* ---- engine_state.c ---- */
 cw_time_us_t        cw_engine_now(const cw_engine_t *engine);
 cw_service_state_t *cw_engine_service(cw_engine_t *engine, const char *name);
 /** Entry of a key in a service's table; NULL: none, or the table is too old. */
 const cw_key_route_t *cw_engine_owner(const cw_engine_t *engine, const cw_service_state_t *service, uint32_t key);
+/** It has asked for a slot, and has no grant yet. */
+bool cw_request_waits_for_slot(const cw_request_t *request);
+/** Its timer is due at whatever comes first. */
+void cw_request_arm(cw_request_t *request);
 
-/* ---- engine_admission.c ---- */
+/* ---- engine_answer.c, before there is a request ---- */
 /** An answer to what never became a request. */
 typedef struct cw_rejection {
     int                     status;
@@ -197,12 +204,17 @@
 void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
                       const cw_rejection_t *rejection);
 
+/* ---- engine_admission.c ---- */
 /** It needs nothing more to be queued. */
 void cw_request_admit(cw_request_t *request);
 
 /* ---- engine_quota.c ---- */
 /** False: it waits for a token, or was refused and is answered. */
 bool cw_request_take_token(cw_request_t *request);
+
+/* ---- engine_token.c ---- */
+/** It no longer waits for a token. */
+void cw_request_stop_awaiting(cw_request_t *request);
 /** It has run. */
 void cw_request_spend_token(cw_request_t *request);
 /** It ends: its token, if it has not run, is the next request's; it no longer waits for one. */
@@ -236,19 +248,10 @@
 void cw_request_unqueue(cw_request_t *request);
 /** The same, since it is sent now: its tenant's turn is over. */
 void cw_request_take_turn(cw_request_t *request);
-/** Sends what can be sent of a service's queue. */
-void cw_service_dispatch(cw_engine_t *engine, cw_service_state_t *service);
 /** When the request's turn would come and its answer be there, as far as can be told; CW_NEVER: unknown. */
 cw_time_us_t cw_request_estimate(const cw_request_t *request, cw_time_us_t now);
-/** Best server for a request without a key, by what this node knows itself; NULL: none has a free slot. zones: those
- * that will do; NULL: all. full: there are servers, but none has a slot. */
-cw_server_t *cw_request_choose(const cw_request_t *request, const cw_zone_filter_t *zones, cw_time_us_t now,
-                               bool *full);
-/** Places a request that is queued, or settles what becomes of it. */
-void cw_request_place(cw_request_t *request, cw_time_us_t now);
 /** Server that owns its key; NULL: not known, or gone. */
 cw_server_t *cw_request_owner(const cw_request_t *request);
-void         cw_request_arm(cw_request_t *request);
 
 /** Requests before it in its service's queue. */
 uint32_t cw_request_ahead(const cw_request_t *request);
@@ -260,19 +263,47 @@
 /** Is it to wait for a server of this region though others may be free? */
 bool cw_request_stays_in_region(const cw_request_t *request, cw_time_us_t now);
 
-/* ---- engine_slots.c ---- */
+/** Best server for a request without a key, by what this node knows itself; NULL: none has a free slot. zones: those
+ * that will do; NULL: all. full: there are servers, but none has a slot. */
+cw_server_t *cw_request_choose(const cw_request_t *request, const cw_zone_filter_t *zones, cw_time_us_t now,
+                               bool *full);
+
+/* ---- engine_placing.c ---- */
+/** Sends what can be sent of a service's queue. */
+void cw_service_dispatch(cw_engine_t *engine, cw_service_state_t *service);
+/** Places a request that is queued, or decides what becomes of it. */
+void cw_request_place(cw_request_t *request, cw_time_us_t now);
+
+/* ---- engine_claim.c ---- */
+/** Asks at the present stage, or at the next whose broker replies; false: there is none. */
+bool cw_claim_ask_next(cw_request_t *request, cw_time_us_t now);
+/** The same ask once more. */
+void cw_claim_ask_again(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now);
+/** Its broker has refused. */
+void cw_claim_forget(cw_request_t *request);
+/** Its broker has not replied: it is not asked for a while. */
+void cw_claim_note_unresponsive(cw_request_t *request, cw_time_us_t now);
+/** Is nobody there to be asked for the zone's slots now? context: the request. */
+bool cw_claim_has_no_broker(void *context, const char *zone);
 /** Asks for a slot at the owner of its key, or (NULL) at any server. False: to be placed without. */
 bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now);
-bool cw_request_waits_for_slot(const cw_request_t *request);
-/** No reply has come when it was due. */
-void cw_request_slot_overdue(cw_request_t *request, cw_time_us_t now);
 /** Gives its slot back, or withdraws its ask; nothing if it has neither. */
 void cw_request_return_slot(cw_request_t *request);
 
+/* ---- engine_slots.c ---- */
+/** No reply has come when it was due. */
+void cw_request_slot_overdue(cw_request_t *request, cw_time_us_t now);
+
 /* ---- engine_attempt.c ---- */
 void cw_request_send(cw_request_t *request, cw_server_t *server);
 /** Gives the call under way up; its connection closes. */
 void cw_request_abandon(cw_request_t *request);
+/** The call under way is over: its slot is given back. */
+void cw_request_leave_server(cw_request_t *request);
+
+/* ---- engine_outcome.c ---- */
+/** A call has ended; context: the request. */
+void cw_request_answered(void *context, const cw_upstream_answer_t *answer);
 /** The server has been silent for long: once more, if that may be. */
 void cw_request_repeat_after_silence(cw_request_t *request);
 
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -1,14 +1,12 @@
 /**
  * @file engine_queue.c
- * @brief Who is sent next, and who had better come back later.
+ * @brief The order of what waits for a service, and when its turn would come.
  */
 #include <string.h>
 #include <utlist.h>
 
 #include "proxy/engine_internal.h"
 
-enum { NO_SERVER_WAIT_MS = 200 };
-
 static int compare_requests(const cw_request_t *left, const cw_request_t *right)
 {
     if (left->rank != right->rank) {
@@ -200,136 +198,3 @@
     wait = wait > bound ? wait : bound;
     return wait == CW_NEVER ? CW_NEVER : now + request->route_state->usual + wait;
 }
-
-/* ---- dispatch ---- */
-
-typedef enum placing { PLACED, ASKED, OUTSIDE_REGIONS, WAITS_FOR_SLOT, WAITS_FOR_OWNER, NO_SERVERS, PAUSED } placing_t;
-
-static placing_t place_keyed(cw_request_t *request, cw_time_us_t now)
-{
-    cw_server_t *server = cw_request_owner(request);
-
-    if (server == NULL || server->draining || !cw_server_zone_allows(server, true, now)) {
-        return WAITS_FOR_OWNER;
-    }
-    if (!cw_server_region_allows(server, &request->regions)) {
-        return OUTSIDE_REGIONS;
-    }
-    if (cw_request_ask_slot(request, server, now)) {
-        return ASKED;
-    }
-    if (!cw_server_pool_may_send(request->engine->pool, server, true, now)) {
-        return WAITS_FOR_OWNER;
-    }
-    if (!cw_server_has_slot(server, request->engine->settings.keyed_extra_slots, now)) {
-        return WAITS_FOR_SLOT;
-    }
-    cw_request_send(request, server);
-    return PLACED;
-}
-
-cw_server_t *cw_request_choose(const cw_request_t *request, const cw_zone_filter_t *zones, cw_time_us_t now, bool *full)
-{
-    cw_server_pool_t    *pool = request->engine->pool;
-    cw_choice_settings_t choice = request->engine->settings.choice;
-    const cw_server_t   *failed = request->avoid[0] == '\0' ? NULL : cw_server_pool_find(pool, request->avoid);
-
-    choice.regions = request->regions;
-    choice.stays_in_region = cw_request_stays_in_region(request, now);
-    choice.remote_penalty = (double)cw_request_crossing_cost(request) / (double)(request->route_state->usual + 1);
-    choice.zones = zones;
-    return cw_server_pool_choose(pool, request->service->name, &choice, failed, now, full);
-}
-
-static placing_t place(cw_request_t *request, cw_time_us_t now)
-{
-    cw_server_t *server;
-    bool         full;
-
-    if (request->not_before > now) {
-        return PAUSED;
-    }
-    if (request->is_keyed) {
-        return place_keyed(request, now);
-    }
-    if (cw_request_ask_slot(request, NULL, now)) {
-        return ASKED;
-    }
-    server = cw_request_choose(request, NULL, now, &full);
-    if (server == NULL) {
-        return full ? WAITS_FOR_SLOT : NO_SERVERS;
-    }
-    cw_request_send(request, server);
-    return PLACED;
-}
-
-/* A request that could not be placed: waits, or is told to come back. It is let in if it will be served within its
- * latency objective; from then on it waits for its turn, late too, but no longer than that can come before its
- * deadline. */
-static void settle(cw_request_t *request, placing_t why, cw_time_us_t now)
-{
-    cw_time_us_t estimate;
-
-    if (why == OUTSIDE_REGIONS) { /* its key has an owner where it may not go: waiting does not help */
-        cw_request_refuse(request, CW_REFUSED_REGIONS);
-        return;
-    }
-    if (why == PAUSED || request->attempts > 0) { /* a server may have run it: it has its whole time to get an answer */
-        cw_request_arm(request);
-        return;
-    }
-    if (why == NO_SERVERS && now - request->arrived >= CW_MS(NO_SERVER_WAIT_MS)) {
-        cw_request_refuse(request, CW_REFUSED_SERVERS);
-        return;
-    }
-    estimate = cw_request_estimate(request, now);
-    if (estimate == CW_NEVER) {
-        if (now >= request->owner_wait_until) {
-            cw_request_refuse(request, why == WAITS_FOR_OWNER ? CW_REFUSED_OWNER : CW_REFUSED_SERVERS);
-            return;
-        }
-    } else if (estimate > (request->is_admitted ? request->deadline : request->aim_at)) {
-        cw_request_refuse(request, CW_REFUSED_LOAD);
-        return;
-    }
-    request->is_admitted = true;
-    cw_request_arm(request);
-}
-
-void cw_request_place(cw_request_t *request, cw_time_us_t now)
-{
-    placing_t result = place(request, now);
-
-    if (result == ASKED) {
-        cw_request_arm(request);
-    } else if (result != PLACED) {
-        settle(request, result, now);
-    }
-}
-
-static void dispatch(cw_engine_t *engine, cw_service_state_t *service)
-{
-    cw_time_us_t  now = cw_engine_now(engine);
-    cw_request_t *request;
-    cw_request_t *next;
-
-    DL_FOREACH_SAFE(service->queue, request, next)
-    {
-        if (now >= request->deadline) {
-            cw_request_arm(request);
-        } else if (!cw_request_waits_for_slot(request)) {
-            cw_request_place(request, now);
-        }
-    }
-}
-
-void cw_service_dispatch(cw_engine_t *engine, cw_service_state_t *service)
-{
-    if (engine->dispatching) { /* called from within: once more from the loop */
-        cw_engine_wake(engine);
-        return;
-    }
-    engine->dispatching = true;
-    dispatch(engine, service);
-    engine->dispatching = false;
-}
--- a/src/proxy/engine_quota.c
+++ b/src/proxy/engine_quota.c
@@ -24,7 +24,7 @@
     return request->engine->quota == NULL || tenant == NULL || tenant->rate_per_s <= 0 ? NULL : tenant;
 }
 
-static bool settle(cw_request_t *request, cw_quota_answer_t answer, cw_time_us_t retry_after)
+static bool take_decision(cw_request_t *request, cw_quota_answer_t answer, cw_time_us_t retry_after)
 {
     switch (answer) {
     case CW_QUOTA_ADMITTED:
@@ -56,13 +56,7 @@
     limit = (cw_quota_limit_t){.rate_per_s = tenant->rate_per_s, .burst = tenant->burst};
     answer = cw_quota_share_enter(request->engine->quota, request->tenant_hash, &limit, cw_engine_now(request->engine),
                                   &retry_after);
-    return settle(request, answer, retry_after);
-}
-
-static void stop_awaiting(cw_request_t *request)
-{
-    DL_DELETE2(request->engine->awaiting, request, earlier, later);
-    request->token = CW_TOKEN_NONE;
+    return take_decision(request, answer, retry_after);
 }
 
 static cw_request_t *first_awaiting(const cw_engine_t *engine, uint32_t tenant)
@@ -89,26 +83,10 @@
         if (answer == CW_QUOTA_WAIT) {
             return;
         }
-        stop_awaiting(request);
-        if (settle(request, answer, retry_after) && cw_request_still_admitted(request)) {
+        cw_request_stop_awaiting(request);
+        if (take_decision(request, answer, retry_after) && cw_request_still_admitted(request)) {
             cw_request_admit(request);
         }
         request = first_awaiting(engine, tenant);
     }
 }
-
-void cw_request_spend_token(cw_request_t *request)
-{
-    request->token = CW_TOKEN_NONE;
-}
-
-void cw_request_return_token(cw_request_t *request)
-{
-    if (request->token == CW_TOKEN_AWAITED) {
-        stop_awaiting(request);
-        cw_quota_share_leave(request->engine->quota, request->tenant_hash);
-    } else if (request->token == CW_TOKEN_HELD && !request->may_have_run) {
-        cw_quota_share_give_back(request->engine->quota, request->tenant_hash, cw_engine_now(request->engine));
-    }
-    request->token = CW_TOKEN_NONE;
-}
--- a/src/proxy/engine_regions.c
+++ b/src/proxy/engine_regions.c
@@ -57,3 +57,16 @@
     input.wait = wait_in_region(request, now);
     return cw_crossing_waits_here(&input);
 }
+
+cw_server_t *cw_request_choose(const cw_request_t *request, const cw_zone_filter_t *zones, cw_time_us_t now, bool *full)
+{
+    cw_server_pool_t    *pool = request->engine->pool;
+    cw_choice_settings_t choice = request->engine->settings.choice;
+    const cw_server_t   *failed = request->avoid[0] == '\0' ? NULL : cw_server_pool_find(pool, request->avoid);
+
+    choice.regions = request->regions;
+    choice.stays_in_region = cw_request_stays_in_region(request, now);
+    choice.remote_penalty = (double)cw_request_crossing_cost(request) / (double)(request->route_state->usual + 1);
+    choice.zones = zones;
+    return cw_server_pool_choose(pool, request->service->name, &choice, failed, now, full);
+}
