--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "proxy/engine_internal.h"
+#include "proxy/request_rules.h"
 
 enum { PROMPT_NODES = 10 /* so many nodes tell one another of each request at once */ };
 
@@ -15,6 +16,15 @@
 
 /* ---- a request's timer and end ---- */
 
+static void end_in_time(cw_request_t *request)
+{
+    if (cw_final_of(request->may_have_run, request->call != NULL, true) == CW_FINAL_LATE) {
+        cw_request_fail_late(request);
+    } else {
+        cw_request_refuse(request, CW_REFUSED_LOAD);
+    }
+}
+
 static void on_due(uv_timer_t *timer)
 {
     cw_request_t *request = timer->data;
@@ -24,11 +34,7 @@
         return;
     }
     if (now >= request->deadline) {
-        if (request->may_have_run || request->call != NULL) {
-            cw_request_fail_late(request);
-        } else {
-            cw_request_refuse(request, CW_REFUSED_LOAD);
-        }
+        end_in_time(request);
         return;
     }
     if (request->call != NULL && now >= request->repeat_at) {
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -10,6 +10,7 @@
 #include "base/metrics.h"
 #include "base/tenant_metrics.h"
 #include "proxy/engine_internal.h"
+#include "proxy/request_rules.h"
 
 enum {
     STATUS_UNAUTHORIZED = 401,
@@ -17,7 +18,6 @@
     STATUS_UNAVAILABLE = 503,
     STATUS_GATEWAY_TIMEOUT = 504,
     STATUS_TOO_MANY = 429,
-    STATUS_TIMEOUT = 408,
     COME_BACK_PART = 4
 };
 
@@ -158,7 +158,7 @@
     cw_http_outbound_t       outbound = {.status = STATUS_UNAVAILABLE};
     cw_event_t               event;
 
-    if (request->may_have_run) {
+    if (cw_final_of(request->may_have_run, request->call != NULL, false) != CW_FINAL_REFUSED) {
         cw_request_fail_unknown(request, names[reason]);
         return;
     }
@@ -263,12 +263,6 @@
     cw_event_end(&event);
 }
 
-/* 503, 429 and 408 are promises that only a server's own word "not run" carries. */
-static bool would_promise(int status)
-{
-    return status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY || status == STATUS_TIMEOUT;
-}
-
 void cw_request_relay(cw_request_t *request, const cw_upstream_answer_t *answer)
 {
     cw_http_outbound_t outbound = {.status = answer->status,
@@ -277,7 +271,7 @@
                                    .body_length = answer->body_length,
                                    .retry_after_s = -1};
 
-    if (!request->route->repeatable && would_promise(answer->status)) {
+    if (!cw_answer_may_pass(request->route->repeatable, answer->status)) {
         cw_request_fail_unknown(request, "the server refused without saying that it did not run");
         return;
     }
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -9,6 +9,7 @@
 #include "base/metrics.h"
 #include "base/text.h"
 #include "proxy/engine_internal.h"
+#include "proxy/request_rules.h"
 
 enum { REPEAT_MIN_MS = 150 };
 
@@ -130,10 +131,13 @@
 
 void cw_request_abandon(cw_request_t *request)
 {
+    cw_outcome_t outcome;
+
     if (request->call == NULL) {
         return;
     }
-    request->may_have_run = request->may_have_run || cw_upstream_call_sent(request->call);
+    outcome = cw_outcome_of_abandoned(cw_upstream_call_sent(request->call));
+    request->may_have_run = request->may_have_run || cw_outcome_may_have_run(outcome);
     cw_upstream_call_abandon(request->call);
     cw_request_leave_server(request);
 }
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -3,8 +3,8 @@
  * @brief State shared by the engine's parts.
  *
  * A request is QUEUED (waits for a slot, an owner or its pause) or SENT (one call is under way); it ends with its
- * answer or when its caller leaves. Before it is queued it may wait for a token of its tenant's limit (engine_quota.c).
- * Its timer is armed for whatever comes first.
+ * answer or when its caller leaves: request_rules.h has the transitions. Before it is queued it may wait for a token of
+ * its tenant's limit (engine_quota.c). Its timer is armed for whatever comes first.
  */
 #ifndef CEDARWINCH_PROXY_ENGINE_INTERNAL_H
 #define CEDARWINCH_PROXY_ENGINE_INTERNAL_H
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -8,14 +8,9 @@
 #include "base/metrics.h"
 #include "base/text.h"
 #include "proxy/engine_internal.h"
+#include "proxy/request_rules.h"
 
-enum {
-    STATUS_MISDIRECTED = 421,
-    STATUS_SERVER_ERROR = 500,
-    PAUSE_MISDIRECTED_MS = 50,
-    USUAL_WEIGHT_PART = 24,
-    RATIO_MAX = 10
-};
+enum { STATUS_MISDIRECTED = 421, PAUSE_MISDIRECTED_MS = 50, USUAL_WEIGHT_PART = 24, RATIO_MAX = 10 };
 
 /* ---- again ---- */
 
@@ -44,18 +39,32 @@
     return request->deadline - now > request->route_state->usual / 3;
 }
 
-static bool may_repeat(cw_request_t *request, cw_time_us_t now)
+static cw_outcome_facts_t facts_of(const cw_request_t *request, cw_outcome_t outcome, int status, cw_time_us_t now)
 {
-    if (request->attempts >= request->route->max_attempts || !has_time(request, now)) {
-        return false;
+    return (cw_outcome_facts_t){.outcome = outcome,
+                                .status = status,
+                                .is_repeatable = request->route->repeatable,
+                                .has_time = has_time(request, now),
+                                .attempts = request->attempts,
+                                .max_attempts = request->route->max_attempts};
+}
+
+/* What the rules allow, and the budget: a repeat is charged to it. */
+static cw_next_step_t next_step(cw_request_t *request, cw_outcome_t outcome, int status, cw_time_us_t now)
+{
+    cw_outcome_facts_t facts = facts_of(request, outcome, status, now);
+    cw_next_step_t     step = cw_step_after(&facts);
+
+    if (step != CW_NEXT_REPEAT) {
+        return step;
     }
     if (!cw_shared_budget_take(&request->service->budget, &request->engine->settings.budget, request->engine->nodes,
                                now)) {
         cw_metric_add(CW_METRIC_RETRIES_DENIED, 1);
-        return false;
+        return cw_step_without_budget(outcome);
     }
     cw_metric_add(CW_METRIC_RETRIES, 1);
-    return true;
+    return CW_NEXT_REPEAT;
 }
 
 static void send_again(cw_request_t *request, cw_time_us_t pause)
@@ -77,7 +86,7 @@
     cw_server_t *server = request->server;
 
     request->repeat_at = CW_NEVER;
-    if (!cw_request_caller_stays(request) || !may_repeat(request, now)) {
+    if (!cw_request_caller_stays(request) || next_step(request, CW_OUTCOME_SILENT, 0, now) != CW_NEXT_REPEAT) {
         cw_request_arm(request);
         return;
     }
@@ -148,6 +157,13 @@
     }
 }
 
+/* Once it may have run, it may for good. */
+static bool note_outcome(cw_request_t *request, cw_outcome_t outcome)
+{
+    request->may_have_run = request->may_have_run || cw_outcome_may_have_run(outcome);
+    return cw_outcome_may_have_run(outcome);
+}
+
 /* The server itself said that it did not run the request. */
 static void not_run(cw_request_t *request, const char *server, int status)
 {
@@ -155,7 +171,7 @@
     bool         misdirected = status == STATUS_MISDIRECTED;
 
     cw_metric_add(CW_METRIC_NOT_RUN, 1);
-    if (!may_repeat(request, now)) {
+    if (next_step(request, CW_OUTCOME_DENIED, status, now) != CW_NEXT_REPEAT) {
         cw_request_refuse(request, misdirected ? CW_REFUSED_OWNER : CW_REFUSED_LOAD);
         return;
     }
@@ -167,12 +183,8 @@
 {
     cw_metric_add(CW_METRIC_UNREACHED, 1);
     request->attempts--; /* nothing left: no server has seen it */
-    if (!has_time(request, now)) {
-        if (request->may_have_run) {
-            cw_request_fail_unknown(request, "no connection");
-        } else {
-            cw_request_refuse(request, CW_REFUSED_SERVERS);
-        }
+    if (next_step(request, CW_OUTCOME_UNSENT, 0, now) != CW_NEXT_ELSEWHERE) {
+        cw_request_refuse(request, CW_REFUSED_SERVERS);
         return;
     }
     note_retry(request, server, "no connection");
@@ -182,8 +194,7 @@
 static void broken(cw_request_t *request, const char *server, const char *fault, cw_time_us_t now)
 {
     cw_metric_add(CW_METRIC_BROKEN, 1);
-    request->may_have_run = true;
-    if (request->route->repeatable && may_repeat(request, now)) {
+    if (next_step(request, CW_OUTCOME_BROKEN, 0, now) == CW_NEXT_REPEAT) {
         note_retry(request, server, fault);
         send_again(request, 0);
         return;
@@ -199,10 +210,11 @@
     return answer->status == STATUS_MISDIRECTED && instance != NULL && strcmp(instance, server->id) != 0;
 }
 
-static bool says_not_run(const cw_request_t *request, const cw_upstream_answer_t *answer)
+static cw_outcome_t outcome_of(const cw_request_t *request, const cw_upstream_answer_t *answer)
 {
-    return answer->status == STATUS_MISDIRECTED ||
-           cw_http_fields_find(answer->fields, request->engine->settings.names.not_run) != NULL;
+    const char *field = request->engine->settings.names.not_run;
+
+    return cw_outcome_of_answer(answer->status, cw_http_fields_find(answer->fields, field) != NULL);
 }
 
 static void answered(cw_request_t *request, cw_server_t *server, const cw_upstream_answer_t *answer, cw_time_us_t now)
@@ -214,18 +226,17 @@
     if (is_of_another(request, server, answer)) {
         server->ended = true;
     }
-    if (says_not_run(request, answer)) {
+    if (!note_outcome(request, outcome_of(request, answer))) {
         cw_request_leave_server(request);
         not_run(request, id, answer->status);
         return;
     }
     request->claim.end = CW_SLOT_ANSWERED;
-    request->may_have_run = true;
     cw_request_spend_token(request); /* it has run, whatever the answer says */
     learn(request, server, now);
     cw_request_note_answer_bytes(request, answer->body_length);
     cw_histogram_add(CW_HISTOGRAM_SERVER, request->route->name, now - request->sent_at);
-    if (answer->status == STATUS_SERVER_ERROR && request->route->repeatable && may_repeat(request, now)) {
+    if (next_step(request, CW_OUTCOME_ANSWERED, answer->status, now) == CW_NEXT_REPEAT) {
         cw_request_leave_server(request);
         note_retry(request, id, "server error");
         send_again(request, 0);
@@ -260,6 +271,7 @@
             request->claim.end = CW_SLOT_FAILED;
         }
         cw_request_leave_server(request);
+        (void)note_outcome(request, CW_OUTCOME_BROKEN);
         broken(request, id, answer->fault, now);
         break;
     }
--- /dev/null
+++ b/src/proxy/request_rules.c
@@ -0,0 +1,80 @@
+/**
+ * @file request_rules.c
+ * @brief What may become of a request.
+ */
+#include "proxy/request_rules.h"
+
+enum {
+    STATUS_TIMEOUT = 408,
+    STATUS_MISDIRECTED = 421,
+    STATUS_TOO_MANY = 429,
+    STATUS_SERVER_ERROR = 500,
+    STATUS_UNAVAILABLE = 503
+};
+
+cw_outcome_t cw_outcome_of_answer(int status, bool has_denial)
+{
+    return status == STATUS_MISDIRECTED || has_denial ? CW_OUTCOME_DENIED : CW_OUTCOME_ANSWERED;
+}
+
+cw_outcome_t cw_outcome_of_abandoned(bool any_byte_sent)
+{
+    return any_byte_sent ? CW_OUTCOME_SILENT : CW_OUTCOME_UNSENT;
+}
+
+bool cw_outcome_may_have_run(cw_outcome_t outcome)
+{
+    return outcome != CW_OUTCOME_UNSENT && outcome != CW_OUTCOME_DENIED;
+}
+
+static bool is_repeat_allowed(const cw_outcome_facts_t *facts)
+{
+    bool may_run_again = facts->is_repeatable || !cw_outcome_may_have_run(facts->outcome);
+
+    return may_run_again && facts->has_time && facts->attempts < facts->max_attempts;
+}
+
+cw_next_step_t cw_step_after(const cw_outcome_facts_t *facts)
+{
+    if (facts->outcome == CW_OUTCOME_UNSENT) {
+        return facts->has_time ? CW_NEXT_ELSEWHERE : CW_NEXT_END;
+    }
+    if (facts->outcome == CW_OUTCOME_ANSWERED && facts->status != STATUS_SERVER_ERROR) {
+        return CW_NEXT_PASS_ON;
+    }
+    return is_repeat_allowed(facts) ? CW_NEXT_REPEAT : cw_step_without_budget(facts->outcome);
+}
+
+cw_next_step_t cw_step_without_budget(cw_outcome_t outcome)
+{
+    switch (outcome) {
+    case CW_OUTCOME_ANSWERED:
+        return CW_NEXT_PASS_ON;
+    case CW_OUTCOME_SILENT:
+        return CW_NEXT_WAIT;
+    case CW_OUTCOME_UNSENT:
+    case CW_OUTCOME_DENIED:
+    case CW_OUTCOME_BROKEN:
+        return CW_NEXT_END;
+    }
+    return CW_NEXT_END;
+}
+
+cw_final_t cw_final_of(bool may_have_run, bool is_at_server, bool is_time_over)
+{
+    if (!may_have_run && !is_at_server) {
+        return CW_FINAL_REFUSED;
+    }
+    return is_time_over ? CW_FINAL_LATE : CW_FINAL_UNKNOWN;
+}
+
+bool cw_status_promises(int status)
+{
+    return status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY || status == STATUS_TIMEOUT ||
+           status == STATUS_MISDIRECTED;
+}
+
+bool cw_answer_may_pass(bool is_repeatable, int status)
+{
+    return is_repeatable || !cw_status_promises(status);
+}
