tests: the engine's fixture stands once, and test_engine.c is split by subject

Ruled out: a fixture for each subject. Change: tests/engine_world.[ch], as the other worlds; test_engine (9), _regions (7), _stop (4), _slots (11), _outcomes (9), _leaving (4) hold the 44 checks of test_engine as it was; test_engine_callers 16 and test_engine_quota 9 as before: 69 and 69.

--- a/tests/test_engine_callers.c
+++ b/tests/test_engine_callers.c
@@ -7,146 +7,23 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "base/byte_buffer.h"
 #include "base/metrics.h"
-#include "loop_fixture.h"
-#include "proxy/engine_internal.h"
-
-enum { CALLS = 4, TEXT_BYTES = 1024, PAUSE_US = 1000 };
-
-typedef struct world world_t;
-
-/** One request of a caller, and its answer. */
-typedef struct fake_call {
-    bool   answered;
-    int    status;
-    double retry_after_s;
-    bool   is_challenged; /* told the scheme */
-    char   body[32];
-} fake_call_t;
-
-struct world {
-    uv_loop_t             loop;
-    cw_server_pool_t     *pool;
-    cw_upstream_t        *upstream;
-    cw_engine_t          *engine;
-    cw_http_listener_t   *front;
-    cw_upstream_t        *caller;
-    cw_upstream_target_t *front_target;
-    fake_call_t           calls[CALLS];
-    /* the one server, of one slot */
-    cw_http_listener_t *server;
-    uint32_t            requests;
-    cw_http_exchange_t *exchange;
-    bool                has_request;
-    char                seen[TEXT_BYTES]; /* fields of its last request, a line each */
-};
-
-static const cw_http_limits_t limits = {
-    .header_bytes = 8000, .body_bytes = 100000, .header_timeout = CW_SECONDS(30), .idle_timeout = CW_SECONDS(30)};
-
-/* ---- the world ---- */
-
-static void on_server_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
-{
-    world_t *world = context;
-    size_t   index;
-
-    world->requests++;
-    world->exchange = exchange;
-    world->has_request = true;
-    world->seen[0] = '\0';
-    for (index = 0; index < inbound->fields->count; index++) {
-        size_t used = strlen(world->seen);
-
-        snprintf(world->seen + used, sizeof(world->seen) - used, "%s: %s\n", inbound->fields->items[index].name,
-                 inbound->fields->items[index].value);
-    }
-}
-
-static void on_server_gone(void *context, cw_http_exchange_t *exchange)
-{
-    (void)context;
-    (void)exchange;
-}
+#include "engine_world.h"
 
-static void on_front_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
-{
-    world_t *world = context;
+enum { TEXT_BYTES = ENGINE_WORLD_TEXT_BYTES };
 
-    cw_engine_request(world->engine, exchange, inbound);
-}
-
-static void on_front_gone(void *context, cw_http_exchange_t *exchange)
+static void init_with_silence(engine_world_t *world, double silence_factor)
 {
-    world_t *world = context;
+    engine_world_setup_t setup = {.servers = 1,
+                                  .capacity = 1,
+                                  .silence_factor = silence_factor,
+                                  .tenant_field = "The-Tenant",
+                                  .credential_scheme = "Token"};
 
-    cw_engine_gone(world->engine, exchange);
+    engine_world_begin(world, &setup);
 }
 
-static void on_dropped(void *context, cw_server_t *server)
-{
-    world_t *world = context;
-
-    cw_engine_forget_server(world->engine, server);
-}
-
-static void start_server(world_t *world)
-{
-    cw_server_list_t          *list = cw_server_list_create();
-    cw_http_listener_handler_t handler = {world, on_server_request, on_server_gone};
-    cw_server_entry_t         *entry = cw_server_list_add(list);
-    char                       address[32];
-
-    ck_assert_int_eq(cw_http_listener_create(&world->server, &world->loop, "127.0.0.1", 0, &limits, &handler), 0);
-    snprintf(address, sizeof(address), "127.0.0.1:%u", cw_http_listener_port(world->server));
-    entry->id = strdup("s0");
-    entry->service = strdup("service");
-    entry->address = strdup(address);
-    entry->zone = strdup("z1");
-    entry->capacity = 1;
-    cw_server_list_seal(list);
-    cw_server_pool_update(world->pool, list, 0);
-    cw_server_list_release(list);
-}
-
-static void init_with_silence(world_t *world, double silence_factor)
-{
-    cw_engine_settings_t settings = {
-        .names = {.request_id = "id",
-                  .deadline = "deadline",
-                  .target = "target",
-                  .not_run = "not-run",
-                  .key = "key",
-                  .signature = "signature",
-                  .instance = "instance",
-                  .tenant = "The-Tenant"},
-        .choice = {.zone_penalty = 0.5},
-        .budget = {.ratio = 0.2, .extra = 50, .window = CW_SECONDS(10), .share = 1},
-        .connect_timeout = CW_SECONDS(5),
-        .silence_factor = silence_factor,
-        .answer_max = 100000,
-        .credential_scheme = "Token",
-        .queue_max = 100,
-    };
-    cw_upstream_options_t      options = {.idle_max = CW_SECONDS(20)};
-    cw_http_listener_handler_t handler = {world, on_front_request, on_front_gone};
-    char                       address[32];
-
-    memset(world, 0, sizeof(*world));
-    cw_metrics_reset();
-    uv_loop_init(&world->loop);
-    world->pool = cw_server_pool_create("z1", on_dropped, world);
-    world->upstream = cw_upstream_create(&world->loop, &options);
-    world->engine = cw_engine_create(&world->loop, &settings, world->pool, world->upstream);
-    ck_assert_int_eq(cw_http_listener_create(&world->front, &world->loop, "127.0.0.1", 0, &limits, &handler), 0);
-    world->caller = cw_upstream_create(&world->loop, &options);
-    snprintf(address, sizeof(address), "127.0.0.1:%u", cw_http_listener_port(world->front));
-    world->front_target = cw_upstream_target_create(world->caller, address);
-    start_server(world);
-}
-
-static void init(world_t *world)
+static void init(engine_world_t *world)
 {
     init_with_silence(world, 1000);
 }
@@ -155,17 +32,8 @@
 
 static cw_route_t *add_route(cw_configuration_t *configuration, const char *name, bool repeatable)
 {
-    cw_route_t *route = cw_configuration_add_route(configuration);
-    char        prefix[32];
-
-    snprintf(prefix, sizeof(prefix), "/%s/", name);
-    route->name = strdup(name);
-    route->host = strdup("a.example");
-    route->prefix = strdup(prefix);
-    route->repeatable = repeatable;
-    route->timeout = CW_SECONDS(20);
-    route->aim = CW_SECONDS(10);
-    route->max_attempts = 3;
+    cw_route_t *route = engine_world_add_route(configuration, name, repeatable);
+
     cw_route_add_part(route, "service", 1);
     return route;
 }
@@ -195,100 +63,64 @@
     return tenant;
 }
 
-static void use(world_t *world, cw_configuration_t *configuration)
-{
-    cw_configuration_seal(configuration);
-    cw_engine_set_configuration(world->engine, configuration);
-    cw_configuration_release(configuration);
-}
-
 /* printf %s sesame | sha256sum; the same of other */
 static const char sesame[] = "d0c04f4b1951e4aeaaec8223ed2039e542f3aae805a6fa7f6d794e5afff5d272";
 static const char other[] = "d9298a10d1b0735837dc4bd85dac641b0f3cef27a47e5d53a54f2f3f5b2fcffa";
 
 /* Version 1: "red" has the key sesame, "blue" has other. */
-static void use_keys(world_t *world)
+static void use_keys(engine_world_t *world)
 {
     cw_configuration_t *configuration = begin_configuration(1);
 
     add_tenant(configuration, "red", sesame)->priority = 1;
     (void)add_tenant(configuration, "blue", other);
-    use(world, configuration);
+    engine_world_use(world, configuration);
 }
 
 /* A later version in which red has lost its key. */
-static void use_without_reds_key(world_t *world, uint64_t version)
+static void use_without_reds_key(engine_world_t *world, uint64_t version)
 {
     cw_configuration_t *configuration = begin_configuration(version);
 
     (void)add_tenant(configuration, "red", NULL);
     (void)add_tenant(configuration, "blue", other);
-    use(world, configuration);
+    engine_world_use(world, configuration);
 }
 
 /* ---- calls ---- */
 
-static void on_answered(void *context, const cw_upstream_answer_t *answer)
-{
-    fake_call_t *call = context;
-    const char  *retry_after = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, "retry-after");
-
-    const char *challenge = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, "www-authenticate");
-
-    call->answered = true;
-    call->is_challenged = challenge != NULL && strcmp(challenge, "Token") == 0;
-    call->status = answer->status;
-    call->retry_after_s = retry_after == NULL ? -1 : atof(retry_after);
-    snprintf(call->body, sizeof(call->body), "%.*s", (int)answer->body_length,
-             answer->body == NULL ? "" : answer->body);
-}
-
 /* lines: further header lines, each with its end. */
-static fake_call_t *ask(world_t *world, size_t number, const char *path, const char *lines)
+static engine_call_t *ask(engine_world_t *world, size_t number, const char *path, const char *lines)
 {
-    char                  text[TEXT_BYTES];
-    cw_upstream_request_t request = {.connect_timeout = CW_SECONDS(5), .answer_max = 100000, .bytes = text};
+    char text[TEXT_BYTES];
+    int  length = snprintf(text, sizeof(text),
+                           "POST %s HTTP/1.1\r\nHost: a.example\r\nid: r%zu\r\ndeadline: 15000\r\n%sContent-Length: "
+                            "0\r\n\r\n",
+                           path, number, lines);
 
-    request.length =
-        (size_t)snprintf(text, sizeof(text),
-                         "POST %s HTTP/1.1\r\nHost: a.example\r\nid: r%zu\r\ndeadline: 15000\r\n%sContent-Length: "
-                         "0\r\n\r\n",
-                         path, number, lines);
-    memset(&world->calls[number], 0, sizeof(world->calls[number]));
-    (void)cw_upstream_call(world->front_target, &request, on_answered, &world->calls[number]);
-    return &world->calls[number];
+    return engine_world_send(world, number, text, (size_t)length);
 }
 
-static int status_of(world_t *world, const char *path, const char *lines)
+static int status_of(engine_world_t *world, const char *path, const char *lines)
 {
-    fake_call_t *call = ask(world, 0, path, lines);
+    engine_call_t *call = ask(world, 0, path, lines);
 
     cw_test_run_until_set(&world->loop, &call->answered);
     return call->status;
 }
 
-static void answer(world_t *world, int status, const char *field)
+static void answer(engine_world_t *world, int status, const char *field)
 {
-    cw_http_fields_t        fields = {0};
-    cw_http_field_builder_t builder = {0};
-    cw_http_outbound_t      outbound = {
-             .status = status, .fields = &fields, .body = "done", .body_length = 4, .retry_after_s = -1};
-
-    if (field != NULL) {
-        cw_http_field_builder_name(&builder, &fields, field, strlen(field));
-        cw_http_field_builder_value(&builder, &fields, "1", 1);
-    }
-    world->has_request = false;
-    cw_http_exchange_answer(world->exchange, &outbound);
-    cw_http_fields_clear(&fields);
+    world->servers[0].has_request = false;
+    engine_server_answer(&world->servers[0], status, "done", field);
 }
 
 /* A request on its way to the server; its fields there are in `seen`. */
-static void serve(world_t *world, const char *path, const char *lines)
+static void serve(engine_world_t *world, const char *path, const char *lines)
 {
-    fake_call_t *call = ask(world, 0, path, lines);
+    engine_call_t *call = ask(world, 0, path, lines);
 
-    cw_test_run_until_set(&world->loop, &world->has_request);
+    cw_test_run_until_set(&world->loop, &world->servers[0].has_request);
     answer(world, 200, NULL);
     cw_test_run_until_set(&world->loop, &call->answered);
     ck_assert_int_eq(call->status, 200);
@@ -296,30 +128,20 @@
 
 static bool is_queued(void *context)
 {
-    world_t *world = context;
+    engine_world_t *world = context;
 
     return cw_engine_queued(world->engine) == 1;
 }
 
 /* Call 0 takes the only slot, call 1 waits for it. */
-static void fill_and_queue(world_t *world, const char *path, const char *lines)
+static void fill_and_queue(engine_world_t *world, const char *path, const char *lines)
 {
     (void)ask(world, 0, path, lines);
-    cw_test_run_until_set(&world->loop, &world->has_request);
+    cw_test_run_until_set(&world->loop, &world->servers[0].has_request);
     (void)ask(world, 1, path, lines);
     cw_test_run_until(&world->loop, is_queued, world);
 }
 
-static void run_for(world_t *world, cw_time_us_t time)
-{
-    cw_time_us_t end = cw_engine_now(world->engine) + time;
-
-    while (cw_engine_now(world->engine) < end) {
-        cw_test_run_some(&world->loop, 1);
-        usleep(PAUSE_US);
-    }
-}
-
 /** A node that counts slots, and never replies. */
 typedef struct fake_broker {
     uint32_t asks;
@@ -364,7 +186,7 @@
 
 START_TEST(without_a_known_key_nothing_reaches_a_server)
 {
-    world_t world;
+    engine_world_t world;
 
     init(&world);
     use_keys(&world);
@@ -376,7 +198,7 @@
     ck_assert_int_eq(status_of(&world, "/safe/x", KEY KEY), 401);
     ck_assert_int_eq(status_of(&world, "/open/x", "Authorization: Token unknown\r\n"), 401);
     ck_assert_int_eq(status_of(&world, "/open/x", "Authorization: sesame\r\n"), 401);
-    ck_assert_uint_eq(world.requests, 0);
+    ck_assert_uint_eq(world.servers[0].requests, 0);
     ck_assert_uint_eq(cw_metric_value(CW_METRIC_REJECTED_NO_KEY), 1);
     ck_assert_uint_eq(cw_metric_value(CW_METRIC_REJECTED_UNKNOWN_KEY), 2);
     ck_assert_uint_eq(cw_metric_value(CW_METRIC_REJECTED_MALFORMED), 4);
@@ -386,13 +208,13 @@
 
 START_TEST(without_keys_in_the_configuration_credentials_go_on_to_servers)
 {
-    world_t world;
+    engine_world_t world;
 
     init(&world);
-    use(&world, begin_configuration(1));
+    engine_world_use(&world, begin_configuration(1));
     serve(&world, "/safe/x", "Authorization: Basic xyz\r\n");
-    ck_assert_ptr_nonnull(strstr(world.seen, "Authorization: Basic xyz\n"));
-    ck_assert_ptr_null(strstr(world.seen, "The-Tenant"));
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "Authorization: Basic xyz\n"));
+    ck_assert_ptr_null(strstr(world.servers[0].seen, "The-Tenant"));
 }
 END_TEST
 
@@ -400,15 +222,15 @@
 
 START_TEST(a_server_gets_the_tenants_name_in_place_of_the_key)
 {
-    world_t world;
+    engine_world_t world;
 
     init(&world);
     use_keys(&world);
     serve(&world, "/safe/x", KEY "Other: kept\r\n");
-    ck_assert_ptr_nonnull(strstr(world.seen, "The-Tenant: red\n"));
-    ck_assert_ptr_nonnull(strstr(world.seen, "Other: kept\n"));
-    ck_assert_ptr_null(strcasestr(world.seen, "authorization"));
-    ck_assert_ptr_null(strstr(world.seen, "sesame"));
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "The-Tenant: red\n"));
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "Other: kept\n"));
+    ck_assert_ptr_null(strcasestr(world.servers[0].seen, "authorization"));
+    ck_assert_ptr_null(strstr(world.servers[0].seen, "sesame"));
 }
 END_TEST
 
@@ -434,34 +256,34 @@
     static const char spoofed[] = "The-Tenant: blue\r\nTHE-TENANT: blue\r\nthe_tenant: blue\r\nThe_Tenant: blue\r\n"
                                   "the-tenant:\r\n";
     char              lines[512];
-    world_t           world;
+    engine_world_t    world;
 
     init(&world);
     use_keys(&world);
     snprintf(lines, sizeof(lines), "%s" KEY, spoofed);
     serve(&world, "/safe/x", lines);
-    ck_assert_uint_eq(count_tenant_lines(world.seen), 1);
-    ck_assert_ptr_nonnull(strstr(world.seen, "The-Tenant: red\n"));
+    ck_assert_uint_eq(count_tenant_lines(world.servers[0].seen), 1);
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "The-Tenant: red\n"));
     serve(&world, "/open/x", lines); /* a key counts on an open route too */
-    ck_assert_uint_eq(count_tenant_lines(world.seen), 1);
-    ck_assert_ptr_nonnull(strstr(world.seen, "The-Tenant: red\n"));
+    ck_assert_uint_eq(count_tenant_lines(world.servers[0].seen), 1);
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "The-Tenant: red\n"));
     serve(&world, "/open/x", spoofed);
-    ck_assert_uint_eq(count_tenant_lines(world.seen), 0);
-    use(&world, begin_configuration(2)); /* nobody has keys */
+    ck_assert_uint_eq(count_tenant_lines(world.servers[0].seen), 0);
+    engine_world_use(&world, begin_configuration(2)); /* nobody has keys */
     serve(&world, "/safe/x", spoofed);
-    ck_assert_uint_eq(count_tenant_lines(world.seen), 0);
+    ck_assert_uint_eq(count_tenant_lines(world.servers[0].seen), 0);
 }
 END_TEST
 
 START_TEST(a_connection_header_does_not_take_the_tenants_name_away)
 {
-    world_t world;
+    engine_world_t world;
 
     init(&world);
     use_keys(&world);
     serve(&world, "/safe/x", KEY "Connection: The-Tenant, authorization\r\n");
-    ck_assert_ptr_nonnull(strstr(world.seen, "The-Tenant: red\n"));
-    ck_assert_ptr_null(strstr(world.seen, "sesame"));
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "The-Tenant: red\n"));
+    ck_assert_ptr_null(strstr(world.servers[0].seen, "sesame"));
 }
 END_TEST
 
@@ -469,7 +291,7 @@
 
 START_TEST(a_key_counts_as_soon_as_its_configuration_does)
 {
-    world_t             world;
+    engine_world_t      world;
     cw_configuration_t *configuration;
 
     init(&world);
@@ -477,9 +299,9 @@
     ck_assert_int_eq(status_of(&world, "/safe/x", KEY), 401);
     configuration = begin_configuration(2);
     (void)add_tenant(configuration, "red", sesame);
-    use(&world, configuration);
+    engine_world_use(&world, configuration);
     serve(&world, "/safe/x", KEY);
-    ck_assert_ptr_nonnull(strstr(world.seen, "The-Tenant: red\n"));
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "The-Tenant: red\n"));
     use_without_reds_key(&world, 3); /* on the same connections */
     ck_assert_int_eq(status_of(&world, "/safe/x", KEY), 401);
 }
@@ -487,7 +309,7 @@
 
 START_TEST(a_key_taken_away_ends_what_waits_and_not_what_is_at_a_server)
 {
-    world_t world;
+    engine_world_t world;
 
     init(&world);
     use_keys(&world);
@@ -502,7 +324,7 @@
     ck_assert_int_eq(world.calls[0].status, 200);
     ck_assert_str_eq(world.calls[0].body, "done");
     cw_test_run_some(&world.loop, 5);
-    ck_assert_uint_eq(world.requests, 1);
+    ck_assert_uint_eq(world.servers[0].requests, 1);
     ck_assert_uint_eq(cw_metric_value(CW_METRIC_REJECTED_REVOKED), 1);
     ck_assert_uint_eq(cw_engine_requests(world.engine), 0);
 }
@@ -510,7 +332,7 @@
 
 START_TEST(another_tenants_requests_stay_when_a_key_is_taken_away)
 {
-    world_t world;
+    engine_world_t world;
 
     init(&world);
     use_keys(&world);
@@ -519,8 +341,8 @@
     cw_test_run_some(&world.loop, 5);
     ck_assert(!world.calls[1].answered);
     answer(&world, 200, NULL);
-    cw_test_run_until_set(&world.loop, &world.has_request);
-    ck_assert_ptr_nonnull(strstr(world.seen, "The-Tenant: blue\n"));
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "The-Tenant: blue\n"));
     answer(&world, 200, NULL);
     cw_test_run_until_set(&world.loop, &world.calls[1].answered);
     ck_assert_int_eq(world.calls[1].status, 200);
@@ -529,23 +351,23 @@
 
 START_TEST(a_request_that_comes_back_from_a_server_is_not_sent_again_for_a_key_taken_away)
 {
-    world_t world;
+    engine_world_t world;
 
     init(&world);
     use_keys(&world);
     (void)ask(&world, 0, "/once/x", KEY);
-    cw_test_run_until_set(&world.loop, &world.has_request);
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
     use_without_reds_key(&world, 2);
     answer(&world, 503, "not-run");
     cw_test_run_until_set(&world.loop, &world.calls[0].answered);
     ck_assert_int_eq(world.calls[0].status, 401);
-    ck_assert_uint_eq(world.requests, 1);
+    ck_assert_uint_eq(world.servers[0].requests, 1);
 }
 END_TEST
 
 START_TEST(a_key_that_moves_to_another_tenant_is_let_in_anew)
 {
-    world_t             world;
+    engine_world_t      world;
     cw_configuration_t *configuration = begin_configuration(2);
 
     init(&world);
@@ -553,41 +375,41 @@
     fill_and_queue(&world, "/once/x", KEY);
     (void)add_tenant(configuration, "red", other);
     (void)add_tenant(configuration, "blue", sesame);
-    use(&world, configuration);
+    engine_world_use(&world, configuration);
     cw_test_run_until_set(&world.loop, &world.calls[1].answered);
     ck_assert_int_eq(world.calls[1].status, 503);
     ck_assert(world.calls[1].retry_after_s > 0);
     ck_assert_uint_eq(cw_metric_value(CW_METRIC_REFUSED_KEY_MOVED), 1);
     answer(&world, 200, NULL);
     cw_test_run_until_set(&world.loop, &world.calls[0].answered);
-    ck_assert_uint_eq(world.requests, 1);
+    ck_assert_uint_eq(world.servers[0].requests, 1);
     serve(&world, "/once/x", KEY);
-    ck_assert_ptr_nonnull(strstr(world.seen, "The-Tenant: blue\n"));
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "The-Tenant: blue\n"));
 }
 END_TEST
 
 START_TEST(a_silent_server_keeps_the_request_of_a_key_taken_away)
 {
-    world_t world;
+    engine_world_t world;
 
     init_with_silence(&world, 0.01); /* repeated after 150 ms */
     use_keys(&world);
     (void)ask(&world, 0, "/safe/x", KEY);
-    cw_test_run_until_set(&world.loop, &world.has_request);
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
     use_without_reds_key(&world, 2);
-    run_for(&world, CW_MS(400));
+    engine_world_run_for(&world, CW_MS(400));
     ck_assert(!world.calls[0].answered);
     ck_assert_uint_eq(cw_metric_value(CW_METRIC_RETRIES), 0);
     answer(&world, 200, NULL);
     cw_test_run_until_set(&world.loop, &world.calls[0].answered);
     ck_assert_int_eq(world.calls[0].status, 200);
-    ck_assert_uint_eq(world.requests, 1);
+    ck_assert_uint_eq(world.servers[0].requests, 1);
 }
 END_TEST
 
 START_TEST(what_waits_for_an_owner_of_its_key_ends_with_the_callers_key)
 {
-    world_t             world;
+    engine_world_t      world;
     cw_configuration_t *configuration = begin_configuration(1);
     cw_service_t       *service = cw_configuration_add_service(configuration);
 
@@ -595,7 +417,7 @@
     service->name = strdup("service");
     service->keyed = true;
     (void)add_tenant(configuration, "red", sesame);
-    use(&world, configuration);
+    engine_world_use(&world, configuration);
     (void)ask(&world, 0, "/once/x", KEY "key: 7\r\n");
     cw_test_run_until(&world.loop, is_queued, &world);
     use_without_reds_key(&world, 2);
@@ -607,7 +429,7 @@
 
 START_TEST(what_waits_for_a_slot_withdraws_its_ask_when_its_callers_key_goes)
 {
-    world_t        world;
+    engine_world_t world;
     fake_broker_t  fake = {0};
     cw_slot_port_t port = {&fake, fake_broker_of, fake_ask, fake_give_back};
 
@@ -621,22 +443,22 @@
     cw_test_run_until_set(&world.loop, &world.calls[0].answered);
     ck_assert_int_eq(world.calls[0].status, 401);
     ck_assert_uint_eq(fake.returns, 1);
-    ck_assert_uint_eq(world.requests, 0);
+    ck_assert_uint_eq(world.servers[0].requests, 0);
 }
 END_TEST
 
 START_TEST(credentials_are_hidden_from_the_version_on_that_has_keys)
 {
-    world_t world;
+    engine_world_t world;
 
     init(&world);
-    use(&world, begin_configuration(1));
+    engine_world_use(&world, begin_configuration(1));
     fill_and_queue(&world, "/once/x", KEY);
-    ck_assert_ptr_nonnull(strstr(world.seen, "sesame")); /* nobody was known by keys */
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "sesame")); /* nobody was known by keys */
     use_without_reds_key(&world, 2);
     answer(&world, 200, NULL);
-    cw_test_run_until_set(&world.loop, &world.has_request); /* let in by the version before */
-    ck_assert_ptr_null(strstr(world.seen, "sesame"));
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request); /* let in by the version before */
+    ck_assert_ptr_null(strstr(world.servers[0].seen, "sesame"));
 }
 END_TEST
 
@@ -644,7 +466,7 @@
 
 START_TEST(where_keys_are_trusted_no_longer_their_requests_are_told_to_come_back)
 {
-    world_t world;
+    engine_world_t world;
 
     init(&world);
     use_keys(&world);
@@ -653,7 +475,7 @@
     ck_assert(world.calls[0].retry_after_s > 0);
     ck_assert_int_eq(status_of(&world, "/safe/x", "Authorization: Token unknown\r\n"), 503); /* it may be a new one */
     ck_assert_int_eq(status_of(&world, "/safe/x", ""), 401);
-    ck_assert_uint_eq(world.requests, 0);
+    ck_assert_uint_eq(world.servers[0].requests, 0);
     serve(&world, "/open/x", "");
     cw_engine_trust_keys(world.engine, cw_engine_now(world.engine) + CW_SECONDS(60));
     serve(&world, "/safe/x", KEY);
@@ -665,7 +487,7 @@
 START_TEST(a_more_urgent_tenant_is_served_before_a_more_urgent_route)
 {
     cw_configuration_t *configuration = begin_configuration(1);
-    world_t             world;
+    engine_world_t      world;
     size_t              index;
 
     init(&world);
@@ -674,15 +496,15 @@
     }
     add_tenant(configuration, "red", sesame)->priority = 1;
     (void)add_tenant(configuration, "blue", other);
-    use(&world, configuration);
+    engine_world_use(&world, configuration);
     fill_and_queue(&world, "/once/x", KEY); /* red, whose route is the more urgent one, waits first */
     (void)ask(&world, 2, "/safe/x", "Authorization: Token other\r\n");
     while (cw_engine_queued(world.engine) < 2) {
         cw_test_run_some(&world.loop, 1);
     }
     answer(&world, 200, NULL);
-    cw_test_run_until_set(&world.loop, &world.has_request);
-    ck_assert_ptr_nonnull(strstr(world.seen, "The-Tenant: blue\n"));
+    cw_test_run_until_set(&world.loop, &world.servers[0].has_request);
+    ck_assert_ptr_nonnull(strstr(world.servers[0].seen, "The-Tenant: blue\n"));
 }
 END_TEST
 
