Names: repeatable is what a route's configuration says; a pipeline's entry is safe by its method

Cause: the word had two meanings: a route whose requests may run more than once (configuration, engine), and a request whose method is safe (the pipeline of a connection). Ruled out: asking the route in the pipeline: it does not know routes. Change: cw_pipeline_entry_t.is_safe, is_safe_method; nothing is decided otherwise. Tests: test_http_pipeline passes with the field's new name, what it checks is the same.

--- a/src/net/http_listener_request.c
+++ b/src/net/http_listener_request.c
@@ -154,8 +154,8 @@
     connection->parser.data = connection;
 }
 
-/* RFC 9110, 9.2.2: what these do is the same however often they run. */
-static bool is_repeatable(const char *method)
+/* RFC 9110, 9.2.1: what these do is the same however often they run. */
+static bool is_safe_method(const char *method)
 {
     return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0 || strcmp(method, "OPTIONS") == 0;
 }
@@ -169,7 +169,7 @@
         cw_listener_release(exchange, exchange->reserved - exchange->body.length);
     }
     cw_bytes_append(&exchange->target, "", 1);
-    exchange->entry.repeatable = is_repeatable(exchange->method);
+    exchange->entry.is_safe = is_safe_method(exchange->method);
     cw_pipeline_append(&connection->pipeline, &exchange->entry);
     cw_listener_hand_over(connection);
 }
--- a/src/net/http_pipeline.c
+++ b/src/net/http_pipeline.c
@@ -27,10 +27,10 @@
     DL_FOREACH(pipeline->entries, entry)
     {
         if (entry->state == CW_PIPELINE_WAITING) {
-            return entry->repeatable || all_answered ? entry : NULL;
+            return entry->is_safe || all_answered ? entry : NULL;
         }
         if (entry->state == CW_PIPELINE_HANDED_OVER) {
-            if (!entry->repeatable) {
+            if (!entry->is_safe) {
                 return NULL;
             }
             all_answered = false;
--- a/src/net/http_pipeline.h
+++ b/src/net/http_pipeline.h
@@ -25,7 +25,7 @@
 
 typedef struct cw_pipeline_entry {
     cw_pipeline_state_t       state;
-    bool                      repeatable;   /**< may run more than once */
+    bool                      is_safe;      /**< by its method (RFC 9110, 9.2.1) */
     bool                      last;         /**< nothing behind it is read */
     size_t                    answer_bytes; /**< of an answered one */
     struct cw_pipeline_entry *prev;         /* utlist's names */
--- a/tests/test_http_pipeline.c
+++ b/tests/test_http_pipeline.c
@@ -34,9 +34,9 @@
 START_TEST(one_that_may_not_be_repeated_has_the_connection_for_itself)
 {
     cw_pipeline_t       pipeline = {0};
-    cw_pipeline_entry_t first = {.repeatable = true};
-    cw_pipeline_entry_t second = {.repeatable = false};
-    cw_pipeline_entry_t third = {.repeatable = true};
+    cw_pipeline_entry_t first = {.is_safe = true};
+    cw_pipeline_entry_t second = {.is_safe = false};
+    cw_pipeline_entry_t third = {.is_safe = true};
 
     cw_pipeline_append(&pipeline, &first);
     cw_pipeline_append(&pipeline, &second);
@@ -56,8 +56,8 @@
 START_TEST(what_is_behind_one_that_was_not_handed_over_is_dropped_with_it)
 {
     cw_pipeline_t       pipeline = {0};
-    cw_pipeline_entry_t first = {.repeatable = true};
-    cw_pipeline_entry_t second = {.repeatable = false};
+    cw_pipeline_entry_t first = {.is_safe = true};
+    cw_pipeline_entry_t second = {.is_safe = false};
     cw_pipeline_entry_t refused = {.last = true};
 
     cw_pipeline_append(&pipeline, &first);
