Of requests that are equal the first to come is the first to be served

Cause: the queues of the engine and of the slot broker put a newcomer before those of the same rank, turn and deadline: what came within one millisecond was served last come, first served. Ruled out: a number of its own for each request: the list's order is enough. Change: the insertion compares with a newcomer, which belongs behind its equals. Test: of_asks_that_are_equal_the_first_to_come_is_the_first_to_be_served failed before (ticket 11 served in place of 9).

--- a/src/balance/slot_queue.c
+++ b/src/balance/slot_queue.c
@@ -22,6 +22,12 @@
     return left->objective_at < right->objective_at ? -1 : left->objective_at > right->objective_at;
 }
 
+/* Where a newcomer belongs: behind those that are its equals. */
+static int compare_with_newcomer(const cw_slot_lease_t *waiting, const cw_slot_lease_t *newcomer)
+{
+    return compare_leases(waiting, newcomer) <= 0 ? -1 : 1;
+}
+
 static bool competes(const cw_slot_lease_t *waiting, const cw_slot_lease_t *lease)
 {
     return lease->ask.server != 0 ? waiting->ask.server == lease->ask.server
@@ -50,7 +56,7 @@
 
 void cw_slot_queue_join(cw_slot_broker_t *broker, cw_slot_lease_t *lease)
 {
-    DL_INSERT_INORDER(broker->queue, lease, compare_leases);
+    DL_INSERT_INORDER(broker->queue, lease, compare_with_newcomer);
     broker->waiting++;
     cw_fair_turns_wait(broker->turns, group_of(lease), lease->ask.tenant, lease->turn);
 }
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -7,15 +7,16 @@
 
 #include "proxy/engine_internal.h"
 
-static int compare_requests(const cw_request_t *left, const cw_request_t *right)
+/* Where a newcomer belongs: by rank, then turn, then deadline, behind those that are its equals. */
+static int compare_with_newcomer(const cw_request_t *waiting, const cw_request_t *newcomer)
 {
-    if (left->rank != right->rank) {
-        return left->rank < right->rank ? -1 : 1;
+    if (waiting->rank != newcomer->rank) {
+        return waiting->rank < newcomer->rank ? -1 : 1;
     }
-    if (left->turn != right->turn) {
-        return left->turn < right->turn ? -1 : 1;
+    if (waiting->turn != newcomer->turn) {
+        return waiting->turn < newcomer->turn ? -1 : 1;
     }
-    return left->deadline < right->deadline ? -1 : left->deadline > right->deadline;
+    return waiting->deadline <= newcomer->deadline ? -1 : 1;
 }
 
 static cw_turn_group_t group_of(const cw_request_t *request)
@@ -27,7 +28,7 @@
 {
     request->turn = cw_fair_turns_next(request->engine->turns, group_of(request), request->tenant_hash);
     cw_fair_turns_wait(request->engine->turns, group_of(request), request->tenant_hash, request->turn);
-    DL_INSERT_INORDER(request->service->queue, request, compare_requests);
+    DL_INSERT_INORDER(request->service->queue, request, compare_with_newcomer);
     request->service->queued++;
     request->engine->queued++;
     request->is_queued = true;
--- a/tests/test_slot_broker.c
+++ b/tests/test_slot_broker.c
@@ -159,6 +159,28 @@
 }
 END_TEST
 
+START_TEST(of_asks_that_are_equal_the_first_to_come_is_the_first_to_be_served)
+{
+    broker_world_t world;
+    uint32_t       next;
+    uint32_t       index;
+
+    init(&world);
+    next = fill(&world);
+    for (index = 0; index < 3; index++) {
+        cw_slot_ask_t asked = ask_of(&world, next + index);
+
+        ck_assert_int_eq(ask(&world, &asked, start)->outcome, CW_SLOT_QUEUED);
+    }
+    for (index = 0; index < 3; index++) {
+        give_back(&world, index + 1, CW_SLOT_ANSWERED, NULL, start + CW_MS(10));
+        ck_assert_int_eq(world.replies[world.count - 1].outcome, CW_SLOT_GRANTED);
+        ck_assert_uint_eq(world.replies[world.count - 1].ticket, next + index);
+    }
+    clear(&world);
+}
+END_TEST
+
 START_TEST(what_would_come_too_late_is_refused_at_once_and_told_when_a_slot_is_free)
 {
     broker_world_t         world;
@@ -401,6 +423,7 @@
 
     tcase_add_test(cases, slots_are_granted_up_to_their_number_and_only_in_this_zone);
     tcase_add_test(cases, a_slot_given_back_goes_to_the_most_urgent_that_waits);
+    tcase_add_test(cases, of_asks_that_are_equal_the_first_to_come_is_the_first_to_be_served);
     tcase_add_test(cases, what_would_come_too_late_is_refused_at_once_and_told_when_a_slot_is_free);
     tcase_add_test(cases, an_ask_that_may_not_wait_is_refused_when_no_slot_is_free);
     tcase_add_test(cases, what_waits_too_long_is_refused_by_the_tick);
