--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -123,11 +123,17 @@
  * otherwise get all requests as soon as the others are full. */
 typedef enum fitness { UNFIT, SUSPECT, FIT, FITNESSES } fitness_t;
 
+static bool is_zone_taken(const cw_zone_filter_t *zones, const char *zone)
+{
+    return zones == NULL || zones->takes_zone(zones->context, zone);
+}
+
 static bool is_candidate(const cw_server_t *server, const char *service, const cw_choice_settings_t *settings)
 {
     return server->listed && !server->draining && !server->ended && !server->zone_is_out &&
            strcmp(server->service, service) == 0 && cw_server_region_allows(server, &settings->regions) &&
-           !(settings->stays_in_region && server->distance == CW_DISTANCE_REMOTE);
+           !(settings->stays_in_region && server->distance == CW_DISTANCE_REMOTE) &&
+           is_zone_taken(settings->zones, server->zone);
 }
 
 static fitness_t fitness(const cw_server_t *server, const cw_server_t *except, cw_time_us_t now)
@@ -194,7 +200,9 @@
            !server->zone_is_out && !cw_server_is_rate_bounded(server, now) && strcmp(server->service, service) == 0;
 }
 
-double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now)
+/* rule: NULL: none. */
+static double sum_speed(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                        cw_distance_t farthest, cw_time_us_t now)
 {
     cw_server_t *server;
     cw_server_t *next;
@@ -202,28 +210,29 @@
 
     HASH_ITER(by_id, pool->by_id, server, next)
     {
-        if (is_serving(server, service, now)) {
+        if (server->distance <= farthest && is_serving(server, service, now) &&
+            (rule == NULL || cw_server_region_allows(server, rule))) {
             speed += server->capacity / present_pace(server, now);
         }
     }
     return speed;
 }
 
+double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now)
+{
+    return sum_speed(pool, service, NULL, CW_DISTANCE_REMOTE, now);
+}
+
+double cw_server_pool_speed_under(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                                  cw_time_us_t now)
+{
+    return sum_speed(pool, service, rule, CW_DISTANCE_REMOTE, now);
+}
+
 double cw_server_pool_speed_near(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
                                  cw_time_us_t now)
 {
-    cw_server_t *server;
-    cw_server_t *next;
-    double       speed = 0;
-
-    HASH_ITER(by_id, pool->by_id, server, next)
-    {
-        if (server->distance != CW_DISTANCE_REMOTE && is_serving(server, service, now) &&
-            cw_server_region_allows(server, rule)) {
-            speed += server->capacity / present_pace(server, now);
-        }
-    }
-    return speed;
+    return sum_speed(pool, service, rule, CW_DISTANCE_REGION, now);
 }
 
 uint32_t cw_server_pool_under_way(cw_server_pool_t *pool, const char *service)
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -177,13 +177,20 @@
 /** Forgets nodes that have been silent for longer than `life`. */
 void cw_server_pool_expire(cw_server_pool_t *pool, cw_time_us_t life, cw_time_us_t now);
 
+/** Zones whose servers may be chosen. */
+typedef struct cw_zone_filter {
+    void *context;
+    bool (*takes_zone)(void *context, const char *zone);
+} cw_zone_filter_t;
+
 typedef struct cw_choice_settings {
     double zone_penalty;    /**< what another zone costs, as a share of a usual request's time */
     double remote_penalty;  /**< what another region costs besides, in the same unit */
     bool   stays_in_region; /**< servers of other regions are not taken */
     double affinity;        /**< weight of this node's own order of servers; more where others' loads are known late */
     double extra_slots;     /**< requests a server may have beyond its capacity */
-    cw_region_rule_t regions;
+    cw_region_rule_t        regions;
+    const cw_zone_filter_t *zones; /**< NULL: all */
 } cw_choice_settings_t;
 
 /** Best server of a service with a free slot. full: there are servers, but none has a slot. */
@@ -192,7 +199,10 @@
 bool         cw_server_has_slot(const cw_server_t *server, double extra_slots, cw_time_us_t now);
 /** Slots of a service that can be used, in units of a server of usual pace. */
 double cw_server_pool_speed(cw_server_pool_t *pool, const char *service, cw_time_us_t now);
-/** The same for servers of this node's region to which a request under this rule may go. */
+/** The same for servers to which a request under this rule may go. */
+double cw_server_pool_speed_under(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                                  cw_time_us_t now);
+/** The same for those of them that lie in this node's region. */
 double cw_server_pool_speed_near(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
                                  cw_time_us_t now);
 /** Requests under way at a service's servers. */
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -10,6 +10,7 @@
 #include "base/metrics.h"
 #include "base/tenant_metrics.h"
 #include "proxy/engine_internal.h"
+#include "proxy/request_rules.h"
 
 enum {
     STATUS_UNAUTHORIZED = 401,
@@ -17,7 +18,6 @@
     STATUS_UNAVAILABLE = 503,
     STATUS_GATEWAY_TIMEOUT = 504,
     STATUS_TOO_MANY = 429,
-    STATUS_TIMEOUT = 408,
     COME_BACK_PART = 4
 };
 
@@ -106,6 +106,27 @@
     }
 }
 
+void cw_engine_reject(const cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                      const cw_rejection_t *rejection)
+{
+    cw_http_outbound_t outbound = {
+        .status = rejection->status, .fields = rejection->fields, .retry_after_s = rejection->retry_after_s};
+    cw_event_t event;
+
+    if (cw_event_begin(&event, CW_EVENT_REQUEST_REFUSED)) {
+        cw_event_text(&event, CW_FIELD_REQUEST,
+                      cw_http_fields_find(inbound->fields, engine->settings.names.request_id));
+        cw_event_text(&event, CW_FIELD_ROUTE, rejection->route);
+        cw_event_number(&event, CW_FIELD_STATUS, rejection->status);
+        cw_event_text(&event, CW_FIELD_REASON, rejection->reason);
+        cw_event_text(&event, CW_FIELD_TENANT, rejection->tenant);
+        cw_event_number(&event, CW_FIELD_CONFIGURATION,
+                        engine->configuration == NULL ? 0 : (int64_t)engine->configuration->version);
+        cw_event_end(&event);
+    }
+    cw_http_exchange_answer(exchange, &outbound);
+}
+
 /* ---- refused ---- */
 
 static cw_time_us_t come_back_after(const cw_request_t *request, cw_refusal_t reason, cw_time_us_t now)
@@ -138,7 +159,7 @@
     cw_http_outbound_t       outbound = {.status = STATUS_UNAVAILABLE};
     cw_event_t               event;
 
-    if (request->may_have_run) {
+    if (cw_final_of(request->may_have_run, request->call != NULL, false) != CW_FINAL_REFUSED) {
         cw_request_fail_unknown(request, names[reason]);
         return;
     }
@@ -243,12 +264,6 @@
     cw_event_end(&event);
 }
 
-/* 503, 429 and 408 are promises that only a server's own word "not run" carries. */
-static bool would_promise(int status)
-{
-    return status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY || status == STATUS_TIMEOUT;
-}
-
 void cw_request_relay(cw_request_t *request, const cw_upstream_answer_t *answer)
 {
     cw_http_outbound_t outbound = {.status = answer->status,
@@ -257,7 +272,7 @@
                                    .body_length = answer->body_length,
                                    .retry_after_s = -1};
 
-    if (!request->route->repeatable && would_promise(answer->status)) {
+    if (!cw_answer_may_pass(request->route->repeatable, answer->status)) {
         cw_request_fail_unknown(request, "the server refused without saying that it did not run");
         return;
     }
--- a/src/proxy/engine_queue.c
+++ b/src/proxy/engine_queue.c
@@ -1,23 +1,22 @@
 /**
  * @file engine_queue.c
- * @brief Who is sent next, and who had better come back later.
+ * @brief The order of what waits for a service, and when its turn would come.
  */
 #include <string.h>
 #include <utlist.h>
 
 #include "proxy/engine_internal.h"
 
-enum { NO_SERVER_WAIT_MS = 200 };
-
-static int compare_requests(const cw_request_t *left, const cw_request_t *right)
+/* Where a newcomer belongs: by rank, then turn, then deadline, behind those that are its equals. */
+static int compare_with_newcomer(const cw_request_t *waiting, const cw_request_t *newcomer)
 {
-    if (left->rank != right->rank) {
-        return left->rank < right->rank ? -1 : 1;
+    if (waiting->rank != newcomer->rank) {
+        return waiting->rank < newcomer->rank ? -1 : 1;
     }
-    if (left->turn != right->turn) {
-        return left->turn < right->turn ? -1 : 1;
+    if (waiting->turn != newcomer->turn) {
+        return waiting->turn < newcomer->turn ? -1 : 1;
     }
-    return left->deadline < right->deadline ? -1 : left->deadline > right->deadline;
+    return waiting->deadline <= newcomer->deadline ? -1 : 1;
 }
 
 static cw_turn_group_t group_of(const cw_request_t *request)
@@ -29,7 +28,7 @@
 {
     request->turn = cw_fair_turns_next(request->engine->turns, group_of(request), request->tenant_hash);
     cw_fair_turns_wait(request->engine->turns, group_of(request), request->tenant_hash, request->turn);
-    DL_INSERT_INORDER(request->service->queue, request, compare_requests);
+    DL_INSERT_INORDER(request->service->queue, request, compare_with_newcomer);
     request->service->queued++;
     request->engine->queued++;
     request->is_queued = true;
@@ -146,144 +145,57 @@
     return now + usual + (before > 0 ? before * usual / (server->capacity == 0 ? 1 : server->capacity) : 0);
 }
 
-cw_time_us_t cw_request_estimate(const cw_request_t *request, cw_time_us_t now)
-{
-    double speed;
-    double waiting;
-
-    if (request->is_keyed) {
-        return estimate_keyed(request, now);
-    }
-    speed = cw_server_pool_speed(request->engine->pool, request->service->name, now);
-    if (speed <= 0) {
-        return CW_NEVER;
-    }
-    waiting = cw_request_ahead(request) + 1 + request->service->queued_elsewhere;
-    return now + request->route_state->usual + (cw_time_us_t)(waiting * (double)request->route_state->usual / speed);
-}
-
-/* ---- dispatch ---- */
-
-typedef enum placing { PLACED, ASKED, OUTSIDE_REGIONS, WAITS_FOR_SLOT, WAITS_FOR_OWNER, NO_SERVERS, PAUSED } placing_t;
-
-static placing_t place_keyed(cw_request_t *request, cw_time_us_t now)
+/* Time until `waiting` requests have been taken up at that speed; CW_NEVER: at none. */
+static cw_time_us_t drain_time(const cw_request_t *request, double waiting, double speed)
 {
-    cw_server_t *server = cw_request_owner(request);
-
-    if (server == NULL || server->draining || !cw_server_zone_allows(server, true, now)) {
-        return WAITS_FOR_OWNER;
-    }
-    if (!cw_server_region_allows(server, &request->regions)) {
-        return OUTSIDE_REGIONS;
-    }
-    if (cw_request_ask_slot(request, server, now)) {
-        return ASKED;
-    }
-    if (!cw_server_pool_may_send(request->engine->pool, server, true, now)) {
-        return WAITS_FOR_OWNER;
-    }
-    if (!cw_server_has_slot(server, request->engine->settings.keyed_extra_slots, now)) {
-        return WAITS_FOR_SLOT;
-    }
-    cw_request_send(request, server);
-    return PLACED;
+    return speed <= 0 ? CW_NEVER : (cw_time_us_t)(waiting * (double)request->route_state->usual / speed);
 }
 
-static placing_t place(cw_request_t *request, cw_time_us_t now)
+/* Requests before this one that may go nowhere but where it may go itself. */
+static uint32_t ahead_within(const cw_request_t *request, uint32_t mask)
 {
-    cw_choice_settings_t choice = request->engine->settings.choice;
-    cw_server_t         *server;
-    bool                 full;
-
-    if (request->not_before > now) {
-        return PAUSED;
-    }
-    if (request->is_keyed) {
-        return place_keyed(request, now);
-    }
-    if (cw_request_ask_slot(request, NULL, now)) {
-        return ASKED;
-    }
-    choice.regions = request->regions;
-    choice.stays_in_region = cw_request_stays_in_region(request, now);
-    choice.remote_penalty = (double)cw_request_crossing_cost(request) / (double)(request->route_state->usual + 1);
-    server = cw_server_pool_choose(
-        request->engine->pool, request->service->name, &choice,
-        request->avoid[0] == '\0' ? NULL : cw_server_pool_find(request->engine->pool, request->avoid), now, &full);
-    if (server == NULL) {
-        return full ? WAITS_FOR_SLOT : NO_SERVERS;
-    }
-    cw_request_send(request, server);
-    return PLACED;
-}
+    const cw_request_t *other;
+    uint32_t            ahead = 0;
 
-/* A request that could not be placed: waits, or is told to come back. It is let in if it will be served within its
- * latency objective; from then on it waits for its turn, late too, but no longer than that can come before its
- * deadline. */
-static void settle(cw_request_t *request, placing_t why, cw_time_us_t now)
-{
-    cw_time_us_t estimate;
+    DL_FOREACH(request->service->queue, other)
+    {
+        uint32_t others = cw_server_pool_region_mask(request->engine->pool, &other->regions);
 
-    if (why == OUTSIDE_REGIONS) { /* its key has an owner where it may not go: waiting does not help */
-        cw_request_refuse(request, CW_REFUSED_REGIONS);
-        return;
-    }
-    if (why == PAUSED || request->attempts > 0) { /* a server may have run it: it has its whole time to get an answer */
-        cw_request_arm(request);
-        return;
-    }
-    if (why == NO_SERVERS && now - request->arrived >= CW_MS(NO_SERVER_WAIT_MS)) {
-        cw_request_refuse(request, CW_REFUSED_SERVERS);
-        return;
-    }
-    estimate = cw_request_estimate(request, now);
-    if (estimate == CW_NEVER) {
-        if (now >= request->owner_wait_until) {
-            cw_request_refuse(request, why == WAITS_FOR_OWNER ? CW_REFUSED_OWNER : CW_REFUSED_SERVERS);
-            return;
+        if (other == request) {
+            break;
         }
-    } else if (estimate > (request->is_admitted ? request->deadline : request->aim_at)) {
-        cw_request_refuse(request, CW_REFUSED_LOAD);
-        return;
+        ahead += others != CW_REGIONS_ANY && (others & ~mask) == 0 ? 1 : 0;
     }
-    request->is_admitted = true;
-    cw_request_arm(request);
+    return ahead;
 }
 
-void cw_request_place(cw_request_t *request, cw_time_us_t now)
+/* What is bound to regions waits for their servers, behind what is bound as closely; never less than all wait. */
+static cw_time_us_t wait_under_regions(const cw_request_t *request, cw_time_us_t now)
 {
-    placing_t result = place(request, now);
+    cw_server_pool_t *pool = request->engine->pool;
+    uint32_t          mask = cw_server_pool_region_mask(pool, &request->regions);
 
-    if (result == ASKED) {
-        cw_request_arm(request);
-    } else if (result != PLACED) {
-        settle(request, result, now);
+    if (mask == CW_REGIONS_ANY) {
+        return 0;
     }
+    return drain_time(request, ahead_within(request, mask) + 1,
+                      cw_server_pool_speed_under(pool, request->service->name, &request->regions, now));
 }
 
-static void dispatch(cw_engine_t *engine, cw_service_state_t *service)
+cw_time_us_t cw_request_estimate(const cw_request_t *request, cw_time_us_t now)
 {
-    cw_time_us_t  now = cw_engine_now(engine);
-    cw_request_t *request;
-    cw_request_t *next;
-
-    DL_FOREACH_SAFE(service->queue, request, next)
-    {
-        if (now >= request->deadline) {
-            cw_request_arm(request);
-        } else if (!cw_request_waits_for_slot(request)) {
-            cw_request_place(request, now);
-        }
-    }
-}
+    double       speed;
+    double       waiting;
+    cw_time_us_t wait;
+    cw_time_us_t bound;
 
-void cw_service_dispatch(cw_engine_t *engine, cw_service_state_t *service)
-{
-    if (engine->dispatching) { /* called from within: once more from the loop */
-        cw_engine_wake(engine);
-        return;
+    if (request->is_keyed) {
+        return estimate_keyed(request, now);
     }
-    engine->dispatching = true;
-    dispatch(engine, service);
-    engine->dispatching = false;
+    speed = cw_server_pool_speed(request->engine->pool, request->service->name, now);
+    waiting = cw_request_ahead(request) + 1 + request->service->queued_elsewhere;
+    wait = drain_time(request, waiting, speed);
+    bound = wait_under_regions(request, now);
+    wait = wait > bound ? wait : bound;
+    return wait == CW_NEVER ? CW_NEVER : now + request->route_state->usual + wait;
 }
