list_exchange: whom a node of a zone asks for the whole list, and whom it answers

Cause: a node without a list of the leader's term waits for a relay of its zone, whose third of a link of 10 Mbit/s carries one list of 240 KB in 0.6 s; with 50 such nodes the leader sends nearly all of them across zones. Change: the part without I/O and clock: a node asks one of its zone that reports the list, window by window, turns to the next after 300 ms without a page, and asks rarely after two.

--- /dev/null
+++ b/tests/test_list_exchange.c
@@ -0,0 +1,511 @@
+/**
+ * @file test_list_exchange.c
+ * @brief Nodes of a zone that get the whole list from one another: who asks whom, what fails, how fast it spreads.
+ *
+ * A zone of nodes in logical time. A request and a page take WAY_MS each; pages leave a node at its allowance, and what
+ * is sent faster than the link takes it waits there. A node may be killed, or frozen, or have another list by then.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "router/list_exchange.h"
+
+enum {
+    NODES_MAX = 50,
+    PAGES = 48,        /* of a list of 3,000 servers, 64 to a page */
+    PAGE_BYTES = 5120, /* 80 bytes a server */
+    STEP_MS = 10,
+    REPORT_MS = 800, /* a node of a zone of fifty reports so often (CW_MANY_DATAGRAMS_A_SECOND) */
+    HEARTBEAT_MS = 300,
+    WAY_STEPS = 1,
+    EVENTS_MAX = 4096
+};
+
+static const cw_list_number_t newest = {.term = 5, .number = 40};
+static const double           third_of_10_mbps = 10e6 / 8 / 3;
+
+typedef struct zone_node {
+    cw_list_exchange_t *exchange;
+    cw_list_number_t    has;
+    bool                came[PAGES];
+    bool                is_dead;
+    bool                is_frozen;
+    uint32_t            requests; /**< taken */
+    size_t              bytes;    /**< sent */
+    uint32_t            pages_received;
+    cw_time_us_t        link_free_at;
+} zone_node_t;
+
+typedef enum event_kind { EVENT_REQUEST, EVENT_PAGE, EVENT_REDIRECT } event_kind_t;
+
+/** A datagram on its way. */
+typedef struct wire_event {
+    cw_time_us_t     at;
+    event_kind_t     kind;
+    uint32_t         from;
+    uint32_t         to;
+    cw_list_window_t window; /**< of a page: the page is its first */
+    uint32_t         instead;
+} wire_event_t;
+
+static zone_node_t  nodes[NODES_MAX];
+static uint32_t     node_count;
+static wire_event_t events[EVENTS_MAX];
+static size_t       event_count;
+static cw_time_us_t now;
+static bool         leader_is_cut;
+static uint32_t     requests_sent;
+
+static uint32_t address_of(const zone_node_t *node)
+{
+    return (uint32_t)(node - nodes) + 1;
+}
+
+static zone_node_t *node_at(uint32_t address)
+{
+    ck_assert_uint_ge(address, 1);
+    ck_assert_uint_le(address, node_count);
+    return &nodes[address - 1];
+}
+
+static void put_event(wire_event_t event)
+{
+    ck_assert_uint_lt(event_count, EVENTS_MAX);
+    events[event_count++] = event;
+}
+
+static void on_request(void *context, uint32_t address, const cw_list_window_t *window)
+{
+    requests_sent++;
+    put_event((wire_event_t){.at = now + CW_MS(STEP_MS * WAY_STEPS),
+                             .kind = EVENT_REQUEST,
+                             .from = address_of(context),
+                             .to = address,
+                             .window = *window});
+}
+
+static size_t on_send_pages(void *context, uint32_t address, const cw_list_window_t *window, bool *is_last)
+{
+    zone_node_t *node = context;
+    uint32_t     page;
+    size_t       bytes = 0;
+
+    if (node->has.term != window->of.term || node->has.number != window->of.number) {
+        return 0;
+    }
+    for (page = window->first; page < PAGES && page < window->first + window->count; page++) {
+        cw_time_us_t begun = node->link_free_at > now ? node->link_free_at : now;
+
+        node->link_free_at = begun + (cw_time_us_t)(PAGE_BYTES / (third_of_10_mbps * 3) * 1e6);
+        bytes += PAGE_BYTES;
+        put_event((wire_event_t){.at = node->link_free_at + CW_MS(STEP_MS * WAY_STEPS),
+                                 .kind = EVENT_PAGE,
+                                 .from = address_of(node),
+                                 .to = address,
+                                 .window = {.of = window->of, .first = page, .count = 1}});
+    }
+    *is_last = page == PAGES;
+    node->bytes += bytes;
+    return bytes;
+}
+
+static void on_redirect(void *context, uint32_t address, cw_list_number_t of, uint32_t instead)
+{
+    put_event((wire_event_t){.at = now + CW_MS(STEP_MS * WAY_STEPS),
+                             .kind = EVENT_REDIRECT,
+                             .from = address_of(context),
+                             .to = address,
+                             .window = {.of = of},
+                             .instead = instead});
+}
+
+static void begin_zone(uint32_t count, double bytes_per_s)
+{
+    uint32_t index;
+
+    for (index = 0; index < NODES_MAX; index++) {
+        cw_list_exchange_destroy(nodes[index].exchange);
+    }
+    memset(nodes, 0, sizeof(nodes));
+    node_count = count;
+    event_count = 0;
+    requests_sent = 0;
+    leader_is_cut = false;
+    now = CW_SECONDS(1000);
+    for (index = 0; index < count; index++) {
+        cw_list_exchange_owner_t owner = {.context = &nodes[index],
+                                          .request = on_request,
+                                          .send_pages = on_send_pages,
+                                          .redirect = on_redirect,
+                                          .bytes_per_s = bytes_per_s,
+                                          .own_address = index + 1};
+
+        nodes[index].exchange = cw_list_exchange_create(&owner);
+    }
+}
+
+static uint32_t first_missing(const zone_node_t *node)
+{
+    uint32_t page;
+
+    for (page = 0; page < PAGES && node->came[page]; page++) {
+    }
+    return page;
+}
+
+static void take_page(zone_node_t *node, const wire_event_t *event)
+{
+    uint32_t missing;
+
+    node->pages_received++;
+    node->came[event->window.first] = true;
+    missing = first_missing(node);
+    if (missing == PAGES) {
+        node->has = event->window.of;
+    }
+    cw_list_exchange_page_came(node->exchange, event->window.of, missing, PAGES, now);
+}
+
+static void deliver(const wire_event_t *event)
+{
+    zone_node_t *node = node_at(event->to);
+
+    if (node->is_dead) {
+        return;
+    }
+    switch (event->kind) {
+    case EVENT_REQUEST:
+        node->requests++;
+        cw_list_exchange_take_request(node->exchange, event->from, &event->window, now);
+        break;
+    case EVENT_PAGE:
+        take_page(node, event);
+        break;
+    case EVENT_REDIRECT:
+        cw_list_exchange_redirected(node->exchange, event->window.of, event->instead, now);
+        break;
+    }
+}
+
+/* What has arrived, but at frozen nodes, which take it when they thaw. */
+static void deliver_due(void)
+{
+    size_t kept = 0;
+    size_t index;
+    size_t due_count = 0;
+
+    static wire_event_t due[EVENTS_MAX];
+
+    for (index = 0; index < event_count; index++) {
+        if (events[index].at <= now && !node_at(events[index].to)->is_frozen) {
+            due[due_count++] = events[index];
+        } else {
+            events[kept++] = events[index];
+        }
+    }
+    event_count = kept;
+    for (index = 0; index < due_count; index++) {
+        deliver(&due[index]);
+    }
+}
+
+static void report(const zone_node_t *node)
+{
+    uint32_t index;
+
+    for (index = 0; index < node_count; index++) {
+        if (&nodes[index] != node && !nodes[index].is_dead && !nodes[index].is_frozen) {
+            cw_list_exchange_note(nodes[index].exchange, address_of(node), node->has, now);
+        }
+    }
+}
+
+static void run(int milliseconds)
+{
+    uint32_t index;
+
+    for (; milliseconds > 0; milliseconds -= STEP_MS) {
+        now += CW_MS(STEP_MS);
+        deliver_due();
+        for (index = 0; index < node_count; index++) {
+            zone_node_t *node = &nodes[index];
+            int64_t      step = now / CW_MS(STEP_MS) + index;
+
+            if (node->is_dead || node->is_frozen) {
+                continue;
+            }
+            if (step % (REPORT_MS / STEP_MS) == 0) {
+                report(node);
+            }
+            if (step % (HEARTBEAT_MS / STEP_MS) == 0 && !leader_is_cut) {
+                cw_list_exchange_want(node->exchange, newest, node->has, now);
+            }
+            cw_list_exchange_tick(node->exchange, now);
+        }
+    }
+}
+
+static void give_list(zone_node_t *node)
+{
+    memset(node->came, true, sizeof(node->came));
+    node->has = newest;
+}
+
+static bool has_newest(const zone_node_t *node)
+{
+    return node->has.term == newest.term && node->has.number == newest.number;
+}
+
+static uint32_t count_with_list(void)
+{
+    uint32_t count = 0;
+    uint32_t index;
+
+    for (index = 0; index < node_count; index++) {
+        count += has_newest(&nodes[index]) ? 1 : 0;
+    }
+    return count;
+}
+
+static uint32_t requests_of_all(void)
+{
+    uint32_t count = 0;
+    uint32_t index;
+
+    for (index = 0; index < node_count; index++) {
+        count += nodes[index].requests;
+    }
+    return count;
+}
+
+/* ---- one node asks ---- */
+
+START_TEST(a_node_without_a_list_gets_it_from_one_of_its_zone)
+{
+    begin_zone(2, 0);
+    give_list(&nodes[0]);
+    run(2000);
+    ck_assert(has_newest(&nodes[1]));
+    ck_assert_uint_eq(nodes[1].pages_received, PAGES);
+    ck_assert_uint_eq(nodes[0].requests, PAGES / CW_LIST_WINDOW_PAGES);
+}
+END_TEST
+
+START_TEST(a_node_with_a_list_of_the_term_waits_for_its_changes)
+{
+    begin_zone(2, 0);
+    give_list(&nodes[0]);
+    nodes[1].has = (cw_list_number_t){.term = newest.term, .number = newest.number - 3};
+    run(2000);
+    ck_assert_uint_eq(nodes[0].requests, 0);
+}
+END_TEST
+
+/* Node 2 is asked for the first window, and gone by the second. */
+static void begin_third_of_three(void)
+{
+    begin_zone(3, 0);
+    give_list(&nodes[0]);
+    give_list(&nodes[1]);
+}
+
+/* Runs until some pages have come from one of two nodes, and returns that one. */
+static zone_node_t *run_into_transfer(void)
+{
+    int steps;
+
+    for (steps = 0; steps < 200 && nodes[2].pages_received < 4; steps++) {
+        run(STEP_MS);
+    }
+    ck_assert_uint_ge(nodes[2].pages_received, 4);
+    ck_assert(!has_newest(&nodes[2]));
+    return nodes[0].bytes > 0 ? &nodes[0] : &nodes[1];
+}
+
+START_TEST(a_killed_node_is_followed_by_the_next_one_for_the_pages_that_are_missing)
+{
+    zone_node_t *asked;
+    size_t       index;
+
+    begin_third_of_three();
+    asked = run_into_transfer();
+    asked->is_dead = true;
+    for (index = 0; index < event_count; index++) { /* what its link had not sent is lost */
+        events[index].to = events[index].from == address_of(asked) ? address_of(asked) : events[index].to;
+    }
+    run(2000);
+    ck_assert(has_newest(&nodes[2]));
+    ck_assert_uint_eq(nodes[2].pages_received, PAGES);
+}
+END_TEST
+
+START_TEST(a_frozen_node_is_followed_by_the_next_one_and_may_answer_when_it_thaws)
+{
+    zone_node_t *asked;
+
+    begin_third_of_three();
+    asked = run_into_transfer();
+    asked->is_frozen = true;
+    run(2000);
+    ck_assert(has_newest(&nodes[2]));
+    asked->is_frozen = false;
+    run(2000);
+    ck_assert(has_newest(&nodes[2]));
+    ck_assert_uint_le(nodes[2].pages_received, PAGES + CW_LIST_WINDOW_PAGES);
+}
+END_TEST
+
+START_TEST(a_node_that_has_another_list_by_then_does_not_answer_and_the_next_one_does)
+{
+    zone_node_t *asked;
+
+    begin_third_of_three();
+    asked = run_into_transfer();
+    asked->has.number = newest.number - 1; /* it began anew */
+    run(2000);
+    ck_assert(has_newest(&nodes[2]));
+}
+END_TEST
+
+START_TEST(while_no_node_of_the_zone_has_the_list_nobody_is_asked)
+{
+    begin_zone(NODES_MAX, third_of_10_mbps);
+    run(5000);
+    ck_assert_uint_eq(requests_of_all(), 0);
+}
+END_TEST
+
+START_TEST(nodes_that_are_cut_from_the_leader_ask_for_nothing)
+{
+    begin_zone(2, 0);
+    run(1000);
+    leader_is_cut = true;
+    run(2000);
+    give_list(&nodes[0]);
+    run(5000);
+    ck_assert_uint_eq(nodes[0].requests, 0);
+}
+END_TEST
+
+START_TEST(a_node_that_nobody_answers_asks_rarely)
+{
+    begin_zone(3, 0);
+    give_list(&nodes[0]);
+    give_list(&nodes[1]);
+    run(REPORT_MS);
+    nodes[0].is_dead = true;
+    nodes[1].is_dead = true;
+    run(10000);
+    ck_assert_uint_ge(requests_sent, 2);
+    ck_assert_uint_le(requests_sent, 10); /* 33 without the longer pause */
+}
+END_TEST
+
+START_TEST(a_late_page_of_an_earlier_term_changes_nothing)
+{
+    cw_list_number_t earlier = {.term = newest.term - 1, .number = newest.number + 9};
+
+    begin_third_of_three();
+    (void)run_into_transfer();
+    cw_list_exchange_page_came(nodes[2].exchange, earlier, PAGES, PAGES, now);
+    run(2000);
+    ck_assert(has_newest(&nodes[2]));
+    ck_assert_uint_eq(nodes[2].pages_received, PAGES);
+}
+END_TEST
+
+START_TEST(a_heartbeat_of_an_earlier_term_is_not_gone_by)
+{
+    cw_list_number_t earlier = {.term = newest.term - 1, .number = newest.number + 9};
+
+    begin_third_of_three();
+    (void)run_into_transfer();
+    cw_list_exchange_want(nodes[2].exchange, earlier, (cw_list_number_t){0}, now);
+    run(2000);
+    ck_assert(has_newest(&nodes[2]));
+    ck_assert_uint_eq(nodes[2].pages_received, PAGES);
+}
+END_TEST
+
+START_TEST(a_transfer_goes_on_while_a_newer_list_is_named)
+{
+    cw_list_number_t newer = {.term = newest.term, .number = newest.number + 1};
+
+    begin_third_of_three();
+    (void)run_into_transfer();
+    cw_list_exchange_want(nodes[2].exchange, newer, nodes[2].has, now);
+    leader_is_cut = true; /* no other heartbeat comes meanwhile */
+    run(900);
+    ck_assert(has_newest(&nodes[2]));
+    ck_assert_uint_eq(nodes[2].pages_received, PAGES);
+}
+END_TEST
+
+START_TEST(a_list_that_came_whole_and_is_not_in_force_is_not_asked_for_again)
+{
+    uint32_t requests;
+
+    begin_zone(2, 0);
+    give_list(&nodes[0]);
+    run(2000);
+    requests = nodes[0].requests;
+    nodes[1].has = (cw_list_number_t){0}; /* it has read a later one */
+    run(5000);
+    ck_assert_uint_eq(nodes[0].requests, requests);
+}
+END_TEST
+
+/* ---- a zone ---- */
+
+START_TEST(sources_double_in_a_zone_of_fifty)
+{
+    begin_zone(NODES_MAX, third_of_10_mbps);
+    give_list(&nodes[7]);
+    give_list(&nodes[8]); /* the two relays */
+    run(6000);
+    ck_assert_uint_eq(count_with_list(), NODES_MAX);
+}
+END_TEST
+
+START_TEST(a_node_sends_no_more_than_its_allowance)
+{
+    const int        seconds = 3;
+    cw_list_window_t window = {.of = newest, .first = 0, .count = CW_LIST_WINDOW_PAGES};
+    double           window_bytes = (double)CW_LIST_WINDOW_PAGES * PAGE_BYTES;
+    int              steps;
+
+    begin_zone(2, third_of_10_mbps);
+    give_list(&nodes[0]);
+    give_list(&nodes[1]); /* asks for nothing by itself */
+    for (steps = 0; steps < seconds * 1000 / STEP_MS; steps++) {
+        cw_list_exchange_take_request(nodes[0].exchange, address_of(&nodes[1]), &window, now);
+        run(STEP_MS);
+    }
+    ck_assert_uint_le(nodes[0].bytes, (size_t)(third_of_10_mbps * (seconds + 0.2) + window_bytes));
+    ck_assert_uint_ge(nodes[0].bytes, (size_t)(third_of_10_mbps * seconds - 2 * window_bytes));
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("list_exchange");
+    TCase *cases = tcase_create("list_exchange");
+
+    tcase_add_test(cases, a_node_without_a_list_gets_it_from_one_of_its_zone);
+    tcase_add_test(cases, a_node_with_a_list_of_the_term_waits_for_its_changes);
+    tcase_add_test(cases, a_killed_node_is_followed_by_the_next_one_for_the_pages_that_are_missing);
+    tcase_add_test(cases, a_frozen_node_is_followed_by_the_next_one_and_may_answer_when_it_thaws);
+    tcase_add_test(cases, a_node_that_has_another_list_by_then_does_not_answer_and_the_next_one_does);
+    tcase_add_test(cases, while_no_node_of_the_zone_has_the_list_nobody_is_asked);
+    tcase_add_test(cases, nodes_that_are_cut_from_the_leader_ask_for_nothing);
+    tcase_add_test(cases, a_node_that_nobody_answers_asks_rarely);
+    tcase_add_test(cases, a_late_page_of_an_earlier_term_changes_nothing);
+    tcase_add_test(cases, a_heartbeat_of_an_earlier_term_is_not_gone_by);
+    tcase_add_test(cases, a_transfer_goes_on_while_a_newer_list_is_named);
+    tcase_add_test(cases, a_list_that_came_whole_and_is_not_in_force_is_not_asked_for_again);
+    tcase_add_test(cases, sources_double_in_a_zone_of_fifty);
+    tcase_add_test(cases, a_node_sends_no_more_than_its_allowance);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
