Relays: nothing held while a node stood still is passed on, large zones fit, an earlier life stays over

A relay that thaws read summaries of before as if they had just come; a summary of 1,000 nodes has more than 48 KB and was dropped without a line; pages passed on took nothing from the allowance; a late detail or report of the incarnation before set the node back to it. Ruled out: ordering incarnations, which are random; dropping by the sender's clock, which may differ. Change: summaries read after 250 ms without a tick, and for 100 ms after that, are dropped with a line 'summary late'; details go 256 a summary, news first, and each kind that is too large has a line 'datagram too large'; passing on counts; a peer keeps the incarnation before, and what names it is late.

--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -18,6 +18,8 @@
     X(STORE_BACK, "store back", NOTICE, 10)                                                                            \
     X(PEER_LOST, "peer lost", WARNING, 20)                                                                             \
     X(PEER_BACK, "peer back", NOTICE, 20)                                                                              \
+    X(SUMMARY_LATE, "summary late", NOTICE, 10)                                                                        \
+    X(DATAGRAM_TOO_LARGE, "datagram too large", WARNING, 10)                                                           \
     X(SERVER_LOST, "server lost", WARNING, 20)                                                                         \
     X(SERVER_BACK, "server back", NOTICE, 20)                                                                          \
     X(LEADER_TAKEN, "leadership taken", NOTICE, 10)                                                                    \
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/event_log.h"
 #include "base/text.h"
 
 enum { DATAGRAM_MAX = 60000, PACK_MAX = 48 * 1024 };
@@ -187,11 +188,23 @@
     return inet_pton(AF_INET, host, &number) == 1 ? cw_peer_link_learn(link, number.s_addr, now) : NULL;
 }
 
+static void note_too_large(const Cwp__Datagram *datagram, size_t length)
+{
+    cw_event_t event;
+
+    if (cw_event_begin(&event, CW_EVENT_DATAGRAM_TOO_LARGE)) {
+        cw_event_text(&event, CW_FIELD_DETAIL, cw_traffic_kind_name((uint32_t)datagram->content_case));
+        cw_event_number(&event, CW_FIELD_COUNT, (int64_t)length);
+        cw_event_end(&event);
+    }
+}
+
 size_t cw_peer_link_pack(cw_peer_link_t *link, const Cwp__Datagram *datagram)
 {
     size_t length = cwp__datagram__get_packed_size(datagram);
 
     if (length > PACK_MAX) {
+        note_too_large(datagram, length);
         return 0;
     }
     if (length > link->packed_capacity) {
@@ -223,6 +236,20 @@
     cw_peer_link_send_packed(link, peer, cw_peer_link_pack(link, datagram));
 }
 
+void cw_peer_set_incarnation(cw_peer_t *peer, uint64_t incarnation)
+{
+    if (peer->incarnation != incarnation) {
+        peer->former_incarnation = peer->incarnation;
+        peer->incarnation = incarnation;
+        peer->sequence = 0;
+    }
+}
+
+bool cw_peer_is_former(const cw_peer_t *peer, uint64_t incarnation)
+{
+    return incarnation != 0 && incarnation == peer->former_incarnation;
+}
+
 /* Every peer of the list is in the hash; the analyzer does not follow uthash's macros and takes the hash for empty. */
 void cw_peer_link_expire(cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now)
 {
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -33,6 +33,7 @@
     char            zone[64];
     cw_distance_t   distance; /**< of that zone; the farthest until it is known */
     uint64_t        incarnation;
+    uint64_t        former_incarnation; /**< the one before; 0: none known */
     uint32_t        sequence;
     cw_time_us_t    last_received_at; /**< by itself, or by a relay of its zone; 0: never */
     cw_time_us_t    direct_at;        /**< last report of its own that came here; 0: never */
@@ -76,9 +77,13 @@
 cw_peer_t *cw_peer_link_peers(cw_peer_link_t *link);             /**< linked by next */
 /** Packs once, sends to one peer. What the socket does not take is lost. */
 void cw_peer_link_send(cw_peer_link_t *link, const cw_peer_t *peer, const Cwp__Datagram *datagram);
-/** Packs for cw_peer_link_send_packed. */
+/** Packs for cw_peer_link_send_packed. 0: it is too large for a datagram, which a line of the log says. */
 size_t cw_peer_link_pack(cw_peer_link_t *link, const Cwp__Datagram *datagram);
 void   cw_peer_link_send_packed(cw_peer_link_t *link, const cw_peer_t *peer, size_t length);
+/** The node has started anew, if this is another incarnation: its reports begin with sequence 0. */
+void cw_peer_set_incarnation(cw_peer_t *peer, uint64_t incarnation);
+/** Is it the incarnation before the one known? Then what tells of it was late. */
+bool cw_peer_is_former(const cw_peer_t *peer, uint64_t incarnation);
 /** Forgets peers unheard of for so long. */
 void cw_peer_link_expire(cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now);
 /** Peers heard within `silence`. */
--- a/src/router/router_pass_on.c
+++ b/src/router/router_pass_on.c
@@ -41,6 +41,7 @@
     length = cw_peer_link_pack(router->link, datagram);
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (is_of_zone(peer)) {
+            router->push_room -= (double)length; /* whole lists wait for it, changes do not */
             cw_peer_link_send_packed(router->link, peer, length);
         }
     }
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -49,6 +49,9 @@
         peer->last_received_at != 0) {
         return false; /* late or repeated */
     }
+    if (cw_peer_is_former(peer, received->incarnation)) {
+        return false; /* late: the node has started anew since */
+    }
     if (peer->last_received_at == 0 || peer->is_lost || peer->incarnation != received->incarnation) {
         router->named_until = now + CW_MS(NAMED_MS);
         if (received->node[0] != '\0') {
@@ -61,7 +64,7 @@
         peer->details_at = now;
     }
     peer->is_lost = false;
-    peer->incarnation = received->incarnation;
+    cw_peer_set_incarnation(peer, received->incarnation);
     peer->sequence = received->sequence;
     peer->last_received_at = now;
     peer->direct_at = now;
--- a/src/router/router_relay.c
+++ b/src/router/router_relay.c
@@ -16,6 +16,12 @@
 #include "router/router_internal.h"
 #include "router/router_summary.h"
 
+enum {
+    STILL_MS =
+        CW_SUMMARY_PAUSE_MS, /* without a tick: what came meanwhile is no later than a lost summary's successor */
+    BACKLOG_MS = 100 /* after that: the socket holds 212,992 bytes, which are read 32 datagrams a turn of the loop */
+};
+
 /** Relays of one zone, as this node sees it. */
 typedef struct zone_relays {
     char     name[64];
@@ -32,6 +38,8 @@
     zone_relays_t      zones[CW_ZONES_MAX]; /* this node's own first */
     size_t             zone_count;
     cw_sure_view_t     sure;
+    cw_time_us_t       ticked_at;     /* 0: not yet */
+    cw_time_us_t       backlog_until; /* this node stood still: datagrams read before then may have come meanwhile */
 };
 
 void cw_router_relay_init(cw_router_t *router)
@@ -164,11 +172,25 @@
                         : 0;
 }
 
+static bool has_stood_still(const cw_router_relay_t *relay, cw_time_us_t now)
+{
+    return relay->ticked_at != 0 && now - relay->ticked_at > CW_MS(STILL_MS);
+}
+
+static void note_tick(cw_router_relay_t *relay, cw_time_us_t now)
+{
+    if (has_stood_still(relay, now)) {
+        relay->backlog_until = now + CW_MS(BACKLOG_MS);
+    }
+    relay->ticked_at = now;
+}
+
 void cw_router_relay_tick(cw_router_t *router, cw_time_us_t now)
 {
     cw_router_relay_t *relay = router->relay;
     size_t             place;
 
+    note_tick(relay, now);
     if (now - relay->sent_at < CW_MS(CW_SUMMARY_PAUSE_MS)) {
         return;
     }
@@ -237,13 +259,11 @@
 {
     cw_peer_t *peer = cw_peer_link_find(router->link, detail->address);
 
-    if (peer == NULL || (peer->direct_at != 0 && now - peer->direct_at < CW_MS(CW_SUMMARY_TRUST_MS))) {
+    if (peer == NULL || (peer->direct_at != 0 && now - peer->direct_at < CW_MS(CW_SUMMARY_TRUST_MS)) ||
+        cw_peer_is_former(peer, detail->incarnation)) {
         return;
     }
-    if (peer->incarnation != detail->incarnation) {
-        peer->incarnation = detail->incarnation;
-        peer->sequence = 0;
-    }
+    cw_peer_set_incarnation(peer, detail->incarnation);
     cw_text_copy(peer->node, sizeof(peer->node), detail->node);
     peer->stopping = detail->stopping;
     peer->store_lost = detail->store_lost;
@@ -277,6 +297,23 @@
     cw_router_take_queues(router, number, false, summary->queues, summary->n_queues, now);
 }
 
+/* How old it is nobody knows: its ages of nodes count from when it was sent. */
+static bool is_of_backlog(const cw_router_relay_t *relay, cw_time_us_t now)
+{
+    return has_stood_still(relay, now) || now < relay->backlog_until;
+}
+
+static void note_late(const cw_router_relay_t *relay, const Cwp__ZoneSummary *summary, cw_time_us_t now)
+{
+    cw_event_t event;
+
+    if (cw_event_begin(&event, CW_EVENT_SUMMARY_LATE)) {
+        cw_event_text(&event, CW_FIELD_ZONE, summary->zone);
+        cw_event_ms(&event, CW_FIELD_SILENT_MS, now - relay->ticked_at);
+        cw_event_end(&event);
+    }
+}
+
 static bool is_well_formed(const Cwp__ZoneSummary *summary)
 {
     return summary->zone[0] != '\0' && summary->n_nodes == summary->n_ages_ms &&
@@ -295,8 +332,14 @@
     cw_peer_t              *relay;
     size_t                  index;
 
-    if (!is_well_formed(summary) || strcmp(summary->zone, router->settings.zone) == 0 ||
-        !cw_zone_links_note(&router->relay->links, &head, now)) {
+    if (!is_well_formed(summary) || strcmp(summary->zone, router->settings.zone) == 0) {
+        return;
+    }
+    if (is_of_backlog(router->relay, now)) {
+        note_late(router->relay, summary, now);
+        return;
+    }
+    if (!cw_zone_links_note(&router->relay->links, &head, now)) {
         return;
     }
     for (index = 0; index < summary->n_nodes; index++) {
--- a/src/router/router_summary.c
+++ b/src/router/router_summary.c
@@ -12,6 +12,7 @@
     DETAILS_PAUSE_MS = 5000, /* names tell people and logs who a node is; nothing waits for them */
     DETAILS_NEWS_MS = 1000,  /* four summaries of either relay: all of them are not lost */
     NODES_MAX = 1024,        /* of a zone: 12 bytes each */
+    DETAILS_MAX = 256,       /* in one summary, 90 bytes each at most: 23 KB beside 12 KB of nodes and 6 KB of sums */
     QUEUES_MAX = 32
 };
 
@@ -21,8 +22,8 @@
     uint32_t           nodes[NODES_MAX];
     uint32_t           ages_ms[NODES_MAX];
     uint32_t           capabilities[NODES_MAX];
-    Cwp__ZoneNode      details[NODES_MAX];
-    Cwp__ZoneNode     *detail_pointers[NODES_MAX];
+    Cwp__ZoneNode      details[DETAILS_MAX];
+    Cwp__ZoneNode     *detail_pointers[DETAILS_MAX];
     uint32_t           received[CW_ZONES_MAX];
     cw_server_report_t sums[CW_SUMMARY_SERVERS_MAX];
     uint32_t           servers[CW_SUMMARY_SERVERS_MAX];
@@ -91,17 +92,38 @@
     }
 }
 
-static void add_details(cw_router_t *router, bool of_all, cw_time_us_t now)
+static bool has_news(const cw_peer_t *peer, cw_time_us_t now)
+{
+    return now - peer->details_at < CW_MS(DETAILS_NEWS_MS);
+}
+
+/* News first; then those whose turn it is. What does not fit goes with the next summary. */
+static void add_details(cw_router_t *router, cw_summary_times_t *times, cw_time_us_t now)
 {
     const cw_peer_t *peer;
+    size_t           place = 0;
 
-    if (of_all || router->stopping_at != 0) {
+    if (now - times->details_at >= CW_MS(DETAILS_PAUSE_MS)) {
+        times->details_at = now;
+        times->details_place = 0;
+        add_own_detail(router);
+    } else if (router->stopping_at != 0) {
         add_own_detail(router);
     }
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        bool is_wanted = of_all || now - peer->details_at < CW_MS(DETAILS_NEWS_MS);
-
-        if (is_wanted && is_in_zone(peer) && !peer->is_lost && builder.summary.n_details < NODES_MAX) {
+        if (has_news(peer, now) && is_in_zone(peer) && !peer->is_lost && builder.summary.n_details < DETAILS_MAX) {
+            add_detail(peer);
+        }
+    }
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next, place++) {
+        if (place < times->details_place) {
+            continue;
+        }
+        if (builder.summary.n_details == DETAILS_MAX) {
+            break;
+        }
+        times->details_place = place + 1;
+        if (!has_news(peer, now) && is_in_zone(peer) && !peer->is_lost) {
             add_detail(peer);
         }
     }
@@ -239,18 +261,14 @@
                               cw_time_us_t now)
 {
     Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
-    bool          with_all_details = now - times->details_at >= CW_MS(DETAILS_PAUSE_MS);
 
     begin_summary(router, times);
     if (now - times->nodes_at >= nodes_pause(router)) {
         times->nodes_at = now;
         add_nodes(router, now);
     }
-    add_details(router, with_all_details, now);
+    add_details(router, times, now);
     add_received(links, now);
-    if (with_all_details) {
-        times->details_at = now;
-    }
     if (now - times->loads_at >= CW_MS(LOADS_PAUSE_MS)) {
         times->loads_at = now;
         add_loads(router, now);
--- a/src/router/router_summary.h
+++ b/src/router/router_summary.h
@@ -15,7 +15,8 @@
     uint32_t     sequence;
     cw_time_us_t nodes_at;
     cw_time_us_t loads_at;
-    cw_time_us_t details_at;
+    cw_time_us_t details_at;    /**< when details of all nodes were begun */
+    size_t       details_place; /**< among the nodes known: those before it have had theirs since */
 } cw_summary_times_t;
 
 /** Numbers of zones stand above those of nodes, which are IPv4 addresses: what a zone's sums are kept under. */
--- a/tests/test_pass_on.c
+++ b/tests/test_pass_on.c
@@ -59,12 +59,53 @@
 }
 END_TEST
 
+/* A page of changes that the leader sends this relay. */
+static size_t receive_page_to_pass_on(node_fixture_t *node)
+{
+    Cwp__ServersPage page = CWP__SERVERS_PAGE__INIT;
+    Cwp__ViewServer  server = CWP__VIEW_SERVER__INIT;
+    Cwp__ViewServer *servers[] = {&server};
+    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
+
+    server.id = "i-1";
+    server.service = "docks";
+    server.address = "10.0.1.1:80";
+    server.zone = "z1";
+    page.term = TERM;
+    page.number = SERVERS_NUMBER;
+    page.pages = 1;
+    page.servers = servers;
+    page.n_servers = 1;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_SERVERS;
+    datagram.servers = &page;
+    page.pass_on = true;
+    node_fixture_receive(node, "10.0.2.1", &datagram);
+    page.pass_on = false; /* as it goes on */
+    return cwp__datagram__get_packed_size(&datagram);
+}
+
+START_TEST(what_is_passed_on_is_taken_from_the_allowance)
+{
+    const double    before = 10000;
+    node_fixture_t *node = node_fixture_create();
+    size_t          length;
+
+    (void)add_reader(node);
+    node->router.push_room = before;
+    length = receive_page_to_pass_on(node);
+    ck_assert_uint_eq(sent_to_zone(node, CWP__DATAGRAM__CONTENT_SERVERS), 1);
+    ck_assert_double_eq(node->router.push_room, before - (double)length);
+    node_fixture_free(node);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("pass on");
     TCase *cases = tcase_create("pass on");
 
     tcase_add_test(cases, whole_lists_are_passed_on_and_whole_tables_never);
+    tcase_add_test(cases, what_is_passed_on_is_taken_from_the_allowance);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
