A node that starts waits for the leader's list before it reads the store

Cause: a node without a list read a copy of it in its first tick, a call for each page of the store, while a relay sent it the same list; the reading stood for a later revision, so the pages that came were turned away and sent again. Ruled out: that the list comes too late to be waited for: relays had sent it 0.14 to 0.4 s after the start. Change: with the leader's heartbeat seen, it reads after 0.8 s; without one, after 0.1 s (all nodes start at once). Two of three new checks fail on a build that reads at once or late.

--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -19,7 +19,9 @@
     LIST_PARTS_MANY = 2,   /* and so many times by each of many nodes without the leader's heartbeat */
     LIST_OLD_PERCENT = 60, /* of that time: an older one is read by nodes that do not read for others, too */
     FIRST_READ_EVERY_MS = 700,
-    MANY_NODES = 16,            /* more than these are many: what they all ask of the store is to stay bounded */
+    LEADER_SEEN_MS = 100, /* a node that starts has the leader's heartbeat by then: seeds answer it within 50 ms */
+    FIRST_LIST_MS = 800,  /* the leader's list has come by then, from a relay of the zone or the leader itself */
+    MANY_NODES = 16,      /* more than these are many: what they all ask of the store is to stay bounded */
     TABLES_READER_PERCENT = 25, /* of the time they are valid: tables as old are read by readers of many nodes, */
     TABLES_OLD_PERCENT = 50,    /* and by the others: a reader has mostly confirmed theirs before */
     HEARTBEAT_OLD_PERCENT = 45, /* of that time: without the leader's heartbeat for so long a node reads itself */
@@ -409,6 +411,17 @@
     router->tables_expired = expired;
 }
 
+/* A node that starts gets the list that the leader has from a relay of its zone. To read it takes a call for each page
+ * of the store, and a reading of a later revision turns away the pages that come: so it reads only what does not come.
+ */
+static bool is_first_read_due(const cw_router_t *router, cw_time_us_t now)
+{
+    bool         is_to_come = router->leader_heartbeat_at != 0;
+    cw_time_us_t wait = CW_MS(is_to_come ? FIRST_LIST_MS : LEADER_SEEN_MS);
+
+    return router->server_view.list == NULL && now - router->started_at >= wait;
+}
+
 /* A reader reads as soon as the leader's heartbeat fails to come; the others when no reader has confirmed their list.
  */
 static bool is_list_due(const cw_router_t *router, bool heartbeat_is_fresh, cw_time_us_t now)
@@ -416,7 +429,7 @@
     cw_time_us_t age = now - router->server_view.true_at;
 
     if (cw_router_is_new(router, now)) {
-        return router->server_view.list == NULL;
+        return is_first_read_due(router, now);
     }
     if (router->is_reader && (!heartbeat_is_fresh || age > router->settings.drain * HEARTBEAT_OLD_PERCENT / 100)) {
         return true;
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -567,6 +567,51 @@
     ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
 }
 
+/* ---- the first list ---- */
+
+static void tick_for(node_fixture_t *node, int milliseconds)
+{
+    int passed;
+
+    for (passed = 0; passed < milliseconds; passed += CW_TICK_MS) {
+        node_fixture_tick(node, CW_TICK_MS);
+    }
+}
+
+START_TEST(a_node_that_sees_a_leader_waits_for_its_list_and_does_not_read)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    node_fixture_tick(node, CW_TICK_MS);
+    receive_heartbeat(node, TERM, 1, 0);
+    tick_for(node, 500);
+    ck_assert_uint_eq(node->list_reads, 0);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(a_list_that_does_not_come_is_read)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    node_fixture_tick(node, CW_TICK_MS);
+    receive_heartbeat(node, TERM, 1, 0);
+    tick_for(node, 1000);
+    ck_assert_uint_eq(node->list_reads, 1);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(a_node_that_sees_no_leader_reads_soon)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    tick_for(node, 200);
+    ck_assert_uint_eq(node->list_reads, 1);
+    node_fixture_free(node);
+}
+END_TEST
+
 START_TEST(a_loop_is_whole_or_not_made)
 {
     struct rlimit before;
@@ -601,6 +646,9 @@
     tcase_add_test(cases, answers_to_orders_of_a_former_term_count_for_nothing);
     tcase_add_test(cases, an_order_to_what_is_no_address_is_not_sent);
     tcase_add_test(cases, a_status_is_told_whatever_another_node_calls_itself);
+    tcase_add_test(cases, a_node_that_sees_a_leader_waits_for_its_list_and_does_not_read);
+    tcase_add_test(cases, a_list_that_does_not_come_is_read);
+    tcase_add_test(cases, a_node_that_sees_no_leader_reads_soon);
     tcase_add_test(cases, a_loop_is_whole_or_not_made);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
