--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -39,6 +39,7 @@
     X(ZONE_OUT, "zone out of service", WARNING, 20)                                                                    \
     X(ZONE_BACK, "zone back in service", NOTICE, 20)                                                                   \
     X(VIEW_TAKEN, "view taken", INFO, 20)                                                                              \
+    X(VIEW_UNEQUAL, "view unequal", WARNING, 10)                                                                       \
     X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
     X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
     X(PLAN_WRITTEN, "plan written", NOTICE, 20)                                                                        \
--- a/src/router/router_relay.c
+++ b/src/router/router_relay.c
@@ -15,10 +15,15 @@
 #include "router/relay_choice.h"
 #include "router/router_internal.h"
 #include "router/router_summary.h"
+#include "router/view_check.h"
 
 enum {
     STILL_MS =
-        CW_SUMMARY_PAUSE_MS, /* without a tick: what came meanwhile is no later than a lost summary's successor */
+        CW_SUMMARY_PAUSE_MS,  /* without a tick: what came meanwhile is no later than a lost summary's successor */
+    SERVERS_UNEQUAL_S = 10,   /* what a node has seen of a server's leaving may differ from the leader's for a while */
+    SERVERS_AGAIN_S = 60,     /* and is forgotten by then (FORGET_S of server_view.c) */
+    TABLES_UNEQUAL_MS = 1000, /* three heartbeats */
+    TABLES_AGAIN_MS = 5000,
     BACKLOG_MS = 100 /* after that: the socket holds 212,992 bytes, which are read 32 datagrams a turn of the loop */
 };
 
@@ -38,6 +43,8 @@
     zone_relays_t      zones[CW_ZONES_MAX]; /* this node's own first */
     size_t             zone_count;
     cw_sure_view_t     sure;
+    cw_view_check_t    servers_check;
+    cw_view_check_t    tables_check;
     cw_time_us_t       ticked_at;     /* 0: not yet */
     cw_time_us_t       backlog_until; /* this node stood still: datagrams read before then may have come meanwhile */
 };
@@ -160,6 +167,50 @@
     }
 }
 
+static void note_unequal(const char *what, uint64_t term, uint64_t number)
+{
+    cw_event_t event;
+
+    if (cw_event_begin(&event, CW_EVENT_VIEW_UNEQUAL)) {
+        cw_event_text(&event, CW_FIELD_DETAIL, what);
+        cw_event_number(&event, CW_FIELD_TERM, (int64_t)term);
+        cw_event_number(&event, CW_FIELD_VIEW, (int64_t)number);
+        cw_event_end(&event);
+    }
+}
+
+/* A node without a number is sent the whole. */
+static void check_servers(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
+{
+    static const cw_view_patience_t patience = {CW_SECONDS(SERVERS_UNEQUAL_S), CW_SECONDS(SERVERS_AGAIN_S)};
+    bool                            is_equal = heartbeat->servers_hash == router->server_view.hash;
+
+    if (heartbeat->term == router->view_term && router->view_servers != 0 &&
+        heartbeat->servers == router->view_servers &&
+        cw_view_check_note(&router->relay->servers_check, is_equal, &patience, now)) {
+        note_unequal("servers", heartbeat->term, heartbeat->servers);
+        router->view_servers = 0;
+    }
+}
+
+static void check_tables(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
+{
+    static const cw_view_patience_t patience = {CW_MS(TABLES_UNEQUAL_MS), CW_MS(TABLES_AGAIN_MS)};
+    bool                            is_equal = heartbeat->tables_hash == router->tables_hash;
+
+    if (heartbeat->term == router->view_term && router->view_tables != 0 && heartbeat->tables == router->view_tables &&
+        cw_view_check_note(&router->relay->tables_check, is_equal, &patience, now)) {
+        note_unequal("tables", heartbeat->term, heartbeat->tables);
+        router->view_tables = 0;
+    }
+}
+
+void cw_router_check_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
+{
+    check_servers(router, heartbeat, now);
+    check_tables(router, heartbeat, now);
+}
+
 void cw_router_compare_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat)
 {
     cw_sure_view_t *sure = &router->relay->sure;
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -275,6 +275,7 @@
     }
     router->leader_heartbeat_at = now;
     cw_router_adopt(router, peer, heartbeat);
+    cw_router_check_view(router, heartbeat, now);
     cw_router_compare_view(router, heartbeat);
     if (router->view_term == heartbeat->term && router->view_servers >= heartbeat->servers) {
         cw_server_view_confirm(&router->server_view, heartbeat->list_revision, now - CW_MS(heartbeat->list_age_ms));
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -612,6 +612,106 @@
 }
 END_TEST
 
+/* ---- equal numbers, unequal contents ---- */
+
+static uint64_t sent_acks(const node_fixture_t *node)
+{
+    const cw_traffic_account_t *traffic = cw_peer_link_traffic(node->router.link);
+    uint64_t                    sum = 0;
+    int                         distance;
+
+    for (distance = 0; distance < CW_DISTANCES; distance++) {
+        sum += traffic->datagrams[CWP__DATAGRAM__CONTENT_ACK][distance];
+    }
+    return sum;
+}
+
+static void take_list_of(node_fixture_t *node, uint64_t number)
+{
+    Cwp__ServersPage page = CWP__SERVERS_PAGE__INIT;
+
+    page.term = TERM;
+    page.number = number;
+    page.pages = 1;
+    page.revision = 1;
+    receive_servers(node, &page, "i-1");
+}
+
+/* Heartbeats name the list and a hash that is not the one of the list in force. */
+static void receive_heartbeats(node_fixture_t *node, uint64_t number, int milliseconds)
+{
+    int passed;
+
+    for (passed = 0; passed < milliseconds; passed += 200) {
+        tick_for(node, 200);
+        receive_heartbeat(node, TERM, number, 0);
+    }
+}
+
+START_TEST(a_list_that_has_long_differed_under_the_leaders_number_is_asked_for_anew)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    take_list_of(node, 3);
+    ck_assert_uint_eq(node->router.view_servers, 3);
+    receive_heartbeats(node, 3, 9000);
+    ck_assert_uint_eq(node->router.view_servers, 3);
+    receive_heartbeats(node, 3, 2000);
+    ck_assert_uint_eq(node->router.view_servers, 0);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(a_list_that_goes_on_differing_is_asked_for_rarely)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    take_list_of(node, 3);
+    receive_heartbeats(node, 3, 11000);
+    ck_assert_uint_eq(node->router.view_servers, 0);
+    take_list_of(node, 3);
+    receive_heartbeats(node, 3, 40000);
+    ck_assert_uint_eq(node->router.view_servers, 3);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(tables_that_have_long_differed_under_the_leaders_number_are_asked_for_anew)
+{
+    node_fixture_t *node = node_fixture_create();
+    int             beats;
+
+    receive_table(node, TERM, 0, 1, "s");
+    ck_assert_uint_ne(node->router.view_tables, 0);
+    for (beats = 0; beats < 10; beats++) {
+        tick_for(node, 200);
+        receive_heartbeat(node, TERM, 0, 1);
+    }
+    ck_assert_uint_eq(node->router.view_tables, 0);
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(an_older_list_is_turned_away_once_for_all_of_its_pages)
+{
+    node_fixture_t  *node = node_fixture_create();
+    Cwp__ServersPage place;
+    uint32_t         page;
+    uint64_t         before;
+
+    node_fixture_read_servers(node, "s", 3, "10.0.1.1:80");
+    node_fixture_read_servers(node, "s", 4, "10.0.1.1:80"); /* revision 2 */
+    before = sent_acks(node);
+    for (page = 0; page < 5; page++) {
+        place = servers_place(TERM, 1, 0, page, 5);
+        receive_servers(node, &place, "i-1");
+    }
+    ck_assert_uint_eq(node->router.server_view.list->count, 4);
+    ck_assert_uint_eq(sent_acks(node), before + 1);
+    node_fixture_free(node);
+}
+END_TEST
+
 START_TEST(a_loop_is_whole_or_not_made)
 {
     struct rlimit before;
@@ -649,6 +749,10 @@
     tcase_add_test(cases, a_node_that_sees_a_leader_waits_for_its_list_and_does_not_read);
     tcase_add_test(cases, a_list_that_does_not_come_is_read);
     tcase_add_test(cases, a_node_that_sees_no_leader_reads_soon);
+    tcase_add_test(cases, a_list_that_has_long_differed_under_the_leaders_number_is_asked_for_anew);
+    tcase_add_test(cases, a_list_that_goes_on_differing_is_asked_for_rarely);
+    tcase_add_test(cases, tables_that_have_long_differed_under_the_leaders_number_are_asked_for_anew);
+    tcase_add_test(cases, an_older_list_is_turned_away_once_for_all_of_its_pages);
     tcase_add_test(cases, a_loop_is_whole_or_not_made);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
