--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -19,6 +19,8 @@
     X(STORE_BACK, "store back", NOTICE, 10)                                                                            \
     X(PEER_LOST, "peer lost", WARNING, 20)                                                                             \
     X(PEER_BACK, "peer back", NOTICE, 20)                                                                              \
+    X(SUMMARY_LATE, "summary late", NOTICE, 10)                                                                        \
+    X(DATAGRAM_TOO_LARGE, "datagram too large", WARNING, 10)                                                           \
     X(SERVER_LOST, "server lost", WARNING, 20)                                                                         \
     X(SERVER_BACK, "server back", NOTICE, 20)                                                                          \
     X(LEADER_TAKEN, "leadership taken", NOTICE, 10)                                                                    \
@@ -39,6 +41,7 @@
     X(ZONE_OUT, "zone out of service", WARNING, 20)                                                                    \
     X(ZONE_BACK, "zone back in service", NOTICE, 20)                                                                   \
     X(VIEW_TAKEN, "view taken", INFO, 20)                                                                              \
+    X(VIEW_UNEQUAL, "view unequal", WARNING, 10)                                                                       \
     X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
     X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
     X(PLAN_WRITTEN, "plan written", NOTICE, 20)                                                                        \
