peer_bind: the address that the socket for datagrams binds

A node bound the address by which others know it, so none could run behind address translation, and no test could lay a proxy between nodes. Considered: sending from a second socket (two sockets, and replies to the wrong one) and an address for all in the seeds only (peers are known by the source of their datagrams); both ruled out. Metrics at metrics_port stay at address.

--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -192,11 +192,25 @@
     return CW_MS(cw_yaml_number(mapping, key, low, high, (uint64_t)(present / 1000)));
 }
 
+static void read_peer_bind(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
+{
+    const char    *text = cw_yaml_text(mapping, "peer_bind", false);
+    struct in_addr number;
+
+    if (text != NULL && inet_pton(AF_INET, text, &number) != 1) {
+        cw_yaml_report(mapping->document, cw_yaml_get(mapping, "peer_bind", false),
+                       "'peer_bind' is '%s'; must be an IPv4 number, as 10.0.0.1", text);
+        return;
+    }
+    copy_text(settings->peer_bind, sizeof(settings->peer_bind), text == NULL ? settings->address : text);
+}
+
 static void read_identity(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
 {
     copy_text(settings->node, sizeof(settings->node), cw_yaml_name(mapping, "node", true));
     copy_text(settings->zone, sizeof(settings->zone), cw_yaml_name(mapping, "zone", true));
     copy_text(settings->address, sizeof(settings->address), cw_yaml_address(mapping, "address", true));
+    read_peer_bind(settings, mapping);
     read_endpoint(mapping, "callers", true, &settings->callers);
     read_endpoint(mapping, "readiness", true, &settings->readiness);
     read_path(mapping, "readiness_path", settings->readiness_path, sizeof(settings->readiness_path));
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -90,6 +90,17 @@
     return error;
 }
 
+int cw_peer_link_advertise(cw_peer_link_t *link, const char *address)
+{
+    struct in_addr number;
+
+    if (inet_pton(AF_INET, address, &number) != 1) {
+        return UV_EINVAL;
+    }
+    link->address = number.s_addr;
+    return 0;
+}
+
 static void on_closed(uv_handle_t *handle)
 {
     cw_peer_link_t *link = handle->data;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -58,8 +58,10 @@
     void (*datagram)(void *context, cw_peer_t *peer, const Cwp__Datagram *datagram);
 } cw_peer_handler_t;
 
-int  cw_peer_link_create(cw_peer_link_t **link, uv_loop_t *loop, const char *address, uint16_t port,
-                         const cw_peer_handler_t *handler);
+int cw_peer_link_create(cw_peer_link_t **link, uv_loop_t *loop, const char *address, uint16_t port,
+                        const cw_peer_handler_t *handler);
+/** The address by which other nodes know this one, if it is not the bound one. Negative: not an IPv4 number. */
+int  cw_peer_link_advertise(cw_peer_link_t *link, const char *address);
 void cw_peer_link_close(cw_peer_link_t *link);
 /** Where this node is, and which region each zone lies in; `zones` stays valid as long as the link. */
 void cw_peer_link_set_place(cw_peer_link_t *link, const char *zone, const cw_zone_region_t *zones, size_t count);
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -389,8 +389,11 @@
     router->engine = cw_engine_create(&router->loop, &settings, router->pool, router->upstream);
     error = start_listeners(router);
     if (error == 0) {
-        error = cw_peer_link_create(&router->link, &router->loop, router->settings.address, router->settings.peer_port,
-                                    &peers);
+        error = cw_peer_link_create(&router->link, &router->loop, router->settings.peer_bind,
+                                    router->settings.peer_port, &peers);
+    }
+    if (error == 0) {
+        error = cw_peer_link_advertise(router->link, router->settings.address);
     }
     if (error != 0) {
         return error;
--- a/tests/test_product.c
+++ b/tests/test_product.c
@@ -62,6 +62,20 @@
     ck_assert_uint_eq(findings_with("leader_hold_ms: 4500", &settings), 1);
     ck_assert_uint_eq(findings_with("metrics_path: metrics", &settings), 1);
     ck_assert_uint_eq(findings_with("retry_ratio: 3", &settings), 1);
+    ck_assert_uint_eq(findings_with("peer_bind: here", &settings), 1);
+    ck_assert_uint_eq(findings_with("peer_bind: '::1'", &settings), 1);
+}
+END_TEST
+
+START_TEST(datagrams_bind_the_address_unless_another_is_set)
+{
+    cw_router_settings_t settings;
+
+    ck_assert_uint_eq(findings_of(good_settings, &settings), 0);
+    ck_assert_str_eq(settings.peer_bind, "10.0.0.1");
+    ck_assert_uint_eq(findings_with("peer_bind: 192.168.0.7", &settings), 0);
+    ck_assert_str_eq(settings.peer_bind, "192.168.0.7");
+    ck_assert_str_eq(settings.address, "10.0.0.1");
 }
 END_TEST
 
@@ -313,6 +327,7 @@
 
     tcase_add_test(cases, good_settings_have_no_findings);
     tcase_add_test(cases, each_fault_is_a_finding);
+    tcase_add_test(cases, datagrams_bind_the_address_unless_another_is_set);
     tcase_add_test(cases, holds_keep_to_what_servers_take);
     tcase_add_test(cases, a_line_is_one_json_object);
     tcase_add_test(cases, levels_keep_lines_out);
