--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -8,6 +8,11 @@
 #   cluster_wait_ready             until each node says it is ready
 #   cluster_callers NAME ARGS...   callers; records go to $WORK/callers-NAME.json
 #   cluster_check                  checks all records; its verdict on standard output
+#
+# With LINKED=1 a proxy (cw-link) lies between the nodes, from nodes and servers to the store, and from nodes to servers:
+#   link FAULT...                  one of its commands, in force when it returns; LINK_REPLY has what it answered
+# Its ends are n1, n2 ... (nodes), the servers' names, "store" and "callers"; the group of nodes and servers is what
+# group_of gives for their zone: the zone itself, unless a test sets another function.
 set -u
 BUILD=${BUILD:-build}
 WORK=$(mktemp -d)
@@ -34,8 +39,56 @@
     echo "$NET.250:$port"
 }
 
+# ---- the proxy ----
+LINK_STORE_PORT=20000        # and the node's number: the store, as that node reaches it
+LINK_SERVER_STORE_PORT=21000 # and the server's number: the same for a server
+LINK_SERVER_PORT=9000        # and the server's number: the server itself
+declare -A LINKED_NODES=()
+LINKED_SERVERS=0
+LINK_REPLY=""
+
+group_of() { echo "$1"; } # ZONE
+
+link_start() {
+    coproc LINK { exec "$BUILD/cw-link" --seed "${SEED:-1}" 2>>"$WORK/link.err"; }
+    PIDS+=("$LINK_PID")
+    link end store store
+    link end callers callers
+}
+link() {
+    echo "$*" >&"${LINK[1]}"
+    read -r -u "${LINK[0]}" LINK_REPLY
+    [ "${LINK_REPLY%% *}" = ok ] || { echo "link: $*: $LINK_REPLY" >&2; return 1; }
+}
+# A node is known by NET.N as ever, binds another address for datagrams, and has a link of its own to the store.
+link_node() { # NODE ZONE
+    [ -z "${LINKED_NODES[$1]:-}" ] || return 0
+    LINKED_NODES[$1]=1
+    link end "n$1" "$(group_of "$2")"
+    link node "n$1" "$NET.$1:7000" "$NET.$(($1 + 110)):7000"
+    link link "n$1" store "$NET.251:$((LINK_STORE_PORT + $1))" "$(store_of "$1")"
+}
+# A server is known by a port of the proxy's.
+link_server() { # NAME ARGS...
+    local name=$1 zone=z1
+    shift
+    while [ $# -gt 0 ]; do
+        [ "$1" != --zone ] || zone=$2
+        shift
+    done
+    LINKED_SERVERS=$((LINKED_SERVERS + 1))
+    link end "$name" "$(group_of "$zone")"
+    link link "$name" store "$NET.251:$((LINK_SERVER_STORE_PORT + LINKED_SERVERS))" "$STORE"
+    link link callers "$name" "$NET.101:$((LINK_SERVER_PORT + LINKED_SERVERS))" "$NET.100:$((LINK_SERVER_PORT + LINKED_SERVERS))"
+}
+
 start_node() {
-    local n=$1 zone="z$((($1 - 1) % ${CLUSTER_ZONES:-3} + 1))"
+    local n=$1 zone="z$((($1 - 1) % ${CLUSTER_ZONES:-3} + 1))" store
+    store=$(store_of "$n")
+    if [ -n "${LINKED:-}" ]; then
+        link_node "$n" "$zone"
+        store="$NET.251:$((LINK_STORE_PORT + n))"
+    fi
     cat >"$WORK/node$n.yaml" <<YAML
 node: n$n
 zone: $zone
@@ -44,13 +97,15 @@
 readiness: $NET.$n:8081
 peer_port: 7000
 seeds: ["$NET.1:7000", "$NET.2:7000"]
-store: $(store_of "$n")
+store: $store
+${LINKED:+peer_bind: $NET.$((n + 110))}
 retry_extra: 40
 ${NODE_SETTINGS:-}
 YAML
     "$BUILD/cedarwinchd" --settings "$WORK/node$n.yaml" >>"$WORK/node$n.log" 2>>"$WORK/node$n.err" &
     NODE_PIDS[$n]=$!
     PIDS+=("$!")
+    [ -z "${LINKED:-}" ] || link process "n$n" "${NODE_PIDS[$n]}"
 }
 
 cluster_start() {
@@ -59,6 +114,7 @@
     PIDS+=("$!")
     until_true grep -q port "$WORK/store.out"
     STORE="$NET.250:$(awk '{print $2}' "$WORK/store.out")" # the first endpoint is also the operator's and the servers'
+    [ -z "${LINKED:-}" ] || link_start
     NODES=""
     for n in $(seq 1 "$1"); do
         start_node "$n"
@@ -67,9 +123,14 @@
 }
 
 cluster_server() {
-    local name=$1
+    local name=$1 store=$STORE advertised=()
     shift
-    "$BUILD/cw-server" --address "$NET.100" --store "$STORE" "$@" >>"$WORK/server-$name.json" &
+    if [ -n "${LINKED:-}" ]; then
+        link_server "$name" "$@"
+        store="$NET.251:$((LINK_SERVER_STORE_PORT + LINKED_SERVERS))"
+        advertised=(--port "$((LINK_SERVER_PORT + LINKED_SERVERS))" --advertise "$NET.101:$((LINK_SERVER_PORT + LINKED_SERVERS))")
+    fi
+    "$BUILD/cw-server" --address "$NET.100" --store "$store" "${advertised[@]}" "$@" >>"$WORK/server-$name.json" &
     SERVER_PIDS[$name]=$!
     PIDS+=("$!")
 }
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -487,7 +487,9 @@
         fprintf(stderr, "cw-server: %s\n", uv_strerror(error));
         return EXIT_FAILURE;
     }
-    snprintf(server->address, sizeof(server->address), "%s:%u", address, cw_http_listener_port(server->listener));
+    if (server->address[0] == '\0') {
+        snprintf(server->address, sizeof(server->address), "%s:%u", address, cw_http_listener_port(server->listener));
+    }
     snprintf(server->id, sizeof(server->id), "i-%08x%04x", (unsigned)(uv_hrtime() & 0xffffffffu),
              (unsigned)getpid() & 0xffffu);
     server->started_ms = uv_now(&server->loop);
@@ -520,6 +522,8 @@
 {
     struct arg_str *address = arg_str0("a", "address", "IPV4", "default 127.0.0.1");
     struct arg_int *port = arg_int0("p", "port", "PORT", "default 0: chosen by the system");
+    struct arg_str *advertise =
+        arg_str0(NULL, "advertise", "IPV4:PORT", "signs in with this; default: where it listens");
     struct arg_str *store = arg_str1("s", "store", "IPV4:PORT", "the store");
     struct arg_str *service = arg_str1("n", "service", "NAME", "service it belongs to");
     struct arg_str *zone = arg_str0("z", "zone", "NAME", "default z1");
@@ -531,7 +535,8 @@
     struct arg_lit *keyed = arg_lit0("k", "keyed", "runs a request only while it holds its key");
     struct arg_lit *hangs = arg_lit0("x", "hangs", "does not answer what it cannot queue");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void *table[] = {address, port, store, service, zone, capacity, queue, work, heartbeat, cold, keyed, hangs, end};
+    void           *table[] = {address, port, advertise, store, service, zone,  capacity,
+                               queue,   work, heartbeat, cold,  keyed,   hangs, end};
     static server_t server;
 
     if (arg_parse(argument_count, arguments, table) > 0) {
@@ -539,6 +544,9 @@
         return 2;
     }
     server.service = service->sval[0];
+    if (advertise->count > 0) {
+        snprintf(server.address, sizeof(server.address), "%s", advertise->sval[0]);
+    }
     server.zone = zone->count > 0 ? zone->sval[0] : "z1";
     server.capacity = number_of(capacity, 2);
     server.queue_max = number_of(queue, 8);
