cw-link: a connection that was reset during a cut passes nothing after it

The proxy had read nothing while cut, but the kernel kept what had come, and healed it passed on bytes of a connection that its sender had reset; a sender without a connection repeats nothing on a real network. Ruled out: dropping all that came during a cut (a sender that still has its connection repeats it).

--- a/standins/link/link_streams.c
+++ b/standins/link/link_streams.c
@@ -4,9 +4,11 @@
  */
 #include "link_streams.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "link_processes.h"
 
@@ -479,6 +481,19 @@
     return count;
 }
 
+static bool is_reset(const uv_tcp_t *socket)
+{
+    uv_os_fd_t descriptor;
+    int        error = 0;
+    socklen_t  length = sizeof(error);
+
+    if (uv_fileno((const uv_handle_t *)socket, &descriptor) != 0) {
+        return false;
+    }
+    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) == 0 && error == ECONNRESET;
+}
+
+/* What one side has reset passes nothing more: a sender that has no connection any more sends nothing again. */
 void link_streams_update(link_streams_t *streams)
 {
     stream_t *stream = streams->open;
@@ -486,6 +501,9 @@
     while (stream != NULL) {
         stream_t *next = stream->next;
 
+        if (is_reset(&stream->near) || is_reset(&stream->far)) {
+            close_stream(stream, true);
+        }
         send_due(&stream->forth);
         if (!stream->is_closing) {
             send_due(&stream->back);
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -425,6 +425,26 @@
 }
 END_TEST
 
+START_TEST(what_was_reset_meanwhile_passes_nothing_after_a_cut)
+{
+    struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+    char          byte;
+    int           near;
+    int           far;
+
+    open_pair(&near, &far);
+    round_trip(near, far);
+    ck_assert_str_eq(command("cut callers s"), "ok");
+    send_text(near, "held");
+    ck_assert_int_eq(setsockopt(near, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once)), 0);
+    ck_assert_int_eq(close(near), 0);
+    ck_assert_str_eq(command("heal"), "ok");
+    ck_assert(is_readable(far, WAIT_MS));
+    ck_assert_int_eq(read(far, &byte, 1), -1);
+    ck_assert_int_eq(errno, ECONNRESET);
+}
+END_TEST
+
 static cw_time_us_t now(void)
 {
     struct timespec time;
@@ -500,6 +520,7 @@
     tcase_add_test(cases, a_cut_holds_bytes_until_it_is_healed);
     tcase_add_test(cases, an_open_connection_goes_silent_and_a_new_one_works);
     tcase_add_test(cases, an_open_connection_is_reset);
+    tcase_add_test(cases, what_was_reset_meanwhile_passes_nothing_after_a_cut);
     tcase_add_test(cases, the_end_of_one_side_is_passed_on_behind_its_bytes);
     tcase_add_test(cases, bytes_and_datagrams_are_delayed);
     tcase_add_test(cases, bytes_are_throttled);
