--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -5,8 +5,11 @@
 #   ROUNDS=n     rounds of faults, each followed by a calm moment in which the promises are checked (default 4)
 #   NODES=n      default 4, at most 90
 #   SERVERS=n    for the keyed service (default 6); the other one has half as many
-#   ONLY=KIND    only that kind of fault (see `faults`), to narrow a finding down
+#   ONLY=KIND    only that kind of fault (see `faults`), to narrow a finding down; `links`: any of the links between programs
+#   LINKS=1      a proxy lies between the programs, which are in two regions; its faults are drawn with the others
 #
+# Faults of links are unplanned: datagrams between nodes are lost, doubled, reordered, delayed and cut, connections to the
+# store and to servers are cut, silenced, reset, delayed and throttled, and a region is cut off. Their draws are the seed's.
 # Rounds are planned (stops, reloads, changes, a leaving server, a store in trouble) or unplanned (also kills and freezes).
 # Promises, from what callers, servers and the store see:
 #   records   nothing runs twice, no refused request has run, one owner for a key, fences rise (cw-verdict)
@@ -24,8 +27,13 @@
 ENDPOINTS_MAX=16 # of the stand-in store
 [ "$COUNT" -ge "$ENDPOINTS_MAX" ] || STORE_ENDPOINTS=$((COUNT + 1))
 NODE_SETTINGS="stop_grace_ms: 5000"
+LINKED=${LINKS:-}
+[ "$ONLY" != links ] || LINKED=1
+[ -z "$LINKED" ] || NODE_SETTINGS="$NODE_SETTINGS
+zone_regions: [z1=east, z2=west, z3=west]"
 CALLER_KEY=red-key # of the callers that nothing is taken away from
 . "$(dirname "$0")/../../scripts/cluster.sh"
+group_of() { case $1 in z1) echo east ;; *) echo west ;; esac; } # of the ends of links
 CALM_S=12 # machines are held to their bounds 3 s after a fault; then 2 s for a change, and some slack for a busy machine
 STATE=$SEED
 VERSION=1
@@ -82,6 +90,8 @@
 
 planned_faults=(stop reload change storm leave down endpoint slow lose late forget mute refuse)
 unplanned_faults=("${planned_faults[@]}" kill freeze crash kill_leader kill_many)
+link_faults=(cut cut_one_way lose double reorder delay silence reset throttle cut_region)
+[ -z "$LINKED" ] || unplanned_faults+=(links links links links) # as many as half of the others that strike processes
 
 stop_node() { # NODE: ends by itself, and is started again by heal
     kill -TERM "${NODE_PIDS[$1]}" && STOPPED[$1]=${NODE_PIDS[$1]}
@@ -94,6 +104,36 @@
     REVOKED[$((KEY_TURN - 1))]=$(monotonic_ms)
 }
 
+# What a fault of links lies between: nodes, nodes and the store, or nodes and a server.
+draw_ends() { # NODE; leaves them in ENDS
+    local other
+    draw 1 "$COUNT"
+    other=$DRAWN
+    pick nodes nodes store server
+    case $DRAWN in
+    nodes) ENDS="n$1 n$other" ;;
+    store) ENDS="n$1 store" ;;
+    server) pick "${SERVER_NAMES[@]}"; ENDS="n$1 $DRAWN" ;;
+    esac
+}
+link_fault() { # NODE
+    local kind
+    pick "${link_faults[@]}"
+    kind=$DRAWN
+    draw_ends "$1"
+    COUNTS[links_$kind]=$((${COUNTS[links_$kind]:-0} + 1))
+    case $kind in
+    cut) link cut $ENDS ;;
+    cut_one_way) link cut-one-way $ENDS ;;
+    lose | double | reorder) draw 5 45; link "$kind" all all "$DRAWN"; ENDS="all all $DRAWN" ;;
+    delay) draw 5 200; link delay $ENDS "$DRAWN"; ENDS="$ENDS $DRAWN" ;;
+    silence | reset) link "$kind" $ENDS ;;
+    throttle) draw 20 200; link throttle $ENDS "${DRAWN}00"; ENDS="$ENDS ${DRAWN}00" ;;
+    cut_region) pick east west; link cut "$DRAWN" "$(other_region "$DRAWN")"; link cut "$DRAWN" store; ENDS=$DRAWN ;;
+    esac
+    say "link fault $kind $ENDS"
+}
+
 # Carries one fault out; those that last go on in the background and end before the round does.
 fault() { # KIND
     local node how
@@ -111,6 +151,7 @@
     crash) pick "${SERVER_NAMES[@]}"; replace_server "$DRAWN" KILL ;;
     down) pick silent busy reset; how=$DRAWN; draw 300 4000; control "down=$DRAWN&how=$how" ;;
     endpoint) pick silent busy reset; how=$DRAWN; draw 500 6000; control "down=$DRAWN&how=$how&endpoint=$((node + 1))" ;;
+    links) link_fault "$node" ;;
     slow) draw 5 300; control "slow=$DRAWN" ;;
     lose) draw 1 4; control "lose=$DRAWN" ;;
     late) draw 1 4; control "late=$DRAWN" ;;
@@ -135,6 +176,7 @@
     for job in "${JOBS[@]}"; do wait "$job"; done
     JOBS=()
     control "slow=0&mute=0&refuse=0&lose=0&late=0"
+    [ -z "$LINKED" ] || link heal
     for node in $(seq 1 "$COUNT"); do
         if [ -n "${STOPPED[$node]:-}" ]; then
             wait "${STOPPED[$node]}"
