--- a/src/router/router.c
+++ b/src/router/router.c
@@ -191,8 +191,11 @@
         error = cw_router_own_start(router);
     }
     if (error == 0) {
-        error = cw_peer_link_create(&router->link, &router->loop, router->settings.address, router->settings.peer_port,
-                                    &peers);
+        error = cw_peer_link_create(&router->link, &router->loop, router->settings.peer_bind,
+                                    router->settings.peer_port, &peers);
+    }
+    if (error == 0) {
+        error = cw_peer_link_advertise(router->link, router->settings.address);
     }
     if (error != 0) {
         return error;
