A lock that cannot be read is taken as another node's: after a hold, under a higher term, with a log line

Two leaders with authority at once were possible after a write in another form (another version). Ruled out: waiting for ever: a lock of an older form would never be taken. Change: lease/leadership.c; router_lead.c logs 'malformed store body' for 'leaders' and counts it. Conclusion: no lock gives authority before the former one has surely run out.

--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -256,6 +256,7 @@
 static void written(cw_leadership_t *leadership, uint64_t revision, cw_time_us_t sent_at, cw_time_us_t now)
 {
     leadership->lock = leadership->write;
+    leadership->is_unreadable = false;
     note_seen(leadership, revision, now);
     leadership->must_read = false;
     leadership->failures = 0;
@@ -297,8 +298,9 @@
     bool      mine;
 
     memset(&lock, 0, sizeof(lock));
-    if (!cw_lock_from_json(&lock, reply->value)) {
-        lock.vacant = true; /* nobody's: whatever stands there is replaced */
+    leadership->is_unreadable = !cw_lock_from_json(&lock, reply->value);
+    if (leadership->is_unreadable) { /* somebody's, who may have authority: it is taken as any other node's lock */
+        lock.term = leadership->lock.term;
     }
     leadership->failures = 0;
     leadership->looked_at = now;
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -8,6 +8,7 @@
  *  - A follower times the unchanged revision of the lock on its own clock and takes the lock, by a write under that
  *    revision, once `hold` plus the clocks' drift has run out. Any write in between makes it fail.
  *  - A lock held by an earlier life of this very node may be taken at once: that life has ended. So may a vacant one.
+ *  - A lock that cannot be read is somebody's: it is taken after the same time, under the last term that is known.
  *  - A write without an answer proves nothing: the lock is read, and the next write is made under what was read.
  *  - A node that knows of a more capable one in reach lets that one try first: it takes the lock `deference` later than
  *    it might. Its own earlier life's lock it takes at once all the same. This delays takes and permits none.
@@ -69,6 +70,7 @@
     uint64_t                 revision;         /**< of the lock as last seen; 0: none seen */
     cw_time_us_t             seen_at;          /**< since when this revision is known */
     bool                     absent;           /**< a read found no lock */
+    bool                     is_unreadable;    /**< what the last read found is no lock of this program */
     cw_time_us_t             last_received_at; /**< last heartbeat of a leader with authority */
     cw_time_us_t             looked_at;        /**< when the store last showed the lock */
     bool                     must_read;
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -67,6 +67,18 @@
     }
 }
 
+static void log_unreadable_lock(void)
+{
+    cw_event_t event;
+
+    cw_metric_add(CW_METRIC_STORE_BODIES_MALFORMED, 1);
+    if (cw_event_begin(&event, CW_EVENT_STORE_BODY_MALFORMED)) {
+        cw_event_text(&event, CW_FIELD_DETAIL, leader_kind);
+        cw_event_text(&event, CW_FIELD_REASON, "no lock of this program; it is taken as another node's, after a hold");
+        cw_event_end(&event);
+    }
+}
+
 static void on_lock(void *data, const cw_store_reply_t *reply)
 {
     cw_router_t *router = data;
@@ -76,6 +88,9 @@
 
     cw_router_store_result(router, reply->result != CW_STORE_REFUSED && reply->result != CW_STORE_UNKNOWN, now);
     cw_leadership_replied(&router->leadership, reply, now);
+    if (reply->value != NULL && router->leadership.is_unreadable) {
+        log_unreadable_lock();
+    }
     if (router->leadership.lock.address[0] != '\0' && !router->leadership.leading) {
         /* What is no address is ignored: nodes are known by their reports too. */
         (void)cw_peer_link_learn_text(router->link, router->leadership.lock.address, now);
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -204,6 +204,36 @@
 }
 END_TEST
 
+START_TEST(a_lock_that_cannot_be_read_is_held_until_a_hold_has_passed)
+{
+    cw_leadership_t  leadership = new_leadership("n1", 11, 0);
+    cw_lock_t        lock = lock_of("n2", 22, 4);
+    cw_store_reply_t answer = {.result = CW_STORE_DONE, .revision = 10};
+    cw_time_us_t     now = CW_MS(400);
+
+    ck_assert_int_eq(cw_leadership_tick(&leadership, 0), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 9, &lock, 0);
+    ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_READ);
+    answer.value = json_pack("{s:s}", "holder", "of another form");
+    cw_leadership_replied(&leadership, &answer, now);
+    for (; now < CW_MS(400) + HOLD; now += CW_MS(20)) { /* whoever wrote it may have authority for so long */
+        cw_leadership_action_t action = cw_leadership_tick(&leadership, now);
+
+        ck_assert_int_ne(action, CW_LEADERSHIP_REPLACE);
+        if (action == CW_LEADERSHIP_READ) {
+            cw_leadership_replied(&leadership, &answer, now);
+        }
+    }
+    now += CW_MS(500);
+    if (cw_leadership_tick(&leadership, now) == CW_LEADERSHIP_READ) {
+        cw_leadership_replied(&leadership, &answer, now);
+        ck_assert_int_eq(cw_leadership_tick(&leadership, now), CW_LEADERSHIP_REPLACE);
+    }
+    ck_assert_uint_eq(leadership.write.term, 5); /* above the last term that is known */
+    json_decref(answer.value);
+}
+END_TEST
+
 START_TEST(a_node_lets_a_more_capable_one_try_first)
 {
     cw_leadership_t leadership = new_leadership("n1", 11, 0);
@@ -412,6 +442,7 @@
     tcase_add_test(cases, a_conflict_with_another_holder_ends_authority);
     tcase_add_test(cases, resigning_ends_authority_at_once_and_writes_a_vacant_lock);
     tcase_add_test(cases, a_vacant_lock_is_taken_at_once);
+    tcase_add_test(cases, a_lock_that_cannot_be_read_is_held_until_a_hold_has_passed);
     tcase_add_test(cases, a_node_lets_a_more_capable_one_try_first);
     tcase_add_test(cases, a_node_takes_its_own_earlier_lock_at_once_also_beside_a_more_capable_one);
     tcase_add_test(cases, after_stepping_down_it_follows_and_may_lead_again_later);
