cw_service_assignment_t: the leader's state of one service

Ruled out: the field 'keyed' of the node and 'is_able', 'silence': other parts' files use them. Change: the type's name in three files. Conclusion: no change of behaviour.

--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -67,8 +67,8 @@
 
 static void send_order(void *context, const cw_order_t *order)
 {
-    cw_keyed_service_t *keyed = context;
-    lead_order_t       *under_way = malloc(sizeof(*under_way));
+    cw_service_assignment_t *keyed = context;
+    lead_order_t            *under_way = malloc(sizeof(*under_way));
 
     if (under_way == NULL) {
         abort();
@@ -100,11 +100,11 @@
 
 static void tables_changed(void *context)
 {
-    cw_keyed_service_t *keyed = context;
-    cw_router_t        *router = keyed->router;
-    uint64_t            number = router->lead_tables + 1;
-    bool                any = false;
-    size_t              index;
+    cw_service_assignment_t *keyed = context;
+    cw_router_t             *router = keyed->router;
+    uint64_t                 number = router->lead_tables + 1;
+    bool                     any = false;
+    size_t                   index;
 
     if (!are_tables_whole(router, cw_router_now(router))) {
         return;
@@ -148,7 +148,7 @@
 
 /* ---- services ---- */
 
-static cw_keyed_service_t *keyed_service(cw_router_t *router, const char *name)
+static cw_service_assignment_t *keyed_service(cw_router_t *router, const char *name)
 {
     size_t index;
 
@@ -162,19 +162,19 @@
 
 static void add_keyed(cw_router_t *router, const char *name)
 {
-    cw_keyed_service_t    *keyed = &router->keyed[router->keyed_count];
-    cw_assigner_settings_t settings = {.hold = router->settings.hold,
-                                       .hold_long = router->settings.hold_long,
-                                       .renew_every = router->settings.hold / RENEWALS_A_HOLD,
-                                       .order_timeout = CW_MS(ORDER_TIMEOUT_MS),
-                                       .release_timeout = CW_MS(RELEASE_TIMEOUT_MS),
-                                       .late_orders = CW_SECONDS(LATE_ORDERS_S),
-                                       .table_valid = router->settings.hold * CW_TABLES_VALID_PERCENT / 100};
-    cw_assigner_ports_t    ports = {.context = keyed,
-                                    .store = router->store,
-                                    .order = send_order,
-                                    .changed = tables_changed,
-                                    .note = note_assignment};
+    cw_service_assignment_t *keyed = &router->keyed[router->keyed_count];
+    cw_assigner_settings_t   settings = {.hold = router->settings.hold,
+                                         .hold_long = router->settings.hold_long,
+                                         .renew_every = router->settings.hold / RENEWALS_A_HOLD,
+                                         .order_timeout = CW_MS(ORDER_TIMEOUT_MS),
+                                         .release_timeout = CW_MS(RELEASE_TIMEOUT_MS),
+                                         .late_orders = CW_SECONDS(LATE_ORDERS_S),
+                                         .table_valid = router->settings.hold * CW_TABLES_VALID_PERCENT / 100};
+    cw_assigner_ports_t      ports = {.context = keyed,
+                                      .store = router->store,
+                                      .order = send_order,
+                                      .changed = tables_changed,
+                                      .note = note_assignment};
 
     keyed->router = router;
     keyed->assigner = cw_assigner_create(name, router->leadership.lock.term, router->incarnation, &settings, &ports);
@@ -202,7 +202,7 @@
     size_t key;
 
     for (index = 0; index < router->keyed_count; index++) {
-        cw_keyed_service_t *keyed = &router->keyed[index];
+        cw_service_assignment_t *keyed = &router->keyed[index];
 
         if (cw_short_name(cw_assigner_service(keyed->assigner)) != service_hash) {
             continue;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -38,7 +38,7 @@
 };
 
 /** The leader's state of one service divided by key. */
-typedef struct cw_keyed_service {
+typedef struct cw_service_assignment {
     cw_assigner_t          *assigner;
     struct cw_router       *router;
     cw_load_window_t        window;
@@ -46,7 +46,7 @@
     cw_time_us_t            measured_load_at;
     cw_time_us_t            next_plan;
     cw_plan_timing_t        timing;
-} cw_keyed_service_t;
+} cw_service_assignment_t;
 
 /** Something being received page by page. */
 typedef struct cw_view_assembly {
@@ -150,16 +150,16 @@
     cw_store_reach_t   store_reach;
 
     /* leading */
-    cw_leadership_t    leadership;
-    cw_leader_tenure_t tenure;
-    uint64_t           lead_servers; /**< number of the list that others are sent */
-    uint64_t           lead_tables;
-    cw_list_history_t  list_history;
-    double             push_room; /**< bytes that may be sent to bring others up to date */
-    cw_time_us_t       push_filled_at;
-    cw_order_trust_t  *order_trust; /**< servers that this leader's orders did not reach */
-    cw_keyed_service_t keyed[CW_KEYED_SERVICES_MAX];
-    size_t             keyed_count;
+    cw_leadership_t         leadership;
+    cw_leader_tenure_t      tenure;
+    uint64_t                lead_servers; /**< number of the list that others are sent */
+    uint64_t                lead_tables;
+    cw_list_history_t       list_history;
+    double                  push_room; /**< bytes that may be sent to bring others up to date */
+    cw_time_us_t            push_filled_at;
+    cw_order_trust_t       *order_trust; /**< servers that this leader's orders did not reach */
+    cw_service_assignment_t keyed[CW_KEYED_SERVICES_MAX];
+    size_t                  keyed_count;
 } cw_router_t;
 
 cw_time_us_t cw_router_now(const cw_router_t *router);
@@ -338,9 +338,9 @@
 
 /* ---- router_plan.c ---- */
 /** Makes a plan for a service this node leads, if it is time for one. */
-void cw_router_plan(cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now);
+void cw_router_plan(cw_router_t *router, cw_service_assignment_t *keyed, cw_time_us_t now);
 /** Counts imbalance, churn and unavailable time of a service this node leads. */
-void cw_router_measure(cw_keyed_service_t *keyed, cw_time_us_t now);
+void cw_router_measure(cw_service_assignment_t *keyed, cw_time_us_t now);
 
 /* ---- router_assigners.c ---- */
 /** Makes an assigner for each service divided by key that has none yet. */
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -86,7 +86,7 @@
     return count;
 }
 
-static void plan_first(const cw_router_t *router, cw_keyed_service_t *keyed, const cw_planner_server_t *servers,
+static void plan_first(const cw_router_t *router, cw_service_assignment_t *keyed, const cw_planner_server_t *servers,
                        size_t count, cw_time_us_t now)
 {
     static const cw_server_entry_t *usable[SERVERS_MAX];
@@ -104,14 +104,14 @@
 }
 
 /* A leader that has just started has no list from before an outage: that many owners are missing shows it one. */
-static bool doubts_list(const cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
+static bool doubts_list(const cw_router_t *router, cw_service_assignment_t *keyed, cw_time_us_t now)
 {
     double missing = cw_planner_missing_share(keyed->assigner, router->server_view.list);
 
     return cw_plan_timing_doubts_list(&keyed->timing, missing, router->server_view.absence.grace, now);
 }
 
-void cw_router_measure(cw_keyed_service_t *keyed, cw_time_us_t now)
+void cw_router_measure(cw_service_assignment_t *keyed, cw_time_us_t now)
 {
     cw_ownership_measures_t *measures = &keyed->measures;
     const cw_range_list_t   *ranges = cw_assigner_ranges(keyed->assigner);
@@ -138,7 +138,7 @@
     }
 }
 
-void cw_router_plan(cw_router_t *router, cw_keyed_service_t *keyed, cw_time_us_t now)
+void cw_router_plan(cw_router_t *router, cw_service_assignment_t *keyed, cw_time_us_t now)
 {
     static cw_planner_server_t servers[SERVERS_MAX];
     size_t                     count;
