Status: the counting node among more than 1,024 nodes

Cause: the status page had its own array of 1,024 candidates; since they are no longer cut at that, more nodes wrote beyond it (AddressSanitizer: stack buffer overflow at index 1024). Ruled out: a second growing array: the choice is the node's own, which also says that there is none while it is cut off. Change: the status asks cw_router_quota_counting_node, as the node does. Test: test_router_quota, the status of a node that knows 1,500 others; under AddressSanitizer it fails without the change and passes with it.

--- a/src/router/router_quota.c
+++ b/src/router/router_quota.c
@@ -172,11 +172,10 @@
     return quota->nodes > 1 && now_of(quota) - quota->last_received_at >= CW_MS(ISOLATED_AFTER_MS);
 }
 
-static uint32_t counter_of(void *context, uint32_t tenant)
+uint32_t cw_router_quota_counting_node(cw_router_quota_t *quota, uint32_t tenant)
 {
-    cw_router_quota_t *quota = context;
-    size_t             count = 0;
-    size_t             index;
+    size_t count = 0;
+    size_t index;
 
     if (is_isolated(quota) || cw_quota_share_declining(quota->share, now_of(quota)) >= DECLINING_MOST) {
         return 0;
@@ -189,6 +188,11 @@
     return cw_broker_choose(quota->able, count, CW_BROKER_ANY_ZONE, tenant);
 }
 
+static uint32_t counter_of(void *context, uint32_t tenant)
+{
+    return cw_router_quota_counting_node(context, tenant);
+}
+
 static uint64_t version_of(const cw_router_quota_t *quota)
 {
     return quota->router->configuration == NULL ? 0 : quota->router->configuration->version;
--- a/src/router/router_quota.h
+++ b/src/router/router_quota.h
@@ -55,6 +55,8 @@
 };
 
 /* ---- router_quota.c ---- */
+/** Address of the node that this one would ask about a tenant now, of those that may count and reply; 0: none. */
+uint32_t cw_router_quota_counting_node(cw_router_quota_t *quota, uint32_t tenant);
 /** A message has come. */
 void cw_router_quota_deliver(cw_router_quota_t *quota, uint32_t from, const cw_quota_message_t *message);
 
--- a/src/router/router_status_callers.c
+++ b/src/router/router_status_callers.c
@@ -9,8 +9,6 @@
 #include "router/router_quota.h"
 #include "router/router_status.h"
 
-enum { CANDIDATES_MAX = 1024 /* as in router_quota.c */ };
-
 /** A reason as the log words it, and its counter. */
 typedef struct reason_metric {
     const char *reason;
@@ -74,19 +72,9 @@
 /* The node that this one would ask now, of those that may count and reply; NULL: none. */
 static const char *counting_node(const cw_router_t *router, uint32_t tenant)
 {
-    const cw_router_quota_t *quota = router->quota;
-    cw_broker_candidate_t    able[CANDIDATES_MAX];
-    const cw_peer_t         *peer;
-    size_t                   count = 0;
-    size_t                   index;
-    uint32_t                 address;
-
-    for (index = 0; index < quota->candidate_count; index++) {
-        if (!cw_quota_share_is_silent(quota->share, quota->candidates[index].address, cw_router_now(router))) {
-            able[count++] = quota->candidates[index];
-        }
-    }
-    address = cw_broker_choose(able, count, CW_BROKER_ANY_ZONE, tenant);
+    uint32_t         address = cw_router_quota_counting_node(router->quota, tenant);
+    const cw_peer_t *peer;
+
     if (address == cw_peer_link_own_address(router->link)) {
         return router->settings.node;
     }
--- a/tests/test_router_quota.c
+++ b/tests/test_router_quota.c
@@ -5,9 +5,11 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/tenant_metrics.h"
 #include "loop_fixture.h"
 #include "node_fixture.h"
 #include "router/router_quota.h"
+#include "router/router_status.h"
 
 enum {
     MANY_NODES = 1500,
@@ -26,16 +28,22 @@
     return node;
 }
 
-START_TEST(all_nodes_may_count_however_many)
+static void receive_many_nodes(node_fixture_t *node)
 {
-    node_fixture_t *node = create();
-    char            address[32];
-    int             index;
+    char address[32];
+    int  index;
 
     for (index = 0; index < MANY_NODES; index++) {
         snprintf(address, sizeof(address), "10.1.%d.%d", index / 200, index % 200 + 1);
         node_fixture_receive_report(node, address, "z2", 1);
     }
+}
+
+START_TEST(all_nodes_may_count_however_many)
+{
+    node_fixture_t *node = create();
+
+    receive_many_nodes(node);
     node_fixture_tick(node, 100);
     cw_router_quota_tick(&node->router, cw_router_now(&node->router));
     ck_assert_uint_eq(node->router.quota->candidate_count, MANY_NODES + 1);
@@ -43,6 +51,35 @@
 }
 END_TEST
 
+/* Under AddressSanitizer this holds when it also read and wrote nothing but its own. */
+START_TEST(the_status_names_the_counting_node_among_many)
+{
+    node_fixture_t     *node = create();
+    cw_configuration_t *configuration = cw_configuration_create(VERSION + 1);
+    cw_tenant_t        *tenant = cw_configuration_add_tenant(configuration);
+    json_t             *rows;
+    const char         *counter;
+
+    tenant->name = strdup("red");
+    tenant->rate_per_s = 5;
+    cw_configuration_seal(configuration);
+    cw_configuration_release(node->router.configuration);
+    node->router.configuration = configuration;
+    receive_many_nodes(node);
+    node_fixture_tick(node, 100);
+    cw_router_quota_tick(&node->router, cw_router_now(&node->router));
+    cw_tenant_metrics_reset();
+    cw_tenant_metric_add(CW_TENANT_REQUESTS, "red", 1);
+    rows = cw_router_status_tenants(&node->router);
+    counter = json_string_value(json_object_get(json_array_get(rows, 0), "counted_by"));
+    ck_assert_ptr_nonnull(counter);
+    ck_assert_uint_gt(strlen(counter), 0);
+    json_decref(rows);
+    cw_tenant_metrics_reset();
+    node_fixture_free(node);
+}
+END_TEST
+
 /* The node asks itself: the reply waits for the loop's next turn. */
 static const cw_quota_message_t *asked_by(node_fixture_t *node, uint64_t version)
 {
@@ -160,6 +197,7 @@
     TCase *cases = tcase_create("node");
 
     tcase_add_test(cases, all_nodes_may_count_however_many);
+    tcase_add_test(cases, the_status_names_the_counting_node_among_many);
     tcase_add_test(cases, an_ask_by_a_later_version_is_not_granted_without_a_limit);
     tcase_add_test(cases, a_report_by_a_later_version_learns_which_tenants_are_unknown);
     tcase_add_test(cases, messages_name_versions_and_unknown_tenants);
