--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -1,6 +1,6 @@
 /**
  * @file engine.c
- * @brief The engine itself: its timers, and what it is told from outside.
+ * @brief The engine itself: its timers, and what comes from outside.
  */
 #include <stdlib.h>
 
@@ -108,7 +108,7 @@
     return engine;
 }
 
-/* ---- what the engine is told ---- */
+/* ---- from outside ---- */
 
 void cw_engine_set_configuration(cw_engine_t *engine, cw_configuration_t *configuration)
 {
--- a/src/proxy/request_rules.h
+++ b/src/proxy/request_rules.h
@@ -59,7 +59,7 @@
     CW_NEXT_END        /**< as cw_final_of says */
 } cw_next_step_t;
 
-/** The last word on a request that has no server's answer. */
+/** The final answer of a request that has no server's. */
 typedef enum cw_final {
     CW_FINAL_REFUSED, /**< 503: it has not run, and never will */
     CW_FINAL_UNKNOWN, /**< 502: promises nothing */
--- a/tests/engine_world.h
+++ b/tests/engine_world.h
@@ -44,7 +44,7 @@
     cw_upstream_result_t result;
     int                  status;
     double               retry_after_s; /**< -1: none */
-    bool                 is_challenged; /**< told the scheme */
+    bool                 is_challenged; /**< the answer names the scheme */
     char                 body[32];
     cw_upstream_call_t  *call;
 } engine_call_t;
@@ -74,11 +74,11 @@
     uint32_t    capacity;           /**< slots of each */
     double      silence_factor;     /**< cw_engine_settings_t */
     double      crossing_ms_per_mb; /**< what a megabyte across the regions' border is worth */
-    const char *tenant_field;       /**< NULL: servers are not told the tenant */
+    const char *tenant_field;       /**< NULL: servers do not get the tenant's name */
     const char *credential_scheme;  /**< NULL: the engine's own */
 } engine_world_setup_t;
 
-/** Two servers of one slot, no repeats after silence. */
+/** Two servers of one slot, no repeat while a server does not answer. */
 engine_world_setup_t engine_world_usual_setup(void);
 /** Without a configuration. */
 void engine_world_begin(engine_world_t *world, const engine_world_setup_t *setup);
--- a/tests/test_engine_outcomes.c
+++ b/tests/test_engine_outcomes.c
@@ -1,6 +1,6 @@
 /**
  * @file test_engine_outcomes.c
- * @brief What the outcome of a sending allows next, and what the caller is told.
+ * @brief What the outcome of a sending allows next, and what its caller gets.
  */
 #include <unistd.h>
 
@@ -18,7 +18,7 @@
     (void)engine_world_ask(&world, "GET", "/safe/x", "15000");
     cw_test_run_until_set(&world.loop, &world.servers[1].has_request);
     cw_engine_set_queued_elsewhere(world.engine, "service", 100000);
-    while (world.servers[1].gone == 0) { /* taken from s1 by its silence */
+    while (world.servers[1].gone == 0) { /* taken from s1, which does not answer */
         cw_test_run_some(&world.loop, 1);
         usleep(ENGINE_WORLD_PAUSE_US);
     }
--- a/tests/test_request_rules.c
+++ b/tests/test_request_rules.c
@@ -1,6 +1,6 @@
 /**
  * @file test_request_rules.c
- * @brief Each outcome of a sending with each kind of route: what it allows, and what the caller may be told at last.
+ * @brief Each outcome of a sending with each kind of route: what it allows, and what its caller may get at last.
  */
 #include "loop_fixture.h"
 #include "proxy/request_rules.h"
