Reverted: a list that is turned away waits

Conclusion: the bytes are whole lists that are needed; they have to come from inside the zone, as the design says.

--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -257,8 +257,6 @@
 void cw_router_refill_push(cw_router_t *router, cw_time_us_t now);
 /** When what was sent just now is sent again. */
 cw_time_us_t cw_router_next_push(cw_push_state_t *push, cw_time_us_t now);
-/** The peer has read a later list than the one that it was sent. */
-void cw_router_push_turned_away(cw_peer_t *peer, cw_time_us_t now);
 /** This node leads now: others look first whether they have what it has. */
 void cw_router_push_begin(cw_router_t *router, cw_time_us_t now);
 /** A new number of the list (or the tables): those that had the one before are told at once. */
@@ -352,7 +350,7 @@
 void cw_router_begin_term(cw_router_t *router, uint64_t term);
 void cw_router_take_servers_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page);
 void cw_router_take_table_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__TablePage *page);
-void cw_router_take_ack(cw_router_t *router, cw_peer_t *peer, const Cwp__ViewAck *ack, cw_time_us_t now);
+void cw_router_take_ack(cw_router_t *router, cw_peer_t *peer, const Cwp__ViewAck *ack);
 /** Takes the leader's numbers over where what this node has is the same by its hash. */
 void cw_router_adopt(cw_router_t *router, const cw_peer_t *leader, const Cwp__LeaderHeartbeat *heartbeat);
 
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -18,11 +18,10 @@
 
 enum {
     RESEND_MS = 250,
-    RESEND_DOUBLINGS = 1,  /* a node that has read a later list itself takes the leader's next one */
-    TURNED_AWAY_MS = 1000, /* the leader reads again and its heartbeat comes: then the lists are mostly the same */
-    ADOPT_MS = 250,        /* time to see that what a node has is the leader's */
-    RELAY_WAIT_MS = 300,   /* for a relay to pass a change on, and for the acknowledgement: some ten times both */
-    WHOLE_WAIT_MS = 800, /* for the whole: a relay gets it, learns by the next heartbeat that it is right, sends it; */
+    RESEND_DOUBLINGS = 1, /* a node that has read a later list itself takes the leader's next one */
+    ADOPT_MS = 250,       /* time to see that what a node has is the leader's */
+    RELAY_WAIT_MS = 300,  /* for a relay to pass a change on, and for the acknowledgement: some ten times both */
+    WHOLE_WAIT_MS = 800,  /* for the whole: a relay gets it, learns by the next heartbeat that it is right, sends it; */
     WHOLE_WAIT_NODE_MS = 5, /* and so much more for each node: with many, a relay has many to send it to */
     NODES_MAX = 1024,
     NODES_AGAIN_MS = 500,          /* until it has heard them: they report at their pace */
@@ -96,11 +95,6 @@
     return now + CW_MS((int64_t)RESEND_MS << doublings);
 }
 
-void cw_router_push_turned_away(cw_peer_t *peer, cw_time_us_t now)
-{
-    peer->servers_push.due_at = now + CW_MS(TURNED_AWAY_MS);
-}
-
 /* Does a relay of its zone send this node what it lacks? */
 static bool is_fed_by_relay(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now)
 {
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -197,7 +197,7 @@
         take_nodes(router, datagram->nodes, now);
         break;
     case CWP__DATAGRAM__CONTENT_ACK:
-        cw_router_take_ack(router, peer, datagram->ack, now);
+        cw_router_take_ack(router, peer, datagram->ack);
         break;
     case CWP__DATAGRAM__CONTENT_CONFIGURATION:
         cw_configuration_exchange_take_page(router->exchange, peer->address, datagram->configuration, now);
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -52,19 +52,6 @@
     }
 }
 
-/* To the sender of a whole list: this node has read a later one. An acknowledgement of no number says so. */
-static void turn_away(cw_router_t *router, const cw_peer_t *sender, uint64_t term)
-{
-    Cwp__ViewAck  ack = CWP__VIEW_ACK__INIT;
-    Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
-
-    ack.incarnation = router->incarnation;
-    ack.term = term;
-    datagram.content_case = CWP__DATAGRAM__CONTENT_ACK;
-    datagram.ack = &ack;
-    cw_peer_link_send(router->link, sender, &datagram);
-}
-
 /* To the node that sent it, and to the leader if that is another one: what it need not send by itself. */
 static void acknowledge(cw_router_t *router, const cw_peer_t *sender)
 {
@@ -89,7 +76,7 @@
     }
 }
 
-void cw_router_take_ack(cw_router_t *router, cw_peer_t *peer, const Cwp__ViewAck *ack, cw_time_us_t now)
+void cw_router_take_ack(cw_router_t *router, cw_peer_t *peer, const Cwp__ViewAck *ack)
 {
     if (peer->incarnation != ack->incarnation || ack->term != router->view_term) {
         return;
@@ -99,9 +86,6 @@
         peer->servers = 0;
         peer->tables = 0;
     }
-    if (ack->servers == 0 && ack->tables == 0) {
-        cw_router_push_turned_away(peer, now);
-    }
     peer->servers = ack->servers > peer->servers ? ack->servers : peer->servers;
     peer->tables = ack->tables > peer->tables ? ack->tables : peer->tables;
 }
@@ -153,12 +137,8 @@
     if (!is_usable(router, &place, router->view_servers)) {
         return;
     }
-    /* this node has read a later one itself: one line, and one answer, for all pages */
-    if (page->revision < router->server_view.revision) {
-        if (page->page == 0) {
-            cw_router_note_older_servers(router, page->revision, "told");
-            turn_away(router, peer, page->term);
-        }
+    if (page->revision < router->server_view.revision) { /* this node has read a later one itself */
+        cw_router_note_older_servers(router, page->revision, "told");
         return;
     }
     if (!take_page(&router->servers_pages, &place, &begun)) {
