--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -24,7 +24,7 @@
 typedef struct cw_router_settings {
     char             node[64];
     char             zone[64];
-    char             address[16]; /**< other nodes reach this one here */
+    char             address[16];   /**< other nodes reach this one here */
     char             peer_bind[16]; /**< the socket for datagrams binds this one; `address` unless set */
     cw_endpoint_t    callers;
     cw_endpoint_t    readiness;
--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -104,23 +104,27 @@
     REVOKED[$((KEY_TURN - 1))]=$(monotonic_ms)
 }
 
-# What a fault of links lies between: nodes, nodes and the store, or nodes and a server.
-draw_ends() { # NODE; leaves them in ENDS
-    local other
+# What a fault of links lies between: two nodes, a node and the store, or all nodes and a server.
+draw_ends() { # NODE KIND...; leaves them in ENDS
+    local node=$1 other
+    shift
     draw 1 "$COUNT"
     other=$DRAWN
-    pick nodes nodes store server
+    pick "$@"
     case $DRAWN in
-    nodes) ENDS="n$1 n$other" ;;
-    store) ENDS="n$1 store" ;;
-    server) pick "${SERVER_NAMES[@]}"; ENDS="n$1 $DRAWN" ;;
+    nodes) ENDS="n$node n$other" ;;
+    store) ENDS="n$node store" ;;
+    server) pick "${SERVER_NAMES[@]}"; ENDS="all $DRAWN" ;;
     esac
 }
 link_fault() { # NODE
     local kind
     pick "${link_faults[@]}"
     kind=$DRAWN
-    draw_ends "$1"
+    case $kind in
+    silence | reset | throttle) draw_ends "$1" store server server ;; # of connections
+    *) draw_ends "$1" nodes nodes store server ;;
+    esac
     COUNTS[links_$kind]=$((${COUNTS[links_$kind]:-0} + 1))
     case $kind in
     cut) link cut $ENDS ;;
