cw-link: silence is called stall, the usual name for an open connection that passes nothing

Considered: freeze (the soak's name for a stopped process). Names only; the two tests of stalled connections are renamed with it. test_link 15 of 15, both tests 6 of 6.

--- a/standins/link/link_streams.c
+++ b/standins/link/link_streams.c
@@ -54,7 +54,7 @@
     stream_way_t    back;
     unsigned        handles; /**< not closed yet */
     bool            is_connected;
-    bool            is_silent;
+    bool            is_stalled;
     bool            is_closing;
     stream_t       *next;
 };
@@ -204,7 +204,7 @@
 {
     const stream_t *stream = way->stream;
 
-    return stream->is_connected && !stream->is_closing && !stream->is_silent &&
+    return stream->is_connected && !stream->is_closing && !stream->is_stalled &&
            !link_rules_is_cut(stream->streams->rules, way->from, way->to);
 }
 
@@ -449,14 +449,14 @@
            (link_end_matches(from, other) && link_end_matches(to, one));
 }
 
-unsigned link_streams_silence(link_streams_t *streams, const char *one, const char *other)
+unsigned link_streams_stall(link_streams_t *streams, const char *one, const char *other)
 {
     stream_t *stream;
     unsigned  count = 0;
 
     for (stream = streams->open; stream != NULL; stream = stream->next) {
         if (is_between(stream, one, other)) {
-            stream->is_silent = true;
+            stream->is_stalled = true;
             count++;
         }
     }
@@ -519,7 +519,7 @@
     stream_t *stream;
 
     for (stream = streams->open; stream != NULL; stream = stream->next) {
-        stream->is_silent = false;
+        stream->is_stalled = false;
     }
     link_streams_update(streams);
 }
--- a/standins/link/main.c
+++ b/standins/link/main.c
@@ -2,7 +2,7 @@
  * @file main.c
  * @brief Proxy for connections and datagrams on loopback, with faults that a test sets by lines on standard input.
  *
- * Each line gets one line back when it is in force: "ok", for `silence` and `reset` with the number of connections, or
+ * Each line gets one line back when it is in force: "ok", for `stall` and `reset` with the number of connections, or
  * "error" and a reason. The end of standard input ends the proxy. First the links:
  *
  *   end NAME GROUP                  a side of links; faults name ends, groups or "all"
@@ -13,7 +13,7 @@
  * Then faults, which are in force until `heal`, except `reset`:
  *
  *   cut A B | cut-one-way A B       nothing passes between A and B, or from A to B; connections stay open
- *   silence A B                     nothing passes on connections that are open now; new ones work
+ *   stall A B                       nothing passes on connections that are open now; new ones work
  *   reset A B                       connections that are open now are reset
  *   delay A B MS | throttle A B BYTES_PER_S
  *   lose A B PERCENT | double A B PERCENT | reorder A B PERCENT     of datagrams
@@ -205,12 +205,12 @@
     return add_number(proxy, LINK_REORDER, fields, PERCENT_MAX);
 }
 
-static const char *run_silence(link_proxy_t *proxy, char **fields)
+static const char *run_stall(link_proxy_t *proxy, char **fields)
 {
     if (!link_rules_knows(&proxy->rules, fields[1]) || !link_rules_knows(&proxy->rules, fields[2])) {
         return "no such end or group";
     }
-    printf("ok %u\n", link_streams_silence(proxy->streams, fields[1], fields[2]));
+    printf("ok %u\n", link_streams_stall(proxy->streams, fields[1], fields[2]));
     return NULL;
 }
 
@@ -237,7 +237,7 @@
 static const link_command_t commands[] = {
     {"end", 3, run_end},           {"process", 3, run_process}, {"node", 4, run_node},
     {"link", 5, run_link},         {"cut", 3, run_cut},         {"cut-one-way", 3, run_cut_one_way},
-    {"silence", 3, run_silence},   {"reset", 3, run_reset},     {"delay", 4, run_delay},
+    {"stall", 3, run_stall},       {"reset", 3, run_reset},     {"delay", 4, run_delay},
     {"throttle", 4, run_throttle}, {"lose", 4, run_lose},       {"double", 4, run_double},
     {"reorder", 4, run_reorder},   {"heal", 1, run_heal}};
 
--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -9,7 +9,7 @@
 #   LINKS=1      a proxy lies between the programs, which are in two regions; its faults are drawn with the others
 #
 # Faults of links are unplanned: datagrams between nodes are lost, doubled, reordered, delayed and cut, connections to the
-# store and to servers are cut, silenced, reset, delayed and throttled, and a region is cut off. Their draws are the seed's.
+# store and to servers are cut, stalled, reset, delayed and throttled, and a region is cut off. Their draws are the seed's.
 # Rounds are planned (stops, reloads, changes, a leaving server, a store in trouble) or unplanned (also kills and freezes).
 # Promises, from what callers, servers and the store see:
 #   records   nothing runs twice, no refused request has run, one owner for a key, fences rise (cw-verdict)
@@ -90,7 +90,7 @@
 
 planned_faults=(stop reload change storm leave down endpoint slow lose late forget mute refuse)
 unplanned_faults=("${planned_faults[@]}" kill freeze crash kill_leader kill_many)
-link_faults=(cut cut_one_way lose double reorder delay silence reset throttle cut_region)
+link_faults=(cut cut_one_way lose double reorder delay stall reset throttle cut_region)
 [ -z "$LINKED" ] || unplanned_faults+=(links links links links) # as many as half of the others that strike processes
 
 stop_node() { # NODE: ends by itself, and is started again by heal
@@ -122,7 +122,7 @@
     pick "${link_faults[@]}"
     kind=$DRAWN
     case $kind in
-    silence | reset | throttle) draw_ends "$1" store server server ;; # of connections
+    stall | reset | throttle) draw_ends "$1" store server server ;; # of connections
     *) draw_ends "$1" nodes nodes store server ;;
     esac
     COUNTS[links_$kind]=$((${COUNTS[links_$kind]:-0} + 1))
@@ -131,7 +131,7 @@
     cut_one_way) link cut-one-way $ENDS ;;
     lose | double | reorder) draw 5 45; link "$kind" all all "$DRAWN"; ENDS="all all $DRAWN" ;;
     delay) draw 5 200; link delay $ENDS "$DRAWN"; ENDS="$ENDS $DRAWN" ;;
-    silence | reset) link "$kind" $ENDS ;;
+    stall | reset) link "$kind" $ENDS ;;
     throttle) draw 20 200; link throttle $ENDS "${DRAWN}00"; ENDS="$ENDS ${DRAWN}00" ;;
     cut_region) pick east west; link cut "$DRAWN" "$(other_region "$DRAWN")"; link cut "$DRAWN" store; ENDS=$DRAWN ;;
     esac
--- a/tests/process/server_connection_silent.sh
+++ b/tests/process/server_connection_stalled.sh
@@ -1,27 +1,27 @@
 #!/usr/bin/env bash
-# Open connections to servers go silent and stay open, new ones work: requests on them end by their deadline, what may
+# Open connections to servers stall and stay open, new ones work: requests on them end by their deadline, what may
 # have run is not sent again, a safe one may be; later requests go by new connections.
 LINKED=1
 . "$(dirname "$0")/../../scripts/cluster.sh"
-silence() { # SERVER: the nodes' open connections to it
+stall() { # SERVER: the nodes' open connections to it
     local n
     for n in 1 2 3; do
-        link silence "n$n" "$1"
-        SILENCED=$((SILENCED + ${LINK_REPLY#ok }))
+        link stall "n$n" "$1"
+        STALLED=$((STALLED + ${LINK_REPLY#ok }))
     done
 }
 late() { jq -s '[.[]|select(.event=="end" and .ms > 2500)]|length' "$WORK/callers-$1.json"; }
 has_served() { [ "$(grep -c '"event":"run"' "$WORK/server-$1.json")" -ge "$2" ]; }
 
 usual_cluster 3
-SILENCED=0
+STALLED=0
 (cluster_callers during --rate 80 --count 960) &
 callers=$!
 until_true has_served m1 20
 until_true has_served h1 20
-silence m1
-silence h1
-check "there were open connections" at_least "$SILENCED" 2
+stall m1
+stall h1
+check "there were open connections" at_least "$STALLED" 2
 runs=$(grep -c '"event":"run"' "$WORK/server-h1.json")
 until_true has_served h1 $((runs + 20))
 check "the server gets requests by new connections" has_served h1 $((runs + 20))
--- a/tests/process/store_connection_silent.sh
+++ b/tests/process/store_connection_stalled.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Open connections to the store go silent and stay open, new ones work: first the leader's, then those of all nodes at once.
+# Open connections to the store stall and stay open, new ones work: first the leader's, then those of all nodes at once.
 # Each node finds out by itself: a change of the configuration is in force everywhere within a few times its bound (2 s),
 # far below the time (26 s) that the store may hold a call, and requests are answered meanwhile.
 LINKED=1
@@ -9,23 +9,23 @@
 in_force_within() { # SECONDS VERSION
     timeout "$1" bash -c "$(declare -f versions all_have until_true); NET=$NET; until_true all_have $2"
 }
-silence() { # END: its open connections to the store, until it has some
-    until link silence "$1" store && [ "$LINK_REPLY" != "ok 0" ]; do sleep 0.05; done
+stall() { # END: its open connections to the store, until it has some
+    until link stall "$1" store && [ "$LINK_REPLY" != "ok 0" ]; do sleep 0.05; done
 }
 
 usual_cluster 3
 sleep 4 # a process that has just started reads for nobody
 (cluster_callers during --rate 80 --count 1200) &
 callers=$!
-silence "n$(leader)"
+stall "n$(leader)"
 cluster_configure "$(configuration 2)"
-check "the leader's connections are silent: a change is in force everywhere" in_force_within 8 2
-for n in 1 2 3; do silence "n$n"; done
+check "the leader's connections are stalled: a change is in force everywhere" in_force_within 8 2
+for n in 1 2 3; do stall "n$n"; done
 cluster_configure "$(configuration 3)"
 check "all nodes' are: a change is in force everywhere" in_force_within 8 3
 cluster_server m7 --service maps --zone z1 --keyed --work-ms 15
 kill -TERM "${SERVER_PIDS[h1]}"
-for n in 1 2 3; do silence "n$n"; done
+for n in 1 2 3; do stall "n$n"; done
 until_true server_ended h1
 check "a server that leaves gets no request in its last half second" rested_before_end h1
 wait "$callers"
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -371,7 +371,7 @@
 }
 END_TEST
 
-START_TEST(an_open_connection_goes_silent_and_a_new_one_works)
+START_TEST(an_open_connection_stalls_and_a_new_one_works)
 {
     int near;
     int far;
@@ -380,7 +380,7 @@
 
     open_pair(&near, &far);
     round_trip(near, far);
-    ck_assert_str_eq(command("silence callers s"), "ok 1");
+    ck_assert_str_eq(command("stall callers s"), "ok 1");
     send_text(near, "held");
     open_pair(&new_near, &new_far);
     round_trip(new_near, new_far);
@@ -496,8 +496,8 @@
     ck_assert_str_eq(command(line), "ok");
     open_pair(&near, &far);
     round_trip(near, far);
-    ck_assert_str_eq(command("silence callers s"), "ok 0");
-    ck_assert_str_eq(command("silence n1 s"), "ok 1");
+    ck_assert_str_eq(command("stall callers s"), "ok 0");
+    ck_assert_str_eq(command("stall n1 s"), "ok 1");
 }
 END_TEST
 
@@ -518,7 +518,7 @@
     tcase_add_test(cases, datagrams_come_twice);
     tcase_add_test(cases, datagrams_come_out_of_order);
     tcase_add_test(cases, a_cut_holds_bytes_until_it_is_healed);
-    tcase_add_test(cases, an_open_connection_goes_silent_and_a_new_one_works);
+    tcase_add_test(cases, an_open_connection_stalls_and_a_new_one_works);
     tcase_add_test(cases, an_open_connection_is_reset);
     tcase_add_test(cases, what_was_reset_meanwhile_passes_nothing_after_a_cut);
     tcase_add_test(cases, the_end_of_one_side_is_passed_on_behind_its_bytes);
