A key sent as a parameter is hidden from servers of another tenant; what is looked at is bounded for a request

Cause: on routes of a tenant that needs no key, a value of Authorization was split at blanks and commas, and marks around a part were taken off. In the usual form of a parameter, Token key="KEY", the key stands behind an equals sign in the middle of a part: another tenant's key in it went on to the servers. And the bound of 64 parts held for each field: a head with many such fields had several thousand parts hashed.

Change: what stands behind the first equals sign of a part is looked at as a key too. The bound holds for all credentials of a request together; beyond it they are hidden, as before.

Before: another_tenants_key_is_hidden_in_any_form (Token key="sesame") and of_all_credentials_of_a_request_so_many_parts_are_looked_at fail. After: both pass, also under sanitizers.

--- a/src/tenancy/caller_identity.c
+++ b/src/tenancy/caller_identity.c
@@ -10,7 +10,7 @@
 
 enum {
     KEY_MOST = 4096, /* bytes that are looked at as one key: a quarter of the longest head (router_callers.c) */
-    PARTS_MOST = 64  /* of a value: some 1 us each */
+    PARTS_MOST = 64  /* of all credentials of a request: some 1 us each */
 };
 
 static const char header[] = "authorization";
@@ -118,13 +118,25 @@
     return length > before && is_known_key(configuration, part + before, length - before, scheme);
 }
 
+static bool is_key(const cw_configuration_t *configuration, const char *part, size_t length, const char *scheme)
+{
+    return is_known_key(configuration, part, length, scheme) || is_marked_key(configuration, part, length, scheme);
+}
+
+/* As a parameter, name=key (RFC 9110, 11.2). */
+static bool is_parameter_key(const cw_configuration_t *configuration, const char *part, size_t length,
+                             const char *scheme)
+{
+    size_t before = strcspn(part, "=") + 1;
+
+    return before < length && is_key(configuration, part + before, length - before, scheme);
+}
+
 /* What could not be read as one key may hold one all the same. Where there is more than is looked at, it is taken to.
  */
-static bool may_hold_key(const cw_configuration_t *configuration, const char *value, const char *scheme)
+static bool may_hold_key(const cw_configuration_t *configuration, const char *value, const char *scheme, size_t *parts)
 {
-    size_t parts;
-
-    for (parts = 0; parts < PARTS_MOST; parts++) {
+    for (; *parts < PARTS_MOST; (*parts)++) {
         size_t length;
 
         value += strspn(value, separators);
@@ -132,7 +144,7 @@
             return false;
         }
         length = strcspn(value, separators);
-        if (is_known_key(configuration, value, length, scheme) || is_marked_key(configuration, value, length, scheme)) {
+        if (is_key(configuration, value, length, scheme) || is_parameter_key(configuration, value, length, scheme)) {
             return true;
         }
         value += length;
@@ -143,13 +155,14 @@
 /* Of a request whose tenant needs no key: is another tenant's key among its credentials? */
 static bool holds_key(const cw_configuration_t *configuration, const cw_http_fields_t *fields, const char *scheme)
 {
+    size_t parts = 0;
     size_t index;
 
     for (index = 0; index < fields->count; index++) {
         const cw_http_field_t *field = &fields->items[index];
 
         if (cw_http_name_is_alike(field->name, header) && field->value != NULL &&
-            may_hold_key(configuration, field->value, scheme)) {
+            may_hold_key(configuration, field->value, scheme, &parts)) {
             return true;
         }
     }
--- a/tests/test_caller_identity.c
+++ b/tests/test_caller_identity.c
@@ -183,9 +183,19 @@
 /* Tenant c needs none, and its servers are not to see another tenant's key, however it was sent. */
 START_TEST(another_tenants_key_is_hidden_in_any_form)
 {
-    static const char *const forms[] = {"sesame",          "Tokensesame",           "Bearer sesame", "Token sesame,",
-                                        "Token x, sesame", "Token sesame x",        "Token  sesame", "Token \"sesame\"",
-                                        "Token 'sesame';", "Basic x\tToken\tsesame"};
+    static const char *const forms[] = {"sesame",
+                                        "Tokensesame",
+                                        "Bearer sesame",
+                                        "Token sesame,",
+                                        "Token x, sesame",
+                                        "Token sesame x",
+                                        "Token  sesame",
+                                        "Token \"sesame\"",
+                                        "Token 'sesame';",
+                                        "Basic x\tToken\tsesame",
+                                        "Token key=\"sesame\"",
+                                        "Token key=sesame, x=y",
+                                        "Token key =\"sesame\";"};
     cw_configuration_t      *configuration = configured();
     cw_http_fields_t         fields = {0};
     char                     parts[200] = "";
@@ -212,6 +222,30 @@
 }
 END_TEST
 
+/* Looking costs time: what is looked at is bounded for a request, in however many fields it stands. */
+START_TEST(of_all_credentials_of_a_request_so_many_parts_are_looked_at)
+{
+    enum { PARTS = 40 };
+    cw_configuration_t *configuration = configured();
+    const cw_route_t   *route = cw_configuration_match(configuration, "h", "/c/x");
+    cw_http_fields_t    fields = {0};
+    char                parts[2 * PARTS];
+    size_t              index;
+
+    for (index = 0; index < PARTS; index++) {
+        parts[2 * index] = 'x';
+        parts[2 * index + 1] = ' ';
+    }
+    parts[2 * PARTS - 1] = '\0';
+    add_field(&fields, "Authorization", parts);
+    ck_assert(!cw_caller_identify(configuration, route, &fields, "Token").hides_credentials);
+    add_field(&fields, "Authorization", parts);
+    ck_assert(cw_caller_identify(configuration, route, &fields, "Token").hides_credentials);
+    cw_http_fields_clear(&fields);
+    cw_configuration_release(configuration);
+}
+END_TEST
+
 START_TEST(without_keys_in_the_configuration_credentials_are_ordinary)
 {
     cw_configuration_t *configuration = cw_configuration_create(1);
@@ -311,6 +345,7 @@
     tcase_add_test(cases, an_open_route_needs_no_key_and_takes_no_unknown_one);
     tcase_add_test(cases, the_route_of_a_tenant_without_keys_is_open_and_its_credentials_are_its_own);
     tcase_add_test(cases, another_tenants_key_is_hidden_in_any_form);
+    tcase_add_test(cases, of_all_credentials_of_a_request_so_many_parts_are_looked_at);
     tcase_add_test(cases, without_keys_in_the_configuration_credentials_are_ordinary);
     tcase_add_test(cases, a_later_configuration_keeps_revokes_or_moves_a_key);
     tcase_add_test(cases, a_tenants_priority_goes_before_its_routes);
