engine_world: an id of a server has room for any index

Cause: the field had 8 bytes for "s" and a number; the compiler, at -O1 with sanitizers, says that it may be cut. Change: 24 bytes. Before: BUILD=build-asan CFLAGS="-O1 -g -fsanitize=address,undefined" make stops at tests/engine_world.c. After: it builds, and the tests over it pass.

--- a/tests/engine_world.h
+++ b/tests/engine_world.h
@@ -22,7 +22,7 @@
 typedef struct engine_server {
     engine_world_t     *world;
     cw_http_listener_t *listener;
-    char                id[8];
+    char                id[24];
     char                address[32];
     uint32_t            requests;
     uint32_t            gone;
