Records that cannot be read: fences rise, and no grant comes before holds end

Cause: where the record of a service's keys cannot be read, all keys are assigned anew. Three things were left from before. Fences began at 1 again, so that a server got keys under a lower fence than another had had them under. A leader that was adopting the record when it was spoilt still counted as adopting, and granted at once. A leader that had given holds itself waited only for those of its predecessor, which had long ended.

Change: fences go on above all that this leader has seen, and at least from its term times 2^32; adopting ends; a leader that has had a record waits for a hold from now on, one that has had none from when it began to lead, as before.

Before: three new tests of test_assigner fail (fence 2 after 4; 2 grants instead of none, twice). After: its 24 tests pass.

--- a/src/assignment/assigner_record.c
+++ b/src/assignment/assigner_record.c
@@ -4,7 +4,10 @@
  */
 #include "assignment/assigner_internal.h"
 
-enum { RETRY_MS = 150 /* after a refusal, and after a reading that brought nothing; chosen */ };
+enum {
+    RETRY_MS = 150,            /* after a refusal, and after a reading that brought nothing; chosen */
+    FENCES_OF_A_TERM_BITS = 32 /* with terms up to two millions, fences stay exact as numbers of JSON */
+};
 
 static void on_written(void *data, const cw_store_reply_t *reply);
 static void on_read(void *data, const cw_store_reply_t *reply);
@@ -41,17 +44,30 @@
     cw_assigner_begin_write(assigner);
 }
 
+/* Above all fences that can have been given, where the record does not say: a term gives fewer than such a part. */
+static uint64_t fence_of_term(const cw_assigner_t *assigner)
+{
+    uint64_t given = assigner->plan.last_fence > assigner->record.last_fence ? assigner->plan.last_fence
+                                                                             : assigner->record.last_fence;
+    uint64_t first = assigner->term << FENCES_OF_A_TERM_BITS;
+
+    return first > given ? first : given;
+}
+
 /* What stands in the record cannot be read, so that its owners are not known: all keys are assigned anew, and granted
- * when the last holds that a former leader can have given have ended. */
-static void forget_owners(cw_assigner_t *assigner)
+ * when the last holds that a former leader, or this one, can have given have ended. */
+static void forget_owners(cw_assigner_t *assigner, cw_time_us_t now)
 {
-    cw_range_t all_keys = {.low = 0, .last = CW_KEY_LAST};
+    cw_range_t   all_keys = {.low = 0, .last = CW_KEY_LAST};
+    cw_time_us_t last_grant = assigner->record.ranges.count > 0 ? now : assigner->led_since;
 
     assigner->ports.note(assigner->ports.context, assigner->service, "record not readable", &all_keys,
                          "assigned anew once former holds have ended");
-    assigner->first_grant_at = cw_assigner_hold_end(assigner->led_since, assigner->settings.hold_long);
+    assigner->first_grant_at = cw_assigner_hold_end(last_grant, assigner->settings.hold_long);
+    assigner->plan.last_fence = fence_of_term(assigner);
     assigner->state = CW_ASSIGNER_EMPTY;
     assigner->writing = false;
+    assigner->adopting = false;
 }
 
 /* The object as it stands: this leader's own write, a former leader's, or a later one's. */
@@ -79,7 +95,7 @@
     }
     if (!readable) {
         assigner->revision = reply->revision;
-        forget_owners(assigner);
+        forget_owners(assigner, now);
         return;
     }
     adopt(assigner, &record, reply->revision);
--- a/tests/test_assigner.c
+++ b/tests/test_assigner.c
@@ -467,6 +467,92 @@
 }
 END_TEST
 
+/* Of two servers with half of the keys each, each is to get the other's half. */
+static void assign_crosswise(assigner_world_t *world)
+{
+    const cw_server_entry_t *entries[2] = {server(world, "i-b"), server(world, "i-a")};
+
+    ck_assert_int_eq(cw_assigner_state(world->assigner), CW_ASSIGNER_EMPTY);
+    cw_assigner_plan_first(world->assigner, entries, 2, world->now);
+    assigner_world_tick(world, CW_MS(20));
+    assigner_world_tick(world, CW_MS(20));
+}
+
+/* The record is overwritten by something that is none, under a later revision. */
+static void overwrite_record(assigner_world_t *world)
+{
+    json_object_set_new(world->object, "ranges", json_string("of another form"));
+    world->revision++;
+}
+
+START_TEST(fences_rise_above_those_of_a_record_that_cannot_be_read)
+{
+    assigner_world_t world;
+    uint64_t         highest;
+
+    assigner_world_init(&world, 1);
+    assigner_world_servers(&world, two);
+    assigner_world_settle(&world);
+    begin_move(&world);
+    highest = world.orders[world.order_count - 1].fence + 1; /* of the move under way */
+    overwrite_record(&world);
+    assigner_world_take_over(&world, 2);
+    assigner_world_tick(&world, CW_MS(20));
+    assigner_world_tick(&world, CW_MS(20));
+    assign_crosswise(&world);
+    assigner_world_tick(&world, CW_MS(8300));
+    ck_assert_int_eq(world.orders[world.order_count - 1].kind, CW_ORDER_GRANT);
+    ck_assert_uint_gt(world.orders[world.order_count - 1].fence, highest);
+    ck_assert_uint_gt(world.orders[world.order_count - 2].fence, highest);
+    assigner_world_clear(&world);
+}
+END_TEST
+
+START_TEST(a_record_that_is_spoilt_while_it_is_adopted_gives_no_grant_before_holds_have_ended)
+{
+    assigner_world_t world;
+    size_t           sent;
+
+    assigner_world_init(&world, 1);
+    assigner_world_servers(&world, two);
+    assigner_world_settle(&world);
+    assigner_world_take_over(&world, 2);
+    sent = world.order_count;
+    assigner_world_tick(&world, CW_MS(20)); /* read: to be adopted */
+    overwrite_record(&world);
+    assigner_world_tick(&world, CW_MS(20)); /* the write fails by its condition */
+    assigner_world_tick(&world, CW_MS(20));
+    assign_crosswise(&world);
+    assigner_world_tick(&world, CW_MS(7900));
+    ck_assert_uint_eq(assigner_world_count(&world, CW_ORDER_GRANT, sent), 0);
+    assigner_world_tick(&world, CW_MS(400));
+    ck_assert_uint_eq(assigner_world_count(&world, CW_ORDER_GRANT, sent), 2);
+    assigner_world_clear(&world);
+}
+END_TEST
+
+START_TEST(a_record_that_is_spoilt_under_a_leader_gives_no_grant_before_its_own_holds_have_ended)
+{
+    assigner_world_t world;
+    size_t           sent;
+
+    assigner_world_init(&world, 1);
+    assigner_world_servers(&world, two);
+    assigner_world_settle(&world);
+    assigner_world_tick(&world, CW_SECONDS(20)); /* renewed: these holds have just begun */
+    overwrite_record(&world);
+    begin_move(&world);
+    assigner_world_tick(&world, CW_MS(20));
+    sent = world.order_count;
+    assign_crosswise(&world);
+    assigner_world_tick(&world, CW_MS(7900));
+    ck_assert_uint_eq(assigner_world_count(&world, CW_ORDER_GRANT, sent), 0);
+    assigner_world_tick(&world, CW_MS(400));
+    ck_assert_uint_eq(assigner_world_count(&world, CW_ORDER_GRANT, sent), 2);
+    assigner_world_clear(&world);
+}
+END_TEST
+
 START_TEST(a_record_survives_its_text_and_a_broken_one_is_refused)
 {
     cw_assignment_record_t record = {.term = 3, .write = 4, .writer = 0xabcdef0123456789u, .last_fence = 9};
@@ -515,6 +601,9 @@
     tcase_add_test(cases, holds_are_lengthened_at_once_when_the_store_falls_silent);
     tcase_add_test(cases, joined_ranges_serve_on_under_a_new_fence);
     tcase_add_test(cases, keys_whose_record_cannot_be_read_are_granted_when_former_holds_have_surely_ended);
+    tcase_add_test(cases, fences_rise_above_those_of_a_record_that_cannot_be_read);
+    tcase_add_test(cases, a_record_that_is_spoilt_while_it_is_adopted_gives_no_grant_before_holds_have_ended);
+    tcase_add_test(cases, a_record_that_is_spoilt_under_a_leader_gives_no_grant_before_its_own_holds_have_ended);
     tcase_add_test(cases, a_record_survives_its_text_and_a_broken_one_is_refused);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
