An unreadable lock is taken above the term of heartbeats

Cause: a follower does not read the lock while the leader's heartbeats come, so its own copy may be of an earlier term. If the lock then could not be read, it took it under the term after that copy: a term that had been used. By reading, not by a run: where the record of keys has a later term, such a leader counts as deposed and gives no grants, and nodes ignore its heartbeats.

Change: the highest term of heartbeats is kept, and a lock that cannot be read counts as of that term, if it is the higher one.

Before: the new test of test_leadership fails (term 5 instead of 8). After: its 24 tests pass.

--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -110,6 +110,7 @@
     if (able) {
         leadership->last_received_at = now;
     }
+    leadership->received_term = term > leadership->received_term ? term : leadership->received_term;
     if (revision > leadership->revision) {
         note_seen(leadership, revision, now);
         leadership->must_read = true; /* whose it is, is not known yet */
@@ -315,7 +316,8 @@
     memset(&lock, 0, sizeof(lock));
     leadership->is_unreadable = !cw_lock_from_json(&lock, reply->value);
     if (leadership->is_unreadable) { /* somebody's, who may have authority: it is taken as any other node's lock */
-        lock.term = leadership->lock.term;
+        lock.term =
+            leadership->lock.term > leadership->received_term ? leadership->lock.term : leadership->received_term;
     }
     leadership->failures = 0;
     leadership->looked_at = now;
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -70,6 +70,7 @@
     cw_lock_t                lock;             /**< as last seen */
     uint64_t                 revision;         /**< of the lock as last seen; 0: none seen */
     cw_time_us_t             seen_at;          /**< since when this revision is known */
+    uint64_t                 received_term;    /**< highest term of a heartbeat */
     bool                     absent;           /**< a read found no lock */
     bool                     is_unreadable;    /**< what the last read found is no lock of this program */
     cw_time_us_t             last_received_at; /**< last heartbeat of a leader with authority */
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -234,6 +234,32 @@
 }
 END_TEST
 
+START_TEST(a_lock_that_cannot_be_read_is_taken_above_the_term_of_heartbeats)
+{
+    cw_leadership_t  leadership = new_leadership("n1", 11, 0);
+    cw_lock_t        lock = lock_of("n2", 22, 4);
+    cw_store_reply_t answer = {.result = CW_STORE_DONE, .revision = 10};
+    cw_time_us_t     now = CW_MS(1500);
+
+    ck_assert_int_eq(cw_leadership_tick(&leadership, 0), CW_LEADERSHIP_READ);
+    reply(&leadership, CW_STORE_DONE, 9, &lock, 0);
+    cw_leadership_receive_heartbeat(&leadership, 7, 9, true, CW_MS(500)); /* the lock is not read while these come */
+    answer.value = json_pack("{s:s}", "holder", "of another form");
+    for (; now < CW_SECONDS(10); now += CW_MS(20)) {
+        cw_leadership_action_t action = cw_leadership_tick(&leadership, now);
+
+        if (action == CW_LEADERSHIP_REPLACE) {
+            break;
+        }
+        if (action == CW_LEADERSHIP_READ) {
+            cw_leadership_replied(&leadership, &answer, now);
+        }
+    }
+    ck_assert_uint_eq(leadership.write.term, 8);
+    json_decref(answer.value);
+}
+END_TEST
+
 START_TEST(a_node_lets_a_more_capable_one_try_first)
 {
     cw_leadership_t leadership = new_leadership("n1", 11, 0);
@@ -443,6 +469,7 @@
     tcase_add_test(cases, resigning_ends_authority_at_once_and_writes_a_vacant_lock);
     tcase_add_test(cases, a_vacant_lock_is_taken_at_once);
     tcase_add_test(cases, a_lock_that_cannot_be_read_is_held_until_a_hold_has_passed);
+    tcase_add_test(cases, a_lock_that_cannot_be_read_is_taken_above_the_term_of_heartbeats);
     tcase_add_test(cases, a_node_lets_a_more_capable_one_try_first);
     tcase_add_test(cases, a_node_takes_its_own_earlier_lock_at_once_also_beside_a_more_capable_one);
     tcase_add_test(cases, after_stepping_down_it_follows_and_may_lead_again_later);
