The number of nodes that a leader states falls slowly

Cause (found by a reader): a leader that is cut off from the nodes but reaches the store counts one node after a window and writes that into its lock; a process that starts then took the fleet for reached at once, and gave out whole limits. Before: 1 stated, reached at once (shown on the module). Cost: after a fleet is made much smaller, new processes wait three seconds for some minutes, as they always did.

--- a/src/router/fleet_size.c
+++ b/src/router/fleet_size.c
@@ -27,11 +27,26 @@
     return stated > counted ? stated : counted;
 }
 
-uint32_t cw_fleet_size_to_state(const cw_fleet_size_t *fleet, uint32_t counted, cw_time_us_t now)
+/* Rises at once, falls by half at a time. */
+static void follow(cw_fleet_size_t *fleet, uint32_t nodes, cw_time_us_t now)
 {
-    bool is_unknown = fleet->stated == 0 && now < fleet->counted_at;
+    if (nodes < fleet->states) {
+        if (now < fleet->falls_at) {
+            return;
+        }
+        nodes = nodes > fleet->states / 2 ? nodes : fleet->states / 2;
+    }
+    fleet->states = nodes;
+    fleet->falls_at = now + CW_MS(CW_FLEET_FALL_MS);
+}
 
-    return is_unknown ? 0 : cw_fleet_size_nodes(fleet, counted, now);
+uint32_t cw_fleet_size_to_state(cw_fleet_size_t *fleet, uint32_t counted, cw_time_us_t now)
+{
+    if (fleet->stated == 0 && now < fleet->counted_at) {
+        return 0;
+    }
+    follow(fleet, cw_fleet_size_nodes(fleet, counted, now), now);
+    return fleet->states;
 }
 
 bool cw_fleet_size_is_reached(const cw_fleet_size_t *fleet, uint32_t in_reach, cw_time_us_t now)
--- a/src/router/fleet_size.h
+++ b/src/router/fleet_size.h
@@ -10,6 +10,8 @@
  *  - The leader writes the number of nodes into its lock, and its heartbeat carries it. A new leader states at least
  *    what its predecessor's lock says until it has run long enough to have counted by itself. So the number outlives
  *    the loss of all processes.
+ *  - What a leader states falls slowly: one that is cut off from all others, but reaches the store, soon counts itself
+ *    alone, and a process that starts then must not take that for the size of the fleet.
  *  - A new process has reached the fleet as soon as nearly all of the nodes stated are in reach; where nobody states a
  *    number, or fewer come back, after a bounded time.
  *
@@ -25,12 +27,16 @@
 
 enum {
     CW_FLEET_UNKNOWN_MS = 3000, /**< by then a process has received from all others, at the slowest pause of reports */
+    CW_FLEET_FALL_MS = 60000,   /**< a number stated halves in no less: a leader that is cut off has been replaced by
+                                   then,   and a fleet made smaller only makes new processes wait as if none were stated */
     CW_FLEET_REACHED_PERCENT = 90 /**< the rest's equal parts are within the usual overshoot of a limit, a tenth */
 };
 
 typedef struct cw_fleet_size {
     cw_time_us_t started_at;
     cw_time_us_t counted_at; /**< from then on this process has counted by itself for long enough */
+    cw_time_us_t falls_at;   /**< what this node states may fall then */
+    uint32_t     states;     /**< what this node stated last, as a leader */
     uint32_t     stated;     /**< by a leader, this node among them; 0: by none */
 } cw_fleet_size_t;
 
@@ -43,7 +49,7 @@
 /** What a leader states: 0 while it is new itself and no leader before it has stated any, since its own count is far
  * too low then.
  */
-uint32_t cw_fleet_size_to_state(const cw_fleet_size_t *fleet, uint32_t counted, cw_time_us_t now);
+uint32_t cw_fleet_size_to_state(cw_fleet_size_t *fleet, uint32_t counted, cw_time_us_t now);
 /** Does this process know the others? in_reach: nodes received from lately, this one among them. */
 bool cw_fleet_size_is_reached(const cw_fleet_size_t *fleet, uint32_t in_reach, cw_time_us_t now);
 
--- a/tests/test_fleet_size.c
+++ b/tests/test_fleet_size.c
@@ -84,6 +84,19 @@
 }
 END_TEST
 
+START_TEST(what_a_leader_states_falls_slowly)
+{
+    cw_fleet_size_t fleet = started();
+
+    ck_assert_uint_eq(cw_fleet_size_to_state(&fleet, 81, CW_SECONDS(120)), 81);
+    ck_assert_uint_eq(cw_fleet_size_to_state(&fleet, 1, CW_SECONDS(150)), 81); /* cut off from all others */
+    ck_assert_uint_eq(cw_fleet_size_to_state(&fleet, 1, CW_SECONDS(180)), 40);
+    ck_assert_uint_eq(cw_fleet_size_to_state(&fleet, 1, CW_SECONDS(239)), 40);
+    ck_assert_uint_eq(cw_fleet_size_to_state(&fleet, 82, CW_SECONDS(239)), 82);
+    ck_assert_uint_eq(cw_fleet_size_to_state(&fleet, 70, CW_SECONDS(300)), 70); /* made smaller by the operator */
+}
+END_TEST
+
 START_TEST(a_fleet_that_was_made_smaller_is_stated_so_by_its_leader)
 {
     cw_fleet_size_t fleet = started();
@@ -148,6 +161,7 @@
     tcase_add_test(cases, its_own_count_replaces_what_was_stated);
     tcase_add_test(cases, a_leader_that_does_not_know_changes_nothing);
     tcase_add_test(cases, a_leader_that_is_new_itself_states_what_its_predecessor_did_or_nothing);
+    tcase_add_test(cases, what_a_leader_states_falls_slowly);
     tcase_add_test(cases, a_fleet_that_was_made_smaller_is_stated_so_by_its_leader);
     tcase_add_test(cases, the_lock_keeps_the_number_for_the_next_leader);
     tcase_add_test(cases, a_lock_without_the_number_or_with_a_wrong_one_is_still_a_lock);
