A request without a tenant that leaves lets no later one pass those of its turn

Cause: while no tenant waits, requests without one share the turn of the latest of them. Each that left unserved took one from that turn, so the next to come got an earlier turn than those that already waited. Change: what leaves gives a turn back only where turns are not shared: for a tenant, or while tenants wait. Before: the new test of fair turns failed (turn 1 after one of turn 2 left, others of turn 2 waiting). After: passes.

--- a/src/balance/fair_turns.c
+++ b/src/balance/fair_turns.c
@@ -185,7 +185,8 @@
     if (group == NULL) {
         return;
     }
-    if (tenant != NULL && tenant->last > group->present) {
+    /* Where several share the last turn, it is still theirs. */
+    if (tenant != NULL && tenant->last > group->present && (hash != 0 || has_tenants(group))) {
         tenant->last--;
     }
     end_wait(turns, group, tenant);
--- a/tests/test_fair_turns.c
+++ b/tests/test_fair_turns.c
@@ -95,6 +95,26 @@
 }
 END_TEST
 
+START_TEST(what_leaves_among_requests_of_the_same_turn_lets_no_later_one_pass_the_others)
+{
+    cw_fair_turns_t *turns = cw_fair_turns_create();
+    cw_turn_group_t  group = cw_fair_turns_group(1, 1);
+    uint64_t         shared;
+    int              index;
+
+    cw_fair_turns_wait(turns, group, 7, cw_fair_turns_next(turns, group, 7));
+    for (index = 0; index < 3; index++) { /* turns 0, 1, 2, beside a tenant's */
+        cw_fair_turns_wait(turns, group, 0, cw_fair_turns_next(turns, group, 0));
+    }
+    cw_fair_turns_serve(turns, group, 7, 0);
+    shared = cw_fair_turns_next(turns, group, 0);
+    cw_fair_turns_wait(turns, group, 0, shared);
+    cw_fair_turns_leave(turns, group, 0);
+    ck_assert_uint_ge(cw_fair_turns_next(turns, group, 0), shared);
+    cw_fair_turns_free(turns);
+}
+END_TEST
+
 START_TEST(what_leaves_unserved_costs_its_tenant_no_turn)
 {
     cw_fair_turns_t *turns = cw_fair_turns_create();
@@ -375,6 +395,7 @@
     tcase_add_test(cases, without_tenants_all_have_the_same_turn);
     tcase_add_test(cases, requests_without_a_tenant_take_turns_with_tenants_that_wait);
     tcase_add_test(cases, when_the_last_tenant_has_left_no_request_passes_those_before_it);
+    tcase_add_test(cases, what_leaves_among_requests_of_the_same_turn_lets_no_later_one_pass_the_others);
     tcase_add_test(cases, what_leaves_unserved_costs_its_tenant_no_turn);
     tcase_add_test(cases, groups_do_not_touch_each_other_and_only_what_waits_is_kept);
     tcase_add_test(cases, one_tenant_at_many_times_its_usual_does_not_take_the_others_slots);
