A node's present incarnation is not taken for its former one for good

Cause: incarnations have no order, and one former is remembered. After two restarts a late detail of the first life (of a relay that stood still) was taken for a new one, and the present one for the former: from then on each report, heartbeat, and acknowledgement of that node was turned away, for as long as summaries kept it alive. Change: an incarnation counts as the former one for 10 s after the change; then what tells of it is true. Before: the new test of summaries failed (incarnation 5 after 11 s of summaries that tell of 7). After: passes.

--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -12,7 +12,11 @@
 #include "base/event_log.h"
 #include "base/text.h"
 
-enum { DATAGRAM_MAX = 60000, PACK_MAX = 48 * 1024 };
+enum {
+    DATAGRAM_MAX = 60000,
+    PACK_MAX = 48 * 1024,
+    LATE_MOST_S = 10 /* names of all nodes stand in summaries every 5 s (router_summary.c) */
+};
 
 struct cw_peer_link {
     uv_loop_t        *loop;
@@ -273,18 +277,20 @@
     cw_peer_link_send_packed(link, peer, cw_peer_link_pack(link, datagram));
 }
 
-void cw_peer_set_incarnation(cw_peer_t *peer, uint64_t incarnation)
+void cw_peer_set_incarnation(cw_peer_t *peer, uint64_t incarnation, cw_time_us_t now)
 {
     if (peer->incarnation != incarnation) {
         peer->former_incarnation = peer->incarnation;
         peer->incarnation = incarnation;
+        peer->incarnation_at = now;
         peer->sequence = 0;
     }
 }
 
-bool cw_peer_is_former(const cw_peer_t *peer, uint64_t incarnation)
+bool cw_peer_is_former(const cw_peer_t *peer, uint64_t incarnation, cw_time_us_t now)
 {
-    return incarnation != 0 && incarnation == peer->former_incarnation;
+    return incarnation != 0 && incarnation == peer->former_incarnation &&
+           now - peer->incarnation_at < CW_SECONDS(LATE_MOST_S);
 }
 
 /* Every peer of the list is in the hash; the analyzer does not follow uthash's macros and takes the hash for empty. */
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -35,6 +35,7 @@
     cw_distance_t   distance; /**< of that zone; the farthest until it is known */
     uint64_t        incarnation;
     uint64_t        former_incarnation; /**< the one before; 0: none known */
+    cw_time_us_t    incarnation_at;     /**< the present one has been known since */
     uint32_t        sequence;
     cw_time_us_t    last_received_at; /**< by itself, or by a relay of its zone; 0: never */
     cw_time_us_t    direct_at;        /**< last report of its own that came here; 0: never */
@@ -88,9 +89,10 @@
 /** Sends all of a batch to one peer. Returns its bytes. */
 size_t cw_peer_link_send_batch(cw_peer_link_t *link, const cw_peer_t *peer, const cw_datagram_batch_t *batch);
 /** The node has started anew, if this is another incarnation: its reports begin with sequence 0. */
-void cw_peer_set_incarnation(cw_peer_t *peer, uint64_t incarnation);
-/** Is it the incarnation before the one known? Then what tells of it was late. */
-bool cw_peer_is_former(const cw_peer_t *peer, uint64_t incarnation);
+void cw_peer_set_incarnation(cw_peer_t *peer, uint64_t incarnation, cw_time_us_t now);
+/** Is it the incarnation before the one known? Then what tells of it was late: it has been out of date for a short time
+ * only. One that is told of for longer is at work, and the other was told of late. */
+bool cw_peer_is_former(const cw_peer_t *peer, uint64_t incarnation, cw_time_us_t now);
 /** Forgets peers unheard of for so long. */
 void cw_peer_link_expire(cw_peer_link_t *link, cw_time_us_t silence, cw_time_us_t now);
 /** Peers heard within `silence`. */
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -50,7 +50,7 @@
         peer->last_received_at != 0) {
         return false; /* late or repeated */
     }
-    if (cw_peer_is_former(peer, received->incarnation)) {
+    if (cw_peer_is_former(peer, received->incarnation, now)) {
         return false; /* late: the node has started anew since */
     }
     if (peer->last_received_at == 0 || peer->is_lost || peer->incarnation != received->incarnation) {
@@ -65,7 +65,7 @@
         peer->details_at = now;
     }
     peer->is_lost = false;
-    cw_peer_set_incarnation(peer, received->incarnation);
+    cw_peer_set_incarnation(peer, received->incarnation, now);
     peer->sequence = received->sequence;
     peer->last_received_at = now;
     peer->direct_at = now;
--- a/src/router/router_relay.c
+++ b/src/router/router_relay.c
@@ -311,10 +311,10 @@
     cw_peer_t *peer = cw_peer_link_find(router->link, detail->address);
 
     if (peer == NULL || (peer->direct_at != 0 && now - peer->direct_at < CW_MS(CW_SUMMARY_TRUST_MS)) ||
-        cw_peer_is_former(peer, detail->incarnation)) {
+        cw_peer_is_former(peer, detail->incarnation, now)) {
         return;
     }
-    cw_peer_set_incarnation(peer, detail->incarnation);
+    cw_peer_set_incarnation(peer, detail->incarnation, now);
     cw_text_copy(peer->node, sizeof(peer->node), detail->node);
     peer->stopping = detail->stopping;
     peer->store_lost = detail->store_lost;
--- a/tests/test_relay_summaries.c
+++ b/tests/test_relay_summaries.c
@@ -9,7 +9,7 @@
 #include "node_fixture.h"
 #include "router/router_summary.h"
 
-enum { FORMER_LIFE = 5, LATER_LIFE = 6, FREEZE_MS = 1300, LARGE_ZONE = 1000, NAME_MAX_LENGTH = 60 };
+enum { FORMER_LIFE = 5, LATER_LIFE = 6, FREEZE_MS = 1300, LARGE_ZONE = 1000, NAME_MAX_LENGTH = 60, LATE_MS = 11000 };
 
 static const char *const relay_address = "10.0.1.1"; /* of zone z2 */
 static const char *const told_address = "10.0.1.5";  /* a node that a summary tells of */
@@ -139,6 +139,25 @@
 }
 END_TEST
 
+START_TEST(a_life_that_is_told_of_for_long_is_the_present_one)
+{
+    node_fixture_t *node = begin();
+    uint32_t        sequence = 0;
+    int             passed;
+
+    receive_summary(node, ++sequence, FORMER_LIFE);
+    receive_summary(node, ++sequence, LATER_LIFE);
+    receive_summary(node, ++sequence, LATER_LIFE + 1);
+    receive_summary(node, ++sequence, FORMER_LIFE); /* of two lives ago: taken for a new one */
+    for (passed = 0; passed < LATE_MS; passed += CW_TICK_MS) {
+        step(node, CW_TICK_MS);
+        receive_summary(node, ++sequence, LATER_LIFE + 1);
+    }
+    ck_assert_uint_eq(told_node(node)->incarnation, LATER_LIFE + 1);
+    node_fixture_free(node);
+}
+END_TEST
+
 START_TEST(a_late_report_of_an_earlier_life_changes_nothing)
 {
     node_fixture_t  *node = begin();
@@ -222,6 +241,7 @@
     tcase_add_test(cases, what_came_while_this_node_stood_still_is_neither_taken_nor_passed_on);
     tcase_add_test(cases, a_node_that_runs_again_takes_summaries_again);
     tcase_add_test(cases, a_late_detail_of_an_earlier_life_changes_nothing);
+    tcase_add_test(cases, a_life_that_is_told_of_for_long_is_the_present_one);
     tcase_add_test(cases, a_late_report_of_an_earlier_life_changes_nothing);
     tcase_add_test(cases, a_summary_of_a_thousand_nodes_fits_a_datagram);
     tcase_add_test(cases, details_of_all_nodes_of_a_large_zone_come_by_and_by);
