Asks for slots: a waiting repeat, a broker that does not reply after others refused, and the longest wait

Causes: - A repeated request may wait at the broker until its deadline, but the engine gave the broker up 60 ms after the objective: a sound broker counted as unresponsive for 300 ms, and servers of its zone were chosen without it. - When the broker of a later stage did not reply, servers of all zones were chosen, also of those whose broker had just refused: above their slots. - The longest wait was the deadline on the loop's clock, not the time left. In milliseconds of 32 bits it is small just after each 49.7 days of the machine's uptime, and asks would then be refused that may wait. Changes: the broker is asked again before it is given up; the next stage is asked, then zones without a broker; the time left is the longest wait. Before: three new tests of engine slots failed (answered by a server of its own choice; 200 from the zone that had refused; a wait of 2716 s for a request of 15 s).

--- a/src/proxy/engine_claim.c
+++ b/src/proxy/engine_claim.c
@@ -128,7 +128,7 @@
     cw_slot_stage_t  stages[CW_SLOT_STAGES_MAX];
     cw_slot_waits_t  waits = {.near = (cw_time_us_t)((double)request->route_state->usual * wait_near),
                               .crossing = cw_request_crossing_cost(request),
-                              .longest = request->deadline}; /* its objective is the bound */
+                              .longest = request->deadline - now}; /* its objective is the closer bound */
     size_t           count = cw_slot_stages_make(zones, zones_of(request, zones, now), &waits, stages);
     size_t           index;
 
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -28,6 +28,43 @@
     cw_request_place(request, now);
 }
 
+/* All that could be asked have refused. False: no server is free in zones where nobody could be asked. */
+static bool place_unasked(cw_request_t *request, cw_time_us_t now)
+{
+    cw_zone_filter_t zones = {request, cw_claim_has_no_broker};
+    bool             full;
+    cw_server_t     *server = cw_request_choose(request, &zones, now, &full);
+
+    if (server == NULL) {
+        return false;
+    }
+    cw_request_send(request, server);
+    return true;
+}
+
+static void refuse(cw_request_t *request, cw_time_us_t free_after, cw_time_us_t now)
+{
+    if (request->may_have_run) { /* it was taken from a server that was at work on it: no refusal would be true */
+        place_directly(request, now);
+        return;
+    }
+    cw_request_refuse(request, free_after > 0 ? CW_REFUSED_LOAD : CW_REFUSED_SERVERS);
+}
+
+/* At the next stage, or where nobody could be asked; else its end. */
+static void ask_next_or_refuse(cw_request_t *request, cw_time_us_t free_after, cw_time_us_t now)
+{
+    request->claim.stage++;
+    if (cw_claim_ask_next(request, now)) {
+        cw_request_arm(request);
+        return;
+    }
+    if (place_unasked(request, now)) {
+        return;
+    }
+    refuse(request, free_after, now);
+}
+
 void cw_request_slot_overdue(cw_request_t *request, cw_time_us_t now)
 {
     cw_server_t *owner = request->is_keyed ? cw_request_owner(request) : NULL;
@@ -37,27 +74,21 @@
         cw_request_place(request, now);
         return;
     }
+    if (request->claim.state == CW_CLAIM_QUEUED && request->attempts > 0) {
+        request->claim.state = CW_CLAIM_ASKED; /* the broker may let it wait until its deadline: does it still reply? */
+        request->claim.asks = 0;
+    }
     if (request->claim.state == CW_CLAIM_ASKED && request->claim.asks < ASKS_MOST) {
         cw_claim_ask_again(request, owner, now);
         return;
     }
     cw_claim_note_unresponsive(request, now);
     cw_request_return_slot(request);
-    place_directly(request, now);
-}
-
-/* All that could be asked have refused. False: no server is free in zones where nobody could be asked. */
-static bool place_unasked(cw_request_t *request, cw_time_us_t now)
-{
-    cw_zone_filter_t zones = {request, cw_claim_has_no_broker};
-    bool             full;
-    cw_server_t     *server = cw_request_choose(request, &zones, now, &full);
-
-    if (server == NULL) {
-        return false;
+    if (!request->is_keyed && request->claim.stage > 0) { /* another has refused: its servers have no slot for this */
+        ask_next_or_refuse(request, request->claim.free_after, now);
+        return;
     }
-    cw_request_send(request, server);
-    return true;
+    place_directly(request, now);
 }
 
 static void take_refusal(cw_request_t *request, const cw_slot_reply_t *reply, cw_time_us_t now)
@@ -67,20 +98,10 @@
         request->claim.free_after = reply->free_after;
     }
     if (!request->is_keyed) {
-        request->claim.stage++;
-        if (cw_claim_ask_next(request, now)) {
-            cw_request_arm(request);
-            return;
-        }
-        if (place_unasked(request, now)) {
-            return;
-        }
-    }
-    if (request->may_have_run) { /* it was taken from a server that was at work on it: no refusal would be true */
-        place_directly(request, now);
+        ask_next_or_refuse(request, reply->free_after, now);
         return;
     }
-    cw_request_refuse(request, reply->free_after > 0 ? CW_REFUSED_LOAD : CW_REFUSED_SERVERS);
+    refuse(request, reply->free_after, now);
 }
 
 static bool is_still_wanted(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now)
--- a/tests/test_engine_slots.c
+++ b/tests/test_engine_slots.c
@@ -167,6 +167,37 @@
 }
 END_TEST
 
+START_TEST(a_broker_that_lets_a_repeated_request_wait_is_asked_again_before_it_counts_as_unresponsive)
+{
+    engine_world_t world;
+    fake_broker_t  fake;
+    cw_slot_port_t port = {.context = &fake, .broker_of = fake_broker_of, .ask = fake_ask, .give_back = fake_give_back};
+
+    memset(&fake, 0, sizeof(fake));
+    engine_world_init_with_silence(&world, 0.01);
+    cw_engine_set_slots(world.engine, &port);
+    world.servers[1].status = 200;
+    (void)engine_world_ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until(&world.loop, has_asked, &fake);
+    reply(&world, &fake, CW_SLOT_GRANTED, "s0"); /* which does not answer */
+    while (fake.asks == 1) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    reply(&world, &fake, CW_SLOT_QUEUED, NULL); /* it may wait until its deadline, after its objective */
+    while (fake.asks == 2 && !world.answered) {
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    ck_assert(!world.answered);
+    ck_assert_uint_eq(fake.asks, 3);
+    ck_assert_uint_eq(fake.returns, 1); /* the slot of s0 */
+    reply(&world, &fake, CW_SLOT_QUEUED, NULL);
+    reply(&world, &fake, CW_SLOT_GRANTED, "s1");
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_int_eq(world.status, 200);
+    ck_assert_str_eq(world.body.data, "s1");
+}
+END_TEST
+
 START_TEST(a_caller_that_leaves_while_its_request_waits_for_a_slot_withdraws_the_ask)
 {
     engine_world_t      world;
@@ -259,6 +290,21 @@
 }
 END_TEST
 
+START_TEST(no_ask_may_wait_for_longer_than_its_request_has_time)
+{
+    engine_world_t     world;
+    refusing_brokers_t brokers = {.world = &world};
+    cw_slot_port_t     port = {&brokers, broker_of_zone, note_ask, note_return};
+
+    engine_world_init(&world);
+    cw_engine_set_slots(world.engine, &port);
+    (void)engine_world_ask(&world, "GET", "/safe/x", "15000");
+    refuse_all(&brokers); /* the last ask may wait the longest */
+    ck_assert_int_gt(brokers.asked.wait_most, CW_SECONDS(10));
+    ck_assert_int_le(brokers.asked.wait_most, CW_SECONDS(15));
+}
+END_TEST
+
 /* Refuses all asks until one has come to `broker`. */
 static void refuse_until_asked(refusing_brokers_t *brokers, uint32_t broker)
 {
@@ -335,6 +381,32 @@
 }
 END_TEST
 
+START_TEST(a_broker_that_does_not_reply_frees_no_slot_that_another_has_refused)
+{
+    engine_world_t     world;
+    refusing_brokers_t brokers = {.world = &world};
+    cw_slot_port_t     port = {&brokers, broker_of_zone, note_ask, note_return};
+
+    engine_world_init(&world);
+    cw_engine_set_slots(world.engine, &port);
+    world.servers[0].status = 200;
+    cw_server_pool_begin(cw_server_pool_find(world.pool, "s1"), cw_engine_now(world.engine)); /* its one slot */
+    (void)engine_world_ask(&world, "GET", "/safe/x", "15000");
+    while (!world.answered) {
+        if (brokers.has_asked && brokers.broker == 1) {
+            cw_slot_reply_t message = {.node = 1, .ticket = brokers.asked.ticket, .outcome = CW_SLOT_REFUSED};
+
+            cw_engine_slot_reply(world.engine, &message);
+        }
+        brokers.has_asked = false;
+        uv_run(&world.loop, UV_RUN_ONCE);
+    }
+    ck_assert_ptr_nonnull(strstr(brokers.text, "z2"));
+    ck_assert_int_eq(world.status, 503);
+    ck_assert_uint_eq(world.servers[0].requests, 0);
+}
+END_TEST
+
 START_TEST(a_key_that_moves_to_another_zone_before_the_reply_is_asked_for_there)
 {
     engine_world_t     world;
@@ -369,11 +441,14 @@
     tcase_add_test(cases, servers_of_a_zone_without_a_broker_are_used_when_the_others_refuse);
     tcase_add_test(cases, without_a_reply_the_server_is_chosen_here_and_a_late_grant_is_declined);
     tcase_add_test(cases, a_request_taken_from_a_silent_server_is_not_given_up_when_no_slot_is_free);
+    tcase_add_test(cases, a_broker_that_lets_a_repeated_request_wait_is_asked_again_before_it_counts_as_unresponsive);
     tcase_add_test(cases, a_caller_that_leaves_while_its_request_waits_for_a_slot_withdraws_the_ask);
     tcase_add_test(cases, zones_are_asked_in_order_of_distance_and_of_what_crossing_is_worth);
+    tcase_add_test(cases, no_ask_may_wait_for_longer_than_its_request_has_time);
     tcase_add_test(cases, a_zone_that_leaves_between_asks_costs_no_other_zone_its_ask);
     tcase_add_test(cases, servers_of_a_zone_whose_broker_is_unresponsive_are_used_when_the_others_refuse);
     tcase_add_test(cases, servers_whose_broker_has_refused_are_not_used_in_place_of_it);
+    tcase_add_test(cases, a_broker_that_does_not_reply_frees_no_slot_that_another_has_refused);
     tcase_add_test(cases, a_key_that_moves_to_another_zone_before_the_reply_is_asked_for_there);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
