A slot that a killed process held is not taken for one that its successor asked for

Cause: each process numbered its asks from 1. A broker holds a killed node's slots until its requests' deadlines, under the node's address and number; the node started anew asked under the same numbers and was told of the earlier slots: also of servers of other services, to which the request was then sent, for the server's own id stood in it.

--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -97,6 +97,7 @@
     engine->pool = pool;
     engine->upstream = upstream;
     engine->nodes = 1;
+    engine->last_ticket = (uint32_t)(uv_hrtime() / 1000); /* brokers still hold slots of the process before this one */
     engine->gate = cw_tenant_gate_create();
     engine->turns = cw_fair_turns_create();
     cw_engine_init_callers(engine);
--- a/tests/test_engine_slots.c
+++ b/tests/test_engine_slots.c
@@ -107,6 +107,39 @@
 }
 END_TEST
 
+START_TEST(a_slot_of_another_services_server_is_not_used)
+{
+    engine_world_t world;
+    fake_broker_t  fake;
+    char           other[] = "other";
+    cw_server_t   *server;
+
+    ask_for_slot(&world, &fake, "/safe/x");
+    server = cw_server_pool_find(world.pool, "s0");
+    server->service = other;
+    reply(&world, &fake, CW_SLOT_GRANTED, "s0"); /* of another ask under the same number */
+    cw_test_run_until_set(&world.loop, &world.answered);
+    ck_assert_uint_eq(world.servers[0].requests, 0);
+    ck_assert_uint_eq(fake.returns, 1);
+    ck_assert_int_eq(fake.end, CW_SLOT_UNUSED);
+    ck_assert_str_eq(world.body.data, "s1");
+}
+END_TEST
+
+START_TEST(a_process_that_starts_anew_does_not_ask_under_the_numbers_of_the_one_before)
+{
+    engine_world_t former;
+    engine_world_t later;
+    fake_broker_t  fake;
+    uint32_t       ticket;
+
+    ask_for_slot(&former, &fake, "/safe/x");
+    ticket = fake.asked.ticket;
+    ask_for_slot(&later, &fake, "/safe/x");
+    ck_assert_uint_ne(fake.asked.ticket, ticket);
+}
+END_TEST
+
 START_TEST(servers_of_a_zone_without_a_broker_are_used_when_the_others_refuse)
 {
     engine_world_t world;
@@ -438,6 +471,8 @@
     tcase_set_timeout(cases, 60);
     tcase_add_test(cases, a_request_goes_where_its_slot_is_and_gives_it_back);
     tcase_add_test(cases, a_refused_slot_is_a_refusal_with_the_time_to_come_back);
+    tcase_add_test(cases, a_slot_of_another_services_server_is_not_used);
+    tcase_add_test(cases, a_process_that_starts_anew_does_not_ask_under_the_numbers_of_the_one_before);
     tcase_add_test(cases, servers_of_a_zone_without_a_broker_are_used_when_the_others_refuse);
     tcase_add_test(cases, without_a_reply_the_server_is_chosen_here_and_a_late_grant_is_declined);
     tcase_add_test(cases, a_request_taken_from_a_silent_server_is_not_given_up_when_no_slot_is_free);
