slots.sh: requests go on until a node that hands out slots has stood still

Change: requests for twenty seconds, and rounds until a reply was missed or they have ended; the share that has to be answered is the same. Conclusion: the check stays as strict.

--- a/tests/process/slots.sh
+++ b/tests/process/slots.sh
@@ -21,17 +21,21 @@
 until_true all_know_each_other
 cluster_callers calm --rate 100 --count 300
 check "all answered on a calm day" at_least "$(sum_of calm s200)" 299
-(cluster_callers still --rate 100 --count 1000) &
+STILL=2000 # requests, 20 s: some four nodes of the sixteen hand out slots, and a round takes 8 s on an idle machine
+(cluster_callers still --rate 100 --count "$STILL") &
 callers=$!
-for n in $(seq 1 "$NODES_STARTED"); do
+missed=0
+n=0
+while [ "$missed" = 0 ] && kill -0 "$callers" 2>/dev/null; do
+    n=$((n % NODES_STARTED + 1))
     kill -STOP "${NODE_PIDS[$n]}"
     sleep 0.3
     kill -CONT "${NODE_PIDS[$n]}"
-    [ "$(silent_asks)" -gt 0 ] && break
+    missed=$(silent_asks)
 done
-check "a node that hands out slots was missed" at_least "$(silent_asks)" 1
+check "a node that hands out slots was missed" at_least "$missed" 1
 wait "$callers"
-check "most answered while nodes stood still" at_least "$(sum_of still s200)" 900
+check "most answered while nodes stood still" at_least "$(sum_of still s200)" $((STILL * 9 / 10))
 for n in 3 4 5 6; do
     kill -KILL "${NODE_PIDS[$n]}"
     unset "NODE_PIDS[$n]"
