fleet_size.h: constants formatted

Cause: a trailing comment that clang-format moves anew each time; lint failed on it. Change: the comment stands above its constant. Conclusion: no behaviour changes.

--- a/src/router/fleet_size.h
+++ b/src/router/fleet_size.h
@@ -26,10 +26,11 @@
 #include "base/time.h"
 
 enum {
-    CW_FLEET_UNKNOWN_MS = 3000, /**< by then a process has received from all others, at the slowest pause of reports */
-    CW_FLEET_FALL_MS = 60000,   /**< a number stated halves in no less: a leader that is cut off has been replaced by
-                                   then,   and a fleet made smaller only makes new processes wait as if none were stated */
-    CW_FLEET_REACHED_PERCENT = 90 /**< the rest's equal parts are within the usual overshoot of a limit, a tenth */
+    CW_FLEET_UNKNOWN_MS = 3000,    /**< by then a process has received from all others, at their slowest reports */
+    CW_FLEET_REACHED_PERCENT = 90, /**< the rest's equal parts are within the usual overshoot of a limit, a tenth */
+    /** A number stated halves in no less: a leader that is cut off has been replaced by then, and after a fleet was
+     * made smaller new processes wait as if none were stated. */
+    CW_FLEET_FALL_MS = 60000
 };
 
 typedef struct cw_fleet_size {
