router: whole lists of servers are asked for inside the zone

Cause: a zone whose nodes have all lost power gets the whole list from one relay, within a third of its link, so the leader sends it across zones to most of its nodes; where no summary had come yet, to all of them at once.

Ruled out: letting relays push more (one link still feeds the zone), and letting the asking node's own count of nodes decide whether to ask: a node that has just started knows too few, so the leader's count in the heartbeat decides too.

Change: ListRequest, and ask_instead in ServersPage; router_list_exchange.c wires the exchange and answers from this node's own list while it is the leader's by number and hash. The leader sends whole lists to two nodes of each zone, and to others after the wait that stood. Relays push no whole lists any more. Whole tables stay with the leader.

--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct Cwp__ViewServer Cwp__ViewServer;
 typedef struct Cwp__ViewAck Cwp__ViewAck;
 typedef struct Cwp__ServersPage Cwp__ServersPage;
+typedef struct Cwp__ListRequest Cwp__ListRequest;
 typedef struct Cwp__NodesPage Cwp__NodesPage;
 typedef struct Cwp__TableRange Cwp__TableRange;
 typedef struct Cwp__TablePage Cwp__TablePage;
@@ -307,10 +308,35 @@
    * the receiver, a relay, is to send it to the other nodes of its zone
    */
   protobuf_c_boolean pass_on;
+  /*
+   * pages 0: this node has sent enough for now; that one has the list too
+   */
+  uint32_t ask_instead;
 };
 #define CWP__SERVERS_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__servers_page__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0 }
+
+
+/*
+ * Asks a node of the sender's zone for some pages of a whole list.
+ */
+struct  Cwp__ListRequest
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  /*
+   * within the term
+   */
+  uint64_t number;
+  /*
+   * the first one that is missing
+   */
+  uint32_t first_page;
+};
+#define CWP__LIST_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__list_request__descriptor) \
+    , 0, 0, 0 }
 
 
 /*
@@ -933,6 +959,7 @@
   CWP__DATAGRAM__CONTENT_SLOT_ASK = 9,
   CWP__DATAGRAM__CONTENT_SLOT_REPLY = 10,
   CWP__DATAGRAM__CONTENT_SLOT_RETURN = 11,
+  CWP__DATAGRAM__CONTENT_LIST_REQUEST = 12,
   CWP__DATAGRAM__CONTENT_ZONE_SUMMARY = 20,
   CWP__DATAGRAM__CONTENT_QUOTA_REPORT = 21,
   CWP__DATAGRAM__CONTENT_QUOTA_STATUS = 22,
@@ -958,6 +985,7 @@
     Cwp__SlotAsk *slot_ask;
     Cwp__SlotReply *slot_reply;
     Cwp__SlotReturn *slot_return;
+    Cwp__ListRequest *list_request;
     Cwp__ZoneSummary *zone_summary;
     Cwp__QuotaReport *quota_report;
     Cwp__QuotaStatus *quota_status;
@@ -1142,6 +1170,25 @@
 void   cwp__servers_page__free_unpacked
                      (Cwp__ServersPage *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__ListRequest methods */
+void   cwp__list_request__init
+                     (Cwp__ListRequest         *message);
+size_t cwp__list_request__get_packed_size
+                     (const Cwp__ListRequest   *message);
+size_t cwp__list_request__pack
+                     (const Cwp__ListRequest   *message,
+                      uint8_t             *out);
+size_t cwp__list_request__pack_to_buffer
+                     (const Cwp__ListRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ListRequest *
+       cwp__list_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__list_request__free_unpacked
+                     (Cwp__ListRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__NodesPage methods */
 void   cwp__nodes_page__init
                      (Cwp__NodesPage         *message);
@@ -1608,6 +1655,9 @@
 typedef void (*Cwp__ServersPage_Closure)
                  (const Cwp__ServersPage *message,
                   void *closure_data);
+typedef void (*Cwp__ListRequest_Closure)
+                 (const Cwp__ListRequest *message,
+                  void *closure_data);
 typedef void (*Cwp__NodesPage_Closure)
                  (const Cwp__NodesPage *message,
                   void *closure_data);
@@ -1692,6 +1742,7 @@
 extern const ProtobufCMessageDescriptor cwp__view_server__descriptor;
 extern const ProtobufCMessageDescriptor cwp__view_ack__descriptor;
 extern const ProtobufCMessageDescriptor cwp__servers_page__descriptor;
+extern const ProtobufCMessageDescriptor cwp__list_request__descriptor;
 extern const ProtobufCMessageDescriptor cwp__nodes_page__descriptor;
 extern const ProtobufCMessageDescriptor cwp__table_range__descriptor;
 extern const ProtobufCMessageDescriptor cwp__table_page__descriptor;
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -38,6 +38,8 @@
     X(SERVERS_CHANGED, "servers changed", NOTICE, 20)                                                                  \
     X(SERVERS_KEPT, "servers kept", WARNING, 20)                                                                       \
     X(SERVERS_OLDER, "servers older", NOTICE, 10)                                                                      \
+    X(LIST_REQUESTED, "list requested", INFO, 20)                                                                      \
+    X(LIST_FROM_ZONE, "list from zone", NOTICE, 10)                                                                    \
     X(ZONE_OUT, "zone out of service", WARNING, 20)                                                                    \
     X(ZONE_BACK, "zone back in service", NOTICE, 20)                                                                   \
     X(VIEW_TAKEN, "view taken", INFO, 20)                                                                              \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -87,6 +87,13 @@
     X(STORE_WRITES, "cedarwinch_store_writes_total", "counter", "writing calls to the store")                          \
     X(LIST_CHANGES, "cedarwinch_list_changes_total", "counter",                                                        \
       "times the list was brought up to date by its changes")                                                          \
+    X(LIST_REQUESTS, "cedarwinch_list_requests_total", "counter",                                                      \
+      "requests sent to nodes of the zone for pages of the whole list")                                                \
+    X(LIST_PAGES_SERVED, "cedarwinch_list_pages_served_total", "counter",                                              \
+      "pages of whole lists sent to nodes that asked for them")                                                        \
+    X(LIST_REDIRECTS, "cedarwinch_list_redirects_total", "counter",                                                    \
+      "nodes that asked for the list and were given the address of another one")                                       \
+    X(LIST_FROM_ZONE, "cedarwinch_list_from_zone_total", "counter", "whole lists that came from a node of the zone")   \
     X(STORE_COPIES, "cedarwinch_store_copy_reads_total", "counter", "reading calls answered from a copy, cheaper")     \
     X(STORE_FAILURES, "cedarwinch_store_failures_total", "counter", "calls to the store refused or without an answer") \
     X(STORE_BODIES_MALFORMED, "cedarwinch_store_bodies_malformed_total", "counter",                                    \
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -64,6 +64,9 @@
 /** What the nodes of a zone say to those of other zones, and hear from them, by relays. */
 typedef struct cw_router_relay cw_router_relay_t;
 
+/** Whole lists of servers asked of nodes of this zone, and sent to them. */
+typedef struct cw_router_list_exchange cw_router_list_exchange_t;
+
 /** Tenants' limits: this node's counting, and on whom it counts. */
 typedef struct cw_router_quota cw_router_quota_t;
 
@@ -123,6 +126,8 @@
     cw_credential_evidence_t     credential_evidence; /**< how old `freshness` may grow for callers' keys */
     cw_configuration_newest_t    configuration_newest;
 
+    cw_router_list_exchange_t *list_exchange;
+
     /* what this node goes by */
     cw_server_view_t   server_view; /**< the list of servers in force */
     cw_zone_service_t *zones;       /**< which zones are out of service, by that list */
@@ -217,8 +222,6 @@
 bool cw_router_is_summed(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now);
 /** Is the peer one of the relays of its zone? */
 bool cw_router_is_relay(const cw_router_t *router, const cw_peer_t *peer);
-/** The leader's list and tables are those of this node, by numbers and hashes, or are not. */
-void cw_router_compare_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat);
 /** Asks for the whole list, or tables, if what this node has under the leader's number has long been another. */
 void cw_router_check_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now);
 /** Nodes of the largest zone, as far as known. */
@@ -227,13 +230,23 @@
 /* ---- router_pass_on.c ---- */
 /** Sends a page of changes that the leader has sent this relay to the other nodes of its zone. */
 void cw_router_pass_on_page(cw_router_t *router, const Cwp__Datagram *datagram);
-/** Number of the list that this relay surely has as the leader does; 0: not sure. */
-typedef struct cw_sure_view {
-    uint64_t term;
-    uint64_t servers;
-} cw_sure_view_t;
-/** Sends the whole list to nodes of this relay's zone that have none of this term. place: 0 or 1. */
-void cw_router_pass_on_whole(cw_router_t *router, const cw_sure_view_t *sure, size_t place, cw_time_us_t now);
+
+/* ---- router_list_exchange.c ---- */
+void cw_router_list_exchange_init(cw_router_t *router);
+void cw_router_list_exchange_free(cw_router_t *router);
+void cw_router_list_exchange_tick(cw_router_t *router, cw_time_us_t now);
+/** The leader's heartbeat names its newest list. */
+void cw_router_list_exchange_heartbeat(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now);
+/** A node has reported which list it has. */
+void cw_router_list_exchange_note(cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now);
+/** A page of a whole list has come; `next_missing`: first page not yet here, page->pages when none is. */
+void cw_router_list_exchange_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page,
+                                  uint32_t next_missing);
+/** A node names another one that has the list, in place of pages. */
+void cw_router_list_exchange_redirected(cw_router_t *router, const Cwp__ServersPage *page);
+void cw_router_take_list_request(cw_router_t *router, const cw_peer_t *peer, const Cwp__ListRequest *request);
+/** Does a node that lacks the whole list get it from another one of its zone, which has it or is a relay? */
+bool cw_router_gets_list_in_zone(const cw_router_t *router, const cw_peer_t *peer);
 
 /* ---- router_push.c ---- */
 /** What is sent to a peer: changes since number `base`, or the whole (0). pass_on: the peer, a relay, is to pass it on.
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -7,9 +7,10 @@
  * says at once what has come. What is sent again waits longer each time, and all of it stays within a part of the link.
  * Pages are packed once for all nodes that lack the same in one turn: to pack is most of what a large list costs.
  *
- * To a zone that relays inform, each change is sent to its relays alone, which pass it on; a node that has no list of
- * this term gets the whole one from a relay of its zone (router_pass_on.c says why not tables). To one that still lacks
- * it after a while, the leader sends it by itself: so a relay that stops costs time, but nothing waits for it.
+ * To a zone that relays inform, each change is sent to its relays alone, which pass it on. The whole list goes to two
+ * nodes of each zone, its relays, at once: the others ask for it inside their zone (router_list_exchange.c; tables come
+ * from the leader alone, as router_pass_on.c says). To one that still lacks it after a while, the leader sends it by
+ * itself: so a relay that stops costs time, but nothing waits for it.
  */
 #include <string.h>
 
@@ -21,8 +22,8 @@
     RESEND_DOUBLINGS = 1, /* a node that has read a later list itself takes the leader's next one */
     ADOPT_MS = 250,       /* time to see that what a node has is the leader's */
     RELAY_WAIT_MS = 300,  /* for a relay to pass a change on, and for the acknowledgement: some ten times both */
-    WHOLE_WAIT_MS = 800,  /* for the whole: a relay gets it, learns by the next heartbeat that it is right, sends it; */
-    WHOLE_WAIT_NODE_MS = 5, /* and so much more for each node: with many, a relay has many to send it to */
+    WHOLE_WAIT_MS = 800,  /* for the whole: a relay gets it, learns by the next heartbeat that it is right, is asked; */
+    WHOLE_WAIT_NODE_MS = 5, /* and so much more for each node: with many, sources have to double more often */
     NODES_MAX = 1024,
     NODES_AGAIN_MS = 500,          /* until it has heard them: they report at their pace */
     NODES_AGAIN_COVERED_MS = 3000, /* where relays tell of other zones' nodes; those of its own it may still not know */
@@ -92,6 +93,7 @@
     int doublings = push->tries < RESEND_DOUBLINGS ? (int)push->tries : RESEND_DOUBLINGS;
 
     push->tries++;
+    push->is_waiting = false;
     return now + CW_MS((int64_t)RESEND_MS << doublings);
 }
 
@@ -110,9 +112,19 @@
     return CW_MS(WHOLE_WAIT_MS + WHOLE_WAIT_NODE_MS * (int64_t)cw_peer_link_alive(router->link, router->silence, now));
 }
 
-/* Is it this node's turn to be sent what it lacks? relays_send_whole: not its changes alone. */
+/* Does it come from another node than this one? is_list: of tables that holds for changes alone. */
+static bool comes_from_others(const cw_router_t *router, const cw_peer_t *peer, bool is_list, bool is_whole,
+                              cw_time_us_t now)
+{
+    if (is_whole) {
+        return is_list && cw_router_gets_list_in_zone(router, peer);
+    }
+    return is_fed_by_relay(router, peer, now);
+}
+
+/* Is it this node's turn to be sent what it lacks? */
 static bool is_due(const cw_router_t *router, const cw_peer_t *peer, cw_push_state_t *push, uint64_t has,
-                   uint64_t newest, bool relays_send_whole, cw_time_us_t now)
+                   uint64_t newest, bool is_list, cw_time_us_t now)
 {
     bool is_of_term = peer->term == router->leadership.lock.term;
     bool wants_whole = !is_of_term || has == 0;
@@ -122,14 +134,19 @@
     }
     if (is_of_term && has >= newest) {
         push->tries = 0;
+        push->is_waiting = false;
         push->due_at = 0;
         return false;
     }
+    if (wants_whole && push->is_waiting && !comes_from_others(router, peer, is_list, wants_whole, now)) {
+        push->due_at = now; /* it has become a relay of its zone */
+    }
     if (now < push->due_at || router->push_room <= 0) {
         return false;
     }
-    if (push->tries == 0 && (relays_send_whole || !wants_whole) && is_fed_by_relay(router, peer, now)) {
+    if (push->tries == 0 && comes_from_others(router, peer, is_list, wants_whole, now)) {
         push->tries = 1;
+        push->is_waiting = true;
         push->due_at = now + relay_wait(router, wants_whole, now);
         return false;
     }
@@ -201,7 +218,7 @@
     send_batch(router, peer, &packed->batch);
 }
 
-/* Whole ones a relay sends from its own, to those that have none. */
+/* Whole ones are asked for by those that have none. */
 static bool is_to_pass_on(const cw_router_t *router, const cw_peer_t *peer)
 {
     return peer->distance != CW_DISTANCE_ZONE && cw_router_is_relay(router, peer);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -131,6 +131,7 @@
                               received->n_queues, now);
     }
     take_paces(router, peer, received, now);
+    cw_router_list_exchange_note(router, peer, now);
     for (index = 0; router->leadership.leading && index < received->n_samples; index++) {
         const Cwp__KeySamples *samples = received->samples[index];
         cw_router_samples_t    taken = {.keys = samples->keys,
@@ -209,6 +210,9 @@
     case CWP__DATAGRAM__CONTENT_SLOT_RETURN:
         cw_router_take_slot_return(router, peer, datagram->slot_return);
         break;
+    case CWP__DATAGRAM__CONTENT_LIST_REQUEST:
+        cw_router_take_list_request(router, peer, datagram->list_request);
+        break;
     case CWP__DATAGRAM__CONTENT_ZONE_SUMMARY:
         cw_router_take_zone_summary(router, datagram, now);
         break;
--- a/src/router/router_relay.c
+++ b/src/router/router_relay.c
@@ -42,7 +42,6 @@
     uint32_t           largest_zone;
     zone_relays_t      zones[CW_ZONES_MAX]; /* this node's own first */
     size_t             zone_count;
-    cw_sure_view_t     sure;
     cw_view_check_t    servers_check;
     cw_view_check_t    tables_check;
     cw_time_us_t       ticked_at;     /* 0: not yet */
@@ -211,18 +210,6 @@
     check_tables(router, heartbeat, now);
 }
 
-void cw_router_compare_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat)
-{
-    cw_sure_view_t *sure = &router->relay->sure;
-    bool            is_term = heartbeat->term == router->view_term;
-
-    sure->term = heartbeat->term;
-    sure->servers = is_term && router->server_view.list != NULL && heartbeat->servers == router->view_servers &&
-                            heartbeat->servers_hash == router->server_view.hash
-                        ? router->view_servers
-                        : 0;
-}
-
 static bool has_stood_still(const cw_router_relay_t *relay, cw_time_us_t now)
 {
     return relay->ticked_at != 0 && now - relay->ticked_at > CW_MS(STILL_MS);
@@ -252,7 +239,6 @@
         return;
     }
     send_summary(router, place, now);
-    cw_router_pass_on_whole(router, &relay->sure, place, now);
 }
 
 /* ---- receiving ---- */
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -128,17 +128,41 @@
     }
 }
 
+/* Has no effect on pages of changes: these are not asked for. */
+static void note_whole_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page,
+                            uint32_t next_missing)
+{
+    if (page->since == 0) {
+        cw_router_list_exchange_page(router, peer, page, next_missing);
+    }
+}
+
+static uint32_t first_missing(const cw_view_assembly_t *assembly)
+{
+    uint32_t page = 0;
+
+    while (page < assembly->pages && assembly->seen[page]) {
+        page++;
+    }
+    return page;
+}
+
 void cw_router_take_servers_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page)
 {
     cw_page_place_t     place = {page->term, page->number, page->since, page->page, page->pages};
     cw_server_reading_t reading = {.revision = page->revision, .is_told = true};
     bool                begun;
 
+    if (page->pages == 0 && page->ask_instead != 0) {
+        cw_router_list_exchange_redirected(router, page);
+        return;
+    }
     if (!is_usable(router, &place, router->view_servers)) {
         return;
     }
     if (page->revision < router->server_view.revision) { /* this node has read a later one itself */
         cw_router_note_older_servers(router, page->revision, "told");
+        note_whole_page(router, peer, page, page->pages);
         return;
     }
     if (!take_page(&router->servers_pages, &place, &begun)) {
@@ -151,6 +175,7 @@
     }
     collect_servers(router, page, begun);
     if (router->servers_pages.have < page->pages) {
+        note_whole_page(router, peer, page, first_missing(&router->servers_pages));
         return;
     }
     reading.list = router->servers_partial;
@@ -160,6 +185,7 @@
     cw_router_begin_term(router, page->term);
     router->view_servers = page->number;
     (void)cw_router_take_servers(router, &reading);
+    note_whole_page(router, peer, page, page->pages);
     acknowledge(router, peer);
 }
 
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -277,7 +277,7 @@
     cw_fleet_size_note(&router->fleet_size, heartbeat->nodes);
     cw_router_adopt(router, peer, heartbeat);
     cw_router_check_view(router, heartbeat, now);
-    cw_router_compare_view(router, heartbeat);
+    cw_router_list_exchange_heartbeat(router, heartbeat, now);
     if (router->view_term == heartbeat->term && router->view_servers >= heartbeat->servers) {
         cw_server_view_confirm(&router->server_view, heartbeat->list_revision, now - CW_MS(heartbeat->list_age_ms));
     }
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -241,6 +241,7 @@
     cw_router_zones_init(router);
     cw_router_slots_init(router);
     cw_router_relay_init(router);
+    cw_router_list_exchange_init(router);
     cw_router_quota_init(router);
     cw_router_peers_init(router);
     router->store = &node->port;
@@ -282,6 +283,7 @@
     cw_http_listener_close(node->router.callers);
     uv_run(&node->router.loop, UV_RUN_NOWAIT);
     cw_server_pool_free(node->router.pool);
+    cw_router_list_exchange_free(&node->router);
     cw_server_view_clear(&node->router.server_view);
     cw_server_list_release(node->router.servers_partial);
     cw_key_tables_clear(&node->router.tables);
@@ -305,6 +307,7 @@
     cw_router_peers_tick(router, now);
     cw_router_zones_tick(router, now);
     cw_router_slots_tick(router, now);
+    cw_router_list_exchange_tick(router, now);
 }
 
 void node_fixture_lead_unanswered(node_fixture_t *node)
