Time goes on while the machine is suspended

Cause: CLOCK_MONOTONIC, on which libuv's time stands, stops while a machine is suspended. A leader that wakes would take its lock, its tables and its evidence to be as young as before. Ruled out: letting each belief go by itself at the waking: there are a dozen, and each new one would have to be added. Change: one clock for all (base/loop_clock.h): the loop's time and what CLOCK_BOOTTIME has gone on beyond it, compared at the first look after each wait. After a suspension everything is as old as after a freeze, which the node stands already. Requests' timers are set anew. Line `suspended`, metric cedarwinch_suspended_milliseconds_total. Tests: test_loop_clock, 9 checks; those of authority, tables and keys' evidence fail without the sum. Not shown: a suspended machine itself (it takes root); timers of connections fire later by what was suspended.

--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -19,6 +19,7 @@
     X(STORE_BACK, "store back", NOTICE, 10)                                                                            \
     X(PEER_LOST, "peer lost", WARNING, 20)                                                                             \
     X(PEER_BACK, "peer back", NOTICE, 20)                                                                              \
+    X(SUSPENDED, "suspended", WARNING, 10)                                                                             \
     X(SUMMARY_LATE, "summary late", NOTICE, 10)                                                                        \
     X(DATAGRAM_TOO_LARGE, "datagram too large", WARNING, 10)                                                           \
     X(SERVER_LOST, "server lost", WARNING, 20)                                                                         \
@@ -87,6 +88,7 @@
     X(QUEUED, "queued")                                                                                                \
     X(WAITED_MS, "waited_ms")                                                                                          \
     X(WAITED_FOR, "waited_for")                                                                                        \
+    X(SUSPENDED_MS, "suspended_ms")                                                                                    \
     X(SILENT_MS, "silent_ms")                                                                                          \
     X(ZONE, "zone")                                                                                                    \
     X(PEER, "peer")                                                                                                    \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -107,6 +107,7 @@
     X(SLOT_BROKERS_SILENT, "cedarwinch_slot_brokers_silent_total", "counter", "asks for a slot that got no reply")     \
     X(ENTRIES_DROPPED, "cedarwinch_entries_dropped_total", "counter",                                                  \
       "entries left out because an array of fixed size was full, counted at each look")                                \
+    X(SUSPENDED_MS, "cedarwinch_suspended_milliseconds_total", "counter", "time for which the machine was suspended")  \
     X(LOG_DROPPED, "cedarwinch_log_lines_dropped", "gauge", "log lines not written")                                   \
     X(SERVERS, "cedarwinch_servers", "gauge", "servers listed")                                                        \
     X(ZONES_OUT, "cedarwinch_zones_out_of_service", "gauge", "zones that operators have taken out of service")         \
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -8,6 +8,7 @@
 #include <utlist.h>
 
 #include "base/event_log.h"
+#include "base/loop_clock.h"
 #include "base/metrics.h"
 #include "net/http_listener_internal.h"
 
@@ -19,7 +20,7 @@
 
 cw_time_us_t cw_listener_now(const cw_http_listener_t *listener)
 {
-    return CW_MS(uv_now(listener->loop));
+    return cw_loop_now(listener->loop);
 }
 
 /* ---- end of a connection ---- */
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -16,11 +16,13 @@
 #include <strings.h>
 #include <utlist.h>
 
+#include "base/loop_clock.h"
+
 enum { ADDRESS_MAX = 64, KEEP_ALIVE_SHARE_NUM = 3, KEEP_ALIVE_SHARE_DEN = 5 };
 
 static cw_time_us_t now_us(const cw_upstream_t *upstream)
 {
-    return CW_MS(uv_now(upstream->loop));
+    return cw_loop_now(upstream->loop);
 }
 
 /* ---- release of memory ---- */
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "base/event_log.h"
+#include "base/loop_clock.h"
 #include "base/text.h"
 
 enum {
@@ -60,7 +61,7 @@
     if (datagram == NULL) {
         return;
     }
-    peer = cw_peer_link_learn(link, ((const struct sockaddr_in *)from)->sin_addr.s_addr, CW_MS(uv_now(link->loop)));
+    peer = cw_peer_link_learn(link, ((const struct sockaddr_in *)from)->sin_addr.s_addr, cw_loop_now(link->loop));
     if (peer != NULL) {
         link->handler.datagram(link->handler.context, peer, datagram);
     }
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -109,6 +109,8 @@
 void cw_engine_set_tables_valid(cw_engine_t *engine, cw_time_us_t confirmed_at, cw_time_us_t until);
 /** Slots, servers or tables have changed: looks at what waits. */
 void cw_engine_wake(cw_engine_t *engine);
+/** The clock has gone on by more than the loop's timers know (loop_clock.h): all requests' timers are set anew. */
+void cw_engine_rearm(cw_engine_t *engine);
 /** A server has left the pool: its connections go. */
 void cw_engine_forget_server(cw_engine_t *engine, cw_server_t *server);
 
--- a/src/proxy/engine_state.c
+++ b/src/proxy/engine_state.c
@@ -4,13 +4,15 @@
  */
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 #include <xxhash.h>
 
+#include "base/loop_clock.h"
 #include "proxy/engine_internal.h"
 
 cw_time_us_t cw_engine_now(const cw_engine_t *engine)
 {
-    return CW_MS(uv_now(engine->loop));
+    return cw_loop_now(engine->loop);
 }
 
 /* ---- states by name ---- */
@@ -119,3 +121,14 @@
         uv_timer_start(&engine->wake_timer, engine->on_wake, 0, 0);
     }
 }
+
+void cw_engine_rearm(cw_engine_t *engine)
+{
+    cw_request_t *request;
+
+    DL_FOREACH2(engine->open, request, newer)
+    {
+        cw_request_arm(request);
+    }
+    cw_engine_wake(engine);
+}
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include "base/loop_clock.h"
 #include "router/loop_start.h"
 #include "router/router_internal.h"
 
@@ -31,7 +32,7 @@
 
 cw_time_us_t cw_router_now(const cw_router_t *router)
 {
-    return CW_MS(uv_now(&router->loop));
+    return cw_loop_now(&router->loop);
 }
 
 static uint64_t new_incarnation(const char *node)
@@ -91,11 +92,29 @@
     return now - router->started_at < router->settings.retry_window ? 0 : router->nodes_most;
 }
 
+/* Time limits that passed while the machine was suspended: the loop's timers do not know of them. */
+static void check_suspension(cw_router_t *router)
+{
+    cw_time_us_t suspended = cw_loop_clock_take_suspension();
+    cw_event_t   event;
+
+    if (suspended == 0) {
+        return;
+    }
+    cw_metric_add(CW_METRIC_SUSPENDED_MS, (uint64_t)(suspended / 1000));
+    if (cw_event_begin(&event, CW_EVENT_SUSPENDED)) {
+        cw_event_ms(&event, CW_FIELD_SUSPENDED_MS, suspended);
+        cw_event_end(&event);
+    }
+    cw_engine_rearm(router->engine);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
     cw_router_t *router = timer->data;
     cw_time_us_t now = cw_router_now(router);
 
+    check_suspension(router);
     cw_router_lead_tick(router, now);
     cw_router_view_tick(router, now);
     cw_router_configuration_tick(router, now);
@@ -252,6 +271,9 @@
     router->incarnation = new_incarnation(settings->node);
     cw_event_log_open(STDOUT_FILENO, settings->node, settings->log_level);
     error = cw_loop_start(&router->loop);
+    if (error == 0) {
+        error = cw_loop_clock_begin(&router->loop, NULL, NULL);
+    }
     if (error == 0) {
         error = start(router);
     }
--- /dev/null
+++ b/tests/test_loop_clock.c
@@ -0,0 +1,220 @@
+/**
+ * @file test_loop_clock.c
+ * @brief A machine that is suspended: the loop's clock goes on, and what a node believes ages by it.
+ */
+#include "base/loop_clock.h"
+#include "base/metrics.h"
+#include "loop_fixture.h"
+#include "node_fixture.h"
+#include "proxy/engine_internal.h"
+#include "tenancy/credential_evidence.h"
+
+enum { SUSPENDED_S = 20, SERVERS = 6 };
+
+static cw_time_us_t fake_suspended;
+
+static cw_time_us_t read_fake(void *context)
+{
+    (void)context;
+    return fake_suspended;
+}
+
+static void begin(uv_loop_t *loop)
+{
+    fake_suspended = CW_SECONDS(1000); /* before this process began */
+    ck_assert_int_eq(cw_loop_clock_begin(loop, read_fake, NULL), 0);
+}
+
+/* ---- the clock ---- */
+
+START_TEST(without_a_suspension_time_is_the_loops)
+{
+    uv_loop_t loop;
+
+    uv_loop_init(&loop);
+    begin(&loop);
+    ck_assert_int_eq(cw_loop_now(&loop), CW_MS(uv_now(&loop)));
+    ck_assert_int_eq(cw_loop_clock_take_suspension(), 0);
+    cw_loop_clock_end();
+}
+END_TEST
+
+static void on_never(uv_timer_t *timer)
+{
+    (void)timer;
+}
+
+/* A loop without anything to wait for does not wait. */
+static void keep_alive(uv_loop_t *loop, uv_timer_t *timer)
+{
+    uv_timer_init(loop, timer);
+    uv_timer_start(timer, on_never, UINT32_MAX, 0);
+}
+
+START_TEST(a_suspension_counts_at_the_first_look_after_a_wait)
+{
+    uv_loop_t    loop;
+    uv_timer_t   timer;
+    cw_time_us_t before;
+
+    uv_loop_init(&loop);
+    keep_alive(&loop, &timer);
+    begin(&loop);
+    uv_run(&loop, UV_RUN_NOWAIT);
+    before = cw_loop_now(&loop);
+    fake_suspended += CW_SECONDS(SUSPENDED_S);
+    uv_run(&loop, UV_RUN_NOWAIT);
+    ck_assert_int_ge(cw_loop_now(&loop) - before, CW_SECONDS(SUSPENDED_S));
+    ck_assert_int_eq(cw_loop_clock_take_suspension(), CW_SECONDS(SUSPENDED_S));
+    ck_assert_int_eq(cw_loop_clock_take_suspension(), 0);
+    cw_loop_clock_end();
+}
+END_TEST
+
+START_TEST(time_never_goes_back)
+{
+    uv_loop_t    loop;
+    uv_timer_t   timer;
+    cw_time_us_t before;
+
+    uv_loop_init(&loop);
+    keep_alive(&loop, &timer);
+    begin(&loop);
+    uv_run(&loop, UV_RUN_NOWAIT);
+    fake_suspended += CW_SECONDS(SUSPENDED_S);
+    before = cw_loop_now(&loop);
+    fake_suspended -= CW_MS(1); /* the two clocks were not read at the same moment */
+    uv_run(&loop, UV_RUN_NOWAIT);
+    ck_assert_int_ge(cw_loop_now(&loop), before);
+    cw_loop_clock_end();
+}
+END_TEST
+
+START_TEST(another_loop_goes_by_its_own_time)
+{
+    uv_loop_t loop;
+    uv_loop_t other;
+
+    uv_loop_init(&loop);
+    uv_loop_init(&other);
+    begin(&loop);
+    fake_suspended += CW_SECONDS(SUSPENDED_S);
+    ck_assert_int_eq(cw_loop_now(&other), CW_MS(uv_now(&other)));
+    cw_loop_clock_end();
+}
+END_TEST
+
+START_TEST(the_systems_clocks_agree_while_the_machine_runs)
+{
+    uv_loop_t  loop;
+    uv_timer_t timer;
+
+    uv_loop_init(&loop);
+    keep_alive(&loop, &timer);
+    ck_assert_int_eq(cw_loop_clock_begin(&loop, NULL, NULL), 0);
+    uv_run(&loop, UV_RUN_NOWAIT);
+    ck_assert_int_lt(cw_loop_now(&loop) - CW_MS(uv_now(&loop)), CW_SECONDS(1));
+    cw_loop_clock_end();
+}
+END_TEST
+
+/* ---- what a node believes ---- */
+
+static node_fixture_t *new_leader(void)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    begin(&node->router.loop);
+    cw_router_use_configuration(&node->router, node_fixture_configuration(1, "s"));
+    node_fixture_read_servers(node, "s", SERVERS, "10.0.1.1:80");
+    node_fixture_lead(node);
+    return node;
+}
+
+static void free_node(node_fixture_t *node)
+{
+    cw_loop_clock_end();
+    node_fixture_free(node);
+}
+
+START_TEST(a_leader_that_was_suspended_has_no_authority_before_its_first_tick)
+{
+    node_fixture_t *node = new_leader();
+    cw_router_t    *router = &node->router;
+    size_t          orders = node->order_count;
+
+    ck_assert(cw_router_is_able(router, cw_router_now(router)));
+    fake_suspended += CW_SECONDS(SUSPENDED_S);
+    router->loop.time++; /* the loop has woken: the steady clock has hardly moved */
+    ck_assert(!cw_router_is_able(router, cw_router_now(router)));
+    node_fixture_tick(node, 1);
+    ck_assert_uint_eq(node->order_count, orders); /* and gives no order */
+    free_node(node);
+}
+END_TEST
+
+START_TEST(tables_and_the_list_age_while_the_machine_is_suspended)
+{
+    node_fixture_t *node = new_leader();
+    cw_router_t    *router = &node->router;
+    cw_time_us_t    confirmed_at = router->tables_at;
+    cw_time_us_t    list_true_at = router->server_view.true_at;
+
+    ck_assert_ptr_nonnull(cw_engine_owner(router->engine, cw_engine_service(router->engine, "s"), 0));
+    fake_suspended += CW_SECONDS(SUSPENDED_S);
+    router->loop.time++;
+    ck_assert_int_ge(cw_router_now(router) - confirmed_at, CW_SECONDS(SUSPENDED_S));
+    ck_assert_int_ge(cw_router_now(router) - list_true_at, CW_SECONDS(SUSPENDED_S));
+    ck_assert_ptr_null(cw_engine_owner(router->engine, cw_engine_service(router->engine, "s"), 0));
+    free_node(node);
+}
+END_TEST
+
+START_TEST(evidence_of_the_configuration_and_of_callers_keys_ages)
+{
+    node_fixture_t          *node = new_leader();
+    cw_router_t             *router = &node->router;
+    cw_credential_evidence_t evidence = {.stale_after = CW_SECONDS(5), .fails_closed = true};
+    cw_time_us_t             until;
+
+    cw_router_on_newest(router, 1, cw_router_now(router));
+    until = cw_credential_evidence_trusted_until(&evidence, router->freshness.complete_at);
+    ck_assert_int_gt(until, cw_router_now(router));
+    fake_suspended += CW_SECONDS(SUSPENDED_S);
+    router->loop.time++;
+    ck_assert_int_lt(until, cw_router_now(router));
+    ck_assert_int_ge(cw_configuration_freshness_age(&router->freshness, cw_router_now(router)),
+                     CW_SECONDS(SUSPENDED_S));
+    free_node(node);
+}
+END_TEST
+
+START_TEST(a_reported_suspension_is_counted)
+{
+    node_fixture_t *node = new_leader();
+
+    (void)cw_loop_clock_take_suspension();
+    fake_suspended += CW_SECONDS(SUSPENDED_S);
+    node_fixture_tick(node, 1);
+    ck_assert_int_eq(cw_loop_clock_take_suspension(), CW_SECONDS(SUSPENDED_S));
+    free_node(node);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("loop_clock");
+    TCase *cases = tcase_create("loop_clock");
+
+    tcase_add_test(cases, without_a_suspension_time_is_the_loops);
+    tcase_add_test(cases, a_suspension_counts_at_the_first_look_after_a_wait);
+    tcase_add_test(cases, time_never_goes_back);
+    tcase_add_test(cases, another_loop_goes_by_its_own_time);
+    tcase_add_test(cases, the_systems_clocks_agree_while_the_machine_runs);
+    tcase_add_test(cases, a_leader_that_was_suspended_has_no_authority_before_its_first_tick);
+    tcase_add_test(cases, tables_and_the_list_age_while_the_machine_is_suspended);
+    tcase_add_test(cases, evidence_of_the_configuration_and_of_callers_keys_ages);
+    tcase_add_test(cases, a_reported_suspension_is_counted);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
