Servers that start again under their names; entries of other writers

Cause: an id was taken to name one start of a server. A server may now come back under its id, with `born` as the time of its start; one event of a watch without a name made the whole list be read again, each second, and one object without a name ended a listing for as long as it stood there. Bytes that are no JSON text lost a whole page. Change: where `born` is stated, the id inside is NAME@BORN (model/server_incarnation.h): another start is another server at the same address wherever ids are compared, so load, pace, slots, keys, orders and departures of the former one do not hold for it. The server itself is told its name. A late entry of an earlier start is not taken. An entry that cannot be read names no server, is logged once with its place and counted; pages are parsed entry by entry where the whole cannot be.

--- a/src/assignment/range.h
+++ b/src/assignment/range.h
@@ -13,8 +13,9 @@
 #include <stdint.h>
 
 #include "base/time.h"
+#include "model/server_incarnation.h"
 
-enum { CW_KEY_LAST = 65535, CW_SERVER_ID_MAX = 48, CW_SERVER_ADDRESS_MAX = 32, CW_HANDOVER_MAX = 64 };
+enum { CW_KEY_LAST = 65535, CW_SERVER_ADDRESS_MAX = 32, CW_HANDOVER_MAX = 64 };
 
 /** One life of a server. An empty id: none. */
 typedef struct cw_holder {
@@ -47,6 +48,8 @@
     cw_time_us_t     unanswered_at; /**< last order to the owner that may still be carried out; 0: none */
     cw_time_us_t     moved_at;
     bool             owner_ended; /**< another life answers at the owner's address */
+    bool             fence_used;  /**< an order with the owner's fence may have reached its address */
+    bool             needs_fence; /**< a later incarnation may answer there: nothing more is granted under this fence */
     uint32_t         orders;      /**< under way */
 } cw_range_t;
 
--- a/src/model/server_view.c
+++ b/src/model/server_view.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "model/server_incarnation.h"
+
 enum { FORGET_S = 60 }; /* longer than anything about a server that has left can be under way */
 
 void cw_server_view_init(cw_server_view_t *view, const cw_absence_settings_t *absence)
@@ -118,29 +120,73 @@
     departure->last_noted_at = now;
 }
 
+/** A list that comes into force. */
+typedef struct departures_look {
+    cw_server_view_t *view;
+    uint64_t          latest; /* no change after this revision is in it */
+    cw_time_us_t      now;
+} departures_look_t;
+
+static void note_departure(void *context, const cw_server_entry_t *before, cw_server_entry_t *after)
+{
+    const departures_look_t *look = context;
+
+    if (after == NULL) {
+        note_missing(look->view, before, look->latest, look->now);
+        return;
+    }
+    if (after->missing_since != 0) {
+        note_missing(look->view, after, look->latest, look->now);
+    }
+    if (after->draining) {
+        note_leaving(look->view, after, look->now);
+    }
+}
+
 /* Who has left, or is leaving, by the list that comes into force. */
-static void note_departures(cw_server_view_t *view, const cw_server_list_t *list, uint64_t latest, cw_time_us_t now)
+static void note_departures(cw_server_view_t *view, cw_server_list_t *list, uint64_t latest, cw_time_us_t now)
 {
-    size_t index;
+    departures_look_t look = {.view = view, .latest = latest, .now = now};
 
-    for (index = 0; index < list->count; index++) {
-        const cw_server_entry_t *entry = &list->entries[index];
+    cw_server_lists_compare(view->list, list, note_departure, &look);
+}
 
-        if (entry->missing_since != 0) {
-            note_missing(view, entry, latest, now);
-        }
-        if (entry->draining) {
-            note_leaving(view, entry, now);
+/* ---- what is known against an entry ---- */
+
+/* Has a later incarnation of the same server left? */
+static bool has_later_departure(const cw_server_view_t *view, const char *id)
+{
+    size_t length = cw_server_id_name_length(id);
+    size_t place;
+
+    for (place = place_of(view, id); place < view->departure_count; place++) {
+        const char *other = view->departures[place].id;
+
+        if (strncmp(other, id, length) != 0 || other[length] != CW_SERVER_ID_MARK) {
+            return false;
         }
-    }
-    for (index = 0; view->list != NULL && index < view->list->count; index++) {
-        if (cw_server_list_find(list, view->list->entries[index].id) == NULL) {
-            note_missing(view, &view->list->entries[index], latest, now);
+        if (cw_server_id_succeeds(other, id)) {
+            return true;
         }
     }
+    return false;
 }
 
-/* ---- what is known against an entry ---- */
+/* An entry of a former incarnation, written late: the later one stands for it. False: that one has left. */
+static bool use_latest_incarnation(const cw_server_view_t *view, cw_server_entry_t *entry)
+{
+    const cw_server_entry_t *newest;
+
+    if (cw_server_id_born(entry->id) == 0) {
+        return true;
+    }
+    newest = cw_server_list_newest(view->list, entry->id);
+    if (newest != NULL && cw_server_id_succeeds(newest->id, entry->id)) {
+        cw_server_entry_replace(entry, newest);
+        return true;
+    }
+    return !has_later_departure(view, entry->id);
+}
 
 /* Does the entry show that a server that was missing is back? */
 static bool is_back(const cw_server_departure_t *departure, const cw_server_entry_t *entry,
@@ -182,7 +228,8 @@
         abort();
     }
     for (index = 0; index < list->count; index++) {
-        if (!correct(view, &list->entries[index], reading, now)) {
+        if (!use_latest_incarnation(view, &list->entries[index]) ||
+            !correct(view, &list->entries[index], reading, now)) {
             dropped[count++] = list->entries[index].id;
         }
     }
--- a/src/model/server_view.h
+++ b/src/model/server_view.h
@@ -10,6 +10,8 @@
  *  - A server that has been missing is back once a later revision than the one it was missing in shows it, in a
  *    reading only with a heartbeat after the last one seen. What another node keeps though it is missing
  *    (server_absence.h) does not bring it back here: its time counts from when this node first missed it.
+ *  - An entry of a former incarnation of a server that has started anew since (server_incarnation.h) is a late write:
+ * the later incarnation stays.
  *  - `true_at`: the list was surely true at this moment of the node's own steady clock (the sending of the call that
  *    read it, or the leader's heartbeat less the age it states).
  *
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -8,6 +8,7 @@
 #include "base/byte_buffer.h"
 #include "base/metrics.h"
 #include "base/text.h"
+#include "model/server_incarnation.h"
 #include "proxy/engine_internal.h"
 #include "proxy/request_rules.h"
 
@@ -56,9 +57,9 @@
     if (names->tenant != NULL && request->caller.tenant != NULL) {
         cw_bytes_append_format(out, "%s: %s\r\n", names->tenant, request->caller.tenant->name);
     }
-    cw_bytes_append_format(out, "%s: %lld\r\n%s: %s\r\n\r\n", names->deadline,
+    cw_bytes_append_format(out, "%s: %lld\r\n%s: %.*s\r\n\r\n", names->deadline,
                            (long long)((request->deadline - now) / 1000 > 0 ? (request->deadline - now) / 1000 : 1),
-                           names->target, server->id);
+                           names->target, (int)cw_server_id_name_length(server->id), server->id);
 }
 
 /* ---- sending ---- */
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "base/text.h"
+#include "model/server_incarnation.h"
 #include "proxy/engine_internal.h"
 #include "proxy/request_rules.h"
 
@@ -202,12 +203,12 @@
     cw_request_fail_unknown(request, fault);
 }
 
-/* Does an answer tell that another life of a server is at this address? */
+/* Does an answer tell that another server is at this address? */
 static bool is_of_another(const cw_request_t *request, const cw_server_t *server, const cw_upstream_answer_t *answer)
 {
     const char *instance = cw_http_fields_find(answer->fields, request->engine->settings.names.instance);
 
-    return answer->status == STATUS_MISDIRECTED && instance != NULL && strcmp(instance, server->id) != 0;
+    return answer->status == STATUS_MISDIRECTED && instance != NULL && !cw_server_id_has_name(server->id, instance);
 }
 
 static cw_outcome_t outcome_of(const cw_request_t *request, const cw_upstream_answer_t *answer)
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -70,6 +70,7 @@
     const char           *service;
     const char           *zone;
     char                  id[40];
+    char                  incarnation[64]; /* in the records: another one at each start */
     char                  address[40];
     uint32_t              capacity;
     uint32_t              queue_max;
@@ -77,6 +78,7 @@
     uint32_t              heartbeat_ms;
     uint32_t              cold_ms; /**< its warm-up after the start, as its entry tells */
     uint64_t              started_ms;
+    uint64_t              born_ms; /* of the time of day */
     bool                  keyed;
     bool                  hangs;
     bool                  draining;
@@ -96,7 +98,7 @@
 {
     printf("{\"ns\":%" PRIu64 ",\"event\":\"%s\",\"server\":\"%s\",\"service\":\"%s\",\"id\":\"%s\",\"low\":%u,"
            "\"last\":%u,\"fence\":%" PRIu64 ",\"tenant\":\"%s\"}\n",
-           uv_hrtime(), event, server->id, server->service, id, low, last, fence, tenant);
+           uv_hrtime(), event, server->incarnation, server->service, id, low, last, fence, tenant);
     fflush(stdout);
 }
 
@@ -395,8 +397,8 @@
 {
     server_t *server = context;
 
-    if (answer->result == CW_UPSTREAM_ANSWERED && answer->status < 300) {
-        server->signed_in = true;
+    if (answer->result == CW_UPSTREAM_ANSWERED && (answer->status < 300 || answer->status == STATUS_CONFLICT)) {
+        server->signed_in = true; /* the entry may be that of its incarnation before */
     }
 }
 
@@ -418,9 +420,10 @@
     if (with_body) {
         snprintf(body, sizeof(body),
                  "{\"metadata\":{\"name\":\"%s\"},\"spec\":{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-                 "\"version\":\"v1\",\"capacity\":%u,\"state\":\"%s\",\"cold_ms\":%u,\"sequence\":%" PRIu64 "}}",
+                 "\"version\":\"v1\",\"capacity\":%u,\"state\":\"%s\",\"cold_ms\":%u,\"sequence\":%" PRIu64
+                 ",\"born\":%" PRIu64 "}}",
                  server->id, server->service, server->address, server->zone, server->capacity,
-                 server->draining ? "draining" : "ready", cold_left_ms(server), ++server->sequence);
+                 server->draining ? "draining" : "ready", cold_left_ms(server), ++server->sequence, server->born_ms);
     }
     if (strcmp(method, "POST") != 0) {
         snprintf(path, sizeof(path), "/%s", server->id);
@@ -469,6 +472,14 @@
 
 /* ---- start ---- */
 
+static uint64_t unix_ms(void)
+{
+    uv_timeval64_t now = {0};
+
+    (void)uv_gettimeofday(&now); /* fails for a bad address only */
+    return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_usec / 1000;
+}
+
 static int run(server_t *server, const char *address, uint16_t port, const char *store_address)
 {
     cw_http_limits_t           limits = {.header_bytes = LIMIT_BYTES,
@@ -490,9 +501,13 @@
     if (server->address[0] == '\0') {
         snprintf(server->address, sizeof(server->address), "%s:%u", address, cw_http_listener_port(server->listener));
     }
-    snprintf(server->id, sizeof(server->id), "i-%08x%04x", (unsigned)(uv_hrtime() & 0xffffffffu),
-             (unsigned)getpid() & 0xffffu);
+    if (server->id[0] == '\0') {
+        snprintf(server->id, sizeof(server->id), "i-%08x%04x", (unsigned)(uv_hrtime() & 0xffffffffu),
+                 (unsigned)getpid() & 0xffffu);
+    }
     server->started_ms = uv_now(&server->loop);
+    server->born_ms = unix_ms();
+    snprintf(server->incarnation, sizeof(server->incarnation), "%s@%" PRIu64, server->id, server->born_ms);
     server->upstream = cw_upstream_create(&server->loop, &options);
     server->store = cw_upstream_target_create(server->upstream, store_address);
     if (server->store == NULL) {
@@ -532,11 +547,12 @@
     struct arg_int *work = arg_int0("w", "work-ms", "MS", "time of a request; default 20");
     struct arg_int *heartbeat = arg_int0("b", "heartbeat-ms", "MS", "default 500");
     struct arg_int *cold = arg_int0(NULL, "cold-ms", "MS", "warm-up that it signs in with; default 0");
+    struct arg_str *id = arg_str0("i", "id", "NAME", "default: another one at each start");
     struct arg_lit *keyed = arg_lit0("k", "keyed", "runs a request only while it holds its key");
     struct arg_lit *hangs = arg_lit0("x", "hangs", "does not answer what it cannot queue");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {address, port, advertise, store, service, zone,  capacity,
-                               queue,   work, heartbeat, cold,  keyed,   hangs, end};
+    void           *table[] = {address, port,      advertise, store, service, zone,  capacity, queue,
+                               work,    heartbeat, cold,      id,    keyed,   hangs, end};
     static server_t server;
 
     if (arg_parse(argument_count, arguments, table) > 0) {
@@ -547,6 +563,9 @@
     if (advertise->count > 0) {
         snprintf(server.address, sizeof(server.address), "%s", advertise->sval[0]);
     }
+    if (id->count > 0) {
+        snprintf(server.id, sizeof(server.id), "%s", id->sval[0]);
+    }
     server.zone = zone->count > 0 ? zone->sval[0] : "z1";
     server.capacity = number_of(capacity, 2);
     server.queue_max = number_of(queue, 8);
--- a/standins/verdict/main.c
+++ b/standins/verdict/main.c
@@ -25,7 +25,7 @@
 typedef struct record {
     uint64_t ns;
     char     event[12];
-    char     server[40];
+    char     server[64];
     char     id[80];
     char     method[16];
     uint32_t low;
@@ -46,7 +46,7 @@
 
 /** One life of a server. */
 typedef struct life {
-    char     server[40];
+    char     server[64];
     uint64_t since[KEYS];
     uint64_t until[KEYS];
     uint64_t begun[KEYS];
--- a/tests/test_platform_bodies.c
+++ b/tests/test_platform_bodies.c
@@ -4,9 +4,13 @@
  */
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "base/event_log.h"
+#include "base/metrics.h"
 #include "loop_fixture.h"
-#include "platform_body.h"
+#include "platform_internal.h"
+#include "platform_salvage.h"
 
 #define SERVICE  "\"service\":\"maps\","
 #define ADDRESS  "\"address\":\"10.0.0.1:80\","
@@ -120,6 +124,9 @@
     REFUSED_ENTRY(SERVICE
                   "\"address\":\"10.0.0.1:80 of a machine with a long name\"," ZONE CAPACITY STATE COLD SEQUENCE,
                   "spec.address: too long"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE COLD SEQUENCE ",\"born\":\"7\"", "spec.born: not a whole number"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE COLD SEQUENCE ",\"born\":1.5", "spec.born: not a whole number"),
+    REFUSED_ENTRY(SERVICE ADDRESS ZONE CAPACITY STATE COLD SEQUENCE ",\"born\":-1", "spec.born: not a whole number"),
     {"{\"metadata\":{\"name\":\"i-0123456789abcdef0123456789abcdef0123456789abcdef\"},\"spec\":" SPEC "}",
      "spec: the name of its object is too long"},
 };
@@ -133,6 +140,19 @@
 }
 END_TEST
 
+START_TEST(the_time_of_a_servers_start_is_part_of_its_id)
+{
+    cw_platform_problem_t problem;
+    cw_server_list_t *list = read_server("{" METADATA ",\"spec\":{" SERVICE ADDRESS ZONE CAPACITY STATE COLD SEQUENCE
+                                         ",\"born\":1796276400123}}",
+                                         &problem);
+
+    ck_assert_ptr_nonnull(list);
+    ck_assert_str_eq(list->entries[0].id, "i-a@1796276400123");
+    cw_server_list_release(list);
+}
+END_TEST
+
 /* ---- listings ---- */
 
 START_TEST(a_page_of_a_listing_is_read)
@@ -253,6 +273,136 @@
 }
 END_TEST
 
+static cw_server_list_t *apply(const cw_server_list_t *list, const char *events)
+{
+    char              text[2048];
+    json_t           *body;
+    cw_server_list_t *changed;
+
+    snprintf(text, sizeof(text), "{\"events\":[%s],\"at\":9}", events);
+    body = load(text);
+    changed = cw_platform_apply_changes(list, body);
+    json_decref(body);
+    return changed;
+}
+
+#define EVENT(gone, object) "{\"gone\":" gone ",\"object\":" object "}"
+
+START_TEST(a_change_that_cannot_be_read_is_about_no_server_and_the_others_hold)
+{
+    cw_server_list_t *empty = cw_server_list_create();
+    cw_server_list_t *list =
+        apply(empty, "null,7," EVENT("false", "{\"spec\":{}}") "," EVENT("false", OBJECT) "," EVENT(
+                         "false", "{\"metadata\":{\"name\":\"i-b\"},\"spec\":{\"service\":7}}"));
+
+    ck_assert_uint_eq(list->count, 1);
+    ck_assert_str_eq(list->entries[0].id, "i-a");
+    cw_server_list_release(list);
+    cw_server_list_release(empty);
+}
+END_TEST
+
+START_TEST(of_several_changes_of_one_server_the_last_counts)
+{
+    cw_server_list_t *empty = cw_server_list_create();
+    cw_server_list_t *list =
+        apply(empty, EVENT("false", "{" METADATA ",\"spec\":{" SERVICE ADDRESS ZONE CAPACITY STATE COLD SEQUENCE
+                                    ",\"born\":1000}}") "," EVENT("true", OBJECT) "," EVENT("false", OBJECT));
+    cw_server_list_t *without;
+
+    ck_assert_uint_eq(list->count, 1);
+    ck_assert_str_eq(list->entries[0].id, "i-a");
+    without = apply(list, EVENT("true", OBJECT));
+    ck_assert_uint_eq(without->count, 0);
+    cw_server_list_release(without);
+    cw_server_list_release(list);
+    cw_server_list_release(empty);
+}
+END_TEST
+
+START_TEST(a_server_that_starts_again_under_its_name_replaces_its_former_incarnation)
+{
+    cw_server_list_t *empty = cw_server_list_create();
+    cw_server_list_t *list =
+        apply(empty, EVENT("false", "{" METADATA ",\"spec\":{" SERVICE ADDRESS ZONE CAPACITY STATE COLD SEQUENCE
+                                    ",\"born\":1000}}"));
+    cw_server_list_t *again =
+        apply(list, EVENT("false", "{" METADATA ",\"spec\":{" SERVICE ADDRESS ZONE CAPACITY STATE COLD SEQUENCE
+                                   ",\"born\":2000}}"));
+
+    ck_assert_uint_eq(again->count, 1);
+    ck_assert_str_eq(again->entries[0].id, "i-a@2000");
+    cw_server_list_release(again);
+    cw_server_list_release(list);
+    cw_server_list_release(empty);
+}
+END_TEST
+
+/* ---- entries whose bytes cannot be read ---- */
+
+static const char *const unreadable[] = {
+    "{\"metadata\":{\"name\":\"i-x\"},\"spec\":{\"service\":\"\xff\xfe\"}}",          /* no UTF-8 */
+    "{\"metadata\":{\"name\":\"i-x\"},\"spec\":{\"sequence\":99999999999999999999}}", /* beyond all integers */
+    "{\"metadata\":{\"name\":\"i-\\u0000x\"},\"spec\":{}}",                           /* a zero in a text */
+    "nonsense",
+    "{\"a\":}",
+};
+
+START_TEST(an_entry_whose_bytes_cannot_be_read_leaves_the_others)
+{
+    char                  text[2048];
+    json_t               *body;
+    cw_platform_problem_t problem;
+    cw_listing_page_t     page;
+    cw_stored_object_t    object;
+
+    snprintf(text, sizeof(text), "{\"items\":[%s,%s],\"has-more\":true,\"at\":530}", unreadable[_i], OBJECT);
+    ck_assert_ptr_null(json_loads(text, 0, NULL));
+    body = cw_platform_salvage(text, strlen(text));
+    ck_assert(cw_platform_decode_page(&page, body, &problem));
+    ck_assert(page.has_more);
+    ck_assert_uint_eq(page.revision, 530);
+    ck_assert_uint_eq(json_array_size(page.objects), 2);
+    ck_assert(!cw_platform_decode_listed(&object, body, 0, &problem));
+    ck_assert_str_eq(problem.text, "items[0]: not an object");
+    ck_assert(cw_platform_decode_listed(&object, body, 1, &problem));
+    ck_assert_str_eq(object.name, "i-a");
+    json_decref(body);
+}
+END_TEST
+
+static const char *const broken[] = {"", "[]", "{", "{\"items\":[", "{\"items\":[{]}", "{\"items", "{\"items\"}"};
+
+START_TEST(a_body_whose_own_structure_is_broken_is_none)
+{
+    ck_assert_ptr_null(cw_platform_salvage(broken[_i], strlen(broken[_i])));
+}
+END_TEST
+
+START_TEST(a_malformed_entry_is_logged_once_and_counted_each_time)
+{
+    cw_platform_problem_t problem = {.text = "items[0].spec.born: not a whole number"};
+    uint64_t              before = cw_metric_value(CW_METRIC_STORE_BODIES_MALFORMED);
+    int                   pipe_ends[2];
+    char                  log[4096];
+    ssize_t               length;
+    const char           *first;
+
+    ck_assert_int_eq(pipe(pipe_ends), 0);
+    cw_event_log_open(pipe_ends[1], "n1", CW_EVENT_INFO);
+    cw_platform_log_malformed_entry("servers", "i-seen-once", &problem);
+    cw_platform_log_malformed_entry("servers", "i-seen-once", &problem);
+    cw_event_log_flush(CW_SECONDS(1));
+    length = read(pipe_ends[0], log, sizeof(log) - 1);
+    ck_assert_int_gt(length, 0);
+    log[length] = '\0';
+    first = strstr(log, "i-seen-once");
+    ck_assert_ptr_nonnull(first);
+    ck_assert_ptr_null(strstr(first + 1, "i-seen-once"));
+    ck_assert_uint_eq(cw_metric_value(CW_METRIC_STORE_BODIES_MALFORMED), before + 2);
+}
+END_TEST
+
 #define COUNT(list) ((int)(sizeof(list) / sizeof((list)[0])))
 
 int main(void)
@@ -269,6 +419,13 @@
     tcase_add_test(cases, changes_are_read);
     tcase_add_loop_test(cases, changes_with_a_field_missing_or_of_another_type_are_refused, 0, COUNT(changes_refusals));
     tcase_add_loop_test(cases, a_change_with_a_field_missing_or_of_another_type_is_refused, 0, COUNT(change_refusals));
+    tcase_add_test(cases, the_time_of_a_servers_start_is_part_of_its_id);
+    tcase_add_test(cases, a_change_that_cannot_be_read_is_about_no_server_and_the_others_hold);
+    tcase_add_test(cases, of_several_changes_of_one_server_the_last_counts);
+    tcase_add_test(cases, a_server_that_starts_again_under_its_name_replaces_its_former_incarnation);
+    tcase_add_loop_test(cases, an_entry_whose_bytes_cannot_be_read_leaves_the_others, 0, COUNT(unreadable));
+    tcase_add_loop_test(cases, a_body_whose_own_structure_is_broken_is_none, 0, COUNT(broken));
+    tcase_add_test(cases, a_malformed_entry_is_logged_once_and_counted_each_time);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
--- a/tests/test_server_view.c
+++ b/tests/test_server_view.c
@@ -3,6 +3,7 @@
  * @brief Which list of servers is in force, for each order in which readings and the leader's lists arrive.
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "loop_fixture.h"
@@ -230,6 +231,63 @@
 }
 END_TEST
 
+/* ---- servers that start again under their names ---- */
+
+/* That server, and three that stay as they are. */
+static cw_server_list_t *with_server(const char *id, uint64_t sequence)
+{
+    cw_server_list_t *list = list_of("abcd", sequence, 0);
+
+    free(list->entries[0].id);
+    list->entries[0].id = strdup(id);
+    return list;
+}
+
+static cw_view_result_t read_one(const char *id, uint64_t revision, uint64_t sequence, cw_time_us_t now)
+{
+    cw_server_reading_t reading = {
+        .list = with_server(id, sequence), .revision = revision, .latest = revision, .true_at = now};
+
+    return offer(&reading, now);
+}
+
+START_TEST(a_server_born_again_takes_the_place_of_its_former_incarnation)
+{
+    ck_assert_int_eq(read_one("a@1000", 90, 40, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_one("a@2000", 91, 1, start + CW_MS(500)), CW_VIEW_CHANGED); /* its heartbeats count anew */
+    ck_assert_uint_eq(view.list->count, 4);
+    ck_assert_str_eq(view.list->entries[0].id, "a@2000");
+}
+END_TEST
+
+START_TEST(a_late_entry_of_the_former_incarnation_is_not_taken)
+{
+    ck_assert_int_eq(read_one("a@2000", 91, 1, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_one("a@1000", 92, 41, start + CW_MS(500)), CW_VIEW_SAME);
+    ck_assert_str_eq(view.list->entries[0].id, "a@2000");
+}
+END_TEST
+
+START_TEST(nor_after_the_later_incarnation_has_left)
+{
+    ck_assert_int_eq(read_one("a@2000", 91, 1, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_at("bcd", 92, 2, start + CW_MS(500)), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_one("a@1000", 93, 41, start + CW_MS(900)), CW_VIEW_SAME);
+    ck_assert_str_eq(in_force(), "bcd");
+}
+END_TEST
+
+START_TEST(leaving_is_of_one_incarnation)
+{
+    cw_server_reading_t leaving = {.list = with_server("a@1000", 3), .revision = 90, .latest = 90, .true_at = start};
+
+    leaving.list->entries[0].draining = true;
+    ck_assert_int_eq(offer(&leaving, start), CW_VIEW_CHANGED);
+    ck_assert_int_eq(read_one("a@2000", 91, 1, start + CW_MS(500)), CW_VIEW_CHANGED);
+    ck_assert(!view.list->entries[0].draining);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("server_view");
@@ -247,6 +305,10 @@
     tcase_add_test(cases, what_another_node_keeps_does_not_bring_a_server_back);
     tcase_add_test(cases, a_list_that_may_be_older_than_the_missing_does_not_bring_a_server_back);
     tcase_add_test(cases, departures_are_forgotten_in_the_end);
+    tcase_add_test(cases, a_server_born_again_takes_the_place_of_its_former_incarnation);
+    tcase_add_test(cases, a_late_entry_of_the_former_incarnation_is_not_taken);
+    tcase_add_test(cases, nor_after_the_later_incarnation_has_left);
+    tcase_add_test(cases, leaving_is_of_one_incarnation);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
