--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &cwp__node_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__passed_heartbeat__init
+                     (Cwp__PassedHeartbeat         *message)
+{
+  static const Cwp__PassedHeartbeat init_value = CWP__PASSED_HEARTBEAT__INIT;
+  *message = init_value;
+}
+size_t cwp__passed_heartbeat__get_packed_size
+                     (const Cwp__PassedHeartbeat *message)
+{
+  assert(message->base.descriptor == &cwp__passed_heartbeat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__passed_heartbeat__pack
+                     (const Cwp__PassedHeartbeat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__passed_heartbeat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__passed_heartbeat__pack_to_buffer
+                     (const Cwp__PassedHeartbeat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__passed_heartbeat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__PassedHeartbeat *
+       cwp__passed_heartbeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__PassedHeartbeat *)
+     protobuf_c_message_unpack (&cwp__passed_heartbeat__descriptor,
+                                allocator, len, data);
+}
+void   cwp__passed_heartbeat__free_unpacked
+                     (Cwp__PassedHeartbeat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__passed_heartbeat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__view_server__init
                      (Cwp__ViewServer         *message)
 {
@@ -412,6 +457,51 @@
   assert(message->base.descriptor == &cwp__servers_page__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__list_request__init
+                     (Cwp__ListRequest         *message)
+{
+  static const Cwp__ListRequest init_value = CWP__LIST_REQUEST__INIT;
+  *message = init_value;
+}
+size_t cwp__list_request__get_packed_size
+                     (const Cwp__ListRequest *message)
+{
+  assert(message->base.descriptor == &cwp__list_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__list_request__pack
+                     (const Cwp__ListRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__list_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__list_request__pack_to_buffer
+                     (const Cwp__ListRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__list_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ListRequest *
+       cwp__list_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ListRequest *)
+     protobuf_c_message_unpack (&cwp__list_request__descriptor,
+                                allocator, len, data);
+}
+void   cwp__list_request__free_unpacked
+                     (Cwp__ListRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__list_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__nodes_page__init
                      (Cwp__NodesPage         *message)
 {
@@ -2143,6 +2233,122 @@
   (ProtobufCMessageInit) cwp__node_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cwp__passed_heartbeat__field_descriptors[7] =
+{
+  {
+    "leader",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__PassedHeartbeat, leader),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__PassedHeartbeat, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__PassedHeartbeat, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__PassedHeartbeat, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stopping",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__PassedHeartbeat, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__PassedHeartbeat, configuration),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__PassedHeartbeat, heartbeat),
+    &cwp__leader_heartbeat__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__passed_heartbeat__field_indices_by_name[] = {
+  5,   /* field[5] = configuration */
+  6,   /* field[6] = heartbeat */
+  2,   /* field[2] = incarnation */
+  0,   /* field[0] = leader */
+  1,   /* field[1] = node */
+  3,   /* field[3] = sequence */
+  4,   /* field[4] = stopping */
+};
+static const ProtobufCIntRange cwp__passed_heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor cwp__passed_heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.PassedHeartbeat",
+  "PassedHeartbeat",
+  "Cwp__PassedHeartbeat",
+  "cwp",
+  sizeof(Cwp__PassedHeartbeat),
+  7,
+  cwp__passed_heartbeat__field_descriptors,
+  cwp__passed_heartbeat__field_indices_by_name,
+  1,  cwp__passed_heartbeat__number_ranges,
+  (ProtobufCMessageInit) cwp__passed_heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cwp__view_server__field_descriptors[8] =
 {
   {
@@ -2349,7 +2555,7 @@
   (ProtobufCMessageInit) cwp__view_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cwp__servers_page__field_descriptors[11] =
 {
   {
     "term",
@@ -2471,8 +2677,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ask_instead",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ServersPage, ask_instead),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__servers_page__field_indices_by_name[] = {
+  10,   /* field[10] = ask_instead */
   1,   /* field[1] = number */
   2,   /* field[2] = page */
   3,   /* field[3] = pages */
@@ -2488,7 +2707,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cwp__servers_page__descriptor =
 {
@@ -2498,13 +2717,77 @@
   "Cwp__ServersPage",
   "cwp",
   sizeof(Cwp__ServersPage),
-  10,
+  11,
   cwp__servers_page__field_descriptors,
   cwp__servers_page__field_indices_by_name,
   2,  cwp__servers_page__number_ranges,
   (ProtobufCMessageInit) cwp__servers_page__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cwp__list_request__field_descriptors[3] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ListRequest, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ListRequest, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_page",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ListRequest, first_page),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__list_request__field_indices_by_name[] = {
+  2,   /* field[2] = first_page */
+  1,   /* field[1] = number */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange cwp__list_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cwp__list_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ListRequest",
+  "ListRequest",
+  "Cwp__ListRequest",
+  "cwp",
+  sizeof(Cwp__ListRequest),
+  3,
+  cwp__list_request__field_descriptors,
+  cwp__list_request__field_indices_by_name,
+  1,  cwp__list_request__number_ranges,
+  (ProtobufCMessageInit) cwp__list_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cwp__nodes_page__field_descriptors[1] =
 {
   {
@@ -4875,7 +5158,7 @@
   (ProtobufCMessageInit) cwp__quota_return__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[17] =
+static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[19] =
 {
   {
     "report",
@@ -5009,6 +5292,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_request",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, list_request),
+    &cwp__list_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "passed_heartbeat",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, passed_heartbeat),
+    &cwp__passed_heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "zone_summary",
     20,
@@ -5086,12 +5393,14 @@
   3,   /* field[3] = ack */
   5,   /* field[5] = configuration */
   6,   /* field[6] = configuration_request */
+  11,   /* field[11] = list_request */
   4,   /* field[4] = nodes */
-  14,   /* field[14] = quota_ask */
-  15,   /* field[15] = quota_grant */
-  12,   /* field[12] = quota_report */
-  16,   /* field[16] = quota_return */
-  13,   /* field[13] = quota_status */
+  12,   /* field[12] = passed_heartbeat */
+  16,   /* field[16] = quota_ask */
+  17,   /* field[17] = quota_grant */
+  14,   /* field[14] = quota_report */
+  18,   /* field[18] = quota_return */
+  15,   /* field[15] = quota_status */
   0,   /* field[0] = report */
   1,   /* field[1] = servers */
   8,   /* field[8] = slot_ask */
@@ -5099,13 +5408,13 @@
   10,   /* field[10] = slot_return */
   7,   /* field[7] = store_notice */
   2,   /* field[2] = table */
-  11,   /* field[11] = zone_summary */
+  13,   /* field[13] = zone_summary */
 };
 static const ProtobufCIntRange cwp__datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 11 },
-  { 0, 17 }
+  { 20, 13 },
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor cwp__datagram__descriptor =
 {
@@ -5115,7 +5424,7 @@
   "Cwp__Datagram",
   "cwp",
   sizeof(Cwp__Datagram),
-  17,
+  19,
   cwp__datagram__field_descriptors,
   cwp__datagram__field_indices_by_name,
   2,  cwp__datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -21,9 +21,11 @@
 typedef struct Cwp__KeySamples Cwp__KeySamples;
 typedef struct Cwp__LeaderHeartbeat Cwp__LeaderHeartbeat;
 typedef struct Cwp__NodeReport Cwp__NodeReport;
+typedef struct Cwp__PassedHeartbeat Cwp__PassedHeartbeat;
 typedef struct Cwp__ViewServer Cwp__ViewServer;
 typedef struct Cwp__ViewAck Cwp__ViewAck;
 typedef struct Cwp__ServersPage Cwp__ServersPage;
+typedef struct Cwp__ListRequest Cwp__ListRequest;
 typedef struct Cwp__NodesPage Cwp__NodesPage;
 typedef struct Cwp__TableRange Cwp__TableRange;
 typedef struct Cwp__TablePage Cwp__TablePage;
@@ -237,6 +239,37 @@
     , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
+/*
+ * A leader's heartbeat as a relay of another zone has just received it, for the other nodes of that zone.
+ */
+struct  Cwp__PassedHeartbeat
+{
+  ProtobufCMessage base;
+  /*
+   * its address
+   */
+  uint32_t leader;
+  /*
+   * its name
+   */
+  char *node;
+  uint64_t incarnation;
+  /*
+   * of the report that it came with
+   */
+  uint32_t sequence;
+  protobuf_c_boolean stopping;
+  /*
+   * version in force there
+   */
+  uint64_t configuration;
+  Cwp__LeaderHeartbeat *heartbeat;
+};
+#define CWP__PASSED_HEARTBEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__passed_heartbeat__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, NULL }
+
+
 struct  Cwp__ViewServer
 {
   ProtobufCMessage base;
@@ -307,10 +340,35 @@
    * the receiver, a relay, is to send it to the other nodes of its zone
    */
   protobuf_c_boolean pass_on;
+  /*
+   * pages 0: this node has sent enough for now; that one has the list too
+   */
+  uint32_t ask_instead;
 };
 #define CWP__SERVERS_PAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__servers_page__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0 }
+
+
+/*
+ * Asks a node of the sender's zone for some pages of a whole list.
+ */
+struct  Cwp__ListRequest
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  /*
+   * within the term
+   */
+  uint64_t number;
+  /*
+   * the first one that is missing
+   */
+  uint32_t first_page;
+};
+#define CWP__LIST_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__list_request__descriptor) \
+    , 0, 0, 0 }
 
 
 /*
@@ -933,6 +991,8 @@
   CWP__DATAGRAM__CONTENT_SLOT_ASK = 9,
   CWP__DATAGRAM__CONTENT_SLOT_REPLY = 10,
   CWP__DATAGRAM__CONTENT_SLOT_RETURN = 11,
+  CWP__DATAGRAM__CONTENT_LIST_REQUEST = 12,
+  CWP__DATAGRAM__CONTENT_PASSED_HEARTBEAT = 13,
   CWP__DATAGRAM__CONTENT_ZONE_SUMMARY = 20,
   CWP__DATAGRAM__CONTENT_QUOTA_REPORT = 21,
   CWP__DATAGRAM__CONTENT_QUOTA_STATUS = 22,
@@ -958,6 +1018,8 @@
     Cwp__SlotAsk *slot_ask;
     Cwp__SlotReply *slot_reply;
     Cwp__SlotReturn *slot_return;
+    Cwp__ListRequest *list_request;
+    Cwp__PassedHeartbeat *passed_heartbeat;
     Cwp__ZoneSummary *zone_summary;
     Cwp__QuotaReport *quota_report;
     Cwp__QuotaStatus *quota_status;
@@ -1085,6 +1147,25 @@
 void   cwp__node_report__free_unpacked
                      (Cwp__NodeReport *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__PassedHeartbeat methods */
+void   cwp__passed_heartbeat__init
+                     (Cwp__PassedHeartbeat         *message);
+size_t cwp__passed_heartbeat__get_packed_size
+                     (const Cwp__PassedHeartbeat   *message);
+size_t cwp__passed_heartbeat__pack
+                     (const Cwp__PassedHeartbeat   *message,
+                      uint8_t             *out);
+size_t cwp__passed_heartbeat__pack_to_buffer
+                     (const Cwp__PassedHeartbeat   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__PassedHeartbeat *
+       cwp__passed_heartbeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__passed_heartbeat__free_unpacked
+                     (Cwp__PassedHeartbeat *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__ViewServer methods */
 void   cwp__view_server__init
                      (Cwp__ViewServer         *message);
@@ -1142,6 +1223,25 @@
 void   cwp__servers_page__free_unpacked
                      (Cwp__ServersPage *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__ListRequest methods */
+void   cwp__list_request__init
+                     (Cwp__ListRequest         *message);
+size_t cwp__list_request__get_packed_size
+                     (const Cwp__ListRequest   *message);
+size_t cwp__list_request__pack
+                     (const Cwp__ListRequest   *message,
+                      uint8_t             *out);
+size_t cwp__list_request__pack_to_buffer
+                     (const Cwp__ListRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ListRequest *
+       cwp__list_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__list_request__free_unpacked
+                     (Cwp__ListRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__NodesPage methods */
 void   cwp__nodes_page__init
                      (Cwp__NodesPage         *message);
@@ -1599,6 +1699,9 @@
 typedef void (*Cwp__NodeReport_Closure)
                  (const Cwp__NodeReport *message,
                   void *closure_data);
+typedef void (*Cwp__PassedHeartbeat_Closure)
+                 (const Cwp__PassedHeartbeat *message,
+                  void *closure_data);
 typedef void (*Cwp__ViewServer_Closure)
                  (const Cwp__ViewServer *message,
                   void *closure_data);
@@ -1608,6 +1711,9 @@
 typedef void (*Cwp__ServersPage_Closure)
                  (const Cwp__ServersPage *message,
                   void *closure_data);
+typedef void (*Cwp__ListRequest_Closure)
+                 (const Cwp__ListRequest *message,
+                  void *closure_data);
 typedef void (*Cwp__NodesPage_Closure)
                  (const Cwp__NodesPage *message,
                   void *closure_data);
@@ -1689,9 +1795,11 @@
 extern const ProtobufCMessageDescriptor cwp__key_samples__descriptor;
 extern const ProtobufCMessageDescriptor cwp__leader_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cwp__node_report__descriptor;
+extern const ProtobufCMessageDescriptor cwp__passed_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cwp__view_server__descriptor;
 extern const ProtobufCMessageDescriptor cwp__view_ack__descriptor;
 extern const ProtobufCMessageDescriptor cwp__servers_page__descriptor;
+extern const ProtobufCMessageDescriptor cwp__list_request__descriptor;
 extern const ProtobufCMessageDescriptor cwp__nodes_page__descriptor;
 extern const ProtobufCMessageDescriptor cwp__table_range__descriptor;
 extern const ProtobufCMessageDescriptor cwp__table_page__descriptor;
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -15,6 +15,7 @@
     X(LINES_DROPPED, "lines dropped", WARNING, 10)                                                                     \
     X(ENTRIES_DROPPED, "entries dropped", WARNING, 1)                                                                  \
     X(FATAL_SIGNAL, "fatal signal", ERROR, 10)                                                                         \
+    X(STORE_CALLS, "store calls", NOTICE, 1)                                                                           \
     X(STORE_LOST, "store lost", WARNING, 10)                                                                           \
     X(STORE_BACK, "store back", NOTICE, 10)                                                                            \
     X(PEER_LOST, "peer lost", WARNING, 20)                                                                             \
@@ -39,6 +40,8 @@
     X(SERVERS_CHANGED, "servers changed", NOTICE, 20)                                                                  \
     X(SERVERS_KEPT, "servers kept", WARNING, 20)                                                                       \
     X(SERVERS_OLDER, "servers older", NOTICE, 10)                                                                      \
+    X(LIST_REQUESTED, "list requested", INFO, 20)                                                                      \
+    X(LIST_FROM_ZONE, "list from zone", NOTICE, 10)                                                                    \
     X(ZONE_OUT, "zone out of service", WARNING, 20)                                                                    \
     X(ZONE_BACK, "zone back in service", NOTICE, 20)                                                                   \
     X(VIEW_TAKEN, "view taken", INFO, 20)                                                                              \
@@ -112,6 +115,13 @@
     X(SENT_REMOTE, "sent_remote")                                                                                      \
     X(LIMIT_MODE, "limit_mode")                                                                                        \
     X(LIMIT_AGE_MS, "limit_age_ms")                                                                                    \
+    X(READS, "reads")                                                                                                  \
+    X(WRITES, "writes")                                                                                                \
+    X(COPIES, "copies")                                                                                                \
+    X(WATCHES, "watches")                                                                                              \
+    X(LIST_PAGES, "list_pages")                                                                                        \
+    X(LIST_CHANGES, "list_changes")                                                                                    \
+    X(LIST_UNCHANGED, "list_unchanged")                                                                                \
     X(DETAIL, "detail")
 
 #define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -85,8 +85,18 @@
     X(CONNECTIONS_OPENED, "cedarwinch_server_connections_total", "counter", "connections opened to servers")           \
     X(STORE_READS, "cedarwinch_store_reads_total", "counter", "reading calls to the store")                            \
     X(STORE_WRITES, "cedarwinch_store_writes_total", "counter", "writing calls to the store")                          \
+    X(STORE_WATCHES, "cedarwinch_store_watches_total", "counter", "of them, watches of the configuration")             \
+    X(LIST_PAGES, "cedarwinch_list_pages_total", "counter", "of them, pages of whole lists of servers")                \
+    X(LIST_UNCHANGED, "cedarwinch_list_unchanged_total", "counter", "of them, for changes of the list, without any")   \
     X(LIST_CHANGES, "cedarwinch_list_changes_total", "counter",                                                        \
       "times the list was brought up to date by its changes")                                                          \
+    X(LIST_REQUESTS, "cedarwinch_list_requests_total", "counter",                                                      \
+      "requests sent to nodes of the zone for pages of the whole list")                                                \
+    X(LIST_PAGES_SERVED, "cedarwinch_list_pages_served_total", "counter",                                              \
+      "pages of whole lists sent to nodes that asked for them")                                                        \
+    X(LIST_REDIRECTS, "cedarwinch_list_redirects_total", "counter",                                                    \
+      "nodes that asked for the list and were given the address of another one")                                       \
+    X(LIST_FROM_ZONE, "cedarwinch_list_from_zone_total", "counter", "whole lists that came from a node of the zone")   \
     X(STORE_COPIES, "cedarwinch_store_copy_reads_total", "counter", "reading calls answered from a copy, cheaper")     \
     X(STORE_FAILURES, "cedarwinch_store_failures_total", "counter", "calls to the store refused or without an answer") \
     X(STORE_BODIES_MALFORMED, "cedarwinch_store_bodies_malformed_total", "counter",                                    \
@@ -108,6 +118,8 @@
     X(ENTRIES_DROPPED, "cedarwinch_entries_dropped_total", "counter",                                                  \
       "entries left out because an array of fixed size was full, counted at each look")                                \
     X(SUSPENDED_MS, "cedarwinch_suspended_milliseconds_total", "counter", "time for which the machine was suspended")  \
+    X(PAGES_NOT_PASSED_ON, "cedarwinch_pages_not_passed_on_total", "counter",                                          \
+      "pages of the leader that this relay dropped, since too many updates waited")                                    \
     X(LOG_DROPPED, "cedarwinch_log_lines_dropped", "gauge", "log lines not written")                                   \
     X(SERVERS, "cedarwinch_servers", "gauge", "servers listed")                                                        \
     X(ZONES_OUT, "cedarwinch_zones_out_of_service", "gauge", "zones that operators have taken out of service")         \
--- a/src/cli/zone.c
+++ b/src/cli/zone.c
@@ -53,14 +53,12 @@
     (void)is_answered;
 }
 
-static void on_servers(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest)
+static void on_servers(void *context, const cw_servers_read_t *read)
 {
     zone_session_t *session = context;
 
-    (void)revision;
-    (void)latest;
     cw_server_list_release(session->servers);
-    session->servers = list;
+    session->servers = read->list;
     session->done = true;
 }
 
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -24,7 +24,8 @@
 /** When what a node lacks is sent to it next. */
 typedef struct cw_push_state {
     cw_time_us_t due_at;
-    uint32_t     tries; /**< since it last had the newest */
+    uint32_t     tries;      /**< since it last had the newest */
+    bool         is_waiting; /**< it was left to get it from another node until due_at */
 } cw_push_state_t;
 
 typedef struct cw_peer {
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -123,8 +123,11 @@
     cw_router_zones_tick(router, now);
     cw_router_slots_tick(router, now);
     cw_router_relay_tick(router, now);
+    cw_router_pass_on_tick(router, now);
+    cw_router_list_exchange_tick(router, now);
     cw_router_quota_tick(router, now);
     cw_engine_set_nodes(router->engine, nodes_for_budget(router, now), nodes_in_reach(router, now));
+    cw_router_store_calls_tick(now);
     cw_router_check_file(router, now);
     cw_router_check_stop(router, now);
     cw_event_log_flush(now);
@@ -229,7 +232,10 @@
     cw_router_share_init(router);
     cw_router_zones_init(router);
     cw_router_slots_init(router);
+    cw_router_push_init(router);
+    cw_router_pass_on_init(router);
     cw_router_relay_init(router);
+    cw_router_list_exchange_init(router);
     cw_router_quota_init(router);
     cw_router_peers_init(router);
     snprintf(store_address, sizeof(store_address), "%s:%u", router->settings.store.address,
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -9,6 +9,7 @@
 #include "base/byte_buffer.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "base/send_allowance.h"
 #include "lease/leadership.h"
 #include "model/server_view.h"
 #include "peer/peer_link.h"
@@ -23,6 +24,7 @@
 #include "router/fleet_size.h"
 #include "router/leader_tenure.h"
 #include "router/list_history.h"
+#include "router/pass_on_queue.h"
 #include "router/router.h"
 #include "router/store_reach.h"
 #include "router/store_reader.h"
@@ -51,6 +53,12 @@
     cw_plan_timing_t        timing;
 } cw_service_assignment_t;
 
+/** How long relays may take to pass the leader's last changes on to their zones. */
+typedef struct cw_relay_delays {
+    cw_time_us_t servers;
+    cw_time_us_t tables;
+} cw_relay_delays_t;
+
 /** Something being received page by page. */
 typedef struct cw_view_assembly {
     uint64_t term;
@@ -66,6 +74,9 @@
 /** What the nodes of a zone say to those of other zones, and hear from them, by relays. */
 typedef struct cw_router_relay cw_router_relay_t;
 
+/** Whole lists of servers asked of nodes of this zone, and sent to them. */
+typedef struct cw_router_list_exchange cw_router_list_exchange_t;
+
 /** Tenants' limits: this node's counting, and on whom it counts. */
 typedef struct cw_router_quota cw_router_quota_t;
 
@@ -125,6 +136,8 @@
     cw_credential_evidence_t     credential_evidence; /**< how old `freshness` may grow for callers' keys */
     cw_configuration_newest_t    configuration_newest;
 
+    cw_router_list_exchange_t *list_exchange;
+
     /* what this node goes by */
     cw_server_view_t   server_view; /**< the list of servers in force */
     cw_zone_service_t *zones;       /**< which zones are out of service, by that list */
@@ -133,6 +146,7 @@
     bool               reading_servers; /**< this node reads the list itself */
     bool               reading_copy;    /**< from a copy, that may be seconds old */
     cw_time_us_t       servers_read_at; /**< sending of that read */
+    cw_time_us_t       servers_lag;     /**< what changed in so long before the last one may be missing in it */
     uint64_t           view_term;
     uint64_t           view_servers;
     uint64_t           view_tables;
@@ -160,8 +174,9 @@
     uint64_t                lead_tables;
     cw_table_publication_t  table_publication;
     cw_list_history_t       list_history;
-    double                  push_room; /**< bytes that may be sent to bring others up to date */
-    cw_time_us_t            push_filled_at;
+    cw_send_allowance_t     push_allowance; /**< for bringing others up to date */
+    cw_relay_delays_t       relay_delays;
+    cw_pass_on_queue_t     *pass_on;
     cw_order_trust_t       *order_trust; /**< servers that this leader's orders did not reach */
     cw_service_assignment_t keyed[CW_KEYED_SERVICES_MAX];
     size_t                  keyed_count;
@@ -220,23 +235,43 @@
 bool cw_router_is_summed(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now);
 /** Is the peer one of the relays of its zone? */
 bool cw_router_is_relay(const cw_router_t *router, const cw_peer_t *peer);
-/** The leader's list and tables are those of this node, by numbers and hashes, or are not. */
-void cw_router_compare_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat);
+/** Is this node one, and is it the first one? */
+bool cw_router_is_own_relay(const cw_router_t *router);
+bool cw_router_is_first_relay(const cw_router_t *router);
+/** Did this node stand still a moment ago, so that nobody knows how old a datagram is that is read now? */
+bool cw_router_is_of_backlog(const cw_router_t *router, cw_time_us_t now);
 /** Asks for the whole list, or tables, if what this node has under the leader's number has long been another. */
 void cw_router_check_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now);
 /** Nodes of the largest zone, as far as known. */
 uint32_t cw_router_largest_zone(const cw_router_t *router);
 
 /* ---- router_pass_on.c ---- */
+void cw_router_pass_on_init(cw_router_t *router);
 /** Sends a page of changes that the leader has sent this relay to the other nodes of its zone. */
 void cw_router_pass_on_page(cw_router_t *router, const Cwp__Datagram *datagram);
-/** Number of the list that this relay surely has as the leader does; 0: not sure. */
-typedef struct cw_sure_view {
-    uint64_t term;
-    uint64_t servers;
-} cw_sure_view_t;
-/** Sends the whole list to nodes of this relay's zone that have none of this term. place: 0 or 1. */
-void cw_router_pass_on_whole(cw_router_t *router, const cw_sure_view_t *sure, size_t place, cw_time_us_t now);
+/** Goes on with what waits for the allowance. */
+void cw_router_pass_on_tick(cw_router_t *router, cw_time_us_t now);
+/** Sends the leader's heartbeat, which has just come with a report, to the zone, if this node is a relay. */
+void cw_router_pass_on_heartbeat(cw_router_t *router, const cw_peer_t *leader, const Cwp__NodeReport *report);
+void cw_router_take_passed_heartbeat(cw_router_t *router, const cw_peer_t *sender, const Cwp__PassedHeartbeat *passed,
+                                     cw_time_us_t now);
+
+/* ---- router_list_exchange.c ---- */
+void cw_router_list_exchange_init(cw_router_t *router);
+void cw_router_list_exchange_free(cw_router_t *router);
+void cw_router_list_exchange_tick(cw_router_t *router, cw_time_us_t now);
+/** The leader's heartbeat names its newest list. */
+void cw_router_list_exchange_heartbeat(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now);
+/** A node has reported which list it has. */
+void cw_router_list_exchange_note(cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now);
+/** A page of a whole list has come; `next_missing`: first page not yet here, page->pages when none is. */
+void cw_router_list_exchange_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page,
+                                  uint32_t next_missing);
+/** A node names another one that has the list, in place of pages. */
+void cw_router_list_exchange_redirected(cw_router_t *router, const Cwp__ServersPage *page);
+void cw_router_take_list_request(cw_router_t *router, const cw_peer_t *peer, const Cwp__ListRequest *request);
+/** Does a node that lacks the whole list get it from another one of its zone, which has it or is a relay? */
+bool cw_router_gets_list_in_zone(const cw_router_t *router, const cw_peer_t *peer);
 
 /* ---- router_push.c ---- */
 /** What is sent to a peer: changes since number `base`, or the whole (0). pass_on: the peer, a relay, is to pass it on.
@@ -258,8 +293,8 @@
                            cw_packed_pages_t *packed);
 /** Does a relay of its zone send this node what it lacks? */
 bool cw_router_is_fed_by_relay(const cw_router_t *router, const cw_peer_t *peer, cw_time_us_t now);
-/** More bytes may be sent as time passes. */
-void cw_router_refill_push(cw_router_t *router, cw_time_us_t now);
+/** Bytes that may be sent to bring others up to date. */
+void cw_router_push_init(cw_router_t *router);
 /** When what was sent just now is sent again. */
 cw_time_us_t cw_router_next_push(cw_push_state_t *push, cw_time_us_t now);
 /** This node leads now: others look first whether they have what it has. */
@@ -311,7 +346,7 @@
                                      cw_time_us_t now);
 /** Reads what no leader sends. */
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now);
-void cw_router_on_servers(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest);
+void cw_router_on_servers(void *context, const cw_servers_read_t *read);
 /** The tables in force were still true then, as a node that has the same ones has read. */
 void cw_router_confirm_tables(cw_router_t *router, cw_time_us_t true_at);
 bool cw_router_tables_known(const cw_router_t *router);
@@ -335,6 +370,10 @@
 void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message);
 void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message);
 
+/* ---- router_store_calls.c ---- */
+/** Logs the calls to the store since the last line, each few seconds in which there were any. */
+void cw_router_store_calls_tick(cw_time_us_t now);
+
 /* ---- router_traffic.c ---- */
 /** What this node has sent to others, as Prometheus text. */
 void cw_router_traffic_metrics(const cw_router_t *router, cw_bytes_t *text);
--- a/src/router/router_pass_on.c
+++ b/src/router/router_pass_on.c
@@ -1,28 +1,123 @@
 /**
  * @file router_pass_on.c
- * @brief A relay's part in bringing its zone up to date: changes of the leader passed on, and whole lists.
+ * @brief A relay's part in bringing its zone up to date: the leader's changes and heartbeats, passed on.
  *
- * A page of changes goes on as it came, to all of the zone: those that it does not fit leave it. A whole list is sent
- * from this node's own, to nodes of the zone that have none of the leader's term, and only while the leader's heartbeat
- * has the same number and hash: so what is passed on is the leader's. Nodes acknowledge to the relay and to the leader.
+ * Pages go on as they came, to the nodes of the zone that lack them (pass_on_queue.h): those that they do not fit leave
+ * them. Nodes acknowledge to the relay and to the leader. Whole lists are asked for inside the zone
+ * (router_list_exchange.c).
  *
- * Whole tables come from the leader alone. A node that has read a later record of assignments in the store has no
- * number of the tables; a relay's tables, true a moment ago, would replace what it read and live on for as long as the
- * record may, so that keys could be routed to an owner whose hold a next leader takes to be over. Lists are ordered by
- * the store's revision, tables are not.
+ * Whole tables are passed on only to nodes that have none at all. A node that has read a later record of assignments in
+ * the store has no number of the tables; a relay's tables, true a moment ago, would replace what it read and live on
+ * for as long as the record may, so that keys could be routed to an owner whose hold a next leader takes to be over.
+ * Lists are ordered by the store's revision, tables are not.
+ *
+ * A heartbeat goes on in the turn in which it came, or not at all: to those who get it, it is as young as when it was
+ * received here.
  */
-#include "router/router_internal.h"
+#include <stdlib.h>
 
-enum {
-    FIRST_WAIT_MS = 100,       /* a node that has the same already says so within a turn of its loop */
-    SECOND_RELAY_WAIT_MS = 700 /* the other relay of the zone has sent it by then */
-};
+#include "base/text.h"
+#include "router/router_internal.h"
 
 static bool is_of_zone(const cw_peer_t *peer)
 {
     return peer->last_received_at != 0 && !peer->is_lost && peer->distance == CW_DISTANCE_ZONE;
 }
 
+/* ---- pages ---- */
+
+static int compare_addresses(const void *left, const void *right)
+{
+    uint32_t first = *(const uint32_t *)left;
+    uint32_t second = *(const uint32_t *)right;
+
+    return (first > second) - (first < second);
+}
+
+static void reverse(uint32_t *addresses, size_t count)
+{
+    size_t index;
+
+    for (index = 0; index < count / 2; index++) {
+        uint32_t address = addresses[index];
+
+        addresses[index] = addresses[count - 1 - index];
+        addresses[count - 1 - index] = address;
+    }
+}
+
+static size_t list_nodes(void *context, uint32_t **addresses)
+{
+    cw_router_t     *router = context;
+    size_t           count = 0;
+    const cw_peer_t *peer;
+
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        count += is_of_zone(peer) ? 1 : 0;
+    }
+    *addresses = calloc(count + 1, sizeof(**addresses));
+    if (*addresses == NULL) {
+        abort();
+    }
+    count = 0;
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (is_of_zone(peer)) {
+            (*addresses)[count++] = peer->address;
+        }
+    }
+    qsort(*addresses, count, sizeof(**addresses), compare_addresses);
+    if (!cw_router_is_first_relay(router)) {
+        reverse(*addresses, count);
+    }
+    return count;
+}
+
+static bool is_wanted(void *context, uint32_t address, const cw_pass_on_update_t *update)
+{
+    cw_router_t     *router = context;
+    const cw_peer_t *peer = cw_peer_link_find(router->link, address);
+    uint64_t         has;
+
+    if (peer == NULL || !is_of_zone(peer)) {
+        return false;
+    }
+    has = peer->term == update->term ? (update->is_list ? peer->servers : peer->tables) : 0;
+    return has < update->number && (update->base != 0 || has == 0);
+}
+
+static size_t send_to(void *context, uint32_t address, const cw_datagram_batch_t *pages)
+{
+    cw_router_t     *router = context;
+    const cw_peer_t *peer = cw_peer_link_find(router->link, address);
+
+    return peer == NULL ? 0 : cw_peer_link_send_batch(router->link, peer, pages);
+}
+
+void cw_router_pass_on_init(cw_router_t *router)
+{
+    cw_pass_on_owner_t owner = {.context = router, .list_nodes = list_nodes, .is_wanted = is_wanted, .send = send_to};
+
+    router->pass_on = cw_pass_on_queue_create(&owner);
+}
+
+static cw_pass_on_update_t update_of(const Cwp__Datagram *datagram, uint32_t *page)
+{
+    const Cwp__ServersPage *servers = datagram->servers;
+    const Cwp__TablePage   *table = datagram->table;
+
+    if (datagram->content_case == CWP__DATAGRAM__CONTENT_SERVERS) {
+        *page = servers->page;
+        return (cw_pass_on_update_t){.is_list = true,
+                                     .term = servers->term,
+                                     .base = servers->since,
+                                     .number = servers->number,
+                                     .pages = servers->pages};
+    }
+    *page = table->page;
+    return (cw_pass_on_update_t){
+        .term = table->term, .base = table->since, .number = table->number, .pages = table->pages};
+}
+
 static void set_pass_on(const Cwp__Datagram *datagram, bool pass_on)
 {
     if (datagram->content_case == CWP__DATAGRAM__CONTENT_SERVERS) {
@@ -34,51 +129,87 @@
 
 void cw_router_pass_on_page(cw_router_t *router, const Cwp__Datagram *datagram)
 {
-    const cw_peer_t *peer;
-    size_t           length;
+    static cw_datagram_batch_t packed; /* its memory is kept */
+    cw_time_us_t               now = cw_router_now(router);
+    uint32_t                   page;
+    cw_pass_on_update_t        update = update_of(datagram, &page);
 
+    if (update.pages > CW_PAGES_MAX) {
+        return; /* no node can take it either */
+    }
     set_pass_on(datagram, false);
-    length = cw_peer_link_pack(router->link, datagram);
+    cw_datagram_batch_empty(&packed);
+    cw_peer_link_pack_into(router->link, &packed, datagram);
+    if (packed.count == 1 && !cw_pass_on_queue_add(router->pass_on, &update, page, &packed, now)) {
+        cw_metric_add(CW_METRIC_PAGES_NOT_PASSED_ON, 1); /* the leader sends it by itself */
+    }
+    cw_router_pass_on_tick(router, now);
+}
+
+void cw_router_pass_on_tick(cw_router_t *router, cw_time_us_t now)
+{
+    cw_pass_on_queue_send(router->pass_on, &router->push_allowance, now);
+}
+
+/* ---- heartbeats ---- */
+
+void cw_router_pass_on_heartbeat(cw_router_t *router, const cw_peer_t *leader, const Cwp__NodeReport *report)
+{
+    Cwp__PassedHeartbeat passed = CWP__PASSED_HEARTBEAT__INIT;
+    Cwp__Datagram        datagram = CWP__DATAGRAM__INIT;
+    const cw_peer_t     *peer;
+    size_t               length;
+
+    if (leader->distance == CW_DISTANCE_ZONE || !cw_router_is_own_relay(router) ||
+        cw_router_is_of_backlog(router, cw_router_now(router))) {
+        return;
+    }
+    passed.leader = leader->address;
+    passed.node = (char *)leader->node;
+    passed.incarnation = report->incarnation;
+    passed.sequence = report->sequence;
+    passed.stopping = report->stopping;
+    passed.configuration = report->configuration;
+    passed.heartbeat = report->leader;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_PASSED_HEARTBEAT;
+    datagram.passed_heartbeat = &passed;
+    length = cw_peer_link_pack(router->link, &datagram);
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (is_of_zone(peer)) {
-            router->push_room -= (double)length; /* whole lists wait for it, changes do not */
             cw_peer_link_send_packed(router->link, peer, length);
         }
     }
 }
 
-/* Does the node lack it, and is it time to send it? */
-static bool is_due(const cw_router_t *router, bool lacks, cw_push_state_t *push, size_t place, cw_time_us_t now)
+/* False: it is late, repeated, or of an earlier incarnation. */
+static bool take_sequence(cw_peer_t *leader, const Cwp__PassedHeartbeat *passed, cw_time_us_t now)
 {
-    if (!lacks) {
-        push->tries = 0;
-        push->due_at = 0;
+    if (leader->incarnation == passed->incarnation && passed->sequence <= leader->sequence) {
         return false;
     }
-    if (push->due_at == 0) {
-        push->due_at = now + CW_MS(FIRST_WAIT_MS + (place == 0 ? 0 : SECOND_RELAY_WAIT_MS));
+    if (cw_peer_is_former(leader, passed->incarnation, now)) {
+        return false;
     }
-    return now >= push->due_at && router->push_room > 0;
+    cw_peer_set_incarnation(leader, passed->incarnation, now);
+    leader->sequence = passed->sequence;
+    return true;
 }
 
-void cw_router_pass_on_whole(cw_router_t *router, const cw_sure_view_t *sure, size_t place, cw_time_us_t now)
+void cw_router_take_passed_heartbeat(cw_router_t *router, const cw_peer_t *sender, const Cwp__PassedHeartbeat *passed,
+                                     cw_time_us_t now)
 {
-    bool has_servers = sure->term == router->view_term && sure->servers != 0 && sure->servers == router->view_servers;
-    static cw_packed_pages_t packed; /* its memory is kept */
-    const cw_push_scope_t    whole = {0};
-    cw_peer_t               *peer;
+    cw_peer_t *leader = cw_peer_link_learn(router->link, passed->leader, now);
 
-    packed.is_packed = false;
-    cw_router_refill_push(router, now);
-    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        bool is_new = peer->term != router->view_term;
-
-        if (!is_of_zone(peer) || router->leadership.leading) {
-            continue;
-        }
-        if (has_servers && is_due(router, is_new || peer->servers == 0, &peer->servers_push, place, now)) {
-            peer->servers_push.due_at = cw_router_next_push(&peer->servers_push, now);
-            cw_router_send_servers(router, peer, &whole, &packed);
-        }
+    if (leader == NULL || passed->heartbeat == NULL || sender->distance != CW_DISTANCE_ZONE ||
+        cw_router_is_of_backlog(router, now) || !take_sequence(leader, passed, now)) {
+        return;
     }
+    cw_text_copy(leader->node, sizeof(leader->node), passed->node);
+    leader->stopping = passed->stopping;
+    leader->last_received_at = now;
+    leader->is_lost = false;
+    cw_router_take_leader_heartbeat(router, leader, passed->heartbeat, now);
+    cw_router_note_configuration(router, leader, passed->configuration, now);
+    cw_configuration_freshness_unpack(&router->freshness, passed->configuration,
+                                      passed->heartbeat->configuration_age_ms, now);
 }
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -59,7 +59,8 @@
 typedef struct report_targets {
     uint32_t near;      /**< of this zone */
     uint32_t uncovered; /**< of other zones that no relay informs, or not known yet */
-    uint32_t covered;   /**< of other zones that relays inform: they are told where there is news for all */
+    uint32_t covered;   /**< of other zones that relays inform: they are sent to where there is news for all */
+    uint32_t relays;    /**< of the covered ones: they pass a leader's heartbeat on */
 } report_targets_t;
 
 static report_targets_t count_targets(const cw_router_t *router, cw_time_us_t now)
@@ -74,6 +75,7 @@
         targets.near += is_in_zone(peer) ? 1 : 0;
         if (peer->distance != CW_DISTANCE_ZONE && cw_router_is_covered(router, peer, now)) {
             targets.covered++;
+            targets.relays += cw_router_is_relay(router, peer) ? 1 : 0;
         } else if (!is_in_zone(peer)) {
             targets.uncovered += peer->last_received_at != 0 ? 1 : 0;
         }
@@ -123,15 +125,18 @@
     }
 }
 
-/* To other zones: where relays inform them, only what is news for all, without this node's requests. */
+/* To other zones: where relays inform them, only what is news for all, without this node's requests; of it a heartbeat
+ * to the relays alone. */
 static void send_beyond_zone(cw_router_t *router, bool to_covered, cw_time_us_t now)
 {
     uint32_t         parts = to_covered ? CW_REPORT_NAMES : CW_REPORT_NAMES | CW_REPORT_LOADS;
+    bool             to_relays = to_covered && router->leadership.leading;
     size_t           length = 0;
     const cw_peer_t *peer;
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (!is_in_zone(peer) && cw_router_is_covered(router, peer, now) == to_covered) {
+        if (!is_in_zone(peer) && cw_router_is_covered(router, peer, now) == to_covered &&
+            (!to_relays || cw_router_is_relay(router, peer))) {
             length = length == 0 ? cw_router_pack_report(router, parts, now) : length;
             cw_peer_link_send_packed(router->link, peer, length);
         }
@@ -251,7 +256,8 @@
 {
     cw_time_us_t since = now - router->reported_all_at;
     bool         has_news = has_news_for_all(router, now);
-    uint32_t     count = targets->uncovered + (has_news ? targets->covered : 0);
+    uint32_t     informed = router->leadership.leading ? targets->relays : targets->covered;
+    uint32_t     count = targets->uncovered + (has_news ? informed : 0);
     bool         is_due = router->all_due && since >= CW_MS(paced_to_all(router, ALL_PAUSE_MS, count));
 
     if (!is_due && since < CW_MS(paced_to_all(router, IDLE_PAUSE_MS, count))) {
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -7,9 +7,10 @@
  * says at once what has come. What is sent again waits longer each time, and all of it stays within a part of the link.
  * Pages are packed once for all nodes that lack the same in one turn: to pack is most of what a large list costs.
  *
- * To a zone that relays inform, each change is sent to its relays alone, which pass it on; a node that has no list of
- * this term gets the whole one from a relay of its zone (router_pass_on.c says why not tables). To one that still lacks
- * it after a while, the leader sends it by itself: so a relay that stops costs time, but nothing waits for it.
+ * To a zone that relays inform, each change is sent to its relays alone, which pass it on. The whole list goes to two
+ * nodes of each zone, its relays, at once: the others ask for it inside their zone (router_list_exchange.c; tables come
+ * from the leader alone, as router_pass_on.c says). To one that still lacks it after a while, the leader sends it by
+ * itself: so a relay that stops costs time, but nothing waits for it.
  */
 #include <string.h>
 
@@ -21,39 +22,38 @@
     RESEND_DOUBLINGS = 1, /* a node that has read a later list itself takes the leader's next one */
     ADOPT_MS = 250,       /* time to see that what a node has is the leader's */
     RELAY_WAIT_MS = 300,  /* for a relay to pass a change on, and for the acknowledgement: some ten times both */
-    WHOLE_WAIT_MS = 800,  /* for the whole: a relay gets it, learns by the next heartbeat that it is right, sends it; */
-    WHOLE_WAIT_NODE_MS = 5, /* and so much more for each node: with many, a relay has many to send it to */
+    WHOLE_WAIT_MS = 800,  /* for the whole: a relay gets it, learns by the next heartbeat that it is right, is asked; */
+    WHOLE_WAIT_NODE_MS = 5, /* and so much more for each node: with many, sources have to double more often */
     NODES_MAX = 1024,
     NODES_AGAIN_MS = 500,          /* until it has heard them: they report at their pace */
     NODES_AGAIN_COVERED_MS = 3000, /* where relays tell of other zones' nodes; those of its own it may still not know */
     LINK_PART = 3,                 /* of the link's bandwidth */
     BURST_MS = 200,
-    BITS = 8
+    BITS = 8,
+    SERVERS_PAGE_BYTES = 5000, /* a full page, some 75 bytes a server */
+    TABLE_RANGE_BYTES = 20
 };
 
 /* ---- the link ---- */
 
-void cw_router_refill_push(cw_router_t *router, cw_time_us_t now)
+void cw_router_push_init(cw_router_t *router)
 {
-    double per_s = (double)router->settings.link_mbps * 1e6 / BITS / LINK_PART;
-    double most = per_s * BURST_MS / 1000;
+    double bytes_per_s = (double)router->settings.link_mbps * 1e6 / BITS / LINK_PART;
 
-    router->push_room += per_s * (double)(now - router->push_filled_at) / 1e6;
-    router->push_room = router->push_room > most ? most : router->push_room;
-    router->push_filled_at = now;
+    cw_send_allowance_init(&router->push_allowance, bytes_per_s, CW_MS(BURST_MS));
 }
 
 static void send_datagram(cw_router_t *router, const cw_peer_t *peer, const Cwp__Datagram *datagram)
 {
     size_t length = cw_peer_link_pack(router->link, datagram);
 
-    router->push_room -= (double)length;
+    cw_send_allowance_spend(&router->push_allowance, length);
     cw_peer_link_send_packed(router->link, peer, length);
 }
 
 static void send_batch(cw_router_t *router, const cw_peer_t *peer, const cw_datagram_batch_t *batch)
 {
-    router->push_room -= (double)cw_peer_link_send_batch(router->link, peer, batch);
+    cw_send_allowance_spend(&router->push_allowance, cw_peer_link_send_batch(router->link, peer, batch));
 }
 
 /* Are these pages those that the scope needs? Else they are begun anew. */
@@ -68,12 +68,12 @@
     return false;
 }
 
-/* Whole ones, changes, and changes to pass on are packed apart: peers of all three kinds come in any order. */
-enum { SCOPES = 3 };
+/* Whole ones and changes, to pass on or not, are packed apart: peers of all kinds come in any order. */
+enum { SCOPES = 4 };
 
 static cw_packed_pages_t *place_of(cw_packed_pages_t packed[SCOPES], const cw_push_scope_t *scope)
 {
-    return &packed[scope->base == 0 ? 0 : 1 + (scope->pass_on ? 1 : 0)];
+    return &packed[(scope->base == 0 ? 0 : 2) + (scope->pass_on ? 1 : 0)];
 }
 
 static void forget_packed(cw_packed_pages_t packed[SCOPES])
@@ -92,6 +92,7 @@
     int doublings = push->tries < RESEND_DOUBLINGS ? (int)push->tries : RESEND_DOUBLINGS;
 
     push->tries++;
+    push->is_waiting = false;
     return now + CW_MS((int64_t)RESEND_MS << doublings);
 }
 
@@ -101,17 +102,39 @@
            cw_router_is_covered(router, peer, now);
 }
 
-static cw_time_us_t relay_wait(const cw_router_t *router, bool is_whole, cw_time_us_t now)
+/* Time in which the relays of the largest zone pass so many bytes on, each to half of it, as far as they are as capable
+ * as this node. */
+static cw_time_us_t relay_delay(const cw_router_t *router, size_t bytes)
 {
+    double sent = (double)bytes * cw_router_largest_zone(router) / 2;
+
+    return (cw_time_us_t)(sent / router->push_allowance.bytes_per_s * 1e6);
+}
+
+static cw_time_us_t relay_wait(const cw_router_t *router, bool is_list, bool is_whole, cw_time_us_t now)
+{
+    cw_time_us_t delay = is_list ? router->relay_delays.servers : router->relay_delays.tables;
+
     if (!is_whole) {
-        return CW_MS(RELAY_WAIT_MS);
+        return CW_MS(RELAY_WAIT_MS) + delay;
     }
-    return CW_MS(WHOLE_WAIT_MS + WHOLE_WAIT_NODE_MS * (int64_t)cw_peer_link_alive(router->link, router->silence, now));
+    return delay +
+           CW_MS(WHOLE_WAIT_MS + WHOLE_WAIT_NODE_MS * (int64_t)cw_peer_link_alive(router->link, router->silence, now));
 }
 
-/* Is it this node's turn to be sent what it lacks? relays_send_whole: not its changes alone. */
+/* Does it come from another node than this one? */
+static bool comes_from_others(const cw_router_t *router, const cw_peer_t *peer, bool is_list, bool is_whole,
+                              cw_time_us_t now)
+{
+    if (is_whole && is_list) {
+        return cw_router_gets_list_in_zone(router, peer);
+    }
+    return cw_router_is_fed_by_relay(router, peer, now);
+}
+
+/* Is it this node's turn to be sent what it lacks? */
 static bool is_due(const cw_router_t *router, const cw_peer_t *peer, cw_push_state_t *push, uint64_t has,
-                   uint64_t newest, bool relays_send_whole, cw_time_us_t now)
+                   uint64_t newest, bool is_list, cw_time_us_t now)
 {
     bool is_of_term = peer->term == router->leadership.lock.term;
     bool wants_whole = !is_of_term || has == 0;
@@ -121,15 +144,20 @@
     }
     if (is_of_term && has >= newest) {
         push->tries = 0;
+        push->is_waiting = false;
         push->due_at = 0;
         return false;
     }
-    if (now < push->due_at || router->push_room <= 0) {
+    if (wants_whole && push->is_waiting && !comes_from_others(router, peer, is_list, wants_whole, now)) {
+        push->due_at = now; /* it has become a relay of its zone */
+    }
+    if (now < push->due_at || !cw_send_allowance_has_any(&router->push_allowance)) {
         return false;
     }
-    if (push->tries == 0 && (relays_send_whole || !wants_whole) && cw_router_is_fed_by_relay(router, peer, now)) {
+    if (push->tries == 0 && comes_from_others(router, peer, is_list, wants_whole, now)) {
         push->tries = 1;
-        push->due_at = now + relay_wait(router, wants_whole, now);
+        push->is_waiting = true;
+        push->due_at = now + relay_wait(router, is_list, wants_whole, now);
         return false;
     }
     return true;
@@ -200,7 +228,7 @@
     send_batch(router, peer, &packed->batch);
 }
 
-/* Whole ones a relay sends from its own, to those that have none. */
+/* Whole ones are asked for by those that have none. */
 static bool is_to_pass_on(const cw_router_t *router, const cw_peer_t *peer)
 {
     return peer->distance != CW_DISTANCE_ZONE && cw_router_is_relay(router, peer);
@@ -212,7 +240,7 @@
     cw_peer_t               *peer;
 
     forget_packed(packed);
-    cw_router_refill_push(router, now);
+    cw_send_allowance_refill(&router->push_allowance, now);
     if (!router->leadership.leading || router->server_view.list == NULL || router->lead_servers == 0) {
         return;
     }
@@ -231,8 +259,11 @@
 
 void cw_router_servers_changed(cw_router_t *router, cw_time_us_t now)
 {
+    uint32_t   pages = cw_servers_pages_of(router->server_view.list, router->lead_servers - 1);
     cw_peer_t *peer;
 
+    router->relay_delays.servers = relay_delay(router, (size_t)pages * SERVERS_PAGE_BYTES);
+
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (peer->term == router->leadership.lock.term && peer->servers + 1 >= router->lead_servers) {
             peer->servers_push.due_at = 0; /* it had the newest: one change is on its way at once */
@@ -272,7 +303,7 @@
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (peer->last_received_at != 0 && !peer->is_lost && peer->peers < alive && now >= peer->nodes_due_at &&
-            router->push_room > 0) {
+            cw_send_allowance_has_any(&router->push_allowance)) {
             peer->nodes_due_at =
                 now + CW_MS(cw_router_is_covered(router, peer, now) ? NODES_AGAIN_COVERED_MS : NODES_AGAIN_MS);
             send_nodes(router, peer);
@@ -344,17 +375,34 @@
         if (is_due(router, peer, &peer->tables_push, peer->tables, router->lead_tables, false, now)) {
             peer->tables_push.due_at = cw_router_next_push(&peer->tables_push, now);
             scope.base = base_of(router, peer, peer->tables);
-            scope.pass_on = scope.base != 0 && is_to_pass_on(router, peer);
+            scope.pass_on = is_to_pass_on(router, peer);
             cw_router_send_tables(router, peer, &scope, place_of(packed, &scope));
         }
     }
 }
 
+/* Bytes of the ranges that the newest tables have changed. */
+static size_t bytes_of_change(const cw_router_t *router)
+{
+    size_t changed = 0;
+    size_t index;
+    size_t place;
+
+    for (index = 0; index < router->tables.count; index++) {
+        for (place = 0; place < router->tables.items[index].count; place++) {
+            changed += router->tables.items[index].entries[place].changed_in == router->lead_tables ? 1 : 0;
+        }
+    }
+    return changed * TABLE_RANGE_BYTES;
+}
+
 void cw_router_tables_changed(cw_router_t *router)
 {
     cw_time_us_t now = cw_router_now(router);
     cw_peer_t   *peer;
 
+    router->relay_delays.tables = relay_delay(router, bytes_of_change(router));
+
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         bool had_newest = peer->tables + 1 >= router->lead_tables; /* others are waited for as long as before */
 
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -131,6 +131,7 @@
                               received->n_queues, now);
     }
     take_paces(router, peer, received, now);
+    cw_router_list_exchange_note(router, peer, now);
     for (index = 0; router->leadership.leading && index < received->n_samples; index++) {
         const Cwp__KeySamples *samples = received->samples[index];
         cw_router_samples_t    taken = {.keys = samples->keys,
@@ -145,6 +146,7 @@
         cw_leadership_receive_step_down(&router->leadership, now);
     }
     if (received->leader != NULL) {
+        cw_router_pass_on_heartbeat(router, peer, received);
         cw_router_take_leader_heartbeat(router, peer, received->leader, now);
     }
     cw_router_note_configuration(router, peer, received->configuration, now);
@@ -209,6 +211,12 @@
     case CWP__DATAGRAM__CONTENT_SLOT_RETURN:
         cw_router_take_slot_return(router, peer, datagram->slot_return);
         break;
+    case CWP__DATAGRAM__CONTENT_LIST_REQUEST:
+        cw_router_take_list_request(router, peer, datagram->list_request);
+        break;
+    case CWP__DATAGRAM__CONTENT_PASSED_HEARTBEAT:
+        cw_router_take_passed_heartbeat(router, peer, datagram->passed_heartbeat, now);
+        break;
     case CWP__DATAGRAM__CONTENT_ZONE_SUMMARY:
         cw_router_take_zone_summary(router, datagram, now);
         break;
--- a/src/router/router_relay.c
+++ b/src/router/router_relay.c
@@ -42,7 +42,6 @@
     uint32_t           largest_zone;
     zone_relays_t      zones[CW_ZONES_MAX]; /* this node's own first */
     size_t             zone_count;
-    cw_sure_view_t     sure;
     cw_view_check_t    servers_check;
     cw_view_check_t    tables_check;
     cw_time_us_t       ticked_at;     /* 0: not yet */
@@ -149,6 +148,18 @@
     return zone != NULL && place_of(zone, peer->address) != CW_RELAYS;
 }
 
+bool cw_router_is_own_relay(const cw_router_t *router)
+{
+    return router->relay->zone_count > 0 && cw_router_nodes_are_many(router) &&
+           place_of(&router->relay->zones[0], cw_peer_link_own_address(router->link)) != CW_RELAYS;
+}
+
+bool cw_router_is_first_relay(const cw_router_t *router)
+{
+    return router->relay->zone_count > 0 &&
+           place_of(&router->relay->zones[0], cw_peer_link_own_address(router->link)) == 0;
+}
+
 /* ---- sending ---- */
 
 static void send_summary(cw_router_t *router, size_t place, cw_time_us_t now)
@@ -211,18 +222,6 @@
     check_tables(router, heartbeat, now);
 }
 
-void cw_router_compare_view(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat)
-{
-    cw_sure_view_t *sure = &router->relay->sure;
-    bool            is_term = heartbeat->term == router->view_term;
-
-    sure->term = heartbeat->term;
-    sure->servers = is_term && router->server_view.list != NULL && heartbeat->servers == router->view_servers &&
-                            heartbeat->servers_hash == router->server_view.hash
-                        ? router->view_servers
-                        : 0;
-}
-
 static bool has_stood_still(const cw_router_relay_t *relay, cw_time_us_t now)
 {
     return relay->ticked_at != 0 && now - relay->ticked_at > CW_MS(STILL_MS);
@@ -252,7 +251,6 @@
         return;
     }
     send_summary(router, place, now);
-    cw_router_pass_on_whole(router, &relay->sure, place, now);
 }
 
 /* ---- receiving ---- */
@@ -348,10 +346,10 @@
     cw_router_take_queues(router, number, false, summary->queues, summary->n_queues, now);
 }
 
-/* How old it is nobody knows: its ages of nodes count from when it was sent. */
-static bool is_of_backlog(const cw_router_relay_t *relay, cw_time_us_t now)
+/* How old a summary is nobody knows then: its ages of nodes count from when it was sent. */
+bool cw_router_is_of_backlog(const cw_router_t *router, cw_time_us_t now)
 {
-    return has_stood_still(relay, now) || now < relay->backlog_until;
+    return has_stood_still(router->relay, now) || now < router->relay->backlog_until;
 }
 
 static void note_late(const cw_router_relay_t *relay, const Cwp__ZoneSummary *summary, cw_time_us_t now)
@@ -386,7 +384,7 @@
     if (!is_well_formed(summary) || strcmp(summary->zone, router->settings.zone) == 0) {
         return;
     }
-    if (is_of_backlog(router->relay, now)) {
+    if (cw_router_is_of_backlog(router, now)) {
         note_late(router->relay, summary, now);
         return;
     }
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -52,12 +52,10 @@
     }
 }
 
-/* To the node that sent it, and to the leader if that is another one: what it need not send by itself. */
-static void acknowledge(cw_router_t *router, const cw_peer_t *sender)
+static size_t pack_ack(cw_router_t *router)
 {
-    Cwp__ViewAck     ack = CWP__VIEW_ACK__INIT;
-    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
-    const cw_peer_t *peer;
+    Cwp__ViewAck  ack = CWP__VIEW_ACK__INIT;
+    Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
 
     ack.incarnation = router->incarnation;
     ack.term = router->view_term;
@@ -65,20 +63,46 @@
     ack.tables = router->view_tables;
     datagram.content_case = CWP__DATAGRAM__CONTENT_ACK;
     datagram.ack = &ack;
-    cw_peer_link_send(router->link, sender, &datagram);
+    return cw_peer_link_pack(router->link, &datagram);
+}
+
+/* A relay is the first of its zone to have a whole list: the others can ask it for that. */
+static void announce_whole_list(cw_router_t *router)
+{
+    size_t           length;
+    const cw_peer_t *peer;
+
+    if (!cw_router_is_own_relay(router)) {
+        return;
+    }
+    length = pack_ack(router);
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (peer->distance == CW_DISTANCE_ZONE && !peer->is_lost) {
+            cw_peer_link_send_packed(router->link, peer, length);
+        }
+    }
+}
+
+/* To the node that sent it, and to the leader if that is another one: what it need not send by itself. */
+static void acknowledge(cw_router_t *router, const cw_peer_t *sender)
+{
+    size_t           length = pack_ack(router);
+    const cw_peer_t *peer;
+
+    cw_peer_link_send_packed(router->link, sender, length);
     if (strcmp(sender->node, router->leader_node) == 0 || router->leader_node[0] == '\0') {
         return;
     }
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (strcmp(peer->node, router->leader_node) == 0) {
-            cw_peer_link_send(router->link, peer, &datagram);
+            cw_peer_link_send_packed(router->link, peer, length);
         }
     }
 }
 
 void cw_router_take_ack(cw_router_t *router, cw_peer_t *peer, const Cwp__ViewAck *ack)
 {
-    if (peer->incarnation != ack->incarnation || ack->term != router->view_term) {
+    if (peer->incarnation != ack->incarnation || ack->term < router->view_term) {
         return;
     }
     if (peer->term != ack->term) {
@@ -88,6 +112,7 @@
     }
     peer->servers = ack->servers > peer->servers ? ack->servers : peer->servers;
     peer->tables = ack->tables > peer->tables ? ack->tables : peer->tables;
+    cw_router_list_exchange_note(router, peer, cw_router_now(router));
 }
 
 /* ---- the list ---- */
@@ -128,17 +153,41 @@
     }
 }
 
+/* Has no effect on pages of changes: these are not asked for. */
+static void note_whole_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page,
+                            uint32_t next_missing)
+{
+    if (page->since == 0) {
+        cw_router_list_exchange_page(router, peer, page, next_missing);
+    }
+}
+
+static uint32_t first_missing(const cw_view_assembly_t *assembly)
+{
+    uint32_t page = 0;
+
+    while (page < assembly->pages && assembly->seen[page]) {
+        page++;
+    }
+    return page;
+}
+
 void cw_router_take_servers_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page)
 {
     cw_page_place_t     place = {page->term, page->number, page->since, page->page, page->pages};
     cw_server_reading_t reading = {.revision = page->revision, .is_told = true};
     bool                begun;
 
+    if (page->pages == 0 && page->ask_instead != 0) {
+        cw_router_list_exchange_redirected(router, page);
+        return;
+    }
     if (!is_usable(router, &place, router->view_servers)) {
         return;
     }
     if (page->revision < router->server_view.revision) { /* this node has read a later one itself */
         cw_router_note_older_servers(router, page->revision, "told");
+        note_whole_page(router, peer, page, page->pages);
         return;
     }
     if (!take_page(&router->servers_pages, &place, &begun)) {
@@ -151,6 +200,7 @@
     }
     collect_servers(router, page, begun);
     if (router->servers_pages.have < page->pages) {
+        note_whole_page(router, peer, page, first_missing(&router->servers_pages));
         return;
     }
     reading.list = router->servers_partial;
@@ -160,7 +210,11 @@
     cw_router_begin_term(router, page->term);
     router->view_servers = page->number;
     (void)cw_router_take_servers(router, &reading);
+    note_whole_page(router, peer, page, page->pages);
     acknowledge(router, peer);
+    if (page->since == 0) {
+        announce_whole_list(router);
+    }
 }
 
 /* ---- tables ---- */
@@ -189,12 +243,19 @@
     return count;
 }
 
+/* Whole tables that a relay passes on may be older than a record that this node has read (router_pass_on.c). */
+static bool is_from_leader_or_first(const cw_router_t *router, const cw_peer_t *sender, const Cwp__TablePage *page)
+{
+    return page->since != 0 || router->tables_at == 0 || strcmp(sender->node, router->leader_node) == 0;
+}
+
 void cw_router_take_table_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__TablePage *page)
 {
     cw_page_place_t place = {page->term, page->number, page->since, page->page, page->pages};
     bool            begun;
 
-    if (!is_usable(router, &place, router->view_tables) || !take_page(&router->tables_pages, &place, &begun)) {
+    if (!is_usable(router, &place, router->view_tables) || !is_from_leader_or_first(router, peer, page) ||
+        !take_page(&router->tables_pages, &place, &begun)) {
         return;
     }
     if (begun) {
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -15,12 +15,13 @@
 #include "router/view_order.h"
 
 enum {
-    LIST_PARTS = 4,        /* a list is read so many times while a leaving server may still get requests, */
-    LIST_PARTS_MANY = 2,   /* and so many times by each of many nodes without the leader's heartbeat */
-    LIST_OLD_PERCENT = 60, /* of that time: an older one is read by nodes that do not read for others, too */
+    LIST_PARTS = 4,          /* a list is read so many times while a leaving server may still get requests, */
+    LIST_PARTS_LAGGING = 10, /* more often where its last changes may be missing in what is read, */
+    LIST_PARTS_MANY = 2,     /* and so many times by each of many nodes without the leader's heartbeat */
+    LIST_OLD_PERCENT = 60,   /* of that time: an older one is read by nodes that do not read for others, too */
     FIRST_READ_EVERY_MS = 700,
     LEADER_SEEN_MS = 100, /* a node that starts has the leader's heartbeat by then: seeds answer it within 50 ms */
-    FIRST_LIST_MS = 800,  /* the leader's list has come by then, from a relay of the zone or the leader itself */
+    FIRST_LIST_MS = 4000, /* the leader's list has come by then, from nodes of the zone or the leader itself */
     MANY_NODES = 16,      /* more than these are many: what they all ask of the store is to stay bounded */
     TABLES_READER_PERCENT = 25, /* of the time they are valid: tables as old are read by readers of many nodes, */
     TABLES_OLD_PERCENT = 50,    /* and by the others: a reader has mostly confirmed theirs before */
@@ -125,18 +126,19 @@
     return result != CW_VIEW_OLDER;
 }
 
-void cw_router_on_servers(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest)
+void cw_router_on_servers(void *context, const cw_servers_read_t *read)
 {
     cw_router_t        *router = context;
-    cw_server_reading_t reading = {.list = list,
-                                   .revision = revision,
-                                   .latest = latest,
-                                   .true_at = router->reading_copy ? 0 : router->servers_read_at,
+    cw_server_reading_t reading = {.list = read->list,
+                                   .revision = read->revision,
+                                   .latest = read->latest,
+                                   .true_at = router->reading_copy ? 0 : router->servers_read_at - read->lag,
                                    .store_failed = router->store_reach.failed_at > router->server_view.true_at};
 
     router->reading_servers = false;
-    cw_router_store_result(router, list != NULL, cw_router_now(router));
-    if (list != NULL && cw_router_take_servers(router, &reading) && !router->leadership.leading) {
+    router->servers_lag = read->lag;
+    cw_router_store_result(router, read->list != NULL, cw_router_now(router));
+    if (read->list != NULL && cw_router_take_servers(router, &reading) && !router->leadership.leading) {
         router->view_servers = 0; /* changes that the leader tells cannot be laid over it */
     }
 }
@@ -167,10 +169,18 @@
     return is_spared && longer > usual ? longer : usual;
 }
 
+/* Between readings while the store answers. */
+static cw_time_us_t usual_pause_of_reading(const cw_router_t *router, cw_time_us_t now)
+{
+    if (cw_router_is_able(router, now)) {
+        return router->settings.drain / (router->servers_lag > 0 ? LIST_PARTS_LAGGING : LIST_PARTS);
+    }
+    return router->settings.drain / (is_one_of_many(router, now) ? LIST_PARTS_MANY : LIST_PARTS);
+}
+
 static void read_servers(cw_router_t *router, cw_time_us_t now)
 {
-    bool         is_rare = is_one_of_many(router, now) && !cw_router_is_able(router, now);
-    cw_time_us_t pause = router->settings.drain / (is_rare ? LIST_PARTS_MANY : LIST_PARTS);
+    cw_time_us_t pause = usual_pause_of_reading(router, now);
     bool         from_copy = router->server_view.list == NULL && !cw_router_is_able(router, now);
 
     pause = from_copy ? CW_MS(FIRST_READ_EVERY_MS) : pause_of_reading(router, pause, now);
@@ -284,7 +294,7 @@
     cw_fleet_size_note(&router->fleet_size, heartbeat->nodes);
     cw_router_adopt(router, peer, heartbeat);
     cw_router_check_view(router, heartbeat, now);
-    cw_router_compare_view(router, heartbeat);
+    cw_router_list_exchange_heartbeat(router, heartbeat, now);
     if (router->view_term == heartbeat->term && router->view_servers >= heartbeat->servers) {
         cw_server_view_confirm(&router->server_view, heartbeat->list_revision, now - CW_MS(heartbeat->list_age_ms));
     }
@@ -420,15 +430,14 @@
     router->tables_expired = expired;
 }
 
-/* A node that starts gets the list that the leader has from a relay of its zone. To read it takes a call for each page
- * of the store, and a reading of a later revision turns away the pages that come: so it reads only what does not come.
+/* A node that starts gets the list that the leader has from nodes of its zone. To read it takes a call for each page of
+ * the store, and a reading of a later revision turns away the pages that come: so it reads only what does not come.
  */
-static bool is_first_read_due(const cw_router_t *router, cw_time_us_t now)
+static bool is_first_read_due(const cw_router_t *router, bool heartbeat_is_fresh, cw_time_us_t now)
 {
-    bool         is_to_come = router->leader_heartbeat_at != 0;
-    cw_time_us_t wait = CW_MS(is_to_come ? FIRST_LIST_MS : LEADER_SEEN_MS);
+    cw_time_us_t wait = CW_MS(heartbeat_is_fresh ? FIRST_LIST_MS : LEADER_SEEN_MS);
 
-    return router->server_view.list == NULL && now - router->started_at >= wait;
+    return now - router->started_at >= wait;
 }
 
 /* A reader reads as soon as the leader's heartbeat fails to come; the others when no reader has confirmed their list.
@@ -437,8 +446,11 @@
 {
     cw_time_us_t age = now - router->server_view.true_at;
 
+    if (router->server_view.list == NULL) {
+        return is_first_read_due(router, heartbeat_is_fresh, now);
+    }
     if (cw_router_is_new(router, now)) {
-        return is_first_read_due(router, now);
+        return false;
     }
     if (router->is_reader && (!heartbeat_is_fresh || age > router->settings.drain * HEARTBEAT_OLD_PERCENT / 100)) {
         return true;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -34,6 +34,14 @@
 
 typedef void (*cw_store_replied_t)(void *context, const cw_store_reply_t *reply);
 
+/** A reading of the list of servers. */
+typedef struct cw_servers_read {
+    cw_server_list_t *list;     /**< NULL: it could not be read. Else a reference that is given away */
+    uint64_t          revision; /**< all changes up to this one of the store are in it, */
+    uint64_t     latest; /**< and none later than this: what is read in several calls may hold some made meanwhile */
+    cw_time_us_t lag;    /**< what changed in so long before the reading may be missing */
+} cw_servers_read_t;
+
 /** Callbacks of a store's standing readers. Each gives a reference away. */
 typedef struct cw_store_readers {
     void *context;
@@ -48,9 +56,7 @@
     void (*answered)(void *context, bool is_answered);
     /** Operators may take zones out of service here: each reading of the servers also brings which are. */
     bool zones_may_be_out;
-    /** The list of servers, NULL when it could not be read. All changes up to `revision` of the store are in it, and
-     * none later than `latest`: what is read in several calls may hold some made meanwhile. */
-    void (*servers)(void *context, cw_server_list_t *list, uint64_t revision, uint64_t latest);
+    void (*servers)(void *context, const cw_servers_read_t *read);
 } cw_store_readers_t;
 
 /** What the router asks of a store. A call's callback comes once, from the loop. */
@@ -63,7 +69,7 @@
                     cw_store_replied_t replied, void *data);
     /** The same as read, from a copy that may be seconds old, at a fraction of the price: never a proof of anything. */
     void (*read_copy)(void *context, const char *kind, const char *name, cw_store_replied_t replied, void *data);
-    /** Reads the list of servers; the answer goes to the readers' servers(), NULL when it could not be had. from_copy:
+    /** Reads the list of servers; the answer goes to the readers' servers(). from_copy:
      * it may be seconds old. */
     void (*read_servers)(void *context, bool from_copy);
     /** This node knows the list as of this revision, from another node: the next reading needs only what changed since.
