Requests that crash the servers that run them are refused after three crashes

Cause: a request may crash each server that begins to run it and comes again, with the same path, caller and body, at any node; nothing remembered it, and a repeatable one was even sent to a second server at once. Ruled out: counting resets (connections are reset for other reasons), and counting at one node (it comes to any). Change: retry/crash_suspects.h: losses under way, proved to be crashes by a port that refuses connections (one probe after a loss), by an entry that is gone, or by a later incarnation; counted in a chain over all nodes, so that servers lost together count once; an answer of any server ends it. After three the request is refused at once, with the time for which that holds. Reports go to the zone and by relays to the others, three times. Line `server crashed`, `explain`, four metrics. Cost of a wrong suspicion: requests of one digest are refused for ten minutes.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1492,6 +1492,96 @@
   assert(message->base.descriptor == &cwp__quota_return__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__crash_sighting__init
+                     (Cwp__CrashSighting         *message)
+{
+  static const Cwp__CrashSighting init_value = CWP__CRASH_SIGHTING__INIT;
+  *message = init_value;
+}
+size_t cwp__crash_sighting__get_packed_size
+                     (const Cwp__CrashSighting *message)
+{
+  assert(message->base.descriptor == &cwp__crash_sighting__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__crash_sighting__pack
+                     (const Cwp__CrashSighting *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__crash_sighting__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__crash_sighting__pack_to_buffer
+                     (const Cwp__CrashSighting *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__crash_sighting__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__CrashSighting *
+       cwp__crash_sighting__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__CrashSighting *)
+     protobuf_c_message_unpack (&cwp__crash_sighting__descriptor,
+                                allocator, len, data);
+}
+void   cwp__crash_sighting__free_unpacked
+                     (Cwp__CrashSighting *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__crash_sighting__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__crash_report__init
+                     (Cwp__CrashReport         *message)
+{
+  static const Cwp__CrashReport init_value = CWP__CRASH_REPORT__INIT;
+  *message = init_value;
+}
+size_t cwp__crash_report__get_packed_size
+                     (const Cwp__CrashReport *message)
+{
+  assert(message->base.descriptor == &cwp__crash_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__crash_report__pack
+                     (const Cwp__CrashReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__crash_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__crash_report__pack_to_buffer
+                     (const Cwp__CrashReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__crash_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__CrashReport *
+       cwp__crash_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__CrashReport *)
+     protobuf_c_message_unpack (&cwp__crash_report__descriptor,
+                                allocator, len, data);
+}
+void   cwp__crash_report__free_unpacked
+                     (Cwp__CrashReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__crash_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__datagram__init
                      (Cwp__Datagram         *message)
 {
@@ -5158,7 +5248,148 @@
   (ProtobufCMessageInit) cwp__quota_return__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[19] =
+static const ProtobufCFieldDescriptor cwp__crash_sighting__field_descriptors[5] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__CrashSighting, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__CrashSighting, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__CrashSighting, sent_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lost_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__CrashSighting, lost_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_clearance",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__CrashSighting, is_clearance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__crash_sighting__field_indices_by_name[] = {
+  4,   /* field[4] = is_clearance */
+  3,   /* field[3] = lost_age_ms */
+  0,   /* field[0] = request */
+  2,   /* field[2] = sent_age_ms */
+  1,   /* field[1] = server */
+};
+static const ProtobufCIntRange cwp__crash_sighting__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cwp__crash_sighting__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.CrashSighting",
+  "CrashSighting",
+  "Cwp__CrashSighting",
+  "cwp",
+  sizeof(Cwp__CrashSighting),
+  5,
+  cwp__crash_sighting__field_descriptors,
+  cwp__crash_sighting__field_indices_by_name,
+  1,  cwp__crash_sighting__number_ranges,
+  (ProtobufCMessageInit) cwp__crash_sighting__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__crash_report__field_descriptors[2] =
+{
+  {
+    "stage",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__CrashReport, stage),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sightings",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__CrashReport, n_sightings),
+    offsetof(Cwp__CrashReport, sightings),
+    &cwp__crash_sighting__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__crash_report__field_indices_by_name[] = {
+  1,   /* field[1] = sightings */
+  0,   /* field[0] = stage */
+};
+static const ProtobufCIntRange cwp__crash_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cwp__crash_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.CrashReport",
+  "CrashReport",
+  "Cwp__CrashReport",
+  "cwp",
+  sizeof(Cwp__CrashReport),
+  2,
+  cwp__crash_report__field_descriptors,
+  cwp__crash_report__field_indices_by_name,
+  1,  cwp__crash_report__number_ranges,
+  (ProtobufCMessageInit) cwp__crash_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[20] =
 {
   {
     "report",
@@ -5316,6 +5547,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_report",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, crash_report),
+    &cwp__crash_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "zone_summary",
     20,
@@ -5393,14 +5636,15 @@
   3,   /* field[3] = ack */
   5,   /* field[5] = configuration */
   6,   /* field[6] = configuration_request */
+  13,   /* field[13] = crash_report */
   11,   /* field[11] = list_request */
   4,   /* field[4] = nodes */
   12,   /* field[12] = passed_heartbeat */
-  16,   /* field[16] = quota_ask */
-  17,   /* field[17] = quota_grant */
-  14,   /* field[14] = quota_report */
-  18,   /* field[18] = quota_return */
-  15,   /* field[15] = quota_status */
+  17,   /* field[17] = quota_ask */
+  18,   /* field[18] = quota_grant */
+  15,   /* field[15] = quota_report */
+  19,   /* field[19] = quota_return */
+  16,   /* field[16] = quota_status */
   0,   /* field[0] = report */
   1,   /* field[1] = servers */
   8,   /* field[8] = slot_ask */
@@ -5408,13 +5652,13 @@
   10,   /* field[10] = slot_return */
   7,   /* field[7] = store_notice */
   2,   /* field[2] = table */
-  13,   /* field[13] = zone_summary */
+  14,   /* field[14] = zone_summary */
 };
 static const ProtobufCIntRange cwp__datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 13 },
-  { 0, 19 }
+  { 20, 14 },
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor cwp__datagram__descriptor =
 {
@@ -5424,7 +5668,7 @@
   "Cwp__Datagram",
   "cwp",
   sizeof(Cwp__Datagram),
-  19,
+  20,
   cwp__datagram__field_descriptors,
   cwp__datagram__field_indices_by_name,
   2,  cwp__datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -48,6 +48,8 @@
 typedef struct Cwp__QuotaAsk Cwp__QuotaAsk;
 typedef struct Cwp__QuotaGrant Cwp__QuotaGrant;
 typedef struct Cwp__QuotaReturn Cwp__QuotaReturn;
+typedef struct Cwp__CrashSighting Cwp__CrashSighting;
+typedef struct Cwp__CrashReport Cwp__CrashReport;
 typedef struct Cwp__Datagram Cwp__Datagram;
 
 
@@ -978,6 +980,53 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * A server's end with a request under way there, or an answer to such a request (retry/crash_suspects.h).
+ */
+struct  Cwp__CrashSighting
+{
+  ProtobufCMessage base;
+  /*
+   * digest
+   */
+  uint64_t request;
+  /*
+   * hash of the incarnation's id
+   */
+  uint32_t server;
+  /*
+   * since the request was sent to it
+   */
+  uint32_t sent_age_ms;
+  /*
+   * since the server was lost, or answered
+   */
+  uint32_t lost_age_ms;
+  /*
+   * a server has answered it
+   */
+  protobuf_c_boolean is_clearance;
+};
+#define CWP__CRASH_SIGHTING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__crash_sighting__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+struct  Cwp__CrashReport
+{
+  ProtobufCMessage base;
+  /*
+   * 0 from the node that has seen it, 1 between relays of zones, 2 from a relay to its zone
+   */
+  uint32_t stage;
+  size_t n_sightings;
+  Cwp__CrashSighting **sightings;
+};
+#define CWP__CRASH_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__crash_report__descriptor) \
+    , 0, 0,NULL }
+
+
 typedef enum {
   CWP__DATAGRAM__CONTENT__NOT_SET = 0,
   CWP__DATAGRAM__CONTENT_REPORT = 1,
@@ -993,6 +1042,7 @@
   CWP__DATAGRAM__CONTENT_SLOT_RETURN = 11,
   CWP__DATAGRAM__CONTENT_LIST_REQUEST = 12,
   CWP__DATAGRAM__CONTENT_PASSED_HEARTBEAT = 13,
+  CWP__DATAGRAM__CONTENT_CRASH_REPORT = 14,
   CWP__DATAGRAM__CONTENT_ZONE_SUMMARY = 20,
   CWP__DATAGRAM__CONTENT_QUOTA_REPORT = 21,
   CWP__DATAGRAM__CONTENT_QUOTA_STATUS = 22,
@@ -1020,6 +1070,7 @@
     Cwp__SlotReturn *slot_return;
     Cwp__ListRequest *list_request;
     Cwp__PassedHeartbeat *passed_heartbeat;
+    Cwp__CrashReport *crash_report;
     Cwp__ZoneSummary *zone_summary;
     Cwp__QuotaReport *quota_report;
     Cwp__QuotaStatus *quota_status;
@@ -1660,6 +1711,44 @@
 void   cwp__quota_return__free_unpacked
                      (Cwp__QuotaReturn *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__CrashSighting methods */
+void   cwp__crash_sighting__init
+                     (Cwp__CrashSighting         *message);
+size_t cwp__crash_sighting__get_packed_size
+                     (const Cwp__CrashSighting   *message);
+size_t cwp__crash_sighting__pack
+                     (const Cwp__CrashSighting   *message,
+                      uint8_t             *out);
+size_t cwp__crash_sighting__pack_to_buffer
+                     (const Cwp__CrashSighting   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__CrashSighting *
+       cwp__crash_sighting__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__crash_sighting__free_unpacked
+                     (Cwp__CrashSighting *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__CrashReport methods */
+void   cwp__crash_report__init
+                     (Cwp__CrashReport         *message);
+size_t cwp__crash_report__get_packed_size
+                     (const Cwp__CrashReport   *message);
+size_t cwp__crash_report__pack
+                     (const Cwp__CrashReport   *message,
+                      uint8_t             *out);
+size_t cwp__crash_report__pack_to_buffer
+                     (const Cwp__CrashReport   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__CrashReport *
+       cwp__crash_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__crash_report__free_unpacked
+                     (Cwp__CrashReport *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__Datagram methods */
 void   cwp__datagram__init
                      (Cwp__Datagram         *message);
@@ -1780,6 +1869,12 @@
 typedef void (*Cwp__QuotaReturn_Closure)
                  (const Cwp__QuotaReturn *message,
                   void *closure_data);
+typedef void (*Cwp__CrashSighting_Closure)
+                 (const Cwp__CrashSighting *message,
+                  void *closure_data);
+typedef void (*Cwp__CrashReport_Closure)
+                 (const Cwp__CrashReport *message,
+                  void *closure_data);
 typedef void (*Cwp__Datagram_Closure)
                  (const Cwp__Datagram *message,
                   void *closure_data);
@@ -1822,6 +1917,8 @@
 extern const ProtobufCMessageDescriptor cwp__quota_ask__descriptor;
 extern const ProtobufCMessageDescriptor cwp__quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor cwp__quota_return__descriptor;
+extern const ProtobufCMessageDescriptor cwp__crash_sighting__descriptor;
+extern const ProtobufCMessageDescriptor cwp__crash_report__descriptor;
 extern const ProtobufCMessageDescriptor cwp__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -24,6 +24,7 @@
     X(SUMMARY_LATE, "summary late", NOTICE, 10)                                                                        \
     X(DATAGRAM_TOO_LARGE, "datagram too large", WARNING, 10)                                                           \
     X(SERVER_LOST, "server lost", WARNING, 20)                                                                         \
+    X(SERVER_CRASHED, "server crashed", WARNING, 20)                                                                   \
     X(SERVER_BACK, "server back", NOTICE, 20)                                                                          \
     X(LEADER_TAKEN, "leadership taken", NOTICE, 10)                                                                    \
     X(LEADER_LOST, "leadership lost", WARNING, 10)                                                                     \
@@ -115,6 +116,7 @@
     X(SENT_REMOTE, "sent_remote")                                                                                      \
     X(LIMIT_MODE, "limit_mode")                                                                                        \
     X(LIMIT_AGE_MS, "limit_age_ms")                                                                                    \
+    X(DIGEST, "digest")                                                                                                \
     X(READS, "reads")                                                                                                  \
     X(WRITES, "writes")                                                                                                \
     X(COPIES, "copies")                                                                                                \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -118,6 +118,12 @@
     X(ENTRIES_DROPPED, "cedarwinch_entries_dropped_total", "counter",                                                  \
       "entries left out because an array of fixed size was full, counted at each look")                                \
     X(SUSPENDED_MS, "cedarwinch_suspended_milliseconds_total", "counter", "time for which the machine was suspended")  \
+    X(REFUSED_CRASHES, "cedarwinch_refused_crashes_total", "counter", "refused: the request crashes servers")          \
+    X(SERVERS_CRASHED, "cedarwinch_servers_crashed_total", "counter",                                                  \
+      "servers that this node saw end with a request under way")                                                       \
+    X(CRASH_SUSPECTS, "cedarwinch_crash_suspects", "gauge", "requests remembered that were under way at crashes")      \
+    X(LOSSES_DROPPED, "cedarwinch_losses_dropped_total", "counter",                                                    \
+      "losses of servers, or reports of them, beyond what is remembered")                                              \
     X(PAGES_NOT_PASSED_ON, "cedarwinch_pages_not_passed_on_total", "counter",                                          \
       "pages of the leader that this relay dropped, since too many updates waited")                                    \
     X(LOG_DROPPED, "cedarwinch_log_lines_dropped", "gauge", "log lines not written")                                   \
--- /dev/null
+++ b/src/net/connect_probe.c
@@ -0,0 +1,96 @@
+/**
+ * @file connect_probe.c
+ * @brief A connection and a timer; whichever is first decides.
+ */
+#include "net/connect_probe.h"
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { ADDRESS_MAX = 64, HANDLES = 2 };
+
+typedef struct probe {
+    uv_tcp_t        tcp;
+    uv_timer_t      timer;
+    uv_connect_t    connect;
+    cw_probe_done_t done;
+    void           *context;
+    bool            is_over;
+    int             handles; /* not closed yet */
+} probe_t;
+
+static void on_closed(uv_handle_t *handle)
+{
+    probe_t *probe = handle->data;
+
+    if (--probe->handles == 0) {
+        free(probe);
+    }
+}
+
+static void end(probe_t *probe, cw_probe_result_t result)
+{
+    if (probe->is_over) {
+        return;
+    }
+    probe->is_over = true;
+    uv_close((uv_handle_t *)&probe->tcp, on_closed);
+    uv_close((uv_handle_t *)&probe->timer, on_closed);
+    probe->done(probe->context, result);
+}
+
+static void on_connected(uv_connect_t *connect, int status)
+{
+    cw_probe_result_t result = status == 0                 ? CW_PROBE_CONNECTED
+                               : status == UV_ECONNREFUSED ? CW_PROBE_REFUSED
+                                                           : CW_PROBE_UNKNOWN;
+
+    end(connect->data, result);
+}
+
+static void on_timeout(uv_timer_t *timer)
+{
+    end(timer->data, CW_PROBE_UNKNOWN);
+}
+
+static int read_address(const char *address, struct sockaddr_in *place)
+{
+    char        host[ADDRESS_MAX];
+    const char *colon = strrchr(address, ':');
+
+    if (colon == NULL || (size_t)(colon - address) >= sizeof(host)) {
+        return UV_EINVAL;
+    }
+    snprintf(host, sizeof(host), "%.*s", (int)(colon - address), address);
+    return uv_ip4_addr(host, atoi(colon + 1), place);
+}
+
+int cw_connect_probe(uv_loop_t *loop, const char *address, cw_time_us_t timeout, cw_probe_done_t done, void *context)
+{
+    struct sockaddr_in place;
+    probe_t           *probe;
+    int                error = read_address(address, &place);
+
+    if (error != 0) {
+        return error;
+    }
+    probe = calloc(1, sizeof(*probe));
+    if (probe == NULL) {
+        abort();
+    }
+    probe->done = done;
+    probe->context = context;
+    probe->handles = HANDLES;
+    probe->tcp.data = probe;
+    probe->timer.data = probe;
+    probe->connect.data = probe;
+    uv_tcp_init(loop, &probe->tcp);
+    uv_timer_init(loop, &probe->timer);
+    uv_timer_start(&probe->timer, on_timeout, (uint64_t)(timeout / 1000), 0);
+    if (uv_tcp_connect(&probe->connect, &probe->tcp, (const struct sockaddr *)&place, on_connected) != 0) {
+        uv_timer_start(&probe->timer, on_timeout, 0, 0); /* fails from the loop */
+    }
+    return 0;
+}
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -26,6 +26,7 @@
 #include "model/configuration.h"
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
+#include "retry/crash_suspects.h"
 #include "retry/shared_budget.h"
 #include "tenancy/quota_share.h"
 
@@ -85,6 +86,16 @@
     void (*give_back)(void *context, uint32_t broker, const cw_slot_return_t *returned);
 } cw_slot_port_t;
 
+/** Requests that crash servers, as the engine meets them. All zeros: none are looked for. */
+typedef struct cw_crash_port {
+    void                *context;
+    cw_crash_suspects_t *suspects; /**< borrowed */
+    /** A connection to this server ended while a request was under way: has the server ended? */
+    void (*lost)(void *context, const cw_server_t *server);
+    /** A server has answered a request that was suspected. */
+    void (*cleared)(void *context, uint64_t request);
+} cw_crash_port_t;
+
 typedef struct cw_engine cw_engine_t;
 
 cw_engine_t *cw_engine_create(uv_loop_t *loop, const cw_engine_settings_t *settings, cw_server_pool_t *pool,
@@ -92,6 +103,8 @@
 /** Slots are asked for from now on; NULL: the engine chooses servers by what it knows itself. */
 void cw_engine_set_slots(cw_engine_t *engine, const cw_slot_port_t *port);
 void cw_engine_slot_reply(cw_engine_t *engine, const cw_slot_reply_t *reply);
+/** Requests that crash servers are refused from now on. */
+void cw_engine_set_crash_suspects(cw_engine_t *engine, const cw_crash_port_t *port);
 /** Tenants' limits bind from now on. The share is borrowed; it says by cw_engine_quota_decided, never within a call of
  * the engine, that requests which wait can be decided. */
 void cw_engine_set_quota(cw_engine_t *engine, cw_quota_share_t *share);
--- /dev/null
+++ b/src/proxy/engine_crashes.c
@@ -0,0 +1,77 @@
+/**
+ * @file engine_crashes.c
+ * @brief Requests that crash the servers that run them (crash_suspects.h), as the engine meets them.
+ */
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/metrics.h"
+#include "proxy/engine_internal.h"
+
+void cw_engine_set_crash_suspects(cw_engine_t *engine, const cw_crash_port_t *port)
+{
+    engine->crashes = *port;
+}
+
+static uint64_t mix_text(uint64_t digest, const char *text)
+{
+    return text == NULL ? XXH3_64bits_withSeed("", 0, digest) : XXH3_64bits_withSeed(text, strlen(text), digest);
+}
+
+/* What a caller repeats when it sends the same request again: method, host, path, credentials and body; not its id. */
+static uint64_t digest_of(const cw_request_t *request)
+{
+    uint64_t digest = mix_text(0, request->method);
+
+    digest = mix_text(digest, cw_http_fields_find(request->fields, "host"));
+    digest = mix_text(digest, request->target);
+    digest = mix_text(digest, cw_http_fields_find(request->fields, "authorization"));
+    return request->body_length == 0 ? digest : XXH3_64bits_withSeed(request->body, request->body_length, digest);
+}
+
+bool cw_request_is_crash_suspect(const cw_request_t *request, cw_time_us_t now, cw_time_us_t *refused_for)
+{
+    const cw_crash_suspects_t *suspects = request->engine->crashes.suspects;
+
+    return suspects != NULL && cw_crash_suspects_has_any(suspects) &&
+           cw_crash_suspects_is_refused(suspects, digest_of(request), now, refused_for);
+}
+
+bool cw_request_may_repeat_after_crash(const cw_request_t *request)
+{
+    const cw_crash_suspects_t *suspects = request->engine->crashes.suspects;
+
+    return suspects == NULL || !cw_crash_suspects_has_any(suspects) ||
+           cw_crash_suspects_may_repeat(suspects, digest_of(request));
+}
+
+void cw_request_note_server_lost(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now)
+{
+    const cw_crash_port_t *port = &request->engine->crashes;
+    cw_crash_t             loss;
+
+    if (port->suspects == NULL || server->draining || server->ended) {
+        return;
+    }
+    loss = (cw_crash_t){
+        .request = digest_of(request), .server = server->hash, .sent_at = request->sent_at, .lost_at = now};
+    if (!cw_crash_suspects_note_loss(port->suspects, &loss)) {
+        cw_metric_add(CW_METRIC_LOSSES_DROPPED, 1);
+        return;
+    }
+    port->lost(port->context, server);
+}
+
+void cw_request_note_server_survived(const cw_request_t *request, cw_time_us_t now)
+{
+    const cw_crash_port_t *port = &request->engine->crashes;
+    uint64_t               digest;
+
+    if (port->suspects == NULL || !cw_crash_suspects_has_any(port->suspects)) {
+        return;
+    }
+    digest = digest_of(request);
+    if (cw_crash_suspects_clear(port->suspects, digest, now)) {
+        port->cleared(port->context, digest);
+    }
+}
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -173,6 +173,7 @@
     uv_timer_cb            on_wake;   /**< of wake_timer */
     uv_timer_cb            on_due;    /**< of requests' timers */
     cw_upstream_answered_t on_answer; /**< of calls to servers */
+    cw_crash_port_t        crashes;
     cw_slot_port_t         slots;
     bool                   has_slots; /**< slots are asked for */
     uint32_t               last_ticket;
@@ -274,6 +275,16 @@
 /** Places a request that is queued, or decides what becomes of it. */
 void cw_request_place(cw_request_t *request, cw_time_us_t now);
 
+/* ---- engine_crashes.c ---- */
+/** Is the request refused since it crashes servers? How long still: `refused_for`. */
+bool cw_request_is_crash_suspect(const cw_request_t *request, cw_time_us_t now, cw_time_us_t *refused_for);
+/** May it be sent once more after a server was lost with it? */
+bool cw_request_may_repeat_after_crash(const cw_request_t *request);
+/** The connection to the server ended without a whole answer to it. */
+void cw_request_note_server_lost(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now);
+/** A server has answered it. */
+void cw_request_note_server_survived(const cw_request_t *request, cw_time_us_t now);
+
 /* ---- engine_claim.c ---- */
 /** Asks at the present stage, or at the next whose broker replies; false: there is none. */
 bool cw_claim_ask_next(cw_request_t *request, cw_time_us_t now);
@@ -314,7 +325,8 @@
     CW_REFUSED_SERVERS,
     CW_REFUSED_REGIONS, /**< its key's owner lies where it may not go */
     CW_REFUSED_STOPPING,
-    CW_REFUSED_KEY_MOVED /**< the caller's key is another tenant's now */
+    CW_REFUSED_KEY_MOVED, /**< the caller's key is another tenant's now */
+    CW_REFUSED_CRASHES    /**< it crashes the servers that run it */
 } cw_refusal_t;
 /** Not run, and never will: 503 with the time to come back. */
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason);
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -195,7 +195,7 @@
 static void broken(cw_request_t *request, const char *server, const char *fault, cw_time_us_t now)
 {
     cw_metric_add(CW_METRIC_BROKEN, 1);
-    if (next_step(request, CW_OUTCOME_BROKEN, 0, now) == CW_NEXT_REPEAT) {
+    if (cw_request_may_repeat_after_crash(request) && next_step(request, CW_OUTCOME_BROKEN, 0, now) == CW_NEXT_REPEAT) {
         note_retry(request, server, fault);
         send_again(request, 0);
         return;
@@ -234,6 +234,7 @@
     }
     request->claim.end = CW_SLOT_ANSWERED;
     cw_request_spend_token(request); /* it has run, whatever the answer says */
+    cw_request_note_server_survived(request, now);
     learn(request, server, now);
     cw_request_note_answer_bytes(request, answer->body_length);
     cw_histogram_add(CW_HISTOGRAM_SERVER, request->route->name, now - request->sent_at);
@@ -271,6 +272,9 @@
             fault(server, answer->fault, now);
             request->claim.end = CW_SLOT_FAILED;
         }
+        if (answer->result == CW_UPSTREAM_BROKEN) {
+            cw_request_note_server_lost(request, server, now);
+        }
         cw_request_leave_server(request);
         (void)note_outcome(request, CW_OUTCOME_BROKEN);
         broken(request, id, answer->fault, now);
--- a/src/proxy/engine_placing.c
+++ b/src/proxy/engine_placing.c
@@ -90,8 +90,14 @@
 
 void cw_request_place(cw_request_t *request, cw_time_us_t now)
 {
-    placing_t result = place(request, now);
+    cw_time_us_t refused_for;
+    placing_t    result;
 
+    if (cw_request_is_crash_suspect(request, now, &refused_for)) {
+        cw_request_refuse(request, CW_REFUSED_CRASHES);
+        return;
+    }
+    result = place(request, now);
     if (result == ASKED) {
         cw_request_arm(request);
     } else if (result != PLACED) {
--- a/src/router/pass_on_queue.c
+++ b/src/router/pass_on_queue.c
@@ -48,8 +48,7 @@
 {
     clear(&queue->updates[place]);
     queue->count--;
-    memmove(&queue->updates[place], &queue->updates[place + 1],
-            (queue->count - place) * sizeof(queue->updates[0]));
+    memmove(&queue->updates[place], &queue->updates[place + 1], (queue->count - place) * sizeof(queue->updates[0]));
 }
 
 void cw_pass_on_queue_free(cw_pass_on_queue_t *queue)
--- a/src/router/pass_on_queue.h
+++ b/src/router/pass_on_queue.h
@@ -2,8 +2,8 @@
  * @file pass_on_queue.h
  * @brief Changes of the leader that a relay passes on to the nodes of its zone, one node after the other.
  *
- * A change of the list may be many pages, and a zone hundreds of nodes: all of it at once would be dropped by the socket.
- * Rules:
+ * A change of the list may be many pages, and a zone hundreds of nodes: all of it at once would be dropped by the
+ * socket. Rules:
  *  - An update is passed on once all of its pages are here, to each node that does not have it yet.
  *  - What is sent is taken from an allowance; the rest goes on as that is filled.
  *  - The two relays of a zone begin at opposite ends of its nodes. What a node has acknowledged to one of them, or got
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -77,6 +77,9 @@
 /** Whole lists of servers asked of nodes of this zone, and sent to them. */
 typedef struct cw_router_list_exchange cw_router_list_exchange_t;
 
+/** Requests that crash servers: proofs, and reports to other nodes. */
+typedef struct cw_router_crashes cw_router_crashes_t;
+
 /** Tenants' limits: this node's counting, and on whom it counts. */
 typedef struct cw_router_quota cw_router_quota_t;
 
@@ -102,6 +105,7 @@
     cw_router_slots_t   *slots;
     cw_router_relay_t   *relay;
     cw_router_quota_t   *quota;
+    cw_router_crashes_t *crashes;
     cw_configuration_t  *configuration;
     cw_time_us_t         started_at;
     cw_time_us_t         stopping_at; /**< 0: not stopping */
@@ -370,6 +374,14 @@
 void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message);
 void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message);
 
+/* ---- router_crashes.c ---- */
+void cw_router_crashes_init(cw_router_t *router);
+void cw_router_crashes_tick(cw_router_t *router, cw_time_us_t now);
+/** An entry is no longer in the list. */
+void cw_router_crashes_note_gone(cw_router_t *router, const cw_server_entry_t *entry);
+void cw_router_take_crash_report(cw_router_t *router, const cw_peer_t *sender, const Cwp__Datagram *datagram,
+                                 cw_time_us_t now);
+
 /* ---- router_store_calls.c ---- */
 /** Logs the calls to the store since the last line, each few seconds in which there were any. */
 void cw_router_store_calls_tick(cw_time_us_t now);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -217,6 +217,9 @@
     case CWP__DATAGRAM__CONTENT_PASSED_HEARTBEAT:
         cw_router_take_passed_heartbeat(router, peer, datagram->passed_heartbeat, now);
         break;
+    case CWP__DATAGRAM__CONTENT_CRASH_REPORT:
+        cw_router_take_crash_report(router, peer, datagram, now);
+        break;
     case CWP__DATAGRAM__CONTENT_ZONE_SUMMARY:
         cw_router_take_zone_summary(router, datagram, now);
         break;
--- a/src/router/router_store_calls.c
+++ b/src/router/router_store_calls.c
@@ -15,11 +15,13 @@
     cw_event_field_t field;
 } call_way_t;
 
-static const call_way_t ways[] = {
-    {CW_METRIC_STORE_READS, CW_FIELD_READS},         {CW_METRIC_STORE_WRITES, CW_FIELD_WRITES},
-    {CW_METRIC_STORE_COPIES, CW_FIELD_COPIES},       {CW_METRIC_STORE_WATCHES, CW_FIELD_WATCHES},
-    {CW_METRIC_LIST_PAGES, CW_FIELD_LIST_PAGES},     {CW_METRIC_LIST_CHANGES, CW_FIELD_LIST_CHANGES},
-    {CW_METRIC_LIST_UNCHANGED, CW_FIELD_LIST_UNCHANGED}};
+static const call_way_t ways[] = {{CW_METRIC_STORE_READS, CW_FIELD_READS},
+                                  {CW_METRIC_STORE_WRITES, CW_FIELD_WRITES},
+                                  {CW_METRIC_STORE_COPIES, CW_FIELD_COPIES},
+                                  {CW_METRIC_STORE_WATCHES, CW_FIELD_WATCHES},
+                                  {CW_METRIC_LIST_PAGES, CW_FIELD_LIST_PAGES},
+                                  {CW_METRIC_LIST_CHANGES, CW_FIELD_LIST_CHANGES},
+                                  {CW_METRIC_LIST_UNCHANGED, CW_FIELD_LIST_UNCHANGED}};
 
 enum { WAYS = sizeof(ways) / sizeof(ways[0]) };
 
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -35,25 +35,29 @@
 
 /** How many servers two lists do not share. */
 typedef struct servers_difference {
-    int64_t added;
-    int64_t removed;
+    cw_router_t *router;
+    int64_t      added;
+    int64_t      removed;
 } servers_difference_t;
 
-static void count_difference(void *context, const cw_server_entry_t *before, cw_server_entry_t *after)
+static void note_difference(void *context, const cw_server_entry_t *before, cw_server_entry_t *after)
 {
     servers_difference_t *difference = context;
 
     difference->added += before == NULL ? 1 : 0;
-    difference->removed += after == NULL ? 1 : 0;
+    if (after == NULL) {
+        difference->removed++;
+        cw_router_crashes_note_gone(difference->router, before);
+    }
 }
 
-static void note_servers(const cw_router_t *router, const cw_server_list_t *before)
+static void note_servers(cw_router_t *router, const cw_server_list_t *before)
 {
     cw_server_list_t    *list = router->server_view.list;
-    servers_difference_t difference = {0};
+    servers_difference_t difference = {.router = router};
     cw_event_t           event;
 
-    cw_server_lists_compare(before, list, count_difference, &difference);
+    cw_server_lists_compare(before, list, note_difference, &difference);
     if (cw_event_begin(&event, CW_EVENT_SERVERS_CHANGED)) {
         cw_event_number(&event, CW_FIELD_COUNT, (int64_t)list->count);
         cw_event_number(&event, CW_FIELD_ADDED, difference.added);
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -78,7 +78,8 @@
     uint32_t              heartbeat_ms;
     uint32_t              cold_ms; /**< its warm-up after the start, as its entry tells */
     uint64_t              started_ms;
-    uint64_t              born_ms; /* of the time of day */
+    uint64_t              born_ms;    /* of the time of day */
+    const char           *crash_path; /* requests with it in their paths end the process; NULL: none do */
     bool                  keyed;
     bool                  hangs;
     bool                  draining;
@@ -354,6 +355,11 @@
         return;
     }
     if (!is_order) {
+        if (server->crash_path != NULL && strstr(inbound->target, server->crash_path) != NULL) {
+            note(server, "crash", id == NULL ? "" : id, 0, 0, 0);
+            (void)fflush(stdout);
+            _exit(EXIT_FAILURE);
+        }
         take_request(server, exchange, inbound);
         return;
     }
@@ -548,11 +554,13 @@
     struct arg_int *heartbeat = arg_int0("b", "heartbeat-ms", "MS", "default 500");
     struct arg_int *cold = arg_int0(NULL, "cold-ms", "MS", "warm-up that it signs in with; default 0");
     struct arg_str *id = arg_str0("i", "id", "NAME", "default: another one at each start");
+    struct arg_str *crash_path =
+        arg_str0(NULL, "crash-path", "TEXT", "a request with this in its path ends the process");
     struct arg_lit *keyed = arg_lit0("k", "keyed", "runs a request only while it holds its key");
     struct arg_lit *hangs = arg_lit0("x", "hangs", "does not answer what it cannot queue");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {address, port,      advertise, store, service, zone,  capacity, queue,
-                               work,    heartbeat, cold,      id,    keyed,   hangs, end};
+    void           *table[] = {address, port,      advertise, store, service,    zone,  capacity, queue,
+                               work,    heartbeat, cold,      id,    crash_path, keyed, hangs,    end};
     static server_t server;
 
     if (arg_parse(argument_count, arguments, table) > 0) {
@@ -563,6 +571,7 @@
     if (advertise->count > 0) {
         snprintf(server.address, sizeof(server.address), "%s", advertise->sval[0]);
     }
+    server.crash_path = crash_path->count > 0 ? crash_path->sval[0] : NULL;
     if (id->count > 0) {
         snprintf(server.id, sizeof(server.id), "%s", id->sval[0]);
     }
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -245,6 +245,7 @@
     cw_router_relay_init(router);
     cw_router_list_exchange_init(router);
     cw_router_quota_init(router);
+    cw_router_crashes_init(router);
     cw_router_peers_init(router);
     router->store = &node->port;
 }
@@ -311,6 +312,7 @@
     cw_router_zones_tick(router, now);
     cw_router_slots_tick(router, now);
     cw_router_pass_on_tick(router, now);
+    cw_router_crashes_tick(router, now);
     cw_router_list_exchange_tick(router, now);
 }
 
--- /dev/null
+++ b/tests/test_pass_on_queue.c
@@ -0,0 +1,183 @@
+/**
+ * @file test_pass_on_queue.c
+ * @brief Changes that a relay passes on: whole ones only, within an allowance, to those that lack them.
+ *
+ * Pattern of load: a change of many pages, and a zone of hundreds of nodes.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "router/pass_on_queue.h"
+
+enum { NODES = 200, PAGE_BYTES = 5000, PAGES = 4, BYTES_PER_S = 1000000 };
+
+static uint32_t sent_to[NODES + 1]; /* by address */
+static uint64_t sent_bytes;
+static bool     has_it[NODES + 1];
+
+static size_t list_nodes(void *context, uint32_t **addresses)
+{
+    size_t index;
+
+    (void)context;
+    *addresses = calloc(NODES, sizeof(**addresses));
+    for (index = 0; index < NODES; index++) {
+        (*addresses)[index] = (uint32_t)index + 1;
+    }
+    return NODES;
+}
+
+static bool is_wanted(void *context, uint32_t address, const cw_pass_on_update_t *update)
+{
+    (void)context;
+    (void)update;
+    return !has_it[address];
+}
+
+static size_t send_to(void *context, uint32_t address, const cw_datagram_batch_t *pages)
+{
+    (void)context;
+    sent_to[address] += (uint32_t)pages->count;
+    sent_bytes += pages->bytes.length;
+    return pages->bytes.length;
+}
+
+static cw_pass_on_queue_t *new_queue(void)
+{
+    cw_pass_on_owner_t owner = {.list_nodes = list_nodes, .is_wanted = is_wanted, .send = send_to};
+
+    memset(sent_to, 0, sizeof(sent_to));
+    memset(has_it, 0, sizeof(has_it));
+    sent_bytes = 0;
+    return cw_pass_on_queue_create(&owner);
+}
+
+static cw_pass_on_update_t update_of(uint64_t number)
+{
+    return (cw_pass_on_update_t){.is_list = true, .term = 1, .base = number - 1, .number = number, .pages = PAGES};
+}
+
+static bool add(cw_pass_on_queue_t *queue, uint64_t number, uint32_t page, cw_time_us_t now)
+{
+    static uint8_t      bytes[PAGE_BYTES];
+    cw_datagram_batch_t packed = {0};
+    cw_pass_on_update_t update = update_of(number);
+    bool                added;
+
+    cw_datagram_batch_add(&packed, 2, bytes, sizeof(bytes));
+    added = cw_pass_on_queue_add(queue, &update, page, &packed, now);
+    cw_bytes_clear(&packed.bytes);
+    free(packed.lengths);
+    return added;
+}
+
+static void add_all(cw_pass_on_queue_t *queue, uint64_t number, cw_time_us_t now)
+{
+    uint32_t page;
+
+    for (page = 0; page < PAGES; page++) {
+        ck_assert(add(queue, number, page, now));
+    }
+}
+
+static cw_send_allowance_t new_allowance(cw_time_us_t now)
+{
+    cw_send_allowance_t allowance;
+
+    cw_send_allowance_init(&allowance, BYTES_PER_S, CW_MS(200));
+    allowance.filled_at = now;
+    allowance.bytes = 1;
+    return allowance;
+}
+
+START_TEST(nothing_goes_on_before_all_pages_are_here)
+{
+    cw_pass_on_queue_t *queue = new_queue();
+    cw_send_allowance_t allowance = new_allowance(0);
+
+    ck_assert(add(queue, 2, 0, 0));
+    ck_assert(add(queue, 2, 2, 0));
+    ck_assert(add(queue, 2, 2, 0)); /* repeated */
+    cw_pass_on_queue_send(queue, &allowance, CW_SECONDS(1));
+    ck_assert_uint_eq(sent_bytes, 0);
+    cw_pass_on_queue_free(queue);
+}
+END_TEST
+
+START_TEST(each_node_gets_each_page_once_and_the_allowance_is_kept)
+{
+    cw_pass_on_queue_t *queue = new_queue();
+    cw_send_allowance_t allowance = new_allowance(0);
+    cw_time_us_t        now = 0;
+    uint32_t            address;
+
+    add_all(queue, 2, now);
+    while (cw_pass_on_queue_waiting(queue) > 0) {
+        cw_pass_on_queue_send(queue, &allowance, now);
+        /* a burst, and one node's pages that began within it */
+        ck_assert_uint_le(sent_bytes, (uint64_t)(now * BYTES_PER_S / 1000000) + BYTES_PER_S / 5 + PAGES * PAGE_BYTES);
+        now += CW_MS(20);
+        ck_assert_int_lt(now, CW_SECONDS(10));
+    }
+    for (address = 1; address <= NODES; address++) {
+        ck_assert_uint_eq(sent_to[address], PAGES);
+    }
+    cw_pass_on_queue_free(queue);
+}
+END_TEST
+
+START_TEST(who_has_it_by_then_is_left_out)
+{
+    cw_pass_on_queue_t *queue = new_queue();
+    cw_send_allowance_t allowance = new_allowance(0);
+
+    add_all(queue, 2, 0);
+    cw_pass_on_queue_send(queue, &allowance, CW_MS(20));
+    memset(has_it, 1, sizeof(has_it)); /* from the other relay */
+    cw_pass_on_queue_send(queue, &allowance, CW_SECONDS(1));
+    ck_assert_uint_eq(cw_pass_on_queue_waiting(queue), 0);
+    ck_assert_uint_eq(sent_to[NODES], 0);
+    cw_pass_on_queue_free(queue);
+}
+END_TEST
+
+START_TEST(one_that_waits_for_too_long_is_dropped)
+{
+    cw_pass_on_queue_t *queue = new_queue();
+    cw_send_allowance_t allowance = new_allowance(0);
+
+    ck_assert(add(queue, 2, 0, 0)); /* its other pages were lost */
+    cw_pass_on_queue_send(queue, &allowance, CW_MS(CW_PASS_ON_WAIT_MS) + 1);
+    ck_assert_uint_eq(cw_pass_on_queue_waiting(queue), 0);
+    cw_pass_on_queue_free(queue);
+}
+END_TEST
+
+START_TEST(what_waits_is_bounded)
+{
+    cw_pass_on_queue_t *queue = new_queue();
+    uint64_t            number;
+
+    for (number = 2; number < 2 + CW_PASS_ON_UPDATES; number++) {
+        ck_assert(add(queue, number, 0, 0));
+    }
+    ck_assert(!add(queue, number, 0, 0));
+    ck_assert(!add(queue, 2, PAGES, 0)); /* no such page */
+    cw_pass_on_queue_free(queue);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("pass_on_queue");
+    TCase *cases = tcase_create("pass_on_queue");
+
+    tcase_add_test(cases, nothing_goes_on_before_all_pages_are_here);
+    tcase_add_test(cases, each_node_gets_each_page_once_and_the_allowance_is_kept);
+    tcase_add_test(cases, who_has_it_by_then_is_left_out);
+    tcase_add_test(cases, one_that_waits_for_too_long_is_dropped);
+    tcase_add_test(cases, what_waits_is_bounded);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
