Earlier lists and tables are as old as since they were replaced; long updates go to nodes page by page

Cause, by the start of half the fleet (492 nodes, 5,000 servers): while servers sign in, the leader has a new list each second and nodes have the last but one; they counted its age from when they last had the newest one, took it to be older than 2.4 s and read the store: 6,364 calls in 25 s. A node that has the list served one other at a time, and asks of others were lost. Change: a heartbeat tells until when the last eight lists and tables were true (replaced_numbers.h); a leader whose changes wait to be published states that its tables ended with the first of them (without that the pause between tables would lengthen their validity). Updates go by four pages a node and turn (pass_on_queue.h), the leader's own as well. A node sends the list to as many at a time as small links fit in its own; others wait for their turn.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1896,7 +1896,7 @@
   (ProtobufCMessageInit) cwp__key_samples__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__leader_heartbeat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cwp__leader_heartbeat__field_descriptors[13] =
 {
   {
     "term",
@@ -2030,6 +2030,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers_replaced_ms",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__LeaderHeartbeat, n_servers_replaced_ms),
+    offsetof(Cwp__LeaderHeartbeat, servers_replaced_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_replaced_ms",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cwp__LeaderHeartbeat, n_tables_replaced_ms),
+    offsetof(Cwp__LeaderHeartbeat, tables_replaced_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__leader_heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = able */
@@ -2040,14 +2064,16 @@
   1,   /* field[1] = revision */
   4,   /* field[4] = servers */
   6,   /* field[6] = servers_hash */
+  11,   /* field[11] = servers_replaced_ms */
   5,   /* field[5] = tables */
   7,   /* field[7] = tables_hash */
+  12,   /* field[12] = tables_replaced_ms */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange cwp__leader_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cwp__leader_heartbeat__descriptor =
 {
@@ -2057,7 +2083,7 @@
   "Cwp__LeaderHeartbeat",
   "cwp",
   sizeof(Cwp__LeaderHeartbeat),
-  11,
+  13,
   cwp__leader_heartbeat__field_descriptors,
   cwp__leader_heartbeat__field_indices_by_name,
   1,  cwp__leader_heartbeat__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -177,10 +177,20 @@
    * that there are (router/fleet_size.h); 0: not known
    */
   uint32_t nodes;
+  /*
+   * since earlier lists were last true, the latest first
+   */
+  size_t n_servers_replaced_ms;
+  uint32_t *servers_replaced_ms;
+  /*
+   * and earlier tables
+   */
+  size_t n_tables_replaced_ms;
+  uint32_t *tables_replaced_ms;
 };
 #define CWP__LEADER_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__leader_heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Cwp__NodeReport
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -252,6 +252,11 @@
     send_bytes(link, peer, link->packed_kind, link->packed, length);
 }
 
+void cw_peer_link_copy_packed(const cw_peer_link_t *link, uint8_t *bytes, size_t length)
+{
+    memcpy(bytes, link->packed, length);
+}
+
 void cw_peer_link_pack_into(cw_peer_link_t *link, cw_datagram_batch_t *batch, const Cwp__Datagram *datagram)
 {
     size_t length = cw_peer_link_pack(link, datagram);
@@ -273,6 +278,23 @@
     return sent;
 }
 
+size_t cw_peer_link_send_part(cw_peer_link_t *link, const cw_peer_t *peer, const cw_datagram_batch_t *batch,
+                              size_t first, size_t count)
+{
+    size_t offset = 0;
+    size_t sent = 0;
+    size_t index;
+
+    for (index = 0; index < batch->count && index < first + count; index++) {
+        if (index >= first) {
+            send_bytes(link, peer, batch->kind, (uint8_t *)batch->bytes.data + offset, batch->lengths[index]);
+            sent += batch->lengths[index];
+        }
+        offset += batch->lengths[index];
+    }
+    return sent;
+}
+
 void cw_peer_link_send(cw_peer_link_t *link, const cw_peer_t *peer, const Cwp__Datagram *datagram)
 {
     cw_peer_link_send_packed(link, peer, cw_peer_link_pack(link, datagram));
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -85,10 +85,15 @@
 /** Packs for cw_peer_link_send_packed. 0: it is too large for a datagram, which a line of the log says. */
 size_t cw_peer_link_pack(cw_peer_link_t *link, const Cwp__Datagram *datagram);
 void   cw_peer_link_send_packed(cw_peer_link_t *link, const cw_peer_t *peer, size_t length);
+/** Copies what was packed last. */
+void cw_peer_link_copy_packed(const cw_peer_link_t *link, uint8_t *bytes, size_t length);
 /** Packs, and adds it to a batch. */
 void cw_peer_link_pack_into(cw_peer_link_t *link, cw_datagram_batch_t *batch, const Cwp__Datagram *datagram);
 /** Sends all of a batch to one peer. Returns its bytes. */
 size_t cw_peer_link_send_batch(cw_peer_link_t *link, const cw_peer_t *peer, const cw_datagram_batch_t *batch);
+/** Sends `count` datagrams of a batch from the one at `first` on. Returns their bytes. */
+size_t cw_peer_link_send_part(cw_peer_link_t *link, const cw_peer_t *peer, const cw_datagram_batch_t *batch,
+                              size_t first, size_t count);
 /** The node has started anew, if this is another incarnation: its reports begin with sequence 0. */
 void cw_peer_set_incarnation(cw_peer_t *peer, uint64_t incarnation, cw_time_us_t now);
 /** Is it the incarnation before the one known? Then what tells of it was late: it has been out of date for a short time
--- a/src/retry/crash_suspects.h
+++ b/src/retry/crash_suspects.h
@@ -3,15 +3,15 @@
  * @brief Requests that crash the servers that run them: known again by a digest, and refused after a few crashes.
  *
  * A request that kills each server that begins to run it comes again, at any node. Rules:
- *  - A loss is a connection to a server that ended while a request was under way there, with no whole answer. It counts as a
- *    crash once that incarnation of the server has surely ended without leaving: its port refuses connections, its entry is
- *    gone, or a later incarnation stands in its place. A reset alone is none.
- *  - Each node tells the others of the crashes that it saw. Crashes of one request are counted in a chain: one counts after
- *    another only if the request was sent after the other server was lost. So servers that are lost together count once,
- *    however many copies of a popular request were under way at them.
+ *  - A loss is a connection to a server that ended while a request was under way there, with no whole answer. It counts
+ * as a crash once that incarnation of the server has surely ended without leaving: its port refuses connections, its
+ * entry is gone, or a later incarnation stands in its place. A reset alone is none.
+ *  - Each node tells the others of the crashes that it saw. Crashes of one request are counted in a chain: one counts
+ * after another only if the request was sent after the other server was lost. So servers that are lost together count
+ * once, however many copies of a popular request were under way at them.
  *  - An answer by any server, whatever it says, ends the chain: the request does not crash each server.
- *  - After CW_CRASHES_MOST crashes the request is refused everywhere, without being sent. That ends after a while, which
- *    doubles each time: one more crash, and it is refused again.
+ *  - After CW_CRASHES_MOST crashes the request is refused everywhere, without being sent. That ends after a while,
+ * which doubles each time: one more crash, and it is refused again.
  *  - The number of requests remembered is bounded: the one that crashed a server longest ago is forgotten first.
  *
  * What a wrong suspicion costs: requests of that digest are refused for CW_SUSPECT_REFUSED_S, no others.
@@ -28,12 +28,12 @@
 #include "base/time.h"
 
 enum {
-    CW_CRASHES_MOST = 3,           /**< a request that has crashed so many servers is sent to no more of them */
-    CW_SUSPECT_REFUSED_S = 600,    /**< the first time */
-    CW_SUSPECT_FORGET_S = 600,     /**< after the last crash, unless it is refused */
-    CW_LOSS_CONFIRM_S = 20,        /**< an entry is gone three heartbeats after a crash at the latest */
-    CW_SUSPECTS_MOST = 1024,       /**< requests remembered; some 300 bytes each */
-    CW_LOSSES_MOST = 256           /**< of this node, that are not confirmed yet */
+    CW_CRASHES_MOST = 3,        /**< a request that has crashed so many servers is sent to no more of them */
+    CW_SUSPECT_REFUSED_S = 600, /**< the first time */
+    CW_SUSPECT_FORGET_S = 600,  /**< after the last crash, unless it is refused */
+    CW_LOSS_CONFIRM_S = 20,     /**< an entry is gone three heartbeats after a crash at the latest */
+    CW_SUSPECTS_MOST = 1024,    /**< requests remembered; some 300 bytes each */
+    CW_LOSSES_MOST = 256        /**< of this node, that are not confirmed yet */
 };
 
 /** A crash of a server with a request under way there. */
--- a/src/router/list_exchange.c
+++ b/src/router/list_exchange.c
@@ -13,10 +13,13 @@
     REDIRECT_MS = 20,     /* the node that is named may not have the last page itself yet */
     HEARTBEATS_MS = 1000, /* three heartbeats of the leader, of LEADER_PAUSE_MS each */
     HOLDERS_MAX = 64,     /* nodes of the zone known to have the list: more than are asked while it comes */
-    TRANSFERS_MAX = 1,    /* at a time: some end soon and serve others, which many at once would not */
-    TRANSFER_IDLE_MS = 300, /* a node that asks no more has left, or asks another one */
-    SERVED_MAX = 16,        /* nodes remembered that have got the list from this one */
-    BURST_MS = 200          /* of the allowance, that may be sent at once */
+    TRANSFERS_MAX = 10,   /* at a time: one for each small link that fits in this node's, so that each ends soon and
+                           * the node that got it serves others */
+    TRANSFER_BYTES_PER_S = 800000, /* a third of 20 Mbit/s */
+    WAITING_MAX = 64,              /* nodes that have asked while all transfers were taken */
+    TRANSFER_IDLE_MS = 300,        /* a node that asks no more has left, or asks another one */
+    SERVED_MAX = 16,               /* nodes remembered that have got the list from this one */
+    BURST_MS = 200                 /* of the allowance, that may be sent at once */
 };
 
 /** A node that is being sent the list window by window. */
@@ -26,6 +29,13 @@
     cw_list_window_t window;   /**< to be sent as soon as the allowance is there; count 0: none */
 } transfer_t;
 
+/** A node that asked while all transfers were taken. */
+typedef struct waiting {
+    uint32_t         address;
+    cw_time_us_t     asked_at;
+    cw_list_window_t window;
+} waiting_t;
+
 /** A node of the zone and the list that it has. */
 typedef struct holder {
     uint32_t         address;
@@ -56,11 +66,21 @@
     cw_time_us_t     filled_at;
     cw_list_number_t sent; /**< the list that was sent last */
     transfer_t       transfers[TRANSFERS_MAX];
+    size_t           transfer_count;       /* at a time */
+    waiting_t        waiting[WAITING_MAX]; /* the earliest first */
+    size_t           waiting_count;
     uint32_t         served[SERVED_MAX];
     size_t           served_count;
     size_t           served_next; /**< the one to be named next */
 };
 
+static size_t transfers_of(double bytes_per_s)
+{
+    double count = bytes_per_s / TRANSFER_BYTES_PER_S;
+
+    return count < 1 ? 1 : count > TRANSFERS_MAX ? TRANSFERS_MAX : (size_t)count;
+}
+
 cw_list_exchange_t *cw_list_exchange_create(const cw_list_exchange_owner_t *owner)
 {
     cw_list_exchange_t *exchange = calloc(1, sizeof(*exchange));
@@ -70,6 +90,7 @@
     }
     exchange->owner = *owner;
     exchange->turn = owner->own_address;
+    exchange->transfer_count = transfers_of(owner->bytes_per_s);
     return exchange;
 }
 
@@ -277,7 +298,7 @@
     transfer_t *found = NULL;
     size_t      index;
 
-    for (index = 0; index < TRANSFERS_MAX; index++) {
+    for (index = 0; index < exchange->transfer_count; index++) {
         transfer_t *transfer = &exchange->transfers[index];
 
         if (transfer->address == address) {
@@ -290,6 +311,29 @@
     return found;
 }
 
+static void forget_waiting(cw_list_exchange_t *exchange, uint32_t address)
+{
+    size_t kept = 0;
+    size_t index;
+
+    for (index = 0; index < exchange->waiting_count; index++) {
+        if (exchange->waiting[index].address != address) {
+            exchange->waiting[kept++] = exchange->waiting[index];
+        }
+    }
+    exchange->waiting_count = kept;
+}
+
+/* It is served as soon as a transfer ends, unless it has asked another node by then. */
+static void let_wait(cw_list_exchange_t *exchange, uint32_t address, const cw_list_window_t *window, cw_time_us_t now)
+{
+    forget_waiting(exchange, address);
+    if (exchange->waiting_count < WAITING_MAX) { /* else it asks again */
+        exchange->waiting[exchange->waiting_count++] =
+            (waiting_t){.address = address, .asked_at = now, .window = *window};
+    }
+}
+
 static void redirect(cw_list_exchange_t *exchange, uint32_t address, cw_list_number_t of)
 {
     uint32_t instead;
@@ -337,11 +381,29 @@
     }
 }
 
+/* Transfers that are free go to those that wait. */
+static void begin_waiting(cw_list_exchange_t *exchange, cw_time_us_t now)
+{
+    while (exchange->waiting_count > 0) {
+        waiting_t   first = exchange->waiting[0];
+        transfer_t *transfer = find_transfer(exchange, first.address, now);
+
+        if (transfer == NULL) {
+            return;
+        }
+        forget_waiting(exchange, first.address);
+        if (now - first.asked_at <= CW_MS(ASK_AGAIN_MS)) {
+            *transfer = (transfer_t){.address = first.address, .asked_at = now, .window = first.window};
+        }
+    }
+}
+
 static void send_due(cw_list_exchange_t *exchange, cw_time_us_t now)
 {
     size_t index;
 
-    for (index = 0; index < TRANSFERS_MAX; index++) {
+    begin_waiting(exchange, now);
+    for (index = 0; index < exchange->transfer_count; index++) {
         if (exchange->transfers[index].window.count > 0 && refill_allowance(exchange, now)) {
             send_window(exchange, &exchange->transfers[index]);
         }
@@ -354,9 +416,11 @@
     transfer_t *transfer = find_transfer(exchange, address, now);
 
     if (transfer == NULL) {
+        let_wait(exchange, address, window, now);
         redirect(exchange, address, window->of);
         return;
     }
+    forget_waiting(exchange, address);
     *transfer = (transfer_t){.address = address, .asked_at = now, .window = *window};
     send_due(exchange, now);
 }
--- a/src/router/list_exchange.h
+++ b/src/router/list_exchange.h
@@ -8,8 +8,9 @@
  *    one, for the pages that are missing. After two of them it asks rarely: the leader sends the list by then.
  *  - It asks only while heartbeats come: a zone that is cut from the leader asks for nothing.
  *  - A transfer under way goes on with its number while newer ones appear: changes since it are few, and are laid over.
- *  - Those that have the list double with each transfer. A node answers one at a time, so that this one soon serves
- *    others, and sends no more than its allowance, a part of its link; to others it names a node that it has served.
+ *  - Those that have the list double with each transfer. A node answers as many at a time as small links fit in its
+ * own, so that these soon serve others, and sends no more than its allowance, a part of its link. Others wait for their
+ * turn, and are named a node that it has served.
  *  - What comes is offered to the owner, who decides by the store's revision whether it replaces the list in force.
  *
  * No I/O, no clock: requests and pages go out by callbacks, and time is a parameter.
--- a/src/router/pass_on_queue.c
+++ b/src/router/pass_on_queue.c
@@ -7,15 +7,21 @@
 #include <stdlib.h>
 #include <string.h>
 
+/** A node that is sent an update. */
+typedef struct receiver {
+    uint32_t address;
+    uint32_t sent; /* pages */
+} receiver_t;
+
 /** An update, and how far it is passed on. */
 typedef struct waiting_update {
     cw_pass_on_update_t update;
     cw_datagram_batch_t pages; /* as they came */
     uint8_t            *seen;  /* by number of the page */
     uint32_t            have;
-    uint32_t           *nodes; /* NULL: not all pages have come */
-    size_t              node_count;
-    size_t              next_node;
+    receiver_t         *receivers; /* those that are not sent all of it yet; NULL: not all pages have come */
+    size_t              receiver_count;
+    size_t              next; /* the next turn begins with */
     cw_time_us_t        begun_at;
 } waiting_update_t;
 
@@ -41,7 +47,7 @@
     free(waiting->pages.bytes.data);
     free(waiting->pages.lengths);
     free(waiting->seen);
-    free(waiting->nodes);
+    free(waiting->receivers);
 }
 
 static void drop(cw_pass_on_queue_t *queue, size_t place)
@@ -68,8 +74,8 @@
 
 static bool is_same(const cw_pass_on_update_t *left, const cw_pass_on_update_t *right)
 {
-    return left->is_list == right->is_list && left->term == right->term && left->base == right->base &&
-           left->number == right->number && left->pages == right->pages;
+    return left->is_list == right->is_list && left->is_relayed == right->is_relayed && left->term == right->term &&
+           left->base == right->base && left->number == right->number && left->pages == right->pages;
 }
 
 static waiting_update_t *find(cw_pass_on_queue_t *queue, const cw_pass_on_update_t *update)
@@ -99,6 +105,20 @@
     return waiting;
 }
 
+static void set_receivers(waiting_update_t *waiting, const uint32_t *addresses, size_t count)
+{
+    size_t index;
+
+    waiting->receivers = calloc(count + 1, sizeof(*waiting->receivers));
+    if (waiting->receivers == NULL) {
+        abort();
+    }
+    for (index = 0; index < count; index++) {
+        waiting->receivers[index].address = addresses[index];
+    }
+    waiting->receiver_count = count;
+}
+
 bool cw_pass_on_queue_add(cw_pass_on_queue_t *queue, const cw_pass_on_update_t *update, uint32_t page,
                           const cw_datagram_batch_t *packed, cw_time_us_t now)
 {
@@ -119,32 +139,114 @@
     waiting->have++;
     cw_datagram_batch_add(&waiting->pages, packed->kind, (const uint8_t *)packed->bytes.data, packed->lengths[0]);
     if (waiting->have == update->pages) {
-        waiting->node_count = queue->owner.list_nodes(queue->owner.context, &waiting->nodes);
+        uint32_t *addresses = NULL;
+        size_t    count = queue->owner.list_nodes(queue->owner.context, &addresses);
+
+        set_receivers(waiting, addresses, count);
+        free(addresses);
+    }
+    return true;
+}
+
+static void add_pages(waiting_update_t *waiting, const cw_datagram_batch_t *pages)
+{
+    size_t offset = 0;
+    size_t index;
+
+    for (index = 0; index < pages->count; index++) {
+        cw_datagram_batch_add(&waiting->pages, pages->kind, (const uint8_t *)pages->bytes.data + offset,
+                              pages->lengths[index]);
+        offset += pages->lengths[index];
+    }
+    waiting->have = waiting->update.pages;
+}
+
+static bool has_receiver(const waiting_update_t *waiting, uint32_t address)
+{
+    size_t index;
+
+    for (index = 0; index < waiting->receiver_count; index++) {
+        if (waiting->receivers[index].address == address) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void add_receiver(waiting_update_t *waiting, uint32_t address)
+{
+    waiting->receivers = realloc(waiting->receivers, (waiting->receiver_count + 1) * sizeof(*waiting->receivers));
+    if (waiting->receivers == NULL) {
+        abort();
+    }
+    waiting->receivers[waiting->receiver_count++] = (receiver_t){.address = address};
+}
+
+bool cw_pass_on_queue_add_receiver(cw_pass_on_queue_t *queue, const cw_pass_on_update_t *update,
+                                   const cw_datagram_batch_t *pages, uint32_t address, cw_time_us_t now)
+{
+    waiting_update_t *waiting = find(queue, update);
+
+    if (waiting == NULL) {
+        waiting = begin(queue, update, now);
+        if (waiting == NULL) {
+            return false;
+        }
+        add_pages(waiting, pages);
+    }
+    if (!has_receiver(waiting, address)) {
+        add_receiver(waiting, address);
     }
     return true;
 }
 
 /* ---- sending ---- */
 
-/* False: the allowance is used up. */
-static bool send_update(const cw_pass_on_queue_t *queue, waiting_update_t *waiting, cw_send_allowance_t *allowance)
+/* The next pages for one node; those that it has, or got the last page, are done. */
+static void send_part(const cw_pass_on_queue_t *queue, waiting_update_t *waiting, receiver_t *receiver,
+                      cw_send_allowance_t *allowance)
 {
     const cw_pass_on_owner_t *owner = &queue->owner;
+    size_t                    left = waiting->pages.count - receiver->sent;
+    size_t                    count = left < CW_PASS_ON_PAGES ? left : CW_PASS_ON_PAGES;
 
-    while (waiting->next_node < waiting->node_count) {
-        uint32_t address = waiting->nodes[waiting->next_node];
+    if (!owner->is_wanted(owner->context, receiver->address, &waiting->update)) {
+        receiver->sent = (uint32_t)waiting->pages.count;
+        return;
+    }
+    cw_send_allowance_spend(allowance,
+                            owner->send(owner->context, receiver->address, &waiting->pages, receiver->sent, count));
+    receiver->sent += (uint32_t)count;
+}
+
+static void drop_done(waiting_update_t *waiting)
+{
+    size_t kept = 0;
+    size_t next = 0;
+    size_t index;
 
-        if (!owner->is_wanted(owner->context, address, &waiting->update)) {
-            waiting->next_node++;
-            continue;
+    for (index = 0; index < waiting->receiver_count; index++) {
+        if (index == waiting->next) {
+            next = kept;
         }
-        if (!cw_send_allowance_has_any(allowance)) {
-            return false;
+        if (waiting->receivers[index].sent < waiting->pages.count) {
+            waiting->receivers[kept++] = waiting->receivers[index];
         }
-        cw_send_allowance_spend(allowance, owner->send(owner->context, address, &waiting->pages));
-        waiting->next_node++;
     }
-    return true;
+    waiting->receiver_count = kept;
+    waiting->next = next < kept ? next : 0;
+}
+
+/* One turn of all nodes, as far as the allowance goes. */
+static void send_turn(const cw_pass_on_queue_t *queue, waiting_update_t *waiting, cw_send_allowance_t *allowance)
+{
+    size_t turn;
+
+    for (turn = 0; turn < waiting->receiver_count && cw_send_allowance_has_any(allowance); turn++) {
+        send_part(queue, waiting, &waiting->receivers[waiting->next], allowance);
+        waiting->next = (waiting->next + 1) % waiting->receiver_count;
+    }
+    drop_done(waiting);
 }
 
 void cw_pass_on_queue_send(cw_pass_on_queue_t *queue, cw_send_allowance_t *allowance, cw_time_us_t now)
@@ -156,11 +258,11 @@
         waiting_update_t *waiting = &queue->updates[place];
         bool              is_whole = waiting->have == waiting->update.pages;
 
-        if (now - waiting->begun_at > CW_MS(CW_PASS_ON_WAIT_MS) ||
-            (is_whole && send_update(queue, waiting, allowance))) {
+        if (is_whole) {
+            send_turn(queue, waiting, allowance);
+        }
+        if (now - waiting->begun_at > CW_MS(CW_PASS_ON_WAIT_MS) || (is_whole && waiting->receiver_count == 0)) {
             drop(queue, place);
-        } else if (is_whole) {
-            return;
         } else {
             place++;
         }
--- a/src/router/pass_on_queue.h
+++ b/src/router/pass_on_queue.h
@@ -23,6 +23,7 @@
 
 enum {
     CW_PASS_ON_UPDATES = 16,   /**< that may wait; the leader makes some a second */
+    CW_PASS_ON_PAGES = 4,      /**< for one node in one turn: 20 KB, some 10 ms of 20 Mbit/s */
     CW_PASS_ON_WAIT_MS = 10000 /**< longest wait of an update */
 };
 
@@ -30,7 +31,8 @@
 
 /** What pages belong to. */
 typedef struct cw_pass_on_update {
-    bool     is_list; /**< of servers; else tables of keys */
+    bool     is_list;    /**< of servers; else tables of keys */
+    bool     is_relayed; /**< for relays, which pass it on */
     uint64_t term;
     uint64_t base; /**< 0: a whole */
     uint64_t number;
@@ -45,8 +47,8 @@
     size_t (*list_nodes)(void *context, uint32_t **addresses);
     /** Does the node need it, as far as known? */
     bool (*is_wanted)(void *context, uint32_t address, const cw_pass_on_update_t *update);
-    /** Sends all pages to one node. Returns their bytes. */
-    size_t (*send)(void *context, uint32_t address, const cw_datagram_batch_t *pages);
+    /** Sends some of the pages to one node. Returns their bytes. */
+    size_t (*send)(void *context, uint32_t address, const cw_datagram_batch_t *pages, size_t first, size_t count);
 } cw_pass_on_owner_t;
 
 cw_pass_on_queue_t *cw_pass_on_queue_create(const cw_pass_on_owner_t *owner);
@@ -54,7 +56,10 @@
 /** A packed page has come. False: it is dropped, since too many updates wait. */
 bool cw_pass_on_queue_add(cw_pass_on_queue_t *queue, const cw_pass_on_update_t *update, uint32_t page,
                           const cw_datagram_batch_t *packed, cw_time_us_t now);
-/** Sends what the allowance lets through. */
+/** All pages of an update, for this node; nothing if it is still being sent them. False: too many updates wait. */
+bool cw_pass_on_queue_add_receiver(cw_pass_on_queue_t *queue, const cw_pass_on_update_t *update,
+                                   const cw_datagram_batch_t *pages, uint32_t address, cw_time_us_t now);
+/** A turn: sends what the allowance lets through. */
 void cw_pass_on_queue_send(cw_pass_on_queue_t *queue, cw_send_allowance_t *allowance, cw_time_us_t now);
 /** Updates that are not passed on whole yet. */
 size_t cw_pass_on_queue_waiting(const cw_pass_on_queue_t *queue);
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -102,8 +102,10 @@
 {
     cw_service_assignment_t *keyed = context;
 
-    cw_table_publication_note_change(&keyed->router->table_publication);
-    cw_router_publish_tables(keyed->router, cw_router_now(keyed->router));
+    cw_time_us_t now = cw_router_now(keyed->router);
+
+    cw_table_publication_note_change(&keyed->router->table_publication, now);
+    cw_router_publish_tables(keyed->router, now);
 }
 
 /* Changes go to the nodes of this zone, and to the relays of the others. */
@@ -142,6 +144,9 @@
     if (!any) {
         return;
     }
+    if (router->lead_tables != 0) {
+        cw_replaced_numbers_add(&router->replaced_tables, router->lead_tables, router->table_publication.changed_at);
+    }
     router->lead_tables = number;
     router->view_tables = number;
     cw_router_use_tables(router);
@@ -200,7 +205,7 @@
                                       .note = note_assignment};
 
     keyed->router = router;
-    router->table_publication = (cw_table_publication_t){.is_due = router->table_publication.is_due};
+    router->table_publication.published_at = 0; /* the first tables go out at once */
     keyed->assigner = cw_assigner_create(name, router->leadership.lock.term, router->incarnation, &settings, &ports);
     router->keyed_count++;
 }
--- a/src/router/router_crashes.c
+++ b/src/router/router_crashes.c
@@ -1,11 +1,12 @@
 /**
  * @file router_crashes.c
- * @brief Wires suspects of crashes (crash_suspects.h) into the node: how a server's end is proved, and how nodes tell one
- * another.
+ * @brief Wires suspects of crashes (crash_suspects.h) into the node: how a server's end is proved, and how nodes tell
+ * one another.
  *
- * After a loss the server's port is tried once: what refuses connections has ended. The list shows the rest. A report goes
- * to the nodes of this zone, and to others that no relay informs; the zone's relays send it to relays of the other zones,
- * which send it to theirs. It is repeated a few times, since datagrams are lost, and those who have it do nothing.
+ * After a loss the server's port is tried once: what refuses connections has ended. The list shows the rest. A report
+ * goes to the nodes of this zone, and to others that no relay informs; the zone's relays send it to relays of the other
+ * zones, which send it to theirs. It is repeated a few times, since datagrams are lost, and those who have it do
+ * nothing.
  */
 #include <stdlib.h>
 
@@ -14,24 +15,24 @@
 
 enum {
     PROBE_MS = 300,
-    PROBES_A_SECOND = 10,   /* many connections may be reset at once: the list proves the ends of the others */
-    REPORTED_MOST = 64,     /* crashes and clearances that are being reported */
-    REPORTS = 3,            /* of each */
+    PROBES_A_SECOND = 10, /* many connections may be reset at once: the list proves the ends of the others */
+    REPORTED_MOST = 64,   /* crashes and clearances that are being reported */
+    REPORTS = 3,          /* of each */
     REPORT_AGAIN_MS = 400
 };
 
 /** How far a report has come. */
 typedef enum crash_report_stage {
-    FROM_NODE,       /* that has seen it, to its zone */
-    BETWEEN_ZONES,   /* from a relay to relays of other zones */
-    INSIDE_OF_ZONE   /* from such a relay to its zone */
+    FROM_NODE,     /* that has seen it, to its zone */
+    BETWEEN_ZONES, /* from a relay to relays of other zones */
+    INSIDE_OF_ZONE /* from such a relay to its zone */
 } crash_report_stage_t;
 
 /** What is reported: a crash, or that a server has answered the request. */
 typedef struct reported {
-    cw_crash_t   crash;
-    bool         is_clearance; /* crash.lost_at: when it answered */
-    uint32_t     reports;
+    cw_crash_t crash;
+    bool       is_clearance; /* crash.lost_at: when it answered */
+    uint32_t   reports;
 } reported_t;
 
 struct cw_router_crashes {
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -25,6 +25,7 @@
 #include "router/leader_tenure.h"
 #include "router/list_history.h"
 #include "router/pass_on_queue.h"
+#include "router/replaced_numbers.h"
 #include "router/router.h"
 #include "router/store_reach.h"
 #include "router/store_reader.h"
@@ -177,6 +178,8 @@
     uint64_t                lead_servers; /**< number of the list that others are sent */
     uint64_t                lead_tables;
     cw_table_publication_t  table_publication;
+    cw_replaced_numbers_t   replaced_servers;
+    cw_replaced_numbers_t   replaced_tables;
     cw_list_history_t       list_history;
     cw_send_allowance_t     push_allowance; /**< for bringing others up to date */
     cw_relay_delays_t       relay_delays;
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -104,6 +104,8 @@
         cw_leader_tenure_begin(&router->tenure, now);
         router->lead_servers = 1;
         router->lead_tables = 0;
+        cw_replaced_numbers_begin(&router->replaced_servers);
+        cw_replaced_numbers_begin(&router->replaced_tables);
         cw_key_tables_clear(&router->tables);
         cw_list_history_begin(&router->list_history, router->server_view.list, router->lead_servers);
         cw_router_push_begin(router, now);
--- a/src/router/router_pass_on.c
+++ b/src/router/router_pass_on.c
@@ -78,19 +78,19 @@
     const cw_peer_t *peer = cw_peer_link_find(router->link, address);
     uint64_t         has;
 
-    if (peer == NULL || !is_of_zone(peer)) {
+    if (peer == NULL || peer->is_lost || update->term < router->view_term) {
         return false;
     }
     has = peer->term == update->term ? (update->is_list ? peer->servers : peer->tables) : 0;
     return has < update->number && (update->base != 0 || has == 0);
 }
 
-static size_t send_to(void *context, uint32_t address, const cw_datagram_batch_t *pages)
+static size_t send_to(void *context, uint32_t address, const cw_datagram_batch_t *pages, size_t first, size_t count)
 {
     cw_router_t     *router = context;
     const cw_peer_t *peer = cw_peer_link_find(router->link, address);
 
-    return peer == NULL ? 0 : cw_peer_link_send_batch(router->link, peer, pages);
+    return peer == NULL ? 0 : cw_peer_link_send_part(router->link, peer, pages, first, count);
 }
 
 void cw_router_pass_on_init(cw_router_t *router)
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -51,9 +51,28 @@
     cw_peer_link_send_packed(router->link, peer, length);
 }
 
-static void send_batch(cw_router_t *router, const cw_peer_t *peer, const cw_datagram_batch_t *batch)
+/* What is short goes at once; the rest is left to the queue, which spreads it over time (pass_on_queue.h). */
+static void send_batch(cw_router_t *router, const cw_peer_t *peer, const cw_datagram_batch_t *batch,
+                       const cw_pass_on_update_t *update)
 {
-    cw_send_allowance_spend(&router->push_allowance, cw_peer_link_send_batch(router->link, peer, batch));
+    cw_time_us_t now = cw_router_now(router);
+
+    if (batch->count <= CW_PASS_ON_PAGES) {
+        cw_send_allowance_spend(&router->push_allowance, cw_peer_link_send_batch(router->link, peer, batch));
+    } else if (!cw_pass_on_queue_add_receiver(router->pass_on, update, batch, peer->address, now)) {
+        cw_metric_add(CW_METRIC_PAGES_NOT_PASSED_ON, batch->count); /* it is sent again */
+    }
+}
+
+static cw_pass_on_update_t update_of(const cw_router_t *router, bool is_list, const cw_push_scope_t *scope,
+                                     const cw_datagram_batch_t *batch)
+{
+    return (cw_pass_on_update_t){.is_list = is_list,
+                                 .is_relayed = scope->pass_on,
+                                 .term = router->view_term,
+                                 .base = scope->base,
+                                 .number = is_list ? router->view_servers : router->view_tables,
+                                 .pages = (uint32_t)batch->count};
 }
 
 /* Are these pages those that the scope needs? Else they are begun anew. */
@@ -222,10 +241,13 @@
 void cw_router_send_servers(cw_router_t *router, const cw_peer_t *peer, const cw_push_scope_t *scope,
                             cw_packed_pages_t *packed)
 {
+    cw_pass_on_update_t update;
+
     if (!is_packed(packed, scope)) {
         pack_servers(router, scope, &packed->batch);
     }
-    send_batch(router, peer, &packed->batch);
+    update = update_of(router, true, scope, &packed->batch);
+    send_batch(router, peer, &packed->batch, &update);
 }
 
 /* Whole ones are asked for by those that have none. */
@@ -354,10 +376,13 @@
 void cw_router_send_tables(cw_router_t *router, const cw_peer_t *peer, const cw_push_scope_t *scope,
                            cw_packed_pages_t *packed)
 {
+    cw_pass_on_update_t update;
+
     if (!is_packed(packed, scope)) {
         pack_tables(router, scope, &packed->batch);
     }
-    send_batch(router, peer, &packed->batch);
+    update = update_of(router, false, scope, &packed->batch);
+    send_batch(router, peer, &packed->batch, &update);
 }
 
 void cw_router_push_tables(cw_router_t *router, cw_time_us_t now)
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -22,6 +22,8 @@
     Cwp__KeySamples      samples[SAMPLES_MAX];
     Cwp__KeySamples     *sample_pointers[SAMPLES_MAX];
     cw_key_samples_t     keys[SAMPLES_MAX];
+    uint32_t             servers_replaced_ms[CW_REPLACED_KEPT];
+    uint32_t             tables_replaced_ms[CW_REPLACED_KEPT];
     size_t               queue_count;
     size_t               sample_count;
 } report_builder_t;
@@ -113,6 +115,23 @@
     builder.sample_pointers[builder.sample_count++] = samples;
 }
 
+/* While changes wait to be published, a number is stated that nobody has yet: the last tables were true until the first
+ * of them. */
+static void add_tables(const cw_router_t *router, cw_time_us_t now)
+{
+    const cw_table_publication_t *publication = &router->table_publication;
+    cw_replaced_numbers_t         replaced = router->replaced_tables;
+    bool                          is_behind = publication->is_due && router->lead_tables != 0;
+
+    if (is_behind) {
+        cw_replaced_numbers_add(&replaced, router->lead_tables, publication->changed_at);
+    }
+    builder.leader.tables = router->lead_tables + (is_behind ? 1 : 0);
+    builder.leader.tables_hash = router->lead_tables == 0 || is_behind ? 0 : router->tables_hash;
+    builder.leader.tables_replaced_ms = builder.tables_replaced_ms;
+    builder.leader.n_tables_replaced_ms = cw_replaced_numbers_ages(&replaced, now, builder.tables_replaced_ms);
+}
+
 static void add_leader_heartbeat(cw_router_t *router, cw_time_us_t now)
 {
     cwp__leader_heartbeat__init(&builder.leader);
@@ -121,12 +140,14 @@
     builder.leader.able = cw_router_is_able(router, now);
     builder.leader.list_age_ms = (uint32_t)((now - router->server_view.true_at) / 1000);
     builder.leader.servers = router->lead_servers;
-    builder.leader.tables = router->lead_tables;
     builder.leader.servers_hash = router->server_view.list == NULL ? 0 : router->server_view.hash;
     builder.leader.list_revision = router->server_view.revision;
     builder.leader.configuration_age_ms = cw_configuration_freshness_pack(&router->freshness, now);
-    builder.leader.tables_hash = router->lead_tables == 0 ? 0 : router->tables_hash;
     builder.leader.nodes = cw_fleet_size_to_state(&router->fleet_size, router->nodes_most, now);
+    builder.leader.servers_replaced_ms = builder.servers_replaced_ms;
+    builder.leader.n_servers_replaced_ms =
+        cw_replaced_numbers_ages(&router->replaced_servers, now, builder.servers_replaced_ms);
+    add_tables(router, now);
     builder.report.leader = &builder.leader;
 }
 
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -77,6 +77,7 @@
     cw_server_pool_update(router->pool, list, now);
     cw_router_use_zones(router, before_true_at, now);
     if (router->leadership.leading) {
+        cw_replaced_numbers_add(&router->replaced_servers, router->lead_servers, before_true_at);
         router->lead_servers++;
         router->view_servers = router->lead_servers;
         cw_list_history_add(&router->list_history, before, list, router->lead_servers);
@@ -269,6 +270,35 @@
 
 /* ---- the leader's heartbeat ---- */
 
+/* The list in force is the leader's newest, or was true until a moment that the leader tells. */
+static void confirm_servers(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
+{
+    cw_time_us_t true_at;
+
+    if (router->view_servers >= heartbeat->servers) {
+        cw_server_view_confirm(&router->server_view, heartbeat->list_revision, now - CW_MS(heartbeat->list_age_ms));
+        return;
+    }
+    true_at = cw_replaced_numbers_true_at(router->view_servers, heartbeat->servers, heartbeat->servers_replaced_ms,
+                                          heartbeat->n_servers_replaced_ms, now);
+    cw_server_view_confirm(&router->server_view, router->server_view.revision, true_at);
+}
+
+/* The same of the tables. */
+static void confirm_tables(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
+{
+    if (heartbeat->tables == 0) {
+        return;
+    }
+    if (router->view_tables >= heartbeat->tables) {
+        validate_tables(router, now);
+    } else {
+        validate_tables(router, cw_replaced_numbers_true_at(router->view_tables, heartbeat->tables,
+                                                            heartbeat->tables_replaced_ms,
+                                                            heartbeat->n_tables_replaced_ms, now));
+    }
+}
+
 void cw_router_take_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer, const Cwp__LeaderHeartbeat *heartbeat,
                                      cw_time_us_t now)
 {
@@ -299,11 +329,9 @@
     cw_router_adopt(router, peer, heartbeat);
     cw_router_check_view(router, heartbeat, now);
     cw_router_list_exchange_heartbeat(router, heartbeat, now);
-    if (router->view_term == heartbeat->term && router->view_servers >= heartbeat->servers) {
-        cw_server_view_confirm(&router->server_view, heartbeat->list_revision, now - CW_MS(heartbeat->list_age_ms));
-    }
-    if (router->view_term == heartbeat->term && router->view_tables >= heartbeat->tables && heartbeat->tables > 0) {
-        validate_tables(router, now);
+    if (router->view_term == heartbeat->term) {
+        confirm_servers(router, heartbeat, now);
+        confirm_tables(router, heartbeat, now);
     }
 }
 
--- a/src/router/table_publication.c
+++ b/src/router/table_publication.c
@@ -4,9 +4,12 @@
  */
 #include "router/table_publication.h"
 
-void cw_table_publication_note_change(cw_table_publication_t *publication)
+void cw_table_publication_note_change(cw_table_publication_t *publication, cw_time_us_t now)
 {
-    publication->is_due = true;
+    if (!publication->is_due) {
+        publication->is_due = true;
+        publication->changed_at = now;
+    }
 }
 
 bool cw_table_publication_is_due(const cw_table_publication_t *publication, size_t targets, double datagrams_a_second,
