Updates are put together side by side; requests look at the servers of their service; nodes are told of without a ceiling

Ruled out: loss of datagrams (none dropped). Change: four assemblies (view_assembly), contents kept until the last page and laid over what is known then (view_parts), so pages may come in any order; a relay serves 16 unfinished nodes at once, so that the other one's half is not begun. Beside it, what was a ceiling or grew with all servers: lists of nodes go in pages, a zone's summary and the nodes that may broker have no most, owners left out of a summary are noted; choosing a server, slots and zones walk the servers of one service, not all.

--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -3,6 +3,7 @@
  * @brief Which server of a service a request goes to.
  */
 #include <string.h>
+#include <utlist.h>
 
 #include "balance/server_pool_internal.h"
 
@@ -101,9 +102,8 @@
 bool cw_server_pool_serves(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule)
 {
     cw_server_t *server;
-    cw_server_t *next;
 
-    HASH_ITER(by_id, pool->by_id, server, next)
+    DL_FOREACH(cw_server_pool_of_service(pool, cw_server_pool_service_hash(service)), server)
     {
         if (server->listed && !server->draining && strcmp(server->service, service) == 0 &&
             cw_server_region_allows(server, rule)) {
@@ -164,10 +164,9 @@
     double       best_cost[FITNESSES] = {0};
     bool         any[FITNESSES] = {false};
     cw_server_t *server;
-    cw_server_t *next;
     int          level = FIT;
 
-    HASH_ITER(by_id, pool->by_id, server, next)
+    DL_FOREACH(cw_server_pool_of_service(pool, cw_server_pool_service_hash(service)), server)
     {
         fitness_t group;
         double    value;
@@ -205,10 +204,9 @@
                         cw_distance_t farthest, cw_time_us_t now)
 {
     cw_server_t *server;
-    cw_server_t *next;
     double       speed = 0;
 
-    HASH_ITER(by_id, pool->by_id, server, next)
+    DL_FOREACH(cw_server_pool_of_service(pool, cw_server_pool_service_hash(service)), server)
     {
         if (server->distance <= farthest && is_serving(server, service, now) &&
             (rule == NULL || cw_server_region_allows(server, rule))) {
@@ -238,10 +236,9 @@
 uint32_t cw_server_pool_under_way(cw_server_pool_t *pool, const char *service)
 {
     cw_server_t *server;
-    cw_server_t *next;
     uint32_t     sum = 0;
 
-    HASH_ITER(by_id, pool->by_id, server, next)
+    DL_FOREACH(cw_server_pool_of_service(pool, cw_server_pool_service_hash(service)), server)
     {
         if (server->listed && strcmp(server->service, service) == 0) {
             sum += server->own + server->others;
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -4,6 +4,7 @@
  */
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 #include <xxhash.h>
 
 #include "balance/server_pool_internal.h"
@@ -31,8 +32,62 @@
     pool->node = XXH3_64bits(node, strlen(node));
 }
 
+/* ---- servers of a service ---- */
+
+uint32_t cw_server_pool_service_hash(const char *service)
+{
+    return (uint32_t)XXH3_64bits(service, strlen(service));
+}
+
+static service_servers_t *servers_of(const cw_server_pool_t *pool, uint32_t service_hash)
+{
+    service_servers_t *known;
+
+    HASH_FIND(hh, pool->by_service, &service_hash, sizeof(service_hash), known);
+    return known;
+}
+
+cw_server_t *cw_server_pool_of_service(const cw_server_pool_t *pool, uint32_t service_hash)
+{
+    const service_servers_t *known = servers_of(pool, service_hash);
+
+    return known == NULL ? NULL : known->servers;
+}
+
+static void add_to_service(cw_server_pool_t *pool, cw_server_t *server)
+{
+    service_servers_t *known = servers_of(pool, server->service_hash);
+
+    if (known == NULL) {
+        known = calloc(1, sizeof(*known));
+        if (known == NULL) {
+            abort();
+        }
+        known->service_hash = server->service_hash;
+        HASH_ADD(hh, pool->by_service, service_hash, sizeof(known->service_hash), known);
+    }
+    DL_APPEND(known->servers, server);
+}
+
+static void free_services(cw_server_pool_t *pool)
+{
+    service_servers_t *known;
+    service_servers_t *next;
+
+    HASH_ITER(hh, pool->by_service, known, next)
+    {
+        HASH_DEL(pool->by_service, known); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
+        free(known);
+    }
+}
+
+/* ---- coming and going ---- */
+
 static void drop(cw_server_pool_t *pool, cw_server_t *server)
 {
+    service_servers_t *known = servers_of(pool, server->service_hash);
+
+    DL_DELETE(known->servers, server);
     HASH_DELETE(by_id, pool->by_id, server);
     HASH_DELETE(by_hash, pool->by_hash, server);
     pool->dropped(pool->context, server);
@@ -62,6 +117,7 @@
     while (pool->by_id != NULL) {
         drop(pool, pool->by_id);
     }
+    free_services(pool);
     free_warm_ups(pool);
     while (pool->peers != NULL) {
         cw_server_pool_free_peer(pool, pool->peers);
@@ -226,12 +282,13 @@
     server->distance = cw_zone_distance(pool->regions, pool->region_count, pool->zone, entry->zone);
     server->region_bit = cw_region_bit(&pool->region_table, server->region);
     server->hash = (uint32_t)XXH3_64bits(entry->id, strlen(entry->id));
-    server->service_hash = (uint32_t)XXH3_64bits(entry->service, strlen(entry->service));
+    server->service_hash = cw_server_pool_service_hash(entry->service);
     server->affinity = (double)(XXH3_64bits_withSeed(entry->id, strlen(entry->id), pool->node) >> 11) * 0x1.0p-53;
     server->pace = 1;
     server->cold_per_s = warm_up_of(pool, entry->service).per_s;
     HASH_ADD_KEYPTR(by_id, pool->by_id, server->id, strlen(server->id), server);
     HASH_ADD(by_hash, pool->by_hash, hash, sizeof(server->hash), server);
+    add_to_service(pool, server);
     return server;
 }
 
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -73,6 +73,8 @@
     void              *connections; /**< the adapter's; freed by it when the server is dropped */
     UT_hash_handle     by_id;
     UT_hash_handle     by_hash;
+    struct cw_server  *next; /**< of the same service */
+    struct cw_server  *prev;
 } cw_server_t;
 
 /** How fast one server answered another node, counted since that node's start. */
@@ -131,6 +133,9 @@
 const char *cw_server_pool_zone(const cw_server_pool_t *pool);
 /** All servers, by the by_id handle. */
 cw_server_t *cw_server_pool_all(cw_server_pool_t *pool);
+/** Servers of the service of this hash, linked by next, in the order in which they came to be known. What is done for
+ * each request walks these: a fleet has many services. NULL: none. */
+cw_server_t *cw_server_pool_of_service(const cw_server_pool_t *pool, uint32_t service_hash);
 
 /** Its warm-up is not over. */
 bool cw_server_is_cold(const cw_server_t *server, cw_time_us_t now);
@@ -169,9 +174,10 @@
     bool (*takes_node)(void *context, uint64_t node);
     bool (*takes_server)(void *context, const cw_server_t *server);
 } cw_sum_filter_t;
-/** This node's own requests and those that the nodes taken have reported, by server; returns how many servers. */
+/** This node's own requests and those that the nodes taken have reported, by server; returns how many servers.
+ * `left_out`: those that there was no room for. */
 size_t cw_server_pool_sum(cw_server_pool_t *pool, const cw_sum_filter_t *filter, cw_server_report_t *sums, size_t room,
-                          cw_time_us_t now);
+                          cw_time_us_t now, size_t *left_out);
 /** Paces of servers kept, for all nodes that told them. */
 size_t cw_server_pool_paces(const cw_server_pool_t *pool);
 /** Forgets nodes that have been silent for longer than `life`. */
--- a/src/balance/server_pool_internal.h
+++ b/src/balance/server_pool_internal.h
@@ -32,6 +32,13 @@
     UT_hash_handle hh;
 } service_warm_up_t;
 
+/** Servers of one service. Lives as long as the pool: services are few, and come back. */
+typedef struct service_servers {
+    uint32_t       service_hash;
+    cw_server_t   *servers;
+    UT_hash_handle hh;
+} service_servers_t;
+
 struct cw_server_pool {
     char                 *zone;
     cw_zone_region_t     *regions; /* of each zone */
@@ -42,6 +49,7 @@
     void                 *context;
     cw_server_t          *by_id;
     cw_server_t          *by_hash;
+    service_servers_t    *by_service;
     peer_report_t        *peers;
     service_warm_up_t    *warm_ups;
     const cw_cold_rate_t *cold_rate; /* NULL: this node sends nothing to cold servers whose rate is bounded */
@@ -49,6 +57,8 @@
 
 /** Server of this hash, listed or not; NULL: none. */
 cw_server_t *cw_server_pool_by_hash(cw_server_pool_t *pool, uint32_t hash);
+/** Hash of a service's name, as in server->service_hash. */
+uint32_t cw_server_pool_service_hash(const char *service);
 /** Moves a server's latency factor towards a ratio that was measured. */
 void cw_server_learn_pace(cw_server_t *server, double ratio, double weight);
 
--- a/src/balance/server_sums.c
+++ b/src/balance/server_sums.c
@@ -34,7 +34,7 @@
 }
 
 size_t cw_server_pool_sum(cw_server_pool_t *pool, const cw_sum_filter_t *filter, cw_server_report_t *sums, size_t room,
-                          cw_time_us_t now)
+                          cw_time_us_t now, size_t *left_out)
 {
     peer_report_t *peer;
     peer_report_t *next_peer;
@@ -42,6 +42,7 @@
     cw_server_t   *next;
     size_t         count = 0;
 
+    *left_out = 0;
     begin_sums(pool, now);
     HASH_ITER(hh, pool->peers, peer, next_peer)
     {
@@ -53,8 +54,13 @@
     {
         bool is_told = server->sum.under_way > 0 || server->sum.waiting > 0 || server->sum.unreachable;
 
-        if (count < room && is_told && filter->takes_server(filter->context, server)) {
+        if (!is_told || !filter->takes_server(filter->context, server)) {
+            continue;
+        }
+        if (count < room) {
             sums[count++] = server->sum;
+        } else {
+            (*left_out)++;
         }
     }
     return count;
--- a/src/balance/slot_broker.c
+++ b/src/balance/slot_broker.c
@@ -145,7 +145,6 @@
     survey_t     survey = {0};
     bool         is_owner = lease->ask.server != 0;
     cw_server_t *server;
-    cw_server_t *next;
 
     if (is_owner) {
         const cw_server_t *owner = cw_server_pool_find_hash(broker->pool, lease->ask.server);
@@ -155,7 +154,7 @@
         }
         return survey;
     }
-    HASH_ITER(by_id, cw_server_pool_all(broker->pool), server, next)
+    DL_FOREACH(cw_server_pool_of_service(broker->pool, lease->ask.service), server)
     {
         if (is_wanted(&lease->ask, server) && is_usable(broker, server, false, now)) {
             survey_server(broker, lease, server, &survey, now);
--- a/src/proxy/engine_claim.c
+++ b/src/proxy/engine_claim.c
@@ -7,6 +7,7 @@
  * zone by itself, where the others have none free.
  */
 #include <string.h>
+#include <utlist.h>
 
 #include "base/metrics.h"
 #include "proxy/engine_internal.h"
@@ -59,9 +60,8 @@
 {
     size_t       count = 0;
     cw_server_t *server;
-    cw_server_t *next;
 
-    HASH_ITER(by_id, cw_server_pool_all(request->engine->pool), server, next)
+    DL_FOREACH(cw_server_pool_of_service(request->engine->pool, request->service->hash), server)
     {
         cw_slot_zone_t zone = {server->zone, server->distance};
 
--- a/src/router/pass_on_queue.c
+++ b/src/router/pass_on_queue.c
@@ -21,7 +21,6 @@
     uint32_t            have;
     receiver_t         *receivers; /* those that are not sent all of it yet; NULL: not all pages have come */
     size_t              receiver_count;
-    size_t              next; /* the next turn begins with */
     cw_time_us_t        begun_at;
 } waiting_update_t;
 
@@ -222,29 +221,30 @@
 static void drop_done(waiting_update_t *waiting)
 {
     size_t kept = 0;
-    size_t next = 0;
     size_t index;
 
     for (index = 0; index < waiting->receiver_count; index++) {
-        if (index == waiting->next) {
-            next = kept;
-        }
         if (waiting->receivers[index].sent < waiting->pages.count) {
             waiting->receivers[kept++] = waiting->receivers[index];
         }
     }
     waiting->receiver_count = kept;
-    waiting->next = next < kept ? next : 0;
 }
 
-/* One turn of all nodes, as far as the allowance goes. */
+/* The first nodes' next pages, as far as the allowance goes. */
 static void send_turn(const cw_pass_on_queue_t *queue, waiting_update_t *waiting, cw_send_allowance_t *allowance)
 {
-    size_t turn;
+    size_t under_way = 0;
+    size_t index;
 
-    for (turn = 0; turn < waiting->receiver_count && cw_send_allowance_has_any(allowance); turn++) {
-        send_part(queue, waiting, &waiting->receivers[waiting->next], allowance);
-        waiting->next = (waiting->next + 1) % waiting->receiver_count;
+    for (index = 0; index < waiting->receiver_count && under_way < CW_PASS_ON_AT_ONCE; index++) {
+        receiver_t *receiver = &waiting->receivers[index];
+
+        if (!cw_send_allowance_has_any(allowance)) {
+            break;
+        }
+        send_part(queue, waiting, receiver, allowance);
+        under_way += receiver->sent < waiting->pages.count ? 1 : 0;
     }
     drop_done(waiting);
 }
--- a/src/router/pass_on_queue.h
+++ b/src/router/pass_on_queue.h
@@ -6,8 +6,8 @@
  * socket. Rules:
  *  - An update is passed on once all of its pages are here, to each node that does not have it yet.
  *  - What is sent is taken from an allowance; the rest goes on as that is filled.
- *  - The two relays of a zone begin at opposite ends of its nodes. What a node has acknowledged to one of them, or got
- *    from the leader, the other one need not send.
+ *  - The two relays of a zone begin at opposite ends of its nodes, and serve a few of them at once. What a node has
+ *    acknowledged to one of them, or got from the leader, the other one need not send.
  *  - Updates go in the order in which they came, so that each can be laid over the one before. One that has waited for
  *    long is dropped: the leader sends it by itself.
  *
@@ -24,6 +24,7 @@
 enum {
     CW_PASS_ON_UPDATES = 16,   /**< that may wait; the leader makes some a second */
     CW_PASS_ON_PAGES = 4,      /**< for one node in one turn: 20 KB, some 10 ms of 20 Mbit/s */
+    CW_PASS_ON_AT_ONCE = 16,   /**< nodes that have got a part of an update, and not all of it */
     CW_PASS_ON_WAIT_MS = 10000 /**< longest wait of an update */
 };
 
--- a/src/router/replaced_numbers.h
+++ b/src/router/replaced_numbers.h
@@ -1,6 +1,7 @@
 /**
  * @file replaced_numbers.h
- * @brief Until when earlier lists, or tables, of the leader were true: evidence for nodes that do not have the newest yet.
+ * @brief Until when earlier lists, or tables, of the leader were true: evidence for nodes that do not have the newest
+ * yet.
  *
  * While changes follow one another closely, a large fleet has mostly the last but one or two. A node with an earlier
  * number goes by something that was true until the leader knew better, and the leader tells when that was: so its age
@@ -20,7 +21,7 @@
 
 /** All zeros: none. */
 typedef struct cw_replaced_numbers {
-    uint64_t     newest;                  /**< replaced; 0: none */
+    uint64_t     newest;                    /**< replaced; 0: none */
     cw_time_us_t true_at[CW_REPLACED_KEPT]; /**< by number, modulo */
     size_t       count;
 } cw_replaced_numbers_t;
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -235,6 +235,7 @@
     cw_router_slots_init(router);
     cw_router_push_init(router);
     cw_router_pass_on_init(router);
+    router->view_parts = cw_view_parts_create();
     cw_router_relay_init(router);
     cw_router_list_exchange_init(router);
     cw_router_quota_init(router);
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -31,6 +31,7 @@
 #include "router/store_reader.h"
 #include "router/table_pages.h"
 #include "router/table_publication.h"
+#include "router/view_parts.h"
 #include "tenancy/credential_evidence.h"
 
 enum {
@@ -39,7 +40,6 @@
     CW_MANY_DATAGRAMS_A_SECOND = 60, /**< of reports of one of many nodes, whose datagrams are most of what all do */
     CW_LEADERS_DATAGRAMS_A_SECOND = 1000, /**< of its reports, and of its tables */
     CW_KEYED_SERVICES_MAX = CW_TABLE_SERVICES_MAX,
-    CW_PAGES_MAX = 512,
     CW_TABLES_VALID_PERCENT = 80 /**< of a grant's hold: tables are used no longer without a fresh heartbeat */
 };
 
@@ -60,16 +60,6 @@
     cw_time_us_t tables;
 } cw_relay_delays_t;
 
-/** Something being received page by page. */
-typedef struct cw_view_assembly {
-    uint64_t term;
-    uint64_t number;
-    uint64_t base;
-    uint32_t pages;
-    uint32_t have;
-    uint8_t  seen[CW_PAGES_MAX];
-} cw_view_assembly_t;
-
 /** Slots of servers: this node's counting, and whom it asks. */
 typedef struct cw_router_slots cw_router_slots_t;
 /** What the nodes of a zone say to those of other zones, and hear from them, by relays. */
@@ -161,13 +151,9 @@
     bool               leader_silent;  /**< logged */
     bool               tables_expired; /**< logged */
     char               leader_node[CW_NODE_NAME_MAX];
-    cw_view_assembly_t servers_pages;
-    cw_server_list_t  *servers_partial;
-    size_t             partial_sealed; /**< entries of it that are in order */
+    cw_view_parts_t   *view_parts; /**< what the leader and relays are telling */
     cw_key_tables_t    tables;
     uint64_t           tables_hash;
-    cw_view_assembly_t tables_pages;
-    cw_key_tables_t    tables_partial;
     cw_time_us_t       tables_read_at;
     uint32_t           table_reads; /**< under way */
     cw_store_reach_t   store_reach;
--- a/src/router/router_push.c
+++ b/src/router/router_push.c
@@ -23,8 +23,8 @@
     ADOPT_MS = 250,       /* time to see that what a node has is the leader's */
     RELAY_WAIT_MS = 300,  /* for a relay to pass a change on, and for the acknowledgement: some ten times both */
     WHOLE_WAIT_MS = 800,  /* for the whole: a relay gets it, learns by the next heartbeat that it is right, is asked; */
-    WHOLE_WAIT_NODE_MS = 5, /* and so much more for each node: with many, sources have to double more often */
-    NODES_MAX = 1024,
+    WHOLE_WAIT_NODE_MS = 5,        /* and so much more for each node: with many, sources have to double more often */
+    NODES_OF_PAGE = 1024,          /* 5 KB: a page that is lost is told again */
     NODES_AGAIN_MS = 500,          /* until it has heard them: they report at their pace */
     NODES_AGAIN_COVERED_MS = 3000, /* where relays tell of other zones' nodes; those of its own it may still not know */
     LINK_PART = 3,                 /* of the link's bandwidth */
@@ -300,22 +300,32 @@
  * that have heard fewer. That is apart from the list: a node that has read the list itself is sent no page of it.
  */
 
-static void send_nodes(cw_router_t *router, const cw_peer_t *peer)
+/* A page of the nodes from `known` on, as many as one holds. Returns the first that is left; NULL: none. */
+static const cw_peer_t *send_nodes_page(cw_router_t *router, const cw_peer_t *peer, const cw_peer_t *known)
 {
-    static uint32_t  nodes[NODES_MAX];
-    Cwp__NodesPage   page = CWP__NODES_PAGE__INIT;
-    Cwp__Datagram    datagram = CWP__DATAGRAM__INIT;
-    const cw_peer_t *known;
+    static uint32_t nodes[NODES_OF_PAGE];
+    Cwp__NodesPage  page = CWP__NODES_PAGE__INIT;
+    Cwp__Datagram   datagram = CWP__DATAGRAM__INIT;
 
     page.nodes = nodes;
-    for (known = cw_peer_link_peers(router->link); known != NULL; known = known->next) {
-        if (known->last_received_at != 0 && !known->is_lost && page.n_nodes < NODES_MAX) {
+    for (; known != NULL && page.n_nodes < NODES_OF_PAGE; known = known->next) {
+        if (known->last_received_at != 0 && !known->is_lost) {
             nodes[page.n_nodes++] = known->address;
         }
     }
     datagram.content_case = CWP__DATAGRAM__CONTENT_NODES;
     datagram.nodes = &page;
     send_datagram(router, peer, &datagram);
+    return known;
+}
+
+static void send_nodes(cw_router_t *router, const cw_peer_t *peer)
+{
+    const cw_peer_t *known = cw_peer_link_peers(router->link);
+
+    while (known != NULL) {
+        known = send_nodes_page(router, peer, known);
+    }
 }
 
 void cw_router_push_nodes(cw_router_t *router, cw_time_us_t now)
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -10,9 +10,8 @@
 #include "router/router_internal.h"
 
 enum {
-    MANY_NODES = 16,       /* as in router_view.c: so many nodes learn of one another's requests too late */
-    CANDIDATES_MAX = 1024, /* nodes; as many as the leader tells of (router_push.c) */
-    GATHER_EVERY_MS = 100  /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
+    MANY_NODES = 16,      /* as in router_view.c: so many nodes learn of one another's requests too late */
+    GATHER_EVERY_MS = 100 /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
 };
 
 /** A message of this node to itself: delivered from the loop, as those of others are. */
@@ -25,16 +24,17 @@
 } own_message_t;
 
 struct cw_router_slots {
-    cw_router_t          *router;
-    cw_slot_broker_t     *broker;
-    cw_broker_candidate_t candidates[CANDIDATES_MAX];
-    size_t                candidate_count;
-    cw_time_us_t          gathered_at;
-    bool                  is_on;
-    uv_timer_t            deliver;
-    own_message_t        *own;
-    size_t                own_count;
-    size_t                own_capacity;
+    cw_router_t           *router;
+    cw_slot_broker_t      *broker;
+    cw_broker_candidate_t *candidates; /* nodes */
+    size_t                 candidate_count;
+    size_t                 candidate_room;
+    cw_time_us_t           gathered_at;
+    bool                   is_on;
+    uv_timer_t             deliver;
+    own_message_t         *own;
+    size_t                 own_count;
+    size_t                 own_capacity;
 };
 
 /* ---- messages to this node itself ---- */
@@ -261,6 +261,18 @@
 
 /* ---- who counts ---- */
 
+static void add_candidate(cw_router_slots_t *slots, const cw_broker_candidate_t *candidate)
+{
+    if (slots->candidate_count == slots->candidate_room) {
+        slots->candidate_room = slots->candidate_room == 0 ? 32 : 2 * slots->candidate_room;
+        slots->candidates = realloc(slots->candidates, slots->candidate_room * sizeof(*slots->candidates));
+        if (slots->candidates == NULL) {
+            abort();
+        }
+    }
+    slots->candidates[slots->candidate_count++] = *candidate;
+}
+
 static void gather(cw_router_slots_t *slots)
 {
     cw_router_t     *router = slots->router;
@@ -268,14 +280,17 @@
 
     slots->candidate_count = 0;
     if (router->stopping_at == 0) {
-        slots->candidates[slots->candidate_count++] = (cw_broker_candidate_t){
+        cw_broker_candidate_t own = {
             .address = own_address(slots), .capability = cw_router_capability(router), .zone = router->settings.zone};
+
+        add_candidate(slots, &own);
     }
-    for (peer = cw_peer_link_peers(router->link); peer != NULL && slots->candidate_count < CANDIDATES_MAX;
-         peer = peer->next) {
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (peer->last_received_at != 0 && !peer->is_lost && !peer->stopping && peer->zone[0] != '\0') {
-            slots->candidates[slots->candidate_count++] =
-                (cw_broker_candidate_t){.address = peer->address, .capability = peer->capability, .zone = peer->zone};
+            cw_broker_candidate_t other = {
+                .address = peer->address, .capability = peer->capability, .zone = peer->zone};
+
+            add_candidate(slots, &other);
         }
     }
 }
--- a/src/router/router_summary.c
+++ b/src/router/router_summary.c
@@ -2,8 +2,10 @@
  * @file router_summary.c
  * @brief Making a summary of this zone (router_relay.c).
  */
+#include <stdlib.h>
 #include <string.h>
 
+#include "base/dropped_entries.h"
 #include "router/router_internal.h"
 #include "router/router_summary.h"
 
@@ -11,17 +13,17 @@
     LOADS_PAUSE_MS = 500,    /* a keyed request's usual time, and less than what was reported counts for */
     DETAILS_PAUSE_MS = 5000, /* names tell people and logs who a node is; nothing waits for them */
     DETAILS_NEWS_MS = 1000,  /* four summaries of either relay: all of them are not lost */
-    NODES_MAX = 1024,        /* of a zone: 12 bytes each */
-    DETAILS_MAX = 256,       /* in one summary, 90 bytes each at most: 23 KB beside 12 KB of nodes and 6 KB of sums */
+    DETAILS_MAX = 256,       /* in one summary, 90 bytes each at most: 23 KB beside 12 bytes a node and 6 KB of sums */
     QUEUES_MAX = 32
 };
 
 /** A summary while it is made. */
 typedef struct summary_builder {
     Cwp__ZoneSummary   summary;
-    uint32_t           nodes[NODES_MAX];
-    uint32_t           ages_ms[NODES_MAX];
-    uint32_t           capabilities[NODES_MAX];
+    uint32_t          *nodes;
+    uint32_t          *ages_ms;
+    uint32_t          *capabilities;
+    size_t             node_room; /* of these three */
     Cwp__ZoneNode      details[DETAILS_MAX];
     Cwp__ZoneNode     *detail_pointers[DETAILS_MAX];
     uint32_t           received[CW_ZONES_MAX];
@@ -54,10 +56,35 @@
     builder.detail_pointers[builder.summary.n_details++] = detail;
 }
 
+static void *grow(uint32_t *numbers, size_t count)
+{
+    uint32_t *grown = realloc(numbers, count * sizeof(*numbers));
+
+    if (grown == NULL) {
+        abort();
+    }
+    return grown;
+}
+
+static void make_room_for_node(void)
+{
+    if (builder.summary.n_nodes < builder.node_room) {
+        return;
+    }
+    builder.node_room = builder.node_room == 0 ? 64 : 2 * builder.node_room;
+    builder.nodes = grow(builder.nodes, builder.node_room);
+    builder.ages_ms = grow(builder.ages_ms, builder.node_room);
+    builder.capabilities = grow(builder.capabilities, builder.node_room);
+    builder.summary.nodes = builder.nodes;
+    builder.summary.ages_ms = builder.ages_ms;
+    builder.summary.capabilities = builder.capabilities;
+}
+
 static void add_node(uint32_t address, uint32_t age_ms, uint32_t capability)
 {
     size_t index = builder.summary.n_nodes;
 
+    make_room_for_node();
     builder.nodes[index] = address;
     builder.ages_ms[index] = age_ms;
     builder.capabilities[index] = capability;
@@ -85,7 +112,7 @@
 
     add_node(cw_peer_link_own_address(router->link), 0, cw_router_capability(router));
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (!is_in_zone(peer) || peer->is_lost || builder.summary.n_nodes == NODES_MAX) {
+        if (!is_in_zone(peer) || peer->is_lost) {
             continue;
         }
         add_node(peer->address, (uint32_t)((now - peer->last_received_at) / 1000), peer->capability);
@@ -168,11 +195,14 @@
 static void add_loads(cw_router_t *router, cw_time_us_t now)
 {
     cw_sum_filter_t filter = {.context = router, .takes_node = takes_node, .takes_server = takes_server};
+    size_t          left_out;
     size_t          count;
     size_t          index;
 
     cw_engine_count_waiting(router->engine);
-    count = cw_server_pool_sum(router->pool, &filter, builder.sums, CW_SUMMARY_SERVERS_MAX, now);
+    count = cw_server_pool_sum(router->pool, &filter, builder.sums, CW_SUMMARY_SERVERS_MAX, now, &left_out);
+    cw_dropped_entries_note("owners of keys in the summary of a zone: other zones do not learn its requests there",
+                            CW_SUMMARY_SERVERS_MAX, left_out);
     for (index = 0; index < count; index++) {
         builder.servers[index] = builder.sums[index].hash;
         builder.under_way[index] = builder.sums[index].under_way;
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -6,38 +6,11 @@
  * changed since the list of number `base`; they are used when the last one has come, if what this node has is not older
  * than the base. What has come is acknowledged to the leader at once.
  */
-#include <stdlib.h>
 #include <string.h>
 
 #include "router/router_internal.h"
 #include "router/view_order.h"
 
-/* ---- assembling ---- */
-
-/* False: seen already, or not usable. Begins a new assembly where needed. */
-static bool take_page(cw_view_assembly_t *assembly, const cw_page_place_t *place, bool *begun)
-{
-    *begun = false;
-    if (place->pages == 0 || place->page >= place->pages || place->pages > sizeof(assembly->seen)) {
-        return false;
-    }
-    if (assembly->term != place->term || assembly->number != place->number || assembly->base != place->base ||
-        assembly->pages != place->pages) {
-        memset(assembly, 0, sizeof(*assembly));
-        assembly->term = place->term;
-        assembly->number = place->number;
-        assembly->base = place->base;
-        assembly->pages = place->pages;
-        *begun = true;
-    }
-    if (assembly->seen[place->page]) {
-        return false;
-    }
-    assembly->seen[place->page] = 1;
-    assembly->have++;
-    return true;
-}
-
 static bool is_usable(const cw_router_t *router, const cw_page_place_t *place, uint64_t has)
 {
     return !router->leadership.leading && cw_page_is_usable(place, router->view_term, has);
@@ -117,42 +90,6 @@
 
 /* ---- the list ---- */
 
-static cw_server_entry_t entry_of(const Cwp__ViewServer *server, cw_time_us_t now)
-{
-    return (cw_server_entry_t){.id = server->id,
-                               .service = server->service,
-                               .address = server->address,
-                               .zone = server->zone,
-                               .capacity = server->capacity,
-                               .draining = server->draining,
-                               .cold_time = CW_MS(server->cold_ms),
-                               .missing_since = server->missing_ms == 0 ? 0 : now - CW_MS(server->missing_ms)};
-}
-
-static void collect_servers(cw_router_t *router, const Cwp__ServersPage *page, bool begun)
-{
-    const cw_server_list_t *known = router->server_view.list;
-    cw_time_us_t            now = cw_router_now(router);
-    size_t                  index;
-
-    if (begun || router->servers_partial == NULL) {
-        cw_server_list_release(router->servers_partial);
-        router->servers_partial = page->since == 0 || known == NULL
-                                      ? cw_server_list_create()
-                                      : cw_server_list_copy_without(known, page->removed, page->n_removed);
-        router->partial_sealed = router->servers_partial->count;
-        cw_name_set_clear(&router->servers_partial->zones_out);
-        for (index = 0; index < page->n_zones_out; index++) {
-            cw_name_set_add(&router->servers_partial->zones_out, page->zones_out[index]);
-        }
-    }
-    for (index = 0; index < page->n_servers; index++) {
-        cw_server_entry_t entry = entry_of(page->servers[index], now);
-
-        cw_server_list_put(router->servers_partial, router->partial_sealed, &entry);
-    }
-}
-
 /* Has no effect on pages of changes: these are not asked for. */
 static void note_whole_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page,
                             uint32_t next_missing)
@@ -162,21 +99,11 @@
     }
 }
 
-static uint32_t first_missing(const cw_view_assembly_t *assembly)
-{
-    uint32_t page = 0;
-
-    while (page < assembly->pages && assembly->seen[page]) {
-        page++;
-    }
-    return page;
-}
-
 void cw_router_take_servers_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__ServersPage *page)
 {
     cw_page_place_t     place = {page->term, page->number, page->since, page->page, page->pages};
     cw_server_reading_t reading = {.revision = page->revision, .is_told = true};
-    bool                begun;
+    cw_list_parts_t    *parts;
 
     if (page->pages == 0 && page->ask_instead != 0) {
         cw_router_list_exchange_redirected(router, page);
@@ -190,23 +117,15 @@
         note_whole_page(router, peer, page, page->pages);
         return;
     }
-    if (!take_page(&router->servers_pages, &place, &begun)) {
+    parts = cw_view_parts_take_list(router->view_parts, page, cw_router_now(router));
+    if (parts == NULL) {
         return;
     }
-    if (page->since != 0 && begun && page->page != 0) {
-        memset(&router->servers_pages, 0,
-               sizeof(router->servers_pages)); /* who was removed is told in the first page */
+    if (!cw_view_assembly_is_whole(&parts->assembly)) {
+        note_whole_page(router, peer, page, cw_view_assembly_first_missing(&parts->assembly));
         return;
     }
-    collect_servers(router, page, begun);
-    if (router->servers_pages.have < page->pages) {
-        note_whole_page(router, peer, page, first_missing(&router->servers_pages));
-        return;
-    }
-    reading.list = router->servers_partial;
-    router->servers_partial = NULL;
-    memset(&router->servers_pages, 0, sizeof(router->servers_pages));
-    cw_server_list_seal(reading.list);
+    reading.list = cw_list_parts_finish(parts, router->server_view.list);
     cw_router_begin_term(router, page->term);
     router->view_servers = page->number;
     (void)cw_router_take_servers(router, &reading);
@@ -251,28 +170,23 @@
 
 void cw_router_take_table_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__TablePage *page)
 {
-    cw_page_place_t place = {page->term, page->number, page->since, page->page, page->pages};
-    bool            begun;
+    cw_page_place_t   place = {page->term, page->number, page->since, page->page, page->pages};
+    cw_table_parts_t *parts;
 
-    if (!is_usable(router, &place, router->view_tables) || !is_from_leader_or_first(router, peer, page) ||
-        !take_page(&router->tables_pages, &place, &begun)) {
+    if (!is_usable(router, &place, router->view_tables) || !is_from_leader_or_first(router, peer, page)) {
         return;
     }
-    if (begun) {
-        cw_key_tables_clear(&router->tables_partial);
-    }
-    cw_table_page_take(&router->tables_partial, page);
-    if (router->tables_pages.have < page->pages) {
+    parts = cw_view_parts_take_tables(router->view_parts, page, cw_router_now(router));
+    if (parts == NULL || !cw_view_assembly_is_whole(&parts->assembly)) {
         return;
     }
-    memset(&router->tables_pages, 0, sizeof(router->tables_pages));
-    cw_key_tables_seal(&router->tables_partial);
-    note_view(router, &place, count_entries(&router->tables_partial));
+    cw_key_tables_seal(&parts->tables);
+    note_view(router, &place, count_entries(&parts->tables));
     if (page->since == 0) {
         cw_key_tables_clear(&router->tables);
     }
-    cw_key_tables_overlay(&router->tables, &router->tables_partial);
-    cw_key_tables_clear(&router->tables_partial);
+    cw_key_tables_overlay(&router->tables, &parts->tables);
+    cw_table_parts_clear(parts);
     cw_router_begin_term(router, page->term);
     router->view_tables = page->number;
     cw_router_use_tables(router);
--- a/src/router/router_zones.c
+++ b/src/router/router_zones.c
@@ -2,13 +2,13 @@
  * @file router_zones.c
  * @brief Wires zones out of service (zone_service.h) and the rate of cold servers (cold_rate.h) into the node.
  */
-#include "base/dropped_entries.h"
+#include <stdlib.h>
+
 #include "router/router_internal.h"
 
 enum {
     SHARERS_EVERY_MS =
-        100, /* how often the nodes that may send to cold servers are gathered; well below their silence */
-    NODES_GATHERED_MAX = 1024
+        100 /* how often the nodes that may send to cold servers are gathered; well below their silence */
 };
 
 void cw_router_zones_init(cw_router_t *router)
@@ -55,28 +55,38 @@
     }
 }
 
-void cw_router_zones_tick(cw_router_t *router, cw_time_us_t now)
+/* Addresses of the nodes that are heard, in memory that becomes the caller's. */
+static size_t list_heard(const cw_router_t *router, uint32_t **addresses)
 {
-    uint32_t         addresses[NODES_GATHERED_MAX];
     size_t           count = 0;
-    size_t           dropped = 0;
     const cw_peer_t *peer;
 
-    if (now - router->sharers_gathered_at < CW_MS(SHARERS_EVERY_MS)) {
-        return;
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        count += peer->last_received_at != 0 && !peer->is_lost ? 1 : 0;
     }
-    router->sharers_gathered_at = now;
+    *addresses = calloc(count + 1, sizeof(**addresses));
+    if (*addresses == NULL) {
+        abort();
+    }
+    count = 0;
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->last_received_at == 0 || peer->is_lost) {
-            continue;
-        }
-        if (count < NODES_GATHERED_MAX) {
-            addresses[count++] = peer->address;
-        } else {
-            dropped++;
+        if (peer->last_received_at != 0 && !peer->is_lost) {
+            (*addresses)[count++] = peer->address;
         }
     }
-    cw_dropped_entries_note("nodes that may send to cold servers: the others send them nothing", NODES_GATHERED_MAX,
-                            dropped);
+    return count;
+}
+
+void cw_router_zones_tick(cw_router_t *router, cw_time_us_t now)
+{
+    uint32_t *addresses = NULL;
+    size_t    count;
+
+    if (now - router->sharers_gathered_at < CW_MS(SHARERS_EVERY_MS)) {
+        return;
+    }
+    router->sharers_gathered_at = now;
+    count = list_heard(router, &addresses);
     cw_cold_rate_set_nodes(router->cold_rate, addresses, count, now);
+    free(addresses);
 }
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -242,6 +242,7 @@
     cw_router_slots_init(router);
     cw_router_push_init(router);
     cw_router_pass_on_init(router);
+    router->view_parts = cw_view_parts_create();
     cw_router_relay_init(router);
     cw_router_list_exchange_init(router);
     cw_router_quota_init(router);
@@ -289,9 +290,8 @@
     cw_server_pool_free(node->router.pool);
     cw_router_list_exchange_free(&node->router);
     cw_server_view_clear(&node->router.server_view);
-    cw_server_list_release(node->router.servers_partial);
+    cw_view_parts_free(node->router.view_parts);
     cw_key_tables_clear(&node->router.tables);
-    cw_key_tables_clear(&node->router.tables_partial);
     cw_order_trust_free(node->router.order_trust);
     cw_configuration_release(node->router.configuration);
     free(node); /* a process frees nothing of this; the engine and what keeps timers stays */
--- a/tests/test_fleet_scale.c
+++ b/tests/test_fleet_scale.c
@@ -233,6 +233,50 @@
 }
 END_TEST
 
+/* What is done for each request is done for the servers of its service. */
+START_TEST(servers_of_a_service_are_known_apart_from_the_others)
+{
+    enum { SERVICES = 40, EACH = SERVERS / SERVICES };
+    node_fixture_t    *node = node_fixture_create();
+    cw_server_pool_t  *pool = node->router.pool;
+    cw_server_list_t  *list = cw_server_list_create();
+    cw_server_list_t  *fewer = cw_server_list_create();
+    const cw_server_t *server;
+    char               service[32];
+    uint32_t           odd_service;
+    size_t             count = 0;
+    size_t             index;
+
+    for (index = 0; index < SERVERS; index++) {
+        cw_server_entry_t entry = {.service = service, .address = "10.0.1.1:80", .zone = "z1", .capacity = 1};
+        char              id[32];
+
+        (void)snprintf(service, sizeof(service), "service-%zu", index % SERVICES);
+        (void)snprintf(id, sizeof(id), "s-%05zu@1", index);
+        entry.id = id;
+        cw_server_list_put(list, 0, &entry);
+        if (index % 2 == 0) {
+            cw_server_list_put(fewer, 0, &entry);
+        }
+    }
+    cw_server_list_seal(list);
+    cw_server_list_seal(fewer);
+    cw_server_pool_update(pool, list, 0);
+    server = cw_server_pool_find(pool, "s-00004@1");
+    for (server = cw_server_pool_of_service(pool, server->service_hash); server != NULL; server = server->next) {
+        ck_assert_str_eq(server->service, "service-4");
+        count++;
+    }
+    ck_assert_uint_eq(count, EACH);
+    odd_service = cw_server_pool_find(pool, "s-00005@1")->service_hash;
+    cw_server_pool_update(pool, fewer, 0);
+    ck_assert_ptr_null(cw_server_pool_of_service(pool, odd_service));
+    cw_server_list_release(list);
+    cw_server_list_release(fewer);
+    node_fixture_free(node);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("fleet_scale");
@@ -242,6 +286,7 @@
     tcase_add_test(cases, first_grants_to_thousands_of_owners_are_bounded_and_few_tables_tell_of_them);
     tcase_add_loop_test(cases, renewals_stay_in_their_budget_at_this_size_and_at_twice_of_it, 0, 2);
     tcase_add_test(cases, a_turn_with_a_plan_grows_with_the_owners_not_with_their_square);
+    tcase_add_test(cases, servers_of_a_service_are_known_apart_from_the_others);
     tcase_add_test(cases, a_change_of_the_list_grows_with_the_servers_not_with_their_square);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
--- a/tests/test_pass_on_queue.c
+++ b/tests/test_pass_on_queue.c
@@ -174,6 +174,43 @@
 }
 END_TEST
 
+/* A relay that had begun with all nodes would have to send all pages to all of them. */
+START_TEST(few_nodes_have_a_part_only)
+{
+    cw_pass_on_queue_t *queue = new_queue();
+    cw_send_allowance_t allowance = {.bytes = 1e9, .bytes_per_s = 1e9, .burst = CW_SECONDS(1)};
+    uint32_t            address;
+    size_t              begun = 0;
+
+    add_all(queue, 2, 0);
+    cw_pass_on_queue_send(queue, &allowance, 1);
+    for (address = 1; address <= NODES; address++) {
+        begun += sent_to[address] > 0 ? 1 : 0;
+    }
+    ck_assert_uint_eq(begun, CW_PASS_ON_AT_ONCE);
+    cw_pass_on_queue_free(queue);
+}
+END_TEST
+
+START_TEST(a_short_update_goes_to_all_nodes_in_one_turn)
+{
+    cw_pass_on_queue_t *queue = new_queue();
+    cw_send_allowance_t allowance = {.bytes = 1e9, .bytes_per_s = 1e9, .burst = CW_SECONDS(1)};
+    cw_pass_on_update_t update = {.is_list = true, .term = 1, .base = 1, .number = 2, .pages = 1};
+    static uint8_t      bytes[PAGE_BYTES];
+    cw_datagram_batch_t packed = {0};
+
+    cw_datagram_batch_add(&packed, 2, bytes, sizeof(bytes));
+    ck_assert(cw_pass_on_queue_add(queue, &update, 0, &packed, 0));
+    cw_pass_on_queue_send(queue, &allowance, 1);
+    ck_assert_uint_eq(sent_bytes, NODES * PAGE_BYTES);
+    ck_assert_uint_eq(cw_pass_on_queue_waiting(queue), 0);
+    cw_bytes_clear(&packed.bytes);
+    free(packed.lengths);
+    cw_pass_on_queue_free(queue);
+}
+END_TEST
+
 START_TEST(one_that_waits_for_too_long_is_dropped)
 {
     cw_pass_on_queue_t *queue = new_queue();
@@ -209,6 +246,8 @@
     tcase_add_test(cases, each_node_gets_each_page_once_and_the_allowance_is_kept);
     tcase_add_test(cases, a_node_gets_a_few_pages_in_a_turn_however_large_the_allowance_is);
     tcase_add_test(cases, who_has_it_by_then_is_left_out);
+    tcase_add_test(cases, few_nodes_have_a_part_only);
+    tcase_add_test(cases, a_short_update_goes_to_all_nodes_in_one_turn);
     tcase_add_test(cases, one_that_waits_for_too_long_is_dropped);
     tcase_add_test(cases, what_waits_is_bounded);
     suite_add_tcase(suite, cases);
--- a/tests/test_relay_summaries.c
+++ b/tests/test_relay_summaries.c
@@ -213,6 +213,29 @@
 }
 END_TEST
 
+/* Twice the nodes of a zone of the largest fleet: each takes the same few bytes, none is left out. */
+START_TEST(a_summary_tells_of_each_node_of_a_zone_however_many)
+{
+    node_fixture_t    *node = begin();
+    cw_summary_times_t times = {0};
+    cw_zone_links_t    links = {0};
+    cw_time_us_t       now = cw_router_now(&node->router) + CW_SECONDS(2); /* nothing of them is news any more */
+    size_t             bytes_of_few;
+    size_t             bytes_of_all;
+
+    times.details_at = now; /* names are not what is counted */
+    times.details_place = SIZE_MAX;
+    add_nodes_of_zone(node, LARGE_ZONE);
+    bytes_of_few = cw_router_pack_summary(&node->router, &times, &links, now);
+    add_nodes_of_zone(node, 2 * LARGE_ZONE);
+    times.nodes_at = 0;
+    bytes_of_all = cw_router_pack_summary(&node->router, &times, &links, now);
+    ck_assert_uint_gt(bytes_of_few, (size_t)LARGE_ZONE * 5);
+    ck_assert_uint_gt(bytes_of_all, bytes_of_few * 19 / 10);
+    node_fixture_free(node);
+}
+END_TEST
+
 START_TEST(details_of_all_nodes_of_a_large_zone_come_by_and_by)
 {
     node_fixture_t    *node = begin();
@@ -244,6 +267,7 @@
     tcase_add_test(cases, a_life_that_is_told_of_for_long_is_the_present_one);
     tcase_add_test(cases, a_late_report_of_an_earlier_life_changes_nothing);
     tcase_add_test(cases, a_summary_of_a_thousand_nodes_fits_a_datagram);
+    tcase_add_test(cases, a_summary_tells_of_each_node_of_a_zone_however_many);
     tcase_add_test(cases, details_of_all_nodes_of_a_large_zone_come_by_and_by);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -261,19 +261,22 @@
                                     {.hash = far->hash, .under_way = 5}};
     cw_sum_filter_t    filter = {.context = "far", .takes_node = takes_low_nodes, .takes_server = takes_all_but};
     cw_server_report_t sums[4];
+    size_t             left_out;
 
     cw_server_pool_report(pool, 5, report, 2, 0);
     cw_server_pool_report(pool, 6, report, 1, 0);
     cw_server_pool_report(pool, 50, report, 2, 0); /* of another zone */
     cw_server_pool_begin(near, 0);
-    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 4, 0), 1);
+    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 4, 0, &left_out), 1);
     ck_assert_uint_eq(sums[0].hash, near->hash);
     ck_assert_uint_eq(sums[0].under_way, 5);
     ck_assert_uint_eq(sums[0].waiting, 2);
     ck_assert(!sums[0].unreachable);
     filter.context = "";
-    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 4, 0), 2);
-    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 1, 0), 1);
+    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 4, 0, &left_out), 2);
+    ck_assert_uint_eq(left_out, 0);
+    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 1, 0, &left_out), 1);
+    ck_assert_uint_eq(left_out, 1);
     cw_server_pool_free(pool);
 }
 END_TEST
--- a/tests/test_table_publication.c
+++ b/tests/test_table_publication.c
@@ -47,12 +47,12 @@
 
 START_TEST(while_a_change_waits_the_last_tables_are_stated_as_true_until_it)
 {
-    static uint8_t                packed[65536];
-    node_fixture_t               *node = node_fixture_create();
-    cw_router_t                  *router = &node->router;
-    const Cwp__LeaderHeartbeat   *heartbeat;
-    Cwp__Datagram                *datagram;
-    uint64_t                      tables;
+    static uint8_t              packed[65536];
+    node_fixture_t             *node = node_fixture_create();
+    cw_router_t                *router = &node->router;
+    const Cwp__LeaderHeartbeat *heartbeat;
+    Cwp__Datagram              *datagram;
+    uint64_t                    tables;
 
     node_fixture_read_servers(node, "s", SERVERS, "10.0.1.1:80");
     ck_assert(cw_router_use_configuration(router, node_fixture_configuration(1, "s")));
--- /dev/null
+++ b/tests/test_view_parts.c
@@ -0,0 +1,137 @@
+/**
+ * @file test_view_parts.c
+ * @brief Updates that are received page by page: pages of several of them may come mixed, and in any order.
+ *
+ * Pattern of load: two relays and the leader send long updates, for different lists, at the same time.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "router/view_parts.h"
+
+enum { PAGES = 6 };
+
+static cw_list_parts_t *take(cw_view_parts_t *parts, uint64_t base, uint64_t number, uint32_t page, cw_time_us_t now)
+{
+    char             id[32];
+    char             removed[32];
+    char            *removals[1] = {removed};
+    Cwp__ViewServer  server = CWP__VIEW_SERVER__INIT;
+    Cwp__ViewServer *servers[1] = {&server};
+    Cwp__ServersPage message = CWP__SERVERS_PAGE__INIT;
+
+    (void)snprintf(id, sizeof(id), "s-%u@1", page);
+    (void)snprintf(removed, sizeof(removed), "old@1");
+    server.id = id;
+    server.service = "carts";
+    server.address = "10.0.0.1:80";
+    server.zone = "z1";
+    server.capacity = (uint32_t)number;
+    message.term = 1;
+    message.number = number;
+    message.since = base;
+    message.page = page;
+    message.pages = PAGES;
+    message.servers = servers;
+    message.n_servers = 1;
+    message.removed = removals;
+    message.n_removed = page == 0 && base != 0 ? 1 : 0;
+    return cw_view_parts_take_list(parts, &message, now);
+}
+
+static cw_server_list_t *known_list(void)
+{
+    cw_server_list_t *list = cw_server_list_create();
+    cw_server_entry_t entry = {.id = "old@1", .service = "carts", .address = "10.0.0.2:80", .zone = "z1"};
+
+    cw_server_list_put(list, 0, &entry);
+    entry.id = "kept@1";
+    entry.address = "10.0.0.3:80";
+    cw_server_list_put(list, 0, &entry);
+    cw_server_list_seal(list);
+    return list;
+}
+
+START_TEST(pages_of_several_updates_may_come_mixed)
+{
+    cw_view_parts_t  *parts = cw_view_parts_create();
+    cw_server_list_t *list;
+    cw_list_parts_t  *last = NULL;
+    uint32_t          page;
+
+    for (page = 0; page < PAGES; page++) {
+        ck_assert_ptr_nonnull(take(parts, 0, 9, page, page));
+        ck_assert_ptr_nonnull(take(parts, 4, 9, PAGES - 1 - page, page));
+        last = take(parts, 5, 9, page, page);
+        ck_assert_int_eq(cw_view_assembly_is_whole(&last->assembly), page == PAGES - 1);
+    }
+    list = cw_list_parts_finish(last, NULL);
+    ck_assert_uint_eq(list->count, PAGES);
+    cw_server_list_release(list);
+    cw_view_parts_free(parts);
+}
+END_TEST
+
+START_TEST(changes_are_laid_over_what_is_known_in_the_end)
+{
+    cw_view_parts_t  *parts = cw_view_parts_create();
+    cw_server_list_t *known = known_list();
+    cw_server_list_t *list;
+    cw_list_parts_t  *last = NULL;
+    uint32_t          page;
+
+    for (page = PAGES; page > 0; page--) {
+        last = take(parts, 8, 9, page - 1, page); /* who was removed is told last */
+    }
+    list = cw_list_parts_finish(last, known);
+    ck_assert_uint_eq(list->count, PAGES + 1);
+    ck_assert_ptr_nonnull(cw_server_list_find(list, "kept@1"));
+    ck_assert_ptr_null(cw_server_list_find(list, "old@1"));
+    ck_assert_uint_eq(cw_server_list_find(list, "s-3@1")->capacity, 9);
+    cw_server_list_release(list);
+    cw_server_list_release(known);
+    cw_view_parts_free(parts);
+}
+END_TEST
+
+START_TEST(a_page_that_was_here_is_not_taken_again)
+{
+    cw_view_parts_t *parts = cw_view_parts_create();
+    cw_list_parts_t *list = take(parts, 0, 9, 0, 0);
+
+    ck_assert_uint_eq(cw_view_assembly_first_missing(&list->assembly), 1);
+    ck_assert_ptr_null(take(parts, 0, 9, 0, 1));
+    ck_assert_ptr_null(take(parts, 0, 9, PAGES, 1)); /* no such page */
+    cw_view_parts_free(parts);
+}
+END_TEST
+
+START_TEST(one_more_takes_the_place_of_the_longest_idle)
+{
+    cw_view_parts_t *parts = cw_view_parts_create();
+    uint64_t         base;
+
+    for (base = 1; base <= CW_ASSEMBLIES; base++) {
+        ck_assert_ptr_nonnull(take(parts, base, 9, 0, CW_MS((int64_t)base)));
+    }
+    ck_assert_ptr_nonnull(take(parts, 1, 9, 1, CW_MS(100))); /* the oldest goes on */
+    ck_assert_ptr_nonnull(take(parts, base, 9, 0, CW_MS(200)));
+    ck_assert_ptr_null(take(parts, 1, 9, 0, CW_MS(300)));    /* still here */
+    ck_assert_ptr_nonnull(take(parts, 2, 9, 0, CW_MS(300))); /* begins again */
+    cw_view_parts_free(parts);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("view_parts");
+    TCase *cases = tcase_create("view_parts");
+
+    tcase_add_test(cases, pages_of_several_updates_may_come_mixed);
+    tcase_add_test(cases, changes_are_laid_over_what_is_known_in_the_end);
+    tcase_add_test(cases, a_page_that_was_here_is_not_taken_again);
+    tcase_add_test(cases, one_more_takes_the_place_of_the_longest_idle);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
