--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -18,7 +18,9 @@
     LIST_PARTS = 4,          /* a list is read so many times while a leaving server may still get requests, */
     LIST_PARTS_LAGGING = 10, /* more often where its last changes may be missing in what is read, */
     LIST_PARTS_MANY = 2,     /* and so many times by each of many nodes without the leader's heartbeat */
-    LIST_OLD_PERCENT = 60,   /* of that time: an older one is read by nodes that do not read for others, too */
+    LIST_OLD_PERCENT = 60,   /* of that time: an older one is read by nodes that do not read for others, too, */
+    LIST_SPREAD_PERCENT =
+        20, /* and up to so much later while the leader is heard: it reads, or its zone's readers do */
     FIRST_READ_EVERY_MS = 700,
     LEADER_SEEN_MS = 100, /* a node that starts has the leader's heartbeat by then: seeds answer it within 50 ms */
     FIRST_LIST_MS = 4000, /* the leader's list has come by then, from nodes of the zone or the leader itself */
@@ -472,6 +474,19 @@
     return now - router->started_at >= wait;
 }
 
+/* A list that the leader cannot renew for a moment gets old at all nodes at once, and each that reads it takes a call
+ * for each page: thousands of nodes would keep the store from answering the leader. So they do not all begin at once.
+ * A node without the leader's heartbeat is on its own. */
+static cw_time_us_t list_old_after(const cw_router_t *router, bool heartbeat_is_fresh)
+{
+    cw_time_us_t percent = LIST_OLD_PERCENT;
+
+    if (heartbeat_is_fresh) {
+        percent += (cw_time_us_t)(cw_short_name(router->settings.node) % (LIST_SPREAD_PERCENT + 1));
+    }
+    return router->settings.drain * percent / 100;
+}
+
 /* A reader reads as soon as the leader's heartbeat fails to come; the others when no reader has confirmed their list.
  */
 static bool is_list_due(const cw_router_t *router, bool heartbeat_is_fresh, cw_time_us_t now)
@@ -487,7 +502,7 @@
     if (router->is_reader && (!heartbeat_is_fresh || age > router->settings.drain * HEARTBEAT_OLD_PERCENT / 100)) {
         return true;
     }
-    return age > router->settings.drain * LIST_OLD_PERCENT / 100;
+    return age > list_old_after(router, heartbeat_is_fresh);
 }
 
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now)
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -613,6 +613,62 @@
 }
 END_TEST
 
+/* ---- lists that get old at all nodes at once ---- */
+
+/* When a node of this name begins to read, counted from when its list was true. */
+static cw_time_us_t age_when_read(const char *name, bool hears_leader)
+{
+    node_fixture_t *node = node_fixture_create();
+    cw_router_t    *router = &node->router;
+    cw_time_us_t    begun;
+    uint32_t        reads;
+
+    (void)snprintf(router->settings.node, sizeof(router->settings.node), "%s", name);
+    node_fixture_read_servers(node, "s", 3, "10.0.1.1:80");
+    router->loop.time += 10000; /* it is not new */
+    begun = cw_router_now(router);
+    router->server_view.true_at = begun;
+    reads = node->list_reads;
+    while (node->list_reads == reads) {
+        ck_assert_int_lt(cw_router_now(router) - begun, router->settings.drain);
+        router->loop.time += CW_TICK_MS;
+        router->leader_heartbeat_at = hears_leader ? cw_router_now(router) : 0;
+        router->is_reader = false;
+        cw_router_view_tick(router, cw_router_now(router));
+    }
+    begun = cw_router_now(router) - begun;
+    node_fixture_free(node);
+    return begun;
+}
+
+START_TEST(nodes_that_hear_the_leader_do_not_all_read_at_the_same_moment)
+{
+    enum { NODES = 40, AT_ONCE_MOST = NODES / 4 };
+    cw_time_us_t drain = CW_SECONDS(2);
+    size_t       at[100] = {0};
+    char         name[16];
+    int          index;
+
+    for (index = 0; index < NODES; index++) {
+        cw_time_us_t age;
+
+        (void)snprintf(name, sizeof(name), "n-%d", index);
+        age = age_when_read(name, true);
+        ck_assert_int_le(age, drain * 85 / 100); /* the rest is for the reading */
+        at[age / CW_MS(CW_TICK_MS)]++;
+    }
+    for (index = 0; index < 100; index++) {
+        ck_assert_uint_le(at[index], AT_ONCE_MOST);
+    }
+}
+END_TEST
+
+START_TEST(a_node_that_does_not_hear_the_leader_does_not_wait_for_it)
+{
+    ck_assert_int_le(age_when_read("n-1", false), CW_SECONDS(2) * 60 / 100 + CW_MS(CW_TICK_MS));
+}
+END_TEST
+
 /* ---- equal numbers, unequal contents ---- */
 
 static void take_list_of(node_fixture_t *node, uint64_t number)
@@ -718,6 +774,8 @@
     tcase_add_test(cases, a_node_that_sees_a_leader_waits_for_its_list_and_does_not_read);
     tcase_add_test(cases, a_list_that_does_not_come_is_read);
     tcase_add_test(cases, a_node_that_sees_no_leader_reads_soon);
+    tcase_add_test(cases, nodes_that_hear_the_leader_do_not_all_read_at_the_same_moment);
+    tcase_add_test(cases, a_node_that_does_not_hear_the_leader_does_not_wait_for_it);
     tcase_add_test(cases, a_list_that_has_long_differed_under_the_leaders_number_is_asked_for_anew);
     tcase_add_test(cases, a_list_that_goes_on_differing_is_asked_for_rarely);
     tcase_add_test(cases, tables_that_have_long_differed_under_the_leaders_number_are_asked_for_anew);
