Nodes take turns at reading the whole list by themselves; who has got the list tells a few others

What grows: nodes x servers. A node that has got the whole list tells eight others of its zone, since reports of 197 nodes are 3.3 s apart.

--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -1,6 +1,7 @@
 /**
  * @file fuzz_platform.c
- * @brief Bodies of the store: configurations, servers, records, listings, changes, locks. The first byte chooses.
+ * @brief Bodies of the store: configurations, servers, records, listings, changes, locks, and listings with entries
+ * that are no JSON text. The first byte chooses.
  */
 #include <stdint.h>
 #include <stdlib.h>
@@ -8,8 +9,9 @@
 #include "assignment/range.h"
 #include "lease/leadership.h"
 #include "platform_internal.h"
+#include "platform_salvage.h"
 
-enum { KINDS = 6 };
+enum { KINDS = 6, SALVAGED = 6 };
 
 static void take_configuration(const json_t *value)
 {
@@ -98,11 +100,36 @@
     }
 }
 
+/* What is salvaged of any bytes can be written and read again, and is taken as any listing is. */
+static void take_salvaged(const char *text, size_t length)
+{
+    json_t *body = cw_platform_salvage(text, length);
+    char   *written;
+    json_t *again;
+
+    if (body == NULL) {
+        return;
+    }
+    written = json_dumps(body, JSON_COMPACT);
+    again = written == NULL ? NULL : json_loads(written, 0, NULL);
+    if (again == NULL || !json_equal(body, again)) {
+        abort();
+    }
+    take_page(body);
+    take_changes(body);
+    json_decref(again);
+    free(written);
+    json_decref(body);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     json_t   *value = size < 2 ? NULL : json_loadb((const char *)data + 1, size - 1, JSON_DECODE_ANY, NULL);
     cw_lock_t lock;
 
+    if (size > 0 && data[0] % (KINDS + 1) == SALVAGED) {
+        take_salvaged((const char *)data + 1, size - 1);
+    }
     if (value == NULL) {
         return 0;
     }
--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -11,6 +11,8 @@
 #include "router/router_internal.h"
 #include "router/view_order.h"
 
+enum { ANNOUNCED_TO = 8 /* nodes that one which has got the whole list tells of it */ };
+
 static bool is_usable(const cw_router_t *router, const cw_page_place_t *place, uint64_t has)
 {
     return !router->leadership.leading && cw_page_is_usable(place, router->view_term, has);
@@ -39,20 +41,36 @@
     return cw_peer_link_pack(router->link, &datagram);
 }
 
-/* A relay is the first of its zone to have a whole list: the others can ask it for that. */
-static void announce_whole_list(cw_router_t *router)
+static size_t count_of_zone(const cw_router_t *router)
 {
-    size_t           length;
+    size_t           count = 0;
     const cw_peer_t *peer;
 
-    if (!cw_router_is_own_relay(router)) {
-        return;
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        count += peer->distance == CW_DISTANCE_ZONE && !peer->is_lost ? 1 : 0;
     }
-    length = pack_ack(router);
+    return count;
+}
+
+/* The others can ask for it from now on. Reports of a large zone are seconds apart: until then nobody would know. A
+ * relay is the first of its zone to have the list and tells all; the others tell a few, each node different ones. */
+static void announce_whole_list(cw_router_t *router)
+{
+    size_t           length = pack_ack(router);
+    size_t           count = count_of_zone(router);
+    size_t           told = cw_router_is_own_relay(router) || count < ANNOUNCED_TO ? count : ANNOUNCED_TO;
+    size_t           first = count == 0 ? 0 : cw_short_name(router->settings.node) % count;
+    size_t           place = 0;
+    const cw_peer_t *peer;
+
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (peer->distance == CW_DISTANCE_ZONE && !peer->is_lost) {
+        if (peer->distance != CW_DISTANCE_ZONE || peer->is_lost) {
+            continue;
+        }
+        if ((place + count - first) % count < told) {
             cw_peer_link_send_packed(router->link, peer, length);
         }
+        place++;
     }
 }
 
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -11,16 +11,17 @@
 #include <string.h>
 
 #include "base/text.h"
+#include "router/reading_turn.h"
 #include "router/router_internal.h"
 #include "router/view_order.h"
 
 enum {
-    LIST_PARTS = 4,          /* a list is read so many times while a leaving server may still get requests, */
-    LIST_PARTS_LAGGING = 10, /* more often where its last changes may be missing in what is read, */
-    LIST_PARTS_MANY = 2,     /* and so many times by each of many nodes without the leader's heartbeat */
-    LIST_OLD_PERCENT = 60,   /* of that time: an older one is read by nodes that do not read for others, too, */
-    LIST_SPREAD_PERCENT =
-        20, /* and up to so much later while the leader is heard: it reads, or its zone's readers do */
+    LIST_PARTS = 4,           /* a list is read so many times while a leaving server may still get requests, */
+    LIST_PARTS_LAGGING = 10,  /* more often where its last changes may be missing in what is read, */
+    LIST_PARTS_MANY = 2,      /* and so many times by each of many nodes without the leader's heartbeat */
+    LIST_OLD_PERCENT = 60,    /* of that time: an older one is read by nodes that do not read for others, too, */
+    LIST_SPREAD_PERCENT = 20, /* and up to so much later at nodes that hear the leader */
+    SERVERS_A_NODE = 10,      /* that a list is taken to have at least */
     FIRST_READ_EVERY_MS = 700,
     LEADER_SEEN_MS = 100, /* a node that starts has the leader's heartbeat by then: seeds answer it within 50 ms */
     FIRST_LIST_MS = 4000, /* the leader's list has come by then, from nodes of the zone or the leader itself */
@@ -464,6 +465,17 @@
     router->tables_expired = expired;
 }
 
+/* How long nodes that would read now all by themselves are to be spread over. While a fleet starts the list here is far
+ * shorter than the one that would be read. */
+static cw_time_us_t reading_window(const cw_router_t *router, cw_time_us_t now)
+{
+    size_t nodes = cw_fleet_size_nodes(&router->fleet_size, router->nodes_most, now);
+    size_t servers = router->server_view.list == NULL ? 0 : router->server_view.list->count;
+    size_t expected = nodes * SERVERS_A_NODE;
+
+    return cw_reading_window(nodes, servers > expected ? servers : expected);
+}
+
 /* A node that starts gets the list that the leader has from nodes of its zone. To read it takes a call for each page of
  * the store, and a reading of a later revision turns away the pages that come: so it reads only what does not come.
  */
@@ -471,20 +483,22 @@
 {
     cw_time_us_t wait = CW_MS(heartbeat_is_fresh ? FIRST_LIST_MS : LEADER_SEEN_MS);
 
+    wait += cw_reading_turn(cw_short_name(router->settings.node), reading_window(router, now));
     return now - router->started_at >= wait;
 }
 
-/* A list that the leader cannot renew for a moment gets old at all nodes at once, and each that reads it takes a call
- * for each page: thousands of nodes would keep the store from answering the leader. So they do not all begin at once.
- * A node without the leader's heartbeat is on its own. */
-static cw_time_us_t list_old_after(const cw_router_t *router, bool heartbeat_is_fresh)
+/* A list that the leader cannot renew for a moment gets old at all nodes at once (reading_turn.h). Few nodes without
+ * the leader's heartbeat do not take turns: what they read is little. */
+static cw_time_us_t list_old_after(const cw_router_t *router, bool heartbeat_is_fresh, cw_time_us_t now)
 {
-    cw_time_us_t percent = LIST_OLD_PERCENT;
+    cw_time_us_t window = reading_window(router, now);
+    cw_time_us_t spread = router->settings.drain * LIST_SPREAD_PERCENT / 100;
 
-    if (heartbeat_is_fresh) {
-        percent += (cw_time_us_t)(cw_short_name(router->settings.node) % (LIST_SPREAD_PERCENT + 1));
+    if (window < spread) {
+        window = heartbeat_is_fresh ? spread : 0;
     }
-    return router->settings.drain * percent / 100;
+    return router->settings.drain * LIST_OLD_PERCENT / 100 +
+           cw_reading_turn(cw_short_name(router->settings.node), window);
 }
 
 /* A reader reads as soon as the leader's heartbeat fails to come; the others when no reader has confirmed their list.
@@ -502,7 +516,7 @@
     if (router->is_reader && (!heartbeat_is_fresh || age > router->settings.drain * HEARTBEAT_OLD_PERCENT / 100)) {
         return true;
     }
-    return age > list_old_after(router, heartbeat_is_fresh);
+    return age > list_old_after(router, heartbeat_is_fresh, now);
 }
 
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now)
--- a/tests/test_list_requests.c
+++ b/tests/test_list_requests.c
@@ -206,6 +206,21 @@
 }
 END_TEST
 
+START_TEST(a_node_that_has_got_the_list_tells_a_few_others)
+{
+    node_fixture_t *node = node_without_list();
+    uint64_t        before = sent(node, CWP__DATAGRAM__CONTENT_ACK, CW_DISTANCE_ZONE);
+    uint64_t        told;
+
+    receive_page(node, TERM, NUMBER, 7, 0, 1);
+    ck_assert_uint_eq(node->router.view_servers, NUMBER);
+    told = sent(node, CWP__DATAGRAM__CONTENT_ACK, CW_DISTANCE_ZONE) - before;
+    ck_assert_uint_ge(told, 8);
+    ck_assert_uint_le(told, NODES + 2);
+    node_fixture_free(node);
+}
+END_TEST
+
 START_TEST(a_page_of_an_earlier_term_is_dropped)
 {
     node_fixture_t *node = node_without_list();
@@ -250,6 +265,7 @@
     tcase_add_test(cases, a_transfer_under_way_goes_on_when_a_newer_list_is_in_force);
     tcase_add_test(cases, a_node_of_another_zone_is_not_answered);
     tcase_add_test(cases, a_node_without_a_list_asks_the_one_of_its_zone_that_has_it);
+    tcase_add_test(cases, a_node_that_has_got_the_list_tells_a_few_others);
     tcase_add_test(cases, a_page_of_an_earlier_term_is_dropped);
     tcase_add_test(cases, a_list_of_a_lower_revision_replaces_nothing_and_is_asked_for_once);
     suite_add_tcase(suite, cases);
