Changes of the list are read to their end

Ruled out: readings of nodes (none at that time), the processor. Change: an answer with many changes is followed by the next one at once; the list comes into force when no more are there, after 100 answers it is read whole.

--- a/tests/test_platform_bodies.c
+++ b/tests/test_platform_bodies.c
@@ -405,6 +405,16 @@
 
 #define COUNT(list) ((int)(sizeof(list) / sizeof((list)[0])))
 
+START_TEST(changes_that_an_answer_may_not_have_held_are_asked_for_at_once)
+{
+    ck_assert_int_eq(cw_platform_changes_step(1, 1), CW_CHANGES_ALL);
+    ck_assert_int_eq(cw_platform_changes_step(500, 1), CW_CHANGES_CONTINUE);
+    ck_assert_int_eq(cw_platform_changes_step(500, 20), CW_CHANGES_CONTINUE); /* 10,000 servers start at once */
+    ck_assert_int_eq(cw_platform_changes_step(3, 20), CW_CHANGES_ALL);
+    ck_assert_int_eq(cw_platform_changes_step(500, CW_CHANGES_ANSWERS), CW_CHANGES_TOO_MANY);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("platform bodies");
@@ -426,6 +436,7 @@
     tcase_add_loop_test(cases, an_entry_whose_bytes_cannot_be_read_leaves_the_others, 0, COUNT(unreadable));
     tcase_add_loop_test(cases, a_body_whose_own_structure_is_broken_is_none, 0, COUNT(broken));
     tcase_add_test(cases, a_malformed_entry_is_logged_once_and_counted_each_time);
+    tcase_add_test(cases, changes_that_an_answer_may_not_have_held_are_asked_for_at_once);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
