--- a/src/router/router_take.c
+++ b/src/router/router_take.c
@@ -56,13 +56,18 @@
  * relay is the first of its zone to have the list and tells all; the others tell a few, each node different ones. */
 static void announce_whole_list(cw_router_t *router)
 {
-    size_t           length = pack_ack(router);
     size_t           count = count_of_zone(router);
     size_t           told = cw_router_is_own_relay(router) || count < ANNOUNCED_TO ? count : ANNOUNCED_TO;
-    size_t           first = count == 0 ? 0 : cw_short_name(router->settings.node) % count;
     size_t           place = 0;
+    size_t           length;
+    size_t           first;
     const cw_peer_t *peer;
 
+    if (count == 0) {
+        return;
+    }
+    length = pack_ack(router);
+    first = cw_short_name(router->settings.node) % count;
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (peer->distance != CW_DISTANCE_ZONE || peer->is_lost) {
             continue;
