--- a/src/balance/server_load.h
+++ b/src/balance/server_load.h
@@ -5,7 +5,6 @@
 #ifndef CEDARWINCH_BALANCE_SERVER_LOAD_H
 #define CEDARWINCH_BALANCE_SERVER_LOAD_H
 
-#include <stdbool.h>
 #include <stdint.h>
 
 /** State of a server at the moment of an answer, from all nodes' requests together. */
@@ -16,7 +15,4 @@
     uint32_t work_percent; /**< how long work takes there now; 100: as usual; 0: not told */
 } cw_server_load_t;
 
-/** Decodes a server's text; false: it is not one, and the sample is unchanged. */
-typedef bool (*cw_server_load_decoder_t)(const char *text, cw_server_load_t *sample);
-
 #endif
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -16,6 +16,7 @@
 #include <uthash.h>
 
 #include "balance/cold_rate.h"
+#include "balance/server_limit.h"
 #include "balance/server_load.h"
 #include "base/time.h"
 #include "model/region_mask.h"
@@ -68,6 +69,7 @@
     cw_time_us_t       zone_put_back_at;   /**< last put-back of its zone that has been counted as a start */
     double             cold_per_s;         /**< requests a second that it bears while it is cold; 0: no bound known */
     cw_cold_sends_t    cold_sends;         /**< this node's, while it is cold */
+    cw_server_limit_t  limit;              /**< that it has named */
     bool               zone_is_out;        /**< its zone is out of service */
     cw_time_us_t       owner_until; /**< then requests for keys that it owns may still go there until this moment */
     void              *connections; /**< the adapter's; freed by it when the server is dropped */
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -26,6 +26,8 @@
     X(SERVER_LOST, "server lost", WARNING, 20)                                                                         \
     X(SERVER_CRASHED, "server crashed", WARNING, 20)                                                                   \
     X(SERVER_BACK, "server back", NOTICE, 20)                                                                          \
+    X(SERVER_LIMIT, "server limit", NOTICE, 20)                                                                        \
+    X(SERVER_SIGNAL_MALFORMED, "malformed server signal", WARNING, 10)                                                 \
     X(LEADER_TAKEN, "leadership taken", NOTICE, 10)                                                                    \
     X(LEADER_LOST, "leadership lost", WARNING, 10)                                                                     \
     X(LEADER_SEEN, "leader seen", NOTICE, 10)                                                                          \
@@ -115,6 +117,7 @@
     X(SENT_REGION, "sent_region")                                                                                      \
     X(SENT_REMOTE, "sent_remote")                                                                                      \
     X(LIMIT_MODE, "limit_mode")                                                                                        \
+    X(LIMIT_PER_S, "limit_per_s")                                                                                      \
     X(LIMIT_AGE_MS, "limit_age_ms")                                                                                    \
     X(DIGEST, "digest")                                                                                                \
     X(READS, "reads")                                                                                                  \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -79,8 +79,12 @@
     X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries that the budget did not allow")           \
     X(NOT_RUN, "cedarwinch_server_not_run_total", "counter", "servers that said they did not run a request")           \
     X(BROKEN, "cedarwinch_server_broken_total", "counter", "answers that broke off, were reset or were no answer")     \
-    X(LOADS_MALFORMED, "cedarwinch_server_loads_malformed_total", "counter",                                           \
-      "answers whose header with the server's load could not be decoded")                                              \
+    X(SIGNALS_MALFORMED, "cedarwinch_server_signals_malformed_total", "counter",                                       \
+      "answers with a field of the server about itself that could not be decoded")                                     \
+    X(SERVER_LIMIT_CHANGES, "cedarwinch_server_limit_changes_total", "counter",                                        \
+      "rate limits of servers that began, changed or ended, as this node came to know them")                           \
+    X(SENT_LIMITED, "cedarwinch_sent_limited_total", "counter",                                                        \
+      "of the requests sent, those to servers with a rate limit")                                                      \
     X(UNREACHED, "cedarwinch_server_unreached_total", "counter", "servers to which no connection could be made")       \
     X(CONNECTIONS_OPENED, "cedarwinch_server_connections_total", "counter", "connections opened to servers")           \
     X(STORE_READS, "cedarwinch_store_reads_total", "counter", "reading calls to the store")                            \
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -22,6 +22,7 @@
 
 #include "balance/crossing_cost.h"
 #include "balance/server_pool.h"
+#include "balance/server_signals.h"
 #include "balance/slot_broker.h"
 #include "model/configuration.h"
 #include "net/http_listener.h"
@@ -39,18 +40,17 @@
     const char *key;        /**< number of the key */
     const char *signature;  /**< from a server: the answer is its own */
     const char *instance;   /**< from a server: its id */
-    const char *load;       /**< from a server: its load at the moment of the answer; NULL: none is told */
     const char *tenant;     /**< to a server: name of the caller's tenant; NULL: it is not told */
 } cw_header_names_t;
 
 typedef struct cw_engine_settings {
-    cw_header_names_t        names;
-    cw_server_load_decoder_t decode_load; /**< of the header `load`; NULL: it is not read */
-    cw_choice_settings_t     choice;
-    cw_crossing_settings_t   crossing; /**< of a region's border */
-    cw_budget_settings_t     budget;
-    double                   keyed_extra_slots; /**< requests an owner of keys may have beyond its slots */
-    cw_time_us_t             connect_timeout;
+    cw_header_names_t           names;
+    cw_server_signals_decoder_t decode_signals; /**< of servers' answers; NULL: what they say is not read */
+    cw_choice_settings_t        choice;
+    cw_crossing_settings_t      crossing; /**< of a region's border */
+    cw_budget_settings_t        budget;
+    double                      keyed_extra_slots; /**< requests an owner of keys may have beyond its slots */
+    cw_time_us_t                connect_timeout;
     double       silence_factor;    /**< a repeatable request is repeated after so many usual times of silence */
     cw_time_us_t margin;            /**< answers leave this much before the caller's own deadline */
     const char  *credential_scheme; /**< of callers' keys, in "Authorization"; NULL: Bearer */
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -110,6 +110,9 @@
     cw_server_pool_begin(server, now);
     engine->changed = true;
     cw_metric_add(CW_METRIC_SENT, 1);
+    if (cw_server_limit_binds(&server->limit, now)) {
+        cw_metric_add(CW_METRIC_SENT_LIMITED, 1);
+    }
     request->call = cw_upstream_call(server->connections, &sending, engine->on_answer, request);
     cw_bytes_clear(&bytes);
     set_repeat(request, now);
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -140,24 +140,6 @@
     request->service->usual += ((cw_time_us_t)normal - request->service->usual) / USUAL_WEIGHT_PART;
 }
 
-static void note_load(cw_request_t *request, cw_server_t *server, const cw_upstream_answer_t *answer, cw_time_us_t now)
-{
-    const cw_engine_settings_t *settings = &request->engine->settings;
-    const char *text = settings->names.load == NULL ? NULL : cw_http_fields_find(answer->fields, settings->names.load);
-    cw_server_load_t sample;
-
-    if (text == NULL || settings->decode_load == NULL) {
-        return;
-    }
-    if (settings->decode_load(text, &sample)) {
-        request->claim.load = sample;
-        request->claim.has_load = true;
-        cw_server_pool_note_load(server, &sample, now);
-    } else {
-        cw_metric_add(CW_METRIC_LOADS_MALFORMED, 1);
-    }
-}
-
 /* Once it may have run, it may for good. */
 static bool note_outcome(cw_request_t *request, cw_outcome_t outcome)
 {
@@ -223,7 +205,7 @@
     char id[sizeof(request->avoid)];
 
     cw_text_copy(id, sizeof(id), server->id);
-    note_load(request, server, answer, now);
+    cw_request_note_signals(request, server, answer->fields, now);
     if (is_of_another(request, server, answer)) {
         server->ended = true;
     }
--- a/src/router/adapter.h
+++ b/src/router/adapter.h
@@ -25,8 +25,8 @@
 
 typedef struct cw_adapter {
     const cw_header_names_t *header_names;
-    /** Decodes the value of the header `load`. */
-    cw_server_load_decoder_t decode_load;
+    /** Decodes what servers say of themselves in the fields of their answers. */
+    cw_server_signals_decoder_t decode_signals;
     /** store_address: "IPv4:PORT". Standing reads begin at once; their results go to the readers (NULL: none). */
     void *(*create)(uv_loop_t *loop, const char *store_address, const cw_store_readers_t *readers);
     cw_store_port_t *(*store)(void *adapter);
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -140,7 +140,7 @@
 {
     cw_engine_settings_t settings = {
         .names = *router->adapter->header_names,
-        .decode_load = router->adapter->decode_load,
+        .decode_signals = router->adapter->decode_signals,
         .choice = {.zone_penalty = 0.7, .extra_slots = 0},
         .crossing = {.ms_per_mb = router->settings.remote_byte_cost, .way = CW_MS(REMOTE_WAY_MS)},
         .budget = {.ratio = router->settings.retry_ratio,
