--- a/standins/callers/main.c
+++ b/standins/callers/main.c
@@ -57,6 +57,7 @@
 typedef struct attempt {
     callers_t    *callers;
     const kind_t *kind;
+    const char   *node; /**< whom it was sent to */
     uint64_t      number;
     uint32_t      retries;
     uint32_t      key;
@@ -98,12 +99,16 @@
     return signature != NULL && body_length == strlen(attempt->id) && memcmp(body, attempt->id, body_length) == 0;
 }
 
-static void print_end(const attempt_t *attempt, int status, const char *fault)
+/* fields: NULL: no answer. */
+static void print_end(const attempt_t *attempt, int status, const cw_http_fields_t *fields, const char *fault)
 {
+    const char *limit = fields == NULL ? NULL : cw_http_fields_find(fields, "Server-Limit");
+    const char *server = limit == NULL ? NULL : cw_http_fields_find(fields, "X-Instance-Id");
+
     printf("{\"ns\":%" PRIu64 ",\"event\":\"end\",\"id\":\"%s\",\"method\":\"%s\",\"status\":%d,\"ms\":%" PRIu64
-           ",\"fault\":\"%s\"}\n",
+           ",\"node\":\"%s\",\"limit\":\"%s\",\"fault\":\"%s\"}\n",
            uv_hrtime(), attempt->id, attempt->kind->method, status, (uv_hrtime() - attempt->started_ns) / 1000000,
-           fault == NULL ? "" : fault);
+           attempt->node, server == NULL ? "" : server, fault == NULL ? "" : fault);
 }
 
 static void on_answer(void *context, const cw_upstream_answer_t *answer)
@@ -119,7 +124,7 @@
         callers->wrong++;
     }
     callers->counts[status < 600 ? status : 599]++;
-    print_end(attempt, status, answer->fault);
+    print_end(attempt, status, status == 0 ? NULL : answer->fields, answer->fault);
     if (status == 503 && wait_ms >= 0 && attempt->retries == 0 &&
         now + (uint64_t)(wait_ms * 3e6) < attempt->deadline_ns) {
         attempt->retries++;
@@ -169,11 +174,12 @@
                                      .timeout = CW_MS(left_ms + 500),
                                      .answer_max = 1 << 20,
                                      .fresh = attempt->number % 3 == 0};
+    size_t                node = (attempt->number + attempt->retries) % callers->node_count;
 
     request.bytes = text.data;
     request.length = text.length;
-    (void)cw_upstream_call(callers->nodes[(attempt->number + attempt->retries) % callers->node_count], &request,
-                           on_answer, attempt);
+    attempt->node = callers->addresses[node];
+    (void)cw_upstream_call(callers->nodes[node], &request, on_answer, attempt);
     cw_bytes_clear(&text);
 }
 
@@ -211,7 +217,7 @@
     } else {
         callers->counts[status < 600 ? status : 599]++;
     }
-    print_end(attempt, status, faults[answer->end]);
+    print_end(attempt, status, status == 0 ? NULL : answer->fields, faults[answer->end]);
     finish(attempt);
 }
 
@@ -224,6 +230,7 @@
 
     while (count < callers->pipeline && callers->sent < callers->total) {
         attempts[count] = create_attempt(callers);
+        ((attempt_t *)attempts[count])->node = address;
         (void)write_attempt(attempts[count], &text);
         count++;
     }
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -5,6 +5,7 @@
  * One JSON line on standard output for each run, grant and release, with this machine's monotonic time, for the
  * checker of runs (cw-verdict). Runs name the tenant that the server was told ("X-Tenant"); a caller's credential that
  * reaches a server gets a line of its own. SIGTERM: it states that it drains, serves on for a while, and ends.
+ * SIGUSR1: the next rate limit of its series is named in its answers; while it names one, each arrival has a line too.
  */
 #include <argtable2.h>
 #include <inttypes.h>
@@ -18,6 +19,7 @@
 
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
+#include "signals.h"
 
 enum {
     ERRORS_MAX = 10,
@@ -66,6 +68,8 @@
     cw_upstream_target_t *store;
     uv_timer_t            heartbeat;
     uv_signal_t           terminate;
+    uv_signal_t           next_limit;
+    signals_t             signals;
     uv_timer_t            leave;
     const char           *service;
     const char           *zone;
@@ -108,6 +112,13 @@
     note_of_tenant(server, event, id, low, last, fence, "");
 }
 
+static void note_limit(const server_t *server)
+{
+    printf("{\"ns\":%" PRIu64 ",\"event\":\"limit\",\"server\":\"%s\",\"service\":\"%s\",\"per_s\":%g}\n", uv_hrtime(),
+           server->incarnation, server->service, server->signals.limit_per_s);
+    fflush(stdout);
+}
+
 /* ---- answers ---- */
 
 static void add_field(cw_http_fields_t *fields, cw_http_field_builder_t *builder, const char *name, const char *value)
@@ -138,6 +149,9 @@
     if (handover != NULL) {
         add_field(&fields, &builder, "X-Handover", handover);
     }
+    if (id != NULL) {
+        signals_add_fields(&server->signals, &fields, &builder);
+    }
     cw_http_exchange_answer(exchange, &outbound);
     cw_http_fields_clear(&fields);
 }
@@ -355,6 +369,9 @@
         return;
     }
     if (!is_order) {
+        if (server->signals.limit_per_s >= 0) {
+            note(server, "arrive", id == NULL ? "" : id, 0, 0, 0);
+        }
         if (server->crash_path != NULL && strstr(inbound->target, server->crash_path) != NULL) {
             note(server, "crash", id == NULL ? "" : id, 0, 0, 0);
             (void)fflush(stdout);
@@ -476,6 +493,15 @@
     uv_timer_start(&server->leave, on_leave, DRAIN_MS, 0);
 }
 
+static void on_next_limit(uv_signal_t *handle, int number)
+{
+    server_t *server = handle->data;
+
+    (void)number;
+    signals_next_limit(&server->signals);
+    note_limit(server);
+}
+
 /* ---- start ---- */
 
 static uint64_t unix_ms(void)
@@ -525,9 +551,12 @@
     uv_signal_init(&server->loop, &server->terminate);
     server->heartbeat.data = server;
     server->leave.data = server;
+    uv_signal_init(&server->loop, &server->next_limit);
     server->terminate.data = server;
+    server->next_limit.data = server;
     uv_timer_start(&server->heartbeat, on_heartbeat, 0, server->heartbeat_ms);
     uv_signal_start(&server->terminate, on_terminate, SIGTERM);
+    uv_signal_start(&server->next_limit, on_next_limit, SIGUSR1);
     note(server, "start", "", 0, 0, 0);
     uv_run(&server->loop, UV_RUN_DEFAULT);
     note(server, "stop", "", 0, 0, 0);
@@ -556,17 +585,23 @@
     struct arg_str *id = arg_str0("i", "id", "NAME", "default: another one at each start");
     struct arg_str *crash_path =
         arg_str0(NULL, "crash-path", "TEXT", "a request with this in its path ends the process");
+    struct arg_str *limits =
+        arg_str0(NULL, "limits", "N,...", "rate limits that it names in turn, or none; the next one at each SIGUSR1");
     struct arg_lit *keyed = arg_lit0("k", "keyed", "runs a request only while it holds its key");
     struct arg_lit *hangs = arg_lit0("x", "hangs", "does not answer what it cannot queue");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {address, port,      advertise, store, service,    zone,  capacity, queue,
-                               work,    heartbeat, cold,      id,    crash_path, keyed, hangs,    end};
+    void           *table[] = {address,   port, advertise, store,      service, zone,  capacity, queue, work,
+                               heartbeat, cold, id,        crash_path, limits,  keyed, hangs,    end};
     static server_t server;
 
     if (arg_parse(argument_count, arguments, table) > 0) {
         arg_print_errors(stderr, end, "cw-server");
         return 2;
     }
+    if (!signals_init(&server.signals, limits->count > 0 ? limits->sval[0] : NULL)) {
+        fprintf(stderr, "cw-server: --limits is N or none, with commas between\n");
+        return 2;
+    }
     server.service = service->sval[0];
     if (advertise->count > 0) {
         snprintf(server.address, sizeof(server.address), "%s", advertise->sval[0]);
--- a/standins/verdict/main.c
+++ b/standins/verdict/main.c
@@ -11,29 +11,19 @@
  *  - TWICE: a request whose method is not GET has run more than once.
  *  - PROMISE: a request answered 429, 503, 408 or 421 that is not to be repeated has run.
  *  - WHOLE: a 2xx without a run.
+ *  - LIMIT: limits.h.
  */
 #include <inttypes.h>
-#include <jansson.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
 
-enum { KEYS = 65536, LINE_MAX_BYTES = 4096, LIVES_MAX = 256, HOLD_MS = 8000 };
+#include "limits.h"
+#include "records.h"
 
-typedef struct record {
-    uint64_t ns;
-    char     event[12];
-    char     server[64];
-    char     id[80];
-    char     method[16];
-    uint32_t low;
-    uint32_t last;
-    uint64_t fence;
-    int      status;
-    bool     of_caller;
-} record_t;
+enum { KEYS = 65536, LIVES_MAX = 256, HOLD_MS = 8000 };
 
 /** All that is known of one request's id. */
 typedef struct attempt {
@@ -53,72 +43,9 @@
     uint64_t fence[KEYS];
 } life_t;
 
-static record_t  *records;
-static size_t     record_count;
 static attempt_t *attempts;
 static life_t    *lives[LIVES_MAX];
 static size_t     life_count;
-static uint64_t   violations;
-
-static void text_of(const json_t *line, const char *key, char *target, size_t size)
-{
-    const char *text = json_string_value(json_object_get(line, key));
-
-    snprintf(target, size, "%s", text == NULL ? "" : text);
-}
-
-static void add_record(const json_t *line)
-{
-    record_t *record;
-
-    if (record_count % 4096 == 0) {
-        records = realloc(records, (record_count + 4096) * sizeof(*records));
-        if (records == NULL) {
-            abort();
-        }
-    }
-    record = &records[record_count++];
-    memset(record, 0, sizeof(*record));
-    record->ns = (uint64_t)json_integer_value(json_object_get(line, "ns"));
-    record->low = (uint32_t)json_integer_value(json_object_get(line, "low"));
-    record->last = (uint32_t)json_integer_value(json_object_get(line, "last"));
-    record->fence = (uint64_t)json_integer_value(json_object_get(line, "fence"));
-    record->status = (int)json_integer_value(json_object_get(line, "status"));
-    record->of_caller = json_object_get(line, "status") != NULL;
-    text_of(line, "event", record->event, sizeof(record->event));
-    text_of(line, "server", record->server, sizeof(record->server));
-    text_of(line, "id", record->id, sizeof(record->id));
-    text_of(line, "method", record->method, sizeof(record->method));
-}
-
-static bool read_file(const char *name)
-{
-    FILE *file = fopen(name, "r");
-    char  line[LINE_MAX_BYTES];
-
-    if (file == NULL) {
-        fprintf(stderr, "cw-verdict: %s cannot be read\n", name);
-        return false;
-    }
-    while (fgets(line, sizeof(line), file) != NULL) {
-        json_t *value = json_loads(line, 0, NULL);
-
-        if (value != NULL && json_object_get(value, "ns") != NULL) {
-            add_record(value);
-        }
-        json_decref(value);
-    }
-    fclose(file);
-    return true;
-}
-
-static int compare_times(const void *left, const void *right)
-{
-    const record_t *a = left;
-    const record_t *b = right;
-
-    return a->ns < b->ns ? -1 : a->ns > b->ns;
-}
 
 static life_t *life_of(const char *server)
 {
@@ -156,13 +83,6 @@
     return attempt;
 }
 
-static void violation(const char *rule, const record_t *record, const char *detail)
-{
-    printf("%s at %.3f s: server %s id %s keys %u-%u fence %" PRIu64 "; %s\n", rule, (double)record->ns / 1e9,
-           record->server, record->id, record->low, record->last, record->fence, detail);
-    violations++;
-}
-
 static void take_grant(const record_t *record)
 {
     life_t  *life = life_of(record->server);
@@ -173,7 +93,7 @@
     for (key = record->low; key <= record->last && key < KEYS; key++) {
         for (index = 0; index < life_count && !told; index++) {
             if (lives[index] != life && lives[index]->fence[key] >= record->fence) {
-                violation("FENCE", record, lives[index]->server);
+                records_violation("FENCE", record, lives[index]->server);
                 told = true;
             }
         }
@@ -201,7 +121,7 @@
         uint64_t      both = other->since[key] > life->since[key] ? other->since[key] : life->since[key];
 
         if (other != life && other->until[key] > record->ns && other->begun[key] >= both && both > 0) {
-            violation("OWNER", record, other->server);
+            records_violation("OWNER", record, other->server);
         }
     }
 }
@@ -245,37 +165,43 @@
 
     snprintf(record.id, sizeof(record.id), "%s", attempt->id);
     if (attempt->once && attempt->runs > 1) {
-        violation("TWICE", &record, "not to be repeated");
+        records_violation("TWICE", &record, "not to be repeated");
     }
     if (attempt->once && is_promise(attempt->status) && attempt->runs > 0) {
-        violation("PROMISE", &record, "answered as not run");
+        records_violation("PROMISE", &record, "answered as not run");
     }
     if (attempt->status >= 200 && attempt->status < 300 && attempt->runs == 0) {
-        violation("WHOLE", &record, "answered without a run");
+        records_violation("WHOLE", &record, "answered without a run");
     }
 }
 
 int main(int argument_count, char **arguments)
 {
+    records_t  records = {0};
     uint64_t   runs = 0;
+    uint64_t   limited;
     size_t     index;
     attempt_t *attempt;
     attempt_t *next;
 
     for (index = 1; index < (size_t)argument_count; index++) {
-        if (!read_file(arguments[index])) {
+        if (!records_read(&records, arguments[index])) {
             return 2;
         }
     }
-    qsort(records, record_count, sizeof(*records), compare_times);
-    for (index = 0; index < record_count; index++) {
-        take_record(&records[index]);
-        runs += strcmp(records[index].event, "run") == 0 ? 1 : 0;
+    records_sort(&records);
+    for (index = 0; index < records.count; index++) {
+        take_record(&records.items[index]);
+        runs += strcmp(records.items[index].event, "run") == 0 ? 1 : 0;
     }
     HASH_ITER(hh, attempts, attempt, next)
     {
         check_attempt(attempt);
     }
-    printf("%" PRIu64 " runs, %u attempts, %" PRIu64 " violations\n", runs, HASH_COUNT(attempts), violations);
-    return violations == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    limited = limits_check(&records);
+    if (limited > 0) {
+        printf("%" PRIu64 " requests at servers with a limit\n", limited);
+    }
+    printf("%" PRIu64 " runs, %u attempts, %" PRIu64 " violations\n", runs, HASH_COUNT(attempts), records_violations());
+    return records_violations() == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- /dev/null
+++ b/standins/verdict/records.c
@@ -0,0 +1,100 @@
+/**
+ * @file records.c
+ * @brief Reads records, and prints what they violate.
+ */
+#include "records.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { LINE_MAX_BYTES = 4096, GROW = 4096 };
+
+static uint64_t violations;
+
+static void text_of(const json_t *line, const char *key, char *target, size_t size)
+{
+    const char *text = json_string_value(json_object_get(line, key));
+
+    snprintf(target, size, "%s", text == NULL ? "" : text);
+}
+
+static uint64_t number_of(const json_t *line, const char *key)
+{
+    return (uint64_t)json_integer_value(json_object_get(line, key));
+}
+
+static void add(records_t *records, const json_t *line)
+{
+    record_t *record;
+
+    if (records->count % GROW == 0) {
+        records->items = realloc(records->items, (records->count + GROW) * sizeof(*records->items));
+        if (records->items == NULL) {
+            abort();
+        }
+    }
+    record = &records->items[records->count++];
+    memset(record, 0, sizeof(*record));
+    record->ns = number_of(line, "ns");
+    record->low = (uint32_t)number_of(line, "low");
+    record->last = (uint32_t)number_of(line, "last");
+    record->fence = number_of(line, "fence");
+    record->status = (int)number_of(line, "status");
+    record->per_s = json_number_value(json_object_get(line, "per_s"));
+    record->of_caller = json_object_get(line, "status") != NULL;
+    text_of(line, "event", record->event, sizeof(record->event));
+    text_of(line, "server", record->server, sizeof(record->server));
+    text_of(line, "id", record->id, sizeof(record->id));
+    text_of(line, "method", record->method, sizeof(record->method));
+    text_of(line, "node", record->node, sizeof(record->node));
+    text_of(line, "limit", record->limit, sizeof(record->limit));
+}
+
+bool records_read(records_t *records, const char *name)
+{
+    FILE *file = fopen(name, "r");
+    char  line[LINE_MAX_BYTES];
+
+    if (file == NULL) {
+        fprintf(stderr, "cw-verdict: %s cannot be read\n", name);
+        return false;
+    }
+    while (fgets(line, sizeof(line), file) != NULL) {
+        json_t *value = json_loads(line, 0, NULL);
+
+        if (value != NULL && json_object_get(value, "ns") != NULL) {
+            add(records, value);
+        }
+        json_decref(value);
+    }
+    fclose(file);
+    return true;
+}
+
+static int compare_times(const void *left, const void *right)
+{
+    const record_t *a = left;
+    const record_t *b = right;
+
+    return a->ns < b->ns ? -1 : a->ns > b->ns;
+}
+
+void records_sort(records_t *records)
+{
+    qsort(records->items, records->count, sizeof(*records->items), compare_times);
+}
+
+void records_violation(const char *rule, const record_t *record, const char *detail)
+{
+    printf("%s at %.3f s: server %s id %s keys %u-%u fence %" PRIu64 "; %s\n", rule, (double)record->ns / 1e9,
+           record->server, record->id, record->low, record->last, record->fence, detail);
+    violations++;
+}
+
+uint64_t records_violations(void)
+{
+    return violations;
+}
