--- a/src/router/router_crashes.c
+++ b/src/router/router_crashes.c
@@ -3,10 +3,8 @@
  * @brief Wires suspects of crashes (crash_suspects.h) into the node: how a server's end is proved, and how nodes tell
  * one another.
  *
- * After a loss the server's port is tried once: what refuses connections has ended. The list shows the rest. A report
- * goes to the nodes of this zone, and to others that no relay informs; the zone's relays send it to relays of the other
- * zones, which send it to theirs. It is repeated a few times, since datagrams are lost, and those who have it do
- * nothing.
+ * After a loss the server's port is tried once: what refuses connections has ended. The list shows the rest. Reports
+ * are broadcast (router_broadcast.c).
  */
 #include <stdlib.h>
 
@@ -21,13 +19,6 @@
     REPORT_AGAIN_MS = 400
 };
 
-/** How far a report has come. */
-typedef enum crash_report_stage {
-    FROM_NODE,     /* that has seen it, to its zone */
-    BETWEEN_ZONES, /* from a relay to relays of other zones */
-    INSIDE_OF_ZONE /* from such a relay to its zone */
-} crash_report_stage_t;
-
 /** What is reported: a crash, or that a server has answered the request. */
 typedef struct reported {
     cw_crash_t crash;
@@ -167,7 +158,7 @@
         sightings[index].is_clearance = reported->is_clearance;
         pointers[index] = &sightings[index];
     }
-    report.stage = FROM_NODE;
+    report.stage = CW_BROADCAST_FROM_NODE;
     report.sightings = pointers;
     report.n_sightings = crashes->count;
     datagram.content_case = CWP__DATAGRAM__CONTENT_CRASH_REPORT;
@@ -175,21 +166,6 @@
     return cw_peer_link_pack(crashes->router->link, &datagram);
 }
 
-static void send_reports(cw_router_crashes_t *crashes, cw_time_us_t now)
-{
-    cw_router_t     *router = crashes->router;
-    size_t           length = pack_report(crashes, now);
-    const cw_peer_t *peer;
-
-    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        bool is_near = peer->distance == CW_DISTANCE_ZONE || !cw_router_is_covered(router, peer, now);
-
-        if (!peer->is_lost && (is_near || (cw_router_is_own_relay(router) && cw_router_is_relay(router, peer)))) {
-            cw_peer_link_send_packed(router->link, peer, length);
-        }
-    }
-}
-
 static void count_reports(cw_router_crashes_t *crashes)
 {
     size_t kept = 0;
@@ -211,42 +187,13 @@
     cw_metric_set(CW_METRIC_CRASH_SUSPECTS, cw_crash_suspects_count(crashes->suspects));
     if (crashes->count > 0 && now - crashes->reported_at >= CW_MS(REPORT_AGAIN_MS)) {
         crashes->reported_at = now;
-        send_reports(crashes, now);
+        cw_router_broadcast(router, pack_report(crashes, now), now);
         count_reports(crashes);
     }
 }
 
 /* ---- reports of others ---- */
 
-/* To whom a relay sends a report on. */
-static bool is_next(const cw_router_t *router, const cw_peer_t *peer, uint32_t stage)
-{
-    if (peer->is_lost) {
-        return false;
-    }
-    return stage == BETWEEN_ZONES ? peer->distance != CW_DISTANCE_ZONE && cw_router_is_relay(router, peer)
-                                  : peer->distance == CW_DISTANCE_ZONE;
-}
-
-static void pass_on(cw_router_t *router, const cw_peer_t *sender, const Cwp__Datagram *datagram)
-{
-    uint32_t         stage = datagram->crash_report->stage;
-    bool             is_from_zone = sender->distance == CW_DISTANCE_ZONE;
-    const cw_peer_t *peer;
-    size_t           length;
-
-    if (!cw_router_is_own_relay(router) || stage >= INSIDE_OF_ZONE || (stage == FROM_NODE) != is_from_zone) {
-        return;
-    }
-    datagram->crash_report->stage = stage + 1;
-    length = cw_peer_link_pack(router->link, datagram);
-    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (is_next(router, peer, stage + 1)) {
-            cw_peer_link_send_packed(router->link, peer, length);
-        }
-    }
-}
-
 static void take_sighting(cw_router_crashes_t *crashes, const Cwp__CrashSighting *sighting, cw_time_us_t now)
 {
     cw_crash_t crash = {.request = sighting->request,
@@ -270,7 +217,7 @@
     for (index = 0; index < report->n_sightings; index++) {
         take_sighting(router->crashes, report->sightings[index], now);
     }
-    pass_on(router, sender, datagram);
+    cw_router_pass_on_broadcast(router, sender, datagram, &datagram->crash_report->stage);
 }
 
 void cw_router_crashes_init(cw_router_t *router)
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -363,6 +363,19 @@
 void cw_router_take_slot_reply(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReply *message);
 void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message);
 
+/* ---- router_broadcast.c ---- */
+/** How far a broadcast has come. */
+enum {
+    CW_BROADCAST_FROM_NODE,     /**< that has something to tell, to its zone */
+    CW_BROADCAST_BETWEEN_ZONES, /**< from a relay to relays of other zones */
+    CW_BROADCAST_INSIDE_ZONE    /**< from such a relay to its zone */
+};
+/** Sends the datagram packed last, of the first stage, to all nodes. */
+void cw_router_broadcast(cw_router_t *router, size_t length, cw_time_us_t now);
+/** If this node is a relay that has to: sends it on. stage: the datagram's own, which is changed. */
+void cw_router_pass_on_broadcast(cw_router_t *router, const cw_peer_t *sender, const Cwp__Datagram *datagram,
+                                 uint32_t *stage);
+
 /* ---- router_crashes.c ---- */
 void cw_router_crashes_init(cw_router_t *router);
 void cw_router_crashes_tick(cw_router_t *router, cw_time_us_t now);
