--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -997,6 +997,96 @@
   assert(message->base.descriptor == &cwp__store_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__server_limit__init
+                     (Cwp__ServerLimit         *message)
+{
+  static const Cwp__ServerLimit init_value = CWP__SERVER_LIMIT__INIT;
+  *message = init_value;
+}
+size_t cwp__server_limit__get_packed_size
+                     (const Cwp__ServerLimit *message)
+{
+  assert(message->base.descriptor == &cwp__server_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__server_limit__pack
+                     (const Cwp__ServerLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__server_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__server_limit__pack_to_buffer
+                     (const Cwp__ServerLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__server_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__ServerLimit *
+       cwp__server_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__ServerLimit *)
+     protobuf_c_message_unpack (&cwp__server_limit__descriptor,
+                                allocator, len, data);
+}
+void   cwp__server_limit__free_unpacked
+                     (Cwp__ServerLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__server_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cwp__limit_notice__init
+                     (Cwp__LimitNotice         *message)
+{
+  static const Cwp__LimitNotice init_value = CWP__LIMIT_NOTICE__INIT;
+  *message = init_value;
+}
+size_t cwp__limit_notice__get_packed_size
+                     (const Cwp__LimitNotice *message)
+{
+  assert(message->base.descriptor == &cwp__limit_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__limit_notice__pack
+                     (const Cwp__LimitNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__limit_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__limit_notice__pack_to_buffer
+                     (const Cwp__LimitNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__limit_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__LimitNotice *
+       cwp__limit_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__LimitNotice *)
+     protobuf_c_message_unpack (&cwp__limit_notice__descriptor,
+                                allocator, len, data);
+}
+void   cwp__limit_notice__free_unpacked
+                     (Cwp__LimitNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__limit_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__slot_ask__init
                      (Cwp__SlotAsk         *message)
 {
@@ -4063,7 +4153,122 @@
   (ProtobufCMessageInit) cwp__store_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__slot_ask__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cwp__server_limit__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ServerLimit, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ServerLimit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ServerLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__server_limit__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = per_s */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange cwp__server_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cwp__server_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.ServerLimit",
+  "ServerLimit",
+  "Cwp__ServerLimit",
+  "cwp",
+  sizeof(Cwp__ServerLimit),
+  3,
+  cwp__server_limit__field_descriptors,
+  cwp__server_limit__field_indices_by_name,
+  1,  cwp__server_limit__number_ranges,
+  (ProtobufCMessageInit) cwp__server_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__limit_notice__field_descriptors[2] =
+{
+  {
+    "stage",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__LimitNotice, stage),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__LimitNotice, n_limits),
+    offsetof(Cwp__LimitNotice, limits),
+    &cwp__server_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__limit_notice__field_indices_by_name[] = {
+  1,   /* field[1] = limits */
+  0,   /* field[0] = stage */
+};
+static const ProtobufCIntRange cwp__limit_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cwp__limit_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.LimitNotice",
+  "LimitNotice",
+  "Cwp__LimitNotice",
+  "cwp",
+  sizeof(Cwp__LimitNotice),
+  2,
+  cwp__limit_notice__field_descriptors,
+  cwp__limit_notice__field_indices_by_name,
+  1,  cwp__limit_notice__number_ranges,
+  (ProtobufCMessageInit) cwp__limit_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cwp__slot_ask__field_descriptors[10] =
 {
   {
     "ticket",
@@ -4173,10 +4378,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotAsk, limit),
+    &cwp__server_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__slot_ask__field_indices_by_name[] = {
   3,   /* field[3] = except */
   6,   /* field[6] = lease_ms */
+  9,   /* field[9] = limit */
   5,   /* field[5] = objective_ms */
   4,   /* field[4] = priority */
   2,   /* field[2] = server */
@@ -4188,7 +4406,7 @@
 static const ProtobufCIntRange cwp__slot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cwp__slot_ask__descriptor =
 {
@@ -4198,7 +4416,7 @@
   "Cwp__SlotAsk",
   "cwp",
   sizeof(Cwp__SlotAsk),
-  9,
+  10,
   cwp__slot_ask__field_descriptors,
   cwp__slot_ask__field_indices_by_name,
   1,  cwp__slot_ask__number_ranges,
@@ -4282,7 +4500,7 @@
   (ProtobufCMessageInit) cwp__slot_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__slot_return__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cwp__slot_return__field_descriptors[8] =
 {
   {
     "ticket",
@@ -4356,9 +4574,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answered",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReturn, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_per_s",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__SlotReturn, limit_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__slot_return__field_indices_by_name[] = {
+  6,   /* field[6] = answered */
   1,   /* field[1] = end */
+  7,   /* field[7] = limit_per_s */
   2,   /* field[2] = running */
   4,   /* field[4] = slots */
   0,   /* field[0] = ticket */
@@ -4368,7 +4612,7 @@
 static const ProtobufCIntRange cwp__slot_return__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cwp__slot_return__descriptor =
 {
@@ -4378,7 +4622,7 @@
   "Cwp__SlotReturn",
   "cwp",
   sizeof(Cwp__SlotReturn),
-  6,
+  8,
   cwp__slot_return__field_descriptors,
   cwp__slot_return__field_indices_by_name,
   1,  cwp__slot_return__number_ranges,
@@ -5415,7 +5659,7 @@
   (ProtobufCMessageInit) cwp__crash_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[20] =
+static const ProtobufCFieldDescriptor cwp__datagram__field_descriptors[21] =
 {
   {
     "report",
@@ -5585,6 +5829,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_notice",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cwp__Datagram, content_case),
+    offsetof(Cwp__Datagram, limit_notice),
+    &cwp__limit_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "zone_summary",
     20,
@@ -5663,14 +5919,15 @@
   5,   /* field[5] = configuration */
   6,   /* field[6] = configuration_request */
   13,   /* field[13] = crash_report */
+  14,   /* field[14] = limit_notice */
   11,   /* field[11] = list_request */
   4,   /* field[4] = nodes */
   12,   /* field[12] = passed_heartbeat */
-  17,   /* field[17] = quota_ask */
-  18,   /* field[18] = quota_grant */
-  15,   /* field[15] = quota_report */
-  19,   /* field[19] = quota_return */
-  16,   /* field[16] = quota_status */
+  18,   /* field[18] = quota_ask */
+  19,   /* field[19] = quota_grant */
+  16,   /* field[16] = quota_report */
+  20,   /* field[20] = quota_return */
+  17,   /* field[17] = quota_status */
   0,   /* field[0] = report */
   1,   /* field[1] = servers */
   8,   /* field[8] = slot_ask */
@@ -5678,13 +5935,13 @@
   10,   /* field[10] = slot_return */
   7,   /* field[7] = store_notice */
   2,   /* field[2] = table */
-  14,   /* field[14] = zone_summary */
+  15,   /* field[15] = zone_summary */
 };
 static const ProtobufCIntRange cwp__datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 14 },
-  { 0, 20 }
+  { 20, 15 },
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor cwp__datagram__descriptor =
 {
@@ -5694,7 +5951,7 @@
   "Cwp__Datagram",
   "cwp",
   sizeof(Cwp__Datagram),
-  20,
+  21,
   cwp__datagram__field_descriptors,
   cwp__datagram__field_indices_by_name,
   2,  cwp__datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -37,6 +37,8 @@
 typedef struct Cwp__ConfigurationPage Cwp__ConfigurationPage;
 typedef struct Cwp__ConfigurationRequest Cwp__ConfigurationRequest;
 typedef struct Cwp__StoreNotice Cwp__StoreNotice;
+typedef struct Cwp__ServerLimit Cwp__ServerLimit;
+typedef struct Cwp__LimitNotice Cwp__LimitNotice;
 typedef struct Cwp__SlotAsk Cwp__SlotAsk;
 typedef struct Cwp__SlotReply Cwp__SlotReply;
 typedef struct Cwp__SlotReturn Cwp__SlotReturn;
@@ -656,6 +658,48 @@
     , 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A rate limit that a server named in its answers (balance/server_limit.h).
+ */
+struct  Cwp__ServerLimit
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the incarnation's id
+   */
+  uint32_t server;
+  /*
+   * below 0: it has ended
+   */
+  double per_s;
+  /*
+   * since it was named, or was found to have ended
+   */
+  uint32_t age_ms;
+};
+#define CWP__SERVER_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__server_limit__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * To all nodes, by way of the relays: a server began or ceased to name a rate limit, or names another one, or goes on.
+ */
+struct  Cwp__LimitNotice
+{
+  ProtobufCMessage base;
+  /*
+   * as in CrashReport
+   */
+  uint32_t stage;
+  size_t n_limits;
+  Cwp__ServerLimit **limits;
+};
+#define CWP__LIMIT_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__limit_notice__descriptor) \
+    , 0, 0,NULL }
+
+
 /*
  * Asks the node that counts the slots of a zone's servers for one.
  */
@@ -695,10 +739,14 @@
    * hash of the name of the tenant whose turn it takes; 0: none
    */
   uint32_t tenant;
+  /*
+   * of that only server, as the asking node knows it; none: it has none
+   */
+  Cwp__ServerLimit *limit;
 };
 #define CWP__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__slot_ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL }
 
 
 struct  Cwp__SlotReply
@@ -735,10 +783,18 @@
   uint32_t waiting;
   uint32_t slots;
   uint32_t work_percent;
+  /*
+   * what the server said of itself is here: its load above, and
+   */
+  protobuf_c_boolean answered;
+  /*
+   * its rate limit; below 0: it named none
+   */
+  double limit_per_s;
 };
 #define CWP__SLOT_RETURN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__slot_return__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1053,6 +1109,7 @@
   CWP__DATAGRAM__CONTENT_LIST_REQUEST = 12,
   CWP__DATAGRAM__CONTENT_PASSED_HEARTBEAT = 13,
   CWP__DATAGRAM__CONTENT_CRASH_REPORT = 14,
+  CWP__DATAGRAM__CONTENT_LIMIT_NOTICE = 15,
   CWP__DATAGRAM__CONTENT_ZONE_SUMMARY = 20,
   CWP__DATAGRAM__CONTENT_QUOTA_REPORT = 21,
   CWP__DATAGRAM__CONTENT_QUOTA_STATUS = 22,
@@ -1081,6 +1138,7 @@
     Cwp__ListRequest *list_request;
     Cwp__PassedHeartbeat *passed_heartbeat;
     Cwp__CrashReport *crash_report;
+    Cwp__LimitNotice *limit_notice;
     Cwp__ZoneSummary *zone_summary;
     Cwp__QuotaReport *quota_report;
     Cwp__QuotaStatus *quota_status;
@@ -1512,6 +1570,44 @@
 void   cwp__store_notice__free_unpacked
                      (Cwp__StoreNotice *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__ServerLimit methods */
+void   cwp__server_limit__init
+                     (Cwp__ServerLimit         *message);
+size_t cwp__server_limit__get_packed_size
+                     (const Cwp__ServerLimit   *message);
+size_t cwp__server_limit__pack
+                     (const Cwp__ServerLimit   *message,
+                      uint8_t             *out);
+size_t cwp__server_limit__pack_to_buffer
+                     (const Cwp__ServerLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__ServerLimit *
+       cwp__server_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__server_limit__free_unpacked
+                     (Cwp__ServerLimit *message,
+                      ProtobufCAllocator *allocator);
+/* Cwp__LimitNotice methods */
+void   cwp__limit_notice__init
+                     (Cwp__LimitNotice         *message);
+size_t cwp__limit_notice__get_packed_size
+                     (const Cwp__LimitNotice   *message);
+size_t cwp__limit_notice__pack
+                     (const Cwp__LimitNotice   *message,
+                      uint8_t             *out);
+size_t cwp__limit_notice__pack_to_buffer
+                     (const Cwp__LimitNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__LimitNotice *
+       cwp__limit_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__limit_notice__free_unpacked
+                     (Cwp__LimitNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__SlotAsk methods */
 void   cwp__slot_ask__init
                      (Cwp__SlotAsk         *message);
@@ -1846,6 +1942,12 @@
 typedef void (*Cwp__StoreNotice_Closure)
                  (const Cwp__StoreNotice *message,
                   void *closure_data);
+typedef void (*Cwp__ServerLimit_Closure)
+                 (const Cwp__ServerLimit *message,
+                  void *closure_data);
+typedef void (*Cwp__LimitNotice_Closure)
+                 (const Cwp__LimitNotice *message,
+                  void *closure_data);
 typedef void (*Cwp__SlotAsk_Closure)
                  (const Cwp__SlotAsk *message,
                   void *closure_data);
@@ -1916,6 +2018,8 @@
 extern const ProtobufCMessageDescriptor cwp__configuration_page__descriptor;
 extern const ProtobufCMessageDescriptor cwp__configuration_request__descriptor;
 extern const ProtobufCMessageDescriptor cwp__store_notice__descriptor;
+extern const ProtobufCMessageDescriptor cwp__server_limit__descriptor;
+extern const ProtobufCMessageDescriptor cwp__limit_notice__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_ask__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_reply__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_return__descriptor;
--- a/src/balance/server_limit.c
+++ b/src/balance/server_limit.c
@@ -9,6 +9,13 @@
     return limit->is_named && now - limit->named_at < CW_MS(CW_LIMIT_FORGOTTEN_MS);
 }
 
+double cw_server_limit_rate(const cw_server_limit_t *limit)
+{
+    double probes_per_s = 1000.0 / CW_LIMIT_PROBE_MS;
+
+    return limit->per_s > probes_per_s ? limit->per_s : probes_per_s;
+}
+
 cw_limit_change_t cw_server_limit_note_named(cw_server_limit_t *limit, double per_s, cw_time_us_t made_at,
                                              cw_time_us_t now)
 {
--- a/src/balance/server_limit.h
+++ b/src/balance/server_limit.h
@@ -7,7 +7,8 @@
  *    other nodes' notices cross.
  *  - A limit ends when some answers in a row did not name it and none has for a while: a server may name it in some of
  *    its answers only.
- *  - It also ends after a long silence, since a server that gets no requests has no answer to say so in.
+ *  - It also ends after a long silence, since a server that gets no requests has no answer to say so in. So one that
+ * wants none gets one now and then: without an answer nobody would learn that it takes more again.
  *  - It belongs to one incarnation of a server; the next one has none until it names one.
  *
  * No I/O; time is a parameter, microseconds of the node's steady clock.
@@ -24,6 +25,7 @@
     CW_LIMIT_UNNAMED_ENDS = 3,     /**< answers in a row without it, */
     CW_LIMIT_UNNAMED_MS = 1000,    /**< and time since it was named last, after which it has ended */
     CW_LIMIT_FORGOTTEN_MS = 10000, /**< time since it was named last, after which it has ended without an answer */
+    CW_LIMIT_PROBE_MS = 5000       /**< pause between requests to a server that wants none */
 };
 
 /** All zeros: none was named. */
@@ -44,6 +46,8 @@
 
 /** Does it bind now? */
 bool cw_server_limit_binds(const cw_server_limit_t *limit, cw_time_us_t now);
+/** Requests a second that it may get: what it named, or a probe now and then. */
+double cw_server_limit_rate(const cw_server_limit_t *limit);
 /** The server named it at that moment, to this node or to another one. */
 cw_limit_change_t cw_server_limit_note_named(cw_server_limit_t *limit, double per_s, cw_time_us_t made_at,
                                              cw_time_us_t now);
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -16,6 +16,7 @@
 #include <uthash.h>
 
 #include "balance/cold_rate.h"
+#include "balance/limit_bucket.h"
 #include "balance/server_limit.h"
 #include "balance/server_load.h"
 #include "base/time.h"
@@ -69,7 +70,9 @@
     cw_time_us_t       zone_put_back_at;   /**< last put-back of its zone that has been counted as a start */
     double             cold_per_s;         /**< requests a second that it bears while it is cold; 0: no bound known */
     cw_cold_sends_t    cold_sends;         /**< this node's, while it is cold */
-    cw_server_limit_t  limit;              /**< that it has named */
+    cw_server_limit_t  limit;              /**< that it has named, */
+    cw_time_us_t       limit_allows_at;    /**< not chosen before that: its limit has no room until then, */
+    cw_limit_bucket_t  limit_part;         /**< and this node's equal part of it, while nobody counts for all nodes */
     bool               zone_is_out;        /**< its zone is out of service */
     cw_time_us_t       owner_until; /**< then requests for keys that it owns may still go there until this moment */
     void              *connections; /**< the adapter's; freed by it when the server is dropped */
@@ -148,6 +151,17 @@
 /** May this node send a request there at all now, if it owns the request's key (or any server will do: false)? */
 bool cw_server_pool_may_send(const cw_server_pool_t *pool, const cw_server_t *server, bool is_owner, cw_time_us_t now);
 
+/** Does it name a rate limit, so that a request needs the leave of the node that counts for all? */
+bool cw_server_is_limited(const cw_server_t *server, cw_time_us_t now);
+/** Takes a token of this node's equal part of a server's limit, if there is one; `nodes` share it. */
+bool cw_server_take_limit_part(cw_server_t *server, uint32_t nodes, cw_time_us_t now);
+/** The node that counts for all replies: the own part begins anew when it is needed again. */
+void cw_server_clear_limit_part(cw_server_t *server);
+/** When the first of the servers of a service to which a request under this rule may go is allowed another request by
+ * its rate limit, if all of them have one; CW_NEVER: one has none, or there are no servers. */
+cw_time_us_t cw_server_pool_limits_allow_at(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                                            cw_time_us_t now);
+
 /** A request goes there, and has come to its end. */
 void cw_server_pool_begin(cw_server_t *server, cw_time_us_t now);
 void cw_server_pool_end(cw_server_pool_t *pool, cw_server_t *server);
--- a/src/balance/slot_broker.c
+++ b/src/balance/slot_broker.c
@@ -25,9 +25,15 @@
     broker->turns = cw_fair_turns_create();
     broker->replied = replied;
     broker->context = context;
+    broker->share = 1;
     return broker;
 }
 
+void cw_slot_broker_set_share(cw_slot_broker_t *broker, double share)
+{
+    broker->share = share;
+}
+
 static void drop_lease(cw_slot_broker_t *broker, cw_slot_lease_t *lease)
 {
     HASH_DEL(broker->leases, lease); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
@@ -88,10 +94,16 @@
     return state;
 }
 
-static bool is_usable(const cw_slot_broker_t *broker, const cw_server_t *server, bool is_owner, cw_time_us_t now)
+/* A server with a rate limit that is asked for by itself may lie in a zone without nodes. */
+static bool is_counted_here(const cw_slot_broker_t *broker, const cw_server_t *server, bool is_only, cw_time_us_t now)
+{
+    return strcmp(server->zone, broker->zone) == 0 || (is_only && cw_server_is_limited(server, now));
+}
+
+static bool is_usable(const cw_slot_broker_t *broker, const cw_server_t *server, bool is_only, cw_time_us_t now)
 {
-    return server->listed && !server->draining && !server->ended && strcmp(server->zone, broker->zone) == 0 &&
-           cw_server_zone_allows(server, is_owner, now);
+    return server->listed && !server->draining && !server->ended && cw_server_zone_allows(server, is_only, now) &&
+           is_counted_here(broker, server, is_only, now);
 }
 
 /* Servers that an ask may go to, and the best of them with a free slot. */
@@ -104,6 +116,7 @@
     double            per_s;    /* slots that the servers give back a second */
     double            held_sum; /* times for which slots of sound servers are taken, for the mean */
     uint32_t          sound;
+    cw_time_us_t      limit_wait; /* of the only server wanted, until its rate limit allows one request more */
 } survey_t;
 
 static bool is_wanted(const cw_slot_ask_t *ask, const cw_server_t *server)
@@ -114,6 +127,16 @@
     return server->service_hash == ask->service && server->hash != ask->except;
 }
 
+/* Slots that a server gives back a second, as far as its rate limit lets them be used. */
+static double slots_per_s(const cw_slot_broker_t *broker, const cw_server_t *server, cw_time_us_t held,
+                          cw_time_us_t now)
+{
+    double per_s = (double)server->capacity * 1e6 / (double)(held == 0 ? 1 : held);
+    double limit = cw_server_limit_rate(&server->limit) * broker->share;
+
+    return cw_server_limit_binds(&server->limit, now) && limit < per_s ? limit : per_s;
+}
+
 static void survey_server(cw_slot_broker_t *broker, const cw_slot_lease_t *lease, const cw_server_t *server,
                           survey_t *survey, cw_time_us_t now)
 {
@@ -122,10 +145,11 @@
     bool              is_suspect = cw_server_is_suspect(server) && server->avoid_until > now;
     double            cost = cw_slot_server_cost(state, server, lease->usual, now);
 
+    cw_slot_server_refill(state, server, broker->share, now);
     survey->any = true;
     survey->any_sound = survey->any_sound || !is_suspect;
     if (!is_suspect && !cw_server_is_rate_bounded(server, now)) {
-        survey->per_s += (double)server->capacity * 1e6 / (double)(held == 0 ? 1 : held);
+        survey->per_s += slots_per_s(broker, server, held, now);
         survey->held_sum += (double)held;
         survey->sound++;
     }
@@ -151,6 +175,8 @@
 
         if (owner != NULL && is_usable(broker, owner, true, now)) {
             survey_server(broker, lease, owner, &survey, now);
+            survey.limit_wait = cw_slot_server_limit_wait(state_of(broker, owner->hash), owner, broker->share,
+                                                          cw_slot_queue_ahead(broker, lease), now);
         }
         return survey;
     }
@@ -207,16 +233,20 @@
 
 static cw_time_us_t wait_for(const survey_t *survey, uint32_t ahead)
 {
+    if (survey->limit_wait > 0) {
+        return survey->limit_wait;
+    }
     return survey->per_s > 0 ? (cw_time_us_t)((ahead + 1) * 1e6 / survey->per_s) : INT64_MAX / 2;
 }
 
 static void take_ask(cw_slot_broker_t *broker, cw_slot_lease_t *lease, cw_time_us_t now)
 {
-    survey_t     survey = survey_servers(broker, lease, now);
+    survey_t     survey;
     uint32_t     ahead;
     cw_time_us_t wait;
 
     cw_slot_queue_give_turn(broker, lease);
+    survey = survey_servers(broker, lease, now);
     ahead = cw_slot_queue_ahead(broker, lease);
     wait = wait_for(&survey, ahead);
 
@@ -237,7 +267,7 @@
     return (uint64_t)node << 32 | ticket;
 }
 
-static cw_slot_lease_t *find_lease(cw_slot_broker_t *broker, uint64_t key)
+static cw_slot_lease_t *find_lease(const cw_slot_broker_t *broker, uint64_t key)
 {
     cw_slot_lease_t *lease;
 
@@ -265,6 +295,13 @@
     take_ask(broker, lease, now);
 }
 
+uint32_t cw_slot_broker_server_of(const cw_slot_broker_t *broker, uint32_t node, uint32_t ticket)
+{
+    const cw_slot_lease_t *lease = find_lease(broker, key_of(node, ticket));
+
+    return lease == NULL || lease->granted_at == 0 ? 0 : lease->server;
+}
+
 /* A slot of this server is free: the first in order that wants it gets it. */
 static void offer(cw_slot_broker_t *broker, cw_slot_server_t *state, cw_time_us_t now)
 {
@@ -275,6 +312,7 @@
     if (server == NULL) {
         return;
     }
+    cw_slot_server_refill(state, server, broker->share, now);
     DL_FOREACH_SAFE(broker->queue, lease, next)
     {
         if (!cw_slot_server_has_slot(state, server, now)) {
@@ -297,8 +335,8 @@
     if (returned->end == CW_SLOT_ANSWERED) {
         cw_slot_server_note_held(state, now - lease->granted_at);
     }
-    if (returned->load != NULL) {
-        cw_slot_server_note_load(state, returned->load, now);
+    if (returned->signals != NULL && returned->signals->has_load) {
+        cw_slot_server_note_load(state, &returned->signals->load, now);
     }
     if (server != NULL && returned->end == CW_SLOT_FAILED) {
         cw_server_pool_fault(server, now);
--- a/src/balance/slot_broker.h
+++ b/src/balance/slot_broker.h
@@ -10,6 +10,8 @@
  *  - Asks wait in order of priority; within one, tenants take turns (fair_turns.h); then by deadline. One that could
  * not be answered within its latency objective, by how long slots have been held at its server, is refused at once,
  * with the time after which a slot may be free.
+ *  - A server that names a rate limit (server_limit.h) gets no more than that, from all nodes together: each slot costs
+ *    a token. Where this node reaches only some of the others, it gives out as large a part of the limit.
  *  - A slot that is not given back is free again when its lease ends.
  *  - Nothing about ownership of keys or at-most-once depends on it: a node that gets no answer chooses by itself.
  *
@@ -19,6 +21,7 @@
 #define CEDARWINCH_BALANCE_SLOT_BROKER_H
 
 #include "balance/server_pool.h"
+#include "balance/server_signals.h"
 
 /** One ask for a slot. node and ticket name it. */
 typedef struct cw_slot_ask {
@@ -52,10 +55,10 @@
 } cw_slot_end_t;
 
 typedef struct cw_slot_return {
-    uint32_t                node;
-    uint32_t                ticket;
-    cw_slot_end_t           end;
-    const cw_server_load_t *load; /**< told with the answer; NULL: none */
+    uint32_t                   node;
+    uint32_t                   ticket;
+    cw_slot_end_t              end;
+    const cw_server_signals_t *signals; /**< said with the answer; NULL: there was none */
 } cw_slot_return_t;
 
 typedef struct cw_slot_broker cw_slot_broker_t;
@@ -67,10 +70,14 @@
 cw_slot_broker_t *cw_slot_broker_create(cw_server_pool_t *pool, const char *zone, cw_slot_replied_t replied,
                                         void *context);
 void              cw_slot_broker_free(cw_slot_broker_t *broker);
+/** Part of servers' rate limits that this node gives out, 0 to 1; 1 at first. */
+void cw_slot_broker_set_share(cw_slot_broker_t *broker, double share);
 /** usual: time of a request of the service, for servers that have not had one yet. */
 void cw_slot_broker_ask(cw_slot_broker_t *broker, const cw_slot_ask_t *ask, cw_time_us_t usual, cw_time_us_t now);
 /** Also of an ask that still waits. One that is not known is ignored. */
 void cw_slot_broker_return(cw_slot_broker_t *broker, const cw_slot_return_t *returned, cw_time_us_t now);
+/** Hash of the server whose slot this ticket has; 0: it has none. */
+uint32_t cw_slot_broker_server_of(const cw_slot_broker_t *broker, uint32_t node, uint32_t ticket);
 /** Ends leases and waits whose time is over; to be called every few milliseconds. */
 void cw_slot_broker_tick(cw_slot_broker_t *broker, cw_time_us_t now);
 /** Slots granted and not given back. */
--- a/src/balance/slot_broker_internal.h
+++ b/src/balance/slot_broker_internal.h
@@ -37,6 +37,7 @@
     size_t            waiting;
     size_t            granted_count;
     cw_time_us_t      forgotten_at;
+    double            share; /* of servers' rate limits */
 };
 
 /* ---- slot_queue.c ---- */
--- a/src/balance/slot_server.c
+++ b/src/balance/slot_server.c
@@ -48,6 +48,29 @@
     return oldest == 0 || now - oldest >= CW_MS(COLD_WINDOW_MS);
 }
 
+void cw_slot_server_refill(cw_slot_server_t *state, const cw_server_t *server, double share, cw_time_us_t now)
+{
+    if (cw_server_limit_binds(&server->limit, now)) {
+        cw_limit_bucket_refill(&state->limit_bucket, cw_server_limit_rate(&server->limit) * share, now);
+    } else {
+        state->limit_bucket = (cw_limit_bucket_t){0};
+    }
+}
+
+static bool limit_allows(const cw_slot_server_t *state, const cw_server_t *server, cw_time_us_t now)
+{
+    return !cw_server_limit_binds(&server->limit, now) || cw_limit_bucket_has_token(&state->limit_bucket);
+}
+
+cw_time_us_t cw_slot_server_limit_wait(const cw_slot_server_t *state, const cw_server_t *server, double share,
+                                       uint32_t ahead, cw_time_us_t now)
+{
+    if (!cw_server_limit_binds(&server->limit, now)) {
+        return 0;
+    }
+    return cw_limit_bucket_wait(&state->limit_bucket, cw_server_limit_rate(&server->limit) * share, ahead);
+}
+
 void cw_slot_server_note_grant(cw_slot_server_t *state, const cw_server_t *server, cw_time_us_t now)
 {
     state->granted++;
@@ -55,12 +78,15 @@
         state->cold_grants[state->next_cold] = now;
         state->next_cold = (state->next_cold + 1) % CW_COLD_GRANTS_MOST;
     }
+    if (server != NULL && cw_server_limit_binds(&server->limit, now)) {
+        cw_limit_bucket_take(&state->limit_bucket);
+    }
 }
 
 bool cw_slot_server_has_slot(const cw_slot_server_t *state, const cw_server_t *server, cw_time_us_t now)
 {
     return taken(state, now) < server->capacity * REQUESTS_A_SLOT && cold_allows(server, state, now) &&
-           !(cw_server_is_suspect(server) && state->granted > 0);
+           limit_allows(state, server, now) && !(cw_server_is_suspect(server) && state->granted > 0);
 }
 
 cw_time_us_t cw_slot_server_held(const cw_slot_server_t *state, const cw_server_t *server, cw_time_us_t usual)
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -123,6 +123,8 @@
       "entries left out because an array of fixed size was full, counted at each look")                                \
     X(SUSPENDED_MS, "cedarwinch_suspended_milliseconds_total", "counter", "time for which the machine was suspended")  \
     X(REFUSED_CRASHES, "cedarwinch_refused_crashes_total", "counter", "refused: the request crashes servers")          \
+    X(REFUSED_SERVER_LIMIT, "cedarwinch_refused_server_limit_total", "counter",                                        \
+      "refused: beyond the rate limit of its server, or of all servers that would do")                                 \
     X(SERVERS_CRASHED, "cedarwinch_servers_crashed_total", "counter",                                                  \
       "servers that this node saw end with a request under way")                                                       \
     X(CRASH_SUSPECTS, "cedarwinch_crash_suspects", "gauge", "requests remembered that were under way at crashes")      \
--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -19,6 +19,12 @@
 
 /* The first one that fits counts. */
 static const cause_t causes[] = {
+    {"refused",
+     "the server's rate limit",
+     NULL,
+     "503: its server, or each that would do, names in its answers how many requests a second it takes; it is beyond "
+     "that",
+     {.events = {"server limit"}}},
     {"refused",
      "no key",
      NULL,
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -80,7 +80,9 @@
  * before the call returns. */
 typedef struct cw_slot_port {
     void *context;
-    /** Address of the node that counts for the service's servers in a zone; 0: none, the engine chooses by itself. */
+    bool  only_limited; /**< slots are asked for only of servers with a rate limit: the nodes are few */
+    /** Address of the node that counts for the service's servers in a zone; 0: none, the engine chooses by itself.
+     * zone: NULL: of the servers of zones without nodes. */
     uint32_t (*broker_of)(void *context, const char *zone, uint32_t service);
     void (*ask)(void *context, uint32_t broker, const cw_slot_ask_t *ask);
     void (*give_back)(void *context, uint32_t broker, const cw_slot_return_t *returned);
@@ -96,6 +98,13 @@
     void (*cleared)(void *context, uint64_t request);
 } cw_crash_port_t;
 
+/** Who else is to know what servers say of themselves. All zeros: nobody. */
+typedef struct cw_signal_port {
+    void *context;
+    /** The server named its rate limit to this node, or no longer does. */
+    void (*limit_stated)(void *context, const cw_server_t *server, cw_limit_change_t change);
+} cw_signal_port_t;
+
 typedef struct cw_engine cw_engine_t;
 
 cw_engine_t *cw_engine_create(uv_loop_t *loop, const cw_engine_settings_t *settings, cw_server_pool_t *pool,
@@ -103,6 +112,13 @@
 /** Slots are asked for from now on; NULL: the engine chooses servers by what it knows itself. */
 void cw_engine_set_slots(cw_engine_t *engine, const cw_slot_port_t *port);
 void cw_engine_slot_reply(cw_engine_t *engine, const cw_slot_reply_t *reply);
+void cw_engine_set_signal_port(cw_engine_t *engine, const cw_signal_port_t *port);
+/** A server said this with an answer, to this node or to one that has given its slot back here. request: the id, for
+ * the log; NULL: another node's. */
+void cw_engine_note_signals(cw_engine_t *engine, cw_server_t *server, const cw_server_signals_t *signals,
+                            const char *request);
+/** Another node states what a server named as its limit at that moment; per_s below 0: that it had ended. */
+void cw_engine_take_limit(cw_engine_t *engine, cw_server_t *server, double per_s, cw_time_us_t made_at);
 /** Requests that crash servers are refused from now on. */
 void cw_engine_set_crash_suspects(cw_engine_t *engine, const cw_crash_port_t *port);
 /** Tenants' limits bind from now on. The share is borrowed; it says by cw_engine_quota_decided, never within a call of
--- a/src/proxy/engine_claim.c
+++ b/src/proxy/engine_claim.c
@@ -2,9 +2,9 @@
  * @file engine_claim.c
  * @brief A request's claim to a slot of a server: asked for at the nodes that count them, and given back.
  *
- * For a key the node of its owner's zone is asked. For any server, zones are asked in the order of slot_stages.h. A
- * node that does not reply is asked once more, and then not for a while: meanwhile the engine chooses servers of its
- * zone by itself, where the others have none free.
+ * For a key the node of its owner's zone is asked, and for a server with a rate limit that of its zone. For any server,
+ * zones are asked in the order of slot_stages.h. A node that does not reply is asked once more, and then not for a
+ * while: meanwhile the engine chooses servers of its zone by itself, where the others have none free.
  */
 #include <string.h>
 #include <utlist.h>
@@ -76,15 +76,16 @@
 
 /* ---- asking ---- */
 
-static void send_ask(cw_request_t *request, const cw_server_t *owner, cw_time_us_t wait, cw_time_us_t now)
+/* only: the only server that will do; NULL: any. */
+static void send_ask(cw_request_t *request, const cw_server_t *only, cw_time_us_t wait, cw_time_us_t now)
 {
     cw_engine_t       *engine = request->engine;
     const cw_server_t *failed =
-        request->avoid[0] == '\0' || owner != NULL ? NULL : cw_server_pool_find(engine->pool, request->avoid);
+        request->avoid[0] == '\0' || only != NULL ? NULL : cw_server_pool_find(engine->pool, request->avoid);
     cw_time_us_t  left = request->aim_at - now;
     cw_slot_ask_t ask = {.ticket = request->claim.ticket,
                          .service = request->service->hash,
-                         .server = owner == NULL ? 0 : owner->hash,
+                         .server = only == NULL ? 0 : only->hash,
                          .except = failed == NULL ? 0 : failed->hash,
                          .priority = request->rank,
                          .tenant = request->tenant_hash,
@@ -111,7 +112,7 @@
     request->claim.broker = broker;
     request->claim.asks = 0;
     request->claim.end = CW_SLOT_UNUSED;
-    request->claim.has_load = false;
+    request->claim.has_signals = false;
     HASH_ADD(by_ticket, engine->by_ticket, claim.ticket, sizeof(request->claim.ticket), request);
 }
 
@@ -155,29 +156,54 @@
     return true;
 }
 
-bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now)
+/* Are slots of this server, or (NULL) of any, asked for? */
+static bool is_asked_for(const cw_request_t *request, const cw_server_t *only, cw_time_us_t now)
+{
+    const cw_engine_t *engine = request->engine;
+
+    if (!engine->has_slots || request->claim.is_direct) {
+        return false;
+    }
+    return !engine->slots.only_limited || (only != NULL && cw_server_is_limited(only, now));
+}
+
+/* A server with a rate limit has a node that counts for it also where its zone has none. */
+static uint32_t broker_of_server(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now)
+{
+    uint32_t broker = broker_of(request, server->zone, now);
+
+    return broker == 0 && cw_server_is_limited(server, now) ? broker_of(request, NULL, now) : broker;
+}
+
+/* A request that may go elsewhere does not wait for this server. */
+static cw_time_us_t wait_at(const cw_request_t *request, cw_time_us_t now)
+{
+    return request->is_keyed || cw_request_is_over_limits(request, now) ? request->deadline - now : 0;
+}
+
+bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *only, cw_time_us_t now)
 {
     uint32_t broker;
 
-    if (!request->engine->has_slots || request->claim.is_direct) {
+    if (!is_asked_for(request, only, now)) {
         return false;
     }
-    if (owner == NULL) {
+    if (only == NULL) {
         make_stages(request, now);
         return cw_claim_ask_next(request, now);
     }
-    broker = broker_of(request, owner->zone, now);
+    broker = broker_of_server(request, only, now);
     if (broker == 0) {
         return false;
     }
     begin_claim(request, broker);
-    send_ask(request, owner, request->deadline - now, now);
+    send_ask(request, only, wait_at(request, now), now);
     return true;
 }
 
-void cw_claim_ask_again(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now)
+void cw_claim_ask_again(cw_request_t *request, const cw_server_t *only, cw_time_us_t now)
 {
-    send_ask(request, owner, request->claim.wait, now);
+    send_ask(request, only, request->claim.wait, now);
     cw_request_arm(request);
 }
 
@@ -206,7 +232,7 @@
     cw_engine_t     *engine = request->engine;
     cw_slot_return_t returned = {.ticket = request->claim.ticket,
                                  .end = request->claim.end,
-                                 .load = request->claim.has_load ? &request->claim.load : NULL};
+                                 .signals = request->claim.has_signals ? &request->claim.signals : NULL};
 
     if (request->claim.state == CW_CLAIM_NONE) {
         return;
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -47,21 +47,21 @@
 
 /** A request's claim to a slot. */
 typedef struct cw_slot_claim {
-    cw_claim_state_t state;
-    uint32_t         ticket;
-    uint32_t         broker;
-    cw_claim_stage_t stages[CW_SLOT_STAGES_MAX]; /**< made once, before the first ask */
-    size_t           stage_count;
-    size_t           stage;      /**< the present one */
-    cw_time_us_t     wait;       /**< told with the ask */
-    uint32_t         server;     /**< hash of the only one that will do; 0: any */
-    uint32_t         asks;       /**< sent for this ticket */
-    cw_time_us_t     due;        /**< a reply should have come by then */
-    cw_time_us_t     free_after; /**< as it was refused last; 0: not told */
-    bool             is_direct;  /**< brokers do not reply: the server is chosen here */
-    cw_slot_end_t    end;
-    bool             has_load;
-    cw_server_load_t load;
+    cw_claim_state_t    state;
+    uint32_t            ticket;
+    uint32_t            broker;
+    cw_claim_stage_t    stages[CW_SLOT_STAGES_MAX]; /**< made once, before the first ask */
+    size_t              stage_count;
+    size_t              stage;      /**< the present one */
+    cw_time_us_t        wait;       /**< told with the ask */
+    uint32_t            server;     /**< hash of the only one that will do; 0: any */
+    uint32_t            asks;       /**< sent for this ticket */
+    cw_time_us_t        due;        /**< a reply should have come by then */
+    cw_time_us_t        free_after; /**< as it was refused last; 0: not told */
+    bool                is_direct;  /**< brokers do not reply: the server is chosen here */
+    cw_slot_end_t       end;
+    bool                has_signals;
+    cw_server_signals_t signals; /**< said with the answer */
 } cw_slot_claim_t;
 
 /** What lets a request of a tenant with a limit go on. */
@@ -174,6 +174,7 @@
     uv_timer_cb            on_due;    /**< of requests' timers */
     cw_upstream_answered_t on_answer; /**< of calls to servers */
     cw_crash_port_t        crashes;
+    cw_signal_port_t       signal_port;
     cw_slot_port_t         slots;
     bool                   has_slots; /**< slots are asked for */
     uint32_t               last_ticket;
@@ -289,18 +290,34 @@
 /** Asks at the present stage, or at the next whose broker replies; false: there is none. */
 bool cw_claim_ask_next(cw_request_t *request, cw_time_us_t now);
 /** The same ask once more. */
-void cw_claim_ask_again(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now);
+void cw_claim_ask_again(cw_request_t *request, const cw_server_t *only, cw_time_us_t now);
 /** Its broker has refused. */
 void cw_claim_forget(cw_request_t *request);
 /** Its broker has not replied: it is not asked for a while. */
 void cw_claim_note_unresponsive(cw_request_t *request, cw_time_us_t now);
 /** Is nobody there to be asked for the zone's slots now? context: the request. */
 bool cw_claim_has_no_broker(void *context, const char *zone);
-/** Asks for a slot at the owner of its key, or (NULL) at any server. False: to be placed without. */
-bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *owner, cw_time_us_t now);
+/** Asks for a slot at the owner of its key, at a server with a rate limit, or (NULL) at any server. False: to be placed
+ * without. */
+bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *only, cw_time_us_t now);
 /** Gives its slot back, or withdraws its ask; nothing if it has neither. */
 void cw_request_return_slot(cw_request_t *request);
 
+/* ---- engine_limits.c ---- */
+/** May it be sent to this server without a slot? One with a rate limit takes a token of this node's own part. */
+bool cw_request_may_send_unasked(const cw_request_t *request, cw_server_t *server, cw_time_us_t now);
+/** As cw_request_choose; what is chosen may be sent to without a slot. */
+cw_server_t *cw_request_choose_unasked(const cw_request_t *request, const cw_zone_filter_t *zones, cw_time_us_t now,
+                                       bool *full);
+/** As cw_request_choose, but a slot is asked for if the server has a rate limit. */
+cw_server_t *cw_request_choose_or_ask(cw_request_t *request, cw_time_us_t now, bool *full, bool *asked);
+/** The node that counts has refused a slot of this server for so long: it is not chosen until then. */
+void cw_server_note_limit_refused(cw_server_t *server, cw_time_us_t free_after, cw_time_us_t now);
+/** All servers that it may go to have a rate limit, and none has room now. */
+bool cw_request_is_over_limits(const cw_request_t *request, cw_time_us_t now);
+/** Time after which its server's rate limit, or that of one of those it may go to, is expected to have room. */
+cw_time_us_t cw_request_limit_wait(const cw_request_t *request, cw_time_us_t now);
+
 /* ---- engine_slots.c ---- */
 /** No reply has come when it was due. */
 void cw_request_slot_overdue(cw_request_t *request, cw_time_us_t now);
@@ -330,8 +347,9 @@
     CW_REFUSED_SERVERS,
     CW_REFUSED_REGIONS, /**< its key's owner lies where it may not go */
     CW_REFUSED_STOPPING,
-    CW_REFUSED_KEY_MOVED, /**< the caller's key is another tenant's now */
-    CW_REFUSED_CRASHES    /**< it crashes the servers that run it */
+    CW_REFUSED_KEY_MOVED,   /**< the caller's key is another tenant's now */
+    CW_REFUSED_CRASHES,     /**< it crashes the servers that run it */
+    CW_REFUSED_SERVER_LIMIT /**< beyond the rate limit of its server, or of all that it may go to */
 } cw_refusal_t;
 /** Not run, and never will: 503 with the time to come back. */
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason);
--- a/src/proxy/engine_placing.c
+++ b/src/proxy/engine_placing.c
@@ -6,9 +6,21 @@
 
 #include "proxy/engine_internal.h"
 
-enum { NO_SERVER_WAIT_MS = 200 };
+enum {
+    NO_SERVER_WAIT_MS = 200,
+    LIMIT_PAUSE_MS = 100 /* what may have run asks again after so long */
+};
 
-typedef enum placing { PLACED, ASKED, OUTSIDE_REGIONS, WAITS_FOR_SLOT, WAITS_FOR_OWNER, NO_SERVERS, PAUSED } placing_t;
+typedef enum placing {
+    PLACED,
+    ASKED,
+    OUTSIDE_REGIONS,
+    OVER_LIMIT,
+    WAITS_FOR_SLOT,
+    WAITS_FOR_OWNER,
+    NO_SERVERS,
+    PAUSED
+} placing_t;
 
 static placing_t place_keyed(cw_request_t *request, cw_time_us_t now)
 {
@@ -29,6 +41,9 @@
     if (!cw_server_has_slot(server, request->engine->settings.keyed_extra_slots, now)) {
         return WAITS_FOR_SLOT;
     }
+    if (!cw_request_may_send_unasked(request, server, now)) {
+        return OVER_LIMIT;
+    }
     cw_request_send(request, server);
     return PLACED;
 }
@@ -37,6 +52,7 @@
 {
     cw_server_t *server;
     bool         full;
+    bool         asked;
 
     if (request->not_before > now) {
         return PAUSED;
@@ -47,7 +63,13 @@
     if (cw_request_ask_slot(request, NULL, now)) {
         return ASKED;
     }
-    server = cw_request_choose(request, NULL, now, &full);
+    server = cw_request_choose_or_ask(request, now, &full, &asked);
+    if (asked) {
+        return ASKED;
+    }
+    if (server == NULL && full && cw_request_is_over_limits(request, now)) {
+        return OVER_LIMIT;
+    }
     if (server == NULL) {
         return full ? WAITS_FOR_SLOT : NO_SERVERS;
     }
@@ -66,6 +88,14 @@
         cw_request_refuse(request, CW_REFUSED_REGIONS);
         return;
     }
+    if (why == OVER_LIMIT && !request->may_have_run) {
+        cw_request_refuse(request, CW_REFUSED_SERVER_LIMIT);
+        return;
+    }
+    if (why == OVER_LIMIT) {
+        request->claim.is_direct = false;
+        request->not_before = now + CW_MS(LIMIT_PAUSE_MS);
+    }
     if (why == PAUSED || request->attempts > 0) { /* a server may have run it: it has its whole time to get an answer */
         cw_request_arm(request);
         return;
--- a/src/proxy/engine_signals.c
+++ b/src/proxy/engine_signals.c
@@ -20,7 +20,10 @@
     }
 }
 
-static void note_limit_change(const cw_request_t *request, const cw_server_t *server, cw_limit_change_t change)
+/* ---- rate limits ---- */
+
+/* request: NULL: by the word of another node. */
+static void note_limit_change(const cw_server_t *server, cw_limit_change_t change, const char *request)
 {
     static const char *const names[] = {"unchanged", "begun", "changed", "ended"};
     cw_event_t               event;
@@ -34,37 +37,65 @@
         cw_event_text(&event, CW_FIELD_SERVICE, server->service);
         cw_event_text(&event, CW_FIELD_DETAIL, names[change]);
         cw_event_real(&event, CW_FIELD_LIMIT_PER_S, server->limit.per_s);
-        cw_event_text(&event, CW_FIELD_REQUEST, request->id);
+        cw_event_text(&event, CW_FIELD_REQUEST, request);
         cw_event_end(&event);
     }
 }
 
-static void note_limit(const cw_request_t *request, cw_server_t *server, const cw_server_signals_t *signals,
-                       cw_time_us_t now)
+static void note_limit(cw_engine_t *engine, cw_server_t *server, const cw_server_signals_t *signals,
+                       const char *request, cw_time_us_t now)
 {
     cw_limit_change_t change = signals->has_limit
                                    ? cw_server_limit_note_named(&server->limit, signals->limit_per_s, now, now)
                                    : cw_server_limit_note_unnamed(&server->limit, now);
 
-    note_limit_change(request, server, change);
+    note_limit_change(server, change, request);
+    if (engine->signal_port.limit_stated != NULL && (signals->has_limit || change != CW_LIMIT_UNCHANGED)) {
+        engine->signal_port.limit_stated(engine->signal_port.context, server, change);
+    }
+}
+
+void cw_engine_take_limit(cw_engine_t *engine, cw_server_t *server, double per_s, cw_time_us_t made_at)
+{
+    cw_time_us_t      now = cw_engine_now(engine);
+    cw_limit_change_t change = per_s < 0 ? cw_server_limit_note_ended(&server->limit, made_at, now)
+                                         : cw_server_limit_note_named(&server->limit, per_s, made_at, now);
+
+    note_limit_change(server, change, NULL);
+    if (change != CW_LIMIT_UNCHANGED) {
+        cw_engine_wake(engine);
+    }
+}
+
+/* ---- all of it ---- */
+
+void cw_engine_set_signal_port(cw_engine_t *engine, const cw_signal_port_t *port)
+{
+    engine->signal_port = *port;
+}
+
+void cw_engine_note_signals(cw_engine_t *engine, cw_server_t *server, const cw_server_signals_t *signals,
+                            const char *request)
+{
+    note_limit(engine, server, signals, request, cw_engine_now(engine));
 }
 
 void cw_request_note_signals(cw_request_t *request, cw_server_t *server, const cw_http_fields_t *fields,
                              cw_time_us_t now)
 {
-    cw_server_signals_t signals;
+    cw_engine_t         *engine = request->engine;
+    cw_server_signals_t *signals = &request->claim.signals;
 
-    if (request->engine->settings.decode_signals == NULL) {
+    if (engine->settings.decode_signals == NULL) {
         return;
     }
-    request->engine->settings.decode_signals(fields, &signals);
-    if (signals.malformed_name != NULL) {
-        note_malformed(server, &signals);
+    engine->settings.decode_signals(fields, signals);
+    request->claim.has_signals = true;
+    if (signals->malformed_name != NULL) {
+        note_malformed(server, signals);
     }
-    if (signals.has_load) {
-        request->claim.load = signals.load;
-        request->claim.has_load = true;
-        cw_server_pool_note_load(server, &signals.load, now);
+    if (signals->has_load) {
+        cw_server_pool_note_load(server, &signals->load, now);
     }
-    note_limit(request, server, &signals, now);
+    cw_engine_note_signals(engine, server, signals, request->id);
 }
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -22,6 +22,14 @@
     }
 }
 
+/* The only one that would have done for its last ask; NULL: any, or it is gone. */
+static cw_server_t *only_server(const cw_request_t *request)
+{
+    return request->claim.server == 0
+               ? NULL
+               : (cw_server_t *)cw_server_pool_find_hash(request->engine->pool, request->claim.server);
+}
+
 /* ---- replies ---- */
 
 static void place_directly(cw_request_t *request, cw_time_us_t now)
@@ -35,7 +43,7 @@
 {
     cw_zone_filter_t zones = {request, cw_claim_has_no_broker};
     bool             full;
-    cw_server_t     *server = cw_request_choose(request, &zones, now, &full);
+    cw_server_t     *server = cw_request_choose_unasked(request, &zones, now, &full);
 
     if (server == NULL) {
         return false;
@@ -44,13 +52,23 @@
     return true;
 }
 
+/* Is it the rate limit of its server, or of all that it may go to, that leaves no slot? */
+static bool is_limited(const cw_request_t *request, cw_time_us_t now)
+{
+    const cw_server_t *only = only_server(request);
+
+    return only != NULL ? cw_server_is_limited(only, now) : cw_request_is_over_limits(request, now);
+}
+
 static void refuse(cw_request_t *request, cw_time_us_t free_after, cw_time_us_t now)
 {
     if (request->may_have_run) { /* it was taken from a server that was at work on it: no refusal would be true */
         place_directly(request, now);
         return;
     }
-    cw_request_refuse(request, free_after > 0 ? CW_REFUSED_LOAD : CW_REFUSED_SERVERS);
+    cw_request_refuse(request, is_limited(request, now) ? CW_REFUSED_SERVER_LIMIT
+                               : free_after > 0         ? CW_REFUSED_LOAD
+                                                        : CW_REFUSED_SERVERS);
 }
 
 /* At the next stage, or where nobody could be asked; else its end. */
@@ -69,9 +87,9 @@
 
 void cw_request_slot_overdue(cw_request_t *request, cw_time_us_t now)
 {
-    cw_server_t *owner = request->is_keyed ? cw_request_owner(request) : NULL;
+    cw_server_t *only = request->is_keyed ? cw_request_owner(request) : only_server(request);
 
-    if (request->is_keyed && (owner == NULL || owner->hash != request->claim.server)) {
+    if (request->is_keyed && (only == NULL || only->hash != request->claim.server)) {
         cw_request_return_slot(request); /* its key has moved meanwhile: that says nothing of the broker */
         cw_request_place(request, now);
         return;
@@ -81,7 +99,7 @@
         request->claim.asks = 0;
     }
     if (request->claim.state == CW_CLAIM_ASKED && request->claim.asks < ASKS_MOST) {
-        cw_claim_ask_again(request, owner, now);
+        cw_claim_ask_again(request, only, now);
         return;
     }
     cw_claim_note_unresponsive(request, now);
@@ -93,12 +111,27 @@
     place_directly(request, now);
 }
 
+/* Of the server that was asked for, which has a rate limit: another one may do, or the next that has room. */
+static void place_elsewhere(cw_request_t *request, cw_time_us_t free_after, cw_time_us_t now)
+{
+    cw_server_t *server = only_server(request);
+
+    if (server != NULL) {
+        cw_server_note_limit_refused(server, free_after, now);
+    }
+    cw_request_place(request, now);
+}
+
 static void take_refusal(cw_request_t *request, const cw_slot_reply_t *reply, cw_time_us_t now)
 {
     cw_claim_forget(request);
     if (reply->free_after > 0) {
         request->claim.free_after = reply->free_after;
     }
+    if (!request->is_keyed && request->claim.server != 0) {
+        place_elsewhere(request, reply->free_after, now);
+        return;
+    }
     if (!request->is_keyed) {
         ask_next_or_refuse(request, reply->free_after, now);
         return;
@@ -140,6 +173,7 @@
 {
     cw_time_us_t  now = cw_engine_now(engine);
     cw_request_t *request;
+    cw_server_t  *only;
 
     HASH_FIND(by_ticket, engine->by_ticket, &reply->ticket, sizeof(reply->ticket), request);
     if (request == NULL || request->claim.broker != reply->node) {
@@ -151,6 +185,10 @@
     if (!cw_request_waits_for_slot(request)) {
         return; /* the reply to an ask that was sent twice */
     }
+    only = only_server(request);
+    if (only != NULL) {
+        cw_server_clear_limit_part(only);
+    }
     switch (reply->outcome) {
     case CW_SLOT_GRANTED:
         take_grant(request, reply, now);
--- /dev/null
+++ b/src/router/limit_notices.c
@@ -0,0 +1,143 @@
+/**
+ * @file limit_notices.c
+ * @brief When a server's rate limit is told to the other nodes.
+ */
+#include "router/limit_notices.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+enum {
+    SENDS = 3, /* of one notice */
+    SEND_AGAIN_MS = 200,
+    CHANGED_EVERY_MS = 500,
+    RENEWED_EVERY_MS = 3000, /* three in the time after which a limit is forgotten (CW_LIMIT_FORGOTTEN_MS) */
+};
+
+typedef struct notice {
+    uint32_t       server;
+    uint32_t       sends_left;
+    cw_time_us_t   send_at;
+    cw_time_us_t   told_at; /* last begun here, or received */
+    UT_hash_handle hh;
+} notice_t;
+
+struct cw_limit_notices {
+    notice_t    *by_server;
+    cw_time_us_t next_at; /* nothing is due before */
+};
+
+cw_limit_notices_t *cw_limit_notices_create(void)
+{
+    cw_limit_notices_t *notices = calloc(1, sizeof(*notices));
+
+    if (notices == NULL) {
+        abort();
+    }
+    notices->next_at = CW_NEVER;
+    return notices;
+}
+
+static void drop(cw_limit_notices_t *notices, notice_t *notice)
+{
+    HASH_DEL(notices->by_server, notice); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
+    free(notice);
+}
+
+void cw_limit_notices_free(cw_limit_notices_t *notices)
+{
+    notice_t *notice;
+    notice_t *next;
+
+    HASH_ITER(hh, notices->by_server, notice, next)
+    {
+        drop(notices, notice);
+    }
+    free(notices);
+}
+
+static notice_t *find(cw_limit_notices_t *notices, uint32_t server)
+{
+    notice_t *notice;
+
+    HASH_FIND(hh, notices->by_server, &server, sizeof(server), notice);
+    return notice;
+}
+
+static notice_t *find_or_add(cw_limit_notices_t *notices, uint32_t server)
+{
+    notice_t *notice = find(notices, server);
+
+    if (notice == NULL) {
+        notice = calloc(1, sizeof(*notice));
+        if (notice == NULL) {
+            abort();
+        }
+        notice->server = server;
+        HASH_ADD(hh, notices->by_server, server, sizeof(notice->server), notice);
+    }
+    return notice;
+}
+
+static cw_time_us_t pause_before(cw_limit_change_t change)
+{
+    switch (change) {
+    case CW_LIMIT_BEGUN:
+    case CW_LIMIT_ENDED:
+        return 0;
+    case CW_LIMIT_CHANGED:
+        return CW_MS(CHANGED_EVERY_MS);
+    case CW_LIMIT_UNCHANGED:
+        break;
+    }
+    return CW_MS(RENEWED_EVERY_MS);
+}
+
+void cw_limit_notices_note(cw_limit_notices_t *notices, uint32_t server, cw_limit_change_t change, cw_time_us_t now)
+{
+    notice_t *notice = find_or_add(notices, server);
+
+    if (notice->told_at != 0 && now - notice->told_at < pause_before(change)) {
+        return;
+    }
+    notice->told_at = now;
+    notice->sends_left = SENDS;
+    notice->send_at = now;
+    notices->next_at = now;
+}
+
+void cw_limit_notices_note_received(cw_limit_notices_t *notices, uint32_t server, cw_time_us_t now)
+{
+    find_or_add(notices, server)->told_at = now;
+}
+
+size_t cw_limit_notices_due(cw_limit_notices_t *notices, uint32_t servers[CW_LIMIT_NOTICES_MOST], cw_time_us_t now)
+{
+    notice_t *notice;
+    notice_t *next;
+    size_t    count = 0;
+
+    if (now < notices->next_at) {
+        return 0;
+    }
+    notices->next_at = CW_NEVER;
+    HASH_ITER(hh, notices->by_server, notice, next)
+    {
+        if (notice->sends_left > 0 && notice->send_at <= now && count < CW_LIMIT_NOTICES_MOST) {
+            servers[count++] = notice->server;
+            notice->sends_left--;
+            notice->send_at = now + CW_MS(SEND_AGAIN_MS);
+        }
+        if (notice->sends_left > 0) {
+            notices->next_at = notice->send_at < notices->next_at ? notice->send_at : notices->next_at;
+        } else if (now - notice->told_at > CW_MS(CW_LIMIT_FORGOTTEN_MS)) {
+            drop(notices, notice);
+        }
+    }
+    return count;
+}
+
+size_t cw_limit_notices_servers(const cw_limit_notices_t *notices)
+{
+    return HASH_COUNT(notices->by_server);
+}
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -7,9 +7,11 @@
  *    (plan_timing.h).
  *  - A server is given keys only while it is not leaving, its zone is in service and this node has no reason to avoid
  *    it. A cold server whose rate is bounded is given none: an owner gets all requests for its keys.
+ *  - One that names a rate limit has no more room than that, however many slots it has.
  *  - It is given none in a region to which no route to the service, or no tenant, may send (region_owners.h).
  *  - One that orders did not reach is given none while another can be (order_trust.h).
  */
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -98,6 +100,9 @@
         planned->region = server == NULL ? 0 : server->region_bit;
         planned->pace = server == NULL ? 1 : server->pace;
         planned->cost_s = usual_s * planned->pace / (entry->capacity == 0 ? 1 : entry->capacity);
+        if (server != NULL && cw_server_is_limited(server, now)) {
+            planned->cost_s = fmax(planned->cost_s, 1 / cw_server_limit_rate(&server->limit));
+        }
     }
 }
 
--- a/src/router/router_quota.c
+++ b/src/router/router_quota.c
@@ -340,6 +340,15 @@
     return is_new(quota) && router->fleet_size.stated == 0 && nodes < NODES_OF_NEW ? NODES_OF_NEW : nodes;
 }
 
+double cw_router_quota_share(const cw_router_t *router)
+{
+    const cw_router_quota_t *quota = router->quota;
+    uint32_t                 nodes = quota->nodes == 0 ? NODES_OF_NEW : quota->nodes;
+    uint32_t                 in_reach = quota->in_reach == 0 ? 1 : quota->in_reach;
+
+    return in_reach * 100 >= nodes * CW_FLEET_REACHED_PERCENT ? 1 : (double)in_reach / nodes;
+}
+
 void cw_router_quota_init(cw_router_t *router)
 {
     cw_router_quota_t  *quota = calloc(1, sizeof(*quota));
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -2,7 +2,8 @@
  * @file router_slots.c
  * @brief Wires slots into the node: which nodes count them, the datagrams to and from these, this node's own counting.
  *
- * Slots are asked for only where there are many nodes: a few tell one another of each request at once.
+ * Where there are few nodes, slots are asked for only of servers with a rate limit: a few tell one another of each
+ * request at once.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -14,12 +15,14 @@
     GATHER_EVERY_MS = 100 /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
 };
 
+static const double no_limit = -1; /* in messages */
+
 /** A message of this node to itself: delivered from the loop, as those of others are. */
 typedef struct own_message {
-    cw_slot_reply_t  reply;
-    cw_slot_ask_t    ask;
-    cw_slot_return_t returned;
-    cw_server_load_t load;
+    cw_slot_reply_t     reply;
+    cw_slot_ask_t       ask;
+    cw_slot_return_t    returned;
+    cw_server_signals_t signals;
     enum { OWN_ASK, OWN_REPLY, OWN_RETURN } kind;
 } own_message_t;
 
@@ -39,6 +42,11 @@
 
 /* ---- messages to this node itself ---- */
 
+static uint32_t own_address(const cw_router_slots_t *slots)
+{
+    return cw_peer_link_own_address(slots->router->link);
+}
+
 static own_message_t *add_own(cw_router_slots_t *slots)
 {
     if (slots->own_count == slots->own_capacity) {
@@ -57,6 +65,19 @@
     return cw_engine_usual_time_of(router->engine, service);
 }
 
+/* What a server said of itself counts before its slot is given to the next one. */
+static void take_return(cw_router_t *router, const cw_slot_return_t *returned, cw_time_us_t now)
+{
+    cw_slot_broker_t *broker = router->slots->broker;
+    uint32_t          hash = cw_slot_broker_server_of(broker, returned->node, returned->ticket);
+    cw_server_t      *server = (cw_server_t *)cw_server_pool_find_hash(router->pool, hash);
+
+    if (server != NULL && returned->signals != NULL && returned->node != own_address(router->slots)) {
+        cw_engine_note_signals(router->engine, server, returned->signals, NULL);
+    }
+    cw_slot_broker_return(broker, returned, now);
+}
+
 static void deliver(cw_router_slots_t *slots, const own_message_t *message)
 {
     cw_router_t     *router = slots->router;
@@ -71,8 +92,8 @@
         cw_engine_slot_reply(router->engine, &message->reply);
         break;
     case OWN_RETURN:
-        returned.load = returned.load == NULL ? NULL : &message->load;
-        cw_slot_broker_return(slots->broker, &returned, now);
+        returned.signals = returned.signals == NULL ? NULL : &message->signals;
+        take_return(router, &returned, now);
         break;
     }
 }
@@ -101,11 +122,6 @@
     }
 }
 
-static uint32_t own_address(const cw_router_slots_t *slots)
-{
-    return cw_peer_link_own_address(slots->router->link);
-}
-
 /* ---- the engine's port ---- */
 
 static uint32_t broker_of(void *context, const char *zone, uint32_t service)
@@ -134,6 +150,7 @@
 {
     cw_router_slots_t *slots = context;
     Cwp__SlotAsk       message = CWP__SLOT_ASK__INIT;
+    Cwp__ServerLimit   limit = CWP__SERVER_LIMIT__INIT;
     Cwp__Datagram      datagram = CWP__DATAGRAM__INIT;
 
     if (broker == own_address(slots)) {
@@ -154,11 +171,26 @@
     message.objective_ms = to_ms(asked->objective);
     message.lease_ms = to_ms(asked->lease);
     message.wait_ms = to_ms(asked->wait_most);
+    if (cw_router_limits_pack(slots->router, asked->server, &limit)) {
+        message.limit = &limit;
+    }
     datagram.content_case = CWP__DATAGRAM__CONTENT_SLOT_ASK;
     datagram.slot_ask = &message;
     send_to(slots, broker, &datagram);
 }
 
+static void pack_signals(const cw_server_signals_t *signals, Cwp__SlotReturn *message)
+{
+    message->answered = true;
+    message->limit_per_s = signals->has_limit ? signals->limit_per_s : no_limit;
+    if (signals->has_load) {
+        message->running = signals->load.running;
+        message->waiting = signals->load.waiting;
+        message->slots = signals->load.slots;
+        message->work_percent = signals->load.work_percent;
+    }
+}
+
 static void give_back(void *context, uint32_t broker, const cw_slot_return_t *returned)
 {
     cw_router_slots_t *slots = context;
@@ -171,19 +203,16 @@
         own->kind = OWN_RETURN;
         own->returned = *returned;
         own->returned.node = broker;
-        if (returned->load != NULL) {
-            own->load = *returned->load;
+        if (returned->signals != NULL) {
+            own->signals = *returned->signals;
         }
         deliver_soon(slots);
         return;
     }
     message.ticket = returned->ticket;
     message.end = (uint32_t)returned->end;
-    if (returned->load != NULL) {
-        message.running = returned->load->running;
-        message.waiting = returned->load->waiting;
-        message.slots = returned->load->slots;
-        message.work_percent = returned->load->work_percent;
+    if (returned->signals != NULL) {
+        pack_signals(returned->signals, &message);
     }
     datagram.content_case = CWP__DATAGRAM__CONTENT_SLOT_RETURN;
     datagram.slot_return = &message;
@@ -228,6 +257,9 @@
                            .lease = CW_MS(message->lease_ms),
                            .wait_most = CW_MS(message->wait_ms)};
 
+    if (message->limit != NULL) {
+        cw_router_limits_take(router, message->limit, cw_router_now(router));
+    }
     cw_slot_broker_ask(router->slots->broker, &asked, usual_of(router, asked.service), cw_router_now(router));
 }
 
@@ -247,16 +279,19 @@
 
 void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message)
 {
-    cw_server_load_t load = {.running = message->running,
-                             .waiting = message->waiting,
-                             .slots = message->slots,
-                             .work_percent = message->work_percent};
-    cw_slot_return_t returned = {.node = peer->address,
-                                 .ticket = message->ticket,
-                                 .end = message->end > CW_SLOT_UNUSED ? CW_SLOT_UNUSED : (cw_slot_end_t)message->end,
-                                 .load = message->slots == 0 ? NULL : &load};
-
-    cw_slot_broker_return(router->slots->broker, &returned, cw_router_now(router));
+    cw_server_signals_t signals = {.has_load = message->slots != 0,
+                                   .load = {.running = message->running,
+                                            .waiting = message->waiting,
+                                            .slots = message->slots,
+                                            .work_percent = message->work_percent},
+                                   .has_limit = message->limit_per_s >= 0,
+                                   .limit_per_s = message->limit_per_s};
+    cw_slot_return_t    returned = {.node = peer->address,
+                                    .ticket = message->ticket,
+                                    .end = message->end > CW_SLOT_UNUSED ? CW_SLOT_UNUSED : (cw_slot_end_t)message->end,
+                                    .signals = message->answered ? &signals : NULL};
+
+    take_return(router, &returned, cw_router_now(router));
 }
 
 /* ---- who counts ---- */
@@ -306,6 +341,14 @@
     return router->slots->is_on;
 }
 
+static void set_port(cw_router_slots_t *slots)
+{
+    cw_slot_port_t port = {
+        .context = slots, .only_limited = !slots->is_on, .broker_of = broker_of, .ask = ask, .give_back = give_back};
+
+    cw_engine_set_slots(slots->router->engine, &port);
+}
+
 void cw_router_slots_init(cw_router_t *router)
 {
     cw_router_slots_t *slots = calloc(1, sizeof(*slots));
@@ -318,14 +361,15 @@
     uv_timer_init(&router->loop, &slots->deliver);
     slots->deliver.data = slots;
     router->slots = slots;
+    set_port(slots);
 }
 
 void cw_router_slots_tick(cw_router_t *router, cw_time_us_t now)
 {
     cw_router_slots_t *slots = router->slots;
-    cw_slot_port_t     port = {.context = slots, .broker_of = broker_of, .ask = ask, .give_back = give_back};
     bool               is_on;
 
+    cw_slot_broker_set_share(slots->broker, cw_router_quota_share(router));
     cw_slot_broker_tick(slots->broker, now);
     if (now - slots->gathered_at >= CW_MS(GATHER_EVERY_MS)) {
         slots->gathered_at = now;
@@ -334,7 +378,7 @@
     is_on = slots->candidate_count >= MANY_NODES;
     if (is_on != slots->is_on) {
         slots->is_on = is_on;
-        cw_engine_set_slots(router->engine, is_on ? &port : NULL);
+        set_port(slots);
         /* Where slots are handed out, cold servers get requests by slots only: both together could pass the bound. */
         cw_server_pool_set_cold_rate(router->pool, is_on ? NULL : router->cold_rate);
     }
