--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -71,6 +71,8 @@
     double             cold_per_s;         /**< requests a second that it bears while it is cold; 0: no bound known */
     cw_cold_sends_t    cold_sends;         /**< this node's, while it is cold */
     cw_server_limit_t  limit;              /**< that it has named, */
+    bool               has_said_leaving;   /**< in an answer, to this node or to another one */
+    cw_time_us_t       rest_until;         /**< it has turned this node away, and wants nothing from it until then */
     cw_time_us_t       limit_allows_at;    /**< not chosen before that: its limit has no room until then, */
     cw_limit_bucket_t  limit_part;         /**< and this node's equal part of it, while nobody counts for all nodes */
     bool               zone_is_out;        /**< its zone is out of service */
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -27,6 +27,8 @@
     X(SERVER_CRASHED, "server crashed", WARNING, 20)                                                                   \
     X(SERVER_BACK, "server back", NOTICE, 20)                                                                          \
     X(SERVER_LIMIT, "server limit", NOTICE, 20)                                                                        \
+    X(SERVER_LEAVING, "server leaving", NOTICE, 20)                                                                    \
+    X(SERVER_RESTS, "server rests", NOTICE, 20)                                                                        \
     X(SERVER_SIGNAL_MALFORMED, "malformed server signal", WARNING, 10)                                                 \
     X(LEADER_TAKEN, "leadership taken", NOTICE, 10)                                                                    \
     X(LEADER_LOST, "leadership lost", WARNING, 10)                                                                     \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -83,6 +83,14 @@
       "answers with a field of the server about itself that could not be decoded")                                     \
     X(SERVER_LIMIT_CHANGES, "cedarwinch_server_limit_changes_total", "counter",                                        \
       "rate limits of servers that began, changed or ended, as this node came to know them")                           \
+    X(SERVERS_LEAVING, "cedarwinch_servers_leaving_total", "counter",                                                  \
+      "servers that said in an answer, to this node or another one, that they leave")                                  \
+    X(SERVER_RESTS, "cedarwinch_server_rests_total", "counter",                                                        \
+      "rests that servers asked this node for when they turned it away")                                               \
+    X(SENT_RESTING, "cedarwinch_sent_resting_total", "counter",                                                        \
+      "of the requests sent, those to servers that had asked this node for a rest")                                    \
+    X(SENT_LEAVING, "cedarwinch_sent_leaving_total", "counter",                                                        \
+      "of the requests sent, those to servers that had said that they leave")                                          \
     X(SENT_LIMITED, "cedarwinch_sent_limited_total", "counter",                                                        \
       "of the requests sent, those to servers with a rate limit")                                                      \
     X(UNREACHED, "cedarwinch_server_unreached_total", "counter", "servers to which no connection could be made")       \
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -76,6 +76,14 @@
     request->repeat_at = now + (silence < CW_MS(REPEAT_MIN_MS) ? CW_MS(REPEAT_MIN_MS) : silence);
 }
 
+static void count_sending(const cw_server_t *server, cw_time_us_t now)
+{
+    cw_metric_add(CW_METRIC_SENT, 1);
+    cw_metric_add(CW_METRIC_SENT_LIMITED, cw_server_is_limited(server, now) ? 1 : 0);
+    cw_metric_add(CW_METRIC_SENT_LEAVING, server->has_said_leaving ? 1 : 0);
+    cw_metric_add(CW_METRIC_SENT_RESTING, now < server->rest_until ? 1 : 0);
+}
+
 void cw_request_send(cw_request_t *request, cw_server_t *server)
 {
     cw_engine_t          *engine = request->engine;
@@ -109,10 +117,7 @@
     request->attempts++;
     cw_server_pool_begin(server, now);
     engine->changed = true;
-    cw_metric_add(CW_METRIC_SENT, 1);
-    if (cw_server_limit_binds(&server->limit, now)) {
-        cw_metric_add(CW_METRIC_SENT_LIMITED, 1);
-    }
+    count_sending(server, now);
     request->call = cw_upstream_call(server->connections, &sending, engine->on_answer, request);
     cw_bytes_clear(&bytes);
     set_repeat(request, now);
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -337,7 +337,7 @@
 
 /* ---- engine_signals.c ---- */
 /** What a server said of itself with its answer. */
-void cw_request_note_signals(cw_request_t *request, cw_server_t *server, const cw_http_fields_t *fields,
+void cw_request_note_signals(cw_request_t *request, cw_server_t *server, const cw_upstream_answer_t *answer,
                              cw_time_us_t now);
 
 /* ---- engine_answer.c ---- */
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -205,7 +205,7 @@
     char id[sizeof(request->avoid)];
 
     cw_text_copy(id, sizeof(id), server->id);
-    cw_request_note_signals(request, server, answer->fields, now);
+    cw_request_note_signals(request, server, answer, now);
     if (is_of_another(request, server, answer)) {
         server->ended = true;
     }
--- a/src/proxy/engine_signals.c
+++ b/src/proxy/engine_signals.c
@@ -67,6 +67,47 @@
     }
 }
 
+/* ---- leaving, and rest ---- */
+
+static void note_leaving(cw_server_t *server, const char *request)
+{
+    cw_event_t event;
+
+    if (server->has_said_leaving) {
+        return;
+    }
+    server->has_said_leaving = true;
+    cw_metric_add(CW_METRIC_SERVERS_LEAVING, 1);
+    if (cw_event_begin(&event, CW_EVENT_SERVER_LEAVING)) {
+        cw_event_text(&event, CW_FIELD_SERVER, server->id);
+        cw_event_text(&event, CW_FIELD_SERVICE, server->service);
+        cw_event_text(&event, CW_FIELD_REQUEST, request);
+        cw_event_end(&event);
+    }
+}
+
+/* Answers that cross extend it: the server counts each one's time by itself. */
+static void note_rest(cw_server_t *server, const cw_server_signals_t *signals, const char *request, cw_time_us_t now)
+{
+    cw_event_t event;
+    bool       is_new = now >= server->rest_until;
+
+    if (now + signals->rest > server->rest_until) {
+        server->rest_until = now + signals->rest;
+    }
+    if (!is_new) {
+        return;
+    }
+    cw_metric_add(CW_METRIC_SERVER_RESTS, 1);
+    if (cw_event_begin(&event, CW_EVENT_SERVER_RESTS)) {
+        cw_event_text(&event, CW_FIELD_SERVER, server->id);
+        cw_event_text(&event, CW_FIELD_SERVICE, server->service);
+        cw_event_ms(&event, CW_FIELD_RETRY_AFTER_MS, signals->rest);
+        cw_event_text(&event, CW_FIELD_REQUEST, request);
+        cw_event_end(&event);
+    }
+}
+
 /* ---- all of it ---- */
 
 void cw_engine_set_signal_port(cw_engine_t *engine, const cw_signal_port_t *port)
@@ -77,10 +118,13 @@
 void cw_engine_note_signals(cw_engine_t *engine, cw_server_t *server, const cw_server_signals_t *signals,
                             const char *request)
 {
+    if (signals->is_leaving) {
+        note_leaving(server, request);
+    }
     note_limit(engine, server, signals, request, cw_engine_now(engine));
 }
 
-void cw_request_note_signals(cw_request_t *request, cw_server_t *server, const cw_http_fields_t *fields,
+void cw_request_note_signals(cw_request_t *request, cw_server_t *server, const cw_upstream_answer_t *answer,
                              cw_time_us_t now)
 {
     cw_engine_t         *engine = request->engine;
@@ -89,7 +133,7 @@
     if (engine->settings.decode_signals == NULL) {
         return;
     }
-    engine->settings.decode_signals(fields, signals);
+    engine->settings.decode_signals(answer->status, answer->fields, signals);
     request->claim.has_signals = true;
     if (signals->malformed_name != NULL) {
         note_malformed(server, signals);
@@ -97,5 +141,8 @@
     if (signals->has_load) {
         cw_server_pool_note_load(server, &signals->load, now);
     }
+    if (signals->has_rest) {
+        note_rest(server, signals, request->id, now);
+    }
     cw_engine_note_signals(engine, server, signals, request->id);
 }
--- a/tests/test_engine_limits.c
+++ b/tests/test_engine_limits.c
@@ -51,8 +51,9 @@
 }
 
 /* All answers name a limit of 3 a second. */
-static void decode(const cw_http_fields_t *fields, cw_server_signals_t *signals)
+static void decode(int status, const cw_http_fields_t *fields, cw_server_signals_t *signals)
 {
+    (void)status;
     (void)fields;
     *signals = (cw_server_signals_t){.has_limit = true, .limit_per_s = 3};
 }
--- a/tests/test_server_signals.c
+++ b/tests/test_server_signals.c
@@ -11,7 +11,7 @@
 
 static const cw_time_us_t start = CW_SECONDS(100);
 
-static cw_server_signals_t decoded(const char *name, const char *value)
+static cw_server_signals_t decoded_of(int status, const char *name, const char *value)
 {
     cw_http_fields_t        fields = {0};
     cw_http_field_builder_t builder = {0};
@@ -19,12 +19,47 @@
 
     cw_http_field_builder_name(&builder, &fields, name, strlen(name));
     cw_http_field_builder_value(&builder, &fields, value, strlen(value));
-    cw_platform_decode_signals(&fields, &signals);
+    cw_platform_decode_signals(status, &fields, &signals);
     signals.malformed_value = NULL; /* it ends with the fields */
     cw_http_fields_clear(&fields);
     return signals;
 }
 
+static cw_server_signals_t decoded(const char *name, const char *value)
+{
+    return decoded_of(200, name, value);
+}
+
+START_TEST(a_rest_is_the_seconds_of_a_503_and_bounded)
+{
+    static const char *const wrong[] = {"", "-1", "soon", "1e9", "Thu, 03 Dec 2026 08:00:00 GMT", "3 s"};
+    size_t                   index;
+
+    ck_assert_int_eq(decoded_of(503, "Retry-After", "3").rest, CW_SECONDS(3));
+    ck_assert_int_eq(decoded_of(503, "Retry-After", "0.25").rest, CW_MS(250));
+    ck_assert(!decoded_of(503, "Retry-After", "0").has_rest);
+    ck_assert_ptr_null(decoded_of(503, "Retry-After", "0").malformed_name);
+    ck_assert(!decoded_of(200, "Retry-After", "3").has_rest);
+    ck_assert(!decoded_of(429, "Retry-After", "3").has_rest);
+    ck_assert_int_eq(decoded_of(503, "Retry-After", "99999999").rest, CW_SECONDS(CW_SERVER_REST_MOST_S));
+    ck_assert_str_eq(decoded_of(503, "Retry-After", "99999999").malformed_name, "Retry-After");
+    for (index = 0; index < sizeof(wrong) / sizeof(wrong[0]); index++) {
+        ck_assert_msg(!decoded_of(503, "Retry-After", wrong[index]).has_rest, "%s", wrong[index]);
+        ck_assert_str_eq(decoded_of(503, "Retry-After", wrong[index]).malformed_name, "Retry-After");
+    }
+}
+END_TEST
+
+START_TEST(a_server_leaves_that_says_so_and_no_other)
+{
+    ck_assert(decoded("Server-Leaving", "1").is_leaving);
+    ck_assert(decoded_of(503, "server-leaving", "1").is_leaving);
+    ck_assert(!decoded("Server-Leaving", "0").is_leaving);
+    ck_assert_str_eq(decoded("Server-Leaving", "true").malformed_name, "Server-Leaving");
+    ck_assert(!decoded("Connection", "close").is_leaving);
+}
+END_TEST
+
 START_TEST(a_limit_is_a_decimal_number_and_nothing_else)
 {
     static const char *const wrong[] = {"",    "-1",  "six", "6,5", "6.",    ".5",
@@ -119,6 +154,8 @@
     Suite *suite = suite_create("server signals");
     TCase *cases = tcase_create("all");
 
+    tcase_add_test(cases, a_rest_is_the_seconds_of_a_503_and_bounded);
+    tcase_add_test(cases, a_server_leaves_that_says_so_and_no_other);
     tcase_add_test(cases, a_limit_is_a_decimal_number_and_nothing_else);
     tcase_add_test(cases, a_limit_begins_changes_and_is_renewed);
     tcase_add_test(cases, what_was_said_earlier_changes_nothing);
