--- a/standins/callers/main.c
+++ b/standins/callers/main.c
@@ -62,6 +62,7 @@
     uint32_t      retries;
     uint32_t      key;
     uint64_t      started_ns;
+    uint64_t      sent_ns; /**< the latest time */
     uint64_t      deadline_ns;
     char          id[80];
     uv_timer_t    again;
@@ -99,16 +100,24 @@
     return signature != NULL && body_length == strlen(attempt->id) && memcmp(body, attempt->id, body_length) == 0;
 }
 
+/* The server whose answer has this field; empty: the answer has not, or there was none. */
+static const char *server_that_says(const cw_http_fields_t *fields, const char *name)
+{
+    const char *server = fields == NULL || cw_http_fields_find(fields, name) == NULL
+                             ? NULL
+                             : cw_http_fields_find(fields, "X-Instance-Id");
+
+    return server == NULL ? "" : server;
+}
+
 /* fields: NULL: no answer. */
 static void print_end(const attempt_t *attempt, int status, const cw_http_fields_t *fields, const char *fault)
 {
-    const char *limit = fields == NULL ? NULL : cw_http_fields_find(fields, "Server-Limit");
-    const char *server = limit == NULL ? NULL : cw_http_fields_find(fields, "X-Instance-Id");
-
     printf("{\"ns\":%" PRIu64 ",\"event\":\"end\",\"id\":\"%s\",\"method\":\"%s\",\"status\":%d,\"ms\":%" PRIu64
-           ",\"node\":\"%s\",\"limit\":\"%s\",\"fault\":\"%s\"}\n",
+           ",\"sent_ns\":%" PRIu64 ",\"node\":\"%s\",\"limit\":\"%s\",\"leaving\":\"%s\",\"fault\":\"%s\"}\n",
            uv_hrtime(), attempt->id, attempt->kind->method, status, (uv_hrtime() - attempt->started_ns) / 1000000,
-           attempt->node, server == NULL ? "" : server, fault == NULL ? "" : fault);
+           attempt->sent_ns, attempt->node, server_that_says(fields, "Server-Limit"),
+           server_that_says(fields, "Server-Leaving"), fault == NULL ? "" : fault);
 }
 
 static void on_answer(void *context, const cw_upstream_answer_t *answer)
@@ -143,6 +152,7 @@
     uint64_t         left_ms = attempt->deadline_ns > now ? (attempt->deadline_ns - now) / 1000000 : 1;
     bool             has_body = strcmp(kind->method, "GET") != 0;
 
+    attempt->sent_ns = now;
     snprintf(attempt->id, sizeof(attempt->id), "%s-%" PRIu64 "-%u", callers->run, attempt->number, attempt->retries);
     cw_bytes_append_format(text, "%s %s%" PRIu64 " HTTP/1.1\r\nHost: %s\r\n", kind->method, kind->prefix,
                            attempt->number, kind->host);
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -121,6 +121,13 @@
     fflush(stdout);
 }
 
+static void note_rest(const server_t *server, const char *id)
+{
+    printf("{\"ns\":%" PRIu64 ",\"event\":\"rest\",\"server\":\"%s\",\"service\":\"%s\",\"id\":\"%s\",\"rest_s\":%g}\n",
+           uv_hrtime(), server->incarnation, server->service, id, server->signals.now.rest_s);
+    fflush(stdout);
+}
+
 /* ---- answers ---- */
 
 static void add_field(cw_http_fields_t *fields, cw_http_field_builder_t *builder, const char *name, const char *value)
@@ -129,14 +136,17 @@
     cw_http_field_builder_value(builder, fields, value, strlen(value));
 }
 
-static void answer(server_t *server, cw_http_exchange_t *exchange, int status, const char *id, bool not_run,
-                   const char *handover, const char *body)
+static void answer_resting(server_t *server, cw_http_exchange_t *exchange, int status, const char *id, bool not_run,
+                           const char *handover, const char *body, double rest_s)
 {
     cw_http_fields_t        fields = {0};
     cw_http_field_builder_t builder = {0};
-    cw_http_outbound_t      outbound = {
-             .status = status, .fields = &fields, .body = body, .body_length = strlen(body), .retry_after_s = -1};
-    char signature[160];
+    cw_http_outbound_t      outbound = {.status = status,
+                                        .fields = &fields,
+                                        .body = body,
+                                        .body_length = strlen(body),
+                                        .retry_after_s = rest_s > 0 ? rest_s : -1};
+    char                    signature[160];
 
     add_field(&fields, &builder, "X-Instance-Id", server->id);
     if (id != NULL) {
@@ -158,6 +168,12 @@
     cw_http_fields_clear(&fields);
 }
 
+static void answer(server_t *server, cw_http_exchange_t *exchange, int status, const char *id, bool not_run,
+                   const char *handover, const char *body)
+{
+    answer_resting(server, exchange, status, id, not_run, handover, body, 0);
+}
+
 /* ---- keys ---- */
 
 static bool holds(const server_t *server, uint32_t key)
@@ -371,9 +387,14 @@
         return;
     }
     if (!is_order) {
-        if (server->signals.now.limit_per_s >= 0) {
+        if (server->signals.any) {
             note(server, "arrive", id == NULL ? "" : id, 0, 0, 0);
         }
+        if (server->signals.now.rest_s > 0 && id != NULL) {
+            note_rest(server, id);
+            answer_resting(server, exchange, STATUS_UNAVAILABLE, id, true, NULL, "", server->signals.now.rest_s);
+            return;
+        }
         if (server->crash_path != NULL && strstr(inbound->target, server->crash_path) != NULL) {
             note(server, "crash", id == NULL ? "" : id, 0, 0, 0);
             (void)fflush(stdout);
@@ -491,6 +512,8 @@
         return;
     }
     server->draining = true;
+    server->signals.now.is_leaving = true;
+    server->signals.any = true;
     on_heartbeat(&server->heartbeat);
     uv_timer_start(&server->leave, on_leave, DRAIN_MS, 0);
 }
@@ -593,7 +616,7 @@
     struct arg_str *id = arg_str0("i", "id", "NAME", "default: another one at each start");
     struct arg_str *crash_path =
         arg_str0(NULL, "crash-path", "TEXT", "a request with this in its path ends the process");
-    struct arg_str *signals = arg_str0(NULL, "signals", "limit=N|none,...",
+    struct arg_str *signals = arg_str0(NULL, "signals", "limit=N|rest=S|leaving|none,...",
                                        "what it says of itself in its answers, in turn; the next at each SIGUSR1");
     struct arg_lit *keyed = arg_lit0("k", "keyed", "runs a request only while it holds its key");
     struct arg_lit *hangs = arg_lit0("x", "hangs", "does not answer what it cannot queue");
@@ -607,7 +630,7 @@
         return 2;
     }
     if (!signals_init(&server.signals, signals->count > 0 ? signals->sval[0] : NULL)) {
-        fprintf(stderr, "cw-server: --signals is limit=N or none, with commas between\n");
+        fprintf(stderr, "cw-server: --signals is limit=N, rest=S, leaving or none, with commas between\n");
         return 2;
     }
     server.service = service->sval[0];
--- a/standins/server/signals.c
+++ b/standins/server/signals.c
@@ -30,7 +30,11 @@
     if (strncmp(text, "limit=", strlen("limit=")) == 0) {
         return read_number(text + strlen("limit="), &item->limit_per_s);
     }
-    return strcmp(text, "none") == 0;
+    if (strncmp(text, "rest=", strlen("rest=")) == 0) {
+        return read_number(text + strlen("rest="), &item->rest_s);
+    }
+    item->is_leaving = strcmp(text, "leaving") == 0;
+    return item->is_leaving || strcmp(text, "none") == 0;
 }
 
 bool signals_init(signals_t *signals, const char *series)
@@ -54,13 +58,19 @@
     if (signals->count == 0) {
         return;
     }
+    if (signals->now.is_leaving) {
+        return;
+    }
     signals->now = signals->items[signals->next];
     signals->next = (signals->next + 1) % signals->count;
+    signals->any = true;
 }
 
 void signals_end(signals_t *signals)
 {
-    signals->now = nothing;
+    if (!signals->now.is_leaving) { /* there is no way back */
+        signals->now = nothing;
+    }
 }
 
 static void add_field(cw_http_fields_t *fields, cw_http_field_builder_t *builder, const char *name, const char *value)
@@ -77,4 +87,7 @@
         snprintf(text, sizeof(text), "%.6g", signals->now.limit_per_s);
         add_field(fields, builder, "Server-Limit", text);
     }
+    if (signals->now.is_leaving) {
+        add_field(fields, builder, "Server-Leaving", "1");
+    }
 }
--- a/standins/server/signals.h
+++ b/standins/server/signals.h
@@ -15,6 +15,8 @@
 /** What it says from one moment to the next. */
 typedef struct signals_item {
     double limit_per_s; /**< its rate limit; below 0: none */
+    double rest_s;      /**< it turns all requests away, and asks for a rest of so long; 0: it does not */
+    bool   is_leaving;
 } signals_item_t;
 
 typedef struct signals {
@@ -22,9 +24,10 @@
     size_t         count;
     size_t         next;
     signals_item_t now;
+    bool           any; /**< it has said something */
 } signals_t;
 
-/** series: "limit=6,none,limit=2.5", or NULL: it never says anything. False: the text is none of this. */
+/** series: "limit=6,none,rest=3,leaving", or NULL: it never says anything. False: the text is none of this. */
 bool signals_init(signals_t *signals, const char *series);
 /** The next item of the series holds from now on; after the last one the first. */
 void signals_next(signals_t *signals);
--- a/standins/verdict/limits.c
+++ b/standins/verdict/limits.c
@@ -9,6 +9,9 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "lives.h"
+#include "nodes.h"
+
 enum { SLACK = 5 };
 
 static const double   factor = 1.5;
@@ -16,13 +19,6 @@
 static const uint64_t settle_ns = 3000000000;
 static const uint64_t told_ns = 500000000;
 
-/** Which node a request was sent to. */
-typedef struct destination {
-    const char    *id; /**< the record's */
-    const char    *node;
-    UT_hash_handle hh;
-} destination_t;
-
 /** A node has passed on an answer with a server's limit. */
 typedef struct told {
     char           key[120]; /**< node and server */
@@ -31,14 +27,6 @@
     UT_hash_handle hh;
 } told_t;
 
-/** A node between the moments at which trouble with it began and was over. */
-typedef struct trouble {
-    char           node[48];
-    uint64_t       ended_at; /**< UINT64_MAX: not yet */
-    bool           any;
-    UT_hash_handle hh;
-} trouble_t;
-
 typedef struct arrival {
     uint64_t ns;
     double   per_s;
@@ -56,11 +44,9 @@
     UT_hash_handle hh;
 } limited_t;
 
-static destination_t *destinations;
-static told_t        *tellings;
-static trouble_t     *troubles;
-static limited_t     *servers;
-static uint64_t       counted;
+static told_t    *tellings;
+static limited_t *servers;
+static uint64_t   counted;
 
 static void *zeroed(size_t size)
 {
@@ -72,36 +58,6 @@
     return memory;
 }
 
-static void note_destination(const record_t *record)
-{
-    destination_t *destination = zeroed(sizeof(*destination));
-
-    destination->id = record->id;
-    destination->node = record->node;
-    HASH_ADD_KEYPTR(hh, destinations, destination->id, strlen(destination->id), destination);
-}
-
-static const char *node_of(const char *id)
-{
-    destination_t *destination;
-
-    HASH_FIND_STR(destinations, id, destination);
-    return destination == NULL ? NULL : destination->node;
-}
-
-static trouble_t *trouble_of(const char *node)
-{
-    trouble_t *trouble;
-
-    HASH_FIND_STR(troubles, node, trouble);
-    if (trouble == NULL) {
-        trouble = zeroed(sizeof(*trouble));
-        snprintf(trouble->node, sizeof(trouble->node), "%s", node);
-        HASH_ADD_STR(troubles, node, trouble);
-    }
-    return trouble;
-}
-
 static limited_t *server_of(const char *name)
 {
     limited_t *server;
@@ -116,7 +72,6 @@
     return server;
 }
 
-/* Callers know a server by its id, records by one of its lives: the id, "@" and when it was born. */
 static limited_t *server_with_id(const char *id)
 {
     limited_t *server;
@@ -125,9 +80,7 @@
 
     HASH_ITER(hh, servers, server, next)
     {
-        size_t length = strlen(id);
-
-        if (strncmp(server->server, id, length) == 0 && server->server[length] == '@' && server->per_s >= 0 &&
+        if (lives_is_of(server->server, id) && server->per_s >= 0 &&
             (latest == NULL || server->named_at > latest->named_at)) {
             latest = server;
         }
@@ -178,17 +131,15 @@
 
 static bool counts(const limited_t *server, const record_t *record)
 {
-    const char      *node = node_of(record->id);
-    const told_t    *told;
-    const trouble_t *trouble;
+    const char   *node = nodes_of_request(record->id);
+    const told_t *told;
 
     if (server->per_s < 0 || node == NULL || record->ns < server->named_at + settle_ns) {
         return false;
     }
     told = telling(node, server->server);
-    trouble = trouble_of(node);
     return told->at != 0 && told->named_at == server->named_at && told->at + told_ns <= record->ns &&
-           (!trouble->any || (trouble->ended_at != UINT64_MAX && record->ns > trouble->ended_at + settle_ns));
+           !nodes_in_trouble(node, record->ns, settle_ns);
 }
 
 static double highest_limit(const limited_t *server)
@@ -229,14 +180,6 @@
     }
 }
 
-static void note_trouble(const record_t *record, bool begins)
-{
-    trouble_t *trouble = trouble_of(record->node);
-
-    trouble->any = true;
-    trouble->ended_at = begins ? UINT64_MAX : record->ns;
-}
-
 static void take(const record_t *record)
 {
     if (record->of_caller && record->limit[0] != '\0') {
@@ -245,8 +188,6 @@
         note_limit(record);
     } else if (strcmp(record->event, "arrive") == 0) {
         note_arrival(record);
-    } else if (strcmp(record->event, "trouble") == 0 || strcmp(record->event, "calm") == 0) {
-        note_trouble(record, record->event[0] == 't');
     }
 }
 
@@ -254,11 +195,6 @@
 {
     size_t index;
 
-    for (index = 0; index < records->count; index++) {
-        if (records->items[index].of_caller && records->items[index].node[0] != '\0') {
-            note_destination(&records->items[index]);
-        }
-    }
     for (index = 0; index < records->count; index++) {
         take(&records->items[index]);
     }
--- a/standins/verdict/limits.h
+++ b/standins/verdict/limits.h
@@ -12,7 +12,8 @@
  * and a half times what that allows and five, from nodes that passed on an answer with it half a second before or
  * earlier. Nodes in trouble (killed, frozen, cut) do not count until three seconds after it.
  *
- * The records are sorted. Returns how many arrivals at servers with a limit were counted.
+ * The records are sorted, and nodes_collect has been called. Returns how many arrivals at servers with a limit were
+ * counted.
  */
 uint64_t limits_check(const records_t *records);
 
--- a/standins/verdict/main.c
+++ b/standins/verdict/main.c
@@ -11,7 +11,7 @@
  *  - TWICE: a request whose method is not GET has run more than once.
  *  - PROMISE: a request answered 429, 503, 408 or 421 that is not to be repeated has run.
  *  - WHOLE: a 2xx without a run.
- *  - LIMIT: limits.h.
+ *  - LIMIT, DRAIN, BUDGET: limits.h, leaves.h, rests.h.
  */
 #include <inttypes.h>
 #include <stdbool.h>
@@ -20,8 +20,11 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "leaves.h"
 #include "limits.h"
+#include "nodes.h"
 #include "records.h"
+#include "rests.h"
 
 enum { KEYS = 65536, LIVES_MAX = 256, HOLD_MS = 8000 };
 
@@ -180,6 +183,8 @@
     records_t  records = {0};
     uint64_t   runs = 0;
     uint64_t   limited;
+    uint64_t   leaves;
+    uint64_t   rests;
     size_t     index;
     attempt_t *attempt;
     attempt_t *next;
@@ -198,9 +203,13 @@
     {
         check_attempt(attempt);
     }
+    nodes_collect(&records);
     limited = limits_check(&records);
-    if (limited > 0) {
-        printf("%" PRIu64 " requests at servers with a limit\n", limited);
+    leaves = leaves_check(&records);
+    rests = rests_check(&records);
+    if (limited + leaves + rests > 0) {
+        printf("%" PRIu64 " requests at servers with a limit, %" PRIu64 " nodes told of a leave, %" PRIu64 " rests\n",
+               limited, leaves, rests);
     }
     printf("%" PRIu64 " runs, %u attempts, %" PRIu64 " violations\n", runs, HASH_COUNT(attempts), records_violations());
     return records_violations() == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- /dev/null
+++ b/standins/verdict/nodes.c
@@ -0,0 +1,130 @@
+/**
+ * @file nodes.c
+ * @brief Destinations of requests, and spans of trouble.
+ */
+#include "nodes.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+typedef struct destination {
+    const record_t *end; /* of the attempt, as its caller saw it */
+    UT_hash_handle  hh;
+} destination_t;
+
+/** From the moment at which a node was struck until calm returned. */
+typedef struct trouble {
+    char     node[48];
+    bool     is_cut; /* from others; else it was restarted or frozen */
+    uint64_t from;
+    uint64_t until; /* UINT64_MAX: not yet */
+} trouble_t;
+
+static destination_t *destinations;
+static trouble_t     *troubles;
+static size_t         trouble_count;
+
+static void add_destination(const record_t *record)
+{
+    destination_t *destination = calloc(1, sizeof(*destination));
+
+    if (destination == NULL) {
+        abort();
+    }
+    destination->end = record;
+    HASH_ADD_KEYPTR(hh, destinations, record->id, strlen(record->id), destination);
+}
+
+static void begin_trouble(const record_t *record)
+{
+    trouble_t *trouble;
+
+    troubles = realloc(troubles, (trouble_count + 1) * sizeof(*troubles));
+    if (troubles == NULL) {
+        abort();
+    }
+    trouble = &troubles[trouble_count++];
+    *trouble = (trouble_t){.from = record->ns, .until = UINT64_MAX, .is_cut = strcmp(record->event, "cut") == 0};
+    snprintf(trouble->node, sizeof(trouble->node), "%s", record->node);
+}
+
+static void end_trouble(const record_t *record)
+{
+    size_t index;
+
+    for (index = 0; index < trouble_count; index++) {
+        if (troubles[index].until == UINT64_MAX && strcmp(troubles[index].node, record->node) == 0) {
+            troubles[index].until = record->ns;
+        }
+    }
+}
+
+void nodes_collect(const records_t *records)
+{
+    size_t index;
+
+    for (index = 0; index < records->count; index++) {
+        const record_t *record = &records->items[index];
+
+        if (record->of_caller && record->node[0] != '\0') {
+            add_destination(record);
+        } else if (strcmp(record->event, "trouble") == 0 || strcmp(record->event, "cut") == 0) {
+            begin_trouble(record);
+        } else if (strcmp(record->event, "calm") == 0) {
+            end_trouble(record);
+        }
+    }
+}
+
+static const record_t *end_of(const char *id)
+{
+    destination_t *destination;
+
+    HASH_FIND_STR(destinations, id, destination);
+    return destination == NULL ? NULL : destination->end;
+}
+
+const char *nodes_of_request(const char *id)
+{
+    const record_t *end = end_of(id);
+
+    return end == NULL ? NULL : end->node;
+}
+
+uint64_t nodes_request_sent(const char *id)
+{
+    const record_t *end = end_of(id);
+
+    return end == NULL ? 0 : end->sent_ns;
+}
+
+bool nodes_restarted_between(const char *node, uint64_t from, uint64_t until)
+{
+    size_t index;
+
+    for (index = 0; index < trouble_count; index++) {
+        const trouble_t *trouble = &troubles[index];
+
+        if (!trouble->is_cut && strcmp(trouble->node, node) == 0 && trouble->from <= until && trouble->until >= from) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool nodes_in_trouble(const char *node, uint64_t at, uint64_t settle_ns)
+{
+    size_t index;
+
+    for (index = 0; index < trouble_count; index++) {
+        const trouble_t *trouble = &troubles[index];
+
+        if (strcmp(trouble->node, node) == 0 && trouble->from <= at &&
+            (trouble->until == UINT64_MAX || at <= trouble->until + settle_ns)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/standins/verdict/records.c
+++ b/standins/verdict/records.c
@@ -51,6 +51,9 @@
     text_of(line, "method", record->method, sizeof(record->method));
     text_of(line, "node", record->node, sizeof(record->node));
     text_of(line, "limit", record->limit, sizeof(record->limit));
+    text_of(line, "leaving", record->leaving, sizeof(record->leaving));
+    record->sent_ns = number_of(line, "sent_ns");
+    record->rest_s = json_number_value(json_object_get(line, "rest_s"));
 }
 
 bool records_read(records_t *records, const char *name)
--- a/standins/verdict/records.h
+++ b/standins/verdict/records.h
@@ -15,12 +15,15 @@
     char     server[64]; /**< one life of a server */
     char     id[80];     /**< of the request */
     char     method[16];
-    char     node[48];  /**< of a caller: whom it asked; of the test: the node in trouble */
-    char     limit[64]; /**< of a caller: the server that named a limit with the answer; empty: none */
+    char     node[48];    /**< of a caller: whom it asked; of the test: the node in trouble */
+    char     limit[64];   /**< of a caller: the server that named a limit with the answer; empty: none */
+    char     leaving[64]; /**< of a caller: the server that said with the answer that it leaves; empty: none */
+    uint64_t sent_ns;     /**< of a caller: when it sent the request */
     uint32_t low;
     uint32_t last;
     uint64_t fence;
-    double   per_s; /**< of a server: the limit that it names from now on; below 0: none */
+    double   rest_s; /**< of a server: the rest that it asked for */
+    double   per_s;  /**< of a server: the limit that it names from now on; below 0: none */
     int      status;
     bool     of_caller;
 } record_t;
--- /dev/null
+++ b/tests/process/server_rest.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Servers that turn a node away and ask for rest get its requests all the same, and each twice: what waits, what is new and
+# what is sent again must leave them alone for as long as they asked.
+. "$(dirname "$0")/../../scripts/cluster.sh"
+cluster_start 4
+for i in 1 2 3; do
+    cluster_server "m$i" --service maps --zone "z$i" --keyed --work-ms 15 --signals "$([ "$i" = 1 ] && echo rest=2 || echo none)"
+    cluster_server "h$i" --service hires --zone "z$i" --work-ms 15 --signals "$([ "$i" = 1 ] && echo rest=2.5 || echo none),rest=1.5"
+done
+cluster_configure "$(configuration 1)"
+cluster_wait_ready
+cluster_wait_served
+signal() { local name; for name in "${@:2}"; do kill -"$1" "${SERVER_PIDS[$name]}"; done; } # SIGNAL NAME...
+now_ns() { awk '{printf "%d000000", $1 * 1000}' /proc/uptime; } # of records' clock
+share_of() { # METHOD STATUS FROM_NS UNTIL_NS, in hundredths
+    jq -rs --arg m "$1" --argjson s "$2" --argjson a "$3" --argjson b "$4" \
+        '[.[]|select(.event=="end" and .method==$m and .ns>=$a and .ns<$b)]|[(map(select(.status==$s))|length)*100/length]|.[0]|floor' "$WORK/callers-day.json"
+}
+slow_refusals() { jq -rs '[.[]|select(.event=="end" and .status==503 and (.id|test("-0$")) and .ms>250)]|length' "$WORK/callers-day.json"; }
+arrivals() { jq -rs '[.[]|select(.event=="arrive")]|length' "$WORK/server-$1.json"; }
+
+(cluster_callers day --rate 120 --count 2040) & # 17 s
+callers=$!
+sleep 1
+begin=$(now_ns)
+signal USR1 m1 h1 # m1: 2 s, h1: 2.5 s; the others go on
+sleep 6
+signal USR2 m1 h1
+sleep 3
+all=$(now_ns)
+signal USR1 h1 h2 h3 && sleep 0.1 && signal USR1 h2 h3 # all of a service: 1.5 s
+sleep 3
+signal USR2 h1 h2 h3
+wait "$callers"
+check "no node sends more than two requests that cross a rest" cluster_check
+check "a resting owner gets a few requests of each node" at_most "$(arrivals m1)" 60
+check "requests that any server will do for are served" at_least "$(share_of POST 200 "$begin" "$all")" 97
+check "where all servers of a service rest, most are refused" at_least "$(share_of POST 503 $((all + 500000000)) $((all + 2900000000)))" 80
+check "and at once" at_most "$(slow_refusals)" 20
+check "all are served when the rests are over" at_least "$(share_of GET 200 $((begin + 9000000000)) $((all + 9000000000)))" 97
+finish_test
