A server that says in an answer that it leaves gets nothing more, from any node

Change: a leave is remembered for the incarnation (balance/leave_memory.h) and outlives lists that say ready and entries that come and go; it is broadcast from the first answer on (signal_notices.h, which had been limit_notices.h) and told anew every three seconds until it is listed. Unkeyed requests go elsewhere at once; requests for its keys go to it for half of drain_ms, while the leader moves them, then are refused after a fifth of their objective instead of waiting for an owner that nobody will name. The leader counts it as leaving for plans.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1042,49 +1042,49 @@
   assert(message->base.descriptor == &cwp__server_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cwp__limit_notice__init
-                     (Cwp__LimitNotice         *message)
+void   cwp__signal_notice__init
+                     (Cwp__SignalNotice         *message)
 {
-  static const Cwp__LimitNotice init_value = CWP__LIMIT_NOTICE__INIT;
+  static const Cwp__SignalNotice init_value = CWP__SIGNAL_NOTICE__INIT;
   *message = init_value;
 }
-size_t cwp__limit_notice__get_packed_size
-                     (const Cwp__LimitNotice *message)
+size_t cwp__signal_notice__get_packed_size
+                     (const Cwp__SignalNotice *message)
 {
-  assert(message->base.descriptor == &cwp__limit_notice__descriptor);
+  assert(message->base.descriptor == &cwp__signal_notice__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cwp__limit_notice__pack
-                     (const Cwp__LimitNotice *message,
+size_t cwp__signal_notice__pack
+                     (const Cwp__SignalNotice *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cwp__limit_notice__descriptor);
+  assert(message->base.descriptor == &cwp__signal_notice__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cwp__limit_notice__pack_to_buffer
-                     (const Cwp__LimitNotice *message,
+size_t cwp__signal_notice__pack_to_buffer
+                     (const Cwp__SignalNotice *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cwp__limit_notice__descriptor);
+  assert(message->base.descriptor == &cwp__signal_notice__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cwp__LimitNotice *
-       cwp__limit_notice__unpack
+Cwp__SignalNotice *
+       cwp__signal_notice__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cwp__LimitNotice *)
-     protobuf_c_message_unpack (&cwp__limit_notice__descriptor,
+  return (Cwp__SignalNotice *)
+     protobuf_c_message_unpack (&cwp__signal_notice__descriptor,
                                 allocator, len, data);
 }
-void   cwp__limit_notice__free_unpacked
-                     (Cwp__LimitNotice *message,
+void   cwp__signal_notice__free_unpacked
+                     (Cwp__SignalNotice *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cwp__limit_notice__descriptor);
+  assert(message->base.descriptor == &cwp__signal_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   cwp__slot_ask__init
@@ -4217,7 +4217,7 @@
   (ProtobufCMessageInit) cwp__server_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__limit_notice__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cwp__signal_notice__field_descriptors[3] =
 {
   {
     "stage",
@@ -4225,7 +4225,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cwp__LimitNotice, stage),
+    offsetof(Cwp__SignalNotice, stage),
     NULL,
     NULL,
     0,             /* flags */
@@ -4236,36 +4236,49 @@
     2,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cwp__LimitNotice, n_limits),
-    offsetof(Cwp__LimitNotice, limits),
+    offsetof(Cwp__SignalNotice, n_limits),
+    offsetof(Cwp__SignalNotice, limits),
     &cwp__server_limit__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__SignalNotice, n_leaving),
+    offsetof(Cwp__SignalNotice, leaving),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned cwp__limit_notice__field_indices_by_name[] = {
+static const unsigned cwp__signal_notice__field_indices_by_name[] = {
+  2,   /* field[2] = leaving */
   1,   /* field[1] = limits */
   0,   /* field[0] = stage */
 };
-static const ProtobufCIntRange cwp__limit_notice__number_ranges[1 + 1] =
+static const ProtobufCIntRange cwp__signal_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor cwp__limit_notice__descriptor =
+const ProtobufCMessageDescriptor cwp__signal_notice__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cwp.LimitNotice",
-  "LimitNotice",
-  "Cwp__LimitNotice",
+  "cwp.SignalNotice",
+  "SignalNotice",
+  "Cwp__SignalNotice",
   "cwp",
-  sizeof(Cwp__LimitNotice),
-  2,
-  cwp__limit_notice__field_descriptors,
-  cwp__limit_notice__field_indices_by_name,
-  1,  cwp__limit_notice__number_ranges,
-  (ProtobufCMessageInit) cwp__limit_notice__init,
+  sizeof(Cwp__SignalNotice),
+  3,
+  cwp__signal_notice__field_descriptors,
+  cwp__signal_notice__field_indices_by_name,
+  1,  cwp__signal_notice__number_ranges,
+  (ProtobufCMessageInit) cwp__signal_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor cwp__slot_ask__field_descriptors[10] =
@@ -5830,13 +5843,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limit_notice",
+    "signal_notice",
     15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Cwp__Datagram, content_case),
-    offsetof(Cwp__Datagram, limit_notice),
-    &cwp__limit_notice__descriptor,
+    offsetof(Cwp__Datagram, signal_notice),
+    &cwp__signal_notice__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -5919,7 +5932,6 @@
   5,   /* field[5] = configuration */
   6,   /* field[6] = configuration_request */
   13,   /* field[13] = crash_report */
-  14,   /* field[14] = limit_notice */
   11,   /* field[11] = list_request */
   4,   /* field[4] = nodes */
   12,   /* field[12] = passed_heartbeat */
@@ -5930,6 +5942,7 @@
   17,   /* field[17] = quota_status */
   0,   /* field[0] = report */
   1,   /* field[1] = servers */
+  14,   /* field[14] = signal_notice */
   8,   /* field[8] = slot_ask */
   9,   /* field[9] = slot_reply */
   10,   /* field[10] = slot_return */
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -38,7 +38,7 @@
 typedef struct Cwp__ConfigurationRequest Cwp__ConfigurationRequest;
 typedef struct Cwp__StoreNotice Cwp__StoreNotice;
 typedef struct Cwp__ServerLimit Cwp__ServerLimit;
-typedef struct Cwp__LimitNotice Cwp__LimitNotice;
+typedef struct Cwp__SignalNotice Cwp__SignalNotice;
 typedef struct Cwp__SlotAsk Cwp__SlotAsk;
 typedef struct Cwp__SlotReply Cwp__SlotReply;
 typedef struct Cwp__SlotReturn Cwp__SlotReturn;
@@ -683,21 +683,29 @@
 
 
 /*
- * To all nodes, by way of the relays: a server began or ceased to name a rate limit, or names another one, or goes on.
+ * To all nodes, by way of the relays: what servers have said of themselves to a node.
  */
-struct  Cwp__LimitNotice
+struct  Cwp__SignalNotice
 {
   ProtobufCMessage base;
   /*
    * as in CrashReport
    */
   uint32_t stage;
+  /*
+   * that began, changed or ended, or go on
+   */
   size_t n_limits;
   Cwp__ServerLimit **limits;
+  /*
+   * hashes of incarnations that leave
+   */
+  size_t n_leaving;
+  uint32_t *leaving;
 };
-#define CWP__LIMIT_NOTICE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cwp__limit_notice__descriptor) \
-    , 0, 0,NULL }
+#define CWP__SIGNAL_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__signal_notice__descriptor) \
+    , 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -1109,7 +1117,7 @@
   CWP__DATAGRAM__CONTENT_LIST_REQUEST = 12,
   CWP__DATAGRAM__CONTENT_PASSED_HEARTBEAT = 13,
   CWP__DATAGRAM__CONTENT_CRASH_REPORT = 14,
-  CWP__DATAGRAM__CONTENT_LIMIT_NOTICE = 15,
+  CWP__DATAGRAM__CONTENT_SIGNAL_NOTICE = 15,
   CWP__DATAGRAM__CONTENT_ZONE_SUMMARY = 20,
   CWP__DATAGRAM__CONTENT_QUOTA_REPORT = 21,
   CWP__DATAGRAM__CONTENT_QUOTA_STATUS = 22,
@@ -1138,7 +1146,7 @@
     Cwp__ListRequest *list_request;
     Cwp__PassedHeartbeat *passed_heartbeat;
     Cwp__CrashReport *crash_report;
-    Cwp__LimitNotice *limit_notice;
+    Cwp__SignalNotice *signal_notice;
     Cwp__ZoneSummary *zone_summary;
     Cwp__QuotaReport *quota_report;
     Cwp__QuotaStatus *quota_status;
@@ -1589,24 +1597,24 @@
 void   cwp__server_limit__free_unpacked
                      (Cwp__ServerLimit *message,
                       ProtobufCAllocator *allocator);
-/* Cwp__LimitNotice methods */
-void   cwp__limit_notice__init
-                     (Cwp__LimitNotice         *message);
-size_t cwp__limit_notice__get_packed_size
-                     (const Cwp__LimitNotice   *message);
-size_t cwp__limit_notice__pack
-                     (const Cwp__LimitNotice   *message,
+/* Cwp__SignalNotice methods */
+void   cwp__signal_notice__init
+                     (Cwp__SignalNotice         *message);
+size_t cwp__signal_notice__get_packed_size
+                     (const Cwp__SignalNotice   *message);
+size_t cwp__signal_notice__pack
+                     (const Cwp__SignalNotice   *message,
                       uint8_t             *out);
-size_t cwp__limit_notice__pack_to_buffer
-                     (const Cwp__LimitNotice   *message,
+size_t cwp__signal_notice__pack_to_buffer
+                     (const Cwp__SignalNotice   *message,
                       ProtobufCBuffer     *buffer);
-Cwp__LimitNotice *
-       cwp__limit_notice__unpack
+Cwp__SignalNotice *
+       cwp__signal_notice__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   cwp__limit_notice__free_unpacked
-                     (Cwp__LimitNotice *message,
+void   cwp__signal_notice__free_unpacked
+                     (Cwp__SignalNotice *message,
                       ProtobufCAllocator *allocator);
 /* Cwp__SlotAsk methods */
 void   cwp__slot_ask__init
@@ -1945,8 +1953,8 @@
 typedef void (*Cwp__ServerLimit_Closure)
                  (const Cwp__ServerLimit *message,
                   void *closure_data);
-typedef void (*Cwp__LimitNotice_Closure)
-                 (const Cwp__LimitNotice *message,
+typedef void (*Cwp__SignalNotice_Closure)
+                 (const Cwp__SignalNotice *message,
                   void *closure_data);
 typedef void (*Cwp__SlotAsk_Closure)
                  (const Cwp__SlotAsk *message,
@@ -2019,7 +2027,7 @@
 extern const ProtobufCMessageDescriptor cwp__configuration_request__descriptor;
 extern const ProtobufCMessageDescriptor cwp__store_notice__descriptor;
 extern const ProtobufCMessageDescriptor cwp__server_limit__descriptor;
-extern const ProtobufCMessageDescriptor cwp__limit_notice__descriptor;
+extern const ProtobufCMessageDescriptor cwp__signal_notice__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_ask__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_reply__descriptor;
 extern const ProtobufCMessageDescriptor cwp__slot_return__descriptor;
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -24,6 +24,7 @@
     pool->zone = strdup(zone);
     pool->dropped = dropped;
     pool->context = context;
+    pool->leaves = cw_leave_memory_create();
     return pool;
 }
 
@@ -122,6 +123,7 @@
     while (pool->peers != NULL) {
         cw_server_pool_free_peer(pool, pool->peers);
     }
+    cw_leave_memory_free(pool->leaves);
     free(pool->regions);
     free(pool->zone);
     free(pool);
@@ -284,6 +286,7 @@
     server->hash = (uint32_t)XXH3_64bits(entry->id, strlen(entry->id));
     server->service_hash = cw_server_pool_service_hash(entry->service);
     server->affinity = (double)(XXH3_64bits_withSeed(entry->id, strlen(entry->id), pool->node) >> 11) * 0x1.0p-53;
+    server->has_said_leaving = cw_leave_memory_has(pool->leaves, server->hash);
     server->pace = 1;
     server->cold_per_s = warm_up_of(pool, entry->service).per_s;
     HASH_ADD_KEYPTR(by_id, pool->by_id, server->id, strlen(server->id), server);
@@ -311,7 +314,7 @@
             cw_server_pool_count_others(pool, server);
         }
         server->listed = true;
-        server->draining = entry->draining;
+        server->draining = entry->draining || server->has_said_leaving;
         server->capacity = entry->capacity;
         note_warmth(server, entry, now);
     }
@@ -322,6 +325,30 @@
         }
     }
     cw_server_pool_forget_paces(pool);
+    cw_leave_memory_forget(pool->leaves, now);
+}
+
+bool cw_server_pool_note_leaving(cw_server_pool_t *pool, uint32_t hash, cw_time_us_t owner_grace, cw_time_us_t now)
+{
+    cw_server_t *server = cw_server_pool_by_hash(pool, hash);
+
+    if (!cw_leave_memory_add(pool->leaves, hash, now)) {
+        return false;
+    }
+    if (server == NULL) {
+        return true;
+    }
+    if (!server->draining) {
+        server->leave_until = now + owner_grace;
+    }
+    server->has_said_leaving = true;
+    server->draining = true;
+    return true;
+}
+
+bool cw_server_takes(const cw_server_t *server, bool is_owner, cw_time_us_t now)
+{
+    return !server->draining || (is_owner && now < server->leave_until);
 }
 
 /* ---- this node's requests ---- */
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -47,7 +47,7 @@
     uint32_t           service_hash; /**< and of its service */
     uint32_t           capacity;
     bool               listed;
-    bool               draining;
+    bool               draining;       /**< as it is listed, or as it said itself */
     bool               ended;          /**< another life answered at its address: this one is over */
     uint32_t           own;            /**< requests of this node under way */
     uint32_t           others;         /**< of the other nodes, as reported */
@@ -71,7 +71,8 @@
     double             cold_per_s;         /**< requests a second that it bears while it is cold; 0: no bound known */
     cw_cold_sends_t    cold_sends;         /**< this node's, while it is cold */
     cw_server_limit_t  limit;              /**< that it has named, */
-    bool               has_said_leaving;   /**< in an answer, to this node or to another one */
+    bool               has_said_leaving;   /**< in an answer, to this node or to another one; */
+    cw_time_us_t       leave_until;        /**< requests for keys that it owns may still go there until then */
     cw_time_us_t       rest_until;         /**< it has turned this node away, and wants nothing from it until then */
     cw_time_us_t       limit_allows_at;    /**< not chosen before that: its limit has no room until then, */
     cw_limit_bucket_t  limit_part;         /**< and this node's equal part of it, while nobody counts for all nodes */
@@ -150,6 +151,11 @@
 bool cw_server_is_rate_bounded(const cw_server_t *server, cw_time_us_t now);
 /** Does its zone allow a request there now, if it owns the request's key (or any server will do: false)? */
 bool cw_server_zone_allows(const cw_server_t *server, bool is_owner, cw_time_us_t now);
+/** Is it not leaving? One that has just said so still serves the keys that it owns, while they move. */
+bool cw_server_takes(const cw_server_t *server, bool is_owner, cw_time_us_t now);
+/** The incarnation of this hash, listed or not, has said that it leaves: from now on it counts as draining, whatever is
+ * listed. False: that was known. */
+bool cw_server_pool_note_leaving(cw_server_pool_t *pool, uint32_t hash, cw_time_us_t owner_grace, cw_time_us_t now);
 /** May this node send a request there at all now, if it owns the request's key (or any server will do: false)? */
 bool cw_server_pool_may_send(const cw_server_pool_t *pool, const cw_server_t *server, bool is_owner, cw_time_us_t now);
 
--- a/src/balance/server_pool_internal.h
+++ b/src/balance/server_pool_internal.h
@@ -6,6 +6,7 @@
 #ifndef CEDARWINCH_BALANCE_SERVER_POOL_INTERNAL_H
 #define CEDARWINCH_BALANCE_SERVER_POOL_INTERNAL_H
 
+#include "balance/leave_memory.h"
 #include "balance/server_pool.h"
 
 enum { CW_AVOID_FIRST_MS = 300 /**< a server that failed is passed over for so long, at first */ };
@@ -52,6 +53,7 @@
     service_servers_t    *by_service;
     peer_report_t        *peers;
     service_warm_up_t    *warm_ups;
+    cw_leave_memory_t    *leaves;
     const cw_cold_rate_t *cold_rate; /* NULL: this node sends nothing to cold servers whose rate is bounded */
 };
 
--- a/src/balance/slot_broker.c
+++ b/src/balance/slot_broker.c
@@ -102,8 +102,8 @@
 
 static bool is_usable(const cw_slot_broker_t *broker, const cw_server_t *server, bool is_only, cw_time_us_t now)
 {
-    return server->listed && !server->draining && !server->ended && cw_server_zone_allows(server, is_only, now) &&
-           is_counted_here(broker, server, is_only, now);
+    return server->listed && cw_server_takes(server, is_only, now) && !server->ended &&
+           cw_server_zone_allows(server, is_only, now) && is_counted_here(broker, server, is_only, now);
 }
 
 /* Servers that an ask may go to, and the best of them with a free slot. */
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -50,7 +50,8 @@
     cw_crossing_settings_t      crossing; /**< of a region's border */
     cw_budget_settings_t        budget;
     double                      keyed_extra_slots; /**< requests an owner of keys may have beyond its slots */
-    cw_time_us_t                connect_timeout;
+    cw_time_us_t leave_grace; /**< so long a server that says that it leaves is sent requests for its keys */
+    cw_time_us_t connect_timeout;
     double       silence_factor;    /**< a repeatable request is repeated after so many usual times of silence */
     cw_time_us_t margin;            /**< answers leave this much before the caller's own deadline */
     const char  *credential_scheme; /**< of callers' keys, in "Authorization"; NULL: Bearer */
@@ -103,6 +104,8 @@
     void *context;
     /** The server named its rate limit to this node, or no longer does. */
     void (*limit_stated)(void *context, const cw_server_t *server, cw_limit_change_t change);
+    /** The server said to this node that it leaves; no node had told of it. */
+    void (*leave_stated)(void *context, const cw_server_t *server);
 } cw_signal_port_t;
 
 typedef struct cw_engine cw_engine_t;
@@ -119,6 +122,8 @@
                             const char *request);
 /** Another node states what a server named as its limit at that moment; per_s below 0: that it had ended. */
 void cw_engine_take_limit(cw_engine_t *engine, cw_server_t *server, double per_s, cw_time_us_t made_at);
+/** Another node states that the incarnation of this hash has said that it leaves. */
+void cw_engine_take_leave(cw_engine_t *engine, uint32_t server);
 /** Requests that crash servers are refused from now on. */
 void cw_engine_set_crash_suspects(cw_engine_t *engine, const cw_crash_port_t *port);
 /** Tenants' limits bind from now on. The share is borrowed; it says by cw_engine_quota_decided, never within a call of
--- a/src/proxy/engine_placing.c
+++ b/src/proxy/engine_placing.c
@@ -26,7 +26,7 @@
 {
     cw_server_t *server = cw_request_owner(request);
 
-    if (server == NULL || server->draining || !cw_server_zone_allows(server, true, now)) {
+    if (server == NULL || !cw_server_takes(server, true, now) || !cw_server_zone_allows(server, true, now)) {
         return WAITS_FOR_OWNER;
     }
     if (!cw_server_region_allows(server, &request->regions)) {
@@ -77,6 +77,15 @@
     return PLACED;
 }
 
+/* Its key's owner has said that it leaves, and has had the time in which keys move: nobody knows when there will be
+ * another one. */
+static bool has_no_owner_soon(const cw_request_t *request, cw_time_us_t now)
+{
+    const cw_server_t *owner = request->is_keyed ? cw_request_owner(request) : NULL;
+
+    return owner != NULL && owner->has_said_leaving && !cw_server_takes(owner, true, now);
+}
+
 /* A request that could not be placed: waits, or is told to come back. It is let in if it will be served within its
  * latency objective; from then on it waits for its turn, late too, but no longer than that can come before its
  * deadline. */
@@ -104,7 +113,7 @@
         cw_request_refuse(request, CW_REFUSED_SERVERS);
         return;
     }
-    estimate = cw_request_estimate(request, now);
+    estimate = has_no_owner_soon(request, now) ? CW_NEVER : cw_request_estimate(request, now);
     if (estimate == CW_NEVER) {
         if (now >= request->owner_wait_until) {
             cw_request_refuse(request, why == WAITS_FOR_OWNER ? CW_REFUSED_OWNER : CW_REFUSED_SERVERS);
--- a/src/proxy/engine_signals.c
+++ b/src/proxy/engine_signals.c
@@ -69,21 +69,30 @@
 
 /* ---- leaving, and rest ---- */
 
-static void note_leaving(cw_server_t *server, const char *request)
+/* request: NULL: by the word of another node. False: it was known. */
+static bool note_leaving(cw_engine_t *engine, uint32_t hash, const char *request)
 {
-    cw_event_t event;
+    const cw_server_t *server = cw_server_pool_find_hash(engine->pool, hash);
+    cw_time_us_t       now = cw_engine_now(engine);
+    cw_event_t         event;
 
-    if (server->has_said_leaving) {
-        return;
+    if (!cw_server_pool_note_leaving(engine->pool, hash, engine->settings.leave_grace, now)) {
+        return false;
     }
-    server->has_said_leaving = true;
+    cw_engine_wake(engine); /* what waits for it */
     cw_metric_add(CW_METRIC_SERVERS_LEAVING, 1);
     if (cw_event_begin(&event, CW_EVENT_SERVER_LEAVING)) {
-        cw_event_text(&event, CW_FIELD_SERVER, server->id);
-        cw_event_text(&event, CW_FIELD_SERVICE, server->service);
+        cw_event_text(&event, CW_FIELD_SERVER, server == NULL ? NULL : server->id);
+        cw_event_text(&event, CW_FIELD_SERVICE, server == NULL ? NULL : server->service);
         cw_event_text(&event, CW_FIELD_REQUEST, request);
         cw_event_end(&event);
     }
+    return true;
+}
+
+void cw_engine_take_leave(cw_engine_t *engine, uint32_t server)
+{
+    (void)note_leaving(engine, server, NULL);
 }
 
 /* Answers that cross extend it: the server counts each one's time by itself. */
@@ -118,8 +127,9 @@
 void cw_engine_note_signals(cw_engine_t *engine, cw_server_t *server, const cw_server_signals_t *signals,
                             const char *request)
 {
-    if (signals->is_leaving) {
-        note_leaving(server, request);
+    if (signals->is_leaving && note_leaving(engine, server->hash, request) &&
+        engine->signal_port.leave_stated != NULL) {
+        engine->signal_port.leave_stated(engine->signal_port.context, server);
     }
     note_limit(engine, server, signals, request, cw_engine_now(engine));
 }
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -127,7 +127,7 @@
     cw_router_list_exchange_tick(router, now);
     cw_router_quota_tick(router, now);
     cw_router_crashes_tick(router, now);
-    cw_router_limits_tick(router, now);
+    cw_router_signals_tick(router, now);
     cw_engine_set_nodes(router->engine, nodes_for_budget(router, now), nodes_in_reach(router, now));
     cw_router_store_calls_tick(now);
     cw_router_check_file(router, now);
@@ -149,6 +149,7 @@
                    .window = router->settings.retry_window,
                    .share = 0.75},
         .keyed_extra_slots = 2,
+        .leave_grace = router->settings.drain / 2,
         .connect_timeout = CW_MS(CONNECT_MS),
         .silence_factor = 4,
         .margin = CW_MS(15),
@@ -241,7 +242,7 @@
     cw_router_list_exchange_init(router);
     cw_router_quota_init(router);
     cw_router_crashes_init(router);
-    cw_router_limits_init(router);
+    cw_router_signals_init(router);
     cw_router_peers_init(router);
     snprintf(store_address, sizeof(store_address), "%s:%u", router->settings.store.address,
              router->settings.store.port);
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -23,11 +23,11 @@
 #include "router/configuration_newest.h"
 #include "router/fleet_size.h"
 #include "router/leader_tenure.h"
-#include "router/limit_notices.h"
 #include "router/list_history.h"
 #include "router/pass_on_queue.h"
 #include "router/replaced_numbers.h"
 #include "router/router.h"
+#include "router/signal_notices.h"
 #include "router/store_reach.h"
 #include "router/store_reader.h"
 #include "router/table_pages.h"
@@ -98,7 +98,7 @@
     cw_router_relay_t   *relay;
     cw_router_quota_t   *quota;
     cw_router_crashes_t *crashes;
-    cw_limit_notices_t  *limit_notices;
+    cw_signal_notices_t *signal_notices;
     cw_configuration_t  *configuration;
     cw_time_us_t         started_at;
     cw_time_us_t         stopping_at; /**< 0: not stopping */
@@ -386,15 +386,15 @@
 void cw_router_take_crash_report(cw_router_t *router, const cw_peer_t *sender, const Cwp__Datagram *datagram,
                                  cw_time_us_t now);
 
-/* ---- router_limits.c ---- */
-void cw_router_limits_init(cw_router_t *router);
-void cw_router_limits_tick(cw_router_t *router, cw_time_us_t now);
+/* ---- router_signals.c ---- */
+void cw_router_signals_init(cw_router_t *router);
+void cw_router_signals_tick(cw_router_t *router, cw_time_us_t now);
 /** The limit of the server of this hash, for a message; false: it has none now. */
 bool cw_router_limits_pack(const cw_router_t *router, uint32_t hash, Cwp__ServerLimit *message);
 /** Another node states a server's limit. */
 void cw_router_limits_take(cw_router_t *router, const Cwp__ServerLimit *message, cw_time_us_t now);
-void cw_router_take_limit_notice(cw_router_t *router, const cw_peer_t *sender, const Cwp__Datagram *datagram,
-                                 cw_time_us_t now);
+void cw_router_take_signal_notice(cw_router_t *router, const cw_peer_t *sender, const Cwp__Datagram *datagram,
+                                  cw_time_us_t now);
 
 /* ---- router_store_calls.c ---- */
 /** Logs the calls to the store since the last line, each few seconds in which there were any. */
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -5,8 +5,9 @@
  * Rules:
  *  - The first plan waits until servers have signed in, and a list that lacks most owners is doubted for a while
  *    (plan_timing.h).
- *  - A server is given keys only while it is not leaving, its zone is in service and this node has no reason to avoid
- *    it. A cold server whose rate is bounded is given none: an owner gets all requests for its keys.
+ *  - A server is given keys only while it is not leaving, by its entry or by its own word, its zone is in service and
+ * this node has no reason to avoid it. A cold server whose rate is bounded is given none: an owner gets all requests
+ * for its keys.
  *  - One that names a rate limit has no more room than that, however many slots it has.
  *  - It is given none in a region to which no route to the service, or no tenant, may send (region_owners.h).
  *  - One that orders did not reach is given none while another can be (order_trust.h).
@@ -92,6 +93,7 @@
         planned = add_server(servers);
         planned->entry = entry;
         planned->is_barred = cw_zone_service_is_out(router->zones, entry->zone) ||
+                             (server != NULL && server->has_said_leaving) ||
                              (server != NULL && !may_own(&answers, router->configuration, service, server->region));
         planned->usable = !entry->draining && !planned->is_barred && server != NULL && server->avoid_until <= now &&
                           !cw_server_is_rate_bounded(server, now);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -220,8 +220,8 @@
     case CWP__DATAGRAM__CONTENT_CRASH_REPORT:
         cw_router_take_crash_report(router, peer, datagram, now);
         break;
-    case CWP__DATAGRAM__CONTENT_LIMIT_NOTICE:
-        cw_router_take_limit_notice(router, peer, datagram, now);
+    case CWP__DATAGRAM__CONTENT_SIGNAL_NOTICE:
+        cw_router_take_signal_notice(router, peer, datagram, now);
         break;
     case CWP__DATAGRAM__CONTENT_ZONE_SUMMARY:
         cw_router_take_zone_summary(router, datagram, now);
--- a/src/router/router_limits.c
+++ b/src/router/router_signals.c
@@ -1,5 +1,5 @@
 /**
- * @file router_limits.c
+ * @file router_signals.c
  * @brief Rate limits of servers between nodes: notices of them, broadcast (router_broadcast.c), and with asks for
  * slots.
  */
@@ -27,7 +27,14 @@
 {
     cw_router_t *router = context;
 
-    cw_limit_notices_note(router->limit_notices, server->hash, change, cw_router_now(router));
+    cw_signal_notices_note(router->signal_notices, server->hash, change, cw_router_now(router));
+}
+
+static void leave_stated(void *context, const cw_server_t *server)
+{
+    cw_router_t *router = context;
+
+    cw_signal_notices_note_leave(router->signal_notices, server->hash, cw_router_now(router));
 }
 
 /* ---- out ---- */
@@ -63,11 +70,27 @@
     return true;
 }
 
+/* Is its leave still to be told? The list says so soon, or has lost it. */
+static bool is_leave_told(cw_router_t *router, uint32_t hash)
+{
+    const cw_server_t       *server = cw_server_pool_find_hash(router->pool, hash);
+    const cw_server_entry_t *entry = server == NULL || router->server_view.list == NULL
+                                         ? NULL
+                                         : cw_server_list_find(router->server_view.list, server->id);
+
+    if (entry == NULL || entry->draining) {
+        cw_signal_notices_end_leave(router->signal_notices, hash);
+        return false;
+    }
+    return server->has_said_leaving;
+}
+
 static void send_notice(cw_router_t *router, const uint32_t *servers, size_t count, cw_time_us_t now)
 {
-    static Cwp__ServerLimit  limits[CW_LIMIT_NOTICES_MOST];
-    static Cwp__ServerLimit *pointers[CW_LIMIT_NOTICES_MOST];
-    Cwp__LimitNotice         notice = CWP__LIMIT_NOTICE__INIT;
+    static Cwp__ServerLimit  limits[CW_SIGNAL_NOTICES_MOST];
+    static Cwp__ServerLimit *pointers[CW_SIGNAL_NOTICES_MOST];
+    static uint32_t          leaving[CW_SIGNAL_NOTICES_MOST];
+    Cwp__SignalNotice        notice = CWP__SIGNAL_NOTICE__INIT;
     Cwp__Datagram            datagram = CWP__DATAGRAM__INIT;
     size_t                   index;
 
@@ -77,21 +100,25 @@
             pointers[notice.n_limits] = &limits[notice.n_limits];
             notice.n_limits++;
         }
+        if (is_leave_told(router, servers[index])) {
+            leaving[notice.n_leaving++] = servers[index];
+        }
     }
-    if (notice.n_limits == 0) {
+    if (notice.n_limits + notice.n_leaving == 0) {
         return;
     }
     notice.stage = CW_BROADCAST_FROM_NODE;
     notice.limits = pointers;
-    datagram.content_case = CWP__DATAGRAM__CONTENT_LIMIT_NOTICE;
-    datagram.limit_notice = &notice;
+    notice.leaving = leaving;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_SIGNAL_NOTICE;
+    datagram.signal_notice = &notice;
     cw_router_broadcast(router, cw_peer_link_pack(router->link, &datagram), now);
 }
 
-void cw_router_limits_tick(cw_router_t *router, cw_time_us_t now)
+void cw_router_signals_tick(cw_router_t *router, cw_time_us_t now)
 {
-    uint32_t servers[CW_LIMIT_NOTICES_MOST];
-    size_t   count = cw_limit_notices_due(router->limit_notices, servers, now);
+    uint32_t servers[CW_SIGNAL_NOTICES_MOST];
+    size_t   count = cw_signal_notices_due(router->signal_notices, servers, now);
 
     if (count > 0) {
         send_notice(router, servers, count, now);
@@ -109,23 +136,27 @@
     }
 }
 
-void cw_router_take_limit_notice(cw_router_t *router, const cw_peer_t *sender, const Cwp__Datagram *datagram,
-                                 cw_time_us_t now)
+void cw_router_take_signal_notice(cw_router_t *router, const cw_peer_t *sender, const Cwp__Datagram *datagram,
+                                  cw_time_us_t now)
 {
-    const Cwp__LimitNotice *notice = datagram->limit_notice;
-    size_t                  index;
+    const Cwp__SignalNotice *notice = datagram->signal_notice;
+    size_t                   index;
 
     for (index = 0; index < notice->n_limits; index++) {
-        cw_limit_notices_note_received(router->limit_notices, notice->limits[index]->server, now);
+        cw_signal_notices_note_received(router->signal_notices, notice->limits[index]->server, now);
         cw_router_limits_take(router, notice->limits[index], now);
     }
-    cw_router_pass_on_broadcast(router, sender, datagram, &datagram->limit_notice->stage);
+    for (index = 0; index < notice->n_leaving; index++) {
+        cw_signal_notices_note_received(router->signal_notices, notice->leaving[index], now);
+        cw_engine_take_leave(router->engine, notice->leaving[index]);
+    }
+    cw_router_pass_on_broadcast(router, sender, datagram, &datagram->signal_notice->stage);
 }
 
-void cw_router_limits_init(cw_router_t *router)
+void cw_router_signals_init(cw_router_t *router)
 {
-    cw_signal_port_t port = {.context = router, .limit_stated = limit_stated};
+    cw_signal_port_t port = {.context = router, .limit_stated = limit_stated, .leave_stated = leave_stated};
 
-    router->limit_notices = cw_limit_notices_create();
+    router->signal_notices = cw_signal_notices_create();
     cw_engine_set_signal_port(router->engine, &port);
 }
--- a/src/router/limit_notices.c
+++ b/src/router/signal_notices.c
@@ -1,8 +1,8 @@
 /**
- * @file limit_notices.c
- * @brief When a server's rate limit is told to the other nodes.
+ * @file signal_notices.c
+ * @brief When the other nodes are told of a server.
  */
-#include "router/limit_notices.h"
+#include "router/signal_notices.h"
 
 #include <stdlib.h>
 #include <uthash.h>
@@ -19,17 +19,18 @@
     uint32_t       sends_left;
     cw_time_us_t   send_at;
     cw_time_us_t   told_at; /* last begun here, or received */
+    bool           is_leave;
     UT_hash_handle hh;
 } notice_t;
 
-struct cw_limit_notices {
+struct cw_signal_notices {
     notice_t    *by_server;
     cw_time_us_t next_at; /* nothing is due before */
 };
 
-cw_limit_notices_t *cw_limit_notices_create(void)
+cw_signal_notices_t *cw_signal_notices_create(void)
 {
-    cw_limit_notices_t *notices = calloc(1, sizeof(*notices));
+    cw_signal_notices_t *notices = calloc(1, sizeof(*notices));
 
     if (notices == NULL) {
         abort();
@@ -38,13 +39,13 @@
     return notices;
 }
 
-static void drop(cw_limit_notices_t *notices, notice_t *notice)
+static void drop(cw_signal_notices_t *notices, notice_t *notice)
 {
     HASH_DEL(notices->by_server, notice); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
     free(notice);
 }
 
-void cw_limit_notices_free(cw_limit_notices_t *notices)
+void cw_signal_notices_free(cw_signal_notices_t *notices)
 {
     notice_t *notice;
     notice_t *next;
@@ -56,7 +57,7 @@
     free(notices);
 }
 
-static notice_t *find(cw_limit_notices_t *notices, uint32_t server)
+static notice_t *find(cw_signal_notices_t *notices, uint32_t server)
 {
     notice_t *notice;
 
@@ -64,7 +65,7 @@
     return notice;
 }
 
-static notice_t *find_or_add(cw_limit_notices_t *notices, uint32_t server)
+static notice_t *find_or_add(cw_signal_notices_t *notices, uint32_t server)
 {
     notice_t *notice = find(notices, server);
 
@@ -93,7 +94,7 @@
     return CW_MS(RENEWED_EVERY_MS);
 }
 
-void cw_limit_notices_note(cw_limit_notices_t *notices, uint32_t server, cw_limit_change_t change, cw_time_us_t now)
+void cw_signal_notices_note(cw_signal_notices_t *notices, uint32_t server, cw_limit_change_t change, cw_time_us_t now)
 {
     notice_t *notice = find_or_add(notices, server);
 
@@ -106,12 +107,50 @@
     notices->next_at = now;
 }
 
-void cw_limit_notices_note_received(cw_limit_notices_t *notices, uint32_t server, cw_time_us_t now)
+void cw_signal_notices_note_leave(cw_signal_notices_t *notices, uint32_t server, cw_time_us_t now)
+{
+    find_or_add(notices, server)->is_leave = true;
+    cw_signal_notices_note(notices, server, CW_LIMIT_BEGUN, now);
+}
+
+void cw_signal_notices_end_leave(cw_signal_notices_t *notices, uint32_t server)
+{
+    notice_t *notice = find(notices, server);
+
+    if (notice != NULL) {
+        notice->is_leave = false;
+    }
+}
+
+void cw_signal_notices_note_received(cw_signal_notices_t *notices, uint32_t server, cw_time_us_t now)
 {
     find_or_add(notices, server)->told_at = now;
 }
 
-size_t cw_limit_notices_due(cw_limit_notices_t *notices, uint32_t servers[CW_LIMIT_NOTICES_MOST], cw_time_us_t now)
+/* A leave begins anew when nobody has told of it for a while. */
+static void renew_leave(notice_t *notice, cw_time_us_t now)
+{
+    if (notice->is_leave && notice->sends_left == 0 && now - notice->told_at >= CW_MS(RENEWED_EVERY_MS)) {
+        notice->told_at = now;
+        notice->sends_left = 1;
+        notice->send_at = now;
+    }
+}
+
+static cw_time_us_t next_look(const notice_t *notice)
+{
+    if (notice->sends_left > 0) {
+        return notice->send_at;
+    }
+    return notice->is_leave ? notice->told_at + CW_MS(RENEWED_EVERY_MS) : CW_NEVER;
+}
+
+static bool is_over(const notice_t *notice, cw_time_us_t now)
+{
+    return notice->sends_left == 0 && !notice->is_leave && now - notice->told_at > CW_MS(CW_LIMIT_FORGOTTEN_MS);
+}
+
+size_t cw_signal_notices_due(cw_signal_notices_t *notices, uint32_t servers[CW_SIGNAL_NOTICES_MOST], cw_time_us_t now)
 {
     notice_t *notice;
     notice_t *next;
@@ -123,21 +162,21 @@
     notices->next_at = CW_NEVER;
     HASH_ITER(hh, notices->by_server, notice, next)
     {
-        if (notice->sends_left > 0 && notice->send_at <= now && count < CW_LIMIT_NOTICES_MOST) {
+        renew_leave(notice, now);
+        if (notice->sends_left > 0 && notice->send_at <= now && count < CW_SIGNAL_NOTICES_MOST) {
             servers[count++] = notice->server;
             notice->sends_left--;
             notice->send_at = now + CW_MS(SEND_AGAIN_MS);
         }
-        if (notice->sends_left > 0) {
-            notices->next_at = notice->send_at < notices->next_at ? notice->send_at : notices->next_at;
-        } else if (now - notice->told_at > CW_MS(CW_LIMIT_FORGOTTEN_MS)) {
+        notices->next_at = next_look(notice) < notices->next_at ? next_look(notice) : notices->next_at;
+        if (is_over(notice, now)) {
             drop(notices, notice);
         }
     }
     return count;
 }
 
-size_t cw_limit_notices_servers(const cw_limit_notices_t *notices)
+size_t cw_signal_notices_servers(const cw_signal_notices_t *notices)
 {
     return HASH_COUNT(notices->by_server);
 }
--- /dev/null
+++ b/tests/test_signal_notices.c
@@ -0,0 +1,140 @@
+/**
+ * @file test_signal_notices.c
+ * @brief When the other nodes are told of a server: once by whoever sees it first, not by all that do.
+ */
+#include "loop_fixture.h"
+#include "router/signal_notices.h"
+
+static const cw_time_us_t start = CW_SECONDS(100);
+
+/* Notices that go out until then, looked for every 10 ms. */
+static size_t sent_until(cw_signal_notices_t *notices, cw_time_us_t from, cw_time_us_t until)
+{
+    uint32_t     servers[CW_SIGNAL_NOTICES_MOST];
+    size_t       sent = 0;
+    cw_time_us_t now;
+
+    for (now = from; now < until; now += CW_MS(10)) {
+        sent += cw_signal_notices_due(notices, servers, now);
+    }
+    return sent;
+}
+
+START_TEST(a_limit_is_told_at_once_and_repeated)
+{
+    cw_signal_notices_t *notices = cw_signal_notices_create();
+    uint32_t             servers[CW_SIGNAL_NOTICES_MOST];
+
+    cw_signal_notices_note(notices, 7, CW_LIMIT_BEGUN, start);
+    ck_assert_uint_eq(cw_signal_notices_due(notices, servers, start), 1);
+    ck_assert_uint_eq(servers[0], 7);
+    ck_assert_uint_eq(sent_until(notices, start, start + CW_SECONDS(2)), 2);
+    cw_signal_notices_free(notices);
+}
+END_TEST
+
+START_TEST(answers_that_go_on_naming_it_bring_a_notice_every_few_seconds)
+{
+    cw_signal_notices_t *notices = cw_signal_notices_create();
+    size_t               sent = 0;
+    int                  round;
+
+    cw_signal_notices_note(notices, 7, CW_LIMIT_BEGUN, start);
+    for (round = 0; round < 1000; round++) { /* a hundred answers a second */
+        cw_time_us_t now = start + round * CW_MS(10);
+
+        cw_signal_notices_note(notices, 7, CW_LIMIT_UNCHANGED, now);
+        sent += sent_until(notices, now, now + CW_MS(10));
+    }
+    ck_assert_uint_eq(sent, 4 * 3); /* at 0, 3, 6 and 9 s */
+    cw_signal_notices_free(notices);
+}
+END_TEST
+
+START_TEST(a_limit_that_changes_with_each_answer_costs_few_notices)
+{
+    cw_signal_notices_t *notices = cw_signal_notices_create();
+    size_t               sent = 0;
+    int                  round;
+
+    for (round = 0; round < 1000; round++) {
+        cw_time_us_t now = start + round * CW_MS(10);
+
+        cw_signal_notices_note(notices, 7, CW_LIMIT_CHANGED, now);
+        sent += sent_until(notices, now, now + CW_MS(10));
+    }
+    ck_assert_uint_le(sent, 3 * 20);
+    cw_signal_notices_free(notices);
+}
+END_TEST
+
+START_TEST(what_another_node_tells_is_not_told_again)
+{
+    cw_signal_notices_t *notices = cw_signal_notices_create();
+
+    cw_signal_notices_note_received(notices, 7, start);
+    cw_signal_notices_note(notices, 7, CW_LIMIT_UNCHANGED, start + CW_MS(10));
+    ck_assert_uint_eq(sent_until(notices, start, start + CW_SECONDS(1)), 0);
+    cw_signal_notices_note(notices, 7, CW_LIMIT_UNCHANGED, start + CW_SECONDS(3)); /* nobody has for long */
+    ck_assert_uint_eq(sent_until(notices, start + CW_SECONDS(3), start + CW_SECONDS(4)), 3);
+    cw_signal_notices_free(notices);
+}
+END_TEST
+
+START_TEST(many_limits_at_once_are_told_a_datagram_at_a_time)
+{
+    cw_signal_notices_t *notices = cw_signal_notices_create();
+    uint32_t             servers[CW_SIGNAL_NOTICES_MOST];
+    uint32_t             server;
+
+    for (server = 1; server <= 2 * CW_SIGNAL_NOTICES_MOST; server++) {
+        cw_signal_notices_note(notices, server, CW_LIMIT_BEGUN, start);
+    }
+    ck_assert_uint_eq(cw_signal_notices_due(notices, servers, start), CW_SIGNAL_NOTICES_MOST);
+    ck_assert_uint_eq(cw_signal_notices_due(notices, servers, start), CW_SIGNAL_NOTICES_MOST);
+    ck_assert_uint_eq(cw_signal_notices_due(notices, servers, start), 0);
+    cw_signal_notices_free(notices);
+}
+END_TEST
+
+START_TEST(a_leave_is_told_until_it_is_listed)
+{
+    cw_signal_notices_t *notices = cw_signal_notices_create();
+
+    cw_signal_notices_note_leave(notices, 7, start);
+    ck_assert_uint_eq(sent_until(notices, start, start + CW_SECONDS(2)), 3);
+    ck_assert_uint_eq(sent_until(notices, start + CW_SECONDS(2), start + CW_SECONDS(14)), 4); /* at 3, 6, 9 and 12 s */
+    cw_signal_notices_end_leave(notices, 7);
+    ck_assert_uint_eq(sent_until(notices, start + CW_SECONDS(14), start + CW_SECONDS(60)), 0);
+    cw_signal_notices_free(notices);
+}
+END_TEST
+
+START_TEST(servers_that_name_none_any_more_are_forgotten)
+{
+    cw_signal_notices_t *notices = cw_signal_notices_create();
+
+    cw_signal_notices_note(notices, 7, CW_LIMIT_BEGUN, start);
+    (void)sent_until(notices, start, start + CW_SECONDS(2));
+    cw_signal_notices_note(notices, 8, CW_LIMIT_BEGUN, start + CW_SECONDS(20));
+    (void)sent_until(notices, start + CW_SECONDS(20), start + CW_SECONDS(21));
+    ck_assert_uint_eq(cw_signal_notices_servers(notices), 1);
+    cw_signal_notices_free(notices);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("signal notices");
+    TCase *cases = tcase_create("notices");
+
+    tcase_add_test(cases, a_limit_is_told_at_once_and_repeated);
+    tcase_add_test(cases, answers_that_go_on_naming_it_bring_a_notice_every_few_seconds);
+    tcase_add_test(cases, a_limit_that_changes_with_each_answer_costs_few_notices);
+    tcase_add_test(cases, what_another_node_tells_is_not_told_again);
+    tcase_add_test(cases, many_limits_at_once_are_told_a_datagram_at_a_time);
+    tcase_add_test(cases, a_leave_is_told_until_it_is_listed);
+    tcase_add_test(cases, servers_that_name_none_any_more_are_forgotten);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
