Servers that turn a node away and ask for rest are left alone by it until then

Where all servers of a service rest, the shortest rest is told. Where slots are handed out, one of a server that rests is declined, and another asked for once. It is no fault: trust, suspects and crashes are as before. Nobody else is told: the rest binds the node that was turned away.

--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -154,8 +154,7 @@
                       cw_time_us_t now)
 {
     return cw_server_has_slot(server, settings->extra_slots, now) && !is_being_tried(server) &&
-           !(cw_server_is_limited(server, now) && now < server->limit_allows_at) &&
-           cw_server_pool_may_send(pool, server, false, now);
+           !cw_server_is_held_off(server, now) && cw_server_pool_may_send(pool, server, false, now);
 }
 
 cw_server_t *cw_server_pool_choose(cw_server_pool_t *pool, const char *service, const cw_choice_settings_t *settings,
@@ -198,7 +197,7 @@
 {
     return server->listed && !server->draining && !server->ended && server->avoid_until <= now &&
            !server->zone_is_out && !cw_server_is_rate_bounded(server, now) && !cw_server_is_limited(server, now) &&
-           strcmp(server->service, service) == 0;
+           !cw_server_rests(server, now) && strcmp(server->service, service) == 0;
 }
 
 /* rule: NULL: none. */
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -165,10 +165,17 @@
 bool cw_server_take_limit_part(cw_server_t *server, uint32_t nodes, cw_time_us_t now);
 /** The node that counts for all replies: the own part begins anew when it is needed again. */
 void cw_server_clear_limit_part(cw_server_t *server);
-/** When the first of the servers of a service to which a request under this rule may go is allowed another request by
- * its rate limit, if all of them have one; CW_NEVER: one has none, or there are no servers. */
-cw_time_us_t cw_server_pool_limits_allow_at(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
-                                            cw_time_us_t now);
+/** Has it turned this node away, and asked for a rest that is not over? */
+bool cw_server_rests(const cw_server_t *server, cw_time_us_t now);
+/** Do all servers of a service rest to which a request under this rule may go? False: there are none. */
+bool cw_server_pool_all_rest(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                             cw_time_us_t now);
+/** It rests, or its rate limit has no room. */
+bool cw_server_is_held_off(const cw_server_t *server, cw_time_us_t now);
+/** When the first of the servers of a service to which a request under this rule may go has room again by its rate
+ * limit or its rest, if all of them have one or the other; CW_NEVER: one has neither, or there are no servers. */
+cw_time_us_t cw_server_pool_held_off_until(cw_server_pool_t *pool, const char *service, const cw_region_rule_t *rule,
+                                           cw_time_us_t now);
 
 /** A request goes there, and has come to its end. */
 void cw_server_pool_begin(cw_server_t *server, cw_time_us_t now);
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -133,6 +133,8 @@
     X(REFUSED_CRASHES, "cedarwinch_refused_crashes_total", "counter", "refused: the request crashes servers")          \
     X(REFUSED_SERVER_LIMIT, "cedarwinch_refused_server_limit_total", "counter",                                        \
       "refused: beyond the rate limit of its server, or of all servers that would do")                                 \
+    X(REFUSED_REST, "cedarwinch_refused_rest_total", "counter",                                                        \
+      "refused: its server, or all servers that would do, had asked this node for rest")                               \
     X(SERVERS_CRASHED, "cedarwinch_servers_crashed_total", "counter",                                                  \
       "servers that this node saw end with a request under way")                                                       \
     X(CRASH_SUSPECTS, "cedarwinch_crash_suspects", "gauge", "requests remembered that were under way at crashes")      \
--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -19,6 +19,12 @@
 
 /* The first one that fits counts. */
 static const cause_t causes[] = {
+    {"refused",
+     "the server asked for rest",
+     NULL,
+     "503: its server, or each that would do, had turned a request of this node away and wants nothing from it until "
+     "then",
+     {.events = {"server rests"}}},
     {"refused",
      "the server's rate limit",
      NULL,
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -138,8 +138,8 @@
     if (reason == CW_REFUSED_CRASHES) {
         return cw_request_is_crash_suspect(request, now, &wait) ? wait : come_back_min;
     }
-    if (reason == CW_REFUSED_SERVER_LIMIT) { /* no earlier time would be true */
-        wait = cw_request_limit_wait(request, now);
+    if (reason == CW_REFUSED_SERVER_LIMIT || reason == CW_REFUSED_REST) { /* no earlier time would be true */
+        wait = cw_request_holdoff(request, now);
         return wait < come_back_min ? come_back_min : wait;
     }
     if (reason == CW_REFUSED_STOPPING || reason == CW_REFUSED_KEY_MOVED) {
@@ -155,17 +155,23 @@
 
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason)
 {
-    static const char *const names[] = {
-        "no slot in time", "owner of the key not known or moving",     "no server",          "outside regions",
-        "this node stops", "the caller's key is another tenant's now", "it crashes servers", "the server's rate limit"};
-    static const cw_metric_t metrics[] = {CW_METRIC_REFUSED_LOAD,     CW_METRIC_REFUSED_OWNER,
-                                          CW_METRIC_REFUSED_SERVERS,  CW_METRIC_REFUSED_REGIONS,
-                                          CW_METRIC_REFUSED_STOPPING, CW_METRIC_REFUSED_KEY_MOVED,
-                                          CW_METRIC_REFUSED_CRASHES,  CW_METRIC_REFUSED_SERVER_LIMIT};
-    cw_time_us_t             now = cw_engine_now(request->engine);
-    cw_time_us_t             wait;
-    cw_http_outbound_t       outbound = {.status = STATUS_UNAVAILABLE};
-    cw_event_t               event;
+    static const char *const names[] = {"no slot in time",
+                                        "owner of the key not known or moving",
+                                        "no server",
+                                        "outside regions",
+                                        "this node stops",
+                                        "the caller's key is another tenant's now",
+                                        "it crashes servers",
+                                        "the server's rate limit",
+                                        "the server asked for rest"};
+    static const cw_metric_t metrics[] = {
+        CW_METRIC_REFUSED_LOAD,    CW_METRIC_REFUSED_OWNER,        CW_METRIC_REFUSED_SERVERS,
+        CW_METRIC_REFUSED_REGIONS, CW_METRIC_REFUSED_STOPPING,     CW_METRIC_REFUSED_KEY_MOVED,
+        CW_METRIC_REFUSED_CRASHES, CW_METRIC_REFUSED_SERVER_LIMIT, CW_METRIC_REFUSED_REST};
+    cw_time_us_t       now = cw_engine_now(request->engine);
+    cw_time_us_t       wait;
+    cw_http_outbound_t outbound = {.status = STATUS_UNAVAILABLE};
+    cw_event_t         event;
 
     if (cw_final_of(request->may_have_run, request->call != NULL, false) != CW_FINAL_REFUSED) {
         cw_request_fail_unknown(request, names[reason]);
--- a/src/proxy/engine_claim.c
+++ b/src/proxy/engine_claim.c
@@ -178,7 +178,7 @@
 /* A request that may go elsewhere does not wait for this server. */
 static cw_time_us_t wait_at(const cw_request_t *request, cw_time_us_t now)
 {
-    return request->is_keyed || cw_request_is_over_limits(request, now) ? request->deadline - now : 0;
+    return request->is_keyed || cw_request_is_held_off(request, now) ? request->deadline - now : 0;
 }
 
 bool cw_request_ask_slot(cw_request_t *request, const cw_server_t *only, cw_time_us_t now)
--- a/src/proxy/engine_limits.c
+++ b/src/proxy/engine_holdoff.c
@@ -1,6 +1,7 @@
 /**
- * @file engine_limits.c
- * @brief Requests for servers that name a rate limit (server_limit.h).
+ * @file engine_holdoff.c
+ * @brief Requests for servers that this node may not send to now: beyond their rate limits (server_limit.h), or at
+ * rest.
  *
  * Such a server is sent to by leave of the node that counts its slots, where nodes are few too. While that node does
  * not reply, each node has an equal part of the limit for itself. What is beyond is refused at once, with the time to
@@ -46,20 +47,40 @@
 
 static cw_time_us_t allowed_at(const cw_request_t *request, cw_time_us_t now)
 {
-    return cw_server_pool_limits_allow_at(request->engine->pool, request->service->name, &request->regions, now);
+    return cw_server_pool_held_off_until(request->engine->pool, request->service->name, &request->regions, now);
 }
 
-bool cw_request_is_over_limits(const cw_request_t *request, cw_time_us_t now)
+bool cw_request_is_held_off(const cw_request_t *request, cw_time_us_t now)
 {
     return allowed_at(request, now) != CW_NEVER;
 }
 
-cw_time_us_t cw_request_limit_wait(const cw_request_t *request, cw_time_us_t now)
+bool cw_request_rests(const cw_request_t *request, cw_time_us_t now)
 {
-    cw_time_us_t allowed = request->is_keyed ? CW_NEVER : allowed_at(request, now);
+    const cw_server_t *owner = request->is_keyed ? cw_request_owner(request) : NULL;
 
-    if (allowed != CW_NEVER && allowed > now) {
-        return allowed - now;
+    return owner != NULL && cw_server_rests(owner, now);
+}
+
+bool cw_request_all_rest(const cw_request_t *request, cw_time_us_t now)
+{
+    return cw_server_pool_all_rest(request->engine->pool, request->service->name, &request->regions, now);
+}
+
+bool cw_request_waits_in_vain(const cw_request_t *request, cw_time_us_t now)
+{
+    return cw_request_waits_for_slot(request) && cw_request_rests(request, now);
+}
+
+cw_time_us_t cw_request_holdoff(const cw_request_t *request, cw_time_us_t now)
+{
+    cw_time_us_t until = request->is_keyed ? CW_NEVER : allowed_at(request, now);
+
+    if (cw_request_rests(request, now)) {
+        return cw_request_owner(request)->rest_until - now;
+    }
+    if (until != CW_NEVER && until > now) {
+        return until - now;
     }
     return request->claim.free_after > 0 ? request->claim.free_after : CW_MS(UNASKED_MS);
 }
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -52,13 +52,14 @@
     uint32_t            broker;
     cw_claim_stage_t    stages[CW_SLOT_STAGES_MAX]; /**< made once, before the first ask */
     size_t              stage_count;
-    size_t              stage;      /**< the present one */
-    cw_time_us_t        wait;       /**< told with the ask */
-    uint32_t            server;     /**< hash of the only one that will do; 0: any */
-    uint32_t            asks;       /**< sent for this ticket */
-    cw_time_us_t        due;        /**< a reply should have come by then */
-    cw_time_us_t        free_after; /**< as it was refused last; 0: not told */
-    bool                is_direct;  /**< brokers do not reply: the server is chosen here */
+    size_t              stage;       /**< the present one */
+    cw_time_us_t        wait;        /**< told with the ask */
+    uint32_t            server;      /**< hash of the only one that will do; 0: any */
+    uint32_t            asks;        /**< sent for this ticket */
+    cw_time_us_t        due;         /**< a reply should have come by then */
+    cw_time_us_t        free_after;  /**< as it was refused last; 0: not told */
+    bool                is_declined; /**< a slot of a server that rests was declined */
+    bool                is_direct;   /**< brokers do not reply: the server is chosen here */
     cw_slot_end_t       end;
     bool                has_signals;
     cw_server_signals_t signals; /**< said with the answer */
@@ -303,7 +304,7 @@
 /** Gives its slot back, or withdraws its ask; nothing if it has neither. */
 void cw_request_return_slot(cw_request_t *request);
 
-/* ---- engine_limits.c ---- */
+/* ---- engine_holdoff.c ---- */
 /** May it be sent to this server without a slot? One with a rate limit takes a token of this node's own part. */
 bool cw_request_may_send_unasked(const cw_request_t *request, cw_server_t *server, cw_time_us_t now);
 /** As cw_request_choose; what is chosen may be sent to without a slot. */
@@ -313,10 +314,16 @@
 cw_server_t *cw_request_choose_or_ask(cw_request_t *request, cw_time_us_t now, bool *full, bool *asked);
 /** The node that counts has refused a slot of this server for so long: it is not chosen until then. */
 void cw_server_note_limit_refused(cw_server_t *server, cw_time_us_t free_after, cw_time_us_t now);
-/** All servers that it may go to have a rate limit, and none has room now. */
-bool cw_request_is_over_limits(const cw_request_t *request, cw_time_us_t now);
-/** Time after which its server's rate limit, or that of one of those it may go to, is expected to have room. */
-cw_time_us_t cw_request_limit_wait(const cw_request_t *request, cw_time_us_t now);
+/** All servers that it may go to have a rate limit, or rest. */
+bool cw_request_is_held_off(const cw_request_t *request, cw_time_us_t now);
+/** The owner of its key has asked this node for a rest. */
+bool cw_request_rests(const cw_request_t *request, cw_time_us_t now);
+/** So have all servers that it may go to. */
+bool cw_request_all_rest(const cw_request_t *request, cw_time_us_t now);
+/** It waits for a slot of an owner that rests meanwhile. */
+bool cw_request_waits_in_vain(const cw_request_t *request, cw_time_us_t now);
+/** Time after which its server, or one of those it may go to, is expected to have room. */
+cw_time_us_t cw_request_holdoff(const cw_request_t *request, cw_time_us_t now);
 
 /* ---- engine_slots.c ---- */
 /** No reply has come when it was due. */
@@ -347,9 +354,10 @@
     CW_REFUSED_SERVERS,
     CW_REFUSED_REGIONS, /**< its key's owner lies where it may not go */
     CW_REFUSED_STOPPING,
-    CW_REFUSED_KEY_MOVED,   /**< the caller's key is another tenant's now */
-    CW_REFUSED_CRASHES,     /**< it crashes the servers that run it */
-    CW_REFUSED_SERVER_LIMIT /**< beyond the rate limit of its server, or of all that it may go to */
+    CW_REFUSED_KEY_MOVED,    /**< the caller's key is another tenant's now */
+    CW_REFUSED_CRASHES,      /**< it crashes the servers that run it */
+    CW_REFUSED_SERVER_LIMIT, /**< beyond the rate limit of its server, or of all that it may go to */
+    CW_REFUSED_REST /**< its server, or one of those that it may go to while none has room, has asked for rest */
 } cw_refusal_t;
 /** Not run, and never will: 503 with the time to come back. */
 void cw_request_refuse(cw_request_t *request, cw_refusal_t reason);
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -154,6 +154,10 @@
     bool         misdirected = status == STATUS_MISDIRECTED;
 
     cw_metric_add(CW_METRIC_NOT_RUN, 1);
+    if (cw_request_rests(request, now) && !request->may_have_run) { /* nothing else will do: no retry is charged */
+        cw_request_refuse(request, CW_REFUSED_REST);
+        return;
+    }
     if (next_step(request, CW_OUTCOME_DENIED, status, now) != CW_NEXT_REPEAT) {
         cw_request_refuse(request, misdirected ? CW_REFUSED_OWNER : CW_REFUSED_LOAD);
         return;
--- a/src/proxy/engine_placing.c
+++ b/src/proxy/engine_placing.c
@@ -16,6 +16,7 @@
     ASKED,
     OUTSIDE_REGIONS,
     OVER_LIMIT,
+    RESTS,
     WAITS_FOR_SLOT,
     WAITS_FOR_OWNER,
     NO_SERVERS,
@@ -32,6 +33,9 @@
     if (!cw_server_region_allows(server, &request->regions)) {
         return OUTSIDE_REGIONS;
     }
+    if (cw_server_rests(server, now)) {
+        return RESTS;
+    }
     if (cw_request_ask_slot(request, server, now)) {
         return ASKED;
     }
@@ -60,6 +64,9 @@
     if (request->is_keyed) {
         return place_keyed(request, now);
     }
+    if (cw_request_all_rest(request, now)) {
+        return RESTS;
+    }
     if (cw_request_ask_slot(request, NULL, now)) {
         return ASKED;
     }
@@ -67,7 +74,7 @@
     if (asked) {
         return ASKED;
     }
-    if (server == NULL && full && cw_request_is_over_limits(request, now)) {
+    if (server == NULL && full && cw_request_is_held_off(request, now)) {
         return OVER_LIMIT;
     }
     if (server == NULL) {
@@ -97,13 +104,13 @@
         cw_request_refuse(request, CW_REFUSED_REGIONS);
         return;
     }
-    if (why == OVER_LIMIT && !request->may_have_run) {
-        cw_request_refuse(request, CW_REFUSED_SERVER_LIMIT);
+    if ((why == OVER_LIMIT || why == RESTS) && !request->may_have_run) {
+        cw_request_refuse(request, why == RESTS ? CW_REFUSED_REST : CW_REFUSED_SERVER_LIMIT);
         return;
     }
-    if (why == OVER_LIMIT) {
+    if (why == OVER_LIMIT || why == RESTS) {
         request->claim.is_direct = false;
-        request->not_before = now + CW_MS(LIMIT_PAUSE_MS);
+        request->not_before = now + (why == RESTS ? cw_request_holdoff(request, now) : CW_MS(LIMIT_PAUSE_MS));
     }
     if (why == PAUSED || request->attempts > 0) { /* a server may have run it: it has its whole time to get an answer */
         cw_request_arm(request);
@@ -154,6 +161,9 @@
     {
         if (now >= request->deadline) {
             cw_request_arm(request);
+        } else if (cw_request_waits_in_vain(request, now)) {
+            cw_request_return_slot(request);
+            cw_request_place(request, now);
         } else if (!cw_request_waits_for_slot(request)) {
             cw_request_place(request, now);
         }
--- a/src/proxy/engine_signals.c
+++ b/src/proxy/engine_signals.c
@@ -96,7 +96,8 @@
 }
 
 /* Answers that cross extend it: the server counts each one's time by itself. */
-static void note_rest(cw_server_t *server, const cw_server_signals_t *signals, const char *request, cw_time_us_t now)
+static void note_rest(cw_engine_t *engine, cw_server_t *server, const cw_server_signals_t *signals, const char *request,
+                      cw_time_us_t now)
 {
     cw_event_t event;
     bool       is_new = now >= server->rest_until;
@@ -107,6 +108,7 @@
     if (!is_new) {
         return;
     }
+    cw_engine_wake(engine); /* what waits for it */
     cw_metric_add(CW_METRIC_SERVER_RESTS, 1);
     if (cw_event_begin(&event, CW_EVENT_SERVER_RESTS)) {
         cw_event_text(&event, CW_FIELD_SERVER, server->id);
@@ -152,7 +154,7 @@
         cw_server_pool_note_load(server, &signals->load, now);
     }
     if (signals->has_rest) {
-        note_rest(server, signals, request->id, now);
+        note_rest(engine, server, signals, request->id, now);
     }
     cw_engine_note_signals(engine, server, signals, request->id);
 }
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -7,6 +7,7 @@
  */
 #include <string.h>
 
+#include "base/text.h"
 #include "proxy/engine_internal.h"
 
 enum {
@@ -57,7 +58,7 @@
 {
     const cw_server_t *only = only_server(request);
 
-    return only != NULL ? cw_server_is_limited(only, now) : cw_request_is_over_limits(request, now);
+    return only != NULL ? cw_server_is_limited(only, now) : cw_request_is_held_off(request, now);
 }
 
 static void refuse(cw_request_t *request, cw_time_us_t free_after, cw_time_us_t now)
@@ -149,16 +150,28 @@
     return !request->is_keyed || cw_request_owner(request) == server;
 }
 
+/* The broker does not know whom the server has turned away: it is asked once more, for another one. */
+static void decline_resting(cw_request_t *request, const cw_server_t *server, cw_time_us_t now)
+{
+    request->claim.is_declined = true;
+    cw_text_copy(request->avoid, sizeof(request->avoid), server->id);
+    cw_request_place(request, now);
+}
+
 static void take_grant(cw_request_t *request, const cw_slot_reply_t *reply, cw_time_us_t now)
 {
     cw_server_t *server = (cw_server_t *)cw_server_pool_find_hash(request->engine->pool, reply->server);
 
     request->claim.state = CW_CLAIM_HELD;
-    if (is_still_wanted(request, server, now)) {
+    if (is_still_wanted(request, server, now) && !cw_server_rests(server, now)) {
         cw_request_send(request, server);
         return;
     }
     cw_request_return_slot(request);
+    if (is_still_wanted(request, server, now) && !request->claim.is_declined) {
+        decline_resting(request, server, now);
+        return;
+    }
     place_directly(request, now); /* the broker goes by another list than this node */
 }
 
--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -22,9 +22,10 @@
 #   tenants   no caller's key reaches a server, each run names the tenant of the caller's key, and none is without
 #   revoked   a key that was taken away runs nothing later than the bound, and is rejected by all nodes after a round
 #   limit     a tenant's runs over all servers, in each window, are no more than its limit allows
-#   records   ... and servers that name a rate limit in their answers get no more than it allows (cw-verdict)
-# Beside the faults servers begin and cease to name rate limits, several at once, by a generator of their own, so that a
-# seed's schedule of faults is what it was.
+#   records   ... and servers that name a rate limit in their answers get no more than it allows, those that say that they
+#             leave get nothing two seconds later, and those that ask a node for rest get it (cw-verdict)
+# Beside the faults servers begin and cease to name rate limits and to turn all away, several at once, by a generator of
+# their own, so that a seed's schedule of faults is what it was.
 # The last lines count the faults by kind and the findings; exit code 1 when there is a finding. KEEP=1 keeps the records.
 SEED=${SEED:-1} ROUNDS=${ROUNDS:-4} COUNT=${NODES:-4} SERVERS=${SERVERS:-6} ONLY=${ONLY:-}
 ENDPOINTS_MAX=16 # of the stand-in store
@@ -45,8 +46,8 @@
 PIPED_RATE=60 UPLOAD_BYTES=60000
 # The tenant "limited" sends four times its rate; window, overshoot and slack are the nodes' own (docs/CONFIGURATION.md).
 LIMIT_RATE=10 LIMIT_WINDOW_S=5 LIMIT_SLACK=20 LIMITED_RATE=40
-# What servers say of themselves, in turn: two that have far too little room, none at all, and enough.
-SERVER_SIGNALS=limit=6,limit=2.5,none,limit=0,limit=12,none
+# What servers say of themselves, in turn: far too little room, none at all, enough; and that they turn all away.
+SERVER_SIGNALS=limit=6,rest=1.5,limit=2.5,none,rest=3,limit=0,limit=12,none
 SIGNALS_STATE=$((SEED * 7919 + 1))
 KEY_TURN=0 # the number of the tenant "red"'s other key, which is taken away and replaced
 # Alone, a key taken away is held to configuration_within_ms and a second for a busy machine; under other faults to CALM_S.
@@ -156,8 +157,9 @@
     COUNTS[$1]=$((${COUNTS[$1]:-0} + 1))
     say "fault $1 node $node"
     case $1 in
-    stop | kill | freeze) trouble "$node" ;;
-    kill_leader | kill_many | links) troubles ;;
+    stop | kill | freeze) note_node trouble "$node" ;;
+    kill_leader | kill_many) note_nodes trouble ;;
+    links) note_nodes cut ;;
     esac
     case $1 in
     stop) [ -n "${STOPPED[$node]:-}" ] || stop_node "$node" ;;
@@ -226,14 +228,10 @@
 }
 
 # Nodes in trouble do not count for what servers are told: from its first moment on, until calm returns.
-trouble() { echo "{\"ns\":$(monotonic_ms)000000,\"event\":\"trouble\",\"node\":\"$NET.$1:8080\"}" >>"$WORK/troubles.json"; }
-troubles() { local node; for node in $(seq 1 "$COUNT"); do trouble "$node"; done; }
-calm_down() {
-    local node
-    for node in $(seq 1 "$COUNT"); do
-        echo "{\"ns\":$(monotonic_ms)000000,\"event\":\"calm\",\"node\":\"$NET.$node:8080\"}" >>"$WORK/troubles.json"
-    done
+note_node() { # EVENT NODE: trouble (restarted or frozen), cut (from others), calm
+    echo "{\"ns\":$(monotonic_ms)000000,\"event\":\"$1\",\"node\":\"$NET.$2:8080\"}" >>"$WORK/troubles.json"
 }
+note_nodes() { local node; for node in $(seq 1 "$COUNT"); do note_node "$1" "$node"; done; } # EVENT
 
 declare -A STOPPED=() REVOKED=() # REVOKED: when the store had acknowledged that the key was taken away
 
@@ -378,7 +376,7 @@
     done
     end_signals
     heal
-    calm_down
+    note_nodes calm
     calm "$1"
     wait "$callers" "$piped" "$others"
     check_piped "$1" "$kind"
--- a/tests/process/server_rest.sh
+++ b/tests/process/server_rest.sh
@@ -2,7 +2,7 @@
 # Servers that turn a node away and ask for rest get its requests all the same, and each twice: what waits, what is new and
 # what is sent again must leave them alone for as long as they asked.
 . "$(dirname "$0")/../../scripts/cluster.sh"
-cluster_start 4
+cluster_start "${REST_NODES:-4}"
 for i in 1 2 3; do
     cluster_server "m$i" --service maps --zone "z$i" --keyed --work-ms 15 --signals "$([ "$i" = 1 ] && echo rest=2 || echo none)"
     cluster_server "h$i" --service hires --zone "z$i" --work-ms 15 --signals "$([ "$i" = 1 ] && echo rest=2.5 || echo none),rest=1.5"
@@ -17,7 +17,9 @@
         '[.[]|select(.event=="end" and .method==$m and .ns>=$a and .ns<$b)]|[(map(select(.status==$s))|length)*100/length]|.[0]|floor' "$WORK/callers-day.json"
 }
 slow_refusals() { jq -rs '[.[]|select(.event=="end" and .status==503 and (.id|test("-0$")) and .ms>250)]|length' "$WORK/callers-day.json"; }
-arrivals() { jq -rs '[.[]|select(.event=="arrive")]|length' "$WORK/server-$1.json"; }
+arrivals() { # NAME FROM_NS UNTIL_NS
+    jq -rs --argjson a "$2" --argjson b "$3" '[.[]|select(.event=="arrive" and .ns>=$a and .ns<$b)]|length' "$WORK/server-$1.json"
+}
 
 (cluster_callers day --rate 120 --count 2040) & # 17 s
 callers=$!
@@ -33,7 +35,8 @@
 signal USR2 h1 h2 h3
 wait "$callers"
 check "no node sends more than two requests that cross a rest" cluster_check
-check "a resting owner gets a few requests of each node" at_most "$(arrivals m1)" 60
+# Four rests at each node until then, each after up to two requests that cross.
+check "a resting owner gets a few requests of each node" at_most "$(arrivals m1 "$begin" $((begin + 6000000000)))" $((12 * ${REST_NODES:-4}))
 check "requests that any server will do for are served" at_least "$(share_of POST 200 "$begin" "$all")" 97
 check "where all servers of a service rest, most are refused" at_least "$(share_of POST 503 $((all + 500000000)) $((all + 2900000000)))" 80
 check "and at once" at_most "$(slow_refusals)" 20
