signal_notices: what changes soon after it was told is told a little later, not left out; datagrams have a pause

A limit found to have ended 10 ms after another node had told of it was told at once, and one that flaps in servers of one tenant would have cost every node a broadcast a tick.

--- a/src/router/signal_notices.c
+++ b/src/router/signal_notices.c
@@ -10,6 +10,7 @@
 enum {
     SENDS = 3, /* of one notice */
     SEND_AGAIN_MS = 200,
+    SEND_PAUSE_MS = 50, /* between datagrams: servers that change all the time are told of together */
     CHANGED_EVERY_MS = 500,
     RENEWED_EVERY_MS = 3000, /* three in the time after which a limit is forgotten (CW_LIMIT_FORGOTTEN_MS) */
 };
@@ -26,6 +27,7 @@
 struct cw_signal_notices {
     notice_t    *by_server;
     cw_time_us_t next_at; /* nothing is due before */
+    cw_time_us_t sent_at; /* last; 0: never */
 };
 
 cw_signal_notices_t *cw_signal_notices_create(void)
@@ -80,31 +82,19 @@
     return notice;
 }
 
-static cw_time_us_t pause_before(cw_limit_change_t change)
-{
-    switch (change) {
-    case CW_LIMIT_BEGUN:
-    case CW_LIMIT_ENDED:
-        return 0;
-    case CW_LIMIT_CHANGED:
-        return CW_MS(CHANGED_EVERY_MS);
-    case CW_LIMIT_UNCHANGED:
-        break;
-    }
-    return CW_MS(RENEWED_EVERY_MS);
-}
-
 void cw_signal_notices_note(cw_signal_notices_t *notices, uint32_t server, cw_limit_change_t change, cw_time_us_t now)
 {
-    notice_t *notice = find_or_add(notices, server);
+    notice_t    *notice = find_or_add(notices, server);
+    cw_time_us_t pause = CW_MS(change == CW_LIMIT_UNCHANGED ? RENEWED_EVERY_MS : CHANGED_EVERY_MS);
+    bool         is_soon = notice->told_at != 0 && now - notice->told_at < pause;
 
-    if (notice->told_at != 0 && now - notice->told_at < pause_before(change)) {
+    if (is_soon && change == CW_LIMIT_UNCHANGED) {
         return;
     }
-    notice->told_at = now;
+    notice->send_at = is_soon ? notice->told_at + pause : now;
+    notice->told_at = notice->send_at;
     notice->sends_left = SENDS;
-    notice->send_at = now;
-    notices->next_at = now;
+    notices->next_at = notice->send_at < notices->next_at ? notice->send_at : notices->next_at;
 }
 
 void cw_signal_notices_note_leave(cw_signal_notices_t *notices, uint32_t server, cw_time_us_t now)
@@ -156,7 +146,7 @@
     notice_t *next;
     size_t    count = 0;
 
-    if (now < notices->next_at) {
+    if (now < notices->next_at || (notices->sent_at != 0 && now - notices->sent_at < CW_MS(SEND_PAUSE_MS))) {
         return 0;
     }
     notices->next_at = CW_NEVER;
@@ -173,6 +163,7 @@
             drop(notices, notice);
         }
     }
+    notices->sent_at = count > 0 ? now : notices->sent_at;
     return count;
 }
 
