--- a/src/assignment/assigner.c
+++ b/src/assignment/assigner.c
@@ -8,16 +8,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
+
 enum { MOVE_DRIFT_PERCENT = 2, MOVE_SLACK_MS = 100 };
 
 cw_assigner_t *cw_assigner_create(const char *service, uint64_t term, uint64_t incarnation,
                                   const cw_assigner_settings_t *settings, const cw_assigner_ports_t *ports)
 {
-    cw_assigner_t *assigner = calloc(1, sizeof(*assigner));
+    cw_assigner_t *assigner = cw_memory_zeroed(sizeof(*assigner));
 
-    if (assigner == NULL) {
-        abort();
-    }
     assigner->service = strdup(service);
     assigner->term = term;
     assigner->incarnation = incarnation;
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "assignment/assigner_internal.h"
+#include "base/memory.h"
 
 enum {
     RESEND_MS = 150,
@@ -22,10 +23,7 @@
 {
     if (assigner->order_count == assigner->order_capacity) {
         assigner->order_capacity = assigner->order_capacity == 0 ? ORDERS_FIRST : 2 * assigner->order_capacity;
-        assigner->orders = realloc(assigner->orders, assigner->order_capacity * sizeof(*assigner->orders));
-        if (assigner->orders == NULL) {
-            abort();
-        }
+        assigner->orders = cw_memory_resize(assigner->orders, assigner->order_capacity * sizeof(*assigner->orders));
     }
     memset(&assigner->orders[assigner->order_count], 0, sizeof(*assigner->orders));
     return &assigner->orders[assigner->order_count++];
--- a/src/assignment/range.c
+++ b/src/assignment/range.c
@@ -9,16 +9,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
+
 enum { FIRST_CAPACITY = 16, HEX_TEXT = 32 };
 
 cw_range_t *cw_range_list_add(cw_range_list_t *list)
 {
     if (list->count == list->capacity) {
         list->capacity = list->capacity == 0 ? FIRST_CAPACITY : 2 * list->capacity;
-        list->items = realloc(list->items, list->capacity * sizeof(*list->items));
-        if (list->items == NULL) {
-            abort();
-        }
+        list->items = cw_memory_resize(list->items, list->capacity * sizeof(*list->items));
     }
     memset(&list->items[list->count], 0, sizeof(*list->items));
     return &list->items[list->count++];
--- a/src/balance/cold_rate.c
+++ b/src/balance/cold_rate.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/memory.h"
+
 enum {
     WINDOW_MS = 1100, /* the bound's second, and what the ways to the server differ by */
     CHANGED_MS =
@@ -39,11 +41,8 @@
 
 cw_cold_rate_t *cw_cold_rate_create(uint32_t own_address)
 {
-    cw_cold_rate_t *rate = calloc(1, sizeof(*rate));
+    cw_cold_rate_t *rate = cw_memory_zeroed(sizeof(*rate));
 
-    if (rate == NULL) {
-        abort();
-    }
     rate->own_address = own_address;
     return rate;
 }
@@ -74,11 +73,8 @@
 
 void cw_cold_rate_set_nodes(cw_cold_rate_t *rate, const uint32_t *addresses, size_t count, cw_time_us_t now)
 {
-    uint32_t *sorted = calloc(count + 1, sizeof(*sorted));
+    uint32_t *sorted = cw_memory_zeroed_items(count + 1, sizeof(*sorted));
 
-    if (sorted == NULL) {
-        abort();
-    }
     if (count > 0) {
         memcpy(sorted, addresses, count * sizeof(*sorted));
         qsort(sorted, count, sizeof(*sorted), compare_addresses);
--- a/src/balance/fair_turns.c
+++ b/src/balance/fair_turns.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "base/memory.h"
+
 typedef struct turn_tenant {
     uint32_t       tenant; /* 0: all requests without one */
     uint32_t       waiting;
@@ -29,11 +31,8 @@
 
 cw_fair_turns_t *cw_fair_turns_create(void)
 {
-    cw_fair_turns_t *turns = calloc(1, sizeof(*turns));
+    cw_fair_turns_t *turns = cw_memory_zeroed(sizeof(*turns));
 
-    if (turns == NULL) {
-        abort();
-    }
     return turns;
 }
 
@@ -122,10 +121,7 @@
     turn_group_t *group = find_group(turns, key);
 
     if (group == NULL) {
-        group = calloc(1, sizeof(*group));
-        if (group == NULL) {
-            abort();
-        }
+        group = cw_memory_zeroed(sizeof(*group));
         group->key = key;
         HASH_ADD(hh, turns->groups, key, sizeof(group->key), group);
     }
@@ -137,10 +133,7 @@
     turn_tenant_t *tenant = find_tenant(group, hash);
 
     if (tenant == NULL) {
-        tenant = calloc(1, sizeof(*tenant));
-        if (tenant == NULL) {
-            abort();
-        }
+        tenant = cw_memory_zeroed(sizeof(*tenant));
         tenant->tenant = hash;
         HASH_ADD(hh, group->tenants, tenant, sizeof(tenant->tenant), tenant);
     }
--- a/src/balance/leave_memory.c
+++ b/src/balance/leave_memory.c
@@ -3,6 +3,7 @@
  * @brief A set of servers with the time of each.
  */
 #include "balance/leave_memory.h"
+#include "base/memory.h"
 
 #include <stdlib.h>
 #include <uthash.h>
@@ -19,11 +20,8 @@
 
 cw_leave_memory_t *cw_leave_memory_create(void)
 {
-    cw_leave_memory_t *memory = calloc(1, sizeof(*memory));
+    cw_leave_memory_t *memory = cw_memory_zeroed(sizeof(*memory));
 
-    if (memory == NULL) {
-        abort();
-    }
     return memory;
 }
 
@@ -60,10 +58,7 @@
     if (cw_leave_memory_has(memory, server)) {
         return false;
     }
-    leave = calloc(1, sizeof(*leave));
-    if (leave == NULL) {
-        abort();
-    }
+    leave = cw_memory_zeroed(sizeof(*leave));
     leave->server = server;
     leave->at = now;
     HASH_ADD(hh, memory->by_server, server, sizeof(leave->server), leave);
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "balance/server_pool_internal.h"
+#include "base/memory.h"
 
 enum { AVOID_MAX_MS = 2000, AVOID_DOUBLINGS_MAX = 3 };
 
@@ -16,11 +17,8 @@
 
 cw_server_pool_t *cw_server_pool_create(const char *zone, cw_server_dropped_t dropped, void *context)
 {
-    cw_server_pool_t *pool = calloc(1, sizeof(*pool));
+    cw_server_pool_t *pool = cw_memory_zeroed(sizeof(*pool));
 
-    if (pool == NULL) {
-        abort();
-    }
     pool->zone = strdup(zone);
     pool->dropped = dropped;
     pool->context = context;
@@ -60,10 +58,7 @@
     service_servers_t *known = servers_of(pool, server->service_hash);
 
     if (known == NULL) {
-        known = calloc(1, sizeof(*known));
-        if (known == NULL) {
-            abort();
-        }
+        known = cw_memory_zeroed(sizeof(*known));
         known->service_hash = server->service_hash;
         HASH_ADD(hh, pool->by_service, service_hash, sizeof(known->service_hash), known);
     }
@@ -185,10 +180,7 @@
 
     HASH_FIND_STR(pool->warm_ups, service, known);
     if (known == NULL) {
-        known = calloc(1, sizeof(*known));
-        if (known == NULL) {
-            abort();
-        }
+        known = cw_memory_zeroed(sizeof(*known));
         known->service = strdup(service);
         HASH_ADD_KEYPTR(hh, pool->warm_ups, known->service, strlen(known->service), known);
     }
@@ -233,10 +225,7 @@
 
 void cw_server_pool_set_regions(cw_server_pool_t *pool, const cw_zone_region_t *zones, size_t count)
 {
-    pool->regions = calloc(count + 1, sizeof(*pool->regions));
-    if (pool->regions == NULL) {
-        abort();
-    }
+    pool->regions = cw_memory_zeroed_items(count + 1, sizeof(*pool->regions));
     memcpy(pool->regions, zones, count * sizeof(*zones));
     pool->region_count = count;
     cw_region_table_init(&pool->region_table, zones, count);
@@ -271,11 +260,8 @@
 
 static cw_server_t *add(cw_server_pool_t *pool, const cw_server_entry_t *entry)
 {
-    cw_server_t *server = calloc(1, sizeof(*server));
+    cw_server_t *server = cw_memory_zeroed(sizeof(*server));
 
-    if (server == NULL) {
-        abort();
-    }
     server->id = strdup(entry->id);
     server->service = strdup(entry->service);
     server->address = strdup(entry->address);
--- a/src/balance/server_reports.c
+++ b/src/balance/server_reports.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "balance/server_pool_internal.h"
+#include "base/memory.h"
 
 enum { LEARN_AT_ONCE = 4 /* answers of one report that count for the latency factor */ };
 
@@ -89,10 +90,7 @@
 
     HASH_FIND(hh, pool->peers, &node, sizeof(node), peer);
     if (peer == NULL) {
-        peer = calloc(1, sizeof(*peer));
-        if (peer == NULL) {
-            abort();
-        }
+        peer = cw_memory_zeroed(sizeof(*peer));
         peer->node = node;
         HASH_ADD(hh, pool->peers, node, sizeof(peer->node), peer);
     }
@@ -108,10 +106,7 @@
             return &peer->paces[index];
         }
     }
-    peer->paces = realloc(peer->paces, (peer->pace_count + 1) * sizeof(*peer->paces));
-    if (peer->paces == NULL) {
-        abort();
-    }
+    peer->paces = cw_memory_resize(peer->paces, (peer->pace_count + 1) * sizeof(*peer->paces));
     peer->paces[peer->pace_count] = (cw_server_pace_t){.hash = hash};
     return &peer->paces[peer->pace_count++];
 }
@@ -161,10 +156,7 @@
     }
     peer->at = now;
     if (count != peer->count) {
-        peer->reports = realloc(peer->reports, (count + 1) * sizeof(*peer->reports));
-        if (peer->reports == NULL) {
-            abort();
-        }
+        peer->reports = cw_memory_resize(peer->reports, (count + 1) * sizeof(*peer->reports));
     }
     peer->count = count;
     if (count > 0) {
--- a/src/balance/slot_broker.c
+++ b/src/balance/slot_broker.c
@@ -9,17 +9,15 @@
 #include <utlist.h>
 
 #include "balance/slot_broker_internal.h"
+#include "base/memory.h"
 
 enum { FORGET_EVERY_S = 5 /* servers that are gone; what is kept of one takes some 250 bytes */ };
 
 cw_slot_broker_t *cw_slot_broker_create(cw_server_pool_t *pool, const char *zone, cw_slot_replied_t replied,
                                         void *context)
 {
-    cw_slot_broker_t *broker = calloc(1, sizeof(*broker));
+    cw_slot_broker_t *broker = cw_memory_zeroed(sizeof(*broker));
 
-    if (broker == NULL) {
-        abort();
-    }
     broker->pool = pool;
     broker->zone = strdup(zone);
     broker->turns = cw_fair_turns_create();
@@ -84,10 +82,7 @@
 
     HASH_FIND(hh, broker->servers, &hash, sizeof(hash), state);
     if (state == NULL) {
-        state = calloc(1, sizeof(*state));
-        if (state == NULL) {
-            abort();
-        }
+        state = cw_memory_zeroed(sizeof(*state));
         state->hash = hash;
         HASH_ADD(hh, broker->servers, hash, sizeof(state->hash), state);
     }
@@ -283,10 +278,7 @@
         reply(broker, lease, lease->granted_at != 0 ? CW_SLOT_GRANTED : CW_SLOT_QUEUED, 0);
         return;
     }
-    lease = calloc(1, sizeof(*lease));
-    if (lease == NULL) {
-        abort();
-    }
+    lease = cw_memory_zeroed(sizeof(*lease));
     lease->key = key_of(ask->node, ask->ticket);
     lease->ask = *ask;
     lease->usual = usual;
--- a/src/base/byte_buffer.c
+++ b/src/base/byte_buffer.c
@@ -9,6 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
+
 enum { FIRST_CAPACITY = 256, FORMAT_MAX = 512 };
 
 void cw_bytes_append(cw_bytes_t *bytes, const void *data, size_t length)
@@ -22,10 +24,7 @@
         while (bytes->capacity < needed) {
             bytes->capacity *= 2;
         }
-        bytes->data = realloc(bytes->data, bytes->capacity);
-        if (bytes->data == NULL) {
-            abort();
-        }
+        bytes->data = cw_memory_resize(bytes->data, bytes->capacity);
     }
     if (length > 0) {
         memcpy(bytes->data + bytes->length, data, length);
@@ -38,10 +37,7 @@
     if (capacity <= bytes->capacity) {
         return;
     }
-    bytes->data = realloc(bytes->data, capacity);
-    if (bytes->data == NULL) {
-        abort();
-    }
+    bytes->data = cw_memory_resize(bytes->data, capacity);
     bytes->capacity = capacity;
 }
 
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "base/byte_buffer.h"
+#include "base/memory.h"
 #include "base/tenant_metrics.h"
 #include "base/text.h"
 
@@ -70,10 +71,7 @@
     if (route_count == ROUTES_MAX) {
         return routes[ROUTES_MAX - 1];
     }
-    routes[route_count] = calloc(1, sizeof(route_histogram_t));
-    if (routes[route_count] == NULL) {
-        abort();
-    }
+    routes[route_count] = cw_memory_zeroed(sizeof(route_histogram_t));
     cw_text_copy(routes[route_count]->route, ROUTE_NAME_MAX, route_count == ROUTES_MAX - 1 ? "other" : route);
     return routes[route_count++];
 }
--- a/src/base/tenant_metrics.c
+++ b/src/base/tenant_metrics.c
@@ -9,6 +9,8 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "base/memory.h"
+
 enum { KEPT_MOST = 16384 /* tenants, some 150 bytes each; those that come later count as others */ };
 
 typedef struct tenant_row {
@@ -41,10 +43,7 @@
     if (HASH_COUNT(rows) >= KEPT_MOST) {
         return &others;
     }
-    row = calloc(1, sizeof(*row));
-    if (row == NULL) {
-        abort();
-    }
+    row = cw_memory_zeroed(sizeof(*row));
     row->name = strdup(tenant);
     HASH_ADD_KEYPTR(hh, rows, row->name, strlen(row->name), row);
     return row;
--- a/src/cli/log_lines.c
+++ b/src/cli/log_lines.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "base/text.h"
 #include "cli/cli.h"
 
@@ -24,10 +25,7 @@
         return;
     }
     if (lines->count % GROWTH == 0) {
-        lines->items = realloc(lines->items, (lines->count + GROWTH) * sizeof(*lines->items));
-        if (lines->items == NULL) {
-            abort();
-        }
+        lines->items = cw_memory_resize(lines->items, (lines->count + GROWTH) * sizeof(*lines->items));
     }
     line = &lines->items[lines->count];
     line->fields = fields;
--- a/src/cli/run_refusals.c
+++ b/src/cli/run_refusals.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "base/memory.h"
 #include "base/text.h"
 #include "cli/run_report.h"
 
@@ -30,10 +31,7 @@
 
     HASH_FIND_STR(*table, name, entry);
     if (entry == NULL) {
-        entry = calloc(1, sizeof(*entry));
-        if (entry == NULL) {
-            abort();
-        }
+        entry = cw_memory_zeroed(sizeof(*entry));
         cw_text_copy(entry->row.name, sizeof(entry->row.name), name);
         HASH_ADD_STR(*table, row.name, entry);
     }
--- a/src/cli/run_report.c
+++ b/src/cli/run_report.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "base/text.h"
 
 enum { KEYS = 65536, GROWTH = 64 };
@@ -68,10 +69,7 @@
             return &report->services[index];
         }
     }
-    report->services = realloc(report->services, (report->service_count + 1) * sizeof(*report->services));
-    if (report->services == NULL) {
-        abort();
-    }
+    report->services = cw_memory_resize(report->services, (report->service_count + 1) * sizeof(*report->services));
     service = &report->services[report->service_count++];
     memset(service, 0, sizeof(*service));
     cw_text_copy(service->name, sizeof(service->name), name);
@@ -189,10 +187,7 @@
 static cw_report_move_t *add_move(cw_run_report_t *report)
 {
     if (report->move_count % GROWTH == 0) {
-        report->moves = realloc(report->moves, (report->move_count + GROWTH) * sizeof(*report->moves));
-        if (report->moves == NULL) {
-            abort();
-        }
+        report->moves = cw_memory_resize(report->moves, (report->move_count + GROWTH) * sizeof(*report->moves));
     }
     memset(&report->moves[report->move_count], 0, sizeof(*report->moves));
     return &report->moves[report->move_count++];
--- a/src/cli/zone.c
+++ b/src/cli/zone.c
@@ -13,6 +13,7 @@
 
 #include "assignment/range.h"
 #include "base/error.h"
+#include "base/memory.h"
 #include "cli/cli.h"
 #include "intent/zone_plan.h"
 #include "router/adapter.h"
@@ -140,10 +141,7 @@
     const cw_configuration_t *configuration = session->configuration;
     size_t                    index;
 
-    session->keys = calloc(configuration->service_count + 1, sizeof(*session->keys));
-    if (session->keys == NULL) {
-        abort();
-    }
+    session->keys = cw_memory_zeroed_items(configuration->service_count + 1, sizeof(*session->keys));
     for (index = 0; index < configuration->service_count; index++) {
         if (configuration->services[index].keyed) {
             session->keys[session->key_count].service = configuration->services[index].name;
--- a/src/model/configuration.c
+++ b/src/model/configuration.c
@@ -9,26 +9,22 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/memory.h"
+
 enum { DEFAULT_HEADER_BYTES = 16384, DEFAULT_BODY_BYTES = 1 << 20, DEFAULT_HEADER_S = 10, DEFAULT_IDLE_S = 60 };
 
 static void *grown(void *items, size_t count, size_t size)
 {
-    void *longer = realloc(items, (count + 1) * size);
+    void *longer = cw_memory_resize(items, (count + 1) * size);
 
-    if (longer == NULL) {
-        abort();
-    }
     memset((char *)longer + count * size, 0, size);
     return longer;
 }
 
 cw_configuration_t *cw_configuration_create(uint64_t version)
 {
-    cw_configuration_t *configuration = calloc(1, sizeof(*configuration));
+    cw_configuration_t *configuration = cw_memory_zeroed(sizeof(*configuration));
 
-    if (configuration == NULL) {
-        abort();
-    }
     configuration->version = version;
     configuration->references = 1;
     configuration->limits.header_bytes = DEFAULT_HEADER_BYTES;
--- a/src/model/credential_index.c
+++ b/src/model/credential_index.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
+
 enum {
     SLOTS_MIN = 8,
     LOAD_PERCENT = 75 /* slots in use at most: 1.2 to 8.5 slots are looked at in the mean, for a hit or a miss */
@@ -98,10 +100,7 @@
     }
     index->tenants = tenants;
     index->slot_count = slots_for(count_keys(tenants, count));
-    index->slots = calloc(index->slot_count, sizeof(*index->slots));
-    if (index->slots == NULL) {
-        abort();
-    }
+    index->slots = cw_memory_zeroed_items(index->slot_count, sizeof(*index->slots));
     *has_conflict = false;
     for (tenant = 0; tenant < count; tenant++) {
         for (key = 0; key < tenants[tenant].key_count; key++) {
--- a/src/model/name_set.c
+++ b/src/model/name_set.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/memory.h"
+
 void cw_name_set_add(cw_name_set_t *set, const char *name)
 {
     size_t place = 0;
@@ -18,10 +20,7 @@
     if (place < set->count && strcmp(set->names[place], name) == 0) {
         return;
     }
-    set->names = realloc(set->names, (set->count + 1) * sizeof(*set->names));
-    if (set->names == NULL) {
-        abort();
-    }
+    set->names = cw_memory_resize(set->names, (set->count + 1) * sizeof(*set->names));
     memmove(&set->names[place + 1], &set->names[place], (set->count - place) * sizeof(*set->names));
     set->names[place] = strdup(name);
     if (set->names[place] == NULL) {
--- a/src/model/server_list.c
+++ b/src/model/server_list.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/memory.h"
 #include "model/server_incarnation.h"
 
 enum { FIRST_CAPACITY = 16 };
@@ -115,11 +116,8 @@
 
 cw_server_list_t *cw_server_list_create(void)
 {
-    cw_server_list_t *list = calloc(1, sizeof(*list));
+    cw_server_list_t *list = cw_memory_zeroed(sizeof(*list));
 
-    if (list == NULL) {
-        abort();
-    }
     list->references = 1;
     return list;
 }
@@ -130,10 +128,7 @@
         return;
     }
     list->capacity = count;
-    list->entries = realloc(list->entries, list->capacity * sizeof(*list->entries));
-    if (list->entries == NULL) {
-        abort();
-    }
+    list->entries = cw_memory_resize(list->entries, list->capacity * sizeof(*list->entries));
 }
 
 cw_server_entry_t *cw_server_list_add(cw_server_list_t *list)
@@ -181,11 +176,8 @@
 /* The ids in order, to be freed. */
 static char **sort_ids(char *const *ids, size_t count)
 {
-    char **sorted = calloc(count + 1, sizeof(*sorted));
+    char **sorted = cw_memory_zeroed_items(count + 1, sizeof(*sorted));
 
-    if (sorted == NULL) {
-        abort();
-    }
     if (count > 0) {
         memcpy(sorted, ids, count * sizeof(*sorted));
         qsort(sorted, count, sizeof(*sorted), compare_texts);
--- a/src/model/server_view.c
+++ b/src/model/server_view.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "model/server_incarnation.h"
 
 enum { FORGET_S = 60 }; /* longer than anything about a server that has left can be under way */
@@ -70,10 +71,7 @@
     if (place < view->departure_count && strcmp(view->departures[place].id, id) == 0) {
         return &view->departures[place];
     }
-    view->departures = realloc(view->departures, (view->departure_count + 1) * sizeof(*view->departures));
-    if (view->departures == NULL) {
-        abort();
-    }
+    view->departures = cw_memory_resize(view->departures, (view->departure_count + 1) * sizeof(*view->departures));
     departure = &view->departures[place];
     memmove(departure + 1, departure, (view->departure_count - place) * sizeof(*departure));
     memset(departure, 0, sizeof(*departure));
--- a/src/model/zone_service.c
+++ b/src/model/zone_service.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
+
 /* Share of the bound in which owners of keys may still be sent requests: what is left covers the way to the server and
  * a node that runs late. */
 enum { OWNERS_PERCENT = 60 };
@@ -27,11 +29,8 @@
 
 cw_zone_service_t *cw_zone_service_create(cw_time_us_t out_within)
 {
-    cw_zone_service_t *zones = calloc(1, sizeof(*zones));
+    cw_zone_service_t *zones = cw_memory_zeroed(sizeof(*zones));
 
-    if (zones == NULL) {
-        abort();
-    }
     zones->out_within = out_within;
     return zones;
 }
@@ -66,10 +65,7 @@
     if (state != NULL) {
         return state;
     }
-    zones->states = realloc(zones->states, (zones->count + 1) * sizeof(*zones->states));
-    if (zones->states == NULL) {
-        abort();
-    }
+    zones->states = cw_memory_resize(zones->states, (zones->count + 1) * sizeof(*zones->states));
     state = &zones->states[zones->count++];
     memset(state, 0, sizeof(*state));
     state->zone = strdup(zone);
--- a/src/net/connect_probe.c
+++ b/src/net/connect_probe.c
@@ -9,6 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
+
 enum { ADDRESS_MAX = 64, HANDLES = 2 };
 
 typedef struct probe {
@@ -76,10 +78,7 @@
     if (error != 0) {
         return error;
     }
-    probe = calloc(1, sizeof(*probe));
-    if (probe == NULL) {
-        abort();
-    }
+    probe = cw_memory_zeroed(sizeof(*probe));
     probe->done = done;
     probe->context = context;
     probe->handles = HANDLES;
--- a/src/net/http_header.c
+++ b/src/net/http_header.c
@@ -9,16 +9,15 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/memory.h"
+
 enum { FIRST_CAPACITY = 8 };
 
 static char *append(char *text, const char *bytes, size_t length)
 {
     size_t before = text == NULL ? 0 : strlen(text);
-    char  *longer = realloc(text, before + length + 1);
+    char  *longer = cw_memory_resize(text, before + length + 1);
 
-    if (longer == NULL) {
-        abort();
-    }
     memcpy(longer + before, bytes, length);
     longer[before + length] = '\0';
     return longer;
@@ -28,10 +27,7 @@
 {
     if (fields->count == fields->capacity) {
         fields->capacity = fields->capacity == 0 ? FIRST_CAPACITY : 2 * fields->capacity;
-        fields->items = realloc(fields->items, fields->capacity * sizeof(*fields->items));
-        if (fields->items == NULL) {
-            abort();
-        }
+        fields->items = cw_memory_resize(fields->items, fields->capacity * sizeof(*fields->items));
     }
     memset(&fields->items[fields->count], 0, sizeof(fields->items[0]));
     return &fields->items[fields->count++];
--- a/src/net/http_listener_exchange.c
+++ b/src/net/http_listener_exchange.c
@@ -4,16 +4,14 @@
  */
 #include <stdlib.h>
 
+#include "base/memory.h"
 #include "base/metrics.h"
 #include "net/http_listener_internal.h"
 
 cw_http_exchange_t *cw_listener_exchange_create(cw_http_connection_t *connection)
 {
-    cw_http_exchange_t *exchange = calloc(1, sizeof(*exchange));
+    cw_http_exchange_t *exchange = cw_memory_zeroed(sizeof(*exchange));
 
-    if (exchange == NULL) {
-        abort();
-    }
     exchange->connection = connection;
     return exchange;
 }
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -17,6 +17,7 @@
 #include <utlist.h>
 
 #include "base/loop_clock.h"
+#include "base/memory.h"
 
 enum { ADDRESS_MAX = 64, KEEP_ALIVE_SHARE_NUM = 3, KEEP_ALIVE_SHARE_DEN = 5 };
 
@@ -270,11 +271,8 @@
 
 static cw_upstream_connection_t *open_connection(cw_upstream_target_t *target)
 {
-    cw_upstream_connection_t *connection = calloc(1, sizeof(*connection));
+    cw_upstream_connection_t *connection = cw_memory_zeroed(sizeof(*connection));
 
-    if (connection == NULL) {
-        abort();
-    }
     connection->target = target;
     connection->tcp.data = connection;
     connection->timer.data = connection;
@@ -394,10 +392,7 @@
     if (uv_ip4_addr(host, atoi(colon + 1), &place) != 0) {
         return NULL;
     }
-    target = calloc(1, sizeof(*target));
-    if (target == NULL) {
-        abort();
-    }
+    target = cw_memory_zeroed(sizeof(*target));
     target->upstream = upstream;
     target->place = place;
     DL_APPEND(upstream->targets, target);
@@ -424,11 +419,8 @@
 
 cw_upstream_t *cw_upstream_create(uv_loop_t *loop, const cw_upstream_options_t *options)
 {
-    cw_upstream_t *upstream = calloc(1, sizeof(*upstream));
+    cw_upstream_t *upstream = cw_memory_zeroed(sizeof(*upstream));
 
-    if (upstream == NULL) {
-        abort();
-    }
     upstream->loop = loop;
     upstream->options = *options;
     return upstream;
--- a/src/peer/configuration_assembly.c
+++ b/src/peer/configuration_assembly.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "peer/configuration_pages.h"
 
 uint32_t cw_configuration_assembly_missing(const cw_configuration_assembly_t *assembly)
@@ -167,11 +168,8 @@
 
 static bool *allocate_flags(size_t count)
 {
-    bool *flags = calloc(count + 1, sizeof(bool));
+    bool *flags = cw_memory_zeroed_items(count + 1, sizeof(bool));
 
-    if (flags == NULL) {
-        abort();
-    }
     return flags;
 }
 
--- a/src/peer/datagram_batch.c
+++ b/src/peer/datagram_batch.c
@@ -6,6 +6,8 @@
 
 #include <stdlib.h>
 
+#include "base/memory.h"
+
 enum { LENGTHS_FIRST = 64 };
 
 void cw_datagram_batch_empty(cw_datagram_batch_t *batch)
@@ -20,10 +22,7 @@
         return;
     }
     batch->capacity = batch->capacity == 0 ? LENGTHS_FIRST : 2 * batch->capacity;
-    batch->lengths = realloc(batch->lengths, batch->capacity * sizeof(*batch->lengths));
-    if (batch->lengths == NULL) {
-        abort();
-    }
+    batch->lengths = cw_memory_resize(batch->lengths, batch->capacity * sizeof(*batch->lengths));
 }
 
 void cw_datagram_batch_add(cw_datagram_batch_t *batch, uint32_t kind, const uint8_t *packed, size_t length)
--- a/src/peer/peer_link.c
+++ b/src/peer/peer_link.c
@@ -11,6 +11,7 @@
 
 #include "base/event_log.h"
 #include "base/loop_clock.h"
+#include "base/memory.h"
 #include "base/text.h"
 
 enum {
@@ -181,10 +182,7 @@
         peer->told_at = now;
         return peer;
     }
-    peer = calloc(1, sizeof(*peer));
-    if (peer == NULL) {
-        abort();
-    }
+    peer = cw_memory_zeroed(sizeof(*peer));
     peer->address = address;
     peer->told_at = now;
     peer->distance = link->zone[0] == '\0' ? CW_DISTANCE_ZONE : CW_DISTANCE_REMOTE; /* without zones all are near */
@@ -224,10 +222,7 @@
         return 0;
     }
     if (length > link->packed_capacity) {
-        link->packed = realloc(link->packed, length);
-        if (link->packed == NULL) {
-            abort();
-        }
+        link->packed = cw_memory_resize(link->packed, length);
         link->packed_capacity = length;
     }
     link->packed_kind = (uint32_t)datagram->content_case;
--- a/src/placement/load_window.c
+++ b/src/placement/load_window.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "model/region_mask.h"
 
 static const double memory_s = 1.0; /* time constant; shorter follows faster and sees more noise */
@@ -25,10 +26,7 @@
     cw_load_sample_t *sample;
 
     if (window->samples == NULL) {
-        window->samples = calloc(CW_LOAD_SAMPLES_MAX, sizeof(*window->samples));
-        if (window->samples == NULL) {
-            abort();
-        }
+        window->samples = cw_memory_zeroed_items(CW_LOAD_SAMPLES_MAX, sizeof(*window->samples));
     }
     if (window->count == 0 || (uint32_t)(now / 1000) - window->last_ms > (uint32_t)(horizon_s * 1000)) {
         window->first_ms = (uint32_t)(now / 1000);
--- a/src/placement/order_trust.c
+++ b/src/placement/order_trust.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "base/memory.h"
+
 typedef struct doubt {
     uint32_t       server;
     uint32_t       failures; /* in a row */
@@ -23,11 +25,8 @@
 
 cw_order_trust_t *cw_order_trust_create(void)
 {
-    cw_order_trust_t *trust = calloc(1, sizeof(*trust));
+    cw_order_trust_t *trust = cw_memory_zeroed(sizeof(*trust));
 
-    if (trust == NULL) {
-        abort();
-    }
     return trust;
 }
 
@@ -62,10 +61,7 @@
     doubt_t *doubt = find(trust, server);
 
     if (doubt == NULL) {
-        doubt = calloc(1, sizeof(*doubt));
-        if (doubt == NULL) {
-            abort();
-        }
+        doubt = cw_memory_zeroed(sizeof(*doubt));
         doubt->server = server;
         HASH_ADD(hh, trust->doubts, server, sizeof(doubt->server), doubt);
     }
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "base/event_log.h"
+#include "base/memory.h"
 #include "base/metrics.h"
 #include "proxy/engine_internal.h"
 #include "proxy/request_rules.h"
@@ -87,11 +88,8 @@
 cw_engine_t *cw_engine_create(uv_loop_t *loop, const cw_engine_settings_t *settings, cw_server_pool_t *pool,
                               cw_upstream_t *upstream)
 {
-    cw_engine_t *engine = calloc(1, sizeof(*engine));
+    cw_engine_t *engine = cw_memory_zeroed(sizeof(*engine));
 
-    if (engine == NULL) {
-        abort();
-    }
     engine->loop = loop;
     engine->settings = *settings;
     engine->pool = pool;
--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "base/memory.h"
 #include "base/metrics.h"
 #include "base/tenant_metrics.h"
 #include "proxy/engine_internal.h"
@@ -30,10 +31,7 @@
 
     HASH_FIND_STR(engine->routes, route->name, state);
     if (state == NULL) {
-        state = calloc(1, sizeof(*state));
-        if (state == NULL) {
-            abort();
-        }
+        state = cw_memory_zeroed(sizeof(*state));
         state->name = strdup(route->name);
         state->usual = route->aim > 0 ? route->aim / 3 : CW_MS(CW_USUAL_FIRST_MS);
         HASH_ADD_KEYPTR(hh, engine->routes, state->name, strlen(state->name), state);
@@ -127,11 +125,8 @@
                                     const cw_route_t *route, const cw_caller_t *caller)
 {
     const cw_tenant_t *tenant = cw_caller_accountable(caller, engine->configuration, route);
-    cw_request_t      *request = calloc(1, sizeof(*request));
+    cw_request_t      *request = cw_memory_zeroed(sizeof(*request));
 
-    if (request == NULL) {
-        abort();
-    }
     request->engine = engine;
     request->exchange = exchange;
     request->configuration = cw_configuration_hold(engine->configuration);
--- a/src/proxy/engine_split.c
+++ b/src/proxy/engine_split.c
@@ -4,6 +4,7 @@
  */
 #include <stdlib.h>
 
+#include "base/memory.h"
 #include "proxy/engine_internal.h"
 
 static bool is_bound(const cw_region_rule_t *regions)
@@ -37,10 +38,7 @@
     }
     if (state->owed_count != route->part_count) {
         free(state->owed);
-        state->owed = calloc(route->part_count, sizeof(*state->owed));
-        if (state->owed == NULL) {
-            abort();
-        }
+        state->owed = cw_memory_zeroed_items(route->part_count, sizeof(*state->owed));
         state->owed_count = route->part_count;
     }
     for (index = 0; index < route->part_count; index++) {
--- a/src/proxy/engine_state.c
+++ b/src/proxy/engine_state.c
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "base/loop_clock.h"
+#include "base/memory.h"
 #include "proxy/engine_internal.h"
 
 cw_time_us_t cw_engine_now(const cw_engine_t *engine)
@@ -23,10 +24,7 @@
 
     HASH_FIND_STR(engine->services, name, service);
     if (service == NULL) {
-        service = calloc(1, sizeof(*service));
-        if (service == NULL) {
-            abort();
-        }
+        service = cw_memory_zeroed(sizeof(*service));
         service->name = strdup(name);
         service->hash = (uint32_t)XXH3_64bits(name, strlen(name));
         service->usual = CW_MS(CW_USUAL_FIRST_MS);
--- a/src/retry/crash_suspects.c
+++ b/src/retry/crash_suspects.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "base/memory.h"
+
 enum { CRASHES_KEPT = 8 /* of one request: enough for the longest chain that counts */ };
 
 /** A request that was under way at crashes. */
@@ -33,11 +35,8 @@
 
 cw_crash_suspects_t *cw_crash_suspects_create(cw_crash_seen_t seen, void *context)
 {
-    cw_crash_suspects_t *suspects = calloc(1, sizeof(*suspects));
+    cw_crash_suspects_t *suspects = cw_memory_zeroed(sizeof(*suspects));
 
-    if (suspects == NULL) {
-        abort();
-    }
     suspects->seen = seen;
     suspects->context = context;
     return suspects;
@@ -96,10 +95,7 @@
     if (HASH_COUNT(suspects->suspects) >= CW_SUSPECTS_MOST) {
         forget_oldest(suspects);
     }
-    suspect = calloc(1, sizeof(*suspect));
-    if (suspect == NULL) {
-        abort();
-    }
+    suspect = cw_memory_zeroed(sizeof(*suspect));
     suspect->request = request;
     HASH_ADD(hh, suspects->suspects, request, sizeof(suspect->request), suspect);
     return suspect;
--- a/src/router/configuration_exchange.c
+++ b/src/router/configuration_exchange.c
@@ -6,6 +6,7 @@
 
 #include <stdlib.h>
 
+#include "base/memory.h"
 #include "base/send_allowance.h"
 
 enum {
@@ -48,11 +49,8 @@
 
 cw_configuration_exchange_t *cw_configuration_exchange_create(const cw_configuration_exchange_owner_t *owner)
 {
-    cw_configuration_exchange_t *exchange = calloc(1, sizeof(*exchange));
+    cw_configuration_exchange_t *exchange = cw_memory_zeroed(sizeof(*exchange));
 
-    if (exchange == NULL) {
-        abort();
-    }
     exchange->owner = *owner;
     cw_send_allowance_init(&exchange->allowance, owner->bytes_per_s, CW_MS(BURST_MS));
     return exchange;
--- a/src/router/key_tables.c
+++ b/src/router/key_tables.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/memory.h"
+
 uint32_t cw_short_name(const char *text)
 {
     return (uint32_t)XXH3_64bits(text, strlen(text));
@@ -56,10 +58,7 @@
     if (count == 0) {
         return;
     }
-    table->entries = realloc(table->entries, (table->count + count) * sizeof(*entries));
-    if (table->entries == NULL) {
-        abort();
-    }
+    table->entries = cw_memory_resize(table->entries, (table->count + count) * sizeof(*entries));
     memcpy(&table->entries[table->count], entries, count * sizeof(*entries));
     table->count += count;
 }
@@ -124,10 +123,7 @@
         return false;
     }
     any = table->count != ranges->count;
-    fresh.entries = calloc(ranges->count + 1, sizeof(*fresh.entries));
-    if (fresh.entries == NULL) {
-        abort();
-    }
+    fresh.entries = cw_memory_zeroed_items(ranges->count + 1, sizeof(*fresh.entries));
     for (index = 0; index < ranges->count; index++) {
         cw_table_entry_t entry = entry_of(&ranges->items[index]);
 
@@ -159,10 +155,7 @@
 static void reserve(merged_entries_t *merged, size_t capacity)
 {
     merged->capacity = capacity;
-    merged->entries = realloc(merged->entries, capacity * sizeof(*merged->entries));
-    if (merged->entries == NULL) {
-        abort();
-    }
+    merged->entries = cw_memory_resize(merged->entries, capacity * sizeof(*merged->entries));
 }
 
 static void add_merged(merged_entries_t *merged, const cw_table_entry_t *entry)
--- a/src/router/list_exchange.c
+++ b/src/router/list_exchange.c
@@ -6,6 +6,8 @@
 
 #include <stdlib.h>
 
+#include "base/memory.h"
+
 enum {
     ASK_AGAIN_MS = 300,   /* a window takes 0.1 s where the answering node serves one at a time, 0.3 s with three */
     ASK_RARELY_MS = 2000, /* the leader's own list comes within WHOLE_WAIT_MS and WHOLE_WAIT_NODE_MS (router_push.c) */
@@ -83,11 +85,8 @@
 
 cw_list_exchange_t *cw_list_exchange_create(const cw_list_exchange_owner_t *owner)
 {
-    cw_list_exchange_t *exchange = calloc(1, sizeof(*exchange));
+    cw_list_exchange_t *exchange = cw_memory_zeroed(sizeof(*exchange));
 
-    if (exchange == NULL) {
-        abort();
-    }
     exchange->owner = *owner;
     exchange->turn = owner->own_address;
     exchange->transfer_count = transfers_of(owner->bytes_per_s);
--- a/src/router/pass_on_queue.c
+++ b/src/router/pass_on_queue.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
+
 /** A node that is sent an update. */
 typedef struct receiver {
     uint32_t address;
@@ -32,11 +34,8 @@
 
 cw_pass_on_queue_t *cw_pass_on_queue_create(const cw_pass_on_owner_t *owner)
 {
-    cw_pass_on_queue_t *queue = calloc(1, sizeof(*queue));
+    cw_pass_on_queue_t *queue = cw_memory_zeroed(sizeof(*queue));
 
-    if (queue == NULL) {
-        abort();
-    }
     queue->owner = *owner;
     return queue;
 }
@@ -108,10 +107,7 @@
 {
     size_t index;
 
-    waiting->receivers = calloc(count + 1, sizeof(*waiting->receivers));
-    if (waiting->receivers == NULL) {
-        abort();
-    }
+    waiting->receivers = cw_memory_zeroed_items(count + 1, sizeof(*waiting->receivers));
     for (index = 0; index < count; index++) {
         waiting->receivers[index].address = addresses[index];
     }
@@ -174,10 +170,8 @@
 
 static void add_receiver(waiting_update_t *waiting, uint32_t address)
 {
-    waiting->receivers = realloc(waiting->receivers, (waiting->receiver_count + 1) * sizeof(*waiting->receivers));
-    if (waiting->receivers == NULL) {
-        abort();
-    }
+    waiting->receivers =
+        cw_memory_resize(waiting->receivers, (waiting->receiver_count + 1) * sizeof(*waiting->receivers));
     waiting->receivers[waiting->receiver_count++] = (receiver_t){.address = address};
 }
 
--- a/src/router/router_list_exchange.c
+++ b/src/router/router_list_exchange.c
@@ -8,6 +8,7 @@
  */
 #include <stdlib.h>
 
+#include "base/memory.h"
 #include "router/list_exchange.h"
 #include "router/router_internal.h"
 #include "router/servers_pages.h"
@@ -15,7 +16,6 @@
 enum {
     LINK_PART = 3, /* of the link's bandwidth for pages of lists, as for the leader's (router_push.c) */
     BITS = 8,
-    MANY_NODES = 16 /* as for slots (router_slots.c): with fewer, the leader sends the list to each at once */
 };
 
 /** A list that is sent to others. */
@@ -195,10 +195,7 @@
                                       .bytes_per_s = (double)router->settings.link_mbps * 1e6 / BITS / LINK_PART,
                                       .own_address = cw_peer_link_own_address(router->link)};
 
-    router->list_exchange = calloc(1, sizeof(*router->list_exchange));
-    if (router->list_exchange == NULL) {
-        abort();
-    }
+    router->list_exchange = cw_memory_zeroed(sizeof(*router->list_exchange));
     router->list_exchange->exchange = cw_list_exchange_create(&owner);
 }
 
@@ -218,7 +215,7 @@
 /* A node that has just started does not know the others yet, the leader does. */
 static bool are_nodes_many(const cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat)
 {
-    return heartbeat->nodes >= MANY_NODES || cw_router_nodes_are_many(router);
+    return heartbeat->nodes >= CW_FLEET_MANY_NODES || cw_router_nodes_are_many(router);
 }
 
 void cw_router_list_exchange_heartbeat(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -16,6 +16,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "placement/region_owners.h"
 #include "router/router_internal.h"
 
@@ -64,10 +65,7 @@
 {
     if (servers->count == servers->capacity) {
         servers->capacity = servers->capacity == 0 ? SERVERS_FIRST : 2 * servers->capacity;
-        servers->items = realloc(servers->items, servers->capacity * sizeof(*servers->items));
-        if (servers->items == NULL) {
-            abort();
-        }
+        servers->items = cw_memory_resize(servers->items, servers->capacity * sizeof(*servers->items));
     }
     memset(&servers->items[servers->count], 0, sizeof(*servers->items));
     return &servers->items[servers->count++];
--- a/src/router/router_quota.c
+++ b/src/router/router_quota.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "router/router_quota.h"
 
 enum {
@@ -282,11 +283,8 @@
 
 static void *grown(void *array, size_t capacity)
 {
-    void *larger = realloc(array, capacity * sizeof(cw_broker_candidate_t));
+    void *larger = cw_memory_resize(array, capacity * sizeof(cw_broker_candidate_t));
 
-    if (larger == NULL) {
-        abort();
-    }
     return larger;
 }
 
--- a/src/router/router_quota_wire.c
+++ b/src/router/router_quota_wire.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "router/router_quota.h"
 
 /* ---- messages to this node itself ---- */
@@ -31,10 +32,7 @@
 {
     if (quota->own_count == quota->own_capacity) {
         quota->own_capacity = quota->own_capacity == 0 ? 4 : 2 * quota->own_capacity;
-        quota->own = realloc(quota->own, quota->own_capacity * sizeof(*quota->own));
-        if (quota->own == NULL) {
-            abort();
-        }
+        quota->own = cw_memory_resize(quota->own, quota->own_capacity * sizeof(*quota->own));
     }
     quota->own[quota->own_count++] = *message;
     if (!uv_is_active((uv_handle_t *)&quota->deliver)) {
--- a/src/router/router_relay.c
+++ b/src/router/router_relay.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "base/text.h"
 #include "router/relay_choice.h"
 #include "router/router_internal.h"
@@ -50,10 +51,7 @@
 
 void cw_router_relay_init(cw_router_t *router)
 {
-    router->relay = calloc(1, sizeof(*router->relay));
-    if (router->relay == NULL) {
-        abort();
-    }
+    router->relay = cw_memory_zeroed(sizeof(*router->relay));
 }
 
 static bool is_in_zone(const cw_peer_t *peer)
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -8,10 +8,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "router/router_internal.h"
 
 enum {
-    MANY_NODES = 16,      /* as in router_view.c: so many nodes learn of one another's requests too late */
     GATHER_EVERY_MS = 100 /* how often the nodes that may count are gathered; well below CW_PEER_SILENCE_MS */
 };
 
@@ -51,10 +51,7 @@
 {
     if (slots->own_count == slots->own_capacity) {
         slots->own_capacity = slots->own_capacity == 0 ? 32 : 2 * slots->own_capacity;
-        slots->own = realloc(slots->own, slots->own_capacity * sizeof(*slots->own));
-        if (slots->own == NULL) {
-            abort();
-        }
+        slots->own = cw_memory_resize(slots->own, slots->own_capacity * sizeof(*slots->own));
     }
     memset(&slots->own[slots->own_count], 0, sizeof(*slots->own));
     return &slots->own[slots->own_count++];
@@ -300,10 +297,7 @@
 {
     if (slots->candidate_count == slots->candidate_room) {
         slots->candidate_room = slots->candidate_room == 0 ? 32 : 2 * slots->candidate_room;
-        slots->candidates = realloc(slots->candidates, slots->candidate_room * sizeof(*slots->candidates));
-        if (slots->candidates == NULL) {
-            abort();
-        }
+        slots->candidates = cw_memory_resize(slots->candidates, slots->candidate_room * sizeof(*slots->candidates));
     }
     slots->candidates[slots->candidate_count++] = *candidate;
 }
@@ -351,11 +345,8 @@
 
 void cw_router_slots_init(cw_router_t *router)
 {
-    cw_router_slots_t *slots = calloc(1, sizeof(*slots));
+    cw_router_slots_t *slots = cw_memory_zeroed(sizeof(*slots));
 
-    if (slots == NULL) {
-        abort();
-    }
     slots->router = router;
     slots->broker = cw_slot_broker_create(router->pool, router->settings.zone, on_replied, slots);
     uv_timer_init(&router->loop, &slots->deliver);
@@ -375,7 +366,7 @@
         slots->gathered_at = now;
         gather(slots);
     }
-    is_on = slots->candidate_count >= MANY_NODES;
+    is_on = slots->candidate_count >= CW_FLEET_MANY_NODES;
     if (is_on != slots->is_on) {
         slots->is_on = is_on;
         set_port(slots);
--- a/src/router/router_summary.c
+++ b/src/router/router_summary.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/dropped_entries.h"
+#include "base/memory.h"
 #include "router/router_internal.h"
 #include "router/router_summary.h"
 
@@ -58,11 +59,8 @@
 
 static void *grow(uint32_t *numbers, size_t count)
 {
-    uint32_t *grown = realloc(numbers, count * sizeof(*numbers));
+    uint32_t *grown = cw_memory_resize(numbers, count * sizeof(*numbers));
 
-    if (grown == NULL) {
-        abort();
-    }
     return grown;
 }
 
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "base/text.h"
 #include "router/reading_turn.h"
 #include "router/router_internal.h"
@@ -25,7 +26,6 @@
     FIRST_READ_EVERY_MS = 700,
     LEADER_SEEN_MS = 100, /* a node that starts has the leader's heartbeat by then: seeds answer it within 50 ms */
     FIRST_LIST_MS = 4000, /* the leader's list has come by then, from nodes of the zone or the leader itself */
-    MANY_NODES = 16,      /* more than these are many: what they all ask of the store is to stay bounded */
     TABLES_READER_PERCENT = 25, /* of the time they are valid: tables as old are read by readers of many nodes, */
     TABLES_OLD_PERCENT = 50,    /* and by the others: a reader has mostly confirmed theirs before */
     HEARTBEAT_OLD_PERCENT = 45, /* of that time: without the leader's heartbeat for so long a node reads itself */
@@ -164,7 +164,8 @@
 /* A process that has just started does not know the others yet, and takes it that there are many. */
 static bool is_one_of_many(const cw_router_t *router, cw_time_us_t now)
 {
-    return cw_router_is_new(router, now) || cw_peer_link_alive(router->link, router->silence, now) >= MANY_NODES;
+    return cw_router_is_new(router, now) ||
+           cw_peer_link_alive(router->link, router->silence, now) >= CW_FLEET_MANY_NODES;
 }
 
 /* While the store does not answer, many nodes that ask it are a burden, and each call has a price: the readers go on.
@@ -414,10 +415,7 @@
         if (!service->keyed) {
             continue;
         }
-        read = calloc(1, sizeof(*read));
-        if (read == NULL) {
-            abort();
-        }
+        read = cw_memory_zeroed(sizeof(*read));
         read->router = router;
         read->sent_at = now;
         cw_text_copy(read->service, sizeof(read->service), service->name);
--- a/src/router/signal_notices.c
+++ b/src/router/signal_notices.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <uthash.h>
 
+#include "base/memory.h"
+
 enum {
     SENDS = 3, /* of one notice */
     SEND_AGAIN_MS = 200,
@@ -32,11 +34,8 @@
 
 cw_signal_notices_t *cw_signal_notices_create(void)
 {
-    cw_signal_notices_t *notices = calloc(1, sizeof(*notices));
+    cw_signal_notices_t *notices = cw_memory_zeroed(sizeof(*notices));
 
-    if (notices == NULL) {
-        abort();
-    }
     notices->next_at = CW_NEVER;
     return notices;
 }
@@ -72,10 +71,7 @@
     notice_t *notice = find(notices, server);
 
     if (notice == NULL) {
-        notice = calloc(1, sizeof(*notice));
-        if (notice == NULL) {
-            abort();
-        }
+        notice = cw_memory_zeroed(sizeof(*notice));
         notice->server = server;
         HASH_ADD(hh, notices->by_server, server, sizeof(notice->server), notice);
     }
--- a/src/router/signal_notices.h
+++ b/src/router/signal_notices.h
@@ -4,8 +4,8 @@
  *
  * All nodes have to know from the first answer that says so, and the leader goes by a limit's rate. Rules:
  *  - A change is told at once and repeated, since datagrams are lost.
- *  - What changes again and again is told once in a while: the node that counts the server's slots learns each rate from
- *    the answers. All that is to be told at one moment goes in one datagram, and these have a pause between them.
+ *  - What changes again and again is told once in a while: the node that counts the server's slots learns each rate
+ * from the answers. All that is to be told at one moment goes in one datagram, and these have a pause between them.
  *  - A limit that goes on is told anew by whoever sees it first after a while, so that it is not forgotten. What
  * another node has told lately is not told again: many nodes see the same answers.
  *  - A leave is told anew every few seconds, for nodes that were cut off or have started since, until it is listed or
--- a/src/router/view_parts.c
+++ b/src/router/view_parts.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "router/table_pages.h"
 
 struct cw_view_parts {
@@ -16,11 +17,8 @@
 
 cw_view_parts_t *cw_view_parts_create(void)
 {
-    cw_view_parts_t *parts = calloc(1, sizeof(*parts));
+    cw_view_parts_t *parts = cw_memory_zeroed(sizeof(*parts));
 
-    if (parts == NULL) {
-        abort();
-    }
     return parts;
 }
 
--- a/src/tenancy/quota_bucket.c
+++ b/src/tenancy/quota_bucket.c
@@ -7,6 +7,8 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "base/memory.h"
+
 enum {
     BEGIN_FOR_MS = 500,   /* two report pauses: by then each node that lets something through has reported */
     FREE_AFTER_MS = 1000, /* above FREE_ABOVE for so long: longer than a lull between a tenant's requests */
@@ -167,11 +169,8 @@
 
 static cw_quota_record_t *add_record(cw_quota_bucket_t *bucket, uint32_t node, uint64_t incarnation, cw_time_us_t now)
 {
-    cw_quota_record_t *record = calloc(1, sizeof(*record));
+    cw_quota_record_t *record = cw_memory_zeroed(sizeof(*record));
 
-    if (record == NULL) {
-        abort();
-    }
     record->node = node;
     record->incarnation = incarnation;
     record->id = id_of(now);
--- a/src/tenancy/quota_counter.c
+++ b/src/tenancy/quota_counter.c
@@ -6,6 +6,7 @@
 
 #include <stdlib.h>
 
+#include "base/memory.h"
 #include "tenancy/quota_bucket.h"
 
 enum {
@@ -27,11 +28,8 @@
 
 cw_quota_counter_t *cw_quota_counter_create(const cw_quota_settings_t *settings)
 {
-    cw_quota_counter_t *counter = calloc(1, sizeof(*counter));
+    cw_quota_counter_t *counter = cw_memory_zeroed(sizeof(*counter));
 
-    if (counter == NULL) {
-        abort();
-    }
     counter->settings = *settings;
     counter->nodes = 1;
     counter->in_reach = 1;
@@ -100,11 +98,8 @@
 
 static cw_quota_bucket_t *create_bucket(const cw_quota_tenant_limit_t *named)
 {
-    cw_quota_bucket_t *bucket = calloc(1, sizeof(*bucket));
+    cw_quota_bucket_t *bucket = cw_memory_zeroed(sizeof(*bucket));
 
-    if (bucket == NULL) {
-        abort();
-    }
     bucket->tenant = named->tenant;
     bucket->limit = named->limit;
     return bucket;
--- a/src/tenancy/quota_reports.c
+++ b/src/tenancy/quota_reports.c
@@ -4,6 +4,7 @@
  */
 #include <stdlib.h>
 
+#include "base/memory.h"
 #include "tenancy/quota_share_internal.h"
 
 enum {
@@ -31,10 +32,7 @@
 
     HASH_FIND(hh, share->links, &address, sizeof(address), link);
     if (link == NULL) {
-        link = calloc(1, sizeof(*link));
-        if (link == NULL) {
-            abort();
-        }
+        link = cw_memory_zeroed(sizeof(*link));
         link->address = address;
         HASH_ADD(hh, share->links, address, sizeof(link->address), link);
     }
--- a/src/tenancy/quota_share.c
+++ b/src/tenancy/quota_share.c
@@ -7,6 +7,7 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "base/memory.h"
 #include "tenancy/quota_share_internal.h"
 
 enum {
@@ -23,11 +24,8 @@
 cw_quota_share_t *cw_quota_share_create(const cw_quota_settings_t *settings, const cw_quota_port_t *port,
                                         uint32_t address, uint64_t incarnation)
 {
-    cw_quota_share_t *share = calloc(1, sizeof(*share));
+    cw_quota_share_t *share = cw_memory_zeroed(sizeof(*share));
 
-    if (share == NULL) {
-        abort();
-    }
     share->settings = *settings;
     share->port = *port;
     share->address = address;
@@ -81,10 +79,7 @@
     cw_quota_tenant_t *tenant = cw_quota_find_tenant(share, hash);
 
     if (tenant == NULL) {
-        tenant = calloc(1, sizeof(*tenant));
-        if (tenant == NULL) {
-            abort();
-        }
+        tenant = cw_memory_zeroed(sizeof(*tenant));
         tenant->hash = hash;
         tenant->mode = CW_QUOTA_FREE;
         tenant->heard_at = now;
--- a/src/tenancy/tenant_gate.c
+++ b/src/tenancy/tenant_gate.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "base/memory.h"
+
 static const cw_time_us_t retry_after = CW_MS(20); /* a request ends within that, where many run */
 
 struct cw_tenant_count {
@@ -23,11 +25,8 @@
 
 cw_tenant_gate_t *cw_tenant_gate_create(void)
 {
-    cw_tenant_gate_t *gate = calloc(1, sizeof(*gate));
+    cw_tenant_gate_t *gate = cw_memory_zeroed(sizeof(*gate));
 
-    if (gate == NULL) {
-        abort();
-    }
     return gate;
 }
 
@@ -56,10 +55,7 @@
 
     HASH_FIND_STR(gate->counts, tenant->name, count);
     if (count == NULL) {
-        count = calloc(1, sizeof(*count));
-        if (count == NULL) {
-            abort();
-        }
+        count = cw_memory_zeroed(sizeof(*count));
         count->gate = gate;
         count->name = strdup(tenant->name);
         HASH_ADD_KEYPTR(hh, gate->counts, count->name, strlen(count->name), count);
