A limit that was raised is tried at once where the one before had no room

A server refused for 5 s under a limit of zero stayed passed over after it had named 50 a second. Found on reading the diff; the new check of test_engine_limits waits for the ask without end when the change is taken out (ended by hand).

--- a/src/proxy/engine_signals.c
+++ b/src/proxy/engine_signals.c
@@ -23,7 +23,7 @@
 /* ---- rate limits ---- */
 
 /* request: NULL: by the word of another node. */
-static void note_limit_change(const cw_server_t *server, cw_limit_change_t change, const char *request)
+static void note_limit_change(cw_server_t *server, cw_limit_change_t change, const char *request)
 {
     static const char *const names[] = {"unchanged", "begun", "changed", "ended"};
     cw_event_t               event;
@@ -31,6 +31,7 @@
     if (change == CW_LIMIT_UNCHANGED) {
         return;
     }
+    server->limit_allows_at = 0; /* what was refused was refused by the limit before */
     cw_metric_add(CW_METRIC_SERVER_LIMIT_CHANGES, 1);
     if (cw_event_begin(&event, CW_EVENT_SERVER_LIMIT)) {
         cw_event_text(&event, CW_FIELD_SERVER, server->id);
--- a/tests/test_engine_limits.c
+++ b/tests/test_engine_limits.c
@@ -188,6 +188,21 @@
 }
 END_TEST
 
+START_TEST(a_limit_that_is_raised_is_tried_at_once_where_the_one_before_had_no_room)
+{
+    engine_world_t  world;
+    counting_node_t node;
+
+    begin(&world, &node);
+    limit(&world, "s0", 0);
+    cw_server_note_limit_refused(cw_server_pool_find(world.pool, "s0"), CW_SECONDS(5), cw_engine_now(world.engine));
+    limit(&world, "s0", 50);
+    (void)engine_world_ask(&world, "GET", "/safe/x", "15000");
+    cw_test_run_until(&world.loop, has_asked, &node);
+    ck_assert_uint_eq(node.asked.server, cw_server_pool_find(world.pool, "s0")->hash);
+}
+END_TEST
+
 START_TEST(while_the_counting_node_does_not_reply_only_the_own_part_is_sent)
 {
     engine_world_t  world;
@@ -218,6 +233,7 @@
     tcase_add_test(cases, what_is_beyond_an_owners_limit_is_refused_at_once_with_the_true_time);
     tcase_add_test(cases, what_one_limited_server_has_no_room_for_goes_to_another_server);
     tcase_add_test(cases, where_all_servers_are_beyond_their_limits_the_first_room_is_told);
+    tcase_add_test(cases, a_limit_that_is_raised_is_tried_at_once_where_the_one_before_had_no_room);
     tcase_add_test(cases, while_the_counting_node_does_not_reply_only_the_own_part_is_sent);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
