An answer to a request that did not run does not end a server's rate limit

Found on reading the diff: three 421 or 503 answers in a row without the field, a second after it was named, ended a limit that the server still keeps; a burst of stale keys brings them. Also moved: cw_server_note_limit_refused to the pool.

--- a/src/balance/server_limit.h
+++ b/src/balance/server_limit.h
@@ -5,8 +5,8 @@
  * Rules:
  *  - Each statement has the moment of its making. One made before what is known already changes nothing: answers and
  *    other nodes' notices cross.
- *  - A limit ends when some answers in a row did not name it and none has for a while: a server may name it in some of
- *    its answers only.
+ *  - A limit ends when some answers in a row, to requests that ran, did not name it and none has for a while: a server
+ * may name it in some of its answers only.
  *  - It also ends after a long silence, since a server that gets no requests has no answer to say so in. So one that
  * wants none gets one now and then: without an answer nobody would learn that it takes more again.
  *  - It belongs to one incarnation of a server; the next one has none until it names one.
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -163,6 +163,8 @@
 bool cw_server_is_limited(const cw_server_t *server, cw_time_us_t now);
 /** Takes a token of this node's equal part of a server's limit, if there is one; `nodes` share it. */
 bool cw_server_take_limit_part(cw_server_t *server, uint32_t nodes, cw_time_us_t now);
+/** Its rate limit has no room for so long: it is not chosen until then. */
+void cw_server_note_limit_refused(cw_server_t *server, cw_time_us_t wait, cw_time_us_t now);
 /** The node that counts for all replies: the own part begins anew when it is needed again. */
 void cw_server_clear_limit_part(cw_server_t *server);
 /** Has it turned this node away, and asked for a rest that is not over? */
--- a/src/balance/server_signals.h
+++ b/src/balance/server_signals.h
@@ -20,6 +20,7 @@
 };
 
 typedef struct cw_server_signals {
+    bool             has_run; /**< the request; an answer to one that did not may leave the rest out */
     bool             has_load;
     cw_server_load_t load;
     bool             has_limit;
--- a/src/proxy/engine_holdoff.c
+++ b/src/proxy/engine_holdoff.c
@@ -16,18 +16,13 @@
     return !cw_server_is_limited(server, now) || cw_server_take_limit_part(server, request->engine->nodes, now);
 }
 
-void cw_server_note_limit_refused(cw_server_t *server, cw_time_us_t free_after, cw_time_us_t now)
-{
-    server->limit_allows_at = now + (free_after > 0 ? free_after : CW_MS(UNASKED_MS));
-}
-
 cw_server_t *cw_request_choose_unasked(const cw_request_t *request, const cw_zone_filter_t *zones, cw_time_us_t now,
                                        bool *full)
 {
     cw_server_t *server = cw_request_choose(request, zones, now, full);
 
     while (server != NULL && !cw_request_may_send_unasked(request, server, now)) {
-        cw_server_note_limit_refused(server, 0, now);
+        cw_server_note_limit_refused(server, CW_MS(UNASKED_MS), now);
         server = cw_request_choose(request, zones, now, full);
     }
     return server;
@@ -41,7 +36,7 @@
     if (*asked || server == NULL || cw_request_may_send_unasked(request, server, now)) {
         return server;
     }
-    cw_server_note_limit_refused(server, 0, now);
+    cw_server_note_limit_refused(server, CW_MS(UNASKED_MS), now);
     return cw_request_choose_unasked(request, NULL, now, full);
 }
 
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -312,8 +312,6 @@
                                        bool *full);
 /** As cw_request_choose, but a slot is asked for if the server has a rate limit. */
 cw_server_t *cw_request_choose_or_ask(cw_request_t *request, cw_time_us_t now, bool *full, bool *asked);
-/** The node that counts has refused a slot of this server for so long: it is not chosen until then. */
-void cw_server_note_limit_refused(cw_server_t *server, cw_time_us_t free_after, cw_time_us_t now);
 /** All servers that it may go to have a rate limit, or rest. */
 bool cw_request_is_held_off(const cw_request_t *request, cw_time_us_t now);
 /** The owner of its key has asked this node for a rest. */
--- a/src/proxy/engine_signals.c
+++ b/src/proxy/engine_signals.c
@@ -46,10 +46,13 @@
 static void note_limit(cw_engine_t *engine, cw_server_t *server, const cw_server_signals_t *signals,
                        const char *request, cw_time_us_t now)
 {
-    cw_limit_change_t change = signals->has_limit
-                                   ? cw_server_limit_note_named(&server->limit, signals->limit_per_s, now, now)
-                                   : cw_server_limit_note_unnamed(&server->limit, now);
+    cw_limit_change_t change = CW_LIMIT_UNCHANGED;
 
+    if (signals->has_limit) {
+        change = cw_server_limit_note_named(&server->limit, signals->limit_per_s, now, now);
+    } else if (signals->has_run) {
+        change = cw_server_limit_note_unnamed(&server->limit, now);
+    }
     note_limit_change(server, change, request);
     if (engine->signal_port.limit_stated != NULL && (signals->has_limit || change != CW_LIMIT_UNCHANGED)) {
         engine->signal_port.limit_stated(engine->signal_port.context, server, change);
@@ -150,6 +153,7 @@
     request->claim.has_signals = true;
     if (signals->malformed_name != NULL) {
         note_malformed(server, signals);
+        signals->malformed_value = NULL; /* it ends with the answer */
     }
     if (signals->has_load) {
         cw_server_pool_note_load(server, &signals->load, now);
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -11,8 +11,9 @@
 #include "proxy/engine_internal.h"
 
 enum {
-    ASKS_MOST = 2,       /* a datagram may be lost */
-    QUEUED_SLACK_MS = 60 /* after the objective: the broker has refused by then */
+    ASKS_MOST = 2,         /* a datagram may be lost */
+    UNKNOWN_WAIT_MS = 300, /* a refusal that tells no time: its broker knows the server by another list */
+    QUEUED_SLACK_MS = 60   /* after the objective: the broker has refused by then */
 };
 
 void cw_engine_set_slots(cw_engine_t *engine, const cw_slot_port_t *port)
@@ -118,7 +119,7 @@
     cw_server_t *server = only_server(request);
 
     if (server != NULL) {
-        cw_server_note_limit_refused(server, free_after, now);
+        cw_server_note_limit_refused(server, free_after > 0 ? free_after : CW_MS(UNKNOWN_WAIT_MS), now);
     }
     cw_request_place(request, now);
 }
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -276,7 +276,8 @@
 
 void cw_router_take_slot_return(cw_router_t *router, const cw_peer_t *peer, const Cwp__SlotReturn *message)
 {
-    cw_server_signals_t signals = {.has_load = message->slots != 0,
+    cw_server_signals_t signals = {.has_run = message->end == CW_SLOT_ANSWERED,
+                                   .has_load = message->slots != 0,
                                    .load = {.running = message->running,
                                             .waiting = message->waiting,
                                             .slots = message->slots,
--- a/tests/test_engine_limits.c
+++ b/tests/test_engine_limits.c
@@ -55,7 +55,7 @@
 {
     (void)status;
     (void)fields;
-    *signals = (cw_server_signals_t){.has_limit = true, .limit_per_s = 3};
+    *signals = (cw_server_signals_t){.has_run = true, .has_limit = true, .limit_per_s = 3};
 }
 
 static void begin(engine_world_t *world, counting_node_t *node)
@@ -188,6 +188,29 @@
 }
 END_TEST
 
+START_TEST(answers_to_requests_that_did_not_run_do_not_end_a_limit)
+{
+    engine_world_t      world;
+    counting_node_t     node;
+    cw_server_signals_t signals = {.has_run = false};
+    cw_server_t        *server;
+    int                 answer;
+
+    begin(&world, &node);
+    server = cw_server_pool_find(world.pool, "s0");
+    cw_engine_take_limit(world.engine, server, 6, cw_engine_now(world.engine) - CW_SECONDS(2));
+    for (answer = 0; answer < 10; answer++) {
+        cw_engine_note_signals(world.engine, server, &signals, "r");
+    }
+    ck_assert(cw_server_is_limited(server, cw_engine_now(world.engine)));
+    signals.has_run = true;
+    for (answer = 0; answer < CW_LIMIT_UNNAMED_ENDS; answer++) {
+        cw_engine_note_signals(world.engine, server, &signals, "r");
+    }
+    ck_assert(!cw_server_is_limited(server, cw_engine_now(world.engine)));
+}
+END_TEST
+
 START_TEST(a_limit_that_is_raised_is_tried_at_once_where_the_one_before_had_no_room)
 {
     engine_world_t  world;
@@ -233,6 +256,7 @@
     tcase_add_test(cases, what_is_beyond_an_owners_limit_is_refused_at_once_with_the_true_time);
     tcase_add_test(cases, what_one_limited_server_has_no_room_for_goes_to_another_server);
     tcase_add_test(cases, where_all_servers_are_beyond_their_limits_the_first_room_is_told);
+    tcase_add_test(cases, answers_to_requests_that_did_not_run_do_not_end_a_limit);
     tcase_add_test(cases, a_limit_that_is_raised_is_tried_at_once_where_the_one_before_had_no_room);
     tcase_add_test(cases, while_the_counting_node_does_not_reply_only_the_own_part_is_sent);
     suite_add_tcase(suite, cases);
--- a/tests/test_server_signals.c
+++ b/tests/test_server_signals.c
@@ -50,6 +50,13 @@
 }
 END_TEST
 
+START_TEST(an_answer_to_a_request_that_did_not_run_is_told_apart)
+{
+    ck_assert(decoded("Server-Limit", "6").has_run);
+    ck_assert(!decoded_of(421, "X-Not-Executed", "1").has_run);
+}
+END_TEST
+
 START_TEST(a_server_leaves_that_says_so_and_no_other)
 {
     ck_assert(decoded("Server-Leaving", "1").is_leaving);
@@ -155,6 +162,7 @@
     TCase *cases = tcase_create("all");
 
     tcase_add_test(cases, a_rest_is_the_seconds_of_a_503_and_bounded);
+    tcase_add_test(cases, an_answer_to_a_request_that_did_not_run_is_told_apart);
     tcase_add_test(cases, a_server_leaves_that_says_so_and_no_other);
     tcase_add_test(cases, a_limit_is_a_decimal_number_and_nothing_else);
     tcase_add_test(cases, a_limit_begins_changes_and_is_renewed);
