signal_notices: what only other nodes tell of a server is forgotten, too

Found on reading the diff: a node that never begins a notice kept one of each server that others had told of, for as long as it ran. test_signal_notices 9 checks; the new one kept 1,000 servers before.

--- a/src/router/signal_notices.c
+++ b/src/router/signal_notices.c
@@ -78,6 +78,15 @@
     return notice;
 }
 
+/* When something becomes due of it. */
+static cw_time_us_t next_look(const notice_t *notice)
+{
+    if (notice->sends_left > 0) {
+        return notice->send_at;
+    }
+    return notice->told_at + CW_MS(notice->is_leave ? RENEWED_EVERY_MS : CW_LIMIT_FORGOTTEN_MS);
+}
+
 void cw_signal_notices_note(cw_signal_notices_t *notices, uint32_t server, cw_limit_change_t change, cw_time_us_t now)
 {
     notice_t    *notice = find_or_add(notices, server);
@@ -110,7 +119,10 @@
 
 void cw_signal_notices_note_received(cw_signal_notices_t *notices, uint32_t server, cw_time_us_t now)
 {
-    find_or_add(notices, server)->told_at = now;
+    notice_t *notice = find_or_add(notices, server);
+
+    notice->told_at = now;
+    notices->next_at = next_look(notice) < notices->next_at ? next_look(notice) : notices->next_at;
 }
 
 /* A leave begins anew when nobody has told of it for a while. */
@@ -123,17 +135,9 @@
     }
 }
 
-static cw_time_us_t next_look(const notice_t *notice)
-{
-    if (notice->sends_left > 0) {
-        return notice->send_at;
-    }
-    return notice->is_leave ? notice->told_at + CW_MS(RENEWED_EVERY_MS) : CW_NEVER;
-}
-
 static bool is_over(const notice_t *notice, cw_time_us_t now)
 {
-    return notice->sends_left == 0 && !notice->is_leave && now - notice->told_at > CW_MS(CW_LIMIT_FORGOTTEN_MS);
+    return notice->sends_left == 0 && !notice->is_leave && now - notice->told_at >= CW_MS(CW_LIMIT_FORGOTTEN_MS);
 }
 
 size_t cw_signal_notices_due(cw_signal_notices_t *notices, uint32_t servers[CW_SIGNAL_NOTICES_MOST], cw_time_us_t now)
--- a/tests/test_signal_notices.c
+++ b/tests/test_signal_notices.c
@@ -123,6 +123,20 @@
 }
 END_TEST
 
+START_TEST(what_only_others_tell_is_forgotten_too)
+{
+    cw_signal_notices_t *notices = cw_signal_notices_create();
+    uint32_t             server;
+
+    for (server = 1; server <= 1000; server++) {
+        cw_signal_notices_note_received(notices, server, start);
+    }
+    (void)sent_until(notices, start, start + CW_SECONDS(11));
+    ck_assert_uint_eq(cw_signal_notices_servers(notices), 0);
+    cw_signal_notices_free(notices);
+}
+END_TEST
+
 START_TEST(servers_that_name_none_any_more_are_forgotten)
 {
     cw_signal_notices_t *notices = cw_signal_notices_create();
@@ -148,6 +162,7 @@
     tcase_add_test(cases, what_another_node_tells_is_not_told_again);
     tcase_add_test(cases, many_limits_at_once_are_told_a_datagram_at_a_time);
     tcase_add_test(cases, a_leave_is_told_until_it_is_listed);
+    tcase_add_test(cases, what_only_others_tell_is_forgotten_too);
     tcase_add_test(cases, servers_that_name_none_any_more_are_forgotten);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
