--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -91,11 +91,13 @@
 
 # A server of a new incarnation in place of one that goes.
 replace_server() { # NAME SIGNAL
-    local service=maps args=(--keyed)
+    local service=maps args=(--keyed) index
     case $1 in h*) service=hires args=(--hangs) ;; esac
     NEXT_SERVER=$((NEXT_SERVER + 1))
     cluster_server "${1%%_*}_$NEXT_SERVER" --signals "$SERVER_SIGNALS" --service "$service" --zone "z$((NEXT_SERVER % 3 + 1))" "${args[@]}" --work-ms "$WORK_MS"
-    SERVER_NAMES=("${SERVER_NAMES[@]/$1/${1%%_*}_$NEXT_SERVER}")
+    for index in "${!SERVER_NAMES[@]}"; do
+        [ "${SERVER_NAMES[$index]}" != "$1" ] || SERVER_NAMES[index]="${1%%_*}_$NEXT_SERVER"
+    done
     kill -"$2" "${SERVER_PIDS[$1]}"
 }
 
