--- a/tests/fault_soak/soak.sh
+++ b/tests/fault_soak/soak.sh
@@ -89,6 +89,9 @@
 declare -A COUNTS=()
 FINDINGS=0 SIGNALLED=0 NEXT_SERVER=0 UNREAD=0 LATE=0 JOBS=() TURN_CALLERS=()
 
+# A server that has begun to run takes signals; before, they would end the shell that starts it.
+is_started() { grep -qs '"start"' "$WORK/server-$1.json"; } # NAME
+
 # A server of a new incarnation in place of one that goes.
 replace_server() { # NAME SIGNAL
     local service=maps args=(--keyed) index
@@ -98,6 +101,7 @@
     for index in "${!SERVER_NAMES[@]}"; do
         [ "${SERVER_NAMES[$index]}" != "$1" ] || SERVER_NAMES[index]="${1%%_*}_$NEXT_SERVER"
     done
+    until_true is_started "$1"
     kill -"$2" "${SERVER_PIDS[$1]}"
 }
 
@@ -219,14 +223,14 @@
     while [ "$count" -gt 0 ]; do
         draw_signal "${#SERVER_NAMES[@]}"
         name=${SERVER_NAMES[$DRAWN]}
-        kill -USR1 "${SERVER_PIDS[$name]}" 2>/dev/null
+        is_started "$name" && kill -USR1 "${SERVER_PIDS[$name]}" 2>/dev/null
         SIGNALLED=$((SIGNALLED + 1))
         count=$((count - 1))
     done
 }
 end_signals() {
     local name
-    for name in "${SERVER_NAMES[@]}"; do kill -USR2 "${SERVER_PIDS[$name]}" 2>/dev/null; done
+    for name in "${SERVER_NAMES[@]}"; do is_started "$name" && kill -USR2 "${SERVER_PIDS[$name]}" 2>/dev/null; done
 }
 
 # Nodes in trouble do not count for what servers are told: from its first moment on, until calm returns.
