--- a/src/router/signal_notices.c
+++ b/src/router/signal_notices.c
@@ -87,14 +87,14 @@
     return notice->told_at + CW_MS(notice->is_leave ? RENEWED_EVERY_MS : CW_LIMIT_FORGOTTEN_MS);
 }
 
+/* While its first sending is due, a further change leaves it: it is sent as the server's state is then. */
 void cw_signal_notices_note(cw_signal_notices_t *notices, uint32_t server, cw_limit_change_t change, cw_time_us_t now)
 {
     notice_t    *notice = find_or_add(notices, server);
     cw_time_us_t pause = CW_MS(change == CW_LIMIT_UNCHANGED ? RENEWED_EVERY_MS : CHANGED_EVERY_MS);
     bool         is_soon = notice->told_at != 0 && now - notice->told_at < pause;
 
-    if ((is_soon && change == CW_LIMIT_UNCHANGED) ||
-        notice->told_at > now) { /* due already: it is sent as it is then */
+    if ((is_soon && change == CW_LIMIT_UNCHANGED) || notice->sends_left == SENDS) {
         return;
     }
     notice->send_at = is_soon ? notice->told_at + pause : now;
