Log and metrics: stalls of the loop; where a configuration comes from, and when one is overdue

No line said that a loop had not looked at its sockets, for how long, or that a higher version was known and not there yet, or from where it came. Change: base/loop_stall measures the time between two looks at the sockets; line "loop stalled", counter cedarwinch_loop_stalled_milliseconds_total. "configuration accepted" names its source, the time since a higher version was known and the age of the evidence; "configuration overdue" tells when a node reads the store for it.

--- a/fuzz/fuzz_peer.c
+++ b/fuzz/fuzz_peer.c
@@ -66,7 +66,7 @@
         node_fixture_read_servers(node, "s", (size_t)amount * LIST_UNIT, amount == 1 ? "" : "10.0.1.1:80");
         break;
     case 4:
-        (void)cw_router_apply_configuration(&node->router, node_fixture_configuration(amount % VERSIONS, "s"));
+        (void)cw_router_apply_configuration(&node->router, node_fixture_configuration(amount % VERSIONS, "s"), "store");
         break;
     case 5:
         node_fixture_answer_orders(node, (cw_order_result_t)(amount % (CW_ORDER_UNANSWERED + 1)));
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -22,6 +22,7 @@
     X(PEER_LOST, "peer lost", WARNING, 20)                                                                             \
     X(PEER_BACK, "peer back", NOTICE, 20)                                                                              \
     X(SUSPENDED, "suspended", WARNING, 10)                                                                             \
+    X(LOOP_STALLED, "loop stalled", WARNING, 10)                                                                       \
     X(SUMMARY_LATE, "summary late", NOTICE, 10)                                                                        \
     X(DATAGRAM_TOO_LARGE, "datagram too large", WARNING, 10)                                                           \
     X(SERVER_LOST, "server lost", WARNING, 20)                                                                         \
@@ -36,6 +37,7 @@
     X(LEADER_SEEN, "leader seen", NOTICE, 10)                                                                          \
     X(LEADER_SILENT, "leader silent", WARNING, 10)                                                                     \
     X(CONFIGURATION_ACCEPTED, "configuration accepted", NOTICE, 20)                                                    \
+    X(CONFIGURATION_OVERDUE, "configuration overdue", NOTICE, 10)                                                      \
     X(CONFIGURATION_REFUSED, "configuration refused", ERROR, 20)                                                       \
     X(KEYS_STALE, "keys stale", WARNING, 10)                                                                           \
     X(KEYS_CONFIRMED, "keys confirmed", NOTICE, 10)                                                                    \
@@ -98,6 +100,8 @@
     X(WAITED_MS, "waited_ms")                                                                                          \
     X(WAITED_FOR, "waited_for")                                                                                        \
     X(SUSPENDED_MS, "suspended_ms")                                                                                    \
+    X(STALLED_MS, "stalled_ms")                                                                                        \
+    X(EVIDENCE_MS, "evidence_ms")                                                                                      \
     X(SILENT_MS, "silent_ms")                                                                                          \
     X(ZONE, "zone")                                                                                                    \
     X(PEER, "peer")                                                                                                    \
--- /dev/null
+++ b/src/base/loop_stall.c
@@ -0,0 +1,70 @@
+/**
+ * @file loop_stall.c
+ * @brief Measures the time between two waits of the loop.
+ */
+#include "base/loop_stall.h"
+
+#include <stddef.h>
+
+#include "base/loop_clock.h"
+
+/** The watch of this process's loop. */
+static struct {
+    const uv_loop_t *loop; /* NULL: none */
+    uv_check_t       after_wait;
+    cw_time_us_t     looked_at; /* end of the last wait whose callbacks have run */
+    cw_time_us_t     stalled;   /* stalls since cw_loop_stall_take */
+} loop_stall;
+
+/* Runs after the callbacks of the sockets. The loop's time is still that of the end of its wait. */
+static void on_after_wait(uv_check_t *check)
+{
+    cw_time_us_t now = cw_loop_now(check->loop);
+    cw_time_us_t gap = now - loop_stall.looked_at;
+
+    if (gap > CW_MS(CW_LOOP_STALL_MS)) {
+        loop_stall.stalled += gap;
+    }
+    loop_stall.looked_at = now;
+}
+
+int cw_loop_stall_begin(uv_loop_t *loop)
+{
+    int error = uv_check_init(loop, &loop_stall.after_wait);
+
+    if (error == 0) {
+        error = uv_check_start(&loop_stall.after_wait, on_after_wait);
+    }
+    if (error != 0) {
+        return error;
+    }
+    uv_unref((uv_handle_t *)&loop_stall.after_wait);
+    loop_stall.loop = loop;
+    loop_stall.looked_at = cw_loop_now(loop);
+    loop_stall.stalled = 0;
+    return 0;
+}
+
+void cw_loop_stall_end(void)
+{
+    (void)uv_check_stop(&loop_stall.after_wait); /* always 0 */
+    loop_stall.loop = NULL;
+}
+
+cw_time_us_t cw_loop_stall_last_look(const uv_loop_t *loop)
+{
+    return loop == loop_stall.loop ? loop_stall.looked_at : cw_loop_now(loop);
+}
+
+bool cw_loop_stall_is_behind(const uv_loop_t *loop)
+{
+    return cw_loop_now(loop) - cw_loop_stall_last_look(loop) > CW_MS(CW_LOOP_STALL_MS);
+}
+
+cw_time_us_t cw_loop_stall_take(void)
+{
+    cw_time_us_t stalled = loop_stall.stalled;
+
+    loop_stall.stalled = 0;
+    return stalled;
+}
--- /dev/null
+++ b/src/base/loop_stall.h
@@ -0,0 +1,39 @@
+/**
+ * @file loop_stall.h
+ * @brief Detects that the process's event loop has not looked at its sockets for a while, because the process was
+ * stopped or not scheduled, or because its callbacks took long.
+ *
+ * After such a stall nobody knows when the bytes that are read now have arrived, timers fire before the sockets are
+ * read, and callers may have left unnoticed. Whatever decides by time or passes work on uses this module to ask how old
+ * the loop's knowledge of its sockets is.
+ *
+ * A process has one loop that is watched, the one of base/loop_clock.h, whose time is used.
+ */
+#ifndef CEDARWINCH_BASE_LOOP_STALL_H
+#define CEDARWINCH_BASE_LOOP_STALL_H
+
+#include <stdbool.h>
+#include <uv.h>
+
+#include "base/time.h"
+
+enum {
+    /** A turn of the loop that takes longer is a stall. Ticks end each wait after 20 ms, so a healthy turn is shorter. */
+    CW_LOOP_STALL_MS = 100
+};
+
+/** Starts to watch the loop. Returns 0 or a libuv error. */
+int cw_loop_stall_begin(uv_loop_t *loop);
+/** Ends the watch, before the loop is closed. */
+void cw_loop_stall_end(void);
+
+/** Time at which the loop last looked at its sockets before the present turn. Bytes that the present turn reads have
+ * not arrived earlier. Present time if the loop is not watched. */
+cw_time_us_t cw_loop_stall_last_look(const uv_loop_t *loop);
+/** True if that is longer ago than CW_LOOP_STALL_MS. */
+bool cw_loop_stall_is_behind(const uv_loop_t *loop);
+
+/** Returns the duration of the stalls since the last call, for the log and the metrics. */
+cw_time_us_t cw_loop_stall_take(void);
+
+#endif
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -136,6 +136,8 @@
     X(ENTRIES_DROPPED, "cedarwinch_entries_dropped_total", "counter",                                                  \
       "entries left out because an array of fixed size was full, counted at each look")                                \
     X(SUSPENDED_MS, "cedarwinch_suspended_milliseconds_total", "counter", "time for which the machine was suspended")  \
+    X(LOOP_STALLED_MS, "cedarwinch_loop_stalled_milliseconds_total", "counter",                                        \
+      "time for which the process did not look at its sockets")                                                        \
     X(REFUSED_CRASHES, "cedarwinch_refused_crashes_total", "counter", "refused: the request crashes servers")          \
     X(REFUSED_SERVER_LIMIT, "cedarwinch_refused_server_limit_total", "counter",                                        \
       "refused: beyond the rate limit of its server, or of all servers that would do")                                 \
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -17,6 +17,7 @@
 #include <xxhash.h>
 
 #include "base/loop_clock.h"
+#include "base/loop_stall.h"
 #include "router/loop_start.h"
 #include "router/router_internal.h"
 
@@ -111,12 +112,28 @@
     cw_engine_restart_timers(router->engine);
 }
 
+static void report_stall(void)
+{
+    cw_time_us_t stalled = cw_loop_stall_take();
+    cw_event_t   event;
+
+    if (stalled == 0) {
+        return;
+    }
+    cw_metric_add(CW_METRIC_LOOP_STALLED_MS, (uint64_t)(stalled / 1000));
+    if (cw_event_begin(&event, CW_EVENT_LOOP_STALLED)) {
+        cw_event_ms(&event, CW_FIELD_STALLED_MS, stalled);
+        cw_event_end(&event);
+    }
+}
+
 static void on_tick(uv_timer_t *timer)
 {
     cw_router_t *router = timer->data;
     cw_time_us_t now = cw_router_now(router);
 
     check_suspension(router);
+    report_stall();
     cw_router_lead_tick(router, now);
     cw_router_view_tick(router, now);
     cw_router_configuration_tick(router, now);
@@ -292,6 +309,9 @@
     if (error == 0) {
         error = cw_loop_clock_begin(&router->loop, NULL, NULL);
     }
+    if (error == 0) {
+        error = cw_loop_stall_begin(&router->loop);
+    }
     if (error == 0) {
         error = start(router);
     }
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -22,9 +22,18 @@
     return router->configuration == NULL ? 0 : router->configuration->version;
 }
 
-static void log_accepted(const cw_router_t *router, const cw_configuration_t *configuration)
+/* Time since another node was first known to have a higher version than this one; 0: none is. */
+static cw_time_us_t known_for(const cw_router_t *router, cw_time_us_t now)
+{
+    bool is_known = router->configuration_newest.version > cw_router_version(router);
+
+    return is_known ? now - router->configuration_newest.since : 0;
+}
+
+static void log_accepted(const cw_router_t *router, const cw_configuration_t *configuration, const char *source)
 {
     const cw_configuration_t *before = router->configuration;
+    cw_time_us_t              now = cw_router_now(router);
     int64_t                   added = 0;
     int64_t                   removed = 0;
     size_t                    index;
@@ -45,6 +54,9 @@
         cw_event_number(&event, CW_FIELD_COUNT, (int64_t)configuration->route_count);
         cw_event_number(&event, CW_FIELD_ADDED, added);
         cw_event_number(&event, CW_FIELD_REMOVED, removed);
+        cw_event_text(&event, CW_FIELD_DETAIL, source);
+        cw_event_ms(&event, CW_FIELD_WAITED_MS, known_for(router, now));
+        cw_event_ms(&event, CW_FIELD_EVIDENCE_MS, cw_configuration_freshness_age(&router->freshness, now));
         cw_event_end(&event);
     }
 }
@@ -62,13 +74,13 @@
                               keyed > CW_KEYED_SERVICES_MAX ? keyed - CW_KEYED_SERVICES_MAX : 0);
 }
 
-bool cw_router_apply_configuration(cw_router_t *router, cw_configuration_t *configuration)
+bool cw_router_apply_configuration(cw_router_t *router, cw_configuration_t *configuration, const char *source)
 {
     if (router->configuration != NULL && configuration->version <= router->configuration->version) {
         cw_configuration_release(configuration); /* a node never goes back to a lower version */
         return false;
     }
-    log_accepted(router, configuration);
+    log_accepted(router, configuration, source);
     log_dropped_keyed_services(configuration);
     cw_configuration_release(router->configuration);
     router->configuration = configuration;
@@ -93,7 +105,7 @@
         }
         return;
     }
-    if (cw_router_apply_configuration(router, configuration)) {
+    if (cw_router_apply_configuration(router, configuration, "store")) {
         cw_router_share_configuration(router, true, cw_router_now(router));
     }
 }
@@ -132,6 +144,18 @@
     }
 }
 
+static void log_overdue(const cw_router_t *router, cw_time_us_t now)
+{
+    cw_event_t event;
+
+    if (cw_event_begin(&event, CW_EVENT_CONFIGURATION_OVERDUE)) {
+        cw_event_number(&event, CW_FIELD_VERSION, (int64_t)router->configuration_newest.version);
+        cw_event_number(&event, CW_FIELD_IN_FORCE, (int64_t)cw_router_version(router));
+        cw_event_ms(&event, CW_FIELD_WAITED_MS, known_for(router, now));
+        cw_event_end(&event);
+    }
+}
+
 void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now)
 {
     cw_time_us_t max_wait = router->settings.configuration_within * EXCHANGE_PERCENT / 100;
@@ -140,6 +164,7 @@
 
     check_credential_evidence(router, now);
     if (is_overdue && !cw_configuration_exchange_is_receiving(router->exchange, now)) {
+        log_overdue(router, now);
         cw_configuration_newest_start_read(&router->configuration_newest, now);
         router->store->read_configuration(router->store->context);
     }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -351,8 +351,8 @@
  * acknowledged at that time. */
 void cw_router_on_configuration_evidence(void *context, uint64_t version, cw_time_us_t at);
 /** Brings a configuration into force if its version is higher than that of the one in force, and returns whether it
- * did. The reference passes to the callee in either case. */
-bool cw_router_apply_configuration(cw_router_t *router, cw_configuration_t *configuration);
+ * did. source: where it comes from, for the log. The reference passes to the callee in either case. */
+bool cw_router_apply_configuration(cw_router_t *router, cw_configuration_t *configuration, const char *source);
 /** Applies what depends on the age of the configuration in force. Called with each tick. */
 void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now);
 
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -41,7 +41,7 @@
 {
     cw_router_t *router = context;
 
-    if (cw_router_apply_configuration(router, configuration)) {
+    if (cw_router_apply_configuration(router, configuration, "node")) {
         cw_router_share_configuration(router, false, cw_router_now(router));
     }
 }
--- a/tests/test_fleet_scale.c
+++ b/tests/test_fleet_scale.c
@@ -36,7 +36,7 @@
     node_fixture_t *node = node_fixture_create();
 
     node_fixture_read_servers(node, "s", servers, "10.0.1.1:80");
-    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
     node_fixture_lead_unanswered(node);
     return node;
 }
--- a/tests/test_loop_clock.c
+++ b/tests/test_loop_clock.c
@@ -127,7 +127,7 @@
     node_fixture_t *node = node_fixture_create();
 
     begin(&node->router.loop);
-    cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"));
+    cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store");
     node_fixture_read_servers(node, "s", SERVERS, "10.0.1.1:80");
     node_fixture_lead(node);
     return node;
--- a/tests/test_node_restore.c
+++ b/tests/test_node_restore.c
@@ -34,7 +34,7 @@
 static void lead(void)
 {
     node_fixture_read_servers(node, "s", SERVERS, "10.0.1.1:80");
-    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
     node_fixture_lead(node);
     ck_assert(cw_router_has_authority(&node->router, cw_router_now(&node->router)));
 }
@@ -106,7 +106,7 @@
     size_t index;
 
     node_fixture_read_servers(node, "s", SERVERS, "10.0.1.1:80");
-    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
     node_fixture_lead_unanswered(node);
     ck_assert_uint_eq(node->order_count, SERVERS);
     restore();
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -266,7 +266,7 @@
     ck_assert_ptr_nonnull(status);
     free(status);
     node_fixture_read_servers(node, "s", 3, "10.0.1.1:80");
-    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
     receive_all_kinds(node);
     node_fixture_tick(node, CW_TICK_MS);
     ck_assert_uint_eq(cw_router_version(&node->router), 1);
@@ -297,14 +297,14 @@
     node_fixture_t *first = node_fixture_create();
     node_fixture_t *second = node_fixture_create();
 
-    ck_assert(cw_router_apply_configuration(&first->router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(&first->router, node_fixture_configuration(1, "s"), "store"));
     node_fixture_lead(first); /* without a list of servers */
     node_fixture_read_servers(first, "s", 4, "10.0.1.1:80");
     node_fixture_lead(first);
     ck_assert_uint_eq(cw_assigner_ranges(first->router.assignments[0].assigner)->count, 4);
     node_fixture_read_servers(second, "s", 4, "10.0.1.1:80");
     node_fixture_lead(second); /* without a configuration */
-    ck_assert(cw_router_apply_configuration(&second->router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(&second->router, node_fixture_configuration(1, "s"), "store"));
     node_fixture_lead(second);
     ck_assert_uint_eq(cw_assigner_ranges(second->router.assignments[0].assigner)->count, 4);
     node_fixture_free(first);
@@ -459,7 +459,7 @@
     node_fixture_t *node = node_fixture_create();
 
     node_fixture_read_servers(node, "s", MANY_SERVERS, "10.0.1.1:80");
-    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
     node_fixture_lead(node);
     ck_assert_uint_eq(cw_assigner_ranges(node->router.assignments[0].assigner)->count, MANY_SERVERS);
     node_fixture_free(node);
@@ -472,7 +472,7 @@
     uint32_t        sequence;
 
     node_fixture_read_servers(node, "s", 4, "10.0.1.1:80");
-    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
     node_fixture_lead(node);
     ck_assert_uint_eq(cw_assigner_ranges(node->router.assignments[0].assigner)->count, 4);
     for (sequence = 1; sequence < 60; sequence++) { /* so often that one such key alone would keep a server busy */
@@ -497,7 +497,7 @@
     size_t                 index;
 
     node_fixture_read_servers(node, "s", 4, "10.0.1.1:80");
-    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
     node_fixture_lead_unanswered(node);
     ck_assert_uint_eq(node->order_count, 4);
     memcpy(earlier, node->orders, sizeof(earlier));
--- a/tests/test_order_trust.c
+++ b/tests/test_order_trust.c
@@ -123,7 +123,7 @@
     node_fixture_t *node = node_fixture_create();
 
     node_fixture_read_servers(node, "s", SERVERS, "10.0.1.1:80");
-    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
     node_fixture_lead(node);
     ck_assert_uint_eq(keys_not_held(node), 0);
     (void)run_seconds(node, 12); /* keys of a lost owner cannot move before its hold expires */
--- a/tests/test_push.c
+++ b/tests/test_push.c
@@ -48,7 +48,7 @@
     int             index;
 
     node->router.settings.link_mbps = 100000;
-    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "docks")));
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "docks"), "store"));
     node_fixture_read_servers(node, "docks", SERVERS, "10.0.1.1:80");
     node_fixture_lead(node);
     for (index = 0; index < NODES; index++) {
--- a/tests/test_regions.c
+++ b/tests/test_regions.c
@@ -132,7 +132,7 @@
     node_fixture_t *node = node_fixture_create();
 
     node_fixture_read_servers(node, "s", SERVERS, "10.0.1.1:80"); /* four in r1, two in r2 */
-    ck_assert(cw_router_apply_configuration(&node->router, configuration_of(first, second)));
+    ck_assert(cw_router_apply_configuration(&node->router, configuration_of(first, second), "store"));
     node_fixture_lead(node);
     return node;
 }
--- a/tests/test_table_publication.c
+++ b/tests/test_table_publication.c
@@ -55,7 +55,7 @@
     uint64_t                    tables;
 
     node_fixture_read_servers(node, "s", SERVERS, "10.0.1.1:80");
-    ck_assert(cw_router_apply_configuration(router, node_fixture_configuration(1, "s")));
+    ck_assert(cw_router_apply_configuration(router, node_fixture_configuration(1, "s"), "store"));
     node_fixture_lead(node);
     tables = router->leader_tables_version;
     cw_table_publication_done(&router->table_publication, cw_router_now(router));
