Routes are found by binary search, and versions compared in one walk

Cause: "configuration accepted" counted added and removed routes by looking each up in the other version, and a lookup compared the path with all routes of its host: 31 million comparisons for 5,600 routes, 0.33 to 0.57 s of a core, that is 3 to 6 s of a machine with 0.1 core, in one turn of the loop. Each request paid 58 us for 7,000 routes, too. Ruled out: unpacking, sorting and checking (6 ms for the same version). Change: a path is looked up once for each different length of the prefixes, by binary search (0.14 us); both versions are walked once in their common order, by the code that makes the pages, too. Arrays of items double. Evidence: test_configuration_size failed 2 of 2 before (665 ms for 8,000 routes against 12 ms for 1,000), passes now; 118 checks of the tests of configurations pass. 5,600 to 7,000 routes: counting 567 ms before, 5.7 ms with the lookup alone.

--- a/src/model/configuration.c
+++ b/src/model/configuration.c
@@ -13,9 +13,11 @@
 
 enum { DEFAULT_HEADER_BYTES = 16384, DEFAULT_BODY_BYTES = 1 << 20, DEFAULT_HEADER_S = 10, DEFAULT_IDLE_S = 60 };
 
+/* The memory of an array doubles whenever its number of items is a power of two. */
 static void *add_item(void *items, size_t count, size_t size)
 {
-    void *longer = cw_memory_resize(items, (count + 1) * size);
+    bool  is_full = (count & (count - 1)) == 0;
+    void *longer = is_full ? cw_memory_resize(items, (count == 0 ? 1 : 2 * count) * size) : items;
 
     memset((char *)longer + count * size, 0, size);
     return longer;
@@ -160,11 +162,41 @@
                                                             &configuration->has_conflict, &configuration->conflict);
 }
 
+static int compare_lengths(const void *left, const void *right)
+{
+    size_t one = *(const size_t *)left;
+    size_t other = *(const size_t *)right;
+
+    return one > other ? -1 : one < other;
+}
+
+/* Collects the different lengths of prefixes, so that a path is looked up once for each of them. */
+static void seal_prefix_lengths(cw_configuration_t *configuration)
+{
+    size_t *lengths = cw_memory_zeroed_items(configuration->route_count + 1, sizeof(*lengths));
+    size_t  count = 0;
+    size_t  index;
+
+    for (index = 0; index < configuration->route_count; index++) {
+        lengths[index] = strlen(configuration->routes[index].prefix);
+    }
+    qsort(lengths, configuration->route_count, sizeof(*lengths), compare_lengths);
+    for (index = 0; index < configuration->route_count; index++) {
+        if (count == 0 || lengths[count - 1] != lengths[index]) {
+            lengths[count++] = lengths[index];
+        }
+    }
+    free(configuration->prefix_lengths);
+    configuration->prefix_lengths = cw_memory_resize(lengths, (count + 1) * sizeof(*lengths));
+    configuration->prefix_length_count = count;
+}
+
 void cw_configuration_seal(cw_configuration_t *configuration)
 {
     if (configuration->route_count > 1) {
         qsort(configuration->routes, configuration->route_count, sizeof(cw_route_t), compare_routes);
     }
+    seal_prefix_lengths(configuration);
     seal_tenants(configuration);
 }
 
@@ -279,6 +311,7 @@
         cw_tenant_clear(&configuration->tenants[index]);
     }
     cw_credential_index_free(configuration->credentials);
+    free(configuration->prefix_lengths);
     free(configuration->routes);
     free(configuration->services);
     free(configuration->tenants);
@@ -341,38 +374,65 @@
     return order;
 }
 
-/* Returns the index of a host's first route by binary search; route_count if there is none. */
-static size_t first_host_route(const cw_configuration_t *configuration, const char *host, size_t length)
-{
-    size_t low = 0;
-    size_t high = configuration->route_count;
+/** Start of a path that is looked for among the prefixes of a host. */
+typedef struct prefix_key {
+    const char *host; /**< not terminated */
+    size_t      host_length;
+    const char *path;
+    size_t      length; /**< number of bytes of the path */
+} prefix_key_t;
 
-    while (low < high) {
-        size_t middle = low + (high - low) / 2;
+/* Compares by the order of routes. */
+static int compare_key(const void *searched, const void *item)
+{
+    const prefix_key_t *key = searched;
+    const cw_route_t   *route = item;
+    int                 order = compare_host(key->host, key->host_length, route->host);
+    size_t              length = strlen(route->prefix);
 
-        if (compare_host(host, length, configuration->routes[middle].host) > 0) {
-            low = middle + 1;
-        } else {
-            high = middle;
-        }
+    if (order != 0) {
+        return order;
     }
-    return low;
+    if (length != key->length) {
+        return length > key->length ? 1 : -1;
+    }
+    return strncmp(key->path, route->prefix, length);
 }
 
 const cw_route_t *cw_configuration_match(const cw_configuration_t *configuration, const char *host, const char *path)
 {
-    size_t length = strcspn(host, ":");
-    size_t index = first_host_route(configuration, host, length);
-
-    for (; index < configuration->route_count; index++) {
-        const cw_route_t *route = &configuration->routes[index];
+    prefix_key_t      key = {.host = host, .host_length = strcspn(host, ":"), .path = path};
+    size_t            path_length = strlen(path);
+    const cw_route_t *route = NULL;
+    size_t            index;
 
-        if (compare_host(host, length, route->host) != 0) {
-            return NULL;
-        }
-        if (strncmp(path, route->prefix, strlen(route->prefix)) == 0) {
-            return route;
+    for (index = 0; index < configuration->prefix_length_count && route == NULL; index++) {
+        key.length = configuration->prefix_lengths[index];
+        if (key.length <= path_length) {
+            route = bsearch(&key, configuration->routes, configuration->route_count, sizeof(cw_route_t), compare_key);
         }
     }
-    return NULL;
+    return route;
+}
+
+bool cw_route_walk_next(cw_route_walk_t *walk)
+{
+    bool has_before = walk->base != NULL && walk->base_index < walk->base->route_count;
+    bool has_after = walk->index < walk->configuration->route_count;
+    int  order;
+
+    if (!has_before && !has_after) {
+        return false;
+    }
+    walk->before = has_before ? &walk->base->routes[walk->base_index] : NULL;
+    walk->after = has_after ? &walk->configuration->routes[walk->index] : NULL;
+    order = !has_before ? 1 : !has_after ? -1 : cw_route_compare(walk->before, walk->after);
+    if (order < 0) {
+        walk->after = NULL;
+    } else if (order > 0) {
+        walk->before = NULL;
+    }
+    walk->base_index += order <= 0 ? 1 : 0;
+    walk->index += order >= 0 ? 1 : 0;
+    return true;
 }
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -63,6 +63,8 @@
     cw_http_limits_t limits;
     int              references;
     /* set by cw_configuration_seal */
+    size_t                  *prefix_lengths; /**< different lengths of the routes' prefixes, longest first */
+    size_t                   prefix_length_count;
     cw_credential_index_t   *credentials;  /**< index of the tenants' keys */
     bool                     needs_keys;   /**< the callers of some tenant are identified by keys */
     bool                     has_conflict; /**< two tenants have the same key */
@@ -107,6 +109,19 @@
 const cw_service_t *cw_configuration_service(const cw_configuration_t *configuration, const char *name);
 /** Returns the tenant that owns a route or service of this name, in a sealed configuration; NULL: none. */
 const cw_tenant_t *cw_configuration_tenant_of(const cw_configuration_t *configuration, const char *name);
+/** Walk through the routes of two sealed configurations in their common order. */
+typedef struct cw_route_walk {
+    const cw_configuration_t *base;          /**< NULL: an empty configuration */
+    const cw_configuration_t *configuration; /**< compared with the base */
+    size_t                    base_index;    /**< next route of the base */
+    size_t                    index;         /**< next route of the configuration */
+    const cw_route_t         *before;        /**< present route in the base; NULL: it is not there */
+    const cw_route_t         *after;         /**< present route in the configuration; NULL: it is not there */
+} cw_route_walk_t;
+
+/** Advances to the next host and prefix that either configuration has. False: there is none. */
+bool cw_route_walk_next(cw_route_walk_t *walk);
+
 /** Returns the route of a host (a port after it is ignored) whose prefix is the longest that the path begins with;
  * NULL: none. */
 const cw_route_t *cw_configuration_match(const cw_configuration_t *configuration, const char *host, const char *path);
--- a/src/peer/configuration_pages.c
+++ b/src/peer/configuration_pages.c
@@ -46,27 +46,16 @@
 static void find_route_changes(const cw_configuration_t *base, const cw_configuration_t *configuration,
                                changes_t *changes)
 {
-    size_t base_count = base == NULL ? 0 : base->route_count;
-    size_t old = 0;
-    size_t index = 0;
+    cw_route_walk_t walk = {.base = base, .configuration = configuration};
 
     changes->sent = allocate(configuration->route_count, sizeof(cw_route_t *));
-    changes->removed = allocate(base_count, sizeof(cw_route_t *));
-    while (old < base_count || index < configuration->route_count) {
-        int order = old == base_count ? 1
-                    : index == configuration->route_count
-                        ? -1
-                        : cw_route_compare(&base->routes[old], &configuration->routes[index]);
-
-        if (order < 0) {
-            changes->removed[changes->removed_count++] = &base->routes[old++];
-            continue;
-        }
-        if (order > 0 || !cw_route_same(&base->routes[old], &configuration->routes[index])) {
-            changes->sent[changes->sent_count++] = &configuration->routes[index];
+    changes->removed = allocate(base == NULL ? 0 : base->route_count, sizeof(cw_route_t *));
+    while (cw_route_walk_next(&walk)) {
+        if (walk.after == NULL) {
+            changes->removed[changes->removed_count++] = walk.before;
+        } else if (walk.before == NULL || !cw_route_same(walk.before, walk.after)) {
+            changes->sent[changes->sent_count++] = walk.after;
         }
-        index++;
-        old += order == 0 ? 1 : 0;
     }
 }
 
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -32,22 +32,15 @@
 
 static void log_accepted(const cw_router_t *router, const cw_configuration_t *configuration, const char *source)
 {
-    const cw_configuration_t *before = router->configuration;
-    cw_time_us_t              now = cw_router_now(router);
-    int64_t                   added = 0;
-    int64_t                   removed = 0;
-    size_t                    index;
-    cw_event_t                event;
-
-    for (index = 0; index < configuration->route_count; index++) {
-        const cw_route_t *route = &configuration->routes[index];
-
-        added += before == NULL || cw_configuration_match(before, route->host, route->prefix) == NULL ? 1 : 0;
-    }
-    for (index = 0; before != NULL && index < before->route_count; index++) {
-        const cw_route_t *route = &before->routes[index];
-
-        removed += cw_configuration_match(configuration, route->host, route->prefix) == NULL ? 1 : 0;
+    cw_route_walk_t walk = {.base = router->configuration, .configuration = configuration};
+    cw_time_us_t    now = cw_router_now(router);
+    int64_t         added = 0;
+    int64_t         removed = 0;
+    cw_event_t      event;
+
+    while (cw_route_walk_next(&walk)) {
+        added += walk.before == NULL ? 1 : 0;
+        removed += walk.after == NULL ? 1 : 0;
     }
     if (cw_event_begin(&event, CW_EVENT_CONFIGURATION_ACCEPTED)) {
         cw_event_number(&event, CW_FIELD_VERSION, (int64_t)configuration->version);
