A request is asked before each sending whether its caller is there and time is left

Cause, a class: after a stall of the loop, what happened meanwhile is handled in the wrong order. libuv delivers a request's bytes a turn before the end of the stream, and runs timers before it reads sockets; the time of a request counted from its reading. Ruled out: the close was read late on a loop that ran (it was read 3 ms after the sending). Change: one check (engine_wanted.c) before a request leaves this node: in cw_request_send, which all ways pass (queue, slot granted, retry, choice without a slot), and at the first write on a new connection, where a call may now be withdrawn. It asks the caller's socket and the clock. The time of a request counts from its arrival, which the kernel states (net/socket_arrival.h). After a stall the timers of requests and of calls wait once until the sockets were read, so an answer that has come is delivered. What was read late is not refused for an objective that passed unseen, as long as its deadline is ahead.

--- a/src/base/loop_stall.c
+++ b/src/base/loop_stall.c
@@ -13,19 +13,25 @@
     const uv_loop_t *loop; /* NULL: none */
     uv_check_t       after_wait;
     cw_time_us_t     looked_at; /* end of the last wait whose callbacks have run */
+    bool             is_unsure; /* the last wait ended a stall, perhaps by a signal and without looking at the sockets */
     cw_time_us_t     stalled;   /* stalls since cw_loop_stall_take */
 } loop_stall;
 
-/* Runs after the callbacks of the sockets. The loop's time is still that of the end of its wait. */
+/* Runs after the callbacks of the sockets. The loop's time is still that of the end of its wait. A wait is interrupted
+ * when a stopped process continues, and libuv then returns without looking at the sockets if its time is over. So the
+ * wait that ends a stall does not count as a look; the next one does. */
 static void on_after_wait(uv_check_t *check)
 {
     cw_time_us_t now = cw_loop_now(check->loop);
     cw_time_us_t gap = now - loop_stall.looked_at;
+    bool         ends_stall = gap > CW_MS(CW_LOOP_STALL_MS) && !loop_stall.is_unsure;
 
-    if (gap > CW_MS(CW_LOOP_STALL_MS)) {
+    if (ends_stall) {
         loop_stall.stalled += gap;
+    } else {
+        loop_stall.looked_at = now;
     }
-    loop_stall.looked_at = now;
+    loop_stall.is_unsure = ends_stall;
 }
 
 int cw_loop_stall_begin(uv_loop_t *loop)
@@ -41,6 +47,7 @@
     uv_unref((uv_handle_t *)&loop_stall.after_wait);
     loop_stall.loop = loop;
     loop_stall.looked_at = cw_loop_now(loop);
+    loop_stall.is_unsure = false;
     loop_stall.stalled = 0;
     return 0;
 }
--- a/src/base/loop_stall.h
+++ b/src/base/loop_stall.h
@@ -18,7 +18,8 @@
 #include "base/time.h"
 
 enum {
-    /** A turn of the loop that takes longer is a stall. Ticks end each wait after 20 ms, so a healthy turn is shorter. */
+    /** A turn of the loop that takes longer is a stall. Ticks end each wait after 20 ms, so a healthy turn is shorter.
+     */
     CW_LOOP_STALL_MS = 100
 };
 
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -9,6 +9,7 @@
 
 #include "base/event_log.h"
 #include "base/loop_clock.h"
+#include "base/loop_stall.h"
 #include "base/metrics.h"
 #include "net/http_listener_internal.h"
 
@@ -108,6 +109,8 @@
         (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
     }
     cw_listener_begin_idle(connection);
+    connection->accepted_us = cw_listener_now(listener);
+    connection->opened_us = cw_loop_stall_last_look(listener->loop);
     connection->is_reading = true;
     uv_read_start((uv_stream_t *)&connection->tcp, cw_listener_on_allocate, cw_listener_on_read);
 }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -9,8 +9,9 @@
  * Rules:
  *  - Requests that arrive on one connection before the first is answered are passed to the handler concurrently. The
  *    handler answers in any order; the caller gets the answers in the order of its requests (net/http_pipeline.h).
- *  - A connection is not read while its pipeline is at the depth or the bytes of the options. The time of a request
- *    counts from when its head was read; a request that waits unread in the socket has not begun.
+ *  - A connection is not read while its pipeline is at the depth or the bytes of the options. A request that waits
+ *    unread in the socket for that reason has not begun. Otherwise the time of a request counts from its arrival: if
+ *    the process did not look at its sockets for a while, that is earlier than the reading (net/socket_arrival.h).
  *  - Bodies are read completely before the handler gets the request, within one memory limit for all connections
  *    (net/body_budget.h). They are kept until the answer, so that the handler may send them more than once.
  *  - A request that the handler rejects by its head is passed on without its body. The body and all later input of
@@ -59,7 +60,7 @@
     const cw_http_fields_t *fields;
     const char             *body;
     size_t                  body_length;
-    cw_time_us_t            arrived_us;  /**< time at which the last byte of the head was read */
+    cw_time_us_t            arrived_us;  /**< time at which the last byte of the head arrived */
     bool                    body_unread; /**< the body was not read: the handler rejects the request by its head */
 } cw_http_inbound_t;
 
@@ -118,6 +119,8 @@
 void cw_http_exchange_answer(cw_http_exchange_t *exchange, const cw_http_outbound_t *outbound);
 /** Closes the connection in this request's turn, without an answer. Later requests of the connection end. */
 void cw_http_exchange_abort(cw_http_exchange_t *exchange);
+/** Returns whether the caller has closed its connection, as its socket states now, even if that was not read yet. */
+bool cw_http_exchange_is_caller_gone(const cw_http_exchange_t *exchange);
 /** Sets the handler's own data of an exchange. */
 void cw_http_exchange_set_data(cw_http_exchange_t *exchange, void *data);
 /** Returns the handler's own data of an exchange; NULL: none was set. */
--- a/src/net/http_listener_exchange.c
+++ b/src/net/http_listener_exchange.c
@@ -121,6 +121,11 @@
     cw_listener_write(connection);
 }
 
+bool cw_http_exchange_is_caller_gone(const cw_http_exchange_t *exchange)
+{
+    return cw_listener_is_hung_up(exchange->connection);
+}
+
 void cw_http_exchange_set_data(cw_http_exchange_t *exchange, void *data)
 {
     exchange->data = data;
--- a/src/net/http_listener_internal.h
+++ b/src/net/http_listener_internal.h
@@ -79,7 +79,9 @@
     cw_pipeline_t       pipeline;
     cw_bytes_t          pending; /* bytes that were read and may not be parsed yet */
     cw_time_us_t        pending_read_us;
-    cw_time_us_t        read_us; /* time at which the bytes that are being parsed were read */
+    cw_time_us_t        read_us;     /* time at which the bytes that are being parsed arrived */
+    cw_time_us_t        accepted_us; /* time at which the connection was accepted */
+    cw_time_us_t        opened_us;   /* it was not opened earlier: last look at the sockets before it was accepted */
     bool                is_reading;
     cw_time_us_t        hang_up_check_us; /* time of the next check for a disconnect while the connection is not read */
     bool                is_advancing;     /* bytes are being parsed or requests are being passed to the handler */
@@ -133,6 +135,8 @@
 /* ---- http_listener_timer.c ---- */
 /** True if no part of a request has been read and no answer is due. */
 bool cw_listener_is_idle(const cw_http_connection_t *connection);
+/** True if the caller has closed its connection, as the socket states now, even if that was not read yet. */
+bool cw_listener_is_hung_up(const cw_http_connection_t *connection);
 /** Starts the idle time of a connection. */
 void cw_listener_begin_idle(cw_http_connection_t *connection);
 /** Sets the connection's only timer to the earliest time that is due. */
--- a/src/net/http_listener_request.c
+++ b/src/net/http_listener_request.c
@@ -5,8 +5,10 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/loop_stall.h"
 #include "base/metrics.h"
 #include "net/http_listener_internal.h"
+#include "net/socket_arrival.h"
 
 enum { STATUS_TOO_LONG = 413, STATUS_HEADER_TOO_LONG = 431, STATUS_BAD_REQUEST = 400, STATUS_UNAVAILABLE = 503 };
 
@@ -357,6 +359,20 @@
     }
 }
 
+/* Time at which the bytes arrived that are read now. */
+static cw_time_us_t arrival_time(const cw_http_connection_t *connection)
+{
+    const uv_loop_t *loop = connection->listener->loop;
+    cw_time_us_t     last_look = cw_loop_stall_last_look(loop);
+    uv_os_fd_t       fd = -1;
+
+    if (last_look <= connection->accepted_us) { /* nothing was read since it was accepted */
+        last_look = connection->opened_us;
+    }
+    (void)uv_fileno((const uv_handle_t *)&connection->tcp, &fd); /* fails for closed handles only */
+    return cw_socket_arrival_time(fd, last_look, cw_listener_now(connection->listener));
+}
+
 void cw_listener_on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
     cw_http_connection_t *connection = stream->data;
@@ -370,7 +386,7 @@
         return;
     }
     connection->is_advancing = true;
-    connection->read_us = cw_listener_now(connection->listener);
+    connection->read_us = arrival_time(connection);
     used = parse(connection, buffer->base, (size_t)length);
     connection->is_advancing = false;
     if (used < (size_t)length) {
--- a/src/net/http_listener_timer.c
+++ b/src/net/http_listener_timer.c
@@ -3,6 +3,7 @@
  * @brief Timeouts of a connection. Each connection has one timer for all of them.
  */
 #include <poll.h>
+#include <sys/socket.h>
 
 #include "base/event_log.h"
 #include "base/metrics.h"
@@ -83,22 +84,33 @@
 
 /* ---- expired timeouts ---- */
 
-/* True if the caller has disconnected; checked while the connection is not read, when only the socket's state shows it.
- */
-static bool has_hung_up(cw_http_connection_t *connection, cw_time_us_t now)
+bool cw_listener_is_hung_up(const cw_http_connection_t *connection)
 {
-    struct pollfd polled = {.events = POLLRDHUP};
+    struct pollfd polled = {.events = POLLIN | POLLRDHUP};
     uv_os_fd_t    fd;
+    char          byte;
 
-    if (connection->is_reading || now < connection->hang_up_check_us) {
-        return false;
-    }
-    connection->hang_up_check_us = now + CW_MS(CW_HANG_UP_CHECK_MS);
     if (uv_fileno((const uv_handle_t *)&connection->tcp, &fd) != 0) {
         return true;
     }
     polled.fd = fd;
-    return poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    if (poll(&polled, 1, 0) <= 0) {
+        return false;
+    }
+    if ((polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+        return true;
+    }
+    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* True if the caller has disconnected; checked at intervals while the connection is not read. */
+static bool has_hung_up(cw_http_connection_t *connection, cw_time_us_t now)
+{
+    if (connection->is_reading || now < connection->hang_up_check_us) {
+        return false;
+    }
+    connection->hang_up_check_us = now + CW_MS(CW_HANG_UP_CHECK_MS);
+    return cw_listener_is_hung_up(connection);
 }
 
 static void record_cut_answer(const cw_http_connection_t *connection, size_t left)
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -17,6 +17,7 @@
 #include <utlist.h>
 
 #include "base/loop_clock.h"
+#include "base/loop_stall.h"
 #include "base/memory.h"
 
 enum { ADDRESS_MAX = 64, KEEP_ALIVE_SHARE_NUMERATOR = 3, KEEP_ALIVE_SHARE_DENOMINATOR = 5 };
@@ -128,7 +129,7 @@
     cw_upstream_answer_t      answer = {
              .result = result, .failure = failure, .reused = call->reused, .reset = reset, .any_byte = call->any_byte};
 
-    if (result != CW_UPSTREAM_ANSWERED && !call->sent) {
+    if (result != CW_UPSTREAM_ANSWERED && result != CW_UPSTREAM_WITHDRAWN && !call->sent) {
         answer.result = CW_UPSTREAM_NOT_SENT;
     }
     connection->call = NULL;
@@ -169,10 +170,25 @@
     return upstream->opened;
 }
 
+/* After a stall of the loop the timers run before the sockets are read: an answer may have arrived. */
+static bool postpone(cw_upstream_connection_t *connection)
+{
+    bool is_postponed = !connection->is_postponed && cw_loop_stall_is_behind(connection->target->upstream->loop);
+
+    connection->is_postponed = is_postponed;
+    if (is_postponed) { /* a timer of 0 ms would run before the sockets are read */
+        uv_timer_start(&connection->timer, on_timer, 1, 0);
+    }
+    return is_postponed;
+}
+
 static void on_timer(uv_timer_t *timer)
 {
     cw_upstream_connection_t *connection = timer->data;
 
+    if (connection->call != NULL && postpone(connection)) {
+        return;
+    }
     if (connection->call == NULL) {
         cw_upstream_close_connection(connection, false);
     } else if (!connection->connected) {
@@ -266,6 +282,10 @@
     } else {
         uv_timer_stop(&connection->timer);
     }
+    if (connection->call->may_be_sent != NULL && !connection->call->may_be_sent(connection->call->context)) {
+        cw_upstream_end_call(connection->call, CW_UPSTREAM_WITHDRAWN, "not wanted any more", false);
+        return;
+    }
     send_request(connection);
 }
 
@@ -351,6 +371,7 @@
     call->tail_length = request->body_length;
     call->answered = answered;
     call->context = context;
+    call->may_be_sent = request->may_be_sent;
     call->is_head = request->is_head;
     call->match_name = request->match_name == NULL ? NULL : strdup(request->match_name);
     call->match_value = request->match_value == NULL ? NULL : strdup(request->match_value);
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -23,10 +23,11 @@
 
 /** Outcome of a call. */
 typedef enum cw_upstream_result {
-    CW_UPSTREAM_ANSWERED, /**< the complete answer arrived */
-    CW_UPSTREAM_NOT_SENT, /**< it is certain that no byte of the request left this process */
-    CW_UPSTREAM_BROKEN,   /**< bytes may have been sent, and there is no complete answer */
-    CW_UPSTREAM_TIMED_OUT /**< as CW_UPSTREAM_BROKEN, because of a timeout */
+    CW_UPSTREAM_ANSWERED,  /**< the complete answer arrived */
+    CW_UPSTREAM_WITHDRAWN, /**< no byte of the request left this process, since may_be_sent returned false */
+    CW_UPSTREAM_NOT_SENT,  /**< it is certain that no byte of the request left this process */
+    CW_UPSTREAM_BROKEN,    /**< bytes may have been sent, and there is no complete answer */
+    CW_UPSTREAM_TIMED_OUT  /**< as CW_UPSTREAM_BROKEN, because of a timeout */
 } cw_upstream_result_t;
 
 /** A request and the limits of its call. */
@@ -35,7 +36,10 @@
     size_t      length;
     const char *body; /**< data sent after these bytes. It is not copied and must remain valid until the call has ended
                          or is abandoned. NULL: none */
-    size_t       body_length;
+    size_t body_length;
+    /** Asked with the call's context before the first byte is sent on a new connection, which takes time. False: the
+     * call ends as CW_UPSTREAM_WITHDRAWN. Must not end the call. NULL: not asked. */
+    bool (*may_be_sent)(void *context);
     bool         is_head;             /**< the method is HEAD */
     bool         uses_new_connection; /**< use a new connection */
     cw_time_us_t connect_timeout;     /**< time to establish a connection; after it the call ends with nothing sent */
--- a/src/net/http_upstream_internal.h
+++ b/src/net/http_upstream_internal.h
@@ -26,6 +26,7 @@
     bool                           closing;
     bool                           writing;
     bool                           is_idle;
+    bool                           is_postponed; /* its timer waits until the sockets have been read, after a stall */
     int                            handles;
     struct cw_upstream_connection *prev; /* names required by utlist */
     struct cw_upstream_connection *next;
@@ -36,27 +37,28 @@
     cw_upstream_connection_t *connection;
     cw_upstream_answered_t    answered;
     void                     *context;
-    char                     *bytes;
-    size_t                    length;
-    const char               *tail; /* the request's body if it is not part of `bytes`; owned by the caller */
-    size_t                    tail_length;
-    size_t                    answer_max;
-    cw_time_us_t              due_us; /* 0: none */
-    cw_time_us_t              progress_us;
-    bool                      is_head;
-    bool                      sent;
-    bool                      reused;
-    bool                      any_byte;
-    bool                      too_long;
-    bool                      complete;
-    bool                      not_reusable; /* its connection ends, or bytes arrived that belong to no request */
-    char                     *match_name;
-    char                     *match_value;
-    http_parser               parser;
-    cw_http_fields_t          fields;
-    cw_http_field_builder_t   builder;
-    bool                      head_done;
-    cw_bytes_t                body;
+    bool (*may_be_sent)(void *context); /* NULL: always */
+    char                   *bytes;
+    size_t                  length;
+    const char             *tail; /* the request's body if it is not part of `bytes`; owned by the caller */
+    size_t                  tail_length;
+    size_t                  answer_max;
+    cw_time_us_t            due_us; /* 0: none */
+    cw_time_us_t            progress_us;
+    bool                    is_head;
+    bool                    sent;
+    bool                    reused;
+    bool                    any_byte;
+    bool                    too_long;
+    bool                    complete;
+    bool                    not_reusable; /* its connection ends, or bytes arrived that belong to no request */
+    char                   *match_name;
+    char                   *match_value;
+    http_parser             parser;
+    cw_http_fields_t        fields;
+    cw_http_field_builder_t builder;
+    bool                    head_done;
+    cw_bytes_t              body;
 };
 
 /** A target with its connections. */
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -4,11 +4,9 @@
  */
 #include <stdlib.h>
 
-#include "base/event_log.h"
+#include "base/loop_stall.h"
 #include "base/memory.h"
-#include "base/metrics.h"
 #include "proxy/engine_internal.h"
-#include "proxy/request_rules.h"
 
 enum { DIRECT_REPORT_NODES = 10 /* up to this many nodes report each request to one another at once */ };
 
@@ -18,13 +16,17 @@
 
 /* ---- timers, and the end of a request ---- */
 
-static void end_at_deadline(cw_request_t *request)
+/* After a stall of the loop the timers run before the sockets are read. An answer, a reply of a broker or the caller's
+ * close may have arrived: it is handled first. */
+static bool postpone(cw_request_t *request)
 {
-    if (cw_final_of(request->may_have_run, request->call != NULL, true) == CW_FINAL_LATE) {
-        cw_request_fail_late(request);
-    } else {
-        cw_request_refuse(request, CW_REFUSED_LOAD);
+    bool is_postponed = !request->is_postponed && cw_loop_stall_is_behind(request->engine->loop);
+
+    request->is_postponed = is_postponed;
+    if (is_postponed) { /* a timer of 0 ms would run before the sockets are read */
+        uv_timer_start(&request->timer, request->engine->on_due, 1, 0);
     }
+    return is_postponed;
 }
 
 static void on_due(uv_timer_t *timer)
@@ -32,11 +34,11 @@
     cw_request_t *request = timer->data;
     cw_time_us_t  now = cw_engine_now(request->engine);
 
-    if (request->is_ended) {
+    if (request->is_ended || postpone(request)) {
         return;
     }
     if (now >= request->deadline) {
-        end_at_deadline(request);
+        cw_request_end_at_deadline(request);
         return;
     }
     if (request->call != NULL && now >= request->repeat_at) {
@@ -71,19 +73,11 @@
 void cw_engine_caller_disconnected(cw_engine_t *engine, cw_http_exchange_t *exchange)
 {
     cw_request_t *request = cw_http_exchange_data(exchange);
-    cw_event_t    event;
 
-    if (request == NULL) {
-        return;
-    }
-    cw_metric_add(CW_METRIC_CALLERS_LEFT, 1);
-    if (cw_event_begin(&event, CW_EVENT_REQUEST_GONE)) {
-        cw_event_text(&event, CW_FIELD_REQUEST, request->id);
-        cw_event_text(&event, CW_FIELD_SERVER, request->server == NULL ? NULL : request->server->id);
-        cw_event_ms(&event, CW_FIELD_TOTAL_MS, cw_engine_now(engine) - request->arrived);
-        cw_event_end(&event);
+    (void)engine;
+    if (request != NULL) {
+        cw_request_end_caller_gone(request);
     }
-    cw_request_end(request);
 }
 
 cw_engine_t *cw_engine_create(uv_loop_t *loop, const cw_engine_settings_t *settings, cw_server_pool_t *pool,
--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -59,6 +59,7 @@
 static void set_times(cw_request_t *request, const cw_http_inbound_t *inbound)
 {
     const cw_route_t *route = request->route;
+    cw_time_us_t      now = cw_engine_now(request->engine);
     cw_time_us_t      objective;
 
     request->arrived = inbound->arrived_us;
@@ -68,7 +69,9 @@
     }
     objective = route->objective > 0 ? route->objective : request->deadline - request->arrived;
     request->objective_at = request->arrived + objective;
-    request->owner_wait_until = request->arrived + objective / OWNER_WAIT_DIVISOR;
+    request->was_read_late = request->objective_at <= now;
+    request->is_admitted = request->was_read_late;
+    request->owner_wait_until = (request->was_read_late ? now : request->arrived) + objective / OWNER_WAIT_DIVISOR;
     request->repeat_at = CW_NEVER;
 }
 
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -91,10 +91,15 @@
     cw_bytes_t            bytes = {0};
     cw_upstream_request_t sending = {.is_head = strcmp(request->method, "HEAD") == 0,
                                      .connect_timeout = engine->settings.connect_timeout,
+                                     .may_be_sent = cw_request_may_be_written,
                                      .answer_max = engine->settings.answer_max,
                                      .match_name = request->id == NULL ? NULL : engine->settings.names.request_id,
                                      .match_value = request->id};
 
+    if (!cw_request_is_wanted(request, now)) {
+        cw_request_end_unwanted(request, now);
+        return;
+    }
     cw_request_take_turn(request);
     if (server->connections == NULL) {
         server->connections = cw_upstream_target_create(engine->upstream, server->address);
--- a/src/proxy/engine_claim.c
+++ b/src/proxy/engine_claim.c
@@ -96,7 +96,7 @@
                               .lease = request->deadline - now,
                               .max_slot_wait = wait};
 
-    if (request->attempts > 0) { /* an earlier attempt was made: a late answer is better than none */
+    if (request->attempts > 0 || request->was_read_late) { /* a late answer is better than none */
         ask.objective = request->deadline - now;
     }
     request->claim.asks++;
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -136,7 +136,9 @@
     bool                    may_have_run;     /**< a server may have run the request, or may be running it */
     bool                    is_queued;
     bool                    is_ended;
+    bool                    is_postponed;       /**< its timer waits until the sockets have been read, after a stall */
     bool                    is_admitted;        /**< could not be placed at first, and was not refused */
+    bool                    was_read_late;      /**< its objective was over when it was read, after a stall */
     cw_server_t            *server;             /**< of the call in flight */
     char                    avoided_server[48]; /**< id of the server that failed it last; the next attempt avoids it */
     cw_upstream_call_t     *call;
@@ -348,8 +350,21 @@
 /** Called when no reply to a request for a slot has come in time. */
 void cw_request_slot_overdue(cw_request_t *request, cw_time_us_t now);
 
+/* ---- engine_wanted.c ---- */
+/** Returns whether the request's caller is still connected and its time is not over. Asks the caller's socket. */
+bool cw_request_is_wanted(const cw_request_t *request, cw_time_us_t now);
+/** Returns whether the request may be written on a connection that has just come up; context: the request. */
+bool cw_request_may_be_written(void *context);
+/** Ends a request that is not wanted any more and is at no server. */
+void cw_request_end_unwanted(cw_request_t *request, cw_time_us_t now);
+/** Ends a request whose time is over: refuses it, or answers 504 if it may have run. */
+void cw_request_end_at_deadline(cw_request_t *request);
+/** Ends a request whose caller has disconnected. */
+void cw_request_end_caller_gone(cw_request_t *request);
+
 /* ---- engine_attempt.c ---- */
-/** Sends the request to the server and starts the timer for its answer. */
+/** Sends the request to the server and starts the timer for its answer. A request that is not wanted any more is ended
+ * instead. */
 void cw_request_send(cw_request_t *request, cw_server_t *server);
 /** Abandons the call in flight and closes its connection. */
 void cw_request_abandon(cw_request_t *request);
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -180,6 +180,19 @@
     send_again(request, request->is_keyed ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
 }
 
+/* The request was not written on its new connection, since it is not wanted any more, or the connection took so long
+ * that the request states too much time. */
+static void handle_withdrawn(cw_request_t *request, cw_time_us_t now)
+{
+    request->attempts--;
+    if (!cw_request_is_wanted(request, now)) {
+        cw_request_end_unwanted(request, now);
+        return;
+    }
+    request->avoided_server[0] = '\0'; /* the server has not failed */
+    send_again(request, 0);
+}
+
 static void handle_broken(cw_request_t *request, const char *server, const char *failure, cw_time_us_t now)
 {
     cw_metric_add(CW_METRIC_BROKEN, 1);
@@ -250,6 +263,10 @@
     case CW_UPSTREAM_ANSWERED:
         handle_answer(request, server, answer, now);
         break;
+    case CW_UPSTREAM_WITHDRAWN:
+        cw_request_leave_server(request);
+        handle_withdrawn(request, now);
+        break;
     case CW_UPSTREAM_NOT_SENT:
         record_fault(server, answer->failure, now);
         request->claim.end = CW_SLOT_FAILED;
--- a/tests/test_engine_stall.c
+++ b/tests/test_engine_stall.c
@@ -206,6 +206,34 @@
 }
 END_TEST
 
+/* Guards against: a new connection to the server comes up during a stall, and the request is written on it although its
+ * time is over. */
+START_TEST(a_request_whose_time_passed_while_the_node_connected_is_not_written)
+{
+    engine_fixture_t fixture;
+    uint64_t         sent;
+    uint32_t         received;
+    int              caller;
+
+    begin(&fixture);
+    caller = connect_used(&fixture);
+    cw_engine_forget_server(fixture.engine, (cw_server_t *)cw_server_pool_find(fixture.pool, "s0"));
+    cw_test_run_some(&fixture.loop, TURNS);
+    received = fixture.servers[0].requests;
+    sent = requests_sent();
+    send_request(caller, "/once/x", SHORT_DEADLINE_MS);
+    while (requests_sent() == sent) {
+        cw_test_run_some(&fixture.loop, 1);
+    }
+    stand_still();
+    ck_assert_int_eq(run_until_answered(&fixture, caller), 503);
+    cw_test_run_some(&fixture.loop, TURNS);
+    ck_assert_uint_eq(fixture.servers[0].requests, received);
+    ck_assert_uint_eq(cw_engine_requests(fixture.engine), 0);
+    end();
+}
+END_TEST
+
 /* Guards against: the time of a request that arrived during a stall is counted from when it was read, so it runs after
  * its caller has given it up. */
 START_TEST(a_request_whose_time_passed_during_a_stall_is_refused_unsent)
@@ -286,6 +314,7 @@
     tcase_add_test(cases, a_request_on_a_new_connection_whose_caller_left_is_not_sent);
     tcase_add_test(cases, a_waiting_request_whose_caller_left_is_not_sent);
     tcase_add_test(cases, a_request_whose_caller_left_while_the_node_connected_is_not_written);
+    tcase_add_test(cases, a_request_whose_time_passed_while_the_node_connected_is_not_written);
     tcase_add_loop_test(cases, a_request_whose_time_passed_during_a_stall_is_refused_unsent, 0, 2);
     tcase_add_loop_test(cases, the_time_left_counts_from_the_arrival_during_a_stall, 0, 2);
     tcase_add_test(cases, a_request_that_arrived_at_the_end_of_a_stall_is_served);
