--- a/src/base/loop_stall.c
+++ b/src/base/loop_stall.c
@@ -13,8 +13,8 @@
     const uv_loop_t *loop; /* NULL: none */
     uv_check_t       after_wait;
     cw_time_us_t     looked_at; /* end of the last wait whose callbacks have run */
-    bool             is_unsure; /* the last wait ended a stall, perhaps by a signal and without looking at the sockets */
-    cw_time_us_t     stalled;   /* stalls since cw_loop_stall_take */
+    bool         is_unsure; /* the last wait ended a stall, perhaps by a signal and without looking at the sockets */
+    cw_time_us_t stalled;   /* stalls since cw_loop_stall_take */
 } loop_stall;
 
 /* Runs after the callbacks of the sockets. The loop's time is still that of the end of its wait. A wait is interrupted
