--- a/tests/test_configuration_exchange.c
+++ b/tests/test_configuration_exchange.c
@@ -120,6 +120,14 @@
     set_up_with_allowance(0); /* unlimited */
 }
 
+/* Replaces the answering node by one that has sent nothing and keeps no versions. */
+static void set_up_answering_again(void)
+{
+    cw_configuration_exchange_owner_t owner = {&nodes[ANSWERING], on_send, on_received, on_too_large, 0};
+
+    nodes[ANSWERING].exchange = cw_configuration_exchange_create(&owner);
+}
+
 /* Routes /0/ to /count-1/ without `left_out`; the route `changed` is bound to another service. */
 static cw_configuration_t *configuration_of(uint64_t version, int count, int left_out, int changed)
 {
@@ -278,6 +286,69 @@
 }
 END_TEST
 
+/* Guards against: while versions follow one another, a transfer begins anew each time the sending node drops the
+ * version that it sends, and so never ends. */
+START_TEST(a_transfer_ends_while_versions_follow_25_times_a_second)
+{
+    enum { VERSIONS_MS = 40, STORM_MS = 2000 };
+    uint64_t     version = 7;
+    cw_time_us_t next = 0;
+
+    set_up_with_allowance(200000); /* the transfer takes about half a second */
+    use(&nodes[ANSWERING], configuration_of(version, 2000, -1, -1));
+    record_answering_node(version, true, 0);
+    while (wire_now < CW_MS(STORM_MS) && nodes[ASKING].in_force == NULL) {
+        run_until(version + 1, CW_MS(20));
+        if (wire_now >= next) {
+            version++;
+            next = wire_now + CW_MS(VERSIONS_MS);
+            use(&nodes[ANSWERING], configuration_of(version, 2000, -1, (int)version));
+            record_answering_node(version, true, wire_now);
+        }
+    }
+    ck_assert_ptr_nonnull(nodes[ASKING].in_force);
+    ck_assert_uint_lt(routes_sent, 2 * 2000);
+}
+END_TEST
+
+/* Guards against: each newer version that a node of another zone announces begins the wait for a node of the own zone
+ * anew, so nothing is requested until the versions end. */
+START_TEST(a_request_is_not_put_off_by_newer_versions)
+{
+    uint64_t version;
+
+    set_up();
+    use(&nodes[ASKING], configuration_of(1, 10, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(50, 10, -1, 3));
+    for (version = 2; version < 12; version++) { /* one each 40 ms */
+        record_answering_node(version, false, wire_now);
+        run_until(50, CW_MS(40));
+    }
+    ck_assert_uint_eq(nodes[ASKING].in_force->version, 50);
+}
+END_TEST
+
+/* Guards against: a node asks for the missing page of a whole configuration, and the node that it asks now sends only
+ * the changes, which are fewer pages: nothing was sent, again and again. */
+START_TEST(a_node_that_sends_other_pages_of_the_version_begins_with_the_first)
+{
+    set_up();
+    use(&nodes[ASKING], configuration_of(1, 100, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(9, 100, -1, 3)); /* it does not keep version 1: three pages */
+    drop_every = 4;                                          /* the request, two pages; the third is lost */
+    record_answering_node(9, true, wire_now);
+    ck_assert_uint_eq(nodes[ASKING].in_force->version, 1);
+    drop_every = 0;
+    cw_configuration_release(nodes[ANSWERING].in_force);
+    nodes[ANSWERING].in_force = NULL;
+    set_up_answering_again();
+    use(&nodes[ANSWERING], configuration_of(1, 100, -1, -1));
+    use(&nodes[ANSWERING], configuration_of(9, 100, -1, 3)); /* one page since version 1 */
+    run_until(9, CW_SECONDS(1));
+    ck_assert_uint_eq(nodes[ASKING].in_force->version, 9);
+}
+END_TEST
+
 START_TEST(a_node_sends_no_more_than_its_allowance)
 {
     set_up_with_allowance(20000); /* a route takes about 60 bytes */
@@ -424,6 +495,9 @@
     tcase_add_test(cases, many_removed_routes_fit_into_datagrams);
     tcase_add_test(cases, a_large_change_arrives_despite_losses);
     tcase_add_test(cases, a_large_transfer_is_not_restarted_when_newer_versions_appear);
+    tcase_add_test(cases, a_transfer_ends_while_versions_follow_25_times_a_second);
+    tcase_add_test(cases, a_request_is_not_put_off_by_newer_versions);
+    tcase_add_test(cases, a_node_that_sends_other_pages_of_the_version_begins_with_the_first);
     tcase_add_test(cases, a_node_sends_no_more_than_its_allowance);
     tcase_add_test(cases, a_node_beyond_its_allowance_redirects_to_one_that_has_the_version);
     tcase_add_test(cases, a_lost_request_is_repeated);
