A node that has other pages of a version sends them from the first

Callers saw (CONFIG): requests handled by an old version while the newer one was known. Cause: a node that lacks page n of a whole configuration asks another node, which keeps its version and so has fewer pages, the changes alone. Beyond its last page nothing was sent, and it noted the transfer as ended; the same request came again each 150 ms, until the version was overdue and read from the store (0.9 s of 2 s), or for ever if pages came. Change: a window that begins beyond the pages begins with the first one. Evidence: a_node_that_sends_other_pages_... failed before, passes.

--- a/src/peer/configuration_pages.c
+++ b/src/peer/configuration_pages.c
@@ -315,6 +315,9 @@
         out(context, &buffer.page);
         pages = 0;
     }
+    if (window.first >= pages) { /* the receiver asks for a page of another base */
+        window.first = 0;
+    }
     for (page = window.first; page < pages && page - window.first < window.count; page++) {
         begin_page(&buffer, base, configuration, page, pages);
         if (page == 0) {
