A version that is being sent is kept until the transfer ends

Callers saw (CONFIG): as before, on nodes that lack a base which others keep. Cause: a node keeps eight versions, 0.3 s when 25 come a second. A transfer whose version had been dropped began anew with the newest one, and that one was dropped, too, before it ended; since pages did arrive, the node did not read the store either: without an end as long as versions came. Change: a transfer retains its version and its base, four transfers at most; it is kept for a moment after the last window, since pages may have been lost. Evidence: a_transfer_ends_while_versions_follow_25_times_a_second failed before (nothing after 2 s), passes; 18 of 18 in test_configuration_exchange.

--- a/src/router/configuration_exchange.c
+++ b/src/router/configuration_exchange.c
@@ -22,10 +22,14 @@
     SERVED_MAX = 16 /* kept addresses of nodes that received the version from this one; each can serve as many */
 };
 
-/** A node to which a version is being sent window by window. */
+/** A node to which a version is being sent window by window. The version and its base are retained until the end, since
+ * newer versions may replace them among the kept ones long before. */
 typedef struct transfer {
-    uint32_t     address;      /**< 0: none */
-    cw_time_us_t requested_at; /**< last request */
+    uint32_t            address;      /**< 0: none */
+    cw_time_us_t        requested_at; /**< last request */
+    cw_configuration_t *sent;
+    cw_configuration_t *base;    /**< version that the node has; NULL: not kept, so the whole configuration is sent */
+    bool                is_sent; /**< the last window was sent; pages of it may have been lost */
 } transfer_t;
 
 struct cw_configuration_exchange {
@@ -79,6 +83,29 @@
     exchange->served_count = 0;
 }
 
+static void clear_transfer(transfer_t *transfer)
+{
+    cw_configuration_release(transfer->sent);
+    cw_configuration_release(transfer->base);
+    *transfer = (transfer_t){0};
+}
+
+static bool is_abandoned(const transfer_t *transfer, cw_time_us_t now)
+{
+    return transfer->address != 0 && now - transfer->requested_at > CW_MS(TRANSFER_IDLE_MS);
+}
+
+static void clear_abandoned_transfers(cw_configuration_exchange_t *exchange, cw_time_us_t now)
+{
+    size_t index;
+
+    for (index = 0; index < TRANSFERS_MAX; index++) {
+        if (is_abandoned(&exchange->transfers[index], now)) {
+            clear_transfer(&exchange->transfers[index]);
+        }
+    }
+}
+
 /* ---- requests ---- */
 
 void cw_configuration_exchange_record_holder(cw_configuration_exchange_t *exchange, uint32_t address, uint64_t version,
@@ -143,6 +170,7 @@
 
 void cw_configuration_exchange_tick(cw_configuration_exchange_t *exchange, cw_time_us_t now)
 {
+    clear_abandoned_transfers(exchange, now);
     if (exchange->newest > version_in_force(exchange) && now >= exchange->next_request_at) {
         send_request(exchange, now);
     }
@@ -173,7 +201,7 @@
     return cw_send_allowance_has_any(&exchange->allowance);
 }
 
-static const cw_configuration_t *find_kept_version(const cw_configuration_exchange_t *exchange, uint64_t version)
+static cw_configuration_t *find_kept_version(const cw_configuration_exchange_t *exchange, uint64_t version)
 {
     size_t index;
 
@@ -185,8 +213,8 @@
     return NULL;
 }
 
-/* The entry of this node's transfer, or a free one; NULL: all are in use. */
-static transfer_t *find_transfer(cw_configuration_exchange_t *exchange, uint32_t address, cw_time_us_t now)
+/* The entry of this node's transfer, a free one, or one whose last window was sent; NULL: all are in use. */
+static transfer_t *find_transfer(cw_configuration_exchange_t *exchange, uint32_t address)
 {
     transfer_t *found = NULL;
     size_t      index;
@@ -197,13 +225,22 @@
         if (transfer->address == address) {
             return transfer;
         }
-        if (transfer->address == 0 || now - transfer->requested_at > CW_MS(TRANSFER_IDLE_MS)) {
+        if (transfer->address == 0 || (transfer->is_sent && found == NULL)) {
             found = transfer;
         }
     }
     return found;
 }
 
+/* True if the request continues this transfer. */
+static bool is_continued(const transfer_t *transfer, uint32_t address, const Cwp__ConfigurationRequest *request)
+{
+    uint64_t base = transfer->base == NULL ? 0 : transfer->base->version;
+
+    return transfer->address == address && transfer->sent != NULL && transfer->sent->version == request->version &&
+           (base == 0 || base == request->has);
+}
+
 /* Names a node that has received the version from this one. If there is none yet, nothing is sent, and the requesting
  * node repeats its request. */
 static void send_redirect(cw_configuration_exchange_t *exchange, uint32_t address)
@@ -221,37 +258,55 @@
     }
 }
 
-static void end_transfer(cw_configuration_exchange_t *exchange, transfer_t *transfer, bool has_newest)
+/* Records that all pages were sent. The transfer is kept for a moment, since some of them may have to be sent again. */
+static void mark_sent(cw_configuration_exchange_t *exchange, transfer_t *transfer)
 {
-    if (has_newest && exchange->served_count < SERVED_MAX) { /* otherwise enough nodes are known for redirects */
+    bool has_newest = transfer->sent == in_force(exchange);
+
+    if (has_newest && !transfer->is_sent && exchange->served_count < SERVED_MAX) { /* enough for redirects */
         exchange->served[exchange->served_count++] = transfer->address;
     }
-    transfer->address = 0;
+    transfer->is_sent = true;
+}
+
+/* Begins a transfer of the requested version if it is kept, otherwise of the version in force. */
+static void begin_transfer(cw_configuration_exchange_t *exchange, transfer_t *transfer, uint32_t address,
+                           const Cwp__ConfigurationRequest *request)
+{
+    cw_configuration_t *sent = request->version == 0 ? NULL : find_kept_version(exchange, request->version);
+    cw_configuration_t *base = find_kept_version(exchange, request->has);
+
+    clear_transfer(transfer);
+    transfer->address = address;
+    transfer->sent = cw_configuration_retain(sent == NULL ? exchange->kept_versions[0] : sent);
+    transfer->base = base == NULL ? NULL : cw_configuration_retain(base);
 }
 
 void cw_configuration_exchange_handle_request(cw_configuration_exchange_t *exchange, uint32_t address,
                                               const Cwp__ConfigurationRequest *request, cw_time_us_t now)
 {
-    const cw_configuration_t *sent = request->version == 0 ? NULL : find_kept_version(exchange, request->version);
-    cw_page_window_t          window = {.first = request->first_page, .count = WINDOW_PAGES};
-    transfer_t               *transfer;
+    cw_page_window_t window = {.first = request->first_page, .count = WINDOW_PAGES};
+    transfer_t      *transfer;
 
-    if (sent == NULL) { /* the transfer starts over with the version in force */
-        sent = in_force(exchange);
-        window.first = 0;
-    }
-    if (sent == NULL || sent->version <= request->has) {
+    if (version_in_force(exchange) <= request->has) {
         return; /* the requesting node already has this version or a higher one */
     }
-    transfer = find_transfer(exchange, address, now);
+    clear_abandoned_transfers(exchange, now);
+    transfer = find_transfer(exchange, address);
     if (transfer == NULL || !refill_allowance(exchange, now)) {
         send_redirect(exchange, address);
         return;
     }
-    *transfer = (transfer_t){.address = address, .requested_at = now};
+    if (!is_continued(transfer, address, request)) {
+        begin_transfer(exchange, transfer, address, request);
+    }
+    if (transfer->sent->version != request->version) { /* the pages that the requesting node has are of no use */
+        window.first = 0;
+    }
+    transfer->requested_at = now;
     exchange->reply_address = address;
-    if (cw_configuration_pages_make(find_kept_version(exchange, request->has), sent, window, send_page, exchange)) {
-        end_transfer(exchange, transfer, sent == in_force(exchange));
+    if (cw_configuration_pages_make(transfer->base, transfer->sent, window, send_page, exchange)) {
+        mark_sent(exchange, transfer);
     }
 }
 
