One lost call to the store fits into the time for a change of the configuration

Cause, one of several ways: a node that doubts its version began its own call when its evidence was 70 % of the bound old, and gave it up after another 50 %: 120 %, 2.4 s of 2 s, with a pause and a reading to follow. A reading for an overdue version was given up after 0.9 s and not repeated before it was overdue again: 2.7 s. Change: one table of the shares (model/configuration_timing.h). A node in doubt lets the store hold its call for 5 % only, a first reading is given up after the slack (20 %), and is repeated until it succeeds or the version has come from a node. Sums with one lost call: other nodes 95 %, readers 95 %, the checking node 90 %, overdue versions 70 %. The check that a reader without evidence watches as long as the checking node is replaced: at most as long, since its answer has to come sooner.

--- a/src/router/configuration_freshness.c
+++ b/src/router/configuration_freshness.c
@@ -6,12 +6,9 @@
 
 #include <string.h>
 
-enum {
-    IDLE_WATCH_WAIT_S = 25, /* the store holds a call for 30 s at most; a longer wait saves calls */
-    CHECK_PERCENT = 30,     /* wait of a check: one node makes about two calls a second if a change may take 2 s */
-    READER_PERCENT = 55,    /* usual age at a follower: wait and slack of a check (50 %) and a heartbeat's delay */
-    FOLLOWER_PERCENT = 70   /* tolerates a lost heartbeat; a read and its answer from a slow store still come in time */
-};
+#include "model/configuration_timing.h"
+
+enum { IDLE_WATCH_WAIT_S = 25 /* the store holds a call for 30 s at most; a longer wait saves calls */ };
 
 void cw_configuration_freshness_init(cw_configuration_freshness_t *freshness, cw_time_us_t within)
 {
@@ -50,18 +47,20 @@
 cw_time_us_t cw_configuration_freshness_watch(const cw_configuration_freshness_t *freshness,
                                               cw_configuration_role_t role, cw_time_us_t now)
 {
+    cw_time_us_t within = freshness->within;
     cw_time_us_t age = cw_configuration_freshness_age(freshness, now);
-    cw_time_us_t check = freshness->within * CHECK_PERCENT / 100;
+    cw_time_us_t doubt = cw_configuration_part(within, CW_CONFIGURATION_DOUBT_HOLD_PERCENT);
 
     switch (role) {
     case CW_CONFIGURATION_CHECKER:
-        return check;
+        return cw_configuration_part(within, CW_CONFIGURATION_CHECK_PERCENT);
     case CW_CONFIGURATION_READER:
-        return age > freshness->within * READER_PERCENT / 100 ? check : CW_SECONDS(IDLE_WATCH_WAIT_S);
+        return age > cw_configuration_part(within, CW_CONFIGURATION_READER_PERCENT) ? doubt
+                                                                                    : CW_SECONDS(IDLE_WATCH_WAIT_S);
     case CW_CONFIGURATION_FOLLOWER:
         break;
     }
-    return age > freshness->within * FOLLOWER_PERCENT / 100 ? check : 0;
+    return age > cw_configuration_part(within, CW_CONFIGURATION_FOLLOWER_PERCENT) ? doubt : 0;
 }
 
 uint32_t cw_configuration_freshness_pack(const cw_configuration_freshness_t *freshness, cw_time_us_t now)
--- a/src/router/configuration_freshness.h
+++ b/src/router/configuration_freshness.h
@@ -13,15 +13,15 @@
  *    continuously with short watches, a zone's reader when its evidence is older than usual, and any other node a
  *    little later.
  *
- * The percentages in configuration_freshness.c are of the time within which a change has to be in force. A watch that
- * the store never answers is given up after 50 % (its wait and its slack, see platform_watch.c). Reading the
- * configuration and sending it to the other nodes then takes another 10 to 20 %.
+ * How long each step may take: model/configuration_timing.h.
  *
  * No I/O, no clock.
  */
 #ifndef CEDARWINCH_ROUTER_CONFIGURATION_FRESHNESS_H
 #define CEDARWINCH_ROUTER_CONFIGURATION_FRESHNESS_H
 
+#include <stdbool.h>
+
 #include "base/time.h"
 
 /** The part that a node has in distributing the configuration. */
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -13,10 +13,9 @@
 #include <string.h>
 
 #include "base/dropped_entries.h"
+#include "model/configuration_timing.h"
 #include "router/router_internal.h"
 
-enum { EXCHANGE_PERCENT = 45 /* part of the time for a change that other nodes may take to send it */ };
-
 uint64_t cw_router_version(const cw_router_t *router)
 {
     return router->configuration == NULL ? 0 : router->configuration->version;
@@ -151,9 +150,10 @@
 
 void cw_router_configuration_tick(cw_router_t *router, cw_time_us_t now)
 {
-    cw_time_us_t max_wait = router->settings.configuration_within * EXCHANGE_PERCENT / 100;
-    uint64_t     version = cw_router_version(router);
-    bool         is_overdue = cw_configuration_newest_is_overdue(&router->configuration_newest, version, max_wait, now);
+    cw_time_us_t max_wait =
+        cw_configuration_part(router->settings.configuration_within, CW_CONFIGURATION_EXCHANGE_PERCENT);
+    uint64_t version = cw_router_version(router);
+    bool     is_overdue = cw_configuration_newest_is_overdue(&router->configuration_newest, version, max_wait, now);
 
     check_credential_evidence(router, now);
     if (is_overdue && !cw_configuration_exchange_is_receiving(router->exchange, now)) {
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -17,7 +17,8 @@
     RANKING_INTERVAL_MS = 200,
     LINK_DIVISOR = 3, /* a third of the link's bandwidth is for pages of configurations; requests need the rest */
     BITS_PER_BYTE = 8,
-    NEW_NODE_MS = 3500 /* bounds apply to machines in touch with others, four seconds after a start at the earliest */
+    NEW_NODE_MS = 3500, /* bounds apply to machines in touch with others, four seconds after a start at the earliest */
+    FIRST_CHECK_MS = 2500 /* a node without evidence then checks its first configuration, within that time */
 };
 
 bool cw_router_is_new(const cw_router_t *router, cw_time_us_t now)
@@ -71,6 +72,21 @@
                                                              .fails_closed = router->settings.credentials_fail_closed};
 }
 
+/* ---- role ---- */
+
+static bool has_recent_heartbeat(const cw_router_t *router, cw_time_us_t now)
+{
+    return now - router->leader_heartbeat_at < CW_MS(CW_READER_TIMEOUT_MS);
+}
+
+static cw_configuration_role_t configuration_role(const cw_router_t *router, cw_time_us_t now)
+{
+    if (router->leadership.leading || (router->is_reader && !has_recent_heartbeat(router, now))) {
+        return CW_CONFIGURATION_CHECKER;
+    }
+    return router->is_reader ? CW_CONFIGURATION_READER : CW_CONFIGURATION_FOLLOWER;
+}
+
 /* ---- notices ---- */
 
 static bool is_in_zone(const cw_router_t *router, const cw_peer_t *peer)
@@ -170,24 +186,12 @@
     return before < cw_store_reader_count(zone_nodes);
 }
 
-static bool has_recent_heartbeat(const cw_router_t *router, cw_time_us_t now)
-{
-    return now - router->leader_heartbeat_at < CW_MS(CW_READER_TIMEOUT_MS);
-}
-
-static cw_configuration_role_t configuration_role(const cw_router_t *router, cw_time_us_t now)
-{
-    if (router->leadership.leading || (router->is_reader && !has_recent_heartbeat(router, now))) {
-        return CW_CONFIGURATION_CHECKER;
-    }
-    return router->is_reader ? CW_CONFIGURATION_READER : CW_CONFIGURATION_FOLLOWER;
-}
-
 /* A process that has just started uses a copy of the configuration and the configurations that other nodes send. It
  * watches nothing unless it leads or reads. */
-static void watch_configuration(cw_router_t *router, bool is_new, cw_time_us_t now)
+static void watch_configuration(cw_router_t *router, cw_time_us_t now)
 {
     cw_configuration_role_t role = configuration_role(router, now);
+    bool                    is_new = now - router->started_at < CW_MS(NEW_NODE_MS);
 
     router->store->watch_configuration(router->store->context,
                                        is_new && role == CW_CONFIGURATION_FOLLOWER
@@ -221,7 +225,7 @@
         set_reader(router, router->stopping_at == 0 && !is_new &&
                                (router->leadership.leading || is_ranked_as_reader(router, now)));
     }
-    watch_configuration(router, is_new, now);
+    watch_configuration(router, now);
     if (router->is_reader && !router->store_availability.is_lost &&
         now - router->notice_sent_at >= CW_MS(CW_READER_NOTICE_MS)) {
         send_notice(router, false, now);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -89,9 +89,12 @@
     void (*read_servers)(void *context, bool from_copy);
     /** This node got the list as of this revision from another node. The next read needs only the changes after it. */
     void (*set_known_servers)(void *context, const cw_server_list_t *list, uint64_t revision);
-    /** Reads the configuration immediately. A present watch is replaced by a new one, since its connection may be dead.
+    /** Reads the configuration immediately, and again after a short pause until it succeeds. A present watch is
+     * replaced by a new one, since its connection may be dead.
      */
     void (*read_configuration)(void *context);
+    /** The configuration that read_configuration was to bring has come from another node: the reading is given up. */
+    void (*forget_configuration_reading)(void *context);
     /** Keeps a watch (long poll) of the configuration that the store may hold open for `wait`; 0: no watch. Without a
      * call there is no watch: the configuration is read once, from a copy. A present watch whose timeout expires later
      * than that of a watch of `wait` begun now is replaced by the latter, since its connection may be dead. */
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -71,6 +71,11 @@
     (void)context;
 }
 
+static void forget_configuration_reading(void *context)
+{
+    (void)context;
+}
+
 static void watch_configuration(void *context, cw_time_us_t wait)
 {
     (void)context;
@@ -269,6 +274,7 @@
                                    .read_servers = read_servers,
                                    .set_known_servers = set_known_servers,
                                    .read_configuration = read_configuration,
+                                   .forget_configuration_reading = forget_configuration_reading,
                                    .watch_configuration = watch_configuration};
     node->adapter = (cw_adapter_t){.header_names = &node->names, .send_order = accept_order};
     node->router.adapter = &node->adapter;
