Evidence of the newest configuration is passed on in one direction, with its true age

Cause: readers took evidence from each other's notices and the checking node from theirs. Each datagram's delay makes it younger; on nodes that run slowly the sum of two delays reaches the interval of the notices, and the evidence never grows old though nobody asks the store. After a stall it counted from the reading of the datagram. Change: a node that leads takes none, readers take the leader's, others both; after a stall it counts from the last look at the sockets. Test: evidence_is_passed_on_in_one_direction (new rule).

--- a/src/router/configuration_freshness.c
+++ b/src/router/configuration_freshness.c
@@ -16,6 +16,11 @@
     freshness->within = within;
 }
 
+bool cw_configuration_role_takes_readers_evidence(cw_configuration_role_t role)
+{
+    return role == CW_CONFIGURATION_FOLLOWER;
+}
+
 static void apply_pending_evidence(cw_configuration_freshness_t *freshness)
 {
     if (freshness->pending_version <= freshness->version && freshness->pending_at > freshness->complete_at) {
--- a/src/router/configuration_freshness.h
+++ b/src/router/configuration_freshness.h
@@ -12,6 +12,9 @@
  *  - A node asks the store when its evidence grows old. The leader (or the readers, while there is no leader) asks
  *    continuously with short watches, a zone's reader when its evidence is older than usual, and any other node a
  *    little later.
+ *  - Evidence is passed on in one direction only: the node that checks takes none, readers take the leader's, other
+ *    nodes take the leader's and the readers'. Each step adds the datagram's delay to the true age, so evidence that
+ *    came back to its source would never grow old on slow nodes.
  *
  * How long each step may take: model/configuration_timing.h.
  *
@@ -32,6 +35,10 @@
                                   leader */
 } cw_configuration_role_t;
 
+/** Whether a node in this role takes evidence that a reader sends. The leader's is taken by all nodes that do not lead.
+ */
+bool cw_configuration_role_takes_readers_evidence(cw_configuration_role_t role);
+
 /** The version in force at a node, and the evidence for it. */
 typedef struct cw_configuration_freshness {
     cw_time_us_t within;          /**< time within which a change has to be in force */
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #include "base/dropped_entries.h"
+#include "base/loop_stall.h"
 #include "model/configuration_timing.h"
 #include "router/router_internal.h"
 
@@ -109,6 +110,16 @@
     cw_configuration_freshness_confirm(&router->freshness, version, at);
 }
 
+void cw_router_record_sent_evidence(cw_router_t *router, uint64_t version, uint32_t packed_age, cw_time_us_t now)
+{
+    /* After a stall the datagram may have waited since the sockets were last looked at. */
+    cw_time_us_t received_at = cw_loop_stall_is_behind(&router->loop) ? cw_loop_stall_last_look(&router->loop) : now;
+
+    if (!router->leadership.leading) {
+        cw_configuration_freshness_unpack(&router->freshness, version, packed_age, received_at);
+    }
+}
+
 void cw_router_record_configuration(cw_router_t *router, const cw_peer_t *peer, uint64_t version, cw_time_us_t now)
 {
     bool is_same_zone = strcmp(peer->zone, router->settings.zone) == 0;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -350,6 +350,8 @@
 /** Callback of the store adapter: an answer of the store shows that no configuration above this version had been
  * acknowledged at that time. */
 void cw_router_on_configuration_evidence(void *context, uint64_t version, cw_time_us_t at);
+/** Records evidence that another node has sent (configuration_freshness.h): its version and its packed age. */
+void cw_router_record_sent_evidence(cw_router_t *router, uint64_t version, uint32_t packed_age, cw_time_us_t now);
 /** Brings a configuration into force if its version is higher than that of the one in force, and returns whether it
  * did. source: where it comes from, for the log. The reference passes to the callee in either case. */
 bool cw_router_apply_configuration(cw_router_t *router, cw_configuration_t *configuration, const char *source);
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -144,7 +144,9 @@
         peer->store_lost = false;
     }
     cw_router_record_configuration(router, peer, notice->configuration, now);
-    cw_configuration_freshness_unpack(&router->freshness, notice->configuration, notice->configuration_age_ms, now);
+    if (cw_configuration_role_takes_readers_evidence(configuration_role(router, now))) {
+        cw_router_record_sent_evidence(router, notice->configuration, notice->configuration_age_ms, now);
+    }
     if (router->leadership.leading) {
         return;
     }
--- a/tests/test_configuration_freshness.c
+++ b/tests/test_configuration_freshness.c
@@ -106,6 +106,16 @@
 }
 END_TEST
 
+/* Guards against: evidence that nodes send each other grows younger with each datagram's delay, and never grows old on
+ * slow nodes although none of them asks the store. */
+START_TEST(evidence_is_passed_on_in_one_direction)
+{
+    ck_assert(!cw_configuration_role_takes_readers_evidence(CW_CONFIGURATION_CHECKER));
+    ck_assert(!cw_configuration_role_takes_readers_evidence(CW_CONFIGURATION_READER));
+    ck_assert(cw_configuration_role_takes_readers_evidence(CW_CONFIGURATION_FOLLOWER));
+}
+END_TEST
+
 START_TEST(evidence_for_a_version_not_in_force_counts_only_once_it_is)
 {
     cw_configuration_freshness_t freshness = with_version(4);
@@ -157,6 +167,7 @@
     tcase_add_test(cases, with_fresh_evidence_followers_do_not_watch_and_readers_wait_long_but_the_checker_checks);
     tcase_add_test(cases, readers_and_then_followers_check_early_enough);
     tcase_add_test(cases, one_lost_call_to_the_store_fits_into_the_time_for_a_change);
+    tcase_add_test(cases, evidence_is_passed_on_in_one_direction);
     tcase_add_test(cases, evidence_for_a_version_not_in_force_counts_only_once_it_is);
     tcase_add_test(cases, evidence_for_an_older_version_counts_and_never_lowers_complete_at);
     tcase_add_test(cases, ages_are_passed_between_nodes_and_an_unknown_age_stays_unknown);
