A node that knows of the newest version does not ask the store for it

Cause: only evidence of the version in force kept a node from asking. Change: evidence of a known version counts for that question; what is stated to others and bounds the callers' keys stays the evidence of the version in force. A known version that does not come is read when it is overdue, as before. Test: a_node_that_knows_of_the_newest_version_..., failed before.

--- a/src/router/configuration_freshness.c
+++ b/src/router/configuration_freshness.c
@@ -49,11 +49,20 @@
     return now - freshness->complete_at;
 }
 
+/* Time since the newest version was surely known, in force here or not. */
+static cw_time_us_t age_of_knowledge(const cw_configuration_freshness_t *freshness, cw_time_us_t now)
+{
+    cw_time_us_t known_at =
+        freshness->pending_at > freshness->complete_at ? freshness->pending_at : freshness->complete_at;
+
+    return now - known_at;
+}
+
 cw_time_us_t cw_configuration_freshness_watch(const cw_configuration_freshness_t *freshness,
                                               cw_configuration_role_t role, cw_time_us_t now)
 {
     cw_time_us_t within = freshness->within;
-    cw_time_us_t age = cw_configuration_freshness_age(freshness, now);
+    cw_time_us_t age = age_of_knowledge(freshness, now);
     cw_time_us_t doubt = cw_configuration_part(within, CW_CONFIGURATION_DOUBT_HOLD_PERCENT);
 
     switch (role) {
--- a/src/router/configuration_freshness.h
+++ b/src/router/configuration_freshness.h
@@ -11,7 +11,8 @@
  *  - Evidence does not prove that another node is alive, that it leads or reads, or that the store answers other calls.
  *  - A node asks the store when its evidence grows old. The leader (or the readers, while there is no leader) asks
  *    continuously with short watches, a zone's reader when its evidence is older than usual, and any other node a
- *    little later.
+ *    little later. Evidence of a version that is not in force here yet counts for that, too: the version is known, and
+ *    configuration_newest.h bounds the wait for it.
  *  - Evidence is passed on in one direction only: the node that checks takes none, readers take the leader's, other
  *    nodes take the leader's and the readers'. Each step adds the datagram's delay to the true age, so evidence that
  *    came back to its source would never grow old on slow nodes.
--- a/tests/test_configuration_freshness.c
+++ b/tests/test_configuration_freshness.c
@@ -116,6 +116,22 @@
 }
 END_TEST
 
+/* Guards against: while versions follow one another, or a large one is being received, each node asks the store for
+ * what it knows already. */
+START_TEST(a_node_that_knows_of_the_newest_version_does_not_ask_the_store_for_it)
+{
+    cw_configuration_freshness_t freshness = with_version(4);
+    cw_time_us_t                 now = CW_SECONDS(START_S);
+    cw_time_us_t                 later = now + CW_SECONDS(WITHIN_S);
+
+    cw_configuration_freshness_confirm(&freshness, 4, now);
+    cw_configuration_freshness_confirm(&freshness, 9, later);
+    ck_assert_int_eq(watch(&freshness, CW_CONFIGURATION_FOLLOWER, later), 0);
+    ck_assert_int_eq(cw_configuration_freshness_age(&freshness, later), CW_SECONDS(WITHIN_S)); /* stated to others */
+    ck_assert_int_gt(watch(&freshness, CW_CONFIGURATION_FOLLOWER, later + CW_SECONDS(WITHIN_S)), 0);
+}
+END_TEST
+
 START_TEST(evidence_for_a_version_not_in_force_counts_only_once_it_is)
 {
     cw_configuration_freshness_t freshness = with_version(4);
@@ -168,6 +184,7 @@
     tcase_add_test(cases, readers_and_then_followers_check_early_enough);
     tcase_add_test(cases, one_lost_call_to_the_store_fits_into_the_time_for_a_change);
     tcase_add_test(cases, evidence_is_passed_on_in_one_direction);
+    tcase_add_test(cases, a_node_that_knows_of_the_newest_version_does_not_ask_the_store_for_it);
     tcase_add_test(cases, evidence_for_a_version_not_in_force_counts_only_once_it_is);
     tcase_add_test(cases, evidence_for_an_older_version_counts_and_never_lowers_complete_at);
     tcase_add_test(cases, ages_are_passed_between_nodes_and_an_unknown_age_stays_unknown);
