A reading of the configuration is given up when it comes from a node; new nodes check after 2.5 s

And a new process without evidence checked its first configuration, which may come from an old copy, only 3.5 s after its start; nodes are held to the bound from 3 s on. Change: the store's port can forget a reading; the first check is due after 2.5 s, so that one lost call still fits.

--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -43,6 +43,7 @@
     cw_router_t *router = context;
 
     if (cw_router_apply_configuration(router, configuration, "node")) {
+        router->store->forget_configuration_reading(router->store->context);
         cw_router_share_configuration(router, false, cw_router_now(router));
     }
 }
@@ -193,7 +194,7 @@
 static void watch_configuration(cw_router_t *router, cw_time_us_t now)
 {
     cw_configuration_role_t role = configuration_role(router, now);
-    bool                    is_new = now - router->started_at < CW_MS(NEW_NODE_MS);
+    bool                    is_new = now - router->started_at < CW_MS(FIRST_CHECK_MS);
 
     router->store->watch_configuration(router->store->context,
                                        is_new && role == CW_CONFIGURATION_FOLLOWER
