--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -36,7 +36,7 @@
     X(LEADER_LOST, "leadership lost", WARNING, 10)                                                                     \
     X(LEADER_SEEN, "leader seen", NOTICE, 10)                                                                          \
     X(LEADER_SILENT, "leader silent", WARNING, 10)                                                                     \
-    X(CONFIGURATION_ACCEPTED, "configuration accepted", NOTICE, 20)                                                    \
+    X(CONFIGURATION_ACCEPTED, "configuration accepted", NOTICE, 50)                                                    \
     X(CONFIGURATION_OVERDUE, "configuration overdue", NOTICE, 10)                                                      \
     X(CONFIGURATION_REFUSED, "configuration refused", ERROR, 20)                                                       \
     X(KEYS_STALE, "keys stale", WARNING, 10)                                                                           \
