--- a/src/base/loop_stall.c
+++ b/src/base/loop_stall.c
@@ -68,6 +68,15 @@
     return cw_loop_now(loop) - cw_loop_stall_last_look(loop) > CW_MS(CW_LOOP_STALL_MS);
 }
 
+bool cw_loop_stall_postpone(uv_timer_t *timer, uv_timer_cb callback, bool *is_postponed)
+{
+    *is_postponed = !*is_postponed && cw_loop_stall_is_behind(timer->loop);
+    if (*is_postponed) { /* a timer of 0 ms would run before the sockets are read */
+        uv_timer_start(timer, callback, 1, 0);
+    }
+    return *is_postponed;
+}
+
 cw_time_us_t cw_loop_stall_take(void)
 {
     cw_time_us_t stalled = loop_stall.stalled;
--- a/src/base/loop_stall.h
+++ b/src/base/loop_stall.h
@@ -34,6 +34,12 @@
 /** True if that is longer ago than CW_LOOP_STALL_MS. */
 bool cw_loop_stall_is_behind(const uv_loop_t *loop);
 
+/** For callbacks of timers that judge what the sockets have or have not brought: after a stall timers run before the
+ * sockets are read. If the loop is behind, restarts the timer so that it fires after they were read, and returns true;
+ * the callback then returns. is_postponed: state of this timer, at first false; it is never postponed twice in a row.
+ */
+bool cw_loop_stall_postpone(uv_timer_t *timer, uv_timer_cb callback, bool *is_postponed);
+
 /** Returns the duration of the stalls since the last call, for the log and the metrics. */
 cw_time_us_t cw_loop_stall_take(void);
 
--- a/src/net/http_listener_internal.h
+++ b/src/net/http_listener_internal.h
@@ -84,6 +84,7 @@
     cw_time_us_t        opened_us;   /* it was not opened earlier: last look at the sockets before it was accepted */
     bool                is_reading;
     cw_time_us_t        hang_up_check_us; /* time of the next check for a disconnect while the connection is not read */
+    bool                is_postponed;     /* its timer waits until the sockets have been read, after a stall */
     bool                is_advancing;     /* bytes are being parsed or requests are being passed to the handler */
     bool                resume_due;     /* requests or pending bytes are to be processed in the next turn of the loop */
     bool                is_writing;     /* libuv is writing the oldest answer */
--- a/src/net/http_listener_timer.c
+++ b/src/net/http_listener_timer.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "base/event_log.h"
+#include "base/loop_stall.h"
 #include "base/metrics.h"
 #include "net/http_listener_internal.h"
 
@@ -163,6 +164,10 @@
     cw_http_connection_t *connection = timer->data;
     cw_time_us_t          now = cw_listener_now(connection->listener);
 
+    if (cw_loop_stall_postpone(timer, on_timer, &connection->is_postponed)) {
+        return;
+    }
+
     if ((connection->state == CW_CONNECTION_LINGERING && now >= connection->linger_until) ||
         (cw_listener_is_idle(connection) && now >= idle_end_us(connection)) || has_stalled(connection, now) ||
         has_hung_up(connection, now)) {
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -170,23 +170,11 @@
     return upstream->opened;
 }
 
-/* After a stall of the loop the timers run before the sockets are read: an answer may have arrived. */
-static bool postpone(cw_upstream_connection_t *connection)
-{
-    bool is_postponed = !connection->is_postponed && cw_loop_stall_is_behind(connection->target->upstream->loop);
-
-    connection->is_postponed = is_postponed;
-    if (is_postponed) { /* a timer of 0 ms would run before the sockets are read */
-        uv_timer_start(&connection->timer, on_timer, 1, 0);
-    }
-    return is_postponed;
-}
-
 static void on_timer(uv_timer_t *timer)
 {
     cw_upstream_connection_t *connection = timer->data;
 
-    if (connection->call != NULL && postpone(connection)) {
+    if (connection->call != NULL && cw_loop_stall_postpone(timer, on_timer, &connection->is_postponed)) {
         return;
     }
     if (connection->call == NULL) {
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -16,25 +16,12 @@
 
 /* ---- timers, and the end of a request ---- */
 
-/* After a stall of the loop the timers run before the sockets are read. An answer, a reply of a broker or the caller's
- * close may have arrived: it is handled first. */
-static bool postpone(cw_request_t *request)
-{
-    bool is_postponed = !request->is_postponed && cw_loop_stall_is_behind(request->engine->loop);
-
-    request->is_postponed = is_postponed;
-    if (is_postponed) { /* a timer of 0 ms would run before the sockets are read */
-        uv_timer_start(&request->timer, request->engine->on_due, 1, 0);
-    }
-    return is_postponed;
-}
-
 static void on_due(uv_timer_t *timer)
 {
     cw_request_t *request = timer->data;
     cw_time_us_t  now = cw_engine_now(request->engine);
 
-    if (request->is_ended || postpone(request)) {
+    if (request->is_ended || cw_loop_stall_postpone(timer, on_due, &request->is_postponed)) {
         return;
     }
     if (now >= request->deadline) {
--- a/tests/fault_soak/stall_soak.sh
+++ b/tests/fault_soak/stall_soak.sh
@@ -17,7 +17,7 @@
 SEED=${SEED:-1} ROUNDS=${ROUNDS:-3} COUNT=${NODES:-4} SERVERS=${SERVERS:-3} NEWEST_MS=${NEWEST_MS:-2000}
 LINKED=1
 . "$(dirname "$0")/../../scripts/cluster.sh"
-STATE=$SEED VERSION=1 FINDINGS=0 ROUND_S=8 LEAVERS=4
+STATE=$SEED VERSION=1 FINDINGS=0 ROUND_S=8 LEAVERS=4 STAY_S=2.5
 GONE_MS=500      # bound for work on a request whose caller has left
 IN_TOUCH_MS=3000 # a node is bound this long after its trouble
 declare -A COUNTS=()
@@ -56,7 +56,7 @@
             "$1" "$number" "$deadline" >&"$fd"
         sleep "$(seconds "$wait")"
         echo "$1-$number $(boot_ms)" >>"$WORK/given-up"
-        [ "$deadline" = 5000 ] || sleep 0.4 # its time is over, and it stays
+        [ "$deadline" = 5000 ] || sleep "$STAY_S" & # its time is over, and its connection stays open
         eval "exec $fd>&-"
     done 2>/dev/null
 }
--- a/tests/process/standing_node.sh
+++ b/tests/process/standing_node.sh
@@ -35,6 +35,7 @@
     read_answer "$fd" >>"$WORK/before"
 done
 check "requests before the standstill are answered" at_least "$(grep -c 200 "$WORK/before")" $((used - 2))
+lost_before=$(grep -c '"peer lost"' "$WORK/node1.log")
 kill -STOP "${NODE_PIDS[1]}"
 for i in $(seq $((used + 1)) "$CONNECTIONS"); do
     exec {fd}<>"/dev/tcp/$NET.1/$port"
@@ -58,5 +59,6 @@
 check "no request runs whose time is over" at_most "$(runs_of brief)" 0
 check "those are refused with 503" at_least "$(grep -c 503 "$WORK/brief")" $((CONNECTIONS / 3))
 check "requests with time left are answered" at_least "$(grep -c 200 "$WORK/stay")" $((CONNECTIONS / 3))
+check "the node does not take the others for lost" at_most "$(grep -c '"peer lost"' "$WORK/node1.log")" "$lost_before"
 check "the node tells that it stood still" grep -q '"loop stalled"' "$WORK/node1.log"
 finish_test
