--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# cedarwinch: see README.md. Main targets: demo, check, bench, spec, soak, fault-soak, fuzz, install.
+# cedarwinch: see README.md. Main targets: demo, check, bench, spec, soak, fault-soak, stall-soak, fuzz, install.
 BUILD    ?= build
 CC       ?= cc
 CFLAGS   ?= -O2 -g
@@ -27,7 +27,7 @@
 TEST_PROGRAMS := $(addprefix $(BUILD)/tests/,$(TESTS))
 PROCESS_TESTS := $(wildcard tests/process/*.sh)
 
-.PHONY: all programs test check demo bench spec soak fault-soak fuzz lint format install dependencies clean proto
+.PHONY: all programs test check demo bench spec soak fault-soak stall-soak fuzz lint format install dependencies clean proto
 .SECONDARY:
 all: programs $(TEST_PROGRAMS)
 programs: $(PROGRAMS)
@@ -99,6 +99,10 @@
 fault-soak: programs
 	@tests/fault_soak/many.sh $(SEED) $(if $(filter command line,$(origin SEEDS)),$(SEEDS),10)
 
+# Nodes that stand still beside callers that leave and quick versions: make stall-soak [SEED=n] [SEEDS=n] [ROUNDS=n] [NODES=n]
+stall-soak: programs
+	@SOAK=stall_soak.sh tests/fault_soak/many.sh $(SEED) $(if $(filter command line,$(origin SEEDS)),$(SEEDS),10)
+
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v -E '\.pb-c\.')
 format:
 	clang-format -i $(SOURCES)
