--- a/src/base/loop_stall.c
+++ b/src/base/loop_stall.c
@@ -13,8 +13,9 @@
     const uv_loop_t *loop; /* NULL: none */
     uv_check_t       after_wait;
     cw_time_us_t     looked_at; /* end of the last wait whose callbacks have run */
-    bool         is_unsure; /* the last wait ended a stall, perhaps by a signal and without looking at the sockets */
-    cw_time_us_t stalled;   /* stalls since cw_loop_stall_take */
+    bool         is_unsure;    /* the last wait ended a stall, perhaps by a signal and without looking at the sockets */
+    bool         skipped_tick; /* the last tick was left out */
+    cw_time_us_t stalled;      /* stalls since cw_loop_stall_take */
 } loop_stall;
 
 /* Runs after the callbacks of the sockets. The loop's time is still that of the end of its wait. A wait is interrupted
@@ -77,6 +78,13 @@
     return *is_postponed;
 }
 
+bool cw_loop_stall_skips_tick(void)
+{
+    loop_stall.skipped_tick =
+        loop_stall.loop != NULL && !loop_stall.skipped_tick && cw_loop_stall_is_behind(loop_stall.loop);
+    return loop_stall.skipped_tick;
+}
+
 cw_time_us_t cw_loop_stall_take(void)
 {
     cw_time_us_t stalled = loop_stall.stalled;
--- a/src/base/loop_stall.h
+++ b/src/base/loop_stall.h
@@ -40,6 +40,10 @@
  */
 bool cw_loop_stall_postpone(uv_timer_t *timer, uv_timer_cb callback, bool *is_postponed);
 
+/** The same for a timer that repeats, of which the loop has one (the node's tick): returns true if the loop is behind,
+ * so that this tick is left out. Never true twice in a row. */
+bool cw_loop_stall_skips_tick(void);
+
 /** Returns the duration of the stalls since the last call, for the log and the metrics. */
 cw_time_us_t cw_loop_stall_take(void);
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -127,21 +127,13 @@
     }
 }
 
-/* After a stall the timers run before the sockets are read: the other nodes seem silent although their datagrams have
- * arrived. Returns true if this tick is left out for that reason; the next one never is. */
-static bool skips_tick(cw_router_t *router)
-{
-    router->skipped_tick = !router->skipped_tick && cw_loop_stall_is_behind(&router->loop);
-    return router->skipped_tick;
-}
-
 static void on_tick(uv_timer_t *timer)
 {
     cw_router_t *router = timer->data;
     cw_time_us_t now = cw_router_now(router);
 
     check_suspension(router);
-    if (skips_tick(router)) {
+    if (cw_loop_stall_skips_tick()) { /* the other nodes seem silent although their datagrams have arrived */
         return;
     }
     report_stall();
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -92,7 +92,6 @@
     cw_store_port_t     *store;
     uv_loop_t            loop;
     uv_timer_t           tick;
-    bool                 skipped_tick; /**< the last tick was left out, after a stall */
     uv_signal_t          terminate;
     uv_signal_t          interrupt;
     uv_signal_t          hang_up;
