Observability: whether a node reaches servers, since when, and what it counts at them

Change: server_paths judges contacts (requests, orders, probes of new connections); events "server paths lost" and "server paths back"; gauges for the last contact, servers avoided, requests in flight here and reported by others, slots granted. Nothing acts on it yet. A probe's timer waits until the sockets were read after a stall.

--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -28,6 +28,8 @@
     X(SERVER_LOST, "server lost", WARNING, 20)                                                                         \
     X(SERVER_CRASHED, "server crashed", WARNING, 20)                                                                   \
     X(SERVER_BACK, "server back", NOTICE, 20)                                                                          \
+    X(PATHS_LOST, "server paths lost", WARNING, 10)                                                                    \
+    X(PATHS_BACK, "server paths back", NOTICE, 10)                                                                     \
     X(SERVER_LIMIT, "server limit", NOTICE, 20)                                                                        \
     X(SERVER_LEAVING, "server leaving", NOTICE, 20)                                                                    \
     X(SERVER_RESTS, "server rests", NOTICE, 20)                                                                        \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -17,6 +17,17 @@
     X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
     X(CONFIGURATION_AGE_MS, "cedarwinch_configuration_age_milliseconds", "gauge",                                      \
       "time since the configuration in force was surely the newest one")                                               \
+    X(PATHS_LOST, "cedarwinch_server_paths_lost", "gauge", "1 while this node reaches no server")                      \
+    X(REACHED_AGE_MS, "cedarwinch_server_reached_age_milliseconds", "gauge",                                           \
+      "time since anything last came from a server")                                                                   \
+    X(SERVERS_AVOIDED, "cedarwinch_servers_avoided", "gauge",                                                          \
+      "servers avoided now because of faults, of this node or reported by others")                                     \
+    X(OWN_IN_FLIGHT, "cedarwinch_own_in_flight", "gauge", "requests of this node in flight at servers")                \
+    X(OTHERS_IN_FLIGHT, "cedarwinch_others_in_flight", "gauge", "the same of other nodes, as they reported")           \
+    X(SLOTS_GRANTED, "cedarwinch_slots_granted", "gauge",                                                              \
+      "slots that this node, as a broker, granted and has not back")                                                   \
+    X(PATH_PROBES, "cedarwinch_server_path_probes_total", "counter",                                                   \
+      "connections opened to find out whether servers are reached")                                                    \
     X(READER, "cedarwinch_store_reader", "gauge", "1 while this node reads the store for its zone")                    \
     X(WATCHES_FAILED, "cedarwinch_configuration_watches_failed_total", "counter",                                      \
       "watches of the configuration that were refused, broke or got no answer")                                        \
--- a/src/net/connect_probe.c
+++ b/src/net/connect_probe.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/loop_stall.h"
 #include "base/memory.h"
 
 enum { ADDRESS_MAX = 64, HANDLES = 2 };
@@ -20,6 +21,7 @@
     cw_probe_done_t done;
     void           *context;
     bool            is_finished;
+    bool            is_postponed; /* its timer waits until the sockets have been read, after a stall */
     int             handles; /* libuv handles that are not closed yet */
 } probe_t;
 
@@ -54,7 +56,11 @@
 
 static void on_timeout(uv_timer_t *timer)
 {
-    finish(timer->data, CW_PROBE_UNKNOWN);
+    probe_t *probe = timer->data;
+
+    if (!cw_loop_stall_postpone(timer, on_timeout, &probe->is_postponed)) {
+        finish(probe, CW_PROBE_UNKNOWN);
+    }
 }
 
 static int read_address(const char *address, struct sockaddr_in *socket_address)
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -23,6 +23,7 @@
 #include <uv.h>
 
 #include "balance/crossing_cost.h"
+#include "balance/server_paths.h"
 #include "balance/server_pool.h"
 #include "balance/server_signals.h"
 #include "balance/slot_broker.h"
@@ -135,6 +136,8 @@
 void cw_engine_apply_reported_limit(cw_engine_t *engine, cw_server_t *server, double per_s, cw_time_us_t made_at);
 /** Another node reports that the server incarnation with this hash has announced that it leaves. */
 void cw_engine_apply_reported_leave(cw_engine_t *engine, uint32_t server);
+/** Sets where the outcome of each contact with a server is recorded; borrowed. */
+void cw_engine_set_paths(cw_engine_t *engine, cw_server_paths_t *paths);
 /** Requests that crash servers are detected and refused from now on. */
 void cw_engine_set_crash_suspects(cw_engine_t *engine, const cw_crash_port_t *port);
 /** The tenants' limits are enforced from now on. The share is borrowed. It calls cw_engine_quota_decided, never within
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -183,6 +183,7 @@
     uv_timer_cb              on_due;         /**< callback of the requests' timers */
     cw_upstream_answered_t   on_answer;      /**< callback of calls to servers */
     cw_crash_port_t          crashes;
+    cw_server_paths_t       *paths; /**< NULL: contacts are not recorded */
     cw_signal_port_t         signal_port;
     cw_slot_port_t           slots;
     bool                     has_slots;   /**< slots are requested from brokers */
@@ -236,6 +237,12 @@
  * token. */
 void cw_request_return_token(cw_request_t *request);
 
+/* ---- engine_paths.c ---- */
+/** Records the outcome of a call to a server as a contact (server_paths.h). */
+void cw_engine_record_contact(cw_engine_t *engine, const cw_upstream_answer_t *answer);
+/** Records that a call to a server has brought nothing in the time in which an answer was expected. */
+void cw_engine_record_silence(cw_engine_t *engine);
+
 /* ---- engine_callers.c ---- */
 /** Called once, when the engine is created. */
 void cw_engine_init_callers(cw_engine_t *engine);
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -92,6 +92,7 @@
         return;
     }
     log_retry(request, server->id, "silence");
+    cw_engine_record_silence(request->engine);
     cw_server_pool_record_slow(server, now - request->sent_at, request->route_state->mean_time, now);
     cw_request_abandon(request);
     send_again(request, 0);
@@ -259,6 +260,7 @@
 
     request->call = NULL;
     cw_text_copy(id, sizeof(id), server->id);
+    cw_engine_record_contact(request->engine, answer);
     switch (answer->result) {
     case CW_UPSTREAM_ANSWERED:
         handle_answer(request, server, answer, now);
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -137,6 +137,7 @@
         return;
     }
     report_stall();
+    cw_router_paths_tick(router, now);
     cw_router_lead_tick(router, now);
     cw_router_view_tick(router, now);
     cw_router_configuration_tick(router, now);
@@ -268,6 +269,7 @@
     cw_router_list_exchange_init(router);
     cw_router_quota_init(router);
     cw_router_crashes_init(router);
+    cw_router_paths_init(router);
     cw_router_signals_init(router);
     cw_router_peers_init(router);
     snprintf(store_address, sizeof(store_address), "%s:%u", router->settings.store.address,
--- a/src/router/router_admin.c
+++ b/src/router/router_admin.c
@@ -54,6 +54,7 @@
     cw_metric_set(CW_METRIC_CONFIGURATION_AGE_MS,
                   (uint64_t)(cw_configuration_freshness_age(&router->freshness, cw_router_now(router)) / 1000));
     cw_metric_set(CW_METRIC_PEERS, cw_peer_link_count_alive(router->link, router->peer_timeout, cw_router_now(router)));
+    cw_router_paths_set_metrics(router);
     cw_metrics_append(&text);
     cw_router_traffic_metrics(router, &text);
     outbound.body = text.data;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -80,6 +80,9 @@
 /** Requests that crash servers: proofs that a server has ended, and reports to other nodes (router_crashes.c). */
 typedef struct cw_router_crashes cw_router_crashes_t;
 
+/** Paths to servers: their evidence, and probes (router_paths.c). */
+typedef struct cw_router_paths cw_router_paths_t;
+
 /** Tenants' limits: tenants that this node counts, and the nodes that count the others (router_quota.h). */
 typedef struct cw_router_quota cw_router_quota_t;
 
@@ -108,6 +111,7 @@
     cw_router_quota_t   *quota;
     cw_detours_t        *detours;
     cw_router_crashes_t *crashes;
+    cw_router_paths_t   *paths;
     cw_signal_notices_t *signal_notices;
     cw_configuration_t  *configuration;
     cw_time_us_t         started_at;
@@ -278,6 +282,18 @@
 void cw_router_handle_forwarded_heartbeat(cw_router_t *router, const cw_peer_t *sender,
                                           const Cwp__PassedHeartbeat *passed, cw_time_us_t now);
 
+/* ---- router_paths.c ---- */
+/** Begins to record this node's contacts with servers. */
+void cw_router_paths_init(cw_router_t *router);
+/** Frees the state of paths. Only tests call this. */
+void cw_router_paths_free(cw_router_t *router);
+/** Probes servers if necessary, and logs a loss of the paths or its end. */
+void cw_router_paths_tick(cw_router_t *router, cw_time_us_t now);
+/** Records whether an order to a server was answered. */
+void cw_router_paths_record_order(cw_router_t *router, bool is_answered);
+/** Sets the gauges of paths and of requests at servers. */
+void cw_router_paths_set_metrics(cw_router_t *router);
+
 /* ---- router_list_exchange.c ---- */
 /** Creates the exchange of whole lists. */
 void cw_router_list_exchange_init(cw_router_t *router);
@@ -416,6 +432,8 @@
 void cw_router_zones_tick(cw_router_t *router, cw_time_us_t now);
 
 /* ---- router_slots.c ---- */
+/** Number of slots that this node has granted as a broker and that were not returned yet. */
+size_t cw_router_slots_granted(const cw_router_t *router);
 /** Creates the broker of slots, and connects it to the engine. */
 void cw_router_slots_init(cw_router_t *router);
 /** Updates the candidates for counting slots, and the slots that this node counts. */
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -347,6 +347,11 @@
     return router->slots->candidates;
 }
 
+size_t cw_router_slots_granted(const cw_router_t *router)
+{
+    return cw_slot_broker_granted(router->slots->broker);
+}
+
 bool cw_router_nodes_are_many(const cw_router_t *router)
 {
     return router->slots->are_nodes_many;
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -254,6 +254,7 @@
     cw_router_list_exchange_init(router);
     cw_router_quota_init(router);
     cw_router_crashes_init(router);
+    cw_router_paths_init(router);
     cw_router_peers_init(router);
     router->store = &node->port;
 }
@@ -297,6 +298,7 @@
     cw_forward_queue_free(node->router.forward_queue);
     cw_server_pool_free(node->router.pool);
     cw_router_list_exchange_free(&node->router);
+    cw_router_paths_free(&node->router);
     cw_server_view_clear(&node->router.server_view);
     cw_view_updates_free(node->router.view_updates);
     cw_key_tables_clear(&node->router.tables);
