--- a/src/net/connect_probe.c
+++ b/src/net/connect_probe.c
@@ -22,7 +22,7 @@
     void           *context;
     bool            is_finished;
     bool            is_postponed; /* its timer waits until the sockets have been read, after a stall */
-    int             handles; /* libuv handles that are not closed yet */
+    int             handles;      /* libuv handles that are not closed yet */
 } probe_t;
 
 static void on_closed(uv_handle_t *handle)
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -48,7 +48,7 @@
 {
     cw_router_t       *router = order->router;
     const cw_server_t *server = cw_server_pool_find_hash(router->pool, order->server);
-    bool               failed = result == CW_ORDER_NOT_SENT || result == CW_ORDER_UNANSWERED || result == CW_ORDER_OTHER_INCARNATION;
+    bool failed = result == CW_ORDER_NOT_SENT || result == CW_ORDER_UNANSWERED || result == CW_ORDER_OTHER_INCARNATION;
 
     cw_router_paths_record_order(router, !failed || result == CW_ORDER_OTHER_INCARNATION);
     if (failed) {
