Probes of paths ask a server for an answer; a node without contacts does not probe

An established connection proves no path: what accepts it may stand between (the stand-in proxy does, as a load balancer would).

--- a/src/balance/server_paths.c
+++ b/src/balance/server_paths.c
@@ -26,7 +26,7 @@
 
 static uint32_t begin(cw_server_paths_t *paths, uint32_t probes, bool is_checking, cw_time_us_t now)
 {
-    paths->checked_at = now;
+    paths->probed_at = now;
     if (is_checking) {
         paths->check_began_at = now;
     }
@@ -47,14 +47,11 @@
         return 0;
     }
     if (paths->are_lost) {
-        return now - paths->checked_at >= CW_MS(CW_PATHS_PROBE_INTERVAL_MS) ? begin(paths, 1, false, now) : 0;
+        return now - paths->probed_at >= CW_MS(CW_PATHS_PROBE_INTERVAL_MS) ? begin(paths, 1, false, now) : 0;
     }
     if (is_check_due(paths, now)) {
         return begin(paths, servers < CW_PATHS_PROBES ? servers : CW_PATHS_PROBES, true, now);
     }
-    if (now - paths->reached_at >= CW_MS(CW_PATHS_IDLE_MS) && now - paths->checked_at >= CW_MS(CW_PATHS_IDLE_MS)) {
-        return begin(paths, 1, false, now);
-    }
     return 0;
 }
 
@@ -64,8 +61,7 @@
     if (is_reached) {
         cw_server_paths_record_reached(paths, now);
     } else {
-        /* a single idle probe that fails is followed by a check */
-        paths->failures += paths->is_checking ? 1 : CW_PATHS_FAILURES;
+        cw_server_paths_record_failed(paths);
     }
     if (paths->probes == 0 && paths->is_checking) {
         paths->is_checking = false;
--- a/src/balance/server_paths.h
+++ b/src/balance/server_paths.h
@@ -4,13 +4,13 @@
  *
  * A server that does not answer may have failed, or this node may have lost its path. The two are told apart by the
  * other servers: a node whose contacts with several servers all fail has lost its paths. Rules:
- *  - A contact is a connection, a request, an order or a probe. It succeeds once anything comes from a server, and it
- *    fails if no connection is established, or nothing has come in the time in which an answer was expected.
+ *  - A contact is a request, an order or a probe. It succeeds once a byte comes from a server. An established
+ * connection proves nothing, since what accepts it may stand between this node and the server. A contact fails if it
+ * ends without a byte, or nothing has come in the time in which an answer was expected.
  *  - After CW_PATHS_FAILURES failed contacts without a success between them, CW_PATHS_PROBES servers are probed at once
- *    with new connections. If none of them answers, and no other contact has succeeded meanwhile, the paths are lost.
+ *    on new connections. If none of them answers, and no other contact has succeeded meanwhile, the paths are lost.
  *  - While they are lost, one server is probed every CW_PATHS_PROBE_INTERVAL_MS. Any success ends the loss.
- *  - If no contact has succeeded for CW_PATHS_IDLE_MS, because there was none, one server is probed. So a node without
- *    requests also knows whether it could serve one.
+ *  - A node without contacts does not probe: it is not known whether it reaches servers.
  *
  * No I/O; time is a parameter, microseconds of the node's steady clock.
  */
@@ -26,10 +26,9 @@
     CW_PATHS_FAILURES = 2,
     CW_PATHS_PROBES = 4,
     CW_PATHS_PROBE_INTERVAL_MS = 250,
-    CW_PATHS_PROBE_TIMEOUT_MS = 250, /**< for a connection; a round trip to another region takes 16 ms */
-    CW_PATHS_IDLE_MS = 1000,
-    CW_PATHS_CHECK_PAUSE_MS = 1000, /**< between checks of CW_PATHS_PROBES servers */
-    CW_PATHS_FRESH_MS = 2500        /**< a success is evidence of a path for so long */
+    CW_PATHS_PROBE_TIMEOUT_MS = 350, /**< for the answer; a probe may have to wait for a slot of its server */
+    CW_PATHS_CHECK_PAUSE_MS = 1000,  /**< between checks of CW_PATHS_PROBES servers */
+    CW_PATHS_FRESH_MS = 3000         /**< a success is evidence of a path for so long */
 };
 
 /** Evidence of one node's paths to servers. All zeros: no contact yet. */
@@ -38,8 +37,8 @@
     cw_time_us_t changed_at;     /**< when are_lost last changed; 0: never */
     cw_time_us_t reached_at;     /**< last success; 0: none */
     uint32_t     failures;       /**< failed contacts since then */
-    cw_time_us_t checked_at;     /**< start of the last check or idle probe */
-    cw_time_us_t check_began_at; /**< start of the last check of several servers */
+    cw_time_us_t probed_at;      /**< start of the last probe */
+    cw_time_us_t check_began_at; /**< start of the last check of several servers; 0: none */
     uint32_t     probes;         /**< probes in flight */
     bool         is_checking;    /**< they decide whether the paths are lost */
 } cw_server_paths_t;
--- a/src/router/adapter.h
+++ b/src/router/adapter.h
@@ -17,6 +17,9 @@
  * none. */
 typedef void (*cw_order_done_t)(void *context, uint64_t order, cw_order_result_t result, const char *handover);
 
+/** Called once when a probe of a server has ended. is_answered: a byte has come from the server's address. */
+typedef void (*cw_server_probed_t)(void *context, bool is_answered);
+
 /** Result of reading the accepted configuration. */
 typedef struct cw_accepted {
     cw_store_result_t   result;
@@ -41,6 +44,9 @@
     cw_store_port_t *(*store)(void *adapter);
     /** Sends a grant or a release to a server. done: called once. */
     void (*send_order)(void *adapter, const cw_order_t *order, cw_order_done_t done, void *context);
+    /** Sends a server, on a new connection, a request that runs nothing there. done: called once. */
+    void (*probe_server)(void *adapter, const char *address, cw_time_us_t timeout, cw_server_probed_t done,
+                         void *context);
     /** For the command line: reads the accepted configuration. */
     void (*read_accepted)(void *adapter, cw_accepted_read_t done, void *context);
     /** For the command line: writes another accepted configuration if the object still has this revision (0: there is
--- a/src/router/router_paths.c
+++ b/src/router/router_paths.c
@@ -5,7 +5,6 @@
 #include <stdlib.h>
 
 #include "base/memory.h"
-#include "net/connect_probe.h"
 #include "router/router_internal.h"
 
 struct cw_router_paths {
@@ -40,21 +39,20 @@
 
 /* ---- probes ---- */
 
-/* A refused connection is a failure: what refuses it may stand between this node and the server. */
-static void on_probed(void *context, cw_probe_result_t result)
+static void on_probed(void *context, bool is_answered)
 {
     cw_router_paths_t *paths = context;
 
-    cw_server_paths_record_probe(&paths->evidence, result == CW_PROBE_CONNECTED, cw_router_now(paths->router));
+    cw_server_paths_record_probe(&paths->evidence, is_answered, cw_router_now(paths->router));
 }
 
 static void probe(cw_router_paths_t *paths, const cw_server_t *server)
 {
+    const cw_router_t *router = paths->router;
+
     cw_metric_add(CW_METRIC_PATH_PROBES, 1);
-    if (cw_connect_probe(&paths->router->loop, server->address, CW_MS(CW_PATHS_PROBE_TIMEOUT_MS), on_probed, paths) !=
-        0) {
-        on_probed(paths, CW_PROBE_UNKNOWN); /* its address is not valid */
-    }
+    router->adapter->probe_server(router->platform, server->address, CW_MS(CW_PATHS_PROBE_TIMEOUT_MS), on_probed,
+                                  paths);
 }
 
 /* Probes `count` of the servers, in evenly spaced positions of the list after a random one. */
