A node without paths to servers holds none of their slots and judges none of them

Cause: requests that hung at the cut nodes stood in their reports, and in relays' sums, as in flight at servers, and brokers' slots stayed granted to them until the requests' deadlines. Ruled out: verdicts on servers (servers_avoided was 0), load. Change: once a node's paths are lost it reports no requests at servers and no servers as unreachable, returns its slots, forgets the faults that the loss explains and records no new ones, and refuses at once what it cannot send. What it had sent before may still be answered. A report that a server is unreachable does not outweigh this node's own answers from it.

--- a/src/balance/server_reports.c
+++ b/src/balance/server_reports.c
@@ -8,7 +8,10 @@
 #include "balance/server_pool_internal.h"
 #include "base/memory.h"
 
-enum { ANSWERS_PER_REPORT_MAX = 4 /* most answers of one report that count for the pace */ };
+enum {
+    ANSWERS_PER_REPORT_MAX = 4, /* most answers of one report that count for the pace */
+    ANSWER_FRESH_MS = 1000      /* an answer to this node outweighs another node's report for so long */
+};
 
 void cw_server_pool_free_peer(cw_server_pool_t *pool, peer_report_t *peer)
 {
@@ -137,6 +140,12 @@
     peer->paces_at = now;
 }
 
+/* A node that does not reach a server may be cut off from it. What this node has received from the server decides. */
+static bool has_answered_lately(const cw_server_t *server, cw_time_us_t now)
+{
+    return server->faults == 0 && server->pace_at != 0 && now - server->pace_at <= CW_MS(ANSWER_FRESH_MS);
+}
+
 void cw_server_pool_apply_report(cw_server_pool_t *pool, uint64_t node, const cw_server_report_t *reports, size_t count,
                                  cw_time_us_t now)
 {
@@ -152,7 +161,8 @@
         }
         server->others += reports[index].in_flight;
         server->others_waiting += reports[index].waiting;
-        if (reports[index].unreachable && server->avoid_until < now + CW_MS(CW_AVOID_INITIAL_MS)) {
+        if (reports[index].unreachable && !has_answered_lately(server, now) &&
+            server->avoid_until < now + CW_MS(CW_AVOID_INITIAL_MS)) {
             server->avoid_until = now + CW_MS(CW_AVOID_INITIAL_MS);
         }
     }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -154,6 +154,7 @@
       "refused: beyond the rate limit of its server, or of all servers that would do")                                 \
     X(REFUSED_REST, "cedarwinch_refused_rest_total", "counter",                                                        \
       "refused: its server, or all servers that would do, had asked this node for rest")                               \
+    X(REFUSED_PATHS, "cedarwinch_refused_paths_total", "counter", "refused: this node reaches no server")              \
     X(SERVERS_CRASHED, "cedarwinch_servers_crashed_total", "counter",                                                  \
       "servers that this node saw end with a request under way")                                                       \
     X(CRASH_SUSPECTS, "cedarwinch_crash_suspects", "gauge", "requests remembered that were under way at crashes")      \
--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -25,6 +25,11 @@
      "503: its server, or each that would do, had turned a request of this node away and wants nothing from it until "
      "then",
      {.events = {"server rests"}}},
+    {"refused",
+     "this node reaches no server",
+     NULL,
+     "503: nothing came from any server that this node asked; the network between it and the servers is cut",
+     {.events = {"server paths lost"}}},
     {"refused",
      "the server's rate limit",
      NULL,
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -138,6 +138,9 @@
 void cw_engine_apply_reported_leave(cw_engine_t *engine, uint32_t server);
 /** Sets where the outcome of each contact with a server is recorded; borrowed. */
 void cw_engine_set_paths(cw_engine_t *engine, cw_server_paths_t *paths);
+/** The paths to servers have been lost, or are back: returns the slots that requests hold in vain, forgets the faults
+ * of servers that the loss explains, and examines the waiting requests again. */
+void cw_engine_paths_changed(cw_engine_t *engine);
 /** Requests that crash servers are detected and refused from now on. */
 void cw_engine_set_crash_suspects(cw_engine_t *engine, const cw_crash_port_t *port);
 /** The tenants' limits are enforced from now on. The share is borrowed. It calls cw_engine_quota_decided, never within
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -240,6 +240,8 @@
 /* ---- engine_paths.c ---- */
 /** Records the outcome of a call to a server as a contact (server_paths.h). */
 void cw_engine_record_contact(cw_engine_t *engine, const cw_upstream_answer_t *answer);
+/** Returns whether this node reaches no server. */
+bool cw_engine_has_lost_paths(const cw_engine_t *engine);
 /** Records that a call to a server has brought nothing in the time in which an answer was expected. */
 void cw_engine_record_silence(cw_engine_t *engine);
 
@@ -401,7 +403,8 @@
     CW_REFUSED_CRASHES,      /**< the request crashes the servers that run it */
     CW_REFUSED_SERVER_LIMIT, /**< beyond the rate limit of its server, or of all servers that it may go to */
     /** Its server has asked for rest, or no server that it may go to has room and one of them has asked for rest. */
-    CW_REFUSED_REST
+    CW_REFUSED_REST,
+    CW_REFUSED_PATHS /**< this node reaches no server */
 } cw_refusal_t;
 /** Ends a request that has not run and never will: 503 with the time to retry. A request that may have run ends with
  * 502 instead. */
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -114,8 +114,12 @@
     }
 }
 
-static void record_fault(cw_server_t *server, const char *reason, cw_time_us_t now)
+/* While this node reaches no server, a failed request says nothing about its server. */
+static void record_fault(const cw_engine_t *engine, cw_server_t *server, const char *reason, cw_time_us_t now)
 {
+    if (cw_engine_has_lost_paths(engine)) {
+        return;
+    }
     cw_server_pool_record_fault(server, now);
     if (server->faults == 1) {
         log_server(server, CW_EVENT_SERVER_LOST, reason);
@@ -270,7 +274,7 @@
         handle_withdrawn(request, now);
         break;
     case CW_UPSTREAM_NOT_SENT:
-        record_fault(server, answer->failure, now);
+        record_fault(request->engine, server, answer->failure, now);
         request->claim.end = CW_SLOT_FAILED;
         cw_request_leave_server(request);
         handle_unreached(request, id, now);
@@ -278,7 +282,7 @@
     case CW_UPSTREAM_BROKEN:
     case CW_UPSTREAM_TIMED_OUT:
         if (!answer->any_byte) {
-            record_fault(server, answer->failure, now);
+            record_fault(request->engine, server, answer->failure, now);
             request->claim.end = CW_SLOT_FAILED;
         }
         if (answer->result == CW_UPSTREAM_BROKEN) {
--- a/src/proxy/engine_placement.c
+++ b/src/proxy/engine_placement.c
@@ -21,6 +21,7 @@
     WAITS_FOR_SLOT,
     WAITS_FOR_OWNER,
     NO_SERVERS,
+    NO_PATHS,
     PAUSED
 } placement_t;
 
@@ -62,6 +63,9 @@
     if (request->not_before > now) {
         return PAUSED;
     }
+    if (cw_engine_has_lost_paths(request->engine)) {
+        return NO_PATHS;
+    }
     if (request->is_keyed) {
         return place_keyed(request, now);
     }
@@ -105,6 +109,10 @@
         cw_request_refuse(request, CW_REFUSED_REGIONS);
         return;
     }
+    if (reason == NO_PATHS) {
+        cw_request_refuse(request, CW_REFUSED_PATHS);
+        return;
+    }
     if ((reason == OVER_LIMIT || reason == SERVER_RESTS) && !request->may_have_run) {
         cw_request_refuse(request, reason == SERVER_RESTS ? CW_REFUSED_REST : CW_REFUSED_SERVER_LIMIT);
         return;
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -291,6 +291,8 @@
 void cw_router_paths_tick(cw_router_t *router, cw_time_us_t now);
 /** Records whether an order to a server was answered. */
 void cw_router_paths_record_order(cw_router_t *router, bool is_answered);
+/** Whether this node reaches no server. */
+bool cw_router_has_lost_paths(const cw_router_t *router);
 /** Sets the gauges of paths and of requests at servers. */
 void cw_router_paths_set_metrics(cw_router_t *router);
 
--- a/src/router/router_paths.c
+++ b/src/router/router_paths.c
@@ -76,6 +76,11 @@
     }
 }
 
+bool cw_router_has_lost_paths(const cw_router_t *router)
+{
+    return router->paths->evidence.are_lost;
+}
+
 /* ---- ticks ---- */
 
 static void log_change(cw_router_paths_t *paths, cw_time_us_t now)
@@ -83,10 +88,6 @@
     const cw_server_paths_t *evidence = &paths->evidence;
     cw_event_t               event;
 
-    if (evidence->are_lost == paths->were_lost) {
-        return;
-    }
-    paths->were_lost = evidence->are_lost;
     if (evidence->are_lost) {
         paths->silent_from = evidence->reached_at == 0 ? paths->router->started_at : evidence->reached_at;
     }
@@ -107,7 +108,13 @@
     if (count > 0) {
         probe_servers(paths, count);
     }
-    log_change(paths, now);
+    if (paths->evidence.are_lost != paths->were_lost) {
+        paths->were_lost = paths->evidence.are_lost;
+        log_change(paths, now);
+        cw_engine_paths_changed(router->engine);
+        router->all_report_due = true;
+        router->zone_report_due = true;
+    }
 }
 
 void cw_router_paths_set_metrics(cw_router_t *router)
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -37,12 +37,17 @@
 
 static report_builder_t builder; /* large, and used by one call at a time */
 
+/* Adds this node's requests at servers, and the servers that it avoids. A node without paths reports neither: its
+ * requests in flight do not reach their servers, or have ended there, and it cannot judge any server. */
 static void add_loads(cw_router_t *router, cw_time_us_t now)
 {
     cw_server_t *server;
     cw_server_t *next;
     size_t       count = 0;
 
+    if (cw_router_has_lost_paths(router)) {
+        return;
+    }
     cw_engine_count_waiting(router->engine);
     HASH_ITER(by_id, cw_server_pool_all(router->pool), server, next)
     {
--- a/src/router/router_summary.c
+++ b/src/router/router_summary.c
@@ -195,7 +195,10 @@
 
 static void add_loads(cw_router_t *router, cw_time_us_t now)
 {
-    cw_sum_filter_t filter = {.context = router, .includes_node = includes_node, .includes_server = includes_server};
+    cw_sum_filter_t filter = {.context = router,
+                              .includes_node = includes_node,
+                              .includes_server = includes_server,
+                              .excludes_own = cw_router_has_lost_paths(router)};
     size_t          left_out;
     size_t          count;
     size_t          index;
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -294,6 +294,44 @@
 }
 END_TEST
 
+/* Nodes that lost their paths to servers made the others avoid servers that answered them. */
+START_TEST(a_server_that_answers_this_node_is_not_avoided_because_another_node_does_not_reach_it)
+{
+    uint32_t           dropped;
+    bool               full;
+    cw_server_pool_t  *pool = new_pool(&dropped);
+    cw_server_t       *near = cw_server_pool_find(pool, "near");
+    cw_server_report_t report = {.hash = near->hash, .unreachable = true};
+
+    cw_server_pool_record_served(near, CW_MS(10), CW_MS(10), CW_MS(100));
+    cw_server_pool_apply_report(pool, 5, &report, 1, CW_MS(200));
+    ck_assert_str_eq(choose(pool, CW_MS(201), &full), "near");
+    cw_server_pool_apply_report(pool, 5, &report, 1, CW_MS(2000));
+    ck_assert_str_eq(choose(pool, CW_MS(2001), &full), "far");
+    cw_server_pool_free(pool);
+}
+END_TEST
+
+START_TEST(a_zone_sum_leaves_out_the_requests_of_a_relay_without_paths)
+{
+    uint32_t           dropped;
+    cw_server_pool_t  *pool = new_pool(&dropped);
+    cw_server_t       *near = cw_server_pool_find(pool, "near");
+    cw_server_report_t report = {.hash = near->hash, .in_flight = 2};
+    cw_sum_filter_t    filter = {
+           .context = "", .includes_node = takes_low_nodes, .includes_server = takes_all_but, .excludes_own = true};
+    cw_server_report_t sums[4];
+    size_t             left_out;
+
+    cw_server_pool_begin_request(near, 0);
+    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 4, 0, &left_out), 0);
+    cw_server_pool_apply_report(pool, 5, &report, 1, 0);
+    ck_assert_uint_eq(cw_server_pool_sum(pool, &filter, sums, 4, 0, &left_out), 1);
+    ck_assert_uint_eq(sums[0].in_flight, 2);
+    cw_server_pool_free(pool);
+}
+END_TEST
+
 START_TEST(a_server_whose_address_has_another_incarnation_is_not_chosen)
 {
     uint32_t          dropped;
@@ -627,6 +665,8 @@
     tcase_add_test(cases, requests_waiting_at_other_nodes_are_known_until_the_reports_expire);
     tcase_add_test(cases, a_zone_sum_covers_only_the_nodes_and_servers_of_its_filter);
     tcase_add_test(cases, an_unreachable_server_is_skipped_for_a_while);
+    tcase_add_test(cases, a_server_that_answers_this_node_is_not_avoided_because_another_node_does_not_reach_it);
+    tcase_add_test(cases, a_zone_sum_leaves_out_the_requests_of_a_relay_without_paths);
     tcase_add_test(cases, a_server_whose_address_has_another_incarnation_is_not_chosen);
     tcase_add_test(cases, many_nodes_do_not_all_choose_the_same_server);
     tcase_add_test(cases, a_server_that_other_nodes_report_as_slow_is_skipped);
