A leader that reaches no server steps down

Callers saw 503 "owner of the key not known or moving" for every key at every node, for as long as the leader's paths to servers were cut (test: 20 s and more). Cause: a leader resigned only if its orders failed at servers that answered other nodes; once the grants have run out, keyed servers answer nobody, so that evidence never comes. Change: nodes state in their reports, and relays in their zones' summaries, whether they reach servers. A leader without paths steps down while a node that has not lost its own is alive, and a node without paths takes the lock 3 s later than it could. Ruled out: that such a leader moves keys meanwhile; the planner moves none while most owners do not answer (a guard of our own changed nothing in 16 s of logical time, and was taken out). Evidence: server_paths_cut_leader.sh stood before its first check, passes that one now (another node leads); it stays red until requests of the cut node take another way. test_node_paths (5): one fails with the change taken out, the one on stepping down; the others hold what must not change.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2251,7 +2251,7 @@
   (ProtobufCMessageInit) cwp__leader_heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[19] =
+static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[20] =
 {
   {
     "node",
@@ -2481,6 +2481,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "paths",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__NodeReport, paths),
+    &cwp__server_paths__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__node_report__field_indices_by_name[] = {
   14,   /* field[14] = capability */
@@ -2491,6 +2503,7 @@
   18,   /* field[18] = missed */
   0,   /* field[0] = node */
   13,   /* field[13] = paces */
+  19,   /* field[19] = paths */
   16,   /* field[16] = peers */
   6,   /* field[6] = queues */
   7,   /* field[7] = samples */
@@ -2506,7 +2519,7 @@
 static const ProtobufCIntRange cwp__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor cwp__node_report__descriptor =
 {
@@ -2516,7 +2529,7 @@
   "Cwp__NodeReport",
   "cwp",
   sizeof(Cwp__NodeReport),
-  19,
+  20,
   cwp__node_report__field_descriptors,
   cwp__node_report__field_indices_by_name,
   1,  cwp__node_report__number_ranges,
@@ -4881,7 +4894,7 @@
   (ProtobufCMessageInit) cwp__slot_return__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__zone_node__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cwp__zone_node__field_descriptors[6] =
 {
   {
     "address",
@@ -4943,18 +4956,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "paths",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__ZoneNode, paths),
+    &cwp__server_paths__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__zone_node__field_indices_by_name[] = {
   0,   /* field[0] = address */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = node */
+  5,   /* field[5] = paths */
   3,   /* field[3] = stopping */
   4,   /* field[4] = store_lost */
 };
 static const ProtobufCIntRange cwp__zone_node__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cwp__zone_node__descriptor =
 {
@@ -4964,7 +4990,7 @@
   "Cwp__ZoneNode",
   "cwp",
   sizeof(Cwp__ZoneNode),
-  5,
+  6,
   cwp__zone_node__field_descriptors,
   cwp__zone_node__field_indices_by_name,
   1,  cwp__zone_node__number_ranges,
@@ -6249,3 +6275,35 @@
   (ProtobufCMessageInit) cwp__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCEnumValue cwp__server_paths__enum_values_by_number[4] =
+{
+  { "PATHS_NOT_STATED", "CWP__SERVER_PATHS__PATHS_NOT_STATED", 0 },
+  { "PATHS_OPEN", "CWP__SERVER_PATHS__PATHS_OPEN", 1 },
+  { "PATHS_UNKNOWN", "CWP__SERVER_PATHS__PATHS_UNKNOWN", 2 },
+  { "PATHS_LOST", "CWP__SERVER_PATHS__PATHS_LOST", 3 },
+};
+static const ProtobufCIntRange cwp__server_paths__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex cwp__server_paths__enum_values_by_name[4] =
+{
+  { "PATHS_LOST", 3 },
+  { "PATHS_NOT_STATED", 0 },
+  { "PATHS_OPEN", 1 },
+  { "PATHS_UNKNOWN", 2 },
+};
+const ProtobufCEnumDescriptor cwp__server_paths__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "cwp.ServerPaths",
+  "ServerPaths",
+  "Cwp__ServerPaths",
+  "cwp",
+  4,
+  cwp__server_paths__enum_values_by_number,
+  4,
+  cwp__server_paths__enum_values_by_name,
+  1,
+  cwp__server_paths__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -58,6 +58,25 @@
 
 /* --- enums --- */
 
+/*
+ * Whether a node reaches servers (balance/server_paths.h).
+ */
+typedef enum _Cwp__ServerPaths {
+  /*
+   * of an earlier release, which takes no requests from other nodes
+   */
+  CWP__SERVER_PATHS__PATHS_NOT_STATED = 0,
+  /*
+   * something came from a server lately
+   */
+  CWP__SERVER_PATHS__PATHS_OPEN = 1,
+  /*
+   * it has had no reason to contact one lately
+   */
+  CWP__SERVER_PATHS__PATHS_UNKNOWN = 2,
+  CWP__SERVER_PATHS__PATHS_LOST = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CWP__SERVER_PATHS)
+} Cwp__ServerPaths;
 
 /* --- messages --- */
 
@@ -283,10 +302,11 @@
    */
   size_t n_missed;
   uint32_t *missed;
+  Cwp__ServerPaths paths;
 };
 #define CWP__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, CWP__SERVER_PATHS__PATHS_NOT_STATED }
 
 
 /*
@@ -965,10 +985,11 @@
   char *node;
   protobuf_c_boolean stopping;
   protobuf_c_boolean store_lost;
+  Cwp__ServerPaths paths;
 };
 #define CWP__ZONE_NODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__zone_node__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, CWP__SERVER_PATHS__PATHS_NOT_STATED }
 
 
 /*
@@ -2198,6 +2219,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCEnumDescriptor    cwp__server_paths__descriptor;
 extern const ProtobufCMessageDescriptor cwp__server_load__descriptor;
 extern const ProtobufCMessageDescriptor cwp__server_pace__descriptor;
 extern const ProtobufCMessageDescriptor cwp__queue_length__descriptor;
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -49,6 +49,7 @@
     uint32_t      capability; /**< capability to lead, as stated by the peer; 0: not known */
     bool          is_lost;
     bool          store_lost;          /**< its calls to the store get no answer */
+    Cwp__ServerPaths paths;            /**< whether it reaches servers */
     bool     receives_nothing_from_us; /**< its last report states that it receives nothing from this node directly */
     uint64_t term;                     /**< term of the list and tables that it has */
     uint64_t servers;                  /**< version of its list of servers */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -23,6 +23,8 @@
      * of the ranges or more. */
     CUT_OFF_RANGES = 2,
     CUT_OFF_PERCENT = 5,
+    /* A node that reaches no server takes the lock so much later than it could, so that another node takes it first. */
+    NO_PATHS_TAKE_DELAY_MS = 3000,
     STEP_DOWN_DURATION_S = 6,
     RENEWALS_PER_CORE_SECOND = 4000, /* renewals per second of a leader with a whole core */
     CAPABILITY_PER_MBPS = 5,         /* thousandths of a core that correspond to a Mbit/s of link */
@@ -321,6 +323,17 @@
     }
 }
 
+/* A leader that reaches no server can neither grant nor renew. Whether servers answer other nodes cannot be asked: once
+ * the grants have run out, keyed servers answer nobody. */
+static void resign_without_paths(cw_router_t *router, cw_time_us_t now)
+{
+    if (cw_router_has_lost_paths(router) && cw_router_knows_peer_with_paths(router, now) &&
+        !router->leadership.resigning) {
+        log_leadership(router, CW_EVENT_LEADER_LOST, "this node reaches no server");
+        cw_leadership_step_down(&router->leadership, now, CW_SECONDS(STEP_DOWN_DURATION_S));
+    }
+}
+
 /* ---- which node should lead ---- */
 
 uint32_t cw_router_capability(const cw_router_t *router)
@@ -345,6 +358,17 @@
     return false;
 }
 
+/* Time by which this node takes the lock later than it could, so that a better leader takes it first. */
+static cw_time_us_t take_delay(const cw_router_t *router, cw_time_us_t now)
+{
+    cw_time_us_t delay = cw_leader_tenure_take_delay(&router->tenure);
+
+    if (cw_router_has_lost_paths(router) && cw_router_knows_peer_with_paths(router, now)) {
+        delay += CW_MS(NO_PATHS_TAKE_DELAY_MS);
+    }
+    return delay;
+}
+
 /* Takes the lock later, or steps down, for a far more capable node (leader_tenure.h): a small node leads only while no
  * larger one can. */
 static void yield_to_rival(cw_router_t *router, cw_time_us_t now)
@@ -357,7 +381,7 @@
         followers = ASSUMED_FOLLOWERS;
     }
     cw_leadership_set_followers(&router->leadership, followers);
-    cw_leadership_set_take_delay(&router->leadership, cw_leader_tenure_take_delay(&router->tenure));
+    cw_leadership_set_take_delay(&router->leadership, take_delay(router, now));
     if (cw_router_has_authority(router, now) && cw_leader_tenure_should_hand_over(&router->tenure, now) &&
         !is_store_unresponsive(router, now)) {
         log_leadership(router, CW_EVENT_LEADER_LOST, "a more capable node is in reach");
@@ -417,6 +441,7 @@
     }
     cw_router_publish_tables(router, now);
     resign_if_cut_off(router, now);
+    resign_without_paths(router, now);
     later_term = find_later_term(router);
     if (later_term > router->leadership.lock.term) {
         cw_leadership_receive_term(&router->leadership, later_term, now);
--- a/src/router/router_paths.c
+++ b/src/router/router_paths.c
@@ -60,7 +60,7 @@
 {
     cw_server_pool_t *pool = paths->router->pool;
     uint32_t          servers = HASH_CNT(by_id, cw_server_pool_all(pool));
-    uint32_t          spacing = servers / count;
+    uint32_t          spacing = servers > count ? servers / count : 1;
     uint32_t          position = (uint32_t)random() % spacing;
     uint32_t          index = 0;
     cw_server_t      *server;
@@ -81,6 +81,29 @@
     return router->paths->evidence.are_lost;
 }
 
+Cwp__ServerPaths cw_router_own_paths(const cw_router_t *router, cw_time_us_t now)
+{
+    const cw_server_paths_t *evidence = &router->paths->evidence;
+
+    if (evidence->are_lost) {
+        return CWP__SERVER_PATHS__PATHS_LOST;
+    }
+    return cw_server_paths_are_known_open(evidence, now) ? CWP__SERVER_PATHS__PATHS_OPEN
+                                                         : CWP__SERVER_PATHS__PATHS_UNKNOWN;
+}
+
+bool cw_router_knows_peer_with_paths(const cw_router_t *router, cw_time_us_t now)
+{
+    const cw_peer_t *peer;
+
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (cw_router_is_alive(router, peer, now) && !peer->stopping && peer->paths != CWP__SERVER_PATHS__PATHS_LOST) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* ---- ticks ---- */
 
 static void log_change(cw_router_paths_t *paths, cw_time_us_t now)
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -191,6 +191,7 @@
     builder.report.sequence = ++router->sequence;
     builder.report.stopping = router->stopping_at != 0;
     builder.report.store_lost = router->store_availability.is_lost;
+    builder.report.paths = cw_router_own_paths(router, now);
     builder.report.vacated = cw_leader_tenure_announced_term(&router->tenure, now);
     builder.report.configuration = cw_router_version(router);
     builder.report.peers = cw_peer_link_count_alive(router->link, router->peer_timeout, now);
--- a/src/router/router_summary.c
+++ b/src/router/router_summary.c
@@ -54,6 +54,7 @@
     detail->node = (char *)peer->node;
     detail->stopping = peer->stopping;
     detail->store_lost = peer->store_lost;
+    detail->paths = peer->paths;
     builder.detail_pointers[builder.summary.n_details++] = detail;
 }
 
@@ -101,6 +102,7 @@
     detail->node = (char *)router->settings.node;
     detail->stopping = router->stopping_at != 0;
     detail->store_lost = router->store_availability.is_lost;
+    detail->paths = cw_router_own_paths(router, cw_router_now(router));
     builder.detail_pointers[builder.summary.n_details++] = detail;
 }
 
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -259,6 +259,16 @@
     router->store = &node->port;
 }
 
+static void probe_server(void *adapter, const char *address, cw_time_us_t timeout, cw_server_probed_t done,
+                         void *context)
+{
+    const node_fixture_t *node = adapter;
+
+    (void)address;
+    (void)timeout;
+    done(context, node->servers_answer_probes);
+}
+
 node_fixture_t *node_fixture_create(void)
 {
     node_fixture_t *node = calloc(1, sizeof(*node));
@@ -277,7 +287,9 @@
                                    .read_configuration = read_configuration,
                                    .forget_configuration_reading = forget_configuration_reading,
                                    .watch_configuration = watch_configuration};
-    node->adapter = (cw_adapter_t){.header_names = &node->names, .send_order = accept_order};
+    node->adapter =
+        (cw_adapter_t){.header_names = &node->names, .send_order = accept_order, .probe_server = probe_server};
+    node->servers_answer_probes = true;
     node->router.adapter = &node->adapter;
     node->router.platform = node;
     node->router.incarnation = 77;
@@ -315,6 +327,7 @@
 
     router->loop.time += (uint64_t)passed_ms; /* logical time, since the loop itself does not run */
     now = cw_router_now(router);
+    cw_router_paths_tick(router, now);
     cw_router_lead_tick(router, now);
     cw_router_view_tick(router, now);
     cw_router_configuration_tick(router, now);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -42,6 +42,7 @@
     size_t               call_count;
     node_fixture_order_t orders[NODE_FIXTURE_ORDERS_MAX];
     size_t               order_count;
+    bool                 servers_answer_probes; /**< initially true */
 } node_fixture_t;
 
 /** Creates a node in zone z1. Zones z1 and z2 are in region r1, z3 in r2. */
