Requests of a node without paths to servers are passed to a node that reaches them

Cause: a request could only be sent to a server by the node that its caller had chosen. Change: such a node passes the request over TCP to one of eight nodes that it knows to reach servers, of its own zone if at least half of it does. One hop, at most one node that takes it; the time left, tenant, service and attempts go along, a caller who leaves ends it there, and the answer is passed on whole. Tokens and key samples are counted at the first node, requests of the retry budget at the second. A request is taken only if it names the receiving process by its incarnation, on a listener apart from that for callers. 512 at a time; what is declined is tried at two more nodes. Calls that were not sent when the loss is found wait again. The way stands in the log (by_node, for_node).

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &cwp__detour__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cwp__delegated_request__init
+                     (Cwp__DelegatedRequest         *message)
+{
+  static const Cwp__DelegatedRequest init_value = CWP__DELEGATED_REQUEST__INIT;
+  *message = init_value;
+}
+size_t cwp__delegated_request__get_packed_size
+                     (const Cwp__DelegatedRequest *message)
+{
+  assert(message->base.descriptor == &cwp__delegated_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cwp__delegated_request__pack
+                     (const Cwp__DelegatedRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cwp__delegated_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cwp__delegated_request__pack_to_buffer
+                     (const Cwp__DelegatedRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cwp__delegated_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cwp__DelegatedRequest *
+       cwp__delegated_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cwp__DelegatedRequest *)
+     protobuf_c_message_unpack (&cwp__delegated_request__descriptor,
+                                allocator, len, data);
+}
+void   cwp__delegated_request__free_unpacked
+                     (Cwp__DelegatedRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cwp__delegated_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cwp__passed_heartbeat__init
                      (Cwp__PassedHeartbeat         *message)
 {
@@ -2665,6 +2710,135 @@
   (ProtobufCMessageInit) cwp__detour__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cwp__delegated_request__field_descriptors[8] =
+{
+  {
+    "receiver",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__DelegatedRequest, receiver),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__DelegatedRequest, origin),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__DelegatedRequest, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__DelegatedRequest, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tenant",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__DelegatedRequest, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__DelegatedRequest, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__DelegatedRequest, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objective_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__DelegatedRequest, objective_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cwp__delegated_request__field_indices_by_name[] = {
+  5,   /* field[5] = attempts */
+  6,   /* field[6] = left_ms */
+  7,   /* field[7] = objective_ms */
+  1,   /* field[1] = origin */
+  0,   /* field[0] = receiver */
+  2,   /* field[2] = route */
+  3,   /* field[3] = service */
+  4,   /* field[4] = tenant */
+};
+static const ProtobufCIntRange cwp__delegated_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor cwp__delegated_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cwp.DelegatedRequest",
+  "DelegatedRequest",
+  "Cwp__DelegatedRequest",
+  "cwp",
+  sizeof(Cwp__DelegatedRequest),
+  8,
+  cwp__delegated_request__field_descriptors,
+  cwp__delegated_request__field_indices_by_name,
+  1,  cwp__delegated_request__number_ranges,
+  (ProtobufCMessageInit) cwp__delegated_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cwp__passed_heartbeat__field_descriptors[7] =
 {
   {
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Cwp__LeaderHeartbeat Cwp__LeaderHeartbeat;
 typedef struct Cwp__NodeReport Cwp__NodeReport;
 typedef struct Cwp__Detour Cwp__Detour;
+typedef struct Cwp__DelegatedRequest Cwp__DelegatedRequest;
 typedef struct Cwp__PassedHeartbeat Cwp__PassedHeartbeat;
 typedef struct Cwp__ViewServer Cwp__ViewServer;
 typedef struct Cwp__ViewAck Cwp__ViewAck;
@@ -347,6 +348,51 @@
     , 0, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * What a node adds to a request that it passes to another node, since it does not reach servers itself: in a header
+ * field of the request (peer/delegated_request.h).
+ */
+struct  Cwp__DelegatedRequest
+{
+  ProtobufCMessage base;
+  /*
+   * incarnation of the receiving node; only nodes know it
+   */
+  uint64_t receiver;
+  /*
+   * name of the sending node
+   */
+  char *origin;
+  /*
+   * name of the route that the sending node found
+   */
+  char *route;
+  /*
+   * service that it chose
+   */
+  char *service;
+  /*
+   * tenant of the caller's key; empty: none
+   */
+  char *tenant;
+  /*
+   * servers that the request was sent to so far
+   */
+  uint32_t attempts;
+  /*
+   * time left until the request's final answer
+   */
+  uint32_t left_ms;
+  /*
+   * time left until its latency objective; 0: it is over
+   */
+  uint32_t objective_ms;
+};
+#define CWP__DELEGATED_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cwp__delegated_request__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 /*
  * A leader's heartbeat that a relay of another zone forwards to the other nodes of its zone as soon as it receives
  * it.
@@ -1486,6 +1532,25 @@
 void   cwp__detour__free_unpacked
                      (Cwp__Detour *message,
                       ProtobufCAllocator *allocator);
+/* Cwp__DelegatedRequest methods */
+void   cwp__delegated_request__init
+                     (Cwp__DelegatedRequest         *message);
+size_t cwp__delegated_request__get_packed_size
+                     (const Cwp__DelegatedRequest   *message);
+size_t cwp__delegated_request__pack
+                     (const Cwp__DelegatedRequest   *message,
+                      uint8_t             *out);
+size_t cwp__delegated_request__pack_to_buffer
+                     (const Cwp__DelegatedRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Cwp__DelegatedRequest *
+       cwp__delegated_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cwp__delegated_request__free_unpacked
+                     (Cwp__DelegatedRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Cwp__PassedHeartbeat methods */
 void   cwp__passed_heartbeat__init
                      (Cwp__PassedHeartbeat         *message);
@@ -2117,6 +2182,9 @@
 typedef void (*Cwp__Detour_Closure)
                  (const Cwp__Detour *message,
                   void *closure_data);
+typedef void (*Cwp__DelegatedRequest_Closure)
+                 (const Cwp__DelegatedRequest *message,
+                  void *closure_data);
 typedef void (*Cwp__PassedHeartbeat_Closure)
                  (const Cwp__PassedHeartbeat *message,
                   void *closure_data);
@@ -2227,6 +2295,7 @@
 extern const ProtobufCMessageDescriptor cwp__leader_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cwp__node_report__descriptor;
 extern const ProtobufCMessageDescriptor cwp__detour__descriptor;
+extern const ProtobufCMessageDescriptor cwp__delegated_request__descriptor;
 extern const ProtobufCMessageDescriptor cwp__passed_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cwp__view_server__descriptor;
 extern const ProtobufCMessageDescriptor cwp__view_ack__descriptor;
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -9,7 +9,7 @@
 #   cluster_callers NAME ARGS...   runs callers (cw-callers); their records go to $WORK/callers-NAME.json
 #   cluster_check                  checks all records, and prints the findings (cw-verdict)
 #
-# With LINKED=1 a proxy (cw-link) forwards datagrams between nodes, and connections from nodes and servers to the store and
+# With LINKED=1 a proxy (cw-link) forwards datagrams and connections between nodes, and connections from nodes and servers to the store and
 # from nodes to servers:
 #   link COMMAND...                sends a command to the proxy and waits until it is in force; sets LINK_REPLY to the answer
 # The ends of links are n1, n2 ... (nodes), the names of servers, "store" and "callers". The group of a node or server is the
@@ -70,6 +70,7 @@
     LINKED_NODES[$1]=1
     link end "n$1" "$(group_of "$2")"
     link node "n$1" "$NET.$1:7000" "$NET.$(($1 + 110)):7000"
+    link link callers "n$1" "$NET.$1:7000" "$NET.$(($1 + 110)):7000"
     link link "n$1" store "$NET.251:$((LINK_STORE_PORT + $1))" "$(store_address_for "$1")"
 }
 # Defines a server's links. Nodes know the server by a port of the proxy.
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -62,6 +62,8 @@
     X(LIMIT_MODE, "limit mode", NOTICE, 20)                                                                            \
     X(REQUEST_SERVED, "served", INFO, 200)                                                                             \
     X(REQUEST_RETRIED, "retried", NOTICE, 100)                                                                         \
+    X(REQUEST_DELEGATED, "delegated", INFO, 100)                                                                       \
+    X(DELEGATION_DECLINED, "delegation declined", NOTICE, 20)                                                          \
     X(REQUEST_REFUSED, "refused", NOTICE, 100)                                                                         \
     X(REQUEST_FAILED, "failed", NOTICE, 100)                                                                           \
     X(REQUEST_GONE, "caller left", INFO, 50)                                                                           \
@@ -106,6 +108,8 @@
     X(EVIDENCE_MS, "evidence_ms")                                                                                      \
     X(SILENT_MS, "silent_ms")                                                                                          \
     X(ZONE, "zone")                                                                                                    \
+    X(BY_NODE, "by_node")                                                                                              \
+    X(FOR_NODE, "for_node")                                                                                            \
     X(PEER, "peer")                                                                                                    \
     X(LEADER, "leader")                                                                                                \
     X(COUNT, "count")                                                                                                  \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -154,6 +154,15 @@
       "refused: beyond the rate limit of its server, or of all servers that would do")                                 \
     X(REFUSED_REST, "cedarwinch_refused_rest_total", "counter",                                                        \
       "refused: its server, or all servers that would do, had asked this node for rest")                               \
+    X(DELEGATIONS, "cedarwinch_delegations_total", "counter", "requests passed to another node")                       \
+    X(DELEGATIONS_DECLINED, "cedarwinch_delegations_declined_total", "counter",                                        \
+      "of them, those that the other node did not take, or that did not reach it")                                     \
+    X(DELEGATIONS_REFUSED, "cedarwinch_delegations_refused_total", "counter",                                          \
+      "of them, refused by the node that took them")                                                                   \
+    X(DELEGATED, "cedarwinch_delegated_total", "counter", "requests taken from other nodes")                           \
+    X(DELEGATED_SERVED, "cedarwinch_delegated_served_total", "counter", "of them, answered by a server")               \
+    X(DELEGATED_REFUSED, "cedarwinch_delegated_refused_total", "counter", "of them, refused")                          \
+    X(DELEGATED_FAILED, "cedarwinch_delegated_failed_total", "counter", "of them, 502 or 504")                         \
     X(REFUSED_PATHS, "cedarwinch_refused_paths_total", "counter", "refused: this node reaches no server")              \
     X(SERVERS_CRASHED, "cedarwinch_servers_crashed_total", "counter",                                                  \
       "servers that this node saw end with a request under way")                                                       \
--- a/src/model/configuration.c
+++ b/src/model/configuration.c
@@ -353,6 +353,11 @@
     return NULL;
 }
 
+const cw_tenant_t *cw_configuration_tenant_named(const cw_configuration_t *configuration, const char *name)
+{
+    return tenant_named(configuration, name, strlen(name));
+}
+
 const cw_tenant_t *cw_configuration_tenant_of(const cw_configuration_t *configuration, const char *name)
 {
     const char        *slash;
--- a/src/model/configuration.h
+++ b/src/model/configuration.h
@@ -107,6 +107,8 @@
 
 /** Returns the service of this name; NULL: none. */
 const cw_service_t *cw_configuration_service(const cw_configuration_t *configuration, const char *name);
+/** Returns the tenant with this name, in a sealed configuration; NULL: none. */
+const cw_tenant_t *cw_configuration_tenant_named(const cw_configuration_t *configuration, const char *name);
 /** Returns the tenant that owns a route or service of this name, in a sealed configuration; NULL: none. */
 const cw_tenant_t *cw_configuration_tenant_of(const cw_configuration_t *configuration, const char *name);
 /** Walk through the routes of two sealed configurations in their common order. */
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -85,9 +85,9 @@
     const cw_http_fields_t *fields; /**< header fields, of which hop-by-hop fields are left out; NULL: none */
     const char             *body;
     size_t                  body_length;
-    double                  retry_after_s;   /**< value of Retry-After, in seconds; below 0: not sent */
-    const char             *request_id_name; /**< name of the header with the request's id */
-    const char             *request_id;      /**< NULL: not sent */
+    double                  retry_after_s; /**< value of Retry-After, in seconds; below 0: not sent */
+    const char             *added_name;    /**< name of one further header field */
+    const char             *added_value;   /**< NULL: it is not sent */
 } cw_http_outbound_t;
 
 /** Listens on an IPv4 address and port. Returns 0 or a libuv error. */
--- a/src/net/http_listener_answer.c
+++ b/src/net/http_listener_answer.c
@@ -51,9 +51,9 @@
     if (outbound->fields != NULL) {
         write_fields(output, outbound->fields);
     }
-    if (outbound->request_id != NULL) {
-        cw_bytes_append_format(output, "%s: ", outbound->request_id_name);
-        cw_bytes_append_text(output, outbound->request_id);
+    if (outbound->added_value != NULL) {
+        cw_bytes_append_format(output, "%s: ", outbound->added_name);
+        cw_bytes_append_text(output, outbound->added_value);
         cw_bytes_append(output, "\r\n", 2);
     }
     if (outbound->retry_after_s >= 0) {
--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -87,6 +87,7 @@
     engine->on_wake = on_wake;
     engine->on_due = on_due;
     engine->on_answer = cw_request_answered;
+    engine->on_delegated = cw_request_delegated;
     return engine;
 }
 
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -30,6 +30,7 @@
 #include "model/configuration.h"
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
+#include "peer/delegated_request.h"
 #include "retry/crash_suspects.h"
 #include "retry/shared_budget.h"
 #include "tenancy/quota_share.h"
@@ -115,6 +116,26 @@
     void (*on_leaving_announced)(void *context, const cw_server_t *server);
 } cw_signal_port_t;
 
+/** A node that takes requests of this one. The object exists while it may be chosen or has requests in flight. */
+typedef struct cw_delegate {
+    uint32_t              address; /**< IPv4, network byte order */
+    uint64_t              incarnation;
+    char                  node[64];    /**< name */
+    cw_upstream_target_t *connections; /**< to its listener for requests of other nodes */
+    uint32_t              in_flight;   /**< requests of this node there */
+} cw_delegate_t;
+
+/** Connects the engine to the nodes to which it passes requests while this node reaches no server. All zeros: there are
+ * none. */
+typedef struct cw_delegation_port {
+    void       *context;
+    const char *node; /**< name of this node */
+    /** Returns a node other than the one at the address `except` (0: any); NULL: none is known. */
+    cw_delegate_t *(*choose)(void *context, uint32_t except);
+    /** No connection to the node was made, or it does not take requests now. */
+    void (*failed)(void *context, cw_delegate_t *delegate);
+} cw_delegation_port_t;
+
 /** Routes, queues, sends and answers the requests of one node. */
 typedef struct cw_engine cw_engine_t;
 
@@ -138,8 +159,17 @@
 void cw_engine_apply_reported_leave(cw_engine_t *engine, uint32_t server);
 /** Sets where the outcome of each contact with a server is recorded; borrowed. */
 void cw_engine_set_paths(cw_engine_t *engine, cw_server_paths_t *paths);
-/** The paths to servers have been lost, or are back: returns the slots that requests hold in vain, forgets the faults
- * of servers that the loss explains, and examines the waiting requests again. */
+/** Requests are passed to other nodes through the port while this node reaches no server. */
+void cw_engine_set_delegation(cw_engine_t *engine, const cw_delegation_port_t *port);
+/** A request of another node has arrived; `delegated` is what that node states. The texts are taken over. */
+void cw_engine_request_delegated(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                                 cw_delegated_request_t *delegated);
+/** Answers that this node does not take the request of another node. */
+void cw_engine_decline_delegated(cw_engine_t *engine, cw_http_exchange_t *exchange, const char *reason);
+/** Number of requests of other nodes that are not answered yet. */
+size_t cw_engine_delegated_requests(const cw_engine_t *engine);
+/** The paths to servers have been lost, or are back: returns the slots that requests hold in vain, gives up calls that
+ * were not sent, forgets the faults of servers that the loss explains, and examines the waiting requests again. */
 void cw_engine_paths_changed(cw_engine_t *engine);
 /** Requests that crash servers are detected and refused from now on. */
 void cw_engine_set_crash_suspects(cw_engine_t *engine, const cw_crash_port_t *port);
--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -124,8 +124,8 @@
     return false;
 }
 
-static cw_request_t *create_request(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
-                                    const cw_route_t *route, const cw_caller_t *caller)
+cw_request_t *cw_request_create(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                                const cw_route_t *route, const cw_caller_t *caller, const char *service)
 {
     const cw_tenant_t *tenant = cw_caller_limiting_tenant(caller, engine->configuration, route);
     cw_request_t      *request = cw_memory_zeroed(sizeof(*request));
@@ -140,7 +140,7 @@
     request->rank = cw_request_rank(tenant, route);
     request->tenant_hash = tenant == NULL ? 0 : cw_tenant_hash(tenant->name);
     request->regions = (cw_region_rule_t){.route = &route->regions, .tenant = tenant == NULL ? NULL : &tenant->regions};
-    request->service = cw_engine_service(engine, cw_route_choose_part(request, route));
+    request->service = cw_engine_service(engine, service == NULL ? cw_route_choose_part(request, route) : service);
     request->method = inbound->method;
     request->target = inbound->target;
     request->fields = inbound->fields;
@@ -215,7 +215,7 @@
     if (!enter_tenant_gate(engine, exchange, inbound, route, accountable, &tenant)) {
         return;
     }
-    request = create_request(engine, exchange, inbound, route, &caller);
+    request = cw_request_create(engine, exchange, inbound, route, &caller, NULL);
     request->tenant = tenant;
     if (!cw_request_fits_stop(request, cw_engine_now(engine))) {
         cw_request_refuse(request, CW_REFUSED_STOPPING);
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -18,7 +18,8 @@
     STATUS_UNAVAILABLE = 503,
     STATUS_GATEWAY_TIMEOUT = 504,
     STATUS_TOO_MANY = 429,
-    RETRY_AFTER_DIVISOR = 4
+    RETRY_AFTER_DIVISOR = 4,
+    OUTCOME_BYTES = 128 /* outcome and id of a server, for another node */
 };
 
 static const cw_time_us_t retry_after_min = CW_MS(40);
@@ -50,6 +51,7 @@
         cw_engine_wake(request->engine);
     }
     cw_request_return_token(request);
+    cw_request_end_delegated(request);
     request->is_ended = true;
     cw_tenant_gate_leave(request->tenant);
     request->engine->requests--;
@@ -60,11 +62,13 @@
 }
 
 /* The request ends before its answer is handed over, because the exchange may then begin its next request. */
-static void answer_and_end(cw_request_t *request, const cw_http_outbound_t *outbound)
+static void answer_and_end(cw_request_t *request, cw_http_outbound_t *outbound, cw_delegation_outcome_t outcome)
 {
     cw_http_exchange_t *exchange = request->exchange;
+    char                stated[OUTCOME_BYTES];
 
     cw_histogram_add(CW_HISTOGRAM_TOTAL, request->route->name, cw_engine_now(request->engine) - request->arrived);
+    cw_request_state_outcome(request, outcome, outbound, stated, sizeof(stated));
     cw_request_end(request);
     cw_http_exchange_answer(exchange, outbound);
 }
@@ -80,6 +84,8 @@
     cw_event_text(event, CW_FIELD_ROUTE, request->route->name);
     cw_event_number(event, CW_FIELD_STATUS, status);
     cw_event_ms(event, CW_FIELD_TOTAL_MS, now - request->arrived);
+    cw_event_text(event, CW_FIELD_BY_NODE, request->delegation.last[0] == '\0' ? NULL : request->delegation.last);
+    cw_event_text(event, CW_FIELD_FOR_NODE, request->delegation.origin);
     return true;
 }
 
@@ -181,14 +187,14 @@
     }
     wait = retry_after_for(request, reason, now);
     outbound.retry_after_s = (double)wait / 1e6;
-    cw_metric_add(metrics[reason], 1);
+    cw_metric_add(request->delegation.origin == NULL ? metrics[reason] : CW_METRIC_DELEGATED_REFUSED, 1);
     if (begin_request_event(&event, request, CW_EVENT_REQUEST_REFUSED, outbound.status)) {
         cw_event_text(&event, CW_FIELD_REASON, names[reason]);
         cw_event_ms(&event, CW_FIELD_RETRY_AFTER_MS, wait);
         add_decision_inputs(&event, request);
         cw_event_end(&event);
     }
-    answer_and_end(request, &outbound);
+    answer_and_end(request, &outbound, CW_DELEGATION_REFUSED);
 }
 
 void cw_request_refuse_limit(cw_request_t *request, cw_time_us_t retry_after)
@@ -211,7 +217,7 @@
         add_decision_inputs(&event, request);
         cw_event_end(&event);
     }
-    answer_and_end(request, &outbound);
+    answer_and_end(request, &outbound, CW_DELEGATION_REFUSED);
 }
 
 void cw_request_refuse_revoked(cw_request_t *request)
@@ -226,7 +232,7 @@
         add_decision_inputs(&event, request);
         cw_event_end(&event);
     }
-    answer_and_end(request, &outbound);
+    answer_and_end(request, &outbound, CW_DELEGATION_REFUSED);
 }
 
 /* ---- failures ---- */
@@ -236,14 +242,14 @@
     cw_http_outbound_t outbound = {.status = status, .retry_after_s = -1};
     cw_event_t         event;
 
-    cw_metric_add(metric, 1);
+    cw_metric_add(request->delegation.origin == NULL ? metric : CW_METRIC_DELEGATED_FAILED, 1);
     if (begin_request_event(&event, request, CW_EVENT_REQUEST_FAILED, status)) {
         cw_event_text(&event, CW_FIELD_REASON, reason);
         cw_event_text(&event, CW_FIELD_DETAIL, request->server == NULL ? request->avoided_server : request->server->id);
         add_decision_inputs(&event, request);
         cw_event_end(&event);
     }
-    answer_and_end(request, &outbound);
+    answer_and_end(request, &outbound, CW_DELEGATION_FAILED);
 }
 
 void cw_request_fail_unknown(cw_request_t *request, const char *failure)
@@ -263,7 +269,7 @@
 
 /* ---- relayed answers ---- */
 
-static void log_served(const cw_request_t *request, int status)
+static void log_served(const cw_request_t *request, int status, const char *server)
 {
     cw_event_t event;
 
@@ -275,7 +281,7 @@
         cw_event_number(&event, CW_FIELD_KEY, request->key);
     }
     cw_event_ms(&event, CW_FIELD_AIM_MS, request->objective_at - request->arrived);
-    cw_event_text(&event, CW_FIELD_SERVER, request->server->id);
+    cw_event_text(&event, CW_FIELD_SERVER, server);
     cw_event_ms(&event, CW_FIELD_SERVER_MS, cw_engine_now(request->engine) - request->sent_at);
     cw_event_number(&event, CW_FIELD_CONFIGURATION, (int64_t)request->configuration->version);
     cw_event_end(&event);
@@ -293,8 +299,45 @@
         cw_request_fail_unknown(request, "the server refused without saying that it did not run");
         return;
     }
+    cw_metric_add(request->delegation.origin == NULL ? CW_METRIC_SERVED : CW_METRIC_DELEGATED_SERVED, 1);
+    cw_request_spend_token(request);
+    log_served(request, answer->status, request->server->id);
+    answer_and_end(request, &outbound, CW_DELEGATION_ANSWERED);
+}
+
+/* ---- answers of other nodes ---- */
+
+void cw_request_refuse_as_delegate(cw_request_t *request, const char *retry_after)
+{
+    double             wait_s = retry_after == NULL ? (double)retry_after_unknown / 1e6 : strtod(retry_after, NULL);
+    cw_http_outbound_t outbound = {.status = STATUS_UNAVAILABLE, .retry_after_s = wait_s};
+    cw_event_t         event;
+
+    if (cw_final_of(request->may_have_run, false, false) != CW_FINAL_REFUSED) {
+        cw_request_fail_unknown(request, "the node that took it refused it");
+        return;
+    }
+    cw_metric_add(CW_METRIC_DELEGATIONS_REFUSED, 1);
+    if (begin_request_event(&event, request, CW_EVENT_REQUEST_REFUSED, outbound.status)) {
+        cw_event_text(&event, CW_FIELD_REASON, "the node that took it refused it");
+        cw_event_ms(&event, CW_FIELD_RETRY_AFTER_MS, (cw_time_us_t)(wait_s * 1e6));
+        add_decision_inputs(&event, request);
+        cw_event_end(&event);
+    }
+    answer_and_end(request, &outbound, CW_DELEGATION_REFUSED);
+}
+
+void cw_request_relay_delegated(cw_request_t *request, const cw_upstream_answer_t *answer,
+                                const cw_http_fields_t *fields, const char *server)
+{
+    cw_http_outbound_t outbound = {.status = answer->status,
+                                   .fields = fields,
+                                   .body = answer->body,
+                                   .body_length = answer->body_length,
+                                   .retry_after_s = -1};
+
     cw_metric_add(CW_METRIC_SERVED, 1);
     cw_request_spend_token(request);
-    log_served(request, answer->status);
-    answer_and_end(request, &outbound);
+    log_served(request, answer->status, server);
+    answer_and_end(request, &outbound, CW_DELEGATION_ANSWERED);
 }
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -21,7 +21,7 @@
     const cw_header_names_t *names = &request->engine->settings.names;
 
     return strcasecmp(name, names->deadline) == 0 || strcasecmp(name, names->target) == 0 ||
-           cw_request_hides_field(request, name);
+           cw_http_name_is_equivalent(name, cw_delegation_field) || cw_request_hides_field(request, name);
 }
 
 static bool has_length(const cw_request_t *request)
@@ -30,11 +30,9 @@
            strcmp(request->method, "PATCH") == 0;
 }
 
-/* Writes the request line and the header; the body is sent separately. */
-static void write_request(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now, cw_bytes_t *out)
+void cw_request_write_head(const cw_request_t *request, cw_bytes_t *out)
 {
-    const cw_header_names_t *names = &request->engine->settings.names;
-    size_t                   index;
+    size_t index;
 
     cw_bytes_append_text(out, request->method);
     cw_bytes_append(out, " ", 1);
@@ -54,6 +52,14 @@
     if (has_length(request)) {
         cw_bytes_append_format(out, "Content-Length: %zu\r\n", request->body_length);
     }
+}
+
+/* Writes the request line and the header; the body is sent separately. */
+static void write_request(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now, cw_bytes_t *out)
+{
+    const cw_header_names_t *names = &request->engine->settings.names;
+
+    cw_request_write_head(request, out);
     if (names->tenant != NULL && request->caller.tenant != NULL) {
         cw_bytes_append_format(out, "%s: %s\r\n", names->tenant, request->caller.tenant->name);
     }
@@ -150,6 +156,10 @@
     if (request->call == NULL) {
         return;
     }
+    if (request->delegation.delegate != NULL) {
+        cw_request_abandon_delegate(request);
+        return;
+    }
     outcome = cw_outcome_of_abandoned(cw_upstream_call_sent(request->call));
     request->may_have_run = request->may_have_run || cw_outcome_may_have_run(outcome);
     cw_upstream_call_abandon(request->call);
--- a/src/proxy/engine_callers.c
+++ b/src/proxy/engine_callers.c
@@ -127,9 +127,16 @@
 
 /* ---- a later configuration ---- */
 
+/* The caller of another node's request is checked by that node. */
+static bool is_checked_here(const cw_request_t *request)
+{
+    return request->delegation.origin == NULL;
+}
+
 bool cw_request_is_caller_valid(const cw_request_t *request)
 {
-    return cw_caller_recheck(&request->caller, request->engine->configuration) == CW_CALLER_UNCHANGED;
+    return !is_checked_here(request) ||
+           cw_caller_recheck(&request->caller, request->engine->configuration) == CW_CALLER_UNCHANGED;
 }
 
 /* The request was admitted when callers had no keys; under the later configuration its credentials may be a key. */
@@ -148,7 +155,7 @@
 {
     const cw_configuration_t *later = request->engine->configuration;
 
-    if (later->version == request->caller_checked_version) {
+    if (later->version == request->caller_checked_version || !is_checked_here(request)) {
         return true;
     }
     request->caller_checked_version = later->version;
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -85,6 +85,15 @@
 /** Number of unresponsive brokers remembered; the oldest entry is overwritten. */
 enum { CW_UNRESPONSIVE_BROKERS_MAX = 8 };
 
+/** Passing of a request to another node, or from one. */
+typedef struct cw_request_delegation {
+    cw_delegate_t *delegate; /**< the node that has the call in flight; NULL: the call, if any, is at a server */
+    uint32_t       tries;    /**< nodes that the request was sent to */
+    uint32_t       address;  /**< of the last of them; 0: none */
+    char           last[64]; /**< name of the last of them; empty: none */
+    char          *origin;   /**< name of the node that passed the request to this one; NULL: it is a caller's */
+} cw_request_delegation_t;
+
 /** State of a service: its queue, its table of key ranges and its statistics. */
 typedef struct cw_service_state {
     char              *name;
@@ -143,6 +152,7 @@
     char                    avoided_server[48]; /**< id of the server that failed it last; the next attempt avoids it */
     cw_upstream_call_t     *call;
     cw_slot_claim_t         claim;
+    cw_request_delegation_t delegation;
     cw_token_state_t        token;
     cw_request_t           *earlier; /**< links of the list of requests that await a token */
     cw_request_t           *later;
@@ -184,6 +194,9 @@
     cw_upstream_answered_t   on_answer;      /**< callback of calls to servers */
     cw_crash_port_t          crashes;
     cw_server_paths_t       *paths; /**< NULL: contacts are not recorded */
+    cw_delegation_port_t     delegation;
+    size_t                   delegated;    /**< open requests of other nodes */
+    cw_upstream_answered_t   on_delegated; /**< callback of calls to other nodes */
     cw_signal_port_t         signal_port;
     cw_slot_port_t           slots;
     bool                     has_slots;   /**< slots are requested from brokers */
@@ -220,6 +233,9 @@
                       const cw_rejection_t *rejection);
 
 /* ---- engine_admission.c ---- */
+/** Creates the request of an exchange for a route and one of its services; NULL: it is chosen by the route's split. */
+cw_request_t *cw_request_create(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
+                                const cw_route_t *route, const cw_caller_t *caller, const char *service);
 /** Queues a request that needs nothing more, and tries to place it. */
 void cw_request_admit(cw_request_t *request);
 
@@ -245,6 +261,24 @@
 /** Records that a call to a server has brought nothing in the time in which an answer was expected. */
 void cw_engine_record_silence(cw_engine_t *engine);
 
+/* ---- engine_delegation.c ---- */
+/** Returns whether the engine passes requests to other nodes at all. */
+bool cw_engine_delegates(const cw_engine_t *engine);
+/** Passes the request to another node, if one is known and the request may still be passed on. */
+bool cw_request_delegate(cw_request_t *request, cw_time_us_t now);
+/** Called when a call to another node has ended; context: the request. */
+void cw_request_delegated(void *context, const cw_upstream_answer_t *answer);
+/** Ends the call in flight at another node without its callback. */
+void cw_request_abandon_delegate(cw_request_t *request);
+
+/* ---- engine_delegated.c ---- */
+/** Adds how this node has ended a request of another node to the answer. value: buffer that lives until the answer is
+ * sent. Does nothing for a caller's request. */
+void cw_request_state_outcome(const cw_request_t *request, cw_delegation_outcome_t outcome,
+                              cw_http_outbound_t *outbound, char *value, size_t size);
+/** Releases what a request of another node holds. */
+void cw_request_end_delegated(cw_request_t *request);
+
 /* ---- engine_callers.c ---- */
 /** Called once, when the engine is created. */
 void cw_engine_init_callers(cw_engine_t *engine);
@@ -372,6 +406,8 @@
 void cw_request_end_caller_gone(cw_request_t *request);
 
 /* ---- engine_attempt.c ---- */
+/** Writes the request line and the header fields that are forwarded, without the empty line at the end. */
+void cw_request_write_head(const cw_request_t *request, cw_bytes_t *out);
 /** Sends the request to the server and starts the timer for its answer. A request that is not wanted any more is ended
  * instead. */
 void cw_request_send(cw_request_t *request, cw_server_t *server);
@@ -381,6 +417,8 @@
 void cw_request_leave_server(cw_request_t *request);
 
 /* ---- engine_outcome.c ---- */
+/** Puts the request into its queue again, after a pause (0: none), unless its caller is no longer admitted. */
+void cw_request_send_again(cw_request_t *request, cw_time_us_t pause);
 /** Called when a call to a server has ended; context: the request. */
 void cw_request_answered(void *context, const cw_upstream_answer_t *answer);
 /** The server has not answered until repeat_at: repeats the request elsewhere if the rules and the budget allow it. */
@@ -417,6 +455,12 @@
 void cw_request_fail_unknown(cw_request_t *request, const char *failure);
 /** Ends a request whose time is over and that may have run: 504. */
 void cw_request_fail_late(cw_request_t *request);
+/** Ends a request that another node has refused, with its time to retry. */
+void cw_request_refuse_as_delegate(cw_request_t *request, const char *retry_after);
+/** Ends a request with the answer of a server, which another node has passed on. fields: of the answer, without those
+ * between nodes. server: id of the server. */
+void cw_request_relay_delegated(cw_request_t *request, const cw_upstream_answer_t *answer,
+                                const cw_http_fields_t *fields, const char *server);
 /** Ends a request with a server's answer. */
 void cw_request_relay(cw_request_t *request, const cw_upstream_answer_t *answer);
 /** Releases all that the request holds. The exchange has been answered or is about to be, or its caller has
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -68,7 +68,7 @@
     return CW_NEXT_REPEAT;
 }
 
-static void send_again(cw_request_t *request, cw_time_us_t pause)
+void cw_request_send_again(cw_request_t *request, cw_time_us_t pause)
 {
     if (!cw_request_recheck_caller(request)) {
         return;
@@ -95,7 +95,7 @@
     cw_engine_record_silence(request->engine);
     cw_server_pool_record_slow(server, now - request->sent_at, request->route_state->mean_time, now);
     cw_request_abandon(request);
-    send_again(request, 0);
+    cw_request_send_again(request, 0);
 }
 
 /* ---- lost and recovered servers ---- */
@@ -170,7 +170,7 @@
         return;
     }
     log_retry(request, server, misdirected ? "misdirected" : "not run");
-    send_again(request, misdirected ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
+    cw_request_send_again(request, misdirected ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
 }
 
 static void handle_unreached(cw_request_t *request, const char *server, cw_time_us_t now)
@@ -182,7 +182,7 @@
         return;
     }
     log_retry(request, server, "no connection");
-    send_again(request, request->is_keyed ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
+    cw_request_send_again(request, request->is_keyed ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
 }
 
 /* The request was not written on its new connection, since it is not wanted any more, or the connection took so long
@@ -195,7 +195,7 @@
         return;
     }
     request->avoided_server[0] = '\0'; /* the server has not failed */
-    send_again(request, 0);
+    cw_request_send_again(request, 0);
 }
 
 static void handle_broken(cw_request_t *request, const char *server, const char *failure, cw_time_us_t now)
@@ -203,7 +203,7 @@
     cw_metric_add(CW_METRIC_BROKEN, 1);
     if (cw_request_may_repeat_after_crash(request) && next_step(request, CW_OUTCOME_BROKEN, 0, now) == CW_NEXT_REPEAT) {
         log_retry(request, server, failure);
-        send_again(request, 0);
+        cw_request_send_again(request, 0);
         return;
     }
     cw_request_fail_unknown(request, failure);
@@ -249,7 +249,7 @@
     if (next_step(request, CW_OUTCOME_ANSWERED, answer->status, now) == CW_NEXT_REPEAT) {
         cw_request_leave_server(request);
         log_retry(request, id, "server error");
-        send_again(request, 0);
+        cw_request_send_again(request, 0);
         return;
     }
     cw_request_relay(request, answer);
--- a/src/proxy/engine_paths.c
+++ b/src/proxy/engine_paths.c
@@ -33,13 +33,31 @@
     return engine->paths != NULL && engine->paths->are_lost;
 }
 
-/* A request in flight keeps its call: it may have reached its server before the loss. */
-static void return_slots(cw_engine_t *engine)
+/* A request of which no byte was sent waits again. One that was sent keeps its call, since it may have reached its
+ * server before the loss; if it is repeatable, it need not wait longer for its repeat. */
+static void give_up_call(cw_request_t *request)
+{
+    if (request->call == NULL || request->delegation.delegate != NULL) {
+        return;
+    }
+    if (cw_upstream_call_sent(request->call)) {
+        request->repeat_at = request->route->repeatable ? cw_engine_now(request->engine) : CW_NEVER;
+        cw_request_arm(request);
+        return;
+    }
+    cw_request_abandon(request);
+    request->attempts--;
+    request->avoided_server[0] = '\0'; /* the server has not failed */
+    cw_request_enqueue(request);
+}
+
+static void release_servers(cw_engine_t *engine)
 {
     cw_request_t *request;
 
     for (request = engine->open; request != NULL; request = request->newer) {
         cw_request_return_slot(request);
+        give_up_call(request);
     }
 }
 
@@ -49,7 +67,7 @@
     cw_server_t *next;
 
     if (cw_engine_has_lost_paths(engine)) {
-        return_slots(engine);
+        release_servers(engine);
         HASH_ITER(by_id, cw_server_pool_all(engine->pool), server, next)
         {
             cw_server_pool_clear_faults(server);
--- a/src/proxy/engine_placement.c
+++ b/src/proxy/engine_placement.c
@@ -64,7 +64,7 @@
         return PAUSED;
     }
     if (cw_engine_has_lost_paths(request->engine)) {
-        return NO_PATHS;
+        return cw_request_delegate(request, now) ? PLACED : NO_PATHS;
     }
     if (request->is_keyed) {
         return place_keyed(request, now);
--- a/src/retry/shared_budget.c
+++ b/src/retry/shared_budget.c
@@ -27,6 +27,22 @@
     budget->requests[bucket_at(budget, settings, now)]++;
 }
 
+void cw_shared_budget_withdraw_request(cw_shared_budget_t *budget, const cw_budget_settings_t *settings,
+                                       cw_time_us_t now)
+{
+    int64_t newest = now / bucket_length(settings);
+    int64_t number;
+
+    for (number = newest; number > newest - CW_BUDGET_BUCKETS && number >= 0; number--) {
+        uint32_t index = (uint32_t)(number % CW_BUDGET_BUCKETS);
+
+        if (budget->bucket[index] == number && budget->requests[index] > 0) {
+            budget->requests[index]--;
+            return;
+        }
+    }
+}
+
 double cw_shared_budget_left(const cw_shared_budget_t *budget, const cw_budget_settings_t *settings, uint32_t nodes,
                              cw_time_us_t now)
 {
--- a/src/retry/shared_budget.h
+++ b/src/retry/shared_budget.h
@@ -36,6 +36,9 @@
 /** Counts a request for the service. */
 void cw_shared_budget_record_request(cw_shared_budget_t *budget, const cw_budget_settings_t *settings,
                                      cw_time_us_t now);
+/** Takes back the record of one request, which another node records instead. */
+void cw_shared_budget_withdraw_request(cw_shared_budget_t *budget, const cw_budget_settings_t *settings,
+                                       cw_time_us_t now);
 /** Charges one repeat to the budget; returns false if the budget does not allow it. nodes: number of nodes; 0 while
  * unknown, and then no part of `extra` is used. */
 bool cw_shared_budget_take(cw_shared_budget_t *budget, const cw_budget_settings_t *settings, uint32_t nodes,
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -276,7 +276,10 @@
              router->settings.store.port);
     router->platform = router->adapter->create(&router->loop, store_address, &readers);
     router->store = router->adapter->store(router->platform);
-    error = watch_signals(router);
+    error = cw_router_delegation_start(router);
+    if (error == 0) {
+        error = watch_signals(router);
+    }
     uv_timer_init(&router->loop, &router->tick);
     router->tick.data = router;
     uv_timer_start(&router->tick, on_tick, 0, CW_TICK_MS);
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -82,6 +82,7 @@
     cw_engine_set_configuration(router->engine, configuration);
     cw_router_apply_warm_ups(router);
     cw_http_listener_set_limits(router->callers, &configuration->limits);
+    cw_router_delegation_set_limits(router, &configuration->limits);
     cw_metric_set(CW_METRIC_CONFIGURATION, configuration->version);
     return true;
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -83,39 +83,43 @@
 /** Paths to servers: their evidence, and probes (router_paths.c). */
 typedef struct cw_router_paths cw_router_paths_t;
 
+/** Requests passed to other nodes, and taken from them (router_delegation.c). */
+typedef struct cw_router_delegation cw_router_delegation_t;
+
 /** Tenants' limits: tenants that this node counts, and the nodes that count the others (router_quota.h). */
 typedef struct cw_router_quota cw_router_quota_t;
 
 /** All state of a node. */
 typedef struct cw_router {
-    cw_router_settings_t settings;
-    char                 file_name[256]; /**< of the settings */
-    const cw_adapter_t  *adapter;
-    void                *platform;
-    cw_store_port_t     *store;
-    uv_loop_t            loop;
-    uv_timer_t           tick;
-    uv_signal_t          terminate;
-    uv_signal_t          interrupt;
-    uv_signal_t          hang_up;
-    uint64_t             incarnation; /**< random number that names this process; another one after a restart */
-    cw_http_listener_t  *callers;
-    cw_http_listener_t  *readiness;
-    cw_http_listener_t  *metrics;
-    cw_upstream_t       *upstream;
-    cw_server_pool_t    *pool;
-    cw_engine_t         *engine;
-    cw_peer_link_t      *link;
-    cw_router_slots_t   *slots;
-    cw_router_relay_t   *relay;
-    cw_router_quota_t   *quota;
-    cw_detours_t        *detours;
-    cw_router_crashes_t *crashes;
-    cw_router_paths_t   *paths;
-    cw_signal_notices_t *signal_notices;
-    cw_configuration_t  *configuration;
-    cw_time_us_t         started_at;
-    cw_time_us_t         stopping_at; /**< when the planned stop began; 0: not stopping */
+    cw_router_settings_t    settings;
+    char                    file_name[256]; /**< of the settings */
+    const cw_adapter_t     *adapter;
+    void                   *platform;
+    cw_store_port_t        *store;
+    uv_loop_t               loop;
+    uv_timer_t              tick;
+    uv_signal_t             terminate;
+    uv_signal_t             interrupt;
+    uv_signal_t             hang_up;
+    uint64_t                incarnation; /**< random number that names this process; another one after a restart */
+    cw_http_listener_t     *callers;
+    cw_http_listener_t     *readiness;
+    cw_http_listener_t     *metrics;
+    cw_upstream_t          *upstream;
+    cw_server_pool_t       *pool;
+    cw_engine_t            *engine;
+    cw_peer_link_t         *link;
+    cw_router_slots_t      *slots;
+    cw_router_relay_t      *relay;
+    cw_router_quota_t      *quota;
+    cw_detours_t           *detours;
+    cw_router_crashes_t    *crashes;
+    cw_router_paths_t      *paths;
+    cw_router_delegation_t *delegation;
+    cw_signal_notices_t    *signal_notices;
+    cw_configuration_t     *configuration;
+    cw_time_us_t            started_at;
+    cw_time_us_t            stopping_at; /**< when the planned stop began; 0: not stopping */
     /** Latest time at which the process ends; fixed when the stop begins, so later changes of the settings do not move
      * it. */
     cw_time_us_t    stop_deadline;
@@ -300,6 +304,15 @@
 /** Sets the gauges of paths and of requests at servers. */
 void cw_router_paths_set_metrics(cw_router_t *router);
 
+/* ---- router_delegation.c ---- */
+/** Listens for requests of other nodes, and connects the engine to the nodes that take this one's. Returns 0 or a libuv
+ * error. */
+int cw_router_delegation_start(cw_router_t *router);
+/** Applies a configuration's limits of callers' requests to those that other nodes pass on. */
+void cw_router_delegation_set_limits(cw_router_t *router, const cw_http_limits_t *limits);
+/** Whether no request of another node is unanswered. */
+bool cw_router_delegation_is_idle(const cw_router_t *router);
+
 /* ---- router_list_exchange.c ---- */
 /** Creates the exchange of whole lists. */
 void cw_router_list_exchange_init(cw_router_t *router);
--- a/src/router/router_stop.c
+++ b/src/router/router_stop.c
@@ -47,7 +47,8 @@
     if (since >= CW_MS(STOP_LISTEN_MS)) {
         cw_http_listener_close(router->callers);
     }
-    if (is_past_deadline || (since >= CW_MS(STOP_LISTEN_MS) && cw_http_listener_connections(router->callers) == 0)) {
+    if (is_past_deadline || (since >= CW_MS(STOP_LISTEN_MS) && cw_http_listener_connections(router->callers) == 0 &&
+                             cw_router_delegation_is_idle(router))) {
         uv_stop(&router->loop);
     }
 }
