Paths to servers are judged for each service

A leader steps down if it has lost a keyed service and a node that has lost none is alive. A request whose server answers other nodes but not this one is passed on, too.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2296,7 +2296,7 @@
   (ProtobufCMessageInit) cwp__leader_heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[20] =
+static const ProtobufCFieldDescriptor cwp__node_report__field_descriptors[21] =
 {
   {
     "node",
@@ -2538,6 +2538,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_services",
+    21,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__NodeReport, n_lost_services),
+    offsetof(Cwp__NodeReport, lost_services),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__node_report__field_indices_by_name[] = {
   14,   /* field[14] = capability */
@@ -2545,6 +2557,7 @@
   1,   /* field[1] = incarnation */
   8,   /* field[8] = leader */
   5,   /* field[5] = loads */
+  20,   /* field[20] = lost_services */
   18,   /* field[18] = missed */
   0,   /* field[0] = node */
   13,   /* field[13] = paces */
@@ -2564,7 +2577,7 @@
 static const ProtobufCIntRange cwp__node_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor cwp__node_report__descriptor =
 {
@@ -2574,7 +2587,7 @@
   "Cwp__NodeReport",
   "cwp",
   sizeof(Cwp__NodeReport),
-  20,
+  21,
   cwp__node_report__field_descriptors,
   cwp__node_report__field_indices_by_name,
   1,  cwp__node_report__number_ranges,
@@ -5068,7 +5081,7 @@
   (ProtobufCMessageInit) cwp__slot_return__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__zone_node__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cwp__zone_node__field_descriptors[7] =
 {
   {
     "address",
@@ -5142,10 +5155,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_services",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Cwp__ZoneNode, n_lost_services),
+    offsetof(Cwp__ZoneNode, lost_services),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__zone_node__field_indices_by_name[] = {
   0,   /* field[0] = address */
   1,   /* field[1] = incarnation */
+  6,   /* field[6] = lost_services */
   2,   /* field[2] = node */
   5,   /* field[5] = paths */
   3,   /* field[3] = stopping */
@@ -5154,7 +5180,7 @@
 static const ProtobufCIntRange cwp__zone_node__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cwp__zone_node__descriptor =
 {
@@ -5164,7 +5190,7 @@
   "Cwp__ZoneNode",
   "cwp",
   sizeof(Cwp__ZoneNode),
-  6,
+  7,
   cwp__zone_node__field_descriptors,
   cwp__zone_node__field_indices_by_name,
   1,  cwp__zone_node__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -304,10 +304,15 @@
   size_t n_missed;
   uint32_t *missed;
   Cwp__ServerPaths paths;
+  /*
+   * hashes of the services of which the sender reaches no server, unless it reaches no server at all
+   */
+  size_t n_lost_services;
+  uint32_t *lost_services;
 };
 #define CWP__NODE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__node_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, CWP__SERVER_PATHS__PATHS_NOT_STATED }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, CWP__SERVER_PATHS__PATHS_NOT_STATED, 0,NULL }
 
 
 /*
@@ -1032,10 +1037,12 @@
   protobuf_c_boolean stopping;
   protobuf_c_boolean store_lost;
   Cwp__ServerPaths paths;
+  size_t n_lost_services;
+  uint32_t *lost_services;
 };
 #define CWP__ZONE_NODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__zone_node__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, CWP__SERVER_PATHS__PATHS_NOT_STATED }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, CWP__SERVER_PATHS__PATHS_NOT_STATED, 0,NULL }
 
 
 /*
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -222,7 +222,8 @@
     void *context;
     bool (*includes_node)(void *context, uint64_t node);
     bool (*includes_server)(void *context, const cw_server_t *server);
-    bool excludes_own; /**< this node's own requests, and what it says of servers, are left out */
+    /** Whether this node's own requests at a server, and its faults, count. */
+    bool (*includes_own)(void *context, const cw_server_t *server);
 } cw_sum_filter_t;
 /** Sums this node's requests and those reported by the selected nodes, by server; returns the number of servers written
  * to `sums`, at most `room`. left_out: number of servers that did not fit. */
--- a/src/balance/server_sums.c
+++ b/src/balance/server_sums.c
@@ -4,7 +4,7 @@
  */
 #include "balance/server_pool_internal.h"
 
-static void begin_sums(cw_server_pool_t *pool, bool excludes_own, cw_time_us_t now)
+static void begin_sums(cw_server_pool_t *pool, const cw_sum_filter_t *filter, cw_time_us_t now)
 {
     cw_server_t *server;
     cw_server_t *next;
@@ -12,7 +12,7 @@
     HASH_ITER(by_id, pool->by_id, server, next)
     {
         server->sum = (cw_server_report_t){.hash = server->hash};
-        if (!excludes_own) {
+        if (filter->includes_own(filter->context, server)) {
             server->sum.in_flight = server->own;
             server->sum.waiting = server->own_waiting;
             server->sum.unreachable = server->faults > 0 && server->avoid_until > now;
@@ -45,7 +45,7 @@
     size_t         count = 0;
 
     *left_out = 0;
-    begin_sums(pool, filter->excludes_own, now);
+    begin_sums(pool, filter, now);
     HASH_ITER(hh, pool->peers, peer, next_peer)
     {
         if (filter->includes_node(filter->context, peer->node)) {
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -17,7 +17,7 @@
     X(CONFIGURATION, "cedarwinch_configuration_version", "gauge", "configuration in force")                            \
     X(CONFIGURATION_AGE_MS, "cedarwinch_configuration_age_milliseconds", "gauge",                                      \
       "time since the configuration in force was surely the newest one")                                               \
-    X(PATHS_LOST, "cedarwinch_server_paths_lost", "gauge", "1 while this node reaches no server")                      \
+    X(PATHS_LOST, "cedarwinch_server_paths_lost", "gauge", "services of which this node reaches no server")            \
     X(REACHED_AGE_MS, "cedarwinch_server_reached_age_milliseconds", "gauge",                                           \
       "time since anything last came from a server")                                                                   \
     X(SERVERS_AVOIDED, "cedarwinch_servers_avoided", "gauge",                                                          \
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -18,6 +18,7 @@
 #include "model/zone_region.h"
 #include "peer.pb-c.h"
 #include "peer/datagram_batch.h"
+#include "peer/peer_paths.h"
 #include "peer/traffic_account.h"
 
 /** Socket and peers of a node. */
@@ -32,24 +33,24 @@
 
 /** A known node. */
 typedef struct cw_peer {
-    uint32_t      address;  /**< IPv4, in network order */
-    char          text[16]; /**< the address as text */
-    char          node[64]; /**< name; empty until it is known */
-    char          zone[64];
-    cw_distance_t distance; /**< distance of that zone; the farthest one until the zone is known */
-    uint64_t      incarnation;
-    uint64_t      former_incarnation; /**< previous incarnation; 0: none known */
-    cw_time_us_t  incarnation_at;     /**< time since which the present incarnation has been known */
-    uint32_t      sequence;           /**< sequence of its last report */
-    cw_time_us_t  last_received_at;   /**< last time it was reported alive by itself or a relay of its zone; 0: never */
-    cw_time_us_t  last_direct_report_at; /**< last time a report was received from it directly; 0: never */
-    cw_time_us_t  details_at; /**< last change of its details, including its first report and a return after a loss */
-    cw_time_us_t  learned_at; /**< last time its address was learned */
-    bool          stopping;
-    uint32_t      capability; /**< capability to lead, as stated by the peer; 0: not known */
-    bool          is_lost;
-    bool          store_lost;          /**< its calls to the store get no answer */
-    Cwp__ServerPaths paths;            /**< whether it reaches servers */
+    uint32_t        address;  /**< IPv4, in network order */
+    char            text[16]; /**< the address as text */
+    char            node[64]; /**< name; empty until it is known */
+    char            zone[64];
+    cw_distance_t   distance; /**< distance of that zone; the farthest one until the zone is known */
+    uint64_t        incarnation;
+    uint64_t        former_incarnation; /**< previous incarnation; 0: none known */
+    cw_time_us_t    incarnation_at;     /**< time since which the present incarnation has been known */
+    uint32_t        sequence;           /**< sequence of its last report */
+    cw_time_us_t    last_received_at; /**< last time it was reported alive by itself or a relay of its zone; 0: never */
+    cw_time_us_t    last_direct_report_at; /**< last time a report was received from it directly; 0: never */
+    cw_time_us_t    details_at; /**< last change of its details, including its first report and a return after a loss */
+    cw_time_us_t    learned_at; /**< last time its address was learned */
+    bool            stopping;
+    uint32_t        capability; /**< capability to lead, as stated by the peer; 0: not known */
+    bool            is_lost;
+    bool            store_lost;        /**< its calls to the store get no answer */
+    cw_peer_paths_t paths;             /**< to servers */
     bool     receives_nothing_from_us; /**< its last report states that it receives nothing from this node directly */
     uint64_t term;                     /**< term of the list and tables that it has */
     uint64_t servers;                  /**< version of its list of servers */
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -23,9 +23,9 @@
 #include <uv.h>
 
 #include "balance/crossing_cost.h"
-#include "balance/server_paths.h"
 #include "balance/server_pool.h"
 #include "balance/server_signals.h"
+#include "balance/service_paths.h"
 #include "balance/slot_broker.h"
 #include "model/configuration.h"
 #include "net/http_listener.h"
@@ -130,8 +130,9 @@
 typedef struct cw_delegation_port {
     void       *context;
     const char *node; /**< name of this node */
-    /** Returns a node other than the one at the address `except` (0: any); NULL: none is known. */
-    cw_delegate_t *(*choose)(void *context, uint32_t except);
+    /** Returns a node that takes requests for the service with this hash, other than the one at the address `except`
+     * (0: any); NULL: none is known. */
+    cw_delegate_t *(*choose)(void *context, uint32_t service, uint32_t except);
     /** No connection to the node was made, or it does not take requests now. */
     void (*failed)(void *context, cw_delegate_t *delegate);
 } cw_delegation_port_t;
@@ -158,7 +159,7 @@
 /** Another node reports that the server incarnation with this hash has announced that it leaves. */
 void cw_engine_apply_reported_leave(cw_engine_t *engine, uint32_t server);
 /** Sets where the outcome of each contact with a server is recorded; borrowed. */
-void cw_engine_set_paths(cw_engine_t *engine, cw_server_paths_t *paths);
+void cw_engine_set_paths(cw_engine_t *engine, cw_service_paths_t *paths);
 /** Requests are passed to other nodes through the port while this node reaches no server. */
 void cw_engine_set_delegation(cw_engine_t *engine, const cw_delegation_port_t *port);
 /** A request of another node has arrived; `delegated` is what that node states. The texts are taken over. */
@@ -168,9 +169,10 @@
 void cw_engine_decline_delegated(cw_engine_t *engine, cw_http_exchange_t *exchange, const char *reason);
 /** Number of requests of other nodes that are not answered yet. */
 size_t cw_engine_delegated_requests(const cw_engine_t *engine);
-/** The paths to servers have been lost, or are back: returns the slots that requests hold in vain, gives up calls that
- * were not sent, forgets the faults of servers that the loss explains, and examines the waiting requests again. */
-void cw_engine_paths_changed(cw_engine_t *engine);
+/** The paths to the servers of the service with this hash have been lost, or are back: returns the slots that requests
+ * hold in vain, gives up calls that were not sent, forgets the faults of servers that the loss explains, and examines
+ * the waiting requests again. */
+void cw_engine_paths_changed(cw_engine_t *engine, uint32_t service);
 /** Requests that crash servers are detected and refused from now on. */
 void cw_engine_set_crash_suspects(cw_engine_t *engine, const cw_crash_port_t *port);
 /** The tenants' limits are enforced from now on. The share is borrowed. It calls cw_engine_quota_decided, never within
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -260,7 +260,7 @@
 void cw_request_fail_late(cw_request_t *request)
 {
     if (request->server != NULL) {
-        cw_engine_record_silence(request->engine);
+        cw_request_record_silence(request);
         cw_server_pool_record_slow(request->server, cw_engine_now(request->engine) - request->sent_at,
                                    request->route_state->mean_time, cw_engine_now(request->engine));
     }
--- a/src/proxy/engine_delegated.c
+++ b/src/proxy/engine_delegated.c
@@ -71,10 +71,10 @@
 }
 
 /* Why a request is not taken; NULL: it is. */
-static const char *reason_to_decline(const cw_engine_t *engine)
+static const char *reason_to_decline(cw_engine_t *engine, const cw_delegated_request_t *delegated)
 {
-    if (cw_engine_has_lost_paths(engine)) {
-        return "this node reaches no server either";
+    if (cw_engine_has_lost_paths(engine, cw_engine_service(engine, delegated->service)->hash)) {
+        return "this node reaches no server of the service either";
     }
     if (engine->end_by != 0) {
         return "this node stops";
@@ -97,7 +97,7 @@
                                  cw_delegated_request_t *delegated)
 {
     const cw_route_t *route = find_route(engine, inbound, delegated->route);
-    const char       *reason = reason_to_decline(engine);
+    const char       *reason = reason_to_decline(engine, delegated);
     cw_caller_t       caller;
     cw_request_t     *request;
 
--- a/src/proxy/engine_delegation.c
+++ b/src/proxy/engine_delegation.c
@@ -110,7 +110,7 @@
     cw_delegate_t              *delegate = NULL;
 
     if (may_be_delegated(request)) {
-        delegate = port->choose(port->context, request->delegation.address);
+        delegate = port->choose(port->context, request->service->hash, request->delegation.address);
     }
     if (delegate == NULL) {
         return false;
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -193,7 +193,7 @@
     uv_timer_cb              on_due;         /**< callback of the requests' timers */
     cw_upstream_answered_t   on_answer;      /**< callback of calls to servers */
     cw_crash_port_t          crashes;
-    cw_server_paths_t       *paths; /**< NULL: contacts are not recorded */
+    cw_service_paths_t      *paths; /**< NULL: contacts are not recorded */
     cw_delegation_port_t     delegation;
     size_t                   delegated;    /**< open requests of other nodes */
     cw_upstream_answered_t   on_delegated; /**< callback of calls to other nodes */
@@ -254,12 +254,14 @@
 void cw_request_return_token(cw_request_t *request);
 
 /* ---- engine_paths.c ---- */
-/** Records the outcome of a call to a server as a contact (server_paths.h). */
-void cw_engine_record_contact(cw_engine_t *engine, const cw_upstream_answer_t *answer);
-/** Returns whether this node reaches no server. */
-bool cw_engine_has_lost_paths(const cw_engine_t *engine);
-/** Records that a call to a server has brought nothing in the time in which an answer was expected. */
-void cw_engine_record_silence(cw_engine_t *engine);
+/** Records the outcome of the request's call to a server as a contact (server_paths.h). */
+void cw_request_record_contact(const cw_request_t *request, const cw_upstream_answer_t *answer);
+/** Records that the request's call has brought nothing in the time in which an answer was expected. */
+void cw_request_record_silence(const cw_request_t *request);
+/** Returns whether this node reaches no server of the service with this hash. */
+bool cw_engine_has_lost_paths(const cw_engine_t *engine, uint32_t service);
+/** Returns whether this node does not reach a server that answers other nodes. */
+bool cw_engine_is_cut_off_from(const cw_engine_t *engine, const cw_server_t *server, cw_time_us_t now);
 
 /* ---- engine_delegation.c ---- */
 /** Returns whether the engine passes requests to other nodes at all. */
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -92,7 +92,7 @@
         return;
     }
     log_retry(request, server->id, "silence");
-    cw_engine_record_silence(request->engine);
+    cw_request_record_silence(request);
     cw_server_pool_record_slow(server, now - request->sent_at, request->route_state->mean_time, now);
     cw_request_abandon(request);
     cw_request_send_again(request, 0);
@@ -114,10 +114,10 @@
     }
 }
 
-/* While this node reaches no server, a failed request says nothing about its server. */
+/* While this node reaches no server of the service, a failed request says nothing about its server. */
 static void record_fault(const cw_engine_t *engine, cw_server_t *server, const char *reason, cw_time_us_t now)
 {
-    if (cw_engine_has_lost_paths(engine)) {
+    if (cw_engine_has_lost_paths(engine, server->service_hash)) {
         return;
     }
     cw_server_pool_record_fault(server, now);
@@ -264,7 +264,7 @@
 
     request->call = NULL;
     cw_text_copy(id, sizeof(id), server->id);
-    cw_engine_record_contact(request->engine, answer);
+    cw_request_record_contact(request, answer);
     switch (answer->result) {
     case CW_UPSTREAM_ANSWERED:
         handle_answer(request, server, answer, now);
--- a/src/proxy/engine_paths.c
+++ b/src/proxy/engine_paths.c
@@ -1,38 +1,60 @@
 /**
  * @file engine_paths.c
- * @brief Records what the calls to servers show about this node's paths to them (server_paths.h).
+ * @brief This node's paths to servers, as the engine's calls show them (server_paths.h), and what the engine does when
+ * those to a service's servers are lost.
  */
 #include "proxy/engine_internal.h"
 
-void cw_engine_set_paths(cw_engine_t *engine, cw_server_paths_t *paths)
+/* Another node has answered for the server so recently that it is alive. */
+enum { ANSWERED_OTHERS_FRESH_MS = 3000 };
+
+void cw_engine_set_paths(cw_engine_t *engine, cw_service_paths_t *paths)
 {
     engine->paths = paths;
 }
 
-void cw_engine_record_contact(cw_engine_t *engine, const cw_upstream_answer_t *answer)
+/* ---- contacts ---- */
+
+void cw_request_record_contact(const cw_request_t *request, const cw_upstream_answer_t *answer)
 {
+    cw_engine_t       *engine = request->engine;
+    cw_server_paths_t *paths;
+
     if (engine->paths == NULL || answer->result == CW_UPSTREAM_WITHDRAWN) {
         return;
     }
+    paths = cw_service_paths_of(engine->paths, request->service->hash);
     if (answer->result == CW_UPSTREAM_ANSWERED || answer->any_byte) {
-        cw_server_paths_record_reached(engine->paths, cw_engine_now(engine));
+        cw_server_paths_record_reached(paths, cw_engine_now(engine));
     } else {
-        cw_server_paths_record_failed(engine->paths);
+        cw_server_paths_record_failed(paths);
     }
 }
 
-void cw_engine_record_silence(cw_engine_t *engine)
+void cw_request_record_silence(const cw_request_t *request)
 {
+    const cw_engine_t *engine = request->engine;
+
     if (engine->paths != NULL) {
-        cw_server_paths_record_failed(engine->paths);
+        cw_server_paths_record_failed(cw_service_paths_of(engine->paths, request->service->hash));
     }
 }
 
-bool cw_engine_has_lost_paths(const cw_engine_t *engine)
+/* ---- what is lost ---- */
+
+bool cw_engine_has_lost_paths(const cw_engine_t *engine, uint32_t service)
 {
-    return engine->paths != NULL && engine->paths->are_lost;
+    return engine->paths != NULL && cw_service_paths_are_lost(engine->paths, service);
 }
 
+bool cw_engine_is_cut_off_from(const cw_engine_t *engine, const cw_server_t *server, cw_time_us_t now)
+{
+    return engine->paths != NULL && cw_server_is_suspect(server) && server->answered_others_at != 0 &&
+           now - server->answered_others_at <= CW_MS(ANSWERED_OTHERS_FRESH_MS);
+}
+
+/* ---- a change ---- */
+
 /* A request of which no byte was sent waits again. One that was sent keeps its call, since it may have reached its
  * server before the loss; if it is repeatable, it need not wait longer for its repeat. */
 static void give_up_call(cw_request_t *request)
@@ -51,27 +73,26 @@
     cw_request_enqueue(request);
 }
 
-static void release_servers(cw_engine_t *engine)
+static void release_servers(cw_engine_t *engine, uint32_t service)
 {
     cw_request_t *request;
+    cw_server_t  *server;
 
     for (request = engine->open; request != NULL; request = request->newer) {
-        cw_request_return_slot(request);
-        give_up_call(request);
+        if (request->service->hash == service) {
+            cw_request_return_slot(request);
+            give_up_call(request);
+        }
+    }
+    for (server = cw_server_pool_of_service(engine->pool, service); server != NULL; server = server->next) {
+        cw_server_pool_clear_faults(server);
     }
 }
 
-void cw_engine_paths_changed(cw_engine_t *engine)
+void cw_engine_paths_changed(cw_engine_t *engine, uint32_t service)
 {
-    cw_server_t *server;
-    cw_server_t *next;
-
-    if (cw_engine_has_lost_paths(engine)) {
-        release_servers(engine);
-        HASH_ITER(by_id, cw_server_pool_all(engine->pool), server, next)
-        {
-            cw_server_pool_clear_faults(server);
-        }
+    if (cw_engine_has_lost_paths(engine, service)) {
+        release_servers(engine, service);
     }
     engine->changed = true;
     cw_engine_wake(engine);
--- a/src/proxy/engine_placement.c
+++ b/src/proxy/engine_placement.c
@@ -35,6 +35,9 @@
     if (!cw_server_region_allows(server, &request->regions)) {
         return OUTSIDE_REGIONS;
     }
+    if (cw_engine_is_cut_off_from(request->engine, server, now) && cw_request_delegate(request, now)) {
+        return PLACED;
+    }
     if (cw_server_rests(server, now)) {
         return SERVER_RESTS;
     }
@@ -63,7 +66,7 @@
     if (request->not_before > now) {
         return PAUSED;
     }
-    if (cw_engine_has_lost_paths(request->engine)) {
+    if (cw_engine_has_lost_paths(request->engine, request->service->hash)) {
         return cw_request_delegate(request, now) ? PLACED : NO_PATHS;
     }
     if (request->is_keyed) {
@@ -85,6 +88,9 @@
     if (server == NULL) {
         return full ? WAITS_FOR_SLOT : NO_SERVERS;
     }
+    if (cw_engine_is_cut_off_from(request->engine, server, now) && cw_request_delegate(request, now)) {
+        return PLACED;
+    }
     cw_request_send(request, server);
     return PLACED;
 }
--- a/src/router/router_delegation.c
+++ b/src/router/router_delegation.c
@@ -31,29 +31,37 @@
 typedef struct delegate_node {
     cw_delegate_t  delegate;
     cw_time_us_t   avoid_until;
-    bool           is_chosen; /* by the last choice */
+    cw_time_us_t   chosen_at; /* last choice of it, for any service */
     UT_hash_handle hh;
 } delegate_node_t;
 
+/** The nodes chosen for the requests of one service. */
+typedef struct service_delegates {
+    uint32_t       service; /* hash of its name */
+    uint32_t       chosen[CW_DELEGATES_MAX];
+    size_t         count;
+    cw_time_us_t   chosen_at;
+    uint32_t       turn; /* position from which the next choice starts */
+    UT_hash_handle hh;
+} service_delegates_t;
+
 struct cw_router_delegation {
-    cw_router_t        *router;
-    cw_upstream_t      *connections;
-    cw_http_listener_t *listener;
-    delegate_node_t    *nodes; /* hash table by address */
-    uint32_t            chosen[CW_DELEGATES_MAX];
-    size_t              chosen_count;
-    cw_time_us_t        chosen_at;
-    uint32_t            turn; /* position from which the next choice starts */
+    cw_router_t         *router;
+    cw_upstream_t       *connections;
+    cw_http_listener_t  *listener;
+    delegate_node_t     *nodes;    /* hash table by address */
+    service_delegates_t *services; /* hash table by service */
 };
 
 /* ---- the nodes ---- */
 
-static cw_delegate_paths_t paths_of(const cw_peer_t *peer)
+static cw_delegate_paths_t paths_of(const cw_peer_t *peer, uint32_t service)
 {
-    if (peer->stopping || peer->is_lost || peer->last_received_at == 0 || peer->incarnation == 0) {
+    if (peer->stopping || peer->is_lost || peer->last_received_at == 0 || peer->incarnation == 0 ||
+        cw_peer_paths_lack(&peer->paths, service)) {
         return CW_DELEGATE_UNUSABLE;
     }
-    switch (peer->paths) {
+    switch (peer->paths.state) {
     case CWP__SERVER_PATHS__PATHS_OPEN:
         return CW_DELEGATE_OPEN;
     case CWP__SERVER_PATHS__PATHS_UNKNOWN:
@@ -63,7 +71,7 @@
     }
 }
 
-static size_t collect_candidates(const cw_router_t *router, cw_delegate_candidate_t **candidates)
+static size_t collect_candidates(const cw_router_t *router, uint32_t service, cw_delegate_candidate_t **candidates)
 {
     const cw_peer_t *peer;
     size_t           count = 0;
@@ -75,7 +83,7 @@
     count = 0;
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (peer->last_received_at != 0 && !peer->is_lost) {
-            (*candidates)[count++] = (cw_delegate_candidate_t){peer->address, peer->distance, paths_of(peer)};
+            (*candidates)[count++] = (cw_delegate_candidate_t){peer->address, peer->distance, paths_of(peer, service)};
         }
     }
     return count;
@@ -106,14 +114,14 @@
     return node;
 }
 
-static void drop_unused_nodes(cw_router_delegation_t *delegation)
+static void drop_unused_nodes(cw_router_delegation_t *delegation, cw_time_us_t now)
 {
     delegate_node_t *node;
     delegate_node_t *next;
 
     HASH_ITER(hh, delegation->nodes, node, next)
     {
-        if (!node->is_chosen && node->delegate.in_flight == 0) {
+        if (now - node->chosen_at > CW_MS(IDLE_CONNECTION_MS) && node->delegate.in_flight == 0) {
             HASH_DEL(delegation->nodes, node); /* NOLINT(clang-analyzer-unix.Malloc): false positive in uthash */
             cw_upstream_target_release(node->delegate.connections);
             free(node);
@@ -121,24 +129,35 @@
     }
 }
 
-static void refresh(cw_router_delegation_t *delegation, cw_time_us_t now)
+static service_delegates_t *delegates_of(cw_router_delegation_t *delegation, uint32_t service)
+{
+    service_delegates_t *known;
+
+    HASH_FIND(hh, delegation->services, &service, sizeof(service), known);
+    if (known == NULL) {
+        known = cw_memory_zeroed(sizeof(*known));
+        known->service = service;
+        HASH_ADD(hh, delegation->services, service, sizeof(known->service), known);
+    }
+    return known;
+}
+
+static void refresh(cw_router_delegation_t *delegation, service_delegates_t *delegates, cw_time_us_t now)
 {
     cw_router_t             *router = delegation->router;
     cw_delegate_candidate_t *candidates;
-    size_t                   count = collect_candidates(router, &candidates);
-    delegate_node_t         *node;
+    size_t                   count = collect_candidates(router, delegates->service, &candidates);
     size_t                   index;
 
-    for (node = delegation->nodes; node != NULL; node = node->hh.next) {
-        node->is_chosen = false;
-    }
-    delegation->chosen_at = now;
-    delegation->chosen_count =
-        cw_delegates_choose(candidates, count, cw_peer_link_own_address(router->link), delegation->chosen);
-    for (index = 0; index < delegation->chosen_count; index++) {
-        find_or_add_node(delegation, cw_peer_link_find(router->link, delegation->chosen[index]))->is_chosen = true;
+    delegates->chosen_at = now;
+    delegates->count =
+        cw_delegates_choose(candidates, count, cw_peer_link_own_address(router->link), delegates->chosen);
+    for (index = 0; index < delegates->count; index++) {
+        const cw_peer_t *peer = cw_peer_link_find(router->link, delegates->chosen[index]);
+
+        find_or_add_node(delegation, peer)->chosen_at = now;
     }
-    drop_unused_nodes(delegation);
+    drop_unused_nodes(delegation, now);
     free(candidates);
 }
 
@@ -153,22 +172,23 @@
     return pauses != other_pauses ? other_pauses : node->delegate.in_flight < than->delegate.in_flight;
 }
 
-static cw_delegate_t *choose(void *context, uint32_t except)
+static cw_delegate_t *choose(void *context, uint32_t service, uint32_t except)
 {
     cw_router_delegation_t *delegation = context;
+    service_delegates_t    *delegates = delegates_of(delegation, service);
     cw_time_us_t            now = cw_router_now(delegation->router);
     delegate_node_t        *best = NULL;
     size_t                  index;
 
-    if (delegation->chosen_at == 0 || now - delegation->chosen_at >= CW_MS(REFRESH_MS)) {
-        refresh(delegation, now);
+    if (delegates->chosen_at == 0 || now - delegates->chosen_at >= CW_MS(REFRESH_MS)) {
+        refresh(delegation, delegates, now);
     }
-    delegation->turn++;
-    for (index = 0; index < delegation->chosen_count; index++) {
-        uint32_t         address = delegation->chosen[(delegation->turn + index) % delegation->chosen_count];
+    delegates->turn++;
+    for (index = 0; index < delegates->count; index++) {
+        uint32_t         address = delegates->chosen[(delegates->turn + index) % delegates->count];
         delegate_node_t *node = find_node(delegation, address);
 
-        if (address != except && (best == NULL || is_better(node, best, now))) {
+        if (node != NULL && address != except && (best == NULL || is_better(node, best, now))) {
             best = node;
         }
     }
@@ -220,8 +240,7 @@
                                           .idle_timeout = CW_SECONDS(IDLE_TIMEOUT_S)};
     cw_http_listener_options_t  options = {.body_bytes_max = settings->body_bytes_most / BODY_MEMORY_DIVISOR,
                                            .body_wait = settings->body_wait,
-                                           .request_id_name =
-                                               delegation->router->adapter->header_names->request_id};
+                                           .request_id_name = delegation->router->adapter->header_names->request_id};
     cw_http_listener_handler_t  handler = {delegation, on_request, on_gone};
     int error = cw_http_listener_create(&delegation->listener, &delegation->router->loop, settings->peer_bind,
                                         settings->peer_port, &limits, &handler);
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -293,13 +293,13 @@
 void cw_router_paths_free(cw_router_t *router);
 /** Probes servers if necessary, and logs a loss of the paths or its end. */
 void cw_router_paths_tick(cw_router_t *router, cw_time_us_t now);
-/** Records whether an order to a server was answered. */
-void cw_router_paths_record_order(cw_router_t *router, bool is_answered);
-/** Whether this node reaches no server. */
-bool cw_router_has_lost_paths(const cw_router_t *router);
-/** What this node reports about its paths to servers. */
-Cwp__ServerPaths cw_router_own_paths(const cw_router_t *router, cw_time_us_t now);
-/** Whether a node is alive, does not stop, and has not lost its paths to servers, as far as this node knows. */
+/** Records whether an order to a server of the service was answered. */
+void cw_router_paths_record_order(cw_router_t *router, const char *service, bool is_answered);
+/** Whether this node reaches no server of the service with this hash. */
+bool cw_router_has_lost_paths(const cw_router_t *router, uint32_t service);
+/** What this node states about its paths to servers. */
+cw_peer_paths_t cw_router_own_paths(const cw_router_t *router, cw_time_us_t now);
+/** Whether a node is alive, does not stop, and has not lost its paths to any service, as far as this node knows. */
 bool cw_router_knows_peer_with_paths(const cw_router_t *router, cw_time_us_t now);
 /** Sets the gauges of paths and of requests at servers. */
 void cw_router_paths_set_metrics(cw_router_t *router);
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -323,11 +323,26 @@
     }
 }
 
+/* Whether this node reaches no server of a service that is divided by key. */
+static bool has_lost_keyed_service(const cw_router_t *router)
+{
+    size_t index;
+
+    for (index = 0; router->configuration != NULL && index < router->configuration->service_count; index++) {
+        const cw_service_t *service = &router->configuration->services[index];
+
+        if (service->keyed && cw_router_has_lost_paths(router, cw_name_hash(service->name))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* A leader that reaches no server can neither grant nor renew. Whether servers answer other nodes cannot be asked: once
  * the grants have run out, keyed servers answer nobody. */
 static void resign_without_paths(cw_router_t *router, cw_time_us_t now)
 {
-    if (cw_router_has_lost_paths(router) && cw_router_knows_peer_with_paths(router, now) &&
+    if (has_lost_keyed_service(router) && cw_router_knows_peer_with_paths(router, now) &&
         !router->leadership.resigning) {
         log_leadership(router, CW_EVENT_LEADER_LOST, "this node reaches no server");
         cw_leadership_step_down(&router->leadership, now, CW_SECONDS(STEP_DOWN_DURATION_S));
@@ -363,7 +378,7 @@
 {
     cw_time_us_t delay = cw_leader_tenure_take_delay(&router->tenure);
 
-    if (cw_router_has_lost_paths(router) && cw_router_knows_peer_with_paths(router, now)) {
+    if (has_lost_keyed_service(router) && cw_router_knows_peer_with_paths(router, now)) {
         delay += CW_MS(NO_PATHS_TAKE_DELAY_MS);
     }
     return delay;
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -78,7 +78,7 @@
         cw_router_log_peer(peer, CW_EVENT_PEER_BACK, peer->last_received_at == 0 ? 0 : now - peer->last_received_at);
     }
     if (peer->is_lost || peer->incarnation != received->incarnation || peer->stopping != received->stopping ||
-        peer->store_lost != received->store_lost || peer->paths != received->paths || received->stopping) {
+        peer->store_lost != received->store_lost || received->stopping) {
         peer->details_at = now;
     }
     peer->is_lost = false;
@@ -88,7 +88,9 @@
     peer->last_direct_report_at = now;
     peer->stopping = received->stopping;
     peer->store_lost = received->store_lost;
-    peer->paths = received->paths;
+    if (cw_peer_paths_set(&peer->paths, received->paths, received->lost_services, received->n_lost_services)) {
+        peer->details_at = now;
+    }
     peer->peers = received->peers;
     peer->receives_nothing_from_us = is_missed_by(router, received);
     peer->term = received->term;
--- a/src/router/router_relay.c
+++ b/src/router/router_relay.c
@@ -327,7 +327,7 @@
     cw_text_copy(peer->node, sizeof(peer->node), detail->node);
     peer->stopping = detail->stopping;
     peer->store_lost = detail->store_lost;
-    peer->paths = detail->paths;
+    (void)cw_peer_paths_set(&peer->paths, detail->paths, detail->lost_services, detail->n_lost_services);
 }
 
 static bool is_unreachable(const Cwp__ZoneSummary *summary, uint32_t server)
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -31,28 +31,29 @@
     uint32_t             servers_replaced_ms[CW_REPLACED_VERSIONS_MAX];
     uint32_t             tables_replaced_ms[CW_REPLACED_VERSIONS_MAX];
     uint32_t             missed[MISSED_MAX];
+    cw_peer_paths_t      own_paths;
     size_t               queue_count;
     size_t               sample_count;
 } report_builder_t;
 
 static report_builder_t builder; /* large, and used by one call at a time */
 
-/* Adds this node's requests at servers, and the servers that it avoids. A node without paths reports neither: its
- * requests in flight do not reach their servers, or have ended there, and it cannot judge any server. */
+/* Adds this node's requests at servers, and the servers that it avoids. Servers of a service of which it reaches none
+ * are left out: its requests there have not arrived, or have ended, and it cannot judge them. */
 static void add_loads(cw_router_t *router, cw_time_us_t now)
 {
     cw_server_t *server;
     cw_server_t *next;
     size_t       count = 0;
 
-    if (cw_router_has_lost_paths(router)) {
-        return;
-    }
     cw_engine_count_waiting(router->engine);
     HASH_ITER(by_id, cw_server_pool_all(router->pool), server, next)
     {
         Cwp__ServerLoad *load = &builder.loads[count];
 
+        if (cw_router_has_lost_paths(router, server->service_hash)) {
+            continue;
+        }
         if (count == LOADS_MAX || (server->own == 0 && server->own_waiting == 0 && server->avoid_until <= now)) {
             continue;
         }
@@ -191,7 +192,10 @@
     builder.report.sequence = ++router->sequence;
     builder.report.stopping = router->stopping_at != 0;
     builder.report.store_lost = router->store_availability.is_lost;
-    builder.report.paths = cw_router_own_paths(router, now);
+    builder.own_paths = cw_router_own_paths(router, now);
+    builder.report.paths = builder.own_paths.state;
+    builder.report.lost_services = builder.own_paths.lost;
+    builder.report.n_lost_services = builder.own_paths.lost_count;
     builder.report.vacated = cw_leader_tenure_announced_term(&router->tenure, now);
     builder.report.configuration = cw_router_version(router);
     builder.report.peers = cw_peer_link_count_alive(router->link, router->peer_timeout, now);
--- a/src/router/router_summary.c
+++ b/src/router/router_summary.c
@@ -28,6 +28,7 @@
     Cwp__ZoneNode      details[DETAILS_MAX];
     Cwp__ZoneNode     *detail_pointers[DETAILS_MAX];
     uint32_t           received[CW_ZONES_MAX];
+    cw_peer_paths_t    own_paths;
     cw_server_report_t sums[CW_SUMMARY_SERVERS_MAX];
     uint32_t           servers[CW_SUMMARY_SERVERS_MAX];
     uint32_t           under_way[CW_SUMMARY_SERVERS_MAX];
@@ -54,7 +55,9 @@
     detail->node = (char *)peer->node;
     detail->stopping = peer->stopping;
     detail->store_lost = peer->store_lost;
-    detail->paths = peer->paths;
+    detail->paths = peer->paths.state;
+    detail->lost_services = (uint32_t *)peer->paths.lost;
+    detail->n_lost_services = peer->paths.lost_count;
     builder.detail_pointers[builder.summary.n_details++] = detail;
 }
 
@@ -102,7 +105,10 @@
     detail->node = (char *)router->settings.node;
     detail->stopping = router->stopping_at != 0;
     detail->store_lost = router->store_availability.is_lost;
-    detail->paths = cw_router_own_paths(router, cw_router_now(router));
+    builder.own_paths = cw_router_own_paths(router, cw_router_now(router));
+    detail->paths = builder.own_paths.state;
+    detail->lost_services = builder.own_paths.lost;
+    detail->n_lost_services = builder.own_paths.lost_count;
     builder.detail_pointers[builder.summary.n_details++] = detail;
 }
 
@@ -180,6 +186,12 @@
 
 /* Only servers of keyed services are summed. Slots of other services are counted in the servers' own zones
  * (slot_broker.h). */
+/* Requests to servers that this node does not reach have not arrived there. */
+static bool includes_own(void *context, const cw_server_t *server)
+{
+    return !cw_router_has_lost_paths(context, server->service_hash);
+}
+
 static bool includes_server(void *context, const cw_server_t *server)
 {
     const cw_router_t *router = context;
@@ -200,7 +212,7 @@
     cw_sum_filter_t filter = {.context = router,
                               .includes_node = includes_node,
                               .includes_server = includes_server,
-                              .excludes_own = cw_router_has_lost_paths(router)};
+                              .includes_own = includes_own};
     size_t          left_out;
     size_t          count;
     size_t          index;
--- a/tests/process/lib/server_paths.sh
+++ b/tests/process/lib/server_paths.sh
@@ -11,7 +11,7 @@
 node_metric() { curl -sf -m 1 "http://$NET.$1:8081/metrics" | awk -v m="$2" '$1 == m {print $2}'; } # NODE NAME
 paths_lost() { # NODE...
     local node
-    for node in "$@"; do [ "$(node_metric "$node" cedarwinch_server_paths_lost)" = 1 ] || return 1; done
+    for node in "$@"; do [ "$(node_metric "$node" cedarwinch_server_paths_lost)" = 2 ] || return 1; done # both services
 }
 paths_open() { # NODE...
     local node
--- a/tests/test_engine_paths.c
+++ b/tests/test_engine_paths.c
@@ -7,19 +7,21 @@
 #include "engine_fixture.h"
 
 /** The paths of a fixture's engine. */
-static cw_server_paths_t paths;
+static cw_service_paths_t *table;
+static cw_server_paths_t  *paths;
 
 static void begin(engine_fixture_t *fixture)
 {
-    memset(&paths, 0, sizeof(paths));
     engine_fixture_init(fixture);
-    cw_engine_set_paths(fixture->engine, &paths);
+    table = cw_service_paths_create(); /* never freed: each test is the last thing that its process does */
+    paths = cw_service_paths_of(table, cw_server_pool_find(fixture->pool, "s0")->service_hash);
+    cw_engine_set_paths(fixture->engine, table);
 }
 
 static void lose_paths(engine_fixture_t *fixture)
 {
-    paths.are_lost = true;
-    cw_engine_paths_changed(fixture->engine);
+    paths->are_lost = true;
+    cw_engine_paths_changed(fixture->engine, cw_server_pool_find(fixture->pool, "s0")->service_hash);
 }
 
 START_TEST(a_request_is_refused_at_once_if_no_server_is_reached)
@@ -68,7 +70,7 @@
     engine_server_answer(&fixture.servers[0], 200, "s0", NULL);
     cw_test_run_until_set(&fixture.loop, &fixture.answered);
     ck_assert_int_eq(fixture.status, 200);
-    ck_assert(!paths.are_lost); /* an answer shows a path */
+    ck_assert(!paths->are_lost); /* an answer shows a path */
 }
 END_TEST
 
@@ -84,7 +86,7 @@
     cw_test_run_until_set(&fixture.loop, &fixture.answered);
     server = cw_server_pool_find(fixture.pool, "s0");
     ck_assert_uint_eq(server->faults, 1);
-    ck_assert_uint_eq(paths.failures, 1);
+    ck_assert_uint_eq(paths->failures, 1);
     lose_paths(&fixture);
     ck_assert_uint_eq(server->faults, 0);
     ck_assert_int_eq(server->avoid_until, 0);
--- a/tests/test_node_paths.c
+++ b/tests/test_node_paths.c
@@ -46,15 +46,15 @@
     uint32_t sequence;
 
     node->servers_answer_probes = false;
-    cw_router_paths_record_order(&node->router, false);
-    cw_router_paths_record_order(&node->router, false);
+    cw_router_paths_record_order(&node->router, "docks", false);
+    cw_router_paths_record_order(&node->router, "docks", false);
     for (sequence = 1; sequence <= PEER_SEQUENCES; sequence++) {
         receive_paths(node, paths_of_peer, sequence);
         node_fixture_tick(node, CW_TICK_MS);
         node_fixture_answer_store(node);
         node_fixture_answer_orders(node, CW_ORDER_UNANSWERED);
     }
-    ck_assert(cw_router_has_lost_paths(&node->router));
+    ck_assert(cw_router_has_lost_paths(&node->router, cw_name_hash("docks")));
 }
 
 START_TEST(a_leader_that_reaches_no_server_steps_down_for_a_node_that_may)
@@ -96,7 +96,7 @@
     ck_assert_int_eq(node->router.leadership.take_delay, 0);
     lose_paths(node, CWP__SERVER_PATHS__PATHS_OPEN);
     ck_assert_int_ge(node->router.leadership.take_delay, CW_SECONDS(1));
-    cw_router_paths_record_order(&node->router, true);
+    cw_router_paths_record_order(&node->router, "docks", true);
     node_fixture_tick(node, CW_TICK_MS);
     ck_assert_int_eq(node->router.leadership.take_delay, 0);
     node_fixture_free(node);
@@ -107,9 +107,11 @@
 {
     node_fixture_t *node = create_leader();
 
-    ck_assert_int_eq(cw_router_own_paths(&node->router, cw_router_now(&node->router)), CWP__SERVER_PATHS__PATHS_OPEN);
+    ck_assert_int_eq(cw_router_own_paths(&node->router, cw_router_now(&node->router)).state,
+                     CWP__SERVER_PATHS__PATHS_OPEN);
     lose_paths(node, CWP__SERVER_PATHS__PATHS_OPEN);
-    ck_assert_int_eq(cw_router_own_paths(&node->router, cw_router_now(&node->router)), CWP__SERVER_PATHS__PATHS_LOST);
+    ck_assert_int_eq(cw_router_own_paths(&node->router, cw_router_now(&node->router)).state,
+                     CWP__SERVER_PATHS__PATHS_LOST);
     node_fixture_free(node);
 }
 END_TEST
--- a/tests/test_sharing.c
+++ b/tests/test_sharing.c
@@ -251,6 +251,20 @@
     return strcmp(server->id, context) != 0;
 }
 
+static bool takes_all(void *context, const cw_server_t *server)
+{
+    (void)context;
+    (void)server;
+    return true;
+}
+
+static bool takes_none(void *context, const cw_server_t *server)
+{
+    (void)context;
+    (void)server;
+    return false;
+}
+
 START_TEST(a_zone_sum_covers_only_the_nodes_and_servers_of_its_filter)
 {
     uint32_t           dropped;
@@ -259,7 +273,10 @@
     cw_server_t       *far = cw_server_pool_find(pool, "far");
     cw_server_report_t report[2] = {{.hash = near->hash, .in_flight = 2, .waiting = 1},
                                     {.hash = far->hash, .in_flight = 5}};
-    cw_sum_filter_t    filter = {.context = "far", .includes_node = takes_low_nodes, .includes_server = takes_all_but};
+    cw_sum_filter_t    filter = {.context = "far",
+                                 .includes_node = takes_low_nodes,
+                                 .includes_server = takes_all_but,
+                                 .includes_own = takes_all};
     cw_server_report_t sums[4];
     size_t             left_out;
 
@@ -319,7 +336,7 @@
     cw_server_t       *near = cw_server_pool_find(pool, "near");
     cw_server_report_t report = {.hash = near->hash, .in_flight = 2};
     cw_sum_filter_t    filter = {
-           .context = "", .includes_node = takes_low_nodes, .includes_server = takes_all_but, .excludes_own = true};
+           .context = "", .includes_node = takes_low_nodes, .includes_server = takes_all_but, .includes_own = takes_none};
     cw_server_report_t sums[4];
     size_t             left_out;
 
