A refused connection proves a server's end only if other servers of the service are reached

The class: what a node without paths says of servers, and others hear. If a cut resets the open connections and refuses new ones, the node took each refusal as proof that the server had crashed, and reported the requests in flight there to all nodes, which refuse such requests after three. Change: the refusal counts once a contact with a server of the service has succeeded after it (a check of the paths is asked for); else the list of servers proves the end.

--- a/src/balance/server_paths.c
+++ b/src/balance/server_paths.c
@@ -15,6 +15,7 @@
 void cw_server_paths_record_reached(cw_server_paths_t *paths, cw_time_us_t now)
 {
     paths->reached_at = now;
+    paths->successes++;
     paths->failures = 0;
     set_lost(paths, false, now);
 }
@@ -24,6 +25,11 @@
     paths->failures++;
 }
 
+void cw_server_paths_request_check(cw_server_paths_t *paths)
+{
+    paths->failures = paths->failures < CW_PATHS_FAILURES ? CW_PATHS_FAILURES : paths->failures;
+}
+
 static uint32_t begin(cw_server_paths_t *paths, uint32_t probes, bool is_checking, cw_time_us_t now)
 {
     paths->probed_at = now;
--- a/src/balance/server_paths.h
+++ b/src/balance/server_paths.h
@@ -36,7 +36,8 @@
     bool         are_lost;
     cw_time_us_t changed_at;     /**< when are_lost last changed; 0: never */
     cw_time_us_t reached_at;     /**< last success; 0: none */
-    uint32_t     failures;       /**< failed contacts since then */
+    uint32_t     successes;      /**< contacts that have succeeded */
+    uint32_t     failures;       /**< failed contacts since the last success */
     cw_time_us_t probed_at;      /**< start of the last probe */
     cw_time_us_t check_began_at; /**< start of the last check of several servers; 0: none */
     uint32_t     probes;         /**< probes in flight */
@@ -47,6 +48,8 @@
 void cw_server_paths_record_reached(cw_server_paths_t *paths, cw_time_us_t now);
 /** Records a failed contact. */
 void cw_server_paths_record_failed(cw_server_paths_t *paths);
+/** Asks for a check as soon as one is due, whatever the number of failures is. */
+void cw_server_paths_request_check(cw_server_paths_t *paths);
 /** Returns the number of servers to be probed now; each probe then ends with cw_server_paths_record_probe. servers:
  * number of listed servers. */
 uint32_t cw_server_paths_begin_probes(cw_server_paths_t *paths, uint32_t servers, cw_time_us_t now);
--- a/src/router/router_crashes.c
+++ b/src/router/router_crashes.c
@@ -3,12 +3,14 @@
  * @brief Connects the register of requests that crash servers (crash_suspects.h) to the node: how it is proved that a
  * server has ended, and how nodes report crashes to one another.
  *
- * After the connection to a server was lost, one connection to its port is tried: if it is refused, the server has
- * ended. Other ends are found from the list of servers. Reports are broadcast (router_broadcast.c).
+ * After the connection to a server was lost, one connection to its port is tried: if it is refused, and other servers
+ * of the service are reached (refused_probes.h), the server has ended. Other ends are found from the list of servers.
+ * Reports are broadcast (router_broadcast.c).
  */
 #include <stdlib.h>
 
 #include "net/connect_probe.h"
+#include "retry/refused_probes.h"
 #include "router/router_internal.h"
 
 enum {
@@ -34,6 +36,7 @@
     cw_time_us_t         broadcast_at;
     cw_time_us_t         probes_counted_at;
     uint32_t             probes;
+    cw_refused_probes_t  refused;
 };
 
 /* ---- proofs that a server has ended ---- */
@@ -42,19 +45,39 @@
 typedef struct server_probe {
     cw_router_crashes_t *crashes;
     uint32_t             server;
+    uint32_t             service;
 } server_probe_t;
 
 static void on_probed(void *context, cw_probe_result_t result)
 {
-    server_probe_t *probe = context;
-    cw_router_t    *router = probe->crashes->router;
+    server_probe_t    *probe = context;
+    cw_router_t       *router = probe->crashes->router;
+    cw_refused_probe_t refused = {probe->server, probe->service, cw_router_now(router),
+                                  cw_router_paths_successes(router, probe->service)};
 
     if (result == CW_PROBE_REFUSED) {
-        cw_crash_suspects_record_end(probe->crashes->suspects, probe->server, cw_router_now(router));
+        cw_router_paths_check(router, probe->service);
+        if (!cw_refused_probes_add(&probe->crashes->refused, &refused)) {
+            cw_metric_add(CW_METRIC_LOSSES_DROPPED, 1);
+        }
     }
     free(probe);
 }
 
+static uint32_t successes_at(void *context, uint32_t service)
+{
+    return cw_router_paths_successes(context, service);
+}
+
+static void record_proved_ends(cw_router_crashes_t *crashes, cw_time_us_t now)
+{
+    uint32_t server;
+
+    while (cw_refused_probes_take(&crashes->refused, successes_at, crashes->router, now, &server)) {
+        cw_crash_suspects_record_end(crashes->suspects, server, now);
+    }
+}
+
 static bool may_probe(cw_router_crashes_t *crashes, cw_time_us_t now)
 {
     if (now - crashes->probes_counted_at >= CW_SECONDS(1)) {
@@ -76,7 +99,7 @@
     if (probe == NULL) {
         abort();
     }
-    *probe = (server_probe_t){.crashes = crashes, .server = server->hash};
+    *probe = (server_probe_t){crashes, server->hash, server->service_hash};
     if (cw_connect_probe(&crashes->router->loop, server->address, CW_MS(PROBE_TIMEOUT_MS), on_probed, probe) != 0) {
         free(probe); /* its address is invalid: the list proves its end */
     }
@@ -184,6 +207,7 @@
 {
     cw_router_crashes_t *crashes = router->crashes;
 
+    record_proved_ends(crashes, now);
     cw_crash_suspects_tick(crashes->suspects, now);
     cw_metric_set(CW_METRIC_CRASH_SUSPECTS, cw_crash_suspects_count(crashes->suspects));
     if (crashes->count > 0 && now - crashes->broadcast_at >= CW_MS(BROADCAST_INTERVAL_MS)) {
--- a/src/router/router_paths.c
+++ b/src/router/router_paths.c
@@ -115,6 +115,16 @@
 
 /* ---- state ---- */
 
+uint32_t cw_router_paths_successes(const cw_router_t *router, uint32_t service)
+{
+    return cw_service_paths_of(router->paths->table, service)->successes;
+}
+
+void cw_router_paths_check(cw_router_t *router, uint32_t service)
+{
+    cw_server_paths_request_check(cw_service_paths_of(router->paths->table, service));
+}
+
 bool cw_router_has_lost_paths(const cw_router_t *router, uint32_t service)
 {
     return cw_service_paths_are_lost(router->paths->table, service);
