After a refused connection other servers are probed at once

Change: three servers of the service are probed with each refusal, apart from the checks; the number of successful contacts is compared, not times.

--- a/src/balance/server_paths.c
+++ b/src/balance/server_paths.c
@@ -25,11 +25,6 @@
     paths->failures++;
 }
 
-void cw_server_paths_request_check(cw_server_paths_t *paths)
-{
-    paths->failures = paths->failures < CW_PATHS_FAILURES ? CW_PATHS_FAILURES : paths->failures;
-}
-
 static uint32_t begin(cw_server_paths_t *paths, uint32_t probes, bool is_checking, cw_time_us_t now)
 {
     paths->probed_at = now;
--- a/src/balance/server_paths.h
+++ b/src/balance/server_paths.h
@@ -48,8 +48,6 @@
 void cw_server_paths_record_reached(cw_server_paths_t *paths, cw_time_us_t now);
 /** Records a failed contact. */
 void cw_server_paths_record_failed(cw_server_paths_t *paths);
-/** Asks for a check as soon as one is due, whatever the number of failures is. */
-void cw_server_paths_request_check(cw_server_paths_t *paths);
 /** Returns the number of servers to be probed now; each probe then ends with cw_server_paths_record_probe. servers:
  * number of listed servers. */
 uint32_t cw_server_paths_begin_probes(cw_server_paths_t *paths, uint32_t servers, cw_time_us_t now);
--- a/src/router/router_crashes.c
+++ b/src/router/router_crashes.c
@@ -9,12 +9,18 @@
  */
 #include <stdlib.h>
 
+#include "base/memory.h"
+#include "base/text.h"
 #include "net/connect_probe.h"
 #include "retry/refused_probes.h"
 #include "router/router_internal.h"
 
 enum {
     PROBE_TIMEOUT_MS = 300, /* connect timeout */
+    /* A process that ends closes the connection before its listener, or after: while the port still accepts, the probe
+     * is tried again. */
+    PROBE_TRIES = 1,
+    PROBE_AGAIN_MS = 100,
     PROBES_PER_SECOND = 10, /* many connections may be reset at once; the list proves the ends of servers not probed */
     PENDING_REPORTS_MAX = 64,   /* crashes and clearances that are being reported at a time */
     BROADCASTS_PER_REPORT = 3,  /* times that each is broadcast, since datagrams may be lost */
@@ -46,8 +52,28 @@
     cw_router_crashes_t *crashes;
     uint32_t             server;
     uint32_t             service;
+    char                 address[CW_SERVER_ADDRESS_MAX];
+    uint32_t             tries;
+    uv_timer_t           timer; /* until the next try */
 } server_probe_t;
 
+static void on_probe_freed(uv_handle_t *timer)
+{
+    free(timer->data);
+}
+
+static void end_probe(server_probe_t *probe)
+{
+    uv_close((uv_handle_t *)&probe->timer, on_probe_freed);
+}
+
+static void begin_probe(server_probe_t *probe);
+
+static void on_next_try(uv_timer_t *timer)
+{
+    begin_probe(timer->data);
+}
+
 static void on_probed(void *context, cw_probe_result_t result)
 {
     server_probe_t    *probe = context;
@@ -56,12 +82,22 @@
                                   cw_router_paths_successes(router, probe->service)};
 
     if (result == CW_PROBE_REFUSED) {
-        cw_router_paths_check(router, probe->service);
+        cw_router_paths_probe(router, probe->service);
         if (!cw_refused_probes_add(&probe->crashes->refused, &refused)) {
             cw_metric_add(CW_METRIC_LOSSES_DROPPED, 1);
         }
+    } else if (result == CW_PROBE_CONNECTED && ++probe->tries < PROBE_TRIES) {
+        uv_timer_start(&probe->timer, on_next_try, PROBE_AGAIN_MS, 0);
+        return;
+    }
+    end_probe(probe);
+}
+
+static void begin_probe(server_probe_t *probe)
+{
+    if (cw_connect_probe(probe->timer.loop, probe->address, CW_MS(PROBE_TIMEOUT_MS), on_probed, probe) != 0) {
+        end_probe(probe); /* its address is invalid: the list proves its end */
     }
-    free(probe);
 }
 
 static uint32_t successes_at(void *context, uint32_t service)
@@ -95,14 +131,14 @@
     if (!may_probe(crashes, cw_router_now(crashes->router))) {
         return; /* the list proves its end: its entry vanishes, or a later incarnation's appears */
     }
-    probe = malloc(sizeof(*probe));
-    if (probe == NULL) {
-        abort();
-    }
-    *probe = (server_probe_t){crashes, server->hash, server->service_hash};
-    if (cw_connect_probe(&crashes->router->loop, server->address, CW_MS(PROBE_TIMEOUT_MS), on_probed, probe) != 0) {
-        free(probe); /* its address is invalid: the list proves its end */
-    }
+    probe = cw_memory_zeroed(sizeof(*probe));
+    probe->crashes = crashes;
+    probe->server = server->hash;
+    probe->service = server->service_hash;
+    cw_text_copy(probe->address, sizeof(probe->address), server->address);
+    uv_timer_init(&crashes->router->loop, &probe->timer);
+    probe->timer.data = probe;
+    begin_probe(probe);
 }
 
 void cw_router_crashes_record_gone(cw_router_t *router, const cw_server_entry_t *entry)
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -297,8 +297,8 @@
 void cw_router_paths_record_order(cw_router_t *router, const char *service, bool is_answered);
 /** Number of successful contacts with servers of the service with this hash. */
 uint32_t cw_router_paths_successes(const cw_router_t *router, uint32_t service);
-/** Lets the paths to the service's servers be checked soon. */
-void cw_router_paths_check(cw_router_t *router, uint32_t service);
+/** Probes a few servers of the service now, so that their answers count as contacts. */
+void cw_router_paths_probe(cw_router_t *router, uint32_t service);
 /** Whether this node reaches no server of the service with this hash. */
 bool cw_router_has_lost_paths(const cw_router_t *router, uint32_t service);
 /** What this node states about its paths to servers. */
--- a/src/router/router_paths.c
+++ b/src/router/router_paths.c
@@ -7,6 +7,8 @@
 #include "base/memory.h"
 #include "router/router_internal.h"
 
+enum { PROOF_PROBES = 3 /* one may go to the very server that is in doubt, another to one that has just ended, too */ };
+
 /** Paths to the servers of one service, as logged. */
 typedef struct logged_paths {
     uint32_t       service;
@@ -62,23 +64,28 @@
 typedef struct path_probe {
     cw_router_t *router;
     uint32_t     service;
+    bool         is_of_check; /* of those that server_paths.h has asked for */
 } path_probe_t;
 
 static void on_probed(void *context, bool is_answered)
 {
-    path_probe_t *probe = context;
-    cw_router_t  *router = probe->router;
+    path_probe_t      *probe = context;
+    cw_router_t       *router = probe->router;
+    cw_server_paths_t *paths = cw_service_paths_of(router->paths->table, probe->service);
 
-    cw_server_paths_record_probe(cw_service_paths_of(router->paths->table, probe->service), is_answered,
-                                 cw_router_now(router));
+    if (probe->is_of_check) {
+        cw_server_paths_record_probe(paths, is_answered, cw_router_now(router));
+    } else if (is_answered) {
+        cw_server_paths_record_reached(paths, cw_router_now(router));
+    }
     free(probe);
 }
 
-static void probe_server(cw_router_t *router, const cw_server_t *server)
+static void probe_server(cw_router_t *router, const cw_server_t *server, bool is_of_check)
 {
     path_probe_t *probe = cw_memory_zeroed(sizeof(*probe));
 
-    *probe = (path_probe_t){router, server->service_hash};
+    *probe = (path_probe_t){router, server->service_hash, is_of_check};
     cw_metric_add(CW_METRIC_PATH_PROBES, 1);
     router->adapter->probe_server(router->platform, server->address, CW_MS(CW_PATHS_PROBE_TIMEOUT_MS), on_probed,
                                   probe);
@@ -96,8 +103,9 @@
 }
 
 /* Probes `count` of the service's servers, in evenly spaced positions of the list after a random one. */
-static void probe_servers(cw_router_t *router, uint32_t service, uint32_t servers, uint32_t count)
+static void probe_servers(cw_router_t *router, uint32_t service, uint32_t count, bool is_of_check)
 {
+    uint32_t           servers = count_servers(router, service);
     uint32_t           spacing = servers > count ? servers / count : 1;
     uint32_t           position = (uint32_t)random() % spacing;
     uint32_t           index = 0;
@@ -106,13 +114,18 @@
     for (server = cw_server_pool_of_service(router->pool, service); server != NULL && count > 0;
          server = server->next) {
         if (index++ == position) {
-            probe_server(router, server);
+            probe_server(router, server, is_of_check);
             position += spacing;
             count--;
         }
     }
 }
 
+void cw_router_paths_probe(cw_router_t *router, uint32_t service)
+{
+    probe_servers(router, service, PROOF_PROBES, false);
+}
+
 /* ---- state ---- */
 
 uint32_t cw_router_paths_successes(const cw_router_t *router, uint32_t service)
@@ -120,11 +133,6 @@
     return cw_service_paths_of(router->paths->table, service)->successes;
 }
 
-void cw_router_paths_check(cw_router_t *router, uint32_t service)
-{
-    cw_server_paths_request_check(cw_service_paths_of(router->paths->table, service));
-}
-
 bool cw_router_has_lost_paths(const cw_router_t *router, uint32_t service)
 {
     return cw_service_paths_are_lost(router->paths->table, service);
@@ -199,7 +207,7 @@
     uint32_t        count = cw_server_paths_begin_probes(paths, servers, now);
 
     if (count > 0) {
-        probe_servers(router, service, servers, count);
+        probe_servers(router, service, count, true);
     }
     if (paths->are_lost == logged->were_lost) {
         return;
