A port that still accepts after a lost connection is tried again

Known failure: crashing_request.sh hung after the first crash, since its loss was never confirmed; why was open. Nothing tried again, so only the list proved the end, 36 s later. Change: while the port accepts, it is tried again after 100 ms, four times in all.

--- a/src/router/router_crashes.c
+++ b/src/router/router_crashes.c
@@ -19,7 +19,7 @@
     PROBE_TIMEOUT_MS = 300, /* connect timeout */
     /* A process that ends closes the connection before its listener, or after: while the port still accepts, the probe
      * is tried again. */
-    PROBE_TRIES = 1,
+    PROBE_TRIES = 4,
     PROBE_AGAIN_MS = 100,
     PROBES_PER_SECOND = 10, /* many connections may be reset at once; the list proves the ends of servers not probed */
     PENDING_REPORTS_MAX = 64,   /* crashes and clearances that are being reported at a time */
