Tests of requests that are passed between nodes; statements of paths are compared by field

Comparing the statements as bytes compared padding, too, and could have sent a node's details again and again.

--- a/src/peer/peer_paths.c
+++ b/src/peer/peer_paths.c
@@ -15,7 +15,8 @@
     if (stated.lost_count > 0) {
         memcpy(stated.lost, lost, stated.lost_count * sizeof(*lost));
     }
-    has_changed = memcmp(paths, &stated, sizeof(stated)) != 0;
+    has_changed = paths->state != state || paths->lost_count != stated.lost_count ||
+                  memcmp(paths->lost, stated.lost, sizeof(stated.lost)) != 0;
     *paths = stated;
     return has_changed;
 }
--- a/tests/engine_fixture.c
+++ b/tests/engine_fixture.c
@@ -119,7 +119,15 @@
 {
     engine_fixture_t *fixture = context;
 
-    cw_engine_request(fixture->engine, exchange, inbound);
+    const char            *field = cw_http_fields_find(inbound->fields, cw_delegation_field);
+    cw_delegated_request_t delegated;
+
+    if (!fixture->takes_delegated || field == NULL) {
+        cw_engine_request(fixture->engine, exchange, inbound);
+        return;
+    }
+    ck_assert_int_eq(cw_delegated_request_read(&delegated, field), 0);
+    cw_engine_request_delegated(fixture->engine, exchange, inbound, &delegated);
 }
 
 static bool front_rejects(void *context, const cw_http_inbound_t *head)
--- a/tests/engine_fixture.h
+++ b/tests/engine_fixture.h
@@ -58,7 +58,8 @@
     cw_upstream_t        *upstream;
     cw_engine_t          *engine;
     cw_http_listener_t   *front;
-    bool                  rejects_all; /**< all requests are rejected by their heads */
+    bool                  rejects_all;     /**< all requests are rejected by their heads */
+    bool                  takes_delegated; /**< requests with the field of delegation are taken as other nodes' */
     engine_server_t       servers[ENGINE_FIXTURE_SERVERS];
     size_t                server_count;
     cw_upstream_t        *caller;
