A node without any way to servers is not ready

A node that reaches no server, and knows no node that takes its requests (both cut off from the rest), refused every request and told the platform that it is ready. Change: it is not ready then, in a fleet of more than one node. While another node takes its requests it stays ready. Tests: two in test_node_paths.

--- a/src/router/router_admin.c
+++ b/src/router/router_admin.c
@@ -18,10 +18,10 @@
     ADMIN_IDLE_S = 60
 };
 
-static bool is_ready(const cw_router_t *router)
+bool cw_router_is_ready(const cw_router_t *router, cw_time_us_t now)
 {
     return router->stopping_at == 0 && router->configuration != NULL && router->server_view.list != NULL &&
-           cw_router_tables_known(router);
+           cw_router_tables_known(router) && cw_router_has_way_to_servers(router, now);
 }
 
 static uint64_t resident_bytes(void)
@@ -83,7 +83,7 @@
         return;
     }
     if (strcmp(inbound->target, router->settings.readiness_path) == 0) {
-        outbound.status = is_ready(router) ? STATUS_OK : STATUS_UNAVAILABLE;
+        outbound.status = cw_router_is_ready(router, cw_router_now(router)) ? STATUS_OK : STATUS_UNAVAILABLE;
         outbound.body = outbound.status == STATUS_OK ? "ready\n" : "not ready\n";
         outbound.body_length = strlen(outbound.body);
     }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -209,6 +209,8 @@
 /* ---- router_admin.c ---- */
 /** Listens for queries about this node: readiness, status, metrics. Returns 0 or a libuv error. */
 int cw_router_admin_start(cw_router_t *router);
+/** Whether callers may be sent to this node. */
+bool cw_router_is_ready(const cw_router_t *router, cw_time_us_t now);
 
 /* ---- router_reload.c ---- */
 /** A number that changes with the file's modification time, size and inode; 0: the file does not exist. */
@@ -305,6 +307,9 @@
 cw_peer_paths_t cw_router_own_paths(const cw_router_t *router, cw_time_us_t now);
 /** Whether a node is alive, does not stop, and has not lost its paths to any service, as far as this node knows. */
 bool cw_router_knows_peer_with_paths(const cw_router_t *router, cw_time_us_t now);
+/** Whether this node reaches servers, or another node that takes its requests. Always true in a fleet of one node,
+ * since callers have no other. */
+bool cw_router_has_way_to_servers(const cw_router_t *router, cw_time_us_t now);
 /** Sets the gauges of paths and of requests at servers. */
 void cw_router_paths_set_metrics(cw_router_t *router);
 
--- a/src/router/router_paths.c
+++ b/src/router/router_paths.c
@@ -166,6 +166,28 @@
     return false;
 }
 
+static bool takes_requests(const cw_peer_t *peer)
+{
+    return peer->last_received_at != 0 && !peer->is_lost && !peer->stopping &&
+           (peer->paths.state == CWP__SERVER_PATHS__PATHS_OPEN ||
+            peer->paths.state == CWP__SERVER_PATHS__PATHS_UNKNOWN);
+}
+
+bool cw_router_has_way_to_servers(const cw_router_t *router, cw_time_us_t now)
+{
+    const cw_peer_t *peer;
+
+    if (cw_router_own_paths(router, now).state != CWP__SERVER_PATHS__PATHS_LOST || router->fleet_size.announced <= 1) {
+        return true;
+    }
+    for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
+        if (takes_requests(peer)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* ---- ticks ---- */
 
 static logged_paths_t *logged_of(cw_router_paths_t *paths, uint32_t service)
--- a/tests/test_node_paths.c
+++ b/tests/test_node_paths.c
@@ -116,6 +116,34 @@
 }
 END_TEST
 
+/* It would refuse all requests, and other nodes may be able to serve them. */
+START_TEST(a_node_is_ready_while_it_or_a_node_that_it_knows_reaches_servers)
+{
+    node_fixture_t *node = create_leader();
+
+    cw_fleet_size_record(&node->router.fleet_size, 2);
+    ck_assert(cw_router_is_ready(&node->router, cw_router_now(&node->router)));
+    lose_paths(node, CWP__SERVER_PATHS__PATHS_OPEN);
+    ck_assert(cw_router_is_ready(&node->router, cw_router_now(&node->router)));
+    receive_paths(node, CWP__SERVER_PATHS__PATHS_LOST, PEER_SEQUENCES + 1);
+    ck_assert(!cw_router_is_ready(&node->router, cw_router_now(&node->router)));
+    cw_router_paths_record_order(&node->router, "docks", true);
+    ck_assert(cw_router_is_ready(&node->router, cw_router_now(&node->router)));
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(the_only_node_of_a_fleet_stays_ready)
+{
+    node_fixture_t *node = create_leader();
+
+    lose_paths(node, CWP__SERVER_PATHS__PATHS_LOST);
+    node->router.fleet_size.announced = 1;
+    ck_assert(cw_router_is_ready(&node->router, cw_router_now(&node->router)));
+    node_fixture_free(node);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("node_paths");
@@ -126,6 +154,8 @@
     tcase_add_test(cases, a_leader_that_reaches_no_server_moves_no_keys);
     tcase_add_test(cases, a_node_without_paths_takes_the_lock_later_than_others);
     tcase_add_test(cases, a_node_states_its_paths);
+    tcase_add_test(cases, a_node_is_ready_while_it_or_a_node_that_it_knows_reaches_servers);
+    tcase_add_test(cases, the_only_node_of_a_fleet_stays_ready);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
