--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# cedarwinch: see README.md. Main targets: demo, check, bench, spec, soak, fault-soak, stall-soak, fuzz, install.
+# cedarwinch: see README.md. Main targets: demo, check, bench, spec, soak, fault-soak, stall-soak, paths-soak, fuzz, install.
 BUILD    ?= build
 CC       ?= cc
 CFLAGS   ?= -O2 -g
@@ -27,7 +27,7 @@
 TEST_PROGRAMS := $(addprefix $(BUILD)/tests/,$(TESTS))
 PROCESS_TESTS := $(wildcard tests/process/*.sh)
 
-.PHONY: all programs test check demo bench spec soak fault-soak stall-soak fuzz lint format install dependencies clean proto
+.PHONY: all programs test check demo bench spec soak fault-soak stall-soak paths-soak fuzz lint format install dependencies clean proto
 .SECONDARY:
 all: programs $(TEST_PROGRAMS)
 programs: $(PROGRAMS)
@@ -103,6 +103,10 @@
 stall-soak: programs
 	@SOAK=stall_soak.sh tests/fault_soak/many.sh $(SEED) $(if $(filter command line,$(origin SEEDS)),$(SEEDS),10)
 
+# Nodes that lose their paths to all servers beside restarts, leaving servers and versions: make paths-soak [SEED=n] [SEEDS=n]
+paths-soak: programs
+	@SOAK=paths_soak.sh tests/fault_soak/many.sh $(SEED) $(if $(filter command line,$(origin SEEDS)),$(SEEDS),10)
+
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v -E '\.pb-c\.')
 format:
 	clang-format -i $(SOURCES)
--- a/standins/link/link_rules.h
+++ b/standins/link/link_rules.h
@@ -11,8 +11,8 @@
 
 enum {
     LINK_NAME_MAX = 32,
-    LINK_ENDS_MAX = 256, /* a test has up to 90 nodes and as many servers */
-    LINK_RULES_MAX = 64
+    LINK_ENDS_MAX = 256,  /* a test has up to 90 nodes and as many servers */
+    LINK_RULES_MAX = 1024 /* a test cuts many nodes from each of many servers */
 };
 
 /** One end of a link: a node, a server, the store, or all callers. */
@@ -25,6 +25,7 @@
 /** Faults that last until the command `heal`; the comments name the unit of the fault's value. */
 typedef enum link_fault {
     LINK_CUT,         /**< nothing passes in either direction, on open connections and new ones */
+    LINK_REFUSE,      /**< new connections are reset; open ones are not affected */
     LINK_CUT_ONE_WAY, /**< nothing passes in one direction; the other one is not affected */
     LINK_DELAY,       /**< milliseconds in each direction */
     LINK_LOSE,        /**< percent of datagrams that are lost */
--- a/standins/link/link_streams.c
+++ b/standins/link/link_streams.c
@@ -404,6 +404,10 @@
         stream->forward.from = owner;
         stream->backward.to = owner;
     }
+    if (link_rules_value(listener->streams->rules, LINK_REFUSE, stream->forward.from, stream->forward.to) != 0) {
+        close_stream(stream, true);
+        return;
+    }
     if (uv_tcp_connect(&stream->connect, &stream->outgoing, (const struct sockaddr *)&listener->target, on_connected) !=
         0) {
         close_stream(stream, true);
--- a/standins/link/main.c
+++ b/standins/link/main.c
@@ -16,6 +16,7 @@
  *   cut A B | cut-one-way A B       nothing passes between A and B, or from A to B; connections stay open
  *   stall A B                       nothing passes on connections that are open now; new ones work
  *   reset A B                       resets connections that are open now
+ *   refuse A B                      resets new connections between A and B; open ones are not affected
  *   delay A B MS | throttle A B BYTES_PER_S
  *   lose A B PERCENT | double A B PERCENT | reorder A B PERCENT     of datagrams
  */
@@ -185,6 +186,11 @@
     return add_rule(proxy, LINK_CUT_ONE_WAY, fields, 1);
 }
 
+static const char *run_refuse(link_proxy_t *proxy, char **fields)
+{
+    return add_rule(proxy, LINK_REFUSE, fields, 1);
+}
+
 static const char *run_delay(link_proxy_t *proxy, char **fields)
 {
     return add_rule_with_value(proxy, LINK_DELAY, fields, INT32_MAX);
@@ -244,7 +250,7 @@
     {"link", 5, run_link},         {"cut", 3, run_cut},         {"cut-one-way", 3, run_cut_one_way},
     {"stall", 3, run_stall},       {"reset", 3, run_reset},     {"delay", 4, run_delay},
     {"throttle", 4, run_throttle}, {"lose", 4, run_lose},       {"double", 4, run_double},
-    {"reorder", 4, run_reorder},   {"heal", 1, run_heal}};
+    {"reorder", 4, run_reorder},   {"refuse", 3, run_refuse},   {"heal", 1, run_heal}};
 
 static const char *run_line(link_proxy_t *proxy, char *line)
 {
