--- a/src/cli/explain_cause.c
+++ b/src/cli/explain_cause.c
@@ -25,6 +25,24 @@
      "503: its server, or each that would do, had turned a request of this node away and wants nothing from it until "
      "then",
      {.events = {"server rests"}}},
+    {"delegated",
+     NULL,
+     NULL,
+     "this node reaches no server of the service, or not the owner of the key: the request went by way of by_node, "
+     "whose "
+     "own lines name it, too",
+     {.events = {"server paths lost"}}},
+    {"refused",
+     "the node that took it refused it",
+     NULL,
+     "503: this node reaches no server; the node that it passed the request to refused it, as that node's line says",
+     {.events = {"server paths lost"}}},
+    {"failed",
+     "the node that took it",
+     NULL,
+     "502: this node reaches no server, and the node that it passed the request to had no whole answer: it may have "
+     "run",
+     {.events = {"server paths lost", "peer lost"}}},
     {"refused",
      "this node reaches no server",
      NULL,
--- a/tests/process/server_paths_cut.sh
+++ b/tests/process/server_paths_cut.sh
@@ -15,6 +15,11 @@
 callers_at during 90 540 "${cut[@]}"
 echo "     at the cut nodes: $(answers during)"
 check "at the cut nodes, first attempts are served" at_least "$(first_served during)" 529
+through=$(grep -h '"served"' "$WORK/node${cut[0]}.log" | grep '"by_node"' | tail -1 | jq -r .request)
+explains() { "$BUILD/cedarwinch" explain "$through" "$WORK"/node*.log | grep -q "$1"; } # TEXT
+check "explain shows that it was passed on" explains delegated
+check "explain names the reason" explains "reaches no server of the service"
+check "explain shows the node that found the server" explains for_node
 link heal
 until_true paths_open "${cut[@]}"
 callers_at after 60 240 "${cut[@]}"
