--- a/standins/link/link_processes.c
+++ b/standins/link/link_processes.c
@@ -9,6 +9,7 @@
 #include <linux/netlink.h>
 #include <linux/sock_diag.h>
 #include <netinet/in.h>
+#include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
@@ -22,9 +23,10 @@
     ATTRIBUTES_BYTES = 512 /* room for attributes that may follow an answer of the kernel, though none is requested */
 };
 
-/* Asks the kernel for the inode of one connection; 0: no answer. Reading /proc/net/tcp instead takes tens of
- * milliseconds if there are many thousands of connections. */
-static unsigned long query_inode(const struct sockaddr_in *local, const struct sockaddr_in *remote)
+/* Asks the kernel for the inode of one connection; 0: it has none any more, since its process has closed it. Returns
+ * false if the kernel does not answer such questions. Reading /proc/net/tcp instead takes tens of milliseconds if there
+ * are many thousands of connections. */
+static bool query_inode(const struct sockaddr_in *local, const struct sockaddr_in *remote, unsigned long *inode)
 {
     struct {
         struct nlmsghdr         header;
@@ -45,14 +47,18 @@
     query.request.id.idiag_dst[0] = remote->sin_addr.s_addr;
     query.request.id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
     query.request.id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+    *inode = 0;
     if (descriptor < 0) {
-        return 0;
+        return false;
     }
     if (send(descriptor, &query, sizeof(query), 0) == (ssize_t)sizeof(query)) {
         length = recv(descriptor, &answer, sizeof(answer), MSG_DONTWAIT);
     }
     (void)close(descriptor);
-    return length > 0 && answer.header.nlmsg_type == SOCK_DIAG_BY_FAMILY ? answer.message.idiag_inode : 0;
+    if (length > 0 && answer.header.nlmsg_type == SOCK_DIAG_BY_FAMILY) {
+        *inode = answer.message.idiag_inode;
+    }
+    return length > 0;
 }
 
 /* Formats an address as /proc/net/tcp does: the IP address as a number in this machine's byte order, then the port. */
@@ -128,8 +134,7 @@
     if (uv_tcp_getpeername(accepted, (struct sockaddr *)&remote, &length) != 0) {
         return NULL;
     }
-    inode = query_inode(&remote, listen);
-    if (inode == 0) {
+    if (!query_inode(&remote, listen, &inode)) {
         inode = read_inode(&remote, listen);
     }
     if (inode == 0) {
