A request that is refused connections pauses between servers, and takes another way after two

Change: the second server is tried at once, then one each 50 ms; after two servers another node is asked, if one is known. Lost paths are probed every 500 ms, not 250: heard callers are served by others meanwhile. Test: a_request_that_is_refused_connections_pauses_between_servers failed before (354), passes.

--- a/src/balance/server_paths.h
+++ b/src/balance/server_paths.h
@@ -25,7 +25,7 @@
 enum {
     CW_PATHS_FAILURES = 2,
     CW_PATHS_PROBES = 4,
-    CW_PATHS_PROBE_INTERVAL_MS = 250,
+    CW_PATHS_PROBE_INTERVAL_MS = 500,
     CW_PATHS_PROBE_TIMEOUT_MS = 350, /**< for the answer; a probe may have to wait for a slot of its server */
     CW_PATHS_CHECK_PAUSE_MS = 1000,  /**< between checks of CW_PATHS_PROBES servers */
     CW_PATHS_FRESH_MS = 3000         /**< a success is evidence of a path for so long */
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -11,7 +11,14 @@
 #include "proxy/engine_internal.h"
 #include "proxy/request_rules.h"
 
-enum { STATUS_MISDIRECTED = 421, PAUSE_MISDIRECTED_MS = 50, MEAN_WEIGHT_DIVISOR = 24, OUTLIER_RATIO_MAX = 10 };
+enum {
+    STATUS_MISDIRECTED = 421,
+    PAUSE_MISDIRECTED_MS = 50,
+    PAUSE_UNREACHED_MS = 50,
+    UNREACHED_AT_ONCE = 2,
+    MEAN_WEIGHT_DIVISOR = 24,
+    OUTLIER_RATIO_MAX = 10
+};
 
 /* ---- repeats ---- */
 
@@ -173,6 +180,13 @@
     cw_request_send_again(request, misdirected ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
 }
 
+/* Another server is tried at once, but only one: where connections are refused, all servers would be tried over and
+ * over in a moment. */
+static cw_time_us_t pause_after_unreached(const cw_request_t *request)
+{
+    return request->is_keyed || request->unreached >= UNREACHED_AT_ONCE ? CW_MS(PAUSE_UNREACHED_MS) : 0;
+}
+
 static void handle_unreached(cw_request_t *request, const char *server, cw_time_us_t now)
 {
     cw_metric_add(CW_METRIC_UNREACHED, 1);
@@ -181,8 +195,9 @@
         cw_request_refuse(request, CW_REFUSED_SERVERS);
         return;
     }
+    request->unreached++;
     log_retry(request, server, "no connection");
-    cw_request_send_again(request, request->is_keyed ? CW_MS(PAUSE_MISDIRECTED_MS) : 0);
+    cw_request_send_again(request, pause_after_unreached(request));
 }
 
 /* The request was not written on its new connection, since it is not wanted any more, or the connection took so long
@@ -263,6 +278,7 @@
     char          id[sizeof(request->avoided_server)];
 
     request->call = NULL;
+    request->unreached = answer->result == CW_UPSTREAM_NOT_SENT ? request->unreached : 0;
     cw_text_copy(id, sizeof(id), server->id);
     cw_request_record_contact(request, answer);
     switch (answer->result) {
--- a/src/proxy/engine_placement.c
+++ b/src/proxy/engine_placement.c
@@ -9,6 +9,7 @@
 
 enum {
     NO_SERVER_WAIT_MS = 200,
+    UNREACHED_MAX = 2,   /* servers that this node does not reach before another node is asked */
     LIMIT_PAUSE_MS = 100 /* a request that may have run tries again after this time */
 };
 
@@ -57,6 +58,13 @@
     return PLACED;
 }
 
+/* Returns whether another node is more likely to reach a server for the request: this server answers other nodes, or no
+ * connection to several servers was made. */
+static bool may_be_cut_off(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now)
+{
+    return request->unreached >= UNREACHED_MAX || cw_engine_is_cut_off_from(request->engine, server, now);
+}
+
 static placement_t place(cw_request_t *request, cw_time_us_t now)
 {
     cw_server_t *server;
@@ -88,7 +96,7 @@
     if (server == NULL) {
         return full ? WAITS_FOR_SLOT : NO_SERVERS;
     }
-    if (cw_engine_is_cut_off_from(request->engine, server, now) && cw_request_delegate(request, now)) {
+    if (may_be_cut_off(request, server, now) && cw_request_delegate(request, now)) {
         return PLACED;
     }
     cw_request_send(request, server);
--- a/tests/process/lib/server_paths.sh
+++ b/tests/process/lib/server_paths.sh
@@ -21,7 +21,7 @@
     local name=$1 rate=$2 count=$3 NODES="" node
     shift 3
     for node in "$@"; do NODES="$NODES${NODES:+,}$NET.$node:8080"; done
-    cluster_callers "$name" --rate "$rate" --count "$count"
+    cluster_callers "$name" --rate "$rate" --count "$count" ${CALLER_KEY:+--credential "$CALLER_KEY"}
 }
 first_served() { # NAME...: prints how many first attempts were served
     local name
--- a/tests/test_engine_paths.c
+++ b/tests/test_engine_paths.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "base/metrics.h"
 #include "engine_fixture.h"
 
 /** The paths of a fixture's engine. */
@@ -108,6 +109,23 @@
 }
 END_TEST
 
+/* Where connections were refused, one request tried all servers over and over, a thousand times a second. */
+START_TEST(a_request_that_is_refused_connections_pauses_between_servers)
+{
+    engine_fixture_t fixture;
+
+    begin(&fixture);
+    cw_http_listener_close(fixture.servers[0].listener);
+    cw_http_listener_close(fixture.servers[1].listener);
+    engine_fixture_run_for(&fixture, CW_MS(20)); /* until the sockets are closed */
+    (void)engine_fixture_ask(&fixture, "POST", "/once/x", "15000");
+    engine_fixture_run_for(&fixture, CW_MS(400));
+    ck_assert(!fixture.answered);
+    ck_assert_uint_ge(cw_metric_value(CW_METRIC_UNREACHED), 3);
+    ck_assert_uint_le(cw_metric_value(CW_METRIC_UNREACHED), 400 / 50 + 2);
+}
+END_TEST
+
 /* ---- slots of a broker ---- */
 
 enum { BROKER = 77 };
@@ -181,6 +199,7 @@
     tcase_add_test(cases, a_ready_answer_is_delivered_although_the_paths_count_as_lost);
     tcase_add_test(cases, faults_of_servers_are_forgotten_when_the_loss_of_the_paths_explains_them);
     tcase_add_test(cases, a_request_that_fails_while_the_paths_are_lost_is_no_fault_of_its_server);
+    tcase_add_test(cases, a_request_that_is_refused_connections_pauses_between_servers);
     tcase_add_test(cases, slots_are_returned_when_the_paths_are_lost);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
--- a/tests/test_server_paths.c
+++ b/tests/test_server_paths.c
@@ -92,16 +92,19 @@
 START_TEST(lost_paths_are_probed_until_a_server_answers)
 {
     cw_server_paths_t paths = lost_paths();
+    cw_time_us_t      begun = CW_MS(250);
+    cw_time_us_t      next = begun + CW_MS(CW_PATHS_PROBE_INTERVAL_MS);
 
     ck_assert(paths.are_lost);
-    ck_assert_uint_eq(cw_server_paths_begin_probes(&paths, SERVERS, CW_MS(490)), 0);
-    ck_assert_uint_eq(cw_server_paths_begin_probes(&paths, SERVERS, CW_MS(520)), 1);
-    end_probes(&paths, 1, false, CW_MS(770));
+    ck_assert_uint_eq(cw_server_paths_begin_probes(&paths, SERVERS, next - 1), 0);
+    ck_assert_uint_eq(cw_server_paths_begin_probes(&paths, SERVERS, next), 1);
+    end_probes(&paths, 1, false, next + CW_MS(CW_PATHS_PROBE_TIMEOUT_MS));
     ck_assert(paths.are_lost);
-    ck_assert_uint_eq(cw_server_paths_begin_probes(&paths, SERVERS, CW_MS(780)), 1);
-    end_probes(&paths, 1, true, CW_MS(790));
+    next += CW_MS(CW_PATHS_PROBE_INTERVAL_MS);
+    ck_assert_uint_eq(cw_server_paths_begin_probes(&paths, SERVERS, next), 1);
+    end_probes(&paths, 1, true, next + 1);
     ck_assert(!paths.are_lost);
-    ck_assert(cw_server_paths_are_known_open(&paths, CW_MS(790)));
+    ck_assert(cw_server_paths_are_known_open(&paths, next + 1));
 }
 END_TEST
 
