--- a/src/proxy/engine.c
+++ b/src/proxy/engine.c
@@ -32,6 +32,12 @@
         cw_request_repeat_unanswered(request);
         return;
     }
+    if (request->call != NULL && now >= request->silent_at) {
+        request->silent_at = CW_NEVER;
+        cw_request_record_silence(request);
+        cw_request_arm(request);
+        return;
+    }
     if (cw_request_waits_for_slot(request) && now >= request->claim.due) {
         cw_request_slot_overdue(request, now);
         return;
--- a/src/proxy/engine_admission.c
+++ b/src/proxy/engine_admission.c
@@ -73,6 +73,7 @@
     request->is_admitted = request->was_read_late;
     request->owner_wait_until = (request->was_read_late ? now : request->arrived) + objective / OWNER_WAIT_DIVISOR;
     request->repeat_at = CW_NEVER;
+    request->silent_at = CW_NEVER;
 }
 
 static void set_key(cw_request_t *request)
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -70,16 +70,15 @@
 
 /* ---- sending ---- */
 
-static void set_repeat_time(cw_request_t *request, cw_time_us_t now)
+/* A request that may not be repeated waits on; its silence is evidence of lost paths all the same. */
+static void set_times_of_silence(cw_request_t *request, cw_time_us_t now)
 {
     double expected = (double)request->route_state->mean_time * (request->server->pace > 1 ? request->server->pace : 1);
     cw_time_us_t delay = (cw_time_us_t)(expected * request->engine->settings.repeat_factor);
+    cw_time_us_t due = now + (delay < CW_MS(REPEAT_MIN_MS) ? CW_MS(REPEAT_MIN_MS) : delay);
 
-    if (!request->route->repeatable) {
-        request->repeat_at = CW_NEVER;
-        return;
-    }
-    request->repeat_at = now + (delay < CW_MS(REPEAT_MIN_MS) ? CW_MS(REPEAT_MIN_MS) : delay);
+    request->repeat_at = request->route->repeatable ? due : CW_NEVER;
+    request->silent_at = request->route->repeatable ? CW_NEVER : due;
 }
 
 static void count_sending(const cw_server_t *server, cw_time_us_t now)
@@ -131,7 +130,7 @@
     count_sending(server, now);
     request->call = cw_upstream_call(server->connections, &sending, engine->on_answer, request);
     cw_bytes_clear(&bytes);
-    set_repeat_time(request, now);
+    set_times_of_silence(request, now);
     cw_request_arm(request);
 }
 
--- a/src/proxy/engine_delegation.c
+++ b/src/proxy/engine_delegation.c
@@ -95,6 +95,7 @@
     cw_text_copy(request->delegation.last, sizeof(request->delegation.last), delegate->node);
     request->sent_at = now;
     request->repeat_at = CW_NEVER; /* the other node repeats it if necessary */
+    request->silent_at = CW_NEVER;
     delegate->in_flight++;
     cw_metric_add(CW_METRIC_DELEGATIONS, 1);
     cw_shared_budget_withdraw_request(&request->service->budget, &engine->settings.budget, now);
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -141,6 +141,7 @@
     cw_time_us_t            sent_at;          /**< of the call in flight */
     cw_time_us_t            first_sent_at;    /**< of the first attempt; 0: not sent yet */
     cw_time_us_t            repeat_at;        /**< when to repeat it if no answer has come; CW_NEVER: never */
+    cw_time_us_t            silent_at;        /**< when its call counts as a failed contact, if it is not repeated */
     uint32_t                attempts;         /**< attempts so far */
     uint32_t                unreached;        /**< servers to which no connection was made, in a row */
     bool                    may_have_run;     /**< a server may have run the request, or may be running it */
--- a/src/proxy/engine_state.c
+++ b/src/proxy/engine_state.c
@@ -99,6 +99,9 @@
     if (request->call != NULL && request->repeat_at < due) {
         due = request->repeat_at;
     }
+    if (request->call != NULL && request->silent_at < due) {
+        due = request->silent_at;
+    }
     if (cw_request_waits_for_slot(request)) {
         due = request->claim.due < due ? request->claim.due : due;
     } else if (request->is_queued) {
--- a/tests/test_engine_paths.c
+++ b/tests/test_engine_paths.c
@@ -109,6 +109,28 @@
 }
 END_TEST
 
+/* Its time is over much later; a node with few requests found the loss of its paths only then. */
+START_TEST(an_unanswered_request_that_is_not_repeated_counts_as_a_failed_contact_early)
+{
+    engine_fixture_t fixture;
+
+    engine_fixture_init_with_repeat_factor(&fixture, 1);
+    table = cw_service_paths_create();
+    cw_engine_set_paths(fixture.engine, table);
+    paths = cw_service_paths_of(table, cw_server_pool_find(fixture.pool, "s0")->service_hash);
+    (void)engine_fixture_ask(&fixture, "POST", "/once/x", "60000");
+    while (paths->failures == 0) {
+        engine_fixture_run_for(&fixture, CW_MS(20));
+    }
+    ck_assert(!fixture.answered);
+    engine_fixture_run_for(&fixture, CW_MS(200));
+    ck_assert_uint_eq(paths->failures, 1); /* once for each call */
+    engine_server_answer(&fixture.servers[0], 200, "s0", NULL);
+    cw_test_run_until_set(&fixture.loop, &fixture.answered);
+    ck_assert_int_eq(fixture.status, 200);
+}
+END_TEST
+
 /* Where connections were refused, one request tried all servers over and over, a thousand times a second. */
 START_TEST(a_request_that_is_refused_connections_pauses_between_servers)
 {
@@ -199,6 +221,7 @@
     tcase_add_test(cases, a_ready_answer_is_delivered_although_the_paths_count_as_lost);
     tcase_add_test(cases, faults_of_servers_are_forgotten_when_the_loss_of_the_paths_explains_them);
     tcase_add_test(cases, a_request_that_fails_while_the_paths_are_lost_is_no_fault_of_its_server);
+    tcase_add_test(cases, an_unanswered_request_that_is_not_repeated_counts_as_a_failed_contact_early);
     tcase_add_test(cases, a_request_that_is_refused_connections_pauses_between_servers);
     tcase_add_test(cases, slots_are_returned_when_the_paths_are_lost);
     suite_add_tcase(suite, cases);
