A port that resets what it has accepted is tried again, like one that accepts

Cause: when the connection to a server is lost, its port is tried at once. A process that ends closes its sockets one after the other, so the listener may take the connection and reset it before the loop has seen it connected. This result (ECONNRESET) was "unknown", which is not tried again.

Evidence: in the hung cluster no node had probed other servers (cedarwinch_server_path_probes_total 0 at all four), so no probe had been refused; the request was lost 1 ms after it was sent. Ruled out: that the refusal was seen and not proved by another server (then probes of paths would have been counted).

Change: a result of its own, and the probe is tried again after 100 ms as after an accepted connection, four tries in all.

--- a/src/net/connect_probe.c
+++ b/src/net/connect_probe.c
@@ -45,13 +45,23 @@
     probe->done(probe->context, result);
 }
 
-static void on_connected(uv_connect_t *connect, int status)
+static cw_probe_result_t result_of(int status)
 {
-    cw_probe_result_t result = status == 0                 ? CW_PROBE_CONNECTED
-                               : status == UV_ECONNREFUSED ? CW_PROBE_REFUSED
-                                                           : CW_PROBE_UNKNOWN;
+    switch (status) {
+    case 0:
+        return CW_PROBE_CONNECTED;
+    case UV_ECONNREFUSED:
+        return CW_PROBE_REFUSED;
+    case UV_ECONNRESET:
+        return CW_PROBE_RESET;
+    default:
+        return CW_PROBE_UNKNOWN;
+    }
+}
 
-    finish(connect->data, result);
+static void on_connected(uv_connect_t *connect, int status)
+{
+    finish(connect->data, result_of(status));
 }
 
 static void on_timeout(uv_timer_t *timer)
--- a/src/net/connect_probe.h
+++ b/src/net/connect_probe.h
@@ -13,6 +13,7 @@
 typedef enum cw_probe_result {
     CW_PROBE_CONNECTED,
     CW_PROBE_REFUSED, /**< the machine answers, but no process listens at the port */
+    CW_PROBE_RESET,   /**< the port took the connection and reset it, as when its process is just ending */
     CW_PROBE_UNKNOWN  /**< no answer within the timeout, or another failure */
 } cw_probe_result_t;
 
--- a/src/router/router_crashes.c
+++ b/src/router/router_crashes.c
@@ -17,8 +17,8 @@
 
 enum {
     PROBE_TIMEOUT_MS = 300, /* connect timeout */
-    /* A process that ends closes the connection before its listener, or after: while the port still accepts, the probe
-     * is tried again. */
+    /* A process that ends closes the connection before its listener, or after: while the port still accepts, or resets
+     * what it has accepted, the probe is tried again. */
     PROBE_TRIES = 4,
     PROBE_AGAIN_MS = 100,
     PROBES_PER_SECOND = 10, /* many connections may be reset at once; the list proves the ends of servers not probed */
@@ -86,7 +86,7 @@
         if (!cw_refused_probes_add(&probe->crashes->refused, &refused)) {
             cw_metric_add(CW_METRIC_LOSSES_DROPPED, 1);
         }
-    } else if (result == CW_PROBE_CONNECTED && ++probe->tries < PROBE_TRIES) {
+    } else if (result != CW_PROBE_UNKNOWN && ++probe->tries < PROBE_TRIES) {
         uv_timer_start(&probe->timer, on_next_try, PROBE_AGAIN_MS, 0);
         return;
     }
