A request of another node is sent to servers only once this node has reached one

Cause: the node whose requests the servers held took its paths for lost and passed the next requests to nodes that had not contacted the service lately. These sent them to the same servers, where they ended with the time limit.

Change: a node that has no contact with the service within the last 3 s checks its paths first (as after failed contacts: up to four servers are probed at once, 350 ms at most); the request waits for that, and is declined if none answers, so that another node may take it.

Tests: three of requests that are taken, two of the wanted check.

--- a/src/balance/server_paths.c
+++ b/src/balance/server_paths.c
@@ -25,11 +25,17 @@
     paths->failures++;
 }
 
+void cw_server_paths_want_check(cw_server_paths_t *paths)
+{
+    paths->is_check_wanted = true;
+}
+
 static uint32_t begin(cw_server_paths_t *paths, uint32_t probes, bool is_checking, cw_time_us_t now)
 {
     paths->probed_at = now;
     if (is_checking) {
         paths->check_began_at = now;
+        paths->is_check_wanted = false;
     }
     paths->is_checking = is_checking;
     paths->probes = probes;
@@ -38,7 +44,7 @@
 
 static bool is_check_due(const cw_server_paths_t *paths, cw_time_us_t now)
 {
-    return paths->failures >= CW_PATHS_FAILURES &&
+    return (paths->is_check_wanted || paths->failures >= CW_PATHS_FAILURES) &&
            (paths->check_began_at == 0 || now - paths->check_began_at >= CW_MS(CW_PATHS_CHECK_PAUSE_MS));
 }
 
--- a/src/balance/server_paths.h
+++ b/src/balance/server_paths.h
@@ -10,7 +10,8 @@
  *  - After CW_PATHS_FAILURES failed contacts without a success between them, CW_PATHS_PROBES servers are probed at once
  *    on new connections. If none of them answers, and no other contact has succeeded meanwhile, the paths are lost.
  *  - While they are lost, one server is probed every CW_PATHS_PROBE_INTERVAL_MS. Any success ends the loss.
- *  - A node without contacts does not probe: it is not known whether it reaches servers.
+ *  - A node without contacts does not probe: it is not known whether it reaches servers. If that has to be known, a
+ *    check is wanted, which probes as after failed contacts.
  *
  * No I/O; time is a parameter, microseconds of the node's steady clock.
  */
@@ -42,12 +43,15 @@
     cw_time_us_t check_began_at; /**< start of the last check of several servers; 0: none */
     uint32_t     probes;         /**< probes in flight */
     bool         is_checking;    /**< they decide whether the paths are lost */
+    bool         is_check_wanted;
 } cw_server_paths_t;
 
 /** Records that something has come from a server. */
 void cw_server_paths_record_reached(cw_server_paths_t *paths, cw_time_us_t now);
 /** Records a failed contact. */
 void cw_server_paths_record_failed(cw_server_paths_t *paths);
+/** Asks for a check of the paths, as soon as CW_PATHS_CHECK_PAUSE_MS allows. */
+void cw_server_paths_want_check(cw_server_paths_t *paths);
 /** Returns the number of servers to be probed now; each probe then ends with cw_server_paths_record_probe. servers:
  * number of listed servers. */
 uint32_t cw_server_paths_begin_probes(cw_server_paths_t *paths, uint32_t servers, cw_time_us_t now);
--- a/src/peer/delegated_request.h
+++ b/src/peer/delegated_request.h
@@ -36,7 +36,7 @@
 typedef enum cw_delegation_outcome {
     CW_DELEGATION_ANSWERED, /**< with a server's answer */
     CW_DELEGATION_REFUSED,  /**< it has not run and never will */
-    CW_DELEGATION_DECLINED, /**< the same, and the receiver has not tried: another node may */
+    CW_DELEGATION_DECLINED, /**< the same, and the receiver cannot serve it: another node may */
     CW_DELEGATION_FAILED,   /**< it may have run */
 } cw_delegation_outcome_t;
 
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -194,7 +194,7 @@
         add_decision_inputs(&event, request);
         cw_event_end(&event);
     }
-    answer_and_end(request, &outbound, CW_DELEGATION_REFUSED);
+    answer_and_end(request, &outbound, reason == CW_REFUSED_PATHS ? CW_DELEGATION_DECLINED : CW_DELEGATION_REFUSED);
 }
 
 void cw_request_refuse_limit(cw_request_t *request, cw_time_us_t retry_after)
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -262,6 +262,9 @@
 void cw_request_record_silence(const cw_request_t *request);
 /** Returns whether this node reaches no server of the service with this hash. */
 bool cw_engine_has_lost_paths(const cw_engine_t *engine, uint32_t service);
+/** Returns whether the request waits until this node knows that it reaches the service: a request of another node is
+ * sent to a server only then, since that node may have passed it on because no node reaches one. Asks for a check. */
+bool cw_request_waits_for_paths(const cw_request_t *request, cw_time_us_t now);
 /** Returns whether this node does not reach a server that answers other nodes. */
 bool cw_engine_is_cut_off_from(const cw_engine_t *engine, const cw_server_t *server, cw_time_us_t now);
 
--- a/src/proxy/engine_paths.c
+++ b/src/proxy/engine_paths.c
@@ -53,6 +53,24 @@
            now - server->answered_others_at <= CW_MS(ANSWERED_OTHERS_FRESH_MS);
 }
 
+bool cw_request_waits_for_paths(const cw_request_t *request, cw_time_us_t now)
+{
+    const cw_engine_t *engine = request->engine;
+    uint32_t           service = request->service->hash;
+    cw_server_paths_t *paths;
+
+    if (request->delegation.origin == NULL || engine->paths == NULL ||
+        cw_server_pool_of_service(engine->pool, service) == NULL) {
+        return false;
+    }
+    paths = cw_service_paths_of(engine->paths, service);
+    if (cw_server_paths_are_known_open(paths, now)) {
+        return false;
+    }
+    cw_server_paths_want_check(paths);
+    return true;
+}
+
 /* ---- a change ---- */
 
 /* A request of which no byte was sent waits again. One that was sent keeps its call, since it may have reached its
--- a/src/proxy/engine_placement.c
+++ b/src/proxy/engine_placement.c
@@ -23,6 +23,7 @@
     WAITS_FOR_OWNER,
     NO_SERVERS,
     NO_PATHS,
+    WAITS_FOR_PATHS,
     PAUSED
 } placement_t;
 
@@ -77,6 +78,9 @@
     if (cw_engine_has_lost_paths(request->engine, request->service->hash)) {
         return cw_request_delegate(request, now) ? PLACED : NO_PATHS;
     }
+    if (cw_request_waits_for_paths(request, now)) {
+        return WAITS_FOR_PATHS;
+    }
     if (request->is_keyed) {
         return place_keyed(request, now);
     }
@@ -135,7 +139,7 @@
         request->claim.is_chosen_locally = false;
         request->not_before = now + (reason == SERVER_RESTS ? cw_request_holdoff(request, now) : CW_MS(LIMIT_PAUSE_MS));
     }
-    if (reason == PAUSED ||
+    if (reason == PAUSED || reason == WAITS_FOR_PATHS ||
         request->attempts > 0) { /* a server may have run the request, which may use all of its time to get an answer */
         cw_request_arm(request);
         return;
--- a/src/router/router_paths.c
+++ b/src/router/router_paths.c
@@ -78,6 +78,9 @@
     } else if (is_answered) {
         cw_server_paths_record_reached(paths, cw_router_now(router));
     }
+    if (is_answered) {
+        cw_engine_wake(router->engine); /* requests of other nodes may wait for this */
+    }
     free(probe);
 }
 
--- a/tests/engine_fixture.c
+++ b/tests/engine_fixture.c
@@ -296,8 +296,11 @@
     const char    *retry_after = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, "retry-after");
     const char    *challenge = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, "www-authenticate");
 
+    const char    *outcome = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, cw_delegation_outcome_field);
+
     call->answered = true;
     call->result = answer->result;
+    snprintf(call->delegation_outcome, sizeof(call->delegation_outcome), "%s", outcome == NULL ? "" : outcome);
     call->is_challenged = challenge != NULL && strcmp(challenge, "Token") == 0;
     call->status = answer->status;
     call->retry_after_s = retry_after == NULL ? -1 : atof(retry_after);
--- a/tests/engine_fixture.h
+++ b/tests/engine_fixture.h
@@ -49,6 +49,7 @@
     double               retry_after_s; /**< -1: none */
     bool                 is_challenged; /**< the answer names the authentication scheme */
     char                 body[32];
+    char                 delegation_outcome[32]; /**< field between nodes; empty: none */
     cw_upstream_call_t  *call;
 } engine_call_t;
 
--- a/tests/test_engine_delegation.c
+++ b/tests/test_engine_delegation.c
@@ -355,12 +355,29 @@
                                     .objective_left = CW_MS(LEFT_MS)};
 }
 
-static void begin_taking(engine_fixture_t *fixture)
+static void begin_taking_without_contacts(engine_fixture_t *fixture)
 {
     begin(fixture);
     fixture->takes_delegated = true;
 }
 
+static void reach_a_server(engine_fixture_t *fixture)
+{
+    cw_server_paths_record_reached(cw_service_paths_of(table, service_hash(fixture)), cw_engine_now(fixture->engine));
+    cw_engine_wake(fixture->engine);
+}
+
+static void begin_taking(engine_fixture_t *fixture)
+{
+    begin_taking_without_contacts(fixture);
+    reach_a_server(fixture);
+}
+
+static bool is_declined(const engine_fixture_t *fixture)
+{
+    return strncmp(fixture->calls[0].delegation_outcome, "declined", strlen("declined")) == 0;
+}
+
 START_TEST(a_request_of_another_node_gets_a_server_and_the_time_that_is_left)
 {
     engine_fixture_t       fixture;
@@ -416,6 +433,54 @@
 }
 END_TEST
 
+/* Guards against a request that is sent to servers that stand still: two nodes sent it there one after the other, and
+ * it ended with 504 where it had been refused at once. */
+START_TEST(a_request_of_another_node_is_sent_once_this_node_has_reached_a_server)
+{
+    engine_fixture_t       fixture;
+    cw_delegated_request_t stated = default_statement();
+
+    begin_taking_without_contacts(&fixture);
+    send_delegated(&fixture, &stated, "/once/x");
+    engine_fixture_run_for(&fixture, CW_MS(50));
+    ck_assert_uint_eq(fixture.servers[0].requests + fixture.servers[1].requests, 0);
+    ck_assert(cw_service_paths_of(table, service_hash(&fixture))->is_check_wanted);
+    reach_a_server(&fixture);
+    cw_test_run_until_set(&fixture.loop, &fixture.servers[0].has_request);
+}
+END_TEST
+
+START_TEST(a_request_of_another_node_is_declined_if_this_one_reaches_no_server_either)
+{
+    engine_fixture_t       fixture;
+    cw_delegated_request_t stated = default_statement();
+
+    begin_taking_without_contacts(&fixture);
+    send_delegated(&fixture, &stated, "/once/x");
+    engine_fixture_run_for(&fixture, CW_MS(50));
+    lose_paths(&fixture);
+    cw_test_run_until_set(&fixture.loop, &fixture.answered);
+    ck_assert_int_eq(fixture.status, 503);
+    ck_assert(is_declined(&fixture));
+    ck_assert_uint_eq(fixture.servers[0].requests + fixture.servers[1].requests, 0);
+}
+END_TEST
+
+/* Without an evidence of its own: it knows of no server that it could ask for one. */
+START_TEST(a_request_of_another_node_for_a_service_without_servers_is_refused_as_any_other)
+{
+    engine_fixture_t       fixture;
+    cw_delegated_request_t stated = default_statement();
+
+    begin_taking_without_contacts(&fixture);
+    stated.service = (char *)"service-without-servers";
+    send_delegated(&fixture, &stated, "/once/x");
+    cw_test_run_until_set(&fixture.loop, &fixture.answered);
+    ck_assert_int_eq(fixture.status, 503);
+    ck_assert(!is_declined(&fixture));
+}
+END_TEST
+
 START_TEST(a_request_for_a_route_that_is_not_known_here_is_declined)
 {
     engine_fixture_t       fixture;
@@ -521,6 +586,9 @@
     tcase_add_test(taking, a_request_of_another_node_gets_a_server_and_the_time_that_is_left);
     tcase_add_test(taking, a_request_of_another_node_is_never_passed_on);
     tcase_add_test(taking, a_request_of_another_node_waiting_when_the_paths_are_lost_is_refused);
+    tcase_add_test(taking, a_request_of_another_node_is_sent_once_this_node_has_reached_a_server);
+    tcase_add_test(taking, a_request_of_another_node_is_declined_if_this_one_reaches_no_server_either);
+    tcase_add_test(taking, a_request_of_another_node_for_a_service_without_servers_is_refused_as_any_other);
     tcase_add_test(taking, a_request_for_a_route_that_is_not_known_here_is_declined);
     tcase_add_test(taking, a_node_that_stops_declines);
     tcase_add_test(taking, attempts_at_the_other_node_count);
--- a/tests/test_server_paths.c
+++ b/tests/test_server_paths.c
@@ -49,6 +49,28 @@
 }
 END_TEST
 
+START_TEST(a_wanted_check_probes_once_without_failed_contacts)
+{
+    cw_server_paths_t paths = {0};
+
+    cw_server_paths_want_check(&paths);
+    ck_assert_uint_eq(cw_server_paths_begin_probes(&paths, SERVERS, CW_MS(200)), CW_PATHS_PROBES);
+    end_probes(&paths, CW_PATHS_PROBES, true, CW_MS(210));
+    ck_assert(cw_server_paths_are_known_open(&paths, CW_MS(210)));
+    ck_assert_uint_eq(cw_server_paths_begin_probes(&paths, SERVERS, CW_SECONDS(2)), 0);
+}
+END_TEST
+
+START_TEST(a_wanted_check_finds_lost_paths)
+{
+    cw_server_paths_t paths = {0};
+
+    cw_server_paths_want_check(&paths);
+    end_probes(&paths, cw_server_paths_begin_probes(&paths, SERVERS, CW_MS(200)), false, CW_MS(550));
+    ck_assert(paths.are_lost);
+}
+END_TEST
+
 START_TEST(paths_are_lost_if_no_probe_is_answered)
 {
     cw_server_paths_t paths = reached_paths(CW_MS(100));
@@ -151,6 +173,8 @@
     TCase *cases = tcase_create("server_paths");
 
     tcase_add_test(cases, one_failed_contact_is_no_reason_to_probe);
+    tcase_add_test(cases, a_wanted_check_probes_once_without_failed_contacts);
+    tcase_add_test(cases, a_wanted_check_finds_lost_paths);
     tcase_add_test(cases, paths_are_lost_if_no_probe_is_answered);
     tcase_add_test(cases, one_answered_probe_shows_a_path);
     tcase_add_test(cases, an_answer_during_the_check_shows_a_path);
