--- a/tests/engine_fixture.c
+++ b/tests/engine_fixture.c
@@ -296,7 +296,8 @@
     const char    *retry_after = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, "retry-after");
     const char    *challenge = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, "www-authenticate");
 
-    const char    *outcome = answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, cw_delegation_outcome_field);
+    const char *outcome =
+        answer->fields == NULL ? NULL : cw_http_fields_find(answer->fields, cw_delegation_outcome_field);
 
     call->answered = true;
     call->result = answer->result;
