Silence counts as a failed contact also if the request is not repeated again

Cause, first part: four cut nodes had lost their paths to the service divided by key 4.9 to 6.3 s after they had last heard of it. A repeatable request that nothing answers was a failed contact only if it was repeated; with no attempts or no retry budget left it was silent until its deadline.

Change: the silence is recorded before it is decided whether the request is repeated.

--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -94,12 +94,12 @@
     cw_server_t *server = request->server;
 
     request->repeat_at = CW_NEVER;
+    cw_request_record_silence(request);
     if (!cw_request_is_caller_valid(request) || next_step(request, CW_OUTCOME_UNRESPONSIVE, 0, now) != CW_NEXT_REPEAT) {
         cw_request_arm(request);
         return;
     }
     log_retry(request, server->id, "silence");
-    cw_request_record_silence(request);
     cw_server_pool_record_slow(server, now - request->sent_at, request->route_state->mean_time, now);
     cw_request_abandon(request);
     cw_request_send_again(request, 0);
--- a/tests/test_engine_paths.c
+++ b/tests/test_engine_paths.c
@@ -131,6 +131,31 @@
 }
 END_TEST
 
+/* Guards against a loss that is found late: the requests of a service were not repeated any more, since their attempts
+ * or the retry budget were used up, and their silence was not recorded. */
+START_TEST(silence_counts_as_a_failed_contact_also_if_the_request_may_not_be_repeated_again)
+{
+    engine_fixture_t    fixture;
+    cw_configuration_t *configuration = cw_configuration_create(2);
+    cw_route_t         *route;
+
+    engine_fixture_init_with_repeat_factor(&fixture, 1);
+    table = cw_service_paths_create();
+    cw_engine_set_paths(fixture.engine, table);
+    paths = cw_service_paths_of(table, cw_server_pool_find(fixture.pool, "s0")->service_hash);
+    route = engine_fixture_add_route(configuration, "single", true);
+    route->max_attempts = 1;
+    cw_route_add_part(route, "service", 1);
+    engine_fixture_use(&fixture, configuration);
+    (void)engine_fixture_ask(&fixture, "GET", "/single/x", "60000");
+    while (paths->failures == 0) {
+        engine_fixture_run_for(&fixture, CW_MS(20));
+    }
+    ck_assert(!fixture.answered);
+    ck_assert_uint_eq(fixture.servers[0].requests + fixture.servers[1].requests, 1);
+}
+END_TEST
+
 /* Where connections were refused, one request tried all servers over and over, a thousand times a second. */
 START_TEST(a_request_that_is_refused_connections_pauses_between_servers)
 {
@@ -222,6 +247,7 @@
     tcase_add_test(cases, faults_of_servers_are_forgotten_when_the_loss_of_the_paths_explains_them);
     tcase_add_test(cases, a_request_that_fails_while_the_paths_are_lost_is_no_fault_of_its_server);
     tcase_add_test(cases, an_unanswered_request_that_is_not_repeated_counts_as_a_failed_contact_early);
+    tcase_add_test(cases, silence_counts_as_a_failed_contact_also_if_the_request_may_not_be_repeated_again);
     tcase_add_test(cases, a_request_that_is_refused_connections_pauses_between_servers);
     tcase_add_test(cases, slots_are_returned_when_the_paths_are_lost);
     suite_add_tcase(suite, cases);
