After a leader that was cut off, a node takes the lock only if it reaches servers

Keys were refused for seconds although one node reached all servers.

Cause, second part: the leader stepped down since it reached no server, and the lock went to four other cut nodes one after the other (n1, n2, n6, n4, then n3, which was not cut). Each found its own loss only by its failing orders, 0.5 s later; each gave new fences, and its unanswered grants lengthened the holds of a server that had crashed.

Ruled out: that these nodes knew of their loss (they logged it 0.5 s after they took the lock) and that the take delay of nodes that know it failed.

What concerns leaders and paths is a file of its own. Nothing changes while no node states a loss.

Evidence: test_node_paths, "a node leads after one that is cut off only if it reaches a server": fails on the sources before, passes now.

--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -307,10 +307,15 @@
            now - leadership->last_read_at < CW_MS(READ_RECENT_MS);
 }
 
+static bool waits_for_leader(const cw_leadership_t *leadership, cw_time_us_t now)
+{
+    return leadership->resigning || now < leadership->follow_until ||
+           now - leadership->last_received_at < wait_before_read(leadership);
+}
+
 static cw_leadership_action_t follow(cw_leadership_t *leadership, cw_time_us_t now)
 {
-    if (leadership->resigning || now < leadership->follow_until ||
-        now - leadership->last_received_at < wait_before_read(leadership)) {
+    if (waits_for_leader(leadership, now)) {
         return CW_LEADERSHIP_WAIT;
     }
     if (leadership->absent && now < create_at(leadership)) {
@@ -347,9 +352,19 @@
     return begin_action(leadership, CW_LEADERSHIP_REPLACE, now);
 }
 
+static bool is_call_due(const cw_leadership_t *leadership, cw_time_us_t now)
+{
+    return leadership->pending == CW_LEADERSHIP_WAIT && now >= leadership->next_at;
+}
+
+bool cw_leadership_is_turn_to_take(const cw_leadership_t *leadership, cw_time_us_t now)
+{
+    return !leadership->leading && is_call_due(leadership, now) && !waits_for_leader(leadership, now);
+}
+
 cw_leadership_action_t cw_leadership_tick(cw_leadership_t *leadership, cw_time_us_t now)
 {
-    if (leadership->pending != CW_LEADERSHIP_WAIT || now < leadership->next_at) {
+    if (!is_call_due(leadership, now)) {
         return CW_LEADERSHIP_WAIT;
     }
     return leadership->leading ? lead(leadership, now) : follow(leadership, now);
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -133,6 +133,8 @@
 /** Sets, with each tick, how much later than it could this node takes the lock because a more capable one is
  * reachable. 0: no such node is reachable. */
 void cw_leadership_set_take_delay(cw_leadership_t *leadership, cw_time_us_t take_delay);
+/** Whether this node, which follows, would read or take the lock now, since it hears of no leader. */
+bool cw_leadership_is_turn_to_take(const cw_leadership_t *leadership, cw_time_us_t now);
 /** Handles an object of this term in the store. A leader of an earlier term reads the lock: either it leads no more, or
  * it takes a later term. */
 void cw_leadership_receive_term(cw_leadership_t *leadership, uint64_t term, cw_time_us_t now);
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -303,6 +303,9 @@
 void cw_router_paths_probe(cw_router_t *router, uint32_t service);
 /** Whether this node reaches no server of the service with this hash. */
 bool cw_router_has_lost_paths(const cw_router_t *router, uint32_t service);
+/** Whether it is known if this node reaches servers of the service: it has lost them, they answered it within `fresh`
+ * and no contact has failed since, or none is listed. If it is not known, servers are probed. */
+bool cw_router_has_proof_of_paths(cw_router_t *router, uint32_t service, cw_time_us_t fresh, cw_time_us_t now);
 /** What this node states about its paths to servers. */
 cw_peer_paths_t cw_router_own_paths(const cw_router_t *router, cw_time_us_t now);
 /** Whether a node is alive, does not stop, and has not lost its paths to any service, as far as this node knows. */
@@ -602,6 +605,13 @@
 void cw_router_add_samples(cw_router_t *router, uint32_t service_hash, const cw_router_samples_t *samples,
                            cw_time_us_t now);
 
+/* ---- router_lead_paths.c ---- */
+/** Whether this node leaves the lead to others: it reaches no server of a service divided by key, and knows a node that
+ * may. */
+bool cw_router_leaves_lead_for_paths(const cw_router_t *router, cw_time_us_t now);
+/** Whether this node, whose turn it is to take the lock, must know first if it reaches servers. */
+bool cw_router_awaits_proof_of_paths(cw_router_t *router, cw_time_us_t now);
+
 /* ---- router_lead.c ---- */
 /** Creates the state of leadership. The settings of the lock come from the node's settings. */
 void cw_router_lead_init(cw_router_t *router);
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -323,32 +323,6 @@
     }
 }
 
-/* Whether this node reaches no server of a service that is divided by key. */
-static bool has_lost_keyed_service(const cw_router_t *router)
-{
-    size_t index;
-
-    for (index = 0; router->configuration != NULL && index < router->configuration->service_count; index++) {
-        const cw_service_t *service = &router->configuration->services[index];
-
-        if (service->keyed && cw_router_has_lost_paths(router, cw_name_hash(service->name))) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* A leader that reaches no server can neither grant nor renew. Whether servers answer other nodes cannot be asked: once
- * the grants have run out, keyed servers answer nobody. */
-static void resign_without_paths(cw_router_t *router, cw_time_us_t now)
-{
-    if (has_lost_keyed_service(router) && cw_router_knows_peer_with_paths(router, now) &&
-        !router->leadership.resigning) {
-        log_leadership(router, CW_EVENT_LEADER_LOST, "this node reaches no server");
-        cw_leadership_step_down(&router->leadership, now, CW_SECONDS(STEP_DOWN_DURATION_S));
-    }
-}
-
 /* ---- which node should lead ---- */
 
 uint32_t cw_router_capability(const cw_router_t *router)
@@ -378,12 +352,22 @@
 {
     cw_time_us_t delay = cw_leader_tenure_take_delay(&router->tenure);
 
-    if (has_lost_keyed_service(router) && cw_router_knows_peer_with_paths(router, now)) {
+    if (cw_router_leaves_lead_for_paths(router, now)) {
         delay += CW_MS(NO_PATHS_TAKE_DELAY_MS);
     }
     return delay;
 }
 
+/* A leader that reaches no server can neither grant nor renew. Whether servers answer other nodes cannot be asked: once
+ * the grants have run out, keyed servers answer nobody. */
+static void resign_without_paths(cw_router_t *router, cw_time_us_t now)
+{
+    if (cw_router_leaves_lead_for_paths(router, now) && !router->leadership.resigning) {
+        log_leadership(router, CW_EVENT_LEADER_LOST, "this node reaches no server");
+        cw_leadership_step_down(&router->leadership, now, CW_SECONDS(STEP_DOWN_DURATION_S));
+    }
+}
+
 /* Takes the lock later, or steps down, for a far more capable node (leader_tenure.h): a small node leads only while no
  * larger one can. */
 static void yield_to_rival(cw_router_t *router, cw_time_us_t now)
@@ -436,7 +420,9 @@
     size_t   index;
 
     yield_to_rival(router, now);
-    tick_lock(router, now);
+    if (!cw_router_awaits_proof_of_paths(router, now)) {
+        tick_lock(router, now);
+    }
     has_authority = cw_router_has_authority(router, now);
     if (cw_leader_tenure_authority_changed(&router->tenure, has_authority)) {
         router->all_report_due = true;
--- a/src/router/router_paths.c
+++ b/src/router/router_paths.c
@@ -141,6 +141,18 @@
     return cw_service_paths_are_lost(router->paths->table, service);
 }
 
+bool cw_router_has_proof_of_paths(cw_router_t *router, uint32_t service, cw_time_us_t fresh, cw_time_us_t now)
+{
+    cw_server_paths_t *paths = cw_service_paths_of(router->paths->table, service);
+    bool               is_reached = paths->failures == 0 && paths->reached_at != 0 && now - paths->reached_at <= fresh;
+
+    if (paths->are_lost || is_reached || cw_server_pool_of_service(router->pool, service) == NULL) {
+        return true;
+    }
+    cw_server_paths_want_check(paths);
+    return false;
+}
+
 cw_peer_paths_t cw_router_own_paths(const cw_router_t *router, cw_time_us_t now)
 {
     const cw_service_paths_t *table = router->paths->table;
--- a/tests/test_node_paths.c
+++ b/tests/test_node_paths.c
@@ -7,9 +7,10 @@
 #include "loop_fixture.h"
 #include "node_fixture.h"
 
-enum { SERVERS = 6, PEER_SEQUENCES = 800 };
+enum { SERVERS = 6, PEER_SEQUENCES = 800, FOLLOWER_SEQUENCES = 100 };
 
 static const char peer[] = "10.9.0.2";
+static const char other_peer[] = "10.9.0.3";
 
 /* Delivers a report of another node that states its paths. */
 static void receive_paths(node_fixture_t *node, Cwp__ServerPaths paths, uint32_t sequence)
@@ -103,6 +104,38 @@
 }
 END_TEST
 
+/* A follower that hears of no leader, while another node states its paths. Returns whether it leads after 2 s, well
+ * below the time that a node which knows its loss leaves to others. */
+static bool leads_beside(Cwp__ServerPaths paths_of_peer, bool servers_answer_probes)
+{
+    node_fixture_t *node = node_fixture_create();
+    uint32_t        sequence;
+    bool            leads;
+
+    cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "docks"), "test");
+    node_fixture_read_servers(node, "docks", SERVERS, "10.0.0.1:80");
+    node->servers_answer_probes = servers_answer_probes;
+    for (sequence = 1; sequence <= FOLLOWER_SEQUENCES; sequence++) {
+        receive_paths(node, paths_of_peer, sequence);
+        node_fixture_receive_report(node, other_peer, "z1", sequence);
+        node_fixture_tick(node, CW_TICK_MS);
+        node_fixture_answer_store(node);
+        node_fixture_answer_orders(node, CW_ORDER_DONE);
+    }
+    leads = node->router.leadership.leading;
+    node_fixture_free(node);
+    return leads;
+}
+
+/* Guards against a series of leaders that are cut off, each of which finds its loss only by its orders. */
+START_TEST(a_node_leads_after_one_that_is_cut_off_only_if_it_reaches_a_server)
+{
+    ck_assert(!leads_beside(CWP__SERVER_PATHS__PATHS_LOST, false));
+    ck_assert(leads_beside(CWP__SERVER_PATHS__PATHS_LOST, true));
+    ck_assert(leads_beside(CWP__SERVER_PATHS__PATHS_UNKNOWN, false)); /* nobody has lost paths: nothing is asked */
+}
+END_TEST
+
 START_TEST(a_node_states_its_paths)
 {
     node_fixture_t *node = create_leader();
@@ -153,6 +186,7 @@
     tcase_add_test(cases, a_leader_stays_if_no_other_node_reaches_servers_either);
     tcase_add_test(cases, a_leader_that_reaches_no_server_moves_no_keys);
     tcase_add_test(cases, a_node_without_paths_takes_the_lock_later_than_others);
+    tcase_add_test(cases, a_node_leads_after_one_that_is_cut_off_only_if_it_reaches_a_server);
     tcase_add_test(cases, a_node_states_its_paths);
     tcase_add_test(cases, a_node_is_ready_while_it_or_a_node_that_it_knows_reaches_servers);
     tcase_add_test(cases, the_only_node_of_a_fleet_stays_ready);
