A leader gives keys only to servers that it has reached

Cause: which servers orders do not reach is known to the leader that sent them; the next one trusts every listed server. A server without keys has the lowest cost, so it is the first to get some.

Change: a server that has answered this leader neither an order nor a probe since it took the lock gets keys only if no other server can. No probe where all servers own keys.

--- a/src/placement/order_trust.c
+++ b/src/placement/order_trust.c
@@ -19,8 +19,17 @@
     UT_hash_handle hh;
 } doubt_t;
 
+typedef struct contact {
+    uint32_t       server;
+    bool           is_reached;
+    cw_time_us_t   probed_at; /* 0: never */
+    UT_hash_handle hh;
+} contact_t;
+
 struct cw_order_trust {
-    doubt_t *doubts;
+    doubt_t     *doubts;
+    contact_t   *contacts; /* since the node took the lock */
+    cw_time_us_t term_began_at;
 };
 
 cw_order_trust_t *cw_order_trust_create(void)
@@ -36,6 +45,23 @@
     free(doubt);
 }
 
+static void remove_contact(cw_order_trust_t *trust, contact_t *contact)
+{
+    HASH_DEL(trust->contacts, contact); /* NOLINT(clang-analyzer-unix.Malloc): it does not follow uthash's macros */
+    free(contact);
+}
+
+static void remove_contacts(cw_order_trust_t *trust)
+{
+    contact_t *contact;
+    contact_t *next;
+
+    HASH_ITER(hh, trust->contacts, contact, next)
+    {
+        remove_contact(trust, contact);
+    }
+}
+
 void cw_order_trust_free(cw_order_trust_t *trust)
 {
     doubt_t *doubt;
@@ -45,6 +71,7 @@
     {
         remove_doubt(trust, doubt);
     }
+    remove_contacts(trust);
     free(trust);
 }
 
@@ -92,10 +119,73 @@
     }
 }
 
+/* ---- contacts of a term ---- */
+
+static contact_t *find_contact(const cw_order_trust_t *trust, uint32_t server)
+{
+    contact_t *contact;
+
+    HASH_FIND(hh, trust->contacts, &server, sizeof(server), contact);
+    return contact;
+}
+
+static contact_t *find_or_add_contact(cw_order_trust_t *trust, uint32_t server)
+{
+    contact_t *contact = find_contact(trust, server);
+
+    if (contact == NULL) {
+        contact = cw_memory_zeroed(sizeof(*contact));
+        contact->server = server;
+        HASH_ADD(hh, trust->contacts, server, sizeof(contact->server), contact);
+    }
+    return contact;
+}
+
+void cw_order_trust_begin_term(cw_order_trust_t *trust, cw_time_us_t now)
+{
+    remove_contacts(trust);
+    trust->term_began_at = now;
+}
+
+bool cw_order_trust_has_reached(const cw_order_trust_t *trust, uint32_t server)
+{
+    const contact_t *contact = find_contact(trust, server);
+
+    return contact != NULL && contact->is_reached;
+}
+
+bool cw_order_trust_begin_probe(cw_order_trust_t *trust, uint32_t server, cw_time_us_t now)
+{
+    contact_t *contact;
+
+    if (now - trust->term_began_at < CW_MS(CW_ORDER_PROBE_AFTER_MS)) {
+        return false;
+    }
+    contact = find_or_add_contact(trust, server);
+    if (contact->is_reached ||
+        (contact->probed_at != 0 && now - contact->probed_at < CW_MS(CW_ORDER_PROBE_INTERVAL_MS))) {
+        return false;
+    }
+    contact->probed_at = now;
+    return true;
+}
+
+void cw_order_trust_forget_contact(cw_order_trust_t *trust, uint32_t server)
+{
+    contact_t *contact = find_contact(trust, server);
+
+    if (contact != NULL) {
+        remove_contact(trust, contact);
+    }
+}
+
+/* ---- answers and doubt ---- */
+
 void cw_order_trust_record_answer(cw_order_trust_t *trust, uint32_t server)
 {
     doubt_t *doubt = find(trust, server);
 
+    find_or_add_contact(trust, server)->is_reached = true;
     if (doubt != NULL) {
         remove_doubt(trust, doubt);
     }
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -66,6 +66,7 @@
     cw_router_t *router = context;
 
     cw_engine_forget_server(router->engine, server);
+    cw_order_trust_forget_contact(router->order_trust, server->hash);
 }
 
 /* ---- ticks ---- */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -136,6 +136,7 @@
             cw_router_free_assigners(router);
         }
         cw_leader_tenure_begin(&router->tenure, now);
+        cw_order_trust_begin_term(router->order_trust, now);
         router->leader_list_version = 1;
         router->leader_tables_version = 0;
         cw_replaced_versions_begin(&router->replaced_servers);
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -11,7 +11,8 @@
  *  - A server that states a rate limit has no more capacity than that, however many slots it has.
  *  - A server is assigned none if it is in a region to which no route to the service, or no tenant, may send
  *    (region_owners.h).
- *  - A server that orders have not reached is assigned none while another one can be (order_trust.h).
+ *  - A server that orders have not reached, or that this leader has not reached yet, is assigned none while another one
+ *    can be (order_trust.h).
  */
 #include <math.h>
 #include <stdlib.h>
@@ -27,6 +28,8 @@
     /* Ranges measured per tick; with more ranges, the interval between measurements grows in proportion. */
     RANGES_PER_TICK = 512,
     INITIAL_CAPACITY = 64,
+    PROBES_PER_PLAN = 64,   /* several times as many as servers that a plan gives keys */
+    PROBE_TIMEOUT_MS = 350, /* for the answer; a probe may have to wait for a slot of its server */
     PARTS_PER_MILLION = 1000000
 };
 
@@ -73,11 +76,51 @@
     return &servers->items[servers->count++];
 }
 
+/* ---- servers that this leader has reached ---- */
+
+/** A probe in flight of a server that the leader has not reached. */
+typedef struct lead_probe {
+    cw_router_t *router;
+    uint32_t     server; /* hash of its id */
+} lead_probe_t;
+
+static void on_probed(void *context, bool is_answered)
+{
+    lead_probe_t *probe = context;
+
+    if (is_answered) {
+        cw_order_trust_record_answer(probe->router->order_trust, probe->server);
+    }
+    free(probe);
+}
+
+static void begin_probe(cw_router_t *router, const cw_server_t *server)
+{
+    lead_probe_t *probe = cw_memory_zeroed(sizeof(*probe));
+
+    *probe = (lead_probe_t){router, server->hash};
+    router->adapter->probe_server(router->platform, server->address, CW_MS(PROBE_TIMEOUT_MS), on_probed, probe);
+}
+
+/* Whether the server gets keys only if no other one can. probes: how many more may begin. */
+static bool is_doubted(cw_router_t *router, const cw_server_t *server, uint32_t *probes, cw_time_us_t now)
+{
+    if (cw_order_trust_is_doubted(router->order_trust, server->hash, server->served, now)) {
+        return true;
+    }
+    if (*probes > 0 && cw_order_trust_begin_probe(router->order_trust, server->hash, now)) {
+        (*probes)--;
+        begin_probe(router, server);
+    }
+    return !cw_order_trust_has_reached(router->order_trust, server->hash);
+}
+
 /* Lists the servers of the service in the order of their ids, as in the list. */
 static void list_servers(cw_router_t *router, const char *service, planned_servers_t *servers, cw_time_us_t now)
 {
     double         usual_time_s = (double)cw_engine_mean_time(router->engine, service) / 1e6;
     region_cache_t cache = {.count = 0};
+    uint32_t       probes = PROBES_PER_PLAN;
     size_t         index;
 
     servers->count = 0;
@@ -97,8 +140,7 @@
                              (server != NULL && !may_own(&cache, router->configuration, service, server->region));
         planned->usable = !entry->draining && !planned->is_barred && server != NULL && server->avoid_until <= now &&
                           !cw_server_is_rate_bounded(server, now);
-        planned->is_doubted =
-            server != NULL && cw_order_trust_is_doubted(router->order_trust, server->hash, server->served, now);
+        planned->is_doubted = server != NULL && is_doubted(router, server, &probes, now);
         planned->region = server == NULL ? 0 : server->region_bit;
         planned->pace = server == NULL ? 1 : server->pace;
         planned->cost_s = usual_time_s * planned->pace / (entry->capacity == 0 ? 1 : entry->capacity);
--- a/tests/test_order_trust.c
+++ b/tests/test_order_trust.c
@@ -133,6 +133,75 @@
 }
 END_TEST
 
+START_TEST(a_server_is_reached_once_it_has_answered_since_the_term_began)
+{
+    cw_order_trust_t *trust = cw_order_trust_create();
+
+    cw_order_trust_record_answer(trust, SERVER);
+    ck_assert(cw_order_trust_has_reached(trust, SERVER));
+    ck_assert(!cw_order_trust_has_reached(trust, OTHER));
+    cw_order_trust_begin_term(trust, CW_SECONDS(1));
+    ck_assert(!cw_order_trust_has_reached(trust, SERVER));
+    cw_order_trust_record_answer(trust, SERVER);
+    ck_assert(cw_order_trust_has_reached(trust, SERVER));
+    cw_order_trust_forget_contact(trust, SERVER);
+    ck_assert(!cw_order_trust_has_reached(trust, SERVER));
+    cw_order_trust_free(trust);
+}
+END_TEST
+
+START_TEST(an_unreached_server_is_probed_after_the_owners_have_had_orders)
+{
+    cw_order_trust_t *trust = cw_order_trust_create();
+    cw_time_us_t      after = CW_SECONDS(1) + CW_MS(CW_ORDER_PROBE_AFTER_MS);
+
+    cw_order_trust_begin_term(trust, CW_SECONDS(1));
+    ck_assert(!cw_order_trust_begin_probe(trust, SERVER, after - 1));
+    ck_assert(cw_order_trust_begin_probe(trust, SERVER, after));
+    ck_assert(!cw_order_trust_begin_probe(trust, SERVER, after + CW_MS(CW_ORDER_PROBE_INTERVAL_MS) - 1));
+    ck_assert(cw_order_trust_begin_probe(trust, SERVER, after + CW_MS(CW_ORDER_PROBE_INTERVAL_MS)));
+    cw_order_trust_record_answer(trust, OTHER);
+    ck_assert(!cw_order_trust_begin_probe(trust, OTHER, after));
+    cw_order_trust_free(trust);
+}
+END_TEST
+
+/* Lets seconds pass without load, so that a server without keys gets some. Returns the number of grants to it. */
+static size_t grants_to(node_fixture_t *node, const char *server, int seconds)
+{
+    size_t grants = 0;
+    size_t index;
+    int    tick;
+
+    for (tick = 0; tick < seconds * TICKS_PER_SECOND; tick++) {
+        node_fixture_tick(node, CW_TICK_MS);
+        node_fixture_answer_store(node);
+        for (index = 0; index < node->order_count; index++) {
+            grants += strcmp(node->orders[index].order.server, server) == 0 ? 1 : 0;
+        }
+        node_fixture_answer_orders(node, CW_ORDER_DONE);
+    }
+    return grants;
+}
+
+/* Guards against keys that wait for a hold of a server which had crashed before this node took the lock, and is still
+ * listed: the leader before this one doubted it. */
+START_TEST(a_leader_gives_keys_only_to_servers_that_it_has_reached)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    node_fixture_read_servers(node, "s", SERVERS, "10.0.1.1:80");
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
+    node_fixture_lead(node);
+    node->servers_answer_probes = false;
+    node_fixture_read_servers(node, "s", SERVERS + 1, "10.0.1.1:80");
+    ck_assert_uint_eq(grants_to(node, "i-000006", 20), 0);
+    node->servers_answer_probes = true;
+    ck_assert_uint_gt(grants_to(node, "i-000006", 5), 0);
+    node_fixture_free(node);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("order trust");
@@ -143,6 +212,9 @@
     tcase_add_test(cases, a_server_that_answers_an_order_or_a_request_is_trusted_again);
     tcase_add_test(cases, periods_of_doubt_of_a_server_double);
     tcase_add_test(cases, servers_without_orders_are_discarded);
+    tcase_add_test(cases, a_server_is_reached_once_it_has_answered_since_the_term_began);
+    tcase_add_test(cases, an_unreached_server_is_probed_after_the_owners_have_had_orders);
+    tcase_add_test(cases, a_leader_gives_keys_only_to_servers_that_it_has_reached);
     tcase_add_test(cases, keys_do_not_alternate_between_two_dead_servers_that_stay_listed);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
