Renewals for servers that may restart under their names keep to a connection

What was seen: FENCE, a server that starts again under its name gets the fence that it had before (server_restarts_with_its_name.sh, a known failure).

The order names a server by its name, which the new incarnation has, too.

Change: such a renewal is sent only on a connection that was open when the owner last confirmed a grant: a restart ends all connections. Without one the owner gets a new fence first, and is served meanwhile. A leader that adopts a record has no connection from before, and gives new fences at once. Servers with a new id at each start are not concerned. Cost: one write for all ranges of a service whenever connections have ended.

Ruled out: a late order of the former leader (one leader all the time).

--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -20,9 +20,10 @@
  *  - A server may carry out an unanswered order after its hold has expired, and a node that receives no heartbeat of
  *    the leader may still route to it. After such an order a move therefore waits at least as long as a node's table of
  *    ranges stays valid.
- *  - A server may restart under its former name, and then it accepts any fence. When an order does not reach an owner
- *    whose id is such a name, the owner gets no more grants with a fence that it may have received: the next grant
- *    has a new fence.
+ *  - A server may restart under its former name, and then it accepts any fence. A grant with a fence that an owner
+ * whose id is such a name may have received is sent only on a connection that was open when the owner last confirmed a
+ *    grant, since a restart ends all connections. Without one, or when an order does not reach the owner, or after a
+ *    leader has adopted the record, the next grant has a new fence.
  *  - The number of orders in flight is bounded, so that their results are handled in time for any number of ranges.
  *  - A range is not moved for balance while a recent order to its owner is unanswered, since the server may still
  *    carry it out.
@@ -46,8 +47,10 @@
     CW_ORDER_FENCED, /**< not done: the server has seen a higher fence for one of the keys */
     /** Not done: another incarnation answers at the address, so the addressed one has ended. */
     CW_ORDER_OTHER_INCARNATION,
-    CW_ORDER_REFUSED,   /**< not done: any other answer */
-    CW_ORDER_NOT_SENT,  /**< certainly no byte of the order was sent */
+    CW_ORDER_REFUSED,  /**< not done: any other answer */
+    CW_ORDER_NOT_SENT, /**< certainly no byte of the order was sent */
+    /** Certainly not sent: no connection meets `connected_by`, so another incarnation may be at the address. */
+    CW_ORDER_OTHER_CONNECTION,
     CW_ORDER_UNANSWERED /**< the server may have carried out the order, or may do so seconds later */
 } cw_order_result_t;
 
@@ -62,10 +65,12 @@
     uint64_t        fence;
     cw_time_us_t    hold;
     char            handover[CW_HANDOVER_MAX];
-    bool            fresh; /**< a new connection must be used, since recent orders about the range have failed */
-    cw_time_us_t    timeout;
-    cw_time_us_t    sent_at;
-    cw_time_us_t    hold_until_before; /**< end of the owner's hold if this order is not sent */
+    bool            fresh;     /**< a new connection must be used, since recent orders about the range have failed */
+    cw_time_us_t connected_by; /**< only a connection opened by then may be used, so that the order reaches the process
+                                  that confirmed an order sent at that time; 0: any connection */
+    cw_time_us_t timeout;
+    cw_time_us_t sent_at;
+    cw_time_us_t hold_until_before; /**< end of the owner's hold if this order is not sent */
 } cw_order_t;
 
 /** What a leader knows of records that the store may have lost (store_epoch.h). */
--- a/src/assignment/assigner_commit.c
+++ b/src/assignment/assigner_commit.c
@@ -85,6 +85,7 @@
 
         range->next_order = now;
         range->fence_used = true;
+        range->needs_fence = cw_server_id_start_ms(range->owner.id) != 0;
         range->hold_until = until;
         range->former_until = until;
         if (range->former.id[0] != '\0') {
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -17,6 +17,11 @@
     FAILING_MS = 1000           /* a range counts as failing once its orders have failed for longer than this */
 };
 
+static bool may_restart_with_its_name(const cw_range_t *range)
+{
+    return cw_server_id_start_ms(range->owner.id) != 0;
+}
+
 /* ---- sending ---- */
 
 static cw_order_t *add_order(cw_assigner_t *assigner)
@@ -50,6 +55,7 @@
     order->timeout = kind == CW_ORDER_GRANT ? assigner->settings.order_timeout : assigner->settings.release_timeout;
     if (kind == CW_ORDER_GRANT) {
         memcpy(order->handover, range->handover, sizeof(order->handover));
+        order->connected_by = may_restart_with_its_name(range) && range->fence_used ? range->confirmed_at : 0;
     }
     range->orders++;
     copy = *order; /* the port may report the result before it returns, which changes the array */
@@ -268,7 +274,7 @@
         range->hold_until = order->hold_until_before;
     }
     range->fence_used = range->fence_used || result == CW_ORDER_UNANSWERED;
-    range->needs_fence = range->fence_used && cw_server_id_start_ms(range->owner.id) != 0;
+    range->needs_fence = range->fence_used && may_restart_with_its_name(range);
     if (range->failing_since == 0) {
         range->failing_since = now;
         assigner->ports.log_decision(assigner->ports.context, assigner->service, "grant not confirmed", range,
@@ -302,6 +308,11 @@
                                      "another incarnation answers");
         range->next_order = now + CW_MS(RESEND_NOT_SENT_MS);
         break;
+    case CW_ORDER_OTHER_CONNECTION:
+        range->hold_until = order->hold_until_before;
+        range->needs_fence = true;
+        range->next_order = now;
+        break;
     case CW_ORDER_REFUSED:
     case CW_ORDER_NOT_SENT:
     case CW_ORDER_UNANSWERED:
--- a/src/assignment/assigner_plan.c
+++ b/src/assignment/assigner_plan.c
@@ -123,7 +123,7 @@
     open_plan(assigner);
     planned = cw_range_list_find(&assigner->plan.ranges, range->low);
     planned->owner.fence = ++assigner->plan.last_fence;
-    planned->keeps_serving = range->phase == CW_RANGE_HELD && range->needs_fence;
+    planned->keeps_serving = range->needs_fence && (range->phase == CW_RANGE_HELD || range->keeps_serving);
 }
 
 void cw_assigner_plan_rewrite(cw_assigner_t *assigner)
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -286,6 +286,7 @@
     connection->timer.data = connection;
     connection->connect.data = connection;
     connection->handles = 2;
+    connection->opened_at = now_us(target->upstream);
     target->connections++;
     target->upstream->opened++;
     uv_tcp_init(target->upstream->loop, &connection->tcp);
@@ -315,11 +316,17 @@
     return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-static cw_upstream_connection_t *take_idle(cw_upstream_target_t *target)
+/* opened_by: as in cw_upstream_request_t. */
+static cw_upstream_connection_t *take_idle(cw_upstream_target_t *target, cw_time_us_t opened_by)
 {
     cw_upstream_connection_t *connection;
+    cw_upstream_connection_t *next;
 
-    while ((connection = target->idle) != NULL) {
+    DL_FOREACH_SAFE(target->idle, connection, next)
+    {
+        if (opened_by != 0 && connection->opened_at > opened_by) {
+            continue;
+        }
         remove_from_pool(connection);
         if (!is_unusable(connection)) {
             return connection;
@@ -347,9 +354,13 @@
 cw_upstream_call_t *cw_upstream_call(cw_upstream_target_t *target, const cw_upstream_request_t *request,
                                      cw_upstream_answered_t answered, void *context)
 {
-    cw_upstream_call_t       *call = calloc(1, sizeof(*call));
-    cw_upstream_connection_t *connection = request->uses_new_connection ? NULL : take_idle(target);
+    cw_upstream_connection_t *connection = request->uses_new_connection ? NULL : take_idle(target, request->opened_by);
+    cw_upstream_call_t       *call;
 
+    if (connection == NULL && request->opened_by != 0) {
+        return NULL;
+    }
+    call = calloc(1, sizeof(*call));
     if (call == NULL || (call->bytes = malloc(request->length + 1)) == NULL) {
         abort();
     }
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -40,10 +40,13 @@
     /** Asked with the call's context before the first byte is sent on a new connection, which takes time. False: the
      * call ends as CW_UPSTREAM_WITHDRAWN. Must not end the call. NULL: not asked. */
     bool (*may_be_sent)(void *context);
-    bool         is_head;             /**< the method is HEAD */
-    bool         uses_new_connection; /**< use a new connection */
-    cw_time_us_t connect_timeout;     /**< time to establish a connection; after it the call ends with nothing sent */
-    cw_time_us_t timeout;             /**< for the complete call; 0: none */
+    bool is_head;             /**< the method is HEAD */
+    bool uses_new_connection; /**< use a new connection */
+    /** Use only a connection that was opened by this time, which therefore leads to the process that answered then; if
+     * none is idle, no call is started. 0: any connection. */
+    cw_time_us_t opened_by;
+    cw_time_us_t connect_timeout; /**< time to establish a connection; after it the call ends with nothing sent */
+    cw_time_us_t timeout;         /**< for the complete call; 0: none */
     cw_time_us_t progress; /**< an answer is awaited beyond `timeout` while bytes of it arrive at intervals of at most
                               this; 0: it is not */
     size_t answer_max;     /**< maximum size of an answer's body; a longer one counts as broken */
@@ -91,7 +94,8 @@
 /** Number of idle connections. */
 size_t cw_upstream_target_idle(const cw_upstream_target_t *target);
 
-/** Starts a call. The callback is called exactly once, after this function has returned. */
+/** Starts a call. The callback is called exactly once, after this function has returned. NULL: no call was started,
+ * since no connection meets `opened_by`. */
 cw_upstream_call_t *cw_upstream_call(cw_upstream_target_t *target, const cw_upstream_request_t *request,
                                      cw_upstream_answered_t answered, void *context);
 /** Ends a call without calling its callback; its connection is closed. */
--- a/src/net/http_upstream_internal.h
+++ b/src/net/http_upstream_internal.h
@@ -28,7 +28,8 @@
     bool                           is_idle;
     bool                           is_postponed; /* its timer waits until the sockets have been read, after a stall */
     int                            handles;
-    struct cw_upstream_connection *prev; /* names required by utlist */
+    cw_time_us_t                   opened_at; /* when the connection was begun */
+    struct cw_upstream_connection *prev;      /* names required by utlist */
     struct cw_upstream_connection *next;
 } cw_upstream_connection_t;
 
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -50,6 +50,9 @@
     const cw_server_t *server = cw_server_pool_find_hash(router->pool, order->server);
     bool failed = result == CW_ORDER_NOT_SENT || result == CW_ORDER_UNANSWERED || result == CW_ORDER_OTHER_INCARNATION;
 
+    if (result == CW_ORDER_OTHER_CONNECTION) {
+        return; /* it says nothing about the server or the path */
+    }
     if (server != NULL) {
         cw_router_paths_record_order(router, server->service, !failed || result == CW_ORDER_OTHER_INCARNATION);
     }
--- a/tests/process/server_restarts_with_its_name.sh
+++ b/tests/process/server_restarts_with_its_name.sh
@@ -21,6 +21,7 @@
 sleep 1
 for i in 2 5; do
     kill -KILL "${SERVER_PIDS[m$i]}"
+    wait "${SERVER_PIDS[m$i]}" # its port is free only then
     named "$i"
 done
 has_restarted() { local id; id=$(listed i-named2) && [ -n "$id" ] && [ "$id" != "$before" ]; }
--- a/tests/test_assigner.c
+++ b/tests/test_assigner.c
@@ -666,6 +666,74 @@
 }
 END_TEST
 
+/* Guards against a renewal for the incarnation before that reaches the one after it: the server restarts under its name
+ * between two renewals, and knows only its name (process/server_restarts_with_its_name.sh). */
+START_TEST(renewals_are_bound_to_connections_from_before_the_last_confirmation)
+{
+    assigner_fixture_t fixture;
+    const cw_order_t  *first;
+
+    begin_with(&fixture, started);
+    first = last_grant_to(&fixture, "10.0.0.1:80");
+    ck_assert_int_eq(first->connected_by, 0);
+    renew(&fixture, CW_ORDER_DONE);
+    ck_assert_int_eq(last_grant_to(&fixture, "10.0.0.1:80")->connected_by, first->sent_at);
+    assigner_fixture_clear(&fixture);
+    begin_with(&fixture, two); /* their ids are used once */
+    renew(&fixture, CW_ORDER_DONE);
+    ck_assert_int_eq(last_grant_to(&fixture, "10.0.0.1:80")->connected_by, 0);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+START_TEST(an_owner_without_a_connection_from_before_gets_a_new_fence_and_is_served_meanwhile)
+{
+    assigner_fixture_t fixture;
+    uint64_t           fence;
+    uint32_t           writes;
+    size_t             index;
+
+    begin_with(&fixture, started);
+    fence = last_grant_to(&fixture, "10.0.0.1:80")->fence;
+    writes = fixture.writes;
+    renew(&fixture, CW_ORDER_OTHER_CONNECTION);
+    ck_assert_int_eq(assigner_fixture_range(&fixture, 50)->failing_since, 0);
+    for (index = 0; index < 3; index++) {
+        const cw_range_t *range = assigner_fixture_range(&fixture, 50);
+
+        ck_assert(range->phase == CW_RANGE_HELD || range->keeps_serving);
+        assigner_fixture_tick(&fixture, CW_MS(20));
+    }
+    ck_assert_uint_eq(fixture.writes, writes + 1);
+    ck_assert_uint_gt(last_grant_to(&fixture, "10.0.0.1:80")->fence, fence);
+    ck_assert_int_eq(last_grant_to(&fixture, "10.0.0.1:80")->connected_by, 0);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* It has no connection from before, and the server may have restarted while no leader renewed. */
+START_TEST(a_new_leader_gives_new_fences_to_owners_that_may_restart_with_their_names)
+{
+    assigner_fixture_t fixture;
+    uint64_t           fence;
+    size_t             sent;
+    size_t             index;
+
+    begin_with(&fixture, started);
+    fence = last_grant_to(&fixture, "10.0.0.2:80")->fence;
+    sent = fixture.order_count;
+    assigner_fixture_take_over(&fixture, 2);
+    for (index = 0; index < 5; index++) {
+        assigner_fixture_tick(&fixture, CW_MS(20));
+    }
+    ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 2);
+    ck_assert_uint_gt(fixture.orders[sent].fence, fence);
+    ck_assert_uint_gt(fixture.orders[sent + 1].fence, fence);
+    ck_assert(assigner_fixture_range(&fixture, 50)->keeps_serving);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 START_TEST(a_restarted_server_is_another_owner)
 {
     assigner_fixture_t fixture;
@@ -778,6 +846,9 @@
     tcase_add_test(cases, a_record_is_decoded_as_encoded_and_a_malformed_one_is_refused);
     tcase_add_loop_test(cases, an_owner_that_an_order_did_not_reach_gets_no_more_grants_with_its_fence, 0, 2);
     tcase_add_test(cases, a_new_fence_that_was_certainly_not_sent_is_granted_again);
+    tcase_add_test(cases, renewals_are_bound_to_connections_from_before_the_last_confirmation);
+    tcase_add_test(cases, an_owner_without_a_connection_from_before_gets_a_new_fence_and_is_served_meanwhile);
+    tcase_add_test(cases, a_new_leader_gives_new_fences_to_owners_that_may_restart_with_their_names);
     tcase_add_test(cases, a_restarted_server_is_another_owner);
     tcase_add_test(cases, an_owner_whose_id_is_used_once_is_granted_again_with_its_fence);
     tcase_add_test(cases, with_many_ranges_renewals_stay_within_their_rate_and_holds_last_longer);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -330,7 +330,7 @@
     cw_bytes_append(&fixture->answer, "", 1);
 }
 
-static cw_upstream_call_t *call(fixture_t *fixture, cw_upstream_target_t *target)
+static cw_upstream_call_t *call_opened_by(fixture_t *fixture, cw_upstream_target_t *target, cw_time_us_t opened_by)
 {
     static const char     text[] = "GET / HTTP/1.1\r\nHost: a\r\nId: me\r\n\r\n";
     cw_upstream_request_t request = {.bytes = text,
@@ -338,13 +338,19 @@
                                      .connect_timeout = CW_SECONDS(20),
                                      .answer_max = 1000,
                                      .match_name = "Id",
-                                     .match_value = "me"};
+                                     .match_value = "me",
+                                     .opened_by = opened_by};
 
     fixture->called_back = false;
     fixture->has_request = false;
     return cw_upstream_call(target, &request, on_called_back, fixture);
 }
 
+static cw_upstream_call_t *call(fixture_t *fixture, cw_upstream_target_t *target)
+{
+    return call_opened_by(fixture, target, 0);
+}
+
 /* Calls a raw server that answers with this text, and then closes or resets the connection if requested. */
 static void call_raw(fixture_t *fixture, const char *text, bool close_after, bool reset_after)
 {
@@ -478,6 +484,31 @@
 }
 END_TEST
 
+/* A process that has been replaced at its address can have no connection from before. */
+START_TEST(a_call_may_be_bound_to_connections_opened_by_a_time)
+{
+    fixture_t             fixture;
+    cw_upstream_target_t *target;
+    char                  address[32];
+    cw_time_us_t          opened_at;
+
+    init(&fixture);
+    fixture.answers_immediately = true;
+    snprintf(address, sizeof(address), "127.0.0.1:%u", cw_http_listener_port(fixture.listener));
+    target = cw_upstream_target_create(fixture.upstream, address);
+    opened_at = CW_MS(uv_now(&fixture.loop));
+    ck_assert_ptr_null(call_opened_by(&fixture, target, opened_at)); /* there is no connection */
+    (void)call(&fixture, target);
+    cw_test_run_until_set(&fixture.loop, &fixture.called_back);
+    ck_assert_ptr_null(call_opened_by(&fixture, target, opened_at - 1));
+    ck_assert_uint_eq(cw_upstream_target_idle(target), 1);
+    ck_assert_ptr_nonnull(call_opened_by(&fixture, target, opened_at));
+    cw_test_run_until_set(&fixture.loop, &fixture.called_back);
+    ck_assert(fixture.reused);
+    ck_assert_uint_eq(fixture.requests, 2);
+}
+END_TEST
+
 START_TEST(a_connection_is_reused_after_a_complete_answer)
 {
     fixture_t             fixture;
@@ -554,6 +585,7 @@
     tcase_add_test(cases, unexpected_bytes_end_an_idle_connection);
     tcase_add_test(cases, an_answer_to_another_request_is_discarded);
     tcase_add_test(cases, a_connection_is_reused_after_a_complete_answer);
+    tcase_add_test(cases, a_call_may_be_bound_to_connections_opened_by_a_time);
     tcase_add_test(cases, a_refused_connection_counts_as_not_sent);
     tcase_add_test(cases, an_answer_beyond_the_size_limit_is_broken);
     tcase_add_test(cases, invalid_addresses_are_refused);
