--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -54,6 +54,23 @@
     }
 }
 
+cw_upstream_request_t cw_request_call_with(const cw_request_t *request, const cw_bytes_t *head)
+{
+    const cw_engine_settings_t *settings = &request->engine->settings;
+
+    return (cw_upstream_request_t){
+        .bytes = head->data,
+        .length = head->length,
+        .body = request->body, /* sent from the buffer it was read into: one copy in memory for all attempts */
+        .body_length = request->body_length,
+        .is_head = strcmp(request->method, "HEAD") == 0,
+        .connect_timeout = settings->connect_timeout,
+        .may_be_sent = cw_request_may_be_written,
+        .answer_max = settings->answer_max,
+        .match_name = request->id == NULL ? NULL : settings->names.request_id,
+        .match_value = request->id};
+}
+
 /* Writes the request line and the header; the body is sent separately. */
 static void write_request(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now, cw_bytes_t *out)
 {
@@ -94,12 +111,7 @@
     cw_engine_t          *engine = request->engine;
     cw_time_us_t          now = cw_engine_now(engine);
     cw_bytes_t            bytes = {0};
-    cw_upstream_request_t sending = {.is_head = strcmp(request->method, "HEAD") == 0,
-                                     .connect_timeout = engine->settings.connect_timeout,
-                                     .may_be_sent = cw_request_may_be_written,
-                                     .answer_max = engine->settings.answer_max,
-                                     .match_name = request->id == NULL ? NULL : engine->settings.names.request_id,
-                                     .match_value = request->id};
+    cw_upstream_request_t sending;
 
     if (!cw_request_is_wanted(request, now)) {
         cw_request_end_unwanted(request, now);
@@ -114,10 +126,7 @@
         return;
     }
     write_request(request, server, now, &bytes);
-    sending.bytes = bytes.data;
-    sending.length = bytes.length;
-    sending.body = request->body; /* sent from the buffer it was read into: one copy in memory for all attempts */
-    sending.body_length = request->body_length;
+    sending = cw_request_call_with(request, &bytes);
     request->server = server;
     request->sent_at = now;
     if (request->first_sent_at == 0) {
--- a/src/proxy/engine_delegation.c
+++ b/src/proxy/engine_delegation.c
@@ -77,18 +77,10 @@
 {
     cw_engine_t          *engine = request->engine;
     cw_bytes_t            bytes = {0};
-    cw_upstream_request_t sending = {.is_head = strcmp(request->method, "HEAD") == 0,
-                                     .connect_timeout = engine->settings.connect_timeout,
-                                     .may_be_sent = cw_request_may_be_written,
-                                     .answer_max = engine->settings.answer_max,
-                                     .match_name = request->id == NULL ? NULL : engine->settings.names.request_id,
-                                     .match_value = request->id};
+    cw_upstream_request_t sending;
 
     write_request(request, delegate, now, &bytes);
-    sending.bytes = bytes.data;
-    sending.length = bytes.length;
-    sending.body = request->body;
-    sending.body_length = request->body_length;
+    sending = cw_request_call_with(request, &bytes);
     request->delegation.delegate = delegate;
     request->delegation.address = delegate->address;
     request->delegation.tries++;
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -413,6 +413,8 @@
 void cw_request_end_caller_gone(cw_request_t *request);
 
 /* ---- engine_attempt.c ---- */
+/** The call that sends the request with this head, which is borrowed, and its body. */
+cw_upstream_request_t cw_request_call_with(const cw_request_t *request, const cw_bytes_t *head);
 /** Writes the request line and the header fields that are forwarded, without the empty line at the end. */
 void cw_request_write_head(const cw_request_t *request, cw_bytes_t *out);
 /** Sends the request to the server and starts the timer for its answer. A request that is not wanted any more is ended
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -19,7 +19,7 @@
 #include "base/loop_clock.h"
 #include "base/loop_stall.h"
 #include "router/loop_start.h"
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 
 enum {
     CONNECT_TIMEOUT_MS = 150,
--- a/src/router/router_admin.c
+++ b/src/router/router_admin.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 #include "router/router_status.h"
 
 enum {
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 
 enum {
     FIRST_TABLES_WAIT_MS = 1000,
--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -15,7 +15,7 @@
 #include "base/dropped_entries.h"
 #include "base/loop_stall.h"
 #include "model/configuration_timing.h"
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 
 uint64_t cw_router_version(const cw_router_t *router)
 {
--- a/src/router/router_crashes.c
+++ b/src/router/router_crashes.c
@@ -13,7 +13,7 @@
 #include "base/text.h"
 #include "net/connect_probe.h"
 #include "retry/refused_probes.h"
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 
 enum {
     PROBE_TIMEOUT_MS = 300, /* connect timeout */
--- a/src/router/router_delegation.c
+++ b/src/router/router_delegation.c
@@ -13,7 +13,7 @@
 #include "base/memory.h"
 #include "base/text.h"
 #include "router/delegate_choice.h"
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 
 enum {
     REFRESH_MS = 100,      /* between choices of the nodes; well below CW_PEER_TIMEOUT_MS */
@@ -213,11 +213,11 @@
     cw_delegated_request_t  delegated;
 
     if (field == NULL || cw_delegated_request_read(&delegated, field) != 0) {
-        cw_engine_decline_delegated(router->engine, exchange, "it states nothing that can be read");
+        cw_delegation_decline(exchange, "it states nothing that can be read");
         return;
     }
     if (delegated.receiver != router->incarnation) {
-        cw_engine_decline_delegated(router->engine, exchange, "it is not meant for this process");
+        cw_delegation_decline(exchange, "it is not meant for this process");
         cw_delegated_request_clear(&delegated);
         return;
     }
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "base/memory.h"
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 
 enum {
     RENEWALS_PER_LEADER_LEASE = 4,
--- a/src/router/router_lead_paths.c
+++ b/src/router/router_lead_paths.c
@@ -9,7 +9,7 @@
  *    within PROOF_FRESH_MS: what has cut off one node may have cut off this one, too, and each leader without paths
  *    delays the next grants. It probes servers when its turn to take the lock has come, so only a few nodes do.
  */
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 
 enum { PROOF_FRESH_MS = 1000 };
 
--- a/src/router/router_paths.c
+++ b/src/router/router_paths.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 #include "base/memory.h"
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 
 enum { PROOF_PROBES = 3 /* one may go to the very server that is in doubt, another to one that has just ended, too */ };
 
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -5,7 +5,7 @@
  */
 #include <string.h>
 
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 
 enum {
     LOADS_MAX = 512,
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -82,10 +82,10 @@
 
 static cw_configuration_role_t configuration_role(const cw_router_t *router, cw_time_us_t now)
 {
-    if (router->leadership.leading || (router->is_reader && !has_recent_heartbeat(router, now))) {
+    if (router->leadership.leading || (router->reader.is_reader && !has_recent_heartbeat(router, now))) {
         return CW_CONFIGURATION_CHECKER;
     }
-    return router->is_reader ? CW_CONFIGURATION_READER : CW_CONFIGURATION_FOLLOWER;
+    return router->reader.is_reader ? CW_CONFIGURATION_READER : CW_CONFIGURATION_FOLLOWER;
 }
 
 /* ---- notices ---- */
@@ -127,13 +127,13 @@
             cw_peer_link_send_packed(router->link, peer, length);
         }
     }
-    router->notice_sent_at = now;
+    router->reader.notice_sent_at = now;
 }
 
 void cw_router_share_configuration(cw_router_t *router, bool is_from_store, cw_time_us_t now)
 {
     cw_configuration_exchange_set(router->exchange, router->configuration);
-    if (is_from_store && (router->is_reader || router->leadership.leading)) {
+    if (is_from_store && (router->reader.is_reader || router->leadership.leading)) {
         send_notice(router, true, now);
     }
 }
@@ -206,10 +206,10 @@
 {
     cw_event_t event;
 
-    if (router->is_reader == is_reader) {
+    if (router->reader.is_reader == is_reader) {
         return;
     }
-    router->is_reader = is_reader;
+    router->reader.is_reader = is_reader;
     cw_metric_set(CW_METRIC_READER, is_reader ? 1 : 0);
     if (cw_event_begin(&event, CW_EVENT_READER)) {
         cw_event_text(&event, CW_FIELD_DETAIL, is_reader ? "reads for its zone" : "reads no longer");
@@ -223,14 +223,14 @@
     bool is_new = cw_router_is_new(router, now);
 
     cw_configuration_exchange_tick(router->exchange, now);
-    if (now - router->readers_ranked_at >= CW_MS(RANKING_INTERVAL_MS)) {
-        router->readers_ranked_at = now;
+    if (now - router->reader.ranked_at >= CW_MS(RANKING_INTERVAL_MS)) {
+        router->reader.ranked_at = now;
         set_reader(router, router->stopping_at == 0 && !is_new &&
                                (router->leadership.leading || is_ranked_as_reader(router, now)));
     }
     watch_configuration(router, now);
-    if (router->is_reader && !router->store_availability.is_lost &&
-        now - router->notice_sent_at >= CW_MS(CW_READER_NOTICE_MS)) {
+    if (router->reader.is_reader && !router->store_availability.is_lost &&
+        now - router->reader.notice_sent_at >= CW_MS(CW_READER_NOTICE_MS)) {
         send_notice(router, false, now);
     }
 }
--- a/src/router/router_stop.c
+++ b/src/router/router_stop.c
@@ -7,7 +7,7 @@
  * left and the load balancer in front of the nodes has had time to see that the node is not ready, and at the latest a
  * little before the stop grace ends.
  */
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 
 enum {
     STOP_LISTEN_MS = 3600, /* how long the node listens on: the load balancer checks readiness each second, and needs
--- a/src/router/router_summary.c
+++ b/src/router/router_summary.c
@@ -7,7 +7,7 @@
 
 #include "base/dropped_entries.h"
 #include "base/memory.h"
-#include "router/router_internal.h"
+#include "router/router_paths.h"
 #include "router/router_summary.h"
 
 enum {
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -201,7 +201,7 @@
 static cw_time_us_t read_interval(const cw_router_t *router, cw_time_us_t usual, cw_time_us_t now)
 {
     cw_time_us_t longer = router->settings.drain * STORE_LOST_INTERVAL_PERCENT / 100;
-    bool         is_slowed = router->store_availability.is_lost && !router->is_reader && is_in_large_fleet(router, now);
+    bool is_slowed = router->store_availability.is_lost && !router->reader.is_reader && is_in_large_fleet(router, now);
 
     return is_slowed && longer > usual ? longer : usual;
 }
@@ -285,7 +285,7 @@
 /* Age of the tables at which a node without the leader's heartbeat reads them from the store. */
 static cw_time_us_t tables_max_age(const cw_router_t *router, cw_time_us_t now)
 {
-    if (router->is_reader) {
+    if (router->reader.is_reader) {
         return is_in_large_fleet(router, now) ? tables_validity(router) * READER_TABLES_STALE_PERCENT / 100 : 0;
     }
     return tables_validity(router) * TABLES_STALE_PERCENT / 100;
@@ -553,7 +553,8 @@
     if (cw_router_is_new(router, now)) {
         return false;
     }
-    if (router->is_reader && (!is_heartbeat_fresh || age > router->settings.drain * HEARTBEAT_STALE_PERCENT / 100)) {
+    if (router->reader.is_reader &&
+        (!is_heartbeat_fresh || age > router->settings.drain * HEARTBEAT_STALE_PERCENT / 100)) {
         return true;
     }
     return age > list_max_age(router, is_heartbeat_fresh, now);
--- a/src/router/store_reader.h
+++ b/src/router/store_reader.h
@@ -20,6 +20,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/time.h"
+
 enum {
     CW_READER_NOTICE_MS = 400,  /**< interval between the notices of a reader to its zone */
     CW_READER_TIMEOUT_MS = 1500 /**< a reader not received from for so long is skipped; three notices may be lost */
@@ -31,6 +33,13 @@
     uint32_t capability;
 } cw_store_reader_candidate_t;
 
+/** What a node does as a reader. */
+typedef struct cw_store_reader {
+    bool         is_reader;
+    cw_time_us_t ranked_at;      /**< last decision whether this node is a reader */
+    cw_time_us_t notice_sent_at; /**< last notice to the zone */
+} cw_store_reader_t;
+
 /** Number of readers of a zone with so many nodes. */
 uint32_t cw_store_reader_count(size_t zone_nodes);
 /** True if `candidate` ranks before `other`. */
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "base/text.h"
+#include "router/router_paths.h"
 
 enum { ID_MAX = 24, SETTLE_TICKS = 12, LIST_SETTLED_MS = 4200, HEADER_BYTES = 16384 };
 
--- a/tests/test_node_paths.c
+++ b/tests/test_node_paths.c
@@ -6,6 +6,7 @@
 
 #include "loop_fixture.h"
 #include "node_fixture.h"
+#include "router/router_paths.h"
 
 enum { SERVERS = 6, PEER_SEQUENCES = 800, FOLLOWER_SEQUENCES = 100 };
 
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -638,7 +638,7 @@
         ck_assert_int_lt(cw_router_now(router) - begun, router->settings.drain);
         router->loop.time += CW_TICK_MS;
         router->leader_heartbeat_at = is_leader_received ? cw_router_now(router) : 0;
-        router->is_reader = false;
+        router->reader.is_reader = false;
         cw_router_view_tick(router, cw_router_now(router));
     }
     begun = cw_router_now(router) - begun;
