Probes only of servers that may get keys; a log line for a fence that is due

Read in the diff: the leader also probed servers that leave or are out of service, which get no keys whatever they answer; and a grant that is not sent for want of a connection from before left no line in the log.

--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -20,10 +20,10 @@
  *  - A server may carry out an unanswered order after its hold has expired, and a node that receives no heartbeat of
  *    the leader may still route to it. After such an order a move therefore waits at least as long as a node's table of
  *    ranges stays valid.
- *  - A server may restart under its former name, and then it accepts any fence. A grant with a fence that an owner
- * whose id is such a name may have received is sent only on a connection that was open when the owner last confirmed a
- *    grant, since a restart ends all connections. Without one, or when an order does not reach the owner, or after a
- *    leader has adopted the record, the next grant has a new fence.
+ *  - A server may restart under its former name, and then it accepts any fence. If an owner's id is such a name, a
+ *    renewal is sent only on a connection that was open when the owner last confirmed a grant, since a restart ends all
+ *    connections. Without one, or if an order does not reach the owner, or after the record was adopted, the next grant
+ *    has a new fence.
  *  - The number of orders in flight is bounded, so that their results are handled in time for any number of ranges.
  *  - A range is not moved for balance while a recent order to its owner is unanswered, since the server may still
  *    carry it out.
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -312,6 +312,8 @@
         range->hold_until = order->hold_until_before;
         range->needs_fence = true;
         range->next_order = now;
+        assigner->ports.log_decision(assigner->ports.context, assigner->service, "new fence is due", range,
+                                     "no connection from before");
         break;
     case CW_ORDER_REFUSED:
     case CW_ORDER_NOT_SENT:
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -140,7 +140,7 @@
                              (server != NULL && !may_own(&cache, router->configuration, service, server->region));
         planned->usable = !entry->draining && !planned->is_barred && server != NULL && server->avoid_until <= now &&
                           !cw_server_is_rate_bounded(server, now);
-        planned->is_doubted = server != NULL && is_doubted(router, server, &probes, now);
+        planned->is_doubted = planned->usable && is_doubted(router, server, &probes, now);
         planned->region = server == NULL ? 0 : server->region_bit;
         planned->pace = server == NULL ? 1 : server->pace;
         planned->cost_s = usual_time_s * planned->pace / (entry->capacity == 0 ? 1 : entry->capacity);
