An unanswered release does not delay the grant after the hold

Cause: a range gets no order while one is in flight, and the release of the former holder was in flight until its time limit, though its result changes nothing once the hold has ended.

Change: when the former holder has let go, releases in flight no longer count as orders of the range.

Evidence: test_assigner, "a release without an answer does not delay the grant after the hold": fails on the sources before, passes now.

--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -120,6 +120,7 @@
     range->phase = CW_RANGE_GRANTING;
     range->failing_since = 0;
     range->next_order = now;
+    range->orders = 0; /* the results of releases in flight change nothing any more */
 }
 
 static void advance_release(cw_assigner_t *assigner, cw_range_t *range, const cw_server_list_t *servers,
@@ -342,6 +343,12 @@
     finish_release(assigner, range, "released", now);
 }
 
+/* Whether the order is one of those that the range counts as in flight. */
+static bool is_awaited(const cw_range_t *range, const cw_order_t *order)
+{
+    return (order->kind == CW_ORDER_RELEASE) == (range->phase == CW_RANGE_RELEASING);
+}
+
 void cw_assigner_order_done(cw_assigner_t *assigner, uint64_t id, cw_order_result_t result, const char *handover,
                             cw_time_us_t now)
 {
@@ -365,7 +372,7 @@
         if (range->low < order.low || range->last > order.last || range->owner.fence != order.fence) {
             continue;
         }
-        if (range->orders > 0) {
+        if (range->orders > 0 && is_awaited(range, &order)) {
             range->orders--;
         }
         if (order.kind == CW_ORDER_GRANT) {
--- a/tests/test_assigner.c
+++ b/tests/test_assigner.c
@@ -96,6 +96,27 @@
 }
 END_TEST
 
+/* Guards against keys that stay without an owner until a release has timed out, which does not change their state any
+ * more: the former holder does not answer, and its hold ends meanwhile. */
+START_TEST(a_release_without_an_answer_does_not_delay_the_grant_after_the_hold)
+{
+    assigner_fixture_t fixture;
+
+    assigner_fixture_init(&fixture, 1);
+    assigner_fixture_set_servers(&fixture, two);
+    assigner_fixture_settle(&fixture);
+    begin_move(&fixture);
+    while (assigner_fixture_range(&fixture, 50)->phase == CW_RANGE_RELEASING) {
+        assigner_fixture_tick(&fixture, CW_MS(50)); /* the release stays unanswered */
+    }
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL); /* those of the release and of the grant after it */
+    ck_assert_int_eq(assigner_fixture_range(&fixture, 50)->phase, CW_RANGE_HELD);
+    ck_assert_uint_eq(assigner_fixture_range(&fixture, 50)->orders, 0);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 START_TEST(another_incarnation_at_the_address_proves_the_end)
 {
     static const char *const replaced[] = {"i-c@10.0.0.1:80", "i-b@10.0.0.2:80", NULL};
@@ -823,6 +844,7 @@
     tcase_add_test(cases, no_order_before_the_record_is_written);
     tcase_add_test(cases, a_move_releases_then_grants_with_the_handover_and_a_higher_fence);
     tcase_add_test(cases, unresponsive_former_holder_is_replaced_after_its_hold_has_expired);
+    tcase_add_test(cases, a_release_without_an_answer_does_not_delay_the_grant_after_the_hold);
     tcase_add_test(cases, another_incarnation_at_the_address_proves_the_end);
     tcase_add_test(cases, an_order_answered_by_another_incarnation_proves_the_end);
     tcase_add_test(cases, a_missing_entry_proves_nothing);
