The stand-in proxy reports when it stood still

Supposed, not shown: that the proxy, through which all of it passes, stood.

Nothing told that apart from a fault of the nodes. Now the proxy prints how long it stood still and for how much of it it had a processor, and the soak prints that.

--- a/standins/link/main.c
+++ b/standins/link/main.c
@@ -27,6 +27,7 @@
 #include <string.h>
 
 #include "link_datagrams.h"
+#include "link_stalls.h"
 #include "link_streams.h"
 
 enum { ERRORS_MAX = 10, LINE_BYTES = 512, FIELDS_MAX = 5, PERCENT_MAX = 100 };
@@ -38,6 +39,7 @@
     link_rules_t      rules;
     link_datagrams_t *datagrams;
     link_streams_t   *streams;
+    link_stalls_t     stalls;
     char              line[LINE_BYTES]; /**< standard input that is not handled yet */
     size_t            length;
 } link_proxy_t;
@@ -319,6 +321,7 @@
     uv_loop_init(&proxy->loop);
     proxy->datagrams = link_datagrams_create(&proxy->loop, &proxy->rules);
     proxy->streams = link_streams_create(&proxy->loop, &proxy->rules);
+    link_stalls_watch(&proxy->stalls, &proxy->loop);
     uv_pipe_init(&proxy->loop, &proxy->input, 0);
     proxy->input.data = proxy;
     error = uv_pipe_open(&proxy->input, 0);
--- a/tests/fault_soak/paths_soak.sh
+++ b/tests/fault_soak/paths_soak.sh
@@ -161,6 +161,7 @@
 for number in $(seq 1 "$ROUNDS"); do round "$number"; done
 cluster_check >"$WORK/verdict" || report_finding "records: $(cat "$WORK/verdict")"
 log "$(tail -1 "$WORK/verdict")"
+[ ! -s "$WORK/link.err" ] || log "proxy: $(sort "$WORK/link.err" | uniq -c | xargs)"
 log "faults: $(for kind in "${!COUNTS[@]}"; do echo -n "$kind ${COUNTS[$kind]} "; done)"
 log "seed $SEED: $ROUNDS rounds, $FINDINGS findings"
 [ "$FINDINGS" = 0 ]
