Log what a move rests on, and for how long the former holder could have held the keys

Change: lines `assignment` have former_left_ms, order, record and list; `move begun` is new and says what proves the end of the former owner where no release is needed. No logic changed.

--- a/sim/lease_nodes.c
+++ b/sim/lease_nodes.c
@@ -50,16 +50,16 @@
     node->tables_due = true;
 }
 
-static void log_decision(void *context, const char *service, const char *event, const cw_range_t *range,
-                         const char *detail)
+static void log_decision(void *context, const cw_assignment_decision_t *decision)
 {
     const sim_node_t *node = context;
+    const cw_range_t *range = decision->range;
 
-    (void)service;
     if (node->world->settings.trace) {
-        printf("%9.3f n%u %s (%s) cells %u-%u owner %s fence %llu former %s\n", (double)node->world->now / 1e6,
-               node->index, event, detail, range->low / CW_CELL_KEYS, range->last / CW_CELL_KEYS, range->owner.id,
-               (unsigned long long)range->owner.fence, range->former.id);
+        printf("%9.3f n%u %s (%s) cells %u-%u owner %s fence %llu former %s for %.3f s\n",
+               (double)node->world->now / 1e6, node->index, decision->event, decision->detail,
+               range->low / CW_CELL_KEYS, range->last / CW_CELL_KEYS, range->owner.id,
+               (unsigned long long)range->owner.fence, range->former.id, (double)decision->former_left / 1e6);
     }
 }
 
--- a/src/assignment/assigner.c
+++ b/src/assignment/assigner.c
@@ -109,3 +109,18 @@
            now < cw_assigner_hold_end(range->unanswered_at + assigner->settings.late_order_time,
                                       assigner->settings.hold_long);
 }
+
+void cw_assigner_log(const cw_assigner_t *assigner, const char *event, const cw_range_t *range, const char *detail)
+{
+    cw_assignment_decision_t decision = {.service = assigner->service,
+                                         .event = event,
+                                         .detail = detail,
+                                         .range = range,
+                                         .record = assigner->revision,
+                                         .order = range->hold_order};
+
+    if (range->former.id[0] != '\0') {
+        decision.former_left = range->former_until - assigner->now;
+    }
+    assigner->ports.log_decision(assigner->ports.context, &decision);
+}
--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -99,6 +99,18 @@
     cw_assigner_loss_t loss;
 } cw_assigner_settings_t;
 
+/** One decision of an assigner, as it is logged. */
+typedef struct cw_assignment_decision {
+    const char       *service;
+    const char       *event;
+    const char       *detail; /**< what the decision rests on */
+    const cw_range_t *range;
+    /** How much longer the holder before the owner may hold the range; 0 or less: it certainly holds nothing. */
+    cw_time_us_t former_left;
+    uint64_t     record; /**< revision of the record by which the assigner goes */
+    uint64_t     order;  /**< last order that set the end of the owner's hold; 0: none */
+} cw_assignment_decision_t;
+
 /** Functions that the assigner calls. */
 typedef struct cw_assigner_ports {
     void            *context;
@@ -107,9 +119,8 @@
     void (*send_order)(void *context, const cw_order_t *order);
     /** The ranges by which requests are routed have changed. */
     void (*on_change)(void *context);
-    /** Logs one decision: the name of the event and a detail. */
-    void (*log_decision)(void *context, const char *service, const char *event, const cw_range_t *range,
-                         const char *detail);
+    /** Logs one decision. */
+    void (*log_decision)(void *context, const cw_assignment_decision_t *decision);
 } cw_assigner_ports_t;
 
 /** Assigner of one service. */
--- a/src/assignment/assigner_commit.c
+++ b/src/assignment/assigner_commit.c
@@ -29,6 +29,7 @@
     bool same_owner = source != NULL && strcmp(source->owner.id, planned->owner.id) == 0;
 
     planned->hold_until = same_owner ? source->hold_until : 0;
+    planned->hold_order = same_owner ? source->hold_order : 0;
     planned->unanswered_at = same_owner ? source->unanswered_at : 0;
     planned->confirmed_at = 0;
     planned->failing_since = same_owner ? source->failing_since : 0;
@@ -56,6 +57,23 @@
     }
 }
 
+/* Logs the change of a range's owner, with the end of the former holder's hold. */
+static void log_move(const cw_assigner_t *assigner, const cw_range_t *planned, const cw_range_t *source)
+{
+    if (source == NULL || strcmp(source->owner.id, planned->owner.id) == 0) {
+        return;
+    }
+    if (planned->former.id[0] != '\0') {
+        cw_assigner_log(assigner, "move begun", planned, "the former holder has to release the keys");
+    } else if (source->owner_ended) {
+        cw_assigner_log(assigner, "move begun", planned, "another incarnation answers at the former owner's address");
+    } else if (source->hold_until == 0) {
+        cw_assigner_log(assigner, "move begun", planned, "the former owner was granted nothing");
+    } else {
+        cw_assigner_log(assigner, "move begun", planned, "the list names another server at the former owner's address");
+    }
+}
+
 static void commit_change(cw_assigner_t *assigner, cw_time_us_t now)
 {
     size_t index;
@@ -68,6 +86,7 @@
             keep_state(planned, source);
         } else {
             begin_move(assigner, planned, source, now);
+            log_move(assigner, planned, source);
         }
     }
 }
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -49,6 +49,9 @@
 /** Whether an unanswered order can still be carried out, or a hold that it gave can still be in force. */
 bool cw_assigner_late_order_possible(const cw_assigner_t *assigner, const cw_range_t *range, cw_time_us_t now);
 
+/** Logs a decision about a range, and what it rests on. */
+void cw_assigner_log(const cw_assigner_t *assigner, const char *event, const cw_range_t *range, const char *detail);
+
 /* ---- assigner_plan.c ---- */
 /** Submits the plan. It is written as soon as the store can be called and must not change until then. */
 void cw_assigner_begin_write(cw_assigner_t *assigner);
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -104,6 +104,7 @@
     cw_time_us_t before = range->hold_until;
 
     range->hold_until = until > before ? until : before;
+    range->hold_order = assigner->last_order + 1;
     range->next_order = now + renewal_interval(assigner);
     send_order(assigner, range, CW_ORDER_GRANT, &range->owner, hold, before, now);
 }
@@ -112,7 +113,7 @@
 
 static void finish_release(cw_assigner_t *assigner, cw_range_t *range, const char *why, cw_time_us_t now)
 {
-    assigner->ports.log_decision(assigner->ports.context, assigner->service, "former holder let go", range, why);
+    cw_assigner_log(assigner, "former holder let go", range, why);
     memset(&range->former, 0, sizeof(range->former));
     if (assigner->stale_since == 0) {
         assigner->stale_since = now;
@@ -259,8 +260,7 @@
     range->fence_used = true;
     range->next_order = order->sent_at + renewal_interval(assigner);
     if (first) {
-        assigner->ports.log_decision(assigner->ports.context, assigner->service, "granted", range,
-                                     range->handover[0] == '\0' ? "without handover" : "with handover");
+        cw_assigner_log(assigner, "granted", range, range->handover[0] == '\0' ? "without handover" : "with handover");
         assigner->ports.on_change(assigner->ports.context);
     }
     (void)now;
@@ -278,8 +278,8 @@
     range->needs_fence = range->fence_used && may_restart_with_its_name(range);
     if (range->failing_since == 0) {
         range->failing_since = now;
-        assigner->ports.log_decision(assigner->ports.context, assigner->service, "grant not confirmed", range,
-                                     result == CW_ORDER_NOT_SENT ? "no connection" : "no answer");
+        cw_assigner_log(assigner, "grant not confirmed", range,
+                        result == CW_ORDER_NOT_SENT ? "no connection" : "no answer");
     }
     range->next_order = now + CW_MS(result == CW_ORDER_NOT_SENT ? RESEND_NOT_SENT_MS : RESEND_MS);
 }
@@ -295,8 +295,7 @@
         handle_confirmed_grant(assigner, range, order, now);
         break;
     case CW_ORDER_FENCED:
-        assigner->ports.log_decision(assigner->ports.context, assigner->service, "grant fenced", range,
-                                     "a higher fence was seen");
+        cw_assigner_log(assigner, "grant fenced", range, "a higher fence was seen");
         range->next_order = now + CW_MS(RESEND_NOT_SENT_MS);
         if (!assigner->writing) {
             cw_assigner_plan_new_fence(assigner, range);
@@ -305,16 +304,14 @@
         break;
     case CW_ORDER_OTHER_INCARNATION:
         range->owner_ended = true;
-        assigner->ports.log_decision(assigner->ports.context, assigner->service, "owner ended", range,
-                                     "another incarnation answers");
+        cw_assigner_log(assigner, "owner ended", range, "another incarnation answers");
         range->next_order = now + CW_MS(RESEND_NOT_SENT_MS);
         break;
     case CW_ORDER_OTHER_CONNECTION:
         range->hold_until = order->hold_until_before;
         range->needs_fence = true;
         range->next_order = now;
-        assigner->ports.log_decision(assigner->ports.context, assigner->service, "new fence is due", range,
-                                     "no connection from before");
+        cw_assigner_log(assigner, "new fence is due", range, "no connection from before");
         break;
     case CW_ORDER_REFUSED:
     case CW_ORDER_NOT_SENT:
--- a/src/assignment/assigner_record.c
+++ b/src/assignment/assigner_record.c
@@ -99,8 +99,7 @@
     cw_range_t   all_keys = {.low = 0, .last = CW_KEY_LAST};
     cw_time_us_t last_grant = assigner->record.ranges.count > 0 ? now : assigner->led_since;
 
-    assigner->ports.log_decision(assigner->ports.context, assigner->service, "record not readable", &all_keys,
-                                 "assigned again after former holds have ended");
+    cw_assigner_log(assigner, "record not readable", &all_keys, "assigned again after former holds have ended");
     assigner->first_grant_at = cw_assigner_hold_end(last_grant, assigner->settings.hold_long);
     assigner->plan.last_fence = first_free_fence(assigner);
     assigner->state = CW_ASSIGNER_EMPTY;
@@ -117,7 +116,7 @@
     snprintf(detail, sizeof(detail), "term %" PRIu64 ", write %" PRIu64 " of %s; own term %" PRIu64 ", write %" PRIu64,
              record->term, record->write, record->writer == assigner->incarnation ? "this node" : "another",
              assigner->term, assigner->last_write);
-    assigner->ports.log_decision(assigner->ports.context, assigner->service, what, &all_keys, detail);
+    cw_assigner_log(assigner, what, &all_keys, detail);
 }
 
 /* Keeps the owners of an outdated record, but not its fences: others may have been given the keys since, with fences
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -87,6 +87,10 @@
     X(LOW, "low")                                                                                                      \
     X(LAST, "last")                                                                                                    \
     X(FORMER, "former")                                                                                                \
+    X(FORMER_LEFT_MS, "former_left_ms")                                                                                \
+    X(ORDER, "order")                                                                                                  \
+    X(RECORD, "record")                                                                                                \
+    X(LIST, "list")                                                                                                    \
     X(TERM, "term")                                                                                                    \
     X(VIEW, "view")                                                                                                    \
     X(VIEW_AGE_MS, "view_age_ms")                                                                                      \
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -165,23 +165,29 @@
     cw_router_tables_changed(router);
 }
 
-static void log_assignment(void *context, const char *service, const char *what, const cw_range_t *range,
-                           const char *detail)
+static void log_assignment(void *context, const cw_assignment_decision_t *decision)
 {
-    cw_event_t event;
+    const cw_router_t *router = ((const cw_service_assignment_t *)context)->router;
+    const cw_range_t  *range = decision->range;
+    cw_event_t         event;
 
-    (void)context;
     if (!cw_event_begin(&event, CW_EVENT_ASSIGNMENT)) {
         return;
     }
-    cw_event_text(&event, CW_FIELD_REASON, what);
-    cw_event_text(&event, CW_FIELD_DETAIL, detail);
-    cw_event_text(&event, CW_FIELD_SERVICE, service);
+    cw_event_text(&event, CW_FIELD_REASON, decision->event);
+    cw_event_text(&event, CW_FIELD_DETAIL, decision->detail);
+    cw_event_text(&event, CW_FIELD_SERVICE, decision->service);
     cw_event_number(&event, CW_FIELD_LOW, range->low);
     cw_event_number(&event, CW_FIELD_LAST, range->last);
     cw_event_text(&event, CW_FIELD_SERVER, range->owner.id);
     cw_event_number(&event, CW_FIELD_FENCE, (int64_t)range->owner.fence);
-    cw_event_text(&event, CW_FIELD_FORMER, range->former.id[0] == '\0' ? NULL : range->former.id);
+    if (range->former.id[0] != '\0') {
+        cw_event_text(&event, CW_FIELD_FORMER, range->former.id);
+        cw_event_ms(&event, CW_FIELD_FORMER_LEFT_MS, decision->former_left);
+    }
+    cw_event_number(&event, CW_FIELD_ORDER, (int64_t)decision->order);
+    cw_event_number(&event, CW_FIELD_RECORD, (int64_t)cw_store_revision_count(decision->record));
+    cw_event_number(&event, CW_FIELD_LIST, (int64_t)cw_store_revision_count(router->server_view.revision));
     cw_event_end(&event);
 }
 
--- a/tests/assigner_fixture.c
+++ b/tests/assigner_fixture.c
@@ -103,14 +103,13 @@
     ((assigner_fixture_t *)context)->changes++;
 }
 
-static void on_decision(void *context, const char *service, const char *event, const cw_range_t *range,
-                        const char *detail)
-{
-    (void)context;
-    (void)service;
-    (void)event;
-    (void)range;
-    (void)detail;
+static void on_decision(void *context, const cw_assignment_decision_t *decision)
+{
+    assigner_fixture_t *fixture = context;
+
+    fixture->decision = *decision;
+    fixture->decided_range = *decision->range;
+    fixture->decision.range = &fixture->decided_range;
 }
 
 static void create_assigner(assigner_fixture_t *fixture, uint64_t term)
