--- /dev/null
+++ b/tests/test_assigner_holds.c
@@ -0,0 +1,290 @@
+/**
+ * @file test_assigner_holds.c
+ * @brief Tests that a hold is not taken for ended before it is: what proves an end, and each change of a hold's end.
+ */
+#include <string.h>
+
+#include "assigner_fixture.h"
+#include "loop_fixture.h"
+
+static const char *const three[] = {"a-new@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", NULL};
+/* As the store listed the servers before a-new had registered: the server that had its address before is still there.
+ */
+static const char *const older[] = {"a-old@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", NULL};
+
+enum { KEY_OF_NEW = 50 };
+
+static const cw_server_entry_t *server(const assigner_fixture_t *fixture, const char *id)
+{
+    const cw_server_entry_t *entry = cw_server_list_find(fixture->servers, id);
+
+    ck_assert_ptr_nonnull(entry);
+    return entry;
+}
+
+static void begin(assigner_fixture_t *fixture)
+{
+    assigner_fixture_init(fixture, 1);
+    assigner_fixture_set_servers(fixture, three);
+    assigner_fixture_settle(fixture);
+}
+
+/* A later leader reads the record and writes it with its own term. */
+static void take_over(assigner_fixture_t *fixture, const char *const *servers)
+{
+    assigner_fixture_take_over(fixture, 2);
+    assigner_fixture_set_servers(fixture, servers);
+    assigner_fixture_tick(fixture, CW_MS(20));
+    assigner_fixture_tick(fixture, CW_MS(20));
+    ck_assert_int_eq(cw_assigner_state(fixture->assigner), CW_ASSIGNER_READY);
+}
+
+/* Moves keys of the first range, until the write is done and its first orders are sent. */
+static void move_keys(assigner_fixture_t *fixture, const char *to)
+{
+    cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, to), fixture->servers);
+    cw_assigner_plan_write(fixture->assigner, fixture->now);
+    assigner_fixture_tick(fixture, CW_MS(20));
+    assigner_fixture_tick(fixture, CW_MS(20));
+}
+
+/* Number of orders of this kind to the server since index `from` that concern the moved keys. */
+static size_t count_to(const assigner_fixture_t *fixture, cw_order_kind_t kind, const char *id, size_t from)
+{
+    size_t count = 0;
+    size_t index;
+
+    for (index = from; index < fixture->order_count; index++) {
+        const cw_order_t *order = &fixture->orders[index];
+
+        count += order->kind == kind && strcmp(order->server, id) == 0 && order->low <= KEY_OF_NEW ? 1 : 0;
+    }
+    return count;
+}
+
+/* ---- proofs by the list of servers ---- */
+
+/* Guards against OWNER: a new leader whose list is older than the record took the server that had had the address
+ * before for the owner's successor, and granted the owner's keys to a third server at once. */
+START_TEST(an_older_list_does_not_prove_the_end_of_an_owner)
+{
+    assigner_fixture_t fixture;
+    size_t             sent;
+
+    begin(&fixture);
+    take_over(&fixture, older);
+    sent = fixture.order_count;
+    move_keys(&fixture, "i-c");
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_GRANT, "i-c", sent), 0);
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_RELEASE, "a-new", sent), 1);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* The same while a move that the leader before has begun waits for its former holder. */
+START_TEST(an_older_list_does_not_prove_the_end_of_a_former_holder)
+{
+    assigner_fixture_t fixture;
+    size_t             sent;
+
+    begin(&fixture);
+    sent = fixture.order_count;
+    move_keys(&fixture, "i-c");
+    take_over(&fixture, older);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    ck_assert_int_eq(assigner_fixture_range(&fixture, KEY_OF_NEW)->phase, CW_RANGE_RELEASING);
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_GRANT, "i-c", sent), 0);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* The same for renewals: a living owner's hold must not run out for such a list. */
+START_TEST(an_owner_is_renewed_although_an_older_list_names_another_server_at_its_address)
+{
+    assigner_fixture_t fixture;
+    size_t             sent;
+
+    begin(&fixture);
+    sent = fixture.order_count;
+    take_over(&fixture, older);
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_GRANT, "a-new", sent), 1);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* ---- the end of a hold ---- */
+
+/* Sends the next renewal of a-new, and returns the order. */
+static cw_order_t renew(assigner_fixture_t *fixture)
+{
+    size_t sent = fixture->order_count;
+
+    assigner_fixture_tick(fixture, CW_MS(1250));
+    for (; sent < fixture->order_count; sent++) {
+        if (strcmp(fixture->orders[sent].server, "a-new") == 0) {
+            return fixture->orders[sent];
+        }
+    }
+    ck_abort_msg("no renewal");
+    return (cw_order_t){0};
+}
+
+/* Guards against a hold that is taken back with an order that was not sent, although a later order gave it again: a
+ * plan was written between the two, and the store stopped answering, so that the long hold was granted at once. */
+START_TEST(an_order_that_was_not_sent_does_not_take_back_the_hold_of_a_later_one)
+{
+    assigner_fixture_t fixture;
+    cw_order_t         first;
+    cw_order_t         second = {0};
+    size_t             index;
+
+    begin(&fixture);
+    first = renew(&fixture);
+    cw_assigner_plan_move(fixture.assigner, 60000, 60099, server(&fixture, "i-b"), fixture.servers);
+    cw_assigner_plan_write(fixture.assigner, fixture.now);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    fixture.now += CW_MS(20);
+    cw_assigner_tick(fixture.assigner, fixture.servers, true, true, fixture.now);
+    for (index = 0; index < fixture.order_count; index++) {
+        if (fixture.orders[index].id > first.id && strcmp(fixture.orders[index].server, "a-new") == 0) {
+            second = fixture.orders[index];
+        }
+    }
+    cw_assigner_order_done(fixture.assigner, first.id, CW_ORDER_NOT_SENT, NULL, fixture.now);
+    if (second.id == 0) { /* it waits for the first one's result */
+        assigner_fixture_tick(&fixture, CW_MS(300));
+        second = fixture.orders[fixture.order_count - 1];
+    }
+    cw_assigner_order_done(fixture.assigner, second.id, CW_ORDER_DONE, NULL, fixture.now + CW_MS(5));
+    ck_assert_str_eq(second.server, "a-new");
+    ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until,
+                     cw_assigner_hold_end(second.sent_at, second.hold));
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* Guards against a hold that ends with the left one of two ranges that have become one, although the owner holds the
+ * right one longer. */
+START_TEST(a_merged_range_is_held_until_the_later_end_of_its_parts)
+{
+    assigner_fixture_t fixture;
+    cw_time_us_t       later;
+
+    begin(&fixture);
+    move_keys(&fixture, "i-b");
+    assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
+    cw_assigner_plan_move(fixture.assigner, 100, 21844, server(&fixture, "i-b"), fixture.servers);
+    cw_assigner_plan_write(fixture.assigner, fixture.now);
+    assigner_fixture_tick(&fixture, CW_MS(500));
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
+    later = assigner_fixture_range(&fixture, 200)->hold_until;
+    ck_assert_int_gt(later, assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until);
+    ck_assert(cw_assigner_plan_merge(fixture.assigner, 0));
+    cw_assigner_plan_write(fixture.assigner, fixture.now);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_answer(&fixture, CW_ORDER_NOT_SENT, NULL);
+    ck_assert_uint_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->last, 200);
+    ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until, later);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* Guards against a second move that forgets the owner between: the record of the leader before names i-b as the owner
+ * and a-new as the holder before it, and i-b had been granted the keys already. */
+START_TEST(a_move_of_an_unfinished_move_waits_for_the_owner_between)
+{
+    assigner_fixture_t fixture;
+    size_t             sent;
+
+    begin(&fixture);
+    move_keys(&fixture, "i-b");
+    assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL); /* a-new has released the keys */
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL); /* i-b holds them; the record does not say so yet */
+    take_over(&fixture, three);
+    sent = fixture.order_count;
+    move_keys(&fixture, "i-c");
+    assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_GRANT, "i-c", sent), 0);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* Guards against a hold that is counted from the decision to grant it: the server counts it from the arrival, which may
+ * be as late as the answer. */
+START_TEST(a_hold_counts_from_the_latest_arrival_of_its_grant)
+{
+    assigner_fixture_t fixture;
+    cw_order_t         order;
+    cw_time_us_t       answered_at;
+
+    begin(&fixture);
+    order = renew(&fixture);
+    ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until,
+                     cw_assigner_hold_end(order.sent_at + order.timeout, order.hold));
+    answered_at = order.sent_at + CW_MS(300);
+    cw_assigner_order_done(fixture.assigner, order.id, CW_ORDER_DONE, NULL, answered_at);
+    ck_assert_int_eq(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until,
+                     cw_assigner_hold_end(answered_at, order.hold));
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* The same for the last grant of the leader before, which was sent while that one had authority. */
+START_TEST(a_new_leader_counts_former_holds_from_the_latest_arrival_of_a_grant)
+{
+    assigner_fixture_t fixture;
+    cw_time_us_t       led_since;
+
+    begin(&fixture);
+    led_since = fixture.now + CW_MS(20);
+    take_over(&fixture, three);
+    ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until,
+                     cw_assigner_hold_end(led_since + CW_MS(350), CW_MS(8000)));
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* ---- the record ---- */
+
+/* Guards against an earlier record of this process that is taken for the write without an answer: both are the first
+ * write of their term. The record would still have the earlier term. */
+START_TEST(a_record_of_an_earlier_term_is_not_taken_for_the_write_without_an_answer)
+{
+    assigner_fixture_t fixture;
+
+    begin(&fixture);
+    json_object_set_new(fixture.object, "writer", json_string("00000000000003ea")); /* 1000 + the term 2 */
+    assigner_fixture_take_over(&fixture, 2);
+    assigner_fixture_set_servers(&fixture, three);
+    fixture.fail_next = CW_STORE_UNKNOWN;
+    assigner_fixture_tick(&fixture, CW_MS(20)); /* the read */
+    assigner_fixture_tick(&fixture, CW_MS(20)); /* the write, which is not done */
+    assigner_fixture_tick(&fixture, CW_MS(20)); /* read again */
+    ck_assert_int_ne(cw_assigner_state(fixture.assigner), CW_ASSIGNER_READY);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("assigner holds");
+    TCase *cases = tcase_create("assigner holds");
+
+    tcase_add_test(cases, an_older_list_does_not_prove_the_end_of_an_owner);
+    tcase_add_test(cases, an_older_list_does_not_prove_the_end_of_a_former_holder);
+    tcase_add_test(cases, an_owner_is_renewed_although_an_older_list_names_another_server_at_its_address);
+    tcase_add_test(cases, an_order_that_was_not_sent_does_not_take_back_the_hold_of_a_later_one);
+    tcase_add_test(cases, a_merged_range_is_held_until_the_later_end_of_its_parts);
+    tcase_add_test(cases, a_move_of_an_unfinished_move_waits_for_the_owner_between);
+    tcase_add_test(cases, a_hold_counts_from_the_latest_arrival_of_its_grant);
+    tcase_add_test(cases, a_new_leader_counts_former_holds_from_the_latest_arrival_of_a_grant);
+    tcase_add_test(cases, a_record_of_an_earlier_term_is_not_taken_for_the_write_without_an_answer);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
