A list of servers does not prove the end of a holder; an answer at its address does

Cause: another id at a holder's address in the leader's list counted as its successor. Nothing compared the list with the record: a new leader goes by the list that it has, and one from before the holder registered names the server that had the address before. The keys were then granted at once, without a release, in three places (a move, a former holder, a renewal that stops). Ruled out: comparing the list's revision with the record's. It is right within an epoch of the store, but not after a restore, when the list may be of a copy and the record already written again. Change: only a later start of the same server, which its id tells, ends a hold by the list. Another server at the address answers the release itself (421), which proves the end at that moment, one round trip later. Conclusion: no proof of an end depends on how old a list is any more.

--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -8,8 +8,11 @@
  *    follows from it. A new leader rewrites each record with its own term before it sends its first order. A late write
  *    of an earlier leader then fails its condition, so it cannot replace the state that the new leader has read.
  *  - A renewal repeats a grant to the same server and needs no wait. A move needs one of: the former holder's
- *    confirmation of the release; proof that its incarnation has ended (another id at its address); or the expiry of
- *    its hold, including clock drift, counted from the last grant or renewal sent that may have reached it.
+ *    confirmation of the release; proof that its incarnation has ended; or the expiry of its hold, including clock
+ *    drift, counted from the last grant or renewal sent that may have reached it.
+ *  - An incarnation has ended if another one answers an order at its address, or if a later one of the same server is
+ *    listed (server_incarnation.h). Another id at its address in a list proves nothing: the list may be older than the
+ *    record, and name the server that had the address before.
  *  - The fences of a service only increase.
  *  - The store may come back from a copy (store_epoch.h), with an earlier record or none. A leader that has written the
  *    record in its tenure knows more than the store: it writes its own state again, and never takes one from the store
--- a/src/assignment/assigner_commit.c
+++ b/src/assignment/assigner_commit.c
@@ -70,7 +70,7 @@
     } else if (source->hold_until == 0) {
         cw_assigner_log(assigner, "move begun", planned, "the former owner was granted nothing");
     } else {
-        cw_assigner_log(assigner, "move begun", planned, "the list names another server at the former owner's address");
+        cw_assigner_log(assigner, "move begun", planned, "a later incarnation of the former owner is listed");
     }
 }
 
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -127,11 +127,8 @@
 static void advance_release(cw_assigner_t *assigner, cw_range_t *range, const cw_server_list_t *servers,
                             cw_time_us_t now)
 {
-    bool ended = cw_server_list_find(servers, range->former.id) == NULL &&
-                 cw_server_list_successor(servers, range->former.id, range->former.address) != NULL;
-
-    if (ended) {
-        finish_release(assigner, range, "its life ended", now);
+    if (cw_server_list_later_incarnation(servers, range->former.id) != NULL) {
+        finish_release(assigner, range, "a later incarnation of it is listed", now);
     } else if (now >= range->former_until) {
         finish_release(assigner, range, "its hold ran out", now);
     } else if (range->orders == 0 && now >= range->next_order) {
@@ -143,12 +140,7 @@
 /* An owner whose incarnation has ended is not renewed, so that its hold can expire. */
 static bool may_renew_owner(const cw_server_list_t *servers, const cw_range_t *range)
 {
-    const cw_server_entry_t *entry = cw_server_list_find(servers, range->owner.id);
-
-    if (range->owner_ended) {
-        return false;
-    }
-    return entry != NULL || cw_server_list_successor(servers, range->owner.id, range->owner.address) == NULL;
+    return !range->owner_ended && cw_server_list_later_incarnation(servers, range->owner.id) == NULL;
 }
 
 /* Whether the plan that is being written gives the range to another server and its present owner must get no grant. An
--- a/src/assignment/assigner_plan.c
+++ b/src/assignment/assigner_plan.c
@@ -56,9 +56,7 @@
 /* Before the range's owner changes: sets the holder that may still hold the keys, and clears the handover. */
 static void set_former(cw_range_t *range, const cw_server_list_t *servers)
 {
-    bool ended =
-        range->owner_ended || (cw_server_list_find(servers, range->owner.id) == NULL &&
-                               cw_server_list_successor(servers, range->owner.id, range->owner.address) != NULL);
+    bool ended = range->owner_ended || cw_server_list_later_incarnation(servers, range->owner.id) != NULL;
 
     if (range->former.id[0] != '\0') {
         return; /* the previous move is not finished: the same former holder still has to release the range */
--- a/src/model/server_list.c
+++ b/src/model/server_list.c
@@ -366,6 +366,13 @@
     return NULL;
 }
 
+const cw_server_entry_t *cw_server_list_later_incarnation(const cw_server_list_t *list, const char *id)
+{
+    const cw_server_entry_t *newest = list == NULL ? NULL : cw_server_list_newest(list, id);
+
+    return newest != NULL && cw_server_id_succeeds(newest->id, id) ? newest : NULL;
+}
+
 const cw_server_entry_t *cw_server_list_successor(const cw_server_list_t *list, const char *id, const char *address)
 {
     const cw_server_entry_t *found;
@@ -378,11 +385,7 @@
         ((cw_server_list_t *)list)->by_address = sort_by_address(list);
     }
     found = other_at_address(list, id, address);
-    if (found == NULL) {
-        found = cw_server_list_newest(list, id);
-        found = found != NULL && cw_server_id_succeeds(found->id, id) ? found : NULL;
-    }
-    return found;
+    return found != NULL ? found : cw_server_list_later_incarnation(list, id);
 }
 
 /* ---- comparison ---- */
--- a/src/model/server_list.h
+++ b/src/model/server_list.h
@@ -3,7 +3,7 @@
  * @brief One snapshot of the servers that the platform lists, immutable and with a reference count.
  *
  * A server's id identifies one of its incarnations (server_incarnation.h). A missing entry does not prove that a server
- * has ended; another id at its address does, and so does a later incarnation of the same server.
+ * has ended; a later incarnation of the same server does.
  */
 #ifndef CEDARWINCH_MODEL_SERVER_LIST_H
 #define CEDARWINCH_MODEL_SERVER_LIST_H
@@ -69,8 +69,12 @@
 const cw_server_entry_t *cw_server_list_newest(const cw_server_list_t *list, const char *id);
 /** Returns the latest listed incarnation of the server with this name; NULL: none is listed. */
 const cw_server_entry_t *cw_server_list_newest_by_name(const cw_server_list_t *list, const char *name);
-/** Returns an entry that proves the end of the incarnation: another id at this address, or a later incarnation of the
- * same server; NULL: none. */
+/** Returns the entry of an incarnation of the same server that started later, by their ids; NULL: none. It proves that
+ * this one has ended, however old the list is. */
+const cw_server_entry_t *cw_server_list_later_incarnation(const cw_server_list_t *list, const char *id);
+/** Returns an entry with another id at this address, or a later incarnation of the same server; NULL: none. It proves
+ * the end of the incarnation only in a list that is later than one that named it: an older list names the server that
+ * had the address before. */
 const cw_server_entry_t *cw_server_list_successor(const cw_server_list_t *list, const char *id, const char *address);
 /** Called for an id in either of two lists; the entry of a list that lacks the id is NULL. */
 typedef void (*cw_server_compared_t)(void *context, const cw_server_entry_t *before, cw_server_entry_t *after);
--- a/tests/test_assigner.c
+++ b/tests/test_assigner.c
@@ -117,7 +117,10 @@
 }
 END_TEST
 
-START_TEST(another_incarnation_at_the_address_proves_the_end)
+/* The list may be older than the record, and name the server that had the address before. An order to the address
+ * tells.
+ */
+START_TEST(another_id_at_the_address_in_a_list_proves_nothing)
 {
     static const char *const replaced[] = {"i-c@10.0.0.1:80", "i-b@10.0.0.2:80", NULL};
     assigner_fixture_t       fixture;
@@ -129,6 +132,30 @@
     assigner_fixture_answer(&fixture, CW_ORDER_UNANSWERED, NULL);
     assigner_fixture_set_servers(&fixture, replaced);
     assigner_fixture_tick(&fixture, CW_MS(20));
+    ck_assert_int_eq(assigner_fixture_range(&fixture, 50)->phase, CW_RANGE_RELEASING);
+    assigner_fixture_tick(&fixture, CW_MS(200)); /* the release is sent again */
+    assigner_fixture_answer(&fixture, CW_ORDER_OTHER_INCARNATION, NULL);
+    ck_assert_int_eq(assigner_fixture_range(&fixture, 50)->phase, CW_RANGE_GRANTING);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+START_TEST(a_later_incarnation_of_the_same_server_proves_the_end)
+{
+    static const char *const started[] = {"i-a#1000@10.0.0.1:80", "i-b#1000@10.0.0.2:80", NULL};
+    static const char *const restarted[] = {"i-a#2000@10.0.0.1:80", "i-b#1000@10.0.0.2:80", NULL};
+    assigner_fixture_t       fixture;
+
+    assigner_fixture_init(&fixture, 1);
+    assigner_fixture_set_servers(&fixture, started);
+    assigner_fixture_settle(&fixture);
+    cw_assigner_plan_move(fixture.assigner, 0, 99, server(&fixture, "i-b@1000"), fixture.servers);
+    cw_assigner_plan_write(fixture.assigner, fixture.now);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    ck_assert_int_eq(assigner_fixture_range(&fixture, 50)->phase, CW_RANGE_RELEASING);
+    assigner_fixture_set_servers(&fixture, restarted);
+    assigner_fixture_tick(&fixture, CW_MS(20));
     ck_assert_int_eq(assigner_fixture_range(&fixture, 50)->phase, CW_RANGE_GRANTING);
     assigner_fixture_clear(&fixture);
 }
@@ -609,7 +636,8 @@
     tcase_add_test(cases, a_move_releases_then_grants_with_the_handover_and_a_higher_fence);
     tcase_add_test(cases, unresponsive_former_holder_is_replaced_after_its_hold_has_expired);
     tcase_add_test(cases, a_release_without_an_answer_does_not_delay_the_grant_after_the_hold);
-    tcase_add_test(cases, another_incarnation_at_the_address_proves_the_end);
+    tcase_add_test(cases, another_id_at_the_address_in_a_list_proves_nothing);
+    tcase_add_test(cases, a_later_incarnation_of_the_same_server_proves_the_end);
     tcase_add_test(cases, an_order_answered_by_another_incarnation_proves_the_end);
     tcase_add_test(cases, a_missing_entry_proves_nothing);
     tcase_add_test(cases, a_new_leader_writes_the_record_before_it_renews);
