An order that was not sent takes back only the hold that it gave

What callers saw: nothing shown; a hold's record could end seconds before the hold, so that a move granted the keys without a release (OWNER). Cause: an order that was certainly not sent set the hold's end back to what it was before it, also if a later grant had set it since. A second grant could go out at all because a written plan set the number of orders in flight of unchanged ranges to 0, and a store that stops answering makes the long hold due at once. Change: the end is taken back only by the order that set it last; orders in flight are counted again when a plan is written, so that the next grant waits for the first one's result. Changes of a hold's end have a file of their own.

--- a/sim/lease_servers.c
+++ b/sim/lease_servers.c
@@ -23,7 +23,7 @@
 typedef struct sim_delivery {
     sim_node_t       *node;
     uint64_t          incarnation;
-    uint64_t          assigner_term;
+    uint64_t          first_term; /**< of the assigner that sent it, which may continue under a later term */
     cw_order_t        order;
     cw_order_result_t result;
     bool              late;
@@ -194,7 +194,7 @@
         return;
     }
     if (node->up && node->incarnation == delivery->incarnation && node->assigner != NULL &&
-        node->assigner_term == delivery->assigner_term) {
+        cw_assigner_first_term(node->assigner) == delivery->first_term) {
         cw_assigner_order_done(node->assigner, delivery->order.id, delivery->result, delivery->handover, world->now);
     }
     free(delivery);
@@ -254,7 +254,7 @@
     }
     delivery->node = node;
     delivery->incarnation = node->incarnation;
-    delivery->assigner_term = node->assigner_term;
+    delivery->first_term = cw_assigner_first_term(node->assigner);
     delivery->order = *order;
     if (!reachable || !server->up) {
         /* Bytes sent on an open connection may still arrive; a new connection fails before anything is sent. */
--- a/src/assignment/assigner_commit.c
+++ b/src/assignment/assigner_commit.c
@@ -12,7 +12,7 @@
 }
 
 /* Copies the leader's state of a range whose owner and fence the plan did not change. */
-static void keep_state(cw_range_t *planned, const cw_range_t *source)
+static void keep_state(const cw_assigner_t *assigner, cw_range_t *planned, const cw_range_t *source)
 {
     uint32_t low = planned->low;
     uint32_t last = planned->last;
@@ -20,7 +20,7 @@
     *planned = *source;
     planned->low = low;
     planned->last = last;
-    planned->orders = 0;
+    planned->orders = cw_assigner_orders_in_flight(assigner, planned); /* a part may have others than the whole */
 }
 
 /* Sets the state of a range whose owner or fence the plan changed. */
@@ -83,7 +83,7 @@
         const cw_range_t *source = source_of(assigner, planned);
 
         if (source != NULL && source->owner.fence == planned->owner.fence) {
-            keep_state(planned, source);
+            keep_state(assigner, planned, source);
         } else {
             begin_move(assigner, planned, source, now);
             log_move(assigner, planned, source);
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -52,6 +52,12 @@
 /** Logs a decision about a range, and what it rests on. */
 void cw_assigner_log(const cw_assigner_t *assigner, const char *event, const cw_range_t *range, const char *detail);
 
+/* ---- assigner_holds.c: each change of a hold's end ---- */
+/** A grant was sent: the owner may hold the range until then. */
+void cw_assigner_extend_hold(cw_range_t *range, uint64_t order, cw_time_us_t until);
+/** A grant was certainly not sent. The hold ends as before it, unless a later grant has set its end since. */
+void cw_assigner_take_back_hold(cw_range_t *range, const cw_order_t *order);
+
 /* ---- assigner_plan.c ---- */
 /** Submits the plan. It is written as soon as the store can be called and must not change until then. */
 void cw_assigner_begin_write(cw_assigner_t *assigner);
@@ -67,6 +73,8 @@
 void cw_assigner_call_store(cw_assigner_t *assigner, cw_time_us_t now);
 
 /* ---- assigner_orders.c ---- */
+/** Number of orders in flight whose results the range waits for. */
+uint32_t cw_assigner_orders_in_flight(const cw_assigner_t *assigner, const cw_range_t *range);
 /** Sends the orders that are due. long_hold: the store does not answer, so grants get the long hold. */
 void cw_assigner_send_orders(cw_assigner_t *assigner, const cw_server_list_t *servers, bool long_hold,
                              cw_time_us_t now);
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -100,11 +100,9 @@
 static void send_grant(cw_assigner_t *assigner, cw_range_t *range, bool long_hold, cw_time_us_t now)
 {
     cw_time_us_t hold = grant_hold(assigner, long_hold);
-    cw_time_us_t until = cw_assigner_hold_end(now, hold);
     cw_time_us_t before = range->hold_until;
 
-    range->hold_until = until > before ? until : before;
-    range->hold_order = assigner->last_order + 1;
+    cw_assigner_extend_hold(range, assigner->last_order + 1, cw_assigner_hold_end(now, hold));
     range->next_order = now + renewal_interval(assigner);
     send_order(assigner, range, CW_ORDER_GRANT, &range->owner, hold, before, now);
 }
@@ -264,7 +262,7 @@
     if (result == CW_ORDER_UNANSWERED) {
         range->unanswered_at = now;
     } else if (result == CW_ORDER_NOT_SENT) {
-        range->hold_until = order->hold_until_before;
+        cw_assigner_take_back_hold(range, order);
     }
     range->fence_used = range->fence_used || result == CW_ORDER_UNANSWERED;
     range->needs_fence = range->fence_used && may_restart_with_its_name(range);
@@ -300,7 +298,7 @@
         range->next_order = now + CW_MS(RESEND_NOT_SENT_MS);
         break;
     case CW_ORDER_OTHER_CONNECTION:
-        range->hold_until = order->hold_until_before;
+        cw_assigner_take_back_hold(range, order);
         range->needs_fence = true;
         range->next_order = now;
         cw_assigner_log(assigner, "new fence is due", range, "no connection from before");
@@ -332,12 +330,31 @@
     finish_release(assigner, range, "released", now);
 }
 
+/* Whether the result of the order concerns the range. */
+static bool concerns(const cw_order_t *order, const cw_range_t *range)
+{
+    return range->low >= order->low && range->last <= order->last && range->owner.fence == order->fence;
+}
+
 /* Whether the order is one of those that the range counts as in flight. */
 static bool is_awaited(const cw_range_t *range, const cw_order_t *order)
 {
     return (order->kind == CW_ORDER_RELEASE) == (range->phase == CW_RANGE_RELEASING);
 }
 
+uint32_t cw_assigner_orders_in_flight(const cw_assigner_t *assigner, const cw_range_t *range)
+{
+    uint32_t count = 0;
+    size_t   index;
+
+    for (index = 0; index < assigner->order_count; index++) {
+        const cw_order_t *order = &assigner->orders[index];
+
+        count += concerns(order, range) && is_awaited(range, order) ? 1 : 0;
+    }
+    return count;
+}
+
 void cw_assigner_order_done(cw_assigner_t *assigner, uint64_t id, cw_order_result_t result, const char *handover,
                             cw_time_us_t now)
 {
@@ -358,7 +375,7 @@
         if (range->low > order.last) {
             break;
         }
-        if (range->low < order.low || range->last > order.last || range->owner.fence != order.fence) {
+        if (!concerns(&order, range)) {
             continue;
         }
         if (range->orders > 0 && is_awaited(range, &order)) {
