A range made of two is held until the later end of its parts

What callers saw: nothing shown; after a merge the hold of the right part could be forgotten up to a renewal's interval too early. Cause: a written plan took the ends of the owner's and the former holder's holds, and the time of its last unanswered order, from the range of the first key alone. Change: they are the latest ones of all ranges of the record that the planned one covers; the plan itself takes the later end as well. Test: a_merged_range_is_held_until_the_later_end_of_its_parts failed before and passes. Conclusion: splits and merges keep each end that is known.

--- a/src/assignment/assigner_commit.c
+++ b/src/assignment/assigner_commit.c
@@ -28,9 +28,7 @@
 {
     bool same_owner = source != NULL && strcmp(source->owner.id, planned->owner.id) == 0;
 
-    planned->hold_until = same_owner ? source->hold_until : 0;
-    planned->hold_order = same_owner ? source->hold_order : 0;
-    planned->unanswered_at = same_owner ? source->unanswered_at : 0;
+    cw_assigner_set_planned_holds(assigner, planned, now);
     planned->confirmed_at = 0;
     planned->failing_since = same_owner ? source->failing_since : 0;
     planned->fence_used = false;
@@ -45,16 +43,6 @@
     }
     planned->phase = CW_RANGE_RELEASING;
     planned->keeps_serving = false;
-    if (source == NULL) {
-        return;
-    }
-    planned->former_until =
-        strcmp(planned->former.id, source->owner.id) == 0 ? source->hold_until : source->former_until;
-    if (cw_assigner_late_order_possible(assigner, source, now)) {
-        cw_time_us_t tables_end = cw_assigner_hold_end(now, assigner->settings.table_validity);
-
-        planned->former_until = tables_end > planned->former_until ? tables_end : planned->former_until;
-    }
 }
 
 /* Logs the change of a range's owner, with the end of the former holder's hold. */
--- a/src/assignment/assigner_holds.c
+++ b/src/assignment/assigner_holds.c
@@ -5,9 +5,21 @@
  */
 #include "assignment/assigner_internal.h"
 
+#include <string.h>
+
+static cw_time_us_t later_of(cw_time_us_t left, cw_time_us_t right)
+{
+    return left > right ? left : right;
+}
+
+static uint64_t later_of_orders(uint64_t left, uint64_t right)
+{
+    return left > right ? left : right;
+}
+
 void cw_assigner_extend_hold(cw_range_t *range, uint64_t order, cw_time_us_t until)
 {
-    range->hold_until = until > range->hold_until ? until : range->hold_until;
+    range->hold_until = later_of(range->hold_until, until);
     range->hold_order = order;
 }
 
@@ -17,3 +29,38 @@
         range->hold_until = order->hold_until_before;
     }
 }
+
+/* Adds the holds that are known of one range of the record to those of the planned range that covers it. */
+static void add_source(const cw_assigner_t *assigner, cw_range_t *planned, const cw_range_t *source, cw_time_us_t now)
+{
+    if (strcmp(planned->owner.id, source->owner.id) == 0) {
+        cw_assigner_extend_hold(planned, later_of_orders(planned->hold_order, source->hold_order), source->hold_until);
+        planned->unanswered_at = later_of(planned->unanswered_at, source->unanswered_at);
+    }
+    if (planned->former.id[0] == '\0') {
+        return;
+    }
+    if (strcmp(planned->former.id, source->owner.id) == 0) {
+        planned->former_until = later_of(planned->former_until, source->hold_until);
+    } else if (strcmp(planned->former.id, source->former.id) == 0) {
+        planned->former_until = later_of(planned->former_until, source->former_until);
+    }
+    if (cw_assigner_late_order_possible(assigner, source, now)) {
+        planned->former_until =
+            later_of(planned->former_until, cw_assigner_hold_end(now, assigner->settings.table_validity));
+    }
+}
+
+void cw_assigner_set_planned_holds(const cw_assigner_t *assigner, cw_range_t *planned, cw_time_us_t now)
+{
+    const cw_range_list_t *ranges = &assigner->record.ranges;
+    const cw_range_t      *source = cw_range_list_find(ranges, planned->low);
+
+    planned->hold_until = 0;
+    planned->hold_order = 0;
+    planned->unanswered_at = 0;
+    planned->former_until = 0;
+    for (; source != NULL && source < ranges->items + ranges->count && source->low <= planned->last; source++) {
+        add_source(assigner, planned, source, now);
+    }
+}
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -57,6 +57,9 @@
 void cw_assigner_extend_hold(cw_range_t *range, uint64_t order, cw_time_us_t until);
 /** A grant was certainly not sent. The hold ends as before it, unless a later grant has set its end since. */
 void cw_assigner_take_back_hold(cw_range_t *range, const cw_order_t *order);
+/** A plan that changes the range's owner or fence was written: sets the ends of the owner's and of the former holder's
+ * holds from the ranges of the record that it covers. */
+void cw_assigner_set_planned_holds(const cw_assigner_t *assigner, cw_range_t *planned, cw_time_us_t now);
 
 /* ---- assigner_plan.c ---- */
 /** Submits the plan. It is written as soon as the store can be called and must not change until then. */
--- a/src/assignment/assigner_plan.c
+++ b/src/assignment/assigner_plan.c
@@ -105,6 +105,7 @@
         return false;
     }
     left->last = right->last;
+    cw_assigner_extend_hold(left, left->hold_order, right->hold_until);
     memmove(right, right + 1, (assigner->plan.ranges.count - index - 2) * sizeof(*right));
     assigner->plan.ranges.count--;
     left->owner.fence = ++assigner->plan.last_fence;
