The assigner itself refuses to move keys that two servers may hold

What callers saw: nothing shown; with a second move the keys were granted while the owner between held them (OWNER). Cause: a record names one former holder. A new leader that adopts "owner b, former a" does not know whether b was granted the keys; a move to c kept a as the former holder and forgot b. Only the planner avoided that, from another module than the state. Change: cw_assigner_plan_move refuses such a move until b's hold has ended or the release of a is done; the planner asks the same function. Test: a_move_of_an_unfinished_move_waits_for_the_owner_between failed before and passes; after the release b has to release as well. Conclusion: the rule stands where the state is.

--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -178,8 +178,12 @@
 /** Plans and submits the first assignment of all keys, in equal parts. Only when the state is CW_ASSIGNER_EMPTY. */
 void cw_assigner_plan_first(cw_assigner_t *assigner, const cw_server_entry_t *const *servers, size_t count,
                             cw_time_us_t now);
-/** Adds a move to the plan: keys low to last, which lie within one range, are assigned to `to`. */
-void cw_assigner_plan_move(cw_assigner_t *assigner, uint32_t low, uint32_t last, const cw_server_entry_t *to,
+/** Whether the keys of this range may be assigned to another server now. Not while both its owner and the holder before
+ * it may hold them: the present move has to end first, since a record names only one former holder. */
+bool cw_assigner_may_move(const cw_range_t *range, cw_time_us_t now);
+/** Adds a move to the plan: keys low to last, which lie within one range, are assigned to `to`. False: the range may
+ * not be moved now, and nothing was added. */
+bool cw_assigner_plan_move(cw_assigner_t *assigner, uint32_t low, uint32_t last, const cw_server_entry_t *to,
                            const cw_server_list_t *servers);
 /** Adds a merge to the plan: the range of key `low` and the next one become one. False: the two have different owners,
  * or one of them is not held or is being moved. */
--- a/src/assignment/assigner_plan.c
+++ b/src/assignment/assigner_plan.c
@@ -59,7 +59,8 @@
     bool ended = range->owner_ended || cw_server_list_later_incarnation(servers, range->owner.id) != NULL;
 
     if (range->former.id[0] != '\0') {
-        return; /* the previous move is not finished: the same former holder still has to release the range */
+        return; /* the previous move is not finished: the same former holder still has to release the range, and the
+                   owner holds nothing (cw_assigner_may_move) */
     }
     if (ended || range->hold_until == 0) {
         return;
@@ -68,12 +69,20 @@
     range->handover[0] = '\0';
 }
 
-void cw_assigner_plan_move(cw_assigner_t *assigner, uint32_t low, uint32_t last, const cw_server_entry_t *to,
+bool cw_assigner_may_move(const cw_range_t *range, cw_time_us_t now)
+{
+    return range->former.id[0] == '\0' || range->owner_ended || range->hold_until <= now;
+}
+
+bool cw_assigner_plan_move(cw_assigner_t *assigner, uint32_t low, uint32_t last, const cw_server_entry_t *to,
                            const cw_server_list_t *servers)
 {
     cw_range_t *range;
     size_t      index;
 
+    if (!cw_assigner_may_move(cw_range_list_find(&assigner->record.ranges, low), assigner->now)) {
+        return false;
+    }
     open_plan(assigner);
     range = cw_range_list_find(&assigner->plan.ranges, low);
     index = (size_t)(range - assigner->plan.ranges.items);
@@ -85,6 +94,7 @@
     set_former(range, servers);
     range->keeps_serving = false;
     set_owner(assigner, range, to->id, to->address);
+    return true;
 }
 
 bool cw_assigner_plan_merge(cw_assigner_t *assigner, uint32_t low)
--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -97,8 +97,8 @@
     if (range->owner_ended) {
         return true;
     }
-    if (range->phase == CW_RANGE_RELEASING && range->hold_until > planner->now) {
-        return false; /* both the owner and the former holder may hold it: the present move has to end first */
+    if (!cw_assigner_may_move(range, planner->now)) {
+        return false;
     }
     if (server != NULL && is_to_be_emptied(server)) {
         return true;
--- a/src/placement/planner_internal.h
+++ b/src/placement/planner_internal.h
@@ -51,7 +51,7 @@
 cw_planner_server_t *cw_planner_server_of(const cw_planner_t *planner, const char *id);
 /** Load on keys low to last, in requests per second. */
 double cw_planner_load_between(const cw_planner_t *planner, uint32_t low, uint32_t last);
-/** Plans the move of a piece. from: NULL if the owner is not a listed server. */
+/** Plans the move of a piece, unless its range may not be moved now. from: NULL if the owner is not a listed server. */
 void cw_planner_move(cw_planner_t *planner, const cw_planner_piece_t *piece, cw_planner_server_t *from,
                      cw_planner_server_t *to);
 /** Price of moving a piece, which the gain must exceed. */
--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -42,7 +42,7 @@
 /* Moves keys of the first range, until the write is done and its first orders are sent. */
 static void move_keys(assigner_fixture_t *fixture, const char *to)
 {
-    cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, to), fixture->servers);
+    (void)cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, to), fixture->servers); /* false: not now */
     cw_assigner_plan_write(fixture->assigner, fixture->now);
     assigner_fixture_tick(fixture, CW_MS(20));
     assigner_fixture_tick(fixture, CW_MS(20));
@@ -211,6 +211,8 @@
     assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
     assigner_fixture_tick(&fixture, CW_MS(20));
     ck_assert_uint_eq(count_to(&fixture, CW_ORDER_GRANT, "i-c", sent), 0);
+    move_keys(&fixture, "i-c"); /* the former holder has released the keys: now the owner has to */
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_RELEASE, "i-b", sent), 1);
     assigner_fixture_clear(&fixture);
 }
 END_TEST
