A hold counts from the latest time at which its grant may have arrived

What callers saw: nothing shown; a former holder could hold keys up to 0.25 s longer than the leader waited, after a change of the leader as well. Cause: a hold was counted from the decision to send its grant, with 100 ms of slack. The server counts it from the arrival, which may be as late as the answer, or as the order's timeout of 350 ms, after which its connection is reset. Change: a grant in flight counts from its timeout; the answer brings the end back to the answer's time; holds of earlier leaders, and those that a lost or unreadable record gave, count from the timeout of the last grant that could leave with authority. Test: two checks (*_latest_arrival_of_*) failed before and pass. Checks of the wait after a takeover, an unreadable or an outdated record expected the first grant after 8.0 to 8.3 s; they expect it 350 ms later now, both bounds moved alike. Conclusion: keys of a silent owner wait up to 350 ms longer; a released or refused one does not.

--- a/src/assignment/assigner.c
+++ b/src/assignment/assigner.c
@@ -63,12 +63,12 @@
 }
 
 cw_assigner_loss_t cw_assigner_loss_since(bool is_seen, cw_time_us_t lost_at, cw_time_us_t leader_hold,
-                                          cw_time_us_t hold_long)
+                                          cw_time_us_t order_timeout, cw_time_us_t hold_long)
 {
     cw_assigner_loss_t loss = {.is_seen = is_seen};
 
     if (lost_at != 0) {
-        loss.holds_until = cw_assigner_hold_end(lost_at + leader_hold, hold_long);
+        loss.holds_until = cw_assigner_hold_end(lost_at + leader_hold + order_timeout, hold_long);
     }
     return loss;
 }
@@ -98,9 +98,9 @@
     return (assigner->state == CW_ASSIGNER_READY || assigner->state == CW_ASSIGNER_EMPTY) && !assigner->writing;
 }
 
-cw_time_us_t cw_assigner_hold_end(cw_time_us_t sent_at, cw_time_us_t hold)
+cw_time_us_t cw_assigner_hold_end(cw_time_us_t arrived_by, cw_time_us_t hold)
 {
-    return sent_at + hold * (100 + MOVE_DRIFT_PERCENT) / 100 + CW_MS(MOVE_SLACK_MS);
+    return arrived_by + hold * (100 + MOVE_DRIFT_PERCENT) / 100 + CW_MS(MOVE_SLACK_MS);
 }
 
 bool cw_assigner_late_order_possible(const cw_assigner_t *assigner, const cw_range_t *range, cw_time_us_t now)
--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -9,7 +9,8 @@
  *    of an earlier leader then fails its condition, so it cannot replace the state that the new leader has read.
  *  - A renewal repeats a grant to the same server and needs no wait. A move needs one of: the former holder's
  *    confirmation of the release; proof that its incarnation has ended; or the expiry of its hold, including clock
- *    drift, counted from the last grant or renewal sent that may have reached it.
+ *    drift, counted from the latest time at which a grant or renewal may have reached it: its answer, or its timeout,
+ *    after which its connection is reset.
  *  - An incarnation has ended if another one answers an order at its address, or if a later one of the same server is
  *    listed (server_incarnation.h). Another id at its address in a list proves nothing: the list may be older than the
  *    record, and name the server that had the address before.
@@ -84,10 +85,10 @@
 } cw_assigner_loss_t;
 
 /** Returns what a leader knows that first saw a state of the store which may lack records at `lost_at` (0: it saw
- * none). The authority of a leader that the store has lost ended within `leader_hold` of that time, and its last grant
- * was of `hold_long` at most. is_seen: as in the result. */
+ * none). The authority of a leader that the store has lost ended within `leader_hold` of that time; its last grant
+ * arrived within `order_timeout` after that, and was of `hold_long` at most. is_seen: as in the result. */
 cw_assigner_loss_t cw_assigner_loss_since(bool is_seen, cw_time_us_t lost_at, cw_time_us_t leader_hold,
-                                          cw_time_us_t hold_long);
+                                          cw_time_us_t order_timeout, cw_time_us_t hold_long);
 
 /** Times that an assigner uses. */
 typedef struct cw_assigner_settings {
@@ -138,8 +139,8 @@
     CW_ASSIGNER_DEPOSED  /**< a later leader has written the record */
 } cw_assigner_state_t;
 
-/** Time at which a hold that was granted at `sent_at` has ended by any server's clock. */
-cw_time_us_t cw_assigner_hold_end(cw_time_us_t sent_at, cw_time_us_t hold);
+/** Time at which a hold has ended by any server's clock whose grant arrived by `arrived_by`. */
+cw_time_us_t cw_assigner_hold_end(cw_time_us_t arrived_by, cw_time_us_t hold);
 /** Creates an assigner for a service. term, incarnation: of the leader, written into the record. */
 cw_assigner_t *cw_assigner_create(const char *service, uint64_t term, uint64_t incarnation,
                                   const cw_assigner_settings_t *settings, const cw_assigner_ports_t *ports);
--- a/src/assignment/assigner_commit.c
+++ b/src/assignment/assigner_commit.c
@@ -88,7 +88,7 @@
 
     for (index = 0; index < assigner->plan.ranges.count; index++) {
         cw_range_t  *range = &assigner->plan.ranges.items[index];
-        cw_time_us_t until = cw_assigner_hold_end(assigner->led_since, assigner->settings.hold_long);
+        cw_time_us_t until = cw_assigner_earlier_holds_end(assigner);
 
         range->next_order = now;
         range->fence_used = true;
--- a/src/assignment/assigner_holds.c
+++ b/src/assignment/assigner_holds.c
@@ -17,12 +17,29 @@
     return left > right ? left : right;
 }
 
+cw_time_us_t cw_assigner_earlier_holds_end(const cw_assigner_t *assigner)
+{
+    return cw_assigner_hold_end(assigner->led_since + assigner->settings.order_timeout, assigner->settings.hold_long);
+}
+
 void cw_assigner_extend_hold(cw_range_t *range, uint64_t order, cw_time_us_t until)
 {
     range->hold_until = later_of(range->hold_until, until);
     range->hold_order = order;
 }
 
+/* A later grant has its own end, which was set in addition. */
+void cw_assigner_confirm_hold(cw_range_t *range, const cw_order_t *order, cw_time_us_t now)
+{
+    cw_time_us_t until = cw_assigner_hold_end(now, order->hold);
+
+    if (range->hold_order == order->id) {
+        range->hold_until = later_of(order->hold_until_before, until);
+    } else {
+        range->hold_until = later_of(range->hold_until, until);
+    }
+}
+
 void cw_assigner_take_back_hold(cw_range_t *range, const cw_order_t *order)
 {
     if (range->hold_order == order->id) {
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -53,8 +53,13 @@
 void cw_assigner_log(const cw_assigner_t *assigner, const char *event, const cw_range_t *range, const char *detail);
 
 /* ---- assigner_holds.c: each change of a hold's end ---- */
+/** Latest end of the holds that earlier leaders have granted: they had lost their authority when this leader got its
+ * own, and no grant leaves without authority. */
+cw_time_us_t cw_assigner_earlier_holds_end(const cw_assigner_t *assigner);
 /** A grant was sent: the owner may hold the range until then. */
 void cw_assigner_extend_hold(cw_range_t *range, uint64_t order, cw_time_us_t until);
+/** The owner has confirmed a grant, so that it arrived by now. */
+void cw_assigner_confirm_hold(cw_range_t *range, const cw_order_t *order, cw_time_us_t now);
 /** A grant was certainly not sent. The hold ends as before it, unless a later grant has set its end since. */
 void cw_assigner_take_back_hold(cw_range_t *range, const cw_order_t *order);
 /** A plan that changes the range's owner or fence was written: sets the ends of the owner's and of the former holder's
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -102,7 +102,8 @@
     cw_time_us_t hold = grant_hold(assigner, long_hold);
     cw_time_us_t before = range->hold_until;
 
-    cw_assigner_extend_hold(range, assigner->last_order + 1, cw_assigner_hold_end(now, hold));
+    cw_assigner_extend_hold(range, assigner->last_order + 1,
+                            cw_assigner_hold_end(now + assigner->settings.order_timeout, hold));
     range->next_order = now + renewal_interval(assigner);
     send_order(assigner, range, CW_ORDER_GRANT, &range->owner, hold, before, now);
 }
@@ -244,6 +245,7 @@
 {
     bool first = range->phase == CW_RANGE_GRANTING;
 
+    cw_assigner_confirm_hold(range, order, now);
     range->failing_since = 0;
     range->confirmed_at = order->sent_at;
     range->phase = CW_RANGE_HELD;
@@ -253,13 +255,13 @@
         cw_assigner_log(assigner, "granted", range, range->handover[0] == '\0' ? "without handover" : "with handover");
         assigner->ports.on_change(assigner->ports.context);
     }
-    (void)now;
 }
 
 static void handle_failed_grant(cw_assigner_t *assigner, cw_range_t *range, const cw_order_t *order,
                                 cw_order_result_t result, cw_time_us_t now)
 {
     if (result == CW_ORDER_UNANSWERED) {
+        cw_assigner_extend_hold(range, range->hold_order, cw_assigner_hold_end(now, order->hold));
         range->unanswered_at = now;
     } else if (result == CW_ORDER_NOT_SENT) {
         cw_assigner_take_back_hold(range, order);
--- a/src/assignment/assigner_record.c
+++ b/src/assignment/assigner_record.c
@@ -97,10 +97,11 @@
 static void discard_owners(cw_assigner_t *assigner, cw_time_us_t now)
 {
     cw_range_t   all_keys = {.low = 0, .last = CW_KEY_LAST};
-    cw_time_us_t last_grant = assigner->record.ranges.count > 0 ? now : assigner->led_since;
+    cw_time_us_t last_sent = assigner->record.ranges.count > 0 ? now : assigner->led_since;
 
     cw_assigner_log(assigner, "record not readable", &all_keys, "assigned again after former holds have ended");
-    assigner->first_grant_at = cw_assigner_hold_end(last_grant, assigner->settings.hold_long);
+    assigner->first_grant_at =
+        cw_assigner_hold_end(last_sent + assigner->settings.order_timeout, assigner->settings.hold_long);
     assigner->plan.last_fence = first_free_fence(assigner);
     assigner->state = CW_ASSIGNER_EMPTY;
     assigner->writing = false;
@@ -134,7 +135,7 @@
         memset(&range->former, 0, sizeof(range->former));
         range->owner.fence = ++assigner->plan.last_fence;
     }
-    assigner->first_grant_at = cw_assigner_hold_end(assigner->led_since, assigner->settings.hold_long);
+    assigner->first_grant_at = cw_assigner_earlier_holds_end(assigner);
     assigner->revision = revision;
     assigner->adopting = false;
     cw_assigner_begin_write(assigner);
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -208,7 +208,7 @@
 static cw_assigner_loss_t known_loss(const cw_router_t *router)
 {
     return cw_assigner_loss_since(router->leadership.epochs.has_changed, cw_leadership_lost_at(&router->leadership),
-                                  router->settings.leader_hold, router->settings.hold_long);
+                                  router->settings.leader_hold, CW_MS(ORDER_TIMEOUT_MS), router->settings.hold_long);
 }
 
 void cw_router_continue_assigners(cw_router_t *router)
--- a/tests/assigner_fixture.c
+++ b/tests/assigner_fixture.c
@@ -118,7 +118,7 @@
                                        .hold_long = CW_MS(8000),
                                        .max_hold = CW_MS(8000),
                                        .renew_every = CW_MS(1250),
-                                       .order_timeout = CW_MS(350),
+                                       .order_timeout = CW_MS(ASSIGNER_ORDER_TIMEOUT_MS),
                                        .release_timeout = CW_MS(1500),
                                        .late_order_time = CW_SECONDS(13),
                                        .table_validity = CW_MS(4000),
--- a/tests/test_assigner.c
+++ b/tests/test_assigner.c
@@ -502,7 +502,9 @@
     json_object_set_new(fixture.object, "ranges", json_string("of another form"));
     assigner_fixture_take_over(&fixture, 2);
     sent = fixture.order_count;
-    assigner_fixture_tick(&fixture, CW_MS(20)); /* leads from now on: earlier holds last 8 s at most, plus 2 % drift */
+    assigner_fixture_tick(
+        &fixture,
+        CW_MS(20)); /* leads from now on: earlier grants arrive within their timeout, and hold 8 s, plus 2 % drift */
     assigner_fixture_tick(&fixture, CW_MS(20));
     ck_assert_int_eq(cw_assigner_state(fixture.assigner), CW_ASSIGNER_EMPTY);
     entries[0] = server(&fixture, "i-b"); /* each half goes to the server that did not have it before */
@@ -510,7 +512,7 @@
     cw_assigner_plan_first(fixture.assigner, entries, 2, fixture.now);
     assigner_fixture_tick(&fixture, CW_MS(20));
     assigner_fixture_tick(&fixture, CW_MS(20));
-    assigner_fixture_tick(&fixture, CW_MS(8000));
+    assigner_fixture_tick(&fixture, CW_MS(8000 + ASSIGNER_ORDER_TIMEOUT_MS));
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 0);
     assigner_fixture_tick(&fixture, CW_MS(300));
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 2);
@@ -551,7 +553,7 @@
     assigner_fixture_tick(&fixture, CW_MS(20));
     assigner_fixture_tick(&fixture, CW_MS(20));
     assign_crosswise(&fixture);
-    assigner_fixture_tick(&fixture, CW_MS(8300));
+    assigner_fixture_tick(&fixture, CW_MS(8300 + ASSIGNER_ORDER_TIMEOUT_MS));
     ck_assert_int_eq(fixture.orders[fixture.order_count - 1].kind, CW_ORDER_GRANT);
     ck_assert_uint_gt(fixture.orders[fixture.order_count - 1].fence, highest);
     ck_assert_uint_gt(fixture.orders[fixture.order_count - 2].fence, highest);
@@ -574,7 +576,7 @@
     assigner_fixture_tick(&fixture, CW_MS(20)); /* the write fails by its condition */
     assigner_fixture_tick(&fixture, CW_MS(20));
     assign_crosswise(&fixture);
-    assigner_fixture_tick(&fixture, CW_MS(7900));
+    assigner_fixture_tick(&fixture, CW_MS(7900 + ASSIGNER_ORDER_TIMEOUT_MS));
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 0);
     assigner_fixture_tick(&fixture, CW_MS(400));
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 2);
@@ -596,7 +598,7 @@
     assigner_fixture_tick(&fixture, CW_MS(20));
     sent = fixture.order_count;
     assign_crosswise(&fixture);
-    assigner_fixture_tick(&fixture, CW_MS(7900));
+    assigner_fixture_tick(&fixture, CW_MS(7900 + ASSIGNER_ORDER_TIMEOUT_MS));
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 0);
     assigner_fixture_tick(&fixture, CW_MS(400));
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 2);
--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -247,7 +247,7 @@
     led_since = fixture.now + CW_MS(20);
     take_over(&fixture, three);
     ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until,
-                     cw_assigner_hold_end(led_since + CW_MS(350), CW_MS(8000)));
+                     cw_assigner_hold_end(led_since + CW_MS(ASSIGNER_ORDER_TIMEOUT_MS), CW_MS(8000)));
     assigner_fixture_clear(&fixture);
 }
 END_TEST
--- a/tests/test_assigner_restore.c
+++ b/tests/test_assigner_restore.c
@@ -199,7 +199,7 @@
     assigner_fixture_take_over(&fixture, 1030);
     tick_some();
     ck_assert_int_eq(cw_assigner_state(fixture.assigner), CW_ASSIGNER_READY);
-    assigner_fixture_tick(&fixture, CW_MS(8000));
+    assigner_fixture_tick(&fixture, CW_MS(8000 + ASSIGNER_ORDER_TIMEOUT_MS));
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 0);
     assigner_fixture_tick(&fixture, CW_MS(300));
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 2);
@@ -217,7 +217,7 @@
     tick_some();
     assigner_fixture_take_over(&fixture, 1031);
     tick_some();
-    assigner_fixture_tick(&fixture, CW_MS(8000));
+    assigner_fixture_tick(&fixture, CW_MS(8000 + ASSIGNER_ORDER_TIMEOUT_MS));
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 0);
     assigner_fixture_tick(&fixture, CW_MS(300));
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 2);
@@ -234,7 +234,7 @@
     assigner_fixture_take_over(&fixture, 1030);
     tick_some();
     ck_assert(!cw_assigner_is_stale(fixture.assigner, fixture.now));
-    assigner_fixture_tick(&fixture, CW_MS(8300));
+    assigner_fixture_tick(&fixture, CW_MS(8300 + ASSIGNER_ORDER_TIMEOUT_MS));
     assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
     ck_assert(cw_assigner_is_stale(fixture.assigner, fixture.now));
     cw_assigner_plan_rewrite(fixture.assigner);
