An earlier record of this process is not taken for a write without an answer

What callers saw: nothing shown. A process that led before took its own earlier record for the one that it had just tried to write: the record kept the earlier term, so that a late write of a leader between the two still met its condition. Cause: each assigner counted its writes from 1, and a record is recognised by the writer's incarnation and that number. Change: the numbers go on from those of the record that is read, if this process wrote it. Test: a_record_of_an_earlier_term_is_not_taken_for_the_write_without_an_answer failed before and passes. Conclusion: each write of a process has a number of its own.

--- a/src/assignment/assigner_record.c
+++ b/src/assignment/assigner_record.c
@@ -141,6 +141,15 @@
     cw_assigner_begin_write(assigner);
 }
 
+/* Continues the numbers of the writes that an earlier assigner of this process has made, so that none of them is taken
+ * for a write of this assigner whose answer is missing. */
+static void count_earlier_writes(cw_assigner_t *assigner, const cw_assignment_record_t *record)
+{
+    if (record->writer == assigner->incarnation && record->write > assigner->last_write) {
+        assigner->last_write = record->write;
+    }
+}
+
 /* Handles the object that the store has: this leader's own write, an earlier leader's or a later leader's. */
 static void handle_object(cw_assigner_t *assigner, const cw_store_reply_t *reply, cw_time_us_t now)
 {
@@ -171,6 +180,7 @@
         discard_owners(assigner, now);
         return;
     }
+    count_earlier_writes(assigner, &record);
     if (has_written(assigner)) {
         log_record(assigner, "record written again", &record);
         cw_range_list_clear(&record.ranges);
