An order that waited for its connection leaves only while the leader has authority

What callers saw: nothing shown. Cause: authority was checked when an order was decided; the order leaves when its connection is open, up to 300 ms later, and after any standstill, since time limits that expired during one are postponed. Ruled out: a shorter time limit of connecting; it is postponed as well. Change: the adapter asks right before the first byte leaves (may_be_sent), as for requests. Such an order ends as withdrawn: it gives no hold and says nothing about the server. Conclusion: no grant leaves a process without authority, by whatever way.

--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -20,7 +20,8 @@
  *    that has no later term. A new leader that finds a record of an earlier epoch, or none after a restore, does not
  * know what was ordered since: it gives new fences, above all of earlier terms, and grants nothing before the last
  * holds that may have been granted have expired.
- *  - An order is sent only while the leader has authority. The caller states the authority with each tick.
+ *  - An order is sent only while the leader has authority. The caller states the authority with each tick, and checks
+ * it again when an order that had to wait for a connection leaves.
  *  - A server may carry out an unanswered order after its hold has expired, and a node that receives no heartbeat of
  *    the leader may still route to it. After such an order a move therefore waits at least as long as a node's table of
  *    ranges stays valid.
@@ -51,8 +52,9 @@
     CW_ORDER_FENCED, /**< not done: the server has seen a higher fence for one of the keys */
     /** Not done: another incarnation answers at the address, so the addressed one has ended. */
     CW_ORDER_OTHER_INCARNATION,
-    CW_ORDER_REFUSED,  /**< not done: any other answer */
-    CW_ORDER_NOT_SENT, /**< certainly no byte of the order was sent */
+    CW_ORDER_REFUSED,   /**< not done: any other answer */
+    CW_ORDER_NOT_SENT,  /**< certainly no byte of the order was sent */
+    CW_ORDER_WITHDRAWN, /**< the same, since the leader had no authority any more when its connection was open */
     /** Certainly not sent: no connection meets `connected_by`, so another incarnation may be at the address. */
     CW_ORDER_OTHER_CONNECTION,
     CW_ORDER_UNANSWERED /**< the server may have carried out the order, or may do so seconds later */
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -305,6 +305,10 @@
         range->next_order = now;
         cw_assigner_log(assigner, "new fence is due", range, "no connection from before");
         break;
+    case CW_ORDER_WITHDRAWN:
+        cw_assigner_take_back_hold(range, order);
+        range->next_order = now;
+        break;
     case CW_ORDER_REFUSED:
     case CW_ORDER_NOT_SENT:
     case CW_ORDER_UNANSWERED:
@@ -323,6 +327,10 @@
         finish_release(assigner, range, "another incarnation answers", now);
         return;
     }
+    if (result == CW_ORDER_WITHDRAWN) {
+        range->next_order = now;
+        return;
+    }
     if (result != CW_ORDER_DONE) {
         range->failing_since = now;
         range->next_order = now + CW_MS(RESEND_MS);
--- a/src/router/adapter.h
+++ b/src/router/adapter.h
@@ -17,6 +17,14 @@
  * none. */
 typedef void (*cw_order_done_t)(void *context, uint64_t order, cw_order_result_t result, const char *handover);
 
+/** What the sender of an order decides and learns. */
+typedef struct cw_order_callbacks {
+    /** Asked right before the first byte leaves on a new connection, which takes time. False: the order ends as
+     * CW_ORDER_WITHDRAWN. */
+    bool (*may_be_sent)(void *context);
+    cw_order_done_t done; /**< called once */
+} cw_order_callbacks_t;
+
 /** Called once when a probe of a server has ended. is_answered: a byte has come from the server's address. */
 typedef void (*cw_server_probed_t)(void *context, bool is_answered);
 
@@ -42,8 +50,8 @@
     void *(*create)(uv_loop_t *loop, const char *store_address, const cw_store_callbacks_t *readers);
     /** The store, as the router calls it. */
     cw_store_port_t *(*store)(void *adapter);
-    /** Sends a grant or a release to a server. done: called once. */
-    void (*send_order)(void *adapter, const cw_order_t *order, cw_order_done_t done, void *context);
+    /** Sends a grant or a release to a server. */
+    void (*send_order)(void *adapter, const cw_order_t *order, const cw_order_callbacks_t *callbacks, void *context);
     /** Sends a server, on a new connection, a request that runs nothing there. done: called once. */
     void (*probe_server)(void *adapter, const char *address, cw_time_us_t timeout, cw_server_probed_t done,
                          void *context);
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -50,7 +50,7 @@
     const cw_server_t *server = cw_server_pool_find_hash(router->pool, order->server);
     bool failed = result == CW_ORDER_NOT_SENT || result == CW_ORDER_UNANSWERED || result == CW_ORDER_OTHER_INCARNATION;
 
-    if (result == CW_ORDER_OTHER_CONNECTION) {
+    if (result == CW_ORDER_OTHER_CONNECTION || result == CW_ORDER_WITHDRAWN) {
         return; /* it says nothing about the server or the path */
     }
     if (server != NULL) {
@@ -75,10 +75,21 @@
     free(order);
 }
 
+/* Whether the leadership in which the order was given still lasts, with authority: opening the connection takes time,
+ * in which the process may have stood still. */
+static bool may_be_sent(void *context)
+{
+    const pending_order_t *order = context;
+
+    return assigner_exists(order->router, order) &&
+           cw_router_has_authority(order->router, cw_router_now(order->router));
+}
+
 static void send_order(void *context, const cw_order_t *order)
 {
-    cw_service_assignment_t *assignment = context;
-    pending_order_t         *pending = malloc(sizeof(*pending));
+    static const cw_order_callbacks_t callbacks = {.may_be_sent = may_be_sent, .done = order_done};
+    cw_service_assignment_t          *assignment = context;
+    pending_order_t                  *pending = malloc(sizeof(*pending));
 
     if (pending == NULL) {
         abort();
@@ -87,7 +98,7 @@
     pending->assigner = assignment->assigner;
     pending->server = cw_name_hash(order->server);
     pending->first_term = cw_assigner_first_term(assignment->assigner);
-    assignment->router->adapter->send_order(assignment->router->platform, order, order_done, pending);
+    assignment->router->adapter->send_order(assignment->router->platform, order, &callbacks, pending);
 }
 
 /* Whether the records of all services have been read. Before that, tables would lack ranges, so the first tables wait
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -105,14 +105,14 @@
 
 /* ---- servers ---- */
 
-static void accept_order(void *context, const cw_order_t *order, cw_order_done_t done, void *data)
+static void accept_order(void *context, const cw_order_t *order, const cw_order_callbacks_t *callbacks, void *data)
 {
     node_fixture_t *node = context;
 
     if (node->order_count == NODE_FIXTURE_ORDERS_MAX) {
         abort();
     }
-    node->orders[node->order_count++] = (node_fixture_order_t){*order, done, data};
+    node->orders[node->order_count++] = (node_fixture_order_t){*order, *callbacks, data};
 }
 
 void node_fixture_answer_orders(node_fixture_t *node, cw_order_result_t result)
@@ -124,7 +124,7 @@
     for (index = 0; index < count; index++) {
         node_fixture_order_t order = node->orders[index]; /* copied, since the answer may add an order */
 
-        order.done(order.context, order.order.id, result, NULL);
+        order.callbacks.done(order.context, order.order.id, result, NULL);
     }
 }
 
@@ -140,7 +140,7 @@
         bool                 is_dead = strcmp(order.order.server, first_alive) < 0;
 
         grants += is_dead && order.order.kind == CW_ORDER_GRANT ? 1 : 0;
-        order.done(order.context, order.order.id, is_dead ? CW_ORDER_NOT_SENT : CW_ORDER_DONE, NULL);
+        order.callbacks.done(order.context, order.order.id, is_dead ? CW_ORDER_NOT_SENT : CW_ORDER_DONE, NULL);
     }
     return grants;
 }
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -24,9 +24,9 @@
 
 /** A pending order to a server. */
 typedef struct node_fixture_order {
-    cw_order_t      order;
-    cw_order_done_t done;
-    void           *context;
+    cw_order_t           order;
+    cw_order_callbacks_t callbacks;
+    void                *context;
 } node_fixture_order_t;
 
 /** A node, its fakes, and the calls and orders that wait for an answer. */
--- /dev/null
+++ b/tests/test_node_orders.c
@@ -0,0 +1,240 @@
+/**
+ * @file test_node_orders.c
+ * @brief Tests of orders between the assigner and the adapter: what the sender decides right before an order leaves,
+ * and whose results count.
+ */
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "loop_fixture.h"
+#include "node_fixture.h"
+
+/* Orders of an earlier assigner whose answers come when another one stands at its address in memory. */
+START_TEST(answers_to_orders_of_an_earlier_term_are_ignored)
+{
+    node_fixture_t        *node = node_fixture_create();
+    node_fixture_order_t   earlier[4];
+    const cw_range_list_t *ranges;
+    size_t                 index;
+
+    node_fixture_read_servers(node, "s", 4, "10.0.1.1:80");
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
+    node_fixture_lead_unanswered(node);
+    ck_assert_uint_eq(node->order_count, 4);
+    memcpy(earlier, node->orders, sizeof(earlier));
+    node->order_count = 0;
+    cw_router_free_assigners(&node->router);
+    node->router.leadership.lock.term++;
+    node_fixture_lead_unanswered(node);
+    ck_assert_uint_eq(node->order_count, 4);
+    for (index = 0; index < 4; index++) {
+        earlier[index].callbacks.done(earlier[index].context, earlier[index].order.id, CW_ORDER_DONE, NULL);
+    }
+    ranges = cw_assigner_ranges(node->router.assignments[0].assigner);
+    ck_assert_uint_eq(ranges->count, 4);
+    for (index = 0; index < 4; index++) {
+        ck_assert_int_eq(ranges->items[index].phase, CW_RANGE_GRANTING);
+    }
+    node_fixture_free(node);
+}
+END_TEST
+
+static void store_result(void *context, uint64_t order, cw_order_result_t result, const char *handover)
+{
+    cw_order_result_t *taken = context;
+
+    (void)order;
+    (void)handover;
+    *taken = result;
+}
+
+static bool always(void *context)
+{
+    (void)context;
+    return true;
+}
+
+START_TEST(order_to_an_invalid_address_is_not_sent)
+{
+    static const cw_order_callbacks_t callbacks = {.may_be_sent = always, .done = store_result};
+    static const char *const          addresses[] = {"", "10.0.0.1", "host:80", "10.0.0.1.2:80"};
+    uv_loop_t                         loop;
+    void                             *platform;
+    size_t                            index;
+
+    uv_loop_init(&loop);
+    platform = cw_adapter.create(&loop, "127.0.0.1:1", NULL);
+    for (index = 0; index < sizeof(addresses) / sizeof(addresses[0]); index++) {
+        cw_order_t        order = {.id = 1, .kind = CW_ORDER_GRANT, .server = "i-a", .timeout = CW_MS(100)};
+        cw_order_result_t result = CW_ORDER_DONE;
+
+        snprintf(order.address, sizeof(order.address), "%s", addresses[index]);
+        cw_adapter.send_order(platform, &order, &callbacks, &result);
+        ck_assert_int_eq(result, CW_ORDER_NOT_SENT);
+    }
+}
+END_TEST
+
+/* ---- authority when an order leaves ---- */
+
+static node_fixture_t *create_leading(void)
+{
+    node_fixture_t *node = node_fixture_create();
+
+    node_fixture_read_servers(node, "s", 4, "10.0.1.1:80");
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
+    node_fixture_lead_unanswered(node);
+    ck_assert_uint_eq(node->order_count, 4);
+    return node;
+}
+
+static bool may_be_sent(const node_fixture_order_t *order)
+{
+    return order->callbacks.may_be_sent(order->context);
+}
+
+/* Guards against grants that leave when their connection is open, after the leader's authority has ended: another
+ * leader may have granted the keys meanwhile. */
+START_TEST(an_order_does_not_leave_after_the_authority_has_ended)
+{
+    node_fixture_t      *node = create_leading();
+    node_fixture_order_t order = node->orders[0];
+
+    ck_assert(may_be_sent(&order));
+    node_fixture_tick(node, node->router.settings.leader_hold / 1000); /* the store answers no renewal of the lock */
+    ck_assert(!may_be_sent(&order));
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(an_order_of_an_earlier_leadership_does_not_leave)
+{
+    node_fixture_t      *node = create_leading();
+    node_fixture_order_t order = node->orders[0];
+
+    cw_router_free_assigners(&node->router);
+    ck_assert(!may_be_sent(&order));
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(a_withdrawn_grant_gives_no_hold_and_says_nothing_about_the_server)
+{
+    node_fixture_t   *node = create_leading();
+    const cw_range_t *range;
+
+    node_fixture_answer_orders(node, CW_ORDER_WITHDRAWN);
+    range = &cw_assigner_ranges(node->router.assignments[0].assigner)->items[0];
+    ck_assert_int_eq(range->hold_until, 0);
+    ck_assert_int_eq(range->failing_since, 0);
+    node_fixture_free(node);
+}
+END_TEST
+
+/* ---- the adapter ---- */
+
+/** A server that counts what it receives. */
+typedef struct receiver {
+    uv_loop_t         loop;
+    uv_tcp_t          listening;
+    uv_tcp_t          connection;
+    size_t            bytes;
+    bool              is_done;
+    cw_order_result_t result;
+} receiver_t;
+
+static void on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    static char bytes[4096];
+
+    (void)handle;
+    (void)suggested;
+    *buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+    receiver_t *receiver = stream->data;
+
+    (void)buffer;
+    receiver->bytes += count > 0 ? (size_t)count : 0;
+}
+
+static void on_connection(uv_stream_t *listening, int status)
+{
+    receiver_t *receiver = listening->data;
+
+    ck_assert_int_eq(status, 0);
+    uv_tcp_init(&receiver->loop, &receiver->connection);
+    receiver->connection.data = receiver;
+    ck_assert_int_eq(uv_accept(listening, (uv_stream_t *)&receiver->connection), 0);
+    uv_read_start((uv_stream_t *)&receiver->connection, on_allocate, on_read);
+}
+
+/* Starts the server. Writes its address. */
+static void start_receiver(receiver_t *receiver, char address[CW_SERVER_ADDRESS_MAX])
+{
+    struct sockaddr_in any;
+    struct sockaddr_in bound;
+    int                length = sizeof(bound);
+
+    memset(receiver, 0, sizeof(*receiver));
+    uv_loop_init(&receiver->loop);
+    uv_tcp_init(&receiver->loop, &receiver->listening);
+    receiver->listening.data = receiver;
+    uv_ip4_addr("127.0.0.1", 0, &any);
+    ck_assert_int_eq(uv_tcp_bind(&receiver->listening, (const struct sockaddr *)&any, 0), 0);
+    ck_assert_int_eq(uv_listen((uv_stream_t *)&receiver->listening, 4, on_connection), 0);
+    ck_assert_int_eq(uv_tcp_getsockname(&receiver->listening, (struct sockaddr *)&bound, &length), 0);
+    snprintf(address, CW_SERVER_ADDRESS_MAX, "127.0.0.1:%d", ntohs(bound.sin_port));
+}
+
+static bool never(void *context)
+{
+    (void)context;
+    return false;
+}
+
+static void record_result(void *context, uint64_t order, cw_order_result_t result, const char *handover)
+{
+    receiver_t *receiver = context;
+
+    (void)order;
+    (void)handover;
+    receiver->result = result;
+    receiver->is_done = true;
+}
+
+/* The same in the adapter: not a byte of such an order reaches the server. */
+START_TEST(a_withdrawn_order_is_not_sent)
+{
+    static const cw_order_callbacks_t callbacks = {.may_be_sent = never, .done = record_result};
+    static receiver_t                 receiver;
+    cw_order_t order = {.id = 1, .kind = CW_ORDER_GRANT, .server = "i-a", .timeout = CW_SECONDS(5)};
+    void      *platform;
+
+    start_receiver(&receiver, order.address);
+    platform = cw_adapter.create(&receiver.loop, "127.0.0.1:1", NULL);
+    cw_adapter.send_order(platform, &order, &callbacks, &receiver);
+    cw_test_run_until_set(&receiver.loop, &receiver.is_done);
+    cw_test_run_some(&receiver.loop, 10);
+    ck_assert_int_eq(receiver.result, CW_ORDER_WITHDRAWN);
+    ck_assert_uint_eq(receiver.bytes, 0);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("orders of a node");
+    TCase *cases = tcase_create("orders of a node");
+
+    tcase_add_test(cases, answers_to_orders_of_an_earlier_term_are_ignored);
+    tcase_add_test(cases, order_to_an_invalid_address_is_not_sent);
+    tcase_add_test(cases, an_order_does_not_leave_after_the_authority_has_ended);
+    tcase_add_test(cases, an_order_of_an_earlier_leadership_does_not_leave);
+    tcase_add_test(cases, a_withdrawn_grant_gives_no_hold_and_says_nothing_about_the_server);
+    tcase_add_test(cases, a_withdrawn_order_is_not_sent);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -488,65 +488,6 @@
 }
 END_TEST
 
-/* Orders of an earlier assigner whose answers come when another one stands at its address in memory. */
-START_TEST(answers_to_orders_of_an_earlier_term_are_ignored)
-{
-    node_fixture_t        *node = node_fixture_create();
-    node_fixture_order_t   earlier[4];
-    const cw_range_list_t *ranges;
-    size_t                 index;
-
-    node_fixture_read_servers(node, "s", 4, "10.0.1.1:80");
-    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
-    node_fixture_lead_unanswered(node);
-    ck_assert_uint_eq(node->order_count, 4);
-    memcpy(earlier, node->orders, sizeof(earlier));
-    node->order_count = 0;
-    cw_router_free_assigners(&node->router);
-    node->router.leadership.lock.term++;
-    node_fixture_lead_unanswered(node);
-    ck_assert_uint_eq(node->order_count, 4);
-    for (index = 0; index < 4; index++) {
-        earlier[index].done(earlier[index].context, earlier[index].order.id, CW_ORDER_DONE, NULL);
-    }
-    ranges = cw_assigner_ranges(node->router.assignments[0].assigner);
-    ck_assert_uint_eq(ranges->count, 4);
-    for (index = 0; index < 4; index++) {
-        ck_assert_int_eq(ranges->items[index].phase, CW_RANGE_GRANTING);
-    }
-    node_fixture_free(node);
-}
-END_TEST
-
-static void store_result(void *context, uint64_t order, cw_order_result_t result, const char *handover)
-{
-    cw_order_result_t *taken = context;
-
-    (void)order;
-    (void)handover;
-    *taken = result;
-}
-
-START_TEST(order_to_an_invalid_address_is_not_sent)
-{
-    static const char *const addresses[] = {"", "10.0.0.1", "host:80", "10.0.0.1.2:80"};
-    uv_loop_t                loop;
-    void                    *platform;
-    size_t                   index;
-
-    uv_loop_init(&loop);
-    platform = cw_adapter.create(&loop, "127.0.0.1:1", NULL);
-    for (index = 0; index < sizeof(addresses) / sizeof(addresses[0]); index++) {
-        cw_order_t        order = {.id = 1, .kind = CW_ORDER_GRANT, .server = "i-a", .timeout = CW_MS(100)};
-        cw_order_result_t result = CW_ORDER_DONE;
-
-        snprintf(order.address, sizeof(order.address), "%s", addresses[index]);
-        cw_adapter.send_order(platform, &order, store_result, &result);
-        ck_assert_int_eq(result, CW_ORDER_NOT_SENT);
-    }
-}
-END_TEST
-
 START_TEST(status_is_returned_whatever_the_name_of_another_node)
 {
     node_fixture_t *node = node_fixture_create();
@@ -774,8 +715,6 @@
     tcase_add_test(cases, more_than_a_thousand_nodes_are_known_and_forgotten_after_a_freeze);
     tcase_add_test(cases, leader_assigns_keys_to_each_of_thousands_of_servers);
     tcase_add_test(cases, leader_ignores_samples_of_keys_that_do_not_exist);
-    tcase_add_test(cases, answers_to_orders_of_an_earlier_term_are_ignored);
-    tcase_add_test(cases, order_to_an_invalid_address_is_not_sent);
     tcase_add_test(cases, status_is_returned_whatever_the_name_of_another_node);
     tcase_add_test(cases, a_node_that_sees_a_leader_waits_for_its_list_and_does_not_read);
     tcase_add_test(cases, a_list_that_does_not_arrive_is_read);
