A new leader takes no owner for missing by a list from before it read the record

Change: until a list is in force that was asked for after the record was read, missing owners count as possibly running; that list is asked for at once. Owners that leave, that have ended, or that orders do not reach move as before. Test: an_owner_is_not_missing_in_a_list_that_is_older_than_the_record fails without the comparison and passes. Conclusion: one more call to the store for each change of the leader whose list is older than the record.

--- a/src/assignment/assigner.c
+++ b/src/assignment/assigner.c
@@ -83,6 +83,11 @@
     return assigner->later_term;
 }
 
+cw_time_us_t cw_assigner_adopted_at(const cw_assigner_t *assigner)
+{
+    return assigner->adopted_at;
+}
+
 const char *cw_assigner_service(const cw_assigner_t *assigner)
 {
     return assigner->service;
--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -172,6 +172,9 @@
 uint64_t cw_assigner_later_term(const cw_assigner_t *assigner);
 /** Returns the term in which the assigner was created. */
 uint64_t cw_assigner_first_term(const cw_assigner_t *assigner);
+/** Returns when the record of an earlier leader was read whose owners this one has adopted; 0: it has adopted none. A
+ * list of servers that was valid before then may lack owners that the record names. */
+cw_time_us_t cw_assigner_adopted_at(const cw_assigner_t *assigner);
 /** Returns the name of the service. */
 const char *cw_assigner_service(const cw_assigner_t *assigner);
 /** Returns the ranges of the record, which belong to the assigner; empty until there is a record. */
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -36,6 +36,7 @@
     cw_time_us_t           now;         /**< latest time that a caller has passed */
     /** Time of the first tick with authority. Earlier leaders had lost their authority by this time. 0: none yet. */
     cw_time_us_t led_since;
+    cw_time_us_t adopted_at;     /**< when the record of an earlier leader was read that this one adopted; 0: none */
     cw_time_us_t first_grant_at; /**< no range is granted before, since former owners are unknown; 0: no limit */
     cw_order_t  *orders;         /**< in flight */
     size_t       order_count;
--- a/src/assignment/assigner_record.c
+++ b/src/assignment/assigner_record.c
@@ -185,7 +185,10 @@
         log_record(assigner, "record written again", &record);
         cw_range_list_clear(&record.ranges);
         write_again(assigner, reply->revision);
-    } else if (is_outdated(assigner, &record)) {
+        return;
+    }
+    assigner->adopted_at = now;
+    if (is_outdated(assigner, &record)) {
         log_record(assigner, "record outdated", &record);
         regrant(assigner, &record, reply->revision);
     } else {
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -171,12 +171,32 @@
     free(usable);
 }
 
+/* Whether the list may lack owners that an earlier leader has chosen by a later list: it is from before the record was
+ * read. */
+static bool is_list_older(const cw_router_t *router, const cw_service_assignment_t *assignment)
+{
+    return router->server_view.valid_at < cw_assigner_adopted_at(assignment->assigner);
+}
+
+/* Lets the list be read without waiting for its usual interval, unless a reading that began late enough is in flight.
+ */
+static void request_later_list(cw_router_t *router, const cw_service_assignment_t *assignment)
+{
+    if (!router->reading_servers && router->servers_read_at < cw_assigner_adopted_at(assignment->assigner)) {
+        router->servers_read_at = 0;
+    }
+}
+
 /* Whether to doubt the list of servers. A leader that has just started has no list from before an outage to compare
  * with; that many owners are missing is its only sign of one. */
-static bool doubts_list(const cw_router_t *router, cw_service_assignment_t *assignment, cw_time_us_t now)
+static bool doubts_list(cw_router_t *router, cw_service_assignment_t *assignment, cw_time_us_t now)
 {
     double missing = cw_planner_missing_share(assignment->assigner, router->server_view.list);
 
+    if (is_list_older(router, assignment)) {
+        request_later_list(router, assignment);
+        return true;
+    }
     return cw_plan_timing_doubts_list(&assignment->timing, missing, router->server_view.absence.grace, now);
 }
 
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -97,6 +97,10 @@
         if (calls[index].is_write) {
             reply.result = CW_STORE_DONE;
             reply.revision = cw_store_revision_join(node->epoch, ++node->revision);
+        } else if (node->record != NULL && strcmp(calls[index].kind, CW_ASSIGNMENTS_KIND) == 0) {
+            reply.result = CW_STORE_DONE;
+            reply.revision = cw_store_revision_join(node->epoch, 1);
+            reply.value = node->record;
         }
         calls[index].replied(calls[index].data, &reply);
         json_decref(calls[index].value);
@@ -312,6 +316,7 @@
     cw_server_pool_free(node->router.pool);
     cw_router_list_exchange_free(&node->router);
     cw_router_paths_free(&node->router);
+    json_decref(node->record);
     cw_server_view_clear(&node->router.server_view);
     cw_view_updates_free(node->router.view_updates);
     cw_key_tables_clear(&node->router.tables);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -43,6 +43,7 @@
     node_fixture_order_t orders[NODE_FIXTURE_ORDERS_MAX];
     size_t               order_count;
     bool                 servers_answer_probes; /**< initially true */
+    json_t              *record;                /**< of an earlier leader, which is read; NULL: there is none */
 } node_fixture_t;
 
 /** Creates a node in zone z1. Zones z1 and z2 are in region r1, z3 in r2. */
--- a/tests/test_node_orders.c
+++ b/tests/test_node_orders.c
@@ -132,6 +132,56 @@
 }
 END_TEST
 
+/* ---- lists that are older than the record ---- */
+
+/* Record of an earlier leader that gave all keys to a server which has registered after the node read its list. */
+static json_t *record_of_newcomer(void)
+{
+    return json_pack("{s:i, s:i, s:s, s:i, s:i, s:b, s:[[i, i, s, s, i]]}", "term", 1, "write", 3, "writer", "1",
+                     "last_fence", 9, "epoch", 1, "waiting", 0, "ranges", 0, CW_KEY_LAST, "i-newcomer", "10.0.7.7:80",
+                     9);
+}
+
+static const char *first_owner(const node_fixture_t *node)
+{
+    return cw_assigner_ranges(node->router.assignments[0].assigner)->items[0].owner.id;
+}
+
+static void pass_a_second(node_fixture_t *node)
+{
+    int tick;
+
+    for (tick = 0; tick < 1000 / CW_TICK_MS; tick++) {
+        node_fixture_answer_store(node);
+        node_fixture_answer_orders(node, CW_ORDER_DONE);
+        node_fixture_tick(node, CW_TICK_MS);
+    }
+}
+
+/* Guards against keys that are taken from a living owner, since the new leader's list is older than the record and
+ * lacks it. */
+START_TEST(an_owner_is_not_missing_in_a_list_that_is_older_than_the_record)
+{
+    node_fixture_t *node = node_fixture_create();
+    uint32_t        reads;
+
+    node->record = record_of_newcomer();
+    node_fixture_read_servers(node, "s", 4, "10.0.1.1:80");
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
+    reads = node->list_reads;
+    node_fixture_lead_unanswered(node);
+    node_fixture_read_servers(node, "s", 4,
+                              "10.0.1.1:80"); /* asked for before the record was read: it proves nothing */
+    pass_a_second(node);
+    ck_assert_str_eq(first_owner(node), "i-newcomer");
+    ck_assert_uint_gt(node->list_reads, reads);
+    node_fixture_read_servers(node, "s", 4, "10.0.1.1:80"); /* asked for afterwards: it is missing */
+    pass_a_second(node);
+    ck_assert_str_ne(first_owner(node), "i-newcomer");
+    node_fixture_free(node);
+}
+END_TEST
+
 /* ---- the adapter ---- */
 
 /** A server that counts what it receives. */
@@ -234,6 +284,7 @@
     tcase_add_test(cases, an_order_does_not_leave_after_the_authority_has_ended);
     tcase_add_test(cases, an_order_of_an_earlier_leadership_does_not_leave);
     tcase_add_test(cases, a_withdrawn_grant_gives_no_hold_and_says_nothing_about_the_server);
+    tcase_add_test(cases, an_owner_is_not_missing_in_a_list_that_is_older_than_the_record);
     tcase_add_test(cases, a_withdrawn_order_is_not_sent);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
