--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -252,6 +252,134 @@
 }
 END_TEST
 
+/* ---- each further change of a hold's end ---- */
+
+static cw_time_us_t hold_until(const assigner_fixture_t *fixture)
+{
+    return assigner_fixture_range(fixture, KEY_OF_NEW)->hold_until;
+}
+
+/* A grant whose outcome is not certain keeps its hold: without an answer it may be taken, and a refusal takes nothing
+ * back from an earlier copy of it that may arrive late. */
+START_TEST(a_grant_without_a_certain_outcome_keeps_its_hold)
+{
+    static const cw_order_result_t results[] = {CW_ORDER_UNANSWERED, CW_ORDER_REFUSED, CW_ORDER_FENCED,
+                                                CW_ORDER_OTHER_INCARNATION};
+    assigner_fixture_t             fixture;
+    cw_order_t                     order;
+
+    begin(&fixture);
+    order = renew(&fixture);
+    cw_assigner_order_done(fixture.assigner, order.id, results[_i], NULL, fixture.now + CW_MS(10));
+    ck_assert_int_ge(hold_until(&fixture), cw_assigner_hold_end(order.sent_at + order.timeout, order.hold));
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* The process stood still, so that the wait for the answer, and with it the connection, ended later than planned. */
+START_TEST(a_grant_without_an_answer_counts_from_the_end_of_the_wait_for_it)
+{
+    assigner_fixture_t fixture;
+    cw_order_t         order;
+    cw_time_us_t       ended_at;
+
+    begin(&fixture);
+    order = renew(&fixture);
+    ended_at = order.sent_at + CW_SECONDS(2);
+    cw_assigner_order_done(fixture.assigner, order.id, CW_ORDER_UNANSWERED, NULL, ended_at);
+    ck_assert_int_ge(hold_until(&fixture), cw_assigner_hold_end(ended_at, order.hold));
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* Each of these orders has certainly not left the process. */
+START_TEST(a_grant_that_did_not_leave_gives_no_hold)
+{
+    static const cw_order_result_t results[] = {CW_ORDER_NOT_SENT, CW_ORDER_WITHDRAWN, CW_ORDER_OTHER_CONNECTION};
+    assigner_fixture_t             fixture;
+    cw_time_us_t                   before;
+    cw_order_t                     order;
+
+    begin(&fixture);
+    before = hold_until(&fixture);
+    order = renew(&fixture);
+    ck_assert_int_gt(hold_until(&fixture), before);
+    cw_assigner_order_done(fixture.assigner, order.id, results[_i], NULL, fixture.now);
+    ck_assert_int_eq(hold_until(&fixture), before);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+START_TEST(a_move_waits_for_a_renewal_that_is_in_flight_when_it_is_written)
+{
+    assigner_fixture_t fixture;
+    cw_order_t         order;
+
+    begin(&fixture);
+    order = renew(&fixture);
+    move_keys(&fixture, "i-c");
+    ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->former_until,
+                     cw_assigner_hold_end(order.sent_at + order.timeout, order.hold));
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+START_TEST(a_move_waits_for_renewals_that_were_sent_while_it_was_written)
+{
+    assigner_fixture_t fixture;
+    cw_order_t         order;
+
+    begin(&fixture);
+    fixture.delays_answers = true;
+    move_keys(&fixture, "i-c");
+    order = renew(&fixture);
+    assigner_fixture_answer_store(&fixture);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    ck_assert_str_eq(assigner_fixture_range(&fixture, KEY_OF_NEW)->former.id, "a-new");
+    ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->former_until,
+                     cw_assigner_hold_end(order.sent_at + order.timeout, order.hold));
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+START_TEST(both_parts_of_a_range_keep_its_hold_and_its_orders_in_flight)
+{
+    assigner_fixture_t fixture;
+    const cw_range_t  *rest;
+    cw_time_us_t       until;
+    cw_order_t         order;
+
+    begin(&fixture);
+    order = renew(&fixture);
+    until = hold_until(&fixture);
+    move_keys(&fixture, "i-c");
+    rest = assigner_fixture_range(&fixture, 200);
+    ck_assert_str_eq(rest->owner.id, "a-new");
+    ck_assert_int_eq(rest->hold_until, until);
+    ck_assert_uint_eq(rest->orders, 1);
+    cw_assigner_order_done(fixture.assigner, order.id, CW_ORDER_DONE, NULL, fixture.now);
+    ck_assert_uint_eq(assigner_fixture_range(&fixture, 200)->orders, 0);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+START_TEST(a_new_fence_keeps_the_hold_of_the_same_owner)
+{
+    assigner_fixture_t fixture;
+    cw_time_us_t       until;
+    cw_order_t         order;
+
+    begin(&fixture);
+    order = renew(&fixture);
+    until = hold_until(&fixture);
+    cw_assigner_order_done(fixture.assigner, order.id, CW_ORDER_FENCED, NULL, fixture.now);
+    assigner_fixture_tick(&fixture, CW_MS(20)); /* a higher fence is written */
+    ck_assert_uint_gt(assigner_fixture_range(&fixture, KEY_OF_NEW)->owner.fence, order.fence);
+    ck_assert_int_ge(hold_until(&fixture), until);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 /* ---- the record ---- */
 
 /* Guards against an earlier record of this process that is taken for the write without an answer: both are the first
@@ -286,6 +414,13 @@
     tcase_add_test(cases, a_move_of_an_unfinished_move_waits_for_the_owner_between);
     tcase_add_test(cases, a_hold_counts_from_the_latest_arrival_of_its_grant);
     tcase_add_test(cases, a_new_leader_counts_former_holds_from_the_latest_arrival_of_a_grant);
+    tcase_add_loop_test(cases, a_grant_without_a_certain_outcome_keeps_its_hold, 0, 4);
+    tcase_add_test(cases, a_grant_without_an_answer_counts_from_the_end_of_the_wait_for_it);
+    tcase_add_loop_test(cases, a_grant_that_did_not_leave_gives_no_hold, 0, 3);
+    tcase_add_test(cases, a_move_waits_for_a_renewal_that_is_in_flight_when_it_is_written);
+    tcase_add_test(cases, a_move_waits_for_renewals_that_were_sent_while_it_was_written);
+    tcase_add_test(cases, both_parts_of_a_range_keep_its_hold_and_its_orders_in_flight);
+    tcase_add_test(cases, a_new_fence_keeps_the_hold_of_the_same_owner);
     tcase_add_test(cases, a_record_of_an_earlier_term_is_not_taken_for_the_write_without_an_answer);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
