The lock and orders are judged by the time that it is, not by that at which the turn of the loop began

What callers saw: nothing shown. A process that is stopped within a turn of its loop, or has too little of a processor, goes on with the time at which the turn began: a leader sends orders after its authority has ended, with holds that are counted from before; a follower counts the lock as unchanged since before its last renewal, and may take it while the holder has authority. Cause: cw_loop_now is libuv's time, which is read once a turn; it was never refreshed (no uv_update_time in the sources). Change: cw_router_refresh_now reads the clock in the leader's tick, for answers about the lock, heartbeats, results of orders, and right before each order leaves. An order that was decided longer ago than its timeout is withdrawn and decided again. Test: an_order_does_not_leave_after_its_timeout, a_refreshed_time_includes_the_present_turn. Not tested: a stop within the turn in a process of its own, which cannot be placed.

--- a/src/base/loop_clock.c
+++ b/src/base/loop_clock.c
@@ -9,6 +9,7 @@
 #include <time.h>
 
 enum {
+    NANOSECONDS_PER_MS = 1000000,
     SUSPENSION_MIN_MS = 10 /* shorter differences occur when the process is not scheduled between the two readings */
 };
 
@@ -98,6 +99,14 @@
     return CW_MS(uv_now(loop)) + loop_clock.suspended;
 }
 
+cw_time_us_t cw_loop_refresh(uv_loop_t *loop)
+{
+    if (loop == loop_clock.loop && uv_hrtime() / NANOSECONDS_PER_MS > uv_now(loop)) {
+        uv_update_time(loop);
+    }
+    return cw_loop_now(loop);
+}
+
 cw_time_us_t cw_loop_clock_take_suspension(void)
 {
     cw_time_us_t found = loop_clock.suspended - loop_clock.reported;
--- a/src/base/loop_clock.h
+++ b/src/base/loop_clock.h
@@ -31,6 +31,12 @@
 /** Current time of a loop in microseconds: this clock if it is attached to the loop, else libuv's time. */
 cw_time_us_t cw_loop_now(const uv_loop_t *loop);
 
+/** The same, read from the system now. The time of cw_loop_now is that at which the present turn of the loop began, or
+ * its wait ended; a process that has little of a processor, or that was stopped within the turn, is later. For
+ * decisions that must not be made late, and for the age of what is read now. Later calls of cw_loop_now return at least
+ * this time. Without the clock attached: the loop's time. */
+cw_time_us_t cw_loop_refresh(uv_loop_t *loop);
+
 /** Returns the suspended time that was found since the last call, for the log and the metrics. Less than 10 ms counts
  * as 0 and is added to the result of a later call. */
 cw_time_us_t cw_loop_clock_take_suspension(void);
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -36,6 +36,11 @@
     return cw_loop_now(&router->loop);
 }
 
+cw_time_us_t cw_router_refresh_now(cw_router_t *router)
+{
+    return cw_loop_refresh(&router->loop);
+}
+
 static uint64_t new_incarnation(const char *node)
 {
     struct {
@@ -131,7 +136,7 @@
 static void on_tick(uv_timer_t *timer)
 {
     cw_router_t *router = timer->data;
-    cw_time_us_t now = cw_router_now(router);
+    cw_time_us_t now = cw_router_refresh_now(router);
 
     check_suspension(router);
     if (cw_loop_stall_skips_tick()) { /* the other nodes seem silent although their datagrams have arrived */
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -23,7 +23,8 @@
 typedef struct pending_order {
     cw_router_t   *router;
     cw_assigner_t *assigner;
-    uint32_t       server;     /**< hash of its id */
+    uint32_t       server; /**< hash of its id */
+    cw_time_us_t   decided_at;
     uint64_t       first_term; /**< of the assigner; a later assigner may have the same address in memory */
 } pending_order_t;
 
@@ -70,19 +71,21 @@
 
     record_outcome(order, result);
     if (assigner_exists(order->router, order)) {
-        cw_assigner_order_done(order->assigner, id, result, handover, cw_router_now(order->router));
+        cw_assigner_order_done(order->assigner, id, result, handover, cw_router_refresh_now(order->router));
     }
     free(order);
 }
 
-/* Whether the leadership in which the order was given still lasts, with authority: opening the connection takes time,
- * in which the process may have stood still. */
+/* Whether the order may leave now. The leadership in which it was given still lasts, with authority; and the time that
+ * the assigner counts for its arrival has not passed. Opening the connection takes time, and the process may have stood
+ * still since the order was decided. */
 static bool may_be_sent(void *context)
 {
     const pending_order_t *order = context;
+    cw_time_us_t           now = cw_router_refresh_now(order->router);
 
-    return assigner_exists(order->router, order) &&
-           cw_router_has_authority(order->router, cw_router_now(order->router));
+    return now - order->decided_at <= CW_MS(ORDER_TIMEOUT_MS) && assigner_exists(order->router, order) &&
+           cw_router_has_authority(order->router, now);
 }
 
 static void send_order(void *context, const cw_order_t *order)
@@ -98,6 +101,11 @@
     pending->assigner = assignment->assigner;
     pending->server = cw_name_hash(order->server);
     pending->first_term = cw_assigner_first_term(assignment->assigner);
+    pending->decided_at = order->sent_at;
+    if (!may_be_sent(pending)) {
+        order_done(pending, order->id, CW_ORDER_WITHDRAWN, NULL);
+        return;
+    }
     assignment->router->adapter->send_order(assignment->router->platform, order, &callbacks, pending);
 }
 
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -199,6 +199,8 @@
 
 /** Time of the node's event loop, on its steady clock. */
 cw_time_us_t cw_router_now(const cw_router_t *router);
+/** The same, read from the system now (cw_loop_refresh): for the lock and for orders. */
+cw_time_us_t cw_router_refresh_now(cw_router_t *router);
 
 /* ---- router_callers.c ---- */
 /** Listens for callers. Returns 0 or a libuv error. */
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -347,7 +347,7 @@
     }
     cw_leadership_receive_heartbeat(&router->leadership, heartbeat->term,
                                     cw_router_received_revision(router, heartbeat->revision_epoch, heartbeat->revision),
-                                    heartbeat->able, now);
+                                    heartbeat->able, cw_router_refresh_now(router));
     if (peer->stopping) {
         cw_leadership_receive_step_down(&router->leadership, now);
     }
--- a/tests/test_loop_clock.c
+++ b/tests/test_loop_clock.c
@@ -41,6 +41,25 @@
 }
 END_TEST
 
+/* Guards against decisions by the time at which the present turn of the loop began: a process that was stopped within
+ * the turn believed in an authority that had ended. */
+START_TEST(a_refreshed_time_includes_the_present_turn)
+{
+    uv_loop_t    loop;
+    cw_time_us_t before;
+
+    uv_loop_init(&loop);
+    begin(&loop);
+    before = cw_loop_now(&loop);
+    while (uv_hrtime() / 1000000 <= uv_now(&loop)) { /* the turn lasts until the clock has advanced */
+    }
+    ck_assert_int_eq(cw_loop_now(&loop), before);
+    ck_assert_int_gt(cw_loop_refresh(&loop), before);
+    ck_assert_int_gt(cw_loop_now(&loop), before);
+    cw_loop_clock_end();
+}
+END_TEST
+
 static void on_never(uv_timer_t *timer)
 {
     (void)timer;
@@ -209,6 +228,7 @@
     TCase *cases = tcase_create("loop_clock");
 
     tcase_add_test(cases, time_is_the_loops_time_without_a_suspension);
+    tcase_add_test(cases, a_refreshed_time_includes_the_present_turn);
     tcase_add_test(cases, suspension_is_included_at_the_first_reading_after_a_wait);
     tcase_add_test(cases, time_never_decreases);
     tcase_add_test(cases, another_loop_keeps_its_own_time);
--- a/tests/test_node_orders.c
+++ b/tests/test_node_orders.c
@@ -108,6 +108,19 @@
 }
 END_TEST
 
+/* Guards against a grant that arrives later than its hold is counted from: the process stood still, with authority. */
+START_TEST(an_order_does_not_leave_after_its_timeout)
+{
+    node_fixture_t      *node = create_leading();
+    node_fixture_order_t order = node->orders[0];
+
+    node_fixture_tick(node, order.order.timeout / 1000 + CW_TICK_MS);
+    ck_assert(cw_router_has_authority(&node->router, cw_router_now(&node->router)));
+    ck_assert(!may_be_sent(&order));
+    node_fixture_free(node);
+}
+END_TEST
+
 START_TEST(an_order_of_an_earlier_leadership_does_not_leave)
 {
     node_fixture_t      *node = create_leading();
@@ -282,6 +295,7 @@
     tcase_add_test(cases, answers_to_orders_of_an_earlier_term_are_ignored);
     tcase_add_test(cases, order_to_an_invalid_address_is_not_sent);
     tcase_add_test(cases, an_order_does_not_leave_after_the_authority_has_ended);
+    tcase_add_test(cases, an_order_does_not_leave_after_its_timeout);
     tcase_add_test(cases, an_order_of_an_earlier_leadership_does_not_leave);
     tcase_add_test(cases, a_withdrawn_grant_gives_no_hold_and_says_nothing_about_the_server);
     tcase_add_test(cases, an_owner_is_not_missing_in_a_list_that_is_older_than_the_record);
