A later start of a server in the list does not end a hold that it may have been granted itself

What callers saw: nothing shown (the users' servers here have a new id with each start). Cause: an order names a server that keeps its name by that name alone. A grant for the incarnation before is taken by the one that runs, which holds the keys by it; when the list showed its start, that counted as the end of the owner, and its keys were granted to a third server at once. Ruled out: binding every grant to a connection from before: a first grant has none. Change: the list ends no hold at all; the release is awaited, which the later incarnation answers in one round trip. Only a move to that incarnation itself needs none. Test: a_later_start_* (2) failed before and pass. test_assigner's check that a later start proves the end was wrong; in its place it has to release.

--- a/sim/lease_nodes.c
+++ b/sim/lease_nodes.c
@@ -222,7 +222,7 @@
 
         if (to != NULL && must_move(node, range) &&
             (!unreachable || cw_server_list_find(node->world->list, range->owner.id) == NULL)) {
-            cw_assigner_plan_move(node->assigner, range->low, range->last, to, node->world->list);
+            cw_assigner_plan_move(node->assigner, range->low, range->last, to);
         }
     }
     if (sim_random_bool(node->world, node->world->settings.moves * PLAN_INTERVAL_MS / 1000)) {
@@ -231,8 +231,7 @@
         const cw_server_entry_t *to = pick_server(node, range->owner.id);
 
         if (to != NULL && cw_assigner_is_settled(node->assigner, range, node->world->now)) {
-            cw_assigner_plan_move(node->assigner, cell * CW_CELL_KEYS, (cell + 1) * CW_CELL_KEYS - 1, to,
-                                  node->world->list);
+            cw_assigner_plan_move(node->assigner, cell * CW_CELL_KEYS, (cell + 1) * CW_CELL_KEYS - 1, to);
             node->world->result->moves++;
         }
     }
--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -11,9 +11,9 @@
  *    confirmation of the release; proof that its incarnation has ended; or the expiry of its hold, including clock
  *    drift, counted from the latest time at which a grant or renewal may have reached it: its answer, or its timeout,
  *    after which its connection is reset.
- *  - An incarnation has ended if another one answers an order at its address, or if a later one of the same server is
- *    listed (server_incarnation.h). Another id at its address in a list proves nothing: the list may be older than the
- *    record, and name the server that had the address before.
+ *  - An incarnation has ended if another one answers an order at its address. The list of servers proves no end: it may
+ *    be older than the record, and name the server that had the address before; and a later incarnation of a server
+ * that keeps its name may hold the keys itself, since it takes grants for the one before.
  *  - The fences of a service only increase.
  *  - The store may come back from a copy (store_epoch.h), with an earlier record or none. A leader that has written the
  *    record in its tenure knows more than the store: it writes its own state again, and never takes one from the store
@@ -189,8 +189,7 @@
 bool cw_assigner_may_move(const cw_range_t *range, cw_time_us_t now);
 /** Adds a move to the plan: keys low to last, which lie within one range, are assigned to `to`. False: the range may
  * not be moved now, and nothing was added. */
-bool cw_assigner_plan_move(cw_assigner_t *assigner, uint32_t low, uint32_t last, const cw_server_entry_t *to,
-                           const cw_server_list_t *servers);
+bool cw_assigner_plan_move(cw_assigner_t *assigner, uint32_t low, uint32_t last, const cw_server_entry_t *to);
 /** Adds a merge to the plan: the range of key `low` and the next one become one. False: the two have different owners,
  * or one of them is not held or is being moved. */
 bool cw_assigner_plan_merge(cw_assigner_t *assigner, uint32_t low);
--- a/src/assignment/assigner_commit.c
+++ b/src/assignment/assigner_commit.c
@@ -55,10 +55,10 @@
         cw_assigner_log(assigner, "move begun", planned, "the former holder has to release the keys");
     } else if (source->owner_ended) {
         cw_assigner_log(assigner, "move begun", planned, "another incarnation answers at the former owner's address");
-    } else if (source->hold_until == 0) {
-        cw_assigner_log(assigner, "move begun", planned, "the former owner was granted nothing");
+    } else if (cw_server_id_succeeds(planned->owner.id, source->owner.id)) {
+        cw_assigner_log(assigner, "move begun", planned, "to a later incarnation of the former owner");
     } else {
-        cw_assigner_log(assigner, "move begun", planned, "a later incarnation of the former owner is listed");
+        cw_assigner_log(assigner, "move begun", planned, "the former owner was granted nothing");
     }
 }
 
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -123,12 +123,9 @@
     range->orders = 0; /* the results of releases in flight change nothing any more */
 }
 
-static void advance_release(cw_assigner_t *assigner, cw_range_t *range, const cw_server_list_t *servers,
-                            cw_time_us_t now)
+static void advance_release(cw_assigner_t *assigner, cw_range_t *range, cw_time_us_t now)
 {
-    if (cw_server_list_later_incarnation(servers, range->former.id) != NULL) {
-        finish_release(assigner, range, "a later incarnation of it is listed", now);
-    } else if (now >= range->former_until) {
+    if (now >= range->former_until) {
         finish_release(assigner, range, "its hold ran out", now);
     } else if (range->orders == 0 && now >= range->next_order) {
         range->next_order = now + CW_MS(RESEND_MS);
@@ -161,7 +158,7 @@
                            cw_time_us_t now)
 {
     if (range->phase == CW_RANGE_RELEASING) {
-        advance_release(assigner, range, servers, now);
+        advance_release(assigner, range, now);
     }
     if (range->phase == CW_RANGE_RELEASING || range->orders > 0 || now < range->next_order || range->needs_fence) {
         return;
--- a/src/assignment/assigner_plan.c
+++ b/src/assignment/assigner_plan.c
@@ -53,16 +53,15 @@
     cw_assigner_begin_write(assigner);
 }
 
-/* Before the range's owner changes: sets the holder that may still hold the keys, and clears the handover. */
-static void set_former(cw_range_t *range, const cw_server_list_t *servers)
+/* Before the owner changes to `to`: sets the holder that may still hold the keys, and clears the handover. A later
+ * incarnation of the owner itself needs no release: it is the only process that the owner's grants can reach. */
+static void set_former(cw_range_t *range, const char *to)
 {
-    bool ended = range->owner_ended || cw_server_list_later_incarnation(servers, range->owner.id) != NULL;
-
     if (range->former.id[0] != '\0') {
         return; /* the previous move is not finished: the same former holder still has to release the range, and the
                    owner holds nothing (cw_assigner_may_move) */
     }
-    if (ended || range->hold_until == 0) {
+    if (range->owner_ended || range->hold_until == 0 || cw_server_id_succeeds(to, range->owner.id)) {
         return;
     }
     range->former = range->owner;
@@ -74,8 +73,7 @@
     return range->former.id[0] == '\0' || range->owner_ended || range->hold_until <= now;
 }
 
-bool cw_assigner_plan_move(cw_assigner_t *assigner, uint32_t low, uint32_t last, const cw_server_entry_t *to,
-                           const cw_server_list_t *servers)
+bool cw_assigner_plan_move(cw_assigner_t *assigner, uint32_t low, uint32_t last, const cw_server_entry_t *to)
 {
     cw_range_t *range;
     size_t      index;
@@ -91,7 +89,7 @@
     }
     (void)cw_range_list_split(&assigner->plan.ranges, index, last + 1); /* false: the range ends there already */
     range = &assigner->plan.ranges.items[index];
-    set_former(range, servers);
+    set_former(range, to->id);
     range->keeps_serving = false;
     set_owner(assigner, range, to->id, to->address);
     return true;
--- a/src/model/server_list.h
+++ b/src/model/server_list.h
@@ -69,8 +69,8 @@
 const cw_server_entry_t *cw_server_list_newest(const cw_server_list_t *list, const char *id);
 /** Returns the latest listed incarnation of the server with this name; NULL: none is listed. */
 const cw_server_entry_t *cw_server_list_newest_by_name(const cw_server_list_t *list, const char *name);
-/** Returns the entry of an incarnation of the same server that started later, by their ids; NULL: none. It proves that
- * this one has ended, however old the list is. */
+/** Returns the entry of an incarnation of the same server that started later, by their ids; NULL: none. This one has
+ * ended, however old the list is; but the later one takes orders that are meant for it. */
 const cw_server_entry_t *cw_server_list_later_incarnation(const cw_server_list_t *list, const char *id);
 /** Returns an entry with another id at this address, or a later incarnation of the same server; NULL: none. It proves
  * the end of the incarnation only in a list that is later than one that named it: an older list names the server that
--- a/src/placement/planner_move.c
+++ b/src/placement/planner_move.c
@@ -60,7 +60,7 @@
 void cw_planner_move(cw_planner_t *planner, const cw_planner_piece_t *piece, cw_planner_server_t *from,
                      cw_planner_server_t *to)
 {
-    if (!cw_assigner_plan_move(planner->assigner, piece->low, piece->last, to->entry, planner->list)) {
+    if (!cw_assigner_plan_move(planner->assigner, piece->low, piece->last, to->entry)) {
         return;
     }
     apply_move(planner, piece, to);
--- a/tests/test_assigner.c
+++ b/tests/test_assigner.c
@@ -21,7 +21,7 @@
 /* Moves the first keys of the lower half from i-a to i-b, until the write is done and the release is sent. */
 static void begin_move(assigner_fixture_t *fixture)
 {
-    cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, "i-b"), fixture->servers);
+    cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, "i-b"));
     cw_assigner_plan_write(fixture->assigner, fixture->now);
     assigner_fixture_tick(fixture, CW_MS(20));
     assigner_fixture_tick(fixture, CW_MS(20));
@@ -140,7 +140,8 @@
 }
 END_TEST
 
-START_TEST(a_later_incarnation_of_the_same_server_proves_the_end)
+/* The later incarnation may hold the keys itself: a grant names the server only by its name. It answers the release. */
+START_TEST(a_later_incarnation_of_the_same_server_has_to_release)
 {
     static const char *const started[] = {"i-a#1000@10.0.0.1:80", "i-b#1000@10.0.0.2:80", NULL};
     static const char *const restarted[] = {"i-a#2000@10.0.0.1:80", "i-b#1000@10.0.0.2:80", NULL};
@@ -149,13 +150,13 @@
     assigner_fixture_init(&fixture, 1);
     assigner_fixture_set_servers(&fixture, started);
     assigner_fixture_settle(&fixture);
-    cw_assigner_plan_move(fixture.assigner, 0, 99, server(&fixture, "i-b@1000"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 0, 99, server(&fixture, "i-b@1000"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     assigner_fixture_tick(&fixture, CW_MS(20));
-    assigner_fixture_tick(&fixture, CW_MS(20));
-    ck_assert_int_eq(assigner_fixture_range(&fixture, 50)->phase, CW_RANGE_RELEASING);
     assigner_fixture_set_servers(&fixture, restarted);
     assigner_fixture_tick(&fixture, CW_MS(20));
+    ck_assert_int_eq(assigner_fixture_range(&fixture, 50)->phase, CW_RANGE_RELEASING);
+    assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
     ck_assert_int_eq(assigner_fixture_range(&fixture, 50)->phase, CW_RANGE_GRANTING);
     assigner_fixture_clear(&fixture);
 }
@@ -315,7 +316,7 @@
     ck_assert_int_eq(assigner_fixture_range(&fixture, 50)->phase, CW_RANGE_RELEASING);
     fixture.fail_next = CW_STORE_UNKNOWN;
     fixture.done_before_fail = false;
-    cw_assigner_plan_move(fixture.assigner, 40000, 40099, server(&fixture, "i-a"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 40000, 40099, server(&fixture, "i-a"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     assigner_fixture_tick(&fixture, CW_MS(20));
     assigner_fixture_tick(&fixture, CW_MS(20)); /* read: the write has not been done so far */
@@ -335,7 +336,7 @@
     assigner_fixture_set_servers(&fixture, two);
     assigner_fixture_settle(&fixture);
     fixture.delays_answers = true;
-    cw_assigner_plan_move(fixture.assigner, 0, 99, server(&fixture, "i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 0, 99, server(&fixture, "i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     sent = fixture.order_count;
     assigner_fixture_tick(&fixture, CW_MS(1300));
@@ -471,7 +472,7 @@
     assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
     assigner_fixture_tick(&fixture, CW_MS(20));
     assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
-    cw_assigner_plan_move(fixture.assigner, 100, 32767, server(&fixture, "i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 100, 32767, server(&fixture, "i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     assigner_fixture_tick(&fixture, CW_MS(20));
     assigner_fixture_tick(&fixture, CW_MS(20));
@@ -639,7 +640,7 @@
     tcase_add_test(cases, unresponsive_former_holder_is_replaced_after_its_hold_has_expired);
     tcase_add_test(cases, a_release_without_an_answer_does_not_delay_the_grant_after_the_hold);
     tcase_add_test(cases, another_id_at_the_address_in_a_list_proves_nothing);
-    tcase_add_test(cases, a_later_incarnation_of_the_same_server_proves_the_end);
+    tcase_add_test(cases, a_later_incarnation_of_the_same_server_has_to_release);
     tcase_add_test(cases, an_order_answered_by_another_incarnation_proves_the_end);
     tcase_add_test(cases, a_missing_entry_proves_nothing);
     tcase_add_test(cases, a_new_leader_writes_the_record_before_it_renews);
--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -12,6 +12,10 @@
  */
 static const char *const older[] = {"a-old@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", NULL};
 
+/* Servers that keep their names over restarts. */
+static const char *const named[] = {"a#1000@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", NULL};
+static const char *const named_later[] = {"a#2000@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", NULL};
+
 enum { KEY_OF_NEW = 50 };
 
 static const cw_server_entry_t *server(const assigner_fixture_t *fixture, const char *id)
@@ -22,13 +26,18 @@
     return entry;
 }
 
-static void begin(assigner_fixture_t *fixture)
+static void begin_with(assigner_fixture_t *fixture, const char *const *servers)
 {
     assigner_fixture_init(fixture, 1);
-    assigner_fixture_set_servers(fixture, three);
+    assigner_fixture_set_servers(fixture, servers);
     assigner_fixture_settle(fixture);
 }
 
+static void begin(assigner_fixture_t *fixture)
+{
+    begin_with(fixture, three);
+}
+
 /* A later leader reads the record and writes it with its own term. */
 static void take_over(assigner_fixture_t *fixture, const char *const *servers)
 {
@@ -42,7 +51,7 @@
 /* Moves keys of the first range, until the write is done and its first orders are sent. */
 static void move_keys(assigner_fixture_t *fixture, const char *to)
 {
-    (void)cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, to), fixture->servers); /* false: not now */
+    (void)cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, to)); /* false: not now */
     cw_assigner_plan_write(fixture->assigner, fixture->now);
     assigner_fixture_tick(fixture, CW_MS(20));
     assigner_fixture_tick(fixture, CW_MS(20));
@@ -112,6 +121,47 @@
 }
 END_TEST
 
+/* Guards against OWNER: a restarted server holds the keys by a grant for its incarnation before, since a grant names
+ * the server only by its name; when the list showed the later start, that counted as the end of the owner. */
+START_TEST(a_later_start_in_the_list_does_not_end_a_hold_that_it_was_granted_itself)
+{
+    assigner_fixture_t fixture;
+    size_t             sent;
+
+    begin_with(&fixture, named);
+    ck_assert_int_eq(fixture.orders[0].connected_by, 0);
+    ck_assert_str_eq(fixture.orders[0].server, "a@1000");
+    assigner_fixture_set_servers(&fixture, named_later);
+    sent = fixture.order_count;
+    move_keys(&fixture, "i-c");
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_GRANT, "i-c", sent), 0);
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_RELEASE, "a@1000", sent), 1);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
+/* The list in force names the earlier start again before the plan's write is done. */
+START_TEST(a_later_start_that_is_withdrawn_before_the_write_is_done_ends_no_hold)
+{
+    assigner_fixture_t fixture;
+    size_t             sent;
+
+    begin_with(&fixture, named);
+    assigner_fixture_set_servers(&fixture, named_later);
+    fixture.delays_answers = true;
+    sent = fixture.order_count;
+    move_keys(&fixture, "i-c");
+    assigner_fixture_set_servers(&fixture, named);
+    assigner_fixture_tick(&fixture, CW_MS(1250));
+    assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
+    fixture.delays_answers = false;
+    assigner_fixture_answer_store(&fixture);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_GRANT, "i-c", sent), 0);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 /* ---- the end of a hold ---- */
 
 /* Sends the next renewal of a-new, and returns the order. */
@@ -140,7 +190,7 @@
 
     begin(&fixture);
     first = renew(&fixture);
-    cw_assigner_plan_move(fixture.assigner, 60000, 60099, server(&fixture, "i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 60000, 60099, server(&fixture, "i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     assigner_fixture_tick(&fixture, CW_MS(20));
     fixture.now += CW_MS(20);
@@ -173,7 +223,7 @@
     begin(&fixture);
     move_keys(&fixture, "i-b");
     assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL);
-    cw_assigner_plan_move(fixture.assigner, 100, 21844, server(&fixture, "i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 100, 21844, server(&fixture, "i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     assigner_fixture_tick(&fixture, CW_MS(500));
     assigner_fixture_tick(&fixture, CW_MS(20));
@@ -409,6 +459,8 @@
     tcase_add_test(cases, an_older_list_does_not_prove_the_end_of_an_owner);
     tcase_add_test(cases, an_older_list_does_not_prove_the_end_of_a_former_holder);
     tcase_add_test(cases, an_owner_is_renewed_although_an_older_list_names_another_server_at_its_address);
+    tcase_add_test(cases, a_later_start_in_the_list_does_not_end_a_hold_that_it_was_granted_itself);
+    tcase_add_test(cases, a_later_start_that_is_withdrawn_before_the_write_is_done_ends_no_hold);
     tcase_add_test(cases, an_order_that_was_not_sent_does_not_take_back_the_hold_of_a_later_one);
     tcase_add_test(cases, a_merged_range_is_held_until_the_later_end_of_its_parts);
     tcase_add_test(cases, a_move_of_an_unfinished_move_waits_for_the_owner_between);
--- a/tests/test_assigner_renewals.c
+++ b/tests/test_assigner_renewals.c
@@ -176,8 +176,7 @@
     assigner_fixture_tick(&fixture, CW_MS(1250)); /* the former incarnation has ended and is not renewed */
     ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, sent), 1);
     ck_assert_str_eq(fixture.orders[sent].server, "i-b@1000");
-    cw_assigner_plan_move(fixture.assigner, 0, 32767, cw_server_list_find(fixture.servers, "i-a@2000"),
-                          fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 0, 32767, cw_server_list_find(fixture.servers, "i-a@2000"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     assigner_fixture_tick(&fixture, CW_MS(20));
     sent = fixture.order_count;
--- a/tests/test_assigner_restore.c
+++ b/tests/test_assigner_restore.c
@@ -35,7 +35,7 @@
 /* Moves keys 0 to 99 from i-a to i-b and confirms the orders. */
 static void move_keys(void)
 {
-    cw_assigner_plan_move(fixture.assigner, 0, 99, server("i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 0, 99, server("i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     tick_some();
     assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL); /* the release */
@@ -105,7 +105,7 @@
     size_t sent = fixture.order_count;
 
     restore();
-    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     tick_some();
     ck_assert_str_eq(assigner_fixture_range(&fixture, 50)->owner.id, "i-b"); /* the lost move is not undone */
@@ -118,7 +118,7 @@
 START_TEST(a_leader_creates_its_record_again_if_the_copy_has_none)
 {
     assigner_fixture_restore(&fixture, NULL, 5);
-    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     tick_some();
     ck_assert_ptr_nonnull(fixture.object);
@@ -131,7 +131,7 @@
 {
     fixture.fail_next = CW_STORE_UNKNOWN;
     fixture.done_before_fail = true; /* acknowledged by nobody, and lost */
-    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     assigner_fixture_tick(&fixture, CW_MS(20));
     fixture.done_before_fail = false;
@@ -149,7 +149,7 @@
 
     restore();
     fixture.revision = known; /* that of the leader's record in the lost state */
-    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     assigner_fixture_tick(&fixture, CW_MS(20)); /* done under the same count, in another epoch */
     ck_assert_str_eq(assigner_fixture_range(&fixture, 150)->owner.id, "i-a");
@@ -167,7 +167,7 @@
     json_decref(fixture.object); /* a write of the lost state, whose condition was a count that is given out again */
     fixture.object = json_deep_copy(copy);
     fixture.revision++;
-    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     tick_some();
     ck_assert_str_eq(assigner_fixture_range(&fixture, 50)->owner.id, "i-b");
@@ -290,7 +290,7 @@
 {
     json_object_set_new(fixture.object, "term", json_integer(7));
     fixture.revision++;
-    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"), fixture.servers);
+    cw_assigner_plan_move(fixture.assigner, 100, 199, server("i-b"));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
     tick_some();
     ck_assert_int_eq(cw_assigner_state(fixture.assigner), CW_ASSIGNER_DEPOSED);
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -256,7 +256,7 @@
     init(&fixture, four);
     to = cw_server_list_find(fixture.assigner.servers, "i-a");
     for (low = 0; low <= CW_KEY_LAST; low += 2048) {
-        cw_assigner_plan_move(fixture.assigner.assigner, low, low + 2047, to, fixture.assigner.servers);
+        cw_assigner_plan_move(fixture.assigner.assigner, low, low + 2047, to);
     }
     cw_assigner_plan_write(fixture.assigner.assigner, fixture.assigner.now);
     run_rounds(&fixture, 1);
@@ -430,7 +430,7 @@
 
     init(&fixture, four);
     to = cw_server_list_find(fixture.assigner.servers, "i-b");
-    cw_assigner_plan_move(fixture.assigner.assigner, 0, 99, to, fixture.assigner.servers);
+    cw_assigner_plan_move(fixture.assigner.assigner, 0, 99, to);
     cw_assigner_plan_write(fixture.assigner.assigner, fixture.assigner.now);
     assigner_fixture_tick(&fixture.assigner, CW_MS(20));
     /* The record shows an unfinished move from i-a to i-b, and i-b may hold the keys. */
