A leader that goes on after it was deposed counts others' holds from then

What callers saw: nothing shown; no path to it was found in the daemon, where the stamps of the lock seem to prevent it. Cause: the assigner of a leader that was deposed and takes a later term adopts the record of the leader between, but counted the holds that one had granted from the first tick of its own first term, seconds earlier. Change: the start of the authority is counted anew. Test: a_deposed_leader_that_goes_on_waits_for_holders_of_the_later_record failed before and passes.

--- a/src/assignment/assigner.c
+++ b/src/assignment/assigner.c
@@ -52,6 +52,7 @@
         cw_range_list_clear(&assigner->record.ranges);
         cw_range_list_clear(&assigner->plan.ranges);
         assigner->state = CW_ASSIGNER_NEW;
+        assigner->led_since = 0; /* the leader between had authority until this term began */
     }
     assigner->read_due = true; /* its reply leads to the write */
     assigner->retry_at = 0;
--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -430,6 +430,45 @@
 }
 END_TEST
 
+/* A leader was deposed and goes on in a later term; it counted the holds that the leader between had granted from its
+ * own first term. */
+START_TEST(a_deposed_leader_that_goes_on_waits_for_holders_of_the_later_record)
+{
+    assigner_fixture_t fixture;
+    json_t            *range;
+    size_t             sent;
+
+    begin(&fixture);
+    fixture.now += CW_SECONDS(20);
+    json_object_set_new(fixture.object, "term", json_integer(7));
+    json_object_set_new(fixture.object, "writer", json_string("00000000000003ef"));
+    range = json_array_get(json_object_get(fixture.object, "ranges"), 0);
+    ck_assert_str_eq(json_string_value(json_array_get(range, 2)), "a-new");
+    json_array_append_new(range, json_string("a-new"));
+    json_array_append_new(range, json_string("10.0.0.1:80"));
+    json_array_append_new(range, json_integer(1));
+    json_array_set_new(range, 2, json_string("i-c"));
+    json_array_set_new(range, 3, json_string("10.0.0.3:80"));
+    json_array_set_new(range, 4, json_integer(40));
+    json_object_set_new(fixture.object, "last_fence", json_integer(40));
+    fixture.revision++;
+    cw_assigner_plan_rewrite(fixture.assigner);
+    cw_assigner_plan_write(fixture.assigner, fixture.now);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    ck_assert_int_eq(cw_assigner_state(fixture.assigner), CW_ASSIGNER_DEPOSED);
+    cw_assigner_begin_term(fixture.assigner, 8, &fixture.loss);
+    sent = fixture.order_count;
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    ck_assert_int_eq(cw_assigner_state(fixture.assigner), CW_ASSIGNER_READY);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_GRANT, "i-c", sent), 0);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 /* ---- the record ---- */
 
 /* Guards against an earlier record of this process that is taken for the write without an answer: both are the first
@@ -473,6 +512,7 @@
     tcase_add_test(cases, a_move_waits_for_renewals_that_were_sent_while_it_was_written);
     tcase_add_test(cases, both_parts_of_a_range_keep_its_hold_and_its_orders_in_flight);
     tcase_add_test(cases, a_new_fence_keeps_the_hold_of_the_same_owner);
+    tcase_add_test(cases, a_deposed_leader_that_goes_on_waits_for_holders_of_the_later_record);
     tcase_add_test(cases, a_record_of_an_earlier_term_is_not_taken_for_the_write_without_an_answer);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
