After a takeover a move waits for tables, as after an unanswered order of its own

What callers saw: nothing shown. Cause: the time of the last unanswered order is not in the record, and an adopted range began with none. Change: until orders of the leader before can have no effect any more, moves wait for tables. Balance goes on, since it awaits a release.

--- a/src/assignment/assigner_holds.c
+++ b/src/assignment/assigner_holds.c
@@ -47,6 +47,14 @@
     }
 }
 
+/* The same as cw_assigner_late_order_possible for orders of the leader before, of which this one knows nothing. */
+static bool earlier_late_order_possible(const cw_assigner_t *assigner, cw_time_us_t now)
+{
+    return assigner->adopted_at != 0 &&
+           now < cw_assigner_hold_end(assigner->led_since + assigner->settings.late_order_time,
+                                      assigner->settings.hold_long);
+}
+
 /* Adds the holds that are known of one range of the record to those of the planned range that covers it. */
 static void add_source(const cw_assigner_t *assigner, cw_range_t *planned, const cw_range_t *source, cw_time_us_t now)
 {
@@ -62,7 +70,7 @@
     } else if (strcmp(planned->former.id, source->former.id) == 0) {
         planned->former_until = later_of(planned->former_until, source->former_until);
     }
-    if (cw_assigner_late_order_possible(assigner, source, now)) {
+    if (cw_assigner_late_order_possible(assigner, source, now) || earlier_late_order_possible(assigner, now)) {
         planned->former_until =
             later_of(planned->former_until, cw_assigner_hold_end(now, assigner->settings.table_validity));
     }
--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -57,6 +57,12 @@
     assigner_fixture_tick(fixture, CW_MS(20));
 }
 
+static void plan(assigner_fixture_t *fixture, uint32_t low, uint32_t last, const char *to)
+{
+    ck_assert(cw_assigner_plan_move(fixture->assigner, low, last, server(fixture, to)));
+    cw_assigner_plan_write(fixture->assigner, fixture->now);
+}
+
 /* Number of orders of this kind to the server since index `from` that concern the moved keys. */
 static size_t count_to(const assigner_fixture_t *fixture, cw_order_kind_t kind, const char *id, size_t from)
 {
@@ -469,6 +475,36 @@
 }
 END_TEST
 
+/* The leader before may have left a grant without an answer, which is carried out up to 13 s later: a node that
+ * receives no heartbeats would still route to its holder. */
+START_TEST(a_move_after_a_takeover_waits_as_long_as_tables_are_valid)
+{
+    assigner_fixture_t fixture;
+    cw_time_us_t       committed;
+
+    begin(&fixture);
+    assigner_fixture_take_over(&fixture, 2);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_tick(&fixture, CW_MS(20)); /* adopted; the owners are routable in the leader's tables */
+    ck_assert_int_eq(cw_assigner_state(fixture.assigner), CW_ASSIGNER_READY);
+    ck_assert(cw_range_is_routable(assigner_fixture_range(&fixture, KEY_OF_NEW)));
+    assigner_fixture_answer(&fixture, CW_ORDER_NOT_SENT, NULL); /* its own grants: certainly not sent */
+    fixture.delays_answers = true;
+    plan(&fixture, 0, 21844, "i-c");
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    fixture.now += CW_SECONDS(6);
+    fixture.delays_answers = false;
+    committed = fixture.now;
+    ck_assert(cw_range_is_routable(assigner_fixture_range(&fixture, KEY_OF_NEW))); /* until now */
+    cw_assigner_tick(fixture.assigner, fixture.servers, false, false, fixture.now);
+    assigner_fixture_answer_store(&fixture);
+    ck_assert_str_eq(assigner_fixture_range(&fixture, KEY_OF_NEW)->former.id, "a-new");
+    ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->former_until,
+                     cw_assigner_hold_end(committed, CW_MS(4000)));
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 /* ---- the record ---- */
 
 /* Guards against an earlier record of this process that is taken for the write without an answer: both are the first
@@ -513,6 +549,7 @@
     tcase_add_test(cases, both_parts_of_a_range_keep_its_hold_and_its_orders_in_flight);
     tcase_add_test(cases, a_new_fence_keeps_the_hold_of_the_same_owner);
     tcase_add_test(cases, a_deposed_leader_that_goes_on_waits_for_holders_of_the_later_record);
+    tcase_add_test(cases, a_move_after_a_takeover_waits_as_long_as_tables_are_valid);
     tcase_add_test(cases, a_record_of_an_earlier_term_is_not_taken_for_the_write_without_an_answer);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
