An owner without a hold gets no grant while a plan takes any of its keys

What callers saw: nothing shown; the planner moves parts only of ranges that are held, so that only the assigner's interface was open. Cause: while a plan is being written, an owner that was granted nothing must get nothing, since the plan names no former holder. Only the first key of its range was looked up in the plan, not a part that moves further up. Change: all planned ranges that the range covers are looked at.

--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -139,19 +139,25 @@
     return !range->owner_ended && cw_server_list_later_incarnation(servers, range->owner.id) == NULL;
 }
 
-/* Whether the plan that is being written gives the range to another server and its present owner must get no grant. An
- * owner that holds the range is renewed until the write is done, which may take as long as the store is down. An owner
- * without a confirmed grant must not get one that the plan does not know of, and for an owner that cannot be reached
- * the hold is left to expire. */
+/* Whether the plan that is being written gives keys of the range to another server and its present owner must get no
+ * grant. An owner that holds the range is renewed until the write is done, which may take as long as the store is down.
+ * An owner without a confirmed grant must not get one that the plan does not know of, and for an owner that cannot be
+ * reached the hold is left to expire. */
 static bool is_moved_by_plan(const cw_assigner_t *assigner, const cw_range_t *range)
 {
-    const cw_range_t *planned;
+    const cw_range_list_t *plan = &assigner->plan.ranges;
+    const cw_range_t      *planned;
 
     if (!assigner->writing || assigner->adopting || (range->phase == CW_RANGE_HELD && range->failing_since == 0)) {
         return false;
     }
-    planned = cw_range_list_find(&assigner->plan.ranges, range->low);
-    return planned != NULL && strcmp(planned->owner.id, range->owner.id) != 0;
+    planned = cw_range_list_find(plan, range->low);
+    for (; planned != NULL && planned < plan->items + plan->count && planned->low <= range->last; planned++) {
+        if (strcmp(planned->owner.id, range->owner.id) != 0) {
+            return true;
+        }
+    }
+    return false;
 }
 
 static void send_due_order(cw_assigner_t *assigner, cw_range_t *range, const cw_server_list_t *servers, bool long_hold,
--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -505,6 +505,44 @@
 }
 END_TEST
 
+/* Guards against a grant of the whole range while the plan that is being written moves its upper keys: only its first
+ * key was looked up in the plan, which then named no former holder. */
+START_TEST(an_owner_without_a_hold_gets_none_of_keys_that_a_plan_takes_from_it)
+{
+    assigner_fixture_t       fixture;
+    const cw_server_entry_t *entries[3];
+    size_t                   index;
+    size_t                   sent;
+
+    assigner_fixture_init(&fixture, 1);
+    assigner_fixture_set_servers(&fixture, three);
+    assigner_fixture_tick(&fixture, 0);
+    for (index = 0; index < 3; index++) {
+        entries[index] = &fixture.servers->entries[index];
+    }
+    cw_assigner_plan_first(fixture.assigner, entries, 3, fixture.now);
+    assigner_fixture_tick(&fixture, CW_MS(20)); /* written, and the grants sent */
+    assigner_fixture_answer(&fixture, CW_ORDER_NOT_SENT, NULL);
+    ck_assert_int_eq(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until, 0);
+    fixture.delays_answers = true;
+    plan(&fixture, 10000, 21844, "i-c");
+    sent = fixture.order_count;
+    assigner_fixture_tick(&fixture, CW_MS(300));
+    assigner_fixture_answer(&fixture, CW_ORDER_DONE, NULL); /* a-new holds 0 to 21844 */
+    fixture.delays_answers = false;
+    assigner_fixture_answer_store(&fixture);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    for (index = sent; index < fixture.order_count; index++) {
+        const cw_order_t *order = &fixture.orders[index];
+
+        if (order->kind == CW_ORDER_GRANT && strcmp(order->server, "a-new") == 0 && order->last >= 10000) {
+            ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_RELEASE, sent), 1);
+        }
+    }
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 /* ---- the record ---- */
 
 /* Guards against an earlier record of this process that is taken for the write without an answer: both are the first
@@ -550,6 +588,7 @@
     tcase_add_test(cases, a_new_fence_keeps_the_hold_of_the_same_owner);
     tcase_add_test(cases, a_deposed_leader_that_goes_on_waits_for_holders_of_the_later_record);
     tcase_add_test(cases, a_move_after_a_takeover_waits_as_long_as_tables_are_valid);
+    tcase_add_test(cases, an_owner_without_a_hold_gets_none_of_keys_that_a_plan_takes_from_it);
     tcase_add_test(cases, a_record_of_an_earlier_term_is_not_taken_for_the_write_without_an_answer);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
