A first assignment waits for lost holds also if it was submitted before the loss was known

What callers saw: nothing shown; needs a store that comes back from a copy without the record while a new leader plans its first assignment. Cause: the wait for holds that a lost record may have granted was set only if no plan was submitted yet. Change: it is set in either case.

--- a/src/assignment/assigner_record.c
+++ b/src/assignment/assigner_record.c
@@ -205,13 +205,13 @@
         write_again(assigner, 0);
         return;
     }
+    assigner->first_grant_at = assigner->settings.loss.holds_until;
     assigner->write_due = assigner->writing;
-    if (assigner->writing) {
+    if (assigner->writing) { /* a server that has seen a higher fence than the plan's refuses it, and gets a new one */
         return;
     }
     assigner->state = CW_ASSIGNER_EMPTY;
     if (assigner->settings.loss.holds_until != 0) {
-        assigner->first_grant_at = assigner->settings.loss.holds_until;
         assigner->plan.last_fence = first_free_fence(assigner);
     }
 }
--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -543,6 +543,34 @@
 }
 END_TEST
 
+/* Guards against a first assignment without a wait: it was submitted when the node learnt that the store has lost
+ * records. */
+START_TEST(a_first_plan_that_is_submitted_before_a_loss_is_known_waits)
+{
+    assigner_fixture_t       fixture;
+    const cw_server_entry_t *entries[3];
+    size_t                   index;
+    cw_assigner_loss_t       loss;
+
+    assigner_fixture_init(&fixture, 1);
+    assigner_fixture_set_servers(&fixture, three);
+    fixture.epoch++; /* restored between the taking of the lock and this read */
+    assigner_fixture_tick(&fixture, 0);
+    ck_assert_int_eq(cw_assigner_state(fixture.assigner), CW_ASSIGNER_EMPTY);
+    for (index = 0; index < 3; index++) {
+        entries[index] = &fixture.servers->entries[index];
+    }
+    cw_assigner_plan_first(fixture.assigner, entries, 3, fixture.now);
+    loss = (cw_assigner_loss_t){.is_seen = true, .holds_until = fixture.now + CW_SECONDS(10)};
+    cw_assigner_begin_term(fixture.assigner, 1030, &loss);
+    for (index = 0; index < 10; index++) {
+        assigner_fixture_tick(&fixture, CW_MS(200));
+    }
+    ck_assert_uint_eq(assigner_fixture_count(&fixture, CW_ORDER_GRANT, 0), 0);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 /* ---- the record ---- */
 
 /* Guards against an earlier record of this process that is taken for the write without an answer: both are the first
@@ -589,6 +617,7 @@
     tcase_add_test(cases, a_deposed_leader_that_goes_on_waits_for_holders_of_the_later_record);
     tcase_add_test(cases, a_move_after_a_takeover_waits_as_long_as_tables_are_valid);
     tcase_add_test(cases, an_owner_without_a_hold_gets_none_of_keys_that_a_plan_takes_from_it);
+    tcase_add_test(cases, a_first_plan_that_is_submitted_before_a_loss_is_known_waits);
     tcase_add_test(cases, a_record_of_an_earlier_term_is_not_taken_for_the_write_without_an_answer);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
