The result of a grant from before a move counts for the former holder

What callers saw: nothing shown. A renewal in flight when a move was written counted until its timeout; its result was dropped, as the range had another fence by then, also if it came later because the process had stood still. Cause: results are matched by the fence of the present owner. Change: a grant to the former holder that ended with an answer, or without one, extends that holder's time from the result on. Conclusion: what may have arrived is counted, whatever was written meanwhile.

--- a/src/assignment/assigner_holds.c
+++ b/src/assignment/assigner_holds.c
@@ -47,6 +47,13 @@
     }
 }
 
+void cw_assigner_extend_former_hold(cw_range_t *range, const cw_order_t *order, cw_time_us_t now)
+{
+    if (strcmp(range->former.id, order->server) == 0 && order->fence <= range->former.fence) {
+        range->former_until = later_of(range->former_until, cw_assigner_hold_end(now, order->hold));
+    }
+}
+
 /* The same as cw_assigner_late_order_possible for orders of the leader before, of which this one knows nothing. */
 static bool earlier_late_order_possible(const cw_assigner_t *assigner, cw_time_us_t now)
 {
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -63,6 +63,9 @@
 void cw_assigner_confirm_hold(cw_range_t *range, const cw_order_t *order, cw_time_us_t now);
 /** A grant was certainly not sent. The hold ends as before it, unless a later grant has set its end since. */
 void cw_assigner_take_back_hold(cw_range_t *range, const cw_order_t *order);
+/** A grant has ended that may have arrived until now. If it was given to the range's former holder before the move,
+ * that one may hold the range accordingly. */
+void cw_assigner_extend_former_hold(cw_range_t *range, const cw_order_t *order, cw_time_us_t now);
 /** A plan that changes the range's owner or fence was written: sets the ends of the owner's and of the former holder's
  * holds from the ranges of the record that it covers. */
 void cw_assigner_set_planned_holds(const cw_assigner_t *assigner, cw_range_t *planned, cw_time_us_t now);
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -388,6 +388,9 @@
         if (range->low > order.last) {
             break;
         }
+        if (order.kind == CW_ORDER_GRANT && (result == CW_ORDER_DONE || result == CW_ORDER_UNANSWERED)) {
+            cw_assigner_extend_former_hold(range, &order, now);
+        }
         if (!concerns(&order, range)) {
             continue;
         }
--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -571,6 +571,47 @@
 }
 END_TEST
 
+/* Guards against a former holder whose last renewal was not counted. A renewal is in flight when a move is written. Its
+ * result comes 1.5 s later (the loop stood still, and the order waited for its connection): it arrived up to then, and
+ * its hold counts from then. */
+static void check_result_after_commit(cw_order_result_t result)
+{
+    assigner_fixture_t fixture;
+    cw_order_t         renewal = {0};
+    size_t             index;
+    size_t             sent;
+
+    begin(&fixture);
+    sent = fixture.order_count;
+    assigner_fixture_tick(&fixture, CW_MS(1250));
+    for (index = sent; index < fixture.order_count; index++) {
+        if (strcmp(fixture.orders[index].server, "a-new") == 0) {
+            renewal = fixture.orders[index];
+        }
+    }
+    ck_assert_uint_ne(renewal.id, 0);
+    plan(&fixture, 0, 99, "i-c");
+    assigner_fixture_tick(&fixture, CW_MS(20)); /* committed */
+    ck_assert_str_eq(assigner_fixture_range(&fixture, KEY_OF_NEW)->former.id, "a-new");
+    fixture.now = renewal.sent_at + CW_MS(1500);
+    cw_assigner_order_done(fixture.assigner, renewal.id, result, NULL, fixture.now);
+    ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->former_until,
+                     cw_assigner_hold_end(fixture.now, renewal.hold));
+    assigner_fixture_clear(&fixture);
+}
+
+START_TEST(a_late_confirmation_of_a_grant_from_before_the_move_counts)
+{
+    check_result_after_commit(CW_ORDER_DONE);
+}
+END_TEST
+
+START_TEST(a_grant_from_before_the_move_without_an_answer_counts)
+{
+    check_result_after_commit(CW_ORDER_UNANSWERED);
+}
+END_TEST
+
 /* ---- the record ---- */
 
 /* Guards against an earlier record of this process that is taken for the write without an answer: both are the first
@@ -618,6 +659,8 @@
     tcase_add_test(cases, a_move_after_a_takeover_waits_as_long_as_tables_are_valid);
     tcase_add_test(cases, an_owner_without_a_hold_gets_none_of_keys_that_a_plan_takes_from_it);
     tcase_add_test(cases, a_first_plan_that_is_submitted_before_a_loss_is_known_waits);
+    tcase_add_test(cases, a_late_confirmation_of_a_grant_from_before_the_move_counts);
+    tcase_add_test(cases, a_grant_from_before_the_move_without_an_answer_counts);
     tcase_add_test(cases, a_record_of_an_earlier_term_is_not_taken_for_the_write_without_an_answer);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
