--- a/tests/test_node_orders.c
+++ b/tests/test_node_orders.c
@@ -287,6 +287,91 @@
 }
 END_TEST
 
+/* ---- answers that come twice ---- */
+
+enum { ECHO_CONNECTIONS_MAX = 2 };
+
+/** A server that answers the first order twice: the second time when another order comes, which it does not answer. */
+typedef struct echo {
+    uv_loop_t         loop;
+    uv_tcp_t          listening;
+    uv_tcp_t          connections[ECHO_CONNECTIONS_MAX];
+    size_t            connection_count;
+    int               orders;
+    bool              is_done;
+    cw_order_result_t result;
+} echo_t;
+
+static void on_echo_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+    static char text[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    echo_t     *echo = stream->data;
+    uv_buf_t    answer = uv_buf_init(text, sizeof(text) - 1);
+
+    (void)buffer;
+    if (count > 0) {
+        echo->orders++;
+        ck_assert_int_gt(uv_try_write((uv_stream_t *)&echo->connections[0], &answer, 1), 0);
+    }
+}
+
+static void on_echo_connection(uv_stream_t *listening, int status)
+{
+    echo_t   *echo = listening->data;
+    uv_tcp_t *connection = &echo->connections[echo->connection_count++];
+
+    ck_assert_int_eq(status, 0);
+    ck_assert_uint_le(echo->connection_count, ECHO_CONNECTIONS_MAX);
+    uv_tcp_init(&echo->loop, connection);
+    connection->data = echo;
+    ck_assert_int_eq(uv_accept(listening, (uv_stream_t *)connection), 0);
+    uv_read_start((uv_stream_t *)connection, on_allocate, on_echo_read);
+}
+
+static void record_echo(void *context, uint64_t order, cw_order_result_t result, const char *handover)
+{
+    echo_t *echo = context;
+
+    (void)order;
+    (void)handover;
+    echo->result = result;
+    echo->is_done = true;
+}
+
+/* Guards against OWNER: a server's second answer to a grant came in the place of its answer to a release, which counted
+ * as done while the server still worked on the keys. */
+START_TEST(an_extra_answer_to_a_grant_is_not_taken_for_the_answer_to_a_release)
+{
+    static const cw_order_callbacks_t callbacks = {.may_be_sent = always, .done = record_echo};
+    static echo_t                     echo;
+    struct sockaddr_in                any;
+    struct sockaddr_in                bound;
+    int                               length = sizeof(bound);
+    cw_order_t                        order = {.id = 1, .kind = CW_ORDER_GRANT, .server = "i-a", .timeout = CW_MS(350)};
+    void                             *platform;
+
+    uv_loop_init(&echo.loop);
+    uv_tcp_init(&echo.loop, &echo.listening);
+    echo.listening.data = &echo;
+    uv_ip4_addr("127.0.0.1", 0, &any);
+    ck_assert_int_eq(uv_tcp_bind(&echo.listening, (const struct sockaddr *)&any, 0), 0);
+    ck_assert_int_eq(uv_listen((uv_stream_t *)&echo.listening, 4, on_echo_connection), 0);
+    ck_assert_int_eq(uv_tcp_getsockname(&echo.listening, (struct sockaddr *)&bound, &length), 0);
+    snprintf(order.address, sizeof(order.address), "127.0.0.1:%d", ntohs(bound.sin_port));
+    platform = cw_adapter.create(&echo.loop, "127.0.0.1:1", NULL);
+    cw_adapter.send_order(platform, &order, &callbacks, &echo);
+    cw_test_run_until_set(&echo.loop, &echo.is_done);
+    ck_assert_int_eq(echo.result, CW_ORDER_DONE);
+    echo.is_done = false;
+    order.id = 2;
+    order.kind = CW_ORDER_RELEASE;
+    cw_adapter.send_order(platform, &order, &callbacks, &echo);
+    cw_test_run_until_set(&echo.loop, &echo.is_done);
+    ck_assert_int_eq(echo.orders, 2);
+    ck_assert_int_ne(echo.result, CW_ORDER_DONE); /* nothing says that the keys are released */
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("orders of a node");
@@ -300,6 +385,7 @@
     tcase_add_test(cases, a_withdrawn_grant_gives_no_hold_and_says_nothing_about_the_server);
     tcase_add_test(cases, an_owner_is_not_missing_in_a_list_that_is_older_than_the_record);
     tcase_add_test(cases, a_withdrawn_order_is_not_sent);
+    tcase_add_test(cases, an_extra_answer_to_a_grant_is_not_taken_for_the_answer_to_a_release);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
