Tables and lists are not confirmed by datagrams that waited while the node stood still

What callers saw: nothing shown. A node that stood still took a heartbeat from its socket's backlog, sent seconds before, for one of now: its old tables counted as valid for up to 4 s more, although waits after unanswered orders rest on their end. Cause: the age in a heartbeat or a reader's notice counts from its sending. The path by relays ignores a backlog (cw_router_reads_backlog); the direct one and notices did not. Change: they do.

--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -148,7 +148,7 @@
     if (cw_configuration_role_takes_readers_evidence(configuration_role(router, now))) {
         cw_router_record_sent_evidence(router, notice->configuration, notice->configuration_age_ms, now);
     }
-    if (router->leadership.leading) {
+    if (router->leadership.leading || cw_router_reads_backlog(router, now)) {
         return;
     }
     if (notice->servers_hash != 0 && router->server_view.list != NULL &&
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -372,7 +372,7 @@
     cw_router_adopt_versions(router, peer, heartbeat);
     cw_router_check_view(router, heartbeat, now);
     cw_router_list_exchange_heartbeat(router, heartbeat, now);
-    if (router->view_term == heartbeat->term) {
+    if (router->view_term == heartbeat->term && !cw_router_reads_backlog(router, now)) {
         confirm_servers(router, heartbeat, now);
         confirm_tables(router, heartbeat, now);
     }
