Without a leader a node uses the record of each keyed service that it has read

What callers saw: with two or more services divided by key and no leader in reach, keys of all but one service kept their old owners at that node, while its tables counted as valid. Cause: a record counts if it was asked for after the tables were last confirmed. The first record of a round confirms the tables of all services, so that the others of the same round were dropped. Change: records of the same round count, too. Left: until all records of a round have come, or if one cannot be read, the other services' old tables count as valid; the end of tables is one for all services.

--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -414,6 +414,15 @@
     cw_router_apply_tables(router);
 }
 
+/* Whether a record that was asked for at `valid_at` is later than what the tables were last confirmed by. The records
+ * of several services are asked for at the same time; the first one that is used confirms the tables of all. */
+static bool is_record_later(const cw_router_t *router, cw_time_us_t valid_at)
+{
+    bool is_by_records = router->view_tables_version == 0;
+
+    return valid_at > router->tables_valid_at || (is_by_records && valid_at == router->tables_valid_at);
+}
+
 static void on_record(void *data, const cw_store_reply_t *reply)
 {
     table_read_t          *read = data;
@@ -429,7 +438,7 @@
                            cw_router_now(router));
     if (reply->result == CW_STORE_DONE && !router->leadership.leading &&
         cw_assignment_record_from_json(&record, reply->value)) {
-        if (valid_at > router->tables_valid_at && cw_record_is_usable(record.term, router->view_term) &&
+        if (is_record_later(router, valid_at) && cw_record_is_usable(record.term, router->view_term) &&
             !cw_store_epochs_is_outdated(&router->leadership.epochs, record.epoch_stamp)) {
             cw_router_begin_term(router, record.term);
             use_record(router, read->service, &record);
--- a/tests/test_node_tables.c
+++ b/tests/test_node_tables.c
@@ -72,6 +72,38 @@
 }
 END_TEST
 
+/* A node without a leader reads the records of two services. The first reply sets the validity of the tables of all
+ * services; the second one, asked for at the same time, is then not newer and is dropped, while the old table of its
+ * service counts as valid again. */
+START_TEST(each_services_record_that_is_read_is_used)
+{
+    node_fixture_t     *node = node_fixture_create();
+    cw_configuration_t *configuration = node_fixture_configuration(1, "s");
+    cw_service_t       *second = cw_configuration_add_service(configuration);
+
+    second->name = strdup("t");
+    second->keyed = true;
+    cw_configuration_seal(configuration);
+    node_fixture_read_servers(node, "s", 4, "10.0.1.1:80");
+    ck_assert(cw_router_apply_configuration(&node->router, configuration, "store"));
+    node->record =
+        json_pack("{s:i, s:i, s:s, s:i, s:i, s:b, s:[[i, i, s, s, i]]}", "term", 1, "write", 3, "writer", "1",
+                  "last_fence", 9, "epoch", 1, "waiting", 0, "ranges", 0, CW_KEY_LAST, "i-000000", "10.0.1.1:80", 9);
+    node_fixture_answer_store(node);
+    node->router.started_at = cw_router_now(&node->router) - CW_SECONDS(100);
+    node->router.tables_valid_at = cw_router_now(&node->router) - CW_SECONDS(20); /* tables of a leader of long ago */
+    node->router.tables_read_at = 0;
+    node->router.loop.time += 20;
+    cw_router_view_tick(&node->router, cw_router_now(&node->router));
+    ck_assert_uint_eq(node->router.table_reads_pending, 2);
+    node_fixture_answer_store(node);
+    ck_assert_int_eq(node->router.tables_valid_at, cw_router_now(&node->router)); /* they count as valid from now */
+    ck_assert_uint_eq(cw_key_tables_service(&node->router.tables, "s")->count, 1);
+    ck_assert_uint_eq(cw_key_tables_service(&node->router.tables, "t")->count, 1);
+    node_fixture_free(node);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("tables of a node");
@@ -79,6 +111,7 @@
 
     tcase_add_test(cases, a_heartbeat_from_the_backlog_does_not_confirm_tables_from_now);
     tcase_add_test(cases, a_notice_from_the_backlog_does_not_confirm_tables_from_now);
+    tcase_add_test(cases, each_services_record_that_is_read_is_used);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
