After a restore of the store, a server that had the address before ends no server

What callers saw: nothing shown; a living server could be dropped at once instead of kept until it registers again, and its keys moved. Cause: a missing server is not kept if another id is at its address in the reading. Change: only a server that has registered since counts: one that was not known beside the missing one, in a reading that is not of a copy.

--- a/src/model/server_absence.c
+++ b/src/model/server_absence.c
@@ -59,10 +59,21 @@
     return count;
 }
 
+/* Whether another server has registered at the address since. One that was known beside the missing server had the
+ * address before it, as a copy from which the store came back may list it. */
+static bool has_successor(const cw_server_list_t *reading, const cw_server_list_t *known,
+                          const cw_server_entry_t *entry, const cw_absence_reading_t *state)
+{
+    const cw_server_entry_t *other = cw_server_list_successor(reading, entry->id, entry->address);
+
+    return other != NULL && !state->may_be_of_copy && cw_server_list_find(known, other->id) == NULL;
+}
+
 /* Returns the entries to keep, with their missing_since, in a separate list: adding them to the reading here would
  * break the order that lookups in it need. */
 static cw_server_list_t *entries_to_keep(const cw_absence_settings_t *settings, const cw_server_list_t *reading,
-                                         const cw_server_list_t *known, bool after_outage, cw_time_us_t now)
+                                         const cw_server_list_t *known, const cw_absence_reading_t *state,
+                                         bool after_outage, cw_time_us_t now)
 {
     cw_server_list_t *kept = cw_server_list_create();
     size_t            index;
@@ -71,7 +82,7 @@
         cw_server_entry_t entry = known->entries[index];
 
         if (!is_missing(reading, &entry) || (entry.missing_since == 0 && !after_outage) ||
-            cw_server_list_successor(reading, entry.id, entry.address) != NULL) {
+            has_successor(reading, known, &entry, state)) {
             continue;
         }
         entry.missing_since = entry.missing_since == 0 ? now : entry.missing_since;
@@ -83,10 +94,10 @@
 }
 
 size_t cw_server_absence_fill(const cw_absence_settings_t *settings, cw_server_list_t *reading,
-                              const cw_server_list_t *known, cw_time_us_t known_at, bool store_failed, cw_time_us_t now)
+                              const cw_server_list_t *known, const cw_absence_reading_t *state, cw_time_us_t now)
 {
     size_t            newly = known == NULL ? 0 : count_newly_missing(reading, known);
-    bool              after_outage = store_failed && now - known_at > settings->outage;
+    bool              after_outage = state->store_failed && now - state->known_at > settings->outage;
     cw_server_list_t *kept;
     size_t            count;
     size_t            index;
@@ -94,8 +105,8 @@
     if (known == NULL) {
         return 0;
     }
-    kept = entries_to_keep(settings, reading, known, after_outage || newly * 100 > known->count * (size_t)MANY_PERCENT,
-                           now);
+    kept = entries_to_keep(settings, reading, known, state,
+                           after_outage || newly * 100 > known->count * (size_t)MANY_PERCENT, now);
     count = kept->count;
     for (index = 0; index < count; index++) {
         cw_server_list_put(reading, 0, &kept->entries[index]);
--- a/src/model/server_absence.h
+++ b/src/model/server_absence.h
@@ -10,7 +10,8 @@
  *    register again. A server that cannot reach the store continues to serve.
  *  - This grace time counts from the first reading in which the server was missing, and further outages do not lengthen
  *    it, so that it ends before requests to a server that has left would exceed the drain time.
- *  - A server has ended if another one has registered at its address. A server that was leaving already is not kept.
+ *  - A server has ended if another one has registered at its address, unless the reading may be of a copy of the store
+ *    from before the server registered. A server that was leaving already is not kept.
  */
 #ifndef CEDARWINCH_MODEL_SERVER_ABSENCE_H
 #define CEDARWINCH_MODEL_SERVER_ABSENCE_H
@@ -30,13 +31,16 @@
 cw_absence_settings_t cw_absence_settings_of(cw_time_us_t heartbeat, cw_time_us_t drain);
 /** Whether the grace time of a kept entry is over. */
 bool cw_absence_is_over(const cw_absence_settings_t *settings, const cw_server_entry_t *entry, cw_time_us_t now);
-/**
- * Adds the servers of `known` that are missing in a sealed reading and have to be kept, with the time since when they
- * are missing, and seals the reading again. known: NULL is allowed. known_at: when the known list was certainly valid;
- * store_failed: calls to the store have failed since then. Returns how many servers were added.
- */
+/** What is known of a reading. */
+typedef struct cw_absence_reading {
+    cw_time_us_t known_at;       /**< when the list before it was certainly valid */
+    bool         store_failed;   /**< calls to the store have failed since then */
+    bool         may_be_of_copy; /**< the store has come back from a copy since then (store_epoch.h) */
+} cw_absence_reading_t;
+
+/** Adds the servers of `known` that are missing in a sealed reading and have to be kept, with the time since when they
+ * are missing, and seals the reading again. known: NULL is allowed. Returns how many servers were added. */
 size_t cw_server_absence_fill(const cw_absence_settings_t *settings, cw_server_list_t *reading,
-                              const cw_server_list_t *known, cw_time_us_t known_at, bool store_failed,
-                              cw_time_us_t now);
+                              const cw_server_list_t *known, const cw_absence_reading_t *state, cw_time_us_t now);
 
 #endif
--- a/src/model/server_view.c
+++ b/src/model/server_view.c
@@ -316,7 +316,12 @@
     list = correct_entries(view, reading, now);
     if (!reading->is_from_leader) {
         /* The caller finds the number of added servers in the list and logs it. */
-        (void)cw_server_absence_fill(&view->absence, list, view->list, view->valid_at, reading->store_failed, now);
+        cw_absence_reading_t state = {.known_at = view->valid_at,
+                                      .store_failed = reading->store_failed,
+                                      .may_be_of_copy = cw_store_revision_epoch(reading->revision) >
+                                                        cw_store_revision_epoch(view->revision)};
+
+        (void)cw_server_absence_fill(&view->absence, list, view->list, &state, now);
     }
     record_departures(view, list, latest, now);
     discard_departures(view, now);
--- a/tests/test_server_absence.c
+++ b/tests/test_server_absence.c
@@ -55,7 +55,8 @@
 {
     cw_server_list_t *reading = list_of(names);
 
-    (void)cw_server_absence_fill(&settings, reading, known, now - age, store_failed, now);
+    (void)cw_server_absence_fill(&settings, reading, known,
+                                 &(cw_absence_reading_t){.known_at = now - age, .store_failed = store_failed}, now);
     cw_server_list_release(known);
     known = reading;
     return reading->count;
--- a/tests/test_server_view.c
+++ b/tests/test_server_view.c
@@ -174,6 +174,42 @@
 }
 END_TEST
 
+static cw_server_list_t *list_at_address(const char *id)
+{
+    cw_server_list_t  *list = list_of("cd", 7, 0);
+    cw_server_entry_t *entry = cw_server_list_add(list);
+
+    entry->id = strdup(id);
+    entry->service = strdup("s");
+    entry->address = strdup("10.0.9.9:80");
+    entry->zone = strdup("z");
+    entry->sequence = 7;
+    cw_server_list_seal(list);
+    return list;
+}
+
+static void read_list(cw_server_list_t *list, uint64_t epoch, uint64_t count, cw_time_us_t now)
+{
+    (void)offer(
+        &(cw_server_reading_t){
+            .list = list, .revision = cw_store_revision_join(epoch, count), .valid_at = now, .store_failed = epoch > 0},
+        now);
+}
+
+/* Guards against a server that is dropped at once although it lives: the store came back from a copy of before it had
+ * registered, which lists the server that had its address before. */
+START_TEST(after_a_restore_a_server_of_the_copy_at_its_address_does_not_end_a_server)
+{
+    read_list(list_at_address("i-new"), 0, 100, start);
+    read_list(list_at_address("i-old"), 1, 90, start + CW_MS(3000));
+    ck_assert_ptr_nonnull(cw_server_list_find(view.list, "i-new"));
+    read_list(list_at_address("i-old"), 1, 91, start + CW_MS(3300));
+    ck_assert_ptr_nonnull(cw_server_list_find(view.list, "i-new")); /* until its time to register again is over */
+    read_list(list_at_address("i-old"), 1, 92, start + CW_MS(6000));
+    ck_assert_ptr_null(cw_server_list_find(view.list, "i-new"));
+}
+END_TEST
+
 START_TEST(a_leaving_server_stays_leaving)
 {
     ck_assert_int_eq(read_at("abC", 100, 5, start), CW_VIEW_CHANGED);
@@ -335,6 +371,7 @@
     tcase_add_test(cases, after_a_restore_of_the_store_a_list_with_a_lower_count_is_newer);
     tcase_add_test(cases, after_a_restore_a_leaving_server_stays_leaving_though_its_entry_is_of_the_copy);
     tcase_add_test(cases, after_a_restore_the_entry_of_a_server_that_had_gone_proves_nothing);
+    tcase_add_test(cases, after_a_restore_a_server_of_the_copy_at_its_address_does_not_end_a_server);
     tcase_add_test(cases, a_leaving_server_stays_leaving);
     tcase_add_test(cases, a_leaving_server_stays_leaving_after_it_was_missing);
     tcase_add_test(cases, a_missing_server_is_not_restored_by_an_earlier_heartbeat);
