Missing owners wait for a later list for a bounded time; orders count from their sending

Change: after the time in which servers register again, missing owners move; they release in any case. The clock is read after each plan. Test: an_owner_that_an_older_list_lacks_moves_if_no_later_list_can_be_read fails without the limit (not moved) and passes.

--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -436,6 +436,8 @@
     cw_order_trust_expire(router->order_trust, now);
     for (index = 0; index < router->assignment_count; index++) {
         cw_router_plan(router, &router->assignments[index], now);
+        now =
+            cw_router_refresh_now(router); /* orders of the tick are counted from their sending; planning takes time */
         cw_assigner_set_renewal_rate(router->assignments[index].assigner, renewals_per_second(router));
         cw_assigner_tick(router->assignments[index].assigner, router->server_view.list, has_authority,
                          is_store_unresponsive(router, now), now);
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -172,10 +172,13 @@
 }
 
 /* Whether the list may lack owners that an earlier leader has chosen by a later list: it is from before the record was
- * read. */
-static bool is_list_older(const cw_router_t *router, const cw_service_assignment_t *assignment)
+ * read. If no later list can be read for as long as servers have to register again, the missing owners move; they have
+ * to release their keys in any case. */
+static bool is_list_older(const cw_router_t *router, const cw_service_assignment_t *assignment, cw_time_us_t now)
 {
-    return router->server_view.valid_at < cw_assigner_adopted_at(assignment->assigner);
+    cw_time_us_t adopted_at = cw_assigner_adopted_at(assignment->assigner);
+
+    return router->server_view.valid_at < adopted_at && now - adopted_at < router->server_view.absence.grace;
 }
 
 /* Lets the list be read without waiting for its usual interval, unless a reading that began late enough is in flight.
@@ -193,7 +196,7 @@
 {
     double missing = cw_planner_missing_share(assignment->assigner, router->server_view.list);
 
-    if (is_list_older(router, assignment)) {
+    if (is_list_older(router, assignment, now)) {
         request_later_list(router, assignment);
         return true;
     }
--- a/tests/test_node_orders.c
+++ b/tests/test_node_orders.c
@@ -195,6 +195,24 @@
 }
 END_TEST
 
+/* The store answers calls about the lock and the record, but no reading of the list. */
+START_TEST(an_owner_that_an_older_list_lacks_moves_if_no_later_list_can_be_read)
+{
+    node_fixture_t *node = node_fixture_create();
+    int             second;
+
+    node->record = record_of_newcomer();
+    node_fixture_read_servers(node, "s", 4, "10.0.1.1:80");
+    ck_assert(cw_router_apply_configuration(&node->router, node_fixture_configuration(1, "s"), "store"));
+    node_fixture_lead_unanswered(node);
+    for (second = 0; second < 4; second++) {
+        pass_a_second(node);
+    }
+    ck_assert_str_ne(first_owner(node), "i-newcomer");
+    node_fixture_free(node);
+}
+END_TEST
+
 /* ---- the adapter ---- */
 
 /** A server that counts what it receives. */
@@ -384,6 +402,7 @@
     tcase_add_test(cases, an_order_of_an_earlier_leadership_does_not_leave);
     tcase_add_test(cases, a_withdrawn_grant_gives_no_hold_and_says_nothing_about_the_server);
     tcase_add_test(cases, an_owner_is_not_missing_in_a_list_that_is_older_than_the_record);
+    tcase_add_test(cases, an_owner_that_an_older_list_lacks_moves_if_no_later_list_can_be_read);
     tcase_add_test(cases, a_withdrawn_order_is_not_sent);
     tcase_add_test(cases, an_extra_answer_to_a_grant_is_not_taken_for_the_answer_to_a_release);
     suite_add_tcase(suite, cases);
