The first leader counts all tenants until it announces a number of nodes

Callers of a tenant with a limit got 429 for the first three seconds of a new deployment, however little they sent (intents.sh, "status shows the tenant at its limit and the counting node").

Cause: a process that has just started declines to count for three seconds, or until a leader announces the number of nodes. When a deployment starts for the first time no lock holds a number, and the first leader announces one when it is 10 s old. So nobody counts, and each node serves its own part, a 10,000th of the limit.

Ruled out: a late or lost counting node (none counted); reports that were late.

Change: the lock decides who leads and at most one node has authority, so the leader of term 1 counts all tenants until it announces a number (router/interim_counter.h), and the others ask it. It stops at the moment in which its authority ends. From 16 nodes on it does not, as before.

Open: 16 nodes and more use 0.01 of a limit for their first three seconds.

--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -510,6 +510,8 @@
 void cw_router_quota_init(cw_router_t *router);
 /** Applies changed limits, updates the candidates for counting, and sends the reports that are due. */
 void cw_router_quota_tick(cw_router_t *router, cw_time_us_t now);
+/** Records whether the leader counts all tenants, as its heartbeat says (interim_counter.h). */
+void cw_router_quota_record_leader(cw_router_t *router, const cw_peer_t *leader, const Cwp__LeaderHeartbeat *heartbeat);
 /** Records how many nodes there are according to a leader's lock or heartbeat; 0: the leader does not know. Limits are
  * divided by the new number at once. */
 void cw_router_record_nodes(cw_router_t *router, uint32_t nodes);
--- a/src/router/router_quota.h
+++ b/src/router/router_quota.h
@@ -6,6 +6,7 @@
 #ifndef CEDARWINCH_ROUTER_ROUTER_QUOTA_H
 #define CEDARWINCH_ROUTER_ROUTER_QUOTA_H
 
+#include "router/interim_counter.h"
 #include "router/router_internal.h"
 #include "tenancy/quota_counter.h"
 #include "tenancy/quota_share.h"
@@ -64,6 +65,8 @@
     cw_time_us_t           changed_at;             /**< when that hash last changed */
     cw_time_us_t           gathered_at;            /**< last update of the candidates */
     cw_time_us_t           last_received_at;       /**< from any other node */
+    cw_interim_counter_t   interim;                /**< as of the latest heartbeat of a leader */
+    uint32_t               interim_address;        /**< node that counts all tenants, as of the last update; 0: none */
     uint32_t               nodes;                  /**< number of nodes that share the limits */
     uint32_t               in_reach;               /**< number of reachable nodes, including this one */
     uint64_t               version;                /**< of the configuration whose limits the counter has */
--- a/src/router/router_quota_choice.c
+++ b/src/router/router_quota_choice.c
@@ -10,6 +10,7 @@
  *    (router_quota.c).
  *  - A process that has just started does not count. Until a leader has announced the number of nodes, it assumes that
  *    the limits are shared by as many nodes as there may be at most.
+ *  - The first leader of a deployment counts all tenants until it announces a number of nodes (interim_counter.h).
  */
 #include <stdlib.h>
 #include <xxhash.h>
@@ -29,6 +30,13 @@
     return cw_router_now(quota->router);
 }
 
+static bool is_alive_at(const cw_router_t *router, uint32_t address, cw_time_us_t now)
+{
+    const cw_peer_t *peer = address == 0 ? NULL : cw_peer_link_find(router->link, address);
+
+    return peer != NULL && cw_router_is_alive(router, peer, now) && !peer->stopping;
+}
+
 bool cw_router_quota_is_new(const cw_router_quota_t *quota)
 {
     const cw_router_t *router = quota->router;
@@ -37,14 +45,6 @@
            !cw_fleet_size_is_reached(&router->fleet_size, quota->in_reach, now_of(quota));
 }
 
-/* Without a configuration this node declines, too: no tenant would seem to have a limit. */
-bool cw_router_quota_declines(const cw_router_quota_t *quota)
-{
-    return cw_router_quota_is_new(quota) || quota->router->stopping_at != 0 || quota->router->configuration == NULL;
-}
-
-/* ---- the node that counts a tenant ---- */
-
 /* Whether nothing has been received from any other node recently. The others may then be counting the tenants that this
  * node would count. Peers count as lost only later than this. */
 static bool is_isolated(const cw_router_quota_t *quota)
@@ -52,6 +52,62 @@
     return quota->nodes > 1 && now_of(quota) - quota->last_received_at >= CW_MS(ISOLATED_AFTER_MS);
 }
 
+/* ---- the first leader, which counts all tenants for a while ---- */
+
+/* A leader that has lost the store must not count until the next update notices it. */
+static bool is_interim_counter(const cw_router_quota_t *quota)
+{
+    return quota->interim_address == cw_peer_link_own_address(quota->router->link) && !is_isolated(quota) &&
+           cw_router_has_authority(quota->router, now_of(quota));
+}
+
+/* Whether the first leader counts all tenants, in the view of this node. */
+static bool has_interim_counter(const cw_router_quota_t *quota)
+{
+    if (quota->interim_address == 0) {
+        return false;
+    }
+    return quota->interim_address == cw_peer_link_own_address(quota->router->link)
+               ? is_interim_counter(quota)
+               : !cw_quota_share_has_declined(quota->share, quota->interim_address, now_of(quota));
+}
+
+static void update_interim_counter(cw_router_quota_t *quota, cw_time_us_t now)
+{
+    cw_router_t *router = quota->router;
+    uint32_t     own = cw_peer_link_own_address(router->link);
+    uint32_t     address;
+
+    if (router->leadership.leading) {
+        uint32_t nodes = cw_fleet_size_to_announce(&router->fleet_size, router->peak_nodes, now);
+
+        (void)cw_interim_counter_record(&quota->interim, own, router->leadership.lock.term,
+                                        cw_router_has_authority(router, now), nodes);
+    }
+    address = cw_interim_counter_address(&quota->interim, router->fleet_size.announced, quota->in_reach);
+    quota->interim_address = address == own || is_alive_at(router, address, now) ? address : 0;
+}
+
+void cw_router_quota_record_leader(cw_router_t *router, const cw_peer_t *leader, const Cwp__LeaderHeartbeat *heartbeat)
+{
+    cw_router_quota_t *quota = router->quota;
+
+    if (cw_interim_counter_record(&quota->interim, leader->address, heartbeat->term, heartbeat->able,
+                                  heartbeat->nodes)) {
+        cw_router_quota_update_nodes(quota, now_of(quota));
+    }
+}
+
+/* Without a configuration this node declines, too: no tenant would seem to have a limit. */
+bool cw_router_quota_declines(const cw_router_quota_t *quota)
+{
+    bool is_too_new = cw_router_quota_is_new(quota) && !is_interim_counter(quota);
+
+    return is_too_new || quota->router->stopping_at != 0 || quota->router->configuration == NULL;
+}
+
+/* ---- the node that counts a tenant ---- */
+
 static bool is_unresponsive(const cw_router_quota_t *quota, uint32_t address)
 {
     return cw_quota_share_is_skipped(quota->share, address, now_of(quota));
@@ -78,9 +134,13 @@
  * node may still be counting for all others. */
 static uint32_t choose_counter(cw_router_quota_t *quota, uint32_t tenant)
 {
-    uint32_t first = choose(quota, tenant, false);
+    uint32_t first;
     uint32_t next;
 
+    if (has_interim_counter(quota)) {
+        return is_unresponsive(quota, quota->interim_address) ? 0 : quota->interim_address;
+    }
+    first = choose(quota, tenant, false);
     if (!is_unresponsive(quota, first)) {
         return first;
     }
@@ -90,7 +150,8 @@
 
 uint32_t cw_router_quota_counting_node(cw_router_quota_t *quota, uint32_t tenant)
 {
-    bool nobody_counts = cw_quota_share_declined_count(quota->share, now_of(quota)) >= DECLINING_NODES_LIMIT;
+    bool nobody_counts = !has_interim_counter(quota) &&
+                         cw_quota_share_declined_count(quota->share, now_of(quota)) >= DECLINING_NODES_LIMIT;
 
     return nobody_counts || is_isolated(quota) ? 0 : choose_counter(quota, tenant);
 }
@@ -115,6 +176,9 @@
     if (quota->gathered_at == 0) {
         cw_router_quota_update_nodes(quota, now_of(quota));
     }
+    if (has_interim_counter(quota)) { /* not cached: a leader's authority may end at any time */
+        return is_isolated(quota) ? 0 : choose_counter(quota, tenant);
+    }
     choice = get_choice(quota, tenant);
     if (choice->chosen_at == 0 || choice->chosen_at <= quota->changed_at) {
         choice->counter = is_isolated(quota) ? 0 : choose_counter(quota, tenant);
@@ -206,9 +270,8 @@
 
 /* ---- the number of nodes that share the limits ---- */
 
-/* Number of nodes that share the limits: the largest number that this node, or any node that reports to it, has
- * recently received from. */
-static uint32_t count_sharing_nodes(const cw_router_quota_t *quota)
+/* The largest number of nodes that this node, or any node that reports to it, has recently received from. */
+static uint32_t count_known_nodes(const cw_router_quota_t *quota)
 {
     const cw_router_t *router = quota->router;
     const cw_peer_t   *peer;
@@ -220,7 +283,23 @@
             nodes = peer->peers + 1;
         }
     }
-    return cw_router_quota_is_new(quota) && router->fleet_size.announced == 0 ? CW_FLEET_NODES_MAX : nodes;
+    return nodes;
+}
+
+static uint32_t count_sharing_nodes(const cw_router_quota_t *quota)
+{
+    bool is_unknown = cw_router_quota_is_new(quota) && quota->router->fleet_size.announced == 0;
+
+    return is_unknown ? CW_FLEET_NODES_MAX : count_known_nodes(quota);
+}
+
+/* Sets the part of the limits that this node gives out if it counts. The first leader gives out all of them although it
+ * knows few nodes at first: those that it does not know have next to nothing until they ask it. */
+static void set_counter_nodes(cw_router_quota_t *quota)
+{
+    uint32_t nodes = is_interim_counter(quota) ? count_known_nodes(quota) : quota->nodes;
+
+    cw_quota_counter_set_nodes(quota->counter, nodes, quota->in_reach);
 }
 
 static uint32_t count_reachable(const cw_router_t *router, cw_time_us_t now)
@@ -260,9 +339,10 @@
     quota->gathered_at = now;
     quota->in_reach = count_reachable(quota->router, now);
     quota->nodes = count_sharing_nodes(quota);
+    update_interim_counter(quota, now);
     update_candidates(quota, now);
     record_changes(quota, now);
     expire_choices(quota, now - CW_SECONDS(CHOICE_EXPIRY_S));
-    cw_quota_counter_set_nodes(quota->counter, quota->nodes, quota->in_reach);
+    set_counter_nodes(quota);
     cw_quota_share_set_nodes(quota->share, quota->nodes);
 }
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -364,6 +364,7 @@
             cw_event_end(&event);
         }
     }
+    cw_router_quota_record_leader(router, peer, heartbeat);
     if (!heartbeat->able) {
         return;
     }
--- a/tests/quota_sim.c
+++ b/tests/quota_sim.c
@@ -313,9 +313,26 @@
     return count;
 }
 
+/* Index of the node that counts all tenants, in the view of a node; QUOTA_SIM_MAX_NODES: there is none. */
+static size_t interim_counter(const quota_sim_node_t *node)
+{
+    uint32_t address = cw_interim_counter_address(&node->interim, node->fleet_size.announced, node->reachable_nodes);
+
+    if (address == 0 || !is_known(node, index_of(address)) ||
+        cw_quota_share_has_declined(node->share, address, node->sim->now)) {
+        return QUOTA_SIM_MAX_NODES;
+    }
+    return index_of(address);
+}
+
+static bool is_interim_counter(const quota_sim_node_t *node)
+{
+    return interim_counter(node) == index_of(node->address);
+}
+
 static bool declines(const quota_sim_node_t *node)
 {
-    return node->sim->new_nodes_decline &&
+    return node->sim->new_nodes_decline && !is_interim_counter(node) &&
            !cw_fleet_size_is_reached(&node->fleet_size, node->reachable_nodes, node->sim->now);
 }
 
@@ -327,6 +344,12 @@
     return declines(node) && node->fleet_size.announced == 0 ? CW_FLEET_NODES_MAX : nodes;
 }
 
+/* The number of nodes by which requests are admitted without a counting node. */
+static uint32_t sharing_nodes(const quota_sim_node_t *node)
+{
+    return is_interim_counter(node) ? CW_FLEET_NODES_MAX : node_count_known_to(node);
+}
+
 static void probe(quota_sim_node_t *node, size_t suspect, uint32_t turn)
 {
     quota_sim_t        *sim = node->sim;
@@ -385,8 +408,13 @@
 static uint32_t choose_counter(const quota_sim_node_t *node, uint32_t tenant)
 {
     uint32_t first = choose(node, tenant, false);
+    size_t   interim = interim_counter(node);
     uint32_t next;
 
+    if (interim != QUOTA_SIM_MAX_NODES) {
+        first = node->sim->nodes[interim].address;
+        return cw_quota_share_is_skipped(node->share, first, node->sim->now) ? 0 : first;
+    }
     if (!cw_quota_share_is_skipped(node->share, first, node->sim->now)) {
         return first;
     }
@@ -546,14 +574,30 @@
     }
 }
 
+/* The first leader's heartbeat: it announces a number of nodes once it relies on its own count. */
+static void receive_heartbeat(quota_sim_node_t *node)
+{
+    quota_sim_t      *sim = node->sim;
+    quota_sim_node_t *leader = &sim->nodes[0];
+    uint32_t          nodes;
+
+    if (sim->first_led_at == 0 || sim->now < sim->first_led_at || !leader->is_up || !receives_from(node, 0)) {
+        return;
+    }
+    nodes = cw_fleet_size_to_announce(&leader->fleet_size, leader->max_reachable_nodes, sim->now);
+    (void)cw_interim_counter_record(&node->interim, leader->address, CW_INTERIM_COUNTER_TERM, true, nodes);
+    cw_fleet_size_record(&node->fleet_size, nodes);
+}
+
 static void update_node_counts(quota_sim_node_t *node)
 {
     receive_fleet_size(node);
+    receive_heartbeat(node);
     node->reachable_nodes = count_reachable_nodes(node);
     node->max_reachable_nodes =
         node->reachable_nodes > node->max_reachable_nodes ? node->reachable_nodes : node->max_reachable_nodes;
     cw_quota_counter_set_nodes(node->counter, node_count_known_to(node), node->reachable_nodes);
-    cw_quota_share_set_nodes(node->share, node_count_known_to(node));
+    cw_quota_share_set_nodes(node->share, sharing_nodes(node));
 }
 
 static bool still_declines(quota_sim_node_t *node)
@@ -594,6 +638,7 @@
     node->reachable_nodes = 1;
     node->max_reachable_nodes = 1;
     cw_fleet_size_init(&node->fleet_size, CW_SECONDS(OWN_COUNT_S), sim->now);
+    node->interim = (cw_interim_counter_t){.leader = 0};
     forget_peers(node);
     set_limits(node);
     update_node_counts(node);
--- a/tests/quota_sim.h
+++ b/tests/quota_sim.h
@@ -8,6 +8,7 @@
 
 #include "peer/detours.h"
 #include "router/fleet_size.h"
+#include "router/interim_counter.h"
 #include "tenancy/quota_counter.h"
 #include "tenancy/quota_share.h"
 
@@ -47,19 +48,20 @@
     uint32_t group;                        /* only nodes of the same group reach each other */
     double   loss_to[QUOTA_SIM_MAX_NODES]; /* fraction of its datagrams that are lost on the way to each other node; 1:
                                               the link is cut */
-    uint64_t            incarnation;
-    bool                has_old_limits; /* the node still has the limits that were configured before */
-    cw_quota_share_t   *share;
-    cw_quota_counter_t *counter;
-    cw_detours_t       *detours;
-    cw_fleet_size_t     fleet_size;
-    uint32_t            reachable_nodes;
-    uint32_t            max_reachable_nodes;
-    cw_time_us_t        reach_changed[QUOTA_SIM_MAX_NODES];
-    bool                reaches[QUOTA_SIM_MAX_NODES];
-    uint32_t            waiting[QUOTA_SIM_MAX_TENANTS];
-    cw_time_us_t        waiting_since[QUOTA_SIM_MAX_TENANTS];
-    struct quota_sim   *sim;
+    uint64_t             incarnation;
+    bool                 has_old_limits; /* the node still has the limits that were configured before */
+    cw_quota_share_t    *share;
+    cw_quota_counter_t  *counter;
+    cw_detours_t        *detours;
+    cw_fleet_size_t      fleet_size;
+    cw_interim_counter_t interim;
+    uint32_t             reachable_nodes;
+    uint32_t             max_reachable_nodes;
+    cw_time_us_t         reach_changed[QUOTA_SIM_MAX_NODES];
+    bool                 reaches[QUOTA_SIM_MAX_NODES];
+    uint32_t             waiting[QUOTA_SIM_MAX_TENANTS];
+    cw_time_us_t         waiting_since[QUOTA_SIM_MAX_TENANTS];
+    struct quota_sim    *sim;
 } quota_sim_node_t;
 
 /** A message on its way between two nodes. */
@@ -81,6 +83,7 @@
     cw_time_us_t         reconnect_range;   /* a node that is back is known to others after up to this time more */
     bool                 new_nodes_decline; /* a started node counts only when it reaches nearly all others */
     cw_time_us_t         size_known_after;  /* from its start until a node learns the number of nodes; below 0: never */
+    cw_time_us_t         first_led_at;      /* when node 0 becomes the first leader that there ever is; 0: never */
     quota_sim_message_t *messages;
     size_t               sent; /* datagrams between nodes */
     size_t               asks;
--- a/tests/test_router_quota.c
+++ b/tests/test_router_quota.c
@@ -208,6 +208,113 @@
 }
 END_TEST
 
+#define LEADER "10.0.0.9"
+
+/* A node that has just started, and has received a report of another node. */
+static node_fixture_t *create_new_node(void)
+{
+    node_fixture_t *node = create();
+
+    cw_fleet_size_init(&node->router.fleet_size, CW_SECONDS(10), cw_router_now(&node->router));
+    node_fixture_receive_report(node, LEADER, "z1", 1);
+    cw_router_quota_update_nodes(node->router.quota, cw_router_now(&node->router));
+    return node;
+}
+
+static void receive_heartbeat(node_fixture_t *node, uint64_t term, bool has_authority, uint32_t nodes)
+{
+    Cwp__LeaderHeartbeat heartbeat = CWP__LEADER_HEARTBEAT__INIT;
+    Cwp__NodeReport      report = CWP__NODE_REPORT__INIT;
+    Cwp__Datagram        datagram = CWP__DATAGRAM__INIT;
+    static uint32_t      sequence = 1;
+
+    heartbeat.term = term;
+    heartbeat.able = has_authority;
+    heartbeat.nodes = nodes;
+    report.node = LEADER;
+    report.zone = "z1";
+    report.incarnation = 5;
+    report.sequence = ++sequence;
+    report.leader = &heartbeat;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
+    datagram.report = &report;
+    node_fixture_receive(node, LEADER, &datagram);
+}
+
+/* Guards against tenants that get next to nothing in the first 3 s of a deployment (intents.sh). */
+START_TEST(new_node_asks_the_first_leader_until_a_number_of_nodes_is_announced)
+{
+    node_fixture_t    *node = create_new_node();
+    cw_router_quota_t *quota = node->router.quota;
+    cw_time_us_t       now = cw_router_now(&node->router);
+
+    cw_quota_share_declined(quota->share, inet_addr("10.1.0.1"), now);
+    cw_quota_share_declined(quota->share, inet_addr("10.1.0.2"), now);
+    ck_assert_uint_eq(cw_router_quota_counting_node(quota, TENANT), 0);
+    receive_heartbeat(node, 1, true, 0);
+    ck_assert_uint_eq(cw_router_quota_counting_node(quota, TENANT), inet_addr(LEADER));
+    ck_assert_uint_eq(cw_router_quota_cached_counter(quota, TENANT), inet_addr(LEADER));
+    ck_assert(cw_router_quota_declines(quota));
+    receive_heartbeat(node, 1, true, 3);
+    ck_assert_uint_eq(cw_router_quota_counting_node(quota, TENANT), 0); /* two nodes have declined a moment ago */
+    node_fixture_free(node);
+}
+END_TEST
+
+START_TEST(leader_that_may_not_count_is_not_asked)
+{
+    node_fixture_t    *node = create_new_node();
+    cw_router_quota_t *quota = node->router.quota;
+
+    receive_heartbeat(node, 1, true, 0);
+    ck_assert_uint_eq(quota->interim_address, inet_addr(LEADER));
+    receive_heartbeat(node, 1, false, 0);
+    ck_assert_uint_eq(quota->interim_address, 0);
+    receive_heartbeat(node, 1, true, 0);
+    ck_assert_uint_eq(quota->interim_address, inet_addr(LEADER));
+    receive_heartbeat(node, 2, true, 0);
+    ck_assert_uint_eq(quota->interim_address, 0);
+    node_fixture_free(node);
+}
+END_TEST
+
+/* The node asks itself. Returns the number of grants that it gets. */
+static uint32_t grants_to_ask(node_fixture_t *node)
+{
+    cw_router_quota_t *quota = node->router.quota;
+    cw_quota_message_t message = {.kind = CW_QUOTA_ASK,
+                                  .ask = {.version = VERSION, .sequence = 1, .wanted = 3, .usage = {.tenant = TENANT}}};
+    size_t             before = quota->self_message_count;
+    size_t             index;
+    uint32_t           grants = 0;
+
+    cw_router_quota_deliver(quota, cw_peer_link_own_address(node->router.link), &message);
+    for (index = before; index < quota->self_message_count; index++) {
+        grants += quota->self_messages[index].kind == CW_QUOTA_GRANT ? 1 : 0;
+    }
+    return grants;
+}
+
+START_TEST(first_leader_counts_although_it_is_new_and_only_with_authority)
+{
+    node_fixture_t    *node = node_fixture_create();
+    cw_router_quota_t *quota = node->router.quota;
+
+    node->router.configuration = node_fixture_configuration(VERSION, "s");
+    node_fixture_lead_unanswered(node);
+    ck_assert_uint_eq(node->router.leadership.lock.term, 1);
+    cw_fleet_size_init(&node->router.fleet_size, CW_SECONDS(10), cw_router_now(&node->router));
+    node_fixture_receive_report(node, LEADER, "z1", 1);
+    cw_router_quota_update_nodes(quota, cw_router_now(&node->router));
+    cw_router_quota_update_nodes(quota, cw_router_now(&node->router));
+    ck_assert(cw_router_quota_is_new(quota));
+    ck_assert_uint_eq(grants_to_ask(node), 1);
+    node->router.leadership.authority_end = cw_router_now(&node->router);
+    ck_assert_uint_eq(grants_to_ask(node), 0);
+    node_fixture_free(node);
+}
+END_TEST
+
 static Cwp__Datagram *packed(const Cwp__Datagram *datagram)
 {
     uint8_t        bytes[1024];
@@ -284,6 +391,9 @@
     tcase_add_test(cases, node_that_would_ask_another_one_redirects_and_grants_nothing);
     tcase_add_test(cases, counting_node_goes_on_while_others_decline);
     tcase_add_test(cases, announced_number_of_nodes_is_applied_at_once);
+    tcase_add_test(cases, new_node_asks_the_first_leader_until_a_number_of_nodes_is_announced);
+    tcase_add_test(cases, leader_that_may_not_count_is_not_asked);
+    tcase_add_test(cases, first_leader_counts_although_it_is_new_and_only_with_authority);
     tcase_add_test(cases, messages_carry_versions_and_unknown_tenants);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
