Simulator: entries of servers have a file of their own

Change: an entry is no longer a part of the server at the address (lease_lists.c), so that a predecessor's entry may stay beside its successor's. Conclusion: ready for lists that lag.

--- a/sim/lease_internal.h
+++ b/sim/lease_internal.h
@@ -10,7 +10,7 @@
 /** State of a run: the store, the nodes, the servers and the events to come. */
 typedef struct sim_world sim_world_t;
 
-enum { CW_SIM_COPIES = 20, CW_SIM_COPY_INTERVAL_MS = 500 };
+enum { CW_SIM_COPIES = 20, CW_SIM_COPY_INTERVAL_MS = 500, CW_SIM_ENTRIES_MAX = 64 };
 
 /** An event at a logical time. */
 typedef struct sim_event {
@@ -31,13 +31,18 @@
 
 /** The current incarnation of a server at an address. */
 typedef struct sim_server {
+    char       id[CW_SERVER_ID_MAX];
+    char       address[CW_SERVER_ADDRESS_MAX];
+    bool       up;
+    sim_cell_t cells[CW_CELLS];
+} sim_server_t;
+
+/** The entry of an incarnation of a server in the store. */
+typedef struct sim_entry {
     char         id[CW_SERVER_ID_MAX];
     char         address[CW_SERVER_ADDRESS_MAX];
-    bool         up;
-    bool         listed;       /**< it has an entry in the store */
-    cw_time_us_t listed_until; /**< when its entry expires while it is down */
-    sim_cell_t   cells[CW_CELLS];
-} sim_server_t;
+    cw_time_us_t expires_at; /**< 0: its server renews it */
+} sim_entry_t;
 
 /** An object in the store. */
 typedef struct sim_object {
@@ -107,7 +112,9 @@
     uint64_t          fences[CW_CELLS];                     /**< highest fence of a grant that a server accepted */
     char              fence_of[CW_CELLS][CW_SERVER_ID_MAX]; /**< the server that accepted it */
     cw_time_us_t      served_at[CW_CELLS];
-    cw_server_list_t *list;
+    sim_entry_t       entries[CW_SIM_ENTRIES_MAX];
+    size_t            entry_count;
+    cw_server_list_t *list; /**< of the entries */
 };
 
 /* ---- lease_events.c ---- */
@@ -137,13 +144,17 @@
 /** Releases the copies. */
 void sim_store_clear(sim_world_t *world);
 
+/* ---- lease_lists.c ---- */
+/** A server that has started writes its entry. */
+void sim_list_register(sim_world_t *world, const sim_server_t *server);
+/** A server has ended: its entry expires. */
+void sim_list_expire(sim_world_t *world, const sim_server_t *server);
+
 /* ---- lease_servers.c ---- */
 /** Starts a server at each address. */
 void sim_servers_start(sim_world_t *world);
 /** Crashes the server at an address; it restarts as another incarnation seconds later. */
 void sim_server_crash(sim_world_t *world, uint32_t address);
-/** Updates the list of servers that leaders read. */
-void sim_list_servers(sim_world_t *world);
 /** Sends an order of a node's assigner to a server. */
 void sim_send_order(sim_node_t *node, const cw_order_t *order);
 /** A node routes a request for a cell. */
--- a/sim/lease_servers.c
+++ b/sim/lease_servers.c
@@ -15,7 +15,6 @@
     LATE_FIRST_MS = 2000,
     LATE_SPREAD_MS = 10000,
     WORK_MS = 120,
-    ENTRY_LIFETIME_MS = 4500,
     SLOW_CLOCK_PERCENT = 102 /* duration of a hold by the slow clock of a server */
 };
 
@@ -47,7 +46,7 @@
     memset(server->cells, 0, sizeof(server->cells));
     snprintf(server->id, sizeof(server->id), "i-%llu", (unsigned long long)++world->incarnations);
     server->up = true;
-    server->listed = true;
+    sim_list_register(world, server);
 }
 
 void sim_servers_start(sim_world_t *world)
@@ -58,23 +57,11 @@
         snprintf(world->servers[index].address, CW_SERVER_ADDRESS_MAX, "10.0.0.%u:80", index + 1);
         start_incarnation(world, &world->servers[index]);
     }
-    sim_list_servers(world);
 }
 
 static void restart_server(sim_world_t *world, void *data)
 {
     start_incarnation(world, data);
-    sim_list_servers(world);
-}
-
-static void expire_entry(sim_world_t *world, void *data)
-{
-    sim_server_t *server = data;
-
-    if (!server->up && server->listed_until <= world->now) {
-        server->listed = false;
-        sim_list_servers(world);
-    }
 }
 
 void sim_server_crash(sim_world_t *world, uint32_t index)
@@ -85,34 +72,10 @@
         return;
     }
     server->up = false;
-    server->listed_until = world->now + CW_MS(ENTRY_LIFETIME_MS);
-    sim_schedule(world, server->listed_until, expire_entry, server);
+    sim_list_expire(world, server);
     sim_schedule(world, world->now + CW_MS(1000 + sim_random_below(world, 8000)), restart_server, server);
 }
 
-void sim_list_servers(sim_world_t *world)
-{
-    cw_server_list_t *list = cw_server_list_create();
-    uint32_t          index;
-
-    for (index = 0; index < CW_SIM_ADDRESSES; index++) {
-        cw_server_entry_t *entry;
-
-        if (!world->servers[index].listed) {
-            continue;
-        }
-        entry = cw_server_list_add(list);
-        entry->id = strdup(world->servers[index].id);
-        entry->address = strdup(world->servers[index].address);
-        entry->service = strdup("service");
-        entry->zone = strdup("z");
-        entry->capacity = 2;
-    }
-    cw_server_list_seal(list);
-    cw_server_list_release(world->list);
-    world->list = list;
-}
-
 /* ---- orders ---- */
 
 static void check_fence(sim_world_t *world, const sim_server_t *server, uint32_t cell, uint64_t fence, bool late)
