Simulator: lists of servers that lag, orders that wait for connections, and a check of holds

The simulator took for granted that a leader's list is the true one and that an order leaves at once, so that no hold could be taken for ended before it was. Traces show orders, readings and faults.

--- a/sim/lease_events.c
+++ b/sim/lease_events.c
@@ -108,6 +108,19 @@
     return world->now < world->settings.faults_end_at;
 }
 
+void sim_trace(const sim_world_t *world, const char *format, ...)
+{
+    va_list arguments;
+
+    if (world->settings.trace) {
+        printf("%9.3f ", (double)world->now / 1e6);
+        va_start(arguments, format);
+        vprintf(format, arguments);
+        va_end(arguments);
+        printf("\n");
+    }
+}
+
 void sim_violation(sim_world_t *world, const char *format, ...)
 {
     va_list arguments;
@@ -119,4 +132,5 @@
         va_end(arguments);
     }
     world->result->violations++;
+    sim_trace(world, "VIOLATION");
 }
--- a/sim/lease_faults.c
+++ b/sim/lease_faults.c
@@ -24,7 +24,8 @@
                                     .cuts = 0.15,
                                     .crashes = 0.1,
                                     .all_node_kills = 0.01,
-                                    .moves = 2.0};
+                                    .moves = 2.0,
+                                    .merges = 1.0 / 3};
 }
 
 void cw_sim_settings_with_restores(cw_sim_settings_t *settings, uint64_t seed)
@@ -33,6 +34,20 @@
     settings->restores = 0.05;
 }
 
+void cw_sim_settings_with_lagging_lists(cw_sim_settings_t *settings, uint64_t seed)
+{
+    cw_sim_settings_with_faults(settings, seed);
+    settings->lists_lag = true;
+    settings->list_stalls = 0.06;
+    settings->lost_entries = 0.1;
+    settings->reuses = 0.6;
+    settings->crashes = 0.2;
+    settings->connects = 0.3;
+    settings->connect_failures = 0.1;
+    settings->forced_moves = 0.5;
+    settings->merges = 1.5;
+}
+
 static bool begins_in_step(sim_world_t *world, double per_second)
 {
     return sim_random_bool(world, per_second * FAULTS_INTERVAL_MS / 1000);
@@ -69,9 +84,30 @@
     node->cut_store = sim_random_bool(world, 0.5);
     node->cut_nodes = sim_random_bool(world, 0.5);
     node->cut_servers = (uint32_t)sim_random_below(world, 1u << CW_SIM_ADDRESSES);
+    sim_trace(world, "n%u is cut off: store %d, nodes %d, servers %x", node->index, node->cut_store, node->cut_nodes,
+              node->cut_servers);
     sim_schedule(world, world->now + CW_MS(500 + sim_random_below(world, 7000)), heal, node);
 }
 
+static void freeze(sim_world_t *world)
+{
+    cw_time_us_t until = world->now + CW_MS(200 + sim_random_below(world, 6000));
+    sim_node_t  *node = &world->nodes[pick_node(world)];
+
+    node->frozen_until = until;
+    sim_trace(world, "n%u stands still until %.3f", node->index, (double)node->frozen_until / 1e6);
+}
+
+static void inject_list_faults(sim_world_t *world)
+{
+    if (begins_in_step(world, world->settings.list_stalls)) {
+        sim_list_stall_copies(world);
+    }
+    if (begins_in_step(world, world->settings.lost_entries)) {
+        sim_list_lose_entry(world);
+    }
+}
+
 static void kill_all(sim_world_t *world)
 {
     cw_time_us_t down = CW_MS(200 + sim_random_below(world, 2000));
@@ -90,7 +126,7 @@
         sim_node_kill(world, pick_node(world), CW_MS(100 + sim_random_below(world, 4000)));
     }
     if (begins_in_step(world, settings->freezes)) {
-        world->nodes[pick_node(world)].frozen_until = world->now + CW_MS(200 + sim_random_below(world, 6000));
+        freeze(world);
     }
     if (begins_in_step(world, settings->outages)) {
         world->store_down_until = world->now + CW_MS(500 + sim_random_below(world, 6500));
@@ -108,6 +144,9 @@
     if (begins_in_step(world, settings->all_node_kills)) {
         kill_all(world);
     }
+    if (settings->lists_lag) {
+        inject_list_faults(world);
+    }
 }
 
 /* ---- the run ---- */
@@ -168,7 +207,7 @@
         }
     }
     sim_store_clear(world);
-    cw_server_list_release(world->list);
+    sim_list_clear(world);
     free(world->events);
     free(world);
 }
@@ -194,6 +233,10 @@
                      &world->nodes[index]);
     }
     sim_store_copy(world, NULL);
+    if (settings->lists_lag) {
+        sim_list_record(world, NULL);
+    }
+    sim_schedule(world, world->now, sim_holds_check, NULL);
     sim_schedule(world, world->now + CW_SECONDS(3), on_faults, NULL);
     sim_schedule(world, world->now, on_request, NULL);
     while (world->now < CW_SECONDS(1) + settings->length && sim_step(world)) {
--- a/sim/lease_internal.h
+++ b/sim/lease_internal.h
@@ -10,7 +10,7 @@
 /** State of a run: the store, the nodes, the servers and the events to come. */
 typedef struct sim_world sim_world_t;
 
-enum { CW_SIM_COPIES = 20, CW_SIM_COPY_INTERVAL_MS = 500, CW_SIM_ENTRIES_MAX = 64 };
+enum { CW_SIM_COPIES = 20, CW_SIM_COPY_INTERVAL_MS = 500, CW_SIM_ENTRIES_MAX = 64, CW_SIM_LISTINGS = 2048 };
 
 /** An event at a logical time. */
 typedef struct sim_event {
@@ -27,6 +27,8 @@
     cw_time_us_t held_since;         /**< start of the hold, which renewals extend without a gap */
     cw_time_us_t held_until;         /**< end of the hold */
     cw_time_us_t request_started_at; /**< start of the latest request */
+    cw_time_us_t counted_since;      /**< start of the hold by grants that count (lease_holds.c) */
+    cw_time_us_t counted_until;      /**< end of that hold */
 } sim_cell_t;
 
 /** The current incarnation of a server at an address. */
@@ -41,9 +43,18 @@
 typedef struct sim_entry {
     char         id[CW_SERVER_ID_MAX];
     char         address[CW_SERVER_ADDRESS_MAX];
+    cw_time_us_t registered_at;
     cw_time_us_t expires_at; /**< 0: its server renews it */
+    bool         is_lost;    /**< its server runs, and has lost its entry */
 } sim_entry_t;
 
+/** The list of servers as the store had it at a time. */
+typedef struct sim_listing {
+    cw_time_us_t      at;
+    uint64_t          revision; /**< of the store: the list has all changes up to it */
+    cw_server_list_t *list;
+} sim_listing_t;
+
 /** An object in the store. */
 typedef struct sim_object {
     json_t  *value;
@@ -88,6 +99,11 @@
     cw_time_us_t    read_at;      /**< latest read of the record in the store */
     cw_time_us_t    next_plan;
     sim_table_t     table;
+    /* with lists that lag */
+    cw_server_list_t *list;          /**< latest reading */
+    uint64_t          list_revision; /**< of the store, as in sim_listing_t; 0: there was no reading */
+    cw_time_us_t      list_due;      /**< next reading */
+    cw_time_us_t      list_lag;      /**< readings lag by up to this time */
 } sim_node_t;
 
 struct sim_world {
@@ -114,7 +130,12 @@
     cw_time_us_t      served_at[CW_CELLS];
     sim_entry_t       entries[CW_SIM_ENTRIES_MAX];
     size_t            entry_count;
-    cw_server_list_t *list; /**< of the entries */
+    cw_server_list_t *list;                      /**< of the entries */
+    sim_listing_t     listings[CW_SIM_LISTINGS]; /**< the latest ones */
+    uint64_t          listing_count;             /**< number of listings so far */
+    cw_time_us_t      copies_stalled_at;         /**< no copy of the store has later changes, until the stall ends */
+    cw_time_us_t      copies_stalled_until;
+    cw_time_us_t      overlap_reported[CW_CELLS]; /**< start of the latest overlap of holds that was reported */
 };
 
 /* ---- lease_events.c ---- */
@@ -130,6 +151,8 @@
 bool sim_random_bool(sim_world_t *world, double chance);
 /** Whether faults still occur. */
 bool sim_has_faults(const sim_world_t *world);
+/** Prints a line if the run is traced. */
+void sim_trace(const sim_world_t *world, const char *format, ...) __attribute__((format(printf, 2, 3)));
 /** Records a violation. */
 void sim_violation(sim_world_t *world, const char *format, ...) __attribute__((format(printf, 2, 3)));
 
@@ -149,17 +172,48 @@
 void sim_list_register(sim_world_t *world, const sim_server_t *server);
 /** A server has ended: its entry expires. */
 void sim_list_expire(sim_world_t *world, const sim_server_t *server);
+/** A server that runs loses its entry for a time, if one could have lost it. */
+void sim_list_lose_entry(sim_world_t *world);
+/** The copies from which nodes read the list cease to follow the store for a time. */
+void sim_list_stall_copies(sim_world_t *world);
+/** The store was replaced by a copy; its servers have registered again. */
+void sim_list_publish(sim_world_t *world);
+/** Begins to keep the list's history, if nodes have lists of their own. */
+void sim_list_record(sim_world_t *world, void *data);
+/** A node that has started has no list yet. */
+void sim_list_init(sim_node_t *node);
+/** Reads the list, if the node's next reading is due. */
+void sim_list_read(sim_node_t *node);
+/** Returns the list by which the node goes. */
+const cw_server_list_t *sim_list_of(const sim_node_t *node);
+/** Releases all lists. */
+void sim_list_clear(sim_world_t *world);
+
+/* ---- lease_holds.c ---- */
+/** Extends the hold of a cell that a grant gave which counts. */
+void sim_hold_extend(const sim_world_t *world, sim_cell_t *cell, cw_time_us_t until);
+/** Reports cells that two servers have held for too long; again at each interval. */
+void sim_holds_check(sim_world_t *world, void *data);
 
 /* ---- lease_servers.c ---- */
 /** Starts a server at each address. */
 void sim_servers_start(sim_world_t *world);
 /** Crashes the server at an address; it restarts as another incarnation seconds later. */
 void sim_server_crash(sim_world_t *world, uint32_t address);
-/** Sends an order of a node's assigner to a server. */
-void sim_send_order(sim_node_t *node, const cw_order_t *order);
+/** Carries an order out that arrives at a server. late: seconds after it was sent. counts: the hold that it gives is
+ * checked (lease_holds.c). */
+cw_order_result_t sim_handle_order(sim_world_t *world, const cw_order_t *order, bool late, bool counts);
+/** Returns the server at an address; NULL: there is none. */
+sim_server_t *sim_server_at(sim_world_t *world, const char *address);
 /** A node routes a request for a cell. */
 void sim_send_request(sim_world_t *world, sim_node_t *node, uint32_t cell);
 
+/* ---- lease_orders.c ---- */
+/** Sends an order of a node's assigner to a server. */
+void sim_send_order(sim_node_t *node, const cw_order_t *order);
+/** Whether an order may be sent, now that its connection is open. */
+bool sim_order_may_be_sent(const sim_node_t *node, const cw_order_t *order);
+
 /* ---- lease_nodes.c ---- */
 /** Starts a node without any state. */
 void sim_node_start(sim_world_t *world, uint32_t index);
--- a/sim/lease_nodes.c
+++ b/sim/lease_nodes.c
@@ -102,6 +102,8 @@
         cw_assigner_create("service", node->assigner_term, node->leadership.settings.incarnation, &settings, &ports);
     node->tables_version = 0;
     node->world->result->leaders++;
+    sim_trace(node->world, "n%u leads in term %llu; its list has revision %llu", node->index,
+              (unsigned long long)node->assigner_term, (unsigned long long)node->list_revision);
 }
 
 /* ---- leadership ---- */
@@ -178,7 +180,7 @@
 
 static const cw_server_entry_t *pick_server(sim_node_t *node, const char *except)
 {
-    const cw_server_list_t *list = node->world->list;
+    const cw_server_list_t *list = sim_list_of(node);
     size_t                  start;
     size_t                  index;
 
@@ -204,28 +206,47 @@
         return true;
     }
     if (range->phase == CW_RANGE_RELEASING) {
-        return range->hold_until <= now && cw_server_list_find(node->world->list, range->owner.id) == NULL;
+        return range->hold_until <= now && cw_server_list_find(sim_list_of(node), range->owner.id) == NULL;
     }
-    return cw_server_list_find(node->world->list, range->owner.id) == NULL ||
+    return cw_server_list_find(sim_list_of(node), range->owner.id) == NULL ||
            (range->failing_since != 0 && now - range->failing_since > CW_MS(SERVER_LOST_MS));
 }
 
+static bool begins_in_plan(sim_node_t *node, double per_second)
+{
+    return sim_random_bool(node->world, per_second * PLAN_INTERVAL_MS / 1000);
+}
+
+/* Moves a cell in any state, as a caller other than the planner may. */
+static void force_move(sim_node_t *node)
+{
+    uint32_t                 cell = (uint32_t)sim_random_below(node->world, CW_CELLS);
+    const cw_range_t        *range = cw_range_list_find(cw_assigner_ranges(node->assigner), cell * CW_CELL_KEYS);
+    const cw_server_entry_t *to = pick_server(node, range->owner.id);
+
+    if (to != NULL) {
+        cw_assigner_plan_move(node->assigner, cell * CW_CELL_KEYS, (cell + 1) * CW_CELL_KEYS - 1, to);
+    }
+}
+
 static void plan_moves(sim_node_t *node)
 {
-    const cw_range_list_t *ranges = cw_assigner_ranges(node->assigner);
-    bool                   unreachable = cw_assigner_failing_share(node->assigner, node->world->now) > 0.5;
-    size_t                 index;
+    const cw_sim_settings_t *settings = &node->world->settings;
+    const cw_range_list_t   *ranges = cw_assigner_ranges(node->assigner);
+    const cw_server_list_t  *list = sim_list_of(node);
+    bool                     unreachable = cw_assigner_failing_share(node->assigner, node->world->now) > 0.5;
+    size_t                   index;
 
     for (index = 0; index < ranges->count; index++) {
         const cw_range_t        *range = &ranges->items[index];
         const cw_server_entry_t *to = pick_server(node, range->owner.id);
 
         if (to != NULL && must_move(node, range) &&
-            (!unreachable || cw_server_list_find(node->world->list, range->owner.id) == NULL)) {
+            (!unreachable || cw_server_list_find(list, range->owner.id) == NULL)) {
             cw_assigner_plan_move(node->assigner, range->low, range->last, to);
         }
     }
-    if (sim_random_bool(node->world, node->world->settings.moves * PLAN_INTERVAL_MS / 1000)) {
+    if (begins_in_plan(node, settings->moves)) {
         uint32_t                 cell = (uint32_t)sim_random_below(node->world, CW_CELLS);
         const cw_range_t        *range = cw_range_list_find(ranges, cell * CW_CELL_KEYS);
         const cw_server_entry_t *to = pick_server(node, range->owner.id);
@@ -235,7 +256,10 @@
             node->world->result->moves++;
         }
     }
-    if (sim_random_bool(node->world, 0.1)) {
+    if (settings->forced_moves > 0 && begins_in_plan(node, settings->forced_moves)) {
+        force_move(node);
+    }
+    if (begins_in_plan(node, settings->merges)) {
         (void)cw_assigner_plan_merge(node->assigner, (uint32_t)sim_random_below(node->world, CW_CELLS) * CW_CELL_KEYS);
     }
     if (cw_assigner_is_stale(node->assigner, node->world->now)) {
@@ -254,8 +278,8 @@
     }
     node->next_plan = node->world->now + CW_MS(PLAN_INTERVAL_MS);
     if (cw_assigner_state(node->assigner) == CW_ASSIGNER_EMPTY) {
-        for (index = 0; index < node->world->list->count && index < CW_SIM_ADDRESSES - 2; index++) {
-            entries[index] = &node->world->list->entries[index];
+        for (index = 0; index < sim_list_of(node)->count && index < CW_SIM_ADDRESSES - 2; index++) {
+            entries[index] = &sim_list_of(node)->entries[index];
         }
         /* At most four servers get a range each, so that the bounds of the ranges are bounds of cells. */
         cw_assigner_plan_first(node->assigner, entries, index, node->world->now);
@@ -396,6 +420,7 @@
         .hold = CW_MS(3000), .renew_every = CW_MS(750), .heartbeat_timeout = CW_MS(900), .read_every = CW_MS(400)};
     uint64_t incarnation = node->incarnation + 1;
 
+    cw_server_list_release(node->list);
     memset(node, 0, sizeof(*node));
     node->world = world;
     node->index = index;
@@ -407,6 +432,7 @@
     snprintf(settings.address, sizeof(settings.address), "10.1.0.%u", index);
     settings.incarnation = incarnation * 1000 + index + 1;
     cw_leadership_init(&node->leadership, &settings, world->now);
+    sim_list_init(node);
 }
 
 static void restart_node(sim_world_t *world, void *data)
@@ -423,6 +449,7 @@
     if (!node->up) {
         return;
     }
+    sim_trace(world, "n%u is killed", index);
     node->up = false;
     node->incarnation++;
     node->assigner = NULL; /* not freed: calls in flight still refer to it */
@@ -437,12 +464,13 @@
         return;
     }
     step_lock(node);
+    sim_list_read(node);
     has_authority = cw_leadership_has_authority(&node->leadership, node->world->now);
     if (node->assigner != NULL) {
-        if (has_authority) {
+        if (has_authority && sim_list_of(node)->count > 0) {
             plan(node);
         }
-        cw_assigner_tick(node->assigner, node->world->list, has_authority, node->leadership.failures > 0,
+        cw_assigner_tick(node->assigner, sim_list_of(node), has_authority, node->leadership.failures > 0,
                          node->world->now);
         if (cw_assigner_state(node->assigner) == CW_ASSIGNER_DEPOSED) {
             cw_leadership_receive_term(&node->leadership, cw_assigner_later_term(node->assigner), node->world->now);
--- /dev/null
+++ b/sim/lease_orders.c
@@ -0,0 +1,199 @@
+/**
+ * @file lease_orders.c
+ * @brief Orders on their way to servers, and their results on the way back. An order may have to wait for its
+ * connection, as in platform/platform_orders.c and src/net/http_upstream.c: it is sent when the connection is open,
+ * also if the node stood still meanwhile or leads no more, or is reported as not sent. Orders do not wait for each
+ * other.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "lease_internal.h"
+
+enum {
+    LINK_US = 300,
+    LINK_SPREAD_US = 1500,
+    LATE_FIRST_MS = 2000,
+    LATE_SPREAD_MS = 10000,
+    WORK_MS = 120,
+    CONNECT_MS = 300, /* timeout of a connection */
+    AFTER_FREEZE_MS = 300
+};
+
+/** An order on its way to a server, and its result on the way back. */
+typedef struct sim_delivery {
+    sim_node_t       *node;
+    uint64_t          incarnation;
+    uint64_t          first_term; /**< of the assigner that sent it, which may continue under a later term */
+    cw_order_t        order;
+    cw_order_result_t result;
+    bool              late;
+    char              handover[CW_HANDOVER_MAX];
+} sim_delivery_t;
+
+static void trace_order(const sim_delivery_t *delivery, const char *what)
+{
+    const cw_order_t *order = &delivery->order;
+
+    sim_trace(delivery->node->world, "n%u order %llu, %s of cells %u-%u to %s with fence %llu for %.3f s: %s",
+              delivery->node->index, (unsigned long long)order->id, order->kind == CW_ORDER_GRANT ? "grant" : "release",
+              order->low / CW_CELL_KEYS, order->last / CW_CELL_KEYS, order->server, (unsigned long long)order->fence,
+              (double)order->hold / 1e6, what);
+}
+
+static const char *result_name(cw_order_result_t result)
+{
+    static const char *const names[] = {[CW_ORDER_DONE] = "done",
+                                        [CW_ORDER_FENCED] = "fenced",
+                                        [CW_ORDER_OTHER_INCARNATION] = "another incarnation answers",
+                                        [CW_ORDER_REFUSED] = "refused",
+                                        [CW_ORDER_NOT_SENT] = "not sent",
+                                        [CW_ORDER_OTHER_CONNECTION] = "no connection from before",
+                                        [CW_ORDER_UNANSWERED] = "no answer"};
+
+    return names[result];
+}
+
+static void deliver_result(sim_world_t *world, void *data)
+{
+    sim_delivery_t *delivery = data;
+    sim_node_t     *node = delivery->node;
+
+    if (node->up && node->incarnation == delivery->incarnation && node->frozen_until > world->now) {
+        sim_schedule(world, node->frozen_until, deliver_result, delivery);
+        return;
+    }
+    if (node->up && node->incarnation == delivery->incarnation && node->assigner != NULL &&
+        cw_assigner_first_term(node->assigner) == delivery->first_term) {
+        trace_order(delivery, result_name(delivery->result));
+        cw_assigner_order_done(node->assigner, delivery->order.id, delivery->result, delivery->handover, world->now);
+    }
+    free(delivery);
+}
+
+static void on_late_order_arrived(sim_world_t *world, void *data)
+{
+    sim_delivery_t *delivery = data;
+
+    trace_order(delivery, "carried out late");
+    (void)sim_handle_order(world, &delivery->order, true, false);
+    free(delivery);
+}
+
+/* Whether the node that sent the order has just stood still: it cannot know how much time has passed since its last
+ * check. */
+static bool is_after_freeze(const sim_delivery_t *delivery)
+{
+    const sim_node_t *node = delivery->node;
+    cw_time_us_t      now = node->world->now;
+
+    return node->up && node->incarnation == delivery->incarnation && node->frozen_until != 0 &&
+           node->frozen_until <= now && now - node->frozen_until < CW_MS(AFTER_FREEZE_MS);
+}
+
+static void on_order_arrived(sim_world_t *world, void *data)
+{
+    sim_delivery_t *delivery = data;
+    cw_time_us_t    back = (cw_time_us_t)(LINK_US + sim_random_below(world, LINK_SPREAD_US));
+    bool            has_faults = sim_has_faults(world);
+
+    delivery->result = CW_ORDER_UNANSWERED;
+    if (has_faults && sim_random_bool(world, world->settings.order_late)) {
+        sim_delivery_t *late = malloc(sizeof(*late));
+
+        if (late == NULL) {
+            abort();
+        }
+        *late = *delivery;
+        sim_schedule(world, world->now + CW_MS(LATE_FIRST_MS + sim_random_below(world, LATE_SPREAD_MS)),
+                     on_late_order_arrived, late);
+    } else {
+        cw_order_result_t result = sim_handle_order(world, &delivery->order, false, !is_after_freeze(delivery));
+
+        trace_order(delivery, "arrives");
+
+        if (!has_faults || !sim_random_bool(world, world->settings.order_lost)) {
+            delivery->result = result;
+        }
+        if (delivery->order.kind == CW_ORDER_RELEASE) {
+            snprintf(delivery->handover, sizeof(delivery->handover), "h%llu", (unsigned long long)delivery->order.id);
+            /* A release is answered when requests on its keys have ended. */
+            back += CW_MS(sim_random_below(world, WORK_MS));
+        }
+    }
+    sim_schedule(world,
+                 delivery->result == CW_ORDER_UNANSWERED ? delivery->order.sent_at + delivery->order.timeout
+                                                         : world->now + back,
+                 deliver_result, delivery);
+}
+
+static bool is_reachable(const sim_delivery_t *delivery)
+{
+    sim_world_t        *world = delivery->node->world;
+    const sim_server_t *server = sim_server_at(world, delivery->order.address);
+
+    return server->up && (delivery->node->cut_servers & (1u << (uint32_t)(server - world->servers))) == 0;
+}
+
+static void send_bytes(sim_world_t *world, sim_delivery_t *delivery)
+{
+    if (!is_reachable(delivery)) {
+        /* Bytes sent on an open connection may still arrive; a new connection fails before anything is sent. */
+        delivery->result = delivery->order.fresh ? CW_ORDER_NOT_SENT : CW_ORDER_UNANSWERED;
+        sim_schedule(world, world->now + delivery->order.timeout, deliver_result, delivery);
+        return;
+    }
+    sim_schedule(world, world->now + (cw_time_us_t)(LINK_US + sim_random_below(world, LINK_SPREAD_US)),
+                 on_order_arrived, delivery);
+}
+
+bool sim_order_may_be_sent(const sim_node_t *node, const cw_order_t *order)
+{
+    (void)order;
+    return !node->world->settings.rechecks_authority ||
+           cw_leadership_has_authority(&node->leadership, node->world->now);
+}
+
+static void on_connected(sim_world_t *world, void *data)
+{
+    sim_delivery_t *delivery = data;
+    sim_node_t     *node = delivery->node;
+    bool            has_failed;
+
+    if (!node->up || node->incarnation != delivery->incarnation) {
+        free(delivery);
+        return;
+    }
+    if (node->frozen_until > world->now) {
+        sim_schedule(world, node->frozen_until, on_connected, delivery);
+        return;
+    }
+    has_failed = sim_has_faults(world) && sim_random_bool(world, world->settings.connect_failures);
+    if (has_failed || !is_reachable(delivery) || !sim_order_may_be_sent(node, &delivery->order)) {
+        delivery->result = CW_ORDER_NOT_SENT;
+        deliver_result(world, delivery);
+        return;
+    }
+    send_bytes(world, delivery);
+}
+
+void sim_send_order(sim_node_t *node, const cw_order_t *order)
+{
+    sim_world_t    *world = node->world;
+    sim_delivery_t *delivery = calloc(1, sizeof(*delivery));
+
+    if (delivery == NULL) {
+        abort();
+    }
+    delivery->node = node;
+    delivery->incarnation = node->incarnation;
+    delivery->first_term = cw_assigner_first_term(node->assigner);
+    delivery->order = *order;
+    trace_order(delivery, "decided");
+    if (world->settings.connects > 0 && (order->fresh || sim_random_bool(world, world->settings.connects))) {
+        sim_schedule(world, world->now + (cw_time_us_t)sim_random_below(world, CW_MS(CONNECT_MS)), on_connected,
+                     delivery);
+        return;
+    }
+    send_bytes(world, delivery);
+}
--- a/sim/lease_servers.c
+++ b/sim/lease_servers.c
@@ -12,24 +12,14 @@
 enum {
     LINK_US = 300,
     LINK_SPREAD_US = 1500,
-    LATE_FIRST_MS = 2000,
-    LATE_SPREAD_MS = 10000,
-    WORK_MS = 120,
+    REUSE_FIRST_MS = 50,
+    REUSE_SPREAD_MS = 1500,
+    RESTART_FIRST_MS = 1000,
+    RESTART_SPREAD_MS = 8000,
     SLOW_CLOCK_PERCENT = 102 /* duration of a hold by the slow clock of a server */
 };
 
-/** An order on its way to a server, and its result on the way back. */
-typedef struct sim_delivery {
-    sim_node_t       *node;
-    uint64_t          incarnation;
-    uint64_t          first_term; /**< of the assigner that sent it, which may continue under a later term */
-    cw_order_t        order;
-    cw_order_result_t result;
-    bool              late;
-    char              handover[CW_HANDOVER_MAX];
-} sim_delivery_t;
-
-static sim_server_t *server_at(sim_world_t *world, const char *address)
+sim_server_t *sim_server_at(sim_world_t *world, const char *address)
 {
     uint32_t index;
 
@@ -47,6 +37,7 @@
     snprintf(server->id, sizeof(server->id), "i-%llu", (unsigned long long)++world->incarnations);
     server->up = true;
     sim_list_register(world, server);
+    sim_trace(world, "%s starts at %s", server->id, server->address);
 }
 
 void sim_servers_start(sim_world_t *world)
@@ -72,8 +63,15 @@
         return;
     }
     server->up = false;
+    sim_trace(world, "%s crashes", server->id);
     sim_list_expire(world, server);
-    sim_schedule(world, world->now + CW_MS(1000 + sim_random_below(world, 8000)), restart_server, server);
+    if (world->settings.reuses > 0 && sim_random_bool(world, world->settings.reuses)) {
+        sim_schedule(world, world->now + CW_MS(REUSE_FIRST_MS + sim_random_below(world, REUSE_SPREAD_MS)),
+                     restart_server, server);
+        return;
+    }
+    sim_schedule(world, world->now + CW_MS(RESTART_FIRST_MS + sim_random_below(world, RESTART_SPREAD_MS)),
+                 restart_server, server);
 }
 
 /* ---- orders ---- */
@@ -91,7 +89,8 @@
     }
 }
 
-static cw_order_result_t handle_grant(sim_world_t *world, sim_server_t *server, const cw_order_t *order, bool late)
+static cw_order_result_t handle_grant(sim_world_t *world, sim_server_t *server, const cw_order_t *order, bool late,
+                                      bool counts)
 {
     uint32_t first = order->low / CW_CELL_KEYS;
     uint32_t last = order->last / CW_CELL_KEYS;
@@ -112,6 +111,9 @@
         cell_state->seen_fence = order->fence;
         cell_state->granted_fence = order->fence;
         cell_state->held_until = world->now + order->hold * SLOW_CLOCK_PERCENT / 100;
+        if (counts) {
+            sim_hold_extend(world, cell_state, cell_state->held_until);
+        }
     }
     world->result->grants++;
     return CW_ORDER_DONE;
@@ -123,6 +125,7 @@
 
     for (cell = order->low / CW_CELL_KEYS; cell <= order->last / CW_CELL_KEYS; cell++) {
         server->cells[cell].held_until = 0;
+        server->cells[cell].counted_until = 0;
         if (order->fence > server->cells[cell].seen_fence) {
             server->cells[cell].seen_fence = order->fence;
         }
@@ -130,9 +133,9 @@
     (void)world;
 }
 
-static cw_order_result_t handle_order(sim_world_t *world, const cw_order_t *order, bool late)
+cw_order_result_t sim_handle_order(sim_world_t *world, const cw_order_t *order, bool late, bool counts)
 {
-    sim_server_t *server = server_at(world, order->address);
+    sim_server_t *server = sim_server_at(world, order->address);
 
     if (server == NULL || !server->up) {
         return CW_ORDER_UNANSWERED;
@@ -141,94 +144,12 @@
         return CW_ORDER_OTHER_INCARNATION;
     }
     if (order->kind == CW_ORDER_GRANT) {
-        return handle_grant(world, server, order, late);
+        return handle_grant(world, server, order, late, counts);
     }
     handle_release(world, server, order);
     return CW_ORDER_DONE;
 }
 
-static void deliver_result(sim_world_t *world, void *data)
-{
-    sim_delivery_t *delivery = data;
-    sim_node_t     *node = delivery->node;
-
-    if (node->up && node->incarnation == delivery->incarnation && node->frozen_until > world->now) {
-        sim_schedule(world, node->frozen_until, deliver_result, delivery);
-        return;
-    }
-    if (node->up && node->incarnation == delivery->incarnation && node->assigner != NULL &&
-        cw_assigner_first_term(node->assigner) == delivery->first_term) {
-        cw_assigner_order_done(node->assigner, delivery->order.id, delivery->result, delivery->handover, world->now);
-    }
-    free(delivery);
-}
-
-static void on_late_order_arrived(sim_world_t *world, void *data)
-{
-    sim_delivery_t *delivery = data;
-
-    (void)handle_order(world, &delivery->order, true);
-    free(delivery);
-}
-
-static void on_order_arrived(sim_world_t *world, void *data)
-{
-    sim_delivery_t *delivery = data;
-    cw_time_us_t    back = (cw_time_us_t)(LINK_US + sim_random_below(world, LINK_SPREAD_US));
-    bool            has_faults = sim_has_faults(world);
-
-    delivery->result = CW_ORDER_UNANSWERED;
-    if (has_faults && sim_random_bool(world, world->settings.order_late)) {
-        sim_delivery_t *late = malloc(sizeof(*late));
-
-        if (late == NULL) {
-            abort();
-        }
-        *late = *delivery;
-        sim_schedule(world, world->now + CW_MS(LATE_FIRST_MS + sim_random_below(world, LATE_SPREAD_MS)),
-                     on_late_order_arrived, late);
-    } else {
-        cw_order_result_t result = handle_order(world, &delivery->order, false);
-
-        if (!has_faults || !sim_random_bool(world, world->settings.order_lost)) {
-            delivery->result = result;
-        }
-        if (delivery->order.kind == CW_ORDER_RELEASE) {
-            snprintf(delivery->handover, sizeof(delivery->handover), "h%llu", (unsigned long long)delivery->order.id);
-            /* A release is answered when requests on its keys have ended. */
-            back += CW_MS(sim_random_below(world, WORK_MS));
-        }
-    }
-    sim_schedule(world,
-                 delivery->result == CW_ORDER_UNANSWERED ? delivery->order.sent_at + delivery->order.timeout
-                                                         : world->now + back,
-                 deliver_result, delivery);
-}
-
-void sim_send_order(sim_node_t *node, const cw_order_t *order)
-{
-    sim_world_t    *world = node->world;
-    sim_delivery_t *delivery = calloc(1, sizeof(*delivery));
-    sim_server_t   *server = server_at(world, order->address);
-    bool            reachable = (node->cut_servers & (1u << (uint32_t)(server - world->servers))) == 0;
-
-    if (delivery == NULL) {
-        abort();
-    }
-    delivery->node = node;
-    delivery->incarnation = node->incarnation;
-    delivery->first_term = cw_assigner_first_term(node->assigner);
-    delivery->order = *order;
-    if (!reachable || !server->up) {
-        /* Bytes sent on an open connection may still arrive; a new connection fails before anything is sent. */
-        delivery->result = order->fresh ? CW_ORDER_NOT_SENT : CW_ORDER_UNANSWERED;
-        sim_schedule(world, world->now + order->timeout, deliver_result, delivery);
-        return;
-    }
-    sim_schedule(world, world->now + (cw_time_us_t)(LINK_US + sim_random_below(world, LINK_SPREAD_US)),
-                 on_order_arrived, delivery);
-}
-
 /* ---- requests ---- */
 
 /** A request on its way to a server. */
--- a/sim/lease_sim.h
+++ b/sim/lease_sim.h
@@ -8,6 +8,8 @@
  *  - at each request that a server begins: no other server that holds the cell at the same time has begun a request on
  *    it since both hold it,
  *  - at each grant that a server accepts: its fence is above all fences with which other servers held the cell,
+ *  - at any time: no two servers that are up hold the same cell for more than half a second, by grants that count.
+ * Those that are carried out late, or are sent by a node that has just stood still, do not (lease_holds.c),
  *  - at the end: the assignment record in the store covers all keys, and all cells are served again.
  */
 #ifndef CEDARWINCH_SIM_LEASE_SIM_H
@@ -41,7 +43,17 @@
     double       crashes;        /**< crashes of a server per second */
     double       all_node_kills; /**< kills of all nodes at once per second */
     double       moves;          /**< moves of a random cell per second */
-    bool         trace;          /**< print each decision of a leader's assigner */
+    /** Each node goes by a list of servers of its own, which lags the truth (lease_lists.c). */
+    bool   lists_lag;
+    double list_stalls;        /**< times per second that the copies of the store cease to follow it for seconds */
+    double lost_entries;       /**< losses of the entry of a server that runs, per second */
+    double reuses;             /**< probability that another server starts at the address of a crashed one at once */
+    double connects;           /**< probability that an order has to wait for a connection */
+    double connect_failures;   /**< probability that the connection fails, so that the order is not sent */
+    double forced_moves;       /**< moves of a random cell in any state per second */
+    double merges;             /**< merges of a random range with the next one per second */
+    bool   rechecks_authority; /**< the authority is checked again when the connection for an order is open */
+    bool   trace;              /**< print each decision of a leader's assigner */
 } cw_sim_settings_t;
 
 /** Counts and violations of a run. */
@@ -54,15 +66,20 @@
     uint64_t leaders;     /**< changes of leadership */
     uint64_t restores;    /**< returns of the store from a copy */
     uint64_t continued;   /**< of them, those after which a leader went on with its own state */
-    uint32_t violations;
-    char     violation[CW_SIM_VIOLATIONS_MAX][160];
-    bool     served_at_end; /**< each cell has been served in the last seconds */
+    /** Longest time for which two servers held a cell by grants that count, to 10 ms. */
+    cw_time_us_t longest_overlap;
+    uint32_t     violations;
+    char         violation[CW_SIM_VIOLATIONS_MAX][160];
+    bool         served_at_end; /**< each cell has been served in the last seconds */
 } cw_sim_result_t;
 
 /** Sets the usual frequencies of faults. */
 void cw_sim_settings_with_faults(cw_sim_settings_t *settings, uint64_t seed);
 /** Sets the same, and outages after which the store comes back from a copy. */
 void cw_sim_settings_with_restores(cw_sim_settings_t *settings, uint64_t seed);
+/** Sets the same as cw_sim_settings_with_faults, lists of servers that lag, addresses that are used again, and orders
+ * that wait for connections. */
+void cw_sim_settings_with_lagging_lists(cw_sim_settings_t *settings, uint64_t seed);
 /** Runs the simulation; runs with equal settings are equal. */
 void cw_sim_run(const cw_sim_settings_t *settings, cw_sim_result_t *result);
 
--- a/sim/lease_store.c
+++ b/sim/lease_store.c
@@ -218,6 +218,9 @@
     world->revision = copy->revision;
     world->epoch++;
     world->result->restores++;
+    if (world->settings.lists_lag) {
+        sim_list_publish(world);
+    }
 }
 
 void sim_store_restore(sim_world_t *world, cw_time_us_t down, cw_time_us_t age)
--- a/sim/main.c
+++ b/sim/main.c
@@ -18,18 +18,20 @@
     uint32_t index;
 
     printf("seed %llu: %llu requests, %llu turned away, %llu unrouted, %llu grants, %llu moves, %llu leaders, "
-           "%llu restores, %llu continued, %u violations%s\n",
+           "%llu restores, %llu continued, overlap %lld ms, %u violations%s\n",
            (unsigned long long)seed, (unsigned long long)result->requests, (unsigned long long)result->turned_away,
            (unsigned long long)result->unrouted, (unsigned long long)result->grants, (unsigned long long)result->moves,
            (unsigned long long)result->leaders, (unsigned long long)result->restores,
-           (unsigned long long)result->continued, result->violations,
+           (unsigned long long)result->continued, (long long)result->longest_overlap / 1000, result->violations,
            result->served_at_end ? "" : ", NOT SERVED at the end");
     for (index = 0; index < result->violations && index < CW_SIM_VIOLATIONS_MAX; index++) {
         printf("    %s\n", result->violation[index]);
     }
 }
 
-static int run(uint64_t first, uint64_t seeds, bool restores, bool quiet, bool trace)
+typedef void (*set_settings_t)(cw_sim_settings_t *settings, uint64_t seed);
+
+static int run(uint64_t first, uint64_t seeds, set_settings_t set_settings, bool rechecks, bool quiet, bool trace)
 {
     uint64_t seed;
     uint64_t failed = 0;
@@ -38,11 +40,8 @@
         cw_sim_settings_t settings;
         cw_sim_result_t   result;
 
-        if (restores) {
-            cw_sim_settings_with_restores(&settings, seed);
-        } else {
-            cw_sim_settings_with_faults(&settings, seed);
-        }
+        set_settings(&settings, seed);
+        settings.rechecks_authority = rechecks;
         settings.trace = trace;
         cw_sim_run(&settings, &result);
         failed += result.violations > 0 || !result.served_at_end ? 1 : 0;
@@ -60,12 +59,18 @@
     struct arg_int *first = arg_int0("s", "seed", "N", "first seed; default 1");
     struct arg_int *seeds = arg_int0("n", "seeds", "N", "how many; default 1");
     struct arg_lit *restores = arg_lit0("r", "restores", "the store also comes back from copies");
+    struct arg_lit *lists =
+        arg_lit0("l", "lists", "nodes go by lists of servers that lag, orders wait for connections");
+    struct arg_lit *rechecks = arg_lit0("a", "recheck-authority", "checked again right before an order is sent");
     struct arg_lit *quiet = arg_lit0("q", "quiet", "only seeds that show a violation");
     struct arg_lit *trace = arg_lit0("t", "trace", "each decision of the leaders");
     struct arg_lit *help = arg_lit0("h", "help", "this text");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {first, seeds, restores, quiet, trace, help, end};
+    void           *table[] = {first, seeds, restores, lists, rechecks, quiet, trace, help, end};
     int             errors = arg_parse(argument_count, arguments, table);
+    set_settings_t  set_settings = lists->count > 0      ? cw_sim_settings_with_lagging_lists
+                                   : restores->count > 0 ? cw_sim_settings_with_restores
+                                                         : cw_sim_settings_with_faults;
     int             code;
 
     if (help->count > 0) {
@@ -78,7 +83,7 @@
         code = EXIT_INVALID_ARGUMENTS;
     } else {
         code = run(first->count > 0 ? (uint64_t)first->ival[0] : 1, seeds->count > 0 ? (uint64_t)seeds->ival[0] : 1,
-                   restores->count > 0, quiet->count > 0, trace->count > 0);
+                   set_settings, rechecks->count > 0, quiet->count > 0, trace->count > 0);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return code;
