--- a/sim/lease_internal.h
+++ b/sim/lease_internal.h
@@ -10,7 +10,13 @@
 /** State of a run: the store, the nodes, the servers and the events to come. */
 typedef struct sim_world sim_world_t;
 
-enum { CW_SIM_COPIES = 20, CW_SIM_COPY_INTERVAL_MS = 500, CW_SIM_ENTRIES_MAX = 64, CW_SIM_LISTINGS = 2048 };
+enum {
+    CW_SIM_COPIES = 20,
+    CW_SIM_COPY_INTERVAL_MS = 500,
+    CW_SIM_ENTRIES_MAX = 64,
+    CW_SIM_LISTINGS = 2048,
+    CW_SIM_ORDER_TIMEOUT_MS = 350
+};
 
 /** An event at a logical time. */
 typedef struct sim_event {
@@ -211,8 +217,10 @@
 /* ---- lease_orders.c ---- */
 /** Sends an order of a node's assigner to a server. */
 void sim_send_order(sim_node_t *node, const cw_order_t *order);
-/** Whether an order may be sent, now that its connection is open. */
-bool sim_order_may_be_sent(const sim_node_t *node, const cw_order_t *order);
+/** Whether an order may leave now that its connection is open, as in router_assigners.c: the assigner that gave it
+ * still exists, with authority, and the time has not passed that it counts for the arrival. first_term: of that
+ * assigner. */
+bool sim_order_may_be_sent(const sim_node_t *node, const cw_order_t *order, uint64_t first_term);
 
 /* ---- lease_nodes.c ---- */
 /** Starts a node without any state. */
--- a/sim/lease_nodes.c
+++ b/sim/lease_nodes.c
@@ -13,7 +13,6 @@
     HEARTBEAT_TIMEOUT_MS = 900,
     TABLE_VALID_MS = 4000,
     HOLD_LONG_MS = 8000,
-    ORDER_TIMEOUT_MS = 350,
     READ_INTERVAL_MS = 700,
     PLAN_INTERVAL_MS = 300,
     LINK_US = 300,
@@ -76,7 +75,7 @@
 static cw_assigner_loss_t known_loss(const sim_node_t *node)
 {
     return cw_assigner_loss_since(node->leadership.epochs.has_changed, cw_leadership_lost_at(&node->leadership),
-                                  node->leadership.settings.hold, CW_MS(ORDER_TIMEOUT_MS), CW_MS(HOLD_LONG_MS));
+                                  node->leadership.settings.hold, CW_MS(CW_SIM_ORDER_TIMEOUT_MS), CW_MS(HOLD_LONG_MS));
 }
 
 static void create_assigner(sim_node_t *node)
@@ -85,7 +84,7 @@
                                        .max_hold = CW_MS(HOLD_LONG_MS),
                                        .hold_long = CW_MS(HOLD_LONG_MS),
                                        .renew_every = CW_MS(1250),
-                                       .order_timeout = CW_MS(ORDER_TIMEOUT_MS),
+                                       .order_timeout = CW_MS(CW_SIM_ORDER_TIMEOUT_MS),
                                        .release_timeout = CW_MS(1500),
                                        .late_order_time = CW_SECONDS(13),
                                        .table_validity = CW_MS(TABLE_VALID_MS),
--- a/sim/lease_orders.c
+++ b/sim/lease_orders.c
@@ -48,6 +48,7 @@
                                         [CW_ORDER_OTHER_INCARNATION] = "another incarnation answers",
                                         [CW_ORDER_REFUSED] = "refused",
                                         [CW_ORDER_NOT_SENT] = "not sent",
+                                        [CW_ORDER_WITHDRAWN] = "withdrawn",
                                         [CW_ORDER_OTHER_CONNECTION] = "no connection from before",
                                         [CW_ORDER_UNANSWERED] = "no answer"};
 
@@ -147,11 +148,14 @@
                  on_order_arrived, delivery);
 }
 
-bool sim_order_may_be_sent(const sim_node_t *node, const cw_order_t *order)
+bool sim_order_may_be_sent(const sim_node_t *node, const cw_order_t *order, uint64_t first_term)
 {
-    (void)order;
-    return !node->world->settings.rechecks_authority ||
-           cw_leadership_has_authority(&node->leadership, node->world->now);
+    cw_time_us_t now = node->world->now;
+
+    return node->world->settings.leaves_unchecked ||
+           (now - order->sent_at <= CW_MS(CW_SIM_ORDER_TIMEOUT_MS) && node->assigner != NULL &&
+            cw_assigner_first_term(node->assigner) == first_term &&
+            cw_leadership_has_authority(&node->leadership, now));
 }
 
 static void on_connected(sim_world_t *world, void *data)
@@ -169,12 +173,15 @@
         return;
     }
     has_failed = sim_has_faults(world) && sim_random_bool(world, world->settings.connect_failures);
-    if (has_failed || !is_reachable(delivery) || !sim_order_may_be_sent(node, &delivery->order)) {
+    if (has_failed || !is_reachable(delivery)) {
         delivery->result = CW_ORDER_NOT_SENT;
-        deliver_result(world, delivery);
+    } else if (!sim_order_may_be_sent(node, &delivery->order, delivery->first_term)) {
+        delivery->result = CW_ORDER_WITHDRAWN;
+    } else {
+        send_bytes(world, delivery);
         return;
     }
-    send_bytes(world, delivery);
+    deliver_result(world, delivery);
 }
 
 void sim_send_order(sim_node_t *node, const cw_order_t *order)
--- a/sim/lease_sim.h
+++ b/sim/lease_sim.h
@@ -45,15 +45,15 @@
     double       moves;          /**< moves of a random cell per second */
     /** Each node goes by a list of servers of its own, which lags the truth (lease_lists.c). */
     bool   lists_lag;
-    double list_stalls;        /**< times per second that the copies of the store cease to follow it for seconds */
-    double lost_entries;       /**< losses of the entry of a server that runs, per second */
-    double reuses;             /**< probability that another server starts at the address of a crashed one at once */
-    double connects;           /**< probability that an order has to wait for a connection */
-    double connect_failures;   /**< probability that the connection fails, so that the order is not sent */
-    double forced_moves;       /**< moves of a random cell in any state per second */
-    double merges;             /**< merges of a random range with the next one per second */
-    bool   rechecks_authority; /**< the authority is checked again when the connection for an order is open */
-    bool   trace;              /**< print each decision of a leader's assigner */
+    double list_stalls;      /**< times per second that the copies of the store cease to follow it for seconds */
+    double lost_entries;     /**< losses of the entry of a server that runs, per second */
+    double reuses;           /**< probability that another server starts at the address of a crashed one at once */
+    double connects;         /**< probability that an order has to wait for a connection */
+    double connect_failures; /**< probability that the connection fails, so that the order is not sent */
+    double forced_moves;     /**< moves of a random cell in any state per second */
+    double merges;           /**< merges of a random range with the next one per second */
+    bool   leaves_unchecked; /**< orders that waited for a connection leave with or without authority */
+    bool   trace;            /**< print each decision of a leader's assigner */
 } cw_sim_settings_t;
 
 /** Counts and violations of a run. */
--- a/sim/main.c
+++ b/sim/main.c
@@ -31,7 +31,7 @@
 
 typedef void (*set_settings_t)(cw_sim_settings_t *settings, uint64_t seed);
 
-static int run(uint64_t first, uint64_t seeds, set_settings_t set_settings, bool rechecks, bool quiet, bool trace)
+static int run(uint64_t first, uint64_t seeds, set_settings_t set_settings, bool unchecked, bool quiet, bool trace)
 {
     uint64_t seed;
     uint64_t failed = 0;
@@ -41,7 +41,7 @@
         cw_sim_result_t   result;
 
         set_settings(&settings, seed);
-        settings.rechecks_authority = rechecks;
+        settings.leaves_unchecked = unchecked;
         settings.trace = trace;
         cw_sim_run(&settings, &result);
         failed += result.violations > 0 || !result.served_at_end ? 1 : 0;
@@ -61,12 +61,12 @@
     struct arg_lit *restores = arg_lit0("r", "restores", "the store also comes back from copies");
     struct arg_lit *lists =
         arg_lit0("l", "lists", "nodes go by lists of servers that lag, orders wait for connections");
-    struct arg_lit *rechecks = arg_lit0("a", "recheck-authority", "checked again right before an order is sent");
+    struct arg_lit *unchecked = arg_lit0("u", "unchecked", "orders leave without a second check of the authority");
     struct arg_lit *quiet = arg_lit0("q", "quiet", "only seeds that show a violation");
     struct arg_lit *trace = arg_lit0("t", "trace", "each decision of the leaders");
     struct arg_lit *help = arg_lit0("h", "help", "this text");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {first, seeds, restores, lists, rechecks, quiet, trace, help, end};
+    void           *table[] = {first, seeds, restores, lists, unchecked, quiet, trace, help, end};
     int             errors = arg_parse(argument_count, arguments, table);
     set_settings_t  set_settings = lists->count > 0      ? cw_sim_settings_with_lagging_lists
                                    : restores->count > 0 ? cw_sim_settings_with_restores
@@ -83,7 +83,7 @@
         code = EXIT_INVALID_ARGUMENTS;
     } else {
         code = run(first->count > 0 ? (uint64_t)first->ival[0] : 1, seeds->count > 0 ? (uint64_t)seeds->ival[0] : 1,
-                   set_settings, rechecks->count > 0, quiet->count > 0, trace->count > 0);
+                   set_settings, unchecked->count > 0, quiet->count > 0, trace->count > 0);
     }
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return code;
