--- a/sim/lease_faults.c
+++ b/sim/lease_faults.c
@@ -44,7 +44,8 @@
     settings->crashes = 0.2;
     settings->connects = 0.3;
     settings->connect_failures = 0.1;
-    settings->forced_moves = 0.5;
+    settings->forced_moves = 2.0;
+    settings->kept_names = 0.4;
     settings->merges = 1.5;
 }
 
--- a/sim/lease_internal.h
+++ b/sim/lease_internal.h
@@ -41,6 +41,7 @@
 typedef struct sim_server {
     char       id[CW_SERVER_ID_MAX];
     char       address[CW_SERVER_ADDRESS_MAX];
+    uint64_t   number; /**< of the incarnation */
     bool       up;
     sim_cell_t cells[CW_CELLS];
 } sim_server_t;
@@ -61,6 +62,12 @@
     cw_server_list_t *list;
 } sim_listing_t;
 
+/** A node's connection for orders to an address. */
+typedef struct sim_connection {
+    uint64_t     server; /**< number of the incarnation that it leads to; 0: none */
+    cw_time_us_t opened_at;
+} sim_connection_t;
+
 /** An object in the store. */
 typedef struct sim_object {
     json_t  *value;
@@ -86,25 +93,26 @@
 
 /** A node of the router. */
 typedef struct sim_node {
-    sim_world_t    *world;
-    uint32_t        index;
-    uint64_t        incarnation; /**< answers to calls of earlier incarnations are dropped */
-    bool            up;
-    cw_time_us_t    frozen_until;
-    bool            cut_store;
-    bool            cut_nodes;
-    uint32_t        cut_servers; /**< one bit for each address of a server */
-    cw_leadership_t leadership;
-    cw_assigner_t  *assigner;
-    cw_store_port_t port;
-    uint64_t        assigner_term;
-    uint64_t        tables_version; /**< version of the tables that it sent as a leader */
-    bool            tables_due;
-    cw_time_us_t    heartbeat_sent_at;
-    cw_time_us_t    heartbeat_at; /**< latest heartbeat of a leader with authority */
-    cw_time_us_t    read_at;      /**< latest read of the record in the store */
-    cw_time_us_t    next_plan;
-    sim_table_t     table;
+    sim_world_t     *world;
+    uint32_t         index;
+    uint64_t         incarnation; /**< answers to calls of earlier incarnations are dropped */
+    bool             up;
+    cw_time_us_t     frozen_until;
+    bool             cut_store;
+    bool             cut_nodes;
+    uint32_t         cut_servers; /**< one bit for each address of a server */
+    cw_leadership_t  leadership;
+    cw_assigner_t   *assigner;
+    cw_store_port_t  port;
+    uint64_t         assigner_term;
+    uint64_t         tables_version; /**< version of the tables that it sent as a leader */
+    bool             tables_due;
+    cw_time_us_t     heartbeat_sent_at;
+    cw_time_us_t     heartbeat_at; /**< latest heartbeat of a leader with authority */
+    cw_time_us_t     read_at;      /**< latest read of the record in the store */
+    cw_time_us_t     next_plan;
+    sim_table_t      table;
+    sim_connection_t connections[CW_SIM_ADDRESSES];
     /* with lists that lag */
     cw_server_list_t *list;          /**< latest reading */
     uint64_t          list_revision; /**< of the store, as in sim_listing_t; 0: there was no reading */
@@ -209,6 +217,8 @@
 /** Carries an order out that arrives at a server. late: seconds after it was sent. counts: the hold that it gives is
  * checked (lease_holds.c). */
 cw_order_result_t sim_handle_order(sim_world_t *world, const cw_order_t *order, bool late, bool counts);
+/** Whether the server takes an order or request for this id: it knows its name only. */
+bool sim_server_is_addressed(const sim_server_t *server, const char *id);
 /** Returns the server at an address; NULL: there is none. */
 sim_server_t *sim_server_at(sim_world_t *world, const char *address);
 /** A node routes a request for a cell. */
--- a/sim/lease_lists.c
+++ b/sim/lease_lists.c
@@ -95,11 +95,25 @@
     }
 }
 
+/* The entry's key is the server's name, so a server that keeps its name replaces its entry. */
+static void remove_entry_of_name(sim_world_t *world, const sim_server_t *server)
+{
+    size_t index;
+
+    for (index = world->entry_count; index-- > 0;) {
+        if (sim_server_is_addressed(server, world->entries[index].id)) {
+            remove_entry(world, index);
+        }
+    }
+}
+
 void sim_list_register(sim_world_t *world, const sim_server_t *server)
 {
     sim_entry_t *entry;
 
-    if (!world->settings.lists_lag) {
+    if (world->settings.lists_lag) {
+        remove_entry_of_name(world, server);
+    } else {
         remove_entries_at(world, server->address);
     }
     if (world->entry_count == CW_SIM_ENTRIES_MAX) {
--- a/sim/lease_orders.c
+++ b/sim/lease_orders.c
@@ -31,6 +31,13 @@
     char              handover[CW_HANDOVER_MAX];
 } sim_delivery_t;
 
+static sim_connection_t *connection_of(const sim_delivery_t *delivery)
+{
+    sim_world_t *world = delivery->node->world;
+
+    return &delivery->node->connections[sim_server_at(world, delivery->order.address) - world->servers];
+}
+
 static void trace_order(const sim_delivery_t *delivery, const char *what)
 {
     const cw_order_t *order = &delivery->order;
@@ -67,6 +74,9 @@
     if (node->up && node->incarnation == delivery->incarnation && node->assigner != NULL &&
         cw_assigner_first_term(node->assigner) == delivery->first_term) {
         trace_order(delivery, result_name(delivery->result));
+        if (delivery->result == CW_ORDER_UNANSWERED) {
+            *connection_of(delivery) = (sim_connection_t){0};
+        }
         cw_assigner_order_done(node->assigner, delivery->order.id, delivery->result, delivery->handover, world->now);
     }
     free(delivery);
@@ -136,9 +146,29 @@
     return server->up && (delivery->node->cut_servers & (1u << (uint32_t)(server - world->servers))) == 0;
 }
 
+/* Whether a connection is open that was opened by this time; a restart of the server ends all connections. */
+static bool is_connected_since(const sim_delivery_t *delivery, cw_time_us_t opened_by)
+{
+    const sim_connection_t *connection = connection_of(delivery);
+    const sim_server_t     *server = sim_server_at(delivery->node->world, delivery->order.address);
+
+    return server->up && connection->server == server->number && connection->opened_at <= opened_by;
+}
+
+static void note_connection(const sim_delivery_t *delivery)
+{
+    if (!is_connected_since(delivery, delivery->order.sent_at)) {
+        *connection_of(delivery) =
+            (sim_connection_t){.server = sim_server_at(delivery->node->world, delivery->order.address)->number,
+                               .opened_at = delivery->order.sent_at};
+    }
+}
+
 static void send_bytes(sim_world_t *world, sim_delivery_t *delivery)
 {
-    if (!is_reachable(delivery)) {
+    if (is_reachable(delivery)) {
+        note_connection(delivery);
+    } else {
         /* Bytes sent on an open connection may still arrive; a new connection fails before anything is sent. */
         delivery->result = delivery->order.fresh ? CW_ORDER_NOT_SENT : CW_ORDER_UNANSWERED;
         sim_schedule(world, world->now + delivery->order.timeout, deliver_result, delivery);
@@ -197,6 +227,15 @@
     delivery->first_term = cw_assigner_first_term(node->assigner);
     delivery->order = *order;
     trace_order(delivery, "decided");
+    if (order->connected_by != 0) {
+        if (order->fresh || !is_connected_since(delivery, order->connected_by)) {
+            delivery->result = CW_ORDER_OTHER_CONNECTION;
+            deliver_result(world, delivery);
+        } else {
+            send_bytes(world, delivery);
+        }
+        return;
+    }
     if (world->settings.connects > 0 && (order->fresh || sim_random_bool(world, world->settings.connects))) {
         sim_schedule(world, world->now + (cw_time_us_t)sim_random_below(world, CW_MS(CONNECT_MS)), on_connected,
                      delivery);
--- a/sim/lease_servers.c
+++ b/sim/lease_servers.c
@@ -31,10 +31,29 @@
     return NULL;
 }
 
+/* A name that is kept is that of the address; the id then states the start. */
+static void set_id(sim_world_t *world, sim_server_t *server)
+{
+    server->number = ++world->incarnations;
+    if (world->settings.kept_names > 0 && sim_random_bool(world, world->settings.kept_names)) {
+        snprintf(server->id, sizeof(server->id), "s-%u%c%llu", (uint32_t)(server - world->servers) + 1,
+                 CW_SERVER_ID_MARK, (unsigned long long)world->now / 1000);
+    } else {
+        snprintf(server->id, sizeof(server->id), "i-%llu", (unsigned long long)server->number);
+    }
+}
+
+bool sim_server_is_addressed(const sim_server_t *server, const char *id)
+{
+    size_t length = cw_server_id_name_length(server->id);
+
+    return length == cw_server_id_name_length(id) && memcmp(server->id, id, length) == 0;
+}
+
 static void start_incarnation(sim_world_t *world, sim_server_t *server)
 {
     memset(server->cells, 0, sizeof(server->cells));
-    snprintf(server->id, sizeof(server->id), "i-%llu", (unsigned long long)++world->incarnations);
+    set_id(world, server);
     server->up = true;
     sim_list_register(world, server);
     sim_trace(world, "%s starts at %s", server->id, server->address);
@@ -140,7 +159,7 @@
     if (server == NULL || !server->up) {
         return CW_ORDER_UNANSWERED;
     }
-    if (strcmp(server->id, order->server) != 0) {
+    if (!sim_server_is_addressed(server, order->server)) {
         return CW_ORDER_OTHER_INCARNATION;
     }
     if (order->kind == CW_ORDER_GRANT) {
@@ -187,7 +206,7 @@
     for (index = 0; index < CW_SIM_ADDRESSES; index++) {
         sim_server_t *server = &world->servers[index];
 
-        if (!server->up || strcmp(server->id, request->id) != 0) {
+        if (!server->up || !sim_server_is_addressed(server, request->id)) {
             continue;
         }
         if (server->cells[request->cell].held_until > world->now) {
--- a/sim/lease_sim.h
+++ b/sim/lease_sim.h
@@ -45,10 +45,12 @@
     double       moves;          /**< moves of a random cell per second */
     /** Each node goes by a list of servers of its own, which lags the truth (lease_lists.c). */
     bool   lists_lag;
-    double list_stalls;      /**< times per second that the copies of the store cease to follow it for seconds */
-    double lost_entries;     /**< losses of the entry of a server that runs, per second */
-    double reuses;           /**< probability that another server starts at the address of a crashed one at once */
-    double connects;         /**< probability that an order has to wait for a connection */
+    double list_stalls;  /**< times per second that the copies of the store cease to follow it for seconds */
+    double lost_entries; /**< losses of the entry of a server that runs, per second */
+    double reuses;       /**< probability that another server starts at the address of a crashed one at once */
+    double kept_names;   /**< probability that a server starts under the name of its address, with the start time in its
+                            id */
+    double connects;     /**< probability that an order has to wait for a connection */
     double connect_failures; /**< probability that the connection fails, so that the order is not sent */
     double forced_moves;     /**< moves of a random cell in any state per second */
     double merges;           /**< merges of a random range with the next one per second */
