A later incarnation of an owner has its hold

Cause: a move to a later incarnation of the owner needs no release, since the owner's grants can reach no other process. That process holds the keys by them, though; the range began without a hold, and a second move granted the keys at once. Change: the later incarnation's range has the hold of the one before. Test: a_later_incarnation_that_was_not_granted_its_keys_has_to_release_them failed before and passes.

--- a/src/assignment/assigner_holds.c
+++ b/src/assignment/assigner_holds.c
@@ -65,7 +65,9 @@
 /* Adds the holds that are known of one range of the record to those of the planned range that covers it. */
 static void add_source(const cw_assigner_t *assigner, cw_range_t *planned, const cw_range_t *source, cw_time_us_t now)
 {
-    if (strcmp(planned->owner.id, source->owner.id) == 0) {
+    /* A later incarnation of the owner may hold the keys by grants for the one before: they name the server only. */
+    if (strcmp(planned->owner.id, source->owner.id) == 0 ||
+        cw_server_id_succeeds(planned->owner.id, source->owner.id)) {
         cw_assigner_extend_hold(planned, later_of_orders(planned->hold_order, source->hold_order), source->hold_until);
         planned->unanswered_at = later_of(planned->unanswered_at, source->unanswered_at);
     }
--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -146,6 +146,27 @@
 }
 END_TEST
 
+/* Guards against OWNER (cw-lease --lists, seed 285): keys are moved to the later incarnation, which holds them by the
+ * grants for the one before, and then on to another server before it was granted them itself. */
+START_TEST(a_later_incarnation_that_was_not_granted_its_keys_has_to_release_them)
+{
+    assigner_fixture_t fixture;
+    size_t             sent;
+
+    begin_with(&fixture, named);
+    assigner_fixture_set_servers(&fixture, named_later);
+    ck_assert(cw_assigner_plan_move(fixture.assigner, 0, 99, server(&fixture, "a@2000")));
+    cw_assigner_plan_write(fixture.assigner, fixture.now);
+    assigner_fixture_tick(&fixture, CW_MS(20));
+    assigner_fixture_answer(&fixture, CW_ORDER_NOT_SENT, NULL);
+    sent = fixture.order_count;
+    move_keys(&fixture, "i-c");
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_GRANT, "i-c", sent), 0);
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_RELEASE, "a@2000", sent), 1);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 /* The list in force names the earlier start again before the plan's write is done. */
 START_TEST(a_later_start_that_is_withdrawn_before_the_write_is_done_ends_no_hold)
 {
@@ -642,6 +663,7 @@
     tcase_add_test(cases, an_older_list_does_not_prove_the_end_of_a_former_holder);
     tcase_add_test(cases, an_owner_is_renewed_although_an_older_list_names_another_server_at_its_address);
     tcase_add_test(cases, a_later_start_in_the_list_does_not_end_a_hold_that_it_was_granted_itself);
+    tcase_add_test(cases, a_later_incarnation_that_was_not_granted_its_keys_has_to_release_them);
     tcase_add_test(cases, a_later_start_that_is_withdrawn_before_the_write_is_done_ends_no_hold);
     tcase_add_test(cases, an_order_that_was_not_sent_does_not_take_back_the_hold_of_a_later_one);
     tcase_add_test(cases, a_merged_range_is_held_until_the_later_end_of_its_parts);
