A renewal may use the connection that was opened for the grant before it

Orders leave by the clock read right before, while the last confirmation counted from the decision; the connection that was opened for the grant was later than that by a millisecond or more, so that no renewal found one from before, and a new fence could not be written. Ruled out: load (in turn with the earlier code), the long hold, the end of tables (no line in the logs). Change: the port of orders returns when an order was begun, and the confirmation counts from there; holds count from the decision, as before.

--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -75,7 +75,8 @@
     cw_time_us_t connected_by; /**< only a connection opened by then may be used, so that the order reaches the process
                                   that confirmed an order sent at that time; 0: any connection */
     cw_time_us_t timeout;
-    cw_time_us_t sent_at;
+    cw_time_us_t sent_at;           /**< when it was decided, from which its hold is counted */
+    cw_time_us_t begun_at;          /**< as the port has returned */
     cw_time_us_t hold_until_before; /**< end of the owner's hold if this order is not sent */
 } cw_order_t;
 
@@ -121,8 +122,9 @@
 typedef struct cw_assigner_ports {
     void            *context;
     cw_store_port_t *store;
-    /** Sends an order; cw_assigner_order_done must follow once. */
-    void (*send_order)(void *context, const cw_order_t *order);
+    /** Sends an order; cw_assigner_order_done must follow once. Returns the time at which it was begun: a connection
+     * that is opened for it has been opened by then, and it has not left before. */
+    cw_time_us_t (*send_order)(void *context, const cw_order_t *order);
     /** The ranges by which requests are routed have changed. */
     void (*on_change)(void *context);
     /** Logs one decision. */
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -35,6 +35,18 @@
     return &assigner->orders[assigner->order_count++];
 }
 
+static void set_begun(cw_assigner_t *assigner, uint64_t id, cw_time_us_t begun_at)
+{
+    size_t index = assigner->order_count;
+
+    while (index > 0 && assigner->orders[index - 1].id != id) {
+        index--;
+    }
+    if (index > 0) { /* otherwise its result has been handled */
+        assigner->orders[index - 1].begun_at = begun_at;
+    }
+}
+
 static void send_order(cw_assigner_t *assigner, cw_range_t *range, cw_order_kind_t kind, const cw_holder_t *holder,
                        cw_time_us_t hold, cw_time_us_t hold_until_before, cw_time_us_t now)
 {
@@ -57,9 +69,10 @@
         memcpy(order->handover, range->handover, sizeof(order->handover));
         order->connected_by = may_restart_with_its_name(range) && range->fence_used ? range->confirmed_at : 0;
     }
+    order->begun_at = now;
     range->orders++;
     copy = *order; /* the port may report the result before it returns, which changes the array */
-    assigner->ports.send_order(assigner->ports.context, &copy);
+    set_begun(assigner, copy.id, assigner->ports.send_order(assigner->ports.context, &copy));
 }
 
 /* ---- intervals and holds ---- */
@@ -250,7 +263,7 @@
 
     cw_assigner_confirm_hold(range, order, now);
     range->failing_since = 0;
-    range->confirmed_at = order->sent_at;
+    range->confirmed_at = order->begun_at;
     range->phase = CW_RANGE_HELD;
     range->fence_used = true;
     range->next_order = order->sent_at + renewal_interval(assigner);
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -88,11 +88,12 @@
            cw_router_has_authority(order->router, now);
 }
 
-static void send_order(void *context, const cw_order_t *order)
+static cw_time_us_t send_order(void *context, const cw_order_t *order)
 {
     static const cw_order_callbacks_t callbacks = {.may_be_sent = may_be_sent, .done = order_done};
     cw_service_assignment_t          *assignment = context;
     pending_order_t                  *pending = malloc(sizeof(*pending));
+    cw_time_us_t                      begun_at;
 
     if (pending == NULL) {
         abort();
@@ -104,9 +105,11 @@
     pending->decided_at = order->sent_at;
     if (!may_be_sent(pending)) {
         order_done(pending, order->id, CW_ORDER_WITHDRAWN, NULL);
-        return;
+        return order->sent_at;
     }
+    begun_at = cw_router_now(assignment->router);
     assignment->router->adapter->send_order(assignment->router->platform, order, &callbacks, pending);
+    return begun_at;
 }
 
 /* Whether the records of all services have been read. Before that, tables would lack ranges, so the first tables wait
--- a/tests/assigner_fixture.c
+++ b/tests/assigner_fixture.c
@@ -90,12 +90,13 @@
                  cw_store_revision_epoch(revision), value, replied, data);
 }
 
-static void take_order(void *context, const cw_order_t *order)
+static cw_time_us_t take_order(void *context, const cw_order_t *order)
 {
     assigner_fixture_t *fixture = context;
 
     ck_assert_uint_lt(fixture->order_count, ASSIGNER_ORDERS_MAX);
     fixture->orders[fixture->order_count++] = *order;
+    return order->sent_at + fixture->begin_delay;
 }
 
 static void on_change(void *context)
--- a/tests/assigner_fixture.h
+++ b/tests/assigner_fixture.h
@@ -27,6 +27,7 @@
     cw_store_reply_t         waiting_reply;
     json_t                  *waiting_value;
     uint32_t                 writes;
+    cw_time_us_t             begin_delay;                 /**< from the decision of an order to its begin */
     cw_order_t               orders[ASSIGNER_ORDERS_MAX]; /**< all orders sent so far, in order */
     size_t                   order_count;
     size_t                   answered;      /**< how many of the orders are answered so far */
--- a/tests/test_assigner_renewals.c
+++ b/tests/test_assigner_renewals.c
@@ -117,6 +117,24 @@
 }
 END_TEST
 
+/* Guards against a renewal that finds no connection, since the one of the grant before it was opened after that grant
+ * had been decided: owners were not renewed while the store was down (process/store_down.sh). */
+START_TEST(a_renewal_may_use_the_connection_that_was_opened_for_the_grant_before_it)
+{
+    assigner_fixture_t fixture;
+    const cw_order_t  *first;
+
+    assigner_fixture_init(&fixture, 1);
+    fixture.begin_delay = CW_MS(3);
+    assigner_fixture_set_servers(&fixture, started);
+    assigner_fixture_settle(&fixture);
+    first = last_grant_to(&fixture, "10.0.0.1:80");
+    renew(&fixture, CW_ORDER_DONE);
+    ck_assert_int_eq(last_grant_to(&fixture, "10.0.0.1:80")->connected_by, first->sent_at + CW_MS(3));
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 START_TEST(an_owner_without_a_connection_from_before_gets_a_new_fence_and_is_served_meanwhile)
 {
     assigner_fixture_t fixture;
@@ -254,6 +272,7 @@
     tcase_add_loop_test(cases, an_owner_that_an_order_did_not_reach_gets_no_more_grants_with_its_fence, 0, 2);
     tcase_add_test(cases, a_new_fence_that_was_certainly_not_sent_is_granted_again);
     tcase_add_test(cases, renewals_are_bound_to_connections_from_before_the_last_confirmation);
+    tcase_add_test(cases, a_renewal_may_use_the_connection_that_was_opened_for_the_grant_before_it);
     tcase_add_test(cases, an_owner_without_a_connection_from_before_gets_a_new_fence_and_is_served_meanwhile);
     tcase_add_test(cases, a_new_leader_gives_new_fences_to_owners_that_may_restart_with_their_names);
     tcase_add_test(cases, a_restarted_server_is_another_owner);
