A broker with a share of the limits names a short wait

Callers of servers with a rate limit were told to come back after up to 2,000 s after all nodes had restarted, and nodes kept from those servers for as long, though 15 requests a second were free (found while server_limit_restart_all.sh was traced).

Cause: the wait that a refusal names comes from the share of the limit that the broker grants; a process that has just started assumes 10,000 nodes, for three seconds where no leader states a number. Nodes and callers keep the wait after the share has grown. Evidence: retry_after_ms 2,000,000 and 125,000 in the logs are 1 / (5 x 1 / 10,000) and 1 / (5 x 16 / 10,000) s.

Change: a wait that is long only because of the share is named as one second, or as with the whole limit if that is longer. Grants are as before.

Tests: test_slot_limits, two new; both failed before (2,000 s).

--- a/src/balance/slot_broker.c
+++ b/src/balance/slot_broker.c
@@ -11,7 +11,12 @@
 #include "balance/slot_broker_internal.h"
 #include "base/memory.h"
 
-enum { CLEANUP_INTERVAL_S = 5 /* interval for removing state of unlisted servers, some 250 bytes each */ };
+enum {
+    CLEANUP_INTERVAL_S = 5, /* interval for removing state of unlisted servers, some 250 bytes each */
+    /* Longest wait that is named because this broker grants only a share of the limits; the same as the longest retry
+     * time of a tenant at a node that goes by its own part (quota_local.c). */
+    PART_SHARE_WAIT_MS = 1000
+};
 
 cw_slot_broker_t *cw_slot_broker_create(cw_server_pool_t *pool, const char *zone, cw_slot_replied_t replied,
                                         void *context)
@@ -113,6 +118,8 @@
     double            held_sum;      /* sum of the mean times for which slots of the counted servers are held */
     uint32_t          healthy_count; /* number of servers counted in per_s and held_sum */
     cw_time_us_t      limit_wait;    /* with only one acceptable server: time until its rate limit allows the request */
+    double            whole_per_s;   /* per_s if this broker granted the whole rate limits */
+    cw_time_us_t      whole_limit_wait; /* limit_wait in that case */
 } survey_t;
 
 static bool is_acceptable(const cw_slot_ask_t *ask, const cw_server_t *server)
@@ -123,12 +130,11 @@
     return server->service_hash == ask->service && server->hash != ask->except;
 }
 
-/* Slots a second that become free at a server, at most as many as its rate limit allows. */
-static double slots_per_s(const cw_slot_broker_t *broker, const cw_server_t *server, cw_time_us_t held,
-                          cw_time_us_t now)
+/* Slots a second that become free at a server, at most as many as the share of its rate limit allows. */
+static double slots_per_s(const cw_server_t *server, double share, cw_time_us_t held, cw_time_us_t now)
 {
     double per_s = (double)server->capacity * 1e6 / (double)(held == 0 ? 1 : held);
-    double limit = cw_server_limit_rate(&server->limit) * broker->share;
+    double limit = cw_server_limit_rate(&server->limit) * share;
 
     return cw_server_limit_binds(&server->limit, now) && limit < per_s ? limit : per_s;
 }
@@ -145,7 +151,8 @@
     survey->any = true;
     survey->any_healthy = survey->any_healthy || !is_suspect;
     if (!is_suspect && !cw_server_is_rate_bounded(server, now)) {
-        survey->per_s += slots_per_s(broker, server, held, now);
+        survey->per_s += slots_per_s(server, broker->share, held, now);
+        survey->whole_per_s += slots_per_s(server, 1, held, now);
         survey->held_sum += (double)held;
         survey->healthy_count++;
     }
@@ -160,6 +167,16 @@
     }
 }
 
+static void survey_limit(cw_slot_broker_t *broker, const cw_slot_lease_t *lease, const cw_server_t *owner,
+                         survey_t *survey, cw_time_us_t now)
+{
+    const cw_slot_server_t *state = get_or_add_state(broker, owner->hash);
+    uint32_t                ahead = cw_slot_queue_ahead(broker, lease);
+
+    survey->limit_wait = cw_slot_server_limit_wait(state, owner, broker->share, ahead, now);
+    survey->whole_limit_wait = cw_slot_server_limit_wait(state, owner, 1, ahead, now);
+}
+
 static survey_t survey_servers(cw_slot_broker_t *broker, const cw_slot_lease_t *lease, cw_time_us_t now)
 {
     survey_t     survey = {0};
@@ -171,8 +188,7 @@
 
         if (owner != NULL && is_usable(broker, owner, true, now)) {
             survey_server(broker, lease, owner, &survey, now);
-            survey.limit_wait = cw_slot_server_limit_wait(get_or_add_state(broker, owner->hash), owner, broker->share,
-                                                          cw_slot_queue_ahead(broker, lease), now);
+            survey_limit(broker, lease, owner, &survey, now);
         }
         return survey;
     }
@@ -227,12 +243,29 @@
     return survey->healthy_count == 0 ? 0 : (cw_time_us_t)(survey->held_sum / survey->healthy_count);
 }
 
+static cw_time_us_t queue_wait(double per_s, uint32_t ahead)
+{
+    return per_s > 0 ? (cw_time_us_t)((ahead + 1) * 1e6 / per_s) : INT64_MAX / 2;
+}
+
 static cw_time_us_t expected_wait(const survey_t *survey, uint32_t ahead)
 {
-    if (survey->limit_wait > 0) {
-        return survey->limit_wait;
+    return survey->limit_wait > 0 ? survey->limit_wait : queue_wait(survey->per_s, ahead);
+}
+
+/* Wait that a refusal names: nodes and callers do not come back before it. A broker's share of the limits may become a
+ * larger one at any time, above all that of a process that does not know the other nodes yet; so a wait that is long
+ * only because of the share is named as PART_SHARE_WAIT_MS. */
+static cw_time_us_t wait_to_name(const survey_t *survey, uint32_t ahead)
+{
+    cw_time_us_t wait = expected_wait(survey, ahead);
+    cw_time_us_t whole = survey->limit_wait > 0 ? survey->whole_limit_wait : queue_wait(survey->whole_per_s, ahead);
+    cw_time_us_t most = whole > CW_MS(PART_SHARE_WAIT_MS) ? whole : CW_MS(PART_SHARE_WAIT_MS);
+
+    if (!survey->any) {
+        return 0;
     }
-    return survey->per_s > 0 ? (cw_time_us_t)((ahead + 1) * 1e6 / survey->per_s) : INT64_MAX / 2;
+    return wait < most ? wait : most;
 }
 
 static void handle_ask(cw_slot_broker_t *broker, cw_slot_lease_t *lease, cw_time_us_t now)
@@ -251,7 +284,7 @@
         return;
     }
     if (!survey.any || wait > lease->ask.max_slot_wait || wait + held_mean(&survey) > lease->ask.objective) {
-        refuse(broker, lease, survey.any ? wait : 0);
+        refuse(broker, lease, wait_to_name(&survey, ahead));
         return;
     }
     cw_slot_queue_join(broker, lease);
@@ -375,7 +408,7 @@
 
     if (!survey.any || now + held_mean(&survey) > lease->objective_at) {
         cw_slot_queue_leave(broker, lease);
-        refuse(broker, lease, survey.any ? expected_wait(&survey, cw_slot_queue_ahead(broker, lease)) : 0);
+        refuse(broker, lease, wait_to_name(&survey, cw_slot_queue_ahead(broker, lease)));
     } else if (survey.best != NULL) {
         cw_slot_queue_serve(broker, lease);
         grant(broker, lease, survey.best, now);
--- a/src/balance/slot_broker.h
+++ b/src/balance/slot_broker.h
@@ -12,6 +12,8 @@
  *    refused at once, with the time after which a slot may be free.
  *  - A server that names a rate limit (server_limit.h) gets no more requests than that from all nodes together: each
  *    grant costs a token. A broker that reaches only some of the nodes grants the same share of the limit.
+ *    The wait that it names then is a second at most, or what it would be with the whole limit if that is longer: the
+ *    share may grow meanwhile.
  *  - A slot that is not returned becomes free when its lease ends.
  *  - Ownership of keys and at-most-once execution do not depend on the broker: a node that gets no reply chooses a
  *    server by itself.
--- a/tests/test_slot_limits.c
+++ b/tests/test_slot_limits.c
@@ -198,6 +198,41 @@
 }
 END_TEST
 
+/* Guards against servers that get nothing for minutes after all nodes have restarted (server_limit_restart_all.sh): a
+ * broker that did not know the other nodes yet named a wait of 2,000 s, by its share of a 10,000th. */
+START_TEST(broker_with_a_small_share_names_a_short_wait)
+{
+    limit_fixture_t fixture;
+
+    init(&fixture, "z1");
+    cw_slot_broker_set_share(fixture.broker, 0.0001);
+    name_limit(&fixture, 5, start);
+    ck_assert_int_eq(ask(&fixture, start), CW_SLOT_REFUSED);
+    ck_assert_int_eq(fixture.reply.free_after, CW_SECONDS(1));
+    name_limit(&fixture, 0.25, start);
+    ck_assert_int_eq(ask(&fixture, start), CW_SLOT_REFUSED);
+    ck_assert_int_eq(fixture.reply.free_after, CW_SECONDS(4)); /* as long as with the whole limit */
+    clear(&fixture);
+}
+END_TEST
+
+/* As above, for a request that any server of the service may get. */
+START_TEST(broker_with_a_small_share_names_a_short_wait_for_any_server)
+{
+    limit_fixture_t fixture;
+    cw_slot_ask_t   asked = {.node = 1, .ticket = 1, .objective = CW_MS(WORK_MS), .lease = CW_SECONDS(1)};
+
+    init(&fixture, "z1");
+    cw_slot_broker_set_share(fixture.broker, 0.0001);
+    name_limit(&fixture, 5, start);
+    asked.service = fixture.server->service_hash;
+    cw_slot_broker_ask(fixture.broker, &asked, mean_time, start);
+    ck_assert_int_eq(fixture.reply.outcome, CW_SLOT_REFUSED);
+    ck_assert_int_eq(fixture.reply.free_after, CW_SECONDS(1));
+    clear(&fixture);
+}
+END_TEST
+
 START_TEST(changed_limit_applies_at_once)
 {
     limit_fixture_t fixture;
@@ -256,6 +291,8 @@
     tcase_add_test(cases, server_with_a_limit_of_zero_gets_probe_requests);
     tcase_add_test(cases, limit_is_kept_while_the_broker_changes);
     tcase_add_test(cases, broker_that_reaches_half_of_the_nodes_grants_half_of_a_limit);
+    tcase_add_test(cases, broker_with_a_small_share_names_a_short_wait);
+    tcase_add_test(cases, broker_with_a_small_share_names_a_short_wait_for_any_server);
     tcase_add_test(cases, changed_limit_applies_at_once);
     tcase_add_test(cases, ask_beyond_the_limit_is_refused_with_the_time_until_a_token);
     tcase_add_test(cases, limited_server_of_a_zone_without_nodes_is_counted_in_another_zone);
