--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -212,7 +212,7 @@
 at_least() { [ "$1" -ge "$2" ] || { echo "     $1 is below $2"; return 1; }; }
 at_most() { [ "$1" -le "$2" ] || { echo "     $1 is above $2"; return 1; }; }
 finish_test() {
-    [ "$FAILURES" = 0 ] || tail -n 3 "$WORK"/node*.err
+    [ "$FAILURES" = 0 ] || find "$WORK" -name "node*.err" -size +0 -exec tail -v -n 3 {} +
     echo "$((CHECKS == 0 ? 0 : 100 * (CHECKS - FAILURES) / CHECKS))%: Checks: $CHECKS, Failures: $FAILURES, Errors: 0"
     [ "$FAILURES" = 0 ]
 }
