A process test: keys held twice after the leader changes; the stand-ins can show it

Cause: the records of servers were checked for requests only (OWNER: two servers begin requests on a key), so two holds without requests went unseen; the stand-in store had no lists that lag, and entries of servers never lapsed.

Change: cw-verdict has a rule HELD: no two servers that are up hold the same key for over half a second, with or without requests. Grants are recorded with the time of their hold, starts with the address, the ends of killed servers by the test ("gone"). OWNER is as it was. The stand-in store answers calls with stale=1 from copies that are some seconds old (copy-lag=MS), answers listings and watches of servers slowly (list-slow=MS, with the state at the time of the call) or not (list-mute), and removes entries that are not written (lapse=MS). cluster_kill_server and cluster_server_again use addresses again.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -4,6 +4,8 @@
 #
 #   cluster_start NODES            starts the store and so many nodes, in zones z1, z2, z3 (CLUSTER_ZONES: number of zones)
 #   cluster_server NAME ARGS...    starts a server (cw-server) with these arguments; sets its process id in SERVER_PIDS[NAME]
+#   cluster_kill_server NAME       kills a server, and records when its process had ended
+#   cluster_server_again NAME      starts another server, with an id of its own, at the address of a server that has ended
 #   cluster_configure JSON         writes the configuration to the store's object config/main
 #   cluster_wait_ready             waits until each node is ready
 #   cluster_callers NAME ARGS...   runs callers (cw-callers); their records go to $WORK/callers-NAME.json
@@ -20,6 +22,7 @@
 NET="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
 STORE=""
 declare -A SERVER_PIDS=() NODE_PIDS=()
+declare -A SERVER_ARGS=() SERVER_STORES=() # arguments and address of the store of each server, to start another at its address
 PIDS=()
 
 cluster_end() {
@@ -137,10 +140,29 @@
         store="$NET.251:$((LINK_SERVER_STORE_PORT + LINKED_SERVERS))"
         advertised=(--port "$((LINK_SERVER_PORT + LINKED_SERVERS))" --advertise "$NET.101:$((LINK_SERVER_PORT + LINKED_SERVERS))")
     fi
+    SERVER_ARGS[$name]="$*" # no argument contains a blank
+    SERVER_STORES[$name]=$store
     "$BUILD/cw-server" --address "$NET.100" --store "$store" "${advertised[@]}" "$@" >>"$WORK/server-$name.json" &
     SERVER_PIDS[$name]=$!
     PIDS+=("$!")
 }
+server_address() { jq -r 'select(.event=="start").address' "$WORK/server-$1.json" | tail -1; } # NAME
+cluster_kill_server() { # NAME
+    kill -KILL "${SERVER_PIDS[$1]}" 2>/dev/null
+    wait "${SERVER_PIDS[$1]}" 2>/dev/null
+    jq -c --argjson ms "$(awk '{printf "%d", $1 * 1000}' /proc/uptime)" \
+        'select(.event=="start")|{ns: ($ms * 1000000), event: "gone", server: .server, service: .service}' \
+        "$WORK/server-$1.json" | tail -1 >"$WORK/gone.json"
+    cat "$WORK/gone.json" >>"$WORK/server-$1.json"
+}
+cluster_server_again() { # NAME
+    local address
+    address=$(server_address "$1")
+    "$BUILD/cw-server" --address "$NET.100" --store "${SERVER_STORES[$1]}" --port "${address##*:}" --advertise "$address" \
+        ${SERVER_ARGS[$1]} >>"$WORK/server-$1.json" &
+    SERVER_PIDS[$1]=$!
+    PIDS+=("$!")
+}
 
 # Creates or replaces the configuration in the store.
 cluster_configure() {
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -4,7 +4,8 @@
  *        store.
  *
  * Prints records for the checker (cw-verdict): one JSON line on standard output for each event (run, grant, release and
- * others), with the machine's monotonic time. Records of runs name the tenant that the request named in "X-Tenant". A
+ * others), with the machine's monotonic time. The record of the start names the address, that of a grant the time of
+ * the hold. Records of runs name the tenant that the request named in "X-Tenant". A
  * request that still contains the caller's credential gets a record of its own. As soon as a signal has been in force,
  * the arrival of each request is recorded, too.
  *
@@ -120,6 +121,21 @@
     print_record_of_tenant(server, event, id, low, last, fence, "");
 }
 
+static void print_start_record(const server_t *server)
+{
+    printf("{\"ns\":%" PRIu64 ",\"event\":\"start\",\"server\":\"%s\",\"service\":\"%s\",\"address\":\"%s\"}\n",
+           uv_hrtime(), server->incarnation, server->service, server->address);
+    fflush(stdout);
+}
+
+static void print_grant_record(const server_t *server, uint32_t low, uint32_t last, uint64_t fence, uint64_t hold_ms)
+{
+    printf("{\"ns\":%" PRIu64 ",\"event\":\"grant\",\"server\":\"%s\",\"service\":\"%s\",\"low\":%u,\"last\":%u,"
+           "\"fence\":%" PRIu64 ",\"hold_ms\":%" PRIu64 "}\n",
+           uv_hrtime(), server->incarnation, server->service, low, last, fence, hold_ms);
+    fflush(stdout);
+}
+
 static void print_limit_record(const server_t *server)
 {
     printf("{\"ns\":%" PRIu64 ",\"event\":\"limit\",\"server\":\"%s\",\"service\":\"%s\",\"per_s\":%g}\n", uv_hrtime(),
@@ -209,7 +225,7 @@
         server->keys[key].fence = fence;
         server->keys[key].until_ms = uv_now(&server->loop) + hold_ms;
     }
-    print_record(server, "grant", "", low, last, fence);
+    print_grant_record(server, low, last, fence, hold_ms);
     answer(server, exchange, 200, NULL, true, NULL, "{}");
 }
 
@@ -595,7 +611,7 @@
     uv_signal_start(&server->terminate, on_terminate, SIGTERM);
     uv_signal_start(&server->next_signal, on_signal, SIGUSR1);
     uv_signal_start(&server->end_signals, on_signal, SIGUSR2);
-    print_record(server, "start", "", 0, 0, 0);
+    print_start_record(server);
     uv_run(&server->loop, UV_RUN_DEFAULT);
     print_record(server, "stop", "", 0, 0, 0);
     return EXIT_SUCCESS;
--- a/standins/store/main.c
+++ b/standins/store/main.c
@@ -16,6 +16,7 @@
     ERRORS_MAX = 10,
     NAME_BYTES_MAX = 128,
     LATE_WRITE_MS = 1000, /* default */
+    LAPSE_EVERY_MS = 50,
     WATCH_WAIT_MAX_MS = 30000,
     REQUEST_BYTES_MAX = 4 * 1024 * 1024
 };
@@ -75,13 +76,19 @@
     uv_close((uv_handle_t *)timer, free_delayed_answer);
 }
 
-static void answer(store_t *store, cw_http_exchange_t *exchange, int status, json_t *body)
+static bool is_about_servers(const char *kind)
+{
+    return strcmp(kind, "servers") == 0;
+}
+
+/* Answers after a delay with what the body contains now. */
+static void answer_after(store_t *store, cw_http_exchange_t *exchange, int status, json_t *body, uint64_t delay_ms)
 {
     char             *text = body == NULL ? strdup("") : json_dumps(body, JSON_COMPACT);
     delayed_answer_t *delayed;
 
     json_decref(body);
-    if (store->slow_ms == 0) {
+    if (delay_ms == 0) {
         answer_text(store, exchange, status, text);
         free(text);
         return;
@@ -96,10 +103,21 @@
     delayed->text = text;
     delayed->timer.data = delayed;
     uv_timer_init(&store->loop, &delayed->timer);
-    uv_timer_start(&delayed->timer, on_delayed_answer, store->slow_ms, 0);
+    uv_timer_start(&delayed->timer, on_delayed_answer, delay_ms, 0);
     cw_http_exchange_set_data(exchange, delayed);
 }
 
+static void answer(store_t *store, cw_http_exchange_t *exchange, int status, json_t *body)
+{
+    answer_after(store, exchange, status, body, store->slow_ms);
+}
+
+/* Answers a listing or a watch. */
+static void answer_list(store_t *store, cw_http_exchange_t *exchange, const char *kind, int status, json_t *body)
+{
+    answer_after(store, exchange, status, body, store->slow_ms + (is_about_servers(kind) ? store->list_slow_ms : 0));
+}
+
 /* ---- watches ---- */
 
 static void on_watch_closed(uv_handle_t *handle)
@@ -120,7 +138,7 @@
     *place = watch->next;
     if (watch->exchange != NULL) {
         cw_http_exchange_set_data(watch->exchange, NULL);
-        answer(watch->store, watch->exchange, status, body);
+        answer_list(watch->store, watch->exchange, watch->kind, status, body);
     } else {
         json_decref(body);
     }
@@ -172,7 +190,7 @@
     watch->kind = strdup(kind);
     watch->from = from;
     watch->store = store;
-    watch->is_muted = store->is_mute;
+    watch->is_muted = store->is_mute || (store->is_list_mute && is_about_servers(kind));
     watch->timer.data = watch;
     watch->next = store->watches;
     store->watches = watch;
@@ -313,16 +331,20 @@
                         const char *query)
 {
     char            after[NAME_BYTES_MAX];
+    store_copy_t    copy = {.objects = store->objects, .revision = store->revision};
     store_object_t *object;
 
+    if (query != NULL && strstr(query, "stale=1") != NULL) {
+        copy = store_lagging_copy(store);
+    }
     if (name[0] != '\0') {
-        object = store_find(store, kind, name);
+        object = store_find_in(copy.objects, kind, name);
         answer(store, exchange, object == NULL ? 404 : 200, object == NULL ? NULL : store_object_json(object));
     } else if (query != NULL && strstr(query, "watch=") != NULL) {
         start_watch(store, exchange, kind, query_number(query, "watch", 0), query_number(query, "wait-ms", 0));
     } else {
-        answer(store, exchange, 200,
-               store_list(store, kind, query_text(query, "after", after, sizeof(after)) ? after : NULL));
+        answer_list(store, exchange, kind, 200,
+                    store_list(store, &copy, kind, query_text(query, "after", after, sizeof(after)) ? after : NULL));
     }
 }
 
@@ -336,13 +358,39 @@
     snprintf(outage->how, sizeof(outage->how), "%s", query_text(query, "how", how, sizeof(how)) ? how : "busy");
 }
 
-static void set_mute(store_t *store, bool is_mute)
+static void on_lapse_timer(uv_timer_t *timer)
+{
+    store_t        *store = timer->data;
+    store_object_t *object;
+    store_object_t *next;
+
+    for (object = store->objects; object != NULL; object = next) {
+        next = object->next;
+        if (is_about_servers(object->kind) && uv_now(&store->loop) >= object->written_ms + store->lapse_ms) {
+            store_remove(store, object);
+        }
+    }
+    store_answer_watches(store);
+}
+
+static void set_lapse(store_t *store, uint64_t lapse_ms)
+{
+    store->lapse_ms = lapse_ms;
+    if (lapse_ms == 0) {
+        uv_timer_stop(&store->lapse_timer);
+    } else {
+        uv_timer_start(&store->lapse_timer, on_lapse_timer, LAPSE_EVERY_MS, LAPSE_EVERY_MS);
+    }
+}
+
+static void set_mute(store_t *store, bool is_mute, bool is_list_mute)
 {
     store_watch_t *watch;
 
     store->is_mute = is_mute;
-    for (watch = store->watches; is_mute && watch != NULL; watch = watch->next) {
-        watch->is_muted = true;
+    store->is_list_mute = is_list_mute;
+    for (watch = store->watches; watch != NULL; watch = watch->next) {
+        watch->is_muted = watch->is_muted || is_mute || (is_list_mute && is_about_servers(watch->kind));
     }
 }
 
@@ -362,7 +410,11 @@
     store->late = (uint32_t)query_number(query, "late", store->late);
     store->late_ms = query_number(query, "late-ms", store->late_ms);
     store->refuse_percent = (uint32_t)query_number(query, "refuse", store->refuse_percent);
-    set_mute(store, query_number(query, "mute", store->is_mute ? 1 : 0) != 0);
+    set_mute(store, query_number(query, "mute", store->is_mute ? 1 : 0) != 0,
+             query_number(query, "list-mute", store->is_list_mute ? 1 : 0) != 0);
+    store->list_slow_ms = query_number(query, "list-slow", store->list_slow_ms);
+    set_lapse(store, query_number(query, "lapse", store->lapse_ms));
+    store_set_copy_lag(store, query_number(query, "copy-lag", store->recent_copies.lag_ms));
     if (query_number(query, "save", 0) != 0) {
         store_save(store);
     }
@@ -488,6 +540,9 @@
     store.page_items = page;
     store.late_ms = LATE_WRITE_MS;
     store_init_restore(&store);
+    store_init_copies(&store);
+    uv_timer_init(&store.loop, &store.lapse_timer);
+    store.lapse_timer.data = &store;
     while (store.endpoint_count < endpoints) {
         if (open_endpoint(&store, address, store.endpoint_count == 0 ? port : 0) != 0) {
             return EXIT_FAILURE;
--- a/standins/store/store_objects.c
+++ b/standins/store/store_objects.c
@@ -94,6 +94,7 @@
     }
     json_decref(object->spec);
     object->spec = json_incref(spec);
+    object->written_ms = uv_now(&store->loop);
     object->revision = store->revision;
     add_change(store, object, false);
     return object;
@@ -113,13 +114,13 @@
     store_object_free(object);
 }
 
-json_t *store_list(store_t *store, const char *kind, const char *after)
+json_t *store_list(const store_t *store, const store_copy_t *copy, const char *kind, const char *after)
 {
-    json_t         *items = json_array();
-    bool            has_more = false;
-    store_object_t *object;
+    json_t               *items = json_array();
+    bool                  has_more = false;
+    const store_object_t *object;
 
-    for (object = store->objects; object != NULL; object = object->next) {
+    for (object = copy->objects; object != NULL; object = object->next) {
         if (strcmp(object->kind, kind) != 0 || (after != NULL && strcmp(object->name, after) <= 0)) {
             continue;
         }
@@ -129,7 +130,7 @@
         }
         json_array_append_new(items, store_object_json(object));
     }
-    return json_pack("{s:o, s:b, s:I}", "items", items, "has-more", has_more, "at", (json_int_t)store->revision);
+    return json_pack("{s:o, s:b, s:I}", "items", items, "has-more", has_more, "at", (json_int_t)copy->revision);
 }
 
 json_t *store_changes(store_t *store, const char *kind, uint64_t after)
--- a/standins/store/store_restore.c
+++ b/standins/store/store_restore.c
@@ -11,7 +11,7 @@
 
 static const char own_kinds[] = "cedarwinch-";
 
-static store_object_t *copy_objects(const store_object_t *objects)
+store_object_t *store_copy_objects(const store_object_t *objects)
 {
     store_object_t  *copy = NULL;
     store_object_t **place = &copy;
@@ -34,7 +34,7 @@
     return copy;
 }
 
-static void free_objects(store_object_t *objects)
+void store_free_objects(store_object_t *objects)
 {
     while (objects != NULL) {
         store_object_t *next = objects->next;
@@ -46,8 +46,8 @@
 
 void store_save(store_t *store)
 {
-    free_objects(store->copy.objects);
-    store->copy.objects = copy_objects(store->objects);
+    store_free_objects(store->copy.objects);
+    store->copy.objects = store_copy_objects(store->objects);
     store->copy.revision = store->revision;
 }
 
@@ -78,7 +78,7 @@
             store_remove(store, object); /* removed between the copy and the loss */
         }
     }
-    free_objects(store->lost);
+    store_free_objects(store->lost);
     store->lost = NULL;
 }
 
@@ -94,12 +94,13 @@
 {
     store_t *store = timer->data;
 
-    free_objects(store->lost);
+    store_free_objects(store->lost);
     store->lost = store->objects;
-    store->objects = copy_objects(store->copy.objects);
+    store->objects = store_copy_objects(store->copy.objects);
     store->revision = store->copy.revision;
     store_truncate_history(store, store->copy.revision);
     store->epoch++;
+    store_drop_copies(store);
     store_answer_watches(store); /* those from a revision that is gone end */
     uv_timer_start(&store->rewrite_timer, on_rewrite, STORE_REWRITE_MS, 0);
 }
--- /dev/null
+++ b/standins/verdict/holds.h
@@ -0,0 +1,21 @@
+/**
+ * @file holds.h
+ * @brief Rule HELD: no two servers that are up hold the same key at the same time for more than half a second, whether
+ *        requests run on it or not.
+ *
+ * An incarnation holds a key from a grant until it releases the key, until the time of its last grant has passed,
+ * until it stops or crashes, until the test's record `gone` (it was killed, and its process had ended), or until another
+ * incarnation starts at its address. Grants name the time of the hold; grants without one are not counted. Half a
+ * second is what the transport of an order and a slow clock may take.
+ */
+#ifndef CEDARWINCH_STANDINS_VERDICT_HOLDS_H
+#define CEDARWINCH_STANDINS_VERDICT_HOLDS_H
+
+#include <stdint.h>
+
+#include "records.h"
+
+/** Checks all holds. Returns the number of grants that were counted. */
+uint64_t holds_check(const records_t *records);
+
+#endif
--- a/standins/verdict/main.c
+++ b/standins/verdict/main.c
@@ -12,6 +12,7 @@
  *  - TWICE is violated if a request whose method is not GET has run more than once.
  *  - PROMISE is violated if a request whose method is not GET has run though it was answered 429, 503, 408 or 421.
  *  - WHOLE is violated if a request was answered 2xx though it has not run.
+ *  - HELD: see holds.h.
  *  - LIMIT, DRAIN, BUDGET: see limits.h, leaves.h, rests.h.
  */
 #include <inttypes.h>
@@ -21,6 +22,7 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "holds.h"
 #include "leaves.h"
 #include "limits.h"
 #include "nodes.h"
@@ -184,6 +186,7 @@
 {
     records_t  records = {0};
     uint64_t   runs = 0;
+    uint64_t   holds;
     uint64_t   limited;
     uint64_t   leaves;
     uint64_t   rests;
@@ -205,6 +208,7 @@
     {
         check_attempt(attempt);
     }
+    holds = holds_check(&records);
     nodes_collect(&records);
     limited = limits_check(&records);
     leaves = leaves_check(&records);
@@ -213,6 +217,9 @@
         printf("%" PRIu64 " requests at servers with a limit, %" PRIu64 " nodes told of a leave, %" PRIu64 " rests\n",
                limited, leaves, rests);
     }
+    if (holds > 0) {
+        printf("%" PRIu64 " grants to %zu servers\n", holds, incarnation_count);
+    }
     printf("%" PRIu64 " runs, %u attempts, %" PRIu64 " violations\n", runs, HASH_COUNT(attempts), records_violations());
     return records_violations() == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/standins/verdict/records.c
+++ b/standins/verdict/records.c
@@ -42,14 +42,17 @@
     record->low = (uint32_t)number_of(line, "low");
     record->last = (uint32_t)number_of(line, "last");
     record->fence = number_of(line, "fence");
+    record->hold_ms = number_of(line, "hold_ms");
     record->status = (int)number_of(line, "status");
     record->per_s = json_number_value(json_object_get(line, "per_s"));
     record->of_caller = json_object_get(line, "status") != NULL;
     text_of(line, "event", record->event, sizeof(record->event));
     text_of(line, "server", record->server, sizeof(record->server));
+    text_of(line, "service", record->service, sizeof(record->service));
     text_of(line, "id", record->id, sizeof(record->id));
     text_of(line, "method", record->method, sizeof(record->method));
     text_of(line, "node", record->node, sizeof(record->node));
+    text_of(line, "address", record->address, sizeof(record->address));
     text_of(line, "limit", record->limit, sizeof(record->limit));
     text_of(line, "leaving", record->leaving, sizeof(record->leaving));
     record->sent_ns = number_of(line, "sent_ns");
--- a/standins/verdict/records.h
+++ b/standins/verdict/records.h
@@ -13,8 +13,9 @@
 typedef struct record {
     uint64_t ns; /**< monotonic time */
     char     event[12];
-    char     server[64]; /**< incarnation of a server */
-    char     id[80];     /**< of the request */
+    char     server[64];  /**< incarnation of a server */
+    char     service[40]; /**< of a server */
+    char     id[80];      /**< of the request */
     char     method[16];
     char     node[48];    /**< of a caller: the node that it asked; of the test: the node in trouble */
     char     limit[64];   /**< of a caller: id of the server that reported a limit in the answer; empty: none */
@@ -23,10 +24,12 @@
     uint32_t low;         /**< first key of the range */
     uint32_t last;        /**< last key of the range, inclusive */
     uint64_t fence;
-    double   rest_s;    /**< of a server: time for which it asked to get no requests */
-    double   per_s;     /**< of a server: the rate limit that it reports from now on; below 0: none */
-    int      status;    /**< of a caller: status of the answer; 0: no answer */
-    bool     of_caller; /**< written by a caller; false: by a server or the test */
+    uint64_t hold_ms;     /**< of a grant: time of the hold from its arrival on */
+    char     address[48]; /**< of a server's start: its address */
+    double   rest_s;      /**< of a server: time for which it asked to get no requests */
+    double   per_s;       /**< of a server: the rate limit that it reports from now on; below 0: none */
+    int      status;      /**< of a caller: status of the answer; 0: no answer */
+    bool     of_caller;   /**< written by a caller; false: by a server or the test */
 } record_t;
 
 /** All records read. */
