A soak of owners that change while lists lag and leaders change in a row

The stand-in server creates its entry again when it has lapsed (404), else one late write would take it off the list for good.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-# cedarwinch: see README.md. Main targets: demo, check, bench, spec, soak, fault-soak, stall-soak, paths-soak, fuzz, install.
+# cedarwinch: see README.md. Main targets: demo, check, bench, spec, soak, fault-soak, stall-soak, paths-soak, owners-soak,
+# fuzz, install.
 BUILD    ?= build
 CC       ?= cc
 CFLAGS   ?= -O2 -g
@@ -27,7 +28,7 @@
 TEST_PROGRAMS := $(addprefix $(BUILD)/tests/,$(TESTS))
 PROCESS_TESTS := $(wildcard tests/process/*.sh)
 
-.PHONY: all programs test check demo bench spec soak fault-soak stall-soak paths-soak fuzz lint format install dependencies clean proto
+.PHONY: all programs test check demo bench spec soak fault-soak stall-soak paths-soak owners-soak fuzz lint format install dependencies clean proto
 .SECONDARY:
 all: programs $(TEST_PROGRAMS)
 programs: $(PROGRAMS)
@@ -107,6 +108,11 @@
 paths-soak: programs
 	@SOAK=paths_soak.sh tests/fault_soak/many.sh $(SEED) $(if $(filter command line,$(origin SEEDS)),$(SEEDS),10)
 
+# Owners that change while lists lag, addresses are used again and leaders change in a row: make owners-soak [SEED=n] [SEEDS=n]
+# [NODES=n] [SERVERS=n]
+owners-soak: programs
+	@SOAK=owners_soak.sh tests/fault_soak/many.sh $(SEED) $(if $(filter command line,$(origin SEEDS)),$(SEEDS),10)
+
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v -E '\.pb-c\.')
 format:
 	clang-format -i $(SOURCES)
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -31,6 +31,7 @@
     KEYS = 65536,
     DRAIN_MS = 2500,
     REQUEST_BYTES_MAX = 4 * 1024 * 1024,
+    STATUS_NOT_FOUND = 404,
     STATUS_MISDIRECTED = 421,
     STATUS_UNAVAILABLE = 503,
     STATUS_ERROR = 500,
@@ -468,6 +469,8 @@
 
     if (answer->result == CW_UPSTREAM_ANSWERED && (answer->status < 300 || answer->status == STATUS_CONFLICT)) {
         server->is_registered = true; /* 409: the entry may be that of its previous incarnation */
+    } else if (answer->result == CW_UPSTREAM_ANSWERED && answer->status == STATUS_NOT_FOUND) {
+        server->is_registered = false; /* its entry has lapsed: the next heartbeat creates it again */
     }
 }
 
--- a/standins/verdict/holds.h
+++ b/standins/verdict/holds.h
@@ -4,9 +4,9 @@
  *        requests run on it or not.
  *
  * An incarnation holds a key from a grant until it releases the key, until the time of its last grant has passed,
- * until it stops or crashes, until the test's record `gone` (it was killed, and its process had ended), or until another
- * incarnation starts at its address. Grants name the time of the hold; grants without one are not counted. Half a
- * second is what the transport of an order and a slow clock may take.
+ * until it stops or crashes, until the test's record `gone` (it was killed, and its process had ended), or until
+ * another incarnation starts at its address. Grants name the time of the hold; grants without one are not counted. Half
+ * a second is what the transport of an order and a slow clock may take.
  */
 #ifndef CEDARWINCH_STANDINS_VERDICT_HOLDS_H
 #define CEDARWINCH_STANDINS_VERDICT_HOLDS_H
