The checker's rule for holds is tested by itself; a stretch of keys is reported once

Change: tests/process/verdict_held.sh, 14 checks on written records; such holds end in stretches. Conclusion: the rule sees holds with and without releases, ends, reuse of addresses and expiry.

--- a/standins/verdict/holds.c
+++ b/standins/verdict/holds.c
@@ -127,19 +127,37 @@
     }
 }
 
+/* Ends those of the holds that ran out before now, in stretches, so that each is reported once. */
+static void end_past_holds(holder_t *holder, uint32_t low, uint32_t last, uint64_t at)
+{
+    uint32_t first = low;
+    uint32_t key;
+
+    for (key = low; key <= last; key++) {
+        if (holder->until[key] == 0 || holder->until[key] > at) {
+            if (first < key) {
+                end_holds(holder, first, key - 1, at);
+            }
+            first = key + 1;
+        }
+    }
+    if (first <= last) {
+        end_holds(holder, first, last, at);
+    }
+}
+
 static void handle_grant(const record_t *record)
 {
     holder_t *holder = holder_of(record);
+    uint32_t  last = record->last < KEYS ? record->last : KEYS - 1;
     uint32_t  key;
 
     if (holder->is_gone) {
         return;
     }
-    for (key = record->low; key <= record->last && key < KEYS; key++) {
-        if (holder->until[key] <= record->ns) {
-            if (holder->until[key] != 0) {
-                end_holds(holder, key, key, record->ns);
-            }
+    end_past_holds(holder, record->low, last, record->ns);
+    for (key = record->low; key <= last; key++) {
+        if (holder->until[key] == 0) {
             holder->since[key] = record->ns;
         }
         holder->until[key] = record->ns + record->hold_ms * 1000000;
--- /dev/null
+++ b/tests/process/verdict_held.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# The rule HELD of the checker of records (cw-verdict) misses two holds of the same keys, or reports holds that follow one another.
+. "$(dirname "$0")/../../scripts/cluster.sh"
+start() { echo "{\"ns\":$1000000,\"event\":\"start\",\"server\":\"$2\",\"service\":\"maps\",\"address\":\"$3\"}"; }      # MS SERVER ADDRESS
+grant() { echo "{\"ns\":$1000000,\"event\":\"grant\",\"server\":\"$2\",\"service\":\"${6:-maps}\",\"low\":$3,\"last\":$4,\"fence\":$((++FENCE)),\"hold_ms\":$5}"; }
+release() { echo "{\"ns\":$1000000,\"event\":\"release\",\"server\":\"$2\",\"service\":\"maps\",\"low\":$3,\"last\":$4}"; }   # MS SERVER LOW LAST
+event() { echo "{\"ns\":$1000000,\"event\":\"$2\",\"server\":\"$3\",\"service\":\"maps\"}"; }                                  # MS EVENT SERVER
+FENCE=0
+verdict() { "$BUILD/cw-verdict" <(cat) | grep ^HELD; } # of the records on standard input
+reports() { [ "$(verdict | wc -l)" = "$1" ]; }
+reports_ms() { verdict | grep -q "keys $1 .* for $2 ms"; } # RANGE MS
+both() { grant 1000 a 0 99 5000; grant 3000 b 50 149 5000; event 20000 tick a; } # together from 3000 to 6000
+
+check "two holds at once are reported, with keys and time" reports_ms 50-99 3000 < <(both)
+check "each pair of servers is reported once" reports 1 < <(both)
+check "a hold that ends after half a second is allowed" reports 0 < <(grant 1000 a 0 99 2500; grant 3000 b 0 99 5000; event 20000 tick a)
+check "a hold that ends a little later is not" reports_ms 0-99 501 < <(grant 1000 a 0 99 2501; grant 3000 b 0 99 5000; event 20000 tick a)
+check "a renewal lengthens a hold" reports_ms 0-99 1500 < <(grant 1000 a 0 99 2000; grant 2000 a 0 99 2500; grant 3000 b 0 99 5000; event 20000 tick a)
+check "a release ends it" reports 0 < <(grant 1000 a 0 99 5000; release 2900 a 0 99; grant 3000 b 0 99 5000; event 20000 tick a)
+check "a release of a part ends that part" reports_ms 40-99 3000 < <(grant 1000 a 0 99 5000; release 2900 a 0 39; grant 3000 b 0 99 5000; event 20000 tick a)
+check "a release that comes late is reported" reports_ms 0-99 1000 < <(grant 1000 a 0 99 5000; grant 3000 b 0 99 5000; release 4000 a 0 99)
+check "a stop, a kill and a crash end it" reports 0 < <(low=0; for end in stop gone crash; do
+    grant 1000 "$end" $low $((low + 9)) 5000; event 2900 "$end" "$end"; low=$((low + 10)); done; grant 3000 b 0 99 5000; event 20000 tick a)
+check "so does the start of another server at its address" reports 0 < <(start 10 a x; grant 1000 a 0 99 5000; start 2900 b x; grant 3000 b 0 99 5000; event 20000 tick a)
+check "but not at another one" reports 1 < <(start 10 a x; grant 1000 a 0 99 5000; start 2900 b y; grant 3000 b 0 99 5000; event 20000 tick a)
+check "a hold after an earlier one that had ended is a new one" reports_ms 0-99 700 < <(grant 1000 a 0 99 1000; grant 3000 b 0 99 1000; grant 3300 a 0 99 5000; event 20000 tick a)
+check "a later hold does not hide the overlap of an earlier one" reports_ms 0-99 700 < <(grant 1000 a 0 99 1000; grant 1300 b 0 99 2000; grant 9000 a 0 99 1000; event 20000 tick a)
+check "keys of different services are different keys" reports 0 < <(grant 1000 a 0 99 5000; grant 3000 b 0 99 5000 hires; event 20000 tick a)
+finish_test
