--- a/tests/fault_soak/owners_soak.sh
+++ b/tests/fault_soak/owners_soak.sh
@@ -11,8 +11,8 @@
 # entries are listed; leave_again: the same after an announced leave; move, out, in: servers are replaced, added and taken out)
 # alternate with losses of one or several leaders in a row: killed (it starts again at once or later), frozen (also just when
 # servers have started and connections to them open, or when they have their first keys), cut off from the store, the other nodes
-# or both, in one direction or both. Beside them, single nodes are cut off from store and leader, so that their lists lag, and
-# writes of the store are lost or done late.
+# or both, in one direction or both. Beside them, single nodes, or all but the leader until it is lost, are cut off
+# from store and leader, so that their lists lag, and writes of the store are lost or done late.
 #
 # Promises that are checked, by the records of callers, servers and the test:
 #   held      no two servers that are up hold the same key for over half a second, with or without requests (cw-verdict)
@@ -22,7 +22,7 @@
 SEED=${SEED:-1} ROUNDS=${ROUNDS:-3} COUNT=${NODES:-4} SERVERS=${SERVERS:-6}
 LINKED=1
 . "$(dirname "$0")/../../scripts/cluster.sh"
-STATE=$SEED FINDINGS=0 NEXT_SERVER=0 CALM_S=12 GRANTED_S=8 ROUND_S=20 RATE=60 LEADER=""
+STATE=$SEED FINDINGS=0 NEXT_SERVER=0 CALM_S=12 GRANTED_S=8 ROUND_S=20 RATE=60 LEADER="" OTHERS_LAG=""
 declare -A COUNTS=()
 FROZEN=() DOWN=() LEAVING=()
 
@@ -88,7 +88,7 @@
 }
 change_owners() {
     local kind name signal
-    draw_item again again again leave_again move out in
+    draw_item again again again again leave_again move out in
     kind=$DRAWN
     count "$kind"
     case $kind in
@@ -151,15 +151,24 @@
         [ "$other" = "$1" ] || link "$([ "$2" = peers_one_way ] && echo cut-one-way || echo cut)" "n$1" "n$other"
     done
 }
+cut_others() { # LEADER: all others hear neither the store nor the leader
+    local node
+    for node in $(seq 1 "$COUNT"); do
+        [ "$node" = "$1" ] || { link cut "n$node" store; link cut "n$node" "n$1"; }
+    done
+    OTHERS_LAG=1
+}
+heal_others() { [ -z "$OTHERS_LAG" ] || { link heal; OTHERS_LAG=""; }; }
 lose_leader() {
     local kind how
-    draw_item restart kill freeze freeze cut
+    draw_item restart restart kill freeze freeze cut
     kind=$DRAWN
     draw_item store peers both store_one_way peers_one_way
     how=$DRAWN
     find_leader || { log "no leader to lose"; return; }
     count "leader_$kind"
     log "leader $LEADER: $kind$([ "$kind" != cut ] || echo " $how")"
+    [ "$kind" != cut ] || heal_others
     case $kind in
     restart | kill)
         kill -KILL "${NODE_PIDS[$LEADER]}"
@@ -169,6 +178,7 @@
     freeze) kill -STOP "${NODE_PIDS[$LEADER]}"; FROZEN+=("$LEADER") ;;
     cut) cut_node "$LEADER" "$how" ;;
     esac
+    heal_others # so that one of them can lead, with the list that it has
 }
 lose_leaders() {
     local times
@@ -187,7 +197,7 @@
 }
 trouble() { # beside the others
     local kind node
-    draw_item none none lag lag lose late heal thaw
+    draw_item none lag lag_others lag_others lag_others lose late heal thaw
     kind=$DRAWN
     draw 1 "$COUNT"
     node=$DRAWN
@@ -195,9 +205,10 @@
     log "beside: $kind node $node"
     case $kind in
     lag) link cut "n$node" store; find_leader && [ "$LEADER" != "$node" ] && link cut "n$node" "n$LEADER" ;;
+    lag_others) find_leader && cut_others "$LEADER" ;;
     lose) draw 1 3; control "lose=$DRAWN" ;;
     late) draw 1 3; control "late=$DRAWN" ;;
-    heal) link heal ;;
+    heal) link heal; OTHERS_LAG="" ;;
     thaw) thaw ;;
     esac
 }
@@ -217,6 +228,7 @@
     local node
     control "copy-lag=0&list-slow=0&slow=0&list-mute=0&lose=0&late=0"
     link heal
+    OTHERS_LAG=""
     thaw
     start_downed
     for node in $(seq 1 "$COUNT"); do node_is_up "$node" || { log "node $node was down"; start_node "$node"; }; done
