A move back to the former holder keeps the end of its hold

Cause: keys that are moved from a to b, back to a before a has released them, and then on to c have a as the owner and as the former holder. The end of the former holder's time was looked up under the owner first, which as such had been granted nothing: the move to c ended at once. The planner does all three moves where b is lost and a's entry lapses while orders are carried out late. Change: the later of both ends counts, and an owner that was the former holder has that hold. Conclusion: both ends of a range's holders are kept whatever the way of the keys.

--- a/src/assignment/assigner_holds.c
+++ b/src/assignment/assigner_holds.c
@@ -71,12 +71,16 @@
         cw_assigner_extend_hold(planned, later_of_orders(planned->hold_order, source->hold_order), source->hold_until);
         planned->unanswered_at = later_of(planned->unanswered_at, source->unanswered_at);
     }
+    if (strcmp(planned->owner.id, source->former.id) == 0) { /* moved back before it has released the keys */
+        planned->hold_until = later_of(planned->hold_until, source->former_until);
+    }
     if (planned->former.id[0] == '\0') {
         return;
     }
     if (strcmp(planned->former.id, source->owner.id) == 0) {
         planned->former_until = later_of(planned->former_until, source->hold_until);
-    } else if (strcmp(planned->former.id, source->former.id) == 0) {
+    }
+    if (strcmp(planned->former.id, source->former.id) == 0) {
         planned->former_until = later_of(planned->former_until, source->former_until);
     }
     if (cw_assigner_late_order_possible(assigner, source, now) || earlier_late_order_possible(assigner, now)) {
