Test: a move back to the former holder keeps the end of its hold; it fails

A range owner b, former a that is moved back to a has a as the owner and as the former holder. set_planned_holds looks for the former holder's end under the source's owner or else under its former holder: in the next move it finds a as the owner, which as such was granted nothing, and drops former_until. Conclusion: open; the fix is the lead's.

--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -294,6 +294,27 @@
 }
 END_TEST
 
+/* Guards against a move back to the former holder that forgets until when it may hold the keys: it was then the owner,
+ * which had been granted nothing as such, and the next move took its hold for ended (the simulator, --lists). */
+START_TEST(a_move_back_to_the_former_holder_keeps_the_end_of_its_hold)
+{
+    assigner_fixture_t fixture;
+    cw_time_us_t       held_until;
+    size_t             sent;
+
+    begin(&fixture);
+    held_until = assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until;
+    move_keys(&fixture, "i-b"); /* a-new does not answer the releases */
+    move_keys(&fixture, "a-new");
+    ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->former_until, held_until);
+    sent = fixture.order_count;
+    move_keys(&fixture, "i-c");
+    ck_assert_uint_eq(count_to(&fixture, CW_ORDER_GRANT, "i-c", sent), 0);
+    ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->former_until, held_until);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 /* Guards against a hold that is counted from the decision to grant it: the server counts it from the arrival, which may
  * be as late as the answer. */
 START_TEST(a_hold_counts_from_the_latest_arrival_of_its_grant)
@@ -668,6 +689,7 @@
     tcase_add_test(cases, an_order_that_was_not_sent_does_not_take_back_the_hold_of_a_later_one);
     tcase_add_test(cases, a_merged_range_is_held_until_the_later_end_of_its_parts);
     tcase_add_test(cases, a_move_of_an_unfinished_move_waits_for_the_owner_between);
+    tcase_add_test(cases, a_move_back_to_the_former_holder_keeps_the_end_of_its_hold);
     tcase_add_test(cases, a_hold_counts_from_the_latest_arrival_of_its_grant);
     tcase_add_test(cases, a_new_leader_counts_former_holds_from_the_latest_arrival_of_a_grant);
     tcase_add_loop_test(cases, a_grant_without_a_certain_outcome_keeps_its_hold, 0, 4);
