Model of what ends a hold: lists that lag, grants that wait, moves of moves

Change: spec/holds.pml: two servers that have one address one after the other, lists as old as their last reading, grants that leave later or not at all, plans whose write takes time; property: no two servers hold the range at the same time. Twelve searches in spec/check.sh (ends-...). Ruled out: searches with more ticks, readings and moves at once; they did not end in 150 s.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -36,6 +36,18 @@
 restore-no-lock-epoch break lease -DTICKS=4 -DRESTORES_LEFT=1 -DENDS_LEFT=0 -DMOVES_LEFT=1 -DLATE_WRITES_LEFT=0 -DNO_LOCK_EPOCH
 restore-no-record-epoch break lease -DTICKS=4 -DRESTORES_LEFT=1 -DENDS_LEFT=0 -DMOVES_LEFT=1 -DLATE_WRITES_LEFT=0 -DNO_RECORD_EPOCH
 restore-no-read-epoch break lease -DTICKS=4 -DRESTORES_LEFT=1 -DENDS_LEFT=0 -DMOVES_LEFT=1 -DLATE_WRITES_LEFT=0 -DNO_READ_EPOCH
+ends-hold-moves hold holds -DTICKS=3 -DMOVES_LEFT=3 -DLEADERS_LEFT=0 -DREADS_LEFT=0
+ends-hold-leaders hold holds -DTICKS=4 -DMOVES_LEFT=2 -DREADS_LEFT=0
+ends-hold-lists hold holds -DTICKS=4 -DMOVES_LEFT=1 -DREADS_LEFT=1
+ends-hold-new hold holds -DTICKS=4 -DMOVES_LEFT=1 -DREADS_LEFT=1 -DSTART_NEW
+ends-hold-list-revision hold holds -DTICKS=4 -DMOVES_LEFT=1 -DREADS_LEFT=1 -DLOSSES_LEFT=1 -DSTART_NEW -DLIST_REVISION
+ends-no-answer break holds -DTICKS=5 -DMOVES_LEFT=1 -DREADS_LEFT=0 -DSTART_NEW -DNO_ANSWER
+ends-no-leave-check break holds -DTICKS=5 -DMOVES_LEFT=1 -DREADS_LEFT=0 -DNO_LEAVE_CHECK
+ends-no-arrival-count break holds -DTICKS=3 -DMOVES_LEFT=1 -DLEADERS_LEFT=0 -DREADS_LEFT=0 -DNO_ARRIVAL_COUNT
+ends-no-own-order break holds -DTICKS=3 -DMOVES_LEFT=1 -DLEADERS_LEFT=0 -DREADS_LEFT=0 -DNO_OWN_ORDER
+ends-no-move-limit break holds -DTICKS=5 -DMOVES_LEFT=2 -DREADS_LEFT=0 -DNO_MOVE_LIMIT
+ends-no-move-back break holds -DTICKS=3 -DMOVES_LEFT=3 -DLEADERS_LEFT=0 -DREADS_LEFT=0 -DNO_MOVE_BACK
+ends-no-plan-guard break holds -DTICKS=3 -DMOVES_LEFT=2 -DLEADERS_LEFT=0 -DREADS_LEFT=0 -DNO_PLAN_GUARD
 tokens-hold hold tokens -DREFILLS_LEFT=0
 tokens-hold-refilled hold tokens -DRESTARTS_LEFT=0
 tokens-hold-one-change hold tokens -DSWITCHES_LEFT=1
