--- a/tests/test_lease_sim.c
+++ b/tests/test_lease_sim.c
@@ -85,10 +85,12 @@
 
 /* What each seed guards against; it shows a violation as soon as the fault is in the code again. */
 static const uint64_t lagging_list_seeds[] = {
-    62,  /* a list that names another server at a holder's address ended the holder */
-    65,  /* a range was moved again while both its owner and the holder before it could hold it */
-    107, /* an owner got a grant of a whole range while a plan was written that moved a part of it */
-    285, /* a later incarnation of an owner held a range by a grant for the earlier one, and that hold was forgotten */
+    62,   /* a list that names another server at a holder's address ended the holder */
+    65,   /* a range was moved again while both its owner and the holder before it could hold it */
+    107,  /* an owner got a grant of a whole range while a plan was written that moved a part of it */
+    285,  /* a later incarnation of an owner held a range by a grant for the earlier one, and that hold was forgotten */
+    1436, /* two moves of a range in one plan: the first to a later incarnation of its owner, whose hold was then
+             forgotten */
 };
 
 START_TEST(seeds_with_holds_that_were_taken_for_ended_show_none)
