Two moves in one plan keep the hold of a later incarnation

Cause: a plan that moves keys to a later incarnation of the owner and on to another server names that incarnation as the former holder; the record's range names the earlier one, so that no end of a hold was found. Change: incarnations of one server count as one holder where ends of holds are looked up. Conclusion: the cases of names are one function now.

--- a/src/assignment/assigner_holds.c
+++ b/src/assignment/assigner_holds.c
@@ -62,25 +62,33 @@
                                       assigner->settings.hold_long);
 }
 
-/* Adds the holds that are known of one range of the record to those of the planned range that covers it. */
+/* Whether both are incarnations of one server. The later one may hold keys by grants for the one before, which name the
+ * server only; ids that are used once are one server only if they are equal. */
+static bool is_same_server(const cw_holder_t *left, const cw_holder_t *right)
+{
+    size_t length = cw_server_id_name_length(left->id);
+
+    return length > 0 && length == cw_server_id_name_length(right->id) && memcmp(left->id, right->id, length) == 0;
+}
+
+/* Adds the holds that are known of one range of the record to those of the planned range that covers it. Owner and
+ * former holder may be the same server: keys that are moved back before they were released. */
 static void add_source(const cw_assigner_t *assigner, cw_range_t *planned, const cw_range_t *source, cw_time_us_t now)
 {
-    /* A later incarnation of the owner may hold the keys by grants for the one before: they name the server only. */
-    if (strcmp(planned->owner.id, source->owner.id) == 0 ||
-        cw_server_id_succeeds(planned->owner.id, source->owner.id)) {
+    if (is_same_server(&planned->owner, &source->owner)) {
         cw_assigner_extend_hold(planned, later_of_orders(planned->hold_order, source->hold_order), source->hold_until);
         planned->unanswered_at = later_of(planned->unanswered_at, source->unanswered_at);
     }
-    if (strcmp(planned->owner.id, source->former.id) == 0) { /* moved back before it has released the keys */
+    if (is_same_server(&planned->owner, &source->former)) {
         planned->hold_until = later_of(planned->hold_until, source->former_until);
     }
     if (planned->former.id[0] == '\0') {
         return;
     }
-    if (strcmp(planned->former.id, source->owner.id) == 0) {
+    if (is_same_server(&planned->former, &source->owner)) {
         planned->former_until = later_of(planned->former_until, source->hold_until);
     }
-    if (strcmp(planned->former.id, source->former.id) == 0) {
+    if (is_same_server(&planned->former, &source->former)) {
         planned->former_until = later_of(planned->former_until, source->former_until);
     }
     if (cw_assigner_late_order_possible(assigner, source, now) || earlier_late_order_possible(assigner, now)) {
