--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -22,6 +22,7 @@
     build/cw-callers --nodes "$ADDRESSES" --name "$1" --kind "dock.example,/docks/,GET,2000,1" --kind "dock.example,/unlock/,POST,1200,0" \
         --rate 50 --count "$2" >"$WORK/callers-$1.json"
     SERVED=$(tail -n 1 "$WORK/callers-$1.json" | jq -r '.s200 // 0')
+    jq -r 'select(.event=="end")|"sent: \(.id) \(.method), answered: \(.status)"' "$WORK/callers-$1.json" >>"$RECORD"
     say "requests $1: $SERVED of $2 served; $(tail -n 1 "$WORK/callers-$1.json")"
 }
 
@@ -48,6 +49,7 @@
 sleep "$((RECOVERY_S + 1))"
 send_requests after 300
 listed=$(for n in $(seq 1 "$NODES"); do curl -s -m 1 "http://$NET.$n:8542/status" | jq '.servers | length'; done | xargs)
+cat "$WORK"/server-*.json | jq -r 'select(.event=="run")|"ran: \(.id) at \(.server)"' >>"$RECORD"
 say "servers in the lists of the nodes: $listed"
 if [ $((before * 4)) -lt 300 ]; then give_up "less than a quarter was served before"; fi
 if [ $((SERVED * 4)) -lt 300 ]; then
