Review, case 3: the record has the runs at all servers

Cause: the record named the runs at servers that leave only. Done: runs at all servers are recorded.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -91,10 +91,12 @@
 done
 wait "${CALLERS[@]}"
 cat "$WORK"/callers-*.json | jq -r 'select(.event=="end")|"sent: \(.id) \(.method), answered: \(.status)"' >>"$RECORD"
+for i in $(seq 1 "$((STAYING + CYCLES * LEAVING))"); do
+    sed -n "s/^run /ran: /; s/\$/ ms, at server i-0000000$i/p" "$WORK/server$i.out" | grep '^ran:' >>"$RECORD"
+done
 # Requests that reached a server too late, without those of the node that was cut off.
 late=0
 while read -r number lead acknowledged; do
-    sed "s/^run /ran: /; s/\$/ ms, at server i-0000000$number/" "$WORK/server$number.out" | grep '^ran: node' >>"$RECORD"
     awk -v until="$((acknowledged + DRAIN_MS))" -v lead="node$lead-" -v ack="$acknowledged" -v server="i-0000000$number" \
         '/^run node/ && $6 > until && index($2, lead) != 1 {
             printf "late: request %s reached server %s at %d ms, %d ms after the acknowledgement\n", $2, server, $6, $6 - ack}' \
