--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,8 @@
 # TROUBLE=0: the same without the other writer's entries.
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../lib.sh"
-FOREIGN=60      # entries of the other writer, next to one another in the list; cw-store sends 50 items in one answer
+FOREIGN=${FOREIGN:-60} # entries of the other writer, next to one another in the list
+PAGE=${PAGE:-50}       # items in one answer of the store, cw-store's default
 LEAVING=4       # of the servers of hiresvc, which has STAYING more
 STAYING=4
 DRAIN_MS=2000   # bound `drain-s`
@@ -25,7 +26,7 @@
     for i in $(seq -w 1 "$FOREIGN"); do
         store_object servers "load-test-$i" '{"note":"UNREADABLE"}' >/dev/null || give_up "the store does not take a foreign entry"
     done
-    say "another writer has created $FOREIGN entries, load-test-01 to load-test-$FOREIGN, with bytes that can't be read"
+    say "another writer has created $FOREIGN entries, load-test-*, with bytes that can't be read"
 }
 control() { curl -sf -m 1 -X POST "http://$STORE/control?$1" >/dev/null || give_up "the store refuses $1"; }
 start_lenient_server() { # NUMBER
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -44,7 +44,7 @@
 }
 
 start_store() { # [ENDPOINTS]: with more than one, each node has an endpoint of its own
-    build/cw-store --address "$NET.250" ${1:+--endpoints "$1"} >"$WORK/store.out" &
+    build/cw-store --address "$NET.250" ${1:+--endpoints "$1"} ${PAGE:+--page "$PAGE"} >"$WORK/store.out" &
     PIDS+=("$!")
     wait_for 5 grep -q port "$WORK/store.out" || give_up "no store"
     STORE="$NET.250:$(awk '{print $2}' "$WORK/store.out")" # for the operator and the servers
