Review: the scripts end all that they started

Cause: the scripts ended the processes whose ids they had kept, so that a sleep of a background loop lived on for up to 1.3 s. Done: they end their children and all that these started, found by their parents.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -16,10 +16,17 @@
 say() { echo "$(date +%T.%3N) $*" | tee -a "$RECORD"; }
 give_up() { say "the case could not run: $*"; exit 2; }
 
-end_all() {
+children_of() { cat /proc/[0-9]*/stat 2>/dev/null | awk -v parent="$1" '$4 == parent {print $1}'; }
+end_tree() { # PID: ends the process and all that it started
+    local child
+    kill -STOP "$1" # so that it starts nothing meanwhile
+    for child in $(children_of "$1"); do end_tree "$child"; done
+    kill -KILL "$1"
+}
+end_all() { # by parents, not by the pids kept: that of a process that has ended may be another's by now
     local pid
-    disown -a
-    for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+    for pid in $(children_of "$$"); do end_tree "$pid"; done 2>/dev/null
+    wait 2>/dev/null
     [ "${KEEP:-}" = 1 ] && echo "kept: $WORK" || rm -rf "$WORK"
 }
 
