Review, case 2: one foreign entry of nearly 1 MB is enough

PROTOCOL.md ends an answer at about 500 items or 1 MB, and an entry may have 1 MB, so one that large is alone in its answer.

Done: the relay between nodes and store ends listings at 1 MB, and the other writer leaves one entry of 1,048,300 bytes that can't be read. FOREIGN, FOREIGN_BYTES and PAGE still give the former form.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
-# DRAIN: another writer leaves entries in the list of servers whose bytes can't be read; the store forgets its history; then servers
+# DRAIN: another writer leaves an entry in the list of servers whose bytes can't be read; the store forgets its history; then servers
 # leave. At the end all processes are killed and start again (RECOVER). Exit codes: 1 DRAIN is broken, 0 it held, 2 not run.
-# TROUBLE=0: the same without the other writer's entries.
+# TROUBLE=0: the same without the other writer's entry.
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../lib.sh"
-FOREIGN=${FOREIGN:-60} # entries of the other writer, next to one another in the list
-PAGE=${PAGE:-50}       # items in one answer of the store, cw-store's default
+FOREIGN=${FOREIGN:-1} # entries of the other writer, next to one another in the list
+FOREIGN_BYTES=${FOREIGN_BYTES:-1048300} # of each that can't be read; the entry as a whole has `value-bytes` (1,048,576) at most
+PAGE=${PAGE:-500} # items in one answer of the store at most; the relay ends it at 1 MB besides
 LEAVING=4       # of the servers of hiresvc, which has STAYING more
 STAYING=4
 DRAIN_MS=2000   # bound `drain-s`
@@ -16,7 +17,7 @@
 
 monotonic_ms() { awk '{printf "%d", $1 * 1000}' /proc/uptime; }
 start_relay() { # the nodes reach the store through it; it turns UNREADABLE into bytes that are no text
-    build/review/unreadable-relay "$NET.251" "${STORE%:*}" "${STORE##*:}" >"$WORK/relay.out" &
+    build/review/unreadable-relay "$NET.251" "${STORE%:*}" "${STORE##*:}" "$FOREIGN_BYTES" >"$WORK/relay.out" &
     PIDS+=("$!")
     wait_for 5 grep -q port "$WORK/relay.out" || give_up "no relay"
     NODE_STORE="$NET.251:$(awk '{print $2}' "$WORK/relay.out")"
@@ -24,9 +25,9 @@
 create_foreign_entries() {
     local i
     for i in $(seq -w 1 "$FOREIGN"); do
-        store_object servers "load-test-$i" '{"note":"UNREADABLE"}' >/dev/null || give_up "the store does not take a foreign entry"
+        store_object servers "benchmark-$i" '{"note":"UNREADABLE"}' >/dev/null || give_up "the store does not take a foreign entry"
     done
-    say "another writer has created $FOREIGN entries, load-test-*, with bytes that can't be read"
+    say "another writer leaves in the list (entries, bytes of each that can't be read): $FOREIGN, $FOREIGN_BYTES"
 }
 control() { curl -sf -m 1 -X POST "http://$STORE/control?$1" >/dev/null || give_up "the store refuses $1"; }
 start_lenient_server() { # NUMBER
