A request's log line tells on which knowledge of the servers it was sent

Change: the list in force carries its evidence (when it was certainly valid, by which way, from which node); a request keeps the evidence of its last sending; `served` and `failed` state it, and what was left of an owner's grace. Histogram of ages by route, gauge of the age. No decision is changed.

--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -147,6 +147,10 @@
     X(LIST_PAGES, "list_pages")                                                                                        \
     X(LIST_CHANGES, "list_changes")                                                                                    \
     X(LIST_UNCHANGED, "list_unchanged")                                                                                \
+    X(LIST_AGE_MS, "list_age_ms")                                                                                      \
+    X(LIST_SOURCE, "list_source")                                                                                      \
+    X(LIST_FROM, "list_from")                                                                                          \
+    X(LEAVING_LEFT_MS, "leaving_left_ms")                                                                              \
     X(DETAIL, "detail")
 
 #define CW_EVENT_SYMBOL(symbol, name, level, limit) CW_EVENT_##symbol,
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -105,6 +105,8 @@
       "of the requests sent, those to servers that had asked this node for a rest")                                    \
     X(SENT_LEAVING, "cedarwinch_sent_leaving_total", "counter",                                                        \
       "of the requests sent, those to servers that had said that they leave")                                          \
+    X(LIST_AGE_MS, "cedarwinch_list_age_milliseconds", "gauge",                                                        \
+      "time since the list of servers in force was surely valid")                                                      \
     X(SENT_LIMITED, "cedarwinch_sent_limited_total", "counter",                                                        \
       "of the requests sent, those to servers with a rate limit")                                                      \
     X(UNREACHED, "cedarwinch_server_unreached_total", "counter", "servers to which no connection could be made")       \
@@ -184,7 +186,8 @@
     X(QUEUE, "cedarwinch_queue_seconds", "time from a request's arrival to its sending")                               \
     X(SERVER, "cedarwinch_server_seconds", "time from sending to the whole answer")                                    \
     X(TOTAL, "cedarwinch_total_seconds", "time from a request's arrival to its answer")                                \
-    X(TURN, "cedarwinch_turn_seconds", "time that answers waited for an earlier one of their connection")
+    X(TURN, "cedarwinch_turn_seconds", "time that answers waited for an earlier one of their connection")              \
+    X(LIST_AGE, "cedarwinch_sent_list_age_seconds", "age of the list of servers by which a request was sent")
 
 #define CW_METRIC_SYMBOL(symbol, name, type, help) CW_METRIC_##symbol,
 /** Counters and gauges, in the order of the table. */
--- a/src/model/server_view.c
+++ b/src/model/server_view.c
@@ -316,7 +316,7 @@
     list = correct_entries(view, reading, now);
     if (!reading->is_from_leader) {
         /* The caller finds the number of added servers in the list and logs it. */
-        cw_absence_reading_t state = {.known_at = view->valid_at,
+        cw_absence_reading_t state = {.known_at = view->evidence.valid_at,
                                       .store_failed = reading->store_failed,
                                       .may_be_of_copy = cw_store_revision_epoch(reading->revision) >
                                                         cw_store_revision_epoch(view->revision)};
@@ -325,14 +325,16 @@
     }
     record_departures(view, list, latest, now);
     discard_departures(view, now);
-    cw_server_view_confirm(view, reading->revision, reading->valid_at);
+    cw_server_view_confirm(view, reading->revision, &reading->evidence);
     return replace(view, list, before);
 }
 
-void cw_server_view_confirm(cw_server_view_t *view, uint64_t revision, cw_time_us_t valid_at)
+void cw_server_view_confirm(cw_server_view_t *view, uint64_t revision, const cw_list_evidence_t *evidence)
 {
     view->revision = revision > view->revision ? revision : view->revision;
-    view->valid_at = valid_at > view->valid_at ? valid_at : view->valid_at;
+    if (evidence->valid_at > view->evidence.valid_at) {
+        view->evidence = *evidence;
+    }
 }
 
 static bool has_expired_entry(const cw_server_view_t *view, cw_time_us_t now)
--- a/src/model/server_view.h
+++ b/src/model/server_view.h
@@ -16,14 +16,15 @@
  * the one in its entry there: that entry may be of the copy.
  *  - An entry of a former incarnation of a server that has restarted since (server_incarnation.h) is a late write: the
  *    later incarnation stays.
- *  - `valid_at`: time of the node's own steady clock at which the list was certainly valid: when the call that read it
- *    was sent, or the time of the leader's heartbeat minus the age that it states.
+ *  - evidence.valid_at: time of the node's own steady clock at which the list was certainly valid: when the call that
+ * read it was sent, or the time of the leader's heartbeat minus the age that it states.
  *
  * No I/O, no clock.
  */
 #ifndef CEDARWINCH_MODEL_SERVER_VIEW_H
 #define CEDARWINCH_MODEL_SERVER_VIEW_H
 
+#include "model/list_evidence.h"
 #include "model/server_absence.h"
 
 /** A server that is leaving, has left or is missing. */
@@ -41,9 +42,9 @@
     cw_server_list_t *list;
     uint64_t          revision; /**< it contains all changes up to this revision; 0: not known */
     uint64_t          latest; /**< it contains no later change; a list read in several calls may be beyond `revision` */
-    cw_time_us_t      valid_at;       /**< when it was certainly valid; 0: not known */
-    bool              store_failed;   /**< calls of this node to the store have failed since its list was last valid */
-    bool              is_from_leader; /**< the leader sent it; false: this node has read it from the store */
+    cw_list_evidence_t evidence;       /**< when it was certainly valid */
+    bool               store_failed;   /**< calls of this node to the store have failed since its list was last valid */
+    bool               is_from_leader; /**< the leader sent it; false: this node has read it from the store */
 } cw_server_reading_t;
 
 /** The list in force on a node. */
@@ -52,7 +53,7 @@
     cw_server_list_t      *list; /**< NULL: none yet */
     uint64_t               hash;
     uint64_t               revision;
-    cw_time_us_t           valid_at;
+    cw_list_evidence_t     evidence;
     size_t                 kept;       /**< how many of its servers are kept although they are missing */
     cw_server_departure_t *departures; /**< sorted by id */
     size_t                 departure_count;
@@ -73,8 +74,8 @@
  * `before` is the former list (NULL: none), which the caller releases. */
 cw_view_result_t cw_server_view_apply(cw_server_view_t *view, const cw_server_reading_t *reading, cw_time_us_t now,
                                       cw_server_list_t **before);
-/** Records that the list in force was still valid at this revision and time, as the leader's heartbeat states. */
-void cw_server_view_confirm(cw_server_view_t *view, uint64_t revision, cw_time_us_t valid_at);
+/** Records evidence that the list in force was still valid at this revision, unless later evidence is known. */
+void cw_server_view_confirm(cw_server_view_t *view, uint64_t revision, const cw_list_evidence_t *evidence);
 /** Removes the servers whose grace time is over. The result and `before` are those of cw_server_view_apply. */
 cw_view_result_t cw_server_view_expire(cw_server_view_t *view, cw_time_us_t now, cw_server_list_t **before);
 /** Returns the departure of the server with this id; NULL: none is known. */
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -28,6 +28,7 @@
 #include "balance/service_paths.h"
 #include "balance/slot_broker.h"
 #include "model/configuration.h"
+#include "model/list_evidence.h"
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
 #include "peer/delegated_request.h"
@@ -194,6 +195,8 @@
                          uint64_t version);
 /** Sets when the tables were last confirmed, and until when they may be used without another heartbeat. */
 void cw_engine_set_tables_valid(cw_engine_t *engine, cw_time_us_t confirmed_at, cw_time_us_t until);
+/** Sets the evidence of the list of servers, which the node keeps up to date; borrowed. */
+void cw_engine_set_list_evidence(cw_engine_t *engine, const cw_list_evidence_t *evidence);
 /** Slots, servers or tables have changed: the waiting requests are examined again in the next turn of the loop. */
 void cw_engine_wake(cw_engine_t *engine);
 /** The clock has advanced by more than the loop's timers know (loop_clock.h): restarts the timers of all requests. */
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -2,6 +2,7 @@
  * @file engine_answer.c
  * @brief Answers a request once and ends it.
  */
+#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -235,6 +236,33 @@
     answer_and_end(request, &outbound, CW_DELEGATION_REFUSED);
 }
 
+/* Adds the evidence of the list by which the request was last sent, as it was then. */
+static void add_list_evidence(cw_event_t *event, const cw_request_t *request)
+{
+    const cw_list_evidence_t *evidence = &request->sent_by;
+    char                      from[INET_ADDRSTRLEN] = "";
+
+    if (evidence->source == CW_LIST_SOURCE_NONE) {
+        return;
+    }
+    cw_event_ms(event, CW_FIELD_LIST_AGE_MS, request->sent_at - evidence->valid_at);
+    cw_event_text(event, CW_FIELD_LIST_SOURCE, cw_list_source_name(evidence->source));
+    if (evidence->from != 0) {
+        (void)inet_ntop(AF_INET, &evidence->from, from, sizeof(from)); /* fails only for a buffer that is too short */
+        cw_event_text(event, CW_FIELD_LIST_FROM, from);
+    }
+}
+
+/* Adds how long the server is still sent to although it leaves, since it owns the request's key. */
+static void add_leaving(cw_event_t *event, const cw_request_t *request)
+{
+    const cw_server_t *server = request->server;
+
+    if (server != NULL && server->draining) {
+        cw_event_ms(event, CW_FIELD_LEAVING_LEFT_MS, server->leaving_owner_until - request->sent_at);
+    }
+}
+
 /* ---- failures ---- */
 
 static void fail(cw_request_t *request, int status, const char *reason, cw_metric_t metric)
@@ -247,6 +275,7 @@
         cw_event_text(&event, CW_FIELD_REASON, reason);
         cw_event_text(&event, CW_FIELD_DETAIL, request->server == NULL ? request->avoided_server : request->server->id);
         add_decision_inputs(&event, request);
+        add_list_evidence(&event, request);
         cw_event_end(&event);
     }
     answer_and_end(request, &outbound, CW_DELEGATION_FAILED);
@@ -284,6 +313,8 @@
     cw_event_text(&event, CW_FIELD_SERVER, server);
     cw_event_ms(&event, CW_FIELD_SERVER_MS, cw_engine_now(request->engine) - request->sent_at);
     cw_event_number(&event, CW_FIELD_CONFIGURATION, (int64_t)request->configuration->version);
+    add_list_evidence(&event, request);
+    add_leaving(&event, request);
     cw_event_end(&event);
 }
 
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -106,6 +106,17 @@
     cw_metric_add(CW_METRIC_SENT_RESTING, now < server->rest_until ? 1 : 0);
 }
 
+/* Records on which knowledge of the servers the request is sent. */
+static void record_list_evidence(cw_request_t *request, cw_time_us_t now)
+{
+    const cw_list_evidence_t *evidence = request->engine->list_evidence;
+
+    if (evidence != NULL) {
+        request->sent_by = *evidence;
+        cw_histogram_add(CW_HISTOGRAM_LIST_AGE, request->route->name, now - evidence->valid_at);
+    }
+}
+
 void cw_request_send(cw_request_t *request, cw_server_t *server)
 {
     cw_engine_t          *engine = request->engine;
@@ -137,6 +148,7 @@
     cw_server_pool_begin_request(server, now);
     engine->changed = true;
     count_sending(server, now);
+    record_list_evidence(request, now);
     request->call = cw_upstream_call(server->connections, &sending, engine->on_answer, request);
     cw_bytes_clear(&bytes);
     set_times_of_silence(request, now);
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -140,6 +140,7 @@
     cw_time_us_t            not_before;       /**< end of a pause before the next attempt; 0: no pause */
     cw_time_us_t            sent_at;          /**< of the call in flight */
     cw_time_us_t            first_sent_at;    /**< of the first attempt; 0: not sent yet */
+    cw_list_evidence_t      sent_by;          /**< evidence of the list by which the last attempt was sent */
     cw_time_us_t            repeat_at;        /**< when to repeat it if no answer has come; CW_NEVER: never */
     cw_time_us_t            silent_at;        /**< when its call counts as a failed contact, if it is not repeated */
     uint32_t                attempts;         /**< attempts so far */
@@ -167,45 +168,46 @@
 };
 
 struct cw_engine {
-    uv_loop_t               *loop;
-    cw_engine_settings_t     settings;
-    cw_server_pool_t        *pool;
-    cw_upstream_t           *upstream;
-    cw_configuration_t      *configuration;
-    cw_tenant_gate_t        *gate;
-    cw_fair_turns_t         *turns;
-    cw_quota_share_t        *quota;              /**< NULL: tenants' rates are not enforced */
-    cw_request_t            *awaiting_token;     /**< requests that await a token, in order of arrival */
-    cw_http_fields_t         challenge;          /**< header field of a 401 that names the scheme (RFC 9110, 15.5.2) */
-    cw_time_us_t             keys_trusted_until; /**< callers' keys are accepted until this time; CW_NEVER: always */
-    cw_route_state_t        *routes;
-    cw_service_state_t      *services;
-    cw_time_us_t             tables_confirmed_at; /**< when the tables of key ranges were last confirmed */
-    cw_time_us_t             tables_valid_until;  /**< the tables are not used after this time */
-    uint32_t                 nodes;               /**< nodes that share limits */
-    cw_request_t            *open;                /**< requests that are not answered yet, in order of arrival */
-    cw_time_us_t             end_by; /**< time by which all requests are answered; 0: the node is not stopping */
-    cw_time_us_t             stopping_since; /**< when the stop began */
-    size_t                   requests;       /**< length of the list of open requests */
-    size_t                   queued;         /**< requests in the queues of all services */
-    bool                     changed;        /**< requests in flight have changed since the last report */
-    bool                     dispatching;    /**< a queue is being dispatched */
-    uv_timer_t               wake_timer;     /**< runs once in the next turn of the loop after cw_engine_wake */
-    uv_timer_cb              on_wake;        /**< callback of wake_timer */
-    uv_timer_cb              on_due;         /**< callback of the requests' timers */
-    cw_upstream_answered_t   on_answer;      /**< callback of calls to servers */
-    cw_crash_port_t          crashes;
-    cw_service_paths_t      *paths; /**< NULL: contacts are not recorded */
-    cw_delegation_port_t     delegation;
-    size_t                   delegated;    /**< open requests of other nodes */
-    cw_upstream_answered_t   on_delegated; /**< callback of calls to other nodes */
-    cw_signal_port_t         signal_port;
-    cw_slot_port_t           slots;
-    bool                     has_slots;   /**< slots are requested from brokers */
-    uint32_t                 last_ticket; /**< number of the last request for a slot */
-    cw_request_t            *by_ticket;   /**< hash table of the requests that have claims to slots */
-    cw_unresponsive_broker_t unresponsive_brokers[CW_UNRESPONSIVE_BROKERS_MAX];
-    size_t                   next_unresponsive; /**< entry of unresponsive_brokers that is overwritten next */
+    uv_loop_t                *loop;
+    cw_engine_settings_t      settings;
+    cw_server_pool_t         *pool;
+    cw_upstream_t            *upstream;
+    cw_configuration_t       *configuration;
+    cw_tenant_gate_t         *gate;
+    cw_fair_turns_t          *turns;
+    cw_quota_share_t         *quota;              /**< NULL: tenants' rates are not enforced */
+    cw_request_t             *awaiting_token;     /**< requests that await a token, in order of arrival */
+    cw_http_fields_t          challenge;          /**< header field of a 401 that names the scheme (RFC 9110, 15.5.2) */
+    cw_time_us_t              keys_trusted_until; /**< callers' keys are accepted until this time; CW_NEVER: always */
+    cw_route_state_t         *routes;
+    cw_service_state_t       *services;
+    cw_time_us_t              tables_confirmed_at; /**< when the tables of key ranges were last confirmed */
+    cw_time_us_t              tables_valid_until;  /**< the tables are not used after this time */
+    const cw_list_evidence_t *list_evidence;       /**< of the list of servers; NULL: there is none */
+    uint32_t                  nodes;               /**< nodes that share limits */
+    cw_request_t             *open;                /**< requests that are not answered yet, in order of arrival */
+    cw_time_us_t              end_by; /**< time by which all requests are answered; 0: the node is not stopping */
+    cw_time_us_t              stopping_since; /**< when the stop began */
+    size_t                    requests;       /**< length of the list of open requests */
+    size_t                    queued;         /**< requests in the queues of all services */
+    bool                      changed;        /**< requests in flight have changed since the last report */
+    bool                      dispatching;    /**< a queue is being dispatched */
+    uv_timer_t                wake_timer;     /**< runs once in the next turn of the loop after cw_engine_wake */
+    uv_timer_cb               on_wake;        /**< callback of wake_timer */
+    uv_timer_cb               on_due;         /**< callback of the requests' timers */
+    cw_upstream_answered_t    on_answer;      /**< callback of calls to servers */
+    cw_crash_port_t           crashes;
+    cw_service_paths_t       *paths; /**< NULL: contacts are not recorded */
+    cw_delegation_port_t      delegation;
+    size_t                    delegated;    /**< open requests of other nodes */
+    cw_upstream_answered_t    on_delegated; /**< callback of calls to other nodes */
+    cw_signal_port_t          signal_port;
+    cw_slot_port_t            slots;
+    bool                      has_slots;   /**< slots are requested from brokers */
+    uint32_t                  last_ticket; /**< number of the last request for a slot */
+    cw_request_t             *by_ticket;   /**< hash table of the requests that have claims to slots */
+    cw_unresponsive_broker_t  unresponsive_brokers[CW_UNRESPONSIVE_BROKERS_MAX];
+    size_t                    next_unresponsive; /**< entry of unresponsive_brokers that is overwritten next */
 };
 
 /* ---- engine_state.c ---- */
--- a/src/proxy/engine_state.c
+++ b/src/proxy/engine_state.c
@@ -55,6 +55,11 @@
     engine->tables_valid_until = until;
 }
 
+void cw_engine_set_list_evidence(cw_engine_t *engine, const cw_list_evidence_t *evidence)
+{
+    engine->list_evidence = evidence;
+}
+
 const cw_key_route_t *cw_engine_owner(const cw_engine_t *engine, const cw_service_state_t *service, uint32_t key)
 {
     size_t low = 0;
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -263,6 +263,7 @@
     cw_fleet_size_init(&router->fleet_size, router->settings.retry_window, router->started_at);
     absence = cw_absence_settings_of(router->settings.heartbeat, router->settings.drain);
     cw_server_view_init(&router->server_view, &absence);
+    cw_engine_set_list_evidence(router->engine, &router->server_view.evidence);
     cw_router_lead_init(router);
     cw_router_share_init(router);
     cw_router_zones_init(router);
--- a/src/router/router_admin.c
+++ b/src/router/router_admin.c
@@ -51,6 +51,8 @@
     cw_metric_set(CW_METRIC_QUEUED, cw_engine_queued(router->engine));
     cw_metric_set(CW_METRIC_CONNECTIONS_OPENED, cw_upstream_opened(router->upstream));
     cw_metric_set(CW_METRIC_MEMORY, resident_bytes());
+    cw_metric_set(CW_METRIC_LIST_AGE_MS,
+                  (uint64_t)((cw_router_now(router) - router->server_view.evidence.valid_at) / 1000));
     cw_metric_set(CW_METRIC_CONFIGURATION_AGE_MS,
                   (uint64_t)(cw_configuration_freshness_age(&router->freshness, cw_router_now(router)) / 1000));
     cw_metric_set(CW_METRIC_PEERS, cw_peer_link_count_alive(router->link, router->peer_timeout, cw_router_now(router)));
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -401,9 +401,6 @@
 void cw_router_log_older_servers(const cw_router_t *router, uint64_t revision, const char *source);
 /** Applies the current tables, together with the servers known now, to the routing of requests. */
 void cw_router_apply_tables(cw_router_t *router);
-/** Handles the leader's heartbeat. */
-void cw_router_handle_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer,
-                                       const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now);
 /** Reads the list and the records of assignments from the store where no leader sends them. */
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now);
 /** Callback of the store adapter: the list of servers was read, or could not be. */
@@ -414,6 +411,11 @@
 /** Whether this node has read or received tables of keys; true also if no service is divided by key. */
 bool cw_router_tables_known(const cw_router_t *router);
 
+/* ---- router_heartbeat.c ---- */
+/** Handles the heartbeat of the leader `peer`. sender: the relay that forwarded it; the leader itself if none did. */
+void cw_router_handle_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer, const cw_peer_t *sender,
+                                       const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now);
+
 /* ---- router_zones.c ---- */
 /** Creates the state of zones out of service and of the rate of cold servers. */
 void cw_router_zones_init(cw_router_t *router);
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -178,7 +178,7 @@
 {
     cw_time_us_t adopted_at = cw_assigner_adopted_at(assignment->assigner);
 
-    return router->server_view.valid_at < adopted_at && now - adopted_at < router->server_view.absence.grace;
+    return router->server_view.evidence.valid_at < adopted_at && now - adopted_at < router->server_view.absence.grace;
 }
 
 /* Lets the list be read without waiting for its usual interval, unless a reading that began late enough is in flight.
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -168,7 +168,7 @@
     }
     if (received->leader != NULL) {
         cw_router_forward_heartbeat(router, peer, received);
-        cw_router_handle_leader_heartbeat(router, peer, received->leader, now);
+        cw_router_handle_leader_heartbeat(router, peer, peer, received->leader, now);
     }
     cw_router_record_configuration(router, peer, received->configuration, now);
     if (received->leader != NULL) {
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -109,11 +109,11 @@
 
     notice.configuration = cw_router_version(router);
     notice.configuration_age_ms = cw_configuration_freshness_pack(&router->freshness, now);
-    if (router->server_view.list != NULL && router->server_view.valid_at != 0) {
+    if (router->server_view.list != NULL && router->server_view.evidence.valid_at != 0) {
         notice.servers_hash = router->server_view.hash;
         notice.servers_revision = cw_store_revision_count(router->server_view.revision);
         notice.servers_revision_epoch = cw_router_sent_epoch(router->server_view.revision);
-        notice.servers_age_ms = age_ms(router->server_view.valid_at, now);
+        notice.servers_age_ms = age_ms(router->server_view.evidence.valid_at, now);
     }
     if (router->tables_valid_at != 0) {
         notice.tables_hash = router->tables_hash;
@@ -153,10 +153,12 @@
     }
     if (notice->servers_hash != 0 && router->server_view.list != NULL &&
         notice->servers_hash == router->server_view.hash) {
+        cw_list_evidence_t evidence = {
+            .valid_at = now - CW_MS(notice->servers_age_ms), .source = CW_LIST_SOURCE_READER, .from = peer->address};
+
         cw_server_view_confirm(
             &router->server_view,
-            cw_router_received_revision(router, notice->servers_revision_epoch, notice->servers_revision),
-            now - CW_MS(notice->servers_age_ms));
+            cw_router_received_revision(router, notice->servers_revision_epoch, notice->servers_revision), &evidence);
     }
     if (notice->tables_hash != 0 && router->tables_valid_at != 0 && notice->tables_hash == router->tables_hash) {
         cw_router_confirm_tables(router, now - CW_MS(notice->tables_age_ms));
--- a/src/router/router_status.c
+++ b/src/router/router_status.c
@@ -123,15 +123,16 @@
 char *cw_router_status(cw_router_t *router)
 {
     cw_time_us_t now = cw_router_now(router);
-    json_t      *status = json_pack(
-             "{s:s, s:s, s:b, s:I, s:o, s:I, s:I, s:b, s:I, s:o, s:o, s:o, s:o, s:o}", "node", router->settings.node, "zone",
-             router->settings.zone, "stopping", router->stopping_at != 0, "configuration",
-             (json_int_t)(router->configuration == NULL ? 0 : router->configuration->version), "leadership",
-             leadership_json(router, now), "servers_age_ms", (json_int_t)((now - router->server_view.valid_at) / 1000),
-             "tables_age_ms", (json_int_t)((now - router->tables_valid_at) / 1000), "store_lost",
-             router->store_availability.is_lost, "queued", (json_int_t)cw_engine_queued(router->engine), "assignments",
-             assignments_json(router, now), "peers", peers_json(router, now), "measures", measures_json(router), "servers",
-             servers_json(router, now), "zones_out", zones_out_json(router));
+    json_t      *status =
+        json_pack("{s:s, s:s, s:b, s:I, s:o, s:I, s:I, s:b, s:I, s:o, s:o, s:o, s:o, s:o}", "node",
+                  router->settings.node, "zone", router->settings.zone, "stopping", router->stopping_at != 0,
+                  "configuration", (json_int_t)(router->configuration == NULL ? 0 : router->configuration->version),
+                  "leadership", leadership_json(router, now), "servers_age_ms",
+                  (json_int_t)((now - router->server_view.evidence.valid_at) / 1000), "tables_age_ms",
+                  (json_int_t)((now - router->tables_valid_at) / 1000), "store_lost",
+                  router->store_availability.is_lost, "queued", (json_int_t)cw_engine_queued(router->engine),
+                  "assignments", assignments_json(router, now), "peers", peers_json(router, now), "measures",
+                  measures_json(router), "servers", servers_json(router, now), "zones_out", zones_out_json(router));
     char *text;
 
     if (status != NULL) {
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -139,7 +139,7 @@
 {
     cw_time_us_t      now = cw_router_now(router);
     size_t            kept = router->server_view.kept;
-    cw_time_us_t      before_valid_at = router->server_view.valid_at;
+    cw_time_us_t      before_valid_at = router->server_view.evidence.valid_at;
     cw_server_list_t *before;
     cw_view_result_t  result = cw_server_view_apply(&router->server_view, reading, now, &before);
 
@@ -158,7 +158,7 @@
 {
     const cw_server_view_t *view = &router->server_view;
 
-    return router->store_availability.failed_at > view->valid_at ||
+    return router->store_availability.failed_at > view->evidence.valid_at ||
            cw_store_revision_epoch(read->revision) > cw_store_revision_epoch(view->revision);
 }
 
@@ -168,9 +168,12 @@
     cw_server_reading_t reading = {.list = read->list,
                                    .revision = read->revision,
                                    .latest = read->latest,
-                                   .valid_at = router->reading_copy ? 0 : router->servers_read_at - read->lag,
                                    .store_failed = has_store_failed(router, read)};
 
+    if (!router->reading_copy) {
+        reading.evidence =
+            (cw_list_evidence_t){.valid_at = router->servers_read_at - read->lag, .source = CW_LIST_SOURCE_READING};
+    }
     router->reading_servers = false;
     router->servers_lag = read->lag;
     cw_router_store_result(router, read->list != NULL, cw_router_now(router));
@@ -185,7 +188,7 @@
     cw_server_list_t *before;
 
     if (cw_server_view_expire(&router->server_view, now, &before) == CW_VIEW_CHANGED) {
-        apply_servers(router, before, router->server_view.valid_at, now);
+        apply_servers(router, before, router->server_view.evidence.valid_at, now);
     }
 }
 
@@ -303,82 +306,6 @@
     validate_tables(router, valid_at);
 }
 
-/* ---- the leader's heartbeat ---- */
-
-/* Confirms the list in force: it is the leader's newest, or was valid until a time that the heartbeat states. */
-static void confirm_servers(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
-{
-    cw_time_us_t valid_at;
-
-    if (router->view_list_version >= heartbeat->servers) {
-        cw_server_view_confirm(
-            &router->server_view,
-            cw_router_received_revision(router, heartbeat->list_revision_epoch, heartbeat->list_revision),
-            now - CW_MS(heartbeat->list_age_ms));
-        return;
-    }
-    valid_at = cw_replaced_versions_valid_at(router->view_list_version, heartbeat->servers,
-                                             heartbeat->servers_replaced_ms, heartbeat->n_servers_replaced_ms, now);
-    cw_server_view_confirm(&router->server_view, router->server_view.revision, valid_at);
-}
-
-/* The same for the tables. */
-static void confirm_tables(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
-{
-    if (heartbeat->tables == 0) {
-        return;
-    }
-    if (router->view_tables_version >= heartbeat->tables) {
-        validate_tables(router, now);
-    } else {
-        validate_tables(router, cw_replaced_versions_valid_at(router->view_tables_version, heartbeat->tables,
-                                                              heartbeat->tables_replaced_ms,
-                                                              heartbeat->n_tables_replaced_ms, now));
-    }
-}
-
-void cw_router_handle_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer,
-                                       const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
-{
-    cw_event_t event;
-
-    if (heartbeat->revision_epoch != 0 && heartbeat->revision != 0) {
-        cw_router_on_store_epoch(router, heartbeat->revision_epoch - 1);
-    }
-    cw_leadership_receive_heartbeat(&router->leadership, heartbeat->term,
-                                    cw_router_received_revision(router, heartbeat->revision_epoch, heartbeat->revision),
-                                    heartbeat->able, cw_router_refresh_now(router));
-    if (peer->stopping) {
-        cw_leadership_receive_step_down(&router->leadership, now);
-    }
-    if (router->leadership.leading || heartbeat->term < router->leader_term) {
-        return;
-    }
-    if (heartbeat->term > router->leader_term || strcmp(router->leader_node, peer->node) != 0) {
-        router->leader_term = heartbeat->term;
-        cw_text_copy(router->leader_node, sizeof(router->leader_node), peer->node);
-        if (cw_event_begin(&event, CW_EVENT_LEADER_SEEN)) {
-            cw_event_text(&event, CW_FIELD_LEADER, peer->node);
-            cw_event_number(&event, CW_FIELD_TERM, (int64_t)heartbeat->term);
-            cw_event_number(&event, CW_FIELD_REVISION, (int64_t)heartbeat->revision);
-            cw_event_end(&event);
-        }
-    }
-    cw_router_quota_record_leader(router, peer, heartbeat);
-    if (!heartbeat->able) {
-        return;
-    }
-    router->leader_heartbeat_at = now;
-    cw_router_record_nodes(router, heartbeat->nodes);
-    cw_router_adopt_versions(router, peer, heartbeat);
-    cw_router_check_view(router, heartbeat, now);
-    cw_router_list_exchange_heartbeat(router, heartbeat, now);
-    if (router->view_term == heartbeat->term && !cw_router_reads_backlog(router, now)) {
-        confirm_servers(router, heartbeat, now);
-        confirm_tables(router, heartbeat, now);
-    }
-}
-
 /* ---- reads without a leader ---- */
 
 /** A record of assignments that is being read. */
@@ -555,7 +482,7 @@
  * list. */
 static bool is_list_due(const cw_router_t *router, bool is_heartbeat_fresh, cw_time_us_t now)
 {
-    cw_time_us_t age = now - router->server_view.valid_at;
+    cw_time_us_t age = now - router->server_view.evidence.valid_at;
 
     if (router->server_view.list == NULL) {
         return is_first_read_due(router, is_heartbeat_fresh, now);
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -247,6 +247,7 @@
     router->started_at = cw_router_now(router);
     absence = cw_absence_settings_of(router->settings.heartbeat, router->settings.drain);
     cw_server_view_init(&router->server_view, &absence);
+    cw_engine_set_list_evidence(router->engine, &router->server_view.evidence);
     cw_router_lead_init(router);
     cw_router_share_init(router);
     cw_router_zones_init(router);
--- a/tests/test_fleet_scale.c
+++ b/tests/test_fleet_scale.c
@@ -97,8 +97,9 @@
         node_fixture_answer_orders(node, CW_ORDER_DONE);
         node_fixture_answer_store(node);
         if (tick * CW_TICK_MS % 1000 == 0) { /* keeps the list fresh: owners that are not listed are not renewed */
-            cw_server_view_confirm(&node->router.server_view, node->router.server_view.revision,
-                                   cw_router_now(&node->router));
+            cw_list_evidence_t evidence = {.valid_at = cw_router_now(&node->router)};
+
+            cw_server_view_confirm(&node->router.server_view, node->router.server_view.revision, &evidence);
         }
     }
     return (double)(sent - before) / RENEWAL_S;
@@ -206,7 +207,7 @@
     for (repeat = 0; repeat < REPEATS; repeat++) {
         cw_server_view_t    view;
         cw_server_list_t   *before;
-        cw_server_reading_t reading = {.list = list_of(servers), .revision = 1, .latest = 1, .valid_at = 1};
+        cw_server_reading_t reading = {.list = list_of(servers), .revision = 1, .latest = 1, .evidence.valid_at = 1};
         size_t              index;
         double              begun;
 
@@ -216,7 +217,7 @@
         reading = (cw_server_reading_t){.list = cw_server_list_copy_without(view.list, NULL, 0),
                                         .revision = 2,
                                         .latest = 2,
-                                        .valid_at = CW_SECONDS(2)};
+                                        .evidence.valid_at = CW_SECONDS(2)};
         for (index = 0; index < servers / 50; index++) {
             reading.list->entries[50 * index].draining = true;
         }
--- a/tests/test_loop_clock.c
+++ b/tests/test_loop_clock.c
@@ -179,7 +179,7 @@
     node_fixture_t *node = new_leader();
     cw_router_t    *router = &node->router;
     cw_time_us_t    confirmed_at = router->tables_valid_at;
-    cw_time_us_t    list_valid_at = router->server_view.valid_at;
+    cw_time_us_t    list_valid_at = router->server_view.evidence.valid_at;
 
     ck_assert_ptr_nonnull(cw_engine_owner(router->engine, cw_engine_service(router->engine, "s"), 0));
     fake_suspended += CW_SECONDS(SUSPENDED_S);
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -573,7 +573,7 @@
     node_fixture_read_servers(node, "s", 3, "10.0.1.1:80");
     router->loop.time += 10000; /* the node is not new any more */
     begun = cw_router_now(router);
-    router->server_view.valid_at = begun;
+    router->server_view.evidence.valid_at = begun;
     reads = node->list_reads;
     while (node->list_reads == reads) {
         ck_assert_int_lt(cw_router_now(router) - begun, router->settings.drain);
--- a/tests/test_server_view.c
+++ b/tests/test_server_view.c
@@ -71,7 +71,7 @@
 static cw_view_result_t read_at(const char *names, uint64_t revision, uint64_t sequence, cw_time_us_t now)
 {
     cw_server_reading_t reading = {
-        .list = list_of(names, sequence, 0), .revision = revision, .latest = revision, .valid_at = now};
+        .list = list_of(names, sequence, 0), .revision = revision, .latest = revision, .evidence.valid_at = now};
 
     return offer(&reading, now);
 }
@@ -127,11 +127,12 @@
 START_TEST(a_confirmed_revision_excludes_earlier_lists)
 {
     ck_assert_int_eq(receive_at("abc", 90, start, 0), CW_VIEW_CHANGED);
-    cw_server_view_confirm(&view, 120, start + CW_MS(500));
+    cw_server_view_confirm(&view, 120, &(cw_list_evidence_t){.valid_at = start + CW_MS(500)});
     ck_assert_int_eq(read_at("ab", 110, 1, start + CW_MS(600)), CW_VIEW_OLDER);
-    cw_server_view_confirm(&view, 100, start); /* an earlier confirmation that arrives late */
+    cw_server_view_confirm(&view, 100,
+                           &(cw_list_evidence_t){.valid_at = start}); /* an earlier confirmation that arrives late */
     ck_assert_uint_eq(view.revision, 120);
-    ck_assert_int_eq(view.valid_at, start + CW_MS(500));
+    ck_assert_int_eq(view.evidence.valid_at, start + CW_MS(500));
 }
 END_TEST
 
@@ -190,10 +191,11 @@
 
 static void read_list(cw_server_list_t *list, uint64_t epoch, uint64_t count, cw_time_us_t now)
 {
-    (void)offer(
-        &(cw_server_reading_t){
-            .list = list, .revision = cw_store_revision_join(epoch, count), .valid_at = now, .store_failed = epoch > 0},
-        now);
+    (void)offer(&(cw_server_reading_t){.list = list,
+                                       .revision = cw_store_revision_join(epoch, count),
+                                       .evidence.valid_at = now,
+                                       .store_failed = epoch > 0},
+                now);
 }
 
 /* Guards against a server that is dropped at once although it lives: the store came back from a copy of before it had
@@ -279,7 +281,7 @@
 
 START_TEST(a_list_that_may_be_older_than_the_absence_does_not_restore_a_server)
 {
-    cw_server_reading_t paged = {.revision = 100, .latest = 105, .valid_at = start + CW_MS(500)};
+    cw_server_reading_t paged = {.revision = 100, .latest = 105, .evidence.valid_at = start + CW_MS(500)};
 
     ck_assert_int_eq(read_at("abc", 90, 5, start), CW_VIEW_CHANGED);
     paged.list = list_of("ab", 6, 0); /* its last page is of revision 105 */
@@ -316,7 +318,7 @@
 static cw_view_result_t read_one(const char *id, uint64_t revision, uint64_t sequence, cw_time_us_t now)
 {
     cw_server_reading_t reading = {
-        .list = with_server(id, sequence), .revision = revision, .latest = revision, .valid_at = now};
+        .list = with_server(id, sequence), .revision = revision, .latest = revision, .evidence.valid_at = now};
 
     return offer(&reading, now);
 }
@@ -349,7 +351,8 @@
 
 START_TEST(leaving_applies_to_one_incarnation)
 {
-    cw_server_reading_t leaving = {.list = with_server("a@1000", 3), .revision = 90, .latest = 90, .valid_at = start};
+    cw_server_reading_t leaving = {
+        .list = with_server("a@1000", 3), .revision = 90, .latest = 90, .evidence.valid_at = start};
 
     leaving.list->entries[0].draining = true;
     ck_assert_int_eq(offer(&leaving, start), CW_VIEW_CHANGED);
