An owner that leaves gets requests no longer than the list without its leave may be used

Cause: an owner that announces its leave in an answer, or by another node's notice, got requests for its keys for half of drain from the moment at which this node heard of it, and went on getting them when the list showed the leave meanwhile. It had left at any time since the list was last valid: where the first answer of that server comes 1,515 ms after the store's acknowledgement, the sum is the 3,015 ms of the record. Zones out of service (zone_service.c) count from the last list already. Change: the grace ends at the latest when the list without the leave is as old as a list may be (90 % of drain, model/list_evidence.h).

--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -318,7 +318,7 @@
     cw_leaving_servers_expire(pool->leaving_servers, now);
 }
 
-bool cw_server_pool_record_leaving(cw_server_pool_t *pool, uint32_t hash, cw_time_us_t owner_grace, cw_time_us_t now)
+bool cw_server_pool_record_leaving(cw_server_pool_t *pool, uint32_t hash, cw_time_us_t owner_until, cw_time_us_t now)
 {
     cw_server_t *server = cw_server_pool_by_hash(pool, hash);
 
@@ -329,7 +329,7 @@
         return true;
     }
     if (!server->draining) {
-        server->leaving_owner_until = now + owner_grace;
+        server->leaving_owner_until = owner_until;
     }
     server->announced_leaving = true;
     server->draining = true;
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -164,9 +164,9 @@
  * the keys that it owns while they are moved. */
 bool cw_server_accepts(const cw_server_t *server, bool is_owner, cw_time_us_t now);
 /** The incarnation with this hash, listed or not, has announced that it leaves: from now on it counts as draining,
- * whatever its list entry says. owner_grace: time for which it still gets requests for keys that it owns. False: this
- * was known already. */
-bool cw_server_pool_record_leaving(cw_server_pool_t *pool, uint32_t hash, cw_time_us_t owner_grace, cw_time_us_t now);
+ * whatever its list entry says. owner_until: until then it still gets requests for keys that it owns. False: this was
+ * known already. */
+bool cw_server_pool_record_leaving(cw_server_pool_t *pool, uint32_t hash, cw_time_us_t owner_until, cw_time_us_t now);
 /** True if the zone's state and the rules for cold servers allow this node to send a request to the server now.
  * is_owner: as for cw_server_zone_allows. */
 bool cw_server_pool_may_send(const cw_server_pool_t *pool, const cw_server_t *server, bool is_owner, cw_time_us_t now);
--- a/src/model/list_evidence.h
+++ b/src/model/list_evidence.h
@@ -11,6 +11,12 @@
 
 #include "base/time.h"
 
+enum {
+    /** Share of the drain time (for which a leaving server may still get requests) that the age of a list may have when
+     * a request leaves by it. The rest is for a new connection, the link and the server's own queue. */
+    CW_LIST_USABLE_PERCENT = 90
+};
+
 /** How a node learned that its list was valid. */
 typedef enum cw_list_source {
     CW_LIST_SOURCE_NONE,    /**< not at all: the list is of a copy of the store, or not confirmed yet */
@@ -27,6 +33,8 @@
     uint32_t         from; /**< address of the node that sent the evidence; 0: none did */
 } cw_list_evidence_t;
 
+/** Greatest age of a list by which requests may be sent. drain: time for which a leaving server may get requests. */
+cw_time_us_t cw_list_usable_age(cw_time_us_t drain);
 /** Name of a source, for the log. */
 const char *cw_list_source_name(cw_list_source_t source);
 
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -56,7 +56,9 @@
     cw_crossing_settings_t      crossing;       /**< cost of sending a request across a region's border */
     cw_budget_settings_t        budget;         /**< retry budget of each service */
     double       keyed_extra_slots;             /**< requests that an owner of keys may have in addition to its slots */
-    cw_time_us_t leave_grace;     /**< how long a server that announced leaving still gets requests for its keys */
+    cw_time_us_t leave_grace;     /**< how long a server that announced leaving still gets requests for its keys, unless
+                                       the list in which it did not leave yet gets too old before (list_usable) */
+    cw_time_us_t list_usable;     /**< greatest age of the list of servers by which requests are sent */
     cw_time_us_t connect_timeout; /**< for a new connection to a server */
     double repeat_factor; /**< a repeatable request is repeated if no answer has come within this many mean times */
     cw_time_us_t margin;  /**< the final answer is sent this long before the caller's own deadline */
--- a/src/proxy/engine_signals.c
+++ b/src/proxy/engine_signals.c
@@ -73,6 +73,20 @@
 
 /* ---- leaving and rest ---- */
 
+/* Time until which an owner of keys that has just announced its leave gets requests for them. It may have left at any
+ * time since the list was last valid. */
+static cw_time_us_t owner_until(const cw_engine_t *engine, cw_time_us_t now)
+{
+    cw_time_us_t by_announcement = now + engine->settings.leave_grace;
+    cw_time_us_t by_list;
+
+    if (engine->list_evidence == NULL) {
+        return by_announcement;
+    }
+    by_list = engine->list_evidence->valid_at + engine->settings.list_usable;
+    return by_list < by_announcement ? by_list : by_announcement;
+}
+
 /* Records and logs that a server leaves. request: id of the request whose answer announced that; NULL: another node
  * reported it. Returns false if the leaving was known already. */
 static bool record_leaving(cw_engine_t *engine, uint32_t hash, const char *request)
@@ -81,7 +95,7 @@
     cw_time_us_t       now = cw_engine_now(engine);
     cw_event_t         event;
 
-    if (!cw_server_pool_record_leaving(engine->pool, hash, engine->settings.leave_grace, now)) {
+    if (!cw_server_pool_record_leaving(engine->pool, hash, owner_until(engine, now), now)) {
         return false;
     }
     cw_engine_wake(engine); /* requests may be waiting for this server */
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -180,6 +180,7 @@
                    .share = 0.75},
         .keyed_extra_slots = 2,
         .leave_grace = router->settings.drain / 2,
+        .list_usable = cw_list_usable_age(router->settings.drain),
         .connect_timeout = CW_MS(CONNECT_TIMEOUT_MS),
         .repeat_factor = 4,
         .margin = CW_MS(15),
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -231,7 +231,8 @@
     cw_engine_settings_t       settings = {.names = node->names,
                                            .answer_max = HEADER_BYTES,
                                            .queue_max = 100,
-                                           .leave_grace = router->settings.drain / 2};
+                                           .leave_grace = router->settings.drain / 2,
+                                           .list_usable = cw_list_usable_age(router->settings.drain)};
     cw_upstream_options_t      options = {.idle_max = CW_SECONDS(1)};
     cw_http_limits_t           limits = {HEADER_BYTES, HEADER_BYTES, CW_SECONDS(1), CW_SECONDS(1)};
     cw_http_listener_handler_t callers = {node, on_request, on_gone};
--- a/tests/test_server_leave.c
+++ b/tests/test_server_leave.c
@@ -58,8 +58,8 @@
 
     list(pool, ids, 1, start);
     ck_assert_str_eq(chosen(pool, start), "a@1");
-    ck_assert(cw_server_pool_record_leaving(pool, hash_of(pool, "a@1"), grace, start));
-    ck_assert(!cw_server_pool_record_leaving(pool, hash_of(pool, "a@1"), grace, start + 1));
+    ck_assert(cw_server_pool_record_leaving(pool, hash_of(pool, "a@1"), start + grace, start));
+    ck_assert(!cw_server_pool_record_leaving(pool, hash_of(pool, "a@1"), start + grace, start + 1));
     ck_assert_str_eq(chosen(pool, start), "none");
     list(pool, ids, 1, start + CW_SECONDS(5));
     ck_assert_str_eq(chosen(pool, start + CW_SECONDS(5)), "none");
@@ -73,7 +73,7 @@
     cw_server_pool_t        *pool = cw_server_pool_create("z1", on_dropped, NULL);
 
     list(pool, ids, 2, start);
-    (void)cw_server_pool_record_leaving(pool, hash_of(pool, "a@1"), grace, start);
+    (void)cw_server_pool_record_leaving(pool, hash_of(pool, "a@1"), start + grace, start);
     list(pool, ids + 1, 1, start + CW_SECONDS(1));
     ck_assert_ptr_null(cw_server_pool_find(pool, "a@1"));
     list(pool, ids, 2, start + CW_SECONDS(2));
@@ -90,7 +90,7 @@
     cw_server_pool_t        *pool = cw_server_pool_create("z1", on_dropped, NULL);
 
     list(pool, former, 1, start);
-    (void)cw_server_pool_record_leaving(pool, hash_of(pool, "a@1"), grace, start);
+    (void)cw_server_pool_record_leaving(pool, hash_of(pool, "a@1"), start + grace, start);
     list(pool, later, 1, start + CW_SECONDS(3));
     ck_assert_str_eq(chosen(pool, start + CW_SECONDS(3)), "a@2");
     cw_server_pool_free(pool);
@@ -104,7 +104,7 @@
     const cw_server_t       *server;
 
     list(pool, ids, 1, start);
-    (void)cw_server_pool_record_leaving(pool, hash_of(pool, "a@1"), grace, start);
+    (void)cw_server_pool_record_leaving(pool, hash_of(pool, "a@1"), start + grace, start);
     server = cw_server_pool_find(pool, "a@1");
     ck_assert(cw_server_accepts(server, true, start + grace - 1));
     ck_assert(!cw_server_accepts(server, true, start + grace));
