No request leaves by a list of servers older than nine tenths of drain

Change: (1) a bound when sending: a request is placed, granted a slot and written on a new connection only by a list younger than 90 % of drain; it waits for the renewal as for an unknown owner, then is refused. The bound is lifted while the store is out of the node's reach (the last call failed, or one is without an answer for 400 ms) and in the first time of a process (settle_ms). (2) list_renewal.h has the ages at which a node reads: by the changes, one short call, at 80 % at the latest at any size; only whole lists are spread over the window that they need, and nodes that do not read for others never read the whole list when its changes are forgotten. (3) a request is not written to a server whose leave came to be known while the connection was made. (4) a list that was confirmed, but has not changed for 8 s, is read by its changes, not whole.

--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -50,6 +50,8 @@
     X(SERVERS_CHANGED, "servers changed", NOTICE, 20)                                                                  \
     X(SERVERS_KEPT, "servers kept", WARNING, 20)                                                                       \
     X(SERVERS_OLDER, "servers older", NOTICE, 10)                                                                      \
+    X(LIST_OLD, "list too old", WARNING, 10)                                                                           \
+    X(LIST_RENEWED, "list renewed", NOTICE, 10)                                                                        \
     X(LIST_REQUESTED, "list requested", INFO, 20)                                                                      \
     X(LIST_FROM_ZONE, "list from zone", NOTICE, 10)                                                                    \
     X(ZONE_OUT, "zone out of service", WARNING, 20)                                                                    \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -36,6 +36,8 @@
     X(REFUSED_LOAD, "cedarwinch_refused_load_total", "counter", "refused: no slot in time")                            \
     X(REFUSED_OWNER, "cedarwinch_refused_owner_total", "counter", "refused: the key's owner is not known or moving")   \
     X(REFUSED_SERVERS, "cedarwinch_refused_servers_total", "counter", "refused: the service has no server")            \
+    X(REFUSED_LIST, "cedarwinch_refused_list_total", "counter",                                                        \
+      "refused: the list of servers was too old, and was not renewed in time")                                         \
     X(REFUSED_REGIONS, "cedarwinch_refused_regions_total", "counter",                                                  \
       "refused: the key's owner lies outside the regions of the request's route and tenant")                           \
     X(REFUSED_STOPPING, "cedarwinch_refused_stopping_total", "counter",                                                \
--- a/src/cli/zone.c
+++ b/src/cli/zone.c
@@ -130,7 +130,7 @@
 {
     const cw_store_port_t *store = cw_adapter.store(session->adapter);
 
-    store->read_servers(store->context, false);
+    store->read_servers(store->context, CW_LIST_READ);
     wait_for_answer(session);
     return session->servers != NULL;
 }
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -20,6 +20,7 @@
     HOLD_LONG_MS = 6500,
     HOLD_MAX_MS = 60000,
     DRAIN_MS = 2000,
+    SETTLE_MS = 3000,
     HEARTBEAT_MS = 1000,
     CONFIGURATION_MS = 2000,
     LEADER_HOLD_PERCENT = 60, /* of hold_ms, at most: in the rest of the hold another leader can renew the grant */
@@ -61,6 +62,7 @@
     settings->hold = CW_MS(HOLD_MS);
     settings->hold_long = CW_MS(HOLD_LONG_MS);
     settings->drain = CW_MS(DRAIN_MS);
+    settings->settle = CW_MS(SETTLE_MS);
     settings->heartbeat = CW_MS(HEARTBEAT_MS);
     settings->configuration_within = CW_MS(CONFIGURATION_MS);
     settings->stop_grace = CW_MS(STOP_GRACE_MS);
@@ -243,6 +245,7 @@
     settings->hold = read_ms(mapping, "hold_ms", 1000, 60000, settings->hold);
     settings->hold_long = read_ms(mapping, "hold_long_ms", 1000, 60000, settings->hold_long);
     settings->drain = read_ms(mapping, "drain_ms", 200, 600000, settings->drain);
+    settings->settle = read_ms(mapping, "settle_ms", 0, 600000, settings->settle);
     settings->configuration_within =
         read_ms(mapping, "configuration_within_ms", 100, 600000, settings->configuration_within);
     settings->zone_out_within = read_ms(mapping, "zone_out_within_ms", 0, 600000, settings->zone_out_within);
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -45,6 +45,7 @@
     cw_time_us_t     hold;              /**< duration of a grant while the store can be reached */
     cw_time_us_t     hold_long;         /**< duration of a grant while the store cannot be reached */
     cw_time_us_t     drain;             /**< a leaving server receives no request after this time */
+    cw_time_us_t     settle;            /**< time after its start before a process is held to the bounds on times */
     cw_time_us_t     configuration_within; /**< a change of the configuration is in force here within this time */
     cw_time_us_t zone_out_within;  /**< a zone taken out receives no request after this time; 0: no zone is ever out */
     cw_time_us_t heartbeat;        /**< interval at which servers write their entries of the list */
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -199,6 +199,10 @@
 void cw_engine_set_tables_valid(cw_engine_t *engine, cw_time_us_t confirmed_at, cw_time_us_t until);
 /** Sets the evidence of the list of servers, which the node keeps up to date; borrowed. */
 void cw_engine_set_list_evidence(cw_engine_t *engine, const cw_list_evidence_t *evidence);
+/** Sets whether requests are held back while that list is older than the settings' list_usable. */
+void cw_engine_bind_to_list_age(cw_engine_t *engine, bool is_bound);
+/** Whether requests may be sent by the list of servers. */
+bool cw_engine_list_is_usable(const cw_engine_t *engine, cw_time_us_t now);
 /** Slots, servers or tables have changed: the waiting requests are examined again in the next turn of the loop. */
 void cw_engine_wake(cw_engine_t *engine);
 /** The clock has advanced by more than the loop's timers know (loop_clock.h): restarts the timers of all requests. */
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -171,16 +171,17 @@
                                         "it crashes servers",
                                         "the server's rate limit",
                                         "the server asked for rest",
-                                        "this node reaches no server"};
-    static const cw_metric_t metrics[] = {CW_METRIC_REFUSED_LOAD,     CW_METRIC_REFUSED_OWNER,
-                                          CW_METRIC_REFUSED_SERVERS,  CW_METRIC_REFUSED_REGIONS,
-                                          CW_METRIC_REFUSED_STOPPING, CW_METRIC_REFUSED_KEY_MOVED,
-                                          CW_METRIC_REFUSED_CRASHES,  CW_METRIC_REFUSED_SERVER_LIMIT,
-                                          CW_METRIC_REFUSED_REST,     CW_METRIC_REFUSED_PATHS};
-    cw_time_us_t             now = cw_engine_now(request->engine);
-    cw_time_us_t             wait;
-    cw_http_outbound_t       outbound = {.status = STATUS_UNAVAILABLE};
-    cw_event_t               event;
+                                        "this node reaches no server",
+                                        "the list of servers is too old"};
+    static const cw_metric_t metrics[] = {
+        CW_METRIC_REFUSED_LOAD,    CW_METRIC_REFUSED_OWNER,        CW_METRIC_REFUSED_SERVERS,
+        CW_METRIC_REFUSED_REGIONS, CW_METRIC_REFUSED_STOPPING,     CW_METRIC_REFUSED_KEY_MOVED,
+        CW_METRIC_REFUSED_CRASHES, CW_METRIC_REFUSED_SERVER_LIMIT, CW_METRIC_REFUSED_REST,
+        CW_METRIC_REFUSED_PATHS,   CW_METRIC_REFUSED_LIST};
+    cw_time_us_t       now = cw_engine_now(request->engine);
+    cw_time_us_t       wait;
+    cw_http_outbound_t outbound = {.status = STATUS_UNAVAILABLE};
+    cw_event_t         event;
 
     if (cw_final_of(request->may_have_run, request->call != NULL, false) != CW_FINAL_REFUSED) {
         cw_request_fail_unknown(request, names[reason]);
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -184,6 +184,7 @@
     cw_time_us_t              tables_confirmed_at; /**< when the tables of key ranges were last confirmed */
     cw_time_us_t              tables_valid_until;  /**< the tables are not used after this time */
     const cw_list_evidence_t *list_evidence;       /**< of the list of servers; NULL: there is none */
+    bool                      is_bound_to_list;    /**< requests are held back while that list is too old */
     uint32_t                  nodes;               /**< nodes that share limits */
     cw_request_t             *open;                /**< requests that are not answered yet, in order of arrival */
     cw_time_us_t              end_by; /**< time by which all requests are answered; 0: the node is not stopping */
@@ -453,7 +454,8 @@
     CW_REFUSED_SERVER_LIMIT, /**< beyond the rate limit of its server, or of all servers that it may go to */
     /** Its server has asked for rest, or no server that it may go to has room and one of them has asked for rest. */
     CW_REFUSED_REST,
-    CW_REFUSED_PATHS /**< this node reaches no server */
+    CW_REFUSED_PATHS, /**< this node reaches no server */
+    CW_REFUSED_LIST   /**< the list of servers is too old */
 } cw_refusal_t;
 /** Ends a request that has not run and never will: 503 with the time to retry. A request that may have run ends with
  * 502 instead. */
--- a/src/proxy/engine_placement.c
+++ b/src/proxy/engine_placement.c
@@ -24,6 +24,7 @@
     NO_SERVERS,
     NO_PATHS,
     WAITS_FOR_PATHS,
+    WAITS_FOR_LIST,
     PAUSED
 } placement_t;
 
@@ -81,6 +82,9 @@
     if (cw_request_waits_for_paths(request, now)) {
         return WAITS_FOR_PATHS;
     }
+    if (!cw_engine_list_is_usable(request->engine, now)) {
+        return WAITS_FOR_LIST;
+    }
     if (request->is_keyed) {
         return place_keyed(request, now);
     }
@@ -116,6 +120,16 @@
     return owner != NULL && owner->announced_leaving && !cw_server_accepts(owner, true, now);
 }
 
+/* The list of servers is being read: a request waits for that as long as for an unknown owner of its key. */
+static void await_list(cw_request_t *request, cw_time_us_t now)
+{
+    if (request->attempts == 0 && now >= request->owner_wait_until) {
+        cw_request_refuse(request, CW_REFUSED_LIST);
+        return;
+    }
+    cw_request_arm(request);
+}
+
 /* A request that could not be placed waits or is refused with a time to retry. It is admitted if it is expected to be
  * answered within its latency objective. Once admitted it waits for its turn, even beyond the objective, as long as the
  * turn is expected before its deadline. */
@@ -131,6 +145,10 @@
         cw_request_refuse(request, CW_REFUSED_PATHS);
         return;
     }
+    if (reason == WAITS_FOR_LIST) {
+        await_list(request, now);
+        return;
+    }
     if ((reason == OVER_LIMIT || reason == SERVER_RESTS) && !request->may_have_run) {
         cw_request_refuse(request, reason == SERVER_RESTS ? CW_REFUSED_REST : CW_REFUSED_SERVER_LIMIT);
         return;
--- a/src/proxy/engine_signals.c
+++ b/src/proxy/engine_signals.c
@@ -80,7 +80,7 @@
     cw_time_us_t by_announcement = now + engine->settings.leave_grace;
     cw_time_us_t by_list;
 
-    if (engine->list_evidence == NULL) {
+    if (engine->list_evidence == NULL || !engine->is_bound_to_list) {
         return by_announcement;
     }
     by_list = engine->list_evidence->valid_at + engine->settings.list_usable;
--- a/src/proxy/engine_slots.c
+++ b/src/proxy/engine_slots.c
@@ -47,8 +47,12 @@
 {
     cw_zone_filter_t zones = {request, cw_claim_has_no_broker};
     bool             full;
-    cw_server_t     *server = cw_request_choose_without_slot(request, &zones, now, &full);
+    cw_server_t     *server;
 
+    if (!cw_engine_list_is_usable(request->engine, now)) {
+        return false;
+    }
+    server = cw_request_choose_without_slot(request, &zones, now, &full);
     if (server == NULL) {
         return false;
     }
@@ -148,7 +152,8 @@
 
 static bool is_still_usable(const cw_request_t *request, const cw_server_t *server, cw_time_us_t now)
 {
-    if (server == NULL || !cw_server_accepts(server, request->is_keyed, now) || server->ended ||
+    if (server == NULL || !cw_engine_list_is_usable(request->engine, now) ||
+        !cw_server_accepts(server, request->is_keyed, now) || server->ended ||
         strcmp(server->service, request->service->name) != 0 || !cw_server_region_allows(server, &request->regions) ||
         !cw_server_zone_allows(server, request->is_keyed, now)) {
         return false;
--- a/src/proxy/engine_state.c
+++ b/src/proxy/engine_state.c
@@ -60,6 +60,17 @@
     engine->list_evidence = evidence;
 }
 
+void cw_engine_bind_to_list_age(cw_engine_t *engine, bool is_bound)
+{
+    engine->is_bound_to_list = is_bound;
+}
+
+bool cw_engine_list_is_usable(const cw_engine_t *engine, cw_time_us_t now)
+{
+    return !engine->is_bound_to_list || engine->list_evidence == NULL ||
+           now - engine->list_evidence->valid_at <= engine->settings.list_usable;
+}
+
 const cw_key_route_t *cw_engine_owner(const cw_engine_t *engine, const cw_service_state_t *service, uint32_t key)
 {
     size_t low = 0;
--- a/src/proxy/engine_wanted.c
+++ b/src/proxy/engine_wanted.c
@@ -5,7 +5,8 @@
  * A caller's close and the end of a request's time are normally noticed by reading the socket and by a timer. After a
  * stall of the loop (base/loop_stall.h) neither has happened when requests are sent: timers, replies of brokers and the
  * request's own bytes may be handled first. So the caller's socket and the clock are asked again at the two places
- * where a request leaves this node: cw_request_send, and the first write on a new connection.
+ * where a request leaves this node: cw_request_send, and the first write on a new connection. While the connection was
+ * made, the server may also have begun to leave, or the list of servers have become too old.
  */
 #include "base/event_log.h"
 #include "base/loop_stall.h"
@@ -18,6 +19,14 @@
     return now < request->deadline && !cw_http_exchange_is_caller_gone(request->exchange);
 }
 
+static bool may_use_server(const cw_request_t *request, cw_time_us_t now)
+{
+    if (request->delegation.delegate != NULL) { /* another node, which goes by its own list */
+        return true;
+    }
+    return cw_engine_list_is_usable(request->engine, now) && cw_server_accepts(request->server, request->is_keyed, now);
+}
+
 bool cw_request_may_be_written(void *context)
 {
     const cw_request_t *request = context;
@@ -26,7 +35,7 @@
 
     /* The request states how much time was left when the connection was begun. */
     return took <= request->engine->settings.connect_timeout + CW_MS(CW_LOOP_STALL_MS) &&
-           cw_request_is_wanted(request, now);
+           may_use_server(request, now) && cw_request_is_wanted(request, now);
 }
 
 void cw_request_end_at_deadline(cw_request_t *request)
--- /dev/null
+++ b/src/router/list_renewal.c
@@ -0,0 +1,49 @@
+/**
+ * @file list_renewal.c
+ * @brief Ages at which a node reads its list of servers.
+ */
+#include "router/list_renewal.h"
+
+#include "model/list_evidence.h"
+#include "router/list_read_delay.h"
+
+enum { NEW_PROCESS_MS = 3500 };
+
+static cw_time_us_t part(cw_time_us_t whole, int percent)
+{
+    return whole * percent / 100;
+}
+
+/* In a small fleet without the leader's heartbeat the reads are not spread, since the nodes read little. */
+static cw_time_us_t spread(const cw_list_renewal_t *renewal)
+{
+    cw_time_us_t usual = part(renewal->drain, CW_LIST_SPREAD_PERCENT);
+
+    if (renewal->window < usual) {
+        return renewal->has_heartbeat ? usual : 0;
+    }
+    return renewal->is_short ? usual : renewal->window;
+}
+
+static cw_time_us_t max_age(const cw_list_renewal_t *renewal)
+{
+    return part(renewal->drain, CW_LIST_READ_PERCENT) + cw_list_read_delay(renewal->node, spread(renewal));
+}
+
+bool cw_list_renewal_is_due(const cw_list_renewal_t *renewal, cw_time_us_t now)
+{
+    cw_time_us_t age = now - renewal->valid_at;
+
+    if (now - renewal->started_at < CW_MS(NEW_PROCESS_MS)) {
+        return false;
+    }
+    if (renewal->is_reader && (!renewal->has_heartbeat || age > part(renewal->drain, CW_LIST_READER_PERCENT))) {
+        return true;
+    }
+    return age > max_age(renewal);
+}
+
+bool cw_list_renewal_is_binding(const cw_list_renewal_t *renewal, bool is_store_out, cw_time_us_t now)
+{
+    return !is_store_out && now - renewal->started_at >= part(renewal->settle, CW_LIST_USABLE_PERCENT);
+}
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -164,6 +164,9 @@
     bool               reading_copy;               /**< that read is from a copy, which may be seconds old */
     cw_time_us_t       servers_read_at;            /**< when the last read of the list was sent */
     cw_time_us_t       servers_lag;         /**< the last read may lack changes made within this time before it */
+    cw_time_us_t       servers_based_at;    /**< when the last successful read was sent */
+    bool               list_needs_whole;    /**< the store does not know the changes since the list any more */
+    bool               list_is_usable;      /**< requests may be sent by the list in force, as logged */
     uint64_t           view_term;           /**< term of the leader that published this node's view */
     uint64_t           view_list_version;   /**< version of this node's list in that term; 0: none */
     uint64_t           view_tables_version; /**< version of this node's tables in that term; 0: none */
@@ -403,14 +406,26 @@
 void cw_router_apply_tables(cw_router_t *router);
 /** Reads the list and the records of assignments from the store where no leader sends them. */
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now);
-/** Callback of the store adapter: the list of servers was read, or could not be. */
-void cw_router_on_servers(void *context, const cw_servers_read_t *read);
 /** Records that the tables in force were still valid at this time, as a node with the same tables has read in the
  * store. */
 void cw_router_confirm_tables(cw_router_t *router, cw_time_us_t valid_at);
 /** Whether this node has read or received tables of keys; true also if no service is divided by key. */
 bool cw_router_tables_known(const cw_router_t *router);
 
+/* ---- router_list_reads.c ---- */
+/** Reads the list of servers if that is due, and decides whether requests may be sent by the list in force. */
+void cw_router_list_reads_tick(cw_router_t *router, cw_time_us_t now);
+/** Callback of the store adapter: the list of servers was read, or could not be. */
+void cw_router_on_servers(void *context, const cw_servers_read_t *read);
+/** Whether the leader's heartbeat is not missing. */
+bool cw_router_has_heartbeat(const cw_router_t *router, cw_time_us_t now);
+/** Whether there are so many nodes that each of their calls to the store counts. */
+bool cw_router_is_in_large_fleet(const cw_router_t *router, cw_time_us_t now);
+/** Interval between two reads of this node that is usually `usual`. While the store does not answer, calls of many
+ * nodes would burden it, and each call has a cost: so it is longer at the nodes of a large fleet, except the readers.
+ */
+cw_time_us_t cw_router_read_interval(const cw_router_t *router, cw_time_us_t usual, cw_time_us_t now);
+
 /* ---- router_heartbeat.c ---- */
 /** Handles the heartbeat of the leader `peer`. sender: the relay that forwarded it; the leader itself if none did. */
 void cw_router_handle_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer, const cw_peer_t *sender,
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -13,27 +13,13 @@
 
 #include "base/memory.h"
 #include "base/text.h"
-#include "router/list_read_delay.h"
 #include "router/router_internal.h"
 #include "router/view_order.h"
 
 enum {
-    LIST_READS_PER_DRAIN = 4, /* reads of the list during `drain`, in which a leaving server may still get requests */
-    LAGGING_LIST_READS_PER_DRAIN = 10, /* the same if the list that is read may lack the last changes */
-    FLEET_LIST_READS_PER_DRAIN = 2,    /* the same at each node of a large fleet without the leader's heartbeat */
-    LIST_STALE_PERCENT = 60,           /* of `drain`: age at which nodes that are not readers read the list, too */
-    LIST_SPREAD_PERCENT = 20,          /* of `drain`: additional spread at nodes that receive the leader's heartbeat */
-    MIN_SERVERS_PER_NODE = 10,         /* servers that a list is assumed to have at least */
-    FIRST_READ_RETRY_MS = 700,
-    LEADER_WAIT_MS = 100, /* a starting node receives the leader's heartbeat in this time: seeds answer within 50 ms */
-    LEADER_LIST_WAIT_MS = 4000, /* the leader's list arrives in this time, from nodes of the zone or from the leader */
     READER_TABLES_STALE_PERCENT = 25, /* of the tables' validity: age at which readers of a large fleet read them */
     TABLES_STALE_PERCENT = 50,        /* the same for other nodes, for which a reader mostly confirms them before */
-    HEARTBEAT_STALE_PERCENT = 45,     /* of `drain`: after so long without the leader's heartbeat a node reads itself */
-    TABLES_READ_INTERVAL_MS = 700,
-    /* Of `drain`, see read_interval. The time bounds apply to a machine again only when the store has been back for
-     * longer than this interval. */
-    STORE_LOST_INTERVAL_PERCENT = 80
+    TABLES_READ_INTERVAL_MS = 700
 };
 
 /* ---- the list of servers ---- */
@@ -152,36 +138,6 @@
     return result != CW_VIEW_OLDER;
 }
 
-/* Whether entries may be missing in this reading although their servers live: calls have failed since the list in force
- * was valid, or the store was restored since. */
-static bool has_store_failed(const cw_router_t *router, const cw_servers_read_t *read)
-{
-    const cw_server_view_t *view = &router->server_view;
-
-    return router->store_availability.failed_at > view->evidence.valid_at ||
-           cw_store_revision_epoch(read->revision) > cw_store_revision_epoch(view->revision);
-}
-
-void cw_router_on_servers(void *context, const cw_servers_read_t *read)
-{
-    cw_router_t        *router = context;
-    cw_server_reading_t reading = {.list = read->list,
-                                   .revision = read->revision,
-                                   .latest = read->latest,
-                                   .store_failed = has_store_failed(router, read)};
-
-    if (!router->reading_copy) {
-        reading.evidence =
-            (cw_list_evidence_t){.valid_at = router->servers_read_at - read->lag, .source = CW_LIST_SOURCE_READING};
-    }
-    router->reading_servers = false;
-    router->servers_lag = read->lag;
-    cw_router_store_result(router, read->list != NULL, cw_router_now(router));
-    if (read->list != NULL && cw_router_apply_servers(router, &reading) && !router->leadership.leading) {
-        router->view_list_version = 0; /* the leader's changes cannot be applied to a list read from the store */
-    }
-}
-
 /* Removes servers that were given time to register again and have not done so. */
 static void expire_servers(cw_router_t *router, cw_time_us_t now)
 {
@@ -192,52 +148,6 @@
     }
 }
 
-/* A process that has just started does not know the other nodes yet, and assumes that there are many. */
-static bool is_in_large_fleet(const cw_router_t *router, cw_time_us_t now)
-{
-    return cw_router_is_new(router, now) ||
-           cw_peer_link_count_alive(router->link, router->peer_timeout, now) >= CW_FLEET_MANY_NODES;
-}
-
-/* Interval between two reads. While the store does not answer, calls of many nodes would burden it, and each call has a
- * cost: so the interval is longer at the nodes of a large fleet, except the readers. */
-static cw_time_us_t read_interval(const cw_router_t *router, cw_time_us_t usual, cw_time_us_t now)
-{
-    cw_time_us_t longer = router->settings.drain * STORE_LOST_INTERVAL_PERCENT / 100;
-    bool is_slowed = router->store_availability.is_lost && !router->reader.is_reader && is_in_large_fleet(router, now);
-
-    return is_slowed && longer > usual ? longer : usual;
-}
-
-/* Interval between two reads of the list while the store answers. */
-static cw_time_us_t usual_read_interval(const cw_router_t *router, cw_time_us_t now)
-{
-    if (cw_router_has_authority(router, now)) {
-        return router->settings.drain / (router->servers_lag > 0 ? LAGGING_LIST_READS_PER_DRAIN : LIST_READS_PER_DRAIN);
-    }
-    return router->settings.drain /
-           (is_in_large_fleet(router, now) ? FLEET_LIST_READS_PER_DRAIN : LIST_READS_PER_DRAIN);
-}
-
-static void read_servers(cw_router_t *router, cw_time_us_t now)
-{
-    cw_time_us_t interval = usual_read_interval(router, now);
-    bool         from_copy = router->server_view.list == NULL && !cw_router_has_authority(router, now);
-
-    interval = from_copy ? CW_MS(FIRST_READ_RETRY_MS) : read_interval(router, interval, now);
-    if (router->reading_servers || now - router->servers_read_at < interval) {
-        return;
-    }
-    router->reading_servers = true;
-    router->servers_read_at = now;
-    if (!from_copy && router->server_view.list != NULL && router->server_view.revision != 0) {
-        router->store->set_known_servers(router->store->context, router->server_view.list,
-                                         router->server_view.revision);
-    }
-    router->reading_copy = from_copy;
-    router->store->read_servers(router->store->context, from_copy);
-}
-
 /* ---- tables ---- */
 
 static const char *find_server_id(const cw_router_t *router, uint32_t hash)
@@ -289,7 +199,8 @@
 static cw_time_us_t tables_max_age(const cw_router_t *router, cw_time_us_t now)
 {
     if (router->reader.is_reader) {
-        return is_in_large_fleet(router, now) ? tables_validity(router) * READER_TABLES_STALE_PERCENT / 100 : 0;
+        return cw_router_is_in_large_fleet(router, now) ? tables_validity(router) * READER_TABLES_STALE_PERCENT / 100
+                                                        : 0;
     }
     return tables_validity(router) * TABLES_STALE_PERCENT / 100;
 }
@@ -382,7 +293,7 @@
     size_t index;
 
     if (router->configuration == NULL || router->table_reads_pending > 0 ||
-        now - router->tables_read_at < read_interval(router, CW_MS(TABLES_READ_INTERVAL_MS), now)) {
+        now - router->tables_read_at < cw_router_read_interval(router, CW_MS(TABLES_READ_INTERVAL_MS), now)) {
         return;
     }
     router->tables_read_at = now;
@@ -441,79 +352,19 @@
     router->tables_expired = expired;
 }
 
-/* Time over which the reads of nodes that would all read now are spread. While a fleet starts, the list at this node is
- * far shorter than the one in the store, so that a minimum is assumed. */
-static cw_time_us_t read_window(const cw_router_t *router, cw_time_us_t now)
-{
-    size_t nodes = cw_fleet_size_nodes(&router->fleet_size, router->peak_nodes, now);
-    size_t servers = router->server_view.list == NULL ? 0 : router->server_view.list->count;
-    size_t expected = nodes * MIN_SERVERS_PER_NODE;
-
-    return cw_list_read_window(nodes, servers > expected ? servers : expected);
-}
-
-/* A starting node receives the leader's list from nodes of its zone. Reading the list takes a call for each page of the
- * store, and after reading a later revision the node rejects the pages that it receives. So it reads the list only if
- * the leader's list does not arrive in time. */
-static bool is_first_read_due(const cw_router_t *router, bool is_heartbeat_fresh, cw_time_us_t now)
-{
-    cw_time_us_t wait = CW_MS(is_heartbeat_fresh ? LEADER_LIST_WAIT_MS : LEADER_WAIT_MS);
-
-    wait += cw_list_read_delay(cw_name_hash(router->settings.node), read_window(router, now));
-    return now - router->started_at >= wait;
-}
-
-/* Age of the list at which this node reads it. A list that the leader cannot renew for a moment becomes stale at all
- * nodes at the same time, so that their reads are spread (list_read_delay.h). In a small fleet without the leader's
- * heartbeat the reads are not spread, since the nodes read little. */
-static cw_time_us_t list_max_age(const cw_router_t *router, bool is_heartbeat_fresh, cw_time_us_t now)
-{
-    cw_time_us_t window = read_window(router, now);
-    cw_time_us_t spread = router->settings.drain * LIST_SPREAD_PERCENT / 100;
-
-    if (window < spread) {
-        window = is_heartbeat_fresh ? spread : 0;
-    }
-    return router->settings.drain * LIST_STALE_PERCENT / 100 +
-           cw_list_read_delay(cw_name_hash(router->settings.node), window);
-}
-
-/* A reader reads as soon as the leader's heartbeat is missing; the other nodes read when no reader has confirmed their
- * list. */
-static bool is_list_due(const cw_router_t *router, bool is_heartbeat_fresh, cw_time_us_t now)
-{
-    cw_time_us_t age = now - router->server_view.evidence.valid_at;
-
-    if (router->server_view.list == NULL) {
-        return is_first_read_due(router, is_heartbeat_fresh, now);
-    }
-    if (cw_router_is_new(router, now)) {
-        return false;
-    }
-    if (router->reader.is_reader &&
-        (!is_heartbeat_fresh || age > router->settings.drain * HEARTBEAT_STALE_PERCENT / 100)) {
-        return true;
-    }
-    return age > list_max_age(router, is_heartbeat_fresh, now);
-}
-
 void cw_router_view_tick(cw_router_t *router, cw_time_us_t now)
 {
-    cw_time_us_t heartbeat_timeout = router->settings.drain * HEARTBEAT_STALE_PERCENT / 100;
-    bool         is_heartbeat_fresh = now - router->leader_heartbeat_at < heartbeat_timeout;
+    bool is_heartbeat_fresh = cw_router_has_heartbeat(router, now);
 
     expire_servers(router, now);
     log_staleness(router, is_heartbeat_fresh || cw_router_has_authority(router, now), now);
+    cw_router_list_reads_tick(router, now);
     if (cw_router_has_authority(router, now)) {
-        read_servers(router, now);
         if (router->leader_tables_version > 0) {
             validate_tables(router, now);
         }
         return;
     }
-    if (is_list_due(router, is_heartbeat_fresh, now)) {
-        read_servers(router, now);
-    }
     if (!is_heartbeat_fresh && now - router->tables_valid_at > tables_max_age(router, now)) {
         read_tables(router, now);
     }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -45,6 +45,7 @@
     uint64_t latest;  /**< revision after which the list holds no changes; it is later than `revision` if the list was
                          read in several calls, since changes made between them may be included */
     cw_time_us_t lag; /**< changes made within this time before the read may be missing */
+    bool         needs_whole; /**< list is NULL: the store answered, but the changes are not known to it any more */
 } cw_servers_read_t;
 
 /** Callbacks that an adapter calls for its watches and reads. Objects are passed as references that the receiver owns.
@@ -63,8 +64,8 @@
      * reported.
      */
     void (*epoch)(void *context, uint64_t epoch);
-    /** The store answered a call of a watch or periodic read (true), or a read of the configuration got no answer
-     * (false). */
+    /** The store answered a call of a watch or periodic read, or one of the calls that a read of the list takes (true),
+     * or a read of the configuration got no answer (false). */
     void (*answered)(void *context, bool is_answered);
     /** Operators may take zones out of service in this store. Each read of the servers then also returns these zones.
      */
@@ -73,6 +74,19 @@
     void (*servers)(void *context, const cw_servers_read_t *read);
 } cw_store_callbacks_t;
 
+enum {
+    /** The changes since a list can be read if it was up to date this lately: the store drops its history after some
+     * time. */
+    CW_STORE_CHANGES_AGE_MAX_MS = 8000
+};
+
+/** How a list of servers is read. */
+typedef enum cw_list_read {
+    CW_LIST_READ,         /**< by its changes if that is possible, else whole */
+    CW_LIST_READ_CHANGES, /**< only by its changes, if it is longer than one page */
+    CW_LIST_READ_COPY     /**< whole, from a copy that may be seconds old, at a fraction of the cost */
+} cw_list_read_t;
+
 /** Operations that the router needs from a store. Each call's callback is called exactly once, from the event loop. */
 typedef struct cw_store_port {
     void *context;
@@ -84,11 +98,11 @@
     /** As read, but from a copy that may be seconds old, at a fraction of the cost. The result proves nothing about the
      * present state. */
     void (*read_copy)(void *context, const char *kind, const char *name, cw_store_replied_t replied, void *data);
-    /** Reads the list of servers; the result is passed to servers() of the readers. from_copy: the list may be seconds
-     * old. */
-    void (*read_servers)(void *context, bool from_copy);
-    /** This node got the list as of this revision from another node. The next read needs only the changes after it. */
-    void (*set_known_servers)(void *context, const cw_server_list_t *list, uint64_t revision);
+    /** Reads the list of servers; the result is passed to servers() of the readers, also during this call. */
+    void (*read_servers)(void *context, cw_list_read_t how);
+    /** This node got the list as of this revision from another node, and it was valid at this time. The next read needs
+     * only the changes after it. */
+    void (*set_known_servers)(void *context, const cw_server_list_t *list, uint64_t revision, cw_time_us_t valid_at);
     /** Reads the configuration immediately, and again after a short pause until it succeeds. A present watch is
      * replaced by a new one, since its connection may be dead.
      */
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -52,19 +52,20 @@
     add_call(context, kind, value, true, replied, data);
 }
 
-static void read_servers(void *context, bool from_copy)
+static void read_servers(void *context, cw_list_read_t how)
 {
     node_fixture_t *node = context;
 
-    (void)from_copy;
+    node->list_read = how;
     node->list_reads++;
 }
 
-static void set_known_servers(void *context, const cw_server_list_t *list, uint64_t revision)
+static void set_known_servers(void *context, const cw_server_list_t *list, uint64_t revision, cw_time_us_t valid_at)
 {
     (void)context;
     (void)list;
     (void)revision;
+    (void)valid_at;
 }
 
 static void read_configuration(void *context)
@@ -217,6 +218,7 @@
     settings->hold = CW_SECONDS(5);
     settings->hold_long = CW_SECONDS(10);
     settings->drain = CW_SECONDS(2);
+    settings->settle = CW_SECONDS(3);
     settings->configuration_within = CW_SECONDS(2);
     settings->zone_out_within = CW_SECONDS(5);
     settings->heartbeat = CW_MS(500);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -38,6 +38,7 @@
     uint64_t             revision;   /**< of the last write that was answered, as the store counts it */
     uint64_t             epoch;      /**< of the store */
     uint32_t             list_reads; /**< reads of the list of servers so far */
+    cw_list_read_t       list_read;  /**< how the last one was asked for */
     node_fixture_call_t  calls[NODE_FIXTURE_CALLS_MAX];
     size_t               call_count;
     node_fixture_order_t orders[NODE_FIXTURE_ORDERS_MAX];
--- a/tests/test_platform_foreign_pages.c
+++ b/tests/test_platform_foreign_pages.c
@@ -116,7 +116,7 @@
     snprintf(address, sizeof(address), "127.0.0.1:%u", cw_http_listener_port(listener));
     adapter = cw_adapter.create(&loop, address, &readers);
     port = cw_adapter.store(adapter);
-    port->read_servers(port->context, false);
+    port->read_servers(port->context, CW_LIST_READ);
     cw_test_run_until_set(&loop, &is_read);
 }
 
--- a/tests/test_platform_restore.c
+++ b/tests/test_platform_restore.c
@@ -237,7 +237,7 @@
 {
     size_t ended = lists_read + lists_failed + 1;
 
-    port->read_servers(port->context, false);
+    port->read_servers(port->context, CW_LIST_READ);
     cw_test_run_until(&store.loop, has_list_ended, &ended);
 }
 
