A process that starts without a leader reads the list before the bounds apply to it

Cause: the first list is read from a copy of the store; the next reading waited for 3.5 s from the start or for a leader, whichever came first, and the bounds on times apply 3 s after a start. Evidence: test_list_age, a_process_that_starts_without_a_leader_reads_the_list_before_the_bounds_apply, failed before (one reading in 3 s). Change: unless something has confirmed its list, a process reads it, by the changes since the copy, at half of settle_ms.

--- a/src/router/list_renewal.c
+++ b/src/router/list_renewal.c
@@ -7,8 +7,6 @@
 #include "model/list_evidence.h"
 #include "router/list_read_delay.h"
 
-enum { NEW_PROCESS_MS = 3500 };
-
 static cw_time_us_t part(cw_time_us_t whole, int percent)
 {
     return whole * percent / 100;
@@ -30,11 +28,20 @@
     return part(renewal->drain, CW_LIST_READ_PERCENT) + cw_list_read_delay(renewal->node, spread(renewal));
 }
 
+static cw_time_us_t first_read_at(const cw_list_renewal_t *renewal)
+{
+    cw_time_us_t usual = part(renewal->settle, CW_LIST_SPREAD_PERCENT);
+    cw_time_us_t window = renewal->is_short && renewal->window > usual ? usual : renewal->window;
+
+    return renewal->started_at + part(renewal->settle, CW_LIST_START_PERCENT) +
+           cw_list_read_delay(renewal->node, window);
+}
+
 bool cw_list_renewal_is_due(const cw_list_renewal_t *renewal, cw_time_us_t now)
 {
     cw_time_us_t age = now - renewal->valid_at;
 
-    if (now - renewal->started_at < CW_MS(NEW_PROCESS_MS)) {
+    if (now < first_read_at(renewal)) {
         return false;
     }
     if (renewal->is_reader && (!renewal->has_heartbeat || age > part(renewal->drain, CW_LIST_READER_PERCENT))) {
--- a/src/router/list_renewal.h
+++ b/src/router/list_renewal.h
@@ -13,6 +13,7 @@
  *  - At CW_LIST_USABLE_PERCENT (model/list_evidence.h) no request leaves by the list until it is renewed.
  *  - That bound does not hold while the store is out of this node's reach, since the list cannot be renewed then and no
  *    leave is acknowledged to this node's knowledge, and not in the first time of a process (`settle`).
+ *  - A process that has started from a copy of the store, whose age is not known, reads the list before that time ends.
  *
  * No I/O, no clock.
  */
@@ -27,7 +28,8 @@
 enum {
     CW_LIST_READER_PERCENT = 45, /**< of drain; also the time after which the leader's heartbeat counts as missing */
     CW_LIST_READ_PERCENT = 60,
-    CW_LIST_SPREAD_PERCENT = 20
+    CW_LIST_SPREAD_PERCENT = 20,
+    CW_LIST_START_PERCENT = 50 /**< of settle: when a process reads the list if nothing has confirmed its first one */
 };
 
 /** What a node knows when it decides. */
