A leader that was cut off from the store does not bring servers back

Cause: a leader that cannot reach the store keeps servers whose entries are missing once it reads again, since they may have been unable to write them. Its list is of the latest revision, so nodes that had read the store meanwhile, and had dropped the servers, took them back until the grace time after their own first miss; the others kept them for the leader's grace time, whatever the age of their own knowledge. The same grace, counted from the reading, was given where more than half of the servers were missing at once. Change: a node keeps a missing server beyond what its own list allows (90 % of drain after the last list with the server) only where its own calls to the store failed since; one that it has dropped stays dropped until it is proved to be back. A store that came back from a copy is an outage of all. test_server_view: a_server_kept_by_another_node_is_not_restored asked for what is the fault here (c back as missing), and asks for c to stay away now; after_an_outage_... states the outage that its name tells.

--- a/src/model/server_absence.c
+++ b/src/model/server_absence.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "model/list_evidence.h"
+
 enum {
     OUTAGE_MS = 1500, /* age from which the list in force is old */
     GRACE_MIN_MS = 1500,
@@ -32,12 +34,26 @@
 
     grace = not_above(grace, CW_MS(GRACE_MAX_MS));
     grace = not_above(grace, drain - CW_MS(DRAIN_MARGIN_MS));
-    return (cw_absence_settings_t){.outage = CW_MS(OUTAGE_MS), .grace = grace};
+    return (cw_absence_settings_t){.outage = CW_MS(OUTAGE_MS), .grace = grace, .usable = cw_list_usable_age(drain)};
 }
 
-bool cw_absence_is_over(const cw_absence_settings_t *settings, const cw_server_entry_t *entry, cw_time_us_t now)
+bool cw_absence_is_over(const cw_server_entry_t *entry, cw_time_us_t now)
 {
-    return entry->missing_since != 0 && now - entry->missing_since >= settings->grace;
+    return entry->missing_since != 0 && now >= entry->keep_until;
+}
+
+static bool is_after_outage(const cw_absence_settings_t *settings, const cw_absence_reading_t *state, cw_time_us_t now)
+{
+    return state->store_failed && now - state->known_at > settings->outage;
+}
+
+cw_time_us_t cw_absence_keep_until(const cw_absence_settings_t *settings, const cw_absence_reading_t *state,
+                                   cw_time_us_t missing_since, cw_time_us_t now)
+{
+    cw_time_us_t by_grace = missing_since + settings->grace;
+    bool         was_out = state->may_be_of_copy || is_after_outage(settings, state, now);
+
+    return state->known_at != 0 && !was_out ? not_above(by_grace, state->known_at + settings->usable) : by_grace;
 }
 
 static bool is_missing(const cw_server_list_t *reading, const cw_server_entry_t *entry)
@@ -85,8 +101,11 @@
             has_successor(reading, known, &entry, state)) {
             continue;
         }
-        entry.missing_since = entry.missing_since == 0 ? now : entry.missing_since;
-        if (!cw_absence_is_over(settings, &entry, now)) {
+        if (entry.missing_since == 0) {
+            entry.missing_since = now;
+            entry.keep_until = cw_absence_keep_until(settings, state, now, now);
+        }
+        if (!cw_absence_is_over(&entry, now)) {
             cw_server_list_put(kept, 0, &entry);
         }
     }
@@ -97,7 +116,7 @@
                               const cw_server_list_t *known, const cw_absence_reading_t *state, cw_time_us_t now)
 {
     size_t            newly = known == NULL ? 0 : count_newly_missing(reading, known);
-    bool              after_outage = state->store_failed && now - state->known_at > settings->outage;
+    bool              after_outage = is_after_outage(settings, state, now);
     cw_server_list_t *kept;
     size_t            count;
     size_t            index;
--- a/src/model/server_list.h
+++ b/src/model/server_list.h
@@ -31,6 +31,7 @@
     uint64_t     changed_in; /**< version of the leader's list in which it last changed; 0 on nodes that do not lead */
     cw_time_us_t cold_time;  /**< remaining warm-up time when the server wrote the entry; 0: it is warm */
     cw_time_us_t missing_since; /**< since when its entry is missing although the server is kept; 0: it has an entry */
+    cw_time_us_t keep_until;    /**< when a kept server is removed unless it has an entry again (server_absence.h) */
 } cw_server_entry_t;
 
 /** A snapshot with its reference count. */
--- a/src/model/server_view.c
+++ b/src/model/server_view.c
@@ -216,12 +216,39 @@
     departure->revision = reading->revision;
 }
 
+static cw_absence_reading_t absence_state(const cw_server_view_t *view, const cw_server_reading_t *reading)
+{
+    return (cw_absence_reading_t){.known_at = view->evidence.valid_at,
+                                  .store_failed = reading->store_failed,
+                                  .may_be_of_copy = cw_store_revision_epoch(reading->revision) >
+                                                    cw_store_revision_epoch(view->revision)};
+}
+
+/* Sets until when a server without a proven entry is kept. One that this node has removed before is not kept, unless
+ * the store has come back from a copy since. False: the entry must be removed from the list. */
+static bool keep_missing(const cw_server_view_t *view, cw_server_entry_t *entry, const cw_server_reading_t *reading,
+                         bool is_of_copy, cw_time_us_t now)
+{
+    cw_absence_reading_t     state = absence_state(view, reading);
+    const cw_server_entry_t *known = cw_server_list_find(view->list, entry->id);
+
+    if (known != NULL && known->missing_since != 0) {
+        entry->keep_until = known->keep_until;
+    } else if (known != NULL || view->list == NULL || is_of_copy) {
+        entry->keep_until = cw_absence_keep_until(&view->absence, &state, entry->missing_since, now);
+    } else {
+        return false;
+    }
+    return !cw_absence_is_over(entry, now);
+}
+
 /* Corrects an entry by the recorded departure of its server, if there is one. False: the entry must be removed from the
  * list. */
 static bool correct(const cw_server_view_t *view, cw_server_entry_t *entry, const cw_server_reading_t *reading,
                     cw_time_us_t now)
 {
     cw_server_departure_t *departure = find_departure(view, entry->id);
+    bool                   is_of_copy = departure != NULL && may_be_of_copy(departure, reading);
 
     if (departure != NULL) {
         departure->last_recorded_at = now;
@@ -230,12 +257,12 @@
             departure->since = 0;
         } else if (departure->since != 0) {
             entry->missing_since = departure->since;
-            if (may_be_of_copy(departure, reading)) {
+            if (is_of_copy) {
                 record_heartbeat_of_copy(departure, entry, reading);
             }
         }
     }
-    return !cw_absence_is_over(&view->absence, entry, now);
+    return entry->missing_since == 0 || keep_missing(view, entry, reading, is_of_copy, now);
 }
 
 /* Returns the list with all entries corrected, and releases the given one if a new list was made. */
@@ -279,6 +306,7 @@
 
         entry->sequence = other->sequence > entry->sequence ? other->sequence : entry->sequence;
         entry->missing_since = other->missing_since;
+        entry->keep_until = other->keep_until;
         entry->cold_time = other->cold_time;
     }
 }
@@ -316,10 +344,7 @@
     list = correct_entries(view, reading, now);
     if (!reading->is_from_leader) {
         /* The caller finds the number of added servers in the list and logs it. */
-        cw_absence_reading_t state = {.known_at = view->evidence.valid_at,
-                                      .store_failed = reading->store_failed,
-                                      .may_be_of_copy = cw_store_revision_epoch(reading->revision) >
-                                                        cw_store_revision_epoch(view->revision)};
+        cw_absence_reading_t state = absence_state(view, reading);
 
         (void)cw_server_absence_fill(&view->absence, list, view->list, &state, now);
     }
@@ -342,7 +367,7 @@
     size_t index;
 
     for (index = 0; view->kept > 0 && index < view->list->count; index++) {
-        if (cw_absence_is_over(&view->absence, &view->list->entries[index], now)) {
+        if (cw_absence_is_over(&view->list->entries[index], now)) {
             return true;
         }
     }
--- a/src/model/server_view.h
+++ b/src/model/server_view.h
@@ -10,8 +10,8 @@
  *    earlier heartbeats does not undo it.
  *  - A server that was missing is present again when a later revision than the one in which it was missing contains it;
  *    in the node's own reading it must also have a later heartbeat than the last one seen. An entry that another node
- *    keeps although the server is missing (server_absence.h) does not make it present here: its grace time counts from
- *    when this node first missed it.
+ *    keeps although the server is missing (server_absence.h) does not make it present here, and does not bring it back
+ *    where this node has removed it: that node may have been cut off from the store alone.
  *  - A server that was missing before the store came back from a copy is present again only by a later heartbeat than
  * the one in its entry there: that entry may be of the copy.
  *  - An entry of a former incarnation of a server that has restarted since (server_incarnation.h) is a late write: the
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -417,6 +417,8 @@
 void cw_router_list_reads_tick(cw_router_t *router, cw_time_us_t now);
 /** Callback of the store adapter: the list of servers was read, or could not be. */
 void cw_router_on_servers(void *context, const cw_servers_read_t *read);
+/** Whether calls of this node to the store have failed since its list was last valid, or are without an answer. */
+bool cw_router_has_missed_store(const cw_router_t *router, cw_time_us_t now);
 /** Whether the leader's heartbeat is not missing. */
 bool cw_router_has_heartbeat(const cw_router_t *router, cw_time_us_t now);
 /** Whether there are so many nodes that each of their calls to the store counts. */
--- a/src/router/router_list_reads.c
+++ b/src/router/router_list_reads.c
@@ -24,6 +24,19 @@
 
 /* ---- results ---- */
 
+/* Whether the store is out of this node's reach now. */
+static bool is_store_out(const cw_router_t *router, cw_time_us_t now)
+{
+    cw_time_us_t asked_at = router->reading_servers ? router->servers_read_at : 0;
+
+    return cw_store_availability_is_out(&router->store_availability, asked_at, router->settings.settle, now);
+}
+
+bool cw_router_has_missed_store(const cw_router_t *router, cw_time_us_t now)
+{
+    return router->store_availability.failed_at > router->server_view.evidence.valid_at || is_store_out(router, now);
+}
+
 /* Whether entries may be missing in this reading although their servers live: calls have failed since the list in force
  * was valid, or the store was restored since. */
 static bool has_store_failed(const cw_router_t *router, const cw_servers_read_t *read)
@@ -201,11 +214,9 @@
 /* The log states only changes while a list is there. */
 static void update_bound(cw_router_t *router, const cw_list_renewal_t *renewal, cw_time_us_t now)
 {
-    cw_time_us_t asked_at = router->reading_servers ? router->servers_read_at : 0;
-    bool is_out = cw_store_availability_is_out(&router->store_availability, asked_at, router->settings.settle, now);
     bool was_usable = router->list_is_usable;
 
-    cw_engine_bind_to_list_age(router->engine, cw_list_renewal_is_binding(renewal, is_out, now));
+    cw_engine_bind_to_list_age(router->engine, cw_list_renewal_is_binding(renewal, is_store_out(router, now), now));
     router->list_is_usable = cw_engine_list_is_usable(router->engine, now);
     if (router->list_is_usable == was_usable || router->server_view.list == NULL) {
         return;
--- a/src/router/router_view_pages.c
+++ b/src/router/router_view_pages.c
@@ -129,7 +129,10 @@
 {
     cw_page_position_t  position = {page->term, page->number, page->since, page->page, page->pages};
     uint64_t            revision = cw_router_received_revision(router, page->revision_epoch, page->revision);
-    cw_server_reading_t reading = {.revision = revision, .is_from_leader = true};
+    cw_server_reading_t reading = {.revision = revision,
+                                   .is_from_leader = true,
+                                   .store_failed =
+                                       router->store_availability.failed_at > router->server_view.evidence.valid_at};
     cw_list_update_t   *update;
 
     if (page->pages == 0 && page->ask_instead != 0) {
--- a/tests/test_server_absence.c
+++ b/tests/test_server_absence.c
@@ -8,7 +8,7 @@
 #include "loop_fixture.h"
 #include "model/server_absence.h"
 
-static const cw_absence_settings_t settings = {.outage = CW_MS(1500), .grace = CW_MS(2000)};
+static const cw_absence_settings_t settings = {.outage = CW_MS(1500), .grace = CW_MS(2000), .usable = CW_MS(1800)};
 
 /* Servers are named by letters and have different addresses. A capital letter is a leaving server; a digit is a server
  * at b's address. */
--- a/tests/test_server_view.c
+++ b/tests/test_server_view.c
@@ -10,7 +10,7 @@
 #include "model/server_view.h"
 #include "model/store_epoch.h"
 
-static const cw_absence_settings_t settings = {.outage = CW_MS(1500), .grace = CW_MS(1700)};
+static const cw_absence_settings_t settings = {.outage = CW_MS(1500), .grace = CW_MS(1700), .usable = CW_MS(1800)};
 
 static const cw_time_us_t start = CW_SECONDS(60);
 
@@ -246,11 +246,13 @@
 
 START_TEST(after_an_outage_a_missing_server_is_kept_for_its_first_grace_time_only)
 {
-    cw_server_list_t *before;
-    cw_time_us_t      missed = start + CW_SECONDS(3);
+    cw_server_list_t   *before;
+    cw_time_us_t        missed = start + CW_SECONDS(3);
+    cw_server_reading_t after_outage = {
+        .list = list_of("a", 6, 0), .revision = 110, .latest = 110, .evidence.valid_at = missed, .store_failed = true};
 
     ck_assert_int_eq(read_at("abcd", 100, 5, start), CW_VIEW_CHANGED);
-    ck_assert_int_eq(read_at("a", 110, 6, missed), CW_VIEW_CHANGED);
+    ck_assert_int_eq(offer(&after_outage, missed), CW_VIEW_CHANGED);
     ck_assert_str_eq(in_force(), "a-b-c-d");
     ck_assert_int_eq(read_at("ac", 120, 7, missed + CW_MS(500)), CW_VIEW_CHANGED);
     ck_assert_str_eq(in_force(), "a-bc-d");
@@ -268,11 +270,10 @@
 {
     ck_assert_int_eq(read_at("abc", 100, 5, start), CW_VIEW_CHANGED);
     ck_assert_int_eq(read_at("ab", 110, 6, start + CW_MS(500)), CW_VIEW_CHANGED);
-    /* the leader could not reach the store and keeps c from now on; here c's grace time counts from the first reading
-     */
-    ck_assert_int_eq(receive_at("ab-c", 120, start + CW_MS(1500), start + CW_MS(1500)), CW_VIEW_CHANGED);
-    ck_assert_str_eq(in_force(), "ab-c");
-    ck_assert_int_eq(receive_at("ab-c", 125, start + CW_MS(2300), start + CW_MS(1500)), CW_VIEW_CHANGED);
+    /* the leader could not reach the store and keeps c from now on; this node has read the store meanwhile */
+    ck_assert_int_eq(receive_at("ab-c", 120, start + CW_MS(1500), start + CW_MS(1500)), CW_VIEW_SAME);
+    ck_assert_str_eq(in_force(), "ab");
+    ck_assert_int_eq(receive_at("ab-c", 125, start + CW_MS(2300), start + CW_MS(1500)), CW_VIEW_SAME);
     ck_assert_str_eq(in_force(), "ab");
     ck_assert_int_eq(receive_at("abc", 130, start + CW_MS(2400), 0), CW_VIEW_CHANGED); /* it has registered again */
     ck_assert_str_eq(in_force(), "abc");
