A foreign entry that fills a page of the list and cannot be read does not end the reading

Cause: a listing continues after the last name of a page. An entry that is no valid JSON became null, its name was lost with it, and a page without any name ended the reading; the next one did the same. Names went into the path as they were: a blank, or 192 bytes, had the same effect. Change: of an entry that cannot be parsed its name is found by the brackets and quotes alone, as bytes; it still names no server. Open: a page with nothing but entries whose names hold escapes that cannot be decoded (a zero byte).

--- a/tests/test_platform_bodies.c
+++ b/tests/test_platform_bodies.c
@@ -348,8 +348,12 @@
     "{\"a\":}",
 };
 
+/* Names that are found in these entries; NULL: none. */
+static const char *const unreadable_names[] = {"i-x", "i-x", NULL, NULL, NULL};
+
 START_TEST(entry_with_invalid_bytes_does_not_affect_the_others)
 {
+    cw_server_list_t     *none = cw_server_list_create();
     char                  text[2048];
     json_t               *body;
     cw_platform_problem_t problem;
@@ -363,10 +367,18 @@
     ck_assert(page.has_more);
     ck_assert_uint_eq(page.revision, 530);
     ck_assert_uint_eq(json_array_size(page.objects), 2);
-    ck_assert(!cw_platform_decode_listed(&object, body, 0, &problem));
-    ck_assert_str_eq(problem.text, "items[0]: not an object");
+    if (unreadable_names[_i] == NULL) {
+        ck_assert(!cw_platform_decode_listed(&object, body, 0, &problem));
+        ck_assert_str_eq(problem.text, "items[0]: not an object");
+    } else { /* it names no server, but the place after which the listing goes on */
+        ck_assert(cw_platform_decode_listed(&object, body, 0, &problem));
+        ck_assert_str_eq(object.name, unreadable_names[_i]);
+        ck_assert(!cw_platform_decode_server(none, &object));
+        ck_assert_uint_eq(none->count, 0);
+    }
     ck_assert(cw_platform_decode_listed(&object, body, 1, &problem));
     ck_assert_str_eq(object.name, "i-a");
+    cw_server_list_release(none);
     json_decref(body);
 }
 END_TEST
