What heartbeats and notices state of the list counts from their sending

A list seemed younger than it was by as long as the heartbeat, or a reader's notice, had been held up: in the queue of a link (up to half a second while all machines still count as undisturbed), at a relay, or in the node's socket (a stall below 250 ms is not noticed). Change: both state the sender's steady clock at their sending. The age in milliseconds is rounded up. Messages of earlier releases, without the field, count from their receipt as before.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2076,7 +2076,7 @@
   (ProtobufCMessageInit) cwp__key_samples__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__leader_heartbeat__field_descriptors[15] =
+static const ProtobufCFieldDescriptor cwp__leader_heartbeat__field_descriptors[16] =
 {
   {
     "term",
@@ -2258,6 +2258,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__LeaderHeartbeat, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__leader_heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = able */
@@ -2268,6 +2280,7 @@
   10,   /* field[10] = nodes */
   1,   /* field[1] = revision */
   13,   /* field[13] = revision_epoch */
+  15,   /* field[15] = sent_ms */
   4,   /* field[4] = servers */
   6,   /* field[6] = servers_hash */
   11,   /* field[11] = servers_replaced_ms */
@@ -2279,7 +2292,7 @@
 static const ProtobufCIntRange cwp__leader_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor cwp__leader_heartbeat__descriptor =
 {
@@ -2289,7 +2302,7 @@
   "Cwp__LeaderHeartbeat",
   "cwp",
   sizeof(Cwp__LeaderHeartbeat),
-  15,
+  16,
   cwp__leader_heartbeat__field_descriptors,
   cwp__leader_heartbeat__field_indices_by_name,
   1,  cwp__leader_heartbeat__number_ranges,
@@ -4463,7 +4476,7 @@
   (ProtobufCMessageInit) cwp__configuration_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__store_notice__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cwp__store_notice__field_descriptors[10] =
 {
   {
     "configuration",
@@ -4561,10 +4574,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__StoreNotice, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__StoreNotice, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__store_notice__field_indices_by_name[] = {
   0,   /* field[0] = configuration */
   6,   /* field[6] = configuration_age_ms */
+  9,   /* field[9] = incarnation */
+  8,   /* field[8] = sent_ms */
   3,   /* field[3] = servers_age_ms */
   1,   /* field[1] = servers_hash */
   2,   /* field[2] = servers_revision */
@@ -4575,7 +4614,7 @@
 static const ProtobufCIntRange cwp__store_notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor cwp__store_notice__descriptor =
 {
@@ -4585,7 +4624,7 @@
   "Cwp__StoreNotice",
   "cwp",
   sizeof(Cwp__StoreNotice),
-  8,
+  10,
   cwp__store_notice__field_descriptors,
   cwp__store_notice__field_indices_by_name,
   1,  cwp__store_notice__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -231,10 +231,15 @@
    */
   uint32_t revision_epoch;
   uint32_t list_revision_epoch;
+  /*
+   * the sender's steady clock (peer/clock_offset.h) when this was sent, in milliseconds, plus one; 0: the sender's
+   * release does not state it
+   */
+  uint64_t sent_ms;
 };
 #define CWP__LEADER_HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__leader_heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -863,10 +868,18 @@
    * epoch of the store of that revision, plus one; 0: as in LeaderHeartbeat
    */
   uint32_t servers_revision_epoch;
+  /*
+   * as in LeaderHeartbeat
+   */
+  uint64_t sent_ms;
+  /*
+   * of the sender, to whose clock sent_ms belongs
+   */
+  uint64_t incarnation;
 };
 #define CWP__STORE_NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__store_notice__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -17,6 +17,7 @@
 #include "base/time.h"
 #include "model/zone_region.h"
 #include "peer.pb-c.h"
+#include "peer/clock_offset.h"
 #include "peer/datagram_batch.h"
 #include "peer/peer_paths.h"
 #include "peer/traffic_account.h"
@@ -55,12 +56,13 @@
     uint64_t term;                     /**< term of the list and tables that it has */
     uint64_t servers;                  /**< version of its list of servers */
     uint64_t tables;                   /**< version of its tables */
-    cw_push_state_t servers_push;
-    cw_push_state_t tables_push;
-    uint32_t        peers;        /**< number of nodes from which it received recently, by its last report */
-    cw_time_us_t    nodes_due_at; /**< earliest time at which the other nodes' addresses are sent to it again */
-    struct cw_peer *next;
-    UT_hash_handle  by_address;
+    cw_push_state_t   servers_push;
+    cw_push_state_t   tables_push;
+    uint32_t          peers;        /**< number of nodes from which it received recently, by its last report */
+    cw_clock_offset_t clock;        /**< of its steady clock, by its heartbeats as leader and its notices as reader */
+    cw_time_us_t      nodes_due_at; /**< earliest time at which the other nodes' addresses are sent to it again */
+    struct cw_peer   *next;
+    UT_hash_handle    by_address;
 } cw_peer_t;
 
 /** Callback for received datagrams. */
--- a/src/router/router_heartbeat.c
+++ b/src/router/router_heartbeat.c
@@ -8,16 +8,27 @@
 #include "base/text.h"
 #include "router/router_internal.h"
 
+/* When the heartbeat was sent; its receipt if the leader's release does not state it. What it says of the list is of
+ * that time, however long a relay or a queue has held it up. */
+static cw_time_us_t heartbeat_sent_at(cw_peer_t *leader, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
+{
+    if (heartbeat->sent_ms == 0) {
+        return now;
+    }
+    return cw_clock_offset_sent_at(&leader->clock, leader->incarnation, CW_MS((cw_time_us_t)(heartbeat->sent_ms - 1)),
+                                   now);
+}
+
 /* Confirms the list in force: it is the leader's newest, or was valid until a time that the heartbeat states. */
 static void confirm_servers(cw_router_t *router, const cw_peer_t *sender, const Cwp__LeaderHeartbeat *heartbeat,
-                            cw_time_us_t now)
+                            cw_time_us_t sent_at)
 {
     bool               is_direct = strcmp(sender->node, router->leader_node) == 0;
     cw_list_evidence_t evidence = {.source = is_direct ? CW_LIST_SOURCE_LEADER : CW_LIST_SOURCE_RELAY,
                                    .from = sender->address};
 
     if (router->view_list_version >= heartbeat->servers) {
-        evidence.valid_at = now - CW_MS(heartbeat->list_age_ms);
+        evidence.valid_at = sent_at - CW_MS(heartbeat->list_age_ms);
         cw_server_view_confirm(
             &router->server_view,
             cw_router_received_revision(router, heartbeat->list_revision_epoch, heartbeat->list_revision), &evidence);
@@ -25,7 +36,7 @@
     }
     evidence.valid_at =
         cw_replaced_versions_valid_at(router->view_list_version, heartbeat->servers, heartbeat->servers_replaced_ms,
-                                      heartbeat->n_servers_replaced_ms, now);
+                                      heartbeat->n_servers_replaced_ms, sent_at);
     cw_server_view_confirm(&router->server_view, router->server_view.revision, &evidence);
 }
 
@@ -44,7 +55,7 @@
     }
 }
 
-void cw_router_handle_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer, const cw_peer_t *sender,
+void cw_router_handle_leader_heartbeat(cw_router_t *router, cw_peer_t *peer, const cw_peer_t *sender,
                                        const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
 {
     cw_event_t event;
@@ -81,7 +92,7 @@
     cw_router_check_view(router, heartbeat, now);
     cw_router_list_exchange_heartbeat(router, heartbeat, now);
     if (router->view_term == heartbeat->term && !cw_router_reads_backlog(router, now)) {
-        confirm_servers(router, sender, heartbeat, now);
+        confirm_servers(router, sender, heartbeat, heartbeat_sent_at(peer, heartbeat, now));
         confirm_tables(router, heartbeat, now);
     }
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -430,7 +430,7 @@
 
 /* ---- router_heartbeat.c ---- */
 /** Handles the heartbeat of the leader `peer`. sender: the relay that forwarded it; the leader itself if none did. */
-void cw_router_handle_leader_heartbeat(cw_router_t *router, const cw_peer_t *peer, const cw_peer_t *sender,
+void cw_router_handle_leader_heartbeat(cw_router_t *router, cw_peer_t *peer, const cw_peer_t *sender,
                                        const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now);
 
 /* ---- router_zones.c ---- */
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -152,7 +152,8 @@
     builder.leader.revision = cw_store_revision_count(router->leadership.revision);
     builder.leader.revision_epoch = cw_router_sent_epoch(router->leadership.revision);
     builder.leader.able = cw_router_has_authority(router, now);
-    builder.leader.list_age_ms = (uint32_t)((now - router->server_view.evidence.valid_at) / 1000);
+    builder.leader.list_age_ms = (uint32_t)((now - router->server_view.evidence.valid_at) / 1000) + 1;
+    builder.leader.sent_ms = (uint64_t)(now / 1000) + 1;
     builder.leader.servers = router->leader_list_version;
     builder.leader.servers_hash = router->server_view.list == NULL ? 0 : router->server_view.hash;
     builder.leader.list_revision = cw_store_revision_count(router->server_view.revision);
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -107,13 +107,15 @@
     cw_peer_t       *peer;
     size_t           length;
 
+    notice.sent_ms = (uint64_t)(now / 1000) + 1;
+    notice.incarnation = router->incarnation;
     notice.configuration = cw_router_version(router);
     notice.configuration_age_ms = cw_configuration_freshness_pack(&router->freshness, now);
     if (router->server_view.list != NULL && router->server_view.evidence.valid_at != 0) {
         notice.servers_hash = router->server_view.hash;
         notice.servers_revision = cw_store_revision_count(router->server_view.revision);
         notice.servers_revision_epoch = cw_router_sent_epoch(router->server_view.revision);
-        notice.servers_age_ms = age_ms(router->server_view.evidence.valid_at, now);
+        notice.servers_age_ms = age_ms(router->server_view.evidence.valid_at, now) + 1;
     }
     if (router->tables_valid_at != 0) {
         notice.tables_hash = router->tables_hash;
@@ -138,8 +140,19 @@
     }
 }
 
+/* When a notice was sent; its receipt if the sender's release does not state it. */
+static cw_time_us_t notice_sent_at(cw_peer_t *peer, const Cwp__StoreNotice *notice, cw_time_us_t now)
+{
+    if (notice->sent_ms == 0) {
+        return now;
+    }
+    return cw_clock_offset_sent_at(&peer->clock, notice->incarnation, CW_MS((cw_time_us_t)(notice->sent_ms - 1)), now);
+}
+
 void cw_router_handle_notice(cw_router_t *router, cw_peer_t *peer, const Cwp__StoreNotice *notice, cw_time_us_t now)
 {
+    cw_time_us_t sent_at = notice_sent_at(peer, notice, now);
+
     if (peer->last_received_at != 0) {
         peer->last_received_at = now;
         peer->store_lost = false;
@@ -153,8 +166,9 @@
     }
     if (notice->servers_hash != 0 && router->server_view.list != NULL &&
         notice->servers_hash == router->server_view.hash) {
-        cw_list_evidence_t evidence = {
-            .valid_at = now - CW_MS(notice->servers_age_ms), .source = CW_LIST_SOURCE_READER, .from = peer->address};
+        cw_list_evidence_t evidence = {.valid_at = sent_at - CW_MS(notice->servers_age_ms),
+                                       .source = CW_LIST_SOURCE_READER,
+                                       .from = peer->address};
 
         cw_server_view_confirm(
             &router->server_view,
--- a/tests/test_list_age.c
+++ b/tests/test_list_age.c
@@ -146,6 +146,48 @@
 }
 END_TEST
 
+/* Delivers a heartbeat of a leader whose list has just been read. sent_ms: on the leader's clock. */
+static void receive_heartbeat(node_fixture_t *node, uint64_t sent_ms)
+{
+    Cwp__LeaderHeartbeat heartbeat = CWP__LEADER_HEARTBEAT__INIT;
+    Cwp__NodeReport      report = CWP__NODE_REPORT__INIT;
+    Cwp__Datagram        datagram = CWP__DATAGRAM__INIT;
+    static uint32_t      sequence = 1000;
+
+    heartbeat.term = 5;
+    heartbeat.able = true;
+    heartbeat.servers = 1;
+    heartbeat.servers_hash = node->router.server_view.hash;
+    heartbeat.sent_ms = sent_ms;
+    report.node = "leader";
+    report.zone = "z2";
+    report.incarnation = 5;
+    report.sequence = ++sequence;
+    report.leader = &heartbeat;
+    datagram.content_case = CWP__DATAGRAM__CONTENT_REPORT;
+    datagram.report = &report;
+    node_fixture_receive(node, "10.0.0.77", &datagram);
+}
+
+/* Guards against: the age that a heartbeat states counts from its receipt, so that a list seems younger by as long as a
+ * link, a relay or a socket has held the heartbeat up (issue 74, hypothesis 3). */
+START_TEST(a_heartbeat_that_was_held_up_confirms_the_list_at_its_sending_only)
+{
+    node_fixture_t *node = node_among(FEW_NODES, 3);
+
+    receive_heartbeat(node, 700000);
+    ck_assert_int_eq(age(node), 0);
+    node_fixture_tick(node, 1000);
+    receive_heartbeat(node, 700100); /* held up for 900 ms */
+    ck_assert_int_eq(age(node), CW_MS(900));
+    ck_assert_int_eq(node->router.server_view.evidence.source, CW_LIST_SOURCE_LEADER);
+    node_fixture_tick(node, CW_TICK_MS);
+    receive_heartbeat(node, 701020);
+    ck_assert_int_eq(age(node), 0);
+    node_fixture_free(node);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("list age");
@@ -156,6 +198,7 @@
     tcase_add_test(cases, a_node_of_a_small_fleet_renews_its_list_without_a_leader);
     tcase_add_test(cases, an_owner_that_announced_its_leave_late_gets_no_request_beyond_the_drain_time);
     tcase_add_test(cases, a_process_that_starts_without_a_leader_reads_the_list_before_the_bounds_apply);
+    tcase_add_test(cases, a_heartbeat_that_was_held_up_confirms_the_list_at_its_sending_only);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
