Terms after returns of the store do not depend on what a process has lived through

Cause: a new term skips 1,024 terms for each return of the store since the stamp of the lock in the copy. A process that had lived through earlier returns added these to the highest term it knew, which had skipped for them already; one that started later knew the copy's lock alone and came out below. Change: the terms to skip are counted from the term of the lock in the store; the result is raised above the highest known term. Ruled out: a stamp kept with the highest term known. It gives the same terms in this case, and lower ones where heartbeats of a former epoch come late.

--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -237,20 +237,32 @@
     write->epoch_stamp = cw_store_epoch_stamp(leadership->epochs.current);
 }
 
-/* Term of the first write by a new holder, or in a new epoch. Terms that were used in a lost state of the store are not
- * known, but there are less than TERMS_PER_RESTORE of them for each restore. */
-static uint64_t next_term(const cw_leadership_t *leadership)
+/* First term that was certainly not used in a lost state of the store. Such terms are not known, but there are less than
+ * TERMS_PER_RESTORE of them for each restore since the lock was written. This depends on the lock alone: processes that
+ * lived through earlier restores and processes that did not must come to the same terms, or those of a process that
+ * starts later would be below. */
+static uint64_t first_unused_term(const cw_leadership_t *leadership)
 {
     const cw_lock_t *lock = &leadership->lock;
-    uint64_t         highest = lock->term > leadership->received_term ? lock->term : leadership->received_term;
     uint64_t         restores = 0;
 
     if (leadership->absent) {
-        restores = leadership->epochs.current;
-    } else if (is_outdated(leadership, lock)) {
+        return 1 + leadership->epochs.current * TERMS_PER_RESTORE;
+    }
+    if (is_outdated(leadership, lock)) {
         restores = lock->epoch_stamp == 0 ? 1 : cw_store_epoch_stamp(leadership->epochs.current) - lock->epoch_stamp;
     }
-    return highest + 1 + restores * TERMS_PER_RESTORE;
+    return leadership->stored_term + 1 + restores * TERMS_PER_RESTORE;
+}
+
+/* Term of the first write by a new holder, or in a new epoch. */
+static uint64_t next_term(const cw_leadership_t *leadership)
+{
+    const cw_lock_t *lock = &leadership->lock;
+    uint64_t         highest = lock->term > leadership->received_term ? lock->term : leadership->received_term;
+    uint64_t         unused = first_unused_term(leadership);
+
+    return unused > highest ? unused : highest + 1;
 }
 
 /* Whether an earlier incarnation of this node, which has ended, holds the lock. */
@@ -392,6 +404,7 @@
     }
     leadership->absent = false;
     leadership->lock = leadership->write;
+    leadership->stored_term = leadership->write.term;
     leadership->is_unreadable = false;
     record_revision(leadership, revision, now);
     leadership->must_read = false;
@@ -435,6 +448,7 @@
         leadership->lock.term > leadership->received_term ? leadership->lock.term : leadership->received_term;
 
     leadership->lock = *lock;
+    leadership->stored_term = lock->term;
     if (is_outdated(leadership, lock) && lock->term < highest) {
         leadership->lock.term = highest;
     }
--- a/src/lease/leadership.h
+++ b/src/lease/leadership.h
@@ -89,6 +89,7 @@
     cw_time_us_t             follow_until;     /**< after a step-down: the lock is not taken before this time */
     cw_time_us_t             authority_end;    /**< when this node's authority ends, while it leads */
     cw_lock_t                lock;             /**< last known value */
+    uint64_t                 stored_term;      /**< term of the lock in the store, which `lock` may exceed */
     uint64_t                 revision;         /**< last known revision of the lock; 0: none */
     cw_time_us_t             seen_at;          /**< since when this revision is known */
     uint64_t                 received_term;    /**< highest term of a heartbeat, or of an object in the store */
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -564,6 +564,37 @@
 }
 END_TEST
 
+/* Lets a leader take the lock of this copy again after a restore. Returns its term. */
+static uint64_t term_after_restore(cw_leadership_t *leadership, uint64_t epoch, const cw_lock_t *copy, cw_time_us_t now)
+{
+    (void)cw_leadership_observe_epoch(leadership, epoch, now);
+    ck_assert_int_eq(cw_leadership_tick(leadership, now), CW_LEADERSHIP_READ);
+    reply(leadership, CW_STORE_DONE, at(epoch, 40), copy, now);
+    ck_assert_int_eq(cw_leadership_tick(leadership, now), CW_LEADERSHIP_REPLACE);
+    reply(leadership, CW_STORE_DONE, at(epoch, 41), NULL, now);
+    return leadership->lock.term;
+}
+
+/* Guards against: a leader that has lived through restores counts earlier ones twice, so that the terms, and with them
+ * the fences, of a process that starts later are below (OWNER, review/1). */
+START_TEST(terms_after_restores_do_not_depend_on_what_a_process_has_lived_through)
+{
+    cw_leadership_t living = new_leader_in_epoch();
+    cw_lock_t       copy = living.lock;
+    cw_leadership_t started;
+    uint64_t        first = term_after_restore(&living, 2, &copy, CW_MS(500));
+    uint64_t        second = term_after_restore(&living, 3, &copy, CW_MS(1000));
+
+    ck_assert_uint_gt(first, copy.term);
+    ck_assert_uint_gt(second, first);
+    started = new_leadership("n2", 22, 0);
+    ck_assert_int_eq(cw_leadership_tick(&started, 0), CW_LEADERSHIP_READ);
+    reply(&started, CW_STORE_DONE, at(4, 40), &copy, 0);
+    (void)time_of_take(&started, at(4, 40), &copy, 0);
+    ck_assert_uint_gt(started.write.term, second);
+}
+END_TEST
+
 START_TEST(a_leader_with_authority_creates_a_lost_lock_again_at_once)
 {
     cw_leadership_t leadership = new_leader_in_epoch();
@@ -758,6 +789,7 @@
     tcase_add_test(cases, a_vacant_lock_of_a_copy_is_taken_only_after_a_hold);
     tcase_add_test(cases, the_lock_of_an_earlier_incarnation_in_a_copy_is_taken_only_after_a_hold);
     tcase_add_test(cases, a_leader_with_authority_at_a_restore_takes_the_lock_again_at_once);
+    tcase_add_test(cases, terms_after_restores_do_not_depend_on_what_a_process_has_lived_through);
     tcase_add_test(cases, a_leader_with_authority_creates_a_lost_lock_again_at_once);
     tcase_add_test(cases, a_leader_without_authority_at_a_restore_is_a_follower);
     tcase_add_test(cases, a_leader_whose_authority_ends_before_it_has_taken_the_lock_again_is_a_follower);
