A rest of a server counts from the arrival of the answer that asked for it

Cause: the end was counted from the time at which the loop's turn had begun, before the answer came, in whole milliseconds rounded down; all requests that waited for it leave at that moment. Change: the time is read anew, and one step of the loop's clock is added.

--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -103,7 +103,7 @@
     cw_metric_add(CW_METRIC_SENT, 1);
     cw_metric_add(CW_METRIC_SENT_LIMITED, cw_server_is_limited(server, now) ? 1 : 0);
     cw_metric_add(CW_METRIC_SENT_LEAVING, server->announced_leaving ? 1 : 0);
-    cw_metric_add(CW_METRIC_SENT_RESTING, now < server->rest_until ? 1 : 0);
+    cw_metric_add(CW_METRIC_SENT_RESTING, cw_server_rests(server, now) ? 1 : 0);
 }
 
 /* Records on which knowledge of the servers the request is sent. */
--- a/src/proxy/engine_signals.c
+++ b/src/proxy/engine_signals.c
@@ -3,6 +3,7 @@
  * @brief Records and logs the signals in servers' answers: rate limits, leaving, rest and load.
  */
 #include "base/event_log.h"
+#include "base/loop_clock.h"
 #include "base/metrics.h"
 #include "proxy/engine_internal.h"
 
@@ -114,15 +115,23 @@
     (void)record_leaving(engine, server, NULL);
 }
 
+/* End of a rest that an answer asks for. The server counts it from its answer, which has arrived after the loop's turn
+ * began, and the loop's clock is up to a step behind. */
+static cw_time_us_t rest_end(const cw_engine_t *engine, cw_time_us_t rest)
+{
+    return cw_loop_refresh(engine->loop) + CW_MS(CW_CLOCK_STEP_MS) + rest;
+}
+
 /* Further answers extend the rest: the server counts the time of each answer separately. */
 static void record_rest(cw_engine_t *engine, cw_server_t *server, const cw_server_signals_t *signals,
                         const char *request, cw_time_us_t now)
 {
-    cw_event_t event;
-    bool       is_new = now >= server->rest_until;
+    cw_event_t   event;
+    bool         is_new = now >= server->rest_until;
+    cw_time_us_t end = rest_end(engine, signals->rest);
 
-    if (now + signals->rest > server->rest_until) {
-        server->rest_until = now + signals->rest;
+    if (end > server->rest_until) {
+        server->rest_until = end;
     }
     if (!is_new) {
         return;
--- a/tests/test_engine_rest.c
+++ b/tests/test_engine_rest.c
@@ -4,7 +4,9 @@
  */
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "base/loop_clock.h"
 #include "base/metrics.h"
 #include "engine_fixture.h"
 
@@ -12,9 +14,14 @@
 
 static const cw_time_us_t rest = CW_SECONDS(3);
 
+static int64_t      busy_us;    /* the loop's turn takes this long before an answer is handled */
+static cw_time_us_t handled_at; /* when the last answer was */
+
 static void decode(int status, const cw_http_fields_t *fields, cw_server_signals_t *signals)
 {
     (void)fields;
+    usleep((useconds_t)busy_us);
+    handled_at = (cw_time_us_t)(uv_hrtime() / 1000);
     *signals = (cw_server_signals_t){.has_rest = status == STATUS_UNAVAILABLE, .rest = rest};
 }
 
@@ -63,6 +70,28 @@
 }
 END_TEST
 
+/* Guards against: a rest ends up to the length of a turn before the server's own, and all requests that waited for its
+ * end leave at once (BUDGET; fault_soak.sh, server_rest.sh). */
+START_TEST(a_rest_counts_from_the_arrival_of_the_answer)
+{
+    engine_fixture_t   fixture;
+    const cw_server_t *owner;
+    cw_time_us_t       rested;
+
+    begin(&fixture);
+    give_keys(&fixture);
+    ck_assert_int_eq(cw_loop_clock_begin(&fixture.loop, NULL, NULL), 0);
+    busy_us = 7300;
+    ask(&fixture, "GET", "/keyed/x");
+    busy_us = 0;
+    owner = cw_server_pool_find(fixture.pool, "s1");
+    rested = handled_at + rest;
+    ck_assert(cw_server_rests(owner, CW_MS(rested / 1000))); /* as the loop's clock shows it, in whole milliseconds */
+    ck_assert(!cw_server_rests(owner, rested + CW_MS(3)));
+    cw_loop_clock_end();
+}
+END_TEST
+
 START_TEST(further_requests_are_refused_with_the_rest_that_is_left)
 {
     engine_fixture_t fixture;
@@ -202,6 +231,7 @@
     TCase *cases = tcase_create("rest");
 
     tcase_add_test(cases, a_request_is_not_sent_again_to_an_owner_that_asked_for_rest);
+    tcase_add_test(cases, a_rest_counts_from_the_arrival_of_the_answer);
     tcase_add_test(cases, further_requests_are_refused_with_the_rest_that_is_left);
     tcase_add_test(cases, a_rest_does_not_count_as_a_fault_of_the_server);
     tcase_add_test(cases, an_owner_gets_requests_again_after_its_rest);
