--- a/src/router/list_renewal.c
+++ b/src/router/list_renewal.c
@@ -12,10 +12,16 @@
     return whole * percent / 100;
 }
 
+static int least_percent(const cw_list_renewal_t *renewal)
+{
+    return renewal->has_heartbeat ? CW_LIST_READ_WITH_HEARTBEAT_PERCENT : CW_LIST_READ_PERCENT;
+}
+
 /* In a small fleet without the leader's heartbeat the reads are not spread, since the nodes read little. */
 static cw_time_us_t spread(const cw_list_renewal_t *renewal)
 {
-    cw_time_us_t usual = part(renewal->drain, CW_LIST_SPREAD_PERCENT);
+    int          percent = CW_LIST_READ_PERCENT + CW_LIST_SPREAD_PERCENT - least_percent(renewal);
+    cw_time_us_t usual = part(renewal->drain, percent);
 
     if (renewal->window < usual) {
         return renewal->has_heartbeat ? usual : 0;
@@ -25,7 +31,7 @@
 
 static cw_time_us_t max_age(const cw_list_renewal_t *renewal)
 {
-    return part(renewal->drain, CW_LIST_READ_PERCENT) + cw_list_read_delay(renewal->node, spread(renewal));
+    return part(renewal->drain, least_percent(renewal)) + cw_list_read_delay(renewal->node, spread(renewal));
 }
 
 static cw_time_us_t first_read_at(const cw_list_renewal_t *renewal)
--- a/src/router/list_renewal.h
+++ b/src/router/list_renewal.h
@@ -6,10 +6,11 @@
  * renewed by the leader's heartbeats, by notices of its zone's readers and by its own reads. Rules, by the age of the
  * list, in parts of `drain` (docs/design/list-age.md has the budget):
  *  - Readers of a zone read at CW_LIST_READER_PERCENT, or at once while the leader's heartbeat is missing.
- *  - The other nodes read at CW_LIST_READ_PERCENT, and up to CW_LIST_SPREAD_PERCENT later, since a list that the leader
- *    cannot renew gets old at all nodes at the same time. A read of the changes is one short call, so it is never put
- *    off further. A read of the whole list by all nodes of a large fleet would keep the store busy for longer than that
- *    (list_read_delay.h): these are spread over the window that they need.
+ *  - The other nodes read at CW_LIST_READ_PERCENT, or while they receive the leader's heartbeat, which mostly renews
+ * the list, at CW_LIST_READ_WITH_HEARTBEAT_PERCENT. All have begun to read at the sum of CW_LIST_READ_PERCENT and
+ *    CW_LIST_SPREAD_PERCENT: a list that is not renewed gets old at all nodes at the same time. A read of the changes
+ * is one short call, so it is never put off further. A read of the whole list by all nodes of a large fleet would keep
+ * the store busy for longer than that (list_read_delay.h): these are spread over the window that they need.
  *  - At CW_LIST_USABLE_PERCENT (model/list_evidence.h) no request leaves by the list until it is renewed.
  *  - That bound does not hold while the store is out of this node's reach, since the list cannot be renewed then and no
  *    leave is acknowledged to this node's knowledge, and not in the first time of a process (`settle`).
@@ -28,7 +29,8 @@
 enum {
     CW_LIST_READER_PERCENT = 45, /**< of drain; also the time after which the leader's heartbeat counts as missing */
     CW_LIST_READ_PERCENT = 60,
-    CW_LIST_SPREAD_PERCENT = 20,
+    CW_LIST_SPREAD_PERCENT = 20, /**< of drain: reads of nodes without the leader's heartbeat are spread over this */
+    CW_LIST_READ_WITH_HEARTBEAT_PERCENT = 70,
     CW_LIST_START_PERCENT = 50 /**< of settle: when a process reads the list if nothing has confirmed its first one */
 };
 
