--- a/src/lease/leadership.c
+++ b/src/lease/leadership.c
@@ -237,10 +237,10 @@
     write->epoch_stamp = cw_store_epoch_stamp(leadership->epochs.current);
 }
 
-/* First term that was certainly not used in a lost state of the store. Such terms are not known, but there are less than
- * TERMS_PER_RESTORE of them for each restore since the lock was written. This depends on the lock alone: processes that
- * lived through earlier restores and processes that did not must come to the same terms, or those of a process that
- * starts later would be below. */
+/* First term that was certainly not used in a lost state of the store. Such terms are not known, but there are less
+ * than TERMS_PER_RESTORE of them for each restore since the lock was written. This depends on the lock alone: processes
+ * that lived through earlier restores and processes that did not must come to the same terms, or those of a process
+ * that starts later would be below. */
 static uint64_t first_unused_term(const cw_leadership_t *leadership)
 {
     const cw_lock_t *lock = &leadership->lock;
