A list whose history was forgotten is read by its changes again once another node has renewed it

Cause, by reading: that the store did not know the changes any more was forgotten only with the node's own next reading, so a node of a large fleet whose list the leader had renewed since put its next reading off by the window for whole lists. Change: it holds until the list is renewed by any way. A list without evidence has no age in log and metrics, and 'list renewed' is not logged at the start. Test: test_list_age, a_node_of_a_large_fleet_reads_changes_only_while_they_are_known.

--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -113,6 +113,8 @@
 
     if (evidence != NULL) {
         request->sent_by = *evidence;
+    }
+    if (evidence != NULL && evidence->valid_at != 0) {
         cw_histogram_add(CW_HISTOGRAM_LIST_AGE, request->route->name, now - evidence->valid_at);
     }
 }
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -265,6 +265,7 @@
     absence = cw_absence_settings_of(router->settings.heartbeat, router->settings.drain);
     cw_server_view_init(&router->server_view, &absence);
     cw_engine_set_list_evidence(router->engine, &router->server_view.evidence);
+    router->list_is_usable = true;
     cw_router_lead_init(router);
     cw_router_share_init(router);
     cw_router_zones_init(router);
--- a/src/router/router_admin.c
+++ b/src/router/router_admin.c
@@ -40,6 +40,14 @@
     return (uint64_t)resident * (uint64_t)sysconf(_SC_PAGESIZE);
 }
 
+/* 0: not known. */
+static uint64_t list_age_ms(const cw_router_t *router)
+{
+    cw_time_us_t valid_at = router->server_view.evidence.valid_at;
+
+    return valid_at == 0 ? 0 : (uint64_t)((cw_router_now(router) - valid_at) / 1000);
+}
+
 static void answer_metrics(cw_router_t *router, cw_http_exchange_t *exchange)
 {
     cw_http_outbound_t outbound = {.status = STATUS_OK, .retry_after_s = -1};
@@ -51,8 +59,7 @@
     cw_metric_set(CW_METRIC_QUEUED, cw_engine_queued(router->engine));
     cw_metric_set(CW_METRIC_CONNECTIONS_OPENED, cw_upstream_opened(router->upstream));
     cw_metric_set(CW_METRIC_MEMORY, resident_bytes());
-    cw_metric_set(CW_METRIC_LIST_AGE_MS,
-                  (uint64_t)((cw_router_now(router) - router->server_view.evidence.valid_at) / 1000));
+    cw_metric_set(CW_METRIC_LIST_AGE_MS, list_age_ms(router));
     cw_metric_set(CW_METRIC_CONFIGURATION_AGE_MS,
                   (uint64_t)(cw_configuration_freshness_age(&router->freshness, cw_router_now(router)) / 1000));
     cw_metric_set(CW_METRIC_PEERS, cw_peer_link_count_alive(router->link, router->peer_timeout, cw_router_now(router)));
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -165,7 +165,7 @@
     cw_time_us_t       servers_read_at;            /**< when the last read of the list was sent */
     cw_time_us_t       servers_lag;         /**< the last read may lack changes made within this time before it */
     cw_time_us_t       servers_based_at;    /**< when the last successful read was sent */
-    bool               list_needs_whole;    /**< the store does not know the changes since the list any more */
+    cw_time_us_t       needs_whole_at;      /**< when the store last did not know the changes of the list any more */
     bool               list_is_usable;      /**< requests may be sent by the list in force, as logged */
     uint64_t           view_term;           /**< term of the leader that published this node's view */
     uint64_t           view_list_version;   /**< version of this node's list in that term; 0: none */
--- a/src/router/router_list_reads.c
+++ b/src/router/router_list_reads.c
@@ -60,7 +60,9 @@
             (cw_list_evidence_t){.valid_at = router->servers_read_at - read->lag, .source = CW_LIST_SOURCE_READING};
     }
     router->reading_servers = false;
-    router->list_needs_whole = read->needs_whole;
+    if (read->needs_whole) {
+        router->needs_whole_at = cw_router_now(router);
+    }
     cw_router_store_result(router, read->list != NULL || read->needs_whole, cw_router_now(router));
     if (read->list == NULL) {
         return;
@@ -114,13 +116,14 @@
     return cw_list_read_window(nodes, servers > expected ? servers : expected);
 }
 
-/* Whether the changes since the list in force can be read. */
+/* Whether the changes since the list in force can be read. After the store has forgotten its history, they can once the
+ * list has been renewed by another way. */
 static bool knows_changes(const cw_router_t *router, cw_time_us_t now)
 {
     cw_time_us_t valid_at = router->server_view.evidence.valid_at;
     cw_time_us_t based_at = valid_at > router->servers_based_at ? valid_at : router->servers_based_at;
 
-    return !router->list_needs_whole && router->server_view.revision != 0 &&
+    return (router->needs_whole_at == 0 || based_at > router->needs_whole_at) && router->server_view.revision != 0 &&
            now - based_at < CW_MS(CW_STORE_CHANGES_AGE_MAX_MS);
 }
 
@@ -202,7 +205,9 @@
     if (!cw_event_begin(&event, is_usable ? CW_EVENT_LIST_RENEWED : CW_EVENT_LIST_OLD)) {
         return;
     }
-    cw_event_ms(&event, CW_FIELD_LIST_AGE_MS, now - evidence->valid_at);
+    if (evidence->valid_at != 0) {
+        cw_event_ms(&event, CW_FIELD_LIST_AGE_MS, now - evidence->valid_at);
+    }
     cw_event_text(&event, CW_FIELD_LIST_SOURCE, cw_list_source_name(evidence->source));
     if (evidence->from != 0) {
         (void)inet_ntop(AF_INET, &evidence->from, from, sizeof(from)); /* fails only for a buffer that is too short */
--- a/tests/test_list_age.c
+++ b/tests/test_list_age.c
@@ -188,6 +188,43 @@
 }
 END_TEST
 
+/* Lets time pass until the node reads its list. */
+static void await_reading(node_fixture_t *node)
+{
+    static uint32_t sequence = 100;
+    uint32_t        reads = node->list_reads;
+
+    while (node->list_reads == reads) {
+        if (node->router.loop.time % 500 < CW_TICK_MS) {
+            report_nodes(node, FLEET_NODES, ++sequence);
+        }
+        node_fixture_tick(node, CW_TICK_MS);
+        node->call_count = 0;
+        node->router.leadership.pending = CW_LEADERSHIP_WAIT;
+    }
+}
+
+/* Guards against: all nodes of a large fleet read the whole list once the store has forgotten its history, or read it
+ * whole for ever after. */
+START_TEST(a_node_of_a_large_fleet_reads_changes_only_while_they_are_known)
+{
+    node_fixture_t *node = node_among(FLEET_NODES, FLEET_SERVERS);
+
+    await_reading(node);
+    ck_assert_int_eq(node->list_read, CW_LIST_READ_CHANGES);
+    cw_router_on_servers(&node->router, &(cw_servers_read_t){.list = NULL, .needs_whole = true});
+    ck_assert(!node->router.store_availability.is_lost); /* it has answered */
+    await_reading(node);
+    ck_assert_int_eq(node->list_read, CW_LIST_READ); /* in its turn, after seconds */
+    ck_assert_int_gt(age(node), node->router.settings.drain);
+    node->router.reading_servers = false;
+    receive_heartbeat(node, 700000); /* the leader names this list as the newest */
+    await_reading(node);
+    ck_assert_int_eq(node->list_read, CW_LIST_READ_CHANGES);
+    node_fixture_free(node);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("list age");
@@ -198,6 +235,7 @@
     tcase_add_test(cases, a_node_of_a_small_fleet_renews_its_list_without_a_leader);
     tcase_add_test(cases, an_owner_that_announced_its_leave_late_gets_no_request_beyond_the_drain_time);
     tcase_add_test(cases, a_process_that_starts_without_a_leader_reads_the_list_before_the_bounds_apply);
+    tcase_add_test(cases, a_node_of_a_large_fleet_reads_changes_only_while_they_are_known);
     tcase_add_test(cases, a_heartbeat_that_was_held_up_confirms_the_list_at_its_sending_only);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
