--- a/src/model/server_absence.h
+++ b/src/model/server_absence.h
@@ -11,8 +11,8 @@
  *  - This grace time counts from the first reading in which the server was missing, and further outages do not lengthen
  *    it.
  *  - Without an outage of this node's own it ends at the latest when the list that still contained the server is too
- * old to be used (CW_LIST_USABLE_PERCENT): the server may have left at any time since then. That also holds for servers
- *    that a leader keeps after its outage. During an outage of its own, this node can learn of no leave.
+ *    old to be used (CW_LIST_USABLE_PERCENT): the server may have left at any time since then. That also holds for
+ *    servers that a leader keeps after its outage. During an outage of its own, this node can learn of no leave.
  *  - A server has ended if another one has registered at its address, unless the reading may be of a copy of the store
  *    from before the server registered. A server that was leaving already is not kept.
  */
--- a/src/model/server_view.h
+++ b/src/model/server_view.h
@@ -17,7 +17,7 @@
  *  - An entry of a former incarnation of a server that has restarted since (server_incarnation.h) is a late write: the
  *    later incarnation stays.
  *  - evidence.valid_at: time of the node's own steady clock at which the list was certainly valid: when the call that
- * read it was sent, or the time of the leader's heartbeat minus the age that it states.
+ *    read it was sent, or the time of the leader's heartbeat minus the age that it states.
  *
  * No I/O, no clock.
  */
