--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -259,7 +259,7 @@
 {
     const cw_server_t *server = request->server;
 
-    if (server != NULL && server->draining) {
+    if (server != NULL && server->leaving_owner_until > request->sent_at) {
         cw_event_ms(event, CW_FIELD_LEAVING_LEFT_MS, server->leaving_owner_until - request->sent_at);
     }
 }
