The end of a rest is read from the system without moving the loop's time

The mend of rests read the loop's time anew within a turn. Other code takes that time for the end of the loop's wait (base/loop_stall.c), and waits of a millisecond had to be added in three places for the clock's step. Change: cw_loop_read reads the time in microseconds and leaves the loop's alone; the step and what went with it are gone.

--- a/src/base/loop_clock.c
+++ b/src/base/loop_clock.c
@@ -9,6 +9,7 @@
 #include <time.h>
 
 enum {
+    NANOSECONDS_PER_US = 1000,
     NANOSECONDS_PER_MS = 1000000,
     SUSPENSION_MIN_MS = 10 /* shorter differences occur when the process is not scheduled between the two readings */
 };
@@ -107,6 +108,14 @@
     return cw_loop_now(loop);
 }
 
+cw_time_us_t cw_loop_read(const uv_loop_t *loop)
+{
+    cw_time_us_t now = cw_loop_now(loop);
+    cw_time_us_t read = (cw_time_us_t)(uv_hrtime() / NANOSECONDS_PER_US) + loop_clock.suspended;
+
+    return loop == loop_clock.loop && read > now ? read : now;
+}
+
 cw_time_us_t cw_loop_clock_take_suspension(void)
 {
     cw_time_us_t found = loop_clock.suspended - loop_clock.reported;
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -14,9 +14,6 @@
 #define CW_MS(value)      ((cw_time_us_t)(value)*1000)
 #define CW_SECONDS(value) ((cw_time_us_t)(value)*1000000)
 
-/** Step of the event loop's clock (uv_now): it is behind by less than this. */
-enum { CW_CLOCK_STEP_MS = 1 };
-
 /** A moment that is never reached. */
 #define CW_NEVER INT64_MAX
 
--- a/src/proxy/engine_holdoff.c
+++ b/src/proxy/engine_holdoff.c
@@ -72,8 +72,8 @@
 {
     cw_time_us_t until = request->is_keyed ? CW_NEVER : held_off_until(request, now);
 
-    if (cw_request_owner_rests(request, now)) { /* the step that the end is later by passes on the way to the caller */
-        return cw_request_owner(request)->rest_until - CW_MS(CW_CLOCK_STEP_MS) - now;
+    if (cw_request_owner_rests(request, now)) {
+        return cw_request_owner(request)->rest_until - now;
     }
     if (until != CW_NEVER && until > now) {
         return until - now;
--- a/src/proxy/engine_placement.c
+++ b/src/proxy/engine_placement.c
@@ -155,8 +155,7 @@
     }
     if (reason == OVER_LIMIT || reason == SERVER_RESTS) {
         request->claim.is_chosen_locally = false;
-        request->not_before = now + (reason == SERVER_RESTS ? cw_request_holdoff(request, now) + CW_MS(CW_CLOCK_STEP_MS)
-                                                            : CW_MS(LIMIT_PAUSE_MS));
+        request->not_before = now + (reason == SERVER_RESTS ? cw_request_holdoff(request, now) : CW_MS(LIMIT_PAUSE_MS));
     }
     if (reason == PAUSED || reason == WAITS_FOR_PATHS ||
         request->attempts > 0) { /* a server may have run the request, which may use all of its time to get an answer */
--- a/src/proxy/engine_signals.c
+++ b/src/proxy/engine_signals.c
@@ -116,10 +116,10 @@
 }
 
 /* End of a rest that an answer asks for. The server counts it from its answer, which has arrived after the loop's turn
- * began, and the loop's clock is up to a step behind. */
+ * began. */
 static cw_time_us_t rest_end(const cw_engine_t *engine, cw_time_us_t rest)
 {
-    return cw_loop_refresh(engine->loop) + CW_MS(CW_CLOCK_STEP_MS) + rest;
+    return cw_loop_read(engine->loop) + rest;
 }
 
 /* Further answers extend the rest: the server counts the time of each answer separately. */
