What a new connection brings after a stall counts from its arrival also when the clock was read within the turn

Cause: a connection that was accepted after a stall is read in the next turn. Whether the loop has looked at it since was told by comparing times: that of its acceptance, the loop's, with that of the end of the turn. If the clock was read anew in between (a heartbeat, the lock, a server's rest), the turn seemed to be a later look, and the bytes seemed to have come just now. Evidence: test_engine_stall, a_request_on_a_new_connection_whose_time_passed_during_a_stall_is_not_sent, failed before (sent and answered). Change: looks are numbered; the number is compared.

--- a/src/base/loop_stall.c
+++ b/src/base/loop_stall.c
@@ -12,7 +12,8 @@
 static struct {
     const uv_loop_t *loop; /* NULL: none */
     uv_check_t       after_wait;
-    cw_time_us_t     looked_at; /* end of the last wait whose callbacks have run */
+    cw_time_us_t     looked_at;   /* end of the last wait whose callbacks have run */
+    uint64_t         look_number; /* number of such waits */
     bool         is_unsure;    /* the last wait ended a stall, perhaps by a signal and without looking at the sockets */
     bool         skipped_tick; /* the last tick was left out */
     cw_time_us_t stalled;      /* stalls since cw_loop_stall_take */
@@ -31,6 +32,7 @@
         loop_stall.stalled += gap;
     } else {
         loop_stall.looked_at = now;
+        loop_stall.look_number++;
     }
     loop_stall.is_unsure = ends_stall;
 }
@@ -48,6 +50,7 @@
     uv_unref((uv_handle_t *)&loop_stall.after_wait);
     loop_stall.loop = loop;
     loop_stall.looked_at = cw_loop_now(loop);
+    loop_stall.look_number = 0;
     loop_stall.is_unsure = false;
     loop_stall.stalled = 0;
     return 0;
@@ -64,6 +67,17 @@
     return loop == loop_stall.loop ? loop_stall.looked_at : cw_loop_now(loop);
 }
 
+uint64_t cw_loop_stall_look_number(const uv_loop_t *loop)
+{
+    return loop == loop_stall.loop ? loop_stall.look_number : 0;
+}
+
+/* The turn in which the number was taken ends with a look of its own. */
+bool cw_loop_stall_has_looked_since(const uv_loop_t *loop, uint64_t number)
+{
+    return loop != loop_stall.loop || loop_stall.look_number > number + 1;
+}
+
 bool cw_loop_stall_is_behind(const uv_loop_t *loop)
 {
     return cw_loop_now(loop) - cw_loop_stall_last_look(loop) > CW_MS(CW_LOOP_STALL_MS);
--- a/src/base/loop_stall.h
+++ b/src/base/loop_stall.h
@@ -31,6 +31,11 @@
 /** Time at which the loop last looked at its sockets before the present turn. Bytes that the present turn reads have
  * not arrived earlier. Present time if the loop is not watched. */
 cw_time_us_t cw_loop_stall_last_look(const uv_loop_t *loop);
+/** Number of the last look, for cw_loop_stall_has_looked_since; 0 if the loop is not watched. */
+uint64_t cw_loop_stall_look_number(const uv_loop_t *loop);
+/** True if the loop has looked at its sockets once more since the turn in which it had this number of looks. Counted
+ * and not timed, since the loop's time may be read anew within a turn. Always true if the loop is not watched. */
+bool cw_loop_stall_has_looked_since(const uv_loop_t *loop, uint64_t number);
 /** True if that is longer ago than CW_LOOP_STALL_MS. */
 bool cw_loop_stall_is_behind(const uv_loop_t *loop);
 
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -109,7 +109,7 @@
         (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
     }
     cw_listener_begin_idle(connection);
-    connection->accepted_us = cw_listener_now(listener);
+    connection->accepted_look = cw_loop_stall_look_number(listener->loop);
     connection->opened_us = cw_loop_stall_last_look(listener->loop);
     connection->is_reading = true;
     uv_read_start((uv_stream_t *)&connection->tcp, cw_listener_on_allocate, cw_listener_on_read);
--- a/src/net/http_listener_internal.h
+++ b/src/net/http_listener_internal.h
@@ -79,9 +79,9 @@
     cw_pipeline_t       pipeline;
     cw_bytes_t          pending; /* bytes that were read and may not be parsed yet */
     cw_time_us_t        pending_read_us;
-    cw_time_us_t        read_us;     /* time at which the bytes that are being parsed arrived */
-    cw_time_us_t        accepted_us; /* time at which the connection was accepted */
-    cw_time_us_t        opened_us;   /* it was not opened earlier: last look at the sockets before it was accepted */
+    cw_time_us_t        read_us;       /* time at which the bytes that are being parsed arrived */
+    uint64_t            accepted_look; /* number of the last look at the sockets before it was accepted */
+    cw_time_us_t        opened_us;     /* it was not opened earlier: last look at the sockets before it was accepted */
     bool                is_reading;
     cw_time_us_t        hang_up_check_us; /* time of the next check for a disconnect while the connection is not read */
     bool                is_postponed;     /* its timer waits until the sockets have been read, after a stall */
--- a/src/net/http_listener_request.c
+++ b/src/net/http_listener_request.c
@@ -366,7 +366,7 @@
     cw_time_us_t     last_look = cw_loop_stall_last_look(loop);
     uv_os_fd_t       fd = -1;
 
-    if (last_look <= connection->accepted_us) { /* nothing was read since it was accepted */
+    if (!cw_loop_stall_has_looked_since(loop, connection->accepted_look)) { /* nothing was read since it was accepted */
         last_look = connection->opened_us;
     }
     (void)uv_fileno((const uv_handle_t *)&connection->tcp, &fd); /* fails for closed handles only */
--- a/tests/test_engine_stall.c
+++ b/tests/test_engine_stall.c
@@ -21,6 +21,7 @@
     TURNS = 50,     /* more turns than any request here needs from its arrival to its end */
     STALL_MS = 600, /* time for which the loop does not run */
     ANSWER_BYTES = 2048,
+    CLOCK_STEP_US = 2000, /* more than a step of the loop's clock */
     SHORT_DEADLINE_MS = 300,
     LONG_DEADLINE_MS = 15000,
     MARGIN_MS = 150 /* allowed for the test's own steps before and after a stall */
@@ -144,6 +145,38 @@
 }
 END_TEST
 
+/* Reads the clock within each turn, after connections were accepted in it. */
+static void on_within_turn(uv_check_t *check)
+{
+    usleep(CLOCK_STEP_US);
+    uv_update_time(check->loop);
+}
+
+/* Guards against: a request whose time was over before it was read runs, since the clock was read between the
+ * acceptance of its connection and the end of that turn (GONE, stall_soak.sh with seed 84003). */
+START_TEST(a_request_on_a_new_connection_whose_time_passed_during_a_stall_is_not_sent)
+{
+    engine_fixture_t fixture;
+    uv_check_t       within_turn;
+    uint64_t         sent;
+    int              caller;
+
+    begin(&fixture);
+    (void)uv_check_init(&fixture.loop, &within_turn);
+    (void)uv_check_start(&within_turn, on_within_turn);
+    stand_still();
+    cw_test_run_some(&fixture.loop, 1); /* the wait that ends a stall does not count as a look at the sockets */
+    sent = requests_sent();
+    caller = connect_caller(&fixture);
+    send_request(caller, "/once/x", SHORT_DEADLINE_MS);
+    stand_still();
+    ck_assert_int_eq(run_until_answered(&fixture, caller), 503);
+    ck_assert_uint_eq(requests_sent(), sent);
+    (void)uv_check_stop(&within_turn);
+    end();
+}
+END_TEST
+
 /* Guards against: timers run before the sockets are read, so a request that waits in the queue is sent although its
  * caller has closed its connection. */
 START_TEST(a_waiting_request_whose_caller_left_is_not_sent)
@@ -312,6 +345,7 @@
     tcase_set_timeout(cases, 60);
     tcase_add_loop_test(cases, a_request_whose_caller_left_during_a_stall_is_not_sent, 0, 2);
     tcase_add_test(cases, a_request_on_a_new_connection_whose_caller_left_is_not_sent);
+    tcase_add_test(cases, a_request_on_a_new_connection_whose_time_passed_during_a_stall_is_not_sent);
     tcase_add_test(cases, a_waiting_request_whose_caller_left_is_not_sent);
     tcase_add_test(cases, a_request_whose_caller_left_while_the_node_connected_is_not_written);
     tcase_add_test(cases, a_request_whose_time_passed_while_the_node_connected_is_not_written);
