--- a/src/base/loop_clock.h
+++ b/src/base/loop_clock.h
@@ -37,8 +37,9 @@
  * this time. Without the clock attached: the loop's time. */
 cw_time_us_t cw_loop_refresh(uv_loop_t *loop);
 
-/** The time now, read from the system without changing the loop's time, which other code takes for the end of the loop's
- * wait. For the moment at which something has arrived within a turn. Without the clock attached: the loop's time. */
+/** The time now, read from the system without changing the loop's time, which other code takes for the end of the
+ * loop's wait. For the moment at which something has arrived within a turn. Without the clock attached: the loop's
+ * time. */
 cw_time_us_t cw_loop_read(const uv_loop_t *loop);
 
 /** Returns the suspended time that was found since the last call, for the log and the metrics. Less than 10 ms counts
