Nodes of a small fleet read the whole list at once when its changes are forgotten

Cause, by reading: since readings of the changes alone came, a node of a small fleet whose store had forgotten its history waited for its next reading, a quarter of drain later, before it read the whole list; with the bound on the age it could hold requests back for up to 0.4 s meanwhile. Change: changes alone are read only where reads of whole lists are spread over a window, as in a large fleet (list_renewal.h, takes_turns). Test: test_list_age, a_node_of_a_small_fleet_renews_its_list_without_a_leader, asks for it now.

--- a/src/router/list_renewal.c
+++ b/src/router/list_renewal.c
@@ -56,6 +56,11 @@
     return age > max_age(renewal);
 }
 
+bool cw_list_renewal_takes_turns(const cw_list_renewal_t *renewal)
+{
+    return renewal->window >= part(renewal->drain, CW_LIST_SPREAD_PERCENT);
+}
+
 bool cw_list_renewal_is_binding(const cw_list_renewal_t *renewal, bool is_store_out, cw_time_us_t now)
 {
     return !is_store_out && now - renewal->started_at >= part(renewal->settle, CW_LIST_USABLE_PERCENT);
--- a/src/router/list_renewal.h
+++ b/src/router/list_renewal.h
@@ -49,6 +49,9 @@
 
 /** Whether the node, which has a list, is to read it now. */
 bool cw_list_renewal_is_due(const cw_list_renewal_t *renewal, cw_time_us_t now);
+/** Whether reads of the whole list by all nodes would take longer than reads are spread over, so that nodes take turns.
+ */
+bool cw_list_renewal_takes_turns(const cw_list_renewal_t *renewal);
 /** Whether the age of the list bounds sending now. is_store_out: the store is out of this node's reach. */
 bool cw_list_renewal_is_binding(const cw_list_renewal_t *renewal, bool is_store_out, cw_time_us_t now);
 
--- a/src/router/router_list_reads.c
+++ b/src/router/router_list_reads.c
@@ -164,7 +164,8 @@
     return router->server_view.list == NULL ? is_first_read_due(router, now) : cw_list_renewal_is_due(renewal, now);
 }
 
-/* Other nodes than readers do not read the whole list when only its changes were due: all of them would. */
+/* Where nodes take turns to read whole lists, those that do not read for others read the changes only: all of them read
+ * now. */
 static cw_list_read_t how_to_read(const cw_router_t *router, const cw_list_renewal_t *renewal, cw_time_us_t now)
 {
     bool reads_for_others = cw_router_has_authority(router, now) || router->reader.is_reader;
@@ -172,7 +173,10 @@
     if (router->server_view.list == NULL && !cw_router_has_authority(router, now)) {
         return CW_LIST_READ_COPY;
     }
-    return renewal->is_short && !reads_for_others ? CW_LIST_READ_CHANGES : CW_LIST_READ;
+    if (renewal->is_short && !reads_for_others && cw_list_renewal_takes_turns(renewal)) {
+        return CW_LIST_READ_CHANGES;
+    }
+    return CW_LIST_READ;
 }
 
 static void read_servers(cw_router_t *router, const cw_list_renewal_t *renewal, cw_time_us_t now)
--- a/tests/test_list_age.c
+++ b/tests/test_list_age.c
@@ -102,6 +102,7 @@
     node_fixture_t *node = node_among(FEW_NODES, 30);
 
     ck_assert_int_le(run_without_leader(node, FEW_NODES), usable_age(node));
+    ck_assert_int_eq(node->list_read, CW_LIST_READ); /* whole at once if the history is forgotten: few nodes do so */
     node_fixture_free(node);
 }
 END_TEST
