Orders without an answer: what the leader last heard from each server, and what may still be carried out

New event 'order unanswered', fields answered_ms and open_orders (and of the former holder) on each decision, metrics cedarwinch_orders_unanswered_total, cedarwinch_orders_open, cedarwinch_servers_unanswering, and 'orders' in /status.

--- a/src/assignment/assigner.c
+++ b/src/assignment/assigner.c
@@ -10,8 +10,6 @@
 
 #include "base/memory.h"
 
-enum { MOVE_DRIFT_PERCENT = 2, MOVE_SLACK_MS = 100 };
-
 cw_assigner_t *cw_assigner_create(const char *service, uint64_t term, uint64_t incarnation,
                                   const cw_assigner_settings_t *settings, const cw_assigner_ports_t *ports)
 {
@@ -24,6 +22,7 @@
     assigner->settings = *settings;
     assigner->ports = *ports;
     assigner->state = CW_ASSIGNER_NEW;
+    assigner->contacts = cw_server_contacts_create(settings->late_order_time);
     return assigner;
 }
 
@@ -32,6 +31,7 @@
     cw_range_list_clear(&assigner->record.ranges);
     cw_range_list_clear(&assigner->plan.ranges);
     free(assigner->orders);
+    cw_server_contacts_free(assigner->contacts);
     free(assigner->service);
     free(assigner);
 }
@@ -69,7 +69,7 @@
     cw_assigner_loss_t loss = {.is_seen = is_seen};
 
     if (lost_at != 0) {
-        loss.holds_until = cw_assigner_hold_end(lost_at + leader_hold + order_timeout, hold_long);
+        loss.holds_until = cw_order_hold_end(lost_at + leader_hold + order_timeout, hold_long);
     }
     return loss;
 }
@@ -94,6 +94,11 @@
     return assigner->service;
 }
 
+const cw_server_contacts_t *cw_assigner_contacts(const cw_assigner_t *assigner)
+{
+    return assigner->contacts;
+}
+
 const cw_range_list_t *cw_assigner_ranges(const cw_assigner_t *assigner)
 {
     return &assigner->record.ranges;
@@ -104,16 +109,11 @@
     return (assigner->state == CW_ASSIGNER_READY || assigner->state == CW_ASSIGNER_EMPTY) && !assigner->writing;
 }
 
-cw_time_us_t cw_assigner_hold_end(cw_time_us_t arrived_by, cw_time_us_t hold)
-{
-    return arrived_by + hold * (100 + MOVE_DRIFT_PERCENT) / 100 + CW_MS(MOVE_SLACK_MS);
-}
-
 bool cw_assigner_late_order_possible(const cw_assigner_t *assigner, const cw_range_t *range, cw_time_us_t now)
 {
     return range->unanswered_at != 0 &&
-           now < cw_assigner_hold_end(range->unanswered_at + assigner->settings.late_order_time,
-                                      assigner->settings.hold_long);
+           now < cw_order_hold_end(range->unanswered_at + assigner->settings.late_order_time,
+                                   assigner->settings.hold_long);
 }
 
 void cw_assigner_log(const cw_assigner_t *assigner, const char *event, const cw_range_t *range, const char *detail)
@@ -123,9 +123,12 @@
                                          .detail = detail,
                                          .range = range,
                                          .record = assigner->revision,
-                                         .order = range->hold_order};
+                                         .order = range->hold_order,
+                                         .owner_contact = cw_server_contacts_find(assigner->contacts, range->owner.id),
+                                         .now = assigner->now};
 
     if (range->former.id[0] != '\0') {
+        decision.former_contact = cw_server_contacts_find(assigner->contacts, range->former.id);
         decision.former_left = range->former_until - assigner->now;
     }
     assigner->ports.log_decision(assigner->ports.context, &decision);
--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -36,50 +36,15 @@
 #ifndef CEDARWINCH_ASSIGNMENT_ASSIGNER_H
 #define CEDARWINCH_ASSIGNMENT_ASSIGNER_H
 
+#include "assignment/order.h"
 #include "assignment/range.h"
+#include "assignment/server_contact.h"
 #include "model/server_list.h"
 #include "store/store.h"
 
 /** Kind of the objects in the store that hold the assignments of a service. */
 #define CW_ASSIGNMENTS_KIND "assignments"
 
-/** Kind of an order to a server. */
-typedef enum cw_order_kind { CW_ORDER_GRANT, CW_ORDER_RELEASE } cw_order_kind_t;
-
-/** Result of an order. */
-typedef enum cw_order_result {
-    CW_ORDER_DONE,
-    CW_ORDER_FENCED, /**< not done: the server has seen a higher fence for one of the keys */
-    /** Not done: another incarnation answers at the address, so the addressed one has ended. */
-    CW_ORDER_OTHER_INCARNATION,
-    CW_ORDER_REFUSED,   /**< not done: any other answer */
-    CW_ORDER_NOT_SENT,  /**< certainly no byte of the order was sent */
-    CW_ORDER_WITHDRAWN, /**< the same, since the leader had no authority any more when its connection was open */
-    /** Certainly not sent: no connection meets `connected_by`, so another incarnation may be at the address. */
-    CW_ORDER_OTHER_CONNECTION,
-    CW_ORDER_UNANSWERED /**< the server may have carried out the order, or may do so seconds later */
-} cw_order_result_t;
-
-/** An order to a server about a range of keys. */
-typedef struct cw_order {
-    uint64_t        id;
-    cw_order_kind_t kind;
-    char            server[CW_SERVER_ID_MAX]; /**< id of the addressed incarnation */
-    char            address[CW_SERVER_ADDRESS_MAX];
-    uint32_t        low;
-    uint32_t        last;
-    uint64_t        fence;
-    cw_time_us_t    hold;
-    char            handover[CW_HANDOVER_MAX];
-    bool            fresh;     /**< a new connection must be used, since recent orders about the range have failed */
-    cw_time_us_t connected_by; /**< only a connection opened by then may be used, so that the order reaches the process
-                                  that confirmed an order sent at that time; 0: any connection */
-    cw_time_us_t timeout;
-    cw_time_us_t sent_at;           /**< when it was decided, from which its hold is counted */
-    cw_time_us_t begun_at;          /**< as the port has returned */
-    cw_time_us_t hold_until_before; /**< end of the owner's hold if this order is not sent */
-} cw_order_t;
-
 /** What a leader knows of records that the store may have lost (store_epoch.h). */
 typedef struct cw_assigner_loss {
     bool is_seen; /**< this node has seen the store come back from a copy */
@@ -113,9 +78,12 @@
     const char       *detail; /**< what the decision rests on */
     const cw_range_t *range;
     /** How much longer the holder before the owner may hold the range; 0 or less: it certainly holds nothing. */
-    cw_time_us_t former_left;
-    uint64_t     record; /**< revision of the record by which the assigner goes */
-    uint64_t     order;  /**< last order that set the end of the owner's hold; 0: none */
+    cw_time_us_t               former_left;
+    uint64_t                   record;         /**< revision of the record by which the assigner goes */
+    uint64_t                   order;          /**< last order that set the end of the owner's hold; 0: none */
+    const cw_server_contact_t *owner_contact;  /**< NULL: no order has been sent to it */
+    const cw_server_contact_t *former_contact; /**< NULL: there is none, or no order has been sent to it */
+    cw_time_us_t               now;
 } cw_assignment_decision_t;
 
 /** Functions that the assigner calls. */
@@ -129,6 +97,9 @@
     void (*on_change)(void *context);
     /** Logs one decision. */
     void (*log_decision)(void *context, const cw_assignment_decision_t *decision);
+    /** Logs an order that got no answer in time. NULL: it is not logged. */
+    void (*log_unanswered)(void *context, const cw_order_t *order, const cw_server_contact_t *contact,
+                           cw_time_us_t now);
 } cw_assigner_ports_t;
 
 /** Assigner of one service. */
@@ -143,8 +114,6 @@
     CW_ASSIGNER_DEPOSED  /**< a later leader has written the record */
 } cw_assigner_state_t;
 
-/** Time at which a hold has ended by any server's clock whose grant arrived by `arrived_by`. */
-cw_time_us_t cw_assigner_hold_end(cw_time_us_t arrived_by, cw_time_us_t hold);
 /** Creates an assigner for a service. term, incarnation: of the leader, written into the record. */
 cw_assigner_t *cw_assigner_create(const char *service, uint64_t term, uint64_t incarnation,
                                   const cw_assigner_settings_t *settings, const cw_assigner_ports_t *ports);
@@ -179,6 +148,8 @@
 cw_time_us_t cw_assigner_adopted_at(const cw_assigner_t *assigner);
 /** Returns the name of the service. */
 const char *cw_assigner_service(const cw_assigner_t *assigner);
+/** Returns what this leader knows of the servers that it has sent orders to. */
+const cw_server_contacts_t *cw_assigner_contacts(const cw_assigner_t *assigner);
 /** Returns the ranges of the record, which belong to the assigner; empty until there is a record. */
 const cw_range_list_t *cw_assigner_ranges(const cw_assigner_t *assigner);
 /** Whether a plan can be made now. False while a write is in flight. */
--- a/src/assignment/assigner_holds.c
+++ b/src/assignment/assigner_holds.c
@@ -19,7 +19,7 @@
 
 cw_time_us_t cw_assigner_earlier_holds_end(const cw_assigner_t *assigner)
 {
-    return cw_assigner_hold_end(assigner->led_since + assigner->settings.order_timeout, assigner->settings.hold_long);
+    return cw_order_hold_end(assigner->led_since + assigner->settings.order_timeout, assigner->settings.hold_long);
 }
 
 void cw_assigner_extend_hold(cw_range_t *range, uint64_t order, cw_time_us_t until)
@@ -31,7 +31,7 @@
 /* A later grant has its own end, which was set in addition. */
 void cw_assigner_confirm_hold(cw_range_t *range, const cw_order_t *order, cw_time_us_t now)
 {
-    cw_time_us_t until = cw_assigner_hold_end(now, order->hold);
+    cw_time_us_t until = cw_order_hold_end(now, order->hold);
 
     if (range->hold_order == order->id) {
         range->hold_until = later_of(order->hold_until_before, until);
@@ -50,7 +50,7 @@
 void cw_assigner_extend_former_hold(cw_range_t *range, const cw_order_t *order, cw_time_us_t now)
 {
     if (strcmp(range->former.id, order->server) == 0 && order->fence <= range->former.fence) {
-        range->former_until = later_of(range->former_until, cw_assigner_hold_end(now, order->hold));
+        range->former_until = later_of(range->former_until, cw_order_hold_end(now, order->hold));
     }
 }
 
@@ -58,8 +58,8 @@
 static bool earlier_late_order_possible(const cw_assigner_t *assigner, cw_time_us_t now)
 {
     return assigner->adopted_at != 0 &&
-           now < cw_assigner_hold_end(assigner->led_since + assigner->settings.late_order_time,
-                                      assigner->settings.hold_long);
+           now < cw_order_hold_end(assigner->led_since + assigner->settings.late_order_time,
+                                   assigner->settings.hold_long);
 }
 
 /* Whether both are incarnations of one server. The later one may hold keys by grants for the one before, which name the
@@ -93,7 +93,7 @@
     }
     if (cw_assigner_late_order_possible(assigner, source, now) || earlier_late_order_possible(assigner, now)) {
         planned->former_until =
-            later_of(planned->former_until, cw_assigner_hold_end(now, assigner->settings.table_validity));
+            later_of(planned->former_until, cw_order_hold_end(now, assigner->settings.table_validity));
     }
 }
 
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -42,6 +42,8 @@
     size_t       order_count;
     size_t       order_capacity;
     uint64_t     last_order;
+
+    cw_server_contacts_t *contacts;
 };
 
 /* ---- assigner.c ---- */
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -116,7 +116,7 @@
     cw_time_us_t before = range->hold_until;
 
     cw_assigner_extend_hold(range, assigner->last_order + 1,
-                            cw_assigner_hold_end(now + assigner->settings.order_timeout, hold));
+                            cw_order_hold_end(now + assigner->settings.order_timeout, hold));
     range->next_order = now + renewal_interval(assigner);
     send_order(assigner, range, CW_ORDER_GRANT, &range->owner, hold, before, now);
 }
@@ -277,7 +277,7 @@
                                 cw_order_result_t result, cw_time_us_t now)
 {
     if (result == CW_ORDER_UNANSWERED) {
-        cw_assigner_extend_hold(range, range->hold_order, cw_assigner_hold_end(now, order->hold));
+        cw_assigner_extend_hold(range, range->hold_order, cw_order_hold_end(now, order->hold));
         range->unanswered_at = now;
     } else if (result == CW_ORDER_NOT_SENT) {
         cw_assigner_take_back_hold(range, order);
@@ -381,6 +381,15 @@
     return count;
 }
 
+static void record_contact(cw_assigner_t *assigner, const cw_order_t *order, cw_order_result_t result, cw_time_us_t now)
+{
+    cw_server_contacts_record(assigner->contacts, order, result, now);
+    if (result == CW_ORDER_UNANSWERED && assigner->ports.log_unanswered != NULL) {
+        assigner->ports.log_unanswered(assigner->ports.context, order,
+                                       cw_server_contacts_find(assigner->contacts, order->server), now);
+    }
+}
+
 void cw_assigner_order_done(cw_assigner_t *assigner, uint64_t id, cw_order_result_t result, const char *handover,
                             cw_time_us_t now)
 {
@@ -392,6 +401,7 @@
     if (!remove_order(assigner, id, &order)) {
         return;
     }
+    record_contact(assigner, &order, result, now);
     /* The ranges are sorted, so those before the order's first key are skipped. */
     first = cw_range_list_find(&assigner->record.ranges, order.low);
     index = first == NULL ? assigner->record.ranges.count : (size_t)(first - assigner->record.ranges.items);
--- a/src/assignment/assigner_record.c
+++ b/src/assignment/assigner_record.c
@@ -101,7 +101,7 @@
 
     cw_assigner_log(assigner, "record not readable", &all_keys, "assigned again after former holds have ended");
     assigner->first_grant_at =
-        cw_assigner_hold_end(last_sent + assigner->settings.order_timeout, assigner->settings.hold_long);
+        cw_order_hold_end(last_sent + assigner->settings.order_timeout, assigner->settings.hold_long);
     assigner->plan.last_fence = first_free_fence(assigner);
     assigner->state = CW_ASSIGNER_EMPTY;
     assigner->writing = false;
--- a/src/assignment/assigner_tick.c
+++ b/src/assignment/assigner_tick.c
@@ -14,6 +14,7 @@
     if (assigner->led_since == 0) {
         assigner->led_since = now;
     }
+    cw_server_contacts_expire(assigner->contacts, now);
     cw_assigner_call_store(assigner, now);
     if (assigner->state == CW_ASSIGNER_READY) {
         cw_assigner_send_orders(assigner, servers, long_hold, now);
--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -60,6 +60,7 @@
     X(VIEW_UNEQUAL, "view unequal", WARNING, 10)                                                                       \
     X(VIEW_EXPIRED, "view expired", WARNING, 10)                                                                       \
     X(ASSIGNMENT, "assignment", NOTICE, 100)                                                                           \
+    X(ORDER_UNANSWERED, "order unanswered", NOTICE, 100)                                                               \
     X(PLAN_WRITTEN, "plan written", NOTICE, 20)                                                                        \
     X(LIMIT_MODE, "limit mode", NOTICE, 20)                                                                            \
     X(REQUEST_SERVED, "served", INFO, 200)                                                                             \
@@ -90,6 +91,10 @@
     X(LAST, "last")                                                                                                    \
     X(FORMER, "former")                                                                                                \
     X(FORMER_LEFT_MS, "former_left_ms")                                                                                \
+    X(ANSWERED_MS, "answered_ms")                                                                                      \
+    X(OPEN_ORDERS, "open_orders")                                                                                      \
+    X(FORMER_ANSWERED_MS, "former_answered_ms")                                                                        \
+    X(FORMER_OPEN_ORDERS, "former_open_orders")                                                                        \
     X(ORDER, "order")                                                                                                  \
     X(RECORD, "record")                                                                                                \
     X(LIST, "list")                                                                                                    \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -137,6 +137,11 @@
     X(GRANTS, "cedarwinch_grants_total", "counter", "grants and renewals sent")                                        \
     X(RELEASES, "cedarwinch_releases_total", "counter", "releases sent")                                               \
     X(ORDERS_FAILED, "cedarwinch_orders_failed_total", "counter", "grants and releases without a good answer")         \
+    X(ORDERS_UNANSWERED, "cedarwinch_orders_unanswered_total", "counter", "orders to servers that got no answer")      \
+    X(ORDERS_OPEN, "cedarwinch_orders_open", "gauge",                                                                  \
+      "orders without an answer that servers may still carry out, while this node leads")                              \
+    X(SERVERS_UNANSWERING, "cedarwinch_servers_unanswering", "gauge",                                                  \
+      "servers whose last order got no answer, while this node leads")                                                 \
     X(MOVES, "cedarwinch_moves_total", "counter", "changes of ranges planned by this node")                            \
     X(MOVED_KEYS, "cedarwinch_moved_keys_total", "counter", "keys whose owner changed, while this node led")           \
     X(MOVED_COLD_KEYS, "cedarwinch_moved_cold_keys_total", "counter", "of them without a handover")                    \
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -187,6 +187,17 @@
     cw_router_tables_changed(router);
 }
 
+/* Milliseconds since the server last answered an order; -1: it has answered none of this leader. */
+static cw_time_us_t since_answer(const cw_server_contact_t *contact, cw_time_us_t now)
+{
+    return contact == NULL || contact->answered_at == 0 ? CW_MS(-1) : now - contact->answered_at;
+}
+
+static int64_t open_orders(const cw_server_contact_t *contact)
+{
+    return contact == NULL ? 0 : (int64_t)contact->open_count;
+}
+
 static void log_assignment(void *context, const cw_assignment_decision_t *decision)
 {
     const cw_router_t *router = ((const cw_service_assignment_t *)context)->router;
@@ -206,13 +217,56 @@
     if (range->former.id[0] != '\0') {
         cw_event_text(&event, CW_FIELD_FORMER, range->former.id);
         cw_event_ms(&event, CW_FIELD_FORMER_LEFT_MS, decision->former_left);
+        cw_event_ms(&event, CW_FIELD_FORMER_ANSWERED_MS, since_answer(decision->former_contact, decision->now));
+        cw_event_number(&event, CW_FIELD_FORMER_OPEN_ORDERS, open_orders(decision->former_contact));
     }
+    cw_event_ms(&event, CW_FIELD_ANSWERED_MS, since_answer(decision->owner_contact, decision->now));
+    cw_event_number(&event, CW_FIELD_OPEN_ORDERS, open_orders(decision->owner_contact));
     cw_event_number(&event, CW_FIELD_ORDER, (int64_t)decision->order);
     cw_event_number(&event, CW_FIELD_RECORD, (int64_t)cw_store_revision_count(decision->record));
     cw_event_number(&event, CW_FIELD_LIST, (int64_t)cw_store_revision_count(router->server_view.revision));
     cw_event_end(&event);
 }
 
+static void log_unanswered(void *context, const cw_order_t *order, const cw_server_contact_t *contact, cw_time_us_t now)
+{
+    static const char *const kinds[] = {[CW_ORDER_GRANT] = "grant", [CW_ORDER_RELEASE] = "release"};
+    const cw_router_t       *router = ((const cw_service_assignment_t *)context)->router;
+    cw_event_t               event;
+
+    cw_metric_add(CW_METRIC_ORDERS_UNANSWERED, 1);
+    if (!cw_event_begin(&event, CW_EVENT_ORDER_UNANSWERED)) {
+        return;
+    }
+    cw_event_text(&event, CW_FIELD_DETAIL, kinds[order->kind]);
+    cw_event_text(&event, CW_FIELD_SERVER, order->server);
+    cw_event_number(&event, CW_FIELD_ORDER, (int64_t)order->id);
+    cw_event_number(&event, CW_FIELD_LOW, order->low);
+    cw_event_number(&event, CW_FIELD_LAST, order->last);
+    cw_event_number(&event, CW_FIELD_FENCE, (int64_t)order->fence);
+    cw_event_ms(&event, CW_FIELD_WAITED_MS, now - order->sent_at);
+    cw_event_ms(&event, CW_FIELD_ANSWERED_MS, since_answer(contact, now));
+    cw_event_number(&event, CW_FIELD_OPEN_ORDERS, (int64_t)contact->open_count);
+    cw_event_number(&event, CW_FIELD_TERM, (int64_t)router->leadership.lock.term);
+    cw_event_end(&event);
+}
+
+void cw_router_measure_orders(const cw_router_t *router)
+{
+    size_t open = 0;
+    size_t unanswering = 0;
+    size_t index;
+
+    for (index = 0; index < router->assignment_count; index++) {
+        const cw_server_contacts_t *contacts = cw_assigner_contacts(router->assignments[index].assigner);
+
+        open += cw_server_contacts_open_orders(contacts);
+        unanswering += cw_server_contacts_unanswering(contacts);
+    }
+    cw_metric_set(CW_METRIC_ORDERS_OPEN, open);
+    cw_metric_set(CW_METRIC_SERVERS_UNANSWERING, unanswering);
+}
+
 /* ---- services ---- */
 
 static cw_service_assignment_t *find_assignment(cw_router_t *router, const char *name)
@@ -260,7 +314,8 @@
                                       .store = router->store,
                                       .send_order = send_order,
                                       .on_change = on_assignment_changed,
-                                      .log_decision = log_assignment};
+                                      .log_decision = log_assignment,
+                                      .log_unanswered = log_unanswered};
 
     assignment->router = router;
     router->table_publication.published_at = 0; /* the first tables are published at once */
@@ -323,4 +378,5 @@
     }
     memset(router->assignments, 0, sizeof(router->assignments));
     router->assignment_count = 0;
+    cw_router_measure_orders(router);
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -571,6 +571,8 @@
 /* ---- router_assigners.c ---- */
 /** Creates an assigner for each configured service divided by key that has none yet. */
 void cw_router_create_assigners(cw_router_t *router);
+/** Sets the metrics of the orders that servers may still carry out. */
+void cw_router_measure_orders(const cw_router_t *router);
 /** Continues the assigners that there are under a new term: the store was restored while this node led. */
 void cw_router_continue_assigners(cw_router_t *router);
 /** Frees all assigners. Called when a term of this leader begins or ends. */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -443,6 +443,7 @@
                          is_store_unresponsive(router, now), now);
         cw_router_measure(&router->assignments[index], now);
     }
+    cw_router_measure_orders(router);
     cw_router_publish_tables(router, now);
     resign_if_cut_off(router, now);
     resign_without_paths(router, now);
--- a/src/router/router_status.c
+++ b/src/router/router_status.c
@@ -136,6 +136,7 @@
     char *text;
 
     if (status != NULL) {
+        json_object_set_new(status, "orders", cw_router_status_orders(router, now));
         json_object_set_new(status, "refused", cw_router_status_refused());
         json_object_set_new(status, "tenants", cw_router_status_tenants(router));
         json_object_set_new(status, "sent", cw_router_status_sent(router));
--- a/src/router/router_status.h
+++ b/src/router/router_status.h
@@ -27,4 +27,9 @@
 /** Number of pipelined requests, and of answers that waited for an earlier answer of their connection. */
 json_t *cw_router_status_pipelines(void);
 
+/* ---- router_status_orders.c ---- */
+/** On the leader, for each service divided by key: the servers with orders that have no answer and may still be carried
+ * out, when each server last answered an order, and these orders. */
+json_t *cw_router_status_orders(const cw_router_t *router, cw_time_us_t now);
+
 #endif
--- a/tests/test_assigner_holds.c
+++ b/tests/test_assigner_holds.c
@@ -235,7 +235,7 @@
     cw_assigner_order_done(fixture.assigner, second.id, CW_ORDER_DONE, NULL, fixture.now + CW_MS(5));
     ck_assert_str_eq(second.server, "a-new");
     ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until,
-                     cw_assigner_hold_end(second.sent_at, second.hold));
+                     cw_order_hold_end(second.sent_at, second.hold));
     assigner_fixture_clear(&fixture);
 }
 END_TEST
@@ -326,11 +326,11 @@
     begin(&fixture);
     order = renew(&fixture);
     ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until,
-                     cw_assigner_hold_end(order.sent_at + order.timeout, order.hold));
+                     cw_order_hold_end(order.sent_at + order.timeout, order.hold));
     answered_at = order.sent_at + CW_MS(300);
     cw_assigner_order_done(fixture.assigner, order.id, CW_ORDER_DONE, NULL, answered_at);
     ck_assert_int_eq(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until,
-                     cw_assigner_hold_end(answered_at, order.hold));
+                     cw_order_hold_end(answered_at, order.hold));
     assigner_fixture_clear(&fixture);
 }
 END_TEST
@@ -345,7 +345,7 @@
     led_since = fixture.now + CW_MS(20);
     take_over(&fixture, three);
     ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->hold_until,
-                     cw_assigner_hold_end(led_since + CW_MS(ASSIGNER_ORDER_TIMEOUT_MS), CW_MS(8000)));
+                     cw_order_hold_end(led_since + CW_MS(ASSIGNER_ORDER_TIMEOUT_MS), CW_MS(8000)));
     assigner_fixture_clear(&fixture);
 }
 END_TEST
@@ -369,7 +369,7 @@
     begin(&fixture);
     order = renew(&fixture);
     cw_assigner_order_done(fixture.assigner, order.id, results[_i], NULL, fixture.now + CW_MS(10));
-    ck_assert_int_ge(hold_until(&fixture), cw_assigner_hold_end(order.sent_at + order.timeout, order.hold));
+    ck_assert_int_ge(hold_until(&fixture), cw_order_hold_end(order.sent_at + order.timeout, order.hold));
     assigner_fixture_clear(&fixture);
 }
 END_TEST
@@ -385,7 +385,7 @@
     order = renew(&fixture);
     ended_at = order.sent_at + CW_SECONDS(2);
     cw_assigner_order_done(fixture.assigner, order.id, CW_ORDER_UNANSWERED, NULL, ended_at);
-    ck_assert_int_ge(hold_until(&fixture), cw_assigner_hold_end(ended_at, order.hold));
+    ck_assert_int_ge(hold_until(&fixture), cw_order_hold_end(ended_at, order.hold));
     assigner_fixture_clear(&fixture);
 }
 END_TEST
@@ -417,7 +417,7 @@
     order = renew(&fixture);
     move_keys(&fixture, "i-c");
     ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->former_until,
-                     cw_assigner_hold_end(order.sent_at + order.timeout, order.hold));
+                     cw_order_hold_end(order.sent_at + order.timeout, order.hold));
     assigner_fixture_clear(&fixture);
 }
 END_TEST
@@ -435,7 +435,7 @@
     assigner_fixture_tick(&fixture, CW_MS(20));
     ck_assert_str_eq(assigner_fixture_range(&fixture, KEY_OF_NEW)->former.id, "a-new");
     ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->former_until,
-                     cw_assigner_hold_end(order.sent_at + order.timeout, order.hold));
+                     cw_order_hold_end(order.sent_at + order.timeout, order.hold));
     assigner_fixture_clear(&fixture);
 }
 END_TEST
@@ -542,7 +542,7 @@
     assigner_fixture_answer_store(&fixture);
     ck_assert_str_eq(assigner_fixture_range(&fixture, KEY_OF_NEW)->former.id, "a-new");
     ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->former_until,
-                     cw_assigner_hold_end(committed, CW_MS(4000)));
+                     cw_order_hold_end(committed, CW_MS(4000)));
     assigner_fixture_clear(&fixture);
 }
 END_TEST
@@ -638,7 +638,7 @@
     fixture.now = renewal.sent_at + CW_MS(1500);
     cw_assigner_order_done(fixture.assigner, renewal.id, result, NULL, fixture.now);
     ck_assert_int_ge(assigner_fixture_range(&fixture, KEY_OF_NEW)->former_until,
-                     cw_assigner_hold_end(fixture.now, renewal.hold));
+                     cw_order_hold_end(fixture.now, renewal.hold));
     assigner_fixture_clear(&fixture);
 }
 
