A server that does not answer gets no other fence, no other renewal and no first grant

Cause: the leader took an order for over when its wait ended and the connection was reset, but on a real kernel the bytes outlive the reset, and the server takes all of them when it goes on. Each unanswered order led to one more: another fence (owners that keep their names), another renewal, or a first grant of keys to a server that stood still. Now a grant with a fence that the owner has not confirmed leaves when the owner has just answered a probe, in the same call; a probe is an order without keys that changes nothing, however late and often it is taken. A server with an unanswered order gets neither renewal nor fence before it has answered one. So at most the renewals that were in flight lie in its socket, which it has had already. The fixtures answer probes at once, unless a test keeps them.

--- a/src/assignment/assigner_commit.c
+++ b/src/assignment/assigner_commit.c
@@ -20,6 +20,7 @@
     *planned = *source;
     planned->low = low;
     planned->last = last;
+    planned->awaits_answer = false;
     planned->orders = cw_assigner_orders_in_flight(assigner, planned); /* a part may have others than the whole */
 }
 
@@ -33,6 +34,7 @@
     planned->failing_since = same_owner ? source->failing_since : 0;
     planned->fence_used = false;
     planned->needs_fence = false;
+    planned->awaits_answer = false;
     planned->owner_ended = false;
     planned->orders = 0;
     planned->next_order = now > assigner->first_grant_at ? now : assigner->first_grant_at;
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -86,7 +86,20 @@
 /** Makes the store call that is due, unless one is in flight. */
 void cw_assigner_call_store(cw_assigner_t *assigner, cw_time_us_t now);
 
+/* ---- assigner_probes.c ---- */
+/** Whether a grant of the range may leave only when the owner has just answered a probe. */
+bool cw_assigner_needs_probe(const cw_assigner_t *assigner, const cw_range_t *range);
+/** The range's grant is due: probes its owner unless that was done just now. */
+void cw_assigner_await_answer(cw_assigner_t *assigner, cw_range_t *range, cw_time_us_t now);
+/** Handles the result of a probe: sends the grants that wait for the server. */
+void cw_assigner_probe_done(cw_assigner_t *assigner, const cw_order_t *probe, cw_order_result_t result,
+                            cw_time_us_t now);
+
 /* ---- assigner_orders.c ---- */
+/** Sends a probe to a server. */
+void cw_assigner_send_probe(cw_assigner_t *assigner, const cw_holder_t *server, cw_time_us_t now);
+/** Sends a grant, or a renewal, to the range's owner. */
+void cw_assigner_send_grant(cw_assigner_t *assigner, cw_range_t *range, cw_time_us_t now);
 /** Number of orders in flight whose results the range waits for. */
 uint32_t cw_assigner_orders_in_flight(const cw_assigner_t *assigner, const cw_range_t *range);
 /** Sends the orders that are due. long_hold: the store does not answer, so grants get the long hold. */
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -14,7 +14,8 @@
     RESEND_NOT_SENT_MS = 250, /* the same for a grant that was not sent or was fenced, or whose owner has ended */
     INITIAL_ORDER_CAPACITY = 32,
     ORDERS_IN_FLIGHT_MAX = 512, /* the results of this many orders are handled well within the timeout of an order */
-    FAILING_MS = 1000           /* a range counts as failing once its orders have failed for longer than this */
+    ANSWER_EXPECTED_WITHIN_MS = 50, /* a server in use answers a probe well within this time */
+    FAILING_MS = 1000               /* a range counts as failing once its orders have failed for longer than this */
 };
 
 static bool may_restart_with_its_name(const cw_range_t *range)
@@ -47,32 +48,54 @@
     }
 }
 
-static void send_order(cw_assigner_t *assigner, cw_range_t *range, cw_order_kind_t kind, const cw_holder_t *holder,
-                       cw_time_us_t hold, cw_time_us_t hold_until_before, cw_time_us_t now)
+static cw_order_t *begin_order(cw_assigner_t *assigner, cw_order_kind_t kind, const cw_holder_t *holder,
+                               cw_time_us_t now)
 {
     cw_order_t *order = add_order(assigner);
-    cw_order_t  copy;
 
     order->id = ++assigner->last_order;
     order->kind = kind;
     memcpy(order->server, holder->id, sizeof(order->server));
     memcpy(order->address, holder->address, sizeof(order->address));
+    order->sent_at = now;
+    order->begun_at = now;
+    order->timeout = kind == CW_ORDER_RELEASE ? assigner->settings.release_timeout : assigner->settings.order_timeout;
+    return order;
+}
+
+static void pass_order(cw_assigner_t *assigner, const cw_order_t *order)
+{
+    cw_order_t copy = *order; /* the port may report the result before it returns, which changes the array */
+
+    set_begun(assigner, copy.id, assigner->ports.send_order(assigner->ports.context, &copy));
+}
+
+void cw_assigner_send_probe(cw_assigner_t *assigner, const cw_holder_t *server, cw_time_us_t now)
+{
+    cw_order_t *order = begin_order(assigner, CW_ORDER_PROBE, server, now);
+
+    order->low = 1; /* above the last key: no keys */
+    order->fresh = !cw_server_contacts_answers(assigner->contacts, server->id);
+    pass_order(assigner, order);
+}
+
+static void send_order(cw_assigner_t *assigner, cw_range_t *range, cw_order_kind_t kind, const cw_holder_t *holder,
+                       cw_time_us_t hold, cw_time_us_t hold_until_before, cw_time_us_t now)
+{
+    cw_order_t *order = begin_order(assigner, kind, holder, now);
+
     order->low = range->low;
     order->last = range->last;
     order->fence = range->owner.fence; /* in a release, too: it is above the fence that the former holder received */
     order->hold = hold;
-    order->sent_at = now;
     order->hold_until_before = hold_until_before;
     order->fresh = range->failing_since != 0;
-    order->timeout = kind == CW_ORDER_GRANT ? assigner->settings.order_timeout : assigner->settings.release_timeout;
     if (kind == CW_ORDER_GRANT) {
         memcpy(order->handover, range->handover, sizeof(order->handover));
         order->connected_by = may_restart_with_its_name(range) && range->fence_used ? range->confirmed_at : 0;
     }
-    order->begun_at = now;
     range->orders++;
-    copy = *order; /* the port may report the result before it returns, which changes the array */
-    set_begun(assigner, copy.id, assigner->ports.send_order(assigner->ports.context, &copy));
+    pass_order(assigner, order);
 }
 
 /* ---- intervals and holds ---- */
@@ -110,9 +133,9 @@
 
 /* ---- grants ---- */
 
-static void send_grant(cw_assigner_t *assigner, cw_range_t *range, bool long_hold, cw_time_us_t now)
+void cw_assigner_send_grant(cw_assigner_t *assigner, cw_range_t *range, cw_time_us_t now)
 {
-    cw_time_us_t hold = grant_hold(assigner, long_hold);
+    cw_time_us_t hold = grant_hold(assigner, assigner->long_hold);
     cw_time_us_t before = range->hold_until;
 
     cw_assigner_extend_hold(range, assigner->last_order + 1,
@@ -173,34 +196,63 @@
     return false;
 }
 
-static void send_due_order(cw_assigner_t *assigner, cw_range_t *range, const cw_server_list_t *servers, bool long_hold,
+/* Whether the owner is to be granted the range now. */
+static bool is_grant_due(const cw_assigner_t *assigner, const cw_range_t *range, const cw_server_list_t *servers,
+                         cw_time_us_t now)
+{
+    return range->phase != CW_RANGE_RELEASING && range->orders == 0 && now >= range->next_order &&
+           may_renew_owner(servers, range) && !is_moved_by_plan(assigner, range);
+}
+
+static void send_due_order(cw_assigner_t *assigner, cw_range_t *range, const cw_server_list_t *servers,
                            cw_time_us_t now)
 {
     if (range->phase == CW_RANGE_RELEASING) {
         advance_release(assigner, range, now);
     }
-    if (range->phase == CW_RANGE_RELEASING || range->orders > 0 || now < range->next_order || range->needs_fence) {
-        return;
-    }
-    if (!may_renew_owner(servers, range) || is_moved_by_plan(assigner, range)) {
-        return;
+    if (!is_grant_due(assigner, range, servers, now)) {
+        range->awaits_answer = false;
+    } else if (cw_assigner_needs_probe(assigner, range)) {
+        cw_assigner_await_answer(assigner, range, now);
+    } else if (!range->needs_fence) {
+        cw_assigner_send_grant(assigner, range, now);
     }
-    send_grant(assigner, range, long_hold, now);
+}
+
+/* Whether a server that has just been probed for the first time has not answered yet. */
+static bool is_answer_expected(const cw_server_contact_t *contact, cw_time_us_t now)
+{
+    return contact != NULL && contact->probes_unanswered == 1 &&
+           now - contact->probed_at < CW_MS(ANSWER_EXPECTED_WITHIN_MS);
 }
 
 /* Plans new fences for ranges whose owners may have restarted under their former name (server_incarnation.h). One write
- * covers all of them. */
+ * covers all of them, so it waits a little for answers. An owner that does not answer gets no other fence: each would
+ * be one more grant that it may carry out late. */
 static void plan_new_fences(cw_assigner_t *assigner, cw_time_us_t now)
 {
     bool   any = false;
     size_t index;
 
     for (index = 0; index < assigner->record.ranges.count && !assigner->writing; index++) {
+        const cw_range_t          *range = &assigner->record.ranges.items[index];
+        const cw_server_contact_t *contact;
+
+        if (!range->needs_fence || range->phase == CW_RANGE_RELEASING || range->owner_ended) {
+            continue;
+        }
+        contact = cw_server_contacts_find(assigner->contacts, range->owner.id);
+        if (is_answer_expected(contact, now)) {
+            return;
+        }
+        any = any || cw_server_contacts_answers(assigner->contacts, range->owner.id);
+    }
+    for (index = 0; any && index < assigner->record.ranges.count; index++) {
         const cw_range_t *range = &assigner->record.ranges.items[index];
 
-        if (range->needs_fence && range->phase != CW_RANGE_RELEASING && !range->owner_ended) {
+        if (range->needs_fence && range->phase != CW_RANGE_RELEASING && !range->owner_ended &&
+            cw_server_contacts_answers(assigner->contacts, range->owner.id)) {
             cw_assigner_plan_new_fence(assigner, range);
-            any = true;
         }
     }
     if (any) {
@@ -216,13 +268,15 @@
     size_t first = count == 0 ? 0 : assigner->next_range % count;
     bool   is_full = false;
     bool   any_needs_fence = false;
+    bool   was_long_hold = assigner->long_hold;
     size_t turn;
 
+    assigner->long_hold = long_hold;
     for (turn = 0; turn < count; turn++) {
         size_t      index = (first + turn) % count;
         cw_range_t *range = &assigner->record.ranges.items[index];
 
-        if (long_hold && !assigner->long_hold && range->phase == CW_RANGE_HELD) {
+        if (long_hold && !was_long_hold && range->phase == CW_RANGE_HELD) {
             range->next_order = now; /* grants the long hold while the leader still has authority */
         }
         any_needs_fence = any_needs_fence || range->needs_fence;
@@ -231,13 +285,12 @@
             assigner->next_range = index;
         }
         if (!is_full) {
-            send_due_order(assigner, range, servers, long_hold, now);
+            send_due_order(assigner, range, servers, now);
         }
     }
     if (any_needs_fence) {
         plan_new_fences(assigner, now);
     }
-    assigner->long_hold = long_hold;
 }
 
 /* ---- results ---- */
@@ -402,6 +455,10 @@
         return;
     }
     record_contact(assigner, &order, result, now);
+    if (order.kind == CW_ORDER_PROBE) {
+        cw_assigner_probe_done(assigner, &order, result, now);
+        return;
+    }
     /* The ranges are sorted, so those before the order's first key are skipped. */
     first = cw_range_list_find(&assigner->record.ranges, order.low);
     index = first == NULL ? assigner->record.ranges.count : (size_t)(first - assigner->record.ranges.items);
--- a/src/assignment/order.h
+++ b/src/assignment/order.h
@@ -8,7 +8,13 @@
 #include "assignment/range.h"
 
 /** Kind of an order to a server. */
-typedef enum cw_order_kind { CW_ORDER_GRANT, CW_ORDER_RELEASE } cw_order_kind_t;
+typedef enum cw_order_kind {
+    CW_ORDER_GRANT,
+    CW_ORDER_RELEASE,
+    /** Covers no keys and changes nothing, however late it is carried out. Its answer shows that the server carries out
+     * orders now. */
+    CW_ORDER_PROBE
+} cw_order_kind_t;
 
 /** Result of an order. */
 typedef enum cw_order_result {
--- a/src/assignment/range.h
+++ b/src/assignment/range.h
@@ -52,6 +52,7 @@
     cw_time_us_t     moved_at;      /**< when the present owner and fence were committed */
     bool             owner_ended;   /**< another incarnation answers at the owner's address */
     bool             fence_used;    /**< an order with the owner's fence may have reached its address */
+    bool             awaits_answer; /**< its grant is due, and waits for the owner's answer to a probe */
     bool             needs_fence; /**< a later incarnation may answer at the address: no more grants with this fence */
     uint32_t         orders;      /**< in flight */
 } cw_range_t;
--- a/src/assignment/server_contact.c
+++ b/src/assignment/server_contact.c
@@ -11,13 +11,12 @@
 
 #include "base/memory.h"
 
-enum { KEPT_S = 60 /* for how long a server is remembered after the last result of an order to it */ };
-
-/** A server with the time of the last result. The public part is first. */
-typedef struct contact_entry {
-    cw_server_contact_t contact;
-    cw_time_us_t        recorded_at;
-} contact_entry_t;
+enum {
+    KEPT_S = 60,                   /* for how long a server is remembered after the last order to it */
+    PROBE_INTERVAL_FIRST_MS = 100, /* more than one is in flight at a time, so that a lost answer costs little */
+    PROBE_INTERVAL_LAST_MS = 800,
+    INITIAL_WAITING = 4
+};
 
 struct cw_server_contacts {
     cw_time_us_t         late_order_time;
@@ -46,6 +45,13 @@
     }
 }
 
+static void free_contact(cw_server_contact_t *contact)
+{
+    remove_all_open(contact);
+    free(contact->waiting);
+    free(contact);
+}
+
 void cw_server_contacts_free(cw_server_contacts_t *contacts)
 {
     cw_server_contact_t *contact;
@@ -54,8 +60,7 @@
     HASH_ITER(hh, contacts->servers, contact, next)
     {
         HASH_DEL(contacts->servers, contact);
-        remove_all_open(contact);
-        free(contact);
+        free_contact(contact);
     }
     free(contacts);
 }
@@ -73,7 +78,7 @@
     cw_server_contact_t *contact = find(contacts, id);
 
     if (contact == NULL) {
-        contact = cw_memory_zeroed(sizeof(contact_entry_t));
+        contact = cw_memory_zeroed(sizeof(*contact));
         snprintf(contact->id, sizeof(contact->id), "%s", id);
         HASH_ADD_STR(contacts->servers, id, contact);
     }
@@ -111,6 +116,7 @@
 
     contact->answered_at = now;
     contact->unanswered_since = 0;
+    contact->probes_unanswered = 0;
     if (result == CW_ORDER_OTHER_INCARNATION) {
         remove_all_open(contact);
         return;
@@ -126,9 +132,13 @@
 static void record_unanswered(const cw_server_contacts_t *contacts, cw_server_contact_t *contact,
                               const cw_order_t *order, cw_time_us_t now)
 {
-    cw_open_order_t *open = cw_memory_zeroed(sizeof(*open));
+    cw_open_order_t *open;
 
     contact->unanswered_since = contact->unanswered_since == 0 ? now : contact->unanswered_since;
+    if (order->kind == CW_ORDER_PROBE) {
+        return; /* it changes nothing */
+    }
+    open = cw_memory_zeroed(sizeof(*open));
     *open = (cw_open_order_t){.id = order->id,
                               .kind = order->kind,
                               .low = order->low,
@@ -145,7 +155,7 @@
 {
     cw_server_contact_t *contact = find_or_add(contacts, order->server);
 
-    ((contact_entry_t *)contact)->recorded_at = now;
+    contact->used_at = now;
     switch (result) {
     case CW_ORDER_DONE:
     case CW_ORDER_FENCED:
@@ -178,13 +188,63 @@
                 remove_open(contact, open);
             }
         }
-        if (contact->open == NULL && now - ((contact_entry_t *)contact)->recorded_at > CW_SECONDS(KEPT_S)) {
+        if (contact->open == NULL && now - contact->used_at > CW_SECONDS(KEPT_S)) {
             HASH_DEL(contacts->servers, contact);
-            free(contact);
+            free_contact(contact);
         }
     }
 }
 
+bool cw_server_contacts_answers(const cw_server_contacts_t *contacts, const char *id)
+{
+    const cw_server_contact_t *contact = find(contacts, id);
+
+    return contact != NULL && contact->answered_at != 0 && contact->unanswered_since == 0;
+}
+
+static cw_time_us_t probe_interval(const cw_server_contact_t *contact)
+{
+    uint32_t     doublings = contact->probes_unanswered < 8 ? contact->probes_unanswered : 8;
+    cw_time_us_t interval = doublings == 0 ? 0 : CW_MS(PROBE_INTERVAL_FIRST_MS) << (doublings - 1);
+
+    return interval < CW_MS(PROBE_INTERVAL_LAST_MS) ? interval : CW_MS(PROBE_INTERVAL_LAST_MS);
+}
+
+bool cw_server_contacts_begin_probe(cw_server_contacts_t *contacts, const char *id, cw_time_us_t now)
+{
+    cw_server_contact_t *contact = find_or_add(contacts, id);
+
+    if (contact->probed_at != 0 && now - contact->probed_at < probe_interval(contact)) {
+        return false;
+    }
+    contact->probed_at = now;
+    contact->used_at = now;
+    contact->probes_unanswered++;
+    return true;
+}
+
+void cw_server_contacts_wait(cw_server_contacts_t *contacts, const char *id, uint32_t low)
+{
+    cw_server_contact_t *contact = find_or_add(contacts, id);
+
+    if (contact->waiting_count == contact->waiting_capacity) {
+        contact->waiting_capacity = contact->waiting_capacity == 0 ? INITIAL_WAITING : 2 * contact->waiting_capacity;
+        contact->waiting = cw_memory_resize(contact->waiting, contact->waiting_capacity * sizeof(*contact->waiting));
+    }
+    contact->waiting[contact->waiting_count++] = low;
+}
+
+bool cw_server_contacts_next_waiting(cw_server_contacts_t *contacts, const char *id, uint32_t *low)
+{
+    cw_server_contact_t *contact = find(contacts, id);
+
+    if (contact == NULL || contact->waiting_count == 0) {
+        return false;
+    }
+    *low = contact->waiting[--contact->waiting_count];
+    return true;
+}
+
 const cw_server_contact_t *cw_server_contacts_find(const cw_server_contacts_t *contacts, const char *id)
 {
     return find(contacts, id);
--- a/src/assignment/server_contact.h
+++ b/src/assignment/server_contact.h
@@ -41,6 +41,12 @@
     cw_time_us_t     unanswered_since;
     cw_open_order_t *open; /**< orders that may still be carried out */
     size_t           open_count;
+    cw_time_us_t     probed_at;         /**< when the last probe was sent; 0: there was none */
+    uint32_t         probes_unanswered; /**< probes sent since its last answer */
+    cw_time_us_t     used_at;           /**< last probe or result */
+    uint32_t        *waiting;           /**< first keys of ranges that wait for its answer */
+    size_t           waiting_count;
+    size_t           waiting_capacity;
     UT_hash_handle   hh;
 } cw_server_contact_t;
 
@@ -54,6 +60,14 @@
 /** Records the result of an order. */
 void cw_server_contacts_record(cw_server_contacts_t *contacts, const cw_order_t *order, cw_order_result_t result,
                                cw_time_us_t now);
+/** Whether the server's last order was answered. */
+bool cw_server_contacts_answers(const cw_server_contacts_t *contacts, const char *id);
+/** Whether to probe the server now; then records the probe. The interval grows while it does not answer. */
+bool cw_server_contacts_begin_probe(cw_server_contacts_t *contacts, const char *id, cw_time_us_t now);
+/** Adds a range to those that wait for the server's next answer. low: its first key. */
+void cw_server_contacts_wait(cw_server_contacts_t *contacts, const char *id, uint32_t low);
+/** Removes and returns the first key of a range that waits for the server. False: none does. */
+bool cw_server_contacts_next_waiting(cw_server_contacts_t *contacts, const char *id, uint32_t *low);
 /** Discards the orders that are over, and the servers without one that have not answered or been asked lately. */
 void cw_server_contacts_expire(cw_server_contacts_t *contacts, cw_time_us_t now);
 /** Returns what is known of a server; NULL: nothing. Valid until the next change. */
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -136,6 +136,8 @@
       "answers of the store, or entries in them, with a field missing or of another type")                             \
     X(GRANTS, "cedarwinch_grants_total", "counter", "grants and renewals sent")                                        \
     X(RELEASES, "cedarwinch_releases_total", "counter", "releases sent")                                               \
+    X(ORDER_PROBES, "cedarwinch_order_probes_total", "counter",                                                        \
+      "orders without keys sent to see whether a server carries out orders")                                           \
     X(ORDERS_FAILED, "cedarwinch_orders_failed_total", "counter", "grants and releases without a good answer")         \
     X(ORDERS_UNANSWERED, "cedarwinch_orders_unanswered_total", "counter", "orders to servers that got no answer")      \
     X(ORDERS_OPEN, "cedarwinch_orders_open", "gauge",                                                                  \
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -230,9 +230,10 @@
 
 static void log_unanswered(void *context, const cw_order_t *order, const cw_server_contact_t *contact, cw_time_us_t now)
 {
-    static const char *const kinds[] = {[CW_ORDER_GRANT] = "grant", [CW_ORDER_RELEASE] = "release"};
-    const cw_router_t       *router = ((const cw_service_assignment_t *)context)->router;
-    cw_event_t               event;
+    static const char *const kinds[] = {
+        [CW_ORDER_GRANT] = "grant", [CW_ORDER_RELEASE] = "release", [CW_ORDER_PROBE] = "probe"};
+    const cw_router_t *router = ((const cw_service_assignment_t *)context)->router;
+    cw_event_t         event;
 
     cw_metric_add(CW_METRIC_ORDERS_UNANSWERED, 1);
     if (!cw_event_begin(&event, CW_EVENT_ORDER_UNANSWERED)) {
--- a/tests/assigner_fixture.c
+++ b/tests/assigner_fixture.c
@@ -94,6 +94,10 @@
 {
     assigner_fixture_t *fixture = context;
 
+    if (order->kind == CW_ORDER_PROBE && !fixture->keeps_probes) {
+        cw_assigner_order_done(fixture->assigner, order->id, CW_ORDER_DONE, NULL, order->sent_at);
+        return order->sent_at;
+    }
     ck_assert_uint_lt(fixture->order_count, ASSIGNER_ORDERS_MAX);
     fixture->orders[fixture->order_count++] = *order;
     return order->sent_at + fixture->begin_delay;
--- a/tests/assigner_fixture.h
+++ b/tests/assigner_fixture.h
@@ -11,28 +11,29 @@
 
 /** The assigner, its store and the orders that it has sent. */
 typedef struct assigner_fixture {
-    cw_assigner_t           *assigner;
-    cw_store_port_t          port;
-    cw_server_list_t        *servers;
-    cw_time_us_t             now;
-    json_t                  *object;           /**< the object in the store; NULL: none */
-    uint64_t                 revision;         /**< as the store counts it */
-    uint64_t                 epoch;            /**< of the store */
-    cw_assigner_loss_t       loss;             /**< what assigners that are created from now on know of lost records */
-    bool                     delays_answers;   /**< the store delays its answers until assigner_fixture_answer_store */
-    cw_store_result_t        fail_next;        /**< result of the next write; CW_STORE_DONE: it does not fail */
-    bool                     done_before_fail; /**< a failing write is executed although its result is fail_next */
-    cw_store_replied_t       waiting;
-    void                    *waiting_data;
-    cw_store_reply_t         waiting_reply;
-    json_t                  *waiting_value;
-    uint32_t                 writes;
-    cw_time_us_t             begin_delay;                 /**< from the decision of an order to its begin */
-    cw_order_t               orders[ASSIGNER_ORDERS_MAX]; /**< all orders sent so far, in order */
-    size_t                   order_count;
-    size_t                   answered;      /**< how many of the orders are answered so far */
-    uint32_t                 changes;       /**< calls of the port `on_change` so far */
-    cw_assignment_decision_t decision;      /**< the last one that was logged; its texts are constant */
+    cw_assigner_t     *assigner;
+    cw_store_port_t    port;
+    cw_server_list_t  *servers;
+    cw_time_us_t       now;
+    json_t            *object;           /**< the object in the store; NULL: none */
+    uint64_t           revision;         /**< as the store counts it */
+    uint64_t           epoch;            /**< of the store */
+    cw_assigner_loss_t loss;             /**< what assigners that are created from now on know of lost records */
+    bool               delays_answers;   /**< the store delays its answers until assigner_fixture_answer_store */
+    cw_store_result_t  fail_next;        /**< result of the next write; CW_STORE_DONE: it does not fail */
+    bool               done_before_fail; /**< a failing write is executed although its result is fail_next */
+    cw_store_replied_t waiting;
+    void              *waiting_data;
+    cw_store_reply_t   waiting_reply;
+    json_t            *waiting_value;
+    uint32_t           writes;
+    cw_time_us_t       begin_delay;                 /**< from the decision of an order to its begin */
+    cw_order_t         orders[ASSIGNER_ORDERS_MAX]; /**< all orders sent so far, in order */
+    size_t             order_count;
+    bool               keeps_probes;   /**< probes are orders that the test answers; else they are answered at once */
+    size_t             answered;       /**< how many of the orders are answered so far */
+    uint32_t           changes;        /**< calls of the port `on_change` so far */
+    cw_assignment_decision_t decision; /**< the last one that was logged; its texts are constant */
     cw_range_t               decided_range; /**< copy of its range */
 } assigner_fixture_t;
 
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -120,6 +120,23 @@
     node->orders[node->order_count++] = (node_fixture_order_t){*order, *callbacks, data};
 }
 
+/* Answers the pending probes of servers as done; the other orders stay pending. */
+static void answer_probes(node_fixture_t *node)
+{
+    size_t index = 0;
+
+    while (index < node->order_count) {
+        node_fixture_order_t order = node->orders[index];
+
+        if (order.order.kind != CW_ORDER_PROBE) {
+            index++;
+            continue;
+        }
+        node->orders[index] = node->orders[--node->order_count];
+        order.callbacks.done(order.context, order.order.id, CW_ORDER_DONE, NULL);
+    }
+}
+
 void node_fixture_answer_orders(node_fixture_t *node, cw_order_result_t result)
 {
     size_t count = node->order_count;
@@ -366,6 +383,7 @@
     for (tick = 0; tick < SETTLE_TICKS; tick++) {
         node_fixture_answer_store(node);
         node_fixture_tick(node, CW_TICK_MS);
+        answer_probes(node);
     }
 }
 
--- a/tests/test_assigner_late_orders.c
+++ b/tests/test_assigner_late_orders.c
@@ -19,6 +19,7 @@
     assigner_fixture_init(fixture, 1);
     assigner_fixture_set_servers(fixture, servers);
     assigner_fixture_settle(fixture);
+    fixture->keeps_probes = true;
 }
 
 static const cw_server_entry_t *server(const assigner_fixture_t *fixture, const char *id)
