Lease simulator: servers that stand still, orders that leave late, a stricter check of fences

Cause: the simulator's servers never stood still, and its check of fences excused every grant that was carried out late. One to three servers at once stand still for 0.3 to 14 s; what is sent to them meanwhile lies in their sockets, and is taken within 2 ms after they go on, in a drawn order, requests between orders; their entries expire. Nodes are also killed or stand still right after they have written, or are cut off, and what they wrote arrives seconds later. A late grant below another server's fence is excused only if this incarnation has taken the same before. Late grants that no sender can prevent are counted by kind, not excused as a whole: those written within 10 ms after the server answered a probe of the same node, and repeats that are drawn late into a later life of the same name.

--- a/sim/lease_faults.c
+++ b/sim/lease_faults.c
@@ -49,6 +49,14 @@
     settings->merges = 1.5;
 }
 
+void cw_sim_settings_with_stops(cw_sim_settings_t *settings, uint64_t seed)
+{
+    cw_sim_settings_with_lagging_lists(settings, seed);
+    settings->kept_names = 0.7;
+    settings->stops = 0.2;
+    settings->late_departures = 0.003;
+}
+
 static bool begins_in_step(sim_world_t *world, double per_second)
 {
     return sim_random_bool(world, per_second * FAULTS_INTERVAL_MS / 1000);
@@ -95,8 +103,7 @@
     cw_time_us_t until = world->now + CW_MS(200 + sim_random_below(world, 6000));
     sim_node_t  *node = &world->nodes[pick_node(world)];
 
-    node->frozen_until = until;
-    sim_trace(world, "n%u stands still until %.3f", node->index, (double)node->frozen_until / 1e6);
+    sim_node_freeze(node, until);
 }
 
 static void inject_list_faults(sim_world_t *world)
@@ -148,6 +155,9 @@
     if (settings->lists_lag) {
         inject_list_faults(world);
     }
+    if (settings->stops > 0 && begins_in_step(world, settings->stops)) {
+        sim_stop_servers(world);
+    }
 }
 
 /* ---- the run ---- */
@@ -207,6 +217,9 @@
             cw_assigner_free(world->nodes[index].assigner);
         }
     }
+    for (index = 0; index < CW_SIM_ADDRESSES; index++) {
+        sim_socket_clear(&world->servers[index]);
+    }
     sim_store_clear(world);
     sim_list_clear(world);
     free(world->events);
--- a/sim/lease_internal.h
+++ b/sim/lease_internal.h
@@ -37,13 +37,19 @@
     cw_time_us_t counted_until;      /**< end of that hold */
 } sim_cell_t;
 
+/** An order or request that lies in a server's socket (lease_stops.c). */
+typedef struct sim_socket_item sim_socket_item_t;
+
 /** The current incarnation of a server at an address. */
 typedef struct sim_server {
-    char       id[CW_SERVER_ID_MAX];
-    char       address[CW_SERVER_ADDRESS_MAX];
-    uint64_t   number; /**< of the incarnation */
-    bool       up;
-    sim_cell_t cells[CW_CELLS];
+    char               id[CW_SERVER_ID_MAX];
+    char               address[CW_SERVER_ADDRESS_MAX];
+    uint64_t           number; /**< of the incarnation */
+    bool               up;
+    cw_time_us_t       stopped_until;                   /**< 0: it does not stand still */
+    sim_socket_item_t *socket;                          /**< what it has not taken yet: a chain */
+    cw_time_us_t       probe_answered_at[CW_SIM_NODES]; /**< latest answer to a probe of each node; 0: none */
+    sim_cell_t         cells[CW_CELLS];
 } sim_server_t;
 
 /** The entry of an incarnation of a server in the store. */
@@ -91,6 +97,14 @@
     cw_time_us_t valid_until;
 } sim_table_t;
 
+/** Why an order is taken later than its link takes. */
+typedef enum sim_delay {
+    SIM_NO_DELAY,
+    SIM_DELAY_DRAWN,     /**< the server carries it out seconds later, whatever its sender knew */
+    SIM_DELAY_IN_SOCKET, /**< the server stood still as it arrived */
+    SIM_DELAY_IN_SENDER  /**< it left its sender's kernel late */
+} sim_delay_t;
+
 /** A node of the router. */
 typedef struct sim_node {
     sim_world_t     *world;
@@ -113,6 +127,8 @@
     cw_time_us_t     next_plan;
     sim_table_t      table;
     sim_connection_t connections[CW_SIM_ADDRESSES];
+    cw_time_us_t     ends_writing_at; /**< it is killed or stands still from then on, and what it writes until then
+                                           stays in its kernel; 0: no such time */
     /* with lists that lag */
     cw_server_list_t *list;          /**< latest reading */
     uint64_t          list_revision; /**< of the store, as in sim_listing_t; 0: there was no reading */
@@ -120,6 +136,25 @@
     cw_time_us_t      list_lag;      /**< readings lag by up to this time */
 } sim_node_t;
 
+/** An order on its way to a server, and its result on the way back. */
+typedef struct sim_delivery {
+    sim_node_t       *node;
+    uint64_t          incarnation;
+    uint64_t          first_term; /**< of the assigner that sent it, which may continue under a later term */
+    cw_order_t        order;
+    cw_order_result_t result;
+    char              handover[CW_HANDOVER_MAX];
+    sim_delay_t       delay;
+    bool              counts; /**< its sender did not just stand still: the hold that it gives is checked */
+    /* as it was written */
+    uint64_t     server;     /**< number of the incarnation to which its connection leads */
+    bool         is_repeat;  /**< that incarnation had taken the same grant of all its cells */
+    cw_time_us_t answer_age; /**< since that incarnation's latest answer to a probe of the node; -1: none */
+    /* of an order that is held up (lease_late_orders.c) */
+    bool     is_answered; /**< the sender has its result, or no longer waits for it */
+    uint32_t references;
+} sim_delivery_t;
+
 struct sim_world {
     cw_sim_settings_t settings;
     cw_sim_result_t  *result;
@@ -184,6 +219,10 @@
 /* ---- lease_lists.c ---- */
 /** A server that has started writes its entry. */
 void sim_list_register(sim_world_t *world, const sim_server_t *server);
+/** A server that stands still does not renew its entry, which expires if it is not renewed in time. */
+void sim_list_stop(sim_world_t *world, sim_server_t *server);
+/** A server that stood still goes on: it writes its entry again. */
+void sim_list_go_on(sim_world_t *world, sim_server_t *server);
 /** A server has ended: its entry expires. */
 void sim_list_expire(sim_world_t *world, const sim_server_t *server);
 /** A server that runs loses its entry for a time, if one could have lost it. */
@@ -214,9 +253,8 @@
 void sim_servers_start(sim_world_t *world);
 /** Crashes the server at an address; it restarts as another incarnation seconds later. */
 void sim_server_crash(sim_world_t *world, uint32_t address);
-/** Carries an order out that arrives at a server. late: seconds after it was sent. counts: the hold that it gives is
- * checked (lease_holds.c). */
-cw_order_result_t sim_handle_order(sim_world_t *world, const cw_order_t *order, bool late, bool counts);
+/** Carries an order out that arrives at a server. */
+cw_order_result_t sim_handle_order(sim_world_t *world, const sim_delivery_t *delivery);
 /** Whether the server takes an order or request for this id: it knows its name only. */
 bool sim_server_is_addressed(const sim_server_t *server, const char *id);
 /** Returns the server at an address; NULL: there is none. */
@@ -224,9 +262,48 @@
 /** A node routes a request for a cell. */
 void sim_send_request(sim_world_t *world, sim_node_t *node, uint32_t cell);
 
+/* ---- lease_late_grants.c ---- */
+/** Notes what its sender could know of the server, as the order is written. */
+void sim_late_grants_note_written(sim_delivery_t *delivery, const sim_server_t *server);
+/** Whether an order was held up, and is taken after its sender ceased to wait for the answer. */
+bool sim_is_late(const sim_world_t *world, const sim_delivery_t *delivery);
+/** Checks the fence of a grant that the server takes for a cell, before the cell's state changes. */
+void sim_check_fence(sim_world_t *world, const sim_server_t *server, uint32_t cell, const sim_delivery_t *delivery);
+
+/* ---- lease_stops.c ---- */
+/** Stops one or several servers for a time. */
+void sim_stop_servers(sim_world_t *world);
+/** Whether a server stands still. */
+bool sim_server_is_stopped(const sim_server_t *server);
+/** Puts an order or request into the socket of a server that stands still, which takes it when it goes on. If the
+ * server ends before, the item is dropped. */
+void sim_socket_add(sim_world_t *world, sim_server_t *server, void (*take)(sim_world_t *world, void *data),
+                    void (*drop)(void *data), void   *data);
+/** Drops what lies in the socket of a server that has ended. */
+void sim_socket_clear(sim_server_t *server);
+
+/* ---- lease_late_orders.c ---- */
+/** An order arrives at a server that stands still: it lies in the server's socket. */
+void sim_order_wait_in_socket(sim_delivery_t *delivery, sim_server_t *server);
+/** Whether what the node writes now stays in its kernel for some time. Draws whether such a time begins. */
+bool sim_node_writes_late(sim_node_t *node);
+/** An order was written and stays in its sender's kernel for some time. */
+void sim_order_leave_late(sim_delivery_t *delivery);
+
 /* ---- lease_orders.c ---- */
 /** Sends an order of a node's assigner to a server. */
 void sim_send_order(sim_node_t *node, const cw_order_t *order);
+/** Whether the order is a probe, which changes nothing at a server: its answer shows that the server takes orders. */
+bool sim_order_is_probe(const cw_order_t *order);
+/** Carries an order out at a server that runs, and sets its result as its sender is to get it. Returns how long its
+ * answer is on the way. */
+cw_time_us_t sim_carry_out(sim_delivery_t *delivery, cw_time_us_t link);
+/** Time that a packet takes between two machines. */
+cw_time_us_t sim_draw_link(sim_world_t *world);
+/** Hands the result of an order to its sender, and frees the order. */
+void sim_deliver_result(sim_world_t *world, void *data);
+/** Prints what happens to an order, if the run is traced. */
+void sim_trace_order(const sim_delivery_t *delivery, const char *what);
 /** Whether an order may leave now that its connection is open, as in router_assigners.c: the assigner that gave it
  * still exists, with authority, and the time has not passed that it counts for the arrival. first_term: of that
  * assigner. */
@@ -237,6 +314,8 @@
 void sim_node_start(sim_world_t *world, uint32_t index);
 /** Kills a node, which restarts after the time `down`. */
 void sim_node_kill(sim_world_t *world, uint32_t index, cw_time_us_t down);
+/** A node stands still until this time. */
+void sim_node_freeze(sim_node_t *node, cw_time_us_t until);
 /** Runs the periodic work of a node. */
 void sim_node_tick(sim_node_t *node);
 /** Whether a node is neither down nor frozen. */
--- a/sim/lease_lists.c
+++ b/sim/lease_lists.c
@@ -25,7 +25,9 @@
     STALL_FIRST_MS = 1000,
     STALL_SPREAD_MS = 7000,
     LOST_FIRST_MS = 500, /* how long an entry is lost */
-    LOST_SPREAD_MS = 6000
+    LOST_SPREAD_MS = 6000,
+    RENEWAL_MS = 1500, /* interval at which a server renews its entry */
+    REGISTER_MS = 1000 /* time in which a server that stood still renews it again */
 };
 
 /* ---- entries ---- */
@@ -189,6 +191,48 @@
     sim_trace(world, "copies of the store stall since %.3f", (double)world->copies_stalled_at / 1e6);
 }
 
+static void set_lost(sim_world_t *world, const sim_server_t *server, bool is_lost)
+{
+    size_t index;
+
+    for (index = 0; index < world->entry_count; index++) {
+        if (strcmp(world->entries[index].id, server->id) == 0 && world->entries[index].is_lost != is_lost) {
+            world->entries[index].is_lost = is_lost;
+            sim_list_publish(world);
+        }
+    }
+}
+
+static void on_not_renewed(sim_world_t *world, void *data)
+{
+    const sim_server_t *server = data;
+
+    if (server->up && sim_server_is_stopped(server)) {
+        set_lost(world, server, true);
+    }
+}
+
+static void on_renewed(sim_world_t *world, void *data)
+{
+    const sim_server_t *server = data;
+
+    if (server->up && !sim_server_is_stopped(server)) {
+        set_lost(world, server, false);
+    }
+}
+
+void sim_list_stop(sim_world_t *world, sim_server_t *server)
+{
+    cw_time_us_t since_renewal = CW_MS(sim_random_below(world, RENEWAL_MS));
+
+    sim_schedule(world, world->now + CW_MS(ENTRY_LIFETIME_MS) - since_renewal, on_not_renewed, server);
+}
+
+void sim_list_go_on(sim_world_t *world, sim_server_t *server)
+{
+    sim_schedule(world, world->now + CW_MS(sim_random_below(world, REGISTER_MS)), on_renewed, server);
+}
+
 /* ---- readings ---- */
 
 void sim_list_init(sim_node_t *node)
--- a/sim/lease_nodes.c
+++ b/sim/lease_nodes.c
@@ -458,6 +458,12 @@
     sim_schedule(world, world->now + down, restart_node, node);
 }
 
+void sim_node_freeze(sim_node_t *node, cw_time_us_t until)
+{
+    node->frozen_until = until;
+    sim_trace(node->world, "n%u stands still until %.3f", node->index, (double)until / 1e6);
+}
+
 void sim_node_tick(sim_node_t *node)
 {
     bool has_authority;
--- a/sim/lease_orders.c
+++ b/sim/lease_orders.c
@@ -20,17 +20,6 @@
     AFTER_FREEZE_MS = 300
 };
 
-/** An order on its way to a server, and its result on the way back. */
-typedef struct sim_delivery {
-    sim_node_t       *node;
-    uint64_t          incarnation;
-    uint64_t          first_term; /**< of the assigner that sent it, which may continue under a later term */
-    cw_order_t        order;
-    cw_order_result_t result;
-    bool              late;
-    char              handover[CW_HANDOVER_MAX];
-} sim_delivery_t;
-
 static sim_connection_t *connection_of(const sim_delivery_t *delivery)
 {
     sim_world_t *world = delivery->node->world;
@@ -38,14 +27,27 @@
     return &delivery->node->connections[sim_server_at(world, delivery->order.address) - world->servers];
 }
 
-static void trace_order(const sim_delivery_t *delivery, const char *what)
+bool sim_order_is_probe(const cw_order_t *order)
+{
+    return order->kind != CW_ORDER_GRANT && order->kind != CW_ORDER_RELEASE;
+}
+
+static const char *kind_name(const cw_order_t *order)
+{
+    if (sim_order_is_probe(order)) {
+        return "probe";
+    }
+    return order->kind == CW_ORDER_GRANT ? "grant" : "release";
+}
+
+void sim_trace_order(const sim_delivery_t *delivery, const char *what)
 {
     const cw_order_t *order = &delivery->order;
 
     sim_trace(delivery->node->world, "n%u order %llu, %s of cells %u-%u to %s with fence %llu for %.3f s: %s",
-              delivery->node->index, (unsigned long long)order->id, order->kind == CW_ORDER_GRANT ? "grant" : "release",
-              order->low / CW_CELL_KEYS, order->last / CW_CELL_KEYS, order->server, (unsigned long long)order->fence,
-              (double)order->hold / 1e6, what);
+              delivery->node->index, (unsigned long long)order->id, kind_name(order), order->low / CW_CELL_KEYS,
+              order->last / CW_CELL_KEYS, order->server, (unsigned long long)order->fence, (double)order->hold / 1e6,
+              what);
 }
 
 static const char *result_name(cw_order_result_t result)
@@ -62,18 +64,18 @@
     return names[result];
 }
 
-static void deliver_result(sim_world_t *world, void *data)
+void sim_deliver_result(sim_world_t *world, void *data)
 {
     sim_delivery_t *delivery = data;
     sim_node_t     *node = delivery->node;
 
     if (node->up && node->incarnation == delivery->incarnation && node->frozen_until > world->now) {
-        sim_schedule(world, node->frozen_until, deliver_result, delivery);
+        sim_schedule(world, node->frozen_until, sim_deliver_result, delivery);
         return;
     }
     if (node->up && node->incarnation == delivery->incarnation && node->assigner != NULL &&
         cw_assigner_first_term(node->assigner) == delivery->first_term) {
-        trace_order(delivery, result_name(delivery->result));
+        sim_trace_order(delivery, result_name(delivery->result));
         if (delivery->result == CW_ORDER_UNANSWERED) {
             *connection_of(delivery) = (sim_connection_t){0};
         }
@@ -82,15 +84,41 @@
     free(delivery);
 }
 
+cw_time_us_t sim_draw_link(sim_world_t *world)
+{
+    return (cw_time_us_t)(LINK_US + sim_random_below(world, LINK_SPREAD_US));
+}
+
 static void on_late_order_arrived(sim_world_t *world, void *data)
 {
     sim_delivery_t *delivery = data;
+    sim_server_t   *server = sim_server_at(world, delivery->order.address);
 
-    trace_order(delivery, "carried out late");
-    (void)sim_handle_order(world, &delivery->order, true, false);
+    if (server->up && sim_server_is_stopped(server)) {
+        sim_order_wait_in_socket(delivery, server);
+        return;
+    }
+    sim_trace_order(delivery, "carried out late");
+    (void)sim_handle_order(world, delivery);
     free(delivery);
 }
 
+static void carry_out_late(const sim_delivery_t *delivery)
+{
+    sim_world_t    *world = delivery->node->world;
+    sim_delivery_t *late = malloc(sizeof(*late));
+
+    if (late == NULL) {
+        abort();
+    }
+    *late = *delivery;
+    late->delay = SIM_DELAY_DRAWN;
+    late->is_answered = true;
+    late->references = 1;
+    sim_schedule(world, world->now + CW_MS(LATE_FIRST_MS + sim_random_below(world, LATE_SPREAD_MS)),
+                 on_late_order_arrived, late);
+}
+
 /* Whether the node that sent the order has just stood still: it cannot know how much time has passed since its last
  * check. */
 static bool is_after_freeze(const sim_delivery_t *delivery)
@@ -102,40 +130,49 @@
            node->frozen_until <= now && now - node->frozen_until < CW_MS(AFTER_FREEZE_MS);
 }
 
+cw_time_us_t sim_carry_out(sim_delivery_t *delivery, cw_time_us_t link)
+{
+    sim_world_t      *world = delivery->node->world;
+    cw_time_us_t      back = link;
+    cw_order_result_t result;
+
+    delivery->counts = !is_after_freeze(delivery);
+    delivery->result = CW_ORDER_UNANSWERED;
+    result = sim_handle_order(world, delivery);
+    sim_trace_order(delivery, "arrives");
+    if (!sim_has_faults(world) || !sim_random_bool(world, world->settings.order_lost)) {
+        delivery->result = result;
+    }
+    if (delivery->order.kind == CW_ORDER_RELEASE) {
+        snprintf(delivery->handover, sizeof(delivery->handover), "h%llu", (unsigned long long)delivery->order.id);
+        /* A release is answered when requests on its keys have ended. */
+        back += CW_MS(sim_random_below(world, WORK_MS));
+    }
+    if (delivery->result == CW_ORDER_DONE && sim_order_is_probe(&delivery->order)) {
+        sim_server_at(world, delivery->order.address)->probe_answered_at[delivery->node->index] = world->now;
+    }
+    return back;
+}
+
 static void on_order_arrived(sim_world_t *world, void *data)
 {
     sim_delivery_t *delivery = data;
-    cw_time_us_t    back = (cw_time_us_t)(LINK_US + sim_random_below(world, LINK_SPREAD_US));
-    bool            has_faults = sim_has_faults(world);
+    sim_server_t   *server = sim_server_at(world, delivery->order.address);
+    cw_time_us_t    back = sim_draw_link(world);
 
     delivery->result = CW_ORDER_UNANSWERED;
-    if (has_faults && sim_random_bool(world, world->settings.order_late)) {
-        sim_delivery_t *late = malloc(sizeof(*late));
-
-        if (late == NULL) {
-            abort();
-        }
-        *late = *delivery;
-        sim_schedule(world, world->now + CW_MS(LATE_FIRST_MS + sim_random_below(world, LATE_SPREAD_MS)),
-                     on_late_order_arrived, late);
+    if (sim_has_faults(world) && sim_random_bool(world, world->settings.order_late)) {
+        carry_out_late(delivery);
+    } else if (server->up && sim_server_is_stopped(server)) {
+        sim_order_wait_in_socket(delivery, server);
+        return;
     } else {
-        cw_order_result_t result = sim_handle_order(world, &delivery->order, false, !is_after_freeze(delivery));
-
-        trace_order(delivery, "arrives");
-
-        if (!has_faults || !sim_random_bool(world, world->settings.order_lost)) {
-            delivery->result = result;
-        }
-        if (delivery->order.kind == CW_ORDER_RELEASE) {
-            snprintf(delivery->handover, sizeof(delivery->handover), "h%llu", (unsigned long long)delivery->order.id);
-            /* A release is answered when requests on its keys have ended. */
-            back += CW_MS(sim_random_below(world, WORK_MS));
-        }
+        back = sim_carry_out(delivery, back);
     }
     sim_schedule(world,
                  delivery->result == CW_ORDER_UNANSWERED ? delivery->order.sent_at + delivery->order.timeout
                                                          : world->now + back,
-                 deliver_result, delivery);
+                 sim_deliver_result, delivery);
 }
 
 static bool is_reachable(const sim_delivery_t *delivery)
@@ -164,18 +201,34 @@
     }
 }
 
+/* Whether bytes on an open connection leave the node's kernel late, since its link is cut. */
+static bool leaves_after_cut(const sim_delivery_t *delivery)
+{
+    sim_world_t *world = delivery->node->world;
+
+    return world->settings.late_departures > 0 && !delivery->order.fresh &&
+           is_connected_since(delivery, delivery->order.sent_at) && sim_random_bool(world, 0.5);
+}
+
 static void send_bytes(sim_world_t *world, sim_delivery_t *delivery)
 {
+    sim_late_grants_note_written(delivery, sim_server_at(world, delivery->order.address));
     if (is_reachable(delivery)) {
         note_connection(delivery);
+        if (sim_node_writes_late(delivery->node)) {
+            sim_order_leave_late(delivery);
+            return;
+        }
+    } else if (leaves_after_cut(delivery)) {
+        sim_order_leave_late(delivery);
+        return;
     } else {
         /* Bytes sent on an open connection may still arrive; a new connection fails before anything is sent. */
         delivery->result = delivery->order.fresh ? CW_ORDER_NOT_SENT : CW_ORDER_UNANSWERED;
-        sim_schedule(world, world->now + delivery->order.timeout, deliver_result, delivery);
+        sim_schedule(world, world->now + delivery->order.timeout, sim_deliver_result, delivery);
         return;
     }
-    sim_schedule(world, world->now + (cw_time_us_t)(LINK_US + sim_random_below(world, LINK_SPREAD_US)),
-                 on_order_arrived, delivery);
+    sim_schedule(world, world->now + sim_draw_link(world), on_order_arrived, delivery);
 }
 
 bool sim_order_may_be_sent(const sim_node_t *node, const cw_order_t *order, uint64_t first_term)
@@ -211,7 +264,7 @@
         send_bytes(world, delivery);
         return;
     }
-    deliver_result(world, delivery);
+    sim_deliver_result(world, delivery);
 }
 
 void sim_send_order(sim_node_t *node, const cw_order_t *order)
@@ -226,11 +279,11 @@
     delivery->incarnation = node->incarnation;
     delivery->first_term = cw_assigner_first_term(node->assigner);
     delivery->order = *order;
-    trace_order(delivery, "decided");
+    sim_trace_order(delivery, "decided");
     if (order->connected_by != 0) {
         if (order->fresh || !is_connected_since(delivery, order->connected_by)) {
             delivery->result = CW_ORDER_OTHER_CONNECTION;
-            deliver_result(world, delivery);
+            sim_deliver_result(world, delivery);
         } else {
             send_bytes(world, delivery);
         }
--- a/sim/lease_servers.c
+++ b/sim/lease_servers.c
@@ -53,6 +53,7 @@
 static void start_incarnation(sim_world_t *world, sim_server_t *server)
 {
     memset(server->cells, 0, sizeof(server->cells));
+    memset(server->probe_answered_at, 0, sizeof(server->probe_answered_at));
     set_id(world, server);
     server->up = true;
     sim_list_register(world, server);
@@ -82,6 +83,8 @@
         return;
     }
     server->up = false;
+    server->stopped_until = 0;
+    sim_socket_clear(server);
     sim_trace(world, "%s crashes", server->id);
     sim_list_expire(world, server);
     if (world->settings.reuses > 0 && sim_random_bool(world, world->settings.reuses)) {
@@ -95,25 +98,13 @@
 
 /* ---- orders ---- */
 
-static void check_fence(sim_world_t *world, const sim_server_t *server, uint32_t cell, uint64_t fence, bool late)
+static cw_order_result_t handle_grant(sim_world_t *world, sim_server_t *server, const sim_delivery_t *delivery)
 {
-    if (fence <= world->fences[cell] && strcmp(world->fence_of[cell], server->id) != 0 && !late) {
-        sim_violation(world, "at %.3f s cell %u went to %s with fence %llu; %s had it with %llu",
-                      (double)world->now / 1e6, cell, server->id, (unsigned long long)fence, world->fence_of[cell],
-                      (unsigned long long)world->fences[cell]);
-    }
-    if (fence > world->fences[cell]) {
-        world->fences[cell] = fence;
-        snprintf(world->fence_of[cell], sizeof(world->fence_of[cell]), "%s", server->id);
-    }
-}
-
-static cw_order_result_t handle_grant(sim_world_t *world, sim_server_t *server, const cw_order_t *order, bool late,
-                                      bool counts)
-{
-    uint32_t first = order->low / CW_CELL_KEYS;
-    uint32_t last = order->last / CW_CELL_KEYS;
-    uint32_t cell;
+    const cw_order_t *order = &delivery->order;
+    bool              counts = delivery->counts && !sim_is_late(world, delivery);
+    uint32_t          first = order->low / CW_CELL_KEYS;
+    uint32_t          last = order->last / CW_CELL_KEYS;
+    uint32_t          cell;
 
     for (cell = first; cell <= last; cell++) {
         if (server->cells[cell].seen_fence > order->fence) {
@@ -123,7 +114,7 @@
     for (cell = first; cell <= last; cell++) {
         sim_cell_t *cell_state = &server->cells[cell];
 
-        check_fence(world, server, cell, order->fence, late);
+        sim_check_fence(world, server, cell, delivery);
         if (cell_state->held_until <= world->now) {
             cell_state->held_since = world->now;
         }
@@ -138,7 +129,7 @@
     return CW_ORDER_DONE;
 }
 
-static void handle_release(sim_world_t *world, sim_server_t *server, const cw_order_t *order)
+static void handle_release(sim_server_t *server, const cw_order_t *order)
 {
     uint32_t cell;
 
@@ -149,12 +140,12 @@
             server->cells[cell].seen_fence = order->fence;
         }
     }
-    (void)world;
 }
 
-cw_order_result_t sim_handle_order(sim_world_t *world, const cw_order_t *order, bool late, bool counts)
+cw_order_result_t sim_handle_order(sim_world_t *world, const sim_delivery_t *delivery)
 {
-    sim_server_t *server = sim_server_at(world, order->address);
+    const cw_order_t *order = &delivery->order;
+    sim_server_t     *server = sim_server_at(world, order->address);
 
     if (server == NULL || !server->up) {
         return CW_ORDER_UNANSWERED;
@@ -163,9 +154,11 @@
         return CW_ORDER_OTHER_INCARNATION;
     }
     if (order->kind == CW_ORDER_GRANT) {
-        return handle_grant(world, server, order, late, counts);
+        return handle_grant(world, server, delivery);
+    }
+    if (!sim_order_is_probe(order)) {
+        handle_release(server, order);
     }
-    handle_release(world, server, order);
     return CW_ORDER_DONE;
 }
 
@@ -198,6 +191,19 @@
     }
 }
 
+static void on_request_arrived(sim_world_t *world, void *data);
+
+static void wait_in_socket(sim_world_t *world, sim_server_t *server, const sim_request_t *request)
+{
+    sim_request_t *copy = malloc(sizeof(*copy));
+
+    if (copy == NULL) {
+        abort();
+    }
+    *copy = *request;
+    sim_socket_add(world, server, on_request_arrived, free, copy);
+}
+
 static void on_request_arrived(sim_world_t *world, void *data)
 {
     sim_request_t *request = data;
@@ -209,7 +215,9 @@
         if (!server->up || !sim_server_is_addressed(server, request->id)) {
             continue;
         }
-        if (server->cells[request->cell].held_until > world->now) {
+        if (sim_server_is_stopped(server)) {
+            wait_in_socket(world, server, request);
+        } else if (server->cells[request->cell].held_until > world->now) {
             begin_request(world, server, request->cell);
         } else {
             world->result->turned_away++;
--- a/sim/lease_sim.h
+++ b/sim/lease_sim.h
@@ -7,7 +7,9 @@
  *
  *  - at each request that a server begins: no other server that holds the cell at the same time has begun a request on
  *    it since both hold it,
- *  - at each grant that a server accepts: its fence is above all fences with which other servers held the cell,
+ *  - at each grant that a server accepts: its fence is above all fences with which other servers held the cell. Grants
+ *    are not checked that are taken late and are the same as one that this incarnation has taken before. Late grants
+ * that no sender can prevent are counted instead (cw_sim_late_grants_t),
  *  - at any time: no two servers that are up hold the same cell for more than half a second, by grants that count.
  * Those that are carried out late, or are sent by a node that has just stood still, do not (lease_holds.c),
  *  - at the end: the assignment record in the store covers all keys, and all cells are served again.
@@ -23,7 +25,8 @@
     CW_CELL_KEYS = (CW_KEY_LAST + 1) / CW_CELLS,
     CW_SIM_NODES = 5,
     CW_SIM_ADDRESSES = 6,
-    CW_SIM_VIOLATIONS_MAX = 8
+    CW_SIM_VIOLATIONS_MAX = 8,
+    CW_SIM_ANSWER_AGE_MAX_MS = 10 /**< see cw_sim_late_grants_t */
 };
 
 /** Length of a run and frequency of faults: probabilities of a call, or rates per second. */
@@ -43,6 +46,12 @@
     double       crashes;        /**< crashes of a server per second */
     double       all_node_kills; /**< kills of all nodes at once per second */
     double       moves;          /**< moves of a random cell per second */
+    /** Times per second that one or several servers stand still (lease_stops.c). */
+    double stops;
+    /** Probability that an order, and what else the node writes in the next milliseconds, leaves the node's kernel
+     * seconds later, since the node is killed or stands still, or its link to the server is cut (lease_late_orders.c).
+     */
+    double late_departures;
     /** Each node goes by a list of servers of its own, which lags the truth (lease_lists.c). */
     bool   lists_lag;
     double list_stalls;  /**< times per second that the copies of the store cease to follow it for seconds */
@@ -58,6 +67,19 @@
     bool   trace;            /**< print each decision of a leader's assigner */
 } cw_sim_settings_t;
 
+/** Grants with a fence below one with which another server had the cell, and which the server had not taken before,
+ * that no sender can prevent: by grants, counted once for each cell. They were written within CW_SIM_ANSWER_AGE_MAX_MS
+ * after the server had answered a probe of the same node, and were taken late nevertheless. All others are violations.
+ */
+typedef struct cw_sim_late_grants {
+    uint64_t drawn;     /**< carried out seconds later at random */
+    uint64_t in_socket; /**< the server stood still before the grant arrived */
+    uint64_t in_sender; /**< left the sender's kernel late */
+    uint64_t
+        later_life; /**< repeats, at random seconds later, to a server that had restarted under its name meanwhile */
+    cw_time_us_t longest; /**< longest time between the answer to the probe and the writing of the grant */
+} cw_sim_late_grants_t;
+
 /** Counts and violations of a run. */
 typedef struct cw_sim_result {
     uint64_t requests;    /**< requests that servers began */
@@ -69,10 +91,14 @@
     uint64_t restores;    /**< returns of the store from a copy */
     uint64_t continued;   /**< of them, those after which a leader went on with its own state */
     /** Longest time for which two servers held a cell by grants that count, to 10 ms. */
-    cw_time_us_t longest_overlap;
-    uint32_t     violations;
-    char         violation[CW_SIM_VIOLATIONS_MAX][160];
-    bool         served_at_end; /**< each cell has been served in the last seconds */
+    cw_time_us_t         longest_overlap;
+    uint64_t             stops;       /**< servers that stood still */
+    uint64_t             from_socket; /**< grants that servers took as they went on, after their sender's wait */
+    uint64_t             departures;  /**< orders that left their sender's kernel late */
+    cw_sim_late_grants_t late;
+    uint32_t             violations;
+    char                 violation[CW_SIM_VIOLATIONS_MAX][160];
+    bool                 served_at_end; /**< each cell has been served in the last seconds */
 } cw_sim_result_t;
 
 /** Sets the usual frequencies of faults. */
@@ -82,6 +108,8 @@
 /** Sets the same as cw_sim_settings_with_faults, lists of servers that lag, addresses that are used again, and orders
  * that wait for connections. */
 void cw_sim_settings_with_lagging_lists(cw_sim_settings_t *settings, uint64_t seed);
+/** Sets the same, servers that stand still, and orders that leave their sender's kernel late. */
+void cw_sim_settings_with_stops(cw_sim_settings_t *settings, uint64_t seed);
 /** Runs the simulation; runs with equal settings are equal. */
 void cw_sim_run(const cw_sim_settings_t *settings, cw_sim_result_t *result);
 
--- a/tests/test_lease_sim.c
+++ b/tests/test_lease_sim.c
@@ -7,7 +7,7 @@
 #include "lease_sim.h"
 #include "loop_fixture.h"
 
-enum { SEEDS = 60 };
+enum { SEEDS = 60, STOP_SEEDS = 40 };
 
 static void expect_clean(uint64_t seed)
 {
@@ -99,18 +99,62 @@
 }
 END_TEST
 
-START_TEST(the_same_seed_gives_the_same_run)
+START_TEST(servers_that_stand_still_cause_no_violation)
 {
     cw_sim_settings_t settings;
-    cw_sim_result_t   first;
-    cw_sim_result_t   second;
+    cw_sim_result_t   result;
 
-    cw_sim_settings_with_faults(&settings, 5);
-    cw_sim_run(&settings, &first);
-    cw_sim_run(&settings, &second);
+    cw_sim_settings_with_stops(&settings, (uint64_t)_i + 1);
+    cw_sim_run(&settings, &result);
+    ck_assert_msg(result.violations == 0, "seed %d: %s", _i + 1, result.violation[0]);
+    ck_assert_msg(result.served_at_end, "seed %d: not served at the end", _i + 1);
+    ck_assert_uint_gt(result.requests, 5000);
+}
+END_TEST
+
+START_TEST(servers_that_stood_still_take_orders_late)
+{
+    cw_sim_settings_t settings;
+    cw_sim_result_t   result;
+    uint64_t          stops = 0;
+    uint64_t          from_socket = 0;
+    uint64_t          departures = 0;
+    uint64_t          seed;
+
+    for (seed = 1; seed <= 10; seed++) {
+        cw_sim_settings_with_stops(&settings, seed);
+        cw_sim_run(&settings, &result);
+        stops += result.stops;
+        from_socket += result.from_socket;
+        departures += result.departures;
+    }
+    ck_assert_uint_gt(stops, 50);
+    ck_assert_uint_gt(from_socket, 20);
+    ck_assert_uint_gt(departures, 20);
+}
+END_TEST
+
+static void expect_same_run(const cw_sim_settings_t *settings)
+{
+    cw_sim_result_t first;
+    cw_sim_result_t second;
+
+    cw_sim_run(settings, &first);
+    cw_sim_run(settings, &second);
     ck_assert_uint_eq(first.requests, second.requests);
     ck_assert_uint_eq(first.grants, second.grants);
     ck_assert_uint_eq(first.turned_away, second.turned_away);
+    ck_assert_uint_eq(first.from_socket, second.from_socket);
+}
+
+START_TEST(the_same_seed_gives_the_same_run)
+{
+    cw_sim_settings_t settings;
+
+    cw_sim_settings_with_faults(&settings, 5);
+    expect_same_run(&settings);
+    cw_sim_settings_with_stops(&settings, 5);
+    expect_same_run(&settings);
 }
 END_TEST
 
@@ -139,6 +183,8 @@
     tcase_add_loop_test(cases, lists_that_lag_and_orders_that_wait_cause_no_violation, 0, SEEDS);
     tcase_add_loop_test(cases, seeds_with_holds_that_were_taken_for_ended_show_none, 0,
                         sizeof(lagging_list_seeds) / sizeof(lagging_list_seeds[0]));
+    tcase_add_loop_test(cases, servers_that_stand_still_cause_no_violation, 0, STOP_SEEDS);
+    tcase_add_test(cases, servers_that_stood_still_take_orders_late);
     tcase_add_test(cases, the_same_seed_gives_the_same_run);
     tcase_add_test(cases, a_run_without_faults_serves_nearly_all_requests);
     suite_add_tcase(suite, cases);
