A connection for orders counts from when it is established, an order from when it leaves

The connection reached the new process, but counted as opened before, so that a renewal of the process before went to it and was taken with a fence that the earlier life had had (rule OWNER). The connection's time was that of connect(), the confirmed order's that of the decision.

--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -90,9 +90,9 @@
 typedef struct cw_assigner_ports {
     void            *context;
     cw_store_port_t *store;
-    /** Sends an order; cw_assigner_order_done must follow once. Returns the time at which it was begun: a connection
-     * that is opened for it has been opened by then, and it has not left before. */
-    cw_time_us_t (*send_order)(void *context, const cw_order_t *order);
+    /** Sends an order; cw_assigner_order_done must follow once. If the order has to wait before its first byte leaves,
+     * cw_assigner_order_leaves is called then. */
+    void (*send_order)(void *context, const cw_order_t *order);
     /** The ranges by which requests are routed have changed. */
     void (*on_change)(void *context);
     /** Logs one decision. */
@@ -129,6 +129,8 @@
  * store does not answer. */
 void cw_assigner_tick(cw_assigner_t *assigner, const cw_server_list_t *servers, bool has_authority, bool long_hold,
                       cw_time_us_t now);
+/** The first byte of an order leaves now, on a connection that is open. */
+void cw_assigner_order_leaves(cw_assigner_t *assigner, uint64_t order, cw_time_us_t now);
 /** Handles the result of an order. handover: the server's handover after a release that was carried out; NULL: none. */
 void cw_assigner_order_done(cw_assigner_t *assigner, uint64_t order, cw_order_result_t result, const char *handover,
                             cw_time_us_t now);
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -36,18 +36,6 @@
     return &assigner->orders[assigner->order_count++];
 }
 
-static void set_begun(cw_assigner_t *assigner, uint64_t id, cw_time_us_t begun_at)
-{
-    size_t index = assigner->order_count;
-
-    while (index > 0 && assigner->orders[index - 1].id != id) {
-        index--;
-    }
-    if (index > 0) { /* otherwise its result has been handled */
-        assigner->orders[index - 1].begun_at = begun_at;
-    }
-}
-
 static cw_order_t *begin_order(cw_assigner_t *assigner, cw_order_kind_t kind, const cw_holder_t *holder,
                                cw_time_us_t now)
 {
@@ -58,7 +46,7 @@
     memcpy(order->server, holder->id, sizeof(order->server));
     memcpy(order->address, holder->address, sizeof(order->address));
     order->sent_at = now;
-    order->begun_at = now;
+    order->left_at = now;
     order->timeout = kind == CW_ORDER_RELEASE ? assigner->settings.release_timeout : assigner->settings.order_timeout;
     return order;
 }
@@ -67,7 +55,19 @@
 {
     cw_order_t copy = *order; /* the port may report the result before it returns, which changes the array */
 
-    set_begun(assigner, copy.id, assigner->ports.send_order(assigner->ports.context, &copy));
+    assigner->ports.send_order(assigner->ports.context, &copy);
+}
+
+void cw_assigner_order_leaves(cw_assigner_t *assigner, uint64_t id, cw_time_us_t now)
+{
+    size_t index = assigner->order_count;
+
+    while (index > 0 && assigner->orders[index - 1].id != id) {
+        index--;
+    }
+    if (index > 0) { /* otherwise its result has been handled */
+        assigner->orders[index - 1].left_at = now;
+    }
 }
 
 void cw_assigner_send_probe(cw_assigner_t *assigner, const cw_holder_t *server, cw_time_us_t now)
@@ -316,7 +316,7 @@
 
     cw_assigner_confirm_hold(range, order, now);
     range->failing_since = 0;
-    range->confirmed_at = order->begun_at;
+    range->confirmed_at = order->left_at;
     range->phase = CW_RANGE_HELD;
     range->fence_used = true;
     range->next_order = order->sent_at + renewal_interval(assigner);
--- a/src/assignment/range.h
+++ b/src/assignment/range.h
@@ -45,7 +45,7 @@
     cw_time_us_t     former_until; /**< when the former holder's hold has certainly expired */
     cw_time_us_t     hold_until; /**< when the owner's hold has certainly expired, for any outcome of the orders sent */
     uint64_t         hold_order; /**< last order that set hold_until; 0: none */
-    cw_time_us_t     confirmed_at;  /**< when the last grant was begun that the owner confirmed; 0: none */
+    cw_time_us_t     confirmed_at;  /**< when the last grant left that the owner confirmed; 0: none */
     cw_time_us_t     next_order;    /**< when the next order is due */
     cw_time_us_t     failing_since; /**< since when orders about this range have failed; 0: the last one did not */
     cw_time_us_t     unanswered_at; /**< last order to the owner that it may still carry out; 0: none */
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -260,6 +260,7 @@
         return;
     }
     connection->connected = true;
+    connection->opened_at = now_us(connection->target->upstream);
     uv_tcp_nodelay(&connection->tcp, 1);
     if (user_timeout_ms > 0 && uv_fileno((uv_handle_t *)&connection->tcp, &fd) == 0) {
         (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
@@ -286,7 +287,6 @@
     connection->timer.data = connection;
     connection->connect.data = connection;
     connection->handles = 2;
-    connection->opened_at = now_us(target->upstream);
     target->connections++;
     target->upstream->opened++;
     uv_tcp_init(target->upstream->loop, &connection->tcp);
--- a/src/net/http_upstream_internal.h
+++ b/src/net/http_upstream_internal.h
@@ -28,7 +28,7 @@
     bool                           is_idle;
     bool                           is_postponed; /* its timer waits until the sockets have been read, after a stall */
     int                            handles;
-    cw_time_us_t                   opened_at; /* when the connection was begun */
+    cw_time_us_t                   opened_at; /* when it was established */
     struct cw_upstream_connection *prev;      /* names required by utlist */
     struct cw_upstream_connection *next;
 } cw_upstream_connection_t;
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -24,6 +24,7 @@
     cw_router_t   *router;
     cw_assigner_t *assigner;
     uint32_t       server; /**< hash of its id */
+    uint64_t       id;
     cw_time_us_t   decided_at;
     uint64_t       first_term; /**< of the assigner; a later assigner may have the same address in memory */
 } pending_order_t;
@@ -79,21 +80,30 @@
 /* Whether the order may leave now. The leadership in which it was given still lasts, with authority; and the time that
  * the assigner counts for its arrival has not passed. Opening the connection takes time, and the process may have stood
  * still since the order was decided. */
-static bool may_be_sent(void *context)
+static bool may_be_sent(const pending_order_t *order)
 {
-    const pending_order_t *order = context;
-    cw_time_us_t           now = cw_router_refresh_now(order->router);
+    cw_time_us_t now = cw_router_refresh_now(order->router);
 
     return now - order->decided_at <= CW_MS(ORDER_TIMEOUT_MS) && assigner_exists(order->router, order) &&
            cw_router_has_authority(order->router, now);
 }
 
-static cw_time_us_t send_order(void *context, const cw_order_t *order)
+static bool begin_sending(void *context)
 {
-    static const cw_order_callbacks_t callbacks = {.may_be_sent = may_be_sent, .done = order_done};
+    const pending_order_t *order = context;
+
+    if (!may_be_sent(order)) {
+        return false;
+    }
+    cw_assigner_order_leaves(order->assigner, order->id, cw_router_now(order->router));
+    return true;
+}
+
+static void send_order(void *context, const cw_order_t *order)
+{
+    static const cw_order_callbacks_t callbacks = {.may_be_sent = begin_sending, .done = order_done};
     cw_service_assignment_t          *assignment = context;
     pending_order_t                  *pending = malloc(sizeof(*pending));
-    cw_time_us_t                      begun_at;
 
     if (pending == NULL) {
         abort();
@@ -102,14 +112,14 @@
     pending->assigner = assignment->assigner;
     pending->server = cw_name_hash(order->server);
     pending->first_term = cw_assigner_first_term(assignment->assigner);
+    pending->id = order->id;
     pending->decided_at = order->sent_at;
     if (!may_be_sent(pending)) {
         order_done(pending, order->id, CW_ORDER_WITHDRAWN, NULL);
-        return order->sent_at;
+        return;
     }
-    begun_at = cw_router_now(assignment->router);
+    cw_assigner_order_leaves(pending->assigner, order->id, cw_router_now(assignment->router));
     assignment->router->adapter->send_order(assignment->router->platform, order, &callbacks, pending);
-    return begun_at;
 }
 
 /* Whether the records of all services have been read. Before that, tables would lack ranges, so the first tables wait
