A first grant leaves within 50 ms of the owner's answer, on the connection of the probe

An order now has a time by which it must leave (leave_by); after that it is withdrawn, and another probe is sent. The first grant after a probe takes the probe's connection, which has just worked. test_assigner_late_orders: new check, fails without the change.

--- a/sim/lease_orders.c
+++ b/sim/lease_orders.c
@@ -237,8 +237,7 @@
     cw_time_us_t now = node->world->now;
 
     return node->world->settings.leaves_unchecked ||
-           (now - order->sent_at <= CW_MS(CW_SIM_ORDER_TIMEOUT_MS) && node->assigner != NULL &&
-            cw_assigner_first_term(node->assigner) == first_term &&
+           (now <= order->leave_by && node->assigner != NULL && cw_assigner_first_term(node->assigner) == first_term &&
             cw_leadership_has_authority(&node->leadership, now));
 }
 
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -98,8 +98,8 @@
 /* ---- assigner_orders.c ---- */
 /** Sends a probe to a server. */
 void cw_assigner_send_probe(cw_assigner_t *assigner, const cw_holder_t *server, cw_time_us_t now);
-/** Sends a grant, or a renewal, to the range's owner. */
-void cw_assigner_send_grant(cw_assigner_t *assigner, cw_range_t *range, cw_time_us_t now);
+/** Sends a grant, or a renewal, to the range's owner. is_fresh: on a new connection. */
+void cw_assigner_send_grant(cw_assigner_t *assigner, cw_range_t *range, bool is_fresh, cw_time_us_t now);
 /** Number of orders in flight whose results the range waits for. */
 uint32_t cw_assigner_orders_in_flight(const cw_assigner_t *assigner, const cw_range_t *range);
 /** Sends the orders that are due. long_hold: the store does not answer, so grants get the long hold. */
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -14,6 +14,10 @@
     RESEND_NOT_SENT_MS = 250, /* the same for a grant that was not sent or was fenced, or whose owner has ended */
     INITIAL_ORDER_CAPACITY = 32,
     ORDERS_IN_FLIGHT_MAX = 512, /* the results of this many orders are handled well within the timeout of an order */
+    /* A server that stops in this time takes the grant late; a longer wait for a connection is followed by another
+     * probe.
+     */
+    FIRST_GRANT_LEAVES_WITHIN_MS = 50,
     ANSWER_EXPECTED_WITHIN_MS = 50, /* a server in use answers a probe well within this time */
     FAILING_MS = 1000               /* a range counts as failing once its orders have failed for longer than this */
 };
@@ -47,6 +51,7 @@
     memcpy(order->address, holder->address, sizeof(order->address));
     order->sent_at = now;
     order->left_at = now;
+    order->leave_by = now + assigner->settings.order_timeout;
     order->timeout = kind == CW_ORDER_RELEASE ? assigner->settings.release_timeout : assigner->settings.order_timeout;
     return order;
 }
@@ -79,23 +84,17 @@
     pass_order(assigner, order);
 }
 
-static void send_order(cw_assigner_t *assigner, cw_range_t *range, cw_order_kind_t kind, const cw_holder_t *holder,
-                       cw_time_us_t hold, cw_time_us_t hold_until_before, cw_time_us_t now)
+/* Begins an order about the range's keys, which the caller completes and passes. */
+static cw_order_t *begin_range_order(cw_assigner_t *assigner, cw_range_t *range, cw_order_kind_t kind,
+                                     const cw_holder_t *holder, cw_time_us_t now)
 {
     cw_order_t *order = begin_order(assigner, kind, holder, now);
 
     order->low = range->low;
     order->last = range->last;
     order->fence = range->owner.fence; /* in a release, too: it is above the fence that the former holder received */
-    order->hold = hold;
-    order->hold_until_before = hold_until_before;
-    order->fresh = range->failing_since != 0;
-    if (kind == CW_ORDER_GRANT) {
-        memcpy(order->handover, range->handover, sizeof(order->handover));
-        order->connected_by = may_restart_with_its_name(range) && range->fence_used ? range->confirmed_at : 0;
-    }
     range->orders++;
-    pass_order(assigner, order);
+    return order;
 }
 
 /* ---- intervals and holds ---- */
@@ -133,15 +132,30 @@
 
 /* ---- grants ---- */
 
-void cw_assigner_send_grant(cw_assigner_t *assigner, cw_range_t *range, cw_time_us_t now)
+void cw_assigner_send_grant(cw_assigner_t *assigner, cw_range_t *range, bool is_fresh, cw_time_us_t now)
 {
-    cw_time_us_t hold = grant_hold(assigner, assigner->long_hold);
-    cw_time_us_t before = range->hold_until;
+    cw_order_t *order = begin_range_order(assigner, range, CW_ORDER_GRANT, &range->owner, now);
 
-    cw_assigner_extend_hold(range, assigner->last_order + 1,
-                            cw_order_hold_end(now + assigner->settings.order_timeout, hold));
+    order->hold = grant_hold(assigner, assigner->long_hold);
+    order->hold_until_before = range->hold_until;
+    order->fresh = is_fresh;
+    order->connected_by = may_restart_with_its_name(range) && range->fence_used ? range->confirmed_at : 0;
+    memcpy(order->handover, range->handover, sizeof(order->handover));
+    if (range->confirmed_at == 0) {
+        order->leave_by = now + CW_MS(FIRST_GRANT_LEAVES_WITHIN_MS);
+    }
+    cw_assigner_extend_hold(range, order->id, cw_order_hold_end(now + assigner->settings.order_timeout, order->hold));
     range->next_order = now + renewal_interval(assigner);
-    send_order(assigner, range, CW_ORDER_GRANT, &range->owner, hold, before, now);
+    pass_order(assigner, order);
+}
+
+static void send_release(cw_assigner_t *assigner, cw_range_t *range, cw_time_us_t now)
+{
+    cw_order_t *order = begin_range_order(assigner, range, CW_ORDER_RELEASE, &range->former, now);
+
+    order->fresh = range->failing_since != 0;
+    range->next_order = now + CW_MS(RESEND_MS);
+    pass_order(assigner, order);
 }
 
 /* ---- the order that is due for a range ---- */
@@ -164,8 +178,7 @@
     if (now >= range->former_until) {
         finish_release(assigner, range, "its hold ran out", now);
     } else if (range->orders == 0 && now >= range->next_order) {
-        range->next_order = now + CW_MS(RESEND_MS);
-        send_order(assigner, range, CW_ORDER_RELEASE, &range->former, 0, 0, now);
+        send_release(assigner, range, now);
     }
 }
 
@@ -215,7 +228,7 @@
     } else if (cw_assigner_needs_probe(assigner, range)) {
         cw_assigner_await_answer(assigner, range, now);
     } else if (!range->needs_fence) {
-        cw_assigner_send_grant(assigner, range, now);
+        cw_assigner_send_grant(assigner, range, range->failing_since != 0, now);
     }
 }
 
--- a/src/assignment/assigner_probes.c
+++ b/src/assignment/assigner_probes.c
@@ -44,7 +44,7 @@
 }
 
 static void handle_result(cw_assigner_t *assigner, cw_range_t *range, const cw_order_t *probe, cw_order_result_t result,
-                          cw_time_us_t now)
+                          bool is_fresh, cw_time_us_t now)
 {
     switch (result) {
     case CW_ORDER_DONE:
@@ -52,7 +52,7 @@
     case CW_ORDER_REFUSED:
         /* An answer that this process reads late, since it stood still itself, says nothing of the server now. */
         if (now - probe->sent_at <= probe->timeout && !range->needs_fence) {
-            cw_assigner_send_grant(assigner, range, now);
+            cw_assigner_send_grant(assigner, range, is_fresh, now);
         }
         break;
     case CW_ORDER_OTHER_INCARNATION:
@@ -71,6 +71,7 @@
 void cw_assigner_probe_done(cw_assigner_t *assigner, const cw_order_t *probe, cw_order_result_t result,
                             cw_time_us_t now)
 {
+    bool     is_first = true;
     uint32_t low;
 
     while (cw_server_contacts_next_waiting(assigner->contacts, probe->server, &low)) {
@@ -80,6 +81,8 @@
             continue; /* it waits no more */
         }
         range->awaits_answer = false;
-        handle_result(assigner, range, probe, result, now);
+        /* The first grant takes the connection of the probe, which works; others may have gone silent. */
+        handle_result(assigner, range, probe, result, !is_first && range->failing_since != 0, now);
+        is_first = false;
     }
 }
--- a/src/assignment/order.h
+++ b/src/assignment/order.h
@@ -46,6 +46,7 @@
                                   that confirmed an order sent at that time; 0: any connection */
     cw_time_us_t timeout;
     cw_time_us_t sent_at;           /**< when it was decided, from which its hold is counted */
+    cw_time_us_t leave_by;          /**< it is withdrawn if its first byte cannot leave by then */
     cw_time_us_t left_at;           /**< when its first byte left; until then, when it was passed to the port */
     cw_time_us_t hold_until_before; /**< end of the owner's hold if this order is not sent */
 } cw_order_t;
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -25,7 +25,7 @@
     cw_assigner_t *assigner;
     uint32_t       server; /**< hash of its id */
     uint64_t       id;
-    cw_time_us_t   decided_at;
+    cw_time_us_t   leave_by;
     uint64_t       first_term; /**< of the assigner; a later assigner may have the same address in memory */
 } pending_order_t;
 
@@ -84,7 +84,7 @@
 {
     cw_time_us_t now = cw_router_refresh_now(order->router);
 
-    return now - order->decided_at <= CW_MS(ORDER_TIMEOUT_MS) && assigner_exists(order->router, order) &&
+    return now <= order->leave_by && assigner_exists(order->router, order) &&
            cw_router_has_authority(order->router, now);
 }
 
@@ -113,7 +113,7 @@
     pending->server = cw_name_hash(order->server);
     pending->first_term = cw_assigner_first_term(assignment->assigner);
     pending->id = order->id;
-    pending->decided_at = order->sent_at;
+    pending->leave_by = order->leave_by;
     if (!may_be_sent(pending)) {
         order_done(pending, order->id, CW_ORDER_WITHDRAWN, NULL);
         return;
--- a/tests/test_assigner_late_orders.c
+++ b/tests/test_assigner_late_orders.c
@@ -175,6 +175,26 @@
 }
 END_TEST
 
+/* Guards against OWNER: a first grant waited for a new connection after the owner had answered, and the owner stopped
+ * meanwhile. */
+START_TEST(a_first_grant_leaves_soon_after_the_answer_on_its_connection)
+{
+    assigner_fixture_t fixture;
+    const cw_order_t  *grant;
+
+    begin(&fixture, unique);
+    (void)move_and_release(&fixture, "i-c");
+    pass_without_answers(&fixture, "i-c", 1000);
+    assigner_fixture_tick(&fixture, CW_MS(1000));
+    answer_all(&fixture, "", CW_ORDER_DONE);
+    grant = &fixture.orders[fixture.order_count - 1];
+    ck_assert_int_eq(grant->kind, CW_ORDER_GRANT);
+    ck_assert_int_le(grant->leave_by, fixture.now + CW_MS(50));
+    ck_assert(!grant->fresh);
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("assigner_late_orders");
@@ -185,6 +205,7 @@
     tcase_add_test(cases, a_server_that_answers_again_is_granted_its_keys);
     tcase_add_test(cases, a_server_is_granted_keys_only_when_it_has_just_answered);
     tcase_add_test(cases, keys_of_a_server_that_never_answered_move_without_a_wait);
+    tcase_add_test(cases, a_first_grant_leaves_soon_after_the_answer_on_its_connection);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
