Keys of a new owner that answers no probe move on at once, to servers that answer

Such an owner was granted nothing, so nothing has to run out; its keys waited 1.2 s as those of an owner that may hold them. Servers whose last order got no answer are doubted at once, not after a second failure: they get keys only if no other server can. test_planner: the new check fails without the change (no move planned); the rest passes.

--- a/src/placement/planner.c
+++ b/src/placement/planner.c
@@ -90,6 +90,12 @@
     return server->entry->draining || server->is_barred;
 }
 
+/* Whether the owner was granted nothing, so that its keys move on without a release or a wait. */
+static bool is_ungranted(const cw_range_t *range)
+{
+    return range->phase == CW_RANGE_GRANTING && range->hold_until == 0;
+}
+
 static bool is_move_forced(const cw_planner_t *planner, const cw_range_t *range)
 {
     const cw_planner_server_t *server = cw_planner_server_of(planner, range->owner.id);
@@ -107,7 +113,7 @@
         return true;
     }
     return range->phase != CW_RANGE_RELEASING && range->failing_since != 0 &&
-           planner->now - range->failing_since > CW_MS(LOST_MS);
+           (is_ungranted(range) || planner->now - range->failing_since > CW_MS(LOST_MS));
 }
 
 /* Whether a range of an unreachable owner stays for now. If most owners are unreachable, this leader itself may be cut
--- a/src/router/router_plan.c
+++ b/src/router/router_plan.c
@@ -11,8 +11,8 @@
  *  - A server that states a rate limit has no more capacity than that, however many slots it has.
  *  - A server is assigned none if it is in a region to which no route to the service, or no tenant, may send
  *    (region_owners.h).
- *  - A server that orders have not reached, or that this leader has not reached yet, is assigned none while another one
- *    can be (order_trust.h).
+ *  - A server that orders have not reached, that this leader has not reached yet (order_trust.h), or whose last order
+ *    got no answer (server_contact.h), is assigned none while another one can be.
  */
 #include <math.h>
 #include <stdlib.h>
@@ -102,6 +102,14 @@
     router->adapter->probe_server(router->platform, server->address, CW_MS(PROBE_TIMEOUT_MS), on_probed, probe);
 }
 
+/* Whether the server's last order got no answer. */
+static bool is_unanswering(const cw_assigner_t *assigner, const char *id)
+{
+    const cw_server_contact_t *contact = cw_server_contacts_find(cw_assigner_contacts(assigner), id);
+
+    return contact != NULL && contact->unanswered_since != 0;
+}
+
 /* Whether the server gets keys only if no other one can. probes: how many more may begin. */
 static bool is_doubted(cw_router_t *router, const cw_server_t *server, uint32_t *probes, cw_time_us_t now)
 {
@@ -116,8 +124,10 @@
 }
 
 /* Lists the servers of the service in the order of their ids, as in the list. */
-static void list_servers(cw_router_t *router, const char *service, planned_servers_t *servers, cw_time_us_t now)
+static void list_servers(cw_router_t *router, const cw_assigner_t *assigner, planned_servers_t *servers,
+                         cw_time_us_t now)
 {
+    const char    *service = cw_assigner_service(assigner);
     double         usual_time_s = (double)cw_engine_mean_time(router->engine, service) / 1e6;
     region_cache_t cache = {.count = 0};
     uint32_t       probes = PROBES_PER_PLAN;
@@ -140,7 +150,8 @@
                              (server != NULL && !may_own(&cache, router->configuration, service, server->region));
         planned->usable = !entry->draining && !planned->is_barred && server != NULL && server->avoid_until <= now &&
                           !cw_server_is_rate_bounded(server, now);
-        planned->is_doubted = planned->usable && is_doubted(router, server, &probes, now);
+        planned->is_doubted =
+            planned->usable && (is_doubted(router, server, &probes, now) || is_unanswering(assigner, entry->id));
         planned->region = server == NULL ? 0 : server->region_bit;
         planned->pace = server == NULL ? 1 : server->pace;
         planned->cost_s = usual_time_s * planned->pace / (entry->capacity == 0 ? 1 : entry->capacity);
@@ -244,7 +255,7 @@
         return;
     }
     assignment->next_plan = now + CW_MS(PLAN_EVERY_MS);
-    list_servers(router, cw_assigner_service(assignment->assigner), &servers, now);
+    list_servers(router, assignment->assigner, &servers, now);
     if (cw_assigner_state(assignment->assigner) == CW_ASSIGNER_EMPTY) {
         plan_first(router, assignment, &servers, now);
         return;
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -323,6 +323,31 @@
 }
 END_TEST
 
+/* Guards against keys without an owner for more than a second: a new owner that answers no probe was granted nothing,
+ * and its keys waited as long as those of an owner that may hold them. */
+START_TEST(keys_of_a_new_owner_that_answers_no_probe_move_on_at_once)
+{
+    planner_fixture_t fixture;
+
+    init(&fixture, four);
+    ck_assert(cw_assigner_plan_move(fixture.assigner.assigner, 0, 99, fixture.servers[3].entry));
+    cw_assigner_plan_write(fixture.assigner.assigner, fixture.assigner.now);
+    assigner_fixture_tick(&fixture.assigner, CW_MS(20));
+    assigner_fixture_tick(&fixture.assigner, CW_MS(20));
+    fixture.assigner.keeps_probes = true;
+    assigner_fixture_answer(&fixture.assigner, CW_ORDER_DONE, NULL); /* the release */
+    assigner_fixture_tick(&fixture.assigner, CW_MS(20));
+    assigner_fixture_tick(&fixture.assigner, CW_MS(ASSIGNER_ORDER_TIMEOUT_MS));
+    assigner_fixture_answer(&fixture.assigner, CW_ORDER_UNANSWERED, NULL);
+    ck_assert_str_eq(assigner_fixture_range(&fixture.assigner, 50)->owner.id, "i-d");
+    ck_assert_uint_gt(plan(&fixture), 0);
+    ck_assert_str_ne(assigner_fixture_range(&fixture.assigner, 50)->owner.id, "i-d");
+    ck_assert_int_ne(assigner_fixture_range(&fixture.assigner, 50)->phase, CW_RANGE_RELEASING);
+    cw_load_window_clear(&fixture.window);
+    assigner_fixture_clear(&fixture.assigner);
+}
+END_TEST
+
 START_TEST(owners_missing_in_a_doubted_list_keep_their_keys)
 {
     static const char *const only_d[] = {"i-d@10.0.0.4:80", NULL};
@@ -612,6 +637,7 @@
     tcase_add_test(cases, a_draining_server_is_emptied);
     tcase_add_test(cases, a_barred_server_is_emptied_and_gets_no_keys);
     tcase_add_test(cases, a_server_that_no_order_reaches_loses_its_keys);
+    tcase_add_test(cases, keys_of_a_new_owner_that_answers_no_probe_move_on_at_once);
     tcase_add_test(cases, owners_missing_in_a_doubted_list_keep_their_keys);
     tcase_add_test(cases, no_keys_move_when_most_owners_are_unreachable);
     tcase_add_test(cases, owners_that_stay_unreachable_lose_their_keys_to_one_that_answers);
