--- a/src/assignment/order.h
+++ b/src/assignment/order.h
@@ -7,6 +7,12 @@
 
 #include "assignment/range.h"
 
+enum {
+    /** Timeout of a grant or probe. What its sender's kernel could not deliver by then is not sent any more, also if the
+     * sender has ended: its holds are counted from then by the next leader, too. */
+    CW_ORDER_TIMEOUT_MS = 350
+};
+
 /** Kind of an order to a server. */
 typedef enum cw_order_kind {
     CW_ORDER_GRANT,
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -10,7 +10,6 @@
 enum {
     FIRST_TABLES_WAIT_MS = 1000,
     RENEWALS_PER_HOLD = 4,
-    ORDER_TIMEOUT_MS = 350,
     RELEASE_TIMEOUT_MS = 1500,
     LATE_ORDER_S = 13
 };
@@ -295,7 +294,7 @@
 static cw_assigner_loss_t known_loss(const cw_router_t *router)
 {
     return cw_assigner_loss_since(router->leadership.epochs.has_changed, cw_leadership_lost_at(&router->leadership),
-                                  router->settings.leader_hold, CW_MS(ORDER_TIMEOUT_MS), router->settings.hold_long);
+                                  router->settings.leader_hold, CW_MS(CW_ORDER_TIMEOUT_MS), router->settings.hold_long);
 }
 
 void cw_router_continue_assigners(cw_router_t *router)
@@ -316,7 +315,7 @@
                                          .hold_long = router->settings.hold_long,
                                          .max_hold = router->settings.hold_long,
                                          .renew_every = router->settings.hold / RENEWALS_PER_HOLD,
-                                         .order_timeout = CW_MS(ORDER_TIMEOUT_MS),
+                                         .order_timeout = CW_MS(CW_ORDER_TIMEOUT_MS),
                                          .release_timeout = CW_MS(RELEASE_TIMEOUT_MS),
                                          .late_order_time = CW_SECONDS(LATE_ORDER_S),
                                          .loss = known_loss(router),
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -341,10 +341,10 @@
     assigner_fixture_answer(&fixture.assigner, CW_ORDER_UNANSWERED, NULL);
     ck_assert_str_eq(assigner_fixture_range(&fixture.assigner, 50)->owner.id, "i-d");
     ck_assert_uint_gt(plan(&fixture), 0);
+    assigner_fixture_tick(&fixture.assigner, CW_MS(20));
     ck_assert_str_ne(assigner_fixture_range(&fixture.assigner, 50)->owner.id, "i-d");
     ck_assert_int_ne(assigner_fixture_range(&fixture.assigner, 50)->phase, CW_RANGE_RELEASING);
-    cw_load_window_clear(&fixture.window);
-    assigner_fixture_clear(&fixture.assigner);
+    clear(&fixture);
 }
 END_TEST
 
