A former holder whose hold ran out by time is told until its grants are over

Now, as long as a grant to it may still be carried out, it is probed, and gets the release with the new owner's fence as soon as it answers, until it has answered that. A server that stands still gets only probes. Not known to the next leader. The record of contacts counts its sums as they change, so that a tick costs nothing per server in calm. test_assigner_late_orders: new check, fails without the change (0 releases).

--- a/src/assignment/assigner.c
+++ b/src/assignment/assigner.c
@@ -32,6 +32,7 @@
     cw_range_list_clear(&assigner->plan.ranges);
     free(assigner->orders);
     cw_server_contacts_free(assigner->contacts);
+    free(assigner->notices);
     free(assigner->service);
     free(assigner);
 }
--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -7,6 +7,15 @@
 
 #include "assignment/assigner.h"
 
+/** A former holder of keys that may still carry out a grant of them. */
+typedef struct cw_former_notice {
+    cw_holder_t  holder;
+    uint32_t     low;
+    uint32_t     last;
+    uint64_t     fence; /**< of the server that got the keys */
+    cw_time_us_t next_at;
+} cw_former_notice_t;
+
 /** An assigner with its record, its plan and its orders in flight. */
 struct cw_assigner {
     char                  *service;
@@ -44,6 +53,9 @@
     uint64_t     last_order;
 
     cw_server_contacts_t *contacts;
+    cw_former_notice_t   *notices;
+    size_t                notice_count;
+    size_t                notice_capacity;
 };
 
 /* ---- assigner.c ---- */
@@ -95,7 +107,16 @@
 void cw_assigner_probe_done(cw_assigner_t *assigner, const cw_order_t *probe, cw_order_result_t result,
                             cw_time_us_t now);
 
+/* ---- assigner_notices.c ---- */
+/** The former holder's hold of the range has run out by time alone: it is told until its grants are over. */
+void cw_assigner_add_notice(cw_assigner_t *assigner, const cw_range_t *range);
+/** Sends the notices that are due. */
+void cw_assigner_send_notices(cw_assigner_t *assigner, cw_time_us_t now);
+
 /* ---- assigner_orders.c ---- */
+/** Sends a release of these keys, which are another server's with this fence; no range waits for its result. */
+void cw_assigner_send_release(cw_assigner_t *assigner, const cw_holder_t *holder, uint32_t low, uint32_t last,
+                              uint64_t fence, cw_time_us_t now);
 /** Sends a probe to a server. */
 void cw_assigner_send_probe(cw_assigner_t *assigner, const cw_holder_t *server, cw_time_us_t now);
 /** Sends a grant, or a renewal, to the range's owner. is_fresh: on a new connection. */
--- a/src/assignment/assigner_orders.c
+++ b/src/assignment/assigner_orders.c
@@ -149,7 +149,18 @@
     pass_order(assigner, order);
 }
 
-static void send_release(cw_assigner_t *assigner, cw_range_t *range, cw_time_us_t now)
+void cw_assigner_send_release(cw_assigner_t *assigner, const cw_holder_t *holder, uint32_t low, uint32_t last,
+                              uint64_t fence, cw_time_us_t now)
+{
+    cw_order_t *order = begin_order(assigner, CW_ORDER_RELEASE, holder, now);
+
+    order->low = low;
+    order->last = last;
+    order->fence = fence;
+    pass_order(assigner, order);
+}
+
+static void send_awaited_release(cw_assigner_t *assigner, cw_range_t *range, cw_time_us_t now)
 {
     cw_order_t *order = begin_range_order(assigner, range, CW_ORDER_RELEASE, &range->former, now);
 
@@ -176,9 +187,10 @@
 static void advance_release(cw_assigner_t *assigner, cw_range_t *range, cw_time_us_t now)
 {
     if (now >= range->former_until) {
+        cw_assigner_add_notice(assigner, range);
         finish_release(assigner, range, "its hold ran out", now);
     } else if (range->orders == 0 && now >= range->next_order) {
-        send_release(assigner, range, now);
+        send_awaited_release(assigner, range, now);
     }
 }
 
--- a/src/assignment/order.h
+++ b/src/assignment/order.h
@@ -8,8 +8,8 @@
 #include "assignment/range.h"
 
 enum {
-    /** Timeout of a grant or probe. What its sender's kernel could not deliver by then is not sent any more, also if the
-     * sender has ended: its holds are counted from then by the next leader, too. */
+    /** Timeout of a grant or probe. What its sender's kernel could not deliver by then is not sent any more, also if
+     * the sender has ended: its holds are counted from then by the next leader, too. */
     CW_ORDER_TIMEOUT_MS = 350
 };
 
--- a/src/assignment/server_contact.c
+++ b/src/assignment/server_contact.c
@@ -12,6 +12,7 @@
 #include "base/memory.h"
 
 enum {
+    CLEANUP_INTERVAL_S = 10,
     KEPT_S = 60,                   /* for how long a server is remembered after the last order to it */
     PROBE_INTERVAL_FIRST_MS = 100, /* more than one is in flight at a time, so that a lost answer costs little */
     PROBE_INTERVAL_LAST_MS = 800,
@@ -20,6 +21,9 @@
 
 struct cw_server_contacts {
     cw_time_us_t         late_order_time;
+    cw_time_us_t         next_cleanup; /**< when servers are discarded next that were not used for a while */
+    size_t               open_orders;  /**< of all servers */
+    size_t               unanswering;  /**< servers whose last order got no answer */
     cw_server_contact_t *servers;
 };
 
@@ -31,23 +35,33 @@
     return contacts;
 }
 
-static void remove_open(cw_server_contact_t *contact, cw_open_order_t *order)
+static void remove_open(cw_server_contacts_t *contacts, cw_server_contact_t *contact, cw_open_order_t *order)
 {
+    contacts->open_orders--;
     LL_DELETE(contact->open, order);
     contact->open_count--;
     free(order);
 }
 
-static void remove_all_open(cw_server_contact_t *contact)
+static void remove_all_open(cw_server_contacts_t *contacts, cw_server_contact_t *contact)
 {
     while (contact->open != NULL) {
-        remove_open(contact, contact->open);
+        remove_open(contacts, contact, contact->open);
     }
 }
 
-static void free_contact(cw_server_contact_t *contact)
+static void set_unanswered_since(cw_server_contacts_t *contacts, cw_server_contact_t *contact, cw_time_us_t since)
 {
-    remove_all_open(contact);
+    contacts->unanswering += since != 0 && contact->unanswered_since == 0 ? 1 : 0;
+    contacts->unanswering -= since == 0 && contact->unanswered_since != 0 ? 1 : 0;
+    contact->unanswered_since = since;
+}
+
+static void free_contact(cw_server_contacts_t *contacts, cw_server_contact_t *contact)
+{
+    HASH_DEL(contacts->servers, contact);
+    set_unanswered_since(contacts, contact, 0);
+    remove_all_open(contacts, contact);
     free(contact->waiting);
     free(contact);
 }
@@ -59,8 +73,7 @@
 
     HASH_ITER(hh, contacts->servers, contact, next)
     {
-        HASH_DEL(contacts->servers, contact);
-        free_contact(contact);
+        free_contact(contacts, contact);
     }
     free(contacts);
 }
@@ -85,9 +98,9 @@
     return contact;
 }
 
-static bool overlaps(const cw_open_order_t *open, const cw_order_t *order)
+static bool overlaps(const cw_open_order_t *open, uint32_t low, uint32_t last)
 {
-    return open->low <= order->last && order->low <= open->last;
+    return open->low <= last && low <= open->last;
 }
 
 static bool contains(const cw_open_order_t *open, const cw_order_t *order)
@@ -105,36 +118,38 @@
     if (result == CW_ORDER_FENCED) {
         return contains(open, order) && open->fence <= order->fence;
     }
-    return result == CW_ORDER_DONE && overlaps(open, order) && open->fence < order->fence;
+    return result == CW_ORDER_DONE && overlaps(open, order->low, order->last) && open->fence < order->fence;
 }
 
-static void record_answer(cw_server_contact_t *contact, const cw_order_t *order, cw_order_result_t result,
-                          cw_time_us_t now)
+static void record_answer(cw_server_contacts_t *contacts, cw_server_contact_t *contact, const cw_order_t *order,
+                          cw_order_result_t result, cw_time_us_t now)
 {
     cw_open_order_t *open;
     cw_open_order_t *next;
 
     contact->answered_at = now;
-    contact->unanswered_since = 0;
+    set_unanswered_since(contacts, contact, 0);
     contact->probes_unanswered = 0;
     if (result == CW_ORDER_OTHER_INCARNATION) {
-        remove_all_open(contact);
+        remove_all_open(contacts, contact);
         return;
     }
     LL_FOREACH_SAFE(contact->open, open, next)
     {
         if (is_refused_from_now(open, order, result)) {
-            remove_open(contact, open);
+            remove_open(contacts, contact, open);
         }
     }
 }
 
-static void record_unanswered(const cw_server_contacts_t *contacts, cw_server_contact_t *contact,
-                              const cw_order_t *order, cw_time_us_t now)
+static void record_unanswered(cw_server_contacts_t *contacts, cw_server_contact_t *contact, const cw_order_t *order,
+                              cw_time_us_t now)
 {
     cw_open_order_t *open;
 
-    contact->unanswered_since = contact->unanswered_since == 0 ? now : contact->unanswered_since;
+    if (contact->unanswered_since == 0) {
+        set_unanswered_since(contacts, contact, now);
+    }
     if (order->kind == CW_ORDER_PROBE) {
         return; /* it changes nothing */
     }
@@ -148,6 +163,7 @@
                               .over_at = cw_order_hold_end(now + contacts->late_order_time, order->hold)};
     LL_PREPEND(contact->open, open);
     contact->open_count++;
+    contacts->open_orders++;
 }
 
 void cw_server_contacts_record(cw_server_contacts_t *contacts, const cw_order_t *order, cw_order_result_t result,
@@ -161,7 +177,7 @@
     case CW_ORDER_FENCED:
     case CW_ORDER_REFUSED:
     case CW_ORDER_OTHER_INCARNATION:
-        record_answer(contact, order, result, now);
+        record_answer(contacts, contact, order, result, now);
         break;
     case CW_ORDER_UNANSWERED:
         record_unanswered(contacts, contact, order, now);
@@ -180,17 +196,20 @@
     cw_open_order_t     *open;
     cw_open_order_t     *next;
 
+    if (contacts->open_orders == 0 && now < contacts->next_cleanup) {
+        return;
+    }
+    contacts->next_cleanup = now + CW_SECONDS(CLEANUP_INTERVAL_S);
     HASH_ITER(hh, contacts->servers, contact, next_contact)
     {
         LL_FOREACH_SAFE(contact->open, open, next)
         {
             if (now >= open->over_at) {
-                remove_open(contact, open);
+                remove_open(contacts, contact, open);
             }
         }
         if (contact->open == NULL && now - contact->used_at > CW_SECONDS(KEPT_S)) {
-            HASH_DEL(contacts->servers, contact);
-            free_contact(contact);
+            free_contact(contacts, contact);
         }
     }
 }
@@ -250,6 +269,18 @@
     return find(contacts, id);
 }
 
+bool cw_server_contact_has_open_grant(const cw_server_contact_t *contact, uint32_t low, uint32_t last, uint64_t fence)
+{
+    const cw_open_order_t *open;
+
+    for (open = contact->open; open != NULL; open = open->next) {
+        if (open->kind == CW_ORDER_GRANT && open->fence < fence && overlaps(open, low, last)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 const cw_server_contact_t *cw_server_contacts_first(const cw_server_contacts_t *contacts)
 {
     return contacts->servers;
@@ -257,22 +288,10 @@
 
 size_t cw_server_contacts_open_orders(const cw_server_contacts_t *contacts)
 {
-    const cw_server_contact_t *contact;
-    size_t                     count = 0;
-
-    for (contact = contacts->servers; contact != NULL; contact = contact->hh.next) {
-        count += contact->open_count;
-    }
-    return count;
+    return contacts->open_orders;
 }
 
 size_t cw_server_contacts_unanswering(const cw_server_contacts_t *contacts)
 {
-    const cw_server_contact_t *contact;
-    size_t                     count = 0;
-
-    for (contact = contacts->servers; contact != NULL; contact = contact->hh.next) {
-        count += contact->unanswered_since != 0 ? 1 : 0;
-    }
-    return count;
+    return contacts->unanswering;
 }
--- a/src/assignment/server_contact.h
+++ b/src/assignment/server_contact.h
@@ -72,6 +72,8 @@
 void cw_server_contacts_expire(cw_server_contacts_t *contacts, cw_time_us_t now);
 /** Returns what is known of a server; NULL: nothing. Valid until the next change. */
 const cw_server_contact_t *cw_server_contacts_find(const cw_server_contacts_t *contacts, const char *id);
+/** Whether a grant of one of these keys with a lower fence may still be carried out. */
+bool cw_server_contact_has_open_grant(const cw_server_contact_t *contact, uint32_t low, uint32_t last, uint64_t fence);
 /** Returns the first server; the others follow by `hh.next`. NULL: there is none. */
 const cw_server_contact_t *cw_server_contacts_first(const cw_server_contacts_t *contacts);
 /** Number of orders that may still be carried out. */
--- a/tests/test_assigner_late_orders.c
+++ b/tests/test_assigner_late_orders.c
@@ -67,6 +67,20 @@
     return count;
 }
 
+/* Number of releases of the key with this fence to the server since index `from`. */
+static size_t count_releases(const assigner_fixture_t *fixture, const char *id, uint64_t fence, size_t from)
+{
+    size_t count = 0;
+    size_t index;
+
+    for (index = from; index < fixture->order_count; index++) {
+        const cw_order_t *order = &fixture->orders[index];
+
+        count += order->kind == CW_ORDER_RELEASE && strcmp(order->server, id) == 0 && order->fence == fence ? 1 : 0;
+    }
+    return count;
+}
+
 /* Moves the first range and lets its holder release it. Returns the number of orders before the next tick. */
 static size_t move_and_release(assigner_fixture_t *fixture, const char *to)
 {
@@ -202,6 +216,32 @@
 }
 END_TEST
 
+/* Guards against two holders: nothing was sent to a former holder after its hold had run out, so that it did not refuse
+ * a grant that it took late. */
+START_TEST(a_former_holder_is_told_when_it_answers_again)
+{
+    assigner_fixture_t fixture;
+    size_t             sent;
+    uint64_t           fence;
+
+    begin(&fixture, unique);
+    pass_without_answers(&fixture, "i-a", 2 * RENEW_MS);
+    ck_assert(cw_assigner_plan_move(fixture.assigner, 0, 99, server(&fixture, "i-b")));
+    cw_assigner_plan_write(fixture.assigner, fixture.now);
+    pass_without_answers(&fixture, "i-a", 6000);
+    ck_assert_str_eq(assigner_fixture_range(&fixture, KEY)->owner.id, "i-b");
+    ck_assert_int_eq(assigner_fixture_range(&fixture, KEY)->phase, CW_RANGE_HELD);
+    fence = assigner_fixture_range(&fixture, KEY)->owner.fence;
+    sent = fixture.order_count;
+    pass_without_answers(&fixture, "", 2000);
+    ck_assert_uint_eq(count_releases(&fixture, "i-a", fence, sent), 1);
+    sent = fixture.order_count;
+    pass_without_answers(&fixture, "", 5000);
+    ck_assert_uint_eq(count_releases(&fixture, "i-a", fence, sent), 0); /* it has answered */
+    assigner_fixture_clear(&fixture);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("assigner_late_orders");
@@ -213,6 +253,7 @@
     tcase_add_test(cases, a_server_is_granted_keys_only_when_it_has_just_answered);
     tcase_add_test(cases, keys_of_a_server_that_never_answered_move_without_a_wait);
     tcase_add_test(cases, a_first_grant_leaves_soon_after_the_answer_on_its_connection);
+    tcase_add_test(cases, a_former_holder_is_told_when_it_answers_again);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
