Stand-in server: orders that get no answer and are carried out 2 to 12 s later

Cause: the users' page says "a grant that got no answer may be taken seconds later, after newer ones; its time counts from then". A drawn grant or release is recorded as "late", its connection says nothing any more, and it is carried out when its time has come. POST /control?late-orders=SHARE starts and ends it while the server runs, so that a soak's fault has an end. An order for another incarnation is still answered 421 at once.

--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -11,6 +11,9 @@
  *
  * SIGTERM: announces in its entry and its answers that it leaves, serves for another DRAIN_MS, and ends. SIGUSR1: puts
  * the next signal of --signals into force; SIGUSR2: ends the signal in force.
+ *
+ * With --late-orders a share of the grants and releases gets no answer and is carried out seconds later
+ * (late_orders.h). "POST /control?late-orders=SHARE" sets another share from then on.
  */
 #include <argtable2.h>
 #include <inttypes.h>
@@ -22,6 +25,7 @@
 #include <unistd.h>
 #include <utlist.h>
 
+#include "late_orders.h"
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
 #include "signals.h"
@@ -38,6 +42,8 @@
     STATUS_CONFLICT = 409
 };
 
+static const char control_late_orders[] = "/control?late-orders=";
+
 typedef struct server server_t;
 
 /** A request that waits or is being worked on. */
@@ -78,6 +84,7 @@
     uv_signal_t           next_signal;
     uv_signal_t           end_signals;
     signals_t             signals;
+    late_orders_t         late_orders;
     uv_timer_t            leave;
     const char           *service;
     const char           *zone;
@@ -197,7 +204,16 @@
     answer_with_retry_after(server, exchange, status, id, not_run, handover, body, 0);
 }
 
-/* ---- keys ---- */
+/* ---- keys ----
+ *
+ * An order that is carried out late has no exchange any more, and gets no answer. */
+
+static void answer_order(server_t *server, cw_http_exchange_t *exchange, int status, const char *handover)
+{
+    if (exchange != NULL) {
+        answer(server, exchange, status, NULL, true, handover, status == 200 ? "{}" : "");
+    }
+}
 
 static bool holds_key(const server_t *server, uint32_t key)
 {
@@ -213,12 +229,12 @@
     uint32_t key;
 
     if (last >= KEYS || low > last || fence == 0) {
-        answer(server, exchange, 400, NULL, true, NULL, "");
+        answer_order(server, exchange, 400, NULL);
         return;
     }
     for (key = low; key <= last; key++) {
         if (server->keys[key].fence > fence) {
-            answer(server, exchange, STATUS_CONFLICT, NULL, true, NULL, "");
+            answer_order(server, exchange, STATUS_CONFLICT, NULL);
             return;
         }
     }
@@ -227,7 +243,7 @@
         server->keys[key].until_ms = uv_now(&server->loop) + hold_ms;
     }
     print_grant_record(server, low, last, fence, hold_ms);
-    answer(server, exchange, 200, NULL, true, NULL, "{}");
+    answer_order(server, exchange, 200, NULL);
 }
 
 static bool has_job_on(const server_t *server, uint32_t low, uint32_t last)
@@ -259,7 +275,7 @@
         if (release->exchange != NULL) {
             snprintf(handover, sizeof(handover), "h%" PRIu64 "-%s", ++server->handovers, server->id);
             cw_http_exchange_set_data(release->exchange, NULL);
-            answer(server, release->exchange, 200, NULL, true, handover, "{}");
+            answer_order(server, release->exchange, 200, handover);
         }
         free(release);
     }
@@ -287,6 +303,33 @@
     answer_releases(server);
 }
 
+/* Carries out a grant or a release. exchange: NULL if it gets no answer. */
+static void handle_order(server_t *server, cw_http_exchange_t *exchange, const char *target, const json_t *body)
+{
+    if (strcmp(target, "/api/grant") == 0) {
+        handle_grant(server, exchange, body);
+    } else {
+        handle_release(server, exchange, body);
+    }
+}
+
+static void run_late_order(void *context, const char *target, const json_t *body)
+{
+    handle_order(context, NULL, target, body);
+}
+
+/* Reads an order. One that is drawn to be late gets no answer, so that its connection says nothing any more. */
+static void read_order(server_t *server, cw_http_exchange_t *exchange, const char *target, json_t *body)
+{
+    if (late_orders_take(&server->late_orders, target, body)) {
+        print_record(server, "late", target, (uint32_t)json_integer_value(json_object_get(body, "from")),
+                     (uint32_t)json_integer_value(json_object_get(body, "last")),
+                     (uint64_t)json_integer_value(json_object_get(body, "fence")));
+        return;
+    }
+    handle_order(server, exchange, target, body);
+}
+
 /* ---- jobs ---- */
 
 static void start_job(job_t *job);
@@ -394,6 +437,13 @@
     server->waiting_count++;
 }
 
+static void set_late_orders(server_t *server, cw_http_exchange_t *exchange, const char *share)
+{
+    bool is_set = late_orders_set_share(&server->late_orders, atof(share));
+
+    answer(server, exchange, is_set ? 200 : 400, NULL, true, NULL, "");
+}
+
 static void on_request(void *context, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound)
 {
     server_t   *server = context;
@@ -409,6 +459,10 @@
         answer(server, exchange, server->draining ? STATUS_UNAVAILABLE : 200, NULL, true, NULL, "");
         return;
     }
+    if (strncmp(inbound->target, control_late_orders, strlen(control_late_orders)) == 0) {
+        set_late_orders(server, exchange, inbound->target + strlen(control_late_orders));
+        return;
+    }
     if (!is_router_order) {
         if (server->signals.is_used) {
             print_record(server, "arrive", id == NULL ? "" : id, 0, 0, 0);
@@ -432,11 +486,7 @@
         return;
     }
     body = json_loadb(inbound->body == NULL ? "" : inbound->body, inbound->body_length, 0, NULL);
-    if (strcmp(inbound->target, "/api/grant") == 0) {
-        handle_grant(server, exchange, body);
-    } else {
-        handle_release(server, exchange, body);
-    }
+    read_order(server, exchange, inbound->target, body);
     json_decref(body);
 }
 
@@ -647,9 +697,12 @@
     struct arg_lit *keyed = arg_lit0("k", "keyed", "runs a request only while it holds its key");
     struct arg_lit *hangs = arg_lit0("x", "hangs", "does not answer what it cannot queue");
     struct arg_lit *silent = arg_lit0(NULL, "leaves-silently", "announces in its entry only that it leaves");
+    struct arg_dbl *late_orders =
+        arg_dbl0(NULL, "late-orders", "SHARE", "of orders without an answer, carried out 2 to 12 s later; default 0");
+    struct arg_int *seed = arg_int0(NULL, "seed", "N", "of the draws of late orders; default 1");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {address,   port, advertise, store,      service, zone,  capacity, queue,  work,
-                               heartbeat, cold, id,        crash_path, signals, keyed, hangs,    silent, end};
+    void *table[] = {address, port,        advertise, store, service,    zone,    capacity, queue, work,   heartbeat,
+                     cold,    late_orders, seed,      id,    crash_path, signals, keyed,    hangs, silent, end};
     static server_t server;
 
     if (arg_parse(argument_count, arguments, table) > 0) {
@@ -660,6 +713,11 @@
         fprintf(stderr, "cw-server: --signals is limit=N, rest=S, leaving or none, with commas between\n");
         return 2;
     }
+    late_orders_init(&server.late_orders, &server.loop, number_of(seed, 1), run_late_order, &server);
+    if (late_orders->count > 0 && !late_orders_set_share(&server.late_orders, late_orders->dval[0])) {
+        fprintf(stderr, "cw-server: --late-orders is a share of 0 to 1\n");
+        return 2;
+    }
     server.service = service->sval[0];
     if (advertise->count > 0) {
         snprintf(server.address, sizeof(server.address), "%s", advertise->sval[0]);
