--- a/sim/lease_nodes.c
+++ b/sim/lease_nodes.c
@@ -37,12 +37,9 @@
 
 /* ---- the assigner's ports ---- */
 
-static cw_time_us_t send_order(void *context, const cw_order_t *order)
+static void send_order(void *context, const cw_order_t *order)
 {
-    const sim_node_t *node = context;
-
     sim_send_order(context, order);
-    return node->world->now;
 }
 
 static void on_tables_changed(void *context)
@@ -458,6 +455,12 @@
     sim_schedule(world, world->now + down, restart_node, node);
 }
 
+void sim_node_freeze(sim_node_t *node, cw_time_us_t until)
+{
+    node->frozen_until = until;
+    sim_trace(node->world, "n%u stands still until %.3f", node->index, (double)until / 1e6);
+}
+
 void sim_node_tick(sim_node_t *node)
 {
     bool has_authority;
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -24,7 +24,8 @@
     cw_router_t   *router;
     cw_assigner_t *assigner;
     uint32_t       server; /**< hash of its id */
-    cw_time_us_t   decided_at;
+    uint64_t       id;
+    cw_time_us_t   leave_by;
     uint64_t       first_term; /**< of the assigner; a later assigner may have the same address in memory */
 } pending_order_t;
 
@@ -79,21 +80,30 @@
 /* Whether the order may leave now. The leadership in which it was given still lasts, with authority; and the time that
  * the assigner counts for its arrival has not passed. Opening the connection takes time, and the process may have stood
  * still since the order was decided. */
-static bool may_be_sent(void *context)
+static bool may_be_sent(const pending_order_t *order)
 {
-    const pending_order_t *order = context;
-    cw_time_us_t           now = cw_router_refresh_now(order->router);
+    cw_time_us_t now = cw_router_refresh_now(order->router);
 
-    return now - order->decided_at <= CW_MS(ORDER_TIMEOUT_MS) && assigner_exists(order->router, order) &&
+    return now <= order->leave_by && assigner_exists(order->router, order) &&
            cw_router_has_authority(order->router, now);
 }
 
-static cw_time_us_t send_order(void *context, const cw_order_t *order)
+static bool begin_sending(void *context)
+{
+    const pending_order_t *order = context;
+
+    if (!may_be_sent(order)) {
+        return false;
+    }
+    cw_assigner_order_leaves(order->assigner, order->id, cw_router_now(order->router));
+    return true;
+}
+
+static void send_order(void *context, const cw_order_t *order)
 {
-    static const cw_order_callbacks_t callbacks = {.may_be_sent = may_be_sent, .done = order_done};
+    static const cw_order_callbacks_t callbacks = {.may_be_sent = begin_sending, .done = order_done};
     cw_service_assignment_t          *assignment = context;
     pending_order_t                  *pending = malloc(sizeof(*pending));
-    cw_time_us_t                      begun_at;
 
     if (pending == NULL) {
         abort();
@@ -102,14 +112,14 @@
     pending->assigner = assignment->assigner;
     pending->server = cw_name_hash(order->server);
     pending->first_term = cw_assigner_first_term(assignment->assigner);
-    pending->decided_at = order->sent_at;
+    pending->id = order->id;
+    pending->leave_by = order->leave_by;
     if (!may_be_sent(pending)) {
         order_done(pending, order->id, CW_ORDER_WITHDRAWN, NULL);
-        return order->sent_at;
+        return;
     }
-    begun_at = cw_router_now(assignment->router);
+    cw_assigner_order_leaves(pending->assigner, order->id, cw_router_now(assignment->router));
     assignment->router->adapter->send_order(assignment->router->platform, order, &callbacks, pending);
-    return begun_at;
 }
 
 /* Whether the records of all services have been read. Before that, tables would lack ranges, so the first tables wait
@@ -187,6 +197,17 @@
     cw_router_tables_changed(router);
 }
 
+/* Milliseconds since the server last answered an order; -1: it has answered none of this leader. */
+static cw_time_us_t since_answer(const cw_server_contact_t *contact, cw_time_us_t now)
+{
+    return contact == NULL || contact->answered_at == 0 ? CW_MS(-1) : now - contact->answered_at;
+}
+
+static int64_t open_orders(const cw_server_contact_t *contact)
+{
+    return contact == NULL ? 0 : (int64_t)contact->open_count;
+}
+
 static void log_assignment(void *context, const cw_assignment_decision_t *decision)
 {
     const cw_router_t *router = ((const cw_service_assignment_t *)context)->router;
@@ -206,13 +227,57 @@
     if (range->former.id[0] != '\0') {
         cw_event_text(&event, CW_FIELD_FORMER, range->former.id);
         cw_event_ms(&event, CW_FIELD_FORMER_LEFT_MS, decision->former_left);
+        cw_event_ms(&event, CW_FIELD_FORMER_ANSWERED_MS, since_answer(decision->former_contact, decision->now));
+        cw_event_number(&event, CW_FIELD_FORMER_OPEN_ORDERS, open_orders(decision->former_contact));
     }
+    cw_event_ms(&event, CW_FIELD_ANSWERED_MS, since_answer(decision->owner_contact, decision->now));
+    cw_event_number(&event, CW_FIELD_OPEN_ORDERS, open_orders(decision->owner_contact));
     cw_event_number(&event, CW_FIELD_ORDER, (int64_t)decision->order);
     cw_event_number(&event, CW_FIELD_RECORD, (int64_t)cw_store_revision_count(decision->record));
     cw_event_number(&event, CW_FIELD_LIST, (int64_t)cw_store_revision_count(router->server_view.revision));
     cw_event_end(&event);
 }
 
+static void log_unanswered(void *context, const cw_order_t *order, const cw_server_contact_t *contact, cw_time_us_t now)
+{
+    static const char *const kinds[] = {
+        [CW_ORDER_GRANT] = "grant", [CW_ORDER_RELEASE] = "release", [CW_ORDER_PROBE] = "probe"};
+    const cw_router_t *router = ((const cw_service_assignment_t *)context)->router;
+    cw_event_t         event;
+
+    cw_metric_add(CW_METRIC_ORDERS_UNANSWERED, 1);
+    if (!cw_event_begin(&event, CW_EVENT_ORDER_UNANSWERED)) {
+        return;
+    }
+    cw_event_text(&event, CW_FIELD_DETAIL, kinds[order->kind]);
+    cw_event_text(&event, CW_FIELD_SERVER, order->server);
+    cw_event_number(&event, CW_FIELD_ORDER, (int64_t)order->id);
+    cw_event_number(&event, CW_FIELD_LOW, order->low);
+    cw_event_number(&event, CW_FIELD_LAST, order->last);
+    cw_event_number(&event, CW_FIELD_FENCE, (int64_t)order->fence);
+    cw_event_ms(&event, CW_FIELD_WAITED_MS, now - order->sent_at);
+    cw_event_ms(&event, CW_FIELD_ANSWERED_MS, since_answer(contact, now));
+    cw_event_number(&event, CW_FIELD_OPEN_ORDERS, (int64_t)contact->open_count);
+    cw_event_number(&event, CW_FIELD_TERM, (int64_t)router->leadership.lock.term);
+    cw_event_end(&event);
+}
+
+void cw_router_measure_orders(const cw_router_t *router)
+{
+    size_t open = 0;
+    size_t unanswering = 0;
+    size_t index;
+
+    for (index = 0; index < router->assignment_count; index++) {
+        const cw_server_contacts_t *contacts = cw_assigner_contacts(router->assignments[index].assigner);
+
+        open += cw_server_contacts_open_orders(contacts);
+        unanswering += cw_server_contacts_unanswering(contacts);
+    }
+    cw_metric_set(CW_METRIC_ORDERS_OPEN, open);
+    cw_metric_set(CW_METRIC_SERVERS_UNANSWERING, unanswering);
+}
+
 /* ---- services ---- */
 
 static cw_service_assignment_t *find_assignment(cw_router_t *router, const char *name)
@@ -260,7 +325,8 @@
                                       .store = router->store,
                                       .send_order = send_order,
                                       .on_change = on_assignment_changed,
-                                      .log_decision = log_assignment};
+                                      .log_decision = log_assignment,
+                                      .log_unanswered = log_unanswered};
 
     assignment->router = router;
     router->table_publication.published_at = 0; /* the first tables are published at once */
@@ -323,4 +389,5 @@
     }
     memset(router->assignments, 0, sizeof(router->assignments));
     router->assignment_count = 0;
+    cw_router_measure_orders(router);
 }
