Stand-ins: a grant that its server kept says so, and its hold is no violation of HELD

The server (all of its orders late) read its renewal (fence 2) at 1563.8 s and took it at 1571.1, when another one had had the keys with fence 20 for 1.3 s. No router can take back an order that a server has read; the users' page: "Grants and renewals held up on their way or taken late are not counted". Rule HELD measures up to the ends that grants in time gave; the others count as "held keys together".

--- a/standins/server/late_orders.c
+++ b/standins/server/late_orders.c
@@ -17,6 +17,7 @@
     uv_timer_t     timer;
     char           target[TARGET_BYTES];
     json_t        *body;
+    uint64_t       read_ms;
 } late_order_t;
 
 void late_orders_init(late_orders_t *orders, uv_loop_t *loop, uint64_t seed, late_orders_run_t run, void *context)
@@ -47,9 +48,10 @@
 
 static void on_due(uv_timer_t *timer)
 {
-    late_order_t *order = timer->data;
+    late_order_t  *order = timer->data;
+    late_orders_t *orders = order->orders;
 
-    order->orders->run(order->orders->context, order->target, order->body);
+    orders->run(orders->context, order->target, order->body, uv_now(orders->loop) - order->read_ms);
     json_decref(order->body);
     uv_close((uv_handle_t *)timer, on_closed);
 }
@@ -67,6 +69,7 @@
     }
     order->orders = orders;
     order->body = json_incref(body);
+    order->read_ms = uv_now(orders->loop);
     snprintf(order->target, sizeof(order->target), "%s", target);
     uv_timer_init(orders->loop, &order->timer);
     order->timer.data = order;
--- a/standins/server/late_orders.h
+++ b/standins/server/late_orders.h
@@ -14,8 +14,8 @@
 #include <stdint.h>
 #include <uv.h>
 
-/** Carries out an order. target: its path; body: valid during the call. */
-typedef void (*late_orders_run_t)(void *context, const char *target, const json_t *body);
+/** Carries out an order. target: its path; body: valid during the call; late_ms: time since it was read. */
+typedef void (*late_orders_run_t)(void *context, const char *target, const json_t *body, uint64_t late_ms);
 
 /** Draws orders, and keeps those that are carried out later. */
 typedef struct late_orders {
--- a/standins/verdict/holds.h
+++ b/standins/verdict/holds.h
@@ -6,7 +6,9 @@
  * An incarnation holds a key from a grant until it releases the key, until the time of its last grant has passed,
  * until it stops or crashes, until the test's record `gone` (it was killed, and its process had ended), or until
  * another incarnation starts at its address. Grants name the time of the hold; grants without one are not counted. Half
- * a second is what the transport of an order and a slow clock may take.
+ * a second is what the transport of an order and a slow clock may take. A hold by a grant that the server kept for a
+ * while before it carried it out (late_ms of its record) counts in the totals only: "Grants and renewals held up on
+ * their way or taken late are not counted" (the users' rules). It counts in full if a grant in time renews it.
  */
 #ifndef CEDARWINCH_STANDINS_VERDICT_HOLDS_H
 #define CEDARWINCH_STANDINS_VERDICT_HOLDS_H
--- a/standins/verdict/records.c
+++ b/standins/verdict/records.c
@@ -43,6 +43,7 @@
     record->last = (uint32_t)number_of(line, "last");
     record->fence = number_of(line, "fence");
     record->hold_ms = number_of(line, "hold_ms");
+    record->late_ms = number_of(line, "late_ms");
     record->status = (int)number_of(line, "status");
     record->per_s = json_number_value(json_object_get(line, "per_s"));
     record->of_caller = json_object_get(line, "status") != NULL;
--- a/standins/verdict/records.h
+++ b/standins/verdict/records.h
@@ -25,6 +25,7 @@
     uint32_t last;        /**< last key of the range, inclusive */
     uint64_t fence;
     uint64_t hold_ms;     /**< of a grant: time of the hold from its arrival on */
+    uint64_t late_ms;     /**< of a grant: time for which the server kept it before it carried it out */
     char     address[48]; /**< of a server's start: its address */
     double   rest_s;      /**< of a server: time for which it asked to get no requests */
     double   per_s;       /**< of a server: the rate limit that it reports from now on; below 0: none */
--- a/tests/process/verdict_held.sh
+++ b/tests/process/verdict_held.sh
@@ -46,5 +46,13 @@
 check "a repeat is held to the rule HELD" reports_ms 0-99 4000 < <(taken; fenced 8000 a 0 99 10; event 20000 tick a)
 check "holds at once are counted, also for a moment" totals_say "1 times two servers held" < <(taken; fenced 8000 a 0 99 10; release 8001 a 0 99)
 check "a moment is not reported" reports 0 < <(taken; fenced 8000 a 0 99 10; release 8001 a 0 99)
+late() { grant "$@" | sed 's/}$/,"late_ms":3000}/'; }
+taken_late() { taken; FENCE=9; late 8000 a 0 99 5000; } # a repeat that its server kept for 3 s, until b has the keys
+check "a hold by a grant that its server kept is not reported" reports 0 < <(taken_late; event 20000 tick a)
+check "but is counted" totals_say "1 times two servers held" < <(taken_late; event 20000 tick a)
+check "it is reported in full if a grant in time renews it" reports_ms 0-99 4000 < <(taken_late; fenced 9000 a 0 99 10; event 20000 tick a)
+check "a hold in time that such a grant lengthens is reported up to its own end" reports_ms 0-99 3000 < <(
+    fenced 1000 a 0 99 10; fenced 3000 b 0 99 19; FENCE=9; late 4000 a 0 99 5000; event 20000 tick a)
+check "a fence that is new to its server is reported however late it is taken" reports_fences 1 < <(taken; FENCE=14; late 8000 a 0 99 5000)
 check "holds that follow one another are not counted" totals_say "0 times two servers held" < <(taken; event 20000 tick a)
 finish_test
