Requests that no counting node knew of are charged to the bucket that begins next

Cause, in logical time: each restart let through own parts (half of a bucket) and then 0.4 of a bucket that knew nothing of them, twice where two nodes counted for a moment; a debt came only if the first node that asked had been metered, which a restarted one has not been. Change: a node reports what it used of its own part and of a former counting node's tokens (QuotaUsage.uncounted); a new bucket charges it, up to half of the depth and 0.6 s of the rate.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -5482,7 +5482,7 @@
   (ProtobufCMessageInit) cwp__zone_summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cwp__quota_usage__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cwp__quota_usage__field_descriptors[7] =
 {
   {
     "tenant",
@@ -5556,6 +5556,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "uncounted",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cwp__QuotaUsage, uncounted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cwp__quota_usage__field_indices_by_name[] = {
   1,   /* field[1] = admitted */
@@ -5563,12 +5575,13 @@
   5,   /* field[5] = metered */
   4,   /* field[4] = recent */
   0,   /* field[0] = tenant */
+  6,   /* field[6] = uncounted */
   2,   /* field[2] = with_tokens */
 };
 static const ProtobufCIntRange cwp__quota_usage__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cwp__quota_usage__descriptor =
 {
@@ -5578,7 +5591,7 @@
   "Cwp__QuotaUsage",
   "cwp",
   sizeof(Cwp__QuotaUsage),
-  6,
+  7,
   cwp__quota_usage__field_descriptors,
   cwp__quota_usage__field_indices_by_name,
   1,  cwp__quota_usage__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -1158,10 +1158,14 @@
    * state of the tenant by the last message of a counting node
    */
   protobuf_c_boolean metered;
+  /*
+   * of admitted, lately from the node's own part or with tokens of its former counting node
+   */
+  uint32_t uncounted;
 };
 #define CWP__QUOTA_USAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cwp__quota_usage__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/router/router_quota_wire.c
+++ b/src/router/router_quota_wire.c
@@ -84,6 +84,7 @@
     message->elsewhere = usage->elsewhere;
     message->recent = usage->recent;
     message->metered = usage->is_metered;
+    message->uncounted = usage->uncounted;
 }
 
 /* Counts of another node that are parts of `admitted` are limited to it, since datagrams are not trusted. */
@@ -96,7 +97,8 @@
                               .with_tokens = message->with_tokens > admitted ? admitted : message->with_tokens,
                               .elsewhere = message->elsewhere > admitted ? admitted : message->elsewhere,
                               .recent = message->recent > admitted ? (uint32_t)admitted : message->recent,
-                              .is_metered = message->metered};
+                              .is_metered = message->metered,
+                              .uncounted = message->uncounted > admitted ? (uint32_t)admitted : message->uncounted};
 }
 
 static void send_report(cw_router_quota_t *quota, uint32_t to, const cw_quota_message_t *message)
--- a/src/tenancy/quota.h
+++ b/src/tenancy/quota.h
@@ -48,6 +48,9 @@
     uint64_t elsewhere;   /**< value of admitted when the sender last chose the receiving node as the counting node */
     uint32_t recent;      /**< of admitted, within the last window */
     bool     is_metered;  /**< according to the last message of any counting node */
+    /** Of admitted, lately and without the receiver's knowledge: from the sender's own part, as far as its refill has
+     * not made up for it, or with tokens of its former counting node. */
+    uint32_t uncounted;
 } cw_quota_usage_t;
 
 /** A request for tokens, which a node sends to the counting node ("ask"). */
@@ -99,5 +102,9 @@
 /** Maximum number of tokens in a limit's bucket: the burst, or a quarter of a second of the rate if that is more, and
  * at least one. */
 double cw_quota_depth(const cw_quota_limit_t *limit);
+/** Number of requests, of a limit's bucket, that all nodes together may admit at once from their own parts. */
+double cw_quota_parts_depth(const cw_quota_limit_t *limit);
+/** Number of requests, of the slack, that they may admit beyond that. */
+double cw_quota_parts_slack(const cw_quota_settings_t *settings);
 
 #endif
--- a/src/tenancy/quota_bucket.c
+++ b/src/tenancy/quota_bucket.c
@@ -26,6 +26,9 @@
 static const double start_part = 0.4; /* fraction of the depth at the start, for a tenant that no node counted before */
 static const double start_debt_s = 0.6; /* seconds of the rate by which the level of a metered tenant is below zero at
                                            the start: within this time nodes learn which node the others ask */
+/* Fraction of the depth that all nodes together may admit at once from their own parts */
+static const double parts_of_depth = 0.5;
+static const double parts_of_slack = 0.25; /* fraction of the slack that is added to that */
 /* Fraction of the slack that is added at the start, so that small tenants need not wait */
 static const double start_slack_part = 0.35;
 
@@ -36,6 +39,16 @@
     return depth < 1 ? 1 : depth;
 }
 
+double cw_quota_parts_depth(const cw_quota_limit_t *limit)
+{
+    return cw_quota_depth(limit) * parts_of_depth;
+}
+
+double cw_quota_parts_slack(const cw_quota_settings_t *settings)
+{
+    return settings->slack * parts_of_slack;
+}
+
 static double depth_of(const cw_quota_bucket_t *bucket, double share)
 {
     return cw_quota_depth(&bucket->limit) * share;
@@ -95,6 +108,10 @@
     bucket->unused = 0;
     bucket->window = settings->window;
     bucket->level = starting_level(bucket, share, was_metered, settings->slack);
+    bucket->uncounted = -share * cw_quota_parts_slack(settings);
+    if (was_metered) { /* the debt covers it */
+        bucket->uncounted -= share * bucket->limit.rate_per_s * start_debt_s;
+    }
     bucket->headroom = bucket->limit.rate_per_s * (double)settings->window / 1e6 + cw_quota_depth(&bucket->limit);
 }
 
@@ -196,9 +213,27 @@
     bucket->level -= count - paid;
 }
 
+/* Requests to be charged: at most what all own parts hold, and the debt of a bucket whose tenant was metered. */
+static double uncounted_requests(const cw_quota_bucket_t *bucket, double share)
+{
+    double most = cw_quota_parts_depth(&bucket->limit) + bucket->limit.rate_per_s * start_debt_s;
+
+    return fmin(fmax(bucket->uncounted, 0), most * share);
+}
+
+/* Charges requests that a node admitted lately from its own part or with tokens of another counting node. Otherwise
+ * each start of all nodes would give out all own parts and the first level of each bucket besides the rate. */
+static void charge_uncounted(cw_quota_bucket_t *bucket, double share, const cw_quota_usage_t *usage)
+{
+    double before = uncounted_requests(bucket, share);
+
+    bucket->uncounted += fmin(usage->uncounted, usage->recent);
+    bucket->level -= uncounted_requests(bucket, share) - before;
+}
+
 /* Applies a node's first report. During the start phase the sum of what all nodes admitted in the last window is an
  * upper bound of the level. Later, a first report means that another node counted for the reporting node before. */
-static void apply_first_usage(cw_quota_bucket_t *bucket, const cw_quota_usage_t *usage, cw_time_us_t now)
+static void apply_first_usage(cw_quota_bucket_t *bucket, double share, const cw_quota_usage_t *usage, cw_time_us_t now)
 {
     double admitted_here = fmin((double)(usage->admitted - usage->elsewhere), usage->recent);
 
@@ -209,6 +244,7 @@
     }
     bucket->headroom -= usage->recent;
     bucket->level = fmin(bucket->level, bucket->headroom);
+    charge_uncounted(bucket, share, usage);
 }
 
 /* Applies a node's further report. No matter how long ago its last report was, at most what it admitted in the last
@@ -243,7 +279,7 @@
 
     if (record == NULL) {
         record = add_record(bucket, node, incarnation, now);
-        apply_first_usage(bucket, usage, now);
+        apply_first_usage(bucket, share, usage, now);
     } else if (incarnation == record->incarnation && usage->admitted < record->admitted) {
         return false;
     } else {
--- a/src/tenancy/quota_bucket.h
+++ b/src/tenancy/quota_bucket.h
@@ -35,10 +35,12 @@
     cw_quota_limit_t limit;
     bool             is_in_use;
     double           level; /* tokens; below zero it is a debt */
-    double unused;   /* tokens of the last window that this bucket neither granted nor kept, since it was full or gives
-                        out only a share of the limit */
-    double headroom; /* during the start phase: the limit of one window less what the nodes' first reports say they
-                        admitted */
+    double unused;    /* tokens of the last window that this bucket neither granted nor kept, since it was full or gives
+                         out only a share of the limit */
+    double headroom;  /* during the start phase: the limit of one window less what the nodes' first reports say they
+                         admitted */
+    double uncounted; /* during the start phase: requests that the nodes' first reports say were admitted lately and
+                         not charged here, less what is allowed for */
     cw_time_us_t filled_at;
     cw_time_us_t window;
     cw_time_us_t started_at;
--- a/src/tenancy/quota_local.c
+++ b/src/tenancy/quota_local.c
@@ -16,10 +16,6 @@
     MIN_RETRY_AFTER_MS = 40
 };
 
-/* Fraction of the depth of the bucket that all nodes together may admit at once from their local buckets */
-static const double depth_part = 0.5;
-static const double slack_part = 0.25; /* fraction of the slack that is added to that */
-
 /* ---- the last window ---- */
 
 static void advance(const cw_quota_share_t *share, cw_quota_recent_t *recent, cw_time_us_t now)
@@ -52,6 +48,12 @@
     return recent->sum;
 }
 
+uint32_t cw_quota_recent_newest(const cw_quota_share_t *share, cw_quota_recent_t *recent, cw_time_us_t now)
+{
+    advance(share, recent, now);
+    return recent->slots[recent->slot % CW_QUOTA_RECENT_SLOTS];
+}
+
 double cw_quota_expected_per_report(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
 {
     uint32_t recent = cw_quota_recent_sum(share, &tenant->recent, now);
@@ -63,7 +65,7 @@
 
 static double local_depth(const cw_quota_share_t *share, const cw_quota_tenant_t *tenant)
 {
-    return (cw_quota_depth(&tenant->limit) * depth_part + share->settings.slack * slack_part) / share->nodes;
+    return (cw_quota_parts_depth(&tenant->limit) + cw_quota_parts_slack(&share->settings)) / share->nodes;
 }
 
 /* Fraction of a token that a node's local bucket holds in addition at first, spread over the nodes by a hash. If the
@@ -80,6 +82,7 @@
     double recent_per_s = cw_quota_recent_sum(share, &tenant->recent, now) * 1e6 / (double)share->settings.window;
 
     tenant->local.level = local_depth(share, tenant) + starting_fraction(share, tenant->hash);
+    tenant->local.began_level = tenant->local.level;
     tenant->local.bonus_per_s = fmin(recent_per_s, tenant->limit.rate_per_s);
     tenant->local.filled_at = now;
     tenant->local.began_at = now;
@@ -113,3 +116,12 @@
     *retry_after = delay < CW_MS(MIN_RETRY_AFTER_MS) ? CW_MS(MIN_RETRY_AFTER_MS) : delay;
     return false;
 }
+
+uint32_t cw_quota_local_overdrawn(const cw_quota_share_t *share, const cw_quota_tenant_t *tenant, cw_time_us_t now)
+{
+    const cw_quota_local_bucket_t *local = &tenant->local;
+    double                         equal = tenant->limit.rate_per_s / share->nodes;
+    double                         level = local->level + equal * (double)(now - local->filled_at) / 1e6;
+
+    return (uint32_t)fmax(0, round(local->began_level - level));
+}
--- a/src/tenancy/quota_share.c
+++ b/src/tenancy/quota_share.c
@@ -15,6 +15,7 @@
     STATUS_FRESH_MS = 2000,
     MAX_RETRY_AFTER_MS = 5000,
     MIN_RETRY_AFTER_MS = 20,
+    FORMER_TOKENS_MS = 500, /* as long as a new bucket takes first reports (quota_bucket.c) */
     FORGET_AFTER_WINDOWS = 3
 };
 
@@ -112,7 +113,9 @@
                               .with_tokens = tenant->with_tokens,
                               .elsewhere = tenant->elsewhere,
                               .recent = cw_quota_recent_sum(share, &tenant->recent, now),
-                              .is_metered = tenant->was_metered};
+                              .is_metered = tenant->was_metered,
+                              .uncounted = cw_quota_local_overdrawn(share, tenant, now) +
+                                           (now < tenant->former_until ? tenant->former_tokens : 0)};
 }
 
 cw_quota_mode_t cw_quota_mode_from_flags(bool is_unknown, bool is_metered)
@@ -123,6 +126,15 @@
     return is_metered ? CW_QUOTA_METERED : CW_QUOTA_FREE;
 }
 
+/* Two nodes that start at the same time may both count for a while. */
+static void keep_former_tokens(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
+{
+    uint32_t newest = cw_quota_recent_newest(share, &tenant->recent, now);
+
+    tenant->former_tokens = tenant->with_tokens < newest ? (uint32_t)tenant->with_tokens : newest;
+    tenant->former_until = now + CW_MS(FORMER_TOKENS_MS);
+}
+
 bool cw_quota_choose_counter(cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now)
 {
     uint32_t counter = cw_quota_counter_for(share, tenant, now);
@@ -130,6 +142,7 @@
     if (counter != tenant->counter) {
         cw_quota_return_tokens(share, tenant);
         tenant->counter = counter;
+        keep_former_tokens(share, tenant, now);
         tenant->with_tokens = 0;
         tenant->elsewhere = tenant->admitted;
         tenant->ask.sequence = 0;
--- a/src/tenancy/quota_share_internal.h
+++ b/src/tenancy/quota_share_internal.h
@@ -29,6 +29,7 @@
 /** Local bucket: this node's own part of the limit, used while no counting node replies. */
 typedef struct cw_quota_local_bucket {
     double level;
+    double began_level; /**< level when the node began to use the bucket */
     double bonus_per_s; /**< rate that the node recently admitted; it is used for a short time instead of the equal
                            part, if it is higher */
     cw_time_us_t filled_at;
@@ -57,14 +58,16 @@
     cw_quota_mode_t  mode;
     cw_quota_limit_t limit;
     bool             was_metered; /**< according to the last message of a counting node */
-    bool is_report_due;  /**< also if nothing is unreported, so that the counting node replies with the state of the
-                            tenant */
-    bool     is_unknown; /**< the counting node has an earlier configuration, in which the tenant has no limit */
-    bool     counter_has_replied; /**< the present counting node has sent a reply about this tenant */
-    uint32_t counter;             /**< address of the counting node; 0: none yet */
-    uint64_t admitted;
-    uint64_t with_tokens; /**< of admitted, with tokens of that counting node */
-    uint64_t elsewhere;   /**< value of admitted when that counting node was chosen */
+    bool is_report_due;      /**< also if nothing is unreported, so that the counting node replies with the state of the
+                                tenant */
+    bool         is_unknown; /**< the counting node has an earlier configuration, in which the tenant has no limit */
+    bool         counter_has_replied; /**< the present counting node has sent a reply about this tenant */
+    uint32_t     counter;             /**< address of the counting node; 0: none yet */
+    uint64_t     admitted;
+    uint64_t     with_tokens;   /**< of admitted, with tokens of that counting node */
+    uint64_t     elsewhere;     /**< value of admitted when that counting node was chosen */
+    uint32_t     former_tokens; /**< tokens of the counting node before it that were used shortly before that */
+    cw_time_us_t former_until;  /**< until then they are reported */
     cw_quota_recent_t recent;
     uint32_t          unreported;  /**< admitted without a token since the last report */
     uint32_t          unconfirmed; /**< admitted without a token and sent in reports or asks that have no reply yet */
@@ -155,6 +158,8 @@
 void cw_quota_recent_add(const cw_quota_share_t *share, cw_quota_recent_t *recent, cw_time_us_t now);
 /** Number of requests admitted in the last window. */
 uint32_t cw_quota_recent_sum(const cw_quota_share_t *share, cw_quota_recent_t *recent, cw_time_us_t now);
+/** Number of them in the newest slot, a tenth of a window at most. */
+uint32_t cw_quota_recent_newest(const cw_quota_share_t *share, cw_quota_recent_t *recent, cw_time_us_t now);
 /** Number of requests that one report interval usually brings, by the average over the last window. */
 double cw_quota_expected_per_report(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now);
 /** Fills the local bucket when the tenant enters CW_QUOTA_ALONE. */
@@ -162,6 +167,9 @@
 /** Takes a token from the local bucket. False: retry_after is set to the time until one is available. */
 bool cw_quota_local_take(const cw_quota_share_t *share, cw_quota_tenant_t *tenant, cw_time_us_t now,
                          cw_time_us_t *retry_after);
+/** Number of requests that were taken from the local bucket and that its refill at the equal rate has not made up for.
+ */
+uint32_t cw_quota_local_overdrawn(const cw_quota_share_t *share, const cw_quota_tenant_t *tenant, cw_time_us_t now);
 
 /* ---- quota_reports.c ---- */
 /** Sends the reports that are due, and marks or skips counting nodes that do not reply. */
--- a/tests/quota_port.c
+++ b/tests/quota_port.c
@@ -23,6 +23,7 @@
             sent->named[usages[index].tenant]++;
         }
     }
+    sent->usage = count > 0 ? usages[0] : sent->usage;
     sent->reports++;
     sent->sequence = sequence;
 }
--- a/tests/quota_port.h
+++ b/tests/quota_port.h
@@ -12,11 +12,12 @@
 
 /** Messages that a share has sent. */
 typedef struct quota_sent {
-    uint32_t counter; /**< counting node of every tenant; 0: there is none */
-    uint32_t reports;
-    uint32_t sequence;                  /**< of the last report */
-    uint32_t named[QUOTA_PORT_TENANTS]; /**< how often reports contained each tenant whose hash is below
-                                           QUOTA_PORT_TENANTS */
+    uint32_t         counter; /**< counting node of every tenant; 0: there is none */
+    uint32_t         reports;
+    uint32_t         sequence;                  /**< of the last report */
+    cw_quota_usage_t usage;                     /**< the first one of the last report */
+    uint32_t         named[QUOTA_PORT_TENANTS]; /**< how often reports contained each tenant whose hash is below
+                                                   QUOTA_PORT_TENANTS */
     uint32_t          ask_count;
     cw_quota_ask_t    asks[QUOTA_PORT_ASKS]; /**< the first QUOTA_PORT_ASKS ones */
     cw_quota_ask_t    ask;                   /**< the last ask */
--- a/tests/test_quota_counter.c
+++ b/tests/test_quota_counter.c
@@ -98,6 +98,26 @@
 }
 END_TEST
 
+/* Guards against a start of all nodes that gives out their own parts and the first level of the bucket. At most half of
+ * the depth and 0.6 s of the rate are charged: 110. */
+START_TEST(a_new_bucket_lacks_what_nodes_admitted_uncounted)
+{
+    static const struct {
+        uint32_t uncounted;
+        uint32_t tokens; /* of 47 that a new bucket holds */
+    } cases[] = {{0, 47}, {5, 47} /* a quarter of the slack */, {25, 27}, {55, 0}, {1000, 0}};
+    cw_quota_counter_t *counter = create();
+    cw_quota_usage_t    usage = {.tenant = TENANT, .admitted = 1000, .elsewhere = 1000, .recent = 100};
+
+    usage.uncounted = cases[_i].uncounted;
+    cw_quota_counter_report(counter, NODE, 1, &usage, 1, start);
+    ck_assert_uint_eq(ask(counter, 1, 1000, start).tokens, cases[_i].tokens);
+    cw_quota_counter_report(counter, NODE, 1, &usage, 1, start); /* charged once */
+    ck_assert_uint_ge(ask(counter, 2, 1000, start + CW_MS(640)).tokens, 1);
+    cw_quota_counter_free(counter);
+}
+END_TEST
+
 START_TEST(a_repeated_ask_gets_the_same_tokens)
 {
     cw_quota_counter_t *counter = create();
@@ -293,6 +313,7 @@
 
     tcase_add_test(cases, a_bucket_never_starts_full);
     tcase_add_test(cases, a_new_bucket_lacks_what_the_last_window_admitted);
+    tcase_add_loop_test(cases, a_new_bucket_lacks_what_nodes_admitted_uncounted, 0, 5);
     tcase_add_test(cases, a_repeated_ask_gets_the_same_tokens);
     tcase_add_test(cases, no_more_tokens_are_returned_than_were_granted);
     tcase_add_test(cases, a_repeated_return_is_applied_once);
--- a/tests/test_quota_failures.c
+++ b/tests/test_quota_failures.c
@@ -18,6 +18,7 @@
     LOSSY_RUNS = 16,   /* half of the runs for each loss */
     MAX_WAIT_MS = 150, /* three asks of 40 ms each, and some time for processing */
     START_NODES = 81,
+    RESTART_NODES = 18, /* as in tests/process/tenant_limit_restart_all.sh */
     /* requests of a small tenant that may be refused because they arrive together while a bucket starts */
     START_REFUSALS = 8
 };
@@ -497,6 +498,44 @@
 }
 END_TEST
 
+/* Guards against limits that are exceeded since all nodes restart twice within a window: each time they gave out their
+ * own parts and then the first level of a bucket that did not know of them (tenant_limit_restart_all.sh). */
+START_TEST(all_nodes_restart_twice_within_a_window)
+{
+    static const double between_s[] = {3.2, 3.6, 4};
+    quota_sim_t        *sim = quota_sim_create(RESTART_NODES, RESTART_NODES, (uint64_t)_i);
+    size_t              tenant = quota_sim_add_tenant(sim, rate, rate, 4 * rate);
+    size_t              below[] = {quota_sim_add_tenant(sim, rate, rate, rate * 0.6),
+                                   quota_sim_add_tenant(sim, small_rate, 0, small_rate / 2)};
+    int                 restart;
+    size_t              index;
+
+    sim->reconnect_range = CW_MS(400);
+    sim->new_nodes_decline = true;
+    sim->size_known_after = CW_MS(10);
+    quota_sim_run(sim, 5);
+    for (restart = 0; restart < 2; restart++) {
+        for (index = 0; index < RESTART_NODES; index++) {
+            quota_sim_kill(sim, index);
+        }
+        for (index = 0; index < RESTART_NODES; index++) {
+            quota_sim_start(sim, index);
+        }
+        quota_sim_run(sim, between_s[_i % 3]);
+    }
+    quota_sim_run(sim, 6);
+    printf("all restart twice in %.1f s: excess %.0f, used %.2f; below refused %llu of %llu and %llu of %llu\n",
+           between_s[_i % 3], quota_sim_excess(sim, tenant, 0), (double)quota_sim_ran(sim, tenant, 5, 11) / (rate * 6),
+           (unsigned long long)sim->tenants[below[0]].refused, (unsigned long long)sim->tenants[below[0]].arrived,
+           (unsigned long long)sim->tenants[below[1]].refused, (unsigned long long)sim->tenants[below[1]].arrived);
+    fflush(stdout);
+    ck_assert_double_le(quota_sim_excess(sim, tenant, 0), 0);
+    ck_assert_double_ge((double)quota_sim_ran(sim, tenant, 5, 11), 0.9 * rate * 6);
+    ck_assert_double_le((double)sim->tenants[below[0]].refused, 0.03 * (double)sim->tenants[below[0]].arrived);
+    quota_sim_free(sim);
+}
+END_TEST
+
 /* The load is above the limit, but so many admitted requests do not run that the number that runs is below it. */
 START_TEST(requests_that_did_not_run_return_their_tokens)
 {
@@ -581,6 +620,7 @@
     tcase_add_loop_test(scenario, one_node_counts_while_a_link_loses_a_third, 0, 3 * SEEDS);
     tcase_add_loop_test(scenario, a_limit_changes_during_a_cut, 0, 3 * SEEDS);
     tcase_add_loop_test(scenario, all_nodes_restart_at_once, 0, 3 * SEEDS);
+    tcase_add_loop_test(scenario, all_nodes_restart_twice_within_a_window, 0, 6 * SEEDS);
     tcase_add_loop_test(scenario, requests_that_did_not_run_return_their_tokens, 0, SEEDS);
     tcase_add_test(scenario, refused_requests_get_increasing_retry_times);
     suite_add_tcase(suite, scenario);
--- a/tests/test_quota_share.c
+++ b/tests/test_quota_share.c
@@ -111,6 +111,50 @@
 }
 END_TEST
 
+/* A quarter of the limit is this node's own part: 13 requests of the bucket, one of the slack, and 25 a second. */
+START_TEST(a_node_reports_what_it_has_overdrawn)
+{
+    quota_sent_t      sent = {.counter = 0};
+    cw_quota_share_t *share = create(&sent, 4);
+    uint32_t          admitted = 0;
+
+    while (enter(share, start) == CW_QUOTA_ADMITTED) {
+        admitted++;
+    }
+    ck_assert_uint_ge(admitted, 13);
+    sent.counter = COUNTER;
+    cw_quota_share_tick(share, start + CW_MS(20));
+    ck_assert_uint_eq(sent.usage.uncounted, admitted);
+    cw_quota_share_tick(share, start + CW_MS(320));
+    ck_assert_uint_eq(sent.usage.uncounted, admitted - 8); /* 0.32 s of its part of the rate */
+    cw_quota_share_tick(share, start + CW_SECONDS(2));
+    ck_assert_uint_eq(sent.usage.uncounted, 0);
+    cw_quota_share_free(share);
+}
+END_TEST
+
+START_TEST(a_node_reports_the_tokens_of_its_former_counting_node)
+{
+    quota_sent_t      sent = {.counter = COUNTER};
+    cw_quota_share_t *share = create(&sent, 1000);
+
+    ck_assert_int_eq(enter(share, start), CW_QUOTA_WAIT);
+    grant(share, sent.ask.sequence, 3, start);
+    ck_assert_int_eq(decide(share, start), CW_QUOTA_ADMITTED);
+    grant(share, sent.ask.sequence, 0, start); /* the reply to an ask sent with the first grant */
+    ck_assert_int_eq(enter(share, start), CW_QUOTA_ADMITTED);
+    sent.counter = COUNTER + 1;
+    ck_assert_int_eq(enter(share, start + CW_MS(10)), CW_QUOTA_ADMITTED);
+    ck_assert_int_eq(enter(share, start + CW_MS(20)), CW_QUOTA_WAIT);
+    ck_assert_uint_eq(sent.ask.usage.uncounted, 3);
+    cw_quota_share_tick(share, start + CW_MS(100)); /* the ask is repeated */
+    ck_assert_uint_eq(sent.ask.usage.uncounted, 3);
+    cw_quota_share_tick(share, start + CW_SECONDS(1)); /* too late for a bucket that started beside the former one */
+    ck_assert_uint_eq(sent.ask.usage.uncounted, 0);
+    cw_quota_share_free(share);
+}
+END_TEST
+
 /* Tokens that are returned to the node later do not prolong the lifetime of earlier ones. */
 START_TEST(tokens_of_requests_that_did_not_run_expire)
 {
@@ -333,6 +377,8 @@
     tcase_add_test(cases, a_tenant_admitted_without_a_counting_node_is_reported_to_the_next_one);
     tcase_add_test(cases, tokens_of_requests_that_did_not_run_expire);
     tcase_add_test(cases, waiting_requests_are_decided_when_no_node_counts_any_more);
+    tcase_add_test(cases, a_node_reports_what_it_has_overdrawn);
+    tcase_add_test(cases, a_node_reports_the_tokens_of_its_former_counting_node);
     tcase_add_test(cases, a_tenant_unknown_to_its_counting_node_is_served_from_the_local_part);
     tcase_add_test(cases, all_due_tenants_are_reported_at_once);
     tcase_add_test(cases, tenants_of_a_report_without_a_reply_are_reported_again);
--- a/tests/test_router_quota.c
+++ b/tests/test_router_quota.c
@@ -18,7 +18,8 @@
     STARTED_MS = 4000, /* a process counts from this time after its start on */
     VERSION = 5,
     TENANT = 7,
-    RECORD = 11
+    RECORD = 11,
+    UNCOUNTED = 3
 };
 
 static node_fixture_t *create(void)
@@ -329,6 +330,7 @@
 {
     uint32_t         unknown[] = {TENANT};
     Cwp__QuotaAsk    ask = CWP__QUOTA_ASK__INIT;
+    Cwp__QuotaUsage  usage = CWP__QUOTA_USAGE__INIT;
     Cwp__QuotaReport report = CWP__QUOTA_REPORT__INIT;
     Cwp__QuotaGrant  grant = CWP__QUOTA_GRANT__INIT;
     Cwp__QuotaReturn returned = CWP__QUOTA_RETURN__INIT;
@@ -337,10 +339,15 @@
     Cwp__Datagram   *read;
 
     ask.version = VERSION;
+    ask.usage = &usage;
+    usage.metered = true;
+    usage.uncounted = UNCOUNTED;
     datagram.content_case = CWP__DATAGRAM__CONTENT_QUOTA_ASK;
     datagram.quota_ask = &ask;
     read = packed(&datagram);
     ck_assert_uint_eq(read->quota_ask->version, VERSION);
+    ck_assert(read->quota_ask->usage->metered);
+    ck_assert_uint_eq(read->quota_ask->usage->uncounted, UNCOUNTED);
     cwp__datagram__free_unpacked(read, NULL);
 
     report.version = VERSION;
