intents.sh waits until the version with the tenant's keys is in force

Cause: the wait before the check (`known`) holds by version 4 too; the node may take a version some 100 ms after `confirm` has returned. Change: `in_force` takes the version, and the test waits for 5 as it waits for 4. The checks are as they were.

--- a/tests/process/intents.sh
+++ b/tests/process/intents.sh
@@ -58,8 +58,8 @@
 curl -sf -X POST "http://$STORE/control?down=1500&how=busy" >/dev/null
 check "without the store, plan fails" refused cw plan "$WORK/a.yaml"
 sleep 1.6
-in_force() { [ "$(curl -sf "http://$NET.1:8081/metrics" | awk '/^cedarwinch_configuration_version/ {print $2}')" = 4 ]; }
-until_true in_force
+in_force() { [ "$(curl -sf "http://$NET.1:8081/metrics" | awk '/^cedarwinch_configuration_version/ {print $2}')" = "$1" ]; } # VERSION
+until_true in_force 4
 served() { [ "$(status sesame "http://$NET.1:8080/docks/x" -H 'Host: lp.example')" = 200 ]; }
 until_true served
 check "a caller with the tenant's key is served" served
@@ -68,6 +68,7 @@
 check "requests above a tenant's rate get 429 ($codes)" grep -q 429 <<<"$codes"
 check "requests of the other tenant are still served" served
 check "an intent with a key from a file is accepted" cw confirm "$(plan_of "$WORK/rimac-keys.yaml")" "$WORK/rimac-keys.yaml"
+until_true in_force 5 # by version 4 the tenant has no keys, and any caller is admitted
 known() { status opensesame "http://$NET.1:8080/pages/x" -H 'Host: rm.example' | grep -q '200\|429'; }
 until_true known
 check "a caller with the key from the file is admitted" known
