cw-verdict takes the node that sent a request for the one at rest

Cause: the rule took the node that the caller had asked. Nodes' logs tell who sends ("delegated", "delegation declined"); cw-verdict reads them. The rule is as strict as before for the node that sent, and also counts requests that were passed to it. A line of the log that was dropped leaves that request with the node that was asked, as before. Rules DRAIN and LIMIT still go by the node that was asked; not looked at.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -215,9 +215,15 @@
 
 sum_of() { tail -1 "$WORK/callers-$1.json" | jq -r "(.$2 // 0)"; }
 
-cluster_check() { # troubles.json: troubles of nodes, if a test records them
+# troubles.json: troubles of nodes, if a test records them. Which requests were passed to which node is in the nodes' logs.
+cluster_check() {
+    local n
     touch "$WORK/troubles.json"
-    "$BUILD/cw-verdict" "$WORK"/server-*.json "$WORK"/callers-*.json "$WORK/troubles.json"
+    for n in "${!NODE_PIDS[@]}"; do
+        echo "{\"ns\":0,\"event\":\"name\",\"id\":\"n$n\",\"node\":\"$NET.$n:8080\"}"
+    done >"$WORK/names.json"
+    grep -hE '"event":"(delegated|delegation declined)"' "$WORK"/node*.log >"$WORK/passed.log"
+    "$BUILD/cw-verdict" "$WORK"/server-*.json "$WORK"/callers-*.json "$WORK/troubles.json" "$WORK/names.json" "$WORK/passed.log"
 }
 
 # ---- tests: checks are counted; the test runner (tests/run.sh) reads the last line ----
--- a/standins/verdict/records.c
+++ b/standins/verdict/records.c
@@ -9,6 +9,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
+#include <uv.h>
 
 enum { LINE_MAX_BYTES = 4096, RECORDS_STEP = 4096 };
 
@@ -26,7 +28,7 @@
     return (uint64_t)json_integer_value(json_object_get(line, key));
 }
 
-static void add_record(records_t *records, const json_t *line)
+static record_t *new_record(records_t *records)
 {
     record_t *record;
 
@@ -38,6 +40,13 @@
     }
     record = &records->items[records->count++];
     memset(record, 0, sizeof(*record));
+    return record;
+}
+
+static void add_record(records_t *records, const json_t *line)
+{
+    record_t *record = new_record(records);
+
     record->ns = number_of(line, "ns");
     record->low = (uint32_t)number_of(line, "low");
     record->last = (uint32_t)number_of(line, "last");
@@ -59,6 +68,34 @@
     record->rest_s = json_number_value(json_object_get(line, "rest_s"));
 }
 
+/* What the monotonic time of a wall-clock time, in seconds, was on this machine. */
+static uint64_t monotonic_ns(double wall_s)
+{
+    struct timespec now;
+    double          age_ns;
+
+    clock_gettime(CLOCK_REALTIME, &now);
+    age_ns = ((double)now.tv_sec - wall_s) * 1e9 + (double)now.tv_nsec;
+    return uv_hrtime() - (uint64_t)age_ns;
+}
+
+/* Adds a line of a node's log that says which node sends a request from now on. */
+static void add_log_line(records_t *records, const json_t *line)
+{
+    const char *event = json_string_value(json_object_get(line, "event"));
+    bool        is_passed = event != NULL && strcmp(event, "delegated") == 0;
+    record_t   *record;
+
+    if (!is_passed && (event == NULL || strcmp(event, "delegation declined") != 0)) {
+        return;
+    }
+    record = new_record(records);
+    record->ns = monotonic_ns(json_number_value(json_object_get(line, "time")));
+    snprintf(record->event, sizeof(record->event), "sender");
+    text_of(line, "request", record->id, sizeof(record->id));
+    text_of(line, is_passed ? "by_node" : "node", record->node, sizeof(record->node));
+}
+
 bool records_read(records_t *records, const char *name)
 {
     FILE *file = fopen(name, "r");
@@ -73,6 +110,8 @@
 
         if (value != NULL && json_object_get(value, "ns") != NULL) {
             add_record(records, value);
+        } else if (value != NULL && json_object_get(value, "time") != NULL) {
+            add_log_line(records, value);
         }
         json_decref(value);
     }
--- a/standins/verdict/records.h
+++ b/standins/verdict/records.h
@@ -1,6 +1,9 @@
 /**
  * @file records.h
- * @brief Records written by servers, callers and the test script, one JSON line each.
+ * @brief Records written by servers, callers and the test script, one JSON line each, and lines of nodes' logs.
+ *
+ * Of nodes' logs the lines "delegated" and "delegation declined" are read: each becomes a record "sender", whose node
+ * is the name of the one that sends the request to servers from that time on.
  */
 #ifndef CEDARWINCH_STANDINS_VERDICT_RECORDS_H
 #define CEDARWINCH_STANDINS_VERDICT_RECORDS_H
@@ -17,7 +20,8 @@
     char     service[40]; /**< of a server */
     char     id[80];      /**< of the request */
     char     method[16];
-    char     node[48];    /**< of a caller: the node that it asked; of the test: the node in trouble */
+    char     node[48];    /**< of a caller: the node that it asked; of the test: the node in trouble, or
+                             the address of the node named by id */
     char     limit[64];   /**< of a caller: id of the server that reported a limit in the answer; empty: none */
     char     leaving[64]; /**< of a caller: id of the server that announced its leave in the answer; empty: none */
     uint64_t sent_ns;     /**< of a caller: when it sent the request */
@@ -38,7 +42,8 @@
     size_t    count;
 } records_t;
 
-/** Appends the records of a file. Returns false if the file cannot be read. */
+/** Appends the records of a file. Lines of logs must be of this machine: they have its wall-clock time. Returns false
+ * if the file cannot be read. */
 bool records_read(records_t *records, const char *file);
 /** Sorts the records by time. */
 void records_sort(records_t *records);
--- a/standins/verdict/rests.c
+++ b/standins/verdict/rests.c
@@ -28,7 +28,7 @@
             strcmp(record->server, rest->server) != 0) {
             continue;
         }
-        sender = nodes_of_request(record->id);
+        sender = nodes_sender_of(record->id, record->ns);
         arrivals += sender != NULL && strcmp(sender, node) == 0 ? 1 : 0;
     }
     return arrivals;
@@ -37,7 +37,7 @@
 static void check_rest(const records_t *records, size_t index)
 {
     const record_t *rest = &records->items[index];
-    const char     *node = nodes_of_request(rest->id);
+    const char     *node = nodes_sender_of(rest->id, rest->ns);
     uint64_t        until = rest->ns + (uint64_t)(rest->rest_s * 1e9);
     uint64_t        arrivals;
     char            detail[96];
