Tests start a node only after its earlier process has ended

tenant_limit_restart_all.sh stood until its time limit now and then (10 of 36 plays before, at loads of 25 to 45): 17 of 18 nodes were up, and node 1's error output read "cannot start: address already in use" (a play at load 14 to 24 that was looked at while it stood). Cause: a test kills nodes and starts others at once; on a busy machine a killed process holds its addresses for a while. Change: start_node waits for the node's earlier process, as cluster_kill_server does for servers. It concerns all tests that restart nodes. That it explains each of the 10 is not shown: their records are lost.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -90,8 +90,10 @@
     link link callers "$name" "$NET.101:$((LINK_SERVER_PORT + LINKED_SERVERS))" "$NET.100:$((LINK_SERVER_PORT + LINKED_SERVERS))"
 }
 
+# Starts a node. Its earlier process, if there is one, has been sent a signal; on a busy machine it holds its addresses for a while.
 start_node() {
     local n=$1 zone="z$((($1 - 1) % ${CLUSTER_ZONES:-3} + 1))" store first_look=""
+    [ -z "${NODE_PIDS[$n]:-}" ] || wait "${NODE_PIDS[$n]}" 2>/dev/null
     [ -e "$WORK/node$n.yaml" ] || first_look="first_look_within_ms: 20"
     store=$(store_address_for "$n")
     if [ -n "${LINKED:-}" ]; then
