--- a/standins/callers/main.c
+++ b/standins/callers/main.c
@@ -6,6 +6,8 @@
  * attempt, and a last line with sums. Each attempt has an id of its own; the path consists of the prefix of the kind
  * and the number of the request.
  *
+ * With --until FILE, callers go on beyond the number of requests until the file exists.
+ *
  * With --pipeline N, N requests are sent at once on a new connection, and none is retried.
  */
 #include <argtable2.h>
@@ -14,6 +16,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/byte_buffer.h"
 #include "net/http_upstream.h"
@@ -48,10 +51,11 @@
     uint64_t              per_s;
     uint64_t              started_ms;
     uint64_t              in_flight;
-    uint64_t              counts[600];   /**< number of attempts by status; 0: no answer */
-    uint64_t              wrong;         /**< successful answers that are not the attempt's own */
-    uint32_t              hot_percent;   /**< share of requests for one key, the same for all of them */
-    const char           *credential;    /**< sent in "Authorization"; NULL: none */
+    uint64_t              counts[600]; /**< number of attempts by status; 0: no answer */
+    uint64_t              wrong;       /**< successful answers that are not the attempt's own */
+    uint32_t              hot_percent; /**< share of requests for one key, the same for all of them */
+    const char           *until;       /**< file whose existence ends the callers; NULL: the number of requests does */
+    const char           *credential;  /**< sent in "Authorization"; NULL: none */
     char                  id_prefix[24]; /**< beginning of all ids */
     uint64_t              random;
 } callers_t;
@@ -267,11 +271,20 @@
     printf("}\n");
 }
 
+/* Whether callers go on beyond the number of requests. */
+static bool goes_on(const callers_t *callers)
+{
+    return callers->until != NULL && access(callers->until, F_OK) != 0;
+}
+
 static void on_send_timer(uv_timer_t *timer)
 {
     callers_t *callers = timer->data;
     uint64_t   due = (uv_now(&callers->loop) - callers->started_ms) * callers->per_s / 1000;
 
+    if (due > callers->total && goes_on(callers)) {
+        callers->total = due;
+    }
     while (callers->sent < callers->total && callers->sent < due) {
         if (callers->pipeline > 1) {
             send_pipeline(callers);
@@ -279,7 +292,7 @@
             send_attempt(create_attempt(callers));
         }
     }
-    if (callers->sent == callers->total &&
+    if (callers->sent == callers->total && !goes_on(callers) &&
         (callers->in_flight == 0 ||
          uv_now(&callers->loop) - callers->started_ms > callers->total * 1000 / callers->per_s + DRAIN_S * 1000)) {
         uv_stop(&callers->loop);
@@ -331,8 +344,9 @@
     struct arg_int  *body = arg_int0("b", "body", "BYTES", "of requests that have one; default 5");
     struct arg_str  *credential = arg_str0(NULL, "credential", "KEY", "the callers' key; default none");
     struct arg_str  *name = arg_str0("i", "name", "TEXT", "begins the ids; default r");
+    struct arg_str  *until = arg_str0(NULL, "until", "FILE", "go on beyond the requests until this file exists");
     struct arg_end  *end = arg_end(ERRORS_MAX);
-    void            *table[] = {nodes, kinds, rate, count, hot, pipeline, body, credential, name, end};
+    void            *table[] = {nodes, kinds, rate, count, hot, pipeline, body, credential, name, until, end};
     static callers_t callers;
     cw_upstream_options_t options = {.idle_max = CW_SECONDS(2)};
     int                   index;
@@ -355,6 +369,7 @@
     }
     callers.hot_percent = hot->count > 0 ? (uint32_t)hot->ival[0] : 0;
     callers.credential = credential->count > 0 ? credential->sval[0] : NULL;
+    callers.until = until->count > 0 ? until->sval[0] : NULL;
     snprintf(callers.id_prefix, sizeof(callers.id_prefix), "%s", name->count > 0 ? name->sval[0] : "r");
     for (index = 0; index < kinds->count; index++) {
         if (!parse_kind(&callers.kinds[callers.kind_count++], kinds->sval[index])) {
--- a/tests/process/tenant_limit_restart_all.sh
+++ b/tests/process/tenant_limit_restart_all.sh
@@ -8,7 +8,7 @@
 
 standard_cluster "$COUNT"
 until_true all_reachable
-limited_callers limited 20 &
+limited_callers limited 20 --until "$WORK/limited.end" & # at least so long, and until one node counts again
 callers=$!
 until_true one_counts
 for _ in 1 2; do
@@ -18,6 +18,7 @@
     until_true all_reachable
     until_true one_counts
 done
+touch "$WORK/limited.end"
 wait "$callers"
 check "no window holds more than the limit allows" at_most "$(max_runs_in_window)" "$ALLOWED"
 check "at least half of the limit is used" at_least "$(sum_of limited s200)" $((RATE * 20 / 2))
