Bound what a server sends for an answer besides its body

Cause: http_parser bounds one block of a head or of trailers (80 KB), but not how many interim answers, answers to other requests or chunks with long extensions follow one another; these were read until the request's time was over. Change: net/answer_bounds.h bounds their number and bytes; a stated length above the largest answer ends the call before the body is read; a call that is given up resets its connection. Heads, status lines, trailers, one chunk's size and its extension were bounded before; tests hold that.

--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -122,6 +122,15 @@
     arm_timer(connection, now_us(connection->target->upstream) + idle);
 }
 
+/* True if the connection is reset rather than closed. After an answer that was given up, the reset frees the server's
+ * end at once, whatever it still sends. */
+static bool resets_connection(const cw_upstream_call_t *call, cw_upstream_result_t result)
+{
+    const cw_upstream_options_t *options = &call->connection->target->upstream->options;
+
+    return call->failure != NULL || (result == CW_UPSTREAM_TIMED_OUT && options->reset_on_abandon);
+}
+
 void cw_upstream_end_call(cw_upstream_call_t *call, cw_upstream_result_t result, const char *failure, bool reset)
 {
     cw_upstream_connection_t *connection = call->connection;
@@ -144,8 +153,7 @@
         !connection->writing && !target->released && idle_time(target->upstream, &call->fields) > 0) {
         keep_idle(connection, idle_time(target->upstream, &call->fields));
     } else {
-        cw_upstream_close_connection(connection,
-                                     result == CW_UPSTREAM_TIMED_OUT && target->upstream->options.reset_on_abandon);
+        cw_upstream_close_connection(connection, resets_connection(call, result));
     }
     call->answered(call->context, &answer);
     free_call(call);
--- a/src/net/http_upstream_answer.c
+++ b/src/net/http_upstream_answer.c
@@ -7,7 +7,7 @@
 
 #include "net/http_upstream_internal.h"
 
-enum { INTERIM_LAST = 199 };
+enum { INTERIM_LAST = 199, STATUS_NO_CONTENT = 204, STATUS_NOT_MODIFIED = 304 };
 
 static bool is_interim(const cw_upstream_call_t *call)
 {
@@ -34,14 +34,44 @@
     return 0;
 }
 
+/* Gives the answer up. Returns what makes the parser stop. */
+static int give_up(cw_upstream_call_t *call, const char *failure)
+{
+    call->failure = failure;
+    return -1;
+}
+
+static int handle_interim(cw_upstream_call_t *call)
+{
+    const char *exceeded;
+
+    cw_http_fields_clear(&call->fields);
+    call->builder.in_value = false;
+    call->bounds.interim++;
+    exceeded = cw_answer_bounds_exceeded(&call->bounds);
+    return exceeded != NULL ? give_up(call, exceeded) : 1;
+}
+
+/* True if the stated length of the body exceeds the maximum. An answer without a body may state the length that it
+ * would have (RFC 9110, 8.6). */
+static bool is_stated_too_long(const cw_upstream_call_t *call)
+{
+    bool has_length = (call->parser.flags & F_CONTENTLENGTH) != 0 && (call->parser.flags & F_CHUNKED) == 0;
+    bool has_body = !call->is_head && call->parser.status_code != STATUS_NO_CONTENT &&
+                    call->parser.status_code != STATUS_NOT_MODIFIED;
+
+    return has_length && has_body && call->parser.content_length > call->answer_max;
+}
+
 static int on_head(http_parser *parser)
 {
     cw_upstream_call_t *call = parser->data;
 
     if (is_interim(call)) {
-        cw_http_fields_clear(&call->fields);
-        call->builder.in_value = false;
-        return 1;
+        return handle_interim(call);
+    }
+    if (is_stated_too_long(call)) {
+        return give_up(call, "answer too long");
     }
     call->head_done = true;
     return call->is_head ? 1 : 0;
@@ -51,9 +81,9 @@
 {
     cw_upstream_call_t *call = parser->data;
 
+    call->bounds.body += length;
     if (call->body.length + length > call->answer_max) {
-        call->too_long = true;
-        return -1;
+        return give_up(call, "answer too long");
     }
     cw_bytes_append(&call->body, bytes, length);
     return 0;
@@ -87,6 +117,7 @@
 /* Discards an answer to another request; the answer to this call may follow. */
 static void discard_answer(cw_upstream_call_t *call)
 {
+    cw_answer_bounds_record_foreign(&call->bounds);
     call->not_reusable = true;
     call->complete = false;
     call->head_done = false;
@@ -97,27 +128,42 @@
     call->parser.data = call;
 }
 
-static void handle_bytes(cw_upstream_call_t *call, const char *bytes, size_t length)
+/* Parses bytes up to the end of the answer to this call, or up to an error. Returns how many were parsed. */
+static size_t parse(cw_upstream_call_t *call, const char *bytes, size_t length)
 {
     size_t parsed;
 
-    call->any_byte = true;
+    call->bounds.bytes += length;
     parsed = http_parser_execute(&call->parser, &parser_settings, bytes, length);
-    while (call->complete && is_foreign(call)) {
-        bytes += parsed;
-        length -= parsed;
+    while (call->complete && is_foreign(call) && cw_answer_bounds_exceeded(&call->bounds) == NULL) {
         discard_answer(call);
-        parsed = http_parser_execute(&call->parser, &parser_settings, bytes, length);
+        call->bounds.bytes = length - parsed;
+        parsed += http_parser_execute(&call->parser, &parser_settings, bytes + parsed, length - parsed);
     }
-    if (call->complete) {
+    return parsed;
+}
+
+static void handle_bytes(cw_upstream_call_t *call, const char *bytes, size_t length)
+{
+    size_t parsed;
+
+    call->any_byte = true;
+    parsed = parse(call, bytes, length);
+    if (call->complete && !is_foreign(call)) {
         if (parsed < length) { /* the answer is valid, but the connection must not be reused */
             call->not_reusable = true;
         }
         cw_upstream_end_call(call, CW_UPSTREAM_ANSWERED, NULL, false);
         return;
     }
-    if (HTTP_PARSER_ERRNO(&call->parser) != HPE_OK || call->parser.upgrade) {
-        cw_upstream_end_call(call, CW_UPSTREAM_BROKEN, call->too_long ? "answer too long" : "not an answer", false);
+    if (call->failure == NULL) {
+        call->failure = cw_answer_bounds_exceeded(&call->bounds);
+    }
+    if (call->failure == NULL && (HTTP_PARSER_ERRNO(&call->parser) != HPE_OK || call->parser.upgrade)) {
+        call->failure = "not an answer";
+    }
+    if (call->failure != NULL) {
+        cw_upstream_end_call(call, CW_UPSTREAM_BROKEN, call->failure, false);
     }
 }
 
--- a/src/net/http_upstream_internal.h
+++ b/src/net/http_upstream_internal.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 
 #include "base/byte_buffer.h"
+#include "net/answer_bounds.h"
 #include "net/http_upstream.h"
 
 enum { CW_UPSTREAM_CHUNK = 16 * 1024 /* bytes of one read */ };
@@ -50,11 +51,12 @@
     bool                    sent;
     bool                    reused;
     bool                    any_byte;
-    bool                    too_long;
     bool                    complete;
     bool                    not_reusable; /* its connection ends, or bytes arrived that belong to no request */
     char                   *match_name;
     char                   *match_value;
+    const char             *failure; /* why the answer is given up; NULL: it is not */
+    cw_answer_bounds_t      bounds;
     http_parser             parser;
     cw_http_fields_t        fields;
     cw_http_field_builder_t builder;
--- /dev/null
+++ b/tests/test_endless_answers.c
@@ -0,0 +1,272 @@
+/**
+ * @file test_endless_answers.c
+ * @brief Servers whose answers have no end, in interim answers, heads, framing or bodies: each answer is bounded.
+ */
+#include <string.h>
+
+#include "endless_server.h"
+#include "loop_fixture.h"
+#include "net/http_upstream.h"
+
+enum {
+    TIMEOUT_MS = 3000,         /* of calls: a call that is not ended earlier fails its test */
+    ANSWER_MAX = 1024 * 1024,  /* bytes of a body */
+    LONG_BYTES = 20 * 1024,    /* a long line: shorter than the longest head */
+    SENT_MAX = 8 * 1024 * 1024 /* bytes that the kernel's buffers take besides those that are read */
+};
+
+static const char request_bytes[] = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/** A call and its outcome. */
+typedef struct call {
+    bool                 is_done;
+    cw_upstream_result_t result;
+    int                  status;
+    char                 failure[64];
+    size_t               body_length;
+    bool                 spoiled;
+} call_t;
+
+/** A client, and a server without an end. */
+typedef struct fixture {
+    uv_loop_t             loop;
+    cw_upstream_t        *upstream;
+    endless_server_t      server;
+    cw_upstream_target_t *target;
+} fixture_t;
+
+static void init(fixture_t *fixture, const char *begin, const char *unit)
+{
+    cw_upstream_options_t options = {.idle_max = CW_SECONDS(20)};
+
+    memset(fixture, 0, sizeof(*fixture));
+    uv_loop_init(&fixture->loop);
+    fixture->upstream = cw_upstream_create(&fixture->loop, &options);
+    endless_server_start(&fixture->server, &fixture->loop, begin, unit);
+    fixture->target = cw_upstream_target_create(fixture->upstream, fixture->server.address);
+}
+
+static void on_answered(void *context, const cw_upstream_answer_t *answer)
+{
+    call_t *call = context;
+
+    call->is_done = true;
+    call->result = answer->result;
+    call->status = answer->status;
+    call->body_length = answer->body_length;
+    snprintf(call->failure, sizeof(call->failure), "%s", answer->failure == NULL ? "" : answer->failure);
+}
+
+static void begin_call(cw_upstream_target_t *target, call_t *call)
+{
+    cw_upstream_request_t request = {.bytes = request_bytes,
+                                     .length = sizeof(request_bytes) - 1,
+                                     .connect_timeout = CW_MS(TIMEOUT_MS),
+                                     .timeout = CW_MS(TIMEOUT_MS),
+                                     .answer_max = ANSWER_MAX,
+                                     .match_name = "id",
+                                     .match_value = "r1"};
+
+    memset(call, 0, sizeof(*call));
+    ck_assert_ptr_nonnull(cw_upstream_call(target, &request, on_answered, call));
+}
+
+static call_t call_server(fixture_t *fixture)
+{
+    call_t call;
+
+    begin_call(fixture->target, &call);
+    cw_test_run_until_set(&fixture->loop, &call.is_done);
+    return call;
+}
+
+/* The call ends for this reason, long before its timeout, and its connection is closed. */
+static void expect_end(const char *begin, const char *unit, const char *failure)
+{
+    fixture_t fixture;
+    call_t    call;
+
+    init(&fixture, begin, unit);
+    call = call_server(&fixture);
+    ck_assert_str_eq(call.failure, failure);
+    ck_assert_int_eq(call.result, CW_UPSTREAM_BROKEN);
+    while (fixture.server.open > 0) {
+        uv_run(&fixture.loop, UV_RUN_ONCE);
+    }
+    ck_assert_uint_le(fixture.server.sent, SENT_MAX);
+}
+
+static const char *long_line(const char *begin, const char *end)
+{
+    static char text[LONG_BYTES + 256];
+    size_t      length = strlen(begin);
+
+    memcpy(text, begin, length);
+    memset(text + length, 'x', LONG_BYTES);
+    strcpy(text + length + LONG_BYTES, end);
+    return text;
+}
+
+/* ---- what is no body ---- */
+
+START_TEST(interim_answers_without_end_are_bounded_in_number)
+{
+    expect_end("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+               "too many interim answers");
+}
+END_TEST
+
+START_TEST(interim_answers_without_end_are_bounded_in_bytes)
+{
+    expect_end("HTTP/1.1 100 Continue\r\n\r\n", long_line("HTTP/1.1 103 Early Hints\r\nLink: ", "\r\n\r\n"),
+               "too many bytes outside the body");
+}
+END_TEST
+
+START_TEST(a_head_without_end_is_bounded)
+{
+    expect_end("HTTP/1.1 200 OK\r\n", "Name: value\r\n", "not an answer");
+}
+END_TEST
+
+START_TEST(a_status_line_without_end_is_bounded)
+{
+    expect_end("HTTP/1.1 200 ", "OK ", "not an answer");
+}
+END_TEST
+
+START_TEST(trailers_without_end_are_bounded)
+{
+    expect_end("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", "Name: value\r\n",
+               "not an answer");
+}
+END_TEST
+
+START_TEST(a_chunk_extension_without_end_is_bounded)
+{
+    expect_end("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "name=value;", "not an answer");
+}
+END_TEST
+
+START_TEST(a_chunk_size_without_end_is_bounded)
+{
+    expect_end("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0", "not an answer");
+}
+END_TEST
+
+START_TEST(chunks_with_long_extensions_are_bounded)
+{
+    expect_end("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", long_line("1;", "\r\na\r\n"),
+               "too many bytes outside the body");
+}
+END_TEST
+
+START_TEST(answers_to_other_requests_without_end_are_bounded)
+{
+    expect_end("HTTP/1.1 200 OK\r\nid: r0\r\nContent-Length: 2\r\n\r\nno",
+               "HTTP/1.1 200 OK\r\nid: r0\r\nContent-Length: 2\r\n\r\nno", "too many answers to other requests");
+}
+END_TEST
+
+/* ---- bodies ---- */
+
+START_TEST(bodies_without_end_are_bounded)
+{
+    expect_end("HTTP/1.1 200 OK\r\n\r\n", "body", "answer too long");
+    expect_end("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n",
+               "answer too long");
+}
+END_TEST
+
+/* Nothing of the body is read: the server never sends it. */
+START_TEST(a_body_whose_stated_length_is_too_long_is_not_read)
+{
+    expect_end("HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n", NULL, "answer too long");
+}
+END_TEST
+
+/* ---- answers that must get through ---- */
+
+static void expect_body(const char *begin, size_t body_length)
+{
+    fixture_t fixture;
+    call_t    call;
+
+    init(&fixture, begin, NULL);
+    call = call_server(&fixture);
+    ck_assert_str_eq(call.failure, "");
+    ck_assert_int_eq(call.status, 200);
+    ck_assert_uint_eq(call.body_length, body_length);
+}
+
+static char text_of_answer[2 * ANSWER_MAX];
+
+START_TEST(an_answer_after_some_interim_ones_is_accepted)
+{
+    size_t index;
+
+    text_of_answer[0] = '\0';
+    for (index = 0; index < 20; index++) {
+        strcat(text_of_answer, "HTTP/1.1 102 Processing\r\n\r\n");
+    }
+    strcat(text_of_answer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    expect_body(text_of_answer, 2);
+}
+END_TEST
+
+START_TEST(one_late_answer_before_the_own_one_is_accepted)
+{
+    expect_body("HTTP/1.1 200 OK\r\nid: r0\r\nContent-Length: 2\r\n\r\nno"
+                "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 3\r\n\r\nyes",
+                3);
+}
+END_TEST
+
+/* The framing is several times as long as the body. */
+START_TEST(a_long_body_in_small_chunks_is_accepted)
+{
+    static const char head[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    static const char chunk[] = "1\r\na\r\n";
+    enum { CHUNKS = 200000 };
+    char  *place = text_of_answer;
+    size_t index;
+
+    place = stpcpy(place, head);
+    for (index = 0; index < CHUNKS; index++) {
+        place = stpcpy(place, chunk);
+    }
+    strcpy(place, "0\r\n\r\n");
+    expect_body(text_of_answer, CHUNKS);
+}
+END_TEST
+
+START_TEST(a_stated_length_without_a_body_is_accepted)
+{
+    expect_body("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0);
+}
+END_TEST
+
+int main(void)
+{
+    Suite *suite = suite_create("endless answers");
+    TCase *cases = tcase_create("endless answers");
+
+    tcase_set_timeout(cases, 60);
+    tcase_add_test(cases, interim_answers_without_end_are_bounded_in_number);
+    tcase_add_test(cases, interim_answers_without_end_are_bounded_in_bytes);
+    tcase_add_test(cases, a_head_without_end_is_bounded);
+    tcase_add_test(cases, a_status_line_without_end_is_bounded);
+    tcase_add_test(cases, trailers_without_end_are_bounded);
+    tcase_add_test(cases, a_chunk_extension_without_end_is_bounded);
+    tcase_add_test(cases, a_chunk_size_without_end_is_bounded);
+    tcase_add_test(cases, chunks_with_long_extensions_are_bounded);
+    tcase_add_test(cases, answers_to_other_requests_without_end_are_bounded);
+    tcase_add_test(cases, bodies_without_end_are_bounded);
+    tcase_add_test(cases, a_body_whose_stated_length_is_too_long_is_not_read);
+    tcase_add_test(cases, an_answer_after_some_interim_ones_is_accepted);
+    tcase_add_test(cases, one_late_answer_before_the_own_one_is_accepted);
+    tcase_add_test(cases, a_long_body_in_small_chunks_is_accepted);
+    tcase_add_test(cases, a_stated_length_without_a_body_is_accepted);
+    suite_add_tcase(suite, cases);
+    return cw_test_main(suite);
+}
