Bound the memory of servers' answers over all connections

Change: net/answer_memory.h, on body_budget.h: bodies reserve memory as they arrive; where it is used up, the largest answer is given up, and nobody waits. Setting answer_bytes_most: an eighth of memory_mb, or 32 MB; one answer has half at most. Answers say whether their server spoiled them.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -90,6 +90,7 @@
     X(BODIES_UNREAD, "cedarwinch_bodies_unread_total", "counter",                                                      \
       "requests rejected by their head: their bodies were not read")                                                   \
     X(BODY_BYTES, "cedarwinch_body_bytes", "gauge", "bytes reserved for callers' bodies")                              \
+    X(ANSWER_BYTES, "cedarwinch_answer_bytes", "gauge", "bytes reserved for answers that are being read")              \
     X(SENT, "cedarwinch_sent_total", "counter", "requests sent to servers")                                            \
     X(RETRIES, "cedarwinch_retries_total", "counter", "requests sent once more")                                       \
     X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries that the budget did not allow")           \
--- a/src/config/router_settings.c
+++ b/src/config/router_settings.c
@@ -40,6 +40,8 @@
     BODY_BYTES_DEFAULT = 64 * 1024 * 1024, /* default if memory_mb is not set */
     BODY_MEMORY_DIVISOR = 4, /* bodies may take a quarter of the node's memory; each is held once, since it is sent from
                               * the buffer that it was read into */
+    ANSWER_BYTES_DEFAULT = 32 * 1024 * 1024, /* default if memory_mb is not set */
+    ANSWER_MEMORY_DIVISOR = 8, /* answers pass faster than callers' bodies, which are kept until the answer */
     BODY_WAIT_MS = 300, /* about the duration of two usual requests at a server; when one ends, it frees its memory */
     LIMIT_WINDOW_MS = 5000,
     LIMIT_SLACK = 20
@@ -295,6 +297,7 @@
 static void read_connections(cw_router_settings_t *settings, cw_yaml_mapping_t *mapping)
 {
     size_t body_bytes;
+    size_t answer_bytes;
 
     settings->pipeline_depth =
         (uint32_t)cw_yaml_number(mapping, "pipeline_depth", 1, PIPELINE_DEPTH_MAX, settings->pipeline_depth);
@@ -303,6 +306,9 @@
     body_bytes = (size_t)settings->memory_mb * 1024 * 1024 / BODY_MEMORY_DIVISOR;
     settings->body_bytes_most = cw_yaml_number(mapping, "body_bytes_most", 64 * 1024, SIZE_MAX,
                                                settings->memory_mb == 0 ? BODY_BYTES_DEFAULT : body_bytes);
+    answer_bytes = (size_t)settings->memory_mb * 1024 * 1024 / ANSWER_MEMORY_DIVISOR;
+    settings->answer_bytes_most = cw_yaml_number(mapping, "answer_bytes_most", 64 * 1024, SIZE_MAX,
+                                                 settings->memory_mb == 0 ? ANSWER_BYTES_DEFAULT : answer_bytes);
     settings->body_wait = read_ms(mapping, "body_wait_ms", 0, 60000, settings->body_wait);
 }
 
--- a/src/config/router_settings.h
+++ b/src/config/router_settings.h
@@ -66,7 +66,8 @@
     size_t       pipeline_bytes;  /**< answers of a connection that may wait for an earlier one before reading stops */
     uint32_t     memory_mb;       /**< memory that this node may use; 0: not known */
     size_t       body_bytes_most; /**< callers' bodies that are held in memory at the same time */
-    cw_time_us_t body_wait;       /**< time that a request waits for memory for its body */
+    size_t       answer_bytes_most; /**< bodies of servers' answers that are held in memory while they are read */
+    cw_time_us_t body_wait;         /**< time that a request waits for memory for its body */
 } cw_router_settings_t;
 
 /** Reads and checks a file. Returns CW_ERROR_PARSE, with findings that name line and column, if it has errors, and
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -43,10 +43,20 @@
     }
 }
 
+void cw_upstream_free_body(cw_upstream_call_t *call)
+{
+    cw_answer_memory_t *memory = call->connection->target->upstream->options.memory;
+
+    cw_bytes_clear(&call->body);
+    if (memory != NULL) {
+        cw_answer_memory_release(memory, &call->share);
+    }
+}
+
 static void free_call(cw_upstream_call_t *call)
 {
     cw_http_fields_clear(&call->fields);
-    cw_bytes_clear(&call->body);
+    cw_upstream_free_body(call);
     free(call->match_name);
     free(call->match_value);
     free(call->bytes);
@@ -122,6 +132,15 @@
     arm_timer(connection, now_us(connection->target->upstream) + idle);
 }
 
+/* True if the server has spoiled its answer. An answer of a stated length that had to make way for others is not its
+ * fault; whether one without a length would have ended is not known. */
+static bool is_spoiled(const cw_upstream_call_t *call, cw_upstream_result_t result)
+{
+    bool is_excused = call->lacks_memory && call->stated_length != CW_UPSTREAM_UNSTATED;
+
+    return result == CW_UPSTREAM_BROKEN && call->any_byte && !is_excused;
+}
+
 /* True if the connection is reset rather than closed. After an answer that was given up, the reset frees the server's
  * end at once, whatever it still sends. */
 static bool resets_connection(const cw_upstream_call_t *call, cw_upstream_result_t result)
@@ -135,8 +154,12 @@
 {
     cw_upstream_connection_t *connection = call->connection;
     cw_upstream_target_t     *target = connection->target;
-    cw_upstream_answer_t      answer = {
-             .result = result, .failure = failure, .reused = call->reused, .reset = reset, .any_byte = call->any_byte};
+    cw_upstream_answer_t      answer = {.result = result,
+                                        .failure = failure,
+                                        .reused = call->reused,
+                                        .reset = reset,
+                                        .any_byte = call->any_byte,
+                                        .spoiled = is_spoiled(call, result)};
 
     if (result != CW_UPSTREAM_ANSWERED && result != CW_UPSTREAM_WITHDRAWN && !call->sent) {
         answer.result = CW_UPSTREAM_NOT_SENT;
@@ -187,6 +210,8 @@
     }
     if (connection->call == NULL) {
         cw_upstream_close_connection(connection, false);
+    } else if (connection->call->failure != NULL) {
+        cw_upstream_end_call(connection->call, CW_UPSTREAM_BROKEN, connection->call->failure, false);
     } else if (!connection->connected) {
         cw_upstream_end_call(connection->call, CW_UPSTREAM_TIMED_OUT, "no connection in time", false);
     } else {
@@ -194,6 +219,17 @@
     }
 }
 
+void cw_upstream_give_up_for_memory(cw_upstream_call_t *call)
+{
+    cw_upstream_connection_t *connection = call->connection;
+
+    call->failure = "no memory for the answer";
+    call->lacks_memory = true;
+    cw_upstream_free_body(call);
+    uv_read_stop((uv_stream_t *)&connection->tcp);
+    arm_timer(connection, now_us(connection->target->upstream));
+}
+
 void cw_upstream_extend_timeout(cw_upstream_call_t *call)
 {
     cw_time_us_t due = now_us(call->connection->target->upstream) + call->progress_us;
@@ -383,6 +419,7 @@
     call->match_name = request->match_name == NULL ? NULL : strdup(request->match_name);
     call->match_value = request->match_value == NULL ? NULL : strdup(request->match_value);
     call->answer_max = request->answer_max;
+    call->stated_length = CW_UPSTREAM_UNSTATED;
     call->progress_us = request->progress;
     call->due_us = request->timeout > 0 ? now_us(target->upstream) + request->timeout : 0;
     http_parser_init(&call->parser, HTTP_RESPONSE);
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -7,6 +7,9 @@
  * neither, the connection was closed in an orderly way (not by a reset). A connection is reused only after a complete
  * answer without further bytes after it, to a request that had been sent completely. A server may answer before it
  * has read a long body, and would otherwise read the next request as the rest of that body.
+ *
+ * What is read of one answer is bounded: its body by the request (answer_max), the bytes outside it by answer_bounds.h,
+ * all bodies together by answer_memory.h. A call whose answer exceeds a bound ends as broken, with a TCP reset.
  */
 #ifndef CEDARWINCH_NET_HTTP_UPSTREAM_H
 #define CEDARWINCH_NET_HTTP_UPSTREAM_H
@@ -15,6 +18,7 @@
 #include <uv.h>
 
 #include "base/time.h"
+#include "net/answer_memory.h"
 #include "net/http_header.h"
 
 typedef struct cw_upstream        cw_upstream_t;        /**< the client: its targets and options */
@@ -68,6 +72,8 @@
     bool                    reset;    /**< the peer reset the connection */
     bool                    any_byte; /**< at least one byte of an answer was received */
     bool                    closing;  /**< the peer announced that it closes this connection */
+    /** The server began an answer and spoiled it: it broke off, or its bytes were no answer or exceeded a bound. */
+    bool spoiled;
 } cw_upstream_answer_t;
 
 /** Called once when a call has ended. */
@@ -79,6 +85,8 @@
                               keep-alive timeout */
     cw_time_us_t unacknowledged; /**< a connection ends if sent data is not acknowledged for this time
                                     (TCP_USER_TIMEOUT); 0: system default */
+    cw_answer_memory_t *memory;  /**< memory for the bodies of answers; borrowed, several clients may use it. NULL: not
+                                    limited */
     bool reset_on_abandon; /**< reset the connection of an abandoned or timed-out call: data in flight is dropped */
 } cw_upstream_options_t;
 
--- a/src/net/http_upstream_answer.c
+++ b/src/net/http_upstream_answer.c
@@ -2,6 +2,7 @@
  * @file http_upstream_answer.c
  * @brief Reading of answers: framing, answers to other requests, end of the connection.
  */
+#include <stddef.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -52,15 +53,15 @@
     return exceeded != NULL ? give_up(call, exceeded) : 1;
 }
 
-/* True if the stated length of the body exceeds the maximum. An answer without a body may state the length that it
- * would have (RFC 9110, 8.6). */
-static bool is_stated_too_long(const cw_upstream_call_t *call)
+/* The stated length of the body that follows the head. An answer without a body may state the length that it would have
+ * (RFC 9110, 8.6). */
+static size_t stated_length(const cw_upstream_call_t *call)
 {
     bool has_length = (call->parser.flags & F_CONTENTLENGTH) != 0 && (call->parser.flags & F_CHUNKED) == 0;
     bool has_body = !call->is_head && call->parser.status_code != STATUS_NO_CONTENT &&
                     call->parser.status_code != STATUS_NOT_MODIFIED;
 
-    return has_length && has_body && call->parser.content_length > call->answer_max;
+    return has_length && has_body ? call->parser.content_length : CW_UPSTREAM_UNSTATED;
 }
 
 static int on_head(http_parser *parser)
@@ -70,13 +71,60 @@
     if (is_interim(call)) {
         return handle_interim(call);
     }
-    if (is_stated_too_long(call)) {
+    call->stated_length = stated_length(call);
+    if (call->stated_length != CW_UPSTREAM_UNSTATED && call->stated_length > call->answer_max) {
         return give_up(call, "answer too long");
     }
     call->head_done = true;
     return call->is_head ? 1 : 0;
 }
 
+/* ---- memory of bodies ---- */
+
+static cw_upstream_call_t *call_of(cw_answer_share_t *share)
+{
+    return (cw_upstream_call_t *)((char *)share - offsetof(cw_upstream_call_t, share));
+}
+
+/* Capacity of the buffer when the body grows to this length: it doubles, up to the length that is stated or allowed. */
+static size_t next_capacity(const cw_upstream_call_t *call, size_t length)
+{
+    size_t most = call->stated_length < call->answer_max ? call->stated_length : call->answer_max;
+    size_t doubled = 2 * call->body.capacity < most ? 2 * call->body.capacity : most;
+
+    return length > doubled ? length : doubled;
+}
+
+/* Reserves memory, if need be that of the answer that has most. Returns false if this is the answer that asks. */
+static bool reserve(cw_upstream_call_t *call, cw_answer_memory_t *memory, size_t bytes)
+{
+    while (!cw_answer_memory_reserve(memory, &call->share, bytes)) {
+        cw_answer_share_t *largest = cw_answer_memory_largest(memory);
+
+        if (largest == NULL || largest->bytes <= call->share.bytes + bytes) {
+            return false;
+        }
+        cw_upstream_give_up_for_memory(call_of(largest));
+    }
+    return true;
+}
+
+static bool make_room(cw_upstream_call_t *call, size_t length)
+{
+    cw_answer_memory_t *memory = call->connection->target->upstream->options.memory;
+    size_t              capacity;
+
+    if (length <= call->body.capacity) {
+        return true;
+    }
+    capacity = next_capacity(call, length);
+    if (memory != NULL && !reserve(call, memory, capacity - call->body.capacity)) {
+        return false;
+    }
+    cw_bytes_reserve(&call->body, capacity);
+    return true;
+}
+
 static int on_body(http_parser *parser, const char *bytes, size_t length)
 {
     cw_upstream_call_t *call = parser->data;
@@ -85,6 +133,10 @@
     if (call->body.length + length > call->answer_max) {
         return give_up(call, "answer too long");
     }
+    if (!make_room(call, call->body.length + length)) {
+        call->lacks_memory = true;
+        return give_up(call, "no memory for the answer");
+    }
     cw_bytes_append(&call->body, bytes, length);
     return 0;
 }
@@ -124,6 +176,7 @@
     call->builder.in_value = false;
     cw_http_fields_clear(&call->fields);
     call->body.length = 0;
+    call->stated_length = CW_UPSTREAM_UNSTATED;
     http_parser_init(&call->parser, HTTP_RESPONSE);
     call->parser.data = call;
 }
--- a/src/net/http_upstream_internal.h
+++ b/src/net/http_upstream_internal.h
@@ -14,6 +14,8 @@
 
 enum { CW_UPSTREAM_CHUNK = 16 * 1024 /* bytes of one read */ };
 
+#define CW_UPSTREAM_UNSTATED SIZE_MAX
+
 /** One connection to a target. */
 typedef struct cw_upstream_connection {
     uv_tcp_t                       tcp; /* first member: libuv's callbacks get this pointer */
@@ -55,7 +57,10 @@
     bool                    not_reusable; /* its connection ends, or bytes arrived that belong to no request */
     char                   *match_name;
     char                   *match_value;
-    const char             *failure; /* why the answer is given up; NULL: it is not */
+    const char             *failure;       /* why the answer is given up; NULL: it is not */
+    bool                    lacks_memory;  /* given up since other answers need the memory */
+    size_t                  stated_length; /* of the body; CW_UPSTREAM_UNSTATED: not stated */
+    cw_answer_share_t       share;         /* of the memory for answers */
     cw_answer_bounds_t      bounds;
     http_parser             parser;
     cw_http_fields_t        fields;
@@ -94,6 +99,12 @@
 /** Closes a connection; reset: with a TCP reset. */
 void cw_upstream_close_connection(cw_upstream_connection_t *connection, bool reset);
 
+/** Frees the body of a call's answer, and its share of the memory for answers. */
+void cw_upstream_free_body(cw_upstream_call_t *call);
+/** Gives up a call since other answers need its memory, which is free at once. The call ends in the next turn of the
+ * loop, so that this may be called while another answer is parsed. */
+void cw_upstream_give_up_for_memory(cw_upstream_call_t *call);
+
 /* ---- http_upstream_answer.c ---- */
 /** Callbacks of libuv for reading. */
 void cw_upstream_on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -167,6 +167,14 @@
 
 /* ---- start ---- */
 
+/* The largest answer: at most half of the memory for all of them. */
+static size_t answer_max(const cw_router_t *router)
+{
+    size_t most = router->settings.answer_bytes_most / 2;
+
+    return most < ANSWER_BYTES_MAX ? most : ANSWER_BYTES_MAX;
+}
+
 static cw_engine_settings_t engine_settings(const cw_router_t *router)
 {
     cw_engine_settings_t settings = {
@@ -185,7 +193,7 @@
         .repeat_factor = 4,
         .margin = CW_MS(15),
         .credential_scheme = router->settings.credential_scheme,
-        .answer_max = ANSWER_BYTES_MAX,
+        .answer_max = answer_max(router),
         .queue_max = QUEUED_REQUESTS_MAX};
 
     return settings;
@@ -225,7 +233,8 @@
 {
     cw_engine_settings_t  settings = engine_settings(router);
     cw_upstream_options_t upstream = {.idle_max = CW_MS(IDLE_CONNECTION_MS),
-                                      .unacknowledged = CW_MS(UNACKNOWLEDGED_TIMEOUT_MS)};
+                                      .unacknowledged = CW_MS(UNACKNOWLEDGED_TIMEOUT_MS),
+                                      .memory = &router->answer_memory};
     cw_peer_handler_t     peers = {router, cw_router_on_datagram};
     cw_store_callbacks_t  readers = {.context = router,
                                      .configuration = cw_router_on_configuration,
@@ -239,6 +248,7 @@
     char                  store_address[32];
     int                   error;
 
+    router->answer_memory.budget.limit_bytes = router->settings.answer_bytes_most;
     router->upstream = cw_upstream_create(&router->loop, &upstream);
     router->pool = cw_server_pool_create(router->settings.zone, on_server_dropped, router);
     cw_server_pool_set_node(router->pool, router->settings.node);
--- a/src/router/router_admin.c
+++ b/src/router/router_admin.c
@@ -56,6 +56,7 @@
     cw_metric_set(CW_METRIC_LOG_DROPPED, cw_event_log_dropped());
     cw_metric_set(CW_METRIC_CONNECTIONS, cw_http_listener_connections(router->callers));
     cw_metric_set(CW_METRIC_BODY_BYTES, cw_http_listener_body_bytes(router->callers));
+    cw_metric_set(CW_METRIC_ANSWER_BYTES, router->answer_memory.budget.reserved_bytes);
     cw_metric_set(CW_METRIC_QUEUED, cw_engine_queued(router->engine));
     cw_metric_set(CW_METRIC_CONNECTIONS_OPENED, cw_upstream_opened(router->upstream));
     cw_metric_set(CW_METRIC_MEMORY, resident_bytes());
--- a/src/router/router_delegation.c
+++ b/src/router/router_delegation.c
@@ -255,7 +255,8 @@
 {
     cw_router_delegation_t *delegation = cw_memory_zeroed(sizeof(*delegation));
     cw_upstream_options_t   options = {.idle_max = CW_MS(IDLE_CONNECTION_MS),
-                                       .unacknowledged = CW_MS(UNACKNOWLEDGED_TIMEOUT_MS)};
+                                       .unacknowledged = CW_MS(UNACKNOWLEDGED_TIMEOUT_MS),
+                                       .memory = &router->answer_memory};
     cw_delegation_port_t    port = {
            .context = delegation, .node = router->settings.node, .choose = choose, .failed = record_failure};
 
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -106,6 +106,7 @@
     cw_http_listener_t     *readiness;
     cw_http_listener_t     *metrics;
     cw_upstream_t          *upstream;
+    cw_answer_memory_t      answer_memory; /**< for answers of servers, also those that other nodes pass on */
     cw_server_pool_t       *pool;
     cw_engine_t            *engine;
     cw_peer_link_t         *link;
--- a/tests/test_endless_answers.c
+++ b/tests/test_endless_answers.c
@@ -9,8 +9,11 @@
 #include "net/http_upstream.h"
 
 enum {
-    TIMEOUT_MS = 3000,         /* of calls: a call that is not ended earlier fails its test */
-    ANSWER_MAX = 1024 * 1024,  /* bytes of a body */
+    TIMEOUT_MS = 3000,        /* of calls: a call that is not ended earlier fails its test */
+    ANSWER_MAX = 1024 * 1024, /* bytes of a body */
+    MEMORY_BYTES = 2 * ANSWER_MAX,
+    CALLS = 16,
+    SMALL_BYTES = 20000,
     LONG_BYTES = 20 * 1024,    /* a long line: shorter than the longest head */
     SENT_MAX = 8 * 1024 * 1024 /* bytes that the kernel's buffers take besides those that are read */
 };
@@ -30,6 +33,7 @@
 /** A client, and a server without an end. */
 typedef struct fixture {
     uv_loop_t             loop;
+    cw_answer_memory_t    memory;
     cw_upstream_t        *upstream;
     endless_server_t      server;
     cw_upstream_target_t *target;
@@ -37,9 +41,10 @@
 
 static void init(fixture_t *fixture, const char *begin, const char *unit)
 {
-    cw_upstream_options_t options = {.idle_max = CW_SECONDS(20)};
+    cw_upstream_options_t options = {.idle_max = CW_SECONDS(20), .memory = &fixture->memory};
 
     memset(fixture, 0, sizeof(*fixture));
+    fixture->memory.budget.limit_bytes = MEMORY_BYTES;
     uv_loop_init(&fixture->loop);
     fixture->upstream = cw_upstream_create(&fixture->loop, &options);
     endless_server_start(&fixture->server, &fixture->loop, begin, unit);
@@ -54,6 +59,7 @@
     call->result = answer->result;
     call->status = answer->status;
     call->body_length = answer->body_length;
+    call->spoiled = answer->spoiled;
     snprintf(call->failure, sizeof(call->failure), "%s", answer->failure == NULL ? "" : answer->failure);
 }
 
@@ -90,6 +96,8 @@
     call = call_server(&fixture);
     ck_assert_str_eq(call.failure, failure);
     ck_assert_int_eq(call.result, CW_UPSTREAM_BROKEN);
+    ck_assert(call.spoiled);
+    ck_assert_uint_eq(fixture.memory.budget.reserved_bytes, 0);
     while (fixture.server.open > 0) {
         uv_run(&fixture.loop, UV_RUN_ONCE);
     }
@@ -197,6 +205,8 @@
     ck_assert_str_eq(call.failure, "");
     ck_assert_int_eq(call.status, 200);
     ck_assert_uint_eq(call.body_length, body_length);
+    ck_assert(!call.spoiled);
+    ck_assert_uint_eq(fixture.memory.budget.reserved_bytes, 0);
 }
 
 static char text_of_answer[2 * ANSWER_MAX];
@@ -246,6 +256,161 @@
 }
 END_TEST
 
+/* ---- memory of all bodies together ---- */
+
+static bool are_done(const call_t *calls)
+{
+    size_t index;
+
+    for (index = 0; index < CALLS; index++) {
+        if (!calls[index].is_done) {
+            return false;
+        }
+    }
+    return true;
+}
+
+START_TEST(bodies_without_end_share_the_memory)
+{
+    fixture_t fixture;
+    call_t    calls[CALLS];
+    size_t    most = 0;
+    size_t    index;
+
+    init(&fixture, "HTTP/1.1 200 OK\r\n\r\n", "body");
+    for (index = 0; index < CALLS; index++) {
+        begin_call(fixture.target, &calls[index]);
+    }
+    while (!are_done(calls)) {
+        uv_run(&fixture.loop, UV_RUN_ONCE);
+        most = fixture.memory.budget.reserved_bytes > most ? fixture.memory.budget.reserved_bytes : most;
+    }
+    ck_assert_uint_gt(most, ANSWER_MAX);
+    ck_assert_uint_le(most, MEMORY_BYTES);
+    ck_assert_uint_eq(fixture.memory.budget.reserved_bytes, 0);
+    for (index = 0; index < CALLS; index++) {
+        ck_assert_int_eq(calls[index].result, CW_UPSTREAM_BROKEN);
+        ck_assert(calls[index].spoiled);
+    }
+}
+END_TEST
+
+/* Begins calls whose answers stop short of their end, until they hold all memory. */
+static void use_up_memory(fixture_t *fixture, call_t *calls)
+{
+    enum { HELD_BYTES = MEMORY_BYTES - SMALL_BYTES / 2 };
+    size_t index;
+
+    for (index = 0; index < 2; index++) {
+        begin_call(fixture->target, &calls[index]);
+    }
+    while (fixture->memory.budget.reserved_bytes < HELD_BYTES) {
+        ck_assert(!calls[0].is_done && !calls[1].is_done);
+        uv_run(&fixture->loop, UV_RUN_ONCE);
+    }
+}
+
+/* Returns a head followed by as much of a body as has the capacity of ANSWER_MAX. */
+static const char *long_answer(const char *head)
+{
+    char *place = stpcpy(text_of_answer, head);
+
+    memset(place, 'x', ANSWER_MAX - 1000);
+    place[ANSWER_MAX - 1000] = '\0';
+    return text_of_answer;
+}
+
+static const char *small_answer(void)
+{
+    static char text[SMALL_BYTES + 100];
+    int         length = snprintf(text, sizeof(text), "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", SMALL_BYTES);
+
+    memset(text + length, 'x', SMALL_BYTES);
+    return text;
+}
+
+/* A small answer of another server arrives while two long ones hold the memory. Returns the one that made way. */
+static call_t send_small_answer(const char *head_of_long)
+{
+    fixture_t        fixture;
+    endless_server_t other;
+    call_t           calls[2];
+    call_t           small;
+
+    init(&fixture, long_answer(head_of_long), NULL);
+    endless_server_start(&other, &fixture.loop, small_answer(), NULL);
+    use_up_memory(&fixture, calls);
+    begin_call(cw_upstream_target_create(fixture.upstream, other.address), &small);
+    cw_test_run_until_set(&fixture.loop, &small.is_done);
+    ck_assert_int_eq(small.status, 200);
+    cw_test_run_some(&fixture.loop, 10);
+    ck_assert(calls[0].is_done != calls[1].is_done);
+    return calls[0].is_done ? calls[0] : calls[1];
+}
+
+START_TEST(a_small_answer_gets_memory_when_endless_ones_hold_it)
+{
+    call_t call = send_small_answer("HTTP/1.1 200 OK\r\n\r\n");
+
+    ck_assert_int_eq(call.result, CW_UPSTREAM_BROKEN);
+    ck_assert_str_eq(call.failure, "no memory for the answer");
+    ck_assert(call.spoiled);
+}
+END_TEST
+
+START_TEST(an_answer_of_a_stated_length_that_makes_way_is_not_spoiled)
+{
+    call_t call = send_small_answer("HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n");
+
+    ck_assert_int_eq(call.result, CW_UPSTREAM_BROKEN);
+    ck_assert_str_eq(call.failure, "no memory for the answer");
+    ck_assert(!call.spoiled);
+}
+END_TEST
+
+START_TEST(a_call_that_ends_otherwise_returns_its_memory)
+{
+    fixture_t             fixture;
+    call_t                call = {0};
+    cw_upstream_call_t   *abandoned;
+    cw_upstream_request_t request = {.bytes = request_bytes,
+                                     .length = sizeof(request_bytes) - 1,
+                                     .connect_timeout = CW_MS(TIMEOUT_MS),
+                                     .timeout = CW_MS(TIMEOUT_MS),
+                                     .answer_max = ANSWER_MAX};
+
+    init(&fixture, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nshort", NULL);
+    abandoned = cw_upstream_call(fixture.target, &request, on_answered, &call);
+    while (fixture.memory.budget.reserved_bytes == 0) {
+        ck_assert(!call.is_done);
+        uv_run(&fixture.loop, UV_RUN_ONCE);
+    }
+    cw_upstream_call_abandon(abandoned);
+    ck_assert_uint_eq(fixture.memory.budget.reserved_bytes, 0);
+    ck_assert_ptr_null(cw_answer_memory_largest(&fixture.memory));
+}
+END_TEST
+
+START_TEST(memory_is_limited_and_the_largest_share_is_known)
+{
+    cw_answer_memory_t memory = {.budget.limit_bytes = 100};
+    cw_answer_share_t  shares[3] = {0};
+
+    ck_assert(cw_answer_memory_reserve(&memory, &shares[0], 20));
+    ck_assert(cw_answer_memory_reserve(&memory, &shares[1], 30));
+    ck_assert(cw_answer_memory_reserve(&memory, &shares[2], 25));
+    ck_assert(!cw_answer_memory_reserve(&memory, &shares[0], 26));
+    ck_assert_uint_eq(shares[0].bytes, 20);
+    ck_assert_ptr_eq(cw_answer_memory_largest(&memory), &shares[1]);
+    cw_answer_memory_release(&memory, &shares[1]);
+    cw_answer_memory_release(&memory, &shares[1]);
+    ck_assert_ptr_eq(cw_answer_memory_largest(&memory), &shares[2]);
+    ck_assert(cw_answer_memory_reserve(&memory, &shares[0], 55));
+    ck_assert_ptr_eq(cw_answer_memory_largest(&memory), &shares[0]);
+    ck_assert_uint_eq(memory.budget.reserved_bytes, 100);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("endless answers");
@@ -267,6 +432,11 @@
     tcase_add_test(cases, one_late_answer_before_the_own_one_is_accepted);
     tcase_add_test(cases, a_long_body_in_small_chunks_is_accepted);
     tcase_add_test(cases, a_stated_length_without_a_body_is_accepted);
+    tcase_add_test(cases, bodies_without_end_share_the_memory);
+    tcase_add_test(cases, a_small_answer_gets_memory_when_endless_ones_hold_it);
+    tcase_add_test(cases, an_answer_of_a_stated_length_that_makes_way_is_not_spoiled);
+    tcase_add_test(cases, a_call_that_ends_otherwise_returns_its_memory);
+    tcase_add_test(cases, memory_is_limited_and_the_largest_share_is_known);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
