Avoid servers that spoil each of their answers

Cause: a server counted as failed only if no byte came from it. Change: five spoiled answers in a row make a server suspect (balance/spoiled_answers.h), with the time of avoidance and the single requests after it that failed servers have; a whole answer ends it; none is avoided if no other is sound. Where a broker grants slots it counts, by a new end of a slot (an older broker takes it as no statement).

--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -1014,7 +1014,7 @@
   ProtobufCMessage base;
   uint32_t ticket;
   /*
-   * 0 answered, 1 failed, 2 no statement about the server
+   * 0 answered, 1 failed, 2 no statement about the server, 3 its answer was spoiled
    */
   uint32_t end;
   /*
--- a/src/balance/server_choice.c
+++ b/src/balance/server_choice.c
@@ -8,9 +8,8 @@
 #include "balance/server_pool_internal.h"
 
 enum {
-    PACE_EXPIRY_S = 6,     /* a pace above 1 counts half its excess when not measured for so long */
-    SAMPLE_FRESH_MS = 200, /* validity of a load sample: the requests it counts take about as long */
-    SUSPECT_FAULTS = 2     /* in a row; a single fault may be a connection that the server had closed as idle */
+    PACE_EXPIRY_S = 6,    /* a pace above 1 counts half its excess when not measured for so long */
+    SAMPLE_FRESH_MS = 200 /* validity of a load sample: the requests it counts take about as long */
 };
 
 static const double busy_weight = 0.45;  /* additional cost factor of a server with all slots in use */
@@ -116,7 +115,7 @@
 
 bool cw_server_is_suspect(const cw_server_t *server)
 {
-    return server->faults >= SUSPECT_FAULTS;
+    return server->faults >= CW_SUSPECT_FAULTS;
 }
 
 /* Class of a server, which takes precedence over its cost. A server of a lower class is chosen only if the service has
--- a/src/balance/server_pool.c
+++ b/src/balance/server_pool.c
@@ -369,6 +369,7 @@
 {
     server->faults = 0;
     server->avoid_until = 0;
+    server->spoiled = 0;
 }
 
 void cw_server_pool_record_served(cw_server_t *server, cw_time_us_t took, cw_time_us_t mean_time, cw_time_us_t now)
--- a/src/balance/server_pool.h
+++ b/src/balance/server_pool.h
@@ -64,6 +64,7 @@
     cw_time_us_t  answered_others_at;    /**< it has certainly answered another node since then; 0: not known */
     cw_server_report_t sum;              /**< temporary value of cw_server_pool_sum */
     uint32_t           faults;           /**< failed requests in a row */
+    uint32_t           spoiled;          /**< answers that it spoiled in a row (spoiled_answers.h) */
     cw_time_us_t       avoid_until;      /**< until then chosen only if no other server can be */
     cw_time_us_t       cold_until;       /**< end of its warm-up; 0: it is warm */
     bool               entry_is_cold;    /**< its last list entry says that it is cold */
@@ -203,7 +204,7 @@
 void cw_server_pool_record_load(cw_server_t *server, const cw_server_load_t *sample, cw_time_us_t now);
 /** No complete answer was received within `waited`: the request takes at least that long. */
 void cw_server_pool_record_slow(cw_server_t *server, cw_time_us_t waited, cw_time_us_t mean_time, cw_time_us_t now);
-/** The server has answered: resets its count of faults. */
+/** The server has answered: resets its counts of faults and of spoiled answers. */
 void cw_server_pool_clear_faults(cw_server_t *server);
 /** True if the server has failed several times in a row. */
 bool cw_server_is_suspect(const cw_server_t *server);
--- a/src/balance/server_pool_internal.h
+++ b/src/balance/server_pool_internal.h
@@ -9,7 +9,10 @@
 #include "balance/leaving_servers.h"
 #include "balance/server_pool.h"
 
-enum { CW_AVOID_INITIAL_MS = 300 /**< initial time for which a failed server is avoided */ };
+enum {
+    CW_AVOID_INITIAL_MS = 300, /**< initial time for which a failed server is avoided */
+    CW_SUSPECT_FAULTS = 2      /**< in a row; a single fault may be a connection that the server had closed as idle */
+};
 
 /** Weight of one answer in the moving average of a server's pace; docs/MEASUREMENTS.md has the measurements.
  */
--- a/src/balance/slot_broker.c
+++ b/src/balance/slot_broker.c
@@ -9,6 +9,7 @@
 #include <utlist.h>
 
 #include "balance/slot_broker_internal.h"
+#include "balance/spoiled_answers.h"
 #include "base/memory.h"
 
 enum {
@@ -366,6 +367,8 @@
     }
     if (server != NULL && returned->end == CW_SLOT_FAILED) {
         cw_server_pool_record_fault(server, now);
+    } else if (server != NULL && returned->end == CW_SLOT_SPOILED) {
+        (void)cw_server_pool_record_spoiled(broker->pool, server, now);
     } else if (server != NULL && returned->end == CW_SLOT_ANSWERED) {
         cw_server_pool_clear_faults(server);
     }
--- a/src/balance/slot_broker.h
+++ b/src/balance/slot_broker.h
@@ -56,7 +56,8 @@
 typedef enum cw_slot_end {
     CW_SLOT_ANSWERED,
     CW_SLOT_FAILED, /**< no connection, or no answer */
-    CW_SLOT_UNUSED  /**< not sent or cancelled: no information about the server */
+    CW_SLOT_UNUSED, /**< not sent or cancelled: no information about the server */
+    CW_SLOT_SPOILED /**< the server spoiled its answer (spoiled_answers.h) */
 } cw_slot_end_t;
 
 /** Return of a slot by the node that asked for it. */
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "balance/spoiled_answers.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "base/text.h"
@@ -133,6 +134,20 @@
     }
 }
 
+/* A broker that granted the slot counts for all nodes; counted here as well, an answer would count twice where this
+ * node is the broker. */
+static void record_spoiled(cw_request_t *request, cw_server_t *server, cw_time_us_t now)
+{
+    if (request->claim.state == CW_CLAIM_HELD) {
+        request->claim.end = CW_SLOT_SPOILED;
+        return;
+    }
+    if (!cw_engine_has_lost_paths(request->engine, server->service_hash) &&
+        cw_server_pool_record_spoiled(request->engine->pool, server, now)) {
+        log_server(server, CW_EVENT_SERVER_LOST, "each answer spoiled");
+    }
+}
+
 /* ---- outcomes ---- */
 
 static void update_means(cw_request_t *request, cw_server_t *server, cw_time_us_t now)
@@ -300,6 +315,8 @@
         if (!answer->any_byte) {
             record_fault(request->engine, server, answer->failure, now);
             request->claim.end = CW_SLOT_FAILED;
+        } else if (answer->spoiled) {
+            record_spoiled(request, server, now);
         }
         if (answer->result == CW_UPSTREAM_BROKEN) {
             cw_request_record_server_lost(request, server, now);
--- a/src/router/router_slots.c
+++ b/src/router/router_slots.c
@@ -291,7 +291,7 @@
                                    .limit_per_s = message->limit_per_s};
     cw_slot_return_t    returned = {.node = peer->address,
                                     .ticket = message->ticket,
-                                    .end = message->end > CW_SLOT_UNUSED ? CW_SLOT_UNUSED : (cw_slot_end_t)message->end,
+                                    .end = message->end > CW_SLOT_SPOILED ? CW_SLOT_UNUSED : (cw_slot_end_t)message->end,
                                     .signals = message->answered ? &signals : NULL};
 
     handle_return(router, &returned, cw_router_now(router));
