--- a/src/net/http_upstream_answer.c
+++ b/src/net/http_upstream_answer.c
@@ -2,12 +2,13 @@
  * @file http_upstream_answer.c
  * @brief Reading of answers: framing, answers to other requests, end of the connection.
  */
+#include <stddef.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #include "net/http_upstream_internal.h"
 
-enum { INTERIM_LAST = 199 };
+enum { INTERIM_LAST = 199, STATUS_NO_CONTENT = 204, STATUS_NOT_MODIFIED = 304 };
 
 static bool is_interim(const cw_upstream_call_t *call)
 {
@@ -34,26 +35,107 @@
     return 0;
 }
 
+/* Gives the answer up. Returns what makes the parser stop. */
+static int give_up(cw_upstream_call_t *call, const char *failure)
+{
+    call->failure = failure;
+    return -1;
+}
+
+static int handle_interim(cw_upstream_call_t *call)
+{
+    const char *exceeded;
+
+    cw_http_fields_clear(&call->fields);
+    call->builder.in_value = false;
+    call->bounds.interim++;
+    exceeded = cw_answer_bounds_exceeded(&call->bounds);
+    return exceeded != NULL ? give_up(call, exceeded) : 1;
+}
+
+/* The stated length of the body that follows the head. An answer without a body may state the length that it would have
+ * (RFC 9110, 8.6). */
+static size_t stated_length(const cw_upstream_call_t *call)
+{
+    bool has_length = (call->parser.flags & F_CONTENTLENGTH) != 0 && (call->parser.flags & F_CHUNKED) == 0;
+    bool has_body = !call->is_head && call->parser.status_code != STATUS_NO_CONTENT &&
+                    call->parser.status_code != STATUS_NOT_MODIFIED;
+
+    return has_length && has_body ? call->parser.content_length : CW_UPSTREAM_UNSTATED;
+}
+
 static int on_head(http_parser *parser)
 {
     cw_upstream_call_t *call = parser->data;
 
     if (is_interim(call)) {
-        cw_http_fields_clear(&call->fields);
-        call->builder.in_value = false;
-        return 1;
+        return handle_interim(call);
+    }
+    call->stated_length = stated_length(call);
+    if (call->stated_length != CW_UPSTREAM_UNSTATED && call->stated_length > call->answer_max) {
+        return give_up(call, "answer too long");
     }
     call->head_done = true;
     return call->is_head ? 1 : 0;
 }
 
+/* ---- memory of bodies ---- */
+
+static cw_upstream_call_t *call_of(cw_answer_share_t *share)
+{
+    return (cw_upstream_call_t *)((char *)share - offsetof(cw_upstream_call_t, share));
+}
+
+/* Capacity of the buffer when the body grows to this length: it doubles, up to the length that is stated or allowed. */
+static size_t next_capacity(const cw_upstream_call_t *call, size_t length)
+{
+    size_t most = call->stated_length < call->answer_max ? call->stated_length : call->answer_max;
+    size_t doubled = 2 * call->body.capacity < most ? 2 * call->body.capacity : most;
+
+    return length > doubled ? length : doubled;
+}
+
+/* Reserves memory, if need be that of the answer that has most. Returns false if this is the answer that asks. */
+static bool reserve(cw_upstream_call_t *call, cw_answer_memory_t *memory, size_t bytes)
+{
+    while (!cw_answer_memory_reserve(memory, &call->share, bytes)) {
+        cw_answer_share_t *largest = cw_answer_memory_largest(memory);
+
+        if (largest == NULL || largest->bytes <= call->share.bytes + bytes) {
+            return false;
+        }
+        cw_upstream_give_up_for_memory(call_of(largest));
+    }
+    return true;
+}
+
+static bool make_room(cw_upstream_call_t *call, size_t length)
+{
+    cw_answer_memory_t *memory = call->connection->target->upstream->options.memory;
+    size_t              capacity;
+
+    if (length <= call->body.capacity) {
+        return true;
+    }
+    capacity = next_capacity(call, length);
+    if (memory != NULL && !reserve(call, memory, capacity - call->body.capacity)) {
+        return false;
+    }
+    cw_bytes_reserve(&call->body, capacity);
+    return true;
+}
+
 static int on_body(http_parser *parser, const char *bytes, size_t length)
 {
     cw_upstream_call_t *call = parser->data;
 
+    call->bounds.body += length;
     if (call->body.length + length > call->answer_max) {
-        call->too_long = true;
-        return -1;
+        return give_up(call, "answer too long");
+    }
+    if (!make_room(call, call->body.length + length)) {
+        call->lacks_memory = true;
+        return give_up(call, "no memory for the answer");
     }
     cw_bytes_append(&call->body, bytes, length);
     return 0;
@@ -87,37 +169,54 @@
 /* Discards an answer to another request; the answer to this call may follow. */
 static void discard_answer(cw_upstream_call_t *call)
 {
+    cw_answer_bounds_record_foreign(&call->bounds);
     call->not_reusable = true;
     call->complete = false;
     call->head_done = false;
     call->builder.in_value = false;
     cw_http_fields_clear(&call->fields);
     call->body.length = 0;
+    call->stated_length = CW_UPSTREAM_UNSTATED;
     http_parser_init(&call->parser, HTTP_RESPONSE);
     call->parser.data = call;
 }
 
-static void handle_bytes(cw_upstream_call_t *call, const char *bytes, size_t length)
+/* Parses bytes up to the end of the answer to this call, or up to an error. Returns how many were parsed. */
+static size_t parse(cw_upstream_call_t *call, const char *bytes, size_t length)
 {
     size_t parsed;
 
-    call->any_byte = true;
+    call->bounds.bytes += length;
     parsed = http_parser_execute(&call->parser, &parser_settings, bytes, length);
-    while (call->complete && is_foreign(call)) {
-        bytes += parsed;
-        length -= parsed;
+    while (call->complete && is_foreign(call) && cw_answer_bounds_exceeded(&call->bounds) == NULL) {
         discard_answer(call);
-        parsed = http_parser_execute(&call->parser, &parser_settings, bytes, length);
+        call->bounds.bytes = length - parsed;
+        parsed += http_parser_execute(&call->parser, &parser_settings, bytes + parsed, length - parsed);
     }
-    if (call->complete) {
+    return parsed;
+}
+
+static void handle_bytes(cw_upstream_call_t *call, const char *bytes, size_t length)
+{
+    size_t parsed;
+
+    call->any_byte = true;
+    parsed = parse(call, bytes, length);
+    if (call->complete && !is_foreign(call)) {
         if (parsed < length) { /* the answer is valid, but the connection must not be reused */
             call->not_reusable = true;
         }
         cw_upstream_end_call(call, CW_UPSTREAM_ANSWERED, NULL, false);
         return;
     }
-    if (HTTP_PARSER_ERRNO(&call->parser) != HPE_OK || call->parser.upgrade) {
-        cw_upstream_end_call(call, CW_UPSTREAM_BROKEN, call->too_long ? "answer too long" : "not an answer", false);
+    if (call->failure == NULL) {
+        call->failure = cw_answer_bounds_exceeded(&call->bounds);
+    }
+    if (call->failure == NULL && (HTTP_PARSER_ERRNO(&call->parser) != HPE_OK || call->parser.upgrade)) {
+        call->failure = "not an answer";
+    }
+    if (call->failure != NULL) {
+        cw_upstream_end_call(call, CW_UPSTREAM_BROKEN, call->failure, false);
     }
 }
 
