--- a/src/assignment/assigner.h
+++ b/src/assignment/assigner.h
@@ -9,8 +9,12 @@
  *    of an earlier leader then fails its condition, so it cannot replace the state that the new leader has read.
  *  - A renewal repeats a grant to the same server and needs no wait. A move needs one of: the former holder's
  *    confirmation of the release; proof that its incarnation has ended; or the expiry of its hold, including clock
- *    drift, counted from the latest time at which a grant or renewal may have reached it: its answer, or its timeout,
- *    after which its connection is reset.
+ *    drift, counted from the latest time at which a grant or renewal may have been carried out in time: its answer, or
+ *    its timeout.
+ *  - An order without an answer may be carried out later than that (server_contact.h). So a grant whose fence the owner
+ *    has not confirmed to this leader leaves only when the owner has just answered a probe, and a server with an
+ *    unanswered order gets neither renewals nor other fences before it has answered one (assigner_probes.c). A former
+ *    holder that may still carry out a grant is told after its hold has expired (assigner_notices.c).
  *  - An incarnation has ended if another one answers an order at its address. The list of servers proves no end: it may
  *    be older than the record, and name the server that had the address before; and a later incarnation of a server
  * that keeps its name may hold the keys itself, since it takes grants for the one before.
