--- a/spec/check.sh
+++ b/spec/check.sh
@@ -48,6 +48,15 @@
 ends-no-move-limit break holds -DTICKS=5 -DMOVES_LEFT=2 -DREADS_LEFT=0 -DNO_MOVE_LIMIT
 ends-no-move-back break holds -DTICKS=3 -DMOVES_LEFT=3 -DLEADERS_LEFT=0 -DREADS_LEFT=0 -DNO_MOVE_BACK
 ends-no-plan-guard break holds -DTICKS=3 -DMOVES_LEFT=2 -DLEADERS_LEFT=0 -DREADS_LEFT=0 -DNO_PLAN_GUARD
+orders-hold hold orders
+orders-hold-5-ticks hold orders -DTICKS=5 -DLEADERS_LEFT=0
+orders-no-probe break orders -DNO_PROBE -DLEADERS_LEFT=0
+orders-no-new-fence break orders -DNO_NEW_FENCE -DLEADERS_LEFT=0
+orders-no-fresh-answer break orders -DNO_FRESH_ANSWER -DLEADERS_LEFT=0
+orders-no-adoption break orders -DNO_ADOPTION
+orders-no-rest break orders -DNO_REST -DLEADERS_LEFT=0
+orders-no-sent-count break orders -DNO_SENT_COUNT -DLEADERS_LEFT=0
+orders-no-hold-wait break orders -DNO_HOLD_WAIT -DLEADERS_LEFT=0
 tokens-hold hold tokens -DREFILLS_LEFT=0
 tokens-hold-refilled hold tokens -DRESTARTS_LEFT=0
 tokens-hold-one-change hold tokens -DSWITCHES_LEFT=1
