--- a/sim/lease_orders.c
+++ b/sim/lease_orders.c
@@ -194,10 +194,11 @@
 
 static void note_connection(const sim_delivery_t *delivery)
 {
-    if (!is_connected_since(delivery, delivery->order.sent_at)) {
-        *connection_of(delivery) =
-            (sim_connection_t){.server = sim_server_at(delivery->node->world, delivery->order.address)->number,
-                               .opened_at = delivery->order.sent_at};
+    cw_time_us_t now = delivery->node->world->now;
+
+    if (!is_connected_since(delivery, now)) {
+        *connection_of(delivery) = (sim_connection_t){
+            .server = sim_server_at(delivery->node->world, delivery->order.address)->number, .opened_at = now};
     }
 }
 
@@ -236,8 +237,7 @@
     cw_time_us_t now = node->world->now;
 
     return node->world->settings.leaves_unchecked ||
-           (now - order->sent_at <= CW_MS(CW_SIM_ORDER_TIMEOUT_MS) && node->assigner != NULL &&
-            cw_assigner_first_term(node->assigner) == first_term &&
+           (now <= order->leave_by && node->assigner != NULL && cw_assigner_first_term(node->assigner) == first_term &&
             cw_leadership_has_authority(&node->leadership, now));
 }
 
@@ -261,6 +261,7 @@
     } else if (!sim_order_may_be_sent(node, &delivery->order, delivery->first_term)) {
         delivery->result = CW_ORDER_WITHDRAWN;
     } else {
+        cw_assigner_order_leaves(node->assigner, delivery->order.id, world->now);
         send_bytes(world, delivery);
         return;
     }
