--- a/sim/lease_late_grants.c
+++ b/sim/lease_late_grants.c
@@ -53,6 +53,7 @@
     late->drawn += delivery->delay == SIM_DELAY_DRAWN ? 1 : 0;
     late->in_socket += delivery->delay == SIM_DELAY_IN_SOCKET ? 1 : 0;
     late->in_sender += delivery->delay == SIM_DELAY_IN_SENDER ? 1 : 0;
+    late->waited += delivery->answer_age > CW_MS(CW_SIM_ANSWER_AGE_MS) ? 1 : 0;
     late->longest = delivery->answer_age > late->longest ? delivery->answer_age : late->longest;
     return true;
 }
@@ -78,6 +79,9 @@
         sim_trace(world, "cell %u went to %s by a late grant that no sender can prevent", cell, server->id);
         return;
     }
+    sim_trace(world, "order %llu was written %.3f ms after the server's answer to a probe%s",
+              (unsigned long long)delivery->order.id, (double)delivery->answer_age / 1e3,
+              delivery->is_repeat ? ", a repeat" : "");
     sim_violation(world, "at %.3f s cell %u went to %s with fence %llu%s; %s had it with %llu",
                   (double)world->now / 1e6, cell, server->id, (unsigned long long)delivery->order.fence,
                   delay_name(delivery->delay), world->fence_of[cell], (unsigned long long)world->fences[cell]);
--- a/sim/main.c
+++ b/sim/main.c
@@ -17,10 +17,11 @@
 {
     if (late->drawn + late->in_socket + late->in_sender + late->later_life > 0) {
         printf("    late grants that no sender can prevent, by cells: %llu at random, %llu from sockets, %llu that "
-               "left late, "
-               "%llu in a later life; written %lld us at most after an answer\n",
+               "left late "
+               "(%llu waited for a connection), %llu in a later life; written %lld us at most after an answer\n",
                (unsigned long long)late->drawn, (unsigned long long)late->in_socket,
-               (unsigned long long)late->in_sender, (unsigned long long)late->later_life, (long long)late->longest);
+               (unsigned long long)late->in_sender, (unsigned long long)late->waited,
+               (unsigned long long)late->later_life, (long long)late->longest);
     }
 }
 
