--- a/sim/lease_faults.c
+++ b/sim/lease_faults.c
@@ -55,6 +55,7 @@
     settings->kept_names = 0.7;
     settings->stops = 0.2;
     settings->late_departures = 0.003;
+    settings->late_orders_end = true;
 }
 
 static bool begins_in_step(sim_world_t *world, double per_second)
--- a/sim/main.c
+++ b/sim/main.c
@@ -30,14 +30,14 @@
     uint32_t index;
 
     printf("seed %llu: %llu requests, %llu turned away, %llu unrouted, %llu grants, %llu moves, %llu leaders, "
-           "%llu restores, %llu continued, %llu stops, %llu grants from sockets, %llu orders left late, "
+           "%llu restores, %llu continued, %llu stops, %llu orders from sockets (%llu grants), %llu orders left late, "
            "overlap %lld ms, %u violations%s\n",
            (unsigned long long)seed, (unsigned long long)result->requests, (unsigned long long)result->turned_away,
            (unsigned long long)result->unrouted, (unsigned long long)result->grants, (unsigned long long)result->moves,
            (unsigned long long)result->leaders, (unsigned long long)result->restores,
            (unsigned long long)result->continued, (unsigned long long)result->stops,
-           (unsigned long long)result->from_socket, (unsigned long long)result->departures,
-           (long long)result->longest_overlap / 1000, result->violations,
+           (unsigned long long)result->from_socket, (unsigned long long)result->grants_from_socket,
+           (unsigned long long)result->departures, (long long)result->longest_overlap / 1000, result->violations,
            result->served_at_end ? "" : ", NOT SERVED at the end");
     for (index = 0; index < result->violations && index < CW_SIM_VIOLATIONS_MAX; index++) {
         printf("    %s\n", result->violation[index]);
