--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -90,8 +90,10 @@
     link link callers "$name" "$NET.101:$((LINK_SERVER_PORT + LINKED_SERVERS))" "$NET.100:$((LINK_SERVER_PORT + LINKED_SERVERS))"
 }
 
+# Starts a node. Its earlier process, if there is one, has been sent a signal; on a busy machine it holds its addresses for a while.
 start_node() {
     local n=$1 zone="z$((($1 - 1) % ${CLUSTER_ZONES:-3} + 1))" store first_look=""
+    [ -z "${NODE_PIDS[$n]:-}" ] || wait "${NODE_PIDS[$n]}" 2>/dev/null
     [ -e "$WORK/node$n.yaml" ] || first_look="first_look_within_ms: 20"
     store=$(store_address_for "$n")
     if [ -n "${LINKED:-}" ]; then
@@ -215,9 +217,15 @@
 
 sum_of() { tail -1 "$WORK/callers-$1.json" | jq -r "(.$2 // 0)"; }
 
-cluster_check() { # troubles.json: troubles of nodes, if a test records them
+# troubles.json: troubles of nodes, if a test records them. Which requests were passed to which node is in the nodes' logs.
+cluster_check() {
+    local n
     touch "$WORK/troubles.json"
-    "$BUILD/cw-verdict" "$WORK"/server-*.json "$WORK"/callers-*.json "$WORK/troubles.json"
+    for n in "${!NODE_PIDS[@]}"; do
+        echo "{\"ns\":0,\"event\":\"name\",\"id\":\"n$n\",\"node\":\"$NET.$n:8080\"}"
+    done >"$WORK/names.json"
+    grep -hE '"event":"(delegated|delegation declined)"' "$WORK"/node*.log >"$WORK/passed.log"
+    "$BUILD/cw-verdict" "$WORK"/server-*.json "$WORK"/callers-*.json "$WORK/troubles.json" "$WORK/names.json" "$WORK/passed.log"
 }
 
 # ---- tests: checks are counted; the test runner (tests/run.sh) reads the last line ----
