--- a/Makefile
+++ b/Makefile
@@ -95,6 +95,7 @@
 	$(BUILD)/cw-lease --seed $(FIRST) --seeds $(SEEDS) --quiet
 	$(BUILD)/cw-lease --seed $(FIRST) --seeds $(SEEDS) --quiet --restores
 	$(BUILD)/cw-lease --seed $(FIRST) --seeds $(SEEDS) --quiet --lists
+	$(BUILD)/cw-lease --seed $(FIRST) --seeds $(SEEDS) --quiet --stops
 
 # Real processes under faults: make fault-soak [SEED=n] [SEEDS=n] [ROUNDS=n] [NODES=n] [SERVERS=n], see tests/fault_soak/soak.sh
 SEED ?= 1
