cw-verdict and the soak of orders: format

Cause: the head comment of cw-verdict was not stable under clang-format; two lines of the soak were longer than 150 characters. Change: the comment's sentences and these lines are broken in other places; no behaviour changes.

--- a/standins/verdict/main.c
+++ b/standins/verdict/main.c
@@ -2,9 +2,10 @@
  * @file main.c
  * @brief Checks the records of servers and callers for violations of the guarantees of the router.
  *
- * Reads JSON lines of servers, callers and nodes' logs from the files named as arguments, in any order. Prints one line
- * for each violation and a last line "N runs, N attempts, N violations"; before it, if keys were granted, "N grants to N
- * servers, N late repeats, N times two servers held keys together". The exit code is 1 if there is a violation. Rules:
+ * Reads JSON lines of servers and callers from the files named as arguments, in any order. Prints one line for each
+ * violation and a last line "N runs, N attempts, N violations". If keys were granted, a line before it says "N grants
+ * to N servers, N late repeats, N times two servers held keys together". The exit code is 1 if there is a violation.
+ * Rules:
  *
  *  - OWNER is violated if two incarnations of servers begin requests on a key while both hold it. An incarnation holds
  *    a key from its grant to its release, its stop, or the end of the hold time since the last grant.
--- a/tests/fault_soak/orders_soak.sh
+++ b/tests/fault_soak/orders_soak.sh
@@ -83,7 +83,8 @@
     NEXT_SERVER=$((NEXT_SERVER + 1))
     name=m$NEXT_SERVER
     [ $((NEXT_SERVER % 3)) != 0 ] || own_name=(--id "own-$name")
-    cluster_server "$name" --service maps --zone "z$((NEXT_SERVER % 3 + 1))" --keyed --work-ms 15 --seed "$((SEED * 100 + NEXT_SERVER))" "${own_name[@]}"
+    cluster_server "$name" --service maps --zone "z$((NEXT_SERVER % 3 + 1))" --keyed --work-ms 15 \
+        --seed "$((SEED * 100 + NEXT_SERVER))" "${own_name[@]}"
     SERVER_NAMES+=("$name")
 }
 remove_server() { # NAME SIGNAL
@@ -315,7 +316,8 @@
     report_finding "records: $(awk '$2 == "at" {print $1}' "$WORK/verdict" | sort | uniq -c | xargs), $(tail -1 "$WORK/verdict")"
 fi
 log "verdict: $(tail -2 "$WORK/verdict" | paste -sd' ')"
-log "leaders: $(events 'leadership taken') taken; $(events 'grant not confirmed') grants not confirmed, $(events 'former holder let go') former holders let go"
+log "leaders: $(events 'leadership taken') taken; $(events 'grant not confirmed') grants not confirmed," \
+    "$(events 'former holder let go') former holders let go"
 log "faults: $(for kind in "${!COUNTS[@]}"; do echo "$kind ${COUNTS[$kind]}"; done | sort | xargs)"
 [ "$FINDINGS" = 0 ] || { KEEP=1; log "records are kept in $WORK"; }
 echo "seed $SEED: $FINDINGS findings"
