Soak of orders: ONLY, for steps of some kinds

Change: ONLY="KIND..." draws steps of these kinds only, as ONLY of soak.sh does; without it the schedule of a seed is as it was.

--- a/tests/fault_soak/orders_soak.sh
+++ b/tests/fault_soak/orders_soak.sh
@@ -6,6 +6,7 @@
 #   ROUNDS=n     number of rounds (default 2), NODES=n number of nodes (default 8)
 #   SERVERS=n    number of servers of the service that is divided by key (default 14)
 #   LINKS=1      nodes and servers reach each other through the proxy, and links fail, too; 0: no proxy (default: 1 for each third seed)
+#   ONLY="KIND..."  steps of these kinds only, for example ONLY="late late move" for first grants that are taken late
 #
 # Each step of a round is one of these, and may begin while earlier ones last:
 #   stop, stop_many   servers are stopped (SIGSTOP) for 0.3 to 14 s and go on: what came meanwhile lies in their sockets
@@ -241,6 +242,7 @@
     local kind kinds=(stop stop stop stop_many stop_many stop_many late late again leave_again move move out in)
     [ "$LINKS" = 0 ] || kinds+=(cut cut cut cut)
     [ -n "$KEEPS_LEADER" ] || kinds+=(leader)
+    [ -z "${ONLY:-}" ] || read -r -a kinds <<<"$ONLY"
     draw_item "${kinds[@]}"
     kind=$DRAWN
     find_leader
