--- a/tests/fault_soak/orders_soak.sh
+++ b/tests/fault_soak/orders_soak.sh
@@ -6,6 +6,7 @@
 #   ROUNDS=n     number of rounds (default 2), NODES=n number of nodes (default 8)
 #   SERVERS=n    number of servers of the service that is divided by key (default 14)
 #   LINKS=1      nodes and servers reach each other through the proxy, and links fail, too; 0: no proxy (default: 1 for each third seed)
+#   ONLY="KIND..."  steps of these kinds only, for example ONLY="late late move" for first grants that are taken late
 #
 # Each step of a round is one of these, and may begin while earlier ones last:
 #   stop, stop_many   servers are stopped (SIGSTOP) for 0.3 to 14 s and go on: what came meanwhile lies in their sockets
@@ -83,7 +84,8 @@
     NEXT_SERVER=$((NEXT_SERVER + 1))
     name=m$NEXT_SERVER
     [ $((NEXT_SERVER % 3)) != 0 ] || own_name=(--id "own-$name")
-    cluster_server "$name" --service maps --zone "z$((NEXT_SERVER % 3 + 1))" --keyed --work-ms 15 --seed "$((SEED * 100 + NEXT_SERVER))" "${own_name[@]}"
+    cluster_server "$name" --service maps --zone "z$((NEXT_SERVER % 3 + 1))" --keyed --work-ms 15 \
+        --seed "$((SEED * 100 + NEXT_SERVER))" "${own_name[@]}"
     SERVER_NAMES+=("$name")
 }
 remove_server() { # NAME SIGNAL
@@ -240,6 +242,7 @@
     local kind kinds=(stop stop stop stop_many stop_many stop_many late late again leave_again move move out in)
     [ "$LINKS" = 0 ] || kinds+=(cut cut cut cut)
     [ -n "$KEEPS_LEADER" ] || kinds+=(leader)
+    [ -z "${ONLY:-}" ] || read -r -a kinds <<<"$ONLY"
     draw_item "${kinds[@]}"
     kind=$DRAWN
     find_leader
@@ -315,7 +318,8 @@
     report_finding "records: $(awk '$2 == "at" {print $1}' "$WORK/verdict" | sort | uniq -c | xargs), $(tail -1 "$WORK/verdict")"
 fi
 log "verdict: $(tail -2 "$WORK/verdict" | paste -sd' ')"
-log "leaders: $(events 'leadership taken') taken; $(events 'grant not confirmed') grants not confirmed, $(events 'former holder let go') former holders let go"
+log "leaders: $(events 'leadership taken') taken; $(events 'grant not confirmed') grants not confirmed," \
+    "$(events 'former holder let go') former holders let go"
 log "faults: $(for kind in "${!COUNTS[@]}"; do echo "$kind ${COUNTS[$kind]}"; done | sort | xargs)"
 [ "$FINDINGS" = 0 ] || { KEEP=1; log "records are kept in $WORK"; }
 echo "seed $SEED: $FINDINGS findings"
