Process test of servers whose answers have no end; large buffers have pages of their own

Cause: the first run of the new test with 32 MB for answers showed 63 MB at a node: the C library copies buffers that grow and keeps freed ones for later.

--- a/src/base/memory.c
+++ b/src/base/memory.c
@@ -4,8 +4,11 @@
  */
 #include "base/memory.h"
 
+#include <malloc.h>
 #include <stdlib.h>
 
+enum { LARGE_BYTES = 256 * 1024 /* bodies and whole lists; a usual request stays below */ };
+
 static void *abort_if_null(void *memory)
 {
     if (memory == NULL) {
@@ -28,3 +31,9 @@
 {
     return abort_if_null(realloc(memory, bytes));
 }
+
+void cw_memory_map_large(void)
+{
+    /* a value that is set is not raised by the C library any more; it fails for values out of its range only */
+    (void)mallopt(M_MMAP_THRESHOLD, LARGE_BYTES);
+}
--- a/src/router/main.c
+++ b/src/router/main.c
@@ -12,6 +12,7 @@
 
 #include "base/error.h"
 #include "base/fatal_signal.h"
+#include "base/memory.h"
 #include "base/version.h"
 #include "router/router.h"
 
@@ -37,6 +38,7 @@
         printf("%s: no findings\n", file_name);
         return EXIT_SUCCESS;
     }
+    cw_memory_map_large();
     cw_fatal_signal_install(settings.node);
     return cw_router_run(&settings, file_name, &cw_adapter) == 0 ? EXIT_SUCCESS : EXIT_NOT_STARTED;
 }
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -9,6 +9,8 @@
  * request that still contains the caller's credential gets a record of its own. As soon as a signal has been in force,
  * the arrival of each request is recorded, too.
  *
+ * With --endless it answers requests with bytes without end instead (endless.h), and records how many it has sent.
+ *
  * SIGTERM: announces in its entry and its answers that it leaves, serves for another DRAIN_MS, and ends. SIGUSR1: puts
  * the next signal of --signals into force; SIGUSR2: ends the signal in force.
  */
@@ -22,6 +24,7 @@
 #include <unistd.h>
 #include <utlist.h>
 
+#include "endless.h"
 #include "net/http_listener.h"
 #include "net/http_upstream.h"
 #include "signals.h"
@@ -71,6 +74,7 @@
 struct server {
     uv_loop_t             loop;
     cw_http_listener_t   *listener;
+    endless_t             endless; /**< used instead of the listener if its kind is set */
     cw_upstream_t        *upstream;
     cw_upstream_target_t *store;
     uv_timer_t            heartbeat;
@@ -556,37 +560,79 @@
     print_limit_record(server);
 }
 
+/* ---- answers without end ---- */
+
+static void on_endless_begin(void *context, const char *id)
+{
+    print_record(context, "run", id, 0, 0, 0);
+}
+
+static void on_endless_end(void *context, const char *id, uint64_t bytes)
+{
+    server_t *server = context;
+
+    print_record(server, "end", id, 0, 0, 0);
+    printf("{\"ns\":%" PRIu64 ",\"event\":\"endless\",\"server\":\"%s\",\"service\":\"%s\",\"id\":\"%s\","
+           "\"bytes\":%" PRIu64 "}\n",
+           uv_hrtime(), server->incarnation, server->service, id, bytes);
+    fflush(stdout);
+}
+
 /* ---- start ---- */
 
-static uint64_t wall_clock_ms(void)
+/* Sets the server's address, unless it is given. */
+static int listen_endless(server_t *server, const char *address, uint16_t port)
 {
-    uv_timeval64_t now = {0};
+    int error;
 
-    (void)uv_gettimeofday(&now); /* fails for a bad address only */
-    return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_usec / 1000;
+    server->endless.instance = server->id;
+    server->endless.context = server;
+    server->endless.on_begin = on_endless_begin;
+    server->endless.on_end = on_endless_end;
+    error = endless_start(&server->endless, &server->loop, address, &port);
+    if (server->address[0] == '\0') {
+        snprintf(server->address, sizeof(server->address), "%s:%u", address, port);
+    }
+    return error;
 }
 
-static int run(server_t *server, const char *address, uint16_t port, const char *store_address)
+static int listen_for_callers(server_t *server, const char *address, uint16_t port)
 {
     cw_http_limits_t           limits = {.header_bytes = REQUEST_BYTES_MAX,
                                          .body_bytes = REQUEST_BYTES_MAX,
                                          .header_timeout = CW_SECONDS(60),
                                          .idle_timeout = CW_SECONDS(10)};
     cw_http_listener_handler_t handler = {server, on_request, on_cancelled};
-    cw_upstream_options_t      options = {.idle_max = CW_SECONDS(10)};
-    int                        error;
+    int error = cw_http_listener_create(&server->listener, &server->loop, address, port, &limits, &handler);
+
+    if (error == 0 && server->address[0] == '\0') {
+        snprintf(server->address, sizeof(server->address), "%s:%u", address, cw_http_listener_port(server->listener));
+    }
+    return error;
+}
+
+static uint64_t wall_clock_ms(void)
+{
+    uv_timeval64_t now = {0};
+
+    (void)uv_gettimeofday(&now); /* fails for a bad address only */
+    return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_usec / 1000;
+}
+
+static int run(server_t *server, const char *address, uint16_t port, const char *store_address)
+{
+    cw_upstream_options_t options = {.idle_max = CW_SECONDS(10)};
+    int                   error;
 
     (void)signal(SIGPIPE, SIG_IGN);
     server->keys = calloc(KEYS, sizeof(*server->keys));
     uv_loop_init(&server->loop);
-    error = cw_http_listener_create(&server->listener, &server->loop, address, port, &limits, &handler);
+    error = server->endless.kind != NULL ? listen_endless(server, address, port)
+                                         : listen_for_callers(server, address, port);
     if (error != 0) {
         fprintf(stderr, "cw-server: %s\n", uv_strerror(error));
         return EXIT_FAILURE;
     }
-    if (server->address[0] == '\0') {
-        snprintf(server->address, sizeof(server->address), "%s:%u", address, cw_http_listener_port(server->listener));
-    }
     if (server->id[0] == '\0') {
         snprintf(server->id, sizeof(server->id), "i-%08x%04x", (unsigned)(uv_hrtime() & 0xffffffffu),
                  (unsigned)getpid() & 0xffffu);
@@ -644,12 +690,14 @@
         arg_str0(NULL, "crash-path", "TEXT", "a request with this in its path ends the process");
     struct arg_str *signals = arg_str0(NULL, "signals", "limit=N|rest=S|leaving|none,...",
                                        "what it says of itself in its answers, in turn; the next at each SIGUSR1");
+    struct arg_str *endless = arg_str0(NULL, "endless", "interim|head|body|chunks|noise",
+                                       "answers with bytes without end, until its caller closes");
     struct arg_lit *keyed = arg_lit0("k", "keyed", "runs a request only while it holds its key");
     struct arg_lit *hangs = arg_lit0("x", "hangs", "does not answer what it cannot queue");
     struct arg_lit *silent = arg_lit0(NULL, "leaves-silently", "announces in its entry only that it leaves");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {address,   port, advertise, store,      service, zone,  capacity, queue,  work,
-                               heartbeat, cold, id,        crash_path, signals, keyed, hangs,    silent, end};
+    void           *table[] = {address, port, advertise,  store,   service, zone,  capacity, queue,  work, heartbeat,
+                               cold,    id,   crash_path, signals, endless, keyed, hangs,    silent, end};
     static server_t server;
 
     if (arg_parse(argument_count, arguments, table) > 0) {
@@ -660,6 +708,10 @@
         fprintf(stderr, "cw-server: --signals is limit=N, rest=S, leaving or none, with commas between\n");
         return 2;
     }
+    if (endless->count > 0 && (server.endless.kind = endless_kind(endless->sval[0])) == NULL) {
+        fprintf(stderr, "cw-server: --endless is interim, head, body, chunks or noise\n");
+        return 2;
+    }
     server.service = service->sval[0];
     if (advertise->count > 0) {
         snprintf(server.address, sizeof(server.address), "%s", advertise->sval[0]);
--- a/tests/test_endless_answers.c
+++ b/tests/test_endless_answers.c
@@ -2,8 +2,10 @@
  * @file test_endless_answers.c
  * @brief Servers whose answers have no end, in interim answers, heads, framing or bodies: each answer is bounded.
  */
+#include <stdio.h>
 #include <string.h>
 
+#include "base/byte_buffer.h"
 #include "endless_server.h"
 #include "loop_fixture.h"
 #include "net/http_upstream.h"
@@ -18,6 +20,8 @@
     SENT_MAX = 8 * 1024 * 1024 /* bytes that the kernel's buffers take besides those that are read */
 };
 
+static cw_bytes_t text; /* what a server sends */
+
 static const char request_bytes[] = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
 /** A call and its outcome. */
@@ -104,15 +108,17 @@
     ck_assert_uint_le(fixture.server.sent, SENT_MAX);
 }
 
+/* The text lives until the next call. */
 static const char *long_line(const char *begin, const char *end)
 {
-    static char text[LONG_BYTES + 256];
-    size_t      length = strlen(begin);
+    static char filler[LONG_BYTES + 1];
 
-    memcpy(text, begin, length);
-    memset(text + length, 'x', LONG_BYTES);
-    strcpy(text + length + LONG_BYTES, end);
-    return text;
+    memset(filler, 'x', LONG_BYTES);
+    text.length = 0;
+    cw_bytes_append_text(&text, begin);
+    cw_bytes_append_text(&text, filler);
+    cw_bytes_append(&text, end, strlen(end) + 1);
+    return text.data;
 }
 
 /* ---- what is no body ---- */
@@ -209,18 +215,17 @@
     ck_assert_uint_eq(fixture.memory.budget.reserved_bytes, 0);
 }
 
-static char text_of_answer[2 * ANSWER_MAX];
-
 START_TEST(an_answer_after_some_interim_ones_is_accepted)
 {
     size_t index;
 
-    text_of_answer[0] = '\0';
+    text.length = 0;
     for (index = 0; index < 20; index++) {
-        strcat(text_of_answer, "HTTP/1.1 102 Processing\r\n\r\n");
+        cw_bytes_append_text(&text, "HTTP/1.1 102 Processing\r\n\r\n");
     }
-    strcat(text_of_answer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-    expect_body(text_of_answer, 2);
+    cw_bytes_append_text(&text, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    cw_bytes_append(&text, "", 1);
+    expect_body(text.data, 2);
 }
 END_TEST
 
@@ -235,18 +240,17 @@
 /* The framing is several times as long as the body. */
 START_TEST(a_long_body_in_small_chunks_is_accepted)
 {
-    static const char head[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    static const char chunk[] = "1\r\na\r\n";
     enum { CHUNKS = 200000 };
-    char  *place = text_of_answer;
     size_t index;
 
-    place = stpcpy(place, head);
+    text.length = 0;
+    cw_bytes_append_text(&text, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     for (index = 0; index < CHUNKS; index++) {
-        place = stpcpy(place, chunk);
+        cw_bytes_append_text(&text, "1\r\na\r\n");
     }
-    strcpy(place, "0\r\n\r\n");
-    expect_body(text_of_answer, CHUNKS);
+    cw_bytes_append_text(&text, "0\r\n\r\n");
+    cw_bytes_append(&text, "", 1);
+    expect_body(text.data, CHUNKS);
 }
 END_TEST
 
@@ -313,20 +317,22 @@
 /* Returns a head followed by as much of a body as has the capacity of ANSWER_MAX. */
 static const char *long_answer(const char *head)
 {
-    char *place = stpcpy(text_of_answer, head);
+    static char filler[ANSWER_MAX - 1000 + 1];
 
-    memset(place, 'x', ANSWER_MAX - 1000);
-    place[ANSWER_MAX - 1000] = '\0';
-    return text_of_answer;
+    memset(filler, 'x', sizeof(filler) - 1);
+    text.length = 0;
+    cw_bytes_append_text(&text, head);
+    cw_bytes_append(&text, filler, sizeof(filler));
+    return text.data;
 }
 
 static const char *small_answer(void)
 {
-    static char text[SMALL_BYTES + 100];
-    int         length = snprintf(text, sizeof(text), "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", SMALL_BYTES);
+    static char small[SMALL_BYTES + 100];
+    int         length = snprintf(small, sizeof(small), "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", SMALL_BYTES);
 
-    memset(text + length, 'x', SMALL_BYTES);
-    return text;
+    memset(small + length, 'x', SMALL_BYTES);
+    return small;
 }
 
 /* A small answer of another server arrives while two long ones hold the memory. Returns the one that made way. */
