Test that a spoiled answer is reported with its slot

Cause: the way of the broker was tested in the broker only, not at the node that returns the slot. Change: a test in test_engine_slots with a server whose answer has no end.

--- a/tests/test_engine_slots.c
+++ b/tests/test_engine_slots.c
@@ -3,8 +3,10 @@
  * @brief Slots requested from the nodes that count them (brokers): granted, refused or not replied to.
  */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "endless_server.h"
 #include "engine_fixture.h"
 
 /** Fake broker that records the messages it was sent. */
@@ -89,6 +91,28 @@
 }
 END_TEST
 
+/* The broker counts the spoiled answer; this node does not count it as well. */
+START_TEST(a_spoiled_answer_is_reported_with_its_slot)
+{
+    engine_fixture_t fixture;
+    fake_broker_t    fake;
+    endless_server_t spoiling;
+    cw_server_t     *server;
+
+    ask_for_slot(&fixture, &fake, "/once/x");
+    endless_server_start(&spoiling, &fixture.loop, "HTTP/1.1 200 OK\r\n\r\n", "endless ");
+    server = cw_server_pool_find(fixture.pool, "s0");
+    free(server->address);
+    server->address = strdup(spoiling.address);
+    reply(&fixture, &fake, CW_SLOT_GRANTED, "s0");
+    cw_test_run_until_set(&fixture.loop, &fixture.answered);
+    ck_assert_int_eq(fixture.status, 502);
+    ck_assert_uint_eq(fake.returns, 1);
+    ck_assert_int_eq(fake.end, CW_SLOT_SPOILED);
+    ck_assert_uint_eq(server->spoiled, 0);
+}
+END_TEST
+
 START_TEST(a_refused_slot_leads_to_a_refusal_with_the_time_to_retry)
 {
     engine_fixture_t fixture;
@@ -483,6 +507,7 @@
 
     tcase_set_timeout(cases, 60);
     tcase_add_test(cases, a_request_goes_to_the_server_of_its_slot_and_returns_it);
+    tcase_add_test(cases, a_spoiled_answer_is_reported_with_its_slot);
     tcase_add_test(cases, a_refused_slot_leads_to_a_refusal_with_the_time_to_retry);
     tcase_add_test(cases, a_slot_of_another_services_server_is_not_used);
     tcase_add_test(cases, a_restarted_process_does_not_reuse_ticket_numbers);
