Callers that wait for a file end with the test that is to create it

Cause: the test's end kills the processes that it knows, and these callers were children of a subshell that it did not know. Change: the test records the subshell, and cw-callers goes on beyond the number of requests only while the process that started it lives.

--- a/standins/callers/main.c
+++ b/standins/callers/main.c
@@ -55,6 +55,7 @@
     uint64_t              wrong;       /**< successful answers that are not the attempt's own */
     uint32_t              hot_percent; /**< share of requests for one key, the same for all of them */
     const char           *until;       /**< file whose existence ends the callers; NULL: the number of requests does */
+    pid_t                 parent;      /**< the process that started the callers */
     const char           *credential;  /**< sent in "Authorization"; NULL: none */
     char                  id_prefix[24]; /**< beginning of all ids */
     uint64_t              random;
@@ -271,10 +272,10 @@
     printf("}\n");
 }
 
-/* Whether callers go on beyond the number of requests. */
+/* Whether callers go on beyond the number of requests. They do not outlive the test that is to create the file. */
 static bool goes_on(const callers_t *callers)
 {
-    return callers->until != NULL && access(callers->until, F_OK) != 0;
+    return callers->until != NULL && access(callers->until, F_OK) != 0 && getppid() == callers->parent;
 }
 
 static void on_send_timer(uv_timer_t *timer)
@@ -369,6 +370,7 @@
     }
     callers.hot_percent = hot->count > 0 ? (uint32_t)hot->ival[0] : 0;
     callers.credential = credential->count > 0 ? credential->sval[0] : NULL;
+    callers.parent = getppid();
     callers.until = until->count > 0 ? until->sval[0] : NULL;
     snprintf(callers.id_prefix, sizeof(callers.id_prefix), "%s", name->count > 0 ? name->sval[0] : "r");
     for (index = 0; index < kinds->count; index++) {
--- a/tests/process/server_limit_restart_all.sh
+++ b/tests/process/server_limit_restart_all.sh
@@ -22,6 +22,7 @@
 cluster_wait_served
 (KINDS=(--kind "maps.example,/hire/,POST,2000,0"); cluster_callers limited --rate 100 --count 2000 --until "$WORK/limited.end") &
 callers=$!
+PIDS+=("$callers")
 sleep 1
 kill -USR1 "${SERVER_PIDS[h1]}" "${SERVER_PIDS[h2]}" "${SERVER_PIDS[h3]}" # they now name a limit of 5 a second
 sleep 5
--- a/tests/process/tenant_limit_restart_all.sh
+++ b/tests/process/tenant_limit_restart_all.sh
@@ -10,6 +10,7 @@
 until_true all_reachable
 limited_callers limited 20 --until "$WORK/limited.end" & # at least so long, and until one node counts again
 callers=$!
+PIDS+=("$callers")
 until_true one_counts
 for _ in 1 2; do
     sleep 3
