Lint: the list of open orders is doubly linked; formatting

clang-analyzer reported a use after free in LL_DELETE that cannot occur (the head is replaced before it is freed); the doubly linked list, as elsewhere, has no such report.

--- a/src/assignment/server_contact.c
+++ b/src/assignment/server_contact.c
@@ -38,7 +38,7 @@
 static void remove_open(cw_server_contacts_t *contacts, cw_server_contact_t *contact, cw_open_order_t *order)
 {
     contacts->open_orders--;
-    LL_DELETE(contact->open, order);
+    DL_DELETE(contact->open, order);
     contact->open_count--;
     free(order);
 }
@@ -142,7 +142,7 @@
         remove_all_open(contacts, contact);
         return;
     }
-    LL_FOREACH_SAFE(contact->open, open, next)
+    DL_FOREACH_SAFE(contact->open, open, next)
     {
         if (is_refused_from_now(open, order, result)) {
             remove_open(contacts, contact, open);
@@ -169,7 +169,7 @@
                               .fence = order->fence,
                               .sent_at = order->sent_at,
                               .over_at = cw_order_hold_end(now + contacts->late_order_time, order->hold)};
-    LL_PREPEND(contact->open, open);
+    DL_PREPEND(contact->open, open);
     contact->open_count++;
     contacts->open_orders++;
 }
@@ -219,7 +219,7 @@
     contacts->next_cleanup = now + CW_SECONDS(CLEANUP_INTERVAL_S);
     HASH_ITER(hh, contacts->servers, contact, next_contact)
     {
-        LL_FOREACH_SAFE(contact->open, open, next)
+        DL_FOREACH_SAFE(contact->open, open, next)
         {
             if (now >= open->over_at) {
                 remove_open(contacts, contact, open);
--- a/src/assignment/server_contact.h
+++ b/src/assignment/server_contact.h
@@ -30,7 +30,8 @@
     uint64_t              fence;
     cw_time_us_t          sent_at;
     cw_time_us_t          over_at; /**< when it is over at the latest, a hold that it gives included */
-    struct cw_open_order *next;    /**< name that utlist.h requires */
+    struct cw_open_order *prev;    /**< prev and next: the names that utlist.h requires */
+    struct cw_open_order *next;
 } cw_open_order_t;
 
 /** One incarnation of a server. */
--- a/src/router/router_assigners.c
+++ b/src/router/router_assigners.c
@@ -7,12 +7,7 @@
 
 #include "router/router_paths.h"
 
-enum {
-    FIRST_TABLES_WAIT_MS = 1000,
-    RENEWALS_PER_HOLD = 4,
-    RELEASE_TIMEOUT_MS = 1500,
-    LATE_ORDER_S = 13
-};
+enum { FIRST_TABLES_WAIT_MS = 1000, RENEWALS_PER_HOLD = 4, RELEASE_TIMEOUT_MS = 1500, LATE_ORDER_S = 13 };
 
 /* ---- the assigners' port ---- */
 
