--- a/tests/test_assigner_unanswering.c
+++ b/tests/test_assigner_unanswering.c
@@ -360,7 +360,6 @@
             break;
         }
     }
-    fence = fixture->orders[0].fence;
     fence = cw_assigner_ranges(fixture->assigner)->items[0].owner.fence;
     /* From now on grants get no answer in 350 ms, probes are answered 5 ms after each tick. */
     for (tick = 0; tick < 150; tick++) {
@@ -398,8 +397,8 @@
 {
     enum { SERVERS = 5000, SILENT = 2000, RANGES = 20000, STOP_MS = 3000, MOVE_MS = 4800, END_MS = 20000 };
     assigner_fixture_t       *fixture = calloc(1, sizeof(*fixture));
-    char                    **texts = calloc(SERVERS + 1, sizeof(*texts));
-    const cw_server_entry_t **entries = calloc(RANGES, sizeof(*entries));
+    char                    **texts = calloc(SERVERS + 1, sizeof(char *));
+    const cw_server_entry_t **entries = calloc(RANGES, sizeof(const cw_server_entry_t *));
     cw_time_us_t             *held_until = calloc(RANGES, sizeof(*held_until));
     cw_time_us_t              start;
     cw_time_us_t              longest = 0;
