--- a/src/assignment/assigner_notices.c
+++ b/src/assignment/assigner_notices.c
@@ -3,8 +3,8 @@
  * @brief Tells former holders that their keys are another server's, when their holds have run out by time alone.
  *
  * A former holder that did not answer may still carry out a grant later. It refuses it once it has seen a higher fence,
- * so the release is sent again as soon as it answers probes, until it has answered the release, or until its grants are
- * over (server_contact.h).
+ * so the release is sent again until it has answered it, or until its grants are over (server_contact.h). What an
+ * earlier leader sent is not known: its grants count as open for the longest time in which they may be carried out.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -71,8 +71,7 @@
     return !has_open && now >= notice->earlier_until;
 }
 
-/* A server that stands still gets the release, too: it lies beside the grant in its socket, and harms nobody whenever
- * it is taken. */
+/* A server that stands still gets the release, too: it then lies beside the grant in its socket. */
 static void send_notice(cw_assigner_t *assigner, cw_former_notice_t *notice, cw_time_us_t now)
 {
     if (cw_server_contacts_answers(assigner->contacts, notice->holder.id) ||
