--- a/tests/test_assigner_unanswering.c
+++ b/tests/test_assigner_unanswering.c
@@ -7,95 +7,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "assigner_fixture.h"
+#include "late_orders_fixture.h"
 #include "loop_fixture.h"
 #include "model/server_incarnation.h"
 
 static const char *const unique[] = {"i-a@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", NULL};
 
-enum { KEY = 50, TICK_MS = 20, RENEW_MS = 1250 };
-
-static void begin(assigner_fixture_t *fixture, const char *const *servers)
-{
-    assigner_fixture_init(fixture, 1);
-    assigner_fixture_set_servers(fixture, servers);
-    assigner_fixture_settle(fixture);
-    fixture->keeps_probes = true;
-}
-
-static const cw_server_entry_t *server(const assigner_fixture_t *fixture, const char *id)
-{
-    const cw_server_entry_t *entry = cw_server_list_find(fixture->servers, id);
-
-    ck_assert_ptr_nonnull(entry);
-    return entry;
-}
-
-/* Answers the orders to this server with `result`, all others with CW_ORDER_DONE. */
-static void answer_all(assigner_fixture_t *fixture, const char *id, cw_order_result_t result)
-{
-    while (fixture->answered < fixture->order_count) {
-        cw_order_t order = fixture->orders[fixture->answered++];
-        bool       is_to_server = strcmp(order.server, id) == 0;
-
-        cw_assigner_order_done(fixture->assigner, order.id, is_to_server ? result : CW_ORDER_DONE, NULL, fixture->now);
-    }
-}
-
-/* Lets time pass, during which the orders to this server get no answer. */
-static void pass_without_answers(assigner_fixture_t *fixture, const char *id, int ms)
-{
-    int passed;
-
-    for (passed = 0; passed < ms; passed += ASSIGNER_ORDER_TIMEOUT_MS) {
-        assigner_fixture_tick(fixture, CW_MS(TICK_MS));
-        fixture->now += CW_MS(ASSIGNER_ORDER_TIMEOUT_MS - TICK_MS);
-        answer_all(fixture, id, CW_ORDER_UNANSWERED);
-    }
-}
-
-/* Number of grants of the key to the server since index `from`. */
-static size_t count_grants(const assigner_fixture_t *fixture, const char *id, size_t from)
-{
-    size_t count = 0;
-    size_t index;
-
-    for (index = from; index < fixture->order_count; index++) {
-        const cw_order_t *order = &fixture->orders[index];
-
-        count += order->kind == CW_ORDER_GRANT && strcmp(order->server, id) == 0 && order->low <= KEY ? 1 : 0;
-    }
-    return count;
-}
-
-/* Number of releases of the key with this fence to the server since index `from`. */
-static size_t count_releases(const assigner_fixture_t *fixture, const char *id, uint64_t fence, size_t from)
-{
-    size_t count = 0;
-    size_t index;
-
-    for (index = from; index < fixture->order_count; index++) {
-        const cw_order_t *order = &fixture->orders[index];
-
-        count += order->kind == CW_ORDER_RELEASE && strcmp(order->server, id) == 0 && order->fence == fence ? 1 : 0;
-    }
-    return count;
-}
-
-/* Moves the first range and lets its holder release it. Returns the number of orders before the next tick. */
-static size_t move_and_release(assigner_fixture_t *fixture, const char *to)
-{
-    size_t sent;
-
-    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, to)));
-    cw_assigner_plan_write(fixture->assigner, fixture->now);
-    assigner_fixture_tick(fixture, CW_MS(TICK_MS));
-    assigner_fixture_tick(fixture, CW_MS(TICK_MS));
-    sent = fixture->order_count;
-    assigner_fixture_answer(fixture, CW_ORDER_DONE, NULL);
-    return sent;
-}
-
 /* Index of the last order of this kind to the server. */
 static size_t last_order(const assigner_fixture_t *fixture, const char *id, cw_order_kind_t kind)
 {
@@ -129,21 +46,21 @@
     size_t              sent;
     uint32_t            key;
 
-    begin(fixture, unique);
-    (void)move_and_release(fixture, "i-c");
+    late_orders_begin(fixture, unique);
+    (void)late_orders_move(fixture, "i-c");
     for (key = 100; key < 700; key++) {
-        ck_assert(cw_assigner_plan_move(fixture->assigner, key, key, server(fixture, "i-b")));
+        ck_assert(cw_assigner_plan_move(fixture->assigner, key, key, late_orders_server(fixture, "i-b")));
     }
     cw_assigner_plan_write(fixture->assigner, fixture->now);
-    assigner_fixture_tick(fixture, CW_MS(TICK_MS));
+    assigner_fixture_tick(fixture, CW_MS(LATE_ORDERS_TICK_MS));
     probe = last_order(fixture, "i-c", CW_ORDER_PROBE);
     fixture->delays_answers = true;
-    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, "i-b")));
+    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, late_orders_server(fixture, "i-b")));
     cw_assigner_plan_write(fixture->assigner, fixture->now);
-    assigner_fixture_tick(fixture, CW_MS(TICK_MS));
+    assigner_fixture_tick(fixture, CW_MS(LATE_ORDERS_TICK_MS));
     sent = fixture->order_count;
     answer_one(fixture, probe, CW_ORDER_DONE);
-    ck_assert_uint_eq(count_grants(fixture, "i-c", sent), 0);
+    ck_assert_uint_eq(late_orders_count_grants(fixture, "i-c", sent), 0);
     assigner_fixture_clear(fixture);
     free(fixture);
 }
@@ -156,20 +73,20 @@
     size_t             probe;
     size_t             sent;
 
-    begin(&fixture, unique);
-    (void)move_and_release(&fixture, "i-c");
-    assigner_fixture_tick(&fixture, CW_MS(TICK_MS));
+    late_orders_begin(&fixture, unique);
+    (void)late_orders_move(&fixture, "i-c");
+    assigner_fixture_tick(&fixture, CW_MS(LATE_ORDERS_TICK_MS));
     probe = last_order(&fixture, "i-c", CW_ORDER_PROBE);
     json_object_set_new(fixture.object, "term", json_integer(99));
     fixture.revision++;
     cw_assigner_plan_rewrite(fixture.assigner);
     cw_assigner_plan_write(fixture.assigner, fixture.now);
-    assigner_fixture_tick(&fixture, CW_MS(TICK_MS));
-    assigner_fixture_tick(&fixture, CW_MS(TICK_MS));
+    assigner_fixture_tick(&fixture, CW_MS(LATE_ORDERS_TICK_MS));
+    assigner_fixture_tick(&fixture, CW_MS(LATE_ORDERS_TICK_MS));
     ck_assert_int_eq(cw_assigner_state(fixture.assigner), CW_ASSIGNER_DEPOSED);
     sent = fixture.order_count;
     answer_one(&fixture, probe, CW_ORDER_DONE);
-    ck_assert_uint_eq(count_grants(&fixture, "i-c", sent), 0);
+    ck_assert_uint_eq(late_orders_count_grants(&fixture, "i-c", sent), 0);
     assigner_fixture_clear(&fixture);
 }
 END_TEST
@@ -181,15 +98,15 @@
     assigner_fixture_t fixture;
     size_t             lost;
 
-    begin(&fixture, unique);
-    (void)move_and_release(&fixture, "i-c");
-    assigner_fixture_tick(&fixture, CW_MS(TICK_MS));
+    late_orders_begin(&fixture, unique);
+    (void)late_orders_move(&fixture, "i-c");
+    assigner_fixture_tick(&fixture, CW_MS(LATE_ORDERS_TICK_MS));
     lost = last_order(&fixture, "i-c", CW_ORDER_PROBE);
     assigner_fixture_tick(&fixture, CW_MS(120));
     ck_assert_uint_gt(last_order(&fixture, "i-c", CW_ORDER_PROBE), lost);
     answer_one(&fixture, last_order(&fixture, "i-c", CW_ORDER_PROBE), CW_ORDER_DONE);
     answer_one(&fixture, last_order(&fixture, "i-c", CW_ORDER_GRANT), CW_ORDER_DONE);
-    ck_assert_int_eq(assigner_fixture_range(&fixture, KEY)->phase, CW_RANGE_HELD);
+    ck_assert_int_eq(assigner_fixture_range(&fixture, LATE_ORDERS_KEY)->phase, CW_RANGE_HELD);
     ck_assert(answers(&fixture, "i-c"));
     fixture.now += CW_MS(230);
     answer_one(&fixture, lost, CW_ORDER_UNANSWERED);
@@ -206,19 +123,19 @@
     assigner_fixture_t fixture;
     size_t             lost;
 
-    begin(&fixture, unique);
-    (void)move_and_release(&fixture, "i-c");
-    assigner_fixture_tick(&fixture, CW_MS(TICK_MS));
+    late_orders_begin(&fixture, unique);
+    (void)late_orders_move(&fixture, "i-c");
+    assigner_fixture_tick(&fixture, CW_MS(LATE_ORDERS_TICK_MS));
     lost = last_order(&fixture, "i-c", CW_ORDER_PROBE);
     assigner_fixture_tick(&fixture, CW_MS(120));
     answer_one(&fixture, last_order(&fixture, "i-c", CW_ORDER_PROBE), CW_ORDER_DONE);
     answer_one(&fixture, last_order(&fixture, "i-c", CW_ORDER_GRANT), CW_ORDER_DONE);
-    ck_assert(cw_assigner_plan_move(fixture.assigner, OTHER_KEY, OTHER_KEY, server(&fixture, "i-c")));
+    ck_assert(cw_assigner_plan_move(fixture.assigner, OTHER_KEY, OTHER_KEY, late_orders_server(&fixture, "i-c")));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
-    assigner_fixture_tick(&fixture, CW_MS(TICK_MS));
-    assigner_fixture_tick(&fixture, CW_MS(TICK_MS));
+    assigner_fixture_tick(&fixture, CW_MS(LATE_ORDERS_TICK_MS));
+    assigner_fixture_tick(&fixture, CW_MS(LATE_ORDERS_TICK_MS));
     answer_one(&fixture, last_order(&fixture, "i-b", CW_ORDER_RELEASE), CW_ORDER_DONE);
-    assigner_fixture_tick(&fixture, CW_MS(TICK_MS));
+    assigner_fixture_tick(&fixture, CW_MS(LATE_ORDERS_TICK_MS));
     fixture.now += CW_MS(5);
     ck_assert(fixture.now - fixture.orders[last_order(&fixture, "i-c", CW_ORDER_PROBE)].sent_at == CW_MS(5));
     answer_one(&fixture, lost, CW_ORDER_UNANSWERED);
@@ -234,15 +151,15 @@
     static const char *const two[] = {"i-a@10.0.0.1:80", "i-b@10.0.0.2:80", NULL};
     assigner_fixture_t       fixture;
 
-    begin(&fixture, two);
+    late_orders_begin(&fixture, two);
     assigner_fixture_set_servers(&fixture, unique);
-    (void)move_and_release(&fixture, "i-c");
-    pass_without_answers(&fixture, "i-c", 400);
-    ck_assert(cw_assigner_plan_move(fixture.assigner, 0, 99, server(&fixture, "i-b")));
+    (void)late_orders_move(&fixture, "i-c");
+    late_orders_pass(&fixture, "i-c", 400);
+    ck_assert(cw_assigner_plan_move(fixture.assigner, 0, 99, late_orders_server(&fixture, "i-b")));
     cw_assigner_plan_write(fixture.assigner, fixture.now);
-    pass_without_answers(&fixture, "", 30000);
-    ck_assert_str_eq(assigner_fixture_range(&fixture, KEY)->owner.id, "i-b");
-    ck_assert_int_eq(assigner_fixture_range(&fixture, KEY)->phase, CW_RANGE_HELD);
+    late_orders_pass(&fixture, "", 30000);
+    ck_assert_str_eq(assigner_fixture_range(&fixture, LATE_ORDERS_KEY)->owner.id, "i-b");
+    ck_assert_int_eq(assigner_fixture_range(&fixture, LATE_ORDERS_KEY)->phase, CW_RANGE_HELD);
     ck_assert_ptr_nonnull(cw_server_contacts_find(cw_assigner_contacts(fixture.assigner), "i-c"));
     ck_assert(answers(&fixture, "i-c"));
     assigner_fixture_clear(&fixture);
@@ -259,23 +176,23 @@
     uint64_t            fence;
     cw_time_us_t        taken_over;
 
-    begin(fixture, unique);
-    pass_without_answers(fixture, "i-a", RENEW_MS + 400);
+    late_orders_begin(fixture, unique);
+    late_orders_pass(fixture, "i-a", LATE_ORDERS_RENEW_MS + 400);
     ck_assert_uint_gt(cw_server_contacts_open_orders(cw_assigner_contacts(fixture->assigner)), 0);
     assigner_fixture_take_over(fixture, 2);
     taken_over = fixture->now;
-    pass_without_answers(fixture, "i-a", 1400);
-    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, "i-b")));
+    late_orders_pass(fixture, "i-a", 1400);
+    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, late_orders_server(fixture, "i-b")));
     cw_assigner_plan_write(fixture->assigner, fixture->now);
-    while (assigner_fixture_range(fixture, KEY)->phase != CW_RANGE_HELD ||
-           strcmp(assigner_fixture_range(fixture, KEY)->owner.id, "i-b") != 0) {
-        pass_without_answers(fixture, "i-a", ASSIGNER_ORDER_TIMEOUT_MS);
+    while (assigner_fixture_range(fixture, LATE_ORDERS_KEY)->phase != CW_RANGE_HELD ||
+           strcmp(assigner_fixture_range(fixture, LATE_ORDERS_KEY)->owner.id, "i-b") != 0) {
+        late_orders_pass(fixture, "i-a", ASSIGNER_ORDER_TIMEOUT_MS);
         ck_assert(fixture->now - taken_over < CW_SECONDS(20));
     }
-    fence = assigner_fixture_range(fixture, KEY)->owner.fence;
+    fence = assigner_fixture_range(fixture, LATE_ORDERS_KEY)->owner.fence;
     sent = fixture->order_count;
-    pass_without_answers(fixture, "", 2500);
-    ck_assert_uint_ge(count_releases(fixture, "i-a", fence, sent), 1);
+    late_orders_pass(fixture, "", 2500);
+    ck_assert_uint_ge(late_orders_count_releases(fixture, "i-a", fence, sent), 1);
     assigner_fixture_clear(fixture);
     free(fixture);
 }
@@ -288,25 +205,25 @@
     assigner_fixture_t *fixture = calloc(1, sizeof(*fixture));
     size_t              sent;
 
-    begin(fixture, unique);
-    pass_without_answers(fixture, "i-a", 2 * RENEW_MS);
-    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, "i-b")));
+    late_orders_begin(fixture, unique);
+    late_orders_pass(fixture, "i-a", 2 * LATE_ORDERS_RENEW_MS);
+    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, late_orders_server(fixture, "i-b")));
     cw_assigner_plan_write(fixture->assigner, fixture->now);
-    pass_without_answers(fixture, "i-a", 6000);
-    ck_assert_str_eq(assigner_fixture_range(fixture, KEY)->owner.id, "i-b");
-    ck_assert_int_eq(assigner_fixture_range(fixture, KEY)->phase, CW_RANGE_HELD);
-    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, "i-a")));
+    late_orders_pass(fixture, "i-a", 6000);
+    ck_assert_str_eq(assigner_fixture_range(fixture, LATE_ORDERS_KEY)->owner.id, "i-b");
+    ck_assert_int_eq(assigner_fixture_range(fixture, LATE_ORDERS_KEY)->phase, CW_RANGE_HELD);
+    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, late_orders_server(fixture, "i-a")));
     cw_assigner_plan_write(fixture->assigner, fixture->now);
-    pass_without_answers(fixture, "i-a", 1000);
-    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, "i-c")));
+    late_orders_pass(fixture, "i-a", 1000);
+    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, late_orders_server(fixture, "i-c")));
     cw_assigner_plan_write(fixture->assigner, fixture->now);
-    pass_without_answers(fixture, "i-a", 1000);
-    ck_assert_str_eq(assigner_fixture_range(fixture, KEY)->owner.id, "i-c");
-    ck_assert_int_eq(assigner_fixture_range(fixture, KEY)->phase, CW_RANGE_HELD);
+    late_orders_pass(fixture, "i-a", 1000);
+    ck_assert_str_eq(assigner_fixture_range(fixture, LATE_ORDERS_KEY)->owner.id, "i-c");
+    ck_assert_int_eq(assigner_fixture_range(fixture, LATE_ORDERS_KEY)->phase, CW_RANGE_HELD);
     ck_assert(cw_server_contact_has_open_grant(cw_server_contacts_find(cw_assigner_contacts(fixture->assigner), "i-a"),
-                                               0, 99, assigner_fixture_range(fixture, KEY)->owner.fence));
+                                               0, 99, assigner_fixture_range(fixture, LATE_ORDERS_KEY)->owner.fence));
     sent = fixture->order_count;
-    pass_without_answers(fixture, "", 3000);
+    late_orders_pass(fixture, "", 3000);
     ck_assert_uint_ge(assigner_fixture_count(fixture, CW_ORDER_RELEASE, sent), 1);
     assigner_fixture_clear(fixture);
     free(fixture);
@@ -341,7 +258,7 @@
     cw_assigner_plan_first(fixture->assigner, entries, SERVERS, fixture->now);
     /* Grants in steps of a tick: server n answers its probe n ticks later. */
     for (tick = 0; tick < SERVERS + 10; tick++) {
-        assigner_fixture_tick(fixture, CW_MS(TICK_MS));
+        assigner_fixture_tick(fixture, CW_MS(LATE_ORDERS_TICK_MS));
         for (index = 0; index < fixture->order_count; index++) {
             const cw_order_t order = fixture->orders[index];
             int              number = atoi(order.server + 1);
@@ -363,7 +280,7 @@
     fence = cw_assigner_ranges(fixture->assigner)->items[0].owner.fence;
     /* From now on grants get no answer in 350 ms, probes are answered 5 ms after each tick. */
     for (tick = 0; tick < 150; tick++) {
-        assigner_fixture_tick(fixture, CW_MS(TICK_MS));
+        assigner_fixture_tick(fixture, CW_MS(LATE_ORDERS_TICK_MS));
         fixture->now += CW_MS(5);
         for (index = 0; index < fixture->order_count; index++) {
             const cw_order_t order = fixture->orders[index];
@@ -420,8 +337,8 @@
     fixture->keeps_probes = true;
     start = fixture->now;
     cw_assigner_plan_first(fixture->assigner, entries, RANGES, fixture->now);
-    for (ms = 0; ms < END_MS; ms += TICK_MS) {
-        assigner_fixture_tick(fixture, CW_MS(TICK_MS));
+    for (ms = 0; ms < END_MS; ms += LATE_ORDERS_TICK_MS) {
+        assigner_fixture_tick(fixture, CW_MS(LATE_ORDERS_TICK_MS));
         fixture->now += CW_MS(2);
         for (index = 0; index < fixture->order_count;) {
             cw_order_t        order = fixture->orders[index];
@@ -513,35 +430,37 @@
     size_t                   index;
     size_t                   releases = 0;
 
-    begin(fixture, first);
-    pass_without_answers(fixture, "a@1000", 2 * RENEW_MS);
-    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, "b@1000")));
+    late_orders_begin(fixture, first);
+    late_orders_pass(fixture, "a@1000", 2 * LATE_ORDERS_RENEW_MS);
+    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, late_orders_server(fixture, "b@1000")));
     cw_assigner_plan_write(fixture->assigner, fixture->now);
-    pass_without_answers(fixture, "a@1000", 6000);
-    ck_assert_int_eq(assigner_fixture_range(fixture, KEY)->phase, CW_RANGE_HELD);
+    late_orders_pass(fixture, "a@1000", 6000);
+    ck_assert_int_eq(assigner_fixture_range(fixture, LATE_ORDERS_KEY)->phase, CW_RANGE_HELD);
     assigner_fixture_set_servers(fixture, second);
-    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, "a@2000")));
+    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, late_orders_server(fixture, "a@2000")));
     cw_assigner_plan_write(fixture->assigner, fixture->now);
     for (index = 0; index < 6; index++) { /* orders to a#1000 are still under way */
         size_t order;
 
-        assigner_fixture_tick(fixture, CW_MS(TICK_MS));
+        assigner_fixture_tick(fixture, CW_MS(LATE_ORDERS_TICK_MS));
         for (order = fixture->answered; order < fixture->order_count; order++) {
             if (strcmp(fixture->orders[order].server, "a@1000") != 0) {
                 answer_one(fixture, order, CW_ORDER_DONE);
             }
         }
     }
-    range = assigner_fixture_range(fixture, KEY);
+    range = assigner_fixture_range(fixture, LATE_ORDERS_KEY);
     ck_assert_str_eq(range->owner.id, "a@2000");
     ck_assert_int_eq(range->phase, CW_RANGE_HELD);
     sent = fixture->order_count;
-    pass_without_answers(fixture, "", 2000);
+    late_orders_pass(fixture, "", 2000);
     for (index = sent; index < fixture->order_count; index++) {
         const cw_order_t *order = &fixture->orders[index];
 
-        releases +=
-            order->kind == CW_ORDER_RELEASE && strcmp(order->address, "10.0.0.1:80") == 0 && order->low <= KEY ? 1 : 0;
+        releases += order->kind == CW_ORDER_RELEASE && strcmp(order->address, "10.0.0.1:80") == 0 &&
+                            order->low <= LATE_ORDERS_KEY
+                        ? 1
+                        : 0;
     }
     ck_assert_uint_eq(releases, 0);
     assigner_fixture_clear(fixture);
--- a/tests/test_assigner_unanswering_open.c
+++ b/tests/test_assigner_unanswering_open.c
@@ -6,81 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "assigner_fixture.h"
+#include "late_orders_fixture.h"
 #include "loop_fixture.h"
 #include "model/server_incarnation.h"
 
 static const char *const unique[] = {"i-a@10.0.0.1:80", "i-b@10.0.0.2:80", "i-c@10.0.0.3:80", NULL};
 
-enum { KEY = 50, TICK_MS = 20, RENEW_MS = 1250 };
-
-static void begin(assigner_fixture_t *fixture, const char *const *servers)
-{
-    assigner_fixture_init(fixture, 1);
-    assigner_fixture_set_servers(fixture, servers);
-    assigner_fixture_settle(fixture);
-    fixture->keeps_probes = true;
-}
-
-static const cw_server_entry_t *server(const assigner_fixture_t *fixture, const char *id)
-{
-    const cw_server_entry_t *entry = cw_server_list_find(fixture->servers, id);
-
-    ck_assert_ptr_nonnull(entry);
-    return entry;
-}
-
-/* Answers the orders to this server with `result`, all others with CW_ORDER_DONE. */
-static void answer_all(assigner_fixture_t *fixture, const char *id, cw_order_result_t result)
-{
-    while (fixture->answered < fixture->order_count) {
-        cw_order_t order = fixture->orders[fixture->answered++];
-        bool       is_to_server = strcmp(order.server, id) == 0;
-
-        cw_assigner_order_done(fixture->assigner, order.id, is_to_server ? result : CW_ORDER_DONE, NULL, fixture->now);
-    }
-}
-
-/* Lets time pass, during which the orders to this server get no answer. */
-static void pass_without_answers(assigner_fixture_t *fixture, const char *id, int ms)
-{
-    int passed;
-
-    for (passed = 0; passed < ms; passed += ASSIGNER_ORDER_TIMEOUT_MS) {
-        assigner_fixture_tick(fixture, CW_MS(TICK_MS));
-        fixture->now += CW_MS(ASSIGNER_ORDER_TIMEOUT_MS - TICK_MS);
-        answer_all(fixture, id, CW_ORDER_UNANSWERED);
-    }
-}
-
-/* Number of grants of the key to the server since index `from`. */
-static size_t count_grants(const assigner_fixture_t *fixture, const char *id, size_t from)
-{
-    size_t count = 0;
-    size_t index;
-
-    for (index = from; index < fixture->order_count; index++) {
-        const cw_order_t *order = &fixture->orders[index];
-
-        count += order->kind == CW_ORDER_GRANT && strcmp(order->server, id) == 0 && order->low <= KEY ? 1 : 0;
-    }
-    return count;
-}
-
-/* Moves the first range and lets its holder release it. Returns the number of orders before the next tick. */
-static size_t move_and_release(assigner_fixture_t *fixture, const char *to)
-{
-    size_t sent;
-
-    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, to)));
-    cw_assigner_plan_write(fixture->assigner, fixture->now);
-    assigner_fixture_tick(fixture, CW_MS(TICK_MS));
-    assigner_fixture_tick(fixture, CW_MS(TICK_MS));
-    sent = fixture->order_count;
-    assigner_fixture_answer(fixture, CW_ORDER_DONE, NULL);
-    return sent;
-}
-
 /* Index of the last order of this kind to the server. */
 static size_t last_order(const assigner_fixture_t *fixture, const char *id, cw_order_kind_t kind)
 {
@@ -105,18 +36,18 @@
     assigner_fixture_t *fixture = calloc(1, sizeof(*fixture));
     size_t              sent;
 
-    begin(fixture, unique);
-    pass_without_answers(fixture, "i-a", 2 * RENEW_MS);
-    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, server(fixture, "i-b")));
+    late_orders_begin(fixture, unique);
+    late_orders_pass(fixture, "i-a", 2 * LATE_ORDERS_RENEW_MS);
+    ck_assert(cw_assigner_plan_move(fixture->assigner, 0, 99, late_orders_server(fixture, "i-b")));
     cw_assigner_plan_write(fixture->assigner, fixture->now);
-    pass_without_answers(fixture, "i-a", 6000);
-    ck_assert_int_eq(assigner_fixture_range(fixture, KEY)->phase, CW_RANGE_HELD);
+    late_orders_pass(fixture, "i-a", 6000);
+    ck_assert_int_eq(assigner_fixture_range(fixture, LATE_ORDERS_KEY)->phase, CW_RANGE_HELD);
     cw_assigner_plan_rewrite(fixture->assigner); /* as the planner does a second after a move has ended */
     cw_assigner_plan_write(fixture->assigner, fixture->now);
-    assigner_fixture_tick(fixture, CW_MS(TICK_MS));
+    assigner_fixture_tick(fixture, CW_MS(LATE_ORDERS_TICK_MS));
     assigner_fixture_take_over(fixture, 2);
     sent = fixture->order_count;
-    pass_without_answers(fixture, "", 3000);
+    late_orders_pass(fixture, "", 3000);
     ck_assert_uint_ge(assigner_fixture_count(fixture, CW_ORDER_RELEASE, sent), 1);
     assigner_fixture_clear(fixture);
     free(fixture);
@@ -130,13 +61,13 @@
     assigner_fixture_t fixture;
     size_t             sent;
 
-    begin(&fixture, unique);
-    (void)move_and_release(&fixture, "i-c");
-    assigner_fixture_tick(&fixture, CW_MS(TICK_MS));
+    late_orders_begin(&fixture, unique);
+    (void)late_orders_move(&fixture, "i-c");
+    assigner_fixture_tick(&fixture, CW_MS(LATE_ORDERS_TICK_MS));
     fixture.now += CW_MS(340); /* the leader stood still */
     sent = fixture.order_count;
     answer_one(&fixture, last_order(&fixture, "i-c", CW_ORDER_PROBE), CW_ORDER_DONE);
-    ck_assert_uint_eq(count_grants(&fixture, "i-c", sent), 0);
+    ck_assert_uint_eq(late_orders_count_grants(&fixture, "i-c", sent), 0);
     assigner_fixture_clear(&fixture);
 }
 END_TEST
