--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/memory.h"
 #include "base/text.h"
 #include "router/router_paths.h"
 
@@ -136,33 +137,44 @@
     }
 }
 
-void node_fixture_answer_orders(node_fixture_t *node, cw_order_result_t result)
+/* Takes all pending orders, which the caller frees: an answer may add several orders. */
+static node_fixture_order_t *take_orders(node_fixture_t *node, size_t *count)
 {
-    size_t count = node->order_count;
-    size_t index;
+    node_fixture_order_t *taken = cw_memory_zeroed((node->order_count + 1) * sizeof(*taken));
 
+    memcpy(taken, node->orders, node->order_count * sizeof(*taken));
+    *count = node->order_count;
     node->order_count = 0;
-    for (index = 0; index < count; index++) {
-        node_fixture_order_t order = node->orders[index]; /* copied, since the answer may add an order */
+    return taken;
+}
 
-        order.callbacks.done(order.context, order.order.id, result, NULL);
+void node_fixture_answer_orders(node_fixture_t *node, cw_order_result_t result)
+{
+    size_t                count;
+    node_fixture_order_t *taken = take_orders(node, &count);
+    size_t                index;
+
+    for (index = 0; index < count; index++) {
+        taken[index].callbacks.done(taken[index].context, taken[index].order.id, result, NULL);
     }
+    free(taken);
 }
 
 size_t node_fixture_answer_orders_of_dead(node_fixture_t *node, const char *first_alive)
 {
-    size_t count = node->order_count;
-    size_t grants = 0;
-    size_t index;
+    size_t                count;
+    node_fixture_order_t *taken = take_orders(node, &count);
+    size_t                grants = 0;
+    size_t                index;
 
-    node->order_count = 0;
     for (index = 0; index < count; index++) {
-        node_fixture_order_t order = node->orders[index];
-        bool                 is_dead = strcmp(order.order.server, first_alive) < 0;
+        const node_fixture_order_t *order = &taken[index];
+        bool                        is_dead = strcmp(order->order.server, first_alive) < 0;
 
-        grants += is_dead && order.order.kind == CW_ORDER_GRANT ? 1 : 0;
-        order.callbacks.done(order.context, order.order.id, is_dead ? CW_ORDER_NOT_SENT : CW_ORDER_DONE, NULL);
+        grants += is_dead && order->order.kind == CW_ORDER_GRANT ? 1 : 0;
+        order->callbacks.done(order->context, order->order.id, is_dead ? CW_ORDER_NOT_SENT : CW_ORDER_DONE, NULL);
     }
+    free(taken);
     return grants;
 }
 
