--- a/tests/test_foreign_bytes.c
+++ b/tests/test_foreign_bytes.c
@@ -1,6 +1,6 @@
 /**
  * @file test_foreign_bytes.c
- * @brief Bytes of other writers in what is read from the store: the list of servers. They
+ * @brief Bytes of other writers in what is read from the store: the list of servers and the zones. They
  * may break the structure around them. Good entries hold, and changes come through.
  */
 #include <stdio.h>
@@ -365,6 +365,28 @@
 }
 END_TEST
 
+/* ---- zones ---- */
+
+/* Guards against: entries of other writers among the zones out of service end each reading of the servers, too. */
+START_TEST(zones_are_read_beside_unreadable_entries_and_on_several_pages)
+{
+    char   name[16];
+    size_t index;
+
+    byte_store_start((byte_store_limits_t){.items = 4, .bytes = 100000}, true);
+    put_server("a", "ready");
+    for (index = 0; index < 9; index++) {
+        snprintf(name, sizeof(name), "f%zu", index);
+        put_foreign("evacuations", name, notes[_i]);
+    }
+    put("evacuations", "g", "{\"spec\":\"\"\"}");
+    put_foreign("evacuations", "quays-hall", "x");
+    byte_store_read(CW_LIST_READ);
+    CHECK_LISTED("a");
+    ck_assert(cw_name_set_has(&byte_store_reports()->read.list->zones_out, "quays-hall"));
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("foreign bytes");
@@ -386,6 +408,7 @@
     tcase_add_loop_test(cases, servers_are_listed_beside_many_entries_that_break_the_structure, 0, COUNT(notes));
     tcase_add_test(cases, an_unreadable_answer_is_an_answer);
     tcase_add_test(cases, changes_around_an_entry_of_many_bytes_are_all_read);
+    tcase_add_loop_test(cases, zones_are_read_beside_unreadable_entries_and_on_several_pages, 0, COUNT(notes));
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
