One unreadable entry beside the operator's keeps no node from its configuration

Callers got 503 from every node after a restart (0 of 200 served) while another writer's entry of a few bytes stood in the kind "config"; nodes that ran went on with the version in force and could no longer prove that it was the newest one. Cause: the listing and the watch of the configuration took only bodies that are JSON as a whole, a listing of one page, and each entry had to decode.

--- a/tests/test_foreign_bytes.c
+++ b/tests/test_foreign_bytes.c
@@ -1,6 +1,6 @@
 /**
  * @file test_foreign_bytes.c
- * @brief Bytes of other writers in what is read from the store: the list of servers and the zones. They
+ * @brief Bytes of other writers in what is read from the store: servers, configuration and zones. They
  * may break the structure around them. Good entries hold, and changes come through.
  */
 #include <stdio.h>
@@ -41,6 +41,17 @@
     put(kind, name, text);
 }
 
+static void put_configuration(int version)
+{
+    char text[512];
+
+    snprintf(
+        text, sizeof(text),
+        "{\"metadata\":{\"name\":\"main\",\"revision\":%d},\"spec\":{\"version\":%d,\"routes\":[],\"services\":[]}}",
+        (int)byte_store_next_revision(), version);
+    put("config", "main", text);
+}
+
 static const char *const notes[] = {
     "\"\"\"\"\"\"\"\"\"\"\"",             /* the text ends, and the structure around it breaks */
     "\\\\\\\\\\\\\\\\\\\\\\",             /* the text does not end where it should */
@@ -85,6 +96,16 @@
         check_listed(sizeof(names_listed) / sizeof(names_listed[0]), names_listed);                                    \
     } while (0)
 
+static bool has_version(void *context)
+{
+    return byte_store_reports()->version == *(const uint64_t *)context;
+}
+
+static void wait_for_version(uint64_t version)
+{
+    byte_store_wait(has_version, &version);
+}
+
 /* ---- servers ---- */
 
 /* Guards against: one entry whose bytes break the structure around it empties the list of servers at the next start of
@@ -365,6 +386,83 @@
 }
 END_TEST
 
+/* ---- configuration ---- */
+
+/* Guards against: one unreadable entry beside the operator's keeps all nodes without a configuration. */
+START_TEST(the_configuration_is_read_beside_an_unreadable_entry)
+{
+    byte_store_start(_i % 2 == 0 ? wide : single, false);
+    put_foreign("config", "foreign", notes[_i]);
+    put_configuration(3);
+    put_foreign("config", "other", notes[_i]);
+    wait_for_version(3);
+}
+END_TEST
+
+static bool is_proved(void *context)
+{
+    return byte_store_reports()->newest_proofs > *(const uint64_t *)context;
+}
+
+/* Guards against: such an entry comes by the watch, and nothing is proved or read any more. */
+START_TEST(changes_of_the_configuration_come_through_beside_an_unreadable_entry)
+{
+    uint64_t proofs;
+
+    byte_store_start(wide, false);
+    put_configuration(3);
+    wait_for_version(3);
+    byte_store_port()->watch_configuration(byte_store_port()->context, CW_MS(50));
+    put_foreign("config", "foreign", notes[_i]);
+    put_configuration(4);
+    wait_for_version(4);
+    proofs = byte_store_reports()->newest_proofs;
+    put("config", "other", "{\"spec\":\"\"\"}");
+    byte_store_wait(is_proved, &proofs);
+    byte_store_forget_history();
+    put_configuration(5);
+    wait_for_version(5);
+    ck_assert_uint_eq(byte_store_reports()->failures, 0);
+}
+END_TEST
+
+/* Guards against: the operator's entry is not on the first page of a listing, behind other writers' ones. */
+START_TEST(the_configuration_is_found_behind_pages_of_other_entries)
+{
+    char   name[16];
+    size_t index;
+
+    byte_store_start((byte_store_limits_t){.items = 5, .bytes = 100000}, false);
+    for (index = 0; index < 30; index++) {
+        snprintf(name, sizeof(name), "f%zu", index + 10);
+        put_foreign("config", name, "x");
+    }
+    put("config", "g", "{}");
+    put_configuration(3);
+    wait_for_version(3);
+}
+END_TEST
+
+/* Guards against: the operator's entry is unreadable for a time, and the configuration in force is given up, or the
+ * next one is not read. */
+START_TEST(the_configuration_in_force_stays_while_its_entry_is_unreadable)
+{
+    uint64_t proofs;
+
+    byte_store_start(wide, false);
+    put_configuration(3);
+    wait_for_version(3);
+    byte_store_port()->watch_configuration(byte_store_port()->context, CW_MS(50));
+    proofs = byte_store_reports()->newest_proofs;
+    byte_store_wait(is_proved, &proofs);
+    put_foreign("config", "main", notes[_i]);
+    byte_store_read(CW_LIST_READ);
+    ck_assert_uint_eq(byte_store_reports()->version, 3);
+    put_configuration(4);
+    wait_for_version(4);
+}
+END_TEST
+
 /* ---- zones ---- */
 
 /* Guards against: entries of other writers among the zones out of service end each reading of the servers, too. */
@@ -409,6 +507,10 @@
     tcase_add_test(cases, an_unreadable_answer_is_an_answer);
     tcase_add_test(cases, changes_around_an_entry_of_many_bytes_are_all_read);
     tcase_add_loop_test(cases, zones_are_read_beside_unreadable_entries_and_on_several_pages, 0, COUNT(notes));
+    tcase_add_loop_test(cases, the_configuration_is_read_beside_an_unreadable_entry, 0, COUNT(notes));
+    tcase_add_loop_test(cases, changes_of_the_configuration_come_through_beside_an_unreadable_entry, 0, COUNT(notes));
+    tcase_add_test(cases, the_configuration_is_found_behind_pages_of_other_entries);
+    tcase_add_loop_test(cases, the_configuration_in_force_stays_while_its_entry_is_unreadable, 0, COUNT(notes));
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
