A lock or a record of keys that cannot be read is replaced by its revision

Callers of a service with keys would get 503 for good, and nobody would lead, once another writer had replaced the lock or a record by bytes that are no JSON, or by a value of another type: a read of such an object counted as a call without an answer, and was repeated for ever. Cause: without a decoded value the reply was "unknown", also where the object's revision was there. leadership.h and assigner_record.c have rules for unreadable values (held by another node; assigned again after all holds), which were never reached. Change: the reply has the revision, and no value; only an answer without a revision is "unknown". What others wrote beside the value (status, finalizers) does not hide it. A record that cannot be read is logged by nodes that route by it.

--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -262,6 +262,19 @@
     return valid_at > router->tables_valid_at || (is_by_records && valid_at == router->tables_valid_at);
 }
 
+static void log_unreadable_record(const char *service)
+{
+    cw_event_t event;
+
+    cw_metric_add(CW_METRIC_STORE_BODIES_MALFORMED, 1);
+    if (cw_event_begin(&event, CW_EVENT_STORE_BODY_MALFORMED)) {
+        cw_event_text(&event, CW_FIELD_DETAIL, CW_ASSIGNMENTS_KIND);
+        cw_event_text(&event, CW_FIELD_SERVICE, service);
+        cw_event_text(&event, CW_FIELD_REASON, "not a record of this program: its owners are not known");
+        cw_event_end(&event);
+    }
+}
+
 static void on_record(void *data, const cw_store_reply_t *reply)
 {
     table_read_t          *read = data;
@@ -273,10 +286,14 @@
         valid_at -= tables_validity(router) * TABLES_STALE_PERCENT / 100;
     }
     router->table_reads_pending--;
-    cw_router_store_result(router, reply->result == CW_STORE_DONE || reply->result == CW_STORE_NOT_FOUND,
-                           cw_router_now(router));
-    if (reply->result == CW_STORE_DONE && !router->leadership.leading &&
-        cw_assignment_record_from_json(&record, reply->value)) {
+    cw_router_store_result(router, cw_store_reply_is_answer(reply), cw_router_now(router));
+    if (reply->result != CW_STORE_DONE || router->leadership.leading) {
+        free(read);
+        return;
+    }
+    if (!cw_assignment_record_from_json(&record, reply->value)) {
+        log_unreadable_record(read->service);
+    } else {
         if (is_record_later(router, valid_at) && cw_record_is_usable(record.term, router->view_term) &&
             !cw_store_epochs_is_outdated(&router->leadership.epochs, record.epoch_stamp)) {
             cw_router_begin_term(router, record.term);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -32,9 +32,17 @@
     cw_store_result_t result;
     uint64_t          epoch;    /**< epoch of the store in which it answered, if it answered */
     uint64_t          revision; /**< revision of the object; 0: not stated */
-    json_t *value; /**< the object, NULL if not stated; on a conflict its present value if the store states it */
+    json_t *value;    /**< the object, NULL if not stated or unreadable; on a conflict its present value if the store
+                         states it */
+    bool is_answered; /**< the store answered, also if the result is CW_STORE_UNKNOWN: then its answer was unreadable */
 } cw_store_reply_t;
 
+/** Whether the store has answered a call. An answer that cannot be read shows that the store is in reach, too. */
+static inline bool cw_store_reply_is_answer(const cw_store_reply_t *reply)
+{
+    return reply->is_answered || (reply->result != CW_STORE_REFUSED && reply->result != CW_STORE_UNKNOWN);
+}
+
 /** Called once with the result of a call; context: the `data` of the call. */
 typedef void (*cw_store_replied_t)(void *context, const cw_store_reply_t *reply);
 
--- a/tests/test_foreign_bytes.c
+++ b/tests/test_foreign_bytes.c
@@ -1,6 +1,6 @@
 /**
  * @file test_foreign_bytes.c
- * @brief Bytes of other writers in what is read from the store: servers, configuration and zones. They
+ * @brief Bytes of other writers in what is read from the store: servers, configuration, zones, locks and records. They
  * may break the structure around them. Good entries hold, and changes come through.
  */
 #include <stdio.h>
@@ -485,6 +485,85 @@
 }
 END_TEST
 
+/* ---- single objects ---- */
+
+static cw_store_reply_t reply;
+static char            *reply_value;
+static bool             is_replied;
+
+static void on_reply(void *context, const cw_store_reply_t *received)
+{
+    (void)context;
+    reply = *received;
+    free(reply_value);
+    reply_value = received->value == NULL ? NULL : json_dumps(received->value, JSON_COMPACT);
+    is_replied = true;
+}
+
+static bool has_replied(void *context)
+{
+    (void)context;
+    return is_replied;
+}
+
+static void read_object(const char *bytes)
+{
+    cw_store_port_t *port = byte_store_port();
+
+    byte_store_answer("cedarwinch-leaders", bytes);
+    is_replied = false;
+    port->read(port->context, "leaders", "leader", on_reply, NULL);
+    byte_store_wait(has_replied, NULL);
+}
+
+/* What stands before the place where the structure breaks may seem to be the whole value. */
+static bool is_value_left_out(void)
+{
+    return reply_value == NULL || strcmp(reply_value, "{\"note\":\"\"}") == 0;
+}
+
+/* Guards against: the lock, or a record of keys, cannot be read, so that it is never replaced: nobody leads, or no key
+ * has an owner, for good. Its revision suffices to replace it. */
+START_TEST(an_object_that_cannot_be_read_has_its_revision)
+{
+    char text[1024];
+
+    byte_store_start(wide, false);
+    snprintf(text, sizeof(text), "{\"metadata\":{\"name\":\"leader\",\"revision\":17},\"spec\":{\"note\":\"%s\"}}",
+             notes[_i]);
+    read_object(text);
+    ck_assert_int_eq(reply.result, CW_STORE_DONE);
+    ck_assert_uint_eq(reply.revision, 17);
+    ck_assert(is_value_left_out());
+    snprintf(text, sizeof(text), "{\"spec\":{\"note\":\"%s\"},\"metadata\":{\"name\":\"leader\",\"revision\":18}}",
+             notes[_i]);
+    read_object(text);
+    ck_assert_int_eq(reply.result, CW_STORE_DONE);
+    ck_assert_uint_eq(reply.revision, 18);
+    snprintf(text, sizeof(text),
+             "{\"metadata\":{\"name\":\"leader\",\"finalizers\":[\"%s\"],\"revision\":19},\"spec\":{\"a\":1},"
+             "\"status\":{\"note\":\"%s\"}}",
+             "\xff", notes[_i]);
+    read_object(text);
+    ck_assert_int_eq(reply.result, CW_STORE_DONE);
+    ck_assert_uint_eq(reply.revision, 19);
+    ck_assert_str_eq(reply_value, "{\"a\":1}");
+}
+END_TEST
+
+START_TEST(an_object_of_another_type_has_its_revision)
+{
+    byte_store_start(wide, false);
+    read_object("{\"metadata\":{\"name\":\"leader\",\"revision\":17},\"spec\":\"a text\"}");
+    ck_assert_int_eq(reply.result, CW_STORE_DONE);
+    ck_assert_uint_eq(reply.revision, 17);
+    ck_assert_ptr_null(reply_value);
+    read_object("{\"metadata\":{\"name\":\"leader\"},\"spec\":{}}");
+    ck_assert_int_eq(reply.result, CW_STORE_UNKNOWN);
+    ck_assert(reply.is_answered);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("foreign bytes");
@@ -506,11 +585,13 @@
     tcase_add_loop_test(cases, servers_are_listed_beside_many_entries_that_break_the_structure, 0, COUNT(notes));
     tcase_add_test(cases, an_unreadable_answer_is_an_answer);
     tcase_add_test(cases, changes_around_an_entry_of_many_bytes_are_all_read);
-    tcase_add_loop_test(cases, zones_are_read_beside_unreadable_entries_and_on_several_pages, 0, COUNT(notes));
     tcase_add_loop_test(cases, the_configuration_is_read_beside_an_unreadable_entry, 0, COUNT(notes));
     tcase_add_loop_test(cases, changes_of_the_configuration_come_through_beside_an_unreadable_entry, 0, COUNT(notes));
     tcase_add_test(cases, the_configuration_is_found_behind_pages_of_other_entries);
     tcase_add_loop_test(cases, the_configuration_in_force_stays_while_its_entry_is_unreadable, 0, COUNT(notes));
+    tcase_add_loop_test(cases, zones_are_read_beside_unreadable_entries_and_on_several_pages, 0, COUNT(notes));
+    tcase_add_loop_test(cases, an_object_that_cannot_be_read_has_its_revision, 0, COUNT(notes));
+    tcase_add_test(cases, an_object_of_another_type_has_its_revision);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
