An answer that cannot be read does not lift the bound on the age of the list

Cause: the bound is lifted while the store is out of reach (its last call failed), and an answer that could not be read counted as a failed call. But the store had answered: the machine was in touch, and others' leaves were acknowledged. Change: such an answer counts as one. Evidence: an_unreadable_answer_does_not_lift_the_bound fails without the change of router_list_reads.c (shown), and holds with it.

--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -118,7 +118,7 @@
     uint64_t     term = router->leadership.lock.term;
     cw_time_us_t now = cw_router_refresh_now(router); /* the lock's revision counts as unchanged from now on */
 
-    cw_router_store_result(router, reply->result != CW_STORE_REFUSED && reply->result != CW_STORE_UNKNOWN, now);
+    cw_router_store_result(router, cw_store_reply_is_answer(reply), now);
     free(call);
     cw_leadership_replied(&router->leadership, number, reply, now);
     if (reply->value != NULL) {
--- a/src/router/router_list_reads.c
+++ b/src/router/router_list_reads.c
@@ -63,7 +63,7 @@
     if (read->needs_whole) {
         router->needs_whole_at = cw_router_now(router);
     }
-    cw_router_store_result(router, read->list != NULL || read->needs_whole, cw_router_now(router));
+    cw_router_store_result(router, read->list != NULL || read->needs_whole || read->is_answered, cw_router_now(router));
     if (read->list == NULL) {
         return;
     }
--- a/tests/test_list_age.c
+++ b/tests/test_list_age.c
@@ -107,6 +107,42 @@
 }
 END_TEST
 
+/* Lets time pass without a leader; each reading of the list ends in this way. */
+static void run_with_readings(node_fixture_t *node, const cw_servers_read_t *read, int64_t duration_ms)
+{
+    static uint32_t sequence = 1000;
+    int64_t         passed;
+
+    for (passed = 0; passed < duration_ms; passed += CW_TICK_MS) {
+        if (passed % 500 == 0) {
+            report_nodes(node, FEW_NODES, ++sequence);
+        }
+        node_fixture_tick(node, CW_TICK_MS);
+        node->call_count = 0;
+        node->router.leadership.pending = CW_LEADERSHIP_WAIT;
+        if (node->router.reading_servers) {
+            cw_router_on_servers(&node->router, read);
+        }
+    }
+}
+
+/* Guards against: a node whose store answers unreadably takes it for out of reach, and goes on by an old list although
+ * it is in touch (review/2: DRAIN). */
+START_TEST(an_unreadable_answer_does_not_lift_the_bound)
+{
+    node_fixture_t *node = node_among(FEW_NODES, 3);
+    cw_router_t    *router = &node->router;
+
+    run_with_readings(node, &(cw_servers_read_t){.is_answered = true}, 3000);
+    ck_assert(!cw_engine_list_is_usable(router->engine, cw_router_now(router)));
+    ck_assert_int_le(cw_router_now(router) - router->servers_read_at,
+                     router->settings.drain / 2); /* it goes on reading */
+    run_with_readings(node, &(cw_servers_read_t){.is_answered = false}, 3000);
+    ck_assert(cw_engine_list_is_usable(router->engine, cw_router_now(router)));
+    node_fixture_free(node);
+}
+END_TEST
+
 /* Guards against: an owner of keys whose leave is announced late gets requests for half of `drain` from then on, though
  * it may have left when the list was last valid (issue 74). */
 START_TEST(an_owner_that_announced_its_leave_late_gets_no_request_beyond_the_drain_time)
@@ -234,6 +270,7 @@
     tcase_set_timeout(cases, 60);
     tcase_add_test(cases, a_node_of_a_large_fleet_renews_its_list_without_a_leader);
     tcase_add_test(cases, a_node_of_a_small_fleet_renews_its_list_without_a_leader);
+    tcase_add_test(cases, an_unreadable_answer_does_not_lift_the_bound);
     tcase_add_test(cases, an_owner_that_announced_its_leave_late_gets_no_request_beyond_the_drain_time);
     tcase_add_test(cases, a_process_that_starts_without_a_leader_reads_the_list_before_the_bounds_apply);
     tcase_add_test(cases, a_node_of_a_large_fleet_reads_changes_only_while_they_are_known);
