--- a/src/router/store_availability.h
+++ b/src/router/store_availability.h
@@ -4,8 +4,8 @@
  *
  * Rules:
  *  - Each call reports its outcome: answered, or failed. A write that the store refuses because its condition does
- *    not hold counts as answered. So does a call whose answer cannot be read: the store is in reach, and it acknowledges
- *    leaves of servers to others.
+ *    not hold counts as answered. So does a call whose answer cannot be read: the store is in reach, and it
+ * acknowledges leaves of servers to others.
  *  - The store counts as lost once calls have failed for CW_STORE_LOST_MS without an answer in between. One answer
  *    ends that state.
  *
