What a node keeps after an outage ends when the bounds on times hold for it again

Callers would be sent to a server up to 6.5 s after it had left (60 nodes, drain 3 s), by a node that had been cut off from the store alone and is in touch again: found by a simulation, not seen by a caller. Cause: after an outage of its own a node keeps the servers that it misses for the grace time, counted from its first answered reading. That reading may come a whole time limit after the cut has ended (the one before it was still without an answer), so that the grace time outlasts the time (contact, 3 s) after which the node is held to the bounds again. The store may have been away from this node alone, and the server may have left at the begin of the cut. Change: calls state when they were sent. A kept server is removed at the latest `settle_ms` (contact) after the last failed call was sent: the store cannot have been in reach before.

--- a/src/cli/zone.c
+++ b/src/cli/zone.c
@@ -49,8 +49,9 @@
     (void)at;
 }
 
-static void on_answered(void *context, bool is_answered)
+static void on_answered(void *context, bool is_answered, cw_time_us_t asked_at)
 {
+    (void)asked_at;
     (void)context;
     (void)is_answered;
 }
--- a/src/model/server_absence.c
+++ b/src/model/server_absence.c
@@ -51,9 +51,14 @@
                                    cw_time_us_t missing_since, cw_time_us_t now)
 {
     cw_time_us_t by_grace = missing_since + settings->grace;
-    bool         was_out = state->may_be_of_copy || is_after_outage(settings, state, now);
 
-    return state->known_at != 0 && !was_out ? not_above(by_grace, state->known_at + settings->usable) : by_grace;
+    if (state->may_be_of_copy || state->known_at == 0) {
+        return by_grace;
+    }
+    if (!is_after_outage(settings, state, now)) {
+        return not_above(by_grace, state->known_at + settings->usable);
+    }
+    return state->bound_from == 0 ? by_grace : not_above(by_grace, state->bound_from);
 }
 
 static bool is_missing(const cw_server_list_t *reading, const cw_server_entry_t *entry)
--- a/src/model/server_absence.h
+++ b/src/model/server_absence.h
@@ -13,6 +13,8 @@
  *  - Without an outage of this node's own it ends at the latest when the list that still contained the server is too
  *    old to be used (CW_LIST_USABLE_PERCENT): the server may have left at any time since then. That also holds for
  *    servers that a leader keeps after its outage. During an outage of its own, this node can learn of no leave.
+ *  - With an outage of its own it ends at the latest when the bounds on times hold for this node again: the store may
+ *    have been away from this node alone, and the server may have left long before.
  *  - A server has ended if another one has registered at its address, unless the reading may be of a copy of the store
  *    from before the server registered. A server that was leaving already is not kept.
  */
@@ -37,8 +39,11 @@
 bool cw_absence_is_over(const cw_server_entry_t *entry, cw_time_us_t now);
 /** What is known of a reading. */
 typedef struct cw_absence_reading {
-    cw_time_us_t known_at;       /**< when the list before it was certainly valid */
-    bool         store_failed;   /**< calls to the store have failed since then */
+    cw_time_us_t known_at;     /**< when the list before it was certainly valid */
+    bool         store_failed; /**< calls to the store have failed since then */
+    /** If they have: when this node, which may reach the store again since the last of them was sent, is held to the
+     * bounds on times again at the earliest. 0: not known. */
+    cw_time_us_t bound_from;
     bool         may_be_of_copy; /**< the store has come back from a copy since then (store_epoch.h) */
 } cw_absence_reading_t;
 
--- a/src/model/server_view.c
+++ b/src/model/server_view.c
@@ -220,6 +220,7 @@
 {
     return (cw_absence_reading_t){.known_at = view->evidence.valid_at,
                                   .store_failed = reading->store_failed,
+                                  .bound_from = reading->bound_from,
                                   .may_be_of_copy = cw_store_revision_epoch(reading->revision) >
                                                     cw_store_revision_epoch(view->revision)};
 }
--- a/src/model/server_view.h
+++ b/src/model/server_view.h
@@ -44,6 +44,7 @@
     uint64_t          latest; /**< it contains no later change; a list read in several calls may be beyond `revision` */
     cw_list_evidence_t evidence;       /**< when it was certainly valid */
     bool               store_failed;   /**< calls of this node to the store have failed since its list was last valid */
+    cw_time_us_t       bound_from;     /**< if they have: as in cw_absence_reading_t */
     bool               is_from_leader; /**< the leader sent it; false: this node has read it from the store */
 } cw_server_reading_t;
 
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -419,7 +419,10 @@
 /** Callback of the store adapter: the list of servers was read, or could not be. */
 void cw_router_on_servers(void *context, const cw_servers_read_t *read);
 /** Whether calls of this node to the store have failed since its list was last valid, or are without an answer. */
-bool cw_router_has_missed_store(const cw_router_t *router, cw_time_us_t now);
+/** When the bounds on times hold for this node again at the earliest, after its last call to the store that failed; 0:
+ * none has. */
+cw_time_us_t cw_router_bound_from(const cw_router_t *router);
+bool         cw_router_has_missed_store(const cw_router_t *router, cw_time_us_t now);
 /** Whether the leader's heartbeat is not missing. */
 bool cw_router_has_heartbeat(const cw_router_t *router, cw_time_us_t now);
 /** Whether there are so many nodes that each of their calls to the store counts. */
@@ -602,10 +605,10 @@
 /** Whether this node leads and its lock has not run out. */
 bool cw_router_has_authority(const cw_router_t *router, cw_time_us_t now);
 /** Records whether the store answered a call of this node, and logs when the store is lost or back. */
-void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now);
+void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t asked_at, cw_time_us_t now);
 /** Callback of the store adapter: the store has stated a later epoch than before. */
 void cw_router_on_store_epoch(void *context, uint64_t epoch);
 /** Callback of the store adapter: records whether the store answered a call of its standing readers. */
-void cw_router_on_answered(void *context, bool is_answered);
+void cw_router_on_answered(void *context, bool is_answered, cw_time_us_t asked_at);
 
 #endif
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -98,6 +98,7 @@
 typedef struct lock_call {
     cw_router_t *router;
     uint64_t     number;
+    cw_time_us_t sent_at;
 } lock_call_t;
 
 static lock_call_t *begin_lock_call(cw_router_t *router)
@@ -106,6 +107,7 @@
 
     call->router = router;
     call->number = router->leadership.call;
+    call->sent_at = cw_router_now(router);
     return call;
 }
 
@@ -118,7 +120,7 @@
     uint64_t     term = router->leadership.lock.term;
     cw_time_us_t now = cw_router_refresh_now(router); /* the lock's revision counts as unchanged from now on */
 
-    cw_router_store_result(router, cw_store_reply_is_answer(reply), now);
+    cw_router_store_result(router, cw_store_reply_is_answer(reply), call->sent_at, now);
     free(call);
     cw_leadership_replied(&router->leadership, number, reply, now);
     if (reply->value != NULL) {
@@ -233,9 +235,10 @@
     }
 }
 
-void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t now)
+void cw_router_store_result(cw_router_t *router, bool answered, cw_time_us_t asked_at, cw_time_us_t now)
 {
-    cw_store_availability_change_t change = cw_store_availability_record(&router->store_availability, answered, now);
+    cw_store_availability_change_t change =
+        cw_store_availability_record(&router->store_availability, answered, asked_at, now);
 
     if (change == CW_STORE_LOST) {
         log_store_lost(&router->store_availability, now);
@@ -267,11 +270,11 @@
     }
 }
 
-void cw_router_on_answered(void *context, bool is_answered)
+void cw_router_on_answered(void *context, bool is_answered, cw_time_us_t asked_at)
 {
     cw_router_t *router = context;
 
-    cw_router_store_result(router, is_answered, cw_router_now(router));
+    cw_router_store_result(router, is_answered, asked_at, cw_router_now(router));
 }
 
 /* Whether the store has left this leader's renewals of the lock without an answer. */
--- a/src/router/router_list_reads.c
+++ b/src/router/router_list_reads.c
@@ -37,6 +37,13 @@
     return router->store_availability.failed_at > router->server_view.evidence.valid_at || is_store_out(router, now);
 }
 
+cw_time_us_t cw_router_bound_from(const cw_router_t *router)
+{
+    cw_time_us_t failed_asked_at = router->store_availability.failed_asked_at;
+
+    return failed_asked_at == 0 ? 0 : failed_asked_at + router->settings.settle;
+}
+
 /* Whether entries may be missing in this reading although their servers live: calls have failed since the list in force
  * was valid, or the store was restored since. */
 static bool has_store_failed(const cw_router_t *router, const cw_servers_read_t *read)
@@ -53,7 +60,8 @@
     cw_server_reading_t reading = {.list = read->list,
                                    .revision = read->revision,
                                    .latest = read->latest,
-                                   .store_failed = has_store_failed(router, read)};
+                                   .store_failed = has_store_failed(router, read),
+                                   .bound_from = cw_router_bound_from(router)};
 
     if (!router->reading_copy) {
         reading.evidence =
@@ -63,7 +71,8 @@
     if (read->needs_whole) {
         router->needs_whole_at = cw_router_now(router);
     }
-    cw_router_store_result(router, read->list != NULL || read->needs_whole || read->is_answered, cw_router_now(router));
+    cw_router_store_result(router, read->list != NULL || read->needs_whole || read->is_answered, read->asked_at,
+                           cw_router_now(router));
     if (read->list == NULL) {
         return;
     }
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -286,7 +286,7 @@
         valid_at -= tables_validity(router) * TABLES_STALE_PERCENT / 100;
     }
     router->table_reads_pending--;
-    cw_router_store_result(router, cw_store_reply_is_answer(reply), cw_router_now(router));
+    cw_router_store_result(router, cw_store_reply_is_answer(reply), read->sent_at, cw_router_now(router));
     if (reply->result != CW_STORE_DONE || router->leadership.leading) {
         free(read);
         return;
--- a/src/router/router_view_pages.c
+++ b/src/router/router_view_pages.c
@@ -132,7 +132,8 @@
     cw_server_reading_t reading = {.revision = revision,
                                    .is_from_leader = true,
                                    .store_failed =
-                                       router->store_availability.failed_at > router->server_view.evidence.valid_at};
+                                       router->store_availability.failed_at > router->server_view.evidence.valid_at,
+                                   .bound_from = cw_router_bound_from(router)};
     cw_list_update_t   *update;
 
     if (page->pages == 0 && page->ask_instead != 0) {
--- a/src/router/store_availability.c
+++ b/src/router/store_availability.c
@@ -15,12 +15,13 @@
 }
 
 cw_store_availability_change_t cw_store_availability_record(cw_store_availability_t *availability, bool is_answered,
-                                                            cw_time_us_t now)
+                                                            cw_time_us_t asked_at, cw_time_us_t now)
 {
     if (is_answered) {
         return record_answer(availability, now);
     }
     availability->failed_at = now;
+    availability->failed_asked_at = asked_at > availability->failed_asked_at ? asked_at : availability->failed_asked_at;
     if (availability->failing_since == 0) {
         availability->failing_since = now;
     }
--- a/src/router/store_availability.h
+++ b/src/router/store_availability.h
@@ -34,14 +34,16 @@
 /** Outcomes of the calls so far. All zeros: no call has failed yet. */
 typedef struct cw_store_availability {
     bool         is_lost;
-    cw_time_us_t failing_since; /**< first failure since the last answer; 0: none */
-    cw_time_us_t failed_at;     /**< last failure; 0: none */
-    cw_time_us_t answered_at;   /**< last answer; 0: none */
+    cw_time_us_t failing_since;   /**< first failure since the last answer; 0: none */
+    cw_time_us_t failed_at;       /**< last failure; 0: none */
+    cw_time_us_t failed_asked_at; /**< when the latest call that failed was sent; 0: none has */
+    cw_time_us_t answered_at;     /**< last answer; 0: none */
 } cw_store_availability_t;
 
-/** Records the outcome of a call. Each change of the state is returned once, so that the caller can log it. */
+/** Records the outcome of a call that was sent at `asked_at`. Each change of the state is returned once, so that the
+ * caller can log it. */
 cw_store_availability_change_t cw_store_availability_record(cw_store_availability_t *availability, bool is_answered,
-                                                            cw_time_us_t now);
+                                                            cw_time_us_t asked_at, cw_time_us_t now);
 /** Whether the store is out of this node's reach now: the last call has failed, less than `recent` ago, or a call that
  * was made at `asked_at` (0: none is in flight) is without an answer for CW_STORE_UNANSWERED_MS. */
 bool cw_store_availability_is_out(const cw_store_availability_t *availability, cw_time_us_t asked_at,
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -54,6 +54,7 @@
                          read in several calls, since changes made between them may be included */
     cw_time_us_t lag; /**< changes made within this time before the read may be missing */
     bool         is_answered; /**< list is NULL: the store answered, though with nothing that can be used */
+    cw_time_us_t asked_at;    /**< when the last call of the read was sent */
     bool         needs_whole; /**< list is NULL: the store answered, but the changes are not known to it any more */
 } cw_servers_read_t;
 
@@ -74,8 +75,8 @@
      */
     void (*epoch)(void *context, uint64_t epoch);
     /** The store answered a call of a watch or periodic read, or one of the calls that a read of the list takes (true),
-     * or a read of the configuration got no answer (false). */
-    void (*answered)(void *context, bool is_answered);
+     * or a read of the configuration got no answer (false). asked_at: when the call was sent. */
+    void (*answered)(void *context, bool is_answered, cw_time_us_t asked_at);
     /** Operators may take zones out of service in this store. Each read of the servers then also returns these zones.
      */
     bool zones_can_be_taken_out;
--- a/tests/byte_store.c
+++ b/tests/byte_store.c
@@ -285,8 +285,9 @@
     reports.newest_proofs++;
 }
 
-static void on_answered(void *context, bool is_answered)
+static void on_answered(void *context, bool is_answered, cw_time_us_t asked_at)
 {
+    (void)asked_at;
     (void)context;
     reports.failures += is_answered ? 0 : 1;
 }
--- a/tests/list_way_sim.c
+++ b/tests/list_way_sim.c
@@ -141,7 +141,7 @@
         return;
     }
     party->reading.is_active = false;
-    (void)cw_store_availability_record(&party->store, party->reading.is_answered, sim->now);
+    (void)cw_store_availability_record(&party->store, party->reading.is_answered, party->reading.sent_at, sim->now);
     if (party->reading.is_answered && read.valid_at > party->list.valid_at) {
         party->list = read;
     }
--- a/tests/test_kept_servers.c
+++ b/tests/test_kept_servers.c
@@ -132,6 +132,26 @@
 }
 END_TEST
 
+/* Guards against: a node that was cut off from the store alone keeps a server for the whole grace time, counted from
+ * its first answered reading, though the bounds on times hold for it again before: the server had left at the begin of
+ * the cut (DRAIN). */
+START_TEST(a_server_kept_after_an_outage_of_this_node_is_not_used_once_the_bounds_hold_again)
+{
+    cw_time_us_t        failed_asked_at = start + CW_MS(2500);
+    cw_time_us_t        answered_at = start + CW_MS(4000);
+    cw_server_list_t   *list = cw_server_list_create();
+    cw_server_reading_t reading = {
+        .evidence.valid_at = answered_at, .store_failed = true, .bound_from = failed_asked_at + CW_SECONDS(3)};
+
+    read_at(true, 90, false, start);
+    add(list, "stays1", 0);
+    add(list, "stays2", 0);
+    apply(list, 100, reading, answered_at);
+    ck_assert(is_listed(failed_asked_at + CW_MS(2900)));
+    ck_assert(!is_listed(failed_asked_at + CW_SECONDS(3)));
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("kept servers");
@@ -142,6 +162,7 @@
     tcase_add_test(cases, a_server_that_a_leader_keeps_is_used_no_longer_than_this_node_may_by_its_own_list);
     tcase_add_test(cases, a_server_that_a_leader_keeps_is_kept_by_a_node_that_did_not_reach_the_store_either);
     tcase_add_test(cases, servers_that_are_missing_all_at_once_are_kept_no_longer_than_drain_allows);
+    tcase_add_test(cases, a_server_kept_after_an_outage_of_this_node_is_not_used_once_the_bounds_hold_again);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
--- a/tests/test_platform_foreign_pages.c
+++ b/tests/test_platform_foreign_pages.c
@@ -79,8 +79,9 @@
     (void)epoch;
 }
 
-static void on_answered(void *context, bool is_answered)
+static void on_answered(void *context, bool is_answered, cw_time_us_t asked_at)
 {
+    (void)asked_at;
     (void)context;
     (void)is_answered;
 }
