What heartbeats and notices state of the configuration and the tables counts from their sending, too

Callers could be answered by an older configuration for longer than config-apply by as long as a queue or a relay held a message up. Cause: the age that a message states was counted from its receipt; mended this for the list of servers alone. Evidence: a_heartbeat_that_was_held_up_proves_configuration_and_tables_at_its_sending_only failed before (age 0 in place of 900 ms).

--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -111,13 +111,14 @@
     cw_configuration_freshness_confirm(&router->freshness, version, at);
 }
 
-void cw_router_record_sent_evidence(cw_router_t *router, uint64_t version, uint32_t packed_age, cw_time_us_t now)
+void cw_router_record_sent_evidence(cw_router_t *router, uint64_t version, uint32_t packed_age, cw_time_us_t sent_at)
 {
     /* After a stall the datagram may have waited since the sockets were last looked at. */
-    cw_time_us_t received_at = cw_loop_stall_is_behind(&router->loop) ? cw_loop_stall_last_look(&router->loop) : now;
+    cw_time_us_t looked_at = cw_loop_stall_is_behind(&router->loop) ? cw_loop_stall_last_look(&router->loop) : sent_at;
 
     if (!router->leadership.leading) {
-        cw_configuration_freshness_unpack(&router->freshness, version, packed_age, received_at);
+        cw_configuration_freshness_unpack(&router->freshness, version, packed_age,
+                                          looked_at < sent_at ? looked_at : sent_at);
     }
 }
 
--- a/src/router/router_forward.c
+++ b/src/router/router_forward.c
@@ -212,5 +212,6 @@
     leader->is_lost = false;
     cw_router_handle_leader_heartbeat(router, leader, sender, passed->heartbeat, now);
     cw_router_record_configuration(router, leader, passed->configuration, now);
-    cw_router_record_sent_evidence(router, passed->configuration, passed->heartbeat->configuration_age_ms, now);
+    cw_router_record_sent_evidence(router, passed->configuration, passed->heartbeat->configuration_age_ms,
+                                   cw_router_heartbeat_sent_at(leader, passed->heartbeat, now));
 }
--- a/src/router/router_heartbeat.c
+++ b/src/router/router_heartbeat.c
@@ -8,9 +8,7 @@
 #include "base/text.h"
 #include "router/router_internal.h"
 
-/* When the heartbeat was sent; its receipt if the leader's release does not state it. What it says of the list is of
- * that time, however long a relay or a queue has held it up. */
-static cw_time_us_t heartbeat_sent_at(cw_peer_t *leader, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
+cw_time_us_t cw_router_heartbeat_sent_at(cw_peer_t *leader, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
 {
     if (heartbeat->sent_ms == 0) {
         return now;
@@ -41,17 +39,17 @@
 }
 
 /* The same for the tables. */
-static void confirm_tables(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now)
+static void confirm_tables(cw_router_t *router, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t sent_at)
 {
     if (heartbeat->tables == 0) {
         return;
     }
     if (router->view_tables_version >= heartbeat->tables) {
-        cw_router_confirm_tables(router, now);
+        cw_router_confirm_tables(router, sent_at);
     } else {
         cw_router_confirm_tables(router, cw_replaced_versions_valid_at(router->view_tables_version, heartbeat->tables,
                                                                        heartbeat->tables_replaced_ms,
-                                                                       heartbeat->n_tables_replaced_ms, now));
+                                                                       heartbeat->n_tables_replaced_ms, sent_at));
     }
 }
 
@@ -92,7 +90,9 @@
     cw_router_check_view(router, heartbeat, now);
     cw_router_list_exchange_heartbeat(router, heartbeat, now);
     if (router->view_term == heartbeat->term && !cw_router_reads_backlog(router, now)) {
-        confirm_servers(router, sender, heartbeat, heartbeat_sent_at(peer, heartbeat, now));
-        confirm_tables(router, heartbeat, now);
+        cw_time_us_t sent_at = cw_router_heartbeat_sent_at(peer, heartbeat, now);
+
+        confirm_servers(router, sender, heartbeat, sent_at);
+        confirm_tables(router, heartbeat, sent_at);
     }
 }
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -364,8 +364,8 @@
 /** Callback of the store adapter: an answer of the store shows that no configuration above this version had been
  * acknowledged at that time. */
 void cw_router_on_configuration_evidence(void *context, uint64_t version, cw_time_us_t at);
-/** Records evidence that another node has sent (configuration_freshness.h): its version and its packed age. */
-void cw_router_record_sent_evidence(cw_router_t *router, uint64_t version, uint32_t packed_age, cw_time_us_t now);
+/** Records evidence that another node has sent (configuration_freshness.h): its version, and its packed age then. */
+void cw_router_record_sent_evidence(cw_router_t *router, uint64_t version, uint32_t packed_age, cw_time_us_t sent_at);
 /** Brings a configuration into force if its version is higher than that of the one in force, and returns whether it
  * did. source: where it comes from, for the log. The reference passes to the callee in either case. */
 bool cw_router_apply_configuration(cw_router_t *router, cw_configuration_t *configuration, const char *source);
@@ -433,6 +433,9 @@
 cw_time_us_t cw_router_read_interval(const cw_router_t *router, cw_time_us_t usual, cw_time_us_t now);
 
 /* ---- router_heartbeat.c ---- */
+/** When a heartbeat was sent; its receipt if the leader's release does not state it. What it says of the list, the
+ * tables and the configuration is of that time, however long a relay or a queue has held it up. */
+cw_time_us_t cw_router_heartbeat_sent_at(cw_peer_t *leader, const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now);
 /** Handles the heartbeat of the leader `peer`. sender: the relay that forwarded it; the leader itself if none did. */
 void cw_router_handle_leader_heartbeat(cw_router_t *router, cw_peer_t *peer, const cw_peer_t *sender,
                                        const Cwp__LeaderHeartbeat *heartbeat, cw_time_us_t now);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -172,7 +172,8 @@
     }
     cw_router_record_configuration(router, peer, received->configuration, now);
     if (received->leader != NULL) {
-        cw_router_record_sent_evidence(router, received->configuration, received->leader->configuration_age_ms, now);
+        cw_router_record_sent_evidence(router, received->configuration, received->leader->configuration_age_ms,
+                                       cw_router_heartbeat_sent_at(peer, received->leader, now));
     }
     cw_engine_wake(router->engine);
 }
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -159,7 +159,7 @@
     }
     cw_router_record_configuration(router, peer, notice->configuration, now);
     if (cw_configuration_role_takes_readers_evidence(configuration_role(router, now))) {
-        cw_router_record_sent_evidence(router, notice->configuration, notice->configuration_age_ms, now);
+        cw_router_record_sent_evidence(router, notice->configuration, notice->configuration_age_ms, sent_at);
     }
     if (router->leadership.leading || cw_router_reads_backlog(router, now)) {
         return;
@@ -175,7 +175,7 @@
             cw_router_received_revision(router, notice->servers_revision_epoch, notice->servers_revision), &evidence);
     }
     if (notice->tables_hash != 0 && router->tables_valid_at != 0 && notice->tables_hash == router->tables_hash) {
-        cw_router_confirm_tables(router, now - CW_MS(notice->tables_age_ms));
+        cw_router_confirm_tables(router, sent_at - CW_MS(notice->tables_age_ms));
     }
 }
 
--- a/tests/test_list_age.c
+++ b/tests/test_list_age.c
@@ -196,6 +196,9 @@
     heartbeat.servers = 1;
     heartbeat.servers_hash = node->router.server_view.hash;
     heartbeat.sent_ms = sent_ms;
+    heartbeat.tables = node->router.view_tables_version;
+    heartbeat.configuration_age_ms = 1; /* none */
+    report.configuration = cw_router_version(&node->router);
     report.node = "leader";
     report.zone = "z2";
     report.incarnation = 5;
@@ -225,6 +228,27 @@
 }
 END_TEST
 
+/* Guards against: the same of the configuration and of the tables, so that a configuration seems to be the newest one
+ * for longer than it may be (CONFIG). */
+START_TEST(a_heartbeat_that_was_held_up_proves_configuration_and_tables_at_its_sending_only)
+{
+    node_fixture_t *node = node_among(FEW_NODES, 3);
+    cw_router_t    *router = &node->router;
+
+    ck_assert(cw_router_apply_configuration(router, node_fixture_configuration(3, "s"), "node"));
+    router->view_term = 5;
+    router->view_tables_version = 1;
+    receive_heartbeat(node, 700000);
+    ck_assert_int_eq(cw_configuration_freshness_age(&router->freshness, cw_router_now(router)), 0);
+    ck_assert_int_eq(router->tables_valid_at, cw_router_now(router));
+    node_fixture_tick(node, 1000);
+    receive_heartbeat(node, 700100); /* held up for 900 ms */
+    ck_assert_int_eq(cw_configuration_freshness_age(&router->freshness, cw_router_now(router)), CW_MS(900));
+    ck_assert_int_eq(router->tables_valid_at, cw_router_now(router) - CW_MS(900));
+    node_fixture_free(node);
+}
+END_TEST
+
 /* Lets time pass until the node reads its list. */
 static void await_reading(node_fixture_t *node)
 {
@@ -275,6 +299,7 @@
     tcase_add_test(cases, a_process_that_starts_without_a_leader_reads_the_list_before_the_bounds_apply);
     tcase_add_test(cases, a_node_of_a_large_fleet_reads_changes_only_while_they_are_known);
     tcase_add_test(cases, a_heartbeat_that_was_held_up_confirms_the_list_at_its_sending_only);
+    tcase_add_test(cases, a_heartbeat_that_was_held_up_proves_configuration_and_tables_at_its_sending_only);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
