Process test of bytes that break the answers of the store, of every kind

Nodes, servers and callers as processes, beside entries with quotation marks, backslashes and bytes that are no text among servers, configuration and zones, and in the place of the lock and of the record of keys; start, watch, forgotten history, restart of all. The stand-in of the store answers with such bytes where an object's text holds "raw-hex(DIGITS)".

--- a/standins/store/main.c
+++ b/standins/store/main.c
@@ -30,6 +30,7 @@
     cw_http_exchange_t *exchange; /**< NULL: its caller has disconnected */
     int                 status;
     char               *text;
+    size_t              length;
 } delayed_answer_t;
 
 /** A write that is done some time after its call, which gets no answer. */
@@ -45,13 +46,13 @@
 /* ---- answers ---- */
 
 /* Answers with the store's epoch as of now. */
-static void answer_text(const store_t *store, cw_http_exchange_t *exchange, int status, const char *text)
+static void answer_text(const store_t *store, cw_http_exchange_t *exchange, int status, const char *text, size_t length)
 {
     char               epoch[32];
     cw_http_field_t    field = {.name = "Store-Era", .value = epoch};
     cw_http_fields_t   fields = {.items = &field, .count = 1};
     cw_http_outbound_t outbound = {
-        .status = status, .fields = &fields, .body = text, .body_length = strlen(text), .retry_after_s = -1};
+        .status = status, .fields = &fields, .body = text, .body_length = length, .retry_after_s = -1};
 
     snprintf(epoch, sizeof(epoch), "%" PRIu64, store->epoch);
     cw_http_exchange_answer(exchange, &outbound);
@@ -71,7 +72,7 @@
 
     if (delayed->exchange != NULL) {
         cw_http_exchange_set_data(delayed->exchange, NULL);
-        answer_text(delayed->store, delayed->exchange, delayed->status, delayed->text);
+        answer_text(delayed->store, delayed->exchange, delayed->status, delayed->text, delayed->length);
     }
     uv_close((uv_handle_t *)timer, free_delayed_answer);
 }
@@ -85,11 +86,12 @@
 static void answer_after(store_t *store, cw_http_exchange_t *exchange, int status, json_t *body, uint64_t delay_ms)
 {
     char             *text = body == NULL ? strdup("") : json_dumps(body, JSON_COMPACT);
+    size_t            length = store_insert_bytes(text);
     delayed_answer_t *delayed;
 
     json_decref(body);
     if (delay_ms == 0) {
-        answer_text(store, exchange, status, text);
+        answer_text(store, exchange, status, text, length);
         free(text);
         return;
     }
@@ -101,6 +103,7 @@
     delayed->exchange = exchange;
     delayed->status = status;
     delayed->text = text;
+    delayed->length = length;
     delayed->timer.data = delayed;
     uv_timer_init(&store->loop, &delayed->timer);
     uv_timer_start(&delayed->timer, on_delayed_answer, delay_ms, 0);
@@ -425,7 +428,7 @@
         store_forget(store);
         store_answer_watches(store);
     }
-    answer_text(store, exchange, 200, "done\n");
+    answer_text(store, exchange, 200, "done\n", strlen("done\n"));
 }
 
 /* Handles a call during an outage. Returns false if there is none. */
@@ -437,7 +440,7 @@
     if (strcmp(outage->how, "reset") == 0) {
         cw_http_exchange_abort(exchange);
     } else if (strcmp(outage->how, "silent") != 0) {
-        answer_text(store, exchange, 503, "");
+        answer_text(store, exchange, 503, "", 0);
     }
     return true;
 }
@@ -458,11 +461,11 @@
         return;
     }
     if (store->refuse_percent > 0 && ++store->calls % 100 < store->refuse_percent) {
-        answer_text(store, exchange, 429, "");
+        answer_text(store, exchange, 429, "", 0);
         return;
     }
     if (strncmp(inbound->target, prefix, strlen(prefix)) != 0) {
-        answer_text(store, exchange, 404, "");
+        answer_text(store, exchange, 404, "", 0);
         return;
     }
     snprintf(path, sizeof(path), "%.*s", (int)strcspn(inbound->target + strlen(prefix), "?"),
--- a/standins/store/store.h
+++ b/standins/store/store.h
@@ -179,4 +179,9 @@
 /** Answers the watches that wait for changes which there are now. */
 void store_answer_watches(store_t *store);
 
+/* ---- store_bytes.c ---- */
+/** Replaces each "raw-hex(DIGITS)" in an answer by the bytes that the digits stand for. So callers can leave bytes that
+ * are no JSON in an object, in one of its texts. Returns the length. */
+size_t store_insert_bytes(char *text);
+
 #endif
