A later leader tells the former holders that an earlier one had not reached

Callers of keys with an owner may be answered by two servers where a former holder stood still, its hold ran out by time, the move was written as finished, and then the leader changed: nobody told the former holder, and a grant that it carried out late was in force beside the owner's. Cause: the record names a former holder only while its move is not finished; what an earlier leader still had to say was in its memory alone. Change: the record names the former holders that have still to be told, with the keys and the fence; a leader that adopts the record tells them until they answer, or for as long as late orders of an earlier leader may be carried out.

--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -121,6 +121,10 @@
 /* ---- assigner_notices.c ---- */
 /** The former holder's hold of the range has run out by time alone: it is told until its grants are over. */
 void cw_assigner_add_notice(cw_assigner_t *assigner, const cw_range_t *range);
+/** Adds the former holders that still have to be told to a record that is about to be written. */
+void cw_assigner_write_notices(const cw_assigner_t *assigner, json_t *record);
+/** Adds the notices that an earlier leader's record names. */
+void cw_assigner_adopt_notices(cw_assigner_t *assigner, const json_t *record);
 /** The former holder has answered this release: the notice of it ends. */
 void cw_assigner_notice_answered(cw_assigner_t *assigner, const cw_order_t *release);
 /** Sends the notices that are due. */
--- a/src/assignment/assigner_record.c
+++ b/src/assignment/assigner_record.c
@@ -26,6 +26,7 @@
     assigner->plan.epoch_stamp = cw_store_epoch_stamp(assigner->epoch);
     assigner->plan.is_waiting = assigner->now < assigner->first_grant_at;
     value = cw_assignment_record_to_json(&assigner->plan);
+    cw_assigner_write_notices(assigner, value);
     assigner->calling = true;
     if (assigner->revision == 0) {
         assigner->ports.store->create(assigner->ports.store->context, CW_ASSIGNMENTS_KIND, assigner->service, value,
@@ -193,6 +194,7 @@
         regrant(assigner, &record, reply->revision);
     } else {
         log_record(assigner, "record adopted", &record);
+        cw_assigner_adopt_notices(assigner, reply->value);
         adopt(assigner, &record, reply->revision);
     }
 }
