A first grant does not leave on an answer that waited while the leader stood still

A server could be given keys by a grant that it takes late, below another's fence, where the leader itself stood still between its probe and the reading of the answer: the server may have given the answer 339 ms before, and have stopped since. Cause: an answer to a probe counted as fresh for the whole timeout (350 ms), whoever had been slow. Change: it counts if it was read within 150 ms of the probe, or by a process that ticked in the last 150 ms. Else the range is probed again with the next tick.

--- a/src/assignment/assigner_internal.h
+++ b/src/assignment/assigner_internal.h
@@ -45,6 +45,7 @@
     cw_time_us_t           stale_since; /**< when a move ended that the record still shows as unfinished; 0: none */
     cw_time_us_t           retry_at;    /**< no store call is made before this time */
     cw_time_us_t           now;         /**< latest time that a caller has passed */
+    cw_time_us_t           ticked_at;   /**< time of the last tick */
     /** Time of the first tick with authority. Earlier leaders had lost their authority by this time. 0: none yet. */
     cw_time_us_t led_since;
     cw_time_us_t adopted_at;     /**< when the record of an earlier leader was read that this one adopted; 0: none */
--- a/src/assignment/assigner_probes.c
+++ b/src/assignment/assigner_probes.c
@@ -10,7 +10,10 @@
 
 #include "assignment/assigner_internal.h"
 
-enum { UNANSWERING_PROBE_INTERVAL_MS = 200 };
+enum {
+    UNANSWERING_PROBE_INTERVAL_MS = 200,
+    FRESH_ANSWER_MS = 150 /* a process without much of a processor stands still for up to 100 ms */
+};
 
 bool cw_assigner_needs_probe(const cw_assigner_t *assigner, const cw_range_t *range)
 {
@@ -74,6 +77,16 @@
     cw_assigner_log(assigner, "owner ended", range, "another incarnation answers");
 }
 
+/* Whether the server gave the answer just now. One that this process reads after it has stood still may have waited for
+ * as long, and the server may have stopped since. */
+static bool is_answer_fresh(const cw_assigner_t *assigner, const cw_order_t *probe, cw_time_us_t now)
+{
+    cw_time_us_t most = CW_MS(FRESH_ANSWER_MS);
+
+    return now - probe->sent_at <= probe->timeout &&
+           (now - probe->sent_at <= most || now - assigner->ticked_at <= most);
+}
+
 static void handle_result(cw_assigner_t *assigner, cw_range_t *range, const cw_order_t *probe, cw_order_result_t result,
                           bool is_fresh, cw_time_us_t now)
 {
@@ -81,8 +94,7 @@
     case CW_ORDER_DONE:
     case CW_ORDER_FENCED:
     case CW_ORDER_REFUSED:
-        /* An answer that this process reads after the timeout says nothing of the server now. */
-        if (now - probe->sent_at <= probe->timeout && !range->needs_fence && assigner->state == CW_ASSIGNER_READY &&
+        if (is_answer_fresh(assigner, probe, now) && !range->needs_fence && assigner->state == CW_ASSIGNER_READY &&
             cw_assigner_may_grant(assigner, range)) {
             cw_assigner_send_grant(assigner, range, is_fresh, now);
         }
--- a/src/assignment/assigner_tick.c
+++ b/src/assignment/assigner_tick.c
@@ -8,6 +8,7 @@
                       cw_time_us_t now)
 {
     assigner->now = now;
+    assigner->ticked_at = now;
     if (!has_authority || assigner->state == CW_ASSIGNER_DEPOSED) {
         return;
     }
--- a/tests/late_orders_fixture.c
+++ b/tests/late_orders_fixture.c
@@ -38,8 +38,11 @@
     int passed;
 
     for (passed = 0; passed < ms; passed += ASSIGNER_ORDER_TIMEOUT_MS) {
-        assigner_fixture_tick(fixture, CW_MS(LATE_ORDERS_TICK_MS));
-        fixture->now += CW_MS(ASSIGNER_ORDER_TIMEOUT_MS - LATE_ORDERS_TICK_MS);
+        int waited;
+
+        for (waited = 0; waited < ASSIGNER_ORDER_TIMEOUT_MS; waited += LATE_ORDERS_TICK_MS) {
+            assigner_fixture_tick(fixture, CW_MS(LATE_ORDERS_TICK_MS));
+        }
         late_orders_answer(fixture, id, CW_ORDER_UNANSWERED);
     }
 }
--- a/tests/test_assigner_unanswering_open.c
+++ b/tests/test_assigner_unanswering_open.c
@@ -1,6 +1,6 @@
 /**
  * @file test_assigner_unanswering_open.c
- * @brief Tests of faults that are open (KNOWN-RED.txt, issue 77).
+ * @brief What is left of an unanswered order at a change of the leader, and at a leader that stood still.
  */
 #include <stdio.h>
 #include <stdlib.h>
