--- a/tests/test_foreign_bytes.c
+++ b/tests/test_foreign_bytes.c
@@ -336,6 +336,26 @@
 }
 END_TEST
 
+/* Guards against: an entry with much that looks like other entries uses up the search behind it, and what follows
+ * counts as not there. */
+START_TEST(an_entry_that_looks_like_many_hides_nothing_behind_it)
+{
+    static char text[60000];
+    size_t      length = 0;
+
+    byte_store_start(wide, false);
+    put_server("a", "ready");
+    length = (size_t)snprintf(text, sizeof(text), "{\"spec\":{\"note\":\"\"\"");
+    while (length < 50000) {
+        length += (size_t)snprintf(text + length, sizeof(text) - length, ",{\"x\":[0");
+    }
+    put("servers", "b", text);
+    put_server("c", "ready");
+    byte_store_read(CW_LIST_READ);
+    CHECK_LISTED("a", "c");
+}
+END_TEST
+
 /* Guards against: an answer that cannot be read at all counts as a failed call, so that nodes go on by an old list as
  * if the store were out of reach. */
 START_TEST(an_unreadable_answer_is_an_answer)
@@ -583,6 +603,7 @@
     tcase_add_test(cases, a_name_with_a_zero_byte_is_no_other_name);
     tcase_add_loop_test(cases, entries_inside_an_entry_are_no_entries, 0, COUNT(notes));
     tcase_add_loop_test(cases, servers_are_listed_beside_many_entries_that_break_the_structure, 0, COUNT(notes));
+    tcase_add_test(cases, an_entry_that_looks_like_many_hides_nothing_behind_it);
     tcase_add_test(cases, an_unreadable_answer_is_an_answer);
     tcase_add_test(cases, changes_around_an_entry_of_many_bytes_are_all_read);
     tcase_add_loop_test(cases, the_configuration_is_read_beside_an_unreadable_entry, 0, COUNT(notes));
