Logs say what the end of an attempt shows, and on which connection it went

Cause: a refusal that rests on a server's denial could not be told from one where nothing was sent, nor the denial of one attempt from that of another: the lines had neither the connection nor whether the answer named the request.

Change: `evidence` and `connection` in `retried`, `refused` and `failed`; a line and a metric for answers to other requests that were discarded. The kinds of evidence are a type of their own (proxy/run_evidence.h). Nothing is decided by it yet.

--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -70,6 +70,7 @@
     X(DELEGATION_DECLINED, "delegation declined", NOTICE, 20)                                                          \
     X(REQUEST_REFUSED, "refused", NOTICE, 100)                                                                         \
     X(REQUEST_FAILED, "failed", NOTICE, 100)                                                                           \
+    X(ANSWER_DISCARDED, "answer discarded", NOTICE, 20)                                                                \
     X(REQUEST_GONE, "caller left", INFO, 50)                                                                           \
     X(ANSWER_WAITED, "answer waited", INFO, 50)                                                                        \
     X(ANSWER_CUT, "answer cut", NOTICE, 20)                                                                            \
@@ -158,6 +159,8 @@
     X(LIST_AGE_MS, "list_age_ms")                                                                                      \
     X(LIST_SOURCE, "list_source")                                                                                      \
     X(LIST_FROM, "list_from")                                                                                          \
+    X(CONNECTION, "connection")                                                                                        \
+    X(EVIDENCE, "evidence")                                                                                            \
     X(LEAVING_LEFT_MS, "leaving_left_ms")                                                                              \
     X(DETAIL, "detail")
 
--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -15,6 +15,7 @@
 #include <string.h>
 #include <strings.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "base/loop_clock.h"
 #include "base/loop_stall.h"
@@ -150,6 +151,33 @@
     return call->failure != NULL || (result == CW_UPSTREAM_TIMED_OUT && options->reset_on_abandon);
 }
 
+/* ---- names of requests ---- */
+
+static uint64_t digest_name(const char *name)
+{
+    return XXH3_64bits(name, strlen(name));
+}
+
+/* True if one of the latest calls on the connection had this match value. */
+static bool has_carried(const cw_upstream_connection_t *connection, const char *name)
+{
+    uint64_t digest = digest_name(name);
+    size_t   known = connection->named < CW_UPSTREAM_NAMES ? connection->named : CW_UPSTREAM_NAMES;
+    size_t   index;
+
+    for (index = 0; index < known; index++) {
+        if (connection->names[index] == digest) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void remember_name(cw_upstream_connection_t *connection, const char *name)
+{
+    connection->names[connection->named++ % CW_UPSTREAM_NAMES] = digest_name(name);
+}
+
 void cw_upstream_end_call(cw_upstream_call_t *call, cw_upstream_result_t result, const char *failure, bool reset)
 {
     cw_upstream_connection_t *connection = call->connection;
@@ -159,6 +187,10 @@
                                         .reused = call->reused,
                                         .reset = reset,
                                         .any_byte = call->any_byte,
+                                        .connection = connection->number,
+                                        .discarded = call->discarded,
+                                        .is_first = !call->reused,
+                                        .carried_before = call->carried_before,
                                         .spoiled = is_spoiled(call, result)};
 
     if (result != CW_UPSTREAM_ANSWERED && result != CW_UPSTREAM_WITHDRAWN && !call->sent) {
@@ -171,6 +203,7 @@
         answer.body = call->body.data;
         answer.body_length = call->body.length;
         answer.closing = http_should_keep_alive(&call->parser) == 0;
+        answer.names_request = cw_upstream_names_request(call);
     }
     if (result == CW_UPSTREAM_ANSWERED && call->complete && !call->not_reusable && !answer.closing &&
         !connection->writing && !target->released && idle_time(target->upstream, &call->fields) > 0) {
@@ -275,6 +308,10 @@
     size_t              sent;
 
     call->sent = true;
+    if (call->match_value != NULL) {
+        call->carried_before = has_carried(connection, call->match_value);
+        remember_name(connection, call->match_value);
+    }
     tried = uv_try_write((uv_stream_t *)&connection->tcp, buffers, count);
     sent = tried > 0 ? (size_t)tried : 0;
     if (sent == call->length + call->tail_length) {
@@ -332,7 +369,7 @@
     connection->connect.data = connection;
     connection->handles = 2;
     target->connections++;
-    target->upstream->opened++;
+    connection->number = ++target->upstream->opened;
     uv_tcp_init(target->upstream->loop, &connection->tcp);
     uv_timer_init(target->upstream->loop, &connection->timer);
     return connection;
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -72,6 +72,13 @@
     bool                    reset;    /**< the peer reset the connection */
     bool                    any_byte; /**< at least one byte of an answer was received */
     bool                    closing;  /**< the peer announced that it closes this connection */
+    uint64_t connection;    /**< number of the connection, counted from 1 by this client; 0: none was opened */
+    uint32_t discarded;     /**< answers to other requests that were discarded before */
+    bool     is_first;      /**< the connection had not carried a call before */
+    bool     names_request; /**< the answer has the field match_name, with this request's value */
+    /** The connection had carried a call with the same match_value before. An answer to that one, sent a second time,
+     * cannot be told from the answer to this one. */
+    bool carried_before;
     /** The server began an answer and spoiled it: it broke off, or its bytes were no answer or exceeded a bound. */
     bool spoiled;
 } cw_upstream_answer_t;
--- a/src/net/http_upstream_answer.c
+++ b/src/net/http_upstream_answer.c
@@ -166,10 +166,18 @@
     return echoed != NULL && strcmp(echoed, call->match_value) != 0;
 }
 
+bool cw_upstream_names_request(const cw_upstream_call_t *call)
+{
+    const char *echoed = call->match_name == NULL ? NULL : cw_http_fields_find(&call->fields, call->match_name);
+
+    return echoed != NULL && strcmp(echoed, call->match_value) == 0;
+}
+
 /* Discards an answer to another request; the answer to this call may follow. */
 static void discard_answer(cw_upstream_call_t *call)
 {
     cw_answer_bounds_record_foreign(&call->bounds);
+    call->discarded++;
     call->not_reusable = true;
     call->complete = false;
     call->head_done = false;
--- a/src/net/http_upstream_internal.h
+++ b/src/net/http_upstream_internal.h
@@ -12,7 +12,12 @@
 #include "net/answer_bounds.h"
 #include "net/http_upstream.h"
 
-enum { CW_UPSTREAM_CHUNK = 16 * 1024 /* bytes of one read */ };
+enum {
+    CW_UPSTREAM_CHUNK = 16 * 1024, /* bytes of one read */
+    /* Requests whose names a connection remembers. An answer that is sent a second time stands before the answers to
+     * later requests on its connection, so it shows when the next one is answered. */
+    CW_UPSTREAM_NAMES = 8
+};
 
 #define CW_UPSTREAM_UNSTATED SIZE_MAX
 
@@ -31,8 +36,11 @@
     bool                           is_idle;
     bool                           is_postponed; /* its timer waits until the sockets have been read, after a stall */
     int                            handles;
-    cw_time_us_t                   opened_at; /* when it was established */
-    struct cw_upstream_connection *prev;      /* names required by utlist */
+    cw_time_us_t                   opened_at;                /* when it was established */
+    uint64_t                       number;                   /* counted from 1 */
+    uint64_t                       names[CW_UPSTREAM_NAMES]; /* digests of the match values of the latest calls */
+    size_t                         named;                    /* calls with a match value so far */
+    struct cw_upstream_connection *prev;                     /* names required by utlist */
     struct cw_upstream_connection *next;
 } cw_upstream_connection_t;
 
@@ -54,7 +62,9 @@
     bool                    reused;
     bool                    any_byte;
     bool                    complete;
-    bool                    not_reusable; /* its connection ends, or bytes arrived that belong to no request */
+    bool                    carried_before; /* as in cw_upstream_answer_t */
+    uint32_t                discarded;      /* answers to other requests */
+    bool                    not_reusable;   /* its connection ends, or bytes arrived that belong to no request */
     char                   *match_name;
     char                   *match_value;
     const char             *failure;       /* why the answer is given up; NULL: it is not */
@@ -106,6 +116,8 @@
 void cw_upstream_give_up_for_memory(cw_upstream_call_t *call);
 
 /* ---- http_upstream_answer.c ---- */
+/** True if the answer of a call names its request. */
+bool cw_upstream_names_request(const cw_upstream_call_t *call);
 /** Callbacks of libuv for reading. */
 void cw_upstream_on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
 void cw_upstream_on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer);
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -99,6 +99,8 @@
     cw_event_text(event, CW_FIELD_TENANT, tenant == NULL ? NULL : tenant->name);
     cw_event_number(event, CW_FIELD_CONFIGURATION, (int64_t)request->configuration->version);
     cw_event_number(event, CW_FIELD_ATTEMPT, request->attempts);
+    cw_event_text(event, CW_FIELD_EVIDENCE, cw_run_evidence_text(request->evidence));
+    cw_event_number(event, CW_FIELD_CONNECTION, (int64_t)request->connection);
     cw_event_ms(event, CW_FIELD_LEFT_MS, request->deadline - now);
     cw_event_number(event, CW_FIELD_QUEUED, (int64_t)request->service->queued);
     cw_event_number(event, CW_FIELD_UNDER_WAY, cw_server_pool_in_flight(request->engine->pool, request->service->name));
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -182,6 +182,7 @@
         cw_request_abandon_delegate(request);
         return;
     }
+    request->evidence = cw_run_evidence_without_answer(cw_upstream_call_sent(request->call));
     outcome = cw_outcome_of_abandoned(cw_upstream_call_sent(request->call));
     request->may_have_run = request->may_have_run || cw_outcome_may_have_run(outcome);
     cw_upstream_call_abandon(request->call);
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -14,6 +14,7 @@
 
 #include "balance/fair_turns.h"
 #include "proxy/engine.h"
+#include "proxy/run_evidence.h"
 #include "proxy/slot_stages.h"
 #include "tenancy/caller_identity.h"
 #include "tenancy/request_rank.h"
@@ -145,6 +146,8 @@
     cw_time_us_t            silent_at;        /**< when its call counts as a failed contact, if it is not repeated */
     uint32_t                attempts;         /**< attempts so far */
     uint32_t                unreached;        /**< servers to which no connection was made, in a row */
+    cw_run_evidence_t       evidence;         /**< of its latest attempt; CW_RUN_NOT_SENT before the first */
+    uint64_t                connection;       /**< number of the connection of its latest attempt; 0: none */
     bool                    may_have_run;     /**< a server may have run the request, or may be running it */
     bool                    is_queued;
     bool                    is_ended;
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -34,6 +34,8 @@
     cw_event_text(&event, CW_FIELD_ROUTE, request->route->name);
     cw_event_text(&event, CW_FIELD_SERVER, server);
     cw_event_text(&event, CW_FIELD_REASON, reason);
+    cw_event_text(&event, CW_FIELD_EVIDENCE, cw_run_evidence_text(request->evidence));
+    cw_event_number(&event, CW_FIELD_CONNECTION, (int64_t)request->connection);
     cw_event_number(&event, CW_FIELD_ATTEMPT, request->attempts);
     cw_event_ms(&event, CW_FIELD_LEFT_MS, request->deadline - cw_engine_now(request->engine));
     cw_event_real(&event, CW_FIELD_BUDGET,
@@ -239,13 +241,57 @@
     cw_request_fail_unknown(request, failure);
 }
 
-/* Returns whether the answer shows that another server incarnation is now at this address. */
-static bool is_from_other_incarnation(const cw_request_t *request, const cw_server_t *server,
-                                      const cw_upstream_answer_t *answer)
+/* Returns whether the answer names another server than the one that the request was sent to. */
+static bool names_other_server(const cw_request_t *request, const cw_server_t *server,
+                               const cw_upstream_answer_t *answer)
 {
     const char *instance = cw_http_fields_find(answer->fields, request->engine->settings.names.instance);
 
-    return answer->status == STATUS_MISDIRECTED && instance != NULL && !cw_server_id_has_name(server->id, instance);
+    return instance != NULL && !cw_server_id_has_name(server->id, instance);
+}
+
+static cw_answer_facts_t answer_facts(const cw_request_t *request, const cw_server_t *server,
+                                      const cw_upstream_answer_t *answer)
+{
+    const char *denial = request->engine->settings.names.not_run;
+
+    return (cw_answer_facts_t){.status = answer->status,
+                               .has_denial = cw_http_fields_find(answer->fields, denial) != NULL,
+                               .names_request = answer->names_request,
+                               .names_other_server = names_other_server(request, server, answer),
+                               .is_first_on_connection = answer->is_first,
+                               .carried_before = answer->carried_before};
+}
+
+/* What the end of the attempt shows. */
+static cw_run_evidence_t evidence_of(const cw_request_t *request, const cw_server_t *server,
+                                     const cw_upstream_answer_t *answer)
+{
+    cw_answer_facts_t facts;
+
+    if (answer->result != CW_UPSTREAM_ANSWERED) {
+        return cw_run_evidence_without_answer(answer->result != CW_UPSTREAM_NOT_SENT &&
+                                              answer->result != CW_UPSTREAM_WITHDRAWN);
+    }
+    facts = answer_facts(request, server, answer);
+    return cw_run_evidence_of_answer(&facts);
+}
+
+static void log_discarded(const cw_request_t *request, const cw_server_t *server, const cw_upstream_answer_t *answer)
+{
+    cw_event_t event;
+
+    if (answer->discarded == 0) {
+        return;
+    }
+    cw_metric_add(CW_METRIC_ANSWERS_DISCARDED, answer->discarded);
+    if (cw_event_begin(&event, CW_EVENT_ANSWER_DISCARDED)) {
+        cw_event_text(&event, CW_FIELD_REQUEST, request->id);
+        cw_event_text(&event, CW_FIELD_SERVER, server->id);
+        cw_event_number(&event, CW_FIELD_CONNECTION, (int64_t)answer->connection);
+        cw_event_number(&event, CW_FIELD_COUNT, answer->discarded);
+        cw_event_end(&event);
+    }
 }
 
 static cw_outcome_t outcome_of(const cw_request_t *request, const cw_upstream_answer_t *answer)
@@ -262,8 +308,8 @@
 
     cw_text_copy(id, sizeof(id), server->id);
     cw_request_apply_signals(request, server, answer, now);
-    if (is_from_other_incarnation(request, server, answer)) {
-        server->ended = true;
+    if (answer->status == STATUS_MISDIRECTED && names_other_server(request, server, answer)) {
+        server->ended = true; /* another incarnation is at its address now */
     }
     if (!record_outcome(request, outcome_of(request, answer))) {
         cw_request_leave_server(request);
@@ -293,6 +339,9 @@
     char          id[sizeof(request->avoided_server)];
 
     request->call = NULL;
+    request->connection = answer->connection;
+    request->evidence = evidence_of(request, server, answer);
+    log_discarded(request, server, answer);
     request->unreached = answer->result == CW_UPSTREAM_NOT_SENT ? request->unreached : 0;
     cw_text_copy(id, sizeof(id), server->id);
     cw_request_record_contact(request, answer);
