What became of a request at another node is not read from a server's field

What callers saw: 503 for a request that ran, if its server answers with a field "Cedarwinch-Delegation: refused" and the request went by way of another node; or 502 for one that was served.

Cause: the field by which a node tells another what became of a request stood behind the server's own fields, and the first one of that name was read. Tenants' servers are not trusted with that.

A status that promises that a request has not run is not relayed from there either, unless the request may be repeated.

--- a/src/net/http_header.c
+++ b/src/net/http_header.c
@@ -98,6 +98,33 @@
     return NULL;
 }
 
+const char *cw_http_fields_find_last(const cw_http_fields_t *fields, const char *name)
+{
+    size_t index;
+
+    for (index = fields->count; index > 0; index--) {
+        const cw_http_field_t *field = &fields->items[index - 1];
+
+        if (strcasecmp(field->name, name) == 0) {
+            return field->value == NULL ? "" : field->value;
+        }
+    }
+    return NULL;
+}
+
+cw_http_fields_t cw_http_fields_without(const cw_http_fields_t *fields, const char *name)
+{
+    cw_http_fields_t kept = {.items = cw_memory_zeroed_items(fields->count + 1, sizeof(*kept.items))};
+    size_t           index;
+
+    for (index = 0; index < fields->count; index++) {
+        if (!cw_http_name_is_equivalent(fields->items[index].name, name)) {
+            kept.items[kept.count++] = fields->items[index];
+        }
+    }
+    return kept;
+}
+
 /* True if the token is in a comma-separated list. */
 static bool list_has(const char *list, const char *token)
 {
--- a/src/net/http_header.h
+++ b/src/net/http_header.h
@@ -40,6 +40,10 @@
 bool cw_http_name_is_equivalent(const char *left, const char *right);
 /** Value of the first field with this name, compared without regard to case; NULL: there is none. */
 const char *cw_http_fields_find(const cw_http_fields_t *fields, const char *name);
+/** Value of the last field of this name; NULL: there is none. */
+const char *cw_http_fields_find_last(const cw_http_fields_t *fields, const char *name);
+/** Copies the list without the fields of this name, in any spelling. The texts are shared: only `items` is freed. */
+cw_http_fields_t cw_http_fields_without(const cw_http_fields_t *fields, const char *name);
 /** True for fields that apply to one connection only (RFC 9110, 7.6.1), including those listed in "Connection". */
 bool cw_http_field_is_hop_by_hop(const cw_http_fields_t *fields, const char *name);
 /** Whether the names of all fields are tokens (RFC 9110, 5.6.2). Others, such as one with a blank before the colon, may
--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -323,11 +323,9 @@
 
 void cw_request_relay(cw_request_t *request, const cw_upstream_answer_t *answer)
 {
-    cw_http_outbound_t outbound = {.status = answer->status,
-                                   .fields = answer->fields,
-                                   .body = answer->body,
-                                   .body_length = answer->body_length,
-                                   .retry_after_s = -1};
+    cw_http_outbound_t outbound = {
+        .status = answer->status, .body = answer->body, .body_length = answer->body_length, .retry_after_s = -1};
+    cw_http_fields_t kept;
 
     if (!cw_answer_may_be_relayed(request->route->repeatable, answer->status)) {
         cw_request_fail_unknown(request, "the server refused without saying that it did not run");
@@ -336,7 +334,10 @@
     cw_metric_add(request->delegation.origin == NULL ? CW_METRIC_SERVED : CW_METRIC_DELEGATED_SERVED, 1);
     cw_request_spend_token(request);
     log_served(request, answer->status, request->server->id);
+    kept = cw_http_fields_without(answer->fields, cw_delegation_outcome_field);
+    outbound.fields = &kept;
     answer_and_end(request, &outbound, CW_DELEGATION_ANSWERED);
+    free(kept.items);
 }
 
 /* ---- answers of other nodes ---- */
@@ -370,6 +371,10 @@
                                    .body_length = answer->body_length,
                                    .retry_after_s = -1};
 
+    if (!cw_answer_may_be_relayed(request->route->repeatable, answer->status)) {
+        cw_request_fail_unknown(request, "the server refused without saying that it did not run");
+        return;
+    }
     cw_metric_add(CW_METRIC_SERVED, 1);
     cw_request_spend_token(request);
     log_served(request, answer->status, server);
--- a/src/proxy/engine_delegation.c
+++ b/src/proxy/engine_delegation.c
@@ -17,7 +17,6 @@
 
 #include "base/byte_buffer.h"
 #include "base/event_log.h"
-#include "base/memory.h"
 #include "base/metrics.h"
 #include "base/text.h"
 #include "proxy/engine_internal.h"
@@ -181,16 +180,10 @@
 /* Relays the answer without the field that the other node has added for this one. */
 static void relay(cw_request_t *request, const cw_upstream_answer_t *answer, const char *server)
 {
-    cw_http_fields_t kept = {.items = cw_memory_zeroed_items(answer->fields->count + 1, sizeof(*kept.items))};
-    size_t           index;
+    cw_http_fields_t kept = cw_http_fields_without(answer->fields, cw_delegation_outcome_field);
 
-    for (index = 0; index < answer->fields->count; index++) {
-        if (!cw_http_name_is_equivalent(answer->fields->items[index].name, cw_delegation_outcome_field)) {
-            kept.items[kept.count++] = answer->fields->items[index];
-        }
-    }
     cw_request_relay_delegated(request, answer, &kept, server);
-    free(kept.items); /* the texts belong to the answer */
+    free(kept.items);
 }
 
 static void handle_failed(cw_request_t *request, int status)
@@ -204,9 +197,9 @@
 
 static void handle_answer(cw_request_t *request, cw_delegate_t *delegate, const cw_upstream_answer_t *answer)
 {
-    const char *stated = cw_http_fields_find(answer->fields, cw_delegation_outcome_field);
-    const char *server;
-
+    /* The other node's own field is the last one: those before it are the server's. */
+    const char             *stated = cw_http_fields_find_last(answer->fields, cw_delegation_outcome_field);
+    const char             *server;
     cw_delegation_outcome_t outcome = cw_delegation_outcome_read(stated, &server);
 
     cw_request_record_evidence(request, cw_run_evidence_of_node(outcome));
--- a/tests/test_engine_delegation.c
+++ b/tests/test_engine_delegation.c
@@ -210,6 +210,29 @@
 }
 END_TEST
 
+/* A server may send a field of the same name: the caller got 503 for a request that ran. */
+START_TEST(a_servers_field_does_not_stand_for_the_other_nodes)
+{
+    engine_fixture_t   fixture;
+    cw_http_field_t    field = {(char *)cw_delegation_outcome_field, (char *)"refused"};
+    cw_http_fields_t   fields = {.items = &field, .count = 1};
+    cw_http_outbound_t outbound = {.status = 200,
+                                   .fields = &fields,
+                                   .body = "ran",
+                                   .body_length = strlen("ran"),
+                                   .retry_after_s = -1,
+                                   .added_name = cw_delegation_outcome_field,
+                                   .added_value = "answered s9"};
+
+    ask_without_paths(&fixture, "POST", "/once/x");
+    cw_http_exchange_answer(node.exchange, &outbound);
+    cw_test_run_until_set(&fixture.loop, &fixture.answered);
+    ck_assert_int_eq(fixture.status, 200);
+    ck_assert_str_eq(fixture.body.data, "ran");
+    ck_assert_str_eq(fixture.calls[0].delegation_outcome, "");
+}
+END_TEST
+
 START_TEST(an_answer_without_a_statement_counts_as_possibly_run)
 {
     engine_fixture_t fixture;
@@ -399,6 +422,20 @@
 }
 END_TEST
 
+START_TEST(a_servers_field_between_nodes_is_not_relayed)
+{
+    engine_fixture_t       fixture;
+    cw_delegated_request_t stated = default_statement();
+
+    begin_taking(&fixture);
+    send_delegated(&fixture, &stated, "/once/x");
+    cw_test_run_until_set(&fixture.loop, &fixture.servers[0].has_request);
+    engine_server_answer(&fixture.servers[0], 200, "s0", cw_delegation_outcome_field);
+    cw_test_run_until_set(&fixture.loop, &fixture.answered);
+    ck_assert_str_eq(fixture.calls[0].delegation_outcome, "answered s0");
+}
+END_TEST
+
 START_TEST(a_request_of_another_node_is_never_passed_on)
 {
     engine_fixture_t       fixture;
@@ -575,6 +612,7 @@
     tcase_add_test(sending, a_refusal_is_passed_on_with_its_time_to_retry);
     tcase_add_test(sending, a_declined_request_is_tried_at_other_nodes_a_few_times);
     tcase_add_test(sending, a_request_whose_node_did_not_answer_is_not_sent_again);
+    tcase_add_test(sending, a_servers_field_does_not_stand_for_the_other_nodes);
     tcase_add_test(sending, an_answer_without_a_statement_counts_as_possibly_run);
     tcase_add_test(sending, a_late_answer_of_the_other_node_is_504);
     tcase_add_test(sending, a_caller_that_leaves_ends_the_request_at_the_other_node);
@@ -584,6 +622,7 @@
     tcase_add_test(sending, a_repeatable_request_that_may_have_run_is_passed_on_with_its_attempts);
     tcase_add_test(sending, a_request_goes_by_way_of_another_node_if_its_server_answers_only_others);
     tcase_add_test(taking, a_request_of_another_node_gets_a_server_and_the_time_that_is_left);
+    tcase_add_test(taking, a_servers_field_between_nodes_is_not_relayed);
     tcase_add_test(taking, a_request_of_another_node_is_never_passed_on);
     tcase_add_test(taking, a_request_of_another_node_waiting_when_the_paths_are_lost_is_refused);
     tcase_add_test(taking, a_request_of_another_node_is_sent_once_this_node_has_reached_a_server);
