An answer to an earlier order is not taken for that of the next

What users would see: two servers that answer for the same keys. An order to the former incarnation at an address gets 421; the server sends it again in the place of the answer to the grant of the incarnation that is there now: that one passes for ended, its keys go to another server at once, and it holds them, too. A 409 that comes twice ends earlier grants that may still be carried out; a renewal's 200 passes for the answer of a probe.

Answers to orders name no order, and only releases had a connection of their own.

--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -187,6 +187,9 @@
     if (!call->complete || call->not_reusable || answer->closing || connection->writing || target->released) {
         return false;
     }
+    if (call->may_be_kept != NULL && !call->may_be_kept(answer->status)) {
+        return false;
+    }
     return (answer->names_request || !call->is_match_required) && idle_time(target->upstream, &call->fields) > 0;
 }
 
@@ -472,6 +475,7 @@
     call->answered = answered;
     call->context = context;
     call->may_be_sent = request->may_be_sent;
+    call->may_be_kept = request->may_be_kept;
     call->is_head = request->is_head;
     call->match_name = request->match_name == NULL ? NULL : strdup(request->match_name);
     call->match_value = request->match_value == NULL ? NULL : strdup(request->match_value);
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -65,6 +65,8 @@
     /** Answers without that header count as answers to other requests, except the first one on a connection. A
      * connection is kept only after an answer with it, so a call without match_value gets one of its own. */
     bool is_match_required;
+    /** Whether the connection may carry further calls after an answer of this status. NULL: after any. */
+    bool (*may_be_kept)(int status);
 } cw_upstream_request_t;
 
 /** Outcome of a call. Valid during the callback only. */
--- a/src/net/http_upstream_internal.h
+++ b/src/net/http_upstream_internal.h
@@ -50,6 +50,7 @@
     cw_upstream_answered_t    answered;
     void                     *context;
     bool (*may_be_sent)(void *context); /* NULL: always */
+    bool (*may_be_kept)(int status);    /* NULL: always */
     char                   *bytes;
     size_t                  length;
     const char             *tail; /* the request's body if it is not part of `bytes`; owned by the caller */
