The checker of records judges also where nodes decline many requests

Cause: the line of the node that does not take a request named none, all of them counted as of one request, and the checker aborts at 16 senders of a request. With a name it would also have passed for the sender of the request.

Change: only lines that name the other node say who sends; the number of senders, and of incarnations of servers, is not bounded; the line of the node that declines names the request.

Evidence: verdict_rests.sh fails 3 of 12 checks with the former checker, 0 now. No check is narrowed.

--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -168,8 +168,8 @@
 /** A request of another node has arrived; `delegated` is what that node states. The texts are taken over. */
 void cw_engine_request_delegated(cw_engine_t *engine, cw_http_exchange_t *exchange, const cw_http_inbound_t *inbound,
                                  cw_delegated_request_t *delegated);
-/** Answers that this node does not take the request of another node. */
-void cw_delegation_decline(cw_http_exchange_t *exchange, const char *reason);
+/** Answers that this node does not take the request of another node. request: its id, for the log; NULL: none. */
+void cw_delegation_decline(cw_http_exchange_t *exchange, const char *request, const char *reason);
 /** Number of requests of other nodes that are not answered yet. */
 size_t cw_engine_delegated_requests(const cw_engine_t *engine);
 /** The paths to the servers of the service with this hash have been lost, or are back: returns the slots that requests
--- a/src/proxy/engine_delegated.c
+++ b/src/proxy/engine_delegated.c
@@ -27,7 +27,7 @@
     return engine->delegated;
 }
 
-void cw_delegation_decline(cw_http_exchange_t *exchange, const char *reason)
+void cw_delegation_decline(cw_http_exchange_t *exchange, const char *request, const char *reason)
 {
     char               value[OUTCOME_BYTES];
     cw_http_outbound_t outbound = {.status = STATUS_UNAVAILABLE,
@@ -38,6 +38,7 @@
 
     cw_delegation_outcome_write(CW_DELEGATION_DECLINED, NULL, value, sizeof(value));
     if (cw_event_begin(&event, CW_EVENT_DELEGATION_DECLINED)) {
+        cw_event_text(&event, CW_FIELD_REQUEST, request);
         cw_event_text(&event, CW_FIELD_REASON, reason);
         cw_event_end(&event);
     }
@@ -104,7 +105,8 @@
         reason = "its route or tenant is not known here";
     }
     if (reason != NULL) {
-        cw_delegation_decline(exchange, reason);
+        cw_delegation_decline(exchange, cw_http_fields_find(inbound->fields, engine->settings.names.request_id),
+                              reason);
         cw_delegated_request_clear(delegated);
         return;
     }
--- a/src/router/router_delegation.c
+++ b/src/router/router_delegation.c
@@ -210,14 +210,15 @@
     cw_router_delegation_t *delegation = context;
     cw_router_t            *router = delegation->router;
     const char             *field = cw_http_fields_find(inbound->fields, cw_delegation_field);
+    const char             *request = cw_http_fields_find(inbound->fields, router->adapter->header_names->request_id);
     cw_delegated_request_t  delegated;
 
     if (field == NULL || cw_delegated_request_read(&delegated, field) != 0) {
-        cw_delegation_decline(exchange, "it states nothing that can be read");
+        cw_delegation_decline(exchange, request, "it states nothing that can be read");
         return;
     }
     if (delegated.receiver != router->incarnation) {
-        cw_delegation_decline(exchange, "it is not meant for this process");
+        cw_delegation_decline(exchange, request, "it is not meant for this process");
         cw_delegated_request_clear(&delegated);
         return;
     }
--- a/standins/verdict/main.c
+++ b/standins/verdict/main.c
@@ -32,7 +32,7 @@
 #include "records.h"
 #include "rests.h"
 
-enum { KEYS = 65536, INCARNATIONS_MAX = 256, HOLD_MS = 8000 };
+enum { KEYS = 65536, INCARNATIONS_STEP = 64, HOLD_MS = 8000 };
 
 /** Everything recorded about one request id. */
 typedef struct attempt {
@@ -52,10 +52,10 @@
     uint64_t fence[KEYS];       /**< the highest one of its grants */
 } incarnation_t;
 
-static attempt_t     *attempts;
-static incarnation_t *incarnations[INCARNATIONS_MAX];
-static size_t         incarnation_count;
-static uint64_t       late_repeats;
+static attempt_t      *attempts;
+static incarnation_t **incarnations; /* grows by INCARNATIONS_STEP */
+static size_t          incarnation_count;
+static uint64_t        late_repeats;
 
 static incarnation_t *incarnation_of(const char *server)
 {
@@ -66,8 +66,11 @@
             return incarnations[index];
         }
     }
-    if (incarnation_count == INCARNATIONS_MAX) {
-        abort();
+    if (incarnation_count % INCARNATIONS_STEP == 0) {
+        incarnations = realloc(incarnations, (incarnation_count + INCARNATIONS_STEP) * sizeof(void *));
+        if (incarnations == NULL) {
+            abort();
+        }
     }
     incarnations[incarnation_count] = calloc(1, sizeof(incarnation_t));
     if (incarnations[incarnation_count] == NULL) {
--- a/standins/verdict/nodes.c
+++ b/standins/verdict/nodes.c
@@ -9,7 +9,7 @@
 #include <string.h>
 #include <uthash.h>
 
-enum { SENDERS_MAX = 16 /* of one request: it is passed on and taken back a few times at most */ };
+enum { SENDERS_STEP = 16 /* senders of one request for which memory is allocated at a time */ };
 
 /** The destination of one attempt, by the request's id. */
 typedef struct destination {
@@ -19,10 +19,10 @@
 
 /** The nodes that a request was passed to, by its id. */
 typedef struct passing {
-    const char     *id;
-    const record_t *senders[SENDERS_MAX]; /* ordered by time */
-    size_t          count;
-    UT_hash_handle  hh;
+    const char      *id;
+    const record_t **senders; /* ordered by time */
+    size_t           count;
+    UT_hash_handle   hh;
 } passing_t;
 
 /** The address of a node, by its name in logs. */
@@ -73,8 +73,11 @@
         passing->id = record->id;
         HASH_ADD_KEYPTR(hh, passings, passing->id, strlen(passing->id), passing);
     }
-    if (passing->count == SENDERS_MAX) {
-        abort();
+    if (passing->count % SENDERS_STEP == 0) {
+        passing->senders = realloc(passing->senders, (passing->count + SENDERS_STEP) * sizeof(void *));
+        if (passing->senders == NULL) {
+            abort();
+        }
     }
     passing->senders[passing->count++] = record;
 }
--- a/standins/verdict/records.c
+++ b/standins/verdict/records.c
@@ -80,14 +80,17 @@
     return uv_hrtime() - (uint64_t)age_ns;
 }
 
-/* Adds a line of a node's log that says which node sends a request from now on. */
+/* Adds a line of a node's log that says which node sends a request from now on: another one, or, when that one has not
+ * taken it, the node itself. The other node's own line on that names no node that it asked. */
 static void add_log_line(records_t *records, const json_t *line)
 {
     const char *event = json_string_value(json_object_get(line, "event"));
     bool        is_passed = event != NULL && strcmp(event, "delegated") == 0;
+    bool        is_declined = event != NULL && strcmp(event, "delegation declined") == 0;
     record_t   *record;
 
-    if (!is_passed && (event == NULL || strcmp(event, "delegation declined") != 0)) {
+    if ((!is_passed && !is_declined) || json_object_get(line, "by_node") == NULL ||
+        json_object_get(line, "request") == NULL) {
         return;
     }
     record = new_record(records);
--- a/tests/process/verdict_rests.sh
+++ b/tests/process/verdict_rests.sh
@@ -37,4 +37,13 @@
     arrivals 3000 b c d; passed 3500 n1 b n2; passed 3500 n1 a n2)
 check "a request that the other node declined is of the first one" reports_node n1 3 < <(calls n1 a b c d; passed 1700 n1 a n2
     declined 1800 n1 a n2; rest 2000 a; arrivals 3000 b c d)
+# The checker ended with nothing judged at the 17th such line.
+unnamed() { local n; for n in $(seq 1 20); do log_line "$((1700 + n))" n2 "delegation declined" "" | jq -c 'del(.request, .by_node)'; done; }
+check "lines of nodes that take no requests do not end the checker" reports_node n1 3 < <(calls n1 a b c d; unnamed; rest 2000 a
+    arrivals 3000 b c d)
+own_line() { log_line "$1" "$2" "delegation declined" "$3" | jq -c 'del(.by_node)'; } # MS NODE ID: the other node's own line
+check "the other node's own line makes it no sender" reports_node n1 3 < <(calls n1 a b c d; passed 1700 n1 a n2
+    declined 1800 n1 a n2; own_line 1801 n2 a; rest 2000 a; arrivals 3000 b c d)
+many() { local n; for n in $(seq 1 20); do passed "$((1000 + 2 * n))" n1 a n2; declined "$((1001 + 2 * n))" n1 a n2; done; }
+check "a request may be passed on and declined many times" reports_node n1 3 < <(calls n1 a b c d; many; rest 2000 a; arrivals 3000 b c d)
 finish_test
