--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # cedarwinch: see README.md. Main targets: demo, check, bench, spec, soak, fault-soak, stall-soak, paths-soak, owners-soak,
-# orders-soak, fuzz, install.
+# orders-soak, answers-soak, fuzz, install.
 BUILD    ?= build
 CC       ?= cc
 CFLAGS   ?= -O2 -g
@@ -28,7 +28,7 @@
 TEST_PROGRAMS := $(addprefix $(BUILD)/tests/,$(TESTS))
 PROCESS_TESTS := $(wildcard tests/process/*.sh)
 
-.PHONY: all programs test check demo bench spec soak fault-soak stall-soak paths-soak owners-soak orders-soak fuzz lint format install dependencies clean proto
+.PHONY: all programs test check demo bench spec soak fault-soak stall-soak paths-soak owners-soak orders-soak answers-soak fuzz lint format install dependencies clean proto
 .SECONDARY:
 all: programs $(TEST_PROGRAMS)
 programs: $(PROGRAMS)
@@ -120,6 +120,11 @@
 orders-soak: programs
 	@SOAK=orders_soak.sh tests/fault_soak/many.sh $(SEED) $(if $(filter command line,$(origin SEEDS)),$(SEEDS),10)
 
+# Servers that answer twice, turn requests away or cut answers off, beside other troubles: make answers-soak [SEED=n] [SEEDS=n]
+# [NODES=n] [SERVERS=n]
+answers-soak: programs
+	@SOAK=answers_soak.sh tests/fault_soak/many.sh $(SEED) $(if $(filter command line,$(origin SEEDS)),$(SEEDS),10)
+
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v -E '\.pb-c\.')
 format:
 	clang-format -i $(SOURCES)
--- a/standins/link/link_streams.c
+++ b/standins/link/link_streams.c
@@ -287,6 +287,18 @@
     *buffer = uv_buf_init(stream->streams->received, READ_BYTES);
 }
 
+static bool has_been_reset(const uv_tcp_t *socket)
+{
+    uv_os_fd_t descriptor;
+    int        error = 0;
+    socklen_t  length = sizeof(error);
+
+    if (uv_fileno((const uv_handle_t *)socket, &descriptor) != 0) {
+        return false;
+    }
+    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) == 0 && error == ECONNRESET;
+}
+
 static void on_read(uv_stream_t *source, ssize_t length, const uv_buf_t *buffer)
 {
     stream_t           *stream = source->data;
@@ -295,7 +307,8 @@
     if (length == 0) {
         return;
     }
-    if (length < 0 && length != UV_EOF) {
+    /* libuv reports the end of the stream, not the reset, where both come with the last bytes. */
+    if ((length < 0 && length != UV_EOF) || (length == UV_EOF && has_been_reset((const uv_tcp_t *)source))) {
         close_stream(stream, true);
         return;
     }
@@ -489,18 +502,6 @@
     return count;
 }
 
-static bool has_been_reset(const uv_tcp_t *socket)
-{
-    uv_os_fd_t descriptor;
-    int        error = 0;
-    socklen_t  length = sizeof(error);
-
-    if (uv_fileno((const uv_handle_t *)socket, &descriptor) != 0) {
-        return false;
-    }
-    return getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) == 0 && error == ECONNRESET;
-}
-
 /* Closes connections that one side has reset, before bytes pass again: a real sender that has lost its connection does
  * not send its bytes again either. */
 void link_streams_update(link_streams_t *streams)
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -14,6 +14,9 @@
  * SIGTERM: announces in its entry and its answers that it leaves, serves for another SERVER_DRAIN_MS, and ends.
  * SIGUSR1: puts the next signal of --signals into force; SIGUSR2: ends the signal in force.
  *
+ * With --answer-faults shares of its answers are sent a second time, cut off, or turn requests away (answer_faults.h);
+ * each fault gets a record.
+ *
  * With --late-orders a share of the grants and releases gets no answer and is carried out seconds later
  * (late_orders.h). "POST /control?late-orders=SHARE" sets another share from then on.
  */
@@ -65,6 +68,16 @@
     return error;
 }
 
+static void on_answer_fault(void *context, answer_fault_t fault, const char *id)
+{
+    server_t *server = context;
+
+    printf("{\"ns\":%" PRIu64 ",\"event\":\"answer fault\",\"server\":\"%s\",\"service\":\"%s\",\"id\":\"%s\","
+           "\"fault\":\"%s\"}\n",
+           uv_hrtime(), server->incarnation, server->service, id, answer_fault_name(fault));
+    fflush(stdout);
+}
+
 static int listen_for_callers(server_t *server, const char *address, uint16_t port)
 {
     cw_http_limits_t           limits = {.header_bytes = REQUEST_BYTES_MAX,
@@ -72,10 +85,20 @@
                                          .header_timeout = CW_SECONDS(60),
                                          .idle_timeout = CW_SECONDS(10)};
     cw_http_listener_handler_t handler = {server, server_on_request, server_on_cancelled};
-    int error = cw_http_listener_create(&server->listener, &server->loop, address, port, &limits, &handler);
-
+    bool                       has_faults = server->answer_faults.is_used;
+    int                        error =
+        cw_http_listener_create(&server->listener, &server->loop, address, has_faults ? 0 : port, &limits, &handler);
+
+    if (error == 0 && has_faults) {
+        server->answer_faults.on_fault = on_answer_fault;
+        server->answer_faults.context = server;
+        error = answer_faults_start(&server->answer_faults, &server->loop, address, &port,
+                                    cw_http_listener_port(server->listener));
+    } else if (error == 0) {
+        port = cw_http_listener_port(server->listener);
+    }
     if (error == 0 && server->address[0] == '\0') {
-        snprintf(server->address, sizeof(server->address), "%s:%u", address, cw_http_listener_port(server->listener));
+        snprintf(server->address, sizeof(server->address), "%s:%u", address, port);
     }
     return error;
 }
@@ -166,11 +189,13 @@
     struct arg_lit *silent = arg_lit0(NULL, "leaves-silently", "announces in its entry only that it leaves");
     struct arg_dbl *late_orders =
         arg_dbl0(NULL, "late-orders", "SHARE", "of orders without an answer, carried out 2 to 12 s later; default 0");
-    struct arg_int *seed = arg_int0(NULL, "seed", "N", "of the draws of late orders; default 1");
+    struct arg_str *answer_faults = arg_str0(NULL, "answer-faults", "second=S,unnamed=S,cut=S,deny=S",
+                                             "shares of answers that are sent twice, cut off, or turn requests away");
+    struct arg_int *seed = arg_int0(NULL, "seed", "N", "of the draws of late orders and faults of answers; default 1");
     struct arg_end *end = arg_end(ERRORS_MAX);
-    void           *table[] = {address,    port,    advertise, store, service,     zone,   capacity,
-                               queue,      work,    heartbeat, cold,  late_orders, seed,   id,
-                               crash_path, signals, endless,   keyed, hangs,       silent, end};
+    void           *table[] = {address, port,      advertise, store,       service,       zone, capacity, queue,
+                               work,    heartbeat, cold,      late_orders, answer_faults, seed, id,       crash_path,
+                               signals, endless,   keyed,     hangs,       silent,        end};
     static server_t server;
 
     if (arg_parse(argument_count, arguments, table) > 0) {
@@ -186,6 +211,11 @@
         fprintf(stderr, "cw-server: --late-orders is a share of 0 to 1\n");
         return 2;
     }
+    if (!answer_faults_init(&server.answer_faults, answer_faults->count > 0 ? answer_faults->sval[0] : NULL,
+                            number_of(seed, 1))) {
+        fprintf(stderr, "cw-server: --answer-faults is second=S, unnamed=S, cut=S, deny=S, with commas between\n");
+        return 2;
+    }
     if (endless->count > 0 && (server.endless.kind = endless_kind(endless->sval[0])) == NULL) {
         fprintf(stderr, "cw-server: --endless is interim, head, body, chunks or noise\n");
         return 2;
--- a/standins/server/server.h
+++ b/standins/server/server.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "answer_faults.h"
 #include "endless.h"
 #include "late_orders.h"
 #include "net/http_listener.h"
@@ -68,6 +69,7 @@
     uv_signal_t           end_signals;
     signals_t             signals;
     late_orders_t         late_orders;
+    answer_faults_t       answer_faults; /**< between its callers and the listener, if they are used */
     uv_timer_t            leave;
     const char           *service;
     const char           *zone;
--- a/standins/server/server_jobs.c
+++ b/standins/server/server_jobs.c
@@ -88,6 +88,11 @@
         server_answer(server, exchange, STATUS_MISDIRECTED, id, true, NULL, "");
         return;
     }
+    if (answer_faults_draw(&server->answer_faults, ANSWER_FAULT_DENY)) {
+        server->answer_faults.on_fault(server->answer_faults.context, ANSWER_FAULT_DENY, id);
+        server_answer(server, exchange, STATUS_UNAVAILABLE, id, true, NULL, "");
+        return;
+    }
     if (server->running >= server->capacity && server->waiting_count >= server->queue_max) {
         if (!server->hangs) {
             server_answer(server, exchange, STATUS_UNAVAILABLE, id, true, NULL, "");
