--- a/tests/test_denials.c
+++ b/tests/test_denials.c
@@ -9,16 +9,16 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "engine_fixture.h"
 #include "proxy/request_rules.h"
-#include "scripted_server.h"
+#include "scripted_engine.h"
+
+enum { ANSWER_AFTER_MS = 30 /* time of a run */ };
 
 static const char denial[] = "not-run: 1";
 
 /** An engine, and the only server of its service. */
 typedef struct fixture {
-    engine_fixture_t       engine;
-    scripted_server_t      server;
+    scripted_engine_t      scripted;
     int                    denial_status;
     const char            *denial_field; /**< field of denials; NULL: none */
     bool                   denies_first; /**< each first attempt is denied */
@@ -58,78 +58,39 @@
     }
 }
 
-static void configure(fixture_t *fixture, uint32_t max_attempts)
-{
-    cw_configuration_t *configuration = cw_configuration_create(1);
-    cw_service_t       *service = cw_configuration_add_service(configuration);
-    cw_route_t         *route = engine_fixture_add_route(configuration, "once", false);
-
-    service->name = strdup("service");
-    route->max_attempts = max_attempts;
-    cw_route_add_part(route, "service", 1);
-    engine_fixture_use(&fixture->engine, configuration);
-}
-
-static void list_server(fixture_t *fixture)
-{
-    cw_server_list_t  *list = cw_server_list_create();
-    cw_server_entry_t *entry = cw_server_list_add(list);
-
-    entry->id = strdup("s0");
-    entry->service = strdup("service");
-    entry->address = strdup(fixture->server.address);
-    entry->zone = strdup("z1");
-    entry->capacity = 4;
-    cw_server_list_seal(list);
-    cw_server_pool_update(fixture->engine.pool, list, 0);
-    cw_server_list_release(list);
-}
-
 static void init(fixture_t *fixture, uint32_t max_attempts)
 {
-    engine_fixture_setup_t setup = engine_fixture_default_setup();
-
     memset(fixture, 0, sizeof(*fixture));
-    setup.servers = 0;
-    engine_fixture_begin(&fixture->engine, &setup);
-    cw_engine_set_nodes(fixture->engine.engine, 1, 0);
-    scripted_server_start(&fixture->server, &fixture->engine.loop, on_request, fixture);
+    scripted_engine_begin(&fixture->scripted, max_attempts, on_request, fixture);
     fixture->denial_status = 503;
     fixture->denial_field = denial;
     fixture->names_second = true;
-    list_server(fixture);
-    configure(fixture, max_attempts);
 }
 
 static bool is_running_or_answered(void *context)
 {
     fixture_t *fixture = context;
 
-    return fixture->running != NULL || fixture->engine.answered;
+    return fixture->running != NULL || fixture->scripted.engine.answered;
 }
 
 /* Sends a request and ends each of its runs with 200 after a while. Returns the caller's status. */
 static int ask(fixture_t *fixture, const char *id)
 {
-    char text[256];
-    int  length = snprintf(text, sizeof(text),
-                           "POST /once/x HTTP/1.1\r\nHost: a.example\r\nid: %s\r\ndeadline: 15000\r\n"
-                            "Content-Length: 0\r\n\r\n",
-                           id);
+    engine_fixture_t *engine = &fixture->scripted.engine;
 
-    fixture->engine.answered = false;
     fixture->running = NULL;
-    (void)engine_fixture_send(&fixture->engine, 0, text, (size_t)length);
-    while (!fixture->engine.answered) {
-        cw_test_run_until(&fixture->engine.loop, is_running_or_answered, fixture);
-        engine_fixture_run_for(&fixture->engine, CW_MS(30));
-        if (fixture->running != NULL && !fixture->engine.answered) {
+    scripted_engine_ask(&fixture->scripted, id);
+    while (!engine->answered) {
+        cw_test_run_until(&engine->loop, is_running_or_answered, fixture);
+        engine_fixture_run_for(engine, CW_MS(ANSWER_AFTER_MS));
+        if (fixture->running != NULL && !engine->answered) {
             scripted_answer(fixture->running, 200, id, "signature: s", "ok");
             fixture->running = NULL;
         }
-        cw_test_run_some(&fixture->engine.loop, 1);
+        cw_test_run_some(&engine->loop, 1);
     }
-    return fixture->engine.status;
+    return engine->status;
 }
 
 /* The request ran once at most, and was refused only if it did not run. */
