--- a/src/proxy/engine_answer.c
+++ b/src/proxy/engine_answer.c
@@ -138,6 +138,12 @@
 
 /* ---- refusals ---- */
 
+/* Whether a status may promise that the request has not run and never will. Asked by every refusal of a request. */
+static bool excludes_run(const cw_request_t *request)
+{
+    return cw_final_of(request->may_have_run, request->call != NULL, false) == CW_FINAL_REFUSED;
+}
+
 static cw_time_us_t retry_after_for(const cw_request_t *request, cw_refusal_t reason, cw_time_us_t now)
 {
     cw_time_us_t estimate = reason == CW_REFUSED_LOAD ? cw_request_estimate(request, now) : CW_NEVER;
@@ -185,7 +191,7 @@
     cw_http_outbound_t outbound = {.status = STATUS_UNAVAILABLE};
     cw_event_t         event;
 
-    if (cw_final_of(request->may_have_run, request->call != NULL, false) != CW_FINAL_REFUSED) {
+    if (!excludes_run(request)) {
         cw_request_fail_unknown(request, names[reason]);
         return;
     }
@@ -210,6 +216,10 @@
     cw_http_outbound_t outbound = {.status = STATUS_TOO_MANY, .retry_after_s = (double)retry_after / 1e6};
     cw_event_t         event;
 
+    if (!excludes_run(request)) {
+        cw_request_fail_unknown(request, "the tenant's rate");
+        return;
+    }
     cw_metric_add(CW_METRIC_REFUSED_TENANT, 1);
     cw_metric_add(CW_METRIC_REFUSED_LIMIT, 1);
     cw_tenant_metric_add(CW_TENANT_REFUSED_LIMIT, tenant->name, 1);
@@ -348,7 +358,7 @@
     cw_http_outbound_t outbound = {.status = STATUS_UNAVAILABLE, .retry_after_s = wait_s};
     cw_event_t         event;
 
-    if (cw_final_of(request->may_have_run, false, false) != CW_FINAL_REFUSED) {
+    if (!excludes_run(request)) {
         cw_request_fail_unknown(request, "the node that took it refused it");
         return;
     }
