Router: times of reports and the known leader are types of their own

Cause: the router's struct had 112 fields.

Change: when which report was sent and is due (report_schedule.h), and the leader as known by its heartbeats (known_leader.h); names only, no logic.

--- a/src/router/router_configuration.c
+++ b/src/router/router_configuration.c
@@ -77,7 +77,7 @@
     log_dropped_keyed_services(configuration);
     cw_configuration_release(router->configuration);
     router->configuration = configuration;
-    router->all_report_due = true;
+    router->reports.is_all_due = true;
     cw_configuration_freshness_set(&router->freshness, configuration->version);
     cw_engine_set_configuration(router->engine, configuration);
     cw_router_apply_warm_ups(router);
--- a/src/router/router_heartbeat.c
+++ b/src/router/router_heartbeat.c
@@ -21,7 +21,7 @@
 static void confirm_servers(cw_router_t *router, const cw_peer_t *sender, const Cwp__LeaderHeartbeat *heartbeat,
                             cw_time_us_t sent_at)
 {
-    bool               is_direct = strcmp(sender->node, router->leader_node) == 0;
+    bool               is_direct = strcmp(sender->node, router->leader.node) == 0;
     cw_list_evidence_t evidence = {.source = is_direct ? CW_LIST_SOURCE_LEADER : CW_LIST_SOURCE_RELAY,
                                    .from = sender->address};
 
@@ -67,12 +67,12 @@
     if (peer->stopping) {
         cw_leadership_receive_step_down(&router->leadership, now);
     }
-    if (router->leadership.leading || heartbeat->term < router->leader_term) {
+    if (router->leadership.leading || heartbeat->term < router->leader.term) {
         return;
     }
-    if (heartbeat->term > router->leader_term || strcmp(router->leader_node, peer->node) != 0) {
-        router->leader_term = heartbeat->term;
-        cw_text_copy(router->leader_node, sizeof(router->leader_node), peer->node);
+    if (heartbeat->term > router->leader.term || strcmp(router->leader.node, peer->node) != 0) {
+        router->leader.term = heartbeat->term;
+        cw_text_copy(router->leader.node, sizeof(router->leader.node), peer->node);
         if (cw_event_begin(&event, CW_EVENT_LEADER_SEEN)) {
             cw_event_text(&event, CW_FIELD_LEADER, peer->node);
             cw_event_number(&event, CW_FIELD_TERM, (int64_t)heartbeat->term);
@@ -84,7 +84,7 @@
     if (!heartbeat->able) {
         return;
     }
-    router->leader_heartbeat_at = now;
+    router->leader.heartbeat_at = now;
     cw_router_record_nodes(router, heartbeat->nodes);
     cw_router_adopt_versions(router, peer, heartbeat);
     cw_router_check_view(router, heartbeat, now);
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -24,9 +24,11 @@
 #include "router/configuration_newest.h"
 #include "router/fleet_size.h"
 #include "router/forward_queue.h"
+#include "router/known_leader.h"
 #include "router/leader_tenure.h"
 #include "router/list_history.h"
 #include "router/replaced_versions.h"
+#include "router/report_schedule.h"
 #include "router/router.h"
 #include "router/signal_notices.h"
 #include "router/store_availability.h"
@@ -132,18 +134,10 @@
                                            cw_router_file_fingerprint */
 
     /* reports */
-    uint32_t     sequence;            /**< of this node's last report */
-    cw_time_us_t peer_timeout;        /**< a node from which nothing is received for so long counts as lost */
-    cw_time_us_t reported_zone_at;    /**< last report to the nodes of this zone */
-    cw_time_us_t reported_all_at;     /**< last report to nodes of all zones */
-    cw_time_us_t reported_full_at;    /**< last report that contained names and paces */
-    cw_time_us_t reported_leader_at;  /**< last report to the leader */
-    cw_time_us_t key_samples_sent_at; /**< last time that key samples were sent to the leader */
-    /** Reports contain this node's name until this time, since another node is new or back. */
-    cw_time_us_t       send_names_until;
-    bool               zone_report_due; /**< something has changed that the nodes of this zone are to learn */
-    bool               all_report_due;  /**< something has changed that all nodes are to learn */
-    cw_queue_lengths_t queue_lengths;   /**< of other nodes */
+    uint32_t             sequence;     /**< of this node's last report */
+    cw_time_us_t         peer_timeout; /**< a node from which nothing is received for so long counts as lost */
+    cw_report_schedule_t reports;
+    cw_queue_lengths_t   queue_lengths; /**< of other nodes */
 
     /* reading the store on behalf of other nodes */
     cw_store_reader_t reader;
@@ -172,12 +166,9 @@
     uint64_t           view_list_version;   /**< version of this node's list in that term; 0: none */
     uint64_t           view_tables_version; /**< version of this node's tables in that term; 0: none */
     cw_time_us_t       tables_valid_at;     /**< last time at which the tables were known to be valid; 0: never */
-    cw_time_us_t       leader_heartbeat_at;
-    uint64_t           leader_term;
-    bool               leader_overdue;                /**< the leader's heartbeat is overdue, which has been logged */
-    bool               tables_expired;                /**< the tables are too old to route by, which has been logged */
-    char               leader_node[CW_NODE_NAME_MAX]; /**< name; empty: not known */
-    cw_view_updates_t *view_updates; /**< updates from the leader and from relays of which pages are still missing */
+    cw_known_leader_t  leader;
+    bool               tables_expired; /**< the tables are too old to route by, which has been logged */
+    cw_view_updates_t *view_updates;   /**< updates from the leader and from relays of which pages are still missing */
     cw_key_tables_t    tables;
     uint64_t           tables_hash;
     cw_time_us_t       tables_read_at;      /**< when the records of assignments were last read from the store */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -149,19 +149,20 @@
         router->view_term = router->leadership.lock.term;
         router->view_list_version = 1;
         router->view_tables_version = 0;
-        router->leader_term = router->leadership.lock.term;
-        memcpy(router->leader_node, router->settings.node, sizeof(router->leader_node));
+        router->leader.term = router->leadership.lock.term;
+        memcpy(router->leader.node, router->settings.node, sizeof(router->leader.node));
         cw_router_continue_assigners(router);
         log_leadership(router, CW_EVENT_LEADER_TAKEN, was_leading ? "again, after a restore of the store" : NULL);
     } else if (was_leading && !router->leadership.leading) {
         if (router->leadership.lock.vacant) {
             cw_leader_tenure_release(&router->tenure, term, now);
-            router->all_report_due = true; /* so that the others do not wait until they miss the leader's heartbeat */
+            router->reports.is_all_due =
+                true; /* so that the others do not wait until they miss the leader's heartbeat */
         }
         cw_router_free_assigners(router);
         router->leader_tables_version = 0;
         router->view_term = 0;
-        router->leader_node[0] = '\0';
+        router->leader.node[0] = '\0';
         log_leadership(router, CW_EVENT_LEADER_LOST, router->leadership.lock.vacant ? "resigned" : "taken by another");
     }
 }
@@ -429,7 +430,7 @@
     }
     has_authority = cw_router_has_authority(router, now);
     if (cw_leader_tenure_authority_changed(&router->tenure, has_authority)) {
-        router->all_report_due = true;
+        router->reports.is_all_due = true;
         cw_metric_set(CW_METRIC_LEADING, has_authority ? 1 : 0);
     }
     if (!router->leadership.leading || !has_authority || router->configuration == NULL) {
--- a/src/router/router_list_reads.c
+++ b/src/router/router_list_reads.c
@@ -138,7 +138,7 @@
 
 bool cw_router_has_heartbeat(const cw_router_t *router, cw_time_us_t now)
 {
-    return now - router->leader_heartbeat_at < router->settings.drain * CW_LIST_READER_PERCENT / 100;
+    return now - router->leader.heartbeat_at < router->settings.drain * CW_LIST_READER_PERCENT / 100;
 }
 
 static cw_list_renewal_t renewal_of(const cw_router_t *router, cw_time_us_t now)
--- a/src/router/router_paths.c
+++ b/src/router/router_paths.c
@@ -252,8 +252,8 @@
     logged->were_lost = paths->are_lost;
     log_change(router, logged, paths, now);
     cw_engine_paths_changed(router->engine, service);
-    router->all_report_due = true;
-    router->zone_report_due = true;
+    router->reports.is_all_due = true;
+    router->reports.is_zone_due = true;
 }
 
 void cw_router_paths_tick(cw_router_t *router, cw_time_us_t now)
--- a/src/router/router_peers.c
+++ b/src/router/router_peers.c
@@ -50,8 +50,8 @@
 
 static bool is_leader(const cw_router_t *router, const cw_peer_t *peer)
 {
-    return peer->last_received_at != 0 && !peer->is_lost && router->leader_node[0] != '\0' &&
-           strcmp(peer->node, router->leader_node) == 0;
+    return peer->last_received_at != 0 && !peer->is_lost && router->leader.node[0] != '\0' &&
+           strcmp(peer->node, router->leader.node) == 0;
 }
 
 /* Nodes wait for a leader's heartbeat, and for the report that a leader has given up its lock, so these are sent to all
@@ -103,10 +103,10 @@
  * slowly, so the interval grows with the number of nodes. */
 static uint32_t parts_due_at_intervals(cw_router_t *router, uint32_t peers, cw_time_us_t now)
 {
-    if (now - router->reported_full_at < CW_MS(FULL_INTERVAL_MS) * (1 + peers / FULL_INTERVAL_NODES)) {
+    if (now - router->reports.full_at < CW_MS(FULL_INTERVAL_MS) * (1 + peers / FULL_INTERVAL_NODES)) {
         return 0;
     }
-    router->reported_full_at = now;
+    router->reports.full_at = now;
     return CW_REPORT_NAMES | CW_REPORT_PACES;
 }
 
@@ -155,7 +155,7 @@
 {
     cw_peer_t *peer;
 
-    router->key_samples_sent_at = now;
+    router->reports.key_samples_at = now;
     if (router->leadership.leading) {
         cw_engine_take_samples(router->engine, add_own_sample, router);
         return;
@@ -167,7 +167,7 @@
             size_t length = cw_router_pack_report(router, CW_REPORT_KEYS | CW_REPORT_PACES_TO_LEADER | loads, now);
 
             cw_peer_link_send_packed(router->link, peer, length);
-            router->reported_leader_at = now;
+            router->reports.leader_at = now;
         }
     }
 }
@@ -176,7 +176,7 @@
 {
     const cw_peer_t *peer;
 
-    router->reported_leader_at = now;
+    router->reports.leader_at = now;
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
         if (is_leader(router, peer) && !is_in_zone(peer) && cw_router_is_covered(router, peer, now)) {
             cw_peer_link_send_packed(router->link, peer, cw_router_pack_report(router, 0, now));
@@ -232,24 +232,24 @@
 
 static void report_among_few(cw_router_t *router, cw_time_us_t now)
 {
-    cw_time_us_t since_all = now - router->reported_all_at;
-    cw_time_us_t since_zone = now - router->reported_zone_at;
+    cw_time_us_t since_all = now - router->reports.all_at;
+    cw_time_us_t since_zone = now - router->reports.zone_at;
     uint32_t     all = cw_peer_link_count_alive(router->link, router->peer_timeout, now);
     uint32_t     in_zone = count_targets(router, now).in_zone;
     cw_time_us_t idle = CW_MS(interval_to_all_ms(router, IDLE_INTERVAL_MS, all));
 
     set_peer_timeout(router, idle, 0);
-    if ((router->all_report_due && since_all >= CW_MS(interval_to_all_ms(router, ALL_INTERVAL_MS, all))) ||
+    if ((router->reports.is_all_due && since_all >= CW_MS(interval_to_all_ms(router, ALL_INTERVAL_MS, all))) ||
         since_all >= idle) {
         send_to_all(router, CW_REPORT_LOADS | parts_due_at_intervals(router, all, now), now);
-        router->reported_all_at = now;
-        router->reported_zone_at = now;
-        router->all_report_due = false;
-        router->zone_report_due = false;
-    } else if (router->zone_report_due && since_zone >= CW_MS(interval_in_zone_ms(router, in_zone, all))) {
+        router->reports.all_at = now;
+        router->reports.zone_at = now;
+        router->reports.is_all_due = false;
+        router->reports.is_zone_due = false;
+    } else if (router->reports.is_zone_due && since_zone >= CW_MS(interval_in_zone_ms(router, in_zone, all))) {
         send_to_zone(router, CW_REPORT_LOADS, now);
-        router->reported_zone_at = now;
-        router->zone_report_due = false;
+        router->reports.zone_at = now;
+        router->reports.is_zone_due = false;
     }
 }
 
@@ -266,17 +266,17 @@
 
 static void report_outside_zone(cw_router_t *router, const report_targets_t *targets, cw_time_us_t now)
 {
-    cw_time_us_t since = now - router->reported_all_at;
+    cw_time_us_t since = now - router->reports.all_at;
     bool         has_news = has_news_for_all(router, now);
     uint32_t     news_targets = router->leadership.leading ? targets->relays : targets->covered;
     uint32_t     count = targets->uncovered + (has_news ? news_targets : 0);
-    bool         is_due = router->all_report_due && since >= CW_MS(interval_to_all_ms(router, ALL_INTERVAL_MS, count));
+    bool is_due = router->reports.is_all_due && since >= CW_MS(interval_to_all_ms(router, ALL_INTERVAL_MS, count));
 
     if (!is_due && since < CW_MS(interval_to_all_ms(router, IDLE_INTERVAL_MS, count))) {
         return;
     }
-    router->reported_all_at = now;
-    router->all_report_due = false;
+    router->reports.all_at = now;
+    router->reports.is_all_due = false;
     send_outside_zone(router, false, now);
     if (has_news) {
         send_outside_zone(router, true, now);
@@ -287,19 +287,19 @@
 {
     report_targets_t targets = count_targets(router, now);
     uint32_t         all = targets.in_zone + targets.covered + targets.uncovered;
-    cw_time_us_t     since_zone = now - router->reported_zone_at;
+    cw_time_us_t     since_zone = now - router->reports.zone_at;
     cw_time_us_t     idle = CW_MS(interval_ms(router, IDLE_INTERVAL_MS, targets.in_zone, budget_to_all(all)));
 
     update_peer_timeout(router, &targets);
-    router->all_report_due = router->all_report_due || (router->zone_report_due && targets.uncovered > 0);
-    if ((router->zone_report_due && since_zone >= CW_MS(interval_in_zone_ms(router, targets.in_zone, all))) ||
+    router->reports.is_all_due = router->reports.is_all_due || (router->reports.is_zone_due && targets.uncovered > 0);
+    if ((router->reports.is_zone_due && since_zone >= CW_MS(interval_in_zone_ms(router, targets.in_zone, all))) ||
         since_zone >= idle) {
         send_to_zone(router, CW_REPORT_LOADS | parts_due_at_intervals(router, targets.in_zone, now), now);
-        router->reported_zone_at = now;
-        router->zone_report_due = false;
+        router->reports.zone_at = now;
+        router->reports.is_zone_due = false;
     }
     report_outside_zone(router, &targets, now);
-    if (now - router->reported_leader_at >= CW_MS(LEADER_INTERVAL_MS) && !router->leadership.leading) {
+    if (now - router->reports.leader_at >= CW_MS(LEADER_INTERVAL_MS) && !router->leadership.leading) {
         report_to_leader(router, now);
     }
 }
@@ -309,8 +309,8 @@
     bool is_among_many = cw_router_nodes_are_many(router);
 
     if (cw_engine_take_changed(router->engine)) {
-        router->zone_report_due = true;
-        router->all_report_due = router->all_report_due || !is_among_many;
+        router->reports.is_zone_due = true;
+        router->reports.is_all_due = router->reports.is_all_due || !is_among_many;
     }
     if (is_among_many) {
         report_among_many(router, now);
@@ -365,7 +365,7 @@
 void cw_router_peers_tick(cw_router_t *router, cw_time_us_t now)
 {
     report(router, now);
-    if (now - router->key_samples_sent_at >= keys_interval(router, now) && cw_engine_has_samples(router->engine)) {
+    if (now - router->reports.key_samples_at >= keys_interval(router, now) && cw_engine_has_samples(router->engine)) {
         send_keys(router, now);
     }
     mark_lost_peers(router, now);
--- a/src/router/router_receive.c
+++ b/src/router/router_receive.c
@@ -71,7 +71,7 @@
         return false; /* delayed: the node has restarted since */
     }
     if (peer->last_received_at == 0 || peer->is_lost || peer->incarnation != received->incarnation) {
-        router->send_names_until = now + CW_MS(SEND_NAMES_MS);
+        router->reports.names_until = now + CW_MS(SEND_NAMES_MS);
         if (received->node[0] != '\0') {
             cw_text_copy(peer->node, sizeof(peer->node), received->node);
         }
@@ -163,7 +163,7 @@
 
         cw_router_add_samples(router, samples->service, &taken, now);
     }
-    if (received->vacated != 0 && received->vacated == router->leader_term) {
+    if (received->vacated != 0 && received->vacated == router->leader.term) {
         cw_leadership_receive_step_down(&router->leadership, now);
     }
     if (received->leader != NULL) {
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -233,7 +233,7 @@
     Cwp__Datagram datagram = CWP__DATAGRAM__INIT;
 
     begin_report(router, now);
-    if ((parts & CW_REPORT_NAMES) != 0 || now < router->send_names_until) {
+    if ((parts & CW_REPORT_NAMES) != 0 || now < router->reports.names_until) {
         add_names(router);
     }
     if ((parts & (CW_REPORT_PACES | CW_REPORT_PACES_TO_LEADER)) != 0) {
--- a/src/router/router_share.c
+++ b/src/router/router_share.c
@@ -77,7 +77,7 @@
 
 static bool has_recent_heartbeat(const cw_router_t *router, cw_time_us_t now)
 {
-    return now - router->leader_heartbeat_at < CW_MS(CW_READER_TIMEOUT_MS);
+    return now - router->leader.heartbeat_at < CW_MS(CW_READER_TIMEOUT_MS);
 }
 
 static cw_configuration_role_t configuration_role(const cw_router_t *router, cw_time_us_t now)
--- a/src/router/router_status.c
+++ b/src/router/router_status.c
@@ -11,8 +11,8 @@
 {
     const cw_leadership_t *leadership = &router->leadership;
 
-    return json_pack("{s:s, s:I, s:I, s:I, s:b, s:I}", "leader", router->leader_node, "term",
-                     (json_int_t)(leadership->leading ? leadership->lock.term : router->leader_term), "revision",
+    return json_pack("{s:s, s:I, s:I, s:I, s:b, s:I}", "leader", router->leader.node, "term",
+                     (json_int_t)(leadership->leading ? leadership->lock.term : router->leader.term), "revision",
                      (json_int_t)cw_store_revision_count(leadership->revision), "store_epoch",
                      (json_int_t)leadership->epochs.current, "leading", cw_router_has_authority(router, now),
                      "authority_left_ms",
--- a/src/router/router_stop.c
+++ b/src/router/router_stop.c
@@ -25,7 +25,7 @@
         return;
     }
     router->stopping_at = cw_router_now(router);
-    router->all_report_due = true;
+    router->reports.is_all_due = true;
     if (cw_event_begin(&event, CW_EVENT_STOP)) {
         cw_event_number(&event, CW_FIELD_COUNT, (int64_t)cw_engine_requests(router->engine));
         cw_event_end(&event);
--- a/src/router/router_view.c
+++ b/src/router/router_view.c
@@ -354,10 +354,10 @@
                    now >= router->tables_valid_at + router->settings.hold * CW_TABLES_VALID_PERCENT / 100;
     cw_event_t event;
 
-    if (!is_heartbeat_fresh && !router->leader_overdue && router->leader_heartbeat_at > 0 &&
+    if (!is_heartbeat_fresh && !router->leader.is_overdue && router->leader.heartbeat_at > 0 &&
         cw_event_begin(&event, CW_EVENT_LEADER_SILENT)) {
-        cw_event_text(&event, CW_FIELD_LEADER, router->leader_node);
-        cw_event_ms(&event, CW_FIELD_SILENT_MS, now - router->leader_heartbeat_at);
+        cw_event_text(&event, CW_FIELD_LEADER, router->leader.node);
+        cw_event_ms(&event, CW_FIELD_SILENT_MS, now - router->leader.heartbeat_at);
         cw_event_end(&event);
     }
     if (expired && !router->tables_expired && cw_event_begin(&event, CW_EVENT_VIEW_EXPIRED)) {
@@ -365,7 +365,7 @@
         cw_event_ms(&event, CW_FIELD_VIEW_AGE_MS, now - router->tables_valid_at);
         cw_event_end(&event);
     }
-    router->leader_overdue = !is_heartbeat_fresh;
+    router->leader.is_overdue = !is_heartbeat_fresh;
     router->tables_expired = expired;
 }
 
--- a/src/router/router_view_pages.c
+++ b/src/router/router_view_pages.c
@@ -89,11 +89,11 @@
     const cw_peer_t *peer;
 
     cw_peer_link_send_packed(router->link, sender, length);
-    if (strcmp(sender->node, router->leader_node) == 0 || router->leader_node[0] == '\0') {
+    if (strcmp(sender->node, router->leader.node) == 0 || router->leader.node[0] == '\0') {
         return;
     }
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
-        if (strcmp(peer->node, router->leader_node) == 0) {
+        if (strcmp(peer->node, router->leader.node) == 0) {
             cw_peer_link_send_packed(router->link, peer, length);
         }
     }
@@ -197,7 +197,7 @@
  * accepted only if this node has no tables yet. */
 static bool is_table_page_accepted(const cw_router_t *router, const cw_peer_t *sender, const Cwp__TablePage *page)
 {
-    return page->since != 0 || router->tables_valid_at == 0 || strcmp(sender->node, router->leader_node) == 0;
+    return page->since != 0 || router->tables_valid_at == 0 || strcmp(sender->node, router->leader.node) == 0;
 }
 
 void cw_router_handle_table_page(cw_router_t *router, const cw_peer_t *peer, const Cwp__TablePage *page)
--- a/tests/test_node_start.c
+++ b/tests/test_node_start.c
@@ -493,7 +493,7 @@
     node_fixture_t *node = node_fixture_create();
     char           *status;
 
-    memset(node->router.leader_node, 0xff, 4); /* not valid UTF-8 */
+    memset(node->router.leader.node, 0xff, 4); /* not valid UTF-8 */
     status = cw_router_status(&node->router);
     ck_assert_ptr_nonnull(status);
     free(status);
@@ -578,7 +578,7 @@
     while (node->list_reads == reads) {
         ck_assert_int_lt(cw_router_now(router) - begun, router->settings.drain);
         router->loop.time += CW_TICK_MS;
-        router->leader_heartbeat_at = is_leader_received ? cw_router_now(router) : 0;
+        router->leader.heartbeat_at = is_leader_received ? cw_router_now(router) : 0;
         router->reader.is_reader = false;
         cw_router_view_tick(router, cw_router_now(router));
     }
