Requests of one id do not pile up connections at a server

What users would see: connections of other tenants reset by a server, since a caller gives all its requests one id: none of the idle connections, all of which have carried it, may be used again, and each request opens one more.

Cause: the rule that calls of one id never share a connection left such a connection idle.

Change: an idle connection that has carried the id is closed when the id comes again. A retry so replaces the connection of its first attempt.

Found by reading.

--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -411,13 +411,13 @@
     return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-/* False for a connection that may not carry this request, and is left for others. */
-static bool may_carry(const cw_upstream_connection_t *connection, const cw_upstream_request_t *request)
+/* True if the connection cannot carry this request: it has failed, or it has carried one of the same name. The latter
+ * is closed rather than left idle, so that requests of one name cannot pile up connections. */
+static bool is_spent(const cw_upstream_connection_t *connection, const cw_upstream_request_t *request)
 {
-    if (request->opened_by != 0 && connection->opened_at > request->opened_by) {
-        return false;
-    }
-    return request->match_value == NULL || !has_carried(connection, request->match_value);
+    bool has_carried_name = request->match_value != NULL && has_carried(connection, request->match_value);
+
+    return has_carried_name || is_unusable(connection);
 }
 
 static cw_upstream_connection_t *take_idle(cw_upstream_target_t *target, const cw_upstream_request_t *request)
@@ -427,11 +427,11 @@
 
     DL_FOREACH_SAFE(target->idle, connection, next)
     {
-        if (!may_carry(connection, request)) {
+        if (request->opened_by != 0 && connection->opened_at > request->opened_by) {
             continue;
         }
         remove_from_pool(connection);
-        if (!is_unusable(connection)) {
+        if (!is_spent(connection, request)) {
             return connection;
         }
         cw_upstream_close_connection(connection, false);
