Log: the connection of an attempt by way of another node

Cause: lines of a request that another node took named the connection of the attempt before.

Change: that of the call to the other node. Comments are indented again.

--- a/src/proxy/engine_delegation.c
+++ b/src/proxy/engine_delegation.c
@@ -224,6 +224,7 @@
     cw_request_t  *request = context;
     cw_delegate_t *delegate = leave_delegate(request);
 
+    request->connection = answer->connection;
     switch (answer->result) {
     case CW_UPSTREAM_ANSWERED:
         handle_answer(request, delegate, answer);
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -147,7 +147,7 @@
     uint32_t                attempts;         /**< attempts so far */
     uint32_t                unreached;        /**< servers to which no connection was made, in a row */
     cw_run_evidence_t       evidence;         /**< of its latest attempt; CW_RUN_NOT_SENT before the first */
-    uint64_t                connection;       /**< number of the connection of its latest attempt; 0: none */
+    uint64_t                connection;       /**< of its latest attempt, to a server or another node; 0: none */
     bool                    may_have_run;     /**< a server may have run the request, or may be running it */
     bool                    is_queued;
     bool                    is_ended;
--- a/src/proxy/request_rules.h
+++ b/src/proxy/request_rules.h
@@ -16,11 +16,11 @@
  *  - Unsent: the request cannot have run, since no byte has left this process. It is sent to another server, without
  *    using the retry budget, while there is time.
  *  - Denied: the request has not run, because the server says so of this attempt (run_evidence.h). It is repeated
- * within the route's attempts, the time and the budget.
+ *    within the route's attempts, the time and the budget.
  *  - Unresponsive: the request may have run. It is repeated under the same conditions if the route is repeatable;
- * otherwise the engine keeps waiting for the answer.
+ *    otherwise the engine keeps waiting for the answer.
  *  - Broken: the request may have run: there is no complete answer, or one that does not show which attempt it denies.
- * It is repeated under the same conditions if the route is repeatable; otherwise it ends.
+ *    It is repeated under the same conditions if the route is repeatable; otherwise it ends.
  *  - Answered: the request may have run. The answer is relayed; a 500 of a repeatable route is repeated under the
  *    same conditions.
  *
