--- a/standins/callers/main.c
+++ b/standins/callers/main.c
@@ -109,6 +109,17 @@
     return signature != NULL && body_length == strlen(attempt->id) && memcmp(body, attempt->id, body_length) == 0;
 }
 
+/* Counts and names a 2xx that is not the whole answer to this attempt; otherwise returns the given fault. */
+static const char *check_answer(const attempt_t *attempt, int status, const cw_http_fields_t *fields, const char *body,
+                                size_t body_length, const char *fault)
+{
+    if (status < 200 || status >= 300 || is_own_answer(attempt, fields, body, body_length)) {
+        return fault;
+    }
+    attempt->callers->wrong++;
+    return "not the whole answer";
+}
+
 /* The server whose answer has this header field; empty: the answer does not have it, or there is no answer. */
 static const char *server_with_field(const cw_http_fields_t *fields, const char *name)
 {
@@ -138,11 +149,9 @@
     double      wait_ms = retry_after == NULL ? -1 : atof(retry_after) * 1000;
     uint64_t    now = uv_hrtime();
 
-    if (status >= 200 && status < 300 && !is_own_answer(attempt, answer->fields, answer->body, answer->body_length)) {
-        callers->wrong++;
-    }
     callers->counts[status < 600 ? status : 599]++;
-    print_end(attempt, status, status == 0 ? NULL : answer->fields, answer->failure);
+    print_end(attempt, status, status == 0 ? NULL : answer->fields,
+              check_answer(attempt, status, answer->fields, answer->body, answer->body_length, answer->failure));
     if (status == 503 && wait_ms >= 0 && attempt->retries == 0 &&
         now + (uint64_t)(wait_ms * 3e6) < attempt->deadline_ns) {
         attempt->retries++;
@@ -229,15 +238,13 @@
     callers_t               *callers = attempt->callers;
     int                      status = answer->end == PIPELINE_ANSWERED ? answer->status : 0;
 
-    if (status >= 200 && status < 300 && !is_own_answer(attempt, answer->fields, answer->body, answer->body_length)) {
-        callers->wrong++;
-    }
     if (answer->end == PIPELINE_UNREAD) {
         callers->unread++;
     } else {
         callers->counts[status < 600 ? status : 599]++;
     }
-    print_end(attempt, status, status == 0 ? NULL : answer->fields, faults[answer->end]);
+    print_end(attempt, status, status == 0 ? NULL : answer->fields,
+              check_answer(attempt, status, answer->fields, answer->body, answer->body_length, faults[answer->end]));
     finish_attempt(attempt);
 }
 
--- a/standins/verdict/main.c
+++ b/standins/verdict/main.c
@@ -15,6 +15,7 @@
  *  - TWICE is violated if a request whose method is not GET has run more than once.
  *  - PROMISE is violated if a request whose method is not GET has run though it was answered 429, 503, 408 or 421.
  *  - WHOLE is violated if a request was answered 2xx though it has not run.
+ *  - MIXED is violated if a 2xx is not the whole answer to its request, as its caller says.
  *  - HELD: see holds.h.
  *  - LIMIT, DRAIN, BUDGET: see limits.h, leaves.h, rests.h.
  */
@@ -186,6 +187,9 @@
     if (record->of_caller) {
         attempt_t *attempt = attempt_of(record->id);
 
+        if (strcmp(record->fault, "not the whole answer") == 0) {
+            records_violation("MIXED", record, record->node);
+        }
         attempt->status = record->status;
         attempt->is_unsafe = strcmp(record->method, "GET") != 0;
     } else if (strcmp(record->event, "grant") == 0) {
--- a/standins/verdict/records.c
+++ b/standins/verdict/records.c
@@ -64,6 +64,7 @@
     text_of(line, "node", record->node, sizeof(record->node));
     text_of(line, "address", record->address, sizeof(record->address));
     text_of(line, "limit", record->limit, sizeof(record->limit));
+    text_of(line, "fault", record->fault, sizeof(record->fault));
     text_of(line, "leaving", record->leaving, sizeof(record->leaving));
     record->sent_ns = number_of(line, "sent_ns");
     record->rest_s = json_number_value(json_object_get(line, "rest_s"));
--- a/standins/verdict/records.h
+++ b/standins/verdict/records.h
@@ -24,6 +24,7 @@
                              the address of the node named by id */
     char     limit[64];   /**< of a caller: id of the server that reported a limit in the answer; empty: none */
     char     leaving[64]; /**< of a caller: id of the server that announced its leave in the answer; empty: none */
+    char     fault[64];   /**< of a caller: what was wrong with the answer; empty: nothing */
     uint64_t sent_ns;     /**< of a caller: when it sent the request */
     uint32_t low;         /**< first key of the range */
     uint32_t last;        /**< last key of the range, inclusive */
