--- a/tests/fault_soak/answers_soak.sh
+++ b/tests/fault_soak/answers_soak.sh
@@ -19,28 +19,11 @@
 SEED=${SEED:-1} ROUNDS=${ROUNDS:-3} COUNT=${NODES:-5} SERVERS=${SERVERS:-3}
 LINKED=1
 . "$(dirname "$0")/../../scripts/cluster.sh"
+. "$(dirname "$0")/lib/draws.sh"
 . "$(dirname "$0")/../process/lib/server_paths.sh"
-STATE=$SEED FINDINGS=0 NEXT_SERVER=0 CALM_S=12 ROUND_S=14 RATE=80
-declare -A COUNTS=()
+NEXT_SERVER=0 CALM_S=12 ROUND_S=14 RATE=80
 STOPPED=() # process ids that stand still
 
-log() { echo "$(date +%T.%3N) $*"; }
-report_finding() { log "FINDING $*"; FINDINGS=$((FINDINGS + 1)); }
-draw() { # FIRST COUNT: one of COUNT numbers from FIRST on, in DRAWN
-    STATE=$(((STATE * 1103515245 + 12345) % 2147483648))
-    DRAWN=$((STATE / 65536 % $2 + $1))
-}
-draw_item() { draw 1 $#; DRAWN=${!DRAWN}; }
-draw_pause() { draw "$1" "$2"; sleep "$(printf '%d.%03d' $((DRAWN / 1000)) $((DRAWN % 1000)))"; } # FIRST COUNT in ms
-count() { COUNTS[$1]=$((${COUNTS[$1]:-0} + 1)); }
-wait_within() { # SECONDS COMMAND
-    local end=$((SECONDS + $1))
-    until "$2"; do
-        [ "$SECONDS" -lt "$end" ] || return 1
-        sleep 0.1
-    done
-}
-
 # Requests with a key go to two routes of one service: those of /lock/ may not be repeated.
 configuration() { # VERSION
     cat <<JSON
--- a/tests/fault_soak/orders_soak.sh
+++ b/tests/fault_soak/orders_soak.sh
@@ -27,27 +27,11 @@
 SEED=${SEED:-1} ROUNDS=${ROUNDS:-2} COUNT=${NODES:-8} SERVERS=${SERVERS:-14} LINKS=${LINKS:-$((${SEED:-1} % 3 == 0))}
 [ "$LINKS" = 0 ] || LINKED=1
 . "$(dirname "$0")/../../scripts/cluster.sh"
-STATE=$SEED FINDINGS=0 NEXT_SERVER=0 CALM_S=12 CALLERS_S=${CALLERS_S:-40} RATE=100 STEPS=${STEPS:-14} LEADER="" KEEPS_LEADER=""
-declare -A COUNTS=()
+. "$(dirname "$0")/lib/draws.sh"
+NEXT_SERVER=0 CALM_S=12 CALLERS_S=${CALLERS_S:-40} RATE=100 STEPS=${STEPS:-14} LEADER="" KEEPS_LEADER=""
 SERVER_NAMES=() LEAVING=() PENDING=()
 
-log() { echo "$(date +%T.%3N) $*"; }
-report_finding() { log "FINDING $*"; FINDINGS=$((FINDINGS + 1)); }
-draw() { # FIRST COUNT: one of COUNT numbers from FIRST on, in DRAWN
-    STATE=$(((STATE * 1103515245 + 12345) % 2147483648))
-    DRAWN=$((STATE / 65536 % $2 + $1))
-}
-draw_item() { draw 1 $#; DRAWN=${!DRAWN}; }
 draw_duration() { draw_item 300 1500 5000 8000 11000; local base=$DRAWN; draw "$base" 3000; } # 0.3 to 14 s, in ms
-count() { COUNTS[$1]=$((${COUNTS[$1]:-0} + 1)); }
-control() { curl -s -m 2 -X POST "http://$STORE/control?$1" >/dev/null; }
-wait_within() { # SECONDS COMMAND
-    local end=$((SECONDS + $1))
-    until "$2"; do
-        [ "$SECONDS" -lt "$end" ] || return 1
-        sleep 0.1
-    done
-}
 
 # ---- what is due later ----
 now_ms() { NOW=$((${EPOCHREALTIME/[.,]/} / 1000)); }
--- a/tests/fault_soak/owners_soak.sh
+++ b/tests/fault_soak/owners_soak.sh
@@ -22,28 +22,10 @@
 SEED=${SEED:-1} ROUNDS=${ROUNDS:-3} COUNT=${NODES:-4} SERVERS=${SERVERS:-6}
 LINKED=1
 . "$(dirname "$0")/../../scripts/cluster.sh"
-STATE=$SEED FINDINGS=0 NEXT_SERVER=0 CALM_S=12 GRANTED_S=8 ROUND_S=20 RATE=60 LEADER="" OTHERS_LAG=""
-declare -A COUNTS=()
+. "$(dirname "$0")/lib/draws.sh"
+NEXT_SERVER=0 CALM_S=12 GRANTED_S=8 ROUND_S=20 RATE=60 LEADER="" OTHERS_LAG=""
 FROZEN=() DOWN=() LEAVING=()
 
-log() { echo "$(date +%T.%3N) $*"; }
-report_finding() { log "FINDING $*"; FINDINGS=$((FINDINGS + 1)); }
-draw() { # FIRST COUNT: one of COUNT numbers from FIRST on, in DRAWN
-    STATE=$(((STATE * 1103515245 + 12345) % 2147483648))
-    DRAWN=$((STATE / 65536 % $2 + $1))
-}
-draw_item() { draw 1 $#; DRAWN=${!DRAWN}; }
-draw_pause() { draw "$1" "$2"; sleep "$(printf '%d.%03d' $((DRAWN / 1000)) $((DRAWN % 1000)))"; } # FIRST COUNT in ms
-count() { COUNTS[$1]=$((${COUNTS[$1]:-0} + 1)); }
-control() { curl -s -m 2 -X POST "http://$STORE/control?$1" >/dev/null; }
-wait_within() { # SECONDS COMMAND
-    local end=$((SECONDS + $1))
-    until "$2"; do
-        [ "$SECONDS" -lt "$end" ] || return 1
-        sleep 0.1
-    done
-}
-
 # ---- lists that lag ----
 draw_lag() {
     local copy list slow lapse mute
--- a/tests/fault_soak/paths_soak.sh
+++ b/tests/fault_soak/paths_soak.sh
@@ -20,19 +20,12 @@
 SEED=${SEED:-1} ROUNDS=${ROUNDS:-4} COUNT=${NODES:-6}
 LINKED=1
 . "$(dirname "$0")/../../scripts/cluster.sh"
+. "$(dirname "$0")/lib/draws.sh"
 . "$(dirname "$0")/../process/lib/server_paths.sh"
-STATE=$SEED VERSION=1 FINDINGS=0 NEXT_SERVER=0 RESTARTED=0 TROUBLE=0
+VERSION=1 NEXT_SERVER=0 RESTARTED=0 TROUBLE=0
 IN_TOUCH_S=3 # the promises hold from then on after a cut began or ended
 RATE=15      # requests a second and node
 CALLS_S=5
-declare -A COUNTS=()
-log() { echo "$(date +%T.%3N) $*"; }
-report_finding() { log "FINDING $*"; FINDINGS=$((FINDINGS + 1)); }
-draw() { # FIRST COUNT: one of COUNT numbers from FIRST on, in DRAWN
-    STATE=$(((STATE * 1103515245 + 12345) % 2147483648))
-    DRAWN=$((STATE / 65536 % $2 + $1))
-}
-draw_item() { draw 0 $#; shift "$DRAWN"; DRAWN=$1; }
 
 draw_cut() { # leaves the nodes in CUT
     local zone first
--- a/tests/fault_soak/stall_soak.sh
+++ b/tests/fault_soak/stall_soak.sh
@@ -17,17 +17,11 @@
 SEED=${SEED:-1} ROUNDS=${ROUNDS:-3} COUNT=${NODES:-4} SERVERS=${SERVERS:-3} NEWEST_MS=${NEWEST_MS:-2000}
 LINKED=1
 . "$(dirname "$0")/../../scripts/cluster.sh"
-STATE=$SEED VERSION=1 FINDINGS=0 ROUND_S=8 LEAVERS=4 STAY_S=2.5
+. "$(dirname "$0")/lib/draws.sh"
+VERSION=1 ROUND_S=8 LEAVERS=4 STAY_S=2.5
 GONE_MS=500      # bound for work on a request whose caller has left
 IN_TOUCH_MS=3000 # a node is bound this long after its trouble
-declare -A COUNTS=()
 JOBS=()
-log() { echo "$(date +%T.%3N) $*"; }
-report_finding() { log "FINDING $*"; FINDINGS=$((FINDINGS + 1)); }
-draw() { # FIRST COUNT: one of COUNT numbers from FIRST on, in DRAWN
-    STATE=$(((STATE * 1103515245 + 12345) % 2147483648))
-    DRAWN=$((STATE / 65536 % $2 + $1))
-}
 wall_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
 # Time since boot, the clock of the servers' records, with a resolution of 10 ms.
 boot_ms() { local up; read -r up _ </proc/uptime; echo $((10#${up/./} * 10)); }
