Review, case 5: a 2xx without the server's signature is passed on

Cause: the signature's name is known to the engine, but no answer is checked for it. Done: a stand-in in front of sound servers that answers 2 of 100 requests with another program's page, a script and a claim.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 make -s -j8 BUILD=target target/cw-store target/cw-server target/cw-callers
+"${CC:-cc}" -std=gnu11 -Wall -Wextra -Werror -D_GNU_SOURCE -O2 review/5/faulty_server.c -o target/review-faulty-server
