--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -9,8 +9,10 @@
 net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
 pids=()
 finish() {
-    [ ${#pids[@]} = 0 ] || kill -KILL "${pids[@]}" 2>/dev/null
-    wait 2>/dev/null
+    {
+        [ ${#pids[@]} = 0 ] || kill -KILL "${pids[@]}"
+        wait
+    } 2>/dev/null
     rm -rf "$work"
 }
 trap finish EXIT
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -10,8 +10,10 @@
 net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
 pids=()
 finish() {
-    [ ${#pids[@]} = 0 ] || kill -KILL "${pids[@]}" 2>/dev/null
-    wait 2>/dev/null
+    {
+        [ ${#pids[@]} = 0 ] || kill -KILL "${pids[@]}"
+        wait
+    } 2>/dev/null
     rm -rf "$work"
 }
 trap finish EXIT
@@ -74,7 +76,8 @@
         --zone "z$(((i - 1) % 3 + 1))" --work-ms 210 --heartbeat-ms 1300 >"$work/server-$i.json" &
     pids+=($!)
     # Idle connections are closed after a second, as servers close them "after a time".
-    target/review-faulty-server "$net.100" "$((9100 + i))" "$((9000 + i))" 0.02 1000 "$((RANDOM + i))" >"$work/spoiled-$i" &
+    target/review-faulty-server "$net.100" "$((9100 + i))" "$((9000 + i))" requests 0.02 1000 "$((RANDOM + i))" \
+        >"$work/spoiled-$i" &
     pids+=($!)
     fronts+=($!)
 done
--- a/review/5/faulty_server.c
+++ b/review/standins-2/faulty_server.c
@@ -1,14 +1,17 @@
 /**
  * @file faulty_server.c
  * @brief Stand-in of a server that hands out wrong bytes: it stands in front of a sound one (cw-server) and passes
- * everything on, but while it is in trouble it answers a share of the requests with bytes that are no answer of the
- * server, a page of another program (a status line, a length and a text; no X-Request-Id, no X-Server-Signature). Such
- * a request does not run.
+ * everything on, but while it is in trouble it answers a share of what comes with bytes that are no answer of the
+ * server, a page of another program (a status line, a length and a text; no X-Server-Signature, no X-Handover). What is
+ * answered so is not carried out.
  *
- * faulty_server ADDRESS PORT SERVER_PORT SHARE IDLE_MS SEED: listens at ADDRESS:PORT, for the server at
+ * faulty_server ADDRESS PORT SERVER_PORT KIND SHARE IDLE_MS SEED: listens at ADDRESS:PORT, for the server at
  * ADDRESS:SERVER_PORT. Closes connections that have rested for IDLE_MS. SIGUSR1 begins the trouble, SIGUSR2 ends it.
- * Prints one line for each spoiled answer: the id of the request, and how many requests came before it on its
- * connection.
+ *
+ * KIND requests: SHARE of the clients' requests, as drawn. In every other page, as drawn, the X-Request-Id stands, as a
+ * server's framework sets it before the work begins. Prints a line for each: the id, how many requests came before it
+ * on its connection, and whether its id stood in it. KIND releases: releases of keys, as long as they are at most SHARE
+ * of all answers since the trouble began. Prints a line for each: the steady time in seconds, and the release.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -23,7 +26,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { PAIRS_MAX = 400, BYTES_MAX = 64 * 1024, ARGUMENTS = 7, WAIT_MS = 50, BACKLOG = 256, ID_MAX = 128 };
+enum { PAIRS_MAX = 400, BYTES_MAX = 64 * 1024, ARGUMENTS = 8, WAIT_MS = 50, BACKLOG = 256, ID_MAX = 128 };
 
 /** A connection of a caller with that to the server. */
 typedef struct pair {
@@ -42,11 +45,17 @@
 static size_t                pair_count;
 static volatile sig_atomic_t in_trouble;
 static unsigned long long    random_state;
+static bool                  spoils_releases;
+static double                share;
+static size_t                answers; /* since the trouble began */
+static size_t                spoiled; /* of them */
 static struct sockaddr_in    server_address;
 
 static void on_signal(int number)
 {
     in_trouble = number == SIGUSR1;
+    answers = 0;
+    spoiled = 0;
 }
 
 static long now_ms(void)
@@ -144,31 +153,57 @@
     return pair->length >= length ? length : 0;
 }
 
-/* Orders and probes are answered soundly. */
-static bool is_spoiled(const pair_t *pair, double share)
+static bool is_release_due(const pair_t *pair)
 {
-    bool is_of_client = find_field(pair->request, "X-Request-Id") != NULL;
+    bool is_release = strncmp(pair->request, "POST /api/release ", strlen("POST /api/release ")) == 0;
 
-    return in_trouble != 0 && is_of_client && draw() < share;
+    return is_release && (double)(spoiled + 1) <= share * (double)answers;
 }
 
-/* Returns false if the pair has ended. */
-static bool send_page(pair_t *pair)
+static bool is_spoiled(const pair_t *pair)
+{
+    if (in_trouble == 0) {
+        return false;
+    }
+    if (spoils_releases) {
+        return is_release_due(pair);
+    }
+    return find_field(pair->request, "X-Request-Id") != NULL && draw() < share;
+}
+
+/* Writes the field X-Request-Id of the page, or nothing. Prints the line for a request. */
+static void name_page(pair_t *pair, char *field, size_t size)
 {
     const char *value = find_field(pair->request, "X-Request-Id");
     char        id[ID_MAX];
-    char        head[2 * ID_MAX];
     bool        is_named = draw() < 0.5;
 
     snprintf(id, sizeof(id), "%.*s", (int)strcspn(value, "\r"), value);
-    printf("%s %zu %s\n", id, pair->requests++, is_named ? "named" : "unnamed");
-    snprintf(head, sizeof(head), "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n%s%s%sContent-Length: %zu\r\n\r\n",
-             is_named ? "X-Request-Id: " : "", is_named ? id : "", is_named ? "\r\n" : "", strlen(page));
+    snprintf(field, size, "%s%s%s", is_named ? "X-Request-Id: " : "", is_named ? id : "", is_named ? "\r\n" : "");
+    printf("%s %zu %s\n", id, pair->requests, is_named ? "named" : "unnamed");
+}
+
+/* Returns false if the pair has ended. */
+static bool send_page(pair_t *pair)
+{
+    char field[2 * ID_MAX] = "";
+    char head[4 * ID_MAX];
+
+    spoiled++;
+    answers++;
+    if (spoils_releases) {
+        printf("%.3f %s\n", (double)now_ms() / 1000, strstr(pair->request, "\r\n\r\n") + strlen("\r\n\r\n"));
+    } else {
+        name_page(pair, field, sizeof(field));
+    }
+    pair->requests++;
+    snprintf(head, sizeof(head), "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n%sContent-Length: %zu\r\n\r\n", field,
+             strlen(page));
     return write_all(pair->caller, head, strlen(head)) && write_all(pair->caller, page, strlen(page));
 }
 
 /* Returns false if the pair has ended. */
-static bool handle_request(pair_t *pair, double share)
+static bool handle_request(pair_t *pair)
 {
     ssize_t received = read(pair->caller, pair->request + pair->length, sizeof(pair->request) - pair->length - 1);
     size_t  length;
@@ -182,7 +217,7 @@
         return pair->length + 1 < sizeof(pair->request);
     }
     pair->length = 0; /* callers send one request at a time on a connection */
-    if (is_spoiled(pair, share)) {
+    if (is_spoiled(pair)) {
         return send_page(pair);
     }
     pair->requests++;
@@ -196,11 +231,12 @@
     static char bytes[BYTES_MAX];
     ssize_t     received = read(pair->server, bytes, sizeof(bytes));
 
+    answers += pair->is_awaiting ? 1 : 0;
     pair->is_awaiting = false;
     return received > 0 && write_all(pair->caller, bytes, (size_t)received);
 }
 
-static bool serve(pair_t *pair, const struct pollfd *polled, double share, long idle_ms)
+static bool serve(pair_t *pair, const struct pollfd *polled, long idle_ms)
 {
     if (polled[0].revents != 0 || polled[1].revents != 0) {
         pair->used_ms = now_ms();
@@ -208,7 +244,7 @@
     if (polled[1].revents != 0 && !handle_answer(pair)) {
         return false;
     }
-    if (polled[0].revents != 0 && !handle_request(pair, share)) {
+    if (polled[0].revents != 0 && !handle_request(pair)) {
         return false;
     }
     return pair->is_awaiting || pair->length > 0 || now_ms() - pair->used_ms < idle_ms;
@@ -231,21 +267,21 @@
 {
     static struct pollfd polled[1 + 2 * PAIRS_MAX];
     int                  listener;
-    double               share;
     long                 idle_ms;
     size_t               index;
 
     if (count != ARGUMENTS) {
-        fprintf(stderr, "usage: faulty_server ADDRESS PORT SERVER_PORT SHARE IDLE_MS SEED\n");
+        fprintf(stderr, "usage: faulty_server ADDRESS PORT SERVER_PORT requests|releases SHARE IDLE_MS SEED\n");
         return EXIT_FAILURE;
     }
     listener = listen_at(arguments[1], (int)strtol(arguments[2], NULL, 10));
     server_address.sin_family = AF_INET;
     server_address.sin_port = htons((uint16_t)strtol(arguments[3], NULL, 10));
     inet_pton(AF_INET, arguments[1], &server_address.sin_addr);
-    share = strtod(arguments[4], NULL);
-    idle_ms = strtol(arguments[5], NULL, 10);
-    random_state = strtoull(arguments[6], NULL, 10) * 7919 + 1;
+    spoils_releases = strcmp(arguments[4], "releases") == 0;
+    share = strtod(arguments[5], NULL);
+    idle_ms = strtol(arguments[6], NULL, 10);
+    random_state = strtoull(arguments[7], NULL, 10) * 7919 + 1;
     if (listener < 0) {
         perror("faulty_server");
         return EXIT_FAILURE;
@@ -265,7 +301,7 @@
         }
         /* From the last one on: one that ends is replaced by the last one, which has been served. */
         for (index = pair_count; index > 0; index--) {
-            if (!serve(pairs[index - 1], &polled[2 * index - 1], share, idle_ms)) {
+            if (!serve(pairs[index - 1], &polled[2 * index - 1], idle_ms)) {
                 close_pair(index - 1);
             }
         }
