--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -9,10 +9,10 @@
 net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
 pids=()
 finish() {
-    {
-        [ ${#pids[@]} = 0 ] || kill -KILL "${pids[@]}"
-        wait
-    } 2>/dev/null
+    local pid
+    disown -a
+    kill -KILL "${pids[@]}" 2>/dev/null
+    for pid in "${pids[@]}"; do while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done; done
     rm -rf "$work"
 }
 trap finish EXIT
@@ -95,6 +95,7 @@
 target/cw-callers --nodes "$nodes" --name c --kind "maps.example,/docks/,GET,8000,1" --kind "maps.example,/hire/,POST,8000,0" --rate 40 \
     --count 1200 >"$work/callers.json" &
 callers=$!
+pids+=($!)
 sleep 5
 
 # The other writer keeps the last states of each server that it has seen, by id, and has cut the text off at value-bytes (1048576).
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -10,10 +10,10 @@
 net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
 pids=()
 finish() {
-    {
-        [ ${#pids[@]} = 0 ] || kill -KILL "${pids[@]}"
-        wait
-    } 2>/dev/null
+    local pid
+    disown -a
+    kill -KILL "${pids[@]}" 2>/dev/null
+    for pid in "${pids[@]}"; do while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done; done
     rm -rf "$work"
 }
 trap finish EXIT
