--- a/review/standins-2/faulty_server.c
+++ b/review/standins-2/faulty_server.c
@@ -12,6 +12,10 @@
  * server's framework sets it before the work begins. Prints a line for each: the id, how many requests came before it
  * on its connection, and whether its id stood in it. KIND releases: releases of keys, as long as they are at most SHARE
  * of all answers since the trouble began. Prints a line for each: the steady time in seconds, and the release.
+ *
+ * KIND grants: no wrong bytes; the first grant in each trouble gets no answer and is handed to the server LATE_MS
+ * later, on a connection of its own. Prints a line as it is read, and one with the server's answer: the steady time,
+ * the grant.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -26,7 +30,15 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { PAIRS_MAX = 400, BYTES_MAX = 64 * 1024, ARGUMENTS = 8, WAIT_MS = 50, BACKLOG = 256, ID_MAX = 128 };
+enum {
+    PAIRS_MAX = 400,
+    BYTES_MAX = 64 * 1024,
+    ARGUMENTS = 8,
+    WAIT_MS = 50,
+    BACKLOG = 256,
+    ID_MAX = 128,
+    LATE_MS = 9000
+};
 
 /** A connection of a caller with that to the server. */
 typedef struct pair {
@@ -46,6 +58,9 @@
 static volatile sig_atomic_t in_trouble;
 static unsigned long long    random_state;
 static bool                  spoils_releases;
+static bool                  keeps_grants;
+static char                  kept[BYTES_MAX]; /* the grant that is kept; empty: none */
+static long                  kept_ms;         /* when it was read */
 static double                share;
 static size_t                answers; /* since the trouble began */
 static size_t                spoiled; /* of them */
@@ -162,7 +177,7 @@
 
 static bool is_spoiled(const pair_t *pair)
 {
-    if (in_trouble == 0) {
+    if (in_trouble == 0 || keeps_grants) {
         return false;
     }
     if (spoils_releases) {
@@ -202,6 +217,49 @@
     return write_all(pair->caller, head, strlen(head)) && write_all(pair->caller, page, strlen(page));
 }
 
+/* The number behind a name in the body. */
+static long number_of(const char *body, const char *name)
+{
+    const char *found = strstr(body, name);
+
+    return found != NULL ? strtol(found + strlen(name), NULL, 10) : -1;
+}
+
+/* Whether this is the grant that is kept. A grant of no keys is none. Prints its line. */
+static bool keep_grant(const pair_t *pair, size_t length)
+{
+    bool is_grant = strncmp(pair->request, "POST /api/grant ", strlen("POST /api/grant ")) == 0 &&
+                    number_of(pair->request, "\"last\":") >= number_of(pair->request, "\"from\":");
+
+    if (in_trouble == 0 || !keeps_grants || !is_grant || spoiled > 0) {
+        return false;
+    }
+    spoiled++;
+    memcpy(kept, pair->request, length);
+    kept[length] = '\0';
+    kept_ms = now_ms();
+    printf("%.3f read, not answered: %s\n", (double)kept_ms / 1000, strstr(kept, "\r\n\r\n") + strlen("\r\n\r\n"));
+    return true;
+}
+
+/* Hands the grant that was kept to the server, and waits for its answer. */
+static void hand_over_grant(void)
+{
+    char    answer[4 * ID_MAX] = "";
+    ssize_t received = -1;
+    int     server = socket(AF_INET, SOCK_STREAM, 0);
+
+    if (server >= 0 && connect(server, (struct sockaddr *)&server_address, sizeof(server_address)) == 0 &&
+        write_all(server, kept, strlen(kept))) {
+        received = read(server, answer, sizeof(answer) - 1);
+    }
+    answer[received > 0 ? (size_t)received : 0] = '\0';
+    answer[strcspn(answer, "\r")] = '\0';
+    printf("%.3f taken, answer of the server: %s\n", (double)now_ms() / 1000, answer);
+    close(server);
+    kept[0] = '\0';
+}
+
 /* Returns false if the pair has ended. */
 static bool handle_request(pair_t *pair)
 {
@@ -217,6 +275,9 @@
         return pair->length + 1 < sizeof(pair->request);
     }
     pair->length = 0; /* callers send one request at a time on a connection */
+    if (keep_grant(pair, length)) {
+        return true;
+    }
     if (is_spoiled(pair)) {
         return send_page(pair);
     }
@@ -271,7 +332,7 @@
     size_t               index;
 
     if (count != ARGUMENTS) {
-        fprintf(stderr, "usage: faulty_server ADDRESS PORT SERVER_PORT requests|releases SHARE IDLE_MS SEED\n");
+        fprintf(stderr, "usage: faulty_server ADDRESS PORT SERVER_PORT requests|releases|grants SHARE IDLE_MS SEED\n");
         return EXIT_FAILURE;
     }
     listener = listen_at(arguments[1], (int)strtol(arguments[2], NULL, 10));
@@ -279,6 +340,7 @@
     server_address.sin_port = htons((uint16_t)strtol(arguments[3], NULL, 10));
     inet_pton(AF_INET, arguments[1], &server_address.sin_addr);
     spoils_releases = strcmp(arguments[4], "releases") == 0;
+    keeps_grants = strcmp(arguments[4], "grants") == 0;
     share = strtod(arguments[5], NULL);
     idle_ms = strtol(arguments[6], NULL, 10);
     random_state = strtoull(arguments[7], NULL, 10) * 7919 + 1;
@@ -308,5 +370,8 @@
         if ((polled[0].revents & POLLIN) != 0) {
             accept_caller(listener);
         }
+        if (kept[0] != '\0' && now_ms() - kept_ms >= LATE_MS) {
+            hand_over_grant();
+        }
     }
 }
