--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -187,7 +187,7 @@
     if (!call->complete || call->not_reusable || answer->closing || connection->writing || target->released) {
         return false;
     }
-    if (call->may_be_kept != NULL && !call->may_be_kept(answer->status)) {
+    if (call->may_be_kept != NULL && !call->may_be_kept(call->context, answer)) {
         return false;
     }
     return (answer->names_request || !call->is_match_required) && idle_time(target->upstream, &call->fields) > 0;
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -28,6 +28,7 @@
 typedef struct cw_upstream        cw_upstream_t;        /**< the client: its targets and options */
 typedef struct cw_upstream_target cw_upstream_target_t; /**< a server's address with its idle connections */
 typedef struct cw_upstream_call   cw_upstream_call_t;   /**< a request whose outcome is not determined yet */
+typedef struct cw_upstream_answer cw_upstream_answer_t; /**< the outcome of a call */
 
 /** Outcome of a call. */
 typedef enum cw_upstream_result {
@@ -65,12 +66,13 @@
     /** Answers without that header count as answers to other requests, except the first one on a connection. A
      * connection is kept only after an answer with it, so a call without match_value gets one of its own. */
     bool is_match_required;
-    /** Whether the connection may carry further calls after an answer of this status. NULL: after any. */
-    bool (*may_be_kept)(int status);
+    /** Asked with the call's context whether the connection may carry further calls after this complete answer. NULL:
+     * after any. */
+    bool (*may_be_kept)(void *context, const cw_upstream_answer_t *answer);
 } cw_upstream_request_t;
 
 /** Outcome of a call. Valid during the callback only. */
-typedef struct cw_upstream_answer {
+struct cw_upstream_answer {
     cw_upstream_result_t    result;
     const char             *failure; /**< description of the failure for the log; NULL if answered */
     int                     status;
@@ -88,7 +90,7 @@
     bool     carried_before; /**< the connection had carried a call with the same match_value before */
     /** The server began an answer and spoiled it: it broke off, or its bytes were no answer or exceeded a bound. */
     bool spoiled;
-} cw_upstream_answer_t;
+};
 
 /** Called once when a call has ended. */
 typedef void (*cw_upstream_answered_t)(void *context, const cw_upstream_answer_t *answer);
--- a/src/net/http_upstream_internal.h
+++ b/src/net/http_upstream_internal.h
@@ -49,8 +49,8 @@
     cw_upstream_connection_t *connection;
     cw_upstream_answered_t    answered;
     void                     *context;
-    bool (*may_be_sent)(void *context); /* NULL: always */
-    bool (*may_be_kept)(int status);    /* NULL: always */
+    bool (*may_be_sent)(void *context);                                     /* NULL: always */
+    bool (*may_be_kept)(void *context, const cw_upstream_answer_t *answer); /* NULL: always */
     char                   *bytes;
     size_t                  length;
     const char             *tail; /* the request's body if it is not part of `bytes`; owned by the caller */
--- a/src/proxy/engine.h
+++ b/src/proxy/engine.h
@@ -43,9 +43,10 @@
     const char *target;     /**< to a server: id of the server that the request is meant for */
     const char *not_run;    /**< from a server: it did not run the request */
     const char *key;        /**< number of the key that the request is about */
-    const char *signature;  /**< from a server: shows that the answer is the server's own */
-    const char *instance;   /**< from a server: its id */
-    const char *tenant;     /**< to a server: name of the caller's tenant; NULL: the name is not sent */
+    const char *signature; /**< from a server: shows that the answer is the server's own (run_evidence.h). NULL: servers
+                              do not sign */
+    const char *instance;  /**< from a server: its id */
+    const char *tenant;    /**< to a server: name of the caller's tenant; NULL: the name is not sent */
 } cw_header_names_t;
 
 /** Settings of an engine. */
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -141,6 +141,7 @@
     write_request(request, server, now, &bytes);
     sending = cw_request_call_with(request, &bytes);
     sending.is_match_required = true;
+    sending.may_be_kept = cw_request_may_keep_connection;
     request->server = server;
     request->sent_at = now;
     if (request->first_sent_at == 0) {
--- a/src/proxy/engine_delegation.c
+++ b/src/proxy/engine_delegation.c
@@ -186,6 +186,16 @@
     free(kept.items);
 }
 
+/* Nodes of earlier releases pass on answers that are not shown to be a server's own. */
+static void handle_relayed(cw_request_t *request, const cw_upstream_answer_t *answer, const char *server)
+{
+    if (cw_run_evidence_is_servers_own(request->evidence)) {
+        relay(request, answer, server);
+    } else {
+        cw_request_fail_unknown(request, cw_run_evidence_text(request->evidence));
+    }
+}
+
 static void handle_failed(cw_request_t *request, int status)
 {
     if (status == STATUS_GATEWAY_TIMEOUT) {
@@ -202,10 +212,12 @@
     const char             *server;
     cw_delegation_outcome_t outcome = cw_delegation_outcome_read(stated, &server);
 
-    cw_request_record_evidence(request, cw_run_evidence_of_node(outcome));
+    cw_request_record_evidence(request, outcome == CW_DELEGATION_ANSWERED
+                                            ? cw_request_evidence_of_relayed(request, answer)
+                                            : cw_run_evidence_of_node(outcome));
     switch (outcome) {
     case CW_DELEGATION_ANSWERED:
-        relay(request, answer, server);
+        handle_relayed(request, answer, server);
         break;
     case CW_DELEGATION_REFUSED:
         cw_request_refuse_as_delegate(request, cw_http_fields_find(answer->fields, "retry-after"));
--- a/src/proxy/engine_internal.h
+++ b/src/proxy/engine_internal.h
@@ -261,10 +261,21 @@
  * token. */
 void cw_request_return_token(cw_request_t *request);
 
-/* ---- engine_outcome.c ---- */
+/* ---- engine_evidence.c ---- */
 /** Records what the end of an attempt shows. Once an attempt may have run, the request counts as possibly run until it
  * ends. */
 void cw_request_record_evidence(cw_request_t *request, cw_run_evidence_t evidence);
+/** What the end of an attempt at a server shows. */
+cw_run_evidence_t cw_request_evidence_of(const cw_request_t *request, const cw_server_t *server,
+                                         const cw_upstream_answer_t *answer);
+/** What an answer shows that another node has passed on as a server's. */
+cw_run_evidence_t cw_request_evidence_of_relayed(const cw_request_t *request, const cw_upstream_answer_t *answer);
+/** Whether the answer names another server than the one that the request was sent to. */
+bool cw_request_names_other_server(const cw_request_t *request, const cw_server_t *server,
+                                   const cw_upstream_answer_t *answer);
+/** Whether the connection of the request's call may carry further calls after this answer: bytes that belong to no
+ * request may follow one that is not the server's own. context: the request. */
+bool cw_request_may_keep_connection(void *context, const cw_upstream_answer_t *answer);
 
 /* ---- engine_paths.c ---- */
 /** Records the outcome of the request's call to a server as a contact (server_paths.h). */
--- a/src/proxy/engine_outcome.c
+++ b/src/proxy/engine_outcome.c
@@ -8,7 +8,6 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "base/text.h"
-#include "model/server_incarnation.h"
 #include "proxy/engine_internal.h"
 #include "proxy/request_rules.h"
 
@@ -169,12 +168,6 @@
     request->service->mean_time += ((cw_time_us_t)normal - request->service->mean_time) / MEAN_WEIGHT_DIVISOR;
 }
 
-void cw_request_record_evidence(cw_request_t *request, cw_run_evidence_t evidence)
-{
-    request->evidence = evidence;
-    request->may_have_run = request->may_have_run || !cw_run_evidence_excludes_run(evidence);
-}
-
 /* Handles an answer in which the server said that it did not run the request. */
 static void handle_not_run(cw_request_t *request, const char *server, int status)
 {
@@ -239,42 +232,6 @@
     cw_request_fail_unknown(request, failure);
 }
 
-/* Returns whether the answer names another server than the one that the request was sent to. */
-static bool names_other_server(const cw_request_t *request, const cw_server_t *server,
-                               const cw_upstream_answer_t *answer)
-{
-    const char *instance = cw_http_fields_find(answer->fields, request->engine->settings.names.instance);
-
-    return instance != NULL && !cw_server_id_has_name(server->id, instance);
-}
-
-static cw_answer_facts_t answer_facts(const cw_request_t *request, const cw_server_t *server,
-                                      const cw_upstream_answer_t *answer)
-{
-    const char *denial = request->engine->settings.names.not_run;
-
-    return (cw_answer_facts_t){.status = answer->status,
-                               .has_denial = cw_http_fields_find(answer->fields, denial) != NULL,
-                               .names_request = answer->names_request,
-                               .names_other_server = names_other_server(request, server, answer),
-                               .is_first_on_connection = answer->is_first,
-                               .carried_before = answer->carried_before};
-}
-
-/* What the end of the attempt shows. */
-static cw_run_evidence_t evidence_of(const cw_request_t *request, const cw_server_t *server,
-                                     const cw_upstream_answer_t *answer)
-{
-    cw_answer_facts_t facts;
-
-    if (answer->result != CW_UPSTREAM_ANSWERED) {
-        return cw_run_evidence_without_answer(answer->result != CW_UPSTREAM_NOT_SENT &&
-                                              answer->result != CW_UPSTREAM_WITHDRAWN);
-    }
-    facts = answer_facts(request, server, answer);
-    return cw_run_evidence_of_answer(&facts);
-}
-
 static void log_discarded(const cw_request_t *request, const cw_server_t *server, const cw_upstream_answer_t *answer)
 {
     cw_event_t event;
@@ -298,8 +255,10 @@
     char id[sizeof(request->avoided_server)];
 
     cw_text_copy(id, sizeof(id), server->id);
-    cw_request_apply_signals(request, server, answer, now);
-    if (answer->status == STATUS_MISDIRECTED && names_other_server(request, server, answer)) {
+    if (cw_run_evidence_is_servers_own(request->evidence)) {
+        cw_request_apply_signals(request, server, answer, now);
+    }
+    if (answer->status == STATUS_MISDIRECTED && cw_request_names_other_server(request, server, answer)) {
         server->ended = true; /* another incarnation is at its address now */
     }
     switch (cw_outcome_of(request->evidence)) {
@@ -307,7 +266,7 @@
         cw_request_leave_server(request);
         handle_not_run(request, id, answer->status);
         return;
-    case CW_OUTCOME_BROKEN: /* a denial that may be about another attempt */
+    case CW_OUTCOME_BROKEN: /* not the server's own, or a denial that may be about another attempt */
         record_spoiled(request, server, now);
         cw_request_leave_server(request);
         handle_broken(request, id, cw_run_evidence_text(request->evidence), now);
@@ -341,7 +300,7 @@
 
     request->call = NULL;
     request->connection = answer->connection;
-    cw_request_record_evidence(request, evidence_of(request, server, answer));
+    cw_request_record_evidence(request, cw_request_evidence_of(request, server, answer));
     log_discarded(request, server, answer);
     request->unreached = answer->result == CW_UPSTREAM_NOT_SENT ? request->unreached : 0;
     cw_text_copy(id, sizeof(id), server->id);
--- a/src/proxy/request_rules.h
+++ b/src/proxy/request_rules.h
@@ -19,7 +19,8 @@
  *    within the route's attempts, the time and the budget.
  *  - Unresponsive: the request may have run. It is repeated under the same conditions if the route is repeatable;
  *    otherwise the engine keeps waiting for the answer.
- *  - Broken: the request may have run: there is no complete answer, or one that does not show which attempt it denies.
+ *  - Broken: the request may have run: there is no complete answer, or one that does not show which attempt it denies
+ *    or that it is the server's own.
  *    It is repeated under the same conditions if the route is repeatable; otherwise it ends.
  *  - Answered: the request may have run. The answer is relayed; a 500 of a repeatable route is repeated under the
  *    same conditions.
--- a/src/proxy/run_evidence.c
+++ b/src/proxy/run_evidence.c
@@ -4,7 +4,7 @@
  */
 #include "proxy/run_evidence.h"
 
-enum { STATUS_MISDIRECTED = 421 };
+enum { STATUS_SUCCESS_FIRST = 200, STATUS_SUCCESS_LAST = 299, STATUS_MISDIRECTED = 421 };
 
 /* The answer cannot have been caused by another attempt than the one whose answer was awaited. */
 static bool is_of_this_attempt(const cw_answer_facts_t *facts)
@@ -18,10 +18,20 @@
     return facts->has_denial || facts->status == STATUS_MISDIRECTED;
 }
 
+cw_run_evidence_t cw_run_evidence_of_relayed_answer(const cw_answer_facts_t *facts)
+{
+    bool is_success = facts->status >= STATUS_SUCCESS_FIRST && facts->status <= STATUS_SUCCESS_LAST;
+
+    if (facts->has_signature || (facts->names_request && !is_success)) {
+        return CW_RUN_ANSWERED;
+    }
+    return is_success ? CW_RUN_ANSWER_UNSIGNED : CW_RUN_ANSWER_UNNAMED;
+}
+
 cw_run_evidence_t cw_run_evidence_of_answer(const cw_answer_facts_t *facts)
 {
     if (!is_denial(facts)) {
-        return CW_RUN_ANSWERED;
+        return cw_run_evidence_of_relayed_answer(facts);
     }
     if (!is_of_this_attempt(facts)) {
         return facts->carried_before ? CW_RUN_DENIAL_EARLIER : CW_RUN_DENIAL_UNNAMED;
@@ -57,6 +67,11 @@
     return evidence <= CW_RUN_NODE_REFUSED;
 }
 
+bool cw_run_evidence_is_servers_own(cw_run_evidence_t evidence)
+{
+    return evidence != CW_RUN_ANSWER_UNSIGNED && evidence != CW_RUN_ANSWER_UNNAMED;
+}
+
 const char *cw_run_evidence_text(cw_run_evidence_t evidence)
 {
     static const char *const texts[] = {[CW_RUN_NOT_SENT] = "not sent",
@@ -68,6 +83,8 @@
                                         [CW_RUN_DENIAL_EARLIER] = "a denial that may be an earlier attempt's",
                                         [CW_RUN_DENIAL_UNSTATED] = "421 that does not say that it was not run",
                                         [CW_RUN_ANSWERED] = "answered",
+                                        [CW_RUN_ANSWER_UNSIGNED] = "a success without the server's signature",
+                                        [CW_RUN_ANSWER_UNNAMED] = "neither signed nor with the request's id",
                                         [CW_RUN_UNANSWERED] = "sent, without a complete answer",
                                         [CW_RUN_NODE_FAILED] = "another node does not say that it has not run"};
 
--- a/src/proxy/run_evidence.h
+++ b/src/proxy/run_evidence.h
@@ -11,6 +11,10 @@
  *  - it is the first answer on its connection, or
  *  - it names the request, and no earlier attempt of that request went over its connection.
  *
+ * A faulty server may also send bytes that are no answer of its own, such as the page of another program, with any
+ * status and also with the request's id. Of a success only the server's signature shows that it is its own. Of any
+ * other answer the signature or the request's id does. What is not shown to be the server's own counts as no answer.
+ *
  * docs/design/run-evidence.md lists every way to these statuses with its evidence and its test. Pure functions: no I/O,
  * no clock, no state.
  */
@@ -33,16 +37,19 @@
     CW_RUN_DENIAL_UNNAMED,  /**< a denial without the request's id, on a connection that carried others before */
     CW_RUN_DENIAL_EARLIER,  /**< a denial on a connection that carried an earlier attempt: it may be that one's */
     CW_RUN_DENIAL_UNSTATED, /**< 421 of the server itself that does not say that the request was not run */
-    CW_RUN_ANSWERED,        /**< another answer */
-    CW_RUN_UNANSWERED,      /**< sent, and no complete answer */
-    CW_RUN_NODE_FAILED      /**< another node has taken it, and does not say that it has not run */
+    CW_RUN_ANSWERED,        /**< another answer, the server's own */
+    CW_RUN_ANSWER_UNSIGNED, /**< a success without the server's signature: not shown to be its own */
+    CW_RUN_ANSWER_UNNAMED, /**< another status, with neither a signature nor the request's id: not shown to be either */
+    CW_RUN_UNANSWERED,     /**< sent, and no complete answer */
+    CW_RUN_NODE_FAILED     /**< another node has taken it, and does not say that it has not run */
 } cw_run_evidence_t;
 
 /** A complete answer of a server, as far as it tells whether the request has run. */
 typedef struct cw_answer_facts {
     int  status;
     bool has_denial;             /**< it has the field by which a server says that it did not run the request */
-    bool names_request;          /**< it names the request by its id */
+    bool has_signature;          /**< it has the server's signature, or servers do not sign */
+    bool names_request;          /**< it names the request by its id, or the request has none */
     bool names_other_server;     /**< it names another server than the one that the request was sent to */
     bool is_first_on_connection; /**< the connection had not carried a request before */
     bool carried_before;         /**< the connection had carried an attempt of the same request before */
@@ -50,6 +57,8 @@
 
 /** Evidence of a server's complete answer. */
 cw_run_evidence_t cw_run_evidence_of_answer(const cw_answer_facts_t *facts);
+/** Evidence of an answer that another node has passed on as a server's. */
+cw_run_evidence_t cw_run_evidence_of_relayed_answer(const cw_answer_facts_t *facts);
 /** Evidence of an attempt that has ended without a complete answer. any_byte_sent: bytes of it may have left this
  * process. */
 cw_run_evidence_t cw_run_evidence_without_answer(bool any_byte_sent);
@@ -57,6 +66,8 @@
 cw_run_evidence_t cw_run_evidence_of_node(cw_delegation_outcome_t outcome);
 /** Returns whether the attempt has not run and never will. */
 bool cw_run_evidence_excludes_run(cw_run_evidence_t evidence);
+/** Returns whether an answer of which this is the evidence is shown to be the server's own. */
+bool cw_run_evidence_is_servers_own(cw_run_evidence_t evidence);
 /** Description for the log. */
 const char *cw_run_evidence_text(cw_run_evidence_t evidence);
 
--- a/tests/engine_fixture.c
+++ b/tests/engine_fixture.c
@@ -40,6 +40,7 @@
     if (server->instance != NULL) {
         add_field(&builder, &fields, "instance", server->instance);
     }
+    add_field(&builder, &fields, "signature", server->id);
     cw_http_exchange_answer(server->exchange, &outbound);
     cw_http_fields_clear(&fields);
 }
--- a/tests/test_engine_delegation.c
+++ b/tests/test_engine_delegation.c
@@ -214,8 +214,9 @@
 START_TEST(a_servers_field_does_not_stand_for_the_other_nodes)
 {
     engine_fixture_t   fixture;
-    cw_http_field_t    field = {(char *)cw_delegation_outcome_field, (char *)"refused"};
-    cw_http_fields_t   fields = {.items = &field, .count = 1};
+    cw_http_field_t    items[] = {{(char *)cw_delegation_outcome_field, (char *)"refused"},
+                                  {(char *)"signature", (char *)"signed"}};
+    cw_http_fields_t   fields = {.items = items, .count = 2};
     cw_http_outbound_t outbound = {.status = 200,
                                    .fields = &fields,
                                    .body = "ran",
@@ -233,6 +234,25 @@
 }
 END_TEST
 
+/* A node of an earlier release passes on the page of another program. */
+START_TEST(a_success_that_another_node_passes_on_without_a_signature_is_not_relayed)
+{
+    engine_fixture_t   fixture;
+    cw_http_outbound_t outbound = {.status = 200,
+                                   .body = "page",
+                                   .body_length = strlen("page"),
+                                   .retry_after_s = -1,
+                                   .added_name = cw_delegation_outcome_field,
+                                   .added_value = "answered s9"};
+
+    ask_without_paths(&fixture, "POST", "/once/x");
+    cw_http_exchange_answer(node.exchange, &outbound);
+    cw_test_run_until_set(&fixture.loop, &fixture.answered);
+    ck_assert_int_eq(fixture.status, 502);
+    ck_assert_uint_eq(cw_metric_value(CW_METRIC_SERVED), 0);
+}
+END_TEST
+
 START_TEST(an_answer_without_a_statement_counts_as_possibly_run)
 {
     engine_fixture_t fixture;
@@ -613,6 +633,7 @@
     tcase_add_test(sending, a_declined_request_is_tried_at_other_nodes_a_few_times);
     tcase_add_test(sending, a_request_whose_node_did_not_answer_is_not_sent_again);
     tcase_add_test(sending, a_servers_field_does_not_stand_for_the_other_nodes);
+    tcase_add_test(sending, a_success_that_another_node_passes_on_without_a_signature_is_not_relayed);
     tcase_add_test(sending, an_answer_without_a_statement_counts_as_possibly_run);
     tcase_add_test(sending, a_late_answer_of_the_other_node_is_504);
     tcase_add_test(sending, a_caller_that_leaves_ends_the_request_at_the_other_node);
--- a/tests/test_run_evidence.c
+++ b/tests/test_run_evidence.c
@@ -5,7 +5,7 @@
 #include "loop_fixture.h"
 #include "proxy/run_evidence.h"
 
-enum { FLAGS = 5 };
+enum { FLAGS = 6 };
 
 /* Facts from the bits of a number, so that a loop goes through all of them. */
 static cw_answer_facts_t facts_from(unsigned bits, int status)
@@ -15,7 +15,8 @@
                                .names_request = (bits & 2U) != 0,
                                .names_other_server = (bits & 4U) != 0,
                                .is_first_on_connection = (bits & 8U) != 0,
-                               .carried_before = (bits & 16U) != 0};
+                               .carried_before = (bits & 16U) != 0,
+                               .has_signature = (bits & 32U) != 0};
 }
 
 static bool excludes_run(const cw_answer_facts_t *facts)
@@ -29,7 +30,8 @@
     size_t           index;
 
     for (index = 0; index < sizeof(statuses) / sizeof(statuses[0]); index++) {
-        cw_answer_facts_t facts = {.status = statuses[index], .names_request = true, .is_first_on_connection = true};
+        cw_answer_facts_t facts = {
+            .status = statuses[index], .has_signature = true, .names_request = true, .is_first_on_connection = true};
 
         ck_assert_int_eq(cw_run_evidence_of_answer(&facts), CW_RUN_ANSWERED);
     }
@@ -73,6 +75,44 @@
 }
 END_TEST
 
+/* A page of another program came to the caller as the answer to a request that never ran. */
+START_TEST(a_success_is_the_servers_own_only_with_its_signature)
+{
+    int      status;
+    unsigned bits;
+
+    for (status = 200; status <= 299; status++) {
+        for (bits = 0; bits < 1U << FLAGS; bits++) {
+            cw_answer_facts_t facts = facts_from(bits, status);
+            cw_run_evidence_t evidence = cw_run_evidence_of_relayed_answer(&facts);
+
+            ck_assert_int_eq(evidence, facts.has_signature ? CW_RUN_ANSWERED : CW_RUN_ANSWER_UNSIGNED);
+            ck_assert_int_eq(cw_run_evidence_is_servers_own(evidence), facts.has_signature);
+            ck_assert(!cw_run_evidence_excludes_run(evidence));
+        }
+    }
+}
+END_TEST
+
+/* A caller ends at 404, whatever sent it. */
+START_TEST(another_status_is_the_servers_own_only_with_a_signature_or_the_requests_id)
+{
+    static const int statuses[] = {301, 400, 401, 404, 413, 500, 502, 503, 504};
+    size_t           index;
+    unsigned         bits;
+
+    for (index = 0; index < sizeof(statuses) / sizeof(statuses[0]); index++) {
+        for (bits = 0; bits < 1U << FLAGS; bits++) {
+            cw_answer_facts_t facts = facts_from(bits, statuses[index]);
+            bool              is_own = facts.has_signature || facts.names_request;
+
+            ck_assert_int_eq(cw_run_evidence_of_relayed_answer(&facts),
+                             is_own ? CW_RUN_ANSWERED : CW_RUN_ANSWER_UNNAMED);
+        }
+    }
+}
+END_TEST
+
 START_TEST(another_node_shows_it_only_by_its_own_words)
 {
     ck_assert(cw_run_evidence_excludes_run(cw_run_evidence_of_node(CW_DELEGATION_DECLINED)));
@@ -101,6 +141,8 @@
     tcase_add_test(cases, a_421_shows_it_only_with_the_field_or_from_another_server);
     tcase_add_test(cases, a_denial_shows_it_only_of_an_attempt_that_alone_can_have_caused_it);
     tcase_add_test(cases, an_attempt_without_an_answer_has_not_run_only_if_nothing_was_sent);
+    tcase_add_test(cases, a_success_is_the_servers_own_only_with_its_signature);
+    tcase_add_test(cases, another_status_is_the_servers_own_only_with_a_signature_or_the_requests_id);
     tcase_add_test(cases, another_node_shows_it_only_by_its_own_words);
     tcase_add_test(cases, each_evidence_has_a_text);
     suite_add_tcase(suite, cases);
--- a/tests/test_spoiled_answers.c
+++ b/tests/test_spoiled_answers.c
@@ -265,7 +265,7 @@
 
 /* ---- the engine ---- */
 
-static const char whole_answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+static const char whole_answer[] = "HTTP/1.1 200 OK\r\nsignature: s0\r\nContent-Length: 5\r\n\r\nwhole";
 
 /* The spoiling server is in the engine's zone, and is preferred to s1 while both are idle. */
 static void init_engine(engine_fixture_t *fixture, endless_server_t *spoiling, const char *begin, const char *unit)
