The fields of one connection are collected once for a message

A caller could make a node stand still for all callers: a head of 16 KB, half of it names in "Connection", took 61 ms of a core each time it was sent on, a server's head of 64 KB 882 ms.

Only the first "Connection" was looked at: fields that a second one lists went on to the server.

--- a/src/net/http_header.c
+++ b/src/net/http_header.c
@@ -125,37 +125,6 @@
     return kept;
 }
 
-/* True if the token is in a comma-separated list. */
-static bool list_has(const char *list, const char *token)
-{
-    size_t length = strlen(token);
-    size_t item;
-
-    while (list != NULL && *list != '\0') {
-        list += strspn(list, " \t,");
-        item = strcspn(list, " \t,");
-        if (item == length && strncasecmp(list, token, length) == 0) {
-            return true;
-        }
-        list += item;
-    }
-    return false;
-}
-
-bool cw_http_field_is_hop_by_hop(const cw_http_fields_t *fields, const char *name)
-{
-    static const char *const names[] = {"connection",        "keep-alive", "proxy-connection", "te",    "trailer",
-                                        "transfer-encoding", "upgrade",    "content-length",   "expect"};
-    size_t                   index;
-
-    for (index = 0; index < sizeof(names) / sizeof(names[0]); index++) {
-        if (strcasecmp(name, names[index]) == 0) {
-            return true;
-        }
-    }
-    return list_has(cw_http_fields_find(fields, "connection"), name);
-}
-
 static bool is_token(const char *name)
 {
     const char *place = name;
--- a/src/net/http_header.h
+++ b/src/net/http_header.h
@@ -44,8 +44,6 @@
 const char *cw_http_fields_find_last(const cw_http_fields_t *fields, const char *name);
 /** Copies the list without the fields of this name, in any spelling. The texts are shared: only `items` is freed. */
 cw_http_fields_t cw_http_fields_without(const cw_http_fields_t *fields, const char *name);
-/** True for fields that apply to one connection only (RFC 9110, 7.6.1), including those listed in "Connection". */
-bool cw_http_field_is_hop_by_hop(const cw_http_fields_t *fields, const char *name);
 /** Whether the names of all fields are tokens (RFC 9110, 5.6.2). Others, such as one with a blank before the colon, may
  * be read differently by the next receiver (RFC 9112, 5.1). */
 bool cw_http_fields_have_valid_names(const cw_http_fields_t *fields);
--- a/src/net/http_listener_answer.c
+++ b/src/net/http_listener_answer.c
@@ -10,6 +10,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "net/http_hop_names.h"
 #include "net/http_listener_internal.h"
 
 enum {
@@ -27,12 +28,13 @@
 
 static void write_fields(cw_bytes_t *output, const cw_http_fields_t *fields)
 {
-    size_t index;
+    cw_http_hop_names_t hop_names = cw_http_hop_names_of(fields);
+    size_t              index;
 
     for (index = 0; index < fields->count; index++) {
         const cw_http_field_t *field = &fields->items[index];
 
-        if (cw_http_field_is_hop_by_hop(fields, field->name)) {
+        if (cw_http_hop_names_have(&hop_names, field->name)) {
             continue;
         }
         cw_bytes_append_text(output, field->name);
@@ -40,6 +42,7 @@
         cw_bytes_append_text(output, field->value == NULL ? "" : field->value);
         cw_bytes_append(output, "\r\n", 2);
     }
+    cw_http_hop_names_clear(&hop_names);
 }
 
 static void write_head(cw_http_exchange_t *exchange, const cw_http_outbound_t *outbound)
--- a/src/proxy/engine_attempt.c
+++ b/src/proxy/engine_attempt.c
@@ -9,6 +9,7 @@
 #include "base/metrics.h"
 #include "base/text.h"
 #include "model/server_incarnation.h"
+#include "net/http_hop_names.h"
 #include "proxy/engine_internal.h"
 #include "proxy/request_rules.h"
 
@@ -32,7 +33,8 @@
 
 void cw_request_write_head(const cw_request_t *request, cw_bytes_t *out)
 {
-    size_t index;
+    cw_http_hop_names_t hop_names = cw_http_hop_names_of(request->fields);
+    size_t              index;
 
     cw_bytes_append_text(out, request->method);
     cw_bytes_append(out, " ", 1);
@@ -41,7 +43,7 @@
     for (index = 0; index < request->fields->count; index++) {
         const cw_http_field_t *field = &request->fields->items[index];
 
-        if (cw_http_field_is_hop_by_hop(request->fields, field->name) || is_replaced(request, field->name)) {
+        if (cw_http_hop_names_have(&hop_names, field->name) || is_replaced(request, field->name)) {
             continue;
         }
         cw_bytes_append_text(out, field->name);
@@ -49,6 +51,7 @@
         cw_bytes_append_text(out, field->value == NULL ? "" : field->value);
         cw_bytes_append(out, "\r\n", 2);
     }
+    cw_http_hop_names_clear(&hop_names);
     if (has_length(request)) {
         cw_bytes_append_format(out, "Content-Length: %zu\r\n", request->body_length);
     }
