--- a/src/base/event_names.h
+++ b/src/base/event_names.h
@@ -70,6 +70,7 @@
     X(DELEGATION_DECLINED, "delegation declined", NOTICE, 20)                                                          \
     X(REQUEST_REFUSED, "refused", NOTICE, 100)                                                                         \
     X(REQUEST_FAILED, "failed", NOTICE, 100)                                                                           \
+    X(ORDER_ANSWER_NOT_ACCEPTED, "order answer not accepted", WARNING, 20)                                             \
     X(ANSWER_DISCARDED, "answer discarded", NOTICE, 20)                                                                \
     X(REQUEST_GONE, "caller left", INFO, 50)                                                                           \
     X(ANSWER_WAITED, "answer waited", INFO, 50)                                                                        \
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -93,6 +93,8 @@
     X(ANSWER_BYTES, "cedarwinch_answer_bytes", "gauge", "bytes reserved for answers that are being read")              \
     X(SENT, "cedarwinch_sent_total", "counter", "requests sent to servers")                                            \
     X(RETRIES, "cedarwinch_retries_total", "counter", "requests sent once more")                                       \
+    X(ORDER_ANSWERS_NOT_ACCEPTED, "cedarwinch_order_answers_not_accepted_total", "counter",                            \
+      "answers to orders without what the server's own answer carries")                                                \
     X(ANSWERS_DISCARDED, "cedarwinch_answers_discarded_total", "counter", "answers of servers to other requests")      \
     X(RETRIES_DENIED, "cedarwinch_retries_denied_total", "counter", "retries that the budget did not allow")           \
     X(NOT_RUN, "cedarwinch_server_not_run_total", "counter", "servers that said they did not run a request")           \
--- a/tests/test_order_answers.c
+++ b/tests/test_order_answers.c
@@ -18,6 +18,8 @@
     cw_platform_t     platform;
     scripted_server_t server;
     int               status;            /**< of the answers */
+    const char       *field;             /**< field line of the answers; NULL: none */
+    const char       *body;              /**< of the answers; NULL: none */
     int               second;            /**< status of an earlier answer that is sent once more; 0: none */
     uint32_t          second_connection; /**< its connection */
     uint32_t          latest_connection; /**< of the latest order */
@@ -34,7 +36,7 @@
     if (fixture->second != 0 && fixture->second_connection == connection->number) {
         scripted_answer(connection, fixture->second, NULL, NULL, "");
     }
-    scripted_answer(connection, fixture->status, NULL, NULL, "");
+    scripted_answer(connection, fixture->status, NULL, fixture->field, fixture->body == NULL ? "" : fixture->body);
 }
 
 static void on_done(void *context, uint64_t id, cw_order_result_t result, const char *handover)
@@ -163,6 +165,71 @@
 }
 END_TEST
 
+/* ---- pages of other programs ---- */
+
+static const char page[] = "<html>It works!</html>";
+
+/* The keys went to another server while the first one still had them: the page counted as the answer to its release. */
+START_TEST(a_release_is_not_done_by_an_answer_that_hands_nothing_over)
+{
+    fixture_t fixture;
+
+    init(&fixture);
+    ck_assert_int_eq(send_order(&fixture, CW_ORDER_RELEASE, "server", 200), CW_ORDER_UNANSWERED);
+    fixture.body = page;
+    ck_assert_int_eq(send_order(&fixture, CW_ORDER_RELEASE, "server", 200), CW_ORDER_UNANSWERED);
+    fixture.body = NULL;
+    fixture.field = "X-Handover: ";
+    ck_assert_int_eq(send_order(&fixture, CW_ORDER_RELEASE, "server", 200), CW_ORDER_UNANSWERED);
+    fixture.field = "X-Handover: 5c0e7a21d94b36f8";
+    ck_assert_int_eq(send_order(&fixture, CW_ORDER_RELEASE, "server", 200), CW_ORDER_DONE);
+}
+END_TEST
+
+/* A grant that was never read counted as confirmed, and a server that stood still as one that carries out orders. */
+START_TEST(a_page_is_no_answer_to_an_order_whatever_its_status)
+{
+    static const cw_order_kind_t kinds[] = {CW_ORDER_GRANT, CW_ORDER_RELEASE, CW_ORDER_PROBE};
+    static const int             statuses[] = {200, STATUS_BAD_REQUEST, 404, STATUS_CONFLICT, STATUS_MISDIRECTED, 500};
+    fixture_t                    fixture;
+    size_t                       kind;
+    size_t                       status;
+
+    init(&fixture);
+    fixture.body = page;
+    for (kind = 0; kind < sizeof(kinds) / sizeof(kinds[0]); kind++) {
+        for (status = 0; status < sizeof(statuses) / sizeof(statuses[0]); status++) {
+            ck_assert_int_eq(send_order(&fixture, kinds[kind], "server", statuses[status]), CW_ORDER_UNANSWERED);
+        }
+    }
+}
+END_TEST
+
+START_TEST(a_status_that_answers_to_orders_do_not_have_shows_nothing)
+{
+    fixture_t fixture;
+
+    init(&fixture);
+    ck_assert_int_eq(send_order(&fixture, CW_ORDER_PROBE, "server", 404), CW_ORDER_UNANSWERED);
+    ck_assert_int_eq(send_order(&fixture, CW_ORDER_GRANT, "server", 204), CW_ORDER_UNANSWERED);
+    fixture.field = "X-Not-Executed: 1";
+    ck_assert_int_eq(send_order(&fixture, CW_ORDER_GRANT, "server", 503), CW_ORDER_REFUSED);
+}
+END_TEST
+
+START_TEST(a_connection_that_brought_a_page_carries_no_further_order)
+{
+    fixture_t fixture;
+
+    init(&fixture);
+    fixture.body = page;
+    ck_assert_int_eq(send_order(&fixture, CW_ORDER_GRANT, "server", 200), CW_ORDER_UNANSWERED);
+    fixture.body = "{}";
+    ck_assert_int_eq(send_order(&fixture, CW_ORDER_GRANT, "server", 200), CW_ORDER_DONE);
+    ck_assert_uint_eq(fixture.server.connections, 2);
+}
+END_TEST
+
 int main(void)
 {
     Suite *suite = suite_create("answers to orders");
@@ -174,6 +241,10 @@
     tcase_add_test(cases, a_probes_answer_is_its_own);
     tcase_add_test(cases, a_grant_takes_the_connection_of_the_probe_before_it);
     tcase_add_test(cases, renewals_share_a_connection);
+    tcase_add_test(cases, a_release_is_not_done_by_an_answer_that_hands_nothing_over);
+    tcase_add_test(cases, a_page_is_no_answer_to_an_order_whatever_its_status);
+    tcase_add_test(cases, a_status_that_answers_to_orders_do_not_have_shows_nothing);
+    tcase_add_test(cases, a_connection_that_brought_a_page_carries_no_further_order);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
 }
