An answer whose status is none is no answer

Callers got 600 and 999 as answers, also under the server's signature; for a status below 100, such as 000, they waited until their request's time was over, since it counted as an interim answer and another one was awaited.

Cause: the parser takes any digits for a status, and any version.

Evidence, on the code before: an_answer_whose_status_is_none_is_broken does not end, an_answer_whose_status_is_none_does_not_reach_the_caller fails (answered 600).

Change: an answer whose status is not 100 to 599, or whose major version is not 1, ends as broken when its head has been read, for all that the router calls. Blank lines without end have a test; they were bounded before.

--- a/src/net/http_upstream_answer.c
+++ b/src/net/http_upstream_answer.c
@@ -8,7 +8,14 @@
 
 #include "net/http_upstream_internal.h"
 
-enum { INTERIM_LAST = 199, STATUS_NO_CONTENT = 204, STATUS_NOT_MODIFIED = 304 };
+enum {
+    STATUS_FIRST = 100,
+    INTERIM_LAST = 199,
+    STATUS_NO_CONTENT = 204,
+    STATUS_NOT_MODIFIED = 304,
+    STATUS_LAST = 599,
+    VERSION_MAJOR = 1
+};
 
 static bool is_interim(const cw_upstream_call_t *call)
 {
@@ -64,10 +71,20 @@
     return has_length && has_body ? call->parser.content_length : CW_UPSTREAM_UNSTATED;
 }
 
+/* Whether the status and the version are those of an answer (RFC 9110, 15; RFC 9112, 2.3); the parser takes any. */
+static bool is_answer(const http_parser *parser)
+{
+    return parser->status_code >= STATUS_FIRST && parser->status_code <= STATUS_LAST &&
+           parser->http_major == VERSION_MAJOR;
+}
+
 static int on_head(http_parser *parser)
 {
     cw_upstream_call_t *call = parser->data;
 
+    if (!is_answer(parser)) {
+        return give_up(call, "not an answer");
+    }
     if (is_interim(call)) {
         return handle_interim(call);
     }
--- a/tests/test_endless_answers.c
+++ b/tests/test_endless_answers.c
@@ -149,6 +149,12 @@
 }
 END_TEST
 
+START_TEST(blank_lines_without_end_are_bounded)
+{
+    expect_end("", "\r\n", "not an answer");
+}
+END_TEST
+
 START_TEST(trailers_without_end_are_bounded)
 {
     expect_end("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", "Name: value\r\n",
@@ -427,6 +433,7 @@
     tcase_add_test(cases, interim_answers_without_end_are_bounded_in_bytes);
     tcase_add_test(cases, a_head_without_end_is_bounded);
     tcase_add_test(cases, a_status_line_without_end_is_bounded);
+    tcase_add_test(cases, blank_lines_without_end_are_bounded);
     tcase_add_test(cases, trailers_without_end_are_bounded);
     tcase_add_test(cases, a_chunk_extension_without_end_is_bounded);
     tcase_add_test(cases, a_chunk_size_without_end_is_bounded);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -448,6 +448,26 @@
 }
 END_TEST
 
+/* A caller got the answer of a server in trouble whose status was 000, or waited for one behind it to its deadline. */
+START_TEST(an_answer_whose_status_is_none_is_broken)
+{
+    static const char *const lines[] = {"HTTP/1.1 000 ", "HTTP/1.1 0 ",   "HTTP/1.1 1 ",   "HTTP/1.1 42 ",
+                                        "HTTP/1.1 099 ", "HTTP/1.1 600 ", "HTTP/1.1 999 ", "HTTP/2.0 200 OK"};
+    fixture_t                fixture;
+    char                     text[128];
+    size_t                   index;
+
+    for (index = 0; index < sizeof(lines) / sizeof(lines[0]); index++) {
+        snprintf(text, sizeof(text), "%s\r\nContent-Length: 5\r\n\r\nhello", lines[index]);
+        call_raw(&fixture, text, false, false);
+        ck_assert_int_eq(fixture.result, CW_UPSTREAM_BROKEN);
+        snprintf(text, sizeof(text), "%s\r\n\r\n", lines[index]);
+        call_raw(&fixture, text, false, false);
+        ck_assert_int_eq(fixture.result, CW_UPSTREAM_BROKEN);
+    }
+}
+END_TEST
+
 START_TEST(bytes_after_an_answer_prevent_reuse_of_the_connection)
 {
     fixture_t             fixture;
@@ -622,6 +642,7 @@
     tcase_add_test(cases, an_answer_in_progress_is_awaited_beyond_the_timeout);
     tcase_add_test(cases, complete_answers_are_recognised_by_their_framing);
     tcase_add_test(cases, incomplete_and_malformed_answers_are_broken);
+    tcase_add_test(cases, an_answer_whose_status_is_none_is_broken);
     tcase_add_test(cases, bytes_after_an_answer_prevent_reuse_of_the_connection);
     tcase_add_test(cases, unexpected_bytes_end_an_idle_connection);
     tcase_add_test(cases, an_answer_to_another_request_is_discarded);
--- a/tests/test_own_answers.c
+++ b/tests/test_own_answers.c
@@ -106,6 +106,16 @@
 }
 END_TEST
 
+/* With the server's signature, too: the status is none that an answer has. */
+START_TEST(an_answer_whose_status_is_none_does_not_reach_the_caller)
+{
+    expect_page_kept(0, true, "signature: s0");
+    expect_page_kept(99, true, "signature: s0");
+    expect_page_kept(600, true, "signature: s0");
+    expect_page_kept(999, true, "signature: s0");
+}
+END_TEST
+
 START_TEST(a_servers_own_failure_is_relayed)
 {
     fixture_t fixture;
@@ -158,6 +168,7 @@
     tcase_add_test(cases, a_page_with_an_empty_signature_is_no_answer);
     tcase_add_test(cases, another_success_without_a_signature_is_no_answer);
     tcase_add_test(cases, a_404_that_neither_is_signed_nor_names_the_request_is_no_answer);
+    tcase_add_test(cases, an_answer_whose_status_is_none_does_not_reach_the_caller);
     tcase_add_test(cases, a_servers_own_failure_is_relayed);
     tcase_add_test(cases, a_connection_that_brought_a_page_carries_no_further_request);
     tcase_add_test(cases, a_server_that_sends_pages_only_is_avoided);
