--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -7,6 +7,7 @@
  * which the connection must not be reused, is detected before the next use.
  */
 #include "net/http_upstream_internal.h"
+#include "net/ipv4_endpoint.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -21,7 +22,7 @@
 #include "base/loop_stall.h"
 #include "base/memory.h"
 
-enum { ADDRESS_MAX = 64, KEEP_ALIVE_SHARE_NUMERATOR = 3, KEEP_ALIVE_SHARE_DENOMINATOR = 5 };
+enum { KEEP_ALIVE_SHARE_NUMERATOR = 3, KEEP_ALIVE_SHARE_DENOMINATOR = 5 };
 
 static cw_time_us_t now_us(const cw_upstream_t *upstream)
 {
@@ -508,15 +509,9 @@
 cw_upstream_target_t *cw_upstream_target_create(cw_upstream_t *upstream, const char *address)
 {
     cw_upstream_target_t *target;
-    char                  host[ADDRESS_MAX];
-    const char           *colon = strrchr(address, ':');
     struct sockaddr_in    socket_address;
 
-    if (colon == NULL || (size_t)(colon - address) >= sizeof(host)) {
-        return NULL;
-    }
-    snprintf(host, sizeof(host), "%.*s", (int)(colon - address), address);
-    if (uv_ip4_addr(host, atoi(colon + 1), &socket_address) != 0) {
+    if (!cw_ipv4_endpoint_read(address, &socket_address)) {
         return NULL;
     }
     target = cw_memory_zeroed(sizeof(*target));
