Late in a long stop only requests that end in time are taken

With a grace of 10 s a request that came 3 to 4.75 s after SIGTERM was passed on with its time cut to the end of the stop; if its server still ran it then, the caller got 504 in place of the server's answer (LOST).

Cause: the time for such requests was half of the stop, whatever its length; the users excuse what was sent within 3 s.

--- a/tests/test_engine_stop.c
+++ b/tests/test_engine_stop.c
@@ -67,6 +67,25 @@
 }
 END_TEST
 
+/* In a long stop requests that came after 3 s were cut at its end, while their servers ran them. */
+START_TEST(after_three_seconds_of_a_long_stop_only_requests_that_end_in_time_are_accepted)
+{
+    engine_fixture_t fixture;
+
+    engine_fixture_init(&fixture);
+    fixture.servers[0].status = 200;
+    cw_engine_stop(fixture.engine, cw_engine_now(fixture.engine) + CW_SECONDS(8));
+    fixture.engine->stopping_since -= CW_SECONDS(3);
+    (void)engine_fixture_ask(&fixture, "POST", "/once/x", "15000");
+    cw_test_run_until_set(&fixture.loop, &fixture.answered);
+    ck_assert_int_eq(fixture.status, 503);
+    ck_assert_uint_eq(fixture.servers[0].requests, 0);
+    (void)engine_fixture_ask(&fixture, "POST", "/once/x", "5000");
+    cw_test_run_until_set(&fixture.loop, &fixture.answered);
+    ck_assert_int_eq(fixture.status, 200);
+}
+END_TEST
+
 START_TEST(early_in_a_stop_requests_are_accepted_with_a_shorter_deadline)
 {
     engine_fixture_t fixture;
@@ -90,6 +109,7 @@
     tcase_add_test(cases, a_request_at_a_server_is_answered_when_the_stop_ends);
     tcase_add_test(cases, a_waiting_request_is_refused_when_the_stop_ends);
     tcase_add_test(cases, late_in_a_stop_only_requests_that_end_in_time_are_accepted);
+    tcase_add_test(cases, after_three_seconds_of_a_long_stop_only_requests_that_end_in_time_are_accepted);
     tcase_add_test(cases, early_in_a_stop_requests_are_accepted_with_a_shorter_deadline);
     suite_add_tcase(suite, cases);
     return cw_test_main(suite);
