--- a/src/proxy/run_evidence.c
+++ b/src/proxy/run_evidence.c
@@ -4,7 +4,7 @@
  */
 #include "proxy/run_evidence.h"
 
-enum { STATUS_SUCCESS_FIRST = 200, STATUS_SUCCESS_LAST = 299, STATUS_MISDIRECTED = 421 };
+enum { STATUS_MISDIRECTED = 421, STATUS_SERVER_ERROR = 500 };
 
 /* The answer cannot have been caused by another attempt than the one whose answer was awaited. */
 static bool is_of_this_attempt(const cw_answer_facts_t *facts)
@@ -20,12 +20,12 @@
 
 cw_run_evidence_t cw_run_evidence_of_relayed_answer(const cw_answer_facts_t *facts)
 {
-    bool is_success = facts->status >= STATUS_SUCCESS_FIRST && facts->status <= STATUS_SUCCESS_LAST;
+    bool is_server_error = facts->status >= STATUS_SERVER_ERROR;
 
-    if (facts->has_signature || (facts->names_request && !is_success)) {
+    if (facts->has_signature || (facts->names_request && is_server_error)) {
         return CW_RUN_ANSWERED;
     }
-    return is_success ? CW_RUN_ANSWER_UNSIGNED : CW_RUN_ANSWER_UNNAMED;
+    return is_server_error ? CW_RUN_ANSWER_UNNAMED : CW_RUN_ANSWER_UNSIGNED;
 }
 
 cw_run_evidence_t cw_run_evidence_of_answer(const cw_answer_facts_t *facts)
@@ -83,8 +83,8 @@
                                         [CW_RUN_DENIAL_EARLIER] = "a denial that may be an earlier attempt's",
                                         [CW_RUN_DENIAL_UNSTATED] = "421 that does not say that it was not run",
                                         [CW_RUN_ANSWERED] = "answered",
-                                        [CW_RUN_ANSWER_UNSIGNED] = "a success without the server's signature",
-                                        [CW_RUN_ANSWER_UNNAMED] = "neither signed nor with the request's id",
+                                        [CW_RUN_ANSWER_UNSIGNED] = "2xx to 4xx without the server's signature",
+                                        [CW_RUN_ANSWER_UNNAMED] = "5xx with neither a signature nor the request's id",
                                         [CW_RUN_UNANSWERED] = "sent, without a complete answer",
                                         [CW_RUN_NODE_FAILED] = "another node does not say that it has not run"};
 
--- a/src/proxy/run_evidence.h
+++ b/src/proxy/run_evidence.h
@@ -12,8 +12,9 @@
  *  - it names the request, and no earlier attempt of that request went over its connection.
  *
  * A faulty server may also send bytes that are no answer of its own, such as the page of another program, with any
- * status and also with the request's id. Of a success only the server's signature shows that it is its own. Of any
- * other answer the signature or the request's id does. What is not shown to be the server's own counts as no answer.
+ * status and also with the request's id. A caller acts on a success, follows a redirection and gives up at a 4xx: of
+ * these only the server's signature shows that they are its own. Of a 5xx the signature or the request's id does. What
+ * is not shown to be the server's own counts as no answer.
  *
  * docs/design/run-evidence.md lists every way to these statuses with its evidence and its test. Pure functions: no I/O,
  * no clock, no state.
@@ -38,10 +39,10 @@
     CW_RUN_DENIAL_EARLIER,  /**< a denial on a connection that carried an earlier attempt: it may be that one's */
     CW_RUN_DENIAL_UNSTATED, /**< 421 of the server itself that does not say that the request was not run */
     CW_RUN_ANSWERED,        /**< another answer, the server's own */
-    CW_RUN_ANSWER_UNSIGNED, /**< a success without the server's signature: not shown to be its own */
-    CW_RUN_ANSWER_UNNAMED, /**< another status, with neither a signature nor the request's id: not shown to be either */
-    CW_RUN_UNANSWERED,     /**< sent, and no complete answer */
-    CW_RUN_NODE_FAILED     /**< another node has taken it, and does not say that it has not run */
+    CW_RUN_ANSWER_UNSIGNED, /**< 2xx to 4xx without the server's signature: not shown to be its own */
+    CW_RUN_ANSWER_UNNAMED,  /**< 5xx with neither a signature nor the request's id: the same */
+    CW_RUN_UNANSWERED,      /**< sent, and no complete answer */
+    CW_RUN_NODE_FAILED      /**< another node has taken it, and does not say that it has not run */
 } cw_run_evidence_t;
 
 /** A complete answer of a server, as far as it tells whether the request has run. */
--- a/tests/test_own_answers.c
+++ b/tests/test_own_answers.c
@@ -100,9 +100,16 @@
 END_TEST
 
 /* The caller took a request that was never read for one that has no route. */
-START_TEST(a_404_that_neither_is_signed_nor_names_the_request_is_no_answer)
+START_TEST(a_404_without_a_signature_is_no_answer)
 {
     expect_page_kept(404, false, NULL);
+    expect_page_kept(404, true, NULL);
+}
+END_TEST
+
+START_TEST(a_500_that_neither_is_signed_nor_names_the_request_is_no_answer)
+{
+    expect_page_kept(500, false, NULL);
 }
 END_TEST
 
@@ -167,7 +174,8 @@
     tcase_add_test(cases, a_page_on_a_new_connection_is_no_answer);
     tcase_add_test(cases, a_page_with_an_empty_signature_is_no_answer);
     tcase_add_test(cases, another_success_without_a_signature_is_no_answer);
-    tcase_add_test(cases, a_404_that_neither_is_signed_nor_names_the_request_is_no_answer);
+    tcase_add_test(cases, a_404_without_a_signature_is_no_answer);
+    tcase_add_test(cases, a_500_that_neither_is_signed_nor_names_the_request_is_no_answer);
     tcase_add_test(cases, an_answer_whose_status_is_none_does_not_reach_the_caller);
     tcase_add_test(cases, a_servers_own_failure_is_relayed);
     tcase_add_test(cases, a_connection_that_brought_a_page_carries_no_further_request);
--- a/tests/test_reading_time.c
+++ b/tests/test_reading_time.c
@@ -141,7 +141,7 @@
     ck_assert_uint_ge(json_array_size(json_object_get(salvaged.body, "items")), FIRST_ELEMENTS);
     json_decref(salvaged.body);
     cw_bytes_clear(&text);
-        printf("%.1f of %.4f: %s\n", took / sound_s, sound_s, chosen[0]);
+    printf("%.1f of %.4f: %s\n", took / sound_s, sound_s, chosen[0]);
     return took / sound_s;
 }
 
--- a/tests/test_run_evidence.c
+++ b/tests/test_run_evidence.c
@@ -75,13 +75,14 @@
 }
 END_TEST
 
-/* A page of another program came to the caller as the answer to a request that never ran. */
-START_TEST(a_success_is_the_servers_own_only_with_its_signature)
+/* A page of another program came to the caller as the answer to a request that never ran; or a caller gave up at 404,
+ * whatever sent it. */
+START_TEST(an_answer_below_500_is_the_servers_own_only_with_its_signature)
 {
     int      status;
     unsigned bits;
 
-    for (status = 200; status <= 299; status++) {
+    for (status = 200; status <= 499; status++) {
         for (bits = 0; bits < 1U << FLAGS; bits++) {
             cw_answer_facts_t facts = facts_from(bits, status);
             cw_run_evidence_t evidence = cw_run_evidence_of_relayed_answer(&facts);
@@ -94,16 +95,14 @@
 }
 END_TEST
 
-/* A caller ends at 404, whatever sent it. */
-START_TEST(another_status_is_the_servers_own_only_with_a_signature_or_the_requests_id)
+START_TEST(a_5xx_is_the_servers_own_only_with_a_signature_or_the_requests_id)
 {
-    static const int statuses[] = {301, 400, 401, 404, 413, 500, 502, 503, 504};
-    size_t           index;
-    unsigned         bits;
+    int      status;
+    unsigned bits;
 
-    for (index = 0; index < sizeof(statuses) / sizeof(statuses[0]); index++) {
+    for (status = 500; status <= 599; status++) {
         for (bits = 0; bits < 1U << FLAGS; bits++) {
-            cw_answer_facts_t facts = facts_from(bits, statuses[index]);
+            cw_answer_facts_t facts = facts_from(bits, status);
             bool              is_own = facts.has_signature || facts.names_request;
 
             ck_assert_int_eq(cw_run_evidence_of_relayed_answer(&facts),
@@ -141,8 +140,8 @@
     tcase_add_test(cases, a_421_shows_it_only_with_the_field_or_from_another_server);
     tcase_add_test(cases, a_denial_shows_it_only_of_an_attempt_that_alone_can_have_caused_it);
     tcase_add_test(cases, an_attempt_without_an_answer_has_not_run_only_if_nothing_was_sent);
-    tcase_add_test(cases, a_success_is_the_servers_own_only_with_its_signature);
-    tcase_add_test(cases, another_status_is_the_servers_own_only_with_a_signature_or_the_requests_id);
+    tcase_add_test(cases, an_answer_below_500_is_the_servers_own_only_with_its_signature);
+    tcase_add_test(cases, a_5xx_is_the_servers_own_only_with_a_signature_or_the_requests_id);
     tcase_add_test(cases, another_node_shows_it_only_by_its_own_words);
     tcase_add_test(cases, each_evidence_has_a_text);
     suite_add_tcase(suite, cases);
