--- a/standins/server/answer_faults.c
+++ b/standins/server/answer_faults.c
@@ -33,7 +33,7 @@
     end_t            server;
     bool             is_connected;
     int              handles;
-    cw_bytes_t       request; /**< bytes of the caller until the connection to the server is open */
+    cw_bytes_t       request; /**< bytes of the caller that were not passed to the server yet */
     cw_bytes_t       answer;  /**< bytes of an answer that is not whole yet */
     cw_bytes_t       second;  /**< an answer that is to be sent a second time; empty: none */
     answer_fault_t   second_fault;
@@ -46,7 +46,7 @@
     char       bytes[];
 } copied_write_t;
 
-static const char *const names[ANSWER_FAULTS] = {"second", "unnamed", "cut", "deny"};
+static const char *const names[ANSWER_FAULTS] = {"second", "unnamed", "cut", "page", "deny"};
 
 const char *answer_fault_name(answer_fault_t fault)
 {
@@ -352,6 +352,49 @@
     }
 }
 
+/* Sends the page of another program, which a server's framework may have given the request's id. */
+static void send_page(pair_t *pair, const char *head)
+{
+    static const char *const status_lines[] = {"200 OK",    "200 OK",   "200 OK", "201 Created", "404 Not Found",
+                                               "500 Error", "503 Busy", "000 ",   "600 ",        "999 "};
+    static const char        text[] = "<html><body>It works!</body></html>";
+    size_t                   count = sizeof(status_lines) / sizeof(status_lines[0]);
+    bool                     is_named = draw(pair->faults) % 2 == 0;
+    cw_bytes_t               page = {0};
+    char                     id[ID_BYTES];
+
+    copy_id(head, id);
+    report(pair, ANSWER_FAULT_PAGE, id);
+    cw_bytes_append_format(&page, "HTTP/1.1 %s\r\n", status_lines[draw(pair->faults) % count]);
+    if (is_named && id[0] != '\0') {
+        cw_bytes_append_format(&page, "X-Request-Id: %s\r\n", id);
+    }
+    cw_bytes_append_format(&page, "Content-Type: text/html\r\nContent-Length: %zu\r\n\r\n%s", strlen(text), text);
+    send_bytes(&pair->caller, page.data, page.length);
+    cw_bytes_clear(&page);
+}
+
+/* Passes the next whole request to the server, or answers it with a page. False: there is none. */
+static bool pass_next_request(pair_t *pair)
+{
+    char        head[HEAD_BYTES];
+    size_t      head_length = copy_head(&pair->request, head, sizeof(head));
+    const char *stated = field_in(head, "Content-Length");
+    size_t      length = head_length + (stated == NULL ? 0 : strtoul(stated, NULL, 10));
+
+    if (head_length == 0 || pair->request.length < length) {
+        return false;
+    }
+    if (answer_faults_draw(pair->faults, ANSWER_FAULT_PAGE)) {
+        send_page(pair, head);
+    } else {
+        send_bytes(&pair->server, pair->request.data, length);
+        send_second(pair); /* while the server has the request */
+    }
+    cw_bytes_consume(&pair->request, length);
+    return true;
+}
+
 static void on_request_bytes(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
     pair_t *pair = ((end_t *)stream->data)->pair;
@@ -361,12 +404,9 @@
         close_end(&pair->server, false);
         return;
     }
-    if (!pair->is_connected) {
-        cw_bytes_append(&pair->request, buffer->base, (size_t)length);
-        return;
+    cw_bytes_append(&pair->request, buffer->base, (size_t)length);
+    while (pair->is_connected && pass_next_request(pair)) {
     }
-    send_bytes(&pair->server, buffer->base, (size_t)length);
-    send_second(pair); /* while the server has the request */
 }
 
 static void on_connected(uv_connect_t *connect, int status)
@@ -380,8 +420,8 @@
     }
     pair->is_connected = true;
     uv_read_start((uv_stream_t *)&pair->server.tcp, on_allocate, on_answer_bytes);
-    send_bytes(&pair->server, pair->request.data, pair->request.length);
-    cw_bytes_clear(&pair->request);
+    while (pass_next_request(pair)) {
+    }
 }
 
 static void open_end(pair_t *pair, end_t *end)
--- a/standins/server/answer_faults.h
+++ b/standins/server/answer_faults.h
@@ -1,8 +1,8 @@
 /**
  * @file answer_faults.h
  * @brief Faults of a server's answers, as the platform's servers may have them: an answer is sent a second time in the
- * place of the next one, with or without the name of its request, or answers are cut off at any byte, by a close or a
- * reset.
+ * place of the next one, with or without the name of its request, answers are cut off at any byte, by a close or a
+ * reset, or the page of another program comes in the place of an answer: the server never gets that request, or order.
  *
  * Stands between the callers and the server's own listener, and forwards bytes. An answer is forwarded once it is
  * whole, with a stated length, in chunks, or without a length, as drawn. One without a length is cut off by a reset
@@ -20,6 +20,7 @@
     ANSWER_FAULT_SECOND,  /**< the answer is sent a second time */
     ANSWER_FAULT_UNNAMED, /**< the same, without the name of its request */
     ANSWER_FAULT_CUT,     /**< the answer is cut off */
+    ANSWER_FAULT_PAGE,    /**< a page of another program, with or without the name of the request */
     ANSWER_FAULT_DENY,    /**< the server turns the request away; drawn by the server */
     ANSWER_FAULTS
 } answer_fault_t;
@@ -39,8 +40,8 @@
     void               *context;
 } answer_faults_t;
 
-/** Reads shares of 0 to 1 from "second=S,unnamed=S,cut=S,deny=S"; parts may be left out. Returns false if the text is
- * not valid. */
+/** Reads shares of 0 to 1 from "second=S,unnamed=S,cut=S,page=S,deny=S"; parts may be left out. Returns false if the
+ * text is not valid. */
 bool answer_faults_init(answer_faults_t *faults, const char *text, uint64_t seed);
 /** Draws whether this fault happens now. */
 bool answer_faults_draw(answer_faults_t *faults, answer_fault_t fault);
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -14,8 +14,8 @@
  * SIGTERM: announces in its entry and its answers that it leaves, serves for another SERVER_DRAIN_MS, and ends.
  * SIGUSR1: puts the next signal of --signals into force; SIGUSR2: ends the signal in force.
  *
- * With --answer-faults shares of its answers are sent a second time, cut off, or turn requests away (answer_faults.h);
- * each fault gets a record.
+ * With --answer-faults shares of its answers are sent a second time, cut off, replaced by a page, or turn requests away
+ * (answer_faults.h); each fault gets a record.
  *
  * With --late-orders a share of the grants and releases gets no answer and is carried out seconds later
  * (late_orders.h). "POST /control?late-orders=SHARE" sets another share from then on.
@@ -189,8 +189,9 @@
     struct arg_lit *silent = arg_lit0(NULL, "leaves-silently", "announces in its entry only that it leaves");
     struct arg_dbl *late_orders =
         arg_dbl0(NULL, "late-orders", "SHARE", "of orders without an answer, carried out 2 to 12 s later; default 0");
-    struct arg_str *answer_faults = arg_str0(NULL, "answer-faults", "second=S,unnamed=S,cut=S,deny=S",
-                                             "shares of answers that are sent twice, cut off, or turn requests away");
+    struct arg_str *answer_faults =
+        arg_str0(NULL, "answer-faults", "second=S,unnamed=S,cut=S,page=S,deny=S",
+                 "shares of answers that are sent twice, cut off, replaced, or turn requests away");
     struct arg_int *seed = arg_int0(NULL, "seed", "N", "of the draws of late orders and faults of answers; default 1");
     struct arg_end *end = arg_end(ERRORS_MAX);
     void           *table[] = {address, port,      advertise, store,       service,       zone, capacity, queue,
@@ -213,7 +214,8 @@
     }
     if (!answer_faults_init(&server.answer_faults, answer_faults->count > 0 ? answer_faults->sval[0] : NULL,
                             number_of(seed, 1))) {
-        fprintf(stderr, "cw-server: --answer-faults is second=S, unnamed=S, cut=S, deny=S, with commas between\n");
+        fprintf(stderr,
+                "cw-server: --answer-faults is second=S, unnamed=S, cut=S, page=S, deny=S, with commas between\n");
         return 2;
     }
     if (endless->count > 0 && (server.endless.kind = endless_kind(endless->sval[0])) == NULL) {
--- a/tests/fault_soak/answers_soak.sh
+++ b/tests/fault_soak/answers_soak.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Soak test: servers turn requests away, send answers a second time in the place of the next one, and cut answers off at any byte, while
+# Soak test: servers turn requests away, send answers a second time in the place of the next one, cut answers off at any byte, and send
+# pages of other programs in the place of answers to requests and orders, while
 # servers and nodes stand still, are killed and come back, and nodes lose their paths to servers, so that requests go by way of
 # other nodes. Real processes, faults drawn by a seed, which overlap.
 #
@@ -39,13 +40,14 @@
 
 # ---- servers ----
 draw_answers() { # shares of the faults of answers, in DRAWN
-    local second unnamed cut deny
+    local second unnamed cut page deny
     [ -z "${ANSWERS:-}" ] || { DRAWN=$ANSWERS; return; }
     draw_item 0.05 0.2 0.5; second=$DRAWN
     draw_item 0 0.1 0.3; unnamed=$DRAWN
     draw_item 0 0.02 0.05; cut=$DRAWN
     draw_item 0.05 0.2 0.4; deny=$DRAWN
-    DRAWN="second=$second,unnamed=$unnamed,cut=$cut,deny=$deny"
+    draw_item 0 0.01 0.03; page=$DRAWN
+    DRAWN="second=$second,unnamed=$unnamed,cut=$cut,deny=$deny,page=$page"
 }
 add_server() { # SERVICE
     local keyed=""
@@ -175,8 +177,8 @@
     report_finding "records: $(tail -1 "$WORK/verdict")"
 fi
 log "verdict: $(tail -2 "$WORK/verdict" | paste -sd' ')"
-for kind in second unnamed cut deny; do COUNTS[answer_$kind]=$(cat "$WORK"/server-*.json | grep -c "\"fault\":\"$kind\""); done
-log "nodes: $(cat "$WORK"/node*.log | grep -c '"answer discarded"') answers discarded, $(cat "$WORK"/node*.log | grep -c '"delegated"') requests passed on"
+for kind in second unnamed cut page deny; do COUNTS[answer_$kind]=$(cat "$WORK"/server-*.json | grep -c "\"fault\":\"$kind\""); done
+log "nodes: $(cat "$WORK"/node*.log | grep -c '"answer discarded"') answers discarded, $(cat "$WORK"/node*.log | grep -c '"order answer not accepted"') answers to orders not accepted, $(cat "$WORK"/node*.log | grep -c '"delegated"') requests passed on"
 log "faults: $(for kind in "${!COUNTS[@]}"; do echo "$kind ${COUNTS[$kind]}"; done | sort | xargs)"
 [ "$FINDINGS" = 0 ] || { KEEP=1; log "records are kept in $WORK"; }
 echo "seed $SEED: $FINDINGS findings"
