A body with an encoding that was not asked for is not the server's

Cause: as with pages of other programs, nobody asked. Evidence, on the code before: a_body_with_an_encoding_does_not_reach_the_caller, 200 was relayed.

--- a/src/proxy/engine_evidence.c
+++ b/src/proxy/engine_evidence.c
@@ -2,6 +2,8 @@
  * @file engine_evidence.c
  * @brief Reads from an answer the facts by which run_evidence.h decides what it shows.
  */
+#include <strings.h>
+
 #include "model/server_incarnation.h"
 #include "proxy/engine_internal.h"
 
@@ -24,6 +26,15 @@
     return signature != NULL && signature[0] != '\0';
 }
 
+/* A caller that names no encodings gets none. */
+static bool is_encoded(const cw_request_t *request, const cw_upstream_answer_t *answer)
+{
+    const char *encoding = cw_http_fields_find(answer->fields, "content-encoding");
+
+    return encoding != NULL && strcasecmp(encoding, "identity") != 0 &&
+           cw_http_fields_find(request->fields, "accept-encoding") == NULL;
+}
+
 /* server: the one that the request was sent to; NULL: another node passed its answer on. */
 static cw_answer_facts_t facts_of(const cw_request_t *request, const cw_server_t *server,
                                   const cw_upstream_answer_t *answer)
@@ -33,6 +44,7 @@
     return (cw_answer_facts_t){.status = answer->status,
                                .has_denial = cw_http_fields_find(answer->fields, names->not_run) != NULL,
                                .has_signature = has_signature(names, answer),
+                               .is_encoded = is_encoded(request, answer),
                                .names_request = answer->names_request || request->id == NULL,
                                .names_other_server =
                                    server != NULL && cw_request_names_other_server(request, server, answer),
--- a/src/proxy/request_rules.c
+++ b/src/proxy/request_rules.c
@@ -29,6 +29,7 @@
     case CW_RUN_DENIAL_UNSTATED:
     case CW_RUN_ANSWER_UNSIGNED:
     case CW_RUN_ANSWER_UNNAMED:
+    case CW_RUN_ANSWER_ENCODED:
     case CW_RUN_UNANSWERED:
     case CW_RUN_NODE_FAILED:
         break;
--- a/src/proxy/run_evidence.c
+++ b/src/proxy/run_evidence.c
@@ -23,7 +23,7 @@
     bool is_server_error = facts->status >= STATUS_SERVER_ERROR;
 
     if (facts->has_signature || (facts->names_request && is_server_error)) {
-        return CW_RUN_ANSWERED;
+        return facts->is_encoded ? CW_RUN_ANSWER_ENCODED : CW_RUN_ANSWERED;
     }
     return is_server_error ? CW_RUN_ANSWER_UNNAMED : CW_RUN_ANSWER_UNSIGNED;
 }
@@ -69,7 +69,7 @@
 
 bool cw_run_evidence_is_servers_own(cw_run_evidence_t evidence)
 {
-    return evidence != CW_RUN_ANSWER_UNSIGNED && evidence != CW_RUN_ANSWER_UNNAMED;
+    return evidence != CW_RUN_ANSWER_UNSIGNED && evidence != CW_RUN_ANSWER_UNNAMED && evidence != CW_RUN_ANSWER_ENCODED;
 }
 
 const char *cw_run_evidence_text(cw_run_evidence_t evidence)
@@ -85,6 +85,7 @@
                                         [CW_RUN_ANSWERED] = "answered",
                                         [CW_RUN_ANSWER_UNSIGNED] = "2xx to 4xx without the server's signature",
                                         [CW_RUN_ANSWER_UNNAMED] = "5xx with neither a signature nor the request's id",
+                                        [CW_RUN_ANSWER_ENCODED] = "its body has an encoding that was not asked for",
                                         [CW_RUN_UNANSWERED] = "sent, without a complete answer",
                                         [CW_RUN_NODE_FAILED] = "another node does not say that it has not run"};
 
--- a/src/proxy/run_evidence.h
+++ b/src/proxy/run_evidence.h
@@ -41,6 +41,7 @@
     CW_RUN_ANSWERED,        /**< another answer, the server's own */
     CW_RUN_ANSWER_UNSIGNED, /**< 2xx to 4xx without the server's signature: not shown to be its own */
     CW_RUN_ANSWER_UNNAMED,  /**< 5xx with neither a signature nor the request's id: the same */
+    CW_RUN_ANSWER_ENCODED,  /**< its body is encoded, which the caller did not ask for: not the server's own body */
     CW_RUN_UNANSWERED,      /**< sent, and no complete answer */
     CW_RUN_NODE_FAILED      /**< another node has taken it, and does not say that it has not run */
 } cw_run_evidence_t;
@@ -50,6 +51,7 @@
     int  status;
     bool has_denial;             /**< it has the field by which a server says that it did not run the request */
     bool has_signature;          /**< it has the server's signature, or servers do not sign */
+    bool is_encoded;             /**< its body has an encoding that the caller did not ask for */
     bool names_request;          /**< it names the request by its id, or the request has none */
     bool names_other_server;     /**< it names another server than the one that the request was sent to */
     bool is_first_on_connection; /**< the connection had not carried a request before */
--- a/tests/test_own_answers.c
+++ b/tests/test_own_answers.c
@@ -123,6 +123,13 @@
 }
 END_TEST
 
+/* The caller asked for no encoding. */
+START_TEST(a_body_with_an_encoding_does_not_reach_the_caller)
+{
+    expect_page_kept(200, true, "signature: s0\r\nContent-Encoding: gzip");
+}
+END_TEST
+
 START_TEST(a_servers_own_failure_is_relayed)
 {
     fixture_t fixture;
@@ -177,6 +184,7 @@
     tcase_add_test(cases, a_404_without_a_signature_is_no_answer);
     tcase_add_test(cases, a_500_that_neither_is_signed_nor_names_the_request_is_no_answer);
     tcase_add_test(cases, an_answer_whose_status_is_none_does_not_reach_the_caller);
+    tcase_add_test(cases, a_body_with_an_encoding_does_not_reach_the_caller);
     tcase_add_test(cases, a_servers_own_failure_is_relayed);
     tcase_add_test(cases, a_connection_that_brought_a_page_carries_no_further_request);
     tcase_add_test(cases, a_server_that_sends_pages_only_is_avoided);
--- a/tests/test_run_evidence.c
+++ b/tests/test_run_evidence.c
@@ -112,6 +112,16 @@
 }
 END_TEST
 
+START_TEST(an_encoding_that_was_not_asked_for_is_not_the_servers_body)
+{
+    cw_answer_facts_t facts = {.status = 200, .has_signature = true, .names_request = true, .is_encoded = true};
+
+    ck_assert_int_eq(cw_run_evidence_of_answer(&facts), CW_RUN_ANSWER_ENCODED);
+    ck_assert(!cw_run_evidence_is_servers_own(CW_RUN_ANSWER_ENCODED));
+    ck_assert(!cw_run_evidence_excludes_run(CW_RUN_ANSWER_ENCODED));
+}
+END_TEST
+
 START_TEST(another_node_shows_it_only_by_its_own_words)
 {
     ck_assert(cw_run_evidence_excludes_run(cw_run_evidence_of_node(CW_DELEGATION_DECLINED)));
@@ -142,6 +152,7 @@
     tcase_add_test(cases, an_attempt_without_an_answer_has_not_run_only_if_nothing_was_sent);
     tcase_add_test(cases, an_answer_below_500_is_the_servers_own_only_with_its_signature);
     tcase_add_test(cases, a_5xx_is_the_servers_own_only_with_a_signature_or_the_requests_id);
+    tcase_add_test(cases, an_encoding_that_was_not_asked_for_is_not_the_servers_body);
     tcase_add_test(cases, another_node_shows_it_only_by_its_own_words);
     tcase_add_test(cases, each_evidence_has_a_text);
     suite_add_tcase(suite, cases);
