--- a/tests/test_reading_time.c
+++ b/tests/test_reading_time.c
@@ -95,12 +95,14 @@
 static cw_bytes_t listing_with(const char *const *chosen, size_t count)
 {
     cw_bytes_t text = {0};
+    size_t     next = 0;
     unsigned   number = 0;
 
     cw_bytes_append_text(&text, begin);
     cw_bytes_append_text(&text, "\",\"history\":{");
     while (text.length < BODY_BYTES) {
-        append_fragment(&text, chosen[number % count], number);
+        append_fragment(&text, chosen[next], number);
+        next = next + 1 < count ? next + 1 : 0;
         number++;
     }
     cw_bytes_append_text(&text, end);
