--- a/tests/test_reading_time.c
+++ b/tests/test_reading_time.c
@@ -165,7 +165,7 @@
 
     state = (uint64_t)_i;
     count = 2 + draw(FRAGMENTS_MAX - 1);
-    for (index = 0; index < count; index++) {
+    for (index = 0; index < FRAGMENTS_MAX; index++) {
         chosen[index] = fragments[draw(FRAGMENTS)];
     }
     ratio = ratio_of(chosen, count, time_of_sound_body());
