--- a/tests/fault_soak/answers_soak.sh
+++ b/tests/fault_soak/answers_soak.sh
@@ -2,7 +2,7 @@
 # Soak test: servers turn requests away, send answers a second time in the place of the next one, cut answers off at any byte, and send
 # pages of other programs in the place of answers to requests and orders, while
 # servers and nodes stand still, are killed and come back, and nodes lose their paths to servers, so that requests go by way of
-# other nodes. Real processes, faults drawn by a seed, which overlap.
+# other nodes. One server may send bytes without end, and another writer leaves odd entries among those of the servers. Real processes, faults drawn by a seed, which overlap.
 #
 #   SEED=n       seed of the schedule of faults, which is printed as it is carried out (default 1)
 #   ROUNDS=n     number of rounds (default 3), NODES=n number of nodes (default 5)
@@ -21,6 +21,7 @@
 LINKED=1
 . "$(dirname "$0")/../../scripts/cluster.sh"
 . "$(dirname "$0")/lib/draws.sh"
+. "$(dirname "$0")/lib/foreign.sh"
 . "$(dirname "$0")/../process/lib/server_paths.sh"
 NEXT_SERVER=0 CALM_S=12 ROUND_S=14 RATE=80
 STOPPED=() # process ids that stand still
@@ -59,6 +60,13 @@
         --answer-faults "$DRAWN"
     SERVER_NAMES+=("s$NEXT_SERVER")
 }
+add_endless_server() { # it gets requests until it is avoided, and no keys
+    draw_item "" "" interim head body chunks noise
+    [ -n "$DRAWN" ] || return 0
+    log "server endless of hires: $DRAWN without end"
+    count "endless_$DRAWN"
+    cluster_server endless --service hires --zone z1 --endless "$DRAWN"
+}
 draw_server() { draw 0 "${#SERVER_NAMES[@]}"; DRAWN=${SERVER_NAMES[$DRAWN]}; }
 is_up() { kill -0 "$1" 2>/dev/null; } # PID
 server_fault() {
@@ -149,7 +157,7 @@
     cluster_callers "round$1" --rate "$RATE" --count $((RATE * ROUND_S)) &
     callers=$!
     while [ "$steps" -gt 0 ]; do
-        draw_item server_fault node_fault path_fault path_fault peer_fault
+        draw_item server_fault node_fault path_fault path_fault peer_fault foreign_fault foreign_fault
         "$DRAWN"
         draw_pause 300 1500
         ease
@@ -168,6 +176,7 @@
 cluster_start "$COUNT"
 SERVER_NAMES=()
 for _ in $(seq 1 "$SERVERS"); do add_server maps; add_server hires; done
+add_endless_server
 cluster_configure "$(configuration 1)"
 cluster_wait_ready
 cluster_wait_served
