--- a/src/net/http_upstream.c
+++ b/src/net/http_upstream.c
@@ -7,7 +7,6 @@
  * which the connection must not be reused, is detected before the next use.
  */
 #include "net/http_upstream_internal.h"
-#include "net/ipv4_endpoint.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -21,6 +20,7 @@
 #include "base/loop_clock.h"
 #include "base/loop_stall.h"
 #include "base/memory.h"
+#include "net/ipv4_endpoint.h"
 
 enum { KEEP_ALIVE_SHARE_NUMERATOR = 3, KEEP_ALIVE_SHARE_DENOMINATOR = 5 };
 
--- a/src/router/router.c
+++ b/src/router/router.c
@@ -94,11 +94,8 @@
 {
     uint32_t alive = cw_peer_link_count_alive(router->link, router->settings.retry_window, now) + 1;
 
-    if (alive >= router->peak_nodes || now - router->peak_nodes_at > router->settings.retry_window) {
-        router->peak_nodes = alive;
-        router->peak_nodes_at = now;
-    }
-    return now - router->started_at < router->settings.retry_window ? 0 : router->peak_nodes;
+    cw_peak_nodes_record(&router->peak_nodes, alive, router->settings.retry_window, now);
+    return now - router->started_at < router->settings.retry_window ? 0 : router->peak_nodes.count;
 }
 
 /* Handles time limits that passed while the machine was suspended, which the loop's timers do not take into account. */
@@ -328,8 +325,7 @@
     (void)signal(SIGPIPE, SIG_IGN);
     router->settings = *settings;
     router->adapter = adapter;
-    snprintf(router->file_name, sizeof(router->file_name), "%s", file_name);
-    router->file_fingerprint = cw_router_file_fingerprint(file_name);
+    cw_settings_file_init(&router->settings_file, file_name);
     router->incarnation = new_incarnation(settings->node);
     cw_event_log_open(STDOUT_FILENO, settings->node, settings->log_level);
     error = cw_loop_start(&router->loop);
--- a/src/router/router_internal.h
+++ b/src/router/router_internal.h
@@ -27,9 +27,11 @@
 #include "router/known_leader.h"
 #include "router/leader_tenure.h"
 #include "router/list_history.h"
+#include "router/peak_nodes.h"
 #include "router/replaced_versions.h"
 #include "router/report_schedule.h"
 #include "router/router.h"
+#include "router/settings_file.h"
 #include "router/signal_notices.h"
 #include "router/store_availability.h"
 #include "router/store_reader.h"
@@ -94,7 +96,7 @@
 /** All state of a node. */
 typedef struct cw_router {
     cw_router_settings_t    settings;
-    char                    file_name[256]; /**< of the settings */
+    cw_settings_file_t      settings_file;
     const cw_adapter_t     *adapter;
     void                   *platform;
     cw_store_port_t        *store;
@@ -126,12 +128,8 @@
     /** Latest time at which the process ends; fixed when the stop begins, so later changes of the settings do not move
      * it. */
     cw_time_us_t    stop_deadline;
-    cw_time_us_t    checked_file_at; /**< last check whether the settings file has changed */
     cw_fleet_size_t fleet_size;
-    uint32_t        peak_nodes;       /**< most nodes alive at once within the retry budget's window */
-    cw_time_us_t    peak_nodes_at;    /**< when peak_nodes was reached */
-    int64_t         file_fingerprint; /**< of the settings file when it was read last; see
-                                           cw_router_file_fingerprint */
+    cw_peak_nodes_t peak_nodes; /**< within the retry budget's window */
 
     /* reports */
     uint32_t             sequence;     /**< of this node's last report */
@@ -208,8 +206,6 @@
 bool cw_router_is_ready(const cw_router_t *router, cw_time_us_t now);
 
 /* ---- router_reload.c ---- */
-/** A number that changes with the file's modification time, size and inode; 0: the file does not exist. */
-int64_t cw_router_file_fingerprint(const char *file_name);
 /** Reads the settings file again and applies the settings that may change while the process runs. */
 void cw_router_reload(cw_router_t *router);
 /** Reads the settings file again if it has changed. Called with each tick; checks the file twice a second. */
--- a/src/router/router_lead.c
+++ b/src/router/router_lead.c
@@ -195,7 +195,7 @@
     json_t                *value;
 
     cw_leadership_set_nodes(&router->leadership,
-                            cw_fleet_size_to_announce(&router->fleet_size, router->peak_nodes, now));
+                            cw_fleet_size_to_announce(&router->fleet_size, router->peak_nodes.count, now));
     action = cw_leadership_tick(&router->leadership, now);
     if (action == CW_LEADERSHIP_WAIT) {
         return;
--- a/src/router/router_list_reads.c
+++ b/src/router/router_list_reads.c
@@ -118,7 +118,7 @@
  * far shorter than the one in the store, so that a minimum is assumed. */
 static cw_time_us_t read_window(const cw_router_t *router, cw_time_us_t now)
 {
-    size_t nodes = cw_fleet_size_nodes(&router->fleet_size, router->peak_nodes, now);
+    size_t nodes = cw_fleet_size_nodes(&router->fleet_size, router->peak_nodes.count, now);
     size_t servers = router->server_view.list == NULL ? 0 : router->server_view.list->count;
     size_t expected = nodes * MIN_SERVERS_PER_NODE;
 
--- a/src/router/router_quota_choice.c
+++ b/src/router/router_quota_choice.c
@@ -79,7 +79,7 @@
     uint32_t     address;
 
     if (router->leadership.leading) {
-        uint32_t nodes = cw_fleet_size_to_announce(&router->fleet_size, router->peak_nodes, now);
+        uint32_t nodes = cw_fleet_size_to_announce(&router->fleet_size, router->peak_nodes.count, now);
 
         (void)cw_interim_counter_record(&quota->interim, own, router->leadership.lock.term,
                                         cw_router_has_authority(router, now), nodes);
@@ -275,7 +275,7 @@
 {
     const cw_router_t *router = quota->router;
     const cw_peer_t   *peer;
-    uint32_t           counted = router->peak_nodes > 0 ? router->peak_nodes : 1;
+    uint32_t           counted = router->peak_nodes.count > 0 ? router->peak_nodes.count : 1;
     uint32_t           nodes = cw_fleet_size_nodes(&router->fleet_size, counted, now_of(quota));
 
     for (peer = cw_peer_link_peers(router->link); peer != NULL; peer = peer->next) {
--- a/src/router/router_report.c
+++ b/src/router/router_report.c
@@ -159,7 +159,7 @@
     builder.leader.list_revision = cw_store_revision_count(router->server_view.revision);
     builder.leader.list_revision_epoch = cw_router_sent_epoch(router->server_view.revision);
     builder.leader.configuration_age_ms = cw_configuration_freshness_pack(&router->freshness, now);
-    builder.leader.nodes = cw_fleet_size_to_announce(&router->fleet_size, router->peak_nodes, now);
+    builder.leader.nodes = cw_fleet_size_to_announce(&router->fleet_size, router->peak_nodes.count, now);
     builder.leader.servers_replaced_ms = builder.servers_replaced_ms;
     builder.leader.n_servers_replaced_ms =
         cw_replaced_versions_ages(&router->replaced_servers, now, builder.servers_replaced_ms);
--- a/tests/test_list_age.c
+++ b/tests/test_list_age.c
@@ -77,7 +77,7 @@
     node_fixture_t *node = node_fixture_create();
 
     report_nodes(node, nodes, 1);
-    node->router.peak_nodes = nodes;
+    node->router.peak_nodes.count = nodes;
     node_fixture_tick(node, CW_TICK_MS);
     node_fixture_tick(node, SETTLED_MS);
     report_nodes(node, nodes, 2);
