The stand-in draws pages for orders by a share of their own

Orders are few beside requests, so a share of all calls met one to five of them in a soak. With orders=S (0, 0.05 or 0.3 in the soak of answers) grants, renewals, releases and probes are answered with pages often.

--- a/standins/server/answer_faults.c
+++ b/standins/server/answer_faults.c
@@ -46,7 +46,7 @@
     char       bytes[];
 } copied_write_t;
 
-static const char *const names[ANSWER_FAULTS] = {"second", "unnamed", "cut", "page", "deny"};
+static const char *const names[ANSWER_FAULTS] = {"second", "unnamed", "cut", "page", "orders", "deny"};
 
 const char *answer_fault_name(answer_fault_t fault)
 {
@@ -353,7 +353,7 @@
 }
 
 /* Sends the page of another program, which a server's framework may have given the request's id. */
-static void send_page(pair_t *pair, const char *head)
+static void send_page(pair_t *pair, answer_fault_t fault, const char *head)
 {
     static const char *const status_lines[] = {"200 OK",    "200 OK",   "200 OK", "201 Created", "404 Not Found",
                                                "500 Error", "503 Busy", "000 ",   "600 ",        "999 "};
@@ -364,7 +364,7 @@
     char                     id[ID_BYTES];
 
     copy_id(head, id);
-    report(pair, ANSWER_FAULT_PAGE, id);
+    report(pair, fault, id);
     cw_bytes_append_format(&page, "HTTP/1.1 %s\r\n", status_lines[draw(pair->faults) % count]);
     if (is_named && id[0] != '\0') {
         cw_bytes_append_format(&page, "X-Request-Id: %s\r\n", id);
@@ -377,16 +377,19 @@
 /* Passes the next whole request to the server, or answers it with a page. False: there is none. */
 static bool pass_next_request(pair_t *pair)
 {
-    char        head[HEAD_BYTES];
-    size_t      head_length = copy_head(&pair->request, head, sizeof(head));
-    const char *stated = field_in(head, "Content-Length");
-    size_t      length = head_length + (stated == NULL ? 0 : strtoul(stated, NULL, 10));
+    static const char order_path[] = "POST /api/";
+    char              head[HEAD_BYTES];
+    size_t            head_length = copy_head(&pair->request, head, sizeof(head));
+    const char       *stated = field_in(head, "Content-Length");
+    answer_fault_t    fault;
+    size_t            length = head_length + (stated == NULL ? 0 : strtoul(stated, NULL, 10));
 
     if (head_length == 0 || pair->request.length < length) {
         return false;
     }
-    if (answer_faults_draw(pair->faults, ANSWER_FAULT_PAGE)) {
-        send_page(pair, head);
+    fault = strncmp(head, order_path, strlen(order_path)) == 0 ? ANSWER_FAULT_ORDERS : ANSWER_FAULT_PAGE;
+    if (answer_faults_draw(pair->faults, fault)) {
+        send_page(pair, fault, head);
     } else {
         send_bytes(&pair->server, pair->request.data, length);
         send_second(pair); /* while the server has the request */
--- a/standins/server/answer_faults.h
+++ b/standins/server/answer_faults.h
@@ -21,6 +21,7 @@
     ANSWER_FAULT_UNNAMED, /**< the same, without the name of its request */
     ANSWER_FAULT_CUT,     /**< the answer is cut off */
     ANSWER_FAULT_PAGE,    /**< a page of another program, with or without the name of the request */
+    ANSWER_FAULT_ORDERS,  /**< the same in the place of the answer to a grant, renewal, release or probe */
     ANSWER_FAULT_DENY,    /**< the server turns the request away; drawn by the server */
     ANSWER_FAULTS
 } answer_fault_t;
@@ -40,8 +41,8 @@
     void               *context;
 } answer_faults_t;
 
-/** Reads shares of 0 to 1 from "second=S,unnamed=S,cut=S,page=S,deny=S"; parts may be left out. Returns false if the
- * text is not valid. */
+/** Reads shares of 0 to 1 from "second=S,unnamed=S,cut=S,page=S,orders=S,deny=S"; parts may be left out. Returns false
+ * if the text is not valid. */
 bool answer_faults_init(answer_faults_t *faults, const char *text, uint64_t seed);
 /** Draws whether this fault happens now. */
 bool answer_faults_draw(answer_faults_t *faults, answer_fault_t fault);
--- a/standins/server/main.c
+++ b/standins/server/main.c
@@ -190,7 +190,7 @@
     struct arg_dbl *late_orders =
         arg_dbl0(NULL, "late-orders", "SHARE", "of orders without an answer, carried out 2 to 12 s later; default 0");
     struct arg_str *answer_faults =
-        arg_str0(NULL, "answer-faults", "second=S,unnamed=S,cut=S,page=S,deny=S",
+        arg_str0(NULL, "answer-faults", "second=S,unnamed=S,cut=S,page=S,orders=S,deny=S",
                  "shares of answers that are sent twice, cut off, replaced, or turn requests away");
     struct arg_int *seed = arg_int0(NULL, "seed", "N", "of the draws of late orders and faults of answers; default 1");
     struct arg_end *end = arg_end(ERRORS_MAX);
@@ -214,8 +214,8 @@
     }
     if (!answer_faults_init(&server.answer_faults, answer_faults->count > 0 ? answer_faults->sval[0] : NULL,
                             number_of(seed, 1))) {
-        fprintf(stderr,
-                "cw-server: --answer-faults is second=S, unnamed=S, cut=S, page=S, deny=S, with commas between\n");
+        fprintf(stderr, "cw-server: --answer-faults is second=S, unnamed=S, cut=S, page=S, orders=S, deny=S, with "
+                        "commas between\n");
         return 2;
     }
     if (endless->count > 0 && (server.endless.kind = endless_kind(endless->sval[0])) == NULL) {
--- a/tests/fault_soak/answers_soak.sh
+++ b/tests/fault_soak/answers_soak.sh
@@ -41,14 +41,15 @@
 
 # ---- servers ----
 draw_answers() { # shares of the faults of answers, in DRAWN
-    local second unnamed cut page deny
+    local second unnamed cut page orders deny
     [ -z "${ANSWERS:-}" ] || { DRAWN=$ANSWERS; return; }
     draw_item 0.05 0.2 0.5; second=$DRAWN
     draw_item 0 0.1 0.3; unnamed=$DRAWN
     draw_item 0 0.02 0.05; cut=$DRAWN
     draw_item 0.05 0.2 0.4; deny=$DRAWN
     draw_item 0 0.01 0.03; page=$DRAWN
-    DRAWN="second=$second,unnamed=$unnamed,cut=$cut,deny=$deny,page=$page"
+    draw_item 0 0.05 0.3; orders=$DRAWN
+    DRAWN="second=$second,unnamed=$unnamed,cut=$cut,deny=$deny,page=$page,orders=$orders"
 }
 add_server() { # SERVICE
     local keyed=""
@@ -186,7 +187,7 @@
     report_finding "records: $(tail -1 "$WORK/verdict")"
 fi
 log "verdict: $(tail -2 "$WORK/verdict" | paste -sd' ')"
-for kind in second unnamed cut page deny; do COUNTS[answer_$kind]=$(cat "$WORK"/server-*.json | grep -c "\"fault\":\"$kind\""); done
+for kind in second unnamed cut page orders deny; do COUNTS[answer_$kind]=$(cat "$WORK"/server-*.json | grep -c "\"fault\":\"$kind\""); done
 log "nodes: $(cat "$WORK"/node*.log | grep -c '"answer discarded"') answers discarded, $(cat "$WORK"/node*.log | grep -c '"order answer not accepted"') answers to orders not accepted, $(cat "$WORK"/node*.log | grep -c '"delegated"') requests passed on"
 log "faults: $(for kind in "${!COUNTS[@]}"; do echo "$kind ${COUNTS[$kind]}"; done | sort | xargs)"
 [ "$FINDINGS" = 0 ] || { KEEP=1; log "records are kept in $WORK"; }
