--- a/tests/fault_soak/answers_soak.sh
+++ b/tests/fault_soak/answers_soak.sh
@@ -48,7 +48,7 @@
     draw_item 0 0.02 0.05; cut=$DRAWN
     draw_item 0.05 0.2 0.4; deny=$DRAWN
     draw_item 0 0.01 0.03; page=$DRAWN
-    draw_item 0 0.05 0.3; orders=$DRAWN
+    draw_item 0 0.05 0.5; orders=$DRAWN
     DRAWN="second=$second,unnamed=$unnamed,cut=$cut,deny=$deny,page=$page,orders=$orders"
 }
 add_server() { # SERVICE
