--- a/src/router/settings_file.h
+++ b/src/router/settings_file.h
@@ -18,8 +18,8 @@
 
 /** The file as it was last seen. */
 typedef struct cw_settings_file {
-    char         name[CW_SETTINGS_FILE_NAME_MAX];
-    int64_t      fingerprint; /**< changes with the time of its last change, its size and its inode; 0: it was not there */
+    char    name[CW_SETTINGS_FILE_NAME_MAX];
+    int64_t fingerprint; /**< changes with the time of its last change, its size and its inode; 0: it was not there */
     cw_time_us_t checked_at;
 } cw_settings_file_t;
 
