--- a/fuzz/fuzz_http.c
+++ b/fuzz/fuzz_http.c
@@ -6,6 +6,7 @@
  * listener dispatches several requests of an input at once. A GET is answered after the next request, unless another
  * one is held already; if the caller disconnects before, it is cancelled.
  */
+#include <signal.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
@@ -85,6 +86,7 @@
     cw_upstream_options_t options = {.idle_max = CW_MS(10)};
     char                  address[32];
 
+    (void)signal(SIGPIPE, SIG_IGN); /* as the router does */
     fixture = calloc(1, sizeof(*fixture));
     uv_loop_init(&fixture->loop);
     if (cw_http_listener_create(&fixture->listener, &fixture->loop, "127.0.0.1", 0, &limits, &handler) != 0) {
