No pointer arithmetic on the body of an answer that has none

An answer that left in parts and had no body had zero added to a null pointer: undefined by the C standard, without effect with our compilers. Callers saw nothing of it.

--- a/src/net/http_listener_answer.c
+++ b/src/net/http_listener_answer.c
@@ -168,6 +168,9 @@
 {
     size_t part = *sent < buffer->len ? *sent : buffer->len;
 
+    if (part == 0) { /* a body that is empty has no address */
+        return;
+    }
     buffer->base += part;
     buffer->len -= part;
     *sent -= part;
